Measure the path's own cost; test what an operator sees of a daemon

Cause: the path's cost against calling the endpoints directly was unknown. A first run held only 100 of 1,000 requests in flight (the client's own connection limit); the bench's session has none now.

--- /dev/null
+++ b/bench/path.py
@@ -0,0 +1,213 @@
+"""The path's own cost against calling the endpoints directly, in one run.
+
+    .venv/bin/python -m bench.path [--requests N] [--concurrency N]
+
+Prints added latency, requests a second per entry core, and resident memory.
+"""
+
+import argparse
+import asyncio
+import os
+import time
+from dataclasses import dataclass
+from pathlib import Path
+from statistics import median, quantiles
+
+import aiohttp
+import msgspec
+
+from amaranthtally.standins.deployment import (
+    Deployment,
+    DeploymentPlan,
+    Pool,
+    load_plan,
+    open_deployment,
+)
+from amaranthtally.standins.process import Process
+
+PLAN = Path(__file__).parent.parent / "examples" / "agrosalv.toml"
+PIPELINE = "assessment"
+STAGES = 4
+STAGE_POOLS = ("encoder", "parts-catalogue", "reranker", "assessment")
+QUESTION = "The header lifts but will not lower."
+MS = 1000.0
+HELD_REQUESTS = 1000
+HELD_SECONDS = 30.0
+HELD_SETTLE_SECONDS = 4.0
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1e6
+
+
+@dataclass(frozen=True, slots=True)
+class Latency:
+    """Times of single calls, in milliseconds."""
+
+    p50: float
+    p99: float
+
+
+async def main() -> None:
+    arguments = parse_arguments()
+    plan = fast_plan(load_plan(PLAN), arguments.tokens)
+    wide = {"concurrency": 2000, "queue_capacity": 4000}
+    async with open_deployment(
+        plan, servers=arguments.servers, sidecar_overrides=wide
+    ) as deployment:
+        report_idle(deployment)
+        await measure_latency(deployment, arguments.requests)
+        await measure_throughput(deployment, arguments)
+        await measure_held(deployment)
+
+
+def parse_arguments() -> argparse.Namespace:
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--requests", type=int, default=500)
+    parser.add_argument("--load-requests", type=int, default=6000)
+    parser.add_argument("--concurrency", type=int, default=32)
+    parser.add_argument("--servers", type=int, default=2)
+    parser.add_argument("--tokens", type=int, default=4)
+    return parser.parse_args()
+
+
+def fast_plan(plan: DeploymentPlan, tokens: int) -> DeploymentPlan:
+    """Return the plan with endpoints that answer at once and enough room."""
+    pools = [
+        Pool(p.name, p.kind, p.servers, knobs={"tokens": tokens})
+        for p in plan.pools
+        if p.name in STAGE_POOLS
+    ]
+    settings = {f"pipeline:{PIPELINE}": plan.settings[f"pipeline:{PIPELINE}"]}
+    return msgspec.structs.replace(plan, pools=pools, settings=settings)
+
+
+# Latency
+
+
+async def measure_latency(deployment: Deployment, requests: int) -> None:
+    direct, path = [], []
+    for number in range(requests + 50):
+        question = f"{QUESTION} {number}"
+        direct.append(await timed(call_directly(deployment, question)))
+        path.append(await timed(deployment.call(PIPELINE, question)))
+    warm = slice(50, None)
+    alone, through = summary(direct[warm]), summary(path[warm])
+    print(f"direct        p50 {alone.p50:7.2f} ms   p99 {alone.p99:7.2f} ms")
+    print(f"through path  p50 {through.p50:7.2f} ms   p99 {through.p99:7.2f} ms")
+    print(
+        f"added a stage p50 {(through.p50 - alone.p50) / STAGES:7.2f} ms   "
+        f"p99 {(through.p99 - alone.p99) / STAGES:7.2f} ms"
+    )
+
+
+async def call_directly(deployment: Deployment, question: str) -> None:
+    encoded = await post(deployment, "encoder", "/v1/embeddings", {"input": question})
+    search = {"query": question, "vector": msgspec.Raw(encoded)}
+    found = await post(deployment, "parts-catalogue", "/v1/search", search)
+    documents = msgspec.json.decode(found)["documents"]
+    rerank = {"query": question, "documents": documents}
+    kept = await post(deployment, "reranker", "/v1/rerank", rerank)
+    prompt = "\n".join([*msgspec.json.decode(kept)["documents"], question])
+    body = {"prompt": prompt, "stream": True}
+    await post(deployment, "assessment", "/v1/completions", body)
+
+
+async def post(deployment: Deployment, pool: str, path: str, body: object) -> bytes:
+    url = deployment.pool(pool)[0].service_url + path
+    async with deployment.http.post(url, data=msgspec.json.encode(body)) as response:
+        return await response.read()
+
+
+async def timed(work) -> float:
+    start = time.perf_counter()
+    await work
+    return (time.perf_counter() - start) * MS
+
+
+def summary(times: list[float]) -> Latency:
+    return Latency(median(times), quantiles(times, n=100)[98])
+
+
+# Throughput
+
+
+async def measure_throughput(
+    deployment: Deployment, arguments: argparse.Namespace
+) -> None:
+    left = iter(range(arguments.load_requests))
+    statuses: dict[int, int] = {}
+
+    async def client(session: aiohttp.ClientSession) -> None:
+        url = f"{deployment.entry_url()}/v1/pipelines/{PIPELINE}/requests"
+        key = deployment.plan.accounts[0].key
+        for number in left:
+            body = msgspec.json.encode({"input": f"{QUESTION} {number}"})
+            async with session.post(
+                url, data=body, headers={"Authorization": f"Bearer {key}"}
+            ) as response:
+                await response.read()
+                statuses[response.status] = statuses.get(response.status, 0) + 1
+
+    entry = deployment.entries[0]
+    sidecars = [pair.sidecar for pair in deployment.endpoints.values()]
+    spent = cpu_seconds(entry)
+    spent_beside = sum(cpu_seconds(s) for s in sidecars)
+    start = time.perf_counter()
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        await asyncio.gather(*[client(session) for _ in range(arguments.concurrency)])
+    elapsed = time.perf_counter() - start
+    spent = cpu_seconds(entry) - spent
+    spent_beside = sum(cpu_seconds(s) for s in sidecars) - spent_beside
+    done = arguments.load_requests
+    print(f"load          {done} four-stage requests, statuses {statuses}")
+    print(f"              {done / elapsed:7.0f} requests/s")
+    print(f"              {done / spent:7.0f} requests per entry core second")
+    print(f"              {spent_beside / done / STAGES * MS:7.2f} sidecar ms a stage")
+
+
+# Memory
+
+
+def report_idle(deployment: Deployment) -> None:
+    sidecar = next(iter(deployment.endpoints.values())).sidecar
+    print(f"idle          entry {memory_mb(deployment.entries[0]):6.1f} MB")
+    print(f"              sidecar {memory_mb(sidecar):6.1f} MB")
+
+
+async def measure_held(deployment: Deployment) -> None:
+    encoders = deployment.pool("encoder")
+    for pair in encoders:
+        await deployment.set_knobs(pair.service, slow=HELD_SECONDS)
+    entry, sidecar = deployment.entries[0], encoders[0].sidecar
+    before = memory_mb(entry), memory_mb(sidecar)
+    calls = [
+        asyncio.create_task(
+            deployment.call(PIPELINE, QUESTION, deadline_ms=int(HELD_SECONDS * MS))
+        )
+        for _ in range(HELD_REQUESTS)
+    ]
+    await asyncio.sleep(HELD_SETTLE_SECONDS)
+    after = memory_mb(entry), memory_mb(sidecar)
+    held = sum(not call.done() for call in calls)
+    share = held / len(encoders)
+    print(f"held          {held} requests in flight")
+    print(f"              entry +{(after[0] - before[0]) / held * 1000:6.1f} MB/1,000")
+    print(
+        f"              sidecar +{(after[1] - before[1]) / share * 1000:4.1f} MB/1,000"
+    )
+    for call in calls:
+        call.cancel()
+    await asyncio.gather(*calls, return_exceptions=True)
+
+
+def cpu_seconds(process: Process) -> float:
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
+
+
+def memory_mb(process: Process) -> float:
+    return int(Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * PAGE_MB
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- a/packages/standins/src/amaranthtally/standins/deployment.py
+++ b/packages/standins/src/amaranthtally/standins/deployment.py
@@ -15,7 +15,7 @@
 import msgspec
 import tomli_w
 
-from amaranthtally.standins.process import Process, start_process
+from amaranthtally.standins.process import Process, spawn_process, start_process
 
 __all__ = [
     "ADMIN_KEY",
@@ -158,7 +158,7 @@
 
     async def start_platform(self, *knobs: str) -> None:
         """Start the platform stand-in."""
-        self.http = await self._stack.enter_async_context(aiohttp.ClientSession())
+        self.http = await self._stack.enter_async_context(_open_session())
         self.platform = await self.start_standin("platform", "platform", *knobs)
 
     async def start_standin(self, name: str, kind: str, *knobs: str) -> Process:
@@ -175,6 +175,12 @@
         self._stack.push_async_callback(process.kill)
         return process
 
+    async def spawn_daemon(self, role: str, name: str, file: Path) -> Process:
+        """Start a daemon without waiting; it ends with the deployment."""
+        process = await spawn_process(name, DAEMON, role, "--settings", file)
+        self._stack.push_async_callback(process.kill)
+        return process
+
     async def start_endpoint(
         self, pool: Pool, number: int, **overrides: Any
     ) -> EndpointPair:
@@ -378,3 +384,7 @@
         else:
             flat[prefix + key] = value
     return flat
+
+
+def _open_session() -> aiohttp.ClientSession:
+    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
--- a/packages/standins/src/amaranthtally/standins/process.py
+++ b/packages/standins/src/amaranthtally/standins/process.py
@@ -8,7 +8,7 @@
 from contextlib import suppress
 from pathlib import Path
 
-__all__ = ["Process", "StartError", "start_process"]
+__all__ = ["Process", "StartError", "spawn_process", "start_process"]
 
 LISTENING = re.compile(rb"event=listening .*")
 PAIR = re.compile(rb"(\w+)=(\S+)")
@@ -61,8 +61,10 @@
             self._child.send_signal(number)
 
     async def wait(self) -> int:
-        """Return the exit code once the process has ended."""
-        return await self._child.wait()
+        """Return the exit code once the process has ended and its log is read."""
+        code = await self._child.wait()
+        await asyncio.wait({self._reader})
+        return code
 
     async def stop(self) -> int:
         """End it gracefully, or by force after a time; return the exit code."""
@@ -94,8 +96,8 @@
                 self._listening.set()
 
 
-async def start_process(name: str, module: str, *arguments: str | Path) -> Process:
-    """Run ``python -m module`` and wait until it listens."""
+async def spawn_process(name: str, module: str, *arguments: str | Path) -> Process:
+    """Run ``python -m module`` without waiting for it."""
     child = await asyncio.create_subprocess_exec(
         sys.executable,
         "-m",
@@ -105,7 +107,12 @@
         stderr=asyncio.subprocess.PIPE,
         limit=1 << 20,
     )
-    process = Process(name, child)
+    return Process(name, child)
+
+
+async def start_process(name: str, module: str, *arguments: str | Path) -> Process:
+    """Run ``python -m module`` and wait until it listens."""
+    process = await spawn_process(name, module, *arguments)
     try:
         await process.wait_listening()
     except BaseException:
--- /dev/null
+++ b/tests/unit/test_process_settings.py
@@ -0,0 +1,46 @@
+"""Settings of one process."""
+
+import pytest
+
+from amaranthtally.settings import SettingsFileError, load_sidecar_settings
+
+GOOD = """
+endpoint = "encoder-1"
+host = "host-1"
+region = "cluj"
+data_centre = "cluj-1"
+wire_address = "127.0.0.1:0"
+http_address = "127.0.0.1:0"
+endpoint_url = "http://127.0.0.1:9"
+endpoint_kind = "encoder"
+"""
+
+
+def test_good_settings_get_defaults(tmp_path):
+    path = tmp_path / "sidecar.toml"
+    path.write_text(GOOD)
+    assert load_sidecar_settings(path).concurrency == 4
+
+
+def test_every_mistake_is_reported_at_once_with_its_remedy(tmp_path):
+    path = tmp_path / "sidecar.toml"
+    bad = GOOD.replace('"127.0.0.1:0"', '"nowhere"', 1).replace('host = "host-1"', "")
+    path.write_text(bad + 'concurency = 2\nqueue_capacity = "many"\n')
+    with pytest.raises(SettingsFileError) as caught:
+        load_sidecar_settings(path)
+    message = str(caught.value)
+    assert len(caught.value.mistakes) == 4
+    assert all(line.startswith(str(path)) for line in message.splitlines())
+    assert "'concurency': unknown; did you mean 'concurrency'?" in message
+    assert "'host': missing; add it" in message
+    assert "'wire_address'" in message
+    assert "'queue_capacity'" in message
+
+
+@pytest.mark.parametrize("text", [None, "endpoint = ", b"\xff"])
+def test_an_unreadable_file_says_what_to_do(tmp_path, text):
+    path = tmp_path / "sidecar.toml"
+    if text is not None:
+        path.write_bytes(text if isinstance(text, bytes) else text.encode())
+    with pytest.raises(SettingsFileError, match=r"check the path|mend that line"):
+        load_sidecar_settings(path)
