Wake an idle entry once a second, not a hundred times

Ruled out: the settings watch (0.00 platform calls/s while idle). Change: with no request in flight the tick waits for an arrival, at most a second.

--- a/bench/path.py
+++ b/bench/path.py
@@ -7,7 +7,6 @@
 
 import argparse
 import asyncio
-import os
 import time
 from dataclasses import dataclass
 from pathlib import Path
@@ -23,7 +22,7 @@
     load_plan,
     open_deployment,
 )
-from amaranthtally.standins.process import Process
+from bench.process_cost import cpu_seconds, memory_mb
 
 PLAN = Path(__file__).parent.parent / "examples" / "agrosalv.toml"
 PIPELINE = "assessment"
@@ -34,8 +33,6 @@
 HELD_REQUESTS = 1000
 HELD_SECONDS = 30.0
 HELD_SETTLE_SECONDS = 4.0
-TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
-PAGE_MB = os.sysconf("SC_PAGE_SIZE") / 1e6
 
 
 @dataclass(frozen=True, slots=True)
@@ -149,15 +146,15 @@
 
     entry = deployment.entries[0]
     sidecars = [pair.sidecar for pair in deployment.endpoints.values()]
-    spent = cpu_seconds(entry)
-    spent_beside = sum(cpu_seconds(s) for s in sidecars)
+    spent = cpu_seconds(entry.pid)
+    spent_beside = sum(cpu_seconds(s.pid) for s in sidecars)
     start = time.perf_counter()
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         await asyncio.gather(*[client(session) for _ in range(arguments.concurrency)])
     elapsed = time.perf_counter() - start
-    spent = cpu_seconds(entry) - spent
-    spent_beside = sum(cpu_seconds(s) for s in sidecars) - spent_beside
+    spent = cpu_seconds(entry.pid) - spent
+    spent_beside = sum(cpu_seconds(s.pid) for s in sidecars) - spent_beside
     done = arguments.load_requests
     print(f"load          {done} four-stage requests, statuses {statuses}")
     print(f"              {done / elapsed:7.0f} requests/s")
@@ -170,8 +167,8 @@
 
 def report_idle(deployment: Deployment) -> None:
     sidecar = next(iter(deployment.endpoints.values())).sidecar
-    print(f"idle          entry {memory_mb(deployment.entries[0]):6.1f} MB")
-    print(f"              sidecar {memory_mb(sidecar):6.1f} MB")
+    print(f"idle          entry {memory_mb(deployment.entries[0].pid):6.1f} MB")
+    print(f"              sidecar {memory_mb(sidecar.pid):6.1f} MB")
 
 
 async def measure_held(deployment: Deployment) -> None:
@@ -179,7 +176,7 @@
     for pair in encoders:
         await deployment.set_knobs(pair.service, slow=HELD_SECONDS)
     entry, sidecar = deployment.entries[0], encoders[0].sidecar
-    before = memory_mb(entry), memory_mb(sidecar)
+    before = memory_mb(entry.pid), memory_mb(sidecar.pid)
     calls = [
         asyncio.create_task(
             deployment.call(PIPELINE, QUESTION, deadline_ms=int(HELD_SECONDS * MS))
@@ -187,7 +184,7 @@
         for _ in range(HELD_REQUESTS)
     ]
     await asyncio.sleep(HELD_SETTLE_SECONDS)
-    after = memory_mb(entry), memory_mb(sidecar)
+    after = memory_mb(entry.pid), memory_mb(sidecar.pid)
     held = sum(not call.done() for call in calls)
     share = held / len(encoders)
     print(f"held          {held} requests in flight")
@@ -200,14 +197,5 @@
     await asyncio.gather(*calls, return_exceptions=True)
 
 
-def cpu_seconds(process: Process) -> float:
-    fields = Path(f"/proc/{process.pid}/stat").read_text().rpartition(")")[2].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS_PER_SECOND
-
-
-def memory_mb(process: Process) -> float:
-    return int(Path(f"/proc/{process.pid}/statm").read_text().split()[1]) * PAGE_MB
-
-
 if __name__ == "__main__":
     asyncio.run(main())
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from contextlib import suppress
 from typing import Any
 
 import msgspec
@@ -37,6 +38,7 @@
 __all__ = ["Executor"]
 
 TICK_S = 0.01
+IDLE_TICK_S = 1.0
 
 log = get_logger()
 
@@ -62,6 +64,7 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._peers: Peers | None = None
         self._loop = asyncio.get_running_loop()
+        self._arrived = asyncio.Event()
         self._carry_out_table: dict[type, Callable[[Any], None]] = {
             Send: self._send,
             Cancel: self._cancel,
@@ -84,6 +87,7 @@
     def submit(self, request: LiveRequest) -> None:
         """Hand a request to the policy; its ending comes through the request."""
         self._requests[request.id] = request
+        self._arrived.set()
         self._carry_out(
             self._planner.request_arrived(self._loop.time(), request.arrival)
         )
@@ -119,9 +123,14 @@
         self._carry_out(self._planner.endpoint_leaving(self._loop.time(), endpoint))
 
     async def tick(self) -> None:
-        """Let the policy act on the passing of time, until cancelled."""
+        """
+        Let the policy act on the passing of time, until cancelled.
+
+        Ticks cost processor time whether or not anything waits for them: with no
+        request in flight the policy is woken once a second only.
+        """
         while True:
-            await asyncio.sleep(TICK_S)
+            await self._wait_for_tick()
             self._carry_out(self._planner.tick(self._loop.time()))
 
     async def drained(self) -> None:
@@ -129,6 +138,15 @@
         while self._requests:
             await asyncio.sleep(TICK_S)
 
+    async def _wait_for_tick(self) -> None:
+        if self._requests:
+            await asyncio.sleep(TICK_S)
+            return
+        self._arrived.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._arrived.wait()
+
     # Actions
 
     def _carry_out(self, actions: list[Action]) -> None:
