Count what ends in each role and set gauges at each scrape

Cause: /metrics told requests by status only; an operator could not see the load of a sidecar, attempts by fate, bytes between regions, or the revision. Ruled out: gauges kept current on every event, which costs the path time. Change: EntryMetrics and SidecarMetrics; gauges are set when scraped. Conclusion: shown by tests/test_daemon_product.py; the path's cost is measured again when the policy has grown.

--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -7,10 +7,10 @@
 
 import msgspec
 from aiohttp import hdrs, web
-from aioprometheus import Counter
 
 from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.entry.live_request import Chunk, Ending, LiveRequest
+from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.pipelines import PipelineResolver
 from amaranthtally.daemon.entry.problems import (
     Problem,
@@ -31,9 +31,6 @@
 EVENT_STREAM = "text/event-stream"
 
 log = get_logger()
-requests_total = Counter(
-    "amaranthtally_requests_total", "Requests by pipeline and status."
-)
 
 
 class _Body(msgspec.Struct, forbid_unknown_fields=True):
@@ -55,8 +52,11 @@
 class CallerApi:
     """Checks callers' requests, submits them, and writes their endings."""
 
-    def __init__(self, executor: Executor, region: str, max_body: int) -> None:
+    def __init__(
+        self, executor: Executor, metrics: EntryMetrics, region: str, max_body: int
+    ) -> None:
         self._executor = executor
+        self._metrics = metrics
         self._region = region
         self._max_body = max_body
         self._view: SettingsView | None = None
@@ -71,7 +71,7 @@
         """Answer ``POST /v1/pipelines/{pipeline}/requests``."""
         checked = await self._check(request)
         if isinstance(checked, Problem):
-            self._count(request.match_info["pipeline"], checked.status)
+            self._metrics.request_rejected(checked.status)
             return problem_response(checked)
         live = self._live_request(checked)
         self._executor.submit(live)
@@ -187,7 +187,8 @@
 
     def _log_end(self, live: LiveRequest, status: int, outcome: str) -> None:
         arrival = live.arrival
-        self._count(arrival.pipeline.name, status)
+        took = asyncio.get_running_loop().time() - live.arrived
+        self._metrics.request_ended(arrival.pipeline.name, status, took)
         log.info(
             "request_ended",
             request_id=live.id,
@@ -195,16 +196,11 @@
             pipeline=arrival.pipeline.name,
             status=status,
             outcome=outcome,
+            ms=round(took * 1000, 1),
             revision=live.revision,
             stages=len(live.records),
         )
 
-    def _count(self, pipeline: str, status: int) -> None:
-        known = self._pipelines is not None and status != 404
-        requests_total.inc(
-            {"pipeline": pipeline if known else "", "status": str(status)}
-        )
-
 
 def add_caller_routes(app: web.Application, api: CallerApi) -> None:
     """Add the callers' routes to an application."""
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from amaranthtally.daemon.entry.live_request import LiveRequest, StageRecord
+from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -57,8 +58,12 @@
 class Executor:
     """Runs one entry's requests; every decision is the planner's."""
 
-    def __init__(self, planner: Planner, settings: PolicySettings) -> None:
+    def __init__(
+        self, planner: Planner, settings: PolicySettings, metrics: EntryMetrics
+    ) -> None:
         self._planner = planner
+        self._metrics = metrics
+        self._region = settings.region
         self._endpoints = settings.endpoints
         self._requests: dict[str, LiveRequest] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -221,6 +226,9 @@
             self._log_attempt(attempt, endpoint, "lost", str(error))
             self._ended(attempt, StageResult(Fate.LOST))
             return
+        if endpoint.region != self._region:
+            size = len(call.input) + len(reply.output)
+            self._metrics.region_crossed(stage.name, size)
         self._take_reply(request, attempt, endpoint, reply)
 
     async def _ask_outcome(self, request: LiveRequest, ask: Ask) -> None:
@@ -298,6 +306,8 @@
         if request is None:
             return
         request.tasks.pop(attempt, None)
+        stage = request.arrival.pipeline.stages[attempt.stage]
+        self._metrics.attempt_ended(stage.name, result.fate.value)
         self._carry_out(self._planner.reply(self._loop.time(), attempt, result))
 
     def _log_attempt(
--- a/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
@@ -63,6 +63,7 @@
     input: bytes
     call_key: str
     revision: int
+    arrived: float = field(default_factory=lambda: asyncio.get_running_loop().time())
     events: "asyncio.Queue[Chunk | Ending]" = field(default_factory=asyncio.Queue)
     tasks: dict[AttemptId, asyncio.Task[None]] = field(default_factory=dict)
     incarnations: dict[AttemptId, int] = field(default_factory=dict)
--- a/packages/daemon/src/amaranthtally/daemon/entry/peers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/peers.py
@@ -40,6 +40,11 @@
         self._connecting: dict[str, asyncio.Task[SidecarClient]] = {}
         self._watchers: set[asyncio.Task[None]] = set()
 
+    @property
+    def connected(self) -> int:
+        """Sidecars with an open connection."""
+        return len(self._clients)
+
     def incarnation(self, endpoint: str) -> int:
         """Return the incarnation last heard of; 0 when none."""
         return self._incarnations.get(endpoint, 0)
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -9,6 +9,7 @@
 from amaranthtally.daemon.entry.admin import AdminApi, add_admin_routes
 from amaranthtally.daemon.entry.callers import CallerApi, add_caller_routes
 from amaranthtally.daemon.entry.executor import Executor
+from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.entry.pipelines import policy_settings
 from amaranthtally.daemon.entry.settings_store import SettingsStore
@@ -47,8 +48,9 @@
     settings: EntrySettings, stack: AsyncExitStack, stop: asyncio.Event
 ) -> Executor:
     start = PolicySettings(0, settings.region, settings.data_centre)
-    executor = Executor(Planner(start), start)
-    callers = CallerApi(executor, settings.region, settings.max_body_bytes)
+    metrics = EntryMetrics()
+    executor = Executor(Planner(start), start, metrics)
+    callers = CallerApi(executor, metrics, settings.region, settings.max_body_bytes)
 
     def on_change(view: SettingsView) -> None:
         callers.settings_changed(view)
@@ -66,7 +68,11 @@
 
     app = web.Application(client_max_size=settings.max_body_bytes)
     add_caller_routes(app, callers)
-    add_health_routes(app, lambda: store.loaded.is_set() and not stop.is_set())
+
+    def refresh() -> None:
+        metrics.refresh(executor.in_flight, peers.connected, store.view.revision)
+
+    add_health_routes(app, lambda: store.loaded.is_set() and not stop.is_set(), refresh)
     port = await stack.enter_async_context(
         serve_http(app, settings.caller_address, HTTP_GRACE_S)
     )
--- a/packages/daemon/src/amaranthtally/daemon/health.py
+++ b/packages/daemon/src/amaranthtally/daemon/health.py
@@ -9,8 +9,14 @@
 __all__ = ["add_health_routes"]
 
 
-def add_health_routes(app: web.Application, ready: Callable[[], bool]) -> None:
-    """Add the routes; ``/readyz`` answers 503 while ``ready()`` is false."""
+def add_health_routes(
+    app: web.Application, ready: Callable[[], bool], refresh: Callable[[], None]
+) -> None:
+    """
+    Add the routes; ``/readyz`` answers 503 while ``ready()`` is false.
+
+    ``refresh`` sets the gauges before each answer to ``/metrics``.
+    """
 
     async def healthz(_: web.Request) -> web.Response:
         return web.Response(text="ok\n")
@@ -21,6 +27,7 @@
         return web.Response(status=503, text="not ready: starting or stopping\n")
 
     async def metrics(request: web.Request) -> web.Response:
+        refresh()
         accepts = request.headers.getall(hdrs.ACCEPT, [])
         content, headers = render(REGISTRY, accepts)
         return web.Response(body=content, headers=headers)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -13,6 +13,7 @@
     EndpointError,
     adapter_for,
 )
+from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.daemon.sidecar.records import CallRecords, Tombstones
 from amaranthtally.policy import QueuedCall, RunQueue
 from amaranthtally.settings import SidecarSettings
@@ -39,10 +40,14 @@
     """The sidecar's side of the inner protocol."""
 
     def __init__(
-        self, settings: SidecarSettings, session: aiohttp.ClientSession
+        self,
+        settings: SidecarSettings,
+        session: aiohttp.ClientSession,
+        metrics: SidecarMetrics,
     ) -> None:
         self._settings = settings
         self._session = session
+        self._metrics = metrics
         self._adapter = adapter_for(settings.endpoint_kind)
         self._incarnation = secrets.randbits(INCARNATION_BITS) | 1
         self._queue = RunQueue(settings.concurrency, settings.queue_capacity)
@@ -91,12 +96,9 @@
 
     async def run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         """Run a stage call, or say that it was not run."""
-        if not call.repeatable:
-            return await self._run_once(call, on_chunk)
-        refusal = self._refusal(call)
-        if refusal:
-            return self._not_run(call.id, refusal)
-        return await self._run_in_turn(call, on_chunk)
+        reply = await self._run(call, on_chunk)
+        self._metrics.call_ended(reply)
+        return reply
 
     async def cancel(self, call_id: CallId) -> StageReply:
         """Cancel a call that has not started; a late copy of it is refused."""
@@ -122,6 +124,14 @@
 
     # Calls
 
+    async def _run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
+        if not call.repeatable:
+            return await self._run_once(call, on_chunk)
+        refusal = self._refusal(call)
+        if refusal:
+            return self._not_run(call.id, refusal)
+        return await self._run_in_turn(call, on_chunk)
+
     def _refusal(self, call: StageCall) -> str:
         if self._leaving:
             return "leaving"
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -11,6 +11,7 @@
 from amaranthtally.daemon.lifecycle import serve_http, split_address, stop_on_signal
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.sidecar.handler import StageHandler
+from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import serve_sidecar
 
@@ -28,11 +29,14 @@
         await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
         session = await stack.enter_async_context(_open_session())
-        handler = StageHandler(settings, session)
+        metrics = SidecarMetrics()
+        handler = StageHandler(settings, session, metrics)
         host, port = split_address(settings.wire_address)
         wire_port = await stack.enter_async_context(serve_sidecar(handler, host, port))
         app = web.Application()
-        add_health_routes(app, lambda: not stop.is_set())
+        add_health_routes(
+            app, lambda: not stop.is_set(), lambda: metrics.refresh(handler.load())
+        )
         http_port = await stack.enter_async_context(
             serve_http(app, settings.http_address, HTTP_GRACE_S)
         )
--- a/tests/test_daemon_product.py
+++ b/tests/test_daemon_product.py
@@ -40,6 +40,13 @@
             ) as found:
                 metrics = await found.text()
             assert 'amaranthtally_requests_total{pipeline="assessment"' in metrics
+            assert "amaranthtally_settings_revision 1" in metrics
+            sidecar = deployment.pool("encoder")[0].sidecar
+            health = f"http://127.0.0.1:{sidecar.ports['http']}"
+            async with deployment.http.get(health + "/metrics") as found:
+                assert 'amaranthtally_calls_total{status="finished"} 1' in (
+                    await found.text()
+                )
 
             ended = [line for line in entry.lines if request_id in line]
             assert any("event=request_ended" in line for line in ended)
