Check, commit and spread changes of settings

Cause: a watch with recurse returned the whole log at each change; any key and value was taken; a race gave a conflict even where nothing overlapped; sidecars learned nothing; nothing bounded the log or the start.

Administration: typed documents, a route registry, OpenAPI.

Ruled out: a watch of the next change key (it is absent, and a watch of an absent key ends at any write to any key); a watch by prefix (returns the whole block).

--- a/packages/daemon/src/amaranthtally/daemon/entry/admin.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/admin.py
@@ -1,111 +1,274 @@
 """The administration API, on its own address with its own keys."""
 
 import hmac
-import secrets
-from datetime import UTC, datetime
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 from aiohttp import hdrs, web
-from result import Err
 
-from amaranthtally.daemon.entry.executor import Executor
-from amaranthtally.daemon.entry.problems import Problem, problem_response
-from amaranthtally.daemon.entry.settings_store import ChangeConflict, SettingsStore
-from amaranthtally.settings import Change, Op, Scope
+from amaranthtally.daemon.entry.admin_requests import (
+    answer_commit,
+    answer_read,
+    body_of,
+    scope_of,
+    whole_number,
+)
+from amaranthtally.daemon.entry.admin_routes import (
+    OPENAPI_PATH,
+    PREFIX,
+    AdminError,
+    Parameter,
+    Route,
+    known_routes,
+    openapi_document,
+    route,
+)
+from amaranthtally.daemon.entry.audit import AuditReader, ChangeFilter
+from amaranthtally.daemon.entry.committer import Committer
+from amaranthtally.daemon.settings_state import SettingsState
+from amaranthtally.settings import (
+    Change,
+    Proposal,
+    Scope,
+    SettingsView,
+    find_key,
+    known_keys,
+    nearest_key,
+)
+from amaranthtally.settings.catalogue import DRAIN_PREFIX
+from amaranthtally.settings.documents import (
+    Changes,
+    EndpointRow,
+    Endpoints,
+    Explanation,
+    KeyRow,
+    Keys,
+    Settings,
+    Status,
+    UndoRequest,
+    Value,
+)
+from amaranthtally.wire import Load
 
-__all__ = ["AdminApi", "add_admin_routes"]
+__all__ = ["AdminApi", "AdminParts", "add_admin_routes"]
 
-CHANGE_ID_BYTES = 8
+DEFAULT_LIMIT = 20
+MAX_LIMIT = 1000
 
 
-class _Proposal(msgspec.Struct, forbid_unknown_fields=True):
-    who: str
-    why: str
-    ops: list[Op]
-    revision: int | None = None
+@dataclass(frozen=True, slots=True)
+class AdminParts:
+    """What the API reads and drives."""
+
+    state: SettingsState
+    committer: Committer
+    audit: AuditReader
+    status: Callable[[], Status]
+    loads: dict[str, Load]
 
 
 class AdminApi:
     """Reads and changes the tree of settings; tells the state of this entry."""
 
-    def __init__(
-        self, store: SettingsStore, executor: Executor, keys: list[str]
-    ) -> None:
-        self._store = store
-        self._executor = executor
+    def __init__(self, parts: AdminParts, keys: list[str]) -> None:
+        self._parts = parts
+        self._state = parts.state
         self._keys = [key.encode() for key in keys]
 
     @web.middleware
     async def check_key(self, request: web.Request, handler: Any) -> web.StreamResponse:
-        """Refuse a request without an administration key."""
+        """Refuse a request without an administration key; turn errors to problems."""
+        try:
+            if request.path != OPENAPI_PATH:
+                self._require_key(request)
+            response: web.StreamResponse = await handler(request)
+        except AdminError as error:
+            return error.response()
+        return response
+
+    def _require_key(self, request: web.Request) -> None:
         _, _, key = request.headers.get(hdrs.AUTHORIZATION, "").partition(" ")
         given = key.strip().encode()
         if not any(hmac.compare_digest(given, known) for known in self._keys):
-            return problem_response(
-                Problem(401, "Unknown key", "Send an administration key as Bearer.")
+            raise AdminError(
+                401, "Unknown key", "Send an administration key as Bearer."
             )
-        response: web.StreamResponse = await handler(request)
-        return response
 
-    async def read_settings(self, _: web.Request) -> web.Response:
-        """Answer ``GET /admin/v1/settings``."""
-        view = self._store.view
-        values = [
-            {"scope": str(scope), "key": key, "value": value}
-            for scope, key, value in view.tree.items()
+    # Settings
+
+    @route("GET", f"{PREFIX}/settings", Settings)
+    async def read_settings(self, _: web.Request) -> Settings:
+        """Every value that is set."""
+        tree = self._state.tree
+        values = [Value(str(scope), key, value) for scope, key, value in tree.items()]
+        values.sort(key=lambda value: (value.scope, value.key))
+        return Settings(tree.revision, values)
+
+    @route("GET", f"{PREFIX}/settings/keys", Keys)
+    async def read_keys(self, _: web.Request) -> Keys:
+        """Every key that may be set, with kind, unit, range and default."""
+        rows = [
+            KeyRow(
+                known.template,
+                known.kind.text,
+                known.unit,
+                known.default,
+                sorted(level.value for level in known.placement.levels),
+                known.doc,
+            )
+            for known in known_keys()
         ]
-        return _json({"revision": view.revision, "values": values})
-
-    async def read_status(self, _: web.Request) -> web.Response:
-        """Answer ``GET /admin/v1/status``."""
-        return _json(
-            {
-                "revision": self._store.view.revision,
-                "in_flight": self._executor.in_flight,
-                "endpoints": len(self._store.view.endpoints),
-            }
+        return Keys(rows)
+
+    @route(
+        "GET",
+        f"{PREFIX}/settings/explain",
+        Explanation,
+        query=(
+            Parameter("key", "Name of the key.", required=True),
+            Parameter("scope", "Scope to look from; firm when left out."),
+        ),
+    )
+    async def explain(self, request: web.Request) -> Explanation:
+        """The value that holds at a scope, and which level gave it."""
+        name = request.query.get("key", "")
+        scope = scope_of(request.query.get("scope", "firm"))
+        known = find_key(name)
+        if known is None:
+            nearest = nearest_key(name)
+            remedy = f"did you mean {nearest!r}?" if nearest else "see settings/keys"
+            raise AdminError(404, "Unknown key name", f"no key {name!r}; {remedy}")
+        tree = self._state.tree
+        found = tree.explain(scope, name)
+        source, value = "unset", known.default
+        if found:
+            source, value = str(found[0][0]), found[0][1]
+        elif known.default is not None:
+            source = "default"
+        return Explanation(
+            tree.revision,
+            str(scope),
+            name,
+            value,
+            source,
+            [Value(str(place), name, held) for place, held in found],
+            known.kind.text,
+            known.unit,
+            known.doc,
         )
 
-    async def create_change(self, request: web.Request) -> web.Response:
-        """Answer ``POST /admin/v1/changes``."""
-        try:
-            proposal = msgspec.json.decode(await request.read(), type=_Proposal)
-            change = self._change(proposal)
-        except (msgspec.DecodeError, ValueError) as error:
-            return problem_response(Problem(400, "Bad change", str(error)))
-        committed = await self._store.commit(change)
-        if isinstance(committed, Err):
-            cause = committed.err_value
-            status = 409 if isinstance(cause, ChangeConflict) else 503
-            return problem_response(Problem(status, "Not committed", str(cause)))
-        return _json(committed.ok_value)
-
-    def _change(self, proposal: _Proposal) -> Change:
-        tree = self._store.view.tree
-        ops = [
-            Op(o.scope, o.key, o.value, tree.get(Scope.parse(o.scope), o.key))
-            for o in proposal.ops
+    # Changes
+
+    @route("POST", f"{PREFIX}/changes", Change, body=Proposal)
+    async def create_change(self, request: web.Request) -> Change:
+        """Commit a batch of values, whole or not at all."""
+        proposal = await body_of(request, Proposal)
+        return answer_commit(await self._parts.committer.commit(proposal))
+
+    @route("POST", f"{PREFIX}/changes/{{number}}/undo", Change, body=UndoRequest)
+    async def undo_change(self, request: web.Request) -> Change:
+        """Put back what a change replaced, as a new change."""
+        wanted = await body_of(request, UndoRequest)
+        number = whole_number(request.match_info["number"], "number")
+        return answer_commit(
+            await self._parts.committer.undo(number, wanted.who, wanted.why)
+        )
+
+    @route(
+        "GET",
+        f"{PREFIX}/changes",
+        Changes,
+        query=(
+            Parameter("limit", f"At most so many, {MAX_LIMIT} at most.", "integer"),
+            Parameter("before", "Only changes with a lower number.", "integer"),
+            Parameter("id", "Only the change with this id."),
+            Parameter("key", "Only changes of this key."),
+            Parameter("scope", "Only changes at this scope."),
+            Parameter("who", "Only changes by this operator."),
+        ),
+    )
+    async def read_changes(self, request: web.Request) -> Changes:
+        """The audit trail, newest change first."""
+        query = request.query
+        wanted = ChangeFilter(
+            limit=min(
+                MAX_LIMIT, whole_number(query.get("limit", DEFAULT_LIMIT), "limit")
+            ),
+            before=whole_number(query.get("before", 0), "before"),
+            id=query.get("id", ""),
+            key=query.get("key", ""),
+            scope=query.get("scope", ""),
+            who=query.get("who", ""),
+        )
+        changes = answer_read(await self._parts.audit.read(wanted))
+        return Changes(self._state.revision, changes)
+
+    @route("GET", f"{PREFIX}/changes/{{number}}", Change)
+    async def read_change(self, request: web.Request) -> Change:
+        """One change by its number."""
+        number = whole_number(request.match_info["number"], "number")
+        change = answer_read(await self._parts.committer.find(number))
+        if change is None:
+            raise AdminError(
+                404, "No such change", f"no change {number} is kept; see the audit"
+            )
+        return change
+
+    # Endpoints and status
+
+    @route("GET", f"{PREFIX}/endpoints", Endpoints)
+    async def read_endpoints(self, _: web.Request) -> Endpoints:
+        """Every registered endpoint and the load that this entry last heard of."""
+        view = SettingsView(self._state.tree)
+        rows = [
+            self._endpoint(view, name, table)
+            for name, table in sorted(view.endpoints.items())
         ]
-        revision = tree.revision if proposal.revision is None else proposal.revision
-        return Change(
-            number=revision + 1,
-            id=secrets.token_hex(CHANGE_ID_BYTES),
-            who=proposal.who,
-            when=datetime.now(UTC).isoformat(timespec="milliseconds"),
-            why=proposal.why,
-            ops=ops,
+        return Endpoints(view.revision, rows)
+
+    def _endpoint(
+        self, view: SettingsView, name: str, table: dict[str, Any]
+    ) -> EndpointRow:
+        draining = view.value(Scope(), DRAIN_PREFIX + table["host"], False)
+        places = (table["pool"], table["host"], table["region"], table["address"])
+        load = self._parts.loads.get(name)
+        if load is None:
+            return EndpointRow(name, *places, draining)
+        return EndpointRow(
+            name,
+            *places,
+            draining,
+            True,
+            load.leaving,
+            load.running,
+            load.queued,
+            load.limit,
+            load.revision,
         )
 
+    @route("GET", f"{PREFIX}/status", Status)
+    async def read_status(self, _: web.Request) -> Status:
+        """The state of this entry."""
+        return self._parts.status()
+
 
 def add_admin_routes(app: web.Application, api: AdminApi) -> None:
     """Add the administration routes to an application."""
-    app.router.add_get("/admin/v1/settings", api.read_settings)
-    app.router.add_get("/admin/v1/status", api.read_status)
-    app.router.add_post("/admin/v1/changes", api.create_change)
+    for found in known_routes():
+        app.router.add_route(found.method, found.path, _serve(api, found))
+    document = msgspec.json.encode(openapi_document())
 
+    async def openapi(_: web.Request) -> web.Response:
+        return web.Response(body=document, content_type="application/json")
 
-def _json(document: Any) -> web.Response:
-    return web.Response(
-        body=msgspec.json.encode(document), content_type="application/json"
-    )
+    app.router.add_get(OPENAPI_PATH, openapi)
+
+
+def _serve(api: AdminApi, found: Route) -> Any:
+    async def serve(request: web.Request) -> web.Response:
+        answer = msgspec.json.encode(await found.handler(api, request))
+        return web.Response(body=answer, content_type="application/json")
+
+    return serve
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -1,7 +1,7 @@
 """Carries out the policy's actions and feeds it what came of them."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
 from typing import Any
 
 import msgspec
@@ -58,6 +58,7 @@
     def __init__(self, planner: Planner, settings: PolicySettings) -> None:
         self._planner = planner
         self._endpoints = settings.endpoints
+        self._revision = settings.revision
         self._requests: dict[str, LiveRequest] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._peers: Peers | None = None
@@ -75,6 +76,11 @@
         """Requests that have not ended."""
         return len(self._requests)
 
+    @property
+    def endpoints(self) -> Mapping[str, Endpoint]:
+        """Registered endpoints by id."""
+        return self._endpoints
+
     def connect(self, peers: Peers) -> None:
         """Use these connections."""
         self._peers = peers
@@ -99,6 +105,7 @@
     def settings_changed(self, settings: PolicySettings) -> None:
         """Use newer settings for what comes."""
         self._endpoints = settings.endpoints
+        self._revision = settings.revision
         self._carry_out(self._planner.settings_changed(self._loop.time(), settings))
 
     def load_changed(self, endpoint: str, load: Load) -> None:
@@ -137,7 +144,11 @@
 
     def _send(self, send: Send) -> None:
         request = self._requests[send.attempt.request_id]
-        self._start(request, send.attempt, self._run_attempt(request, send))
+        # Looked up now: a change of settings may take the endpoint away before the
+        # task runs, and a live request must not fail by it.
+        endpoint = self._endpoints[send.endpoint]
+        work = self._run_attempt(request, send, endpoint)
+        self._start(request, send.attempt, work)
 
     def _cancel(self, cancel: Cancel) -> None:
         request = self._requests.get(cancel.attempt.request_id)
@@ -179,9 +190,10 @@
 
     # Attempts
 
-    async def _run_attempt(self, request: LiveRequest, send: Send) -> None:
+    async def _run_attempt(
+        self, request: LiveRequest, send: Send, endpoint: Endpoint
+    ) -> None:
         attempt = send.attempt
-        endpoint = self._endpoints[send.endpoint]
         stage = request.arrival.pipeline.stages[attempt.stage]
         assert self._peers is not None
         try:
@@ -238,7 +250,7 @@
             streaming=stage.streams,
             resume_offset=send.resume_offset,
             model=stage.model,
-            revision=request.revision,
+            revision=self._revision,
         )
 
     def _take_reply(
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -1,23 +1,33 @@
 """Start, run and stop an entry."""
 
 import asyncio
-from contextlib import AsyncExitStack, suppress
+from contextlib import AsyncExitStack
+from dataclasses import dataclass
 
 import capnp
 from aiohttp import web
 
-from amaranthtally.daemon.entry.admin import AdminApi, add_admin_routes
+from amaranthtally.daemon.entry.admin import AdminApi, AdminParts, add_admin_routes
+from amaranthtally.daemon.entry.audit import AuditReader
 from amaranthtally.daemon.entry.callers import CallerApi, add_caller_routes
+from amaranthtally.daemon.entry.change_store import ChangeStore
+from amaranthtally.daemon.entry.committer import Committer
 from amaranthtally.daemon.entry.executor import Executor
+from amaranthtally.daemon.entry.first_settings import load_from_peers
+from amaranthtally.daemon.entry.log_follower import LogFollower
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.entry.pipelines import policy_settings
-from amaranthtally.daemon.entry.settings_store import SettingsStore
+from amaranthtally.daemon.entry.snapshots import SnapshotStore
 from amaranthtally.daemon.health import add_health_routes
-from amaranthtally.daemon.lifecycle import serve_http, stop_on_signal
+from amaranthtally.daemon.lifecycle import run_beside, serve_http, stop_on_signal
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.settings_state import SettingsState
+from amaranthtally.daemon.settings_sync import ENTRY_LINKS, SettingsSync
 from amaranthtally.platform import open_key_value
 from amaranthtally.policy import Planner, PolicySettings
-from amaranthtally.settings import EntrySettings, SettingsView
+from amaranthtally.settings import EntrySettings, SettingsView, Tree
+from amaranthtally.settings.documents import Status
+from amaranthtally.wire import Load
 
 __all__ = ["run_entry"]
 
@@ -50,27 +60,60 @@
     executor = Executor(Planner(start), start)
     callers = CallerApi(executor, settings.region, settings.max_body_bytes)
 
-    def on_change(view: SettingsView) -> None:
+    def on_change(tree: Tree) -> None:
+        view = SettingsView(tree)
         callers.settings_changed(view)
         executor.settings_changed(
             policy_settings(view, settings.region, settings.data_centre)
         )
 
-    key_value = await stack.enter_async_context(open_key_value(settings.platform_url))
-    store = SettingsStore(key_value, on_change)
-    peers = Peers(settings.name, store, settings.connect_timeout, executor.load_changed)
+    parts = await _open_settings(settings, stack)
+    state = parts.state
+    state.listen(on_change)
+    loads: dict[str, Load] = {}
+
+    def on_load(endpoint: str, load: Load) -> None:
+        loads[endpoint] = load
+        executor.load_changed(endpoint, load)
+        client = peers.live_client(endpoint)
+        if client is not None:
+            parts.sync.heard(load.revision, client.changes_since)
+
+    peers = Peers(settings.name, state, settings.connect_timeout, on_load)
     stack.push_async_callback(peers.close)
     executor.connect(peers)
-    for work in (store.follow(), executor.tick()):
-        stack.push_async_callback(_end, asyncio.create_task(work))
+    first = load_from_peers(
+        settings.peers, state, parts.follower, settings.connect_timeout
+    )
+    for work in (parts.follower.follow(), first, parts.sync.run(), executor.tick()):
+        run_beside(stack, work)
+
+    def ready() -> bool:
+        return state.loaded.is_set() and not stop.is_set()
+
+    def status() -> Status:
+        return Status(
+            entry=settings.name,
+            host=settings.host,
+            region=settings.region,
+            revision=state.revision,
+            ready=ready(),
+            platform="connected" if parts.follower.connected else "lost",
+            in_flight=executor.in_flight,
+            endpoints=len(executor.endpoints),
+            oldest_change=state.log.oldest,
+        )
 
     app = web.Application(client_max_size=settings.max_body_bytes)
     add_caller_routes(app, callers)
-    add_health_routes(app, lambda: store.loaded.is_set() and not stop.is_set())
+    add_health_routes(app, ready)
     port = await stack.enter_async_context(
         serve_http(app, settings.caller_address, HTTP_GRACE_S)
     )
-    admin = AdminApi(store, executor, settings.admin_keys)
+    admin = AdminApi(
+        AdminParts(state, parts.committer, parts.audit, status, loads),
+        settings.admin_keys,
+    )
     admin_app = web.Application(
         middlewares=[admin.check_key], client_max_size=ADMIN_MAX_BODY
     )
@@ -82,7 +125,30 @@
     return executor
 
 
-async def _end(task: asyncio.Task[None]) -> None:
-    task.cancel()
-    with suppress(asyncio.CancelledError):
-        await task
+@dataclass(frozen=True, slots=True)
+class _SettingsParts:
+    """Everything that keeps and changes the settings of an entry."""
+
+    state: SettingsState
+    follower: LogFollower
+    committer: Committer
+    audit: AuditReader
+    sync: SettingsSync
+
+
+async def _open_settings(
+    settings: EntrySettings, stack: AsyncExitStack
+) -> _SettingsParts:
+    key_value = await stack.enter_async_context(
+        open_key_value(settings.platform_url, settings.name)
+    )
+    state = SettingsState()
+    changes = ChangeStore(key_value)
+    snapshots = SnapshotStore(key_value)
+    follower = LogFollower(changes, snapshots, state)
+    committer = Committer(changes, snapshots, state, follower)
+    stack.push_async_callback(committer.close)
+    sync = SettingsSync(settings.name, state, ENTRY_LINKS)
+    stack.push_async_callback(sync.close)
+    audit = AuditReader(changes, state)
+    return _SettingsParts(state, follower, committer, audit, sync)
--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -2,12 +2,13 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator, Iterator
-from contextlib import asynccontextmanager, contextmanager
+from collections.abc import AsyncIterator, Coroutine, Iterator
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager, suppress
+from typing import Any
 
 from aiohttp import web
 
-__all__ = ["serve_http", "split_address", "stop_on_signal"]
+__all__ = ["run_beside", "serve_http", "split_address", "stop_on_signal"]
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -32,6 +33,18 @@
             loop.remove_signal_handler(number)
 
 
+def run_beside(stack: AsyncExitStack, work: Coroutine[Any, Any, None]) -> None:
+    """Run ``work`` in a task that ends with the stack."""
+    task = asyncio.create_task(work)
+
+    async def end() -> None:
+        task.cancel()
+        with suppress(asyncio.CancelledError):
+            await task
+
+    stack.push_async_callback(end)
+
+
 @asynccontextmanager
 async def serve_http(
     app: web.Application, address: str, grace_s: float
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import secrets
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
 
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.settings_sync import SettingsSync
 from amaranthtally.daemon.sidecar.adapters import (
     EndpointCall,
     EndpointError,
@@ -21,6 +21,7 @@
     ChunkHandler,
     Greeting,
     Load,
+    SettingsFetcher,
     SettingsGap,
     StageCall,
     StageReply,
@@ -39,9 +40,13 @@
     """The sidecar's side of the inner protocol."""
 
     def __init__(
-        self, settings: SidecarSettings, session: aiohttp.ClientSession
+        self,
+        settings: SidecarSettings,
+        session: aiohttp.ClientSession,
+        sync: SettingsSync,
     ) -> None:
         self._settings = settings
+        self._sync = sync
         self._session = session
         self._adapter = adapter_for(settings.endpoint_kind)
         self._incarnation = secrets.randbits(INCARNATION_BITS) | 1
@@ -67,10 +72,11 @@
     # Inner protocol
 
     async def hello(
-        self, entry: str, revision: int, fetch: Callable[[int], Awaitable[SettingsGap]]
+        self, entry: str, revision: int, fetch: SettingsFetcher
     ) -> Greeting:
         """Greet an entry."""
         log.info("entry_connected", entry=entry, revision=revision)
+        self._sync.add_source(entry, revision, fetch)
         return Greeting(self._settings.endpoint, self.load())
 
     def load(self) -> Load:
@@ -83,14 +89,21 @@
             leaving=self._leaving,
             service_s=self._queue.service_s,
             backlog_s=self._queue.backlog_s,
+            revision=self._sync.revision,
         )
 
     def changes_since(self, revision: int) -> SettingsGap:
         """Return the settings changes known here after ``revision``."""
-        return SettingsGap(0, ())
+        return self._sync.changes_since(revision)
+
+    def announced(self, revision: int, fetch: SettingsFetcher) -> int:
+        """Hear of a peer's revision and return one's own."""
+        self._sync.heard(revision, fetch)
+        return self._sync.revision
 
     async def run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         """Run a stage call, or say that it was not run."""
+        self._sync.heard(call.revision)
         if not call.repeatable:
             return await self._run_once(call, on_chunk)
         refusal = self._refusal(call)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -8,8 +8,15 @@
 from aiohttp import web
 
 from amaranthtally.daemon.health import add_health_routes
-from amaranthtally.daemon.lifecycle import serve_http, split_address, stop_on_signal
+from amaranthtally.daemon.lifecycle import (
+    run_beside,
+    serve_http,
+    split_address,
+    stop_on_signal,
+)
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.settings_state import SettingsState
+from amaranthtally.daemon.settings_sync import SIDECAR_LINKS, SettingsSync
 from amaranthtally.daemon.sidecar.handler import StageHandler
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import serve_sidecar
@@ -28,7 +35,10 @@
         await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
         session = await stack.enter_async_context(_open_session())
-        handler = StageHandler(settings, session)
+        sync = SettingsSync(settings.endpoint, SettingsState(), SIDECAR_LINKS)
+        stack.push_async_callback(sync.close)
+        run_beside(stack, sync.run())
+        handler = StageHandler(settings, session, sync)
         host, port = split_address(settings.wire_address)
         wire_port = await stack.enter_async_context(serve_sidecar(handler, host, port))
         app = web.Application()
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -23,6 +23,7 @@
 
 __all__ = ["Entry", "KeyValueClient", "Listing", "open_key_value"]
 
+CALLER_HEADER = "X-Caller"
 INDEX_HEADER = "X-Consul-Index"
 CALL_TIMEOUT_S = 2.0
 WATCH_MARGIN_S = 5.0
@@ -70,11 +71,15 @@
         return await self._read(prefix, {"recurse": ""})
 
     async def watch(
-        self, prefix: str, index: int, wait_s: float
+        self, key: str, index: int, wait_s: float
     ) -> Result[Listing, PlatformError]:
-        """Read a prefix once it has changed after ``index``, or ``wait_s`` is over."""
-        params = {"recurse": "", "index": str(index), "wait": f"{wait_s:.0f}s"}
-        return await self._read(prefix, params, wait_s + WATCH_MARGIN_S)
+        """
+        Read one key once it has changed after ``index``, or ``wait_s`` is over.
+
+        A watch of an absent key may end at any write: watch keys that exist.
+        """
+        params = {"index": str(index), "wait": f"{wait_s:.0f}s"}
+        return await self._read(key, params, wait_s + WATCH_MARGIN_S)
 
     async def compare_and_swap(
         self, key: str, value: bytes, index: int
@@ -101,6 +106,21 @@
             return Err(PlatformDown(f"status {response.status}"))
         return Ok(text.strip() == "true")
 
+    async def delete_prefix(self, prefix: str) -> Result[None, PlatformError]:
+        """Delete every key under a prefix."""
+        try:
+            async with self._session.delete(
+                f"{self._url}/v1/kv/{prefix}",
+                params={"recurse": ""},
+                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+            ) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return Err(PlatformAnswerLost(type(error).__name__))
+        if response.status != HTTP_OK:
+            return Err(PlatformDown(f"status {response.status}"))
+        return Ok(None)
+
     async def _read(
         self, key: str, params: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
     ) -> Result[Listing, PlatformError]:
@@ -123,9 +143,13 @@
 
 
 @asynccontextmanager
-async def open_key_value(url: str) -> AsyncIterator[KeyValueClient]:
-    """Open a client and close its connections on exit."""
-    async with aiohttp.ClientSession() as session:
+async def open_key_value(url: str, caller: str) -> AsyncIterator[KeyValueClient]:
+    """
+    Open a client and close its connections on exit.
+
+    ``caller`` names this process to the platform, which counts calls by caller.
+    """
+    async with aiohttp.ClientSession(headers={CALLER_HEADER: caller}) as session:
         yield KeyValueClient(session, url)
 
 
--- a/packages/settings/src/amaranthtally/settings/tree.py
+++ b/packages/settings/src/amaranthtally/settings/tree.py
@@ -1,5 +1,7 @@
 """The tree of settings: a fold of numbered changes, resolved by scope."""
 
+import re
+from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
 from typing import Any
@@ -9,6 +11,9 @@
 __all__ = ["Change", "Level", "Op", "Scope", "Tree"]
 
 
+NAME = re.compile(r"[a-zA-Z0-9][a-zA-Z0-9_.-]{0,62}")
+
+
 class Level(Enum):
     """Levels of the tree, highest first; a lower one overrides a higher one."""
 
@@ -59,10 +64,11 @@
         """Return the scope written as ``text``; raises ``ValueError``."""
         if text == Level.FIRM.value:
             return cls()
-        names = {}
+        names: dict[str, str] = {}
         for part in text.split("/"):
             level, _, name = part.partition(":")
-            if level not in ("region", "account", "pipeline") or not name:
+            known = level in ("region", "account", "pipeline") and level not in names
+            if not known or not NAME.fullmatch(name):
                 raise ValueError(
                     f"scope {text!r}: write firm, region:NAME, account:NAME, "
                     "pipeline:NAME, or several joined by /"
@@ -116,14 +122,18 @@
         """Return the tree with the next change; raises ``ValueError`` on a gap."""
         if change.number != self._revision + 1:
             raise ValueError(f"change {change.number} after {self._revision}")
+        return self.apply(change.ops)
+
+    def apply(self, ops: Iterable[Op]) -> "Tree":
+        """Return the tree one revision on, with a batch of operations."""
         values = dict(self._values)
-        for op in change.ops:
+        for op in ops:
             place = (Scope.parse(op.scope), op.key)
             if op.value is None:
                 values.pop(place, None)
             else:
                 values[place] = op.value
-        return Tree(change.number, values)
+        return Tree(self._revision + 1, values)
 
     def get(self, scope: Scope, key: str) -> Any:
         """Return the value set at exactly this scope, or ``None``."""
@@ -137,6 +147,11 @@
                 return value
         return None
 
+    def explain(self, scope: Scope, key: str) -> list[tuple[Scope, Any]]:
+        """Return the values set for ``scope``, the one that holds first."""
+        found = [(place, self._values.get((place, key))) for place in scope.chain]
+        return [(place, value) for place, value in found if value is not None]
+
     def items(self) -> list[tuple[Scope, str, Any]]:
         """Return every value that is set."""
         return [(scope, key, value) for (scope, key), value in self._values.items()]
--- a/packages/settings/src/amaranthtally/settings/view.py
+++ b/packages/settings/src/amaranthtally/settings/view.py
@@ -3,12 +3,14 @@
 from hashlib import sha256
 from typing import Any
 
+from amaranthtally.settings.catalogue import (
+    ACCOUNT_KEY,
+    ENDPOINT_PREFIX,
+    NEXT_ACCOUNT_KEY,
+)
 from amaranthtally.settings.tree import Scope, Tree
 
-__all__ = ["ACCOUNT_KEY", "ENDPOINT_PREFIX", "SettingsView", "hash_key"]
-
-ACCOUNT_KEY = "key_sha256"
-ENDPOINT_PREFIX = "endpoint."
+__all__ = ["SettingsView", "hash_key"]
 
 
 def hash_key(key: str) -> str:
@@ -24,7 +26,7 @@
         self._accounts: dict[str, str] = {}
         self._endpoints: dict[str, dict[str, Any]] = {}
         for scope, key, value in tree.items():
-            if key == ACCOUNT_KEY and scope.account:
+            if key in (ACCOUNT_KEY, NEXT_ACCOUNT_KEY):
                 self._accounts[value] = scope.account
             elif key.startswith(ENDPOINT_PREFIX):
                 self._endpoints[key.removeprefix(ENDPOINT_PREFIX)] = value
@@ -47,7 +49,7 @@
     @property
     def account_names(self) -> list[str]:
         """Names of the client accounts."""
-        return list(self._accounts.values())
+        return list(dict.fromkeys(self._accounts.values()))
 
     def account_of(self, key: str) -> str | None:
         """Return the client account that a bearer key names."""
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -12,7 +12,12 @@
     StageReply,
     Status,
 )
-from amaranthtally.wire.server import SettingsSource, SidecarHandler, serve_sidecar
+from amaranthtally.wire.server import (
+    SettingsFetcher,
+    SettingsSource,
+    SidecarHandler,
+    serve_sidecar,
+)
 
 __all__ = [
     "CallId",
@@ -20,6 +25,7 @@
     "Greeting",
     "Load",
     "PeerLostError",
+    "SettingsFetcher",
     "SettingsGap",
     "SettingsSource",
     "SidecarClient",
--- a/packages/wire/src/amaranthtally/wire/client.py
+++ b/packages/wire/src/amaranthtally/wire/client.py
@@ -97,6 +97,13 @@
         """Read the settings changes that the sidecar has after ``revision``."""
         return read_gap(await self._guard(self._sidecar.changesSince(revision)))
 
+    async def announce(self, revision: int, source: SettingsSource) -> int:
+        """Tell the sidecar a revision that ``source`` has; return the sidecar's."""
+        answer = await self._guard(
+            self._sidecar.announce(revision=revision, source=settings_server(source))
+        )
+        return int(answer.revision)
+
     async def disconnected(self) -> None:
         """Return when the connection has ended."""
         with suppress(capnp.KjException):
--- a/packages/wire/src/amaranthtally/wire/messages.py
+++ b/packages/wire/src/amaranthtally/wire/messages.py
@@ -105,7 +105,12 @@
 
 @dataclass(frozen=True, slots=True)
 class SettingsGap:
-    """Changes that a peer has after a revision, encoded, oldest first."""
+    """
+    Changes that a peer has after a revision, encoded, oldest first.
+
+    ``snapshot`` is the whole tree where the changes are kept no more.
+    """
 
     revision: int
-    changes: tuple[bytes, ...]
+    changes: tuple[bytes, ...] = ()
+    snapshot: bytes = b""
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -14,6 +14,7 @@
     write_load,
     write_reply,
 )
+from amaranthtally.wire.errors import PeerLostError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -47,6 +48,9 @@
 class SidecarHandler(SettingsSource, Protocol):
     """What a sidecar does with the calls of an entry."""
 
+    def announced(self, revision: int, fetch: SettingsFetcher) -> int:
+        """Hear of a peer's revision and return one's own."""
+
     async def hello(
         self, entry: str, revision: int, fetch: SettingsFetcher
     ) -> Greeting:
@@ -87,13 +91,16 @@
     ) -> None:
         _write_gap(_context.results, self._handler.changes_since(revision))
 
+    async def announce(
+        self, revision: int, source: Any, _context: Any, **_: Any
+    ) -> None:
+        own = self._handler.announced(revision, _fetcher(source))
+        _context.results.revision = own
+
     async def hello(
         self, entry: str, revision: int, settings: Any, _context: Any, **_: Any
     ) -> None:
-        async def fetch(after: int) -> SettingsGap:
-            return read_gap(await settings.changesSince(after))
-
-        greeting = await self._handler.hello(entry, revision, fetch)
+        greeting = await self._handler.hello(entry, revision, _fetcher(settings))
         _context.results.endpoint = greeting.endpoint
         write_load(_context.results.load, greeting.load)
 
@@ -127,14 +134,26 @@
     return _SettingsServer(source)
 
 
+def _fetcher(peer: Any) -> SettingsFetcher:
+    async def fetch(after: int) -> SettingsGap:
+        try:
+            return read_gap(await peer.changesSince(after))
+        except capnp.KjException as error:
+            raise PeerLostError("settings peer", str(error).splitlines()[0]) from error
+
+    return fetch
+
+
 def _write_gap(target: Any, gap: SettingsGap) -> None:
     target.revision = gap.revision
     target.changes = list(gap.changes)
+    target.snapshot = gap.snapshot
 
 
 def read_gap(source: Any) -> SettingsGap:
     """Return the settings gap held by a reader."""
-    return SettingsGap(source.revision, tuple(bytes(c) for c in source.changes))
+    changes = tuple(bytes(change) for change in source.changes)
+    return SettingsGap(source.revision, changes, bytes(source.snapshot))
 
 
 @asynccontextmanager
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -58,8 +58,11 @@
 }
 
 interface SettingsPeer {
-  # Changes after a revision, oldest first; an empty list when none is newer.
-  changesSince @0 (revision :UInt64) -> (revision :UInt64, changes :List(Data));
+  # Changes after a revision, oldest first; an empty list when none is newer. Where
+  # the changes are kept no more, the whole tree as a snapshot.
+  changesSince @0 (revision :UInt64) -> (revision :UInt64, changes :List(Data), snapshot :Data);
+  # Tells the peer a revision and where to read it; answers with the peer's own.
+  announce @1 (revision :UInt64, source :SettingsPeer) -> (revision :UInt64);
 }
 
 interface Sidecar extends(SettingsPeer) {
