--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import secrets
-from collections.abc import Awaitable, Callable
 from typing import Any
 
 import aiohttp
 
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.settings_sync import SettingsSync
 from amaranthtally.daemon.sidecar.adapters import (
     EndpointCall,
     EndpointError,
@@ -22,6 +22,7 @@
     ChunkHandler,
     Greeting,
     Load,
+    SettingsFetcher,
     SettingsGap,
     StageCall,
     StageReply,
@@ -44,8 +45,10 @@
         settings: SidecarSettings,
         session: aiohttp.ClientSession,
         metrics: SidecarMetrics,
+        sync: SettingsSync,
     ) -> None:
         self._settings = settings
+        self._sync = sync
         self._session = session
         self._metrics = metrics
         self._adapter = adapter_for(settings.endpoint_kind)
@@ -72,10 +75,11 @@
     # Inner protocol
 
     async def hello(
-        self, entry: str, revision: int, fetch: Callable[[int], Awaitable[SettingsGap]]
+        self, entry: str, revision: int, fetch: SettingsFetcher
     ) -> Greeting:
         """Greet an entry."""
         log.info("entry_connected", entry=entry, revision=revision)
+        self._sync.add_source(entry, revision, fetch)
         return Greeting(self._settings.endpoint, self.load())
 
     def load(self) -> Load:
@@ -88,14 +92,21 @@
             leaving=self._leaving,
             service_s=self._queue.service_s,
             backlog_s=self._queue.backlog_s,
+            revision=self._sync.revision,
         )
 
     def changes_since(self, revision: int) -> SettingsGap:
         """Return the settings changes known here after ``revision``."""
-        return SettingsGap(0, ())
+        return self._sync.changes_since(revision)
+
+    def announced(self, revision: int, fetch: SettingsFetcher) -> int:
+        """Hear of a peer's revision and return one's own."""
+        self._sync.heard(revision, fetch)
+        return self._sync.revision
 
     async def run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         """Run a stage call, or say that it was not run."""
+        self._sync.heard(call.revision)
         reply = await self._run(call, on_chunk)
         self._metrics.call_ended(reply)
         return reply
