Refuse a reply or chunk that belongs to another call

Cause: the entry took any reply that came for a call, and chunks bore no id, so a sidecar that swaps, repeats or mixes its answers handed one caller's result to another. Ruled out: the transport (each reply comes on its own call); late answers (dropped already, test_late_answers passed before). Change: the client checks the id of every reply; each chunk carries its call's id. A foreign one is refused and logged, the stage runs again elsewhere. Before (pytest tests/lifecycle/test_answers.py): claim 0 received claim 15's echo, swapped and repeated both failed; without the chunk check, mixed streams failed ('bug 22:0' in bug 0's text). After: 4 passed.

--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -32,6 +32,7 @@
     StageCall,
     StageReply,
     Status,
+    WireError,
 )
 
 __all__ = ["Executor"]
@@ -194,12 +195,14 @@
         call = self._build_call(request, send, stage)
 
         async def on_chunk(offset: int, text: str) -> None:
+            if attempt not in request.tasks:
+                return
             if request.take_chunk(attempt.stage, offset, text):
                 self._planner.progress(self._loop.time(), attempt, len(request.chunks))
 
         try:
             reply = await client.run(call, on_chunk if stage.streams else None)
-        except PeerLostError as error:
+        except WireError as error:
             self._log_attempt(attempt, endpoint, "lost", str(error))
             self._ended(attempt, StageResult(Fate.LOST))
             return
@@ -216,7 +219,7 @@
                 reply = await client.outcome(
                     request.call_key, request.incarnations[attempt]
                 )
-            except PeerLostError as error:
+            except WireError as error:
                 self._log_attempt(attempt, endpoint, "lost", str(error))
         if endpoint is None or reply is None:
             self._ended(attempt, StageResult(Fate.UNKNOWN))
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -3,6 +3,7 @@
 import asyncio
 import secrets
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
@@ -136,7 +137,7 @@
     async def _run_once(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         known = self._records.find(call.call_key)
         if known is not None:
-            return await asyncio.shield(known.reply)
+            return replace(await asyncio.shield(known.reply), id=call.id)
         refusal = self._refusal(call)
         if refusal:
             return self._not_run(call.id, refusal)
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -1,7 +1,7 @@
 """Inner protocol between entries and sidecars: messages, codec, client, server."""
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
-from amaranthtally.wire.errors import PeerLostError, WireError
+from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -20,6 +20,7 @@
     "Greeting",
     "Load",
     "PeerLostError",
+    "ReplyMismatchError",
     "SettingsGap",
     "SettingsSource",
     "SidecarClient",
--- a/packages/wire/src/amaranthtally/wire/client.py
+++ b/packages/wire/src/amaranthtally/wire/client.py
@@ -7,13 +7,14 @@
 import capnp
 
 from amaranthtally.wire.codec import (
+    read_call_id,
     read_load,
     read_reply,
     schema,
     write_call,
     write_call_id,
 )
-from amaranthtally.wire.errors import PeerLostError
+from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -29,10 +30,26 @@
 
 
 class _ChunkServer(schema.ChunkSink.Server):
-    def __init__(self, on_chunk: ChunkHandler) -> None:
-        self._on_chunk = on_chunk
+    """Takes the chunks of one call, and refuses those of any other."""
 
-    async def chunk(self, offset: int, text: str, _context: Any, **_: Any) -> None:
+    def __init__(self, peer: str, call_id: CallId, on_chunk: ChunkHandler) -> None:
+        self._peer = peer
+        self._call_id = call_id
+        self._on_chunk = on_chunk
+        self.foreign: CallId | None = None
+
+    async def chunk(
+        self,
+        id: Any,  # noqa: A002 - name fixed by the schema
+        offset: int,
+        text: str,
+        _context: Any,
+        **_: Any,
+    ) -> None:
+        found = read_call_id(id)
+        if found != self._call_id:
+            self.foreign = found
+            raise ReplyMismatchError(self._peer, self._call_id, found)
         await self._on_chunk(offset, text)
 
 
@@ -66,20 +83,28 @@
         return Greeting(answer.endpoint, read_load(answer.load))
 
     async def run(self, call: StageCall, on_chunk: ChunkHandler | None) -> StageReply:
-        """Run a stage. Cancelling the task cancels the call at the sidecar."""
+        """
+        Run a stage. Cancelling the task cancels the call at the sidecar.
+
+        Raises ``ReplyMismatchError`` for a reply or a chunk of another call.
+        """
         request = self._sidecar.run_request()
         write_call(request.call, call)
+        sink = _ChunkServer(self._peer, call.id, on_chunk or _no_chunk)
         if on_chunk is not None:
-            request.sink = _ChunkServer(on_chunk)
+            request.sink = sink
         answer = await self._guard(request.send())
-        return read_reply(answer.reply)
+        reply = self._check(call.id, read_reply(answer.reply))
+        if sink.foreign is not None:
+            raise ReplyMismatchError(self._peer, call.id, sink.foreign)
+        return reply
 
     async def cancel(self, call_id: CallId) -> StageReply:
         """Cancel a call and say whether it had started."""
         request = self._sidecar.cancel_request()
         write_call_id(request.id, call_id)
         answer = await self._guard(request.send())
-        return read_reply(answer.reply)
+        return self._check(call_id, read_reply(answer.reply))
 
     async def outcome(self, call_key: str, incarnation: int) -> StageReply:
         """Ask what became of a call that may not be repeated."""
@@ -106,6 +131,13 @@
         """Close the connection; calls in flight raise ``PeerLostError``."""
         self._stream.close()
 
+    def _check(self, call_id: CallId, reply: StageReply) -> StageReply:
+        # A peer that mixes up its calls would hand one caller's result to another.
+        # It shows as a reply whose id is not the call's; such a reply is not used.
+        if reply.id != call_id:
+            raise ReplyMismatchError(self._peer, call_id, reply.id)
+        return reply
+
     async def _guard(self, promise: Any) -> Any:
         try:
             return await promise
@@ -128,5 +160,9 @@
     return SidecarClient(peer, stream)
 
 
+async def _no_chunk(offset: int, text: str) -> None:
+    """Drop a chunk of a call that does not stream."""
+
+
 def _short(error: Exception) -> str:
     return str(error).splitlines()[0]
--- a/packages/wire/src/amaranthtally/wire/errors.py
+++ b/packages/wire/src/amaranthtally/wire/errors.py
@@ -1,6 +1,6 @@
 """Errors of the inner protocol."""
 
-__all__ = ["PeerLostError", "WireError"]
+__all__ = ["PeerLostError", "ReplyMismatchError", "WireError"]
 
 
 class WireError(Exception):
@@ -21,3 +21,18 @@
             "check that the sidecar runs and its address in the settings is right"
         )
         self.peer = peer
+
+
+class ReplyMismatchError(WireError):
+    """
+    A peer sent the answer, or a chunk, of another call. Nothing of it is used.
+
+    What became of this call is not known.
+    """
+
+    def __init__(self, peer: str, expected: object, found: object) -> None:
+        super().__init__(
+            f"answer from {peer} belongs to another call "
+            f"(expected {expected}, found {found}); replace that sidecar"
+        )
+        self.peer = peer
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -11,6 +11,7 @@
     read_call,
     read_call_id,
     schema,
+    write_call_id,
     write_load,
     write_reply,
 )
@@ -98,10 +99,14 @@
         write_load(_context.results.load, greeting.load)
 
     async def run(self, call: Any, sink: Any, _context: Any, **_: Any) -> None:
+        wanted = read_call(call)
+
         async def on_chunk(offset: int, text: str) -> None:
-            await sink.chunk(offset, text)
+            request = sink.chunk_request(offset=offset, text=text)
+            write_call_id(request.id, wanted.id)
+            await request.send()
 
-        reply = await self._handler.run(read_call(call), on_chunk)
+        reply = await self._handler.run(wanted, on_chunk)
         write_reply(_context.results.reply, reply)
 
     async def cancel(self, id: Any, _context: Any, **_: Any) -> None:  # noqa: A002
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -54,7 +54,7 @@
 }
 
 interface ChunkSink {
-  chunk @0 (offset :UInt32, text :Text) -> ();
+  chunk @0 (id :CallId, offset :UInt32, text :Text) -> ();
 }
 
 interface SettingsPeer {
--- /dev/null
+++ b/tests/lifecycle/support.py
@@ -0,0 +1,220 @@
+"""A fake sidecar that misbehaves, and callers that check what they receive."""
+
+import asyncio
+import json
+import secrets
+from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
+
+import capnp
+import msgspec
+
+from amaranthtally.standins.deployment import open_deployment
+from amaranthtally.wire import (
+    CallId,
+    Greeting,
+    Load,
+    SettingsGap,
+    StageReply,
+    Status,
+    serve_sidecar,
+)
+from amaranthtally.wire.codec import read_call, write_call_id
+from amaranthtally.wire.loop import run
+from amaranthtally.wire.server import _SidecarServer
+from tests.support import TEST_TIMEOUT_S, plan
+
+CHUNKS = 12
+
+
+def run_wire(work):
+    """Run a scenario on the loop of the system's processes, bounded in time."""
+    run(asyncio.wait_for(_in_kj(work), TEST_TIMEOUT_S))
+
+
+async def _in_kj(work):
+    async with capnp.kj_loop():
+        await work
+
+
+class FakeSidecar:
+    """Answers honestly: the output echoes the input, streams are numbered."""
+
+    def __init__(self, endpoint):
+        self.endpoint = endpoint
+        self.calls = []
+        self.incarnation = secrets.randbits(32) | 1
+
+    async def hello(self, entry, revision, fetch):
+        return Greeting(self.endpoint, self.load())
+
+    def load(self):
+        return Load(incarnation=self.incarnation, limit=8)
+
+    def changes_since(self, revision):
+        return SettingsGap(0, ())
+
+    async def run(self, call, on_chunk):
+        self.calls.append(call)
+        if call.streaming:
+            for offset in range(call.resume_offset, CHUNKS):
+                await on_chunk(offset, chunk_text(call, offset))
+        return self.reply(call)
+
+    def reply(self, call):
+        output = msgspec.json.encode({"echo": json.loads(call.input)["input"]})
+        if call.streaming:
+            output = msgspec.json.encode({"chunks": CHUNKS})
+        return StageReply(call.id, Status.FINISHED, output, load=self.load())
+
+
+class SwappingSidecar(FakeSidecar):
+    """Gives the answers of each two calls to the other one."""
+
+    def __init__(self, endpoint):
+        super().__init__(endpoint)
+        self._waiting = None
+
+    async def run(self, call, on_chunk):
+        self.calls.append(call)
+        if self._waiting is None:
+            self._waiting = (call, asyncio.get_running_loop().create_future())
+            return await self._swapped(call, self._waiting[1])
+        (other, answer), self._waiting = self._waiting, None
+        answer.set_result(self.reply(call))
+        return self.reply(other)
+
+    async def _swapped(self, call, answer):
+        # An odd call out gets a stranger's id, so that none waits for ever.
+        try:
+            return await asyncio.wait_for(asyncio.shield(answer), 0.5)
+        except TimeoutError:
+            self._waiting = None
+            return replace(self.reply(call), id=CallId("nobody", 0, 1))
+
+
+class RepeatingSidecar(FakeSidecar):
+    """Answers every call with the first call's answer."""
+
+    def __init__(self, endpoint):
+        super().__init__(endpoint)
+        self._first = None
+
+    async def run(self, call, on_chunk):
+        honest = await super().run(call, on_chunk)
+        self._first = self._first or honest
+        return self._first
+
+
+class LateSidecar(FakeSidecar):
+    """Answers after the call's time is over, the later calls first."""
+
+    async def run(self, call, on_chunk):
+        await asyncio.sleep(call.remaining_s + 0.5 / len(self.calls or [1]))
+        return await super().run(call, on_chunk)
+
+
+class MixingSidecar(FakeSidecar):
+    """Sends each stream's chunks to another call's sink, twice and out of order."""
+
+    def __init__(self, endpoint):
+        super().__init__(endpoint)
+        self.sinks = []
+
+    async def write_to_others(self, call, sink):
+        """Write this call's chunks where they don't belong."""
+        own = len(self.sinks)
+        self.sinks.append(sink)
+        await asyncio.sleep(0.05)
+        wrong = self.sinks[(own + 1) % len(self.sinks)]
+        for offset in (1, 0, 0, 2, 1):
+            request = wrong.chunk_request(offset=offset, text=chunk_text(call, offset))
+            write_call_id(request.id, call.id)
+            with suppress(capnp.KjException):
+                await request.send()
+
+
+class _MixingServer(_SidecarServer):
+    async def run(self, call, sink, _context, **_):
+        await self._handler.write_to_others(read_call(call), sink)
+        await super().run(call, sink, _context)
+
+
+@asynccontextmanager
+async def serve_fake(handler):
+    """Serve a fake sidecar and yield its port."""
+    if not isinstance(handler, MixingSidecar):
+        async with serve_sidecar(handler, "127.0.0.1", 0) as port:
+            yield port
+        return
+
+    async def accept(stream):
+        server = capnp.TwoPartyServer(stream, bootstrap=_MixingServer(handler))
+        await server.on_disconnect()
+
+    listener = await capnp.AsyncIoStream.create_server(accept, "127.0.0.1", 0)
+    try:
+        yield listener.sockets[0].getsockname()[1]
+    finally:
+        listener.close()
+
+
+def chunk_text(call, offset):
+    """Return the words that belong to this call and no other."""
+    return f"{json.loads(call.input)['input']}:{offset} "
+
+
+def whole_text(text):
+    """Return the text that a caller of ``text`` must receive."""
+    return "".join(f"{text}:{offset} " for offset in range(CHUNKS))
+
+
+@asynccontextmanager
+async def fake_deployment(*handlers, streams=False, deadline_ms=4000, **options):
+    """Open an entry before fake sidecars of one pool; yields the deployment."""
+    small = msgspec.structs.replace(
+        plan(),
+        pools=[],
+        settings={
+            "pipeline:echo": {
+                "stages": ["echo"],
+                "deadline_ms": deadline_ms,
+                "stage.echo.pool": "fake",
+                "stage.echo.streams": streams,
+            }
+        },
+    )
+    async with open_deployment(small, **options) as deployment:
+        await serve_and_register(deployment, *handlers)
+        yield deployment
+
+
+async def serve_and_register(deployment, *handlers):
+    """Serve fake sidecars until the deployment ends; register them in the tree."""
+    firm = {}
+    for handler in handlers:
+        port = await deployment._stack.enter_async_context(serve_fake(handler))
+        firm[f"endpoint.{handler.endpoint}"] = {
+            "pool": "fake",
+            "host": f"host-{handler.endpoint}",
+            "region": deployment.plan.regions[0].name,
+            "data_centre": deployment.plan.regions[0].data_centres[0],
+            "address": f"127.0.0.1:{port}",
+        }
+    change = await deployment.apply({"firm": firm})
+    for number in range(len(deployment.entries)):
+        await deployment.wait_revision(change["number"], number)
+
+
+def logged(process, event):
+    """Return the log lines of an event."""
+    return [line for line in process.lines if f"event={event} " in line]
+
+
+def parse_events(text):
+    """Return the (kind, data) pairs of a server-sent event stream."""
+    pairs = [block.split("\n", 1) for block in text.strip().split("\n\n")]
+    return [
+        (kind.removeprefix("event: "), json.loads(data.removeprefix("data: ")))
+        for kind, data in pairs
+    ]
--- /dev/null
+++ b/tests/lifecycle/test_answers.py
@@ -0,0 +1,100 @@
+"""No answer is lost, doubled, or handed to another request."""
+
+import asyncio
+
+import pytest
+
+from tests.lifecycle.support import (
+    FakeSidecar,
+    LateSidecar,
+    MixingSidecar,
+    RepeatingSidecar,
+    SwappingSidecar,
+    fake_deployment,
+    logged,
+    parse_events,
+    run_wire,
+    whole_text,
+)
+
+CALLERS = 24
+
+
+@pytest.mark.parametrize("misbehaving", [SwappingSidecar, RepeatingSidecar])
+def test_a_foreign_answer_reaches_nobody(misbehaving):
+    """
+    A farmer reads the assessment of another farmer's combine. A sidecar swaps the
+    answers of two calls on one connection, or gives an old answer again; the
+    entry took any reply for the call that it had in mind.
+    """
+
+    async def scenario():
+        bad, good = misbehaving("fake-1"), FakeSidecar("fake-2")
+        async with fake_deployment(bad, good) as deployment:
+            answers = await asyncio.gather(
+                *(deployment.call("echo", f"claim {n}") for n in range(CALLERS))
+            )
+            for number, answer in enumerate(answers):
+                document = await answer.json()
+                assert answer.status == 200, document
+                assert document["output"] == {"echo": f"claim {number}"}
+            assert len(bad.calls) > 1
+            refused = logged(deployment.entries[0], "attempt_ended")
+            assert any("belongs to another call" in line for line in refused)
+
+    run_wire(scenario())
+
+
+def test_late_answers_never_reach_the_next_request():
+    """
+    A dispatcher's second question is answered with the first one's words. The
+    first question's answer came after its deadline, on the same connection, while
+    the second was waiting.
+    """
+
+    async def scenario():
+        late = LateSidecar("fake-1")
+        async with fake_deployment(late, deadline_ms=400) as deployment:
+            first = await asyncio.gather(
+                *(deployment.call("echo", f"first {n}") for n in range(CALLERS))
+            )
+            assert {answer.status for answer in first} == {504}
+            second = await asyncio.gather(
+                *(
+                    deployment.call("echo", f"second {n}", deadline_ms=4000)
+                    for n in range(4)
+                ),
+            )
+            for number, answer in enumerate(second):
+                if answer.status == 200:
+                    document = await answer.json()
+                    assert document["output"] == {"echo": f"second {number}"}
+
+    run_wire(scenario())
+
+
+def test_mixed_streams_over_one_connection_stay_apart():
+    """
+    Two testers type at once and see tags of each other's bug. The sidecar writes
+    chunks of one stream to the other's sink, twice and out of order; chunks bore
+    no id, so the entry could not tell.
+    """
+
+    async def scenario():
+        bad, good = MixingSidecar("fake-1"), FakeSidecar("fake-2")
+        async with fake_deployment(bad, good, streams=True) as deployment:
+            answers = await asyncio.gather(
+                *(
+                    deployment.call("echo", f"bug {n}", stream=True)
+                    for n in range(CALLERS)
+                )
+            )
+            for number, answer in enumerate(answers):
+                events = parse_events(await answer.text())
+                assert events[-1][0] == "done", events
+                text = "".join(d["text"] for kind, d in events if kind == "chunk")
+                assert text == whole_text(f"bug {number}")
+                assert events[-1][1]["output"]["text"] == text
+            assert len(bad.calls) > 1
+
+    run_wire(scenario())
