--- a/packages/daemon/src/amaranthtally/daemon/entry/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/metrics.py
@@ -32,9 +32,6 @@
         self._connected = Gauge(
             "amaranthtally_sidecars_connected", "Sidecars with an open connection."
         )
-        self._revision = Gauge(
-            "amaranthtally_settings_revision", "Revision of the settings in force."
-        )
 
     def request_ended(self, pipeline: str, status: int, seconds: float) -> None:
         """Count a request by how it ended; refused ones count too."""
@@ -53,8 +50,7 @@
         """Count bytes that left the entry's region or came from another."""
         self._region_bytes.add({"stage": stage}, size)
 
-    def refresh(self, in_flight: int, connected: int, revision: int) -> None:
+    def refresh(self, in_flight: int, connected: int) -> None:
         """Set the gauges."""
         self._in_flight.set({}, in_flight)
         self._connected.set({}, connected)
-        self._revision.set({}, revision)
