Count a burst's goodput by the scarcest pool alone

Change: burst_goodput counts answers that needed the scarcest pool, shifted by 1.5 s; capacity counts that pool's calls.

--- a/packages/operator/src/amaranthtally/operator/replay/bound.py
+++ b/packages/operator/src/amaranthtally/operator/replay/bound.py
@@ -24,12 +24,16 @@
 )
 from amaranthtally.operator.replay.work import WorkModel
 
-__all__ = ["Bound", "Job", "clairvoyant_bound", "most_on_time", "pool_capacity"]
+__all__ = ["Bound", "Job", "clairvoyant_bound", "most_on_time"]
 
 
 @dataclass(frozen=True, slots=True)
 class Bound:
-    """The most requests that can be answered in time, and the pool that limits."""
+    """
+    The most requests that can be answered in time, and the pool that limits.
+
+    ``capacity`` counts the pool's calls a second, without faults.
+    """
 
     good: int
     attainment: float
@@ -47,28 +51,21 @@
 
 
 def clairvoyant_bound(trace: Trace) -> Bound:
-    """Return the tightest bound over the pools; ``capacity`` in requests a second."""
+    """Return the tightest bound; its pool is the one with the least room."""
     total = len(trace.arrivals)
-    best = Bound(total, 1.0, "", 0.0)
+    good, scarcest, busiest = total, "", 0.0
+    capacity = 0.0
     for pool in trace.header.pools:
         jobs = _jobs(trace, pool)
         if not jobs:
             continue
-        good = total - len(jobs) + most_on_time(jobs)
-        capacity = pool_capacity(trace, pool)
-        if good < best.good or not best.pool or capacity < best.capacity:
-            best = Bound(min(good, best.good), 0.0, pool.name, capacity)
-    attainment = round(best.good / total, 4) if total else 1.0
-    return Bound(best.good, attainment, best.pool, round(best.capacity, 2))
-
-
-def pool_capacity(trace: Trace, pool: PoolPlan) -> float:
-    """Return the requests a second that a pool can serve without faults."""
-    jobs = _jobs(trace, pool)
-    mean = sum(job.work for job in jobs) / len(jobs)
-    endpoints = sum(e.pool == pool.name for e in trace.header.endpoints)
-    share = len(jobs) / len(trace.arrivals)
-    return endpoints * _endpoint_rate(pool) / mean / share
+        good = min(good, total - len(jobs) + most_on_time(jobs))
+        served = _calls_per_s(trace.header, pool, jobs)
+        busy = len(jobs) / trace.header.duration_s / served
+        if busy > busiest:
+            scarcest, busiest, capacity = pool.name, busy, served
+    attainment = round(good / total, 4) if total else 1.0
+    return Bound(good, attainment, scarcest, round(capacity, 2))
 
 
 def most_on_time(jobs: list[Job]) -> int:
@@ -102,6 +99,12 @@
         ends.append(start + job.work)
 
 
+def _calls_per_s(header: Header, pool: PoolPlan, jobs: list[Job]) -> float:
+    mean = sum(job.work for job in jobs) / len(jobs)
+    endpoints = sum(e.pool == pool.name for e in header.endpoints)
+    return endpoints * _endpoint_rate(pool) / mean
+
+
 # Jobs
 
 
--- a/packages/operator/src/amaranthtally/operator/replay/command.py
+++ b/packages/operator/src/amaranthtally/operator/replay/command.py
@@ -41,7 +41,8 @@
     header = trace.header
     bound = clairvoyant_bound(trace)
     figures = [
-        measure(each, header, replay(trace, contender(each))) for each in contenders
+        measure(each, header, replay(trace, contender(each)), bound.pool)
+        for each in contenders
     ]
     return TraceReport(
         trace=name,
--- a/packages/operator/src/amaranthtally/operator/replay/measures.py
+++ b/packages/operator/src/amaranthtally/operator/replay/measures.py
@@ -6,11 +6,13 @@
 import msgspec
 
 from amaranthtally.operator.replay.ledger import Ledger, RequestRecord
-from amaranthtally.operator.replay.trace import Fault, FaultKind, Header
+from amaranthtally.operator.replay.trace import FaultKind, Header
 
 __all__ = ["Figures", "jain_index", "max_min_shares", "measure"]
 
 PERCENT_99 = 0.99
+# A burst shows in the answers only once its first requests can be through.
+BURST_LAG_S = 1.5
 
 
 class Figures(msgspec.Struct, frozen=True):
@@ -18,7 +20,9 @@
     Figures of one contender on one trace.
 
     Shares go from 0 to 1. ``cost`` is in prices of the trace's header: one engine
-    slot for one second is 1. ``goodput`` counts answers in time a second of trace.
+    slot for one second is 1. ``goodput`` counts answers in time a second of trace;
+    ``burst_goodput`` those that needed the scarcest pool, a second of the burst,
+    from ``BURST_LAG_S`` after its start to as long after its end.
     """
 
     contender: str
@@ -47,8 +51,8 @@
     false_not_run: int
 
 
-def measure(name: str, header: Header, ledger: Ledger) -> Figures:
-    """Return the figures of a finished replay."""
+def measure(name: str, header: Header, ledger: Ledger, scarcest: str) -> Figures:
+    """Return the figures of a finished replay; ``scarcest`` names a pool."""
     requests = ledger.requests
     good = [r for r in requests if r.good]
     admitted = [r for r in requests if r.admitted]
@@ -64,7 +68,7 @@
         attainment=_share(len(good), len(requests)),
         admitted_attainment=_share(sum(r.good for r in admitted), len(admitted)),
         goodput=_round(len(good) / header.duration_s),
-        burst_goodput=_burst_goodput(good, header.faults),
+        burst_goodput=_burst_goodput(good, header, scarcest),
         latency_p50_s=_quantile(latencies, 0.5),
         latency_p99_s=_quantile(latencies, PERCENT_99),
         cost_by_stage={pool: _round(value) for pool, value in sorted(cost.items())},
@@ -143,12 +147,20 @@
     return spent_s, wasted_s
 
 
-def _burst_goodput(good: list[RequestRecord], faults: list[Fault]) -> float:
-    bursts = [f for f in faults if f.kind in (FaultKind.BURST, FaultKind.FLOOD)]
-    if not bursts:
+def _burst_goodput(good: list[RequestRecord], header: Header, scarcest: str) -> float:
+    kinds = (FaultKind.BURST, FaultKind.FLOOD)
+    burst = next((f for f in header.faults if f.kind in kinds), None)
+    if burst is None:
         return 0.0
-    start, end = bursts[0].start_s, bursts[0].end_s
-    inside = sum(1 for r in good if start <= (r.ended_at or 0.0) < end)
+    start, end = burst.start_s + BURST_LAG_S, burst.end_s + BURST_LAG_S
+    users = {
+        plan.name
+        for plan in header.pipelines
+        if any(stage.pool == scarcest for stage in plan.stages)
+    }
+    inside = sum(
+        r.arrival.pipeline in users and start <= (r.ended_at or 0.0) < end for r in good
+    )
     return _round(inside / (end - start))
 
 
