--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -17,6 +17,7 @@
     Cancel,
     Endpoint,
     Fate,
+    Greet,
     LoadReport,
     Planner,
     PolicySettings,
@@ -66,6 +67,7 @@
             Send: self._send,
             Cancel: self._cancel,
             Ask: self._ask,
+            Greet: self._greet,
             Answer: self._answer,
             Refuse: self._refuse,
         }
@@ -149,6 +151,13 @@
         request = self._requests[ask.attempt.request_id]
         self._start(request, ask.attempt, self._ask_outcome(request, ask))
 
+    def _greet(self, greet: Greet) -> None:
+        endpoint = self._endpoints.get(greet.endpoint)
+        if endpoint is not None:
+            task = asyncio.create_task(self._greet_endpoint(endpoint))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     def _answer(self, answer: Answer) -> None:
         request = self._requests.pop(answer.request_id)
         self._stop_attempts(request)
@@ -188,7 +197,7 @@
             client = await self._peers.client(endpoint)
         except PeerLostError as error:
             self._log_attempt(attempt, endpoint, "unreachable", str(error))
-            self._ended(attempt, StageResult(Fate.NOT_RUN))
+            self._ended(attempt, StageResult(Fate.NOT_RUN, unreachable=True))
             return
         request.incarnations[attempt] = self._peers.incarnation(endpoint.id)
         call = self._build_call(request, send, stage)
@@ -223,6 +232,13 @@
             return
         self._take_reply(request, attempt, endpoint, reply)
 
+    async def _greet_endpoint(self, endpoint: Endpoint) -> None:
+        assert self._peers is not None
+        try:
+            await self._peers.greet(endpoint)
+        except PeerLostError as error:
+            log.debug("greeting_failed", endpoint=endpoint.id, cause=str(error))
+
     def _build_call(self, request: LiveRequest, send: Send, stage: Stage) -> StageCall:
         attempt = send.attempt
         return StageCall(
--- a/packages/daemon/src/amaranthtally/daemon/entry/peers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/peers.py
@@ -67,6 +67,14 @@
             )
         return await asyncio.shield(connecting)
 
+    async def greet(self, endpoint: Endpoint) -> None:
+        """Ask a sidecar for its load; raises ``PeerLostError``."""
+        client = await self.client(endpoint)
+        greeting = await client.hello(
+            self._entry, self._source.changes_since(1 << 62).revision, self._source
+        )
+        self.note_load(endpoint.id, greeting.load)
+
     async def close(self) -> None:
         """Close every connection."""
         for client in list(self._clients.values()):
--- a/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
@@ -14,6 +14,13 @@
 __all__ = ["PipelineResolver", "policy_settings"]
 
 DEFAULT_DEADLINE_MS = 4000
+DEFAULT_WEIGHT = 0.7
+DEFAULT_PRICE_PER_S = 0.0005
+DEFAULT_TRAFFIC_PRICE = 0.02
+DEFAULT_REGION_LATENCY_MS = 12.0
+DEFAULT_HEADROOM = 0.8
+DEFAULT_RETRY_BUDGET = 0.2
+DEFAULT_HEDGE_BUDGET = 0.05
 
 
 class PipelineResolver:
@@ -38,7 +45,8 @@
             return None
         stages = tuple(self._stage(scope, name) for name in names)
         deadline_ms = self._value(scope, "deadline_ms", DEFAULT_DEADLINE_MS)
-        return Pipeline(pipeline, stages, deadline_ms / 1000)
+        weight = self._value(scope, "weight.attainment", DEFAULT_WEIGHT)
+        return Pipeline(pipeline, stages, deadline_ms / 1000, weight)
 
     def _stage(self, scope: Scope, name: str) -> Stage:
         prefix = f"stage.{name}."
@@ -48,6 +56,7 @@
             model=self._value(scope, prefix + "model", ""),
             repeatable=self._value(scope, prefix + "repeatable", True),
             streams=self._value(scope, prefix + "streams", False),
+            price_per_s=self._value(scope, prefix + "price_per_s", DEFAULT_PRICE_PER_S),
         )
 
     def _value(self, scope: Scope, key: str, default: Any) -> Any:
@@ -58,6 +67,10 @@
     view: SettingsView, region: str, data_centre: str
 ) -> PolicySettings:
     """Return what the policy reads of a tree."""
+
+    def value(key: str, default: float) -> float:
+        return view.value(Scope(region), key, default)
+
     return PolicySettings(
         revision=view.revision,
         region=region,
@@ -66,6 +79,12 @@
             name: _endpoint(name, table) for name, table in view.endpoints.items()
         },
         accounts={name: _limits(view, region, name) for name in view.account_names},
+        entries=int(value("entries", 1)),
+        traffic_price_per_gb=value("traffic.price_per_gb", DEFAULT_TRAFFIC_PRICE),
+        region_latency_s=value("region.latency_ms", DEFAULT_REGION_LATENCY_MS) / 1000,
+        admission_headroom=value("admission.headroom", DEFAULT_HEADROOM),
+        retry_budget=value("retry.budget", DEFAULT_RETRY_BUDGET),
+        hedge_budget=value("hedge.budget", DEFAULT_HEDGE_BUDGET),
     )
 
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -1,7 +1,9 @@
 """Start, run and stop an entry."""
 
 import asyncio
+import secrets
 from contextlib import AsyncExitStack, suppress
+from random import Random
 
 import capnp
 from aiohttp import web
@@ -22,6 +24,7 @@
 __all__ = ["run_entry"]
 
 HTTP_GRACE_S = 5.0
+SEED_BITS = 64
 ADMIN_MAX_BODY = 16 * 1024 * 1024
 
 log = get_logger()
@@ -47,7 +50,8 @@
     settings: EntrySettings, stack: AsyncExitStack, stop: asyncio.Event
 ) -> Executor:
     start = PolicySettings(0, settings.region, settings.data_centre)
-    executor = Executor(Planner(start), start)
+    planner = Planner(start, Random(secrets.randbits(SEED_BITS)))
+    executor = Executor(planner, start)
     callers = CallerApi(executor, settings.region, settings.max_body_bytes)
 
     def on_change(view: SettingsView) -> None:
--- a/packages/operator/src/amaranthtally/operator/replay/entry.py
+++ b/packages/operator/src/amaranthtally/operator/replay/entry.py
@@ -18,6 +18,7 @@
     AttemptId,
     Cancel,
     Fate,
+    Greet,
     LoadReport,
     Pipeline,
     Refuse,
@@ -88,6 +89,7 @@
             Send: self._send,
             Cancel: self._cancel,
             Ask: self._ask,
+            Greet: self._greet,
             Answer: self._answer,
             Refuse: self._refuse,
         }
@@ -181,6 +183,15 @@
         )
         self._clock.after(self._delay(sidecar), outcome)
 
+    def _greet(self, greet: Greet) -> None:
+        sidecar = self._fleet[greet.endpoint]
+        if self._network.reaches(self._region, sidecar.plan):
+            self._clock.after(2 * self._delay(sidecar), partial(self._greeted, sidecar))
+
+    def _greeted(self, sidecar: FakeSidecar) -> None:
+        now = self._clock.now
+        self._carry_out(self._planner.load_report(now, sidecar.plan.id, sidecar.load()))
+
     def _answer(self, answer: Answer) -> None:
         self._end(answer.request_id, "Answer")
         self._ledger.end(answer.request_id, self._clock.now)
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -10,12 +10,21 @@
     Answer,
     Ask,
     Cancel,
+    Greet,
     Outcome,
     Reason,
     Refuse,
     Send,
 )
-from amaranthtally.policy.events import Arrival, Fate, LoadReport, StageResult
+from amaranthtally.policy.events import (
+    Arrival,
+    CacheEvent,
+    Fate,
+    LoadReport,
+    StageResult,
+)
+from amaranthtally.policy.invariants import InvariantError
+from amaranthtally.policy.ledger import Counters
 from amaranthtally.policy.model import (
     AccountLimits,
     AttemptId,
@@ -34,9 +43,13 @@
     "Arrival",
     "Ask",
     "AttemptId",
+    "CacheEvent",
     "Cancel",
+    "Counters",
     "Endpoint",
     "Fate",
+    "Greet",
+    "InvariantError",
     "LoadReport",
     "Outcome",
     "Pipeline",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -10,6 +10,7 @@
     "Answer",
     "Ask",
     "Cancel",
+    "Greet",
     "Outcome",
     "Reason",
     "Refuse",
@@ -66,6 +67,13 @@
     endpoint: str
 
 
+@dataclass(frozen=True, slots=True)
+class Greet:
+    """Ask an endpoint's sidecar for its load, without giving it work."""
+
+    endpoint: str
+
+
 @dataclass(frozen=True, slots=True)
 class Answer:
     """Every stage has finished: give the caller the whole answer."""
@@ -83,4 +91,4 @@
     retry_after_s: float = 0.0
 
 
-Action = Send | Cancel | Ask | Answer | Refuse
+Action = Send | Cancel | Ask | Greet | Answer | Refuse
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -0,0 +1,250 @@
+"""Sends attempts: first ones, retries, hedges and probes."""
+
+from amaranthtally.policy.actions import Action, Send
+from amaranthtally.policy.budgets import RatioBudget
+from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.groups import EndpointGroups
+from amaranthtally.policy.ledger import Ledger
+from amaranthtally.policy.loads import LoadTable
+from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
+from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.routing import Choice, Router, RouteRequest
+from amaranthtally.policy.stage_times import StageStats, StageTimes
+from amaranthtally.policy.timers import Timers
+
+__all__ = ["Dispatcher"]
+
+RETRY_RESERVE = 64.0
+HEDGE_RESERVE = 16.0
+HEDGE_COST = 0.1
+PROBE_SLACK = 3.0
+HEARD_LATELY_S = 5.0
+LOOK_AGAIN_SHARE = 0.5
+LOOK_AGAIN_S = 0.02
+
+
+class _PoolBudgets:
+    """Budgets of one pool: the failures of one must not spend those of another."""
+
+    __slots__ = ("hedges", "retries")
+
+    def __init__(self, settings: PolicySettings) -> None:
+        self.retries = RatioBudget(settings.retry_budget, RETRY_RESERVE)
+        self.hedges = RatioBudget(settings.hedge_budget, HEDGE_RESERVE)
+
+    def configure(self, settings: PolicySettings) -> None:
+        self.retries.configure(settings.retry_budget)
+        self.hedges.configure(settings.hedge_budget)
+
+
+class Dispatcher:
+    """Turns a request's need for an attempt into a ``Send``, or into nothing."""
+
+    def __init__(
+        self,
+        settings: PolicySettings,
+        times: StageTimes,
+        groups: EndpointGroups,
+        loads: LoadTable,
+        ejections: Ejections,
+        router: Router,
+        ledger: Ledger,
+        timers: Timers,
+    ) -> None:
+        self._settings = settings
+        self._times = times
+        self._groups = groups
+        self._loads = loads
+        self._ejections = ejections
+        self._router = router
+        self._ledger = ledger
+        self._timers = timers
+        self._budgets: dict[str, _PoolBudgets] = {}
+
+    def configure(self, settings: PolicySettings) -> None:
+        """Use other settings."""
+        self._settings = settings
+        for budgets in self._budgets.values():
+            budgets.configure(settings)
+
+    def first(self, now: float, request: Request) -> list[Action]:
+        """Send a stage's first attempt; nothing when no endpoint takes work."""
+        self._budgets_of(request.current).retries.earn()
+        self._budgets_of(request.current).hedges.earn()
+        probe = self._probe(now, request)
+        if probe is not None:
+            return self._send(now, request, probe, probe=True)
+        return self._route(now, request, frozenset())
+
+    def retry(self, now: float, request: Request, cost: float) -> list[Action]:
+        """
+        Send a stage again, elsewhere where there is an elsewhere.
+
+        Returns nothing when the budget is spent or no endpoint takes work.
+        """
+        if not self._budgets_of(request.current).retries.take(cost):
+            return []
+        request.resends += 1
+        actions = self._route(now, request, request.avoid)
+        if not actions and request.current.repeatable:
+            actions = self._route(now, request, frozenset())
+        self._ledger.counters.retries += bool(actions)
+        return actions
+
+    def hedge(self, now: float, request: Request, slow: AttemptId) -> list[Action]:
+        """
+        Send a second attempt beside a slow one where that is worth its cost.
+
+        Only a stage that may be repeated is hedged, and only one attempt at a
+        time. Otherwise a timer looks again.
+        """
+        attempt = request.live[slow]
+        if not request.current.repeatable or len(request.live) > 1:
+            return []
+        stats = self._times.of(request.current)
+        quiet_since = max(attempt.sent_at, request.progress_at)
+        flowing = request.progress_at > 0 and now - quiet_since < stats.slow_s
+        if not flowing:
+            wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
+            choice = self._router.choose(now, wanted, stats)
+            worth = choice is not None and self._is_worth_it(
+                self._risk(now, attempt, wanted, stats), choice, wanted.weight
+            )
+            if choice and worth and self._budgets_of(request.current).hedges.take():
+                self._ledger.counters.hedges += 1
+                return self._send(now, request, choice, hedge=True)
+        again = LOOK_AGAIN_SHARE * (now - attempt.sent_at)
+        self._timers.set(now + max(LOOK_AGAIN_S, again), request.id, slow)
+        return []
+
+    # Choices
+
+    def _route(
+        self, now: float, request: Request, avoid: frozenset[str]
+    ) -> list[Action]:
+        wanted = self._wanted(now, request, avoid)
+        stats = self._times.of(request.current)
+        choice = self._router.choose(now, wanted, stats)
+        return [] if choice is None else self._send(now, request, choice)
+
+    def _wanted(
+        self, now: float, request: Request, avoid: frozenset[str]
+    ) -> RouteRequest:
+        arrival = request.arrival
+        remaining = request.remaining
+        return RouteRequest(
+            stage=request.current,
+            end=self._times.share_end(now, arrival.deadline, remaining),
+            latest_end=self._times.latest_finish(arrival.deadline, remaining[1:]),
+            weight=arrival.pipeline.weight_attainment,
+            input_bytes=arrival.input_bytes + request.previous_bytes,
+            prefix=arrival.prefix if _has_prefix_cache(request.current) else (),
+            avoid=avoid,
+        )
+
+    def _probe(self, now: float, request: Request) -> Choice | None:
+        """
+        Return an ejected endpoint to try, when the request can afford a failure.
+
+        A stage that may not be repeated is only tried where the sidecar has been
+        heard again: its caller would pay for the probe with an unknown outcome.
+        """
+        stage = request.current
+        name = self._ejections.due_for_probe(now, stage.pool)
+        endpoint = self._groups.find(name) if name else None
+        if endpoint is None or not _runs(endpoint, stage):
+            return None
+        load = self._loads.open(endpoint)
+        left = request.arrival.deadline - now
+        if load.leaving or left < PROBE_SLACK * self._times.needed_s(request.remaining):
+            return None
+        if not stage.repeatable and now - load.heard_at > HEARD_LATELY_S:
+            return None
+        wanted = self._wanted(now, request, frozenset())
+        return self._router.predict(now, wanted, self._times.of(stage), endpoint)
+
+    def _risk(
+        self,
+        now: float,
+        attempt: LiveAttempt,
+        wanted: RouteRequest,
+        stats: StageStats,
+    ) -> float:
+        """Return the probability that an attempt ends late, given how long it ran."""
+        ran = max(0.0, now - attempt.sent_at - attempt.wait_s)
+        so_long = stats.tail(ran)
+        # Longer than any run on record: the endpoint is taken to be stuck.
+        if so_long <= 0.0:
+            return 1.0
+        return stats.tail(ran + max(0.0, wanted.end - now)) / so_long
+
+    def _is_worth_it(self, risk: float, choice: Choice, weight: float) -> bool:
+        gain = risk - choice.risk
+        return weight * gain > (1.0 - weight) * (HEDGE_COST + choice.price)
+
+    # Sending
+
+    def _send(
+        self,
+        now: float,
+        request: Request,
+        choice: Choice,
+        hedge: bool = False,
+        probe: bool = False,
+    ) -> list[Action]:
+        load = self._loads.open(choice.endpoint)
+        attempt = LiveAttempt(
+            endpoint=choice.endpoint.id,
+            sent_at=now,
+            expected_s=choice.finish_s,
+            wait_s=choice.before_s,
+            hedge=hedge,
+            probe=probe,
+        )
+        attempt_id = self._ledger.sent(request, load, attempt)
+        if probe:
+            self._ejections.probe_sent(choice.endpoint.id)
+            self._ledger.counters.probes += 1
+        if choice.endpoint.region != self._settings.region:
+            self._ledger.counters.away += 1
+        if request.current.repeatable:
+            late = choice.before_s + self._times.of(request.current).late_s
+            self._timers.set(now + late, request.id, attempt_id)
+        return [
+            Send(
+                attempt_id,
+                choice.endpoint.id,
+                self._attempt_deadline(now, request),
+                hedge=hedge,
+                resume_offset=request.chunks,
+            )
+        ]
+
+    def _attempt_deadline(self, now: float, request: Request) -> float:
+        """
+        Return when the stage must have ended, in time for the later ones.
+
+        Never less than its share of what is left: when the later stages'
+        medians no longer fit, they may still be faster than that.
+        """
+        arrival = request.arrival
+        remaining = request.remaining
+        latest = self._times.latest_finish(arrival.deadline, remaining[1:])
+        share = self._times.share_end(now, arrival.deadline, remaining)
+        return min(arrival.deadline, max(latest, share))
+
+    def _budgets_of(self, stage: Stage) -> _PoolBudgets:
+        found = self._budgets.get(stage.pool)
+        if found is None:
+            found = self._budgets[stage.pool] = _PoolBudgets(self._settings)
+        return found
+
+
+def _has_prefix_cache(stage: Stage) -> bool:
+    return stage.streams or bool(stage.model)
+
+
+def _runs(endpoint: Endpoint, stage: Stage) -> bool:
+    if endpoint.pool != stage.pool:
+        return False
+    return not stage.model or not endpoint.models or stage.model in endpoint.models
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -5,7 +5,7 @@
 
 from amaranthtally.policy.model import Pipeline
 
-__all__ = ["Arrival", "Fate", "LoadReport", "StageResult"]
+__all__ = ["Arrival", "CacheEvent", "Fate", "LoadReport", "StageResult"]
 
 
 @dataclass(frozen=True, slots=True)
@@ -44,7 +44,8 @@
 
     ``NOT_RUN`` is proof that it did not start; ``LOST`` means the connection
     ended and the sidecar can still be asked; ``UNKNOWN`` is final. ``permanent``
-    marks a failure that another attempt would meet again. Times in seconds.
+    marks a failure that another attempt would meet again, ``unreachable`` an
+    endpoint that no connection could be made to. Times in seconds.
     """
 
     fate: Fate
@@ -53,6 +54,7 @@
     output_bytes: int = 0
     retry_after_s: float = 0.0
     permanent: bool = False
+    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,3 +68,12 @@
     service_s: float
     backlog_s: float
     leaving: bool
+
+
+@dataclass(frozen=True, slots=True)
+class CacheEvent:
+    """Prefix blocks that an endpoint stored and removed; ``serial`` has no gaps."""
+
+    serial: int
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/groups.py
@@ -0,0 +1,80 @@
+"""The endpoints that may run a stage, by region; a bounded subset for each entry."""
+
+from collections.abc import Mapping
+from random import Random
+
+from amaranthtally.policy.model import Endpoint, Stage
+
+__all__ = ["EndpointGroups", "RegionGroups"]
+
+SUBSET = 64
+AWAY_SUBSET = 16
+
+RegionGroups = dict[str, list[Endpoint]]
+
+
+class EndpointGroups:
+    """
+    Candidates of each pool and model, by region, built at first use.
+
+    An entry uses at most ``SUBSET`` endpoints of a pool and model in its own
+    region and ``AWAY_SUBSET`` in any other, drawn at random: 750 entries before
+    11,000 endpoints would otherwise hold eight million connections. A subset
+    keeps its members when settings change.
+    """
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+        self._region = ""
+        self._endpoints: Mapping[str, Endpoint] = {}
+        self._by_pool: dict[str, list[Endpoint]] = {}
+        self._groups: dict[tuple[str, str], RegionGroups] = {}
+
+    def replace(self, region: str, endpoints: Mapping[str, Endpoint]) -> bool:
+        """Use another home region and endpoints; false when nothing differs."""
+        if endpoints == self._endpoints and region == self._region:
+            return False
+        self._region = region
+        self._endpoints = endpoints
+        self._by_pool = {}
+        for endpoint in endpoints.values():
+            self._by_pool.setdefault(endpoint.pool, []).append(endpoint)
+        old = self._groups
+        self._groups = {}
+        for key, regions in old.items():
+            members = {e.id for group in regions.values() for e in group}
+            self._groups[key] = self._build(key, members)
+        return True
+
+    def of(self, stage: Stage) -> RegionGroups:
+        """Return a stage's candidates by region."""
+        key = (stage.pool, stage.model)
+        found = self._groups.get(key)
+        if found is None:
+            found = self._groups[key] = self._build(key, set())
+        return found
+
+    def find(self, endpoint: str) -> Endpoint | None:
+        """Return a registered endpoint, or ``None``."""
+        return self._endpoints.get(endpoint)
+
+    def _build(self, key: tuple[str, str], members: set[str]) -> RegionGroups:
+        pool, model = key
+        regions: RegionGroups = {}
+        for endpoint in self._by_pool.get(pool, ()):
+            if not model or not endpoint.models or model in endpoint.models:
+                regions.setdefault(endpoint.region, []).append(endpoint)
+        return {
+            region: self._subset(region, group, members)
+            for region, group in regions.items()
+        }
+
+    def _subset(
+        self, region: str, group: list[Endpoint], members: set[str]
+    ) -> list[Endpoint]:
+        size = SUBSET if region == self._region else AWAY_SUBSET
+        if len(group) <= size:
+            return group
+        kept = [e for e in group if e.id in members][:size]
+        others = [e for e in group if e.id not in members]
+        return kept + self._random.sample(others, size - len(kept))
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/membership.py
@@ -0,0 +1,149 @@
+"""Which endpoints may get work: registered, not leaving, not ejected."""
+
+from amaranthtally.policy.actions import Action, Greet
+from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.events import LoadReport
+from amaranthtally.policy.groups import EndpointGroups, RegionGroups
+from amaranthtally.policy.loads import EndpointLoad, LoadTable
+from amaranthtally.policy.model import PolicySettings, Stage
+from amaranthtally.policy.prefixes import PrefixIndex
+
+__all__ = ["Membership"]
+
+GREET_EVERY_S = 2.0
+GREETS_AT_ONCE = 4
+
+
+class Membership:
+    """Keeps loads, ejections and the sums of the pools in step with what is heard."""
+
+    def __init__(
+        self,
+        groups: EndpointGroups,
+        loads: LoadTable,
+        ejections: Ejections,
+        prefixes: PrefixIndex,
+    ) -> None:
+        self._groups = groups
+        self._loads = loads
+        self._ejections = ejections
+        self._prefixes = prefixes
+        self._prepared: set[tuple[str, str]] = set()
+        self._without_work: dict[str, float] = {}
+
+    def replace(self, settings: PolicySettings) -> None:
+        """Use other endpoints; forget those that are gone or have moved."""
+        if not self._groups.replace(settings.region, settings.endpoints):
+            return
+        self._prepared.clear()
+        for name in self._loads.ids():
+            load = self._loads.find(name)
+            new = settings.endpoints.get(name)
+            if load is not None and new != load.endpoint:
+                self._forget(name)
+
+    def prepare(self, stage: Stage) -> None:
+        """Count a stage's candidates in, once for each pool and model."""
+        key = (stage.pool, stage.model)
+        if key in self._prepared:
+            return
+        self._prepared.add(key)
+        self._open_all(self._groups.of(stage))
+
+    def report(self, now: float, endpoint: str, report: LoadReport) -> None:
+        """
+        Take a sidecar's word of its load and of whether it leaves.
+
+        Reports lag: one sent before the endpoint began to leave may come after
+        the news, and must not bring it back. Only another incarnation does.
+        """
+        load = self._open(endpoint)
+        if load is None:
+            return
+        restarted = bool(load.incarnation) and report.incarnation != load.incarnation
+        if restarted:
+            self._prefixes.forget(endpoint)
+            self._return(load)
+        load.incarnation = report.incarnation
+        self._loads.take_report(now, load, report)
+        if report.leaving:
+            self.leaving(now, endpoint)
+
+    def leaving(self, now: float, endpoint: str) -> None:
+        """Give an endpoint no new work."""
+        load = self._open(endpoint)
+        if load is None or load.leaving:
+            return
+        load.leaving = True
+        self._without_work[endpoint] = now
+        self._loads.count_out(load)
+
+    def staying(self, endpoint: str) -> None:
+        """Give work again to an endpoint that was thought to leave."""
+        load = self._loads.find(endpoint)
+        if load is not None:
+            self._return(load)
+
+    def failed(self, now: float, load: EndpointLoad) -> bool:
+        """Note a failed attempt; true when its endpoint is ejected for it."""
+        load.note_attempt(now, failed=True)
+        pool = load.endpoint.pool
+        known = self._loads.pool(pool).size + len(self._ejections.ejected(pool))
+        if not self._ejections.failed(now, load.endpoint.id, pool, known):
+            return False
+        self._loads.count_out(load)
+        self._without_work[load.endpoint.id] = now
+        return True
+
+    def succeeded(self, now: float, load: EndpointLoad) -> None:
+        """Note an attempt that finished; an ejected endpoint is let back."""
+        load.note_attempt(now, failed=False)
+        self._ejections.succeeded(load.endpoint.id)
+        if not load.leaving:
+            self._without_work.pop(load.endpoint.id, None)
+            self._loads.count_in(load)
+
+    def greetings(self, now: float) -> list[Action]:
+        """
+        Ask for word from endpoints that left or are ejected, giving them no work.
+
+        A sidecar that restarts under its old name would otherwise never be heard
+        of again: its new incarnation is told in replies, and it gets no calls.
+        """
+        heard = self._without_work
+        due = [name for name, at in heard.items() if now - at >= GREET_EVERY_S]
+        for name in due[:GREETS_AT_ONCE]:
+            # Put last, so that a few that never answer do not keep others waiting.
+            del heard[name]
+            heard[name] = now
+        return [Greet(name) for name in due[:GREETS_AT_ONCE]]
+
+    def _open_all(self, regions: RegionGroups) -> None:
+        for group in regions.values():
+            for endpoint in group:
+                self._count_in_usable(self._loads.open(endpoint))
+
+    def _open(self, endpoint: str) -> EndpointLoad | None:
+        load = self._loads.find(endpoint)
+        if load is None:
+            registered = self._groups.find(endpoint)
+            if registered is None:
+                return None
+            load = self._loads.open(registered)
+        return load
+
+    def _return(self, load: EndpointLoad) -> None:
+        load.leaving = False
+        if not self._ejections.is_ejected(load.endpoint.id):
+            self._without_work.pop(load.endpoint.id, None)
+            self._loads.count_in(load)
+
+    def _count_in_usable(self, load: EndpointLoad) -> None:
+        if not load.leaving and not self._ejections.is_ejected(load.endpoint.id):
+            self._loads.count_in(load)
+
+    def _forget(self, endpoint: str) -> None:
+        self._loads.drop(endpoint)
+        self._ejections.forget(endpoint)
+        self._prefixes.forget(endpoint)
+        self._without_work.pop(endpoint, None)
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -28,6 +28,7 @@
     A stage of a pipeline, run by any endpoint of ``pool``.
 
     A stage that is not ``repeatable`` has a side effect and runs at most once.
+    ``price_per_s`` is the price of one second of its endpoint.
     """
 
     name: str
@@ -35,15 +36,22 @@
     model: str = ""
     repeatable: bool = True
     streams: bool = False
+    price_per_s: float = 0.0005
 
 
 @dataclass(frozen=True, slots=True)
 class Pipeline:
-    """Stages that run one after another under one deadline, in seconds."""
+    """
+    Stages that run one after another under one deadline, in seconds.
+
+    ``weight_attainment`` goes from 0, where cost alone counts, to 1, where
+    answers in time alone count.
+    """
 
     name: str
     stages: tuple[Stage, ...]
     deadline_s: float
+    weight_attainment: float = 0.7
 
     @property
     def repeatable(self) -> bool:
@@ -78,7 +86,10 @@
     """
     The settings that the policy reads, at one revision.
 
-    ``region`` and ``data_centre`` are those of the entry itself.
+    ``region`` and ``data_centre`` are those of the entry itself; ``entries``
+    counts the entries that share the accounts' limits. Prices are in one
+    currency, latency is one way and in seconds, budgets are ratios to first
+    attempts, and headroom is a share of the deadline.
     """
 
     revision: int
@@ -86,3 +97,9 @@
     data_centre: str
     endpoints: Mapping[str, Endpoint] = field(default_factory=dict)
     accounts: Mapping[str, AccountLimits] = field(default_factory=dict)
+    entries: int = 1
+    traffic_price_per_gb: float = 0.02
+    region_latency_s: float = 0.012
+    admission_headroom: float = 0.8
+    retry_budget: float = 0.2
+    hedge_budget: float = 0.05
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -1,195 +1,307 @@
-"""Decisions of an entry: admission, routing, retries, answers."""
-
-from dataclasses import dataclass, field
-
-from amaranthtally.policy.actions import (
-    Action,
-    Answer,
-    Ask,
-    Outcome,
-    Reason,
-    Refuse,
-    Send,
-)
-from amaranthtally.policy.events import Arrival, Fate, LoadReport, StageResult
-from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
+"""Decisions of an entry: admission, routing, retries, hedges, answers."""
 
-__all__ = ["Planner"]
+from random import Random
 
-MAX_ATTEMPTS = 3
-DEFAULT_RETRY_AFTER_S = 1.0
+from amaranthtally.policy.accounts import AccountShares
+from amaranthtally.policy.actions import Action, Ask, Outcome, Reason, Refuse
+from amaranthtally.policy.admission import Admission
+from amaranthtally.policy.dispatch import Dispatcher
+from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.events import (
+    Arrival,
+    CacheEvent,
+    Fate,
+    LoadReport,
+    StageResult,
+)
+from amaranthtally.policy.groups import EndpointGroups
+from amaranthtally.policy.ledger import Counters, Ledger
+from amaranthtally.policy.loads import LoadTable
+from amaranthtally.policy.membership import Membership
+from amaranthtally.policy.model import AttemptId, PolicySettings
+from amaranthtally.policy.prefixes import PrefixIndex
+from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.routing import Router
+from amaranthtally.policy.stage_times import StageTimes
+from amaranthtally.policy.timers import Timer, Timers
 
+__all__ = ["Planner"]
 
-@dataclass(slots=True)
-class _Request:
-    arrival: Arrival
-    stage: int = 0
-    attempts: int = 0
-    started: bool = False
-    chunks: int = 0
-    live: dict[AttemptId, str] = field(default_factory=dict)
+MAX_RESENDS = 4
+MAX_ASKS = 3
+FAILURE_COST = 1.0
+NOT_RUN_COST = 0.25
 
 
 class Planner:
-    """One entry's decisions. Each method takes the time and returns actions."""
+    """
+    One entry's decisions. Each method takes the time and returns actions.
+
+    ``random`` draws the candidates that a decision looks at; entries need
+    different seeds, or they would all look at the same ones.
+    """
 
-    def __init__(self, settings: PolicySettings) -> None:
+    def __init__(self, settings: PolicySettings, random: Random | None = None) -> None:
+        random = random or Random(0)
         self._settings = settings
-        self._requests: dict[str, _Request] = {}
-        self._loads: dict[str, LoadReport] = {}
-        self._outstanding: dict[str, int] = {}
-        self._leaving: set[str] = set()
+        self._times = StageTimes()
+        self._loads = LoadTable()
+        self._ejections = Ejections()
+        self._prefixes = PrefixIndex()
+        self._accounts = AccountShares()
+        self._timers = Timers()
+        self._ledger = Ledger(self._loads)
+        groups = EndpointGroups(random)
+        self._membership = Membership(
+            groups, self._loads, self._ejections, self._prefixes
+        )
+        self._router = Router(
+            random, groups, self._loads, self._ejections, self._prefixes
+        )
+        self._admission = Admission(random, self._times, self._loads, self._accounts)
+        self._dispatcher = Dispatcher(
+            settings,
+            self._times,
+            groups,
+            self._loads,
+            self._ejections,
+            self._router,
+            self._ledger,
+            self._timers,
+        )
+        self._configure(settings)
 
     @property
     def in_flight(self) -> int:
         """Requests admitted and not yet ended."""
-        return len(self._requests)
+        return len(self._ledger)
+
+    @property
+    def counters(self) -> Counters:
+        """Totals since the start."""
+        return self._ledger.counters
 
     # Events
 
     def request_arrived(self, now: float, arrival: Arrival) -> list[Action]:
         """Admit and send the first stage, or refuse."""
-        request = _Request(arrival)
-        self._requests[arrival.request_id] = request
-        return self._send(now, request)
+        for stage in arrival.pipeline.stages:
+            self._membership.prepare(stage)
+        verdict = self._admission.judge(now, arrival)
+        if verdict.reason is not None:
+            self.counters.refused_on_arrival += 1
+            return [
+                Refuse(
+                    arrival.request_id,
+                    Outcome.NOT_RUN,
+                    verdict.reason,
+                    verdict.retry_after_s,
+                )
+            ]
+        request = self._ledger.open(arrival)
+        self._timers.set(arrival.deadline, request.id)
+        return self._start_stage(now, request)
 
     def reply(
         self, now: float, attempt: AttemptId, result: StageResult
     ) -> list[Action]:
         """Take the end of an attempt; one that is no longer awaited is dropped."""
-        request = self._requests.get(attempt.request_id)
+        request = self._ledger.find(attempt.request_id)
         if request is None or attempt not in request.live:
             return []
-        endpoint = request.live.pop(attempt)
-        self._outstanding[endpoint] -= 1
-        if result.fate is not Fate.NOT_RUN:
-            request.started = True
+        ended = self._ledger.ended(request, attempt)
         if result.fate is Fate.FINISHED:
-            return self._advance(now, request)
-        return self._recover(now, request, attempt, endpoint, result)
+            return self._finished(now, request, ended, result)
+        if result.fate is Fate.LOST and not request.current.repeatable:
+            return self._ask(request, attempt, ended)
+        return self._recover(now, request, ended, result)
 
     def progress(self, now: float, attempt: AttemptId, chunks: int) -> list[Action]:
         """Note that the caller has ``chunks`` chunks of a streamed stage."""
-        request = self._requests.get(attempt.request_id)
+        request = self._ledger.find(attempt.request_id)
         if request is not None and attempt in request.live:
             request.chunks = max(request.chunks, chunks)
+            request.progress_at = now
         return []
 
     def load_report(
         self, now: float, endpoint: str, report: LoadReport
     ) -> list[Action]:
         """Take an endpoint's load, from a reply or a greeting."""
-        self._loads[endpoint] = report
-        if report.leaving:
-            self._leaving.add(endpoint)
-        else:
-            self._leaving.discard(endpoint)
+        self._membership.report(now, endpoint, report)
+        return []
+
+    def cache_event(self, now: float, endpoint: str, event: CacheEvent) -> list[Action]:
+        """Take an engine's word of its prefix cache, late or after a gap."""
+        self._prefixes.event(now, endpoint, event)
         return []
 
     def endpoint_leaving(self, now: float, endpoint: str) -> list[Action]:
         """Send nothing new to an endpoint."""
-        self._leaving.add(endpoint)
+        self._membership.leaving(now, endpoint)
+        return []
+
+    def endpoint_staying(self, now: float, endpoint: str) -> list[Action]:
+        """Use an endpoint again that was thought to leave."""
+        self._membership.staying(endpoint)
         return []
 
     def settings_changed(self, now: float, settings: PolicySettings) -> list[Action]:
         """Use newer settings for what comes; live requests keep their pipeline."""
-        self._settings = settings
+        self._configure(settings)
         return []
 
     def caller_gone(self, now: float, request_id: str) -> list[Action]:
-        """Forget a request whose caller has closed the connection."""
-        request = self._requests.pop(request_id, None)
-        if request is not None:
-            for endpoint in request.live.values():
-                self._outstanding[endpoint] -= 1
-        return []
+        """Cancel and forget a request whose caller has closed the connection."""
+        request = self._ledger.find(request_id)
+        return [] if request is None else self._ledger.gone(request)
 
     def tick(self, now: float) -> list[Action]:
-        """End the requests whose deadline has passed."""
-        late = [r for r in self._requests.values() if r.arrival.deadline <= now]
-        actions: list[Action] = []
-        for request in late:
-            actions.extend(self._refuse(request, Reason.DEADLINE))
+        """End the requests whose deadline has passed; look at slow attempts."""
+        self._accounts.refresh(now)
+        actions = self._membership.greetings(now)
+        while (timer := self._timers.due(now)) is not None:
+            actions.extend(self._look(now, timer))
         return actions
 
-    # Steps
+    # Stages
 
-    def _advance(self, now: float, request: _Request) -> list[Action]:
-        request.stage += 1
-        request.attempts = 0
-        request.chunks = 0
-        if request.stage == len(request.arrival.pipeline.stages):
-            del self._requests[request.arrival.request_id]
-            return [Answer(request.arrival.request_id)]
-        return self._send(now, request)
+    def _start_stage(self, now: float, request: Request) -> list[Action]:
+        if self._is_hopeless(now, request):
+            return self._refuse(request, Reason.DEADLINE)
+        actions = self._dispatcher.first(now, request)
+        return actions or self._refuse(request, Reason.NO_ENDPOINT)
+
+    def _finished(
+        self, now: float, request: Request, ended: LiveAttempt, result: StageResult
+    ) -> list[Action]:
+        self._learn(now, request, ended, result)
+        request.previous_bytes = result.output_bytes
+        losers = list(request.live.values())
+        actions = self._ledger.cancel_all(request)
+        for loser in losers:
+            self._lost_to_hedge(now, loser, ended)
+        if not self._ledger.stage_done(request):
+            return [*actions, self._ledger.answered(request)]
+        return actions + self._start_stage(now, request)
+
+    def _is_hopeless(self, now: float, request: Request) -> bool:
+        floor = self._times.floor_s(request.remaining)
+        return now + floor > request.arrival.deadline
+
+    # Failures
+
+    def _ask(
+        self, request: Request, attempt: AttemptId, lost: LiveAttempt
+    ) -> list[Action]:
+        load = self._loads.find(lost.endpoint)
+        if lost.asks >= MAX_ASKS or load is None:
+            return self._refuse(request, Reason.STAGE_FAILED)
+        lost.asks += 1
+        request.live[attempt] = lost
+        load.outstanding += 1
+        return [Ask(attempt, lost.endpoint)]
 
     def _recover(
-        self,
-        now: float,
-        request: _Request,
-        attempt: AttemptId,
-        endpoint: str,
-        result: StageResult,
+        self, now: float, request: Request, ended: LiveAttempt, result: StageResult
     ) -> list[Action]:
-        stage = request.arrival.pipeline.stages[request.stage]
-        may_resend = stage.repeatable or result.fate is Fate.NOT_RUN
-        if result.fate is Fate.LOST and not stage.repeatable:
-            request.live[attempt] = endpoint
-            self._outstanding[endpoint] += 1
-            return [Ask(attempt, endpoint)]
-        if may_resend and not result.permanent and request.attempts < MAX_ATTEMPTS:
-            return self._send(now, request, avoid=endpoint)
-        return self._refuse(request, Reason.STAGE_FAILED, result.retry_after_s)
-
-    def _send(self, now: float, request: _Request, avoid: str = "") -> list[Action]:
-        stage = request.arrival.pipeline.stages[request.stage]
-        endpoint = self._choose(stage, avoid)
-        if endpoint is None:
-            return self._refuse(request, Reason.NO_ENDPOINT, DEFAULT_RETRY_AFTER_S)
-        request.attempts += 1
-        attempt = AttemptId(request.arrival.request_id, request.stage, request.attempts)
-        request.live[attempt] = endpoint.id
-        self._outstanding[endpoint.id] = self._outstanding.get(endpoint.id, 0) + 1
-        return [
-            Send(
-                attempt,
-                endpoint.id,
-                request.arrival.deadline,
-                resume_offset=request.chunks,
-            )
-        ]
-
-    def _choose(self, stage: Stage, avoid: str) -> Endpoint | None:
-        candidates = [
-            e
-            for e in self._settings.endpoints.values()
-            if e.pool == stage.pool and e.id not in self._leaving
-        ]
-        preferred = [e for e in candidates if e.id != avoid] or candidates
-        if not preferred:
-            return None
-        return min(
-            preferred,
-            key=lambda e: (
-                self._outstanding.get(e.id, 0),
-                e.region != self._settings.region,
-                e.id,
-            ),
+        not_run = result.fate is Fate.NOT_RUN
+        request.unstarted += not_run
+        self._note_failure(now, ended, result)
+        if request.live:
+            return []
+        request.avoid |= {ended.endpoint}
+        reason = Reason.OVERLOAD if not_run else Reason.STAGE_FAILED
+        may_resend = request.current.repeatable or not_run
+        if result.permanent or not may_resend or request.resends >= MAX_RESENDS:
+            return self._refuse(request, reason, result.retry_after_s)
+        if self._is_hopeless(now, request):
+            return self._refuse(request, Reason.DEADLINE, result.retry_after_s)
+        cost = NOT_RUN_COST if not_run else FAILURE_COST
+        actions = self._dispatcher.retry(now, request, cost)
+        return actions or self._refuse(request, reason, result.retry_after_s)
+
+    def _note_failure(
+        self, now: float, ended: LiveAttempt, result: StageResult
+    ) -> None:
+        load = self._loads.find(ended.endpoint)
+        # A queue that is full or a request that fails everywhere says nothing
+        # against the endpoint; ejecting for it would take capacity away under load.
+        blameless = result.permanent or (
+            result.fate is Fate.NOT_RUN
+            and (result.retry_after_s > 0 or (load is not None and load.leaving))
         )
+        if blameless or load is None:
+            self._ejections.probe_dropped(ended.endpoint)
+            return
+        self.counters.ejections += self._membership.failed(now, load)
+
+    def _lost_to_hedge(
+        self, now: float, loser: LiveAttempt, winner: LiveAttempt
+    ) -> None:
+        """Count a strike against an endpoint that a later attempt overtook."""
+        load = self._loads.find(loser.endpoint)
+        if load is None or loser.sent_at >= winner.sent_at:
+            self._ejections.probe_dropped(loser.endpoint)
+            return
+        self.counters.ejections += self._membership.failed(now, load)
 
     def _refuse(
-        self, request: _Request, reason: Reason, retry_after_s: float = 0.0
+        self, request: Request, reason: Reason, retry_after_s: float = 0.0
     ) -> list[Action]:
-        del self._requests[request.arrival.request_id]
-        sent = bool(request.live) or request.started
-        for endpoint in request.live.values():
-            self._outstanding[endpoint] -= 1
-        outcome = Outcome.UNKNOWN if sent else Outcome.NOT_RUN
-        return [
-            Refuse(
-                request.arrival.request_id,
-                outcome,
-                reason,
-                retry_after_s or DEFAULT_RETRY_AFTER_S,
-            )
-        ]
+        backlog = self._admission.retry_after_s(request.remaining)
+        return self._ledger.refused(request, reason, max(retry_after_s, backlog))
+
+    # Timers
+
+    def _look(self, now: float, timer: Timer) -> list[Action]:
+        request = self._ledger.find(timer.request_id)
+        if request is None:
+            return []
+        if timer.attempt is None:
+            return self._too_late(now, request)
+        if timer.attempt not in request.live:
+            return []
+        return self._dispatcher.hedge(now, request, timer.attempt)
+
+    def _too_late(self, now: float, request: Request) -> list[Action]:
+        # Runs cut off by the deadline never end here: without them a stage that
+        # takes longer than any deadline would look as fast as it used to be.
+        stats = self._times.of(request.current)
+        for attempt in request.live.values():
+            ran = now - attempt.sent_at - attempt.wait_s
+            if ran > stats.typical_s:
+                stats.add(ran, int(stats.output_bytes))
+            self._ejections.probe_dropped(attempt.endpoint)
+        return self._refuse(request, Reason.DEADLINE)
+
+    # Learning
+
+    def _learn(
+        self, now: float, request: Request, ended: LiveAttempt, result: StageResult
+    ) -> None:
+        load = self._loads.find(ended.endpoint)
+        if load is None:
+            return
+        stats = self._times.of(request.current)
+        if stats.known:
+            load.note_run(now, result.run_s / max(stats.mean_s, 1e-6))
+        stats.add(result.run_s, result.output_bytes)
+        on_the_way = now - ended.sent_at - result.run_s - result.queued_s
+        if not ended.asks:
+            self._router.note_round_trip(load.endpoint.region, max(0.0, on_the_way))
+        self._membership.succeeded(now, load)
+        if request.arrival.prefix:
+            self._prefixes.ran(now, ended.endpoint, request.arrival.prefix)
+
+    def _configure(self, settings: PolicySettings) -> None:
+        self._settings = settings
+        self._membership.replace(settings)
+        self._dispatcher.configure(settings)
+        self._accounts.configure(settings.accounts, settings.entries)
+        self._admission.configure(settings.admission_headroom)
+        self._router.configure(
+            settings.region,
+            settings.region_latency_s,
+            settings.traffic_price_per_gb,
+        )
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/quantiles.py
@@ -0,0 +1,85 @@
+"""A small sketch of a distribution of times, in which old samples fade."""
+
+from array import array
+from math import log
+
+__all__ = ["TimeSketch"]
+
+SMALLEST_S = 0.0005
+RATIO = 1.15
+BUCKETS = 90
+FADE_AT = 600.0
+
+_LOG_RATIO = log(RATIO)
+_UPPER = [SMALLEST_S * RATIO**i for i in range(BUCKETS)]
+
+
+class TimeSketch:
+    """
+    Counts of times in geometric buckets from 0.5 ms to 126 s.
+
+    A quantile is off by at most 15%. Counts are halved whenever they reach
+    ``FADE_AT``, so that the sketch follows a stage that becomes slow. About 500
+    bytes; hdrhistogram needs tens of kilobytes for the same range.
+    """
+
+    __slots__ = ("_counts", "_mean", "_total")
+
+    def __init__(self) -> None:
+        self._counts = array("f", bytes(4 * BUCKETS))
+        self._total = 0.0
+        self._mean = 0.0
+
+    @property
+    def count(self) -> float:
+        """Samples held, faded ones counted in part."""
+        return self._total
+
+    @property
+    def mean(self) -> float:
+        """Mean of the samples in seconds; 0 when there is none."""
+        return self._mean
+
+    def add(self, seconds: float) -> None:
+        """Count one sample."""
+        self._counts[_bucket(seconds)] += 1.0
+        self._total += 1.0
+        self._mean += (seconds - self._mean) / min(self._total, FADE_AT / 2)
+        if self._total >= FADE_AT:
+            self._fade()
+
+    def quantile(self, share: float) -> float:
+        """Return the time that ``share`` of the samples stay under; 0 when empty."""
+        wanted = share * self._total
+        if self._total == 0:
+            return 0.0
+        seen = 0.0
+        for index, count in enumerate(self._counts):
+            if count and seen + count >= wanted:
+                low = _UPPER[index] / RATIO
+                return low + (_UPPER[index] - low) * (wanted - seen) / count
+            seen += count
+        return _UPPER[-1]
+
+    def tail(self, seconds: float) -> float:
+        """Return the share of samples above a time; 0 when empty."""
+        if self._total == 0:
+            return 0.0
+        if seconds <= 0:
+            return 1.0
+        index = _bucket(seconds)
+        above = sum(self._counts[index + 1 :])
+        low = _UPPER[index] / RATIO
+        inside = (_UPPER[index] - seconds) / (_UPPER[index] - low)
+        above += self._counts[index] * min(1.0, max(0.0, inside))
+        return min(1.0, above / self._total)
+
+    def _fade(self) -> None:
+        self._counts = array("f", [count / 2 for count in self._counts])
+        self._total = sum(self._counts)
+
+
+def _bucket(seconds: float) -> int:
+    if seconds <= SMALLEST_S:
+        return 0
+    return min(BUCKETS - 1, int(log(seconds / SMALLEST_S) / _LOG_RATIO) + 1)
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -0,0 +1,72 @@
+"""What the policy keeps of a request and its attempts."""
+
+from dataclasses import dataclass, field
+
+from amaranthtally.policy.events import Arrival
+from amaranthtally.policy.model import AttemptId, Stage
+
+__all__ = ["LiveAttempt", "Request"]
+
+
+@dataclass(slots=True)
+class LiveAttempt:
+    """An attempt that was sent and has not ended; times are stamps in seconds."""
+
+    endpoint: str
+    sent_at: float
+    expected_s: float
+    wait_s: float
+    hedge: bool = False
+    probe: bool = False
+    asks: int = 0
+
+
+@dataclass(slots=True)
+class Request:
+    """
+    A request that was admitted and has not ended.
+
+    ``sent`` counts attempts over all stages and ``unstarted`` those proved not to
+    have started. ``number`` and ``resends`` count within the stage.
+    """
+
+    arrival: Arrival
+    stage: int = 0
+    number: int = 0
+    resends: int = 0
+    sent: int = 0
+    unstarted: int = 0
+    chunks: int = 0
+    progress_at: float = 0.0
+    previous_bytes: int = 0
+    avoid: frozenset[str] = frozenset()
+    live: dict[AttemptId, LiveAttempt] = field(default_factory=dict)
+
+    @property
+    def id(self) -> str:
+        """The request's id."""
+        return self.arrival.request_id
+
+    @property
+    def current(self) -> Stage:
+        """The stage that runs now."""
+        return self.arrival.pipeline.stages[self.stage]
+
+    @property
+    def remaining(self) -> tuple[Stage, ...]:
+        """The stage that runs now and those after it."""
+        return self.arrival.pipeline.stages[self.stage :]
+
+    @property
+    def nothing_started(self) -> bool:
+        """Whether every attempt sent is proved not to have started."""
+        return self.sent == self.unstarted
+
+    def next_stage(self) -> None:
+        """Go on to the next stage."""
+        self.stage += 1
+        self.number = 0
+        self.resends = 0
+        self.chunks = 0
+        self.progress_at = 0.0
+        self.avoid = frozenset()
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -0,0 +1,234 @@
+"""Which endpoint gets an attempt: by predicted completion, cost and risk."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from random import Random
+
+from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.groups import EndpointGroups
+from amaranthtally.policy.loads import EndpointLoad, LoadTable
+from amaranthtally.policy.model import Endpoint, Stage
+from amaranthtally.policy.prefixes import PrefixIndex
+from amaranthtally.policy.stage_times import StageStats
+
+__all__ = ["Choice", "RouteRequest", "Router"]
+
+CHOICES = 4
+SPILL_RISK = 0.02
+PREFIX_SAVING = 0.4
+OCCUPANCY_WEIGHT = 0.05
+TIME_WEIGHT = 0.1
+LOCAL_LATENCY_S = 0.001
+LATENCY_WEIGHT = 0.1
+BYTES_PER_GB = 1e9
+
+
+@dataclass(frozen=True, slots=True)
+class RouteRequest:
+    """
+    An attempt that wants an endpoint.
+
+    ``end`` is the stage's share of the deadline and ``latest_end`` the time
+    after which the request as a whole is late, both as time stamps.
+    """
+
+    stage: Stage
+    end: float
+    latest_end: float
+    weight: float
+    input_bytes: float
+    prefix: tuple[int, ...] = ()
+    avoid: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, slots=True)
+class Choice:
+    """
+    An endpoint, and what is predicted of an attempt there.
+
+    ``before_s`` is spent waiting and on the way, ``finish_s`` includes the run,
+    both from now; ``risk`` is the probability of ending too late.
+    """
+
+    endpoint: Endpoint
+    before_s: float
+    finish_s: float
+    risk: float
+    price: float
+    score: float
+
+
+class Router:
+    """
+    Chooses among a few candidates drawn at random and those with a cached prefix.
+
+    The least loaded of a few, not of all: with reports that lag, every entry
+    would take the same endpoint for the least loaded and send there until the
+    next report. Cost does not grow with the pool.
+    """
+
+    def __init__(
+        self,
+        random: Random,
+        groups: EndpointGroups,
+        loads: LoadTable,
+        ejections: Ejections,
+        prefixes: PrefixIndex,
+    ) -> None:
+        self._random = random
+        self._groups = groups
+        self._loads = loads
+        self._ejections = ejections
+        self._prefixes = prefixes
+        self._latency_s: dict[str, float] = {}
+        self._region = ""
+        self._remote_latency_s = 0.0
+        self._price_per_gb = 0.0
+
+    def configure(
+        self, region: str, remote_latency_s: float, price_per_gb: float
+    ) -> None:
+        """Use this region, latency (one way, seconds) and price of traffic."""
+        self._region = region
+        self._remote_latency_s = remote_latency_s
+        self._price_per_gb = price_per_gb
+
+    def round_trip_s(self, region: str) -> float:
+        """Return the learned time on the way to a region and back, in seconds."""
+        known = self._latency_s.get(region)
+        if known is not None:
+            return known
+        local = region == self._region
+        return 2 * (LOCAL_LATENCY_S if local else self._remote_latency_s)
+
+    def note_round_trip(self, region: str, seconds: float) -> None:
+        """Learn from the time that an attempt spent on the way."""
+        current = self.round_trip_s(region)
+        self._latency_s[region] = current + LATENCY_WEIGHT * (seconds - current)
+
+    def choose(
+        self, now: float, wanted: RouteRequest, stats: StageStats
+    ) -> Choice | None:
+        """Return the best candidate, or ``None`` when the pool takes no work."""
+        regions = self._groups.of(wanted.stage)
+        group = regions.get(self._region, [])
+        held = self._held_shares(now, wanted, group)
+        home = [*self._draw(group, wanted.avoid), *self._holders(held, wanted.avoid)]
+        best = self._best(now, wanted, stats, home, held)
+        if best is not None and best.risk <= SPILL_RISK:
+            return best
+        away = [
+            load
+            for region, others in regions.items()
+            if region != self._region
+            for load in self._draw(others, wanted.avoid)
+        ]
+        remote = self._best(now, wanted, stats, away, {})
+        if best is None or (remote is not None and remote.score < best.score):
+            return remote
+        return best
+
+    def predict(
+        self, now: float, wanted: RouteRequest, stats: StageStats, endpoint: Endpoint
+    ) -> Choice:
+        """Return what is predicted of one endpoint."""
+        return self._weigh(now, wanted, stats, self._loads.open(endpoint), 0.0)
+
+    # Candidates
+
+    def _draw(
+        self, group: Sequence[Endpoint], avoid: frozenset[str]
+    ) -> list[EndpointLoad]:
+        if len(group) <= CHOICES:
+            return self._usable(group, avoid)
+        drawn = [self._random.choice(group) for _ in range(CHOICES)]
+        found = self._usable({e.id: e for e in drawn}.values(), avoid)
+        # Most of a group may be leaving or ejected; the subset is bounded, so a
+        # look at all of it still costs the same whatever the pool's size.
+        return found or self._usable(group, avoid)
+
+    def _usable(
+        self, group: Iterable[Endpoint], avoid: frozenset[str]
+    ) -> list[EndpointLoad]:
+        found = []
+        for endpoint in group:
+            if endpoint.id in avoid or self._ejections.is_ejected(endpoint.id):
+                continue
+            load = self._loads.open(endpoint)
+            if not load.leaving:
+                found.append(load)
+        return found
+
+    def _held_shares(
+        self, now: float, wanted: RouteRequest, group: list[Endpoint]
+    ) -> dict[str, float]:
+        """Return the share of the prefix that endpoints of the group hold."""
+        if not wanted.prefix:
+            return {}
+        held = {}
+        for match in self._prefixes.matches(now, wanted.prefix):
+            endpoint = self._groups.find(match.endpoint)
+            if endpoint is not None and endpoint in group:
+                held[match.endpoint] = match.share
+        return held
+
+    def _holders(
+        self, held: dict[str, float], avoid: frozenset[str]
+    ) -> list[EndpointLoad]:
+        found = [self._groups.find(endpoint) for endpoint in held]
+        return self._usable([e for e in found if e is not None], avoid)
+
+    # Weighing
+
+    def _best(
+        self,
+        now: float,
+        wanted: RouteRequest,
+        stats: StageStats,
+        loads: list[EndpointLoad],
+        held: dict[str, float],
+    ) -> Choice | None:
+        best: Choice | None = None
+        # Equal scores are common when idle: without the shuffle they would all
+        # fall to the endpoint that is listed first.
+        self._random.shuffle(loads)
+        for load in loads:
+            cached = held.get(load.endpoint.id, 0.0)
+            choice = self._weigh(now, wanted, stats, load, cached)
+            if best is None or choice.score < best.score:
+                best = choice
+        return best
+
+    def _weigh(
+        self,
+        now: float,
+        wanted: RouteRequest,
+        stats: StageStats,
+        load: EndpointLoad,
+        cached: float,
+    ) -> Choice:
+        region = load.endpoint.region
+        slowness = load.slowness(now) * (1.0 - PREFIX_SAVING * cached)
+        mean = stats.mean_s
+        before = load.wait_s(mean * slowness) + self.round_trip_s(region)
+        slack = (wanted.end - now - before) / slowness
+        late = stats.tail(slack)
+        risk = 1.0 - (1.0 - late) * (1.0 - load.failing(now))
+        finish = before + mean * slowness
+        price = self._price(wanted, stats, region)
+        crowding = OCCUPANCY_WEIGHT * mean * load.occupancy / load.limit
+        left = max(wanted.latest_end - now, mean)
+        score = (
+            wanted.weight * risk
+            + (1.0 - wanted.weight) * price
+            + TIME_WEIGHT * (finish + crowding) / left
+        )
+        return Choice(load.endpoint, before, finish, risk, price, score)
+
+    def _price(self, wanted: RouteRequest, stats: StageStats, region: str) -> float:
+        """Return the price of traffic in units of the stage's own cost."""
+        if region == self._region:
+            return 0.0
+        traffic = wanted.input_bytes + stats.output_bytes
+        cost = wanted.stage.price_per_s * max(stats.mean_s, 1e-6)
+        return traffic / BYTES_PER_GB * self._price_per_gb / max(cost, 1e-12)
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -0,0 +1,183 @@
+"""What a stage is learned to take, and how one deadline is split by it."""
+
+from collections.abc import Sequence
+from math import sqrt
+
+from amaranthtally.policy.model import Stage
+from amaranthtally.policy.quantiles import TimeSketch
+
+__all__ = ["StageStats", "StageTimes"]
+
+DEFAULT_RUN_S = 0.05
+ENOUGH_SAMPLES = 20.0
+TYPICAL = 0.5
+LIKELY = 0.9
+LATE = 0.95
+SLOW = 0.99
+FLOOR = 0.05
+BYTES_WEIGHT = 0.05
+DEFAULT_OUTPUT_BYTES = 1000.0
+MEMO_SAMPLES = 8
+
+
+class StageStats:
+    """
+    Run times and output sizes of one stage and model, as learned.
+
+    Quantiles are kept for ``MEMO_SAMPLES`` samples: reading one costs a walk over
+    the buckets, which each decision would otherwise pay several times.
+    """
+
+    __slots__ = (
+        "_floor",
+        "_fresh",
+        "_hint_s",
+        "_late",
+        "_likely",
+        "_output_bytes",
+        "_run",
+        "_slow",
+        "_typical",
+    )
+
+    def __init__(self) -> None:
+        self._run = TimeSketch()
+        self._hint_s = DEFAULT_RUN_S
+        self._output_bytes = DEFAULT_OUTPUT_BYTES
+        self._fresh = 0
+        self._typical = 0.0
+        self._likely = 0.0
+        self._late = 0.0
+        self._slow = 0.0
+        self._floor = 0.0
+
+    @property
+    def known(self) -> bool:
+        """Whether enough samples are in to judge by."""
+        return self._run.count >= ENOUGH_SAMPLES
+
+    @property
+    def mean_s(self) -> float:
+        """Mean run time in seconds."""
+        return self._run.mean if self._run.count else self._hint_s
+
+    @property
+    def typical_s(self) -> float:
+        """Median run time in seconds."""
+        self._refresh()
+        return self._typical
+
+    @property
+    def likely_s(self) -> float:
+        """Run time in seconds that one run in ten exceeds."""
+        self._refresh()
+        return self._likely
+
+    @property
+    def late_s(self) -> float:
+        """Run time in seconds that one run in twenty exceeds."""
+        self._refresh()
+        return self._late
+
+    @property
+    def slow_s(self) -> float:
+        """Run time in seconds that one run in a hundred exceeds."""
+        self._refresh()
+        return self._slow
+
+    @property
+    def floor_s(self) -> float:
+        """Run time in seconds that few runs stay under; 0 until known."""
+        self._refresh()
+        return self._floor
+
+    @property
+    def output_bytes(self) -> float:
+        """Smoothed size of the output."""
+        return self._output_bytes
+
+    def hint(self, seconds: float) -> None:
+        """Use an endpoint's own word until samples are in."""
+        if seconds > 0:
+            self._hint_s = seconds
+
+    def add(self, run_s: float, output_bytes: int) -> None:
+        """Learn from a finished run."""
+        self._run.add(run_s)
+        self._output_bytes += BYTES_WEIGHT * (output_bytes - self._output_bytes)
+        self._fresh -= 1
+
+    def tail(self, seconds: float) -> float:
+        """Return the probability that a run takes longer."""
+        if self._run.count:
+            return self._run.tail(seconds)
+        return 1.0 if seconds < self._hint_s else 0.0
+
+    def _refresh(self) -> None:
+        if self._fresh > 0:
+            return
+        self._fresh = MEMO_SAMPLES
+        if not self._run.count:
+            self._typical = self._likely = self._hint_s
+            self._late = self._slow = self._hint_s
+            self._fresh = 0
+            return
+        self._typical = self._run.quantile(TYPICAL)
+        self._likely = max(self._typical, self._run.quantile(LIKELY))
+        self._late = self._run.quantile(LATE)
+        self._slow = max(self._typical, self._run.quantile(SLOW))
+        self._floor = self._run.quantile(FLOOR) if self.known else 0.0
+
+
+class StageTimes:
+    """Statistics of every stage and model in use, and the split of a deadline."""
+
+    def __init__(self) -> None:
+        self._stats: dict[tuple[str, str, str], StageStats] = {}
+
+    def of(self, stage: Stage) -> StageStats:
+        """Return the statistics of a stage; new ones when it was never seen."""
+        key = (stage.pool, stage.model, stage.name)
+        found = self._stats.get(key)
+        if found is None:
+            found = self._stats[key] = StageStats()
+        return found
+
+    def needed_s(self, stages: Sequence[Stage]) -> float:
+        """
+        Return the time in which nearly all requests pass idle stages, in seconds.
+
+        Medians are added; the spreads to the 90th percentile are added as roots
+        of squares, since stages are rarely slow together. With the 99th, one
+        slow endpoint in ten would have every request refused.
+        """
+        spread = 0.0
+        total = 0.0
+        for stage in stages:
+            stats = self.of(stage)
+            total += stats.typical_s
+            spread += (stats.likely_s - stats.typical_s) ** 2
+        return total + sqrt(spread)
+
+    def typical_s(self, stages: Sequence[Stage]) -> float:
+        """Return the sum of the median run times, in seconds."""
+        return sum(self.of(stage).typical_s for stage in stages)
+
+    def floor_s(self, stages: Sequence[Stage]) -> float:
+        """Return a time that the stages hardly ever stay under, in seconds."""
+        return sum(self.of(stage).floor_s for stage in stages)
+
+    def latest_finish(self, deadline: float, later: Sequence[Stage]) -> float:
+        """Return when a stage must end for the ``later`` ones to be typical."""
+        return deadline - self.typical_s(later)
+
+    def share_end(self, now: float, deadline: float, stages: Sequence[Stage]) -> float:
+        """
+        Return the end of the first stage's share of what is left of a deadline.
+
+        Slack is split in proportion to the slow quantiles, so that a stage that
+        varies much gets more of it.
+        """
+        total = sum(self.of(stage).slow_s for stage in stages)
+        left = max(0.0, deadline - now)
+        return now + left * self.of(stages[0]).slow_s / max(total, 1e-9)
