--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -1,8 +1,10 @@
 """Start, run and stop an entry."""
 
 import asyncio
+import secrets
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from random import Random
 
 import capnp
 from aiohttp import web
@@ -33,6 +35,7 @@
 __all__ = ["run_entry"]
 
 HTTP_GRACE_S = 5.0
+SEED_BITS = 64
 ADMIN_MAX_BODY = 16 * 1024 * 1024
 
 log = get_logger()
@@ -59,7 +62,8 @@
 ) -> Executor:
     start = PolicySettings(0, settings.region, settings.data_centre)
     metrics = EntryMetrics()
-    executor = Executor(Planner(start), start, metrics)
+    planner = Planner(start, Random(secrets.randbits(SEED_BITS)))
+    executor = Executor(planner, start, metrics)
     callers = CallerApi(executor, metrics, settings.region, settings.max_body_bytes)
 
     def on_change(tree: Tree) -> None:
