Replay prices, weights, cache events and seeds as the policy takes them

Cause: the replay left the policy's prices and weights at their defaults, gave every entry the same random draws, and never told it of an engine's cache.

--- a/packages/operator/src/amaranthtally/operator/replay/baselines.py
+++ b/packages/operator/src/amaranthtally/operator/replay/baselines.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from random import Random
 
 from amaranthtally.operator.replay.entry import Decider
 from amaranthtally.operator.replay.sidecar import Queue
@@ -17,6 +18,7 @@
     Answer,
     Arrival,
     AttemptId,
+    CacheEvent,
     Endpoint,
     Fate,
     LoadReport,
@@ -36,7 +38,7 @@
 POLICY = "policy"
 UNBOUNDED = 1_000_000
 
-BuildPlanner = Callable[[PolicySettings], Decider]
+BuildPlanner = Callable[[PolicySettings, Random], Decider]
 BuildQueue = Callable[[PoolPlan], Queue]
 
 
@@ -234,6 +236,10 @@
         """Take no notice."""
         return []
 
+    def cache_event(self, now: float, endpoint: str, event: CacheEvent) -> list[Action]:
+        """Take no notice."""
+        return []
+
     def tick(self, now: float) -> list[Action]:
         """End the requests whose deadline has passed."""
         late = [r for r in self._requests.values() if r.arrival.deadline <= now]
@@ -283,25 +289,25 @@
 
 
 @_contender(POLICY, _run_queue)
-def _policy(settings: PolicySettings) -> Decider:
-    return Planner(settings)
+def _policy(settings: PolicySettings, random: Random) -> Decider:
+    return Planner(settings, random)
 
 
 @_contender("round robin", _bounded)
-def _round_robin(settings: PolicySettings) -> Decider:
+def _round_robin(settings: PolicySettings, random: Random) -> Decider:
     return BaselinePlanner(settings, False, RetryRule(1, True))
 
 
 @_contender("least outstanding", _bounded)
-def _least_outstanding(settings: PolicySettings) -> Decider:
+def _least_outstanding(settings: PolicySettings, random: Random) -> Decider:
     return BaselinePlanner(settings, True, RetryRule(1, True))
 
 
 @_contender("no admission", _unbounded)
-def _no_admission(settings: PolicySettings) -> Decider:
+def _no_admission(settings: PolicySettings, random: Random) -> Decider:
     return BaselinePlanner(settings, True, RetryRule(1, True))
 
 
 @_contender("retry thrice", _bounded)
-def _retry_thrice(settings: PolicySettings) -> Decider:
+def _retry_thrice(settings: PolicySettings, random: Random) -> Decider:
     return BaselinePlanner(settings, True, RetryRule(3, False))
--- a/packages/operator/src/amaranthtally/operator/replay/endpoints.py
+++ b/packages/operator/src/amaranthtally/operator/replay/endpoints.py
@@ -13,6 +13,7 @@
 
 from amaranthtally.operator.replay.clock import VirtualClock
 from amaranthtally.operator.replay.trace import PoolPlan
+from amaranthtally.policy import CacheEvent
 
 __all__ = ["CHUNK_TOKENS", "FakeEndpoint", "Run", "build_endpoint"]
 
@@ -49,6 +50,11 @@
         self._slowdown = 1.0
         self._failing = False
         self._running: dict[Run, None] = {}
+        self._on_cache_event: Callable[[CacheEvent], None] | None = None
+
+    def on_cache_event(self, callback: Callable[[CacheEvent], None]) -> None:
+        """Tell ``callback`` of changes of the prefix cache, if there is one."""
+        self._on_cache_event = callback
 
     def slow_down(self, factor: float) -> None:
         """Take ``factor`` times as long for each call from now on."""
@@ -119,23 +125,30 @@
         self._capacity = capacity
         self._blocks: OrderedDict[int, None] = OrderedDict()
 
-    def use(self, prefix: tuple[int, ...]) -> int:
-        """Return how many leading blocks were cached, and cache them all."""
-        hits = 0
-        for block in prefix:
-            if block not in self._blocks:
-                break
-            hits += 1
+    def use(self, prefix: tuple[int, ...]) -> "_CacheUse":
+        """Cache every block of a prefix."""
+        missed = [block for block in prefix if block not in self._blocks]
+        hits = prefix.index(missed[0]) if missed else len(prefix)
         for block in reversed(prefix):
             self._blocks[block] = None
             self._blocks.move_to_end(block)
+        removed = []
         while len(self._blocks) > self._capacity:
-            self._blocks.popitem(last=False)
-        return hits
+            removed.append(self._blocks.popitem(last=False)[0])
+        return _CacheUse(hits, tuple(missed), tuple(removed))
 
-    def clear(self) -> None:
-        """Forget every block."""
+    def clear(self) -> tuple[int, ...]:
+        """Forget every block and return them."""
+        blocks = tuple(self._blocks)
         self._blocks.clear()
+        return blocks
+
+
+@dataclass(frozen=True, slots=True)
+class _CacheUse:
+    hits: int
+    stored: tuple[int, ...]
+    removed: tuple[int, ...]
 
 
 @_endpoint_kind("engine")
@@ -157,6 +170,7 @@
         self._counted_at = 0.0
         self._serial = 0
         self._schedule = 0
+        self._events = 0
 
     def slow_down(self, factor: float) -> None:
         """Take ``factor`` times as long for each step from now on."""
@@ -166,7 +180,7 @@
 
     def clear_cache(self) -> None:
         """Forget cached prefixes."""
-        self._cache.clear()
+        self._publish((), self._cache.clear())
 
     def cancel(self, run: Run) -> None:
         """Take a call out of the batch."""
@@ -189,7 +203,9 @@
         self._plan_next()
 
     def _mark_steps(self, run: Run) -> None:
-        missed = len(run.prefix) - self._cache.use(run.prefix)
+        use = self._cache.use(run.prefix)
+        self._publish(use.stored, use.removed)
+        missed = len(run.prefix) - use.hits
         prefill_s = missed * self._pool.block_tokens * self._pool.prefill_token_s
         first = self._steps + prefill_s / self._pool.token_s
         slower = run.seconds / (run.tokens * self._pool.token_s)
@@ -202,6 +218,16 @@
             mark = (first + tokens * slower, self._serial, run, chunk)
             heapq.heappush(self._marks, mark)
 
+    def _publish(self, stored: tuple[int, ...], removed: tuple[int, ...]) -> None:
+        if self._on_cache_event is None or not (stored or removed):
+            return
+        self._events += 1
+        if self._pool.event_gap and self._events % self._pool.event_gap == 0:
+            return
+        event = CacheEvent(self._events, stored, removed)
+        tell = partial(self._on_cache_event, event)
+        self._clock.after(self._pool.event_lag_s, tell)
+
     def _step_s(self) -> float:
         neighbours = max(0, len(self._batch) - 1)
         slope = 1.0 + self._pool.batch_slope * neighbours
--- a/packages/operator/src/amaranthtally/operator/replay/entry.py
+++ b/packages/operator/src/amaranthtally/operator/replay/entry.py
@@ -16,6 +16,7 @@
     Arrival,
     Ask,
     AttemptId,
+    CacheEvent,
     Cancel,
     Fate,
     Greet,
@@ -50,6 +51,9 @@
     ) -> list[Action]:
         """Take an endpoint's load."""
 
+    def cache_event(self, now: float, endpoint: str, event: CacheEvent) -> list[Action]:
+        """Take an engine's word of its prefix cache."""
+
     def tick(self, now: float) -> list[Action]:
         """Act on the passing of time."""
 
@@ -104,6 +108,13 @@
         for name, sidecar in self._fleet.items():
             self._carry_out(self._planner.load_report(0.0, name, sidecar.load()))
 
+    def hear_cache(self, sidecar: FakeSidecar, event: CacheEvent) -> None:
+        """Take an engine's cache event, unless a cut keeps it."""
+        if self._network.reaches(self._region, sidecar.plan):
+            name = sidecar.plan.id
+            now = self._clock.now
+            self._carry_out(self._planner.cache_event(now, name, event))
+
     def arrive(self, recorded: TraceArrival, pipeline: Pipeline) -> None:
         """Hand a recorded request to the planner."""
         now = self._clock.now
@@ -154,11 +165,8 @@
         live.flights[send.attempt] = _Flight(send.endpoint, size)
         self._count(send)
         if not self._network.reaches(self._region, sidecar.plan):
-            fate = Fate.LOST if self._network.cut_unnoticed else Fate.NOT_RUN
-            wait_s = self._network.notice_s
-            self._clock.after(
-                wait_s, partial(self._ended, send.attempt, StageResult(fate))
-            )
+            lost = partial(self._ended, send.attempt, self._lost())
+            self._clock.after(self._network.notice_s, lost)
             return
         self._count_bytes(send.attempt, sidecar, size)
         call = self._build_call(live, send, sidecar)
@@ -245,6 +253,11 @@
 
         self._clock.after(self._delay(sidecar), take)
 
+    def _lost(self) -> StageResult:
+        if self._network.cut_unnoticed:
+            return StageResult(Fate.LOST)
+        return StageResult(Fate.NOT_RUN, unreachable=True)
+
     def _progress_from(
         self, sidecar: FakeSidecar, attempt: AttemptId, chunks: int
     ) -> None:
--- a/packages/operator/src/amaranthtally/operator/replay/profiles.py
+++ b/packages/operator/src/amaranthtally/operator/replay/profiles.py
@@ -17,7 +17,6 @@
     "pipeline_plans",
     "place_endpoints",
     "pool_plans",
-    "user_policy",
 ]
 
 DEFAULT_SLOTS = 4
@@ -25,6 +24,10 @@
 MS = 0.001
 PIPELINE_PREFIX = "pipeline:"
 
+# Agrosalv weighs answers in time more, Qoryq cost by stage.
+USER_WEIGHTS = {"agrosalv": 0.9, "qoryq": 0.3}
+DEFAULT_WEIGHT = 0.7
+
 # Seconds, bytes and prices of one slot-second, by kind of pool. They are round
 # numbers of the order that such services take; the stand-ins' knobs in the
 # deployment file are chosen for a quick start and are not used.
@@ -54,6 +57,8 @@
         prefill_token_s=0.00015,
         block_tokens=128,
         cache_blocks=80,
+        event_lag_s=0.5,
+        event_gap=50,
     ),
 }
 
@@ -100,21 +105,17 @@
 def pipeline_plans(table: dict[str, Any]) -> list[PipelinePlan]:
     """Return the pipelines that the deployment's settings name."""
     return [
-        _pipeline(scope.removeprefix(PIPELINE_PREFIX), values)
+        _pipeline(table["name"], scope.removeprefix(PIPELINE_PREFIX), values)
         for scope, values in table["settings"].items()
         if scope.startswith(PIPELINE_PREFIX)
     ]
 
 
-def user_policy(deployment: str) -> dict[str, Any]:
-    """Return the fields of ``PolicySettings`` that a user sets."""
-    return {}
-
-
-def _pipeline(name: str, values: dict[str, Any]) -> PipelinePlan:
+def _pipeline(deployment: str, name: str, values: dict[str, Any]) -> PipelinePlan:
     tables = values["stage"]
     stages = [
         msgspec.convert({"name": stage, **tables[stage]}, type=StagePlan)
         for stage in values["stages"]
     ]
-    return PipelinePlan(name, stages, values["deadline_ms"] * MS)
+    weight = USER_WEIGHTS.get(deployment, DEFAULT_WEIGHT)
+    return PipelinePlan(name, stages, values["deadline_ms"] * MS, weight)
--- a/packages/operator/src/amaranthtally/operator/replay/scenarios.py
+++ b/packages/operator/src/amaranthtally/operator/replay/scenarios.py
@@ -13,7 +13,6 @@
     pipeline_plans,
     place_endpoints,
     pool_plans,
-    user_policy,
 )
 from amaranthtally.operator.replay.trace import (
     EndpointPlan,
@@ -93,7 +92,6 @@
         endpoints=endpoints,
         pipelines=pipeline_plans(table),
         faults=faults,
-        policy=user_policy(deployment.name),
     )
     return Trace(header, _arrivals(header))
 
--- a/packages/operator/src/amaranthtally/operator/replay/simulation.py
+++ b/packages/operator/src/amaranthtally/operator/replay/simulation.py
@@ -1,7 +1,9 @@
 """One contender on one trace, from the first arrival until every request ended."""
 
+from collections.abc import Mapping, Sequence
 from dataclasses import replace
 from functools import partial
+from random import Random
 
 from amaranthtally.operator.replay.baselines import Contender
 from amaranthtally.operator.replay.clock import VirtualClock
@@ -15,6 +17,7 @@
 from amaranthtally.operator.replay.work import WorkModel
 from amaranthtally.policy import (
     AccountLimits,
+    CacheEvent,
     Endpoint,
     Pipeline,
     PolicySettings,
@@ -24,6 +27,7 @@
 __all__ = ["build_pipeline", "replay"]
 
 DRAIN_S = 5.0
+BYTES_PER_GB = 1e9
 
 
 def replay(trace: Trace, contender: Contender) -> Ledger:
@@ -36,17 +40,24 @@
     entries = {
         region: EntryReplay(
             region,
-            contender.build_planner(_settings(header, region)),
+            contender.build_planner(
+                _settings(header, region), Random(f"{header.seed}/entry/{region}")
+            ),
             network,
             fleet,
             ledger,
         )
         for region in header.regions
     }
-    pipelines = {plan.name: build_pipeline(plan) for plan in header.pipelines}
+    prices = {pool.name: pool.price for pool in header.pools}
+    pipelines = {plan.name: build_pipeline(plan, prices) for plan in header.pipelines}
     for entry in entries.values():
         entry.greet()
         clock.at(0.0, entry.tick)
+    for sidecar in fleet.values():
+        sidecar.endpoint.on_cache_event(
+            partial(_tell_entries, list(entries.values()), sidecar)
+        )
     stage = FaultStage(network, fleet, list(entries.values()))
     schedule_faults(stage, header.faults)
     for arrival in trace.arrivals:
@@ -59,12 +70,20 @@
     return ledger
 
 
-def build_pipeline(plan: PipelinePlan) -> Pipeline:
-    """Return a pipeline as the policy wants it."""
+def build_pipeline(plan: PipelinePlan, prices: Mapping[str, float]) -> Pipeline:
+    """Return a pipeline as the policy wants it, with the pools' prices."""
     stages = tuple(
-        Stage(s.name, s.pool, s.model, s.repeatable, s.streams) for s in plan.stages
+        Stage(s.name, s.pool, s.model, s.repeatable, s.streams, prices[s.pool])
+        for s in plan.stages
     )
-    return Pipeline(plan.name, stages, plan.deadline_s)
+    return Pipeline(plan.name, stages, plan.deadline_s, plan.weight_attainment)
+
+
+def _tell_entries(
+    entries: Sequence[EntryReplay], sidecar: FakeSidecar, event: CacheEvent
+) -> None:
+    for entry in entries:
+        entry.hear_cache(sidecar, event)
 
 
 def _build_fleet(
@@ -104,5 +123,8 @@
         data_centre=header.regions[region],
         endpoints=endpoints,
         accounts={name: AccountLimits() for name in header.accounts},
+        entries=len(header.regions),
+        traffic_price_per_gb=header.region_byte_price * BYTES_PER_GB,
+        region_latency_s=header.latency.regions_s,
     )
     return replace(settings, **header.policy)
--- a/packages/operator/src/amaranthtally/operator/replay/trace.py
+++ b/packages/operator/src/amaranthtally/operator/replay/trace.py
@@ -41,7 +41,8 @@
 
     ``service_s`` is the median of a log-normal with ``sigma``. An engine decodes a
     token in ``token_s`` alone and ``batch_slope`` slower for each neighbour.
-    ``price`` is the cost of one slot for one second.
+    ``price`` is the cost of one slot for one second. Its cache events come
+    ``event_lag_s`` seconds late, and each ``event_gap``-th never comes.
     """
 
     name: str
@@ -58,6 +59,8 @@
     prefill_token_s: float = 0.0
     block_tokens: int = 0
     cache_blocks: int = 0
+    event_lag_s: float = 0.0
+    event_gap: int = 0
     straggle_rate: float = 0.0
     straggle_factor: float = 1.0
 
@@ -82,11 +85,16 @@
 
 
 class PipelinePlan(msgspec.Struct, frozen=True):
-    """A pipeline; its deadline in seconds."""
+    """
+    A pipeline; its deadline in seconds.
+
+    ``weight_attainment`` goes from 0, where cost counts, to 1, where answers do.
+    """
 
     name: str
     stages: list[StagePlan]
     deadline_s: float
+    weight_attainment: float = 0.7
 
 
 class FaultKind(Enum):
