Balance between regions by cost; learn how batches slow a run

A slot that is free is not as good as an idle engine, and the policy took it for one. Change: a fading regression of run time on the calls beside; a price of each choice in run time, what it costs those beside, and traffic; two candidates of each other region are weighed with those at home. Hedges only where nothing waits, and stuck means twice the slow quantile. Replay passes the trace's prices and each user's weight.

--- a/packages/operator/src/amaranthtally/operator/replay/profiles.py
+++ b/packages/operator/src/amaranthtally/operator/replay/profiles.py
@@ -13,6 +13,7 @@
 )
 
 __all__ = [
+    "attainment_weight",
     "latency_plan",
     "pipeline_plans",
     "place_endpoints",
@@ -23,6 +24,9 @@
 DEFAULT_SLOTS = 4
 SAME_DATA_CENTRE_S = 0.0001
 MS = 0.001
+DEFAULT_WEIGHT = 0.7
+# Agrosalv weighs answers in time more, Qoryq the cost of each stage.
+ATTAINMENT_WEIGHTS = {"agrosalv": 0.9, "qoryq": 0.4}
 PIPELINE_PREFIX = "pipeline:"
 
 # Seconds, bytes and prices of one slot-second, by kind of pool. They are round
@@ -106,6 +110,11 @@
     ]
 
 
+def attainment_weight(deployment: str) -> float:
+    """Return the weight that a user gives to answers in time, 0 to 1."""
+    return ATTAINMENT_WEIGHTS.get(deployment, DEFAULT_WEIGHT)
+
+
 def user_policy(deployment: str) -> dict[str, Any]:
     """Return the fields of ``PolicySettings`` that a user sets."""
     return {}
--- a/packages/operator/src/amaranthtally/operator/replay/simulation.py
+++ b/packages/operator/src/amaranthtally/operator/replay/simulation.py
@@ -10,6 +10,7 @@
 from amaranthtally.operator.replay.faults import Stage as FaultStage, schedule_faults
 from amaranthtally.operator.replay.ledger import Ledger
 from amaranthtally.operator.replay.network import Network
+from amaranthtally.operator.replay.profiles import attainment_weight
 from amaranthtally.operator.replay.sidecar import FakeSidecar
 from amaranthtally.operator.replay.trace import Header, PipelinePlan, Trace
 from amaranthtally.operator.replay.work import WorkModel
@@ -24,6 +25,7 @@
 __all__ = ["build_pipeline", "replay"]
 
 DRAIN_S = 5.0
+BYTES_PER_GB = 1e9
 
 
 def replay(trace: Trace, contender: Contender) -> Ledger:
@@ -43,7 +45,7 @@
         )
         for region in header.regions
     }
-    pipelines = {plan.name: build_pipeline(plan) for plan in header.pipelines}
+    pipelines = {plan.name: build_pipeline(plan, header) for plan in header.pipelines}
     for entry in entries.values():
         entry.greet()
         clock.at(0.0, entry.tick)
@@ -59,12 +61,15 @@
     return ledger
 
 
-def build_pipeline(plan: PipelinePlan) -> Pipeline:
-    """Return a pipeline as the policy wants it."""
+def build_pipeline(plan: PipelinePlan, header: Header) -> Pipeline:
+    """Return a pipeline as the policy wants it, at the trace's prices."""
+    prices = {pool.name: pool.price for pool in header.pools}
     stages = tuple(
-        Stage(s.name, s.pool, s.model, s.repeatable, s.streams) for s in plan.stages
+        Stage(s.name, s.pool, s.model, s.repeatable, s.streams, prices[s.pool])
+        for s in plan.stages
     )
-    return Pipeline(plan.name, stages, plan.deadline_s)
+    weight = attainment_weight(header.deployment)
+    return Pipeline(plan.name, stages, plan.deadline_s, weight)
 
 
 def _build_fleet(
@@ -104,5 +109,8 @@
         data_centre=header.regions[region],
         endpoints=endpoints,
         accounts={name: AccountLimits() for name in header.accounts},
+        entries=len(header.regions),
+        traffic_price_per_gb=header.region_byte_price * BYTES_PER_GB,
+        region_latency_s=header.latency.regions_s,
     )
     return replace(settings, **header.policy)
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -17,6 +17,7 @@
 RETRY_RESERVE = 64.0
 HEDGE_RESERVE = 16.0
 HEDGE_COST = 0.1
+STUCK_FACTOR = 2.0
 PROBE_SLACK = 3.0
 HEARD_LATELY_S = 5.0
 LOOK_AGAIN_SHARE = 0.5
@@ -104,7 +105,9 @@
         stats = self._times.of(request.current)
         quiet_since = max(attempt.sent_at, request.progress_at)
         flowing = request.progress_at > 0 and now - quiet_since < stats.slow_s
-        if not flowing:
+        # Where work waits, a hedge only makes it wait longer.
+        crowded = self._loads.pool(request.current.pool).wait_s(stats.mean_s) > 0
+        if not flowing and not crowded:
             wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
             choice = self._router.choose(now, wanted, stats)
             worth = choice is not None and self._is_worth_it(
@@ -173,14 +176,16 @@
         """Return the probability that an attempt ends late, given how long it ran."""
         ran = max(0.0, now - attempt.sent_at - attempt.wait_s)
         so_long = stats.tail(ran)
-        # Longer than any run on record: the endpoint is taken to be stuck.
-        if so_long <= 0.0:
+        # Longer than nearly any run on record: the endpoint is taken to be stuck.
+        if stats.known and ran > STUCK_FACTOR * stats.slow_s:
             return 1.0
+        if so_long <= 0.0:
+            return 0.0
         return stats.tail(ran + max(0.0, wanted.end - now)) / so_long
 
     def _is_worth_it(self, risk: float, choice: Choice, weight: float) -> bool:
         gain = risk - choice.risk
-        return weight * gain > (1.0 - weight) * (HEDGE_COST + choice.price)
+        return weight * gain > (1.0 - weight) * HEDGE_COST * choice.price
 
     # Sending
 
@@ -196,8 +201,9 @@
         attempt = LiveAttempt(
             endpoint=choice.endpoint.id,
             sent_at=now,
-            expected_s=choice.finish_s,
             wait_s=choice.before_s,
+            run_s=choice.run_s,
+            beside=choice.beside,
             hedge=hedge,
             probe=probe,
         )
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -92,6 +92,11 @@
         """Predicted calls at the endpoint, running and queued."""
         return self.outstanding + max(0.0, self._others)
 
+    @property
+    def beside(self) -> float:
+        """Predicted calls that run beside a new one."""
+        return min(self.occupancy, self.limit - 1)
+
     def wait_s(self, mean_s: float) -> float:
         """Return the predicted wait of a new call, in seconds."""
         ahead = self.occupancy + 1 - self.limit
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -271,7 +271,7 @@
         for attempt in request.live.values():
             ran = now - attempt.sent_at - attempt.wait_s
             if ran > stats.typical_s:
-                stats.add(ran, int(stats.output_bytes))
+                stats.add(ran, int(stats.output_bytes), attempt.beside)
             self._ejections.probe_dropped(attempt.endpoint)
         return self._refuse(request, Reason.DEADLINE)
 
@@ -285,8 +285,8 @@
             return
         stats = self._times.of(request.current)
         if stats.known:
-            load.note_run(now, result.run_s / max(stats.mean_s, 1e-6))
-        stats.add(result.run_s, result.output_bytes)
+            load.note_run(now, result.run_s / stats.mean_beside_s(ended.beside))
+        stats.add(result.run_s, result.output_bytes, ended.beside)
         on_the_way = now - ended.sent_at - result.run_s - result.queued_s
         if not ended.asks:
             self._router.note_round_trip(load.endpoint.region, max(0.0, on_the_way))
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -10,12 +10,18 @@
 
 @dataclass(slots=True)
 class LiveAttempt:
-    """An attempt that was sent and has not ended; times are stamps in seconds."""
+    """
+    An attempt that was sent and has not ended.
+
+    ``sent_at`` is a time stamp. ``wait_s`` and ``run_s`` were predicted, and so
+    was ``beside``, the calls that run at its side.
+    """
 
     endpoint: str
     sent_at: float
-    expected_s: float
     wait_s: float
+    run_s: float
+    beside: float
     hedge: bool = False
     probe: bool = False
     asks: int = 0
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -14,9 +14,8 @@
 __all__ = ["Choice", "RouteRequest", "Router"]
 
 CHOICES = 4
-SPILL_RISK = 0.02
+AWAY_CHOICES = 2
 PREFIX_SAVING = 0.4
-OCCUPANCY_WEIGHT = 0.05
 TIME_WEIGHT = 0.1
 LOCAL_LATENCY_S = 0.001
 LATENCY_WEIGHT = 0.1
@@ -46,13 +45,15 @@
     """
     An endpoint, and what is predicted of an attempt there.
 
-    ``before_s`` is spent waiting and on the way, ``finish_s`` includes the run,
-    both from now; ``risk`` is the probability of ending too late.
+    ``before_s`` is spent waiting and on the way, ``run_s`` running beside
+    ``beside`` other calls; ``risk`` is the probability of ending too late and
+    ``price`` in units of a typical run of the stage.
     """
 
     endpoint: Endpoint
     before_s: float
-    finish_s: float
+    run_s: float
+    beside: float
     risk: float
     price: float
     score: float
@@ -113,20 +114,11 @@
         regions = self._groups.of(wanted.stage)
         group = regions.get(self._region, [])
         held = self._held_shares(now, wanted, group)
-        home = [*self._draw(group, wanted.avoid), *self._holders(held, wanted.avoid)]
-        best = self._best(now, wanted, stats, home, held)
-        if best is not None and best.risk <= SPILL_RISK:
-            return best
-        away = [
-            load
-            for region, others in regions.items()
-            if region != self._region
-            for load in self._draw(others, wanted.avoid)
-        ]
-        remote = self._best(now, wanted, stats, away, {})
-        if best is None or (remote is not None and remote.score < best.score):
-            return remote
-        return best
+        loads = [*self._draw(group, wanted.avoid), *self._holders(held, wanted.avoid)]
+        for region, others in regions.items():
+            if region != self._region:
+                loads.extend(self._draw(others, wanted.avoid, AWAY_CHOICES))
+        return self._best(now, wanted, stats, loads, held)
 
     def predict(
         self, now: float, wanted: RouteRequest, stats: StageStats, endpoint: Endpoint
@@ -137,11 +129,14 @@
     # Candidates
 
     def _draw(
-        self, group: Sequence[Endpoint], avoid: frozenset[str]
+        self,
+        group: Sequence[Endpoint],
+        avoid: frozenset[str],
+        choices: int = CHOICES,
     ) -> list[EndpointLoad]:
-        if len(group) <= CHOICES:
+        if len(group) <= choices:
             return self._usable(group, avoid)
-        drawn = [self._random.choice(group) for _ in range(CHOICES)]
+        drawn = [self._random.choice(group) for _ in range(choices)]
         found = self._usable({e.id: e for e in drawn}.values(), avoid)
         # Most of a group may be leaving or ejected; the subset is bounded, so a
         # look at all of it still costs the same whatever the pool's size.
@@ -208,27 +203,35 @@
         cached: float,
     ) -> Choice:
         region = load.endpoint.region
+        beside = load.beside
         slowness = load.slowness(now) * (1.0 - PREFIX_SAVING * cached)
-        mean = stats.mean_s
-        before = load.wait_s(mean * slowness) + self.round_trip_s(region)
-        slack = (wanted.end - now - before) / slowness
-        late = stats.tail(slack)
+        run = stats.mean_beside_s(beside) * slowness
+        before = load.wait_s(stats.mean_s * slowness) + self.round_trip_s(region)
+        # The sketch holds runs beside the usual number of calls: a run that is
+        # predicted to be longer or shorter shifts it.
+        shift = run / stats.mean_s
+        late = stats.tail((wanted.end - now - before) / shift)
         risk = 1.0 - (1.0 - late) * (1.0 - load.failing(now))
-        finish = before + mean * slowness
-        price = self._price(wanted, stats, region)
-        crowding = OCCUPANCY_WEIGHT * mean * load.occupancy / load.limit
-        left = max(wanted.latest_end - now, mean)
+        price = self._price(wanted, stats, region, run + stats.burden_s(beside))
+        left = max(wanted.latest_end - now, stats.mean_s)
         score = (
             wanted.weight * risk
             + (1.0 - wanted.weight) * price
-            + TIME_WEIGHT * (finish + crowding) / left
+            + TIME_WEIGHT * (before + run) / left
         )
-        return Choice(load.endpoint, before, finish, risk, price, score)
-
-    def _price(self, wanted: RouteRequest, stats: StageStats, region: str) -> float:
-        """Return the price of traffic in units of the stage's own cost."""
-        if region == self._region:
-            return 0.0
-        traffic = wanted.input_bytes + stats.output_bytes
-        cost = wanted.stage.price_per_s * max(stats.mean_s, 1e-6)
-        return traffic / BYTES_PER_GB * self._price_per_gb / max(cost, 1e-12)
+        return Choice(load.endpoint, before, run, beside, risk, price, score)
+
+    def _price(
+        self, wanted: RouteRequest, stats: StageStats, region: str, busy_s: float
+    ) -> float:
+        """
+        Return the price of a run and its traffic in units of a typical run.
+
+        ``busy_s`` holds what the run costs those beside it: an engine that looks
+        free because it batches makes every call in the batch dearer.
+        """
+        price = busy_s * wanted.stage.price_per_s
+        if region != self._region:
+            traffic = wanted.input_bytes + stats.output_bytes
+            price += traffic / BYTES_PER_GB * self._price_per_gb
+        return price / max(stats.mean_s * wanted.stage.price_per_s, 1e-12)
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 from math import sqrt
 
+from amaranthtally.policy.crowding import Crowding
 from amaranthtally.policy.model import Stage
 from amaranthtally.policy.quantiles import TimeSketch
 
@@ -18,6 +19,7 @@
 BYTES_WEIGHT = 0.05
 DEFAULT_OUTPUT_BYTES = 1000.0
 MEMO_SAMPLES = 8
+LEAST_OF_MEAN = 0.3
 
 
 class StageStats:
@@ -29,6 +31,7 @@
     """
 
     __slots__ = (
+        "_crowding",
         "_floor",
         "_fresh",
         "_hint_s",
@@ -42,6 +45,7 @@
 
     def __init__(self) -> None:
         self._run = TimeSketch()
+        self._crowding = Crowding()
         self._hint_s = DEFAULT_RUN_S
         self._output_bytes = DEFAULT_OUTPUT_BYTES
         self._fresh = 0
@@ -101,12 +105,22 @@
         if seconds > 0:
             self._hint_s = seconds
 
-    def add(self, run_s: float, output_bytes: int) -> None:
-        """Learn from a finished run."""
+    def add(self, run_s: float, output_bytes: int, beside: float) -> None:
+        """Learn from a run that had so many calls beside it."""
         self._run.add(run_s)
+        self._crowding.add(beside, run_s)
         self._output_bytes += BYTES_WEIGHT * (output_bytes - self._output_bytes)
         self._fresh -= 1
 
+    def mean_beside_s(self, beside: float) -> float:
+        """Return the mean run time beside so many other calls, in seconds."""
+        mean = self.mean_s
+        return max(mean * LEAST_OF_MEAN, mean + self._crowding.excess_s(beside))
+
+    def burden_s(self, beside: float) -> float:
+        """Return by how much one more call lengthens those beside it, in seconds."""
+        return self._crowding.slope_s * beside
+
     def tail(self, seconds: float) -> float:
         """Return the probability that a run takes longer."""
         if self._run.count:
