--- a/packages/operator/src/amaranthtally/operator/replay/profiles.py
+++ b/packages/operator/src/amaranthtally/operator/replay/profiles.py
@@ -25,7 +25,7 @@
 PIPELINE_PREFIX = "pipeline:"
 
 # Agrosalv weighs answers in time more, Qoryq cost by stage.
-USER_WEIGHTS = {"agrosalv": 0.9, "qoryq": 0.3}
+USER_WEIGHTS = {"agrosalv": 0.9, "qoryq": 0.4}
 DEFAULT_WEIGHT = 0.7
 
 # Seconds, bytes and prices of one slot-second, by kind of pool. They are round
