Use load reports by their age and by what they lack

Cause: what others have at an endpoint was learned from replies only. One that was once crowded got no attempt, sent no report and was avoided for ever (seen in a probe: 100 calls believed at idle engines). Late reports, three seconds old, had all entries send to what was idle then. When a burst began, other entries' requests in earlier stages were not seen, and too many were admitted.

--- a/packages/operator/src/amaranthtally/operator/replay/baselines.py
+++ b/packages/operator/src/amaranthtally/operator/replay/baselines.py
@@ -8,6 +8,7 @@
 from collections import deque
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass, field
+from random import Random
 
 from amaranthtally.operator.replay.entry import Decider
 from amaranthtally.operator.replay.sidecar import Queue
@@ -284,7 +285,7 @@
 
 @_contender(POLICY, _run_queue)
 def _policy(settings: PolicySettings) -> Decider:
-    return Planner(settings)
+    return Planner(settings, Random(settings.region))
 
 
 @_contender("round robin", _bounded)
--- a/packages/policy/src/amaranthtally/policy/admission.py
+++ b/packages/policy/src/amaranthtally/policy/admission.py
@@ -75,18 +75,18 @@
             self._accounts.admitted(arrival.account, work_s)
         return verdict
 
-    def retry_after_s(self, stages: tuple[Stage, ...]) -> float:
+    def retry_after_s(self, now: float, stages: tuple[Stage, ...]) -> float:
         """Return when to come back: once the longest backlog has drained."""
-        wait = max((self._backlog(stage).wait_s for stage in stages), default=0.0)
+        wait = max((self._backlog(now, stage).wait_s for stage in stages), default=0.0)
         return self._spread(wait)
 
     def _judge_backlog(self, now: float, arrival: Arrival) -> Verdict:
         stages = arrival.pipeline.stages
-        backlog = max((self._backlog(s) for s in stages), key=lambda b: b.wait_s)
+        backlog = max((self._backlog(now, s) for s in stages), key=lambda b: b.wait_s)
         slowest = max(stages, key=lambda stage: self._times.of(stage).slow_s)
         # An idle pool admits whatever its past: a stage that was slow for a while
         # would otherwise be refused for ever, as nothing ran to show otherwise.
-        if backlog.wait_s == 0.0 and self._backlog(slowest).idle:
+        if backlog.wait_s == 0.0 and self._backlog(now, slowest).idle:
             return ADMITTED
         budget = arrival.deadline - now
         needed = self._times.needed_s(stages)
@@ -100,10 +100,11 @@
         reason = Reason.OVERLOAD if fair >= room else Reason.ACCOUNT_LIMIT
         return self._refused(reason, backlog.wait_s - allowed)
 
-    def _backlog(self, stage: Stage) -> _Backlog:
+    def _backlog(self, now: float, stage: Stage) -> _Backlog:
         pool = self._loads.pool(stage.pool)
-        mean_s = self._times.of(stage).mean_s
-        return _Backlog(pool.wait_s(mean_s), mean_s, pool.pending == 0)
+        # While work waits, every slot is taken, and batches are at their slowest.
+        mean_s = self._times.of(stage).full_mean_s
+        return _Backlog(pool.wait_s(now, mean_s), mean_s, pool.pending == 0)
 
     def _refused(self, reason: Reason, wait_s: float) -> Verdict:
         return Verdict(reason, self._spread(wait_s))
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -106,7 +106,7 @@
         quiet_since = max(attempt.sent_at, request.progress_at)
         flowing = request.progress_at > 0 and now - quiet_since < stats.slow_s
         # Where work waits, a hedge only makes it wait longer.
-        crowded = self._loads.pool(request.current.pool).wait_s(stats.mean_s) > 0
+        crowded = self._loads.pool(request.current.pool).wait_s(now, stats.mean_s) > 0
         if not flowing and not crowded:
             wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
             choice = self._router.choose(now, wanted, stats)
--- a/packages/policy/src/amaranthtally/policy/ledger.py
+++ b/packages/policy/src/amaranthtally/policy/ledger.py
@@ -113,17 +113,26 @@
         request.sent += 1
         attempt_id = AttemptId(request.id, request.stage, request.number)
         request.live[attempt_id] = attempt
-        load.outstanding += 1
+        self._loads.sent(load)
         return attempt_id
 
     def ended(self, request: Request, attempt_id: AttemptId) -> LiveAttempt:
         """Note that an attempt has ended, or is no longer wanted."""
         attempt = request.live.pop(attempt_id)
+        self._loads.ended(attempt.endpoint, request.current.pool)
+        return attempt
+
+    def asked(
+        self, request: Request, attempt_id: AttemptId, attempt: LiveAttempt
+    ) -> None:
+        """Take an attempt back as live, since its sidecar is asked about it."""
+        ensure(self._requests.get(request.id) is request, "nothing asked after an end")
         load = self._loads.find(attempt.endpoint)
+        ensure(load is not None, "only an endpoint that is known is asked")
+        attempt.asks += 1
+        request.live[attempt_id] = attempt
         if load is not None:
-            # An endpoint that was registered anew starts from 0 again.
-            load.outstanding = max(0, load.outstanding - 1)
-        return attempt
+            self._loads.sent(load)
 
     def cancel_all(self, request: Request) -> list[Action]:
         """Cancel every live attempt of a request."""
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -9,7 +9,13 @@
 __all__ = ["EndpointLoad", "LoadTable", "PoolLoad"]
 
 UNHEARD_LIMIT = 4
-OTHERS_SMOOTHING_S = 0.5
+SMOOTHING_S = 0.5
+DOUBT_SMOOTHING_S = 5.0
+DOUBT_WEIGHT = 0.02
+DOUBT_FACTOR = 10.0
+MOST_MISSING = 2
+STALE_S = 5.0
+MOST_ON_THE_WAY = 4.0
 SLOWNESS_WEIGHT = 0.1
 FAILURE_WEIGHT = 0.2
 FADE_S = 10.0
@@ -22,23 +28,72 @@
     Sums over the endpoints of a pool that an entry uses, kept as they change.
 
     ``pending`` counts this entry's requests that have yet to finish a stage in
-    the pool, also those that have not reached it. Reading a pool costs the same
-    whatever its size.
+    the pool, also those that have not reached it; ``outstanding`` only those at
+    its endpoints. Reading a pool costs the same whatever its size.
     """
 
-    __slots__ = ("capacity", "others", "pending", "size")
+    __slots__ = (
+        "_doubt",
+        "_others",
+        "_others_at",
+        "capacity",
+        "outstanding",
+        "pending",
+        "size",
+    )
 
     def __init__(self) -> None:
+        self._doubt = 0.0
         self.capacity = 0
-        self.others = 0.0
+        self.outstanding = 0
         self.pending = 0
         self.size = 0
+        self._others = 0.0
+        self._others_at = 0.0
 
-    def wait_s(self, mean_s: float) -> float:
-        """Return the predicted wait of a new request, in seconds."""
+    @property
+    def trust(self) -> float:
+        """How far reports are taken to be of now, from 0 to 1."""
+        return max(0.0, 1.0 - DOUBT_FACTOR * self._doubt)
+
+    def note_report(self, missing: float) -> None:
+        """
+        Note that a report lacked so many of our own attempts.
+
+        A report of now counts all of them but those on their way. One that
+        lacks more is of some time ago; entries that believed it would all send
+        to endpoints that were idle then.
+        """
+        late = missing > MOST_MISSING
+        self._doubt += DOUBT_WEIGHT * (late - self._doubt)
+
+    def mean_others(self, now: float) -> float:
+        """Return the calls of other entries at an average endpoint."""
+        return max(0.0, self.others(now)) / max(1, self.size)
+
+    def add_others(self, now: float, calls: float) -> None:
+        """Add calls of other entries, or take them off when below 0."""
+        self._others = self.others(now) + calls
+        self._others_at = max(self._others_at, now)
+
+    def others(self, now: float) -> float:
+        """Return the calls of other entries; they fade like each endpoint's."""
+        return self._others * _stale(now - self._others_at)
+
+    def wait_s(self, now: float, mean_s: float) -> float:
+        """
+        Return the predicted wait of a new request, in seconds.
+
+        Reports tell of calls at the endpoints only. When a burst begins, most of
+        it is still in earlier stages; other entries are taken to have as much on
+        the way, for each call at the endpoints, as this one has.
+        """
         if not self.capacity:
             return 0.0
-        ahead = self.pending + max(0.0, self.others) + 1 - self.capacity
+        ratio = self.pending / max(1, self.outstanding)
+        on_the_way = min(MOST_ON_THE_WAY, max(1.0, ratio))
+        others = max(0.0, self.others(now)) * on_the_way
+        ahead = self.pending + others + 1 - self.capacity
         return max(0.0, ahead) * mean_s / self.capacity
 
 
@@ -57,8 +112,11 @@
         "_failing",
         "_failing_at",
         "_others",
+        "_others_at",
+        "_pool",
         "_slow",
         "_slow_at",
+        "asked_at",
         "counted",
         "endpoint",
         "heard_at",
@@ -68,38 +126,50 @@
         "outstanding",
     )
 
-    def __init__(self, endpoint: Endpoint) -> None:
+    def __init__(self, endpoint: Endpoint, pool: PoolLoad) -> None:
+        self._pool = pool
         self.endpoint = endpoint
         self.outstanding = 0
         self.limit = UNHEARD_LIMIT
         self.heard_at = -1.0
+        self.asked_at = -1.0
         self.incarnation = 0
         self.leaving = False
         self.counted = False
         self._others = 0.0
+        self._others_at = 0.0
         self._slow = 1.0
         self._slow_at = 0.0
         self._failing = 0.0
         self._failing_at = 0.0
 
-    @property
-    def others(self) -> float:
-        """Smoothed calls of other entries at the endpoint; may be below 0."""
-        return self._others
+    def others(self, now: float) -> float:
+        """
+        Return the smoothed calls of other entries; may be below 0.
 
-    @property
-    def occupancy(self) -> float:
-        """Predicted calls at the endpoint, running and queued."""
-        return self.outstanding + max(0.0, self._others)
+        They fade when nothing is heard: an endpoint that was once reported to be
+        crowded would get no attempt, send no report, and stay avoided for ever.
+        """
+        return self._others * _stale(now - self._others_at)
 
-    @property
-    def beside(self) -> float:
-        """Predicted calls that run beside a new one."""
-        return min(self.occupancy, self.limit - 1)
+    def occupancy(self, now: float) -> float:
+        """
+        Return the predicted calls at the endpoint, running and queued.
+
+        The less reports can be trusted, the more is it taken to be average.
+        """
+        trust = self._pool.trust
+        others = trust * max(0.0, self.others(now))
+        others += (1.0 - trust) * self._pool.mean_others(now)
+        return self.outstanding + others
 
-    def wait_s(self, mean_s: float) -> float:
+    def beside(self, now: float) -> float:
+        """Return the predicted calls that run beside a new one."""
+        return min(self.occupancy(now), self.limit - 1)
+
+    def wait_s(self, now: float, mean_s: float) -> float:
         """Return the predicted wait of a new call, in seconds."""
-        ahead = self.occupancy + 1 - self.limit
+        ahead = self.occupancy(now) + 1 - self.limit
         return max(0.0, ahead) * mean_s / self.limit
 
     def slowness(self, now: float) -> float:
@@ -126,11 +196,15 @@
     def take_report(self, now: float, report: LoadReport) -> None:
         """Learn from a report, however late."""
         others = report.running + report.queued - self.outstanding
+        self._pool.note_report(-others)
+        current = self.others(now)
         if self.heard_at < 0:
             weight = 1.0
         else:
-            weight = 1.0 - exp(-max(0.0, now - self.heard_at) / OTHERS_SMOOTHING_S)
-        self._others += weight * (others - self._others)
+            smoothing_s = SMOOTHING_S + (1.0 - self._pool.trust) * DOUBT_SMOOTHING_S
+            weight = 1.0 - exp(-max(0.0, now - self.heard_at) / smoothing_s)
+        self._others = current + weight * (others - current)
+        self._others_at = now
         self.heard_at = now
         self.limit = max(1, report.limit)
 
@@ -160,10 +234,12 @@
         """Return an endpoint's load, made at first use."""
         load = self._loads.get(endpoint.id)
         if load is None:
-            load = self._loads[endpoint.id] = EndpointLoad(endpoint)
+            load = self._loads[endpoint.id] = EndpointLoad(
+                endpoint, self.pool(endpoint.pool)
+            )
         return load
 
-    def count_in(self, load: EndpointLoad) -> None:
+    def count_in(self, now: float, load: EndpointLoad) -> None:
         """Add a usable endpoint to its pool's sums."""
         if load.counted:
             return
@@ -171,9 +247,9 @@
         pool = self.pool(load.endpoint.pool)
         pool.size += 1
         pool.capacity += load.limit
-        pool.others += load.others
+        pool.add_others(now, load.others(now))
 
-    def count_out(self, load: EndpointLoad) -> None:
+    def count_out(self, now: float, load: EndpointLoad) -> None:
         """Take an endpoint that is leaving, ejected or gone out of the sums."""
         if not load.counted:
             return
@@ -181,27 +257,45 @@
         pool = self.pool(load.endpoint.pool)
         pool.size -= 1
         pool.capacity -= load.limit
-        pool.others -= load.others
+        pool.add_others(now, -load.others(now))
         ensure(pool.size >= 0, "a pool's size is not negative")
 
     def take_report(self, now: float, load: EndpointLoad, report: LoadReport) -> None:
         """Learn from a report, and keep the sums."""
         counted = load.counted
-        self.count_out(load)
+        self.count_out(now, load)
         load.take_report(now, report)
         if counted:
-            self.count_in(load)
+            self.count_in(now, load)
+
+    def sent(self, load: EndpointLoad) -> None:
+        """Count an attempt at an endpoint."""
+        load.outstanding += 1
+        self.pool(load.endpoint.pool).outstanding += 1
 
-    def drop(self, endpoint: str) -> None:
+    def ended(self, endpoint: str, pool: str) -> None:
+        """Count an attempt as ended, also at an endpoint that is forgotten."""
+        load = self._loads.get(endpoint)
+        if load is not None:
+            # One that was forgotten and registered anew starts from 0 again.
+            load.outstanding = max(0, load.outstanding - 1)
+        self.pool(pool).outstanding -= 1
+        ensure(self.pool(pool).outstanding >= 0, "attempts at a pool are not negative")
+
+    def drop(self, now: float, endpoint: str) -> None:
         """Forget an endpoint that is no longer registered."""
         load = self._loads.pop(endpoint, None)
         if load is not None:
-            self.count_out(load)
+            self.count_out(now, load)
 
     def ids(self) -> list[str]:
         """Return the ids of the endpoints held."""
         return list(self._loads)
 
 
+def _stale(age_s: float) -> float:
+    return 0.5 ** (max(0.0, age_s) / STALE_S)
+
+
 def _faded(age_s: float) -> float:
     return 0.5 ** (max(0.0, age_s) / FADE_S)
--- a/packages/policy/src/amaranthtally/policy/membership.py
+++ b/packages/policy/src/amaranthtally/policy/membership.py
@@ -31,7 +31,7 @@
         self._prepared: set[tuple[str, str]] = set()
         self._without_work: dict[str, float] = {}
 
-    def replace(self, settings: PolicySettings) -> None:
+    def replace(self, now: float, settings: PolicySettings) -> None:
         """Use other endpoints; forget those that are gone or have moved."""
         if not self._groups.replace(settings.region, settings.endpoints):
             return
@@ -40,15 +40,15 @@
             load = self._loads.find(name)
             new = settings.endpoints.get(name)
             if load is not None and new != load.endpoint:
-                self._forget(name)
+                self._forget(now, name)
 
-    def prepare(self, stage: Stage) -> None:
+    def prepare(self, now: float, stage: Stage) -> None:
         """Count a stage's candidates in, once for each pool and model."""
         key = (stage.pool, stage.model)
         if key in self._prepared:
             return
         self._prepared.add(key)
-        self._open_all(self._groups.of(stage))
+        self._open_all(now, self._groups.of(stage))
 
     def report(self, now: float, endpoint: str, report: LoadReport) -> None:
         """
@@ -63,7 +63,7 @@
         restarted = bool(load.incarnation) and report.incarnation != load.incarnation
         if restarted:
             self._prefixes.forget(endpoint)
-            self._return(load)
+            self._return(now, load)
         load.incarnation = report.incarnation
         self._loads.take_report(now, load, report)
         if report.leaving:
@@ -76,13 +76,13 @@
             return
         load.leaving = True
         self._without_work[endpoint] = now
-        self._loads.count_out(load)
+        self._loads.count_out(now, load)
 
-    def staying(self, endpoint: str) -> None:
+    def staying(self, now: float, endpoint: str) -> None:
         """Give work again to an endpoint that was thought to leave."""
         load = self._loads.find(endpoint)
         if load is not None:
-            self._return(load)
+            self._return(now, load)
 
     def failed(self, now: float, load: EndpointLoad) -> bool:
         """Note a failed attempt; true when its endpoint is ejected for it."""
@@ -91,7 +91,7 @@
         known = self._loads.pool(pool).size + len(self._ejections.ejected(pool))
         if not self._ejections.failed(now, load.endpoint.id, pool, known):
             return False
-        self._loads.count_out(load)
+        self._loads.count_out(now, load)
         self._without_work[load.endpoint.id] = now
         return True
 
@@ -101,7 +101,7 @@
         self._ejections.succeeded(load.endpoint.id)
         if not load.leaving:
             self._without_work.pop(load.endpoint.id, None)
-            self._loads.count_in(load)
+            self._loads.count_in(now, load)
 
     def greetings(self, now: float) -> list[Action]:
         """
@@ -118,10 +118,10 @@
             heard[name] = now
         return [Greet(name) for name in due[:GREETS_AT_ONCE]]
 
-    def _open_all(self, regions: RegionGroups) -> None:
+    def _open_all(self, now: float, regions: RegionGroups) -> None:
         for group in regions.values():
             for endpoint in group:
-                self._count_in_usable(self._loads.open(endpoint))
+                self._count_in_usable(now, self._loads.open(endpoint))
 
     def _open(self, endpoint: str) -> EndpointLoad | None:
         load = self._loads.find(endpoint)
@@ -132,18 +132,18 @@
             load = self._loads.open(registered)
         return load
 
-    def _return(self, load: EndpointLoad) -> None:
+    def _return(self, now: float, load: EndpointLoad) -> None:
         load.leaving = False
         if not self._ejections.is_ejected(load.endpoint.id):
             self._without_work.pop(load.endpoint.id, None)
-            self._loads.count_in(load)
+            self._loads.count_in(now, load)
 
-    def _count_in_usable(self, load: EndpointLoad) -> None:
+    def _count_in_usable(self, now: float, load: EndpointLoad) -> None:
         if not load.leaving and not self._ejections.is_ejected(load.endpoint.id):
-            self._loads.count_in(load)
+            self._loads.count_in(now, load)
 
-    def _forget(self, endpoint: str) -> None:
-        self._loads.drop(endpoint)
+    def _forget(self, now: float, endpoint: str) -> None:
+        self._loads.drop(now, endpoint)
         self._ejections.forget(endpoint)
         self._prefixes.forget(endpoint)
         self._without_work.pop(endpoint, None)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -3,8 +3,9 @@
 from random import Random
 
 from amaranthtally.policy.accounts import AccountShares
-from amaranthtally.policy.actions import Action, Ask, Outcome, Reason, Refuse
+from amaranthtally.policy.actions import Action, Ask, Greet, Outcome, Reason, Refuse
 from amaranthtally.policy.admission import Admission
+from amaranthtally.policy.budgets import RateLimit
 from amaranthtally.policy.dispatch import Dispatcher
 from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.events import (
@@ -31,6 +32,8 @@
 MAX_ASKS = 3
 FAILURE_COST = 1.0
 NOT_RUN_COST = 0.25
+ASKS_PER_S = 20.0
+ASKS_BURST = 10.0
 
 
 class Planner:
@@ -50,6 +53,7 @@
         self._prefixes = PrefixIndex()
         self._accounts = AccountShares()
         self._timers = Timers()
+        self._asks = RateLimit(0.0, ASKS_PER_S, ASKS_BURST)
         self._ledger = Ledger(self._loads)
         groups = EndpointGroups(random)
         self._membership = Membership(
@@ -69,7 +73,7 @@
             self._ledger,
             self._timers,
         )
-        self._configure(settings)
+        self._configure(0.0, settings)
 
     @property
     def in_flight(self) -> int:
@@ -86,7 +90,7 @@
     def request_arrived(self, now: float, arrival: Arrival) -> list[Action]:
         """Admit and send the first stage, or refuse."""
         for stage in arrival.pipeline.stages:
-            self._membership.prepare(stage)
+            self._membership.prepare(now, stage)
         verdict = self._admission.judge(now, arrival)
         if verdict.reason is not None:
             self.counters.refused_on_arrival += 1
@@ -113,7 +117,7 @@
         if result.fate is Fate.FINISHED:
             return self._finished(now, request, ended, result)
         if result.fate is Fate.LOST and not request.current.repeatable:
-            return self._ask(request, attempt, ended)
+            return self._ask(now, request, attempt, ended)
         return self._recover(now, request, ended, result)
 
     def progress(self, now: float, attempt: AttemptId, chunks: int) -> list[Action]:
@@ -143,12 +147,12 @@
 
     def endpoint_staying(self, now: float, endpoint: str) -> list[Action]:
         """Use an endpoint again that was thought to leave."""
-        self._membership.staying(endpoint)
+        self._membership.staying(now, endpoint)
         return []
 
     def settings_changed(self, now: float, settings: PolicySettings) -> list[Action]:
         """Use newer settings for what comes; live requests keep their pipeline."""
-        self._configure(settings)
+        self._configure(now, settings)
         return []
 
     def caller_gone(self, now: float, request_id: str) -> list[Action]:
@@ -160,17 +164,33 @@
         """End the requests whose deadline has passed; look at slow attempts."""
         self._accounts.refresh(now)
         actions = self._membership.greetings(now)
+        actions.extend(self._ask_for_loads(now))
         while (timer := self._timers.due(now)) is not None:
             actions.extend(self._look(now, timer))
         return actions
 
+    def _ask_for_loads(self, now: float) -> list[Action]:
+        """
+        Ask candidates whose report is old for a new one, within a rate.
+
+        Reports come with replies. An endpoint that looked crowded once gets no
+        attempts, so it sends no reports, and would look crowded ever after.
+        """
+        asked: list[Action] = []
+        for endpoint in self._router.take_stale():
+            if self._asks.wait_s(now) > 0:
+                break
+            self._asks.take()
+            asked.append(Greet(endpoint))
+        return asked
+
     # Stages
 
     def _start_stage(self, now: float, request: Request) -> list[Action]:
         if self._is_hopeless(now, request):
-            return self._refuse(request, Reason.DEADLINE)
+            return self._refuse(now, request, Reason.DEADLINE)
         actions = self._dispatcher.first(now, request)
-        return actions or self._refuse(request, Reason.NO_ENDPOINT)
+        return actions or self._refuse(now, request, Reason.NO_ENDPOINT)
 
     def _finished(
         self, now: float, request: Request, ended: LiveAttempt, result: StageResult
@@ -192,14 +212,12 @@
     # Failures
 
     def _ask(
-        self, request: Request, attempt: AttemptId, lost: LiveAttempt
+        self, now: float, request: Request, attempt: AttemptId, lost: LiveAttempt
     ) -> list[Action]:
         load = self._loads.find(lost.endpoint)
         if lost.asks >= MAX_ASKS or load is None:
-            return self._refuse(request, Reason.STAGE_FAILED)
-        lost.asks += 1
-        request.live[attempt] = lost
-        load.outstanding += 1
+            return self._refuse(now, request, Reason.STAGE_FAILED)
+        self._ledger.asked(request, attempt, lost)
         return [Ask(attempt, lost.endpoint)]
 
     def _recover(
@@ -214,12 +232,12 @@
         reason = Reason.OVERLOAD if not_run else Reason.STAGE_FAILED
         may_resend = request.current.repeatable or not_run
         if result.permanent or not may_resend or request.resends >= MAX_RESENDS:
-            return self._refuse(request, reason, result.retry_after_s)
+            return self._refuse(now, request, reason, result.retry_after_s)
         if self._is_hopeless(now, request):
-            return self._refuse(request, Reason.DEADLINE, result.retry_after_s)
+            return self._refuse(now, request, Reason.DEADLINE, result.retry_after_s)
         cost = NOT_RUN_COST if not_run else FAILURE_COST
         actions = self._dispatcher.retry(now, request, cost)
-        return actions or self._refuse(request, reason, result.retry_after_s)
+        return actions or self._refuse(now, request, reason, result.retry_after_s)
 
     def _note_failure(
         self, now: float, ended: LiveAttempt, result: StageResult
@@ -247,9 +265,9 @@
         self.counters.ejections += self._membership.failed(now, load)
 
     def _refuse(
-        self, request: Request, reason: Reason, retry_after_s: float = 0.0
+        self, now: float, request: Request, reason: Reason, retry_after_s: float = 0.0
     ) -> list[Action]:
-        backlog = self._admission.retry_after_s(request.remaining)
+        backlog = self._admission.retry_after_s(now, request.remaining)
         return self._ledger.refused(request, reason, max(retry_after_s, backlog))
 
     # Timers
@@ -273,7 +291,7 @@
             if ran > stats.typical_s:
                 stats.add(ran, int(stats.output_bytes), attempt.beside)
             self._ejections.probe_dropped(attempt.endpoint)
-        return self._refuse(request, Reason.DEADLINE)
+        return self._refuse(now, request, Reason.DEADLINE)
 
     # Learning
 
@@ -294,9 +312,9 @@
         if request.arrival.prefix:
             self._prefixes.ran(now, ended.endpoint, request.arrival.prefix)
 
-    def _configure(self, settings: PolicySettings) -> None:
+    def _configure(self, now: float, settings: PolicySettings) -> None:
         self._settings = settings
-        self._membership.replace(settings)
+        self._membership.replace(now, settings)
         self._dispatcher.configure(settings)
         self._accounts.configure(settings.accounts, settings.entries)
         self._admission.configure(settings.admission_headroom)
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -17,6 +17,8 @@
 AWAY_CHOICES = 2
 PREFIX_SAVING = 0.4
 TIME_WEIGHT = 0.1
+STALE_REPORT_S = 0.5
+MOST_STALE = 4
 LOCAL_LATENCY_S = 0.001
 LATENCY_WEIGHT = 0.1
 BYTES_PER_GB = 1e9
@@ -82,6 +84,7 @@
         self._ejections = ejections
         self._prefixes = prefixes
         self._latency_s: dict[str, float] = {}
+        self._stale: list[str] = []
         self._region = ""
         self._remote_latency_s = 0.0
         self._price_per_gb = 0.0
@@ -107,6 +110,11 @@
         current = self.round_trip_s(region)
         self._latency_s[region] = current + LATENCY_WEIGHT * (seconds - current)
 
+    def take_stale(self) -> list[str]:
+        """Return candidates of the last choices whose reports are old, once."""
+        stale, self._stale = self._stale, []
+        return stale
+
     def choose(
         self, now: float, wanted: RouteRequest, stats: StageStats
     ) -> Choice | None:
@@ -188,12 +196,23 @@
         # fall to the endpoint that is listed first.
         self._random.shuffle(loads)
         for load in loads:
+            self._note_age(now, load)
             cached = held.get(load.endpoint.id, 0.0)
             choice = self._weigh(now, wanted, stats, load, cached)
             if best is None or choice.score < best.score:
                 best = choice
         return best
 
+    def _note_age(self, now: float, load: EndpointLoad) -> None:
+        old = now - STALE_REPORT_S
+        if (
+            load.heard_at < old
+            and load.asked_at < old
+            and len(self._stale) < MOST_STALE
+        ):
+            load.asked_at = now
+            self._stale.append(load.endpoint.id)
+
     def _weigh(
         self,
         now: float,
@@ -203,10 +222,11 @@
         cached: float,
     ) -> Choice:
         region = load.endpoint.region
-        beside = load.beside
+        beside = load.beside(now)
         slowness = load.slowness(now) * (1.0 - PREFIX_SAVING * cached)
         run = stats.mean_beside_s(beside) * slowness
-        before = load.wait_s(stats.mean_s * slowness) + self.round_trip_s(region)
+        full = stats.mean_beside_s(load.limit - 1) * slowness
+        before = load.wait_s(now, full) + self.round_trip_s(region)
         # The sketch holds runs beside the usual number of calls: a run that is
         # predicted to be longer or shorter shifts it.
         shift = run / stats.mean_s
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -112,6 +112,11 @@
         self._output_bytes += BYTES_WEIGHT * (output_bytes - self._output_bytes)
         self._fresh -= 1
 
+    @property
+    def full_mean_s(self) -> float:
+        """Mean run time in seconds beside the most calls seen lately."""
+        return self.mean_beside_s(self._crowding.most)
+
     def mean_beside_s(self, beside: float) -> float:
         """Return the mean run time beside so many other calls, in seconds."""
         mean = self.mean_s
