--- a/packages/operator/src/amaranthtally/operator/replay/command.py
+++ b/packages/operator/src/amaranthtally/operator/replay/command.py
@@ -61,6 +61,7 @@
     outcomes: Path | None = None,
     baselines: bool = True,
     json: Annotated[bool, Parameter(negative="")] = False,
+    plot: Path | None = None,
 ) -> int:
     """
     Replay traces through the policy on a virtual clock.
@@ -77,6 +78,8 @@
         Replay the baselines beside the policy.
     json
         Print JSON instead of tables.
+    plot
+        SVG file to draw attainment and cost in.
     """
     names = contender_names() if baselines else [POLICY]
     try:
@@ -88,6 +91,8 @@
     reports = [report_trace(name, trace, names) for name, trace in loaded]
     misses = [miss for report in reports for miss in check(stated, report)]
     _print(_Printed(reports, misses), json)
+    if plot is not None:
+        _plot(reports, plot)
     return EXIT_MISSED if misses else 0
 
 
@@ -141,5 +146,12 @@
         sys.stdout.write(f"MISSED {miss}\n")
 
 
+def _plot(reports: list[TraceReport], path: Path) -> None:
+    # Matplotlib takes longer to load than a short trace takes to replay.
+    from amaranthtally.operator.replay.plot import plot_reports
+
+    plot_reports(reports, path)
+
+
 def _trace_name(path: Path) -> str:
     return path.name.removesuffix(".gz").removesuffix(".jsonl")
