--- a/packages/daemon/src/amaranthtally/daemon/entry/committer.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/committer.py
@@ -95,11 +95,14 @@
         it is a conflict. One that repeats the id of a change gives that change.
         """
         base = proposal.revision
-        if base is None:
-            base = self._state.revision
         async with self._committing:
             for _ in range(COMMIT_TRIES):
-                done = await self._try(proposal, base)
+                read = await self._read_newest()
+                if isinstance(read, Err):
+                    return read
+                if base is None:
+                    base = self._state.revision
+                done = await self._try(proposal, base, read.ok_value)
                 if isinstance(done, Err) or done.ok_value is not None:
                     break
         if isinstance(done, Err):
@@ -144,20 +147,24 @@
 
     # One try
 
-    async def _try(
-        self, proposal: Proposal, base: int
-    ) -> Result[Change | None, CommitError]:
-        """Return the change, or ``Ok(None)`` when another one took the number."""
-        # An entry cut off from the platform for long may be at a revision whose
-        # next key has been deleted since: a write where absent would then succeed
-        # and fork the log. The head tells how far the log has really come.
+    async def _read_newest(self) -> Result[HeadRead, PlatformError]:
+        """
+        Read the head and catch up with it.
+
+        An entry cut off from the platform for long may be at a revision whose
+        next key has been deleted since: a write where absent would then succeed
+        and fork the log. The head tells how far the log has really come.
+        """
         read = await self._changes.read_head()
         if isinstance(read, Err):
             return read
-        head = read.ok_value
-        caught_up = await self._follower.catch_up(head)
-        if isinstance(caught_up, Err):
-            return caught_up
+        caught_up = await self._follower.catch_up(read.ok_value)
+        return caught_up if isinstance(caught_up, Err) else read
+
+    async def _try(
+        self, proposal: Proposal, base: int, head: HeadRead
+    ) -> Result[Change | None, CommitError]:
+        """Return the change, or ``Ok(None)`` when another one took the number."""
         known = self._known(proposal.id)
         if known is not None:
             return Ok(known)
--- /dev/null
+++ b/tests/settings/test_checks.py
@@ -0,0 +1,103 @@
+"""What is refused at commit, with the key and the remedy."""
+
+import pytest
+
+from amaranthtally.settings import Op, Scope, Tree, check_ops, known_keys
+
+ENDPOINT = {
+    "pool": "assessment",
+    "host": "host-1",
+    "region": "cluj",
+    "data_centre": "cluj-1",
+    "address": "127.0.0.1:9000",
+    "models": ["small-1"],
+}
+FIRM = Scope()
+ACCOUNT = Scope(account="harvest")
+PIPELINE = Scope(pipeline="claims")
+AT_ACCOUNT = "account:harvest/pipeline:claims"
+AT_REGION = "region:cluj/pipeline:claims"
+MODEL = "stage.generate.model"
+DIGEST = "0" * 64
+
+
+def tree():
+    ops = [
+        Op("pipeline:claims", "stages", ["generate"]),
+        Op("pipeline:claims", "stage.generate.pool", "assessment"),
+        Op("pipeline:claims", "stage.generate.model", "small-1"),
+        Op("firm", "endpoint.a-1", ENDPOINT),
+        Op("account:harvest", "key_sha256", DIGEST),
+    ]
+    assert check_ops(Tree(), ops) == []
+    return Tree().apply(ops)
+
+
+@pytest.mark.parametrize(
+    ("scope", "key", "value", "remedy"),
+    [
+        ("firm", "deadlin_ms", 1, "did you mean 'deadline_ms'?"),
+        ("firm", "stage.generate.modle", "x", "did you mean 'stage.generate.model'?"),
+        ("firm", "deadline_ms", 0, "a whole number from 1 to 600000 in ms"),
+        ("firm", "deadline_ms", True, "a whole number"),
+        ("firm", "deadline_ms", "4", "a whole number"),
+        ("firm", "key_sha256", DIGEST, "set it at account"),
+        ("account:harvest", "drain.host-1", True, "set it at firm"),
+        ("firm", "endpoint.b", {**ENDPOINT, "pol": 1}, "a table with the keys"),
+        ("account:harvst", "limit.rate", 1, "did you mean 'harvest'?"),
+        ("pipeline:claim", "deadline_ms", 1, "did you mean 'claims'?"),
+        ("nowhere:x", "deadline_ms", 1, "write firm"),
+        ("region:a/region:b", "deadline_ms", 1, "write firm"),
+        ("pipeline:claims", "stages", [], "a list of names"),
+        ("pipeline:claims", "stages", ["generate", "generate"], "own name"),
+        ("pipeline:claims", "stages", ["generate", "rerank"], "register or undrain"),
+        ("pipeline:claims", "stage.generate.pool", "asessment", "'assessment'?"),
+        (
+            "account:harvest/pipeline:claims",
+            "stage.generate.model",
+            "smal-1",
+            "'small-1'?",
+        ),
+        (
+            "region:cluj/pipeline:claims",
+            "stage.generate.model",
+            "big-9",
+            "load it on an endpoint",
+        ),
+        ("firm", "drain.host-1", True, "register or undrain"),
+        ("firm", "endpoint.a-1", None, "register or undrain"),
+        ("firm", "endpoint.a-1", {**ENDPOINT, "models": ["x"]}, "offers model"),
+    ],
+)
+def test_a_wrong_change_is_refused_with_its_remedy(scope, key, value, remedy):
+    found = check_ops(tree(), [Op(scope, key, value)])
+    assert found
+    assert remedy in str(found[0])
+
+
+def test_a_batch_is_judged_as_a_whole():
+    batch = [
+        Op("pipeline:claims", "stages", ["generate", "rerank"]),
+        Op("firm", "endpoint.r-1", {**ENDPOINT, "pool": "rerank", "host": "host-2"}),
+    ]
+    assert check_ops(tree(), batch) == []
+    assert check_ops(tree(), batch[:1]) != []
+
+
+def test_an_old_fault_does_not_block_its_remedy():
+    broken = tree().apply([Op("firm", "endpoint.a-1", None)])
+    assert check_ops(broken, [Op("firm", "deadline_ms", 9)]) == []
+    other = {**ENDPOINT, "pool": "other"}
+    assert check_ops(broken, [Op("firm", "endpoint.b-1", other)]) == []
+
+
+def test_every_key_has_a_doc_and_a_default_of_its_kind():
+    for key in known_keys():
+        assert key.doc
+        if key.default not in (None, ""):
+            scope = next(s for s in (FIRM, ACCOUNT, PIPELINE) if ok(key, s))
+            assert key.mistake(scope, key.default) == ""
+
+
+def ok(key, scope):
+    return not key.placement.mistake(scope)
