--- /dev/null
+++ b/bench/light_fleet.py
@@ -0,0 +1,105 @@
+"""
+Many settings nodes in one process: the settings code of a daemon and nothing else.
+
+An entry node follows the platform and tells sidecars; a sidecar node serves the
+inner protocol and tells others. Whole daemons would need 48 MB each.
+"""
+
+import argparse
+import sys
+import time
+from contextlib import AsyncExitStack
+
+import capnp
+
+from amaranthtally.daemon.entry.change_store import ChangeStore
+from amaranthtally.daemon.entry.log_follower import LogFollower
+from amaranthtally.daemon.entry.snapshots import SnapshotStore
+from amaranthtally.daemon.lifecycle import run_beside, stop_on_signal
+from amaranthtally.daemon.logs import configure_logs
+from amaranthtally.daemon.settings_state import SettingsState
+from amaranthtally.daemon.settings_sync import (
+    ENTRY_LINKS,
+    SIDECAR_LINKS,
+    SettingsSync,
+)
+from amaranthtally.platform import open_key_value
+from amaranthtally.wire import serve_sidecar
+from amaranthtally.wire.loop import run
+
+
+class LightSidecar:
+    """Only the settings half of a sidecar's inner protocol."""
+
+    def __init__(self, sync):
+        self._sync = sync
+
+    def changes_since(self, revision):
+        return self._sync.changes_since(revision)
+
+    def announced(self, revision, fetch):
+        self._sync.heard(revision, fetch)
+        return self._sync.revision
+
+
+def write(**pairs):
+    sys.stderr.write(" ".join(f"{k}={v}" for k, v in pairs.items()) + "\n")
+    sys.stderr.flush()
+
+
+def open_state(name):
+    state = SettingsState()
+
+    def in_force(tree):
+        write(event="in_force", node=name, revision=tree.revision, at=time.time())
+
+    state.listen(in_force)
+    return state
+
+
+async def open_entry(name, platform, stack):
+    state = open_state(name)
+    client = await stack.enter_async_context(open_key_value(platform, name))
+    follower = LogFollower(ChangeStore(client), SnapshotStore(client), state)
+    sync = SettingsSync(name, state, ENTRY_LINKS)
+    stack.push_async_callback(sync.close)
+    run_beside(stack, follower.follow())
+    run_beside(stack, sync.run())
+
+
+async def open_sidecar(name, stack):
+    sync = SettingsSync(name, open_state(name), SIDECAR_LINKS)
+    stack.push_async_callback(sync.close)
+    run_beside(stack, sync.run())
+    port = await stack.enter_async_context(
+        serve_sidecar(LightSidecar(sync), "127.0.0.1", 0)
+    )
+    write(event="node", node=name, port=port)
+
+
+async def serve(arguments):
+    async with AsyncExitStack() as stack:
+        await stack.enter_async_context(capnp.kj_loop())
+        stop = stack.enter_context(stop_on_signal())
+        for number in range(arguments.first, arguments.first + arguments.nodes):
+            name = f"{arguments.role}-l{number}"
+            if arguments.role == "entry":
+                await open_entry(name, arguments.platform, stack)
+            else:
+                await open_sidecar(name, stack)
+        write(event="listening", port=0)
+        await stop.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("role", choices=["entry", "sidecar"])
+    parser.add_argument("--platform", default="")
+    parser.add_argument("--first", type=int, required=True)
+    parser.add_argument("--nodes", type=int, required=True)
+    configure_logs("warning")
+    run(serve(parser.parse_args()))
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/daemon/src/amaranthtally/daemon/entry/committer.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/committer.py
@@ -157,6 +157,7 @@
         """
         read = await self._changes.read_head()
         if isinstance(read, Err):
+            self._follower.note(read)
             return read
         caught_up = await self._follower.catch_up(read.ok_value)
         return caught_up if isinstance(caught_up, Err) else read
--- a/packages/daemon/src/amaranthtally/daemon/entry/log_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/log_follower.py
@@ -49,7 +49,7 @@
         pause = RETRY_MIN_S
         while True:
             step = await self._step(seen)
-            self._note(step)
+            self.note(step)
             if isinstance(step, Ok):
                 seen = step.ok_value
                 pause = RETRY_MIN_S
@@ -81,6 +81,19 @@
         self._state.take(changes.ok_value, SOURCE)
         return Ok(None)
 
+    def note(self, step: Result[HeadRead, PlatformError]) -> None:
+        """Take note of whether the platform answered, here or to a commit."""
+        connected = isinstance(step, Ok)
+        if connected:
+            self._state.loaded.set()
+        if connected != self._connected:
+            if isinstance(step, Err):
+                log.warning("platform_lost", cause=str(step.err_value))
+            else:
+                log.info("platform_connected", revision=self._state.revision)
+        self._connected = connected
+        self._tried.set()
+
     async def _step(self, seen: HeadRead) -> Result[HeadRead, PlatformError]:
         if seen.number and self._connected:
             found = await self._changes.watch_head(seen.index, WATCH_WAIT_S)
@@ -117,15 +130,3 @@
         if newest is None:
             return Ok(None)
         return await self._changes.advance_head(newest, head)
-
-    def _note(self, step: Result[HeadRead, PlatformError]) -> None:
-        connected = isinstance(step, Ok)
-        if connected:
-            self._state.loaded.set()
-        if connected != self._connected:
-            if isinstance(step, Err):
-                log.warning("platform_lost", cause=str(step.err_value))
-            else:
-                log.info("platform_connected", revision=self._state.revision)
-        self._connected = connected
-        self._tried.set()
--- a/packages/daemon/src/amaranthtally/daemon/logs.py
+++ b/packages/daemon/src/amaranthtally/daemon/logs.py
@@ -2,12 +2,33 @@
 
 import logging
 import sys
-
-import structlog
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
 
 __all__ = ["configure_logs", "get_logger"]
 
 
+@contextmanager
+def _hidden(name: str) -> Iterator[None]:
+    """Make imports of a module fail for a while, unless it is there already."""
+    modules: dict[str, Any] = sys.modules
+    if name in modules:
+        yield
+        return
+    modules[name] = None
+    try:
+        yield
+    finally:
+        del modules[name]
+
+
+# structlog imports rich, for tracebacks in colour, where it is installed: 3 MB of the
+# 64 MB that a daemon has. It is the command line's library, so it is found.
+with _hidden("rich"):
+    import structlog
+
+
 def configure_logs(level: str) -> None:
     """Set up structlog for the process; ``level`` as in ``logging``, lower case."""
     structlog.configure(
--- a/packages/operator/src/amaranthtally/operator/main.py
+++ b/packages/operator/src/amaranthtally/operator/main.py
@@ -4,9 +4,24 @@
 
 from cyclopts import App
 
+from amaranthtally.operator.fleet_commands import add_fleet_commands
+from amaranthtally.operator.request_command import add_request_command
+from amaranthtally.operator.settings_commands import app as settings_app
+
 __all__ = ["app", "main"]
 
-app = App(name="amaranthtally", help="Operate an amaranthtally deployment.")
+HELP = """\
+Operate an amaranthtally deployment.
+
+Exit codes: 0 done, 1 refused, 2 wrong command line, 3 another operator's change
+came first, 4 entry or platform does not answer, 5 outcome unknown, 6 'diff' found
+differences. After 1, 3 and 4 nothing was changed.
+"""
+
+app = App(name="amaranthtally", help=HELP, result_action="return_value")
+app.command(settings_app)
+add_fleet_commands(app)
+add_request_command(app)
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/options.py
@@ -0,0 +1,23 @@
+"""Arguments and options that several commands share."""
+
+from pathlib import Path
+from typing import Annotated
+
+from cyclopts import Parameter
+
+__all__ = ["FIRM", "Host", "KeyName", "Limit", "Scope", "SettingsFile"]
+
+FIRM = "firm"
+
+KeyName = Annotated[str, Parameter(help="Name of a key; see 'settings keys'.")]
+Scope = Annotated[
+    str,
+    Parameter(
+        help="firm, region:NAME, account:NAME, pipeline:NAME, or several joined by /."
+    ),
+]
+Limit = Annotated[int, Parameter(help="At most so many.")]
+Host = Annotated[str, Parameter(help="Name of a host; see 'endpoints'.")]
+SettingsFile = Annotated[
+    Path, Parameter(help='A table for each scope: ["pipeline:NAME"], KEY = VALUE.')
+]
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/request_command.py
@@ -0,0 +1,126 @@
+"""``amaranthtally request``: send one request as a client account."""
+
+import asyncio
+import sys
+from typing import Annotated, Any
+
+import aiohttp
+import msgspec
+from cyclopts import App, Parameter
+
+from amaranthtally.operator.exit_codes import ExitCode
+from amaranthtally.operator.output import print_document, print_table
+
+__all__ = ["add_request_command"]
+
+MARGIN_S = 5.0
+MILLISECONDS = 1000
+
+
+class _Stage(msgspec.Struct):
+    name: str
+    endpoint: str
+    region: str
+    ms: float
+    queued_ms: float
+    attempts: int
+
+
+class _Answer(msgspec.Struct):
+    request_id: str
+    output: Any
+    stages: list[_Stage]
+
+
+class _Problem(msgspec.Struct):
+    title: str = ""
+    detail: str = ""
+    outcome: str = ""
+
+
+def add_request_command(app: App) -> None:
+    """Add the command to the application."""
+    app.command(request)
+
+
+def request(
+    pipeline: Annotated[str, Parameter(help="Name of the pipeline.")],
+    text: Annotated[str, Parameter(help="Input of the request.")],
+    /,
+    *,
+    entry_url: Annotated[
+        str,
+        Parameter(
+            env_var="AMARANTHTALLY_ENTRY_URL",
+            help="Address at which callers reach an entry, as http://IP:PORT.",
+        ),
+    ],
+    account_key: Annotated[
+        str,
+        Parameter(
+            env_var="AMARANTHTALLY_ACCOUNT_KEY",
+            help="Bearer key of a client account; better given by the environment.",
+        ),
+    ],
+    deadline_ms: Annotated[
+        int, Parameter(help="Time the request may take, in milliseconds.")
+    ] = 4000,
+    idempotency_key: Annotated[
+        str, Parameter(help="Names a request for repeats, where a stage needs it.")
+    ] = "",
+    json: Annotated[
+        bool, Parameter(negative="", help="Print JSON for scripts.")
+    ] = False,
+) -> ExitCode:
+    """Send one request and print its answer and its stages."""
+    headers = {"Authorization": f"Bearer {account_key}"}
+    if idempotency_key:
+        headers["Idempotency-Key"] = idempotency_key
+    url = f"{entry_url.rstrip('/')}/v1/pipelines/{pipeline}/requests"
+    body = {"input": text, "deadline_ms": deadline_ms}
+    try:
+        status, raw = asyncio.run(_send(url, headers, body))
+    except (aiohttp.ClientError, TimeoutError) as error:
+        cause = str(error) or type(error).__name__
+        sys.stderr.write(f"amaranthtally: {url} does not answer ({cause})\n")
+        return ExitCode.UNREACHABLE
+    if json:
+        sys.stdout.write(raw.decode() + "\n")
+    if status != 200:
+        return _print_refusal(raw)
+    if not json:
+        _print_answer(msgspec.json.decode(raw, type=_Answer))
+    return ExitCode.DONE
+
+
+async def _send(
+    url: str, headers: dict[str, str], body: dict[str, Any]
+) -> tuple[int, bytes]:
+    total = body["deadline_ms"] / MILLISECONDS + MARGIN_S
+    timeout = aiohttp.ClientTimeout(total=total)
+    async with (
+        aiohttp.ClientSession(timeout=timeout) as http,
+        http.post(url, json=body, headers=headers) as response,
+    ):
+        return response.status, await response.read()
+
+
+def _print_refusal(raw: bytes) -> ExitCode:
+    try:
+        problem = msgspec.json.decode(raw, type=_Problem)
+    except msgspec.DecodeError:
+        problem = _Problem("No answer", "is this the address for callers?")
+    sys.stderr.write(
+        f"amaranthtally: {problem.title}: {problem.detail} ({problem.outcome})\n"
+    )
+    return ExitCode.UNKNOWN if problem.outcome == "unknown" else ExitCode.REFUSED
+
+
+def _print_answer(answer: _Answer) -> None:
+    print_document(answer.output)
+    sys.stdout.write(f"request {answer.request_id}\n")
+    rows = [
+        (s.name, s.endpoint, s.region, s.ms, s.queued_ms, s.attempts)
+        for s in answer.stages
+    ]
+    print_table(("STAGE", "ENDPOINT", "REGION", "MS", "QUEUED MS", "ATTEMPTS"), rows)
