Prove effects at most once under kills, pauses, outages and lost answers

Cause: nothing showed what became of an effect when its sidecar, entry, service or the platform failed; the refusal of an own key in an outage said not_run also where an earlier try under that key had run. Ruled out: telling a first try from a repeat while the platform is down (no record of the key can be read, and the balancer itself may repeat a request). Change: tests with real processes, one fault and two together; a problem found before the binding is known says unknown where the request has a key. Before: by_key == (503, not_run) while the first try's effect was on record.

--- a/packages/daemon/src/amaranthtally/daemon/entry/binder.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/binder.py
@@ -163,15 +163,15 @@
 _NO_CLAIM = Problem(
     503,
     "Platform unreachable",
-    "This request was not run; one sent before under the same key may have been. "
-    "Repeat it with the same key, or ask for a token, which needs no platform.",
+    "Nothing was sent now; an earlier try under the same key may have run. Repeat "
+    "it with the same key, or take a token for the next: it needs no platform.",
     retry_after=RETRY_AFTER_S,
 )
 _NO_ENDPOINT = Problem(
     503,
     "No endpoint",
-    "This request was not run; one sent before under the same key may have been. "
-    "Repeat it with the same key.",
+    "Nothing was sent now; an earlier try under the same key may have run. Repeat "
+    "it with the same key.",
     retry_after=RETRY_AFTER_S,
 )
 _UNREACHABLE = Problem(
--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -19,6 +19,7 @@
     problem_of_refusal,
     problem_response,
     render_problem,
+    truthful,
 )
 from amaranthtally.daemon.entry.tokens import is_token
 from amaranthtally.daemon.logs import get_logger
@@ -115,7 +116,8 @@
 
     def _refuse(self, request: web.Request, problem: Problem) -> web.Response:
         self._count(request.match_info["pipeline"], problem.status)
-        return problem_response(problem)
+        keyed = IDEMPOTENCY_KEY in request.headers
+        return problem_response(truthful(problem, keyed))
 
     def _identify(self, request: web.Request) -> tuple[str, Pipeline] | Problem:
         if self._view is None or self._pipelines is None:
--- a/packages/daemon/src/amaranthtally/daemon/entry/problems.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/problems.py
@@ -1,14 +1,20 @@
 """Refusals and errors to callers, as ``application/problem+json`` (RFC 9457)."""
 
 import math
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 from aiohttp import web
 
 from amaranthtally.policy import Outcome, Reason, Refuse
 
-__all__ = ["Problem", "problem_of_refusal", "problem_response", "render_problem"]
+__all__ = [
+    "Problem",
+    "problem_of_refusal",
+    "problem_response",
+    "render_problem",
+    "truthful",
+]
 
 CONTENT_TYPE = "application/problem+json"
 
@@ -76,6 +82,23 @@
     )
 
 
+# Statuses that speak of the body or key as sent: no such request can have run.
+_MALFORMED = frozenset({400, 413, 422})
+
+
+def truthful(problem: Problem, keyed: bool) -> Problem:
+    """
+    Return a problem found before the key's binding was, with its true outcome.
+
+    A key names its request through all repeats. Where the first try has run, a
+    repeat that is refused unread (platform down, unknown bearer key, no settings
+    yet) must not say ``not_run``: its caller would order a second truck by phone.
+    """
+    if not keyed or problem.status in _MALFORMED:
+        return problem
+    return replace(problem, outcome=Outcome.UNKNOWN)
+
+
 class _Document(msgspec.Struct, omit_defaults=True):
     type: str
     title: str
--- a/tests/at_most_once/support.py
+++ b/tests/at_most_once/support.py
@@ -54,27 +54,13 @@
     await wait_for(reached)
 
 
-async def running_pair(deployment):
-    """Return the dispatch endpoint whose sidecar runs or ran a call."""
-    for pair in deployment.pool("dispatch"):
-        if await sidecar_has_call(deployment, pair):
-            return pair
-    return None
-
-
-async def sidecar_has_call(deployment, pair):
-    """Tell whether a stand-in has been reached by a call, effect or not."""
-    url = f"{pair.service_url}/_calls"
-    async with deployment.http.get(url) as response:
-        return (await response.json()) > 0
-
-
-async def wait_for_call(deployment):
-    """Return the dispatch endpoint that a call reached, once one did."""
+async def wait_for_call(deployment, pool="dispatch"):
+    """Return the endpoint of a pool that a call reached, once one did."""
     while True:
-        pair = await running_pair(deployment)
-        if pair is not None:
-            return pair
+        for pair in deployment.pool(pool):
+            async with deployment.http.get(f"{pair.service_url}/_calls") as response:
+                if await response.json() > 0:
+                    return pair
         await asyncio.sleep(0.01)
 
 
@@ -88,8 +74,3 @@
         document = await response.json()
         assert response.status == 201, document
         return document["token"]
-
-
-async def document_of(response):
-    """Return an answer's status and JSON document."""
-    return response.status, await response.json()
