--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -7,12 +7,12 @@
 
 import msgspec
 from aiohttp import hdrs, web
-from aioprometheus import Counter
 
 from amaranthtally.daemon.entry.binder import Binder, EffectRequest
 from amaranthtally.daemon.entry.bound import BoundRequest
 from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.entry.live_request import Chunk, Ending, LiveRequest
+from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.pipelines import PipelineResolver
 from amaranthtally.daemon.entry.problems import (
     Problem,
@@ -36,9 +36,6 @@
 EVENT_STREAM = "text/event-stream"
 
 log = get_logger()
-requests_total = Counter(
-    "amaranthtally_requests_total", "Requests by pipeline and status."
-)
 
 
 class _Body(msgspec.Struct, forbid_unknown_fields=True):
@@ -65,10 +62,16 @@
     """Checks callers' requests, submits them, and writes their endings."""
 
     def __init__(
-        self, executor: Executor, binder: Binder, region: str, max_body: int
+        self,
+        executor: Executor,
+        binder: Binder,
+        metrics: EntryMetrics,
+        region: str,
+        max_body: int,
     ) -> None:
         self._executor = executor
         self._binder = binder
+        self._metrics = metrics
         self._region = region
         self._max_body = max_body
         self._view: SettingsView | None = None
@@ -115,7 +118,7 @@
     # Checks
 
     def _refuse(self, request: web.Request, problem: Problem) -> web.Response:
-        self._count(request.match_info["pipeline"], problem.status)
+        self._metrics.request_rejected(problem.status)
         keyed = IDEMPOTENCY_KEY in request.headers
         return problem_response(truthful(problem, keyed))
 
@@ -241,7 +244,8 @@
 
     def _log_end(self, live: LiveRequest, status: int, outcome: str) -> None:
         arrival = live.arrival
-        self._count(arrival.pipeline.name, status)
+        took = asyncio.get_running_loop().time() - live.arrived
+        self._metrics.request_ended(arrival.pipeline.name, status, took)
         log.info(
             "request_ended",
             request_id=live.id,
@@ -249,16 +253,11 @@
             pipeline=arrival.pipeline.name,
             status=status,
             outcome=outcome,
+            ms=round(took * 1000, 1),
             revision=live.revision,
             stages=len(live.records),
         )
 
-    def _count(self, pipeline: str, status: int) -> None:
-        known = self._pipelines is not None and status != 404
-        requests_total.inc(
-            {"pipeline": pipeline if known else "", "status": str(status)}
-        )
-
 
 _NO_TOKEN_NEEDED = Problem(
     409, "No token needed", "This pipeline has no side effect; send the request."
--- a/packages/daemon/src/amaranthtally/daemon/entry/claims.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/claims.py
@@ -16,10 +16,17 @@
 from amaranthtally.platform import KeyValueClient, PlatformDown, PlatformError
 from amaranthtally.policy.once import Binding
 
-__all__ = ["CLAIM_PREFIX", "Claim", "Claims", "FoundClaim", "claim_path"]
+__all__ = [
+    "CLAIM_PREFIX",
+    "SHARD_DIGITS",
+    "Claim",
+    "Claims",
+    "FoundClaim",
+    "claim_path",
+]
 
 CLAIM_PREFIX = "claims/"
-SHARD_DIGITS = 2
+SHARD_DIGITS = 3
 ID_BYTES = 8
 CLAIM_TIMEOUT_S = 1.0
 TRIES = 3
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -1,7 +1,8 @@
 """Carries out the policy's actions and feeds it what came of them."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
+from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
@@ -9,6 +10,7 @@
 
 from amaranthtally.daemon.entry.inquiries import Inquirer, load_report
 from amaranthtally.daemon.entry.live_request import LiveRequest, StageRecord
+from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -19,6 +21,7 @@
     Cancel,
     Endpoint,
     Fate,
+    Greet,
     Outcome,
     Planner,
     PolicySettings,
@@ -37,11 +40,13 @@
     StageCall,
     StageReply,
     Status,
+    WireError,
 )
 
 __all__ = ["Executor"]
 
 TICK_S = 0.01
+IDLE_TICK_S = 1.0
 
 log = get_logger()
 
@@ -61,19 +66,26 @@
 class Executor:
     """Runs one entry's requests; every decision is the planner's."""
 
-    def __init__(self, planner: Planner, settings: PolicySettings) -> None:
+    def __init__(
+        self, planner: Planner, settings: PolicySettings, metrics: EntryMetrics
+    ) -> None:
         self._planner = planner
+        self._metrics = metrics
+        self._region = settings.region
         self._endpoints = settings.endpoints
+        self._revision = settings.revision
         self._requests: dict[str, LiveRequest] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._peers: Peers | None = None
         self._inquirer: Inquirer | None = None
         self._giving_up: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
+        self._arrived = asyncio.Event()
         self._carry_out_table: dict[type, Callable[[Any], None]] = {
             Send: self._send,
             Cancel: self._cancel,
             Ask: self._ask,
+            Greet: self._greet,
             Answer: self._answer,
             Refuse: self._refuse,
         }
@@ -83,6 +95,11 @@
         """Requests that have not ended."""
         return len(self._requests) + len(self._giving_up)
 
+    @property
+    def endpoints(self) -> Mapping[str, Endpoint]:
+        """Registered endpoints by id."""
+        return self._endpoints
+
     def connect(self, peers: Peers, inquirer: Inquirer) -> None:
         """Use these connections."""
         self._peers = peers
@@ -93,6 +110,7 @@
     def submit(self, request: LiveRequest) -> None:
         """Hand a request to the policy; its ending comes through the request."""
         self._requests[request.id] = request
+        self._arrived.set()
         self._carry_out(
             self._planner.request_arrived(self._loop.time(), request.arrival)
         )
@@ -108,6 +126,7 @@
     def settings_changed(self, settings: PolicySettings) -> None:
         """Use newer settings for what comes."""
         self._endpoints = settings.endpoints
+        self._revision = settings.revision
         self._carry_out(self._planner.settings_changed(self._loop.time(), settings))
 
     def load_changed(self, endpoint: str, load: Load) -> None:
@@ -120,9 +139,14 @@
         self._carry_out(self._planner.endpoint_leaving(self._loop.time(), endpoint))
 
     async def tick(self) -> None:
-        """Let the policy act on the passing of time, until cancelled."""
+        """
+        Let the policy act on the passing of time, until cancelled.
+
+        Ticks cost processor time whether or not anything waits for them: with no
+        request in flight the policy is woken once a second only.
+        """
         while True:
-            await asyncio.sleep(TICK_S)
+            await self._wait_for_tick()
             self._carry_out(self._planner.tick(self._loop.time()))
 
     async def drained(self) -> None:
@@ -130,6 +154,15 @@
         while self.in_flight:
             await asyncio.sleep(TICK_S)
 
+    async def _wait_for_tick(self) -> None:
+        if self._requests:
+            await asyncio.sleep(TICK_S)
+            return
+        self._arrived.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._arrived.wait()
+
     # Actions
 
     def _carry_out(self, actions: list[Action]) -> None:
@@ -138,7 +171,11 @@
 
     def _send(self, send: Send) -> None:
         request = self._requests[send.attempt.request_id]
-        self._start(request, send.attempt, self._run_attempt(request, send))
+        # Looked up now: a change of settings may take the endpoint away before the
+        # task runs, and a live request must not fail by it.
+        endpoint = self._endpoint_for(request, send.attempt, send.endpoint)
+        work = self._run_attempt(request, send, endpoint)
+        self._start(request, send.attempt, work)
 
     def _cancel(self, cancel: Cancel) -> None:
         request = self._requests.get(cancel.attempt.request_id)
@@ -150,6 +187,13 @@
         request = self._requests[ask.attempt.request_id]
         self._start(request, ask.attempt, self._ask_outcome(request, ask))
 
+    def _greet(self, greet: Greet) -> None:
+        endpoint = self._endpoints.get(greet.endpoint)
+        if endpoint is not None:
+            task = asyncio.create_task(self._greet_endpoint(endpoint))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
     def _answer(self, answer: Answer) -> None:
         request = self._requests.pop(answer.request_id)
         self._stop_attempts(request)
@@ -199,9 +243,10 @@
 
     # Attempts
 
-    async def _run_attempt(self, request: LiveRequest, send: Send) -> None:
+    async def _run_attempt(
+        self, request: LiveRequest, send: Send, endpoint: Endpoint | None
+    ) -> None:
         attempt = send.attempt
-        endpoint = self._endpoint_for(request, attempt, send.endpoint)
         stage = request.arrival.pipeline.stages[attempt.stage]
         assert self._peers is not None
         if endpoint is None:
@@ -211,20 +256,25 @@
             client = await self._peers.client(endpoint)
         except PeerLostError as error:
             self._log_attempt(attempt, endpoint, "unreachable", str(error))
-            self._ended(attempt, StageResult(Fate.NOT_RUN))
+            self._ended(attempt, StageResult(Fate.NOT_RUN, unreachable=True))
             return
         call = self._build_call(request, send, stage)
 
         async def on_chunk(offset: int, text: str) -> None:
+            if attempt not in request.tasks:
+                return
             if request.take_chunk(attempt.stage, offset, text):
                 self._planner.progress(self._loop.time(), attempt, len(request.chunks))
 
         try:
             reply = await client.run(call, on_chunk if stage.streams else None)
-        except PeerLostError as error:
+        except WireError as error:
             self._log_attempt(attempt, endpoint, "lost", str(error))
             self._ended(attempt, StageResult(Fate.LOST))
             return
+        if endpoint.region != self._region:
+            size = len(call.input) + len(reply.output)
+            self._metrics.region_crossed(stage.name, size)
         self._take_reply(request, attempt, endpoint, reply)
 
     async def _ask_outcome(self, request: LiveRequest, ask: Ask) -> None:
@@ -254,6 +304,13 @@
         binding = request.bound.binding(attempt.stage, stage)
         return self._endpoints.get(binding.endpoint)
 
+    async def _greet_endpoint(self, endpoint: Endpoint) -> None:
+        assert self._peers is not None
+        try:
+            await self._peers.greet(endpoint)
+        except PeerLostError as error:
+            log.debug("greeting_failed", endpoint=endpoint.id, cause=str(error))
+
     def _build_call(self, request: LiveRequest, send: Send, stage: Stage) -> StageCall:
         attempt = send.attempt
         call_key, terms = "", OnceTerms()
@@ -275,7 +332,7 @@
             streaming=stage.streams,
             resume_offset=send.resume_offset,
             model=stage.model,
-            revision=request.revision,
+            revision=self._revision,
         )
 
     def _take_reply(
@@ -317,6 +374,8 @@
         if request is None:
             return
         request.tasks.pop(attempt, None)
+        stage = request.arrival.pipeline.stages[attempt.stage]
+        self._metrics.attempt_ended(stage.name, result.fate.value)
         self._carry_out(self._planner.reply(self._loop.time(), attempt, result))
 
     def _log_attempt(
--- a/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
@@ -64,6 +64,7 @@
     input: bytes
     revision: int
     bound: BoundRequest | None = None
+    arrived: float = field(default_factory=lambda: asyncio.get_running_loop().time())
     events: "asyncio.Queue[Chunk | Ending]" = field(default_factory=asyncio.Queue)
     tasks: dict[AttemptId, asyncio.Task[None]] = field(default_factory=dict)
     outputs: list[bytes] = field(default_factory=list)
--- a/packages/daemon/src/amaranthtally/daemon/entry/peers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/peers.py
@@ -40,6 +40,11 @@
         self._connecting: dict[str, asyncio.Task[SidecarClient]] = {}
         self._watchers: set[asyncio.Task[None]] = set()
 
+    @property
+    def connected(self) -> int:
+        """Sidecars with an open connection."""
+        return len(self._clients)
+
     def incarnation(self, endpoint: str) -> int:
         """Return the incarnation last heard of; 0 when none."""
         return self._incarnations.get(endpoint, 0)
@@ -67,6 +72,14 @@
             )
         return await asyncio.shield(connecting)
 
+    async def greet(self, endpoint: Endpoint) -> None:
+        """Ask a sidecar for its load; raises ``PeerLostError``."""
+        client = await self.client(endpoint)
+        greeting = await client.hello(
+            self._entry, self._source.changes_since(1 << 62).revision, self._source
+        )
+        self.note_load(endpoint.id, greeting.load)
+
     async def close(self) -> None:
         """Close every connection."""
         for client in list(self._clients.values()):
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/once.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/once.py
@@ -76,7 +76,7 @@
         now, key = self._runner.clock_s, call.call_key
         verdict = self._ledger.judge(now, key, call.terms)
         if verdict is Verdict.KNOWN:
-            return await self._ended(key)
+            return await self._ended(call.id, key)
         refusal = self._runner.refusal(call)
         if verdict is Verdict.FRESH and refusal:
             return self._runner.not_run(call.id, refusal)
@@ -90,7 +90,7 @@
         task = asyncio.create_task(self._effect(call, on_chunk))
         self._effects.add(task)
         task.add_done_callback(self._effects.discard)
-        return await self._ended(key)
+        return await self._ended(call.id, key)
 
     def started(self, key: str) -> None:
         """Note that a call goes to the endpoint."""
@@ -126,16 +126,16 @@
             self._keep_output(key, len(reply.output))
         record.reply.set_result(reply)
 
-    async def _ended(self, key: str) -> StageReply:
+    async def _ended(self, call_id: CallId, key: str) -> StageReply:
         reply = await asyncio.shield(self._records[key].reply)
-        return replace(reply, load=self._runner.load())
+        return replace(reply, id=call_id, load=self._runner.load())
 
     async def _inquire_known(
         self, key: str, terms: OnceTerms, inquiry: Inquiry
     ) -> StageReply:
         state = self._ledger.state(key)
         if state is CallState.ENDED or inquiry is Inquiry.WAIT:
-            return await self._ended(key)
+            return await self._ended(NO_ID, key)
         withdraw = inquiry is Inquiry.WITHDRAW and state is CallState.QUEUED
         record = self._records[key]
         if withdraw and self._runner.cancel_waiting(record.call_id):
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -1,7 +1,7 @@
 """Inner protocol between entries and sidecars: messages, codec, client, server."""
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
-from amaranthtally.wire.errors import PeerLostError, WireError
+from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -14,7 +14,12 @@
     StageReply,
     Status,
 )
-from amaranthtally.wire.server import SettingsSource, SidecarHandler, serve_sidecar
+from amaranthtally.wire.server import (
+    SettingsFetcher,
+    SettingsSource,
+    SidecarHandler,
+    serve_sidecar,
+)
 
 __all__ = [
     "CallId",
@@ -24,6 +29,8 @@
     "Load",
     "OnceTerms",
     "PeerLostError",
+    "ReplyMismatchError",
+    "SettingsFetcher",
     "SettingsGap",
     "SettingsSource",
     "SidecarClient",
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -12,9 +12,11 @@
     read_call_id,
     read_terms,
     schema,
+    write_call_id,
     write_load,
     write_reply,
 )
+from amaranthtally.wire.errors import PeerLostError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -50,6 +52,9 @@
 class SidecarHandler(SettingsSource, Protocol):
     """What a sidecar does with the calls of an entry."""
 
+    def announced(self, revision: int, fetch: SettingsFetcher) -> int:
+        """Hear of a peer's revision and return one's own."""
+
     async def hello(
         self, entry: str, revision: int, fetch: SettingsFetcher
     ) -> Greeting:
@@ -92,21 +97,28 @@
     ) -> None:
         _write_gap(_context.results, self._handler.changes_since(revision))
 
+    async def announce(
+        self, revision: int, source: Any, _context: Any, **_: Any
+    ) -> None:
+        own = self._handler.announced(revision, _fetcher(source))
+        _context.results.revision = own
+
     async def hello(
         self, entry: str, revision: int, settings: Any, _context: Any, **_: Any
     ) -> None:
-        async def fetch(after: int) -> SettingsGap:
-            return read_gap(await settings.changesSince(after))
-
-        greeting = await self._handler.hello(entry, revision, fetch)
+        greeting = await self._handler.hello(entry, revision, _fetcher(settings))
         _context.results.endpoint = greeting.endpoint
         write_load(_context.results.load, greeting.load)
 
     async def run(self, call: Any, sink: Any, _context: Any, **_: Any) -> None:
+        wanted = read_call(call)
+
         async def on_chunk(offset: int, text: str) -> None:
-            await sink.chunk(offset, text)
+            request = sink.chunk_request(offset=offset, text=text)
+            write_call_id(request.id, wanted.id)
+            await request.send()
 
-        reply = await self._handler.run(read_call(call), on_chunk)
+        reply = await self._handler.run(wanted, on_chunk)
         write_reply(_context.results.reply, reply)
 
     async def cancel(self, id: Any, _context: Any, **_: Any) -> None:  # noqa: A002
@@ -135,14 +147,26 @@
     return _SettingsServer(source)
 
 
+def _fetcher(peer: Any) -> SettingsFetcher:
+    async def fetch(after: int) -> SettingsGap:
+        try:
+            return read_gap(await peer.changesSince(after))
+        except capnp.KjException as error:
+            raise PeerLostError("settings peer", str(error).splitlines()[0]) from error
+
+    return fetch
+
+
 def _write_gap(target: Any, gap: SettingsGap) -> None:
     target.revision = gap.revision
     target.changes = list(gap.changes)
+    target.snapshot = gap.snapshot
 
 
 def read_gap(source: Any) -> SettingsGap:
     """Return the settings gap held by a reader."""
-    return SettingsGap(source.revision, tuple(bytes(c) for c in source.changes))
+    changes = tuple(bytes(change) for change in source.changes)
+    return SettingsGap(source.revision, changes, bytes(source.snapshot))
 
 
 @asynccontextmanager
