Find frozen sidecars and engines; take each chunk once, from one text

Cause: a frozen process keeps its connection open, so a stream waited on it until its deadline (test_streams: freeze_engine, freeze_sidecar, pause_sidecar ended in 'deadline-passed'). Ruled out: kill and cut, which end the connection and were resumed at their offset before this change. Sidecars can tell entries of their load unasked (loadChanged), used next.

--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -8,6 +8,7 @@
 
 from amaranthtally.daemon.entry.live_request import LiveRequest, StageRecord
 from amaranthtally.daemon.entry.peers import Peers
+from amaranthtally.daemon.entry.stream_text import ChunkFate
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     Action,
@@ -195,10 +196,7 @@
         call = self._build_call(request, send, stage)
 
         async def on_chunk(offset: int, text: str) -> None:
-            if attempt not in request.tasks:
-                return
-            if request.take_chunk(attempt.stage, offset, text):
-                self._planner.progress(self._loop.time(), attempt, len(request.chunks))
+            self._take_chunk(request, attempt, endpoint, offset, text)
 
         try:
             reply = await client.run(call, on_chunk if stage.streams else None)
@@ -208,6 +206,26 @@
             return
         self._take_reply(request, attempt, endpoint, reply)
 
+    def _take_chunk(
+        self,
+        request: LiveRequest,
+        attempt: AttemptId,
+        endpoint: Endpoint,
+        offset: int,
+        text: str,
+    ) -> None:
+        fate = request.take_chunk(attempt, offset, text)
+        if fate is ChunkFate.TAKEN:
+            self._carry_out(
+                self._planner.progress(self._loop.time(), attempt, len(request.chunks))
+            )
+        elif fate is not ChunkFate.DROPPED:
+            task = request.tasks[attempt]
+            self._log_attempt(attempt, endpoint, "stream refused", fate.value)
+            permanent = fate is ChunkFate.TOO_LONG
+            self._ended(attempt, StageResult(Fate.FAILED, permanent=permanent))
+            task.cancel()
+
     async def _ask_outcome(self, request: LiveRequest, ask: Ask) -> None:
         attempt = ask.attempt
         endpoint = self._endpoints.get(ask.endpoint)
--- a/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from amaranthtally.daemon.entry.stream_text import ChunkFate, StreamText
 from amaranthtally.policy import Arrival, AttemptId, Outcome, Reason, Refuse
 
 __all__ = ["Chunk", "Ending", "LiveRequest", "StageRecord"]
@@ -68,7 +69,7 @@
     incarnations: dict[AttemptId, int] = field(default_factory=dict)
     outputs: list[bytes] = field(default_factory=list)
     records: list[StageRecord] = field(default_factory=list)
-    chunks: list[str] = field(default_factory=list)
+    chunks: StreamText = field(default_factory=StreamText)
 
     @property
     def id(self) -> str:
@@ -85,30 +86,24 @@
         previous = msgspec.Raw(self.outputs[-1]) if self.outputs else NO_RESULT
         return msgspec.json.encode(_StageInput(msgspec.Raw(self.input), previous))
 
-    def take_chunk(self, stage: int, offset: int, text: str) -> bool:
-        """
-        Keep a chunk; false for one of another stage, a repeat, or after a gap.
-
-        Two attempts of a streamed stage may overlap when one is resumed
-        elsewhere: a chunk counts only at the offset that comes next, so the
-        caller never sees a piece twice or out of order.
-        """
-        if stage != len(self.outputs) or offset != len(self.chunks):
-            return False
-        self.chunks.append(text)
-        if self.on_last_stage and self.arrival.streaming:
+    def take_chunk(self, attempt: AttemptId, offset: int, text: str) -> ChunkFate:
+        """Keep a chunk of an attempt that is still wanted, if it comes next."""
+        if attempt not in self.tasks or attempt.stage != len(self.outputs):
+            return ChunkFate.DROPPED
+        fate = self.chunks.take(offset, text)
+        if fate is ChunkFate.TAKEN and self.on_last_stage and self.arrival.streaming:
             self.events.put_nowait(Chunk(text))
-        return True
+        return fate
 
     def take_output(self, output: bytes, record: StageRecord) -> None:
         """Keep the output of the stage that ran."""
         self.outputs.append(output)
         self.records.append(record)
-        self.chunks = []
+        self.chunks = StreamText()
 
     def text_output(self) -> bytes:
         """Return the streamed stage's whole text as its JSON output."""
-        return msgspec.json.encode(_Text("".join(self.chunks)))
+        return msgspec.json.encode(_Text(str(self.chunks)))
 
     def finish(self) -> None:
         """End the request with its whole answer."""
--- a/packages/daemon/src/amaranthtally/daemon/entry/peers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/peers.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from typing import Any
 
+from amaranthtally.daemon.entry.heartbeat import watch_heartbeat
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import Endpoint
@@ -85,6 +86,7 @@
                     self._entry,
                     self._source.changes_since(1 << 62).revision,
                     self._source,
+                    lambda load: self.note_load(endpoint.id, load),
                 )
         except TimeoutError as error:
             client.close()
@@ -97,6 +99,7 @@
         self._clients[endpoint.id] = client
         self.note_load(endpoint.id, greeting.load)
         self._spawn(self._forget_when_lost(endpoint.id, client))
+        self._spawn(watch_heartbeat(endpoint.id, client, self.note_load))
         log.info("sidecar_connected", endpoint=endpoint.id, address=endpoint.address)
         return client
 
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
@@ -14,6 +14,8 @@
 DONE_MARK = b"[DONE]"
 DATA_PREFIX = b"data: "
 CALL_MARGIN_S = 0.05
+MIN_PROGRESS_S = 0.25
+PROGRESS_SHARE = 0.5
 
 
 class EndpointError(Exception):
@@ -179,7 +181,12 @@
     # its effect may come late, and a repeat must learn what came of it.
     if not call.repeatable:
         return aiohttp.ClientTimeout(total=None)
-    return aiohttp.ClientTimeout(total=call.remaining_s + CALL_MARGIN_S)
+    # A frozen endpoint keeps its connection open and says nothing. Half of the
+    # time that is left goes without a byte, then the other half serves elsewhere.
+    return aiohttp.ClientTimeout(
+        total=call.remaining_s + CALL_MARGIN_S,
+        sock_read=max(MIN_PROGRESS_S, call.remaining_s * PROGRESS_SHARE),
+    )
 
 
 async def _post(
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -1,6 +1,7 @@
 """Inner protocol between entries and sidecars: messages, codec, client, server."""
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
+from amaranthtally.wire.connections import EntryConnections
 from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
 from amaranthtally.wire.messages import (
     CallId,
@@ -17,6 +18,7 @@
 __all__ = [
     "CallId",
     "ChunkHandler",
+    "EntryConnections",
     "Greeting",
     "Load",
     "PeerLostError",
--- a/packages/wire/src/amaranthtally/wire/client.py
+++ b/packages/wire/src/amaranthtally/wire/client.py
@@ -24,7 +24,12 @@
     StageCall,
     StageReply,
 )
-from amaranthtally.wire.server import SettingsSource, read_gap, settings_server
+from amaranthtally.wire.server import (
+    LoadHandler,
+    SettingsSource,
+    entry_server,
+    read_gap,
+)
 
 __all__ = ["SidecarClient", "connect_sidecar"]
 
@@ -63,6 +68,7 @@
     def __init__(self, peer: str, stream: Any) -> None:
         self._peer = peer
         self._stream = stream
+        self._calls = 0
         self._client = capnp.TwoPartyClient(stream)
         self._sidecar = self._client.bootstrap().cast_as(schema.Sidecar)
 
@@ -71,13 +77,28 @@
         """Address of the sidecar."""
         return self._peer
 
+    @property
+    def calls(self) -> int:
+        """Stage calls that wait for their reply."""
+        return self._calls
+
     async def hello(
-        self, entry: str, revision: int, source: SettingsSource
+        self,
+        entry: str,
+        revision: int,
+        source: SettingsSource,
+        on_load: LoadHandler | None = None,
     ) -> Greeting:
-        """Greet the sidecar and let it read the settings of ``source``."""
+        """
+        Greet the sidecar and let it read the settings of ``source``.
+
+        ``on_load`` receives the load when the sidecar tells it unasked.
+        """
         answer = await self._guard(
             self._sidecar.hello(
-                entry=entry, revision=revision, settings=settings_server(source)
+                entry=entry,
+                revision=revision,
+                settings=entry_server(source, on_load or _no_load),
             )
         )
         return Greeting(answer.endpoint, read_load(answer.load))
@@ -93,7 +114,11 @@
         sink = _ChunkServer(self._peer, call.id, on_chunk or _no_chunk)
         if on_chunk is not None:
             request.sink = sink
-        answer = await self._guard(request.send())
+        self._calls += 1
+        try:
+            answer = await self._guard(request.send())
+        finally:
+            self._calls -= 1
         reply = self._check(call.id, read_reply(answer.reply))
         if sink.foreign is not None:
             raise ReplyMismatchError(self._peer, call.id, sink.foreign)
@@ -160,6 +185,10 @@
     return SidecarClient(peer, stream)
 
 
+def _no_load(load: Load) -> None:
+    """Drop news of a sidecar's load."""
+
+
 async def _no_chunk(offset: int, text: str) -> None:
     """Drop a chunk of a call that does not stream."""
 
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -10,11 +10,13 @@
 from amaranthtally.wire.codec import (
     read_call,
     read_call_id,
+    read_load,
     schema,
     write_call_id,
     write_load,
     write_reply,
 )
+from amaranthtally.wire.connections import EntryConnections
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -26,11 +28,12 @@
 )
 
 __all__ = [
+    "LoadHandler",
     "SettingsFetcher",
     "SettingsSource",
     "SidecarHandler",
+    "entry_server",
     "serve_sidecar",
-    "settings_server",
 ]
 
 
@@ -41,6 +44,8 @@
         """Return the changes after ``revision``, oldest first."""
 
 
+# Receives the load that a sidecar tells unasked.
+LoadHandler = Callable[[Load], None]
 # Reads, from the peer at the other end, its changes after a revision.
 SettingsFetcher = Callable[[int], Awaitable[SettingsGap]]
 
@@ -69,9 +74,15 @@
 # Servers
 
 
-class _SettingsServer(schema.SettingsPeer.Server):
-    def __init__(self, source: SettingsSource) -> None:
+class _EntryServer(schema.EntryPeer.Server):
+    def __init__(self, source: SettingsSource, on_load: LoadHandler) -> None:
         self._source = source
+        self._on_load = on_load
+
+    async def loadChanged(  # noqa: N802 - name fixed by the schema
+        self, load: Any, _context: Any, **_: Any
+    ) -> None:
+        self._on_load(read_load(load))
 
     async def changesSince(  # noqa: N802 - name fixed by the schema
         self, revision: int, _context: Any, **_: Any
@@ -80,8 +91,9 @@
 
 
 class _SidecarServer(schema.Sidecar.Server):
-    def __init__(self, handler: SidecarHandler) -> None:
+    def __init__(self, handler: SidecarHandler, connections: EntryConnections) -> None:
         self._handler = handler
+        self._connections = connections
 
     async def changesSince(  # noqa: N802 - name fixed by the schema
         self, revision: int, _context: Any, **_: Any
@@ -95,6 +107,7 @@
             return read_gap(await settings.changesSince(after))
 
         greeting = await self._handler.hello(entry, revision, fetch)
+        self._connections.greeted(self, settings)
         _context.results.endpoint = greeting.endpoint
         write_load(_context.results.load, greeting.load)
 
@@ -127,9 +140,9 @@
         write_load(_context.results.load, self._handler.load())
 
 
-def settings_server(source: SettingsSource) -> Any:
-    """Return the capability through which a peer reads ``source``."""
-    return _SettingsServer(source)
+def entry_server(source: SettingsSource, on_load: LoadHandler) -> Any:
+    """Return the capability through which a sidecar reads ``source`` and tells news."""
+    return _EntryServer(source, on_load)
 
 
 def _write_gap(target: Any, gap: SettingsGap) -> None:
@@ -144,7 +157,10 @@
 
 @asynccontextmanager
 async def serve_sidecar(
-    handler: SidecarHandler, host: str, port: int
+    handler: SidecarHandler,
+    host: str,
+    port: int,
+    connections: EntryConnections | None = None,
 ) -> AsyncIterator[int]:
     """
     Serve ``handler`` over TCP and yield the bound port; 0 lets the kernel pick.
@@ -152,10 +168,16 @@
     Must run inside ``capnp.kj_loop()``. On exit no connection is accepted any
     more and the open ones end.
     """
+    known = EntryConnections() if connections is None else connections
 
     async def accept(stream: Any) -> None:
-        server = capnp.TwoPartyServer(stream, bootstrap=_SidecarServer(handler))
-        await server.on_disconnect()
+        sidecar = _SidecarServer(handler, known)
+        known.opened(sidecar)
+        try:
+            server = capnp.TwoPartyServer(stream, bootstrap=sidecar)
+            await server.on_disconnect()
+        finally:
+            known.closed(sidecar)
 
     listener = await capnp.AsyncIoStream.create_server(accept, host, port)
     try:
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -62,8 +62,13 @@
   changesSince @0 (revision :UInt64) -> (revision :UInt64, changes :List(Data));
 }
 
+interface EntryPeer extends(SettingsPeer) {
+  # Sent when a sidecar starts to leave, so that an idle entry learns of it too.
+  loadChanged @0 (load :Load) -> ();
+}
+
 interface Sidecar extends(SettingsPeer) {
-  hello @0 (entry :Text, revision :UInt64, settings :SettingsPeer) -> (endpoint :Text, load :Load);
+  hello @0 (entry :Text, revision :UInt64, settings :EntryPeer) -> (endpoint :Text, load :Load);
   run @1 (call :StageCall, sink :ChunkSink) -> (reply :StageReply);
   cancel @2 (id :CallId) -> (reply :StageReply);
   outcome @3 (callKey :Text, incarnation :UInt64) -> (reply :StageReply);
--- /dev/null
+++ b/tests/lifecycle/test_streams.py
@@ -0,0 +1,185 @@
+"""Each stream is whole and its own, or ends in an explicit error."""
+
+import asyncio
+import signal
+
+import msgspec
+import pytest
+
+from amaranthtally.daemon.entry.stream_text import (
+    MAX_TEXT_BYTES,
+    ChunkFate,
+    StreamText,
+)
+from amaranthtally.standins.deployment import open_deployment
+from tests.lifecycle.support import (
+    FakeSidecar,
+    fake_deployment,
+    parse_events,
+    run_wire,
+)
+from tests.support import plan, run_async
+
+STREAMS = 8
+TOKENS = 40
+TOKEN_TIME_S = 0.02
+FAULT_AFTER_S = 0.4
+
+
+def slow_engines():
+    """Return the plan with engines that take about a second for a stream."""
+    pools = [
+        msgspec.structs.replace(
+            pool, knobs={"token_time": TOKEN_TIME_S, "tokens": TOKENS}
+        )
+        if pool.kind == "engine"
+        else pool
+        for pool in plan().pools
+    ]
+    return msgspec.structs.replace(plan(), pools=pools)
+
+
+async def kill_engine(pair, deployment):
+    pair.service.send(signal.SIGKILL)
+
+
+async def freeze_engine(pair, deployment):
+    pair.service.send(signal.SIGSTOP)
+
+
+async def kill_sidecar(pair, deployment):
+    pair.sidecar.send(signal.SIGKILL)
+
+
+async def freeze_sidecar(pair, deployment):
+    pair.sidecar.send(signal.SIGSTOP)
+
+
+async def pause_sidecar(pair, deployment):
+    pair.sidecar.send(signal.SIGSTOP)
+    await asyncio.sleep(2.0)
+    pair.sidecar.send(signal.SIGCONT)
+
+
+async def cut_engine(pair, deployment):
+    await deployment.set_knobs(pair.service, cut_after_tokens=3)
+
+
+FAULTS = [
+    kill_engine,
+    freeze_engine,
+    kill_sidecar,
+    freeze_sidecar,
+    pause_sidecar,
+    cut_engine,
+]
+
+
+@pytest.mark.parametrize("fault", FAULTS)
+def test_a_stream_goes_on_elsewhere_at_its_offset(fault):
+    """
+    A mechanic's repair procedure stops in the middle, or skips a step, or repeats
+    one. The engine dies, freezes or cuts the connection while it streams, or its
+    sidecar does, and another one has to go on at the word that comes next.
+    """
+
+    async def scenario():
+        async with open_deployment(slow_engines(), servers=2) as deployment:
+            whole = await deployment.call("assessment", "baler", deadline_ms=20_000)
+            text = (await whole.json())["output"]["text"]
+            assert len(text.split()) == TOKENS
+            calls = [
+                asyncio.create_task(
+                    deployment.call(
+                        "assessment", "baler", stream=True, deadline_ms=10_000
+                    )
+                )
+                for _ in range(STREAMS)
+            ]
+            await asyncio.sleep(FAULT_AFTER_S)
+            bad, good = deployment.pool("assessment")
+            await fault(bad, deployment)
+            if fault is cut_engine:
+                calls += [
+                    asyncio.create_task(
+                        deployment.call("assessment", "baler", stream=True)
+                    )
+                    for _ in range(STREAMS)
+                ]
+            for answer in await asyncio.gather(*calls):
+                events = parse_events(await answer.text())
+                assert events[-1][0] == "done", events[-1]
+                parts = [data["text"] for kind, data in events if kind == "chunk"]
+                assert "".join(parts) == text
+                assert events[-1][1]["output"]["text"] == text
+            resumed = [
+                r["resume_offset"] for r in await deployment.records(good.service)
+            ]
+            assert any(0 < offset < TOKENS for offset in resumed)
+
+    run_async(scenario())
+
+
+def test_a_stream_that_cannot_go_on_ends_in_an_error():
+    """
+    A caller takes half a repair procedure for the whole. Every engine cuts its
+    streams; the chunks stop and the connection closes as after a whole answer.
+    """
+
+    async def scenario():
+        async with open_deployment(slow_engines(), servers=1) as deployment:
+            (engine,) = deployment.pool("assessment")
+            await deployment.set_knobs(engine.service, cut_after_tokens=2)
+            answer = await deployment.call("assessment", "combine", stream=True)
+            kind, data = parse_events(await answer.text())[-1]
+            assert kind == "error"
+            assert data["outcome"] == "unknown"
+            whole = await deployment.call("assessment", "combine")
+            assert whole.status == 502
+
+    run_async(scenario())
+
+
+class EndlessSidecar(FakeSidecar):
+    """Streams long chunks without end."""
+
+    async def run(self, call, on_chunk):
+        self.calls.append(call)
+        offset = call.resume_offset
+        while True:
+            await on_chunk(offset, "word " * 10_000)
+            offset += 1
+
+
+def test_a_stream_without_end_takes_a_bounded_share_of_memory():
+    """
+    The entry of every caller runs out of memory. An engine that never ends its
+    answer fills the queue of a caller who reads nothing.
+    """
+
+    async def scenario():
+        endless = EndlessSidecar("fake-1")
+        async with fake_deployment(endless, streams=True) as deployment:
+            answer = await deployment.call("echo", "claim", stream=True)
+            events = parse_events(await answer.text())
+            assert events[-1][0] == "error"
+            parts = [data["text"] for kind, data in events if kind == "chunk"]
+            assert 0 < len("".join(parts)) <= MAX_TEXT_BYTES
+            assert len(endless.calls) == 1
+
+    run_wire(scenario())
+
+
+def test_chunks_count_once_in_order_and_from_one_text():
+    """
+    A procedure reads as a mixture of two. A stream is hedged, and the second
+    engine words it differently: its chunks would follow the first engine's.
+    """
+    text = StreamText()
+    assert text.take(0, "check ") is ChunkFate.TAKEN
+    assert text.take(2, "line ") is ChunkFate.DROPPED
+    assert text.take(0, "check ") is ChunkFate.DROPPED
+    assert text.take(0, "drain ") is ChunkFate.DIVERGENT
+    assert text.take(1, "the ") is ChunkFate.TAKEN
+    assert text.take(2, "x" * MAX_TEXT_BYTES) is ChunkFate.TOO_LONG
+    assert str(text) == "check the "
