--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -13,7 +13,12 @@
     StageReply,
     Status,
 )
-from amaranthtally.wire.server import SettingsSource, SidecarHandler, serve_sidecar
+from amaranthtally.wire.server import (
+    SettingsFetcher,
+    SettingsSource,
+    SidecarHandler,
+    serve_sidecar,
+)
 
 __all__ = [
     "CallId",
@@ -23,6 +28,7 @@
     "Load",
     "PeerLostError",
     "ReplyMismatchError",
+    "SettingsFetcher",
     "SettingsGap",
     "SettingsSource",
     "SidecarClient",
