--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -110,7 +110,7 @@
     add_caller_routes(app, callers)
 
     def refresh() -> None:
-        metrics.refresh(executor.in_flight, peers.connected, state.revision)
+        metrics.refresh(executor.in_flight, peers.connected)
 
     add_health_routes(app, ready, refresh)
     port = await stack.enter_async_context(
--- a/tests/lifecycle/support.py
+++ b/tests/lifecycle/support.py
@@ -175,24 +175,19 @@
 @asynccontextmanager
 async def fake_deployment(*handlers, streams=False, deadline_ms=4000, **options):
     """Open an entry before fake sidecars of one pool; yields the deployment."""
-    small = msgspec.structs.replace(
-        plan(),
-        pools=[],
-        settings={
-            "pipeline:echo": {
-                "stages": ["echo"],
-                "deadline_ms": deadline_ms,
-                "stage.echo.pool": "fake",
-                "stage.echo.streams": streams,
-            }
-        },
-    )
+    small = msgspec.structs.replace(plan(), pools=[], settings={})
+    pipeline = {
+        "stages": ["echo"],
+        "deadline_ms": deadline_ms,
+        "stage.echo.pool": "fake",
+        "stage.echo.streams": streams,
+    }
     async with open_deployment(small, **options) as deployment:
-        await serve_and_register(deployment, *handlers)
+        await serve_and_register(deployment, *handlers, pipeline=pipeline)
         yield deployment
 
 
-async def serve_and_register(deployment, *handlers):
+async def serve_and_register(deployment, *handlers, pipeline):
     """Serve fake sidecars until the deployment ends; register them in the tree."""
     firm = {}
     for handler in handlers:
@@ -204,7 +199,7 @@
             "data_centre": deployment.plan.regions[0].data_centres[0],
             "address": f"127.0.0.1:{port}",
         }
-    change = await deployment.apply({"firm": firm})
+    change = await deployment.apply({"firm": firm, "pipeline:echo": pipeline})
     for number in range(len(deployment.entries)):
         await deployment.wait_revision(change["number"], number)
 
