--- a/packages/daemon/src/amaranthtally/daemon/entry/bound.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/bound.py
@@ -25,6 +25,14 @@
         """Return where alone a stage may run."""
         return self.bindings[stage_label(index, stage)]
 
+    def endpoints(self, pipeline: Pipeline) -> dict[int, str]:
+        """Return, by stage, the endpoint that alone may run it."""
+        return {
+            index: self.binding(index, stage).endpoint
+            for index, stage in enumerate(pipeline.stages)
+            if not stage.repeatable
+        }
+
     def call_key(self, binding: Binding) -> str:
         """Return the name of a stage's effect."""
         return f"{self.key}#{binding.stage}"
--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -205,6 +205,7 @@
             deadline=received + deadline_s,
             input_bytes=len(raw),
             streaming=checked.body.stream,
+            bound=bound.endpoints(checked.pipeline) if bound else {},
         )
         return LiveRequest(arrival, raw, self._view.revision, bound)
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -12,6 +12,7 @@
 from amaranthtally.daemon.entry.live_request import LiveRequest, StageRecord
 from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
+from amaranthtally.daemon.entry.stream_text import ChunkFate
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     Action,
@@ -261,10 +262,7 @@
         call = self._build_call(request, send, stage)
 
         async def on_chunk(offset: int, text: str) -> None:
-            if attempt not in request.tasks:
-                return
-            if request.take_chunk(attempt.stage, offset, text):
-                self._planner.progress(self._loop.time(), attempt, len(request.chunks))
+            self._take_chunk(request, attempt, endpoint, offset, text)
 
         try:
             reply = await client.run(call, on_chunk if stage.streams else None)
@@ -277,6 +275,26 @@
             self._metrics.region_crossed(stage.name, size)
         self._take_reply(request, attempt, endpoint, reply)
 
+    def _take_chunk(
+        self,
+        request: LiveRequest,
+        attempt: AttemptId,
+        endpoint: Endpoint,
+        offset: int,
+        text: str,
+    ) -> None:
+        fate = request.take_chunk(attempt, offset, text)
+        if fate is ChunkFate.TAKEN:
+            self._carry_out(
+                self._planner.progress(self._loop.time(), attempt, len(request.chunks))
+            )
+        elif fate is not ChunkFate.DROPPED:
+            task = request.tasks[attempt]
+            self._log_attempt(attempt, endpoint, "stream refused", fate.value)
+            permanent = fate is ChunkFate.TOO_LONG
+            self._ended(attempt, StageResult(Fate.FAILED, permanent=permanent))
+            task.cancel()
+
     async def _ask_outcome(self, request: LiveRequest, ask: Ask) -> None:
         attempt = ask.attempt
         endpoint = self._endpoint_for(request, attempt, ask.endpoint)
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -82,8 +82,13 @@
   announce @1 (revision :UInt64, source :SettingsPeer) -> (revision :UInt64);
 }
 
+interface EntryPeer extends(SettingsPeer) {
+  # Sent when a sidecar starts to leave, so that an idle entry learns of it too.
+  loadChanged @0 (load :Load) -> ();
+}
+
 interface Sidecar extends(SettingsPeer) {
-  hello @0 (entry :Text, revision :UInt64, settings :SettingsPeer) -> (endpoint :Text, load :Load);
+  hello @0 (entry :Text, revision :UInt64, settings :EntryPeer) -> (endpoint :Text, load :Load);
   run @1 (call :StageCall, sink :ChunkSink) -> (reply :StageReply);
   cancel @2 (id :CallId) -> (reply :StageReply);
   inquire @3 (callKey :Text, terms :OnceTerms, inquiry :Inquiry) -> (reply :StageReply);
--- a/tests/lifecycle/support.py
+++ b/tests/lifecycle/support.py
@@ -54,6 +54,9 @@
     def changes_since(self, revision):
         return SettingsGap(0, ())
 
+    def announced(self, revision, fetch):
+        return 0
+
     async def run(self, call, on_chunk):
         self.calls.append(call)
         if call.streaming:
