--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -11,22 +11,27 @@
 
 from amaranthtally.daemon.entry.admin import AdminApi, AdminParts, add_admin_routes
 from amaranthtally.daemon.entry.audit import AuditReader
+from amaranthtally.daemon.entry.binder import Binder
 from amaranthtally.daemon.entry.callers import CallerApi, add_caller_routes
 from amaranthtally.daemon.entry.change_store import ChangeStore
+from amaranthtally.daemon.entry.claim_sweep import ClaimSweeper
+from amaranthtally.daemon.entry.claims import Claims
 from amaranthtally.daemon.entry.committer import Committer
 from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.entry.first_settings import load_from_peers
+from amaranthtally.daemon.entry.inquiries import Inquirer
 from amaranthtally.daemon.entry.log_follower import LogFollower
 from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.entry.pipelines import policy_settings
 from amaranthtally.daemon.entry.snapshots import SnapshotStore
+from amaranthtally.daemon.entry.tokens import TokenSigner
 from amaranthtally.daemon.health import add_health_routes
 from amaranthtally.daemon.lifecycle import run_beside, serve_http, stop_on_signal
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import ENTRY_LINKS, SettingsSync
-from amaranthtally.platform import open_key_value
+from amaranthtally.platform import KeyValueClient, open_key_value
 from amaranthtally.policy import Planner, PolicySettings
 from amaranthtally.settings import EntrySettings, SettingsView, Tree
 from amaranthtally.settings.documents import Status
@@ -64,34 +69,51 @@
     metrics = EntryMetrics()
     planner = Planner(start, Random(secrets.randbits(SEED_BITS)))
     executor = Executor(planner, start, metrics)
-    callers = CallerApi(executor, metrics, settings.region, settings.max_body_bytes)
 
     def on_change(tree: Tree) -> None:
         view = SettingsView(tree)
+        wanted = policy_settings(view, settings.region, settings.data_centre)
         callers.settings_changed(view)
-        executor.settings_changed(
-            policy_settings(view, settings.region, settings.data_centre)
-        )
+        executor.settings_changed(wanted)
+        inquirer.settings_changed(wanted.endpoints)
 
     parts = await _open_settings(settings, stack)
     state = parts.state
-    state.listen(on_change)
     loads: dict[str, Load] = {}
 
     def on_load(endpoint: str, load: Load) -> None:
         loads[endpoint] = load
         executor.load_changed(endpoint, load)
+        inquirer.note_load(endpoint, load)
         client = peers.live_client(endpoint)
         if client is not None:
             parts.sync.heard(load.revision, client.changes_since)
 
     peers = Peers(settings.name, state, settings.connect_timeout, on_load)
     stack.push_async_callback(peers.close)
-    executor.connect(peers)
+    inquirer = Inquirer(peers)
+    executor.connect(peers, inquirer)
+    binder = Binder(
+        settings.region,
+        Claims(parts.key_value),
+        TokenSigner(settings.token_keys),
+        inquirer,
+    )
+    callers = CallerApi(
+        executor, binder, metrics, settings.region, settings.max_body_bytes
+    )
+    state.listen(on_change)
     first = load_from_peers(
         settings.peers, state, parts.follower, settings.connect_timeout
     )
-    for work in (parts.follower.follow(), first, parts.sync.run(), executor.tick()):
+    sweeper = ClaimSweeper(parts.key_value, settings.claim_ttl, Random())
+    for work in (
+        parts.follower.follow(),
+        first,
+        parts.sync.run(),
+        executor.tick(),
+        sweeper.run(),
+    ):
         run_beside(stack, work)
 
     def ready() -> bool:
@@ -139,6 +161,7 @@
 class _SettingsParts:
     """Everything that keeps and changes the settings of an entry."""
 
+    key_value: KeyValueClient
     state: SettingsState
     follower: LogFollower
     committer: Committer
@@ -161,4 +184,4 @@
     sync = SettingsSync(settings.name, state, ENTRY_LINKS)
     stack.push_async_callback(sync.close)
     audit = AuditReader(changes, state)
-    return _SettingsParts(state, follower, committer, audit, sync)
+    return _SettingsParts(key_value, state, follower, committer, audit, sync)
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -72,7 +72,7 @@
         """Send a stage's first attempt; nothing when no endpoint takes work."""
         self._budgets_of(request.current).retries.earn()
         self._budgets_of(request.current).hedges.earn()
-        probe = self._probe(now, request)
+        probe = None if request.bound_to else self._probe(now, request)
         if probe is not None:
             return self._send(now, request, probe, probe=True)
         return self._route(now, request, frozenset())
@@ -127,9 +127,22 @@
     ) -> list[Action]:
         wanted = self._wanted(now, request, avoid)
         stats = self._times.of(request.current)
+        if request.bound_to:
+            return self._send_bound(now, request, wanted, stats)
         choice = self._router.choose(now, wanted, stats)
         return [] if choice is None else self._send(now, request, choice)
 
+    def _send_bound(
+        self, now: float, request: Request, wanted: RouteRequest, stats: StageStats
+    ) -> list[Action]:
+        # Also where it leaves or was ejected: no other endpoint may run the stage,
+        # and this one may hold the result of an earlier try.
+        endpoint = self._groups.find(request.bound_to)
+        if endpoint is None:
+            return []
+        choice = self._router.predict(now, wanted, stats, endpoint)
+        return self._send(now, request, choice)
+
     def _wanted(
         self, now: float, request: Request, avoid: frozenset[str]
     ) -> RouteRequest:
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -58,6 +58,11 @@
         """The stage that runs now."""
         return self.arrival.pipeline.stages[self.stage]
 
+    @property
+    def bound_to(self) -> str:
+        """The one endpoint that may run the current stage; empty where any may."""
+        return self.arrival.bound.get(self.stage, "")
+
     @property
     def remaining(self) -> tuple[Stage, ...]:
         """The stage that runs now and those after it."""
--- a/packages/standins/src/amaranthtally/standins/platform.py
+++ b/packages/standins/src/amaranthtally/standins/platform.py
@@ -112,6 +112,8 @@
         if fault is not None:
             return fault
         key = request.match_info["key"]
+        if not self._may_write(key, request):
+            return web.Response(text="false")
         for name, _ in self._match(key, "recurse" in request.query):
             del self._items[name]
         self._index += 1
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -1,12 +1,15 @@
 """Inner protocol between entries and sidecars: messages, codec, client, server."""
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
+from amaranthtally.wire.connections import EntryConnections
 from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
     Greeting,
+    Inquiry,
     Load,
+    OnceTerms,
     SettingsGap,
     StageCall,
     StageReply,
@@ -22,8 +25,11 @@
 __all__ = [
     "CallId",
     "ChunkHandler",
+    "EntryConnections",
     "Greeting",
+    "Inquiry",
     "Load",
+    "OnceTerms",
     "PeerLostError",
     "ReplyMismatchError",
     "SettingsFetcher",
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -10,28 +10,34 @@
 from amaranthtally.wire.codec import (
     read_call,
     read_call_id,
+    read_load,
+    read_terms,
     schema,
     write_call_id,
     write_load,
     write_reply,
 )
+from amaranthtally.wire.connections import EntryConnections
 from amaranthtally.wire.errors import PeerLostError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
     Greeting,
+    Inquiry,
     Load,
+    OnceTerms,
     SettingsGap,
     StageCall,
     StageReply,
 )
 
 __all__ = [
+    "LoadHandler",
     "SettingsFetcher",
     "SettingsSource",
     "SidecarHandler",
+    "entry_server",
     "serve_sidecar",
-    "settings_server",
 ]
 
 
@@ -42,6 +48,8 @@
         """Return the changes after ``revision``, oldest first."""
 
 
+# Receives the load that a sidecar tells unasked.
+LoadHandler = Callable[[Load], None]
 # Reads, from the peer at the other end, its changes after a revision.
 SettingsFetcher = Callable[[int], Awaitable[SettingsGap]]
 
@@ -63,7 +71,9 @@
     async def cancel(self, call_id: CallId) -> StageReply:
         """Cancel a call; a tombstone refuses a copy that arrives later."""
 
-    async def outcome(self, call_key: str, incarnation: int) -> StageReply:
+    async def inquire(
+        self, call_key: str, terms: OnceTerms, inquiry: Inquiry
+    ) -> StageReply:
         """Say what became of a call that may not be repeated."""
 
     def load(self) -> Load:
@@ -73,9 +83,15 @@
 # Servers
 
 
-class _SettingsServer(schema.SettingsPeer.Server):
-    def __init__(self, source: SettingsSource) -> None:
+class _EntryServer(schema.EntryPeer.Server):
+    def __init__(self, source: SettingsSource, on_load: LoadHandler) -> None:
         self._source = source
+        self._on_load = on_load
+
+    async def loadChanged(  # noqa: N802 - name fixed by the schema
+        self, load: Any, _context: Any, **_: Any
+    ) -> None:
+        self._on_load(read_load(load))
 
     async def changesSince(  # noqa: N802 - name fixed by the schema
         self, revision: int, _context: Any, **_: Any
@@ -84,8 +100,9 @@
 
 
 class _SidecarServer(schema.Sidecar.Server):
-    def __init__(self, handler: SidecarHandler) -> None:
+    def __init__(self, handler: SidecarHandler, connections: EntryConnections) -> None:
         self._handler = handler
+        self._connections = connections
 
     async def changesSince(  # noqa: N802 - name fixed by the schema
         self, revision: int, _context: Any, **_: Any
@@ -102,6 +119,7 @@
         self, entry: str, revision: int, settings: Any, _context: Any, **_: Any
     ) -> None:
         greeting = await self._handler.hello(entry, revision, _fetcher(settings))
+        self._connections.greeted(self, settings)
         _context.results.endpoint = greeting.endpoint
         write_load(_context.results.load, greeting.load)
 
@@ -120,23 +138,26 @@
         reply = await self._handler.cancel(read_call_id(id))
         write_reply(_context.results.reply, reply)
 
-    async def outcome(
+    async def inquire(
         self,
         callKey: str,  # noqa: N803 - name fixed by the schema
-        incarnation: int,
+        terms: Any,
+        inquiry: Any,
         _context: Any,
         **_: Any,
     ) -> None:
-        reply = await self._handler.outcome(callKey, incarnation)
+        reply = await self._handler.inquire(
+            callKey, read_terms(terms), Inquiry(str(inquiry))
+        )
         write_reply(_context.results.reply, reply)
 
     async def load(self, _context: Any, **_: Any) -> None:
         write_load(_context.results.load, self._handler.load())
 
 
-def settings_server(source: SettingsSource) -> Any:
-    """Return the capability through which a peer reads ``source``."""
-    return _SettingsServer(source)
+def entry_server(source: SettingsSource, on_load: LoadHandler) -> Any:
+    """Return the capability through which a sidecar reads ``source`` and tells news."""
+    return _EntryServer(source, on_load)
 
 
 def _fetcher(peer: Any) -> SettingsFetcher:
@@ -163,7 +184,10 @@
 
 @asynccontextmanager
 async def serve_sidecar(
-    handler: SidecarHandler, host: str, port: int
+    handler: SidecarHandler,
+    host: str,
+    port: int,
+    connections: EntryConnections | None = None,
 ) -> AsyncIterator[int]:
     """
     Serve ``handler`` over TCP and yield the bound port; 0 lets the kernel pick.
@@ -171,10 +195,16 @@
     Must run inside ``capnp.kj_loop()``. On exit no connection is accepted any
     more and the open ones end.
     """
+    known = EntryConnections() if connections is None else connections
 
     async def accept(stream: Any) -> None:
-        server = capnp.TwoPartyServer(stream, bootstrap=_SidecarServer(handler))
-        await server.on_disconnect()
+        sidecar = _SidecarServer(handler, known)
+        known.opened(sidecar)
+        try:
+            server = capnp.TwoPartyServer(stream, bootstrap=sidecar)
+            await server.on_disconnect()
+        finally:
+            known.closed(sidecar)
 
     listener = await capnp.AsyncIoStream.create_server(accept, host, port)
     try:
