Take endpoints out by every word of their leaving; stop without cutting

Cause: an entry heard of a leaving sidecar in replies only; drain.HOST and the platform's list were read by nobody, and a sidecar that had once left was never asked again. On a stop, connections were kept alive to the end, the listener stayed open past the last count, and open responses were not counted. Change: Membership joins the sidecar's word (told unasked too), drain.HOST, the list and silence; probes bring an endpoint back. A sidecar on a drained host refuses whatever an entry believes. A second signal or drain_limit ends the wait with an explicit refusal.

--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -61,6 +61,12 @@
         self._max_body = max_body
         self._view: SettingsView | None = None
         self._pipelines: PipelineResolver | None = None
+        self._open_responses = 0
+
+    @property
+    def open_responses(self) -> int:
+        """Requests whose response has not been handed over whole."""
+        return self._open_responses
 
     def settings_changed(self, view: SettingsView) -> None:
         """Use newer settings for what comes."""
@@ -75,6 +81,7 @@
             return problem_response(checked)
         live = self._live_request(checked)
         self._executor.submit(live)
+        self._open_responses += 1
         try:
             if checked.body.stream:
                 return await self._stream(request, live)
@@ -82,6 +89,8 @@
         except (asyncio.CancelledError, ConnectionResetError):
             self._executor.abandon(live)
             raise
+        finally:
+            self._open_responses -= 1
 
     # Checks
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -21,8 +21,10 @@
     Endpoint,
     Fate,
     LoadReport,
+    Outcome,
     Planner,
     PolicySettings,
+    Reason,
     Refuse,
     Send,
     Stage,
@@ -41,6 +43,7 @@
 __all__ = ["Executor"]
 
 TICK_S = 0.01
+RETRY_S = 1.0
 IDLE_TICK_S = 1.0
 
 log = get_logger()
@@ -147,10 +150,11 @@
             await self._wait_for_tick()
             self._carry_out(self._planner.tick(self._loop.time()))
 
-    async def drained(self) -> None:
-        """Return when no request is in flight."""
-        while self._requests:
-            await asyncio.sleep(TICK_S)
+    def refuse_all(self) -> None:
+        """End every request in flight; some of its work may have been done."""
+        for request in list(self._requests.values()):
+            self._planner.caller_gone(self._loop.time(), request.id)
+            self._refuse(Refuse(request.id, Outcome.UNKNOWN, Reason.STOPPING, RETRY_S))
 
     async def _wait_for_tick(self) -> None:
         if self._requests:
--- a/packages/daemon/src/amaranthtally/daemon/entry/peers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/peers.py
@@ -31,11 +31,13 @@
         source: SettingsSource,
         connect_timeout: float,
         on_load: Callable[[str, Load], None],
+        on_unreachable: Callable[[str], None],
     ) -> None:
         self._entry = entry
         self._source = source
         self._connect_timeout = connect_timeout
         self._on_load = on_load
+        self._on_unreachable = on_unreachable
         self._clients: dict[str, SidecarClient] = {}
         self._incarnations: dict[str, int] = {}
         self._connecting: dict[str, asyncio.Task[SidecarClient]] = {}
@@ -71,7 +73,28 @@
             connecting.add_done_callback(
                 lambda _: self._connecting.pop(endpoint.id, None)
             )
-        return await asyncio.shield(connecting)
+        try:
+            return await asyncio.shield(connecting)
+        except PeerLostError:
+            self._on_unreachable(endpoint.id)
+            raise
+
+    async def probe(self, endpoint: Endpoint) -> None:
+        """
+        Ask an endpoint that is out for its load; it may not answer.
+
+        An idle connection to a sidecar that leaves is closed: the sidecar waits for
+        that, so that no call is on its way when it ends.
+        """
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                client = await self.client(endpoint)
+                load = await client.load()
+        except (PeerLostError, TimeoutError):
+            return
+        self.note_load(endpoint.id, load)
+        if load.leaving and not client.calls:
+            client.close()
 
     async def close(self) -> None:
         """Close every connection."""
--- a/packages/daemon/src/amaranthtally/daemon/entry/problems.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/problems.py
@@ -52,6 +52,9 @@
     Reason.STAGE_FAILED: _Wording(
         502, "Stage failed", "A stage failed; see outcome before sending it again."
     ),
+    Reason.STOPPING: _Wording(
+        503, "Stopping", "This entry was stopped by force; send it again elsewhere."
+    ),
     Reason.CALLER_GONE: _Wording(
         499, "Caller gone", "The caller closed the connection."
     ),
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -1,9 +1,9 @@
 """Start, run and stop an entry."""
 
-import asyncio
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 
+import aiohttp
 import capnp
 from aiohttp import web
 
@@ -12,19 +12,28 @@
 from amaranthtally.daemon.entry.callers import CallerApi, add_caller_routes
 from amaranthtally.daemon.entry.change_store import ChangeStore
 from amaranthtally.daemon.entry.committer import Committer
+from amaranthtally.daemon.entry.departure import EntryDeparture, close_when_leaving
 from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.entry.first_settings import load_from_peers
+from amaranthtally.daemon.entry.host_watch import follow_hosts, probe_endpoints
 from amaranthtally.daemon.entry.log_follower import LogFollower
+from amaranthtally.daemon.entry.membership import Membership
 from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.entry.pipelines import policy_settings
 from amaranthtally.daemon.entry.snapshots import SnapshotStore
 from amaranthtally.daemon.health import add_health_routes
-from amaranthtally.daemon.lifecycle import run_beside, serve_http, stop_on_signal
+from amaranthtally.daemon.lifecycle import (
+    StopSignal,
+    open_http,
+    run_beside,
+    serve_http,
+    stop_on_signal,
+)
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import ENTRY_LINKS, SettingsSync
-from amaranthtally.platform import open_key_value
+from amaranthtally.platform import CALLER_HEADER, open_key_value
 from amaranthtally.policy import Planner, PolicySettings
 from amaranthtally.settings import EntrySettings, SettingsView, Tree
 from amaranthtally.settings.documents import Status
@@ -45,29 +54,32 @@
         stop = stack.enter_context(stop_on_signal())
         entry = await _open_entry(settings, stack, stop)
         await stop.wait()
-        # The balancer still sends here until it has seen /readyz fail: a process
-        # that closed its listener at once would refuse those connections, and
-        # callers would see resets. So it serves on for drain_wait first.
-        log.info("entry_leaving", in_flight=entry.in_flight)
-        await asyncio.sleep(settings.drain_wait)
-        await entry.drained()
+        log.info("entry_leaving", in_flight=entry.executor.in_flight)
+        work = entry.leave(settings.drain_wait)
+        if not await stop.run_until_forced(work, settings.drain_limit):
+            log.warning("entry_stop_forced", in_flight=entry.executor.in_flight)
+            await entry.give_up()
     log.info("entry_stopped", entry=settings.name)
 
 
 async def _open_entry(
-    settings: EntrySettings, stack: AsyncExitStack, stop: asyncio.Event
-) -> Executor:
+    settings: EntrySettings, stack: AsyncExitStack, stop: StopSignal
+) -> EntryDeparture:
     start = PolicySettings(0, settings.region, settings.data_centre)
     metrics = EntryMetrics()
     executor = Executor(Planner(start), start, metrics)
     callers = CallerApi(executor, metrics, settings.region, settings.max_body_bytes)
 
+    membership = Membership(executor)
+
     def on_change(tree: Tree) -> None:
         view = SettingsView(tree)
         callers.settings_changed(view)
         executor.settings_changed(
             policy_settings(view, settings.region, settings.data_centre)
         )
+        hosts = {e.id: e.host for e in executor.endpoints.values()}
+        membership.settings_changed(hosts, view.drained_hosts)
 
     parts = await _open_settings(settings, stack)
     state = parts.state
@@ -76,18 +88,34 @@
 
     def on_load(endpoint: str, load: Load) -> None:
         loads[endpoint] = load
-        executor.load_changed(endpoint, load)
+        membership.load_heard(endpoint, load)
         client = peers.live_client(endpoint)
         if client is not None:
             parts.sync.heard(load.revision, client.changes_since)
 
-    peers = Peers(settings.name, state, settings.connect_timeout, on_load)
+    peers = Peers(
+        settings.name,
+        state,
+        settings.connect_timeout,
+        on_load,
+        membership.unreachable,
+    )
     stack.push_async_callback(peers.close)
     executor.connect(peers)
     first = load_from_peers(
         settings.peers, state, parts.follower, settings.connect_timeout
     )
-    for work in (parts.follower.follow(), first, parts.sync.run(), executor.tick()):
+    session = await stack.enter_async_context(
+        aiohttp.ClientSession(headers={CALLER_HEADER: settings.name})
+    )
+    for work in (
+        parts.follower.follow(),
+        first,
+        parts.sync.run(),
+        executor.tick(),
+        follow_hosts(session, settings.platform_url, membership),
+        probe_endpoints(membership, peers, lambda: executor.endpoints),
+    ):
         run_beside(stack, work)
 
     def ready() -> bool:
@@ -113,8 +141,9 @@
         metrics.refresh(executor.in_flight, peers.connected)
 
     add_health_routes(app, ready, refresh)
-    port = await stack.enter_async_context(
-        serve_http(app, settings.caller_address, HTTP_GRACE_S)
+    app.on_response_prepare.append(close_when_leaving(stop))
+    server = await stack.enter_async_context(
+        open_http(app, settings.caller_address, HTTP_GRACE_S)
     )
     admin = AdminApi(
         AdminParts(state, parts.committer, parts.audit, status, loads),
@@ -127,8 +156,14 @@
     admin_port = await stack.enter_async_context(
         serve_http(admin_app, settings.admin_address, HTTP_GRACE_S)
     )
-    log.info("listening", role="entry", name=settings.name, port=port, admin=admin_port)
-    return executor
+    log.info(
+        "listening",
+        role="entry",
+        name=settings.name,
+        port=server.port,
+        admin=admin_port,
+    )
+    return EntryDeparture(executor, callers, server)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -8,7 +8,15 @@
 
 from aiohttp import web
 
-__all__ = ["run_beside", "serve_http", "split_address", "stop_on_signal"]
+__all__ = [
+    "HttpServer",
+    "StopSignal",
+    "open_http",
+    "run_beside",
+    "serve_http",
+    "split_address",
+    "stop_on_signal",
+]
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
@@ -19,13 +27,51 @@
     return host.strip("[]"), int(port)
 
 
+class StopSignal:
+    """A first signal asks for a graceful stop, a second one for a stop at once."""
+
+    def __init__(self) -> None:
+        self._asked = asyncio.Event()
+        self._forced = asyncio.Event()
+
+    def is_set(self) -> bool:
+        """Whether a stop was asked for."""
+        return self._asked.is_set()
+
+    def receive(self) -> None:
+        """Take a signal."""
+        if self._asked.is_set():
+            self._forced.set()
+        self._asked.set()
+
+    async def wait(self) -> None:
+        """Return once a stop is asked for."""
+        await self._asked.wait()
+
+    async def run_until_forced(
+        self, work: Coroutine[Any, Any, None], limit_s: float
+    ) -> bool:
+        """
+        Run ``work`` to its end; false when a second signal or the limit ended it.
+
+        The limit keeps a process from lasting for ever by one call that hangs.
+        """
+        tasks = [asyncio.create_task(work), asyncio.create_task(self._forced.wait())]
+        await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
+        finished = tasks[0].done()
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        return finished
+
+
 @contextmanager
-def stop_on_signal() -> Iterator[asyncio.Event]:
-    """Yield an event that is set on SIGTERM or SIGINT."""
+def stop_on_signal() -> Iterator[StopSignal]:
+    """Yield what SIGTERM and SIGINT ask for."""
     loop = asyncio.get_running_loop()
-    stop = asyncio.Event()
+    stop = StopSignal()
     for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, stop.set)
+        loop.add_signal_handler(number, stop.receive)
     try:
         yield stop
     finally:
@@ -45,12 +91,38 @@
     stack.push_async_callback(end)
 
 
+class HttpServer:
+    """A listening HTTP server."""
+
+    def __init__(self, port: int, site: web.TCPSite) -> None:
+        self._port = port
+        self._site = site
+
+    @property
+    def port(self) -> int:
+        """The bound port."""
+        return self._port
+
+    async def stop_listening(self) -> None:
+        """Accept no more connections; the open ones go on."""
+        await self._site.stop()
+
+
 @asynccontextmanager
 async def serve_http(
     app: web.Application, address: str, grace_s: float
 ) -> AsyncIterator[int]:
+    """Serve as ``open_http`` does and yield the bound port."""
+    async with open_http(app, address, grace_s) as server:
+        yield server.port
+
+
+@asynccontextmanager
+async def open_http(
+    app: web.Application, address: str, grace_s: float
+) -> AsyncIterator[HttpServer]:
     """
-    Serve an application and yield the bound port; port 0 lets the kernel pick.
+    Serve an application; port 0 lets the kernel pick.
 
     On exit open responses have ``grace_s`` seconds to end.
     """
@@ -60,6 +132,6 @@
     try:
         site = web.TCPSite(runner, host, port)
         await site.start()
-        yield runner.addresses[0][1]
+        yield HttpServer(runner.addresses[0][1], site)
     finally:
         await runner.cleanup()
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -62,6 +62,7 @@
         self._effects: set[asyncio.Task[None]] = set()
         self._serial = 0
         self._leaving = False
+        self._draining = False
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -73,6 +74,10 @@
         """Take no new work from now on."""
         self._leaving = True
 
+    def set_draining(self, draining: bool) -> None:
+        """Take no new work while the operators drain this host."""
+        self._draining = draining
+
     # Inner protocol
 
     async def hello(
@@ -90,7 +95,7 @@
             running=self._queue.running,
             queued=self._queue.queued,
             limit=self._queue.limit,
-            leaving=self._leaving,
+            leaving=self._leaving or self._draining,
             service_s=self._queue.service_s,
             backlog_s=self._queue.backlog_s,
             revision=self._sync.revision,
@@ -145,7 +150,7 @@
         return await self._run_in_turn(call, on_chunk)
 
     def _refusal(self, call: StageCall) -> str:
-        if self._leaving:
+        if self._leaving or self._draining:
             return "leaving"
         if call.id in self._tombstones:
             return "cancelled before start"
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -1,6 +1,5 @@
 """Start, run and stop a sidecar."""
 
-import asyncio
 from contextlib import AsyncExitStack
 
 import aiohttp
@@ -17,14 +16,14 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import SIDECAR_LINKS, SettingsSync
+from amaranthtally.daemon.sidecar.departure import Departure
 from amaranthtally.daemon.sidecar.handler import StageHandler
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.settings import SidecarSettings
-from amaranthtally.wire import serve_sidecar
+from amaranthtally.wire import EntryConnections, serve_sidecar
 
 __all__ = ["run_sidecar"]
 
-DRAIN_POLL_S = 0.02
 HTTP_GRACE_S = 1.0
 
 log = get_logger()
@@ -36,13 +35,19 @@
         await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
         session = await stack.enter_async_context(_open_session())
-        sync = SettingsSync(settings.endpoint, SettingsState(), SIDECAR_LINKS)
+        state = SettingsState()
+        sync = SettingsSync(settings.endpoint, state, SIDECAR_LINKS)
         stack.push_async_callback(sync.close)
         run_beside(stack, sync.run())
         metrics = SidecarMetrics()
         handler = StageHandler(settings, session, metrics, sync)
         host, port = split_address(settings.wire_address)
-        wire_port = await stack.enter_async_context(serve_sidecar(handler, host, port))
+        connections = EntryConnections()
+        departure = Departure(settings, handler, connections)
+        state.listen(departure.settings_changed)
+        wire_port = await stack.enter_async_context(
+            serve_sidecar(handler, host, port, connections)
+        )
         app = web.Application()
         add_health_routes(
             app, lambda: not stop.is_set(), lambda: metrics.refresh(handler.load())
@@ -58,13 +63,9 @@
             http=http_port,
         )
         await stop.wait()
-        handler.leave()
         log.info("sidecar_leaving", endpoint=settings.endpoint)
-        # Entries learn of the leaving from replies; a sidecar that vanished at
-        # once would turn their next calls into lost connections.
-        await asyncio.sleep(settings.drain_wait)
-        while handler.busy:
-            await asyncio.sleep(DRAIN_POLL_S)
+        if not await stop.run_until_forced(departure.leave(), settings.drain_limit):
+            log.warning("sidecar_stop_forced", endpoint=settings.endpoint)
     log.info("sidecar_stopped", endpoint=settings.endpoint)
 
 
--- a/packages/platform/src/amaranthtally/platform/__init__.py
+++ b/packages/platform/src/amaranthtally/platform/__init__.py
@@ -7,6 +7,7 @@
 )
 from amaranthtally.platform.hosts import HostState, ListedHost, fetch_hosts
 from amaranthtally.platform.key_value import (
+    CALLER_HEADER,
     Entry,
     KeyValueClient,
     Listing,
@@ -14,6 +15,7 @@
 )
 
 __all__ = [
+    "CALLER_HEADER",
     "Entry",
     "HostState",
     "KeyValueClient",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -33,6 +33,7 @@
     DEADLINE = "deadline"
     STAGE_FAILED = "stage_failed"
     CALLER_GONE = "caller_gone"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -40,6 +40,7 @@
     max_body_bytes: Count = 1_048_576
     connect_timeout: Positive = 1.0
     drain_wait: Annotated[float, Meta(ge=0)] = 2.0
+    drain_limit: Positive = 660.0
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
@@ -59,6 +60,7 @@
     record_ttl: Positive = 900.0
     record_capacity: Count = 10_000
     drain_wait: Annotated[float, Meta(ge=0)] = 3.0
+    drain_limit: Positive = 660.0
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
--- a/packages/settings/src/amaranthtally/settings/view.py
+++ b/packages/settings/src/amaranthtally/settings/view.py
@@ -5,6 +5,7 @@
 
 from amaranthtally.settings.catalogue import (
     ACCOUNT_KEY,
+    DRAIN_PREFIX,
     ENDPOINT_PREFIX,
     NEXT_ACCOUNT_KEY,
 )
@@ -25,12 +26,22 @@
         self._tree = tree
         self._accounts: dict[str, str] = {}
         self._endpoints: dict[str, dict[str, Any]] = {}
+        drained: set[str] = set()
         for scope, key, value in tree.items():
             if key in (ACCOUNT_KEY, NEXT_ACCOUNT_KEY):
                 self._accounts[value] = scope.account
+            elif key.startswith(DRAIN_PREFIX) and value:
+                drained.add(key.removeprefix(DRAIN_PREFIX))
             elif key.startswith(ENDPOINT_PREFIX):
                 self._endpoints[key.removeprefix(ENDPOINT_PREFIX)] = value
 
+        self._drained = frozenset(drained)
+
+    @property
+    def drained_hosts(self) -> frozenset[str]:
+        """Hosts that the operators drain."""
+        return self._drained
+
     @property
     def tree(self) -> Tree:
         """The tree that the view reads."""
--- a/packages/wire/src/amaranthtally/wire/client.py
+++ b/packages/wire/src/amaranthtally/wire/client.py
@@ -79,7 +79,7 @@
 
     @property
     def calls(self) -> int:
-        """Stage calls that wait for their reply."""
+        """Calls about stages that wait for their reply."""
         return self._calls
 
     async def hello(
@@ -133,9 +133,13 @@
 
     async def outcome(self, call_key: str, incarnation: int) -> StageReply:
         """Ask what became of a call that may not be repeated."""
-        answer = await self._guard(
-            self._sidecar.outcome(callKey=call_key, incarnation=incarnation)
-        )
+        self._calls += 1
+        try:
+            answer = await self._guard(
+                self._sidecar.outcome(callKey=call_key, incarnation=incarnation)
+            )
+        finally:
+            self._calls -= 1
         return read_reply(answer.reply)
 
     async def load(self) -> Load:
--- a/packages/wire/src/amaranthtally/wire/connections.py
+++ b/packages/wire/src/amaranthtally/wire/connections.py
@@ -15,16 +15,18 @@
 
 
 class EntryConnections:
-    """Counts open connections and keeps the capability of each greeted entry."""
+    """Keeps the capability of each entry that greeted, while its connection is open."""
 
     def __init__(self) -> None:
         self._open: dict[object, Any] = {}
 
-    def __len__(self) -> int:
-        return len(self._open)
+    @property
+    def greeted_entries(self) -> int:
+        """Open connections of entries; other peers only ask for settings."""
+        return sum(entry is not None for entry in self._open.values())
 
     def opened(self, connection: object) -> None:
-        """Count a connection."""
+        """Note an open connection."""
         self._open[connection] = None
 
     def greeted(self, connection: object, entry: Any) -> None:
@@ -38,7 +40,11 @@
 
     async def announce(self, load: Load) -> None:
         """Tell every greeted entry of the load; one that hangs is not waited for."""
-        told = [self._tell(entry, load) for entry in self._open.values() if entry]
+        told = [
+            self._tell(entry, load)
+            for entry in self._open.values()
+            if entry is not None
+        ]
         with suppress(TimeoutError):
             async with asyncio.timeout(ANNOUNCE_TIMEOUT_S):
                 await asyncio.gather(*told)
--- a/tests/lifecycle/support.py
+++ b/tests/lifecycle/support.py
@@ -12,6 +12,7 @@
 from amaranthtally.standins.deployment import open_deployment
 from amaranthtally.wire import (
     CallId,
+    EntryConnections,
     Greeting,
     Load,
     SettingsGap,
@@ -152,7 +153,9 @@
         return
 
     async def accept(stream):
-        server = capnp.TwoPartyServer(stream, bootstrap=_MixingServer(handler))
+        server = capnp.TwoPartyServer(
+            stream, bootstrap=_MixingServer(handler, EntryConnections())
+        )
         await server.on_disconnect()
 
     listener = await capnp.AsyncIoStream.create_server(accept, "127.0.0.1", 0)
