--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -1,7 +1,9 @@
 """Start, run and stop an entry."""
 
+import secrets
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
+from random import Random
 
 import aiohttp
 import capnp
@@ -42,6 +44,7 @@
 __all__ = ["run_entry"]
 
 HTTP_GRACE_S = 5.0
+SEED_BITS = 64
 ADMIN_MAX_BODY = 16 * 1024 * 1024
 
 log = get_logger()
@@ -67,7 +70,8 @@
 ) -> EntryDeparture:
     start = PolicySettings(0, settings.region, settings.data_centre)
     metrics = EntryMetrics()
-    executor = Executor(Planner(start), start, metrics)
+    planner = Planner(start, Random(secrets.randbits(SEED_BITS)))
+    executor = Executor(planner, start, metrics)
     callers = CallerApi(executor, metrics, settings.region, settings.max_body_bytes)
 
     membership = Membership(executor)
