--- a/packages/operator/src/amaranthtally/operator/replay/errors.py
+++ b/packages/operator/src/amaranthtally/operator/replay/errors.py
@@ -16,7 +16,7 @@
     """An outcomes file cannot be read or names an unknown figure."""
 
     def __init__(self, path: Path, detail: str) -> None:
-        super().__init__(f"{path}: {detail}; see docs/OPERATIONS.md for its keys")
+        super().__init__(f"{path}: {detail}; 'Replay' in docs/DESIGN.md lists its keys")
 
 
 class UnknownActionError(Exception):
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/plot.py
@@ -0,0 +1,70 @@
+"""A plot of attainment and cost by trace and contender."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+import matplotlib as mpl
+
+from amaranthtally.operator.replay.measures import Figures
+from amaranthtally.operator.replay.report import TraceReport
+
+mpl.use("Agg")
+
+from matplotlib import pyplot
+from matplotlib.axes import Axes
+
+__all__ = ["plot_reports"]
+
+WIDTH_IN = 11.0
+HEIGHT_IN = 7.0
+GROUP_WIDTH = 0.84
+# Fixed ids and no date: the same reports give the same bytes.
+HASH_SALT = "amaranthtally"
+
+
+def plot_reports(reports: Sequence[TraceReport], path: Path) -> None:
+    """Write a plot of reports as SVG."""
+    mpl.rcParams["svg.hashsalt"] = HASH_SALT
+    figure, (upper, lower) = pyplot.subplots(
+        2, 1, figsize=(WIDTH_IN, HEIGHT_IN), sharex=True, layout="constrained"
+    )
+    _draw_bars(upper, reports, [[f.attainment for f in r.contenders] for r in reports])
+    _draw_bounds(upper, reports)
+    upper.set_ylabel("attainment")
+    upper.set_ylim(0.4, 1.02)
+    _draw_bars(
+        lower, reports, [[f.cost_per_answer for f in r.contenders] for r in reports]
+    )
+    lower.set_ylabel("cost per answer in time")
+    lower.set_xticks(range(len(reports)), [r.trace for r in reports], rotation=40)
+    for label in lower.get_xticklabels():
+        label.set_horizontalalignment("right")
+    upper.legend(ncols=6, loc="lower center", fontsize="small")
+    figure.savefig(path, format="svg", metadata={"Date": None})
+    pyplot.close(figure)
+
+
+def _draw_bars(
+    axes: Axes, reports: Sequence[TraceReport], values: list[list[float]]
+) -> None:
+    contenders: list[Figures] = reports[0].contenders
+    width = GROUP_WIDTH / len(contenders)
+    for i, figures in enumerate(contenders):
+        shift = (i - (len(contenders) - 1) / 2) * width
+        places = [at + shift for at in range(len(reports))]
+        heights = [row[i] for row in values]
+        axes.bar(places, heights, width, label=figures.contender)
+    axes.grid(axis="y", alpha=0.3)
+
+
+def _draw_bounds(axes: Axes, reports: Sequence[TraceReport]) -> None:
+    half = GROUP_WIDTH / 2
+    for at, report in enumerate(reports):
+        axes.hlines(
+            report.bound_attainment,
+            at - half,
+            at + half,
+            colors="black",
+            linestyles="dashed",
+            label="clairvoyant bound" if at == 0 else "",
+        )
--- a/packages/operator/src/amaranthtally/operator/replay/report.py
+++ b/packages/operator/src/amaranthtally/operator/replay/report.py
@@ -8,6 +8,7 @@
 __all__ = ["TraceReport", "render_table"]
 
 MEGABYTE = 1e6
+EQUAL_WITHIN = 0.01
 COLUMNS = (
     *("contender", "attained", "of admitted", "goodput/s", "p99 s", "cost/answer"),
     *("MB between regions", "retries", "hedges", "wasted", "fairness"),
@@ -38,6 +39,7 @@
                 ),
                 *("attainment_of_bound", "burst_goodput_of_capacity"),
                 *("attainment_over_best_baseline", "cost_of_best_baseline"),
+                "cost_of_equal_baseline",
             }
         )
 
@@ -46,7 +48,13 @@
         return next((f for f in self.contenders if f.contender == contender), None)
 
     def stated(self) -> dict[str, float]:
-        """Return the policy's figures and its ratios to the bound and baselines."""
+        """
+        Return the policy's figures and its ratios to the bound and baselines.
+
+        ``cost_of_equal_baseline`` compares with the cheapest baseline that attains
+        as much within 0.01, and is 0 where there is none: one that loses requests
+        has emptier engines, so that its other answers look cheap.
+        """
         policy = self.figures(POLICY)
         assert policy is not None
         baselines = [f for f in self.contenders if f is not policy] or [policy]
@@ -58,7 +66,12 @@
         }
         best_attainment = max(f.attainment for f in baselines)
         best_cost = min(f.cost_per_answer for f in baselines)
+        equal = [
+            f for f in baselines if f.attainment >= policy.attainment - EQUAL_WITHIN
+        ]
+        equal_cost = min((f.cost_per_answer for f in equal), default=0.0)
         return numbers | {
+            "cost_of_equal_baseline": _ratio(policy.cost_per_answer, equal_cost),
             "attainment_of_bound": _ratio(policy.attainment, self.bound_attainment),
             "burst_goodput_of_capacity": _ratio(policy.burst_goodput, self.capacity),
             "attainment_over_best_baseline": round(
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -20,6 +20,7 @@
 DEFAULT_OUTPUT_BYTES = 1000.0
 MEMO_SAMPLES = 8
 LEAST_OF_MEAN = 0.3
+LEAST_RUN_S = 1e-6
 
 
 class StageStats:
@@ -107,11 +108,18 @@
 
     def add(self, run_s: float, output_bytes: int, beside: float) -> None:
         """Learn from a run that had so many calls beside it."""
-        self._run.add(run_s)
+        # A run within the clock's resolution is told as 0 s. A mean of 0 would end
+        # the next decision in a division by it, and the request with an error.
+        self._run.add(max(run_s, LEAST_RUN_S))
         self._crowding.add(beside, run_s)
         self._output_bytes += BYTES_WEIGHT * (output_bytes - self._output_bytes)
         self._fresh -= 1
 
+    @property
+    def full_mean_s(self) -> float:
+        """Mean run time in seconds beside the most calls seen lately."""
+        return self.mean_beside_s(self._crowding.most)
+
     def mean_beside_s(self, beside: float) -> float:
         """Return the mean run time beside so many other calls, in seconds."""
         mean = self.mean_s
