Bring endpoints back by name; keep the deadlines of an entry whose policy fails

Cause: the planner of main takes a returning endpoint by endpoint_staying only, and greet() put a capability without news in place of the one that hears them: no endpoint_out was logged after SIGTERM. A run of no measurable time divided by zero in Planner._learn; raised in tick(), it would end the tick task, and later requests would never meet their deadline (test_answers hung for 120 s). Ruled out: the announcement itself (it was sent). Change: membership says staying; greet() asks for the load on the same connection; a floor under the divisor; an error of a tick is logged and the next one goes on. Before: 2 of 7 of test_leaving failed, swapped answers hung. After: 7 passed.

--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -141,6 +141,10 @@
         """Tell the policy that an endpoint leaves."""
         self._carry_out(self._planner.endpoint_leaving(self._loop.time(), endpoint))
 
+    def endpoint_staying(self, endpoint: str) -> None:
+        """Tell the policy that an endpoint takes work again."""
+        self._carry_out(self._planner.endpoint_staying(self._loop.time(), endpoint))
+
     async def tick(self) -> None:
         """
         Let the policy act on the passing of time, until cancelled.
@@ -150,7 +154,13 @@
         """
         while True:
             await self._wait_for_tick()
-            self._carry_out(self._planner.tick(self._loop.time()))
+            # An error in one decision would end this task, and with it the deadline
+            # of every later request: callers would wait for ever. It is logged, and
+            # the next tick decides anew.
+            try:
+                self._carry_out(self._planner.tick(self._loop.time()))
+            except Exception as error:
+                log.exception("policy_failed", cause=repr(error))
 
     def refuse_all(self) -> None:
         """End every request in flight; some of its work may have been done."""
@@ -196,7 +206,12 @@
         if endpoint is not None:
             task = asyncio.create_task(self._greet_endpoint(endpoint))
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(self._attempt_done)
+
+    def _attempt_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("policy_failed", cause=repr(task.exception()))
 
     def _answer(self, answer: Answer) -> None:
         request = self._requests.pop(answer.request_id)
--- a/packages/daemon/src/amaranthtally/daemon/entry/host_watch.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/host_watch.py
@@ -75,7 +75,9 @@
         asked = [known[e] for e in due[:PROBES_AT_ONCE] if e in known]
         for endpoint in asked:
             _put_off(probes[endpoint.id], now)
-        await asyncio.gather(*(peers.probe(endpoint) for endpoint in asked))
+        await asyncio.gather(
+            *(peers.greet(endpoint) for endpoint in asked), return_exceptions=True
+        )
 
 
 def _is_due(probes: dict[str, _Probe], endpoint: str, now: float) -> bool:
--- a/packages/daemon/src/amaranthtally/daemon/entry/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/membership.py
@@ -21,6 +21,9 @@
     def endpoint_leaving(self, endpoint: str) -> None:
         """Send an endpoint nothing new."""
 
+    def endpoint_staying(self, endpoint: str) -> None:
+        """Send an endpoint work again."""
+
 
 class Membership:
     """
@@ -99,12 +102,15 @@
     def _refresh(self, endpoint: str) -> None:
         load = self._loads.get(endpoint)
         leaves = self._leaves(endpoint, load)
-        if leaves != (endpoint in self._out):
+        changed = leaves != (endpoint in self._out)
+        if changed:
             self._mark(endpoint, leaves)
         if load is not None:
             self._listener.load_changed(endpoint, replace(load, leaving=leaves))
-        elif leaves:
+        if changed and leaves:
             self._listener.endpoint_leaving(endpoint)
+        elif changed:
+            self._listener.endpoint_staying(endpoint)
 
     def _leaves(self, endpoint: str, load: Load | None) -> bool:
         if self._host_leaves(endpoint) or endpoint in self._unreachable:
--- a/packages/daemon/src/amaranthtally/daemon/entry/peers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/peers.py
@@ -79,31 +79,23 @@
             self._on_unreachable(endpoint.id)
             raise
 
-    async def probe(self, endpoint: Endpoint) -> None:
+    async def greet(self, endpoint: Endpoint) -> None:
         """
-        Ask an endpoint that is out for its load; it may not answer.
+        Ask a sidecar for its load; raises ``PeerLostError``.
 
         An idle connection to a sidecar that leaves is closed: the sidecar waits for
         that, so that no call is on its way when it ends.
         """
+        client = await self.client(endpoint)
         try:
             async with asyncio.timeout(self._connect_timeout):
-                client = await self.client(endpoint)
                 load = await client.load()
-        except (PeerLostError, TimeoutError):
-            return
+        except TimeoutError as error:
+            raise PeerLostError(endpoint.address, "no answer in time") from error
         self.note_load(endpoint.id, load)
         if load.leaving and not client.calls:
             client.close()
 
-    async def greet(self, endpoint: Endpoint) -> None:
-        """Ask a sidecar for its load; raises ``PeerLostError``."""
-        client = await self.client(endpoint)
-        greeting = await client.hello(
-            self._entry, self._source.changes_since(1 << 62).revision, self._source
-        )
-        self.note_load(endpoint.id, greeting.load)
-
     async def close(self) -> None:
         """Close every connection."""
         for client in list(self._clients.values()):
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -19,6 +19,8 @@
 BYTES_WEIGHT = 0.05
 DEFAULT_OUTPUT_BYTES = 1000.0
 MEMO_SAMPLES = 8
+# A run may take no measurable time; ratios of run times need a divisor.
+SHORTEST_RUN_S = 1e-6
 LEAST_OF_MEAN = 0.3
 LEAST_RUN_S = 1e-6
 
@@ -123,7 +125,8 @@
     def mean_beside_s(self, beside: float) -> float:
         """Return the mean run time beside so many other calls, in seconds."""
         mean = self.mean_s
-        return max(mean * LEAST_OF_MEAN, mean + self._crowding.excess_s(beside))
+        beside_s = mean + self._crowding.excess_s(beside)
+        return max(SHORTEST_RUN_S, mean * LEAST_OF_MEAN, beside_s)
 
     def burden_s(self, beside: float) -> float:
         """Return by how much one more call lengthens those beside it, in seconds."""
