Add randomised runs by seed; prove planned stops of every process

First tries failed: a response of a leaving entry bore no Connection header (aiohttp decides it before the prepare hook); a restart that does not wait until entries took the successor in is refused not_run, as it should be: the test waits as an operator has to.

--- a/packages/daemon/src/amaranthtally/daemon/entry/departure.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/departure.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
-from aiohttp import web
+from aiohttp import hdrs, web
 
 from amaranthtally.daemon.entry.callers import CallerApi
 from amaranthtally.daemon.entry.executor import Executor
@@ -70,5 +70,6 @@
     async def prepare(_: web.Request, response: web.StreamResponse) -> None:
         if stop.is_set():
             response.force_close()
+            response.headers[hdrs.CONNECTION] = "close"
 
     return prepare
--- /dev/null
+++ b/packages/standins/src/amaranthtally/standins/chaos/__init__.py
@@ -0,0 +1,1 @@
+"""Long randomised runs: a small deployment under load, faults and checks."""
--- /dev/null
+++ b/packages/standins/src/amaranthtally/standins/chaos/__main__.py
@@ -0,0 +1,126 @@
+"""
+Run a small deployment under mixed load and random faults; check every promise.
+
+The exit code is 0 when no promise was broken, 1 otherwise.
+"""
+
+import argparse
+import asyncio
+import sys
+import time
+from contextlib import suppress
+from pathlib import Path
+from random import Random
+
+import msgspec
+
+from amaranthtally.standins.chaos.balancer import Balancer
+from amaranthtally.standins.chaos.callers import Callers
+from amaranthtally.standins.chaos.faults import fault_names, inject
+from amaranthtally.standins.chaos.verdict import check_records
+from amaranthtally.standins.chaos.world import World
+from amaranthtally.standins.deployment import (
+    DeploymentPlan,
+    load_plan,
+    open_deployment,
+)
+
+__all__ = ["main", "run_chaos"]
+
+TOKENS = 8
+SERVERS = 3
+ENTRIES = 3
+AT_ONCE = 24
+SETTLE_S = 3.0
+PAIR_SHARE = 0.4
+PLAN = Path("examples/agrosalv.toml")
+
+
+def main() -> int:
+    """Run from the command line; return the exit code."""
+    parser = argparse.ArgumentParser(prog="chaos", description=__doc__)
+    parser.add_argument("--plan", type=Path, default=PLAN, help="deployment plan")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--requests", type=int, default=1000)
+    parser.add_argument("--faults", type=int, default=10)
+    parser.add_argument("--at-once", type=int, default=AT_ONCE)
+    parser.add_argument("--only", nargs="*", choices=fault_names(), help="faults")
+    given = parser.parse_args()
+    started = time.monotonic()
+    names = given.only or fault_names()
+    world = asyncio.run(
+        run_chaos(
+            load_plan(given.plan),
+            given.seed,
+            given.requests,
+            given.faults,
+            given.at_once,
+            names,
+        )
+    )
+    for name, count in sorted(world.counts.items()):
+        sys.stdout.write(f"{name}={count}\n")
+    sys.stdout.write(f"seconds={time.monotonic() - started:.0f}\n")
+    sys.stdout.write(f"violations={len(world.violations)}\n")
+    for violation in world.violations:
+        sys.stdout.write(f"violation: {violation}\n")
+    return 1 if world.violations else 0
+
+
+async def run_chaos(
+    plan: DeploymentPlan,
+    seed: int,
+    requests: int,
+    faults: int,
+    at_once: int = AT_ONCE,
+    names: list[str] | None = None,
+) -> World:
+    """Run one seed; the world holds its counts and its violations."""
+    async with open_deployment(
+        _quick(plan), entries=ENTRIES, servers=SERVERS
+    ) as deployment:
+        balancer = Balancer(deployment)
+        world = World(deployment, balancer, Random(seed))
+        world.pin_ports()
+        following = asyncio.create_task(balancer.run())
+        callers = Callers(world, seed, TOKENS)
+        injecting = asyncio.create_task(
+            _inject_all(world, faults, names or fault_names())
+        )
+        await callers.run(requests, at_once)
+        # Load goes on for as long as faults do, so that each of them meets some.
+        number = requests
+        while not injecting.done():
+            await callers.run_more(number, at_once, at_once)
+            number += at_once
+        await injecting
+        await asyncio.sleep(SETTLE_S)
+        await check_records(world, callers)
+        following.cancel()
+        with suppress(asyncio.CancelledError):
+            await following
+        return world
+
+
+async def _inject_all(world: World, faults: int, names: list[str]) -> None:
+    done = 0
+    while done < faults:
+        pair = faults - done > 1 and world.random.random() < PAIR_SHARE
+        chosen = [world.random.choice(names) for _ in range(2 if pair else 1)]
+        await asyncio.gather(*(inject(world, name) for name in chosen))
+        done += len(chosen)
+
+
+def _quick(plan: DeploymentPlan) -> DeploymentPlan:
+    """Return the plan with endpoints that answer at once."""
+    pools = [
+        msgspec.structs.replace(
+            pool, knobs={"tokens": TOKENS, "token_time": 0.004, "service": 0.002}
+        )
+        for pool in plan.pools
+    ]
+    return msgspec.structs.replace(plan, pools=pools)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/packages/standins/src/amaranthtally/standins/chaos/callers.py
@@ -0,0 +1,189 @@
+"""Callers of a randomised run: each checks that its answer is whole and its own."""
+
+import asyncio
+from dataclasses import dataclass, field
+from random import Random
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from amaranthtally.standins.chaos.world import World
+from amaranthtally.standins.engine import words_for
+from amaranthtally.standins.pools import RerankerStandIn, RetrieverStandIn
+
+__all__ = ["Callers", "Effect", "expected_text"]
+
+ANSWER_TIMEOUT_S = 60.0
+ANSWER_PIPELINE = "assessment"
+EFFECT_PIPELINE = "dispatch-order"
+WEIGHTS = {"whole": 4, "stream": 4, "effect": 2}
+EVENT_END = b"\n\n"
+
+
+@dataclass(slots=True)
+class Effect:
+    """What the callers of one idempotency key were told."""
+
+    key: str
+    orders: list[str] = field(default_factory=list)
+    not_run: int = 0
+    unknown: int = 0
+
+
+class Callers:
+    """Sends requests and notes what does not hold."""
+
+    def __init__(
+        self,
+        world: World,
+        seed: int,
+        tokens: int,
+        kinds: tuple[str, ...] = tuple(WEIGHTS),
+    ) -> None:
+        self._world = world
+        self._random = Random(seed)
+        self._tokens = tokens
+        self._kinds = kinds
+        self._session: aiohttp.ClientSession = world.deployment.http
+        self.effects: list[Effect] = []
+        self.not_run_ids: list[str] = []
+
+    async def run(self, requests: int, at_once: int) -> None:
+        """Send so many requests, a bounded number at once."""
+        await self.run_more(0, requests, at_once)
+
+    async def run_more(self, first: int, requests: int, at_once: int) -> None:
+        """Send so many more, numbered from ``first``."""
+        numbers = iter(range(first, first + requests))
+
+        async def work() -> None:
+            for number in numbers:
+                await self._request(number)
+
+        await asyncio.gather(*(work() for _ in range(at_once)))
+
+    async def _request(self, number: int) -> None:
+        weights = [WEIGHTS[kind] for kind in self._kinds]
+        kind = self._random.choices(self._kinds, weights)[0]
+        if kind == "effect":
+            await self._effect(number)
+        else:
+            entry = await self._world.balancer.pick(self._random)
+            await self._answer(entry, f"claim {number}", kind == "stream")
+
+    # Answers that may be repeated
+
+    async def _answer(self, entry: int, text: str, stream: bool) -> None:
+        body = {"input": text, "stream": stream}
+        status, content = await self._send(entry, ANSWER_PIPELINE, body, {})
+        if status == 0:
+            return
+        if status != 200:
+            self._refused(content)
+        elif stream:
+            self._check_stream(text, content)
+        else:
+            self._world.counts["answered whole"] += 1
+            found = msgspec.json.decode(content)["output"]["text"]
+            self._check_text(text, found)
+
+    def _check_stream(self, text: str, content: bytes) -> None:
+        events = [_event(block) for block in content.split(EVENT_END) if block]
+        kind, data = events[-1] if events else ("nothing", {})
+        if kind == "error":
+            self._refused_document(data)
+            return
+        if kind != "done":
+            self._world.violated(f"stream of {text!r} ended in {kind}")
+            return
+        self._world.counts["answered by stream"] += 1
+        parts = "".join(d["text"] for k, d in events if k == "chunk")
+        self._check_text(text, parts)
+        self._check_text(text, data["output"]["text"])
+
+    def _check_text(self, text: str, found: str) -> None:
+        if found != expected_text(text, self._tokens):
+            self._world.violated(f"{text!r} was answered with {found!r}")
+
+    def _refused(self, content: bytes) -> None:
+        self._refused_document(msgspec.json.decode(content))
+
+    def _refused_document(self, document: dict[str, Any]) -> None:
+        outcome = document["outcome"]
+        self._world.counts[f"refused {outcome} {document['status']}"] += 1
+        if outcome == "not_run" and document.get("request_id"):
+            self.not_run_ids.append(document["request_id"])
+
+    # Effects, repeated through other entries
+
+    async def _effect(self, number: int) -> None:
+        effect = Effect(f"order-{number}")
+        self.effects.append(effect)
+        repeats = self._random.choice((1, 1, 2, 3))
+        together = self._random.random() < 0.5
+        entries = [
+            await self._world.balancer.pick(self._random) for _ in range(repeats)
+        ]
+        if together:
+            await asyncio.gather(*(self._order(entry, effect) for entry in entries))
+            return
+        for entry in entries:
+            await self._order(entry, effect)
+
+    async def _order(self, entry: int, effect: Effect) -> None:
+        headers = {"Idempotency-Key": effect.key}
+        body = {"input": {"to": effect.key}}
+        status, content = await self._send(entry, EFFECT_PIPELINE, body, headers)
+        if status == 0:
+            effect.unknown += 1
+            return
+        document = msgspec.json.decode(content)
+        if status == 200:
+            self._world.counts["effect answered"] += 1
+            effect.orders.append(document["output"]["order"])
+            return
+        self._world.counts[f"effect {document['outcome']} {status}"] += 1
+        if document["outcome"] == "not_run":
+            effect.not_run += 1
+        else:
+            effect.unknown += 1
+
+    # Sending
+
+    async def _send(
+        self, entry: int, pipeline: str, body: dict[str, Any], headers: dict[str, str]
+    ) -> tuple[int, bytes]:
+        deployment = self._world.deployment
+        account = self._random.choice(deployment.plan.accounts[:1])
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        self._world.counts["sent"] += 1
+        try:
+            async with self._session.post(
+                f"{deployment.entry_url(entry)}/v1/pipelines/{pipeline}/requests",
+                json=body,
+                headers={"Authorization": f"Bearer {account.key}", **headers},
+                timeout=aiohttp.ClientTimeout(total=ANSWER_TIMEOUT_S),
+            ) as response:
+                return response.status, await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            if not self._world.excused(entry, started, loop.time()):
+                self._world.violated(
+                    f"entry-{entry + 1} gave no whole answer: {error!r}"
+                )
+            self._world.counts["connection lost with its entry"] += 1
+            return 0, b""
+
+
+def expected_text(text: str, tokens: int) -> str:
+    """Return the only right answer to a question."""
+    found = RetrieverStandIn("").answer({"query": text})
+    kept = RerankerStandIn("").answer(found)["documents"]
+    return "".join(words_for("\n".join([*kept, text]), tokens))
+
+
+def _event(block: bytes) -> tuple[str, dict[str, Any]]:
+    kind, _, data = block.partition(b"\n")
+    decoded = msgspec.json.decode(data.removeprefix(b"data: "))
+    return kind.removeprefix(b"event: ").decode(), decoded
--- a/packages/standins/src/amaranthtally/standins/deployment.py
+++ b/packages/standins/src/amaranthtally/standins/deployment.py
@@ -169,6 +169,18 @@
         self._stack.push_async_callback(process.kill)
         return process
 
+    async def start_standin_at(
+        self, name: str, kind: str, port: int, knobs: dict[str, Any]
+    ) -> Process:
+        """Start a stand-in again at a port that it had."""
+        listen = f"127.0.0.1:{port}"
+        pairs = [f"{key}={value}" for key, value in knobs.items()]
+        process = await start_process(
+            name, STANDINS, kind, "--listen", listen, "--name", name, "--set", *pairs
+        )
+        self._stack.push_async_callback(process.kill)
+        return process
+
     async def start_daemon(self, role: str, name: str, file: Path) -> Process:
         """Start a daemon that ends with the deployment."""
         process = await start_process(name, DAEMON, role, "--settings", file)
