Give model orders under a rising number and a lease that surely holds

Cause: sidecars gave no orders. Weighed (docs/DESIGN.md): a lease held for ever (a renewal each 3 s by 11,000 sidecars is 3,700 writes a second; the platform takes several hundred), numbers alone (an engine that ignores them obeys a paused former holder), a lease for each order. Chosen: the last, 3 writes an order, none between. The body of an order is made in the loop step that writes it, after reading a clock that counts suspensions; a lost answer of the platform is read back. Weights stream through the sidecar; a refusal of the store is waited out with a spread that doubles. Before (read-back and clock check taken out): test_a_paused_former_holder did not end in 100 s, the old holder gave its order instead of failing. After: 4 passed (pytest tests/lifecycle/test_orders.py); 6 engines, 6 pulls, 3 writes each.

--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/engine_orders.py
@@ -0,0 +1,103 @@
+"""Orders to a model engine, sent only while a lease is known to hold."""
+
+import time
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+__all__ = ["EngineOrders", "Grant", "LeaseLapsedError", "OrderError", "boot_time"]
+
+ORDER_TIMEOUT_S = 2.0
+READ_TIMEOUT_S = 2.0
+CONFLICT = 409
+
+
+def boot_time() -> float:
+    """Return seconds of a clock that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class OrderError(Exception):
+    """The engine did not take an order."""
+
+
+class LeaseLapsedError(OrderError):
+    """Too little of the lease is left; nothing was sent."""
+
+    def __init__(self) -> None:
+        super().__init__("lease lapsed before the order was sent; take a new one")
+
+
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """A fencing number, and until when its lease surely holds, in boot seconds."""
+
+    fencing: int
+    until: float
+
+
+class _Order(msgspec.Struct):
+    fencing: int
+    model: str
+
+
+class _EngineState(msgspec.Struct):
+    models: list[str] = []
+
+
+class EngineOrders:
+    """The order calls of one engine."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        url: str,
+        clock: Callable[[], float] = boot_time,
+    ) -> None:
+        self._session = session
+        self._url = url
+        self._clock = clock
+
+    async def models(self) -> frozenset[str]:
+        """Return the models that the engine has loaded; raises ``OrderError``."""
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                f"{self._url}/v1/load", timeout=timeout
+            ) as response:
+                response.raise_for_status()
+                state = msgspec.json.decode(await response.read(), type=_EngineState)
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+            raise OrderError(
+                f"engine's state unread: {type(error).__name__}"
+            ) from error
+        return frozenset(state.models)
+
+    async def load_model(self, model: str, grant: Grant) -> None:
+        """Order a model to be loaded; raises ``OrderError``."""
+        order = msgspec.json.encode(_Order(grant.fencing, model))
+        try:
+            async with self._session.post(
+                f"{self._url}/v1/orders",
+                data=self._checked(order, grant),
+                timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
+            ) as response:
+                if response.status == CONFLICT:
+                    raise OrderError("engine knows a newer fencing number")
+                response.raise_for_status()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            if isinstance(error.__cause__, LeaseLapsedError):
+                raise error.__cause__ from None
+            raise OrderError(f"order unanswered: {type(error).__name__}") from error
+
+    async def _checked(self, order: bytes, grant: Grant) -> AsyncIterator[bytes]:
+        # A holder that was paused between taking the lease and sending would give
+        # an old order after its successor's, and an engine that ignores numbers
+        # would obey. The body is made in the loop step that writes it, so the clock
+        # is read after any pause up to here; only a pause between this line and the
+        # write itself is not seen (docs/DESIGN.md).
+        if self._clock() + ORDER_TIMEOUT_S > grant.until:
+            raise LeaseLapsedError
+        yield order
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -19,12 +19,15 @@
 from amaranthtally.daemon.sidecar.departure import Departure
 from amaranthtally.daemon.sidecar.handler import StageHandler
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
+from amaranthtally.daemon.sidecar.orders import ModelOrders
+from amaranthtally.platform import CALLER_HEADER
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import EntryConnections, serve_sidecar
 
 __all__ = ["run_sidecar"]
 
 HTTP_GRACE_S = 1.0
+ENGINE_KIND = "engine"
 
 log = get_logger()
 
@@ -45,6 +48,13 @@
         connections = EntryConnections()
         departure = Departure(settings, handler, connections)
         state.listen(departure.settings_changed)
+        if settings.endpoint_kind == ENGINE_KIND and settings.platform_url:
+            platform_session = await stack.enter_async_context(
+                aiohttp.ClientSession(headers={CALLER_HEADER: settings.endpoint})
+            )
+            orders = ModelOrders(settings, platform_session)
+            state.listen(orders.settings_changed)
+            run_beside(stack, orders.run())
         wire_port = await stack.enter_async_context(
             serve_sidecar(handler, host, port, connections)
         )
--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/weights.py
@@ -0,0 +1,71 @@
+"""Copies model weights from the platform's store to the engine."""
+
+import asyncio
+from random import uniform
+
+import aiohttp
+from aiohttp import hdrs
+
+from amaranthtally.daemon.logs import get_logger
+
+__all__ = ["WeightsError", "copy_weights"]
+
+CHUNK_BYTES = 65_536
+READ_TIMEOUT_S = 30.0
+TOO_MANY_REQUESTS = 429
+DEFAULT_WAIT_S = 1.0
+MAX_SPREAD = 8.0
+
+log = get_logger()
+
+
+class WeightsError(Exception):
+    """The store or the engine did not take part."""
+
+    def __init__(self, model: str, detail: str) -> None:
+        super().__init__(
+            f"weights of {model} were not copied ({detail}); "
+            "check the model's name and the weight store"
+        )
+
+
+async def copy_weights(
+    session: aiohttp.ClientSession, store_url: str, engine_url: str, model: str
+) -> None:
+    """
+    Stream a model's weights to the engine; raises ``WeightsError``.
+
+    The store refuses what is over its rate and says when to come back. Sidecars
+    that were refused together would come back together and be refused again: each
+    waits a random time on top, from a range that doubles with every refusal.
+    """
+    spread = 1.0
+    while True:
+        wait_s = await _try_copy(session, store_url, engine_url, model)
+        if wait_s is None:
+            return
+        log.info("weights_put_off", model=model, wait_s=round(wait_s, 3))
+        await asyncio.sleep(wait_s * uniform(1.0, 1.0 + spread))
+        spread = min(MAX_SPREAD, spread * 2)
+
+
+async def _try_copy(
+    session: aiohttp.ClientSession, store_url: str, engine_url: str, model: str
+) -> float | None:
+    timeout = aiohttp.ClientTimeout(total=None, sock_read=READ_TIMEOUT_S)
+    try:
+        async with session.get(
+            f"{store_url}/v1/weights/{model}", timeout=timeout
+        ) as source:
+            if source.status == TOO_MANY_REQUESTS:
+                return float(source.headers.get(hdrs.RETRY_AFTER, DEFAULT_WAIT_S))
+            source.raise_for_status()
+            async with session.put(
+                f"{engine_url}/v1/weights/{model}",
+                data=source.content.iter_chunked(CHUNK_BYTES),
+                timeout=timeout,
+            ) as target:
+                target.raise_for_status()
+    except (aiohttp.ClientError, TimeoutError) as error:
+        raise WeightsError(model, type(error).__name__) from error
+    return None
--- a/packages/platform/src/amaranthtally/platform/__init__.py
+++ b/packages/platform/src/amaranthtally/platform/__init__.py
@@ -13,12 +13,15 @@
     Listing,
     open_key_value,
 )
+from amaranthtally.platform.leases import HeldKey, LeaseClient
 
 __all__ = [
     "CALLER_HEADER",
     "Entry",
+    "HeldKey",
     "HostState",
     "KeyValueClient",
+    "LeaseClient",
     "ListedHost",
     "Listing",
     "PlatformAnswerLost",
--- /dev/null
+++ b/packages/platform/src/amaranthtally/platform/leases.py
@@ -0,0 +1,98 @@
+"""
+Leases: keys that a session with a TTL holds, in the platform's key-value service.
+
+A lease is no proof by itself: its holder may be paused past the TTL and act late.
+"""
+
+import base64
+
+import aiohttp
+import msgspec
+from result import Err, Ok, Result
+
+from amaranthtally.platform.errors import (
+    PlatformAnswerLost,
+    PlatformDown,
+    PlatformError,
+)
+
+__all__ = ["HeldKey", "LeaseClient"]
+
+CALL_TIMEOUT_S = 2.0
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+
+
+class HeldKey(msgspec.Struct, frozen=True):
+    """A key's value and index; index 0 where the key is absent."""
+
+    value: bytes = b""
+    index: int = 0
+
+
+class _Session(msgspec.Struct):
+    ID: str
+
+
+class _Row(msgspec.Struct):
+    Value: str
+    ModifyIndex: int
+
+
+class LeaseClient:
+    """Creates sessions and takes keys with them; errors come back as ``Err``."""
+
+    def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
+        self._session = session
+        self._url = url.rstrip("/")
+        self._timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+
+    async def open_session(self, ttl_s: float) -> Result[str, PlatformError]:
+        """Create a session that lapses ``ttl_s`` seconds later."""
+        body = msgspec.json.encode({"TTL": f"{ttl_s}s"})
+        answer = await self._put("/v1/session/create", {}, body)
+        return answer.map(lambda raw: msgspec.json.decode(raw, type=_Session).ID)
+
+    async def close_session(self, session: str) -> Result[bytes, PlatformError]:
+        """End a session and let go of its keys."""
+        return await self._put(f"/v1/session/destroy/{session}", {}, b"")
+
+    async def read(self, key: str) -> Result[HeldKey, PlatformError]:
+        """Read a key."""
+        try:
+            async with self._session.get(
+                f"{self._url}/v1/kv/{key}", timeout=self._timeout
+            ) as response:
+                body = await response.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return Err(PlatformDown(type(error).__name__))
+        if response.status == HTTP_NOT_FOUND:
+            return Ok(HeldKey())
+        if response.status != HTTP_OK:
+            return Err(PlatformDown(f"status {response.status}"))
+        row = msgspec.json.decode(body, type=list[_Row])[0]
+        return Ok(HeldKey(base64.b64decode(row.Value), row.ModifyIndex))
+
+    async def acquire(
+        self, key: str, value: bytes, index: int, session: str
+    ) -> Result[bool, PlatformError]:
+        """Take a key that still has ``index`` and that no session holds."""
+        params = {"cas": str(index), "acquire": session}
+        answer = await self._put(f"/v1/kv/{key}", params, value)
+        return answer.map(lambda raw: raw.strip() == b"true")
+
+    async def _put(
+        self, path: str, params: dict[str, str], body: bytes
+    ) -> Result[bytes, PlatformError]:
+        try:
+            async with self._session.put(
+                self._url + path, params=params, data=body, timeout=self._timeout
+            ) as response:
+                raw = await response.read()
+        except aiohttp.ClientConnectorError as error:
+            return Err(PlatformDown(type(error).__name__))
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return Err(PlatformAnswerLost(type(error).__name__))
+        if response.status != HTTP_OK:
+            return Err(PlatformDown(f"status {response.status}"))
+        return Ok(raw)
--- a/packages/standins/src/amaranthtally/standins/deployment.py
+++ b/packages/standins/src/amaranthtally/standins/deployment.py
@@ -213,6 +213,7 @@
             "http_address": LOOPBACK_ANY_PORT,
             "endpoint_url": f"http://127.0.0.1:{service.ports['port']}",
             "endpoint_kind": pool.kind,
+            "platform_url": self.platform_url,
             "concurrency": pool.concurrency,
             "drain_wait": 0.5,
             **overrides,
--- a/packages/standins/src/amaranthtally/standins/engine.py
+++ b/packages/standins/src/amaranthtally/standins/engine.py
@@ -84,6 +84,7 @@
         app.router.add_get("/v1/cache/events", self._read_events)
         app.router.add_get("/v1/cache/blocks/{block}", self._export_block)
         app.router.add_put("/v1/cache/blocks/{block}", self._import_block)
+        app.router.add_put("/v1/weights/{model}", self._take_weights)
         app.router.add_post("/v1/orders", self._take_order)
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
@@ -196,12 +197,20 @@
 
     # Orders
 
+    async def _take_weights(self, request: web.Request) -> web.Response:
+        size = 0
+        async for chunk in request.content.iter_any():
+            size += len(chunk)
+        self.records.append({"weights": request.match_info["model"], "bytes": size})
+        return web.Response(text="ok\n")
+
     async def _take_order(self, request: web.Request) -> web.Response:
         order = msgspec.json.decode(await request.read(), type=_Order)
         if self.knobs.fencing and order.fencing < self._fencing:
             return json_response({"error": "old fencing number"}, 409)
         self._fencing = max(self._fencing, order.fencing)
-        self._models = [order.model]
+        if order.model not in self._models:
+            self._models.append(order.model)
         self.records.append({"order": order.model, "fencing": order.fencing})
         return json_response({"models": self._models})
 
--- /dev/null
+++ b/tests/lifecycle/test_orders.py
@@ -0,0 +1,147 @@
+"""Model orders reach an engine under a fencing number that only rises."""
+
+import asyncio
+import itertools
+import signal
+
+import aiohttp
+import msgspec
+import pytest
+
+from amaranthtally.daemon.sidecar.engine_orders import (
+    EngineOrders,
+    Grant,
+    LeaseLapsedError,
+)
+from amaranthtally.standins.deployment import open_deployment
+from tests.support import plan, run_async
+
+MODEL = "assessment-7b"
+SHORT_LEASE_S = 3.0
+
+
+def engines_only(count):
+    """Return the plan with so many engines and nothing else."""
+    pools = [p for p in plan().pools if p.kind == "engine"]
+    pools = [msgspec.structs.replace(pool, servers=count) for pool in pools]
+    return msgspec.structs.replace(plan(), pools=pools, settings={})
+
+
+async def want(deployment, pairs, *models):
+    """Register the models of some endpoints, with their sidecars' addresses."""
+    firm = {
+        f"endpoint.{pair.id}": {**pair.registration(), "models": list(models)}
+        for pair in pairs
+    }
+    await deployment.apply({"firm": firm})
+
+
+async def orders(deployment, pair):
+    """Return the fencing numbers and models of the orders that an engine took."""
+    found = await deployment.records(pair.service)
+    return [(r["fencing"], r["order"]) for r in found if "order" in r]
+
+
+async def wait_orders(deployment, pair, count):
+    """Return the orders of an engine once there are so many."""
+    while len(found := await orders(deployment, pair)) < count:
+        await asyncio.sleep(0.05)
+    return found
+
+
+async def platform_writes(deployment, caller):
+    url = f"{deployment.platform_url}/_counts"
+    async with deployment.http.get(url) as response:
+        return (await response.json()).get(f"{caller} write", 0)
+
+
+@pytest.mark.parametrize("fencing", [True, False])
+def test_a_paused_former_holder_gives_no_old_order(fencing):
+    """
+    An engine loads last week's model over today's and answers with it. Its sidecar
+    took the lease, was paused before it gave the order, and was replaced; the new
+    one gave its order; then the old one woke and gave its own, to an engine that
+    ignores fencing numbers.
+    """
+
+    async def scenario():
+        short = {"order_lease_ttl": SHORT_LEASE_S}
+        async with open_deployment(
+            engines_only(1), sidecar_overrides=short
+        ) as deployment:
+            (pair,) = deployment.endpoints.values()
+            await deployment.set_knobs(pair.service, fencing=fencing)
+            await deployment.set_knobs(deployment.platform, slow=0.5, lose_answers=2)
+            await want(deployment, [pair], MODEL)
+            while await platform_writes(deployment, pair.id) < 2:
+                await asyncio.sleep(0.01)
+            old = pair.sidecar
+            old.send(signal.SIGSTOP)
+            await asyncio.sleep(1.0)
+            await deployment.set_knobs(deployment.platform, slow=0.0, lose_answers=0)
+            key = f"{deployment.platform_url}/v1/kv/orders/{pair.id}"
+            async with deployment.http.get(key) as response:
+                assert response.status == 200
+            pair.sidecar = await deployment.start_daemon(
+                "sidecar", pair.id, pair.sidecar_file
+            )
+            await want(deployment, [pair], MODEL)
+            first = await wait_orders(deployment, pair, 1)
+            assert first == [(2, MODEL)]
+            old.send(signal.SIGCONT)
+            await want(deployment, [pair], MODEL, "assessment-8b")
+            await wait_orders(deployment, pair, 2)
+            while not any("model_order_failed" in line for line in old.lines):
+                await asyncio.sleep(0.05)
+            numbers = [number for number, _ in await orders(deployment, pair)]
+            assert numbers == sorted(set(numbers))
+            assert 1 not in numbers
+
+    run_async(scenario())
+
+
+def test_an_order_is_not_sent_after_the_lease():
+    """
+    The same, at the last moment: the pause falls between the answer of the platform
+    and the bytes of the order.
+    """
+
+    async def scenario():
+        async with (
+            open_deployment(engines_only(1)) as deployment,
+            aiohttp.ClientSession() as session,
+        ):
+            (pair,) = deployment.endpoints.values()
+            engine = EngineOrders(session, pair.service_url, clock=lambda: 100.0)
+            with pytest.raises(LeaseLapsedError):
+                await engine.load_model("old", Grant(1, until=101.0))
+            assert await orders(deployment, pair) == []
+            await engine.load_model("new", Grant(2, until=103.0))
+            assert await orders(deployment, pair) == [(2, "new")]
+
+    run_async(scenario())
+
+
+def test_pulls_stay_under_the_rate_of_the_weight_store():
+    """
+    A new model reaches all engines at once; the store throttles, and engines that
+    come back together are refused together for minutes.
+    """
+
+    async def scenario():
+        async with open_deployment(engines_only(6)) as deployment:
+            pairs = list(deployment.endpoints.values())
+            rate = 5 * 65_536.0
+            await deployment.set_knobs(deployment.platform, weight_rate=rate)
+            await want(deployment, pairs, MODEL)
+            for pair in pairs:
+                assert await wait_orders(deployment, pair, 1) == [(1, MODEL)]
+            pulls = [r["at"] for r in await deployment.records(deployment.platform)]
+            assert len(pulls) == len(pairs)
+            gaps = [after - at for at, after in itertools.pairwise(pulls)]
+            assert min(gaps) >= 65_536 / rate
+            for pair in pairs:
+                # A session, a number, the session's end: nothing is renewed.
+                assert await platform_writes(deployment, pair.id) == 3
+
+    run_async(scenario())
