--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -8,6 +8,8 @@
 import msgspec
 from aiohttp import hdrs, web
 
+from amaranthtally.daemon.entry.binder import Binder, EffectRequest
+from amaranthtally.daemon.entry.bound import BoundRequest
 from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.entry.live_request import Chunk, Ending, LiveRequest
 from amaranthtally.daemon.entry.metrics import EntryMetrics
@@ -17,7 +19,9 @@
     problem_of_refusal,
     problem_response,
     render_problem,
+    truthful,
 )
+from amaranthtally.daemon.entry.tokens import is_token
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import Arrival, Pipeline
 from amaranthtally.settings import SettingsView
@@ -26,6 +30,7 @@
 
 IDEMPOTENCY_KEY = "Idempotency-Key"
 KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,128}$")
+MAX_TOKEN_CHARS = 2048
 MAX_DEADLINE_MS = 600_000
 REQUEST_ID_BYTES = 8
 EVENT_STREAM = "text/event-stream"
@@ -39,6 +44,10 @@
     stream: bool = False
 
 
+class _TokenAnswer(msgspec.Struct):
+    token: str
+
+
 @dataclass(frozen=True, slots=True)
 class _Accepted:
     """A request that passed every check and has not been handed on yet."""
@@ -53,9 +62,15 @@
     """Checks callers' requests, submits them, and writes their endings."""
 
     def __init__(
-        self, executor: Executor, metrics: EntryMetrics, region: str, max_body: int
+        self,
+        executor: Executor,
+        binder: Binder,
+        metrics: EntryMetrics,
+        region: str,
+        max_body: int,
     ) -> None:
         self._executor = executor
+        self._binder = binder
         self._metrics = metrics
         self._region = region
         self._max_body = max_body
@@ -75,11 +90,14 @@
 
     async def create_request(self, request: web.Request) -> web.StreamResponse:
         """Answer ``POST /v1/pipelines/{pipeline}/requests``."""
+        received = asyncio.get_running_loop().time()
         checked = await self._check(request)
         if isinstance(checked, Problem):
-            self._metrics.request_rejected(checked.status)
-            return problem_response(checked)
-        live = self._live_request(checked)
+            return self._refuse(request, checked)
+        bound = await self._bind(checked)
+        if isinstance(bound, Problem):
+            return self._refuse(request, bound)
+        live = self._live_request(checked, bound, received)
         self._executor.submit(live)
         self._open_responses += 1
         try:
@@ -92,9 +110,28 @@
         finally:
             self._open_responses -= 1
 
+    async def create_token(self, request: web.Request) -> web.Response:
+        """Answer ``POST /v1/pipelines/{pipeline}/tokens``."""
+        identified = self._identify(request)
+        if isinstance(identified, Problem):
+            return self._refuse(request, identified)
+        account, pipeline = identified
+        if pipeline.repeatable:
+            return self._refuse(request, _NO_TOKEN_NEEDED)
+        token = await self._binder.issue(account, pipeline)
+        if isinstance(token, Problem):
+            return self._refuse(request, token)
+        body = msgspec.json.encode(_TokenAnswer(token))
+        return web.Response(status=201, body=body, content_type="application/json")
+
     # Checks
 
-    async def _check(self, request: web.Request) -> _Accepted | Problem:
+    def _refuse(self, request: web.Request, problem: Problem) -> web.Response:
+        self._metrics.request_rejected(problem.status)
+        keyed = IDEMPOTENCY_KEY in request.headers
+        return problem_response(truthful(problem, keyed))
+
+    def _identify(self, request: web.Request) -> tuple[str, Pipeline] | Problem:
         if self._view is None or self._pipelines is None:
             return Problem(
                 503, "Starting", "Settings are not read yet; try again.", retry_after=1
@@ -110,11 +147,18 @@
             return Problem(
                 404, "Unknown pipeline", f"No pipeline {name!r}; check the path."
             )
+        return account, pipeline
+
+    async def _check(self, request: web.Request) -> _Accepted | Problem:
+        identified = self._identify(request)
+        if isinstance(identified, Problem):
+            return identified
+        account, pipeline = identified
         body = await self._read_body(request)
         if isinstance(body, Problem):
             return body
         key = request.headers.get(IDEMPOTENCY_KEY, "")
-        if key and not KEY_PATTERN.match(key):
+        if key and not _well_formed(key):
             return Problem(
                 400, "Bad key", f"{IDEMPOTENCY_KEY} takes 1 to 128 visible characters."
             )
@@ -122,7 +166,7 @@
             return Problem(
                 400,
                 "Key required",
-                f"Pipeline {name!r} has a side effect: send {IDEMPOTENCY_KEY}.",
+                f"{pipeline.name!r} has a side effect: send {IDEMPOTENCY_KEY}.",
             )
         return _Accepted(account, pipeline, body, key)
 
@@ -143,7 +187,21 @@
             )
         return body
 
-    def _live_request(self, checked: _Accepted) -> LiveRequest:
+    async def _bind(self, checked: _Accepted) -> BoundRequest | Problem | None:
+        if checked.pipeline.repeatable:
+            return None
+        return await self._binder.bind(
+            EffectRequest(
+                checked.account,
+                checked.pipeline,
+                checked.call_key,
+                bytes(checked.body.input),
+            )
+        )
+
+    def _live_request(
+        self, checked: _Accepted, bound: BoundRequest | None, received: float
+    ) -> LiveRequest:
         assert self._view is not None
         deadline_s = checked.pipeline.deadline_s
         if checked.body.deadline_ms is not None:
@@ -153,12 +211,12 @@
             request_id=secrets.token_hex(REQUEST_ID_BYTES),
             account=checked.account,
             pipeline=checked.pipeline,
-            deadline=asyncio.get_running_loop().time() + deadline_s,
+            deadline=received + deadline_s,
             input_bytes=len(raw),
             streaming=checked.body.stream,
+            bound=bound.endpoints(checked.pipeline) if bound else {},
         )
-        call_key = f"{checked.account}/{checked.pipeline.name}/{checked.call_key}"
-        return LiveRequest(arrival, raw, call_key, self._view.revision)
+        return LiveRequest(arrival, raw, self._view.revision, bound)
 
     # Endings
 
@@ -211,9 +269,21 @@
         )
 
 
+_NO_TOKEN_NEEDED = Problem(
+    409, "No token needed", "This pipeline has no side effect; send the request."
+)
+
+
 def add_caller_routes(app: web.Application, api: CallerApi) -> None:
     """Add the callers' routes to an application."""
     app.router.add_post("/v1/pipelines/{pipeline}/requests", api.create_request)
+    app.router.add_post("/v1/pipelines/{pipeline}/tokens", api.create_token)
+
+
+def _well_formed(key: str) -> bool:
+    if is_token(key):
+        return len(key) <= MAX_TOKEN_CHARS
+    return KEY_PATTERN.match(key) is not None
 
 
 def _bearer_key(request: web.Request) -> str:
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -11,19 +11,24 @@
 
 from amaranthtally.daemon.entry.admin import AdminApi, AdminParts, add_admin_routes
 from amaranthtally.daemon.entry.audit import AuditReader
+from amaranthtally.daemon.entry.binder import Binder
 from amaranthtally.daemon.entry.callers import CallerApi, add_caller_routes
 from amaranthtally.daemon.entry.change_store import ChangeStore
+from amaranthtally.daemon.entry.claim_sweep import ClaimSweeper
+from amaranthtally.daemon.entry.claims import Claims
 from amaranthtally.daemon.entry.committer import Committer
 from amaranthtally.daemon.entry.departure import EntryDeparture, close_when_leaving
 from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.entry.first_settings import load_from_peers
 from amaranthtally.daemon.entry.host_watch import follow_hosts, probe_endpoints
+from amaranthtally.daemon.entry.inquiries import Inquirer
 from amaranthtally.daemon.entry.log_follower import LogFollower
 from amaranthtally.daemon.entry.membership import Membership
 from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.entry.pipelines import policy_settings
 from amaranthtally.daemon.entry.snapshots import SnapshotStore
+from amaranthtally.daemon.entry.tokens import TokenSigner
 from amaranthtally.daemon.health import add_health_routes
 from amaranthtally.daemon.lifecycle import (
     StopSignal,
@@ -35,7 +40,7 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import ENTRY_LINKS, SettingsSync
-from amaranthtally.platform import CALLER_HEADER, open_key_value
+from amaranthtally.platform import CALLER_HEADER, KeyValueClient, open_key_value
 from amaranthtally.policy import Planner, PolicySettings
 from amaranthtally.settings import EntrySettings, SettingsView, Tree
 from amaranthtally.settings.documents import Status
@@ -72,27 +77,26 @@
     metrics = EntryMetrics()
     planner = Planner(start, Random(secrets.randbits(SEED_BITS)))
     executor = Executor(planner, start, metrics)
-    callers = CallerApi(executor, metrics, settings.region, settings.max_body_bytes)
 
     membership = Membership(executor)
 
     def on_change(tree: Tree) -> None:
         view = SettingsView(tree)
+        wanted = policy_settings(view, settings.region, settings.data_centre)
         callers.settings_changed(view)
-        executor.settings_changed(
-            policy_settings(view, settings.region, settings.data_centre)
-        )
-        hosts = {e.id: e.host for e in executor.endpoints.values()}
+        executor.settings_changed(wanted)
+        inquirer.settings_changed(wanted.endpoints)
+        hosts = {e.id: e.host for e in wanted.endpoints.values()}
         membership.settings_changed(hosts, view.drained_hosts)
 
     parts = await _open_settings(settings, stack)
     state = parts.state
-    state.listen(on_change)
     loads: dict[str, Load] = {}
 
     def on_load(endpoint: str, load: Load) -> None:
         loads[endpoint] = load
         membership.load_heard(endpoint, load)
+        inquirer.note_load(endpoint, load)
         client = peers.live_client(endpoint)
         if client is not None:
             parts.sync.heard(load.revision, client.changes_since)
@@ -105,13 +109,25 @@
         membership.unreachable,
     )
     stack.push_async_callback(peers.close)
-    executor.connect(peers)
+    inquirer = Inquirer(peers)
+    executor.connect(peers, inquirer)
+    binder = Binder(
+        settings.region,
+        Claims(parts.key_value),
+        TokenSigner(settings.token_keys),
+        inquirer,
+    )
+    callers = CallerApi(
+        executor, binder, metrics, settings.region, settings.max_body_bytes
+    )
+    state.listen(on_change)
     first = load_from_peers(
         settings.peers, state, parts.follower, settings.connect_timeout
     )
     session = await stack.enter_async_context(
         aiohttp.ClientSession(headers={CALLER_HEADER: settings.name})
     )
+    sweeper = ClaimSweeper(parts.key_value, settings.claim_ttl, Random())
     for work in (
         parts.follower.follow(),
         first,
@@ -119,6 +135,7 @@
         executor.tick(),
         follow_hosts(session, settings.platform_url, membership),
         probe_endpoints(membership, peers, lambda: executor.endpoints),
+        sweeper.run(),
     ):
         run_beside(stack, work)
 
@@ -174,6 +191,7 @@
 class _SettingsParts:
     """Everything that keeps and changes the settings of an entry."""
 
+    key_value: KeyValueClient
     state: SettingsState
     follower: LogFollower
     committer: Committer
@@ -196,4 +214,4 @@
     sync = SettingsSync(settings.name, state, ENTRY_LINKS)
     stack.push_async_callback(sync.close)
     audit = AuditReader(changes, state)
-    return _SettingsParts(state, follower, committer, audit, sync)
+    return _SettingsParts(key_value, state, follower, committer, audit, sync)
