--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -69,6 +69,7 @@
         self._waiting: dict[CallId, QueuedCall] = {}
         self._serial = 0
         self._leaving = False
+        self._draining = False
         self._loop = asyncio.get_running_loop()
         self._born = self._loop.time()
 
@@ -86,6 +87,10 @@
         """Take no new work from now on."""
         self._leaving = True
 
+    def set_draining(self, draining: bool) -> None:
+        """Take no new work while the operators drain this host."""
+        self._draining = draining
+
     # Inner protocol
 
     async def hello(
@@ -103,7 +108,7 @@
             running=self._queue.running,
             queued=self._queue.queued,
             limit=self._queue.limit,
-            leaving=self._leaving,
+            leaving=self._leaving or self._draining,
             service_s=self._queue.service_s,
             backlog_s=self._queue.backlog_s,
             clock_s=self.clock_s,
@@ -151,7 +156,7 @@
 
     def refusal(self, call: StageCall) -> str:
         """Return why a call is not taken now; empty where it is."""
-        if self._leaving:
+        if self._leaving or self._draining:
             return "leaving"
         if call.id in self._tombstones:
             return "cancelled before start"
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -35,6 +35,7 @@
     STAGE_FAILED = "stage_failed"
     CALLER_GONE = "caller_gone"
     KEY_CONFLICT = "key_conflict"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -41,6 +41,7 @@
     connect_timeout: Positive = 1.0
     claim_ttl: Positive = 86_400.0
     drain_wait: Annotated[float, Meta(ge=0)] = 2.0
+    drain_limit: Positive = 660.0
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
@@ -55,11 +56,14 @@
     http_address: Address
     endpoint_url: Url
     endpoint_kind: Name
+    platform_url: Annotated[str, Meta(pattern=r"^(https?://[^\s]+)?$")] = ""
+    order_lease_ttl: Annotated[float, Meta(ge=3)] = 10.0
     concurrency: Count = 4
     queue_capacity: Count = 64
     record_ttl: Positive = 900.0
     record_capacity: Count = 10_000
     drain_wait: Annotated[float, Meta(ge=0)] = 3.0
+    drain_limit: Positive = 660.0
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
