--- a/packages/daemon/src/amaranthtally/daemon/entry/log_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/log_follower.py
@@ -3,6 +3,7 @@
 import asyncio
 from random import uniform
 
+from aioprometheus import Gauge
 from result import Err, Ok, Result
 
 from amaranthtally.daemon.entry.change_store import BLOCK, ChangeStore, HeadRead
@@ -19,6 +20,9 @@
 SOURCE = "platform"
 
 log = get_logger()
+connected_gauge = Gauge(
+    "amaranthtally_platform_connected", "1 while the platform answers."
+)
 
 
 class LogFollower:
@@ -91,6 +95,7 @@
                 log.warning("platform_lost", cause=str(step.err_value))
             else:
                 log.info("platform_connected", revision=self._state.revision)
+            connected_gauge.set({}, int(connected))
         self._connected = connected
         self._tried.set()
 
--- a/packages/daemon/src/amaranthtally/daemon/settings_links.py
+++ b/packages/daemon/src/amaranthtally/daemon/settings_links.py
@@ -1,14 +1,16 @@
 """Which sidecars a process tells of newer settings."""
 
 from bisect import bisect
+from collections.abc import Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 from heapq import nsmallest
+from typing import Any, NamedTuple
 
 from amaranthtally.settings import Tree
 from amaranthtally.settings.catalogue import ENDPOINT_PREFIX
 
-__all__ = ["LinkPlan", "choose_links"]
+__all__ = ["LinkPlan", "choose_links", "linked_endpoints"]
 
 HASH_BYTES = 8
 
@@ -21,8 +23,7 @@
     drawn: int
 
 
-@dataclass(frozen=True, slots=True, order=True)
-class _Place:
+class _Place(NamedTuple):
     """An endpoint's place on the ring; neighbours are mostly of one region."""
 
     region: str
@@ -31,7 +32,14 @@
     address: str
 
 
-def choose_links(tree: Tree, own: str, plan: LinkPlan) -> tuple[str, ...]:
+def linked_endpoints(tree: Tree) -> dict[str, Any]:
+    """Return the registrations on which the links depend, by key."""
+    return {k: v for _, k, v in tree.items() if k.startswith(ENDPOINT_PREFIX)}
+
+
+def choose_links(
+    endpoints: Mapping[str, Any], own: str, plan: LinkPlan
+) -> tuple[str, ...]:
     """
     Return the addresses of the sidecars that ``own`` tells.
 
@@ -39,22 +47,25 @@
     nothing is found; the drawn links make the way across the fleet short. Every
     process computes its own links from the tree: nobody has to agree on them.
     """
+    own_key = ENDPOINT_PREFIX + own
     places = sorted(
         _Place(value["region"], _rank(key), key, value["address"])
-        for _, key, value in tree.items()
-        if key.startswith(ENDPOINT_PREFIX)
+        for key, value in endpoints.items()
+        if key != own_key
     )
-    own_key = ENDPOINT_PREFIX + own
-    here = next((place for place in places if place.id == own_key), None)
-    others = [place for place in places if place.id != own_key]
-    chosen = [] if here is None else _next_on_ring(others, here, plan.ring)
-    chosen += nsmallest(plan.drawn, others, key=lambda place: _rank(own + place.id))
+    chosen: list[_Place] = []
+    if own_key in endpoints:
+        here = (endpoints[own_key]["region"], _rank(own_key))
+        chosen += _next_on_ring(places, here, plan.ring)
+    chosen += nsmallest(plan.drawn, places, key=lambda place: _rank(own + place.id))
     return tuple(dict.fromkeys(place.address for place in chosen))
 
 
-def _next_on_ring(others: list[_Place], here: _Place, count: int) -> list[_Place]:
-    start = bisect(others, here)
-    turned = others[start:] + others[:start]
+def _next_on_ring(
+    places: list[_Place], here: tuple[str, bytes], count: int
+) -> list[_Place]:
+    start = bisect(places, here)
+    turned = places[start:] + places[:start]
     return turned[:count]
 
 
--- a/packages/daemon/src/amaranthtally/daemon/settings_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/settings_sync.py
@@ -9,7 +9,11 @@
 
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.daemon.settings_links import LinkPlan, choose_links
+from amaranthtally.daemon.settings_links import (
+    LinkPlan,
+    choose_links,
+    linked_endpoints,
+)
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.settings import Tree
 from amaranthtally.wire import (
@@ -54,6 +58,7 @@
         self._name = name
         self._state = state
         self._plan = plan
+        self._endpoints: dict[str, Any] = {}
         self._addresses: tuple[str, ...] = ()
         self._clients: dict[str, SidecarClient] = {}
         self._known: dict[str, int] = {}
@@ -142,9 +147,13 @@
         self._known.clear()
 
     def _on_change(self, tree: Tree) -> None:
-        self._addresses = choose_links(tree, self._name, self._plan)
-        for address in set(self._clients) - set(self._addresses):
-            self._clients.pop(address).close()
+        endpoints = linked_endpoints(tree)
+        # Sorting all endpoints at each change of a limit would cost too much.
+        if endpoints != self._endpoints:
+            self._endpoints = endpoints
+            self._addresses = choose_links(endpoints, self._name, self._plan)
+            for address in set(self._clients) - set(self._addresses):
+                self._clients.pop(address).close()
         self._changed.set()
 
     def _tell_all(self) -> None:
--- a/packages/operator/src/amaranthtally/operator/fleet_commands.py
+++ b/packages/operator/src/amaranthtally/operator/fleet_commands.py
@@ -49,7 +49,7 @@
         ("requests in flight", found.in_flight),
         ("endpoints", found.endpoints),
     ]
-    print_table(("", ""), rows)
+    print_table(("FIELD", "VALUE"), rows)
     return ExitCode.DONE
 
 
--- a/packages/settings/src/amaranthtally/settings/catalogue.py
+++ b/packages/settings/src/amaranthtally/settings/catalogue.py
@@ -27,6 +27,7 @@
 AT_FIRM = Placement(frozenset({Level.FIRM}))
 AT_ACCOUNT = Placement(frozenset({Level.ACCOUNT}), alone=True)
 AT_PIPELINE = Placement(frozenset({Level.PIPELINE}))
+AT_FIRM_OR_REGION = Placement(frozenset({Level.FIRM, Level.REGION}))
 NOT_AT_PIPELINE = Placement(frozenset({Level.FIRM, Level.REGION, Level.ACCOUNT}))
 DIGEST = text(r"^[0-9a-f]{64}$", "64 hexadecimal digits (SHA-256)")
 
@@ -104,6 +105,69 @@
     return ""
 
 
+@key("stage.NAME.price_per_s", number(0), unit="currency/s", default=0.0005)
+def _stage_price(value: Any) -> str:
+    """Price of one second of the stage's endpoint."""
+    return "" if value > 0 else "must be above 0; give the price of a second"
+
+
+# Policy
+
+
+@key("weight.attainment", number(0, 1), default=0.7)
+def _weight(_: Any) -> str:
+    """Weighs answers in time (1) against cost by stage (0)."""
+    return ""
+
+
+@key(
+    "traffic.price_per_gb",
+    number(0),
+    unit="currency/GB",
+    default=0.02,
+    placement=AT_FIRM_OR_REGION,
+)
+def _traffic_price(_: Any) -> str:
+    """Price of traffic between regions."""
+    return ""
+
+
+@key(
+    "region.latency_ms",
+    number(0),
+    unit="ms",
+    default=12,
+    placement=AT_FIRM_OR_REGION,
+)
+def _region_latency(_: Any) -> str:
+    """One-way latency to other regions, until it is measured."""
+    return ""
+
+
+@key("admission.headroom", number(0.1, 1), default=0.8, placement=AT_FIRM_OR_REGION)
+def _headroom(_: Any) -> str:
+    """Share of a deadline that the predicted completion may use."""
+    return ""
+
+
+@key("retry.budget", number(0, 1), default=0.2, placement=AT_FIRM_OR_REGION)
+def _retry_budget(_: Any) -> str:
+    """Retries allowed for each first attempt."""
+    return ""
+
+
+@key("hedge.budget", number(0, 1), default=0.05, placement=AT_FIRM_OR_REGION)
+def _hedge_budget(_: Any) -> str:
+    """Hedges allowed for each first attempt."""
+    return ""
+
+
+@key("entries", whole(1, 100_000), default=1, placement=AT_FIRM_OR_REGION)
+def _entries(_: Any) -> str:
+    """Entries that share each client account's limit."""
+    return ""
+
+
 # Endpoints and hosts
 
 
--- a/packages/settings/src/amaranthtally/settings/checks.py
+++ b/packages/settings/src/amaranthtally/settings/checks.py
@@ -104,27 +104,47 @@
 
 def _unusable(before: Tree, after: Tree, batch: list[Op]) -> list[Mistake]:
     """Return the pipelines that the batch breaks; older faults don't block it."""
-    if not any(_may_break(before, op) for op in batch):
+    prefixes = (STAGES_KEY, STAGE_PREFIX, ENDPOINT_PREFIX, DRAIN_PREFIX)
+    if not any(op.key.startswith(prefixes) for op in batch):
         return []
-    known = set(_faults(before))
-    new = [fault for fault in _faults(after) if fault not in known]
+    offered, offered_before = _offered_models(after), _offered_models(before)
+    scopes = _affected(after, batch, _has_less(offered_before, offered))
+    faults = _faults(after, scopes, offered)
+    if not faults:
+        return []
+    known = set(_faults(before, scopes, offered_before))
+    new = [fault for fault in faults if fault not in known]
     return [Mistake(str(fault.scope), fault.key, fault.detail) for fault in new]
 
 
-def _may_break(before: Tree, op: Op) -> bool:
-    if op.key.startswith(ENDPOINT_PREFIX):
-        # A registration that is new only adds room: the common case stays cheap.
-        return before.get(Scope.parse(op.scope), op.key) is not None
-    if op.key.startswith(DRAIN_PREFIX):
-        return op.value is True
-    return op.key == STAGES_KEY or op.key.startswith(STAGE_PREFIX)
+def _has_less(before: dict[str, set[str]], after: dict[str, set[str]]) -> bool:
+    return any(not models <= after.get(pool, set()) for pool, models in before.items())
+
+
+def _affected(tree: Tree, batch: list[Op], less_offered: bool) -> list[Scope]:
+    """Return the scopes whose pipelines the batch may have broken."""
+    if less_offered:
+        return _pipeline_scopes(tree)
+    places = [Scope.parse(op.scope) for op in batch if _is_stage_key(op.key)]
+    if not places:
+        return []
+    scopes = _pipeline_scopes(tree)
+    return [scope for scope in scopes if any(scope.meets(p) for p in places)]
+
+
+def _is_stage_key(key: str) -> bool:
+    return key == STAGES_KEY or key.startswith(STAGE_PREFIX)
 
 
-def _faults(tree: Tree) -> Iterator[_Fault]:
-    offered = _offered_models(tree)
-    for scope in _pipeline_scopes(tree):
-        for stage in tree.resolve(scope, STAGES_KEY) or ():
-            yield from _stage_faults(tree, scope, stage, offered)
+def _faults(
+    tree: Tree, scopes: list[Scope], offered: dict[str, set[str]]
+) -> list[_Fault]:
+    return [
+        fault
+        for scope in scopes
+        for stage in tree.resolve(scope, STAGES_KEY) or ()
+        for fault in _stage_faults(tree, scope, stage, offered)
+    ]
 
 
 def _stage_faults(
@@ -172,7 +192,7 @@
     """
     pipelines, accounts, regions = set(), {""}, {""}
     for scope, key, _ in tree.items():
-        if key != STAGES_KEY and not key.startswith(STAGE_PREFIX):
+        if not _is_stage_key(key):
             continue
         accounts.add(scope.account)
         regions.add(scope.region)
--- a/packages/settings/src/amaranthtally/settings/proposal.py
+++ b/packages/settings/src/amaranthtally/settings/proposal.py
@@ -82,16 +82,6 @@
 
 
 def _touches(one: Op, other: Op) -> bool:
-    if one.key != other.key:
-        return False
-    return _may_meet(Scope.parse(one.scope), Scope.parse(other.scope))
-
-
-def _may_meet(one: Scope, other: Scope) -> bool:
-    """Whether some region, client account and pipeline lies below both scopes."""
-    pairs = (
-        (one.region, other.region),
-        (one.account, other.account),
-        (one.pipeline, other.pipeline),
+    return one.key == other.key and Scope.parse(one.scope).meets(
+        Scope.parse(other.scope)
     )
-    return all(not a or not b or a == b for a, b in pairs)
--- a/packages/settings/src/amaranthtally/settings/tree.py
+++ b/packages/settings/src/amaranthtally/settings/tree.py
@@ -59,6 +59,14 @@
         ]
         return tuple(found)
 
+    def meets(self, other: "Scope") -> bool:
+        """Whether some region, account and pipeline lies below both scopes."""
+        return (
+            _agree(self.region, other.region)
+            and _agree(self.account, other.account)
+            and _agree(self.pipeline, other.pipeline)
+        )
+
     @classmethod
     def parse(cls, text: str) -> "Scope":
         """Return the scope written as ``text``; raises ``ValueError``."""
@@ -155,3 +163,7 @@
     def items(self) -> list[tuple[Scope, str, Any]]:
         """Return every value that is set."""
         return [(scope, key, value) for (scope, key), value in self._values.items()]
+
+
+def _agree(one: str, other: str) -> bool:
+    return not one or not other or one == other
