--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -76,6 +76,12 @@
         self._max_body = max_body
         self._view: SettingsView | None = None
         self._pipelines: PipelineResolver | None = None
+        self._open_responses = 0
+
+    @property
+    def open_responses(self) -> int:
+        """Requests whose response has not been handed over whole."""
+        return self._open_responses
 
     def settings_changed(self, view: SettingsView) -> None:
         """Use newer settings for what comes."""
@@ -93,6 +99,7 @@
             return self._refuse(request, bound)
         live = self._live_request(checked, bound, received)
         self._executor.submit(live)
+        self._open_responses += 1
         try:
             if checked.body.stream:
                 return await self._stream(request, live)
@@ -100,6 +107,8 @@
         except (asyncio.CancelledError, ConnectionResetError):
             self._executor.abandon(live)
             raise
+        finally:
+            self._open_responses -= 1
 
     async def create_token(self, request: web.Request) -> web.Response:
         """Answer ``POST /v1/pipelines/{pipeline}/tokens``."""
--- a/packages/wire/src/amaranthtally/wire/client.py
+++ b/packages/wire/src/amaranthtally/wire/client.py
@@ -82,7 +82,7 @@
 
     @property
     def calls(self) -> int:
-        """Stage calls that wait for their reply."""
+        """Calls about stages that wait for their reply."""
         return self._calls
 
     async def hello(
@@ -142,7 +142,11 @@
         request.callKey = call_key
         write_terms(request.terms, terms)
         request.inquiry = inquiry.value
-        answer = await self._guard(request.send())
+        self._calls += 1
+        try:
+            answer = await self._guard(request.send())
+        finally:
+            self._calls -= 1
         return read_reply(answer.reply)
 
     async def load(self) -> Load:
