--- a/bench/settings_propagation.py
+++ b/bench/settings_propagation.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import os
 import re
 import statistics
 import time
@@ -180,9 +181,19 @@
     print(f"platform calls per change, all processes together: {calls}")
 
 
+def processor_seconds(process):
+    fields = Path(f"/proc/{process.pid}/stat").read_text().rsplit(") ", 1)[1].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
 async def measure_idle(fleet, seconds):
     before = await fleet.counts()
+    used = sum(map(processor_seconds, fleet.light))
     await asyncio.sleep(seconds)
+    if fleet.light:
+        used = sum(map(processor_seconds, fleet.light)) - used
+        share = 100 * used / seconds / fleet.nodes
+        print(f"processor time of a light node, idle: {share:.2f}% of a core")
     calls = difference(before, await fleet.counts())
     print(f"platform calls in {seconds:.0f} s idle, all processes together: {calls}")
 
--- a/packages/settings/src/amaranthtally/settings/kinds.py
+++ b/packages/settings/src/amaranthtally/settings/kinds.py
@@ -36,8 +36,7 @@
     """
     Where an endpoint stands; ``address`` is its sidecar's ``ip:port``.
 
-    An empty list of ``models`` stands for any model. ``fencing`` says whether the
-    endpoint refuses an order with an old fencing number.
+    An empty list of ``models`` stands for any model.
     """
 
     pool: Annotated[str, Meta(pattern=NAME_PATTERN)]
@@ -46,7 +45,6 @@
     data_centre: Annotated[str, Meta(pattern=NAME_PATTERN)]
     address: Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
     models: list[str] = []
-    fencing: bool = False
 
 
 def whole(low: int, high: int) -> Kind:
