--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -1,12 +1,14 @@
 """Carries out the policy's actions and feeds it what came of them."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable, Coroutine, Mapping
+from contextlib import suppress
 from typing import Any
 
 import msgspec
 
 from amaranthtally.daemon.entry.live_request import LiveRequest, StageRecord
+from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -33,11 +35,13 @@
     StageCall,
     StageReply,
     Status,
+    WireError,
 )
 
 __all__ = ["Executor"]
 
 TICK_S = 0.01
+IDLE_TICK_S = 1.0
 
 log = get_logger()
 
@@ -56,13 +60,19 @@
 class Executor:
     """Runs one entry's requests; every decision is the planner's."""
 
-    def __init__(self, planner: Planner, settings: PolicySettings) -> None:
+    def __init__(
+        self, planner: Planner, settings: PolicySettings, metrics: EntryMetrics
+    ) -> None:
         self._planner = planner
+        self._metrics = metrics
+        self._region = settings.region
         self._endpoints = settings.endpoints
+        self._revision = settings.revision
         self._requests: dict[str, LiveRequest] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._peers: Peers | None = None
         self._loop = asyncio.get_running_loop()
+        self._arrived = asyncio.Event()
         self._carry_out_table: dict[type, Callable[[Any], None]] = {
             Send: self._send,
             Cancel: self._cancel,
@@ -77,6 +87,11 @@
         """Requests that have not ended."""
         return len(self._requests)
 
+    @property
+    def endpoints(self) -> Mapping[str, Endpoint]:
+        """Registered endpoints by id."""
+        return self._endpoints
+
     def connect(self, peers: Peers) -> None:
         """Use these connections."""
         self._peers = peers
@@ -86,6 +101,7 @@
     def submit(self, request: LiveRequest) -> None:
         """Hand a request to the policy; its ending comes through the request."""
         self._requests[request.id] = request
+        self._arrived.set()
         self._carry_out(
             self._planner.request_arrived(self._loop.time(), request.arrival)
         )
@@ -101,6 +117,7 @@
     def settings_changed(self, settings: PolicySettings) -> None:
         """Use newer settings for what comes."""
         self._endpoints = settings.endpoints
+        self._revision = settings.revision
         self._carry_out(self._planner.settings_changed(self._loop.time(), settings))
 
     def load_changed(self, endpoint: str, load: Load) -> None:
@@ -121,9 +138,14 @@
         self._carry_out(self._planner.endpoint_leaving(self._loop.time(), endpoint))
 
     async def tick(self) -> None:
-        """Let the policy act on the passing of time, until cancelled."""
+        """
+        Let the policy act on the passing of time, until cancelled.
+
+        Ticks cost processor time whether or not anything waits for them: with no
+        request in flight the policy is woken once a second only.
+        """
         while True:
-            await asyncio.sleep(TICK_S)
+            await self._wait_for_tick()
             self._carry_out(self._planner.tick(self._loop.time()))
 
     async def drained(self) -> None:
@@ -131,6 +153,15 @@
         while self._requests:
             await asyncio.sleep(TICK_S)
 
+    async def _wait_for_tick(self) -> None:
+        if self._requests:
+            await asyncio.sleep(TICK_S)
+            return
+        self._arrived.clear()
+        with suppress(TimeoutError):
+            async with asyncio.timeout(IDLE_TICK_S):
+                await self._arrived.wait()
+
     # Actions
 
     def _carry_out(self, actions: list[Action]) -> None:
@@ -139,7 +170,11 @@
 
     def _send(self, send: Send) -> None:
         request = self._requests[send.attempt.request_id]
-        self._start(request, send.attempt, self._run_attempt(request, send))
+        # Looked up now: a change of settings may take the endpoint away before the
+        # task runs, and a live request must not fail by it.
+        endpoint = self._endpoints[send.endpoint]
+        work = self._run_attempt(request, send, endpoint)
+        self._start(request, send.attempt, work)
 
     def _cancel(self, cancel: Cancel) -> None:
         request = self._requests.get(cancel.attempt.request_id)
@@ -188,9 +223,10 @@
 
     # Attempts
 
-    async def _run_attempt(self, request: LiveRequest, send: Send) -> None:
+    async def _run_attempt(
+        self, request: LiveRequest, send: Send, endpoint: Endpoint
+    ) -> None:
         attempt = send.attempt
-        endpoint = self._endpoints[send.endpoint]
         stage = request.arrival.pipeline.stages[attempt.stage]
         assert self._peers is not None
         try:
@@ -203,15 +239,20 @@
         call = self._build_call(request, send, stage)
 
         async def on_chunk(offset: int, text: str) -> None:
+            if attempt not in request.tasks:
+                return
             if request.take_chunk(attempt.stage, offset, text):
                 self._planner.progress(self._loop.time(), attempt, len(request.chunks))
 
         try:
             reply = await client.run(call, on_chunk if stage.streams else None)
-        except PeerLostError as error:
+        except WireError as error:
             self._log_attempt(attempt, endpoint, "lost", str(error))
             self._ended(attempt, StageResult(Fate.LOST))
             return
+        if endpoint.region != self._region:
+            size = len(call.input) + len(reply.output)
+            self._metrics.region_crossed(stage.name, size)
         self._take_reply(request, attempt, endpoint, reply)
 
     async def _ask_outcome(self, request: LiveRequest, ask: Ask) -> None:
@@ -225,7 +266,7 @@
                 reply = await client.outcome(
                     request.call_key, request.incarnations[attempt]
                 )
-            except PeerLostError as error:
+            except WireError as error:
                 self._log_attempt(attempt, endpoint, "lost", str(error))
         if endpoint is None or reply is None:
             self._ended(attempt, StageResult(Fate.UNKNOWN))
@@ -254,7 +295,7 @@
             streaming=stage.streams,
             resume_offset=send.resume_offset,
             model=stage.model,
-            revision=request.revision,
+            revision=self._revision,
         )
 
     def _take_reply(
@@ -296,6 +337,8 @@
         if request is None:
             return
         request.tasks.pop(attempt, None)
+        stage = request.arrival.pipeline.stages[attempt.stage]
+        self._metrics.attempt_ended(stage.name, result.fate.value)
         self._carry_out(self._planner.reply(self._loop.time(), attempt, result))
 
     def _log_attempt(
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -111,9 +111,9 @@
         self._latency_s[region] = current + LATENCY_WEIGHT * (seconds - current)
 
     def take_stale(self) -> list[str]:
-        """Return candidates of the last choices whose reports are old, once."""
+        """Return registered candidates of late whose reports are old, once."""
         stale, self._stale = self._stale, []
-        return stale
+        return [name for name in stale if self._groups.find(name) is not None]
 
     def choose(
         self, now: float, wanted: RouteRequest, stats: StageStats
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -20,6 +20,7 @@
 DEFAULT_OUTPUT_BYTES = 1000.0
 MEMO_SAMPLES = 8
 LEAST_OF_MEAN = 0.3
+LEAST_S = 1e-4
 
 
 class StageStats:
@@ -62,8 +63,8 @@
 
     @property
     def mean_s(self) -> float:
-        """Mean run time in seconds."""
-        return self._run.mean if self._run.count else self._hint_s
+        """Mean run time in seconds; never 0, since predictions divide by it."""
+        return max(LEAST_S, self._run.mean) if self._run.count else self._hint_s
 
     @property
     def typical_s(self) -> float:
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -1,7 +1,7 @@
 """Inner protocol between entries and sidecars: messages, codec, client, server."""
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
-from amaranthtally.wire.errors import PeerLostError, WireError
+from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -12,7 +12,12 @@
     StageReply,
     Status,
 )
-from amaranthtally.wire.server import SettingsSource, SidecarHandler, serve_sidecar
+from amaranthtally.wire.server import (
+    SettingsFetcher,
+    SettingsSource,
+    SidecarHandler,
+    serve_sidecar,
+)
 
 __all__ = [
     "CallId",
@@ -20,6 +25,8 @@
     "Greeting",
     "Load",
     "PeerLostError",
+    "ReplyMismatchError",
+    "SettingsFetcher",
     "SettingsGap",
     "SettingsSource",
     "SidecarClient",
--- /dev/null
+++ b/tests/policy_machines/run_queue_machine.py
@@ -0,0 +1,76 @@
+"""Random calls for a run queue: offered, started, finished, withdrawn."""
+
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from amaranthtally.policy import QueuedCall, RunQueue
+
+indexes = st.integers(0, 2**16)
+
+
+class RunQueueMachine(RuleBasedStateMachine):
+    """Each call offered is refused, started or withdrawn, and only one of them."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now = 100.0
+        self.serial = 0
+        self.waiting: dict[int, QueuedCall] = {}
+        self.running: set[int] = set()
+
+    @initialize(limit=st.integers(1, 4), capacity=st.integers(0, 6))
+    def open_queue(self, limit, capacity):
+        self.queue = RunQueue(limit, capacity)
+        self.capacity = capacity
+
+    @rule(
+        priority=st.integers(0, 2),
+        left_s=st.sampled_from((0.01, 0.5, 4.0)),
+        count=st.sampled_from((1, 5)),
+    )
+    def calls_come(self, priority, left_s, count):
+        for _ in range(count):
+            self.serial += 1
+            call = QueuedCall(priority, self.now + left_s, self.serial)
+            if self.queue.offer(self.now, call):
+                self.waiting[call.serial] = call
+        assert len(self.waiting) <= self.capacity
+
+    @rule()
+    def calls_start(self):
+        while (call := self.queue.next_call(self.now)) is not None:
+            assert self.waiting.pop(call.serial) == call, "a call starts once"
+            assert all(
+                call.priority <= other.priority for other in self.waiting.values()
+            )
+            self.running.add(call.serial)
+
+    @precondition(lambda self: self.waiting)
+    @rule(index=indexes)
+    def call_is_withdrawn(self, index):
+        serials = list(self.waiting)
+        self.queue.withdraw(self.waiting.pop(serials[index % len(serials)]))
+
+    @precondition(lambda self: self.running)
+    @rule(run_s=st.sampled_from((0.0, 0.01, 1.0)))
+    def call_finishes(self, run_s):
+        self.running.pop()
+        self.queue.finished(self.now, run_s)
+
+    @rule(passed_s=st.sampled_from((0.01, 0.4, 5.0)))
+    def time_passes(self, passed_s):
+        self.now += passed_s
+
+    @invariant()
+    def counts_agree(self):
+        if self.serial:
+            assert self.queue.running == len(self.running)
+            assert self.queue.queued == len(self.waiting)
+            assert self.queue.backlog_s >= 0
+            assert self.queue.limit >= 1
