Follow no noise; learn what a cached prefix saves; try again what was slow

Cause: an endpoint's slowness was a smoothed ratio with 8 in 100 of noise, as much as two calls beside it: equal engines were loaded unequally, and each run cost more. A share of failures that faded to next to nothing still kept an endpoint from being chosen among equals; a stage once slower than the deadline was given up before it could run again. A cached prefix was taken to save 0.4 of a run. Change: slowness within a quarter of 1 and failures under 0.05 count as none; the saving is learned; where nothing is at the slowest stage one request goes on; a hedge weighs its risk before it looks for an endpoint; tests of each decision.

--- a/packages/policy/src/amaranthtally/policy/admission.py
+++ b/packages/policy/src/amaranthtally/policy/admission.py
@@ -83,7 +83,7 @@
     def _judge_backlog(self, now: float, arrival: Arrival) -> Verdict:
         stages = arrival.pipeline.stages
         backlog = max((self._backlog(now, s) for s in stages), key=lambda b: b.wait_s)
-        slowest = max(stages, key=lambda stage: self._times.of(stage).slow_s)
+        slowest = self._times.slowest(stages)
         # An idle pool admits whatever its past: a stage that was slow for a while
         # would otherwise be refused for ever, as nothing ran to show otherwise.
         if backlog.wait_s == 0.0 and self._backlog(now, slowest).idle:
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -108,18 +108,30 @@
         # Where work waits, a hedge only makes it wait longer.
         crowded = self._loads.pool(request.current.pool).wait_s(now, stats.mean_s) > 0
         if not flowing and not crowded:
-            wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
-            choice = self._router.choose(now, wanted, stats)
-            worth = choice is not None and self._is_worth_it(
-                self._risk(now, attempt, wanted, stats), choice, wanted.weight
-            )
-            if choice and worth and self._budgets_of(request.current).hedges.take():
-                self._ledger.counters.hedges += 1
-                return self._send(now, request, choice, hedge=True)
+            actions = self._hedge_if_worth_it(now, request, attempt, stats)
+            if actions:
+                return actions
         again = LOOK_AGAIN_SHARE * (now - attempt.sent_at)
         self._timers.set(now + max(LOOK_AGAIN_S, again), request.id, slow)
         return []
 
+    def _hedge_if_worth_it(
+        self, now: float, request: Request, attempt: LiveAttempt, stats: StageStats
+    ) -> list[Action]:
+        hedges = self._budgets_of(request.current).hedges
+        wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
+        risk = self._risk(now, attempt, wanted, stats)
+        # Choosing costs most: it is left out where nothing can come of it.
+        if hedges.tokens < 1 or wanted.weight * risk <= 0:
+            return []
+        choice = self._router.choose(now, wanted, stats)
+        if choice is None or not self._is_worth_it(risk, choice, wanted.weight):
+            return []
+        if not hedges.take():
+            return []
+        self._ledger.counters.hedges += 1
+        return self._send(now, request, choice, hedge=True)
+
     # Choices
 
     def _route(
@@ -204,6 +216,7 @@
             wait_s=choice.before_s,
             run_s=choice.run_s,
             beside=choice.beside,
+            cached=choice.cached,
             hedge=hedge,
             probe=probe,
         )
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -1,6 +1,6 @@
 """How loaded each endpoint is, from late reports and the entry's own attempts."""
 
-from math import exp
+from math import copysign, exp
 
 from amaranthtally.policy.events import LoadReport
 from amaranthtally.policy.invariants import ensure
@@ -17,7 +17,9 @@
 STALE_S = 5.0
 MOST_ON_THE_WAY = 4.0
 SLOWNESS_WEIGHT = 0.1
+SLOWNESS_NOISE = 0.25
 FAILURE_WEIGHT = 0.2
+FAILING_NOISE = 0.05
 FADE_S = 10.0
 LEAST_SLOWNESS = 0.25
 MOST_SLOWNESS = 50.0
@@ -163,33 +165,47 @@
         others += (1.0 - trust) * self._pool.mean_others(now)
         return self.outstanding + others
 
-    def beside(self, now: float) -> float:
+    def beside(self, occupancy: float) -> float:
         """Return the predicted calls that run beside a new one."""
-        return min(self.occupancy(now), self.limit - 1)
+        return min(occupancy, self.limit - 1)
 
-    def wait_s(self, now: float, mean_s: float) -> float:
+    def wait_s(self, occupancy: float, mean_s: float) -> float:
         """Return the predicted wait of a new call, in seconds."""
-        ahead = self.occupancy(now) + 1 - self.limit
+        ahead = occupancy + 1 - self.limit
         return max(0.0, ahead) * mean_s / self.limit
 
     def slowness(self, now: float) -> float:
-        """Return how much slower than its pool it runs; fades to 1 unheard."""
-        return 1.0 + (self._slow - 1.0) * _faded(now - self._slow_at)
+        """
+        Return how much slower than its pool it runs; fades to 1 unheard.
+
+        Little off 1 is taken for 1: runs differ by a third among themselves, and
+        to follow that noise costs more than it finds.
+        """
+        off = (self._slow - 1.0) * _faded(now - self._slow_at)
+        if abs(off) <= SLOWNESS_NOISE:
+            return 1.0
+        return 1.0 + off - copysign(SLOWNESS_NOISE, off)
 
     def failing(self, now: float) -> float:
-        """Return the smoothed share of attempts that fail; fades to 0 unheard."""
-        return self._failing * _faded(now - self._failing_at)
+        """
+        Return the smoothed share of attempts that fail; fades to 0 unheard.
+
+        A small rest is taken for 0: among equals it would keep an endpoint from
+        ever getting the attempt that clears it.
+        """
+        failing = self._failing * _faded(now - self._failing_at)
+        return failing if failing > FAILING_NOISE else 0.0
 
     def note_run(self, now: float, ratio: float) -> None:
         """Learn from a run that took ``ratio`` times its pool's mean."""
         ratio = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, ratio))
-        current = self.slowness(now)
+        current = 1.0 + (self._slow - 1.0) * _faded(now - self._slow_at)
         self._slow = current + SLOWNESS_WEIGHT * (ratio - current)
         self._slow_at = now
 
     def note_attempt(self, now: float, failed: bool) -> None:
         """Learn from an attempt's end."""
-        current = self.failing(now)
+        current = self._failing * _faded(now - self._failing_at)
         self._failing = current + FAILURE_WEIGHT * (failed - current)
         self._failing_at = now
 
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -206,8 +206,13 @@
         return actions + self._start_stage(now, request)
 
     def _is_hopeless(self, now: float, request: Request) -> bool:
-        floor = self._times.floor_s(request.remaining)
-        return now + floor > request.arrival.deadline
+        remaining = request.remaining
+        if now + self._times.floor_s(remaining) <= request.arrival.deadline:
+            return False
+        # What was learned may be over: with nothing at the slowest stage, one
+        # request goes on, or none would ever show that the stage is well again.
+        slowest = self._times.slowest(remaining)
+        return self._loads.pool(slowest.pool).outstanding > 0
 
     # Failures
 
@@ -304,7 +309,7 @@
         stats = self._times.of(request.current)
         if stats.known:
             load.note_run(now, result.run_s / stats.mean_beside_s(ended.beside))
-        stats.add(result.run_s, result.output_bytes, ended.beside)
+        stats.add(result.run_s, result.output_bytes, ended.beside, ended.cached)
         on_the_way = now - ended.sent_at - result.run_s - result.queued_s
         if not ended.asks:
             self._router.note_round_trip(load.endpoint.region, max(0.0, on_the_way))
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -14,7 +14,7 @@
     An attempt that was sent and has not ended.
 
     ``sent_at`` is a time stamp. ``wait_s`` and ``run_s`` were predicted, and so
-    was ``beside``, the calls that run at its side.
+    were ``beside``, the calls that run at its side, and the share ``cached``.
     """
 
     endpoint: str
@@ -22,6 +22,7 @@
     wait_s: float
     run_s: float
     beside: float
+    cached: float = 0.0
     hedge: bool = False
     probe: bool = False
     asks: int = 0
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -15,7 +15,6 @@
 
 CHOICES = 4
 AWAY_CHOICES = 2
-PREFIX_SAVING = 0.4
 TIME_WEIGHT = 0.1
 STALE_REPORT_S = 0.5
 MOST_STALE = 4
@@ -48,14 +47,15 @@
     An endpoint, and what is predicted of an attempt there.
 
     ``before_s`` is spent waiting and on the way, ``run_s`` running beside
-    ``beside`` other calls; ``risk`` is the probability of ending too late and
-    ``price`` in units of a typical run of the stage.
+    ``beside`` other calls with a share of its prefix ``cached``; ``risk`` is the
+    probability of ending too late, ``price`` in units of the stage's typical run.
     """
 
     endpoint: Endpoint
     before_s: float
     run_s: float
     beside: float
+    cached: float
     risk: float
     price: float
     score: float
@@ -222,11 +222,12 @@
         cached: float,
     ) -> Choice:
         region = load.endpoint.region
-        beside = load.beside(now)
-        slowness = load.slowness(now) * (1.0 - PREFIX_SAVING * cached)
+        occupancy = load.occupancy(now)
+        beside = load.beside(occupancy)
+        slowness = load.slowness(now) * stats.cached_factor(cached)
         run = stats.mean_beside_s(beside) * slowness
         full = stats.mean_beside_s(load.limit - 1) * slowness
-        before = load.wait_s(now, full) + self.round_trip_s(region)
+        before = load.wait_s(occupancy, full) + self.round_trip_s(region)
         # The sketch holds runs beside the usual number of calls: a run that is
         # predicted to be longer or shorter shifts it.
         shift = run / stats.mean_s
@@ -239,7 +240,7 @@
             + (1.0 - wanted.weight) * price
             + TIME_WEIGHT * (before + run) / left
         )
-        return Choice(load.endpoint, before, run, beside, risk, price, score)
+        return Choice(load.endpoint, before, run, beside, cached, risk, price, score)
 
     def _price(
         self, wanted: RouteRequest, stats: StageStats, region: str, busy_s: float
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -3,9 +3,9 @@
 from collections.abc import Sequence
 from math import sqrt
 
-from amaranthtally.policy.crowding import Crowding
 from amaranthtally.policy.model import Stage
 from amaranthtally.policy.quantiles import TimeSketch
+from amaranthtally.policy.slopes import FadingSlope
 
 __all__ = ["StageStats", "StageTimes"]
 
@@ -21,6 +21,12 @@
 MEMO_SAMPLES = 8
 LEAST_OF_MEAN = 0.3
 LEAST_S = 1e-4
+MOST_FADE = 0.998
+CROWDING_PRIOR_VARIANCE = 1.0
+PRIOR_CROWDING = 0.03
+SAVING_PRIOR_VARIANCE = 0.1
+PRIOR_SAVING = 0.1
+MOST_SAVING = 0.8
 
 
 class StageStats:
@@ -38,15 +44,19 @@
         "_hint_s",
         "_late",
         "_likely",
+        "_most_beside",
         "_output_bytes",
         "_run",
+        "_saving",
         "_slow",
         "_typical",
     )
 
     def __init__(self) -> None:
         self._run = TimeSketch()
-        self._crowding = Crowding()
+        self._crowding = FadingSlope(CROWDING_PRIOR_VARIANCE)
+        self._saving = FadingSlope(SAVING_PRIOR_VARIANCE)
+        self._most_beside = 0.0
         self._hint_s = DEFAULT_RUN_S
         self._output_bytes = DEFAULT_OUTPUT_BYTES
         self._fresh = 0
@@ -106,26 +116,39 @@
         if seconds > 0:
             self._hint_s = seconds
 
-    def add(self, run_s: float, output_bytes: int, beside: float) -> None:
-        """Learn from a run that had so many calls beside it."""
+    def add(
+        self, run_s: float, output_bytes: int, beside: float, cached: float = 0.0
+    ) -> None:
+        """
+        Learn from a run that had so many calls beside it.
+
+        ``cached`` is the share of its prefix that its endpoint was taken to hold.
+        """
+        self._saving.add(cached, 1.0 - run_s / self.mean_beside_s(beside))
         self._run.add(run_s)
         self._crowding.add(beside, run_s)
+        self._most_beside = max(beside, self._most_beside * MOST_FADE)
         self._output_bytes += BYTES_WEIGHT * (output_bytes - self._output_bytes)
         self._fresh -= 1
 
     @property
     def full_mean_s(self) -> float:
         """Mean run time in seconds beside the most calls seen lately."""
-        return self.mean_beside_s(self._crowding.most)
+        return self.mean_beside_s(self._most_beside)
 
     def mean_beside_s(self, beside: float) -> float:
         """Return the mean run time beside so many other calls, in seconds."""
         mean = self.mean_s
-        return max(mean * LEAST_OF_MEAN, mean + self._crowding.excess_s(beside))
+        excess = self._slope_s() * (beside - self._crowding.mean_x)
+        return max(mean * LEAST_OF_MEAN, mean + excess)
 
     def burden_s(self, beside: float) -> float:
         """Return by how much one more call lengthens those beside it, in seconds."""
-        return self._crowding.slope_s * beside
+        return self._slope_s() * beside
+
+    def cached_factor(self, cached: float) -> float:
+        """Return what a run is multiplied by where a share of its prefix is cached."""
+        return 1.0 - min(MOST_SAVING, self._saving.slope(PRIOR_SAVING)) * cached
 
     def tail(self, seconds: float) -> float:
         """Return the probability that a run takes longer."""
@@ -133,6 +156,15 @@
             return self._run.tail(seconds)
         return 1.0 if seconds < self._hint_s else 0.0
 
+    def _slope_s(self) -> float:
+        """
+        Return by how many seconds a run is longer for each call beside it.
+
+        An engine batches: one with a free slot is not as good as an idle one.
+        The prior has equal endpoints chosen by who has fewer calls.
+        """
+        return self._crowding.slope(PRIOR_CROWDING * self.mean_s)
+
     def _refresh(self) -> None:
         if self._fresh > 0:
             return
@@ -187,6 +219,10 @@
         """Return a time that the stages hardly ever stay under, in seconds."""
         return sum(self.of(stage).floor_s for stage in stages)
 
+    def slowest(self, stages: Sequence[Stage]) -> Stage:
+        """Return the stage whose slow runs take longest."""
+        return max(stages, key=lambda stage: self.of(stage).slow_s)
+
     def latest_finish(self, deadline: float, later: Sequence[Stage]) -> float:
         """Return when a stage must end for the ``later`` ones to be typical."""
         return deadline - self.typical_s(later)
--- /dev/null
+++ b/tests/policy/support.py
@@ -0,0 +1,112 @@
+"""A planner with a few endpoints, and events to feed it."""
+
+from random import Random
+
+from amaranthtally.policy import (
+    Answer,
+    Arrival,
+    Cancel,
+    Endpoint,
+    Fate,
+    LoadReport,
+    Pipeline,
+    Planner,
+    PolicySettings,
+    Refuse,
+    Send,
+    Stage,
+    StageResult,
+)
+
+HOME, AWAY = "cluj", "iasi"
+
+
+def endpoints(pool, home=3, away=0):
+    """Return endpoints of a pool by id."""
+    regions = [HOME] * home + [AWAY] * away
+    names = [f"{pool}-{n}" for n in range(len(regions))]
+    return {
+        name: Endpoint(name, pool, name, region, region, "127.0.0.1:1")
+        for name, region in zip(names, regions, strict=True)
+    }
+
+
+def settings(found, **options):
+    """Return settings with these endpoints."""
+    return PolicySettings(1, HOME, HOME, found, **options)
+
+
+def planner(found, seed=1, **options):
+    """Return a planner with these endpoints."""
+    return Planner(settings(found, **options), Random(seed))
+
+
+def one_stage(pool="engine", weight=0.7, **options):
+    """Return a pipeline of one stage."""
+    return Pipeline("one", (Stage(pool, pool, **options),), 4.0, weight)
+
+
+class Feeder:
+    """Feeds one planner, and keeps the attempts that are live."""
+
+    def __init__(self, made, pipeline):
+        self.planner = made
+        self.pipeline = pipeline
+        self.serial = 0
+        self.live = {}
+
+    def arrive(self, now, account="a", deadline_s=4.0, **options):
+        """Give a request and return its actions."""
+        self.serial += 1
+        arrival = Arrival(
+            f"r{self.serial}", account, self.pipeline, now + deadline_s, **options
+        )
+        return self.take(self.planner.request_arrived(now, arrival))
+
+    def reply(self, now, send, fate=Fate.FINISHED, run_s=0.1, **options):
+        """End an attempt and return the actions."""
+        result = StageResult(fate, run_s=run_s, **options)
+        self.live.pop(send.attempt, None)
+        return self.take(self.planner.reply(now, send.attempt, result))
+
+    def tick(self, now):
+        """Let time pass and return the actions."""
+        return self.take(self.planner.tick(now))
+
+    def teach(self, run_s=0.1, count=40, start=0.0):
+        """Run requests one after another; returns the time after them."""
+        now = start
+        for _ in range(count):
+            (send,) = sends(self.arrive(now))
+            now += run_s
+            self.reply(now, send, run_s=run_s)
+        return now
+
+    def take(self, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                self.live[action.attempt] = action
+            elif isinstance(action, Cancel):
+                self.live.pop(action.attempt, None)
+        return actions
+
+
+def sends(actions):
+    """Return the sends among actions."""
+    return [action for action in actions if isinstance(action, Send)]
+
+
+def refusal(actions):
+    """Return the one refusal among actions."""
+    (found,) = [action for action in actions if isinstance(action, Refuse)]
+    return found
+
+
+def answered(actions):
+    """Whether a request was answered."""
+    return any(isinstance(action, Answer) for action in actions)
+
+
+def report(running=0, queued=0, limit=4, leaving=False, incarnation=1):
+    """Return a load report."""
+    return LoadReport(incarnation, running, queued, limit, 0.1, 0.0, leaving)
--- /dev/null
+++ b/tests/policy/test_routing.py
@@ -0,0 +1,167 @@
+"""Which endpoint gets an attempt."""
+
+from collections import Counter
+from random import Random
+
+from amaranthtally.policy import CacheEvent
+from amaranthtally.policy.groups import SUBSET, EndpointGroups
+from amaranthtally.policy.model import Stage
+from amaranthtally.policy.prefixes import PrefixIndex
+from tests.policy.support import (
+    AWAY,
+    HOME,
+    Feeder,
+    endpoints,
+    one_stage,
+    planner,
+    report,
+    sends,
+)
+
+
+def test_entries_do_not_all_send_to_what_was_idle_in_an_old_report():
+    """
+    Every few seconds another engine is swamped while nine idle. Its last report
+    said idle; all entries sent to the least loaded one until the next report.
+    """
+    counts = Counter()
+    for seed in range(20):
+        feeder = Feeder(planner(endpoints("engine", 12), seed), one_stage())
+        for number in range(12):
+            busy = 0 if number == 0 else 3
+            made = feeder.planner
+            made.load_report(1.0, f"engine-{number}", report(busy, limit=8))
+        for _ in range(10):
+            counts.update(s.endpoint for s in sends(feeder.arrive(1.0)))
+    assert counts["engine-0"] < 0.5 * sum(counts.values())
+    assert len(counts) == 12
+
+
+def test_no_two_decisions_take_an_endpoint_for_equally_idle():
+    """
+    Eight requests of one moment run on one engine beside two idle ones. No report
+    came between them; what the entry itself had just sent was not counted.
+    """
+    feeder = Feeder(planner(endpoints("engine", 3)), one_stage())
+    counts = Counter(s.endpoint for _ in range(9) for s in sends(feeder.arrive(1.0)))
+    assert set(counts.values()) == {3}
+
+
+def test_another_region_is_used_when_home_is_crowded_or_gone():
+    """
+    Cluj's engines answer late while Iași's idle; when Cluj's are gone, requests
+    are refused. Candidates were those of the entry's own region.
+    """
+    feeder = Feeder(planner(endpoints("engine", 1, away=1)), one_stage(weight=1.0))
+    now = feeder.teach(run_s=0.5)
+    used = [s.endpoint for _ in range(8) for s in sends(feeder.arrive(now))]
+    assert {"engine-0", "engine-1"} == set(used)
+    feeder.planner.endpoint_leaving(now, "engine-0")
+    assert sends(feeder.arrive(now))[0].endpoint == "engine-1"
+
+
+def test_traffic_is_priced_against_the_gain():
+    """
+    A bill for traffic between regions exceeds what the models cost. An endpoint in
+    another region was as good as one at home whenever it had one call fewer.
+    """
+    found = endpoints("engine", 1, away=1)
+    for price, regions in ((0.0, {HOME, AWAY}), (1e6, {HOME})):
+        made = planner(found, traffic_price_per_gb=price, region_latency_s=0.001)
+        feeder = Feeder(made, one_stage(weight=0.3))
+        used = {
+            found[s.endpoint].region
+            for _ in range(4)
+            for s in sends(feeder.arrive(1.0, input_bytes=1_000_000))
+        }
+        assert used == regions
+
+
+def test_a_leaving_endpoint_stays_so_when_an_older_report_comes_late():
+    """
+    A host that is drained gets requests again and is switched off under them. A
+    report sent before it began to leave came after the news and overruled it.
+    """
+    feeder = Feeder(planner(endpoints("engine", 2)), one_stage())
+    made = feeder.planner
+    made.load_report(1.0, "engine-0", report())
+    made.endpoint_leaving(1.1, "engine-0")
+    made.load_report(1.2, "engine-0", report())
+    used = {s.endpoint for _ in range(8) for s in sends(feeder.arrive(1.3))}
+    assert used == {"engine-1"}
+    made.load_report(9.0, "engine-0", report(incarnation=2))
+    assert "engine-0" in {
+        s.endpoint for _ in range(8) for s in sends(feeder.arrive(9.1))
+    }
+
+
+def test_a_cached_prefix_draws_until_its_endpoint_is_crowded():
+    """
+    Each engine reads the same manual again, or one engine gets all questions on
+    it. Caches were not known, or were all that counted.
+    """
+    feeder = Feeder(planner(endpoints("engine", 3)), one_stage(streams=True))
+    now = feeder.teach(run_s=0.5)
+    feeder.planner.cache_event(now, "engine-2", CacheEvent(1, stored=(7, 8)))
+    used = [
+        s.endpoint for _ in range(12) for s in sends(feeder.arrive(now, prefix=(7, 8)))
+    ]
+    assert used[0] == "engine-2"
+    assert len(set(used)) == 3
+
+
+def test_a_gap_in_cache_events_ends_trust_in_what_came_before():
+    """
+    An engine is sent every question on a manual that it no longer holds. The event
+    that told of the eviction was lost.
+    """
+    index = PrefixIndex()
+    index.event(1.0, "engine-0", CacheEvent(1, stored=(7,)))
+    assert index.matches(1.0, (7,))
+    index.event(2.0, "engine-0", CacheEvent(4, stored=(9,)))
+    assert not index.matches(2.0, (7,))
+    assert index.matches(2.0, (9,))
+    index.event(3.0, "engine-0", CacheEvent(3, stored=(7,)))
+    assert not index.matches(3.0, (7,))
+
+
+def test_the_prefix_index_is_bounded():
+    index = PrefixIndex(capacity=100)
+    for block in range(1000):
+        index.ran(1.0, "engine-0", (block,))
+    assert len(index) == 100
+    assert index.matches(1.0, (999,))
+
+
+def test_a_subset_is_bounded_and_keeps_its_members():
+    """
+    Every change of settings makes each entry connect to other sidecars. A subset
+    was drawn anew each time.
+    """
+    found = endpoints("engine", 500)
+    groups = EndpointGroups(Random(1))
+    groups.replace(HOME, found)
+    stage = Stage("generate", "engine")
+    before = {e.id for e in groups.of(stage)[HOME]}
+    assert len(before) == SUBSET
+    gone = next(iter(before))
+    groups.replace(HOME, {k: v for k, v in found.items() if k != gone})
+    after = {e.id for e in groups.of(stage)[HOME]}
+    assert len(after) == SUBSET
+    assert before - after == {gone}
+
+
+def test_noise_in_run_times_does_not_unbalance_equal_endpoints():
+    """
+    Cost per answer rises by four in a hundred though nothing is slow. Runs differ
+    by a third; an endpoint that had two long ones was avoided, others were crowded.
+    """
+    feeder = Feeder(planner(endpoints("engine", 3)), one_stage())
+    noise = Random(1)
+    now = feeder.teach()
+    for _ in range(60):
+        (send,) = sends(feeder.arrive(now))
+        now += 0.2
+        feeder.reply(now, send, run_s=0.1 * noise.uniform(0.6, 1.4))
+    counts = Counter(s.endpoint for _ in range(9) for s in sends(feeder.arrive(now)))
+    assert set(counts.values()) == {3}
