Hedge at the last moment that is of use; keep a quarter of the deadline free

Cause: after an engine becomes slow, runs under way there look like long healthy ones until no other attempt could end in time. In bursts, what was admitted to the last fifth of its deadline was late more than once in a hundred. Change: past the slow quantile an attempt is suspect when less than twice a likely run is left; admission.headroom is 0.75.

--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -18,6 +18,8 @@
 HEDGE_RESERVE = 16.0
 HEDGE_COST = 0.1
 STUCK_FACTOR = 2.0
+SUSPICION = 0.5
+LAST_CALL = 2.0
 PROBE_SLACK = 3.0
 HEARD_LATELY_S = 5.0
 LOOK_AGAIN_SHARE = 0.5
@@ -191,9 +193,12 @@
         # Longer than nearly any run on record: the endpoint is taken to be stuck.
         if stats.known and ran > STUCK_FACTOR * stats.slow_s:
             return 1.0
-        if so_long <= 0.0:
-            return 0.0
-        return stats.tail(ran + max(0.0, wanted.end - now)) / so_long
+        left = max(0.0, wanted.end - now)
+        healthy = stats.tail(ran + left) / so_long if so_long else 0.0
+        # Beyond the slow quantile it is as likely an endpoint that has become slow
+        # as a long run, and soon another attempt would come too late.
+        last_call = ran > stats.slow_s and left < LAST_CALL * stats.likely_s
+        return max(healthy, SUSPICION) if last_call else healthy
 
     def _is_worth_it(self, risk: float, choice: Choice, weight: float) -> bool:
         gain = risk - choice.risk
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -100,6 +100,6 @@
     entries: int = 1
     traffic_price_per_gb: float = 0.02
     region_latency_s: float = 0.012
-    admission_headroom: float = 0.8
+    admission_headroom: float = 0.75
     retry_budget: float = 0.2
     hedge_budget: float = 0.05
