--- a/packages/daemon/src/amaranthtally/daemon/entry/peers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/peers.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from typing import Any
 
+from amaranthtally.daemon.entry.heartbeat import watch_heartbeat
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import Endpoint
@@ -30,11 +31,13 @@
         source: SettingsSource,
         connect_timeout: float,
         on_load: Callable[[str, Load], None],
+        on_unreachable: Callable[[str], None],
     ) -> None:
         self._entry = entry
         self._source = source
         self._connect_timeout = connect_timeout
         self._on_load = on_load
+        self._on_unreachable = on_unreachable
         self._clients: dict[str, SidecarClient] = {}
         self._incarnations: dict[str, int] = {}
         self._connecting: dict[str, asyncio.Task[SidecarClient]] = {}
@@ -70,15 +73,28 @@
             connecting.add_done_callback(
                 lambda _: self._connecting.pop(endpoint.id, None)
             )
-        return await asyncio.shield(connecting)
+        try:
+            return await asyncio.shield(connecting)
+        except PeerLostError:
+            self._on_unreachable(endpoint.id)
+            raise
 
     async def greet(self, endpoint: Endpoint) -> None:
-        """Ask a sidecar for its load; raises ``PeerLostError``."""
+        """
+        Ask a sidecar for its load; raises ``PeerLostError``.
+
+        An idle connection to a sidecar that leaves is closed: the sidecar waits for
+        that, so that no call is on its way when it ends.
+        """
         client = await self.client(endpoint)
-        greeting = await client.hello(
-            self._entry, self._source.changes_since(1 << 62).revision, self._source
-        )
-        self.note_load(endpoint.id, greeting.load)
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                load = await client.load()
+        except TimeoutError as error:
+            raise PeerLostError(endpoint.address, "no answer in time") from error
+        self.note_load(endpoint.id, load)
+        if load.leaving and not client.calls:
+            client.close()
 
     async def close(self) -> None:
         """Close every connection."""
@@ -98,6 +114,7 @@
                     self._entry,
                     self._source.changes_since(1 << 62).revision,
                     self._source,
+                    lambda load: self.note_load(endpoint.id, load),
                 )
         except TimeoutError as error:
             client.close()
@@ -110,6 +127,7 @@
         self._clients[endpoint.id] = client
         self.note_load(endpoint.id, greeting.load)
         self._spawn(self._forget_when_lost(endpoint.id, client))
+        self._spawn(watch_heartbeat(endpoint.id, client, self.note_load))
         log.info("sidecar_connected", endpoint=endpoint.id, address=endpoint.address)
         return client
 
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -106,6 +106,21 @@
             return Err(PlatformDown(f"status {response.status}"))
         return Ok(text.strip() == "true")
 
+    async def delete(self, key: str, index: int) -> Result[bool, PlatformError]:
+        """Delete a key that still has ``index``; ``Ok(False)`` where it has not."""
+        try:
+            async with self._session.delete(
+                f"{self._url}/v1/kv/{key}",
+                params={"cas": str(index)},
+                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+            ) as response:
+                text = await response.text()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            return Err(PlatformAnswerLost(type(error).__name__))
+        if response.status != HTTP_OK:
+            return Err(PlatformDown(f"status {response.status}"))
+        return Ok(text.strip() == "true")
+
     async def delete_prefix(self, prefix: str) -> Result[None, PlatformError]:
         """Delete every key under a prefix."""
         try:
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -1,6 +1,7 @@
 """Events that the policy takes."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from enum import Enum
 
 from amaranthtally.policy.model import Pipeline
@@ -14,7 +15,8 @@
     A request as a caller sent it.
 
     ``pipeline`` is resolved at the settings in force on arrival and stays with
-    the request to its end. ``deadline`` is a time stamp in seconds.
+    the request to its end. ``deadline`` is a time stamp in seconds. ``bound`` names
+    the one endpoint that may run a stage which may not be repeated, by stage.
     """
 
     request_id: str
@@ -25,6 +27,7 @@
     priority: int = 0
     streaming: bool = False
     prefix: tuple[int, ...] = ()
+    bound: Mapping[int, str] = field(default_factory=dict)
 
 
 class Fate(Enum):
--- a/tests/lifecycle/support.py
+++ b/tests/lifecycle/support.py
@@ -12,6 +12,7 @@
 from amaranthtally.standins.deployment import open_deployment
 from amaranthtally.wire import (
     CallId,
+    EntryConnections,
     Greeting,
     Load,
     SettingsGap,
@@ -54,6 +55,9 @@
     def changes_since(self, revision):
         return SettingsGap(0, ())
 
+    def announced(self, revision, fetch):
+        return 0
+
     async def run(self, call, on_chunk):
         self.calls.append(call)
         if call.streaming:
@@ -149,7 +153,9 @@
         return
 
     async def accept(stream):
-        server = capnp.TwoPartyServer(stream, bootstrap=_MixingServer(handler))
+        server = capnp.TwoPartyServer(
+            stream, bootstrap=_MixingServer(handler, EntryConnections())
+        )
         await server.on_disconnect()
 
     listener = await capnp.AsyncIoStream.create_server(accept, "127.0.0.1", 0)
--- a/tests/policy/test_failures.py
+++ b/tests/policy/test_failures.py
@@ -192,3 +192,16 @@
     feeder = Feeder(planner(endpoints("engine", 2)), one_stage())
     feeder.planner.load_report(1.0, "engine-0", report(leaving=True))
     assert Greet("engine-0") in feeder.tick(4.0)
+
+
+def test_a_repeat_reaches_the_endpoint_that_it_is_bound_to_while_that_leaves():
+    """
+    A dispatcher repeats an order while its host is drained, and the entry breaks
+    off with an error of its own. The rule against new work for a leaving endpoint
+    also met the repeat, whose result only that endpoint has.
+    """
+    feeder = Feeder(planner(endpoints("engine", 3)), one_stage(repeatable=False))
+    feeder.planner.endpoint_leaving(1.0, "engine-1")
+    (send,) = sends(feeder.arrive(1.1, bound={0: "engine-1"}))
+    assert send.endpoint == "engine-1"
+    assert answered(feeder.reply(1.2, send))
