--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -18,6 +18,8 @@
 HEDGE_RESERVE = 16.0
 HEDGE_COST = 0.1
 STUCK_FACTOR = 2.0
+SUSPICION = 0.5
+LAST_CALL = 2.0
 PROBE_SLACK = 3.0
 HEARD_LATELY_S = 5.0
 LOOK_AGAIN_SHARE = 0.5
@@ -83,9 +85,10 @@
 
         Returns nothing when the budget is spent or no endpoint takes work.
         """
-        if not self._budgets_of(request.current).retries.take(cost):
-            return []
-        request.resends += 1
+        if cost > 0:
+            if not self._budgets_of(request.current).retries.take(cost):
+                return []
+            request.resends += 1
         actions = self._route(now, request, request.avoid)
         if not actions and request.current.repeatable:
             actions = self._route(now, request, frozenset())
@@ -118,18 +121,30 @@
         # Where work waits, a hedge only makes it wait longer.
         crowded = self._loads.pool(request.current.pool).wait_s(now, stats.mean_s) > 0
         if not flowing and not crowded:
-            wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
-            choice = self._router.choose(now, wanted, stats)
-            worth = choice is not None and self._is_worth_it(
-                self._risk(now, attempt, wanted, stats), choice, wanted.weight
-            )
-            if choice and worth and self._budgets_of(request.current).hedges.take():
-                self._ledger.counters.hedges += 1
-                return self._send(now, request, choice, hedge=True)
+            actions = self._hedge_if_worth_it(now, request, attempt, stats)
+            if actions:
+                return actions
         again = LOOK_AGAIN_SHARE * (now - attempt.sent_at)
         self._timers.set(now + max(LOOK_AGAIN_S, again), request.id, slow)
         return []
 
+    def _hedge_if_worth_it(
+        self, now: float, request: Request, attempt: LiveAttempt, stats: StageStats
+    ) -> list[Action]:
+        hedges = self._budgets_of(request.current).hedges
+        wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
+        risk = self._risk(now, attempt, wanted, stats)
+        # Choosing costs most: it is left out where nothing can come of it.
+        if hedges.tokens < 1 or wanted.weight * risk <= 0:
+            return []
+        choice = self._router.choose(now, wanted, stats)
+        if choice is None or not self._is_worth_it(risk, choice, wanted.weight):
+            return []
+        if not hedges.take():
+            return []
+        self._ledger.counters.hedges += 1
+        return self._send(now, request, choice, hedge=True)
+
     # Choices
 
     def _route(
@@ -202,9 +217,12 @@
         # Longer than nearly any run on record: the endpoint is taken to be stuck.
         if stats.known and ran > STUCK_FACTOR * stats.slow_s:
             return 1.0
-        if so_long <= 0.0:
-            return 0.0
-        return stats.tail(ran + max(0.0, wanted.end - now)) / so_long
+        left = max(0.0, wanted.end - now)
+        healthy = stats.tail(ran + left) / so_long if so_long else 0.0
+        # Beyond the slow quantile it is as likely an endpoint that has become slow
+        # as a long run, and soon another attempt would come too late.
+        last_call = ran > stats.slow_s and left < LAST_CALL * stats.likely_s
+        return max(healthy, SUSPICION) if last_call else healthy
 
     def _is_worth_it(self, risk: float, choice: Choice, weight: float) -> bool:
         gain = risk - choice.risk
@@ -227,6 +245,7 @@
             wait_s=choice.before_s,
             run_s=choice.run_s,
             beside=choice.beside,
+            cached=choice.cached,
             hedge=hedge,
             probe=probe,
         )
--- a/packages/wire/src/amaranthtally/wire/messages.py
+++ b/packages/wire/src/amaranthtally/wire/messages.py
@@ -119,6 +119,7 @@
     """
     The outcome of a stage call; ``output`` is JSON when it finished.
 
+    ``permanent`` marks a failure that another attempt would meet again;
     ``permit`` is the one under which a call that has not started may start.
     """
 
@@ -130,6 +131,7 @@
     load: Load = Load()
     queued_s: float = 0.0
     run_s: float = 0.0
+    permanent: bool = False
     permit: int = 0
 
 
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -68,6 +68,7 @@
   queuedMicros @6 :UInt64;
   runMicros @7 :UInt64;
   permit @8 :UInt32;
+  permanent @9 :Bool;
 }
 
 interface ChunkSink {
