Let go of callers that read nothing; count a request from its first byte

Cause: a caller that stands still kept its response open, so a planned stop waited for drain_limit; a request that waits for its claim was counted by nobody, so a stop could cut it.

--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -10,6 +10,7 @@
 
 from amaranthtally.daemon.entry.binder import Binder, EffectRequest
 from amaranthtally.daemon.entry.bound import BoundRequest
+from amaranthtally.daemon.entry.event_stream import EventStream
 from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.entry.live_request import Chunk, Ending, LiveRequest
 from amaranthtally.daemon.entry.metrics import EntryMetrics
@@ -33,7 +34,6 @@
 MAX_TOKEN_CHARS = 2048
 MAX_DEADLINE_MS = 600_000
 REQUEST_ID_BYTES = 8
-EVENT_STREAM = "text/event-stream"
 
 log = get_logger()
 
@@ -68,12 +68,14 @@
         metrics: EntryMetrics,
         region: str,
         max_body: int,
+        stall_timeout: float,
     ) -> None:
         self._executor = executor
         self._binder = binder
         self._metrics = metrics
         self._region = region
         self._max_body = max_body
+        self._stall_timeout = stall_timeout
         self._view: SettingsView | None = None
         self._pipelines: PipelineResolver | None = None
         self._open_responses = 0
@@ -90,6 +92,15 @@
 
     async def create_request(self, request: web.Request) -> web.StreamResponse:
         """Answer ``POST /v1/pipelines/{pipeline}/requests``."""
+        # Counted from here: a request that waits for its claim in the platform is
+        # not in flight yet, and a planned stop that missed it would cut it.
+        self._open_responses += 1
+        try:
+            return await self._create_request(request)
+        finally:
+            self._open_responses -= 1
+
+    async def _create_request(self, request: web.Request) -> web.StreamResponse:
         received = asyncio.get_running_loop().time()
         checked = await self._check(request)
         if isinstance(checked, Problem):
@@ -99,7 +110,6 @@
             return self._refuse(request, bound)
         live = self._live_request(checked, bound, received)
         self._executor.submit(live)
-        self._open_responses += 1
         try:
             if checked.body.stream:
                 return await self._stream(request, live)
@@ -107,8 +117,6 @@
         except (asyncio.CancelledError, ConnectionResetError):
             self._executor.abandon(live)
             raise
-        finally:
-            self._open_responses -= 1
 
     async def create_token(self, request: web.Request) -> web.Response:
         """Answer ``POST /v1/pipelines/{pipeline}/tokens``."""
@@ -234,23 +242,21 @@
         first = await live.events.get()
         if isinstance(first, Ending) and first.refusal is not None:
             return self._answer(live, first)
-        response = web.StreamResponse(headers={hdrs.CONTENT_TYPE: EVENT_STREAM})
-        await response.prepare(request)
+        stream = EventStream(request, self._stall_timeout)
+        await stream.open()
         event: Chunk | Ending = first
         while isinstance(event, Chunk):
-            await response.write(
-                _event("chunk", msgspec.json.encode({"text": event.text}))
-            )
+            await stream.send("chunk", msgspec.json.encode({"text": event.text}))
             event = await live.events.get()
         if event.refusal is None:
-            await response.write(_event("done", event.answer))
+            await stream.send("done", event.answer)
             self._log_end(live, 200, "answered")
         else:
             problem = problem_of_refusal(event.refusal)
-            await response.write(_event("error", render_problem(problem)))
+            await stream.send("error", render_problem(problem))
             self._log_end(live, problem.status, event.refusal.outcome.value)
-        await response.write_eof()
-        return response
+        await stream.close()
+        return stream.response
 
     def _log_end(self, live: LiveRequest, status: int, outcome: str) -> None:
         arrival = live.arrival
@@ -289,7 +295,3 @@
 def _bearer_key(request: web.Request) -> str:
     scheme, _, key = request.headers.get(hdrs.AUTHORIZATION, "").partition(" ")
     return key.strip() if scheme.lower() == "bearer" else ""
-
-
-def _event(name: str, data: bytes) -> bytes:
-    return b"event: %s\ndata: %s\n\n" % (name.encode(), data)
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -118,7 +118,12 @@
         inquirer,
     )
     callers = CallerApi(
-        executor, binder, metrics, settings.region, settings.max_body_bytes
+        executor,
+        binder,
+        metrics,
+        settings.region,
+        settings.max_body_bytes,
+        settings.stall_timeout,
     )
     state.listen(on_change)
     first = load_from_peers(
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -39,6 +39,7 @@
     peers: list[Address] = msgspec.field(default_factory=list)
     max_body_bytes: Count = 1_048_576
     connect_timeout: Positive = 1.0
+    stall_timeout: Positive = 30.0
     claim_ttl: Positive = 86_400.0
     drain_wait: Annotated[float, Meta(ge=0)] = 2.0
     drain_limit: Positive = 660.0
--- a/tests/lifecycle/test_streams.py
+++ b/tests/lifecycle/test_streams.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 
 import msgspec
 import pytest
@@ -12,9 +13,11 @@
     StreamText,
 )
 from amaranthtally.standins.deployment import open_deployment
+from amaranthtally.wire import StageReply, Status
 from tests.lifecycle.support import (
     FakeSidecar,
     fake_deployment,
+    logged,
     parse_events,
     run_wire,
 )
@@ -170,6 +173,52 @@
     run_wire(scenario())
 
 
+class LongSidecar(FakeSidecar):
+    """Streams more than the sockets between an entry and its caller hold."""
+
+    async def run(self, call, on_chunk):
+        self.calls.append(call)
+        for offset in range(16):
+            await on_chunk(offset, "word " * 12_000)
+        output = msgspec.json.encode({"chunks": 16})
+        return StageReply(call.id, Status.FINISHED, output, load=self.load())
+
+
+def test_a_caller_that_reads_nothing_holds_up_nobody():
+    """
+    One tester closes the lid of a laptop in the middle of a stream; others wait for
+    the engine that it holds, and the entry can't be stopped for ten minutes.
+    """
+
+    async def scenario():
+        long = LongSidecar("fake-1")
+        options = {"entry_overrides": {"stall_timeout": 1.0}}
+        async with fake_deployment(long, streams=True, **options) as deployment:
+            port = deployment.entries[0].ports["port"]
+            body = b'{"input": "claim", "stream": true}'
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect(("127.0.0.1", port))
+                caller.sendall(request_head(deployment, len(body)) + body)
+                while not long.calls:
+                    await asyncio.sleep(0.02)
+                other = await deployment.call("echo", "claim", stream=True)
+                assert parse_events(await other.text())[-1][0] == "done"
+                assert await deployment.entries[0].stop() == 0
+                assert not logged(deployment.entries[0], "entry_stop_forced")
+
+    run_wire(scenario())
+
+
+def request_head(deployment, length):
+    """Return the head of a caller's request."""
+    key = deployment.plan.accounts[0].key
+    return (
+        "POST /v1/pipelines/echo/requests HTTP/1.1\r\nHost: entry\r\n"
+        f"Authorization: Bearer {key}\r\nContent-Length: {length}\r\n\r\n"
+    ).encode()
+
+
 def test_chunks_count_once_in_order_and_from_one_text():
     """
     A procedure reads as a mixture of two. A stream is hedged, and the second
