--- a/tests/lifecycle/test_streams.py
+++ b/tests/lifecycle/test_streams.py
@@ -6,12 +6,15 @@
 
 import msgspec
 import pytest
+from aiohttp import web
 
+from amaranthtally.daemon.entry.event_stream import EventStream
 from amaranthtally.daemon.entry.stream_text import (
     MAX_TEXT_BYTES,
     ChunkFate,
     StreamText,
 )
+from amaranthtally.daemon.lifecycle import serve_http
 from amaranthtally.standins.deployment import open_deployment
 from amaranthtally.wire import StageReply, Status
 from tests.lifecycle.support import (
@@ -210,6 +213,37 @@
     run_wire(scenario())
 
 
+def test_a_stream_to_a_caller_that_stands_still_ends():
+    """
+    An entry can't be stopped for ten minutes. A caller opened a stream and reads
+    nothing; its response stays open for as long as the connection does.
+    """
+
+    async def scenario():
+        ended = asyncio.get_running_loop().create_future()
+
+        async def handle(request):
+            stream = EventStream(request, stall_s=0.5)
+            await stream.open()
+            try:
+                for _ in range(400):
+                    await stream.send("chunk", b"x" * 65_536)
+            except ConnectionResetError as error:
+                ended.set_result(str(error))
+                raise
+
+        app = web.Application()
+        app.router.add_get("/", handle)
+        async with serve_http(app, "127.0.0.1:0", 0.1) as port:
+            with socket.socket() as caller:
+                caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+                caller.connect(("127.0.0.1", port))
+                caller.sendall(b"GET / HTTP/1.1\r\nHost: entry\r\n\r\n")
+                assert await ended == "the caller reads nothing"
+
+    run_async(scenario())
+
+
 def request_head(deployment, length):
     """Return the head of a caller's request."""
     key = deployment.plan.accounts[0].key
