Hand a stopping sidecar's records to its peers

Ruled out: a successor named in the platform (sidecars have no link to it, and it has outages); letting the successor run what never started (two peers hold the records). Change: after draining, a sidecar sends its records, signed, to two peers of its pool, ranked by a hash of its incarnation; an entry that finds an incarnation gone asks the peers in the same order. They give the first result, or prove that the call never started and never will (410, not_run: take a new key). What a peer holds it hands on.

--- a/bench/at_most_once.py
+++ b/bench/at_most_once.py
@@ -8,7 +8,9 @@
 
 import argparse
 import asyncio
+import sys
 import time
+import tracemalloc
 from collections import Counter
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass
@@ -18,8 +20,10 @@
 
 import msgspec
 
+from amaranthtally.daemon.entry.bound import fingerprint_of
+from amaranthtally.policy.once import CallLedger
 from amaranthtally.standins.deployment import Deployment, load_plan, open_deployment
-from bench.process_cost import cpu_seconds, memory_mb
+from amaranthtally.wire import OnceTerms
 
 PLAN = Path(__file__).parent.parent / "examples" / "agrosalv.toml"
 EFFECT = "dispatch-order"
@@ -28,7 +32,8 @@
 ORDER = {"to": "field 7"}
 WARM = 20
 MS = 1000.0
-KB = 1024.0
+MICRO = 1_000_000
+LEDGER_CALLS = 10_000
 
 KeyMaker = Callable[[int], Coroutine[Any, Any, str]]
 
@@ -53,10 +58,10 @@
         )
         for way in ways(deployment):
             await measure(deployment, way, arguments.requests)
-        await measure_memory(deployment, arguments.requests)
         await deployment.set_knobs(deployment.platform, outage=True)
         for way in ways(deployment, "outage-"):
             await measure_outage(deployment, way, arguments.requests)
+    measure_memory(LEDGER_CALLS)
 
 
 def small_plan():
@@ -158,21 +163,25 @@
     )
 
 
-async def measure_memory(deployment: Deployment, requests: int) -> None:
-    pair = deployment.pool("dispatch")[0]
-    memory, cpu = memory_mb(pair.sidecar.pid), cpu_seconds(pair.sidecar.pid)
-    done = 0
-    while done < requests * 10:
-        keys = [f"memory-{done + n}" for n in range(50)]
-        await asyncio.gather(*(deployment.call(EFFECT, ORDER, key=k) for k in keys))
-        done += len(keys)
-    grown = memory_mb(pair.sidecar.pid) - memory
-    spent = cpu_seconds(pair.sidecar.pid) - cpu
-    own = len(await deployment.records(pair.service))
-    print(f"sidecar: {own} effects in all; {done} calls sent to the pool:")
+def measure_memory(calls: int) -> None:
+    """Print what one call on record costs a sidecar, its output left out."""
+    ledger = CallLedger(1, calls, 900.0)
+    keys = [
+        f"harvest-cooperative/{EFFECT}/key/order-{n}#1.dispatch" for n in range(calls)
+    ]
+    fingerprints = [fingerprint_of(b'{"to": "field %d"}' % n) for n in range(calls)]
+    tracemalloc.start()
+    start = time.perf_counter()
+    for key, fingerprint in zip(keys, fingerprints, strict=True):
+        terms = OnceTerms(incarnation=1, issued_s=0.0, fingerprint=fingerprint)
+        ledger.open(0.0, key, terms)
+    spent = time.perf_counter() - start
+    grown, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    texts = sum(map(sys.getsizeof, keys)) + sum(map(sys.getsizeof, fingerprints))
     print(
-        f"  resident memory +{grown * KB:.0f} KB, processor "
-        f"{spent * MS / own:.2f} ms a call"
+        f"ledger: {calls} calls, {(grown + texts) / calls:.0f} bytes each, "
+        f"{spent / calls * MICRO:.1f} us each to open"
     )
 
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/binder.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/binder.py
@@ -143,13 +143,25 @@
         statuses = {_status(reply) for reply in replies}
         if Status.CONFLICT in statuses:
             return KEY_CONFLICT
-        return _UNREACHABLE if None in statuses else bound
+        if None in statuses:
+            return _UNREACHABLE
+        bindings = bound.bindings.values()
+        if any(map(_has_ended, replies, bindings)):
+            return _BINDING_ENDED
+        return bound
 
 
 def _status(reply: StageReply | None) -> Status | None:
     return None if reply is None else reply.status
 
 
+def _has_ended(reply: StageReply | None, binding: Binding) -> bool:
+    """Tell whether a stopped incarnation's records hold no call under the key."""
+    if reply is None or reply.status is not Status.NOT_RUN:
+        return False
+    return reply.load.incarnation != binding.incarnation
+
+
 # Refusals before anything is sent
 
 KEY_CONFLICT = Problem(
@@ -182,6 +194,12 @@
     outcome=Outcome.UNKNOWN,
     retry_after=RETRY_AFTER_S,
 )
+_BINDING_ENDED = Problem(
+    410,
+    "Binding ended",
+    "The endpoint that alone could run this key has left, and nothing ran under it: "
+    "take a new key.",
+)
 _PIPELINE_CHANGED = Problem(
     409,
     "Pipeline changed",
--- a/packages/daemon/src/amaranthtally/daemon/entry/inquiries.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/inquiries.py
@@ -1,11 +1,14 @@
 """Asks the bound incarnations what became of calls that may not be repeated."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Coroutine, Mapping
+from dataclasses import replace
+from typing import Any
 
 from amaranthtally.daemon.entry.bound import BoundRequest
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.policy import Endpoint, LoadReport, Outcome
+from amaranthtally.policy.handover import rank_successors
 from amaranthtally.policy.once import Binding
 from amaranthtally.wire import Inquiry, Load, PeerLostError, StageReply, Status
 
@@ -15,6 +18,7 @@
 INQUIRY_TIMEOUT_S = 0.5
 # Share of the entry's own time that is certain to have passed for a sidecar too.
 CLOCK_RATE = 0.999
+SUCCESSORS_ASKED = 4
 
 
 class Inquirer:
@@ -61,16 +65,47 @@
         """Ask after every effect of a request; ``None`` where no answer came."""
         return await asyncio.gather(
             *(
-                self._bounded(bound, binding, inquiry)
-                for binding in bound.bindings.values()
+                _bounded(self.inquire(bound, binding, inquiry))
+                for binding in list(bound.bindings.values())
             )
         )
 
     async def inquire(
         self, bound: BoundRequest, binding: Binding, inquiry: Inquiry
     ) -> StageReply | None:
-        """Ask after one effect; ``None`` where the sidecar can't be reached."""
-        endpoint = self._endpoints.get(binding.endpoint)
+        """
+        Ask after one effect; ``None`` where the sidecar can't be reached.
+
+        Where the bound incarnation is gone, the peers are asked that would have
+        its records if it was stopped and not killed.
+        """
+        reply = await self._ask(bound, binding, inquiry, binding.endpoint)
+        if reply is None or _is_stranger(reply, binding):
+            reply = await self._ask_successors(bound, binding, inquiry) or reply
+        if reply is not None and reply.status is Status.NOT_RUN:
+            bound.permits[binding.stage] = reply.permit
+        return reply
+
+    async def _ask_successors(
+        self, bound: BoundRequest, binding: Binding, inquiry: Inquiry
+    ) -> StageReply | None:
+        ranked = rank_successors(
+            binding.incarnation, binding.endpoint, self._endpoints.values()
+        )
+        names = [endpoint.id for endpoint in ranked[:SUCCESSORS_ASKED]]
+        replies = await asyncio.gather(
+            *(_bounded(self._ask(bound, binding, inquiry, name)) for name in names)
+        )
+        for name, reply in zip(names, replies, strict=True):
+            if reply is not None and reply.status is not Status.UNKNOWN:
+                bound.bindings[binding.stage] = replace(binding, endpoint=name)
+                return reply
+        return None
+
+    async def _ask(
+        self, bound: BoundRequest, binding: Binding, inquiry: Inquiry, name: str
+    ) -> StageReply | None:
+        endpoint = self._endpoints.get(name)
         if endpoint is None:
             return None
         try:
@@ -81,8 +116,6 @@
         except PeerLostError:
             return None
         self._peers.note_load(endpoint.id, reply.load)
-        if reply.status is Status.NOT_RUN:
-            bound.permits[binding.stage] = reply.permit
         return reply
 
     async def give_up(self, bound: BoundRequest) -> Outcome | None:
@@ -98,14 +131,19 @@
         proved = all(status is Status.NOT_RUN for status in statuses)
         return Outcome.NOT_RUN if proved else Outcome.UNKNOWN
 
-    async def _bounded(
-        self, bound: BoundRequest, binding: Binding, inquiry: Inquiry
-    ) -> StageReply | None:
-        try:
-            async with asyncio.timeout(INQUIRY_TIMEOUT_S):
-                return await self.inquire(bound, binding, inquiry)
-        except TimeoutError:
-            return None
+
+async def _bounded(asking: Coroutine[Any, Any, StageReply | None]) -> StageReply | None:
+    try:
+        async with asyncio.timeout(INQUIRY_TIMEOUT_S):
+            return await asking
+    except TimeoutError:
+        return None
+
+
+def _is_stranger(reply: StageReply, binding: Binding) -> bool:
+    """Tell whether a reply is another incarnation's, and says nothing."""
+    other = reply.load.incarnation != binding.incarnation
+    return other and reply.status is Status.UNKNOWN
 
 
 def load_report(load: Load) -> LoadReport:
--- a/packages/daemon/src/amaranthtally/daemon/entry/problems.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/problems.py
@@ -82,8 +82,9 @@
     )
 
 
-# Statuses that speak of the body or key as sent: no such request can have run.
-_MALFORMED = frozenset({400, 413, 422})
+# Statuses that speak of the body or key as sent, or of one that is proved not to
+# have run (410): no such request has.
+_MALFORMED = frozenset({400, 410, 413, 422})
 
 
 def truthful(problem: Problem, keyed: bool) -> Problem:
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -31,6 +31,7 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import ENTRY_LINKS, SettingsSync
+from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.platform import KeyValueClient, open_key_value
 from amaranthtally.policy import Planner, PolicySettings
 from amaranthtally.settings import EntrySettings, SettingsView, Tree
@@ -96,7 +97,7 @@
     binder = Binder(
         settings.region,
         Claims(parts.key_value),
-        TokenSigner(settings.token_keys),
+        TokenSigner(KeyRing(settings.token_keys)),
         inquirer,
     )
     callers = CallerApi(
--- a/packages/daemon/src/amaranthtally/daemon/entry/tokens.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/tokens.py
@@ -6,13 +6,12 @@
 
 import base64
 import binascii
-import hmac
 import secrets
-from collections.abc import Sequence
 
 import msgspec
 from result import Err, Ok, Result
 
+from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.policy.once import Binding
 
 __all__ = [
@@ -26,7 +25,6 @@
 
 TOKEN_PREFIX = "att1."
 SERIAL_BYTES = 12
-DIGEST = "sha256"
 
 
 class Token(msgspec.Struct, frozen=True, array_like=True):
@@ -46,15 +44,15 @@
 
 
 class TokenSigner:
-    """Signs with the first key and accepts any, so that keys can be rotated."""
+    """Signs tokens for callers and reads them back."""
 
-    def __init__(self, keys: Sequence[str]) -> None:
-        self._keys = [key.encode() for key in keys]
+    def __init__(self, keys: KeyRing) -> None:
+        self._keys = keys
 
     def sign(self, token: Token) -> str:
         """Return a token as the caller keeps it."""
         body = msgspec.json.encode(token)
-        return TOKEN_PREFIX + _encode(body) + "." + _encode(self._mac(0, body))
+        return TOKEN_PREFIX + _encode(body) + "." + _encode(self._keys.sign(body))
 
     def verify(self, text: str) -> Result[Token, TokenError]:
         """Return the token that was signed."""
@@ -63,19 +61,13 @@
             body, mac = _decode(body_text), _decode(mac_text)
         except (binascii.Error, ValueError):
             return Err(TokenError())
-        macs = [self._mac(number, body) for number in range(len(self._keys))]
-        # Every key is tried, in time that does not depend on the signature.
-        matches = [hmac.compare_digest(mac, own) for own in macs]
-        if not any(matches):
+        if not self._keys.accepts(body, mac):
             return Err(TokenError())
         try:
             return Ok(msgspec.json.decode(body, type=Token))
         except msgspec.DecodeError:
             return Err(TokenError())
 
-    def _mac(self, number: int, body: bytes) -> bytes:
-        return hmac.digest(self._keys[number], body, DIGEST)
-
 
 def new_token(account: str, pipeline: str, bindings: list[Binding]) -> Token:
     """Return a token with a serial of its own."""
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -13,10 +13,13 @@
     EndpointError,
     adapter_for,
 )
+from amaranthtally.daemon.sidecar.handover import read_handover
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.daemon.sidecar.once import OnceCalls
 from amaranthtally.daemon.sidecar.records import Tombstones
+from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.policy import QueuedCall, RunQueue
+from amaranthtally.policy.handover import HandedLedgers, Handover
 from amaranthtally.policy.once import CallLedger
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import (
@@ -62,8 +65,10 @@
             CallLedger(
                 self._incarnation, settings.record_capacity, settings.record_ttl
             ),
+            HandedLedgers(settings.record_capacity),
             self,
         )
+        self._handover_keys = KeyRing(settings.handover_keys)
         self._tombstones = Tombstones(TOMBSTONE_CAPACITY)
         self._starts: dict[int, asyncio.Future[None]] = {}
         self._waiting: dict[CallId, QueuedCall] = {}
@@ -139,6 +144,17 @@
         """Say what became of a call that may not be repeated."""
         return await self._once.inquire(call_key, terms, inquiry)
 
+    async def hand_over(self, body: bytes, signature: bytes) -> bool:
+        """Take a stopping peer's records; false where they are not kept."""
+        if self._leaving:
+            return False
+        handover = read_handover(body, signature, self._handover_keys)
+        return handover is not None and self._once.take(handover)
+
+    def handovers(self) -> list[Handover]:
+        """Return the records to hand on, once it has left and nothing runs."""
+        return self._once.handovers(self._settings.endpoint)
+
     # Calls
 
     async def _run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/once.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/once.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.policy.handover import HandedCall, HandedLedgers, Handover
 from amaranthtally.policy.once import CallLedger, CallState, Verdict
 from amaranthtally.wire import (
     CallId,
@@ -63,8 +64,11 @@
 class OnceCalls:
     """One incarnation's calls that may not be repeated, with their results."""
 
-    def __init__(self, ledger: CallLedger, runner: CallRunner) -> None:
+    def __init__(
+        self, ledger: CallLedger, handed: HandedLedgers, runner: CallRunner
+    ) -> None:
         self._ledger = ledger
+        self._handed = handed
         self._runner = runner
         self._records: dict[str, _Record] = {}
         self._outputs: OrderedDict[str, int] = OrderedDict()
@@ -77,6 +81,8 @@
         verdict = self._ledger.judge(now, key, call.terms)
         if verdict is Verdict.KNOWN:
             return await self._ended(call.id, key)
+        if verdict is Verdict.FOREIGN:
+            return self._handed_reply(call.id, key, call.terms)
         refusal = self._runner.refusal(call)
         if verdict is Verdict.FRESH and refusal:
             return self._runner.not_run(call.id, refusal)
@@ -101,10 +107,49 @@
         verdict = self._ledger.judge(self._runner.clock_s, key, terms)
         if verdict is Verdict.KNOWN:
             return await self._inquire_known(key, terms, inquiry)
+        if verdict is Verdict.FOREIGN:
+            return self._handed_reply(NO_ID, key, terms)
         if verdict is Verdict.FRESH and inquiry is not Inquiry.LOOK:
             return self._seal(key, terms)
         return self._refuse(NO_ID, key, verdict)
 
+    # Planned stops
+
+    def take(self, handover: Handover) -> bool:
+        """Keep a stopped peer's records; false where there is no room for them."""
+        return self._handed.take(self._runner.clock_s, handover)
+
+    def handovers(self, endpoint: str) -> list[Handover]:
+        """Return all records, once no call runs and none is taken any more."""
+        now = self._runner.clock_s
+        calls = tuple(
+            self._handed_call(key)
+            for key in self._records
+            if self._ledger.state(key) is not None
+        )
+        own = Handover(
+            endpoint, self._ledger.incarnation, now, self._ledger.ttl_s, calls
+        )
+        return [own, *self._handed.pass_on(now)]
+
+    def _handed_call(self, key: str) -> HandedCall:
+        record, fingerprint = self._records[key], self._ledger.fingerprint(key)
+        if not record.reply.done():
+            return HandedCall(key, fingerprint, Status.UNKNOWN.value, b"")
+        reply = record.reply.result()
+        return HandedCall(
+            key, fingerprint, reply.status.value, reply.output, reply.reason
+        )
+
+    def _handed_reply(self, call_id: CallId, key: str, terms: OnceTerms) -> StageReply:
+        verdict = self._handed.judge(self._runner.clock_s, key, terms)
+        if verdict is not Verdict.KNOWN:
+            return self._refuse(call_id, key, verdict)
+        call = self._handed.call(terms.incarnation, key)
+        return self._runner.reply(
+            call_id, Status(call.status), output=call.output, reason=call.reason
+        )
+
     # Steps
 
     async def _effect(self, call: StageCall, on_chunk: ChunkHandler) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -18,7 +18,9 @@
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import SIDECAR_LINKS, SettingsSync
 from amaranthtally.daemon.sidecar.handler import StageHandler
+from amaranthtally.daemon.sidecar.handover import endpoints_of, hand_over
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
+from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import serve_sidecar
 
@@ -36,7 +38,8 @@
         await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
         session = await stack.enter_async_context(_open_session())
-        sync = SettingsSync(settings.endpoint, SettingsState(), SIDECAR_LINKS)
+        state = SettingsState()
+        sync = SettingsSync(settings.endpoint, state, SIDECAR_LINKS)
         stack.push_async_callback(sync.close)
         run_beside(stack, sync.run())
         metrics = SidecarMetrics()
@@ -65,6 +68,14 @@
         await asyncio.sleep(settings.drain_wait)
         while handler.busy:
             await asyncio.sleep(DRAIN_POLL_S)
+        # Without this every repeat of an effect that ran here would be answered
+        # unknown from now on: nobody else knows what became of it.
+        await hand_over(
+            handler.handovers(),
+            settings.endpoint,
+            endpoints_of(state.tree),
+            KeyRing(settings.handover_keys),
+        )
     log.info("sidecar_stopped", endpoint=settings.endpoint)
 
 
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/handover.py
@@ -0,0 +1,123 @@
+"""
+Records that a sidecar hands to its peers as it stops.
+
+A stop that took the records along would turn every repeat into ``unknown``.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, replace
+from hashlib import sha256
+
+from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.once import KEEP_MARGIN_S, Terms, Verdict
+
+__all__ = ["HandedCall", "HandedLedgers", "Handover", "rank_successors"]
+
+
+@dataclass(frozen=True, slots=True)
+class HandedCall:
+    """A call that ended, with its result; ``status`` as in the inner protocol."""
+
+    key: str
+    fingerprint: str
+    status: str
+    output: bytes
+    reason: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Handover:
+    """
+    Every call on record of an endpoint's incarnation that runs none any more.
+
+    ``clock_s`` is its own clock as it stopped, ``ttl_s`` how old a binding it
+    would have taken, both in seconds.
+    """
+
+    endpoint: str
+    incarnation: int
+    clock_s: float
+    ttl_s: float
+    calls: tuple[HandedCall, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class _Kept:
+    handover: Handover
+    taken: float
+    calls: dict[str, HandedCall]
+
+
+class HandedLedgers:
+    """The records of stopped incarnations, bounded by number of calls and by age."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._kept: dict[int, _Kept] = {}
+
+    def __len__(self) -> int:
+        return sum(len(kept.calls) for kept in self._kept.values())
+
+    def take(self, now: float, handover: Handover) -> bool:
+        """Keep a handover; false where there is no room for all of it."""
+        self._expire(now)
+        if handover.incarnation in self._kept:
+            return True
+        # Half of one would have the missing half pass for calls that never ran.
+        if len(self) + len(handover.calls) > self._capacity:
+            return False
+        calls = {call.key: call for call in handover.calls}
+        self._kept[handover.incarnation] = _Kept(handover, now, calls)
+        return True
+
+    def judge(self, now: float, key: str, terms: Terms) -> Verdict:
+        """
+        Say what became of a call that was bound to a stopped incarnation.
+
+        ``WITHDRAWN``: it never started there, and no copy of it ever will.
+        """
+        kept = self._kept.get(terms.incarnation)
+        if kept is None:
+            return Verdict.FOREIGN
+        call = kept.calls.get(key)
+        if call is not None:
+            same = call.fingerprint == terms.fingerprint
+            return Verdict.KNOWN if same else Verdict.CONFLICT
+        clock = kept.handover.clock_s + now - kept.taken
+        if clock - terms.issued_s > kept.handover.ttl_s:
+            return Verdict.EXPIRED
+        return Verdict.WITHDRAWN
+
+    def call(self, incarnation: int, key: str) -> HandedCall:
+        """Return a call that ``judge`` knows; raises ``KeyError``."""
+        return self._kept[incarnation].calls[key]
+
+    def pass_on(self, now: float) -> list[Handover]:
+        """Return what is kept, for a peer to keep in turn."""
+        self._expire(now)
+        return [
+            replace(kept.handover, clock_s=kept.handover.clock_s + now - kept.taken)
+            for kept in self._kept.values()
+        ]
+
+    def _expire(self, now: float) -> None:
+        for incarnation, kept in list(self._kept.items()):
+            if now - kept.taken > kept.handover.ttl_s + KEEP_MARGIN_S:
+                del self._kept[incarnation]
+
+
+def rank_successors(
+    incarnation: int, endpoint: str, endpoints: Iterable[Endpoint]
+) -> list[Endpoint]:
+    """
+    Return the peers of an endpoint, those who take its records first.
+
+    The order follows from the incarnation alone, so that an entry finds the
+    records without anything written to the platform.
+    """
+    known = {found.id: found for found in endpoints}
+    pool = known[endpoint].pool if endpoint in known else ""
+    peers = [e for e in known.values() if e.pool == pool and e.id != endpoint]
+    return sorted(
+        peers, key=lambda e: sha256(f"{incarnation}/{e.id}".encode()).digest()
+    )
--- a/packages/policy/src/amaranthtally/policy/once.py
+++ b/packages/policy/src/amaranthtally/policy/once.py
@@ -9,6 +9,7 @@
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from itertools import takewhile
 from typing import Protocol
 
 from amaranthtally.policy.events import LoadReport
@@ -125,6 +126,20 @@
         call = self._calls.get(key)
         return None if call is None else call.state
 
+    @property
+    def incarnation(self) -> int:
+        """The incarnation whose calls these are."""
+        return self._incarnation
+
+    @property
+    def ttl_s(self) -> float:
+        """How old a binding may be, in seconds."""
+        return self._ttl
+
+    def fingerprint(self, key: str) -> str:
+        """Return a recorded call's digest of its input; raises ``KeyError``."""
+        return self._calls[key].fingerprint
+
     def permit(self, key: str) -> int:
         """Return the permit under which a call may start now."""
         seal = self._seals.get(key)
@@ -194,14 +209,12 @@
 
     def _expire(self, now: float) -> None:
         oldest = now - self._ttl - KEEP_MARGIN_S
-        for key, call in list(self._calls.items()):
-            if call.received >= oldest:
-                break
-            if call.state is CallState.ENDED:
-                del self._calls[key]
-        for key, seal in list(self._seals.items()):
-            if seal.sealed >= oldest:
-                break
+        old_calls = takewhile(lambda kv: kv[1].received < oldest, self._calls.items())
+        ended = [key for key, call in old_calls if call.state is CallState.ENDED]
+        for key in ended:
+            del self._calls[key]
+        old_seals = takewhile(lambda kv: kv[1].sealed < oldest, self._seals.items())
+        for key in [key for key, _ in old_seals]:
             del self._seals[key]
 
 
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -59,6 +59,9 @@
     queue_capacity: Count = 64
     record_ttl: Positive = 900.0
     record_capacity: Count = 10_000
+    handover_keys: Annotated[list[Secret], Meta(max_length=2)] = msgspec.field(
+        default_factory=list
+    )
     drain_wait: Annotated[float, Meta(ge=0)] = 3.0
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
--- a/packages/standins/src/amaranthtally/standins/deployment.py
+++ b/packages/standins/src/amaranthtally/standins/deployment.py
@@ -32,6 +32,7 @@
 
 ADMIN_KEY = "loopback-admin-key-0001"
 TOKEN_KEY = "loopback-token-key-0001"
+HANDOVER_KEY = "loopback-handover-key-0001"
 STANDINS = "amaranthtally.standins"
 DAEMON = "amaranthtally.daemon.main"
 LOOPBACK_ANY_PORT = "127.0.0.1:0"
@@ -203,6 +204,7 @@
             "endpoint_kind": pool.kind,
             "concurrency": pool.concurrency,
             "drain_wait": 0.5,
+            "handover_keys": [HANDOVER_KEY],
             **overrides,
         }
         file = self.write_settings(name, settings)
--- a/packages/wire/src/amaranthtally/wire/client.py
+++ b/packages/wire/src/amaranthtally/wire/client.py
@@ -145,6 +145,13 @@
         answer = await self._guard(request.send())
         return read_reply(answer.reply)
 
+    async def hand_over(self, body: bytes, signature: bytes) -> bool:
+        """Hand over signed records; false where the sidecar does not keep them."""
+        answer = await self._guard(
+            self._sidecar.handOver(body=body, signature=signature)
+        )
+        return bool(answer.taken)
+
     async def load(self) -> Load:
         """Read the sidecar's load."""
         answer = await self._guard(self._sidecar.load())
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -76,6 +76,9 @@
     ) -> StageReply:
         """Say what became of a call that may not be repeated."""
 
+    async def hand_over(self, body: bytes, signature: bytes) -> bool:
+        """Take a stopping peer's signed records; false where they are not kept."""
+
     def load(self) -> Load:
         """Return the present load."""
 
@@ -151,6 +154,13 @@
         )
         write_reply(_context.results.reply, reply)
 
+    async def handOver(  # noqa: N802 - name fixed by the schema
+        self, body: Any, signature: Any, _context: Any, **_: Any
+    ) -> None:
+        _context.results.taken = await self._handler.hand_over(
+            bytes(body), bytes(signature)
+        )
+
     async def load(self, _context: Any, **_: Any) -> None:
         write_load(_context.results.load, self._handler.load())
 
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -93,4 +93,5 @@
   cancel @2 (id :CallId) -> (reply :StageReply);
   inquire @3 (callKey :Text, terms :OnceTerms, inquiry :Inquiry) -> (reply :StageReply);
   load @4 () -> (load :Load);
+  handOver @5 (body :Data, signature :Data) -> (taken :Bool);
 }
--- a/tests/at_most_once/support.py
+++ b/tests/at_most_once/support.py
@@ -1,6 +1,7 @@
 """A deployment of effects only, and what its services recorded."""
 
 import asyncio
+import tomllib
 from contextlib import asynccontextmanager
 
 import msgspec
@@ -69,6 +70,14 @@
         await asyncio.sleep(0.01)
 
 
+async def restart_sidecar(deployment, pair, **overrides):
+    """Start a sidecar anew at the address of the one that has ended."""
+    settings = tomllib.loads(pair.sidecar_file.read_text(encoding="utf-8"))
+    settings |= {"wire_address": pair.address, **overrides}
+    deployment.write_settings(pair.id, settings)
+    pair.sidecar = await deployment.start_daemon("sidecar", pair.id, pair.sidecar_file)
+
+
 async def token(deployment, entry=0, account=0):
     """Return a new token of a client account."""
     key = deployment.plan.accounts[account].key
--- a/tests/at_most_once/test_faults.py
+++ b/tests/at_most_once/test_faults.py
@@ -8,6 +8,7 @@
     PIPELINE,
     effects,
     effects_deployment,
+    restart_sidecar,
     set_dispatch,
     token,
     wait_for,
@@ -50,18 +51,6 @@
     )
 
 
-async def restart_sidecar(deployment, pair):
-    """Start a sidecar anew at the address of the one that was killed."""
-    settings = pair.sidecar_file.read_text(encoding="utf-8")
-    pair.sidecar_file.write_text(
-        settings.replace(
-            'wire_address = "127.0.0.1:0"', f'wire_address = "{pair.address}"'
-        ),
-        encoding="utf-8",
-    )
-    pair.sidecar = await deployment.start_daemon("sidecar", pair.id, pair.sidecar_file)
-
-
 def test_a_sidecar_killed_before_the_effect():
     """
     The sidecar dies while the service has not yet ordered the truck. Nobody can
