--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -47,6 +47,7 @@
 __all__ = ["Executor"]
 
 TICK_S = 0.01
+RETRY_S = 1.0
 IDLE_TICK_S = 1.0
 
 log = get_logger()
@@ -139,6 +140,10 @@
         """Tell the policy that an endpoint leaves."""
         self._carry_out(self._planner.endpoint_leaving(self._loop.time(), endpoint))
 
+    def endpoint_staying(self, endpoint: str) -> None:
+        """Tell the policy that an endpoint takes work again."""
+        self._carry_out(self._planner.endpoint_staying(self._loop.time(), endpoint))
+
     async def tick(self) -> None:
         """
         Let the policy act on the passing of time, until cancelled.
@@ -148,12 +153,19 @@
         """
         while True:
             await self._wait_for_tick()
-            self._carry_out(self._planner.tick(self._loop.time()))
-
-    async def drained(self) -> None:
-        """Return when no request is in flight."""
-        while self.in_flight:
-            await asyncio.sleep(TICK_S)
+            # An error in one decision would end this task, and with it the deadline
+            # of every later request: callers would wait for ever. It is logged, and
+            # the next tick decides anew.
+            try:
+                self._carry_out(self._planner.tick(self._loop.time()))
+            except Exception as error:
+                log.exception("policy_failed", cause=repr(error))
+
+    def refuse_all(self) -> None:
+        """End every request in flight; some of its work may have been done."""
+        for request in list(self._requests.values()):
+            self._planner.caller_gone(self._loop.time(), request.id)
+            self._refuse(Refuse(request.id, Outcome.UNKNOWN, Reason.STOPPING, RETRY_S))
 
     async def _wait_for_tick(self) -> None:
         if self._requests:
@@ -193,7 +205,12 @@
         if endpoint is not None:
             task = asyncio.create_task(self._greet_endpoint(endpoint))
             self._tasks.add(task)
-            task.add_done_callback(self._tasks.discard)
+            task.add_done_callback(self._attempt_done)
+
+    def _attempt_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("policy_failed", cause=repr(task.exception()))
 
     def _answer(self, answer: Answer) -> None:
         request = self._requests.pop(answer.request_id)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -1,6 +1,5 @@
 """Start, run and stop a sidecar."""
 
-import asyncio
 from contextlib import AsyncExitStack
 
 import aiohttp
@@ -17,17 +16,20 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import SIDECAR_LINKS, SettingsSync
+from amaranthtally.daemon.sidecar.departure import Departure
 from amaranthtally.daemon.sidecar.handler import StageHandler
 from amaranthtally.daemon.sidecar.handover import endpoints_of, hand_over
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
+from amaranthtally.daemon.sidecar.orders import ModelOrders
 from amaranthtally.daemon.signatures import KeyRing
+from amaranthtally.platform import CALLER_HEADER
 from amaranthtally.settings import SidecarSettings
-from amaranthtally.wire import serve_sidecar
+from amaranthtally.wire import EntryConnections, serve_sidecar
 
 __all__ = ["run_sidecar"]
 
-DRAIN_POLL_S = 0.02
 HTTP_GRACE_S = 1.0
+ENGINE_KIND = "engine"
 
 log = get_logger()
 
@@ -45,7 +47,19 @@
         metrics = SidecarMetrics()
         handler = StageHandler(settings, session, metrics, sync)
         host, port = split_address(settings.wire_address)
-        wire_port = await stack.enter_async_context(serve_sidecar(handler, host, port))
+        connections = EntryConnections()
+        departure = Departure(settings, handler, connections)
+        state.listen(departure.settings_changed)
+        if settings.endpoint_kind == ENGINE_KIND and settings.platform_url:
+            platform_session = await stack.enter_async_context(
+                aiohttp.ClientSession(headers={CALLER_HEADER: settings.endpoint})
+            )
+            orders = ModelOrders(settings, platform_session)
+            state.listen(orders.settings_changed)
+            run_beside(stack, orders.run())
+        wire_port = await stack.enter_async_context(
+            serve_sidecar(handler, host, port, connections)
+        )
         app = web.Application()
         add_health_routes(
             app, lambda: not stop.is_set(), lambda: metrics.refresh(handler.load())
@@ -61,13 +75,9 @@
             http=http_port,
         )
         await stop.wait()
-        handler.leave()
         log.info("sidecar_leaving", endpoint=settings.endpoint)
-        # Entries learn of the leaving from replies; a sidecar that vanished at
-        # once would turn their next calls into lost connections.
-        await asyncio.sleep(settings.drain_wait)
-        while handler.busy:
-            await asyncio.sleep(DRAIN_POLL_S)
+        if not await stop.run_until_forced(departure.leave(), settings.drain_limit):
+            log.warning("sidecar_stop_forced", endpoint=settings.endpoint)
         # Without this every repeat of an effect that ran here would be answered
         # unknown from now on: nobody else knows what became of it.
         await hand_over(
--- a/packages/policy/src/amaranthtally/policy/handover.py
+++ b/packages/policy/src/amaranthtally/policy/handover.py
@@ -110,14 +110,17 @@
     incarnation: int, endpoint: str, endpoints: Iterable[Endpoint]
 ) -> list[Endpoint]:
     """
-    Return the peers of an endpoint, those who take its records first.
+    Return an endpoint's pool, those who take its records first.
+
+    It is one of them itself: started anew, it can take its records back from a
+    peer that stops in turn.
 
     The order follows from the incarnation alone, so that an entry finds the
     records without anything written to the platform.
     """
     known = {found.id: found for found in endpoints}
     pool = known[endpoint].pool if endpoint in known else ""
-    peers = [e for e in known.values() if e.pool == pool and e.id != endpoint]
+    members = [e for e in known.values() if e.pool == pool]
     return sorted(
-        peers, key=lambda e: sha256(f"{incarnation}/{e.id}".encode()).digest()
+        members, key=lambda e: sha256(f"{incarnation}/{e.id}".encode()).digest()
     )
--- a/tests/at_most_once/test_handover.py
+++ b/tests/at_most_once/test_handover.py
@@ -82,7 +82,7 @@
     async def scenario():
         async with effects_deployment() as deployment:
             await greet(deployment)
-            unused = [await token(deployment) for _ in range(ORDERS)]
+            unused = [await token(deployment, n % 2) for n in range(ORDERS)]
             outputs = await place_orders(deployment)
             for pair in deployment.pool("dispatch"):
                 assert await pair.sidecar.stop() == 0
