--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -18,8 +18,10 @@
 from amaranthtally.daemon.settings_sync import SIDECAR_LINKS, SettingsSync
 from amaranthtally.daemon.sidecar.departure import Departure
 from amaranthtally.daemon.sidecar.handler import StageHandler
+from amaranthtally.daemon.sidecar.handover import endpoints_of, hand_over
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.daemon.sidecar.orders import ModelOrders
+from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.platform import CALLER_HEADER
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import EntryConnections, serve_sidecar
@@ -76,6 +78,14 @@
         log.info("sidecar_leaving", endpoint=settings.endpoint)
         if not await stop.run_until_forced(departure.leave(), settings.drain_limit):
             log.warning("sidecar_stop_forced", endpoint=settings.endpoint)
+        # Without this every repeat of an effect that ran here would be answered
+        # unknown from now on: nobody else knows what became of it.
+        await hand_over(
+            handler.handovers(),
+            settings.endpoint,
+            endpoints_of(state.tree),
+            KeyRing(settings.handover_keys),
+        )
     log.info("sidecar_stopped", endpoint=settings.endpoint)
 
 
--- a/packages/wire/src/amaranthtally/wire/client.py
+++ b/packages/wire/src/amaranthtally/wire/client.py
@@ -149,6 +149,13 @@
             self._calls -= 1
         return read_reply(answer.reply)
 
+    async def hand_over(self, body: bytes, signature: bytes) -> bool:
+        """Hand over signed records; false where the sidecar does not keep them."""
+        answer = await self._guard(
+            self._sidecar.handOver(body=body, signature=signature)
+        )
+        return bool(answer.taken)
+
     async def load(self) -> Load:
         """Read the sidecar's load."""
         answer = await self._guard(self._sidecar.load())
