--- a/packages/daemon/src/amaranthtally/daemon/entry/peers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/peers.py
@@ -5,6 +5,7 @@
 from contextlib import suppress
 from typing import Any
 
+from amaranthtally.daemon.entry.heartbeat import watch_heartbeat
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import Endpoint
@@ -30,16 +31,23 @@
         source: SettingsSource,
         connect_timeout: float,
         on_load: Callable[[str, Load], None],
+        on_unreachable: Callable[[str], None],
     ) -> None:
         self._entry = entry
         self._source = source
         self._connect_timeout = connect_timeout
         self._on_load = on_load
+        self._on_unreachable = on_unreachable
         self._clients: dict[str, SidecarClient] = {}
         self._incarnations: dict[str, int] = {}
         self._connecting: dict[str, asyncio.Task[SidecarClient]] = {}
         self._watchers: set[asyncio.Task[None]] = set()
 
+    @property
+    def connected(self) -> int:
+        """Sidecars with an open connection."""
+        return len(self._clients)
+
     def incarnation(self, endpoint: str) -> int:
         """Return the incarnation last heard of; 0 when none."""
         return self._incarnations.get(endpoint, 0)
@@ -65,7 +73,28 @@
             connecting.add_done_callback(
                 lambda _: self._connecting.pop(endpoint.id, None)
             )
-        return await asyncio.shield(connecting)
+        try:
+            return await asyncio.shield(connecting)
+        except PeerLostError:
+            self._on_unreachable(endpoint.id)
+            raise
+
+    async def probe(self, endpoint: Endpoint) -> None:
+        """
+        Ask an endpoint that is out for its load; it may not answer.
+
+        An idle connection to a sidecar that leaves is closed: the sidecar waits for
+        that, so that no call is on its way when it ends.
+        """
+        try:
+            async with asyncio.timeout(self._connect_timeout):
+                client = await self.client(endpoint)
+                load = await client.load()
+        except (PeerLostError, TimeoutError):
+            return
+        self.note_load(endpoint.id, load)
+        if load.leaving and not client.calls:
+            client.close()
 
     async def greet(self, endpoint: Endpoint) -> None:
         """Ask a sidecar for its load; raises ``PeerLostError``."""
@@ -93,6 +122,7 @@
                     self._entry,
                     self._source.changes_since(1 << 62).revision,
                     self._source,
+                    lambda load: self.note_load(endpoint.id, load),
                 )
         except TimeoutError as error:
             client.close()
@@ -105,6 +135,7 @@
         self._clients[endpoint.id] = client
         self.note_load(endpoint.id, greeting.load)
         self._spawn(self._forget_when_lost(endpoint.id, client))
+        self._spawn(watch_heartbeat(endpoint.id, client, self.note_load))
         log.info("sidecar_connected", endpoint=endpoint.id, address=endpoint.address)
         return client
 
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -2,17 +2,19 @@
 
 import asyncio
 import secrets
-from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
 
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.settings_sync import SettingsSync
 from amaranthtally.daemon.sidecar.adapters import (
     EndpointCall,
     EndpointError,
     adapter_for,
 )
+from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.daemon.sidecar.records import CallRecords, Tombstones
 from amaranthtally.policy import QueuedCall, RunQueue
 from amaranthtally.settings import SidecarSettings
@@ -21,6 +23,7 @@
     ChunkHandler,
     Greeting,
     Load,
+    SettingsFetcher,
     SettingsGap,
     StageCall,
     StageReply,
@@ -39,10 +42,16 @@
     """The sidecar's side of the inner protocol."""
 
     def __init__(
-        self, settings: SidecarSettings, session: aiohttp.ClientSession
+        self,
+        settings: SidecarSettings,
+        session: aiohttp.ClientSession,
+        metrics: SidecarMetrics,
+        sync: SettingsSync,
     ) -> None:
         self._settings = settings
+        self._sync = sync
         self._session = session
+        self._metrics = metrics
         self._adapter = adapter_for(settings.endpoint_kind)
         self._incarnation = secrets.randbits(INCARNATION_BITS) | 1
         self._queue = RunQueue(settings.concurrency, settings.queue_capacity)
@@ -53,6 +62,7 @@
         self._effects: set[asyncio.Task[None]] = set()
         self._serial = 0
         self._leaving = False
+        self._draining = False
         self._loop = asyncio.get_running_loop()
 
     @property
@@ -64,13 +74,18 @@
         """Take no new work from now on."""
         self._leaving = True
 
+    def set_draining(self, draining: bool) -> None:
+        """Take no new work while the operators drain this host."""
+        self._draining = draining
+
     # Inner protocol
 
     async def hello(
-        self, entry: str, revision: int, fetch: Callable[[int], Awaitable[SettingsGap]]
+        self, entry: str, revision: int, fetch: SettingsFetcher
     ) -> Greeting:
         """Greet an entry."""
         log.info("entry_connected", entry=entry, revision=revision)
+        self._sync.add_source(entry, revision, fetch)
         return Greeting(self._settings.endpoint, self.load())
 
     def load(self) -> Load:
@@ -80,23 +95,27 @@
             running=self._queue.running,
             queued=self._queue.queued,
             limit=self._queue.limit,
-            leaving=self._leaving,
+            leaving=self._leaving or self._draining,
             service_s=self._queue.service_s,
             backlog_s=self._queue.backlog_s,
+            revision=self._sync.revision,
         )
 
     def changes_since(self, revision: int) -> SettingsGap:
         """Return the settings changes known here after ``revision``."""
-        return SettingsGap(0, ())
+        return self._sync.changes_since(revision)
+
+    def announced(self, revision: int, fetch: SettingsFetcher) -> int:
+        """Hear of a peer's revision and return one's own."""
+        self._sync.heard(revision, fetch)
+        return self._sync.revision
 
     async def run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         """Run a stage call, or say that it was not run."""
-        if not call.repeatable:
-            return await self._run_once(call, on_chunk)
-        refusal = self._refusal(call)
-        if refusal:
-            return self._not_run(call.id, refusal)
-        return await self._run_in_turn(call, on_chunk)
+        self._sync.heard(call.revision)
+        reply = await self._run(call, on_chunk)
+        self._metrics.call_ended(reply)
+        return reply
 
     async def cancel(self, call_id: CallId) -> StageReply:
         """Cancel a call that has not started; a late copy of it is refused."""
@@ -122,8 +141,16 @@
 
     # Calls
 
+    async def _run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
+        if not call.repeatable:
+            return await self._run_once(call, on_chunk)
+        refusal = self._refusal(call)
+        if refusal:
+            return self._not_run(call.id, refusal)
+        return await self._run_in_turn(call, on_chunk)
+
     def _refusal(self, call: StageCall) -> str:
-        if self._leaving:
+        if self._leaving or self._draining:
             return "leaving"
         if call.id in self._tombstones:
             return "cancelled before start"
@@ -136,7 +163,7 @@
     async def _run_once(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         known = self._records.find(call.call_key)
         if known is not None:
-            return await asyncio.shield(known.reply)
+            return replace(await asyncio.shield(known.reply), id=call.id)
         refusal = self._refusal(call)
         if refusal:
             return self._not_run(call.id, refusal)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -1,6 +1,5 @@
 """Start, run and stop a sidecar."""
 
-import asyncio
 from contextlib import AsyncExitStack
 
 import aiohttp
@@ -8,15 +7,23 @@
 from aiohttp import web
 
 from amaranthtally.daemon.health import add_health_routes
-from amaranthtally.daemon.lifecycle import serve_http, split_address, stop_on_signal
+from amaranthtally.daemon.lifecycle import (
+    run_beside,
+    serve_http,
+    split_address,
+    stop_on_signal,
+)
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.settings_state import SettingsState
+from amaranthtally.daemon.settings_sync import SIDECAR_LINKS, SettingsSync
+from amaranthtally.daemon.sidecar.departure import Departure
 from amaranthtally.daemon.sidecar.handler import StageHandler
+from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.settings import SidecarSettings
-from amaranthtally.wire import serve_sidecar
+from amaranthtally.wire import EntryConnections, serve_sidecar
 
 __all__ = ["run_sidecar"]
 
-DRAIN_POLL_S = 0.02
 HTTP_GRACE_S = 1.0
 
 log = get_logger()
@@ -28,11 +35,23 @@
         await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
         session = await stack.enter_async_context(_open_session())
-        handler = StageHandler(settings, session)
+        state = SettingsState()
+        sync = SettingsSync(settings.endpoint, state, SIDECAR_LINKS)
+        stack.push_async_callback(sync.close)
+        run_beside(stack, sync.run())
+        metrics = SidecarMetrics()
+        handler = StageHandler(settings, session, metrics, sync)
         host, port = split_address(settings.wire_address)
-        wire_port = await stack.enter_async_context(serve_sidecar(handler, host, port))
+        connections = EntryConnections()
+        departure = Departure(settings, handler, connections)
+        state.listen(departure.settings_changed)
+        wire_port = await stack.enter_async_context(
+            serve_sidecar(handler, host, port, connections)
+        )
         app = web.Application()
-        add_health_routes(app, lambda: not stop.is_set())
+        add_health_routes(
+            app, lambda: not stop.is_set(), lambda: metrics.refresh(handler.load())
+        )
         http_port = await stack.enter_async_context(
             serve_http(app, settings.http_address, HTTP_GRACE_S)
         )
@@ -44,13 +63,9 @@
             http=http_port,
         )
         await stop.wait()
-        handler.leave()
         log.info("sidecar_leaving", endpoint=settings.endpoint)
-        # Entries learn of the leaving from replies; a sidecar that vanished at
-        # once would turn their next calls into lost connections.
-        await asyncio.sleep(settings.drain_wait)
-        while handler.busy:
-            await asyncio.sleep(DRAIN_POLL_S)
+        if not await stop.run_until_forced(departure.leave(), settings.drain_limit):
+            log.warning("sidecar_stop_forced", endpoint=settings.endpoint)
     log.info("sidecar_stopped", endpoint=settings.endpoint)
 
 
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -1,7 +1,8 @@
 """Inner protocol between entries and sidecars: messages, codec, client, server."""
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
-from amaranthtally.wire.errors import PeerLostError, WireError
+from amaranthtally.wire.connections import EntryConnections
+from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -12,14 +13,22 @@
     StageReply,
     Status,
 )
-from amaranthtally.wire.server import SettingsSource, SidecarHandler, serve_sidecar
+from amaranthtally.wire.server import (
+    SettingsFetcher,
+    SettingsSource,
+    SidecarHandler,
+    serve_sidecar,
+)
 
 __all__ = [
     "CallId",
     "ChunkHandler",
+    "EntryConnections",
     "Greeting",
     "Load",
     "PeerLostError",
+    "ReplyMismatchError",
+    "SettingsFetcher",
     "SettingsGap",
     "SettingsSource",
     "SidecarClient",
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -10,10 +10,14 @@
 from amaranthtally.wire.codec import (
     read_call,
     read_call_id,
+    read_load,
     schema,
+    write_call_id,
     write_load,
     write_reply,
 )
+from amaranthtally.wire.connections import EntryConnections
+from amaranthtally.wire.errors import PeerLostError
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -25,11 +29,12 @@
 )
 
 __all__ = [
+    "LoadHandler",
     "SettingsFetcher",
     "SettingsSource",
     "SidecarHandler",
+    "entry_server",
     "serve_sidecar",
-    "settings_server",
 ]
 
 
@@ -40,6 +45,8 @@
         """Return the changes after ``revision``, oldest first."""
 
 
+# Receives the load that a sidecar tells unasked.
+LoadHandler = Callable[[Load], None]
 # Reads, from the peer at the other end, its changes after a revision.
 SettingsFetcher = Callable[[int], Awaitable[SettingsGap]]
 
@@ -47,6 +54,9 @@
 class SidecarHandler(SettingsSource, Protocol):
     """What a sidecar does with the calls of an entry."""
 
+    def announced(self, revision: int, fetch: SettingsFetcher) -> int:
+        """Hear of a peer's revision and return one's own."""
+
     async def hello(
         self, entry: str, revision: int, fetch: SettingsFetcher
     ) -> Greeting:
@@ -68,9 +78,15 @@
 # Servers
 
 
-class _SettingsServer(schema.SettingsPeer.Server):
-    def __init__(self, source: SettingsSource) -> None:
+class _EntryServer(schema.EntryPeer.Server):
+    def __init__(self, source: SettingsSource, on_load: LoadHandler) -> None:
         self._source = source
+        self._on_load = on_load
+
+    async def loadChanged(  # noqa: N802 - name fixed by the schema
+        self, load: Any, _context: Any, **_: Any
+    ) -> None:
+        self._on_load(read_load(load))
 
     async def changesSince(  # noqa: N802 - name fixed by the schema
         self, revision: int, _context: Any, **_: Any
@@ -79,29 +95,38 @@
 
 
 class _SidecarServer(schema.Sidecar.Server):
-    def __init__(self, handler: SidecarHandler) -> None:
+    def __init__(self, handler: SidecarHandler, connections: EntryConnections) -> None:
         self._handler = handler
+        self._connections = connections
 
     async def changesSince(  # noqa: N802 - name fixed by the schema
         self, revision: int, _context: Any, **_: Any
     ) -> None:
         _write_gap(_context.results, self._handler.changes_since(revision))
 
+    async def announce(
+        self, revision: int, source: Any, _context: Any, **_: Any
+    ) -> None:
+        own = self._handler.announced(revision, _fetcher(source))
+        _context.results.revision = own
+
     async def hello(
         self, entry: str, revision: int, settings: Any, _context: Any, **_: Any
     ) -> None:
-        async def fetch(after: int) -> SettingsGap:
-            return read_gap(await settings.changesSince(after))
-
-        greeting = await self._handler.hello(entry, revision, fetch)
+        greeting = await self._handler.hello(entry, revision, _fetcher(settings))
+        self._connections.greeted(self, settings)
         _context.results.endpoint = greeting.endpoint
         write_load(_context.results.load, greeting.load)
 
     async def run(self, call: Any, sink: Any, _context: Any, **_: Any) -> None:
+        wanted = read_call(call)
+
         async def on_chunk(offset: int, text: str) -> None:
-            await sink.chunk(offset, text)
+            request = sink.chunk_request(offset=offset, text=text)
+            write_call_id(request.id, wanted.id)
+            await request.send()
 
-        reply = await self._handler.run(read_call(call), on_chunk)
+        reply = await self._handler.run(wanted, on_chunk)
         write_reply(_context.results.reply, reply)
 
     async def cancel(self, id: Any, _context: Any, **_: Any) -> None:  # noqa: A002
@@ -122,24 +147,39 @@
         write_load(_context.results.load, self._handler.load())
 
 
-def settings_server(source: SettingsSource) -> Any:
-    """Return the capability through which a peer reads ``source``."""
-    return _SettingsServer(source)
+def entry_server(source: SettingsSource, on_load: LoadHandler) -> Any:
+    """Return the capability through which a sidecar reads ``source`` and tells news."""
+    return _EntryServer(source, on_load)
+
+
+def _fetcher(peer: Any) -> SettingsFetcher:
+    async def fetch(after: int) -> SettingsGap:
+        try:
+            return read_gap(await peer.changesSince(after))
+        except capnp.KjException as error:
+            raise PeerLostError("settings peer", str(error).splitlines()[0]) from error
+
+    return fetch
 
 
 def _write_gap(target: Any, gap: SettingsGap) -> None:
     target.revision = gap.revision
     target.changes = list(gap.changes)
+    target.snapshot = gap.snapshot
 
 
 def read_gap(source: Any) -> SettingsGap:
     """Return the settings gap held by a reader."""
-    return SettingsGap(source.revision, tuple(bytes(c) for c in source.changes))
+    changes = tuple(bytes(change) for change in source.changes)
+    return SettingsGap(source.revision, changes, bytes(source.snapshot))
 
 
 @asynccontextmanager
 async def serve_sidecar(
-    handler: SidecarHandler, host: str, port: int
+    handler: SidecarHandler,
+    host: str,
+    port: int,
+    connections: EntryConnections | None = None,
 ) -> AsyncIterator[int]:
     """
     Serve ``handler`` over TCP and yield the bound port; 0 lets the kernel pick.
@@ -147,10 +187,16 @@
     Must run inside ``capnp.kj_loop()``. On exit no connection is accepted any
     more and the open ones end.
     """
+    known = EntryConnections() if connections is None else connections
 
     async def accept(stream: Any) -> None:
-        server = capnp.TwoPartyServer(stream, bootstrap=_SidecarServer(handler))
-        await server.on_disconnect()
+        sidecar = _SidecarServer(handler, known)
+        known.opened(sidecar)
+        try:
+            server = capnp.TwoPartyServer(stream, bootstrap=sidecar)
+            await server.on_disconnect()
+        finally:
+            known.closed(sidecar)
 
     listener = await capnp.AsyncIoStream.create_server(accept, host, port)
     try:
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -54,16 +54,24 @@
 }
 
 interface ChunkSink {
-  chunk @0 (offset :UInt32, text :Text) -> ();
+  chunk @0 (id :CallId, offset :UInt32, text :Text) -> ();
 }
 
 interface SettingsPeer {
-  # Changes after a revision, oldest first; an empty list when none is newer.
-  changesSince @0 (revision :UInt64) -> (revision :UInt64, changes :List(Data));
+  # Changes after a revision, oldest first; an empty list when none is newer. Where
+  # the changes are kept no more, the whole tree as a snapshot.
+  changesSince @0 (revision :UInt64) -> (revision :UInt64, changes :List(Data), snapshot :Data);
+  # Tells the peer a revision and where to read it; answers with the peer's own.
+  announce @1 (revision :UInt64, source :SettingsPeer) -> (revision :UInt64);
+}
+
+interface EntryPeer extends(SettingsPeer) {
+  # Sent when a sidecar starts to leave, so that an idle entry learns of it too.
+  loadChanged @0 (load :Load) -> ();
 }
 
 interface Sidecar extends(SettingsPeer) {
-  hello @0 (entry :Text, revision :UInt64, settings :SettingsPeer) -> (endpoint :Text, load :Load);
+  hello @0 (entry :Text, revision :UInt64, settings :EntryPeer) -> (endpoint :Text, load :Load);
   run @1 (call :StageCall, sink :ChunkSink) -> (reply :StageReply);
   cancel @2 (id :CallId) -> (reply :StageReply);
   outcome @3 (callKey :Text, incarnation :UInt64) -> (reply :StageReply);
