--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -20,7 +20,7 @@
 DEFAULT_OUTPUT_BYTES = 1000.0
 MEMO_SAMPLES = 8
 LEAST_OF_MEAN = 0.3
-LEAST_RUN_S = 1e-6
+LEAST_S = 1e-4
 
 
 class StageStats:
@@ -63,8 +63,8 @@
 
     @property
     def mean_s(self) -> float:
-        """Mean run time in seconds."""
-        return self._run.mean if self._run.count else self._hint_s
+        """Mean run time in seconds; never 0, since predictions divide by it."""
+        return max(LEAST_S, self._run.mean) if self._run.count else self._hint_s
 
     @property
     def typical_s(self) -> float:
@@ -108,9 +108,7 @@
 
     def add(self, run_s: float, output_bytes: int, beside: float) -> None:
         """Learn from a run that had so many calls beside it."""
-        # A run within the clock's resolution is told as 0 s. A mean of 0 would end
-        # the next decision in a division by it, and the request with an error.
-        self._run.add(max(run_s, LEAST_RUN_S))
+        self._run.add(run_s)
         self._crowding.add(beside, run_s)
         self._output_bytes += BYTES_WEIGHT * (output_bytes - self._output_bytes)
         self._fresh -= 1
--- a/tests/policy_machines/planner_machine.py
+++ b/tests/policy_machines/planner_machine.py
@@ -114,7 +114,7 @@
     @precondition(lambda self: self.oracle.flights())
     @rule(
         index=indexes,
-        count=st.sampled_from((1, 1, 20)),
+        count=st.sampled_from((1, 5, 60)),
         result=st.sampled_from(
             (
                 StageResult(Fate.FAILED),
--- a/tests/policy_machines/test_machines.py
+++ b/tests/policy_machines/test_machines.py
@@ -25,6 +25,8 @@
     phases=[Phase.generate],
     suppress_health_check=list(HealthCheck),
 )
+# What is drawn depends on the modules that are loaded, so a rare find needs room.
+UNTIL_SEEN = settings(BOUNDED, max_examples=1000)
 
 
 @pytest.mark.parametrize("machine", [PlannerMachine, ThriftyMachine, RunQueueMachine])
@@ -52,4 +54,4 @@
     owner, attribute, broken = MUTANTS[name]
     monkeypatch.setattr(owner, attribute, broken)
     with pytest.raises((AssertionError, InvariantError, ExceptionGroup)):
-        run_state_machine_as_test(ThriftyMachine, settings=BOUNDED)
+        run_state_machine_as_test(ThriftyMachine, settings=UNTIL_SEEN)
