--- a/packages/standins/src/amaranthtally/standins/deployment.py
+++ b/packages/standins/src/amaranthtally/standins/deployment.py
@@ -169,6 +169,18 @@
         self._stack.push_async_callback(process.kill)
         return process
 
+    async def start_standin_at(
+        self, name: str, kind: str, port: int, knobs: dict[str, Any]
+    ) -> Process:
+        """Start a stand-in again at a port that it had."""
+        listen = f"127.0.0.1:{port}"
+        pairs = [f"{key}={value}" for key, value in knobs.items()]
+        process = await start_process(
+            name, STANDINS, kind, "--listen", listen, "--name", name, "--set", *pairs
+        )
+        self._stack.push_async_callback(process.kill)
+        return process
+
     async def start_daemon(self, role: str, name: str, file: Path) -> Process:
         """Start a daemon that ends with the deployment."""
         process = await start_process(name, DAEMON, role, "--settings", file)
@@ -201,6 +213,7 @@
             "http_address": LOOPBACK_ANY_PORT,
             "endpoint_url": f"http://127.0.0.1:{service.ports['port']}",
             "endpoint_kind": pool.kind,
+            "platform_url": self.platform_url,
             "concurrency": pool.concurrency,
             "drain_wait": 0.5,
             **overrides,
