--- a/packages/operator/src/amaranthtally/operator/replay/plot.py
+++ b/packages/operator/src/amaranthtally/operator/replay/plot.py
@@ -25,6 +25,7 @@
 def plot_reports(reports: Sequence[TraceReport], path: Path) -> None:
     """Write a plot of reports as SVG."""
     mpl.rcParams["svg.hashsalt"] = HASH_SALT
+    mpl.rcParams["svg.fonttype"] = "none"
     figure, (upper, lower) = pyplot.subplots(
         2, 1, figsize=(WIDTH_IN, HEIGHT_IN), sharex=True, layout="constrained"
     )
