--- a/packages/operator/src/amaranthtally/operator/replay/faults.py
+++ b/packages/operator/src/amaranthtally/operator/replay/faults.py
@@ -9,11 +9,11 @@
 from amaranthtally.operator.replay.sidecar import FakeSidecar
 from amaranthtally.operator.replay.trace import Fault, FaultKind
 
-__all__ = ["Stage", "schedule_faults"]
+__all__ = ["Targets", "schedule_faults"]
 
 
 @dataclass(frozen=True, slots=True)
-class Stage:
+class Targets:
     """Everything that a fault can strike."""
 
     network: Network
@@ -25,16 +25,16 @@
         return [self.fleet[name] for name in fault.endpoints]
 
 
-Injector = Callable[[Stage, Fault], None]
+Injector = Callable[[Targets, Fault], None]
 _INJECTORS: dict[FaultKind, Injector] = {}
 
 
-def schedule_faults(stage: Stage, faults: Iterable[Fault]) -> None:
+def schedule_faults(targets: Targets, faults: Iterable[Fault]) -> None:
     """Put faults on the clock; bursts and floods are in the arrivals already."""
     for fault in faults:
         injector = _INJECTORS.get(fault.kind)
         if injector is not None:
-            injector(stage, fault)
+            injector(targets, fault)
 
 
 def _injector(kind: FaultKind) -> Callable[[Injector], Injector]:
@@ -46,41 +46,41 @@
 
 
 @_injector(FaultKind.SLOW)
-def _slow(stage: Stage, fault: Fault) -> None:
-    clock = stage.network.clock
-    for sidecar in stage.struck(fault):
+def _slow(targets: Targets, fault: Fault) -> None:
+    clock = targets.network.clock
+    for sidecar in targets.struck(fault):
         slow_down = sidecar.endpoint.slow_down
         clock.at(fault.start_s, partial(slow_down, fault.factor))
         clock.at(fault.end_s, partial(slow_down, 1.0))
 
 
 @_injector(FaultKind.FAILING)
-def _failing(stage: Stage, fault: Fault) -> None:
-    clock = stage.network.clock
-    for sidecar in stage.struck(fault):
+def _failing(targets: Targets, fault: Fault) -> None:
+    clock = targets.network.clock
+    for sidecar in targets.struck(fault):
         clock.at(fault.start_s, partial(sidecar.endpoint.fail, True))
         clock.at(fault.end_s, partial(sidecar.endpoint.fail, False))
 
 
 @_injector(FaultKind.REGION_CUT)
-def _region_cut(stage: Stage, fault: Fault) -> None:
-    clock = stage.network.clock
-    clock.at(fault.start_s, partial(stage.network.cut, fault.region))
-    clock.at(fault.end_s, partial(stage.network.cut, ""))
-    for entry in stage.entries:
+def _region_cut(targets: Targets, fault: Fault) -> None:
+    clock = targets.network.clock
+    clock.at(fault.start_s, partial(targets.network.cut, fault.region))
+    clock.at(fault.end_s, partial(targets.network.cut, ""))
+    for entry in targets.entries:
         lose = partial(entry.lose_region, fault.region)
         clock.at(fault.start_s + NOTICE_S, lose)
 
 
 @_injector(FaultKind.LATE_LOAD)
-def _late_load(stage: Stage, fault: Fault) -> None:
-    clock = stage.network.clock
-    for sidecar in stage.fleet.values():
+def _late_load(targets: Targets, fault: Fault) -> None:
+    clock = targets.network.clock
+    for sidecar in targets.fleet.values():
         clock.at(fault.start_s, partial(sidecar.delay_load, fault.factor))
         clock.at(fault.end_s, partial(sidecar.delay_load, 0.0))
 
 
 @_injector(FaultKind.COLD_CACHE)
-def _cold_cache(stage: Stage, fault: Fault) -> None:
-    for sidecar in stage.fleet.values():
-        stage.network.clock.at(fault.start_s, sidecar.endpoint.clear_cache)
+def _cold_cache(targets: Targets, fault: Fault) -> None:
+    for sidecar in targets.fleet.values():
+        targets.network.clock.at(fault.start_s, sidecar.endpoint.clear_cache)
--- a/packages/operator/src/amaranthtally/operator/replay/plot.py
+++ b/packages/operator/src/amaranthtally/operator/replay/plot.py
@@ -32,7 +32,7 @@
     _draw_bars(upper, reports, [[f.attainment for f in r.contenders] for r in reports])
     _draw_bounds(upper, reports)
     upper.set_ylabel("attainment")
-    upper.set_ylim(0.4, 1.02)
+    upper.set_ylim(0.0, 1.05)
     _draw_bars(
         lower, reports, [[f.cost_per_answer for f in r.contenders] for r in reports]
     )
@@ -40,7 +40,8 @@
     lower.set_xticks(range(len(reports)), [r.trace for r in reports], rotation=40)
     for label in lower.get_xticklabels():
         label.set_horizontalalignment("right")
-    upper.legend(ncols=6, loc="lower center", fontsize="small")
+    handles, labels = upper.get_legend_handles_labels()
+    figure.legend(handles, labels, ncols=6, loc="outside upper center")
     figure.savefig(path, format="svg", metadata={"Date": None})
     pyplot.close(figure)
 
--- a/packages/operator/src/amaranthtally/operator/replay/simulation.py
+++ b/packages/operator/src/amaranthtally/operator/replay/simulation.py
@@ -9,7 +9,7 @@
 from amaranthtally.operator.replay.clock import VirtualClock
 from amaranthtally.operator.replay.endpoints import build_endpoint
 from amaranthtally.operator.replay.entry import EntryReplay
-from amaranthtally.operator.replay.faults import Stage as FaultStage, schedule_faults
+from amaranthtally.operator.replay.faults import Targets, schedule_faults
 from amaranthtally.operator.replay.ledger import Ledger
 from amaranthtally.operator.replay.network import Network
 from amaranthtally.operator.replay.sidecar import FakeSidecar
@@ -58,8 +58,8 @@
         sidecar.endpoint.on_cache_event(
             partial(_tell_entries, list(entries.values()), sidecar)
         )
-    stage = FaultStage(network, fleet, list(entries.values()))
-    schedule_faults(stage, header.faults)
+    targets = Targets(network, fleet, list(entries.values()))
+    schedule_faults(targets, header.faults)
     for arrival in trace.arrivals:
         arrive = partial(
             entries[arrival.region].arrive, arrival, pipelines[arrival.pipeline]
