--- a/packages/operator/src/amaranthtally/operator/replay/plot.py
+++ b/packages/operator/src/amaranthtally/operator/replay/plot.py
@@ -25,13 +25,14 @@
 def plot_reports(reports: Sequence[TraceReport], path: Path) -> None:
     """Write a plot of reports as SVG."""
     mpl.rcParams["svg.hashsalt"] = HASH_SALT
+    mpl.rcParams["svg.fonttype"] = "none"
     figure, (upper, lower) = pyplot.subplots(
         2, 1, figsize=(WIDTH_IN, HEIGHT_IN), sharex=True, layout="constrained"
     )
     _draw_bars(upper, reports, [[f.attainment for f in r.contenders] for r in reports])
     _draw_bounds(upper, reports)
     upper.set_ylabel("attainment")
-    upper.set_ylim(0.4, 1.02)
+    upper.set_ylim(0.0, 1.05)
     _draw_bars(
         lower, reports, [[f.cost_per_answer for f in r.contenders] for r in reports]
     )
@@ -39,7 +40,8 @@
     lower.set_xticks(range(len(reports)), [r.trace for r in reports], rotation=40)
     for label in lower.get_xticklabels():
         label.set_horizontalalignment("right")
-    upper.legend(ncols=6, loc="lower center", fontsize="small")
+    handles, labels = upper.get_legend_handles_labels()
+    figure.legend(handles, labels, ncols=6, loc="outside upper center")
     figure.savefig(path, format="svg", metadata={"Date": None})
     pyplot.close(figure)
 
