--- a/packages/daemon/src/amaranthtally/daemon/entry/departure.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/departure.py
@@ -53,7 +53,7 @@
             return
 
     async def _finished(self) -> None:
-        while self._callers.open_responses:
+        while self._callers.open_responses or self._executor.in_flight:
             await asyncio.sleep(POLL_S)
 
 
--- a/packages/policy/src/amaranthtally/policy/ledger.py
+++ b/packages/policy/src/amaranthtally/policy/ledger.py
@@ -103,7 +103,10 @@
     ) -> AttemptId:
         """Note an attempt that is sent now."""
         ensure(self._requests.get(request.id) is request, "nothing sent after an end")
-        ensure(not load.leaving, "no new work to a leaving endpoint")
+        # What a request is bound to is the only place where it may have run: it is
+        # asked there also when it leaves, and its sidecar starts nothing new.
+        bound = request.bound_to == load.endpoint.id
+        ensure(bound or not load.leaving, "no new work to a leaving endpoint")
         stage = request.current
         ensure(
             stage.repeatable or not request.live,
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -209,14 +209,17 @@
         return actions + self._start_stage(now, request)
 
     def _is_hopeless(self, now: float, request: Request) -> bool:
-        remaining = request.remaining
-        if now + self._times.floor_s(remaining) <= request.arrival.deadline:
+        if not self._has_too_little_left(now, request):
             return False
         # What was learned may be over: with nothing at the slowest stage, one
         # request goes on, or none would ever show that the stage is well again.
-        slowest = self._times.slowest(remaining)
+        slowest = self._times.slowest(request.remaining)
         return self._loads.pool(slowest.pool).outstanding > 0
 
+    def _has_too_little_left(self, now: float, request: Request) -> bool:
+        floor = self._times.floor_s(request.remaining)
+        return now + floor > request.arrival.deadline
+
     # Failures
 
     def _ask(
@@ -239,14 +242,31 @@
         request.avoid |= {ended.endpoint}
         reason = Reason.OVERLOAD if not_run else Reason.STAGE_FAILED
         may_resend = request.current.repeatable or not_run
+        load = self._loads.find(ended.endpoint)
+        if not_run and load is not None and load.leaving:
+            actions = self._dispatcher.move_on(now, request)
+            return actions or self._refuse(now, request, reason, result.retry_after_s)
         if result.permanent or not may_resend or request.resends >= MAX_RESENDS:
             return self._refuse(now, request, reason, result.retry_after_s)
-        if self._is_hopeless(now, request):
+        if self._has_too_little_left(now, request):
             return self._refuse(now, request, Reason.DEADLINE, result.retry_after_s)
-        cost = NOT_RUN_COST if not_run else FAILURE_COST
+        cost = self._retry_cost(ended, not_run)
         actions = self._dispatcher.retry(now, request, cost)
         return actions or self._refuse(now, request, reason, result.retry_after_s)
 
+    def _retry_cost(self, ended: LiveAttempt, not_run: bool) -> float:
+        """
+        Return what another attempt costs the budget.
+
+        A refusal by an endpoint that leaves is free: it gets no second call, so
+        there are no more of them than endpoints, and a rolling restart would
+        otherwise use up the tries of a request that one endpoint could take.
+        """
+        load = self._loads.find(ended.endpoint)
+        if not_run and load is not None and load.leaving:
+            return 0.0
+        return NOT_RUN_COST if not_run else FAILURE_COST
+
     def _note_failure(
         self, now: float, ended: LiveAttempt, result: StageResult
     ) -> None:
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -20,6 +20,7 @@
 DEFAULT_OUTPUT_BYTES = 1000.0
 MEMO_SAMPLES = 8
 LEAST_OF_MEAN = 0.3
+# A run within the clock's resolution is told as 0 s; predictions divide by it.
 LEAST_S = 1e-4
 MOST_FADE = 0.998
 CROWDING_PRIOR_VARIANCE = 1.0
@@ -73,7 +74,7 @@
 
     @property
     def mean_s(self) -> float:
-        """Mean run time in seconds; never 0, since predictions divide by it."""
+        """Mean run time in seconds; never 0."""
         return max(LEAST_S, self._run.mean) if self._run.count else self._hint_s
 
     @property
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -11,6 +11,7 @@
     read_call,
     read_call_id,
     read_load,
+    read_terms,
     schema,
     write_call_id,
     write_load,
@@ -22,7 +23,9 @@
     CallId,
     ChunkHandler,
     Greeting,
+    Inquiry,
     Load,
+    OnceTerms,
     SettingsGap,
     StageCall,
     StageReply,
@@ -68,7 +71,9 @@
     async def cancel(self, call_id: CallId) -> StageReply:
         """Cancel a call; a tombstone refuses a copy that arrives later."""
 
-    async def outcome(self, call_key: str, incarnation: int) -> StageReply:
+    async def inquire(
+        self, call_key: str, terms: OnceTerms, inquiry: Inquiry
+    ) -> StageReply:
         """Say what became of a call that may not be repeated."""
 
     def load(self) -> Load:
@@ -133,14 +138,17 @@
         reply = await self._handler.cancel(read_call_id(id))
         write_reply(_context.results.reply, reply)
 
-    async def outcome(
+    async def inquire(
         self,
         callKey: str,  # noqa: N803 - name fixed by the schema
-        incarnation: int,
+        terms: Any,
+        inquiry: Any,
         _context: Any,
         **_: Any,
     ) -> None:
-        reply = await self._handler.outcome(callKey, incarnation)
+        reply = await self._handler.inquire(
+            callKey, read_terms(terms), Inquiry(str(inquiry))
+        )
         write_reply(_context.results.reply, reply)
 
     async def load(self, _context: Any, **_: Any) -> None:
