--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -6,12 +6,15 @@
 from dataclasses import replace
 from typing import Any
 
-import msgspec
-
 from amaranthtally.daemon.entry.inquiries import Inquirer, load_report
-from amaranthtally.daemon.entry.live_request import LiveRequest, StageRecord
+from amaranthtally.daemon.entry.live_request import LiveRequest
 from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
+from amaranthtally.daemon.entry.stage_calls import (
+    build_call,
+    read_reply,
+    stage_record,
+)
 from amaranthtally.daemon.entry.stream_text import ChunkFate
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -29,18 +32,13 @@
     Reason,
     Refuse,
     Send,
-    Stage,
     StageResult,
 )
 from amaranthtally.wire import (
-    CallId,
     Inquiry,
     Load,
-    OnceTerms,
     PeerLostError,
-    StageCall,
     StageReply,
-    Status,
     WireError,
 )
 
@@ -52,18 +50,6 @@
 
 log = get_logger()
 
-_FATES = {
-    Status.FINISHED: Fate.FINISHED,
-    Status.NOT_RUN: Fate.NOT_RUN,
-    Status.FAILED: Fate.FAILED,
-    Status.UNKNOWN: Fate.UNKNOWN,
-    Status.CONFLICT: Fate.UNKNOWN,
-}
-
-
-class _StreamEnd(msgspec.Struct):
-    chunks: int
-
 
 class Executor:
     """Runs one entry's requests; every decision is the planner's."""
@@ -203,11 +189,15 @@
     def _greet(self, greet: Greet) -> None:
         endpoint = self._endpoints.get(greet.endpoint)
         if endpoint is not None:
-            task = asyncio.create_task(self._greet_endpoint(endpoint))
-            self._tasks.add(task)
-            task.add_done_callback(self._attempt_done)
+            self._spawn(self._greet_endpoint(endpoint))
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_done)
+        return task
 
-    def _attempt_done(self, task: asyncio.Task[None]) -> None:
+    def _task_done(self, task: asyncio.Task[None]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
             log.error("policy_failed", cause=repr(task.exception()))
@@ -254,10 +244,7 @@
         attempt: AttemptId,
         work: Coroutine[Any, Any, None],
     ) -> None:
-        task = asyncio.create_task(work)
-        request.tasks[attempt] = task
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        request.tasks[attempt] = self._spawn(work)
 
     # Attempts
 
@@ -276,7 +263,8 @@
             self._log_attempt(attempt, endpoint, "unreachable", str(error))
             self._ended(attempt, StageResult(Fate.NOT_RUN, unreachable=True))
             return
-        call = self._build_call(request, send, stage)
+        remaining_s = send.deadline - self._loop.time()
+        call = build_call(request, send, self._revision, remaining_s)
 
         async def on_chunk(offset: int, text: str) -> None:
             self._take_chunk(request, attempt, endpoint, offset, text)
@@ -346,30 +334,6 @@
         except PeerLostError as error:
             log.debug("greeting_failed", endpoint=endpoint.id, cause=str(error))
 
-    def _build_call(self, request: LiveRequest, send: Send, stage: Stage) -> StageCall:
-        attempt = send.attempt
-        call_key, terms = "", OnceTerms()
-        if not stage.repeatable:
-            assert request.bound is not None
-            binding = request.bound.binding(attempt.stage, stage)
-            call_key = request.bound.call_key(binding)
-            terms = request.bound.terms(binding)
-        return StageCall(
-            id=CallId(*attempt),
-            account=request.arrival.account,
-            stage_name=stage.name,
-            input=request.stage_input(),
-            remaining_s=send.deadline - self._loop.time(),
-            priority=request.arrival.priority,
-            repeatable=stage.repeatable,
-            terms=terms,
-            call_key=call_key,
-            streaming=stage.streams,
-            resume_offset=send.resume_offset,
-            model=stage.model,
-            revision=self._revision,
-        )
-
     def _take_reply(
         self,
         request: LiveRequest,
@@ -382,28 +346,13 @@
         if attempt not in request.tasks:
             return
         stage = request.arrival.pipeline.stages[attempt.stage]
-        fate = _FATES[reply.status]
-        output = reply.output
-        if fate is Fate.FINISHED and stage.streams:
-            # An engine that dies can end its stream early without an error. The
-            # sidecar counts what the engine declared whole; a different count
-            # here means chunks are missing and the stage is run on, not answered.
-            whole = msgspec.json.decode(output, type=_StreamEnd).chunks
-            fate = Fate.FINISHED if whole == len(request.chunks) else Fate.FAILED
-            output = request.text_output()
-        if fate is Fate.FINISHED:
-            request.take_output(output, _record(stage, endpoint, attempt, reply))
+        ended = read_reply(request, stage, reply)
+        if ended.finished:
+            record = stage_record(stage, endpoint, attempt, reply)
+            request.take_output(ended.output, record)
         else:
             self._log_attempt(attempt, endpoint, reply.status.value, reply.reason)
-        result = StageResult(
-            fate,
-            reply.run_s,
-            reply.queued_s,
-            len(output),
-            reply.retry_after_s,
-            permanent=reply.permanent,
-        )
-        self._ended(attempt, result)
+        self._ended(attempt, ended.result)
 
     def _ended(self, attempt: AttemptId, result: StageResult) -> None:
         request = self._requests.get(attempt.request_id)
@@ -426,17 +375,3 @@
             fate=fate,
             cause=cause,
         )
-
-
-def _record(
-    stage: Stage, endpoint: Endpoint, attempt: AttemptId, reply: StageReply
-) -> StageRecord:
-    return StageRecord(
-        name=stage.name,
-        endpoint=endpoint.id,
-        host=endpoint.host,
-        region=endpoint.region,
-        ms=round(reply.run_s * 1000, 3),
-        queued_ms=round(reply.queued_s * 1000, 3),
-        attempts=attempt.number,
-    )
--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
@@ -0,0 +1,102 @@
+"""Stage calls as an entry sends them, and what their replies mean to the policy."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from amaranthtally.daemon.entry.live_request import LiveRequest, StageRecord
+from amaranthtally.policy import AttemptId, Endpoint, Fate, Send, Stage, StageResult
+from amaranthtally.wire import CallId, OnceTerms, StageCall, StageReply, Status
+
+__all__ = ["EndedStage", "build_call", "read_reply", "stage_record"]
+
+_FATES = {
+    Status.FINISHED: Fate.FINISHED,
+    Status.NOT_RUN: Fate.NOT_RUN,
+    Status.FAILED: Fate.FAILED,
+    Status.UNKNOWN: Fate.UNKNOWN,
+    Status.CONFLICT: Fate.UNKNOWN,
+}
+
+
+class _StreamEnd(msgspec.Struct):
+    chunks: int
+
+
+@dataclass(frozen=True, slots=True)
+class EndedStage:
+    """A reply as the policy takes it, and the stage's whole output as JSON."""
+
+    result: StageResult
+    output: bytes
+
+    @property
+    def finished(self) -> bool:
+        """Whether the output is whole."""
+        return self.result.fate is Fate.FINISHED
+
+
+def build_call(
+    request: LiveRequest, send: Send, revision: int, remaining_s: float
+) -> StageCall:
+    """Return the call of one attempt; ``remaining_s`` is the attempt's time left."""
+    attempt = send.attempt
+    stage = request.arrival.pipeline.stages[attempt.stage]
+    call_key, terms = "", OnceTerms()
+    if not stage.repeatable:
+        assert request.bound is not None
+        binding = request.bound.binding(attempt.stage, stage)
+        call_key = request.bound.call_key(binding)
+        terms = request.bound.terms(binding)
+    return StageCall(
+        id=CallId(*attempt),
+        account=request.arrival.account,
+        stage_name=stage.name,
+        input=request.stage_input(),
+        remaining_s=remaining_s,
+        priority=request.arrival.priority,
+        repeatable=stage.repeatable,
+        terms=terms,
+        call_key=call_key,
+        streaming=stage.streams,
+        resume_offset=send.resume_offset,
+        model=stage.model,
+        revision=revision,
+    )
+
+
+def read_reply(request: LiveRequest, stage: Stage, reply: StageReply) -> EndedStage:
+    """Return what a reply says of the attempt; a streamed output is put together."""
+    fate = _FATES[reply.status]
+    output = reply.output
+    if fate is Fate.FINISHED and stage.streams:
+        # An engine that dies can end its stream early without an error. The
+        # sidecar counts what the engine declared whole; a different count
+        # here means chunks are missing and the stage is run on, not answered.
+        whole = msgspec.json.decode(output, type=_StreamEnd).chunks
+        fate = Fate.FINISHED if whole == len(request.chunks) else Fate.FAILED
+        output = request.text_output()
+    result = StageResult(
+        fate,
+        reply.run_s,
+        reply.queued_s,
+        len(output),
+        reply.retry_after_s,
+        permanent=reply.permanent,
+    )
+    return EndedStage(result, output)
+
+
+def stage_record(
+    stage: Stage, endpoint: Endpoint, attempt: AttemptId, reply: StageReply
+) -> StageRecord:
+    """Return the stage's line in the caller's answer."""
+    return StageRecord(
+        name=stage.name,
+        endpoint=endpoint.id,
+        host=endpoint.host,
+        region=endpoint.region,
+        ms=round(reply.run_s * 1000, 3),
+        queued_ms=round(reply.queued_s * 1000, 3),
+        attempts=attempt.number,
+    )
