Keep each default in the registry of keys alone

Cause: defaults stood in the registry and again in entry/pipelines.py; when admission.headroom went from 0.8 to 0.75, 'settings explain' went on telling 0.8. Ruled out: a value of the tree overriding it (none was set). Change: the view gives a key's own default; pipelines.py holds none.

Before: tests/settings/test_defaults.py fails with 0.75 against 0.8. After: passes, with tests/settings/test_checks.py and test_tree.py (31 passed).

--- a/packages/daemon/src/amaranthtally/daemon/entry/admin.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/admin.py
@@ -231,7 +231,7 @@
     def _endpoint(
         self, view: SettingsView, name: str, table: dict[str, Any]
     ) -> EndpointRow:
-        draining = view.value(Scope(), DRAIN_PREFIX + table["host"], False)
+        draining = view.value(Scope(), DRAIN_PREFIX + table["host"])
         places = (table["pool"], table["host"], table["region"], table["address"])
         load = self._parts.loads.get(name)
         if load is None:
--- a/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
@@ -14,15 +14,6 @@
 
 __all__ = ["PipelineResolver", "PolicySettingsBuilder"]
 
-DEFAULT_DEADLINE_MS = 4000
-DEFAULT_WEIGHT = 0.7
-DEFAULT_PRICE_PER_S = 0.0005
-DEFAULT_TRAFFIC_PRICE = 0.02
-DEFAULT_REGION_LATENCY_MS = 12.0
-DEFAULT_HEADROOM = 0.75
-DEFAULT_RETRY_BUDGET = 0.2
-DEFAULT_HEDGE_BUDGET = 0.05
-
 
 class PipelineResolver:
     """Resolves pipelines at one revision, once per client account and pipeline."""
@@ -41,27 +32,27 @@
 
     def _build(self, account: str, pipeline: str) -> Pipeline | None:
         scope = Scope(self._region, account, pipeline)
-        names = self._value(scope, "stages", [])
+        names = self._value(scope, "stages")
         if not names:
             return None
         stages = tuple(self._stage(scope, name) for name in names)
-        deadline_ms = self._value(scope, "deadline_ms", DEFAULT_DEADLINE_MS)
-        weight = self._value(scope, "weight.attainment", DEFAULT_WEIGHT)
+        deadline_ms = self._value(scope, "deadline_ms")
+        weight = self._value(scope, "weight.attainment")
         return Pipeline(pipeline, stages, deadline_ms / 1000, weight)
 
     def _stage(self, scope: Scope, name: str) -> Stage:
         prefix = f"stage.{name}."
         return Stage(
             name=name,
-            pool=self._value(scope, prefix + "pool", name),
-            model=self._value(scope, prefix + "model", ""),
-            repeatable=self._value(scope, prefix + "repeatable", True),
-            streams=self._value(scope, prefix + "streams", False),
-            price_per_s=self._value(scope, prefix + "price_per_s", DEFAULT_PRICE_PER_S),
+            pool=self._value(scope, prefix + "pool") or name,
+            model=self._value(scope, prefix + "model"),
+            repeatable=self._value(scope, prefix + "repeatable"),
+            streams=self._value(scope, prefix + "streams"),
+            price_per_s=self._value(scope, prefix + "price_per_s"),
         )
 
-    def _value(self, scope: Scope, key: str, default: Any) -> Any:
-        return self._view.value(scope, key, default)
+    def _value(self, scope: Scope, key: str) -> Any:
+        return self._view.value(scope, key)
 
 
 @dataclass(frozen=True, slots=True)
@@ -104,8 +95,8 @@
 def _policy_settings(
     view: SettingsView, region: str, data_centre: str, endpoints: dict[str, Endpoint]
 ) -> PolicySettings:
-    def value(key: str, default: float) -> float:
-        return view.value(Scope(region), key, default)
+    def value(key: str) -> Any:
+        return view.value(Scope(region), key)
 
     return PolicySettings(
         revision=view.revision,
@@ -113,12 +104,12 @@
         data_centre=data_centre,
         endpoints=endpoints,
         accounts={name: _limits(view, region, name) for name in view.account_names},
-        entries=int(value("entries", 1)),
-        traffic_price_per_gb=value("traffic.price_per_gb", DEFAULT_TRAFFIC_PRICE),
-        region_latency_s=value("region.latency_ms", DEFAULT_REGION_LATENCY_MS) / 1000,
-        admission_headroom=value("admission.headroom", DEFAULT_HEADROOM),
-        retry_budget=value("retry.budget", DEFAULT_RETRY_BUDGET),
-        hedge_budget=value("hedge.budget", DEFAULT_HEDGE_BUDGET),
+        entries=int(value("entries")),
+        traffic_price_per_gb=value("traffic.price_per_gb"),
+        region_latency_s=value("region.latency_ms") / 1000,
+        admission_headroom=value("admission.headroom"),
+        retry_budget=value("retry.budget"),
+        hedge_budget=value("hedge.budget"),
     )
 
 
@@ -137,7 +128,7 @@
 def _limits(view: SettingsView, region: str, account: str) -> AccountLimits:
     scope = Scope(region=region, account=account)
     return AccountLimits(
-        rate=view.value(scope, "limit.rate", 0.0),
-        burst=view.value(scope, "limit.burst", 0.0),
-        share=view.value(scope, "limit.share", 1.0),
+        rate=view.value(scope, "limit.rate"),
+        burst=view.value(scope, "limit.burst"),
+        share=view.value(scope, "limit.share"),
     )
--- a/packages/settings/src/amaranthtally/settings/catalogue.py
+++ b/packages/settings/src/amaranthtally/settings/catalogue.py
@@ -144,7 +144,7 @@
     return ""
 
 
-@key("admission.headroom", number(0.1, 1), default=0.8, placement=AT_FIRM_OR_REGION)
+@key("admission.headroom", number(0.1, 1), default=0.75, placement=AT_FIRM_OR_REGION)
 def _headroom(_: Any) -> str:
     """Share of a deadline that the predicted completion may use."""
     return ""
--- a/packages/settings/src/amaranthtally/settings/view.py
+++ b/packages/settings/src/amaranthtally/settings/view.py
@@ -9,6 +9,7 @@
     ENDPOINT_PREFIX,
     NEXT_ACCOUNT_KEY,
 )
+from amaranthtally.settings.keys import find_key
 from amaranthtally.settings.tree import Scope, Tree
 
 __all__ = ["SettingsView", "hash_key"]
@@ -66,7 +67,10 @@
         """Return the client account that a bearer key names."""
         return self._accounts.get(hash_key(key))
 
-    def value(self, scope: Scope, key: str, default: Any) -> Any:
-        """Return the value that holds at ``scope``, or ``default``."""
+    def value(self, scope: Scope, key: str) -> Any:
+        """Return the value that holds at ``scope``, or the key's own default."""
         found = self._tree.resolve(scope, key)
-        return default if found is None else found
+        if found is not None:
+            return found
+        known = find_key(key)
+        return known.default if known is not None else None
--- /dev/null
+++ b/tests/settings/test_defaults.py
@@ -0,0 +1,37 @@
+"""What `explain` calls the default is what the policy decides by."""
+
+from amaranthtally.daemon.entry.pipelines import PipelineResolver, PolicySettingsBuilder
+from amaranthtally.policy import PolicySettings
+from amaranthtally.settings import Change, Op, SettingsView, Tree
+from amaranthtally.settings.keys import find_key
+
+REGION = "cluj"
+
+
+def default_of(name):
+    return find_key(name).default
+
+
+def test_unset_keys_have_the_default_that_operators_are_told():
+    """
+    An operator reads that requests may use 0.8 of their deadline and wonders why
+    some are refused. Entries admitted by 0.75: the default stood in two places,
+    and only one of them was changed.
+    """
+    change = Change(1, "c1", "ana", "", "", [Op("pipeline:p", "stages", ["s"])])
+    view = SettingsView(Tree().fold(change))
+    built = PolicySettingsBuilder(REGION, "cluj-1").build(view)
+    assert built.admission_headroom == default_of("admission.headroom")
+    assert built.retry_budget == default_of("retry.budget")
+    assert built.hedge_budget == default_of("hedge.budget")
+    assert built.entries == default_of("entries")
+    assert built.traffic_price_per_gb == default_of("traffic.price_per_gb")
+    assert built.region_latency_s == default_of("region.latency_ms") / 1000
+    assert built == PolicySettings(1, REGION, "cluj-1")
+
+    pipeline = PipelineResolver(view, REGION).resolve("farm", "p")
+    assert pipeline.deadline_s == default_of("deadline_ms") / 1000
+    assert pipeline.weight_attainment == default_of("weight.attainment")
+    (stage,) = pipeline.stages
+    assert stage.pool == "s"
+    assert stage.price_per_s == default_of("stage.NAME.price_per_s")
