Let one piece serve for problem types, the drain prefix, event streams

Cause: a read of the whole change found three things written twice: the URN and content type of a problem (callers and administration), the prefix of drain keys (registry and command line), and the tests' parser of server-sent events. Ruled out: one reader of bearer keys, since administration accepts any scheme before the key today and that would change what it takes. Change: one of each; behaviour and assertions are as they were.

--- a/packages/daemon/src/amaranthtally/daemon/entry/admin_routes.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/admin_routes.py
@@ -7,6 +7,7 @@
 import msgspec
 from aiohttp import web
 
+from amaranthtally.daemon.entry.problems import CONTENT_TYPE, problem_type
 from amaranthtally.settings.documents import AdminProblem
 
 __all__ = [
@@ -24,7 +25,6 @@
 OPENAPI_PATH = f"{PREFIX}/openapi.json"
 REF_TEMPLATE = "#/components/schemas/{name}"
 API_VERSION = "1"
-PROBLEM_TYPE = "application/problem+json"
 JSON_TYPE = "application/json"
 
 Handler = Callable[[Any, web.Request], Awaitable[Any]]
@@ -35,9 +35,8 @@
 
     def __init__(self, status: int, title: str, detail: str, **fields: Any) -> None:
         super().__init__(detail)
-        kind = title.lower().replace(" ", "-")
         self.problem = AdminProblem(
-            f"urn:amaranthtally:problem:{kind}", title, status, detail, **fields
+            problem_type(title), title, status, detail, **fields
         )
 
     def response(self) -> web.Response:
@@ -45,7 +44,7 @@
         return web.Response(
             status=self.problem.status,
             body=msgspec.json.encode(self.problem),
-            content_type=PROBLEM_TYPE,
+            content_type=CONTENT_TYPE,
         )
 
 
@@ -128,7 +127,7 @@
         "parameters": [_path_parameter(name) for name in _path_names(found.path)],
         "responses": {
             "200": _content("The result.", JSON_TYPE, found.answer),
-            "default": _content("What went wrong.", PROBLEM_TYPE, AdminProblem),
+            "default": _content("What went wrong.", CONTENT_TYPE, AdminProblem),
         },
     }
     operation["parameters"] += [_query_parameter(p) for p in found.query]
--- a/packages/daemon/src/amaranthtally/daemon/entry/problems.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/problems.py
@@ -9,9 +9,11 @@
 from amaranthtally.policy import Outcome, Reason, Refuse
 
 __all__ = [
+    "CONTENT_TYPE",
     "Problem",
     "problem_of_refusal",
     "problem_response",
+    "problem_type",
     "render_problem",
     "truthful",
 ]
@@ -103,6 +105,11 @@
     return replace(problem, outcome=Outcome.UNKNOWN)
 
 
+def problem_type(title: str) -> str:
+    """Return the URN that names a kind of problem, made from its title."""
+    return f"urn:amaranthtally:problem:{title.lower().replace(' ', '-')}"
+
+
 class _Document(msgspec.Struct, omit_defaults=True):
     type: str
     title: str
@@ -115,7 +122,7 @@
 def render_problem(problem: Problem) -> bytes:
     """Return the JSON document of a problem."""
     document = _Document(
-        type=f"urn:amaranthtally:problem:{problem.title.lower().replace(' ', '-')}",
+        type=problem_type(problem.title),
         title=problem.title,
         status=problem.status,
         detail=problem.detail,
--- a/packages/operator/src/amaranthtally/operator/fleet_commands.py
+++ b/packages/operator/src/amaranthtally/operator/fleet_commands.py
@@ -17,12 +17,11 @@
     print_table,
 )
 from amaranthtally.settings import Op
+from amaranthtally.settings.catalogue import DRAIN_PREFIX
 from amaranthtally.settings.documents import Changes, EndpointRow, Endpoints, Status
 
 __all__ = ["add_fleet_commands"]
 
-DRAIN_PREFIX = "drain."
-
 
 def add_fleet_commands(app: App) -> None:
     """Add the commands to the application."""
--- a/tests/lifecycle/support.py
+++ b/tests/lifecycle/support.py
@@ -210,12 +210,3 @@
 def logged(process, event):
     """Return the log lines of an event."""
     return [line for line in process.lines if f"event={event} " in line]
-
-
-def parse_events(text):
-    """Return the (kind, data) pairs of a server-sent event stream."""
-    pairs = [block.split("\n", 1) for block in text.strip().split("\n\n")]
-    return [
-        (kind.removeprefix("event: "), json.loads(data.removeprefix("data: ")))
-        for kind, data in pairs
-    ]
--- a/tests/lifecycle/test_answers.py
+++ b/tests/lifecycle/test_answers.py
@@ -12,10 +12,10 @@
     SwappingSidecar,
     fake_deployment,
     logged,
-    parse_events,
     run_wire,
     whole_text,
 )
+from tests.support import parse_events
 
 CALLERS = 24
 
--- a/tests/lifecycle/test_planned_stops.py
+++ b/tests/lifecycle/test_planned_stops.py
@@ -10,8 +10,8 @@
 from amaranthtally.standins.chaos.callers import Callers
 from amaranthtally.standins.chaos.world import World
 from amaranthtally.standins.deployment import open_deployment
-from tests.lifecycle.support import logged, parse_events
-from tests.support import plan, run_async
+from tests.lifecycle.support import logged
+from tests.support import parse_events, plan, run_async
 
 TOKENS = 8
 AT_ONCE = 8
--- a/tests/lifecycle/test_streams.py
+++ b/tests/lifecycle/test_streams.py
@@ -21,10 +21,9 @@
     FakeSidecar,
     fake_deployment,
     logged,
-    parse_events,
     run_wire,
 )
-from tests.support import plan, run_async
+from tests.support import parse_events, plan, run_async
 
 STREAMS = 8
 TOKENS = 40
--- a/tests/support/__init__.py
+++ b/tests/support/__init__.py
@@ -1,6 +1,7 @@
 """Helpers shared by the tests."""
 
 import asyncio
+import json
 from collections.abc import Coroutine
 from pathlib import Path
 from typing import Any
@@ -19,3 +20,12 @@
 def plan(name: str = "agrosalv") -> DeploymentPlan:
     """Return one of the example plans."""
     return load_plan(EXAMPLES / f"{name}.toml")
+
+
+def parse_events(text):
+    """Return the (kind, data) pairs of a server-sent event stream."""
+    pairs = [block.split("\n", 1) for block in text.strip().split("\n\n")]
+    return [
+        (kind.removeprefix("event: "), json.loads(data.removeprefix("data: ")))
+        for kind, data in pairs
+    ]
--- a/tests/test_path.py
+++ b/tests/test_path.py
@@ -5,7 +5,7 @@
 import pytest
 
 from amaranthtally.standins.deployment import open_deployment
-from tests.support import plan, run_async
+from tests.support import parse_events, plan, run_async
 
 
 @pytest.mark.parametrize(
@@ -78,14 +78,3 @@
                 assert await deployment.records(pair.service) == []
 
     run_async(scenario())
-
-
-def parse_events(text):
-    """Return the (kind, data) pairs of a server-sent event stream."""
-    events = []
-    for block in text.strip().split("\n\n"):
-        kind, data = block.split("\n", 1)
-        events.append(
-            (kind.removeprefix("event: "), json.loads(data.removeprefix("data: ")))
-        )
-    return events
