Let a planned stop end while a service hangs, with its records kept

Change: a sidecar knows which of its calls an entry still waits for. Once none has waited for abandoned_wait (10 s), the call holds up a stop no longer. A sidecar that has to wait for any call hands its records over before it waits and again as it ends; the final set replaces the early one, never the reverse. Handovers go to two peers at a time, each with a limit of its own, so that a frozen peer no longer uses up the time of the others (by reading; no test).

The randomised run now counts refusals of effects by title as well.

--- a/packages/daemon/src/amaranthtally/daemon/sidecar/departure.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/departure.py
@@ -1,6 +1,7 @@
 """How a sidecar leaves: by a stop signal, or because its host drains."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.sidecar.handler import StageHandler
@@ -24,10 +25,12 @@
         settings: SidecarSettings,
         handler: StageHandler,
         connections: EntryConnections,
+        hand_over: Callable[[bool], Awaitable[None]],
     ) -> None:
         self._settings = settings
         self._handler = handler
         self._connections = connections
+        self._hand_over = hand_over
         self._draining = False
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -60,7 +63,11 @@
         self._handler.leave()
         await self._announce()
         await asyncio.sleep(self._settings.drain_wait)
-        while self._handler.busy:
+        if self._handler.unfinished:
+            # A process manager may kill a sidecar that a long call holds up. The
+            # records of what has ended are with its peers by then.
+            await self._hand_over(False)
+        while self._handler.unfinished:
             await asyncio.sleep(POLL_S)
         await self._linger()
 
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -79,9 +79,10 @@
         self._born = self._loop.time()
 
     @property
-    def busy(self) -> bool:
-        """Whether a call waits or runs."""
-        return bool(self._queue.running or self._queue.queued)
+    def unfinished(self) -> int:
+        """Calls that a stop waits for; one without callers for a while is none."""
+        calls = self._queue.running + self._queue.queued
+        return calls - self._once.abandoned(self._settings.abandoned_wait)
 
     @property
     def clock_s(self) -> float:
@@ -156,9 +157,9 @@
         handover = read_handover(body, signature, self._handover_keys)
         return handover is not None and self._once.take(handover)
 
-    def handovers(self) -> list[Handover]:
-        """Return the records to hand on, once it has left and nothing runs."""
-        return self._once.handovers(self._settings.endpoint)
+    def handovers(self, final: bool) -> list[Handover]:
+        """Return the records to hand on, once it has left; ``final`` as it ends."""
+        return self._once.handovers(self._settings.endpoint, final)
 
     # Calls
 
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handover.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handover.py
@@ -1,7 +1,7 @@
 """Hands a stopping sidecar's records to its peers."""
 
 import asyncio
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from contextlib import suppress
 
 import msgspec
@@ -18,7 +18,8 @@
 
 COPIES = 2
 CONNECT_TIMEOUT_S = 0.5
-HANDOVER_TIMEOUT_S = 3.0
+SEND_TIMEOUT_S = 2.0
+HANDOVER_TIMEOUT_S = 5.0
 
 log = get_logger()
 
@@ -37,26 +38,40 @@
         return
     with suppress(TimeoutError):
         async with asyncio.timeout(HANDOVER_TIMEOUT_S):
-            await _hand_over_all(handovers, sender, endpoints, keys)
+            await asyncio.gather(
+                *(_hand_over_one(one, sender, endpoints, keys) for one in handovers)
+            )
 
 
-async def _hand_over_all(
-    handovers: Iterable[Handover], sender: str, endpoints: list[Endpoint], keys: KeyRing
+async def _hand_over_one(
+    handover: Handover, sender: str, endpoints: list[Endpoint], keys: KeyRing
 ) -> None:
-    for handover in handovers:
-        ranked = rank_successors(handover.incarnation, handover.endpoint, endpoints)
-        copies = 0
-        for peer in ranked:
-            if copies == COPIES:
-                break
-            if peer.id != sender:
-                copies += await _send(handover, peer, keys)
-        log.info(
-            "records_handed_over",
-            endpoint=handover.endpoint,
-            calls=len(handover.calls),
-            copies=copies,
-        )
+    ranked = rank_successors(handover.incarnation, handover.endpoint, endpoints)
+    peers = iter([peer for peer in ranked if peer.id != sender])
+    # Two at a time: a frozen peer uses up its own turn, not that of the others.
+    taken = await asyncio.gather(
+        *(_send_to_next(handover, peers, keys) for _ in range(COPIES))
+    )
+    log.info(
+        "records_handed_over",
+        endpoint=handover.endpoint,
+        calls=len(handover.calls),
+        copies=sum(taken),
+        final=handover.final,
+    )
+
+
+async def _send_to_next(
+    handover: Handover, peers: Iterator[Endpoint], keys: KeyRing
+) -> bool:
+    for peer in peers:
+        try:
+            async with asyncio.timeout(SEND_TIMEOUT_S):
+                if await _send(handover, peer, keys):
+                    return True
+        except TimeoutError:
+            log.warning("handover_failed", peer=peer.id, cause="no answer in time")
+    return False
 
 
 def read_handover(body: bytes, signature: bytes, keys: KeyRing) -> Handover | None:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/once.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/once.py
@@ -6,6 +6,7 @@
 from typing import Any, Protocol
 
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.sidecar.waiters import Waiters
 from amaranthtally.policy.handover import HandedCall, HandedLedgers, Handover
 from amaranthtally.policy.once import CallLedger, CallState, Verdict
 from amaranthtally.wire import (
@@ -56,6 +57,7 @@
 @dataclass(slots=True)
 class _Record:
     call_id: CallId
+    waiters: Waiters
     reply: "asyncio.Future[StageReply]" = field(
         default_factory=lambda: asyncio.get_running_loop().create_future()
     )
@@ -71,6 +73,7 @@
         self._handed = handed
         self._runner = runner
         self._records: dict[str, _Record] = {}
+        self._running: dict[str, Waiters] = {}
         self._outputs: OrderedDict[str, int] = OrderedDict()
         self._output_bytes = 0
         self._effects: set[asyncio.Task[None]] = set()
@@ -90,7 +93,7 @@
         if verdict is not Verdict.FRESH:
             return self._refuse(call.id, key, verdict)
         self._forget_dropped()
-        self._records[key] = _Record(call.id)
+        self._records[key] = _Record(call.id, Waiters(lambda: self._runner.clock_s))
         # The task is the sidecar's own: an entry that dies or hangs up must not
         # cancel a call whose effect may already have happened.
         task = asyncio.create_task(self._effect(call, on_chunk))
@@ -101,6 +104,16 @@
     def started(self, key: str) -> None:
         """Note that a call goes to the endpoint."""
         self._ledger.started(key)
+        self._running[key] = self._records[key].waiters
+
+    def abandoned(self, wait_s: float) -> int:
+        """
+        Return how many running calls nobody has waited for in ``wait_s`` seconds.
+
+        A service may hang for good in a call, which nothing else would end: a stop
+        that waited for it would be killed, and every record lost with it.
+        """
+        return sum(waiters.gone_s > wait_s for waiters in self._running.values())
 
     async def inquire(self, key: str, terms: OnceTerms, inquiry: Inquiry) -> StageReply:
         """Say what became of a call; one that never came is sealed, but by a look."""
@@ -119,8 +132,12 @@
         """Keep a stopped peer's records; false where there is no room for them."""
         return self._handed.take(self._runner.clock_s, handover)
 
-    def handovers(self, endpoint: str) -> list[Handover]:
-        """Return all records, once no call runs and none is taken any more."""
+    def handovers(self, endpoint: str, final: bool) -> list[Handover]:
+        """
+        Return all records, once no call is taken any more.
+
+        A call that has not ended is on record as unknown: its effect may come yet.
+        """
         now = self._runner.clock_s
         calls = tuple(
             self._handed_call(key)
@@ -128,14 +145,15 @@
             if self._ledger.state(key) is not None
         )
         own = Handover(
-            endpoint, self._ledger.incarnation, now, self._ledger.ttl_s, calls
+            endpoint, self._ledger.incarnation, now, self._ledger.ttl_s, calls, final
         )
         return [own, *self._handed.pass_on(now)]
 
     def _handed_call(self, key: str) -> HandedCall:
         record, fingerprint = self._records[key], self._ledger.fingerprint(key)
         if not record.reply.done():
-            return HandedCall(key, fingerprint, Status.UNKNOWN.value, b"")
+            reason = "its sidecar was stopped before it had ended"
+            return HandedCall(key, fingerprint, Status.UNKNOWN.value, b"", reason)
         reply = record.reply.result()
         return HandedCall(
             key, fingerprint, reply.status.value, reply.output, reply.reason
@@ -163,6 +181,7 @@
             reply = self._runner.reply(
                 call.id, Status.UNKNOWN, reason=type(error).__name__
             )
+        self._running.pop(key, None)
         if reply.status is Status.NOT_RUN:
             self._ledger.discard(key)
             del self._records[key]
@@ -172,7 +191,9 @@
         record.reply.set_result(reply)
 
     async def _ended(self, call_id: CallId, key: str) -> StageReply:
-        reply = await asyncio.shield(self._records[key].reply)
+        record = self._records[key]
+        with record.waiters.join():
+            reply = await asyncio.shield(record.reply)
         return replace(reply, id=call_id, load=self._runner.load())
 
     async def _inquire_known(
@@ -224,7 +245,8 @@
             self._replace_reply(oldest)
 
     def _replace_reply(self, key: str) -> None:
-        record = _Record(self._records[key].call_id)
+        known = self._records[key]
+        record = _Record(known.call_id, known.waiters)
         reason = "the result is no longer kept"
         record.reply.set_result(
             self._runner.reply(record.call_id, Status.UNKNOWN, reason=reason)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -48,7 +48,16 @@
         handler = StageHandler(settings, session, metrics, sync)
         host, port = split_address(settings.wire_address)
         connections = EntryConnections()
-        departure = Departure(settings, handler, connections)
+
+        async def give_records(final: bool) -> None:
+            await hand_over(
+                handler.handovers(final),
+                settings.endpoint,
+                endpoints_of(state.tree),
+                KeyRing(settings.handover_keys),
+            )
+
+        departure = Departure(settings, handler, connections, give_records)
         state.listen(departure.settings_changed)
         if settings.endpoint_kind == ENGINE_KIND and settings.platform_url:
             platform_session = await stack.enter_async_context(
@@ -80,12 +89,7 @@
             log.warning("sidecar_stop_forced", endpoint=settings.endpoint)
         # Without this every repeat of an effect that ran here would be answered
         # unknown from now on: nobody else knows what became of it.
-        await hand_over(
-            handler.handovers(),
-            settings.endpoint,
-            endpoints_of(state.tree),
-            KeyRing(settings.handover_keys),
-        )
+        await give_records(True)
     log.info("sidecar_stopped", endpoint=settings.endpoint)
 
 
--- a/packages/policy/src/amaranthtally/policy/handover.py
+++ b/packages/policy/src/amaranthtally/policy/handover.py
@@ -28,10 +28,11 @@
 @dataclass(frozen=True, slots=True)
 class Handover:
     """
-    Every call on record of an endpoint's incarnation that runs none any more.
+    Every call on record of an endpoint's incarnation that takes none any more.
 
     ``clock_s`` is its own clock as it stopped, ``ttl_s`` how old a binding it
-    would have taken, both in seconds.
+    would have taken, both in seconds. Where it is not ``final``, calls that run
+    may still end, and a final one takes its place.
     """
 
     endpoint: str
@@ -39,6 +40,7 @@
     clock_s: float
     ttl_s: float
     calls: tuple[HandedCall, ...]
+    final: bool = True
 
 
 @dataclass(frozen=True, slots=True)
@@ -61,10 +63,14 @@
     def take(self, now: float, handover: Handover) -> bool:
         """Keep a handover; false where there is no room for all of it."""
         self._expire(now)
-        if handover.incarnation in self._kept:
+        known = self._kept.get(handover.incarnation)
+        # An early one that comes late, from a peer that stops in turn, must not
+        # take the results of the final one away again.
+        if known is not None and (known.handover.final or not handover.final):
             return True
+        replaced = len(known.calls) if known is not None else 0
         # Half of one would have the missing half pass for calls that never ran.
-        if len(self) + len(handover.calls) > self._capacity:
+        if len(self) - replaced + len(handover.calls) > self._capacity:
             return False
         calls = {call.key: call for call in handover.calls}
         self._kept[handover.incarnation] = _Kept(handover, now, calls)
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -67,6 +67,7 @@
         default_factory=list
     )
     drain_wait: Annotated[float, Meta(ge=0)] = 3.0
+    abandoned_wait: Annotated[float, Meta(ge=0)] = 10.0
     drain_limit: Positive = 660.0
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
--- a/packages/standins/src/amaranthtally/standins/chaos/callers.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/callers.py
@@ -143,7 +143,8 @@
             self._world.counts["effect answered"] += 1
             effect.orders.append(document["output"]["order"])
             return
-        self._world.counts[f"effect {document['outcome']} {status}"] += 1
+        refusal = f"effect {document['outcome']} {status} {document['title']}"
+        self._world.counts[refusal] += 1
         if document["outcome"] == "not_run":
             effect.not_run += 1
         else:
--- a/tests/at_most_once/test_ledger.py
+++ b/tests/at_most_once/test_ledger.py
@@ -11,6 +11,7 @@
     rule,
 )
 
+from amaranthtally.policy.handover import HandedCall, HandedLedgers, Handover
 from amaranthtally.policy.once import KEEP_MARGIN_S, CallLedger, CallState, Verdict
 from amaranthtally.wire import OnceTerms
 
@@ -139,3 +140,22 @@
     assert ledger.open(late, "three", terms(late)) is Verdict.FRESH
     assert ledger.open(late, "one", terms(0.0)) is Verdict.EXPIRED
     assert ledger.state("two") is CallState.QUEUED
+
+
+def test_an_early_handover_never_replaces_the_final_one():
+    """
+    A sidecar hands its records over before it waits for a long call, and again as
+    it ends. A peer that only got the early set stops in turn and passes it on:
+    where it won, the long call's result would be unknown again.
+    """
+
+    def handover(status, final):
+        call = HandedCall("one", "a", status, b"")
+        return Handover("dispatch-1", INCARNATION, 1.0, TTL_S, (call,), final)
+
+    handed = HandedLedgers(1)
+    found = []
+    for status, final in (("unknown", False), ("finished", True), ("unknown", False)):
+        assert handed.take(0.0, handover(status, final))
+        found.append(handed.call(INCARNATION, "one").status)
+    assert found == ["unknown", "finished", "finished"]
