Wait out a short outage of the platform within the caller's deadline

A claim was tried for 1 s at most and not again; where the platform took 0.7 s a call, no repeat could ever find its claim, since that takes two calls. Whether an earlier try ran is not knowable without the platform, so not_run can't be said instead.

The same claim is offered again, which the lost-answer path already relied on. An entry logs claim_put_off and bind_refused with its cause.

--- a/packages/daemon/src/amaranthtally/daemon/entry/binder.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/binder.py
@@ -13,6 +13,7 @@
 )
 from amaranthtally.daemon.entry.claims import Claims, claim_path
 from amaranthtally.daemon.entry.inquiries import Inquirer
+from amaranthtally.daemon.entry.outage import LONG_OUTAGE_S
 from amaranthtally.daemon.entry.problems import Problem
 from amaranthtally.daemon.entry.tokens import TokenSigner, is_token, new_token
 from amaranthtally.daemon.logs import get_logger
@@ -24,18 +25,24 @@
 
 BIND_TRIES = 3
 RETRY_AFTER_S = 1
+PATIENCE_SHARE = 0.5
 
 log = get_logger()
 
 
 @dataclass(frozen=True, slots=True)
 class EffectRequest:
-    """A request to a pipeline with effects; ``key`` is a token or the caller's own."""
+    """
+    A request to a pipeline with effects; ``key`` is a token or the caller's own.
+
+    ``deadline_s`` is the time for its whole answer, in seconds.
+    """
 
     account: str
     pipeline: Pipeline
     key: str
     input: bytes
+    deadline_s: float
 
 
 class Binder:
@@ -59,6 +66,17 @@
 
     async def bind(self, request: EffectRequest) -> BoundRequest | Problem:
         """Return the one binding of a request's key, or why it is refused."""
+        bound = await self._bind(request)
+        if isinstance(bound, Problem):
+            log.info(
+                "bind_refused",
+                pipeline=request.pipeline.name,
+                status=bound.status,
+                cause=bound.title,
+            )
+        return bound
+
+    async def _bind(self, request: EffectRequest) -> BoundRequest | Problem:
         if is_token(request.key):
             bound: BoundRequest | Problem = self._read_token(request)
             fresh = False
@@ -96,7 +114,10 @@
         name = request.pipeline.name
         fingerprint = fingerprint_of(request.input)
         path = claim_path(request.account, name, request.key)
-        claimed = await self._claims.claim(path, fingerprint, bindings)
+        # Refused at once, a caller would hear unknown, as an earlier try may have
+        # run; a part of its own deadline bridges most outages.
+        patience_s = min(LONG_OUTAGE_S, request.deadline_s * PATIENCE_SHARE)
+        claimed = await self._claims.claim(path, fingerprint, bindings, patience_s)
         if isinstance(claimed, Err):
             log.warning("claim_failed", cause=str(claimed.err_value))
             return _NO_CLAIM, False
--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -57,6 +57,12 @@
     body: _Body
     call_key: str
 
+    @property
+    def deadline_s(self) -> float:
+        """Time for the whole answer, in seconds."""
+        own = self.body.deadline_ms
+        return own / 1000 if own else self.pipeline.deadline_s
+
 
 class CallerApi:
     """Checks callers' requests, submits them, and writes their endings."""
@@ -204,6 +210,7 @@
                 checked.pipeline,
                 checked.call_key,
                 bytes(checked.body.input),
+                checked.deadline_s,
             )
         )
 
@@ -211,15 +218,12 @@
         self, checked: _Accepted, bound: BoundRequest | None, received: float
     ) -> LiveRequest:
         assert self._view is not None
-        deadline_s = checked.pipeline.deadline_s
-        if checked.body.deadline_ms is not None:
-            deadline_s = checked.body.deadline_ms / 1000
         raw = bytes(checked.body.input)
         arrival = Arrival(
             request_id=secrets.token_hex(REQUEST_ID_BYTES),
             account=checked.account,
             pipeline=checked.pipeline,
-            deadline=received + deadline_s,
+            deadline=received + checked.deadline_s,
             input_bytes=len(raw),
             streaming=checked.body.stream,
             bound=bound.endpoints(checked.pipeline) if bound else {},
--- a/packages/daemon/src/amaranthtally/daemon/entry/claims.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/claims.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 import secrets
 import time
 from dataclasses import dataclass
@@ -13,6 +14,8 @@
 import msgspec
 from result import Err, Ok, Result
 
+from amaranthtally.daemon.entry.outage import OutageWatch
+from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import KeyValueClient, PlatformDown, PlatformError
 from amaranthtally.policy.once import Binding
 
@@ -30,6 +33,10 @@
 ID_BYTES = 8
 CLAIM_TIMEOUT_S = 1.0
 TRIES = 3
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.5
+
+log = get_logger()
 
 
 class Claim(msgspec.Struct, frozen=True):
@@ -54,19 +61,54 @@
 
     def __init__(self, platform: KeyValueClient) -> None:
         self._platform = platform
+        self._outage = OutageWatch()
+        self._loop = asyncio.get_running_loop()
 
     async def claim(
-        self, path: str, fingerprint: str, bindings: list[Binding]
+        self,
+        path: str,
+        fingerprint: str,
+        bindings: list[Binding],
+        patience_s: float = 0.0,
     ) -> Result[FoundClaim, PlatformError]:
-        """Claim a key, or return whose claim came first."""
+        """
+        Claim a key, or return whose claim came first.
+
+        While the platform fails it is tried again for ``patience_s`` seconds, but
+        not in an outage that has lasted for long.
+        """
         wanted = Claim(
             secrets.token_hex(ID_BYTES), fingerprint, bindings, round(time.time(), 3)
         )
+        if self._outage.is_long(self._loop.time()):
+            patience_s = 0.0
+        limit_s = max(CLAIM_TIMEOUT_S, patience_s)
         try:
-            async with asyncio.timeout(CLAIM_TIMEOUT_S):
-                return await self._settle(path, wanted)
+            async with asyncio.timeout(limit_s):
+                return await self._settle_in(path, wanted, patience_s)
         except TimeoutError:
-            return Err(PlatformDown(f"no answer in {CLAIM_TIMEOUT_S} s"))
+            self._outage.failed(self._loop.time())
+            return Err(PlatformDown(f"no answer in {limit_s} s"))
+
+    async def _settle_in(
+        self, path: str, wanted: Claim, patience_s: float
+    ) -> Result[FoundClaim, PlatformError]:
+        until = self._loop.time() + patience_s
+        pause = FIRST_PAUSE_S
+        while True:
+            found = await self._settle(path, wanted)
+            now = self._loop.time()
+            if isinstance(found, Ok):
+                self._outage.succeeded()
+                return found
+            self._outage.failed(now)
+            if now + pause > until:
+                return found
+            log.info("claim_put_off", cause=str(found.err_value))
+            # The waits differ, so that the callers of an outage do not all write
+            # at once when the platform is back.
+            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+            pause = min(2 * pause, LONGEST_PAUSE_S)
 
     async def _settle(
         self, path: str, wanted: Claim
