Prove links that fail, a lost region, and restarts under orders

A pause stood for a link that loses packets; a region was never lost; a rolling restart under calls that may not be repeated was seen in randomised runs only.

Change: a TCP relay as a test stand-in (forward, hold and deliver late, swallow, reset; each direction apart), and tests with real processes behind it: an order whose link is reset, loses answers, is half open or stands still; a region lost with its results and back; a stream over a link that fails; a rolling restart of every process under orders repeated through both entries.

The restart fails without handover_keys: repeats stay unknown until the test's bound ends it.

--- a/packages/standins/src/amaranthtally/standins/chaos/callers.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/callers.py
@@ -131,6 +131,20 @@
         for entry in entries:
             await self._order(entry, effect)
 
+    async def repeat_until_known(self, at_once: int) -> None:
+        """Repeat each order until it is answered or was not run."""
+        effects = iter(self.effects)
+
+        async def work() -> None:
+            for effect in effects:
+                unknown = -1
+                while effect.unknown != unknown:
+                    unknown = effect.unknown
+                    entry = await self._world.balancer.pick(self._random)
+                    await self._order(entry, effect)
+
+        await asyncio.gather(*(work() for _ in range(at_once)))
+
     async def _order(self, entry: int, effect: Effect) -> None:
         headers = {"Idempotency-Key": effect.key}
         body = {"input": {"to": effect.key}}
--- /dev/null
+++ b/tests/at_most_once/test_links.py
@@ -0,0 +1,147 @@
+"""Links between entries and sidecars that break, stand still or lose bytes."""
+
+import asyncio
+import secrets
+from contextlib import asynccontextmanager
+
+import pytest
+
+from tests.at_most_once.support import (
+    ORDER,
+    PIPELINE,
+    effects,
+    effects_deployment,
+    token,
+    wait_for,
+)
+from tests.support import run_async
+from tests.support.links import cut, heal, relays_before
+
+DEADLINE_MS = 4000
+ORDERS = 4
+
+
+@asynccontextmanager
+async def relayed_deployment(pools=("dispatch",), **options):
+    """Open a deployment whose entries have met all sidecars, through relays."""
+    async with (
+        effects_deployment(**options) as deployment,
+        relays_before(deployment, *pools) as relays,
+    ):
+        # Connected before the fault: the other way is a connection refused.
+        for number in range(len(deployment.entries)):
+            for _ in range(2 * len(relays)):
+                await token(deployment, number)
+        yield deployment, relays
+
+
+async def told(deployment, key, entry=0, **body):
+    """Send an order; return what its caller is told, ``answered`` or the outcome."""
+    response = await deployment.call(PIPELINE, ORDER, entry=entry, key=key, **body)
+    document = await response.json()
+    return "answered" if response.status == 200 else document["outcome"]
+
+
+async def wait_for_both(deployment):
+    """Return once both orders have reached a service."""
+
+    async def reached():
+        return sum(await calls(deployment)) == 2
+
+    await wait_for(reached)
+
+
+async def calls(deployment):
+    """Return how many calls reached each dispatch service."""
+    found = []
+    for pair in deployment.pool("dispatch"):
+        async with deployment.http.get(f"{pair.service_url}/_calls") as response:
+            found.append(await response.json())
+    return found
+
+
+async def answers_again(deployment, keys):
+    """Repeat each key through each entry until it is answered; return the orders."""
+    orders = {}
+    for key in keys:
+        for entry in range(len(deployment.entries)):
+
+            async def answered(key=key, entry=entry):
+                return await told(deployment, key, entry) == "answered"
+
+            await wait_for(answered)
+        response = await deployment.call(PIPELINE, ORDER, key=key)
+        orders[key] = (await response.json())["output"]["order"]
+    return orders
+
+
+@pytest.mark.parametrize("fault", ["reset", "answers lost", "half open", "held"])
+def test_a_link_that_fails_in_the_middle_of_an_order(fault):
+    """
+    The switch between an entry and a sidecar fails while the truck is being
+    ordered: its answer is lost, or the connection breaks, or nothing comes through
+    for some time and then all of it. Whatever the callers were told in the
+    meantime, afterwards each order has one truck and its repeats are told which.
+    """
+
+    async def scenario():
+        async with relayed_deployment(servers=1) as (deployment, relays):
+            for pair in deployment.pool("dispatch"):
+                await deployment.set_knobs(pair.service, slow=0.5)
+            keys = ["order-1", await token(deployment)]
+            sent = [
+                asyncio.create_task(told(deployment, key, deadline_ms=DEADLINE_MS))
+                for key in keys
+            ]
+            await wait_for_both(deployment)
+            cut(relays.values(), fault)
+            first = await asyncio.gather(*sent)
+            heal(relays.values(), fault)
+            assert "not_run" not in first
+            orders = await answers_again(deployment, keys)
+            assert len(set(orders.values())) == len(keys)
+            assert len(await effects(deployment)) == len(keys)
+
+    run_async(scenario())
+
+
+def test_a_region_that_is_lost_for_a_while_and_comes_back():
+    """
+    A region is cut off with the results of its orders, and its links swallow what
+    is sent. An entry that preferred it goes on ordering trucks elsewhere; what is
+    bound to the lost region is unknown, and answered once it is back. No order has
+    two trucks.
+    """
+
+    async def scenario():
+        both = ("roster", "dispatch")
+        async with relayed_deployment(both, servers=3) as (deployment, relays):
+            lost = deployment.plan.regions[1].name
+            gone = [
+                relay
+                for name, relay in relays.items()
+                if deployment.endpoints[name].region == lost
+            ]
+            before = await new_orders(deployment)
+            orders = await answers_again(deployment, before)
+            cut(gone, "half open")
+            during = [f"order-{secrets.token_hex(4)}"]
+            while await told(deployment, during[-1], 1) != "answered":
+                during.append(f"order-{secrets.token_hex(4)}")
+            assert len(during) > 1
+            repeats = [await told(deployment, key) for key in before]
+            assert set(repeats) == {"answered", "unknown"}
+            heal(gone, "half open")
+            orders |= await answers_again(deployment, during)
+            again = await answers_again(deployment, before)
+            assert {key: orders[key] for key in before} == again
+            recorded = [record["key"] for record in await effects(deployment)]
+            assert len(recorded) == len(set(recorded)) == len(orders)
+
+    run_async(scenario())
+
+
+async def new_orders(deployment):
+    """Return new keys of both kinds, tokens from each entry by turns."""
+    tokens = [await token(deployment, n % 2) for n in range(ORDERS)]
+    return [*tokens, *(f"order-{secrets.token_hex(4)}" for _ in range(ORDERS))]
--- a/tests/lifecycle/test_planned_stops.py
+++ b/tests/lifecycle/test_planned_stops.py
@@ -8,13 +8,16 @@
 
 from amaranthtally.standins.chaos.balancer import Balancer
 from amaranthtally.standins.chaos.callers import Callers
+from amaranthtally.standins.chaos.verdict import check_records
 from amaranthtally.standins.chaos.world import World
 from amaranthtally.standins.deployment import open_deployment
+from tests.at_most_once.support import effects_deployment
 from tests.lifecycle.support import logged
 from tests.support import parse_events, plan, run_async
 
 TOKENS = 8
 AT_ONCE = 8
+ORDERS_AT_ONCE = 3
 
 
 def quick_plan(tokens=TOKENS, token_time=0.004):
@@ -54,9 +57,38 @@
     run_async(scenario())
 
 
+def test_a_rolling_restart_doubles_and_loses_no_effect():
+    """
+    Orders come in, and are repeated through other entries, while a new version goes
+    out. A stop that forgets an order turns its repeats into unknown, and one that
+    cuts it may double it; an order bound to a sidecar that then stops is not run.
+    """
+
+    async def scenario():
+        async with effects_deployment() as deployment:
+            balancer = Balancer(deployment)
+            world = World(deployment, balancer, Random(1))
+            world.pin_ports()
+            following = asyncio.create_task(balancer.run())
+            callers = Callers(world, 1, TOKENS, kinds=("effect",))
+            stopping = asyncio.create_task(restart_all(world))
+            number = 0
+            while not stopping.done():
+                await callers.run_more(number, ORDERS_AT_ONCE, ORDERS_AT_ONCE)
+                number += ORDERS_AT_ONCE
+            await stopping
+            await callers.repeat_until_known(ORDERS_AT_ONCE)
+            await check_records(world, callers)
+            following.cancel()
+            assert world.violations == []
+            assert world.counts["effects recorded"] > ORDERS_AT_ONCE
+
+    run_async(scenario())
+
+
 async def restart_all(world):
     """Restart each process in turn, the sidecars of one pool after another."""
-    for number in (0, 1):
+    for number in range(len(world.deployment.pool("dispatch"))):
         await asyncio.gather(
             *(
                 world.stop_sidecar(world.deployment.pool(pool.name)[number])
--- a/tests/lifecycle/test_streams.py
+++ b/tests/lifecycle/test_streams.py
@@ -24,11 +24,13 @@
     run_wire,
 )
 from tests.support import parse_events, plan, run_async
+from tests.support.links import cut, heal, relays_before
 
 STREAMS = 8
 TOKENS = 40
 TOKEN_TIME_S = 0.02
 FAULT_AFTER_S = 0.4
+STREAM_BYTES = 2_000
 
 
 def slow_engines():
@@ -125,6 +127,44 @@
     run_async(scenario())
 
 
+def test_a_stream_outlives_a_link_that_fails():
+    """
+    A mechanic's repair procedure stops in the middle: the link to the engine's host
+    drops packets without a word, stands still, or breaks. Both ends are sound, and
+    the connection looks open; the stream has to go on at another engine.
+    """
+
+    async def scenario():
+        async with (
+            open_deployment(slow_engines(), servers=2) as deployment,
+            relays_before(deployment, "assessment") as relays,
+        ):
+            whole = await deployment.call("assessment", "baler", deadline_ms=20_000)
+            text = (await whole.json())["output"]["text"]
+            link = relays[deployment.pool("assessment")[0].id]
+            for fault in ("half open", "held", "reset"):
+                carried = link.carried
+                calls = [
+                    asyncio.create_task(
+                        deployment.call(
+                            "assessment", "baler", stream=True, deadline_ms=20_000
+                        )
+                    )
+                    for _ in range(STREAMS)
+                ]
+                while link.carried < carried + STREAM_BYTES:
+                    await asyncio.sleep(0.01)
+                cut([link], fault)
+                for answer in await asyncio.gather(*calls):
+                    events = parse_events(await answer.text())
+                    assert events[-1][0] == "done"
+                    parts = "".join(d["text"] for k, d in events if k == "chunk")
+                    assert parts == text
+                heal([link], fault)
+
+    run_async(scenario())
+
+
 def test_a_stream_that_cannot_go_on_ends_in_an_error():
     """
     A caller takes half a repair procedure for the whole. Every engine cuts its
