Take the age of claims from the platform's clock

Cause: claims were stamped by the wall clock of the entry that made them and removed by that of the one that swept.

Change: the client notes the Date of the platform's answers against a clock that counts suspensions; claims are stamped and aged by that alone. No claim is made or removed before the platform's first answer.

Wall clocks are used nowhere else in the daemon (by search for time.time).

--- a/packages/daemon/src/amaranthtally/daemon/entry/claim_sweep.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/claim_sweep.py
@@ -1,7 +1,6 @@
 """Removes claims that are too old, so that they do not pile up in the platform."""
 
 import asyncio
-import time
 from random import Random
 
 import msgspec
@@ -25,7 +24,9 @@
 
     A binding is dead long before its claim is removed: the sidecar takes none
     that is older than its records. A copy that is still on its way can't run, and
-    ``ttl`` is the time within which callers may repeat a key of their own.
+    ``ttl`` is the time within which callers may repeat a key of their own. Ages are
+    by the platform's clock alone: a host whose clock runs hours ahead would remove
+    claims whose callers still repeat them, and the repeats would run again.
     """
 
     def __init__(self, platform: KeyValueClient, ttl: float, random: Random) -> None:
@@ -44,17 +45,20 @@
         listing = await self._platform.list(f"{CLAIM_PREFIX}{shard:0{SHARD_DIGITS}x}/")
         if isinstance(listing, Err):
             return 0
+        now = self._platform.clock_s
+        if now is None:
+            return 0
         removed = 0
         for entry in listing.ok_value.entries:
-            if self._old(entry) and await self._remove(entry):
+            if self._old(entry, now) and await self._remove(entry):
                 removed += 1
         if removed:
             log.info("claims_removed", shard=shard, count=removed)
         return removed
 
-    def _old(self, entry: Entry) -> bool:
+    def _old(self, entry: Entry, now: float) -> bool:
         claim = msgspec.json.decode(entry.value, type=Claim)
-        return time.time() - claim.claimed_at > self._ttl
+        return now - claim.claimed_at > self._ttl
 
     async def _remove(self, entry: Entry) -> bool:
         # By its index: between the read and the removal another sweep may have
--- a/packages/daemon/src/amaranthtally/daemon/entry/claims.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/claims.py
@@ -7,7 +7,6 @@
 import asyncio
 import random
 import secrets
-import time
 from dataclasses import dataclass
 from hashlib import sha256
 
@@ -40,7 +39,11 @@
 
 
 class Claim(msgspec.Struct, frozen=True):
-    """A key's binding; ``claimed_at`` in seconds since the epoch, for removal only."""
+    """
+    A key's binding; ``claimed_at`` is for removal only.
+
+    It is in seconds since the epoch by the platform's clock.
+    """
 
     id: str
     fingerprint: str
@@ -77,26 +80,24 @@
         While the platform fails it is tried again for ``patience_s`` seconds, but
         not in an outage that has lasted for long.
         """
-        wanted = Claim(
-            secrets.token_hex(ID_BYTES), fingerprint, bindings, round(time.time(), 3)
-        )
         if self._outage.is_long(self._loop.time()):
             patience_s = 0.0
         limit_s = max(CLAIM_TIMEOUT_S, patience_s)
         try:
             async with asyncio.timeout(limit_s):
-                return await self._settle_in(path, wanted, patience_s)
+                return await self._settle_in(path, fingerprint, bindings, patience_s)
         except TimeoutError:
             self._outage.failed(self._loop.time())
             return Err(PlatformDown(f"no answer in {limit_s} s"))
 
     async def _settle_in(
-        self, path: str, wanted: Claim, patience_s: float
+        self, path: str, fingerprint: str, bindings: list[Binding], patience_s: float
     ) -> Result[FoundClaim, PlatformError]:
+        claim_id = secrets.token_hex(ID_BYTES)
         until = self._loop.time() + patience_s
         pause = FIRST_PAUSE_S
         while True:
-            found = await self._settle(path, wanted)
+            found = await self._settle(path, claim_id, fingerprint, bindings)
             now = self._loop.time()
             if isinstance(found, Ok):
                 self._outage.succeeded()
@@ -111,8 +112,19 @@
             pause = min(2 * pause, LONGEST_PAUSE_S)
 
     async def _settle(
-        self, path: str, wanted: Claim
+        self, path: str, claim_id: str, fingerprint: str, bindings: list[Binding]
     ) -> Result[FoundClaim, PlatformError]:
+        # A claim stamped by a host whose clock is behind would be removed while its
+        # caller still repeats the key, and the repeat would run a second time.
+        claimed_at = self._platform.clock_s
+        if claimed_at is None:
+            read = await self._read(path)
+            if isinstance(read, Err):
+                return read
+            claimed_at = self._platform.clock_s
+        if claimed_at is None:
+            return Err(PlatformDown("its answers have no Date"))
+        wanted = Claim(claim_id, fingerprint, bindings, round(claimed_at))
         found: Result[FoundClaim, PlatformError] = Err(PlatformDown("not tried"))
         for _ in range(TRIES):
             written = await self._platform.compare_and_swap(
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -7,12 +7,15 @@
 """
 
 import base64
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
+from email.utils import parsedate_to_datetime
 
 import aiohttp
 import msgspec
+from aiohttp import hdrs
 from result import Err, Ok, Result
 
 from amaranthtally.platform.errors import (
@@ -60,6 +63,19 @@
     def __init__(self, session: aiohttp.ClientSession, url: str) -> None:
         self._session = session
         self._url = url.rstrip("/")
+        self._clock_offset_s: float | None = None
+
+    @property
+    def clock_s(self) -> float | None:
+        """
+        The platform's own wall clock, in seconds since the epoch, to a second.
+
+        ``None`` before its first answer. Hosts' wall clocks may be wrong by hours;
+        every process that reads this one sees the same time.
+        """
+        if self._clock_offset_s is None:
+            return None
+        return _uptime() + self._clock_offset_s
 
     async def get(self, key: str) -> Result[Entry | None, PlatformError]:
         """Read one key; ``Ok(None)`` where it is absent."""
@@ -97,6 +113,7 @@
                 data=value,
                 timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
             ) as response:
+                self._note_clock(response)
                 text = await response.text()
         except aiohttp.ClientConnectorError as error:
             return Err(PlatformDown(str(error)))
@@ -114,6 +131,7 @@
                 params={"cas": str(index)},
                 timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
             ) as response:
+                self._note_clock(response)
                 text = await response.text()
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(PlatformAnswerLost(type(error).__name__))
@@ -136,6 +154,16 @@
             return Err(PlatformDown(f"status {response.status}"))
         return Ok(None)
 
+    def _note_clock(self, response: aiohttp.ClientResponse) -> None:
+        date = response.headers.get(hdrs.DATE)
+        if date is None or response.status not in (HTTP_OK, HTTP_NOT_FOUND):
+            return
+        try:
+            said = parsedate_to_datetime(date).timestamp()
+        except ValueError:
+            return
+        self._clock_offset_s = said - _uptime()
+
     async def _read(
         self, key: str, params: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
     ) -> Result[Listing, PlatformError]:
@@ -145,6 +173,7 @@
                 params=params,
                 timeout=aiohttp.ClientTimeout(total=timeout_s),
             ) as response:
+                self._note_clock(response)
                 body = await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(PlatformDown(type(error).__name__))
@@ -168,5 +197,10 @@
         yield KeyValueClient(session, url)
 
 
+def _uptime() -> float:
+    """Return seconds on a clock that counts on while the host is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
 def _entry(row: _Row) -> Entry:
     return Entry(row.Key, base64.b64decode(row.Value), row.ModifyIndex)
--- a/tests/at_most_once/test_claims.py
+++ b/tests/at_most_once/test_claims.py
@@ -6,6 +6,7 @@
 from random import Random
 
 import msgspec
+import pytest
 
 from amaranthtally.daemon.entry.claim_sweep import ClaimSweeper
 from amaranthtally.daemon.entry.claims import Claim, Claims, claim_path
@@ -32,6 +33,11 @@
         yield await stack.enter_async_context(open_key_value(url, "test"))
 
 
+def open_platform_at(client):
+    """Open another process's client of the platform that ``client`` calls."""
+    return open_key_value(client._url, "another")
+
+
 async def put_claim(platform, age):
     """Write a claim that is ``age`` seconds old; return its index."""
     claim = Claim("first", "a", BINDINGS, time.time() - age)
@@ -82,6 +88,31 @@
     run_async(scenario())
 
 
+@pytest.mark.parametrize("wrong_s", [-2 * DAY_S, 2 * DAY_S])
+def test_an_entry_with_a_wrong_clock_removes_no_claim_early(wrong_s, monkeypatch):
+    """
+    An entry starts on a host whose clock is days ahead, or behind. It takes young
+    claims for old ones, or stamps its own so that the others do; the caller repeats
+    its key, nobody knows it any more, and a second truck is sent.
+    """
+
+    async def scenario():
+        async with open_platform() as platform, open_platform_at(platform) as other:
+            wall_clock = time.time
+            with monkeypatch.context() as at_claim:
+                at_claim.setattr(time, "time", lambda: wall_clock() + min(wrong_s, 0))
+                claimed = await Claims(other).claim(PATH, "a", BINDINGS)
+                assert claimed.ok_value.fresh
+            with monkeypatch.context() as at_sweep:
+                at_sweep.setattr(time, "time", lambda: wall_clock() + max(wrong_s, 0))
+                sweeper = ClaimSweeper(platform, DAY_S, Random(1))
+                assert await sweeper.sweep(SHARD) == 0
+            again = await Claims(platform).claim(PATH, "a", BINDINGS)
+            assert not again.ok_value.fresh
+
+    run_async(scenario())
+
+
 def test_a_repeat_finds_its_claim_in_a_slow_platform():
     """
     The platform takes most of a second for each call, for an hour. A repeat needs
