Share equal names and scopes of the settings; keep one table of registrations

Cause: an entry with 11,000 endpoints and 940 accounts holds 15.7 MB of settings, above what 64 MB leave it. tracemalloc by line: 7.6 MB are the decoded changes, each with its own copy of pool, region, data centre and host; 0.6 MB are scopes, one for each operation; 1 MB is the builder's pair of registration and endpoint. Ruled out: the policy (0.1 MB until a pool is used), kept changes (bounded, 1 MB). Change: names are interned as a change is folded in, scopes are shared, the builder keeps the last view's table.

Times are not compared: the host was loaded unevenly.

--- a/bench/settings_size.py
+++ b/bench/settings_size.py
@@ -1,22 +1,29 @@
 """
 What the settings cost one process, by the number of endpoints and accounts.
 
-Prints resident memory of the tree, and the time of one change: fold, links, the
-view of an entry, the check at commit; and a snapshot's size and time.
+Prints resident memory of the tree, the bytes that an entry holds in all, and the
+time of one change: fold, links, the view of an entry, the check at commit; and a
+snapshot's size and time. Fifteen endpoints share a host.
 """
 
 import argparse
 import time
+import tracemalloc
 from pathlib import Path
 
+from amaranthtally.daemon.entry.pipelines import PolicySettingsBuilder
 from amaranthtally.daemon.settings_links import choose_links, linked_endpoints
 from amaranthtally.daemon.settings_sync import SIDECAR_LINKS
+from amaranthtally.policy import Planner, PolicySettings
 from amaranthtally.settings import Change, ChangeLog, Op, Scope, SettingsView, check_ops
+from amaranthtally.settings.log import decode_change, encode_change
 from amaranthtally.settings.snapshot import cut_snapshot, decode_tree
 
 PIPELINES = 7
 STAGES = 5
 REPEATS = 5
+ENDPOINTS_A_HOST = 15
+OPS_A_CHANGE = 500
 PAGE = 4096
 
 
@@ -40,7 +47,7 @@
     for number in range(endpoints):
         table = {
             "pool": f"pool-s{number % STAGES}",
-            "host": f"host-{number}",
+            "host": f"host-{number // ENDPOINTS_A_HOST}",
             "region": f"region-{number % 4}",
             "data_centre": f"dc-{number % 14}",
             "address": f"10.0.{number // 250}.{number % 250}:7000",
@@ -73,6 +80,7 @@
     size = sum(map(len, first.parts))
     print(f"endpoints {arguments.endpoints}, accounts {arguments.accounts}")
     print(f"tree, resident: {grown / 1e6:.1f} MB")
+    print(f"held by an entry: {held_by_an_entry(arguments) / 1e6:.1f} MB")
     print(f"snapshot: {size / 1e6:.2f} MB in {len(first.parts)} parts")
     op = Op("firm", "limit.share", 2)
     model = Op("account:a1/pipeline:p0", "stage.s0.model", "m-2")
@@ -89,6 +97,27 @@
     timed("snapshot, decode", lambda: decode_tree(b"".join(first.parts)))
 
 
+def held_by_an_entry(arguments):
+    """Return the bytes of tree, kept changes, view and policy, change by change."""
+    ops = ops_of(arguments.endpoints, arguments.accounts)
+    batches = [ops[n : n + OPS_A_CHANGE] for n in range(0, len(ops), OPS_A_CHANGE)]
+    changes = [
+        encode_change(Change(number, "bench", "bench", "", "bench", batch))
+        for number, batch in enumerate(batches, start=1)
+    ]
+    del ops, batches
+    tracemalloc.start()
+    log, builder = ChangeLog(), PolicySettingsBuilder("region-0", "dc-0")
+    planner = Planner(PolicySettings(0, "region-0", "dc-0"))
+    for data in changes:
+        log.take([decode_change(data)])
+        view = SettingsView(log.tree)
+        planner.settings_changed(0.0, builder.build(view))
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return held
+
+
 def fresh(arguments):
     log = ChangeLog()
     ops = ops_of(arguments.endpoints, arguments.accounts)
--- a/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
@@ -1,6 +1,5 @@
 """Pipelines, endpoints and accounts as the policy wants them, from the tree."""
 
-from dataclasses import dataclass
 from typing import Any
 
 from amaranthtally.policy import (
@@ -55,14 +54,6 @@
         return self._view.value(scope, key)
 
 
-@dataclass(frozen=True, slots=True)
-class _Registered:
-    """An endpoint and the registration that it was made from."""
-
-    table: dict[str, Any]
-    endpoint: Endpoint
-
-
 class PolicySettingsBuilder:
     """
     Makes what the policy reads of a tree, for the entry at one place.
@@ -75,21 +66,20 @@
     def __init__(self, region: str, data_centre: str) -> None:
         self._region = region
         self._data_centre = data_centre
-        self._registered: dict[str, _Registered] = {}
+        self._tables: dict[str, dict[str, Any]] = {}
+        self._endpoints: dict[str, Endpoint] = {}
 
     def build(self, view: SettingsView) -> PolicySettings:
         """Return the settings of the policy at the view's revision."""
-        self._registered = {
-            name: self._register(name, table) for name, table in view.endpoints.items()
-        }
-        endpoints = {name: r.endpoint for name, r in self._registered.items()}
+        tables = view.endpoints
+        endpoints = {name: self._endpoint(name, tables[name]) for name in tables}
+        self._tables, self._endpoints = tables, endpoints
         return _policy_settings(view, self._region, self._data_centre, endpoints)
 
-    def _register(self, name: str, table: dict[str, Any]) -> _Registered:
-        known = self._registered.get(name)
-        if known is not None and known.table is table:
-            return known
-        return _Registered(table, _endpoint(name, table))
+    def _endpoint(self, name: str, table: dict[str, Any]) -> Endpoint:
+        if self._tables.get(name) is table:
+            return self._endpoints[name]
+        return _endpoint(name, table)
 
 
 def _policy_settings(
--- a/packages/settings/src/amaranthtally/settings/snapshot.py
+++ b/packages/settings/src/amaranthtally/settings/snapshot.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from amaranthtally.settings.tree import Scope, Tree
+from amaranthtally.settings.tree import Op, Tree
 
 __all__ = [
     "Snapshot",
@@ -67,14 +67,8 @@
 def decode_tree(data: bytes) -> Tree:
     """Return the tree held by ``data``; raises ``msgspec.DecodeError``."""
     document = msgspec.json.decode(data, type=_Document)
-    scopes: dict[str, Scope] = {}
-    values = {}
-    for row in document.rows:
-        scope = scopes.get(row.scope)
-        if scope is None:
-            scope = scopes[row.scope] = Scope.parse(row.scope)
-        values[scope, row.key] = row.value
-    return Tree(document.revision, values)
+    ops = (Op(row.scope, row.key, row.value) for row in document.rows)
+    return Tree(document.revision - 1).apply(ops)
 
 
 def cut_snapshot(tree: Tree, part_bytes: int = PART_BYTES) -> Snapshot:
--- a/packages/settings/src/amaranthtally/settings/tree.py
+++ b/packages/settings/src/amaranthtally/settings/tree.py
@@ -1,9 +1,11 @@
 """The tree of settings: a fold of numbered changes, resolved by scope."""
 
 import re
+import sys
 from collections.abc import Iterable
 from dataclasses import dataclass
 from enum import Enum
+from functools import lru_cache
 from typing import Any
 
 import msgspec
@@ -12,6 +14,7 @@
 
 
 NAME = re.compile(r"[a-zA-Z0-9][a-zA-Z0-9_.-]{0,62}")
+SHARED_SCOPES = 4096
 
 
 class Level(Enum):
@@ -136,11 +139,11 @@
         """Return the tree one revision on, with a batch of operations."""
         values = dict(self._values)
         for op in ops:
-            place = (Scope.parse(op.scope), op.key)
+            place = (_shared_scope(op.scope), op.key)
             if op.value is None:
                 values.pop(place, None)
             else:
-                values[place] = op.value
+                values[place] = _shared(op.value)
         return Tree(self._revision + 1, values)
 
     def get(self, scope: Scope, key: str) -> Any:
@@ -165,5 +168,26 @@
         return [(scope, key, value) for (scope, key), value in self._values.items()]
 
 
+# A decoded change holds its own copy of each name. Kept so, 11,000 registrations
+# that name a few pools, regions and data centres take megabytes of equal strings.
+
+_shared_scope = lru_cache(SHARED_SCOPES)(Scope.parse)
+
+
+def _shared(value: Any) -> Any:
+    """
+    Return ``value`` with strings that are one object wherever they are equal.
+
+    Tables are changed in place, by equal strings: a copy of each would leave holes
+    in the heap as large as what sharing saves.
+    """
+    if isinstance(value, str):
+        return sys.intern(value)
+    if isinstance(value, dict):
+        for key, item in value.items():
+            value[key] = _shared(item)
+    return value
+
+
 def _agree(one: str, other: str) -> bool:
     return not one or not other or one == other
