Count the work of a decision in instructions

Times of a decision varied threefold between runs on a shared machine, so that no change of a tenth could be seen. bench.policy_slopes now counts bytecode instructions, the same in each run, and gives beside them the least time of seven rounds in which each size has its turn. Replies draw their run times, and chunks and ticks are given as well.

Ruled out: sys.setprofile alone, which counts calls and not the work in them.

--- a/bench/policy_slopes.py
+++ b/bench/policy_slopes.py
@@ -1,19 +1,28 @@
 """
-Processor time per decision and bytes of state of the policy, at several sizes.
+Work per decision and bytes of state of the policy, at several sizes.
 
 Run ``.venv/bin/python -m bench.policy_slopes``. A decision is one event given to a
-planner; bytes are what ``tracemalloc`` says is held, settings left out.
+planner. Times vary on a shared machine, so two measures stand beside each other:
+bytecode instructions, which are the same in each run, and the least time of several
+rounds, in which every size has its turn. Bytes are what ``tracemalloc`` says is
+held, settings left out.
+
+``--requests N --size E,A,F`` gives one size N requests and prints nothing: for
+``valgrind --tool=callgrind``, which counts the processor's own instructions.
 """
 
+import argparse
 import gc
 import sys
 import time
 import tracemalloc
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, field
 from random import Random
 
 from amaranthtally.policy import (
     AccountLimits,
+    Action,
     Arrival,
     Endpoint,
     Fate,
@@ -27,27 +36,56 @@
     Stage,
     StageResult,
 )
+from bench.bytecode import BytecodeCounter
 
 ENDPOINTS = (10, 100, 1_000, 11_000)
 ACCOUNTS = (5, 50, 940)
 IN_FLIGHT = (10, 100, 1_000, 4_000)
 QUEUED = (10, 100, 1_000)
-REQUESTS = 1_500
+ROUNDS = 7
+REQUESTS_A_ROUND = 150
+REQUESTS_COUNTED = 100
+CHUNKS = 4
 STAGES = ("encoder", "retriever", "reranker", "engine")
 MODELS = ("model-a", "model-b", "model-c", "model-d")
 REGIONS = ("north", "south", "east", "west")
 DEADLINE_S = 1e6
 SEED = 20261203
+KINDS = ("arrival", "reply", "progress", "tick")
 
 
 @dataclass(frozen=True)
+class Size:
+    """Endpoints and client accounts configured, requests in flight."""
+
+    endpoints: int = 100
+    accounts: int = 5
+    in_flight: int = 100
+
+
+@dataclass
+class Spent:
+    """What the events of one kind took so far."""
+
+    events: int = 0
+    seconds: float = 0.0
+    instructions: int = 0
+
+
+@dataclass
 class Figures:
-    """Microseconds for a decision and bytes held."""
+    """Least microseconds and mean instructions of an event, by kind; bytes held."""
+
+    us: dict[str, float] = field(default_factory=dict)
+    instructions: dict[str, float] = field(default_factory=dict)
+    request_us: float = float("inf")
+    state_bytes: int = 0
 
-    arrival_us: float
-    reply_us: float
-    tick_us: float
-    state_bytes: int
+    @property
+    def request_instructions(self) -> float:
+        """Instructions for one request of four stages and a tick."""
+        counts = {"arrival": 1, "reply": len(STAGES), "progress": CHUNKS, "tick": 1}
+        return sum(self.instructions[kind] * counts[kind] for kind in KINDS)
 
 
 def settings(endpoints: int, accounts: int) -> PolicySettings:
@@ -77,104 +115,143 @@
 
 
 class Driver:
-    """Feeds a planner requests and their replies, and times each kind of event."""
+    """Feeds a planner requests and their replies, and measures each kind of event."""
 
-    def __init__(self, endpoints: int, accounts: int) -> None:
+    def __init__(self, size: Size) -> None:
         self._random = Random(SEED)
-        self._settings = settings(endpoints, accounts)
+        self._size = size
         self._pipelines = pipelines()
-        self._accounts = accounts
         self._now = 1.0
         self._serial = 0
         self._sends: list[Send] = []
-        gc.collect()
-        tracemalloc.start()
-        before = tracemalloc.get_traced_memory()[0]
-        self.planner = Planner(self._settings, Random(SEED))
-        self._before = before
-        self.spent = {"arrival": 0.0, "reply": 0.0, "tick": 0.0}
-        self.count = {"arrival": 0, "reply": 0, "tick": 0}
-
-    def state_bytes(self) -> int:
-        """Return the bytes that the planner holds."""
-        gc.collect()
-        return tracemalloc.get_traced_memory()[0] - self._before
-
-    def stop_tracing(self) -> None:
-        """Stop counting bytes, which slows every decision down."""
-        tracemalloc.stop()
-
-    def arrive(self) -> None:
-        """Give a request."""
+        self._counter: BytecodeCounter | None = None
+        self.planner = Planner(settings(size.endpoints, size.accounts), Random(SEED))
+        self.spent = {kind: Spent() for kind in KINDS}
+
+    def fill(self) -> None:
+        """Bring as many requests in flight as the size says, and learn from some."""
+        for _ in range(self._size.in_flight):
+            self._arrive()
+        for _ in range(max(self._size.accounts, self._size.in_flight)):
+            self._arrive()
+            for _ in STAGES:
+                self._reply()
+
+    def run(self, requests: int) -> None:
+        """Let so many requests arrive and as many replies come in as keep step."""
+        for _ in range(requests):
+            self._arrive()
+            for _ in STAGES:
+                self._reply()
+            for _ in range(CHUNKS):
+                self._progress()
+            self._tick()
+
+    def take_spent(self) -> dict[str, Spent]:
+        """Return what was spent since the last call."""
+        spent, self.spent = self.spent, {kind: Spent() for kind in KINDS}
+        return spent
+
+    def count(self, counter: BytecodeCounter | None) -> None:
+        """Count instructions from now on, or times when ``None``."""
+        self._counter = counter
+
+    def _arrive(self) -> None:
         self._serial += 1
         arrival = Arrival(
             f"r{self._serial}",
-            f"account-{self._serial % self._accounts}",
+            f"account-{self._serial % self._size.accounts}",
             self._random.choice(self._pipelines),
             self._now + DEADLINE_S,
             input_bytes=2_000,
         )
         self._take("arrival", lambda: self.planner.request_arrived(self._now, arrival))
 
-    def reply(self) -> None:
-        """Finish an attempt chosen at random."""
+    def _reply(self) -> None:
         index = self._random.randrange(len(self._sends))
         self._sends[index], self._sends[-1] = self._sends[-1], self._sends[index]
         send = self._sends.pop()
+        run_s = 0.05 * self._random.lognormvariate(0.0, 0.4)
         report = LoadReport(1, 1, 0, 8, 0.05, 0.0, False)
-        result = StageResult(Fate.FINISHED, 0.05, 0.0, 2_000)
+        result = StageResult(Fate.FINISHED, run_s, 0.0, 2_000)
 
-        def give() -> list:
+        def give() -> list[Action]:
             self.planner.load_report(self._now, send.endpoint, report)
             return self.planner.reply(self._now, send.attempt, result)
 
         self._take("reply", give)
 
-    def tick(self) -> None:
-        """Let time pass."""
+    def _progress(self) -> None:
+        send = self._random.choice(self._sends)
+        self._take(
+            "progress", lambda: self.planner.progress(self._now, send.attempt, 1)
+        )
+
+    def _tick(self) -> None:
         self._now += 0.01
         self._take("tick", lambda: self.planner.tick(self._now))
 
-    def reset(self) -> None:
-        """Forget the times measured so far."""
-        self.spent = dict.fromkeys(self.spent, 0.0)
-        self.count = dict.fromkeys(self.count, 0)
-
-    def average_us(self, kind: str) -> float:
-        """Return the microseconds of a kind of event."""
-        return self.spent[kind] / max(1, self.count[kind]) * 1e6
-
-    def _take(self, kind: str, give) -> None:
-        began = time.perf_counter()
-        actions = give()
-        self.spent[kind] += time.perf_counter() - began
-        self.count[kind] += 1
+    def _take(self, kind: str, give: Callable[[], list[Action]]) -> None:
+        spent = self.spent[kind]
+        spent.events += 1
+        if self._counter is None:
+            began = time.perf_counter()
+            actions = give()
+            spent.seconds += time.perf_counter() - began
+        else:
+            before = self._counter.instructions
+            with self._counter.counting():
+                actions = give()
+            spent.instructions += self._counter.instructions - before
         self._sends.extend(action for action in actions if isinstance(action, Send))
 
 
-def measure(endpoints: int, accounts: int, in_flight: int) -> Figures:
-    """Return the figures at one size."""
-    driver = Driver(endpoints, accounts)
-    for _ in range(in_flight):
-        driver.arrive()
-    for _ in range(max(accounts, in_flight)):
-        driver.arrive()
-        for _ in STAGES:
-            driver.reply()
-    held = driver.state_bytes()
-    driver.stop_tracing()
-    driver.reset()
-    for _ in range(REQUESTS):
-        driver.arrive()
-        for _ in STAGES:
-            driver.reply()
-        driver.tick()
-    return Figures(
-        driver.average_us("arrival"),
-        driver.average_us("reply"),
-        driver.average_us("tick"),
-        held,
-    )
+def build(size: Size, figures: Figures) -> Driver:
+    """Return a driver with its requests in flight; notes the bytes that they take."""
+    gc.collect()
+    tracemalloc.start()
+    driver = Driver(size)
+    before = tracemalloc.get_traced_memory()[0]
+    driver.fill()
+    gc.collect()
+    figures.state_bytes = tracemalloc.get_traced_memory()[0] - before
+    tracemalloc.stop()
+    return driver
+
+
+def time_round(driver: Driver, figures: Figures) -> None:
+    """Give a driver a round of requests; keeps the least times."""
+    driver.take_spent()
+    driver.run(REQUESTS_A_ROUND)
+    spent = driver.take_spent()
+    for kind in KINDS:
+        us = spent[kind].seconds / max(1, spent[kind].events) * 1e6
+        figures.us[kind] = min(us, figures.us.get(kind, us))
+    whole = sum(s.seconds for s in spent.values()) / REQUESTS_A_ROUND * 1e6
+    figures.request_us = min(figures.request_us, whole)
+
+
+def count_instructions(driver: Driver, figures: Figures) -> None:
+    """Give a driver requests; notes the instructions."""
+    driver.take_spent()
+    driver.count(BytecodeCounter())
+    driver.run(REQUESTS_COUNTED)
+    driver.count(None)
+    for kind, spent in driver.take_spent().items():
+        figures.instructions[kind] = spent.instructions / max(1, spent.events)
+
+
+def measure(sizes: list[Size]) -> dict[Size, Figures]:
+    """Return the figures of every size."""
+    figures = {size: Figures() for size in sizes}
+    drivers = {size: build(size, figures[size]) for size in figures}
+    # Counted first: the state that the times leave behind must not matter.
+    for size, driver in drivers.items():
+        count_instructions(driver, figures[size])
+    for _ in range(ROUNDS):
+        for size, driver in drivers.items():
+            time_round(driver, figures[size])
+    return figures
 
 
 def measure_queue(queued: int) -> float:
@@ -183,35 +260,54 @@
     for serial in range(queued):
         queue.offer(0.0, QueuedCall(0, 1e6 + serial % 97, serial))
     began = time.perf_counter()
-    for serial in range(queued, queued + REQUESTS):
+    for serial in range(queued, queued + REQUESTS_A_ROUND):
         queue.offer(0.0, QueuedCall(0, 1e6 + serial % 97, serial))
         queue.dropped(0.0)
         queue.next_call(0.0)
         queue.finished(0.0, 0.05)
-    return (time.perf_counter() - began) / REQUESTS * 1e6
+    return (time.perf_counter() - began) / REQUESTS_A_ROUND * 1e6
 
 
-def show(label: str, size: int, figures: Figures) -> None:
+def show(label: str, number: int, figures: Figures) -> None:
     """Print one row of the table."""
-    sys.stdout.write(
-        f"| {label} | {size:,} | {figures.arrival_us:.0f} | {figures.reply_us:.0f} "
-        f"| {figures.tick_us:.0f} | {figures.state_bytes / 1e6:.2f} |\n"
-    )
+    cells = [label, f"{number:,}"]
+    cells += [f"{figures.instructions[kind]:.0f}" for kind in KINDS]
+    cells += [f"{figures.request_instructions:.0f}"]
+    cells += [f"{figures.us[kind]:.0f}" for kind in KINDS]
+    cells += [f"{figures.request_us:.0f}", f"{figures.state_bytes / 1e6:.2f}"]
+    sys.stdout.write("| " + " | ".join(cells) + " |\n")
+
+
+def show_all() -> None:
+    """Measure every size and print the tables."""
+    rows = [("endpoints", n, Size(endpoints=n)) for n in ENDPOINTS]
+    rows += [("accounts", n, Size(accounts=n)) for n in ACCOUNTS]
+    rows += [("in flight", n, Size(in_flight=n)) for n in IN_FLIGHT]
+    figures = measure([size for _, _, size in rows])
+    heads = ["grows", "size", *(f"{kind} instr." for kind in KINDS), "request instr."]
+    heads += [*(f"{kind} us" for kind in KINDS), "request us", "MB held"]
+    sys.stdout.write("| " + " | ".join(heads) + " |\n")
+    sys.stdout.write("| --- " * len(heads) + "|\n")
+    for label, number, size in rows:
+        show(label, number, figures[size])
+    sys.stdout.write("\n| queued | queue, start and finish us |\n| --- | --- |\n")
+    for queued in QUEUED:
+        least = min(measure_queue(queued) for _ in range(ROUNDS))
+        sys.stdout.write(f"| {queued:,} | {least:.1f} |\n")
 
 
 def main() -> None:
-    """Print the tables."""
-    sys.stdout.write("| grows | size | arrival us | reply us | tick us | MB held |\n")
-    sys.stdout.write("| --- | --- | --- | --- | --- | --- |\n")
-    for endpoints in ENDPOINTS:
-        show("endpoints", endpoints, measure(endpoints, 5, 100))
-    for accounts in ACCOUNTS:
-        show("accounts", accounts, measure(100, accounts, 100))
-    for in_flight in IN_FLIGHT:
-        show("in flight", in_flight, measure(100, 5, in_flight))
-    sys.stdout.write("\n| queued | queue, start and finish us |\n| --- | --- |\n")
-    for queued in QUEUED:
-        sys.stdout.write(f"| {queued:,} | {measure_queue(queued):.1f} |\n")
+    """Print the tables, or give one size some requests."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--requests", type=int, default=0)
+    parser.add_argument("--size", default="100,5,100")
+    arguments = parser.parse_args()
+    if "--size" not in sys.argv and "--requests" not in sys.argv:
+        show_all()
+        return
+    driver = Driver(Size(*map(int, arguments.size.split(","))))
+    driver.fill()
+    driver.run(arguments.requests)
 
 
 if __name__ == "__main__":
