Choose among candidates with fewer instructions

Cause: a profile by instruction had most of a request's decisions in weighing its 35 candidates, and there in frozen data classes made for each, tails summed over the same buckets for each, fading powers of values that are 0, and the shares of the deadline worked out twice an attempt.

Change: a candidate's prediction is a tuple; the sketch keeps its sum above a bucket until the next sample; what is neutral is not faded; the attempt's deadline reuses the split that routing was given; a stage's key is made once.

--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -72,11 +72,12 @@
 
     def first(self, now: float, request: Request) -> list[Action]:
         """Send a stage's first attempt; nothing when no endpoint takes work."""
-        self._budgets_of(request.current).retries.earn()
-        self._budgets_of(request.current).hedges.earn()
-        probe = None if request.bound_to else self._probe(now, request)
-        if probe is not None:
-            return self._send(now, request, probe, probe=True)
+        budgets = self._budgets_of(request.current)
+        budgets.retries.earn()
+        budgets.hedges.earn()
+        probed = None if request.bound_to else self._probed(now, request)
+        if probed is not None:
+            return self._send_probe(now, request, probed)
         return self._route(now, request, frozenset())
 
     def retry(self, now: float, request: Request, cost: float) -> list[Action]:
@@ -133,7 +134,7 @@
         if not hedges.take():
             return []
         self._ledger.counters.hedges += 1
-        return self._send(now, request, choice, hedge=True)
+        return self._send(now, request, wanted, choice, hedge=True)
 
     # Choices
 
@@ -145,7 +146,7 @@
         if request.bound_to:
             return self._send_bound(now, request, wanted, stats)
         choice = self._router.choose(now, wanted, stats)
-        return [] if choice is None else self._send(now, request, choice)
+        return [] if choice is None else self._send(now, request, wanted, choice)
 
     def _send_bound(
         self, now: float, request: Request, wanted: RouteRequest, stats: StageStats
@@ -156,7 +157,7 @@
         if endpoint is None:
             return []
         choice = self._router.predict(now, wanted, stats, endpoint)
-        return self._send(now, request, choice)
+        return self._send(now, request, wanted, choice)
 
     def _wanted(
         self, now: float, request: Request, avoid: frozenset[str]
@@ -173,7 +174,7 @@
             avoid=avoid,
         )
 
-    def _probe(self, now: float, request: Request) -> Choice | None:
+    def _probed(self, now: float, request: Request) -> Endpoint | None:
         """
         Return an ejected endpoint to try, when the request can afford a failure.
 
@@ -182,7 +183,9 @@
         """
         stage = request.current
         name = self._ejections.due_for_probe(now, stage.pool)
-        endpoint = self._groups.find(name) if name else None
+        if name is None:
+            return None
+        endpoint = self._groups.find(name)
         if endpoint is None or not _runs(endpoint, stage):
             return None
         load = self._loads.open(endpoint)
@@ -191,8 +194,15 @@
             return None
         if not stage.repeatable and now - load.heard_at > HEARD_LATELY_S:
             return None
+        return endpoint
+
+    def _send_probe(
+        self, now: float, request: Request, endpoint: Endpoint
+    ) -> list[Action]:
         wanted = self._wanted(now, request, frozenset())
-        return self._router.predict(now, wanted, self._times.of(stage), endpoint)
+        stats = self._times.of(request.current)
+        choice = self._router.predict(now, wanted, stats, endpoint)
+        return self._send(now, request, wanted, choice, probe=True)
 
     def _risk(
         self,
@@ -224,6 +234,7 @@
         self,
         now: float,
         request: Request,
+        wanted: RouteRequest,
         choice: Choice,
         hedge: bool = False,
         probe: bool = False,
@@ -252,25 +263,12 @@
             Send(
                 attempt_id,
                 choice.endpoint.id,
-                self._attempt_deadline(now, request),
+                _attempt_deadline(request, wanted),
                 hedge=hedge,
                 resume_offset=request.chunks,
             )
         ]
 
-    def _attempt_deadline(self, now: float, request: Request) -> float:
-        """
-        Return when the stage must have ended, in time for the later ones.
-
-        Never less than its share of what is left: when the later stages'
-        medians no longer fit, they may still be faster than that.
-        """
-        arrival = request.arrival
-        remaining = request.remaining
-        latest = self._times.latest_finish(arrival.deadline, remaining[1:])
-        share = self._times.share_end(now, arrival.deadline, remaining)
-        return min(arrival.deadline, max(latest, share))
-
     def _budgets_of(self, stage: Stage) -> _PoolBudgets:
         found = self._budgets.get(stage.pool)
         if found is None:
@@ -278,6 +276,16 @@
         return found
 
 
+def _attempt_deadline(request: Request, wanted: RouteRequest) -> float:
+    """
+    Return when the stage must have ended, in time for the later ones.
+
+    Never less than its share of what is left: when the later stages'
+    medians no longer fit, they may still be faster than that.
+    """
+    return min(request.arrival.deadline, max(wanted.latest_end, wanted.end))
+
+
 def _has_prefix_cache(stage: Stage) -> bool:
     return stage.streams or bool(stage.model)
 
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -160,9 +160,10 @@
 
         The less reports can be trusted, the more is it taken to be average.
         """
+        others = self.others(now) if self._others > 0.0 else 0.0
         trust = self._pool.trust
-        others = trust * max(0.0, self.others(now))
-        others += (1.0 - trust) * self._pool.mean_others(now)
+        if trust < 1.0:
+            others = trust * others + (1.0 - trust) * self._pool.mean_others(now)
         return self.outstanding + others
 
     def beside(self, occupancy: float) -> float:
@@ -172,7 +173,7 @@
     def wait_s(self, occupancy: float, mean_s: float) -> float:
         """Return the predicted wait of a new call, in seconds."""
         ahead = occupancy + 1 - self.limit
-        return max(0.0, ahead) * mean_s / self.limit
+        return ahead * mean_s / self.limit if ahead > 0 else 0.0
 
     def slowness(self, now: float) -> float:
         """
@@ -181,7 +182,10 @@
         Little off 1 is taken for 1: runs differ by a third among themselves, and
         to follow that noise costs more than it finds.
         """
-        off = (self._slow - 1.0) * _faded(now - self._slow_at)
+        off = self._slow - 1.0
+        if -SLOWNESS_NOISE <= off <= SLOWNESS_NOISE:
+            return 1.0
+        off *= _faded(now - self._slow_at)
         if abs(off) <= SLOWNESS_NOISE:
             return 1.0
         return 1.0 + off - copysign(SLOWNESS_NOISE, off)
@@ -193,6 +197,8 @@
         A small rest is taken for 0: among equals it would keep an endpoint from
         ever getting the attempt that clears it.
         """
+        if self._failing <= FAILING_NOISE:
+            return 0.0
         failing = self._failing * _faded(now - self._failing_at)
         return failing if failing > FAILING_NOISE else 0.0
 
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -28,7 +28,8 @@
     A stage of a pipeline, run by any endpoint of ``pool``.
 
     A stage that is not ``repeatable`` has a side effect and runs at most once.
-    ``price_per_s`` is the price of one second of its endpoint.
+    ``price_per_s`` is the price of one second of its endpoint. ``key`` names what
+    is learned of it: made once, since each decision looks it up many times.
     """
 
     name: str
@@ -37,6 +38,10 @@
     repeatable: bool = True
     streams: bool = False
     price_per_s: float = 0.0005
+    key: tuple[str, str, str] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "key", (self.pool, self.model, self.name))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/quantiles.py
+++ b/packages/policy/src/amaranthtally/policy/quantiles.py
@@ -12,6 +12,8 @@
 
 _LOG_RATIO = log(RATIO)
 _UPPER = [SMALLEST_S * RATIO**i for i in range(BUCKETS)]
+_LOWER = [upper / RATIO for upper in _UPPER]
+_WIDTH = [upper - lower for upper, lower in zip(_UPPER, _LOWER, strict=True)]
 
 
 class TimeSketch:
@@ -21,11 +23,15 @@
     A quantile is off by at most 15%. Counts are halved whenever they reach
     ``FADE_AT``, so that the sketch follows a stage that becomes slow. About 500
     bytes; hdrhistogram needs tens of kilobytes for the same range.
+
+    The candidates of one decision ask for tails in few buckets: the sum above a
+    bucket is kept until the next sample.
     """
 
-    __slots__ = ("_counts", "_mean", "_total")
+    __slots__ = ("_above", "_counts", "_mean", "_total")
 
     def __init__(self) -> None:
+        self._above: dict[int, float] = {}
         self._counts = array("f", bytes(4 * BUCKETS))
         self._total = 0.0
         self._mean = 0.0
@@ -42,6 +48,7 @@
 
     def add(self, seconds: float) -> None:
         """Count one sample."""
+        self._above.clear()
         self._counts[_bucket(seconds)] += 1.0
         self._total += 1.0
         self._mean += (seconds - self._mean) / min(self._total, FADE_AT / 2)
@@ -56,8 +63,7 @@
         seen = 0.0
         for index, count in enumerate(self._counts):
             if count and seen + count >= wanted:
-                low = _UPPER[index] / RATIO
-                return low + (_UPPER[index] - low) * (wanted - seen) / count
+                return _LOWER[index] + _WIDTH[index] * (wanted - seen) / count
             seen += count
         return _UPPER[-1]
 
@@ -68,9 +74,10 @@
         if seconds <= 0:
             return 1.0
         index = _bucket(seconds)
-        above = sum(self._counts[index + 1 :])
-        low = _UPPER[index] / RATIO
-        inside = (_UPPER[index] - seconds) / (_UPPER[index] - low)
+        above = self._above.get(index)
+        if above is None:
+            above = self._above[index] = sum(self._counts[index + 1 :])
+        inside = (_UPPER[index] - seconds) / _WIDTH[index]
         above += self._counts[index] * min(1.0, max(0.0, inside))
         return min(1.0, above / self._total)
 
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
 from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.groups import EndpointGroups
@@ -41,14 +42,15 @@
     avoid: frozenset[str] = frozenset()
 
 
-@dataclass(frozen=True, slots=True)
-class Choice:
+class Choice(NamedTuple):
     """
     An endpoint, and what is predicted of an attempt there.
 
     ``before_s`` is spent waiting and on the way, ``run_s`` running beside
     ``beside`` other calls with a share of its prefix ``cached``; ``risk`` is the
     probability of ending too late, ``price`` in units of the stage's typical run.
+    A tuple: one is made for each candidate, and a data class takes five times as
+    long to make.
     """
 
     endpoint: Endpoint
@@ -144,8 +146,9 @@
     ) -> list[EndpointLoad]:
         if len(group) <= choices:
             return self._usable(group, avoid)
-        drawn = [self._random.choice(group) for _ in range(choices)]
-        found = self._usable({e.id: e for e in drawn}.values(), avoid)
+        choice = self._random.choice
+        drawn = {e.id: e for e in [choice(group) for _ in range(choices)]}
+        found = self._usable(drawn.values(), avoid)
         # Most of a group may be leaving or ejected; the subset is bounded, so a
         # look at all of it still costs the same whatever the pool's size.
         return found or self._usable(group, avoid)
@@ -154,10 +157,12 @@
         self, group: Iterable[Endpoint], avoid: frozenset[str]
     ) -> list[EndpointLoad]:
         found = []
+        is_ejected = self._ejections.is_ejected
+        open_load = self._loads.open
         for endpoint in group:
-            if endpoint.id in avoid or self._ejections.is_ejected(endpoint.id):
+            if endpoint.id in avoid or is_ejected(endpoint.id):
                 continue
-            load = self._loads.open(endpoint)
+            load = open_load(endpoint)
             if not load.leaving:
                 found.append(load)
         return found
@@ -178,6 +183,8 @@
     def _holders(
         self, held: dict[str, float], avoid: frozenset[str]
     ) -> list[EndpointLoad]:
+        if not held:
+            return []
         found = [self._groups.find(endpoint) for endpoint in held]
         return self._usable([e for e in found if e is not None], avoid)
 
@@ -195,21 +202,19 @@
         # Equal scores are common when idle: without the shuffle they would all
         # fall to the endpoint that is listed first.
         self._random.shuffle(loads)
+        old = now - STALE_REPORT_S
         for load in loads:
-            self._note_age(now, load)
-            cached = held.get(load.endpoint.id, 0.0)
+            if load.heard_at < old:
+                self._note_age(now, load)
+            cached = held.get(load.endpoint.id, 0.0) if held else 0.0
             choice = self._weigh(now, wanted, stats, load, cached)
             if best is None or choice.score < best.score:
                 best = choice
         return best
 
     def _note_age(self, now: float, load: EndpointLoad) -> None:
-        old = now - STALE_REPORT_S
-        if (
-            load.heard_at < old
-            and load.asked_at < old
-            and len(self._stale) < MOST_STALE
-        ):
+        """Note that a report is old, unless a newer one has been asked for."""
+        if load.asked_at < now - STALE_REPORT_S and len(self._stale) < MOST_STALE:
             load.asked_at = now
             self._stale.append(load.endpoint.id)
 
@@ -226,8 +231,10 @@
         beside = load.beside(occupancy)
         slowness = load.slowness(now) * stats.cached_factor(cached)
         run = stats.mean_beside_s(beside) * slowness
-        full = stats.mean_beside_s(load.limit - 1) * slowness
-        before = load.wait_s(occupancy, full) + self.round_trip_s(region)
+        before = self.round_trip_s(region)
+        if occupancy + 1 > load.limit:
+            full = stats.mean_beside_s(load.limit - 1) * slowness
+            before += load.wait_s(occupancy, full)
         # The sketch holds runs beside the usual number of calls: a run that is
         # predicted to be longer or shorter shifts it.
         shift = run / stats.mean_s
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -85,31 +85,36 @@
     @property
     def typical_s(self) -> float:
         """Median run time in seconds."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._typical
 
     @property
     def likely_s(self) -> float:
         """Run time in seconds that one run in ten exceeds."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._likely
 
     @property
     def late_s(self) -> float:
         """Run time in seconds that one run in twenty exceeds."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._late
 
     @property
     def slow_s(self) -> float:
         """Run time in seconds that one run in a hundred exceeds."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._slow
 
     @property
     def floor_s(self) -> float:
         """Run time in seconds that few runs stay under; 0 until known."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._floor
 
     @property
@@ -156,6 +161,8 @@
 
     def cached_factor(self, cached: float) -> float:
         """Return what a run is multiplied by where a share of its prefix is cached."""
+        if not cached:
+            return 1.0
         return 1.0 - min(MOST_SAVING, self._saving.slope(PRIOR_SAVING)) * cached
 
     def tail(self, seconds: float) -> float:
@@ -176,8 +183,6 @@
         self._slope_s = self._crowding.slope(PRIOR_CROWDING * self._mean_s)
 
     def _refresh(self) -> None:
-        if self._fresh > 0:
-            return
         self._fresh = MEMO_SAMPLES
         if not self._run.count:
             self._typical = self._likely = self._hint_s
@@ -199,10 +204,9 @@
 
     def of(self, stage: Stage) -> StageStats:
         """Return the statistics of a stage; new ones when it was never seen."""
-        key = (stage.pool, stage.model, stage.name)
-        found = self._stats.get(key)
+        found = self._stats.get(stage.key)
         if found is None:
-            found = self._stats[key] = StageStats()
+            found = self._stats[stage.key] = StageStats()
         return found
 
     def needed_s(self, stages: Sequence[Stage]) -> float:
@@ -223,11 +227,17 @@
 
     def typical_s(self, stages: Sequence[Stage]) -> float:
         """Return the sum of the median run times, in seconds."""
-        return sum(self.of(stage).typical_s for stage in stages)
+        total = 0.0
+        for stage in stages:
+            total += self.of(stage).typical_s
+        return total
 
     def floor_s(self, stages: Sequence[Stage]) -> float:
         """Return a time that the stages hardly ever stay under, in seconds."""
-        return sum(self.of(stage).floor_s for stage in stages)
+        total = 0.0
+        for stage in stages:
+            total += self.of(stage).floor_s
+        return total
 
     def slowest(self, stages: Sequence[Stage]) -> Stage:
         """Return the stage whose slow runs take longest."""
@@ -244,6 +254,9 @@
         Slack is split in proportion to the slow quantiles, so that a stage that
         varies much gets more of it.
         """
-        total = sum(self.of(stage).slow_s for stage in stages)
+        first = self.of(stages[0]).slow_s
+        total = first
+        for stage in stages[1:]:
+            total += self.of(stage).slow_s
         left = max(0.0, deadline - now)
-        return now + left * self.of(stages[0]).slow_s / max(total, 1e-9)
+        return now + left * first / max(total, 1e-9)
