Read five quantiles in one walk, keep a pool's sums in one step

Cause: at few endpoints the fixed part of a decision counts: five walks over the sketch at every eighth sample, a pool looked up by name some thirty times a request, its sums taken out and put in again at each report.

Change: one walk for the five quantiles; an endpoint's load names its pool; a report replaces its part of the sums. Same additions in the same order.

--- a/packages/policy/src/amaranthtally/policy/admission.py
+++ b/packages/policy/src/amaranthtally/policy/admission.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from random import Random
+from typing import NamedTuple
 
 from amaranthtally.policy.accounts import AccountShares
 from amaranthtally.policy.actions import Reason
@@ -25,8 +26,7 @@
     retry_after_s: float = 0.0
 
 
-@dataclass(frozen=True, slots=True)
-class _Backlog:
+class _Backlog(NamedTuple):
     wait_s: float
     mean_s: float
     idle: bool
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -78,6 +78,11 @@
         self._others = self.others(now) + calls
         self._others_at = max(self._others_at, now)
 
+    def replace_others(self, now: float, old: float, new: float) -> None:
+        """Count an endpoint's calls of other entries anew."""
+        self._others = self.others(now) - old + new
+        self._others_at = max(self._others_at, now)
+
     def others(self, now: float) -> float:
         """Return the calls of other entries; they fade like each endpoint's."""
         return self._others * _stale(now - self._others_at)
@@ -115,7 +120,6 @@
         "_failing_at",
         "_others",
         "_others_at",
-        "_pool",
         "_slow",
         "_slow_at",
         "asked_at",
@@ -126,10 +130,11 @@
         "leaving",
         "limit",
         "outstanding",
+        "pool",
     )
 
     def __init__(self, endpoint: Endpoint, pool: PoolLoad) -> None:
-        self._pool = pool
+        self.pool = pool
         self.endpoint = endpoint
         self.outstanding = 0
         self.limit = UNHEARD_LIMIT
@@ -161,9 +166,9 @@
         The less reports can be trusted, the more is it taken to be average.
         """
         others = self.others(now) if self._others > 0.0 else 0.0
-        trust = self._pool.trust
+        trust = self.pool.trust
         if trust < 1.0:
-            others = trust * others + (1.0 - trust) * self._pool.mean_others(now)
+            others = trust * others + (1.0 - trust) * self.pool.mean_others(now)
         return self.outstanding + others
 
     def beside(self, occupancy: float) -> float:
@@ -218,12 +223,12 @@
     def take_report(self, now: float, report: LoadReport) -> None:
         """Learn from a report, however late."""
         others = report.running + report.queued - self.outstanding
-        self._pool.note_report(-others)
+        self.pool.note_report(-others)
         current = self.others(now)
         if self.heard_at < 0:
             weight = 1.0
         else:
-            smoothing_s = SMOOTHING_S + (1.0 - self._pool.trust) * DOUBT_SMOOTHING_S
+            smoothing_s = SMOOTHING_S + (1.0 - self.pool.trust) * DOUBT_SMOOTHING_S
             weight = 1.0 - exp(-max(0.0, now - self.heard_at) / smoothing_s)
         self._others = current + weight * (others - current)
         self._others_at = now
@@ -266,7 +271,7 @@
         if load.counted:
             return
         load.counted = True
-        pool = self.pool(load.endpoint.pool)
+        pool = load.pool
         pool.size += 1
         pool.capacity += load.limit
         pool.add_others(now, load.others(now))
@@ -276,7 +281,7 @@
         if not load.counted:
             return
         load.counted = False
-        pool = self.pool(load.endpoint.pool)
+        pool = load.pool
         pool.size -= 1
         pool.capacity -= load.limit
         pool.add_others(now, -load.others(now))
@@ -284,16 +289,18 @@
 
     def take_report(self, now: float, load: EndpointLoad, report: LoadReport) -> None:
         """Learn from a report, and keep the sums."""
-        counted = load.counted
-        self.count_out(now, load)
+        if not load.counted:
+            load.take_report(now, report)
+            return
+        old_limit, old_others = load.limit, load.others(now)
         load.take_report(now, report)
-        if counted:
-            self.count_in(now, load)
+        load.pool.capacity += load.limit - old_limit
+        load.pool.replace_others(now, old_others, load.others(now))
 
     def sent(self, load: EndpointLoad) -> None:
         """Count an attempt at an endpoint."""
         load.outstanding += 1
-        self.pool(load.endpoint.pool).outstanding += 1
+        load.pool.outstanding += 1
 
     def ended(self, endpoint: str, pool: str) -> None:
         """Count an attempt as ended, also at an endpoint that is forgotten."""
@@ -301,8 +308,9 @@
         if load is not None:
             # One that was forgotten and registered anew starts from 0 again.
             load.outstanding = max(0, load.outstanding - 1)
-        self.pool(pool).outstanding -= 1
-        ensure(self.pool(pool).outstanding >= 0, "attempts at a pool are not negative")
+        sums = self.pool(pool)
+        sums.outstanding -= 1
+        ensure(sums.outstanding >= 0, "attempts at a pool are not negative")
 
     def drop(self, now: float, endpoint: str) -> None:
         """Forget an endpoint that is no longer registered."""
@@ -316,8 +324,8 @@
 
 
 def _stale(age_s: float) -> float:
-    return 0.5 ** (max(0.0, age_s) / STALE_S)
+    return 0.5 ** (age_s / STALE_S) if age_s > 0 else 1.0
 
 
 def _faded(age_s: float) -> float:
-    return 0.5 ** (max(0.0, age_s) / FADE_S)
+    return 0.5 ** (age_s / FADE_S) if age_s > 0 else 1.0
--- a/packages/policy/src/amaranthtally/policy/quantiles.py
+++ b/packages/policy/src/amaranthtally/policy/quantiles.py
@@ -1,6 +1,7 @@
 """A small sketch of a distribution of times, in which old samples fade."""
 
 from array import array
+from collections.abc import Sequence
 from math import log
 
 __all__ = ["TimeSketch"]
@@ -57,15 +58,25 @@
 
     def quantile(self, share: float) -> float:
         """Return the time that ``share`` of the samples stay under; 0 when empty."""
-        wanted = share * self._total
+        return self.quantiles((share,))[0]
+
+    def quantiles(self, shares: Sequence[float]) -> list[float]:
+        """Return the quantiles of rising shares, in one walk over the buckets."""
         if self._total == 0:
-            return 0.0
+            return [0.0] * len(shares)
+        found: list[float] = []
         seen = 0.0
         for index, count in enumerate(self._counts):
-            if count and seen + count >= wanted:
-                return _LOWER[index] + _WIDTH[index] * (wanted - seen) / count
-            seen += count
-        return _UPPER[-1]
+            if not count:
+                continue
+            after = seen + count
+            while after >= shares[len(found)] * self._total:
+                inside = shares[len(found)] * self._total - seen
+                found.append(_LOWER[index] + _WIDTH[index] * inside / count)
+                if len(found) == len(shares):
+                    return found
+            seen = after
+        return found + [_UPPER[-1]] * (len(shares) - len(found))
 
     def tail(self, seconds: float) -> float:
         """Return the share of samples above a time; 0 when empty."""
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -1,7 +1,6 @@
 """Which endpoint gets an attempt: by predicted completion, cost and risk."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from random import Random
 from typing import NamedTuple
 
@@ -24,8 +23,7 @@
 BYTES_PER_GB = 1e9
 
 
-@dataclass(frozen=True, slots=True)
-class RouteRequest:
+class RouteRequest(NamedTuple):
     """
     An attempt that wants an endpoint.
 
@@ -229,7 +227,9 @@
         region = load.endpoint.region
         occupancy = load.occupancy(now)
         beside = load.beside(occupancy)
-        slowness = load.slowness(now) * stats.cached_factor(cached)
+        slowness = load.slowness(now)
+        if cached:
+            slowness *= stats.cached_factor(cached)
         run = stats.mean_beside_s(beside) * slowness
         before = self.round_trip_s(region)
         if occupancy + 1 > load.limit:
@@ -237,11 +237,12 @@
             before += load.wait_s(occupancy, full)
         # The sketch holds runs beside the usual number of calls: a run that is
         # predicted to be longer or shorter shifts it.
-        shift = run / stats.mean_s
+        mean_s = stats.mean_s
+        shift = run / mean_s
         late = stats.tail((wanted.end - now - before) / shift)
         risk = 1.0 - (1.0 - late) * (1.0 - load.failing(now))
         price = self._price(wanted, stats, region, run + stats.burden_s(beside))
-        left = max(wanted.latest_end - now, stats.mean_s)
+        left = max(wanted.latest_end - now, mean_s)
         score = (
             wanted.weight * risk
             + (1.0 - wanted.weight) * price
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -16,6 +16,7 @@
 LATE = 0.95
 SLOW = 0.99
 FLOOR = 0.05
+SHARES = (FLOOR, TYPICAL, LIKELY, LATE, SLOW)
 BYTES_WEIGHT = 0.05
 DEFAULT_OUTPUT_BYTES = 1000.0
 MEMO_SAMPLES = 8
@@ -161,8 +162,6 @@
 
     def cached_factor(self, cached: float) -> float:
         """Return what a run is multiplied by where a share of its prefix is cached."""
-        if not cached:
-            return 1.0
         return 1.0 - min(MOST_SAVING, self._saving.slope(PRIOR_SAVING)) * cached
 
     def tail(self, seconds: float) -> float:
@@ -189,11 +188,12 @@
             self._late = self._slow = self._hint_s
             self._fresh = 0
             return
-        self._typical = self._run.quantile(TYPICAL)
-        self._likely = max(self._typical, self._run.quantile(LIKELY))
-        self._late = self._run.quantile(LATE)
-        self._slow = max(self._typical, self._run.quantile(SLOW))
-        self._floor = self._run.quantile(FLOOR) if self.known else 0.0
+        floor, typical, likely, late, slow = self._run.quantiles(SHARES)
+        self._typical = typical
+        self._likely = max(typical, likely)
+        self._late = late
+        self._slow = max(typical, slow)
+        self._floor = floor if self.known else 0.0
 
 
 class StageTimes:
