Weigh candidates in a module of their own, what they share once

Cause: price unit, traffic price, time left and the means were worked out for each candidate of a decision; the current stage was looked up some seventy times a request; a full batch's run was predicted also where nothing waits.

Change: Weighing takes the attempt's part once and weighs each candidate; a request keeps its remaining stages.

Tried and not kept: drawing candidates by getrandbits in place of random.choice; the same draws need a copy of the library's own loop, for about 2%.

--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -8,9 +8,10 @@
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
 from amaranthtally.policy.requests import LiveAttempt, Request
-from amaranthtally.policy.routing import Choice, Router, RouteRequest
+from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageStats, StageTimes
 from amaranthtally.policy.timers import Timers
+from amaranthtally.policy.weighing import Choice, RouteRequest
 
 __all__ = ["Dispatcher"]
 
@@ -165,13 +166,13 @@
         arrival = request.arrival
         remaining = request.remaining
         return RouteRequest(
-            stage=request.current,
-            end=self._times.share_end(now, arrival.deadline, remaining),
-            latest_end=self._times.latest_finish(arrival.deadline, remaining[1:]),
-            weight=arrival.pipeline.weight_attainment,
-            input_bytes=arrival.input_bytes + request.previous_bytes,
-            prefix=arrival.prefix if _has_prefix_cache(request.current) else (),
-            avoid=avoid,
+            request.current,
+            self._times.share_end(now, arrival.deadline, remaining),
+            self._times.latest_finish(arrival.deadline, remaining[1:]),
+            arrival.pipeline.weight_attainment,
+            arrival.input_bytes + request.previous_bytes,
+            arrival.prefix if _has_prefix_cache(request.current) else (),
+            avoid,
         )
 
     def _probed(self, now: float, request: Request) -> Endpoint | None:
--- a/packages/policy/src/amaranthtally/policy/ledger.py
+++ b/packages/policy/src/amaranthtally/policy/ledger.py
@@ -65,7 +65,7 @@
         ensure(not request.live, "a stage ends with no attempt live")
         self._passed(request.current.pool)
         request.next_stage()
-        return request.stage < len(request.arrival.pipeline.stages)
+        return bool(request.remaining)
 
     def answered(self, request: Request) -> Answer:
         """End a request with its answer."""
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -56,7 +56,8 @@
     @property
     def trust(self) -> float:
         """How far reports are taken to be of now, from 0 to 1."""
-        return max(0.0, 1.0 - DOUBT_FACTOR * self._doubt)
+        trust = 1.0 - DOUBT_FACTOR * self._doubt
+        return trust if trust > 0.0 else 0.0
 
     def note_report(self, missing: float) -> None:
         """
@@ -173,7 +174,8 @@
 
     def beside(self, occupancy: float) -> float:
         """Return the predicted calls that run beside a new one."""
-        return min(occupancy, self.limit - 1)
+        most = self.limit - 1
+        return occupancy if occupancy < most else most
 
     def wait_s(self, occupancy: float, mean_s: float) -> float:
         """Return the predicted wait of a new call, in seconds."""
--- a/packages/policy/src/amaranthtally/policy/quantiles.py
+++ b/packages/policy/src/amaranthtally/policy/quantiles.py
@@ -89,7 +89,8 @@
         if above is None:
             above = self._above[index] = sum(self._counts[index + 1 :])
         inside = (_UPPER[index] - seconds) / _WIDTH[index]
-        above += self._counts[index] * min(1.0, max(0.0, inside))
+        if inside > 0.0:
+            above += self._counts[index] * min(1.0, inside)
         return min(1.0, above / self._total)
 
     def _fade(self) -> None:
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -34,7 +34,8 @@
     A request that was admitted and has not ended.
 
     ``sent`` counts attempts over all stages and ``unstarted`` those proved not to
-    have started. ``number`` and ``resends`` count within the stage.
+    have started. ``number`` and ``resends`` count within the stage. ``remaining``
+    holds the stage that runs now, ``current``, and those after it.
     """
 
     arrival: Arrival
@@ -48,35 +49,34 @@
     previous_bytes: int = 0
     avoid: frozenset[str] = frozenset()
     live: dict[AttemptId, LiveAttempt] = field(default_factory=dict)
+    remaining: tuple[Stage, ...] = field(init=False)
+    current: Stage = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.remaining = self.arrival.pipeline.stages
+        self.current = self.remaining[0]
 
     @property
     def id(self) -> str:
         """The request's id."""
         return self.arrival.request_id
 
-    @property
-    def current(self) -> Stage:
-        """The stage that runs now."""
-        return self.arrival.pipeline.stages[self.stage]
-
     @property
     def bound_to(self) -> str:
         """The one endpoint that may run the current stage; empty where any may."""
         return self.arrival.bound.get(self.stage, "")
 
-    @property
-    def remaining(self) -> tuple[Stage, ...]:
-        """The stage that runs now and those after it."""
-        return self.arrival.pipeline.stages[self.stage :]
-
     @property
     def nothing_started(self) -> bool:
         """Whether every attempt sent is proved not to have started."""
         return self.sent == self.unstarted
 
     def next_stage(self) -> None:
-        """Go on to the next stage."""
+        """Go on to the next stage, or past the last."""
         self.stage += 1
+        self.remaining = self.remaining[1:]
+        if self.remaining:
+            self.current = self.remaining[0]
         self.number = 0
         self.resends = 0
         self.chunks = 0
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -2,63 +2,23 @@
 
 from collections.abc import Iterable, Sequence
 from random import Random
-from typing import NamedTuple
 
 from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import EndpointLoad, LoadTable
-from amaranthtally.policy.model import Endpoint, Stage
+from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.stage_times import StageStats
+from amaranthtally.policy.weighing import Choice, Prices, RouteRequest, Weighing
 
-__all__ = ["Choice", "RouteRequest", "Router"]
+__all__ = ["Router"]
 
 CHOICES = 4
 AWAY_CHOICES = 2
-TIME_WEIGHT = 0.1
 STALE_REPORT_S = 0.5
 MOST_STALE = 4
 LOCAL_LATENCY_S = 0.001
 LATENCY_WEIGHT = 0.1
-BYTES_PER_GB = 1e9
-
-
-class RouteRequest(NamedTuple):
-    """
-    An attempt that wants an endpoint.
-
-    ``end`` is the stage's share of the deadline and ``latest_end`` the time
-    after which the request as a whole is late, both as time stamps.
-    """
-
-    stage: Stage
-    end: float
-    latest_end: float
-    weight: float
-    input_bytes: float
-    prefix: tuple[int, ...] = ()
-    avoid: frozenset[str] = frozenset()
-
-
-class Choice(NamedTuple):
-    """
-    An endpoint, and what is predicted of an attempt there.
-
-    ``before_s`` is spent waiting and on the way, ``run_s`` running beside
-    ``beside`` other calls with a share of its prefix ``cached``; ``risk`` is the
-    probability of ending too late, ``price`` in units of the stage's typical run.
-    A tuple: one is made for each candidate, and a data class takes five times as
-    long to make.
-    """
-
-    endpoint: Endpoint
-    before_s: float
-    run_s: float
-    beside: float
-    cached: float
-    risk: float
-    price: float
-    score: float
 
 
 class Router:
@@ -87,7 +47,7 @@
         self._stale: list[str] = []
         self._region = ""
         self._remote_latency_s = 0.0
-        self._price_per_gb = 0.0
+        self._prices = Prices("", 0.0, self.round_trip_s)
 
     def configure(
         self, region: str, remote_latency_s: float, price_per_gb: float
@@ -95,7 +55,7 @@
         """Use this region, latency (one way, seconds) and price of traffic."""
         self._region = region
         self._remote_latency_s = remote_latency_s
-        self._price_per_gb = price_per_gb
+        self._prices = Prices(region, price_per_gb, self.round_trip_s)
 
     def round_trip_s(self, region: str) -> float:
         """Return the learned time on the way to a region and back, in seconds."""
@@ -132,7 +92,8 @@
         self, now: float, wanted: RouteRequest, stats: StageStats, endpoint: Endpoint
     ) -> Choice:
         """Return what is predicted of one endpoint."""
-        return self._weigh(now, wanted, stats, self._loads.open(endpoint), 0.0)
+        weighing = Weighing(now, wanted, stats, self._prices)
+        return weighing.weigh(self._loads.open(endpoint), 0.0)
 
     # Candidates
 
@@ -200,12 +161,13 @@
         # Equal scores are common when idle: without the shuffle they would all
         # fall to the endpoint that is listed first.
         self._random.shuffle(loads)
+        weigh = Weighing(now, wanted, stats, self._prices).weigh
         old = now - STALE_REPORT_S
         for load in loads:
             if load.heard_at < old:
                 self._note_age(now, load)
             cached = held.get(load.endpoint.id, 0.0) if held else 0.0
-            choice = self._weigh(now, wanted, stats, load, cached)
+            choice = weigh(load, cached)
             if best is None or choice.score < best.score:
                 best = choice
         return best
@@ -215,52 +177,3 @@
         if load.asked_at < now - STALE_REPORT_S and len(self._stale) < MOST_STALE:
             load.asked_at = now
             self._stale.append(load.endpoint.id)
-
-    def _weigh(
-        self,
-        now: float,
-        wanted: RouteRequest,
-        stats: StageStats,
-        load: EndpointLoad,
-        cached: float,
-    ) -> Choice:
-        region = load.endpoint.region
-        occupancy = load.occupancy(now)
-        beside = load.beside(occupancy)
-        slowness = load.slowness(now)
-        if cached:
-            slowness *= stats.cached_factor(cached)
-        run = stats.mean_beside_s(beside) * slowness
-        before = self.round_trip_s(region)
-        if occupancy + 1 > load.limit:
-            full = stats.mean_beside_s(load.limit - 1) * slowness
-            before += load.wait_s(occupancy, full)
-        # The sketch holds runs beside the usual number of calls: a run that is
-        # predicted to be longer or shorter shifts it.
-        mean_s = stats.mean_s
-        shift = run / mean_s
-        late = stats.tail((wanted.end - now - before) / shift)
-        risk = 1.0 - (1.0 - late) * (1.0 - load.failing(now))
-        price = self._price(wanted, stats, region, run + stats.burden_s(beside))
-        left = max(wanted.latest_end - now, mean_s)
-        score = (
-            wanted.weight * risk
-            + (1.0 - wanted.weight) * price
-            + TIME_WEIGHT * (before + run) / left
-        )
-        return Choice(load.endpoint, before, run, beside, cached, risk, price, score)
-
-    def _price(
-        self, wanted: RouteRequest, stats: StageStats, region: str, busy_s: float
-    ) -> float:
-        """
-        Return the price of a run and its traffic in units of a typical run.
-
-        ``busy_s`` holds what the run costs those beside it: an engine that looks
-        free because it batches makes every call in the batch dearer.
-        """
-        price = busy_s * wanted.stage.price_per_s
-        if region != self._region:
-            traffic = wanted.input_bytes + stats.output_bytes
-            price += traffic / BYTES_PER_GB * self._price_per_gb
-        return price / max(stats.mean_s * wanted.stage.price_per_s, 1e-12)
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -44,9 +44,11 @@
         "_crowding",
         "_floor",
         "_fresh",
+        "_has_runs",
         "_hint_s",
         "_late",
         "_likely",
+        "_mean_beside",
         "_mean_s",
         "_most_beside",
         "_output_bytes",
@@ -61,6 +63,8 @@
         self._run = TimeSketch()
         self._crowding = FadingSlope(CROWDING_PRIOR_VARIANCE)
         self._saving = FadingSlope(SAVING_PRIOR_VARIANCE)
+        self._has_runs = False
+        self._mean_beside = 0.0
         self._most_beside = 0.0
         self._hint_s = DEFAULT_RUN_S
         self._mean_s = DEFAULT_RUN_S
@@ -153,8 +157,9 @@
     def mean_beside_s(self, beside: float) -> float:
         """Return the mean run time beside so many other calls, in seconds."""
         mean = self._mean_s
-        excess = self._slope_s * (beside - self._crowding.mean_x)
-        return max(mean * LEAST_OF_MEAN, mean + excess)
+        beside_s = mean + self._slope_s * (beside - self._mean_beside)
+        least = mean * LEAST_OF_MEAN
+        return beside_s if beside_s > least else least
 
     def burden_s(self, beside: float) -> float:
         """Return by how much one more call lengthens those beside it, in seconds."""
@@ -166,7 +171,7 @@
 
     def tail(self, seconds: float) -> float:
         """Return the probability that a run takes longer."""
-        if self._run.count:
+        if self._has_runs:
             return self._run.tail(seconds)
         return 1.0 if seconds < self._hint_s else 0.0
 
@@ -177,8 +182,9 @@
         An engine batches: one with a free slot is not as good as an idle one.
         The prior has equal endpoints chosen by who has fewer calls.
         """
-        known = self._run.count > 0
-        self._mean_s = max(LEAST_S, self._run.mean) if known else self._hint_s
+        self._has_runs = self._run.count > 0
+        self._mean_s = max(LEAST_S, self._run.mean) if self._has_runs else self._hint_s
+        self._mean_beside = self._crowding.mean_x
         self._slope_s = self._crowding.slope(PRIOR_CROWDING * self._mean_s)
 
     def _refresh(self) -> None:
