--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -1,64 +1,24 @@
 """Which endpoint gets an attempt: by predicted completion, cost and risk."""
 
 from collections.abc import Iterable, Sequence
-from dataclasses import dataclass
 from random import Random
 
 from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import EndpointLoad, LoadTable
-from amaranthtally.policy.model import Endpoint, Stage
+from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.stage_times import StageStats
+from amaranthtally.policy.weighing import Choice, Prices, RouteRequest, Weighing
 
-__all__ = ["Choice", "RouteRequest", "Router"]
+__all__ = ["Router"]
 
 CHOICES = 4
 AWAY_CHOICES = 2
-TIME_WEIGHT = 0.1
 STALE_REPORT_S = 0.5
 MOST_STALE = 4
 LOCAL_LATENCY_S = 0.001
 LATENCY_WEIGHT = 0.1
-BYTES_PER_GB = 1e9
-
-
-@dataclass(frozen=True, slots=True)
-class RouteRequest:
-    """
-    An attempt that wants an endpoint.
-
-    ``end`` is the stage's share of the deadline and ``latest_end`` the time
-    after which the request as a whole is late, both as time stamps.
-    """
-
-    stage: Stage
-    end: float
-    latest_end: float
-    weight: float
-    input_bytes: float
-    prefix: tuple[int, ...] = ()
-    avoid: frozenset[str] = frozenset()
-
-
-@dataclass(frozen=True, slots=True)
-class Choice:
-    """
-    An endpoint, and what is predicted of an attempt there.
-
-    ``before_s`` is spent waiting and on the way, ``run_s`` running beside
-    ``beside`` other calls with a share of its prefix ``cached``; ``risk`` is the
-    probability of ending too late, ``price`` in units of the stage's typical run.
-    """
-
-    endpoint: Endpoint
-    before_s: float
-    run_s: float
-    beside: float
-    cached: float
-    risk: float
-    price: float
-    score: float
 
 
 class Router:
@@ -87,7 +47,7 @@
         self._stale: list[str] = []
         self._region = ""
         self._remote_latency_s = 0.0
-        self._price_per_gb = 0.0
+        self._prices = Prices("", 0.0, self.round_trip_s)
 
     def configure(
         self, region: str, remote_latency_s: float, price_per_gb: float
@@ -95,7 +55,7 @@
         """Use this region, latency (one way, seconds) and price of traffic."""
         self._region = region
         self._remote_latency_s = remote_latency_s
-        self._price_per_gb = price_per_gb
+        self._prices = Prices(region, price_per_gb, self.round_trip_s)
 
     def round_trip_s(self, region: str) -> float:
         """Return the learned time on the way to a region and back, in seconds."""
@@ -132,7 +92,8 @@
         self, now: float, wanted: RouteRequest, stats: StageStats, endpoint: Endpoint
     ) -> Choice:
         """Return what is predicted of one endpoint."""
-        return self._weigh(now, wanted, stats, self._loads.open(endpoint), 0.0)
+        weighing = Weighing(now, wanted, stats, self._prices)
+        return weighing.weigh(self._loads.open(endpoint), 0.0)
 
     # Candidates
 
@@ -144,8 +105,9 @@
     ) -> list[EndpointLoad]:
         if len(group) <= choices:
             return self._usable(group, avoid)
-        drawn = [self._random.choice(group) for _ in range(choices)]
-        found = self._usable({e.id: e for e in drawn}.values(), avoid)
+        choice = self._random.choice
+        drawn = {e.id: e for e in [choice(group) for _ in range(choices)]}
+        found = self._usable(drawn.values(), avoid)
         # Most of a group may be leaving or ejected; the subset is bounded, so a
         # look at all of it still costs the same whatever the pool's size.
         return found or self._usable(group, avoid)
@@ -154,10 +116,12 @@
         self, group: Iterable[Endpoint], avoid: frozenset[str]
     ) -> list[EndpointLoad]:
         found = []
+        is_ejected = self._ejections.is_ejected
+        open_load = self._loads.open
         for endpoint in group:
-            if endpoint.id in avoid or self._ejections.is_ejected(endpoint.id):
+            if endpoint.id in avoid or is_ejected(endpoint.id):
                 continue
-            load = self._loads.open(endpoint)
+            load = open_load(endpoint)
             if not load.leaving:
                 found.append(load)
         return found
@@ -178,6 +142,8 @@
     def _holders(
         self, held: dict[str, float], avoid: frozenset[str]
     ) -> list[EndpointLoad]:
+        if not held:
+            return []
         found = [self._groups.find(endpoint) for endpoint in held]
         return self._usable([e for e in found if e is not None], avoid)
 
@@ -195,64 +161,19 @@
         # Equal scores are common when idle: without the shuffle they would all
         # fall to the endpoint that is listed first.
         self._random.shuffle(loads)
+        weigh = Weighing(now, wanted, stats, self._prices).weigh
+        old = now - STALE_REPORT_S
         for load in loads:
-            self._note_age(now, load)
-            cached = held.get(load.endpoint.id, 0.0)
-            choice = self._weigh(now, wanted, stats, load, cached)
+            if load.heard_at < old:
+                self._note_age(now, load)
+            cached = held.get(load.endpoint.id, 0.0) if held else 0.0
+            choice = weigh(load, cached)
             if best is None or choice.score < best.score:
                 best = choice
         return best
 
     def _note_age(self, now: float, load: EndpointLoad) -> None:
-        old = now - STALE_REPORT_S
-        if (
-            load.heard_at < old
-            and load.asked_at < old
-            and len(self._stale) < MOST_STALE
-        ):
+        """Note that a report is old, unless a newer one has been asked for."""
+        if load.asked_at < now - STALE_REPORT_S and len(self._stale) < MOST_STALE:
             load.asked_at = now
             self._stale.append(load.endpoint.id)
-
-    def _weigh(
-        self,
-        now: float,
-        wanted: RouteRequest,
-        stats: StageStats,
-        load: EndpointLoad,
-        cached: float,
-    ) -> Choice:
-        region = load.endpoint.region
-        occupancy = load.occupancy(now)
-        beside = load.beside(occupancy)
-        slowness = load.slowness(now) * stats.cached_factor(cached)
-        run = stats.mean_beside_s(beside) * slowness
-        full = stats.mean_beside_s(load.limit - 1) * slowness
-        before = load.wait_s(occupancy, full) + self.round_trip_s(region)
-        # The sketch holds runs beside the usual number of calls: a run that is
-        # predicted to be longer or shorter shifts it.
-        shift = run / stats.mean_s
-        late = stats.tail((wanted.end - now - before) / shift)
-        risk = 1.0 - (1.0 - late) * (1.0 - load.failing(now))
-        price = self._price(wanted, stats, region, run + stats.burden_s(beside))
-        left = max(wanted.latest_end - now, stats.mean_s)
-        score = (
-            wanted.weight * risk
-            + (1.0 - wanted.weight) * price
-            + TIME_WEIGHT * (before + run) / left
-        )
-        return Choice(load.endpoint, before, run, beside, cached, risk, price, score)
-
-    def _price(
-        self, wanted: RouteRequest, stats: StageStats, region: str, busy_s: float
-    ) -> float:
-        """
-        Return the price of a run and its traffic in units of a typical run.
-
-        ``busy_s`` holds what the run costs those beside it: an engine that looks
-        free because it batches makes every call in the batch dearer.
-        """
-        price = busy_s * wanted.stage.price_per_s
-        if region != self._region:
-            traffic = wanted.input_bytes + stats.output_bytes
-            price += traffic / BYTES_PER_GB * self._price_per_gb
-        return price / max(stats.mean_s * wanted.stage.price_per_s, 1e-12)
