Fail links in the randomised run as well

The randomised run knew no fault of a link. The sidecars of the dispatch pool and of the engines now stand behind relays, and four kinds of fault reset them, hold bytes back and deliver them late, lose them, or lose answers only.

--- a/packages/standins/src/amaranthtally/standins/chaos/__main__.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/__main__.py
@@ -17,13 +17,18 @@
 from amaranthtally.standins.chaos.balancer import Balancer
 from amaranthtally.standins.chaos.callers import Callers
 from amaranthtally.standins.chaos.faults import fault_names, inject
-from amaranthtally.standins.chaos.verdict import check_records
+from amaranthtally.standins.chaos.verdict import (
+    EFFECT_POOL,
+    ENGINE_POOL,
+    check_records,
+)
 from amaranthtally.standins.chaos.world import World
 from amaranthtally.standins.deployment import (
     DeploymentPlan,
     load_plan,
     open_deployment,
 )
+from amaranthtally.standins.relay import open_relays
 
 __all__ = ["main", "run_chaos"]
 
@@ -76,11 +81,12 @@
     names: list[str] | None = None,
 ) -> World:
     """Run one seed; the world holds its counts and its violations."""
-    async with open_deployment(
-        _quick(plan), entries=ENTRIES, servers=SERVERS
-    ) as deployment:
+    async with (
+        open_deployment(_quick(plan), ENTRIES, SERVERS) as deployment,
+        open_relays(deployment, EFFECT_POOL, ENGINE_POOL) as relays,
+    ):
         balancer = Balancer(deployment)
-        world = World(deployment, balancer, Random(seed))
+        world = World(deployment, balancer, Random(seed), relays)
         world.pin_ports()
         following = asyncio.create_task(balancer.run())
         callers = Callers(world, seed, TOKENS)
--- a/packages/standins/src/amaranthtally/standins/chaos/faults.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/faults.py
@@ -10,6 +10,7 @@
 from amaranthtally.standins.chaos.world import HurtEntry, World
 from amaranthtally.standins.deployment import ADMIN_KEY
 from amaranthtally.standins.process import Process
+from amaranthtally.standins.relay import LinkFault
 
 __all__ = ["Fault", "fault_names", "inject"]
 
@@ -73,6 +74,37 @@
         await world.stop_sidecar(world.pair(name))
 
 
+# Links between entries and sidecars
+
+
+async def _fail_link(world: World, fault: LinkFault) -> None:
+    async with world.claim(world.linked_endpoints()) as name:
+        relay = world.relays[name]
+        relay.fail(fault)
+        await asyncio.sleep(_duration(world))
+        relay.heal()
+
+
+@_fault
+async def _link_resets(world: World) -> None:
+    await _fail_link(world, LinkFault.RESET)
+
+
+@_fault
+async def _link_holds(world: World) -> None:
+    await _fail_link(world, LinkFault.HELD)
+
+
+@_fault
+async def _link_half_open(world: World) -> None:
+    await _fail_link(world, LinkFault.HALF_OPEN)
+
+
+@_fault
+async def _link_loses_answers(world: World) -> None:
+    await _fail_link(world, LinkFault.ANSWERS_LOST)
+
+
 # Endpoints
 
 
--- a/packages/standins/src/amaranthtally/standins/chaos/verdict.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/verdict.py
@@ -5,7 +5,7 @@
 from amaranthtally.standins.chaos.callers import Callers
 from amaranthtally.standins.chaos.world import World
 
-__all__ = ["check_records"]
+__all__ = ["EFFECT_POOL", "ENGINE_POOL", "check_records"]
 
 EFFECT_POOL = "dispatch"
 ENGINE_POOL = "assessment"
--- a/packages/standins/src/amaranthtally/standins/chaos/world.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/world.py
@@ -15,6 +15,7 @@
 from amaranthtally.standins.chaos.balancer import Balancer
 from amaranthtally.standins.deployment import Deployment, EndpointPair
 from amaranthtally.standins.process import Process, StartError
+from amaranthtally.standins.relay import Relay
 
 __all__ = ["HurtEntry", "World"]
 
@@ -39,6 +40,7 @@
     deployment: Deployment
     balancer: Balancer
     random: Random
+    relays: dict[str, Relay] = field(default_factory=dict)
     violations: list[str] = field(default_factory=list)
     counts: Counter[str] = field(default_factory=Counter)
     hurt: list[HurtEntry] = field(default_factory=list)
@@ -77,6 +79,12 @@
         pool = self.random.choice(pools)
         return [pair.id for pair in self.deployment.pool(pool)]
 
+    def linked_endpoints(self) -> list[str]:
+        """Return the endpoints behind relays, of one pool drawn."""
+        pools = sorted({self.pair(name).pool for name in self.relays})
+        pool = self.random.choice(pools)
+        return [name for name in self.relays if self.pair(name).pool == pool]
+
     def pair(self, name: str) -> EndpointPair:
         """Return an endpoint by id."""
         return self.deployment.endpoints[name]
--- a/packages/standins/src/amaranthtally/standins/relay.py
+++ b/packages/standins/src/amaranthtally/standins/relay.py
@@ -2,36 +2,54 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager, suppress
+from contextlib import AsyncExitStack, asynccontextmanager, suppress
 from enum import Enum
 
-__all__ = ["Link", "Relay", "open_relay"]
+from amaranthtally.standins.deployment import Deployment
+
+__all__ = ["LinkFault", "Relay", "open_relays"]
 
 LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 65_536
 
 
-class Link(Enum):
+class LinkFault(Enum):
     """
-    What one direction of a link does with the bytes that it carries.
+    How a link fails.
 
-    ``HOLD`` delivers them late, once it forwards again, as retransmission does;
-    ``SWALLOW`` takes them and delivers none, as where the peer's state is lost.
+    ``HELD`` delivers what was sent late, once it is healed, as retransmission does;
+    ``HALF_OPEN`` loses it, as where the peer's state is gone; ``ANSWERS_LOST`` does
+    so in one direction only.
     """
 
+    RESET = "reset"
+    HELD = "held"
+    HALF_OPEN = "half open"
+    ANSWERS_LOST = "answers lost"
+
+
+class _Way(Enum):
     FORWARD = "forward"
     HOLD = "hold"
     SWALLOW = "swallow"
 
 
+_WAYS = {
+    LinkFault.RESET: (_Way.FORWARD, _Way.FORWARD),
+    LinkFault.HELD: (_Way.HOLD, _Way.HOLD),
+    LinkFault.HALF_OPEN: (_Way.SWALLOW, _Way.SWALLOW),
+    LinkFault.ANSWERS_LOST: (_Way.FORWARD, _Way.SWALLOW),
+}
+
+
 class Relay:
     """Stands before one address; requests go to it, replies come from it."""
 
     def __init__(self, target: str) -> None:
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
-        self._requests = Link.FORWARD
-        self._replies = Link.FORWARD
+        self._requests = _Way.FORWARD
+        self._replies = _Way.FORWARD
         self._changed = asyncio.Event()
         self._writers: set[asyncio.StreamWriter] = set()
         self._port = 0
@@ -47,16 +65,25 @@
         """Where callers connect."""
         return f"{LOOPBACK}:{self._port}"
 
-    def set_links(
-        self, requests: Link = Link.FORWARD, replies: Link = Link.FORWARD
-    ) -> None:
-        """Set what both directions do from now on, on all connections."""
+    def fail(self, fault: LinkFault) -> None:
+        """Fail in one way, on open and on new connections, until healed."""
+        if fault is LinkFault.RESET:
+            self._reset()
+        self._set_ways(*_WAYS[fault])
+
+    def heal(self) -> None:
+        """Forward again; a connection that has lost bytes breaks."""
+        lossy = _Way.SWALLOW in (self._requests, self._replies)
+        self._set_ways(_Way.FORWARD, _Way.FORWARD)
+        if lossy:
+            self._reset()
+
+    def _set_ways(self, requests: _Way, replies: _Way) -> None:
         self._requests, self._replies = requests, replies
         self._changed.set()
         self._changed = asyncio.Event()
 
-    def reset(self) -> None:
-        """Break every open connection."""
+    def _reset(self) -> None:
         for writer in list(self._writers):
             writer.transport.abort()
 
@@ -89,9 +116,9 @@
     ) -> None:
         while True:
             data = await reader.read(CHUNK_BYTES)
-            while self._link(requests) is Link.HOLD:
+            while self._way(requests) is _Way.HOLD:
                 await self._changed.wait()
-            if self._link(requests) is Link.SWALLOW:
+            if self._way(requests) is _Way.SWALLOW:
                 if data:
                     continue
                 await self._changed.wait()
@@ -101,23 +128,35 @@
             writer.write(data)
             await writer.drain()
 
-    def _link(self, requests: bool) -> Link:
+    def _way(self, requests: bool) -> _Way:
         return self._requests if requests else self._replies
 
-    async def serve(self) -> asyncio.Server:
-        """Listen on a port that the kernel picks."""
+    @asynccontextmanager
+    async def serve(self) -> AsyncIterator[None]:
+        """Listen on a port that the kernel picks until the context ends."""
         server = await asyncio.start_server(self._serve, LOOPBACK, 0)
         self._port = server.sockets[0].getsockname()[1]
-        return server
+        try:
+            yield
+        finally:
+            server.close()
+            self._reset()
 
 
 @asynccontextmanager
-async def open_relay(target: str) -> AsyncIterator[Relay]:
-    """Relay to ``ip:port`` until the context ends."""
-    relay = Relay(target)
-    server = await relay.serve()
-    try:
-        yield relay
-    finally:
-        server.close()
-        relay.reset()
+async def open_relays(
+    deployment: Deployment, *pools: str
+) -> AsyncIterator[dict[str, Relay]]:
+    """Register the sidecars of some pools behind relays; yields them by endpoint."""
+    async with AsyncExitStack() as stack:
+        relays: dict[str, Relay] = {}
+        firm = {}
+        for pair in [p for pool in pools for p in deployment.pool(pool)]:
+            relay = relays[pair.id] = Relay(pair.address)
+            await stack.enter_async_context(relay.serve())
+            place = {**pair.registration(), "address": relay.address}
+            firm[f"endpoint.{pair.id}"] = place
+        change = await deployment.apply({"firm": firm})
+        for number in range(len(deployment.entries)):
+            await deployment.wait_revision(change["number"], number)
+        yield relays
--- a/tests/at_most_once/test_links.py
+++ b/tests/at_most_once/test_links.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from amaranthtally.standins.relay import LinkFault, open_relays
 from tests.at_most_once.support import (
     ORDER,
     PIPELINE,
@@ -15,7 +16,6 @@
     wait_for,
 )
 from tests.support import run_async
-from tests.support.links import cut, heal, relays_before
 
 DEADLINE_MS = 4000
 ORDERS = 4
@@ -26,7 +26,7 @@
     """Open a deployment whose entries have met all sidecars, through relays."""
     async with (
         effects_deployment(**options) as deployment,
-        relays_before(deployment, *pools) as relays,
+        open_relays(deployment, *pools) as relays,
     ):
         # Connected before the fault: the other way is a connection refused.
         for number in range(len(deployment.entries)):
@@ -75,7 +75,7 @@
     return orders
 
 
-@pytest.mark.parametrize("fault", ["reset", "answers lost", "half open", "held"])
+@pytest.mark.parametrize("fault", LinkFault)
 def test_a_link_that_fails_in_the_middle_of_an_order(fault):
     """
     The switch between an entry and a sidecar fails while the truck is being
@@ -94,9 +94,11 @@
                 for key in keys
             ]
             await wait_for_both(deployment)
-            cut(relays.values(), fault)
+            for relay in relays.values():
+                relay.fail(fault)
             first = await asyncio.gather(*sent)
-            heal(relays.values(), fault)
+            for relay in relays.values():
+                relay.heal()
             assert "not_run" not in first
             orders = await answers_again(deployment, keys)
             assert len(set(orders.values())) == len(keys)
@@ -124,14 +126,16 @@
             ]
             before = await new_orders(deployment)
             orders = await answers_again(deployment, before)
-            cut(gone, "half open")
+            for relay in gone:
+                relay.fail(LinkFault.HALF_OPEN)
             during = [f"order-{secrets.token_hex(4)}"]
             while await told(deployment, during[-1], 1) != "answered":
                 during.append(f"order-{secrets.token_hex(4)}")
             assert len(during) > 1
             repeats = [await told(deployment, key) for key in before]
             assert set(repeats) == {"answered", "unknown"}
-            heal(gone, "half open")
+            for relay in gone:
+                relay.heal()
             orders |= await answers_again(deployment, during)
             again = await answers_again(deployment, before)
             assert {key: orders[key] for key in before} == again
--- a/tests/lifecycle/test_streams.py
+++ b/tests/lifecycle/test_streams.py
@@ -16,6 +16,7 @@
 )
 from amaranthtally.daemon.lifecycle import serve_http
 from amaranthtally.standins.deployment import open_deployment
+from amaranthtally.standins.relay import LinkFault, open_relays
 from amaranthtally.wire import StageReply, Status
 from tests.lifecycle.support import (
     FakeSidecar,
@@ -24,7 +25,6 @@
     run_wire,
 )
 from tests.support import parse_events, plan, run_async
-from tests.support.links import cut, heal, relays_before
 
 STREAMS = 8
 TOKENS = 40
@@ -137,12 +137,12 @@
     async def scenario():
         async with (
             open_deployment(slow_engines(), servers=2) as deployment,
-            relays_before(deployment, "assessment") as relays,
+            open_relays(deployment, "assessment") as relays,
         ):
             whole = await deployment.call("assessment", "baler", deadline_ms=20_000)
             text = (await whole.json())["output"]["text"]
             link = relays[deployment.pool("assessment")[0].id]
-            for fault in ("half open", "held", "reset"):
+            for fault in LinkFault:
                 carried = link.carried
                 calls = [
                     asyncio.create_task(
@@ -154,13 +154,13 @@
                 ]
                 while link.carried < carried + STREAM_BYTES:
                     await asyncio.sleep(0.01)
-                cut([link], fault)
+                link.fail(fault)
                 for answer in await asyncio.gather(*calls):
                     events = parse_events(await answer.text())
                     assert events[-1][0] == "done"
                     parts = "".join(d["text"] for k, d in events if k == "chunk")
                     assert parts == text
-                heal([link], fault)
+                link.heal()
 
     run_async(scenario())
 
