Start no order that a link delivers long after its deadline

Cause: a call carries the time left as a span, which does not shrink while a link stands still. The entry gives its connection up and says unknown; when the link goes on, the bytes are delivered, and the sidecar starts the order minutes late. The caller has looked at the service's list by then and ordered anew.

Change: a call that may not be repeated names its end on the bound incarnation's own clock, which the entry knows from every reply, plus 2 s; a fresh call that arrives later is refused before start. Records and repeats are not touched.

Test: test_links delivers_late; with the check taken out the late order has an effect, with it none, and the repeat then runs it once. A first form of the test with a 1 s deadline showed nothing: the entry's cancel was held behind the call. The relay closes rather than aborts at the end of a side, so that what it held is delivered.

--- a/packages/daemon/src/amaranthtally/daemon/entry/bound.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/bound.py
@@ -37,13 +37,14 @@
         """Return the name of a stage's effect."""
         return f"{self.key}#{binding.stage}"
 
-    def terms(self, binding: Binding) -> OnceTerms:
-        """Return the terms under which a stage may start."""
+    def terms(self, binding: Binding, expires_s: float = 0.0) -> OnceTerms:
+        """Return the terms under which a stage may start, by the bound clock."""
         return OnceTerms(
             incarnation=binding.incarnation,
             issued_s=binding.issued_s,
             permit=self.permits.get(binding.stage, 0),
             fingerprint=self.fingerprint,
+            expires_s=expires_s,
         )
 
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -254,6 +254,7 @@
         attempt = send.attempt
         stage = request.arrival.pipeline.stages[attempt.stage]
         assert self._peers is not None
+        assert self._inquirer is not None
         if endpoint is None:
             self._ended(attempt, StageResult(Fate.UNKNOWN))
             return
@@ -264,7 +265,8 @@
             self._ended(attempt, StageResult(Fate.NOT_RUN, unreachable=True))
             return
         remaining_s = send.deadline - self._loop.time()
-        call = build_call(request, send, self._revision, remaining_s)
+        expires_s = self._inquirer.expiry(endpoint.id, remaining_s)
+        call = build_call(request, send, self._revision, remaining_s, expires_s)
 
         async def on_chunk(offset: int, text: str) -> None:
             self._take_chunk(request, attempt, endpoint, offset, text)
--- a/packages/daemon/src/amaranthtally/daemon/entry/inquiries.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/inquiries.py
@@ -18,6 +18,8 @@
 INQUIRY_TIMEOUT_S = 0.5
 # Share of the entry's own time that is certain to have passed for a sidecar too.
 CLOCK_RATE = 0.999
+# Beyond a call's time, for what the entry does not know of the sidecar's clock.
+LATE_MARGIN_S = 2.0
 SUCCESSORS_ASKED = 4
 
 
@@ -59,6 +61,18 @@
             label, endpoint.id, self._loads[endpoint.id].incarnation, clock + passed
         )
 
+    def expiry(self, endpoint: str, remaining_s: float) -> float:
+        """
+        Return when a call sent now is too late to start, on the sidecar's clock.
+
+        A link that stands still may deliver it long after its caller was told that
+        the outcome is unknown, and has looked, and has ordered anew. Never too
+        early: the sidecar's clock is taken to run as fast as it may.
+        """
+        clock, heard = self._clocks[endpoint]
+        passed = (self._loop.time() - heard) / CLOCK_RATE
+        return clock + passed + remaining_s + LATE_MARGIN_S
+
     async def inquire_all(
         self, bound: BoundRequest, inquiry: Inquiry
     ) -> list[StageReply | None]:
--- a/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
@@ -37,9 +37,18 @@
 
 
 def build_call(
-    request: LiveRequest, send: Send, revision: int, remaining_s: float
+    request: LiveRequest,
+    send: Send,
+    revision: int,
+    remaining_s: float,
+    expires_s: float,
 ) -> StageCall:
-    """Return the call of one attempt; ``remaining_s`` is the attempt's time left."""
+    """
+    Return the call of one attempt; ``remaining_s`` is the attempt's time left.
+
+    ``expires_s`` is when a call that may not be repeated starts no more, on the
+    clock of the incarnation that it is bound to.
+    """
     attempt = send.attempt
     stage = request.arrival.pipeline.stages[attempt.stage]
     call_key, terms = "", OnceTerms()
@@ -47,7 +56,7 @@
         assert request.bound is not None
         binding = request.bound.binding(attempt.stage, stage)
         call_key = request.bound.call_key(binding)
-        terms = request.bound.terms(binding)
+        terms = request.bound.terms(binding, expires_s)
     return StageCall(
         id=CallId(*attempt),
         account=request.arrival.account,
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -177,7 +177,8 @@
             return "leaving"
         if call.id in self._tombstones:
             return "cancelled before start"
-        if call.remaining_s <= 0:
+        late = 0 < call.terms.expires_s < self.clock_s
+        if call.remaining_s <= 0 or late:
             return "deadline passed"
         return ""
 
--- a/packages/standins/src/amaranthtally/standins/relay.py
+++ b/packages/standins/src/amaranthtally/standins/relay.py
@@ -106,7 +106,7 @@
         finally:
             self._writers -= writers
             for each in writers:
-                each.transport.abort()
+                each.close()
 
     async def _pump(
         self,
@@ -123,7 +123,9 @@
                     continue
                 await self._changed.wait()
             if not data:
-                raise ConnectionResetError
+                # Closed, not aborted: what was held back is still delivered.
+                writer.close()
+                return
             self._carried += 0 if requests else len(data)
             writer.write(data)
             await writer.drain()
--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -104,6 +104,7 @@
     target.issuedMicros = to_micros(terms.issued_s)
     target.permit = terms.permit
     target.fingerprint = terms.fingerprint
+    target.expiresMicros = to_micros(terms.expires_s)
 
 
 def read_terms(source: Any) -> OnceTerms:
@@ -113,6 +114,7 @@
         issued_s=to_seconds(source.issuedMicros),
         permit=source.permit,
         fingerprint=source.fingerprint,
+        expires_s=to_seconds(source.expiresMicros),
     )
 
 
--- a/packages/wire/src/amaranthtally/wire/messages.py
+++ b/packages/wire/src/amaranthtally/wire/messages.py
@@ -81,13 +81,15 @@
     Which incarnation alone may run a call, and from which copies.
 
     ``issued_s`` is a time on that incarnation's clock; ``permit`` counts the
-    withdrawals that the sender knows of; ``fingerprint`` stands for the input.
+    withdrawals that the sender knows of; ``fingerprint`` stands for the input. A
+    copy that arrives after ``expires_s`` on that clock is not run; 0: no limit.
     """
 
     incarnation: int = 0
     issued_s: float = 0.0
     permit: int = 0
     fingerprint: str = ""
+    expires_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -29,11 +29,13 @@
 }
 
 struct OnceTerms {
-  # issuedMicros is a time on the clock of the incarnation that it names.
+  # issuedMicros and expiresMicros (0: never) are times on the clock of the
+  # incarnation that it names.
   incarnation @0 :UInt64;
   issuedMicros @1 :UInt64;
   permit @2 :UInt32;
   fingerprint @3 :Text;
+  expiresMicros @4 :UInt64;
 }
 
 enum Inquiry {
--- a/tests/at_most_once/test_links.py
+++ b/tests/at_most_once/test_links.py
@@ -6,7 +6,9 @@
 
 import pytest
 
+from amaranthtally.daemon.entry.inquiries import LATE_MARGIN_S
 from amaranthtally.standins.relay import LinkFault, open_relays
+from amaranthtally.wire import connect_sidecar
 from tests.at_most_once.support import (
     ORDER,
     PIPELINE,
@@ -15,10 +17,13 @@
     token,
     wait_for,
 )
+from tests.lifecycle.support import run_wire
 from tests.support import run_async
 
 DEADLINE_MS = 4000
 ORDERS = 4
+LATE = "order-on-a-held-link"
+LATE_MS = 3000
 
 
 @asynccontextmanager
@@ -107,6 +112,39 @@
     run_async(scenario())
 
 
+def test_an_order_that_a_link_delivers_late_is_not_run():
+    """
+    A link stands still with an order on it. Its caller hears unknown, finds no truck
+    in the service's list and phones for one. When the link goes on, the order
+    arrives with seconds left by its own count: it must not send a second truck.
+    """
+
+    async def scenario():
+        async with relayed_deployment(servers=1) as (deployment, relays):
+            (pair,) = deployment.pool("dispatch")
+            relay = relays[pair.id]
+            relay.fail(LinkFault.HELD)
+            assert await told(deployment, LATE, deadline_ms=LATE_MS) == "unknown"
+            await wait_until_late(pair)
+            relay.heal()
+            await answers_again(deployment, ["order-2"])
+            recorded = [record["key"] for record in await effects(deployment)]
+            assert not any(LATE in key for key in recorded)
+            await answers_again(deployment, [LATE])
+            assert len(await effects(deployment)) == 2
+
+    run_wire(scenario())
+
+
+async def wait_until_late(pair):
+    """Return once no call that was sent before may start, by the sidecar's clock."""
+    client = await connect_sidecar("127.0.0.1", pair.sidecar.ports["port"], 1.0)
+    late_s = (await client.load()).clock_s + LATE_MS / 1000 + LATE_MARGIN_S
+    while (await client.load()).clock_s < late_s:
+        await asyncio.sleep(0.05)
+    client.close()
+
+
 def test_a_region_that_is_lost_for_a_while_and_comes_back():
     """
     A region is cut off with the results of its orders, and its links swallow what
