--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -27,13 +27,13 @@
     serve_sidecar,
 )
 from amaranthtally.wire.loop import run
-from bench.process_cost import cpu_seconds, memory_mb
+from bench.process_cost import bytes_moved, cpu_seconds, memory_mb
 
 PLAN = Path(__file__).parent.parent / "examples" / "agrosalv.toml"
 ENDPOINT_STEPS = (0, 1000, 4000, 11000)
 ACCOUNT_STEPS = (5, 100, 940)
 BATCH = 500
-IDLE_SECONDS = 10.0
+IDLE_SECONDS = 30.0
 CHANGES = 20
 CONNECTION_STEPS = (0, 200, 800)
 
@@ -51,14 +51,19 @@
 async def report_idle(
     deployment: Deployment, label: str, entry: int, sidecar: int
 ) -> None:
-    spent = cpu_seconds(entry), cpu_seconds(sidecar)
+    pids = {"entry": entry, "sidecar": sidecar}
+    spent = {role: cpu_seconds(pid) for role, pid in pids.items()}
+    moved = {role: bytes_moved(pid) for role, pid in pids.items()}
     counts = await platform_calls(deployment)
     await asyncio.sleep(IDLE_SECONDS)
     calls = await platform_calls(deployment) - counts
-    entry_share = (cpu_seconds(entry) - spent[0]) / IDLE_SECONDS
-    sidecar_share = (cpu_seconds(sidecar) - spent[1]) / IDLE_SECONDS
-    print(f"idle {label}: entry {entry_share:.2%} of a core, {memory_mb(entry):.1f} MB")
-    print(f"idle {label}: sidecar {sidecar_share:.2%}, {memory_mb(sidecar):.1f} MB")
+    for role, pid in pids.items():
+        share = (cpu_seconds(pid) - spent[role]) / IDLE_SECONDS
+        rate = (bytes_moved(pid) - moved[role]) / IDLE_SECONDS
+        print(
+            f"idle {label}: {role} {share:.2%} of a core, {memory_mb(pid):.1f} MB, "
+            f"{rate:.0f} bytes/s"
+        )
     print(f"idle {label}: {calls / IDLE_SECONDS:.2f} platform calls/s in all")
 
 
--- a/bench/process_cost.py
+++ b/bench/process_cost.py
@@ -1,4 +1,4 @@
-"""Processor time and resident memory of a process, read from the kernel."""
+"""Processor time, memory and traffic of a process, read from the kernel."""
 
 import os
 from pathlib import Path
@@ -16,3 +16,14 @@
 def memory_mb(pid: int) -> float:
     """Return resident memory."""
     return int(Path(f"/proc/{pid}/statm").read_text().split()[1]) * PAGE_MB
+
+
+def bytes_moved(pid: int) -> int:
+    """
+    Return the bytes read and written so far.
+
+    Sockets count, since uvloop reads and writes them as files; so do log lines.
+    """
+    lines = Path(f"/proc/{pid}/io").read_text().splitlines()
+    counts = dict(line.split(": ") for line in lines)
+    return int(counts["rchar"]) + int(counts["wchar"])
