Tell entries what engines hold in cache, and route by it

Cause: arrivals carried no prefix and sidecars read no cache events, so that prefix routing worked in replay only; in a deployment each repeat of a thread went to any engine.

Change: an entry hashes the first whole blocks of the caller's input (blake2b, 64 characters, 32 at most, keyed by client account). The prompt now begins with the input, and documents follow: the input alone is known on arrival and keeps its beginning as it grows. A sidecar reads its engine's events by long poll, keeps a bounded digest of blocks of prompts that it sent, and gives an entry with each reply what that entry lacks. A gap in the events, another start of the engine or of the sidecar clears what was claimed. The engine is asked to part accounts' blocks by a salt. The entry's prefix_blocks = 0 leaves caches out of routing. New fields of the schema only.

The engine stand-in honours the salt, says its start (epoch) with its events, waits for the first event, and takes block_time for each block that it has not cached.

Tests: tests/prefixes. Without the prefix on arrival, test_a_growing_thread and test_another_entry fail; without the news, test_another_entry does. test_a_stale_claim passes without the wiring as well: it holds that a claim does no harm.

--- a/bench/path.py
+++ b/bench/path.py
@@ -103,7 +103,7 @@
     documents = msgspec.json.decode(found)["documents"]
     rerank = {"query": question, "documents": documents}
     kept = await post(deployment, "reranker", "/v1/rerank", rerank)
-    prompt = "\n".join([*msgspec.json.decode(kept)["documents"], question])
+    prompt = "\n".join([question, *msgspec.json.decode(kept)["documents"]])
     body = {"prompt": prompt, "stream": True}
     await post(deployment, "assessment", "/v1/completions", body)
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -1,15 +1,19 @@
 """The callers' HTTP contract."""
 
 import asyncio
-import re
 import secrets
 from dataclasses import dataclass
 
 import msgspec
-from aiohttp import hdrs, web
+from aiohttp import web
 
 from amaranthtally.daemon.entry.binder import Binder, EffectRequest
 from amaranthtally.daemon.entry.bound import BoundRequest
+from amaranthtally.daemon.entry.caller_headers import (
+    IDEMPOTENCY_KEY,
+    bearer_key,
+    is_well_formed,
+)
 from amaranthtally.daemon.entry.event_stream import EventStream
 from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.entry.live_request import Chunk, Ending, LiveRequest
@@ -22,16 +26,13 @@
     render_problem,
     truthful,
 )
-from amaranthtally.daemon.entry.tokens import is_token
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.prompts import arrival_prefix
 from amaranthtally.policy import Arrival, Pipeline
 from amaranthtally.settings import SettingsView
 
 __all__ = ["CallerApi", "add_caller_routes"]
 
-IDEMPOTENCY_KEY = "Idempotency-Key"
-KEY_PATTERN = re.compile(r"^[\x21-\x7e]{1,128}$")
-MAX_TOKEN_CHARS = 2048
 MAX_DEADLINE_MS = 600_000
 REQUEST_ID_BYTES = 8
 
@@ -69,6 +70,7 @@
         region: str,
         max_body: int,
         stall_timeout: float,
+        most_prefix_blocks: int,
     ) -> None:
         self._executor = executor
         self._binder = binder
@@ -76,6 +78,7 @@
         self._region = region
         self._max_body = max_body
         self._stall_timeout = stall_timeout
+        self._most_prefix_blocks = most_prefix_blocks
         self._view: SettingsView | None = None
         self._pipelines: PipelineResolver | None = None
         self._open_responses = 0
@@ -144,7 +147,7 @@
             return Problem(
                 503, "Starting", "Settings are not read yet; try again.", retry_after=1
             )
-        account = self._view.account_of(_bearer_key(request))
+        account = self._view.account_of(bearer_key(request))
         if account is None:
             return Problem(
                 401, "Unknown key", "Send Authorization: Bearer with a valid key."
@@ -166,7 +169,7 @@
         if isinstance(body, Problem):
             return body
         key = request.headers.get(IDEMPOTENCY_KEY, "")
-        if key and not _well_formed(key):
+        if key and not is_well_formed(key):
             return Problem(
                 400, "Bad key", f"{IDEMPOTENCY_KEY} takes 1 to 128 visible characters."
             )
@@ -222,6 +225,12 @@
             deadline=received + deadline_s,
             input_bytes=len(raw),
             streaming=checked.body.stream,
+            prefix=arrival_prefix(
+                checked.account,
+                checked.pipeline,
+                checked.body.input,
+                self._most_prefix_blocks,
+            ),
             bound=bound.endpoints(checked.pipeline) if bound else {},
         )
         return LiveRequest(arrival, raw, self._view.revision, bound)
@@ -284,14 +293,3 @@
     """Add the callers' routes to an application."""
     app.router.add_post("/v1/pipelines/{pipeline}/requests", api.create_request)
     app.router.add_post("/v1/pipelines/{pipeline}/tokens", api.create_token)
-
-
-def _well_formed(key: str) -> bool:
-    if is_token(key):
-        return len(key) <= MAX_TOKEN_CHARS
-    return KEY_PATTERN.match(key) is not None
-
-
-def _bearer_key(request: web.Request) -> str:
-    scheme, _, key = request.headers.get(hdrs.AUTHORIZATION, "").partition(" ")
-    return key.strip() if scheme.lower() == "bearer" else ""
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -6,6 +6,7 @@
 from dataclasses import replace
 from typing import Any
 
+from amaranthtally.daemon.entry.cache_news import CacheFollower
 from amaranthtally.daemon.entry.inquiries import Inquirer, load_report
 from amaranthtally.daemon.entry.live_request import LiveRequest
 from amaranthtally.daemon.entry.metrics import EntryMetrics
@@ -63,6 +64,7 @@
         self._endpoints = settings.endpoints
         self._revision = settings.revision
         self._requests: dict[str, LiveRequest] = {}
+        self._cache_news = CacheFollower()
         self._tasks: set[asyncio.Task[None]] = set()
         self._peers: Peers | None = None
         self._inquirer: Inquirer | None = None
@@ -264,7 +266,8 @@
             self._ended(attempt, StageResult(Fate.NOT_RUN, unreachable=True))
             return
         remaining_s = send.deadline - self._loop.time()
-        call = build_call(request, send, self._revision, remaining_s)
+        heard = self._cache_news.heard(endpoint.id)
+        call = build_call(request, send, self._revision, remaining_s, heard)
 
         async def on_chunk(offset: int, text: str) -> None:
             self._take_chunk(request, attempt, endpoint, offset, text)
@@ -343,6 +346,7 @@
     ) -> None:
         assert self._peers is not None
         self._peers.note_load(endpoint.id, reply.load)
+        self._take_cache_news(endpoint, reply)
         if attempt not in request.tasks:
             return
         stage = request.arrival.pipeline.stages[attempt.stage]
@@ -354,6 +358,15 @@
             self._log_attempt(attempt, endpoint, reply.status.value, reply.reason)
         self._ended(attempt, ended.result)
 
+    def _take_cache_news(self, endpoint: Endpoint, reply: StageReply) -> None:
+        if not reply.cache.serial:
+            return
+        incarnation = reply.load.incarnation
+        event = self._cache_news.take(endpoint.id, incarnation, reply.cache)
+        if event is not None:
+            now = self._loop.time()
+            self._carry_out(self._planner.cache_event(now, endpoint.id, event))
+
     def _ended(self, attempt: AttemptId, result: StageResult) -> None:
         request = self._requests.get(attempt.request_id)
         if request is None:
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -126,6 +126,7 @@
         settings.region,
         settings.max_body_bytes,
         settings.stall_timeout,
+        settings.prefix_blocks,
     )
     state.listen(on_change)
     first = load_from_peers(
--- a/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
@@ -37,7 +37,11 @@
 
 
 def build_call(
-    request: LiveRequest, send: Send, revision: int, remaining_s: float
+    request: LiveRequest,
+    send: Send,
+    revision: int,
+    remaining_s: float,
+    cache_serial: int = 0,
 ) -> StageCall:
     """Return the call of one attempt; ``remaining_s`` is the attempt's time left."""
     attempt = send.attempt
@@ -62,6 +66,7 @@
         resume_offset=send.resume_offset,
         model=stage.model,
         revision=revision,
+        cache_serial=cache_serial,
     )
 
 
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
@@ -7,9 +7,17 @@
 import aiohttp
 import msgspec
 
-from amaranthtally.wire import ChunkHandler, StageCall
-
-__all__ = ["Adapter", "EndpointError", "adapter_for", "adapter_kinds"]
+from amaranthtally.daemon.prompts import build_prompt, cache_salt, input_text
+from amaranthtally.daemon.sidecar.engine_cache import EngineCache
+from amaranthtally.wire import ChunkHandler, StageCall, Status
+
+__all__ = [
+    "Adapter",
+    "EndpointError",
+    "adapter_for",
+    "adapter_kinds",
+    "status_of_broken",
+]
 
 DONE_MARK = b"[DONE]"
 DATA_PREFIX = b"data: "
@@ -32,12 +40,21 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointCall:
-    """A stage call on its way to the endpoint."""
+    """A stage call on its way to the endpoint; ``cache`` where it is an engine."""
 
     session: aiohttp.ClientSession
     url: str
     call: StageCall
     on_chunk: ChunkHandler
+    cache: EngineCache | None = None
+
+
+def status_of_broken(call: StageCall, error: Exception) -> tuple[Status, str]:
+    """Return what is proved of a call whose connection to the endpoint broke."""
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return Status.NOT_RUN, "endpoint unreachable"
+    status = Status.FAILED if call.repeatable else Status.UNKNOWN
+    return status, type(error).__name__
 
 
 Adapter = Callable[[EndpointCall], Awaitable[bytes]]
@@ -102,10 +119,13 @@
 @_adapter("engine")
 async def _generate(target: EndpointCall) -> bytes:
     given = _read_input(target.call)
-    prompt = "\n".join([*_documents(given.previous), _text(given.input)])
+    text = input_text(given.input)
+    if target.cache is not None:
+        target.cache.note_prompt(target.call.account, text)
     body = {
         "model": target.call.model,
-        "prompt": prompt,
+        "prompt": build_prompt(text, _documents(given.previous)),
+        "cache_salt": cache_salt(target.call.account),
         "stream": True,
         "priority": target.call.priority,
         "resume_offset": target.call.resume_offset,
@@ -171,11 +191,6 @@
         return []
 
 
-def _text(value: msgspec.Raw) -> str:
-    decoded: Any = msgspec.json.decode(value)
-    return decoded if isinstance(decoded, str) else bytes(value).decode()
-
-
 def _timeout(call: StageCall) -> aiohttp.ClientTimeout:
     # A call that may not be repeated is waited for past the caller's deadline:
     # its effect may come late, and a repeat must learn what came of it.
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import secrets
+from dataclasses import replace
 from typing import Any
 
 import aiohttp
@@ -12,7 +13,9 @@
     EndpointCall,
     EndpointError,
     adapter_for,
+    status_of_broken,
 )
+from amaranthtally.daemon.sidecar.engine_cache import EngineCache
 from amaranthtally.daemon.sidecar.handover import read_handover
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.daemon.sidecar.once import OnceCalls
@@ -53,11 +56,13 @@
         session: aiohttp.ClientSession,
         metrics: SidecarMetrics,
         sync: SettingsSync,
+        cache: EngineCache | None = None,
     ) -> None:
         self._settings = settings
         self._sync = sync
         self._session = session
         self._metrics = metrics
+        self._cache = cache
         self._adapter = adapter_for(settings.endpoint_kind)
         self._incarnation = secrets.randbits(INCARNATION_BITS) | 1
         self._queue = RunQueue(settings.concurrency, settings.queue_capacity)
@@ -134,7 +139,9 @@
         self._sync.heard(call.revision)
         reply = await self._run(call, on_chunk)
         self._metrics.call_ended(reply)
-        return reply
+        if self._cache is None:
+            return reply
+        return replace(reply, cache=self._cache.news(call.cache_serial))
 
     async def cancel(self, call_id: CallId) -> StageReply:
         """Cancel a call that has not started; a late copy of it is refused."""
@@ -228,7 +235,7 @@
     ) -> StageReply:
         started = self._loop.time()
         target = EndpointCall(
-            self._session, self._settings.endpoint_url, call, on_chunk
+            self._session, self._settings.endpoint_url, call, on_chunk, self._cache
         )
         status, output, reason = Status.FINISHED, b"", ""
         overloaded = permanent = False
@@ -239,7 +246,7 @@
             permanent = error.permanent
             overloaded = not permanent
         except (aiohttp.ClientError, TimeoutError) as error:
-            status, reason = self._broken(call, error)
+            status, reason = status_of_broken(call, error)
             overloaded = True
         except BaseException:
             self._queue.released()
@@ -258,12 +265,6 @@
             permanent=permanent,
         )
 
-    def _broken(self, call: StageCall, error: Exception) -> tuple[Status, str]:
-        if isinstance(error, aiohttp.ClientConnectorError):
-            return Status.NOT_RUN, "endpoint unreachable"
-        status = Status.FAILED if call.repeatable else Status.UNKNOWN
-        return status, type(error).__name__
-
     # Queue
 
     def _start_next(self) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/metrics.py
@@ -24,6 +24,10 @@
             for name in ("running", "queued", "limit")
         }
         self._leaving = Gauge("amaranthtally_leaving", "1 while it takes no new work.")
+        self._prefix_blocks = Gauge(
+            "amaranthtally_prefix_blocks",
+            "Blocks of prompts that the engine is taken to hold in its cache.",
+        )
 
     def call_ended(self, reply: StageReply) -> None:
         """Count a call."""
@@ -31,9 +35,10 @@
         if reply.run_s:
             self._run_seconds.observe({}, reply.run_s)
 
-    def refresh(self, load: Load) -> None:
+    def refresh(self, load: Load, prefix_blocks: int) -> None:
         """Set the gauges."""
         self._load["running"].set({}, load.running)
         self._load["queued"].set({}, load.queued)
         self._load["limit"].set({}, load.limit)
         self._leaving.set({}, int(load.leaving))
+        self._prefix_blocks.set({}, prefix_blocks)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -17,6 +17,7 @@
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import SIDECAR_LINKS, SettingsSync
 from amaranthtally.daemon.sidecar.departure import Departure
+from amaranthtally.daemon.sidecar.engine_cache import EngineCache
 from amaranthtally.daemon.sidecar.handler import StageHandler
 from amaranthtally.daemon.sidecar.handover import endpoints_of, hand_over
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
@@ -45,7 +46,11 @@
         stack.push_async_callback(sync.close)
         run_beside(stack, sync.run())
         metrics = SidecarMetrics()
-        handler = StageHandler(settings, session, metrics, sync)
+        cache = None
+        if settings.endpoint_kind == ENGINE_KIND:
+            cache = EngineCache(session, settings.endpoint_url)
+            run_beside(stack, cache.follow())
+        handler = StageHandler(settings, session, metrics, sync, cache)
         host, port = split_address(settings.wire_address)
         connections = EntryConnections()
         departure = Departure(settings, handler, connections)
@@ -62,7 +67,9 @@
         )
         app = web.Application()
         add_health_routes(
-            app, lambda: not stop.is_set(), lambda: metrics.refresh(handler.load())
+            app,
+            lambda: not stop.is_set(),
+            lambda: metrics.refresh(handler.load(), len(cache or ())),
         )
         http_port = await stack.enter_async_context(
             serve_http(app, settings.http_address, HTTP_GRACE_S)
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -171,7 +171,7 @@
             self._times.latest_finish(arrival.deadline, remaining[1:]),
             arrival.pipeline.weight_attainment,
             arrival.input_bytes + request.previous_bytes,
-            arrival.prefix if _has_prefix_cache(request.current) else (),
+            arrival.prefix if request.current.caches_prefixes else (),
             avoid,
         )
 
@@ -287,10 +287,6 @@
     return min(request.arrival.deadline, max(wanted.latest_end, wanted.end))
 
 
-def _has_prefix_cache(stage: Stage) -> bool:
-    return stage.streams or bool(stage.model)
-
-
 def _runs(endpoint: Endpoint, stage: Stage) -> bool:
     if endpoint.pool != stage.pool:
         return False
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -43,6 +43,11 @@
     def __post_init__(self) -> None:
         object.__setattr__(self, "key", (self.pool, self.model, self.name))
 
+    @property
+    def caches_prefixes(self) -> bool:
+        """Whether its endpoints may cache prefixes: model engines do."""
+        return self.streams or bool(self.model)
+
 
 @dataclass(frozen=True, slots=True)
 class Pipeline:
@@ -63,6 +68,11 @@
         """Whether every stage may run more than once."""
         return all(stage.repeatable for stage in self.stages)
 
+    @property
+    def caches_prefixes(self) -> bool:
+        """Whether a stage's endpoints may cache prefixes."""
+        return any(stage.caches_prefixes for stage in self.stages)
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -25,7 +25,12 @@
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of an entry. Addresses are ``ip:port``; times are in seconds."""
+    """
+    Settings of an entry. Addresses are ``ip:port``; times are in seconds.
+
+    ``prefix_blocks`` bounds the blocks of a prompt by which engines are chosen that
+    may hold them in cache; 0 leaves caches out of routing.
+    """
 
     name: Name
     host: Name
@@ -40,6 +45,7 @@
     max_body_bytes: Count = 1_048_576
     connect_timeout: Positive = 1.0
     stall_timeout: Positive = 30.0
+    prefix_blocks: Annotated[int, Meta(ge=0, le=64)] = 32
     claim_ttl: Positive = 86_400.0
     drain_wait: Annotated[float, Meta(ge=0)] = 2.0
     drain_limit: Positive = 660.0
--- a/packages/standins/src/amaranthtally/standins/chaos/callers.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/callers.py
@@ -180,7 +180,7 @@
     """Return the only right answer to a question."""
     found = RetrieverStandIn("").answer({"query": text})
     kept = RerankerStandIn("").answer(found)["documents"]
-    return "".join(words_for("\n".join([*kept, text]), tokens))
+    return "".join(words_for("\n".join([text, *kept]), tokens))
 
 
 def _event(block: bytes) -> tuple[str, dict[str, Any]]:
--- a/packages/standins/src/amaranthtally/standins/engine.py
+++ b/packages/standins/src/amaranthtally/standins/engine.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import secrets
 import time
 from collections import OrderedDict, deque
 from hashlib import sha256
@@ -19,6 +20,7 @@
 __all__ = ["EngineStandIn"]
 
 BLOCK_CHARS = 64
+EVENT_POLL_S = 0.05
 WORDS = (
     *("check", "the", "hydraulic", "line", "then", "replace", "filter", "seal"),
     *("pump", "belt", "before", "restart", "inspect", "axle", "drain", "oil"),
@@ -34,6 +36,7 @@
     max_tokens: int = 0
     resume_offset: int = 0
     request_id: str = ""
+    cache_salt: str = ""
 
 
 class _Order(msgspec.Struct):
@@ -50,11 +53,11 @@
     return [WORDS[(seed[i % len(seed)] + i) % len(WORDS)] + " " for i in range(count)]
 
 
-def prefix_blocks(prompt: str) -> list[str]:
+def prefix_blocks(prompt: str, salt: str = "") -> list[str]:
     """Return the digests of a prompt's blocks, each covering all before it."""
     whole = len(prompt) // BLOCK_CHARS
     return [
-        sha256(prompt[: (i + 1) * BLOCK_CHARS].encode()).hexdigest()[:16]
+        sha256((salt + prompt[: (i + 1) * BLOCK_CHARS]).encode()).hexdigest()[:16]
         for i in range(whole)
     ]
 
@@ -70,6 +73,7 @@
         self._cache: OrderedDict[str, None] = OrderedDict()
         self._events: deque[tuple[float, int, str, str]] = deque(maxlen=1000)
         self._event_serial = 0
+        self._epoch = secrets.token_hex(8)
         self._running = 0
         self._loads: deque[tuple[float, int]] = deque([(0.0, 0)], maxlen=1000)
         self._fencing = 0
@@ -94,14 +98,17 @@
             fault = await self.before_effect()
             if fault is not None:
                 return fault
-            hits = self._use_cache(wanted.prompt)
+            hits = self._use_cache(wanted.prompt, wanted.cache_salt)
             self.records.append(
                 {
                     "request_id": wanted.request_id,
                     "resume_offset": wanted.resume_offset,
                     "cached_blocks": hits,
+                    "blocks": len(wanted.prompt) // BLOCK_CHARS,
                 }
             )
+            missed = len(wanted.prompt) // BLOCK_CHARS - hits
+            await asyncio.sleep(missed * self.knobs.block_time)
             words = words_for(wanted.prompt, wanted.max_tokens or self.knobs.tokens)
             if not wanted.stream:
                 await self.after_effect()
@@ -151,9 +158,9 @@
 
     # Prefix cache, its events late and with gaps
 
-    def _use_cache(self, prompt: str) -> int:
+    def _use_cache(self, prompt: str, salt: str) -> int:
         hits = 0
-        for block in prefix_blocks(prompt):
+        for block in prefix_blocks(prompt, salt):
             if block in self._cache:
                 self._cache.move_to_end(block)
                 hits += 1
@@ -176,15 +183,23 @@
         self._events.append((time.monotonic(), self._event_serial, kind, block))
 
     async def _read_events(self, request: web.Request) -> web.Response:
-        after = int(request.query.get("after", "0"))
+        """Answer with the events after a serial; waits a while for the first."""
+        known = request.query.get("epoch", "") == self._epoch
+        after = int(request.query.get("after", "0")) if known else 0
+        until = time.monotonic() + float(request.query.get("wait", "0"))
+        events = self._events_after(after)
+        while not events and known and time.monotonic() < until:
+            await asyncio.sleep(EVENT_POLL_S)
+            events = self._events_after(after)
+        return json_response({"epoch": self._epoch, "events": events})
+
+    def _events_after(self, after: int) -> list[dict[str, Any]]:
         seen = time.monotonic() - self.knobs.event_lag
-        return json_response(
-            [
-                {"serial": serial, "kind": kind, "block": block}
-                for at, serial, kind, block in self._events
-                if serial > after and at <= seen
-            ]
-        )
+        return [
+            {"serial": serial, "kind": kind, "block": block}
+            for at, serial, kind, block in self._events
+            if serial > after and at <= seen
+        ]
 
     async def _export_block(self, request: web.Request) -> web.Response:
         if request.match_info["block"] not in self._cache:
--- a/packages/standins/src/amaranthtally/standins/registry.py
+++ b/packages/standins/src/amaranthtally/standins/registry.py
@@ -21,6 +21,7 @@
     ``die_before``/``die_after`` end the process at the n-th call, before or after
     its effect. ``stuck`` never answers, ``stuck_after`` does so after the effect.
     ``fail_rate`` answers 500 to that share of calls, counted, not drawn.
+    ``block_time`` is what an engine takes for each block that it has not cached.
     """
 
     slow: float = 0.0
@@ -39,6 +40,7 @@
     event_lag: float = 0.5
     event_gap: int = 0
     cache_blocks: int = 256
+    block_time: float = 0.0
     fencing: bool = True
     weight_rate: float = 0.0
     host_lag: float = 2.0
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -4,6 +4,7 @@
 from amaranthtally.wire.connections import EntryConnections
 from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
 from amaranthtally.wire.messages import (
+    CacheNews,
     CallId,
     ChunkHandler,
     Greeting,
@@ -23,6 +24,7 @@
 )
 
 __all__ = [
+    "CacheNews",
     "CallId",
     "ChunkHandler",
     "EntryConnections",
--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -11,6 +11,8 @@
 import capnp
 
 from amaranthtally.wire.messages import (
+    NO_NEWS,
+    CacheNews,
     CallId,
     Load,
     OnceTerms,
@@ -134,6 +136,7 @@
     target.resumeOffset = call.resume_offset
     target.model = call.model
     target.revision = call.revision
+    target.cacheSerial = call.cache_serial
 
 
 def read_call(source: Any) -> StageCall:
@@ -152,6 +155,7 @@
         resume_offset=source.resumeOffset,
         model=source.model,
         revision=source.revision,
+        cache_serial=source.cacheSerial,
     )
 
 
@@ -167,6 +171,8 @@
     target.queuedMicros = to_micros(reply.queued_s)
     target.runMicros = to_micros(reply.run_s)
     target.permit = reply.permit
+    if reply.cache.serial:
+        _write_news(target.cache, reply.cache)
 
 
 def read_reply(source: Any) -> StageReply:
@@ -182,4 +188,21 @@
         queued_s=to_seconds(source.queuedMicros),
         run_s=to_seconds(source.runMicros),
         permit=source.permit,
+        cache=_read_news(source.cache),
     )
+
+
+def _write_news(target: Any, news: CacheNews) -> None:
+    target.serial = news.serial
+    target.reset = news.reset
+    if news.stored:
+        target.stored = news.stored
+    if news.removed:
+        target.removed = news.removed
+
+
+def _read_news(source: Any) -> CacheNews:
+    serial = source.serial
+    if not serial:
+        return NO_NEWS
+    return CacheNews(serial, tuple(source.stored), tuple(source.removed), source.reset)
--- a/packages/wire/src/amaranthtally/wire/messages.py
+++ b/packages/wire/src/amaranthtally/wire/messages.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 __all__ = [
+    "CacheNews",
     "CallId",
     "ChunkHandler",
     "Greeting",
@@ -90,13 +91,32 @@
     fingerprint: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class CacheNews:
+    """
+    Blocks of prompts that a sidecar's engine stored and removed since a serial.
+
+    ``reset`` says that whatever was known before is to be forgotten; a ``serial``
+    of 0 that there is no news.
+    """
+
+    serial: int = 0
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+    reset: bool = False
+
+
+NO_NEWS = CacheNews()
+
+
 @dataclass(frozen=True, slots=True)
 class StageCall:
     """
     A stage to run. ``remaining_s`` is the time left, in seconds.
 
     A call with ``repeatable`` false carries the ``terms`` under which it may run
-    and a ``call_key`` that names the effect.
+    and a ``call_key`` that names the effect. ``cache_serial`` is the serial up to
+    which the sender knows the sidecar's news of cached prefixes.
     """
 
     id: CallId
@@ -112,6 +132,7 @@
     resume_offset: int = 0
     model: str = ""
     revision: int = 0
+    cache_serial: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -133,6 +154,7 @@
     run_s: float = 0.0
     permanent: bool = False
     permit: int = 0
+    cache: CacheNews = NO_NEWS
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -56,6 +56,17 @@
   resumeOffset @10 :UInt32;
   model @11 :Text;
   revision @12 :UInt64;
+  # The serial up to which the sender knows the sidecar's news of cached prefixes.
+  cacheSerial @13 :UInt64;
+}
+
+struct CacheNews {
+  # Blocks of prompts that the engine stored and removed since the serial of the
+  # call. After a reset whatever was known before is to be forgotten.
+  serial @0 :UInt64;
+  stored @1 :List(UInt64);
+  removed @2 :List(UInt64);
+  reset @3 :Bool;
 }
 
 struct StageReply {
@@ -69,6 +80,7 @@
   runMicros @7 :UInt64;
   permit @8 :UInt32;
   permanent @9 :Bool;
+  cache @10 :CacheNews;
 }
 
 interface ChunkSink {
