Join the chunks of all streams to one entry into few messages

Cause: each generated token was its own message with its own acknowledgement.

Change: a sidecar holds chunks for up to 5 ms after the last message to an entry and sends those of all streams in one (`wire/joiner.py`); a stream's first chunk goes at once; the reply waits until the entry has taken the stream's last chunk; text not acknowledged is bounded. The entry numbers its streams (`wire/streams.py`); each part carries the call's id besides, and another's id makes the call lost as before.

Ruled out: joining by stream, since at 34 ms a token a stream has one token in a few milliseconds; one message at a time (a link of 12 ms would hold tokens for 24 ms).

The fake that mixes streams writes parts under other streams' numbers; its assertions are unchanged.

--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/entry/caller_events.py
@@ -0,0 +1,72 @@
+"""What waits for one caller: the text so far unsent, then the end."""
+
+import asyncio
+from collections import deque
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from amaranthtally.policy import Refuse
+
+__all__ = ["MAX_EVENT_CHARS", "CallerEvents", "Chunk", "Ending"]
+
+# Text that one event may join. A caller that reads slowly would otherwise get an
+# event as long as the answer, which its library may refuse.
+MAX_EVENT_CHARS = 16_384
+
+
+@dataclass(frozen=True, slots=True)
+class Chunk:
+    """A piece of the last stage's text, on its way to the caller."""
+
+    text: str
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """The end of a request: its answer, or its refusal."""
+
+    answer: bytes = b""
+    refusal: Refuse | None = None
+
+
+class CallerEvents:
+    """A queue for one reader; texts that wait together come as one chunk."""
+
+    def __init__(self) -> None:
+        self._texts: deque[str] = deque()
+        self._ending: Ending | None = None
+        self._changed = asyncio.Event()
+
+    def put(self, texts: Iterable[str]) -> None:
+        """Add consecutive texts."""
+        self._texts.extend(texts)
+        self._changed.set()
+
+    def end(self, ending: Ending) -> None:
+        """Set the end; nothing comes after it."""
+        self._ending = ending
+        self._changed.set()
+
+    async def next(self) -> Chunk | Ending:
+        """Wait for what comes next; the end comes after all texts."""
+        while not self._texts:
+            if self._ending is not None:
+                return self._ending
+            self._changed.clear()
+            await self._changed.wait()
+        return Chunk(self._take_texts())
+
+    async def ending(self) -> Ending:
+        """Wait for the end, passing over texts."""
+        while self._ending is None:
+            self._changed.clear()
+            await self._changed.wait()
+        return self._ending
+
+    def _take_texts(self) -> str:
+        taken = [self._texts.popleft()]
+        room = MAX_EVENT_CHARS - len(taken[0])
+        while self._texts and len(self._texts[0]) <= room:
+            room -= len(self._texts[0])
+            taken.append(self._texts.popleft())
+        return "".join(taken)
--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -10,9 +10,10 @@
 
 from amaranthtally.daemon.entry.binder import Binder, EffectRequest
 from amaranthtally.daemon.entry.bound import BoundRequest
+from amaranthtally.daemon.entry.caller_events import Chunk, Ending
 from amaranthtally.daemon.entry.event_stream import EventStream
 from amaranthtally.daemon.entry.executor import Executor
-from amaranthtally.daemon.entry.live_request import Chunk, Ending, LiveRequest
+from amaranthtally.daemon.entry.live_request import LiveRequest
 from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.pipelines import PipelineResolver
 from amaranthtally.daemon.entry.problems import (
@@ -113,7 +114,7 @@
         try:
             if checked.body.stream:
                 return await self._stream(request, live)
-            return self._answer(live, await live.ending())
+            return self._answer(live, await live.events.ending())
         except (asyncio.CancelledError, ConnectionResetError):
             self._executor.abandon(live)
             raise
@@ -239,7 +240,7 @@
     async def _stream(
         self, request: web.Request, live: LiveRequest
     ) -> web.StreamResponse:
-        first = await live.events.get()
+        first = await live.events.next()
         if isinstance(first, Ending) and first.refusal is not None:
             return self._answer(live, first)
         stream = EventStream(request, self._stall_timeout)
@@ -247,7 +248,7 @@
         event: Chunk | Ending = first
         while isinstance(event, Chunk):
             await stream.send("chunk", msgspec.json.encode({"text": event.text}))
-            event = await live.events.get()
+            event = await live.events.next()
         if event.refusal is None:
             await stream.send("done", event.answer)
             self._log_end(live, 200, "answered")
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -1,7 +1,7 @@
 """Carries out the policy's actions and feeds it what came of them."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import replace
 from typing import Any
@@ -266,11 +266,11 @@
         remaining_s = send.deadline - self._loop.time()
         call = build_call(request, send, self._revision, remaining_s)
 
-        async def on_chunk(offset: int, text: str) -> None:
-            self._take_chunk(request, attempt, endpoint, offset, text)
+        def on_chunks(offset: int, texts: Sequence[str]) -> None:
+            self._take_chunks(request, attempt, endpoint, offset, texts)
 
         try:
-            reply = await client.run(call, on_chunk if stage.streams else None)
+            reply = await client.run(call, on_chunks if stage.streams else None)
         except WireError as error:
             self._log_attempt(attempt, endpoint, "lost", str(error))
             self._ended(attempt, StageResult(Fate.LOST))
@@ -280,20 +280,21 @@
             self._metrics.region_crossed(stage.name, size)
         self._take_reply(request, attempt, endpoint, reply)
 
-    def _take_chunk(
+    def _take_chunks(
         self,
         request: LiveRequest,
         attempt: AttemptId,
         endpoint: Endpoint,
         offset: int,
-        text: str,
+        texts: Sequence[str],
     ) -> None:
-        fate = request.take_chunk(attempt, offset, text)
-        if fate is ChunkFate.TAKEN:
+        had = len(request.chunks)
+        fate = request.take_chunks(attempt, offset, texts)
+        if len(request.chunks) > had:
             self._carry_out(
                 self._planner.progress(self._loop.time(), attempt, len(request.chunks))
             )
-        elif fate is not ChunkFate.DROPPED:
+        if fate in (ChunkFate.DIVERGENT, ChunkFate.TOO_LONG):
             task = request.tasks[attempt]
             self._log_attempt(attempt, endpoint, "stream refused", fate.value)
             permanent = fate is ChunkFate.TOO_LONG
--- a/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
@@ -1,15 +1,17 @@
 """One request in flight: its payload, the results so far, its answer."""
 
 import asyncio
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 import msgspec
 
 from amaranthtally.daemon.entry.bound import BoundRequest
+from amaranthtally.daemon.entry.caller_events import CallerEvents, Ending
 from amaranthtally.daemon.entry.stream_text import ChunkFate, StreamText
 from amaranthtally.policy import Arrival, AttemptId, Outcome, Reason, Refuse
 
-__all__ = ["Chunk", "Ending", "LiveRequest", "StageRecord"]
+__all__ = ["LiveRequest", "StageRecord"]
 
 
 class StageRecord(msgspec.Struct, frozen=True):
@@ -39,21 +41,6 @@
     text: str
 
 
-@dataclass(frozen=True, slots=True)
-class Chunk:
-    """A piece of the last stage's text, on its way to the caller."""
-
-    text: str
-
-
-@dataclass(frozen=True, slots=True)
-class Ending:
-    """The end of a request: its answer, or its refusal."""
-
-    answer: bytes = b""
-    refusal: Refuse | None = None
-
-
 NO_RESULT = msgspec.Raw(b"null")
 
 
@@ -66,7 +53,7 @@
     revision: int
     bound: BoundRequest | None = None
     arrived: float = field(default_factory=lambda: asyncio.get_running_loop().time())
-    events: "asyncio.Queue[Chunk | Ending]" = field(default_factory=asyncio.Queue)
+    events: CallerEvents = field(default_factory=CallerEvents)
     tasks: dict[AttemptId, asyncio.Task[None]] = field(default_factory=dict)
     outputs: list[bytes] = field(default_factory=list)
     records: list[StageRecord] = field(default_factory=list)
@@ -87,13 +74,24 @@
         previous = msgspec.Raw(self.outputs[-1]) if self.outputs else NO_RESULT
         return msgspec.json.encode(_StageInput(msgspec.Raw(self.input), previous))
 
-    def take_chunk(self, attempt: AttemptId, offset: int, text: str) -> ChunkFate:
-        """Keep a chunk of an attempt that is still wanted, if it comes next."""
+    def take_chunks(
+        self, attempt: AttemptId, offset: int, texts: Sequence[str]
+    ) -> ChunkFate:
+        """
+        Keep consecutive chunks of an attempt still wanted, where they come next.
+
+        Returns what became of the last one looked at: none is after a bad one.
+        """
         if attempt not in self.tasks or attempt.stage != len(self.outputs):
             return ChunkFate.DROPPED
-        fate = self.chunks.take(offset, text)
-        if fate is ChunkFate.TAKEN and self.on_last_stage and self.arrival.streaming:
-            self.events.put_nowait(Chunk(text))
+        had = len(self.chunks)
+        fate = ChunkFate.DROPPED
+        for number, text in enumerate(texts, start=offset):
+            fate = self.chunks.take(number, text)
+            if fate in (ChunkFate.DIVERGENT, ChunkFate.TOO_LONG):
+                break
+        if self.on_last_stage and self.arrival.streaming:
+            self.events.put(self.chunks.after(had))
         return fate
 
     def take_output(self, output: bytes, record: StageRecord) -> None:
@@ -109,18 +107,11 @@
     def finish(self) -> None:
         """End the request with its whole answer."""
         answer = _Answer(self.id, msgspec.Raw(self.outputs[-1]), self.records)
-        self.events.put_nowait(Ending(answer=msgspec.json.encode(answer)))
+        self.events.end(Ending(answer=msgspec.json.encode(answer)))
 
     def refuse(self, refusal: Refuse) -> None:
         """End the request with a refusal."""
-        self.events.put_nowait(Ending(refusal=refusal))
-
-    async def ending(self) -> Ending:
-        """Wait for the end, passing over chunks."""
-        while True:
-            event = await self.events.get()
-            if isinstance(event, Ending):
-                return event
+        self.events.end(Ending(refusal=refusal))
 
     @staticmethod
     def refused_on_arrival(arrival: Arrival) -> Refuse:
--- a/packages/daemon/src/amaranthtally/daemon/entry/stream_text.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/stream_text.py
@@ -38,6 +38,10 @@
     def __str__(self) -> str:
         return "".join(self._chunks)
 
+    def after(self, count: int) -> list[str]:
+        """Return the chunks after the first ``count``."""
+        return self._chunks[count:]
+
     def take(self, offset: int, text: str) -> ChunkFate:
         """Keep a chunk if it comes next."""
         if offset > len(self._chunks):
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -2,10 +2,16 @@
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
 from amaranthtally.wire.connections import EntryConnections
-from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
+from amaranthtally.wire.errors import (
+    ChunkRefusedError,
+    PeerLostError,
+    ReplyMismatchError,
+    WireError,
+)
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
+    ChunksHandler,
     Greeting,
     Inquiry,
     Load,
@@ -25,6 +31,8 @@
 __all__ = [
     "CallId",
     "ChunkHandler",
+    "ChunkRefusedError",
+    "ChunksHandler",
     "EntryConnections",
     "Greeting",
     "Inquiry",
--- a/packages/wire/src/amaranthtally/wire/client.py
+++ b/packages/wire/src/amaranthtally/wire/client.py
@@ -7,7 +7,6 @@
 import capnp
 
 from amaranthtally.wire.codec import (
-    read_call_id,
     read_load,
     read_reply,
     schema,
@@ -18,7 +17,7 @@
 from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError
 from amaranthtally.wire.messages import (
     CallId,
-    ChunkHandler,
+    ChunksHandler,
     Greeting,
     Inquiry,
     Load,
@@ -32,35 +31,13 @@
     SettingsSource,
     entry_server,
     read_gap,
+    settings_server,
 )
+from amaranthtally.wire.streams import OpenStreams
 
 __all__ = ["SidecarClient", "connect_sidecar"]
 
 
-class _ChunkServer(schema.ChunkSink.Server):
-    """Takes the chunks of one call, and refuses those of any other."""
-
-    def __init__(self, peer: str, call_id: CallId, on_chunk: ChunkHandler) -> None:
-        self._peer = peer
-        self._call_id = call_id
-        self._on_chunk = on_chunk
-        self.foreign: CallId | None = None
-
-    async def chunk(
-        self,
-        id: Any,  # noqa: A002 - name fixed by the schema
-        offset: int,
-        text: str,
-        _context: Any,
-        **_: Any,
-    ) -> None:
-        found = read_call_id(id)
-        if found != self._call_id:
-            self.foreign = found
-            raise ReplyMismatchError(self._peer, self._call_id, found)
-        await self._on_chunk(offset, text)
-
-
 class SidecarClient:
     """
     One connection to one sidecar.
@@ -72,6 +49,7 @@
         self._peer = peer
         self._stream = stream
         self._calls = 0
+        self._streams = OpenStreams(peer)
         self._client = capnp.TwoPartyClient(stream)
         self._sidecar = self._client.bootstrap().cast_as(schema.Sidecar)
 
@@ -101,31 +79,35 @@
             self._sidecar.hello(
                 entry=entry,
                 revision=revision,
-                settings=entry_server(source, on_load or _no_load),
+                settings=entry_server(source, on_load or _no_load, self._streams),
             )
         )
         return Greeting(answer.endpoint, read_load(answer.load))
 
-    async def run(self, call: StageCall, on_chunk: ChunkHandler | None) -> StageReply:
+    async def run(self, call: StageCall, on_chunks: ChunksHandler | None) -> StageReply:
         """
         Run a stage. Cancelling the task cancels the call at the sidecar.
 
-        Raises ``ReplyMismatchError`` for a reply or a chunk of another call.
+        Chunks come through ``hello``'s capability: greet the sidecar first. Raises
+        ``ReplyMismatchError`` for a reply or a chunk of another call.
         """
         request = self._sidecar.run_request()
         write_call(request.call, call)
-        sink = _ChunkServer(self._peer, call.id, on_chunk or _no_chunk)
-        if on_chunk is not None:
-            request.sink = sink
+        if on_chunks is None:
+            return await self._run(call.id, request)
+        with self._streams.open(call.id, on_chunks) as stream:
+            request.stream = stream.number
+            reply = await self._run(call.id, request)
+            stream.check()
+            return reply
+
+    async def _run(self, call_id: CallId, request: Any) -> StageReply:
         self._calls += 1
         try:
             answer = await self._guard(request.send())
         finally:
             self._calls -= 1
-        reply = self._check(call.id, read_reply(answer.reply))
-        if sink.foreign is not None:
-            raise ReplyMismatchError(self._peer, call.id, sink.foreign)
-        return reply
+        return self._check(call_id, read_reply(answer.reply))
 
     async def cancel(self, call_id: CallId) -> StageReply:
         """Cancel a call and say whether it had started."""
@@ -168,9 +150,7 @@
     async def announce(self, revision: int, source: SettingsSource) -> int:
         """Tell the sidecar a revision that ``source`` has; return the sidecar's."""
         answer = await self._guard(
-            self._sidecar.announce(
-                revision=revision, source=entry_server(source, _no_load)
-            )
+            self._sidecar.announce(revision=revision, source=settings_server(source))
         )
         return int(answer.revision)
 
@@ -216,9 +196,5 @@
     """Drop news of a sidecar's load."""
 
 
-async def _no_chunk(offset: int, text: str) -> None:
-    """Drop a chunk of a call that does not stream."""
-
-
 def _short(error: Exception) -> str:
     return str(error).splitlines()[0]
--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -5,6 +5,7 @@
 Its objects have no static types: they are ``Any`` here and nowhere else.
 """
 
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -17,18 +18,21 @@
     StageCall,
     StageReply,
     Status,
+    StreamPart,
 )
 
 __all__ = [
     "read_call",
     "read_call_id",
     "read_load",
+    "read_part",
     "read_reply",
     "read_terms",
     "schema",
     "write_call",
     "write_call_id",
     "write_load",
+    "write_parts",
     "write_reply",
     "write_terms",
 ]
@@ -183,3 +187,26 @@
         run_s=to_seconds(source.runMicros),
         permit=source.permit,
     )
+
+
+# Streams
+
+
+def write_parts(request: Any, parts: Sequence[StreamPart]) -> None:
+    """Fill a ``chunks`` request."""
+    targets = request.init("parts", len(parts))
+    for target, part in zip(targets, parts, strict=True):
+        target.stream = part.stream
+        write_call_id(target.id, part.id)
+        target.offset = part.offset
+        target.texts = part.texts
+
+
+def read_part(source: Any) -> StreamPart:
+    """Return the stream part held by a reader."""
+    return StreamPart(
+        stream=source.stream,
+        id=read_call_id(source.id),
+        offset=source.offset,
+        texts=list(source.texts),
+    )
--- a/packages/wire/src/amaranthtally/wire/errors.py
+++ b/packages/wire/src/amaranthtally/wire/errors.py
@@ -1,6 +1,6 @@
 """Errors of the inner protocol."""
 
-__all__ = ["PeerLostError", "ReplyMismatchError", "WireError"]
+__all__ = ["ChunkRefusedError", "PeerLostError", "ReplyMismatchError", "WireError"]
 
 
 class WireError(Exception):
@@ -36,3 +36,13 @@
             f"(expected {expected}, found {found}); replace that sidecar"
         )
         self.peer = peer
+
+
+class ChunkRefusedError(WireError):
+    """A chunk could not be taken; what became of its call is not known."""
+
+    def __init__(self, peer: str, detail: str) -> None:
+        super().__init__(
+            f"chunk from {peer} could not be taken ({detail}); report this as a fault"
+        )
+        self.peer = peer
--- a/packages/wire/src/amaranthtally/wire/messages.py
+++ b/packages/wire/src/amaranthtally/wire/messages.py
@@ -1,12 +1,13 @@
 """Typed messages of the inner protocol, free of any transport."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
 from enum import Enum
 
 __all__ = [
     "CallId",
     "ChunkHandler",
+    "ChunksHandler",
     "Greeting",
     "Inquiry",
     "Load",
@@ -15,10 +16,13 @@
     "StageCall",
     "StageReply",
     "Status",
+    "StreamPart",
 ]
 
 # Receives the offset of a chunk in the stage's output, counted in chunks, and its text.
 ChunkHandler = Callable[[int, str], Awaitable[None]]
+# Receives the offset of the first of some consecutive chunks, and their texts.
+ChunksHandler = Callable[[int, Sequence[str]], None]
 
 
 class Status(Enum):
@@ -135,6 +139,21 @@
     permit: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class StreamPart:
+    """
+    Consecutive chunks of one stream on their way to an entry.
+
+    ``stream`` is the entry's number for the call ``id``; ``offset`` is that of the
+    first chunk. ``texts`` grows until the part is sent.
+    """
+
+    stream: int
+    id: CallId
+    offset: int
+    texts: list[str] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class Greeting:
     """A sidecar's answer to ``hello``."""
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -1,7 +1,7 @@
 """Server side of the inner protocol, run by a sidecar."""
 
 import asyncio
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
 from typing import Any, Protocol
 
@@ -11,14 +11,16 @@
     read_call,
     read_call_id,
     read_load,
+    read_part,
     read_terms,
     schema,
-    write_call_id,
     write_load,
+    write_parts,
     write_reply,
 )
 from amaranthtally.wire.connections import EntryConnections
 from amaranthtally.wire.errors import PeerLostError
+from amaranthtally.wire.joiner import ChunkJoiner, SendParts
 from amaranthtally.wire.messages import (
     CallId,
     ChunkHandler,
@@ -29,7 +31,9 @@
     SettingsGap,
     StageCall,
     StageReply,
+    StreamPart,
 )
+from amaranthtally.wire.streams import OpenStreams
 
 __all__ = [
     "LoadHandler",
@@ -38,6 +42,7 @@
     "SidecarHandler",
     "entry_server",
     "serve_sidecar",
+    "settings_server",
 ]
 
 
@@ -86,16 +91,33 @@
 # Servers
 
 
+class _SettingsServer(schema.SettingsPeer.Server):
+    def __init__(self, source: SettingsSource) -> None:
+        self._source = source
+
+    async def changesSince(  # noqa: N802 - name fixed by the schema
+        self, revision: int, _context: Any, **_: Any
+    ) -> None:
+        _write_gap(_context.results, self._source.changes_since(revision))
+
+
 class _EntryServer(schema.EntryPeer.Server):
-    def __init__(self, source: SettingsSource, on_load: LoadHandler) -> None:
+    def __init__(
+        self, source: SettingsSource, on_load: LoadHandler, streams: OpenStreams
+    ) -> None:
         self._source = source
         self._on_load = on_load
+        self._streams = streams
 
     async def loadChanged(  # noqa: N802 - name fixed by the schema
         self, load: Any, _context: Any, **_: Any
     ) -> None:
         self._on_load(read_load(load))
 
+    async def chunks(self, parts: Any, _context: Any, **_: Any) -> None:
+        for part in parts:
+            self._streams.take(read_part(part))
+
     async def changesSince(  # noqa: N802 - name fixed by the schema
         self, revision: int, _context: Any, **_: Any
     ) -> None:
@@ -106,6 +128,12 @@
     def __init__(self, handler: SidecarHandler, connections: EntryConnections) -> None:
         self._handler = handler
         self._connections = connections
+        self._joiner: ChunkJoiner | None = None
+
+    def end(self) -> None:
+        """Drop the chunks that can't be sent any more."""
+        if self._joiner is not None:
+            self._joiner.close()
 
     async def changesSince(  # noqa: N802 - name fixed by the schema
         self, revision: int, _context: Any, **_: Any
@@ -123,18 +151,18 @@
     ) -> None:
         greeting = await self._handler.hello(entry, revision, _fetcher(settings))
         self._connections.greeted(self, settings)
+        self._joiner = ChunkJoiner(_parts_sender(settings))
         _context.results.endpoint = greeting.endpoint
         write_load(_context.results.load, greeting.load)
 
-    async def run(self, call: Any, sink: Any, _context: Any, **_: Any) -> None:
+    async def run(self, call: Any, stream: int, _context: Any, **_: Any) -> None:
         wanted = read_call(call)
-
-        async def on_chunk(offset: int, text: str) -> None:
-            request = sink.chunk_request(offset=offset, text=text)
-            write_call_id(request.id, wanted.id)
-            await request.send()
-
-        reply = await self._handler.run(wanted, on_chunk)
+        if self._joiner is None or not stream:
+            reply = await self._handler.run(wanted, _no_chunk)
+        else:
+            with self._joiner.open(stream, wanted.id) as chunks:
+                reply = await self._handler.run(wanted, chunks.put)
+                await chunks.finish()
         write_reply(_context.results.reply, reply)
 
     async def cancel(self, id: Any, _context: Any, **_: Any) -> None:  # noqa: A002
@@ -165,9 +193,30 @@
         write_load(_context.results.load, self._handler.load())
 
 
-def entry_server(source: SettingsSource, on_load: LoadHandler) -> Any:
-    """Return the capability through which a sidecar reads ``source`` and tells news."""
-    return _EntryServer(source, on_load)
+def entry_server(
+    source: SettingsSource, on_load: LoadHandler, streams: OpenStreams
+) -> Any:
+    """Return what a sidecar reads ``source`` from, and tells news and chunks to."""
+    return _EntryServer(source, on_load, streams)
+
+
+async def _no_chunk(offset: int, text: str) -> None:
+    """Drop a chunk of a call that does not stream."""
+
+
+def settings_server(source: SettingsSource) -> Any:
+    """Return the capability through which a peer reads ``source``."""
+    return _SettingsServer(source)
+
+
+def _parts_sender(entry: Any) -> SendParts:
+    def send(parts: Sequence[StreamPart]) -> Awaitable[object]:
+        request = entry.chunks_request()
+        write_parts(request, parts)
+        sent: Awaitable[object] = request.send()
+        return sent
+
+    return send
 
 
 def _fetcher(peer: Any) -> SettingsFetcher:
@@ -215,6 +264,7 @@
             await server.on_disconnect()
         finally:
             known.closed(sidecar)
+            sidecar.end()
 
     listener = await capnp.AsyncIoStream.create_server(accept, host, port)
     try:
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -71,8 +71,13 @@
   permanent @9 :Bool;
 }
 
-interface ChunkSink {
-  chunk @0 (id :CallId, offset :UInt32, text :Text) -> ();
+# Consecutive chunks of one stream. The entry has numbered the stream and knows which
+# call it belongs to; the id must be that call's.
+struct StreamPart {
+  stream @0 :UInt32;
+  id @1 :CallId;
+  offset @2 :UInt32;
+  texts @3 :List(Text);
 }
 
 interface SettingsPeer {
@@ -86,11 +91,13 @@
 interface EntryPeer extends(SettingsPeer) {
   # Sent when a sidecar starts to leave, so that an idle entry learns of it too.
   loadChanged @0 (load :Load) -> ();
+  # Chunks of any number of streams; the answer lets the sidecar send more.
+  chunks @1 (parts :List(StreamPart)) -> ();
 }
 
 interface Sidecar extends(SettingsPeer) {
   hello @0 (entry :Text, revision :UInt64, settings :EntryPeer) -> (endpoint :Text, load :Load);
-  run @1 (call :StageCall, sink :ChunkSink) -> (reply :StageReply);
+  run @1 (call :StageCall, stream :UInt32) -> (reply :StageReply);
   cancel @2 (id :CallId) -> (reply :StageReply);
   inquire @3 (callKey :Text, terms :OnceTerms, inquiry :Inquiry) -> (reply :StageReply);
   load @4 () -> (load :Load);
--- a/tests/lifecycle/support.py
+++ b/tests/lifecycle/support.py
@@ -20,8 +20,9 @@
     Status,
     serve_sidecar,
 )
-from amaranthtally.wire.codec import read_call, write_call_id
+from amaranthtally.wire.codec import read_call, write_parts
 from amaranthtally.wire.loop import run
+from amaranthtally.wire.messages import StreamPart
 from amaranthtally.wire.server import _SidecarServer
 from tests.support import TEST_TIMEOUT_S, plan
 
@@ -119,29 +120,34 @@
 
 
 class MixingSidecar(FakeSidecar):
-    """Sends each stream's chunks to another call's sink, twice and out of order."""
+    """Sends each stream's chunks as another call's, twice and out of order."""
 
     def __init__(self, endpoint):
         super().__init__(endpoint)
-        self.sinks = []
+        self.streams = []
 
-    async def write_to_others(self, call, sink):
+    async def write_to_others(self, call, stream, entry):
         """Write this call's chunks where they don't belong."""
-        own = len(self.sinks)
-        self.sinks.append(sink)
+        own = len(self.streams)
+        self.streams.append(stream)
         await asyncio.sleep(0.05)
-        wrong = self.sinks[(own + 1) % len(self.sinks)]
+        wrong = self.streams[(own + 1) % len(self.streams)]
         for offset in (1, 0, 0, 2, 1):
-            request = wrong.chunk_request(offset=offset, text=chunk_text(call, offset))
-            write_call_id(request.id, call.id)
+            request = entry.chunks_request()
+            part = StreamPart(wrong, call.id, offset, [chunk_text(call, offset)])
+            write_parts(request, [part])
             with suppress(capnp.KjException):
                 await request.send()
 
 
 class _MixingServer(_SidecarServer):
-    async def run(self, call, sink, _context, **_):
-        await self._handler.write_to_others(read_call(call), sink)
-        await super().run(call, sink, _context)
+    async def hello(self, entry, revision, settings, _context, **_):
+        self.entry = settings
+        await super().hello(entry, revision, settings, _context)
+
+    async def run(self, call, stream, _context, **_):
+        await self._handler.write_to_others(read_call(call), stream, self.entry)
+        await super().run(call, stream, _context)
 
 
 @asynccontextmanager
