Read inner messages by field descriptors, not by name

Cause: pycapnp looks a field's name up as an attribute of the reader first, misses, and asks the schema then: 1.5 us a field against 0.4 us by its descriptor. A reply has 22 fields, a call 19. Writing by name has no such detour. The terms of calls that may not be repeated were written and read for every call; they are left out of the others now.

Ruled out: `to_dict` (62 us a reply against 51 by name); MessagePack inside a data field (3 us, but a second codec inside the first).

--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -3,9 +3,12 @@
 
 pycapnp reads the committed schema at import, so no generated code is needed.
 Its objects have no static types: they are ``Any`` here and nowhere else.
+
+Structs are read by field descriptors: reading by name takes four times as long, for
+an attribute is looked up and missed before the schema is asked.
 """
 
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -43,6 +46,16 @@
 MICROSECONDS = 1_000_000
 
 
+def _fields(struct: Any, *names: str) -> tuple[Any, ...]:
+    known = struct.schema.fields
+    return tuple(known[name] for name in names)
+
+
+def _read(source: Any, fields: tuple[Any, ...]) -> Iterator[Any]:
+    # The underscore keeps the method's name apart from those of the fields.
+    return map(source._get_by_field, fields)  # noqa: SLF001
+
+
 def to_micros(seconds: float) -> int:
     """Return whole microseconds, never below zero."""
     return max(0, int(seconds * MICROSECONDS))
@@ -63,9 +76,12 @@
     target.attempt = call_id.attempt
 
 
+_CALL_ID = _fields(schema.CallId, "requestId", "stage", "attempt")
+
+
 def read_call_id(source: Any) -> CallId:
     """Return the call id held by a reader."""
-    return CallId(source.requestId, source.stage, source.attempt)
+    return CallId(*_read(source, _CALL_ID))
 
 
 # Load
@@ -84,18 +100,43 @@
     target.clockMicros = to_micros(load.clock_s)
 
 
+_LOAD = _fields(
+    schema.Load,
+    "incarnation",
+    "running",
+    "queued",
+    "limit",
+    "leaving",
+    "serviceMicros",
+    "backlogMicros",
+    "revision",
+    "clockMicros",
+)
+
+
 def read_load(source: Any) -> Load:
     """Return the load held by a reader."""
+    (
+        incarnation,
+        running,
+        queued,
+        limit,
+        leaving,
+        service_micros,
+        backlog_micros,
+        revision,
+        clock_micros,
+    ) = _read(source, _LOAD)
     return Load(
-        incarnation=source.incarnation,
-        running=source.running,
-        queued=source.queued,
-        limit=source.limit,
-        leaving=source.leaving,
-        service_s=to_seconds(source.serviceMicros),
-        backlog_s=to_seconds(source.backlogMicros),
-        revision=source.revision,
-        clock_s=to_seconds(source.clockMicros),
+        incarnation=incarnation,
+        running=running,
+        queued=queued,
+        limit=limit,
+        leaving=leaving,
+        service_s=to_seconds(service_micros),
+        backlog_s=to_seconds(backlog_micros),
+        revision=revision,
+        clock_s=to_seconds(clock_micros),
     )
 
 
@@ -110,14 +151,15 @@
     target.fingerprint = terms.fingerprint
 
 
+_TERMS = _fields(
+    schema.OnceTerms, "incarnation", "issuedMicros", "permit", "fingerprint"
+)
+
+
 def read_terms(source: Any) -> OnceTerms:
     """Return the terms held by a reader."""
-    return OnceTerms(
-        incarnation=source.incarnation,
-        issued_s=to_seconds(source.issuedMicros),
-        permit=source.permit,
-        fingerprint=source.fingerprint,
-    )
+    incarnation, issued_micros, permit, fingerprint = _read(source, _TERMS)
+    return OnceTerms(incarnation, to_seconds(issued_micros), permit, fingerprint)
 
 
 # Calls and replies
@@ -125,67 +167,130 @@
 
 def write_call(target: Any, call: StageCall) -> None:
     """Fill a ``StageCall`` builder."""
-    write_call_id(target.id, call.id)
+    write_call_id(target.init("id"), call.id)
     target.account = call.account
     target.stageName = call.stage_name
     target.input = call.input
     target.remainingMicros = to_micros(call.remaining_s)
     target.priority = call.priority
     target.repeatable = call.repeatable
-    write_terms(target.terms, call.terms)
-    target.callKey = call.call_key
+    if not call.repeatable:
+        write_terms(target.init("terms"), call.terms)
+        target.callKey = call.call_key
     target.streaming = call.streaming
     target.resumeOffset = call.resume_offset
     target.model = call.model
     target.revision = call.revision
 
 
+_CALL = _fields(
+    schema.StageCall,
+    "id",
+    "account",
+    "stageName",
+    "input",
+    "remainingMicros",
+    "priority",
+    "repeatable",
+    "streaming",
+    "resumeOffset",
+    "model",
+    "revision",
+)
+_CALL_ONCE = _fields(schema.StageCall, "terms", "callKey")
+
+
 def read_call(source: Any) -> StageCall:
     """Return the stage call held by a reader."""
+    (
+        call_id,
+        account,
+        stage_name,
+        body,
+        remaining_micros,
+        priority,
+        repeatable,
+        streaming,
+        resume_offset,
+        model,
+        revision,
+    ) = _read(source, _CALL)
+    terms, call_key = OnceTerms(), ""
+    if not repeatable:
+        found, call_key = _read(source, _CALL_ONCE)
+        terms = read_terms(found)
     return StageCall(
-        id=read_call_id(source.id),
-        account=source.account,
-        stage_name=source.stageName,
-        input=bytes(source.input),
-        remaining_s=to_seconds(source.remainingMicros),
-        priority=source.priority,
-        repeatable=source.repeatable,
-        terms=read_terms(source.terms),
-        call_key=source.callKey,
-        streaming=source.streaming,
-        resume_offset=source.resumeOffset,
-        model=source.model,
-        revision=source.revision,
+        id=read_call_id(call_id),
+        account=account,
+        stage_name=stage_name,
+        input=bytes(body),
+        remaining_s=to_seconds(remaining_micros),
+        priority=priority,
+        repeatable=repeatable,
+        terms=terms,
+        call_key=call_key,
+        streaming=streaming,
+        resume_offset=resume_offset,
+        model=model,
+        revision=revision,
     )
 
 
 def write_reply(target: Any, reply: StageReply) -> None:
     """Fill a ``StageReply`` builder."""
-    write_call_id(target.id, reply.id)
+    write_call_id(target.init("id"), reply.id)
     target.status = reply.status.value
     target.output = reply.output
     target.reason = reply.reason
     target.retryAfterMicros = to_micros(reply.retry_after_s)
     target.permanent = reply.permanent
-    write_load(target.load, reply.load)
+    write_load(target.init("load"), reply.load)
     target.queuedMicros = to_micros(reply.queued_s)
     target.runMicros = to_micros(reply.run_s)
     target.permit = reply.permit
 
 
+_REPLY = _fields(
+    schema.StageReply,
+    "id",
+    "status",
+    "output",
+    "reason",
+    "retryAfterMicros",
+    "load",
+    "queuedMicros",
+    "runMicros",
+    "permit",
+    "permanent",
+)
+_STATUSES = {status.value: status for status in Status}
+
+
 def read_reply(source: Any) -> StageReply:
     """Return the stage reply held by a reader."""
+    (
+        call_id,
+        status,
+        output,
+        reason,
+        retry_after_micros,
+        load,
+        queued_micros,
+        run_micros,
+        permit,
+        permanent,
+    ) = _read(source, _REPLY)
     return StageReply(
-        id=read_call_id(source.id),
-        status=Status(str(source.status)),
-        output=bytes(source.output),
-        reason=source.reason,
-        retry_after_s=to_seconds(source.retryAfterMicros),
-        permanent=source.permanent,
-        load=read_load(source.load),
-        queued_s=to_seconds(source.queuedMicros),
-        run_s=to_seconds(source.runMicros),
-        permit=source.permit,
+        id=read_call_id(call_id),
+        status=_STATUSES[str(status)],
+        output=bytes(output),
+        reason=reason,
+        retry_after_s=to_seconds(retry_after_micros),
+        permanent=permanent,
+        load=read_load(load),
+        queued_s=to_seconds(queued_micros),
+        run_s=to_seconds(run_micros),
+        permit=permit,
     )
 
 
@@ -197,16 +302,15 @@
     targets = request.init("parts", len(parts))
     for target, part in zip(targets, parts, strict=True):
         target.stream = part.stream
-        write_call_id(target.id, part.id)
+        write_call_id(target.init("id"), part.id)
         target.offset = part.offset
         target.texts = part.texts
 
 
+_PART = _fields(schema.StreamPart, "stream", "id", "offset", "texts")
+
+
 def read_part(source: Any) -> StreamPart:
     """Return the stream part held by a reader."""
-    return StreamPart(
-        stream=source.stream,
-        id=read_call_id(source.id),
-        offset=source.offset,
-        texts=list(source.texts),
-    )
+    stream, call_id, offset, texts = _read(source, _PART)
+    return StreamPart(stream, read_call_id(call_id), offset, list(texts))
