--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -2,11 +2,17 @@
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
 from amaranthtally.wire.connections import EntryConnections
-from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
+from amaranthtally.wire.errors import (
+    ChunkRefusedError,
+    PeerLostError,
+    ReplyMismatchError,
+    WireError,
+)
 from amaranthtally.wire.messages import (
     CacheNews,
     CallId,
     ChunkHandler,
+    ChunksHandler,
     Greeting,
     Inquiry,
     Load,
@@ -27,6 +33,8 @@
     "CacheNews",
     "CallId",
     "ChunkHandler",
+    "ChunkRefusedError",
+    "ChunksHandler",
     "EntryConnections",
     "Greeting",
     "Inquiry",
