--- a/packages/daemon/src/amaranthtally/daemon/entry/admin.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/admin.py
@@ -50,6 +50,7 @@
     UndoRequest,
     Value,
 )
+from amaranthtally.settings.kinds import Role
 from amaranthtally.wire import Load
 
 __all__ = ["AdminApi", "AdminParts", "add_admin_routes"]
@@ -232,21 +233,18 @@
         self, view: SettingsView, name: str, table: dict[str, Any]
     ) -> EndpointRow:
         draining = view.value(Scope(), DRAIN_PREFIX + table["host"])
-        places = (table["pool"], table["host"], table["region"], table["address"])
         load = self._parts.loads.get(name)
-        if load is None:
-            return EndpointRow(name, *places, draining)
-        return EndpointRow(
+        row = EndpointRow(
             name,
-            *places,
+            table["pool"],
+            table["host"],
+            table["region"],
+            table["address"],
             draining,
-            True,
-            load.leaving,
-            load.running,
-            load.queued,
-            load.limit,
-            load.revision,
+            models=table.get("models", []),
+            role=table.get("role", Role.BOTH.value),
         )
+        return row if load is None else _with_load(row, load)
 
     @route("GET", f"{PREFIX}/status", Status)
     async def read_status(self, _: web.Request) -> Status:
@@ -254,6 +252,22 @@
         return self._parts.status()
 
 
+def _with_load(row: EndpointRow, load: Load) -> EndpointRow:
+    models = load.models
+    return msgspec.structs.replace(
+        row,
+        heard=True,
+        leaving=load.leaving,
+        running=load.running,
+        queued=load.queued,
+        limit=load.limit,
+        revision=load.revision,
+        served=None if models is None else sorted(models.served),
+        engine_role="" if models is None else models.role,
+        last_order="" if models is None else models.last_order,
+    )
+
+
 def add_admin_routes(app: web.Application, api: AdminApi) -> None:
     """Add the administration routes to an application."""
     for found in known_routes():
--- a/packages/daemon/src/amaranthtally/daemon/entry/committer.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/committer.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from contextlib import suppress
 from dataclasses import dataclass
 from datetime import UTC, datetime
@@ -29,6 +29,7 @@
     undo_ops,
     with_before,
 )
+from amaranthtally.settings.models import Served
 
 __all__ = ["ChangeConflict", "ChangeRejected", "CommitError", "Committer"]
 
@@ -69,7 +70,11 @@
 
 
 class Committer:
-    """Checks proposals against the newest tree and writes them to the platform."""
+    """
+    Checks proposals against the newest tree and writes them to the platform.
+
+    ``served`` returns the models that endpoints are known to answer now.
+    """
 
     def __init__(
         self,
@@ -77,11 +82,13 @@
         snapshots: SnapshotStore,
         state: SettingsState,
         follower: LogFollower,
+        served: Callable[[], Served] = dict,
     ) -> None:
         self._changes = changes
         self._snapshots = snapshots
         self._state = state
         self._follower = follower
+        self._served = served
         self._committing = asyncio.Lock()
         self._snapshot_block = 0
         self._tasks: set[asyncio.Task[None]] = set()
@@ -198,7 +205,7 @@
         winner = find_overlap(proposal.ops, since.ok_value)
         if winner is not None:
             return ChangeConflict(winner, tuple(differences(proposal.ops, winner)))
-        mistakes = check_ops(self._state.tree, proposal.ops)
+        mistakes = check_ops(self._state.tree, proposal.ops, self._served())
         return ChangeRejected(tuple(mistakes)) if mistakes else None
 
     async def _changes_after(self, base: int) -> Result[list[Change], CommitError]:
--- a/packages/daemon/src/amaranthtally/daemon/entry/inquiries.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/inquiries.py
@@ -156,4 +156,5 @@
         service_s=load.service_s,
         backlog_s=load.backlog_s,
         leaving=load.leaving,
+        models=None if load.models is None else load.models.served,
     )
--- a/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
@@ -11,6 +11,7 @@
     Stage,
 )
 from amaranthtally.settings import Scope, SettingsView
+from amaranthtally.settings.kinds import Role
 
 __all__ = ["PipelineResolver", "PolicySettingsBuilder"]
 
@@ -122,6 +123,7 @@
         data_centre=table["data_centre"],
         address=table["address"],
         models=tuple(table.get("models", ())),
+        takes_calls=table.get("role") != Role.PREFILL.value,
     )
 
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -1,6 +1,7 @@
 """Start, run and stop an entry."""
 
 import secrets
+from collections.abc import Callable, Mapping
 from contextlib import AsyncExitStack
 from dataclasses import dataclass
 from random import Random
@@ -45,6 +46,7 @@
 from amaranthtally.policy import Planner, PolicySettings
 from amaranthtally.settings import EntrySettings, SettingsView, Tree
 from amaranthtally.settings.documents import Status
+from amaranthtally.settings.models import Served
 from amaranthtally.wire import Load
 
 __all__ = ["run_entry"]
@@ -91,10 +93,14 @@
         hosts = {e.id: e.host for e in wanted.endpoints.values()}
         membership.settings_changed(hosts, view.drained_hosts)
 
-    parts = await _open_settings(settings, stack)
-    state = parts.state
     loads: dict[str, Load] = {}
 
+    def served() -> Served:
+        return _served_models(loads, peers)
+
+    parts = await _open_settings(settings, stack, served)
+    state = parts.state
+
     def on_load(endpoint: str, load: Load) -> None:
         loads[endpoint] = load
         membership.load_heard(endpoint, load)
@@ -194,6 +200,16 @@
     return EntryDeparture(executor, callers, server)
 
 
+def _served_models(loads: Mapping[str, Load], peers: Peers) -> Served:
+    # The word of a sidecar that is not connected may be old: a change must not be
+    # refused for what was loaded or not an hour ago.
+    return {
+        endpoint: load.models.served
+        for endpoint, load in loads.items()
+        if load.models is not None and peers.live_client(endpoint) is not None
+    }
+
+
 @dataclass(frozen=True, slots=True)
 class _SettingsParts:
     """Everything that keeps and changes the settings of an entry."""
@@ -207,7 +223,7 @@
 
 
 async def _open_settings(
-    settings: EntrySettings, stack: AsyncExitStack
+    settings: EntrySettings, stack: AsyncExitStack, served: Callable[[], Served]
 ) -> _SettingsParts:
     key_value = await stack.enter_async_context(
         open_key_value(settings.platform_url, settings.name)
@@ -216,7 +232,7 @@
     changes = ChangeStore(key_value)
     snapshots = SnapshotStore(key_value)
     follower = LogFollower(changes, snapshots, state)
-    committer = Committer(changes, snapshots, state, follower)
+    committer = Committer(changes, snapshots, state, follower, served)
     stack.push_async_callback(committer.close)
     sync = SettingsSync(settings.name, state, ENTRY_LINKS)
     stack.push_async_callback(sync.close)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
@@ -9,13 +9,20 @@
 
 from amaranthtally.wire import ChunkHandler, StageCall
 
-__all__ = ["Adapter", "EndpointError", "adapter_for", "adapter_kinds"]
+__all__ = [
+    "Adapter",
+    "EndpointError",
+    "ModelMissingError",
+    "adapter_for",
+    "adapter_kinds",
+]
 
 DONE_MARK = b"[DONE]"
 DATA_PREFIX = b"data: "
 CALL_MARGIN_S = 0.05
 MIN_PROGRESS_S = 0.25
 PROGRESS_SHARE = 0.5
+NOT_FOUND = 404
 
 
 class EndpointError(Exception):
@@ -30,6 +37,13 @@
         self.permanent = permanent
 
 
+class ModelMissingError(EndpointError):
+    """The engine refused a call before its start: it does not hold the model."""
+
+    def __init__(self, model: str) -> None:
+        super().__init__(f"the engine does not hold model {model!r}")
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointCall:
     """A stage call on its way to the endpoint."""
@@ -118,6 +132,9 @@
         headers=_JSON_HEADERS,
         timeout=_timeout(target.call),
     ) as response:
+        # An order of a former holder may have unloaded it since it was last seen.
+        if response.status == NOT_FOUND:
+            raise ModelMissingError(target.call.model)
         await _raise_for_status(response)
         async for line in response.content:
             if not line.startswith(DATA_PREFIX):
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/engine_orders.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/engine_orders.py
@@ -7,6 +7,10 @@
 import aiohttp
 import msgspec
 
+from amaranthtally.policy import EngineModels
+from amaranthtally.policy.model_orders import Load, Order, SetRole, Unload
+from amaranthtally.settings import ModelReference
+
 __all__ = ["EngineOrders", "Grant", "LeaseLapsedError", "OrderError", "boot_time"]
 
 ORDER_TIMEOUT_S = 2.0
@@ -40,11 +44,16 @@
 
 class _Order(msgspec.Struct):
     fencing: int
-    model: str
+    action: str
+    model: str = ""
+    adapter: str = ""
+    version: str = ""
+    role: str = ""
 
 
 class _EngineState(msgspec.Struct):
     models: list[str] = []
+    role: str = ""
 
 
 class EngineOrders:
@@ -60,8 +69,8 @@
         self._url = url
         self._clock = clock
 
-    async def models(self) -> frozenset[str]:
-        """Return the models that the engine has loaded; raises ``OrderError``."""
+    async def state(self) -> EngineModels:
+        """Return what the engine holds by its own word; raises ``OrderError``."""
         timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_S)
         try:
             async with self._session.get(
@@ -73,15 +82,15 @@
             raise OrderError(
                 f"engine's state unread: {type(error).__name__}"
             ) from error
-        return frozenset(state.models)
+        return EngineModels(frozenset(state.models), state.role)
 
-    async def load_model(self, model: str, grant: Grant) -> None:
-        """Order a model to be loaded; raises ``OrderError``."""
-        order = msgspec.json.encode(_Order(grant.fencing, model))
+    async def give(self, order: Order, grant: Grant) -> None:
+        """Give one order; raises ``OrderError``."""
+        body = msgspec.json.encode(_written(order, grant.fencing))
         try:
             async with self._session.post(
                 f"{self._url}/v1/orders",
-                data=self._checked(order, grant),
+                data=self._checked(body, grant),
                 timeout=aiohttp.ClientTimeout(total=ORDER_TIMEOUT_S),
             ) as response:
                 if response.status == CONFLICT:
@@ -101,3 +110,18 @@
         if self._clock() + ORDER_TIMEOUT_S > grant.until:
             raise LeaseLapsedError
         yield order
+
+
+def _written(order: Order, fencing: int) -> _Order:
+    match order:
+        case Load(model):
+            return _of_model("load", model, fencing)
+        case Unload(model):
+            return _of_model("unload", model, fencing)
+        case SetRole(role):
+            return _Order(fencing, "role", role=role)
+
+
+def _of_model(action: str, model: str, fencing: int) -> _Order:
+    named = ModelReference.parse(model)
+    return _Order(fencing, action, named.base, named.adapter, named.version)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -8,15 +8,13 @@
 
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.settings_sync import SettingsSync
-from amaranthtally.daemon.sidecar.adapters import (
-    EndpointCall,
-    EndpointError,
-    adapter_for,
-)
+from amaranthtally.daemon.sidecar.adapters import EndpointCall, adapter_for
+from amaranthtally.daemon.sidecar.endpoint_call import call_endpoint
 from amaranthtally.daemon.sidecar.handover import read_handover
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.daemon.sidecar.once import OnceCalls
 from amaranthtally.daemon.sidecar.records import Tombstones
+from amaranthtally.daemon.sidecar.served_models import ServedModels
 from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.policy import QueuedCall, RunQueue
 from amaranthtally.policy.handover import HandedLedgers, Handover
@@ -53,9 +51,11 @@
         session: aiohttp.ClientSession,
         metrics: SidecarMetrics,
         sync: SettingsSync,
+        models: ServedModels,
     ) -> None:
         self._settings = settings
         self._sync = sync
+        self._models = models
         self._session = session
         self._metrics = metrics
         self._adapter = adapter_for(settings.endpoint_kind)
@@ -118,6 +118,7 @@
             backlog_s=self._queue.backlog_s,
             clock_s=self.clock_s,
             revision=self._sync.revision,
+            models=self._models.state,
         )
 
     def changes_since(self, revision: int) -> SettingsGap:
@@ -132,7 +133,7 @@
     async def run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         """Run a stage call, or say that it was not run."""
         self._sync.heard(call.revision)
-        reply = await self._run(call, on_chunk)
+        reply = await self._run(self._models.named(call), on_chunk)
         self._metrics.call_ended(reply)
         return reply
 
@@ -178,7 +179,7 @@
             return "cancelled before start"
         if call.remaining_s <= 0:
             return "deadline passed"
-        return ""
+        return self._models.refusal(call.model)
 
     def cancel_waiting(self, call_id: CallId) -> bool:
         """Take a call out of the queue; false where it does not wait there."""
@@ -196,6 +197,10 @@
 
     async def run_in_turn(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         """Queue a call, run it in its turn, and return its reply."""
+        with self._models.use(call.model):
+            return await self._run_in_turn(call, on_chunk)
+
+    async def _run_in_turn(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         arrived = self._loop.time()
         self._serial += 1
         queued = QueuedCall(call.priority, arrived + call.remaining_s, self._serial)
@@ -230,40 +235,27 @@
         target = EndpointCall(
             self._session, self._settings.endpoint_url, call, on_chunk
         )
-        status, output, reason = Status.FINISHED, b"", ""
-        overloaded = permanent = False
         try:
-            output = await self._adapter(target)
-        except EndpointError as error:
-            status, reason = Status.FAILED, str(error)
-            permanent = error.permanent
-            overloaded = not permanent
-        except (aiohttp.ClientError, TimeoutError) as error:
-            status, reason = self._broken(call, error)
-            overloaded = True
+            end = await call_endpoint(self._adapter, target)
         except BaseException:
             self._queue.released()
             self._start_next()
             raise
+        if end.missing:
+            self._models.missed(call.model)
         ended = self._loop.time()
-        self._queue.finished(ended, ended - started, overloaded)
+        self._queue.finished(ended, ended - started, end.overloaded)
         self._start_next()
         return self.reply(
             call.id,
-            status,
-            output=output,
-            reason=reason,
+            end.status,
+            output=end.output,
+            reason=end.reason,
             queued_s=started - arrived,
             run_s=ended - started,
-            permanent=permanent,
+            permanent=end.permanent,
         )
 
-    def _broken(self, call: StageCall, error: Exception) -> tuple[Status, str]:
-        if isinstance(error, aiohttp.ClientConnectorError):
-            return Status.NOT_RUN, "endpoint unreachable"
-        status = Status.FAILED if call.repeatable else Status.UNKNOWN
-        return status, type(error).__name__
-
     # Queue
 
     def _start_next(self) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/orders.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/orders.py
@@ -1,35 +1,32 @@
 """Brings the engine's models to what the operators want, one holder at a time."""
 
 import asyncio
-import secrets
+from collections.abc import Awaitable, Callable
 from contextlib import suppress
 from random import uniform
-from typing import TypeVar
 
 import aiohttp
-import msgspec
-from result import Err, Result
 
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.daemon.sidecar.engine_orders import (
-    EngineOrders,
-    Grant,
-    OrderError,
-    boot_time,
-)
+from amaranthtally.daemon.sidecar.engine_orders import EngineOrders, OrderError
+from amaranthtally.daemon.sidecar.order_lease import NotHeldError, OrderLease
+from amaranthtally.daemon.sidecar.served_models import ServedModels
 from amaranthtally.daemon.sidecar.weights import WeightsError, copy_weights
-from amaranthtally.platform import LeaseClient, PlatformAnswerLost, PlatformError
-from amaranthtally.settings import Scope, SidecarSettings, Tree
+from amaranthtally.platform import LeaseClient
+from amaranthtally.policy import EngineModels, ModelPlan, WantedModels, plan_orders
+from amaranthtally.policy.model_orders import Load, Order, SetRole, Unload
+from amaranthtally.settings import (
+    Scope,
+    SidecarSettings,
+    Tree,
+    longest_deadline_s,
+    needed_models,
+)
 from amaranthtally.settings.catalogue import ENDPOINT_PREFIX
+from amaranthtally.settings.kinds import Role
 
 __all__ = ["ModelOrders"]
 
-ValueT = TypeVar("ValueT")
-KEY_PREFIX = "orders/"
-HOLDER_BYTES = 8
-# The platform counts the TTL from when it made the session, this process from
-# before it asked: the margin is for clocks that run at different rates.
-MARGIN_SHARE = 0.1
 RETRY_S = 0.5
 # An order of a paused former holder may have undone ours: look again now and then.
 RECONCILE_S = 15.0
@@ -37,105 +34,148 @@
 log = get_logger()
 
 
-class _Fence(msgspec.Struct, frozen=True):
-    """The value of an endpoint's key: its last fencing number, and who took it."""
-
-    fencing: int = 0
-    holder: str = ""
-
-
-class _NotHeldError(Exception):
-    """Another process holds the lease, or the platform cannot be reached."""
-
-
 class ModelOrders:
-    """
-    Loads wanted models under a fencing number that only rises.
-
-    The platform is written to for an order alone: a lease held for ever by each of
-    11,000 sidecars would take more renewals than it can bear.
-    """
+    """Plans the orders of one engine anew after each of them, and gives them."""
 
     def __init__(
-        self, settings: SidecarSettings, session: aiohttp.ClientSession
+        self,
+        settings: SidecarSettings,
+        session: aiohttp.ClientSession,
+        served: ServedModels,
+        announce: Callable[[], Awaitable[None]],
     ) -> None:
         self._settings = settings
         self._session = session
-        self._leases = LeaseClient(session, settings.platform_url)
+        self._served = served
+        self._announce = announce
         self._engine = EngineOrders(session, settings.endpoint_url)
-        self._key = KEY_PREFIX + settings.endpoint
-        self._holder = secrets.token_hex(HOLDER_BYTES)
-        self._wanted: frozenset[str] = frozenset()
-        self._changed = asyncio.Event()
+        self._lease = OrderLease(
+            LeaseClient(session, settings.platform_url),
+            settings.endpoint,
+            settings.order_lease_ttl,
+        )
+        self._tree = Tree()
+        self._wanted = WantedModels()
+        self._failures = 0
 
     def settings_changed(self, tree: Tree) -> None:
-        """Take the models of this endpoint's registration."""
+        """Take the models and the role of this endpoint's registration."""
+        self._tree = tree
         table = tree.get(Scope(), ENDPOINT_PREFIX + self._settings.endpoint) or {}
-        wanted = frozenset(table.get("models", ()))
+        wanted = WantedModels(
+            tuple(table.get("models", ())),
+            table.get("role", Role.BOTH.value),
+            table.get("model_slots", 0),
+        )
         if wanted != self._wanted:
             self._wanted = wanted
-            self._changed.set()
+            self._served.want(wanted)
 
     async def run(self) -> None:
         """Bring the engine to what is wanted, again and again; never returns."""
         while True:
-            wait_s = RECONCILE_S if await self._reconcile() else RETRY_S
+            wait_s = await self._reconcile()
             with suppress(TimeoutError):
                 async with asyncio.timeout(wait_s * uniform(0.75, 1.25)):
-                    await self._changed.wait()
-            self._changed.clear()
+                    await self._served.news.wait()
+            self._served.news.clear()
 
-    async def _reconcile(self) -> bool:
+    async def _reconcile(self) -> float:
+        """Take the next step; return after how many seconds to look again."""
+        try:
+            plan = await self._plan()
+        except OrderError as error:
+            return self._failed(str(error))
+        done = [await self._try(order) for order in plan.orders]
+        if not all(done):
+            return min(RECONCILE_S, RETRY_S * 2**self._failures)
+        self._failures = 0
+        # An engine's word of what it holds may lag behind an order.
+        return RETRY_S if done or plan.pending else RECONCILE_S
+
+    async def _plan(self) -> ModelPlan:
+        held = await self._engine.state()
+        before = self._served.answered
+        self._served.heard(held)
+        plan = plan_orders(
+            self._wanted,
+            held,
+            self._served.use_of_models(self._needed(held)),
+            self._settings.unload_wait + longest_deadline_s(self._tree),
+        )
+        self._served.follow(plan)
+        if plan.stuck:
+            self._note(f"{plan.stuck}; raise model_slots or take a model off")
+        if self._served.answered != before:
+            await self._announce()
+        return plan
+
+    def _needed(self, held: EngineModels) -> frozenset[str]:
+        # Costs a walk of the whole tree: only where a model might be unloaded.
+        if held.models <= frozenset(self._wanted.models):
+            return frozenset()
+        return needed_models(self._tree, self._settings.endpoint)
+
+    # One order
+
+    async def _try(self, order: Order) -> bool:
         try:
-            if not self._wanted:
-                return True
-            for model in sorted(self._wanted - await self._engine.models()):
-                await self._load(model)
-        except (OrderError, WeightsError, _NotHeldError) as error:
-            log.warning("model_order_failed", cause=str(error))
+            await self._give(order)
+        except (OrderError, WeightsError, NotHeldError) as error:
+            self._failed(f"{_words(order)} failed: {error}")
             return False
         return True
 
-    async def _load(self, model: str) -> None:
-        settings = self._settings
-        await copy_weights(
-            self._session, settings.platform_url, settings.endpoint_url, model
-        )
-        asked_at = boot_time()
-        session = _value(await self._leases.open_session(settings.order_lease_ttl))
-        try:
-            fencing = await self._take_number(session)
-            # Whoever held the lease before may have loaded the model meanwhile.
-            if model in await self._engine.models():
+    async def _give(self, order: Order) -> None:
+        wanted, revision = self._wanted, self._tree.revision
+        if isinstance(order, Load):
+            await copy_weights(
+                self._session,
+                self._settings.platform_url,
+                self._settings.endpoint_url,
+                order.model,
+            )
+        async with self._lease.hold(revision) as grant:
+            # Whoever held the lease before may have given the order meanwhile, and
+            # the operators may want something else by now.
+            done = _is_done(order, await self._engine.state())
+            if done or self._wanted != wanted:
                 return
-            ttl = settings.order_lease_ttl * (1 - MARGIN_SHARE)
-            await self._engine.load_model(model, Grant(fencing, asked_at + ttl))
-            log.info("model_ordered", model=model, fencing=fencing)
-        finally:
-            await self._leases.close_session(session)
-
-    async def _take_number(self, session: str) -> int:
-        held = _value(await self._leases.read(self._key))
-        fencing = _fence(held.value).fencing + 1
-        value = msgspec.json.encode(_Fence(fencing, self._holder))
-        taken = await self._leases.acquire(self._key, value, held.index, session)
-        if isinstance(taken, Err) and isinstance(taken.err_value, PlatformAnswerLost):
-            # The write may have taken effect: the number is ours if our name is on
-            # it. It can't be that of an earlier try, which had a lower number.
-            found = _fence(_value(await self._leases.read(self._key)).value)
-            if found != _Fence(fencing, self._holder):
-                raise _NotHeldError("another process took the lease")
-            return fencing
-        if not _value(taken):
-            raise _NotHeldError("another process holds the lease")
-        return fencing
-
-
-def _fence(value: bytes) -> _Fence:
-    return msgspec.json.decode(value, type=_Fence) if value else _Fence()
-
-
-def _value(answer: Result[ValueT, PlatformError]) -> ValueT:
-    if isinstance(answer, Err):
-        raise _NotHeldError(str(answer.err_value))
-    return answer.ok_value
+            await self._engine.give(order, grant)
+        log.info("model_ordered", **_fields(order), fencing=grant.fencing)
+        self._note(f"{_words(order)}: done")
+
+    # Outcomes
+
+    def _failed(self, cause: str) -> float:
+        self._failures += 1
+        log.warning("model_order_failed", cause=cause)
+        self._note(cause)
+        return min(RECONCILE_S, RETRY_S * 2**self._failures)
+
+    def _note(self, outcome: str) -> None:
+        self._served.last_order = outcome
+
+
+def _is_done(order: Order, held: EngineModels) -> bool:
+    match order:
+        case Load(model):
+            return model in held.models
+        case Unload(model):
+            return model not in held.models
+        case SetRole(role):
+            return role == held.role
+
+
+def _words(order: Order) -> str:
+    return " ".join(_fields(order).values())
+
+
+def _fields(order: Order) -> dict[str, str]:
+    match order:
+        case Load(model):
+            return {"order": "load", "model": model}
+        case Unload(model):
+            return {"order": "unload", "model": model}
+        case SetRole(role):
+            return {"order": "role", "role": role}
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -1,5 +1,6 @@
 """Start, run and stop a sidecar."""
 
+import asyncio
 from contextlib import AsyncExitStack
 
 import aiohttp
@@ -21,6 +22,7 @@
 from amaranthtally.daemon.sidecar.handover import endpoints_of, hand_over
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.daemon.sidecar.orders import ModelOrders
+from amaranthtally.daemon.sidecar.served_models import ServedModels
 from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.platform import CALLER_HEADER
 from amaranthtally.settings import SidecarSettings
@@ -45,7 +47,8 @@
         stack.push_async_callback(sync.close)
         run_beside(stack, sync.run())
         metrics = SidecarMetrics()
-        handler = StageHandler(settings, session, metrics, sync)
+        models = ServedModels(asyncio.get_running_loop().time)
+        handler = StageHandler(settings, session, metrics, sync, models)
         host, port = split_address(settings.wire_address)
         connections = EntryConnections()
         departure = Departure(settings, handler, connections)
@@ -54,7 +57,12 @@
             platform_session = await stack.enter_async_context(
                 aiohttp.ClientSession(headers={CALLER_HEADER: settings.endpoint})
             )
-            orders = ModelOrders(settings, platform_session)
+            orders = ModelOrders(
+                settings,
+                platform_session,
+                models,
+                lambda: connections.announce(handler.load()),
+            )
             state.listen(orders.settings_changed)
             run_beside(stack, orders.run())
         wire_port = await stack.enter_async_context(
--- a/packages/operator/src/amaranthtally/operator/fleet_commands.py
+++ b/packages/operator/src/amaranthtally/operator/fleet_commands.py
@@ -55,6 +55,9 @@
 def endpoints(
     *,
     pool: Annotated[str, Parameter(help="Only those of this pool.")] = "",
+    models: Annotated[
+        bool, Parameter(help="Show models, roles and orders.", negative="")
+    ] = False,
     target: Target,
 ) -> ExitCode:
     """Print the registered endpoints and what this entry last heard of them."""
@@ -66,13 +69,50 @@
     if target.json:
         print_document(Endpoints(found.revision, rows))
         return ExitCode.DONE
+    if models:
+        _print_models(rows)
+    else:
+        _print_loads(rows)
+    return ExitCode.DONE
+
+
+def _print_models(rows: list[EndpointRow]) -> None:
+    heads = ("ENDPOINT", "POOL", "WANTED", "SERVED", "ROLE", "LAST ORDER")
+    cells = [
+        (
+            row.id,
+            row.pool,
+            " ".join(row.models) or "any",
+            _served(row),
+            _role(row),
+            row.last_order or "-",
+        )
+        for row in rows
+    ]
+    print_table(heads, cells)
+
+
+def _served(row: EndpointRow) -> str:
+    if not row.heard:
+        return "not heard of"
+    if row.served is None:
+        return "any"
+    return " ".join(row.served) or "none"
+
+
+def _role(row: EndpointRow) -> str:
+    if row.engine_role in ("", row.role):
+        return row.role
+    return f"{row.engine_role}, to be {row.role}"
+
+
+def _print_loads(rows: list[EndpointRow]) -> None:
     heads = ("ENDPOINT", "POOL", "HOST", "REGION", "STATE", "RUNNING", "QUEUED")
     cells = [
         (row.id, row.pool, row.host, row.region, _state(row), row.running, row.queued)
         for row in rows
     ]
     print_table(heads, cells)
-    return ExitCode.DONE
 
 
 def _state(row: EndpointRow) -> str:
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -33,6 +33,13 @@
     PolicySettings,
     Stage,
 )
+from amaranthtally.policy.model_orders import (
+    EngineModels,
+    ModelPlan,
+    ModelUse,
+    WantedModels,
+    plan_orders,
+)
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
 
@@ -47,10 +54,13 @@
     "Cancel",
     "Counters",
     "Endpoint",
+    "EngineModels",
     "Fate",
     "Greet",
     "InvariantError",
     "LoadReport",
+    "ModelPlan",
+    "ModelUse",
     "Outcome",
     "Pipeline",
     "Planner",
@@ -62,4 +72,6 @@
     "Send",
     "Stage",
     "StageResult",
+    "WantedModels",
+    "plan_orders",
 ]
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -187,6 +187,8 @@
             return None
         load = self._loads.open(endpoint)
         left = request.arrival.deadline - now
+        if not load.answers(stage.model):
+            return None
         if load.leaving or left < PROBE_SLACK * self._times.needed_s(request.remaining):
             return None
         if not stage.repeatable and now - load.heard_at > HEARD_LATELY_S:
@@ -283,6 +285,6 @@
 
 
 def _runs(endpoint: Endpoint, stage: Stage) -> bool:
-    if endpoint.pool != stage.pool:
+    if endpoint.pool != stage.pool or not endpoint.takes_calls:
         return False
-    return not stage.model or not endpoint.models or stage.model in endpoint.models
+    return endpoint.is_meant_for(stage.model)
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -62,7 +62,11 @@
 
 @dataclass(frozen=True, slots=True)
 class LoadReport:
-    """An endpoint's load as its sidecar tells it; times in seconds."""
+    """
+    An endpoint's load as its sidecar tells it; times in seconds.
+
+    ``models`` are those that it answers now; ``None`` where it answers any.
+    """
 
     incarnation: int
     running: int
@@ -71,6 +75,7 @@
     service_s: float
     backlog_s: float
     leaving: bool
+    models: frozenset[str] | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/groups.py
+++ b/packages/policy/src/amaranthtally/policy/groups.py
@@ -38,7 +38,8 @@
         self._endpoints = endpoints
         self._by_pool = {}
         for endpoint in endpoints.values():
-            self._by_pool.setdefault(endpoint.pool, []).append(endpoint)
+            if endpoint.takes_calls:
+                self._by_pool.setdefault(endpoint.pool, []).append(endpoint)
         old = self._groups
         self._groups = {}
         for key, regions in old.items():
@@ -61,14 +62,23 @@
     def _build(self, key: tuple[str, str], members: set[str]) -> RegionGroups:
         pool, model = key
         regions: RegionGroups = {}
-        for endpoint in self._by_pool.get(pool, ()):
-            if not model or not endpoint.models or model in endpoint.models:
-                regions.setdefault(endpoint.region, []).append(endpoint)
+        for endpoint in self._meant_for(pool, model):
+            regions.setdefault(endpoint.region, []).append(endpoint)
         return {
             region: self._subset(region, group, members)
             for region, group in regions.items()
         }
 
+    def _meant_for(self, pool: str, model: str) -> list[Endpoint]:
+        """
+        Return the endpoints that are to answer a model, or the whole pool.
+
+        A request that was accepted before the operators took its model off every
+        endpoint still has to end: whoever says that it has the model gets it.
+        """
+        members = self._by_pool.get(pool, [])
+        return [e for e in members if e.is_meant_for(model)] or members
+
     def _subset(
         self, region: str, group: list[Endpoint], members: set[str]
     ) -> list[Endpoint]:
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -125,6 +125,7 @@
         "incarnation",
         "leaving",
         "limit",
+        "models",
         "outstanding",
     )
 
@@ -137,6 +138,7 @@
         self.asked_at = -1.0
         self.incarnation = 0
         self.leaving = False
+        self.models: frozenset[str] | None = None
         self.counted = False
         self._others = 0.0
         self._others_at = 0.0
@@ -145,6 +147,12 @@
         self._failing = 0.0
         self._failing_at = 0.0
 
+    def answers(self, model: str) -> bool:
+        """Whether it has a model, by its own word or else by its registration."""
+        if self.models is None or not model:
+            return self.endpoint.is_meant_for(model)
+        return model in self.models
+
     def others(self, now: float) -> float:
         """
         Return the smoothed calls of other entries; may be below 0.
@@ -223,6 +231,7 @@
         self._others_at = now
         self.heard_at = now
         self.limit = max(1, report.limit)
+        self.models = report.models
 
 
 class LoadTable:
--- a/packages/policy/src/amaranthtally/policy/membership.py
+++ b/packages/policy/src/amaranthtally/policy/membership.py
@@ -39,7 +39,13 @@
         for name in self._loads.ids():
             load = self._loads.find(name)
             new = settings.endpoints.get(name)
-            if load is not None and new != load.endpoint:
+            if load is None:
+                continue
+            stays = new is not None and new.takes_calls
+            if new is not None and stays and new.stands_like(load.endpoint):
+                # What runs there goes on, and its word of its models still holds.
+                load.endpoint = new
+            else:
                 self._forget(now, name)
 
     def prepare(self, now: float, stage: Stage) -> None:
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -61,7 +61,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """An endpoint and where it stands; ``address`` is its sidecar's ``ip:port``."""
+    """
+    An endpoint and where it stands; ``address`` is its sidecar's ``ip:port``.
+
+    ``models`` are those it is to answer, ``takes_calls`` whether its role is to.
+    """
 
     id: str
     pool: str
@@ -70,6 +74,21 @@
     data_centre: str
     address: str
     models: tuple[str, ...] = ()
+    takes_calls: bool = True
+
+    def is_meant_for(self, model: str) -> bool:
+        """Whether it is to answer a model, loaded or not; an empty one is any."""
+        return not model or not self.models or model in self.models
+
+    def stands_like(self, other: "Endpoint") -> bool:
+        """Whether both are one server at one place, whatever it holds."""
+        return (
+            self.pool == other.pool
+            and self.host == other.host
+            and self.region == other.region
+            and self.data_centre == other.data_centre
+            and self.address == other.address
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/once.py
+++ b/packages/policy/src/amaranthtally/policy/once.py
@@ -237,6 +237,7 @@
         endpoint
         for endpoint in sorted(endpoints, key=lambda e: e.id)
         if endpoint.pool == pool
+        and endpoint.takes_calls
         and not (endpoint.id in loads and loads[endpoint.id].leaving)
     ]
     if not able:
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -122,10 +122,10 @@
         regions = self._groups.of(wanted.stage)
         group = regions.get(self._region, [])
         held = self._held_shares(now, wanted, group)
-        loads = [*self._draw(group, wanted.avoid), *self._holders(held, wanted.avoid)]
+        loads = [*self._draw(group, wanted), *self._holders(held, wanted)]
         for region, others in regions.items():
             if region != self._region:
-                loads.extend(self._draw(others, wanted.avoid, AWAY_CHOICES))
+                loads.extend(self._draw(others, wanted, AWAY_CHOICES))
         return self._best(now, wanted, stats, loads, held)
 
     def predict(
@@ -139,26 +139,26 @@
     def _draw(
         self,
         group: Sequence[Endpoint],
-        avoid: frozenset[str],
+        wanted: RouteRequest,
         choices: int = CHOICES,
     ) -> list[EndpointLoad]:
         if len(group) <= choices:
-            return self._usable(group, avoid)
+            return self._usable(group, wanted)
         drawn = [self._random.choice(group) for _ in range(choices)]
-        found = self._usable({e.id: e for e in drawn}.values(), avoid)
+        found = self._usable({e.id: e for e in drawn}.values(), wanted)
         # Most of a group may be leaving or ejected; the subset is bounded, so a
         # look at all of it still costs the same whatever the pool's size.
-        return found or self._usable(group, avoid)
+        return found or self._usable(group, wanted)
 
     def _usable(
-        self, group: Iterable[Endpoint], avoid: frozenset[str]
+        self, group: Iterable[Endpoint], wanted: RouteRequest
     ) -> list[EndpointLoad]:
         found = []
         for endpoint in group:
-            if endpoint.id in avoid or self._ejections.is_ejected(endpoint.id):
+            if endpoint.id in wanted.avoid or self._ejections.is_ejected(endpoint.id):
                 continue
             load = self._loads.open(endpoint)
-            if not load.leaving:
+            if not load.leaving and load.answers(wanted.stage.model):
                 found.append(load)
         return found
 
@@ -176,10 +176,10 @@
         return held
 
     def _holders(
-        self, held: dict[str, float], avoid: frozenset[str]
+        self, held: dict[str, float], wanted: RouteRequest
     ) -> list[EndpointLoad]:
         found = [self._groups.find(endpoint) for endpoint in held]
-        return self._usable([e for e in found if e is not None], avoid)
+        return self._usable([e for e in found if e is not None], wanted)
 
     # Weighing
 
--- a/packages/settings/src/amaranthtally/settings/__init__.py
+++ b/packages/settings/src/amaranthtally/settings/__init__.py
@@ -3,6 +3,11 @@
 from amaranthtally.settings.checks import Mistake, check_ops
 from amaranthtally.settings.keys import Key, find_key, known_keys, nearest_key
 from amaranthtally.settings.log import ChangeLog, Gap, decode_change, encode_change
+from amaranthtally.settings.models import (
+    ModelReference,
+    longest_deadline_s,
+    needed_models,
+)
 from amaranthtally.settings.process import (
     EntrySettings,
     SettingsFileError,
@@ -36,6 +41,7 @@
     "Key",
     "Level",
     "Mistake",
+    "ModelReference",
     "Op",
     "Proposal",
     "Scope",
@@ -57,7 +63,9 @@
     "known_keys",
     "load_entry_settings",
     "load_sidecar_settings",
+    "longest_deadline_s",
     "nearest_key",
+    "needed_models",
     "undo_ops",
     "with_before",
 ]
--- a/packages/settings/src/amaranthtally/settings/catalogue.py
+++ b/packages/settings/src/amaranthtally/settings/catalogue.py
@@ -6,6 +6,7 @@
 from amaranthtally.settings.kinds import (
     EndpointRegistration,
     flag,
+    model,
     name,
     names,
     number,
@@ -15,7 +16,13 @@
 )
 from amaranthtally.settings.tree import Level
 
-__all__ = ["ACCOUNT_KEY", "DRAIN_PREFIX", "ENDPOINT_PREFIX", "NEXT_ACCOUNT_KEY"]
+__all__ = [
+    "ACCOUNT_KEY",
+    "DRAIN_PREFIX",
+    "ENDPOINT_PREFIX",
+    "MAX_DEADLINE_MS",
+    "NEXT_ACCOUNT_KEY",
+]
 
 ACCOUNT_KEY = "key_sha256"
 NEXT_ACCOUNT_KEY = "next_key_sha256"
@@ -87,9 +94,9 @@
     return ""
 
 
-@key("stage.NAME.model", name(), default="")
+@key("stage.NAME.model", model(), default="")
 def _stage_model(_: Any) -> str:
-    """Model, adapter or version that the stage asks for."""
+    """Model that the stage asks for: BASE, BASE+ADAPTER, or either @VERSION."""
     return ""
 
 
@@ -172,8 +179,14 @@
 
 
 @key("endpoint.ID", table(EndpointRegistration), placement=AT_FIRM)
-def _endpoint(_: Any) -> str:
-    """Registration of an endpoint: its pool, its place, its sidecar's address."""
+def _endpoint(value: Any) -> str:
+    """Registration of an endpoint: pool, place, sidecar's address, models, role."""
+    models = value.get("models", [])
+    slots = value.get("model_slots", 0)
+    if len(set(models)) != len(models):
+        return "names a model twice; name each once"
+    if slots and len(models) > slots:
+        return f"{len(models)} models are more than model_slots {slots}; take some off"
     return ""
 
 
--- a/packages/settings/src/amaranthtally/settings/checks.py
+++ b/packages/settings/src/amaranthtally/settings/checks.py
@@ -10,13 +10,19 @@
     ENDPOINT_PREFIX,
 )
 from amaranthtally.settings.keys import find_key, nearest_key
+from amaranthtally.settings.kinds import Role
+from amaranthtally.settings.models import (
+    ANY_MODEL,
+    STAGE_PREFIX,
+    STAGES_KEY,
+    Served,
+    offers,
+)
 from amaranthtally.settings.tree import Op, Scope, Tree
 
 __all__ = ["Mistake", "check_ops"]
 
-ANY_MODEL = ""
-STAGES_KEY = "stages"
-STAGE_PREFIX = "stage."
+NOTHING_SERVED: Served = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,14 +37,21 @@
         return f"{self.key} at {self.scope}: {self.detail}"
 
 
-def check_ops(tree: Tree, ops: Iterable[Op]) -> list[Mistake]:
-    """Return what forbids committing ``ops`` on ``tree``; empty when nothing."""
+def check_ops(
+    tree: Tree, ops: Iterable[Op], served: Served = NOTHING_SERVED
+) -> list[Mistake]:
+    """
+    Return what forbids committing ``ops`` on ``tree``; empty when nothing.
+
+    ``served`` holds the models that engines are known to answer now, by endpoint:
+    a pipeline is not switched to a model that none of its pool has loaded yet.
+    """
     batch = list(ops)
     mistakes = [found for op in batch if (found := _check_op(op)) is not None]
     if mistakes:
         return mistakes
     after = tree.apply(batch)
-    return [*_unknown_names(after, batch), *_unusable(tree, after, batch)]
+    return [*_unknown_names(after, batch), *_unusable(tree, after, batch, served)]
 
 
 # Keys and values
@@ -102,12 +115,15 @@
     detail: str
 
 
-def _unusable(before: Tree, after: Tree, batch: list[Op]) -> list[Mistake]:
+def _unusable(
+    before: Tree, after: Tree, batch: list[Op], served: Served
+) -> list[Mistake]:
     """Return the pipelines that the batch breaks; older faults don't block it."""
     prefixes = (STAGES_KEY, STAGE_PREFIX, ENDPOINT_PREFIX, DRAIN_PREFIX)
     if not any(op.key.startswith(prefixes) for op in batch):
         return []
-    offered, offered_before = _offered_models(after), _offered_models(before)
+    offered_before = _offered_models(before, served)
+    offered = _offered_models(after, served, _role_changes(before, after, batch))
     scopes = _affected(after, batch, _has_less(offered_before, offered))
     faults = _faults(after, scopes, offered)
     if not faults:
@@ -164,23 +180,43 @@
     model_key = f"{STAGE_PREFIX}{stage}.model"
     model = tree.resolve(scope, model_key) or ANY_MODEL
     if model != ANY_MODEL and not models & {model, ANY_MODEL}:
-        remedy = _nearest_name(model, models, "load it on an endpoint first")
+        remedy = _nearest_name(
+            model,
+            models,
+            "load it on an endpoint first, or keep it on one that is not changing "
+            "its role ('amaranthtally endpoints' shows what is loaded)",
+        )
         detail = f"no endpoint of pool {pool!r} offers model {model!r}; {remedy}"
         yield _Fault(scope, model_key, detail)
 
 
-def _offered_models(tree: Tree) -> dict[str, set[str]]:
+def _offered_models(
+    tree: Tree, served: Served, busy: frozenset[str] = frozenset()
+) -> dict[str, set[str]]:
     """Return the models by pool, over the endpoints that take work."""
     offered: dict[str, set[str]] = {}
+    for offer in offers(tree, served):
+        if offer.endpoint not in busy:
+            offered.setdefault(offer.pool, set()).update(offer.models)
+    return offered
+
+
+def _role_changes(before: Tree, after: Tree, batch: list[Op]) -> frozenset[str]:
+    """
+    Return the endpoints that take no calls for a while: their role changes.
+
+    A pool whose engines all changed their role at once would refuse every call
+    until the last running one had ended.
+    """
     firm = Scope()
-    for _, key, value in tree.items():
-        if not key.startswith(ENDPOINT_PREFIX):
-            continue
-        if tree.get(firm, DRAIN_PREFIX + value["host"]):
+    changed = set()
+    for op in batch:
+        old, new = before.get(firm, op.key), after.get(firm, op.key)
+        if not op.key.startswith(ENDPOINT_PREFIX) or old is None or new is None:
             continue
-        models = value.get("models") or (ANY_MODEL,)
-        offered.setdefault(value["pool"], set()).update(models)
-    return offered
+        if old.get("role", Role.BOTH.value) != new.get("role", Role.BOTH.value):
+            changed.add(op.key.removeprefix(ENDPOINT_PREFIX))
+    return frozenset(changed)
 
 
 def _pipeline_scopes(tree: Tree) -> list[Scope]:
--- a/packages/settings/src/amaranthtally/settings/documents.py
+++ b/packages/settings/src/amaranthtally/settings/documents.py
@@ -89,7 +89,12 @@
 
 
 class EndpointRow(msgspec.Struct, frozen=True):
-    """An endpoint as this entry sees it; ``heard`` is false before any load came."""
+    """
+    An endpoint as this entry sees it; ``heard`` is false before any load came.
+
+    ``models`` and ``role`` are what the operators want; ``served`` (``None`` where
+    it answers any model), ``engine_role`` and ``last_order`` are its sidecar's word.
+    """
 
     id: str
     pool: str
@@ -103,6 +108,11 @@
     queued: int = 0
     limit: int = 0
     revision: int = 0
+    models: list[str] = []
+    role: str = "both"
+    served: list[str] | None = None
+    engine_role: str = ""
+    last_order: str = ""
 
 
 class Endpoints(msgspec.Struct, frozen=True):
--- a/packages/settings/src/amaranthtally/settings/kinds.py
+++ b/packages/settings/src/amaranthtally/settings/kinds.py
@@ -1,16 +1,20 @@
 """Kinds of values that a key may take."""
 
 from dataclasses import dataclass
+from enum import Enum
 from typing import Annotated, Any, Literal
 
 import msgspec
 from msgspec import Meta
 
 __all__ = [
+    "MODEL_PATTERN",
     "EndpointRegistration",
     "Kind",
+    "Role",
     "choice",
     "flag",
+    "model",
     "name",
     "names",
     "number",
@@ -20,6 +24,9 @@
 ]
 
 NAME_PATTERN = r"^[a-z0-9][a-zA-Z0-9_.-]{0,62}$"
+PART = r"[a-z0-9][a-zA-Z0-9_.-]{0,62}"
+VERSION = r"[a-zA-Z0-9][a-zA-Z0-9_.-]{0,62}"
+MODEL_PATTERN = rf"^{PART}(\+{PART})?(@{VERSION})?$"
 ADDRESS_PATTERN = r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$"
 UNBOUNDED = float("inf")
 
@@ -32,11 +39,26 @@
     text: str
 
 
+class Role(Enum):
+    """
+    What a model engine does of a call: the prompt, the answer, or both.
+
+    An engine with the role ``prefill`` cannot answer and takes no calls; one with
+    ``decode`` takes them, but is slow at prompts that it has not cached.
+    """
+
+    BOTH = "both"
+    PREFILL = "prefill"
+    DECODE = "decode"
+
+
 class EndpointRegistration(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     """
     Where an endpoint stands; ``address`` is its sidecar's ``ip:port``.
 
-    An empty list of ``models`` stands for any model.
+    An empty list of ``models`` stands for any model; a call that names none gets
+    the first. ``model_slots`` is how many models fit into the engine's memory at
+    once; 0 sets no bound.
     """
 
     pool: Annotated[str, Meta(pattern=NAME_PATTERN)]
@@ -44,7 +66,9 @@
     region: Annotated[str, Meta(pattern=NAME_PATTERN)]
     data_centre: Annotated[str, Meta(pattern=NAME_PATTERN)]
     address: Annotated[str, Meta(pattern=ADDRESS_PATTERN)]
-    models: list[str] = []
+    models: list[Annotated[str, Meta(pattern=MODEL_PATTERN)]] = []
+    role: Role = Role.BOTH
+    model_slots: Annotated[int, Meta(ge=0)] = 0
 
 
 def whole(low: int, high: int) -> Kind:
@@ -83,6 +107,11 @@
     return Kind(Annotated[list[item], Meta(min_length=at_least)], "a list of names")
 
 
+def model() -> Kind:
+    """Return the kind of references to models."""
+    return text(MODEL_PATTERN, "a model as BASE, BASE+ADAPTER or either @VERSION")
+
+
 def choice(*options: str) -> Kind:
     """Return the kind of texts that are one of ``options``."""
     return Kind(Literal[options], "one of " + ", ".join(options))
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -59,6 +59,7 @@
     endpoint_kind: Name
     platform_url: Annotated[str, Meta(pattern=r"^(https?://[^\s]+)?$")] = ""
     order_lease_ttl: Annotated[float, Meta(ge=3)] = 10.0
+    unload_wait: Annotated[float, Meta(ge=0)] = 30.0
     concurrency: Count = 4
     queue_capacity: Count = 64
     record_ttl: Positive = 900.0
--- a/packages/standins/src/amaranthtally/standins/engine.py
+++ b/packages/standins/src/amaranthtally/standins/engine.py
@@ -38,11 +38,19 @@
 
 class _Order(msgspec.Struct):
     fencing: int
-    model: str
+    action: str = "load"
+    model: str = ""
     adapter: str = ""
     version: str = ""
     role: str = ""
 
+    @property
+    def name(self) -> str:
+        """The name under which calls ask for what the order loads."""
+        adapter = f"+{self.adapter}" if self.adapter else ""
+        version = f"@{self.version}" if self.version else ""
+        return self.model + adapter + version
+
 
 def words_for(prompt: str, count: int) -> list[str]:
     """Return the words that every engine gives for a prompt."""
@@ -74,6 +82,7 @@
         self._loads: deque[tuple[float, int]] = deque([(0.0, 0)], maxlen=1000)
         self._fencing = 0
         self._models: list[str] = []
+        self._role = "both"
         self._cancelled: set[str] = set()
 
     def add_routes(self, app: web.Application) -> None:
@@ -89,6 +98,8 @@
 
     async def _complete(self, request: web.Request) -> web.StreamResponse:
         wanted = msgspec.json.decode(await request.read(), type=_Completion)
+        if not self._answers(wanted.model):
+            return json_response({"error": f"no model {wanted.model}"}, 404)
         self._note_load(1)
         try:
             fault = await self.before_effect()
@@ -100,6 +111,7 @@
                     "request_id": wanted.request_id,
                     "resume_offset": wanted.resume_offset,
                     "cached_blocks": hits,
+                    "model": wanted.model,
                 }
             )
             words = words_for(wanted.prompt, wanted.max_tokens or self.knobs.tokens)
@@ -120,6 +132,9 @@
                 await asyncio.sleep(self.knobs.token_time)
             if wanted.request_id in self._cancelled:
                 break
+            if not self._answers(wanted.model):
+                self._cut(request, wanted)
+                return response
             await response.write(
                 b"data: " + msgspec.json.encode(_chunk(word)) + b"\n\n"
             )
@@ -132,6 +147,17 @@
         await response.write_eof()
         return response
 
+    def _cut(self, request: web.Request, wanted: _Completion) -> None:
+        self.records.append({"cut": wanted.request_id, "model": wanted.model})
+        if request.transport is not None:
+            request.transport.abort()
+
+    def _answers(self, model: str) -> bool:
+        """Whether a model can be asked; any, as long as none was ever loaded."""
+        if self._role == "prefill":
+            return False
+        return not model or not self._fencing or model in self._models
+
     async def _cancel(self, request: web.Request) -> web.Response:
         self._cancelled.add(request.match_info["request_id"])
         return web.Response(text="ok\n")
@@ -146,7 +172,11 @@
         seen = time.monotonic() - self.knobs.load_lag
         running = [load for at, load in self._loads if at <= seen]
         return json_response(
-            {"running": running[-1] if running else 0, "models": self._models}
+            {
+                "running": running[-1] if running else 0,
+                "models": self._models,
+                "role": self._role,
+            }
         )
 
     # Prefix cache, its events late and with gaps
@@ -209,10 +239,23 @@
         if self.knobs.fencing and order.fencing < self._fencing:
             return json_response({"error": "old fencing number"}, 409)
         self._fencing = max(self._fencing, order.fencing)
-        if order.model not in self._models:
-            self._models.append(order.model)
-        self.records.append({"order": order.model, "fencing": order.fencing})
-        return json_response({"models": self._models})
+        self._obey(order)
+        self.records.append(
+            {
+                "order": order.name or order.role,
+                "action": order.action,
+                "fencing": order.fencing,
+            }
+        )
+        return json_response({"models": self._models, "role": self._role})
+
+    def _obey(self, order: _Order) -> None:
+        if order.action == "role":
+            self._role = order.role
+        elif order.action == "unload":
+            self._models = [name for name in self._models if name != order.name]
+        elif order.name not in self._models:
+            self._models.append(order.name)
 
 
 def _chunk(text: str) -> dict[str, Any]:
--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -13,6 +13,7 @@
 from amaranthtally.wire.messages import (
     CallId,
     Load,
+    ModelState,
     OnceTerms,
     StageCall,
     StageReply,
@@ -78,6 +79,8 @@
     target.backlogMicros = to_micros(load.backlog_s)
     target.revision = load.revision
     target.clockMicros = to_micros(load.clock_s)
+    if load.models is not None:
+        _write_models(target.models, load.models)
 
 
 def read_load(source: Any) -> Load:
@@ -92,9 +95,23 @@
         backlog_s=to_seconds(source.backlogMicros),
         revision=source.revision,
         clock_s=to_seconds(source.clockMicros),
+        models=_read_models(source.models),
     )
 
 
+def _write_models(target: Any, models: ModelState) -> None:
+    target.served = sorted(models.served)
+    target.role = models.role
+    target.lastOrder = models.last_order
+    target.known = True
+
+
+def _read_models(source: Any) -> ModelState | None:
+    if not source.known:
+        return None
+    return ModelState(frozenset(source.served), source.role, source.lastOrder)
+
+
 # Terms of calls that may not be repeated
 
 
--- a/packages/wire/src/amaranthtally/wire/messages.py
+++ b/packages/wire/src/amaranthtally/wire/messages.py
@@ -10,6 +10,7 @@
     "Greeting",
     "Inquiry",
     "Load",
+    "ModelState",
     "OnceTerms",
     "SettingsGap",
     "StageCall",
@@ -53,6 +54,19 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class ModelState:
+    """
+    The models that an engine answers now, its role, and its last order.
+
+    ``last_order`` is in words for operators; empty before any order.
+    """
+
+    served: frozenset[str] = frozenset()
+    role: str = ""
+    last_order: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """
@@ -61,7 +75,8 @@
     ``service_s`` is the smoothed time the endpoint takes for one call and
     ``backlog_s`` the predicted wait of a new call, both in seconds.
     ``incarnation`` is drawn anew at each start of the sidecar; ``clock_s`` is the
-    time on that incarnation's own clock.
+    time on that incarnation's own clock. ``models`` is ``None`` where any model is
+    answered.
     """
 
     incarnation: int = 0
@@ -73,6 +88,7 @@
     backlog_s: float = 0.0
     revision: int = 0
     clock_s: float = 0.0
+    models: ModelState | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -16,6 +16,15 @@
   attempt @2 :UInt16;
 }
 
+struct ModelState {
+  # What a model engine answers now, its role, and what became of the last order.
+  served @0 :List(Text);
+  role @1 :Text;
+  lastOrder @2 :Text;
+  # False where any model is answered; the rest is empty then.
+  known @3 :Bool;
+}
+
 struct Load {
   incarnation @0 :UInt64;
   running @1 :UInt32;
@@ -26,6 +35,7 @@
   revision @6 :UInt64;
   backlogMicros @7 :UInt64;
   clockMicros @8 :UInt64;
+  models @9 :ModelState;
 }
 
 struct OnceTerms {
--- a/tests/lifecycle/test_orders.py
+++ b/tests/lifecycle/test_orders.py
@@ -13,6 +13,7 @@
     Grant,
     LeaseLapsedError,
 )
+from amaranthtally.policy.model_orders import Load
 from amaranthtally.standins.deployment import open_deployment
 from tests.support import plan, run_async
 
@@ -118,9 +119,9 @@
             (pair,) = deployment.endpoints.values()
             engine = EngineOrders(session, pair.service_url, clock=lambda: 100.0)
             with pytest.raises(LeaseLapsedError):
-                await engine.load_model("old", Grant(1, until=101.0))
+                await engine.give(Load("old"), Grant(1, until=101.0))
             assert await orders(deployment, pair) == []
-            await engine.load_model("new", Grant(2, until=103.0))
+            await engine.give(Load("new"), Grant(2, until=103.0))
             assert await orders(deployment, pair) == [(2, "new")]
 
     run_async(scenario())
--- a/tests/settings/test_checks.py
+++ b/tests/settings/test_checks.py
@@ -2,7 +2,15 @@
 
 import pytest
 
-from amaranthtally.settings import Op, Scope, Tree, check_ops, known_keys
+from amaranthtally.settings import (
+    ModelReference,
+    Op,
+    Scope,
+    Tree,
+    check_ops,
+    known_keys,
+    needed_models,
+)
 
 ENDPOINT = {
     "pool": "assessment",
@@ -67,6 +75,18 @@
         ("firm", "drain.host-1", True, "register or undrain"),
         ("firm", "endpoint.a-1", None, "register or undrain"),
         ("firm", "endpoint.a-1", {**ENDPOINT, "models": ["x"]}, "offers model"),
+        ("firm", "endpoint.a-1", {**ENDPOINT, "models": ["x@"]}, "a table with"),
+        ("firm", "endpoint.a-1", {**ENDPOINT, "models": ["x", "x"]}, "each once"),
+        (
+            "firm",
+            "endpoint.a-1",
+            {**ENDPOINT, "models": ["small-1", "x"], "model_slots": 1},
+            "take some off",
+        ),
+        ("firm", "endpoint.a-1", {**ENDPOINT, "role": "prefil"}, "a table with"),
+        ("firm", "endpoint.a-1", {**ENDPOINT, "role": "prefill"}, "register or"),
+        ("firm", "endpoint.a-1", {**ENDPOINT, "role": "decode"}, "register or"),
+        ("pipeline:claims", MODEL, "small-1+", "BASE+ADAPTER"),
     ],
 )
 def test_a_wrong_change_is_refused_with_its_remedy(scope, key, value, remedy):
@@ -91,6 +111,56 @@
     assert check_ops(broken, [Op("firm", "endpoint.b-1", other)]) == []
 
 
+def test_a_pipeline_is_not_switched_to_a_model_that_none_has_loaded():
+    """
+    Every assessment is refused for ten minutes: an operator registered a new version
+    and switched the pipeline to it, and no engine had loaded it yet.
+    """
+    both = {**ENDPOINT, "models": ["small-1", "small-1@2"]}
+    registered = tree().apply([Op("firm", "endpoint.a-1", both)])
+    switch = [Op("pipeline:claims", MODEL, "small-1@2")]
+    early = check_ops(registered, switch, {"a-1": frozenset({"small-1"})})
+    assert "amaranthtally endpoints" in str(early) or "did you mean" in str(early)
+    served = {"a-1": frozenset({"small-1", "small-1@2"})}
+    assert check_ops(registered, switch, served) == []
+    switched = registered.apply(switch)
+    back = [Op("firm", "endpoint.a-1", {**ENDPOINT, "models": ["small-1"]})]
+    assert check_ops(switched, back, served) != []
+
+
+def test_roles_change_for_a_part_of_a_pool_at_a_time():
+    second = {**ENDPOINT, "host": "host-2"}
+    whole = tree().apply([Op("firm", "endpoint.a-2", second)])
+    one = Op("firm", "endpoint.a-1", {**ENDPOINT, "role": "decode"})
+    other = Op("firm", "endpoint.a-2", {**second, "role": "decode"})
+    assert check_ops(whole, [one]) == []
+    assert check_ops(whole, [one, other]) != []
+
+
+@pytest.mark.parametrize("text", ["m", "m@2", "m+a", "m-7b+a.x@2024-01"])
+def test_a_reference_to_a_model_has_one_spelling(text):
+    assert str(ModelReference.parse(text)) == text
+
+
+@pytest.mark.parametrize("text", ["", "@2", "m@", "m+", "m+@2", "m@2+a", "m a", "M"])
+def test_a_wrong_reference_is_refused_with_its_remedy(text):
+    with pytest.raises(ValueError, match="write BASE"):
+        ModelReference.parse(text)
+
+
+def test_a_model_is_needed_where_no_other_endpoint_could_answer():
+    assert needed_models(tree(), "a-1") == {"small-1"}
+    bare = {**ENDPOINT, "models": ["other"]}
+    assert needed_models(tree().apply([Op("firm", "endpoint.a-1", bare)]), "a-1") == {
+        "small-1"
+    }
+    second = {**ENDPOINT, "host": "host-2"}
+    two = tree().apply([Op("firm", "endpoint.a-2", second)])
+    assert needed_models(two, "a-1") == set()
+    drained = two.apply([Op("firm", "drain.host-2", True)])
+    assert needed_models(drained, "a-1") == {"small-1"}
+
+
 def test_every_key_has_a_doc_and_a_default_of_its_kind():
     for key in known_keys():
         assert key.doc
