Prove model changes under load; don't blame an engine for a model it lacks

Change: such a refusal is free of budget and blame; a candidate that lacks the model is asked for its load again, four a tick at most, so that a lost word of a load is made good; a sidecar looks at the engine right after an order and tells entries at once; it looks twice a second while an unload is near, not each 15 s.

Run: pytest tests/policy tests/lifecycle/test_model_changes.py tests/lifecycle/test_orders.py: all pass.

--- a/packages/daemon/src/amaranthtally/daemon/sidecar/orders.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/orders.py
@@ -87,12 +87,22 @@
         except OrderError as error:
             return self._failed(str(error))
         done = [await self._try(order) for order in plan.orders]
+        if done:
+            await self._look_again()
         if not all(done):
             return min(RECONCILE_S, RETRY_S * 2**self._failures)
         self._failures = 0
         # An engine's word of what it holds may lag behind an order.
         return RETRY_S if done or plan.pending else RECONCILE_S
 
+    async def _look_again(self) -> None:
+        """Answer what an order has loaded without waiting for the next step."""
+        before = self._served.answered
+        with suppress(OrderError):
+            self._served.heard(await self._engine.state())
+        if self._served.answered != before:
+            await self._announce()
+
     async def _plan(self) -> ModelPlan:
         held = await self._engine.state()
         before = self._served.answered
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -149,9 +149,13 @@
 
     def answers(self, model: str) -> bool:
         """Whether it has a model, by its own word or else by its registration."""
-        if self.models is None or not model:
+        if self.models is None:
             return self.endpoint.is_meant_for(model)
-        return model in self.models
+        return model in self.models if model else bool(self.models)
+
+    def takes(self, model: str) -> bool:
+        """Whether it takes new work and has the model."""
+        return not self.leaving and self.answers(model)
 
     def others(self, now: float) -> float:
         """
--- a/packages/policy/src/amaranthtally/policy/model_orders.py
+++ b/packages/policy/src/amaranthtally/policy/model_orders.py
@@ -89,7 +89,8 @@
     What to refuse from now on, and the orders to give now.
 
     Calls of ``retired`` models, or all calls while ``paused``, are to be refused
-    before their ends are waited for. ``pending`` while calls are waited for.
+    before their ends are waited for. ``pending`` while calls, or the time without
+    calls before an unload, are waited for; ``stuck`` says what keeps a load back.
     """
 
     retired: frozenset[str] = frozenset()
@@ -119,21 +120,20 @@
     wanted: WantedModels, held: EngineModels, use: ModelUse, unload_after_s: float
 ) -> ModelPlan:
     missing = [model for model in wanted.models if model not in held.models]
-    spare = _spare(wanted, held, use, unload_after_s)
+    unwanted = _unwanted(wanted, held, use)
+    spare = [m for m in unwanted if use.quiet_s.get(m, 0.0) >= unload_after_s]
     if missing:
         return _make_room(wanted, held, use, spare, missing)
     if held.role and wanted.role != held.role:
         return _change_role(wanted.role, use)
-    return _give_up(spare, use, MOST_ORDERS)
+    plan = _give_up(spare, use, MOST_ORDERS)
+    return replace(plan, pending=plan.pending or len(spare) < len(unwanted))
 
 
-def _spare(
-    wanted: WantedModels, held: EngineModels, use: ModelUse, unload_after_s: float
-) -> list[str]:
+def _unwanted(wanted: WantedModels, held: EngineModels, use: ModelUse) -> list[str]:
     if not wanted.models:
         return []
-    unwanted = held.models - frozenset(wanted.models) - use.needed
-    return [m for m in sorted(unwanted) if use.quiet_s.get(m, 0.0) >= unload_after_s]
+    return sorted(held.models - frozenset(wanted.models) - use.needed)
 
 
 def _make_room(
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -236,7 +236,7 @@
     ) -> list[Action]:
         not_run = result.fate is Fate.NOT_RUN
         request.unstarted += not_run
-        self._note_failure(now, ended, result)
+        self._note_failure(now, request, ended, result)
         if request.live:
             return []
         request.avoid |= {ended.endpoint}
@@ -246,32 +246,35 @@
             return self._refuse(now, request, reason, result.retry_after_s)
         if self._has_too_little_left(now, request):
             return self._refuse(now, request, Reason.DEADLINE, result.retry_after_s)
-        cost = self._retry_cost(ended, not_run)
+        cost = self._retry_cost(request, ended, not_run)
         actions = self._dispatcher.retry(now, request, cost)
         return actions or self._refuse(now, request, reason, result.retry_after_s)
 
-    def _retry_cost(self, ended: LiveAttempt, not_run: bool) -> float:
+    def _retry_cost(self, request: Request, ended: LiveAttempt, not_run: bool) -> float:
         """
         Return what another attempt costs the budget.
 
-        A refusal by an endpoint that leaves is free: it gets no second call, so
+        A refusal by one that leaves or lacks the model is free: no second call, so
         there are no more of them than endpoints, and a rolling restart would
         otherwise use up the tries of a request that one endpoint could take.
         """
         load = self._loads.find(ended.endpoint)
-        if not_run and load is not None and load.leaving:
+        if not_run and load is not None and not load.takes(request.current.model):
             return 0.0
         return NOT_RUN_COST if not_run else FAILURE_COST
 
     def _note_failure(
-        self, now: float, ended: LiveAttempt, result: StageResult
+        self, now: float, request: Request, ended: LiveAttempt, result: StageResult
     ) -> None:
         load = self._loads.find(ended.endpoint)
-        # A queue that is full or a request that fails everywhere says nothing
-        # against the endpoint; ejecting for it would take capacity away under load.
+        # A full queue, a model not loaded or a request that fails everywhere says
+        # nothing against the endpoint; to eject it would take capacity away.
         blameless = result.permanent or (
             result.fate is Fate.NOT_RUN
-            and (result.retry_after_s > 0 or (load is not None and load.leaving))
+            and (
+                result.retry_after_s > 0
+                or (load is not None and not load.takes(request.current.model))
+            )
         )
         if blameless or load is None:
             self._ejections.probe_dropped(ended.endpoint)
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -122,10 +122,10 @@
         regions = self._groups.of(wanted.stage)
         group = regions.get(self._region, [])
         held = self._held_shares(now, wanted, group)
-        loads = [*self._draw(group, wanted), *self._holders(held, wanted)]
+        loads = [*self._draw(now, group, wanted), *self._holders(now, held, wanted)]
         for region, others in regions.items():
             if region != self._region:
-                loads.extend(self._draw(others, wanted, AWAY_CHOICES))
+                loads.extend(self._draw(now, others, wanted, AWAY_CHOICES))
         return self._best(now, wanted, stats, loads, held)
 
     def predict(
@@ -138,28 +138,33 @@
 
     def _draw(
         self,
+        now: float,
         group: Sequence[Endpoint],
         wanted: RouteRequest,
         choices: int = CHOICES,
     ) -> list[EndpointLoad]:
         if len(group) <= choices:
-            return self._usable(group, wanted)
+            return self._usable(now, group, wanted)
         drawn = [self._random.choice(group) for _ in range(choices)]
-        found = self._usable({e.id: e for e in drawn}.values(), wanted)
+        found = self._usable(now, {e.id: e for e in drawn}.values(), wanted)
         # Most of a group may be leaving or ejected; the subset is bounded, so a
         # look at all of it still costs the same whatever the pool's size.
-        return found or self._usable(group, wanted)
+        return found or self._usable(now, group, wanted)
 
     def _usable(
-        self, group: Iterable[Endpoint], wanted: RouteRequest
+        self, now: float, group: Iterable[Endpoint], wanted: RouteRequest
     ) -> list[EndpointLoad]:
         found = []
         for endpoint in group:
             if endpoint.id in wanted.avoid or self._ejections.is_ejected(endpoint.id):
                 continue
             load = self._loads.open(endpoint)
-            if not load.leaving and load.answers(wanted.stage.model):
+            if load.takes(wanted.stage.model):
                 found.append(load)
+            elif not load.leaving:
+                # Its word that it has loaded the model may have been lost with a
+                # connection; without calls nothing else would ask for it.
+                self._note_age(now, load)
         return found
 
     def _held_shares(
@@ -176,10 +181,10 @@
         return held
 
     def _holders(
-        self, held: dict[str, float], wanted: RouteRequest
+        self, now: float, held: dict[str, float], wanted: RouteRequest
     ) -> list[EndpointLoad]:
         found = [self._groups.find(endpoint) for endpoint in held]
-        return self._usable([e for e in found if e is not None], wanted)
+        return self._usable(now, [e for e in found if e is not None], wanted)
 
     # Weighing
 
