--- a/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
@@ -9,14 +9,14 @@
 
 from amaranthtally.daemon.prompts import build_prompt, cache_salt, input_text
 from amaranthtally.daemon.sidecar.engine_cache import EngineCache
-from amaranthtally.wire import ChunkHandler, StageCall, Status
+from amaranthtally.wire import ChunkHandler, StageCall
 
 __all__ = [
     "Adapter",
     "EndpointError",
+    "ModelMissingError",
     "adapter_for",
     "adapter_kinds",
-    "status_of_broken",
 ]
 
 DONE_MARK = b"[DONE]"
@@ -24,6 +24,7 @@
 CALL_MARGIN_S = 0.05
 MIN_PROGRESS_S = 0.25
 PROGRESS_SHARE = 0.5
+NOT_FOUND = 404
 
 
 class EndpointError(Exception):
@@ -38,6 +39,13 @@
         self.permanent = permanent
 
 
+class ModelMissingError(EndpointError):
+    """The engine refused a call before its start: it does not hold the model."""
+
+    def __init__(self, model: str) -> None:
+        super().__init__(f"the engine does not hold model {model!r}")
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointCall:
     """A stage call on its way to the endpoint; ``cache`` where it is an engine."""
@@ -49,14 +57,6 @@
     cache: EngineCache | None = None
 
 
-def status_of_broken(call: StageCall, error: Exception) -> tuple[Status, str]:
-    """Return what is proved of a call whose connection to the endpoint broke."""
-    if isinstance(error, aiohttp.ClientConnectorError):
-        return Status.NOT_RUN, "endpoint unreachable"
-    status = Status.FAILED if call.repeatable else Status.UNKNOWN
-    return status, type(error).__name__
-
-
 Adapter = Callable[[EndpointCall], Awaitable[bytes]]
 _ADAPTERS: dict[str, Adapter] = {}
 
@@ -138,6 +138,9 @@
         headers=_JSON_HEADERS,
         timeout=_timeout(target.call),
     ) as response:
+        # An order of a former holder may have unloaded it since it was last seen.
+        if response.status == NOT_FOUND:
+            raise ModelMissingError(target.call.model)
         await _raise_for_status(response)
         async for line in response.content:
             if not line.startswith(DATA_PREFIX):
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -82,10 +82,10 @@
         regions = self._groups.of(wanted.stage)
         group = regions.get(self._region, [])
         held = self._held_shares(now, wanted, group)
-        loads = [*self._draw(group, wanted.avoid), *self._holders(held, wanted.avoid)]
+        loads = [*self._draw(now, group, wanted), *self._holders(now, held, wanted)]
         for region, others in regions.items():
             if region != self._region:
-                loads.extend(self._draw(others, wanted.avoid, AWAY_CHOICES))
+                loads.extend(self._draw(now, others, wanted, AWAY_CHOICES))
         return self._best(now, wanted, stats, loads, held)
 
     def predict(
@@ -99,31 +99,37 @@
 
     def _draw(
         self,
+        now: float,
         group: Sequence[Endpoint],
-        avoid: frozenset[str],
+        wanted: RouteRequest,
         choices: int = CHOICES,
     ) -> list[EndpointLoad]:
         if len(group) <= choices:
-            return self._usable(group, avoid)
+            return self._usable(now, group, wanted)
         choice = self._random.choice
         drawn = {e.id: e for e in [choice(group) for _ in range(choices)]}
-        found = self._usable(drawn.values(), avoid)
+        found = self._usable(now, drawn.values(), wanted)
         # Most of a group may be leaving or ejected; the subset is bounded, so a
         # look at all of it still costs the same whatever the pool's size.
-        return found or self._usable(group, avoid)
+        return found or self._usable(now, group, wanted)
 
     def _usable(
-        self, group: Iterable[Endpoint], avoid: frozenset[str]
+        self, now: float, group: Iterable[Endpoint], wanted: RouteRequest
     ) -> list[EndpointLoad]:
         found = []
+        avoid, model = wanted.avoid, wanted.stage.model
         is_ejected = self._ejections.is_ejected
         open_load = self._loads.open
         for endpoint in group:
             if endpoint.id in avoid or is_ejected(endpoint.id):
                 continue
             load = open_load(endpoint)
-            if not load.leaving:
+            if load.takes(model):
                 found.append(load)
+            elif not load.leaving:
+                # Its word that it has loaded the model may have been lost with a
+                # connection; without calls nothing else would ask for it.
+                self._note_age(now, load)
         return found
 
     def _held_shares(
@@ -140,12 +146,12 @@
         return held
 
     def _holders(
-        self, held: dict[str, float], avoid: frozenset[str]
+        self, now: float, held: dict[str, float], wanted: RouteRequest
     ) -> list[EndpointLoad]:
         if not held:
             return []
         found = [self._groups.find(endpoint) for endpoint in held]
-        return self._usable([e for e in found if e is not None], avoid)
+        return self._usable(now, [e for e in found if e is not None], wanted)
 
     # Weighing
 
--- a/packages/standins/src/amaranthtally/standins/registry.py
+++ b/packages/standins/src/amaranthtally/standins/registry.py
@@ -22,6 +22,7 @@
     its effect. ``stuck`` never answers, ``stuck_after`` does so after the effect.
     ``fail_rate`` answers 500 to that share of calls, counted, not drawn.
     ``block_time`` is what an engine takes for each block that it has not cached.
+    ``lose_orders`` obeys so many orders without an answer.
     """
 
     slow: float = 0.0
@@ -42,6 +43,7 @@
     cache_blocks: int = 256
     block_time: float = 0.0
     fencing: bool = True
+    lose_orders: int = 0
     weight_rate: float = 0.0
     host_lag: float = 2.0
 
--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -19,6 +19,7 @@
     CacheNews,
     CallId,
     Load,
+    ModelState,
     OnceTerms,
     StageCall,
     StageReply,
@@ -100,6 +101,8 @@
     target.backlogMicros = to_micros(load.backlog_s)
     target.revision = load.revision
     target.clockMicros = to_micros(load.clock_s)
+    if load.models is not None:
+        _write_models(target.models, load.models)
 
 
 _LOAD = _fields(
@@ -113,6 +116,7 @@
     "backlogMicros",
     "revision",
     "clockMicros",
+    "models",
 )
 
 
@@ -128,6 +132,7 @@
         backlog_micros,
         revision,
         clock_micros,
+        models,
     ) = _read(source, _LOAD)
     return Load(
         incarnation=incarnation,
@@ -139,9 +144,29 @@
         backlog_s=to_seconds(backlog_micros),
         revision=revision,
         clock_s=to_seconds(clock_micros),
+        models=_read_models(models),
     )
 
 
+def _write_models(target: Any, models: ModelState) -> None:
+    target.served = sorted(models.served)
+    target.role = models.role
+    target.lastOrder = models.last_order
+    target.known = True
+
+
+_MODELS_KNOWN = _fields(schema.ModelState, "known")
+_MODELS = _fields(schema.ModelState, "served", "role", "lastOrder")
+
+
+def _read_models(source: Any) -> ModelState | None:
+    (known,) = _read(source, _MODELS_KNOWN)
+    if not known:
+        return None
+    served, role, last_order = _read(source, _MODELS)
+    return ModelState(frozenset(served), role, last_order)
+
+
 # Terms of calls that may not be repeated
 
 
@@ -314,13 +339,15 @@
         target.removed = news.removed
 
 
-_NEWS = _fields(schema.CacheNews, "serial", "stored", "removed", "reset")
+_NEWS_SERIAL = _fields(schema.CacheNews, "serial")
+_NEWS = _fields(schema.CacheNews, "stored", "removed", "reset")
 
 
 def _read_news(source: Any) -> CacheNews:
-    serial, stored, removed, reset = _read(source, _NEWS)
+    (serial,) = _read(source, _NEWS_SERIAL)
     if not serial:
         return NO_NEWS
+    stored, removed, reset = _read(source, _NEWS)
     return CacheNews(serial, tuple(stored), tuple(removed), reset)
 
 
--- a/tests/lifecycle/test_orders.py
+++ b/tests/lifecycle/test_orders.py
@@ -13,6 +13,7 @@
     Grant,
     LeaseLapsedError,
 )
+from amaranthtally.policy.model_orders import Load
 from amaranthtally.standins.deployment import open_deployment
 from tests.support import plan, run_async
 
@@ -118,14 +119,33 @@
             (pair,) = deployment.endpoints.values()
             engine = EngineOrders(session, pair.service_url, clock=lambda: 100.0)
             with pytest.raises(LeaseLapsedError):
-                await engine.load_model("old", Grant(1, until=101.0))
+                await engine.give(Load("old"), Grant(1, until=101.0))
             assert await orders(deployment, pair) == []
-            await engine.load_model("new", Grant(2, until=103.0))
+            await engine.give(Load("new"), Grant(2, until=103.0))
             assert await orders(deployment, pair) == [(2, "new")]
 
     run_async(scenario())
 
 
+def test_an_order_whose_answer_is_lost_is_not_given_twice():
+    """
+    An engine reloads a model of sixty gigabytes for nothing, and is slow meanwhile.
+    It obeyed the order, the connection broke, and the sidecar gave it again.
+    """
+
+    async def scenario():
+        async with open_deployment(engines_only(1)) as deployment:
+            (pair,) = deployment.endpoints.values()
+            await deployment.set_knobs(pair.service, lose_orders=1)
+            await want(deployment, [pair], MODEL)
+            assert await wait_orders(deployment, pair, 1) == [(1, MODEL)]
+            await want(deployment, [pair], MODEL, "assessment-8b")
+            found = await wait_orders(deployment, pair, 2)
+            assert [model for _, model in found] == [MODEL, "assessment-8b"]
+
+    run_async(scenario())
+
+
 def test_pulls_stay_under_the_rate_of_the_weight_store():
     """
     A new model reaches all engines at once; the store throttles, and engines that
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -3,8 +3,10 @@
 import pytest
 
 from amaranthtally.wire import (
+    CacheNews,
     CallId,
     Load,
+    ModelState,
     OnceTerms,
     StageCall,
     StageReply,
@@ -33,6 +35,7 @@
     resume_offset=4,
     model="drafts",
     revision=1 << 40,
+    cache_serial=1 << 33,
 )
 ONCE = StageCall(
     id=ID,
@@ -55,8 +58,10 @@
 
 @pytest.mark.parametrize("status", Status)
 def test_a_reply_is_read_as_it_was_written(status):
-    load = Load(1 << 62, 1, 2, 3, True, 0.5, 0.25, 1 << 40, 8.125)
-    reply = StageReply(ID, status, b"1", "why", 0.5, load, 0.125, 2.5, True, 6)
+    models = ModelState(frozenset({"drafts@2", "drafts"}), "decode", "unloaded")
+    load = Load(1 << 62, 1, 2, 3, True, 0.5, 0.25, 1 << 40, 8.125, models)
+    news = CacheNews(1 << 33, (1, 1 << 63), (2,), True)
+    reply = StageReply(ID, status, b"1", "why", 0.5, load, 0.125, 2.5, True, 6, news)
     target = schema.StageReply.new_message()
     write_reply(target, reply)
     assert read_reply(target.as_reader()) == reply
