Let a planner be built from other parts

Experiments replace one decision by a simpler form. The parts that take a decision each are made by factories, the policy's own by default; nothing that is decided changes.

--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -33,6 +33,7 @@
     PolicySettings,
     Stage,
 )
+from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
 
@@ -52,6 +53,7 @@
     "InvariantError",
     "LoadReport",
     "Outcome",
+    "Parts",
     "Pipeline",
     "Planner",
     "PolicySettings",
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -1,5 +1,6 @@
 """How loaded each endpoint is, from late reports and the entry's own attempts."""
 
+from collections.abc import Callable
 from math import copysign, exp
 
 from amaranthtally.policy.events import LoadReport
@@ -225,10 +226,14 @@
         self.limit = max(1, report.limit)
 
 
+BuildLoad = Callable[[Endpoint, PoolLoad], EndpointLoad]
+
+
 class LoadTable:
     """The endpoints that this entry has used or heard of, and sums by pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, build: BuildLoad = EndpointLoad) -> None:
+        self._build = build
         self._loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, PoolLoad] = {}
 
@@ -250,9 +255,8 @@
         """Return an endpoint's load, made at first use."""
         load = self._loads.get(endpoint.id)
         if load is None:
-            load = self._loads[endpoint.id] = EndpointLoad(
-                endpoint, self.pool(endpoint.pool)
-            )
+            load = self._build(endpoint, self.pool(endpoint.pool))
+            self._loads[endpoint.id] = load
         return load
 
     def count_in(self, now: float, load: EndpointLoad) -> None:
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/parts.py
@@ -0,0 +1,33 @@
+"""What a planner decides with; an experiment replaces one part by a simpler one."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from random import Random
+
+from amaranthtally.policy.accounts import AccountShares
+from amaranthtally.policy.admission import Admission
+from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.groups import EndpointGroups
+from amaranthtally.policy.loads import LoadTable
+from amaranthtally.policy.prefixes import PrefixIndex
+from amaranthtally.policy.routing import Router
+from amaranthtally.policy.stage_times import StageTimes
+
+__all__ = ["Parts"]
+
+BuildAdmission = Callable[[Random, StageTimes, LoadTable, AccountShares], Admission]
+BuildRouter = Callable[
+    [Random, EndpointGroups, LoadTable, Ejections, PrefixIndex], Router
+]
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """Factories of the parts that take one decision each."""
+
+    stage_times: Callable[[], StageTimes] = StageTimes
+    loads: Callable[[], LoadTable] = LoadTable
+    ejections: Callable[[], Ejections] = Ejections
+    accounts: Callable[[], AccountShares] = AccountShares
+    admission: BuildAdmission = Admission
+    router: BuildRouter = Router
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -2,12 +2,9 @@
 
 from random import Random
 
-from amaranthtally.policy.accounts import AccountShares
 from amaranthtally.policy.actions import Action, Ask, Greet, Outcome, Reason, Refuse
-from amaranthtally.policy.admission import Admission
 from amaranthtally.policy.budgets import RateLimit
 from amaranthtally.policy.dispatch import Dispatcher
-from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.events import (
     Arrival,
     CacheEvent,
@@ -17,13 +14,11 @@
 )
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.ledger import Counters, Ledger
-from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.membership import Membership
 from amaranthtally.policy.model import AttemptId, PolicySettings
+from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.requests import LiveAttempt, Request
-from amaranthtally.policy.routing import Router
-from amaranthtally.policy.stage_times import StageTimes
 from amaranthtally.policy.timers import Timer, Timers
 
 __all__ = ["Planner"]
@@ -34,6 +29,7 @@
 NOT_RUN_COST = 0.25
 ASKS_PER_S = 20.0
 ASKS_BURST = 10.0
+PARTS = Parts()
 
 
 class Planner:
@@ -44,14 +40,19 @@
     different seeds, or they would all look at the same ones.
     """
 
-    def __init__(self, settings: PolicySettings, random: Random | None = None) -> None:
+    def __init__(
+        self,
+        settings: PolicySettings,
+        random: Random | None = None,
+        parts: Parts = PARTS,
+    ) -> None:
         random = random or Random(0)
         self._settings = settings
-        self._times = StageTimes()
-        self._loads = LoadTable()
-        self._ejections = Ejections()
+        self._times = parts.stage_times()
+        self._loads = parts.loads()
+        self._ejections = parts.ejections()
         self._prefixes = PrefixIndex()
-        self._accounts = AccountShares()
+        self._accounts = parts.accounts()
         self._timers = Timers()
         self._asks = RateLimit(0.0, ASKS_PER_S, ASKS_BURST)
         self._ledger = Ledger(self._loads)
@@ -59,10 +60,12 @@
         self._membership = Membership(
             groups, self._loads, self._ejections, self._prefixes
         )
-        self._router = Router(
+        self._router = parts.router(
             random, groups, self._loads, self._ejections, self._prefixes
         )
-        self._admission = Admission(random, self._times, self._loads, self._accounts)
+        self._admission = parts.admission(
+            random, self._times, self._loads, self._accounts
+        )
         self._dispatcher = Dispatcher(
             settings,
             self._times,
