Compare variants of the policy over many seeds

'amaranthtally experiment PLAN.toml' replays the policy, ablations of each decision and variants by settings on the same traces, and gives means and paired 95% intervals.

Ablations are in a registry of the tool; the policy has only factories of its parts.

--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/experiment/command.py
@@ -0,0 +1,84 @@
+"""The command ``experiment``."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from cyclopts import App, Parameter, validators
+
+from amaranthtally.operator.experiment.errors import PlanError
+from amaranthtally.operator.experiment.plan import Plan, narrow_plan, read_plan
+from amaranthtally.operator.experiment.results import Result, summarize
+from amaranthtally.operator.experiment.tables import render_result
+from amaranthtally.operator.experiment.trials import Observation, run_trials, trials_of
+from amaranthtally.operator.replay.errors import TraceError
+
+__all__ = ["register"]
+
+EXIT_BAD_INPUT = 2
+DEFAULT_WORKERS = 4
+
+
+def register(app: App) -> None:
+    """Add the command to the operators' command line."""
+    app.command(run_experiment, name="experiment")
+
+
+def run_experiment(
+    plan: Path,
+    *,
+    deployment: list[str] | None = None,
+    scenario: list[str] | None = None,
+    out: Path | None = None,
+    workers: Annotated[int, Parameter(validator=validators.Number(gte=1))] = (
+        DEFAULT_WORKERS
+    ),
+) -> int:
+    """
+    Compare variants of the policy on the same traces, over several seeds.
+
+    Exits with 2 where the plan or a deployment cannot be used.
+
+    Parameters
+    ----------
+    plan
+        TOML file that names deployments, scenarios, seeds and variants.
+    deployment
+        Only this deployment of the plan, by its file's name; may be repeated.
+    scenario
+        Only this scenario of the plan; may be repeated.
+    out
+        Directory for the result as JSON and as a table; named like the plan.
+    workers
+        Processes that replay traces side by side.
+    """
+    try:
+        read = narrow_plan(plan, read_plan(plan), deployment or [], scenario or [])
+        observations = _observe(read, workers)
+    except (PlanError, TraceError) as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_BAD_INPUT
+    result = summarize(read, observations)
+    table = render_result(result)
+    sys.stdout.write(table)
+    if out is not None:
+        _write(out, plan.stem, result, table)
+    return 0
+
+
+def _observe(plan: Plan, workers: int) -> list[Observation]:
+    total = len(trials_of(plan))
+    observations: list[Observation] = []
+    for done, found in enumerate(run_trials(plan, workers), start=1):
+        observations.extend(found)
+        sys.stderr.write(f"\r{done}/{total} traces")
+    sys.stderr.write("\n")
+    return observations
+
+
+def _write(out: Path, name: str, result: Result, table: str) -> None:
+    out.mkdir(parents=True, exist_ok=True)
+    encoded = msgspec.json.format(msgspec.json.encode(result))
+    (out / f"{name}.json").write_bytes(encoded + b"\n")
+    (out / f"{name}.md").write_text(table, encoding="utf-8")
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/experiment/results.py
@@ -0,0 +1,142 @@
+"""Observations of all seeds as means and paired differences."""
+
+from collections.abc import Iterable, Sequence
+from statistics import fmean
+
+import msgspec
+
+from amaranthtally.operator.experiment.intervals import (
+    Interval,
+    estimate,
+    paired_difference,
+)
+from amaranthtally.operator.experiment.plan import Plan
+from amaranthtally.operator.experiment.trials import Observation
+
+__all__ = ["ALL_SCENARIOS", "Comparison", "Result", "summarize"]
+
+ALL_SCENARIOS = "mean"
+DIGITS = 5
+
+
+class Comparison(msgspec.Struct, frozen=True):
+    """
+    One figure of one variant over all seeds of a scenario.
+
+    ``half`` is half of the mean's 95% interval. ``difference`` is from the
+    reference, paired by seed, with ``difference_half``; ``clear`` says that its
+    interval leaves 0 out. ``values`` are by seed, in the plan's order.
+    """
+
+    deployment: str
+    scenario: str
+    variant: str
+    figure: str
+    mean: float
+    half: float
+    difference: float
+    difference_half: float
+    clear: bool
+    values: list[float]
+
+
+class Result(msgspec.Struct, frozen=True):
+    """What an experiment showed."""
+
+    reference: str
+    variants: list[str]
+    seeds: list[int]
+    comparisons: list[Comparison]
+
+    def find(
+        self, deployment: str, scenario: str, variant: str, figure: str
+    ) -> Comparison:
+        """Return a comparison; raises ``StopIteration`` where there is none."""
+        key = (deployment, scenario, variant, figure)
+        return next(
+            c
+            for c in self.comparisons
+            if (c.deployment, c.scenario, c.variant, c.figure) == key
+        )
+
+    @property
+    def deployments(self) -> list[str]:
+        """Deployments in the plan's order."""
+        return list(dict.fromkeys(c.deployment for c in self.comparisons))
+
+    @property
+    def scenarios(self) -> list[str]:
+        """Scenarios in the plan's order, the mean of all of them first."""
+        return list(dict.fromkeys(c.scenario for c in self.comparisons))
+
+    @property
+    def figures(self) -> list[str]:
+        """Figures in the plan's order."""
+        return list(dict.fromkeys(c.figure for c in self.comparisons))
+
+
+def summarize(plan: Plan, observations: Iterable[Observation]) -> Result:
+    """Return the result of a plan whose traces all ran."""
+    table = _Table(plan, observations)
+    scenarios = [ALL_SCENARIOS, *plan.scenarios]
+    comparisons = [
+        table.compare(deployment, scenario, variant, figure)
+        for deployment in table.deployments
+        for scenario in scenarios
+        for variant in plan.subjects
+        for figure in plan.figures
+    ]
+    return Result(plan.reference, plan.subjects, plan.seeds, comparisons)
+
+
+class _Table:
+    """The observations by deployment, scenario, variant and seed."""
+
+    def __init__(self, plan: Plan, observations: Iterable[Observation]) -> None:
+        self._plan = plan
+        self._found = {
+            (o.deployment, o.scenario, o.variant, o.seed): o for o in observations
+        }
+
+    @property
+    def deployments(self) -> list[str]:
+        """Deployments in the plan's order."""
+        return list(dict.fromkeys(key[0] for key in self._found))
+
+    def compare(
+        self, deployment: str, scenario: str, variant: str, figure: str
+    ) -> Comparison:
+        """Return one figure of one variant beside the reference."""
+        values = self._by_seed(deployment, scenario, variant, figure)
+        reference = self._by_seed(deployment, scenario, self._plan.reference, figure)
+        mean = _rounded(estimate(values))
+        difference = _rounded(paired_difference(values, reference))
+        return Comparison(
+            deployment=deployment,
+            scenario=scenario,
+            variant=variant,
+            figure=figure,
+            mean=mean.mean,
+            half=mean.half,
+            difference=difference.mean,
+            difference_half=difference.half,
+            clear=difference.is_clear,
+            values=[round(value, DIGITS) for value in values],
+        )
+
+    def _by_seed(
+        self, deployment: str, scenario: str, variant: str, figure: str
+    ) -> Sequence[float]:
+        """Return a figure by seed; its mean over the scenarios for all of them."""
+        scenarios = self._plan.scenarios if scenario == ALL_SCENARIOS else [scenario]
+        return [
+            fmean(
+                self._found[deployment, name, variant, seed].figures[figure]
+                for name in scenarios
+            )
+            for seed in self._plan.seeds
+        ]
+
+
+def _rounded(interval: Interval) -> Interval:
+    return Interval(round(interval.mean, DIGITS), round(interval.half, DIGITS))
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/experiment/trials.py
@@ -0,0 +1,116 @@
+"""Every variant of a plan on one trace, and all traces in a few processes."""
+
+from collections.abc import Iterator
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass
+from functools import partial
+from multiprocessing import get_context
+from pathlib import Path
+
+import msgspec
+
+from amaranthtally.operator.experiment.plan import Plan, plan_variants
+from amaranthtally.operator.experiment.variants import (
+    Variant,
+    baseline_names,
+    named_variant,
+)
+from amaranthtally.operator.replay.baselines import POLICY
+from amaranthtally.operator.replay.bound import Bound, clairvoyant_bound
+from amaranthtally.operator.replay.measures import Figures, measure
+from amaranthtally.operator.replay.report import TraceReport
+from amaranthtally.operator.replay.scenarios import make_trace
+from amaranthtally.operator.replay.simulation import replay
+from amaranthtally.operator.replay.trace import Trace
+
+__all__ = ["Observation", "Trial", "run_trials", "trials_of"]
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """One trace of a plan."""
+
+    deployment: Path
+    scenario: str
+    seed: int
+
+
+class Observation(msgspec.Struct, frozen=True):
+    """What one variant showed on one trace."""
+
+    deployment: str
+    scenario: str
+    seed: int
+    variant: str
+    figures: dict[str, float]
+
+
+def trials_of(plan: Plan) -> list[Trial]:
+    """Return every trace of a plan, in the plan's order."""
+    return [
+        Trial(deployment, scenario, seed)
+        for deployment in plan.deployments
+        for scenario in plan.scenarios
+        for seed in plan.seeds
+    ]
+
+
+def run_trials(plan: Plan, workers: int) -> Iterator[list[Observation]]:
+    """
+    Yield the observations of each trace in the plan's order.
+
+    A replay is one thread of pure computation, so that traces run side by side in
+    processes. What comes out does not depend on ``workers``.
+    """
+    run = partial(run_trial, plan)
+    trials = trials_of(plan)
+    if workers <= 1:
+        yield from map(run, trials)
+        return
+    # Spawned, not forked: a worker starts without threads and locks of this process.
+    with ProcessPoolExecutor(workers, mp_context=get_context("spawn")) as pool:
+        yield from pool.map(run, trials)
+
+
+def run_trial(plan: Plan, trial: Trial) -> list[Observation]:
+    """Replay one trace for each variant; raises ``TraceError``."""
+    trace = make_trace(trial.deployment, trial.scenario, trial.seed)
+    bound = clairvoyant_bound(trace)
+    names = baseline_names() if plan.baselines else []
+    baselines = [_figures(trace, named_variant(name), bound) for name in names]
+    observed = []
+    for variant in plan_variants(plan):
+        figures = _figures(trace, variant, bound)
+        subject = msgspec.structs.replace(figures, contender=POLICY)
+        others = [f for f in baselines if f.contender != variant.name]
+        report = _report(trace, bound, [subject, *others])
+        observed.append(
+            Observation(
+                deployment=trace.header.deployment,
+                scenario=trial.scenario,
+                seed=trial.seed,
+                variant=variant.name,
+                figures=report.stated(),
+            )
+        )
+    return observed
+
+
+def _figures(trace: Trace, variant: Variant, bound: Bound) -> Figures:
+    adapted = Trace(variant.adapt(trace.header), trace.arrivals)
+    ledger = replay(adapted, variant.contender)
+    return measure(variant.name, trace.header, ledger, bound.pool)
+
+
+def _report(trace: Trace, bound: Bound, figures: list[Figures]) -> TraceReport:
+    header = trace.header
+    return TraceReport(
+        trace=f"{header.deployment}-{header.scenario}",
+        deployment=header.deployment,
+        scenario=header.scenario,
+        seed=header.seed,
+        bound_attainment=bound.attainment,
+        bound_pool=bound.pool,
+        capacity=bound.capacity,
+        contenders=figures,
+    )
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/experiment/variants.py
@@ -0,0 +1,133 @@
+"""Variants of the policy by name, in a registry that decorators fill."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+from functools import partial
+from random import Random
+from typing import Any
+
+import msgspec
+
+from amaranthtally.operator.replay.baselines import (
+    POLICY,
+    BuildQueue,
+    Contender,
+    contender,
+    contender_names,
+)
+from amaranthtally.operator.replay.entry import Decider
+from amaranthtally.operator.replay.trace import Header, PoolPlan
+from amaranthtally.policy import Parts, Planner, PolicySettings, RunQueue
+
+__all__ = [
+    "Ablation",
+    "Decision",
+    "Variant",
+    "ablation",
+    "baseline_names",
+    "named_variant",
+    "registered",
+    "settings_adapter",
+    "variant_names",
+    "with_settings",
+]
+
+AdaptHeader = Callable[[Header], Header]
+
+
+@dataclass(frozen=True, slots=True)
+class Variant:
+    """A contender, and what it changes in the header of each trace."""
+
+    name: str
+    contender: Contender
+    adapt: AdaptHeader
+
+
+@dataclass(frozen=True, slots=True)
+class Decision:
+    """One of the decisions that make up the policy, by its number in the aims."""
+
+    number: int
+    name: str
+
+
+def _same_header(header: Header) -> Header:
+    return header
+
+
+def _run_queue(pool: PoolPlan) -> RunQueue:
+    return RunQueue(pool.slots, pool.queue_capacity)
+
+
+@dataclass(frozen=True, slots=True)
+class Ablation:
+    """The policy with one decision replaced by a simpler form."""
+
+    parts: Parts = field(default_factory=Parts)
+    build_queue: BuildQueue = _run_queue
+    adapt: AdaptHeader = _same_header
+
+
+@dataclass(frozen=True, slots=True)
+class _Registered:
+    decision: Decision
+    ablation: Ablation
+
+
+_ABLATIONS: dict[str, _Registered] = {}
+
+
+def ablation(
+    name: str, decision: Decision
+) -> Callable[[Callable[[], Ablation]], Callable[[], Ablation]]:
+    """Register what a function returns as an ablation of a decision."""
+
+    def register(build: Callable[[], Ablation]) -> Callable[[], Ablation]:
+        _ABLATIONS[name] = _Registered(decision, build())
+        return build
+
+    return register
+
+
+def registered() -> Mapping[str, Decision]:
+    """Return the decision that each ablation replaces, by the ablation's name."""
+    return {name: found.decision for name, found in _ABLATIONS.items()}
+
+
+def baseline_names() -> list[str]:
+    """Return the names of the baselines that ``replay`` has too."""
+    return [name for name in contender_names() if name != POLICY]
+
+
+def variant_names() -> list[str]:
+    """Return every name that a plan can use without a table of its own."""
+    return [*contender_names(), *_ABLATIONS]
+
+
+def named_variant(name: str) -> Variant:
+    """Return an ablation, a baseline or the policy; raises ``KeyError``."""
+    found = _ABLATIONS.get(name)
+    if found is None:
+        return Variant(name, contender(name), _same_header)
+    chosen = found.ablation
+    build = partial(_build_planner, chosen.parts)
+    return Variant(name, Contender(name, build, chosen.build_queue), chosen.adapt)
+
+
+def with_settings(name: str, values: Mapping[str, Any]) -> Variant:
+    """Return the policy under other values of ``PolicySettings``."""
+    return Variant(name, contender(POLICY), settings_adapter(values))
+
+
+def settings_adapter(values: Mapping[str, Any]) -> AdaptHeader:
+    """Return what gives a header's policy other settings."""
+
+    def adapt(header: Header) -> Header:
+        return msgspec.structs.replace(header, policy=header.policy | dict(values))
+
+    return adapt
+
+
+def _build_planner(parts: Parts, settings: PolicySettings, random: Random) -> Decider:
+    return Planner(settings, random, parts)
--- a/packages/operator/src/amaranthtally/operator/main.py
+++ b/packages/operator/src/amaranthtally/operator/main.py
@@ -4,7 +4,7 @@
 
 from cyclopts import App
 
-from amaranthtally.operator import replay
+from amaranthtally.operator import experiment, replay
 from amaranthtally.operator.fleet_commands import add_fleet_commands
 from amaranthtally.operator.request_command import add_request_command
 from amaranthtally.operator.settings_commands import app as settings_app
@@ -24,6 +24,7 @@
 add_fleet_commands(app)
 add_request_command(app)
 replay.register(app)
+experiment.register(app)
 
 
 def main() -> None:
--- a/packages/operator/src/amaranthtally/operator/replay/tables.py
+++ b/packages/operator/src/amaranthtally/operator/replay/tables.py
@@ -6,7 +6,7 @@
 from amaranthtally.operator.replay.measures import Figures
 from amaranthtally.operator.replay.report import TraceReport
 
-__all__ = ["render_report", "render_summary"]
+__all__ = ["render_report", "render_summary", "render_table"]
 
 MEGABYTE = 1e6
 COLUMNS = [
@@ -32,17 +32,17 @@
         [
             title,
             "",
-            _table(COLUMNS, [_row(figures) for figures in report.contenders]),
+            render_table(COLUMNS, [_row(figures) for figures in report.contenders]),
             "Cost by stage, with its traffic between regions, per answer in time:",
             "",
-            _table(["contender", *pools], costs),
+            render_table(["contender", *pools], costs),
         ]
     )
 
 
 def render_summary(reports: Sequence[TraceReport]) -> str:
     """Return one line a trace: the policy beside the bound and the baselines."""
-    return _table(SUMMARY_COLUMNS, [_summary_row(report) for report in reports])
+    return render_table(SUMMARY_COLUMNS, [_summary_row(report) for report in reports])
 
 
 def _row(f: Figures) -> list[str]:
@@ -92,6 +92,7 @@
     return f"{value:.3f}" if value else NONE
 
 
-def _table(columns: list[str], rows: list[list[str]]) -> str:
+def render_table(columns: list[str], rows: list[list[str]]) -> str:
+    """Return a table in Markdown."""
     ruler = ["---"] * len(columns)
     return "".join(f"| {' | '.join(cells)} |\n" for cells in (columns, ruler, *rows))
