Judge streams by the pace of their chunks

A stream that still flowed passed for healthy however slowly, and an endpoint's slowness was learned only from runs that ended, of which a slow engine's end last.

Change: the time between chunks is learned by stage and batch; an endpoint's slowness follows it while its runs go on; an attempt's risk is worked out from its chunks and pace; a stream is looked at after three chunks and then after each; a hedge resumes what is there, and the attempt that it passes is cancelled.

--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -10,6 +10,8 @@
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.routing import Choice, Router, RouteRequest
 from amaranthtally.policy.stage_times import StageStats, StageTimes
+from amaranthtally.policy.stream_watch import StreamWatch
+from amaranthtally.policy.streams import Stream
 from amaranthtally.policy.timers import Timers
 
 __all__ = ["Dispatcher"]
@@ -24,6 +26,7 @@
 HEARD_LATELY_S = 5.0
 LOOK_AGAIN_SHARE = 0.5
 LOOK_AGAIN_S = 0.02
+FIRST_CHUNKS = 3.0
 
 
 class _PoolBudgets:
@@ -53,6 +56,7 @@
         router: Router,
         ledger: Ledger,
         timers: Timers,
+        streams: StreamWatch,
     ) -> None:
         self._settings = settings
         self._times = times
@@ -62,6 +66,7 @@
         self._router = router
         self._ledger = ledger
         self._timers = timers
+        self._streams = streams
         self._budgets: dict[str, _PoolBudgets] = {}
 
     def configure(self, settings: PolicySettings) -> None:
@@ -106,31 +111,41 @@
         if not request.current.repeatable or len(request.live) > 1:
             return []
         stats = self._times.of(request.current)
-        quiet_since = max(attempt.sent_at, request.progress_at)
-        flowing = request.progress_at > 0 and now - quiet_since < stats.slow_s
         # Where work waits, a hedge only makes it wait longer.
         crowded = self._loads.pool(request.current.pool).wait_s(now, stats.mean_s) > 0
-        if not flowing and not crowded:
+        if not crowded:
             actions = self._hedge_if_worth_it(now, request, attempt, stats)
             if actions:
                 return actions
-        again = LOOK_AGAIN_SHARE * (now - attempt.sent_at)
-        self._timers.set(now + max(LOOK_AGAIN_S, again), request.id, slow)
+        self._timers.set(self._next_look(now, attempt, stats), request.id, slow)
         return []
 
+    def _first_look_s(self, stage: Stage, choice: Choice) -> float:
+        """Return after how much of its run an attempt is first looked at."""
+        stats = self._times.of(stage)
+        chunk_s = stats.pace_beside_s(choice.beside) if stage.streams else 0.0
+        return min(stats.late_s, FIRST_CHUNKS * chunk_s) if chunk_s else stats.late_s
+
+    def _next_look(self, now: float, attempt: LiveAttempt, stats: StageStats) -> float:
+        # A stream's next chunk, or its lack, tells more.
+        chunk_s = stats.pace_beside_s(attempt.beside)
+        again_s = chunk_s or LOOK_AGAIN_SHARE * (now - attempt.sent_at)
+        return now + max(LOOK_AGAIN_S, again_s)
+
     def _hedge_if_worth_it(
         self, now: float, request: Request, attempt: LiveAttempt, stats: StageStats
     ) -> list[Action]:
         hedges = self._budgets_of(request.current).hedges
         wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
-        risk = self._risk(now, attempt, wanted, stats)
+        risk = self._risk(now, request, attempt, wanted, stats)
         # Choosing costs most: it is left out where nothing can come of it.
         if hedges.tokens < 1 or wanted.weight * risk <= 0:
             return []
         choice = self._router.choose(now, wanted, stats)
-        if choice is None or not self._is_worth_it(risk, choice, wanted.weight):
+        if choice is None:
             return []
-        if not hedges.take():
+        gain = risk - self._streams.resumed_risk(now, request, choice, wanted.end)
+        if not _is_worth_it(gain, choice, wanted.weight) or not hedges.take():
             return []
         self._ledger.counters.hedges += 1
         return self._send(now, request, choice, hedge=True)
@@ -197,11 +212,14 @@
     def _risk(
         self,
         now: float,
+        request: Request,
         attempt: LiveAttempt,
         wanted: RouteRequest,
         stats: StageStats,
     ) -> float:
         """Return the probability that an attempt ends late, given how long it ran."""
+        if request.current.streams and stats.pace_beside_s(attempt.beside) > 0:
+            return self._streams.risk(now, attempt, wanted.end, stats)
         ran = max(0.0, now - attempt.sent_at - attempt.wait_s)
         so_long = stats.tail(ran)
         # Longer than nearly any run on record: the endpoint is taken to be stuck.
@@ -214,10 +232,6 @@
         last_call = ran > stats.slow_s and left < LAST_CALL * stats.likely_s
         return max(healthy, SUSPICION) if last_call else healthy
 
-    def _is_worth_it(self, risk: float, choice: Choice, weight: float) -> bool:
-        gain = risk - choice.risk
-        return weight * gain > (1.0 - weight) * HEDGE_COST * choice.price
-
     # Sending
 
     def _send(
@@ -238,6 +252,7 @@
             cached=choice.cached,
             hedge=hedge,
             probe=probe,
+            stream=Stream(request.chunks),
         )
         attempt_id = self._ledger.sent(request, load, attempt)
         if probe:
@@ -246,8 +261,8 @@
         if choice.endpoint.region != self._settings.region:
             self._ledger.counters.away += 1
         if request.current.repeatable:
-            late = choice.before_s + self._times.of(request.current).late_s
-            self._timers.set(now + late, request.id, attempt_id)
+            look = choice.before_s + self._first_look_s(request.current, choice)
+            self._timers.set(now + look, request.id, attempt_id)
         return [
             Send(
                 attempt_id,
@@ -278,6 +293,10 @@
         return found
 
 
+def _is_worth_it(gain: float, choice: Choice, weight: float) -> bool:
+    return weight * gain > (1.0 - weight) * HEDGE_COST * choice.price
+
+
 def _has_prefix_cache(stage: Stage) -> bool:
     return stage.streams or bool(stage.model)
 
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -18,6 +18,7 @@
 STALE_S = 5.0
 MOST_ON_THE_WAY = 4.0
 SLOWNESS_WEIGHT = 0.1
+PACE_WEIGHT = 0.3
 SLOWNESS_NOISE = 0.25
 FAILURE_WEIGHT = 0.2
 FAILING_NOISE = 0.05
@@ -199,9 +200,20 @@
 
     def note_run(self, now: float, ratio: float) -> None:
         """Learn from a run that took ``ratio`` times its pool's mean."""
+        self._note_slowness(now, ratio, SLOWNESS_WEIGHT)
+
+    def note_pace(self, now: float, ratio: float) -> None:
+        """
+        Learn from a chunk that took ``ratio`` times its pool's median.
+
+        It counts for more than a run, which is also long by a long answer.
+        """
+        self._note_slowness(now, ratio, PACE_WEIGHT)
+
+    def _note_slowness(self, now: float, ratio: float, weight: float) -> None:
         ratio = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, ratio))
         current = 1.0 + (self._slow - 1.0) * _faded(now - self._slow_at)
-        self._slow = current + SLOWNESS_WEIGHT * (ratio - current)
+        self._slow = current + weight * (ratio - current)
         self._slow_at = now
 
     def note_attempt(self, now: float, failed: bool) -> None:
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -2,7 +2,15 @@
 
 from random import Random
 
-from amaranthtally.policy.actions import Action, Ask, Greet, Outcome, Reason, Refuse
+from amaranthtally.policy.actions import (
+    Action,
+    Ask,
+    Cancel,
+    Greet,
+    Outcome,
+    Reason,
+    Refuse,
+)
 from amaranthtally.policy.budgets import RateLimit
 from amaranthtally.policy.dispatch import Dispatcher
 from amaranthtally.policy.events import (
@@ -19,6 +27,7 @@
 from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.stream_watch import StreamWatch
 from amaranthtally.policy.timers import Timer, Timers
 
 __all__ = ["Planner"]
@@ -66,6 +75,7 @@
         self._admission = parts.admission(
             random, self._times, self._loads, self._accounts
         )
+        self._streams = StreamWatch(self._times, self._loads)
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -75,6 +85,7 @@
             self._router,
             self._ledger,
             self._timers,
+            self._streams,
         )
         self._configure(0.0, settings)
 
@@ -129,6 +140,9 @@
         if request is not None and attempt in request.live:
             request.chunks = max(request.chunks, chunks)
             request.progress_at = now
+            live = request.live[attempt]
+            self._streams.note(now, request.current, live.endpoint, live.stream, chunks)
+            return self._drop_overtaken(now, request, live)
         return []
 
     def load_report(
@@ -291,6 +305,22 @@
             return
         self.counters.ejections += self._membership.failed(now, load)
 
+    def _drop_overtaken(
+        self, now: float, request: Request, ahead: LiveAttempt
+    ) -> list[Action]:
+        """Cancel attempts that a later one of the same stream has passed."""
+        passed = [
+            attempt
+            for attempt, live in request.live.items()
+            if live.sent_at < ahead.sent_at and live.stream.chunks < ahead.stream.chunks
+        ]
+        actions: list[Action] = []
+        for attempt in passed:
+            loser = self._ledger.ended(request, attempt)
+            self._lost_to_hedge(now, loser, ahead)
+            actions.append(Cancel(attempt, loser.endpoint))
+        return actions
+
     def _refuse(
         self, now: float, request: Request, reason: Reason, retry_after_s: float = 0.0
     ) -> list[Action]:
@@ -329,7 +359,7 @@
         if load is None:
             return
         stats = self._times.of(request.current)
-        if stats.known:
+        if stats.known and not ended.stream.pace_s:
             load.note_run(now, result.run_s / stats.mean_beside_s(ended.beside))
         stats.add(result.run_s, result.output_bytes, ended.beside, ended.cached)
         on_the_way = now - ended.sent_at - result.run_s - result.queued_s
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -4,6 +4,7 @@
 
 from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.model import AttemptId, Stage
+from amaranthtally.policy.streams import Stream
 
 __all__ = ["LiveAttempt", "Request"]
 
@@ -26,6 +27,7 @@
     hedge: bool = False
     probe: bool = False
     asks: int = 0
+    stream: Stream = field(default_factory=Stream)
 
 
 @dataclass(slots=True)
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -49,6 +49,7 @@
         "_mean_s",
         "_most_beside",
         "_output_bytes",
+        "_pace",
         "_run",
         "_saving",
         "_slope_s",
@@ -58,6 +59,7 @@
 
     def __init__(self) -> None:
         self._run = TimeSketch()
+        self._pace = TimeSketch()
         self._crowding = FadingSlope(CROWDING_PRIOR_VARIANCE)
         self._saving = FadingSlope(SAVING_PRIOR_VARIANCE)
         self._most_beside = 0.0
@@ -150,6 +152,17 @@
         excess = self._slope_s * (beside - self._crowding.mean_x)
         return max(mean * LEAST_OF_MEAN, mean + excess)
 
+    def add_pace(self, chunk_s: float, beside: float) -> None:
+        """Learn from the seconds that a chunk took beside so many other calls."""
+        self._pace.add(chunk_s * self._mean_s / self.mean_beside_s(beside))
+
+    def pace_beside_s(self, beside: float) -> float:
+        """Return the median time of a chunk, in seconds; 0 until known."""
+        if self._pace.count < ENOUGH_SAMPLES:
+            return 0.0
+        median_s = self._pace.quantile(TYPICAL)
+        return median_s * self.mean_beside_s(beside) / self._mean_s
+
     def burden_s(self, beside: float) -> float:
         """Return by how much one more call lengthens those beside it, in seconds."""
         return self._slope_s * beside
--- /dev/null
+++ b/tests/policy/test_streams.py
@@ -0,0 +1,83 @@
+"""What the chunks of a stream tell of its endpoint, and what is done about it."""
+
+from amaranthtally.policy import Cancel
+from tests.policy.support import Feeder, answered, endpoints, one_stage, planner, sends
+
+CHUNKS = 4
+CHUNK_S = 0.2
+SLOWER = 4.0
+LONG = 18
+
+
+def streaming(count=4):
+    """Return a feeder whose planner knows how fast chunks come, and the time."""
+    feeder = Feeder(planner(endpoints("engine", count)), one_stage(streams=True))
+    now = 1.0
+    for _ in range(40):
+        (send,) = sends(feeder.arrive(now))
+        now = stream(feeder, send, now, CHUNKS, CHUNK_S)
+        feeder.reply(now, send, run_s=(CHUNKS + 1) * CHUNK_S)
+    return feeder, now
+
+
+def stream(feeder, send, now, chunks, chunk_s, first=0):
+    """Let chunks of an attempt come; returns the time after them."""
+    for chunk in range(first + 1, first + chunks + 1):
+        now += chunk_s
+        feeder.tick(now)
+        feeder.planner.progress(now, send.attempt, chunk)
+    return now
+
+
+def test_a_stream_that_flows_too_slowly_goes_on_elsewhere():
+    """
+    A farmer has read half of an assessment when the deadline cuts it off. Its
+    engine had become slow; as chunks still came, the stream passed for healthy.
+    """
+    feeder, now = streaming()
+    (slow,) = sends(feeder.arrive(now))
+    hedges = []
+    for chunk in range(1, CHUNKS):
+        now += SLOWER * CHUNK_S
+        hedges.extend(sends(feeder.tick(now)))
+        feeder.planner.progress(now, slow.attempt, chunk)
+    (hedge,) = hedges
+    assert hedge.hedge
+    assert hedge.endpoint != slow.endpoint
+
+    passing = feeder.planner.progress(now + 0.1, hedge.attempt, CHUNKS)
+    assert passing == [Cancel(slow.attempt, slow.endpoint)]
+    assert answered(feeder.reply(now + 0.2, hedge, run_s=0.2))
+
+
+def test_a_stream_at_the_usual_pace_is_left_alone():
+    """
+    Every long answer is generated twice at twice the cost. It ran for longer than
+    most, although its chunks came as fast as ever.
+    """
+    feeder, now = streaming()
+    (long,) = sends(feeder.arrive(now))
+    for chunk in range(1, LONG):
+        now += CHUNK_S
+        assert not sends(feeder.tick(now))
+        assert not feeder.planner.progress(now, long.attempt, chunk)
+    assert answered(feeder.reply(now, long, run_s=LONG * CHUNK_S))
+
+
+def test_a_slow_engine_is_avoided_before_any_run_ends_there():
+    """
+    A tenth of the requests of ten seconds is late. An engine had become slow, and
+    as its runs ended last it passed for fast until the first of them did.
+    """
+    feeder, now = streaming()
+    (slow,) = sends(feeder.arrive(now))
+    stream(feeder, slow, now, 3, SLOWER * CHUNK_S)
+    now += 3 * SLOWER * CHUNK_S
+    feeder.planner.caller_gone(now, slow.attempt.request_id)
+    chosen = []
+    for _ in range(20):
+        (send,) = sends(feeder.arrive(now))
+        chosen.append(send.endpoint)
+        now = stream(feeder, send, now, CHUNKS, CHUNK_S)
+        feeder.reply(now, send, run_s=(CHUNKS + 1) * CHUNK_S)
+    assert slow.endpoint not in chosen[:10]
