Believe load reports as far as they follow our own attempts

Late reports were told by their lacking our own attempts, but old ones hold as many calls of long ago: trust was 0.99.

Change: trust is the slope of a report's changes on the changes of our own attempts between reports. Reports of now follow them one by one, old ones do not.

test_reports_that_do_not_follow_... fails with full trust, test_reports_that_follow_... with none.

--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -6,15 +6,14 @@
 from amaranthtally.policy.events import LoadReport
 from amaranthtally.policy.invariants import ensure
 from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.slopes import FadingSlope
 
 __all__ = ["EndpointLoad", "LoadTable", "PoolLoad"]
 
 UNHEARD_LIMIT = 4
 SMOOTHING_S = 0.5
 DOUBT_SMOOTHING_S = 5.0
-DOUBT_WEIGHT = 0.02
-DOUBT_FACTOR = 10.0
-MOST_MISSING = 2
+FOLLOWING_PRIOR_VARIANCE = 0.2
 STALE_S = 5.0
 MOST_ON_THE_WAY = 4.0
 SLOWNESS_WEIGHT = 0.1
@@ -37,7 +36,7 @@
     """
 
     __slots__ = (
-        "_doubt",
+        "_follows",
         "_others",
         "_others_at",
         "capacity",
@@ -47,7 +46,7 @@
     )
 
     def __init__(self) -> None:
-        self._doubt = 0.0
+        self._follows = FadingSlope(FOLLOWING_PRIOR_VARIANCE)
         self.capacity = 0
         self.outstanding = 0
         self.pending = 0
@@ -58,18 +57,17 @@
     @property
     def trust(self) -> float:
         """How far reports are taken to be of now, from 0 to 1."""
-        return max(0.0, 1.0 - DOUBT_FACTOR * self._doubt)
+        return min(1.0, self._follows.slope(1.0))
 
-    def note_report(self, missing: float) -> None:
+    def note_report(self, change: float, own_change: float) -> None:
         """
-        Note that a report lacked so many of our own attempts.
+        Note by how many calls two reports differ, and our own attempts between.
 
-        A report of now counts all of them but those on their way. One that
-        lacks more is of some time ago; entries that believed it would all send
-        to endpoints that were idle then.
+        Reports of now follow our own attempts one by one. Those of some time ago
+        do not; entries that believed them would all send to endpoints that were
+        idle then, and the next time to the others.
         """
-        late = missing > MOST_MISSING
-        self._doubt += DOUBT_WEIGHT * (late - self._doubt)
+        self._follows.add(own_change, change)
 
     def mean_others(self, now: float) -> float:
         """Return the calls of other entries at an average endpoint."""
@@ -117,9 +115,11 @@
         "_failing_at",
         "_others",
         "_others_at",
+        "_own_then",
         "_pool",
         "_slow",
         "_slow_at",
+        "_total_then",
         "asked_at",
         "counted",
         "endpoint",
@@ -142,6 +142,8 @@
         self.counted = False
         self._others = 0.0
         self._others_at = 0.0
+        self._own_then = 0
+        self._total_then = 0
         self._slow = 1.0
         self._slow_at = 0.0
         self._failing = 0.0
@@ -224,8 +226,13 @@
 
     def take_report(self, now: float, report: LoadReport) -> None:
         """Learn from a report, however late."""
-        others = report.running + report.queued - self.outstanding
-        self._pool.note_report(-others)
+        total = report.running + report.queued
+        if self.heard_at >= 0:
+            own_change = self.outstanding - self._own_then
+            self._pool.note_report(total - self._total_then, own_change)
+        self._total_then = total
+        self._own_then = self.outstanding
+        others = total - self.outstanding
         current = self.others(now)
         if self.heard_at < 0:
             weight = 1.0
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -37,6 +37,51 @@
     assert len(counts) == 12
 
 
+def test_reports_that_do_not_follow_our_attempts_are_not_believed():
+    """
+    In a burst a third of the engines hold queues of three seconds and another
+    third idles; a little later the other way round. Reports were of seconds ago,
+    and all entries kept on sending to what had been idle then.
+    """
+    feeder = Feeder(planner(endpoints("engine", 4)), one_stage())
+    then = {f"engine-{number}": 3 * (number > 0) for number in range(4)}
+    counts = Counter()
+    now = 1.0
+    under_way = []
+    for round_ in range(400):
+        now += 0.1
+        (send,) = sends(feeder.arrive(now))
+        counts[send.endpoint] += round_ >= 200
+        under_way.append(send)
+        for name, running in then.items():
+            feeder.planner.load_report(now, name, report(running, limit=8))
+        if len(under_way) > 4:
+            feeder.reply(now + 0.06, under_way.pop(0), run_s=0.05)
+    assert counts["engine-0"] < 0.5 * sum(counts.values())
+
+
+def test_reports_that_follow_our_attempts_are_believed():
+    """
+    One engine serves another entry's long answers; ours go there as well and wait.
+    Its reports were of now and said so, but were taken for old.
+    """
+    feeder = Feeder(planner(endpoints("engine", 4)), one_stage())
+    busy = {f"engine-{number}": 8 * (number == 0) for number in range(4)}
+    chosen = []
+    now = 1.0
+    for _ in range(200):
+        now += 0.1
+        (send,) = sends(feeder.arrive(now))
+        chosen.append(send.endpoint)
+        for name, running in busy.items():
+            own = name == send.endpoint
+            feeder.planner.load_report(now + 0.05, name, report(running + own, limit=8))
+        feeder.reply(now + 0.06, send, run_s=0.05)
+        for name, running in busy.items():
+            feeder.planner.load_report(now + 0.07, name, report(running, limit=8))
+    assert chosen[100:].count("engine-0") == 0
+
+
 def test_no_two_decisions_take_an_endpoint_for_equally_idle():
     """
     Eight requests of one moment run on one engine beside two idle ones. No report
