--- a/packages/daemon/src/amaranthtally/daemon/entry/claims.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/claims.py
@@ -5,14 +5,16 @@
 """
 
 import asyncio
+import random
 import secrets
-import time
 from dataclasses import dataclass
 from hashlib import sha256
 
 import msgspec
 from result import Err, Ok, Result
 
+from amaranthtally.daemon.entry.outage import OutageWatch
+from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import KeyValueClient, PlatformDown, PlatformError
 from amaranthtally.policy.once import Binding
 
@@ -30,10 +32,18 @@
 ID_BYTES = 8
 CLAIM_TIMEOUT_S = 1.0
 TRIES = 3
+FIRST_PAUSE_S = 0.1
+LONGEST_PAUSE_S = 0.5
+
+log = get_logger()
 
 
 class Claim(msgspec.Struct, frozen=True):
-    """A key's binding; ``claimed_at`` in seconds since the epoch, for removal only."""
+    """
+    A key's binding; ``claimed_at`` is for removal only.
+
+    It is in seconds since the epoch by the platform's clock.
+    """
 
     id: str
     fingerprint: str
@@ -54,23 +64,67 @@
 
     def __init__(self, platform: KeyValueClient) -> None:
         self._platform = platform
+        self._outage = OutageWatch()
+        self._loop = asyncio.get_running_loop()
 
     async def claim(
-        self, path: str, fingerprint: str, bindings: list[Binding]
+        self,
+        path: str,
+        fingerprint: str,
+        bindings: list[Binding],
+        patience_s: float = 0.0,
     ) -> Result[FoundClaim, PlatformError]:
-        """Claim a key, or return whose claim came first."""
-        wanted = Claim(
-            secrets.token_hex(ID_BYTES), fingerprint, bindings, round(time.time(), 3)
-        )
+        """
+        Claim a key, or return whose claim came first.
+
+        While the platform fails it is tried again for ``patience_s`` seconds, but
+        not in an outage that has lasted for long.
+        """
+        if self._outage.is_long(self._loop.time()):
+            patience_s = 0.0
+        limit_s = max(CLAIM_TIMEOUT_S, patience_s)
         try:
-            async with asyncio.timeout(CLAIM_TIMEOUT_S):
-                return await self._settle(path, wanted)
+            async with asyncio.timeout(limit_s):
+                return await self._settle_in(path, fingerprint, bindings, patience_s)
         except TimeoutError:
-            return Err(PlatformDown(f"no answer in {CLAIM_TIMEOUT_S} s"))
+            self._outage.failed(self._loop.time())
+            return Err(PlatformDown(f"no answer in {limit_s} s"))
+
+    async def _settle_in(
+        self, path: str, fingerprint: str, bindings: list[Binding], patience_s: float
+    ) -> Result[FoundClaim, PlatformError]:
+        claim_id = secrets.token_hex(ID_BYTES)
+        until = self._loop.time() + patience_s
+        pause = FIRST_PAUSE_S
+        while True:
+            found = await self._settle(path, claim_id, fingerprint, bindings)
+            now = self._loop.time()
+            if isinstance(found, Ok):
+                self._outage.succeeded()
+                return found
+            self._outage.failed(now)
+            if now + pause > until:
+                return found
+            log.info("claim_put_off", cause=str(found.err_value))
+            # The waits differ, so that the callers of an outage do not all write
+            # at once when the platform is back.
+            await asyncio.sleep(pause * random.uniform(0.5, 1.0))
+            pause = min(2 * pause, LONGEST_PAUSE_S)
 
     async def _settle(
-        self, path: str, wanted: Claim
+        self, path: str, claim_id: str, fingerprint: str, bindings: list[Binding]
     ) -> Result[FoundClaim, PlatformError]:
+        # A claim stamped by a host whose clock is behind would be removed while its
+        # caller still repeats the key, and the repeat would run a second time.
+        claimed_at = self._platform.clock_s
+        if claimed_at is None:
+            read = await self._read(path)
+            if isinstance(read, Err):
+                return read
+            claimed_at = self._platform.clock_s
+        if claimed_at is None:
+            return Err(PlatformDown("its answers have no Date"))
+        wanted = Claim(claim_id, fingerprint, bindings, round(claimed_at))
         found: Result[FoundClaim, PlatformError] = Err(PlatformDown("not tried"))
         for _ in range(TRIES):
             written = await self._platform.compare_and_swap(
--- a/packages/operator/src/amaranthtally/operator/experiment/ablations.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/ablations.py
@@ -35,8 +35,9 @@
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import EndpointLoad, LoadTable, PoolLoad
 from amaranthtally.policy.prefixes import PrefixIndex
-from amaranthtally.policy.routing import Choice, Router, RouteRequest
+from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageStats, StageTimes
+from amaranthtally.policy.weighing import Choice, RouteRequest
 
 __all__ = ["ablations"]
 
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -39,6 +39,7 @@
         "_follows",
         "_others",
         "_others_at",
+        "_trust",
         "capacity",
         "outstanding",
         "pending",
@@ -47,6 +48,7 @@
 
     def __init__(self) -> None:
         self._follows = FadingSlope(FOLLOWING_PRIOR_VARIANCE)
+        self._trust = 1.0
         self.capacity = 0
         self.outstanding = 0
         self.pending = 0
@@ -57,7 +59,7 @@
     @property
     def trust(self) -> float:
         """How far reports are taken to be of now, from 0 to 1."""
-        return min(1.0, self._follows.slope(1.0))
+        return self._trust
 
     def note_report(self, change: float, own_change: float) -> None:
         """
@@ -68,6 +70,7 @@
         idle then, and the next time to the others.
         """
         self._follows.add(own_change, change)
+        self._trust = min(1.0, self._follows.slope(1.0))
 
     def mean_others(self, now: float) -> float:
         """Return the calls of other entries at an average endpoint."""
@@ -78,6 +81,11 @@
         self._others = self.others(now) + calls
         self._others_at = max(self._others_at, now)
 
+    def replace_others(self, now: float, old: float, new: float) -> None:
+        """Count an endpoint's calls of other entries anew."""
+        self._others = self.others(now) - old + new
+        self._others_at = max(self._others_at, now)
+
     def others(self, now: float) -> float:
         """Return the calls of other entries; they fade like each endpoint's."""
         return self._others * _stale(now - self._others_at)
@@ -116,7 +124,6 @@
         "_others",
         "_others_at",
         "_own_then",
-        "_pool",
         "_slow",
         "_slow_at",
         "_total_then",
@@ -128,10 +135,11 @@
         "leaving",
         "limit",
         "outstanding",
+        "pool",
     )
 
     def __init__(self, endpoint: Endpoint, pool: PoolLoad) -> None:
-        self._pool = pool
+        self.pool = pool
         self.endpoint = endpoint
         self.outstanding = 0
         self.limit = UNHEARD_LIMIT
@@ -164,19 +172,21 @@
 
         The less reports can be trusted, the more is it taken to be average.
         """
-        trust = self._pool.trust
-        others = trust * max(0.0, self.others(now))
-        others += (1.0 - trust) * self._pool.mean_others(now)
+        others = self.others(now) if self._others > 0.0 else 0.0
+        trust = self.pool.trust
+        if trust < 1.0:
+            others = trust * others + (1.0 - trust) * self.pool.mean_others(now)
         return self.outstanding + others
 
     def beside(self, occupancy: float) -> float:
         """Return the predicted calls that run beside a new one."""
-        return min(occupancy, self.limit - 1)
+        most = self.limit - 1
+        return occupancy if occupancy < most else most
 
     def wait_s(self, occupancy: float, mean_s: float) -> float:
         """Return the predicted wait of a new call, in seconds."""
         ahead = occupancy + 1 - self.limit
-        return max(0.0, ahead) * mean_s / self.limit
+        return ahead * mean_s / self.limit if ahead > 0 else 0.0
 
     def slowness(self, now: float) -> float:
         """
@@ -185,7 +195,10 @@
         Little off 1 is taken for 1: runs differ by a third among themselves, and
         to follow that noise costs more than it finds.
         """
-        off = (self._slow - 1.0) * _faded(now - self._slow_at)
+        off = self._slow - 1.0
+        if -SLOWNESS_NOISE <= off <= SLOWNESS_NOISE:
+            return 1.0
+        off *= _faded(now - self._slow_at)
         if abs(off) <= SLOWNESS_NOISE:
             return 1.0
         return 1.0 + off - copysign(SLOWNESS_NOISE, off)
@@ -197,6 +210,8 @@
         A small rest is taken for 0: among equals it would keep an endpoint from
         ever getting the attempt that clears it.
         """
+        if self._failing <= FAILING_NOISE:
+            return 0.0
         failing = self._failing * _faded(now - self._failing_at)
         return failing if failing > FAILING_NOISE else 0.0
 
@@ -229,7 +244,7 @@
         total = report.running + report.queued
         if self.heard_at >= 0:
             own_change = self.outstanding - self._own_then
-            self._pool.note_report(total - self._total_then, own_change)
+            self.pool.note_report(total - self._total_then, own_change)
         self._total_then = total
         self._own_then = self.outstanding
         others = total - self.outstanding
@@ -237,7 +252,7 @@
         if self.heard_at < 0:
             weight = 1.0
         else:
-            smoothing_s = SMOOTHING_S + (1.0 - self._pool.trust) * DOUBT_SMOOTHING_S
+            smoothing_s = SMOOTHING_S + (1.0 - self.pool.trust) * DOUBT_SMOOTHING_S
             weight = 1.0 - exp(-max(0.0, now - self.heard_at) / smoothing_s)
         self._others = current + weight * (others - current)
         self._others_at = now
@@ -283,7 +298,7 @@
         if load.counted:
             return
         load.counted = True
-        pool = self.pool(load.endpoint.pool)
+        pool = load.pool
         pool.size += 1
         pool.capacity += load.limit
         pool.add_others(now, load.others(now))
@@ -293,7 +308,7 @@
         if not load.counted:
             return
         load.counted = False
-        pool = self.pool(load.endpoint.pool)
+        pool = load.pool
         pool.size -= 1
         pool.capacity -= load.limit
         pool.add_others(now, -load.others(now))
@@ -301,16 +316,18 @@
 
     def take_report(self, now: float, load: EndpointLoad, report: LoadReport) -> None:
         """Learn from a report, and keep the sums."""
-        counted = load.counted
-        self.count_out(now, load)
+        if not load.counted:
+            load.take_report(now, report)
+            return
+        old_limit, old_others = load.limit, load.others(now)
         load.take_report(now, report)
-        if counted:
-            self.count_in(now, load)
+        load.pool.capacity += load.limit - old_limit
+        load.pool.replace_others(now, old_others, load.others(now))
 
     def sent(self, load: EndpointLoad) -> None:
         """Count an attempt at an endpoint."""
         load.outstanding += 1
-        self.pool(load.endpoint.pool).outstanding += 1
+        load.pool.outstanding += 1
 
     def ended(self, endpoint: str, pool: str) -> None:
         """Count an attempt as ended, also at an endpoint that is forgotten."""
@@ -318,8 +335,9 @@
         if load is not None:
             # One that was forgotten and registered anew starts from 0 again.
             load.outstanding = max(0, load.outstanding - 1)
-        self.pool(pool).outstanding -= 1
-        ensure(self.pool(pool).outstanding >= 0, "attempts at a pool are not negative")
+        sums = self.pool(pool)
+        sums.outstanding -= 1
+        ensure(sums.outstanding >= 0, "attempts at a pool are not negative")
 
     def drop(self, now: float, endpoint: str) -> None:
         """Forget an endpoint that is no longer registered."""
@@ -333,8 +351,8 @@
 
 
 def _stale(age_s: float) -> float:
-    return 0.5 ** (max(0.0, age_s) / STALE_S)
+    return 0.5 ** (age_s / STALE_S) if age_s > 0 else 1.0
 
 
 def _faded(age_s: float) -> float:
-    return 0.5 ** (max(0.0, age_s) / FADE_S)
+    return 0.5 ** (age_s / FADE_S) if age_s > 0 else 1.0
--- a/packages/policy/src/amaranthtally/policy/stream_watch.py
+++ b/packages/policy/src/amaranthtally/policy/stream_watch.py
@@ -3,9 +3,9 @@
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.model import Stage
 from amaranthtally.policy.requests import LiveAttempt, Request
-from amaranthtally.policy.routing import Choice
 from amaranthtally.policy.stage_times import StageStats, StageTimes
 from amaranthtally.policy.streams import Stream
+from amaranthtally.policy.weighing import Choice
 
 __all__ = ["StreamWatch"]
 
--- a/packages/standins/src/amaranthtally/standins/chaos/callers.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/callers.py
@@ -131,6 +131,20 @@
         for entry in entries:
             await self._order(entry, effect)
 
+    async def repeat_until_known(self, at_once: int) -> None:
+        """Repeat each order until it is answered or was not run."""
+        effects = iter(self.effects)
+
+        async def work() -> None:
+            for effect in effects:
+                unknown = -1
+                while effect.unknown != unknown:
+                    unknown = effect.unknown
+                    entry = await self._world.balancer.pick(self._random)
+                    await self._order(entry, effect)
+
+        await asyncio.gather(*(work() for _ in range(at_once)))
+
     async def _order(self, entry: int, effect: Effect) -> None:
         headers = {"Idempotency-Key": effect.key}
         body = {"input": {"to": effect.key}}
@@ -143,7 +157,8 @@
             self._world.counts["effect answered"] += 1
             effect.orders.append(document["output"]["order"])
             return
-        self._world.counts[f"effect {document['outcome']} {status}"] += 1
+        refusal = f"effect {document['outcome']} {status} {document['title']}"
+        self._world.counts[refusal] += 1
         if document["outcome"] == "not_run":
             effect.not_run += 1
         else:
@@ -180,7 +195,7 @@
     """Return the only right answer to a question."""
     found = RetrieverStandIn("").answer({"query": text})
     kept = RerankerStandIn("").answer(found)["documents"]
-    return "".join(words_for("\n".join([*kept, text]), tokens))
+    return "".join(words_for("\n".join([text, *kept]), tokens))
 
 
 def _event(block: bytes) -> tuple[str, dict[str, Any]]:
