--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -40,6 +40,7 @@
     WantedModels,
     plan_orders,
 )
+from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
 
@@ -62,6 +63,7 @@
     "ModelPlan",
     "ModelUse",
     "Outcome",
+    "Parts",
     "Pipeline",
     "Planner",
     "PolicySettings",
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -1,22 +1,23 @@
 """How loaded each endpoint is, from late reports and the entry's own attempts."""
 
+from collections.abc import Callable
 from math import copysign, exp
 
 from amaranthtally.policy.events import LoadReport
 from amaranthtally.policy.invariants import ensure
 from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.slopes import FadingSlope
 
 __all__ = ["EndpointLoad", "LoadTable", "PoolLoad"]
 
 UNHEARD_LIMIT = 4
 SMOOTHING_S = 0.5
 DOUBT_SMOOTHING_S = 5.0
-DOUBT_WEIGHT = 0.02
-DOUBT_FACTOR = 10.0
-MOST_MISSING = 2
+FOLLOWING_PRIOR_VARIANCE = 0.2
 STALE_S = 5.0
 MOST_ON_THE_WAY = 4.0
 SLOWNESS_WEIGHT = 0.1
+PACE_WEIGHT = 0.3
 SLOWNESS_NOISE = 0.25
 FAILURE_WEIGHT = 0.2
 FAILING_NOISE = 0.05
@@ -35,9 +36,10 @@
     """
 
     __slots__ = (
-        "_doubt",
+        "_follows",
         "_others",
         "_others_at",
+        "_trust",
         "capacity",
         "outstanding",
         "pending",
@@ -45,7 +47,8 @@
     )
 
     def __init__(self) -> None:
-        self._doubt = 0.0
+        self._follows = FadingSlope(FOLLOWING_PRIOR_VARIANCE)
+        self._trust = 1.0
         self.capacity = 0
         self.outstanding = 0
         self.pending = 0
@@ -56,19 +59,18 @@
     @property
     def trust(self) -> float:
         """How far reports are taken to be of now, from 0 to 1."""
-        trust = 1.0 - DOUBT_FACTOR * self._doubt
-        return trust if trust > 0.0 else 0.0
+        return self._trust
 
-    def note_report(self, missing: float) -> None:
+    def note_report(self, change: float, own_change: float) -> None:
         """
-        Note that a report lacked so many of our own attempts.
+        Note by how many calls two reports differ, and our own attempts between.
 
-        A report of now counts all of them but those on their way. One that
-        lacks more is of some time ago; entries that believed it would all send
-        to endpoints that were idle then.
+        Reports of now follow our own attempts one by one. Those of some time ago
+        do not; entries that believed them would all send to endpoints that were
+        idle then, and the next time to the others.
         """
-        late = missing > MOST_MISSING
-        self._doubt += DOUBT_WEIGHT * (late - self._doubt)
+        self._follows.add(own_change, change)
+        self._trust = min(1.0, self._follows.slope(1.0))
 
     def mean_others(self, now: float) -> float:
         """Return the calls of other entries at an average endpoint."""
@@ -121,8 +123,10 @@
         "_failing_at",
         "_others",
         "_others_at",
+        "_own_then",
         "_slow",
         "_slow_at",
+        "_total_then",
         "asked_at",
         "counted",
         "endpoint",
@@ -148,6 +152,8 @@
         self.counted = False
         self._others = 0.0
         self._others_at = 0.0
+        self._own_then = 0
+        self._total_then = 0
         self._slow = 1.0
         self._slow_at = 0.0
         self._failing = 0.0
@@ -223,9 +229,20 @@
 
     def note_run(self, now: float, ratio: float) -> None:
         """Learn from a run that took ``ratio`` times its pool's mean."""
+        self._note_slowness(now, ratio, SLOWNESS_WEIGHT)
+
+    def note_pace(self, now: float, ratio: float) -> None:
+        """
+        Learn from a chunk that took ``ratio`` times its pool's median.
+
+        It counts for more than a run, which is also long by a long answer.
+        """
+        self._note_slowness(now, ratio, PACE_WEIGHT)
+
+    def _note_slowness(self, now: float, ratio: float, weight: float) -> None:
         ratio = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, ratio))
         current = 1.0 + (self._slow - 1.0) * _faded(now - self._slow_at)
-        self._slow = current + SLOWNESS_WEIGHT * (ratio - current)
+        self._slow = current + weight * (ratio - current)
         self._slow_at = now
 
     def note_attempt(self, now: float, failed: bool) -> None:
@@ -236,8 +253,13 @@
 
     def take_report(self, now: float, report: LoadReport) -> None:
         """Learn from a report, however late."""
-        others = report.running + report.queued - self.outstanding
-        self.pool.note_report(-others)
+        total = report.running + report.queued
+        if self.heard_at >= 0:
+            own_change = self.outstanding - self._own_then
+            self.pool.note_report(total - self._total_then, own_change)
+        self._total_then = total
+        self._own_then = self.outstanding
+        others = total - self.outstanding
         current = self.others(now)
         if self.heard_at < 0:
             weight = 1.0
@@ -251,10 +273,14 @@
         self.models = report.models
 
 
+BuildLoad = Callable[[Endpoint, PoolLoad], EndpointLoad]
+
+
 class LoadTable:
     """The endpoints that this entry has used or heard of, and sums by pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, build: BuildLoad = EndpointLoad) -> None:
+        self._build = build
         self._loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, PoolLoad] = {}
 
@@ -276,9 +302,8 @@
         """Return an endpoint's load, made at first use."""
         load = self._loads.get(endpoint.id)
         if load is None:
-            load = self._loads[endpoint.id] = EndpointLoad(
-                endpoint, self.pool(endpoint.pool)
-            )
+            load = self._build(endpoint, self.pool(endpoint.pool))
+            self._loads[endpoint.id] = load
         return load
 
     def count_in(self, now: float, load: EndpointLoad) -> None:
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -52,15 +52,21 @@
         "_mean_s",
         "_most_beside",
         "_output_bytes",
+        "_pace",
+        "_pace_s",
         "_run",
         "_saving",
         "_slope_s",
         "_slow",
         "_typical",
+        "_until_pace",
     )
 
     def __init__(self) -> None:
         self._run = TimeSketch()
+        self._pace = TimeSketch()
+        self._pace_s = 0.0
+        self._until_pace = int(ENOUGH_SAMPLES)
         self._crowding = FadingSlope(CROWDING_PRIOR_VARIANCE)
         self._saving = FadingSlope(SAVING_PRIOR_VARIANCE)
         self._has_runs = False
@@ -161,6 +167,18 @@
         least = mean * LEAST_OF_MEAN
         return beside_s if beside_s > least else least
 
+    def add_pace(self, chunk_s: float, beside: float) -> None:
+        """Learn from the seconds that a chunk took beside so many other calls."""
+        self._pace.add(chunk_s * self._mean_s / self.mean_beside_s(beside))
+        self._until_pace -= 1
+        if self._until_pace <= 0:
+            self._until_pace = MEMO_SAMPLES
+            self._pace_s = self._pace.quantile(TYPICAL)
+
+    def pace_beside_s(self, beside: float) -> float:
+        """Return the median time of a chunk, in seconds; 0 until known."""
+        return self._pace_s * self.mean_beside_s(beside) / self._mean_s
+
     def burden_s(self, beside: float) -> float:
         """Return by how much one more call lengthens those beside it, in seconds."""
         return self._slope_s * beside
