--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -1,11 +1,12 @@
 """Carries out the policy's actions and feeds it what came of them."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
+from amaranthtally.daemon.entry.cache_news import CacheFollower
 from amaranthtally.daemon.entry.inquiries import Inquirer, load_report
 from amaranthtally.daemon.entry.live_request import LiveRequest
 from amaranthtally.daemon.entry.metrics import EntryMetrics
@@ -63,6 +64,7 @@
         self._endpoints = settings.endpoints
         self._revision = settings.revision
         self._requests: dict[str, LiveRequest] = {}
+        self._cache_news = CacheFollower()
         self._tasks: set[asyncio.Task[None]] = set()
         self._peers: Peers | None = None
         self._inquirer: Inquirer | None = None
@@ -266,13 +268,14 @@
             return
         remaining_s = send.deadline - self._loop.time()
         expires_s = self._inquirer.expiry(endpoint.id, remaining_s)
-        call = build_call(request, send, self._revision, remaining_s, expires_s)
+        heard = self._cache_news.heard(endpoint.id)
+        call = build_call(request, send, self._revision, remaining_s, expires_s, heard)
 
-        async def on_chunk(offset: int, text: str) -> None:
-            self._take_chunk(request, attempt, endpoint, offset, text)
+        def on_chunks(offset: int, texts: Sequence[str]) -> None:
+            self._take_chunks(request, attempt, endpoint, offset, texts)
 
         try:
-            reply = await client.run(call, on_chunk if stage.streams else None)
+            reply = await client.run(call, on_chunks if stage.streams else None)
         except WireError as error:
             self._log_attempt(attempt, endpoint, "lost", str(error))
             self._ended(attempt, StageResult(Fate.LOST))
@@ -282,20 +285,21 @@
             self._metrics.region_crossed(stage.name, size)
         self._take_reply(request, attempt, endpoint, reply)
 
-    def _take_chunk(
+    def _take_chunks(
         self,
         request: LiveRequest,
         attempt: AttemptId,
         endpoint: Endpoint,
         offset: int,
-        text: str,
+        texts: Sequence[str],
     ) -> None:
-        fate = request.take_chunk(attempt, offset, text)
-        if fate is ChunkFate.TAKEN:
+        had = len(request.chunks)
+        fate = request.take_chunks(attempt, offset, texts)
+        if len(request.chunks) > had:
             self._carry_out(
                 self._planner.progress(self._loop.time(), attempt, len(request.chunks))
             )
-        elif fate is not ChunkFate.DROPPED:
+        if fate in (ChunkFate.DIVERGENT, ChunkFate.TOO_LONG):
             task = request.tasks[attempt]
             self._log_attempt(attempt, endpoint, "stream refused", fate.value)
             permanent = fate is ChunkFate.TOO_LONG
@@ -345,6 +349,7 @@
     ) -> None:
         assert self._peers is not None
         self._peers.note_load(endpoint.id, reply.load)
+        self._take_cache_news(endpoint, reply)
         if attempt not in request.tasks:
             return
         stage = request.arrival.pipeline.stages[attempt.stage]
@@ -356,6 +361,15 @@
             self._log_attempt(attempt, endpoint, reply.status.value, reply.reason)
         self._ended(attempt, ended.result)
 
+    def _take_cache_news(self, endpoint: Endpoint, reply: StageReply) -> None:
+        if not reply.cache.serial:
+            return
+        incarnation = reply.load.incarnation
+        event = self._cache_news.take(endpoint.id, incarnation, reply.cache)
+        if event is not None:
+            now = self._loop.time()
+            self._carry_out(self._planner.cache_event(now, endpoint.id, event))
+
     def _ended(self, attempt: AttemptId, result: StageResult) -> None:
         request = self._requests.get(attempt.request_id)
         if request is None:
--- a/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
@@ -42,6 +42,7 @@
     revision: int,
     remaining_s: float,
     expires_s: float,
+    cache_serial: int = 0,
 ) -> StageCall:
     """
     Return the call of one attempt; ``remaining_s`` is the attempt's time left.
@@ -71,6 +72,7 @@
         resume_offset=send.resume_offset,
         model=stage.model,
         revision=revision,
+        cache_serial=cache_serial,
     )
 
 
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
@@ -7,15 +7,24 @@
 import aiohttp
 import msgspec
 
+from amaranthtally.daemon.prompts import build_prompt, cache_salt, input_text
+from amaranthtally.daemon.sidecar.engine_cache import EngineCache
 from amaranthtally.wire import ChunkHandler, StageCall
 
-__all__ = ["Adapter", "EndpointError", "adapter_for", "adapter_kinds"]
+__all__ = [
+    "Adapter",
+    "EndpointError",
+    "ModelMissingError",
+    "adapter_for",
+    "adapter_kinds",
+]
 
 DONE_MARK = b"[DONE]"
 DATA_PREFIX = b"data: "
 CALL_MARGIN_S = 0.05
 MIN_PROGRESS_S = 0.25
 PROGRESS_SHARE = 0.5
+NOT_FOUND = 404
 
 
 class EndpointError(Exception):
@@ -30,14 +39,22 @@
         self.permanent = permanent
 
 
+class ModelMissingError(EndpointError):
+    """The engine refused a call before its start: it does not hold the model."""
+
+    def __init__(self, model: str) -> None:
+        super().__init__(f"the engine does not hold model {model!r}")
+
+
 @dataclass(frozen=True, slots=True)
 class EndpointCall:
-    """A stage call on its way to the endpoint."""
+    """A stage call on its way to the endpoint; ``cache`` where it is an engine."""
 
     session: aiohttp.ClientSession
     url: str
     call: StageCall
     on_chunk: ChunkHandler
+    cache: EngineCache | None = None
 
 
 Adapter = Callable[[EndpointCall], Awaitable[bytes]]
@@ -102,10 +119,13 @@
 @_adapter("engine")
 async def _generate(target: EndpointCall) -> bytes:
     given = _read_input(target.call)
-    prompt = "\n".join([*_documents(given.previous), _text(given.input)])
+    text = input_text(given.input)
+    if target.cache is not None:
+        target.cache.note_prompt(target.call.account, text)
     body = {
         "model": target.call.model,
-        "prompt": prompt,
+        "prompt": build_prompt(text, _documents(given.previous)),
+        "cache_salt": cache_salt(target.call.account),
         "stream": True,
         "priority": target.call.priority,
         "resume_offset": target.call.resume_offset,
@@ -118,6 +138,9 @@
         headers=_JSON_HEADERS,
         timeout=_timeout(target.call),
     ) as response:
+        # An order of a former holder may have unloaded it since it was last seen.
+        if response.status == NOT_FOUND:
+            raise ModelMissingError(target.call.model)
         await _raise_for_status(response)
         async for line in response.content:
             if not line.startswith(DATA_PREFIX):
@@ -171,11 +194,6 @@
         return []
 
 
-def _text(value: msgspec.Raw) -> str:
-    decoded: Any = msgspec.json.decode(value)
-    return decoded if isinstance(decoded, str) else bytes(value).decode()
-
-
 def _timeout(call: StageCall) -> aiohttp.ClientTimeout:
     # A call that may not be repeated is waited for past the caller's deadline:
     # its effect may come late, and a repeat must learn what came of it.
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -33,6 +33,14 @@
     PolicySettings,
     Stage,
 )
+from amaranthtally.policy.model_orders import (
+    EngineModels,
+    ModelPlan,
+    ModelUse,
+    WantedModels,
+    plan_orders,
+)
+from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
 
@@ -47,11 +55,15 @@
     "Cancel",
     "Counters",
     "Endpoint",
+    "EngineModels",
     "Fate",
     "Greet",
     "InvariantError",
     "LoadReport",
+    "ModelPlan",
+    "ModelUse",
     "Outcome",
+    "Parts",
     "Pipeline",
     "Planner",
     "PolicySettings",
@@ -62,4 +74,6 @@
     "Send",
     "Stage",
     "StageResult",
+    "WantedModels",
+    "plan_orders",
 ]
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -2,12 +2,17 @@
 
 from random import Random
 
-from amaranthtally.policy.accounts import AccountShares
-from amaranthtally.policy.actions import Action, Ask, Greet, Outcome, Reason, Refuse
-from amaranthtally.policy.admission import Admission
+from amaranthtally.policy.actions import (
+    Action,
+    Ask,
+    Cancel,
+    Greet,
+    Outcome,
+    Reason,
+    Refuse,
+)
 from amaranthtally.policy.budgets import RateLimit
 from amaranthtally.policy.dispatch import Dispatcher
-from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.events import (
     Arrival,
     CacheEvent,
@@ -17,13 +22,12 @@
 )
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.ledger import Counters, Ledger
-from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.membership import Membership
 from amaranthtally.policy.model import AttemptId, PolicySettings
+from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.requests import LiveAttempt, Request
-from amaranthtally.policy.routing import Router
-from amaranthtally.policy.stage_times import StageTimes
+from amaranthtally.policy.stream_watch import StreamWatch
 from amaranthtally.policy.timers import Timer, Timers
 
 __all__ = ["Planner"]
@@ -34,6 +38,7 @@
 NOT_RUN_COST = 0.25
 ASKS_PER_S = 20.0
 ASKS_BURST = 10.0
+PARTS = Parts()
 
 
 class Planner:
@@ -44,14 +49,19 @@
     different seeds, or they would all look at the same ones.
     """
 
-    def __init__(self, settings: PolicySettings, random: Random | None = None) -> None:
+    def __init__(
+        self,
+        settings: PolicySettings,
+        random: Random | None = None,
+        parts: Parts = PARTS,
+    ) -> None:
         random = random or Random(0)
         self._settings = settings
-        self._times = StageTimes()
-        self._loads = LoadTable()
-        self._ejections = Ejections()
+        self._times = parts.stage_times()
+        self._loads = parts.loads()
+        self._ejections = parts.ejections()
         self._prefixes = PrefixIndex()
-        self._accounts = AccountShares()
+        self._accounts = parts.accounts()
         self._timers = Timers()
         self._asks = RateLimit(0.0, ASKS_PER_S, ASKS_BURST)
         self._ledger = Ledger(self._loads)
@@ -59,10 +69,13 @@
         self._membership = Membership(
             groups, self._loads, self._ejections, self._prefixes
         )
-        self._router = Router(
+        self._router = parts.router(
             random, groups, self._loads, self._ejections, self._prefixes
         )
-        self._admission = Admission(random, self._times, self._loads, self._accounts)
+        self._admission = parts.admission(
+            random, self._times, self._loads, self._accounts
+        )
+        self._streams = StreamWatch(self._times, self._loads)
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -72,6 +85,7 @@
             self._router,
             self._ledger,
             self._timers,
+            self._streams,
         )
         self._configure(0.0, settings)
 
@@ -126,6 +140,9 @@
         if request is not None and attempt in request.live:
             request.chunks = max(request.chunks, chunks)
             request.progress_at = now
+            live = request.live[attempt]
+            self._streams.note(now, request.current, live.endpoint, live.stream, chunks)
+            return self._drop_overtaken(now, request, live)
         return []
 
     def load_report(
@@ -236,7 +253,7 @@
     ) -> list[Action]:
         not_run = result.fate is Fate.NOT_RUN
         request.unstarted += not_run
-        self._note_failure(now, ended, result)
+        self._note_failure(now, request, ended, result)
         if request.live:
             return []
         request.avoid |= {ended.endpoint}
@@ -246,32 +263,35 @@
             return self._refuse(now, request, reason, result.retry_after_s)
         if self._has_too_little_left(now, request):
             return self._refuse(now, request, Reason.DEADLINE, result.retry_after_s)
-        cost = self._retry_cost(ended, not_run)
+        cost = self._retry_cost(request, ended, not_run)
         actions = self._dispatcher.retry(now, request, cost)
         return actions or self._refuse(now, request, reason, result.retry_after_s)
 
-    def _retry_cost(self, ended: LiveAttempt, not_run: bool) -> float:
+    def _retry_cost(self, request: Request, ended: LiveAttempt, not_run: bool) -> float:
         """
         Return what another attempt costs the budget.
 
-        A refusal by an endpoint that leaves is free: it gets no second call, so
+        A refusal by one that leaves or lacks the model is free: no second call, so
         there are no more of them than endpoints, and a rolling restart would
         otherwise use up the tries of a request that one endpoint could take.
         """
         load = self._loads.find(ended.endpoint)
-        if not_run and load is not None and load.leaving:
+        if not_run and load is not None and not load.takes(request.current.model):
             return 0.0
         return NOT_RUN_COST if not_run else FAILURE_COST
 
     def _note_failure(
-        self, now: float, ended: LiveAttempt, result: StageResult
+        self, now: float, request: Request, ended: LiveAttempt, result: StageResult
     ) -> None:
         load = self._loads.find(ended.endpoint)
-        # A queue that is full or a request that fails everywhere says nothing
-        # against the endpoint; ejecting for it would take capacity away under load.
+        # A full queue, a model not loaded or a request that fails everywhere says
+        # nothing against the endpoint; to eject it would take capacity away.
         blameless = result.permanent or (
             result.fate is Fate.NOT_RUN
-            and (result.retry_after_s > 0 or (load is not None and load.leaving))
+            and (
+                result.retry_after_s > 0
+                or (load is not None and not load.takes(request.current.model))
+            )
         )
         if blameless or load is None:
             self._ejections.probe_dropped(ended.endpoint)
@@ -288,6 +308,22 @@
             return
         self.counters.ejections += self._membership.failed(now, load)
 
+    def _drop_overtaken(
+        self, now: float, request: Request, ahead: LiveAttempt
+    ) -> list[Action]:
+        """Cancel attempts that a later one of the same stream has passed."""
+        passed = [
+            attempt
+            for attempt, live in request.live.items()
+            if live.sent_at < ahead.sent_at and live.stream.chunks < ahead.stream.chunks
+        ]
+        actions: list[Action] = []
+        for attempt in passed:
+            loser = self._ledger.ended(request, attempt)
+            self._lost_to_hedge(now, loser, ahead)
+            actions.append(Cancel(attempt, loser.endpoint))
+        return actions
+
     def _refuse(
         self, now: float, request: Request, reason: Reason, retry_after_s: float = 0.0
     ) -> list[Action]:
@@ -326,7 +362,7 @@
         if load is None:
             return
         stats = self._times.of(request.current)
-        if stats.known:
+        if stats.known and not ended.stream.pace_s:
             load.note_run(now, result.run_s / stats.mean_beside_s(ended.beside))
         stats.add(result.run_s, result.output_bytes, ended.beside, ended.cached)
         on_the_way = now - ended.sent_at - result.run_s - result.queued_s
