Let a randomised run's callers pick an entry for each order

Ruled out: a kill (entry-1 was not in the list of hurt entries). Change: the entry is drawn as the order is sent.

--- a/packages/standins/src/amaranthtally/standins/chaos/callers.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/callers.py
@@ -122,14 +122,17 @@
         self.effects.append(effect)
         repeats = self._random.choice((1, 1, 2, 3))
         together = self._random.random() < 0.5
-        entries = [
-            await self._world.balancer.pick(self._random) for _ in range(repeats)
-        ]
         if together:
-            await asyncio.gather(*(self._order(entry, effect) for entry in entries))
+            await asyncio.gather(*(self._place(effect) for _ in range(repeats)))
             return
-        for entry in entries:
-            await self._order(entry, effect)
+        for _ in range(repeats):
+            await self._place(effect)
+
+    async def _place(self, effect: Effect) -> None:
+        # Picked for each order: an entry picked before the last order was answered
+        # may have been stopped since, and a balancer would not send there.
+        entry = await self._world.balancer.pick(self._random)
+        await self._order(entry, effect)
 
     async def repeat_until_known(self, at_once: int) -> None:
         """Repeat each order until it is answered or was not run."""
@@ -140,8 +143,7 @@
                 unknown = -1
                 while effect.unknown != unknown:
                     unknown = effect.unknown
-                    entry = await self._world.balancer.pick(self._random)
-                    await self._order(entry, effect)
+                    await self._place(effect)
 
         await asyncio.gather(*(work() for _ in range(at_once)))
 
