Learn an endpoint's slowness from a chunk that is overdue

Cause: requests went on to a slow engine for two seconds after its fault, until an entry's first stream there had its second chunk.

Change: each look at a stream whose next chunk is overdue tells its endpoint's slowness at least. Only after the first chunk: before it a call may wait in a queue that late reports hide.

The new test fails without the call in Dispatcher.hedge.

--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -113,6 +113,8 @@
         if not request.current.repeatable or len(request.live) > 1:
             return []
         stats = self._times.of(request.current)
+        if request.current.streams:
+            self._streams.note_quiet(now, attempt, stats)
         # Where work waits, a hedge only makes it wait longer.
         crowded = self._loads.pool(request.current.pool).wait_s(now, stats.mean_s) > 0
         if not crowded:
--- a/packages/policy/src/amaranthtally/policy/stream_watch.py
+++ b/packages/policy/src/amaranthtally/policy/stream_watch.py
@@ -11,6 +11,8 @@
 
 # Prefill and the first chunk itself, in times between chunks.
 FIRST_CHUNK = 2.0
+# Times between chunks after which one is overdue.
+OVERDUE = 2.0
 
 
 class StreamWatch:
@@ -41,6 +43,23 @@
             load.note_pace(now, interval_s / usual_s)
         stats.add_pace(interval_s, beside)
 
+    def note_quiet(self, now: float, attempt: LiveAttempt, stats: StageStats) -> None:
+        """
+        Learn from a chunk that is overdue how slow its endpoint is at least.
+
+        A slow endpoint's second chunk comes seconds after the first requests are
+        sent there; by then many more would have followed them.
+        """
+        load = self._loads.find(attempt.endpoint)
+        usual_s = stats.pace_beside_s(attempt.beside)
+        heard_at = attempt.stream.heard_at
+        # Before the first chunk it may as well wait in a queue that nobody knew of.
+        if load is None or usual_s <= 0 or not heard_at:
+            return
+        ratio = (now - heard_at) / usual_s
+        if ratio >= OVERDUE:
+            load.note_pace(now, ratio)
+
     def risk(
         self, now: float, attempt: LiveAttempt, end: float, stats: StageStats
     ) -> float:
--- a/tests/policy/test_streams.py
+++ b/tests/policy/test_streams.py
@@ -81,3 +81,24 @@
         now = stream(feeder, send, now, CHUNKS, CHUNK_S)
         feeder.reply(now, send, run_s=(CHUNKS + 1) * CHUNK_S)
     assert slow.endpoint not in chosen[:10]
+
+
+def test_an_engine_whose_next_chunk_is_overdue_is_avoided():
+    """
+    A dozen requests follow the first one to an engine that has become slow. Its
+    second chunk, which showed that it was, came two seconds after the first.
+    """
+    feeder, now = streaming()
+    (slow,) = sends(feeder.arrive(now))
+    now = stream(feeder, slow, now, 1, CHUNK_S)
+    for _ in range(4):
+        now += CHUNK_S
+        feeder.tick(now)
+    feeder.planner.caller_gone(now, slow.attempt.request_id)
+    chosen = []
+    for _ in range(12):
+        (send,) = sends(feeder.arrive(now))
+        chosen.append(send.endpoint)
+        now = stream(feeder, send, now, CHUNKS, CHUNK_S)
+        feeder.reply(now, send, run_s=(CHUNKS + 1) * CHUNK_S)
+    assert slow.endpoint not in chosen
