--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -33,6 +33,13 @@
     PolicySettings,
     Stage,
 )
+from amaranthtally.policy.model_orders import (
+    EngineModels,
+    ModelPlan,
+    ModelUse,
+    WantedModels,
+    plan_orders,
+)
 from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
@@ -48,10 +55,13 @@
     "Cancel",
     "Counters",
     "Endpoint",
+    "EngineModels",
     "Fate",
     "Greet",
     "InvariantError",
     "LoadReport",
+    "ModelPlan",
+    "ModelUse",
     "Outcome",
     "Parts",
     "Pipeline",
@@ -64,4 +74,6 @@
     "Send",
     "Stage",
     "StageResult",
+    "WantedModels",
+    "plan_orders",
 ]
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -134,6 +134,7 @@
         "incarnation",
         "leaving",
         "limit",
+        "models",
         "outstanding",
         "pool",
     )
@@ -147,6 +148,7 @@
         self.asked_at = -1.0
         self.incarnation = 0
         self.leaving = False
+        self.models: frozenset[str] | None = None
         self.counted = False
         self._others = 0.0
         self._others_at = 0.0
@@ -157,6 +159,16 @@
         self._failing = 0.0
         self._failing_at = 0.0
 
+    def answers(self, model: str) -> bool:
+        """Whether it has a model by its own word; true where it has said nothing."""
+        if self.models is None:
+            return True
+        return model in self.models if model else bool(self.models)
+
+    def takes(self, model: str) -> bool:
+        """Whether it takes new work and has the model."""
+        return not self.leaving and self.answers(model)
+
     def others(self, now: float) -> float:
         """
         Return the smoothed calls of other entries; may be below 0.
@@ -258,6 +270,7 @@
         self._others_at = now
         self.heard_at = now
         self.limit = max(1, report.limit)
+        self.models = report.models
 
 
 BuildLoad = Callable[[Endpoint, PoolLoad], EndpointLoad]
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -2,14 +2,21 @@
 
 from amaranthtally.wire.client import SidecarClient, connect_sidecar
 from amaranthtally.wire.connections import EntryConnections
-from amaranthtally.wire.errors import PeerLostError, ReplyMismatchError, WireError
+from amaranthtally.wire.errors import (
+    ChunkRefusedError,
+    PeerLostError,
+    ReplyMismatchError,
+    WireError,
+)
 from amaranthtally.wire.messages import (
     CacheNews,
     CallId,
     ChunkHandler,
+    ChunksHandler,
     Greeting,
     Inquiry,
     Load,
+    ModelState,
     OnceTerms,
     SettingsGap,
     StageCall,
@@ -27,10 +34,13 @@
     "CacheNews",
     "CallId",
     "ChunkHandler",
+    "ChunkRefusedError",
+    "ChunksHandler",
     "EntryConnections",
     "Greeting",
     "Inquiry",
     "Load",
+    "ModelState",
     "OnceTerms",
     "PeerLostError",
     "ReplyMismatchError",
--- a/packages/wire/src/amaranthtally/wire/messages.py
+++ b/packages/wire/src/amaranthtally/wire/messages.py
@@ -1,25 +1,30 @@
 """Typed messages of the inner protocol, free of any transport."""
 
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
 from enum import Enum
 
 __all__ = [
     "CacheNews",
     "CallId",
     "ChunkHandler",
+    "ChunksHandler",
     "Greeting",
     "Inquiry",
     "Load",
+    "ModelState",
     "OnceTerms",
     "SettingsGap",
     "StageCall",
     "StageReply",
     "Status",
+    "StreamPart",
 ]
 
 # Receives the offset of a chunk in the stage's output, counted in chunks, and its text.
 ChunkHandler = Callable[[int, str], Awaitable[None]]
+# Receives the offset of the first of some consecutive chunks, and their texts.
+ChunksHandler = Callable[[int, Sequence[str]], None]
 
 
 class Status(Enum):
@@ -54,6 +59,19 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class ModelState:
+    """
+    The models that an engine answers now, its role, and its last order.
+
+    ``last_order`` is in words for operators; empty before any order.
+    """
+
+    served: frozenset[str] = frozenset()
+    role: str = ""
+    last_order: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """
@@ -62,7 +80,8 @@
     ``service_s`` is the smoothed time the endpoint takes for one call and
     ``backlog_s`` the predicted wait of a new call, both in seconds.
     ``incarnation`` is drawn anew at each start of the sidecar; ``clock_s`` is the
-    time on that incarnation's own clock.
+    time on that incarnation's own clock. ``models`` is ``None`` where any model is
+    answered.
     """
 
     incarnation: int = 0
@@ -74,6 +93,7 @@
     backlog_s: float = 0.0
     revision: int = 0
     clock_s: float = 0.0
+    models: ModelState | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -157,6 +177,21 @@
     cache: CacheNews = NO_NEWS
 
 
+@dataclass(frozen=True, slots=True)
+class StreamPart:
+    """
+    Consecutive chunks of one stream on their way to an entry.
+
+    ``stream`` is the entry's number for the call ``id``; ``offset`` is that of the
+    first chunk. ``texts`` grows until the part is sent.
+    """
+
+    stream: int
+    id: CallId
+    offset: int
+    texts: list[str] = field(default_factory=list)
+
+
 @dataclass(frozen=True, slots=True)
 class Greeting:
     """A sidecar's answer to ``hello``."""
