Split an engine's bytes into events in one go

Cause: a read by line goes through the HTTP library's reader twice for each token (the data line and the blank one): 13,810 `readuntil` for 6,000 tokens in a profile of a sidecar. Now each piece is read once, and all events in it are split together. A line is bounded at 1 MiB. An end mark without a newline still counts; other data without one is cut off and no longer decoded.

--- a/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
@@ -9,10 +9,17 @@
 
 from amaranthtally.wire import ChunkHandler, StageCall
 
-__all__ = ["Adapter", "EndpointError", "adapter_for", "adapter_kinds"]
+__all__ = [
+    "Adapter",
+    "EndpointError",
+    "EventSplitter",
+    "adapter_for",
+    "adapter_kinds",
+]
 
 DONE_MARK = b"[DONE]"
 DATA_PREFIX = b"data: "
+MAX_EVENT_BYTES = 1_048_576
 CALL_MARGIN_S = 0.05
 MIN_PROGRESS_S = 0.25
 PROGRESS_SHARE = 0.5
@@ -119,17 +126,41 @@
         timeout=_timeout(target.call),
     ) as response:
         await _raise_for_status(response)
-        async for line in response.content:
-            if not line.startswith(DATA_PREFIX):
-                continue
-            data = line[len(DATA_PREFIX) :].strip()
-            if data == DONE_MARK:
-                return msgspec.json.encode({"chunks": offset})
-            await target.on_chunk(offset, _completion_text(data))
-            offset += 1
+        events = EventSplitter()
+        async for piece in response.content.iter_any():
+            for data in events.feed(piece):
+                if data == DONE_MARK:
+                    return msgspec.json.encode({"chunks": offset})
+                await target.on_chunk(offset, _completion_text(data))
+                offset += 1
+        if events.rest == DATA_PREFIX + DONE_MARK:
+            return msgspec.json.encode({"chunks": offset})
     raise EndpointError("the engine's stream ended without its end mark")
 
 
+class EventSplitter:
+    """
+    Splits an engine's bytes into the data of its events.
+
+    All that came together is split in one go: a read by line would go through the
+    HTTP library twice for each token.
+    """
+
+    def __init__(self) -> None:
+        self.rest = b""
+
+    def feed(self, piece: bytes) -> list[bytes]:
+        """Take bytes; return the data of the lines that they end."""
+        *lines, self.rest = (self.rest + piece).split(b"\n")
+        if len(self.rest) > MAX_EVENT_BYTES:
+            raise EndpointError(f"an event has over {MAX_EVENT_BYTES} bytes")
+        return [
+            line[len(DATA_PREFIX) :].strip()
+            for line in lines
+            if line.startswith(DATA_PREFIX)
+        ]
+
+
 class _Choice(msgspec.Struct):
     text: str
 
@@ -138,8 +169,11 @@
     choices: list[_Choice]
 
 
+_completions = msgspec.json.Decoder(_Completion)
+
+
 def _completion_text(data: bytes) -> str:
-    return msgspec.json.decode(data, type=_Completion).choices[0].text
+    return _completions.decode(data).choices[0].text
 
 
 # Plain services
--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -8,7 +8,7 @@
 an attribute is looked up and missed before the schema is asked.
 """
 
-from collections.abc import Iterator, Sequence
+from collections.abc import Iterator
 from pathlib import Path
 from typing import Any
 
@@ -21,21 +21,20 @@
     StageCall,
     StageReply,
     Status,
-    StreamPart,
 )
 
 __all__ = [
+    "fields_of",
     "read_call",
     "read_call_id",
+    "read_fields",
     "read_load",
-    "read_part",
     "read_reply",
     "read_terms",
     "schema",
     "write_call",
     "write_call_id",
     "write_load",
-    "write_parts",
     "write_reply",
     "write_terms",
 ]
@@ -46,12 +45,14 @@
 MICROSECONDS = 1_000_000
 
 
-def _fields(struct: Any, *names: str) -> tuple[Any, ...]:
+def fields_of(struct: Any, *names: str) -> tuple[Any, ...]:
+    """Return the descriptors of a struct's fields."""
     known = struct.schema.fields
     return tuple(known[name] for name in names)
 
 
-def _read(source: Any, fields: tuple[Any, ...]) -> Iterator[Any]:
+def read_fields(source: Any, fields: tuple[Any, ...]) -> Iterator[Any]:
+    """Return the values of a reader's fields, in the order of ``fields``."""
     # The underscore keeps the method's name apart from those of the fields.
     return map(source._get_by_field, fields)  # noqa: SLF001
 
@@ -76,12 +77,12 @@
     target.attempt = call_id.attempt
 
 
-_CALL_ID = _fields(schema.CallId, "requestId", "stage", "attempt")
+_CALL_ID = fields_of(schema.CallId, "requestId", "stage", "attempt")
 
 
 def read_call_id(source: Any) -> CallId:
     """Return the call id held by a reader."""
-    return CallId(*_read(source, _CALL_ID))
+    return CallId(*read_fields(source, _CALL_ID))
 
 
 # Load
@@ -100,7 +101,7 @@
     target.clockMicros = to_micros(load.clock_s)
 
 
-_LOAD = _fields(
+_LOAD = fields_of(
     schema.Load,
     "incarnation",
     "running",
@@ -126,7 +127,7 @@
         backlog_micros,
         revision,
         clock_micros,
-    ) = _read(source, _LOAD)
+    ) = read_fields(source, _LOAD)
     return Load(
         incarnation=incarnation,
         running=running,
@@ -151,14 +152,14 @@
     target.fingerprint = terms.fingerprint
 
 
-_TERMS = _fields(
+_TERMS = fields_of(
     schema.OnceTerms, "incarnation", "issuedMicros", "permit", "fingerprint"
 )
 
 
 def read_terms(source: Any) -> OnceTerms:
     """Return the terms held by a reader."""
-    incarnation, issued_micros, permit, fingerprint = _read(source, _TERMS)
+    incarnation, issued_micros, permit, fingerprint = read_fields(source, _TERMS)
     return OnceTerms(incarnation, to_seconds(issued_micros), permit, fingerprint)
 
 
@@ -183,7 +184,7 @@
     target.revision = call.revision
 
 
-_CALL = _fields(
+_CALL = fields_of(
     schema.StageCall,
     "id",
     "account",
@@ -197,7 +198,7 @@
     "model",
     "revision",
 )
-_CALL_ONCE = _fields(schema.StageCall, "terms", "callKey")
+_CALL_ONCE = fields_of(schema.StageCall, "terms", "callKey")
 
 
 def read_call(source: Any) -> StageCall:
@@ -214,10 +215,10 @@
         resume_offset,
         model,
         revision,
-    ) = _read(source, _CALL)
+    ) = read_fields(source, _CALL)
     terms, call_key = OnceTerms(), ""
     if not repeatable:
-        found, call_key = _read(source, _CALL_ONCE)
+        found, call_key = read_fields(source, _CALL_ONCE)
         terms = read_terms(found)
     return StageCall(
         id=read_call_id(call_id),
@@ -250,7 +251,7 @@
     target.permit = reply.permit
 
 
-_REPLY = _fields(
+_REPLY = fields_of(
     schema.StageReply,
     "id",
     "status",
@@ -279,7 +280,7 @@
         run_micros,
         permit,
         permanent,
-    ) = _read(source, _REPLY)
+    ) = read_fields(source, _REPLY)
     return StageReply(
         id=read_call_id(call_id),
         status=_STATUSES[str(status)],
@@ -292,25 +293,3 @@
         run_s=to_seconds(run_micros),
         permit=permit,
     )
-
-
-# Streams
-
-
-def write_parts(request: Any, parts: Sequence[StreamPart]) -> None:
-    """Fill a ``chunks`` request."""
-    targets = request.init("parts", len(parts))
-    for target, part in zip(targets, parts, strict=True):
-        target.stream = part.stream
-        write_call_id(target.init("id"), part.id)
-        target.offset = part.offset
-        target.texts = part.texts
-
-
-_PART = _fields(schema.StreamPart, "stream", "id", "offset", "texts")
-
-
-def read_part(source: Any) -> StreamPart:
-    """Return the stream part held by a reader."""
-    stream, call_id, offset, texts = _read(source, _PART)
-    return StreamPart(stream, read_call_id(call_id), offset, list(texts))
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -11,11 +11,9 @@
     read_call,
     read_call_id,
     read_load,
-    read_part,
     read_terms,
     schema,
     write_load,
-    write_parts,
     write_reply,
 )
 from amaranthtally.wire.connections import EntryConnections
@@ -33,6 +31,7 @@
     StageReply,
     StreamPart,
 )
+from amaranthtally.wire.stream_codec import read_part, write_parts
 from amaranthtally.wire.streams import OpenStreams
 
 __all__ = [
--- /dev/null
+++ b/packages/wire/src/amaranthtally/wire/stream_codec.py
@@ -0,0 +1,34 @@
+"""Conversion between parts of streams and Cap'n Proto structs."""
+
+from collections.abc import Sequence
+from typing import Any
+
+from amaranthtally.wire.codec import (
+    fields_of,
+    read_call_id,
+    read_fields,
+    schema,
+    write_call_id,
+)
+from amaranthtally.wire.messages import StreamPart
+
+__all__ = ["read_part", "write_parts"]
+
+
+def write_parts(request: Any, parts: Sequence[StreamPart]) -> None:
+    """Fill a ``chunks`` request."""
+    targets = request.init("parts", len(parts))
+    for target, part in zip(targets, parts, strict=True):
+        target.stream = part.stream
+        write_call_id(target.init("id"), part.id)
+        target.offset = part.offset
+        target.texts = part.texts
+
+
+_PART = fields_of(schema.StreamPart, "stream", "id", "offset", "texts")
+
+
+def read_part(source: Any) -> StreamPart:
+    """Return the stream part held by a reader."""
+    stream, call_id, offset, texts = read_fields(source, _PART)
+    return StreamPart(stream, read_call_id(call_id), offset, list(texts))
--- a/tests/lifecycle/support.py
+++ b/tests/lifecycle/support.py
@@ -20,10 +20,11 @@
     Status,
     serve_sidecar,
 )
-from amaranthtally.wire.codec import read_call, write_parts
+from amaranthtally.wire.codec import read_call
 from amaranthtally.wire.loop import run
 from amaranthtally.wire.messages import StreamPart
 from amaranthtally.wire.server import _SidecarServer
+from amaranthtally.wire.stream_codec import write_parts
 from tests.support import TEST_TIMEOUT_S, plan
 
 CHUNKS = 12
--- a/tests/unit/test_codec.py
+++ b/tests/unit/test_codec.py
@@ -12,14 +12,13 @@
 )
 from amaranthtally.wire.codec import (
     read_call,
-    read_part,
     read_reply,
     schema,
     write_call,
-    write_parts,
     write_reply,
 )
 from amaranthtally.wire.messages import StreamPart
+from amaranthtally.wire.stream_codec import read_part, write_parts
 
 ID = CallId("0123456789abcdef", 3, 2)
 CALL = StageCall(
