--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -8,9 +8,12 @@
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
 from amaranthtally.policy.requests import LiveAttempt, Request
-from amaranthtally.policy.routing import Choice, Router, RouteRequest
+from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageStats, StageTimes
+from amaranthtally.policy.stream_watch import StreamWatch
+from amaranthtally.policy.streams import Stream
 from amaranthtally.policy.timers import Timers
+from amaranthtally.policy.weighing import Choice, RouteRequest
 
 __all__ = ["Dispatcher"]
 
@@ -24,6 +27,7 @@
 HEARD_LATELY_S = 5.0
 LOOK_AGAIN_SHARE = 0.5
 LOOK_AGAIN_S = 0.02
+FIRST_CHUNKS = 3.0
 
 
 class _PoolBudgets:
@@ -53,6 +57,7 @@
         router: Router,
         ledger: Ledger,
         timers: Timers,
+        streams: StreamWatch,
     ) -> None:
         self._settings = settings
         self._times = times
@@ -62,6 +67,7 @@
         self._router = router
         self._ledger = ledger
         self._timers = timers
+        self._streams = streams
         self._budgets: dict[str, _PoolBudgets] = {}
 
     def configure(self, settings: PolicySettings) -> None:
@@ -72,11 +78,12 @@
 
     def first(self, now: float, request: Request) -> list[Action]:
         """Send a stage's first attempt; nothing when no endpoint takes work."""
-        self._budgets_of(request.current).retries.earn()
-        self._budgets_of(request.current).hedges.earn()
-        probe = None if request.bound_to else self._probe(now, request)
-        if probe is not None:
-            return self._send(now, request, probe, probe=True)
+        budgets = self._budgets_of(request.current)
+        budgets.retries.earn()
+        budgets.hedges.earn()
+        probed = None if request.bound_to else self._probed(now, request)
+        if probed is not None:
+            return self._send_probe(now, request, probed)
         return self._route(now, request, frozenset())
 
     def retry(self, now: float, request: Request, cost: float) -> list[Action]:
@@ -106,34 +113,44 @@
         if not request.current.repeatable or len(request.live) > 1:
             return []
         stats = self._times.of(request.current)
-        quiet_since = max(attempt.sent_at, request.progress_at)
-        flowing = request.progress_at > 0 and now - quiet_since < stats.slow_s
         # Where work waits, a hedge only makes it wait longer.
         crowded = self._loads.pool(request.current.pool).wait_s(now, stats.mean_s) > 0
-        if not flowing and not crowded:
+        if not crowded:
             actions = self._hedge_if_worth_it(now, request, attempt, stats)
             if actions:
                 return actions
-        again = LOOK_AGAIN_SHARE * (now - attempt.sent_at)
-        self._timers.set(now + max(LOOK_AGAIN_S, again), request.id, slow)
+        self._timers.set(self._next_look(now, attempt, stats), request.id, slow)
         return []
 
+    def _first_look_s(self, stage: Stage, choice: Choice) -> float:
+        """Return after how much of its run an attempt is first looked at."""
+        stats = self._times.of(stage)
+        chunk_s = stats.pace_beside_s(choice.beside) if stage.streams else 0.0
+        return min(stats.late_s, FIRST_CHUNKS * chunk_s) if chunk_s else stats.late_s
+
+    def _next_look(self, now: float, attempt: LiveAttempt, stats: StageStats) -> float:
+        # A stream's next chunk, or its lack, tells more.
+        chunk_s = stats.pace_beside_s(attempt.beside)
+        again_s = chunk_s or LOOK_AGAIN_SHARE * (now - attempt.sent_at)
+        return now + max(LOOK_AGAIN_S, again_s)
+
     def _hedge_if_worth_it(
         self, now: float, request: Request, attempt: LiveAttempt, stats: StageStats
     ) -> list[Action]:
         hedges = self._budgets_of(request.current).hedges
         wanted = self._wanted(now, request, request.avoid | {attempt.endpoint})
-        risk = self._risk(now, attempt, wanted, stats)
+        risk = self._risk(now, request, attempt, wanted, stats)
         # Choosing costs most: it is left out where nothing can come of it.
         if hedges.tokens < 1 or wanted.weight * risk <= 0:
             return []
         choice = self._router.choose(now, wanted, stats)
-        if choice is None or not self._is_worth_it(risk, choice, wanted.weight):
+        if choice is None:
             return []
-        if not hedges.take():
+        gain = risk - self._streams.resumed_risk(now, request, choice, wanted.end)
+        if not _is_worth_it(gain, choice, wanted.weight) or not hedges.take():
             return []
         self._ledger.counters.hedges += 1
-        return self._send(now, request, choice, hedge=True)
+        return self._send(now, request, wanted, choice, hedge=True)
 
     # Choices
 
@@ -145,7 +162,7 @@
         if request.bound_to:
             return self._send_bound(now, request, wanted, stats)
         choice = self._router.choose(now, wanted, stats)
-        return [] if choice is None else self._send(now, request, choice)
+        return [] if choice is None else self._send(now, request, wanted, choice)
 
     def _send_bound(
         self, now: float, request: Request, wanted: RouteRequest, stats: StageStats
@@ -156,7 +173,7 @@
         if endpoint is None:
             return []
         choice = self._router.predict(now, wanted, stats, endpoint)
-        return self._send(now, request, choice)
+        return self._send(now, request, wanted, choice)
 
     def _wanted(
         self, now: float, request: Request, avoid: frozenset[str]
@@ -164,16 +181,16 @@
         arrival = request.arrival
         remaining = request.remaining
         return RouteRequest(
-            stage=request.current,
-            end=self._times.share_end(now, arrival.deadline, remaining),
-            latest_end=self._times.latest_finish(arrival.deadline, remaining[1:]),
-            weight=arrival.pipeline.weight_attainment,
-            input_bytes=arrival.input_bytes + request.previous_bytes,
-            prefix=arrival.prefix if _has_prefix_cache(request.current) else (),
-            avoid=avoid,
+            request.current,
+            self._times.share_end(now, arrival.deadline, remaining),
+            self._times.latest_finish(arrival.deadline, remaining[1:]),
+            arrival.pipeline.weight_attainment,
+            arrival.input_bytes + request.previous_bytes,
+            arrival.prefix if request.current.caches_prefixes else (),
+            avoid,
         )
 
-    def _probe(self, now: float, request: Request) -> Choice | None:
+    def _probed(self, now: float, request: Request) -> Endpoint | None:
         """
         Return an ejected endpoint to try, when the request can afford a failure.
 
@@ -182,26 +199,40 @@
         """
         stage = request.current
         name = self._ejections.due_for_probe(now, stage.pool)
-        endpoint = self._groups.find(name) if name else None
+        if name is None:
+            return None
+        endpoint = self._groups.find(name)
         if endpoint is None or not _runs(endpoint, stage):
             return None
         load = self._loads.open(endpoint)
         left = request.arrival.deadline - now
+        if not load.answers(stage.model):
+            return None
         if load.leaving or left < PROBE_SLACK * self._times.needed_s(request.remaining):
             return None
         if not stage.repeatable and now - load.heard_at > HEARD_LATELY_S:
             return None
+        return endpoint
+
+    def _send_probe(
+        self, now: float, request: Request, endpoint: Endpoint
+    ) -> list[Action]:
         wanted = self._wanted(now, request, frozenset())
-        return self._router.predict(now, wanted, self._times.of(stage), endpoint)
+        stats = self._times.of(request.current)
+        choice = self._router.predict(now, wanted, stats, endpoint)
+        return self._send(now, request, wanted, choice, probe=True)
 
     def _risk(
         self,
         now: float,
+        request: Request,
         attempt: LiveAttempt,
         wanted: RouteRequest,
         stats: StageStats,
     ) -> float:
         """Return the probability that an attempt ends late, given how long it ran."""
+        if request.current.streams and stats.pace_beside_s(attempt.beside) > 0:
+            return self._streams.risk(now, attempt, wanted.end, stats)
         ran = max(0.0, now - attempt.sent_at - attempt.wait_s)
         so_long = stats.tail(ran)
         # Longer than nearly any run on record: the endpoint is taken to be stuck.
@@ -214,16 +245,13 @@
         last_call = ran > stats.slow_s and left < LAST_CALL * stats.likely_s
         return max(healthy, SUSPICION) if last_call else healthy
 
-    def _is_worth_it(self, risk: float, choice: Choice, weight: float) -> bool:
-        gain = risk - choice.risk
-        return weight * gain > (1.0 - weight) * HEDGE_COST * choice.price
-
     # Sending
 
     def _send(
         self,
         now: float,
         request: Request,
+        wanted: RouteRequest,
         choice: Choice,
         hedge: bool = False,
         probe: bool = False,
@@ -238,6 +266,7 @@
             cached=choice.cached,
             hedge=hedge,
             probe=probe,
+            stream=Stream(request.chunks),
         )
         attempt_id = self._ledger.sent(request, load, attempt)
         if probe:
@@ -246,31 +275,18 @@
         if choice.endpoint.region != self._settings.region:
             self._ledger.counters.away += 1
         if request.current.repeatable:
-            late = choice.before_s + self._times.of(request.current).late_s
-            self._timers.set(now + late, request.id, attempt_id)
+            look = choice.before_s + self._first_look_s(request.current, choice)
+            self._timers.set(now + look, request.id, attempt_id)
         return [
             Send(
                 attempt_id,
                 choice.endpoint.id,
-                self._attempt_deadline(now, request),
+                _attempt_deadline(request, wanted),
                 hedge=hedge,
                 resume_offset=request.chunks,
             )
         ]
 
-    def _attempt_deadline(self, now: float, request: Request) -> float:
-        """
-        Return when the stage must have ended, in time for the later ones.
-
-        Never less than its share of what is left: when the later stages'
-        medians no longer fit, they may still be faster than that.
-        """
-        arrival = request.arrival
-        remaining = request.remaining
-        latest = self._times.latest_finish(arrival.deadline, remaining[1:])
-        share = self._times.share_end(now, arrival.deadline, remaining)
-        return min(arrival.deadline, max(latest, share))
-
     def _budgets_of(self, stage: Stage) -> _PoolBudgets:
         found = self._budgets.get(stage.pool)
         if found is None:
@@ -278,11 +294,21 @@
         return found
 
 
-def _has_prefix_cache(stage: Stage) -> bool:
-    return stage.streams or bool(stage.model)
+def _is_worth_it(gain: float, choice: Choice, weight: float) -> bool:
+    return weight * gain > (1.0 - weight) * HEDGE_COST * choice.price
+
+
+def _attempt_deadline(request: Request, wanted: RouteRequest) -> float:
+    """
+    Return when the stage must have ended, in time for the later ones.
+
+    Never less than its share of what is left: when the later stages'
+    medians no longer fit, they may still be faster than that.
+    """
+    return min(request.arrival.deadline, max(wanted.latest_end, wanted.end))
 
 
 def _runs(endpoint: Endpoint, stage: Stage) -> bool:
-    if endpoint.pool != stage.pool:
+    if endpoint.pool != stage.pool or not endpoint.takes_calls:
         return False
-    return not stage.model or not endpoint.models or stage.model in endpoint.models
+    return endpoint.is_meant_for(stage.model)
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -1,22 +1,23 @@
 """How loaded each endpoint is, from late reports and the entry's own attempts."""
 
+from collections.abc import Callable
 from math import copysign, exp
 
 from amaranthtally.policy.events import LoadReport
 from amaranthtally.policy.invariants import ensure
 from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.slopes import FadingSlope
 
 __all__ = ["EndpointLoad", "LoadTable", "PoolLoad"]
 
 UNHEARD_LIMIT = 4
 SMOOTHING_S = 0.5
 DOUBT_SMOOTHING_S = 5.0
-DOUBT_WEIGHT = 0.02
-DOUBT_FACTOR = 10.0
-MOST_MISSING = 2
+FOLLOWING_PRIOR_VARIANCE = 0.2
 STALE_S = 5.0
 MOST_ON_THE_WAY = 4.0
 SLOWNESS_WEIGHT = 0.1
+PACE_WEIGHT = 0.3
 SLOWNESS_NOISE = 0.25
 FAILURE_WEIGHT = 0.2
 FAILING_NOISE = 0.05
@@ -35,9 +36,10 @@
     """
 
     __slots__ = (
-        "_doubt",
+        "_follows",
         "_others",
         "_others_at",
+        "_trust",
         "capacity",
         "outstanding",
         "pending",
@@ -45,7 +47,8 @@
     )
 
     def __init__(self) -> None:
-        self._doubt = 0.0
+        self._follows = FadingSlope(FOLLOWING_PRIOR_VARIANCE)
+        self._trust = 1.0
         self.capacity = 0
         self.outstanding = 0
         self.pending = 0
@@ -56,18 +59,18 @@
     @property
     def trust(self) -> float:
         """How far reports are taken to be of now, from 0 to 1."""
-        return max(0.0, 1.0 - DOUBT_FACTOR * self._doubt)
+        return self._trust
 
-    def note_report(self, missing: float) -> None:
+    def note_report(self, change: float, own_change: float) -> None:
         """
-        Note that a report lacked so many of our own attempts.
+        Note by how many calls two reports differ, and our own attempts between.
 
-        A report of now counts all of them but those on their way. One that
-        lacks more is of some time ago; entries that believed it would all send
-        to endpoints that were idle then.
+        Reports of now follow our own attempts one by one. Those of some time ago
+        do not; entries that believed them would all send to endpoints that were
+        idle then, and the next time to the others.
         """
-        late = missing > MOST_MISSING
-        self._doubt += DOUBT_WEIGHT * (late - self._doubt)
+        self._follows.add(own_change, change)
+        self._trust = min(1.0, self._follows.slope(1.0))
 
     def mean_others(self, now: float) -> float:
         """Return the calls of other entries at an average endpoint."""
@@ -78,6 +81,11 @@
         self._others = self.others(now) + calls
         self._others_at = max(self._others_at, now)
 
+    def replace_others(self, now: float, old: float, new: float) -> None:
+        """Count an endpoint's calls of other entries anew."""
+        self._others = self.others(now) - old + new
+        self._others_at = max(self._others_at, now)
+
     def others(self, now: float) -> float:
         """Return the calls of other entries; they fade like each endpoint's."""
         return self._others * _stale(now - self._others_at)
@@ -115,9 +123,10 @@
         "_failing_at",
         "_others",
         "_others_at",
-        "_pool",
+        "_own_then",
         "_slow",
         "_slow_at",
+        "_total_then",
         "asked_at",
         "counted",
         "endpoint",
@@ -125,11 +134,13 @@
         "incarnation",
         "leaving",
         "limit",
+        "models",
         "outstanding",
+        "pool",
     )
 
     def __init__(self, endpoint: Endpoint, pool: PoolLoad) -> None:
-        self._pool = pool
+        self.pool = pool
         self.endpoint = endpoint
         self.outstanding = 0
         self.limit = UNHEARD_LIMIT
@@ -137,14 +148,27 @@
         self.asked_at = -1.0
         self.incarnation = 0
         self.leaving = False
+        self.models: frozenset[str] | None = None
         self.counted = False
         self._others = 0.0
         self._others_at = 0.0
+        self._own_then = 0
+        self._total_then = 0
         self._slow = 1.0
         self._slow_at = 0.0
         self._failing = 0.0
         self._failing_at = 0.0
 
+    def answers(self, model: str) -> bool:
+        """Whether it has a model by its own word; true where it has said nothing."""
+        if self.models is None:
+            return True
+        return model in self.models if model else bool(self.models)
+
+    def takes(self, model: str) -> bool:
+        """Whether it takes new work and has the model."""
+        return not self.leaving and self.answers(model)
+
     def others(self, now: float) -> float:
         """
         Return the smoothed calls of other entries; may be below 0.
@@ -160,19 +184,21 @@
 
         The less reports can be trusted, the more is it taken to be average.
         """
-        trust = self._pool.trust
-        others = trust * max(0.0, self.others(now))
-        others += (1.0 - trust) * self._pool.mean_others(now)
+        others = self.others(now) if self._others > 0.0 else 0.0
+        trust = self.pool.trust
+        if trust < 1.0:
+            others = trust * others + (1.0 - trust) * self.pool.mean_others(now)
         return self.outstanding + others
 
     def beside(self, occupancy: float) -> float:
         """Return the predicted calls that run beside a new one."""
-        return min(occupancy, self.limit - 1)
+        most = self.limit - 1
+        return occupancy if occupancy < most else most
 
     def wait_s(self, occupancy: float, mean_s: float) -> float:
         """Return the predicted wait of a new call, in seconds."""
         ahead = occupancy + 1 - self.limit
-        return max(0.0, ahead) * mean_s / self.limit
+        return ahead * mean_s / self.limit if ahead > 0 else 0.0
 
     def slowness(self, now: float) -> float:
         """
@@ -181,7 +207,10 @@
         Little off 1 is taken for 1: runs differ by a third among themselves, and
         to follow that noise costs more than it finds.
         """
-        off = (self._slow - 1.0) * _faded(now - self._slow_at)
+        off = self._slow - 1.0
+        if -SLOWNESS_NOISE <= off <= SLOWNESS_NOISE:
+            return 1.0
+        off *= _faded(now - self._slow_at)
         if abs(off) <= SLOWNESS_NOISE:
             return 1.0
         return 1.0 + off - copysign(SLOWNESS_NOISE, off)
@@ -193,14 +222,27 @@
         A small rest is taken for 0: among equals it would keep an endpoint from
         ever getting the attempt that clears it.
         """
+        if self._failing <= FAILING_NOISE:
+            return 0.0
         failing = self._failing * _faded(now - self._failing_at)
         return failing if failing > FAILING_NOISE else 0.0
 
     def note_run(self, now: float, ratio: float) -> None:
         """Learn from a run that took ``ratio`` times its pool's mean."""
+        self._note_slowness(now, ratio, SLOWNESS_WEIGHT)
+
+    def note_pace(self, now: float, ratio: float) -> None:
+        """
+        Learn from a chunk that took ``ratio`` times its pool's median.
+
+        It counts for more than a run, which is also long by a long answer.
+        """
+        self._note_slowness(now, ratio, PACE_WEIGHT)
+
+    def _note_slowness(self, now: float, ratio: float, weight: float) -> None:
         ratio = min(MOST_SLOWNESS, max(LEAST_SLOWNESS, ratio))
         current = 1.0 + (self._slow - 1.0) * _faded(now - self._slow_at)
-        self._slow = current + SLOWNESS_WEIGHT * (ratio - current)
+        self._slow = current + weight * (ratio - current)
         self._slow_at = now
 
     def note_attempt(self, now: float, failed: bool) -> None:
@@ -211,24 +253,34 @@
 
     def take_report(self, now: float, report: LoadReport) -> None:
         """Learn from a report, however late."""
-        others = report.running + report.queued - self.outstanding
-        self._pool.note_report(-others)
+        total = report.running + report.queued
+        if self.heard_at >= 0:
+            own_change = self.outstanding - self._own_then
+            self.pool.note_report(total - self._total_then, own_change)
+        self._total_then = total
+        self._own_then = self.outstanding
+        others = total - self.outstanding
         current = self.others(now)
         if self.heard_at < 0:
             weight = 1.0
         else:
-            smoothing_s = SMOOTHING_S + (1.0 - self._pool.trust) * DOUBT_SMOOTHING_S
+            smoothing_s = SMOOTHING_S + (1.0 - self.pool.trust) * DOUBT_SMOOTHING_S
             weight = 1.0 - exp(-max(0.0, now - self.heard_at) / smoothing_s)
         self._others = current + weight * (others - current)
         self._others_at = now
         self.heard_at = now
         self.limit = max(1, report.limit)
+        self.models = report.models
+
+
+BuildLoad = Callable[[Endpoint, PoolLoad], EndpointLoad]
 
 
 class LoadTable:
     """The endpoints that this entry has used or heard of, and sums by pool."""
 
-    def __init__(self) -> None:
+    def __init__(self, build: BuildLoad = EndpointLoad) -> None:
+        self._build = build
         self._loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, PoolLoad] = {}
 
@@ -250,9 +302,8 @@
         """Return an endpoint's load, made at first use."""
         load = self._loads.get(endpoint.id)
         if load is None:
-            load = self._loads[endpoint.id] = EndpointLoad(
-                endpoint, self.pool(endpoint.pool)
-            )
+            load = self._build(endpoint, self.pool(endpoint.pool))
+            self._loads[endpoint.id] = load
         return load
 
     def count_in(self, now: float, load: EndpointLoad) -> None:
@@ -260,7 +311,7 @@
         if load.counted:
             return
         load.counted = True
-        pool = self.pool(load.endpoint.pool)
+        pool = load.pool
         pool.size += 1
         pool.capacity += load.limit
         pool.add_others(now, load.others(now))
@@ -270,7 +321,7 @@
         if not load.counted:
             return
         load.counted = False
-        pool = self.pool(load.endpoint.pool)
+        pool = load.pool
         pool.size -= 1
         pool.capacity -= load.limit
         pool.add_others(now, -load.others(now))
@@ -278,16 +329,18 @@
 
     def take_report(self, now: float, load: EndpointLoad, report: LoadReport) -> None:
         """Learn from a report, and keep the sums."""
-        counted = load.counted
-        self.count_out(now, load)
+        if not load.counted:
+            load.take_report(now, report)
+            return
+        old_limit, old_others = load.limit, load.others(now)
         load.take_report(now, report)
-        if counted:
-            self.count_in(now, load)
+        load.pool.capacity += load.limit - old_limit
+        load.pool.replace_others(now, old_others, load.others(now))
 
     def sent(self, load: EndpointLoad) -> None:
         """Count an attempt at an endpoint."""
         load.outstanding += 1
-        self.pool(load.endpoint.pool).outstanding += 1
+        load.pool.outstanding += 1
 
     def ended(self, endpoint: str, pool: str) -> None:
         """Count an attempt as ended, also at an endpoint that is forgotten."""
@@ -295,8 +348,9 @@
         if load is not None:
             # One that was forgotten and registered anew starts from 0 again.
             load.outstanding = max(0, load.outstanding - 1)
-        self.pool(pool).outstanding -= 1
-        ensure(self.pool(pool).outstanding >= 0, "attempts at a pool are not negative")
+        sums = self.pool(pool)
+        sums.outstanding -= 1
+        ensure(sums.outstanding >= 0, "attempts at a pool are not negative")
 
     def drop(self, now: float, endpoint: str) -> None:
         """Forget an endpoint that is no longer registered."""
@@ -310,8 +364,8 @@
 
 
 def _stale(age_s: float) -> float:
-    return 0.5 ** (max(0.0, age_s) / STALE_S)
+    return 0.5 ** (age_s / STALE_S) if age_s > 0 else 1.0
 
 
 def _faded(age_s: float) -> float:
-    return 0.5 ** (max(0.0, age_s) / FADE_S)
+    return 0.5 ** (age_s / FADE_S) if age_s > 0 else 1.0
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -28,7 +28,8 @@
     A stage of a pipeline, run by any endpoint of ``pool``.
 
     A stage that is not ``repeatable`` has a side effect and runs at most once.
-    ``price_per_s`` is the price of one second of its endpoint.
+    ``price_per_s`` is the price of one second of its endpoint. ``key`` names what
+    is learned of it: made once, since each decision looks it up many times.
     """
 
     name: str
@@ -37,6 +38,15 @@
     repeatable: bool = True
     streams: bool = False
     price_per_s: float = 0.0005
+    key: tuple[str, str, str] = field(init=False, repr=False, compare=False)
+
+    def __post_init__(self) -> None:
+        object.__setattr__(self, "key", (self.pool, self.model, self.name))
+
+    @property
+    def caches_prefixes(self) -> bool:
+        """Whether its endpoints may cache prefixes: model engines do."""
+        return self.streams or bool(self.model)
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,10 +68,19 @@
         """Whether every stage may run more than once."""
         return all(stage.repeatable for stage in self.stages)
 
+    @property
+    def caches_prefixes(self) -> bool:
+        """Whether a stage's endpoints may cache prefixes."""
+        return any(stage.caches_prefixes for stage in self.stages)
+
 
 @dataclass(frozen=True, slots=True)
 class Endpoint:
-    """An endpoint and where it stands; ``address`` is its sidecar's ``ip:port``."""
+    """
+    An endpoint and where it stands; ``address`` is its sidecar's ``ip:port``.
+
+    ``models`` are those it is to answer, ``takes_calls`` whether its role is to.
+    """
 
     id: str
     pool: str
@@ -70,6 +89,21 @@
     data_centre: str
     address: str
     models: tuple[str, ...] = ()
+    takes_calls: bool = True
+
+    def is_meant_for(self, model: str) -> bool:
+        """Whether it is to answer a model, loaded or not; an empty one is any."""
+        return not model or not self.models or model in self.models
+
+    def stands_like(self, other: "Endpoint") -> bool:
+        """Whether both are one server at one place, whatever it holds."""
+        return (
+            self.pool == other.pool
+            and self.host == other.host
+            and self.region == other.region
+            and self.data_centre == other.data_centre
+            and self.address == other.address
+        )
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/stage_times.py
+++ b/packages/policy/src/amaranthtally/policy/stage_times.py
@@ -16,6 +16,7 @@
 LATE = 0.95
 SLOW = 0.99
 FLOOR = 0.05
+SHARES = (FLOOR, TYPICAL, LIKELY, LATE, SLOW)
 BYTES_WEIGHT = 0.05
 DEFAULT_OUTPUT_BYTES = 1000.0
 MEMO_SAMPLES = 8
@@ -43,23 +44,33 @@
         "_crowding",
         "_floor",
         "_fresh",
+        "_has_runs",
         "_hint_s",
         "_late",
         "_likely",
+        "_mean_beside",
         "_mean_s",
         "_most_beside",
         "_output_bytes",
+        "_pace",
+        "_pace_s",
         "_run",
         "_saving",
         "_slope_s",
         "_slow",
         "_typical",
+        "_until_pace",
     )
 
     def __init__(self) -> None:
         self._run = TimeSketch()
+        self._pace = TimeSketch()
+        self._pace_s = 0.0
+        self._until_pace = int(ENOUGH_SAMPLES)
         self._crowding = FadingSlope(CROWDING_PRIOR_VARIANCE)
         self._saving = FadingSlope(SAVING_PRIOR_VARIANCE)
+        self._has_runs = False
+        self._mean_beside = 0.0
         self._most_beside = 0.0
         self._hint_s = DEFAULT_RUN_S
         self._mean_s = DEFAULT_RUN_S
@@ -85,31 +96,36 @@
     @property
     def typical_s(self) -> float:
         """Median run time in seconds."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._typical
 
     @property
     def likely_s(self) -> float:
         """Run time in seconds that one run in ten exceeds."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._likely
 
     @property
     def late_s(self) -> float:
         """Run time in seconds that one run in twenty exceeds."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._late
 
     @property
     def slow_s(self) -> float:
         """Run time in seconds that one run in a hundred exceeds."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._slow
 
     @property
     def floor_s(self) -> float:
         """Run time in seconds that few runs stay under; 0 until known."""
-        self._refresh()
+        if self._fresh <= 0:
+            self._refresh()
         return self._floor
 
     @property
@@ -147,8 +163,21 @@
     def mean_beside_s(self, beside: float) -> float:
         """Return the mean run time beside so many other calls, in seconds."""
         mean = self._mean_s
-        excess = self._slope_s * (beside - self._crowding.mean_x)
-        return max(mean * LEAST_OF_MEAN, mean + excess)
+        beside_s = mean + self._slope_s * (beside - self._mean_beside)
+        least = mean * LEAST_OF_MEAN
+        return beside_s if beside_s > least else least
+
+    def add_pace(self, chunk_s: float, beside: float) -> None:
+        """Learn from the seconds that a chunk took beside so many other calls."""
+        self._pace.add(chunk_s * self._mean_s / self.mean_beside_s(beside))
+        self._until_pace -= 1
+        if self._until_pace <= 0:
+            self._until_pace = MEMO_SAMPLES
+            self._pace_s = self._pace.quantile(TYPICAL)
+
+    def pace_beside_s(self, beside: float) -> float:
+        """Return the median time of a chunk, in seconds; 0 until known."""
+        return self._pace_s * self.mean_beside_s(beside) / self._mean_s
 
     def burden_s(self, beside: float) -> float:
         """Return by how much one more call lengthens those beside it, in seconds."""
@@ -160,7 +189,7 @@
 
     def tail(self, seconds: float) -> float:
         """Return the probability that a run takes longer."""
-        if self._run.count:
+        if self._has_runs:
             return self._run.tail(seconds)
         return 1.0 if seconds < self._hint_s else 0.0
 
@@ -171,24 +200,24 @@
         An engine batches: one with a free slot is not as good as an idle one.
         The prior has equal endpoints chosen by who has fewer calls.
         """
-        known = self._run.count > 0
-        self._mean_s = max(LEAST_S, self._run.mean) if known else self._hint_s
+        self._has_runs = self._run.count > 0
+        self._mean_s = max(LEAST_S, self._run.mean) if self._has_runs else self._hint_s
+        self._mean_beside = self._crowding.mean_x
         self._slope_s = self._crowding.slope(PRIOR_CROWDING * self._mean_s)
 
     def _refresh(self) -> None:
-        if self._fresh > 0:
-            return
         self._fresh = MEMO_SAMPLES
         if not self._run.count:
             self._typical = self._likely = self._hint_s
             self._late = self._slow = self._hint_s
             self._fresh = 0
             return
-        self._typical = self._run.quantile(TYPICAL)
-        self._likely = max(self._typical, self._run.quantile(LIKELY))
-        self._late = self._run.quantile(LATE)
-        self._slow = max(self._typical, self._run.quantile(SLOW))
-        self._floor = self._run.quantile(FLOOR) if self.known else 0.0
+        floor, typical, likely, late, slow = self._run.quantiles(SHARES)
+        self._typical = typical
+        self._likely = max(typical, likely)
+        self._late = late
+        self._slow = max(typical, slow)
+        self._floor = floor if self.known else 0.0
 
 
 class StageTimes:
@@ -199,10 +228,9 @@
 
     def of(self, stage: Stage) -> StageStats:
         """Return the statistics of a stage; new ones when it was never seen."""
-        key = (stage.pool, stage.model, stage.name)
-        found = self._stats.get(key)
+        found = self._stats.get(stage.key)
         if found is None:
-            found = self._stats[key] = StageStats()
+            found = self._stats[stage.key] = StageStats()
         return found
 
     def needed_s(self, stages: Sequence[Stage]) -> float:
@@ -223,11 +251,17 @@
 
     def typical_s(self, stages: Sequence[Stage]) -> float:
         """Return the sum of the median run times, in seconds."""
-        return sum(self.of(stage).typical_s for stage in stages)
+        total = 0.0
+        for stage in stages:
+            total += self.of(stage).typical_s
+        return total
 
     def floor_s(self, stages: Sequence[Stage]) -> float:
         """Return a time that the stages hardly ever stay under, in seconds."""
-        return sum(self.of(stage).floor_s for stage in stages)
+        total = 0.0
+        for stage in stages:
+            total += self.of(stage).floor_s
+        return total
 
     def slowest(self, stages: Sequence[Stage]) -> Stage:
         """Return the stage whose slow runs take longest."""
@@ -244,6 +278,9 @@
         Slack is split in proportion to the slow quantiles, so that a stage that
         varies much gets more of it.
         """
-        total = sum(self.of(stage).slow_s for stage in stages)
+        first = self.of(stages[0]).slow_s
+        total = first
+        for stage in stages[1:]:
+            total += self.of(stage).slow_s
         left = max(0.0, deadline - now)
-        return now + left * self.of(stages[0]).slow_s / max(total, 1e-9)
+        return now + left * first / max(total, 1e-9)
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -9,12 +9,14 @@
     WireError,
 )
 from amaranthtally.wire.messages import (
+    CacheNews,
     CallId,
     ChunkHandler,
     ChunksHandler,
     Greeting,
     Inquiry,
     Load,
+    ModelState,
     OnceTerms,
     SettingsGap,
     StageCall,
@@ -29,6 +31,7 @@
 )
 
 __all__ = [
+    "CacheNews",
     "CallId",
     "ChunkHandler",
     "ChunkRefusedError",
@@ -37,6 +40,7 @@
     "Greeting",
     "Inquiry",
     "Load",
+    "ModelState",
     "OnceTerms",
     "PeerLostError",
     "ReplyMismatchError",
--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -1,22 +1,22 @@
-"""
-Conversion between typed messages and Cap'n Proto structs.
+"""Conversion between typed messages and Cap'n Proto structs."""
 
-pycapnp reads the committed schema at import, so no generated code is needed.
-Its objects have no static types: they are ``Any`` here and nowhere else.
-
-Structs are read by field descriptors: reading by name takes four times as long, for
-an attribute is looked up and missed before the schema is asked.
-"""
-
-from collections.abc import Iterator
-from pathlib import Path
 from typing import Any
 
-import capnp
-
+from amaranthtally.wire.fields import (
+    fields_of,
+    read_fields,
+    schema,
+    to_micros,
+    to_seconds,
+)
+from amaranthtally.wire.load_codec import (
+    read_load,
+    read_news,
+    write_load,
+    write_news,
+)
 from amaranthtally.wire.messages import (
     CallId,
-    Load,
     OnceTerms,
     StageCall,
     StageReply,
@@ -24,10 +24,8 @@
 )
 
 __all__ = [
-    "fields_of",
     "read_call",
     "read_call_id",
-    "read_fields",
     "read_load",
     "read_reply",
     "read_terms",
@@ -39,34 +37,6 @@
     "write_terms",
 ]
 
-capnp.remove_import_hook()
-schema: Any = capnp.load(str(Path(__file__).with_name("sidecar.capnp")))
-
-MICROSECONDS = 1_000_000
-
-
-def fields_of(struct: Any, *names: str) -> tuple[Any, ...]:
-    """Return the descriptors of a struct's fields."""
-    known = struct.schema.fields
-    return tuple(known[name] for name in names)
-
-
-def read_fields(source: Any, fields: tuple[Any, ...]) -> Iterator[Any]:
-    """Return the values of a reader's fields, in the order of ``fields``."""
-    # The underscore keeps the method's name apart from those of the fields.
-    return map(source._get_by_field, fields)  # noqa: SLF001
-
-
-def to_micros(seconds: float) -> int:
-    """Return whole microseconds, never below zero."""
-    return max(0, int(seconds * MICROSECONDS))
-
-
-def to_seconds(micros: int) -> float:
-    """Return seconds."""
-    return micros / MICROSECONDS
-
-
 # Call ids
 
 
@@ -85,62 +55,6 @@
     return CallId(*read_fields(source, _CALL_ID))
 
 
-# Load
-
-
-def write_load(target: Any, load: Load) -> None:
-    """Fill a ``Load`` builder."""
-    target.incarnation = load.incarnation
-    target.running = load.running
-    target.queued = load.queued
-    target.limit = load.limit
-    target.leaving = load.leaving
-    target.serviceMicros = to_micros(load.service_s)
-    target.backlogMicros = to_micros(load.backlog_s)
-    target.revision = load.revision
-    target.clockMicros = to_micros(load.clock_s)
-
-
-_LOAD = fields_of(
-    schema.Load,
-    "incarnation",
-    "running",
-    "queued",
-    "limit",
-    "leaving",
-    "serviceMicros",
-    "backlogMicros",
-    "revision",
-    "clockMicros",
-)
-
-
-def read_load(source: Any) -> Load:
-    """Return the load held by a reader."""
-    (
-        incarnation,
-        running,
-        queued,
-        limit,
-        leaving,
-        service_micros,
-        backlog_micros,
-        revision,
-        clock_micros,
-    ) = read_fields(source, _LOAD)
-    return Load(
-        incarnation=incarnation,
-        running=running,
-        queued=queued,
-        limit=limit,
-        leaving=leaving,
-        service_s=to_seconds(service_micros),
-        backlog_s=to_seconds(backlog_micros),
-        revision=revision,
-        clock_s=to_seconds(clock_micros),
-    )
-
-
 # Terms of calls that may not be repeated
 
 
@@ -182,6 +96,7 @@
     target.resumeOffset = call.resume_offset
     target.model = call.model
     target.revision = call.revision
+    target.cacheSerial = call.cache_serial
 
 
 _CALL = fields_of(
@@ -197,6 +112,7 @@
     "resumeOffset",
     "model",
     "revision",
+    "cacheSerial",
 )
 _CALL_ONCE = fields_of(schema.StageCall, "terms", "callKey")
 
@@ -215,6 +131,7 @@
         resume_offset,
         model,
         revision,
+        cache_serial,
     ) = read_fields(source, _CALL)
     terms, call_key = OnceTerms(), ""
     if not repeatable:
@@ -234,6 +151,7 @@
         resume_offset=resume_offset,
         model=model,
         revision=revision,
+        cache_serial=cache_serial,
     )
 
 
@@ -249,6 +167,8 @@
     target.queuedMicros = to_micros(reply.queued_s)
     target.runMicros = to_micros(reply.run_s)
     target.permit = reply.permit
+    if reply.cache.serial:
+        write_news(target.cache, reply.cache)
 
 
 _REPLY = fields_of(
@@ -263,6 +183,7 @@
     "runMicros",
     "permit",
     "permanent",
+    "cache",
 )
 _STATUSES = {status.value: status for status in Status}
 
@@ -280,6 +201,7 @@
         run_micros,
         permit,
         permanent,
+        cache,
     ) = read_fields(source, _REPLY)
     return StageReply(
         id=read_call_id(call_id),
@@ -292,4 +214,5 @@
         queued_s=to_seconds(queued_micros),
         run_s=to_seconds(run_micros),
         permit=permit,
+        cache=read_news(cache),
     )
--- a/packages/wire/src/amaranthtally/wire/messages.py
+++ b/packages/wire/src/amaranthtally/wire/messages.py
@@ -5,12 +5,14 @@
 from enum import Enum
 
 __all__ = [
+    "CacheNews",
     "CallId",
     "ChunkHandler",
     "ChunksHandler",
     "Greeting",
     "Inquiry",
     "Load",
+    "ModelState",
     "OnceTerms",
     "SettingsGap",
     "StageCall",
@@ -57,6 +59,19 @@
     attempt: int
 
 
+@dataclass(frozen=True, slots=True)
+class ModelState:
+    """
+    The models that an engine answers now, its role, and its last order.
+
+    ``last_order`` is in words for operators; empty before any order.
+    """
+
+    served: frozenset[str] = frozenset()
+    role: str = ""
+    last_order: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class Load:
     """
@@ -65,7 +80,8 @@
     ``service_s`` is the smoothed time the endpoint takes for one call and
     ``backlog_s`` the predicted wait of a new call, both in seconds.
     ``incarnation`` is drawn anew at each start of the sidecar; ``clock_s`` is the
-    time on that incarnation's own clock.
+    time on that incarnation's own clock. ``models`` is ``None`` where any model is
+    answered.
     """
 
     incarnation: int = 0
@@ -77,6 +93,7 @@
     backlog_s: float = 0.0
     revision: int = 0
     clock_s: float = 0.0
+    models: ModelState | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,13 +111,32 @@
     fingerprint: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class CacheNews:
+    """
+    Blocks of prompts that a sidecar's engine stored and removed since a serial.
+
+    ``reset`` says that whatever was known before is to be forgotten; a ``serial``
+    of 0 that there is no news.
+    """
+
+    serial: int = 0
+    stored: tuple[int, ...] = ()
+    removed: tuple[int, ...] = ()
+    reset: bool = False
+
+
+NO_NEWS = CacheNews()
+
+
 @dataclass(frozen=True, slots=True)
 class StageCall:
     """
     A stage to run. ``remaining_s`` is the time left, in seconds.
 
     A call with ``repeatable`` false carries the ``terms`` under which it may run
-    and a ``call_key`` that names the effect.
+    and a ``call_key`` that names the effect. ``cache_serial`` is the serial up to
+    which the sender knows the sidecar's news of cached prefixes.
     """
 
     id: CallId
@@ -116,6 +152,7 @@
     resume_offset: int = 0
     model: str = ""
     revision: int = 0
+    cache_serial: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -137,6 +174,7 @@
     run_s: float = 0.0
     permanent: bool = False
     permit: int = 0
+    cache: CacheNews = NO_NEWS
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Awaitable, Callable, Sequence
 from contextlib import asynccontextmanager
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 import capnp
 
@@ -44,6 +44,8 @@
     "settings_server",
 ]
 
+AnswerT = TypeVar("AnswerT")
+
 
 class SettingsSource(Protocol):
     """Whoever can tell a peer the changes it lacks."""
@@ -148,7 +150,9 @@
     async def hello(
         self, entry: str, revision: int, settings: Any, _context: Any, **_: Any
     ) -> None:
-        greeting = await self._handler.hello(entry, revision, _fetcher(settings))
+        greeting = await _if_wanted(
+            self._handler.hello(entry, revision, _fetcher(settings))
+        )
         self._connections.greeted(self, settings)
         self._joiner = ChunkJoiner(_parts_sender(settings))
         _context.results.endpoint = greeting.endpoint
@@ -156,16 +160,19 @@
 
     async def run(self, call: Any, stream: int, _context: Any, **_: Any) -> None:
         wanted = read_call(call)
-        if self._joiner is None or not stream:
-            reply = await self._handler.run(wanted, _no_chunk)
-        else:
-            with self._joiner.open(stream, wanted.id) as chunks:
-                reply = await self._handler.run(wanted, chunks.put)
-                await chunks.finish()
+        reply = await _if_wanted(self._run(wanted, stream))
         write_reply(_context.results.reply, reply)
 
+    async def _run(self, wanted: StageCall, stream: int) -> StageReply:
+        if self._joiner is None or not stream:
+            return await self._handler.run(wanted, _no_chunk)
+        with self._joiner.open(stream, wanted.id) as chunks:
+            reply = await self._handler.run(wanted, chunks.put)
+            await chunks.finish()
+            return reply
+
     async def cancel(self, id: Any, _context: Any, **_: Any) -> None:  # noqa: A002
-        reply = await self._handler.cancel(read_call_id(id))
+        reply = await _if_wanted(self._handler.cancel(read_call_id(id)))
         write_reply(_context.results.reply, reply)
 
     async def inquire(
@@ -176,16 +183,16 @@
         _context: Any,
         **_: Any,
     ) -> None:
-        reply = await self._handler.inquire(
-            callKey, read_terms(terms), Inquiry(str(inquiry))
+        reply = await _if_wanted(
+            self._handler.inquire(callKey, read_terms(terms), Inquiry(str(inquiry)))
         )
         write_reply(_context.results.reply, reply)
 
     async def handOver(  # noqa: N802 - name fixed by the schema
         self, body: Any, signature: Any, _context: Any, **_: Any
     ) -> None:
-        _context.results.taken = await self._handler.hand_over(
-            bytes(body), bytes(signature)
+        _context.results.taken = await _if_wanted(
+            self._handler.hand_over(bytes(body), bytes(signature))
         )
 
     async def load(self, _context: Any, **_: Any) -> None:
@@ -218,6 +225,23 @@
     return send
 
 
+async def _if_wanted(work: Awaitable[AnswerT]) -> AnswerT:
+    """
+    Return what ``work`` gives; raises ``CancelledError`` where nobody wants it.
+
+    Once a caller has cancelled its call, the call's results are freed, and pycapnp
+    2.2.4 writes to them all the same: the process ends by SIGSEGV and takes every
+    other call and record with it. A handler can return after a cancellation, where
+    it races with the handler's own time-out or end. The task's own count of
+    cancellations tells, whatever the handler caught.
+    """
+    answer = await work
+    task = asyncio.current_task()
+    if task is not None and task.cancelling():
+        raise asyncio.CancelledError
+    return answer
+
+
 def _fetcher(peer: Any) -> SettingsFetcher:
     async def fetch(after: int) -> SettingsGap:
         try:
--- a/packages/wire/src/amaranthtally/wire/sidecar.capnp
+++ b/packages/wire/src/amaranthtally/wire/sidecar.capnp
@@ -16,6 +16,15 @@
   attempt @2 :UInt16;
 }
 
+struct ModelState {
+  # What a model engine answers now, its role, and what became of the last order.
+  served @0 :List(Text);
+  role @1 :Text;
+  lastOrder @2 :Text;
+  # False where any model is answered; the rest is empty then.
+  known @3 :Bool;
+}
+
 struct Load {
   incarnation @0 :UInt64;
   running @1 :UInt32;
@@ -26,6 +35,7 @@
   revision @6 :UInt64;
   backlogMicros @7 :UInt64;
   clockMicros @8 :UInt64;
+  models @9 :ModelState;
 }
 
 struct OnceTerms {
@@ -56,6 +66,17 @@
   resumeOffset @10 :UInt32;
   model @11 :Text;
   revision @12 :UInt64;
+  # The serial up to which the sender knows the sidecar's news of cached prefixes.
+  cacheSerial @13 :UInt64;
+}
+
+struct CacheNews {
+  # Blocks of prompts that the engine stored and removed since the serial of the
+  # call. After a reset whatever was known before is to be forgotten.
+  serial @0 :UInt64;
+  stored @1 :List(UInt64);
+  removed @2 :List(UInt64);
+  reset @3 :Bool;
 }
 
 struct StageReply {
@@ -69,6 +90,7 @@
   runMicros @7 :UInt64;
   permit @8 :UInt32;
   permanent @9 :Bool;
+  cache @10 :CacheNews;
 }
 
 # Consecutive chunks of one stream. The entry has numbered the stream and knows which
--- a/packages/wire/src/amaranthtally/wire/stream_codec.py
+++ b/packages/wire/src/amaranthtally/wire/stream_codec.py
@@ -3,13 +3,8 @@
 from collections.abc import Sequence
 from typing import Any
 
-from amaranthtally.wire.codec import (
-    fields_of,
-    read_call_id,
-    read_fields,
-    schema,
-    write_call_id,
-)
+from amaranthtally.wire.codec import read_call_id, write_call_id
+from amaranthtally.wire.fields import fields_of, read_fields, schema
 from amaranthtally.wire.messages import StreamPart
 
 __all__ = ["read_part", "write_parts"]
