--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -267,9 +267,14 @@
             self._ended(attempt, StageResult(Fate.NOT_RUN, unreachable=True))
             return
         remaining_s = send.deadline - self._loop.time()
-        expires_s = self._inquirer.expiry(endpoint.id, remaining_s)
-        heard = self._cache_news.heard(endpoint.id)
-        call = build_call(request, send, self._revision, remaining_s, expires_s, heard)
+        call = build_call(
+            request,
+            send,
+            self._revision,
+            remaining_s,
+            expires_s=self._inquirer.expiry(endpoint.id, remaining_s),
+            cache_serial=self._cache_news.heard(endpoint.id),
+        )
 
         def on_chunks(offset: int, texts: Sequence[str]) -> None:
             self._take_chunks(request, attempt, endpoint, offset, texts)
