Keep a deployment's endpoints in their order; let entries stop as slowly as by default

Endpoints were kept in the order in which their processes came up, so the drained host was now and then the one in the other region, which the policy needs for few of 12 requests or none (8 runs beside 20 busy loops: 4 to 12 of them; once the order was reversed: 4). Ruled out: a host that stays out (endpoint_back was logged and awaited). Change: the plan's order.

What the tests check is unchanged.

pytest -n 4 tests/lifecycle/test_leaving.py test_random_run.py test_planned_stops.py: 12 passed.

--- a/packages/standins/src/amaranthtally/standins/deployment.py
+++ b/packages/standins/src/amaranthtally/standins/deployment.py
@@ -194,6 +194,16 @@
         self._stack.push_async_callback(process.kill)
         return process
 
+    async def start_endpoints(self, servers: int | None, **overrides: Any) -> None:
+        """Start the endpoints of every pool at once; they are kept in their order."""
+        starts = [
+            self.start_endpoint(pool, number, **overrides)
+            for pool in self.plan.pools
+            for number in range(min(pool.servers, servers or pool.servers))
+        ]
+        for pair in await asyncio.gather(*starts):
+            self.endpoints[pair.id] = pair
+
     async def start_endpoint(
         self, pool: Pool, number: int, **overrides: Any
     ) -> EndpointPair:
@@ -232,7 +242,6 @@
             sidecar,
             file,
         )
-        self.endpoints[name] = pair
         return pair
 
     async def start_entry(self, **overrides: Any) -> Process:
@@ -250,7 +259,6 @@
             "platform_url": self.platform_url,
             "token_keys": [TOKEN_KEY],
             "admin_keys": [ADMIN_KEY],
-            "drain_wait": 0.5,
             **overrides,
         }
         file = self.write_settings(name, settings)
@@ -375,12 +383,7 @@
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         deployment = Deployment(plan, folder, stack)
         await deployment.start_platform()
-        starts = [
-            deployment.start_endpoint(pool, number, **(sidecar_overrides or {}))
-            for pool in plan.pools
-            for number in range(min(pool.servers, servers or pool.servers))
-        ]
-        await asyncio.gather(*starts)
+        await deployment.start_endpoints(servers, **(sidecar_overrides or {}))
         for _ in range(entries):
             await deployment.start_entry(**(entry_overrides or {}))
         await deployment.wait_ready(0)
