Take only engines for holders of a prefix; leave holders where work waits

Cause: every stage's endpoint was noted as holding a request's prefix.

Two causes: the predicted wait was shortened by the saving of the call itself, though those ahead of it save nothing; and in a burst each call at a holder is a little cheaper and later.

Change: the saving shortens the run alone; holders are candidates only while nothing waits in the pool and reports can be trusted. Holders are compared by identity: equal members of a group cost a walk of comparisons by value.

Test: the_other_stages_leave_an_engine_the_holder fails without the first guard.

--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -369,7 +369,9 @@
         if not ended.asks:
             self._router.note_round_trip(load.endpoint.region, max(0.0, on_the_way))
         self._membership.succeeded(now, load)
-        if request.arrival.prefix:
+        # An index entry names few holders: the endpoints of the other stages, which
+        # cache nothing, would push the engine out before the prefix comes again.
+        if request.arrival.prefix and request.current.caches_prefixes:
             self._prefixes.ran(now, ended.endpoint, request.arrival.prefix)
 
     def _configure(self, now: float, settings: PolicySettings) -> None:
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -19,6 +19,7 @@
 MOST_STALE = 4
 LOCAL_LATENCY_S = 0.001
 LATENCY_WEIGHT = 0.1
+LEAST_TRUST = 0.5
 
 
 class Router:
@@ -81,7 +82,7 @@
         """Return the best candidate, or ``None`` when the pool takes no work."""
         regions = self._groups.of(wanted.stage)
         group = regions.get(self._region, [])
-        held = self._held_shares(now, wanted, group)
+        held = self._held_shares(now, wanted, group, stats)
         loads = [*self._draw(now, group, wanted), *self._holders(now, held, wanted)]
         for region, others in regions.items():
             if region != self._region:
@@ -133,15 +134,24 @@
         return found
 
     def _held_shares(
-        self, now: float, wanted: RouteRequest, group: list[Endpoint]
+        self,
+        now: float,
+        wanted: RouteRequest,
+        group: list[Endpoint],
+        stats: StageStats,
     ) -> dict[str, float]:
         """Return the share of the prefix that endpoints of the group hold."""
         if not wanted.prefix:
             return {}
+        # Where work waits, or loads are not known, calls for one prefix would gather
+        # in the queues of its few holders and end late, each a little cheaper.
+        pool = self._loads.pool(wanted.stage.pool)
+        if pool.trust < LEAST_TRUST or pool.wait_s(now, stats.mean_s) > 0:
+            return {}
         held = {}
         for match in self._prefixes.matches(now, wanted.prefix):
             endpoint = self._groups.find(match.endpoint)
-            if endpoint is not None and endpoint in group:
+            if endpoint is not None and any(e is endpoint for e in group):
                 held[match.endpoint] = match.share
         return held
 
--- a/packages/policy/src/amaranthtally/policy/weighing.py
+++ b/packages/policy/src/amaranthtally/policy/weighing.py
@@ -99,9 +99,9 @@
         occupancy = load.occupancy(now)
         beside = load.beside(occupancy)
         slowness = load.slowness(now)
-        if cached:
-            slowness *= stats.cached_factor(cached)
         run = stats.mean_beside_s(beside) * slowness
+        if cached:
+            run *= stats.cached_factor(cached)
         before = self._prices.round_trip_s(region)
         if occupancy + 1 > load.limit:
             full = stats.mean_beside_s(load.limit - 1) * slowness
--- a/tests/policy/test_routing.py
+++ b/tests/policy/test_routing.py
@@ -5,7 +5,7 @@
 
 from amaranthtally.policy import CacheEvent
 from amaranthtally.policy.groups import SUBSET, EndpointGroups
-from amaranthtally.policy.model import Stage
+from amaranthtally.policy.model import Pipeline, Stage
 from amaranthtally.policy.prefixes import PrefixIndex
 from tests.policy.support import (
     AWAY,
@@ -210,3 +210,27 @@
         feeder.reply(now, send, run_s=0.1 * noise.uniform(0.6, 1.4))
     counts = Counter(s.endpoint for _ in range(9) for s in sends(feeder.arrive(now)))
     assert set(counts.values()) == {3}
+
+
+def test_the_other_stages_leave_an_engine_the_holder_of_its_prefix():
+    """
+    A growing thread is read anew each time it comes. Each encoder, retriever and
+    reranker that ran one of its stages was noted as holding its prefix; three are
+    kept, so the engine was forgotten just before its own stage.
+    """
+    plain = tuple(Stage(pool, pool) for pool in ("encode", "retrieve", "rerank"))
+    flow = Pipeline("threads", (*plain, Stage("write", "engine", streams=True)), 30.0)
+    found = {}
+    for stage in flow.stages:
+        found |= endpoints(stage.pool, 12)
+    feeder = Feeder(planner(found), flow)
+    engines = set()
+    for turn in range(12):
+        actions = feeder.arrive(1.0 + turn, prefix=tuple(range(10)))
+        for _ in plain:
+            (send,) = sends(actions)
+            actions = feeder.reply(1.0 + turn, send)
+        (send,) = sends(actions)
+        engines.add(send.endpoint)
+        feeder.reply(1.0 + turn, send, run_s=0.1)
+    assert len(engines) == 1
