--- a/packages/daemon/src/amaranthtally/daemon/sidecar/prefix_digest.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/prefix_digest.py
@@ -92,7 +92,7 @@
         if not self._known_from <= after < self._serial:
             newest = list(self._held)[-MOST_TOLD:]
             return CacheNews(self._serial, tuple(newest), reset=True)
-        latest = {c.block: c.stored for c in self._changes if c.serial > after}
+        latest = self._changed_since(after)
         if len(latest) > MOST_TOLD:
             newest = list(self._held)[-MOST_TOLD:]
             return CacheNews(self._serial, tuple(newest), reset=True)
@@ -102,6 +102,15 @@
             removed=tuple(block for block, stored in latest.items() if not stored),
         )
 
+    def _changed_since(self, after: int) -> dict[int, bool]:
+        """Return the blocks changed since a serial, and whether each is stored now."""
+        latest: dict[int, bool] = {}
+        for change in reversed(self._changes):
+            if change.serial <= after:
+                break
+            latest.setdefault(change.block, change.stored)
+        return latest
+
     def _take_event(self, event: EngineEvent) -> None:
         block = self._names.get(event.name)
         if block is None:
