Take a stream without a chunk to begin now

A call without a chunk was taken to wait as long again as it was overdue; nearly all of them began soon after and were answered 1.5 s before their deadline, and their hedges took room from others.

Change: such a call is taken to begin now, so that it is hedged only where its run would be late even then.

--- a/packages/policy/src/amaranthtally/policy/stream_watch.py
+++ b/packages/policy/src/amaranthtally/policy/stream_watch.py
@@ -9,8 +9,6 @@
 
 __all__ = ["StreamWatch"]
 
-# Prefill and the first chunk itself, in times between chunks.
-FIRST_CHUNK = 2.0
 # Times between chunks after which one is overdue.
 OVERDUE = 2.0
 
@@ -67,16 +65,15 @@
         Return the probability that a streamed attempt ends after ``end``.
 
         Counted is in time as an endpoint of usual speed would take it: what is
-        done, and what this one can do in the time left. One that has yet to
-        begin although it was predicted to is taken to need as long again.
+        done, and what this one can do in the time left. One without a chunk is
+        taken to begin now: most of those wait, and soon begin.
         """
         usual_s = stats.pace_beside_s(attempt.beside)
         stream = attempt.stream
         done_s = stream.chunks * usual_s
         left_s = end - now
         if not stream.heard_at:
-            overdue_s = now - attempt.sent_at - attempt.wait_s - FIRST_CHUNK * usual_s
-            return _tail_after(stats, done_s, left_s - max(0.0, overdue_s))
+            return _tail_after(stats, done_s, left_s)
         quiet_s = now - stream.heard_at
         slowness = max(1.0, stream.pace_s / usual_s, quiet_s / usual_s - 1.0)
         done_s += min(usual_s, quiet_s / slowness)
