Let one sidecar process serve all endpoints of its host

Cause: a sidecar stood before one endpoint; 750 daemons before 11,000 servers is about 15 servers a daemon (docs/CAPACITY.md).

A process tells whoever comes next on the ring after any of its endpoints.

Guards taken out: only the first endpoint handed over (repeats hear 503), the ring of the first endpoint alone (some hosts are told by nobody): each test is red.

Run: pytest tests/lifecycle/test_host_sidecar.py tests/unit: all pass. test_in_force::test_a_slow_platform_delays_changes_and_loses_none failed once in a run of four workers (changes numbered 3 and 4 where 2 and 3 were looked for) and passed alone; not looked into.

--- a/packages/daemon/src/amaranthtally/daemon/main.py
+++ b/packages/daemon/src/amaranthtally/daemon/main.py
@@ -11,7 +11,7 @@
 from amaranthtally.settings import (
     SettingsFileError,
     load_entry_settings,
-    load_sidecar_settings,
+    load_host_settings,
 )
 from amaranthtally.wire.loop import run
 
@@ -91,11 +91,11 @@
 
 
 def _start_sidecar(path: Path) -> Coroutine[Any, Any, None]:
-    settings = load_sidecar_settings(path)
-    configure_logs(settings.log_level)
+    endpoints = load_host_settings(path)
+    configure_logs(endpoints[0].log_level)
     from amaranthtally.daemon.sidecar.service import run_sidecar
 
-    return run_sidecar(settings)
+    return run_sidecar(endpoints)
 
 
 _ROLES: dict[str, Callable[[Path], Coroutine[Any, Any, None]]] = {
--- a/packages/daemon/src/amaranthtally/daemon/settings_links.py
+++ b/packages/daemon/src/amaranthtally/daemon/settings_links.py
@@ -1,7 +1,7 @@
 """Which sidecars a process tells of newer settings."""
 
 from bisect import bisect
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
 from hashlib import blake2b
 from heapq import nsmallest
@@ -38,7 +38,7 @@
 
 
 def choose_links(
-    endpoints: Mapping[str, Any], own: str, plan: LinkPlan
+    endpoints: Mapping[str, Any], own: str, plan: LinkPlan, beside: Iterable[str] = ()
 ) -> tuple[str, ...]:
     """
     Return the addresses of the sidecars that ``own`` tells.
@@ -46,16 +46,19 @@
     The ring gives every sidecar someone who tells it, so one that restarted with
     nothing is found; the drawn links make the way across the fleet short. Every
     process computes its own links from the tree: nobody has to agree on them.
+    A process tells whoever comes next on the ring after any of its endpoints, those
+    ``beside`` its first one too: some endpoint would have nobody otherwise.
     """
-    own_key = ENDPOINT_PREFIX + own
+    names = (own, *beside)
+    own_keys = {ENDPOINT_PREFIX + name for name in names}
     places = sorted(
         _Place(value["region"], _rank(key), key, value["address"])
         for key, value in endpoints.items()
-        if key != own_key
+        if key not in own_keys
     )
     chosen: list[_Place] = []
-    if own_key in endpoints:
-        here = (endpoints[own_key]["region"], _rank(own_key))
+    for key in sorted(own_keys & endpoints.keys()):
+        here = (endpoints[key]["region"], _rank(key))
         chosen += _next_on_ring(places, here, plan.ring)
     chosen += nsmallest(plan.drawn, places, key=lambda place: _rank(own + place.id))
     return tuple(dict.fromkeys(place.address for place in chosen))
@@ -65,8 +68,8 @@
     places: list[_Place], here: tuple[str, bytes], count: int
 ) -> list[_Place]:
     start = bisect(places, here)
-    turned = places[start:] + places[:start]
-    return turned[:count]
+    found = places[start : start + count]
+    return found + places[: count - len(found)]
 
 
 def _rank(text: str) -> bytes:
--- a/packages/daemon/src/amaranthtally/daemon/settings_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/settings_sync.py
@@ -1,7 +1,7 @@
 """Spreads settings between processes: the one behind fetches from the one ahead."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Sequence
 from contextlib import suppress
 from dataclasses import dataclass
 from random import uniform
@@ -54,8 +54,15 @@
     or a parted network delays a change and never loses it.
     """
 
-    def __init__(self, name: str, state: SettingsState, plan: LinkPlan) -> None:
+    def __init__(
+        self,
+        name: str,
+        state: SettingsState,
+        plan: LinkPlan,
+        beside: Sequence[str] = (),
+    ) -> None:
         self._name = name
+        self._beside = beside
         self._state = state
         self._plan = plan
         self._endpoints: dict[str, Any] = {}
@@ -151,7 +158,9 @@
         # Sorting all endpoints at each change of a limit would cost too much.
         if endpoints != self._endpoints:
             self._endpoints = endpoints
-            self._addresses = choose_links(endpoints, self._name, self._plan)
+            self._addresses = choose_links(
+                endpoints, self._name, self._plan, self._beside
+            )
             for address in set(self._clients) - set(self._addresses):
                 self._clients.pop(address).close()
         self._changed.set()
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -13,7 +13,7 @@
 from amaranthtally.daemon.sidecar.endpoint_call import call_endpoint
 from amaranthtally.daemon.sidecar.engine_cache import EngineCache
 from amaranthtally.daemon.sidecar.handover import read_handover
-from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
+from amaranthtally.daemon.sidecar.metrics import EndpointMetrics
 from amaranthtally.daemon.sidecar.once import OnceCalls
 from amaranthtally.daemon.sidecar.records import Tombstones
 from amaranthtally.daemon.sidecar.served_models import ServedModels
@@ -51,7 +51,7 @@
         self,
         settings: SidecarSettings,
         session: aiohttp.ClientSession,
-        metrics: SidecarMetrics,
+        metrics: EndpointMetrics,
         sync: SettingsSync,
         models: ServedModels,
         cache: EngineCache | None = None,
--- a/packages/settings/src/amaranthtally/settings/__init__.py
+++ b/packages/settings/src/amaranthtally/settings/__init__.py
@@ -13,6 +13,7 @@
     SettingsFileError,
     SidecarSettings,
     load_entry_settings,
+    load_host_settings,
     load_sidecar_settings,
 )
 from amaranthtally.settings.proposal import (
@@ -62,6 +63,7 @@
     "join_snapshot",
     "known_keys",
     "load_entry_settings",
+    "load_host_settings",
     "load_sidecar_settings",
     "longest_deadline_s",
     "nearest_key",
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -13,6 +13,7 @@
     "SettingsFileError",
     "SidecarSettings",
     "load_entry_settings",
+    "load_host_settings",
     "load_sidecar_settings",
 ]
 
@@ -22,6 +23,9 @@
 Secret = Annotated[str, Meta(min_length=16)]
 Positive = Annotated[float, Meta(gt=0)]
 Count = Annotated[int, Meta(ge=1)]
+ENDPOINTS = "endpoints"
+OWN_KEYS = frozenset({"endpoint", "wire_address", "endpoint_url"})
+SHARED_KEYS = frozenset({"host", "region", "data_centre", "http_address", "log_level"})
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -101,8 +105,58 @@
     return _load(path, SidecarSettings)
 
 
-def _load(path: Path, kind: type[SettingsT]) -> SettingsT:
+def load_host_settings(path: Path) -> list[SidecarSettings]:
+    """
+    Read the settings of a sidecar for every endpoint of its host.
+
+    The file holds either one endpoint's settings or what all share, and a table
+    ``[[endpoints]]`` for each; raises ``SettingsFileError``.
+    """
     table = _read_table(path)
+    if ENDPOINTS not in table:
+        return [_convert(path, table, SidecarSettings)]
+    mistakes = _wrong_tables(table)
+    if mistakes:
+        raise SettingsFileError(path, mistakes)
+    shared = {key: value for key, value in table.items() if key != ENDPOINTS}
+    merged = [{**shared, **own} for own in table[ENDPOINTS]]
+    found = [_unknown_keys(t, SidecarSettings) for t in merged]
+    found += [_wrong_values(t, SidecarSettings) for t in merged]
+    mistakes = list(dict.fromkeys(m for several in found for m in several))
+    if mistakes:
+        raise SettingsFileError(path, mistakes)
+    return [msgspec.convert(t, SidecarSettings) for t in merged]
+
+
+def _wrong_tables(table: dict[str, Any]) -> list[str]:
+    tables = table[ENDPOINTS]
+    if not isinstance(tables, list) or not tables:
+        return [f"key {ENDPOINTS!r}: write one [[{ENDPOINTS}]] for each endpoint"]
+    mistakes = [
+        f"key {key!r}: of one endpoint; move it below [[{ENDPOINTS}]]"
+        for key in sorted(OWN_KEYS & table.keys())
+    ]
+    mistakes += [
+        f"key {key!r}: of the whole process; move it above [[{ENDPOINTS}]]"
+        for key in sorted(SHARED_KEYS)
+        if any(key in own for own in tables)
+    ]
+    for key in sorted(OWN_KEYS):
+        values = [own[key] for own in tables if not _is_any_port(own.get(key, ":0"))]
+        if len(set(values)) < len(values):
+            mistakes.append(f"key {key!r}: the same for two endpoints; correct one")
+    return mistakes
+
+
+def _is_any_port(value: Any) -> bool:
+    return str(value).endswith(":0")
+
+
+def _load(path: Path, kind: type[SettingsT]) -> SettingsT:
+    return _convert(path, _read_table(path), kind)
+
+
+def _convert(path: Path, table: dict[str, Any], kind: type[SettingsT]) -> SettingsT:
     mistakes = _unknown_keys(table, kind) + _wrong_values(table, kind)
     if mistakes:
         raise SettingsFileError(path, mistakes)
