--- a/packages/wire/src/amaranthtally/wire/codec.py
+++ b/packages/wire/src/amaranthtally/wire/codec.py
@@ -64,17 +64,31 @@
     target.issuedMicros = to_micros(terms.issued_s)
     target.permit = terms.permit
     target.fingerprint = terms.fingerprint
+    target.expiresMicros = to_micros(terms.expires_s)
 
 
 _TERMS = fields_of(
-    schema.OnceTerms, "incarnation", "issuedMicros", "permit", "fingerprint"
+    schema.OnceTerms,
+    "incarnation",
+    "issuedMicros",
+    "permit",
+    "fingerprint",
+    "expiresMicros",
 )
 
 
 def read_terms(source: Any) -> OnceTerms:
     """Return the terms held by a reader."""
-    incarnation, issued_micros, permit, fingerprint = read_fields(source, _TERMS)
-    return OnceTerms(incarnation, to_seconds(issued_micros), permit, fingerprint)
+    incarnation, issued_micros, permit, fingerprint, expires_micros = read_fields(
+        source, _TERMS
+    )
+    return OnceTerms(
+        incarnation=incarnation,
+        issued_s=to_seconds(issued_micros),
+        permit=permit,
+        fingerprint=fingerprint,
+        expires_s=to_seconds(expires_micros),
+    )
 
 
 # Calls and replies
