--- a/tests/at_most_once/test_faults.py
+++ b/tests/at_most_once/test_faults.py
@@ -14,6 +14,7 @@
     wait_for,
     wait_for_call,
     wait_for_calls,
+    wait_for_calls_in_all,
     wait_for_effects,
 )
 from tests.lifecycle.support import logged
@@ -350,7 +351,7 @@
     async def scenario():
         async with effects_deployment() as deployment:
             keys, sent = await send_both_ways(deployment, slow=0.5)
-            await wait_for_call(deployment)
+            await wait_for_calls_in_all(deployment, len(keys))
             await deployment.set_knobs(deployment.platform, outage=True)
             await deployment.entries[0].kill()
             await asyncio.gather(*sent, return_exceptions=True)
