--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -139,7 +139,6 @@
         request = self._ledger.find(attempt.request_id)
         if request is not None and attempt in request.live:
             request.chunks = max(request.chunks, chunks)
-            request.progress_at = now
             live = request.live[attempt]
             self._streams.note(now, request.current, live.endpoint, live.stream, chunks)
             return self._drop_overtaken(now, request, live)
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -47,7 +47,6 @@
     sent: int = 0
     unstarted: int = 0
     chunks: int = 0
-    progress_at: float = 0.0
     previous_bytes: int = 0
     avoid: frozenset[str] = frozenset()
     live: dict[AttemptId, LiveAttempt] = field(default_factory=dict)
@@ -82,5 +81,4 @@
         self.number = 0
         self.resends = 0
         self.chunks = 0
-        self.progress_at = 0.0
         self.avoid = frozenset()
