Place the host's endpoints where the entry binds, in the test of one sidecar

Cause: the test of one sidecar for a host hung when the endpoints had started in another order (whole run under load: 1 failed, 316 passed in 516 s; then alone too). Its second entry stands in another region and binds to the one endpoint there, so that it never heard of the two it was waited for; rows and log of the entry show it. Ruled out: the sidecar. Change: one entry, and the host in that entry's region; the asserts are the same.

Run: pytest tests/lifecycle/test_host_sidecar.py, three at once: 8 passed each.

--- a/tests/lifecycle/test_host_sidecar.py
+++ b/tests/lifecycle/test_host_sidecar.py
@@ -67,7 +67,8 @@
             {
                 **pair.registration(),
                 "host": HOST,
-                "region": pairs[0].region,
+                # The entry's own: it binds to endpoints of its region first.
+                "region": deployment.plan.regions[0].name,
                 "address": f"127.0.0.1:{ports[pair.id]}",
             },
         )
@@ -110,7 +111,7 @@
     """
 
     async def scenario():
-        async with effects_deployment(servers=3) as deployment:
+        async with effects_deployment(entries=1, servers=3) as deployment:
             first, second, other = deployment.pool("dispatch")
             async with host_of(deployment, first, second) as host:
                 outputs = await place_orders(deployment)
