Give each chunk its own event again, joined in one write

Cause: with several texts in one event a caller sees fewer events than tokens. `test_a_long_stream_outlives_the_stop_of_its_entry_and_its_sidecar` counts 151 events for 150 tokens and failed at a load average of 48 (145 events); it is unchanged and right: a caller may count on it. Events that are ready together now go in one write, each whole. Tested: that test, tests/test_path.py, the tests of stalled callers.

--- a/packages/daemon/src/amaranthtally/daemon/entry/caller_events.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/caller_events.py
@@ -7,18 +7,17 @@
 
 from amaranthtally.policy import Refuse
 
-__all__ = ["MAX_EVENT_CHARS", "CallerEvents", "Chunk", "Ending"]
+__all__ = ["MAX_JOINED_CHARS", "CallerEvents", "Chunks", "Ending"]
 
-# Text that one event may join. A caller that reads slowly would otherwise get an
-# event as long as the answer, which its library may refuse.
-MAX_EVENT_CHARS = 16_384
+# Text that one write may join: beyond it a slow caller's answer is copied whole.
+MAX_JOINED_CHARS = 16_384
 
 
 @dataclass(frozen=True, slots=True)
-class Chunk:
-    """A piece of the last stage's text, on its way to the caller."""
+class Chunks:
+    """Consecutive pieces of the last stage's text, on their way to the caller."""
 
-    text: str
+    texts: tuple[str, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -30,7 +29,7 @@
 
 
 class CallerEvents:
-    """A queue for one reader; texts that wait together come as one chunk."""
+    """A queue for one reader; texts that wait together come together."""
 
     def __init__(self) -> None:
         self._texts: deque[str] = deque()
@@ -48,13 +47,13 @@
         self._ending = ending
         self._wake()
 
-    async def next(self) -> Chunk | Ending:
+    async def next(self) -> Chunks | Ending:
         """Wait for what comes next; the end comes after all texts."""
         while not self._texts:
             if self._ending is not None:
                 return self._ending
             await self._change()
-        return Chunk(self._take_texts())
+        return Chunks(self._take_texts())
 
     async def ending(self) -> Ending:
         """Wait for the end, passing over texts."""
@@ -73,12 +72,10 @@
                 waiter.set_result(None)
         self._waiters.clear()
 
-    def _take_texts(self) -> str:
-        if len(self._texts) == 1:
-            return self._texts.popleft()
+    def _take_texts(self) -> tuple[str, ...]:
         taken = [self._texts.popleft()]
-        room = MAX_EVENT_CHARS - len(taken[0])
+        room = MAX_JOINED_CHARS - len(taken[0])
         while self._texts and len(self._texts[0]) <= room:
             room -= len(self._texts[0])
             taken.append(self._texts.popleft())
-        return "".join(taken)
+        return tuple(taken)
--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -9,7 +9,7 @@
 
 from amaranthtally.daemon.entry.binder import Binder, EffectRequest
 from amaranthtally.daemon.entry.bound import BoundRequest
-from amaranthtally.daemon.entry.caller_events import Chunk, Ending
+from amaranthtally.daemon.entry.caller_events import Chunks, Ending
 from amaranthtally.daemon.entry.caller_headers import (
     IDEMPOTENCY_KEY,
     bearer_key,
@@ -258,9 +258,10 @@
             return self._answer(live, first)
         stream = EventStream(request, self._stall_timeout)
         await stream.open()
-        event: Chunk | Ending = first
-        while isinstance(event, Chunk):
-            await stream.send("chunk", msgspec.json.encode({"text": event.text}))
+        event: Chunks | Ending = first
+        while isinstance(event, Chunks):
+            texts = [msgspec.json.encode({"text": text}) for text in event.texts]
+            await stream.send("chunk", *texts)
             event = await live.events.next()
         if event.refusal is None:
             await stream.send("done", event.answer)
--- a/packages/daemon/src/amaranthtally/daemon/entry/event_stream.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/event_stream.py
@@ -33,15 +33,16 @@
         """Send the head of the response."""
         await self._response.prepare(self._request)
 
-    async def send(self, name: str, data: bytes) -> None:
-        """Send one event."""
-        event = b"event: %s\ndata: %s\n\n" % (name.encode(), data)
-        if self._has_room(len(event)):
-            await self._response.write(event)
+    async def send(self, name: str, *data: bytes) -> None:
+        """Send an event for each of ``data``, in one write."""
+        kind = name.encode()
+        events = b"".join(b"event: %s\ndata: %s\n\n" % (kind, item) for item in data)
+        if self._has_room(len(events)):
+            await self._response.write(events)
             return
         try:
             async with asyncio.timeout(self._stall_s):
-                await self._response.write(event)
+                await self._response.write(events)
         except TimeoutError as error:
             if self._request.transport is not None:
                 self._request.transport.abort()
