--- a/packages/standins/src/amaranthtally/standins/deployment.py
+++ b/packages/standins/src/amaranthtally/standins/deployment.py
@@ -15,6 +15,13 @@
 import msgspec
 import tomli_w
 
+from amaranthtally.standins.plan import (
+    Account,
+    DeploymentPlan,
+    Pool,
+    Region,
+    load_plan,
+)
 from amaranthtally.standins.process import Process, spawn_process, start_process
 
 __all__ = [
@@ -40,54 +47,6 @@
 READY_TIMEOUT_S = 30.0
 
 
-class Region(msgspec.Struct, frozen=True):
-    """A region and its data centres."""
-
-    name: str
-    data_centres: list[str]
-
-
-class Pool(msgspec.Struct, frozen=True):
-    """Servers of one kind; ``knobs`` go to the stand-ins as they start."""
-
-    name: str
-    kind: str
-    servers: int
-    concurrency: int = 4
-    knobs: dict[str, Any] = {}
-
-
-class Account(msgspec.Struct, frozen=True):
-    """A client account with its bearer key."""
-
-    name: str
-    key: str
-
-
-class Latency(msgspec.Struct, frozen=True):
-    """One-way latencies in milliseconds."""
-
-    data_centres: float
-    regions: float
-    clients: float
-
-
-class DeploymentPlan(msgspec.Struct, frozen=True):
-    """What stands where; ``settings`` is the tree, by scope, to apply at first."""
-
-    name: str
-    latency_ms: Latency
-    regions: list[Region]
-    pools: list[Pool]
-    accounts: list[Account]
-    settings: dict[str, dict[str, Any]] = {}
-
-
-def load_plan(path: Path) -> DeploymentPlan:
-    """Read a plan; raises ``msgspec.ValidationError``."""
-    return msgspec.toml.decode(path.read_bytes(), type=DeploymentPlan)
-
-
 class EndpointPair(msgspec.Struct):
     """A stand-in endpoint and the sidecar beside it."""
 
@@ -194,6 +153,16 @@
         self._stack.push_async_callback(process.kill)
         return process
 
+    async def start_endpoints(self, servers: int | None, **overrides: Any) -> None:
+        """Start the endpoints of every pool at once; they are kept in their order."""
+        starts = [
+            self.start_endpoint(pool, number, **overrides)
+            for pool in self.plan.pools
+            for number in range(min(pool.servers, servers or pool.servers))
+        ]
+        for pair in await asyncio.gather(*starts):
+            self.endpoints[pair.id] = pair
+
     async def start_endpoint(
         self, pool: Pool, number: int, **overrides: Any
     ) -> EndpointPair:
@@ -232,7 +201,6 @@
             sidecar,
             file,
         )
-        self.endpoints[name] = pair
         return pair
 
     async def start_entry(self, **overrides: Any) -> Process:
@@ -250,7 +218,6 @@
             "platform_url": self.platform_url,
             "token_keys": [TOKEN_KEY],
             "admin_keys": [ADMIN_KEY],
-            "drain_wait": 0.5,
             **overrides,
         }
         file = self.write_settings(name, settings)
@@ -375,12 +342,7 @@
         folder = Path(stack.enter_context(tempfile.TemporaryDirectory()))
         deployment = Deployment(plan, folder, stack)
         await deployment.start_platform()
-        starts = [
-            deployment.start_endpoint(pool, number, **(sidecar_overrides or {}))
-            for pool in plan.pools
-            for number in range(min(pool.servers, servers or pool.servers))
-        ]
-        await asyncio.gather(*starts)
+        await deployment.start_endpoints(servers, **(sidecar_overrides or {}))
         for _ in range(entries):
             await deployment.start_entry(**(entry_overrides or {}))
         await deployment.wait_ready(0)
--- a/tests/at_most_once/support.py
+++ b/tests/at_most_once/support.py
@@ -70,6 +70,19 @@
         await asyncio.sleep(0.01)
 
 
+async def wait_for_calls_in_all(deployment, count, pool="dispatch"):
+    """Return once ``count`` calls have reached a pool's services together."""
+
+    async def reached():
+        found = 0
+        for pair in deployment.pool(pool):
+            async with deployment.http.get(f"{pair.service_url}/_calls") as response:
+                found += await response.json()
+        return found >= count
+
+    await wait_for(reached)
+
+
 async def restart_sidecar(deployment, pair, **overrides):
     """Start a sidecar anew at the address of the one that has ended."""
     settings = tomllib.loads(pair.sidecar_file.read_text(encoding="utf-8"))
--- a/tests/at_most_once/test_links.py
+++ b/tests/at_most_once/test_links.py
@@ -16,6 +16,7 @@
     effects_deployment,
     token,
     wait_for,
+    wait_for_calls_in_all,
 )
 from tests.lifecycle.support import run_wire
 from tests.support import run_async
@@ -47,24 +48,6 @@
     return "answered" if response.status == 200 else document["outcome"]
 
 
-async def wait_for_both(deployment):
-    """Return once both orders have reached a service."""
-
-    async def reached():
-        return sum(await calls(deployment)) == 2
-
-    await wait_for(reached)
-
-
-async def calls(deployment):
-    """Return how many calls reached each dispatch service."""
-    found = []
-    for pair in deployment.pool("dispatch"):
-        async with deployment.http.get(f"{pair.service_url}/_calls") as response:
-            found.append(await response.json())
-    return found
-
-
 async def answers_again(deployment, keys):
     """Repeat each key through each entry until it is answered; return the orders."""
     orders = {}
@@ -98,7 +81,7 @@
                 asyncio.create_task(told(deployment, key, deadline_ms=DEADLINE_MS))
                 for key in keys
             ]
-            await wait_for_both(deployment)
+            await wait_for_calls_in_all(deployment, len(keys))
             for relay in relays.values():
                 relay.fail(fault)
             first = await asyncio.gather(*sent)
