--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -253,12 +253,11 @@
     async def _stream(
         self, request: web.Request, live: LiveRequest
     ) -> web.StreamResponse:
-        first = await live.events.next()
-        if isinstance(first, Ending) and first.refusal is not None:
-            return self._answer(live, first)
+        event = await live.events.next()
+        if isinstance(event, Ending) and event.refusal is not None:
+            return self._answer(live, event)
         stream = EventStream(request, self._stall_timeout)
         await stream.open()
-        event: Chunks | Ending = first
         while isinstance(event, Chunks):
             texts = [msgspec.json.encode({"text": text}) for text in event.texts]
             await stream.send("chunk", *texts)
