--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -234,7 +234,11 @@
             return self.not_run(call.id, "dropped: it could not end in time")
         if not call.repeatable:
             self._once.started(call.call_key)
-        return await self._run_now(call, on_chunk, arrived)
+        # What the call may take is what is left of it now: counted from its arrival,
+        # one that had waited behind stuck calls was given up only after its deadline,
+        # with no time left to run it elsewhere.
+        left_s = queued.deadline - self._loop.time()
+        return await self._run_now(replace(call, remaining_s=left_s), on_chunk, arrived)
 
     async def _run_now(
         self, call: StageCall, on_chunk: ChunkHandler, arrived: float
--- a/tests/lifecycle/test_host_sidecar.py
+++ b/tests/lifecycle/test_host_sidecar.py
@@ -29,7 +29,7 @@
 HOST = "host-shared"
 # A call to an engine that stands still is given up after half of this, and a busy
 # host has to run the rest of it elsewhere in the other half.
-PATIENT_MS = 40_000
+PATIENT_MS = 16_000
 
 
 @asynccontextmanager
