--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -1,31 +1,25 @@
 """Carries out the policy's actions and feeds it what came of them."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping, Sequence
+from collections.abc import Callable, Coroutine, Mapping
 from contextlib import suppress
 from dataclasses import replace
 from typing import Any
 
-from amaranthtally.daemon.entry.cache_news import CacheFollower
+from amaranthtally.daemon.entry.attempts import Attempts
 from amaranthtally.daemon.entry.inquiries import Inquirer, load_report
 from amaranthtally.daemon.entry.live_request import LiveRequest
 from amaranthtally.daemon.entry.metrics import EntryMetrics
 from amaranthtally.daemon.entry.peers import Peers
-from amaranthtally.daemon.entry.stage_calls import (
-    build_call,
-    read_reply,
-    stage_record,
-)
-from amaranthtally.daemon.entry.stream_text import ChunkFate
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     Action,
     Answer,
     Ask,
     AttemptId,
+    CacheEvent,
     Cancel,
     Endpoint,
-    Fate,
     Greet,
     Outcome,
     Planner,
@@ -35,13 +29,7 @@
     Send,
     StageResult,
 )
-from amaranthtally.wire import (
-    Inquiry,
-    Load,
-    PeerLostError,
-    StageReply,
-    WireError,
-)
+from amaranthtally.wire import Load, PeerLostError
 
 __all__ = ["Executor"]
 
@@ -64,10 +52,10 @@
         self._endpoints = settings.endpoints
         self._revision = settings.revision
         self._requests: dict[str, LiveRequest] = {}
-        self._cache_news = CacheFollower()
         self._tasks: set[asyncio.Task[None]] = set()
         self._peers: Peers | None = None
         self._inquirer: Inquirer | None = None
+        self._attempts: Attempts | None = None
         self._giving_up: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
         self._arrived = asyncio.Event()
@@ -94,6 +82,7 @@
         """Use these connections."""
         self._peers = peers
         self._inquirer = inquirer
+        self._attempts = Attempts(self, peers, inquirer, self._metrics, self._region)
 
     # Events
 
@@ -175,7 +164,8 @@
         # Looked up now: a change of settings may take the endpoint away before the
         # task runs, and a live request must not fail by it.
         endpoint = self._endpoint_for(request, send.attempt, send.endpoint)
-        work = self._run_attempt(request, send, endpoint)
+        assert self._attempts is not None
+        work = self._attempts.run(request, send, endpoint, self._revision)
         self._start(request, send.attempt, work)
 
     def _cancel(self, cancel: Cancel) -> None:
@@ -186,7 +176,10 @@
 
     def _ask(self, ask: Ask) -> None:
         request = self._requests[ask.attempt.request_id]
-        self._start(request, ask.attempt, self._ask_outcome(request, ask))
+        endpoint = self._endpoint_for(request, ask.attempt, ask.endpoint)
+        assert self._attempts is not None
+        work = self._attempts.ask(request, ask.attempt, endpoint)
+        self._start(request, ask.attempt, work)
 
     def _greet(self, greet: Greet) -> None:
         endpoint = self._endpoints.get(greet.endpoint)
@@ -248,81 +241,29 @@
     ) -> None:
         request.tasks[attempt] = self._spawn(work)
 
-    # Attempts
+    # What came of attempts
 
-    async def _run_attempt(
-        self, request: LiveRequest, send: Send, endpoint: Endpoint | None
-    ) -> None:
-        attempt = send.attempt
-        stage = request.arrival.pipeline.stages[attempt.stage]
-        assert self._peers is not None
-        assert self._inquirer is not None
-        if endpoint is None:
-            self._ended(attempt, StageResult(Fate.UNKNOWN))
-            return
-        try:
-            client = await self._peers.client(endpoint)
-        except PeerLostError as error:
-            self._log_attempt(attempt, endpoint, "unreachable", str(error))
-            self._ended(attempt, StageResult(Fate.NOT_RUN, unreachable=True))
-            return
-        remaining_s = send.deadline - self._loop.time()
-        call = build_call(
-            request,
-            send,
-            self._revision,
-            remaining_s,
-            expires_s=self._inquirer.expiry(endpoint.id, remaining_s),
-            cache_serial=self._cache_news.heard(endpoint.id),
-        )
+    def chunks_taken(self, attempt: AttemptId, chunks: int) -> None:
+        """Tell the policy how many chunks of a stream its request has."""
+        now = self._loop.time()
+        self._carry_out(self._planner.progress(now, attempt, chunks))
 
-        def on_chunks(offset: int, texts: Sequence[str]) -> None:
-            self._take_chunks(request, attempt, endpoint, offset, texts)
+    def cache_heard(self, endpoint: str, event: CacheEvent) -> None:
+        """Tell the policy what an engine holds in its cache."""
+        now = self._loop.time()
+        self._carry_out(self._planner.cache_event(now, endpoint, event))
 
-        try:
-            reply = await client.run(call, on_chunks if stage.streams else None)
-        except WireError as error:
-            self._log_attempt(attempt, endpoint, "lost", str(error))
-            self._ended(attempt, StageResult(Fate.LOST))
+    def attempt_ended(self, attempt: AttemptId, result: StageResult) -> None:
+        """Tell the policy how an attempt ended."""
+        request = self._requests.get(attempt.request_id)
+        if request is None:
             return
-        if endpoint.region != self._region:
-            size = len(call.input) + len(reply.output)
-            self._metrics.region_crossed(stage.name, size)
-        self._take_reply(request, attempt, endpoint, reply)
-
-    def _take_chunks(
-        self,
-        request: LiveRequest,
-        attempt: AttemptId,
-        endpoint: Endpoint,
-        offset: int,
-        texts: Sequence[str],
-    ) -> None:
-        had = len(request.chunks)
-        fate = request.take_chunks(attempt, offset, texts)
-        if len(request.chunks) > had:
-            self._carry_out(
-                self._planner.progress(self._loop.time(), attempt, len(request.chunks))
-            )
-        if fate in (ChunkFate.DIVERGENT, ChunkFate.TOO_LONG):
-            task = request.tasks[attempt]
-            self._log_attempt(attempt, endpoint, "stream refused", fate.value)
-            permanent = fate is ChunkFate.TOO_LONG
-            self._ended(attempt, StageResult(Fate.FAILED, permanent=permanent))
-            task.cancel()
-
-    async def _ask_outcome(self, request: LiveRequest, ask: Ask) -> None:
-        attempt = ask.attempt
-        endpoint = self._endpoint_for(request, attempt, ask.endpoint)
+        request.tasks.pop(attempt, None)
         stage = request.arrival.pipeline.stages[attempt.stage]
-        assert self._inquirer is not None
-        assert request.bound is not None
-        binding = request.bound.binding(attempt.stage, stage)
-        reply = await self._inquirer.inquire(request.bound, binding, Inquiry.WAIT)
-        if reply is None or endpoint is None:
-            self._ended(attempt, StageResult(Fate.UNKNOWN))
-            return
-        self._take_reply(request, attempt, endpoint, reply)
+        self._metrics.attempt_ended(stage.name, result.fate.value)
+        self._carry_out(self._planner.reply(self._loop.time(), attempt, result))
+
+    # Endpoints
 
     def _endpoint_for(
         self, request: LiveRequest, attempt: AttemptId, chosen: str
@@ -344,55 +285,3 @@
             await self._peers.greet(endpoint)
         except PeerLostError as error:
             log.debug("greeting_failed", endpoint=endpoint.id, cause=str(error))
-
-    def _take_reply(
-        self,
-        request: LiveRequest,
-        attempt: AttemptId,
-        endpoint: Endpoint,
-        reply: StageReply,
-    ) -> None:
-        assert self._peers is not None
-        self._peers.note_load(endpoint.id, reply.load)
-        self._take_cache_news(endpoint, reply)
-        if attempt not in request.tasks:
-            return
-        stage = request.arrival.pipeline.stages[attempt.stage]
-        ended = read_reply(request, stage, reply)
-        if ended.finished:
-            record = stage_record(stage, endpoint, attempt, reply)
-            request.take_output(ended.output, record)
-        else:
-            self._log_attempt(attempt, endpoint, reply.status.value, reply.reason)
-        self._ended(attempt, ended.result)
-
-    def _take_cache_news(self, endpoint: Endpoint, reply: StageReply) -> None:
-        if not reply.cache.serial:
-            return
-        incarnation = reply.load.incarnation
-        event = self._cache_news.take(endpoint.id, incarnation, reply.cache)
-        if event is not None:
-            now = self._loop.time()
-            self._carry_out(self._planner.cache_event(now, endpoint.id, event))
-
-    def _ended(self, attempt: AttemptId, result: StageResult) -> None:
-        request = self._requests.get(attempt.request_id)
-        if request is None:
-            return
-        request.tasks.pop(attempt, None)
-        stage = request.arrival.pipeline.stages[attempt.stage]
-        self._metrics.attempt_ended(stage.name, result.fate.value)
-        self._carry_out(self._planner.reply(self._loop.time(), attempt, result))
-
-    def _log_attempt(
-        self, attempt: AttemptId, endpoint: Endpoint, fate: str, cause: str
-    ) -> None:
-        log.info(
-            "attempt_ended",
-            request_id=attempt.request_id,
-            stage=attempt.stage,
-            attempt=attempt.number,
-            endpoint=endpoint.id,
-            fate=fate,
-            cause=cause,
-        )
