Hedge a stream that has not begun after longer than nearly any run

Change: once it is silent for twice the slow quantile of whole runs beyond its predicted wait, its risk is 1, as for runs that are not streamed.

Where nothing has been learned yet (a fresh entry's first dozen calls) half of the deadline still goes by.

--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -10,7 +10,7 @@
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageStats, StageTimes
-from amaranthtally.policy.stream_watch import StreamWatch
+from amaranthtally.policy.stream_watch import STUCK_FACTOR, StreamWatch
 from amaranthtally.policy.streams import Stream
 from amaranthtally.policy.timers import Timers
 from amaranthtally.policy.weighing import Choice, RouteRequest
@@ -20,7 +20,6 @@
 RETRY_RESERVE = 64.0
 HEDGE_RESERVE = 16.0
 HEDGE_COST = 0.1
-STUCK_FACTOR = 2.0
 SUSPICION = 0.5
 LAST_CALL = 2.0
 PROBE_SLACK = 3.0
--- a/packages/policy/src/amaranthtally/policy/stream_watch.py
+++ b/packages/policy/src/amaranthtally/policy/stream_watch.py
@@ -7,10 +7,12 @@
 from amaranthtally.policy.streams import Stream
 from amaranthtally.policy.weighing import Choice
 
-__all__ = ["StreamWatch"]
+__all__ = ["STUCK_FACTOR", "StreamWatch"]
 
 # Times between chunks after which one is overdue.
 OVERDUE = 2.0
+# Times the slow quantile of whole runs after which an attempt is taken to be stuck.
+STUCK_FACTOR = 2.0
 
 
 class StreamWatch:
@@ -66,13 +68,18 @@
 
         Counted is in time as an endpoint of usual speed would take it: what is
         done, and what this one can do in the time left. One without a chunk is
-        taken to begin now: most of those wait, and soon begin.
+        taken to begin now: most of those wait, and soon begin. One that has none
+        after longer than nearly any whole run is taken to be stuck: its engine
+        stands still, and half of the deadline goes by before its sidecar says so.
         """
         usual_s = stats.pace_beside_s(attempt.beside)
         stream = attempt.stream
         done_s = stream.chunks * usual_s
         left_s = end - now
         if not stream.heard_at:
+            silent_s = now - attempt.sent_at - attempt.wait_s
+            if stats.known and silent_s > STUCK_FACTOR * stats.slow_s:
+                return 1.0
             return _tail_after(stats, done_s, left_s)
         quiet_s = now - stream.heard_at
         slowness = max(1.0, stream.pace_s / usual_s, quiet_s / usual_s - 1.0)
--- a/tests/policy/test_streams.py
+++ b/tests/policy/test_streams.py
@@ -102,3 +102,20 @@
         now = stream(feeder, send, now, CHUNKS, CHUNK_S)
         feeder.reply(now, send, run_s=(CHUNKS + 1) * CHUNK_S)
     assert slow.endpoint not in chosen
+
+
+def test_a_stream_that_never_begins_goes_on_elsewhere():
+    """
+    A farmer waits for half of the deadline for a first word. The engine had been
+    frozen; as a call without a chunk passed for one that waits, nobody hedged it.
+    """
+    feeder, now = streaming()
+    (frozen,) = sends(feeder.arrive(now))
+    hedges = []
+    until = now + 4 * (CHUNKS + 1) * CHUNK_S
+    while not hedges and now < until:
+        now += CHUNK_S / 4
+        hedges.extend(sends(feeder.tick(now)))
+    (hedge,) = hedges
+    assert hedge.endpoint != frozen.endpoint
+    assert answered(feeder.reply(now + 0.2, hedge, run_s=0.2))
