--- a/packages/operator/src/amaranthtally/operator/experiment/trials.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/trials.py
@@ -18,7 +18,7 @@
 from amaranthtally.operator.replay.baselines import POLICY
 from amaranthtally.operator.replay.bound import Bound, clairvoyant_bound
 from amaranthtally.operator.replay.measures import Figures, measure
-from amaranthtally.operator.replay.report import TraceReport
+from amaranthtally.operator.replay.report import build_report
 from amaranthtally.operator.replay.scenarios import make_trace
 from amaranthtally.operator.replay.simulation import replay
 from amaranthtally.operator.replay.trace import Trace
@@ -83,7 +83,9 @@
         figures = _figures(trace, variant, bound)
         subject = msgspec.structs.replace(figures, contender=POLICY)
         others = [f for f in baselines if f.contender != variant.name]
-        report = _report(trace, bound, [subject, *others])
+        header = trace.header
+        name = f"{header.deployment}-{header.scenario}"
+        report = build_report(name, header, bound, [subject, *others])
         observed.append(
             Observation(
                 deployment=trace.header.deployment,
@@ -100,17 +102,3 @@
     adapted = Trace(variant.adapt(trace.header), trace.arrivals)
     ledger = replay(adapted, variant.contender)
     return measure(variant.name, trace.header, ledger, bound.pool)
-
-
-def _report(trace: Trace, bound: Bound, figures: list[Figures]) -> TraceReport:
-    header = trace.header
-    return TraceReport(
-        trace=f"{header.deployment}-{header.scenario}",
-        deployment=header.deployment,
-        scenario=header.scenario,
-        seed=header.seed,
-        bound_attainment=bound.attainment,
-        bound_pool=bound.pool,
-        capacity=bound.capacity,
-        contenders=figures,
-    )
--- a/packages/operator/src/amaranthtally/operator/replay/command.py
+++ b/packages/operator/src/amaranthtally/operator/replay/command.py
@@ -12,7 +12,7 @@
 from amaranthtally.operator.replay.errors import OutcomesError, TraceError
 from amaranthtally.operator.replay.measures import measure
 from amaranthtally.operator.replay.outcomes import Miss, Outcomes, check, read_outcomes
-from amaranthtally.operator.replay.report import TraceReport
+from amaranthtally.operator.replay.report import TraceReport, build_report
 from amaranthtally.operator.replay.scenarios import make_trace, scenario_names
 from amaranthtally.operator.replay.simulation import replay
 from amaranthtally.operator.replay.tables import render_report, render_summary
@@ -45,16 +45,7 @@
         measure(each, header, replay(trace, contender(each)), bound.pool)
         for each in contenders
     ]
-    return TraceReport(
-        trace=name,
-        deployment=header.deployment,
-        scenario=header.scenario,
-        seed=header.seed,
-        bound_attainment=bound.attainment,
-        bound_pool=bound.pool,
-        capacity=bound.capacity,
-        contenders=figures,
-    )
+    return build_report(name, header, bound, figures)
 
 
 def replay_traces(
--- a/packages/operator/src/amaranthtally/operator/replay/report.py
+++ b/packages/operator/src/amaranthtally/operator/replay/report.py
@@ -3,9 +3,11 @@
 import msgspec
 
 from amaranthtally.operator.replay.baselines import POLICY
+from amaranthtally.operator.replay.bound import Bound
 from amaranthtally.operator.replay.measures import Figures
+from amaranthtally.operator.replay.trace import Header
 
-__all__ = ["TraceReport"]
+__all__ = ["TraceReport", "build_report"]
 
 EQUAL_WITHIN = 0.01
 
@@ -76,5 +78,21 @@
         }
 
 
+def build_report(
+    name: str, header: Header, bound: Bound, contenders: list[Figures]
+) -> TraceReport:
+    """Return the report of a trace whose contenders have been measured."""
+    return TraceReport(
+        trace=name,
+        deployment=header.deployment,
+        scenario=header.scenario,
+        seed=header.seed,
+        bound_attainment=bound.attainment,
+        bound_pool=bound.pool,
+        capacity=bound.capacity,
+        contenders=contenders,
+    )
+
+
 def _ratio(part: float, whole: float) -> float:
     return round(part / whole, 4) if whole else 0.0
