--- a/tests/prefixes/test_digests.py
+++ b/tests/prefixes/test_digests.py
@@ -63,8 +63,10 @@
 
 
 def test_a_gap_in_the_events_clears_what_was_claimed():
-    # An engine removed a block and the event was lost. Requests with that prefix
-    # would go on to it, each paying the whole prompt, while an idle engine waits.
+    """
+    An engine removed a block and the event was lost. Requests with that prefix
+    would go on to it, each paying the whole prompt, while an idle engine waits.
+    """
     link = Link()
     link.digest.take("first", stored(1, 2))
     link.reply()
@@ -75,8 +77,10 @@
 
 
 def test_a_restarted_engine_is_not_believed_to_hold_anything():
-    # An engine dies and comes back empty, its serials from 1 on, while its sidecar
-    # lives: the next reply must take back what entries believe.
+    """
+    An engine dies and comes back empty, its serials from 1 on, while its sidecar
+    lives: the next reply must take back what entries believe.
+    """
     link = Link()
     link.digest.take("first", stored(1, 2, 3))
     link.reply()
@@ -89,8 +93,10 @@
 
 
 def test_a_restarted_sidecar_takes_its_claims_back():
-    # A sidecar restarts and counts its news from 0. An entry that compared the new
-    # serials with the old ones would keep the old claims until they expire.
+    """
+    A sidecar restarts and counts its news from 0. An entry that compared the new
+    serials with the old ones would keep the old claims until they expire.
+    """
     link = Link()
     link.digest.take("first", stored(1, 2, 3))
     link.reply()
@@ -102,8 +108,10 @@
 
 
 def test_replies_that_overtake_each_other_change_nothing_back():
-    # Two calls run at once. The later reply comes first: the earlier one, with older
-    # news, must not bring a removed block back.
+    """
+    Two calls run at once. The later reply comes first: the earlier one, with older
+    news, must not bring a removed block back.
+    """
     link = Link()
     link.digest.take("first", stored(1, 2))
     early = link.digest.news(0)
@@ -114,7 +122,9 @@
 
 
 def test_news_is_bounded_whatever_an_entry_missed():
-    # An entry that was away for long would otherwise be sent all of it in a reply.
+    """
+    An entry that was away for long would otherwise be sent all of it in a reply.
+    """
     link = Link()
     for serial in range(1, MOST_CHANGES + 2):
         name = NAMES[(serial - 1) % len(NAMES)]
@@ -125,8 +135,10 @@
 
 
 def test_the_blocks_of_two_accounts_are_never_the_same():
-    # With shared blocks a caller would learn from the time to the first token that
-    # another account has sent the same text.
+    """
+    With shared blocks a caller would learn from the time to the first token that
+    another account has sent the same text.
+    """
     one = prefix_blocks(cache_salt("one"), TEXT, 32)
     two = prefix_blocks(cache_salt("two"), TEXT, 32)
     assert one
@@ -136,8 +148,10 @@
 
 
 def test_a_sidecar_follows_its_engine_through_a_restart():
-    # As above, over the engine's HTTP form: the first engine's blocks are claimed,
-    # the second one at the same address says by its epoch that it is another.
+    """
+    As above, over the engine's HTTP form: the first engine's blocks are claimed,
+    the second one at the same address says by its epoch that it is another.
+    """
     run_async(follow_through_a_restart())
 
 
--- a/tests/prefixes/test_routing.py
+++ b/tests/prefixes/test_routing.py
@@ -81,8 +81,10 @@
 
 
 def test_a_growing_thread_goes_back_to_its_engine():
-    # A studio's crash thread grows and is summarised anew at each post. Sent to any
-    # engine, each time the whole thread is read anew and the summary is late.
+    """
+    A studio's crash thread grows and is summarised anew at each post. Sent to any
+    engine, each time the whole thread is read anew and the summary is late.
+    """
     run_async(grow_threads())
 
 
@@ -98,8 +100,10 @@
 
 
 def test_another_entry_learns_which_engine_holds_a_thread():
-    # Threads came through one entry and go on through another, as the balancer likes.
-    # That one ran none of them: it knows only what the sidecars tell of their engines.
+    """
+    Threads came through one entry and go on through another, as the balancer likes.
+    That one ran none of them: it knows only what the sidecars tell of their engines.
+    """
     run_async(go_on_through_another_entry())
 
 
@@ -123,8 +127,10 @@
 
 
 def test_one_account_never_finds_the_other_ones_text_cached():
-    # Two accounts send the same text to the one engine. If the second found it cached,
-    # it would learn by the time to its first token that the first had sent it.
+    """
+    Two accounts send the same text to the one engine. If the second found it cached,
+    it would learn by the time to its first token that the first had sent it.
+    """
     run_async(send_from_two_accounts())
 
 
@@ -138,8 +144,10 @@
 
 
 def test_a_stale_claim_costs_no_answer():
-    # The engines die and come back empty at their old addresses. The entry still
-    # takes them to hold the threads; each must be answered all the same.
+    """
+    The engines die and come back empty at their old addresses. The entry still
+    takes them to hold the threads; each must be answered all the same.
+    """
     run_async(restart_the_engines())
 
 
