--- a/tests/lifecycle/test_streams.py
+++ b/tests/lifecycle/test_streams.py
@@ -27,14 +27,14 @@
 from tests.support import parse_events, plan, run_async
 
 STREAMS = 8
-TOKENS = 40
+TOKENS = 100
 TOKEN_TIME_S = 0.02
 FAULT_AFTER_S = 0.4
 STREAM_BYTES = 2_000
 
 
 def slow_engines():
-    """Return the plan with engines that take about a second for a stream."""
+    """Return the plan with engines that take about two seconds for a stream."""
     pools = [
         msgspec.structs.replace(
             pool, knobs={"token_time": TOKEN_TIME_S, "tokens": TOKENS}
@@ -95,16 +95,19 @@
             whole = await deployment.call("assessment", "baler", deadline_ms=20_000)
             text = (await whole.json())["output"]["text"]
             assert len(text.split()) == TOKENS
+            bad, good = deployment.pool("assessment")
+            before = len(await deployment.records(bad.service))
             calls = [
                 asyncio.create_task(
                     deployment.call(
-                        "assessment", "baler", stream=True, deadline_ms=10_000
+                        "assessment", "baler", stream=True, deadline_ms=20_000
                     )
                 )
                 for _ in range(STREAMS)
             ]
+            while len(await deployment.records(bad.service)) <= before:
+                await asyncio.sleep(TOKEN_TIME_S)
             await asyncio.sleep(FAULT_AFTER_S)
-            bad, good = deployment.pool("assessment")
             await fault(bad, deployment)
             if fault is cut_engine:
                 calls += [
