Go on asking an engine that is away for hours

Cause: the wait between failed model orders was RETRY_S * 2**failures, and after a thousand failures (some four hours at 15 s) an integer too large for a float: OverflowError ended the task, and the engine got no order until its sidecar restarted. The formula also stood twice. Change: the wait itself is kept and doubled up to RECONCILE_S; every wait is as before.

--- a/packages/daemon/src/amaranthtally/daemon/sidecar/orders.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/orders.py
@@ -56,7 +56,7 @@
         )
         self._tree = Tree()
         self._wanted = WantedModels()
-        self._failures = 0
+        self._retry_s = RETRY_S
 
     def settings_changed(self, tree: Tree) -> None:
         """Take the models and the role of this endpoint's registration."""
@@ -90,8 +90,8 @@
         if done:
             await self._look_again()
         if not all(done):
-            return min(RECONCILE_S, RETRY_S * 2**self._failures)
-        self._failures = 0
+            return self._retry_s
+        self._retry_s = RETRY_S
         # An engine's word of what it holds may lag behind an order.
         return RETRY_S if done or plan.pending else RECONCILE_S
 
@@ -158,10 +158,10 @@
     # Outcomes
 
     def _failed(self, cause: str) -> float:
-        self._failures += 1
+        self._retry_s = min(RECONCILE_S, 2 * self._retry_s)
         log.warning("model_order_failed", cause=cause)
         self._note(cause)
-        return min(RECONCILE_S, RETRY_S * 2**self._failures)
+        return self._retry_s
 
     def _note(self, outcome: str) -> None:
         self._served.last_order = outcome
--- a/tests/lifecycle/test_orders.py
+++ b/tests/lifecycle/test_orders.py
@@ -13,7 +13,10 @@
     Grant,
     LeaseLapsedError,
 )
+from amaranthtally.daemon.sidecar.orders import RECONCILE_S, ModelOrders
+from amaranthtally.daemon.sidecar.served_models import ServedModels
 from amaranthtally.policy.model_orders import Load
+from amaranthtally.settings import SidecarSettings
 from amaranthtally.standins.deployment import open_deployment
 from tests.support import plan, run_async
 
@@ -169,3 +172,31 @@
                 assert await platform_writes(deployment, pair.id) == 3
 
     run_async(scenario())
+
+
+def test_an_engine_that_is_away_for_hours_is_asked_on():
+    """
+    An engine is down for half a day. When it is back, empty, nobody gives it its
+    models: the wait between tries had doubled a thousand times, beyond what a
+    number of seconds can hold, and the error ended the sidecar's orders for good.
+    """
+
+    async def scenario():
+        settings = SidecarSettings(
+            endpoint="engine-1",
+            host="host-1",
+            region="cluj",
+            data_centre="cluj-1",
+            wire_address="127.0.0.1:0",
+            http_address="127.0.0.1:0",
+            endpoint_url="http://127.0.0.1:9",
+            endpoint_kind="engine",
+        )
+        async with aiohttp.ClientSession() as session:
+            served = ServedModels(asyncio.get_running_loop().time)
+            orders = ModelOrders(settings, session, served, announce=None)
+            for _ in range(2000):
+                wait_s = await orders._reconcile()
+            assert wait_s == RECONCILE_S
+
+    run_async(scenario())
