--- a/packages/operator/src/amaranthtally/operator/main.py
+++ b/packages/operator/src/amaranthtally/operator/main.py
@@ -4,9 +4,12 @@
 
 from cyclopts import App
 
+from amaranthtally.operator import replay
+
 __all__ = ["app", "main"]
 
 app = App(name="amaranthtally", help="Operate an amaranthtally deployment.")
+replay.register(app)
 
 
 def main() -> None:
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/bound.py
@@ -0,0 +1,204 @@
+"""
+A bound that no scheduler can pass, from knowing every arrival and all work.
+
+For each pool the calls of all requests that need it are placed on one fluid
+server as fast as all the pool's slots together, fault windows counted. A call is
+released no sooner than the fastest earlier stages allow and is due no later than
+the fastest later stages need. The most calls that can be on time there bounds the
+requests that can be: network, prefill, batches less than full, single-slot speed,
+placement, cut regions and the other pools are all left out, so the bound is loose
+rather than wrong. Releases and due times have one order, for which the rule of
+Kise, Ibaraki and Mine (1978) finds the most calls on time.
+"""
+
+from bisect import bisect_right
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from amaranthtally.operator.replay.trace import (
+    FaultKind,
+    Header,
+    PipelinePlan,
+    PoolPlan,
+    Trace,
+)
+from amaranthtally.operator.replay.work import WorkModel
+
+__all__ = ["Bound", "Job", "clairvoyant_bound", "most_on_time", "pool_capacity"]
+
+
+@dataclass(frozen=True, slots=True)
+class Bound:
+    """The most requests that can be answered in time, and the pool that limits."""
+
+    good: int
+    attainment: float
+    pool: str
+    capacity: float
+
+
+@dataclass(frozen=True, slots=True)
+class Job:
+    """A call at the fluid server, in work that the pool can have done by then."""
+
+    release: float
+    due: float
+    work: float
+
+
+def clairvoyant_bound(trace: Trace) -> Bound:
+    """Return the tightest bound over the pools; ``capacity`` in requests a second."""
+    total = len(trace.arrivals)
+    best = Bound(total, 1.0, "", 0.0)
+    for pool in trace.header.pools:
+        jobs = _jobs(trace, pool)
+        if not jobs:
+            continue
+        good = total - len(jobs) + most_on_time(jobs)
+        capacity = pool_capacity(trace, pool)
+        if good < best.good or not best.pool or capacity < best.capacity:
+            best = Bound(min(good, best.good), 0.0, pool.name, capacity)
+    attainment = round(best.good / total, 4) if total else 1.0
+    return Bound(best.good, attainment, best.pool, round(best.capacity, 2))
+
+
+def pool_capacity(trace: Trace, pool: PoolPlan) -> float:
+    """Return the requests a second that a pool can serve without faults."""
+    jobs = _jobs(trace, pool)
+    mean = sum(job.work for job in jobs) / len(jobs)
+    endpoints = sum(e.pool == pool.name for e in trace.header.endpoints)
+    share = len(jobs) / len(trace.arrivals)
+    return endpoints * _endpoint_rate(pool) / mean / share
+
+
+def most_on_time(jobs: list[Job]) -> int:
+    """Return how many of the jobs, ordered by release and due, can be on time."""
+    kept: list[Job] = []
+    ends: list[float] = []
+    for job in jobs:
+        start = max(job.release, ends[-1] if ends else job.release)
+        kept.append(job)
+        ends.append(start + job.work)
+        if ends[-1] > job.due:
+            _drop_best(kept, ends)
+    return len(kept)
+
+
+def _drop_best(kept: list[Job], ends: list[float]) -> None:
+    """Drop the job without which the last one ends soonest."""
+    slack = float("inf")
+    best, gain = len(kept) - 1, -1.0
+    for i in range(len(kept) - 1, -1, -1):
+        saved = min(kept[i].work, slack)
+        if saved > gain:
+            best, gain = i, saved
+        slack = min(slack, ends[i] - kept[i].work - kept[i].release)
+        if slack <= 0.0:
+            break
+    del kept[best]
+    del ends[best:]
+    for job in kept[best:]:
+        start = max(job.release, ends[-1] if ends else job.release)
+        ends.append(start + job.work)
+
+
+# Jobs
+
+
+class _WorkClock:
+    """Maps time to the work that a pool can have done by then."""
+
+    def __init__(self, header: Header, pool: PoolPlan) -> None:
+        faults = [f for f in header.faults if f.endpoints]
+        self._times = sorted({0.0, *(t for f in faults for t in (f.start_s, f.end_s))})
+        self._rates = [_pool_rate(header, pool, t) for t in self._times]
+        self._done = [0.0]
+        for i in range(1, len(self._times)):
+            span = self._times[i] - self._times[i - 1]
+            self._done.append(self._done[-1] + span * self._rates[i - 1])
+
+    def work_by(self, time: float) -> float:
+        """Return the work that can be done from 0 to a time."""
+        i = max(0, bisect_right(self._times, time) - 1)
+        return self._done[i] + (time - self._times[i]) * self._rates[i]
+
+
+def _jobs(trace: Trace, pool: PoolPlan) -> list[Job]:
+    header = trace.header
+    work = WorkModel(header.seed)
+    plans = {plan.name: plan for plan in header.pipelines}
+    places = {name: _stage_at(plan, pool.name) for name, plan in plans.items()}
+    users = [a for a in trace.arrivals if places[a.pipeline] is not None]
+    clock = _WorkClock(header, pool)
+    before, after = _least_around(trace, pool, work)
+    found = []
+    for arrival in users:
+        stage = places[arrival.pipeline]
+        assert stage is not None
+        deadline_s = plans[arrival.pipeline].deadline_s
+        seconds = work.of(arrival.id, stage, pool).seconds
+        found.append(
+            Job(
+                clock.work_by(arrival.at + before),
+                clock.work_by(arrival.at + deadline_s - after),
+                seconds,
+            )
+        )
+    return found
+
+
+def _least_around(trace: Trace, pool: PoolPlan, work: WorkModel) -> tuple[float, float]:
+    """Return the least time of any request before and after its call to a pool."""
+    pools = {p.name: p for p in trace.header.pools}
+    plans = {plan.name: plan for plan in trace.header.pipelines}
+    before, after = [], []
+    for arrival in trace.arrivals:
+        plan = plans[arrival.pipeline]
+        at = _stage_at(plan, pool.name)
+        if at is None:
+            continue
+        seconds = [
+            work.of(arrival.id, i, pools[stage.pool]).seconds
+            for i, stage in enumerate(plan.stages)
+        ]
+        before.append(sum(seconds[:at]))
+        after.append(sum(seconds[at + 1 :]))
+    return min(before, default=0.0), min(after, default=0.0)
+
+
+def _stage_at(plan: PipelinePlan, pool: str) -> int | None:
+    return next((i for i, s in enumerate(plan.stages) if s.pool == pool), None)
+
+
+def _endpoint_rate(pool: PoolPlan) -> float:
+    """Return the work, in seconds alone, that an endpoint does in a second."""
+    return pool.slots / (1.0 + pool.batch_slope * (pool.slots - 1))
+
+
+def _pool_rate(header: Header, pool: PoolPlan, time: float) -> float:
+    names = [e.id for e in header.endpoints if e.pool == pool.name]
+    return _endpoint_rate(pool) * sum(_speed(header, name, time) for name in names)
+
+
+def _speed(header: Header, endpoint: str, time: float) -> float:
+    speed = 1.0
+    for fault in _struck_at(header, endpoint, time):
+        speed *= 0.0 if fault is FaultKind.FAILING else _slowness(header, endpoint)
+    return speed
+
+
+def _slowness(header: Header, endpoint: str) -> float:
+    slow = [
+        f.factor
+        for f in header.faults
+        if f.kind is FaultKind.SLOW and endpoint in f.endpoints
+    ]
+    return 1.0 / max(slow)
+
+
+def _struck_at(header: Header, endpoint: str, time: float) -> Iterable[FaultKind]:
+    return [
+        f.kind
+        for f in header.faults
+        if endpoint in f.endpoints and f.start_s <= time < f.end_s
+    ]
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/command.py
@@ -0,0 +1,144 @@
+"""The commands ``replay`` and ``trace``."""
+
+import sys
+from pathlib import Path
+from typing import Annotated
+
+import msgspec
+from cyclopts import App, Parameter
+
+from amaranthtally.operator.replay.baselines import POLICY, contender, contender_names
+from amaranthtally.operator.replay.bound import clairvoyant_bound
+from amaranthtally.operator.replay.errors import OutcomesError, TraceError
+from amaranthtally.operator.replay.measures import measure
+from amaranthtally.operator.replay.outcomes import Miss, Outcomes, check, read_outcomes
+from amaranthtally.operator.replay.report import TraceReport, render_table
+from amaranthtally.operator.replay.scenarios import make_trace, scenario_names
+from amaranthtally.operator.replay.simulation import replay
+from amaranthtally.operator.replay.trace import Trace, read_trace, write_trace
+
+__all__ = ["register", "report_trace"]
+
+EXIT_MISSED = 1
+EXIT_BAD_INPUT = 2
+DEFAULT_SEED = 20261203
+TRACE_SUFFIX = ".jsonl.gz"
+
+
+class _Printed(msgspec.Struct, frozen=True):
+    reports: list[TraceReport]
+    misses: list[Miss]
+
+
+def register(app: App) -> None:
+    """Add the commands to the operators' command line."""
+    app.command(replay_traces, name="replay")
+    app.command(make_traces, name="trace")
+
+
+def report_trace(name: str, trace: Trace, contenders: list[str]) -> TraceReport:
+    """Replay a trace for each contender and return the report."""
+    header = trace.header
+    bound = clairvoyant_bound(trace)
+    figures = [
+        measure(each, header, replay(trace, contender(each))) for each in contenders
+    ]
+    return TraceReport(
+        trace=name,
+        deployment=header.deployment,
+        scenario=header.scenario,
+        seed=header.seed,
+        bound_attainment=bound.attainment,
+        bound_pool=bound.pool,
+        capacity=bound.capacity,
+        contenders=figures,
+    )
+
+
+def replay_traces(
+    *traces: Path,
+    outcomes: Path | None = None,
+    baselines: bool = True,
+    json: Annotated[bool, Parameter(negative="")] = False,
+) -> int:
+    """
+    Replay traces through the policy on a virtual clock.
+
+    Exits with 1 where an outcome is missed and 2 where a file cannot be used.
+
+    Parameters
+    ----------
+    traces
+        Trace files, compressed or not.
+    outcomes
+        TOML file of stated outcomes.
+    baselines
+        Replay the baselines beside the policy.
+    json
+        Print JSON instead of tables.
+    """
+    names = contender_names() if baselines else [POLICY]
+    try:
+        stated = read_outcomes(outcomes) if outcomes else Outcomes()
+        loaded = [(_trace_name(path), read_trace(path)) for path in traces]
+    except (OutcomesError, TraceError) as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_BAD_INPUT
+    reports = [report_trace(name, trace, names) for name, trace in loaded]
+    misses = [miss for report in reports for miss in check(stated, report)]
+    _print(_Printed(reports, misses), json)
+    return EXIT_MISSED if misses else 0
+
+
+def make_traces(
+    deployment: Path,
+    *,
+    out: Path,
+    seed: int = DEFAULT_SEED,
+    scenario: str = "",
+) -> int:
+    """
+    Make the traces of a deployment, alike for the same seed.
+
+    Parameters
+    ----------
+    deployment
+        Deployment file, such as examples/agrosalv.toml.
+    out
+        Directory for the traces.
+    seed
+        Seed of arrivals and of the work of each stage.
+    scenario
+        One scenario; all of them when left out.
+    """
+    names = [scenario] if scenario else scenario_names()
+    if not set(names) <= set(scenario_names()):
+        sys.stderr.write(f"scenario: choose from {', '.join(scenario_names())}\n")
+        return EXIT_BAD_INPUT
+    try:
+        made = [make_trace(deployment, name, seed) for name in names]
+    except TraceError as error:
+        sys.stderr.write(f"{error}\n")
+        return EXIT_BAD_INPUT
+    out.mkdir(parents=True, exist_ok=True)
+    for trace in made:
+        header = trace.header
+        path = out / f"{header.deployment}-{header.scenario}{TRACE_SUFFIX}"
+        write_trace(path, trace)
+        sys.stdout.write(f"{path}: {len(trace.arrivals)} arrivals\n")
+    return 0
+
+
+def _print(printed: _Printed, as_json: bool) -> None:
+    if as_json:
+        text = msgspec.json.format(msgspec.json.encode(printed)).decode()
+        sys.stdout.write(f"{text}\n")
+        return
+    for report in printed.reports:
+        sys.stdout.write(f"{render_table(report)}\n")
+    for miss in printed.misses:
+        sys.stdout.write(f"MISSED {miss}\n")
+
+
+def _trace_name(path: Path) -> str:
+    return path.name.removesuffix(".gz").removesuffix(".jsonl")
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/endpoints.py
@@ -0,0 +1,233 @@
+"""
+Fakes of endpoints on the virtual clock, in a registry that decorators fill.
+
+An engine's running calls all advance at one rate, which falls as the batch grows;
+any other endpoint gives each slot the same speed.
+"""
+
+import heapq
+from collections import OrderedDict, deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from functools import partial
+
+from amaranthtally.operator.replay.clock import VirtualClock
+from amaranthtally.operator.replay.trace import PoolPlan
+
+__all__ = ["CHUNK_TOKENS", "FakeEndpoint", "Run", "build_endpoint"]
+
+CHUNK_TOKENS = 32
+FAILS_AFTER_S = 0.005
+
+Done = Callable[[bool], None]
+Progress = Callable[[int], None]
+
+
+@dataclass(slots=True, eq=False)
+class Run:
+    """
+    A call at an endpoint. ``seconds`` is its work alone on the endpoint.
+
+    ``done`` is told whether it finished; ``progress`` the chunks sent so far.
+    """
+
+    seconds: float
+    tokens: int
+    prefix: tuple[int, ...]
+    resume_chunks: int
+    done: Done
+    progress: Progress
+    ended: bool = field(default=False, init=False)
+
+
+class FakeEndpoint:
+    """What every fake endpoint shares: faults and the end of a call."""
+
+    def __init__(self, clock: VirtualClock, pool: PoolPlan) -> None:
+        self._clock = clock
+        self._pool = pool
+        self._slowdown = 1.0
+        self._failing = False
+        self._running: dict[Run, None] = {}
+
+    def slow_down(self, factor: float) -> None:
+        """Take ``factor`` times as long for each call from now on."""
+        self._slowdown = factor
+
+    def fail(self, failing: bool) -> None:
+        """Fail every call soon after its start, and those that run, or stop so."""
+        self._failing = failing
+        for run in list(self._running) if failing else ():
+            self._end(run, False)
+
+    def clear_cache(self) -> None:
+        """Forget cached prefixes; only an engine has any."""
+
+    def start(self, run: Run) -> None:
+        """Start a call."""
+        self._running[run] = None
+        if self._failing:
+            self._clock.after(FAILS_AFTER_S, partial(self._end, run, False))
+            return
+        self._begin(run)
+
+    def cancel(self, run: Run) -> None:
+        """Stop a call at once without an answer."""
+        run.ended = True
+        self._running.pop(run, None)
+
+    def _begin(self, run: Run) -> None:
+        raise NotImplementedError
+
+    def _end(self, run: Run, finished: bool) -> None:
+        if run.ended:
+            return
+        self.cancel(run)
+        run.done(finished)
+
+
+Builder = Callable[[VirtualClock, PoolPlan], FakeEndpoint]
+_KINDS: dict[str, Builder] = {}
+
+
+def _endpoint_kind(*names: str) -> Callable[[type], type]:
+    def register(kind: type) -> type:
+        for name in names:
+            _KINDS[name] = kind
+        return kind
+
+    return register
+
+
+def build_endpoint(clock: VirtualClock, pool: PoolPlan) -> FakeEndpoint:
+    """Return a fake of the pool's kind; raises ``KeyError`` for an unknown one."""
+    return _KINDS[pool.kind](clock, pool)
+
+
+@_endpoint_kind("encoder", "retriever", "reranker", "plain")
+class FakeServer(FakeEndpoint):
+    """Runs each call at its own constant speed."""
+
+    def _begin(self, run: Run) -> None:
+        self._clock.after(run.seconds * self._slowdown, partial(self._end, run, True))
+
+
+class _PrefixCache:
+    """Prefix blocks in bounded memory, the least recently used removed first."""
+
+    def __init__(self, capacity: int) -> None:
+        self._capacity = capacity
+        self._blocks: OrderedDict[int, None] = OrderedDict()
+
+    def use(self, prefix: tuple[int, ...]) -> int:
+        """Return how many leading blocks were cached, and cache them all."""
+        hits = 0
+        for block in prefix:
+            if block not in self._blocks:
+                break
+            hits += 1
+        for block in reversed(prefix):
+            self._blocks[block] = None
+            self._blocks.move_to_end(block)
+        while len(self._blocks) > self._capacity:
+            self._blocks.popitem(last=False)
+        return hits
+
+    def clear(self) -> None:
+        """Forget every block."""
+        self._blocks.clear()
+
+
+@_endpoint_kind("engine")
+class FakeEngine(FakeEndpoint):
+    """
+    Batches continuously: each running call advances one token a step.
+
+    ``_steps`` counts decode steps as real numbers, so that a change of batch size
+    moves one next event only. Prefill is charged as steps of the same call.
+    """
+
+    def __init__(self, clock: VirtualClock, pool: PoolPlan) -> None:
+        super().__init__(clock, pool)
+        self._cache = _PrefixCache(pool.cache_blocks)
+        self._waiting: deque[Run] = deque()
+        self._marks: list[tuple[float, int, Run, int]] = []
+        self._batch: dict[Run, None] = {}
+        self._steps = 0.0
+        self._counted_at = 0.0
+        self._serial = 0
+        self._schedule = 0
+
+    def slow_down(self, factor: float) -> None:
+        """Take ``factor`` times as long for each step from now on."""
+        self._count_steps()
+        super().slow_down(factor)
+        self._plan_next()
+
+    def clear_cache(self) -> None:
+        """Forget cached prefixes."""
+        self._cache.clear()
+
+    def cancel(self, run: Run) -> None:
+        """Take a call out of the batch."""
+        self._count_steps()
+        super().cancel(run)
+        self._batch.pop(run, None)
+        self._fill_batch()
+
+    def _begin(self, run: Run) -> None:
+        self._count_steps()
+        self._waiting.append(run)
+        self._fill_batch()
+
+    def _fill_batch(self) -> None:
+        while self._waiting and len(self._batch) < self._pool.slots:
+            run = self._waiting.popleft()
+            if not run.ended:
+                self._batch[run] = None
+                self._mark_steps(run)
+        self._plan_next()
+
+    def _mark_steps(self, run: Run) -> None:
+        missed = len(run.prefix) - self._cache.use(run.prefix)
+        prefill_s = missed * self._pool.block_tokens * self._pool.prefill_token_s
+        first = self._steps + prefill_s / self._pool.token_s
+        slower = run.seconds / (run.tokens * self._pool.token_s)
+        done_before = min(run.resume_chunks * CHUNK_TOKENS, run.tokens - 1)
+        chunk = done_before // CHUNK_TOKENS
+        while chunk * CHUNK_TOKENS < run.tokens:
+            chunk += 1
+            tokens = min(chunk * CHUNK_TOKENS, run.tokens) - done_before
+            self._serial += 1
+            mark = (first + tokens * slower, self._serial, run, chunk)
+            heapq.heappush(self._marks, mark)
+
+    def _step_s(self) -> float:
+        neighbours = max(0, len(self._batch) - 1)
+        slope = 1.0 + self._pool.batch_slope * neighbours
+        return self._pool.token_s * slope * self._slowdown
+
+    def _count_steps(self) -> None:
+        now = self._clock.now
+        if self._batch:
+            self._steps += (now - self._counted_at) / self._step_s()
+        self._counted_at = now
+
+    def _plan_next(self) -> None:
+        while self._marks and self._marks[0][2].ended:
+            heapq.heappop(self._marks)
+        self._schedule += 1
+        if self._marks:
+            delay_s = (self._marks[0][0] - self._steps) * self._step_s()
+            self._clock.after(max(0.0, delay_s), partial(self._step, self._schedule))
+
+    def _step(self, schedule: int) -> None:
+        if schedule != self._schedule:
+            return
+        self._count_steps()
+        _, _, run, chunk = heapq.heappop(self._marks)
+        if chunk * CHUNK_TOKENS < run.tokens:
+            run.progress(chunk)
+            self._plan_next()
+        else:
+            self._end(run, True)
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/faults.py
@@ -0,0 +1,86 @@
+"""What each kind of fault does to the fakes, in a registry that decorators fill."""
+
+from collections.abc import Callable, Iterable, Mapping, Sequence
+from dataclasses import dataclass
+from functools import partial
+
+from amaranthtally.operator.replay.entry import EntryReplay
+from amaranthtally.operator.replay.network import NOTICE_S, Network
+from amaranthtally.operator.replay.sidecar import FakeSidecar
+from amaranthtally.operator.replay.trace import Fault, FaultKind
+
+__all__ = ["Stage", "schedule_faults"]
+
+
+@dataclass(frozen=True, slots=True)
+class Stage:
+    """Everything that a fault can strike."""
+
+    network: Network
+    fleet: Mapping[str, FakeSidecar]
+    entries: Sequence[EntryReplay]
+
+    def struck(self, fault: Fault) -> Iterable[FakeSidecar]:
+        """Return the sidecars of the endpoints that a fault names."""
+        return [self.fleet[name] for name in fault.endpoints]
+
+
+Injector = Callable[[Stage, Fault], None]
+_INJECTORS: dict[FaultKind, Injector] = {}
+
+
+def schedule_faults(stage: Stage, faults: Iterable[Fault]) -> None:
+    """Put faults on the clock; bursts and floods are in the arrivals already."""
+    for fault in faults:
+        injector = _INJECTORS.get(fault.kind)
+        if injector is not None:
+            injector(stage, fault)
+
+
+def _injector(kind: FaultKind) -> Callable[[Injector], Injector]:
+    def register(function: Injector) -> Injector:
+        _INJECTORS[kind] = function
+        return function
+
+    return register
+
+
+@_injector(FaultKind.SLOW)
+def _slow(stage: Stage, fault: Fault) -> None:
+    clock = stage.network.clock
+    for sidecar in stage.struck(fault):
+        slow_down = sidecar.endpoint.slow_down
+        clock.at(fault.start_s, partial(slow_down, fault.factor))
+        clock.at(fault.end_s, partial(slow_down, 1.0))
+
+
+@_injector(FaultKind.FAILING)
+def _failing(stage: Stage, fault: Fault) -> None:
+    clock = stage.network.clock
+    for sidecar in stage.struck(fault):
+        clock.at(fault.start_s, partial(sidecar.endpoint.fail, True))
+        clock.at(fault.end_s, partial(sidecar.endpoint.fail, False))
+
+
+@_injector(FaultKind.REGION_CUT)
+def _region_cut(stage: Stage, fault: Fault) -> None:
+    clock = stage.network.clock
+    clock.at(fault.start_s, partial(stage.network.cut, fault.region))
+    clock.at(fault.end_s, partial(stage.network.cut, ""))
+    for entry in stage.entries:
+        lose = partial(entry.lose_region, fault.region)
+        clock.at(fault.start_s + NOTICE_S, lose)
+
+
+@_injector(FaultKind.LATE_LOAD)
+def _late_load(stage: Stage, fault: Fault) -> None:
+    clock = stage.network.clock
+    for sidecar in stage.fleet.values():
+        clock.at(fault.start_s, partial(sidecar.delay_load, fault.factor))
+        clock.at(fault.end_s, partial(sidecar.delay_load, 0.0))
+
+
+@_injector(FaultKind.COLD_CACHE)
+def _cold_cache(stage: Stage, fault: Fault) -> None:
+    for sidecar in stage.fleet.values():
+        stage.network.clock.at(fault.start_s, sidecar.endpoint.clear_cache)
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/ledger.py
@@ -0,0 +1,105 @@
+"""What happened in one replay, counted as it happens."""
+
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from amaranthtally.operator.replay.trace import PoolPlan, TraceArrival
+from amaranthtally.policy import AttemptId, Outcome, Reason
+
+__all__ = ["AttemptCost", "Ledger", "RequestRecord"]
+
+
+@dataclass(slots=True)
+class AttemptCost:
+    """Slot-seconds of one attempt at a pool, and its price."""
+
+    pool: str
+    run_s: float
+    price: float
+
+
+@dataclass(slots=True)
+class RequestRecord:
+    """One request from arrival to end; times in seconds."""
+
+    arrival: TraceArrival
+    deadline: float
+    admitted: bool = False
+    answered: bool = False
+    outcome: Outcome | None = None
+    reason: Reason | None = None
+    ended_at: float | None = None
+    useful: set[AttemptId] = field(default_factory=set)
+    costs: dict[AttemptId, AttemptCost] = field(default_factory=dict)
+    started: int = 0
+    region_bytes: dict[str, int] = field(default_factory=dict)
+
+    @property
+    def good(self) -> bool:
+        """Whether the whole answer came within the deadline."""
+        return self.answered and (self.ended_at or 0.0) <= self.deadline
+
+
+class Ledger:
+    """Records of every request, and counts of what the planner did."""
+
+    def __init__(self) -> None:
+        self._requests: dict[str, RequestRecord] = {}
+        self._effects: dict[tuple[str, int], int] = defaultdict(int)
+        self.sends = 0
+        self.retries = 0
+        self.hedges = 0
+        self.false_not_run = 0
+
+    @property
+    def requests(self) -> list[RequestRecord]:
+        """The requests in the order of their arrivals."""
+        return list(self._requests.values())
+
+    @property
+    def doubled_effects(self) -> int:
+        """Calls that may not be repeated and started more than once."""
+        return sum(1 for count in self._effects.values() if count > 1)
+
+    def open(self, arrival: TraceArrival, deadline: float) -> None:
+        """Note an arrival."""
+        self._requests[arrival.id] = RequestRecord(arrival, deadline)
+
+    def request(self, request_id: str) -> RequestRecord:
+        """Return a request's record."""
+        return self._requests[request_id]
+
+    def note_start(self, attempt: AttemptId, repeatable: bool) -> None:
+        """Note that an endpoint started an attempt."""
+        record = self._requests[attempt.request_id]
+        record.started += 1
+        if record.outcome is Outcome.NOT_RUN:
+            self.false_not_run += 1
+        if not repeatable:
+            self._effects[(attempt.request_id, attempt.stage)] += 1
+
+    def note_run(self, attempt: AttemptId, pool: PoolPlan, run_s: float) -> None:
+        """Note how long an attempt held its slot, in seconds."""
+        cost = AttemptCost(pool.name, run_s, pool.price)
+        self._requests[attempt.request_id].costs[attempt] = cost
+
+    def note_bytes(self, request_id: str, pool: str, size: int) -> None:
+        """Note bytes that crossed between regions for a stage's pool."""
+        known = self._requests[request_id].region_bytes
+        known[pool] = known.get(pool, 0) + size
+
+    def end(
+        self,
+        request_id: str,
+        now: float,
+        outcome: Outcome | None = None,
+        reason: Reason | None = None,
+    ) -> None:
+        """Note a request's end: answered, or refused with an outcome."""
+        record = self._requests[request_id]
+        record.ended_at = now
+        record.answered = outcome is None
+        record.outcome = outcome
+        record.reason = reason
+        if outcome is Outcome.NOT_RUN and record.started:
+            self.false_not_run += 1
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/profiles.py
@@ -0,0 +1,120 @@
+"""What a deployment file leaves open: service times, sizes and prices by kind."""
+
+from typing import Any
+
+import msgspec
+
+from amaranthtally.operator.replay.trace import (
+    EndpointPlan,
+    LatencyPlan,
+    PipelinePlan,
+    PoolPlan,
+    StagePlan,
+)
+
+__all__ = [
+    "latency_plan",
+    "pipeline_plans",
+    "place_endpoints",
+    "pool_plans",
+    "user_policy",
+]
+
+DEFAULT_SLOTS = 4
+SAME_DATA_CENTRE_S = 0.0001
+MS = 0.001
+PIPELINE_PREFIX = "pipeline:"
+
+# Seconds, bytes and prices of one slot-second, by kind of pool. They are round
+# numbers of the order that such services take; the stand-ins' knobs in the
+# deployment file are chosen for a quick start and are not used.
+PROFILES = {
+    "encoder": PoolPlan("", "encoder", 4, 0.1, 6_000, service_s=0.025, sigma=0.3),
+    "retriever": PoolPlan(
+        *("", "retriever", 4, 0.1, 40_000),
+        service_s=0.06,
+        sigma=0.4,
+        straggle_rate=0.01,
+        straggle_factor=10.0,
+    ),
+    "reranker": PoolPlan(
+        *("", "reranker", 4, 0.2, 12_000),
+        service_s=0.04,
+        sigma=0.3,
+        straggle_rate=0.01,
+        straggle_factor=10.0,
+    ),
+    "plain": PoolPlan("", "plain", 4, 0.05, 1_000, service_s=0.02, sigma=0.4),
+    "engine": PoolPlan(
+        *("", "engine", 8, 1.0, 3_000),
+        sigma=0.35,
+        token_s=0.006,
+        batch_slope=0.06,
+        tokens=110.0,
+        prefill_token_s=0.00015,
+        block_tokens=128,
+        cache_blocks=80,
+    ),
+}
+
+
+def latency_plan(table: dict[str, Any]) -> LatencyPlan:
+    """Return the one-way latencies of a deployment."""
+    latency = table["latency_ms"]
+    return LatencyPlan(
+        same_data_centre_s=SAME_DATA_CENTRE_S,
+        data_centres_s=latency["data_centres"] * MS,
+        regions_s=latency["regions"] * MS,
+    )
+
+
+def pool_plans(table: dict[str, Any]) -> list[PoolPlan]:
+    """Return the pools with their kinds' profiles."""
+    return [
+        msgspec.structs.replace(
+            PROFILES[pool["kind"]],
+            name=pool["name"],
+            slots=pool.get("concurrency", DEFAULT_SLOTS),
+        )
+        for pool in table["pools"]
+    ]
+
+
+def place_endpoints(table: dict[str, Any]) -> list[EndpointPlan]:
+    """Return the endpoints, each pool's spread over the data centres in turn."""
+    places = [
+        (region["name"], centre)
+        for region in table["regions"]
+        for centre in region["data_centres"]
+    ]
+    # One data centre of each region first, so that three servers reach them all.
+    firsts = [(r["name"], r["data_centres"][0]) for r in table["regions"]]
+    ordered = firsts + [place for place in places if place not in firsts]
+    return [
+        EndpointPlan(f"{pool['name']}-{i}", pool["name"], *ordered[i % len(ordered)])
+        for pool in table["pools"]
+        for i in range(pool["servers"])
+    ]
+
+
+def pipeline_plans(table: dict[str, Any]) -> list[PipelinePlan]:
+    """Return the pipelines that the deployment's settings name."""
+    return [
+        _pipeline(scope.removeprefix(PIPELINE_PREFIX), values)
+        for scope, values in table["settings"].items()
+        if scope.startswith(PIPELINE_PREFIX)
+    ]
+
+
+def user_policy(deployment: str) -> dict[str, Any]:
+    """Return the fields of ``PolicySettings`` that a user sets."""
+    return {}
+
+
+def _pipeline(name: str, values: dict[str, Any]) -> PipelinePlan:
+    tables = values["stage"]
+    stages = [
+        msgspec.convert({"name": stage, **tables[stage]}, type=StagePlan)
+        for stage in values["stages"]
+    ]
+    return PipelinePlan(name, stages, values["deadline_ms"] * MS)
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/report.py
@@ -0,0 +1,104 @@
+"""The report of one trace: every contender's figures, the bound, and ratios."""
+
+import msgspec
+
+from amaranthtally.operator.replay.baselines import POLICY
+from amaranthtally.operator.replay.measures import Figures
+
+__all__ = ["TraceReport", "render_table"]
+
+MEGABYTE = 1e6
+COLUMNS = (
+    *("contender", "attained", "of admitted", "goodput/s", "p99 s", "cost/answer"),
+    *("MB between regions", "retries", "hedges", "wasted", "fairness"),
+)
+
+
+class TraceReport(msgspec.Struct, frozen=True):
+    """What a trace showed; ``capacity`` in requests a second without faults."""
+
+    trace: str
+    deployment: str
+    scenario: str
+    seed: int
+    bound_attainment: float
+    bound_pool: str
+    capacity: float
+    contenders: list[Figures]
+
+    @staticmethod
+    def stated_names() -> list[str]:
+        """Return the names of figures that outcomes can state."""
+        return sorted(
+            {
+                *(
+                    field.name
+                    for field in msgspec.structs.fields(Figures)
+                    if field.type in (int, float)
+                ),
+                *("attainment_of_bound", "burst_goodput_of_capacity"),
+                *("attainment_over_best_baseline", "cost_of_best_baseline"),
+            }
+        )
+
+    def figures(self, contender: str) -> Figures | None:
+        """Return a contender's figures."""
+        return next((f for f in self.contenders if f.contender == contender), None)
+
+    def stated(self) -> dict[str, float]:
+        """Return the policy's figures and its ratios to the bound and baselines."""
+        policy = self.figures(POLICY)
+        assert policy is not None
+        baselines = [f for f in self.contenders if f is not policy] or [policy]
+        values = msgspec.structs.asdict(policy)
+        numbers = {
+            name: float(value)
+            for name, value in values.items()
+            if isinstance(value, int | float)
+        }
+        best_attainment = max(f.attainment for f in baselines)
+        best_cost = min(f.cost_per_answer for f in baselines)
+        return numbers | {
+            "attainment_of_bound": _ratio(policy.attainment, self.bound_attainment),
+            "burst_goodput_of_capacity": _ratio(policy.burst_goodput, self.capacity),
+            "attainment_over_best_baseline": round(
+                policy.attainment - best_attainment, 4
+            ),
+            "cost_of_best_baseline": _ratio(policy.cost_per_answer, best_cost),
+        }
+
+
+def render_table(report: TraceReport) -> str:
+    """Return the report as a table in Markdown."""
+    title = (
+        f"{report.trace} (seed {report.seed}): bound {report.bound_attainment:.4f} "
+        f"by {report.bound_pool}, capacity {report.capacity:.1f}/s"
+    )
+    rows = [_row(figures) for figures in report.contenders]
+    ruler = ["---"] * len(COLUMNS)
+    lines = [_line(list(COLUMNS)), _line(ruler), *(_line(row) for row in rows)]
+    return "\n".join([title, "", *lines, ""])
+
+
+def _row(f: Figures) -> list[str]:
+    return [
+        f.contender,
+        f"{f.attainment:.4f}",
+        f"{f.admitted_attainment:.4f}",
+        f"{f.goodput:.1f}",
+        f"{f.latency_p99_s:.2f}",
+        f"{f.cost_per_answer:.3f}",
+        f"{f.region_bytes / MEGABYTE:.1f}",
+        str(f.retries),
+        str(f.hedges),
+        f"{f.wasted_share:.1%}",
+        f"{f.fairness:.3f}",
+    ]
+
+
+def _line(cells: list[str]) -> str:
+    return f"| {' | '.join(cells)} |"
+
+
+def _ratio(part: float, whole: float) -> float:
+    return round(part / whole, 4) if whole else 0.0
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/simulation.py
@@ -0,0 +1,108 @@
+"""One contender on one trace, from the first arrival until every request ended."""
+
+from dataclasses import replace
+from functools import partial
+
+from amaranthtally.operator.replay.baselines import Contender
+from amaranthtally.operator.replay.clock import VirtualClock
+from amaranthtally.operator.replay.endpoints import build_endpoint
+from amaranthtally.operator.replay.entry import EntryReplay
+from amaranthtally.operator.replay.faults import Stage as FaultStage, schedule_faults
+from amaranthtally.operator.replay.ledger import Ledger
+from amaranthtally.operator.replay.network import Network
+from amaranthtally.operator.replay.sidecar import FakeSidecar
+from amaranthtally.operator.replay.trace import Header, PipelinePlan, Trace
+from amaranthtally.operator.replay.work import WorkModel
+from amaranthtally.policy import (
+    AccountLimits,
+    Endpoint,
+    Pipeline,
+    PolicySettings,
+    Stage,
+)
+
+__all__ = ["build_pipeline", "replay"]
+
+DRAIN_S = 5.0
+
+
+def replay(trace: Trace, contender: Contender) -> Ledger:
+    """Run a trace; raises ``UnknownActionError`` and ``DoubleEndError``."""
+    header = trace.header
+    clock = VirtualClock()
+    ledger = Ledger()
+    network = Network(clock, header.latency, header.regions)
+    fleet = _build_fleet(header, contender, clock, ledger)
+    entries = {
+        region: EntryReplay(
+            region,
+            contender.build_planner(_settings(header, region)),
+            network,
+            fleet,
+            ledger,
+        )
+        for region in header.regions
+    }
+    pipelines = {plan.name: build_pipeline(plan) for plan in header.pipelines}
+    for entry in entries.values():
+        entry.greet()
+        clock.at(0.0, entry.tick)
+    stage = FaultStage(network, fleet, list(entries.values()))
+    schedule_faults(stage, header.faults)
+    for arrival in trace.arrivals:
+        arrive = partial(
+            entries[arrival.region].arrive, arrival, pipelines[arrival.pipeline]
+        )
+        clock.at(arrival.at, arrive)
+    longest_s = max(plan.deadline_s for plan in header.pipelines)
+    clock.run(header.duration_s + longest_s + DRAIN_S)
+    return ledger
+
+
+def build_pipeline(plan: PipelinePlan) -> Pipeline:
+    """Return a pipeline as the policy wants it."""
+    stages = tuple(
+        Stage(s.name, s.pool, s.model, s.repeatable, s.streams) for s in plan.stages
+    )
+    return Pipeline(plan.name, stages, plan.deadline_s)
+
+
+def _build_fleet(
+    header: Header, contender: Contender, clock: VirtualClock, ledger: Ledger
+) -> dict[str, FakeSidecar]:
+    pools = {pool.name: pool for pool in header.pools}
+    work = WorkModel(header.seed)
+    return {
+        plan.id: FakeSidecar(
+            clock,
+            plan,
+            pools[plan.pool],
+            contender.build_queue(pools[plan.pool]),
+            build_endpoint(clock, pools[plan.pool]),
+            work,
+            ledger,
+        )
+        for plan in header.endpoints
+    }
+
+
+def _settings(header: Header, region: str) -> PolicySettings:
+    endpoints = {
+        plan.id: Endpoint(
+            id=plan.id,
+            pool=plan.pool,
+            host=plan.id,
+            region=plan.region,
+            data_centre=plan.data_centre,
+            address="",
+        )
+        for plan in header.endpoints
+    }
+    settings = PolicySettings(
+        revision=1,
+        region=region,
+        data_centre=header.regions[region],
+        endpoints=endpoints,
+        accounts={name: AccountLimits() for name in header.accounts},
+    )
+    return replace(settings, **header.policy)
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/replay/work.py
@@ -0,0 +1,55 @@
+"""How much work each stage of each request is, drawn from the trace's seed."""
+
+import random
+from dataclasses import dataclass
+from math import exp
+
+from amaranthtally.operator.replay.trace import PoolPlan
+from amaranthtally.policy import AttemptId
+
+__all__ = ["StageWork", "WorkModel"]
+
+
+@dataclass(frozen=True, slots=True)
+class StageWork:
+    """One stage's work: seconds alone, and chunks of text where it streams."""
+
+    seconds: float
+    tokens: int
+
+
+class WorkModel:
+    """
+    Draws work so that every planner meets the same work on the same trace.
+
+    Work depends on the seed, the request and the stage; only the rare straggling
+    call depends on the attempt as well.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._seed = seed
+        self._known: dict[tuple[str, int], StageWork] = {}
+
+    def of(self, request_id: str, stage: int, pool: PoolPlan) -> StageWork:
+        """Return the work of a stage, without any straggling."""
+        key = (request_id, stage)
+        found = self._known.get(key)
+        if found is None:
+            found = self._draw(request_id, stage, pool)
+            self._known[key] = found
+        return found
+
+    def straggles(self, attempt: AttemptId, pool: PoolPlan) -> bool:
+        """Whether this attempt is one of the pool's rare slow ones."""
+        if not pool.straggle_rate:
+            return False
+        name = f"{self._seed}/straggle/{'/'.join(map(str, attempt))}"
+        return random.Random(name).random() < pool.straggle_rate
+
+    def _draw(self, request_id: str, stage: int, pool: PoolPlan) -> StageWork:
+        generator = random.Random(f"{self._seed}/work/{request_id}/{stage}")
+        spread = exp(pool.sigma * generator.gauss(0.0, 1.0))
+        tokens = max(1, round(pool.tokens * spread)) if pool.tokens else 0
+        if tokens:
+            return StageWork(tokens * pool.token_s, tokens)
+        return StageWork(pool.service_s * spread, 0)
