--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/belief_exchange.py
@@ -0,0 +1,77 @@
+"""Newer configurations and records from peers, where the store does not answer."""
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Protocol
+
+from amaranthtally.daemon.gateway.peer_links import PeerLinks
+from amaranthtally.daemon.logs import get_logger
+from amaranthtally.wire import PeerLostError
+from amaranthtally.wire.gateway_codec import Beliefs, Versions
+
+__all__ = ["BeliefExchange", "BeliefKeeper"]
+
+# Peers greeted each time, whatever their number: news reaches every one of n gateways
+# in about log(n) rounds, and the cost of a round does not grow with n.
+GREETED = 2
+# Between rounds while the store answers, and while it does not, in seconds. A machine
+# that the store turns away has the newest configuration in a second or two.
+CALM_S = 3.0
+LOST_S = 0.4
+
+log = get_logger()
+
+
+class BeliefKeeper(Protocol):
+    """Whoever keeps the configuration and the records."""
+
+    @property
+    def versions(self) -> Versions:
+        """How new they are."""
+
+    def take_from_peer(self, beliefs: Beliefs) -> None:
+        """Take what is newer of a peer's."""
+
+
+class BeliefExchange:
+    """Greets a few peers at a time and fetches what they have newer."""
+
+    def __init__(
+        self,
+        links: PeerLinks,
+        keeper: BeliefKeeper,
+        is_connected: Callable[[], bool],
+        random: Random,
+    ) -> None:
+        self._links = links
+        self._keeper = keeper
+        self._is_connected = is_connected
+        self._random = random
+
+    async def run(self) -> None:
+        """Exchange until cancelled."""
+        while True:
+            names = list(self._links.addresses)
+            chosen = self._random.sample(names, min(GREETED, len(names)))
+            await self._greet_all(chosen)
+            pause_s = CALM_S if self._is_connected() else LOST_S
+            await asyncio.sleep(pause_s)
+
+    async def _greet_all(self, peers: Sequence[str]) -> None:
+        await asyncio.gather(*(self._greet(peer) for peer in peers))
+
+    async def _greet(self, peer: str) -> None:
+        try:
+            theirs = await self._links.greet(peer, self._keeper.versions)
+            if self._lacks(theirs):
+                self._keeper.take_from_peer(await self._links.beliefs(peer))
+        except PeerLostError as error:
+            log.info("peer_not_greeted", peer=peer, cause=str(error))
+
+    def _lacks(self, theirs: Versions) -> bool:
+        own = self._keeper.versions
+        if theirs.configuration > own.configuration:
+            return True
+        # While the store answers, its own word of the endpoints is the newest.
+        return not self._is_connected() and theirs.records > own.records
--- a/packages/daemon/src/amaranthtally/daemon/gateway/beliefs.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/beliefs.py
@@ -89,5 +89,6 @@
             hedge_budget=HEDGE_RATIO,
             hedge_reserve=HEDGE_RESERVE,
             not_run_cost=1.0,
+            entry=own.name,
             admission_headroom=1.0,
         )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -1,7 +1,8 @@
 """Carries out the policy's decisions on callers' requests, without sidecars."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Coroutine, Mapping, Sequence
+from typing import Any
 
 import aiohttp
 
@@ -9,25 +10,33 @@
 from amaranthtally.daemon.decision_loop import DecisionLoop
 from amaranthtally.daemon.gateway.endpoint_calls import EndpointCalls
 from amaranthtally.daemon.gateway.live_call import Answer, Broken, Finished, LiveCall
+from amaranthtally.daemon.gateway.peer_links import PeerLinks
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     Answer as AnswerAction,
     Ask,
+    AskPeer,
     AttemptId,
     Cancel,
     Endpoint,
     Fate,
+    FreeAtPeer,
     FreeResults,
     Greet,
     LoadReport,
+    Peer,
+    PieceAsk,
     PiecesEnded,
+    PieceTold,
     Planner,
     PolicySettings,
     Refuse,
     RunPieces,
     Send,
     StageResult,
+    StoredResult,
+    TellPeer,
 )
 
 __all__ = ["GatewayExecutor"]
@@ -53,6 +62,7 @@
         self._calls: dict[str, LiveCall] = {}
         self._endpoint_calls = EndpointCalls(session, self, planner.inputs_of)
         self._piece_calls = PieceCalls(session, self.pieces_ended)
+        self._links: PeerLinks | None = None
         self._time = asyncio.get_running_loop().time
         self._decisions = DecisionLoop(
             planner,
@@ -65,6 +75,9 @@
                 Refuse: self._refuse,
                 RunPieces: self._run_pieces,
                 FreeResults: self._free,
+                AskPeer: self._ask_peer,
+                TellPeer: self._tell_peer,
+                FreeAtPeer: self._free_at_peer,
             },
             TICK_S,
         )
@@ -74,6 +87,15 @@
         """Requests that have not ended."""
         return len(self._calls)
 
+    @property
+    def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
+        """Runs work beside the requests."""
+        return self._decisions.spawn
+
+    def connect(self, links: PeerLinks) -> None:
+        """Use these connections to peers."""
+        self._links = links
+
     # Events
 
     def submit(self, call: LiveCall) -> None:
@@ -104,7 +126,11 @@
 
     async def tick(self) -> None:
         """Let the policy act on the passing of time, until cancelled."""
-        await self._decisions.tick(lambda: bool(self._calls))
+        await self._decisions.tick(self._is_busy)
+
+    def _is_busy(self) -> bool:
+        # Pieces of other gateways' requests also wait for the passing of time.
+        return bool(self._calls) or self._planner.has_pieces
 
     # What came of calls
 
@@ -152,8 +178,44 @@
         actions = self._planner.pieces_ended(self._time(), call, end)
         self._decisions.carry_out(actions)
 
+    # What peers say
+
+    def peers_changed(self, peers: Sequence[Peer]) -> None:
+        """Tell the policy which gateways live."""
+        self._decisions.carry_out(self._planner.peers_changed(self._time(), peers))
+
+    def peer_failed(self, peer: str) -> None:
+        """Tell the policy that a gateway did not answer."""
+        self._decisions.carry_out(self._planner.peer_failed(self._time(), peer))
+
+    def pieces_asked(self, asker: str, asks: Sequence[PieceAsk]) -> None:
+        """Tell the policy what a gateway wants made."""
+        self._decisions.wake()
+        actions = self._planner.pieces_asked(self._time(), asker, asks)
+        self._decisions.carry_out(actions)
+
+    def pieces_told(self, told: Sequence[PieceTold]) -> None:
+        """Tell the policy what became of pieces at a gateway."""
+        self._decisions.carry_out(self._planner.pieces_told(self._time(), told))
+
+    def results_freed(self, results: Sequence[StoredResult]) -> None:
+        """Tell the policy what a gateway's requests have read."""
+        self._decisions.carry_out(self._planner.results_freed(results))
+
     # Actions
 
+    def _ask_peer(self, order: AskPeer) -> None:
+        assert self._links is not None
+        self._links.ask(order.peer, order.asks)
+
+    def _tell_peer(self, order: TellPeer) -> None:
+        assert self._links is not None
+        self._links.tell(order.peer, order.told)
+
+    def _free_at_peer(self, order: FreeAtPeer) -> None:
+        assert self._links is not None
+        self._links.free(order.peer, order.results)
+
     def _send(self, send: Send) -> None:
         call = self._calls[send.attempt.request_id]
         endpoint = self._endpoints.get(send.endpoint)
--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -0,0 +1,78 @@
+"""What a gateway answers the others."""
+
+from collections.abc import Sequence
+
+from amaranthtally.adapter.store import StoreItem
+from amaranthtally.daemon.gateway.executor import GatewayExecutor
+from amaranthtally.daemon.gateway.store_follower import (
+    ConfigurationFollower,
+    RecordFollower,
+)
+from amaranthtally.daemon.logs import get_logger
+from amaranthtally.policy import PieceAsk, PieceTold, StoredResult
+from amaranthtally.wire.gateway_codec import Beliefs, Record, Versions
+
+__all__ = ["PeerHandler"]
+
+log = get_logger()
+
+
+class PeerHandler:
+    """Hands peers' words on, and keeps what they know newer."""
+
+    def __init__(
+        self,
+        executor: GatewayExecutor,
+        configuration: ConfigurationFollower,
+        records: RecordFollower,
+    ) -> None:
+        self._executor = executor
+        self._configuration = configuration
+        self._records = records
+
+    @property
+    def versions(self) -> Versions:
+        """How new this gateway's configuration and records are."""
+        return Versions(self._configuration.version, self._records.at)
+
+    def greeted(self, name: str, versions: Versions) -> Versions:
+        """Return this gateway's versions to a peer."""
+        log.debug("peer_greeted", peer=name, theirs=versions.configuration)
+        return self.versions
+
+    def beliefs(self) -> Beliefs:
+        """Return the configuration and records."""
+        records = tuple(
+            Record(item.key, item.value or b"", item.revision)
+            for item in self._records.items
+        )
+        return Beliefs(self.versions, self._configuration.value, records)
+
+    def take_from_peer(self, beliefs: Beliefs) -> None:
+        """Take what a peer has newer."""
+        theirs = beliefs.versions
+        log.info(
+            "beliefs_from_peer",
+            configuration=theirs.configuration,
+            own_configuration=self._configuration.version,
+            records=theirs.records,
+            own_records=self._records.at,
+        )
+        if theirs.configuration > self._configuration.version:
+            self._configuration.take(beliefs.configuration)
+        if theirs.records > self._records.at:
+            items = [StoreItem(r.key, r.value, r.revision) for r in beliefs.records]
+            self._records.replace(tuple(items))
+            self._records.reached(theirs.records)
+
+    def asked(self, asker: str, asks: Sequence[PieceAsk]) -> None:
+        """Take pieces that a peer wants made."""
+        self._executor.pieces_asked(asker, asks)
+
+    def told(self, told: Sequence[PieceTold]) -> None:
+        """Hear what became of pieces."""
+        self._executor.pieces_told(told)
+
+    def freed(self, results: Sequence[StoredResult]) -> None:
+        """Hear that results are read no more."""
+        self._executor.results_freed(results)
--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_links.py
@@ -0,0 +1,138 @@
+"""Connections to the other gateways, and what is said over them."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Protocol
+
+from amaranthtally.daemon.lifecycle import split_address
+from amaranthtally.daemon.logs import get_logger
+from amaranthtally.policy import PieceAsk, PieceTold, StoredResult
+from amaranthtally.wire import PeerLostError
+from amaranthtally.wire.gateway_codec import Beliefs, Versions
+from amaranthtally.wire.gateway_peer import GatewayClient, connect_gateway
+
+__all__ = ["PeerLinks"]
+
+# A way that takes longer leads nowhere, in seconds: ten times the way to another
+# region and back.
+CONNECT_TIMEOUT_S = 0.4
+# No call between gateways waits for work, so that its answer comes within this, in
+# seconds, or the peer stands still.
+CALL_TIMEOUT_S = 0.8
+
+log = get_logger()
+
+
+class _Listener(Protocol):
+    """Whoever decides what follows from a lost peer."""
+
+    def peer_failed(self, peer: str) -> None:
+        """Hear that a peer did not answer."""
+
+
+class PeerLinks:
+    """One connection to each peer that is needed, opened at first use."""
+
+    def __init__(
+        self,
+        name: str,
+        spawn: Callable[[Coroutine[Any, Any, None]], object],
+        listener: _Listener,
+    ) -> None:
+        self._name = name
+        self._spawn = spawn
+        self._listener = listener
+        self._addresses: dict[str, str] = {}
+        self._clients: dict[str, GatewayClient] = {}
+        self._connecting: dict[str, asyncio.Task[GatewayClient]] = {}
+        self._loop = asyncio.get_running_loop()
+
+    @property
+    def addresses(self) -> dict[str, str]:
+        """Addresses of the peers by name."""
+        return self._addresses
+
+    def replace(self, addresses: dict[str, str]) -> None:
+        """Use these peers; connections to others end."""
+        self._addresses = addresses
+        for name, client in list(self._clients.items()):
+            if addresses.get(name) != client.peer:
+                self._drop(name)
+
+    def ask(self, peer: str, asks: Sequence[PieceAsk]) -> None:
+        """Ask a peer for pieces."""
+        self._spawn(self._ask(peer, asks))
+
+    def tell(self, peer: str, told: Sequence[PieceTold]) -> None:
+        """Tell a peer what became of pieces; it asks again where this is lost."""
+        self._spawn(self._quietly(peer, lambda client: client.tell(told)))
+
+    def free(self, peer: str, results: Sequence[StoredResult]) -> None:
+        """Tell a peer that results are read no more; their time limit ends them too."""
+        self._spawn(self._quietly(peer, lambda client: client.free(results)))
+
+    async def greet(self, peer: str, versions: Versions) -> Versions:
+        """Exchange versions with a peer; raises ``PeerLostError``."""
+        return await self._call(peer, lambda c: c.greet(self._name, versions))
+
+    async def beliefs(self, peer: str) -> Beliefs:
+        """Read what a peer believes; raises ``PeerLostError``."""
+        return await self._call(peer, lambda client: client.beliefs())
+
+    def close(self) -> None:
+        """Close every connection."""
+        for name in list(self._clients):
+            self._drop(name)
+
+    async def _ask(self, peer: str, asks: Sequence[PieceAsk]) -> None:
+        try:
+            now = self._loop.time()
+            await self._call(peer, lambda client: client.ask(self._name, asks, now))
+        except PeerLostError as error:
+            log.info("peer_lost", peer=peer, pieces=len(asks), cause=str(error))
+            self._listener.peer_failed(peer)
+
+    async def _quietly(
+        self, peer: str, call: Callable[[GatewayClient], Coroutine[Any, Any, None]]
+    ) -> None:
+        try:
+            await self._call(peer, call)
+        except PeerLostError as error:
+            log.info("peer_not_told", peer=peer, cause=str(error))
+
+    async def _call(
+        self, peer: str, call: Callable[[GatewayClient], Coroutine[Any, Any, Any]]
+    ) -> Any:
+        client = await self._client(peer)
+        try:
+            return await call(client)
+        except PeerLostError:
+            if self._clients.get(peer) is client:
+                self._drop(peer)
+            raise
+
+    async def _client(self, peer: str) -> GatewayClient:
+        found = self._clients.get(peer)
+        if found is not None:
+            return found
+        address = self._addresses.get(peer)
+        if address is None:
+            raise PeerLostError(peer, "no address is known")
+        connecting = self._connecting.get(peer)
+        if connecting is None:
+            connecting = asyncio.create_task(self._connect(peer, address))
+            self._connecting[peer] = connecting
+            connecting.add_done_callback(lambda _: self._connecting.pop(peer, None))
+        return await asyncio.shield(connecting)
+
+    async def _connect(self, peer: str, address: str) -> GatewayClient:
+        host, port = split_address(address)
+        client = await connect_gateway(host, port, CONNECT_TIMEOUT_S, CALL_TIMEOUT_S)
+        self._clients[peer] = client
+        log.info("peer_connected", peer=peer, address=address)
+        return client
+
+    def _drop(self, name: str) -> None:
+        client = self._clients.pop(name)
+        client.close()
+        log.info("peer_disconnected", peer=name, address=client.peer)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -3,26 +3,41 @@
 import asyncio
 import secrets
 import signal
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Awaitable, Callable
 from contextlib import AsyncExitStack, asynccontextmanager
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
+import capnp
 from aiohttp import web
 
 from amaranthtally.adapter.callers import READY_PATH
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
+from amaranthtally.daemon.gateway.belief_exchange import BeliefExchange
 from amaranthtally.daemon.gateway.beliefs import Beliefs
 from amaranthtally.daemon.gateway.endpoint_calls import endpoint_session
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
 from amaranthtally.daemon.gateway.front import Front
+from amaranthtally.daemon.gateway.membership import (
+    EntryReader,
+    EntryRecord,
+    peers_of,
+)
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
+from amaranthtally.daemon.gateway.peer_handler import PeerHandler
+from amaranthtally.daemon.gateway.peer_links import PeerLinks
 from amaranthtally.daemon.gateway.store_follower import (
+    ConfigurationFollower,
     RecordFollower,
-    follow_configuration,
-    follow_endpoints,
 )
-from amaranthtally.daemon.lifecycle import run_beside, split_address, stop_on_signal
+from amaranthtally.daemon.gateway.store_links import StoreLinks
+from amaranthtally.daemon.lifecycle import (
+    StopSignal,
+    run_beside,
+    split_address,
+    stop_on_signal,
+)
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import open_store
 from amaranthtally.policy import AffinityRouter, Parts, Planner
@@ -31,6 +46,7 @@
     SettingsFileError,
     load_gateway_settings,
 )
+from amaranthtally.wire.gateway_peer import serve_gateway
 
 __all__ = ["run_gateway"]
 
@@ -50,82 +66,109 @@
     """Serve callers until a stop signal, then finish what is in flight."""
     loop = asyncio.get_running_loop()
     async with AsyncExitStack() as stack:
+        await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
         loop.add_signal_handler(signal.SIGHUP, _reload, path)
-        session = await stack.enter_async_context(endpoint_session())
-        store = await stack.enter_async_context(open_store(settings.store_address))
-
-        beliefs = Beliefs(settings, lambda found: executor.settings_changed(found))
-        start = beliefs.start()
-        planner = Planner(
-            start,
-            Random(secrets.randbits(SEED_BITS)),
-            Parts(router=AffinityRouter),
-        )
-        executor = GatewayExecutor(planner, start, session)
-        metrics = GatewayMetrics()
-        front = Front(
-            executor,
-            ArrivalBuilder(Random(secrets.randbits(SEED_BITS))),
-            metrics,
-            lambda: beliefs.table,
-            stop.is_set,
-        )
-        records = RecordFollower(
-            beliefs.directory, settings.regions, beliefs.endpoints_changed
-        )
-        random = Random(secrets.randbits(SEED_BITS))
-        for work in (
-            follow_configuration(store, beliefs.take_table, random).follow(),
-            follow_endpoints(store, records, random).follow(),
-            executor.tick(),
-        ):
-            run_beside(stack, work)
-
-        async def ready(request: web.BaseRequest) -> web.Response:
-            if request.path != READY_PATH:
-                return web.Response(status=404, text="unknown path\n")
-            if beliefs.is_complete and not stop.is_set():
-                return web.Response(text="ready\n")
-            return web.Response(status=503, text="not ready: starting or stopping\n")
-
-        await stack.enter_async_context(
-            _serve(web.Server(ready), settings.ready_address)
-        )
-        callers = web.Server(
-            front.handle,
-            handler_cancellation=True,
-            auto_decompress=False,
-            max_line_size=MOST_HEADER_BYTES,
-            max_field_size=MOST_HEADER_BYTES,
-        )
-        listener = await stack.enter_async_context(
-            _serve(callers, settings.caller_address)
-        )
+        parts = await _open(settings, stack, stop)
         log.info("listening", role="gateway", name=settings.name)
         await stop.wait()
-        log.info("gateway_leaving", in_flight=executor.in_flight)
-        work = _leave(listener, front, callers)
+        log.info("gateway_leaving", in_flight=parts.executor.in_flight)
+        work = _leave(parts)
         limit_s = settings.stop_grace - LAST_S
         if not await stop.run_until_forced(work, limit_s):
-            log.warning("gateway_stop_forced", in_flight=executor.in_flight)
+            log.warning("gateway_stop_forced", in_flight=parts.executor.in_flight)
     log.info("gateway_stopped", name=settings.name)
 
 
-async def _leave(
-    listener: asyncio.AbstractServer, front: Front, callers: web.Server
-) -> None:
+@dataclass(frozen=True, slots=True)
+class _Parts:
+    """What a gateway needs to leave."""
+
+    executor: GatewayExecutor
+    front: Front
+    callers: web.Server
+    listener: asyncio.AbstractServer
+    store: StoreLinks
+
+
+async def _open(
+    settings: GatewaySettings, stack: AsyncExitStack, stop: StopSignal
+) -> _Parts:
+    session = await stack.enter_async_context(endpoint_session())
+    client = await stack.enter_async_context(open_store(settings.store_address))
+    random = Random(secrets.randbits(SEED_BITS))
+
+    beliefs = Beliefs(settings, lambda found: executor.settings_changed(found))
+    start = beliefs.start()
+    planner = Planner(
+        start, Random(random.getrandbits(SEED_BITS)), Parts(router=AffinityRouter)
+    )
+    executor = GatewayExecutor(planner, start, session)
+    links = PeerLinks(settings.name, executor.spawn, executor)
+    stack.callback(links.close)
+    executor.connect(links)
+
+    configuration = ConfigurationFollower(beliefs.take_table)
+    records = RecordFollower(
+        beliefs.directory, settings.regions, beliefs.endpoints_changed
+    )
+
+    def on_entries(found: dict[str, EntryRecord]) -> None:
+        others = {k: v for k, v in found.items() if k != settings.name}
+        links.replace({name: record.address for name, record in others.items()})
+        executor.peers_changed(peers_of(others))
+
+    store = StoreLinks(
+        client, settings, configuration, records, EntryReader(on_entries), random
+    )
+    handler = PeerHandler(executor, configuration, records)
+    host, port = split_address(settings.peer_address)
+    await stack.enter_async_context(serve_gateway(handler, host, port))
+    exchange = BeliefExchange(links, handler, lambda: store.is_connected, random)
+    for work in [*store.work(), exchange.run(), executor.tick()]:
+        run_beside(stack, work)
+
+    metrics = GatewayMetrics()
+    arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
+    front = Front(executor, arrivals, metrics, lambda: beliefs.table, stop.is_set)
+    balancer = web.Server(_answer_balancer(lambda: beliefs.is_complete, stop))
+    await stack.enter_async_context(_serve(balancer, settings.ready_address))
+    callers = web.Server(
+        front.handle,
+        handler_cancellation=True,
+        auto_decompress=False,
+        max_line_size=MOST_HEADER_BYTES,
+        max_field_size=MOST_HEADER_BYTES,
+    )
+    listener = await stack.enter_async_context(_serve(callers, settings.caller_address))
+    return _Parts(executor, front, callers, listener, store)
+
+
+def _answer_balancer(
+    is_complete: Callable[[], bool], stop: StopSignal
+) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
+        if request.path != READY_PATH:
+            return web.Response(status=404, text="unknown path\n")
+        if is_complete() and not stop.is_set():
+            return web.Response(text="ready\n")
+        return web.Response(status=503, text="not ready: starting or stopping\n")
+
+    return answer
+
+
+async def _leave(parts: _Parts) -> None:
     """
     Serve on until the balancer has let go, then finish every response.
 
     Kept connections end with their next response; those that stay idle are closed
     last, when nothing is in flight.
     """
-    await asyncio.sleep(BALANCER_S)
-    listener.close()
-    while front.open_responses:
+    await asyncio.gather(parts.store.leave(), asyncio.sleep(BALANCER_S))
+    parts.listener.close()
+    while parts.front.open_responses:
         await asyncio.sleep(POLL_S)
-    callers.pre_shutdown()
+    parts.callers.pre_shutdown()
 
 
 @asynccontextmanager
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
@@ -8,13 +8,13 @@
 from result import Err, Result
 
 from amaranthtally.adapter.configuration import CONFIGURATION_KEY, read_configuration
-from amaranthtally.adapter.servers import SERVERS_PREFIX, endpoint_id, read_endpoint
+from amaranthtally.adapter.servers import endpoint_id, read_endpoint
 from amaranthtally.adapter.store import StoreEvents, StoreItem
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import PlatformError, PlatformHistoryGone, StoreClient
 from amaranthtally.policy import Endpoint, EndpointDirectory, RouteTable
 
-__all__ = ["PrefixFollower", "RecordFollower", "follow_configuration"]
+__all__ = ["ConfigurationFollower", "PrefixFollower", "RecordFollower"]
 
 # A watch that hears nothing ends after this, in seconds. A store that has gone
 # silent shows that much later; each watch is a call that the users pay for.
@@ -36,6 +36,9 @@
     def change(self, item: StoreItem) -> None:
         """Take one change."""
 
+    def reached(self, at: int) -> None:
+        """Hear up to which revision of the store nothing was missed."""
+
     def lost(self) -> None:
         """Hear that the store does not answer."""
 
@@ -84,6 +87,7 @@
         found = answer.ok_value
         self._reader.replace(found.items)
         self._at = found.at
+        self._reader.reached(found.at)
 
     def _take_changes(self, answer: Result[StoreEvents, PlatformError]) -> None:
         if isinstance(answer, Err):
@@ -100,6 +104,7 @@
             self._reader.change(item)
         assert self._at is not None
         self._at = max(self._at, found.at)
+        self._reader.reached(self._at)
 
     def _note_loss(self, error: PlatformError) -> None:
         if not self._lost:
@@ -126,11 +131,24 @@
         self._directory = directory
         self._regions = regions
         self._on_change = on_change
+        self._items: dict[str, StoreItem] = {}
+        self._at = 0
         self._reported: dict[str, int] = {}
         self._time = asyncio.get_running_loop().time
 
+    @property
+    def at(self) -> int:
+        """The store's revision up to which records are known; 0 before the first."""
+        return self._at
+
+    @property
+    def items(self) -> tuple[StoreItem, ...]:
+        """The records as they were read."""
+        return tuple(self._items.values())
+
     def replace(self, items: tuple[StoreItem, ...]) -> None:
         """Take every record."""
+        self._items = {item.key: item for item in items}
         read = [self._read(item) for item in items]
         records = [endpoint for endpoint in read if endpoint is not None]
         self._directory.replace(self._time(), records)
@@ -141,6 +159,10 @@
         """Take a changed or removed record."""
         name = endpoint_id(item.key)
         endpoint = None if item.value is None else self._read(item)
+        if item.value is None:
+            self._items.pop(item.key, None)
+        else:
+            self._items[item.key] = item
         if endpoint is None:
             self._directory.removed(self._time(), name)
             log.info("endpoint_removed", endpoint=name, revision=item.revision)
@@ -156,6 +178,10 @@
             )
         self._on_change()
 
+    def reached(self, at: int) -> None:
+        """Note the store's revision up to which nothing was missed."""
+        self._at = max(self._at, at)
+
     def lost(self) -> None:
         """Keep what is known."""
         self._directory.lost()
@@ -163,7 +189,11 @@
     def regained(self) -> None:
         """Expect records that ran out to come back."""
         self._directory.regained(self._time())
+
+    def expire(self) -> None:
+        """Drop endpoints whose records have not come back."""
         if self._directory.expire(self._time()):
+            log.info("endpoints_expired", left=len(self._directory.endpoints))
             self._on_change()
 
     def _read(self, item: StoreItem) -> Endpoint | None:
@@ -182,7 +212,18 @@
 
     def __init__(self, on_table: Callable[[RouteTable], None]) -> None:
         self._on_table = on_table
-        self._version = -1
+        self._version = 0
+        self._value = b""
+
+    @property
+    def version(self) -> int:
+        """The version in force; 0 before the first."""
+        return self._version
+
+    @property
+    def value(self) -> bytes:
+        """The configuration as the store held it."""
+        return self._value
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
         """Take the newest configuration, if there is one."""
@@ -190,10 +231,13 @@
             self.change(item)
 
     def change(self, item: StoreItem) -> None:
-        """Take a configuration."""
-        if item.key != CONFIGURATION_KEY or item.value is None:
-            return
-        read = read_configuration(item.value)
+        """Take a configuration from the store."""
+        if item.key == CONFIGURATION_KEY and item.value is not None:
+            self.take(item.value)
+
+    def take(self, value: bytes) -> None:
+        """Take a configuration, wherever it was read."""
+        read = read_configuration(value)
         if isinstance(read, Err):
             log.error("configuration_malformed", cause=read.err_value)
             return
@@ -202,25 +246,14 @@
         if table.version <= self._version:
             return
         self._version = table.version
+        self._value = value
         self._on_table(table)
 
+    def reached(self, at: int) -> None:
+        """Nothing to do: the configuration bears its own version."""
+
     def lost(self) -> None:
         """Keep what is in force."""
 
     def regained(self) -> None:
         """Nothing to do: a newer version is among the changes."""
-
-
-def follow_configuration(
-    client: StoreClient, on_table: Callable[[RouteTable], None], random: Random
-) -> PrefixFollower:
-    """Return a follower of the operators' configuration."""
-    reader = ConfigurationFollower(on_table)
-    return PrefixFollower(client, CONFIGURATION_KEY, reader, random)
-
-
-def follow_endpoints(
-    client: StoreClient, reader: RecordFollower, random: Random
-) -> PrefixFollower:
-    """Return a follower of the endpoints' records."""
-    return PrefixFollower(client, SERVERS_PREFIX, reader, random)
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -9,7 +9,9 @@
     Action,
     Answer,
     Ask,
+    AskPeer,
     Cancel,
+    FreeAtPeer,
     FreeResults,
     Greet,
     Outcome,
@@ -18,8 +20,16 @@
     Refuse,
     RunPieces,
     Send,
+    TellPeer,
 )
 from amaranthtally.policy.affinity import AffinityRouter
+from amaranthtally.policy.batcher import (
+    PieceAsk,
+    PieceFault,
+    PieceOutcome,
+    PiecesEnded,
+    PieceTold,
+)
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
 from amaranthtally.policy.events import (
     Arrival,
@@ -29,12 +39,7 @@
     PieceWork,
     StageResult,
 )
-from amaranthtally.policy.gathering import (
-    Gatherer,
-    PieceFault,
-    PieceOutcome,
-    PiecesEnded,
-)
+from amaranthtally.policy.gathering import Gatherer
 from amaranthtally.policy.invariants import InvariantError
 from amaranthtally.policy.ledger import Counters
 from amaranthtally.policy.model import (
@@ -53,7 +58,8 @@
     plan_orders,
 )
 from amaranthtally.policy.parts import Parts
-from amaranthtally.policy.piece_graph import StoredResult
+from amaranthtally.policy.piece_graph import Piece, StoredResult
+from amaranthtally.policy.places import Peer
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.routes import (
     Account,
@@ -77,6 +83,7 @@
     "Answer",
     "Arrival",
     "Ask",
+    "AskPeer",
     "AttemptId",
     "CacheEvent",
     "CallKind",
@@ -88,6 +95,7 @@
     "EngineLimits",
     "EngineModels",
     "Fate",
+    "FreeAtPeer",
     "FreeResults",
     "Gatherer",
     "Greet",
@@ -97,11 +105,15 @@
     "ModelUse",
     "Outcome",
     "Parts",
+    "Peer",
+    "Piece",
+    "PieceAsk",
     "PieceFault",
     "PieceLimits",
     "PieceOrder",
     "PieceOutcome",
     "PieceStage",
+    "PieceTold",
     "PieceWork",
     "PiecesEnded",
     "Pipeline",
@@ -119,6 +131,7 @@
     "Stage",
     "StageResult",
     "StoredResult",
+    "TellPeer",
     "WantedModels",
     "WeightedPool",
     "plan_orders",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -2,14 +2,21 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
 from amaranthtally.policy.model import AttemptId
+from amaranthtally.policy.piece_graph import StoredResult
+
+if TYPE_CHECKING:
+    from amaranthtally.policy.batcher import PieceAsk, PieceTold
 
 __all__ = [
     "Action",
     "Answer",
     "Ask",
+    "AskPeer",
     "Cancel",
+    "FreeAtPeer",
     "FreeResults",
     "Greet",
     "Outcome",
@@ -18,6 +25,7 @@
     "Refuse",
     "RunPieces",
     "Send",
+    "TellPeer",
 ]
 
 
@@ -131,4 +139,40 @@
     handles: tuple[str, ...]
 
 
-Action = Send | Cancel | Ask | Greet | Answer | Refuse | RunPieces | FreeResults
+@dataclass(frozen=True, slots=True)
+class AskPeer:
+    """Ask another entry to have pieces made by the endpoints that it calls."""
+
+    peer: str
+    asks: "tuple[PieceAsk, ...]"
+
+
+@dataclass(frozen=True, slots=True)
+class TellPeer:
+    """Tell another entry what became of pieces that it asked for."""
+
+    peer: str
+    told: "tuple[PieceTold, ...]"
+
+
+@dataclass(frozen=True, slots=True)
+class FreeAtPeer:
+    """Tell the entry that calls their makers that results are read no more."""
+
+    peer: str
+    results: "tuple[StoredResult, ...]"
+
+
+Action = (
+    Send
+    | Cancel
+    | Ask
+    | Greet
+    | Answer
+    | Refuse
+    | RunPieces
+    | FreeResults
+    | AskPeer
+    | TellPeer
+    | FreeAtPeer
+)
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -0,0 +1,355 @@
+"""Which pieces share a call, and in which order: one entry decides for an endpoint."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import NamedTuple
+
+from amaranthtally.policy.actions import Action, FreeResults, PieceOrder, RunPieces
+from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.piece_graph import Piece, StoredResult
+from amaranthtally.policy.piece_servers import PieceServer, PieceServers
+from amaranthtally.policy.routes import Pool
+
+__all__ = [
+    "Batcher",
+    "Batches",
+    "PieceAsk",
+    "PieceFault",
+    "PieceOutcome",
+    "PieceTold",
+    "PiecesEnded",
+]
+
+# Each rank of priority counts like this many seconds less of patience when pieces
+# wait: large enough to put urgent kinds first within one call's time (0.2 to 0.4 s),
+# small enough that nobody waits for ever.
+PRIORITY_S = 0.3
+# How long pieces wait for an endpoint that fails before they are given back to be
+# asked for elsewhere, in seconds: two tries of an endpoint that only was full.
+GIVE_BACK_S = 0.5
+
+
+class PieceFault(Enum):
+    """Why no result of a piece was made."""
+
+    LATE = "late"
+    INPUT_GONE = "input_gone"
+    NO_ROOM = "no_room"
+    FAILED = "failed"
+
+
+class PieceOutcome(NamedTuple):
+    """A piece's result by its handle, or why there is none."""
+
+    handle: str = ""
+    fault: PieceFault | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class PiecesEnded:
+    """
+    The end of a call with pieces; ``outcomes`` in the order in which they were sent.
+
+    Without outcomes the call failed as a whole: ``refused`` where the endpoint said
+    that it did not start. ``running`` and ``queued`` are its load, where it told it.
+    """
+
+    outcomes: tuple[PieceOutcome, ...] = ()
+    refused: bool = False
+    running: int | None = None
+    queued: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PieceAsk:
+    """
+    A piece that an entry wants made in a data centre; times are time stamps.
+
+    ``asker`` names the entry, empty for this one. ``key`` or ``inputs`` are what the
+    piece reads.
+    """
+
+    piece: Piece
+    pool: str
+    data_centre: str
+    result_bytes: float
+    objective: float
+    deadline: float
+    priority: int = 0
+    key: str = ""
+    inputs: tuple[str, ...] = ()
+    asker: str = ""
+
+
+class PieceTold(NamedTuple):
+    """What became of a piece that was asked for; ``wait_s`` is the wait there now."""
+
+    piece: Piece
+    pool: str
+    data_centre: str
+    endpoint: str = ""
+    handle: str = ""
+    fault: PieceFault | None = None
+    wait_s: float = 0.0
+
+
+@dataclass(slots=True)
+class Batches:
+    """What follows from an event: actions, and what askers are to be told."""
+
+    actions: list[Action] = field(default_factory=list)
+    told: dict[str, list[PieceTold]] = field(default_factory=dict)
+
+
+@dataclass(slots=True)
+class _Waiting:
+    ask: PieceAsk
+    since: float
+
+    def urgency(self, now: float) -> tuple[bool, float]:
+        """Return a sort key: first who can still be on time, then by patience."""
+        ask = self.ask
+        return (now > ask.objective, ask.objective + PRIORITY_S * ask.priority)
+
+
+class _Call(NamedTuple):
+    endpoint: str
+    asks: tuple[PieceAsk, ...]
+
+
+class Batcher:
+    """
+    Makes the pieces that all entries want of the endpoints that this one calls.
+
+    An endpoint for pieces takes as long for a call with one piece as for a call
+    with several, and one call at a time. So it gets one call at a time, and whatever
+    becomes due meanwhile shares the next: with a call for each request, three
+    endpoints would do thirteen requests a second, with shared ones sixty pieces. And
+    one entry calls it for all: entries that know nothing of each other fill its queue
+    and its memory, and a fifth of what they send is turned away.
+    """
+
+    def __init__(self) -> None:
+        self._servers = PieceServers()
+        self._queues: dict[tuple[str, str], list[_Waiting]] = {}
+        self._calls: dict[int, _Call] = {}
+        self._next_call = 0
+
+    @property
+    def servers(self) -> PieceServers:
+        """The endpoints for pieces."""
+        return self._servers
+
+    @property
+    def waiting(self) -> int:
+        """Pieces that were asked for and not sent."""
+        return sum(len(queue) for queue in self._queues.values())
+
+    def configure(
+        self, endpoints: Mapping[str, Endpoint], pools: Mapping[str, Pool]
+    ) -> None:
+        """Use these endpoints and pools."""
+        self._servers.replace(endpoints, pools)
+
+    def wait_s(self, now: float, pool: str, data_centre: str) -> float:
+        """Return how long a piece asked for now would wait for its call to begin."""
+        servers = self._servers.at(pool, data_centre)
+        if not servers:
+            return 0.0
+        queued = len(self._queues.get((pool, data_centre), ()))
+        limits = servers[0].limits
+        calls = queued // (limits.batch * len(servers))
+        first = min(server.wait_s(now) for server in servers)
+        return first + calls * limits.full_call_s()
+
+    # Events
+
+    def take(self, now: float, asks: Iterable[PieceAsk]) -> Batches:
+        """Take pieces, and send what can be sent."""
+        places: dict[tuple[str, str], None] = {}
+        for ask in asks:
+            place = (ask.pool, ask.data_centre)
+            self._queues.setdefault(place, []).append(_Waiting(ask, now))
+            places[place] = None
+        batches = Batches()
+        for place in places:
+            self._flush(now, place, batches)
+        return batches
+
+    def ended(self, now: float, call_id: int, end: PiecesEnded) -> Batches:
+        """Take the end of a call; its endpoint can have the next one."""
+        call = self._calls.pop(call_id)
+        server = self._servers.find(call.endpoint)
+        if server is not None:
+            self._note_end(now, server, call_id, end)
+        batches = Batches()
+        if end.outcomes:
+            for ask, outcome in zip(call.asks, end.outcomes, strict=True):
+                self._take_outcome(now, call.endpoint, server, ask, outcome, batches)
+        else:
+            for ask in call.asks:
+                self._call_failed(now, ask, end, batches)
+        ask = call.asks[0]
+        self._flush(now, (ask.pool, ask.data_centre), batches)
+        return batches
+
+    def tick(self, now: float) -> Batches:
+        """Send what waited for an endpoint; give back what waits for a failed one."""
+        batches = Batches()
+        for place, queue in self._queues.items():
+            if queue:
+                self._flush(now, place, batches)
+        return batches
+
+    def withdraw(self, request_id: str) -> None:
+        """Make no more pieces of a request that has ended."""
+        for queue in self._queues.values():
+            queue[:] = [w for w in queue if w.ask.piece.request_id != request_id]
+
+    def free(self, results: Iterable[StoredResult]) -> list[Action]:
+        """Have results dropped by their makers."""
+        by_endpoint: dict[str, list[str]] = {}
+        for result in results:
+            server = self._servers.find(result.endpoint)
+            if server is not None:
+                server.freed(result.handle)
+                by_endpoint.setdefault(result.endpoint, []).append(result.handle)
+        return [FreeResults(name, tuple(held)) for name, held in by_endpoint.items()]
+
+    # Ends
+
+    def _note_end(
+        self, now: float, server: PieceServer, call_id: int, end: PiecesEnded
+    ) -> None:
+        server.ended(now, call_id)
+        if end.running is not None:
+            server.note_load(now, end.running, end.queued)
+        if end.outcomes:
+            server.succeeded()
+        else:
+            server.failed(now)
+
+    def _take_outcome(
+        self,
+        now: float,
+        endpoint: str,
+        server: PieceServer | None,
+        ask: PieceAsk,
+        outcome: PieceOutcome,
+        batches: Batches,
+    ) -> None:
+        if outcome.fault is PieceFault.NO_ROOM:
+            if server is not None:
+                server.had_no_room(now)
+            self._again(now, ask)
+            return
+        if server is not None and outcome.handle:
+            server.keeps(now, outcome.handle, ask.result_bytes)
+        self._tell(now, ask, endpoint, outcome, batches)
+
+    def _call_failed(
+        self, now: float, ask: PieceAsk, end: PiecesEnded, batches: Batches
+    ) -> None:
+        if end.refused:
+            self._again(now, ask)
+        else:
+            self._tell(now, ask, "", PieceOutcome(fault=PieceFault.FAILED), batches)
+
+    def _again(self, now: float, ask: PieceAsk) -> None:
+        place = (ask.pool, ask.data_centre)
+        self._queues.setdefault(place, []).append(_Waiting(ask, now))
+
+    def _tell(
+        self,
+        now: float,
+        ask: PieceAsk,
+        endpoint: str,
+        outcome: PieceOutcome,
+        batches: Batches,
+    ) -> None:
+        told = PieceTold(
+            ask.piece,
+            ask.pool,
+            ask.data_centre,
+            endpoint,
+            outcome.handle,
+            outcome.fault,
+            self.wait_s(now, ask.pool, ask.data_centre),
+        )
+        batches.told.setdefault(ask.asker, []).append(told)
+
+    # Calls
+
+    def _flush(self, now: float, place: tuple[str, str], batches: Batches) -> None:
+        """Give each endpoint that is free the most urgent pieces."""
+        queue = self._queues.get(place, [])
+        self._drop_late(now, queue, batches)
+        servers = self._servers.at(*place)
+        for server in servers:
+            if not queue:
+                return
+            if server.is_open(now):
+                chosen = self._choose(now, server, queue)
+                if chosen:
+                    batches.actions.append(self._send(now, server, queue, chosen))
+        if not any(server.is_usable(now) for server in servers):
+            self._give_back(now, queue, not servers, batches)
+
+    def _choose(
+        self, now: float, server: PieceServer, queue: list[_Waiting]
+    ) -> list[_Waiting]:
+        queue.sort(key=lambda waiting: waiting.urgency(now))
+        room = server.room_bytes(now)
+        chosen: list[_Waiting] = []
+        for waiting in queue[: server.limits.batch]:
+            room -= waiting.ask.result_bytes
+            if room < 0:
+                break
+            chosen.append(waiting)
+        return chosen
+
+    def _send(
+        self,
+        now: float,
+        server: PieceServer,
+        queue: list[_Waiting],
+        chosen: list[_Waiting],
+    ) -> RunPieces:
+        self._next_call += 1
+        del queue[: len(chosen)]
+        asks = tuple(waiting.ask for waiting in chosen)
+        timeout_s = server.timeout_s(now, len(asks))
+        size = sum(ask.result_bytes for ask in asks)
+        server.sent(now, self._next_call, len(asks), size)
+        self._calls[self._next_call] = _Call(server.endpoint.id, asks)
+        orders = tuple(_order(ask) for ask in asks)
+        return RunPieces(self._next_call, server.endpoint.id, orders, timeout_s)
+
+    def _drop_late(self, now: float, queue: list[_Waiting], batches: Batches) -> None:
+        late = [waiting for waiting in queue if waiting.ask.deadline <= now]
+        for waiting in late:
+            queue.remove(waiting)
+            outcome = PieceOutcome(fault=PieceFault.LATE)
+            self._tell(now, waiting.ask, "", outcome, batches)
+
+    def _give_back(
+        self, now: float, queue: list[_Waiting], at_once: bool, batches: Batches
+    ) -> None:
+        """Let pieces be asked for elsewhere, as no endpoint here takes them."""
+        kept_s = 0.0 if at_once else GIVE_BACK_S
+        for waiting in [w for w in queue if now - w.since >= kept_s]:
+            queue.remove(waiting)
+            outcome = PieceOutcome(fault=PieceFault.FAILED)
+            self._tell(now, waiting.ask, "", outcome, batches)
+
+
+def _order(ask: PieceAsk) -> PieceOrder:
+    return PieceOrder(
+        ask.piece.request_id,
+        ask.piece.stage,
+        ask.piece.number,
+        ask.deadline,
+        ask.key,
+        ask.inputs,
+    )
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -145,8 +145,9 @@
     currency, latency is one way and in seconds, budgets are ratios to first
     attempts, and headroom is a share of the deadline. Reserves are attempts that may
     be made beyond the ratios; ``not_run_cost`` is what a retry takes from its budget
-    after proof that the attempt before it did not start. ``pools`` holds the limits of
-    those pools that say them.
+    after proof that the attempt before it did not start.
+    ``entry`` is the entry's own name; ``pools`` holds the limits of those pools that
+    say them.
     """
 
     revision: int
@@ -163,4 +164,5 @@
     retry_reserve: float = RETRY_RESERVE
     hedge_reserve: float = HEDGE_RESERVE
     not_run_cost: float = NOT_RUN_COST
+    entry: str = ""
     pools: Mapping[str, Pool] = field(default_factory=dict)
--- a/packages/policy/src/amaranthtally/policy/piece_graph.py
+++ b/packages/policy/src/amaranthtally/policy/piece_graph.py
@@ -99,6 +99,15 @@
                     due.append(Piece(self._request_id, index, number))
         return due
 
+    def is_fed(self, piece: Piece) -> bool:
+        """Whether every result that a piece reads is there now."""
+        wanted = sum(self.count(i) for i in self._stages[piece.stage].after)
+        return len(self.inputs_of(piece)) == wanted
+
+    def wait_again(self, piece: Piece) -> None:
+        """Take a queued piece back, as what it reads has to be made again."""
+        self._record(piece).state = PieceState.WAITING
+
     def started(self, piece: Piece) -> None:
         """Note that a piece is sent."""
         self._record(piece).state = PieceState.RUNNING
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -1,6 +1,6 @@
-"""What an entry knows of the endpoints that run pieces: calls, failures, memory."""
+"""What the one entry that calls an endpoint for pieces knows of it."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 from amaranthtally.policy.model import Endpoint
@@ -8,19 +8,28 @@
 
 __all__ = ["PieceServer", "PieceServers"]
 
-# Calls of one entry at one endpoint. It works on one call at a time whatever the
-# call holds: pieces that come meanwhile wait here and share the next call.
+# Calls at one endpoint. It works on one call at a time whatever the call holds:
+# pieces that come meanwhile wait here and share the next call.
 CALLS_AT_ONCE = 1
-# First wait after a failed call, in seconds, and the longest; each failure in a row
-# doubles it. The first is the time in which a full queue gives up one call, the last
-# how long a restarted endpoint may stand idle.
+# First wait after a failed or refused call, in seconds, and the longest; each failure
+# in a row doubles it. The first is the time in which a full queue gives up one call,
+# the last how long an endpoint that has come back may stand idle.
 FIRST_WAIT_S = 0.2
-LONGEST_WAIT_S = 2.0
+LONGEST_WAIT_S = 1.6
 # A call is given up after this many times its predicted time, waiting included, and
-# a margin in seconds. An endpoint that five times slower work reached is still
-# answered; one that hangs holds its pieces for a second or two, not for ever.
+# a margin in seconds. An endpoint that works five times slower than usual still
+# answers; one that hangs holds its pieces for a second or two, not for ever.
 TIMEOUT_FACTOR = 2.5
 TIMEOUT_MARGIN_S = 0.4
+# How long an endpoint that had no room is taken to be full, in seconds: results that
+# were made by another entry's calls leave it in about that time.
+FULL_S = 0.2
+
+
+@dataclass(slots=True)
+class _Held:
+    size_bytes: float
+    until: float
 
 
 @dataclass(slots=True)
@@ -34,18 +43,19 @@
     endpoint: Endpoint
     limits: PieceLimits
     busy_until: float = 0.0
-    calls: set[int] = field(default_factory=set)
+    calls: dict[int, float] = field(default_factory=dict)
+    held: dict[str, _Held] = field(default_factory=dict)
     ahead: int = 0
     heard_at: float = 0.0
     shut_until: float = 0.0
+    full_until: float = 0.0
     failures: int = 0
     leaving: bool = False
-    stored_bytes: float = 0.0
 
     def is_open(self, now: float) -> bool:
         """Whether a call may be sent now."""
         free = len(self.calls) < CALLS_AT_ONCE
-        return free and self.is_usable(now)
+        return free and self.is_usable(now) and now >= self.full_until
 
     def is_usable(self, now: float) -> bool:
         """Whether calls may be sent once those under way have ended."""
@@ -59,7 +69,7 @@
         call_s = self.limits.full_call_s()
         passed = (now - self.heard_at) / call_s if call_s else 0.0
         others = max(0.0, self.ahead - passed) * call_s / max(1, self.limits.slots)
-        return max(own, others)
+        return max(own, others, self.shut_until - now)
 
     def call_s(self, pieces: int) -> float:
         """Return how long a call with so many pieces is predicted to run."""
@@ -67,21 +77,42 @@
 
     def timeout_s(self, now: float, pieces: int) -> float:
         """Return when to give a call up, in seconds from now."""
-        queue_s = self.limits.queue * self.limits.full_call_s()
-        predicted = self.call_s(pieces) + max(queue_s, self.wait_s(now))
+        predicted = self.call_s(pieces) + self.wait_s(now)
         return TIMEOUT_FACTOR * predicted + TIMEOUT_MARGIN_S
 
-    def sent(self, now: float, call: int, pieces: int) -> None:
-        """Note a call."""
+    def room_bytes(self, now: float) -> float:
+        """Return the memory that is left for results; endless where it is not told."""
+        if not self.limits.memory_bytes:
+            return float("inf")
+        for handle in [h for h, held in self.held.items() if held.until <= now]:
+            del self.held[handle]
+        used = sum(held.size_bytes for held in self.held.values())
+        return self.limits.memory_bytes - used - sum(self.calls.values())
+
+    def sent(self, now: float, call: int, pieces: int, result_bytes: float) -> None:
+        """Note a call, and the memory that its results will take."""
         self.busy_until = now + self.wait_s(now) + self.call_s(pieces)
-        self.calls.add(call)
+        self.calls[call] = result_bytes
 
     def ended(self, now: float, call: int) -> None:
         """Note that a call has ended, however it did."""
-        self.calls.discard(call)
+        self.calls.pop(call, None)
         if not self.calls:
             self.busy_until = now
 
+    def keeps(self, now: float, handle: str, size_bytes: float) -> None:
+        """Note a result that the endpoint keeps."""
+        until = now + (self.limits.result_ttl_s or float("inf"))
+        self.held[handle] = _Held(size_bytes, until)
+
+    def freed(self, handle: str) -> None:
+        """Note that a result is kept no more."""
+        self.held.pop(handle, None)
+
+    def had_no_room(self, now: float) -> None:
+        """Send nothing until some results will have left."""
+        self.full_until = now + FULL_S
+
     def succeeded(self) -> None:
         """Note that the endpoint answered."""
         self.failures = 0
@@ -97,18 +128,13 @@
         self.ahead = max(0, running + queued - len(self.calls))
         self.heard_at = now
 
-    def has_room(self, result_bytes: float) -> bool:
-        """Whether one more result of our own fits its memory."""
-        limit = self.limits.memory_bytes
-        return not limit or self.stored_bytes + result_bytes <= limit
-
 
 class PieceServers:
-    """The endpoints for pieces by pool."""
+    """The endpoints for pieces by pool and data centre."""
 
     def __init__(self) -> None:
         self._servers: dict[str, PieceServer] = {}
-        self._by_pool: dict[str, list[PieceServer]] = {}
+        self._by_place: dict[tuple[str, str], list[PieceServer]] = {}
 
     def replace(
         self, endpoints: Mapping[str, Endpoint], pools: Mapping[str, Pool]
@@ -127,18 +153,24 @@
             found.leaving = not endpoint.takes_calls
             wanted[endpoint.id] = found
         self._servers = wanted
-        self._by_pool = {}
+        self._by_place = {}
         for server in wanted.values():
-            self._by_pool.setdefault(server.endpoint.pool, []).append(server)
+            place = (server.endpoint.pool, server.endpoint.data_centre)
+            self._by_place.setdefault(place, []).append(server)
 
     def find(self, endpoint: str) -> PieceServer | None:
         """Return an endpoint that is registered, or ``None``."""
         return self._servers.get(endpoint)
 
-    def of(self, pool: str) -> list[PieceServer]:
-        """Return the endpoints of a pool."""
-        return self._by_pool.get(pool, [])
-
-    def usable(self, now: float, pool: str) -> Iterable[PieceServer]:
-        """Return the endpoints of a pool that take calls."""
-        return [s for s in self.of(pool) if s.is_usable(now)]
+    def at(self, pool: str, data_centre: str) -> list[PieceServer]:
+        """Return a pool's endpoints in a data centre that do not leave."""
+        found = self._by_place.get((pool, data_centre), [])
+        return [server for server in found if not server.leaving]
+
+    def places(self, pool: str) -> dict[str, Endpoint]:
+        """Return the data centres with endpoints of a pool, and one of each."""
+        return {
+            place: servers[0].endpoint
+            for (name, place), servers in self._by_place.items()
+            if name == pool and any(not server.leaving for server in servers)
+        }
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/places.py
@@ -0,0 +1,147 @@
+"""Which entry calls a pool's endpoints in a data centre, and how long one waits."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass
+from hashlib import blake2b
+
+from amaranthtally.policy.model import Endpoint
+
+__all__ = ["Peer", "Places"]
+
+# What running away from the entry's own data centre counts for, in seconds: the way
+# there, and what the results' traffic costs, against waiting.
+AWAY_REGION_S = 0.25
+AWAY_CENTRE_S = 0.1
+# How long a place that failed is left alone, in seconds; each failure in a row
+# doubles it up to the longest. An endpoint that restarts is away for a few.
+FIRST_SHUT_S = 0.5
+LONGEST_SHUT_S = 4.0
+# How long a peer that did not answer gets no pieces, in seconds.
+PEER_SHUT_S = 3.0
+WEIGHT_BYTES = 8
+
+
+@dataclass(frozen=True, slots=True)
+class Peer:
+    """Another entry that is alive."""
+
+    name: str
+    data_centre: str
+
+
+@dataclass(slots=True)
+class _Place:
+    wait_s: float = 0.0
+    heard_at: float = 0.0
+    shut_until: float = 0.0
+    failures: int = 0
+
+
+class Places:
+    """
+    Finds an owner for each pool in each data centre, without any agreement.
+
+    Every entry ranks all live entries for a place by one hash, those of the same
+    data centre first, and asks the first. Entries that differ in whom they take for
+    alive ask different owners for a while: pieces may be made twice, so that costs
+    efficiency and nothing else.
+    """
+
+    def __init__(self) -> None:
+        self._name = ""
+        self._region = ""
+        self._data_centre = ""
+        self._peers: dict[str, Peer] = {}
+        self._peer_shut: dict[str, float] = {}
+        self._places: dict[tuple[str, str], _Place] = {}
+
+    def configure(self, name: str, region: str, data_centre: str) -> None:
+        """Use this entry's own name and place."""
+        self._name = name
+        self._region = region
+        self._data_centre = data_centre
+
+    def replace_peers(self, peers: Iterable[Peer]) -> None:
+        """Use these live entries beside this one."""
+        self._peers = {peer.name: peer for peer in peers if peer.name != self._name}
+
+    def owner(self, now: float, pool: str, data_centre: str) -> str:
+        """Return the entry that calls a pool's endpoints there; empty: this one."""
+        own = Peer(self._name, self._data_centre)
+        alive = [p for p in self._peers.values() if not self._is_shut(now, p.name)]
+        near = [p for p in [own, *alive] if p.data_centre == data_centre]
+        chosen = min(
+            near or [own, *alive],
+            key=lambda peer: _weight(peer.name, pool, data_centre),
+        )
+        return "" if chosen.name == self._name else chosen.name
+
+    def peer_failed(self, now: float, peer: str) -> None:
+        """Ask a peer for nothing for a while."""
+        self._peer_shut[peer] = now + PEER_SHUT_S
+
+    def distance_s(self, endpoint: Endpoint) -> float:
+        """Return what it counts for to run at an endpoint, in seconds."""
+        if endpoint.data_centre == self._data_centre:
+            return 0.0
+        return AWAY_CENTRE_S if endpoint.region == self._region else AWAY_REGION_S
+
+    # Waits
+
+    def heard(self, now: float, pool: str, data_centre: str, wait_s: float) -> None:
+        """Learn how long pieces wait at a place; it works."""
+        place = self._of(pool, data_centre)
+        place.wait_s = wait_s
+        place.heard_at = now
+        place.failures = 0
+
+    def asked(self, pool: str, data_centre: str, more_s: float) -> None:
+        """Count what was asked for since the place was last heard of."""
+        self._of(pool, data_centre).wait_s += more_s
+
+    def failed(self, now: float, pool: str, data_centre: str) -> None:
+        """Leave a place alone for a while."""
+        place = self._of(pool, data_centre)
+        if now < place.shut_until:
+            return
+        place.shut_until = now + min(LONGEST_SHUT_S, FIRST_SHUT_S * 2**place.failures)
+        place.failures += 1
+
+    def wait_s(self, now: float, pool: str, data_centre: str) -> float:
+        """Return how long a piece asked for now would wait there."""
+        place = self._of(pool, data_centre)
+        return max(0.0, place.wait_s - (now - place.heard_at))
+
+    def best(
+        self, now: float, pool: str, candidates: Mapping[str, Endpoint], home: str = ""
+    ) -> str | None:
+        """
+        Return the data centre in which to run pieces, ``home`` if it takes any.
+
+        ``candidates`` holds an endpoint of each data centre; ``None`` without any.
+        """
+        open_places = {
+            name: endpoint
+            for name, endpoint in candidates.items()
+            if now >= self._of(pool, name).shut_until
+        } or candidates
+        if home in open_places:
+            return home
+        return min(
+            open_places,
+            key=lambda name: (
+                self.wait_s(now, pool, name) + self.distance_s(open_places[name])
+            ),
+            default=None,
+        )
+
+    def _is_shut(self, now: float, peer: str) -> bool:
+        return now < self._peer_shut.get(peer, 0.0)
+
+    def _of(self, pool: str, data_centre: str) -> _Place:
+        return self._places.setdefault((pool, data_centre), _Place())
+
+
+def _weight(peer: str, pool: str, data_centre: str) -> bytes:
+    text = f"{peer}/{pool}/{data_centre}".encode()
+    return blake2b(text, digest_size=WEIGHT_BYTES).digest()
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -1,5 +1,6 @@
 """Decisions of an entry: admission, routing, retries, hedges, answers."""
 
+from collections.abc import Iterable
 from random import Random
 
 from amaranthtally.policy.actions import (
@@ -12,6 +13,7 @@
     Refuse,
 )
 from amaranthtally.policy.admission import ADMITTED, Verdict
+from amaranthtally.policy.batcher import PieceAsk, PiecesEnded, PieceTold
 from amaranthtally.policy.budgets import RateLimit
 from amaranthtally.policy.dispatch import Dispatcher
 from amaranthtally.policy.events import (
@@ -22,13 +24,14 @@
     PieceWork,
     StageResult,
 )
-from amaranthtally.policy.gathering import Gathering, PiecesEnded
+from amaranthtally.policy.gathering import Gathering
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.ledger import Counters, Ledger
 from amaranthtally.policy.membership import Membership
 from amaranthtally.policy.model import AttemptId, PolicySettings
 from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.piece_graph import StoredResult
+from amaranthtally.policy.places import Peer
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.stream_watch import StreamWatch
@@ -98,6 +101,11 @@
         """Requests admitted and not yet ended."""
         return len(self._ledger)
 
+    @property
+    def has_pieces(self) -> bool:
+        """Whether pieces wait to be made, of whichever entry's requests."""
+        return self._gatherer.batcher.waiting > 0
+
     @property
     def counters(self) -> Counters:
         """Totals since the start."""
@@ -135,7 +143,30 @@
 
     def pieces_ended(self, now: float, call: int, end: PiecesEnded) -> list[Action]:
         """Take the end of a call with pieces."""
-        return self._follow(now, self._gatherer.ended(now, call, end))
+        return self._follow(now, self._gatherer.calls_ended(now, call, end))
+
+    def pieces_asked(
+        self, now: float, asker: str, asks: Iterable[PieceAsk]
+    ) -> list[Action]:
+        """Take pieces that another entry wants made."""
+        return self._follow(now, self._gatherer.asked(now, asker, asks))
+
+    def pieces_told(self, now: float, told: Iterable[PieceTold]) -> list[Action]:
+        """Hear from another entry what became of pieces."""
+        return self._follow(now, self._gatherer.told(now, told))
+
+    def results_freed(self, results: Iterable[StoredResult]) -> list[Action]:
+        """Take another entry's word that results are read no more."""
+        return self._gatherer.freed_by_peer(results)
+
+    def peers_changed(self, now: float, peers: Iterable[Peer]) -> list[Action]:
+        """Use these live entries beside this one."""
+        self._gatherer.replace_peers(peers)
+        return []
+
+    def peer_failed(self, now: float, peer: str) -> list[Action]:
+        """Ask an entry that did not answer for nothing for a while."""
+        return self._follow(now, self._gatherer.peer_failed(now, peer))
 
     def reply(
         self, now: float, attempt: AttemptId, result: StageResult
@@ -159,8 +190,7 @@
             live = request.live[attempt]
             self._ledger.has_read(live)
             self._streams.note(now, request.current, live.endpoint, live.stream, chunks)
-            freed = self._gatherer.free_inputs(request.id) if request.inputs else []
-            request.inputs = ()
+            freed = self._free_inputs(now, request)
             return freed + self._drop_overtaken(now, request, live)
         return []
 
@@ -196,14 +226,14 @@
         request = self._ledger.find(request_id)
         if request is None:
             return []
-        return [*self._ledger.gone(request), *self._gatherer.close(request_id)]
+        return [*self._ledger.gone(request), *self._gatherer.close(now, request_id)]
 
     def tick(self, now: float) -> list[Action]:
         """End the requests whose deadline has passed; look at slow attempts."""
         self._accounts.refresh(now)
         actions = self._membership.greetings(now)
         actions.extend(self._ask_for_loads(now))
-        actions.extend(self._gatherer.tick(now))
+        actions.extend(self._follow(now, self._gatherer.tick(now)))
         while (timer := self._timers.due(now)) is not None:
             actions.extend(self._look(now, timer))
         return actions
@@ -257,6 +287,13 @@
         )
         return self._follow(now, news)
 
+    def _free_inputs(self, now: float, request: Request) -> list[Action]:
+        """Free what a request has read, as it runs."""
+        if not request.inputs:
+            return []
+        request.inputs = ()
+        return self._gatherer.free_inputs(now, request.id)
+
     def _gather_again(
         self, now: float, request: Request, retry_cost: float
     ) -> list[Action]:
@@ -304,7 +341,7 @@
         for loser in losers:
             self._lost_to_hedge(now, loser, ended)
         if not self._ledger.stage_done(request):
-            freed = self._gatherer.close(request.id)
+            freed = self._gatherer.close(now, request.id)
             return [*actions, *freed, self._ledger.answered(request)]
         return actions + self._start_stage(now, request)
 
@@ -417,7 +454,7 @@
         self, now: float, request: Request, reason: Reason, retry_after_s: float = 0.0
     ) -> list[Action]:
         backlog = self._admission.retry_after_s(now, request.remaining)
-        freed = self._gatherer.close(request.id)
+        freed = self._gatherer.close(now, request.id)
         wait_s = max(retry_after_s, backlog)
         return [*freed, *self._ledger.refused(request, reason, wait_s)]
 
@@ -469,7 +506,11 @@
         self._settings = settings
         self._membership.replace(now, settings)
         self._gatherer.configure(
-            settings.region, settings.data_centre, settings.endpoints, settings.pools
+            settings.entry,
+            settings.region,
+            settings.data_centre,
+            settings.endpoints,
+            settings.pools,
         )
         self._dispatcher.configure(settings)
         self._accounts.configure(settings.accounts, settings.entries)
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -75,6 +75,7 @@
     data_centre: Name
     caller_address: Address
     ready_address: Address
+    peer_address: Address
     store_address: Address
     regions: dict[str, str] = msgspec.field(default_factory=dict)
     stop_grace: Positive = 8.0
--- /dev/null
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -0,0 +1,70 @@
+# Protocol between gateways. Times are remaining times in microseconds: the clocks of
+# two hosts are never compared. A time that has passed is negative.
+@0xb7c1d20a3f5e9c41;
+
+struct Piece {
+  requestId @0 :Text;
+  stage @1 :UInt16;
+  number @2 :UInt16;
+}
+
+struct PieceAsk {
+  piece @0 :Piece;
+  pool @1 :Text;
+  dataCentre @2 :Text;
+  resultBytes @3 :Float64;
+  objectiveMicros @4 :Int64;
+  deadlineMicros @5 :Int64;
+  priority @6 :UInt16;
+  key @7 :Text;
+  inputs @8 :List(Text);
+}
+
+enum Fault {
+  none @0;
+  late @1;
+  inputGone @2;
+  noRoom @3;
+  failed @4;
+}
+
+struct PieceTold {
+  piece @0 :Piece;
+  pool @1 :Text;
+  dataCentre @2 :Text;
+  endpoint @3 :Text;
+  handle @4 :Text;
+  fault @5 :Fault;
+  waitMicros @6 :Int64;
+}
+
+struct StoredResult {
+  handle @0 :Text;
+  endpoint @1 :Text;
+  dataCentre @2 :Text;
+  sizeBytes @3 :Float64;
+}
+
+struct Versions {
+  # What a gateway believes: the configuration's version and the store's revision up to
+  # which it has read the endpoints' records; 0 where it has none.
+  configuration @0 :UInt64;
+  records @1 :UInt64;
+}
+
+struct Record {
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+}
+
+interface Gateway {
+  # Tells a peer one's versions; answers with the peer's own.
+  greet @0 (name :Text, versions :Versions) -> (versions :Versions);
+  # The configuration as the store held it, and the endpoints' records.
+  beliefs @1 () -> (versions :Versions, configuration :Data, records :List(Record));
+  # Asks for pieces; what becomes of them is told by a call the other way.
+  ask @2 (asker :Text, asks :List(PieceAsk)) -> ();
+  tell @3 (told :List(PieceTold)) -> ();
+  free @4 (results :List(StoredResult)) -> ();
+}
--- /dev/null
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -0,0 +1,200 @@
+"""Conversion between gateways' messages and Cap'n Proto structs."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, NamedTuple
+
+import capnp
+
+from amaranthtally.policy import (
+    Piece,
+    PieceAsk,
+    PieceFault,
+    PieceTold,
+    StoredResult,
+)
+
+__all__ = [
+    "Beliefs",
+    "Record",
+    "Versions",
+    "gateway_schema",
+    "read_asks",
+    "read_beliefs",
+    "read_results",
+    "read_told",
+    "read_versions",
+    "write_asks",
+    "write_beliefs",
+    "write_results",
+    "write_told",
+    "write_versions",
+]
+
+capnp.remove_import_hook()
+gateway_schema: Any = capnp.load(str(Path(__file__).with_name("gateway.capnp")))
+
+MICROSECONDS = 1_000_000
+_FAULTS = {
+    None: "none",
+    PieceFault.LATE: "late",
+    PieceFault.INPUT_GONE: "inputGone",
+    PieceFault.NO_ROOM: "noRoom",
+    PieceFault.FAILED: "failed",
+}
+_FAULTS_BY_NAME = {name: fault for fault, name in _FAULTS.items()}
+
+
+class Versions(NamedTuple):
+    """How new a gateway's configuration and records are; 0 where it has none."""
+
+    configuration: int = 0
+    records: int = 0
+
+
+class Record(NamedTuple):
+    """A record of the store, as it was read."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class Beliefs:
+    """A gateway's configuration and records, in the store's own bytes."""
+
+    versions: Versions
+    configuration: bytes
+    records: tuple[Record, ...]
+
+
+# Pieces
+
+
+def write_asks(target: Any, asks: Iterable[PieceAsk], now: float) -> None:
+    """Fill the pieces of an ``ask``."""
+    asks = tuple(asks)
+    for item, ask in zip(target.init("asks", len(asks)), asks, strict=True):
+        _write_piece(item.piece, ask.piece)
+        item.pool = ask.pool
+        item.dataCentre = ask.data_centre
+        item.resultBytes = ask.result_bytes
+        item.objectiveMicros = _micros(ask.objective - now)
+        item.deadlineMicros = _micros(ask.deadline - now)
+        item.priority = ask.priority
+        item.key = ask.key
+        item.inputs = list(ask.inputs)
+
+
+def read_asks(source: Any, now: float) -> tuple[PieceAsk, ...]:
+    """Return the pieces of an ``ask``, with time stamps of this process."""
+    return tuple(
+        PieceAsk(
+            piece=_read_piece(item.piece),
+            pool=item.pool,
+            data_centre=item.dataCentre,
+            result_bytes=item.resultBytes,
+            objective=now + item.objectiveMicros / MICROSECONDS,
+            deadline=now + item.deadlineMicros / MICROSECONDS,
+            priority=item.priority,
+            key=item.key,
+            inputs=tuple(item.inputs),
+        )
+        for item in source
+    )
+
+
+def write_told(target: Any, told: Iterable[PieceTold]) -> None:
+    """Fill the pieces of a ``tell``."""
+    told = tuple(told)
+    for item, one in zip(target.init("told", len(told)), told, strict=True):
+        _write_piece(item.piece, one.piece)
+        item.pool = one.pool
+        item.dataCentre = one.data_centre
+        item.endpoint = one.endpoint
+        item.handle = one.handle
+        item.fault = _FAULTS[one.fault]
+        item.waitMicros = _micros(one.wait_s)
+
+
+def read_told(source: Any) -> tuple[PieceTold, ...]:
+    """Return the pieces of a ``tell``."""
+    return tuple(
+        PieceTold(
+            piece=_read_piece(item.piece),
+            pool=item.pool,
+            data_centre=item.dataCentre,
+            endpoint=item.endpoint,
+            handle=item.handle,
+            fault=_FAULTS_BY_NAME[str(item.fault)],
+            wait_s=item.waitMicros / MICROSECONDS,
+        )
+        for item in source
+    )
+
+
+def write_results(target: Any, results: Iterable[StoredResult]) -> None:
+    """Fill the results of a ``free``."""
+    results = tuple(results)
+    for item, one in zip(target.init("results", len(results)), results, strict=True):
+        item.handle = one.handle
+        item.endpoint = one.endpoint
+        item.dataCentre = one.data_centre
+        item.sizeBytes = one.size_bytes
+
+
+def read_results(source: Any) -> tuple[StoredResult, ...]:
+    """Return the results of a ``free``."""
+    return tuple(
+        StoredResult(item.handle, item.endpoint, item.dataCentre, item.sizeBytes)
+        for item in source
+    )
+
+
+# Beliefs
+
+
+def write_versions(target: Any, versions: Versions) -> None:
+    """Fill versions."""
+    target.configuration = versions.configuration
+    target.records = versions.records
+
+
+def read_versions(source: Any) -> Versions:
+    """Return versions."""
+    return Versions(source.configuration, source.records)
+
+
+def write_beliefs(target: Any, beliefs: Beliefs) -> None:
+    """Fill the answer of ``beliefs``."""
+    write_versions(target.versions, beliefs.versions)
+    target.configuration = beliefs.configuration
+    records = target.init("records", len(beliefs.records))
+    for item, record in zip(records, beliefs.records, strict=True):
+        item.key = record.key
+        item.value = record.value
+        item.revision = record.revision
+
+
+def read_beliefs(source: Any) -> Beliefs:
+    """Return the answer of ``beliefs``."""
+    records = tuple(
+        Record(item.key, bytes(item.value), item.revision) for item in source.records
+    )
+    return Beliefs(read_versions(source.versions), bytes(source.configuration), records)
+
+
+def _write_piece(target: Any, piece: Piece) -> None:
+    target.requestId = piece.request_id
+    target.stage = piece.stage
+    target.number = piece.number
+
+
+def _read_piece(source: Any) -> Piece:
+    return Piece(source.requestId, source.stage, source.number)
+
+
+def _micros(seconds: float) -> int:
+    return int(seconds * MICROSECONDS)
