Serve first what can be on time, refuse at once what can't be answered, let go on leaving

Cause: late pieces were made before those that could be on time; a leaving gateway registered itself again when its lease was gone, and its listener closed under callers.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -25,12 +25,14 @@
     FreeResults,
     Greet,
     LoadReport,
+    Outcome,
     Peer,
     PieceAsk,
     PiecesEnded,
     PieceTold,
     Planner,
     PolicySettings,
+    Reason,
     Refuse,
     RunPieces,
     Send,
@@ -117,6 +119,14 @@
         self._stop_attempts(call)
         log.info("request_abandoned", request_id=call.id, attempts=call.attempts)
 
+    def refuse_unsent(self) -> None:
+        """Refuse every request that was sent to no endpoint, as the process ends."""
+        for call in list(self._calls.values()):
+            if call.attempts:
+                continue
+            self._decisions.carry_out(self._planner.caller_gone(self._time(), call.id))
+            self._refuse(Refuse(call.id, Outcome.NOT_RUN, Reason.STOPPING))
+
     def settings_changed(self, settings: PolicySettings) -> None:
         """Use newer settings for what comes."""
         self._endpoints = settings.endpoints
--- a/packages/daemon/src/amaranthtally/daemon/gateway/front.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/front.py
@@ -21,6 +21,7 @@
 )
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.refusals import (
+    LEAVING,
     Refusal,
     refusal_of,
     refusal_response,
@@ -50,6 +51,7 @@
         table: Callable[[], RouteTable | None],
         is_leaving: Callable[[], bool],
     ) -> None:
+        self._is_closed = False
         self._executor = executor
         self._arrivals = arrivals
         self._metrics = metrics
@@ -63,6 +65,10 @@
         """Requests that were read and whose response is not handed over whole."""
         return self._open
 
+    def close(self) -> None:
+        """Refuse whatever comes from now on; the balancer has let go."""
+        self._is_closed = True
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
         received_at = self._time()
@@ -107,6 +113,8 @@
     def _check(
         self, request: web.BaseRequest
     ) -> tuple[CallerRequest, Route, Account | None, RouteTable] | Refusal:
+        if self._is_closed:
+            return LEAVING
         table = self._table()
         if table is None:
             return NO_CONFIGURATION
--- a/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
@@ -53,16 +53,18 @@
         self._value = msgspec.json.encode(record)
         self._random = random
         self._lease = 0
+        self._ended = False
 
     async def keep(self) -> None:
-        """Register and renew until cancelled."""
-        while True:
+        """Register and renew until cancelled or ended."""
+        while not self._ended:
             renewed = await self._renew() if self._lease else await self._register()
             pause_s = RENEW_S if renewed else RETRY_S
             await asyncio.sleep(pause_s * (1.0 + RETRY_SPREAD * self._random.random()))
 
     async def end(self) -> None:
         """Remove the record, so that peers ask for nothing more."""
+        self._ended = True
         if self._lease:
             await self._client.end_lease(self._lease)
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/refusals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/refusals.py
@@ -7,7 +7,7 @@
 from amaranthtally.adapter.callers import refusal_headers
 from amaranthtally.policy import Outcome, Reason, Refuse
 
-__all__ = ["Refusal", "refusal_of", "refusal_response"]
+__all__ = ["LEAVING", "Refusal", "refusal_of", "refusal_response"]
 
 # When to come back where nothing is known of how long the cause lasts, in seconds:
 # an ejected endpoint is tried again after about that time.
@@ -26,6 +26,10 @@
     retry_after_s: float = 0.0
 
 
+# Another gateway takes it at once.
+LEAVING = Refusal(UNAVAILABLE, "this process is leaving; come back now", 0.05)
+
+
 def refusal_of(refuse: Refuse) -> Refusal:
     """
     Return how a refusal of the policy is told.
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -56,7 +56,10 @@
 # The balancer asks once a second and lets go after two misses, in seconds.
 BALANCER_S = 2.3
 # What is left of the grace for closing down, in seconds.
-LAST_S = 0.6
+LAST_S = 0.5
+# What is left of the grace when requests that were not sent are refused, in seconds:
+# their callers have time to come back elsewhere.
+REFUSE_S = 3.5
 POLL_S = 0.05
 
 log = get_logger()
@@ -73,7 +76,7 @@
         log.info("listening", role="gateway", name=settings.name)
         await stop.wait()
         log.info("gateway_leaving", in_flight=parts.executor.in_flight)
-        work = _leave(parts)
+        work = _leave(parts, settings.stop_grace)
         limit_s = settings.stop_grace - LAST_S
         if not await stop.run_until_forced(work, limit_s):
             log.warning("gateway_stop_forced", in_flight=parts.executor.in_flight)
@@ -87,7 +90,6 @@
     executor: GatewayExecutor
     front: Front
     callers: web.Server
-    listener: asyncio.AbstractServer
     store: StoreLinks
 
 
@@ -140,8 +142,8 @@
         max_line_size=MOST_HEADER_BYTES,
         max_field_size=MOST_HEADER_BYTES,
     )
-    listener = await stack.enter_async_context(_serve(callers, settings.caller_address))
-    return _Parts(executor, front, callers, listener, store)
+    await stack.enter_async_context(_serve(callers, settings.caller_address))
+    return _Parts(executor, front, callers, store)
 
 
 def _answer_balancer(
@@ -157,16 +159,22 @@
     return answer
 
 
-async def _leave(parts: _Parts) -> None:
+async def _leave(parts: _Parts, grace_s: float) -> None:
     """
     Serve on until the balancer has let go, then finish every response.
 
-    Kept connections end with their next response; those that stay idle are closed
-    last, when nothing is in flight.
+    Peers learn at once that this gateway makes no more pieces for them. The listener
+    stays open to the end: where others of the data centre are down, the balancer
+    still sends callers here, and a refusal that says so is worth more to them than a
+    connection that fails. Kept connections end with their next response; what was
+    sent to no endpoint is refused truthfully before the grace is over.
     """
     await asyncio.gather(parts.store.leave(), asyncio.sleep(BALANCER_S))
-    parts.listener.close()
-    while parts.front.open_responses:
+    parts.front.close()
+    refuse_at = asyncio.get_running_loop().time() + grace_s - BALANCER_S - REFUSE_S
+    while parts.front.open_responses or parts.executor.in_flight:
+        if asyncio.get_running_loop().time() >= refuse_at:
+            parts.executor.refuse_unsent()
         await asyncio.sleep(POLL_S)
     parts.callers.pre_shutdown()
 
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -21,10 +21,6 @@
     "PiecesEnded",
 ]
 
-# Each rank of priority counts like this many seconds less of patience when pieces
-# wait: large enough to put urgent kinds first within one call's time (0.2 to 0.4 s),
-# small enough that nobody waits for ever.
-PRIORITY_S = 0.3
 # How long an idle endpoint is left idle for more pieces to come, in seconds. The end of
 # one call makes pieces of several requests due at the next pool, in several entries,
 # within the way between them: the first, sent alone, would make the others wait for
@@ -71,15 +67,16 @@
     """
     A piece that an entry wants made in a data centre; times are time stamps.
 
-    ``asker`` names the entry, empty for this one. ``key`` or ``inputs`` are what the
-    piece reads.
+    Its call must begin by ``start_by`` for its request to be on time, and by
+    ``deadline`` for it to be answered at all. ``asker`` names the entry, empty for
+    this one. ``key`` or ``inputs`` are what the piece reads.
     """
 
     piece: Piece
     pool: str
     data_centre: str
     result_bytes: float
-    objective: float
+    start_by: float
     deadline: float
     priority: int = 0
     key: str = ""
@@ -112,11 +109,16 @@
     ask: PieceAsk
     since: float
 
-    def urgency(self, now: float) -> tuple[bool, float, str]:
-        """Return a sort key: first who can still be on time, then by patience."""
+    def urgency(self, now: float) -> tuple[bool, int, float, str]:
+        """
+        Return a sort key: first who can still be on time, of them the most urgent.
+
+        What is late already earns its caller little: served first, it would make
+        others late as well, and in a burst all would be.
+        """
         ask = self.ask
-        patience = ask.objective + PRIORITY_S * ask.priority
-        return (now > ask.objective, patience, ask.piece.request_id)
+        late = now > ask.start_by
+        return (late, ask.priority, ask.start_by, ask.piece.request_id)
 
 
 class _Call(NamedTuple):
@@ -163,7 +165,8 @@
         servers = self._servers.at(pool, data_centre)
         if not servers:
             return 0.0
-        queued = len(self._queues.get((pool, data_centre), ()))
+        queue = self._queues.get((pool, data_centre), ())
+        queued = sum(now <= waiting.ask.start_by for waiting in queue)
         limits = servers[0].limits
         calls = queued // (limits.batch * len(servers))
         first = min(server.wait_s(now) for server in servers)
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -24,6 +24,9 @@
 # Failures of one piece before its request is given up: one for an endpoint that has
 # gone, one for an entry that asked it, one for a second endpoint.
 MOST_FAILURES = 4
+# What an engine needs to its first token, in seconds: reading a prompt of usual length
+# takes 0.1 to 0.3.
+ENGINE_S = 0.25
 # An asked peer is taken to be gone after this, in seconds, beyond what it is
 # predicted to take twice over: calls that are given up take that long.
 PATIENCE_S = 1.2
@@ -225,7 +228,7 @@
         by_owner: dict[str, list[PieceAsk]] = {}
         for piece in pieces:
             ask = self._ask_for(now, found, piece)
-            if ask is None:
+            if ask is None or ask.deadline < now:
                 news.failed.append(piece.request_id)
                 return
             owner = self._places.owner(now, ask.pool, ask.data_centre)
@@ -255,8 +258,8 @@
             stage.pool,
             place,
             stage.result_bytes,
-            found.objective,
-            found.deadline,
+            found.objective - self._after_s(found, piece.stage) - ENGINE_S,
+            found.deadline - self._after_s(found, piece.stage),
             found.priority,
             "" if stage.after else found.key,
             tuple(result.handle for result in found.graph.inputs_of(piece)),
@@ -284,6 +287,19 @@
             return self._batcher.wait_s(now, pool, data_centre)
         return self._places.wait_s(now, pool, data_centre)
 
+    def _after_s(self, found: _Gathered, stage: int) -> float:
+        """Return what is left to do from a stage on, its own call included."""
+        after_s = max(
+            (self._after_s(found, r) for r in found.graph.readers(stage)), default=0.0
+        )
+        if not found.graph.count(stage):
+            return after_s
+        pool = self._pools.get(found.graph.stages[stage].pool)
+        if pool is None or pool.pieces is None:
+            return after_s
+        limits = pool.pieces
+        return after_s + limits.call_s + found.graph.count(stage) * limits.piece_s
+
     def _call_s(self, pool: str) -> float:
         found = self._pools.get(pool)
         if found is None or found.pieces is None:
--- a/packages/policy/src/amaranthtally/policy/piece_graph.py
+++ b/packages/policy/src/amaranthtally/policy/piece_graph.py
@@ -142,7 +142,7 @@
         """
         unread: list[StoredResult] = []
         for index in range(len(self._stages)):
-            readers = self._readers(index)
+            readers = self.readers(index)
             if not readers or not all(self._is_stage_done(r) for r in readers):
                 continue
             unread += self._take_results(index)
@@ -205,11 +205,12 @@
     def _record(self, piece: Piece) -> _PieceRecord:
         return self._records[piece.stage][piece.number]
 
-    def _readers(self, index: int) -> list[int]:
+    def readers(self, index: int) -> list[int]:
+        """Return the stages that read a stage's results."""
         return [i for i, stage in enumerate(self._stages) if index in stage.after]
 
     def _last_stages(self) -> list[int]:
-        return [i for i in range(len(self._stages)) if not self._readers(i)]
+        return [i for i in range(len(self._stages)) if not self.readers(i)]
 
     def _is_stage_done(self, index: int) -> bool:
         return all(r.state is PieceState.DONE for r in self._records[index])
@@ -219,5 +220,5 @@
 
     def _is_needed(self, index: int) -> bool:
         # A stage whose readers are all done is not run again for its lost results.
-        readers = self._readers(index)
+        readers = self.readers(index)
         return not readers or not all(self._is_stage_done(r) for r in readers)
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -13,7 +13,7 @@
   pool @1 :Text;
   dataCentre @2 :Text;
   resultBytes @3 :Float64;
-  objectiveMicros @4 :Int64;
+  startByMicros @4 :Int64;
   deadlineMicros @5 :Int64;
   priority @6 :UInt16;
   key @7 :Text;
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -81,7 +81,7 @@
         item.pool = ask.pool
         item.dataCentre = ask.data_centre
         item.resultBytes = ask.result_bytes
-        item.objectiveMicros = _micros(ask.objective - now)
+        item.startByMicros = _micros(ask.start_by - now)
         item.deadlineMicros = _micros(ask.deadline - now)
         item.priority = ask.priority
         item.key = ask.key
@@ -96,7 +96,7 @@
             pool=item.pool,
             data_centre=item.dataCentre,
             result_bytes=item.resultBytes,
-            objective=now + item.objectiveMicros / MICROSECONDS,
+            start_by=now + item.startByMicros / MICROSECONDS,
             deadline=now + item.deadlineMicros / MICROSECONDS,
             priority=item.priority,
             key=item.key,
