Ask a busy owner once more, never a second one

Cause: pieces of which nothing was heard for two seconds were asked of another gateway, though their owner was only busy: a second and third caller filled the queue and the memory of an endpoint that was full already, and the more the fuller it was (up to five callers for one endpoint, long after the last restart). Peers are now watched by a greeting, a piece is taken once, and a leaving gateway hands back what waits.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -119,6 +119,15 @@
         self._stop_attempts(call)
         log.info("request_abandoned", request_id=call.id, attempts=call.attempts)
 
+    @property
+    def asked_peers(self) -> frozenset[str]:
+        """The gateways that make pieces for requests of this one now."""
+        return self._planner.asked_peers
+
+    def leave(self) -> None:
+        """Make no more pieces for others."""
+        self._decisions.carry_out(self._planner.leaving(self._time()))
+
     def refuse_unsent(self) -> None:
         """Refuse every request that was sent to no endpoint, as the process ends."""
         for call in list(self._calls.values()):
@@ -207,6 +216,10 @@
         """Tell the policy what became of pieces at a gateway."""
         self._decisions.carry_out(self._planner.pieces_told(self._time(), told))
 
+    def results_not_passed(self, results: Sequence[StoredResult]) -> None:
+        """Free results directly that a peer could not be told of."""
+        self._decisions.carry_out(self._planner.results_freed(results))
+
     def results_freed(self, results: Sequence[StoredResult], ended: str) -> None:
         """Tell the policy what a gateway's requests have read, and which have ended."""
         self._decisions.carry_out(self._planner.results_freed(results, ended))
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_links.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_links.py
@@ -20,6 +20,14 @@
 # seconds, or the peer stands still.
 CALL_TIMEOUT_S = 0.8
 
+# How often a peer that makes pieces for this gateway is asked whether it lives, in
+# seconds; a call between gateways costs it 0.2 ms.
+HEARTBEAT_S = 0.5
+# Tries to tell a peer what became of its pieces, and the pause between, in seconds:
+# its connection may just have been reset.
+TELL_TRIES = 3
+TELL_PAUSE_S = 0.2
+
 log = get_logger()
 
 
@@ -29,6 +37,9 @@
     def peer_failed(self, peer: str) -> None:
         """Hear that a peer did not answer."""
 
+    def results_not_passed(self, results: Sequence[StoredResult]) -> None:
+        """Hear that a peer could not be told of results that are read no more."""
+
 
 class PeerLinks:
     """One connection to each peer that is needed, opened at first use."""
@@ -65,11 +76,11 @@
 
     def tell(self, peer: str, told: Sequence[PieceTold]) -> None:
         """Tell a peer what became of pieces; it asks again where this is lost."""
-        self._spawn(self._quietly(peer, lambda client: client.tell(told)))
+        self._spawn(self._tell(peer, told))
 
     def free(self, peer: str, results: Sequence[StoredResult], ended: str) -> None:
-        """Tell a peer that results are read no more; their time limit ends them too."""
-        self._spawn(self._quietly(peer, lambda client: client.free(results, ended)))
+        """Tell a peer that results are read no more, or a request has ended."""
+        self._spawn(self._free(peer, results, ended))
 
     async def greet(self, peer: str, versions: Versions) -> Versions:
         """Exchange versions with a peer; raises ``PeerLostError``."""
@@ -92,13 +103,38 @@
             log.info("peer_lost", peer=peer, pieces=len(asks), cause=str(error))
             self._listener.peer_failed(peer)
 
-    async def _quietly(
-        self, peer: str, call: Callable[[GatewayClient], Coroutine[Any, Any, None]]
+    async def watch(self, asked: Callable[[], frozenset[str]]) -> None:
+        """Find out which of the peers that were asked for pieces have gone."""
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.gather(*(self._check(peer) for peer in asked()))
+
+    async def _check(self, peer: str) -> None:
+        try:
+            await self._call(peer, lambda c: c.greet(self._name, Versions()))
+        except PeerLostError as error:
+            log.info("peer_lost", peer=peer, cause=str(error))
+            self._listener.peer_failed(peer)
+
+    async def _tell(self, peer: str, told: Sequence[PieceTold]) -> None:
+        for _ in range(TELL_TRIES):
+            try:
+                await self._call(peer, lambda client: client.tell(told))
+                return
+            except PeerLostError as error:
+                log.info("peer_not_told", peer=peer, pieces=len(told), cause=str(error))
+            await asyncio.sleep(TELL_PAUSE_S)
+
+    async def _free(
+        self, peer: str, results: Sequence[StoredResult], ended: str
     ) -> None:
         try:
-            await self._call(peer, call)
+            await self._call(peer, lambda client: client.free(results, ended))
         except PeerLostError as error:
-            log.info("peer_not_told", peer=peer, cause=str(error))
+            log.info("peer_not_told", peer=peer, results=len(results), cause=str(error))
+            # Kept to their time limit they would fill their makers, and whoever calls
+            # those next would find no room there for seconds.
+            self._listener.results_not_passed(results)
 
     async def _call(
         self, peer: str, call: Callable[[GatewayClient], Coroutine[Any, Any, Any]]
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -59,7 +59,7 @@
 LAST_S = 0.5
 # What is left of the grace when requests that were not sent are refused, in seconds:
 # their callers have time to come back elsewhere.
-REFUSE_S = 3.5
+REFUSE_S = 5.0
 POLL_S = 0.05
 
 log = get_logger()
@@ -127,7 +127,8 @@
     host, port = split_address(settings.peer_address)
     await stack.enter_async_context(serve_gateway(handler, host, port))
     exchange = BeliefExchange(links, handler, lambda: store.is_connected, random)
-    for work in [*store.work(), exchange.run(), executor.tick()]:
+    watch = links.watch(lambda: executor.asked_peers)
+    for work in [*store.work(), exchange.run(), executor.tick(), watch]:
         run_beside(stack, work)
 
     metrics = GatewayMetrics()
@@ -169,6 +170,7 @@
     connection that fails. Kept connections end with their next response; what was
     sent to no endpoint is refused truthfully before the grace is over.
     """
+    parts.executor.leave()
     await asyncio.gather(parts.store.leave(), asyncio.sleep(BALANCER_S))
     parts.front.close()
     refuse_at = asyncio.get_running_loop().time() + grace_s - BALANCER_S - REFUSE_S
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -38,6 +38,7 @@
     INPUT_GONE = "input_gone"
     NO_ROOM = "no_room"
     FAILED = "failed"
+    HANDED_BACK = "handed_back"
 
 
 class PieceOutcome(NamedTuple):
@@ -175,9 +176,17 @@
     # Events
 
     def take(self, now: float, asks: Iterable[PieceAsk]) -> Batches:
-        """Take pieces, and send what can be sent."""
+        """
+        Take pieces, and send what can be sent.
+
+        One that waits or runs already is not taken twice: an entry that has heard
+        nothing of it for long asks once more, as the word of its end may be lost.
+        """
         places: dict[tuple[str, str], None] = {}
+        known = self._known()
         for ask in asks:
+            if ask.piece in known:
+                continue
             place = (ask.pool, ask.data_centre)
             self._queues.setdefault(place, []).append(_Waiting(ask, now))
             places[place] = None
@@ -211,6 +220,27 @@
                 self._flush(now, place, batches)
         return batches
 
+    def hand_back(self) -> Batches:
+        """Let askers ask another entry for what waits, as this one leaves."""
+        batches = Batches()
+        for queue in self._queues.values():
+            for waiting in queue:
+                ask = waiting.ask
+                told = PieceTold(
+                    ask.piece,
+                    ask.pool,
+                    ask.data_centre,
+                    fault=PieceFault.HANDED_BACK,
+                )
+                batches.told.setdefault(ask.asker, []).append(told)
+            queue.clear()
+        return batches
+
+    def _known(self) -> set[Piece]:
+        waiting = {w.ask.piece for queue in self._queues.values() for w in queue}
+        running = {ask.piece for call in self._calls.values() for ask in call.asks}
+        return waiting | running
+
     def withdraw(self, request_id: str) -> None:
         """Make no more pieces of a request that has ended."""
         for queue in self._queues.values():
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -27,9 +27,11 @@
 # What an engine needs to its first token, in seconds: reading a prompt of usual length
 # takes 0.1 to 0.3.
 ENGINE_S = 0.25
-# An asked peer is taken to be gone after this, in seconds, beyond what it is
-# predicted to take twice over: calls that are given up take that long.
-PATIENCE_S = 1.2
+# A peer is asked once more for a piece of which nothing was heard for this long, in
+# seconds, beyond what it is predicted to take twice over. It may only be busy: an
+# entry that asked another one then would bring a second caller to an endpoint that is
+# full already, and more of them the fuller it is.
+PATIENCE_S = 2.0
 
 
 @dataclass(slots=True)
@@ -184,15 +186,25 @@
         return news
 
     def tick(self, now: float) -> Gathering:
-        """Send what waited; give up peers that do not answer."""
+        """Send what waited; ask once more for what was not heard of."""
         news = Gathering()
         late = [piece for piece, asked in self._asked.items() if asked.until <= now]
-        for piece in late:
-            self._places.peer_failed(now, self._asked[piece].owner)
         self._ask_again(now, late, news)
         self._pass_on(now, self._batcher.tick(now), news)
         return news
 
+    def leave(self, now: float) -> Gathering:
+        """Own nothing from now on, and hand back what waits here."""
+        self._places.leave()
+        news = Gathering()
+        self._pass_on(now, self._batcher.hand_back(), news)
+        return news
+
+    @property
+    def asked_peers(self) -> frozenset[str]:
+        """The entries that were asked for pieces and have not told of all."""
+        return frozenset(asked.owner for asked in self._asked.values() if asked.owner)
+
     def close(self, now: float, request_id: str) -> list[Action]:
         """Forget a request that has ended, and free its results."""
         found = self._gathered.pop(request_id, None)
@@ -265,13 +277,19 @@
             tuple(result.handle for result in found.graph.inputs_of(piece)),
         )
 
-    def _ask_again(self, now: float, pieces: Iterable[Piece], news: Gathering) -> None:
+    def _ask_again(
+        self,
+        now: float,
+        pieces: Iterable[Piece],
+        news: Gathering,
+        failed: bool = True,
+    ) -> None:
         for piece in pieces:
             self._asked.pop(piece, None)
             found = self._gathered.get(piece.request_id)
             if found is None or piece.request_id in news.failed:
                 continue
-            if found.graph.requeued(piece, failed=True) >= MOST_FAILURES:
+            if found.graph.requeued(piece, failed) >= MOST_FAILURES:
                 news.failed.append(piece.request_id)
             elif found.graph.is_fed(piece):
                 self._ask(now, found, [piece], news)
@@ -341,6 +359,8 @@
             size = found.graph.stages[piece.stage].result_bytes
             result = StoredResult(told.handle, told.endpoint, told.data_centre, size)
             found.graph.finished(piece, result)
+        elif told.fault is PieceFault.HANDED_BACK:
+            self._ask_again(now, [piece], news, failed=False)
         elif told.fault is PieceFault.LATE:
             news.failed.append(piece.request_id)
         elif told.fault is PieceFault.INPUT_GONE:
--- a/packages/policy/src/amaranthtally/policy/places.py
+++ b/packages/policy/src/amaranthtally/policy/places.py
@@ -52,6 +52,7 @@
         self._region = ""
         self._data_centre = ""
         self._peers: dict[str, Peer] = {}
+        self._leaving = False
         self._peer_shut: dict[str, float] = {}
         self._places: dict[tuple[str, str], _Place] = {}
 
@@ -65,14 +66,19 @@
         """Use these live entries beside this one."""
         self._peers = {peer.name: peer for peer in peers if peer.name != self._name}
 
+    def leave(self) -> None:
+        """Own nothing from now on, as this entry leaves."""
+        self._leaving = True
+
     def owner(self, now: float, pool: str, data_centre: str) -> str:
         """Return the entry that calls a pool's endpoints there; empty: this one."""
         own = Peer(self._name, self._data_centre)
         alive = [p for p in self._peers.values() if not self._is_shut(now, p.name)]
-        near = [p for p in [own, *alive] if p.data_centre == data_centre]
+        if not self._leaving or not alive:
+            alive.append(own)
+        near = [p for p in alive if p.data_centre == data_centre]
         chosen = min(
-            near or [own, *alive],
-            key=lambda peer: _weight(peer.name, pool, data_centre),
+            near or alive, key=lambda peer: _weight(peer.name, pool, data_centre)
         )
         return "" if chosen.name == self._name else chosen.name
 
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -1,7 +1,9 @@
 """Decisions of an entry: admission, routing, retries, hedges, answers."""
 
+from collections import deque
 from collections.abc import Iterable
 from random import Random
+from typing import NamedTuple
 
 from amaranthtally.policy.actions import (
     Action,
@@ -44,9 +46,19 @@
 FAILURE_COST = 1.0
 ASKS_PER_S = 20.0
 ASKS_BURST = 10.0
+# When an engine has fetched a request's inputs, in seconds from its sending: three
+# times the way there and back and the transfer of a few results of 1.5 MB.
+FETCH_S = 0.1
 PARTS = Parts()
 
 
+class _Reading(NamedTuple):
+    """When a request's engine has fetched its inputs."""
+
+    at: float
+    request_id: str
+
+
 class Planner:
     """
     One entry's decisions. Each method takes the time and returns actions.
@@ -83,6 +95,7 @@
         )
         self._streams = StreamWatch(self._times, self._loads)
         self._gatherer = parts.gatherer()
+        self._reading: deque[_Reading] = deque()
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -166,6 +179,15 @@
         self._gatherer.replace_peers(peers)
         return []
 
+    @property
+    def asked_peers(self) -> frozenset[str]:
+        """The entries that make pieces for requests of this one now."""
+        return self._gatherer.asked_peers
+
+    def leaving(self, now: float) -> list[Action]:
+        """Make no more pieces for others, as this entry leaves."""
+        return self._follow(now, self._gatherer.leave(now))
+
     def peer_failed(self, now: float, peer: str) -> list[Action]:
         """Ask an entry that did not answer for nothing for a while."""
         return self._follow(now, self._gatherer.peer_failed(now, peer))
@@ -235,6 +257,7 @@
         self._accounts.refresh(now)
         actions = self._membership.greetings(now)
         actions.extend(self._ask_for_loads(now))
+        actions.extend(self._free_what_was_read(now))
         actions.extend(self._follow(now, self._gatherer.tick(now)))
         while (timer := self._timers.due(now)) is not None:
             actions.extend(self._look(now, timer))
@@ -289,6 +312,21 @@
         )
         return self._follow(now, news)
 
+    def _free_what_was_read(self, now: float) -> list[Action]:
+        """
+        Free the inputs of requests that their engines have fetched by now.
+
+        Makers' memory holds some ten results of the largest kind. An engine fetches
+        its inputs as a request comes, and answers with its first token 0.3 s later:
+        freed then, they would take twice as long a share of it.
+        """
+        actions: list[Action] = []
+        while self._reading and self._reading[0].at <= now:
+            request = self._ledger.find(self._reading.popleft().request_id)
+            if request is not None and request.live:
+                actions += self._free_inputs(now, request)
+        return actions
+
     def _free_inputs(self, now: float, request: Request) -> list[Action]:
         """Free what a request has read, as it runs."""
         if not request.inputs:
@@ -320,6 +358,8 @@
     def _gathered(self, now: float, request: Request) -> list[Action]:
         request.gathering = False
         request.inputs = self._gatherer.inputs_of(request.id)
+        if request.inputs:
+            self._reading.append(_Reading(now + FETCH_S, request.id))
         if not request.number:
             return self._start_stage(now, request)
         actions = self._dispatcher.retry(now, request, request.retry_cost)
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -26,6 +26,7 @@
   inputGone @2;
   noRoom @3;
   failed @4;
+  handedBack @5;
 }
 
 struct PieceTold {
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -42,6 +42,7 @@
     PieceFault.INPUT_GONE: "inputGone",
     PieceFault.NO_ROOM: "noRoom",
     PieceFault.FAILED: "failed",
+    PieceFault.HANDED_BACK: "handedBack",
 }
 _FAULTS_BY_NAME = {name: fault for fault, name in _FAULTS.items()}
 
