--- a/packages/daemon/src/amaranthtally/daemon/gateway/belief_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/belief_exchange.py
@@ -15,9 +15,10 @@
 # Peers greeted each time, whatever their number: news reaches every one of n gateways
 # in about log(n) rounds, and the cost of a round does not grow with n.
 GREETED = 2
-# Between rounds while the store answers, and while it does not, in seconds. A machine
-# that the store turns away has the newest configuration in a second or two.
-CALM_S = 3.0
+# Between rounds while the store answers, and while it does not, in seconds. A gateway
+# whose watch has gone silent, or that the store turns away, has the newest
+# configuration in about a second.
+CALM_S = 1.0
 LOST_S = 0.4
 
 log = get_logger()
@@ -58,6 +59,13 @@
             pause_s = CALM_S if self._is_connected() else LOST_S
             await asyncio.sleep(pause_s)
 
+    async def fetch(self, peer: str) -> None:
+        """Take what a peer has newer, as it has greeted this gateway."""
+        try:
+            self._keeper.take_from_peer(await self._links.beliefs(peer))
+        except PeerLostError as error:
+            log.info("peer_not_greeted", peer=peer, cause=str(error))
+
     async def _greet_all(self, peers: Sequence[str]) -> None:
         await asyncio.gather(*(self._greet(peer) for peer in peers))
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -1,6 +1,6 @@
 """What a gateway answers the others."""
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 from amaranthtally.adapter.store import StoreItem
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
@@ -25,10 +25,12 @@
         executor: GatewayExecutor,
         configuration: ConfigurationFollower,
         records: RecordFollower,
+        on_newer: Callable[[str], object],
     ) -> None:
         self._executor = executor
         self._configuration = configuration
         self._records = records
+        self._on_newer = on_newer
 
     @property
     def versions(self) -> Versions:
@@ -36,8 +38,9 @@
         return Versions(self._configuration.version, self._records.at)
 
     def greeted(self, name: str, versions: Versions) -> Versions:
-        """Return this gateway's versions to a peer."""
-        log.debug("peer_greeted", peer=name, theirs=versions.configuration)
+        """Return this gateway's versions to a peer; fetch what it has newer."""
+        if versions.configuration > self._configuration.version:
+            self._on_newer(name)
         return self.versions
 
     def beliefs(self) -> Beliefs:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -123,7 +123,12 @@
     store = StoreLinks(
         client, settings, configuration, records, EntryReader(on_entries), random
     )
-    handler = PeerHandler(executor, configuration, records)
+    handler = PeerHandler(
+        executor,
+        configuration,
+        records,
+        lambda peer: executor.spawn(exchange.fetch(peer)),
+    )
     host, port = split_address(settings.peer_address)
     await stack.enter_async_context(serve_gateway(handler, host, port))
     exchange = BeliefExchange(links, handler, lambda: store.is_connected, random)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
@@ -14,11 +14,19 @@
 from amaranthtally.platform import PlatformError, PlatformHistoryGone, StoreClient
 from amaranthtally.policy import Endpoint, EndpointDirectory, RouteTable
 
-__all__ = ["ConfigurationFollower", "PrefixFollower", "RecordFollower"]
-
-# A watch that hears nothing ends after this, in seconds. A store that has gone
-# silent shows that much later; each watch is a call that the users pay for.
-WATCH_S = 4.0
+__all__ = [
+    "ConfigurationFollower",
+    "PrefixFollower",
+    "Reader",
+    "Readers",
+    "RecordFollower",
+]
+
+# A watch that hears nothing ends after this, in seconds. Watches can go silent without
+# an end: a change that is made meanwhile is heard of that much later, and it must be in
+# force, or an endpoint be left alone, within 2.5 s. Each watch is a call that the users
+# pay for, so that everything is followed by one.
+WATCH_S = 1.2
 # Between tries while the store does not answer, in seconds, spread by a half so that
 # entries do not return to it all at once.
 RETRY_S = 0.25
@@ -27,7 +35,7 @@
 log = get_logger()
 
 
-class _Reader(Protocol):
+class Reader(Protocol):
     """Whoever keeps what lies under a prefix."""
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
@@ -50,7 +58,7 @@
     """Reads a prefix and watches it from there; after a gap it reads anew."""
 
     def __init__(
-        self, client: StoreClient, prefix: str, reader: _Reader, random: Random
+        self, client: StoreClient, prefix: str, reader: Reader, random: Random
     ) -> None:
         self._client = client
         self._prefix = prefix
@@ -119,6 +127,39 @@
         self._reader.regained()
 
 
+class Readers:
+    """Several readers behind one watch, each with the keys under its prefix."""
+
+    def __init__(self, readers: Mapping[str, Reader]) -> None:
+        self._readers = readers
+
+    def replace(self, items: tuple[StoreItem, ...]) -> None:
+        """Take everything that lies in the store."""
+        for prefix, reader in self._readers.items():
+            reader.replace(tuple(i for i in items if i.key.startswith(prefix)))
+
+    def change(self, item: StoreItem) -> None:
+        """Take one change; keys of nobody's are left alone."""
+        for prefix, reader in self._readers.items():
+            if item.key.startswith(prefix):
+                reader.change(item)
+
+    def reached(self, at: int) -> None:
+        """Hear up to which revision of the store nothing was missed."""
+        for reader in self._readers.values():
+            reader.reached(at)
+
+    def lost(self) -> None:
+        """Hear that the store does not answer."""
+        for reader in self._readers.values():
+            reader.lost()
+
+    def regained(self) -> None:
+        """Hear that it answers."""
+        for reader in self._readers.values():
+            reader.regained()
+
+
 class RecordFollower:
     """Keeps the directory of endpoints in step with their records."""
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_links.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_links.py
@@ -16,6 +16,8 @@
 from amaranthtally.daemon.gateway.store_follower import (
     ConfigurationFollower,
     PrefixFollower,
+    Reader,
+    Readers,
     RecordFollower,
 )
 from amaranthtally.platform import StoreClient
@@ -23,6 +25,8 @@
 
 __all__ = ["StoreLinks"]
 
+# The prefix of every key: the store holds nothing that a gateway does not follow.
+EVERYTHING = ""
 # How often endpoints are looked for whose records did not come back, in seconds.
 EXPIRE_S = 0.5
 
@@ -41,25 +45,24 @@
     ) -> None:
         self._records = records
         self._entry_reader = entries
-        self._configuration = PrefixFollower(
-            client, CONFIGURATION_KEY, configuration, random
-        )
-        self._endpoints = PrefixFollower(client, SERVERS_PREFIX, records, random)
-        self._entries = PrefixFollower(client, ENTRIES_PREFIX, entries, random)
+        readers: dict[str, Reader] = {
+            CONFIGURATION_KEY: configuration,
+            SERVERS_PREFIX: records,
+            ENTRIES_PREFIX: entries,
+        }
+        self._follower = PrefixFollower(client, EVERYTHING, Readers(readers), random)
         record = EntryRecord(settings.peer_address, settings.data_centre)
         self._registration = Registration(client, settings.name, record, random)
 
     @property
     def is_connected(self) -> bool:
-        """Whether the store answered last time, to every question."""
-        return self._configuration.is_connected and self._endpoints.is_connected
+        """Whether the store answered last time."""
+        return self._follower.is_connected
 
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return what is to run beside the requests."""
         return [
-            self._configuration.follow(),
-            self._endpoints.follow(),
-            self._entries.follow(),
+            self._follower.follow(),
             self._registration.keep(),
             self._expire(),
         ]
--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -2,6 +2,7 @@
 
 from hashlib import blake2b
 
+from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.loads import EndpointLoad
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageStats
@@ -19,13 +20,15 @@
 # result of 1.5 MB counts like 0.015 s. By the users' prices it costs a sixth of what
 # reading the shared parts of its prompt once more does.
 CROSSING_S_PER_BYTE = 0.01e-6
-# How much an engine that nobody remembers to hold a part is preferred for it, in
-# seconds. Entries that know nothing of each other then still send one part to one
-# engine; more than this of load moves it elsewhere.
-PLACE_S = 0.15
+# How much the engine to which a prompt belongs is preferred though nobody remembers
+# that it holds the shared parts, as a share of the time to read them. Entries that know
+# nothing of each other then still send one part to one engine; more load than this
+# moves it elsewhere, and a short part crosses no region for it.
+PLACE_SHARE = 0.8
 # What a failed attempt costs its caller, in seconds: the retry waits for new inputs.
 FAILURE_S = 1.0
 PLACE_BYTES = 8
+NOTHING_KNOWN = StageStats()
 
 
 class AffinityRouter(Router):
@@ -36,12 +39,34 @@
     sheet a long prompt takes 0.28 s to read and its own part a third of that.
     """
 
+    def likely_place(self, now: float, arrival: Arrival) -> str:
+        """Return where the engine stands that a request's prompt belongs to."""
+        if not arrival.prefix:
+            return ""
+        stage = arrival.pipeline.stages[-1]
+        wanted = RouteRequest(
+            stage,
+            arrival.deadline,
+            arrival.deadline,
+            arrival.pipeline.weight_attainment,
+            arrival.input_bytes,
+            arrival.prefix,
+            prefix_sizes=arrival.prefix_sizes,
+        )
+        choice = self._choose_engine(now, wanted, NOTHING_KNOWN)
+        return "" if choice is None else choice.endpoint.data_centre
+
     def choose(
         self, now: float, wanted: RouteRequest, stats: StageStats
     ) -> Choice | None:
         """Return the best candidate, or ``None`` when the pool takes no work."""
         if not wanted.prefix:
             return super().choose(now, wanted, stats)
+        return self._choose_engine(now, wanted, stats)
+
+    def _choose_engine(
+        self, now: float, wanted: RouteRequest, stats: StageStats
+    ) -> Choice | None:
         regions = self._groups.of(wanted.stage)
         group = [endpoint for members in regions.values() for endpoint in members]
         usable = self._usable(now, group, wanted)
@@ -91,7 +116,8 @@
         shared = wanted.prefix[-2] if len(wanted.prefix) > 1 else wanted.prefix[0]
         ids = [load.endpoint.id for load in usable]
         ranked = sorted(ids, key=lambda name: _weight(name, shared))
-        step_s = PLACE_S / max(1, len(ranked) - 1)
+        shared_s = sum(wanted.prefix_sizes[:-1]) * READ_S_PER_TOKEN
+        step_s = PLACE_SHARE * shared_s / max(1, len(ranked) - 1)
         return {name: step_s * rank for rank, name in enumerate(ranked)}
 
 
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -42,6 +42,7 @@
     deadline: float
     priority: int
     home: str
+    reader: str
 
 
 class _Asked(NamedTuple):
@@ -134,11 +135,16 @@
         objective: float,
         deadline: float,
         priority: int,
+        reader: str = "",
     ) -> Gathering:
-        """Take a request in and have its first pieces made."""
+        """
+        Take a request in and have its first pieces made.
+
+        ``reader`` is the data centre in which the request itself will likely run.
+        """
         ensure(request_id not in self._gathered, "a request's pieces begin once")
         graph = PieceGraph(request_id, stages, counts)
-        found = _Gathered(graph, key, objective, deadline, priority, "")
+        found = _Gathered(graph, key, objective, deadline, priority, "", reader)
         self._gathered[request_id] = found
         return self._advance(now, found)
 
@@ -257,7 +263,7 @@
     def _ask_for(self, now: float, found: _Gathered, piece: Piece) -> PieceAsk | None:
         stage = found.graph.stages[piece.stage]
         candidates = self._batcher.servers.places(stage.pool)
-        place = self._places.best(now, stage.pool, candidates, found.home)
+        place = self._places.best(now, stage.pool, candidates, found.home, found.reader)
         if place is None:
             return None
         found.home = found.home or place
--- a/packages/policy/src/amaranthtally/policy/places.py
+++ b/packages/policy/src/amaranthtally/policy/places.py
@@ -12,6 +12,9 @@
 # there, and what the results' traffic costs, against waiting.
 AWAY_REGION_S = 0.25
 AWAY_CENTRE_S = 0.1
+# By how much longer a wait is accepted where results will be read, in seconds. Read
+# there, they cross no link: by the users' prices that is worth a tenth of a second.
+READER_S = 0.3
 # How long a place that failed is left alone, in seconds; each failure in a row
 # doubles it up to the longest. An endpoint that restarts is away for a few.
 FIRST_SHUT_S = 0.5
@@ -119,12 +122,18 @@
         return max(0.0, place.wait_s - (now - place.heard_at))
 
     def best(
-        self, now: float, pool: str, candidates: Mapping[str, Endpoint], home: str = ""
+        self,
+        now: float,
+        pool: str,
+        candidates: Mapping[str, Endpoint],
+        home: str = "",
+        reader: str = "",
     ) -> str | None:
         """
         Return the data centre in which to run pieces, ``home`` if it takes any.
 
         ``candidates`` holds an endpoint of each data centre; ``None`` without any.
+        ``reader`` is where their results will be read, empty where that is not known.
         """
         open_places = {
             name: endpoint
@@ -136,7 +145,9 @@
         return min(
             open_places,
             key=lambda name: (
-                self.wait_s(now, pool, name) + self.distance_s(open_places[name])
+                self.wait_s(now, pool, name)
+                + self.distance_s(open_places[name])
+                - READER_S * (name == reader)
             ),
             default=None,
         )
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -309,6 +309,7 @@
             arrival.objective or arrival.deadline,
             arrival.deadline,
             arrival.priority,
+            self._router.likely_place(now, arrival),
         )
         return self._follow(now, news)
 
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import EndpointLoad, LoadTable
 from amaranthtally.policy.model import Endpoint
@@ -76,6 +77,10 @@
         stale, self._stale = self._stale, []
         return [name for name in stale if self._groups.find(name) is not None]
 
+    def likely_place(self, now: float, arrival: Arrival) -> str:
+        """Return the data centre in which a request will likely run, or nothing."""
+        return ""
+
     def choose(
         self, now: float, wanted: RouteRequest, stats: StageStats
     ) -> Choice | None:
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -2,22 +2,20 @@
 # two hosts are never compared. A time that has passed is negative.
 @0xb7c1d20a3f5e9c41;
 
-struct Piece {
+struct PieceAsk {
+  # Pieces of one stage of one request: what they read is told once for all of them,
+  # since it is most of the message and links between regions are paid for by the byte.
   requestId @0 :Text;
   stage @1 :UInt16;
-  number @2 :UInt16;
-}
-
-struct PieceAsk {
-  piece @0 :Piece;
-  pool @1 :Text;
-  dataCentre @2 :Text;
-  resultBytes @3 :Float64;
-  startByMicros @4 :Int64;
-  deadlineMicros @5 :Int64;
-  priority @6 :UInt16;
-  key @7 :Text;
-  inputs @8 :List(Text);
+  numbers @2 :List(UInt16);
+  pool @3 :Text;
+  dataCentre @4 :Text;
+  resultBytes @5 :Float64;
+  startByMicros @6 :Int64;
+  deadlineMicros @7 :Int64;
+  priority @8 :UInt16;
+  key @9 :Text;
+  inputs @10 :List(Text);
 }
 
 enum Fault {
@@ -29,14 +27,21 @@
   handedBack @5;
 }
 
+struct Outcome {
+  number @0 :UInt16;
+  handle @1 :Text;
+  fault @2 :Fault;
+}
+
 struct PieceTold {
-  piece @0 :Piece;
-  pool @1 :Text;
-  dataCentre @2 :Text;
-  endpoint @3 :Text;
-  handle @4 :Text;
-  fault @5 :Fault;
-  waitMicros @6 :Int64;
+  # Pieces of one stage of one request that one endpoint made, or did not.
+  requestId @0 :Text;
+  stage @1 :UInt16;
+  pool @2 :Text;
+  dataCentre @3 :Text;
+  endpoint @4 :Text;
+  waitMicros @5 :Int64;
+  outcomes @6 :List(Outcome);
 }
 
 struct StoredResult {
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -1,9 +1,9 @@
 """Conversion between gateways' messages and Cap'n Proto structs."""
 
-from collections.abc import Iterable
-from dataclasses import dataclass
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, TypeVar
 
 import capnp
 
@@ -36,6 +36,8 @@
 gateway_schema: Any = capnp.load(str(Path(__file__).with_name("gateway.capnp")))
 
 MICROSECONDS = 1_000_000
+
+T = TypeVar("T")
 _FAULTS = {
     None: "none",
     PieceFault.LATE: "late",
@@ -75,25 +77,30 @@
 
 
 def write_asks(target: Any, asks: Iterable[PieceAsk], now: float) -> None:
-    """Fill the pieces of an ``ask``."""
-    asks = tuple(asks)
-    for item, ask in zip(target.init("asks", len(asks)), asks, strict=True):
-        _write_piece(item.piece, ask.piece)
-        item.pool = ask.pool
-        item.dataCentre = ask.data_centre
-        item.resultBytes = ask.result_bytes
-        item.startByMicros = _micros(ask.start_by - now)
-        item.deadlineMicros = _micros(ask.deadline - now)
-        item.priority = ask.priority
-        item.key = ask.key
-        item.inputs = list(ask.inputs)
+    """Fill the pieces of an ``ask``, those of one stage of a request together."""
+    groups = _grouped(asks, lambda ask: (ask.piece[:2], ask.inputs, ask.data_centre))
+    for item, group in zip(target.init("asks", len(groups)), groups, strict=True):
+        first = group[0]
+        item.requestId = first.piece.request_id
+        item.stage = first.piece.stage
+        item.numbers = [ask.piece.number for ask in group]
+        item.pool = first.pool
+        item.dataCentre = first.data_centre
+        item.resultBytes = first.result_bytes
+        item.startByMicros = _micros(first.start_by - now)
+        item.deadlineMicros = _micros(first.deadline - now)
+        item.priority = first.priority
+        item.key = first.key
+        item.inputs = list(first.inputs)
 
 
 def read_asks(source: Any, now: float) -> tuple[PieceAsk, ...]:
     """Return the pieces of an ``ask``, with time stamps of this process."""
-    return tuple(
-        PieceAsk(
-            piece=_read_piece(item.piece),
+    asks: list[PieceAsk] = []
+    for item in source:
+        request_id, stage = item.requestId, item.stage
+        first = PieceAsk(
+            piece=Piece(request_id, stage, 0),
             pool=item.pool,
             data_centre=item.dataCentre,
             result_bytes=item.resultBytes,
@@ -103,36 +110,45 @@
             key=item.key,
             inputs=tuple(item.inputs),
         )
-        for item in source
-    )
+        asks += [
+            replace(first, piece=Piece(request_id, stage, number))
+            for number in item.numbers
+        ]
+    return tuple(asks)
 
 
 def write_told(target: Any, told: Iterable[PieceTold]) -> None:
-    """Fill the pieces of a ``tell``."""
-    told = tuple(told)
-    for item, one in zip(target.init("told", len(told)), told, strict=True):
-        _write_piece(item.piece, one.piece)
-        item.pool = one.pool
-        item.dataCentre = one.data_centre
-        item.endpoint = one.endpoint
-        item.handle = one.handle
-        item.fault = _FAULTS[one.fault]
-        item.waitMicros = _micros(one.wait_s)
+    """Fill the pieces of a ``tell``, those of one stage of a request together."""
+    groups = _grouped(told, lambda one: (one.piece[:2], one.endpoint, one.data_centre))
+    for item, group in zip(target.init("told", len(groups)), groups, strict=True):
+        first = group[0]
+        item.requestId = first.piece.request_id
+        item.stage = first.piece.stage
+        item.pool = first.pool
+        item.dataCentre = first.data_centre
+        item.endpoint = first.endpoint
+        item.waitMicros = _micros(first.wait_s)
+        outcomes = item.init("outcomes", len(group))
+        for outcome, one in zip(outcomes, group, strict=True):
+            outcome.number = one.piece.number
+            outcome.handle = one.handle
+            outcome.fault = _FAULTS[one.fault]
 
 
 def read_told(source: Any) -> tuple[PieceTold, ...]:
     """Return the pieces of a ``tell``."""
     return tuple(
         PieceTold(
-            piece=_read_piece(item.piece),
+            piece=Piece(item.requestId, item.stage, outcome.number),
             pool=item.pool,
             data_centre=item.dataCentre,
             endpoint=item.endpoint,
-            handle=item.handle,
-            fault=_FAULTS_BY_NAME[str(item.fault)],
+            handle=outcome.handle,
+            fault=_FAULTS_BY_NAME[str(outcome.fault)],
             wait_s=item.waitMicros / MICROSECONDS,
         )
         for item in source
+        for outcome in item.outcomes
     )
 
 
@@ -187,14 +203,11 @@
     return Beliefs(read_versions(source.versions), bytes(source.configuration), records)
 
 
-def _write_piece(target: Any, piece: Piece) -> None:
-    target.requestId = piece.request_id
-    target.stage = piece.stage
-    target.number = piece.number
-
-
-def _read_piece(source: Any) -> Piece:
-    return Piece(source.requestId, source.stage, source.number)
+def _grouped(items: Iterable[T], key: Callable[[T], object]) -> list[list[T]]:
+    groups: dict[object, list[T]] = {}
+    for item in items:
+        groups.setdefault(key(item), []).append(item)
+    return list(groups.values())
 
 
 def _micros(seconds: float) -> int:
