Free what pieces read once it is read

Cause: makers' memory bounds the second stage (3.5 MB, ten requests): results were kept until the reading call had ended, 0.3 s after they had been read.

--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -1,5 +1,6 @@
 """Which pieces share a call, and in which order: one entry decides for an endpoint."""
 
+from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
@@ -26,6 +27,9 @@
 # within the way between them: the first, sent alone, would make the others wait for
 # a whole call of 0.2 s and more.
 LINGER_S = 0.012
+# When an endpoint has read what a call's pieces need, in seconds from its sending: the
+# way there, and twice the transfer of some hundred kilobytes.
+FETCH_S = 0.05
 # How long pieces wait for an endpoint that fails before they are given back to be
 # asked for elsewhere, in seconds: two tries of an endpoint that only was full.
 GIVE_BACK_S = 0.5
@@ -70,7 +74,8 @@
 
     Its call must begin by ``start_by`` for its request to be on time, and by
     ``deadline`` for it to be answered at all. ``asker`` names the entry, empty for
-    this one. ``key`` or ``inputs`` are what the piece reads.
+    this one. ``key`` or ``inputs`` are what the piece reads, ``siblings`` the
+    pieces of its stage, itself included, that read the same.
     """
 
     piece: Piece
@@ -81,12 +86,17 @@
     deadline: float
     priority: int = 0
     key: str = ""
-    inputs: tuple[str, ...] = ()
+    inputs: tuple[StoredResult, ...] = ()
+    siblings: int = 1
     asker: str = ""
 
 
 class PieceTold(NamedTuple):
-    """What became of a piece that was asked for; ``wait_s`` is the wait there now."""
+    """
+    What became of a piece that was asked for; ``wait_s`` is the wait there now.
+
+    ``inputs_freed`` says that what it read was freed as soon as it had been read.
+    """
 
     piece: Piece
     pool: str
@@ -95,13 +105,19 @@
     handle: str = ""
     fault: PieceFault | None = None
     wait_s: float = 0.0
+    inputs_freed: bool = False
 
 
 @dataclass(slots=True)
 class Batches:
-    """What follows from an event: actions, and what askers are to be told."""
+    """
+    What follows from an event: actions, and what askers are to be told.
+
+    ``read`` are results that every piece has read that was to read them.
+    """
 
     actions: list[Action] = field(default_factory=list)
+    read: list[StoredResult] = field(default_factory=list)
     told: dict[str, list[PieceTold]] = field(default_factory=dict)
 
 
@@ -115,16 +131,30 @@
         Return a sort key: first who can still be on time, of them the most urgent.
 
         What is late already earns its caller little: served first, it would make
-        others late as well, and in a burst all would be.
+        others late as well, and in a burst all would be. But what has begun is gone
+        on with: its results fill the memory of their makers until they are read, and
+        those that wait for four seconds have to be made once more.
         """
         ask = self.ask
-        late = now > ask.start_by
+        late = now > ask.start_by and not ask.inputs
         return (late, ask.priority, ask.start_by, ask.piece.request_id)
 
 
 class _Call(NamedTuple):
+    """``whole`` holds the requests of which every sibling is in the call."""
+
     endpoint: str
     asks: tuple[PieceAsk, ...]
+    whole: frozenset[str]
+
+
+class _Reading(NamedTuple):
+    """Results that a request's pieces in a call have read by a time."""
+
+    at: float
+    call: int
+    request_id: str
+    results: tuple[StoredResult, ...]
 
 
 class Batcher:
@@ -143,6 +173,7 @@
         self._servers = PieceServers()
         self._queues: dict[tuple[str, str], list[_Waiting]] = {}
         self._calls: dict[int, _Call] = {}
+        self._reading: deque[_Reading] = deque()
         self._next_call = 0
 
     @property
@@ -151,9 +182,9 @@
         return self._servers
 
     @property
-    def waiting(self) -> int:
-        """Pieces that were asked for and not sent."""
-        return sum(len(queue) for queue in self._queues.values())
+    def is_busy(self) -> bool:
+        """Whether anything here waits for the passing of time."""
+        return bool(self._reading) or any(self._queues.values())
 
     def configure(
         self, endpoints: Mapping[str, Endpoint], pools: Mapping[str, Pool]
@@ -202,12 +233,17 @@
         if server is not None:
             self._note_end(now, server, call_id, end)
         batches = Batches()
+        freed = call.whole - self._keep_inputs(call_id, call, end)
         if end.outcomes:
             for ask, outcome in zip(call.asks, end.outcomes, strict=True):
-                self._take_outcome(now, call.endpoint, server, ask, outcome, batches)
+                has_freed = ask.piece.request_id in freed
+                self._take_outcome(
+                    now, call.endpoint, server, ask, outcome, has_freed, batches
+                )
         else:
             for ask in call.asks:
-                self._call_failed(now, ask, end, batches)
+                has_freed = ask.piece.request_id in freed
+                self._call_failed(now, ask, end, has_freed, batches)
         ask = call.asks[0]
         self._flush(now, (ask.pool, ask.data_centre), batches)
         return batches
@@ -215,6 +251,8 @@
     def tick(self, now: float) -> Batches:
         """Send what waited for an endpoint; give back what waits for a failed one."""
         batches = Batches()
+        while self._reading and self._reading[0].at <= now:
+            batches.read += self._reading.popleft().results
         for place, queue in self._queues.items():
             if queue:
                 self._flush(now, place, batches)
@@ -276,24 +314,60 @@
         server: PieceServer | None,
         ask: PieceAsk,
         outcome: PieceOutcome,
+        has_freed: bool,
         batches: Batches,
     ) -> None:
         if outcome.fault is PieceFault.NO_ROOM:
             if server is not None:
                 server.had_no_room(now)
-            self._again(now, ask)
-            return
+            if not has_freed:
+                self._again(now, ask)
+                return
+            outcome = PieceOutcome(fault=PieceFault.INPUT_GONE)
         if server is not None and outcome.handle:
             server.keeps(now, outcome.handle, ask.result_bytes)
-        self._tell(now, ask, endpoint, outcome, batches)
+        self._tell(now, ask, endpoint, outcome, batches, has_freed)
+
+    def _keep_inputs(
+        self, call_id: int, call: _Call, end: PiecesEnded
+    ) -> frozenset[str]:
+        """
+        Return the requests in a call whose inputs have to be kept.
+
+        Those with a piece that has to be made again, where nothing was freed yet: an
+        endpoint that has no room says so in milliseconds.
+        """
+        if end.outcomes:
+            outcomes = zip(call.asks, end.outcomes, strict=True)
+            wanted = {a.piece.request_id for a, o in outcomes if o.fault is not None}
+        else:
+            wanted = set(call.whole)
+        kept = {
+            reading.request_id
+            for reading in self._reading
+            if reading.call == call_id and reading.request_id in wanted
+        }
+        if kept:
+            self._reading = deque(
+                reading
+                for reading in self._reading
+                if reading.call != call_id or reading.request_id not in kept
+            )
+        return frozenset(kept)
 
     def _call_failed(
-        self, now: float, ask: PieceAsk, end: PiecesEnded, batches: Batches
+        self,
+        now: float,
+        ask: PieceAsk,
+        end: PiecesEnded,
+        has_freed: bool,
+        batches: Batches,
     ) -> None:
-        if end.refused:
+        if end.refused and not has_freed:
             self._again(now, ask)
         else:
-            self._tell(now, ask, "", PieceOutcome(fault=PieceFault.FAILED), batches)
+            outcome = PieceOutcome(fault=PieceFault.FAILED)
+            self._tell(now, ask, "", outcome, batches, has_freed)
 
     def _again(self, now: float, ask: PieceAsk) -> None:
         place = (ask.pool, ask.data_centre)
@@ -306,6 +380,7 @@
         endpoint: str,
         outcome: PieceOutcome,
         batches: Batches,
+        inputs_freed: bool = False,
     ) -> None:
         told = PieceTold(
             ask.piece,
@@ -315,6 +390,7 @@
             outcome.handle,
             outcome.fault,
             self.wait_s(now, ask.pool, ask.data_centre),
+            inputs_freed,
         )
         batches.told.setdefault(ask.asker, []).append(told)
 
@@ -375,10 +451,30 @@
         timeout_s = server.timeout_s(now, len(asks))
         size = sum(ask.result_bytes for ask in asks)
         server.sent(now, self._next_call, len(asks), size)
-        self._calls[self._next_call] = _Call(server.endpoint.id, asks)
+        whole = self._note_reading(now, asks)
+        self._calls[self._next_call] = _Call(server.endpoint.id, asks, whole)
         orders = tuple(_order(ask) for ask in asks)
         return RunPieces(self._next_call, server.endpoint.id, orders, timeout_s)
 
+    def _note_reading(self, now: float, asks: tuple[PieceAsk, ...]) -> frozenset[str]:
+        """
+        Remember which results are read once the call has begun.
+
+        An endpoint reads what its pieces need at the call's turn, which is at once:
+        it has no other caller. Kept to the call's end, 0.3 s later, they would take
+        up half as much memory again at their makers, whose room is what bounds them.
+        """
+        counts = Counter((ask.piece.request_id, ask.piece.stage) for ask in asks)
+        whole: dict[str, tuple[StoredResult, ...]] = {}
+        for ask in asks:
+            piece = ask.piece
+            if ask.inputs and counts[piece.request_id, piece.stage] == ask.siblings:
+                whole[piece.request_id] = ask.inputs
+        at = now + FETCH_S
+        for request_id, results in whole.items():
+            self._reading.append(_Reading(at, self._next_call, request_id, results))
+        return frozenset(whole)
+
     def _drop_late(self, now: float, queue: list[_Waiting], batches: Batches) -> None:
         late = [waiting for waiting in queue if waiting.ask.deadline <= now]
         for waiting in late:
@@ -423,5 +519,5 @@
         ask.piece.number,
         ask.deadline,
         ask.key,
-        ask.inputs,
+        tuple(result.handle for result in ask.inputs),
     )
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -280,7 +280,8 @@
             found.deadline - self._after_s(found, piece.stage),
             found.priority,
             "" if stage.after else found.key,
-            tuple(result.handle for result in found.graph.inputs_of(piece)),
+            found.graph.inputs_of(piece),
+            found.graph.count(piece.stage),
         )
 
     def _ask_again(
@@ -300,7 +301,7 @@
             elif found.graph.is_fed(piece):
                 self._ask(now, found, [piece], news)
             else:
-                found.graph.wait_again(piece)
+                news.actions += self._free(now, found.graph.lose_inputs_of(piece))
 
     def _patience_until(self, now: float, ask: PieceAsk) -> float:
         wait_s = self._wait_s(now, ask.pool, ask.data_centre)
@@ -334,6 +335,7 @@
 
     def _pass_on(self, now: float, batches: Batches, news: Gathering) -> None:
         news.actions += batches.actions
+        news.actions += self._free(now, batches.read)
         for asker, told in batches.told.items():
             if asker:
                 news.actions.append(TellPeer(asker, tuple(told)))
@@ -351,6 +353,8 @@
                 # Its request has ended, or it was made elsewhere meanwhile.
                 news.actions += self._free(now, _results_of(one))
                 continue
+            if one.inputs_freed:
+                found.graph.forget_inputs_of(one.piece)
             self._take_one(now, found, one, news)
             touched[one.piece.request_id] = None
         for request_id in touched:
@@ -370,21 +374,12 @@
         elif told.fault is PieceFault.LATE:
             news.failed.append(piece.request_id)
         elif told.fault is PieceFault.INPUT_GONE:
-            self._lose_inputs(now, found, piece, news)
+            news.actions += self._free(now, found.graph.lose_inputs_of(piece))
         else:
             self._places.failed(now, told.pool, told.data_centre)
             found.home = ""
             self._ask_again(now, [piece], news)
 
-    def _lose_inputs(
-        self, now: float, found: _Gathered, piece: Piece, news: Gathering
-    ) -> None:
-        """Make what a piece reads again, unless a sibling has had that done."""
-        if found.graph.is_fed(piece):
-            news.actions += self._free(now, found.graph.lose_inputs_of(piece))
-        else:
-            found.graph.wait_again(piece)
-
     def _continue(self, now: float, request_id: str, news: Gathering) -> None:
         """Have made what a result made due."""
         found = self._gathered.get(request_id)
--- a/packages/policy/src/amaranthtally/policy/piece_graph.py
+++ b/packages/policy/src/amaranthtally/policy/piece_graph.py
@@ -104,10 +104,6 @@
         wanted = sum(self.count(i) for i in self._stages[piece.stage].after)
         return len(self.inputs_of(piece)) == wanted
 
-    def wait_again(self, piece: Piece) -> None:
-        """Take a queued piece back, as what it reads has to be made again."""
-        self._record(piece).state = PieceState.WAITING
-
     def started(self, piece: Piece) -> None:
         """Note that a piece is sent."""
         self._record(piece).state = PieceState.RUNNING
@@ -155,11 +151,17 @@
             taken += self._take_results(index)
         return taken
 
+    def forget_inputs_of(self, piece: Piece) -> None:
+        """Note that what a piece read is kept no more."""
+        for index in self._stages[piece.stage].after:
+            self._take_results(index)
+
     def lose_inputs_of(self, piece: Piece) -> list[StoredResult]:
         """
         Start the stages that a piece reads again, as one of their results is gone.
 
-        Which one is not told; the others are returned, to be freed.
+        Which one is not told; the others are returned, to be freed. Those that a
+        sibling has had started again already go on.
         """
         self._record(piece).state = PieceState.WAITING
         return self._restart(self._stages[piece.stage].after)
@@ -216,7 +218,11 @@
         return all(r.state is PieceState.DONE for r in self._records[index])
 
     def _is_fed(self, index: int) -> bool:
-        return all(self._is_stage_done(i) for i in self._stages[index].after)
+        return all(
+            record.state is PieceState.DONE and record.result is not None
+            for earlier in self._stages[index].after
+            for record in self._records[earlier]
+        )
 
     def _is_needed(self, index: int) -> bool:
         # A stage whose readers are all done is not run again for its lost results.
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -116,8 +116,8 @@
 
     @property
     def has_pieces(self) -> bool:
-        """Whether pieces wait to be made, of whichever entry's requests."""
-        return self._gatherer.batcher.waiting > 0
+        """Whether pieces are to be made, of whichever entry's requests."""
+        return self._gatherer.batcher.is_busy
 
     @property
     def counters(self) -> Counters:
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -15,7 +15,9 @@
   deadlineMicros @7 :Int64;
   priority @8 :UInt16;
   key @9 :Text;
-  inputs @10 :List(Text);
+  inputs @10 :List(StoredResult);
+  # How many pieces of the stage read the same inputs.
+  siblings @11 :UInt16;
 }
 
 enum Fault {
@@ -42,6 +44,7 @@
   endpoint @4 :Text;
   waitMicros @5 :Int64;
   outcomes @6 :List(Outcome);
+  inputsFreed @7 :Bool;
 }
 
 struct StoredResult {
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -91,7 +91,8 @@
         item.deadlineMicros = _micros(first.deadline - now)
         item.priority = first.priority
         item.key = first.key
-        item.inputs = list(first.inputs)
+        _write_results(item.init("inputs", len(first.inputs)), first.inputs)
+        item.siblings = first.siblings
 
 
 def read_asks(source: Any, now: float) -> tuple[PieceAsk, ...]:
@@ -108,7 +109,8 @@
             deadline=now + item.deadlineMicros / MICROSECONDS,
             priority=item.priority,
             key=item.key,
-            inputs=tuple(item.inputs),
+            inputs=read_results(item.inputs),
+            siblings=item.siblings,
         )
         asks += [
             replace(first, piece=Piece(request_id, stage, number))
@@ -119,7 +121,7 @@
 
 def write_told(target: Any, told: Iterable[PieceTold]) -> None:
     """Fill the pieces of a ``tell``, those of one stage of a request together."""
-    groups = _grouped(told, lambda one: (one.piece[:2], one.endpoint, one.data_centre))
+    groups = _grouped(told, lambda one: (one.piece[:2], one[1:4], one.inputs_freed))
     for item, group in zip(target.init("told", len(groups)), groups, strict=True):
         first = group[0]
         item.requestId = first.piece.request_id
@@ -128,6 +130,7 @@
         item.dataCentre = first.data_centre
         item.endpoint = first.endpoint
         item.waitMicros = _micros(first.wait_s)
+        item.inputsFreed = first.inputs_freed
         outcomes = item.init("outcomes", len(group))
         for outcome, one in zip(outcomes, group, strict=True):
             outcome.number = one.piece.number
@@ -146,6 +149,7 @@
             handle=outcome.handle,
             fault=_FAULTS_BY_NAME[str(outcome.fault)],
             wait_s=item.waitMicros / MICROSECONDS,
+            inputs_freed=item.inputsFreed,
         )
         for item in source
         for outcome in item.outcomes
@@ -155,7 +159,11 @@
 def write_results(target: Any, results: Iterable[StoredResult]) -> None:
     """Fill the results of a ``free``."""
     results = tuple(results)
-    for item, one in zip(target.init("results", len(results)), results, strict=True):
+    _write_results(target.init("results", len(results)), results)
+
+
+def _write_results(items: Any, results: Iterable[StoredResult]) -> None:
+    for item, one in zip(items, results, strict=True):
         item.handle = one.handle
         item.endpoint = one.endpoint
         item.dataCentre = one.data_centre
