Refuse late requests at once where those on time leave them no place

Cause: in a burst, pieces that could not be on time any more waited to the end of their time behind those that could, and were refused then.

--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -131,12 +131,10 @@
         Return a sort key: first who can still be on time, of them the most urgent.
 
         What is late already earns its caller little: served first, it would make
-        others late as well, and in a burst all would be. But what has begun is gone
-        on with: its results fill the memory of their makers until they are read, and
-        those that wait for four seconds have to be made once more.
+        others late as well, and in a burst all would be.
         """
         ask = self.ask
-        late = now > ask.start_by and not ask.inputs
+        late = now > ask.start_by
         return (late, ask.priority, ask.start_by, ask.piece.request_id)
 
 
@@ -408,6 +406,7 @@
                 chosen = self._choose(now, server, queue)
                 if chosen:
                     batches.actions.append(self._send(now, server, queue, chosen))
+        self._drop_crowded_out(now, queue, servers, batches)
         if not any(server.is_usable(now) for server in servers):
             self._give_back(now, queue, not servers, batches)
 
@@ -415,24 +414,25 @@
         self, now: float, server: PieceServer, queue: list[_Waiting]
     ) -> list[_Waiting]:
         """
-        Return the pieces of the next call: whole stages of requests where they fit.
+        Return the pieces of the next call: all of a request's where they fit.
 
         A request goes on when its last piece is made. Cut by the end of a batch, its
         stage takes two calls, and the pieces in the first have gained nothing.
         """
         if len(queue) < server.limits.batch and not self._has_lingered(now, queue):
             return []
-        queue.sort(key=lambda waiting: waiting.urgency(now))
         places = server.limits.batch
         room = server.room_bytes(now)
         chosen: list[_Waiting] = []
-        for group in _by_request(queue):
+        groups = _by_request(queue)
+        groups.sort(key=lambda group: min(w.urgency(now) for w in group))
+        for group in groups:
             size = sum(waiting.ask.result_bytes for waiting in group)
             if len(group) <= places and size <= room:
                 chosen += group
                 places -= len(group)
                 room -= size
-        return chosen or _as_many(queue, places, room)
+        return chosen or _as_many(groups[0], places, room)
 
     def _has_lingered(self, now: float, queue: list[_Waiting]) -> bool:
         return any(now - waiting.since >= LINGER_S for waiting in queue)
@@ -482,6 +482,28 @@
             outcome = PieceOutcome(fault=PieceFault.LATE)
             self._tell(now, waiting.ask, "", outcome, batches)
 
+    def _drop_crowded_out(
+        self,
+        now: float,
+        queue: list[_Waiting],
+        servers: list[PieceServer],
+        batches: Batches,
+    ) -> None:
+        """
+        Refuse late requests at once where those on time leave them no place.
+
+        Kept, they would wait to the end of their time and be refused then: their
+        callers learn nothing for seconds, and can't come back when there is room.
+        """
+        places = sum(server.limits.batch for server in servers)
+        on_time = sum(now <= waiting.ask.start_by for waiting in queue)
+        if on_time < places:
+            return
+        for waiting in [w for w in queue if now > w.ask.start_by and not w.ask.inputs]:
+            queue.remove(waiting)
+            outcome = PieceOutcome(fault=PieceFault.LATE)
+            self._tell(now, waiting.ask, "", outcome, batches)
+
     def _give_back(
         self, now: float, queue: list[_Waiting], at_once: bool, batches: Batches
     ) -> None:
@@ -493,18 +515,23 @@
             self._tell(now, waiting.ask, "", outcome, batches)
 
 
-def _by_request(queue: list[_Waiting]) -> Iterable[list[_Waiting]]:
-    groups: dict[tuple[str, int], list[_Waiting]] = {}
+def _by_request(queue: list[_Waiting]) -> list[list[_Waiting]]:
+    """
+    Return the pieces of each request together, whichever stages they belong to.
+
+    Parted, the branch of a graph that has more time would wait until it is late, and
+    meanwhile the results of the others run out of theirs.
+    """
+    groups: dict[str, list[_Waiting]] = {}
     for waiting in queue:
-        piece = waiting.ask.piece
-        groups.setdefault((piece.request_id, piece.stage), []).append(waiting)
-    return groups.values()
+        groups.setdefault(waiting.ask.piece.request_id, []).append(waiting)
+    return list(groups.values())
 
 
-def _as_many(queue: list[_Waiting], places: int, room: float) -> list[_Waiting]:
-    """Return as many pieces as fit, of a stage that is too large for one call."""
+def _as_many(group: list[_Waiting], places: int, room: float) -> list[_Waiting]:
+    """Return as many pieces as fit, of a request that is too large for one call."""
     chosen: list[_Waiting] = []
-    for waiting in queue[:places]:
+    for waiting in group[:places]:
         room -= waiting.ask.result_bytes
         if room < 0:
             break
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -54,11 +54,17 @@
 
 @dataclass(slots=True)
 class Gathering:
-    """What follows from an event: actions, requests whose inputs are complete, lost."""
+    """
+    What follows from an event.
+
+    Actions, and requests whose inputs are complete, could not be made, or come too
+    late.
+    """
 
     actions: list[Action] = field(default_factory=list)
     ready: list[str] = field(default_factory=list)
     failed: list[str] = field(default_factory=list)
+    late: list[str] = field(default_factory=list)
 
 
 class Gatherer:
@@ -117,6 +123,11 @@
             ends.append(begin + (self._stage_s(now, stage.pool) if count else 0.0))
         return max(ends, default=0.0)
 
+    def backlog_s(self, now: float, stages: tuple[PieceStage, ...]) -> float:
+        """Return the longest wait for a call of these stages' pools."""
+        waits = [self._stage_s(now, stage.pool) for stage in stages]
+        return max(waits, default=0.0)
+
     def _stage_s(self, now: float, pool: str) -> float:
         place = self._places.best(now, pool, self._batcher.servers.places(pool))
         if place is None:
@@ -246,9 +257,12 @@
         by_owner: dict[str, list[PieceAsk]] = {}
         for piece in pieces:
             ask = self._ask_for(now, found, piece)
-            if ask is None or ask.deadline < now:
+            if ask is None:
                 news.failed.append(piece.request_id)
                 return
+            if ask.deadline < now:
+                news.late.append(piece.request_id)
+                return
             owner = self._places.owner(now, ask.pool, ask.data_centre)
             by_owner.setdefault(owner, []).append(ask)
             until = self._patience_until(now, ask) if owner else float("inf")
@@ -372,7 +386,7 @@
         elif told.fault is PieceFault.HANDED_BACK:
             self._ask_again(now, [piece], news, failed=False)
         elif told.fault is PieceFault.LATE:
-            news.failed.append(piece.request_id)
+            news.late.append(piece.request_id)
         elif told.fault is PieceFault.INPUT_GONE:
             news.actions += self._free(now, found.graph.lose_inputs_of(piece))
         else:
@@ -383,7 +397,7 @@
     def _continue(self, now: float, request_id: str, news: Gathering) -> None:
         """Have made what a result made due."""
         found = self._gathered.get(request_id)
-        if found is None or request_id in news.failed:
+        if found is None or request_id in news.failed or request_id in news.late:
             return
         news.actions += self._free(now, found.graph.take_unread())
         self._ask(now, found, found.graph.take_due(), news)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -46,6 +46,10 @@
 FAILURE_COST = 1.0
 ASKS_PER_S = 20.0
 ASKS_BURST = 10.0
+# When to come back at the soonest after pieces found no place, in seconds: the time of
+# two or three calls. Bursts last for several seconds, and a caller that comes back into
+# the same crowd is refused a second time.
+LEAST_RETURN_S = 0.8
 # When an engine has fetched a request's inputs, in seconds from its sending: three
 # times the way there and back and the transfer of a few results of 1.5 MB.
 FETCH_S = 0.1
@@ -74,6 +78,7 @@
         parts: Parts = PARTS,
     ) -> None:
         random = random or Random(0)
+        self._random = random
         self._settings = settings
         self._times = parts.stage_times()
         self._loads = parts.loads()
@@ -295,7 +300,14 @@
         late_s = now + needed_s + after_s - arrival.deadline
         if late_s <= 0:
             return ADMITTED
-        return self._admission.refused(Reason.OVERLOAD, late_s)
+        return Verdict(Reason.OVERLOAD, max(late_s, self._return_s(now, arrival)))
+
+    def _return_s(self, now: float, arrival: Arrival) -> float:
+        """Return when a request that found no place may come back and find one."""
+        if arrival.work is None:
+            return 0.0
+        backlog_s = self._gatherer.backlog_s(now, arrival.work.stages)
+        return max(LEAST_RETURN_S, backlog_s) * (1.0 + self._random.random())
 
     def _gather(self, now: float, request: Request, work: PieceWork) -> list[Action]:
         request.gathering = True
@@ -350,6 +362,11 @@
             request = self._ledger.find(request_id)
             if request is not None:
                 actions += self._refuse(now, request, Reason.STAGE_FAILED)
+        for request_id in news.late:
+            request = self._ledger.find(request_id)
+            if request is not None:
+                wait_s = self._return_s(now, request.arrival)
+                actions += self._refuse(now, request, Reason.OVERLOAD, wait_s)
         for request_id in news.ready:
             request = self._ledger.find(request_id)
             if request is not None and request.gathering:
