--- /dev/null
+++ b/tests/adapter/test_translation.py
@@ -0,0 +1,295 @@
+"""What the users' platform says, decoded once, and what is said to it."""
+
+import json
+
+import pytest
+from multidict import CIMultiDict
+from result import Ok
+
+from amaranthtally.adapter import headers as names, pieces, store
+from amaranthtally.adapter.answers import read_answer
+from amaranthtally.adapter.callers import call_headers, read_caller_request
+from amaranthtally.adapter.configuration import read_configuration
+from amaranthtally.adapter.messages import CallHead, EndpointLoad, PromptPart
+from amaranthtally.adapter.servers import read_endpoint
+from amaranthtally.policy import (
+    CallKind,
+    PieceFault,
+    PieceOrder,
+    PieceStage,
+    WeightedPool,
+)
+
+ROUTE = {
+    "name": "r",
+    "host": "API.example",
+    "prefix": "/a/",
+    "type": "streaming",
+    "timeoutMs": 8000,
+    "latencySloMs": 1800,
+    "itlTargetMs": 500,
+    "priority": 1,
+    "maxAttempts": 2,
+    "split": [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+    "phases": [{"service": "p", "after": [], "sizeBytes": 1500000}],
+    "resumable": True,
+    "unknown": 1,
+}
+SERVICE = {
+    "name": "p",
+    "segments": {
+        "slots": 1,
+        "queue": 2,
+        "batch": 8,
+        "callMs": 200.0,
+        "itemMs": 21.25,
+        "headroomMb": 17.6,
+        "handleTtlS": 4.0,
+    },
+}
+
+
+def table_of(**fields):
+    body = json.dumps({"version": 7} | fields).encode()
+    return read_configuration(body).unwrap()
+
+
+# Configuration
+
+
+def test_a_route_is_decoded_into_seconds_and_shares():
+    (route,) = table_of(routes=[ROUTE]).routes
+    assert route.kind is CallKind.STREAMING
+    assert (route.timeout_s, route.objective_s, route.pause_s) == (8.0, 1.8, 0.5)
+    assert route.targets == (WeightedPool("s", 90.0), WeightedPool("t", 10.0))
+    assert route.stages == (PieceStage("p", (), 1.5e6),)
+    assert route.may_repeat
+
+
+def test_only_what_may_be_resumed_or_is_idempotent_may_repeat():
+    kinds = {
+        ("idempotent", False): True,
+        ("non_idempotent", False): False,
+        ("streaming", False): False,
+        ("streaming", True): True,
+    }
+    for (kind, resumable), expected in kinds.items():
+        route = ROUTE | {"type": kind, "resumable": resumable}
+        assert table_of(routes=[route]).routes[0].may_repeat is expected
+
+
+def test_the_longest_prefix_of_the_host_is_the_route():
+    longer = ROUTE | {"name": "longer", "prefix": "/a/b/"}
+    table = table_of(routes=[ROUTE, longer])
+    assert table.match("api.example", "/a/b/c").name == "longer"
+    assert table.match("api.EXAMPLE", "/a/bc").name == "r"
+    assert table.match("api.example", "/ab/") is None
+    assert table.match("other.example", "/a/") is None
+
+
+def test_limits_of_endpoints_for_pieces_are_decoded():
+    limits = table_of(services=[SERVICE]).pools["p"].pieces
+    assert (limits.batch, limits.memory_bytes, limits.result_ttl_s) == (8, 17.6e6, 4.0)
+    assert limits.full_call_s() == pytest.approx(0.37)
+
+
+def test_keys_name_accounts_and_may_be_needed():
+    tenants = [{"name": "t", "apiKeys": ["k1", "k2"], "priority": 3}]
+    table = table_of(tenants=tenants)
+    assert table.needs_keys
+    assert table.account_of("k2").name == "t"
+    assert table.account_of("k3") is None
+    assert not table_of().needs_keys
+
+
+def test_a_malformed_configuration_is_an_error():
+    for body in (b"", b"[]", b'{"version": "x"}', b"\xff"):
+        assert read_configuration(body).is_err()
+
+
+# Endpoints
+
+
+RECORD = {
+    "service": "s",
+    "address": "10.0.0.9:8080",
+    "zone": "cluj-a",
+    "slots": 128,
+    "state": "ready",
+    "born": 17,
+}
+
+
+def read_record(**fields):
+    value = json.dumps(RECORD | fields).encode()
+    return read_endpoint("servers/i-1", value, {"cluj-a": "transilvania"})
+
+
+def test_a_record_is_decoded():
+    found = read_record().unwrap()
+    assert (found.id, found.pool, found.address) == ("i-1", "s", "10.0.0.9:8080")
+    assert (found.region, found.data_centre) == ("transilvania", "cluj-a")
+    assert (found.slots, found.incarnation, found.takes_calls) == (128, 17, True)
+    assert not read_record(state="draining").unwrap().takes_calls
+
+
+def test_another_start_under_the_same_id_is_another_endpoint():
+    assert not read_record().unwrap().stands_like(read_record(born=18).unwrap())
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [{"state": "gone"}, {"address": "x"}, {"slots": "many"}, {"service": None}],
+)
+def test_a_malformed_record_is_an_error(fields):
+    assert read_record(**fields).is_err()
+
+
+# Callers
+
+
+def caller(**headers):
+    base = {"Host": "api.example:80", names.REQUEST_ID: "9c41"}
+    found = read_caller_request(CIMultiDict(base | headers), "/a/b%20c?q=1")
+    return found.unwrap()
+
+
+def test_a_request_is_decoded():
+    found = caller(
+        **{
+            names.DEADLINE_MS: "8000",
+            names.AUTHORIZATION: "Token secret",
+            names.PROMPT_PARTS: "5c1e07a2:800,91bd3f06:410",
+            names.PROMPT_TOKENS: "1460,80",
+            names.CHUNK_COUNTS: "2,0,6",
+            names.CHUNK_KEY: "7c1e",
+        }
+    )
+    assert (found.host, found.path, found.key) == ("api.example", "/a/b%20c", "secret")
+    assert found.deadline_s == 8.0
+    assert found.prompt == (PromptPart(0x5C1E07A2, 800), PromptPart(0x91BD3F06, 410))
+    assert (found.prompt_tokens, found.output_tokens) == (1460, 80)
+    assert (found.piece_counts, found.piece_key) == ((2, 0, 6), "7c1e")
+
+
+def test_the_callers_own_headers_go_on_and_the_systems_are_set():
+    found = caller(
+        Accept="x", Connection="X-Hop", **{"X-Hop": "1", names.ACCOUNT: "forged"}
+    )
+    sent = call_headers(found, CallHead("i-1", 1.5, "account", ("h1", "h2"), "12", 3))
+    assert sent["Accept"] == "x"
+    assert "X-Hop" not in sent
+    assert sent.getall(names.ACCOUNT) == ["account"]
+    assert sent[names.DEADLINE_MS] == "1500"
+    assert sent[names.EXPECTED_ID] == "i-1"
+    assert sent[names.INPUT_HANDLES] == "h1,h2"
+    assert sent[names.LAST_EVENT_ID] == "12"
+
+
+# Answers
+
+
+def test_the_head_of_an_answer_is_decoded():
+    head = read_answer(
+        200,
+        CIMultiDict(
+            {
+                names.SIGNATURE: "s",
+                names.LOAD: "3,0,8",
+                "Keep-Alive": "timeout=5, max=9",
+                "Connection": "close, X-Hop",
+                "X-Hop": "1",
+                "X-Own": "kept",
+                "Content-Length": "2",
+            }
+        ),
+    )
+    assert head.load == EndpointLoad(3, 0, 8)
+    assert (head.idle_limit_s, head.closes) == (5.0, True)
+    assert {k for k, _ in head.headers} == {names.SIGNATURE, names.LOAD, "X-Own"}
+
+
+def test_only_its_word_or_another_id_says_that_nothing_ran():
+    assert read_answer(503, CIMultiDict({names.NOT_EXECUTED: "1"})).not_run
+    assert read_answer(421, CIMultiDict()).not_run
+    assert not read_answer(503, CIMultiDict()).not_run
+    assert not read_answer(429, CIMultiDict()).not_run
+
+
+def test_what_an_endpoint_says_wrongly_is_taken_as_not_said():
+    headers = CIMultiDict({names.LOAD: "3,x,8", names.RETRY_AFTER: "soon"})
+    head = read_answer(503, headers)
+    assert (head.load, head.retry_after_s) == (None, 0.0)
+
+
+# Pieces
+
+
+PIECES = (
+    PieceOrder("a", 0, 2, 10.9, "key"),
+    PieceOrder("b", 2, 0, 10.9, "", ("h1", "h2")),
+)
+
+
+def test_pieces_are_written_with_what_is_left_of_their_time():
+    first, second = json.loads(pieces.write_pieces(PIECES, 10.0))["entries"]
+    assert first["remainingMs"] in (899, 900)
+    assert (first["phase"], first["segment"], first["key"]) == (0, 2, "key")
+    assert "inputHandles" not in first
+    assert second["inputHandles"] == ["h1", "h2"]
+    assert "key" not in second
+
+
+def test_outcomes_are_read_in_order():
+    body = b'{"entries":[{"handle":"h"},{"reason":"gone"}]}'
+    outcomes = pieces.read_outcomes(body, PIECES).unwrap()
+    assert outcomes[0].handle == "h"
+    assert outcomes[1].fault is PieceFault.INPUT_GONE
+
+
+@pytest.mark.parametrize("body", [b"", b"{}", b'{"entries":[{"handle":"h"}]}', b"\xff"])
+def test_outcomes_that_do_not_fit_the_pieces_are_an_error(body):
+    assert pieces.read_outcomes(body, PIECES).is_err()
+
+
+# Store
+
+
+def test_a_transaction_is_written_as_the_store_reads_it():
+    call = store.transact(
+        [store.StoreCondition("k", 0)], [store.StoreWrite("k", b"node-1", 7)]
+    )
+    assert json.loads(call.body) == {
+        "expectedRevision": [{"key": "k", "revision": 0}],
+        "write": [{"key": "k", "value": "bm9kZS0x", "leaseId": 7}],
+        "remove": [],
+    }
+
+
+def test_events_are_read_with_removals():
+    body = json.dumps(
+        {
+            "events": [
+                {"key": "a", "value": "bm9kZS0x", "revision": 412, "leaseId": 7},
+                {"key": "b", "revision": 413, "deleted": True},
+            ],
+            "at": 413,
+        }
+    ).encode()
+    found = store.read_events(body).unwrap()
+    assert found.at == 413
+    assert found.items == (
+        store.StoreItem("a", b"node-1", 412, 7),
+        store.StoreItem("b", None, 413),
+    )
+
+
+def test_a_value_that_is_no_base64_stays_visible_as_malformed():
+    body = b'{"entries":[{"key":"a","value":"*","revision":1}],"at":1}'
+    assert store.read_page(body).unwrap().items == (store.StoreItem("a", b"", 1),)
+
+
+def test_an_answer_that_can_not_be_read_is_an_error():
+    for read in (store.read_item, store.read_page, store.read_events, store.read_lease):
+        assert read(b"<html>").is_err()
+    assert store.read_revision(b'{"revision":4}') == Ok(4)
--- /dev/null
+++ b/tests/load/stage_world.py
@@ -0,0 +1,270 @@
+"""
+Entries and endpoints for pieces on a virtual clock, without network.
+
+Endpoints work as the users' sheet says: one call at a time, 0.2 s a call and some
+milliseconds a piece, two calls waiting, memory for so many results, 4 s at most.
+"""
+
+import heapq
+from dataclasses import dataclass, field
+from random import Random
+
+from amaranthtally.policy import (
+    AskPeer,
+    FreeAtPeer,
+    FreeResults,
+    Gatherer,
+    Peer,
+    PieceFault,
+    PieceOutcome,
+    PiecesEnded,
+    RunPieces,
+    TellPeer,
+)
+from tests.policy.pieces import CLAIM, LOOKUP, POOLS, REPLY, endpoints
+
+PLACES = ("cluj-a", "bucuresti-a", "iasi-a")
+# One way between two processes of a data centre and of two regions, in seconds.
+NEAR_S, FAR_S = 0.001, 0.012
+TICK_S = 0.006
+# What an engine needs to its first token, in seconds.
+ENGINE_S = 0.35
+
+
+@dataclass(frozen=True)
+class Kind:
+    """A kind of request of the users' sheet: rate a second, aim and deadline in s."""
+
+    name: str
+    stages: tuple
+    counts: object
+    rate: float
+    aim_s: float
+    deadline_s: float
+    priority: int
+
+
+# Agrosalv's sheet as played: half of the traffic, and mean pieces rounded.
+CLAIMS = Kind("claim", CLAIM, lambda r: (r.randint(1, 4),), 4.6, 1.8, 8.0, 1)
+LOOKUPS = Kind("lookup", LOOKUP, lambda r: (1, 6, r.randint(5, 15)), 8.66, 2.5, 8.0, 0)
+REPLIES = Kind(
+    "reply", REPLY, lambda r: (r.choice((0, 0, 1, 2)), 1, 6, 10), 9.71, 2.3, 20.0, 2
+)
+KINDS = (CLAIMS, LOOKUPS, REPLIES)
+
+
+@dataclass
+class Ended:
+    """How a request ended: ``at`` is when its engine began, or it was refused."""
+
+    kind: str
+    arrived: float
+    aim_s: float
+    at: float
+    served: bool
+
+    @property
+    def on_time(self):
+        return self.served and self.at + ENGINE_S - self.arrived <= self.aim_s
+
+
+@dataclass
+class StageServer:
+    """One endpoint for pieces."""
+
+    limits: object
+    busy: bool = False
+    queue: list = field(default_factory=list)
+    held: dict = field(default_factory=dict)
+    refused: int = 0
+    calls: int = 0
+
+
+class StageWorld:
+    """Two entries in each data centre before one endpoint of each pool."""
+
+    def __init__(self, seed=1, pooled=True, entries=2):
+        self.now = 0.0
+        self.random = Random(seed)
+        self.ended = []
+        self._events = []
+        self._serial = 0
+        self._open = {}
+        known = endpoints(*PLACES)
+        self.servers = {
+            name: StageServer(POOLS[one.pool].pieces) for name, one in known.items()
+        }
+        peers = [Peer(f"{p}-{n}", p) for p in PLACES for n in range(entries)]
+        self.entries = {}
+        for peer in peers:
+            made = Gatherer()
+            place = peer.data_centre
+            made.configure(peer.name, place, place, known, POOLS)
+            made.replace_peers(peers if pooled else [])
+            self.entries[peer.name] = made
+            self._at(self.random.random() * TICK_S, self._tick, peer.name)
+
+    def run(self, seconds, rate_of=lambda kind, now: kind.rate):
+        """Let requests come for so long, and all of them end."""
+        for kind in KINDS:
+            self._arrivals(kind, seconds, rate_of)
+        end = seconds + max(kind.deadline_s for kind in KINDS)
+        while self._events and self._events[0][0] <= end:
+            self.now, _, work, args = heapq.heappop(self._events)
+            work(*args)
+        return self
+
+    def share_on_time(self, *kinds):
+        found = [e for e in self.ended if not kinds or e.kind in kinds]
+        return sum(e.on_time for e in found) / len(found)
+
+    # Requests
+
+    def _arrivals(self, kind, seconds, rate_of):
+        now = 0.0
+        while True:
+            now += self.random.expovariate(max(0.1, rate_of(kind, now)))
+            if now > seconds:
+                return
+            self._at(now, self._arrive, kind, self._serial)
+
+    def _arrive(self, kind, number):
+        name = self.random.choice(list(self.entries))
+        request_id = f"{kind.name}-{number}"
+        self._open[request_id] = (name, kind, self.now)
+        news = self.entries[name].begin(
+            self.now,
+            request_id,
+            kind.stages,
+            kind.counts(self.random),
+            "key",
+            self.now + kind.aim_s,
+            self.now + kind.deadline_s,
+            kind.priority,
+        )
+        self._follow(name, news)
+
+    def _tick(self, name):
+        self._follow(name, self.entries[name].tick(self.now))
+        self._at(self.now + TICK_S, self._tick, name)
+
+    def _follow(self, name, news):
+        self._carry_out(name, news.actions)
+        for request_id in news.ready:
+            self._end(request_id, served=True)
+        for request_id in (*news.failed, *news.late):
+            self._end(request_id, served=False)
+
+    def _end(self, request_id, served):
+        if request_id not in self._open:
+            return
+        name, kind, arrived = self._open.pop(request_id)
+        self.ended.append(Ended(kind.name, arrived, kind.aim_s, self.now, served))
+        # An engine has fetched its inputs in a tenth of a second.
+        self._at(self.now + 0.1 * served, self._close, name, request_id)
+
+    def _close(self, name, request_id):
+        self._carry_out(name, self.entries[name].close(self.now, request_id))
+
+    # Actions
+
+    def _carry_out(self, name, actions):
+        for action in actions:
+            if isinstance(action, RunPieces):
+                self._later(name, action.endpoint, self._call, name, action)
+            elif isinstance(action, FreeResults):
+                self._later(name, action.endpoint, self._free, action)
+            elif isinstance(action, AskPeer):
+                self._later(name, action.peer, self._ask, name, action)
+            elif isinstance(action, TellPeer):
+                self._later(name, action.peer, self._tell, action)
+            elif isinstance(action, FreeAtPeer):
+                self._later(name, action.peer, self._free_at, action)
+
+    def _ask(self, name, action):
+        news = self.entries[action.peer].asked(self.now, name, action.asks)
+        self._follow(action.peer, news)
+
+    def _tell(self, action):
+        news = self.entries[action.peer].told(self.now, action.told)
+        self._follow(action.peer, news)
+
+    def _free_at(self, action):
+        entry = self.entries[action.peer]
+        actions = entry.freed_by_peer(action.results, action.ended)
+        self._carry_out(action.peer, actions)
+
+    # Endpoints
+
+    def _call(self, name, call):
+        server = self.servers[call.endpoint]
+        if server.busy and len(server.queue) >= server.limits.queue:
+            server.refused += 1
+            self._answer(name, call, PiecesEnded(refused=True))
+            return
+        server.queue.append((name, call))
+        if not server.busy:
+            self._turn(server)
+
+    def _turn(self, server):
+        if not server.queue:
+            return
+        name, call = server.queue.pop(0)
+        server.calls += 1
+        for handle in [h for h, (_, until) in server.held.items() if until <= self.now]:
+            del server.held[handle]
+        outcomes, took_s = [], 0.0
+        for piece in call.pieces:
+            outcome = self._make(server, call, piece)
+            outcomes.append(outcome)
+            took_s += server.limits.piece_s if outcome.handle else 0.0
+        took_s += server.limits.call_s if took_s else 0.0
+        server.busy = True
+        self._at(self.now + took_s, self._done, server, name, call, tuple(outcomes))
+
+    def _make(self, server, call, piece):
+        if piece.deadline <= self.now:
+            return PieceOutcome(fault=PieceFault.LATE)
+        kept = {h for one in self.servers.values() for h in one.held}
+        if not kept.issuperset(piece.inputs):
+            return PieceOutcome(fault=PieceFault.INPUT_GONE)
+        size = result_bytes(piece)
+        used = sum(held for held, _ in server.held.values())
+        if used + size > server.limits.memory_bytes:
+            return PieceOutcome(fault=PieceFault.NO_ROOM)
+        self._serial += 1
+        handle = f"{call.endpoint}/{self._serial}"
+        until = self.now + server.limits.full_call_s() + server.limits.result_ttl_s
+        server.held[handle] = (size, until)
+        return PieceOutcome(handle)
+
+    def _done(self, server, name, call, outcomes):
+        server.busy = False
+        self._answer(name, call, PiecesEnded(outcomes))
+        self._turn(server)
+
+    def _answer(self, name, call, end):
+        self._later(name, call.endpoint, self._ended, name, call.call, end)
+
+    def _ended(self, name, call, end):
+        self._follow(name, self.entries[name].calls_ended(self.now, call, end))
+
+    def _free(self, action):
+        for handle in action.handles:
+            self.servers[action.endpoint].held.pop(handle, None)
+
+    # Time
+
+    def _later(self, name, other, work, *args):
+        near = any(name.startswith(p) and p in other for p in PLACES)
+        self._at(self.now + (NEAR_S if near else FAR_S), work, *args)
+
+    def _at(self, at, work, *args):
+        self._serial += 1
+        heapq.heappush(self._events, (at, self._serial, work, args))
+
+
+def result_bytes(piece):
+    """Return the size of a piece's result by its request's kind."""
+    kind = next(k for k in KINDS if piece.request_id.startswith(k.name))
+    return kind.stages[piece.stage].result_bytes
