--- a/tests/policy/test_affinity.py
+++ b/tests/policy/test_affinity.py
@@ -54,7 +54,7 @@
 
 def session(number, own):
     """Return a long prompt of a session, as on the users' sheet."""
-    return ((1, 2520), (100 + number, 3780), (own, 2890))
+    return ((1, 2520), (100 + number, 3780), (9000 + own, 2890))
 
 
 def test_entries_send_one_session_to_one_engine_though_they_never_met():
