--- a/packages/daemon/src/amaranthtally/daemon/gateway/front.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/front.py
@@ -2,11 +2,12 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import TypeVar
 
 from aiohttp import hdrs, web
 from result import Err
 
-from amaranthtally.adapter.callers import read_caller_request
+from amaranthtally.adapter.callers import read_caller_request, request_id_of
 from amaranthtally.adapter.messages import AnswerHead, CallerRequest
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
@@ -31,6 +32,8 @@
 
 __all__ = ["Front"]
 
+ResponseT = TypeVar("ResponseT", bound=web.StreamResponse)
+
 log = get_logger()
 
 NO_CONFIGURATION = Refusal(503, "no configuration yet; come back soon", 0.5)
@@ -223,16 +226,17 @@
         return self._own(response)
 
     def _refuse(self, request: web.BaseRequest, refusal: Refusal) -> web.Response:
+        request_id = request_id_of(request.headers)
         self._metrics.request_rejected(refusal.status)
         log.info(
             "request_rejected",
-            request_id=request.headers.get("X-Request-Id", ""),
+            request_id=request_id,
             status=refusal.status,
             reason=refusal.reason,
         )
-        return self._own(refusal_response(refusal))
+        return self._own(refusal_response(refusal, request_id))
 
-    def _own(self, response):  # type: ignore[no-untyped-def]
+    def _own(self, response: ResponseT) -> ResponseT:
         """End the connection with its response once the process leaves."""
         if self._is_leaving():
             response.force_close()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -1,6 +1,7 @@
 """Sends calls with pieces to their endpoints, and frees results."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable
 
 import aiohttp
@@ -9,7 +10,13 @@
 from amaranthtally.adapter.answers import read_answer
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.policy import Endpoint, FreeResults, PiecesEnded, RunPieces
+from amaranthtally.policy import (
+    Endpoint,
+    FreeResults,
+    PieceOutcome,
+    PiecesEnded,
+    RunPieces,
+)
 
 __all__ = ["PieceCalls"]
 
@@ -26,6 +33,12 @@
 FAILED = PiecesEnded()
 
 
+def _faults(outcomes: tuple[PieceOutcome, ...]) -> str:
+    """Return why pieces of a call were not made, and how many; empty where all were."""
+    counts = Counter(one.fault.value for one in outcomes if one.fault is not None)
+    return ",".join(f"{fault}:{count}" for fault, count in counts.items())
+
+
 class PieceCalls:
     """Carries calls with pieces; each ends in one word to ``on_end``."""
 
@@ -95,7 +108,7 @@
         if outcomes.is_err():
             self._log(order, endpoint, "unreadable", str(outcomes.err()), started)
             return FAILED
-        self._log(order, endpoint, "finished", "", started)
+        self._log(order, endpoint, "finished", _faults(outcomes.unwrap()), started)
         return PiecesEnded(outcomes.unwrap(), running=running, queued=queued)
 
     def _log(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -58,6 +58,9 @@
 
 SEED_BITS = 64
 BACKLOG = 1024
+# Callers' idle connections are closed after this, in seconds: twice the longest that
+# operators have let callers keep one. Each holds one of some four thousand descriptors.
+KEPT_S = 30.0
 MOST_HEADER_BYTES = 16_384
 # The balancer asks once a second and lets go after two misses, in seconds.
 BALANCER_S = 2.3
@@ -180,6 +183,7 @@
     callers = web.Server(
         front.handle,
         handler_cancellation=True,
+        keepalive_timeout=KEPT_S,
         auto_decompress=False,
         max_line_size=MOST_HEADER_BYTES,
         max_field_size=MOST_HEADER_BYTES,
--- /dev/null
+++ b/packages/operator/src/amaranthtally/operator/explain.py
@@ -0,0 +1,110 @@
+"""``explain``: the story of one request, from the logs of every process it touched."""
+
+import re
+import sys
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass
+from datetime import datetime
+from pathlib import Path
+
+from cyclopts import App
+
+from amaranthtally.operator.exit_codes import ExitCode
+
+__all__ = ["LogLine", "Story", "add_explain_command", "read_story"]
+
+PAIR = re.compile(r'([\w.]+)=("(?:[^"\\]|\\.)*"|\S*)')
+# Fields that the story's own columns hold.
+COLUMNS = frozenset({"timestamp", "level", "event", "request_id", "requests"})
+MS_PER_S = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """One event of a request: when, in which process, and what it says."""
+
+    at: datetime
+    process: str
+    event: str
+    fields: tuple[tuple[str, str], ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Story:
+    """A request's events in order, and how many lines could not be read."""
+
+    lines: tuple[LogLine, ...]
+    unread: int
+
+
+def add_explain_command(app: App) -> None:
+    """Add the command to the application."""
+    app.command(explain)
+
+
+def explain(request_id: str, logs: list[Path], /) -> ExitCode:
+    """
+    Print what was decided on a request, on which facts, and where its time went.
+
+    Parameters
+    ----------
+    request_id
+        The caller's id of the request.
+    logs
+        Logs of the processes, a file each; a file's name is taken as its process.
+    """
+    try:
+        story = read_story(request_id, logs)
+    except OSError as error:
+        sys.stderr.write(f"{error}; give files that can be read\n")
+        return ExitCode.USAGE
+    if story.unread:
+        sys.stderr.write(f"{story.unread} lines are no log lines; they were left out\n")
+    if not story.lines:
+        sys.stderr.write(f"no line names {request_id}; give the logs of its gateway\n")
+        return ExitCode.REFUSED
+    for text in render(story):
+        sys.stdout.write(f"{text}\n")
+    return ExitCode.DONE
+
+
+def read_story(request_id: str, logs: Iterable[Path]) -> Story:
+    """Gather a request's lines from files; raises ``OSError``."""
+    found: list[LogLine] = []
+    unread = 0
+    for path in logs:
+        with path.open(encoding="utf-8", errors="replace") as file:
+            for text in file:
+                if request_id not in text:
+                    continue
+                line = _parse(path.stem, text, request_id)
+                if line is None:
+                    unread += 1
+                else:
+                    found.append(line)
+    return Story(tuple(sorted(found, key=lambda line: line.at)), unread)
+
+
+def render(story: Story) -> Iterator[str]:
+    """Return a line an event: time from the first, time since the last, process."""
+    first = last = story.lines[0].at
+    for line in story.lines:
+        from_first = (line.at - first).total_seconds() * MS_PER_S
+        since = (line.at - last).total_seconds() * MS_PER_S
+        last = line.at
+        when = f"{from_first:9.0f} ms +{since:<6.0f}"
+        facts = " ".join(f"{k}={v}" for k, v in line.fields if v)
+        yield f"{when} {line.process}: {line.event} {facts}"
+
+
+def _parse(process: str, text: str, request_id: str) -> LogLine | None:
+    fields = dict(PAIR.findall(text))
+    named = fields.get("requests", "").strip('"').split(",")
+    if fields.get("request_id") != request_id and request_id not in named:
+        return None
+    try:
+        at = datetime.fromisoformat(fields["timestamp"])
+    except (KeyError, ValueError):
+        return None
+    kept = tuple((k, v) for k, v in fields.items() if k not in COLUMNS)
+    return LogLine(at, process, fields.get("event", "?"), kept)
--- a/packages/operator/src/amaranthtally/operator/main.py
+++ b/packages/operator/src/amaranthtally/operator/main.py
@@ -5,6 +5,7 @@
 from cyclopts import App
 
 from amaranthtally.operator import experiment, replay
+from amaranthtally.operator.explain import add_explain_command
 from amaranthtally.operator.fleet_commands import add_fleet_commands
 from amaranthtally.operator.request_command import add_request_command
 from amaranthtally.operator.settings_commands import app as settings_app
@@ -23,6 +24,7 @@
 app.command(settings_app)
 add_fleet_commands(app)
 add_request_command(app)
+add_explain_command(app)
 replay.register(app)
 experiment.register(app)
 
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -23,13 +23,6 @@
     TellPeer,
 )
 from amaranthtally.policy.affinity import AffinityRouter
-from amaranthtally.policy.batcher import (
-    PieceAsk,
-    PieceFault,
-    PieceOutcome,
-    PiecesEnded,
-    PieceTold,
-)
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
 from amaranthtally.policy.events import (
     Arrival,
@@ -59,6 +52,13 @@
 )
 from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.piece_graph import Piece, StoredResult
+from amaranthtally.policy.piece_messages import (
+    PieceAsk,
+    PieceFault,
+    PieceOutcome,
+    PiecesEnded,
+    PieceTold,
+)
 from amaranthtally.policy.places import Peer
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.routes import (
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -2,13 +2,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
-from typing import TYPE_CHECKING
 
 from amaranthtally.policy.model import AttemptId
 from amaranthtally.policy.piece_graph import StoredResult
-
-if TYPE_CHECKING:
-    from amaranthtally.policy.batcher import PieceAsk, PieceTold
+from amaranthtally.policy.piece_messages import PieceAsk, PieceTold
 
 __all__ = [
     "Action",
@@ -144,7 +141,7 @@
     """Ask another entry to have pieces made by the endpoints that it calls."""
 
     peer: str
-    asks: "tuple[PieceAsk, ...]"
+    asks: tuple[PieceAsk, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -152,7 +149,7 @@
     """Tell another entry what became of pieces that it asked for."""
 
     peer: str
-    told: "tuple[PieceTold, ...]"
+    told: tuple[PieceTold, ...]
 
 
 @dataclass(frozen=True, slots=True)
@@ -164,7 +161,7 @@
     """
 
     peer: str
-    results: "tuple[StoredResult, ...]"
+    results: tuple[StoredResult, ...]
     ended: str = ""
 
 
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -3,24 +3,23 @@
 from collections import Counter, deque
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
-from enum import Enum
 from typing import NamedTuple
 
 from amaranthtally.policy.actions import Action, FreeResults, PieceOrder, RunPieces
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.piece_graph import Piece, StoredResult
+from amaranthtally.policy.piece_messages import (
+    PieceAsk,
+    PieceFault,
+    PieceOutcome,
+    PiecesEnded,
+    PieceTold,
+)
+from amaranthtally.policy.piece_queue import Waiting, as_many, by_request
 from amaranthtally.policy.piece_servers import PieceServer, PieceServers
 from amaranthtally.policy.routes import Pool
 
-__all__ = [
-    "Batcher",
-    "Batches",
-    "PieceAsk",
-    "PieceFault",
-    "PieceOutcome",
-    "PieceTold",
-    "PiecesEnded",
-]
+__all__ = ["Batcher", "Batches"]
 
 # How long an idle endpoint is left idle for more pieces to come, in seconds. The end of
 # one call makes pieces of several requests due at the next pool, in several entries,
@@ -35,79 +34,6 @@
 GIVE_BACK_S = 0.5
 
 
-class PieceFault(Enum):
-    """Why no result of a piece was made."""
-
-    LATE = "late"
-    INPUT_GONE = "input_gone"
-    NO_ROOM = "no_room"
-    FAILED = "failed"
-    HANDED_BACK = "handed_back"
-
-
-class PieceOutcome(NamedTuple):
-    """A piece's result by its handle, or why there is none."""
-
-    handle: str = ""
-    fault: PieceFault | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class PiecesEnded:
-    """
-    The end of a call with pieces; ``outcomes`` in the order in which they were sent.
-
-    Without outcomes the call failed as a whole: ``refused`` where the endpoint said
-    that it did not start. ``running`` and ``queued`` are its load, where it told it.
-    """
-
-    outcomes: tuple[PieceOutcome, ...] = ()
-    refused: bool = False
-    running: int | None = None
-    queued: int = 0
-
-
-@dataclass(frozen=True, slots=True)
-class PieceAsk:
-    """
-    A piece that an entry wants made in a data centre; times are time stamps.
-
-    Its call must begin by ``start_by`` for its request to be on time, and by
-    ``deadline`` for it to be answered at all. ``asker`` names the entry, empty for
-    this one. ``key`` or ``inputs`` are what the piece reads, ``siblings`` the
-    pieces of its stage, itself included, that read the same.
-    """
-
-    piece: Piece
-    pool: str
-    data_centre: str
-    result_bytes: float
-    start_by: float
-    deadline: float
-    priority: int = 0
-    key: str = ""
-    inputs: tuple[StoredResult, ...] = ()
-    siblings: int = 1
-    asker: str = ""
-
-
-class PieceTold(NamedTuple):
-    """
-    What became of a piece that was asked for; ``wait_s`` is the wait there now.
-
-    ``inputs_freed`` says that what it read was freed as soon as it had been read.
-    """
-
-    piece: Piece
-    pool: str
-    data_centre: str
-    endpoint: str = ""
-    handle: str = ""
-    fault: PieceFault | None = None
-    wait_s: float = 0.0
-    inputs_freed: bool = False
-
-
 @dataclass(slots=True)
 class Batches:
     """
@@ -121,23 +47,6 @@
     told: dict[str, list[PieceTold]] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class _Waiting:
-    ask: PieceAsk
-    since: float
-
-    def urgency(self, now: float) -> tuple[bool, int, float, str]:
-        """
-        Return a sort key: first who can still be on time, of them the most urgent.
-
-        What is late already earns its caller little: served first, it would make
-        others late as well, and in a burst all would be.
-        """
-        ask = self.ask
-        late = now > ask.start_by
-        return (late, ask.priority, ask.start_by, ask.piece.request_id)
-
-
 class _Call(NamedTuple):
     """``whole`` holds the requests of which every sibling is in the call."""
 
@@ -169,7 +78,7 @@
 
     def __init__(self) -> None:
         self._servers = PieceServers()
-        self._queues: dict[tuple[str, str], list[_Waiting]] = {}
+        self._queues: dict[tuple[str, str], list[Waiting]] = {}
         self._calls: dict[int, _Call] = {}
         self._reading: deque[_Reading] = deque()
         self._next_call = 0
@@ -223,7 +132,7 @@
                 continue
             known.add(ask.piece)
             place = (ask.pool, ask.data_centre)
-            self._queues.setdefault(place, []).append(_Waiting(ask, now))
+            self._queues.setdefault(place, []).append(Waiting(ask, now))
             places[place] = None
         batches = Batches()
         for place in places:
@@ -375,7 +284,7 @@
 
     def _again(self, now: float, ask: PieceAsk) -> None:
         place = (ask.pool, ask.data_centre)
-        self._queues.setdefault(place, []).append(_Waiting(ask, now))
+        self._queues.setdefault(place, []).append(Waiting(ask, now))
 
     def _tell(
         self,
@@ -417,8 +326,8 @@
             self._give_back(now, queue, not servers, batches)
 
     def _choose(
-        self, now: float, server: PieceServer, queue: list[_Waiting]
-    ) -> list[_Waiting]:
+        self, now: float, server: PieceServer, queue: list[Waiting]
+    ) -> list[Waiting]:
         """
         Return the pieces of the next call: all of a request's where they fit.
 
@@ -429,8 +338,8 @@
             return []
         places = server.limits.batch
         room = server.room_bytes(now)
-        chosen: list[_Waiting] = []
-        groups = _by_request(queue)
+        chosen: list[Waiting] = []
+        groups = by_request(queue)
         groups.sort(key=lambda group: min(w.urgency(now) for w in group))
         for group in groups:
             size = sum(waiting.ask.result_bytes for waiting in group)
@@ -438,17 +347,17 @@
                 chosen += group
                 places -= len(group)
                 room -= size
-        return chosen or _as_many(groups[0], places, room)
+        return chosen or as_many(groups[0], places, room)
 
-    def _has_lingered(self, now: float, queue: list[_Waiting]) -> bool:
+    def _has_lingered(self, now: float, queue: list[Waiting]) -> bool:
         return any(now - waiting.since >= LINGER_S for waiting in queue)
 
     def _send(
         self,
         now: float,
         server: PieceServer,
-        queue: list[_Waiting],
-        chosen: list[_Waiting],
+        queue: list[Waiting],
+        chosen: list[Waiting],
     ) -> RunPieces:
         self._next_call += 1
         taken = {id(waiting) for waiting in chosen}
@@ -481,7 +390,7 @@
             self._reading.append(_Reading(at, self._next_call, request_id, results))
         return frozenset(whole)
 
-    def _drop_late(self, now: float, queue: list[_Waiting], batches: Batches) -> None:
+    def _drop_late(self, now: float, queue: list[Waiting], batches: Batches) -> None:
         late = [waiting for waiting in queue if waiting.ask.deadline <= now]
         for waiting in late:
             queue.remove(waiting)
@@ -491,7 +400,7 @@
     def _drop_crowded_out(
         self,
         now: float,
-        queue: list[_Waiting],
+        queue: list[Waiting],
         servers: list[PieceServer],
         batches: Batches,
     ) -> None:
@@ -511,7 +420,7 @@
             self._tell(now, waiting.ask, "", outcome, batches)
 
     def _give_back(
-        self, now: float, queue: list[_Waiting], at_once: bool, batches: Batches
+        self, now: float, queue: list[Waiting], at_once: bool, batches: Batches
     ) -> None:
         """Let pieces be asked for elsewhere, as no endpoint here takes them."""
         kept_s = 0.0 if at_once else GIVE_BACK_S
@@ -521,30 +430,6 @@
             self._tell(now, waiting.ask, "", outcome, batches)
 
 
-def _by_request(queue: list[_Waiting]) -> list[list[_Waiting]]:
-    """
-    Return the pieces of each request together, whichever stages they belong to.
-
-    Parted, the branch of a graph that has more time would wait until it is late, and
-    meanwhile the results of the others run out of theirs.
-    """
-    groups: dict[str, list[_Waiting]] = {}
-    for waiting in queue:
-        groups.setdefault(waiting.ask.piece.request_id, []).append(waiting)
-    return list(groups.values())
-
-
-def _as_many(group: list[_Waiting], places: int, room: float) -> list[_Waiting]:
-    """Return as many pieces as fit, of a request that is too large for one call."""
-    chosen: list[_Waiting] = []
-    for waiting in group[:places]:
-        room -= waiting.ask.result_bytes
-        if room < 0:
-            break
-        chosen.append(waiting)
-    return chosen
-
-
 def _order(ask: PieceAsk) -> PieceOrder:
     return PieceOrder(
         ask.piece.request_id,
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -5,17 +5,16 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.actions import Action, AskPeer, FreeAtPeer, TellPeer
-from amaranthtally.policy.batcher import (
-    Batcher,
-    Batches,
+from amaranthtally.policy.batcher import Batcher, Batches
+from amaranthtally.policy.invariants import ensure
+from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.piece_graph import Piece, PieceGraph, StoredResult
+from amaranthtally.policy.piece_messages import (
     PieceAsk,
     PieceFault,
     PiecesEnded,
     PieceTold,
 )
-from amaranthtally.policy.invariants import ensure
-from amaranthtally.policy.model import Endpoint
-from amaranthtally.policy.piece_graph import Piece, PieceGraph, StoredResult
 from amaranthtally.policy.places import Peer, Places
 from amaranthtally.policy.routes import PieceStage, Pool
 
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -1,9 +1,7 @@
 """Decisions of an entry: admission, routing, retries, hedges, answers."""
 
-from collections import deque
 from collections.abc import Iterable
 from random import Random
-from typing import NamedTuple
 
 from amaranthtally.policy.actions import (
     Action,
@@ -14,8 +12,6 @@
     Reason,
     Refuse,
 )
-from amaranthtally.policy.admission import ADMITTED, Verdict
-from amaranthtally.policy.batcher import PieceAsk, PiecesEnded, PieceTold
 from amaranthtally.policy.budgets import RateLimit
 from amaranthtally.policy.dispatch import Dispatcher
 from amaranthtally.policy.events import (
@@ -33,8 +29,10 @@
 from amaranthtally.policy.model import AttemptId, PolicySettings
 from amaranthtally.policy.parts import Parts
 from amaranthtally.policy.piece_graph import StoredResult
+from amaranthtally.policy.piece_messages import PieceAsk, PiecesEnded, PieceTold
 from amaranthtally.policy.places import Peer
 from amaranthtally.policy.prefixes import PrefixIndex
+from amaranthtally.policy.request_inputs import RequestInputs
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.stream_watch import StreamWatch
 from amaranthtally.policy.timers import Timer, Timers
@@ -46,23 +44,9 @@
 FAILURE_COST = 1.0
 ASKS_PER_S = 20.0
 ASKS_BURST = 10.0
-# When to come back at the soonest after pieces found no place, in seconds: the time of
-# two or three calls. Bursts last for several seconds, and a caller that comes back into
-# the same crowd is refused a second time.
-LEAST_RETURN_S = 0.8
-# When an engine has fetched a request's inputs, in seconds from its sending: three
-# times the way there and back and the transfer of a few results of 1.5 MB.
-FETCH_S = 0.1
 PARTS = Parts()
 
 
-class _Reading(NamedTuple):
-    """When a request's engine has fetched its inputs."""
-
-    at: float
-    request_id: str
-
-
 class Planner:
     """
     One entry's decisions. Each method takes the time and returns actions.
@@ -78,7 +62,6 @@
         parts: Parts = PARTS,
     ) -> None:
         random = random or Random(0)
-        self._random = random
         self._settings = settings
         self._times = parts.stage_times()
         self._loads = parts.loads()
@@ -100,7 +83,7 @@
         )
         self._streams = StreamWatch(self._times, self._loads)
         self._gatherer = parts.gatherer()
-        self._reading: deque[_Reading] = deque()
+        self._inputs = RequestInputs(random, self._gatherer, self._times)
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -147,7 +130,7 @@
             self._membership.prepare(now, stage)
         verdict = self._admission.judge(now, arrival)
         if verdict.reason is None and arrival.work is not None:
-            verdict = self._judge_pieces(now, arrival, arrival.work)
+            verdict = self._inputs.judge(now, arrival, arrival.work)
         if verdict.reason is not None:
             self.counters.refused_on_arrival += 1
             return [
@@ -228,7 +211,7 @@
                 self._prefixes.ran(now, live.endpoint, request.arrival.prefix)
             self._ledger.has_read(live)
             self._streams.note(now, request.current, live.endpoint, live.stream, chunks)
-            freed = self._free_inputs(now, request)
+            freed = self._inputs.free(now, request)
             return freed + self._drop_overtaken(now, request, live)
         return []
 
@@ -271,7 +254,7 @@
         self._accounts.refresh(now)
         actions = self._membership.greetings(now)
         actions.extend(self._ask_for_loads(now))
-        actions.extend(self._free_what_was_read(now))
+        actions.extend(self._inputs.free_read(now, self._ledger))
         actions.extend(self._follow(now, self._gatherer.tick(now)))
         while (timer := self._timers.due(now)) is not None:
             actions.extend(self._look(now, timer))
@@ -297,27 +280,6 @@
 
     # Pieces
 
-    def _judge_pieces(self, now: float, arrival: Arrival, work: PieceWork) -> Verdict:
-        """
-        Refuse what its pieces alone would make late beyond use.
-
-        Their endpoints are the first to be full: what waits there past its deadline
-        takes the place of what could still be answered.
-        """
-        needed_s = self._gatherer.predicted_s(now, work.stages, work.counts)
-        after_s = self._times.floor_s(arrival.pipeline.stages)
-        late_s = now + needed_s + after_s - arrival.deadline
-        if late_s <= 0:
-            return ADMITTED
-        return Verdict(Reason.OVERLOAD, max(late_s, self._return_s(now, arrival)))
-
-    def _return_s(self, now: float, arrival: Arrival) -> float:
-        """Return when a request that found no place may come back and find one."""
-        if arrival.work is None:
-            return 0.0
-        backlog_s = self._gatherer.backlog_s(now, arrival.work.stages)
-        return max(LEAST_RETURN_S, backlog_s) * (1.0 + self._random.random())
-
     def _gather(self, now: float, request: Request, work: PieceWork) -> list[Action]:
         request.gathering = True
         arrival = request.arrival
@@ -334,28 +296,6 @@
         )
         return self._follow(now, news)
 
-    def _free_what_was_read(self, now: float) -> list[Action]:
-        """
-        Free the inputs of requests that their engines have fetched by now.
-
-        Makers' memory holds some ten results of the largest kind. An engine fetches
-        its inputs as a request comes, and answers with its first token 0.3 s later:
-        freed then, they would take twice as long a share of it.
-        """
-        actions: list[Action] = []
-        while self._reading and self._reading[0].at <= now:
-            request = self._ledger.find(self._reading.popleft().request_id)
-            if request is not None and request.live:
-                actions += self._free_inputs(now, request)
-        return actions
-
-    def _free_inputs(self, now: float, request: Request) -> list[Action]:
-        """Free what a request has read, as it runs."""
-        if not request.inputs:
-            return []
-        request.inputs = ()
-        return self._gatherer.free_inputs(now, request.id)
-
     def _gather_again(
         self, now: float, request: Request, retry_cost: float
     ) -> list[Action]:
@@ -374,7 +314,7 @@
         for request_id in news.late:
             request = self._ledger.find(request_id)
             if request is not None:
-                wait_s = self._return_s(now, request.arrival)
+                wait_s = self._inputs.return_s(now, request.arrival)
                 actions += self._refuse(now, request, Reason.OVERLOAD, wait_s)
         for request_id in news.ready:
             request = self._ledger.find(request_id)
@@ -385,8 +325,7 @@
     def _gathered(self, now: float, request: Request) -> list[Action]:
         request.gathering = False
         request.inputs = self._gatherer.inputs_of(request.id)
-        if request.inputs:
-            self._reading.append(_Reading(now + FETCH_S, request.id))
+        self._inputs.note_sent(now, request)
         if not request.number:
             return self._start_stage(now, request)
         actions = self._dispatcher.retry(now, request, request.retry_cost)
--- /dev/null
+++ b/tests/unit/test_explain.py
@@ -0,0 +1,57 @@
+"""The story of one request, gathered from several processes' logs."""
+
+from amaranthtally.operator.explain import read_story, render
+
+
+def log_line(at, event, **fields):
+    """Return a line as the daemons write it; ``at`` in seconds."""
+    pairs = " ".join(f"{key}={value}" for key, value in fields.items())
+    stamp = f"2026-01-01T00:00:0{at:.6f}Z"
+    return f"timestamp={stamp} level=info event={event} {pairs}"
+
+
+ENTRY = [
+    log_line(0.0, "request_received", request_id="r1", route="a"),
+    log_line(0.1, "request_received", request_id="r2", route="a"),
+    "not a line of r1 at all",
+    log_line(2.0, "request_ended", request_id="r1", status=503, reason='"too late"'),
+]
+OWNER = [
+    log_line(0.5, "pieces_ended", call=1, requests="r2,r1", fate="lost", ms=400),
+    "timestamp=yesterday event=pieces_ended requests=r1",
+]
+
+
+def story_of(tmp_path, request_id):
+    paths = []
+    for name, text in (("entry", ENTRY), ("owner", OWNER)):
+        path = tmp_path / f"{name}.log"
+        path.write_text("\n".join(text), encoding="utf-8")
+        paths.append(path)
+    return read_story(request_id, paths)
+
+
+def test_lines_of_all_processes_come_in_order(tmp_path):
+    story = story_of(tmp_path, "r1")
+    assert [(line.process, line.event) for line in story.lines] == [
+        ("entry", "request_received"),
+        ("owner", "pieces_ended"),
+        ("entry", "request_ended"),
+    ]
+
+
+def test_lines_that_can_not_be_read_are_counted_and_not_fatal(tmp_path):
+    assert story_of(tmp_path, "r1").unread == 2
+
+
+def test_the_story_tells_where_the_time_went(tmp_path):
+    first, second, third = render(story_of(tmp_path, "r1"))
+    assert first.split()[0] == "0"
+    assert "+500" in second
+    assert "fate=lost" in second
+    assert "+1500" in third
+    assert 'reason="too late"' in third
+
+
+def test_nothing_is_found_of_a_request_that_never_came(tmp_path):
+    assert story_of(tmp_path, "r3").lines == ()
