--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -24,6 +24,7 @@
 )
 from amaranthtally.policy.gathering import Gathering
 from amaranthtally.policy.groups import EndpointGroups
+from amaranthtally.policy.learning import Learner
 from amaranthtally.policy.ledger import Counters, Ledger
 from amaranthtally.policy.membership import Membership
 from amaranthtally.policy.model import AttemptId, PolicySettings
@@ -84,6 +85,15 @@
         self._streams = StreamWatch(self._times, self._loads)
         self._gatherer = parts.gatherer()
         self._inputs = RequestInputs(random, self._gatherer, self._times)
+        self._learner = Learner(
+            self._times,
+            self._loads,
+            self._ejections,
+            self._membership,
+            self._router,
+            self._prefixes,
+            self._ledger.counters,
+        )
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -342,12 +352,12 @@
     def _finished(
         self, now: float, request: Request, ended: LiveAttempt, result: StageResult
     ) -> list[Action]:
-        self._learn(now, request, ended, result)
+        self._learner.finished(now, request, ended, result)
         request.previous_bytes = result.output_bytes
         losers = list(request.live.values())
         actions = self._ledger.cancel_all(request)
         for loser in losers:
-            self._lost_to_hedge(now, loser, ended)
+            self._learner.overtaken(now, loser, ended)
         if not self._ledger.stage_done(request):
             freed = self._gatherer.close(now, request.id)
             return [*actions, *freed, self._ledger.answered(request)]
@@ -382,7 +392,7 @@
         not_run = result.fate is Fate.NOT_RUN
         request.unstarted += not_run
         request.stage_unstarted += not_run
-        self._note_failure(now, request, ended, result)
+        self._learner.failed(now, request, ended, result)
         if request.live:
             return []
         if not result.inputs_gone:
@@ -414,35 +424,6 @@
             return 0.0
         return self._settings.not_run_cost if not_run else FAILURE_COST
 
-    def _note_failure(
-        self, now: float, request: Request, ended: LiveAttempt, result: StageResult
-    ) -> None:
-        load = self._loads.find(ended.endpoint)
-        # A full queue, a model not loaded or a request that fails everywhere says
-        # nothing against the endpoint; to eject it would take capacity away.
-        blameless = result.permanent or (
-            result.fate is Fate.NOT_RUN
-            and (
-                result.retry_after_s > 0
-                or result.inputs_gone
-                or (load is not None and not load.takes(request.current.model))
-            )
-        )
-        if blameless or load is None:
-            self._ejections.probe_dropped(ended.endpoint)
-            return
-        self.counters.ejections += self._membership.failed(now, load)
-
-    def _lost_to_hedge(
-        self, now: float, loser: LiveAttempt, winner: LiveAttempt
-    ) -> None:
-        """Count a strike against an endpoint that a later attempt overtook."""
-        load = self._loads.find(loser.endpoint)
-        if load is None or loser.sent_at >= winner.sent_at:
-            self._ejections.probe_dropped(loser.endpoint)
-            return
-        self.counters.ejections += self._membership.failed(now, load)
-
     def _drop_overtaken(
         self, now: float, request: Request, ahead: LiveAttempt
     ) -> list[Action]:
@@ -455,7 +436,7 @@
         actions: list[Action] = []
         for attempt in passed:
             loser = self._ledger.ended(request, attempt)
-            self._lost_to_hedge(now, loser, ahead)
+            self._learner.overtaken(now, loser, ahead)
             actions.append(Cancel(attempt, loser.endpoint))
         return actions
 
@@ -480,37 +461,9 @@
         return self._dispatcher.hedge(now, request, timer.attempt)
 
     def _too_late(self, now: float, request: Request) -> list[Action]:
-        # Runs cut off by the deadline never end here: without them a stage that
-        # takes longer than any deadline would look as fast as it used to be.
-        stats = self._times.of(request.current)
-        for attempt in request.live.values():
-            ran = now - attempt.sent_at - attempt.wait_s
-            if ran > stats.typical_s:
-                stats.add(ran, int(stats.output_bytes), attempt.beside)
-            self._ejections.probe_dropped(attempt.endpoint)
+        self._learner.cut_off(now, request)
         return self._refuse(now, request, Reason.DEADLINE)
 
-    # Learning
-
-    def _learn(
-        self, now: float, request: Request, ended: LiveAttempt, result: StageResult
-    ) -> None:
-        load = self._loads.find(ended.endpoint)
-        if load is None:
-            return
-        stats = self._times.of(request.current)
-        if stats.known and not ended.stream.pace_s:
-            load.note_run(now, result.run_s / stats.mean_beside_s(ended.beside))
-        stats.add(result.run_s, result.output_bytes, ended.beside, ended.cached)
-        on_the_way = now - ended.sent_at - result.run_s - result.queued_s
-        if not ended.asks:
-            self._router.note_round_trip(load.endpoint.region, max(0.0, on_the_way))
-        self._membership.succeeded(now, load)
-        # An index entry names few holders: the endpoints of the other stages, which
-        # cache nothing, would push the engine out before the prefix comes again.
-        if request.arrival.prefix and request.current.caches_prefixes:
-            self._prefixes.ran(now, ended.endpoint, request.arrival.prefix)
-
     def _configure(self, now: float, settings: PolicySettings) -> None:
         self._settings = settings
         self._membership.replace(now, settings)
