--- a/tests/test_daemon_product.py
+++ b/tests/test_daemon_product.py
@@ -14,7 +14,7 @@
         main(["--help"])
     shown = capsys.readouterr().out
     assert stopped.value.code == 0
-    assert "{entry,sidecar}" in shown
+    assert "{entry,gateway,sidecar}" in shown
     assert "2 wrong settings" in shown
 
 
