Run the entry's decisions on the shared loop; one rendezvous hash, one scrape

Found on reading the change again, behaviour unchanged: the entry's executor still held the loop, the table and the tasks that DecisionLoop had been made from; endpoints and owners were ranked by two copies of one hash; metrics were rendered twice; two pieces of state (a gatherer's data centre, a call's priority) were never read.

--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -1,11 +1,11 @@
 """Carries out the policy's actions and feeds it what came of them."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping
-from contextlib import suppress
+from collections.abc import Coroutine, Mapping
 from dataclasses import replace
 from typing import Any
 
+from amaranthtally.daemon.decision_loop import DecisionLoop
 from amaranthtally.daemon.entry.attempts import Attempts
 from amaranthtally.daemon.entry.inquiries import Inquirer, load_report
 from amaranthtally.daemon.entry.live_request import LiveRequest
@@ -13,7 +13,6 @@
 from amaranthtally.daemon.entry.peers import Peers
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
-    Action,
     Answer,
     Ask,
     AttemptId,
@@ -33,9 +32,7 @@
 
 __all__ = ["Executor"]
 
-TICK_S = 0.01
 RETRY_S = 1.0
-IDLE_TICK_S = 1.0
 
 log = get_logger()
 
@@ -52,21 +49,22 @@
         self._endpoints = settings.endpoints
         self._revision = settings.revision
         self._requests: dict[str, LiveRequest] = {}
-        self._tasks: set[asyncio.Task[None]] = set()
         self._peers: Peers | None = None
         self._inquirer: Inquirer | None = None
         self._attempts: Attempts | None = None
         self._giving_up: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
-        self._arrived = asyncio.Event()
-        self._carry_out_table: dict[type, Callable[[Any], None]] = {
-            Send: self._send,
-            Cancel: self._cancel,
-            Ask: self._ask,
-            Greet: self._greet,
-            Answer: self._answer,
-            Refuse: self._refuse,
-        }
+        self._decisions = DecisionLoop(
+            planner,
+            {
+                Send: self._send,
+                Cancel: self._cancel,
+                Ask: self._ask,
+                Greet: self._greet,
+                Answer: self._answer,
+                Refuse: self._refuse,
+            },
+        )
 
     @property
     def in_flight(self) -> int:
@@ -89,8 +87,8 @@
     def submit(self, request: LiveRequest) -> None:
         """Hand a request to the policy; its ending comes through the request."""
         self._requests[request.id] = request
-        self._arrived.set()
-        self._carry_out(
+        self._decisions.wake()
+        self._decisions.carry_out(
             self._planner.request_arrived(self._loop.time(), request.arrival)
         )
 
@@ -98,7 +96,9 @@
         """End a request whose caller has gone."""
         if self._requests.pop(request.id, None) is None:
             return
-        self._carry_out(self._planner.caller_gone(self._loop.time(), request.id))
+        self._decisions.carry_out(
+            self._planner.caller_gone(self._loop.time(), request.id)
+        )
         self._stop_attempts(request)
         log.info("request_abandoned", request_id=request.id)
 
@@ -106,37 +106,32 @@
         """Use newer settings for what comes."""
         self._endpoints = settings.endpoints
         self._revision = settings.revision
-        self._carry_out(self._planner.settings_changed(self._loop.time(), settings))
+        self._decisions.carry_out(
+            self._planner.settings_changed(self._loop.time(), settings)
+        )
 
     def load_changed(self, endpoint: str, load: Load) -> None:
         """Tell the policy of a sidecar's load."""
         report = load_report(load)
-        self._carry_out(self._planner.load_report(self._loop.time(), endpoint, report))
+        self._decisions.carry_out(
+            self._planner.load_report(self._loop.time(), endpoint, report)
+        )
 
     def endpoint_leaving(self, endpoint: str) -> None:
         """Tell the policy that an endpoint leaves."""
-        self._carry_out(self._planner.endpoint_leaving(self._loop.time(), endpoint))
+        self._decisions.carry_out(
+            self._planner.endpoint_leaving(self._loop.time(), endpoint)
+        )
 
     def endpoint_staying(self, endpoint: str) -> None:
         """Tell the policy that an endpoint takes work again."""
-        self._carry_out(self._planner.endpoint_staying(self._loop.time(), endpoint))
+        self._decisions.carry_out(
+            self._planner.endpoint_staying(self._loop.time(), endpoint)
+        )
 
     async def tick(self) -> None:
-        """
-        Let the policy act on the passing of time, until cancelled.
-
-        Ticks cost processor time whether or not anything waits for them: with no
-        request in flight the policy is woken once a second only.
-        """
-        while True:
-            await self._wait_for_tick()
-            # An error in one decision would end this task, and with it the deadline
-            # of every later request: callers would wait for ever. It is logged, and
-            # the next tick decides anew.
-            try:
-                self._carry_out(self._planner.tick(self._loop.time()))
-            except Exception as error:
-                log.exception("policy_failed", cause=repr(error))
+        """Let the policy act on the passing of time, until cancelled."""
+        await self._decisions.tick(lambda: bool(self._requests))
 
     def refuse_all(self) -> None:
         """End every request in flight; some of its work may have been done."""
@@ -144,21 +139,8 @@
             self._planner.caller_gone(self._loop.time(), request.id)
             self._refuse(Refuse(request.id, Outcome.UNKNOWN, Reason.STOPPING, RETRY_S))
 
-    async def _wait_for_tick(self) -> None:
-        if self._requests:
-            await asyncio.sleep(TICK_S)
-            return
-        self._arrived.clear()
-        with suppress(TimeoutError):
-            async with asyncio.timeout(IDLE_TICK_S):
-                await self._arrived.wait()
-
     # Actions
 
-    def _carry_out(self, actions: list[Action]) -> None:
-        for action in actions:
-            self._carry_out_table[type(action)](action)
-
     def _send(self, send: Send) -> None:
         request = self._requests[send.attempt.request_id]
         # Looked up now: a change of settings may take the endpoint away before the
@@ -184,18 +166,7 @@
     def _greet(self, greet: Greet) -> None:
         endpoint = self._endpoints.get(greet.endpoint)
         if endpoint is not None:
-            self._spawn(self._greet_endpoint(endpoint))
-
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_done)
-        return task
-
-    def _task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("policy_failed", cause=repr(task.exception()))
+            self._decisions.spawn(self._greet_endpoint(endpoint))
 
     def _answer(self, answer: Answer) -> None:
         request = self._requests.pop(answer.request_id)
@@ -239,19 +210,19 @@
         attempt: AttemptId,
         work: Coroutine[Any, Any, None],
     ) -> None:
-        request.tasks[attempt] = self._spawn(work)
+        request.tasks[attempt] = self._decisions.spawn(work)
 
     # What came of attempts
 
     def chunks_taken(self, attempt: AttemptId, chunks: int) -> None:
         """Tell the policy how many chunks of a stream its request has."""
         now = self._loop.time()
-        self._carry_out(self._planner.progress(now, attempt, chunks))
+        self._decisions.carry_out(self._planner.progress(now, attempt, chunks))
 
     def cache_heard(self, endpoint: str, event: CacheEvent) -> None:
         """Tell the policy what an engine holds in its cache."""
         now = self._loop.time()
-        self._carry_out(self._planner.cache_event(now, endpoint, event))
+        self._decisions.carry_out(self._planner.cache_event(now, endpoint, event))
 
     def attempt_ended(self, attempt: AttemptId, result: StageResult) -> None:
         """Tell the policy how an attempt ended."""
@@ -261,7 +232,9 @@
         request.tasks.pop(attempt, None)
         stage = request.arrival.pipeline.stages[attempt.stage]
         self._metrics.attempt_ended(stage.name, result.fate.value)
-        self._carry_out(self._planner.reply(self._loop.time(), attempt, result))
+        self._decisions.carry_out(
+            self._planner.reply(self._loop.time(), attempt, result)
+        )
 
     # Endpoints
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -125,7 +125,6 @@
             account=call.account,
             inputs=tuple(inputs) if call.route.stages else None,
             resume_after=call.last_event,
-            priority=call.priority,
         )
         async with self._session.request(
             call.method,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
@@ -68,7 +68,6 @@
     route: Route
     account: str
     received_at: float
-    priority: int | None = None
     begun: bool = False
     last_event: str = ""
     event_count: int = 0
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -4,11 +4,9 @@
 from dataclasses import dataclass
 from typing import NamedTuple
 
-from aiohttp import hdrs, web
-from aioprometheus import REGISTRY, Counter, Gauge, Histogram
-from aioprometheus.renderer import render
+from aioprometheus import Counter, Gauge, Histogram
 
-__all__ = ["GatewayMetrics", "GatewayState", "answer_scrape"]
+__all__ = ["GatewayMetrics", "GatewayState"]
 
 REQUEST_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
 CALL_BUCKETS_S = (0.05, 0.1, 0.25, 0.4, 0.6, 1.0, 2.0)
@@ -105,10 +103,3 @@
             self._pieces.set(piece._asdict(), count)
         for name in GatewayState.__dataclass_fields__:
             self._state.set({"name": name}, float(getattr(state, name)))
-
-
-def answer_scrape(request: web.BaseRequest) -> web.Response:
-    """Return every metric of the process in the form that the scrape asks for."""
-    accepts = request.headers.getall(hdrs.ACCEPT, [])
-    content, headers = render(REGISTRY, accepts)
-    return web.Response(body=content, headers=headers)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -28,7 +28,6 @@
 from amaranthtally.daemon.gateway.metrics import (
     GatewayMetrics,
     GatewayState,
-    answer_scrape,
 )
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_links import PeerLinks
@@ -37,6 +36,7 @@
     RecordFollower,
 )
 from amaranthtally.daemon.gateway.store_links import StoreLinks
+from amaranthtally.daemon.health import answer_scrape
 from amaranthtally.daemon.lifecycle import (
     StopSignal,
     run_beside,
--- a/packages/daemon/src/amaranthtally/daemon/health.py
+++ b/packages/daemon/src/amaranthtally/daemon/health.py
@@ -6,7 +6,14 @@
 from aioprometheus import REGISTRY
 from aioprometheus.renderer import render
 
-__all__ = ["add_health_routes"]
+__all__ = ["add_health_routes", "answer_scrape"]
+
+
+def answer_scrape(request: web.BaseRequest) -> web.Response:
+    """Return every metric of the process in the form that the scrape asks for."""
+    accepts = request.headers.getall(hdrs.ACCEPT, [])
+    content, headers = render(REGISTRY, accepts)
+    return web.Response(body=content, headers=headers)
 
 
 def add_health_routes(
@@ -28,9 +35,7 @@
 
     async def metrics(request: web.Request) -> web.Response:
         refresh()
-        accepts = request.headers.getall(hdrs.ACCEPT, [])
-        content, headers = render(REGISTRY, accepts)
-        return web.Response(body=content, headers=headers)
+        return answer_scrape(request)
 
     app.router.add_get("/healthz", healthz)
     app.router.add_get("/readyz", readyz)
--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -1,9 +1,8 @@
 """Which engine reads a prompt: the one that holds its shared parts, unless busy."""
 
-from hashlib import blake2b
-
 from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.loads import EndpointLoad
+from amaranthtally.policy.rendezvous import rendezvous_weight
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageStats
 from amaranthtally.policy.weighing import Choice, RouteRequest
@@ -29,7 +28,6 @@
 PLACE_S = 0.001
 # What a failed attempt costs its caller, in seconds: the retry waits for new inputs.
 FAILURE_S = 1.0
-PLACE_BYTES = 8
 NOTHING_KNOWN = StageStats()
 
 
@@ -119,15 +117,11 @@
         """Return each engine's place for the prompt, from 0."""
         # The last part is the request's own: the one before it is what it shares.
         shared = wanted.prefix[-2] if len(wanted.prefix) > 1 else wanted.prefix[0]
+        key = f"{shared:x}"
         ids = [load.endpoint.id for load in usable]
-        ranked = sorted(ids, key=lambda name: _weight(name, shared))
+        ranked = sorted(ids, key=lambda name: rendezvous_weight(name, key))
         return {name: place for place, name in enumerate(ranked)}
 
 
 def _shared_share(sizes: tuple[int, ...]) -> float:
     return sum(sizes[:-1]) / max(1, sum(sizes))
-
-
-def _weight(endpoint: str, part: int) -> bytes:
-    text = f"{endpoint}/{part:x}".encode()
-    return blake2b(text, digest_size=PLACE_BYTES).digest()
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -78,7 +78,6 @@
     def __init__(self) -> None:
         self._batcher = Batcher()
         self._places = Places()
-        self._data_centre = ""
         self._pools: Mapping[str, Pool] = {}
         self._gathered: dict[str, _Gathered] = {}
         self._asked: dict[Piece, _Asked] = {}
@@ -97,7 +96,6 @@
         pools: Mapping[str, Pool],
     ) -> None:
         """Use these endpoints and pools, seen from this entry."""
-        self._data_centre = data_centre
         self._pools = pools
         self._places.configure(name, region, data_centre)
         self._batcher.configure(endpoints, pools)
--- a/packages/policy/src/amaranthtally/policy/places.py
+++ b/packages/policy/src/amaranthtally/policy/places.py
@@ -2,9 +2,9 @@
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass
-from hashlib import blake2b
 
 from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.rendezvous import rendezvous_weight
 
 __all__ = ["Peer", "Places"]
 
@@ -21,7 +21,6 @@
 LONGEST_SHUT_S = 4.0
 # How long a peer that did not answer gets no pieces, in seconds.
 PEER_SHUT_S = 3.0
-WEIGHT_BYTES = 8
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,9 +79,8 @@
         if not self._leaving or not alive:
             alive.append(own)
         near = [p for p in alive if p.data_centre == data_centre]
-        chosen = min(
-            near or alive, key=lambda peer: _weight(peer.name, pool, data_centre)
-        )
+        key = f"{pool}/{data_centre}"
+        chosen = min(near or alive, key=lambda peer: rendezvous_weight(peer.name, key))
         return "" if chosen.name == self._name else chosen.name
 
     def peer_failed(self, now: float, peer: str) -> None:
@@ -159,8 +157,3 @@
 
     def _of(self, pool: str, data_centre: str) -> _Place:
         return self._places.setdefault((pool, data_centre), _Place())
-
-
-def _weight(peer: str, pool: str, data_centre: str) -> bytes:
-    text = f"{peer}/{pool}/{data_centre}".encode()
-    return blake2b(text, digest_size=WEIGHT_BYTES).digest()
