--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -11,7 +11,7 @@
 from amaranthtally.adapter.answers import read_answer
 from amaranthtally.adapter.callers import call_headers
 from amaranthtally.adapter.messages import AnswerHead, CallHead, EndpointLoad
-from amaranthtally.daemon.gateway.event_splitter import EventSplitter
+from amaranthtally.daemon.gateway.event_buffer import EventBuffer
 from amaranthtally.daemon.gateway.live_call import Answer, Began, Events, LiveCall
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -108,7 +108,7 @@
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._log(send, endpoint, "unreachable", repr(error), started)
             return StageResult(Fate.NOT_RUN, unreachable=True)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             self._log(send, endpoint, "lost", repr(error), started)
             return _lost(call)
 
@@ -199,11 +199,11 @@
         response: aiohttp.ClientResponse,
         started: float,
     ) -> StageResult:
-        splitter = EventSplitter()
+        buffer = EventBuffer()
         size = 0
         with _WholeBody(response) as whole:
             async for data in response.content.iter_any():
-                events = splitter.feed(data)
+                events = buffer.feed(data)
                 size += len(events.body)
                 if not events.number:
                     continue
@@ -215,7 +215,7 @@
                 await call.events.put(Events(events.body))
                 self._listener.chunks_taken(send.attempt, call.event_count)
         whole.check()
-        if splitter.held:
+        if buffer.held:
             raise aiohttp.ClientPayloadError("the stream ended inside an event")
         if not call.begun:
             call.begun = True
--- a/packages/daemon/src/amaranthtally/daemon/gateway/event_splitter.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/event_buffer.py
@@ -1,8 +1,8 @@
-"""Splits a stream of server-sent events into whole ones, and reads their ids."""
+"""Holds back a stream's event until it is whole, and reads its id."""
 
 from typing import NamedTuple
 
-__all__ = ["EventSplitter", "WholeEvents"]
+__all__ = ["EventBuffer", "WholeEvents"]
 
 # Where an event ends, as engines write it and as the form also allows.
 ENDS = (b"\n\n", b"\r\n\r\n")
@@ -18,9 +18,12 @@
 
 
 NONE = WholeEvents(b"", 0, "")
+# An event of more bytes than this is none of an engine's; held without a bound, one
+# that never ends would take the process's memory.
+MOST_HELD_BYTES = 1_048_576
 
 
-class EventSplitter:
+class EventBuffer:
     """
     Holds back what is not yet a whole event.
 
@@ -37,8 +40,14 @@
         return len(self._held)
 
     def feed(self, data: bytes) -> WholeEvents:
-        """Take bytes; return the events that they complete."""
+        """
+        Take bytes; return the events that they complete.
+
+        Raises ``ValueError`` for an event that does not end.
+        """
         data = self._held + data
+        if len(data) > MOST_HELD_BYTES:
+            raise ValueError(f"an event of over {MOST_HELD_BYTES} bytes")
         end = max(_after_last(data, mark) for mark in ENDS)
         self._held = data[end:]
         if not end:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -3,7 +3,7 @@
 import asyncio
 import secrets
 import signal
-from collections.abc import AsyncIterator, Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -22,6 +22,7 @@
 from amaranthtally.daemon.gateway.membership import (
     EntryReader,
     EntryRecord,
+    Registration,
     peers_of,
 )
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
@@ -73,7 +74,7 @@
         stop = stack.enter_context(stop_on_signal())
         loop.add_signal_handler(signal.SIGHUP, _reload, path)
         parts = await _open(settings, stack, stop)
-        log.info("listening", role="gateway", name=settings.name)
+        log.info("listening", role="gateway", name=settings.name, **parts.ports)
         await stop.wait()
         log.info("gateway_leaving", in_flight=parts.executor.in_flight)
         work = _leave(parts, settings.stop_grace)
@@ -91,6 +92,7 @@
     front: Front
     callers: web.Server
     store: StoreLinks
+    ports: Mapping[str, int]
 
 
 async def _open(
@@ -120,9 +122,6 @@
         links.replace({name: record.address for name, record in others.items()})
         executor.peers_changed(peers_of(others))
 
-    store = StoreLinks(
-        client, settings, configuration, records, EntryReader(on_entries), random
-    )
     handler = PeerHandler(
         executor,
         configuration,
@@ -130,7 +129,16 @@
         lambda peer: executor.spawn(exchange.fetch(peer)),
     )
     host, port = split_address(settings.peer_address)
-    await stack.enter_async_context(serve_gateway(handler, host, port))
+    port = await stack.enter_async_context(serve_gateway(handler, host, port))
+    record = EntryRecord(f"{host}:{port}", settings.data_centre)
+    store = StoreLinks(
+        client,
+        configuration,
+        records,
+        EntryReader(on_entries),
+        Registration(client, settings.name, record, random),
+        random,
+    )
     exchange = BeliefExchange(links, handler, lambda: store.is_connected, random)
     watch = links.watch(lambda: executor.asked_peers)
     for work in [*store.work(), exchange.run(), executor.tick(), watch]:
@@ -140,7 +148,7 @@
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
     front = Front(executor, arrivals, metrics, lambda: beliefs.table, stop.is_set)
     balancer = web.Server(_answer_balancer(lambda: beliefs.is_complete, stop))
-    await stack.enter_async_context(_serve(balancer, settings.ready_address))
+    ready = await stack.enter_async_context(_serve(balancer, settings.ready_address))
     callers = web.Server(
         front.handle,
         handler_cancellation=True,
@@ -148,8 +156,11 @@
         max_line_size=MOST_HEADER_BYTES,
         max_field_size=MOST_HEADER_BYTES,
     )
-    await stack.enter_async_context(_serve(callers, settings.caller_address))
-    return _Parts(executor, front, callers, store)
+    front_port = await stack.enter_async_context(
+        _serve(callers, settings.caller_address)
+    )
+    ports = {"port": front_port, "ready": ready, "peers": port}
+    return _Parts(executor, front, callers, store, ports)
 
 
 def _answer_balancer(
@@ -187,12 +198,13 @@
 
 
 @asynccontextmanager
-async def _serve(server: web.Server, address: str) -> AsyncIterator[asyncio.Server]:
+async def _serve(server: web.Server, address: str) -> AsyncIterator[int]:
+    """Serve at an address and yield the bound port."""
     host, port = split_address(address)
     loop = asyncio.get_running_loop()
     listener = await loop.create_server(server, host, port, backlog=BACKLOG)
     try:
-        yield listener
+        yield listener.sockets[0].getsockname()[1]
     finally:
         listener.close()
         await server.shutdown(0)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_links.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_links.py
@@ -10,7 +10,6 @@
 from amaranthtally.daemon.gateway.membership import (
     ENTRIES_PREFIX,
     EntryReader,
-    EntryRecord,
     Registration,
 )
 from amaranthtally.daemon.gateway.store_follower import (
@@ -21,7 +20,6 @@
     RecordFollower,
 )
 from amaranthtally.platform import StoreClient
-from amaranthtally.settings import GatewaySettings
 
 __all__ = ["StoreLinks"]
 
@@ -37,22 +35,21 @@
     def __init__(
         self,
         client: StoreClient,
-        settings: GatewaySettings,
         configuration: ConfigurationFollower,
         records: RecordFollower,
         entries: EntryReader,
+        registration: Registration,
         random: Random,
     ) -> None:
         self._records = records
         self._entry_reader = entries
+        self._registration = registration
         readers: dict[str, Reader] = {
             CONFIGURATION_KEY: configuration,
             SERVERS_PREFIX: records,
             ENTRIES_PREFIX: entries,
         }
         self._follower = PrefixFollower(client, EVERYTHING, Readers(readers), random)
-        record = EntryRecord(settings.peer_address, settings.data_centre)
-        self._registration = Registration(client, settings.name, record, random)
 
     @property
     def is_connected(self) -> bool:
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -216,6 +216,7 @@
         for ask in asks:
             if ask.piece in known:
                 continue
+            known.add(ask.piece)
             place = (ask.pool, ask.data_centre)
             self._queues.setdefault(place, []).append(_Waiting(ask, now))
             places[place] = None
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -284,7 +284,7 @@
         pool = self._pools.get(stage.pool)
         if pool is not None and pool.pieces is not None:
             share_s = pool.pieces.full_call_s() / pool.pieces.batch
-            self._places.asked(stage.pool, place, share_s)
+            self._places.asked(now, stage.pool, place, share_s)
         return PieceAsk(
             piece,
             stage.pool,
@@ -305,6 +305,7 @@
         news: Gathering,
         failed: bool = True,
     ) -> None:
+        again: dict[str, list[Piece]] = {}
         for piece in pieces:
             self._asked.pop(piece, None)
             found = self._gathered.get(piece.request_id)
@@ -313,9 +314,12 @@
             if found.graph.requeued(piece, failed) >= MOST_FAILURES:
                 news.failed.append(piece.request_id)
             elif found.graph.is_fed(piece):
-                self._ask(now, found, [piece], news)
+                again.setdefault(piece.request_id, []).append(piece)
             else:
                 news.actions += self._free(now, found.graph.lose_inputs_of(piece))
+        for request_id, several in again.items():
+            if request_id not in news.failed:
+                self._ask(now, self._gathered[request_id], several, news)
 
     def _patience_until(self, now: float, ask: PieceAsk) -> float:
         wait_s = self._wait_s(now, ask.pool, ask.data_centre)
--- a/packages/policy/src/amaranthtally/policy/places.py
+++ b/packages/policy/src/amaranthtally/policy/places.py
@@ -104,9 +104,11 @@
         place.heard_at = now
         place.failures = 0
 
-    def asked(self, pool: str, data_centre: str, more_s: float) -> None:
+    def asked(self, now: float, pool: str, data_centre: str, more_s: float) -> None:
         """Count what was asked for since the place was last heard of."""
-        self._of(pool, data_centre).wait_s += more_s
+        place = self._of(pool, data_centre)
+        place.wait_s = self.wait_s(now, pool, data_centre) + more_s
+        place.heard_at = now
 
     def failed(self, now: float, pool: str, data_centre: str) -> None:
         """Leave a place alone for a while."""
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -437,7 +437,8 @@
         self._note_failure(now, request, ended, result)
         if request.live:
             return []
-        request.avoid |= {ended.endpoint}
+        if not result.inputs_gone:
+            request.avoid |= {ended.endpoint}
         reason = Reason.OVERLOAD if not_run else Reason.STAGE_FAILED
         may_resend = (request.current.repeatable or not_run) and request.may_run_again
         if result.permanent or not may_resend or request.resends >= MAX_RESENDS:
--- /dev/null
+++ b/tests/gateway/fake_endpoint.py
@@ -0,0 +1,189 @@
+"""An endpoint that answers as a test says, byte for byte."""
+
+import asyncio
+import itertools
+import json
+import socket
+import struct
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+from amaranthtally.adapter import headers as names
+
+SIGNATURE = "f00d.01"
+
+
+@dataclass
+class Seen:
+    """A request as it came."""
+
+    method: str
+    target: str
+    headers: dict
+    body: bytes
+    closed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def id(self):
+        return self.headers.get(names.REQUEST_ID.lower(), "")
+
+
+class Reset:
+    """Break the connection off with a reset."""
+
+
+class Close:
+    """End the connection."""
+
+
+class FakeEndpoint:
+    """
+    One endpoint; ``script`` returns what to do with a request.
+
+    That is a list of bytes to send, seconds to wait, ``Reset`` and ``Close``.
+    """
+
+    def __init__(self, name, script):
+        self.name = name
+        self.script = script
+        self.seen = []
+        self.address = ""
+        self.connections = 0
+
+    def record(self, pool, place="cluj-a", state="ready", slots=8, **others):
+        """Return the endpoint's record in the store."""
+        record = {
+            "service": pool,
+            "address": self.address,
+            "zone": place,
+            "version": "v1",
+            "slots": slots,
+            "state": state,
+            "coldLeftMs": 0,
+            "sequence": 1,
+        }
+        return record | others
+
+    async def serve(self, reader, writer):
+        self.connections += 1
+        current = None
+        try:
+            while (request := await read_request(reader)) is not None:
+                current = request
+                self.seen.append(request)
+                for step in self.script(request):
+                    if not await self._do(step, reader, writer, request):
+                        return
+        except ConnectionError:
+            return
+        finally:
+            if current is not None:
+                current.closed.set()
+            writer.close()
+
+    async def _do(self, step, reader, writer, request):
+        if isinstance(step, bytes):
+            writer.write(step)
+            await writer.drain()
+            return True
+        if isinstance(step, int | float):
+            gone = asyncio.create_task(reader.read(1))
+            await asyncio.wait({gone}, timeout=step)
+            left = gone.done() and gone.result() == b""
+            gone.cancel()
+            await asyncio.gather(gone, return_exceptions=True)
+            return not left
+        if step is Reset:
+            # With no time to linger, closing sends a reset and not the end.
+            linger = struct.pack("ii", 1, 0)
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        return False
+
+
+async def read_request(reader):
+    """Read one request with a length; ``None`` at the end of the connection."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = head.decode("latin-1").strip().split("\r\n")
+    method, target, _ = first.split(" ", 2)
+    headers = {}
+    for line in lines:
+        key, _, value = line.partition(":")
+        headers[key.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return Seen(method, target, headers, body)
+
+
+@asynccontextmanager
+async def open_endpoint(name, script):
+    """Serve an endpoint on loopback."""
+    endpoint = FakeEndpoint(name, script)
+    server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
+    host, port = server.sockets[0].getsockname()
+    endpoint.address = f"{host}:{port}"
+    try:
+        yield endpoint
+    finally:
+        server.close()
+
+
+# Answers
+
+
+def head(request, status="200 OK", *, length=None, signed=True, **extra):
+    """Return the head of an answer; without a length it ends with the connection."""
+    lines = [f"HTTP/1.1 {status}", f"{names.REQUEST_ID}: {request.id}"]
+    if signed:
+        lines.append(f"{names.SIGNATURE}: {SIGNATURE}")
+    if length is not None:
+        lines.append(f"Content-Length: {length}")
+    lines += [f"{key.replace('_', '-')}: {value}" for key, value in extra.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+
+def whole(request, body=b"ok", status="200 OK", **extra):
+    """Return a whole answer."""
+    return head(request, status, length=len(body), **extra) + body
+
+
+def refused(request, status="503 Service Unavailable"):
+    """Return an answer that says that nothing was run."""
+    extra = {names.NOT_EXECUTED.replace("-", "_"): "1"}
+    return head(request, status, length=0, signed=False, **extra)
+
+
+def events(*numbers):
+    """Return whole events with these ids."""
+    return b"".join(b"id: %d\ndata: word%d\n\n" % (n, n) for n in numbers)
+
+
+def chunk(data):
+    """Return a chunk of a chunked body."""
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+STREAM_END = b"0\r\n\r\n"
+
+
+def stream_head(request):
+    """Return the head of a chunked stream."""
+    extra = {"Transfer_Encoding": "chunked", "Content_Type": "text/event-stream"}
+    return head(request, **extra)
+
+
+def piece_script():
+    """Return a script that makes every piece."""
+    serials = itertools.count()
+
+    def script(request):
+        if request.target.endswith("free"):
+            return [whole(request, b"{}", signed=False)]
+        entries = json.loads(request.body)["entries"]
+        made = {"entries": [{"handle": f"m/{next(serials)}"} for _ in entries]}
+        return [0.02, whole(request, json.dumps(made).encode(), signed=False)]
+
+    return script
--- /dev/null
+++ b/tests/gateway/support.py
@@ -0,0 +1,177 @@
+"""A gateway process before endpoints and a store that the test holds."""
+
+import asyncio
+import json
+from contextlib import AsyncExitStack, asynccontextmanager
+
+import aiohttp
+import tomli_w
+from yarl import URL
+
+from amaranthtally.adapter import headers as names
+from amaranthtally.standins.process import start_process
+from amaranthtally.standins.store import open_store_standin
+from tests.gateway.fake_endpoint import open_endpoint
+
+KEY = "key-of-the-account"
+HOST = "api.example"
+
+
+def route(name, kind="idempotent", **options):
+    """Return a route at ``/NAME/`` to a pool of the same name."""
+    base = {
+        "name": name,
+        "host": HOST,
+        "prefix": f"/{name}/",
+        "type": kind,
+        "timeoutMs": 4000,
+        "latencySloMs": 1000,
+        "service": name,
+        "maxAttempts": 2,
+    }
+    return base | options
+
+
+STREAM = {"kind": "streaming", "sticky": True}
+SEGMENTS = {"slots": 1, "queue": 2, "batch": 8, "callMs": 20.0, "itemMs": 1.0}
+
+
+def configuration(version, *routes, services=(), keys=(KEY,)):
+    """Return the operators' document."""
+    return {
+        "version": version,
+        "routes": list(routes),
+        "services": list(services),
+        "tenants": [{"name": "account", "apiKeys": list(keys)}],
+    }
+
+
+class Gateway:
+    """One gateway process, and a caller of it."""
+
+    def __init__(self, process, session):
+        self.process = process
+        self.session = session
+        self.serial = 0
+
+    @property
+    def url(self):
+        return f"http://127.0.0.1:{self.process.ports['port']}"
+
+    def headers(self, request_id="", **others):
+        self.serial += 1
+        base = {
+            "Host": HOST,
+            names.REQUEST_ID: request_id or f"{self.process.name}-{self.serial}",
+            names.DEADLINE_MS: "4000",
+            names.AUTHORIZATION: f"Token {KEY}",
+        }
+        return base | others
+
+    async def call(self, path, *, method="POST", body=b"", **headers):
+        """Return the status, headers and body of an answer."""
+        async with self.session.request(
+            method,
+            URL(self.url + path, encoded=True),
+            data=body,
+            headers=self.headers(**headers),
+        ) as answer:
+            return answer.status, answer.headers, await answer.read()
+
+    async def stream(self, path, **headers):
+        """Return the bytes of a stream, and whether it ended whole."""
+        found = b""
+        headers = self.headers(**headers)
+        async with self.session.post(self.url + path, headers=headers) as answer:
+            try:
+                async for data in answer.content.iter_any():
+                    found += data
+            except aiohttp.ClientError:
+                return answer.status, found, False
+            return answer.status, found, True
+
+    async def is_ready(self):
+        url = f"http://127.0.0.1:{self.process.ports['ready']}/v1/readyz"
+        async with self.session.get(url) as answer:
+            return answer.status == 200
+
+    async def until_ready(self):
+        while not await self.is_ready():
+            await asyncio.sleep(0.02)
+
+    async def until(self, event, **fields):
+        """Wait for a log line of an event with these fields; return it."""
+        wanted = [f"event={event}", *(f"{k}={v}" for k, v in fields.items())]
+        while True:
+            for line in self.process.lines:
+                if all(word in line.split() for word in wanted):
+                    return line
+            await asyncio.sleep(0.02)
+
+
+class World:
+    """A store, endpoints and gateways on loopback."""
+
+    def __init__(self, stack, store, folder):
+        self.store = store
+        self._stack = stack
+        self._folder = folder
+
+    async def endpoint(self, name, pool, script, **record):
+        """Start an endpoint and register it."""
+        found = await self._stack.enter_async_context(open_endpoint(name, script))
+        self.store.put(f"servers/{name}", found.record(pool, **record))
+        return found
+
+    def configure(self, version, *routes, **options):
+        self.store.put("op/config", configuration(version, *routes, **options))
+
+    async def gateway(self, name="gateway", place="cluj-a", store="", **options):
+        """Start a gateway and wait until it is ready."""
+        found = await self.unready_gateway(name, place, store, **options)
+        await found.until_ready()
+        return found
+
+    async def unready_gateway(
+        self, name="gateway", place="cluj-a", store="", **options
+    ):
+        """Start a gateway."""
+        path = self._folder / f"{name}.toml"
+        path.write_text(tomli_w.dumps(self.settings(name, place, store) | options))
+        process = await start_process(
+            name, "amaranthtally.daemon.main", "gateway", "--settings", path
+        )
+        self._stack.push_async_callback(process.kill)
+        session = aiohttp.ClientSession(auto_decompress=False)
+        return Gateway(process, await self._stack.enter_async_context(session))
+
+    def settings(self, name, place, store):
+        return {
+            "name": name,
+            "host": "127.0.0.1",
+            "region": place,
+            "data_centre": place,
+            "caller_address": "127.0.0.1:0",
+            "ready_address": "127.0.0.1:0",
+            "peer_address": "127.0.0.1:0",
+            "store_address": store or self.store.address,
+            "stop_grace": 6.0,
+        }
+
+
+@asynccontextmanager
+async def open_world(folder):
+    """Yield a world whose processes end with it."""
+    async with AsyncExitStack() as stack:
+        store = await stack.enter_async_context(open_store_standin())
+        yield World(stack, store, folder)
+
+
+def pieces_of(endpoint):
+    """Return the pieces that an endpoint was asked for."""
+    return [
+        entry
+        for seen in endpoint.seen
+        if seen.target.endswith("run")
+        for entry in json.loads(seen.body)["entries"]
+    ]
--- /dev/null
+++ b/tests/gateway/test_configuration.py
@@ -0,0 +1,244 @@
+"""What is in force, where it comes from, and what a gateway says without it."""
+
+import asyncio
+import json
+import signal
+
+from amaranthtally.adapter import headers as names
+from amaranthtally.standins.store import open_store_standin
+from tests.gateway.fake_endpoint import whole
+from tests.gateway.support import open_world, route
+from tests.support import run_async
+
+
+def in_world(tmp_path, test):
+    async def run():
+        async with open_world(tmp_path) as world:
+            await test(world)
+
+    run_async(run())
+
+
+def answering(word):
+    return lambda request: [whole(request, word)]
+
+
+async def until_answered(gateway, path, wanted):
+    """Call until the status is as wanted; bounded by the test's own limit."""
+    while (await gateway.call(path))[0] != wanted:
+        await asyncio.sleep(0.05)
+
+
+def test_a_gateway_that_knows_nothing_yet_does_not_deny(tmp_path):
+    """
+    Callers get 404 and never come back. Their gateway had just started and had read
+    no configuration.
+    """
+
+    async def check(world):
+        gateway = await world.unready_gateway()
+        assert not await gateway.is_ready()
+        status, headers, _ = await gateway.call("/work/")
+        assert status == 503
+        assert float(headers[names.RETRY_AFTER]) > 0
+
+    in_world(tmp_path, check)
+
+
+def test_routes_and_keys_are_checked(tmp_path):
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        await world.endpoint("f", "open", answering(b"open"))
+        world.configure(1, route("work"), route("open", public=True))
+        gateway = await world.gateway()
+        assert (await gateway.call("/other/"))[0] == 404
+        assert (await gateway.call("/workshop/"))[0] == 404
+        wrong = {names.AUTHORIZATION: "Token wrong"}
+        assert (await gateway.call("/work/", **wrong))[0] == 401
+        assert (await gateway.call("/open/", **wrong))[2] == b"open"
+        assert (await gateway.call("/work/x"))[2] == b"work"
+
+    in_world(tmp_path, check)
+
+
+def test_malformed_requests_are_refused_at_once(tmp_path):
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        assert (await gateway.call("/work/", **{names.DEADLINE_MS: "soon"}))[0] == 400
+        assert (await gateway.call("/work/", **{names.REQUEST_ID: "x" * 500}))[0] == 400
+        assert (await gateway.call("/work/", **{names.PROMPT_PARTS: "zz:1"}))[0] == 400
+
+    in_world(tmp_path, check)
+
+
+def test_a_change_is_in_force_and_an_older_version_never_comes_back(tmp_path):
+    async def check(world):
+        await world.endpoint("old", "old", answering(b"old"))
+        await world.endpoint("new", "new", answering(b"new"))
+        world.configure(3, route("work", service="old"))
+        gateway = await world.gateway()
+        assert (await gateway.call("/work/"))[2] == b"old"
+        world.configure(7, route("work", service="new"))
+        await gateway.until("configuration_in_force", version=7)
+        world.configure(5, route("work", service="old"))
+        world.store.put("op/config", b"not a configuration")
+        await gateway.until("configuration_malformed")
+        assert (await gateway.call("/work/"))[2] == b"new"
+
+    in_world(tmp_path, check)
+
+
+def test_a_revoked_key_is_refused(tmp_path):
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        world.configure(2, route("work"), keys=("another",))
+        await until_answered(gateway, "/work/", 401)
+
+    in_world(tmp_path, check)
+
+
+def test_a_watch_that_goes_silent_hides_no_change_for_long(tmp_path):
+    """
+    A revoked key still works five seconds later. The store's watches heard nothing
+    while it was taken away, and did not end either.
+    """
+
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        world.store.outage.silent_watches = True
+        await asyncio.sleep(1.5)
+        world.configure(2, route("work"), keys=("another",))
+        world.store.forget_history()
+        async with asyncio.timeout(5.0):
+            await until_answered(gateway, "/work/", 401)
+
+    in_world(tmp_path, check)
+
+
+def test_changes_made_while_history_was_lost_are_read_anew(tmp_path):
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        world.store.outage.down = True
+        await gateway.until("store_lost")
+        world.configure(2, route("work"), route("more", service="work"))
+        world.store.forget_history()
+        world.store.outage.down = False
+        await until_answered(gateway, "/more/", 200)
+
+    in_world(tmp_path, check)
+
+
+def test_records_of_others_name_no_endpoint(tmp_path):
+    """
+    Every request fails in one pool. Somebody else writes into the endpoints' part of
+    the store, with fields missing or of another type.
+    """
+
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        good = json.loads(world.store.items["servers/e"].value)
+        bad = (
+            {**good, "address": 7},
+            {**good, "address": "nowhere"},
+            {**good, "state": "sleepy"},
+            {k: v for k, v in good.items() if k != "service"},
+            [],
+        )
+        for number, record in enumerate(bad):
+            world.store.put(f"servers/bad{number}", record)
+        world.store.put("servers/bytes", b"\xff\x00")
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        assert (await gateway.call("/work/"))[0] == 200
+        malformed = [x for x in gateway.process.lines if "record_malformed" in x]
+        assert len(malformed) == len(bad) + 1
+        assert "endpoints=1" in await gateway.until("endpoints_read")
+
+    in_world(tmp_path, check)
+
+
+def test_an_endpoint_that_leaves_gets_nothing_new(tmp_path):
+    async def check(world):
+        one = await world.endpoint("one", "work", answering(b"one"))
+        await world.endpoint("two", "work", answering(b"two"))
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        world.store.put("servers/one", one.record("work", state="draining"))
+        await gateway.until("endpoint_changed", endpoint="one", takes_calls="false")
+        before = len(one.seen)
+        for _ in range(10):
+            assert (await gateway.call("/work/"))[2] == b"two"
+        assert len(one.seen) == before
+
+    in_world(tmp_path, check)
+
+
+def test_endpoints_outlast_an_outage_in_which_their_records_ran_out(tmp_path):
+    """
+    Every request is refused after an outage. The records ran out while the store was
+    away, and the endpoints had not written again yet.
+    """
+
+    async def check(world):
+        endpoint = await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        world.store.outage.down = True
+        await gateway.until("store_lost")
+        world.store.remove("servers/e")
+        world.store.outage.down = False
+        await gateway.until("store_regained")
+        assert (await gateway.call("/work/"))[0] == 200
+        world.store.put("servers/e", endpoint.record("work"))
+        await asyncio.sleep(2.6)
+        assert (await gateway.call("/work/"))[0] == 200
+        world.store.remove("servers/e")
+        await until_answered(gateway, "/work/", 503)
+
+    in_world(tmp_path, check)
+
+
+def test_a_gateway_that_the_store_turns_away_hears_of_changes_from_peers(tmp_path):
+    """
+    A revoked key works at one gateway for as long as the store turns its host away,
+    though every other gateway has known better for seconds.
+    """
+
+    async def check(world):
+        endpoint = await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        first = await world.gateway("first")
+        await first.until("registered")
+        async with open_store_standin() as turning_away:
+            for key, item in world.store.items.items():
+                turning_away.put(key, item.value)
+            second = await world.gateway("second", store=turning_away.address)
+            turning_away.outage.down = True
+            await second.until("store_lost")
+            world.configure(2, route("work"), route("more", service="late"))
+            world.store.put("servers/e", endpoint.record("late"))
+            await second.until("beliefs_from_peer", configuration=2)
+            await until_answered(second, "/more/", 200)
+
+    in_world(tmp_path, check)
+
+
+def test_settings_that_can_not_be_read_leave_the_old_in_force(tmp_path):
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        (tmp_path / "gateway.toml").write_text("name = ")
+        gateway.process.send(signal.SIGHUP)
+        await gateway.until("settings_not_reloaded")
+        assert (await gateway.call("/work/"))[0] == 200
+
+    in_world(tmp_path, check)
--- /dev/null
+++ b/tests/gateway/test_leaving.py
@@ -0,0 +1,110 @@
+"""A gateway that is told to stop cuts nothing that it has read."""
+
+import asyncio
+import signal
+
+from amaranthtally.adapter import headers as names
+from tests.gateway.fake_endpoint import STREAM_END, chunk, events, stream_head, whole
+from tests.gateway.support import STREAM, open_world, route
+from tests.support import run_async
+
+
+def in_world(tmp_path, test):
+    async def run():
+        async with open_world(tmp_path) as world:
+            await test(world)
+
+    run_async(run())
+
+
+def test_what_was_read_is_answered_and_the_process_ends(tmp_path):
+    """
+    A stream is cut by a planned restart.
+    """
+
+    def script(request):
+        steps = [step for n in range(1, 9) for step in (chunk(events(n)), 0.2)]
+        return [stream_head(request), *steps, STREAM_END]
+
+    async def check(world):
+        await world.endpoint("e", "work", script)
+        world.configure(1, route("work", **STREAM))
+        gateway = await world.gateway()
+        stream = asyncio.create_task(gateway.stream("/work/"))
+        await gateway.until("attempt_sent")
+        gateway.process.send(signal.SIGTERM)
+        await gateway.until("gateway_leaving")
+        assert not await gateway.is_ready()
+        _, body, is_whole = await stream
+        assert is_whole
+        assert body == events(*range(1, 9))
+        assert await gateway.process.wait() == 0
+
+    in_world(tmp_path, check)
+
+
+def test_requests_are_served_until_the_balancer_has_let_go(tmp_path):
+    """
+    Callers see refused connections for two seconds. The balancer still sent them to a
+    process that had closed its listener at once.
+    """
+
+    async def check(world):
+        await world.endpoint("e", "work", lambda r: [whole(r)])
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        gateway.process.send(signal.SIGTERM)
+        await gateway.until("gateway_leaving")
+        loop = asyncio.get_running_loop()
+        end = loop.time() + 2.0
+        while loop.time() < end:
+            status, headers, _ = await gateway.call("/work/")
+            assert status == 200
+            assert headers["Connection"] == "close"
+            await asyncio.sleep(0.1)
+
+    in_world(tmp_path, check)
+
+
+def test_what_can_not_be_finished_is_refused_truly_before_the_end(tmp_path):
+    """
+    A caller's connection ends without a word. Its request still waited for a stage
+    when its process had to end.
+    """
+
+    async def check(world):
+        stages = [{"service": "stage", "after": [], "sizeBytes": 1}]
+        segments = {"slots": 1, "queue": 2, "batch": 8, "callMs": 5000.0}
+        await world.endpoint("stage", "stage", lambda r: [60.0])
+        await world.endpoint("e", "work", lambda r: [whole(r)])
+        long = {"timeoutMs": 30000, "latencySloMs": 30000}
+        made = route("work", phases=stages, **STREAM | long)
+        world.configure(1, made, services=[{"name": "stage", "segments": segments}])
+        gateway = await world.gateway(stop_grace=8.0)
+        headers = {names.CHUNK_COUNTS: "1", names.DEADLINE_MS: "30000"}
+        call = asyncio.create_task(gateway.call("/work/", **headers))
+        await gateway.until("request_received")
+        gateway.process.send(signal.SIGTERM)
+        status, answer, _ = await call
+        assert status == 503
+        assert float(answer[names.RETRY_AFTER]) > 0
+
+    in_world(tmp_path, check)
+
+
+def test_a_leaving_gateway_is_no_longer_registered(tmp_path):
+    """
+    Pieces wait in a process that ends. Its record came back as soon as its lease was
+    ended, since it took that for an outage.
+    """
+
+    async def check(world):
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        await gateway.until("registered")
+        gateway.process.send(signal.SIGTERM)
+        await gateway.process.wait()
+        assert not [k for k in world.store.items if k.startswith("entries/")]
+        assert sum("event=registered" in x for x in gateway.process.lines) == 1
+
+    in_world(tmp_path, check)
--- /dev/null
+++ b/tests/gateway/test_stages.py
@@ -0,0 +1,158 @@
+"""Pieces of requests through gateways: shared calls, inputs, owners that go."""
+
+import asyncio
+import json
+import signal
+
+from amaranthtally.adapter import headers as names
+from tests.gateway.fake_endpoint import events, piece_script, whole
+from tests.gateway.support import SEGMENTS, STREAM, open_world, pieces_of, route
+from tests.support import run_async
+
+GRAPH = [
+    {"service": "first", "after": [], "sizeBytes": 1000},
+    {"service": "second", "after": [0], "sizeBytes": 1000},
+]
+SERVICES = [{"name": name, "segments": SEGMENTS} for name in ("first", "second")]
+
+
+TEXT = events(1)
+
+
+def in_world(tmp_path, test, stages=GRAPH, **options):
+    async def run():
+        async with open_world(tmp_path) as world:
+            for pool in ("first", "second"):
+                made = await world.endpoint(pool, pool, piece_script())
+                setattr(world, pool, made)
+            world.engine = await world.endpoint(
+                "engine", "engine", lambda r: [whole(r, TEXT)]
+            )
+            made = route("ask", phases=stages, service="engine", **STREAM | options)
+            world.configure(1, made, services=SERVICES)
+            await test(world)
+
+    run_async(run())
+
+
+def asking(counts):
+    return {names.CHUNK_COUNTS: counts, names.CHUNK_KEY: "input"}
+
+
+def test_an_engine_is_given_every_result_of_the_last_stage(tmp_path):
+    async def check(world):
+        gateway = await world.gateway()
+        status, _, body = await gateway.call("/ask/", **asking("2,3"))
+        assert (status, body) == (200, TEXT)
+        first, second = pieces_of(world.first), pieces_of(world.second)
+        assert [(p["phase"], p["segment"], p["key"]) for p in first] == [
+            (0, 0, "input"),
+            (0, 1, "input"),
+        ]
+        assert len(second) == 3
+        assert all(len(piece["inputHandles"]) == 2 for piece in second)
+        assert "key" not in second[0]
+        handles = world.engine.seen[0].headers[names.INPUT_HANDLES.lower()]
+        assert len(handles.split(",")) == 3
+
+    in_world(tmp_path, check)
+
+
+def test_requests_share_calls(tmp_path):
+    async def check(world):
+        gateway = await world.gateway()
+        calls = [gateway.call("/ask/", **asking("1,1")) for _ in range(8)]
+        answers = await asyncio.gather(*calls)
+        assert {status for status, _, _ in answers} == {200}
+        assert len(pieces_of(world.first)) == 8
+        runs = [s for s in world.first.seen if s.target.endswith("run")]
+        assert len(runs) <= 4
+
+    in_world(tmp_path, check)
+
+
+def test_results_are_freed_once_read(tmp_path):
+    async def check(world):
+        gateway = await world.gateway()
+        await gateway.call("/ask/", **asking("2,1"))
+        async with asyncio.timeout(2.0):
+            while len(freed(world.first)) + len(freed(world.second)) < 3:
+                await asyncio.sleep(0.02)
+
+    in_world(tmp_path, check)
+
+
+def freed(endpoint):
+    frees = [s for s in endpoint.seen if s.target.endswith("free")]
+    return {handle for s in frees for handle in json.loads(s.body)["handles"]}
+
+
+def test_two_gateways_have_one_caller_for_an_endpoint(tmp_path):
+    """
+    An endpoint's queue is full and its callers are refused. Two entries that knew
+    nothing of each other both called it.
+    """
+
+    async def check(world):
+        gateways = [await world.gateway(name) for name in ("one", "two")]
+        for gateway, other in zip(gateways, reversed(gateways), strict=True):
+            await gateway.until("peer_connected", peer=other.process.name)
+        calls = [g.call("/ask/", **asking("1,1")) for g in gateways for _ in range(4)]
+        answers = await asyncio.gather(*calls)
+        assert {status for status, _, _ in answers} == {200}
+        assert world.first.connections <= 2
+        callers = [g for g in gateways if any("pieces_ended" in x for x in lines_of(g))]
+        assert callers
+        for pool in ("first", "second"):
+            owners = [
+                g
+                for g in gateways
+                if any(
+                    f"endpoint={pool}" in x and "pieces_ended" in x for x in lines_of(g)
+                )
+            ]
+            assert len(owners) == 1
+
+    in_world(tmp_path, check)
+
+
+def lines_of(gateway):
+    return list(gateway.process.lines)
+
+
+def test_a_request_outlives_the_gateway_that_made_its_pieces(tmp_path):
+    """
+    A request waits to its deadline. The gateway that had its pieces made was killed.
+    """
+
+    async def check(world):
+        gateways = [await world.gateway(name) for name in ("one", "two")]
+        for gateway, other in zip(gateways, reversed(gateways), strict=True):
+            await gateway.until("peer_connected", peer=other.process.name)
+        await asyncio.gather(*(g.call("/ask/", **asking("1,1")) for g in gateways))
+        for gateway in gateways:
+            other = next(g for g in gateways if g is not gateway)
+            if any("endpoint=first" in x for x in lines_of(other)):
+                break
+        other.process.send(signal.SIGKILL)
+        async with asyncio.timeout(3.0):
+            assert (await gateway.call("/ask/", **asking("1,1")))[0] == 200
+
+    in_world(tmp_path, check)
+
+
+def test_a_lost_result_is_made_again_for_a_request_that_did_not_run(tmp_path):
+    """
+    A request is refused though nothing ran. The engine found a result gone whose
+    maker had restarted.
+    """
+
+    async def check(world):
+        gateway = await world.gateway()
+        gone = f"HTTP/1.1 409 Conflict\r\n{names.NOT_EXECUTED}: 1\r\nContent-Length: 0"
+        answers = iter([[f"{gone}\r\n\r\n".encode()]])
+        world.engine.script = lambda r: next(answers, [whole(r, TEXT)])
+        assert (await gateway.call("/ask/", **asking("1,1")))[0] == 200
+        assert len(pieces_of(world.second)) == 2
+
+    in_world(tmp_path, check)
--- /dev/null
+++ b/tests/policy/test_gathering.py
@@ -0,0 +1,224 @@
+"""Pieces of whole requests over several entries, and what follows a failure."""
+
+import pytest
+
+from amaranthtally.policy import (
+    AskPeer,
+    FreeAtPeer,
+    Gatherer,
+    Peer,
+    PieceFault,
+    PiecesEnded,
+    PieceTold,
+    TellPeer,
+)
+from tests.policy.pieces import (
+    CLAIM,
+    CLUJ,
+    IASI,
+    LOOKUP,
+    POOLS,
+    calls,
+    endpoints,
+    freed,
+    made,
+)
+
+NOW = 1.0
+OBJECTIVE, DEADLINE = 20.0, 40.0
+OTHERS = tuple(Peer(f"other-{n}", IASI) for n in range(2))
+
+
+def gatherer(peers=(), place=CLUJ, name="own", at=(CLUJ, IASI)):
+    found = Gatherer()
+    found.configure(name, place, place, endpoints(*at), POOLS)
+    found.replace_peers(peers)
+    return found
+
+
+def begin(found, request_id="r", stages=CLAIM, counts=(2,), now=NOW, **options):
+    options = {"objective": OBJECTIVE, "deadline": DEADLINE, "priority": 0} | options
+    return found.begin(now, request_id, stages, counts, "key", **options)
+
+
+def sent(found, news, now):
+    """Return the calls that follow, once the linger has passed."""
+    return calls(news.actions + found.tick(now + 0.02).actions)
+
+
+def asked(news):
+    return [action for action in news.actions if isinstance(action, AskPeer)]
+
+
+def told(ask, handle="h", fault=None):
+    return PieceTold(ask.piece, ask.pool, ask.data_centre, "e", handle, fault, 0.0)
+
+
+def test_a_request_goes_through_its_stages_and_its_results_are_freed():
+    found = gatherer()
+    now = NOW
+    news = begin(found, stages=LOOKUP, counts=(1, 6, 10))
+    seen = []
+    while not news.ready:
+        (call,) = sent(found, news, now)
+        seen.append((call.endpoint, len(call.pieces)))
+        now += 0.4
+        news = found.calls_ended(now, call.call, made(call))
+    assert seen == [
+        ("catalogue-cluj-a", 1),
+        ("roster-cluj-a", 6),
+        ("ledger-cluj-a", 10),
+    ]
+    results = found.inputs_of("r")
+    assert len(results) == 10
+    assert freed(found.close(now, "r")) == {result.handle for result in results}
+
+
+def test_a_request_without_pieces_is_ready_at_once():
+    assert begin(gatherer(), counts=(0,)).ready == ["r"]
+
+
+def test_pieces_are_made_where_their_reader_stands_unless_one_waits_long_there():
+    found = gatherer()
+    (call,) = sent(found, begin(found, reader=IASI), NOW)
+    assert call.endpoint == "catalogue-iasi-a"
+
+
+def test_a_piece_whose_call_was_lost_is_made_elsewhere():
+    found = gatherer()
+    (first,) = sent(found, begin(found), NOW)
+    news = found.calls_ended(NOW + 1.0, first.call, PiecesEnded())
+    (second,) = sent(found, news, NOW + 1.0)
+    assert (first.endpoint, second.endpoint) == (
+        "catalogue-cluj-a",
+        "catalogue-iasi-a",
+    )
+
+
+def test_a_request_is_given_up_after_a_few_lost_calls():
+    """
+    A request goes round for ever where a stage fails whatever is sent.
+    """
+    found = gatherer()
+    news = begin(found)
+    now = NOW
+    for _ in range(10):
+        for call in sent(found, news, now):
+            now += 1.0
+            news = found.calls_ended(now, call.call, PiecesEnded())
+        if news.failed:
+            break
+        now += 1.0
+    assert news.failed == ["r"] or news.failed == ["r", "r"]
+
+
+def test_a_request_of_which_nothing_can_be_made_fails_at_once():
+    assert begin(gatherer(at=())).failed == ["r"]
+
+
+def test_a_request_whose_pieces_can_no_longer_be_in_time_is_refused_at_once():
+    news = begin(gatherer(), deadline=NOW + 0.1)
+    assert news.late == ["r"]
+    assert calls(news.actions) == []
+
+
+def test_a_lost_result_of_the_request_is_made_again():
+    found = gatherer()
+    (call,) = sent(found, begin(found), NOW)
+    assert found.calls_ended(NOW + 0.3, call.call, made(call)).ready == ["r"]
+    news = found.begin_again(NOW + 0.5, "r")
+    assert freed(news.actions) == {p.handle for p in ()} | {
+        "catalogue-cluj-a/r.0.0",
+        "catalogue-cluj-a/r.0.1",
+    }
+    (again,) = sent(found, news, NOW + 0.5)
+    assert len(again.pieces) == 2
+
+
+# Other entries
+
+
+@pytest.fixture
+def asking():
+    """An entry whose pieces at Iasi are made by another one."""
+    return gatherer(peers=OTHERS)
+
+
+def ask_other(found, request_id="r"):
+    (order,) = asked(begin(found, request_id, reader=IASI))
+    return order
+
+
+def test_pieces_are_asked_of_the_entry_that_calls_the_endpoint(asking):
+    order = ask_other(asking)
+    assert order.peer in {peer.name for peer in OTHERS}
+    assert len(order.asks) == 2
+    news = asking.told(NOW + 0.4, [told(ask) for ask in order.asks])
+    assert news.ready == ["r"]
+
+
+def test_an_entry_makes_what_another_asks_for_and_tells_it():
+    theirs = ask_other(gatherer(peers=OTHERS))
+    found = gatherer(place=IASI, name=theirs.peer)
+    (call,) = sent(found, found.asked(NOW, "own", theirs.asks), NOW)
+    news = found.calls_ended(NOW + 0.3, call.call, made(call))
+    (word,) = [action for action in news.actions if isinstance(action, TellPeer)]
+    assert word.peer == "own"
+    assert [one.handle for one in word.told] == [
+        "catalogue-iasi-a/r.0.0",
+        "catalogue-iasi-a/r.0.1",
+    ]
+
+
+def test_pieces_of_a_peer_that_has_gone_are_asked_of_another(asking):
+    """
+    A request waits to its deadline. The entry that was to have its pieces made was
+    killed, and its caller's entry went on waiting for its word.
+    """
+    order = ask_other(asking)
+    (again,) = asked(asking.peer_failed(NOW + 0.5, order.peer))
+    assert again.peer != order.peer
+    assert again.asks == order.asks
+
+
+def test_a_busy_peer_is_asked_once_more_and_no_other(asking):
+    """
+    An endpoint that is full gets a second and a third caller, the fuller the more.
+    Pieces that were not heard of in time were asked of another entry, though the one
+    that calls the endpoint was only busy.
+    """
+    order = ask_other(asking)
+    (again,) = asked(asking.tick(NOW + 30.0))
+    assert again.peer == order.peer
+
+
+def test_what_a_leaving_peer_hands_back_is_no_failure(asking):
+    order = ask_other(asking)
+    asking.replace_peers([p for p in OTHERS if p.name != order.peer])
+    for _ in range(10):
+        words = [told(ask, "", PieceFault.HANDED_BACK) for ask in order.asks]
+        news = asking.told(NOW + 0.1, words)
+        assert news.failed == []
+    assert {a.peer for a in asked(news)} == {p.name for p in OTHERS} - {order.peer}
+
+
+def test_what_comes_for_a_request_that_has_ended_is_freed(asking):
+    """
+    Makers fill up with results that nobody will read, until their time is over.
+    """
+    order = ask_other(asking)
+    (ended,) = asking.close(NOW, "r")
+    assert ended == FreeAtPeer(order.peer, (), "r")
+    words = [
+        told(ask, "late")._replace(endpoint="catalogue-iasi-a") for ask in order.asks
+    ]
+    frees = asking.told(NOW + 1.0, words).actions
+    assert {r.handle for f in frees for r in f.results} == {"late"}
+
+
+def test_a_peer_drops_what_waits_for_a_request_that_has_ended():
+    theirs = ask_other(gatherer(peers=OTHERS))
+    found = gatherer(place=IASI, name=theirs.peer)
+    found.asked(NOW, "own", theirs.asks)
+    found.freed_by_peer([], ended="r")
+    assert calls(found.tick(NOW + 0.1).actions) == []
--- /dev/null
+++ b/tests/policy/test_piece_graph.py
@@ -0,0 +1,82 @@
+"""Which pieces of a request are due, and what is made again when results are lost."""
+
+from amaranthtally.policy import Piece, StoredResult
+from amaranthtally.policy.piece_graph import PieceGraph
+from tests.policy.pieces import CLAIM, LOOKUP, REPLY
+
+
+def stored(piece):
+    return StoredResult(f"h{piece.stage}.{piece.number}", "maker", "cluj-a", 1.0)
+
+
+def make_due(graph):
+    """Make every piece that is due, and return them."""
+    due = graph.take_due()
+    for piece in due:
+        graph.started(piece)
+        graph.finished(piece, stored(piece))
+    return due
+
+
+def test_a_stage_waits_for_every_piece_that_it_reads():
+    graph = PieceGraph("r", LOOKUP, (2, 3, 1))
+    assert {p.stage for p in graph.take_due()} == {0}
+    graph.finished(Piece("r", 0, 0), stored(Piece("r", 0, 0)))
+    assert graph.take_due() == []
+    graph.finished(Piece("r", 0, 1), stored(Piece("r", 0, 1)))
+    second = graph.take_due()
+    assert [p.stage for p in second] == [1, 1, 1]
+    assert [r.handle for r in graph.inputs_of(second[0])] == ["h0.0", "h0.1"]
+
+
+def test_a_request_reads_the_stages_that_no_other_reads():
+    graph = PieceGraph("r", REPLY, (2, 1, 3, 1))
+    while not graph.is_done:
+        assert make_due(graph)
+    assert [r.handle for r in graph.request_inputs()] == ["h0.0", "h0.1", "h3.0"]
+
+
+def test_a_stage_without_pieces_is_left_out():
+    graph = PieceGraph("r", CLAIM, (0,))
+    assert graph.is_done
+    assert graph.take_due() == []
+    graph = PieceGraph("r", REPLY, (0, 1, 2, 1))
+    assert [p.stage for p in graph.take_due()] == [1]
+
+
+def test_a_lost_input_is_made_again_and_what_was_freed_before_it():
+    """
+    A maker restarts and a piece finds its input gone. What that input was made from
+    has been read and freed long ago: both stages run again, and nothing is sent with
+    some of its inputs.
+    """
+    graph = PieceGraph("r", LOOKUP, (1, 2, 1))
+    make_due(graph)
+    make_due(graph)
+    assert {r.handle for r in graph.take_unread()} == {"h0.0"}
+    (last,) = graph.take_due()
+    graph.started(last)
+    lost = graph.lose_inputs_of(last)
+    assert {r.handle for r in lost} == {"h1.0", "h1.1"}
+    assert [p.stage for p in make_due(graph)] == [0]
+    assert [p.stage for p in make_due(graph)] == [1, 1]
+    assert [p.stage for p in graph.take_due()] == [2]
+    assert graph.is_fed(last)
+
+
+def test_siblings_of_a_piece_that_lost_its_inputs_wait_for_them_too():
+    """
+    Two pieces of one stage read the same result. One call had no room for the second
+    after the result was freed: it is not due before the result is there again.
+    """
+    graph = PieceGraph("r", LOOKUP, (1, 2, 1))
+    make_due(graph)
+    first, second = graph.take_due()
+    graph.started(first)
+    graph.started(second)
+    graph.forget_inputs_of(first)
+    graph.finished(first, stored(first))
+    graph.lose_inputs_of(second)
+    assert [p.stage for p in make_due(graph)] == [0]
+    assert graph.take_due() == [second]
+    assert graph.is_fed(second)
--- /dev/null
+++ b/tests/policy/test_places.py
@@ -0,0 +1,101 @@
+"""Which entry calls the endpoints for pieces of a data centre."""
+
+import pytest
+
+from amaranthtally.policy import Peer
+from amaranthtally.policy.places import Places
+from tests.policy.pieces import CLUJ, IASI, endpoint
+
+PEERS = [Peer(f"entry-{place}-{n}", place) for place in (CLUJ, IASI) for n in range(3)]
+NOW = 1.0
+
+
+def places_of(peer, peers=PEERS):
+    found = Places()
+    found.configure(peer.name, peer.data_centre, peer.data_centre)
+    found.replace_peers(peers)
+    return found
+
+
+def owner_as_seen_by(peer, *args, **options):
+    return places_of(peer, **options).owner(NOW, *args) or peer.name
+
+
+@pytest.mark.parametrize("pool", ["catalogue", "roster", "ledger"])
+def test_all_entries_agree_on_one_owner_in_the_same_data_centre(pool):
+    """
+    Six entries call one endpoint, and a fifth of their calls is refused. They have
+    nobody to ask who is to call it: each works it out from the same list.
+    """
+    owners = {owner_as_seen_by(peer, pool, CLUJ) for peer in PEERS}
+    assert len(owners) == 1
+    assert owners < {peer.name for peer in PEERS if peer.data_centre == CLUJ}
+
+
+def test_without_an_entry_in_the_data_centre_another_owns_it():
+    away = [peer for peer in PEERS if peer.data_centre == IASI]
+    owners = {owner_as_seen_by(p, "roster", CLUJ, peers=away) for p in away}
+    assert len(owners) == 1
+
+
+def test_a_peer_that_does_not_answer_is_asked_for_nothing_for_a_while():
+    found = places_of(PEERS[5])
+    owner = found.owner(NOW, "roster", CLUJ)
+    found.peer_failed(NOW, owner)
+    assert found.owner(NOW + 1.0, "roster", CLUJ) != owner
+    assert found.owner(NOW + 10.0, "roster", CLUJ) == owner
+
+
+def test_a_leaving_entry_owns_nothing():
+    """
+    A piece waits in an entry that ends. It went on taking itself for the owner after
+    it had begun to leave.
+    """
+    owner = owner_as_seen_by(PEERS[0], "roster", CLUJ)
+    (peer,) = [p for p in PEERS if p.name == owner]
+    found = places_of(peer)
+    assert found.owner(NOW, "roster", CLUJ) == ""
+    found.leave()
+    assert found.owner(NOW, "roster", CLUJ) not in ("", owner)
+
+
+def test_an_entry_alone_owns_everything_also_as_it_leaves():
+    found = places_of(PEERS[0], peers=[])
+    found.leave()
+    assert found.owner(NOW, "roster", IASI) == ""
+
+
+CANDIDATES = {CLUJ: endpoint("c", place=CLUJ), IASI: endpoint("i", place=IASI)}
+
+
+def test_pieces_run_near_unless_the_wait_is_longer():
+    found = places_of(PEERS[0])
+    assert found.best(NOW, "roster", CANDIDATES) == CLUJ
+    found.heard(NOW, "roster", CLUJ, 1.0)
+    assert found.best(NOW, "roster", CANDIDATES) == IASI
+    assert found.best(NOW, "roster", CANDIDATES, home=CLUJ) == CLUJ
+
+
+def test_what_was_asked_for_counts_until_the_place_is_heard_of():
+    """
+    A burst goes to one data centre while two stand idle: nothing is heard of a place
+    before its first call ends.
+    """
+    found = places_of(PEERS[0])
+    for _ in range(20):
+        found.asked(NOW, "roster", CLUJ, 0.05)
+    assert found.best(NOW, "roster", CANDIDATES) == IASI
+
+
+def test_a_place_that_failed_is_left_alone_and_tried_again():
+    found = places_of(PEERS[0])
+    found.failed(NOW, "roster", CLUJ)
+    assert found.best(NOW + 0.1, "roster", CANDIDATES, home=CLUJ) == IASI
+    assert found.best(NOW + 5.0, "roster", CANDIDATES, home=CLUJ) == CLUJ
+
+
+def test_the_only_place_is_used_though_it_failed():
+    found = places_of(PEERS[0])
+    found.failed(NOW, "roster", CLUJ)
+    assert found.best(NOW, "roster", {CLUJ: CANDIDATES[CLUJ]}) == CLUJ
+    assert found.best(NOW, "roster", {}) is None
