--- a/packages/daemon/src/amaranthtally/daemon/gateway/beliefs.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/beliefs.py
@@ -8,9 +8,11 @@
 
 __all__ = ["Beliefs"]
 
-# The most entries that share one budget of retries and are not counted yet, as they
-# know nothing of each other: a share for each keeps the sum within the bound.
-MOST_ENTRIES = 16
+# How many entries are taken to share one budget of retries before any is known.
+UNKNOWN_ENTRIES = 16
+# The part of the common slack that is shared out. Entries that just came or went are
+# counted a second late by some.
+SLACK_USED = 0.8
 # How much of the common ratio an entry uses itself. What it sees as requests for a
 # pool lags by a window where traffic falls.
 RATIO_USED = 0.75
@@ -35,6 +37,7 @@
         self._directory = EndpointDirectory()
         self._has_endpoints = False
         self._revision = 0
+        self._entries = UNKNOWN_ENTRIES
 
     @property
     def table(self) -> RouteTable | None:
@@ -67,6 +70,16 @@
         )
         self._changed()
 
+    def entries_changed(self, count: int) -> None:
+        """
+        Share the budget of retries with so many entries, this one included.
+
+        Nobody adds up what all of them send again. Each keeps to its share, so that the
+        sum stays within the bound whatever fails.
+        """
+        self._entries = max(1, count)
+        self._changed()
+
     def endpoints_changed(self) -> None:
         """Use the endpoints that the directory has now."""
         self._has_endpoints = True
@@ -85,7 +98,7 @@
             endpoints=self._directory.endpoints,
             pools=self._table.pools if self._table else {},
             retry_budget=own.retry_ratio * RATIO_USED,
-            retry_reserve=max(1.0, own.retry_slack / MOST_ENTRIES),
+            retry_reserve=max(1.0, SLACK_USED * own.retry_slack / self._entries),
             hedge_budget=HEDGE_RATIO,
             hedge_reserve=HEDGE_RESERVE,
             not_run_cost=1.0,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -10,6 +10,7 @@
 from amaranthtally.daemon.decision_loop import DecisionLoop
 from amaranthtally.daemon.gateway.endpoint_calls import EndpointCalls
 from amaranthtally.daemon.gateway.live_call import Answer, Broken, Finished, LiveCall
+from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.peer_links import PeerLinks
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
 from amaranthtally.daemon.logs import get_logger
@@ -57,12 +58,14 @@
         planner: Planner,
         settings: PolicySettings,
         session: aiohttp.ClientSession,
+        metrics: GatewayMetrics,
     ) -> None:
         self._planner = planner
+        self._metrics = metrics
         self._endpoints: Mapping[str, Endpoint] = settings.endpoints
         self._calls: dict[str, LiveCall] = {}
         self._endpoint_calls = EndpointCalls(session, self, planner.inputs_of)
-        self._piece_calls = PieceCalls(session, self.pieces_ended)
+        self._piece_calls = PieceCalls(session, self.pieces_ended, metrics)
         self._links: PeerLinks | None = None
         self._time = asyncio.get_running_loop().time
         self._decisions = DecisionLoop(
@@ -88,6 +91,11 @@
         """Requests that have not ended."""
         return len(self._calls)
 
+    @property
+    def pieces_waiting(self) -> int:
+        """Pieces that were asked for and not sent, of all gateways' requests."""
+        return self._planner.pieces_waiting
+
     @property
     def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
         """Runs work beside the requests."""
@@ -181,6 +189,8 @@
         if call is None:
             return
         call.tasks.pop(attempt, None)
+        pool = call.arrival.pipeline.stages[attempt.stage].pool
+        self._metrics.attempt_ended(pool, result.fate.value)
         log.info(
             "attempt_decided",
             request_id=attempt.request_id,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/front.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/front.py
@@ -247,7 +247,8 @@
         refusal: Refusal | None = None,
     ) -> None:
         took_s = self._time() - call.received_at
-        self._metrics.request_ended(call.route.name, status, took_s)
+        reason = refusal.reason if refusal else outcome
+        self._metrics.request_ended(call.route.name, status, reason, took_s)
         log.info(
             "request_ended",
             request_id=call.id,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -1,48 +1,114 @@
 """Metrics of a gateway, for its metrics address."""
 
 from collections import Counter as Tally
+from dataclasses import dataclass
 from typing import NamedTuple
 
-from aioprometheus import Counter, Gauge, Histogram
+from aiohttp import hdrs, web
+from aioprometheus import REGISTRY, Counter, Gauge, Histogram
+from aioprometheus.renderer import render
 
-__all__ = ["GatewayMetrics"]
+__all__ = ["GatewayMetrics", "GatewayState", "answer_scrape"]
 
-LATENCY_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
+REQUEST_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
+CALL_BUCKETS_S = (0.05, 0.1, 0.25, 0.4, 0.6, 1.0, 2.0)
 
 
 class _RequestLabels(NamedTuple):
     route: str
     status: str
+    reason: str
+
+
+class _CallLabels(NamedTuple):
+    pool: str
+    fate: str
+
+
+@dataclass(frozen=True, slots=True)
+class GatewayState:
+    """What a gateway holds and believes now; ages and counts."""
+
+    in_flight: int
+    pieces_waiting: int
+    peers: int
+    endpoints: int
+    endpoints_missing: int
+    configuration: int
+    records: int
+    store_connected: bool
+    log_lines_lost: int
 
 
 class GatewayMetrics:
-    """Counts what ended, cheaply; collectors are set when a scrape asks for them."""
+    """
+    Counts what ended, cheaply; collectors are set when a scrape asks for them.
+
+    Labels are names of routes and pools, bounded by the configuration, and reasons
+    and fates, which are few.
+    """
 
     def __init__(self) -> None:
         self._request_tally: Tally[_RequestLabels] = Tally()
+        self._attempt_tally: Tally[_CallLabels] = Tally()
+        self._piece_tally: Tally[_CallLabels] = Tally()
         self._requests = Counter(
-            "amaranthtally_requests_total", "Requests by route and status."
+            "amaranthtally_requests_total", "Requests by route, status and reason."
+        )
+        self._attempts = Counter(
+            "amaranthtally_attempts_total", "Ended attempts by pool and fate."
+        )
+        self._pieces = Counter(
+            "amaranthtally_pieces_total", "Pieces in ended calls by pool and fate."
         )
         self._seconds = Histogram(
             "amaranthtally_request_seconds",
             "Time from arrival to the end of a request, by route.",
-            buckets=list(LATENCY_BUCKETS_S),
+            buckets=list(REQUEST_BUCKETS_S),
+        )
+        self._call_seconds = Histogram(
+            "amaranthtally_piece_call_seconds",
+            "Time of a call with pieces, by pool.",
+            buckets=list(CALL_BUCKETS_S),
         )
-        self._in_flight = Gauge(
-            "amaranthtally_requests_in_flight", "Requests admitted and not yet ended."
+        self._state = Gauge(
+            "amaranthtally_gateway_state", "What the gateway holds now, by name."
         )
 
-    def request_ended(self, route: str, status: int, seconds: float) -> None:
+    def request_ended(
+        self, route: str, status: int, reason: str, seconds: float
+    ) -> None:
         """Count a request by how it ended; refused ones count too."""
-        self._request_tally[_RequestLabels(route, str(status))] += 1
+        self._request_tally[_RequestLabels(route, str(status), reason)] += 1
         self._seconds.observe({"route": route}, seconds)
 
     def request_rejected(self, status: int) -> None:
         """Count a request that failed its checks; its path is not trusted."""
-        self._request_tally[_RequestLabels("", str(status))] += 1
+        self._request_tally[_RequestLabels("", str(status), "rejected")] += 1
+
+    def attempt_ended(self, pool: str, fate: str) -> None:
+        """Count an attempt at an endpoint."""
+        self._attempt_tally[_CallLabels(pool, fate)] += 1
 
-    def refresh(self, in_flight: int) -> None:
+    def pieces_ended(self, pool: str, fate: str, pieces: int, seconds: float) -> None:
+        """Count the pieces of a call."""
+        self._piece_tally[_CallLabels(pool, fate)] += pieces
+        self._call_seconds.observe({"pool": pool}, seconds)
+
+    def refresh(self, state: GatewayState) -> None:
         """Set every collector to what has been counted."""
         for request, count in self._request_tally.items():
             self._requests.set(request._asdict(), count)
-        self._in_flight.set({}, in_flight)
+        for attempt, count in self._attempt_tally.items():
+            self._attempts.set(attempt._asdict(), count)
+        for piece, count in self._piece_tally.items():
+            self._pieces.set(piece._asdict(), count)
+        for name in GatewayState.__dataclass_fields__:
+            self._state.set({"name": name}, float(getattr(state, name)))
+
+
+def answer_scrape(request: web.BaseRequest) -> web.Response:
+    """Return every metric of the process in the form that the scrape asks for."""
+    accepts = request.headers.getall(hdrs.ACCEPT, [])
+    content, headers = render(REGISTRY, accepts)
+    return web.Response(body=content, headers=headers)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -7,6 +7,7 @@
 
 from amaranthtally.adapter import headers as names, pieces
 from amaranthtally.adapter.answers import read_answer
+from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import Endpoint, FreeResults, PiecesEnded, RunPieces
 
@@ -28,8 +29,11 @@
 class PieceCalls:
     """Carries calls with pieces; each ends in one word to ``on_end``."""
 
-    def __init__(self, session: aiohttp.ClientSession, on_end: OnEnd) -> None:
+    def __init__(
+        self, session: aiohttp.ClientSession, on_end: OnEnd, metrics: GatewayMetrics
+    ) -> None:
         self._session = session
+        self._metrics = metrics
         self._on_end = on_end
         self._loop = asyncio.get_running_loop()
 
@@ -102,6 +106,8 @@
         cause: str,
         started: float,
     ) -> None:
+        took_s = self._loop.time() - started
+        self._metrics.pieces_ended(endpoint.pool, fate, len(order.pieces), took_s)
         log.info(
             "pieces_ended",
             call=order.call,
@@ -110,5 +116,5 @@
             requests=",".join(dict.fromkeys(p.request_id for p in order.pieces)),
             fate=fate,
             cause=cause,
-            ms=round((self._loop.time() - started) * 1000),
+            ms=round(took_s * 1000),
         )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -25,7 +25,11 @@
     Registration,
     peers_of,
 )
-from amaranthtally.daemon.gateway.metrics import GatewayMetrics
+from amaranthtally.daemon.gateway.metrics import (
+    GatewayMetrics,
+    GatewayState,
+    answer_scrape,
+)
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_links import PeerLinks
 from amaranthtally.daemon.gateway.store_follower import (
@@ -39,6 +43,7 @@
     split_address,
     stop_on_signal,
 )
+from amaranthtally.daemon.log_writer import BoundedWriter
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import open_store
 from amaranthtally.policy import AffinityRouter, Parts, Planner
@@ -66,14 +71,16 @@
 log = get_logger()
 
 
-async def run_gateway(settings: GatewaySettings, path: Path) -> None:
+async def run_gateway(
+    settings: GatewaySettings, path: Path, lines: BoundedWriter
+) -> None:
     """Serve callers until a stop signal, then finish what is in flight."""
     loop = asyncio.get_running_loop()
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
         loop.add_signal_handler(signal.SIGHUP, _reload, path)
-        parts = await _open(settings, stack, stop)
+        parts = await _open(settings, stack, stop, lines)
         log.info("listening", role="gateway", name=settings.name, **parts.ports)
         await stop.wait()
         log.info("gateway_leaving", in_flight=parts.executor.in_flight)
@@ -96,18 +103,22 @@
 
 
 async def _open(
-    settings: GatewaySettings, stack: AsyncExitStack, stop: StopSignal
+    settings: GatewaySettings,
+    stack: AsyncExitStack,
+    stop: StopSignal,
+    lines: BoundedWriter,
 ) -> _Parts:
     session = await stack.enter_async_context(endpoint_session())
     client = await stack.enter_async_context(open_store(settings.store_address))
     random = Random(secrets.randbits(SEED_BITS))
 
+    metrics = GatewayMetrics()
     beliefs = Beliefs(settings, lambda found: executor.settings_changed(found))
     start = beliefs.start()
     planner = Planner(
         start, Random(random.getrandbits(SEED_BITS)), Parts(router=AffinityRouter)
     )
-    executor = GatewayExecutor(planner, start, session)
+    executor = GatewayExecutor(planner, start, session, metrics)
     links = PeerLinks(settings.name, executor.spawn, executor)
     stack.callback(links.close)
     executor.connect(links)
@@ -121,6 +132,7 @@
         others = {k: v for k, v in found.items() if k != settings.name}
         links.replace({name: record.address for name, record in others.items()})
         executor.peers_changed(peers_of(others))
+        beliefs.entries_changed(len(others) + 1)
 
     handler = PeerHandler(
         executor,
@@ -144,9 +156,25 @@
     for work in [*store.work(), exchange.run(), executor.tick(), watch]:
         run_beside(stack, work)
 
-    metrics = GatewayMetrics()
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
     front = Front(executor, arrivals, metrics, lambda: beliefs.table, stop.is_set)
+
+    def state() -> GatewayState:
+        return GatewayState(
+            in_flight=executor.in_flight,
+            pieces_waiting=executor.pieces_waiting,
+            peers=len(links.addresses),
+            endpoints=len(beliefs.directory.endpoints),
+            endpoints_missing=beliefs.directory.missing,
+            configuration=configuration.version,
+            records=records.at,
+            store_connected=store.is_connected,
+            log_lines_lost=lines.dropped,
+        )
+
+    if settings.metrics_address:
+        scrapes = web.Server(_answer_scrapes(metrics, state))
+        await stack.enter_async_context(_serve(scrapes, settings.metrics_address))
     balancer = web.Server(_answer_balancer(lambda: beliefs.is_complete, stop))
     ready = await stack.enter_async_context(_serve(balancer, settings.ready_address))
     callers = web.Server(
@@ -163,6 +191,16 @@
     return _Parts(executor, front, callers, store, ports)
 
 
+def _answer_scrapes(
+    metrics: GatewayMetrics, state: Callable[[], GatewayState]
+) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
+    async def answer(request: web.BaseRequest) -> web.StreamResponse:
+        metrics.refresh(state())
+        return answer_scrape(request)
+
+    return answer
+
+
 def _answer_balancer(
     is_complete: Callable[[], bool], stop: StopSignal
 ) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
--- a/packages/daemon/src/amaranthtally/daemon/logs.py
+++ b/packages/daemon/src/amaranthtally/daemon/logs.py
@@ -4,7 +4,9 @@
 import sys
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Any, TextIO
+from typing import Any, TextIO, cast
+
+from amaranthtally.daemon.log_writer import BoundedWriter
 
 __all__ = ["configure_logs", "get_logger"]
 
@@ -29,7 +31,7 @@
     import structlog
 
 
-def configure_logs(level: str, stream: TextIO = sys.stderr) -> None:
+def configure_logs(level: str, stream: TextIO | BoundedWriter = sys.stderr) -> None:
     """Set up structlog for the process; ``level`` as in ``logging``, lower case."""
     structlog.configure(
         processors=[
@@ -44,7 +46,7 @@
         wrapper_class=structlog.make_filtering_bound_logger(
             logging.getLevelNamesMapping()[level.upper()]
         ),
-        logger_factory=structlog.WriteLoggerFactory(stream),
+        logger_factory=structlog.WriteLoggerFactory(cast(TextIO, stream)),
         cache_logger_on_first_use=True,
     )
 
--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -20,11 +20,13 @@
 # result of 1.5 MB counts like 0.015 s. By the users' prices it costs a sixth of what
 # reading the shared parts of its prompt once more does.
 CROSSING_S_PER_BYTE = 0.01e-6
-# How much the engine to which a prompt belongs is preferred though nobody remembers
-# that it holds the shared parts, as a share of the time to read them. Entries that know
-# nothing of each other then still send one part to one engine; more load than this
-# moves it elsewhere, and a short part crosses no region for it.
+# The share of its shared parts that the engine to which a prompt belongs is taken to
+# hold though nobody remembers it. Entries that know nothing of each other then still
+# send one part to one engine; it goes elsewhere where reading it once more is sooner
+# than waiting, which a burst for one session makes it.
 PLACE_SHARE = 0.8
+# What each further place counts, in seconds: enough to decide between equals.
+PLACE_S = 0.001
 # What a failed attempt costs its caller, in seconds: the retry waits for new inputs.
 FAILURE_S = 1.0
 PLACE_BYTES = 8
@@ -73,10 +75,13 @@
         matches = self._prefixes.matches(now, wanted.prefix, wanted.prefix_sizes)
         held = {match.endpoint: match.share for match in matches}
         places = self._places(wanted, usable)
+        owned = PLACE_SHARE * _shared_share(wanted.prefix_sizes)
         best: Choice | None = None
         for load in usable:
-            place_s = places[load.endpoint.id]
-            share = held.get(load.endpoint.id, 0.0)
+            place = places[load.endpoint.id]
+            known = held.get(load.endpoint.id, 0.0)
+            share = known if place else max(known, owned)
+            place_s = PLACE_S * place
             choice = self._predict(now, wanted, stats, load, share, place_s)
             if best is None or choice.score < best.score:
                 best = choice
@@ -110,15 +115,17 @@
 
     def _places(
         self, wanted: RouteRequest, usable: list[EndpointLoad]
-    ) -> dict[str, float]:
-        """Return what each engine's place for the prompt counts, in seconds."""
+    ) -> dict[str, int]:
+        """Return each engine's place for the prompt, from 0."""
         # The last part is the request's own: the one before it is what it shares.
         shared = wanted.prefix[-2] if len(wanted.prefix) > 1 else wanted.prefix[0]
         ids = [load.endpoint.id for load in usable]
         ranked = sorted(ids, key=lambda name: _weight(name, shared))
-        shared_s = sum(wanted.prefix_sizes[:-1]) * READ_S_PER_TOKEN
-        step_s = PLACE_SHARE * shared_s / max(1, len(ranked) - 1)
-        return {name: step_s * rank for rank, name in enumerate(ranked)}
+        return {name: place for place, name in enumerate(ranked)}
+
+
+def _shared_share(sizes: tuple[int, ...]) -> float:
+    return sum(sizes[:-1]) / max(1, sum(sizes))
 
 
 def _weight(endpoint: str, part: int) -> bytes:
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -179,6 +179,11 @@
         """The endpoints for pieces."""
         return self._servers
 
+    @property
+    def waiting(self) -> int:
+        """Pieces that were asked for and not sent."""
+        return sum(len(queue) for queue in self._queues.values())
+
     @property
     def is_busy(self) -> bool:
         """Whether anything here waits for the passing of time."""
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -124,6 +124,11 @@
         """Whether pieces are to be made, of whichever entry's requests."""
         return self._gatherer.batcher.is_busy
 
+    @property
+    def pieces_waiting(self) -> int:
+        """Pieces that wait for a call here, of whichever entry's requests."""
+        return self._gatherer.batcher.waiting
+
     @property
     def counters(self) -> Counters:
         """Totals since the start."""
@@ -217,6 +222,10 @@
         if request is not None and attempt in request.live:
             request.chunks = max(request.chunks, chunks)
             live = request.live[attempt]
+            if live.reading:
+                # Known as soon as it is read: the next request of a session comes
+                # before this one's stream has ended, and would be read elsewhere.
+                self._prefixes.ran(now, live.endpoint, request.arrival.prefix)
             self._ledger.has_read(live)
             self._streams.note(now, request.current, live.endpoint, live.stream, chunks)
             freed = self._free_inputs(now, request)
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -21,6 +21,7 @@
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9][a-z0-9.-]{0,62}$")]
 Address = Annotated[str, Meta(pattern=r"^[0-9a-fA-F.:\[\]]+:[0-9]{1,5}$")]
+NoAddress = Annotated[str, Meta(pattern=r"^([0-9a-fA-F.:\[\]]+:[0-9]{1,5})?$")]
 Url = Annotated[str, Meta(pattern=r"^https?://[^\s]+$")]
 Secret = Annotated[str, Meta(min_length=16)]
 Positive = Annotated[float, Meta(gt=0)]
@@ -65,8 +66,8 @@
     Addresses are ``ip:port``, times in seconds. ``regions`` gives the region of each
     data centre. ``stop_grace`` is how long a process may take to stop.
     ``retry_ratio`` and ``retry_slack`` bound what all entries together send beyond the
-    first attempt of each request, within ``retry_window``. ``metrics_port`` 0 leaves
-    the metrics out.
+    first attempt of each request. Metrics are served at ``metrics_address``, nowhere
+    where it is empty.
     """
 
     name: Name
@@ -81,8 +82,7 @@
     stop_grace: Positive = 8.0
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2
     retry_slack: Annotated[float, Meta(ge=0)] = 50.0
-    retry_window: Positive = 10.0
-    metrics_port: Annotated[int, Meta(ge=0, lt=65536)] = 0
+    metrics_address: NoAddress = ""
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import signal
+import socket
 
 from amaranthtally.adapter import headers as names
 from amaranthtally.standins.store import open_store_standin
@@ -242,3 +243,27 @@
         assert (await gateway.call("/work/"))[0] == 200
 
     in_world(tmp_path, check)
+
+
+def test_metrics_tell_what_was_served_and_what_is_believed(tmp_path):
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        world.configure(4, route("work"))
+        port = unused_port()
+        gateway = await world.gateway(metrics_address=f"127.0.0.1:{port}")
+        await gateway.call("/work/")
+        await gateway.call("/nowhere/")
+        async with gateway.session.get(f"http://127.0.0.1:{port}/metrics") as answer:
+            text = await answer.text()
+        assert 'amaranthtally_requests_total{reason="answered",route="work"' in text
+        assert 'amaranthtally_gateway_state{name="configuration"} 4' in text
+        assert 'amaranthtally_attempts_total{fate="finished",pool="work"} 1' in text
+
+    in_world(tmp_path, check)
+
+
+def unused_port():
+    """Return a port of loopback that the kernel has just given out."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
--- a/tests/policy/test_affinity.py
+++ b/tests/policy/test_affinity.py
@@ -6,6 +6,7 @@
 from amaranthtally.policy import (
     AffinityRouter,
     Arrival,
+    AttemptId,
     Endpoint,
     Fate,
     Parts,
@@ -82,6 +83,21 @@
     assert len(chosen) == len(ENGINES)
 
 
+def test_a_little_load_does_not_move_a_session():
+    """
+    A third of all shared tokens is read twice. Each other request at its engine sent
+    a session to the next one, which had to read its parts first.
+    """
+    found = planner()
+    alone = engine_of(planner().request_arrived(1.0, arrival("r", session(1, 1))))
+    for number in range(2, 8):
+        found.request_arrived(1.0, arrival(f"r{number}", session(number, 1)))
+    for number in range(2, 8):
+        found.progress(1.3, AttemptId(f"r{number}", 0, 1), 1)
+    again = found.request_arrived(1.3, arrival("r", session(1, 1)))
+    assert engine_of(again) == alone
+
+
 def test_a_session_whose_engine_is_busy_reading_goes_elsewhere():
     """
     One session gets a third of the traffic. Its engine reads one prompt after the
