--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -235,11 +235,13 @@
 
     def results_not_passed(self, results: Sequence[StoredResult]) -> None:
         """Free results directly that a peer could not be told of."""
-        self._decisions.carry_out(self._planner.results_freed(results))
+        self._decisions.carry_out(self._planner.results_freed(self._time(), results))
 
     def results_freed(self, results: Sequence[StoredResult], ended: str) -> None:
         """Tell the policy what a gateway's requests have read, and which have ended."""
-        self._decisions.carry_out(self._planner.results_freed(results, ended))
+        self._decisions.carry_out(
+            self._planner.results_freed(self._time(), results, ended)
+        )
 
     # Actions
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Callable
+from math import isfinite
 
 import aiohttp
 
@@ -25,6 +26,7 @@
 # that freeing one gets this long, in seconds, and no second try.
 FREE_TIMEOUT_S = 1.0
 HTTP_OK = 200
+MS_PER_S = 1000
 JSON = {"Content-Type": "application/json"}
 
 log = get_logger()
@@ -39,6 +41,11 @@
     return ",".join(f"{fault}:{count}" for fault, count in counts.items())
 
 
+def _kilobytes(size: float) -> int:
+    """Return a size in whole kilobytes; -1 where it is not limited."""
+    return round(size / 1000) if isfinite(size) else -1
+
+
 class PieceCalls:
     """Carries calls with pieces; each ends in one word to ``on_end``."""
 
@@ -57,6 +64,13 @@
 
     async def free(self, order: FreeResults, endpoint: Endpoint) -> None:
         """Tell an endpoint that nobody reads these results any more."""
+        log.info(
+            "results_freed",
+            endpoint=endpoint.id,
+            pool=endpoint.pool,
+            results=len(order.handles),
+            held_ms=round(order.held_s * MS_PER_S),
+        )
         url = f"http://{endpoint.address}{pieces.FREE_PATH}"
         try:
             async with self._session.post(
@@ -120,14 +134,22 @@
         started: float,
     ) -> None:
         took_s = self._loop.time() - started
+        facts = order.facts
         self._metrics.pieces_ended(endpoint.pool, fate, len(order.pieces), took_s)
         log.info(
             "pieces_ended",
             call=order.call,
             endpoint=endpoint.id,
+            pool=facts.pool,
+            data_centre=endpoint.data_centre,
             pieces=len(order.pieces),
+            places=facts.places,
+            waiting=facts.waiting,
+            waited_ms=round(facts.waited_s * MS_PER_S),
+            memory_kb=_kilobytes(facts.memory_bytes),
+            shortage=facts.shortage,
             requests=",".join(dict.fromkeys(p.request_id for p in order.pieces)),
             fate=fate,
             cause=cause,
-            ms=round(took_s * 1000),
+            ms=round(took_s * MS_PER_S),
         )
--- a/packages/operator/src/amaranthtally/operator/explain.py
+++ b/packages/operator/src/amaranthtally/operator/explain.py
@@ -1,34 +1,22 @@
 """``explain``: the story of one request, from the logs of every process it touched."""
 
-import re
 import sys
 from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
-from datetime import datetime
 from pathlib import Path
 
 from cyclopts import App
 
 from amaranthtally.operator.exit_codes import ExitCode
+from amaranthtally.operator.log_lines import LogLine, parse_line
 
-__all__ = ["LogLine", "Story", "add_explain_command", "read_story"]
+__all__ = ["Story", "add_explain_command", "read_story"]
 
-PAIR = re.compile(r'([\w.]+)=("(?:[^"\\]|\\.)*"|\S*)')
 # Fields that the story's own columns hold.
 COLUMNS = frozenset({"timestamp", "level", "event", "request_id", "requests"})
 MS_PER_S = 1000.0
 
 
-@dataclass(frozen=True, slots=True)
-class LogLine:
-    """One event of a request: when, in which process, and what it says."""
-
-    at: datetime
-    process: str
-    event: str
-    fields: tuple[tuple[str, str], ...]
-
-
 @dataclass(frozen=True, slots=True)
 class Story:
     """A request's events in order, and how many lines could not be read."""
@@ -93,18 +81,15 @@
         since = (line.at - last).total_seconds() * MS_PER_S
         last = line.at
         when = f"{from_first:9.0f} ms +{since:<6.0f}"
-        facts = " ".join(f"{k}={v}" for k, v in line.fields if v)
+        facts = " ".join(
+            f"{k}={v}" for k, v in line.fields.items() if v and k not in COLUMNS
+        )
         yield f"{when} {line.process}: {line.event} {facts}"
 
 
 def _parse(process: str, text: str, request_id: str) -> LogLine | None:
-    fields = dict(PAIR.findall(text))
-    named = fields.get("requests", "").strip('"').split(",")
-    if fields.get("request_id") != request_id and request_id not in named:
-        return None
-    try:
-        at = datetime.fromisoformat(fields["timestamp"])
-    except (KeyError, ValueError):
+    line = parse_line(process, text)
+    if line is None:
         return None
-    kept = tuple((k, v) for k, v in fields.items() if k not in COLUMNS)
-    return LogLine(at, process, fields.get("event", "?"), kept)
+    is_named = request_id in line.names("requests")
+    return line if is_named or line.text("request_id") == request_id else None
--- a/packages/operator/src/amaranthtally/operator/main.py
+++ b/packages/operator/src/amaranthtally/operator/main.py
@@ -9,6 +9,7 @@
 from amaranthtally.operator.fleet_commands import add_fleet_commands
 from amaranthtally.operator.request_command import add_request_command
 from amaranthtally.operator.settings_commands import app as settings_app
+from amaranthtally.operator.stages_command import add_stages_command
 
 __all__ = ["app", "main"]
 
@@ -25,6 +26,7 @@
 add_fleet_commands(app)
 add_request_command(app)
 add_explain_command(app)
+add_stages_command(app)
 replay.register(app)
 experiment.register(app)
 
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import NamedTuple
 
 from amaranthtally.policy.model import AttemptId
 from amaranthtally.policy.piece_graph import StoredResult
@@ -12,6 +13,7 @@
     "Answer",
     "Ask",
     "AskPeer",
+    "CallFacts",
     "Cancel",
     "FreeAtPeer",
     "FreeResults",
@@ -118,6 +120,26 @@
     inputs: tuple[str, ...] = ()
 
 
+class CallFacts(NamedTuple):
+    """
+    What a call with pieces was decided on, for the log.
+
+    ``waiting`` pieces were there for ``places``; the one that had waited longest did
+    so for ``waited_s``. ``memory_bytes`` were left for results; ``shortage`` says
+    what kept the call from being full.
+    """
+
+    pool: str = ""
+    places: int = 0
+    waiting: int = 0
+    waited_s: float = 0.0
+    memory_bytes: float = 0.0
+    shortage: str = ""
+
+
+NO_FACTS = CallFacts()
+
+
 @dataclass(frozen=True, slots=True)
 class RunPieces:
     """Send one call with pieces of any requests; give it up after ``timeout_s``."""
@@ -126,14 +148,20 @@
     endpoint: str
     pieces: tuple[PieceOrder, ...]
     timeout_s: float
+    facts: CallFacts = NO_FACTS
 
 
 @dataclass(frozen=True, slots=True)
 class FreeResults:
-    """Tell an endpoint that nobody reads these results any more."""
+    """
+    Tell an endpoint that nobody reads these results any more.
+
+    The one that was kept longest was so for ``held_s`` seconds.
+    """
 
     endpoint: str
     handles: tuple[str, ...]
+    held_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Iterable, Mapping
 
-from amaranthtally.policy.actions import Action, FreeResults, RunPieces
+from amaranthtally.policy.actions import Action, CallFacts, FreeResults, RunPieces
 from amaranthtally.policy.batches import (
     Batches,
     PieceCall,
     piece_order,
     unmade_requests,
 )
+from amaranthtally.policy.call_filling import CallFill, fill_call
 from amaranthtally.policy.input_reads import InputReads
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.piece_graph import Piece, StoredResult
@@ -19,7 +20,7 @@
     PiecesEnded,
     PieceTold,
 )
-from amaranthtally.policy.piece_queue import Waiting, as_many, by_request
+from amaranthtally.policy.piece_queue import Waiting
 from amaranthtally.policy.piece_servers import PieceServer, PieceServers
 from amaranthtally.policy.routes import Pool
 
@@ -75,13 +76,21 @@
         """Use these endpoints and pools."""
         self._servers.replace(endpoints, pools)
 
-    def wait_s(self, now: float, pool: str, data_centre: str) -> float:
-        """Return how long a piece asked for now would wait for its call to begin."""
+    def wait_s(self, now: float, pool: str, data_centre: str, rank: int) -> float:
+        """
+        Return how long a piece asked for now would wait for its call to begin.
+
+        Only those that go before one of its rank count: with all of them, urgent
+        requests left a place to the less urgent that would have let them pass.
+        """
         servers = self._servers.at(pool, data_centre)
         if not servers:
             return 0.0
         queue = self._queues.get((pool, data_centre), ())
-        queued = sum(now <= waiting.ask.start_by for waiting in queue)
+        queued = sum(
+            now <= waiting.ask.start_by and waiting.ask.priority <= rank
+            for waiting in queue
+        )
         limits = servers[0].limits
         calls = queued // (limits.batch * len(servers))
         best = min(servers, key=lambda server: server.wait_s(now))
@@ -136,8 +145,8 @@
             for ask in call.asks:
                 has_freed = ask.piece.request_id in freed
                 self._call_failed(now, ask, end, has_freed, batches)
-        ask = call.asks[0]
-        self._flush(now, (ask.pool, ask.data_centre), batches)
+        place = (call.asks[0].pool, call.asks[0].data_centre)
+        self._flush(now, place, batches)
         return batches
 
     def tick(self, now: float) -> Batches:
@@ -175,15 +184,21 @@
         for queue in self._queues.values():
             queue[:] = [w for w in queue if w.ask.piece.request_id != request_id]
 
-    def free(self, results: Iterable[StoredResult]) -> list[Action]:
+    def free(self, now: float, results: Iterable[StoredResult]) -> list[Action]:
         """Have results dropped by their makers."""
         by_endpoint: dict[str, list[str]] = {}
+        held_s: dict[str, float] = {}
         for result in results:
-            server = self._servers.find(result.endpoint)
+            name = result.endpoint
+            server = self._servers.find(name)
             if server is not None:
-                server.freed(result.handle)
-                by_endpoint.setdefault(result.endpoint, []).append(result.handle)
-        return [FreeResults(name, tuple(held)) for name, held in by_endpoint.items()]
+                kept_s = server.freed(now, result.handle)
+                held_s[name] = max(held_s.get(name, 0.0), kept_s)
+                by_endpoint.setdefault(name, []).append(result.handle)
+        return [
+            FreeResults(name, tuple(handles), held_s[name])
+            for name, handles in by_endpoint.items()
+        ]
 
     # Ends
 
@@ -254,7 +269,7 @@
             endpoint,
             outcome.handle,
             outcome.fault,
-            self.wait_s(now, ask.pool, ask.data_centre),
+            self.wait_s(now, ask.pool, ask.data_centre, ask.priority),
             inputs_freed,
             self.slower_s(now, ask.pool, ask.data_centre),
         )
@@ -270,39 +285,18 @@
         for server in servers:
             if not queue:
                 return
-            if server.is_open(now):
-                chosen = self._choose(now, server, queue)
-                if chosen:
-                    batches.actions.append(self._send(now, server, queue, chosen))
+            if server.is_open(now) and self._is_due(now, server, queue):
+                fill = fill_call(now, queue, server.limits, server.room_bytes(now))
+                if fill.pieces:
+                    batches.actions.append(self._send(now, server, queue, fill))
         self._drop_crowded_out(now, queue, servers, batches)
         if not any(server.is_usable(now) for server in servers):
             self._give_back(now, queue, not servers, batches)
 
-    def _choose(
-        self, now: float, server: PieceServer, queue: list[Waiting]
-    ) -> list[Waiting]:
-        """
-        Return the pieces of the next call: all of a request's where they fit.
-
-        A request goes on when its last piece is made. Cut by the end of a batch, its
-        stage takes two calls, and the pieces in the first have gained nothing.
-        """
-        if len(queue) < server.limits.batch and not self._has_lingered(now, queue):
-            return []
-        places = server.limits.batch
-        room = server.room_bytes(now)
-        chosen: list[Waiting] = []
-        groups = by_request(queue)
-        groups.sort(key=lambda group: min(w.urgency(now) for w in group))
-        for group in groups:
-            size = sum(waiting.ask.result_bytes for waiting in group)
-            if len(group) <= places and size <= room:
-                chosen += group
-                places -= len(group)
-                room -= size
-        return chosen or as_many(groups[0], places, room)
-
-    def _has_lingered(self, now: float, queue: list[Waiting]) -> bool:
+    def _is_due(self, now: float, server: PieceServer, queue: list[Waiting]) -> bool:
+        """Whether a call is to be sent: a full one, or one that others could join."""
+        if len(queue) >= server.limits.batch:
+            return True
         return any(now - waiting.since >= LINGER_S for waiting in queue)
 
     def _send(
@@ -310,12 +304,12 @@
         now: float,
         server: PieceServer,
         queue: list[Waiting],
-        chosen: list[Waiting],
+        fill: CallFill,
     ) -> RunPieces:
         self._next_call += 1
-        taken = {id(waiting) for waiting in chosen}
+        taken = {id(waiting) for waiting in fill.pieces}
         queue[:] = [waiting for waiting in queue if id(waiting) not in taken]
-        asks = tuple(waiting.ask for waiting in chosen)
+        asks = tuple(waiting.ask for waiting in fill.pieces)
         is_alone = server.is_alone(now)
         timeout_s = server.timeout_s(now, len(asks))
         size = sum(ask.result_bytes for ask in asks)
@@ -325,7 +319,16 @@
         )
         self._calls[self._next_call] = PieceCall(server.endpoint.id, asks, whole)
         orders = tuple(piece_order(ask) for ask in asks)
-        return RunPieces(self._next_call, server.endpoint.id, orders, timeout_s)
+        waited_s = now - min(waiting.since for waiting in fill.pieces)
+        facts = CallFacts(
+            server.endpoint.pool,
+            fill.places,
+            fill.waiting,
+            waited_s,
+            fill.memory_bytes,
+            fill.shortage.value,
+        )
+        return RunPieces(self._next_call, server.endpoint.id, orders, timeout_s, facts)
 
     def _drop_late(self, now: float, queue: list[Waiting], batches: Batches) -> None:
         late = [waiting for waiting in queue if waiting.ask.deadline <= now]
@@ -344,6 +347,8 @@
         """
         Refuse late requests at once where those on time leave them no place.
 
+        Not those that have been begun: what was made of them would be thrown away.
+
         Kept, they would wait to the end of their time and be refused then: their
         callers learn nothing for seconds, and can't come back when there is room.
         """
@@ -351,7 +356,7 @@
         on_time = sum(now <= waiting.ask.start_by for waiting in queue)
         if on_time < places:
             return
-        for waiting in [w for w in queue if now > w.ask.start_by and not w.ask.inputs]:
+        for waiting in [w for w in queue if _is_late_before_begun(w, now)]:
             queue.remove(waiting)
             outcome = PieceOutcome(fault=PieceFault.LATE)
             self._tell(now, waiting.ask, "", outcome, batches)
@@ -365,3 +370,7 @@
             queue.remove(waiting)
             outcome = PieceOutcome(fault=PieceFault.FAILED)
             self._tell(now, waiting.ask, "", outcome, batches)
+
+
+def _is_late_before_begun(waiting: Waiting, now: float) -> bool:
+    return now > waiting.ask.start_by and not waiting.ask.is_begun
--- a/packages/policy/src/amaranthtally/policy/gathered.py
+++ b/packages/policy/src/amaranthtally/policy/gathered.py
@@ -10,7 +10,11 @@
 
 @dataclass(slots=True)
 class GatheredRequest:
-    """A request whose pieces are made; times are time stamps in seconds."""
+    """
+    A request whose pieces are made; times are time stamps in seconds.
+
+    ``engine_s`` is what its engine takes to the first event, in seconds.
+    """
 
     graph: PieceGraph
     key: str
@@ -18,6 +22,7 @@
     deadline: float
     priority: int
     reader: str
+    engine_s: float
 
 
 @dataclass(slots=True)
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -25,16 +25,15 @@
 # Failures of one piece before its request is given up: one for an endpoint that has
 # gone, one for an entry that asked it, one for a second endpoint.
 MOST_FAILURES = 4
-# What an engine needs to its first token, in seconds: reading a prompt of usual length
-# takes 0.1 to 0.3.
-ENGINE_S = 0.25
+# What an engine takes to its first event where nobody has observed it, in seconds.
+DEFAULT_ENGINE_S = 0.25
 # A peer is asked once more for a piece of which nothing was heard for this long, in
 # seconds, beyond what it is predicted to take twice over. It may only be busy: an
 # entry that asked another one then would bring a second caller to an endpoint that is
 # full already, and more of them the fuller it is.
 PATIENCE_S = 2.0
 
-NOWHERE: Mapping[tuple[str, int], str] = {}
+NOWHERE: Mapping[Piece, str] = {}
 
 
 class Gatherer:
@@ -98,15 +97,19 @@
         deadline: float,
         priority: int,
         reader: str = "",
+        engine_s: float = DEFAULT_ENGINE_S,
     ) -> Gathering:
         """
         Take a request in and have its first pieces made.
 
-        ``reader`` is the data centre in which the request itself will likely run.
+        ``reader`` is the data centre in which the request itself will likely run,
+        ``engine_s`` what its engine usually takes to the first event.
         """
         ensure(request_id not in self._gathered, "a request's pieces begin once")
         graph = PieceGraph(request_id, stages, counts)
-        found = GatheredRequest(graph, key, objective, deadline, priority, reader)
+        found = GatheredRequest(
+            graph, key, objective, deadline, priority, reader, engine_s
+        )
         self._gathered[request_id] = found
         return self._advance(now, found)
 
@@ -145,12 +148,12 @@
         return news
 
     def freed_by_peer(
-        self, results: Iterable[StoredResult], ended: str = ""
+        self, now: float, results: Iterable[StoredResult], ended: str = ""
     ) -> list[Action]:
         """Drop results that another entry has read, and a request that has ended."""
         if ended:
             self._batcher.withdraw(ended)
-        return self._batcher.free(results)
+        return self._batcher.free(now, results)
 
     def peer_failed(self, now: float, peer: str) -> Gathering:
         """Have the pieces made elsewhere that a peer was asked for."""
@@ -168,7 +171,7 @@
         news = Gathering()
         late = self._asked.overdue(now)
         # Its call may only wait: asked for in another place, it would be made twice.
-        stay = {(p.request_id, p.stage): a.data_centre for p, a in late.items()}
+        stay = {piece: asked.data_centre for piece, asked in late.items()}
         self._ask_again(now, late, news, stay=stay)
         self._pass_on(now, self._batcher.tick(now), news)
         return news
@@ -221,16 +224,17 @@
         found: GatheredRequest,
         pieces: list[Piece],
         news: Gathering,
-        stay: Mapping[tuple[str, int], str] = NOWHERE,
+        stay: Mapping[Piece, str] = NOWHERE,
     ) -> None:
-        """Ask for pieces; ``stay`` names where those of a stage are to be made."""
+        """Ask for pieces; ``stay`` names where some are to be made."""
         by_owner: dict[str, list[PieceAsk]] = {}
-        places: dict[int, str | None] = {}
+        places: dict[tuple[int, int], str | None] = {}
         for piece in pieces:
-            if piece.stage not in places:
-                place = stay.get((piece.request_id, piece.stage))
-                places[piece.stage] = place or self._plan_place(now, found, piece.stage)
-            place = places[piece.stage]
+            part = (piece.stage, self._plans.part_of(found.graph, piece))
+            if part not in places:
+                place = stay.get(piece)
+                places[part] = place or self._plan_place(now, found, piece.stage)
+            place = places[part]
             if place is None:
                 news.failed.append(piece.request_id)
                 return
@@ -250,26 +254,30 @@
                 self._pass_on(now, self._batcher.take(now, asks), news)
 
     def _plan_place(self, now: float, found: GatheredRequest, stage: int) -> str | None:
-        on_time_by = found.objective - ENGINE_S
-        return self._plans.place_of(now, found.graph, stage, found.reader, on_time_by)
+        on_time_by = found.objective - found.engine_s
+        return self._plans.place_of(
+            now, found.graph, stage, found.reader, on_time_by, found.priority
+        )
 
     def _ask_for(
         self, now: float, found: GatheredRequest, piece: Piece, place: str
     ) -> PieceAsk:
         stage = found.graph.stages[piece.stage]
         after_s = self._plans.after_s(found.graph, piece.stage)
-        self._places.asked(now, stage.pool, place, self._plans.share_s(stage.pool))
+        share_s = self._plans.share_s(stage.pool)
+        self._places.asked(now, stage.pool, place, share_s, found.priority)
         return PieceAsk(
             piece,
             stage.pool,
             place,
             stage.result_bytes,
-            found.objective - after_s - ENGINE_S,
+            found.objective - after_s - found.engine_s,
             found.deadline - after_s,
             found.priority,
             "" if stage.after else found.key,
             found.graph.inputs_of(piece),
             found.graph.count(piece.stage),
+            found.graph.is_begun,
         )
 
     def _ask_again(
@@ -278,7 +286,7 @@
         pieces: Iterable[Piece],
         news: Gathering,
         failed: bool = True,
-        stay: Mapping[tuple[str, int], str] = NOWHERE,
+        stay: Mapping[Piece, str] = NOWHERE,
     ) -> None:
         again: dict[str, list[Piece]] = {}
         for piece in pieces:
@@ -297,7 +305,7 @@
                 self._ask(now, self._gathered[request_id], several, news, stay)
 
     def _patience_until(self, now: float, ask: PieceAsk) -> float:
-        wait_s = self._plans.wait_s(now, ask.pool, ask.data_centre)
+        wait_s = self._plans.wait_s(now, ask.pool, ask.data_centre, ask.priority)
         return now + 2.0 * (wait_s + self._plans.call_s(ask.pool)) + PATIENCE_S
 
     # Hearing
@@ -339,7 +347,7 @@
         piece = told.piece
         if told.fault is None:
             place = (told.pool, told.data_centre)
-            self._places.heard(now, *place, told.wait_s, told.slower_s)
+            self._places.heard(now, *place, told.wait_s, told.slower_s, found.priority)
             size = found.graph.stages[piece.stage].result_bytes
             result = StoredResult(told.handle, told.endpoint, told.data_centre, size)
             found.graph.finished(piece, result)
@@ -391,7 +399,7 @@
             if owner:
                 actions.append(FreeAtPeer(owner, tuple(held)))
             else:
-                actions += self._batcher.free(held)
+                actions += self._batcher.free(now, held)
         return actions
 
 
--- a/packages/policy/src/amaranthtally/policy/piece_graph.py
+++ b/packages/policy/src/amaranthtally/policy/piece_graph.py
@@ -83,6 +83,15 @@
             for record in self._records[index]
         )
 
+    @property
+    def is_begun(self) -> bool:
+        """Whether a piece of any stage has been made."""
+        return any(
+            record.state is PieceState.DONE
+            for records in self._records
+            for record in records
+        )
+
     def count(self, stage: int) -> int:
         """Return how many pieces a stage has."""
         return len(self._records[stage])
--- a/packages/policy/src/amaranthtally/policy/piece_messages.py
+++ b/packages/policy/src/amaranthtally/policy/piece_messages.py
@@ -49,7 +49,8 @@
     Its call must begin by ``start_by`` for its request to be on time, and by
     ``deadline`` for it to be answered at all. ``asker`` names the entry, empty for
     this one. ``key`` or ``inputs`` are what the piece reads, ``siblings`` the
-    pieces of its stage, itself included, that read the same.
+    pieces of its stage, itself included, that read the same. ``is_begun`` says that
+    other pieces of its request have been made.
     """
 
     piece: Piece
@@ -62,12 +63,13 @@
     key: str = ""
     inputs: tuple[StoredResult, ...] = ()
     siblings: int = 1
+    is_begun: bool = False
     asker: str = ""
 
 
 class PieceTold(NamedTuple):
     """
-    What became of a piece that was asked for; ``wait_s`` is the wait there now.
+    What became of a piece that was asked for; ``wait_s`` is the wait there of its rank.
 
     ``slower_s`` is by how much longer than usual a call takes there.
     ``inputs_freed`` says that what it read was freed as soon as it had been read.
--- a/packages/policy/src/amaranthtally/policy/piece_queue.py
+++ b/packages/policy/src/amaranthtally/policy/piece_queue.py
@@ -1,10 +1,16 @@
 """Pieces that wait for a call, by request and in the order in which they go."""
 
 from dataclasses import dataclass
+from math import ceil
 
 from amaranthtally.policy.piece_messages import PieceAsk
 
-__all__ = ["Waiting", "as_many", "by_request"]
+__all__ = ["Waiting", "as_many", "by_part", "most_in_part"]
+
+
+# How much later a request is taken to be due for each second that its pieces take from
+# others, in seconds.
+SIZE_WEIGHT = 2.0
 
 
 @dataclass(slots=True)
@@ -14,33 +20,51 @@
     ask: PieceAsk
     since: float
 
-    def urgency(self, now: float) -> tuple[bool, int, float, str]:
+    def urgency(self, now: float, share_s: float) -> tuple[bool, int, float, str]:
         """
         Return a sort key: first who can still be on time, of them the most urgent.
 
         What is late already earns its caller little: served first, it would make
-        others late as well, and in a burst all would be.
+        others late as well, and in a burst all would be. Among equals a request goes
+        behind others by what its pieces take from them, ``share_s`` seconds each:
+        the largest have to begin first to be on time, and would each make several
+        small ones late.
         """
         ask = self.ask
         late = now > ask.start_by
-        return (late, ask.priority, ask.start_by, ask.piece.request_id)
+        due = ask.start_by + SIZE_WEIGHT * share_s * ask.siblings
+        return (late, ask.priority, due, ask.piece.request_id)
 
 
-def by_request(queue: list[Waiting]) -> list[list[Waiting]]:
+def by_part(queue: list[Waiting], batch: int) -> list[list[Waiting]]:
     """
     Return the pieces of each request together, whichever stages they belong to.
 
-    Parted, the branch of a graph that has more time would wait until it is late, and
-    meanwhile the results of the others run out of theirs.
+    Parted by stage, the branch of a graph that has more time would wait until it is
+    late, and meanwhile the results of the others run out of theirs. Only a stage that
+    is larger than a call is parted.
     """
-    groups: dict[str, list[Waiting]] = {}
+    groups: dict[tuple[str, int], list[Waiting]] = {}
     for waiting in queue:
-        groups.setdefault(waiting.ask.piece.request_id, []).append(waiting)
+        piece = waiting.ask.piece
+        part = piece.number // most_in_part(waiting.ask.siblings, batch)
+        groups.setdefault((piece.request_id, part), []).append(waiting)
     return list(groups.values())
 
 
+def most_in_part(pieces: int, batch: int) -> int:
+    """
+    Return how many of a stage's pieces go together: all, or even parts that fit a call.
+
+    A request that is larger than a call would else find none that is empty beside
+    smaller ones, and be late each time.
+    """
+    parts = ceil(pieces / max(1, batch))
+    return max(1, ceil(pieces / max(1, parts)))
+
+
 def as_many(group: list[Waiting], places: int, room: float) -> list[Waiting]:
-    """Return as many pieces as fit, of a request that is too large for one call."""
+    """Return as many pieces as fit, of a group that is too large for one call."""
     chosen: list[Waiting] = []
     for waiting in group[:places]:
         room -= waiting.ask.result_bytes
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -38,6 +38,9 @@
 # learned is forgotten, in seconds: one that was slow is tried again after two or three.
 SPEED_WEIGHT = 0.5
 SPEED_FADE_S = 4.0
+# How long what was learned counts in full, in seconds: discounted from the first
+# moment, a slow endpoint gets a request whenever the others have one call waiting.
+SPEED_FRESH_S = 4.0
 # How much slower than its pool an endpoint is taken to be at most.
 MOST_SLOWNESS = 8.0
 # Calls that differ by less are of one speed: sizes of pieces differ as much.
@@ -54,6 +57,7 @@
 @dataclass(slots=True)
 class _Held:
     size_bytes: float
+    made_at: float
     until: float
 
 
@@ -183,11 +187,12 @@
     def keeps(self, now: float, handle: str, size_bytes: float) -> None:
         """Note a result that the endpoint keeps."""
         until = now + (self.limits.result_ttl_s or float("inf"))
-        self.held[handle] = _Held(size_bytes, until)
+        self.held[handle] = _Held(size_bytes, now, until)
 
-    def freed(self, handle: str) -> None:
-        """Note that a result is kept no more."""
-        self.held.pop(handle, None)
+    def freed(self, now: float, handle: str) -> float:
+        """Note that a result is kept no more; return for how long it was, in s."""
+        held = self.held.pop(handle, None)
+        return 0.0 if held is None else now - held.made_at
 
     def had_no_room(self, now: float) -> None:
         """Send nothing until some results will have left."""
@@ -260,4 +265,4 @@
 
 def speed_faded(age_s: float) -> float:
     """Return how much of what was learned of a speed so long ago still counts."""
-    return 0.5 ** (max(0.0, age_s) / SPEED_FADE_S)
+    return 0.5 ** (max(0.0, age_s - SPEED_FRESH_S) / SPEED_FADE_S)
--- a/packages/policy/src/amaranthtally/policy/places.py
+++ b/packages/policy/src/amaranthtally/policy/places.py
@@ -1,7 +1,7 @@
 """Which entry calls a pool's endpoints in a data centre, and how long one waits."""
 
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.piece_servers import speed_faded
@@ -38,9 +38,17 @@
 
 
 @dataclass(slots=True)
-class _Place:
+class _Wait:
     wait_s: float = 0.0
-    heard_at: float = 0.0
+    at: float = 0.0
+
+    def left_s(self, now: float) -> float:
+        return max(0.0, self.wait_s - (now - self.at))
+
+
+@dataclass(slots=True)
+class _Place:
+    waits: dict[int, _Wait] = field(default_factory=dict)
     slower_s: float = 0.0
     slower_at: float = 0.0
     shut_until: float = 0.0
@@ -130,26 +138,36 @@
         data_centre: str,
         wait_s: float,
         slower_s: float = 0.0,
+        rank: int = 0,
     ) -> None:
         """
-        Learn how long pieces wait at a place; it works.
+        Learn how long pieces of a rank wait at a place; it works.
+
+        More urgent ones wait no longer there, and less urgent ones no less.
 
         ``slower_s`` is by how much longer than usual a call takes there. A queue gets
         shorter while nothing is heard of it, a slow endpoint no faster: counted alike,
         it looked free a second after each of its calls, and was always busy.
         """
         place = self._of(pool, data_centre)
-        place.wait_s = wait_s
-        place.heard_at = now
+        for other, wait in place.waits.items():
+            left_s = wait.left_s(now)
+            if (other < rank and left_s > wait_s) or (other > rank and left_s < wait_s):
+                place.waits[other] = _Wait(wait_s, now)
+        place.waits[rank] = _Wait(wait_s, now)
         place.slower_s = slower_s
         place.slower_at = now
         place.failures = 0
 
-    def asked(self, now: float, pool: str, data_centre: str, more_s: float) -> None:
+    def asked(
+        self, now: float, pool: str, data_centre: str, more_s: float, rank: int = 0
+    ) -> None:
         """Count what was asked for since the place was last heard of."""
         place = self._of(pool, data_centre)
-        place.wait_s = self._queue_s(now, place) + more_s
-        place.heard_at = now
+        place.waits.setdefault(rank, _Wait(self._queue_s(now, place, rank), now))
+        for other, wait in place.waits.items():
+            if other >= rank:
+                place.waits[other] = _Wait(wait.left_s(now) + more_s, now)
 
     def failed(self, now: float, pool: str, data_centre: str) -> None:
         """Leave a place alone for a while."""
@@ -159,11 +177,11 @@
         place.shut_until = now + min(LONGEST_SHUT_S, FIRST_SHUT_S * 2**place.failures)
         place.failures += 1
 
-    def wait_s(self, now: float, pool: str, data_centre: str) -> float:
+    def wait_s(self, now: float, pool: str, data_centre: str, rank: int = 0) -> float:
         """Return by how much later than in a free place a piece would be made."""
         place = self._of(pool, data_centre)
         slower_s = place.slower_s * speed_faded(now - place.slower_at)
-        return self._queue_s(now, place) + slower_s
+        return self._queue_s(now, place, rank) + slower_s
 
     def best(
         self,
@@ -172,6 +190,7 @@
         candidates: Mapping[str, Endpoint],
         reading: Mapping[str, float] = NOTHING_READ,
         spare_s: float = 0.0,
+        rank: int = 0,
     ) -> str | None:
         """
         Return the data centre in which to run pieces of a stage.
@@ -190,15 +209,17 @@
         return min(
             open_places,
             key=lambda name: (
-                self.wait_s(now, pool, name)
+                self.wait_s(now, pool, name, rank)
                 + self.distance_s(open_places[name])
                 - min(most_s, CROSSING_S_PER_BYTE * reading.get(name, 0.0))
             ),
             default=None,
         )
 
-    def _queue_s(self, now: float, place: _Place) -> float:
-        return max(0.0, place.wait_s - (now - place.heard_at))
+    def _queue_s(self, now: float, place: _Place, rank: int) -> float:
+        """Return the wait of a rank, or of the next more urgent that is known."""
+        known = max((r for r in place.waits if r <= rank), default=None)
+        return 0.0 if known is None else place.waits[known].left_s(now)
 
     def _is_shut(self, now: float, peer: str) -> bool:
         return now < self._peer_shut.get(peer, 0.0)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -20,6 +20,7 @@
     PieceWork,
     StageResult,
 )
+from amaranthtally.policy.first_events import FirstEvents
 from amaranthtally.policy.gathering import Gathering
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.learning import Learner
@@ -85,6 +86,7 @@
         )
         self._streams = StreamWatch(self._times, self._loads)
         self._gatherer = parts.gatherer()
+        self._first_events = FirstEvents()
         self._inputs = RequestInputs(random, self._gatherer, self._times)
         self._learner = Learner(
             self._times,
@@ -173,10 +175,10 @@
         return self._follow(now, self._gatherer.told(now, told))
 
     def results_freed(
-        self, results: Iterable[StoredResult], ended: str = ""
+        self, now: float, results: Iterable[StoredResult], ended: str = ""
     ) -> list[Action]:
         """Take another entry's word that results are read no more, or a request."""
-        return self._gatherer.freed_by_peer(results, ended)
+        return self._gatherer.freed_by_peer(now, results, ended)
 
     def peers_changed(self, now: float, peers: Iterable[Peer]) -> list[Action]:
         """Use these live entries beside this one."""
@@ -226,6 +228,8 @@
             request.chunks = max(request.chunks, chunks)
             live = request.live[attempt]
             if live.reading:
+                name = request.arrival.pipeline.name
+                self._first_events.note(name, now - live.sent_at)
                 # Known as soon as it is read: the next request of a session comes
                 # before this one's stream has ended, and would be read elsewhere.
                 self._prefixes.ran(now, live.endpoint, request.arrival.prefix)
@@ -295,6 +299,7 @@
             arrival.begin_by,
             arrival.priority,
             self._router.likely_place(now, arrival),
+            self._first_events.usual_s(arrival.pipeline.name),
         )
         return self._follow(now, news)
 
--- a/packages/policy/src/amaranthtally/policy/request_inputs.py
+++ b/packages/policy/src/amaranthtally/policy/request_inputs.py
@@ -46,7 +46,9 @@
         Their endpoints are the first to be full: what waits there past its deadline
         takes the place of what could still be answered.
         """
-        needed_s = self._gatherer.plans.predicted_s(now, work.stages, work.counts)
+        needed_s = self._gatherer.plans.predicted_s(
+            now, work.stages, work.counts, arrival.priority
+        )
         after_s = self._times.floor_s(arrival.pipeline.stages)
         late_s = now + needed_s + after_s - arrival.begin_by
         if late_s <= 0:
@@ -57,7 +59,9 @@
         """Return when a request that found no place may come back and find one."""
         if arrival.work is None:
             return 0.0
-        backlog_s = self._gatherer.plans.backlog_s(now, arrival.work.stages)
+        backlog_s = self._gatherer.plans.backlog_s(
+            now, arrival.work.stages, arrival.priority
+        )
         return max(LEAST_RETURN_S, backlog_s) * (1.0 + self._random.random())
 
     def note_sent(self, now: float, request: Request) -> None:
--- a/packages/policy/src/amaranthtally/policy/routes.py
+++ b/packages/policy/src/amaranthtally/policy/routes.py
@@ -83,6 +83,11 @@
         """Return how long a call with as many pieces as it may hold takes."""
         return self.call_of_s(self.batch)
 
+    @property
+    def share_s(self) -> float:
+        """A piece's share of a full call, in seconds."""
+        return self.full_call_s() / max(1, self.batch)
+
 
 @dataclass(frozen=True, slots=True)
 class EngineLimits:
--- a/packages/policy/src/amaranthtally/policy/stage_plans.py
+++ b/packages/policy/src/amaranthtally/policy/stage_plans.py
@@ -4,6 +4,7 @@
 
 from amaranthtally.policy.batcher import Batcher
 from amaranthtally.policy.piece_graph import Piece, PieceGraph
+from amaranthtally.policy.piece_queue import most_in_part
 from amaranthtally.policy.places import Places
 from amaranthtally.policy.routes import PieceLimits, PieceStage, Pool
 
@@ -36,34 +37,39 @@
     # Times
 
     def predicted_s(
-        self, now: float, stages: tuple[PieceStage, ...], counts: tuple[int, ...]
+        self,
+        now: float,
+        stages: tuple[PieceStage, ...],
+        counts: tuple[int, ...],
+        rank: int,
     ) -> float:
         """Return how long the pieces of a request would take if it came now."""
         ends: list[float] = []
         for index, stage in enumerate(stages):
             count = counts[index] if index < len(counts) else 0
             begin = max((ends[i] for i in stage.after if i < index), default=0.0)
-            ends.append(begin + (self.stage_s(now, stage.pool) if count else 0.0))
+            ends.append(begin + (self.stage_s(now, stage.pool, rank) if count else 0.0))
         return max(ends, default=0.0)
 
-    def backlog_s(self, now: float, stages: tuple[PieceStage, ...]) -> float:
+    def backlog_s(self, now: float, stages: tuple[PieceStage, ...], rank: int) -> float:
         """Return the longest wait for a call of these stages' pools."""
-        waits = [self.stage_s(now, stage.pool) for stage in stages]
+        waits = [self.stage_s(now, stage.pool, rank) for stage in stages]
         return max(waits, default=0.0)
 
-    def stage_s(self, now: float, pool: str) -> float:
+    def stage_s(self, now: float, pool: str, rank: int) -> float:
         """Return how long a stage takes where it would be made soonest."""
-        place = self._places.best(now, pool, self._batcher.servers.places(pool))
+        candidates = self._batcher.servers.places(pool)
+        place = self._places.best(now, pool, candidates, rank=rank)
         if place is None:
             return 0.0
-        return self.wait_s(now, pool, place) + self.call_s(pool)
+        return self.wait_s(now, pool, place, rank) + self.call_s(pool)
 
-    def wait_s(self, now: float, pool: str, data_centre: str) -> float:
+    def wait_s(self, now: float, pool: str, data_centre: str, rank: int) -> float:
         """Return by how much later than in a free place a piece would be made there."""
         if not self._places.owner(now, pool, data_centre):
-            waits_s = self._batcher.wait_s(now, pool, data_centre)
+            waits_s = self._batcher.wait_s(now, pool, data_centre, rank)
             return waits_s + self._batcher.slower_s(now, pool, data_centre)
-        return self._places.wait_s(now, pool, data_centre)
+        return self._places.wait_s(now, pool, data_centre, rank)
 
     def after_s(self, graph: PieceGraph, stage: int) -> float:
         """Return what is left to do from a stage on, its own call included."""
@@ -73,12 +79,18 @@
         if not graph.count(stage):
             return after_s
         limits = self._limits_of(graph.stages[stage].pool)
-        return after_s + limits.call_of_s(graph.count(stage))
+        pieces = most_in_part(graph.count(stage), limits.batch)
+        return after_s + limits.call_of_s(pieces)
+
+    def part_of(self, graph: PieceGraph, piece: Piece) -> int:
+        """Return which part of its stage a piece belongs to, from 0."""
+        limits = self._limits_of(graph.stages[piece.stage].pool)
+        count = graph.count(piece.stage)
+        return piece.number // most_in_part(count, limits.batch)
 
     def share_s(self, pool: str) -> float:
         """Return by how much one more piece lengthens the wait for a pool's call."""
-        limits = self._limits_of(pool)
-        return limits.full_call_s() / limits.batch
+        return self._limits_of(pool).share_s
 
     def call_s(self, pool: str) -> float:
         """Return how long a call with as many pieces as fit takes; 0 if not known."""
@@ -106,21 +118,13 @@
             return graph.take_due()
         ways = {index: graph.unfinished_before(index) for index in lasts}
         longest = max(ways.values(), key=len)
-        # What is left once the next stage of the long branch is done: only then will it
-        # be looked at again.
-        left_s = self._way_s(now, graph, longest[1:])
         held = {
             index
             for index, way in ways.items()
-            if way is not longest
-            and len(way) == 1
-            and self._way_s(now, graph, way) < left_s
+            if way is not longest and len(way) == 1 and len(longest) > 1
         }
         return graph.take_due(held)
 
-    def _way_s(self, now: float, graph: PieceGraph, way: list[int]) -> float:
-        return sum(self.stage_s(now, graph.stages[index].pool) for index in way)
-
     def place_of(
         self,
         now: float,
@@ -128,6 +132,7 @@
         stage: int,
         reader: str,
         on_time_by: float,
+        rank: int,
     ) -> str | None:
         """
         Return where a stage runs: where its pieces wait least, less what must cross.
@@ -143,8 +148,9 @@
             place = result.data_centre
             reading[place] = reading.get(place, 0.0) + result.size_bytes
         if reader and not graph.readers(stage):
-            made_bytes = graph.count(stage) * graph.stages[stage].result_bytes
+            pieces = most_in_part(graph.count(stage), self._limits_of(pool).batch)
+            made_bytes = pieces * graph.stages[stage].result_bytes
             reading[reader] = reading.get(reader, 0.0) + made_bytes
         candidates = self._batcher.servers.places(pool)
         spare_s = on_time_by - self.after_s(graph, stage) - now
-        return self._places.best(now, pool, candidates, reading, spare_s)
+        return self._places.best(now, pool, candidates, reading, spare_s, rank)
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -18,6 +18,8 @@
   inputs @10 :List(StoredResult);
   # How many pieces of the stage read the same inputs.
   siblings @11 :UInt16;
+  # Whether other pieces of the request have been made.
+  isBegun @12 :Bool;
 }
 
 enum Fault {
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -86,7 +86,9 @@
 
 def write_asks(target: Any, asks: Iterable[PieceAsk], now: float) -> None:
     """Fill the pieces of an ``ask``, those of one stage of a request together."""
-    groups = _grouped(asks, lambda ask: (ask.piece[:2], ask.inputs, ask.data_centre))
+    groups = _grouped(
+        asks, lambda ask: (ask.piece[:2], ask.inputs, ask.data_centre, ask.is_begun)
+    )
     for item, group in zip(target.init("asks", len(groups)), groups, strict=True):
         first = group[0]
         item.requestId = first.piece.request_id
@@ -101,6 +103,7 @@
         item.key = first.key
         _write_results(item.init("inputs", len(first.inputs)), first.inputs)
         item.siblings = first.siblings
+        item.isBegun = first.is_begun
 
 
 def read_asks(source: Any, now: float) -> tuple[PieceAsk, ...]:
@@ -119,6 +122,7 @@
             key=item.key,
             inputs=read_results(item.inputs),
             siblings=item.siblings,
+            is_begun=item.isBegun,
         )
         asks += [
             replace(first, piece=Piece(request_id, stage, number))
--- a/tests/load/stage_world.py
+++ b/tests/load/stage_world.py
@@ -288,7 +288,7 @@
 
     def _free_at(self, action):
         entry = self.entries[action.peer]
-        actions = entry.freed_by_peer(action.results, action.ended)
+        actions = entry.freed_by_peer(self.now, action.results, action.ended)
         self._carry_out(action.peer, actions)
 
     # Endpoints
--- a/tests/policy/test_batcher.py
+++ b/tests/policy/test_batcher.py
@@ -79,9 +79,9 @@
     a third that fits takes the places.
     """
     small = {"result_bytes": 8e3}
-    asks = [ask("a", n, **small) for n in range(5)]
-    asks += [ask("b", n, start_by=11.0, **small) for n in range(5)]
-    asks += [ask("c", n, start_by=12.0, **small) for n in range(3)]
+    asks = [ask("a", n, siblings=5, **small) for n in range(5)]
+    asks += [ask("b", n, siblings=5, start_by=11.0, **small) for n in range(5)]
+    asks += [ask("c", n, siblings=3, start_by=12.0, **small) for n in range(3)]
     (call,) = send(batcher, NOW, *asks)
     assert requests_of(call) == {"a", "c"}
 
@@ -92,6 +92,50 @@
     assert len(call.pieces) == CATALOGUE.batch
 
 
+def test_a_request_larger_than_a_call_goes_in_even_parts(batcher):
+    """Requests of nine pieces and more found no call with so many free places."""
+    small = {"result_bytes": 8e3}
+    asks = [ask("small", n, siblings=3, start_by=9.0, **small) for n in range(3)]
+    asks += [ask("large", n, siblings=10, **small) for n in range(10)]
+    (first,) = send(batcher, NOW, *asks)
+    assert [p.request_id for p in first.pieces] == ["small"] * 3 + ["large"] * 5
+    (second,) = calls(batcher.ended(NOW + 0.4, first.call, made(first)).actions)
+    assert [p.number for p in second.pieces] == [5, 6, 7, 8, 9]
+
+
+def test_of_equally_urgent_requests_the_small_go_first(batcher):
+    """One large request, which must begin earlier to be on time, made four late."""
+    full = [ask("r", n, siblings=8, result_bytes=8e3) for n in range(8)]
+    (first,) = send(batcher, NOW, *full)
+    large = [ask("large", n, siblings=8, start_by=9.8) for n in range(8)]
+    small = [ask(f"s{n}", start_by=10.0) for n in range(4)]
+    send(batcher, NOW + 0.1, *large, *small)
+    (second,) = calls(batcher.ended(NOW + 0.4, first.call, made(first)).actions)
+    assert requests_of(second) == {"s0", "s1", "s2", "s3"}
+
+
+def test_a_call_tells_what_kept_it_from_being_full(batcher):
+    (first,) = send(batcher, NOW, *[ask("a", n, siblings=8) for n in range(8)])
+    assert first.facts.shortage == "full"
+    (second,) = batcher.ended(NOW + 0.4, first.call, made(first)).actions or (None,)
+    assert second is None
+    (second,) = send(batcher, NOW + 0.4, *[ask(f"r{n}") for n in range(6)])
+    assert second.facts.shortage == "memory"
+    assert second.facts.waiting == 6
+    assert second.facts.places == CATALOGUE.batch
+
+
+def test_a_wait_counts_only_those_that_go_before(batcher):
+    """Urgent requests left a place to less urgent ones that would let them pass."""
+    send(batcher, NOW, ask("running"))
+    for n in range(40):
+        batcher.take(NOW, [ask(f"r{n}", priority=2)])
+    urgent_s = batcher.wait_s(NOW + LINGER_S, "catalogue", CLUJ, 1)
+    assert urgent_s <= CATALOGUE.full_call_s()
+    waiting_s = batcher.wait_s(NOW + LINGER_S, "catalogue", CLUJ, 2)
+    assert waiting_s >= 5 * CATALOGUE.full_call_s()
+
+
 def test_no_more_is_made_than_the_maker_can_keep(batcher):
     """
     Half of a call's pieces come back without a result. Results of 1.5 MB fill the
@@ -107,7 +151,7 @@
     (first,) = send(batcher, NOW, *[ask("a", n) for n in range(8)])
     told = batcher.ended(NOW + 0.4, first.call, made(first)).told[""]
     results = [StoredResult(t.handle, t.endpoint, CLUJ, 1.5e6) for t in told]
-    batcher.free(results[:4])
+    batcher.free(0.5, results[:4])
     (second,) = send(batcher, NOW + 0.4, *[ask(f"r{n}") for n in range(7)])
     assert len(second.pieces) == 7
 
@@ -149,6 +193,16 @@
     assert told_of(batches)["late"].fault is PieceFault.LATE
 
 
+def test_a_request_that_was_begun_is_not_crowded_out(batcher):
+    """Three stages were made for requests that the last one then refused as late."""
+    late = {"start_by": NOW - 0.1}
+    send(batcher, NOW, *[ask("a", n, siblings=8) for n in range(8)])
+    begun = ask("begun", is_begun=True, **late)
+    on_time = [ask(f"r{n}") for n in range(9)]
+    told = batcher.take(NOW + 0.1, [begun, ask("new", **late), *on_time]).told
+    assert {one.piece.request_id for one in told[""]} == {"new"}
+
+
 def test_the_late_are_made_where_there_is_a_place(batcher):
     (call,) = send(batcher, NOW, ask("late", start_by=NOW - 0.1), ask("on_time"))
     assert requests_of(call) == {"late", "on_time"}
@@ -310,7 +364,7 @@
         now += LINGER_S + 4.0 * usual_s
         batcher.ended(now, call.call, made(call))
         batcher.free(
-            [StoredResult(f"{call.endpoint}/{name}.0.0", call.endpoint, CLUJ, 0)]
+            0.5, [StoredResult(f"{call.endpoint}/{name}.0.0", call.endpoint, CLUJ, 0)]
         )
     assert batcher.slower_s(now, "catalogue", CLUJ) > 2.0 * CATALOGUE.full_call_s()
     assert batcher.slower_s(now + 60.0, "catalogue", CLUJ) == 0.0
--- /dev/null
+++ b/tests/policy/test_first_events.py
@@ -0,0 +1,36 @@
+"""What engines take to the first event of a stream, as observed."""
+
+import pytest
+
+from amaranthtally.policy.first_events import DEFAULT_S, LONGEST_S, FirstEvents
+
+
+def test_nothing_observed_gives_the_default():
+    assert FirstEvents().usual_s("draft") == DEFAULT_S
+
+
+@pytest.mark.parametrize("took_s", [0.02, 0.09, 0.4, 1.6])
+def test_what_engines_take_is_learned(took_s):
+    """A constant of one deployment's engines was used for all of them."""
+    found = FirstEvents()
+    for _ in range(120):
+        found.note("draft", took_s)
+    assert found.usual_s("draft") == pytest.approx(took_s, rel=0.05)
+
+
+def test_pipelines_are_told_apart():
+    found = FirstEvents()
+    for _ in range(200):
+        found.note("short", 0.05)
+        found.note("long", 0.9)
+    assert found.usual_s("short") < 0.06
+    assert found.usual_s("long") > 0.85
+
+
+def test_what_hangs_or_lies_is_bounded():
+    """One engine that hung for minutes made every request of its kind late."""
+    found = FirstEvents()
+    for _ in range(500):
+        found.note("draft", 600.0)
+        found.note("draft", -5.0)
+    assert 0.0 <= found.usual_s("draft") <= LONGEST_S
--- a/tests/policy/test_gathering.py
+++ b/tests/policy/test_gathering.py
@@ -256,7 +256,7 @@
     theirs = ask_other(gatherer(peers=OTHERS))
     found = gatherer(place=IASI, name=theirs.peer)
     found.asked(NOW, "own", theirs.asks)
-    found.freed_by_peer([], ended="r")
+    found.freed_by_peer(0.5, [], ended="r")
     assert calls(found.tick(NOW + 0.1).actions) == []
 
 
@@ -292,6 +292,30 @@
     assert seen.index([0]) < seen.index([3])
 
 
+def test_a_stage_larger_than_a_call_is_made_in_several_places():
+    """Requests of more pieces than a call has places were never served."""
+    found = gatherer()
+    made_at = [call.endpoint for call in sent(found, begin(found, counts=(9,)), NOW)]
+    assert len(set(made_at)) == 2
+
+
+def test_a_short_branch_is_made_beside_the_last_stage_of_the_long_one():
+    """Its results filled their maker while two stages of their request still ran."""
+    found = gatherer(at=(CLUJ,))
+    now = NOW
+    news = begin(found, stages=REPLY, counts=(2, 1, 6, 10))
+    begun = []
+    while not news.ready:
+        sent_now = sent(found, news, now)
+        begun.append({p.stage for call in sent_now for p in call.pieces})
+        now += 0.4
+        ends = [found.calls_ended(now, call.call, made(call)) for call in sent_now]
+        news = ends[-1]
+        for end in ends[:-1]:
+            news.actions += end.actions
+    assert begun == [{1}, {2}, {0, 3}]
+
+
 def test_a_branch_without_another_beside_it_is_made_at_once():
     found = gatherer(at=(CLUJ,))
     (call,) = sent(found, begin(found, stages=REPLY, counts=(2, 0, 0, 0)), NOW)
--- a/tests/policy/test_piece_graph.py
+++ b/tests/policy/test_piece_graph.py
@@ -36,6 +36,15 @@
     assert [r.handle for r in graph.request_inputs()] == ["h0.0", "h0.1", "h3.0"]
 
 
+def test_a_request_is_begun_once_a_piece_is_made():
+    graph = PieceGraph("r", LOOKUP, (1, 6, 10))
+    (piece,) = graph.take_due()
+    graph.started(piece)
+    assert not graph.is_begun
+    graph.finished(piece, StoredResult("h", "e", "d", 8e3))
+    assert graph.is_begun
+
+
 def test_a_stage_without_pieces_is_left_out():
     graph = PieceGraph("r", CLAIM, (0,))
     assert graph.is_done
--- a/tests/policy/test_places.py
+++ b/tests/policy/test_places.py
@@ -122,6 +122,26 @@
     assert found.best(NOW + 30.0, "roster", CANDIDATES) == CLUJ
 
 
+def test_waits_are_known_by_rank():
+    """Urgent requests waited for one place beside another that let them pass."""
+    found = places_of(PEERS[0])
+    found.heard(NOW, "roster", CLUJ, 2.0, rank=2)
+    assert found.best(NOW, "roster", CANDIDATES, rank=1) == CLUJ
+    assert found.best(NOW, "roster", CANDIDATES, rank=2) == IASI
+    found.heard(NOW, "roster", CLUJ, 1.0, rank=0)
+    assert found.wait_s(NOW, "roster", CLUJ, 1) == 1.0
+    assert found.wait_s(NOW, "roster", CLUJ, 2) == 2.0
+
+
+def test_what_an_urgent_request_asks_for_counts_for_the_less_urgent():
+    found = places_of(PEERS[0])
+    found.heard(NOW, "roster", CLUJ, 0.2, rank=2)
+    found.asked(NOW, "roster", CLUJ, 0.5, rank=1)
+    assert found.wait_s(NOW, "roster", CLUJ, 0) == 0.0
+    assert found.wait_s(NOW, "roster", CLUJ, 1) == 0.5
+    assert found.wait_s(NOW, "roster", CLUJ, 2) == pytest.approx(0.7)
+
+
 def test_what_was_asked_for_counts_until_the_place_is_heard_of():
     """
     A burst goes to one data centre while two stand idle: nothing is heard of a place
--- /dev/null
+++ b/tests/unit/test_stage_report.py
@@ -0,0 +1,80 @@
+"""What ``stages`` reads from the daemons' logs."""
+
+from amaranthtally.operator.exit_codes import ExitCode
+from amaranthtally.operator.log_lines import parse_line
+from amaranthtally.operator.stage_report import build_report
+from amaranthtally.operator.stages_command import stages
+from tests.unit.test_explain import log_line
+
+CALL = {
+    "endpoint": "i-1",
+    "requests": "r1,r2",
+    "pieces": 3,
+    "ms": 400,
+    "shortage": "memory",
+    "pool": "ledger",
+    "places": 8,
+    "waiting": 5,
+    "waited_ms": 40,
+}
+ENTRY = [
+    log_line(0.0, "request_received", request_id="r1", route="a"),
+    log_line(0.1, "request_received", request_id="r2", route="a"),
+    log_line(1.0, "attempt_sent", request_id="r1"),
+    log_line(2.0, "request_ended", request_id="r1", outcome="answered", reason=""),
+    log_line(2.5, "request_ended", request_id="r2", outcome="not_run", reason="busy"),
+]
+OWNER = [
+    log_line(0.6, "pieces_ended", **CALL),
+    "not a line at all",
+]
+
+
+def report():
+    lines = [parse_line("x", text) for text in (*ENTRY, *OWNER)]
+    return build_report([line for line in lines if line is not None], 4.0)
+
+
+def test_pools_are_told_by_span():
+    (((pool, begin), span),) = report().spans.items()
+    assert (pool, begin) == ("ledger", 0.0)
+    assert (span.calls, span.pieces, span.places, span.waiting) == (1, 3, 8, 5)
+    assert span.shortages == {"memory": 1}
+    assert round(span.busy_s, 3) == 0.4
+
+
+def test_routes_are_told_by_end_and_by_where_time_went():
+    summary = report().routes["a"]
+    assert summary.ends == {"answered": 1, "not_run busy": 1}
+    assert [round(s, 3) for s in summary.staged_s] == [1.0]
+    assert [round(s, 3) for s in summary.refused_s] == [2.4]
+    assert [round(s, 3) for s in summary.waits_s["ledger"]] == [0.2, 0.1]
+
+
+def test_endpoints_time_is_told_by_what_became_of_the_requests():
+    spent = {end: round(spent_s, 3) for end, spent_s in report().spent_s.items()}
+    assert spent == {"answered": 0.2, "not_run busy": 0.2}
+
+
+def test_the_command_counts_lines_that_it_can_not_read(tmp_path, capsys):
+    paths = []
+    for name, text in (("entry", ENTRY), ("owner", OWNER)):
+        path = tmp_path / f"{name}.log"
+        path.write_text("\n".join(text), encoding="utf-8")
+        paths.append(path)
+    assert stages(paths) is ExitCode.DONE
+    printed = capsys.readouterr()
+    assert "1 lines are no log lines" in printed.err
+    assert "memory 1" in printed.out
+
+
+def test_a_file_that_is_not_there_and_a_span_of_nothing_are_refused(tmp_path, capsys):
+    assert stages([tmp_path / "none.log"]) is ExitCode.USAGE
+    assert stages([], span=0.0) is ExitCode.USAGE
+    assert "give seconds" in capsys.readouterr().err
+
+
+def test_logs_without_a_call_give_empty_tables(tmp_path):
+    path = tmp_path / "empty.log"
+    path.write_text("", encoding="utf-8")
+    assert stages([path]) is ExitCode.DONE
