Forget pipelines not observed for longest; spare requests of peers that tell inputs only

A name of a pipeline was kept for ever. A gateway of an earlier version tells what a piece reads and not that its request was begun: both spare it from being crowded out.

--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -373,4 +373,5 @@
 
 
 def _is_late_before_begun(waiting: Waiting, now: float) -> bool:
-    return now > waiting.ask.start_by and not waiting.ask.is_begun
+    ask = waiting.ask
+    return now > ask.start_by and not (ask.is_begun or ask.inputs)
--- a/packages/policy/src/amaranthtally/policy/first_events.py
+++ b/packages/policy/src/amaranthtally/policy/first_events.py
@@ -9,6 +9,8 @@
 # Samples beyond this, in seconds, count as this much: an engine that hangs says nothing
 # of what engines take.
 LONGEST_S = 3.0
+# Pipelines whose times are kept; the one not observed for longest is forgotten.
+MOST_PIPELINES = 1_024
 
 
 class FirstEvents:
@@ -20,8 +22,10 @@
     def note(self, pipeline: str, took_s: float) -> None:
         """Learn from the first event of an attempt."""
         took_s = min(LONGEST_S, max(0.0, took_s))
-        mean_s = self._means_s.get(pipeline, DEFAULT_S)
+        mean_s = self._means_s.pop(pipeline, DEFAULT_S)
         self._means_s[pipeline] = mean_s + WEIGHT * (took_s - mean_s)
+        if len(self._means_s) > MOST_PIPELINES:
+            del self._means_s[next(iter(self._means_s))]
 
     def usual_s(self, pipeline: str) -> float:
         """Return the usual time to a pipeline's first event, in seconds."""
--- a/tests/policy/test_first_events.py
+++ b/tests/policy/test_first_events.py
@@ -2,7 +2,12 @@
 
 import pytest
 
-from amaranthtally.policy.first_events import DEFAULT_S, LONGEST_S, FirstEvents
+from amaranthtally.policy.first_events import (
+    DEFAULT_S,
+    LONGEST_S,
+    MOST_PIPELINES,
+    FirstEvents,
+)
 
 
 def test_nothing_observed_gives_the_default():
@@ -27,6 +32,15 @@
     assert found.usual_s("long") > 0.85
 
 
+def test_pipelines_that_come_and_go_do_not_fill_the_memory():
+    found = FirstEvents()
+    for number in range(2 * MOST_PIPELINES):
+        found.note(f"p{number}", 2.0)
+    known = [found.usual_s(f"p{n}") != DEFAULT_S for n in range(2 * MOST_PIPELINES)]
+    assert sum(known) == MOST_PIPELINES
+    assert known[-1]
+
+
 def test_what_hangs_or_lies_is_bounded():
     """One engine that hung for minutes made every request of its kind late."""
     found = FirstEvents()
