--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -294,7 +294,7 @@
             self._give_back(now, queue, not servers, batches)
 
     def _is_due(self, now: float, server: PieceServer, queue: list[Waiting]) -> bool:
-        """Whether a call is to be sent: a full one, or one that others could join."""
+        """Whether there is enough for a call, or a piece has waited for others."""
         if len(queue) >= server.limits.batch:
             return True
         return any(now - waiting.since >= LINGER_S for waiting in queue)
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -6,6 +6,7 @@
 from amaranthtally.policy.actions import Action, AskPeer, FreeAtPeer, TellPeer
 from amaranthtally.policy.asked_pieces import AskedPiece, AskedPieces
 from amaranthtally.policy.batcher import Batcher, Batches
+from amaranthtally.policy.first_events import DEFAULT_S
 from amaranthtally.policy.gathered import GatheredRequest, Gathering
 from amaranthtally.policy.invariants import ensure
 from amaranthtally.policy.model import Endpoint
@@ -25,8 +26,6 @@
 # Failures of one piece before its request is given up: one for an endpoint that has
 # gone, one for an entry that asked it, one for a second endpoint.
 MOST_FAILURES = 4
-# What an engine takes to its first event where nobody has observed it, in seconds.
-DEFAULT_ENGINE_S = 0.25
 # A peer is asked once more for a piece of which nothing was heard for this long, in
 # seconds, beyond what it is predicted to take twice over. It may only be busy: an
 # entry that asked another one then would bring a second caller to an endpoint that is
@@ -97,7 +96,7 @@
         deadline: float,
         priority: int,
         reader: str = "",
-        engine_s: float = DEFAULT_ENGINE_S,
+        engine_s: float = DEFAULT_S,
     ) -> Gathering:
         """
         Take a request in and have its first pieces made.
