Tell how answers of the store and copies of peers end, and since when one is behind

The incident's hypotheses could not be told apart by our own lines: store_lost was said once, without how much of an answer had come; copies from peers left no line of their own; nothing said since when a gateway knew of a newer configuration. Lines store_transfer, configuration_heard_of, configuration_read, beliefs_not_copied; counts and bytes of calls at the store; gauges configuration_heard and configuration_behind_s. No change of logic.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/belief_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/belief_exchange.py
@@ -20,6 +20,7 @@
 # configuration in about a second.
 CALM_S = 1.0
 LOST_S = 0.4
+MS_PER_S = 1000.0
 
 log = get_logger()
 
@@ -31,7 +32,10 @@
     def versions(self) -> Versions:
         """How new they are."""
 
-    def take_from_peer(self, beliefs: Beliefs) -> None:
+    def heard_of(self, peer: str, versions: Versions) -> None:
+        """Note what a peer has."""
+
+    def take_from_peer(self, peer: str, beliefs: Beliefs) -> None:
         """Take what is newer of a peer's."""
 
 
@@ -51,6 +55,7 @@
         self._keeper = keeper
         self._is_connected = is_connected
         self._random = random
+        self._time = asyncio.get_running_loop().time
 
     async def run(self) -> None:
         """Exchange until cancelled."""
@@ -63,10 +68,14 @@
 
     async def fetch(self, peer: str) -> None:
         """Take what a peer has newer, as it has greeted this gateway."""
+        started = self._time()
         try:
-            self._keeper.take_from_peer(await self._links.beliefs(peer))
+            beliefs = await self._links.beliefs(peer)
         except PeerLostError as error:
-            log.info("peer_not_greeted", peer=peer, cause=str(error))
+            ms = round((self._time() - started) * MS_PER_S)
+            log.info("beliefs_not_copied", peer=peer, ms=ms, cause=str(error))
+            return
+        self._keeper.take_from_peer(peer, beliefs)
 
     async def _greet_all(self, peers: Sequence[str]) -> None:
         await asyncio.gather(*(self._greet(peer) for peer in peers))
@@ -74,10 +83,12 @@
     async def _greet(self, peer: str) -> None:
         try:
             answer = await self._links.greet(peer, self._keeper.versions)
-            if self._lacks(answer.versions):
-                self._keeper.take_from_peer(await self._links.beliefs(peer))
         except PeerLostError as error:
             log.info("peer_not_greeted", peer=peer, cause=str(error))
+            return
+        self._keeper.heard_of(peer, answer.versions)
+        if self._lacks(answer.versions):
+            await self.fetch(peer)
 
     def _lacks(self, theirs: Versions) -> bool:
         own = self._keeper.versions
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -6,6 +6,8 @@
 
 from aioprometheus import Counter, Gauge, Histogram
 
+from amaranthtally.platform import StoreTransfer
+
 __all__ = ["GatewayMetrics", "GatewayState"]
 
 REQUEST_BUCKETS_S = (0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 4.0, 8.0)
@@ -23,6 +25,11 @@
     fate: str
 
 
+class _TransferLabels(NamedTuple):
+    call: str
+    outcome: str
+
+
 @dataclass(frozen=True, slots=True)
 class GatewayState:
     """What a gateway holds and believes now; ages and counts."""
@@ -33,6 +40,8 @@
     endpoints: int
     endpoints_missing: int
     configuration: int
+    configuration_heard: int
+    configuration_behind_s: float
     records: int
     store_connected: bool
     log_lines_lost: int
@@ -50,6 +59,8 @@
         self._request_tally: Tally[_RequestLabels] = Tally()
         self._attempt_tally: Tally[_CallLabels] = Tally()
         self._piece_tally: Tally[_CallLabels] = Tally()
+        self._transfer_tally: Tally[_TransferLabels] = Tally()
+        self._transferred: Tally[_TransferLabels] = Tally()
         self._requests = Counter(
             "amaranthtally_requests_total", "Requests by route, status and reason."
         )
@@ -59,6 +70,13 @@
         self._pieces = Counter(
             "amaranthtally_pieces_total", "Pieces in ended calls by pool and fate."
         )
+        self._transfers = Counter(
+            "amaranthtally_store_calls_total", "Calls at the store by call and outcome."
+        )
+        self._bytes = Counter(
+            "amaranthtally_store_received_bytes_total",
+            "Bytes of the store's answers by call and outcome.",
+        )
         self._seconds = Histogram(
             "amaranthtally_request_seconds",
             "Time from arrival to the end of a request, by route.",
@@ -93,6 +111,12 @@
         self._piece_tally[_CallLabels(pool, fate)] += pieces
         self._call_seconds.observe({"pool": pool}, seconds)
 
+    def store_called(self, transfer: StoreTransfer) -> None:
+        """Count a call at the store, and what came of its answer."""
+        labels = _TransferLabels(transfer.call, transfer.outcome)
+        self._transfer_tally[labels] += 1
+        self._transferred[labels] += transfer.received_bytes
+
     def refresh(self, state: GatewayState) -> None:
         """Set every collector to what has been counted."""
         for request, count in self._request_tally.items():
@@ -101,5 +125,9 @@
             self._attempts.set(attempt._asdict(), count)
         for piece, count in self._piece_tally.items():
             self._pieces.set(piece._asdict(), count)
+        for transfer, count in self._transfer_tally.items():
+            self._transfers.set(transfer._asdict(), count)
+        for transfer, count in self._transferred.items():
+            self._bytes.set(transfer._asdict(), count)
         for name in GatewayState.__dataclass_fields__:
             self._state.set({"name": name}, float(getattr(state, name)))
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -44,6 +44,7 @@
     def greeted(self, name: str, record: PeerRecord, versions: Versions) -> Greeting:
         """Return this gateway's versions to a peer; fetch what it has newer."""
         self._on_greeting(name, record)
+        self._configuration.hear_of(versions.configuration, name)
         if versions.configuration > self._configuration.version:
             self._on_newer(name)
         return Greeting(self.versions, self._is_leaving())
@@ -56,18 +57,23 @@
         )
         return Beliefs(self.versions, self._configuration.value, records)
 
-    def take_from_peer(self, beliefs: Beliefs) -> None:
+    def heard_of(self, peer: str, versions: Versions) -> None:
+        """Note what a peer has."""
+        self._configuration.hear_of(versions.configuration, peer)
+
+    def take_from_peer(self, peer: str, beliefs: Beliefs) -> None:
         """Take what a peer has newer."""
         theirs = beliefs.versions
         log.info(
             "beliefs_from_peer",
+            peer=peer,
             configuration=theirs.configuration,
             own_configuration=self._configuration.version,
             records=theirs.records,
             own_records=self._records.at,
         )
         if theirs.configuration > self._configuration.version:
-            self._configuration.take(beliefs.configuration)
+            self._configuration.take(beliefs.configuration, peer)
         if theirs.records > self._records.at:
             items = [StoreItem(r.key, r.value, r.revision) for r in beliefs.records]
             self._records.replace(tuple(items))
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -35,6 +35,7 @@
     RecordFollower,
 )
 from amaranthtally.daemon.gateway.store_links import StoreLinks
+from amaranthtally.daemon.gateway.store_transfers import StoreTransfers
 from amaranthtally.daemon.health import answer_scrape
 from amaranthtally.daemon.lifecycle import (
     StopSignal,
@@ -123,10 +124,12 @@
     lines: BoundedWriter,
 ) -> _Parts:
     session = await stack.enter_async_context(endpoint_session())
-    client = await stack.enter_async_context(open_store(settings.store_address))
+    metrics = GatewayMetrics()
+    client = await stack.enter_async_context(
+        open_store(settings.store_address, StoreTransfers(metrics).ended)
+    )
     random = Random(secrets.randbits(SEED_BITS))
 
-    metrics = GatewayMetrics()
     beliefs = Beliefs(settings, lambda found: executor.settings_changed(found))
     start = beliefs.start()
     planner = Planner(
@@ -203,6 +206,8 @@
             endpoints=len(beliefs.directory.endpoints),
             endpoints_missing=beliefs.directory.missing,
             configuration=configuration.version,
+            configuration_heard=configuration.heard,
+            configuration_behind_s=configuration.behind_s,
             records=records.at,
             store_connected=store.is_connected,
             log_lines_lost=lines.dropped,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
@@ -37,6 +37,9 @@
 # change is heard of that much later at most, a tenth of the time in which it must be
 # in force.
 CLUSTER_S = 0.25
+# What lines call the store where a peer's name could stand.
+STORE = "store"
+MS_PER_S = 1000.0
 
 log = get_logger()
 
@@ -262,17 +265,44 @@
         self._on_table = on_table
         self._version = 0
         self._value = b""
+        self._heard = 0
+        self._heard_at = 0.0
+        self._time = asyncio.get_running_loop().time
 
     @property
     def version(self) -> int:
         """The version in force; 0 before the first."""
         return self._version
 
+    @property
+    def heard(self) -> int:
+        """The newest version that the store or a peer has told of."""
+        return self._heard
+
+    @property
+    def behind_s(self) -> float:
+        """For how many seconds a newer version than that in force is known to exist."""
+        return self._time() - self._heard_at if self._heard > self._version else 0.0
+
     @property
     def value(self) -> bytes:
         """The configuration as the store held it."""
         return self._value
 
+    def hear_of(self, version: int, source: str) -> None:
+        """Note that a version exists, which is yet to be read."""
+        if version <= max(self._version, self._heard):
+            return
+        if self._heard <= self._version:
+            self._heard_at = self._time()
+        self._heard = version
+        log.info(
+            "configuration_heard_of",
+            version=version,
+            own_version=self._version,
+            source=source,
+        )
+
     def replace(self, items: tuple[StoreItem, ...]) -> None:
         """Take the newest configuration, if there is one."""
         for item in items:
@@ -281,10 +311,10 @@
     def change(self, item: StoreItem) -> None:
         """Take a configuration from the store."""
         if item.key == CONFIGURATION_KEY and item.value is not None:
-            self.take(item.value)
+            self.take(item.value, STORE)
 
-    def take(self, value: bytes) -> None:
-        """Take a configuration, wherever it was read."""
+    def take(self, value: bytes, source: str) -> None:
+        """Take a configuration; ``source`` names the store or a peer, for the log."""
         read = read_configuration(value)
         if isinstance(read, Err):
             log.error("configuration_malformed", cause=read.err_value)
@@ -293,7 +323,15 @@
         # Answers may overtake each other; what was in force never comes back.
         if table.version <= self._version:
             return
+        log.info(
+            "configuration_read",
+            version=table.version,
+            source=source,
+            bytes=len(value),
+            behind_ms=round(self.behind_s * MS_PER_S),
+        )
         self._version = table.version
+        self._heard = max(self._heard, table.version)
         self._value = value
         self._on_table(table)
 
--- a/packages/platform/src/amaranthtally/platform/__init__.py
+++ b/packages/platform/src/amaranthtally/platform/__init__.py
@@ -15,7 +15,7 @@
     open_key_value,
 )
 from amaranthtally.platform.leases import HeldKey, LeaseClient
-from amaranthtally.platform.store import StoreClient, open_store
+from amaranthtally.platform.store import StoreClient, StoreTransfer, open_store
 
 __all__ = [
     "CALLER_HEADER",
@@ -31,6 +31,7 @@
     "PlatformError",
     "PlatformHistoryGone",
     "StoreClient",
+    "StoreTransfer",
     "open_key_value",
     "open_store",
 ]
--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
 from typing import TypeVar
 
 import aiohttp
@@ -16,7 +17,7 @@
     PlatformHistoryGone,
 )
 
-__all__ = ["StoreClient", "open_store"]
+__all__ = ["StoreClient", "StoreTransfer", "open_store"]
 
 # An answer takes milliseconds; a store that is fifty times slower than usual still
 # answers within this, in seconds.
@@ -30,9 +31,28 @@
 HTTP_GONE = 410
 HTTP_CONFLICT = 412
 
+ENDED = "ended"
+CANCELLED = "cancelled"
+
 T = TypeVar("T")
 
 
+@dataclass(frozen=True, slots=True)
+class StoreTransfer:
+    """
+    One call at the store: how long its answer took, and how much of it came.
+
+    ``body_s`` is the part of ``total_s`` after the answer's header; ``outcome`` is
+    ``ended``, ``cancelled``, or the name of the error that cut it.
+    """
+
+    call: str
+    outcome: str
+    received_bytes: int
+    body_s: float
+    total_s: float
+
+
 class StoreClient:
     """
     Calls at the store; each is made once, and errors come back as ``Err``.
@@ -41,9 +61,16 @@
     may have been done or may yet be.
     """
 
-    def __init__(self, session: aiohttp.ClientSession, address: str) -> None:
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        address: str,
+        on_transfer: Callable[[StoreTransfer], None],
+    ) -> None:
         self._session = session
         self._url = f"http://{address}"
+        self._on_transfer = on_transfer
+        self._time = asyncio.get_running_loop().time
 
     async def get(self, key: str) -> Result[store.StoreItem | None, PlatformError]:
         """Read one key; ``Ok(None)`` where it is absent."""
@@ -134,6 +161,9 @@
     async def _call(
         self, call: store.StoreCall, timeout_s: float
     ) -> Result[tuple[int, bytes], PlatformError]:
+        started = self._time()
+        body = _Body(started)
+        outcome = CANCELLED
         try:
             async with self._session.request(
                 call.method,
@@ -145,18 +175,44 @@
                     total=timeout_s, sock_connect=CONNECT_TIMEOUT_S
                 ),
             ) as response:
-                return Ok((response.status, await response.read()))
+                body.begun_at = self._time()
+                async for part in response.content.iter_any():
+                    body.parts += part
+                outcome = ENDED
+                return Ok((response.status, bytes(body.parts)))
         except aiohttp.ClientConnectorError as error:
+            outcome = type(error).__name__
             return Err(PlatformDown(str(error)))
         except (aiohttp.ClientError, TimeoutError) as error:
-            return Err(PlatformAnswerLost(type(error).__name__))
+            outcome = type(error).__name__
+            return Err(PlatformAnswerLost(outcome))
+        finally:
+            now = self._time()
+            body_s = now - body.begun_at if body.begun_at > started else 0.0
+            size = len(body.parts)
+            name = call.path.split("/")[2]
+            self._on_transfer(StoreTransfer(name, outcome, size, body_s, now - started))
+
+
+@dataclass(slots=True)
+class _Body:
+    """What has come of an answer's body, and since when it comes."""
+
+    begun_at: float
+    parts: bytearray = field(default_factory=bytearray)
 
 
 @asynccontextmanager
-async def open_store(address: str) -> AsyncIterator[StoreClient]:
-    """Open a client of the store at ``ip:port``; its connections end on exit."""
+async def open_store(
+    address: str, on_transfer: Callable[[StoreTransfer], None]
+) -> AsyncIterator[StoreClient]:
+    """
+    Open a client of the store at ``ip:port``; its connections end on exit.
+
+    ``on_transfer`` hears of each call once it has ended, however it did.
+    """
     async with aiohttp.ClientSession(cookie_jar=aiohttp.DummyCookieJar()) as session:
-        yield StoreClient(session, address)
+        yield StoreClient(session, address, on_transfer)
         # Lets transports close before the loop ends.
         await asyncio.sleep(0)
 
