Failing tests: a large configuration over a thin link is never read

What callers saw: seven gateways of thirty served routes as a version of half a minute before had them, and sent pieces to endpoints that had left. The tests put a link of a fixed rate before the store, which one answer fills for 2.2 s: the configuration and the change behind it are to be known within the aim of 4 s, and never are.

--- a/packages/standins/src/amaranthtally/standins/relay.py
+++ b/packages/standins/src/amaranthtally/standins/relay.py
@@ -1,4 +1,4 @@
-"""A TCP relay for tests: a link that can stand still, lose bytes, or break."""
+"""A TCP relay for tests: a link that can stand still, lose bytes, break, or be thin."""
 
 import asyncio
 from collections.abc import AsyncIterator
@@ -7,10 +7,12 @@
 
 from amaranthtally.standins.deployment import Deployment
 
-__all__ = ["LinkFault", "Relay", "open_relays"]
+__all__ = ["LinkFault", "Relay", "ThinLink", "open_relays"]
 
 LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 65_536
+# What one connection sends over a thin link before the next one has its turn.
+THIN_CHUNK_BYTES = 4096
 
 
 class LinkFault(Enum):
@@ -42,12 +44,39 @@
 }
 
 
+class ThinLink:
+    """A rate in bytes a second that the replies of several relays share in turn."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self._bytes_per_s = bytes_per_s
+        self._free_at = 0.0
+        self._carried = 0
+
+    @property
+    def bytes_per_s(self) -> float:
+        """The rate that all connections share."""
+        return self._bytes_per_s
+
+    @property
+    def carried(self) -> int:
+        """Bytes that went through."""
+        return self._carried
+
+    async def carry(self, size: int) -> None:
+        """Wait until so many bytes have gone through."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + size / self._bytes_per_s
+        self._carried += size
+        await asyncio.sleep(self._free_at - now)
+
+
 class Relay:
     """Stands before one address; requests go to it, replies come from it."""
 
-    def __init__(self, target: str) -> None:
+    def __init__(self, target: str, link: ThinLink | None = None) -> None:
         host, _, port = target.rpartition(":")
         self._target = (host, int(port))
+        self._link = link
         self._requests = _Way.FORWARD
         self._replies = _Way.FORWARD
         self._changed = asyncio.Event()
@@ -114,8 +143,11 @@
         writer: asyncio.StreamWriter,
         requests: bool,
     ) -> None:
+        link = None if requests else self._link
         while True:
-            data = await reader.read(CHUNK_BYTES)
+            data = await reader.read(THIN_CHUNK_BYTES if link else CHUNK_BYTES)
+            if link:
+                await link.carry(len(data))
             while self._way(requests) is _Way.HOLD:
                 await self._changed.wait()
             if self._way(requests) is _Way.SWALLOW:
