Read what peers know in parts, one copy at a time, after the store's own answer

Callers saw old routes and departed endpoints in use at gateways on thin links. Copies now come compressed and in parts of 16 KB that each have the bound of a call, go on at another peer where one failed, run one at a time, and wait for the store while it sends.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -10,7 +10,16 @@
 )
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import PeerRecord, PieceAsk, PieceTold, StoredResult
-from amaranthtally.wire.gateway_codec import Beliefs, Greeting, Record, Versions
+from amaranthtally.wire.documents import (
+    Document,
+    DocumentPart,
+    DocumentShelf,
+    PartRequest,
+    Record,
+    pack_records,
+    unpack_records,
+)
+from amaranthtally.wire.gateway_codec import Greeting, Versions
 
 __all__ = ["PeerHandler"]
 
@@ -26,7 +35,7 @@
         configuration: ConfigurationFollower,
         records: RecordFollower,
         on_greeting: Callable[[str, PeerRecord], None],
-        on_newer: Callable[[str], object],
+        on_newer: Callable[[str, Versions], object],
         is_leaving: Callable[[], bool],
     ) -> None:
         self._executor = executor
@@ -35,6 +44,7 @@
         self._on_greeting = on_greeting
         self._on_newer = on_newer
         self._is_leaving = is_leaving
+        self._shelves = {document: DocumentShelf() for document in Document}
 
     @property
     def versions(self) -> Versions:
@@ -46,38 +56,28 @@
         self._on_greeting(name, record)
         self._configuration.hear_of(versions.configuration, name)
         if versions.configuration > self._configuration.version:
-            self._on_newer(name)
+            self._on_newer(name, versions)
         return Greeting(self.versions, self._is_leaving())
 
-    def beliefs(self) -> Beliefs:
-        """Return the configuration and records."""
-        records = tuple(
-            Record(item.key, item.value or b"", item.revision)
-            for item in self._records.items
-        )
-        return Beliefs(self.versions, self._configuration.value, records)
+    def part(self, request: PartRequest) -> DocumentPart:
+        """Return a part of the configuration or the records."""
+        shelf = self._shelves[request.document]
+        if not request.offset:
+            self._refresh(request.document, shelf)
+        return shelf.part(request)
 
     def heard_of(self, peer: str, versions: Versions) -> None:
         """Note what a peer has."""
         self._configuration.hear_of(versions.configuration, peer)
 
-    def take_from_peer(self, peer: str, beliefs: Beliefs) -> None:
-        """Take what a peer has newer."""
-        theirs = beliefs.versions
-        log.info(
-            "beliefs_from_peer",
-            peer=peer,
-            configuration=theirs.configuration,
-            own_configuration=self._configuration.version,
-            records=theirs.records,
-            own_records=self._records.at,
-        )
-        if theirs.configuration > self._configuration.version:
-            self._configuration.take(beliefs.configuration, peer)
-        if theirs.records > self._records.at:
-            items = [StoreItem(r.key, r.value, r.revision) for r in beliefs.records]
-            self._records.replace(tuple(items))
-            self._records.reached(theirs.records)
+    def take_from_peer(
+        self, peer: str, document: Document, version: int, content: bytes
+    ) -> None:
+        """Take a peer's document; raises ``MalformedDocumentError``."""
+        if document is Document.CONFIGURATION:
+            self._take_configuration(peer, version, content)
+        else:
+            self._take_records(peer, version, content)
 
     def asked(self, asker: str, asks: Sequence[PieceAsk]) -> None:
         """Take pieces that a peer wants made."""
@@ -90,3 +90,38 @@
     def freed(self, results: Sequence[StoredResult], ended: str) -> None:
         """Hear that results are read no more, and of a request that has ended."""
         self._executor.results_freed(results, ended)
+
+    def _refresh(self, document: Document, shelf: DocumentShelf) -> None:
+        if document is Document.CONFIGURATION:
+            if self._configuration.version > shelf.version:
+                shelf.put(self._configuration.version, self._configuration.value)
+        elif self._records.at > shelf.version:
+            records = tuple(
+                Record(item.key, item.value or b"", item.revision)
+                for item in self._records.items
+            )
+            shelf.put(self._records.at, pack_records(records))
+
+    def _take_configuration(self, peer: str, version: int, content: bytes) -> None:
+        log.info(
+            "beliefs_from_peer",
+            peer=peer,
+            configuration=version,
+            own_configuration=self._configuration.version,
+            bytes=len(content),
+        )
+        self._configuration.take(content, peer)
+
+    def _take_records(self, peer: str, version: int, content: bytes) -> None:
+        records = unpack_records(content)
+        log.info(
+            "beliefs_from_peer",
+            peer=peer,
+            records=version,
+            own_records=self._records.at,
+            bytes=len(content),
+        )
+        if version > self._records.at:
+            items = [StoreItem(r.key, r.value, r.revision) for r in records]
+            self._records.replace(tuple(items))
+            self._records.reached(version)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_links.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_links.py
@@ -8,7 +8,8 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import PeerRecord, PieceAsk, PieceTold, StoredResult
 from amaranthtally.wire import PeerLostError
-from amaranthtally.wire.gateway_codec import Beliefs, Greeting, Versions
+from amaranthtally.wire.documents import DocumentPart, PartRequest
+from amaranthtally.wire.gateway_codec import Greeting, Versions
 from amaranthtally.wire.gateway_peer import GatewayClient, connect_gateway
 
 __all__ = ["UNREACHABLE", "PeerLinks"]
@@ -94,9 +95,9 @@
             peer, lambda c: c.greet(self._name, self._record, versions)
         )
 
-    async def beliefs(self, peer: str) -> Beliefs:
-        """Read what a peer believes; raises ``PeerLostError``."""
-        return await self._call(peer, lambda client: client.beliefs())
+    async def read(self, peer: str, request: PartRequest) -> DocumentPart:
+        """Read a part of what a peer believes; raises ``PeerLostError``."""
+        return await self._call(peer, lambda client: client.read(request))
 
     def close(self) -> None:
         """Close every connection."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -14,6 +14,7 @@
 
 from amaranthtally.adapter.callers import READY_PATH
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
+from amaranthtally.daemon.gateway.belief_copy import BeliefCopy
 from amaranthtally.daemon.gateway.belief_exchange import BeliefExchange
 from amaranthtally.daemon.gateway.beliefs import Beliefs
 from amaranthtally.daemon.gateway.endpoint_calls import endpoint_session
@@ -166,7 +167,7 @@
         configuration,
         records,
         on_greeting,
-        lambda peer: executor.spawn(exchange.fetch(peer)),
+        lambda peer, theirs: executor.spawn(copy.bring(peer, theirs)),
         stop.is_set,
     )
     host, port = split_address(settings.peer_address)
@@ -181,8 +182,9 @@
         Registration(client, settings.name, record, random),
         random,
     )
+    copy = BeliefCopy(links, handler, store)
     exchange = BeliefExchange(
-        links, handler, lambda: list(peers.alive), lambda: store.is_connected, random
+        links, handler, copy, store, lambda: list(peers.alive), random
     )
     watch = links.watch(lambda: executor.peers_to_check)
     for work in [
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_links.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_links.py
@@ -41,6 +41,7 @@
         registration: Registration,
         random: Random,
     ) -> None:
+        self._client = client
         self._records = records
         self._entry_reader = entries
         self._registration = registration
@@ -56,6 +57,11 @@
         """Whether the store answered last time."""
         return self._follower.is_connected
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether an answer of the store is on its way."""
+        return self._client.is_receiving
+
     def work(self) -> list[Coroutine[Any, Any, None]]:
         """Return what is to run beside the requests."""
         return [
--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -75,8 +75,14 @@
         self._session = session
         self._url = f"http://{address}"
         self._on_transfer = on_transfer
+        self._receiving = 0
         self._time = asyncio.get_running_loop().time
 
+    @property
+    def is_receiving(self) -> bool:
+        """Whether an answer has begun to come and is not whole yet."""
+        return self._receiving > 0
+
     async def get(self, key: str) -> Result[store.StoreItem | None, PlatformError]:
         """Read one key; ``Ok(None)`` where it is absent."""
         answer = await self._call(store.get_item(key), SILENCE_S)
@@ -183,8 +189,7 @@
                 ),
             ) as response:
                 body.begun_at = self._time()
-                async for part in response.content.iter_any():
-                    body.parts += part
+                await self._receive(response, body.parts)
                 outcome = ENDED
                 return Ok((response.status, bytes(body.parts)))
         except aiohttp.ClientConnectorError as error:
@@ -197,8 +202,19 @@
             now = self._time()
             body_s = now - body.begun_at if body.begun_at > started else 0.0
             size = len(body.parts)
-            name = call.path.split("/")[2]
-            self._on_transfer(StoreTransfer(name, outcome, size, body_s, now - started))
+            self._on_transfer(
+                StoreTransfer(call.name, outcome, size, body_s, now - started)
+            )
+
+    async def _receive(
+        self, response: aiohttp.ClientResponse, parts: bytearray
+    ) -> None:
+        self._receiving += 1
+        try:
+            async for part in response.content.iter_any():
+                parts += part
+        finally:
+            self._receiving -= 1
 
 
 @dataclass(slots=True)
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -65,10 +65,9 @@
   records @1 :UInt64;
 }
 
-struct Record {
-  key @0 :Text;
-  value @1 :Data;
-  revision @2 :UInt64;
+enum Document {
+  configuration @0;
+  records @1;
 }
 
 interface Gateway {
@@ -76,11 +75,16 @@
   # peer's own, and whether it stops.
   greet @0 (name :Text, versions :Versions, address :Text, dataCentre :Text)
       -> (versions :Versions, leaving :Bool);
-  # The configuration as the store held it, and the endpoints' records.
-  beliefs @1 () -> (versions :Versions, configuration :Data, records :List(Record));
+  # Answered no more; read has taken its place.
+  beliefs @1 () -> ();
   # Asks for pieces; what becomes of them is told by a call the other way.
   ask @2 (asker :Text, asks :List(PieceAsk)) -> ();
   tell @3 (told :List(PieceTold)) -> ();
   # The results are read no more; the request that is named, if any, has ended.
   free @4 (results :List(StoredResult), ended :Text) -> ();
+  # A part of a compressed document from an offset, in bytes: of the snapshot with that
+  # checksum, or else the first part of the newest. Parts are small, so that calls that
+  # share a thin link with them are answered in time.
+  read @5 (document :Document, checksum :UInt32, offset :UInt32)
+      -> (version :UInt64, size :UInt32, checksum :UInt32, offset :UInt32, part :Data);
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -1,7 +1,7 @@
 """Conversion between gateways' messages and Cap'n Proto structs."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
 
@@ -14,20 +14,21 @@
     PieceTold,
     StoredResult,
 )
+from amaranthtally.wire.documents import Document, DocumentPart, PartRequest
 
 __all__ = [
-    "Beliefs",
     "Greeting",
-    "Record",
     "Versions",
     "gateway_schema",
     "read_asks",
-    "read_beliefs",
+    "read_part",
+    "read_part_request",
     "read_results",
     "read_told",
     "read_versions",
     "write_asks",
-    "write_beliefs",
+    "write_part",
+    "write_part_request",
     "write_results",
     "write_told",
     "write_versions",
@@ -64,23 +65,6 @@
     leaving: bool = False
 
 
-class Record(NamedTuple):
-    """A record of the store, as it was read."""
-
-    key: str
-    value: bytes
-    revision: int
-
-
-@dataclass(frozen=True, slots=True)
-class Beliefs:
-    """A gateway's configuration and records, in the store's own bytes."""
-
-    versions: Versions
-    configuration: bytes
-    records: tuple[Record, ...]
-
-
 # Pieces
 
 
@@ -192,7 +176,7 @@
     )
 
 
-# Beliefs
+# Versions and documents
 
 
 def write_versions(target: Any, versions: Versions) -> None:
@@ -206,23 +190,32 @@
     return Versions(source.configuration, source.records)
 
 
-def write_beliefs(target: Any, beliefs: Beliefs) -> None:
-    """Fill the answer of ``beliefs``."""
-    write_versions(target.versions, beliefs.versions)
-    target.configuration = beliefs.configuration
-    records = target.init("records", len(beliefs.records))
-    for item, record in zip(records, beliefs.records, strict=True):
-        item.key = record.key
-        item.value = record.value
-        item.revision = record.revision
+def write_part_request(target: Any, request: PartRequest) -> None:
+    """Fill a ``read``."""
+    target.document = request.document.value
+    target.checksum = request.checksum
+    target.offset = request.offset
+
+
+def read_part_request(document: Any, checksum: int, offset: int) -> PartRequest:
+    """Return what a ``read`` asks for."""
+    return PartRequest(Document(str(document)), checksum, offset)
+
+
+def write_part(target: Any, part: DocumentPart) -> None:
+    """Fill the answer of a ``read``."""
+    target.version = part.version
+    target.size = part.size
+    target.checksum = part.checksum
+    target.offset = part.offset
+    target.part = part.data
 
 
-def read_beliefs(source: Any) -> Beliefs:
-    """Return the answer of ``beliefs``."""
-    records = tuple(
-        Record(item.key, bytes(item.value), item.revision) for item in source.records
+def read_part(source: Any) -> DocumentPart:
+    """Return the answer of a ``read``."""
+    return DocumentPart(
+        source.version, source.size, source.checksum, source.offset, bytes(source.part)
     )
-    return Beliefs(read_versions(source.versions), bytes(source.configuration), records)
 
 
 def _grouped(items: Iterable[T], key: Callable[[T], object]) -> list[list[T]]:
--- a/packages/wire/src/amaranthtally/wire/gateway_peer.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_peer.py
@@ -8,19 +8,21 @@
 import capnp
 
 from amaranthtally.policy import PeerRecord, PieceAsk, PieceTold, StoredResult
+from amaranthtally.wire.documents import DocumentPart, PartRequest
 from amaranthtally.wire.errors import PeerLostError
 from amaranthtally.wire.gateway_codec import (
-    Beliefs,
     Greeting,
     Versions,
     gateway_schema,
     read_asks,
-    read_beliefs,
+    read_part,
+    read_part_request,
     read_results,
     read_told,
     read_versions,
     write_asks,
-    write_beliefs,
+    write_part,
+    write_part_request,
     write_results,
     write_told,
     write_versions,
@@ -35,8 +37,8 @@
     def greeted(self, name: str, record: PeerRecord, versions: Versions) -> Greeting:
         """Hear a peer's versions and return one's own, and whether this one leaves."""
 
-    def beliefs(self) -> Beliefs:
-        """Return the configuration and records."""
+    def part(self, request: PartRequest) -> DocumentPart:
+        """Return a part of the configuration or the records."""
 
     def asked(self, asker: str, asks: Sequence[PieceAsk]) -> None:
         """Take pieces that a peer wants made."""
@@ -80,9 +82,11 @@
         answer = await self._send(request)
         return Greeting(read_versions(answer.versions), answer.leaving)
 
-    async def beliefs(self) -> Beliefs:
-        """Read the peer's configuration and records."""
-        return read_beliefs(await self._send(self._gateway.beliefs_request()))
+    async def read(self, request: PartRequest) -> DocumentPart:
+        """Read a part of the peer's configuration or records."""
+        sent = self._gateway.read_request()
+        write_part_request(sent, request)
+        return read_part(await self._send(sent))
 
     async def ask(self, asker: str, asks: Sequence[PieceAsk], now: float) -> None:
         """Ask for pieces."""
@@ -137,8 +141,11 @@
         write_versions(_context.results.versions, own.versions)
         _context.results.leaving = own.leaving
 
-    async def beliefs(self, _context: Any, **_: Any) -> None:
-        write_beliefs(_context.results, self._handler.beliefs())
+    async def read(
+        self, document: Any, checksum: int, offset: int, _context: Any, **_: Any
+    ) -> None:
+        request = read_part_request(document, checksum, offset)
+        write_part(_context.results, self._handler.part(request))
 
     async def ask(self, asker: str, asks: Any, _context: Any, **_: Any) -> None:
         self._handler.asked(asker, read_asks(asks, self._loop.time()))
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -300,8 +300,8 @@
         assert 'amaranthtally_gateway_state{name="configuration"} 4' in text
         assert 'amaranthtally_gateway_state{name="configuration_heard"} 4' in text
         assert 'amaranthtally_gateway_state{name="configuration_behind_s"} 0' in text
-        assert 'store_calls_total{call="kv-range",outcome="ended"}' in text
-        assert 'store_received_bytes_total{call="kv-range",outcome="ended"}' in text
+        assert 'store_calls_total{call="list",outcome="ended"}' in text
+        assert 'store_received_bytes_total{call="list",outcome="ended"}' in text
         assert 'amaranthtally_attempts_total{fate="finished",pool="work"} 1' in text
 
     in_world(tmp_path, check)
--- a/tests/gateway/test_thin_links.py
+++ b/tests/gateway/test_thin_links.py
@@ -1,11 +1,14 @@
 """What a host hears in time whose link is thin for what is sent to it."""
 
 import asyncio
+import random
+import zlib
 from contextlib import AsyncExitStack
 
 import msgspec
 
 from amaranthtally.standins.relay import Relay, ThinLink
+from amaranthtally.standins.store import open_store_standin
 from tests.gateway.fake_endpoint import whole
 from tests.gateway.support import configuration, in_world, route
 
@@ -21,10 +24,10 @@
 
 
 def large(version, *routes):
-    """Return a configuration of some hundred kilobytes."""
-    others = [
-        route(f"route-{n:04}-{n * 7919 % 9973}", service="work") for n in range(ROUTES)
-    ]
+    """Return a configuration of some hundred kilobytes, with little that repeats."""
+    draw = random.Random(1)
+    names = [f"{draw.getrandbits(512):0128x}" for _ in range(ROUTES)]
+    others = [route(name, service="work") for name in names]
     return configuration(version, *routes, *others)
 
 
@@ -84,3 +87,62 @@
             assert len(one.seen) == before
 
     in_world(tmp_path, check)
+
+
+def test_a_large_configuration_is_read_from_peers_over_a_thin_link(tmp_path):
+    """Guards against copies from peers that are cut as a whole, and begun anew."""
+
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        first = await world.gateway("first")
+        await first.until("registered")
+        async with AsyncExitStack() as stack:
+            turning_away = await stack.enter_async_context(open_store_standin())
+            for key, item in world.store.items.items():
+                turning_away.put(key, item.value)
+            document = large(2, route("work"), route("new", service="work"))
+            link = ThinLink(len(zlib.compress(msgspec.json.encode(document))) / 1.6)
+            name = "entries/first"
+            record = msgspec.json.decode(world.store.items[name].value)
+            relay = await open_relay(stack, record["address"], link)
+            turning_away.put(name, {**record, "address": relay.address})
+            second = await world.gateway("second", store=turning_away.address)
+            turning_away.outage.down = True
+            await second.until("store_lost")
+            world.store.put("op/config", document)
+            await first.until("configuration_in_force", version=2)
+            async with asyncio.timeout(IN_FORCE_S):
+                await second.until("configuration_in_force", version=2)
+            # Nothing else over that link was held up for longer than a call may take.
+            lost = [line for line in second.process.lines if "peer_lost" in line]
+            assert not lost
+            assert (await second.call("/new/"))[2] == b"work"
+
+    in_world(tmp_path, check)
+
+
+def test_a_store_that_sends_is_not_raced_by_peers(tmp_path):
+    """Guards against copies from peers that fill the link that the store's needs."""
+
+    async def check(world):
+        await world.endpoint("e", "work", answering(b"work"))
+        world.configure(1, route("work"))
+        document = large(2, route("work"))
+        others = [await world.gateway(f"other-{n}") for n in range(4)]
+        for other in others:
+            await other.until("registered")
+        async with AsyncExitStack() as stack:
+            link = link_for(document)
+            relay = await open_relay(stack, world.store.address, link)
+            thin = await world.gateway("thin", store=relay.address)
+            await thin.until("registered")
+            world.store.put("op/config", document)
+            await thin.until("configuration_in_force", version=2)
+            await asyncio.sleep(2.5)
+            copies = [x for x in thin.process.lines if "beliefs_from_peer" in x]
+            assert not copies
+            # Two whole answers: one for the first read, which holds little, and one.
+            assert link.carried < 1.5 * TRANSFER_S * link.bytes_per_s
+
+    in_world(tmp_path, check)
--- /dev/null
+++ b/tests/unit/test_belief_copy.py
@@ -0,0 +1,137 @@
+"""Copies from peers: how many at once, and whether the store goes first."""
+
+import asyncio
+import random
+
+from amaranthtally.daemon.gateway.belief_copy import BeliefCopy
+from amaranthtally.wire import PeerLostError
+from amaranthtally.wire.documents import Document, DocumentShelf
+from amaranthtally.wire.gateway_codec import Versions
+from tests.support import run_async
+
+CONTENT = random.Random(7).randbytes(100_000)
+NEWER = Versions(configuration=5, records=50)
+
+
+class Store:
+    def __init__(self, is_connected=True):
+        self.is_connected = is_connected
+        self.is_receiving = False
+
+
+class Keeper:
+    def __init__(self):
+        self.versions = Versions(configuration=4, records=40)
+        self.taken = []
+
+    def take_from_peer(self, peer, document, version, content):
+        self.taken.append((peer, document, version, content))
+        is_configuration = document is Document.CONFIGURATION
+        changed = {"configuration" if is_configuration else "records": version}
+        self.versions = self.versions._replace(**changed)
+
+
+class Links:
+    """Peers that all have the same documents; some fail after a few parts."""
+
+    def __init__(self, fails_after=None):
+        self.shelves = {document: DocumentShelf() for document in Document}
+        self.shelves[Document.CONFIGURATION].put(5, CONTENT)
+        self.shelves[Document.RECORDS].put(50, CONTENT)
+        self.fails_after = fails_after or {}
+        self.reads = []
+        self.at_once = 0
+        self.most_at_once = 0
+
+    async def read(self, peer, request):
+        self.reads.append((peer, request))
+        if len([1 for p, _ in self.reads if p == peer]) > self.fails_after.get(
+            peer, 99
+        ):
+            raise PeerLostError(peer, "no answer in time")
+        self.at_once += 1
+        self.most_at_once = max(self.most_at_once, self.at_once)
+        await asyncio.sleep(0.001)
+        self.at_once -= 1
+        return self.shelves[request.document].part(request)
+
+
+def test_one_copy_runs_at_a_time_however_many_peers_have_news():
+    """Guards against copies from many peers that fill a thin link together."""
+
+    async def check():
+        links, keeper = Links(), Keeper()
+        copy = BeliefCopy(links, keeper, Store())
+        await asyncio.gather(*(copy.bring(f"peer-{n}", NEWER) for n in range(8)))
+        assert links.most_at_once == 1
+        assert len({peer for peer, _ in links.reads}) == 1
+        assert [taken[1:] for taken in keeper.taken] == [
+            (Document.CONFIGURATION, 5, CONTENT)
+        ]
+
+    run_async(check())
+
+
+def test_what_has_come_is_kept_when_its_peer_fails():
+    """Guards against copies that are begun anew whenever a peer fails."""
+
+    async def check():
+        links, keeper = Links({"first": 3}), Keeper()
+        copy = BeliefCopy(links, keeper, Store(is_connected=False))
+        await copy.bring("first", NEWER._replace(records=40))
+        assert not keeper.taken
+        before = len(links.reads)
+        await copy.bring("second", NEWER._replace(records=40))
+        assert links.reads[before][1].offset > 0
+        assert keeper.taken[0][3] == CONTENT
+
+    run_async(check())
+
+
+def test_nothing_is_copied_that_the_store_is_sending():
+    """Guards against copies that fill the link which the store's answer needs."""
+
+    async def check():
+        links, keeper, store = Links(), Keeper(), Store()
+        store.is_receiving = True
+        copy = BeliefCopy(links, keeper, store)
+        bringing = asyncio.create_task(copy.bring("peer", NEWER))
+        await asyncio.sleep(0.6)
+        keeper.versions = Versions(configuration=5, records=50)
+        await bringing
+        assert not links.reads
+
+    run_async(check())
+
+
+def test_a_store_that_sends_nothing_is_not_waited_for():
+    """Guards against a watch that has gone silent and hides a newer configuration."""
+
+    async def check():
+        links, keeper = Links(), Keeper()
+        async with asyncio.timeout(1.0):
+            await BeliefCopy(links, keeper, Store()).bring("peer", NEWER)
+        assert [taken[1] for taken in keeper.taken] == [Document.CONFIGURATION]
+
+    run_async(check())
+
+
+def test_records_are_copied_only_while_the_store_does_not_answer():
+    async def check():
+        links, keeper = Links(), Keeper()
+        copy = BeliefCopy(links, keeper, Store(is_connected=False))
+        await copy.bring("peer", NEWER)
+        assert [taken[1] for taken in keeper.taken] == list(Document)
+
+    run_async(check())
+
+
+def test_a_peer_that_has_nothing_ends_the_copy():
+    async def check():
+        links, keeper = Links(), Keeper()
+        links.shelves[Document.CONFIGURATION] = DocumentShelf()
+        async with asyncio.timeout(1.0):
+            await BeliefCopy(links, keeper, Store()).bring("peer", NEWER)
+        assert not keeper.taken
+
+    run_async(check())
