Bound the settings' and the hosts' lists by their silence too

The same cause elsewhere: the key-value client and the list of hosts gave up any answer after 2 s as a whole, half a megabyte and more at 11,000 hosts. One bound for all three clients in platform/timeouts.py.

--- a/packages/platform/src/amaranthtally/platform/hosts.py
+++ b/packages/platform/src/amaranthtally/platform/hosts.py
@@ -8,10 +8,12 @@
 from result import Err, Ok, Result
 
 from amaranthtally.platform.errors import PlatformDown, PlatformError
+from amaranthtally.platform.timeouts import answer_timeout
 
 __all__ = ["HostList", "HostState"]
 
-LIST_TIMEOUT_S = 2.0
+# Silence after which an answer is given up, in seconds.
+SILENCE_S = 2.0
 NOT_MODIFIED = 304
 
 
@@ -45,7 +47,7 @@
     async def read_leaving(self) -> Result[frozenset[str], PlatformError]:
         """Read the list; return the hosts that leave."""
         headers = {hdrs.IF_NONE_MATCH: self._tag} if self._tag else {}
-        timeout = aiohttp.ClientTimeout(total=LIST_TIMEOUT_S)
+        timeout = answer_timeout(SILENCE_S, SILENCE_S)
         try:
             async with self._session.get(
                 self._url, headers=headers, timeout=timeout
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -23,12 +23,14 @@
     PlatformDown,
     PlatformError,
 )
+from amaranthtally.platform.timeouts import answer_timeout
 
 __all__ = ["Entry", "KeyValueClient", "Listing", "open_key_value"]
 
 CALLER_HEADER = "X-Caller"
 INDEX_HEADER = "X-Consul-Index"
-CALL_TIMEOUT_S = 2.0
+# Silence after which an answer is given up, in seconds.
+SILENCE_S = 2.0
 WATCH_MARGIN_S = 5.0
 HTTP_NOT_FOUND = 404
 HTTP_OK = 200
@@ -111,7 +113,7 @@
                 url,
                 params={"cas": str(index)},
                 data=value,
-                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+                timeout=answer_timeout(SILENCE_S, SILENCE_S),
             ) as response:
                 self._note_clock(response)
                 text = await response.text()
@@ -129,7 +131,7 @@
             async with self._session.delete(
                 f"{self._url}/v1/kv/{key}",
                 params={"cas": str(index)},
-                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+                timeout=answer_timeout(SILENCE_S, SILENCE_S),
             ) as response:
                 self._note_clock(response)
                 text = await response.text()
@@ -145,7 +147,7 @@
             async with self._session.delete(
                 f"{self._url}/v1/kv/{prefix}",
                 params={"recurse": ""},
-                timeout=aiohttp.ClientTimeout(total=CALL_TIMEOUT_S),
+                timeout=answer_timeout(SILENCE_S, SILENCE_S),
             ) as response:
                 await response.read()
         except (aiohttp.ClientError, TimeoutError) as error:
@@ -165,13 +167,13 @@
         self._clock_offset_s = said - _uptime()
 
     async def _read(
-        self, key: str, params: dict[str, str], timeout_s: float = CALL_TIMEOUT_S
+        self, key: str, params: dict[str, str], silence_s: float = SILENCE_S
     ) -> Result[Listing, PlatformError]:
         try:
             async with self._session.get(
                 f"{self._url}/v1/kv/{key}",
                 params=params,
-                timeout=aiohttp.ClientTimeout(total=timeout_s),
+                timeout=answer_timeout(silence_s, SILENCE_S),
             ) as response:
                 self._note_clock(response)
                 body = await response.read()
--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -16,17 +16,13 @@
     PlatformError,
     PlatformHistoryGone,
 )
+from amaranthtally.platform.timeouts import answer_timeout
 
 __all__ = ["StoreClient", "StoreTransfer", "open_store"]
 
 # An answer begins within milliseconds; one that is silent for this long, in seconds,
 # comes from a store a hundred times slower than usual, or over a way that is lost.
 SILENCE_S = 1.5
-# An answer may be as large as what the operators write, over any link, and one that is
-# cut has to be sent again as a whole: a bound on all of it, which a link is too thin
-# for, would keep that link full and let nothing through. This one, in seconds, ends
-# only answers that trickle without an end.
-ANSWER_TIMEOUT_S = 30.0
 # A connection that takes longer is taken to lead nowhere, in seconds.
 CONNECT_TIMEOUT_S = 0.5
 # What a watch may take beyond its wait, in seconds: the way there and back.
@@ -182,11 +178,7 @@
                 params=call.query,
                 data=call.body,
                 headers={"Content-Type": "application/json"} if call.body else None,
-                timeout=aiohttp.ClientTimeout(
-                    total=ANSWER_TIMEOUT_S,
-                    sock_connect=CONNECT_TIMEOUT_S,
-                    sock_read=silence_s,
-                ),
+                timeout=answer_timeout(silence_s, CONNECT_TIMEOUT_S),
             ) as response:
                 body.begun_at = self._time()
                 await self._receive(response, body.parts)
