Fetch settings from two peers at once at most

The same cause elsewhere, on the product's own interface: a fetch that had not ended after half a second was joined by another with each announcement, up to ten in the five seconds that one may take, all over the same link. The test saw five at once before; it passes.

--- a/packages/daemon/src/amaranthtally/daemon/settings_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/settings_sync.py
@@ -32,7 +32,10 @@
 ROUND_SPREAD = 0.25
 PEER_TIMEOUT_S = 1.0
 FETCH_TIMEOUT_S = 5.0
+# After which a second fetch begins beside one that hangs, in seconds; never a third:
+# over a thin link they would share it, and none would end.
 HEDGE_S = 0.5
+MOST_FETCHES = 2
 KEPT_SOURCES = 16
 
 log = get_logger()
@@ -107,6 +110,8 @@
         self._news = _News(revision, fetch)
         # One fetch at a time, unless it hangs: its peer may be paused.
         now = asyncio.get_running_loop().time()
+        if len(self._fetches) >= MOST_FETCHES:
+            return
         if all(now - started > HEDGE_S for started in self._fetches.values()):
             self._fetches[self._spawn(self._fetch_news())] = now
 
