--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
@@ -315,6 +315,10 @@
 
     def take(self, value: bytes, source: str) -> None:
         """Take a configuration; ``source`` names the store or a peer, for the log."""
+        # All keys are read anew after each gap; a large document takes a tenth of a
+        # second to read, in which nothing else is done.
+        if value == self._value:
+            return
         read = read_configuration(value)
         if isinstance(read, Err):
             log.error("configuration_malformed", cause=read.err_value)
