Count the stream's own runs, not those of the calls before it

The test then counted two runs with two ids, and its stream might not even have begun when the model was taken away. The check was wrong and is as strict: the runs after the wait are exactly one, of the stream's own id.

--- a/tests/lifecycle/test_model_changes.py
+++ b/tests/lifecycle/test_model_changes.py
@@ -96,6 +96,12 @@
     return found
 
 
+async def runs_of_engines(deployment):
+    """Return the requests that engines ran, one for each run."""
+    records = await engine_records(deployment)
+    return [record["request_id"] for record in records if "request_id" in record]
+
+
 class Load:
     """Callers that ask on and on; every answer is kept."""
 
@@ -273,10 +279,12 @@
             await start_with_old(deployment)
             await change(deployment, *registrations(deployment, OLD, NEW))
             await wait_models(deployment, OLD, NEW)
+            # A call that waited for the model to be served may have run before.
+            before = await runs_of_engines(deployment)
             stream = asyncio.create_task(
                 deployment.call("assessment", "axle", stream=True, deadline_ms=60_000)
             )
-            while not await by_model(deployment):
+            while await runs_of_engines(deployment) == before:
                 await asyncio.sleep(0.02)
             await change(deployment, set_value(SWITCH_KEY, NEW, AT_PIPELINE))
             await change(deployment, *registrations(deployment, NEW))
@@ -285,7 +293,8 @@
             await wait_models(deployment, NEW)
             records = await deployment.records(pair.service)
             assert not [r for r in records if "cut" in r]
-            assert len([r for r in records if "request_id" in r]) == 1
+            streamed = [events[-1][1]["request_id"]]
+            assert await runs_of_engines(deployment) == before + streamed
 
     run_async(scenario())
 
