Part a gateway's start; say once what asks for due pieces and what writes lines

The start of a gateway had grown to one function of 130 lines with two closures that kept peers in step; PeerNews has that job now. Gatherer asked for due pieces in two places, BoundedWriter wrapped one method in two. No behaviour changes.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 from random import Random
 
+import aiohttp
 import capnp
 from aiohttp import web
 
@@ -28,9 +29,9 @@
     GatewayMetrics,
     GatewayState,
 )
-from amaranthtally.daemon.gateway.peer_checks import PeerChecks
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_links import UNREACHABLE, PeerLinks
+from amaranthtally.daemon.gateway.peer_news import PeerNews
 from amaranthtally.daemon.gateway.store_follower import (
     ConfigurationFollower,
     RecordFollower,
@@ -50,7 +51,6 @@
 from amaranthtally.policy import (
     AffinityRouter,
     Parts,
-    Peer,
     PeerDirectory,
     PeerRecord,
     Planner,
@@ -124,19 +124,15 @@
     stop: StopSignal,
     lines: BoundedWriter,
 ) -> _Parts:
-    session = await stack.enter_async_context(endpoint_session())
     metrics = GatewayMetrics()
+    session = await stack.enter_async_context(endpoint_session())
     client = await stack.enter_async_context(
         open_store(settings.store_address, StoreTransfers(metrics).ended)
     )
     random = Random(secrets.randbits(SEED_BITS))
 
     beliefs = Beliefs(settings, lambda found: executor.settings_changed(found))
-    start = beliefs.start()
-    planner = Planner(
-        start, Random(random.getrandbits(SEED_BITS)), Parts(router=AffinityRouter)
-    )
-    executor = GatewayExecutor(planner, start, session, metrics)
+    executor = _new_executor(beliefs, random, session, metrics)
     links = PeerLinks(settings.name, executor.spawn, executor)
     stack.callback(links.close)
     executor.connect(links)
@@ -145,28 +141,13 @@
     records = RecordFollower(
         beliefs.directory, settings.regions, beliefs.endpoints_changed
     )
-
     peers = PeerDirectory()
-
-    def on_peers() -> None:
-        alive = peers.alive
-        links.replace(peers.addresses)
-        executor.peers_changed([Peer(n, r.data_centre) for n, r in alive.items()])
-        beliefs.entries_changed(len(alive) + 1)
-        checks.wake()
-
-    def on_greeting(name: str, record: PeerRecord) -> None:
-        if peers.greeted(asyncio.get_running_loop().time(), name, record):
-            log.info("peer_met", peer=name, address=record.address)
-            on_peers()
-
-    checks = PeerChecks(links, peers, on_peers)
-
+    news = PeerNews(peers, links, executor, beliefs)
     handler = PeerHandler(
         executor,
         configuration,
         records,
-        on_greeting,
+        news.greeted,
         lambda peer, theirs: executor.spawn(copy.bring(peer, theirs)),
         stop.is_set,
     )
@@ -174,11 +155,12 @@
     port = await stack.enter_async_context(serve_gateway(handler, host, port))
     record = PeerRecord(f"{host}:{port}", settings.data_centre)
     links.introduce_as(record)
+
     store = StoreLinks(
         client,
         configuration,
         records,
-        EntryReader(settings.name, peers, on_peers),
+        EntryReader(settings.name, peers, news.changed),
         Registration(client, settings.name, record, random),
         random,
     )
@@ -186,20 +168,16 @@
     exchange = BeliefExchange(
         links, handler, copy, store, lambda: list(peers.alive), random
     )
-    watch = links.watch(lambda: executor.peers_to_check)
     for work in [
         *store.work(),
         exchange.run(),
-        checks.run(),
+        news.checks.run(),
         executor.tick(),
-        watch,
+        links.watch(lambda: executor.peers_to_check),
         lines.keep_draining(),
     ]:
         run_beside(stack, work)
 
-    arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
-    front = Front(executor, arrivals, metrics, lambda: beliefs.table, stop.is_set)
-
     def state() -> GatewayState:
         return GatewayState(
             in_flight=executor.in_flight,
@@ -215,12 +193,32 @@
             log_lines_lost=lines.dropped,
         )
 
-    if settings.metrics_address:
-        scrapes = web.Server(_answer_scrapes(metrics, state))
-        await stack.enter_async_context(_serve(scrapes, settings.metrics_address))
-    balancer = web.Server(_answer_balancer(lambda: beliefs.is_complete, stop))
-    ready = await stack.enter_async_context(_serve(balancer, settings.ready_address))
-    callers = web.Server(
+    arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
+    front = Front(executor, arrivals, metrics, lambda: beliefs.table, stop.is_set)
+    callers = _new_caller_server(front)
+    await _serve_operators(settings, stack, metrics, state)
+    ready = await _serve_balancer(settings, stack, lambda: beliefs.is_complete, stop)
+    front_port = await stack.enter_async_context(
+        _serve(callers, settings.caller_address)
+    )
+    ports = {"port": front_port, "ready": ready, "peers": port}
+    return _Parts(executor, links, front, callers, store, ports)
+
+
+def _new_executor(
+    beliefs: Beliefs,
+    random: Random,
+    session: aiohttp.ClientSession,
+    metrics: GatewayMetrics,
+) -> GatewayExecutor:
+    start = beliefs.start()
+    drawn = Random(random.getrandbits(SEED_BITS))
+    planner = Planner(start, drawn, Parts(router=AffinityRouter))
+    return GatewayExecutor(planner, start, session, metrics)
+
+
+def _new_caller_server(front: Front) -> web.Server:
+    return web.Server(
         front.handle,
         handler_cancellation=True,
         keepalive_timeout=KEPT_S,
@@ -228,11 +226,27 @@
         max_line_size=MOST_HEADER_BYTES,
         max_field_size=MOST_HEADER_BYTES,
     )
-    front_port = await stack.enter_async_context(
-        _serve(callers, settings.caller_address)
-    )
-    ports = {"port": front_port, "ready": ready, "peers": port}
-    return _Parts(executor, links, front, callers, store, ports)
+
+
+async def _serve_operators(
+    settings: GatewaySettings,
+    stack: AsyncExitStack,
+    metrics: GatewayMetrics,
+    state: Callable[[], GatewayState],
+) -> None:
+    if settings.metrics_address:
+        scrapes = web.Server(_answer_scrapes(metrics, state))
+        await stack.enter_async_context(_serve(scrapes, settings.metrics_address))
+
+
+async def _serve_balancer(
+    settings: GatewaySettings,
+    stack: AsyncExitStack,
+    is_complete: Callable[[], bool],
+    stop: StopSignal,
+) -> int:
+    balancer = web.Server(_answer_balancer(is_complete, stop))
+    return await stack.enter_async_context(_serve(balancer, settings.ready_address))
 
 
 def _answer_scrapes(
--- a/packages/daemon/src/amaranthtally/daemon/log_writer.py
+++ b/packages/daemon/src/amaranthtally/daemon/log_writer.py
@@ -50,27 +50,11 @@
         else:
             self._dropped += 1
             self._total_dropped += 1
-        self._drain()
+        self.flush()
         return len(text)
 
     def flush(self) -> None:
         """Write what can be written without waiting."""
-        self._drain()
-
-    async def keep_draining(self) -> None:
-        """Write what waits once its reader is back, until cancelled."""
-        while True:
-            await asyncio.sleep(DRAIN_S)
-            self._drain()
-
-    def _has_room(self, line: bytes) -> bool:
-        waiting = len(self._lines)
-        if waiting < self._most_lines // 2:
-            return True
-        important = any(level in line for level in KEPT_LEVELS)
-        return important and waiting < self._most_lines
-
-    def _drain(self) -> None:
         while self._lines:
             line = self._lines[0]
             try:
@@ -84,4 +68,17 @@
         if self._dropped:
             count, self._dropped = self._dropped, 0
             self._lines.append(b"level=warning event=log_lines_lost count=%d\n" % count)
-            self._drain()
+            self.flush()
+
+    async def keep_draining(self) -> None:
+        """Write what waits once its reader is back, until cancelled."""
+        while True:
+            await asyncio.sleep(DRAIN_S)
+            self.flush()
+
+    def _has_room(self, line: bytes) -> bool:
+        waiting = len(self._lines)
+        if waiting < self._most_lines // 2:
+            return True
+        important = any(level in line for level in KEPT_LEVELS)
+        return important and waiting < self._most_lines
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -212,10 +212,13 @@
 
     def _advance(self, now: float, found: GatheredRequest) -> Gathering:
         news = Gathering()
+        self._ask_due(now, found, news)
+        return news
+
+    def _ask_due(self, now: float, found: GatheredRequest, news: Gathering) -> None:
         self._ask(now, found, self._plans.take_due(found.graph), news)
         if found.graph.is_done:
             news.ready.append(found.graph.request_id)
-        return news
 
     def _ask(
         self,
@@ -377,9 +380,7 @@
         unread = [result for found in going for result in found.graph.take_unread()]
         news.actions += self._free(now, unread)
         for found in going:
-            self._ask(now, found, self._plans.take_due(found.graph), news)
-            if found.graph.is_done:
-                news.ready.append(found.graph.request_id)
+            self._ask_due(now, found, news)
 
     # Results
 
