--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -3,11 +3,9 @@
 from collections.abc import Callable, Sequence
 
 from amaranthtally.adapter.store import StoreItem
+from amaranthtally.daemon.gateway.configuration_follower import ConfigurationFollower
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
-from amaranthtally.daemon.gateway.store_follower import (
-    ConfigurationFollower,
-    RecordFollower,
-)
+from amaranthtally.daemon.gateway.record_follower import RecordFollower
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import PeerRecord, PieceAsk, PieceTold, StoredResult
 from amaranthtally.wire.documents import (
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -18,6 +18,7 @@
 from amaranthtally.daemon.gateway.belief_copy import BeliefCopy
 from amaranthtally.daemon.gateway.belief_exchange import BeliefExchange
 from amaranthtally.daemon.gateway.beliefs import Beliefs
+from amaranthtally.daemon.gateway.configuration_follower import ConfigurationFollower
 from amaranthtally.daemon.gateway.endpoint_calls import endpoint_session
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
 from amaranthtally.daemon.gateway.front import Front
@@ -32,10 +33,7 @@
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_links import UNREACHABLE, PeerLinks
 from amaranthtally.daemon.gateway.peer_news import PeerNews
-from amaranthtally.daemon.gateway.store_follower import (
-    ConfigurationFollower,
-    RecordFollower,
-)
+from amaranthtally.daemon.gateway.record_follower import RecordFollower
 from amaranthtally.daemon.gateway.store_links import StoreLinks
 from amaranthtally.daemon.gateway.store_transfers import StoreTransfers
 from amaranthtally.daemon.health import answer_scrape
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_links.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_links.py
@@ -7,18 +7,14 @@
 
 from amaranthtally.adapter.configuration import CONFIGURATION_KEY
 from amaranthtally.adapter.servers import SERVERS_PREFIX
+from amaranthtally.daemon.gateway.configuration_follower import ConfigurationFollower
 from amaranthtally.daemon.gateway.membership import (
     ENTRIES_PREFIX,
     EntryReader,
     Registration,
 )
-from amaranthtally.daemon.gateway.store_follower import (
-    ConfigurationFollower,
-    PrefixFollower,
-    Reader,
-    Readers,
-    RecordFollower,
-)
+from amaranthtally.daemon.gateway.record_follower import RecordFollower
+from amaranthtally.daemon.gateway.store_follower import PrefixFollower, Reader, Readers
 from amaranthtally.platform import StoreClient
 
 __all__ = ["StoreLinks"]
--- a/tests/unit/test_configuration_follower.py
+++ b/tests/unit/test_configuration_follower.py
@@ -2,8 +2,8 @@
 
 import json
 
-from amaranthtally.daemon.gateway import store_follower
-from amaranthtally.daemon.gateway.store_follower import ConfigurationFollower
+from amaranthtally.daemon.gateway import configuration_follower
+from amaranthtally.daemon.gateway.configuration_follower import ConfigurationFollower
 from tests.gateway.support import configuration, route
 from tests.support import run_async
 
@@ -15,13 +15,13 @@
 def test_a_document_that_is_in_force_is_not_read_again(monkeypatch):
     """Guards against loops that stand still for a large document read anew."""
     read = []
-    real = store_follower.read_configuration
+    real = configuration_follower.read_configuration
 
     def counting(value):
         read.append(value)
         return real(value)
 
-    monkeypatch.setattr(store_follower, "read_configuration", counting)
+    monkeypatch.setattr(configuration_follower, "read_configuration", counting)
 
     async def check():
         tables = []
