Bound the wait for a store that trickles; greet on while something is copied

Found when reading the change anew, no run showed it: a copy was awaited by the round of greetings, so that a gateway which waited for the store's answer greeted nobody for that long, and an answer that trickles would have held back copies for up to 30 s. Both tests fail on the code before (one copy awaited in the round; no bound).

--- a/packages/daemon/src/amaranthtally/daemon/gateway/belief_copy.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/belief_copy.py
@@ -18,6 +18,9 @@
 # For how long the store's own word of a change is waited for once a peer has told of
 # it, in seconds: longer than changes are gathered before the next watch.
 PATIENCE_S = 0.4
+# For how long a store that sends is left to itself beyond that, in seconds: with a copy
+# after it the configuration is still in force in 4 s.
+MOST_WAIT_S = 2.5
 # Between two looks at whether the store still sends, in seconds.
 POLL_S = 0.05
 MS_PER_S = 1000.0
@@ -99,7 +102,10 @@
         if not self._store.is_connected:
             return
         await asyncio.sleep(PATIENCE_S)
+        until = self._time() + MOST_WAIT_S
         while self._store.is_receiving and self._lacking(theirs):
+            if self._time() >= until:
+                return
             await asyncio.sleep(POLL_S)
 
     async def _copy(self, peer: str, document: Document) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/belief_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/belief_exchange.py
@@ -4,14 +4,11 @@
 from collections.abc import Callable, Sequence
 from random import Random
 
-from amaranthtally.daemon.gateway.belief_copy import (
-    BeliefCopy,
-    BeliefKeeper,
-    StoreState,
-)
+from amaranthtally.daemon.gateway.belief_copy import BeliefKeeper, StoreState
 from amaranthtally.daemon.gateway.peer_links import PeerLinks
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.wire import PeerLostError
+from amaranthtally.wire.gateway_codec import Versions
 
 __all__ = ["BeliefExchange"]
 
@@ -28,20 +25,20 @@
 
 
 class BeliefExchange:
-    """Greets a few peers at a time and brings over what they have newer."""
+    """Greets a few peers at a time and has brought over what they have newer."""
 
     def __init__(
         self,
         links: PeerLinks,
         keeper: BeliefKeeper,
-        copy: BeliefCopy,
+        bring: Callable[[str, Versions], object],
         store: StoreState,
         peers: Callable[[], Sequence[str]],
         random: Random,
     ) -> None:
         self._links = links
         self._keeper = keeper
-        self._copy = copy
+        self._bring = bring
         self._store = store
         self._peers = peers
         self._random = random
@@ -65,4 +62,5 @@
             log.info("peer_not_greeted", peer=peer, cause=str(error))
             return
         self._keeper.heard_of(peer, answer.versions)
-        await self._copy.bring(peer, answer.versions)
+        # Not waited for: greetings are how the others know that this gateway lives.
+        self._bring(peer, answer.versions)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_news.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_changes.py
@@ -9,12 +9,12 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import Peer, PeerDirectory, PeerRecord
 
-__all__ = ["PeerNews"]
+__all__ = ["PeerChanges"]
 
 log = get_logger()
 
 
-class PeerNews:
+class PeerChanges:
     """Keeps links, owners of pools and shares of budgets in step with live peers."""
 
     def __init__(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -11,7 +11,7 @@
 from amaranthtally.wire.documents import (
     Document,
     DocumentPart,
-    DocumentShelf,
+    DocumentSnapshots,
     PartRequest,
     Record,
     pack_records,
@@ -42,7 +42,7 @@
         self._on_greeting = on_greeting
         self._on_newer = on_newer
         self._is_leaving = is_leaving
-        self._shelves = {document: DocumentShelf() for document in Document}
+        self._snapshots = {document: DocumentSnapshots() for document in Document}
 
     @property
     def versions(self) -> Versions:
@@ -59,10 +59,10 @@
 
     def part(self, request: PartRequest) -> DocumentPart:
         """Return a part of the configuration or the records."""
-        shelf = self._shelves[request.document]
+        snapshots = self._snapshots[request.document]
         if not request.offset:
-            self._refresh(request.document, shelf)
-        return shelf.part(request)
+            self._refresh(request.document, snapshots)
+        return snapshots.part(request)
 
     def heard_of(self, peer: str, versions: Versions) -> None:
         """Note what a peer has."""
@@ -89,16 +89,16 @@
         """Hear that results are read no more, and of a request that has ended."""
         self._executor.results_freed(results, ended)
 
-    def _refresh(self, document: Document, shelf: DocumentShelf) -> None:
+    def _refresh(self, document: Document, snapshots: DocumentSnapshots) -> None:
         if document is Document.CONFIGURATION:
-            if self._configuration.version > shelf.version:
-                shelf.put(self._configuration.version, self._configuration.value)
-        elif self._records.at > shelf.version:
+            if self._configuration.version > snapshots.version:
+                snapshots.put(self._configuration.version, self._configuration.value)
+        elif self._records.at > snapshots.version:
             records = tuple(
                 Record(item.key, item.value or b"", item.revision)
                 for item in self._records.items
             )
-            shelf.put(self._records.at, pack_records(records))
+            snapshots.put(self._records.at, pack_records(records))
 
     def _take_configuration(self, peer: str, version: int, content: bytes) -> None:
         log.info(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -30,9 +30,9 @@
     GatewayMetrics,
     GatewayState,
 )
+from amaranthtally.daemon.gateway.peer_changes import PeerChanges
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_links import UNREACHABLE, PeerLinks
-from amaranthtally.daemon.gateway.peer_news import PeerNews
 from amaranthtally.daemon.gateway.record_follower import RecordFollower
 from amaranthtally.daemon.gateway.store_links import StoreLinks
 from amaranthtally.daemon.gateway.store_transfers import StoreTransfers
@@ -58,6 +58,7 @@
     SettingsFileError,
     load_gateway_settings,
 )
+from amaranthtally.wire.gateway_codec import Versions
 from amaranthtally.wire.gateway_peer import serve_gateway
 
 __all__ = ["run_gateway"]
@@ -140,14 +141,13 @@
         beliefs.directory, settings.regions, beliefs.endpoints_changed
     )
     peers = PeerDirectory()
-    news = PeerNews(peers, links, executor, beliefs)
+    peer_changes = PeerChanges(peers, links, executor, beliefs)
+
+    def bring(peer: str, theirs: Versions) -> None:
+        executor.spawn(copy.bring(peer, theirs))
+
     handler = PeerHandler(
-        executor,
-        configuration,
-        records,
-        news.greeted,
-        lambda peer, theirs: executor.spawn(copy.bring(peer, theirs)),
-        stop.is_set,
+        executor, configuration, records, peer_changes.greeted, bring, stop.is_set
     )
     host, port = split_address(settings.peer_address)
     port = await stack.enter_async_context(serve_gateway(handler, host, port))
@@ -158,18 +158,18 @@
         client,
         configuration,
         records,
-        EntryReader(settings.name, peers, news.changed),
+        EntryReader(settings.name, peers, peer_changes.changed),
         Registration(client, settings.name, record, random),
         random,
     )
     copy = BeliefCopy(links, handler, store)
     exchange = BeliefExchange(
-        links, handler, copy, store, lambda: list(peers.alive), random
+        links, handler, bring, store, lambda: list(peers.alive), random
     )
     for work in [
         *store.work(),
         exchange.run(),
-        news.checks.run(),
+        peer_changes.checks.run(),
         executor.tick(),
         links.watch(lambda: executor.peers_to_check),
         lines.keep_draining(),
--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -201,12 +201,13 @@
     async def _receive(
         self, response: aiohttp.ClientResponse, parts: bytearray
     ) -> None:
-        self._receiving += 1
         try:
             async for part in response.content.iter_any():
+                # Counted from the first byte: a watch's head may come before its wait.
+                self._receiving += 0 if parts else 1
                 parts += part
         finally:
-            self._receiving -= 1
+            self._receiving -= 1 if parts else 0
 
 
 @dataclass(slots=True)
--- a/packages/wire/src/amaranthtally/wire/documents.py
+++ b/packages/wire/src/amaranthtally/wire/documents.py
@@ -10,7 +10,7 @@
     "Document",
     "DocumentPart",
     "DocumentReader",
-    "DocumentShelf",
+    "DocumentSnapshots",
     "MalformedDocumentError",
     "PartRequest",
     "Record",
@@ -74,7 +74,7 @@
     packed: bytes
 
 
-class DocumentShelf:
+class DocumentSnapshots:
     """Snapshots of one document, compressed once for all that read them."""
 
     def __init__(self) -> None:
--- a/tests/unit/test_belief_copy.py
+++ b/tests/unit/test_belief_copy.py
@@ -4,9 +4,10 @@
 import random
 
 from amaranthtally.daemon.gateway.belief_copy import BeliefCopy
+from amaranthtally.daemon.gateway.belief_exchange import BeliefExchange
 from amaranthtally.wire import PeerLostError
-from amaranthtally.wire.documents import Document, DocumentShelf
-from amaranthtally.wire.gateway_codec import Versions
+from amaranthtally.wire.documents import Document, DocumentSnapshots
+from amaranthtally.wire.gateway_codec import Greeting, Versions
 from tests.support import run_async
 
 CONTENT = random.Random(7).randbytes(100_000)
@@ -24,6 +25,9 @@
         self.versions = Versions(configuration=4, records=40)
         self.taken = []
 
+    def heard_of(self, peer, versions):
+        pass
+
     def take_from_peer(self, peer, document, version, content):
         self.taken.append((peer, document, version, content))
         is_configuration = document is Document.CONFIGURATION
@@ -35,9 +39,9 @@
     """Peers that all have the same documents; some fail after a few parts."""
 
     def __init__(self, fails_after=None):
-        self.shelves = {document: DocumentShelf() for document in Document}
-        self.shelves[Document.CONFIGURATION].put(5, CONTENT)
-        self.shelves[Document.RECORDS].put(50, CONTENT)
+        self.snapshots = {document: DocumentSnapshots() for document in Document}
+        self.snapshots[Document.CONFIGURATION].put(5, CONTENT)
+        self.snapshots[Document.RECORDS].put(50, CONTENT)
         self.fails_after = fails_after or {}
         self.reads = []
         self.at_once = 0
@@ -53,7 +57,7 @@
         self.most_at_once = max(self.most_at_once, self.at_once)
         await asyncio.sleep(0.001)
         self.at_once -= 1
-        return self.shelves[request.document].part(request)
+        return self.snapshots[request.document].part(request)
 
 
 def test_one_copy_runs_at_a_time_however_many_peers_have_news():
@@ -129,9 +133,51 @@
 def test_a_peer_that_has_nothing_ends_the_copy():
     async def check():
         links, keeper = Links(), Keeper()
-        links.shelves[Document.CONFIGURATION] = DocumentShelf()
+        links.snapshots[Document.CONFIGURATION] = DocumentSnapshots()
         async with asyncio.timeout(1.0):
             await BeliefCopy(links, keeper, Store()).bring("peer", NEWER)
         assert not keeper.taken
 
     run_async(check())
+
+
+def test_a_store_that_trickles_is_not_waited_for_without_end():
+    """Guards against an answer that never ends and hides a newer configuration."""
+
+    async def check():
+        links, keeper, store = Links(), Keeper(), Store()
+        store.is_receiving = True
+        async with asyncio.timeout(4.0):
+            await BeliefCopy(links, keeper, store).bring("peer", NEWER)
+        assert [taken[1] for taken in keeper.taken] == [Document.CONFIGURATION]
+
+    run_async(check())
+
+
+def test_greetings_go_on_while_something_is_copied():
+    """Guards against a gateway that falls silent for as long as it copies."""
+
+    class GreetedLinks:
+        greeted = 0
+
+        async def greet(self, peer, versions):
+            self.greeted += 1
+            return Greeting(NEWER)
+
+    async def check():
+        links, keeper, brought = GreetedLinks(), Keeper(), []
+        exchange = BeliefExchange(
+            links,
+            keeper,
+            lambda peer, theirs: brought.append((peer, theirs)),
+            Store(is_connected=False),
+            lambda: ["one"],
+            random.Random(1),
+        )
+        running = asyncio.create_task(exchange.run())
+        while links.greeted < 3:
+            await asyncio.sleep(0.01)
+        running.cancel()
+        assert brought[:2] == [("one", NEWER)] * 2
+
+    run_async(check())
--- a/tests/unit/test_documents.py
+++ b/tests/unit/test_documents.py
@@ -10,7 +10,7 @@
     Document,
     DocumentPart,
     DocumentReader,
-    DocumentShelf,
+    DocumentSnapshots,
     MalformedDocumentError,
     PartRequest,
     Record,
@@ -23,18 +23,18 @@
     return random.Random(seed).randbytes(size)
 
 
-def shelf_of(*versions):
-    shelf = DocumentShelf()
+def snapshots_of(*versions):
+    snapshots = DocumentSnapshots()
     for version in versions:
-        shelf.put(version, content(version))
-    return shelf
+        snapshots.put(version, content(version))
+    return snapshots
 
 
-def read_from(shelf, reader, parts=1_000):
+def read_from(snapshots, reader, parts=1_000):
     for _ in range(parts):
         if reader.is_whole:
             break
-        reader.add(shelf.part(reader.next_request()))
+        reader.add(snapshots.part(reader.next_request()))
 
 
 def new_reader():
@@ -42,58 +42,58 @@
 
 
 def test_a_document_comes_in_parts_that_are_small():
-    shelf, reader = shelf_of(3), new_reader()
-    read_from(shelf, reader)
+    snapshots, reader = snapshots_of(3), new_reader()
+    read_from(snapshots, reader)
     assert reader.version == 3
     assert reader.content() == content(3)
-    first = shelf.part(PartRequest(Document.CONFIGURATION))
+    first = snapshots.part(PartRequest(Document.CONFIGURATION))
     assert len(first.data) == PART_BYTES
 
 
 def test_another_peer_goes_on_where_one_failed():
     """Guards against copies that are begun anew whenever a peer fails."""
     reader = new_reader()
-    read_from(shelf_of(3), reader, parts=4)
+    read_from(snapshots_of(3), reader, parts=4)
     assert reader.next_request().offset == 4 * PART_BYTES
-    read_from(shelf_of(3), reader)
+    read_from(snapshots_of(3), reader)
     assert reader.content() == content(3)
 
 
 def test_a_snapshot_is_read_to_its_end_though_newer_ones_come():
     """Guards against copies that never end where the document changes often."""
-    shelf, reader = shelf_of(3), new_reader()
-    read_from(shelf, reader, parts=2)
+    snapshots, reader = snapshots_of(3), new_reader()
+    read_from(snapshots, reader, parts=2)
     for version in (4, 5, 6):
-        shelf.put(version, content(version))
-    read_from(shelf, reader)
+        snapshots.put(version, content(version))
+    read_from(snapshots, reader)
     assert (reader.version, reader.content()) == (3, content(3))
 
 
 def test_parts_of_two_snapshots_are_never_joined():
     reader = new_reader()
-    read_from(shelf_of(3), reader, parts=2)
-    read_from(shelf_of(4), reader)
+    read_from(snapshots_of(3), reader, parts=2)
+    read_from(snapshots_of(4), reader)
     assert (reader.version, reader.content()) == (4, content(4))
 
 
-def test_a_shelf_keeps_few_snapshots():
-    shelf = shelf_of(*range(1, 40))
-    assert len(shelf._snapshots) == 4
-    read_from(shelf, reader := new_reader())
+def test_a_peer_keeps_few_snapshots():
+    snapshots = snapshots_of(*range(1, 40))
+    assert len(snapshots._snapshots) == 4
+    read_from(snapshots, reader := new_reader())
     assert reader.version == 39
 
 
 def test_a_damaged_part_is_refused():
-    shelf, reader = shelf_of(3), new_reader()
-    part = shelf.part(reader.next_request())
+    snapshots, reader = snapshots_of(3), new_reader()
+    part = snapshots.part(reader.next_request())
     reader.add(replace(part, data=bytes(len(part.data))))
-    read_from(shelf, reader)
+    read_from(snapshots, reader)
     with pytest.raises(MalformedDocumentError):
         reader.content()
 
 
 def test_a_peer_without_a_document_says_so():
-    assert DocumentShelf().part(PartRequest(Document.RECORDS)) == DocumentPart()
+    assert DocumentSnapshots().part(PartRequest(Document.RECORDS)) == DocumentPart()
 
 
 def test_records_survive_the_way():
