Take SIGHUP from the start of a gateway's process to its end

A SIGHUP came after the loop had ended and its handlers with it, and its default kills. Operators would see a planned stop counted as a crash; callers lost nothing, as all was answered by then. Ruled out: a mask (other threads still take the signal), a Python handler alone (the interpreter resets those as it ends). It is ignored at the end, and one that comes during the start is done once the settings are in use. The test harness's way to signal took a child's exit status away from its loop (255); it sends by id now.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import secrets
-import signal
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
@@ -38,6 +37,7 @@
 from amaranthtally.daemon.gateway.store_transfers import StoreTransfers
 from amaranthtally.daemon.health import answer_scrape
 from amaranthtally.daemon.lifecycle import (
+    ReloadSignal,
     StopSignal,
     run_beside,
     split_address,
@@ -86,14 +86,16 @@
 
 
 async def run_gateway(
-    settings: GatewaySettings, path: Path, lines: BoundedWriter
+    settings: GatewaySettings,
+    path: Path,
+    lines: BoundedWriter,
+    reloads: ReloadSignal,
 ) -> None:
     """Serve callers until a stop signal, then finish what is in flight."""
-    loop = asyncio.get_running_loop()
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(capnp.kj_loop())
+        stack.enter_context(reloads.taken_by(lambda: _reload(path)))
         stop = stack.enter_context(stop_on_signal())
-        loop.add_signal_handler(signal.SIGHUP, _reload, path)
         parts = await _open(settings, stack, stop, lines)
         log.info("listening", role="gateway", name=settings.name, **parts.ports)
         await stop.wait()
--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import signal
-from collections.abc import AsyncIterator, Coroutine, Iterator
+from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
 from contextlib import AsyncExitStack, asynccontextmanager, contextmanager, suppress
 from typing import Any
 
@@ -10,6 +10,7 @@
 
 __all__ = [
     "HttpServer",
+    "ReloadSignal",
     "StopSignal",
     "open_http",
     "run_beside",
@@ -79,6 +80,47 @@
             loop.remove_signal_handler(number)
 
 
+class ReloadSignal:
+    """
+    SIGHUP from the start of a process to its end: held, taken, and then ignored.
+
+    The failure: a SIGHUP that comes before the loop has handlers, or after it has ended
+    and its handlers with it, ends the process, and a planned stop counts as a crash.
+    What is ignored stays so while the interpreter ends, which resets handlers; a mask
+    would bind one thread of several.
+    """
+
+    def __init__(self) -> None:
+        self._reload: Callable[[], None] | None = None
+        self._is_held = False
+        signal.signal(signal.SIGHUP, self._receive)
+
+    @contextmanager
+    def taken_by(self, reload: Callable[[], None]) -> Iterator[None]:
+        """Call ``reload`` on the running loop at each SIGHUP, one held included."""
+        loop = asyncio.get_running_loop()
+        self._reload = lambda: _call_soon(loop, reload)
+        if self._is_held:
+            self._is_held = False
+            self._reload()
+        try:
+            yield
+        finally:
+            signal.signal(signal.SIGHUP, signal.SIG_IGN)
+            self._reload = None
+
+    def _receive(self, number: int, frame: object) -> None:
+        if self._reload is None:
+            self._is_held = True
+        else:
+            self._reload()
+
+
+def _call_soon(loop: asyncio.AbstractEventLoop, work: Callable[[], None]) -> None:
+    # From a signal handler the loop may be asleep; this wakes it.
+    loop.call_soon_threadsafe(work)
+
+
 def run_beside(stack: AsyncExitStack, work: Coroutine[Any, Any, None]) -> None:
     """Run ``work`` in a task that ends with the stack."""
     task = asyncio.create_task(work)
--- a/packages/daemon/src/amaranthtally/daemon/main.py
+++ b/packages/daemon/src/amaranthtally/daemon/main.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+from amaranthtally.daemon.lifecycle import ReloadSignal
 from amaranthtally.daemon.log_writer import BoundedWriter
 from amaranthtally.daemon.logs import configure_logs
 from amaranthtally.settings import (
@@ -94,12 +95,13 @@
 
 
 def _start_gateway(path: Path) -> Coroutine[Any, Any, None]:
+    reloads = ReloadSignal()
     settings = load_gateway_settings(path)
     lines = BoundedWriter(sys.stdout.fileno())
     configure_logs(settings.log_level, lines)
     from amaranthtally.daemon.gateway.service import run_gateway
 
-    return run_gateway(settings, path, lines)
+    return run_gateway(settings, path, lines, reloads)
 
 
 def _start_sidecar(path: Path) -> Coroutine[Any, Any, None]:
--- a/packages/standins/src/amaranthtally/standins/process.py
+++ b/packages/standins/src/amaranthtally/standins/process.py
@@ -1,6 +1,7 @@
 """Start, watch and end one process of a test deployment."""
 
 import asyncio
+import os
 import re
 import signal
 import sys
@@ -57,9 +58,13 @@
             raise StartError(f"{self.name} did not start:\n{tail}")
 
     def send(self, number: signal.Signals) -> None:
-        """Send a signal to this process alone."""
-        if self._child.returncode is None:
-            self._child.send_signal(number)
+        """Send a signal to this process alone; nothing once it has ended."""
+        if self._child.returncode is not None:
+            return
+        # The child's own method takes its exit status away from the loop where it has
+        # just ended, and the loop then reports 255.
+        with suppress(ProcessLookupError):
+            os.kill(self._child.pid, number)
 
     def stop_reading(self) -> None:
         """Read nothing more of its output, as a collector that hangs."""
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -128,3 +128,21 @@
             writer.close()
 
     in_world(tmp_path, check)
+
+
+def test_a_reload_at_the_very_end_is_no_crash(tmp_path):
+    """Guards against a SIGHUP that kills a process whose loop has just ended."""
+
+    async def check(world):
+        await world.endpoint("e", "work", lambda r: [whole(r)])
+        world.configure(1, route("work"))
+        gateway = await world.gateway()
+        gateway.process.send(signal.SIGTERM)
+        await gateway.until("gateway_stopped")
+        ending = asyncio.create_task(gateway.process.wait())
+        while not ending.done():
+            gateway.process.send(signal.SIGHUP)
+            await asyncio.sleep(0.001)
+        assert await ending == 0
+
+    in_world(tmp_path, check)
