--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -22,6 +22,8 @@
 PAIR_SHARE = 0.3
 # In which everything must be served again after the last fault, in seconds.
 SETTLE_S = 8.0
+# In which the last version must be in force at every gateway, in seconds.
+IN_FORCE_S = 4.0
 # Of the last requests, how many must be served.
 SERVED_SHARE = 0.95
 
@@ -77,6 +79,7 @@
         world.violations.append(f"not ready {SETTLE_S} s after the last fault")
         return
     await asyncio.sleep(SETTLE_S / 2)
+    await _check_last_version(world, random)
     last = Callers(world, Random(random.random()), "last-")
     await last.run(AT_ONCE, asyncio.get_running_loop().time() + 1.0)
     served = last.statuses.get(200, 0) / max(1, sum(last.statuses.values()))
@@ -84,6 +87,21 @@
         world.violations.append(f"only {served:.2f} served in the end: {last.statuses}")
 
 
+async def _check_last_version(world, random):
+    """A version that comes when all is calm is in force in time, however large."""
+    version = world.grow(random)
+
+    async def until_in_force(name):
+        try:
+            async with asyncio.timeout(IN_FORCE_S):
+                gateway = world.gateways[name]
+                await gateway.until("configuration_in_force", version=version)
+        except TimeoutError:
+            world.violations.append(f"{name}: {version} not in force in {IN_FORCE_S} s")
+
+    await asyncio.gather(*(until_in_force(name) for name in GATEWAYS))
+
+
 def check_records(world, callers):
     """Compare what callers were told with what endpoints ran."""
     runs = world.records.runs
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -85,6 +85,11 @@
     world.configure()
 
 
+@fault
+async def large_version(world, random, name):
+    world.grow(random)
+
+
 @fault
 async def endpoint_fails(world, random, name):
     script = world.scripts[random.choice(sorted(world.scripts))]
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,10 +1,13 @@
-"""Three gateways, a store behind a relay for each, and endpoints, on loopback."""
+"""Three gateways, a store behind a relay for each, and endpoints, on loopback.
+
+One of the relays is a thin link: a configuration that has grown fills it for seconds.
+"""
 
 import asyncio
 import signal
 from contextlib import AsyncExitStack, asynccontextmanager
 
-from amaranthtally.standins.relay import Relay
+from amaranthtally.standins.relay import Relay, ThinLink
 from tests.gateway.support import SEGMENTS, STREAM, free_port, open_world, route
 from tests.soak.endpoints import Records, Script
 
@@ -27,6 +30,14 @@
     "second": ("pieces", 2),
     "engine": ("engine", 2),
 }
+# The gateway with a thin link to the store, and that link's rate in bytes a second.
+THIN = "three"
+THIN_BYTES_PER_S = 300_000.0
+# Routes that a version brings in when the configuration grows, how often it does, and
+# the length of their names: what does not repeat.
+MORE_ROUTES = 400
+MOST_GROWTHS = 3
+NAME_BITS = 512
 # Settings of a gateway: its grace in seconds, and how long over it is a violation.
 GRACE_S = 6.0
 OVER_S = 1.0
@@ -50,6 +61,7 @@
         self._stack = stack
         self._ports = {}
         self._version = 0
+        self._more_routes = []
 
     async def start(self):
         for pool, (kind, count) in ENDPOINTS.items():
@@ -57,7 +69,8 @@
                 await self._endpoint(f"{pool}-{number}", pool, kind, PLACES[number])
         self.configure()
         for name in GATEWAYS:
-            relay = Relay(self.store.address)
+            link = ThinLink(THIN_BYTES_PER_S) if name == THIN else None
+            relay = Relay(self.store.address, link)
             await self._stack.enter_async_context(relay.serve())
             self.relays[name] = relay
             self._ports[name] = [free_port() for _ in range(3)]
@@ -75,8 +88,18 @@
         self.store.put(f"servers/{name}", found.record(pool, place, **record))
 
     def configure(self):
+        """Write a new version; return its number."""
         self._version += 1
-        self.world.configure(self._version, *ROUTES, services=SERVICES)
+        routes = (*ROUTES, *self._more_routes)
+        self.world.configure(self._version, *routes, services=SERVICES)
+        return self._version
+
+    def grow(self, random):
+        """Write a version with many routes more; return its number."""
+        if len(self._more_routes) < MOST_GROWTHS * MORE_ROUTES:
+            names = [f"{random.getrandbits(NAME_BITS):x}" for _ in range(MORE_ROUTES)]
+            self._more_routes += [route(name, service="read") for name in names]
+        return self.configure()
 
     async def start_gateway(self, name):
         caller, ready, peer = (f"127.0.0.1:{port}" for port in self._ports[name])
