--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -18,6 +18,7 @@
     PieceTold,
 )
 from amaranthtally.policy.places import Peer, Places
+from amaranthtally.policy.result_freer import ResultFreer
 from amaranthtally.policy.routes import PieceStage, Pool
 from amaranthtally.policy.stage_plans import StagePlans
 
@@ -47,6 +48,7 @@
     def __init__(self) -> None:
         self._batcher = Batcher()
         self._places = Places()
+        self._freer = ResultFreer(self._batcher, self._places)
         self._plans = StagePlans(self._places, self._batcher)
         self._gathered: dict[str, GatheredRequest] = {}
         self._asked = AskedPieces()
@@ -115,7 +117,7 @@
     def begin_again(self, now: float, request_id: str) -> Gathering:
         """Make the results that a request reads once more, as one is gone."""
         found = self._gathered[request_id]
-        freed = self._free(now, found.graph.lose_request_inputs())
+        freed = self._freer.free(now, found.graph.lose_request_inputs())
         news = self._advance(now, found)
         news.actions[:0] = freed
         return news
@@ -201,12 +203,12 @@
         ended: list[Action] = [
             FreeAtPeer(owner, (), request_id) for owner in self._asked.end(request_id)
         ]
-        return ended + self._free(now, found.graph.take_all())
+        return ended + self._freer.free(now, found.graph.take_all())
 
     def free_inputs(self, now: float, request_id: str) -> list[Action]:
         """Free the results that a request has read, as it runs now."""
         found = self._gathered.get(request_id)
-        return [] if found is None else self._free(now, found.graph.take_all())
+        return [] if found is None else self._freer.free(now, found.graph.take_all())
 
     # Asking
 
@@ -301,7 +303,7 @@
             elif found.graph.is_fed(piece):
                 again.setdefault(piece.request_id, []).append(piece)
             else:
-                news.actions += self._free(now, found.graph.lose_inputs_of(piece))
+                news.actions += self._freer.free(now, found.graph.lose_inputs_of(piece))
         for request_id, several in again.items():
             if request_id not in news.failed:
                 self._ask(now, self._gathered[request_id], several, news, stay)
@@ -314,7 +316,7 @@
 
     def _pass_on(self, now: float, batches: Batches, news: Gathering) -> None:
         news.actions += batches.actions
-        news.actions += self._free(now, batches.read)
+        news.actions += self._freer.free(now, batches.read)
         for asker, told in batches.told.items():
             if asker:
                 news.actions.append(TellPeer(asker, tuple(told)))
@@ -330,7 +332,7 @@
             found = self._gathered.get(one.piece.request_id)
             if found is None or asked is None:
                 # Its request has ended, or it was made elsewhere meanwhile.
-                news.actions += self._free(now, _results_of(one))
+                news.actions += self._freer.free(now, _results_of(one))
                 continue
             if one.inputs_freed:
                 found.graph.forget_inputs_of(one.piece)
@@ -361,7 +363,7 @@
         elif told.fault is PieceFault.LATE:
             news.late.append(piece.request_id)
         elif told.fault is PieceFault.INPUT_GONE:
-            news.actions += self._free(now, found.graph.lose_inputs_of(piece))
+            news.actions += self._freer.free(now, found.graph.lose_inputs_of(piece))
         else:
             self._places.failed(now, told.pool, told.data_centre)
             self._ask_again(now, [piece], news)
@@ -378,30 +380,10 @@
         given_up = {*news.failed, *news.late}
         going = [self._gathered[r] for r in request_ids if r not in given_up]
         unread = [result for found in going for result in found.graph.take_unread()]
-        news.actions += self._free(now, unread)
+        news.actions += self._freer.free(now, unread)
         for found in going:
             self._ask_due(now, found, news)
 
-    # Results
-
-    def _free(self, now: float, results: list[StoredResult]) -> list[Action]:
-        """Have results dropped by the entries that call their makers."""
-        by_owner: dict[str, list[StoredResult]] = {}
-        for result in results:
-            server = self._batcher.servers.find(result.endpoint)
-            if server is None:
-                continue
-            pool = server.endpoint.pool
-            owner = self._places.owner(now, pool, result.data_centre)
-            by_owner.setdefault(owner, []).append(result)
-        actions: list[Action] = []
-        for owner, held in by_owner.items():
-            if owner:
-                actions.append(FreeAtPeer(owner, tuple(held)))
-            else:
-                actions += self._batcher.free(now, held)
-        return actions
-
 
 def _results_of(told: PieceTold) -> list[StoredResult]:
     if told.fault is not None:
--- a/tests/lifecycle/test_host_sidecar.py
+++ b/tests/lifecycle/test_host_sidecar.py
@@ -20,8 +20,8 @@
     token,
 )
 from tests.at_most_once.test_handover import place_orders, repeat_all
+from tests.lifecycle.model_support import DEADLINE_MS, by_model, model_plan
 from tests.lifecycle.support import logged
-from tests.lifecycle.test_model_changes import DEADLINE_MS, by_model, model_plan
 from tests.settings.helpers import admin, propose, set_value
 from tests.support import run_async
 
