Say once which part a piece is in, how new a document is, what an answer holds

Found on reading the change anew. A piece's part of its stage was worked out in two places; each use of versions asked anew which of two fields a document stands for; whether the store sends was counted beside the answers that show it; two tests' modules had the same script of an endpoint. No behaviour, bound or assertion changes.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/belief_copy.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/belief_copy.py
@@ -89,14 +89,9 @@
             self._is_busy = False
 
     def _lacking(self, theirs: Versions) -> list[Document]:
-        own = self._keeper.versions
-        lacking = []
-        if theirs.configuration > own.configuration:
-            lacking.append(Document.CONFIGURATION)
         # While the store answers, its own word of the endpoints is the newest.
-        if not self._store.is_connected and theirs.records > own.records:
-            lacking.append(Document.RECORDS)
-        return lacking
+        wanted = [Document.CONFIGURATION] if self._store.is_connected else Document
+        return [one for one in wanted if self._is_newer(one, theirs.of(one))]
 
     async def _leave_to_store(self, theirs: Versions) -> None:
         if not self._store.is_connected:
@@ -139,7 +134,4 @@
             reader.clear()
 
     def _is_newer(self, document: Document, version: int) -> bool:
-        own = self._keeper.versions
-        if document is Document.CONFIGURATION:
-            return version > own.configuration
-        return version > own.records
+        return version > self._keeper.versions.of(document)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -72,10 +72,18 @@
         self, peer: str, document: Document, version: int, content: bytes
     ) -> None:
         """Take a peer's document; raises ``MalformedDocumentError``."""
+        records = unpack_records(content) if document is Document.RECORDS else ()
+        name = document.value
+        log.info(
+            "beliefs_from_peer",
+            peer=peer,
+            bytes=len(content),
+            **{name: version, f"own_{name}": self.versions.of(document)},
+        )
         if document is Document.CONFIGURATION:
-            self._take_configuration(peer, version, content)
+            self._configuration.take(content, peer)
         else:
-            self._take_records(peer, version, content)
+            self._take_records(version, records)
 
     def asked(self, asker: str, asks: Sequence[PieceAsk]) -> None:
         """Take pieces that a peer wants made."""
@@ -90,35 +98,21 @@
         self._executor.results_freed(results, ended)
 
     def _refresh(self, document: Document, snapshots: DocumentSnapshots) -> None:
+        version = self.versions.of(document)
+        if version > snapshots.version:
+            snapshots.put(version, self._content(document))
+
+    def _content(self, document: Document) -> bytes:
         if document is Document.CONFIGURATION:
-            if self._configuration.version > snapshots.version:
-                snapshots.put(self._configuration.version, self._configuration.value)
-        elif self._records.at > snapshots.version:
-            records = tuple(
+            return self._configuration.value
+        return pack_records(
+            tuple(
                 Record(item.key, item.value or b"", item.revision)
                 for item in self._records.items
             )
-            snapshots.put(self._records.at, pack_records(records))
-
-    def _take_configuration(self, peer: str, version: int, content: bytes) -> None:
-        log.info(
-            "beliefs_from_peer",
-            peer=peer,
-            configuration=version,
-            own_configuration=self._configuration.version,
-            bytes=len(content),
         )
-        self._configuration.take(content, peer)
 
-    def _take_records(self, peer: str, version: int, content: bytes) -> None:
-        records = unpack_records(content)
-        log.info(
-            "beliefs_from_peer",
-            peer=peer,
-            records=version,
-            own_records=self._records.at,
-            bytes=len(content),
-        )
+    def _take_records(self, version: int, records: tuple[Record, ...]) -> None:
         if version > self._records.at:
             items = [StoreItem(r.key, r.value, r.revision) for r in records]
             self._records.replace(tuple(items))
--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -91,7 +91,7 @@
     """
 
     def __init__(self) -> None:
-        self._reload: Callable[[], None] | None = None
+        self._reload: Callable[[], object] | None = None
         self._is_held = False
         signal.signal(signal.SIGHUP, self._receive)
 
@@ -99,7 +99,8 @@
     def taken_by(self, reload: Callable[[], None]) -> Iterator[None]:
         """Call ``reload`` on the running loop at each SIGHUP, one held included."""
         loop = asyncio.get_running_loop()
-        self._reload = lambda: _call_soon(loop, reload)
+        # From a signal handler the loop may be asleep; this wakes it.
+        self._reload = lambda: loop.call_soon_threadsafe(reload)
         if self._is_held:
             self._is_held = False
             self._reload()
@@ -116,11 +117,6 @@
             self._reload()
 
 
-def _call_soon(loop: asyncio.AbstractEventLoop, work: Callable[[], None]) -> None:
-    # From a signal handler the loop may be asleep; this wakes it.
-    loop.call_soon_threadsafe(work)
-
-
 def run_beside(stack: AsyncExitStack, work: Coroutine[Any, Any, None]) -> None:
     """Run ``work`` in a task that ends with the stack."""
     task = asyncio.create_task(work)
--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -71,13 +71,17 @@
         self._session = session
         self._url = f"http://{address}"
         self._on_transfer = on_transfer
-        self._receiving = 0
+        self._answers: list[_Answer] = []
         self._time = asyncio.get_running_loop().time
 
     @property
     def is_receiving(self) -> bool:
-        """Whether an answer has begun to come and is not whole yet."""
-        return self._receiving > 0
+        """
+        Whether the body of an answer has begun to come and is not whole yet.
+
+        A watch that waits is none: its header may come before its wait.
+        """
+        return any(answer.body for answer in self._answers)
 
     async def get(self, key: str) -> Result[store.StoreItem | None, PlatformError]:
         """Read one key; ``Ok(None)`` where it is absent."""
@@ -169,7 +173,8 @@
         self, call: store.StoreCall, silence_s: float
     ) -> Result[tuple[int, bytes], PlatformError]:
         started = self._time()
-        body = _Body(started)
+        answer = _Answer()
+        self._answers.append(answer)
         outcome = CANCELLED
         try:
             async with self._session.request(
@@ -180,10 +185,11 @@
                 headers={"Content-Type": "application/json"} if call.body else None,
                 timeout=answer_timeout(silence_s, CONNECT_TIMEOUT_S),
             ) as response:
-                body.begun_at = self._time()
-                await self._receive(response, body.parts)
+                answer.begun_at = self._time()
+                async for part in response.content.iter_any():
+                    answer.body += part
                 outcome = ENDED
-                return Ok((response.status, bytes(body.parts)))
+                return Ok((response.status, bytes(answer.body)))
         except aiohttp.ClientConnectorError as error:
             outcome = type(error).__name__
             return Err(PlatformDown(str(error)))
@@ -191,31 +197,21 @@
             outcome = type(error).__name__
             return Err(PlatformAnswerLost(outcome))
         finally:
+            self._answers.remove(answer)
             now = self._time()
-            body_s = now - body.begun_at if body.begun_at > started else 0.0
-            size = len(body.parts)
+            begun_at = now if answer.begun_at is None else answer.begun_at
+            size = len(answer.body)
             self._on_transfer(
-                StoreTransfer(call.name, outcome, size, body_s, now - started)
+                StoreTransfer(call.name, outcome, size, now - begun_at, now - started)
             )
 
-    async def _receive(
-        self, response: aiohttp.ClientResponse, parts: bytearray
-    ) -> None:
-        try:
-            async for part in response.content.iter_any():
-                # Counted from the first byte: a watch's head may come before its wait.
-                self._receiving += 0 if parts else 1
-                parts += part
-        finally:
-            self._receiving -= 1 if parts else 0
-
 
-@dataclass(slots=True)
-class _Body:
-    """What has come of an answer's body, and since when it comes."""
+@dataclass(slots=True, eq=False)
+class _Answer:
+    """What has come of an answer; ``begun_at`` is when its header came."""
 
-    begun_at: float
-    parts: bytearray = field(default_factory=bytearray)
+    begun_at: float | None = None
+    body: bytearray = field(default_factory=bytearray)
 
 
 @asynccontextmanager
--- a/packages/policy/src/amaranthtally/policy/piece_queue.py
+++ b/packages/policy/src/amaranthtally/policy/piece_queue.py
@@ -47,7 +47,7 @@
     groups: dict[tuple[str, int], list[Waiting]] = {}
     for waiting in queue:
         piece = waiting.ask.piece
-        part = piece.number // limits.part_pieces(waiting.ask.siblings)
+        part = limits.part_of(piece.number, waiting.ask.siblings)
         groups.setdefault((piece.request_id, part), []).append(waiting)
     return list(groups.values())
 
--- a/packages/policy/src/amaranthtally/policy/routes.py
+++ b/packages/policy/src/amaranthtally/policy/routes.py
@@ -94,6 +94,10 @@
         parts = ceil(pieces / max(1, self.batch))
         return max(1, ceil(pieces / max(1, parts)))
 
+    def part_of(self, number: int, pieces: int) -> int:
+        """Return which part of a stage's pieces one belongs to, from 0."""
+        return number // self.part_pieces(pieces)
+
     @property
     def share_s(self) -> float:
         """A piece's share of a full call, in seconds."""
--- a/packages/policy/src/amaranthtally/policy/stage_plans.py
+++ b/packages/policy/src/amaranthtally/policy/stage_plans.py
@@ -83,7 +83,7 @@
     def part_of(self, graph: PieceGraph, piece: Piece) -> int:
         """Return which part of its stage a piece belongs to, from 0."""
         limits = self._limits_of(graph.stages[piece.stage].pool)
-        return piece.number // limits.part_pieces(graph.count(piece.stage))
+        return limits.part_of(piece.number, graph.count(piece.stage))
 
     def share_s(self, pool: str) -> float:
         """Return by how much one more piece lengthens the wait for a pool's call."""
--- a/packages/wire/src/amaranthtally/wire/documents.py
+++ b/packages/wire/src/amaranthtally/wire/documents.py
@@ -143,12 +143,11 @@
 
     def content(self) -> bytes:
         """Return the whole document; raises ``MalformedDocumentError``."""
-        packed = bytes(self._parts)
-        if zlib.crc32(packed) != self._checksum:
+        if zlib.crc32(self._parts) != self._checksum:
             raise MalformedDocumentError("its parts do not match its checksum")
         unpacking = zlib.decompressobj()
         try:
-            content = unpacking.decompress(packed, MOST_BYTES)
+            content = unpacking.decompress(self._parts, MOST_BYTES)
         except zlib.error as error:
             raise MalformedDocumentError(str(error)) from error
         if unpacking.unconsumed_tail:
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -57,6 +57,11 @@
     configuration: int = 0
     records: int = 0
 
+    def of(self, document: Document) -> int:
+        """Return how new one document is."""
+        is_configuration = document is Document.CONFIGURATION
+        return self.configuration if is_configuration else self.records
+
 
 class Greeting(NamedTuple):
     """What a gateway answers a greeting; ``leaving`` once it has been told to stop."""
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -12,7 +12,7 @@
 from amaranthtally.adapter import headers as names
 from amaranthtally.standins.process import start_process
 from amaranthtally.standins.store import open_store_standin
-from tests.gateway.fake_endpoint import open_endpoint
+from tests.gateway.fake_endpoint import open_endpoint, whole
 from tests.support import run_async
 
 KEY = "key-of-the-account"
@@ -48,6 +48,11 @@
     }
 
 
+def answering(word):
+    """Return the script of an endpoint that answers every request with a word."""
+    return lambda request: [whole(request, word)]
+
+
 class Gateway:
     """One gateway process, and a caller of it."""
 
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -7,12 +7,7 @@
 
 from amaranthtally.adapter import headers as names
 from amaranthtally.standins.store import open_store_standin
-from tests.gateway.fake_endpoint import whole
-from tests.gateway.support import free_port, in_world, route
-
-
-def answering(word):
-    return lambda request: [whole(request, word)]
+from tests.gateway.support import answering, free_port, in_world, route
 
 
 async def until_answered(gateway, path, wanted):
--- a/tests/gateway/test_thin_links.py
+++ b/tests/gateway/test_thin_links.py
@@ -9,8 +9,7 @@
 
 from amaranthtally.standins.relay import Relay, ThinLink
 from amaranthtally.standins.store import open_store_standin
-from tests.gateway.fake_endpoint import whole
-from tests.gateway.support import configuration, in_world, route
+from tests.gateway.support import answering, configuration, in_world, route
 
 # In which a change is to be in force, and an endpoint that leaves to be left alone.
 IN_FORCE_S = 4.0
@@ -19,10 +18,6 @@
 ROUTES = 1400
 
 
-def answering(word):
-    return lambda request: [whole(request, word)]
-
-
 def large(version, *routes):
     """Return a configuration of some hundred kilobytes, with little that repeats."""
     draw = random.Random(1)
