Ports that a process comes back to are reserved from before it first starts

Until the process listened, half a second and more later, the kernel could give that number to any of the other workers' processes that asked for any port or called out. The same holds for each process that is restarted at the port it had: stand-ins, sidecars and entries of the randomised run (which tried again sixty times, and so hid it), of the tests of restarts, the gateways of the soak. Ruled out: a process of ours that was left behind; the port was drawn new in that test, and nothing had listened there.

The randomised run starts a process once, without trying again. Two tests that start a sidecar beside a paused one now give it addresses of its own.

--- a/packages/standins/src/amaranthtally/standins/chaos/__main__.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/__main__.py
@@ -87,7 +87,6 @@
     ):
         balancer = Balancer(deployment)
         world = World(deployment, balancer, Random(seed), relays)
-        world.pin_ports()
         following = asyncio.create_task(balancer.run())
         callers = Callers(world, seed, TOKENS)
         injecting = asyncio.create_task(
--- a/packages/standins/src/amaranthtally/standins/chaos/world.py
+++ b/packages/standins/src/amaranthtally/standins/chaos/world.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import signal
-import tomllib
 from collections import Counter
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
@@ -10,19 +9,13 @@
 from pathlib import Path
 from random import Random
 
-import tomli_w
-
 from amaranthtally.standins.chaos.balancer import Balancer
 from amaranthtally.standins.deployment import Deployment, EndpointPair
-from amaranthtally.standins.process import Process, StartError
+from amaranthtally.standins.process import Process
 from amaranthtally.standins.relay import Relay
 
 __all__ = ["HurtEntry", "World"]
 
-START_WAIT_S = 0.5
-LOOPBACK = "127.0.0.1"
-START_TRIES = 60
-
 
 @dataclass(slots=True)
 class HurtEntry:
@@ -93,29 +86,6 @@
         """Return the entries' names."""
         return [f"entry-{n + 1}" for n in range(len(self.deployment.entries))]
 
-    # Ports that outlive a process
-
-    def pin_ports(self) -> None:
-        """Write the bound ports into the settings, for processes started again."""
-        for pair in self.deployment.endpoints.values():
-            ports = pair.sidecar.ports
-            _write(
-                pair.sidecar_file,
-                {
-                    "wire_address": f"{LOOPBACK}:{ports['port']}",
-                    "http_address": f"{LOOPBACK}:{ports['http']}",
-                },
-            )
-        files = self.deployment.entry_files
-        for process, file in zip(self.deployment.entries, files, strict=True):
-            _write(
-                file,
-                {
-                    "caller_address": f"{LOOPBACK}:{process.ports['port']}",
-                    "admin_address": f"{LOOPBACK}:{process.ports['admin']}",
-                },
-            )
-
     # Restarts
 
     async def stop_sidecar(self, pair: EndpointPair) -> None:
@@ -150,15 +120,4 @@
             self.violated(f"{process.name} ended with {code} on a planned stop")
 
     async def _start(self, role: str, name: str, file: Path) -> Process:
-        # Another connection may hold the port for a moment.
-        for _ in range(START_TRIES):
-            try:
-                return await self.deployment.start_daemon(role, name, file)
-            except StartError:
-                await asyncio.sleep(START_WAIT_S)
-        raise StartError(f"{name} does not start again")
-
-
-def _write(file: Path, values: dict[str, str]) -> None:
-    settings = tomllib.loads(file.read_text(encoding="utf-8"))
-    file.write_text(tomli_w.dumps({**settings, **values}), encoding="utf-8")
+        return await self.deployment.start_daemon(role, name, file)
--- a/packages/standins/src/amaranthtally/standins/deployment.py
+++ b/packages/standins/src/amaranthtally/standins/deployment.py
@@ -6,7 +6,7 @@
 
 import asyncio
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Iterable
 from contextlib import AsyncExitStack, asynccontextmanager
 from pathlib import Path
 from typing import Any
@@ -22,6 +22,7 @@
     Region,
     load_plan,
 )
+from amaranthtally.standins.ports import LOOPBACK, reserve_port
 from amaranthtally.standins.process import Process, spawn_process, start_process
 
 __all__ = [
@@ -42,7 +43,6 @@
 HANDOVER_KEY = "loopback-handover-key-0001"
 STANDINS = "amaranthtally.standins"
 DAEMON = "amaranthtally.daemon.main"
-LOOPBACK_ANY_PORT = "127.0.0.1:0"
 READY_POLL_S = 0.02
 READY_TIMEOUT_S = 30.0
 
@@ -114,6 +114,10 @@
         """Return the endpoints of a pool."""
         return [pair for pair in self.endpoints.values() if pair.pool == name]
 
+    def own_address(self) -> str:
+        """Reserve an address for as long as the deployment runs."""
+        return f"{LOOPBACK}:{self._stack.enter_context(reserve_port())}"
+
     # Starting
 
     async def start_platform(self, *knobs: str) -> None:
@@ -123,20 +127,20 @@
 
     async def start_standin(self, name: str, kind: str, *knobs: str) -> Process:
         """Start a stand-in that ends with the deployment."""
-        process = await start_process(
-            name, STANDINS, kind, "--name", name, "--set", *knobs
-        )
-        self._stack.push_async_callback(process.kill)
-        return process
+        return await self._start_standin(name, kind, self.own_address(), knobs)
 
     async def start_standin_at(
         self, name: str, kind: str, port: int, knobs: dict[str, Any]
     ) -> Process:
         """Start a stand-in again at a port that it had."""
-        listen = f"127.0.0.1:{port}"
         pairs = [f"{key}={value}" for key, value in knobs.items()]
+        return await self._start_standin(name, kind, f"{LOOPBACK}:{port}", pairs)
+
+    async def _start_standin(
+        self, name: str, kind: str, listen: str, knobs: Iterable[str]
+    ) -> Process:
         process = await start_process(
-            name, STANDINS, kind, "--listen", listen, "--name", name, "--set", *pairs
+            name, STANDINS, kind, "--listen", listen, "--name", name, "--set", *knobs
         )
         self._stack.push_async_callback(process.kill)
         return process
@@ -179,8 +183,8 @@
         }
         settings = {
             **place,
-            "wire_address": LOOPBACK_ANY_PORT,
-            "http_address": LOOPBACK_ANY_PORT,
+            "wire_address": self.own_address(),
+            "http_address": self.own_address(),
             "endpoint_url": f"http://127.0.0.1:{service.ports['port']}",
             "endpoint_kind": pool.kind,
             "platform_url": self.platform_url,
@@ -213,8 +217,8 @@
             "host": f"host-{name}",
             "region": region.name,
             "data_centre": region.data_centres[0],
-            "caller_address": LOOPBACK_ANY_PORT,
-            "admin_address": LOOPBACK_ANY_PORT,
+            "caller_address": self.own_address(),
+            "admin_address": self.own_address(),
             "platform_url": self.platform_url,
             "token_keys": [TOKEN_KEY],
             "admin_keys": [ADMIN_KEY],
--- a/packages/standins/src/amaranthtally/standins/relay.py
+++ b/packages/standins/src/amaranthtally/standins/relay.py
@@ -6,10 +6,10 @@
 from enum import Enum
 
 from amaranthtally.standins.deployment import Deployment
+from amaranthtally.standins.ports import LOOPBACK
 
 __all__ = ["LinkFault", "Relay", "ThinLink", "open_relays"]
 
-LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 65_536
 # What one connection sends over a thin link before the next one has its turn.
 THIN_CHUNK_BYTES = 4096
--- a/tests/at_most_once/support.py
+++ b/tests/at_most_once/support.py
@@ -99,8 +99,7 @@
 async def restart_sidecar(deployment, pair, **overrides):
     """Start a sidecar anew at the address of the one that has ended."""
     settings = tomllib.loads(pair.sidecar_file.read_text(encoding="utf-8"))
-    settings |= {"wire_address": pair.address, **overrides}
-    deployment.write_settings(pair.id, settings)
+    deployment.write_settings(pair.id, settings | overrides)
     pair.sidecar = await deployment.start_daemon("sidecar", pair.id, pair.sidecar_file)
 
 
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import socket
 from contextlib import AsyncExitStack, asynccontextmanager
 
 import aiohttp
@@ -10,6 +9,7 @@
 from yarl import URL
 
 from amaranthtally.adapter import headers as names
+from amaranthtally.standins.ports import LOOPBACK, reserve_port
 from amaranthtally.standins.process import start_process
 from amaranthtally.standins.store import open_store_standin
 from tests.gateway.fake_endpoint import open_endpoint, whole
@@ -152,6 +152,10 @@
         session = aiohttp.ClientSession(auto_decompress=False)
         return Gateway(process, await self._stack.enter_async_context(session))
 
+    def own_address(self):
+        """Reserve an address for as long as the world runs."""
+        return f"{LOOPBACK}:{self._stack.enter_context(reserve_port())}"
+
     def settings(self, name, place, store):
         return {
             "name": name,
@@ -192,10 +196,3 @@
             await test(world)
 
     run_async(run())
-
-
-def free_port():
-    """Return a port that nobody listens on now."""
-    with socket.socket() as found:
-        found.bind(("127.0.0.1", 0))
-        return found.getsockname()[1]
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -7,7 +7,7 @@
 
 from amaranthtally.adapter import headers as names
 from amaranthtally.standins.store import open_store_standin
-from tests.gateway.support import answering, free_port, in_world, route
+from tests.gateway.support import answering, in_world, route
 
 
 async def until_answered(gateway, path, wanted):
@@ -320,8 +320,7 @@
         world.configure(1, route("work"))
         old = await world.gateway("old")
         await old.until("registered")
-        port = free_port()
-        address = f"127.0.0.1:{port}"
+        address = world.own_address()
         first = await world.gateway("first", peer_address=address)
         await old.until("peer_connected", peer="first")
         first.process.send(signal.SIGKILL)
--- a/tests/lifecycle/test_host_sidecar.py
+++ b/tests/lifecycle/test_host_sidecar.py
@@ -8,11 +8,7 @@
 import pytest
 
 from amaranthtally.settings import SettingsFileError, load_host_settings
-from amaranthtally.standins.deployment import (
-    HANDOVER_KEY,
-    LOOPBACK_ANY_PORT,
-    open_deployment,
-)
+from amaranthtally.standins.deployment import HANDOVER_KEY, open_deployment
 from tests.at_most_once.support import (
     PIPELINE,
     effects,
@@ -44,14 +40,14 @@
         "host": HOST,
         "region": pairs[0].region,
         "data_centre": pairs[0].data_centre,
-        "http_address": LOOPBACK_ANY_PORT,
+        "http_address": deployment.own_address(),
         "platform_url": deployment.platform_url,
         "drain_wait": 0.5,
         "handover_keys": [HANDOVER_KEY],
         "endpoints": [
             {
                 "endpoint": pair.id,
-                "wire_address": LOOPBACK_ANY_PORT,
+                "wire_address": deployment.own_address(),
                 "endpoint_url": pair.service_url,
                 "endpoint_kind": kinds[pair.pool],
                 "concurrency": 4,
--- a/tests/lifecycle/test_model_changes.py
+++ b/tests/lifecycle/test_model_changes.py
@@ -29,7 +29,7 @@
     wait_served,
 )
 from tests.lifecycle.support import logged
-from tests.settings.helpers import propose, set_value
+from tests.settings.helpers import propose, set_value, start_sidecar_beside
 from tests.support import parse_events, plan, run_async
 
 
@@ -230,9 +230,7 @@
             await start_with_old(deployment)
             old = pair.sidecar
             old.send(signal.SIGSTOP)
-            pair.sidecar = await deployment.start_daemon(
-                "sidecar", pair.id, pair.sidecar_file
-            )
+            await start_sidecar_beside(deployment, pair)
             await change(deployment, *registrations(deployment, OLD, NEW))
             await deployment.call("assessment", "claim", deadline_ms=DEADLINE_MS)
             await wait_models(deployment, OLD, NEW)
--- a/tests/lifecycle/test_planned_stops.py
+++ b/tests/lifecycle/test_planned_stops.py
@@ -39,7 +39,6 @@
         async with open_deployment(quick_plan(), entries=2, servers=2) as deployment:
             balancer = Balancer(deployment)
             world = World(deployment, balancer, Random(1))
-            world.pin_ports()
             following = asyncio.create_task(balancer.run())
             callers = Callers(world, 1, TOKENS, kinds=("whole", "stream"))
             stopping = asyncio.create_task(restart_all(world))
@@ -69,7 +68,6 @@
         async with effects_deployment() as deployment:
             balancer = Balancer(deployment)
             world = World(deployment, balancer, Random(1))
-            world.pin_ports()
             following = asyncio.create_task(balancer.run())
             callers = Callers(world, 1, TOKENS, kinds=("effect",))
             stopping = asyncio.create_task(restart_all(world))
--- a/tests/settings/helpers.py
+++ b/tests/settings/helpers.py
@@ -86,8 +86,13 @@
 async def restart_sidecar(deployment, pair):
     """Kill a sidecar and start it again at its address, with nothing in memory."""
     await pair.sidecar.kill()
-    settings = tomllib.loads(pair.sidecar_file.read_text())
-    settings["wire_address"] = f"127.0.0.1:{pair.sidecar.ports['port']}"
+    pair.sidecar = await deployment.start_daemon("sidecar", pair.id, pair.sidecar_file)
+
+
+async def start_sidecar_beside(deployment, pair):
+    """Start another sidecar of an endpoint while the old one keeps its addresses."""
+    own = {key: deployment.own_address() for key in ("wire_address", "http_address")}
+    settings = tomllib.loads(pair.sidecar_file.read_text()) | own
     file = deployment.write_settings(pair.id, settings)
     pair.sidecar = await deployment.start_daemon("sidecar", pair.id, file)
 
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,7 +8,7 @@
 from contextlib import AsyncExitStack, asynccontextmanager
 
 from amaranthtally.standins.relay import Relay, ThinLink
-from tests.gateway.support import SEGMENTS, STREAM, free_port, open_world, route
+from tests.gateway.support import SEGMENTS, STREAM, open_world, route
 from tests.soak.endpoints import Records, Script
 
 GATEWAYS = ("one", "two", "three")
@@ -59,7 +59,7 @@
         self.disturbed = set()
         self.violations = []
         self._stack = stack
-        self._ports = {}
+        self._addresses = {}
         self._version = 0
         self._more_routes = []
 
@@ -73,7 +73,7 @@
             relay = Relay(self.store.address, link)
             await self._stack.enter_async_context(relay.serve())
             self.relays[name] = relay
-            self._ports[name] = [free_port() for _ in range(3)]
+            self._addresses[name] = [self.world.own_address() for _ in range(3)]
         await asyncio.gather(*(self.start_gateway(name) for name in GATEWAYS))
         for gateway in self.gateways.values():
             await gateway.until_ready()
@@ -102,7 +102,7 @@
         return self.configure()
 
     async def start_gateway(self, name):
-        caller, ready, peer = (f"127.0.0.1:{port}" for port in self._ports[name])
+        caller, ready, peer = self._addresses[name]
         self.gateways[name] = await self.world.unready_gateway(
             name,
             PLACES[GATEWAYS.index(name)],
--- a/tests/test_daemon_product.py
+++ b/tests/test_daemon_product.py
@@ -64,14 +64,7 @@
 def test_an_address_in_use_ends_with_its_own_exit_code():
     async def scenario():
         async with open_deployment(plan(), servers=1) as deployment:
-            taken = f"127.0.0.1:{deployment.entries[0].ports['port']}"
-            text = deployment.entry_files[0].read_text()
-            path = deployment.folder / "second.toml"
-            path.write_text(
-                text.replace(
-                    'caller_address = "127.0.0.1:0"', f'caller_address = "{taken}"'
-                )
-            )
+            path = deployment.entry_files[0]
             process = await deployment.spawn_daemon("entry", "second", path)
             assert await process.wait() == ExitCode.CANNOT_LISTEN
             assert "choose a free address" in "\n".join(process.lines)
