A simulator of whole deployments: real planners, everything else on a virtual clock

The operator's `experiment` gains draw, run (paired, resumable, table, plot, JSON) and search.

The policy gains factories where a switch has to reach: Gatherer's batcher, places and plans, Batcher's servers and filling, Parts.inputs.

The replay's virtual clock moved to the simulator; there is one.

--- a/packages/operator/src/amaranthtally/operator/experiment/command.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/command.py
@@ -7,6 +7,7 @@
 import msgspec
 from cyclopts import App, Parameter, validators
 
+from amaranthtally.operator.experiment.day_commands import add_day_commands
 from amaranthtally.operator.experiment.errors import PlanError
 from amaranthtally.operator.experiment.plan import Plan, narrow_plan, read_plan
 from amaranthtally.operator.experiment.results import Result, summarize
@@ -21,8 +22,11 @@
 
 
 def register(app: App) -> None:
-    """Add the command to the operators' command line."""
-    app.command(run_experiment, name="experiment")
+    """Add the commands to the operators' command line."""
+    experiment = App(name="experiment", help="Compare variants of the policy.")
+    experiment.default(run_experiment)
+    add_day_commands(experiment)
+    app.command(experiment)
 
 
 def run_experiment(
--- a/packages/operator/src/amaranthtally/operator/replay/endpoints.py
+++ b/packages/operator/src/amaranthtally/operator/replay/endpoints.py
@@ -11,9 +11,9 @@
 from dataclasses import dataclass, field
 from functools import partial
 
-from amaranthtally.operator.replay.clock import VirtualClock
 from amaranthtally.operator.replay.trace import PoolPlan
 from amaranthtally.policy import CacheEvent
+from amaranthtally.simulator.clock import VirtualClock
 
 __all__ = ["CHUNK_TOKENS", "FakeEndpoint", "Run", "build_endpoint"]
 
--- a/packages/operator/src/amaranthtally/operator/replay/network.py
+++ b/packages/operator/src/amaranthtally/operator/replay/network.py
@@ -1,7 +1,7 @@
 """Constant latencies between places, and a region that is cut off."""
 
-from amaranthtally.operator.replay.clock import VirtualClock
 from amaranthtally.operator.replay.trace import EndpointPlan, LatencyPlan
+from amaranthtally.simulator.clock import VirtualClock
 
 __all__ = ["Network"]
 
--- a/packages/operator/src/amaranthtally/operator/replay/sidecar.py
+++ b/packages/operator/src/amaranthtally/operator/replay/sidecar.py
@@ -6,7 +6,6 @@
 from functools import partial
 from typing import Protocol
 
-from amaranthtally.operator.replay.clock import VirtualClock
 from amaranthtally.operator.replay.endpoints import FakeEndpoint, Run
 from amaranthtally.operator.replay.ledger import Ledger
 from amaranthtally.operator.replay.trace import EndpointPlan, PoolPlan
@@ -18,6 +17,7 @@
     QueuedCall,
     StageResult,
 )
+from amaranthtally.simulator.clock import VirtualClock
 
 __all__ = ["Call", "FakeSidecar", "Queue"]
 
--- a/packages/operator/src/amaranthtally/operator/replay/simulation.py
+++ b/packages/operator/src/amaranthtally/operator/replay/simulation.py
@@ -6,7 +6,6 @@
 from random import Random
 
 from amaranthtally.operator.replay.baselines import Contender
-from amaranthtally.operator.replay.clock import VirtualClock
 from amaranthtally.operator.replay.endpoints import build_endpoint
 from amaranthtally.operator.replay.entry import EntryReplay
 from amaranthtally.operator.replay.faults import Targets, schedule_faults
@@ -23,6 +22,7 @@
     PolicySettings,
     Stage,
 )
+from amaranthtally.simulator.clock import VirtualClock
 
 __all__ = ["build_pipeline", "replay"]
 
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -9,7 +9,7 @@
     piece_order,
     unmade_requests,
 )
-from amaranthtally.policy.call_filling import CallFill, fill_call
+from amaranthtally.policy.call_filling import CallFill, FillCall, fill_call
 from amaranthtally.policy.input_reads import InputReads
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.piece_graph import Piece, StoredResult
@@ -48,8 +48,11 @@
     and its memory, and a fifth of what they send is turned away.
     """
 
-    def __init__(self) -> None:
-        self._servers = PieceServers()
+    def __init__(
+        self, servers: PieceServers | None = None, fill: FillCall = fill_call
+    ) -> None:
+        self._servers = servers or PieceServers()
+        self._fill = fill
         self._queues: dict[tuple[str, str], list[Waiting]] = {}
         self._calls: dict[int, PieceCall] = {}
         self._reads = InputReads()
@@ -286,7 +289,7 @@
             if not queue:
                 return
             if server.is_open(now) and self._is_due(now, server, queue):
-                fill = fill_call(now, queue, server.limits, server.room_bytes(now))
+                fill = self._fill(now, queue, server.limits, server.room_bytes(now))
                 if fill.pieces:
                     batches.actions.append(self._send(now, server, queue, fill))
         self._drop_crowded_out(now, queue, servers, batches)
--- a/packages/policy/src/amaranthtally/policy/call_filling.py
+++ b/packages/policy/src/amaranthtally/policy/call_filling.py
@@ -1,5 +1,6 @@
 """What goes into the next call for pieces, and what kept it from being full."""
 
+from collections.abc import Callable
 from enum import Enum
 from typing import NamedTuple
 
@@ -7,7 +8,7 @@
 from amaranthtally.policy.piece_queue import Waiting, as_many, by_part
 from amaranthtally.policy.routes import PieceLimits
 
-__all__ = ["CallFill", "Shortage", "fill_call"]
+__all__ = ["CallFill", "FillCall", "Shortage", "fill_call"]
 
 
 class Shortage(Enum):
@@ -26,6 +27,9 @@
     facts: CallFacts
 
 
+FillCall = Callable[[float, list[Waiting], PieceLimits, float], CallFill]
+
+
 def fill_call(
     now: float, queue: list[Waiting], limits: PieceLimits, memory_bytes: float
 ) -> CallFill:
--- a/packages/policy/src/amaranthtally/policy/gathering.py
+++ b/packages/policy/src/amaranthtally/policy/gathering.py
@@ -1,6 +1,6 @@
 """Makes the pieces of requests: where, by whom, and again after a failure."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
 from amaranthtally.policy.actions import Action, AskPeer, FreeAtPeer, TellPeer
@@ -45,11 +45,16 @@
     them is chosen near them.
     """
 
-    def __init__(self) -> None:
-        self._batcher = Batcher()
-        self._places = Places()
+    def __init__(
+        self,
+        batcher: Batcher | None = None,
+        places: Places | None = None,
+        build_plans: Callable[[Places, Batcher], StagePlans] = StagePlans,
+    ) -> None:
+        self._batcher = batcher or Batcher()
+        self._places = places or Places()
         self._freer = ResultFreer(self._batcher, self._places)
-        self._plans = StagePlans(self._places, self._batcher)
+        self._plans = build_plans(self._places, self._batcher)
         self._gathered: dict[str, GatheredRequest] = {}
         self._asked = AskedPieces()
 
@@ -80,6 +85,10 @@
         """Use these live entries beside this one."""
         self._places.replace_peers(peers)
 
+    def owner(self, now: float, pool: str, data_centre: str) -> str:
+        """Return the entry that calls a pool's endpoints there; empty: this one."""
+        return self._places.owner(now, pool, data_centre)
+
     def inputs_of(self, request_id: str) -> tuple[StoredResult, ...]:
         """Return the results that a request reads."""
         found = self._gathered.get(request_id)
--- a/packages/policy/src/amaranthtally/policy/parts.py
+++ b/packages/policy/src/amaranthtally/policy/parts.py
@@ -11,6 +11,7 @@
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.prefixes import PrefixIndex
+from amaranthtally.policy.request_inputs import RequestInputs
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageTimes
 
@@ -21,6 +22,8 @@
     [Random, EndpointGroups, LoadTable, Ejections, PrefixIndex], Router
 ]
 
+BuildInputs = Callable[[Random, Gatherer, StageTimes], RequestInputs]
+
 
 @dataclass(frozen=True, slots=True)
 class Parts:
@@ -33,3 +36,4 @@
     admission: BuildAdmission = Admission
     router: BuildRouter = Router
     gatherer: Callable[[], Gatherer] = Gatherer
+    inputs: BuildInputs = RequestInputs
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -1,6 +1,6 @@
 """What the one entry that calls an endpoint for pieces knows of it."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
 from amaranthtally.policy.model import Endpoint
@@ -219,7 +219,10 @@
 class PieceServers:
     """The endpoints for pieces by pool and data centre."""
 
-    def __init__(self) -> None:
+    def __init__(
+        self, build: Callable[[Endpoint, PieceLimits], PieceServer] = PieceServer
+    ) -> None:
+        self._build = build
         self._servers: dict[str, PieceServer] = {}
         self._by_place: dict[tuple[str, str], list[PieceServer]] = {}
 
@@ -234,7 +237,7 @@
                 continue
             found = self._servers.get(endpoint.id)
             if found is None or not found.endpoint.stands_like(endpoint):
-                found = PieceServer(endpoint, pool.pieces)
+                found = self._build(endpoint, pool.pieces)
             found.endpoint = endpoint
             found.limits = pool.pieces
             found.leaving = not endpoint.takes_calls
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -33,7 +33,6 @@
 from amaranthtally.policy.piece_messages import PieceAsk, PiecesEnded, PieceTold
 from amaranthtally.policy.places import Peer
 from amaranthtally.policy.prefixes import PrefixIndex
-from amaranthtally.policy.request_inputs import RequestInputs
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.stream_watch import StreamWatch
 from amaranthtally.policy.timers import Timer, Timers
@@ -87,7 +86,7 @@
         self._streams = StreamWatch(self._times, self._loads)
         self._gatherer = parts.gatherer()
         self._first_events = FirstEvents()
-        self._inputs = RequestInputs(random, self._gatherer, self._times)
+        self._inputs = parts.inputs(random, self._gatherer, self._times)
         self._learner = Learner(
             self._times,
             self._loads,
--- /dev/null
+++ b/packages/simulator/src/amaranthtally/simulator/__init__.py
@@ -0,0 +1,1 @@
+"""Whole deployments on a virtual clock: the policy unchanged, everything else drawn."""
--- /dev/null
+++ b/packages/simulator/src/amaranthtally/simulator/days.py
@@ -0,0 +1,96 @@
+"""Plays a day of a deployment, and sums up what callers got."""
+
+from collections import Counter
+from collections.abc import Sequence
+
+import msgspec
+
+from amaranthtally.simulator.deployment import Deployment
+from amaranthtally.simulator.faults import plan_faults
+from amaranthtally.simulator.mechanisms import variant
+from amaranthtally.simulator.requests import Ending, Verdict
+from amaranthtally.simulator.world import World
+
+__all__ = ["Day", "figure_names", "play_day"]
+
+KILO, GIGA = 1e3, 1e9
+
+
+class Day(msgspec.Struct, frozen=True):
+    """
+    What a day was worth, as shares of what was owed, and what was broken.
+
+    ``worth`` is ``earned`` less ``prices``; ``wasted`` the share of stage time that
+    went to requests without an answer in time.
+    """
+
+    worth: float
+    earned: float
+    prices: float
+    on_time: float
+    refused: float
+    wasted: float
+    worst_kind: float
+    requests: int
+    broken: tuple[str, ...] = ()
+
+
+def figure_names() -> list[str]:
+    """Return the figures of a day that are shares."""
+    return [f for f in Day.__struct_fields__ if f not in ("requests", "broken")]
+
+
+def play_day(deployment: Deployment, seed: int, variant_name: str = "policy") -> Day:
+    """Play a day; raises ``DeploymentError`` for a fault that is not known."""
+    world = plan_faults(World(deployment, seed, variant(variant_name))).run()
+    verdicts = world.callers.verdicts
+    owed = sum(one.worth for one in verdicts) or 1.0
+    earned = sum(one.earned for one in verdicts) / owed
+    endings = Counter(one.ending for one in verdicts)
+    count = max(1, len(verdicts))
+    busy_s = sum(server.busy_s for server in world.stage_servers())
+    wasted_s = _wasted_s(world, busy_s)
+    prices = _prices(world, wasted_s) / owed
+    return Day(
+        worth=earned - prices,
+        earned=earned,
+        prices=prices,
+        on_time=endings[Ending.ON_TIME] / count,
+        refused=endings[Ending.REFUSED] / count,
+        wasted=wasted_s / busy_s if busy_s else 0.0,
+        worst_kind=_worst_kind(verdicts),
+        requests=len(verdicts),
+        broken=tuple(world.promises.broken),
+    )
+
+
+def _wasted_s(world: World, busy_s: float) -> float:
+    """Return the stage time that made nothing which an answered request read."""
+    useful_s = sum(
+        verdict.stage_s / max(1, verdict.tries)
+        for verdict in world.callers.verdicts
+        if verdict.ending in (Ending.ON_TIME, Ending.LATE)
+    )
+    return max(0.0, busy_s - useful_s)
+
+
+def _prices(world: World, wasted_s: float) -> float:
+    prices = world.deployment.prices
+    again = world.parts.again_tokens / KILO
+    crossed = world.crossed_bytes() / GIGA
+    return (
+        prices.stage_second * wasted_s
+        + prices.thousand_tokens * again
+        + prices.crossing_gigabyte * crossed
+    )
+
+
+def _worst_kind(verdicts: Sequence[Verdict]) -> float:
+    by_kind: dict[str, list[Verdict]] = {}
+    for one in verdicts:
+        by_kind.setdefault(one.kind, []).append(one)
+    shares = [
+        sum(one.earned for one in of_kind) / sum(one.worth for one in of_kind)
+        for of_kind in by_kind.values()
+    ]
+    return min(shares, default=0.0)
--- /dev/null
+++ b/packages/simulator/src/amaranthtally/simulator/draw.py
@@ -0,0 +1,213 @@
+"""Deployments that nobody has seen, drawn from a seed."""
+
+from random import Random
+
+import msgspec
+
+from amaranthtally.simulator.deployment import (
+    DataCentre,
+    Deployment,
+    EnginePool,
+    Fault,
+    Kind,
+    PiecePool,
+    ServicePool,
+    Stage,
+)
+
+__all__ = ["draw_deployment"]
+
+CALL_S = 0.2
+# What a full call's pieces take beside the call itself, in seconds.
+FULL_PIECES_S = 0.17
+# Results of the first pool are large, and those of the later ones small, in bytes.
+LARGE_BYTES = 1.5e6
+SMALL_BYTES = (8e3, 60e3, 6e3)
+# Share of what the pools could make that requests ask for on a calm day.
+CALM_LOAD = (0.5, 0.9)
+FAULT_START_S = (4.0, 12.0)
+FAULT_LENGTH_S = (1.5, 6.0)
+FAULTS = (
+    "burst",
+    "crash",
+    "cut",
+    "dark",
+    "flap",
+    "freeze",
+    "hang",
+    "kill",
+    "kill_all",
+    "lost_answers",
+    "rolling_stop",
+    "scale_in",
+    "slow",
+    "store_cut",
+)
+ENTRY_FAULTS = frozenset({"kill", "freeze", "store_cut"})
+EVERYWHERE = frozenset({"kill_all", "rolling_stop"})
+
+
+def draw_deployment(
+    seed: int, seconds: float = 24.0, faults: int | None = None
+) -> Deployment:
+    """Return a deployment and a day with a burst; ``faults`` more go wrong."""
+    random = Random(f"deployment/{seed}")
+    centres = _draw_centres(random)
+    pools = _draw_piece_pools(random)
+    kinds = _draw_kinds(random, pools, len(centres))
+    drawn = Deployment(
+        name=f"drawn-{seed}",
+        data_centres=centres,
+        kinds=kinds,
+        piece_pools=pools,
+        engine_pools=(_draw_engines(random),),
+        service_pools=(ServicePool("desk", slots=random.randint(3, 8)),),
+        seconds=seconds,
+    )
+    count = random.randint(1, 3) if faults is None else faults
+    faulty = ["burst", *(random.choice(FAULTS) for _ in range(count))]
+    planned = tuple(_draw_fault(random, drawn, kind) for kind in faulty)
+    return msgspec.structs.replace(drawn, faults=planned)
+
+
+def _draw_centres(random: Random) -> tuple[DataCentre, ...]:
+    names = ("cluj-a", "iasi-a", "bucuresti-a", "bucuresti-b")
+    chosen = names[: random.randint(2, len(names))]
+    entries = random.randint(1, 3)
+    return tuple(DataCentre(n, n.partition("-")[0], entries) for n in chosen)
+
+
+def _draw_piece_pools(random: Random) -> tuple[PiecePool, ...]:
+    batches = sorted(random.randint(4, 48) for _ in SMALL_BYTES)
+    names = ("catalogue", "roster", "ledger")
+    sizes = (LARGE_BYTES, *SMALL_BYTES[1:])
+    return tuple(
+        PiecePool(
+            name=name,
+            call_s=CALL_S,
+            piece_s=round(FULL_PIECES_S / batch, 5),
+            batch=batch,
+            memory_bytes=size * batch * random.uniform(1.2, 2.0),
+            endpoints=random.randint(1, 2),
+        )
+        for name, batch, size in zip(names, batches, sizes, strict=True)
+    )
+
+
+def _draw_engines(random: Random) -> EnginePool:
+    return EnginePool(
+        "engines", random.randint(2, 4), random.choice((32, 64)), report_lag_s=0.2
+    )
+
+
+def _draw_kinds(
+    random: Random, pools: tuple[PiecePool, ...], centres: int
+) -> tuple[Kind, ...]:
+    load = random.uniform(*CALM_LOAD)
+    shapes = [_large(random), _walk(random), _query(random)]
+    rates = [random.uniform(0.5, 1.5) for _ in shapes]
+    asked = [_pieces_of(stages, pools) for stages in shapes]
+    # What each pool could make, in pieces a second, bounds the rate of all kinds.
+    able = [centres * p.endpoints * p.batch / (CALL_S + FULL_PIECES_S) for p in pools]
+    wanted = [
+        sum(rate * pieces[pool] for rate, pieces in zip(rates, asked, strict=True))
+        for pool in range(len(pools))
+    ]
+    scale = min(a * load / w for a, w in zip(able, wanted, strict=True) if w)
+    ranks = random.sample((0, 1, 2), 3)
+    streams = [
+        _stream(random, name, rate * scale, rank, stages)
+        for name, rate, rank, stages in zip(
+            ("claim", "walk", "query"), rates, ranks, shapes, strict=True
+        )
+    ]
+    read = Kind("read", "desk", random.uniform(2.0, 8.0), 0.4, 2.0, worth=0.3)
+    order = Kind(
+        "order", "desk", random.uniform(1.0, 4.0), 0.5, 2.0, call="effect", worth=0.5
+    )
+    return (*streams, read, order)
+
+
+def _large(random: Random) -> tuple[Stage, ...]:
+    return (Stage("catalogue", (0, random.randint(2, 8)), LARGE_BYTES),)
+
+
+def _walk(random: Random) -> tuple[Stage, ...]:
+    middle, last = random.randint(3, 9), random.randint(6, 16)
+    return (
+        Stage("catalogue", (1, 1), SMALL_BYTES[0]),
+        Stage("roster", (middle, middle), SMALL_BYTES[1], (0,)),
+        Stage("ledger", (last // 2, last), SMALL_BYTES[2], (1,)),
+    )
+
+
+def _query(random: Random) -> tuple[Stage, ...]:
+    large = Stage("catalogue", (0, 2), LARGE_BYTES)
+    rest = _walk(random)
+    moved = [
+        Stage(s.pool, s.pieces, s.result_bytes, tuple(i + 1 for i in s.after))
+        for s in rest
+    ]
+    return (large, *moved)
+
+
+def _pieces_of(stages: tuple[Stage, ...], pools: tuple[PiecePool, ...]) -> list[float]:
+    return [
+        sum(sum(stage.pieces) / 2 for stage in stages if stage.pool == pool.name)
+        for pool in pools
+    ]
+
+
+def _stream(
+    random: Random, name: str, rate: float, rank: int, stages: tuple[Stage, ...]
+) -> Kind:
+    objective_s = 0.9 + 0.45 * len(stages) + random.uniform(0.0, 0.4)
+    worth = round(random.uniform(0.4, 4.0), 2)
+    return Kind(
+        name=name,
+        pool="engines",
+        rate=round(rate, 3),
+        objective_s=round(objective_s, 2),
+        deadline_s=round(objective_s * random.uniform(2.5, 6.0), 2),
+        call="streaming",
+        worth=worth,
+        late_worth=round(0.15 * worth, 3),
+        priority=rank,
+        clump=random.choice((1, 2, 3)),
+        patience_s=random.choice((0.0, 5.0)),
+        resumable=random.random() < 0.7,
+        stages=stages,
+        shared_tokens=(300, random.randint(600, 6000)),
+        own_tokens=(50, random.randint(500, 4000)),
+        answer_tokens=(20, random.randint(80, 400)),
+        sessions=random.randint(10, 120),
+    )
+
+
+def _draw_fault(random: Random, drawn: Deployment, kind: str) -> Fault:
+    return Fault(
+        kind=kind,
+        start_s=round(random.uniform(*FAULT_START_S), 2),
+        length_s=round(random.uniform(*FAULT_LENGTH_S), 2),
+        target=_draw_target(random, drawn, kind),
+        factor=round(random.uniform(1.5, 4.0), 2),
+    )
+
+
+def _draw_target(random: Random, drawn: Deployment, kind: str) -> str:
+    place = random.choice(drawn.data_centres)
+    if kind in EVERYWHERE:
+        return ""
+    if kind in ENTRY_FAULTS:
+        return f"{place.name}/{random.randrange(place.entries)}"
+    if kind == "cut":
+        return place.name
+    if kind == "burst":
+        return random.choice(("", *(one.name for one in drawn.kinds)))
+    counts = [
+        *((pool.name, pool.endpoints) for pool in drawn.piece_pools),
+        *((pool.name, pool.endpoints) for pool in drawn.engine_pools),
+        *((pool.name, pool.endpoints) for pool in drawn.service_pools),
+    ]
+    name, count = random.choice(counts)
+    return f"{name}/{place.name}/{random.randrange(count)}"
--- /dev/null
+++ b/packages/simulator/src/amaranthtally/simulator/errors.py
@@ -0,0 +1,15 @@
+"""Errors of the simulator; each names the remedy."""
+
+from pathlib import Path
+
+__all__ = ["DeploymentError"]
+
+
+class DeploymentError(Exception):
+    """A deployment's file cannot be used."""
+
+    def __init__(self, path: Path | str, detail: str, remedy: str) -> None:
+        super().__init__(f"{path}: {detail}; {remedy}")
+        self.path = path
+        self.detail = detail
+        self.remedy = remedy
--- /dev/null
+++ b/packages/simulator/src/amaranthtally/simulator/requests.py
@@ -0,0 +1,69 @@
+"""One request of a caller, and how it ended."""
+
+from dataclasses import dataclass, field
+from enum import Enum
+
+from amaranthtally.simulator.deployment import Kind
+
+__all__ = ["Ending", "Request", "Verdict"]
+
+
+class Ending(Enum):
+    """How a request ended for its caller."""
+
+    ON_TIME = "on_time"
+    LATE = "late"
+    REFUSED = "refused"
+    FAILED = "failed"
+    GONE = "gone"
+
+
+@dataclass(slots=True, eq=False)
+class Request:
+    """
+    A request as its caller knows it; times are time stamps in seconds.
+
+    ``counts`` are the pieces of each stage, ``prefix`` the parts of its prompt with
+    their ``sizes`` in tokens. ``tries`` counts how often it was sent, ``began_at`` is
+    when its first event came.
+    """
+
+    id: str
+    kind: Kind
+    came_at: float
+    counts: tuple[int, ...]
+    prefix: tuple[int, ...]
+    sizes: tuple[int, ...]
+    tokens: int
+    tries: int = 0
+    began_at: float | None = None
+    stage_s: float = 0.0
+
+    @property
+    def deadline(self) -> float:
+        """When its caller leaves."""
+        return self.came_at + self.kind.deadline_s
+
+    @property
+    def objective(self) -> float:
+        """When its answer is late."""
+        return self.came_at + self.kind.objective_s
+
+    @property
+    def try_id(self) -> str:
+        """Its id at entries, another one each time it is sent."""
+        return f"{self.id}.{self.tries}"
+
+
+@dataclass(frozen=True, slots=True)
+class Verdict:
+    """The end of a request: what it was worth, and what was spent on it."""
+
+    kind: str
+    ending: Ending
+    came_at: float
+    ended_at: float
+    worth: float
+    earned: float
+    tries: int
+    stage_s: float = field(default=0.0)
--- a/tests/unit/test_replay.py
+++ b/tests/unit/test_replay.py
@@ -9,11 +9,11 @@
 from hypothesis import given, settings, strategies as st
 
 from amaranthtally.operator.replay.bound import Job, most_on_time
-from amaranthtally.operator.replay.clock import VirtualClock
 from amaranthtally.operator.replay.endpoints import Run, build_endpoint
 from amaranthtally.operator.replay.measures import jain_index, max_min_shares
 from amaranthtally.operator.replay.scenarios import make_trace
 from amaranthtally.operator.replay.trace import PoolPlan, read_trace, write_trace
+from amaranthtally.simulator.clock import VirtualClock
 
 ROOT = Path(__file__).parent.parent.parent
 TRACE = ROOT / "traces" / "agrosalv-failing.jsonl.gz"
