A queue of pieces keeps its counts, so that a burst doesn't slow each decision

At every tick and every piece asked for, told of or ended, an entry looked at each waiting piece: is it late, how many are on time, is it known already. An entry of a fifth of a core spends its share just when it is short.

Cause: the batcher's queues were plain lists. Now a queue keeps the times by which calls must begin in order, by rank, its earliest deadline, and how many pieces a request has in it; the batcher keeps the set of known pieces; an entry's asked pieces keep the earliest moment at which one is overdue.

--- a/packages/policy/src/amaranthtally/policy/asked_pieces.py
+++ b/packages/policy/src/amaranthtally/policy/asked_pieces.py
@@ -1,5 +1,6 @@
 """The pieces that an entry has asked for and not heard of."""
 
+from math import inf
 from typing import NamedTuple
 
 from amaranthtally.policy.piece_graph import Piece
@@ -21,6 +22,8 @@
 
     def __init__(self) -> None:
         self._asked: dict[Piece, AskedPiece] = {}
+        # No piece is overdue before.
+        self._first_until = inf
 
     @property
     def owners(self) -> frozenset[str]:
@@ -30,6 +33,7 @@
     def put(self, piece: Piece, asked: AskedPiece) -> None:
         """Note that a piece is asked for."""
         self._asked[piece] = asked
+        self._first_until = min(self._first_until, asked.until)
 
     def take(self, piece: Piece) -> AskedPiece | None:
         """Return and forget what is known of a piece."""
@@ -41,6 +45,10 @@
 
     def overdue(self, now: float) -> dict[Piece, AskedPiece]:
         """Return the pieces of which nothing was heard in their time."""
+        if now < self._first_until:
+            return {}
+        left = (asked.until for asked in self._asked.values() if asked.until > now)
+        self._first_until = min(left, default=inf)
         return {p: asked for p, asked in self._asked.items() if asked.until <= now}
 
     def end(self, request_id: str) -> list[str]:
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -22,6 +22,7 @@
 )
 from amaranthtally.policy.piece_queue import Waiting
 from amaranthtally.policy.piece_servers import PieceServer, PieceServers
+from amaranthtally.policy.place_queue import PlaceQueue
 from amaranthtally.policy.routes import Pool
 
 __all__ = ["Batcher", "Batches"]
@@ -53,7 +54,9 @@
     ) -> None:
         self._servers = servers or PieceServers()
         self._fill = fill
-        self._queues: dict[tuple[str, str], list[Waiting]] = {}
+        self._queues: dict[tuple[str, str], PlaceQueue] = {}
+        # Pieces that wait or run, so that none is taken twice.
+        self._known: set[Piece] = set()
         self._calls: dict[int, PieceCall] = {}
         self._reads = InputReads()
         self._next_call = 0
@@ -89,11 +92,8 @@
         servers = self._servers.at(pool, data_centre)
         if not servers:
             return 0.0
-        queue = self._queues.get((pool, data_centre), ())
-        queued = sum(
-            now <= waiting.ask.start_by and waiting.ask.priority <= rank
-            for waiting in queue
-        )
+        queue = self._queues.get((pool, data_centre))
+        queued = queue.on_time(now, rank) if queue is not None else 0
         limits = servers[0].limits
         calls = queued // (limits.batch * len(servers))
         best = min(servers, key=lambda server: server.wait_s(now))
@@ -117,14 +117,11 @@
         nothing of it for long asks once more, as the word of its end may be lost.
         """
         places: dict[tuple[str, str], None] = {}
-        known = self._known()
         for ask in asks:
-            if ask.piece in known:
+            if ask.piece in self._known:
                 continue
-            known.add(ask.piece)
-            place = (ask.pool, ask.data_centre)
-            self._queues.setdefault(place, []).append(Waiting(ask, now))
-            places[place] = None
+            self._queue(now, ask)
+            places[ask.pool, ask.data_centre] = None
         batches = Batches()
         for place in places:
             self._flush(now, place, batches)
@@ -133,6 +130,7 @@
     def ended(self, now: float, call_id: int, end: PiecesEnded) -> Batches:
         """Take the end of a call; its endpoint can have the next one."""
         call = self._calls.pop(call_id)
+        self._known.difference_update(ask.piece for ask in call.asks)
         server = self._servers.find(call.endpoint)
         if server is not None:
             self._note_end(now, server, call_id, end)
@@ -163,9 +161,10 @@
 
     def hand_back(self) -> Batches:
         """Let askers ask another entry for what waits, as this one leaves."""
-        waiting = [w.ask for queue in self._queues.values() for w in queue]
+        waiting = [w for queue in self._queues.values() for w in queue]
         self._queues.clear()
-        return self.refuse(waiting)
+        self._forget(waiting)
+        return self.refuse(w.ask for w in waiting)
 
     def refuse(self, asks: Iterable[PieceAsk]) -> Batches:
         """Let askers ask another entry, as this one makes no pieces for them."""
@@ -177,15 +176,10 @@
             batches.told.setdefault(ask.asker, []).append(told)
         return batches
 
-    def _known(self) -> set[Piece]:
-        waiting = {w.ask.piece for queue in self._queues.values() for w in queue}
-        running = {ask.piece for call in self._calls.values() for ask in call.asks}
-        return waiting | running
-
     def withdraw(self, request_id: str) -> None:
         """Make no more pieces of a request that has ended."""
         for queue in self._queues.values():
-            queue[:] = [w for w in queue if w.ask.piece.request_id != request_id]
+            self._forget(queue.take_request(request_id))
 
     def free(self, now: float, results: Iterable[StoredResult]) -> list[Action]:
         """Have results dropped by their makers."""
@@ -231,7 +225,7 @@
             if server is not None:
                 server.had_no_room(now)
             if not has_freed:
-                self._again(now, ask)
+                self._queue(now, ask)
                 return
             outcome = PieceOutcome(fault=PieceFault.INPUT_GONE)
         if server is not None and outcome.handle:
@@ -247,14 +241,18 @@
         batches: Batches,
     ) -> None:
         if end.refused and not has_freed:
-            self._again(now, ask)
+            self._queue(now, ask)
         else:
             outcome = PieceOutcome(fault=PieceFault.FAILED)
             self._tell(now, ask, "", outcome, batches, has_freed)
 
-    def _again(self, now: float, ask: PieceAsk) -> None:
+    def _queue(self, now: float, ask: PieceAsk) -> None:
         place = (ask.pool, ask.data_centre)
-        self._queues.setdefault(place, []).append(Waiting(ask, now))
+        self._known.add(ask.piece)
+        self._queues.setdefault(place, PlaceQueue()).add(Waiting(ask, now))
+
+    def _forget(self, several: Iterable[Waiting]) -> None:
+        self._known.difference_update(waiting.ask.piece for waiting in several)
 
     def _tell(
         self,
@@ -282,21 +280,25 @@
 
     def _flush(self, now: float, place: tuple[str, str], batches: Batches) -> None:
         """Give each endpoint that is free the most urgent pieces."""
-        queue = self._queues.get(place, [])
+        queue = self._queues.get(place)
+        if not queue:
+            return
         self._drop_late(now, queue, batches)
         servers = self._servers.at(*place)
         for server in servers:
             if not queue:
                 return
             if server.is_open(now) and self._is_due(now, server, queue):
-                fill = self._fill(now, queue, server.limits, server.room_bytes(now))
+                fill = self._fill(
+                    now, queue.waiting, server.limits, server.room_bytes(now)
+                )
                 if fill.pieces:
                     batches.actions.append(self._send(now, server, queue, fill))
         self._drop_crowded_out(now, queue, servers, batches)
         if not any(server.is_usable(now) for server in servers):
             self._give_back(now, queue, not servers, batches)
 
-    def _is_due(self, now: float, server: PieceServer, queue: list[Waiting]) -> bool:
+    def _is_due(self, now: float, server: PieceServer, queue: PlaceQueue) -> bool:
         """Whether there is enough for a call, or a piece has waited for others."""
         if len(queue) >= server.limits.batch:
             return True
@@ -306,12 +308,11 @@
         self,
         now: float,
         server: PieceServer,
-        queue: list[Waiting],
+        queue: PlaceQueue,
         fill: CallFill,
     ) -> RunPieces:
         self._next_call += 1
-        taken = {id(waiting) for waiting in fill.pieces}
-        queue[:] = [waiting for waiting in queue if id(waiting) not in taken]
+        queue.remove(fill.pieces)
         asks = tuple(waiting.ask for waiting in fill.pieces)
         is_alone = server.is_alone(now)
         timeout_s = server.timeout_s(now, len(asks))
@@ -326,17 +327,13 @@
             self._next_call, server.endpoint.id, orders, timeout_s, fill.facts
         )
 
-    def _drop_late(self, now: float, queue: list[Waiting], batches: Batches) -> None:
-        late = [waiting for waiting in queue if waiting.ask.deadline <= now]
-        for waiting in late:
-            queue.remove(waiting)
-            outcome = PieceOutcome(fault=PieceFault.LATE)
-            self._tell(now, waiting.ask, "", outcome, batches)
+    def _drop_late(self, now: float, queue: PlaceQueue, batches: Batches) -> None:
+        self._tell_fault(now, queue.take_late(now), PieceFault.LATE, batches)
 
     def _drop_crowded_out(
         self,
         now: float,
-        queue: list[Waiting],
+        queue: PlaceQueue,
         servers: list[PieceServer],
         batches: Batches,
     ) -> None:
@@ -348,25 +345,21 @@
         Those that have been begun are kept, as what was made of them would be wasted.
         """
         places = sum(server.limits.batch for server in servers)
-        on_time = sum(now <= waiting.ask.start_by for waiting in queue)
-        if on_time < places:
+        if queue.on_time(now) < places:
             return
-        for waiting in [w for w in queue if _is_late_before_begun(w, now)]:
-            queue.remove(waiting)
-            outcome = PieceOutcome(fault=PieceFault.LATE)
-            self._tell(now, waiting.ask, "", outcome, batches)
+        self._tell_fault(now, queue.take_late_unbegun(now), PieceFault.LATE, batches)
 
     def _give_back(
-        self, now: float, queue: list[Waiting], at_once: bool, batches: Batches
+        self, now: float, queue: PlaceQueue, at_once: bool, batches: Batches
     ) -> None:
         """Let pieces be asked for elsewhere, as no endpoint here takes them."""
         kept_s = 0.0 if at_once else GIVE_BACK_S
-        for waiting in [w for w in queue if now - w.since >= kept_s]:
-            queue.remove(waiting)
-            outcome = PieceOutcome(fault=PieceFault.FAILED)
-            self._tell(now, waiting.ask, "", outcome, batches)
+        given = queue.take(lambda waiting: now - waiting.since >= kept_s)
+        self._tell_fault(now, given, PieceFault.FAILED, batches)
 
-
-def _is_late_before_begun(waiting: Waiting, now: float) -> bool:
-    ask = waiting.ask
-    return now > ask.start_by and not (ask.is_begun or ask.inputs)
+    def _tell_fault(
+        self, now: float, several: list[Waiting], fault: PieceFault, batches: Batches
+    ) -> None:
+        self._forget(several)
+        for waiting in several:
+            self._tell(now, waiting.ask, "", PieceOutcome(fault=fault), batches)
--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -225,7 +225,7 @@
 
     def _check_peers(self) -> None:
         now = self._clock.now
-        for name in self.planner.asked_peers | self.planner.shut_peers(now):
+        for name in sorted(self.planner.asked_peers | self.planner.shut_peers(now)):
             peer = self._world.peer(name)
             if peer is not None and not peer.is_frozen and self._reaches(peer.place):
                 if not peer.leaving:
--- a/packages/simulator/src/amaranthtally/simulator/mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/mechanisms.py
@@ -28,6 +28,7 @@
 from amaranthtally.policy.piece_graph import PieceGraph
 from amaranthtally.policy.piece_queue import Waiting, as_many
 from amaranthtally.policy.piece_servers import PieceServer, PieceServers
+from amaranthtally.policy.place_queue import PlaceQueue
 from amaranthtally.policy.places import NOTHING_READ, Places
 from amaranthtally.policy.request_inputs import RequestInputs
 from amaranthtally.policy.requests import Request
@@ -170,7 +171,7 @@
 class Impatient(Batcher):
     """Sends a call as soon as there is a piece for it."""
 
-    def _is_due(self, now: float, server: PieceServer, queue: list[Waiting]) -> bool:
+    def _is_due(self, now: float, server: PieceServer, queue: PlaceQueue) -> bool:
         return True
 
 
@@ -180,7 +181,7 @@
     def _drop_crowded_out(
         self,
         now: float,
-        queue: list[Waiting],
+        queue: PlaceQueue,
         servers: list[PieceServer],
         batches: Batches,
     ) -> None:
