--- a/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
@@ -40,6 +40,7 @@
 LOG_NAME = "days.jsonl"
 # Drawn days that are searched are short: what breaks shows soon after a fault.
 SEARCH_S = 16.0
+DAY_S = 24.0
 
 Count = Annotated[int, Parameter(validator=validators.Number(gte=1))]
 
@@ -71,7 +72,8 @@
     drawn: int = 0,
     first: int = 1,
     variants: list[str] | None = None,
-    seeds: Annotated[int, Parameter(validator=validators.Number(gte=2))] = 4,
+    seconds: float = DAY_S,
+    seeds: Count = 4,
     jobs: Count = 2,
     out: Path,
 ) -> int:
@@ -90,6 +92,8 @@
         As many drawn deployments beside them.
     first
         Seed of the first drawn one.
+    seconds
+        How long requests come on drawn days.
     variants
         Variants to compare with the policy; all of them where left out.
     seeds
@@ -100,7 +104,7 @@
         Directory for the days, the table, the plot and the result as JSON.
     """
     try:
-        deployments = _deployments(files, drawn, first)
+        deployments = _deployments(files, range(first, first + drawn), seconds)
         chosen = _chosen(variants)
     except DeploymentError as error:
         sys.stderr.write(f"{error}\n")
@@ -142,11 +146,13 @@
     return EXIT_BROKEN if broken else 0
 
 
-def _deployments(files: tuple[Path, ...], drawn: int, first: int) -> list[Deployment]:
+def _deployments(
+    files: tuple[Path, ...], drawn: range, seconds: float
+) -> list[Deployment]:
     read = [read_deployment(path) for path in files]
     for path, deployment in zip(files, read, strict=True):
         check_faults(path, deployment)
-    found = read + [draw_deployment(first + number) for number in range(drawn)]
+    found = read + [draw_deployment(seed, seconds) for seed in drawn]
     if not found:
         remedy = "name files or give --drawn"
         raise DeploymentError("experiment run", "there is no deployment", remedy)
--- a/packages/operator/src/amaranthtally/operator/experiment/trial_log.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/trial_log.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from hashlib import blake2b
+from os import SEEK_END
 from pathlib import Path
 
 import msgspec
@@ -42,9 +43,18 @@
         return {played.trial: played.day for played in self._lines()}
 
     def add(self, played: PlayedDay) -> None:
-        """Add a played day."""
+        """Add a played day, on a line of its own also after one cut short."""
+        line = msgspec.json.encode(played) + b"\n"
         with self._path.open("ab") as file:
-            file.write(msgspec.json.encode(played) + b"\n")
+            file.write(line if self._ends_whole() else b"\n" + line)
+
+    def _ends_whole(self) -> bool:
+        with self._path.open("rb") as file:
+            size = file.seek(0, SEEK_END)
+            if not size:
+                return True
+            file.seek(size - 1)
+            return file.read(1) == b"\n"
 
     def _lines(self) -> Iterator[PlayedDay]:
         if not self._path.exists():
