--- a/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
@@ -1,6 +1,9 @@
 """The commands ``experiment draw``, ``experiment run`` and ``experiment search``."""
 
+import signal
 import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
 from pathlib import Path
 from typing import Annotated
 
@@ -111,7 +114,8 @@
         return EXIT_BAD_INPUT
     out.mkdir(parents=True, exist_ok=True)
     trials = day_trials(deployments, range(1, seeds + 1), chosen)
-    days, was_interrupted = _play(trials, out, jobs)
+    with _interruptible():
+        days, was_interrupted = _play(trials, out, jobs)
     _write(out, days)
     sys.stdout.write(render_broken(days))
     if was_interrupted:
@@ -193,6 +197,22 @@
     return days, False
 
 
+@contextmanager
+def _interruptible() -> Iterator[None]:
+    """
+    Raise ``KeyboardInterrupt`` on SIGTERM as on Ctrl-C, also in the background.
+
+    Ended by a signal at once, it would leave its workers waiting for ever.
+    """
+    signals = (signal.SIGINT, signal.SIGTERM)
+    before = [signal.signal(one, signal.default_int_handler) for one in signals]
+    try:
+        yield
+    finally:
+        for one, handler in zip(signals, before, strict=True):
+            signal.signal(one, handler)
+
+
 def _write(out: Path, days: dict[DayTrial, Day]) -> None:
     comparisons = compare(days, POLICY.name, figure_names())
     table = render_comparisons(comparisons, MAIN_FIGURE)
--- a/packages/simulator/src/amaranthtally/simulator/mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/mechanisms.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Callable, Mapping
-from dataclasses import dataclass, replace
+from dataclasses import astuple, dataclass, replace
 from math import inf
 
 from amaranthtally.policy import (
@@ -15,13 +15,14 @@
     Endpoint,
     Gatherer,
     Parts,
+    PieceFault,
     PieceLimits,
     PieceWork,
     PolicySettings,
 )
 from amaranthtally.policy.actions import CallFacts
 from amaranthtally.policy.admission import ADMITTED, Verdict
-from amaranthtally.policy.batcher import Batcher
+from amaranthtally.policy.batcher import LINGER_S, Batcher
 from amaranthtally.policy.batches import Batches
 from amaranthtally.policy.call_filling import CallFill, Shortage
 from amaranthtally.policy.ejection import Ejections
@@ -165,9 +166,70 @@
     return _with_gatherer(lambda: Gatherer(places=Trusting()))
 
 
+class OfOneRank(Places):
+    """Knows one wait of a place for all ranks."""
+
+    def heard(
+        self,
+        now: float,
+        pool: str,
+        data_centre: str,
+        wait_s: float,
+        slower_s: float = 0.0,
+        rank: int = 0,
+    ) -> None:
+        """Learn a wait as if it were that of every rank."""
+        super().heard(now, pool, data_centre, wait_s, slower_s)
+
+    def asked(
+        self, now: float, pool: str, data_centre: str, more_s: float, rank: int = 0
+    ) -> None:
+        """Count what was asked for in any rank."""
+        super().asked(now, pool, data_centre, more_s)
+
+
+@_without("waits by rank")
+def _no_waits_by_rank() -> Variant:
+    return _with_gatherer(lambda: Gatherer(places=OfOneRank()))
+
+
 # Calls
 
 
+class Hasty(Batcher):
+    """Holds a call for a quarter of the usual time."""
+
+    def _is_due(self, now: float, server: PieceServer, queue: PlaceQueue) -> bool:
+        if len(queue) >= server.limits.batch:
+            return True
+        return any(now - waiting.since >= LINGER_S / 4 for waiting in queue)
+
+
+class Even(Batcher):
+    """Refuses late requests early whether or not something was made of them."""
+
+    def _drop_crowded_out(
+        self,
+        now: float,
+        queue: PlaceQueue,
+        servers: list[PieceServer],
+        batches: Batches,
+    ) -> None:
+        places = sum(server.limits.batch for server in servers)
+        if queue.on_time(now) < places:
+            return
+        late = queue.take(lambda waiting: now > waiting.ask.start_by)
+        self._tell_fault(now, late, PieceFault.LATE, batches)
+
+
+class Undivided(PieceLimits):
+    """Keeps all pieces of a stage together, also where a call can't hold them."""
+
+    def part_pieces(self, pieces: int) -> int:
+        """Return that all go together."""
+        return max(1, pieces)
+
+
 class Impatient(Batcher):
     """Sends a call as soon as there is a piece for it."""
 
@@ -210,6 +272,31 @@
     return _with_gatherer(lambda: Gatherer(Batcher(fill=_fill_by_piece)))
 
 
+@_without("three quarters of the holding of calls")
+def _little_holding() -> Variant:
+    return _with_gatherer(lambda: Gatherer(Hasty()))
+
+
+@_without("sparing of begun requests")
+def _no_sparing() -> Variant:
+    return _with_gatherer(lambda: Gatherer(Even()))
+
+
+def _undivided(settings: PolicySettings) -> PolicySettings:
+    pools = {
+        name: replace(pool, pieces=Undivided(*astuple(pool.pieces)))
+        if pool.pieces
+        else pool
+        for name, pool in settings.pools.items()
+    }
+    return replace(settings, pools=pools)
+
+
+@_without("parts of large requests")
+def _no_parts() -> Variant:
+    return Variant(adapt_settings=_undivided)
+
+
 @_without("early refusal of the late")
 def _no_early_refusal() -> Variant:
     return _with_gatherer(lambda: Gatherer(Hopeful()))
--- a/tests/simulator/test_commands.py
+++ b/tests/simulator/test_commands.py
@@ -1,6 +1,10 @@
 """The commands that draw, play, compare and search days."""
 
 import json
+import signal
+import subprocess
+import sys
+import time
 
 import pytest
 
@@ -84,6 +88,28 @@
     assert run_in(out, path) == 0
 
 
+def test_a_run_that_is_ended_keeps_its_days_and_leaves_no_worker(tmp_path, path):
+    """A run in the background is ended, and its workers wait for ever."""
+    out = tmp_path / "out"
+    days = out / "days.jsonl"
+    arguments = ["experiment", "run", path, "--seeds", "200", "--jobs", "2"]
+    command_line = [*arguments, *VARIANTS, "--out", out]
+    running = subprocess.Popen(
+        [sys.executable, "-m", "amaranthtally.operator.main", *map(str, command_line)],
+        stdout=subprocess.DEVNULL,
+        stderr=subprocess.PIPE,
+        start_new_session=True,
+    )
+    while not days.exists():
+        assert running.poll() is None
+        time.sleep(0.05)
+    running.send_signal(signal.SIGTERM)
+    # Read to the end: workers hold the other end of it for as long as they live.
+    running.communicate(timeout=30.0)
+    assert running.returncode == 130
+    assert TrialLog(days).read()
+
+
 def test_an_unknown_variant_is_refused(tmp_path, path, capsys):
     out = tmp_path / "out"
     arguments = ["--variants", "no luck", "--out", out]
