Tests of loads play in the simulator; the load model of the tests is gone

There were three models of endpoints. The tests' own drove the part of the policy that makes pieces, without engines, retries or effects.

As strict: with its mechanism off a pattern fails as it should.

--- a/packages/simulator/src/amaranthtally/simulator/callers.py
+++ b/packages/simulator/src/amaranthtally/simulator/callers.py
@@ -67,6 +67,8 @@
         withdraw: Callable[[Request], None],
     ) -> None:
         self.verdicts: list[Verdict] = []
+        # Kinds of refused tries, and how long each was held, in seconds.
+        self.held: list[tuple[str, float]] = []
         self._clock = clock
         self._deployment = deployment
         self._drawn = drawn
@@ -116,6 +118,7 @@
         if request.id not in self._open:
             return
         request.tries += 1
+        request.sent_at = self._clock.now
         if not self._deliver(request, self._drawn.of(request.id, request.tries)):
             request.tries -= 1
             self._clock.after(NO_ENTRY_S, lambda: self._send(request))
@@ -153,6 +156,7 @@
 
     def refused(self, request: Request, refusal: Refuse) -> None:
         """Come back once when told to, if it may be sent again."""
+        self.held.append((request.kind.name, self._clock.now - request.sent_at))
         may_return = refusal.outcome is Outcome.NOT_RUN or request.kind.call != "effect"
         wait_s = refusal.retry_after_s
         self._return(request, wait_s, may_return, Ending.REFUSED)
--- a/packages/simulator/src/amaranthtally/simulator/requests.py
+++ b/packages/simulator/src/amaranthtally/simulator/requests.py
@@ -24,8 +24,8 @@
     A request as its caller knows it; times are time stamps in seconds.
 
     ``counts`` are the pieces of each stage, ``prefix`` the parts of its prompt with
-    their ``sizes`` in tokens. ``tries`` counts how often it was sent, ``began_at`` is
-    when its first event came.
+    their ``sizes`` in tokens. ``tries`` counts how often it was sent, last at
+    ``sent_at``; ``began_at`` is when its first event came.
     """
 
     id: str
@@ -36,6 +36,7 @@
     sizes: tuple[int, ...]
     tokens: int
     tries: int = 0
+    sent_at: float = 0.0
     began_at: float | None = None
     stage_s: float = 0.0
 
--- a/packages/simulator/src/amaranthtally/simulator/stage_servers.py
+++ b/packages/simulator/src/amaranthtally/simulator/stage_servers.py
@@ -87,11 +87,13 @@
         self._queue: deque[PieceCall] = deque()
         self._running: PieceCall | None = None
         self.busy_s = 0.0
+        self.refused = 0
         self.crossed_bytes = 0.0
 
     def call(self, call: PieceCall) -> None:
         """Queue a call, or refuse it."""
         if self._running is not None and len(self._queue) >= self._pool.queue:
+            self.refused += 1
             call.on_end(PiecesEnded(refused=True, running=1, queued=len(self._queue)))
             return
         self._queue.append(call)
--- a/tests/policy/pieces.py
+++ b/tests/policy/pieces.py
@@ -24,15 +24,6 @@
     "roster": Pool("roster", pieces=ROSTER),
     "ledger": Pool("ledger", pieces=LEDGER),
 }
-# Qoryq's sheet under the same names: 7 pieces a call and 24 ms a piece, 15.75 MB; 13
-# and 13.5 ms, 1.7 MB; 33 and 5.2 ms, 0.44 MB.
-TRACKER_POOLS = {
-    "catalogue": Pool(
-        "catalogue", pieces=PieceLimits(1, 2, 7, 0.2, 0.024, 15.75e6, 4.0)
-    ),
-    "roster": Pool("roster", pieces=PieceLimits(1, 2, 13, 0.2, 0.0135, 1.7e6, 4.0)),
-    "ledger": Pool("ledger", pieces=PieceLimits(1, 2, 33, 0.2, 0.0052, 0.44e6, 4.0)),
-}
 CLAIM = (PieceStage("catalogue", (), 1.5e6),)
 LOOKUP = (
     PieceStage("catalogue", (), 8e3),
@@ -46,13 +37,6 @@
         for s in LOOKUP
     ),
 )
-# Four pieces a call and 42 ms a piece, 9 MB; 15 and 11.4 ms, 1.9 MB; 23 and 7.4 ms,
-# 0.31 MB.
-DESK_POOLS = {
-    "catalogue": Pool("catalogue", pieces=PieceLimits(1, 2, 4, 0.2, 0.042, 9e6, 4.0)),
-    "roster": Pool("roster", pieces=PieceLimits(1, 2, 15, 0.2, 0.0114, 1.9e6, 4.0)),
-    "ledger": Pool("ledger", pieces=PieceLimits(1, 2, 23, 0.2, 0.0074, 0.31e6, 4.0)),
-}
 
 
 def endpoint(name, pool="catalogue", place=CLUJ, **options):
