--- a/packages/simulator/src/amaranthtally/simulator/callers.py
+++ b/packages/simulator/src/amaranthtally/simulator/callers.py
@@ -108,17 +108,21 @@
 
     def _come(self, kind: Kind, random: Random, number: int) -> None:
         for one in range(number, number + kind.clump):
-            request = self._drawn.new_request(kind, one, self._clock.now)
-            self._open[request.id] = request
-            self._clock.at(request.deadline, partial(self._leave, request))
-            self._send(request)
+            self.take(self._drawn.new_request(kind, one, self._clock.now))
         self._next(kind, random, number + kind.clump)
 
+    def take(self, request: Request) -> None:
+        """Let a caller come with a request."""
+        self._open[request.id] = request
+        self._clock.at(request.deadline, partial(self._leave, request))
+        self._send(request)
+
     def _send(self, request: Request) -> None:
         if request.id not in self._open:
             return
         request.tries += 1
         request.sent_at = self._clock.now
+        request.is_waiting = True
         if not self._deliver(request, self._drawn.of(request.id, request.tries)):
             request.tries -= 1
             self._clock.after(NO_ENTRY_S, lambda: self._send(request))
@@ -131,7 +135,8 @@
     # Leaving
 
     def _lose_patience(self, request: Request, tries: int) -> None:
-        if request.tries == tries and request.began_at is None:
+        is_waiting = request.is_waiting and request.tries == tries
+        if is_waiting and request.began_at is None:
             self._leave(request)
 
     def _leave(self, request: Request) -> None:
@@ -178,6 +183,7 @@
             self._end(request, ending)
             return
         request.began_at = None
+        request.is_waiting = False
         self._clock.after(wait_s, lambda: self._send(request))
 
     def _end(self, request: Request, ending: Ending) -> None:
--- a/packages/simulator/src/amaranthtally/simulator/requests.py
+++ b/packages/simulator/src/amaranthtally/simulator/requests.py
@@ -25,7 +25,8 @@
 
     ``counts`` are the pieces of each stage, ``prefix`` the parts of its prompt with
     their ``sizes`` in tokens. ``tries`` counts how often it was sent, last at
-    ``sent_at``; ``began_at`` is when its first event came.
+    ``sent_at``; ``is_waiting`` says that it waits for an answer now, and ``began_at``
+    is when its first event came.
     """
 
     id: str
@@ -37,6 +38,7 @@
     tokens: int
     tries: int = 0
     sent_at: float = 0.0
+    is_waiting: bool = False
     began_at: float | None = None
     stage_s: float = 0.0
 
--- a/tests/simulator/test_days.py
+++ b/tests/simulator/test_days.py
@@ -2,16 +2,20 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
+from amaranthtally.policy import Outcome, Reason, Refuse
 from amaranthtally.simulator import mechanisms
+from amaranthtally.simulator.callers import Callers, Drawn
+from amaranthtally.simulator.clock import VirtualClock
 from amaranthtally.simulator.days import play_day
 from amaranthtally.simulator.draw import draw_deployment
 from amaranthtally.simulator.faults import fault_kinds, plan_faults
 from amaranthtally.simulator.mechanisms import POLICY, Variant, variant, variant_names
 from amaranthtally.simulator.requests import Ending
 from amaranthtally.simulator.world import World
-from tests.simulator.support import ORDER, fault, small
+from tests.simulator.support import CLAIM, ORDER, fault, small
 
 TARGETS = {
     "kill": "cluj-a/0",
@@ -114,3 +118,27 @@
     for seed in range(5 * block, 5 * block + 5):
         day = play_day(draw_deployment(seed, seconds=SEARCHED_S), seed)
         assert day.broken == (), f"deployment {seed}"
+
+
+def test_a_caller_that_was_refused_has_not_lost_its_patience():
+    """One that is told to come back in two seconds is counted as gone after one."""
+    deployment = small(kinds=(replace_patience(CLAIM, 1.0),))
+    clock, drawn = VirtualClock(), Drawn(deployment, 1)
+    sent = []
+    callers = Callers(
+        clock, deployment, drawn, lambda request, random: not sent.append(clock.now), id
+    )
+    request = drawn.new_request(deployment.kinds[0], 0, 0.0)
+    callers.take(request)
+    refusal = Refuse(request.try_id, Outcome.NOT_RUN, Reason.OVERLOAD, 2.0)
+    callers.refused(request, refusal)
+    clock.run(2.5)
+    assert sent == [0.0, 2.0]
+    assert callers.verdicts == []
+    clock.run(3.5)
+    assert [one.ending for one in callers.verdicts] == [Ending.GONE]
+
+
+def replace_patience(kind, patience_s):
+    """Return a kind whose callers leave after so long without an event."""
+    return msgspec.structs.replace(kind, patience_s=patience_s)
