--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -1,7 +1,6 @@
 """An entry on the virtual clock: carries out its planner's actions, and can fail."""
 
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass, field
 from typing import Any, Protocol
 
 from amaranthtally.policy import (
@@ -10,13 +9,11 @@
     Arrival,
     Ask,
     AskPeer,
-    AttemptId,
     Cancel,
     Fate,
     FreeAtPeer,
     FreeResults,
     Greet,
-    LoadReport,
     Peer,
     PiecesEnded,
     Planner,
@@ -27,22 +24,22 @@
     StageResult,
     TellPeer,
 )
+from amaranthtally.simulator.attempts import CONNECT_TIMEOUT_S, Attempts, LiveRequest
 from amaranthtally.simulator.clock import VirtualClock
-from amaranthtally.simulator.engines import EngineServer
 from amaranthtally.simulator.network import Network
+from amaranthtally.simulator.processes import Process
 from amaranthtally.simulator.requests import Request
-from amaranthtally.simulator.servers import Attempt, Server
-from amaranthtally.simulator.services import PlainServer
+from amaranthtally.simulator.servers import Server
 from amaranthtally.simulator.stage_servers import PieceCall, StageServer
 
 __all__ = ["Entry", "Surroundings"]
 
 TICK_S = 0.006
-# What an entry waits for a connection that nobody answers, and for a peer's word.
-CONNECT_TIMEOUT_S = 0.5
+# What an entry waits for the word of a peer that it can't reach, in seconds.
 PEER_TIMEOUT_S = 0.8
 # Between two questions to the peers that owe an answer, in seconds.
 CHECK_S = 0.5
+FAILED = PiecesEnded()
 
 
 class Surroundings(Protocol):
@@ -79,43 +76,27 @@
         """Break a caller's connection."""
 
 
-@dataclass(slots=True)
-class _Live:
-    request: Request
-    attempts: dict[AttemptId, tuple[Server, Attempt]] = field(default_factory=dict)
-    events: int = 0
-
-
-class Entry:
-    """
-    One entry from its start to its end; another start is another object.
-
-    ``up`` is false once its process is gone. ``leaving`` says that it takes no more
-    callers. A frozen one does nothing until it is thawed, and then all that came;
-    ``thawed_at`` is when that was.
-    """
+class Entry(Process):
+    """One entry; ``leaving`` says that it takes no more callers."""
 
     def __init__(
         self, name: str, place: str, planner: Planner, world: Surroundings
     ) -> None:
+        super().__init__(place, world.clock, world.network)
         self.name = name
-        self.place = place
         self.planner = planner
-        self.up = True
         self.leaving = False
         self.is_cut_from_store = False
-        self.thawed_at = 0.0
         self._world = world
-        self._clock = world.clock
-        self._live: dict[str, _Live] = {}
-        self._backlog: list[Callable[[], None]] | None = None
+        self._live: dict[str, LiveRequest] = {}
         self._calls: set[int] = set()
         self._ticking = False
-        self.first_attempts = 0
-        self.paid_retries = 0
+        self.attempts = Attempts(
+            self, planner, self._live, self._carry_out, world.began
+        )
         self._table: dict[type, Callable[[Any], None]] = {
             Send: self._send,
-            Cancel: self._cancel,
+            Cancel: self.attempts.cancel,
             Ask: self._ask,
             Greet: lambda action: None,
             Answer: self._answer,
@@ -126,56 +107,27 @@
             TellPeer: self._tell_peer,
             FreeAtPeer: self._free_at_peer,
         }
-        self._later(CHECK_S, self._check_peers)
+        self.later(CHECK_S, self._check_peers)
 
     @property
     def in_flight(self) -> int:
         """Requests that have not ended here."""
         return len(self._live)
 
-    @property
-    def is_frozen(self) -> bool:
-        """Whether it stands still."""
-        return self._backlog is not None
-
-    # Its process
-
-    def freeze(self) -> None:
-        """Stand still; what comes waits."""
-        self._backlog = []
-
-    def thaw(self) -> None:
-        """Do all that waited."""
-        backlog, self._backlog = self._backlog or [], None
-        self.thawed_at = self._clock.now
-        for work in backlog:
-            self.do(work)
+    # Its end
 
     def kill(self) -> None:
         """Lose the process: callers' connections break, calls go on unheard."""
-        self.up = False
-        self._backlog = None
+        self.end()
         for live in self._live.values():
-            self._leave_attempts(live)
+            self.attempts.leave(live)
             self._world.cut_off(live.request)
         self._live.clear()
 
     def leave(self) -> None:
         """Take no more callers, and make no more pieces for others."""
         self.leaving = True
-        self.do(lambda: self._carry_out(self.planner.leaving(self._clock.now)))
-
-    def do(self, work: Callable[[], None]) -> None:
-        """Do something at once, or when the process moves again, or never."""
-        if not self.up:
-            return
-        if self._backlog is not None:
-            self._backlog.append(work)
-        else:
-            work()
-
-    def _later(self, delay_s: float, work: Callable[[], None]) -> None:
-        self._clock.after(delay_s, lambda: self.do(work))
+        self.do(lambda: self._carry_out(self.planner.leaving(self.clock.now)))
 
     # Callers
 
@@ -191,21 +143,26 @@
     def _begin(self, request: Request) -> None:
         if self._world.request(request.try_id) is None:
             return
-        self._live[request.try_id] = _Live(request)
+        self._live[request.try_id] = LiveRequest(request)
         self._wake()
         arrival = self._world.make_arrival(request)
-        self._carry_out(self.planner.request_arrived(self._clock.now, arrival))
+        self._carry_out(self.planner.request_arrived(self.clock.now, arrival))
 
     def _abandon(self, try_id: str) -> None:
         live = self._live.pop(try_id, None)
         if live is not None:
-            self._leave_attempts(live)
-            self._carry_out(self.planner.caller_gone(self._clock.now, try_id))
+            self.attempts.leave(live)
+            self._carry_out(self.planner.caller_gone(self.clock.now, try_id))
+
+    def _answer(self, answer: Answer) -> None:
+        live = self._live.pop(answer.request_id)
+        self.attempts.leave(live)
+        self._world.answered(live.request)
 
-    def _leave_attempts(self, live: _Live) -> None:
-        for server, attempt in live.attempts.values():
-            self._withdraw(server, attempt)
-        live.attempts.clear()
+    def _refuse(self, refusal: Refuse) -> None:
+        live = self._live.pop(refusal.request_id)
+        self.attempts.leave(live)
+        self._world.refused(live.request, refusal)
 
     # Settings and peers
 
@@ -213,217 +170,90 @@
         """Use newer settings."""
         self.do(
             lambda: self._carry_out(
-                self.planner.settings_changed(self._clock.now, settings)
+                self.planner.settings_changed(self.clock.now, settings)
             )
         )
 
     def peers_changed(self, peers: Sequence[Peer]) -> None:
         """Use these live entries."""
         self.do(
-            lambda: self._carry_out(self.planner.peers_changed(self._clock.now, peers))
+            lambda: self._carry_out(self.planner.peers_changed(self.clock.now, peers))
         )
 
     def _check_peers(self) -> None:
-        now = self._clock.now
+        now = self.clock.now
         for name in sorted(self.planner.asked_peers | self.planner.shut_peers(now)):
             peer = self._world.peer(name)
-            if peer is not None and not peer.is_frozen and self._reaches(peer.place):
+            if peer is not None and not peer.is_frozen and self.reaches(peer.place):
                 if not peer.leaving:
                     self._carry_out(self.planner.peer_back(now, name))
             elif name in self.planner.asked_peers:
-                self._carry_out(self.planner.peer_failed(now, name))
-        self._later(CHECK_S, self._check_peers)
+                self._peer_failed(name)
+        self.later(CHECK_S, self._check_peers)
 
     # Time
 
     def _wake(self) -> None:
         if not self._ticking:
             self._ticking = True
-            self._later(TICK_S, self._tick)
+            self.later(TICK_S, self._tick)
 
     def _tick(self) -> None:
-        self._carry_out(self.planner.tick(self._clock.now))
+        self._carry_out(self.planner.tick(self.clock.now))
         self._ticking = bool(self._live) or self.planner.has_pieces
         if self._ticking:
-            self._later(TICK_S, self._tick)
+            self.later(TICK_S, self._tick)
 
     def _carry_out(self, actions: Sequence[Action]) -> None:
         for action in actions:
             self._table[type(action)](action)
 
-    def _reaches(self, place: str) -> bool:
-        return self._world.network.reaches(self.place, place)
-
-    def _delay_s(self, place: str) -> float:
-        return self._world.network.delay_s(self.place, place)
-
     # Attempts
 
     def _send(self, send: Send) -> None:
-        live = self._live[send.attempt.request_id]
-        server = self._world.server(send.endpoint)
-        self.first_attempts += send.attempt.number <= 1
-        if server is None:
-            self._later(0.0, lambda: self._unreachable(send.attempt))
-            return
-        attempt = self._new_attempt(send, live, server)
-        live.attempts[send.attempt] = (server, attempt)
-        if server.dark or not self._reaches(server.place):
-            self._later(CONNECT_TIMEOUT_S, lambda: self._unreachable(send.attempt))
-            return
-        delay_s = self._delay_s(server.place)
-        self._clock.after(delay_s, lambda: self._arrive(server, attempt, delay_s))
-
-    def _arrive(self, server: Server, attempt: Attempt, delay_s: float) -> None:
-        if attempt.gone:
-            return
-        if not server.up:
-            self._later(delay_s, lambda: self._unreachable(attempt.id))
-        elif isinstance(server, EngineServer | PlainServer):
-            server.run(attempt)
-
-    def _new_attempt(self, send: Send, live: _Live, server: Server) -> Attempt:
-        name = send.attempt
-        inputs = self.planner.inputs_of(live.request.try_id)
-
-        def on_load(report: LoadReport) -> None:
-            self._back(server, lambda: self._heard(server, report))
-
-        def on_events(count: int) -> None:
-            self._back(server, lambda: self._progress(name, count))
-
-        def on_end(result: StageResult) -> None:
-            self._back(server, lambda: self._ended(name, result))
-
-        return Attempt(
-            name,
-            live.request,
-            tuple(one.handle for one in inputs),
-            send.resume_offset,
-            on_load,
-            on_events,
-            on_end,
-        )
-
-    def _back(self, server: Server, work: Callable[[], None]) -> None:
-        if not server.dark and self._reaches(server.place):
-            self._later(self._delay_s(server.place), work)
-
-    def _heard(self, server: Server, report: LoadReport) -> None:
-        name = server.endpoint.id
-        self._carry_out(self.planner.load_report(self._clock.now, name, report))
-
-    def _progress(self, name: AttemptId, events: int) -> None:
-        live = self._live.get(name.request_id)
-        if live is None or name not in live.attempts:
-            return
-        if not live.events:
-            self._world.began(live.request)
-        live.events = max(live.events, events)
-        self._carry_out(self.planner.progress(self._clock.now, name, live.events))
-
-    def _unreachable(self, name: AttemptId) -> None:
-        self._ended(name, StageResult(Fate.NOT_RUN, unreachable=True))
-
-    def _ended(self, name: AttemptId, result: StageResult) -> None:
-        live = self._live.get(name.request_id)
-        if live is None or (live.attempts.pop(name, None) is None):
-            return
-        if result.fate is Fate.LOST:
-            result = self._lost(live.request)
-        retries = self.planner.counters.retries
-        self._carry_out(self.planner.reply(self._clock.now, name, result))
-        if result.fate is Fate.FAILED:
-            self.paid_retries += self.planner.counters.retries - retries
-
-    def _lost(self, request: Request) -> StageResult:
-        # Nobody can be asked what became of it: what may not run twice ends so.
-        is_effect = request.kind.call == "effect"
-        return StageResult(Fate.UNKNOWN if is_effect else Fate.FAILED)
-
-    def _cancel(self, cancel: Cancel) -> None:
-        live = self._live.get(cancel.attempt.request_id)
-        found = live.attempts.pop(cancel.attempt, None) if live else None
-        if found is not None:
-            self._withdraw(*found)
-
-    def _withdraw(self, server: Server, attempt: Attempt) -> None:
-        attempt.gone = True
-        if isinstance(server, EngineServer | PlainServer) and server.up:
-            delay_s = self._delay_s(server.place)
-            self._clock.after(delay_s, lambda: server.cancel(attempt))
+        self.attempts.send(send, self._world.server(send.endpoint))
 
     def _ask(self, ask: Ask) -> None:
-        self._ended(ask.attempt, StageResult(Fate.UNKNOWN))
-
-    # Ends
-
-    def _answer(self, answer: Answer) -> None:
-        live = self._live.pop(answer.request_id)
-        self._leave_attempts(live)
-        self._world.answered(live.request)
-
-    def _refuse(self, refusal: Refuse) -> None:
-        live = self._live.pop(refusal.request_id)
-        self._leave_attempts(live)
-        self._world.refused(live.request, refusal)
+        self.attempts.ended(ask.attempt, StageResult(Fate.UNKNOWN))
 
     # Pieces
 
     def _run_pieces(self, order: RunPieces) -> None:
         server = self._world.server(order.endpoint)
         self._calls.add(order.call)
-        self._later(
-            order.timeout_s, lambda: self._pieces_ended(order.call, PiecesEnded())
-        )
         if not isinstance(server, StageServer):
-            self._later(0.0, lambda: self._pieces_ended(order.call, PiecesEnded()))
-            return
-        if server.dark or not self._reaches(server.place):
-            self._later(
-                CONNECT_TIMEOUT_S,
-                lambda: self._pieces_ended(order.call, PiecesEnded()),
-            )
+            self.later(0.0, lambda: self._pieces_ended(order.call, FAILED))
             return
-        call = self._piece_call(order, server)
-        delay_s = self._delay_s(server.place)
-        self._clock.after(delay_s, lambda: self._call_arrives(server, call))
-
-    def _call_arrives(self, server: StageServer, call: PieceCall) -> None:
-        if server.up:
-            server.call(call)
-        else:
-            call.on_lost()
+        is_reached = self.reaches_server(server)
+        give_up_s = order.timeout_s if is_reached else CONNECT_TIMEOUT_S
+        self.later(give_up_s, lambda: self._pieces_ended(order.call, FAILED))
+        if is_reached:
+            call = self._piece_call(order, server)
+            self.send_to(server.place, lambda: _arrive(server, call))
 
     def _piece_call(self, order: RunPieces, server: StageServer) -> PieceCall:
         requests = [self._world.request_of_piece(p.request_id) for p in order.pieces]
 
         def on_end(end: PiecesEnded) -> None:
-            self._back(server, lambda: self._pieces_ended(order.call, end))
-
-        def on_lost() -> None:
-            self._back(server, lambda: self._pieces_ended(order.call, PiecesEnded()))
+            self.hear_from(server, lambda: self._pieces_ended(order.call, end))
 
         sizes = [
             request.kind.stages[piece.stage].result_bytes
             for piece, request in zip(order.pieces, requests, strict=True)
         ]
-        return PieceCall(order.pieces, tuple(requests), tuple(sizes), on_end, on_lost)
+        return PieceCall(order.pieces, tuple(requests), tuple(sizes), on_end)
 
     def _pieces_ended(self, call: int, end: PiecesEnded) -> None:
         if call in self._calls:
             self._calls.remove(call)
-            self._carry_out(self.planner.pieces_ended(self._clock.now, call, end))
+            self._carry_out(self.planner.pieces_ended(self.clock.now, call, end))
 
     def _free(self, order: FreeResults) -> None:
         server = self._world.server(order.endpoint)
-        if not isinstance(server, StageServer) or server.dark:
-            return
-        if self._reaches(server.place):
-            delay_s = self._delay_s(server.place)
-            self._clock.after(delay_s, lambda: server.free(order.handles))
+        if isinstance(server, StageServer) and self.reaches_server(server):
+            self.send_to(server.place, lambda: server.free(order.handles))
 
-    # Peers
+    # Words between entries
 
     def _to_peer(
         self,
@@ -433,13 +263,12 @@
     ) -> None:
         peer = self._world.peer(name)
         if peer is None:
-            self._later(0.0, on_failure)
-        elif not self._reaches(peer.place):
-            self._later(PEER_TIMEOUT_S, on_failure)
+            self.later(0.0, on_failure)
+        elif not self.reaches(peer.place):
+            self.later(PEER_TIMEOUT_S, on_failure)
         else:
             found = peer
-            delay_s = self._delay_s(peer.place)
-            self._clock.after(delay_s, lambda: found.do(lambda: work(found)))
+            self.send_to(peer.place, lambda: found.do(lambda: work(found)))
 
     def _ask_peer(self, order: AskPeer) -> None:
         self._to_peer(
@@ -457,19 +286,26 @@
         )
 
     def _peer_failed(self, name: str) -> None:
-        self._carry_out(self.planner.peer_failed(self._clock.now, name))
+        self._carry_out(self.planner.peer_failed(self.clock.now, name))
 
     def asked(self, asker: str, order: AskPeer) -> None:
         """Take pieces that another entry wants made."""
         self._wake()
-        self._carry_out(self.planner.pieces_asked(self._clock.now, asker, order.asks))
+        self._carry_out(self.planner.pieces_asked(self.clock.now, asker, order.asks))
 
     def told(self, order: TellPeer) -> None:
         """Hear what became of pieces at another entry."""
-        self._carry_out(self.planner.pieces_told(self._clock.now, order.told))
+        self._carry_out(self.planner.pieces_told(self.clock.now, order.told))
 
     def freed(self, order: FreeAtPeer) -> None:
         """Drop results that are read no more."""
         self._carry_out(
-            self.planner.results_freed(self._clock.now, order.results, order.ended)
+            self.planner.results_freed(self.clock.now, order.results, order.ended)
         )
+
+
+def _arrive(server: StageServer, call: PieceCall) -> None:
+    if server.up:
+        server.call(call)
+    else:
+        call.on_end(FAILED)
--- a/packages/simulator/src/amaranthtally/simulator/promises.py
+++ b/packages/simulator/src/amaranthtally/simulator/promises.py
@@ -74,10 +74,12 @@
             if kind in self._effects() and runs > 1:
                 self._break(f"{request_id} ran {runs} times")
         for name, entry in world.entries.items():
-            budget = world.deployment.retry_budget * entry.first_attempts
+            budget = world.deployment.retry_budget * entry.attempts.firsts
             most = budget + world.deployment.retry_reserve
-            if entry.paid_retries > most:
-                self._break(f"{name} sent {entry.paid_retries} retries of {most:.0f}")
+            if entry.attempts.paid_retries > most:
+                self._break(
+                    f"{name} sent {entry.attempts.paid_retries} retries of {most:.0f}"
+                )
 
     def _effects(self) -> set[str]:
         kinds = self._world.deployment.kinds
--- a/packages/simulator/src/amaranthtally/simulator/stage_servers.py
+++ b/packages/simulator/src/amaranthtally/simulator/stage_servers.py
@@ -27,7 +27,6 @@
     requests: tuple[Request, ...]
     sizes: tuple[float, ...]
     on_end: Callable[[PiecesEnded], None]
-    on_lost: Callable[[], None]
 
 
 @dataclass(frozen=True, slots=True)
@@ -113,7 +112,7 @@
         self._running = None
         self.free(tuple(self._held))
         for call in lost:
-            call.on_lost()
+            call.on_end(PiecesEnded())
 
     def _turn(self) -> None:
         if not self._queue:
@@ -160,7 +159,7 @@
     def _done(self, call: PieceCall, outcomes: tuple[PieceOutcome, ...]) -> None:
         self._running = None
         if self.loses_answers:
-            call.on_lost()
+            call.on_end(PiecesEnded())
         else:
             queued = len(self._queue)
             call.on_end(PiecesEnded(outcomes, running=int(queued > 0), queued=queued))
