--- /dev/null
+++ b/packages/simulator/src/amaranthtally/simulator/place_mechanisms.py
@@ -0,0 +1,108 @@
+"""The policy without what decides where pieces are made, and by whom."""
+
+from collections.abc import Mapping
+
+from amaranthtally.policy import Endpoint, Gatherer
+from amaranthtally.policy.piece_graph import PieceGraph
+from amaranthtally.policy.places import NOTHING_READ, Places
+from amaranthtally.policy.stage_plans import StagePlans
+from amaranthtally.simulator.variants import Variant, with_gatherer, without
+
+__all__: list[str] = []
+
+
+class OwnerOfAll(Places):
+    """Calls every endpoint itself, whatever the other entries do."""
+
+    def owner(self, now: float, pool: str, data_centre: str) -> str:
+        """Return this entry."""
+        return ""
+
+
+class FirstPlace(StagePlans):
+    """Leaves a request where its first stage ran."""
+
+    def place_of(
+        self,
+        now: float,
+        graph: PieceGraph,
+        stage: int,
+        reader: str,
+        on_time_by: float,
+        rank: int,
+    ) -> str | None:
+        """Return where most of what the stage reads is kept."""
+        inputs = graph.inputs_of_stage(stage)
+        if inputs:
+            return inputs[0].data_centre
+        return super().place_of(now, graph, stage, reader, on_time_by, rank)
+
+
+class BlindToCrossing(Places):
+    """Takes no account of where results are read."""
+
+    def best(
+        self,
+        now: float,
+        pool: str,
+        candidates: Mapping[str, Endpoint],
+        reading: Mapping[str, float] = NOTHING_READ,
+        spare_s: float = 0.0,
+        rank: int = 0,
+    ) -> str | None:
+        """Return the data centre in which pieces wait least."""
+        return super().best(now, pool, candidates, rank=rank)
+
+
+class Trusting(Places):
+    """Goes on to ask peers that did not answer."""
+
+    def peer_failed(self, now: float, peer: str) -> None:
+        """Forget that a peer did not answer."""
+
+
+@without("owners")
+def _no_owners() -> Variant:
+    return with_gatherer(lambda: Gatherer(places=OwnerOfAll()))
+
+
+@without("placing of each stage")
+def _no_placing() -> Variant:
+    return with_gatherer(lambda: Gatherer(build_plans=FirstPlace))
+
+
+@without("weight of crossing")
+def _no_crossing() -> Variant:
+    return with_gatherer(lambda: Gatherer(places=BlindToCrossing()))
+
+
+@without("doubts about peers")
+def _no_doubts() -> Variant:
+    return with_gatherer(lambda: Gatherer(places=Trusting()))
+
+
+class OfOneRank(Places):
+    """Knows one wait of a place for all ranks."""
+
+    def heard(
+        self,
+        now: float,
+        pool: str,
+        data_centre: str,
+        wait_s: float,
+        slower_s: float = 0.0,
+        rank: int = 0,
+    ) -> None:
+        """Learn a wait as if it were that of every rank."""
+        super().heard(now, pool, data_centre, wait_s, slower_s)
+
+    def asked(
+        self, now: float, pool: str, data_centre: str, more_s: float, rank: int = 0
+    ) -> None:
+        """Count what was asked for in any rank."""
+        super().asked(now, pool, data_centre, more_s)
+
+
+@without("waits by rank")
+def _no_waits_by_rank() -> Variant:
+    return with_gatherer(lambda: Gatherer(places=OfOneRank()))
