--- a/packages/simulator/src/amaranthtally/simulator/faults.py
+++ b/packages/simulator/src/amaranthtally/simulator/faults.py
@@ -6,9 +6,10 @@
 
 from amaranthtally.simulator.deployment import Deployment, Fault
 from amaranthtally.simulator.errors import DeploymentError
+from amaranthtally.simulator.memberships import RECORD_S
 from amaranthtally.simulator.promises import AGREE_S
 from amaranthtally.simulator.servers import Server
-from amaranthtally.simulator.world import RECORD_S, World
+from amaranthtally.simulator.world import World
 
 __all__ = ["check_faults", "fault_kinds", "plan_faults"]
 
@@ -158,27 +159,27 @@
 @_fault("kill")
 def _kill(world: World, fault: Fault) -> None:
     """An entry loses its process and is back after ``length_s``."""
-    world.kill_entry(fault.target)
-    world.clock.after(fault.length_s, lambda: world.start_entry(fault.target))
+    world.entries.kill(fault.target)
+    world.clock.after(fault.length_s, lambda: world.entries.start(fault.target))
 
 
 @_fault("kill_all")
 def _kill_all(world: World, fault: Fault) -> None:
     """All entries lose their processes at once."""
-    for name in world.entry_names:
-        world.kill_entry(name)
+    for name in world.entries.names:
+        world.entries.kill(name)
         wait_s = fault.length_s + SPREAD_S * world.drawn.of("start", name).random()
-        world.clock.after(wait_s, partial(world.start_entry, name))
+        world.clock.after(wait_s, partial(world.entries.start, name))
 
 
 @_fault("rolling_stop")
 def _rolling_stop(world: World, fault: Fault) -> None:
     """Entries are stopped as planned and started anew, one after another."""
-    names = world.entry_names
+    names = world.entries.names
     gap_s = fault.length_s / len(names)
     for number, name in enumerate(names):
         at = world.clock.now + number * gap_s
-        world.clock.at(at, partial(world.stop_entry, name, START_S))
+        world.clock.at(at, partial(world.entries.stop, name, START_S))
 
 
 @_fault("freeze")
@@ -192,8 +193,8 @@
 @_fault("store_cut")
 def _store_cut(world: World, fault: Fault) -> None:
     """An entry hears of no change of records."""
-    world.entries[fault.target].is_cut_from_store = True
-    world.clock.after(fault.length_s, lambda: world.hear_store(fault.target))
+    world.entries.cut_from_store(fault.target)
+    world.clock.after(fault.length_s, lambda: world.entries.hear_store(fault.target))
 
 
 # Places and callers
--- a/packages/simulator/src/amaranthtally/simulator/promises.py
+++ b/packages/simulator/src/amaranthtally/simulator/promises.py
@@ -49,16 +49,11 @@
         """Check that all entries name one owner for each pool in each data centre."""
         world = self._world
         now = world.clock.now
-        running = {
-            name: gatherer
-            for name, gatherer in world.gatherers.items()
-            if world.entries[name].up and not world.entries[name].leaving
-        }
         for pool in world.deployment.piece_pools:
             for place in world.deployment.data_centres:
                 owners = {
-                    gatherer.owner(now, pool.name, place.name) or name
-                    for name, gatherer in running.items()
+                    gatherer.owner(now, pool.name, place.name) or entry.name
+                    for entry, gatherer in world.entries.taking()
                 }
                 if len(owners) > 1:
                     at = f"{pool.name} in {place.name}"
@@ -73,13 +68,12 @@
             kind = request_id.rpartition("-")[0]
             if kind in self._effects() and runs > 1:
                 self._break(f"{request_id} ran {runs} times")
-        for name, entry in world.entries.items():
+        for entry in world.entries:
             budget = world.deployment.retry_budget * entry.attempts.firsts
             most = budget + world.deployment.retry_reserve
-            if entry.attempts.paid_retries > most:
-                self._break(
-                    f"{name} sent {entry.attempts.paid_retries} retries of {most:.0f}"
-                )
+            retries = entry.attempts.paid_retries
+            if retries > most:
+                self._break(f"{entry.name} sent {retries} retries of {most:.0f}")
 
     def _effects(self) -> set[str]:
         kinds = self._world.deployment.kinds
--- a/packages/simulator/src/amaranthtally/simulator/world.py
+++ b/packages/simulator/src/amaranthtally/simulator/world.py
@@ -1,6 +1,6 @@
 """A whole deployment on a virtual clock, for one day and one seed."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import replace
 from random import Random
 
@@ -8,7 +8,6 @@
     Arrival,
     Endpoint,
     Gatherer,
-    Peer,
     Planner,
     PolicySettings,
     Refuse,
@@ -20,6 +19,7 @@
 from amaranthtally.simulator.entries import Entry
 from amaranthtally.simulator.fleet import build_servers
 from amaranthtally.simulator.mechanisms import POLICY, Variant
+from amaranthtally.simulator.memberships import Member, Membership
 from amaranthtally.simulator.network import Network
 from amaranthtally.simulator.policy_terms import (
     policy_arrival,
@@ -33,14 +33,7 @@
 
 __all__ = ["World"]
 
-# How long an entry's record outlives its process, and how soon a change of records is
-# heard, in seconds.
-RECORD_S = 6.0
-HEAR_S = 0.02
-# How long a stopping entry goes on for the requests that it has, in seconds.
-LEAVING_S = 6.0
 HEDGE_BUDGET = 0.04
-POLL_S = 0.05
 
 
 class World:
@@ -55,8 +48,6 @@
         self.results = Results()
         self.parts = ReadParts()
         self.drawn = Drawn(deployment, seed)
-        self.entries: dict[str, Entry] = {}
-        self.gatherers: dict[str, Gatherer] = {}
         self.promises = Promises(self)
         self._variant = variant
         self._seed = seed
@@ -64,14 +55,8 @@
         self._at_entry: dict[str, Entry] = {}
         self._leaving_servers: set[str] = set()
         self._gone_servers: set[str] = set()
-        self._records: dict[str, Peer] = {}
         self._starts = 0
         self._revision = 0
-        self._places = {
-            f"{place.name}/{number}": place.name
-            for place in deployment.data_centres
-            for number in range(place.entries)
-        }
         self.callers = Callers(
             self.clock, deployment, self.drawn, self._deliver, self._withdraw
         )
@@ -82,14 +67,9 @@
         self._pipelines = {
             kind.name: policy_pipeline(kind) for kind in deployment.kinds
         }
-        for name in self._places:
-            self._new_entry(name)
-        self._tell_peers()
-
-    @property
-    def entry_names(self) -> list[str]:
-        """Return the name of each entry, running or not."""
-        return list(self._places)
+        self.entries = Membership(
+            self.clock, _entry_places(deployment), self._start_entry, self._settings
+        )
 
     def run(self) -> "World":
         """Let requests come, and all of them end."""
@@ -107,8 +87,7 @@
 
     def peer(self, name: str) -> Entry | None:
         """Return an entry that runs."""
-        entry = self.entries.get(name)
-        return entry if entry is not None and entry.up else None
+        return self.entries.running(name)
 
     def request(self, try_id: str) -> Request | None:
         """Return a request whose caller waits for this try."""
@@ -146,10 +125,10 @@
     # Callers' side
 
     def _deliver(self, request: Request, random: Random) -> bool:
-        ready = [e for e in self.entries.values() if e.up and not e.leaving]
+        ready = self.entries.taking()
         if not ready:
             return False
-        entry = random.choice(ready)
+        entry = random.choice(ready).entry
         self._requests[request.try_id] = request
         self._at_entry[request.id] = entry
         self.clock.after(self.deployment.near_s, lambda: entry.receive(request))
@@ -162,49 +141,7 @@
 
     # Entries
 
-    def start_entry(self, name: str) -> None:
-        """Start an entry that is down; it knows nothing."""
-        if not self.entries[name].up:
-            self._new_entry(name)
-            self._records_changed()
-
-    def stop_entry(self, name: str, away_s: float) -> None:
-        """Stop an entry as planned, and start it again a while after its end."""
-        entry = self.entries[name]
-        if not entry.up:
-            return
-        entry.leave()
-        self._forget_entry(name)
-        end = self.clock.now + LEAVING_S
-        self._end_when_idle(entry, end, lambda: self._start_later(name, away_s))
-
-    def kill_entry(self, name: str) -> None:
-        """Kill an entry; its record outlives it."""
-        entry = self.entries[name]
-        if not entry.up:
-            return
-        entry.kill()
-
-        def expire() -> None:
-            if self.entries[name] is entry:
-                self._forget_entry(name)
-
-        self.clock.after(RECORD_S, expire)
-
-    def _start_later(self, name: str, away_s: float) -> None:
-        self.clock.after(away_s, lambda: self.start_entry(name))
-
-    def _end_when_idle(
-        self, entry: Entry, end: float, then: Callable[[], None]
-    ) -> None:
-        if entry.in_flight and self.clock.now < end:
-            self.clock.after(POLL_S, lambda: self._end_when_idle(entry, end, then))
-            return
-        entry.kill()
-        then()
-
-    def _new_entry(self, name: str) -> None:
-        place = self._places[name]
+    def _start_entry(self, name: str, place: str) -> Member:
         self._starts += 1
         built: list[Gatherer] = []
         parts = self._variant.parts
@@ -214,58 +151,29 @@
             return built[-1]
 
         random = Random(f"{self._seed}/{name}/{self._starts}")
-        planner = Planner(
-            self._settings(name, place),
-            random,
-            replace(parts, gatherer=build_gatherer),
-        )
-        self.entries[name] = Entry(name, place, planner, self)
-        self.gatherers[name] = built[0]
-        self._records[name] = Peer(name, place)
-
-    def _forget_entry(self, name: str) -> None:
-        self._records.pop(name, None)
-        self._records_changed()
-
-    def _records_changed(self) -> None:
-        self.clock.after(HEAR_S, self._tell_peers)
-
-    def _tell_peers(self) -> None:
-        peers = list(self._records.values())
-        for entry in self.entries.values():
-            if not entry.is_cut_from_store:
-                entry.peers_changed(peers)
-
-    def hear_store(self, name: str) -> None:
-        """Let an entry hear of the records again."""
-        self.entries[name].is_cut_from_store = False
-        self._tell_peers()
+        settings = self._settings(name, place)
+        planner = Planner(settings, random, replace(parts, gatherer=build_gatherer))
+        return Member(Entry(name, place, planner, self), built[0])
 
     # Endpoints
 
     def leave_server(self, endpoint: str) -> None:
         """Let an endpoint say that it leaves."""
         self._leaving_servers.add(endpoint)
-        self._tell_settings()
+        self._settings_changed()
 
     def remove_server(self, endpoint: str) -> None:
         """End an endpoint that said that it leaves."""
         self._gone_servers.add(endpoint)
         self.servers[endpoint].crash()
-        self._tell_settings()
+        self._settings_changed()
 
-    def _tell_settings(self) -> None:
+    def _settings_changed(self) -> None:
         self._revision += 1
-
-        def tell() -> None:
-            for entry in self.entries.values():
-                if not entry.is_cut_from_store:
-                    entry.settings_changed(self._settings(entry.name, entry.place))
-
-        self.clock.after(HEAR_S, tell)
+        self.entries.settings_changed()
 
     def _settings(self, name: str, place: str) -> PolicySettings:
-        entries = len(self._places)
+        entries = sum(one.entries for one in self.deployment.data_centres)
         settings = PolicySettings(
             revision=self._revision,
             region=self.network.place(place).region,
@@ -293,10 +201,6 @@
 
     # Sums
 
-    def of_pool(self, pool: str) -> list[Server]:
-        """Return the endpoints of a pool."""
-        return [s for s in self.servers.values() if s.endpoint.pool == pool]
-
     def stage_servers(self) -> list[StageServer]:
         """Return the endpoints that make pieces."""
         return [s for s in self.servers.values() if isinstance(s, StageServer)]
@@ -308,3 +212,12 @@
             for server in self.servers.values()
             if isinstance(server, StageServer | EngineServer)
         )
+
+
+def _entry_places(deployment: Deployment) -> dict[str, str]:
+    """Return the data centre of each entry by its name."""
+    return {
+        f"{place.name}/{number}": place.name
+        for place in deployment.data_centres
+        for number in range(place.entries)
+    }
