--- a/packages/simulator/src/amaranthtally/simulator/promises.py
+++ b/packages/simulator/src/amaranthtally/simulator/promises.py
@@ -27,6 +27,8 @@
         self.broken: list[str] = []
         self._world = world
         self._ends: Counter[str] = Counter()
+        # Effects whose callers were told that they were not run, and in which try.
+        self._told: list[tuple[Request, int]] = []
 
     def note_end(self, request: Request, entry: Entry) -> None:
         """Check that a try ends once, and in time where its entry moved."""
@@ -42,6 +44,7 @@
         """Check that "not run" is true of what may not run twice."""
         if request.kind.call != "effect" or refusal.outcome is not Outcome.NOT_RUN:
             return
+        self._told.append((request, request.tries))
         if request.id in self._runs():
             self._break(f"{request.try_id} ran, and was said not to have")
 
@@ -64,6 +67,9 @@
         world = self._world
         if world.callers.waiting:
             self._break(f"{world.callers.waiting} callers have no answer")
+        for request, tries in self._told:
+            if request.tries == tries and request.id in self._runs():
+                self._break(f"{request.try_id} ran after it was said not to have")
         for request_id, runs in self._runs().items():
             kind = request_id.rpartition("-")[0]
             if kind in self._effects() and runs > 1:
--- a/tests/simulator/test_days.py
+++ b/tests/simulator/test_days.py
@@ -97,6 +97,20 @@
     assert not any("ran" in line for line in played(lost).promises.broken)
 
 
+def test_an_effect_that_runs_after_its_refusal_is_caught():
+    """A call that waits somewhere runs after its caller was told that it did not."""
+    world = World(small(kinds=(ORDER,)), 1)
+    request = world.drawn.new_request(ORDER, 0, 0.0)
+    request.tries = 1
+    refusal = Refuse(request.try_id, Outcome.NOT_RUN, Reason.OVERLOAD)
+    world.promises.note_refusal(request, refusal)
+    world.promises.check_end()
+    assert world.promises.broken == []
+    world.servers["desk/cluj-a/0"].ran.append(request.id)
+    world.promises.check_end()
+    assert world.promises.broken == ["order-0.1 ran after it was said not to have"]
+
+
 def test_unbounded_retries_are_caught():
     """Retries beyond the budget go unnoticed."""
     lost = fault("lost_answers", "desk", 1.0, 6.0)
