--- a/packages/simulator/src/amaranthtally/simulator/requests.py
+++ b/packages/simulator/src/amaranthtally/simulator/requests.py
@@ -1,6 +1,6 @@
 """One request of a caller, and how it ended."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from enum import Enum
 
 from amaranthtally.simulator.deployment import Kind
@@ -69,4 +69,4 @@
     worth: float
     earned: float
     tries: int
-    stage_s: float = field(default=0.0)
+    stage_s: float = 0.0
--- a/tests/simulator/test_days.py
+++ b/tests/simulator/test_days.py
@@ -114,14 +114,14 @@
 def test_unbounded_retries_are_caught():
     """Retries beyond the budget go unnoticed."""
     lost = fault("lost_answers", "desk", 1.0, 6.0)
-    kinds = (replace_rate(ORDER, "read", "idempotent"),)
+    kinds = (often(ORDER, "read", "idempotent"),)
     options = {"kinds": kinds, "retry_reserve": 1.0, "retry_budget": 0.05}
     loose = played(lost, chosen=variant("no bound of retries"), **options)
     assert any("retries of" in line for line in loose.promises.broken)
     assert played(lost, **options).promises.broken == []
 
 
-def replace_rate(kind, name, call):
+def often(kind, name, call):
     """Return a kind under another name that comes often."""
     return type(kind)(name, kind.pool, 40.0, kind.objective_s, kind.deadline_s, call)
 
@@ -136,7 +136,7 @@
 
 def test_a_caller_that_was_refused_has_not_lost_its_patience():
     """One that is told to come back in two seconds is counted as gone after one."""
-    deployment = small(kinds=(replace_patience(CLAIM, 1.0),))
+    deployment = small(kinds=(with_patience(CLAIM, 1.0),))
     clock, drawn = VirtualClock(), Drawn(deployment, 1)
     sent = []
     callers = Callers(
@@ -153,6 +153,6 @@
     assert [one.ending for one in callers.verdicts] == [Ending.GONE]
 
 
-def replace_patience(kind, patience_s):
+def with_patience(kind, patience_s):
     """Return a kind whose callers leave after so long without an event."""
     return msgspec.structs.replace(kind, patience_s=patience_s)
