--- a/packages/simulator/src/amaranthtally/simulator/call_mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/call_mechanisms.py
@@ -21,7 +21,7 @@
 __all__: list[str] = []
 
 
-class Hasty(Batcher):
+class ShortHolding(Batcher):
     """Holds a call for a quarter of the usual time."""
 
     def _is_due(self, now: float, server: PieceServer, queue: PlaceQueue) -> bool:
@@ -30,7 +30,7 @@
         return any(now - waiting.since >= LINGER_S / 4 for waiting in queue)
 
 
-class Even(Batcher):
+class WithoutSparing(Batcher):
     """Refuses late requests early whether or not something was made of them."""
 
     def _drop_crowded_out(
@@ -47,7 +47,7 @@
         self._tell_fault(now, late, PieceFault.LATE, batches)
 
 
-class Undivided(PieceLimits):
+class UndividedLimits(PieceLimits):
     """Keeps all pieces of a stage together, also where a call can't hold them."""
 
     def part_pieces(self, pieces: int) -> int:
@@ -55,14 +55,14 @@
         return max(1, pieces)
 
 
-class Impatient(Batcher):
+class WithoutHolding(Batcher):
     """Sends a call as soon as there is a piece for it."""
 
     def _is_due(self, now: float, server: PieceServer, queue: PlaceQueue) -> bool:
         return True
 
 
-class Hopeful(Batcher):
+class WithoutEarlyRefusal(Batcher):
     """Keeps late requests to the end of their time."""
 
     def _drop_crowded_out(
@@ -89,7 +89,7 @@
 
 @without("holding of calls")
 def _no_holding() -> Variant:
-    return with_gatherer(lambda: Gatherer(Impatient()))
+    return with_gatherer(lambda: Gatherer(WithoutHolding()))
 
 
 @without("whole requests in a call")
@@ -99,17 +99,17 @@
 
 @without("three quarters of the holding of calls")
 def _little_holding() -> Variant:
-    return with_gatherer(lambda: Gatherer(Hasty()))
+    return with_gatherer(lambda: Gatherer(ShortHolding()))
 
 
 @without("sparing of begun requests")
 def _no_sparing() -> Variant:
-    return with_gatherer(lambda: Gatherer(Even()))
+    return with_gatherer(lambda: Gatherer(WithoutSparing()))
 
 
 def _undivided(settings: PolicySettings) -> PolicySettings:
     pools = {
-        name: replace(pool, pieces=Undivided(*astuple(pool.pieces)))
+        name: replace(pool, pieces=UndividedLimits(*astuple(pool.pieces)))
         if pool.pieces
         else pool
         for name, pool in settings.pools.items()
@@ -124,13 +124,13 @@
 
 @without("early refusal of the late")
 def _no_early_refusal() -> Variant:
-    return with_gatherer(lambda: Gatherer(Hopeful()))
+    return with_gatherer(lambda: Gatherer(WithoutEarlyRefusal()))
 
 
 # What is known of endpoints
 
 
-class OfOneSpeed(PieceServer):
+class WithoutSlowness(PieceServer):
     """Takes an endpoint to be as fast as its pool says."""
 
     def slowness(self, now: float) -> float:
@@ -138,7 +138,7 @@
         return 1.0
 
 
-class NeverAlone(PieceServer):
+class WithoutEarlyFreeing(PieceServer):
     """Takes an endpoint to have other callers, so that no input is freed early."""
 
     def is_alone(self, now: float) -> bool:
@@ -146,14 +146,14 @@
         return False
 
 
-class AlwaysOpen(PieceServer):
+class WithoutPause(PieceServer):
     """Goes on to call an endpoint that failed."""
 
     def failed(self, now: float) -> None:
         """Forget the failure."""
 
 
-class Untold(PieceServer):
+class UnboundedMemory(PieceServer):
     """Takes an endpoint to have memory for whatever comes."""
 
     def room_bytes(self, now: float) -> float:
@@ -163,19 +163,19 @@
 
 @without("learned slowness")
 def _no_slowness() -> Variant:
-    return with_server(OfOneSpeed)
+    return with_server(WithoutSlowness)
 
 
 @without("early freeing of inputs")
 def _no_early_freeing() -> Variant:
-    return with_server(NeverAlone)
+    return with_server(WithoutEarlyFreeing)
 
 
 @without("pause after failed calls")
 def _no_pause() -> Variant:
-    return with_server(AlwaysOpen)
+    return with_server(WithoutPause)
 
 
 @without("planned memory")
 def _no_memory() -> Variant:
-    return with_server(Untold)
+    return with_server(UnboundedMemory)
--- a/packages/simulator/src/amaranthtally/simulator/place_mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/place_mechanisms.py
@@ -11,7 +11,7 @@
 __all__: list[str] = []
 
 
-class OwnerOfAll(Places):
+class WithoutOwners(Places):
     """Calls every endpoint itself, whatever the other entries do."""
 
     def owner(self, now: float, pool: str, data_centre: str) -> str:
@@ -19,7 +19,7 @@
         return ""
 
 
-class FirstPlace(StagePlans):
+class FirstStagePlace(StagePlans):
     """Leaves a request where its first stage ran."""
 
     def place_of(
@@ -38,7 +38,7 @@
         return super().place_of(now, graph, stage, reader, on_time_by, rank)
 
 
-class BlindToCrossing(Places):
+class WithoutCrossing(Places):
     """Takes no account of where results are read."""
 
     def best(
@@ -54,7 +54,7 @@
         return super().best(now, pool, candidates, rank=rank)
 
 
-class Trusting(Places):
+class WithoutDoubts(Places):
     """Goes on to ask peers that did not answer."""
 
     def peer_failed(self, now: float, peer: str) -> None:
@@ -63,25 +63,25 @@
 
 @without("owners")
 def _no_owners() -> Variant:
-    return with_gatherer(lambda: Gatherer(places=OwnerOfAll()))
+    return with_gatherer(lambda: Gatherer(places=WithoutOwners()))
 
 
 @without("placing of each stage")
 def _no_placing() -> Variant:
-    return with_gatherer(lambda: Gatherer(build_plans=FirstPlace))
+    return with_gatherer(lambda: Gatherer(build_plans=FirstStagePlace))
 
 
 @without("weight of crossing")
 def _no_crossing() -> Variant:
-    return with_gatherer(lambda: Gatherer(places=BlindToCrossing()))
+    return with_gatherer(lambda: Gatherer(places=WithoutCrossing()))
 
 
 @without("doubts about peers")
 def _no_doubts() -> Variant:
-    return with_gatherer(lambda: Gatherer(places=Trusting()))
+    return with_gatherer(lambda: Gatherer(places=WithoutDoubts()))
 
 
-class OfOneRank(Places):
+class WaitsWithoutRank(Places):
     """Knows one wait of a place for all ranks."""
 
     def heard(
@@ -105,4 +105,4 @@
 
 @without("waits by rank")
 def _no_waits_by_rank() -> Variant:
-    return with_gatherer(lambda: Gatherer(places=OfOneRank()))
+    return with_gatherer(lambda: Gatherer(places=WaitsWithoutRank()))
--- a/packages/simulator/src/amaranthtally/simulator/request_mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/request_mechanisms.py
@@ -16,7 +16,7 @@
 UNBOUNDED_BUDGET = 64.0
 
 
-class AdmitAllInputs(RequestInputs):
+class WithoutAdmission(RequestInputs):
     """Takes in every request, whatever its pieces would wait."""
 
     def judge(self, now: float, arrival: Arrival, work: PieceWork) -> Verdict:
@@ -24,7 +24,7 @@
         return ADMITTED
 
 
-class ReadLate(RequestInputs):
+class LateFreeing(RequestInputs):
     """Keeps a request's inputs until its first event."""
 
     def note_sent(self, now: float, request: Request) -> None:
@@ -33,12 +33,12 @@
 
 @without("admission by stages")
 def _no_admission() -> Variant:
-    return Variant(parts=replace(POLICY.parts, inputs=AdmitAllInputs))
+    return Variant(parts=replace(POLICY.parts, inputs=WithoutAdmission))
 
 
 @without("freeing before the first event")
 def _no_first_freeing() -> Variant:
-    return Variant(parts=replace(POLICY.parts, inputs=ReadLate))
+    return Variant(parts=replace(POLICY.parts, inputs=LateFreeing))
 
 
 # Attempts
