--- a/packages/simulator/src/amaranthtally/simulator/faults.py
+++ b/packages/simulator/src/amaranthtally/simulator/faults.py
@@ -46,7 +46,7 @@
         world.clock.at(fault.start_s, partial(_KINDS[fault.kind], world, fault))
     last = max((fault.start_s + fault.length_s for fault in faults), default=0.0)
     settled = last + RECORD_S + START_S + SPREAD_S + AGREE_S
-    if settled < world.deployment.seconds:
+    if settled < world.deployment.seconds + world.deployment.longest_s:
         world.clock.at(settled, world.promises.check_agreement)
     return world
 
