One definition of what gateways decide with, used by them and by the simulator

The simulator had its own copies of the gateway's parts, its shares of second attempts, its tick, and of how a route becomes a pipeline and a request an arrival. A change to the gateway would have left it simulating another policy, unnoticed. Both call policy/gateway_policy.py now.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/beliefs.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/beliefs.py
@@ -3,7 +3,12 @@
 from collections.abc import Callable
 
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.policy import EndpointDirectory, PolicySettings, RouteTable
+from amaranthtally.policy import (
+    EndpointDirectory,
+    PolicySettings,
+    RouteTable,
+    gateway_settings,
+)
 from amaranthtally.settings import GatewaySettings
 
 __all__ = ["Beliefs"]
@@ -16,9 +21,6 @@
 # How much of the common ratio an entry uses itself. What it sees as requests for a
 # pool lags by a window where traffic falls.
 RATIO_USED = 0.75
-# Second attempts beside slow ones, as a ratio of first ones, out of the same budget.
-HEDGE_RATIO = 0.04
-HEDGE_RESERVE = 1.0
 
 log = get_logger()
 
@@ -91,7 +93,7 @@
 
     def _policy_settings(self) -> PolicySettings:
         own = self._settings
-        return PolicySettings(
+        settings = PolicySettings(
             revision=self._revision,
             region=own.region,
             data_centre=own.data_centre,
@@ -99,9 +101,6 @@
             pools=self._table.pools if self._table else {},
             retry_budget=own.retry_ratio * RATIO_USED,
             retry_reserve=max(1.0, SLACK_USED * own.retry_slack / self._entries),
-            hedge_budget=HEDGE_RATIO,
-            hedge_reserve=HEDGE_RESERVE,
-            not_run_cost=1.0,
             entry=own.name,
-            admission_headroom=1.0,
         )
+        return gateway_settings(settings)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -15,6 +15,7 @@
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
+    GATEWAY_TICK_S,
     Answer as AnswerAction,
     Ask,
     AskPeer,
@@ -44,9 +45,6 @@
 
 __all__ = ["GatewayExecutor"]
 
-# Pieces linger for a few of these, in seconds; each tick costs processor time.
-TICK_S = 0.006
-
 log = get_logger()
 
 
@@ -83,7 +81,7 @@
                 TellPeer: self._tell_peer,
                 FreeAtPeer: self._free_at_peer,
             },
-            TICK_S,
+            GATEWAY_TICK_S,
         )
 
     @property
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -47,8 +47,7 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import open_store
 from amaranthtally.policy import (
-    AffinityRouter,
-    Parts,
+    GATEWAY_PARTS,
     PeerDirectory,
     PeerRecord,
     Planner,
@@ -213,7 +212,7 @@
 ) -> GatewayExecutor:
     start = beliefs.start()
     drawn = Random(random.getrandbits(SEED_BITS))
-    planner = Planner(start, drawn, Parts(router=AffinityRouter))
+    planner = Planner(start, drawn, GATEWAY_PARTS)
     return GatewayExecutor(planner, start, session, metrics)
 
 
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -32,6 +32,14 @@
     PieceWork,
     StageResult,
 )
+from amaranthtally.policy.gateway_policy import (
+    ANSWER_S,
+    GATEWAY_PARTS,
+    GATEWAY_TICK_S,
+    gateway_settings,
+    route_arrival,
+    route_pipeline,
+)
 from amaranthtally.policy.gathering import Gatherer
 from amaranthtally.policy.invariants import InvariantError
 from amaranthtally.policy.ledger import Counters
@@ -78,6 +86,9 @@
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
 
 __all__ = [
+    "ANSWER_S",
+    "GATEWAY_PARTS",
+    "GATEWAY_TICK_S",
     "Account",
     "AccountLimits",
     "Action",
@@ -138,6 +149,9 @@
     "TellPeer",
     "WantedModels",
     "WeightedPool",
-    "request_rank",
+    "gateway_settings",
     "plan_orders",
+    "request_rank",
+    "route_arrival",
+    "route_pipeline",
 ]
--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -4,6 +4,7 @@
 from typing import Any, Protocol
 
 from amaranthtally.policy import (
+    GATEWAY_TICK_S,
     Action,
     Answer,
     Arrival,
@@ -34,7 +35,6 @@
 
 __all__ = ["Entry", "Surroundings"]
 
-TICK_S = 0.006
 # What an entry waits for the word of a peer that it can't reach, in seconds.
 PEER_TIMEOUT_S = 0.8
 # Between two questions to the peers that owe an answer, in seconds.
@@ -196,13 +196,13 @@
     def _wake(self) -> None:
         if not self._ticking:
             self._ticking = True
-            self.later(TICK_S, self._tick)
+            self.later(GATEWAY_TICK_S, self._tick)
 
     def _tick(self) -> None:
         self._carry_out(self.planner.tick(self.clock.now))
         self._ticking = bool(self._live) or self.planner.has_pieces
         if self._ticking:
-            self.later(TICK_S, self._tick)
+            self.later(GATEWAY_TICK_S, self._tick)
 
     def _carry_out(self, actions: Sequence[Action]) -> None:
         for action in actions:
--- a/packages/simulator/src/amaranthtally/simulator/mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/mechanisms.py
@@ -12,10 +12,9 @@
 )
 from amaranthtally.simulator.variants import (
     POLICY,
-    POLICY_PARTS,
     Variant,
     variant,
     variant_names,
 )
 
-__all__ = ["POLICY", "POLICY_PARTS", "Variant", "variant", "variant_names"]
+__all__ = ["POLICY", "Variant", "variant", "variant_names"]
--- a/packages/simulator/src/amaranthtally/simulator/policy_terms.py
+++ b/packages/simulator/src/amaranthtally/simulator/policy_terms.py
@@ -1,25 +1,41 @@
 """A deployment's kinds, pools and requests in the policy's own terms."""
 
+from typing import NamedTuple
+
 from amaranthtally.policy import (
+    ANSWER_S,
     Arrival,
+    CallKind,
     EngineLimits,
     PieceLimits,
     PieceStage,
     PieceWork,
     Pipeline,
     Pool,
-    Stage,
+    Route,
+    WeightedPool,
+    route_arrival,
+    route_pipeline,
 )
 from amaranthtally.simulator.deployment import Deployment, Kind, PiecePool
 from amaranthtally.simulator.requests import Request
 
-__all__ = ["policy_arrival", "policy_pipeline", "policy_pools"]
+__all__ = ["KindTerms", "policy_arrival", "policy_pools", "policy_terms"]
 
-# An answer leaves by so much before its caller does, in seconds.
-ANSWER_S = 0.04
-WEIGHT_ATTAINMENT = 0.9
 ACCOUNT = "account"
 INPUT_BYTES = 500
+CALL_KINDS = {
+    "idempotent": CallKind.IDEMPOTENT,
+    "streaming": CallKind.STREAMING,
+    "effect": CallKind.NON_IDEMPOTENT,
+}
+
+
+class KindTerms(NamedTuple):
+    """A kind of request as gateways know it."""
+
+    route: Route
+    pipeline: Pipeline
 
 
 def policy_pools(deployment: Deployment) -> dict[str, Pool]:
@@ -36,48 +52,45 @@
     return pools
 
 
-def policy_pipeline(kind: Kind) -> Pipeline:
-    """Return the pipeline of a kind: one stage, after its pieces."""
-    is_stream = kind.call == "streaming"
-    stage = Stage(
+def policy_terms(kind: Kind) -> KindTerms:
+    """Return a kind's route, and the pipeline of its requests."""
+    call_kind = CALL_KINDS[kind.call]
+    route = Route(
         name=kind.name,
-        pool=kind.pool,
-        repeatable=kind.call == "idempotent" or (is_stream and kind.resumable),
-        streams=is_stream,
+        host="",
+        prefix="",
+        kind=call_kind,
+        targets=(WeightedPool(kind.pool, 1.0),),
+        timeout_s=kind.deadline_s,
+        objective_s=kind.objective_s,
+        patience_s=kind.patience_s,
+        priority=kind.priority,
         max_attempts=kind.max_attempts,
-        hedges=kind.call == "idempotent",
+        stages=tuple(
+            PieceStage(stage.pool, stage.after, stage.result_bytes)
+            for stage in kind.stages
+        ),
+        is_resumable=call_kind is CallKind.STREAMING and kind.resumable,
     )
-    return Pipeline(kind.name, (stage,), kind.deadline_s, WEIGHT_ATTAINMENT)
+    return KindTerms(route, route_pipeline(route, kind.pool))
 
 
-def policy_arrival(request: Request, pipeline: Pipeline, now: float) -> Arrival:
+def policy_arrival(request: Request, terms: KindTerms, now: float) -> Arrival:
     """Return a request that arrives at a time stamp."""
-    kind = request.kind
-    deadline = max(now, request.deadline - ANSWER_S)
-    return Arrival(
+    stages = terms.route.stages
+    return route_arrival(
+        now,
+        max(now, request.deadline - ANSWER_S),
+        terms.route,
+        terms.pipeline,
         request_id=request.try_id,
         account=ACCOUNT,
-        pipeline=pipeline,
-        deadline=deadline,
-        input_bytes=INPUT_BYTES,
-        priority=kind.priority,
-        streaming=kind.call == "streaming",
+        rank=request.kind.priority,
+        size_bytes=INPUT_BYTES,
         prefix=request.prefix,
-        objective=min(deadline, now + kind.objective_s),
         prefix_sizes=request.sizes,
-        work=_work(request),
-        leaves_at=now + kind.patience_s if kind.patience_s else 0.0,
-    )
-
-
-def _work(request: Request) -> PieceWork | None:
-    if not request.kind.stages:
-        return None
-    stages = tuple(
-        PieceStage(stage.pool, stage.after, stage.result_bytes)
-        for stage in request.kind.stages
+        work=PieceWork(stages, request.counts, request.id) if stages else None,
     )
-    return PieceWork(stages, request.counts, request.id)
 
 
 def _piece_limits(pool: PiecePool) -> PieceLimits:
--- a/packages/simulator/src/amaranthtally/simulator/variants.py
+++ b/packages/simulator/src/amaranthtally/simulator/variants.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, replace
 
 from amaranthtally.policy import (
-    AffinityRouter,
+    GATEWAY_PARTS,
     Arrival,
     Endpoint,
     Gatherer,
@@ -17,7 +17,6 @@
 
 __all__ = [
     "POLICY",
-    "POLICY_PARTS",
     "Variant",
     "variant",
     "variant_names",
@@ -35,15 +34,12 @@
     return arrival
 
 
-POLICY_PARTS = Parts(router=AffinityRouter)
-
-
 @dataclass(frozen=True, slots=True)
 class Variant:
     """A policy: its parts, and what it changes in settings and arrivals."""
 
     name: str = "policy"
-    parts: Parts = POLICY_PARTS
+    parts: Parts = GATEWAY_PARTS
     adapt_settings: Callable[[PolicySettings], PolicySettings] = _same_settings
     adapt_arrival: Callable[[Arrival], Arrival] = _same_arrival
 
--- a/packages/simulator/src/amaranthtally/simulator/world.py
+++ b/packages/simulator/src/amaranthtally/simulator/world.py
@@ -11,6 +11,7 @@
     Planner,
     PolicySettings,
     Refuse,
+    gateway_settings,
 )
 from amaranthtally.simulator.callers import Callers, Drawn
 from amaranthtally.simulator.clock import VirtualClock
@@ -23,8 +24,8 @@
 from amaranthtally.simulator.network import Network
 from amaranthtally.simulator.policy_terms import (
     policy_arrival,
-    policy_pipeline,
     policy_pools,
+    policy_terms,
 )
 from amaranthtally.simulator.promises import Promises
 from amaranthtally.simulator.requests import Request
@@ -33,8 +34,6 @@
 
 __all__ = ["World"]
 
-HEDGE_BUDGET = 0.04
-
 
 class World:
     """The processes of a deployment; it is what each entry meets."""
@@ -64,9 +63,7 @@
             self.clock, deployment, self.results, self.parts, self.drawn
         )
         self._pools = policy_pools(deployment)
-        self._pipelines = {
-            kind.name: policy_pipeline(kind) for kind in deployment.kinds
-        }
+        self._terms = {kind.name: policy_terms(kind) for kind in deployment.kinds}
         self.entries = Membership(
             self.clock, _entry_places(deployment), self._start_entry, self._settings
         )
@@ -99,8 +96,8 @@
 
     def make_arrival(self, request: Request) -> Arrival:
         """Return a request as an entry reads it."""
-        pipeline = self._pipelines[request.kind.name]
-        arrival = policy_arrival(request, pipeline, self.clock.now)
+        terms = self._terms[request.kind.name]
+        arrival = policy_arrival(request, terms, self.clock.now)
         return self._variant.adapt_arrival(arrival)
 
     def began(self, request: Request) -> None:
@@ -181,14 +178,10 @@
             endpoints=self._endpoints(),
             retry_budget=self.deployment.retry_budget,
             retry_reserve=max(1.0, self.deployment.retry_reserve / entries),
-            hedge_budget=HEDGE_BUDGET,
-            hedge_reserve=1.0,
-            not_run_cost=1.0,
             entry=name,
-            admission_headroom=1.0,
             pools=self._pools,
         )
-        return self._variant.adapt_settings(settings)
+        return self._variant.adapt_settings(gateway_settings(settings))
 
     def _endpoints(self) -> Mapping[str, Endpoint]:
         return {
--- a/tests/simulator/test_days.py
+++ b/tests/simulator/test_days.py
@@ -6,7 +6,6 @@
 import pytest
 
 from amaranthtally.policy import Outcome, Reason, Refuse
-from amaranthtally.simulator import mechanisms
 from amaranthtally.simulator.callers import Callers, Drawn
 from amaranthtally.simulator.clock import VirtualClock
 from amaranthtally.simulator.days import play_day
@@ -89,7 +88,7 @@
         stages = tuple(replace(s, repeatable=True) for s in arrival.pipeline.stages)
         return replace(arrival, pipeline=replace(arrival.pipeline, stages=stages))
 
-    careless = Variant(parts=mechanisms.POLICY_PARTS, adapt_arrival=repeat)
+    careless = Variant(adapt_arrival=repeat)
     lost = fault("lost_answers", "desk/cluj-a/0", 1.0, 5.0)
     world = played(lost, chosen=careless)
     effects = [line for line in world.promises.broken if line.startswith("order-")]
