Switches stand in for one thing each, and are registered where they stand

Each variant had a class or function and, below it, a second function that only wrapped it; two of them copied a rule of the batcher to change its last line, and one was a copy of the experiment's own class without ejections. Now `without(name, of_...)` decorates what stands in; the batcher has its linger time as a parameter and one method for whom a full queue refuses, and the experiment's ablations use the same class and budget.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -52,7 +52,7 @@
     def greeted(self, name: str, record: PeerRecord, versions: Versions) -> Greeting:
         """Return this gateway's versions to a peer; fetch what it has newer."""
         self._on_greeting(name, record)
-        self._configuration.hear_of(versions.configuration, name)
+        self.heard_of(name, versions)
         if versions.configuration > self._configuration.version:
             self._on_newer(name, versions)
         return Greeting(self.versions, self._is_leaving())
--- a/packages/operator/src/amaranthtally/operator/experiment/ablations.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/ablations.py
@@ -38,6 +38,10 @@
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageStats, StageTimes
 from amaranthtally.policy.weighing import Choice, RouteRequest
+from amaranthtally.simulator.request_mechanisms import (
+    UNBOUNDED_BUDGET,
+    WithoutEjections,
+)
 
 __all__ = ["ablations"]
 
@@ -48,9 +52,6 @@
 RETRIES = Decision(5, "retries, hedges, ejection")
 WEIGHT = Decision(6, "weight of cost")
 
-# Earned by each first attempt: more than any request can spend.
-UNBOUNDED_BUDGET = 64.0
-
 
 def ablations() -> Mapping[str, Decision]:
     """Return the decision that each ablation replaces, by the ablation's name."""
@@ -241,14 +242,6 @@
 # 5: retries, hedges, ejection
 
 
-class NoEjections(Ejections):
-    """Ejects nothing."""
-
-    def failed(self, now: float, endpoint: str, pool: str, pool_size: int) -> bool:
-        """Forget the failure."""
-        return False
-
-
 @ablation("no retries", RETRIES)
 def _no_retries() -> Ablation:
     return Ablation(adapt=settings_adapter({"retry_budget": 0.0}))
@@ -266,7 +259,7 @@
 
 @ablation("no ejection", RETRIES)
 def _no_ejection() -> Ablation:
-    return Ablation(Parts(ejections=NoEjections))
+    return Ablation(Parts(ejections=WithoutEjections))
 
 
 @ablation("retries by count alone", RETRIES)
@@ -275,7 +268,7 @@
         "retry_budget": UNBOUNDED_BUDGET,
         "hedge_budget": 0.0,
     }
-    return Ablation(Parts(ejections=NoEjections), adapt=settings_adapter(values))
+    return Ablation(Parts(ejections=WithoutEjections), adapt=settings_adapter(values))
 
 
 # 6: weight
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -50,10 +50,14 @@
     """
 
     def __init__(
-        self, servers: PieceServers | None = None, fill: FillCall = fill_call
+        self,
+        servers: PieceServers | None = None,
+        fill: FillCall = fill_call,
+        linger_s: float = LINGER_S,
     ) -> None:
         self._servers = servers or PieceServers()
         self._fill = fill
+        self._linger_s = linger_s
         self._queues: dict[tuple[str, str], PlaceQueue] = {}
         # Pieces that wait or run, so that none is taken twice.
         self._known: set[Piece] = set()
@@ -283,7 +287,7 @@
         queue = self._queues.get(place)
         if not queue:
             return
-        self._drop_late(now, queue, batches)
+        self._tell_fault(now, queue.take_late(now), PieceFault.LATE, batches)
         servers = self._servers.at(*place)
         for server in servers:
             if not queue:
@@ -302,7 +306,7 @@
         """Whether there is enough for a call, or a piece has waited for others."""
         if len(queue) >= server.limits.batch:
             return True
-        return any(now - waiting.since >= LINGER_S for waiting in queue)
+        return any(now - waiting.since >= self._linger_s for waiting in queue)
 
     def _send(
         self,
@@ -327,9 +331,6 @@
             self._next_call, server.endpoint.id, orders, timeout_s, fill.facts
         )
 
-    def _drop_late(self, now: float, queue: PlaceQueue, batches: Batches) -> None:
-        self._tell_fault(now, queue.take_late(now), PieceFault.LATE, batches)
-
     def _drop_crowded_out(
         self,
         now: float,
@@ -345,9 +346,12 @@
         Those that have been begun are kept, as what was made of them would be wasted.
         """
         places = sum(server.limits.batch for server in servers)
-        if queue.on_time(now) < places:
-            return
-        self._tell_fault(now, queue.take_late_unbegun(now), PieceFault.LATE, batches)
+        if queue.on_time(now) >= places:
+            late = self._take_crowded_out(now, queue)
+            self._tell_fault(now, late, PieceFault.LATE, batches)
+
+    def _take_crowded_out(self, now: float, queue: PlaceQueue) -> list[Waiting]:
+        return queue.take_late_unbegun(now)
 
     def _give_back(
         self, now: float, queue: PlaceQueue, at_once: bool, batches: Batches
--- a/packages/policy/src/amaranthtally/policy/parts.py
+++ b/packages/policy/src/amaranthtally/policy/parts.py
@@ -15,13 +15,12 @@
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageTimes
 
-__all__ = ["Parts"]
+__all__ = ["BuildInputs", "BuildRouter", "Parts"]
 
 BuildAdmission = Callable[[Random, StageTimes, LoadTable, AccountShares], Admission]
 BuildRouter = Callable[
     [Random, EndpointGroups, LoadTable, Ejections, PrefixIndex], Router
 ]
-
 BuildInputs = Callable[[Random, Gatherer, StageTimes], RequestInputs]
 
 
--- a/packages/simulator/src/amaranthtally/simulator/place_mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/place_mechanisms.py
@@ -2,15 +2,16 @@
 
 from collections.abc import Mapping
 
-from amaranthtally.policy import Endpoint, Gatherer
+from amaranthtally.policy import Endpoint
 from amaranthtally.policy.piece_graph import PieceGraph
 from amaranthtally.policy.places import NOTHING_READ, Places
 from amaranthtally.policy.stage_plans import StagePlans
-from amaranthtally.simulator.variants import Variant, with_gatherer, without
+from amaranthtally.simulator.variants import of_places, of_plans, without
 
 __all__: list[str] = []
 
 
+@without("owners", of_places)
 class WithoutOwners(Places):
     """Calls every endpoint itself, whatever the other entries do."""
 
@@ -19,6 +20,7 @@
         return ""
 
 
+@without("placing of each stage", of_plans)
 class FirstStagePlace(StagePlans):
     """Leaves a request where its first stage ran."""
 
@@ -38,6 +40,7 @@
         return super().place_of(now, graph, stage, reader, on_time_by, rank)
 
 
+@without("weight of crossing", of_places)
 class WithoutCrossing(Places):
     """Takes no account of where results are read."""
 
@@ -54,6 +57,7 @@
         return super().best(now, pool, candidates, rank=rank)
 
 
+@without("doubts about peers", of_places)
 class WithoutDoubts(Places):
     """Goes on to ask peers that did not answer."""
 
@@ -61,26 +65,7 @@
         """Forget that a peer did not answer."""
 
 
-@without("owners")
-def _no_owners() -> Variant:
-    return with_gatherer(lambda: Gatherer(places=WithoutOwners()))
-
-
-@without("placing of each stage")
-def _no_placing() -> Variant:
-    return with_gatherer(lambda: Gatherer(build_plans=FirstStagePlace))
-
-
-@without("weight of crossing")
-def _no_crossing() -> Variant:
-    return with_gatherer(lambda: Gatherer(places=WithoutCrossing()))
-
-
-@without("doubts about peers")
-def _no_doubts() -> Variant:
-    return with_gatherer(lambda: Gatherer(places=WithoutDoubts()))
-
-
+@without("waits by rank", of_places)
 class WaitsWithoutRank(Places):
     """Knows one wait of a place for all ranks."""
 
@@ -101,8 +86,3 @@
     ) -> None:
         """Count what was asked for in any rank."""
         super().asked(now, pool, data_centre, more_s)
-
-
-@without("waits by rank")
-def _no_waits_by_rank() -> Variant:
-    return with_gatherer(lambda: Gatherer(places=WaitsWithoutRank()))
--- a/packages/simulator/src/amaranthtally/simulator/request_mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/request_mechanisms.py
@@ -2,20 +2,28 @@
 
 from dataclasses import replace
 
-from amaranthtally.policy import Arrival, PieceWork
+from amaranthtally.policy import Arrival, PieceWork, PolicySettings
 from amaranthtally.policy.admission import ADMITTED, Verdict
 from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.request_inputs import RequestInputs
 from amaranthtally.policy.requests import Request
 from amaranthtally.policy.routing import Router
-from amaranthtally.simulator.variants import POLICY, Variant, without
+from amaranthtally.simulator.variants import (
+    of_arrivals,
+    of_ejections,
+    of_inputs,
+    of_router,
+    of_settings,
+    without,
+)
 
-__all__: list[str] = []
+__all__ = ["UNBOUNDED_BUDGET", "WithoutEjections"]
 
 # Earned by each first attempt: more than any request can spend.
 UNBOUNDED_BUDGET = 64.0
 
 
+@without("admission by stages", of_inputs)
 class WithoutAdmission(RequestInputs):
     """Takes in every request, whatever its pieces would wait."""
 
@@ -24,6 +32,7 @@
         return ADMITTED
 
 
+@without("freeing before the first event", of_inputs)
 class LateFreeing(RequestInputs):
     """Keeps a request's inputs until its first event."""
 
@@ -31,20 +40,11 @@
         """Note nothing."""
 
 
-@without("admission by stages")
-def _no_admission() -> Variant:
-    return Variant(parts=replace(POLICY.parts, inputs=WithoutAdmission))
-
-
-@without("freeing before the first event")
-def _no_first_freeing() -> Variant:
-    return Variant(parts=replace(POLICY.parts, inputs=LateFreeing))
-
-
 # Attempts
 
 
-class NoEjections(Ejections):
+@without("ejection", of_ejections)
+class WithoutEjections(Ejections):
     """Ejects nothing."""
 
     def failed(self, now: float, endpoint: str, pool: str, pool_size: int) -> bool:
@@ -52,56 +52,49 @@
         return False
 
 
-@without("ejection")
-def _no_ejection() -> Variant:
-    return Variant(parts=replace(POLICY.parts, ejections=NoEjections))
+@without("affinity", of_router)
+class WithoutAffinity(Router):
+    """Chooses engines like any other endpoint."""
 
 
-@without("affinity")
-def _no_affinity() -> Variant:
-    return Variant(parts=replace(POLICY.parts, router=Router))
+@without("hedges", of_settings)
+def without_hedges(settings: PolicySettings) -> PolicySettings:
+    """Return settings that allow no second attempt beside a slow one."""
+    return replace(settings, hedge_budget=0.0, hedge_reserve=0.0)
 
 
-@without("hedges")
-def _no_hedges() -> Variant:
-    return Variant(
-        adapt_settings=lambda s: replace(s, hedge_budget=0.0, hedge_reserve=0.0)
-    )
+@without("bound of retries", of_settings)
+def without_bound(settings: PolicySettings) -> PolicySettings:
+    """Return settings that allow any number of retries."""
+    return replace(settings, retry_budget=UNBOUNDED_BUDGET)
 
 
-@without("bound of retries")
-def _no_bound() -> Variant:
-    return Variant(adapt_settings=lambda s: replace(s, retry_budget=UNBOUNDED_BUDGET))
+@without("retries", of_settings)
+def without_retries(settings: PolicySettings) -> PolicySettings:
+    """Return settings that allow no retry."""
+    return replace(settings, retry_budget=0.0, retry_reserve=0.0)
 
 
-@without("retries")
-def _no_retries() -> Variant:
-    return Variant(
-        adapt_settings=lambda s: replace(s, retry_budget=0.0, retry_reserve=0.0)
-    )
+# What arrivals say
 
 
-# What arrivals say
+@without("ranks", of_arrivals)
+def without_rank(arrival: Arrival) -> Arrival:
+    """Return an arrival as urgent as any other."""
+    return replace(arrival, priority=0)
+
 
+@without("patience", of_arrivals)
+def without_patience(arrival: Arrival) -> Arrival:
+    """Return an arrival whose caller stays to its deadline."""
+    return replace(arrival, leaves_at=0.0)
 
-def _resume_never(arrival: Arrival) -> Arrival:
+
+@without("resumption", of_arrivals)
+def without_resumption(arrival: Arrival) -> Arrival:
+    """Return an arrival whose stream is not sent again."""
     if not arrival.streaming:
         return arrival
     pipeline = arrival.pipeline
     stages = tuple(replace(stage, repeatable=False) for stage in pipeline.stages)
     return replace(arrival, pipeline=replace(pipeline, stages=stages))
-
-
-@without("ranks")
-def _no_ranks() -> Variant:
-    return Variant(adapt_arrival=lambda arrival: replace(arrival, priority=0))
-
-
-@without("patience")
-def _no_patience() -> Variant:
-    return Variant(adapt_arrival=lambda arrival: replace(arrival, leaves_at=0.0))
-
-
-@without("resumption")
-def _no_resumption() -> Variant:
-    return Variant(adapt_arrival=_resume_never)
--- a/packages/simulator/src/amaranthtally/simulator/variants.py
+++ b/packages/simulator/src/amaranthtally/simulator/variants.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from typing import TypeVar
 
 from amaranthtally.policy import (
     GATEWAY_PARTS,
@@ -13,18 +14,31 @@
     PolicySettings,
 )
 from amaranthtally.policy.batcher import Batcher
+from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.parts import BuildInputs, BuildRouter
 from amaranthtally.policy.piece_servers import PieceServer, PieceServers
+from amaranthtally.policy.places import Places
+from amaranthtally.policy.stage_plans import StagePlans
 
 __all__ = [
     "POLICY",
     "Variant",
     "variant",
     "variant_names",
-    "with_gatherer",
-    "with_server",
+    "of_arrivals",
+    "of_batcher",
+    "of_ejections",
+    "of_inputs",
+    "of_places",
+    "of_plans",
+    "of_router",
+    "of_server",
+    "of_settings",
     "without",
 ]
 
+Switch = TypeVar("Switch")
+
 
 def _same_settings(settings: PolicySettings) -> PolicySettings:
     return settings
@@ -58,21 +72,65 @@
     return list(_VARIANTS)
 
 
-def without(name: str) -> Callable[[Callable[[], Variant]], Callable[[], Variant]]:
-    """Register what a function returns as the policy without a mechanism."""
+def without(
+    name: str, to_variant: Callable[[Switch], Variant]
+) -> Callable[[Switch], Switch]:
+    """Register the policy without a mechanism: what is decorated stands in for it."""
 
-    def register(build: Callable[[], Variant]) -> Callable[[], Variant]:
-        _VARIANTS[f"no {name}"] = replace(build(), name=f"no {name}")
-        return build
+    def register(switch: Switch) -> Switch:
+        _VARIANTS[f"no {name}"] = replace(to_variant(switch), name=f"no {name}")
+        return switch
 
     return register
 
 
-def with_gatherer(build: Callable[[], Gatherer]) -> Variant:
-    """Return the policy with another maker of pieces."""
-    return Variant(parts=replace(POLICY.parts, gatherer=build))
+# What stands in for a mechanism
+
+
+def of_batcher(build: Callable[[], Batcher]) -> Variant:
+    """Return the policy with other calls with pieces."""
+    return _of_gatherer(lambda: Gatherer(build()))
 
 
-def with_server(build: Callable[[Endpoint, PieceLimits], PieceServer]) -> Variant:
+def of_server(build: Callable[[Endpoint, PieceLimits], PieceServer]) -> Variant:
     """Return the policy with other beliefs about endpoints that make pieces."""
-    return with_gatherer(lambda: Gatherer(Batcher(PieceServers(build))))
+    return of_batcher(lambda: Batcher(PieceServers(build)))
+
+
+def of_places(build: Callable[[], Places]) -> Variant:
+    """Return the policy with other owners or waits of places."""
+    return _of_gatherer(lambda: Gatherer(places=build()))
+
+
+def of_plans(build: Callable[[Places, Batcher], StagePlans]) -> Variant:
+    """Return the policy with other plans of stages."""
+    return _of_gatherer(lambda: Gatherer(build_plans=build))
+
+
+def of_inputs(build: BuildInputs) -> Variant:
+    """Return the policy with another admission by stages, or other freeing."""
+    return Variant(parts=replace(GATEWAY_PARTS, inputs=build))
+
+
+def of_ejections(build: Callable[[], Ejections]) -> Variant:
+    """Return the policy with other ejections."""
+    return Variant(parts=replace(GATEWAY_PARTS, ejections=build))
+
+
+def of_router(build: BuildRouter) -> Variant:
+    """Return the policy with another choice of endpoints."""
+    return Variant(parts=replace(GATEWAY_PARTS, router=build))
+
+
+def of_settings(adapt: Callable[[PolicySettings], PolicySettings]) -> Variant:
+    """Return the policy with other settings."""
+    return Variant(adapt_settings=adapt)
+
+
+def of_arrivals(adapt: Callable[[Arrival], Arrival]) -> Variant:
+    """Return the policy that is told something else of requests."""
+    return Variant(adapt_arrival=adapt)
+
+
+def _of_gatherer(build: Callable[[], Gatherer]) -> Variant:
+    return Variant(parts=replace(GATEWAY_PARTS, gatherer=build))
