Every command that plays in workers ends them when it is ended

Opening workers, and being interrupted, stand in one module for all three; the pool was set up twice. A search's test joins that of a run.

--- a/packages/operator/src/amaranthtally/operator/experiment/command.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/command.py
@@ -1,6 +1,7 @@
 """The command ``experiment``."""
 
 import sys
+from contextlib import closing
 from pathlib import Path
 from typing import Annotated
 
@@ -13,6 +14,7 @@
 from amaranthtally.operator.experiment.results import Result, summarize
 from amaranthtally.operator.experiment.tables import render_result
 from amaranthtally.operator.experiment.trials import Observation, run_trials, trials_of
+from amaranthtally.operator.experiment.workers import interruptible
 from amaranthtally.operator.replay.errors import TraceError
 
 __all__ = ["register"]
@@ -74,9 +76,10 @@
 def _observe(plan: Plan, workers: int) -> list[Observation]:
     total = len(trials_of(plan))
     observations: list[Observation] = []
-    for done, found in enumerate(run_trials(plan, workers), start=1):
-        observations.extend(found)
-        sys.stderr.write(f"\r{done}/{total} traces")
+    with interruptible(), closing(run_trials(plan, workers)) as running:
+        for done, found in enumerate(running, start=1):
+            observations.extend(found)
+            sys.stderr.write(f"\r{done}/{total} traces")
     sys.stderr.write("\n")
     return observations
 
--- a/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
@@ -1,9 +1,7 @@
 """The commands ``experiment draw``, ``experiment run`` and ``experiment search``."""
 
-import signal
 import sys
-from collections.abc import Iterator
-from contextlib import contextmanager
+from contextlib import closing
 from pathlib import Path
 from typing import Annotated
 
@@ -13,8 +11,9 @@
 from rich.progress import Progress, track
 
 from amaranthtally.operator.experiment.day_runs import (
+    DayJob,
     compare,
-    day_trials,
+    day_jobs,
     play_days,
 )
 from amaranthtally.operator.experiment.day_tables import (
@@ -23,6 +22,7 @@
     render_comparisons,
 )
 from amaranthtally.operator.experiment.trial_log import DayTrial, TrialLog
+from amaranthtally.operator.experiment.workers import interruptible
 from amaranthtally.simulator.days import Day, figure_names
 from amaranthtally.simulator.deployment import (
     Deployment,
@@ -113,9 +113,9 @@
         sys.stderr.write(f"{error}\n")
         return EXIT_BAD_INPUT
     out.mkdir(parents=True, exist_ok=True)
-    trials = day_trials(deployments, range(1, seeds + 1), chosen)
-    with _interruptible():
-        days, was_interrupted = _play(trials, out, jobs)
+    wanted = day_jobs(deployments, range(1, seeds + 1), chosen)
+    with interruptible():
+        days, was_interrupted = _play(wanted, out, jobs)
     _write(out, days)
     sys.stdout.write(render_broken(days))
     if was_interrupted:
@@ -139,11 +139,12 @@
         Processes that play days side by side.
     """
     drawn = [draw_deployment(first + n, seconds=SEARCH_S) for n in range(days)]
-    trials = day_trials(drawn, [1], [POLICY.name])
+    wanted = day_jobs(drawn, [1], [POLICY.name])
     found: dict[DayTrial, Day] = {}
     console = Console(stderr=True)
-    for played in track(play_days(trials, jobs), total=len(trials), console=console):
-        found[played.trial] = played.day
+    with interruptible(), closing(play_days(wanted, jobs)) as playing:
+        for played in track(playing, total=len(wanted), console=console):
+            found[played.trial] = played.day
     sys.stdout.write(render_broken(found))
     broken = sum(bool(day.broken) for day in found.values())
     sys.stdout.write(f"{len(found)} days, {broken} broke a promise\n")
@@ -175,44 +176,28 @@
 
 
 def _play(
-    trials: list[tuple[DayTrial, Deployment]], out: Path, jobs: int
+    wanted: list[DayJob], out: Path, workers: int
 ) -> tuple[dict[DayTrial, Day], bool]:
     """Play what the directory lacks; return all days, and whether it was cut short."""
     log = TrialLog(out / LOG_NAME)
     before = log.read()
-    wanted = {trial for trial, _ in trials}
-    days = {trial: day for trial, day in before.items() if trial in wanted}
-    missing = [(t, d) for t, d in trials if t not in days]
-    with Progress(console=Console(stderr=True)) as progress:
-        task = progress.add_task("days", total=len(trials), completed=len(days))
-        playing = play_days(missing, jobs)
+    days = {job.trial: before[job.trial] for job in wanted if job.trial in before}
+    missing = [job for job in wanted if job.trial not in days]
+    with (
+        Progress(console=Console(stderr=True)) as progress,
+        closing(play_days(missing, workers)) as playing,
+    ):
+        task = progress.add_task("days", total=len(wanted), completed=len(days))
         try:
             for played in playing:
                 log.add(played)
                 days[played.trial] = played.day
                 progress.advance(task)
         except KeyboardInterrupt:
-            playing.close()  # type: ignore[attr-defined]
             return days, True
     return days, False
 
 
-@contextmanager
-def _interruptible() -> Iterator[None]:
-    """
-    Raise ``KeyboardInterrupt`` on SIGTERM as on Ctrl-C, also in the background.
-
-    Ended by a signal at once, it would leave its workers waiting for ever.
-    """
-    signals = (signal.SIGINT, signal.SIGTERM)
-    before = [signal.signal(one, signal.default_int_handler) for one in signals]
-    try:
-        yield
-    finally:
-        for one, handler in zip(signals, before, strict=True):
-            signal.signal(one, handler)
-
-
 def _write(out: Path, days: dict[DayTrial, Day]) -> None:
     comparisons = compare(days, POLICY.name, figure_names())
     table = render_comparisons(comparisons, MAIN_FIGURE)
--- a/packages/operator/src/amaranthtally/operator/experiment/day_runs.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/day_runs.py
@@ -1,26 +1,23 @@
 """Plays days side by side, and compares variants pair by pair."""
 
-from collections.abc import Iterable, Iterator, Mapping, Sequence
-from concurrent.futures import Future, ProcessPoolExecutor, as_completed
-from dataclasses import dataclass
-from multiprocessing import get_context
+from collections.abc import Generator, Iterable, Mapping, Sequence
+from concurrent.futures import as_completed
+from statistics import fmean
+from typing import NamedTuple
 
 import msgspec
 
-from amaranthtally.operator.experiment.intervals import (
-    Interval,
-    estimate,
-    paired_difference,
-)
+from amaranthtally.operator.experiment.intervals import Interval, paired_difference
 from amaranthtally.operator.experiment.trial_log import (
     DayTrial,
     PlayedDay,
     deployment_digest,
 )
+from amaranthtally.operator.experiment.workers import open_workers
 from amaranthtally.simulator.days import Day, play_day
 from amaranthtally.simulator.deployment import Deployment
 
-__all__ = ["Comparison", "compare", "day_trials", "play_days"]
+__all__ = ["Comparison", "DayJob", "compare", "day_jobs", "play_days"]
 
 
 class Comparison(msgspec.Struct, frozen=True):
@@ -36,55 +33,45 @@
     @property
     def is_clear(self) -> bool:
         """Whether the interval of the difference leaves out 0."""
-        return abs(self.difference) > self.half
+        return Interval(self.difference, self.half).is_clear
+
 
+class DayJob(NamedTuple):
+    """A day to be played, and its deployment."""
 
-@dataclass(frozen=True, slots=True)
-class _Job:
     trial: DayTrial
     deployment: Deployment
 
 
-def day_trials(
+def day_jobs(
     deployments: Iterable[Deployment], seeds: Iterable[int], variants: Sequence[str]
-) -> list[tuple[DayTrial, Deployment]]:
+) -> list[DayJob]:
     """Return each day that an experiment plays, those of one pair side by side."""
     return [
-        (
-            DayTrial(
-                deployment.name, deployment_digest(deployment), seed, variant_name
-            ),
-            deployment,
-        )
+        DayJob(DayTrial(deployment.name, digest, seed, name), deployment)
         for deployment in deployments
+        for digest in [deployment_digest(deployment)]
         for seed in seeds
-        for variant_name in variants
+        for name in variants
     ]
 
 
-def play_days(
-    trials: Sequence[tuple[DayTrial, Deployment]], jobs: int
-) -> Iterator[PlayedDay]:
+def play_days(jobs: Sequence[DayJob], workers: int) -> Generator[PlayedDay, None, None]:
     """
     Yield days as they are played, in any order.
 
-    Ended early, as by Ctrl-C, it plays none of those that have not begun.
+    Closed early, as by Ctrl-C, it plays none of those that have not begun.
     """
-    work = [_Job(trial, deployment) for trial, deployment in trials]
-    if jobs <= 1:
-        yield from map(_play, work)
+    if workers <= 1:
+        yield from map(_play, jobs)
         return
-    # Spawned, not forked: a worker starts without threads and locks of this process.
-    pool = ProcessPoolExecutor(jobs, mp_context=get_context("spawn"))
-    try:
-        futures: list[Future[PlayedDay]] = [pool.submit(_play, job) for job in work]
+    with open_workers(workers) as pool:
+        futures = [pool.submit(_play, job) for job in jobs]
         for future in as_completed(futures):
             yield future.result()
-    finally:
-        pool.shutdown(cancel_futures=True)
 
 
-def _play(job: _Job) -> PlayedDay:
+def _play(job: DayJob) -> PlayedDay:
     day = play_day(job.deployment, job.trial.seed, job.trial.variant)
     return PlayedDay(job.trial, day)
 
@@ -117,6 +104,5 @@
         return None
     own = [float(getattr(played[key], figure)) for key in keys]
     other = [float(getattr(base[key], figure)) for key in keys]
-    found: Interval = paired_difference(own, other)
-    mean = estimate(own).mean
-    return Comparison(name, figure, mean, found.mean, found.half, len(keys))
+    found = paired_difference(own, other)
+    return Comparison(name, figure, fmean(own), found.mean, found.half, len(keys))
--- a/packages/operator/src/amaranthtally/operator/experiment/trials.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/trials.py
@@ -1,10 +1,8 @@
 """Every variant of a plan on one trace, and all traces in a few processes."""
 
-from collections.abc import Iterator
-from concurrent.futures import ProcessPoolExecutor
+from collections.abc import Generator
 from dataclasses import dataclass
 from functools import partial
-from multiprocessing import get_context
 from pathlib import Path
 
 import msgspec
@@ -15,6 +13,7 @@
     baseline_names,
     named_variant,
 )
+from amaranthtally.operator.experiment.workers import open_workers
 from amaranthtally.operator.replay.baselines import POLICY
 from amaranthtally.operator.replay.bound import Bound, clairvoyant_bound
 from amaranthtally.operator.replay.measures import Figures, measure
@@ -55,7 +54,7 @@
     ]
 
 
-def run_trials(plan: Plan, workers: int) -> Iterator[list[Observation]]:
+def run_trials(plan: Plan, workers: int) -> Generator[list[Observation], None, None]:
     """
     Yield the observations of each trace in the plan's order.
 
@@ -67,8 +66,7 @@
     if workers <= 1:
         yield from map(run, trials)
         return
-    # Spawned, not forked: a worker starts without threads and locks of this process.
-    with ProcessPoolExecutor(workers, mp_context=get_context("spawn")) as pool:
+    with open_workers(workers) as pool:
         yield from pool.map(run, trials)
 
 
--- a/tests/simulator/test_commands.py
+++ b/tests/simulator/test_commands.py
@@ -6,12 +6,13 @@
 import sys
 import time
 from contextlib import contextmanager
+from pathlib import Path
 
 import pytest
 
 from amaranthtally.operator.experiment.day_runs import (
     compare,
-    day_trials,
+    day_jobs,
     play_days,
 )
 from amaranthtally.operator.experiment.trial_log import PlayedDay, TrialLog
@@ -23,6 +24,8 @@
 
 # A worker ends the day that it plays before it ends.
 ENDED_S = 60.0
+# Until workers have imported what they need, in seconds.
+WORKERS_BEGIN_S = 1.0
 VARIANTS = ["--variants", "no owners", "--variants", "no affinity"]
 
 
@@ -123,6 +126,23 @@
     assert TrialLog(days).read()
 
 
+def test_a_search_that_is_ended_leaves_no_worker():
+    """A search in the background is ended, and its workers wait for ever."""
+    with started(["experiment", "search", "--days", "500", "--jobs", "2"]) as running:
+        while len(children_of(running.pid)) < 2:
+            assert running.poll() is None
+            time.sleep(0.05)
+        time.sleep(WORKERS_BEGIN_S)
+        running.send_signal(signal.SIGTERM)
+        running.communicate(timeout=ENDED_S)
+    assert running.returncode != 0
+
+
+def children_of(pid):
+    """Return the processes that a process has started."""
+    return Path(f"/proc/{pid}/task/{pid}/children").read_text().split()
+
+
 def test_an_unknown_variant_is_refused(tmp_path, path, capsys):
     out = tmp_path / "out"
     arguments = ["--variants", "no luck", "--out", out]
@@ -155,7 +175,7 @@
 
 
 def test_days_played_side_by_side_are_those_played_in_turn():
-    trials = day_trials([small(seconds=1.0)], [1, 2], variant_names()[:2])
+    trials = day_jobs([small(seconds=1.0)], [1, 2], variant_names()[:2])
     in_turn = {p.trial: p.day for p in play_days(trials, 1)}
     assert {p.trial: p.day for p in play_days(trials, 2)} == in_turn
     assert all(one.pairs == 2 for one in compare(in_turn, "policy", ["worth"]))
