--- a/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
@@ -26,6 +26,7 @@
 from amaranthtally.simulator.days import Day, figure_names
 from amaranthtally.simulator.deployment import (
     Deployment,
+    check_known,
     read_deployment,
     write_deployment,
 )
@@ -166,12 +167,9 @@
 
 def _chosen(names: list[str] | None) -> list[str]:
     known = variant_names()
-    unknown = sorted(set(names or []) - set(known))
-    if unknown:
-        detail = f"unknown variant {', '.join(unknown)}"
-        remedy = f"choose from {', '.join(known)}"
-        raise DeploymentError("experiment run", detail, remedy)
     wanted = names or known
+    for name in wanted:
+        check_known("experiment run", "--variants", name, known)
     return [POLICY.name, *(name for name in wanted if name != POLICY.name)]
 
 
--- a/packages/simulator/src/amaranthtally/simulator/attempts.py
+++ b/packages/simulator/src/amaranthtally/simulator/attempts.py
@@ -14,11 +14,9 @@
     StageResult,
     StoredResult,
 )
-from amaranthtally.simulator.engines import EngineServer
 from amaranthtally.simulator.processes import Process
 from amaranthtally.simulator.requests import Request
-from amaranthtally.simulator.servers import Attempt, Server
-from amaranthtally.simulator.services import PlainServer
+from amaranthtally.simulator.servers import AnsweringServer, Attempt, Server
 
 __all__ = ["Attempts", "LiveRequest"]
 
@@ -108,7 +106,7 @@
             return
         if not server.up:
             self._process.hear_from(server, lambda: self.ended(attempt.id, UNREACHABLE))
-        elif isinstance(server, EngineServer | PlainServer):
+        elif isinstance(server, AnsweringServer):
             server.run(attempt)
 
     def _new_attempt(
@@ -145,7 +143,7 @@
 
     def _withdraw(self, server: Server, attempt: Attempt) -> None:
         attempt.gone = True
-        if isinstance(server, EngineServer | PlainServer) and server.up:
+        if isinstance(server, AnsweringServer) and server.up:
             self._process.send_to(server.place, lambda: server.cancel(attempt))
 
 
--- a/packages/simulator/src/amaranthtally/simulator/days.py
+++ b/packages/simulator/src/amaranthtally/simulator/days.py
@@ -7,11 +7,11 @@
 
 from amaranthtally.simulator.deployment import Deployment
 from amaranthtally.simulator.faults import plan_faults
-from amaranthtally.simulator.mechanisms import variant
+from amaranthtally.simulator.mechanisms import POLICY, Variant, variant
 from amaranthtally.simulator.requests import Ending, Verdict
 from amaranthtally.simulator.world import World
 
-__all__ = ["Day", "figure_names", "play_day"]
+__all__ = ["Day", "figure_names", "play", "play_day"]
 
 KILO, GIGA = 1e3, 1e9
 
@@ -40,9 +40,14 @@
     return [f for f in Day.__struct_fields__ if f not in ("requests", "broken")]
 
 
+def play(deployment: Deployment, seed: int = 1, chosen: Variant = POLICY) -> World:
+    """Return a world whose day is over; raises ``DeploymentError``."""
+    return plan_faults(World(deployment, seed, chosen)).run()
+
+
 def play_day(deployment: Deployment, seed: int, variant_name: str = "policy") -> Day:
-    """Play a day; raises ``DeploymentError`` for a fault that is not known."""
-    world = plan_faults(World(deployment, seed, variant(variant_name))).run()
+    """Play a day and sum it up; raises ``DeploymentError`` for an unknown fault."""
+    world = play(deployment, seed, variant(variant_name))
     verdicts = world.callers.verdicts
     owed = sum(one.worth for one in verdicts) or 1.0
     earned = sum(one.earned for one in verdicts) / owed
@@ -76,8 +81,8 @@
 
 def _prices(world: World, wasted_s: float) -> float:
     prices = world.deployment.prices
-    again = world.parts.again_tokens / KILO
-    crossed = world.crossed_bytes() / GIGA
+    again = world.read_parts.again_tokens / KILO
+    crossed = world.results.crossed_bytes / GIGA
     return (
         prices.stage_second * wasted_s
         + prices.thousand_tokens * again
--- a/packages/simulator/src/amaranthtally/simulator/deployment.py
+++ b/packages/simulator/src/amaranthtally/simulator/deployment.py
@@ -22,6 +22,7 @@
     "ServicePool",
     "Stage",
     "check_deployment",
+    "check_known",
     "read_deployment",
     "write_deployment",
 ]
@@ -211,14 +212,14 @@
 
 
 def _check_kind(path: Path | str, at: str, kind: Kind, found: Deployment) -> None:
-    _check_known(path, f"{at}.pool", kind.pool, found.serving_pools)
+    check_known(path, f"{at}.pool", kind.pool, found.serving_pools)
     if not 0 < kind.objective_s <= kind.deadline_s:
         detail = f"{at}.objective_s is not between 0 and {at}.deadline_s"
         raise DeploymentError(path, detail, "give an objective that ends first")
     pieces = [pool.name for pool in found.piece_pools]
     for number, stage in enumerate(kind.stages):
         where = f"{at}.stages[{number}]"
-        _check_known(path, f"{where}.pool", stage.pool, pieces)
+        check_known(path, f"{where}.pool", stage.pool, pieces)
         if any(not 0 <= before < number for before in stage.after):
             remedy = "name stages that stand before it, from 0"
             raise DeploymentError(path, f"{where}.after is {stage.after}", remedy)
@@ -227,7 +228,8 @@
             raise DeploymentError(path, f"{where}.pieces is {stage.pieces}", remedy)
 
 
-def _check_known(path: Path | str, at: str, name: str, known: Sequence[str]) -> None:
+def check_known(path: Path | str, at: str, name: str, known: Sequence[str]) -> None:
+    """Raise ``DeploymentError`` where a field names what is not there."""
     if name not in known:
         remedy = f"choose from {', '.join(known) or 'pools that the file adds'}"
         raise DeploymentError(path, f"{at} names an unknown {name!r}", remedy)
--- a/packages/simulator/src/amaranthtally/simulator/engines.py
+++ b/packages/simulator/src/amaranthtally/simulator/engines.py
@@ -5,14 +5,13 @@
 from amaranthtally.policy import Endpoint, Fate, LoadReport, StageResult
 from amaranthtally.simulator.clock import VirtualClock
 from amaranthtally.simulator.deployment import EnginePool
-from amaranthtally.simulator.servers import Attempt, Server
+from amaranthtally.simulator.servers import FULL, AnsweringServer, Attempt
 from amaranthtally.simulator.stage_servers import Results
 
 __all__ = ["ReadParts", "TOKENS_PER_EVENT", "EngineServer"]
 
 # An event of a stream holds so many tokens: more events show nothing else here.
 TOKENS_PER_EVENT = 8
-FULL_RETRY_S = 0.5
 
 
 class ReadParts:
@@ -28,7 +27,7 @@
         self._read.add(part)
 
 
-class EngineServer(Server):
+class EngineServer(AnsweringServer):
     """Reads one prompt at a time, and streams to all whose prompt was read."""
 
     def __init__(
@@ -48,7 +47,6 @@
         self._reading_until = 0.0
         self._reported_at = 0.0
         self._report = self._new_report()
-        self.crossed_bytes = 0.0
 
     def run(self, attempt: Attempt) -> None:
         """Run an attempt, or refuse it."""
@@ -58,12 +56,12 @@
         used = sum(self._running.values())
         is_full = len(self._running) >= self._pool.slots
         if is_full or used + tokens > self._pool.token_capacity:
-            attempt.on_end(StageResult(Fate.NOT_RUN, retry_after_s=FULL_RETRY_S))
+            attempt.on_end(FULL)
             return
         if not self._results.all_kept(attempt.inputs):
             attempt.on_end(StageResult(Fate.NOT_RUN, inputs_gone=True))
             return
-        self.crossed_bytes += self._results.crossing_bytes(self.place, attempt.inputs)
+        self._results.read(self.place, attempt.inputs)
         self._running[attempt] = tokens
         begin = max(self.clock.now, self._reading_until)
         self._reading_until = begin + self._read_s(attempt)
@@ -130,12 +128,4 @@
         return self._report
 
     def _new_report(self) -> LoadReport:
-        return LoadReport(
-            incarnation=self.endpoint.incarnation,
-            running=len(self._running),
-            queued=0,
-            limit=self._pool.slots,
-            service_s=0.0,
-            backlog_s=0.0,
-            leaving=False,
-        )
+        return self.report(len(self._running), 0, self._pool.slots)
--- a/packages/simulator/src/amaranthtally/simulator/faults.py
+++ b/packages/simulator/src/amaranthtally/simulator/faults.py
@@ -4,8 +4,7 @@
 from functools import partial
 from pathlib import Path
 
-from amaranthtally.simulator.deployment import Deployment, Fault
-from amaranthtally.simulator.errors import DeploymentError
+from amaranthtally.simulator.deployment import Deployment, Fault, check_known
 from amaranthtally.simulator.memberships import RECORD_S
 from amaranthtally.simulator.promises import AGREE_S
 from amaranthtally.simulator.servers import Server
@@ -32,10 +31,7 @@
 def check_faults(path: Path | str, deployment: Deployment) -> None:
     """Raise ``DeploymentError`` where a fault is not known."""
     for number, fault in enumerate(deployment.faults):
-        if fault.kind not in _KINDS:
-            detail = f"faults[{number}].kind names an unknown {fault.kind!r}"
-            remedy = f"choose from {', '.join(fault_kinds())}"
-            raise DeploymentError(path, detail, remedy)
+        check_known(path, f"faults[{number}].kind", fault.kind, fault_kinds())
 
 
 def plan_faults(world: World) -> World:
--- a/packages/simulator/src/amaranthtally/simulator/promises.py
+++ b/packages/simulator/src/amaranthtally/simulator/promises.py
@@ -67,12 +67,13 @@
         world = self._world
         if world.callers.waiting:
             self._break(f"{world.callers.waiting} callers have no answer")
+        all_runs = self._runs()
         for request, tries in self._told:
-            if request.tries == tries and request.id in self._runs():
+            if request.tries == tries and request.id in all_runs:
                 self._break(f"{request.try_id} ran after it was said not to have")
-        for request_id, runs in self._runs().items():
-            kind = request_id.rpartition("-")[0]
-            if kind in self._effects() and runs > 1:
+        effects = {k.name for k in world.deployment.kinds if k.call == "effect"}
+        for request_id, runs in all_runs.items():
+            if request_id.rpartition("-")[0] in effects and runs > 1:
                 self._break(f"{request_id} ran {runs} times")
         for entry in world.entries:
             budget = world.deployment.retry_budget * entry.attempts.firsts
@@ -81,10 +82,6 @@
             if retries > most:
                 self._break(f"{entry.name} sent {retries} retries of {most:.0f}")
 
-    def _effects(self) -> set[str]:
-        kinds = self._world.deployment.kinds
-        return {kind.name for kind in kinds if kind.call == "effect"}
-
     def _runs(self) -> Counter[str]:
         servers = self._world.servers.values()
         plain = [s for s in servers if isinstance(s, PlainServer)]
--- a/packages/simulator/src/amaranthtally/simulator/servers.py
+++ b/packages/simulator/src/amaranthtally/simulator/servers.py
@@ -3,11 +3,14 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from amaranthtally.policy import AttemptId, Endpoint, LoadReport, StageResult
+from amaranthtally.policy import AttemptId, Endpoint, Fate, LoadReport, StageResult
 from amaranthtally.simulator.clock import VirtualClock
 from amaranthtally.simulator.requests import Request
 
-__all__ = ["Attempt", "Server"]
+__all__ = ["FULL", "AnsweringServer", "Attempt", "Server"]
+
+# What a full endpoint answers: it was not run, and may be sent again after a time.
+FULL = StageResult(Fate.NOT_RUN, retry_after_s=0.5)
 
 
 @dataclass(slots=True, eq=False)
@@ -92,3 +95,27 @@
                 work()
 
         self.clock.after(delay_s, due)
+
+
+class AnsweringServer(Server):
+    """An endpoint that answers requests."""
+
+    def run(self, attempt: Attempt) -> None:
+        """Run an attempt, or refuse it."""
+        raise NotImplementedError
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Drop an attempt whose answer is no longer wanted."""
+        raise NotImplementedError
+
+    def report(self, running: int, queued: int, limit: int) -> LoadReport:
+        """Return what the endpoint says of its load."""
+        return LoadReport(
+            incarnation=self.endpoint.incarnation,
+            running=running,
+            queued=queued,
+            limit=limit,
+            service_s=0.0,
+            backlog_s=0.0,
+            leaving=False,
+        )
--- a/packages/simulator/src/amaranthtally/simulator/services.py
+++ b/packages/simulator/src/amaranthtally/simulator/services.py
@@ -6,15 +6,12 @@
 from amaranthtally.policy import Endpoint, Fate, LoadReport, StageResult
 from amaranthtally.simulator.clock import VirtualClock
 from amaranthtally.simulator.deployment import ServicePool
-from amaranthtally.simulator.servers import Attempt, Server
+from amaranthtally.simulator.servers import FULL, AnsweringServer, Attempt
 
 __all__ = ["PlainServer"]
 
-# What a service says when to come back, in seconds, where its queue is full.
-FULL_RETRY_S = 0.5
 
-
-class PlainServer(Server):
+class PlainServer(AnsweringServer):
     """Runs so many requests at once; ``ran`` counts runs by request, for promises."""
 
     def __init__(
@@ -35,7 +32,7 @@
         elif len(self._queue) < self._pool.queue:
             self._queue.append(attempt)
         else:
-            attempt.on_end(StageResult(Fate.NOT_RUN, retry_after_s=FULL_RETRY_S))
+            attempt.on_end(FULL)
 
     def cancel(self, attempt: Attempt) -> None:
         """Drop an attempt that has not begun; what runs goes on."""
@@ -68,12 +65,4 @@
             self._begin(self._queue.popleft())
 
     def _load(self) -> LoadReport:
-        return LoadReport(
-            incarnation=self.endpoint.incarnation,
-            running=len(self._running),
-            queued=len(self._queue),
-            limit=self._pool.slots,
-            service_s=0.0,
-            backlog_s=0.0,
-            leaving=False,
-        )
+        return self.report(len(self._running), len(self._queue), self._pool.slots)
--- a/packages/simulator/src/amaranthtally/simulator/stage_servers.py
+++ b/packages/simulator/src/amaranthtally/simulator/stage_servers.py
@@ -36,9 +36,14 @@
 
 
 class Results:
-    """Where every result of a deployment is kept, and how large it is."""
+    """
+    Where every result of a deployment is kept, and how large it is.
+
+    ``crossed_bytes`` counts what was read in another data centre.
+    """
 
     def __init__(self) -> None:
+        self.crossed_bytes = 0.0
         self._at: dict[str, tuple[str, float]] = {}
         self._next = 0
 
@@ -57,10 +62,10 @@
         """Whether every one of these is kept."""
         return all(handle in self._at for handle in handles)
 
-    def crossing_bytes(self, place: str, handles: tuple[str, ...]) -> float:
-        """Return the bytes of these that are kept in other data centres."""
-        found = [self._at[handle] for handle in handles if handle in self._at]
-        return sum(size for at, size in found if at != place)
+    def read(self, place: str, handles: tuple[str, ...]) -> None:
+        """Let these, all of them kept, be read in a data centre."""
+        found = [self._at[handle] for handle in handles]
+        self.crossed_bytes += sum(size for at, size in found if at != place)
 
 
 @dataclass(slots=True)
@@ -87,7 +92,6 @@
         self._running: PieceCall | None = None
         self.busy_s = 0.0
         self.refused = 0
-        self.crossed_bytes = 0.0
 
     def call(self, call: PieceCall) -> None:
         """Queue a call, or refuse it."""
@@ -149,7 +153,7 @@
         used = sum(one.size_bytes for one in self._held.values())
         if used + size_bytes > self._pool.memory_bytes:
             return PieceOutcome(fault=PieceFault.NO_ROOM)
-        self.crossed_bytes += self._results.crossing_bytes(self.place, piece.inputs)
+        self._results.read(self.place, piece.inputs)
         handle = self._results.new_handle(self.place, size_bytes)
         full_s = self._pool.call_s + self._pool.batch * self._pool.piece_s
         until = now + full_s + self._pool.result_ttl_s
--- a/packages/simulator/src/amaranthtally/simulator/world.py
+++ b/packages/simulator/src/amaranthtally/simulator/world.py
@@ -16,7 +16,7 @@
 from amaranthtally.simulator.callers import Callers, Drawn
 from amaranthtally.simulator.clock import VirtualClock
 from amaranthtally.simulator.deployment import Deployment
-from amaranthtally.simulator.engines import EngineServer, ReadParts
+from amaranthtally.simulator.engines import ReadParts
 from amaranthtally.simulator.entries import Entry
 from amaranthtally.simulator.fleet import build_servers
 from amaranthtally.simulator.mechanisms import POLICY, Variant
@@ -45,7 +45,7 @@
         self.deployment = deployment
         self.network = Network(deployment)
         self.results = Results()
-        self.parts = ReadParts()
+        self.read_parts = ReadParts()
         self.drawn = Drawn(deployment, seed)
         self.promises = Promises(self)
         self._variant = variant
@@ -60,7 +60,7 @@
             self.clock, deployment, self.drawn, self._deliver, self._withdraw
         )
         self.servers = build_servers(
-            self.clock, deployment, self.results, self.parts, self.drawn
+            self.clock, deployment, self.results, self.read_parts, self.drawn
         )
         self._pools = policy_pools(deployment)
         self._terms = {kind.name: policy_terms(kind) for kind in deployment.kinds}
@@ -198,14 +198,6 @@
         """Return the endpoints that make pieces."""
         return [s for s in self.servers.values() if isinstance(s, StageServer)]
 
-    def crossed_bytes(self) -> float:
-        """Return the bytes of results that were read in another data centre."""
-        return sum(
-            server.crossed_bytes
-            for server in self.servers.values()
-            if isinstance(server, StageServer | EngineServer)
-        )
-
 
 def _entry_places(deployment: Deployment) -> dict[str, str]:
     """Return the data centre of each entry by its name."""
--- a/tests/load/days.py
+++ b/tests/load/days.py
@@ -3,10 +3,7 @@
 import msgspec
 
 from amaranthtally.simulator.deployment import Fault, read_deployment
-from amaranthtally.simulator.faults import plan_faults
-from amaranthtally.simulator.mechanisms import POLICY
 from amaranthtally.simulator.requests import Ending
-from amaranthtally.simulator.world import World
 from tests.simulator.support import EXAMPLES
 
 DEPLOYMENTS = {path.stem: read_deployment(path) for path in EXAMPLES}
@@ -28,11 +25,6 @@
     )
 
 
-def play(day, seed, variant=POLICY):
-    """Return a world whose day is over."""
-    return plan_faults(World(day, seed, variant)).run()
-
-
 def share_on_time(world, *kinds, since=0.0):
     """Return the share of requests that were answered on time."""
     found = _of(world, kinds, since)
--- a/tests/load/test_stages_under_load.py
+++ b/tests/load/test_stages_under_load.py
@@ -9,13 +9,13 @@
 import msgspec
 import pytest
 
+from amaranthtally.simulator.days import play
 from amaranthtally.simulator.deployment import Fault
 from amaranthtally.simulator.mechanisms import variant
 from tests.load.days import (
     DEPLOYMENTS,
     burst,
     day_of,
-    play,
     share_on_time,
     share_served,
 )
--- a/tests/simulator/test_days.py
+++ b/tests/simulator/test_days.py
@@ -8,9 +8,9 @@
 from amaranthtally.policy import Outcome, Reason, Refuse
 from amaranthtally.simulator.callers import Callers, Drawn
 from amaranthtally.simulator.clock import VirtualClock
-from amaranthtally.simulator.days import play_day
+from amaranthtally.simulator.days import play, play_day
 from amaranthtally.simulator.draw import draw_deployment
-from amaranthtally.simulator.faults import fault_kinds, plan_faults
+from amaranthtally.simulator.faults import fault_kinds
 from amaranthtally.simulator.mechanisms import POLICY, Variant, variant, variant_names
 from amaranthtally.simulator.requests import Ending
 from amaranthtally.simulator.world import World
@@ -29,7 +29,7 @@
 
 
 def played(*faults, seed=1, chosen=POLICY, **options):
-    return plan_faults(World(small(*faults, **options), seed, chosen)).run()
+    return play(small(*faults, **options), seed, chosen)
 
 
 def test_a_calm_day_is_on_time():
