--- a/bench/unread_logs.py
+++ b/bench/unread_logs.py
@@ -26,7 +26,7 @@
     async def work() -> list[float]:
         took = []
         while (begun := time.monotonic()) < end:
-            status, _, _ = await gateway.call("/work/")
+            status, _, _ = await gateway.call("/read/")
             assert status == 200
             took.append((time.monotonic() - begun) * 1000)
         return took
@@ -50,8 +50,8 @@
 async def _run(seconds: float) -> None:
     with tempfile.TemporaryDirectory() as folder:
         async with open_world(Path(folder)) as world:
-            await world.endpoint("e", "work", lambda request: [whole(request, b"work")])
-            world.configure(1, route("work"))
+            await world.endpoint("e", "read", lambda request: [whole(request, b"work")])
+            world.configure(1, route("read"))
             gateway = await world.gateway()
             await _measure("read", gateway, seconds / 2)
             gateway.process.stop_reading()
