Refuse a call that waits at a sidecar when its time has gone, not at its deadline

What callers saw: 504 at the deadline, "unknown", without Retry-After, for a call that had waited all the while and never run. Cause: a sidecar's queue drops what can't end in time when it looks at it, and behind stuck calls the only thing that made it look was a timer at the call's own deadline. The entry's timer rings at the same moment: nothing could run elsewhere, and the proof that nothing ran came too late.

The queue now says when its next call can't end in time any more, and one timer a queue (not one a call) is set for that. An entry that is left with no time for another attempt says 503 and when to come back where no attempt ran; it said 504.

The same elsewhere, looked at: the queue for pieces (looked at each tick), places of an entry's own (none wait), the inquiries after calls with effects (bounded by their own time). What is not solved by it: a call that an engine has begun.

--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -40,6 +40,8 @@
 
 INCARNATION_BITS = 63
 TOMBSTONE_CAPACITY = 10_000
+# A timer may ring by as much too early, in seconds; the call would not be dropped yet.
+DROP_SLACK_S = 0.001
 
 log = get_logger()
 
@@ -76,6 +78,7 @@
         self._tombstones = Tombstones(TOMBSTONE_CAPACITY)
         self._starts: dict[int, asyncio.Future[bool]] = {}
         self._waiting: dict[CallId, QueuedCall] = {}
+        self._next_drop: asyncio.TimerHandle | None = None
         self._serial = 0
         self._leaving = False
         self._draining = False
@@ -218,8 +221,6 @@
         self._starts[queued.serial] = start
         self._waiting[call.id] = queued
         self._start_next()
-        # While every slot is stuck nothing else would look at the queue again.
-        late = self._loop.call_at(queued.deadline, self._start_next)
         try:
             may_start = await start
         except asyncio.CancelledError:
@@ -228,7 +229,6 @@
             self._leave_queue(queued)
             raise
         finally:
-            late.cancel()
             self._waiting.pop(call.id, None)
         if not may_start:
             return self.not_run(call.id, "dropped: it could not end in time")
@@ -276,6 +276,21 @@
             self._starts.pop(dropped.serial).set_result(False)
         while (queued := self._queue.next_call(now)) is not None:
             self._starts.pop(queued.serial).set_result(True)
+        self._wake_for_next_drop()
+
+    def _wake_for_next_drop(self) -> None:
+        """
+        Look at the queue again when its next call can't end in time any more.
+
+        While every slot is stuck nothing else would. Told at its deadline, the entry
+        could not run the call elsewhere, nor say in time that it did not run.
+        """
+        if self._next_drop is not None:
+            self._next_drop.cancel()
+        at = self._queue.drops_at()
+        self._next_drop = None
+        if at is not None:
+            self._next_drop = self._loop.call_at(at + DROP_SLACK_S, self._start_next)
 
     def _leave_queue(self, queued: QueuedCall) -> None:
         if self._starts.pop(queued.serial, None) is not None:
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -398,7 +398,9 @@
         if result.permanent or not may_resend or request.resends >= MAX_RESENDS:
             return self._refuse(now, request, reason, result.retry_after_s)
         if self._has_too_little_left(now, request):
-            return self._refuse(now, request, Reason.DEADLINE, result.retry_after_s)
+            # Where no attempt ran, its caller is told when to come back.
+            late = Reason.OVERLOAD if request.nothing_started else Reason.DEADLINE
+            return self._refuse(now, request, late, result.retry_after_s)
         cost = self._retry_cost(request, ended, not_run)
         if request.arrival.work is not None and (
             result.inputs_gone or not request.inputs
--- a/packages/policy/src/amaranthtally/policy/run_queue.py
+++ b/packages/policy/src/amaranthtally/policy/run_queue.py
@@ -102,6 +102,15 @@
                 dropped.append(call)
         return dropped
 
+    def drops_at(self) -> float | None:
+        """Return when the next waiting call can't end in time; ``None`` without one."""
+        while self._deadlines:
+            deadline, serial = self._deadlines[0]
+            if serial in self._waiting:
+                return deadline - self._quick_s
+            heapq.heappop(self._deadlines)
+        return None
+
     def next_call(self, now: float) -> QueuedCall | None:
         """Return a call to start now, or ``None``; a started call counts as running."""
         while self._order and self._running < self.limit:
@@ -141,7 +150,7 @@
 
     def _is_hopeless(self, now: float, deadline: float) -> bool:
         """Whether even a quick run started now would end too late."""
-        return deadline <= now + self._quick_s
+        return deadline - self._quick_s <= now
 
     def _make_room(self, call: QueuedCall) -> bool:
         worst = max(self._waiting.values(), default=None)
--- a/tests/policy/test_run_queue.py
+++ b/tests/policy/test_run_queue.py
@@ -44,6 +44,22 @@
     assert queue.dropped(1.9) == [late]
 
 
+def test_it_says_when_its_next_call_can_not_end_in_time():
+    """Behind stuck calls one waits to its deadline, with no time to run elsewhere."""
+    queue = busy_queue(run_s=1.0)
+    first, later = QueuedCall(5, 4.0, 1), QueuedCall(0, 9.0, 2)
+    assert queue.drops_at() is None
+    assert queue.offer(0.0, later)
+    assert queue.offer(0.0, first)
+    at = queue.drops_at()
+    assert 2.9 < at < 3.1
+    assert queue.dropped(at - 0.1) == []
+    assert queue.dropped(at) == [first]
+    assert 7.9 < queue.drops_at() < 8.1
+    queue.withdraw(later)
+    assert queue.drops_at() is None
+
+
 def test_a_call_without_time_left_is_not_queued():
     """
     A retry comes with a tenth of a second left for a call of one second. Queued,
