Leave an engine its time when pieces are made for a request

What callers saw: a draft that reached its engine 86 ms before its deadline, and 504; the time was gone when its last piece was still waiting. Cause: pieces were to be made by the caller's deadline, with nothing kept for the engine, though admission counts the time that runs hardly ever stay under. Both use one time stamp now, so that what is late by it is refused as it waits, with Retry-After. Test: a piece's deadline leaves a slow engine its time (failed before: 139.8 of 137.1 allowed).

What it is not: most callers that are held are not of this kind.

--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -295,7 +295,7 @@
             work.counts,
             work.key,
             arrival.objective or arrival.deadline,
-            arrival.begin_by,
+            self._inputs.made_by(arrival),
             arrival.priority,
             self._router.likely_place(now, arrival),
             self._first_events.usual_s(arrival.pipeline.name),
--- a/packages/policy/src/amaranthtally/policy/request_inputs.py
+++ b/packages/policy/src/amaranthtally/policy/request_inputs.py
@@ -49,12 +49,21 @@
         needed_s = self._gatherer.plans.predicted_s(
             now, work.stages, work.counts, arrival.priority
         )
-        after_s = self._times.floor_s(arrival.pipeline.stages)
-        late_s = now + needed_s + after_s - arrival.begin_by
+        late_s = now + needed_s - self.made_by(arrival)
         if late_s <= 0:
             return ADMITTED
         return Verdict(Reason.OVERLOAD, max(late_s, self.return_s(now, arrival)))
 
+    def made_by(self, arrival: Arrival) -> float:
+        """
+        Return the time stamp by which the pieces of a request must be made.
+
+        Made later, they would reach an engine that has no time left to answer: the
+        caller would be held to its deadline and then hear nothing of when to return.
+        """
+        run_s = self._times.floor_s(arrival.pipeline.stages)
+        return min(arrival.begin_by, arrival.deadline - run_s)
+
     def return_s(self, now: float, arrival: Arrival) -> float:
         """Return when a request that found no place may come back and find one."""
         if arrival.work is None:
--- a/tests/policy/test_patience.py
+++ b/tests/policy/test_patience.py
@@ -56,3 +56,15 @@
     arrive(stuck, leaves_at=NOW + PATIENCE_S)
     (call,) = [a for a in stuck.planner.tick(NOW + 0.1) if isinstance(a, RunPieces)]
     assert call.pieces[0].deadline <= NOW + PATIENCE_S
+
+
+def test_a_piece_is_not_made_once_its_engine_would_have_no_time_to_answer():
+    """Callers are held to their deadline for results that no engine can use in time."""
+    engine_s = 3.0
+    slow = feeder()
+    slow.teach(run_s=engine_s)
+    now = 40 * engine_s
+    arrive(slow, now)
+    (call,) = [a for a in slow.planner.tick(now + 0.1) if isinstance(a, RunPieces)]
+    call_s = CATALOGUE.call_of_s(1)
+    assert call.pieces[0].deadline <= now + DEADLINE_S - 0.9 * engine_s - call_s
