Put the deadline of 4 s back for the streams that come after a cut

Trial with a time for each stream: four of the eight reach the broken engine, are cut after three words, wait 1.7 s for a place at the other one (4 + 4 of 8 places taken by streams of 2.2 s) and end 3.8 s after they were sent: 0.2 s of slack, all of it the stand-in's 2.2 s twice. Nothing refuses them, as they can be served.

--- a/tests/lifecycle/test_streams.py
+++ b/tests/lifecycle/test_streams.py
@@ -112,9 +112,7 @@
             if fault is cut_engine:
                 calls += [
                     asyncio.create_task(
-                        deployment.call(
-                            "assessment", "baler", stream=True, deadline_ms=20_000
-                        )
+                        deployment.call("assessment", "baler", stream=True)
                     )
                     for _ in range(STREAMS)
                 ]
