--- a/packages/standins/src/amaranthtally/standins/relay.py
+++ b/packages/standins/src/amaranthtally/standins/relay.py
@@ -13,8 +13,8 @@
 CHUNK_BYTES = 65_536
 # What one connection sends over a thin link before the next one has its turn.
 THIN_CHUNK_BYTES = 4096
-# What a thin link catches up on, in seconds, where its sleeps took longer than asked
-# for: on a busy host its rate would otherwise be far below what a test counts on.
+# What a thin link catches up on at most, in seconds, where its sleeps took longer than
+# asked for: on a busy host its rate would otherwise be far below what a test counts on.
 CAUGHT_UP_S = 0.2
 
 
@@ -53,6 +53,7 @@
     def __init__(self, bytes_per_s: float) -> None:
         self._bytes_per_s = bytes_per_s
         self._free_at = 0.0
+        self._overslept_s = 0.0
         self._carried = 0
 
     @property
@@ -66,12 +67,21 @@
         return self._carried
 
     async def carry(self, size: int) -> None:
-        """Wait until so many bytes have gone through."""
-        now = asyncio.get_running_loop().time()
-        begins_at = max(now - CAUGHT_UP_S, self._free_at)
-        self._free_at = begins_at + size / self._bytes_per_s
+        """
+        Wait until so many bytes have gone through.
+
+        Only what a sleep took too long is caught up on: a link that stood idle is no
+        faster afterwards.
+        """
+        loop = asyncio.get_running_loop()
+        now = loop.time()
+        caught_up_s = min(CAUGHT_UP_S, self._overslept_s)
+        ends_at = max(now - caught_up_s, self._free_at) + size / self._bytes_per_s
+        self._free_at = ends_at
+        self._overslept_s = 0.0
         self._carried += size
-        await asyncio.sleep(max(0.0, self._free_at - now))
+        await asyncio.sleep(max(0.0, ends_at - now))
+        self._overslept_s = max(0.0, loop.time() - self._free_at)
 
 
 class Relay:
