Ignore stop signals once a planned stop is over

What operators saw: a gateway that stopped as planned and cut nothing ended with -15, "killed", as a second SIGTERM came after its handlers had been removed. Entries and sidecars stop by the same function. The test of SIGHUP at the very end takes SIGTERM and SIGINT too (failed before: -15, -2).

--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -68,7 +68,12 @@
 
 @contextmanager
 def stop_on_signal() -> Iterator[StopSignal]:
-    """Yield what SIGTERM and SIGINT ask for."""
+    """
+    Yield what SIGTERM and SIGINT ask for; ignored once it is over.
+
+    The failure: a second SIGTERM that comes after the handlers were removed, while the
+    process ends, kills it, and a planned stop that cut nothing counts as a crash.
+    """
     loop = asyncio.get_running_loop()
     stop = StopSignal()
     for number in STOP_SIGNALS:
@@ -78,6 +83,7 @@
     finally:
         for number in STOP_SIGNALS:
             loop.remove_signal_handler(number)
+            signal.signal(number, signal.SIG_IGN)
 
 
 class ReloadSignal:
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -3,6 +3,8 @@
 import asyncio
 import signal
 
+import pytest
+
 from amaranthtally.adapter import headers as names
 from tests.gateway.fake_endpoint import STREAM_END, chunk, events, stream_head, whole
 from tests.gateway.support import STREAM, in_world, route
@@ -130,8 +132,9 @@
     in_world(tmp_path, check)
 
 
-def test_a_reload_at_the_very_end_is_no_crash(tmp_path):
-    """Guards against a SIGHUP that kills a process whose loop has just ended."""
+@pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM, signal.SIGINT])
+def test_a_signal_at_the_very_end_is_no_crash(tmp_path, number):
+    """Guards against a signal that kills a process whose loop has just ended."""
 
     async def check(world):
         await world.endpoint("e", "work", lambda r: [whole(r)])
@@ -141,7 +144,7 @@
         await gateway.until("gateway_stopped")
         ending = asyncio.create_task(gateway.process.wait())
         while not ending.done():
-            gateway.process.send(signal.SIGHUP)
+            gateway.process.send(number)
             await asyncio.sleep(0.001)
         assert await ending == 0
 
