Soak: signals that fall into a planned stop, and as many gateways as asked for

A planned stop was one SIGTERM, and what disturbs a process came one at a time. `--gateways N` runs more processes.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,9 +13,11 @@
 
 from tests.soak.callers import Callers
 from tests.soak.faults import FAULTS
-from tests.soak.world import GATEWAYS, open_soak
+from tests.soak.world import FEW, open_soak
 
 AT_ONCE = 12
+# Faults that two at a time would make one of: a process is stopped or killed once.
+OF_PROCESSES = ("kill", "planned_stop", "stop_among_signals", "pause")
 # Between two faults, in seconds: several last longer, so that they overlap.
 PAUSE_S = (0.1, 1.2)
 # A second fault comes with this share of the first.
@@ -28,10 +30,10 @@
 SERVED_SHARE = 0.95
 
 
-async def run_soak(seed, seconds, folder):
+async def run_soak(seed, seconds, folder, gateways=FEW):
     """Return what did not hold, and how many requests ended with which status."""
     random = Random(seed)
-    async with open_soak(folder) as world:
+    async with open_soak(folder, gateways) as world:
         callers = Callers(world, Random(random.random()))
         loop = asyncio.get_running_loop()
         calling = asyncio.create_task(callers.run(AT_ONCE, loop.time() + seconds))
@@ -54,8 +56,8 @@
 
 async def _inject(world, random):
     work = FAULTS[random.choice(sorted(FAULTS))]
-    name = random.choice(GATEWAYS)
-    is_process = work.__name__ in ("kill", "planned_stop", "pause")
+    name = random.choice(world.names)
+    is_process = work.__name__ in OF_PROCESSES
     if is_process and name in world.disturbed:
         return
     if is_process:
@@ -99,7 +101,7 @@
         except TimeoutError:
             world.violations.append(f"{name}: {version} not in force in {IN_FORCE_S} s")
 
-    await asyncio.gather(*(until_in_force(name) for name in GATEWAYS))
+    await asyncio.gather(*(until_in_force(name) for name in world.names))
 
 
 def check_records(world, callers):
@@ -121,11 +123,12 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seeds", type=int, default=1, help="how many in a row")
     parser.add_argument("--seconds", type=float, default=10.0, help="of faults a seed")
+    parser.add_argument("--gateways", type=int, default=FEW, help="processes")
     given = parser.parse_args()
     is_broken = False
     for seed in range(given.seed, given.seed + given.seeds):
         with tempfile.TemporaryDirectory() as folder:
-            work = run_soak(seed, given.seconds, Path(folder))
+            work = run_soak(seed, given.seconds, Path(folder), given.gateways)
             violations, statuses = asyncio.run(work)
         is_broken |= bool(violations)
         sys.stdout.write(f"seed={seed} statuses={sorted(statuses.items())} ")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -7,7 +7,6 @@
 from amaranthtally.adapter import headers as names
 from tests.gateway.fake_endpoint import SIGNATURE
 from tests.soak.endpoints import PIECES, events_of
-from tests.soak.world import GATEWAYS
 
 KINDS = ("order", "read", "ask")
 # A refusal promises that the request has not run and never will.
@@ -43,7 +42,7 @@
         self._serial += 1
         kind = self._random.choice(KINDS)
         request_id = f"{kind}-{self._prefix}{self._serial}"
-        gateway = self._world.gateways[self._random.choice(GATEWAYS)]
+        gateway = self._world.gateways[self._random.choice(self._world.names)]
         counts = ",".join(str(count) for count in PIECES)
         headers = {names.CHUNK_COUNTS: counts, names.CHUNK_KEY: request_id}
         headers = gateway.headers(request_id, **headers if kind == "ask" else {})
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,8 @@
 ENDPOINT_FAULTS = ("refuse", "reset before", "reset after", "twice", "hang")
 # How long a fault lasts, in seconds.
 SHORT_S, LONG_S = 0.3, 2.5
+# Between two signals of a series, in seconds at most.
+SIGNALS_APART_S = 0.3
 
 
 def fault(work):
@@ -35,6 +37,22 @@
     await world.start_gateway(name)
 
 
+@fault
+async def stop_among_signals(world, random, name):
+    """A planned stop that reloads, pauses and further stops fall into, one by one."""
+    stopping = asyncio.create_task(world.stop_gateway(name))
+    process = world.gateways[name].process
+    while not stopping.done():
+        await asyncio.sleep(SIGNALS_APART_S * random.random())
+        number = random.choice((signal.SIGHUP, signal.SIGTERM, signal.SIGSTOP))
+        process.send(number)
+        if number is signal.SIGSTOP:
+            await asyncio.sleep(SIGNALS_APART_S * random.random())
+            process.send(signal.SIGCONT)
+    await stopping
+    await world.start_gateway(name)
+
+
 @fault
 async def pause(world, random, name):
     world.gateways[name].process.send(signal.SIGSTOP)
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -1,4 +1,4 @@
-"""Three gateways, a store behind a relay for each, and endpoints, on loopback.
+"""Gateways, a store behind a relay for each, and endpoints, on loopback.
 
 One of the relays is a thin link: a configuration that has grown fills it for seconds.
 """
@@ -11,8 +11,9 @@
 from tests.gateway.support import SEGMENTS, STREAM, open_world, route
 from tests.soak.endpoints import Records, Script
 
-GATEWAYS = ("one", "two", "three")
-PLACES = ("cluj-a", "iasi-a", "cluj-a")
+# Gateways where nothing else is asked for.
+FEW = 3
+PLACES = ("cluj-a", "iasi-a")
 STAGES = [
     {"service": "first", "after": [], "sizeBytes": 1000},
     {"service": "second", "after": [0], "sizeBytes": 1000},
@@ -31,7 +32,7 @@
     "engine": ("engine", 2),
 }
 # The gateway with a thin link to the store, and that link's rate in bytes a second.
-THIN = "three"
+THIN = "gateway-2"
 THIN_BYTES_PER_S = 300_000.0
 # Routes that a version brings in when the configuration grows, how often it does, and
 # the length of their names: what does not repeat.
@@ -48,8 +49,9 @@
 class SoakWorld:
     """What faults break and callers use; ``violations`` is what did not hold."""
 
-    def __init__(self, world, stack):
+    def __init__(self, world, stack, gateways):
         self.world = world
+        self.names = tuple(f"gateway-{number}" for number in range(gateways))
         self.store = world.store
         self.records = Records()
         self.scripts = {}
@@ -68,13 +70,13 @@
             for number in range(count):
                 await self._endpoint(f"{pool}-{number}", pool, kind, PLACES[number])
         self.configure()
-        for name in GATEWAYS:
+        for name in self.names:
             link = ThinLink(THIN_BYTES_PER_S) if name == THIN else None
             relay = Relay(self.store.address, link)
             await self._stack.enter_async_context(relay.serve())
             self.relays[name] = relay
             self._addresses[name] = [self.world.own_address() for _ in range(3)]
-        await asyncio.gather(*(self.start_gateway(name) for name in GATEWAYS))
+        await asyncio.gather(*(self.start_gateway(name) for name in self.names))
         for gateway in self.gateways.values():
             await gateway.until_ready()
 
@@ -105,7 +107,7 @@
         caller, ready, peer = self._addresses[name]
         self.gateways[name] = await self.world.unready_gateway(
             name,
-            PLACES[GATEWAYS.index(name)],
+            PLACES[self.names.index(name) % len(PLACES)],
             self.relays[name].address,
             caller_address=caller,
             ready_address=ready,
@@ -132,9 +134,9 @@
 
 
 @asynccontextmanager
-async def open_soak(folder):
+async def open_soak(folder, gateways=FEW):
     """Yield a world in which every gateway is ready; all of it ends with it."""
     async with open_world(folder) as world, AsyncExitStack() as stack:
-        soak = SoakWorld(world, stack)
+        soak = SoakWorld(world, stack, gateways)
         await soak.start()
         yield soak
