Free what a request reads only once its last engine has had time to read it

What callers could see: an answer made without the results that its request was to read.

Cause: inputs are freed 0.1 s after a request is sent. That time was noted once, as it was sent first, and meant the request, not the attempt: where the first engine said at 0.09 s that it did not run it, the second was sent the request and its inputs were freed 0.01 s later. And an attempt's inputs were looked up when its call began to run, one turn of the loop after the decision: a tick in between left none to name. A process that was paused for a moment brings both together.

Now each attempt has its own 0.1 s, and the inputs are taken with the decision. The same elsewhere, looked at: calls with pieces carry their handles in the order itself.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -1,7 +1,7 @@
 """Sends callers' requests to endpoints and takes what comes back."""
 
 import asyncio
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from typing import Protocol
 
@@ -83,28 +83,40 @@
         self,
         session: aiohttp.ClientSession,
         listener: CallListener,
-        inputs_of: Callable[[str], tuple[StoredResult, ...]],
     ) -> None:
         self._session = session
         self._listener = listener
-        self._inputs_of = inputs_of
         self._loop = asyncio.get_running_loop()
 
-    async def run(self, call: LiveCall, send: Send, endpoint: Endpoint | None) -> None:
-        """Send an attempt; ``None`` where its endpoint is registered no more."""
+    async def run(
+        self,
+        call: LiveCall,
+        send: Send,
+        endpoint: Endpoint | None,
+        inputs: tuple[StoredResult, ...],
+    ) -> None:
+        """
+        Send an attempt with the results that it reads.
+
+        ``endpoint`` is ``None`` where it is registered no more.
+        """
         if endpoint is None:
             result = StageResult(Fate.NOT_RUN, unreachable=True)
         else:
-            result = await self._attempt(call, send, endpoint)
+            result = await self._attempt(call, send, endpoint, inputs)
         self._listener.attempt_ended(send.attempt, result)
 
     async def _attempt(
-        self, call: LiveCall, send: Send, endpoint: Endpoint
+        self,
+        call: LiveCall,
+        send: Send,
+        endpoint: Endpoint,
+        inputs: tuple[StoredResult, ...],
     ) -> StageResult:
         started = self._loop.time()
         call.attempts += 1
         try:
-            return await self._exchange(call, send, endpoint, started)
+            return await self._exchange(call, send, endpoint, inputs, started)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._log(send, endpoint, "unreachable", repr(error), started)
             return StageResult(Fate.NOT_RUN, unreachable=True)
@@ -113,17 +125,22 @@
             return _lost(call)
 
     async def _exchange(
-        self, call: LiveCall, send: Send, endpoint: Endpoint, started: float
+        self,
+        call: LiveCall,
+        send: Send,
+        endpoint: Endpoint,
+        inputs: tuple[StoredResult, ...],
+        started: float,
     ) -> StageResult:
         remaining_s = send.deadline - started
         if remaining_s <= 0:
             return StageResult(Fate.NOT_RUN)
-        inputs = [result.handle for result in self._inputs_of(call.id)]
+        handles = tuple(result.handle for result in inputs)
         head = CallHead(
             endpoint=endpoint.id,
             remaining_s=remaining_s,
             account=call.account,
-            inputs=tuple(inputs) if call.route.stages else None,
+            inputs=handles if call.route.stages else None,
             resume_after=call.last_event,
         )
         async with self._session.request(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -62,7 +62,7 @@
         self._metrics = metrics
         self._endpoints: Mapping[str, Endpoint] = settings.endpoints
         self._calls: dict[str, LiveCall] = {}
-        self._endpoint_calls = EndpointCalls(session, self, planner.inputs_of)
+        self._endpoint_calls = EndpointCalls(session, self)
         self._piece_calls = PieceCalls(session, self.pieces_ended, metrics)
         self._links: PeerLinks | None = None
         self._time = asyncio.get_running_loop().time
@@ -266,7 +266,10 @@
             hedge=send.hedge,
             left_ms=round((send.deadline - self._time()) * 1000),
         )
-        work = self._endpoint_calls.run(call, send, endpoint)
+        # Taken as it is decided: before the call begins to run, the next decision may
+        # free them, and an engine would be sent a request without what it is to read.
+        inputs = self._planner.inputs_of(call.id)
+        work = self._endpoint_calls.run(call, send, endpoint, inputs)
         call.tasks[send.attempt] = self._decisions.spawn(work)
 
     def _cancel(self, cancel: Cancel) -> None:
--- a/packages/policy/src/amaranthtally/policy/request_inputs.py
+++ b/packages/policy/src/amaranthtally/policy/request_inputs.py
@@ -89,7 +89,13 @@
         actions: list[Action] = []
         while self._reading and self._reading[0].at <= now:
             request = ledger.find(self._reading.popleft().request_id)
-            if request is not None and request.live:
+            if request is None or not request.live or not request.inputs:
+                continue
+            # One that was sent again is read by another engine, from then on.
+            sent_at = max(attempt.sent_at for attempt in request.live.values())
+            if sent_at + FETCH_S > now:
+                self._reading.append(_Reading(sent_at + FETCH_S, request.id))
+            else:
                 actions += self.free(now, request)
         return actions
 
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -9,6 +9,8 @@
 # Seeds that failed once, and why; a fresh one beside them.
 SEEDS = {
     2: "a gateway outlived its grace: a kept connection was waited for without limit",
+    9502: "a second stop at the very end of a planned one killed the process",
+    9603: "an engine was sent a request whose inputs had been freed meanwhile",
     11: "a fresh one",
 }
 
