--- a/tests/load/test_stages_under_load.py
+++ b/tests/load/test_stages_under_load.py
@@ -125,3 +125,11 @@
     """Ten seconds after a loss of power callers are late still, behind old results."""
     world = play(day_of(name, Fault("kill_all", 8.0, 1.5), seconds=30.0), seed)
     assert share_on_time(world, *VALUABLE[name], since=18.0) >= 0.85
+
+
+def test_nobody_waits_through_most_of_their_time_to_be_refused():
+    """Begun requests are passed over for seconds and refused just before they end."""
+    world = play(day_of("tracker", burst("", 3.0, 0.0, 20.0)), seed=1)
+    deadlines = {kind.name: kind.deadline_s for kind in DEPLOYMENTS["tracker"].kinds}
+    held = [s for kind, s in world.callers.held if s > 0.75 * deadlines[kind]]
+    assert held == []
