--- a/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/live_request.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Sequence
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import msgspec
 
@@ -110,14 +110,7 @@
         self.events.end(Ending(answer=msgspec.json.encode(answer)))
 
     def refuse(self, refusal: Refuse) -> None:
-        """
-        End the request with a refusal.
-
-        Its outcome speaks of effects, and a pipeline whose stages may all be repeated
-        has none: told ``unknown``, its caller would look for one.
-        """
-        if self.arrival.pipeline.repeatable:
-            refusal = replace(refusal, outcome=Outcome.NOT_RUN)
+        """End the request with a refusal."""
         self.events.end(Ending(refusal=refusal))
 
     @staticmethod
