--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,7 +16,7 @@
 from tests.soak.world import FEW, open_soak
 
 AT_ONCE = 12
-# Faults that two at a time would make one of: a process is stopped or killed once.
+# Faults of a whole process, one at a time each: it is started anew after them.
 OF_PROCESSES = ("kill", "planned_stop", "stop_among_signals", "pause")
 # Between two faults, in seconds: several last longer, so that they overlap.
 PAUSE_S = (0.1, 1.2)
