--- a/packages/policy/src/amaranthtally/policy/run_queue.py
+++ b/packages/policy/src/amaranthtally/policy/run_queue.py
@@ -91,15 +91,9 @@
     def dropped(self, now: float) -> list[QueuedCall]:
         """Return the calls that wait no longer and never started, once."""
         dropped, self._evicted = self._evicted, []
-        while self._deadlines:
-            deadline, serial = self._deadlines[0]
-            call = self._waiting.get(serial)
-            if call is not None and not self._is_hopeless(now, deadline):
-                break
-            heapq.heappop(self._deadlines)
-            if call is not None:
-                del self._waiting[serial]
-                dropped.append(call)
+        while (at := self.drops_at()) is not None and at <= now:
+            _, serial = heapq.heappop(self._deadlines)
+            dropped.append(self._waiting.pop(serial))
         return dropped
 
     def drops_at(self) -> float | None:
