--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -20,6 +20,10 @@
 from tests.gateway.support import KEY, STREAM, open_world, route
 from tests.support import run_async
 
+# Longer than a test may take, in seconds: an endpoint that works on makes it fail.
+ENDLESS_S = 1_000.0
+SHORT = {names.DEADLINE_MS: "500"}
+
 
 def with_endpoints(tmp_path, *scripts, kind="idempotent", **options):
     """Return a decorator that runs a test with endpoints of one route."""
@@ -343,3 +347,23 @@
     async def check(gateway, *made):
         assert (await gateway.stream("/work/"))[0] == 502
         assert sum(len(endpoint.seen) for endpoint in made) == 1
+
+
+@pytest.mark.parametrize("options", [{}, STREAM])
+def test_an_endpoint_is_let_go_at_the_deadline_of_its_request(tmp_path, options):
+    """Endpoints work on for callers that have been refused, and are full of it."""
+
+    def script(request):
+        begun = [stream_head(request), chunk(events(1))] if options else []
+        return [*begun, ENDLESS_S]
+
+    @with_endpoints(tmp_path, script, **options)
+    async def check(gateway, endpoint):
+        if options:
+            _, _, is_whole = await gateway.stream("/work/", **SHORT)
+            assert not is_whole
+        else:
+            status, _, _ = await gateway.call("/work/", **SHORT)
+            assert status == 504
+        for seen in endpoint.seen:
+            await seen.closed.wait()
