--- a/packages/operator/src/amaranthtally/operator/replay/work.py
+++ b/packages/operator/src/amaranthtally/operator/replay/work.py
@@ -47,7 +47,8 @@
         return random.Random(name).random() < pool.straggle_rate
 
     def _draw(self, request_id: str, stage: int, pool: PoolPlan) -> StageWork:
-        generator = random.Random(f"{self._seed}/work/{request_id}/{stage}")
+        drawn_for = (self._seed, "work", request_id, stage)
+        generator = random.Random("/".join(map(str, drawn_for)))
         spread = exp(pool.sigma * generator.gauss(0.0, 1.0))
         tokens = max(1, round(pool.tokens * spread)) if pool.tokens else 0
         if tokens:
