--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/change_receiver.py
@@ -0,0 +1,122 @@
+"""Applies changes that peers hold and this gateway lacks."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any, Protocol
+
+from amaranthtally.adapter.store import StoreItem
+from amaranthtally.daemon.gateway.document_fetcher import DocumentFetcher
+from amaranthtally.daemon.gateway.peer_connections import PeerConnections
+from amaranthtally.daemon.gateway.store_replica import StoreReplica
+from amaranthtally.daemon.logs import get_logger
+from amaranthtally.wire import PeerLostError
+from amaranthtally.wire.changes import ChangeBatch, MalformedChangesError
+from amaranthtally.wire.gateway_codec import Versions
+
+__all__ = ["ChangeReceiver"]
+
+# How long a watcher waits for a change that a peer has already, in seconds, before it
+# reads the change from the peer. Longer than the pause between its watches.
+OWN_WATCH_WAIT_S = 0.4
+
+log = get_logger()
+
+
+class _Store(Protocol):
+    """State of this gateway's own connection to the store."""
+
+    @property
+    def is_connected(self) -> bool:
+        """Whether the store answers this gateway or the watcher that it follows."""
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether this gateway watches the store itself."""
+
+    def note_settling(self, seconds: float) -> None:
+        """Note how much longer records may be missing after an outage."""
+
+
+class ChangeReceiver:
+    """Applies changes that the followed watcher sends, and reads missing ones."""
+
+    def __init__(
+        self,
+        connections: PeerConnections,
+        replica: StoreReplica,
+        fetcher: DocumentFetcher,
+        store: _Store,
+        followed: Callable[[], str],
+        spawn: Callable[[Coroutine[Any, Any, None]], object],
+    ) -> None:
+        self._connections = connections
+        self._replica = replica
+        self._fetcher = fetcher
+        self._store = store
+        self._followed = followed
+        self._spawn = spawn
+        self._is_reading = False
+        self._refused: set[str] = set()
+
+    def catch_up(self, peer: str, versions: Versions) -> None:
+        """Read in the background what a peer has in a newer version."""
+        self._store.note_settling(versions.settling_s)
+        self._spawn(self._fetcher.fetch_newer(peer, versions))
+        is_behind = versions.records > self._replica.revision
+        # While the store answers nobody here, whole documents are fetched.
+        if is_behind and not self._is_reading and self._store.is_connected:
+            self._is_reading = True
+            self._spawn(self._read_changes(peer, versions))
+
+    def push_received(self, peer: str, batch: ChangeBatch, versions: Versions) -> bool:
+        """Apply pushed changes; return whether this gateway follows the peer."""
+        if peer != self._followed():
+            return False
+        try:
+            batch.check()
+        except MalformedChangesError as error:
+            self._refuse(peer, error)
+            return False
+        self._store.note_settling(versions.settling_s)
+        if batch.after <= self._replica.revision:
+            self._apply(batch)
+        self.catch_up(peer, versions)
+        return True
+
+    async def _read_changes(self, peer: str, versions: Versions) -> None:
+        try:
+            if self._store.is_watching:
+                await asyncio.sleep(OWN_WATCH_WAIT_S)
+            while versions.records > self._replica.revision:
+                if not await self._read_next(peer, versions):
+                    return
+        except PeerLostError as error:
+            log.info("changes_not_read", peer=peer, cause=str(error))
+        except MalformedChangesError as error:
+            self._refuse(peer, error)
+        finally:
+            self._is_reading = False
+
+    async def _read_next(self, peer: str, versions: Versions) -> bool:
+        """Read one batch; return whether to continue."""
+        known = self._replica.revision
+        batch = await self._connections.read_changes(peer, known)
+        if batch is None:
+            await self._fetcher.fetch_records(peer, versions)
+            return False
+        batch.check()
+        if batch.after > self._replica.revision or batch.revision <= known:
+            return False
+        log.info("changes_read", peer=peer, after=known, revision=batch.revision)
+        self._apply(batch)
+        return True
+
+    def _apply(self, batch: ChangeBatch) -> None:
+        items = tuple(StoreItem(c.key, c.value, c.revision) for c in batch.changes)
+        self._replica.apply(items, batch.revision)
+
+    def _refuse(self, peer: str, error: MalformedChangesError) -> None:
+        # A faulty peer repeats its mistake: its first batch is logged, not each one.
+        if peer not in self._refused:
+            self._refused.add(peer)
+            log.warning("changes_refused", peer=peer, cause=str(error))
--- a/packages/daemon/src/amaranthtally/daemon/gateway/configuration_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/configuration_tracker.py
@@ -104,9 +104,6 @@
         self._value = value
         self._on_table(table)
 
-    def advance_to(self, revision: int) -> None:
-        """Do nothing: the configuration contains its own version."""
-
     def store_unreachable(self) -> None:
         """Keep the configuration in force."""
 
--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -0,0 +1,191 @@
+"""What a gateway knows of the store and of its peers, and how it is kept up to date."""
+
+from collections.abc import Callable, Coroutine
+from random import Random
+from typing import Any
+
+from amaranthtally.adapter.configuration import CONFIGURATION_KEY
+from amaranthtally.adapter.servers import SERVERS_PREFIX
+from amaranthtally.daemon.gateway.change_pusher import ChangePusher
+from amaranthtally.daemon.gateway.change_receiver import ChangeReceiver
+from amaranthtally.daemon.gateway.configuration_tracker import ConfigurationTracker
+from amaranthtally.daemon.gateway.document_fetcher import DocumentFetcher
+from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
+from amaranthtally.daemon.gateway.held_documents import HeldDocuments
+from amaranthtally.daemon.gateway.membership import (
+    ENTRIES_PREFIX,
+    PeerRecordTracker,
+    Registration,
+)
+from amaranthtally.daemon.gateway.peer_connections import PeerConnections
+from amaranthtally.daemon.gateway.prefix_listener import (
+    PrefixDispatcher,
+    PrefixListener,
+)
+from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
+from amaranthtally.daemon.gateway.routing_state import RoutingState
+from amaranthtally.daemon.gateway.store_follower import StoreFollower
+from amaranthtally.daemon.gateway.store_replica import StoreReplica
+from amaranthtally.daemon.gateway.store_sync import StoreSync
+from amaranthtally.daemon.gateway.version_gossip import VersionGossip
+from amaranthtally.platform import StoreClient
+from amaranthtally.policy import (
+    PeerDirectory,
+    PeerRecord,
+    RouteTable,
+    WatcherSelection,
+    ring_neighbours,
+)
+from amaranthtally.settings import GatewaySettings
+from amaranthtally.wire.changes import ChangeBatch
+from amaranthtally.wire.gateway_codec import GatewayStatus, Versions
+
+__all__ = ["Coordination"]
+
+# The empty prefix, which matches every key. A gateway needs all keys of the store.
+ALL_KEYS = ""
+
+
+class Coordination:
+    """
+    Follows the store, by itself or through a watcher, and tells peers what it knows.
+
+    ``on_peers`` is called after each change of the peers' records, ``spawn`` runs a
+    coroutine in the background, and ``is_stopping`` says whether this gateway stops.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        record: PeerRecord,
+        client: StoreClient,
+        connections: PeerConnections,
+        routing_state: RoutingState,
+        peers: PeerDirectory,
+        on_peers: Callable[[], None],
+        spawn: Callable[[Coroutine[Any, Any, None]], object],
+        is_stopping: Callable[[], bool],
+        random: Random,
+    ) -> None:
+        self._settings = settings
+        self._peers = peers
+        self._is_stopping = is_stopping
+        self._neighbours: tuple[str, ...] = ()
+
+        self.configuration = ConfigurationTracker(self._with_push(routing_state))
+        self._records = EndpointRecordTracker(
+            routing_state.directory, settings.regions, routing_state.endpoints_changed
+        )
+        peer_records = PeerRecordTracker(settings.name, peers, on_peers)
+        listeners: dict[str, PrefixListener] = {
+            CONFIGURATION_KEY: self.configuration,
+            SERVERS_PREFIX: self._records,
+            ENTRIES_PREFIX: peer_records,
+        }
+        self._replica = StoreReplica(
+            PrefixDispatcher(listeners), lambda: self._pusher.wake()
+        )
+        self.documents = HeldDocuments(
+            self.configuration, self._replica, lambda: self._records.settling_s
+        )
+        self._pusher = ChangePusher(
+            connections,
+            self._replica,
+            lambda: self.documents.versions,
+            spawn,
+        )
+        self._selection = WatcherSelection(
+            settings.name, settings.data_centre, settings.regions
+        )
+        self._follower = StoreFollower(
+            connections,
+            self._selection,
+            lambda: self.documents.versions,
+            self._catch_up,
+            lambda: watcher.note_reachable(),
+        )
+        watcher = PrefixWatcher(
+            client, ALL_KEYS, self._replica, self._records, self._follower, random
+        )
+        self.store = StoreSync(
+            client,
+            watcher,
+            self._follower,
+            self._records,
+            peer_records,
+            Registration(client, settings.name, record, random),
+        )
+        fetcher = DocumentFetcher(connections, self.documents, self.store)
+        self._receiver = ChangeReceiver(
+            connections,
+            self._replica,
+            fetcher,
+            self.store,
+            lambda: self._selection.followed,
+            spawn,
+        )
+        self._gossip = VersionGossip(
+            connections,
+            self.documents,
+            self._receiver.catch_up,
+            self.store,
+            self._peers_to_greet,
+            random,
+        )
+
+    @property
+    def follower_count(self) -> int:
+        """Number of gateways that follow this one."""
+        return self._pusher.follower_count
+
+    def tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the background tasks."""
+        return [*self.store.tasks(), self._gossip.run()]
+
+    def entries_changed(self) -> None:
+        """Elect watchers and neighbours among the entries that are alive now."""
+        data_centres = {
+            name: record.data_centre for name, record in self._peers.alive.items()
+        }
+        self._selection.replace_entries(data_centres)
+        self._neighbours = ring_neighbours(
+            self._settings.name, self._settings.data_centre, data_centres
+        )
+        self._follower.entries_changed()
+
+    def exchange_status(
+        self, name: str, versions: Versions, follows: bool
+    ) -> GatewayStatus:
+        """Return this gateway's status; read what the peer has in a newer version."""
+        watches = self.store.can_be_followed
+        if follows and watches:
+            self._pusher.note_follower(name, versions)
+        self._catch_up(name, versions)
+        return GatewayStatus(self.documents.versions, self._is_stopping(), watches)
+
+    def read_changes(self, after: int) -> ChangeBatch | None:
+        """Return changes after a revision of the store; ``None`` if not kept."""
+        return self._replica.changes_after(after)
+
+    def push_received(self, name: str, batch: ChangeBatch, versions: Versions) -> bool:
+        """Apply changes of a watcher; return whether this gateway follows it."""
+        self.documents.note_peer_versions(name, versions)
+        return self._receiver.push_received(name, batch, versions)
+
+    def _catch_up(self, peer: str, versions: Versions) -> None:
+        self.documents.note_peer_versions(peer, versions)
+        self._receiver.catch_up(peer, versions)
+
+    def _peers_to_greet(self) -> list[str]:
+        # While the store answers, the watchers pass its changes on, and a few
+        # neighbours are enough to find out what one of them has missed.
+        if self.store.is_connected and self._neighbours:
+            return list(self._neighbours)
+        return list(self._peers.alive)
+
+    def _with_push(self, routing_state: RoutingState) -> Callable[[RouteTable], None]:
+        def apply(table: RouteTable) -> None:
+            routing_state.apply_table(table)
+            self._pusher.wake()
+
+        return apply
--- a/packages/daemon/src/amaranthtally/daemon/gateway/document_fetcher.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/document_fetcher.py
@@ -33,7 +33,11 @@
 
     @property
     def is_connected(self) -> bool:
-        """Whether the store answered the most recent call."""
+        """Whether the store answers this gateway or the watcher that it follows."""
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether this gateway watches the store itself."""
 
     @property
     def is_receiving(self) -> bool:
@@ -88,8 +92,20 @@
         finally:
             self._is_fetching = False
 
+    async def fetch_records(self, peer: str, peer_versions: Versions) -> None:
+        """Fetch a peer's records if they are newer and no fetch is running."""
+        if self._is_fetching or not self._is_newer(
+            Document.RECORDS, peer_versions.records
+        ):
+            return
+        self._is_fetching = True
+        try:
+            await self._fetch(peer, Document.RECORDS)
+        finally:
+            self._is_fetching = False
+
     def _missing_documents(self, peer_versions: Versions) -> list[Document]:
-        # While the store answers, its endpoint records are the newest.
+        # While the store answers, records are brought up to date change by change.
         wanted = [Document.CONFIGURATION] if self._store.is_connected else Document
         return [
             document
@@ -98,7 +114,7 @@
         ]
 
     async def _wait_for_store(self, peer_versions: Versions) -> None:
-        if not self._store.is_connected:
+        if not (self._store.is_connected and self._store.is_watching):
             return
         await asyncio.sleep(STORE_START_WAIT_S)
         deadline = self._time() + STORE_FINISH_WAIT_S
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
@@ -27,24 +27,16 @@
         self._directory = directory
         self._regions = regions
         self._on_change = on_change
-        self._items: dict[str, StoreItem] = {}
-        self._revision = 0
         self._logged_revisions: dict[str, int] = {}
         self._time = asyncio.get_running_loop().time
 
     @property
-    def revision(self) -> int:
-        """The store's revision up to which records are known; 0 before any listing."""
-        return self._revision
-
-    @property
-    def items(self) -> tuple[StoreItem, ...]:
-        """The records, encoded as in the store."""
-        return tuple(self._items.values())
+    def settling_s(self) -> float:
+        """How much longer records may be missing after an outage, in seconds."""
+        return self._directory.settling_s(self._time())
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
         """Apply a complete listing of the records."""
-        self._items = {item.key: item for item in items}
         decoded = [self._decode(item) for item in items]
         endpoints = [endpoint for endpoint in decoded if endpoint is not None]
         self._directory.replace(self._time(), endpoints)
@@ -55,10 +47,6 @@
         """Apply a changed or removed record."""
         name = endpoint_id(item.key)
         endpoint = None if item.value is None else self._decode(item)
-        if item.value is None:
-            self._items.pop(item.key, None)
-        else:
-            self._items[item.key] = item
         if endpoint is None:
             self._directory.record_removed(self._time(), name)
             log.info("endpoint_removed", endpoint=name, revision=item.revision)
@@ -74,10 +62,6 @@
             )
         self._on_change()
 
-    def advance_to(self, revision: int) -> None:
-        """Note the store's revision up to which all changes have been received."""
-        self._revision = max(self._revision, revision)
-
     def store_unreachable(self) -> None:
         """Keep the known endpoints."""
         self._directory.connection_lost()
@@ -86,6 +70,10 @@
         """Give endpoints whose records expired in the outage time to register again."""
         self._directory.connection_restored(self._time())
 
+    def settle_for(self, seconds: float) -> None:
+        """Give endpoints that are missing this much time to register again."""
+        self._directory.settle_for(self._time(), seconds)
+
     def expire(self) -> None:
         """Remove endpoints that have not registered again in time."""
         if self._directory.expire(self._time()):
--- a/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
@@ -125,9 +125,6 @@
             self._directory.put(name, record)
         self._on_change()
 
-    def advance_to(self, revision: int) -> None:
-        """Do nothing: gateways' records are not fetched from peers."""
-
     def store_unreachable(self) -> None:
         """Keep the known peers."""
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -44,6 +44,8 @@
     configuration_behind_s: float
     records: int
     store_connected: bool
+    store_watched: bool
+    followers: int
     log_lines_lost: int
 
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -8,6 +8,7 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import PeerRecord, PieceJob, PieceReport, StoredResult
 from amaranthtally.wire import PeerLostError
+from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
 from amaranthtally.wire.gateway_codec import GatewayStatus, Versions
 from amaranthtally.wire.gateway_peer import GatewayClient, connect_gateway
@@ -99,16 +100,44 @@
         """
         self._spawn(self._release_results(peer, results, ended))
 
-    async def exchange_status(self, peer: str, versions: Versions) -> GatewayStatus:
-        """Send the record and versions to a peer; raises ``PeerLostError``."""
+    async def exchange_status(
+        self, peer: str, versions: Versions, follows: bool = False
+    ) -> GatewayStatus:
+        """
+        Send the record and versions to a peer; raises ``PeerLostError``.
+
+        With ``follows`` the peer sends this gateway the store's changes for a while.
+        """
         return await self._call(
-            peer, lambda c: c.exchange_status(self._name, self._record, versions)
+            peer,
+            lambda c: c.exchange_status(self._name, self._record, versions, follows),
         )
 
     async def read_part(self, peer: str, request: PartRequest) -> DocumentPart:
         """Read a part of a peer's document; raises ``PeerLostError``."""
         return await self._call(peer, lambda client: client.read_part(request))
 
+    async def read_changes(self, peer: str, after: int) -> ChangeBatch | None:
+        """
+        Read the first changes that a peer has after a revision of the store.
+
+        Returns ``None`` if the peer does not keep them. Raises ``PeerLostError``, and
+        ``MalformedChangesError`` if the answer cannot be used.
+        """
+        return await self._call(peer, lambda client: client.read_changes(after))
+
+    async def push_changes(
+        self, peer: str, batch: ChangeBatch, versions: Versions
+    ) -> bool:
+        """
+        Send changes to a peer; return whether it follows this gateway.
+
+        Raises ``PeerLostError``.
+        """
+        return await self._call(
+            peer, lambda client: client.push_changes(self._name, batch, versions)
+        )
+
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._clients):
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_updater.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_updater.py
@@ -1,6 +1,7 @@
 """Applies changes of the set of live peers within a gateway."""
 
 import asyncio
+from collections.abc import Callable
 
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
@@ -23,11 +24,13 @@
         connections: PeerConnections,
         executor: GatewayExecutor,
         routing_state: RoutingState,
+        on_change: Callable[[], None],
     ) -> None:
         self._peers = peers
         self._connections = connections
         self._executor = executor
         self._routing_state = routing_state
+        self._on_change = on_change
         self._prober = PeerProber(connections, peers, self.apply_live_peers)
         self._time = asyncio.get_running_loop().time
 
@@ -43,6 +46,7 @@
         peers = [Peer(name, record.data_centre) for name, record in alive.items()]
         self._executor.peers_changed(peers)
         self._routing_state.set_entry_count(len(alive) + 1)
+        self._on_change()
         self._prober.wake()
 
     def peer_status_received(self, name: str, record: PeerRecord) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -15,15 +15,9 @@
 from amaranthtally.adapter.callers import READY_PATH
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
 from amaranthtally.daemon.gateway.caller_handler import CallerHandler
-from amaranthtally.daemon.gateway.configuration_tracker import ConfigurationTracker
-from amaranthtally.daemon.gateway.document_fetcher import DocumentFetcher
+from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.endpoint_calls import endpoint_session
-from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
-from amaranthtally.daemon.gateway.membership import (
-    PeerRecordTracker,
-    Registration,
-)
 from amaranthtally.daemon.gateway.metrics import (
     GatewayMetrics,
     GatewayState,
@@ -35,9 +29,7 @@
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
 from amaranthtally.daemon.gateway.routing_state import RoutingState
-from amaranthtally.daemon.gateway.store_sync import StoreSync
 from amaranthtally.daemon.gateway.transfer_reporter import TransferReporter
-from amaranthtally.daemon.gateway.version_gossip import VersionGossip
 from amaranthtally.daemon.health import metrics_response
 from amaranthtally.daemon.lifecycle import (
     ReloadSignal,
@@ -60,7 +52,6 @@
     SettingsFileError,
     load_gateway_settings,
 )
-from amaranthtally.wire.gateway_codec import Versions
 from amaranthtally.wire.gateway_peer import serve_gateway
 
 __all__ = ["run_gateway"]
@@ -119,7 +110,7 @@
     connections: PeerConnections
     caller_handler: CallerHandler
     caller_server: web.Server
-    store: StoreSync
+    coordination: Coordination
     ports: Mapping[str, int]
 
 
@@ -144,44 +135,37 @@
     stack.callback(connections.close)
     executor.set_peer_connections(connections)
 
-    configuration = ConfigurationTracker(routing_state.apply_table)
-    records = EndpointRecordTracker(
-        routing_state.directory, settings.regions, routing_state.endpoints_changed
-    )
+    host, port = split_address(settings.peer_address)
     peers = PeerDirectory()
-    peer_updater = PeerUpdater(peers, connections, executor, routing_state)
-
-    def fetch_newer(peer: str, peer_versions: Versions) -> None:
-        executor.spawn(fetcher.fetch_newer(peer, peer_versions))
+    peer_updater = PeerUpdater(
+        peers,
+        connections,
+        executor,
+        routing_state,
+        lambda: coordination.entries_changed(),
+    )
 
+    # The handler exists before the port is known, and the record contains the port.
     handler = PeerHandler(
-        executor,
-        configuration,
-        records,
-        peer_updater.peer_status_received,
-        fetch_newer,
-        stop.is_set,
+        executor, lambda: coordination, peer_updater.peer_status_received
     )
-    host, port = split_address(settings.peer_address)
     port = await stack.enter_async_context(serve_gateway(handler, host, port))
     record = PeerRecord(f"{host}:{port}", settings.data_centre)
     connections.set_own_record(record)
-
-    store = StoreSync(
+    coordination = Coordination(
+        settings,
+        record,
         client,
-        configuration,
-        records,
-        PeerRecordTracker(settings.name, peers, peer_updater.apply_live_peers),
-        Registration(client, settings.name, record, random),
+        connections,
+        routing_state,
+        peers,
+        peer_updater.apply_live_peers,
+        executor.spawn,
+        stop.is_set,
         random,
     )
-    fetcher = DocumentFetcher(connections, handler, store)
-    gossip = VersionGossip(
-        connections, handler, fetch_newer, store, lambda: list(peers.alive), random
-    )
     for work in [
-        *store.tasks(),
-        gossip.run(),
+        *coordination.tasks(),
         peer_updater.prober.run(),
         executor.tick(),
         connections.run_heartbeat(lambda: executor.peers_to_probe),
@@ -189,6 +173,8 @@
     ]:
         run_in_background(stack, work)
 
+    configuration = coordination.configuration
+
     def state() -> GatewayState:
         return GatewayState(
             in_flight=executor.in_flight,
@@ -199,8 +185,10 @@
             configuration=configuration.version,
             configuration_heard=configuration.newest_known,
             configuration_behind_s=configuration.behind_s,
-            records=records.revision,
-            store_connected=store.is_connected,
+            records=coordination.documents.versions.records,
+            store_connected=coordination.store.is_connected,
+            store_watched=coordination.store.is_watching,
+            followers=coordination.follower_count,
             log_lines_lost=writer.dropped,
         )
 
@@ -218,7 +206,7 @@
     )
     ports = {"port": caller_port, "ready": ready_port, "peers": port}
     return _RunningGateway(
-        executor, connections, caller_handler, caller_server, store, ports
+        executor, connections, caller_handler, caller_server, coordination, ports
     )
 
 
@@ -303,7 +291,9 @@
     """
     gateway.connections.set_own_record(INACTIVE_RECORD)
     gateway.executor.stop_running_jobs()
-    await asyncio.gather(gateway.store.deregister(), asyncio.sleep(BALANCER_DRAIN_S))
+    await asyncio.gather(
+        gateway.coordination.store.deregister(), asyncio.sleep(BALANCER_DRAIN_S)
+    )
     gateway.caller_handler.close()
     refuse_at = (
         asyncio.get_running_loop().time() + grace_s - BALANCER_DRAIN_S - REFUSE_MARGIN_S
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
@@ -2,72 +2,70 @@
 
 import asyncio
 from collections.abc import Coroutine
-from random import Random
 from typing import Any
 
-from amaranthtally.adapter.configuration import CONFIGURATION_KEY
-from amaranthtally.adapter.servers import SERVERS_PREFIX
-from amaranthtally.daemon.gateway.configuration_tracker import ConfigurationTracker
 from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
-from amaranthtally.daemon.gateway.membership import (
-    ENTRIES_PREFIX,
-    PeerRecordTracker,
-    Registration,
-)
-from amaranthtally.daemon.gateway.prefix_watcher import (
-    PrefixDispatcher,
-    PrefixListener,
-    PrefixWatcher,
-)
+from amaranthtally.daemon.gateway.membership import PeerRecordTracker, Registration
+from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
+from amaranthtally.daemon.gateway.store_follower import StoreFollower
 from amaranthtally.platform import StoreClient
 
 __all__ = ["StoreSync"]
 
-# The empty prefix, which matches every key. A gateway needs all keys of the store.
-ALL_KEYS = ""
 # Interval between removals of endpoints and peers whose records expired, in seconds.
 EXPIRE_INTERVAL_S = 0.5
 
 
 class StoreSync:
-    """Watches configuration, endpoints and peers; registers this gateway."""
+    """The connection to the store, own or through a watcher, and the own record."""
 
     def __init__(
         self,
         client: StoreClient,
-        configuration: ConfigurationTracker,
+        watcher: PrefixWatcher,
+        follower: StoreFollower,
         records: EndpointRecordTracker,
         peer_records: PeerRecordTracker,
         registration: Registration,
-        random: Random,
     ) -> None:
         self._client = client
+        self._watcher = watcher
+        self._follower = follower
         self._records = records
         self._peer_records = peer_records
         self._registration = registration
-        listeners: dict[str, PrefixListener] = {
-            CONFIGURATION_KEY: configuration,
-            SERVERS_PREFIX: records,
-            ENTRIES_PREFIX: peer_records,
-        }
-        self._watcher = PrefixWatcher(
-            client, ALL_KEYS, PrefixDispatcher(listeners), random
-        )
 
     @property
     def is_connected(self) -> bool:
-        """Whether the store answered the most recent call."""
-        return self._watcher.is_connected
+        """Whether the store answers this gateway or the watcher that it follows."""
+        return not self._follower.is_watching or self._watcher.is_connected
+
+    @property
+    def is_watching(self) -> bool:
+        """Whether this gateway watches the store itself."""
+        return self._follower.is_watching
+
+    @property
+    def can_be_followed(self) -> bool:
+        """Whether this gateway watches the store, and the store answers."""
+        watcher = self._watcher
+        return self.is_watching and watcher.is_connected and watcher.is_listed
 
     @property
     def is_receiving(self) -> bool:
         """Whether the body of a response from the store is being received."""
         return self._client.is_receiving
 
+    def note_settling(self, seconds: float) -> None:
+        """Note how much longer records may be missing after an outage."""
+        if seconds:
+            self._records.settle_for(seconds)
+
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the background tasks of the connection to the store."""
         return [
             self._watcher.run(),
+            self._follower.run(),
             self._registration.run(),
             self._expire(),
         ]
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -85,6 +85,11 @@
     request_rank,
 )
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
+from amaranthtally.policy.watchers import (
+    WatcherSelection,
+    elect_watchers,
+    ring_neighbours,
+)
 
 __all__ = [
     "GATEWAY_COMPONENTS",
@@ -149,10 +154,13 @@
     "Stage",
     "StoredResult",
     "SubmitToPeer",
+    "WatcherSelection",
     "WeightedPool",
+    "elect_watchers",
     "gateway_settings",
     "plan_model_orders",
     "request_rank",
+    "ring_neighbours",
     "route_arrival",
     "route_pipeline",
 ]
--- a/packages/policy/src/amaranthtally/policy/endpoint_directory.py
+++ b/packages/policy/src/amaranthtally/policy/endpoint_directory.py
@@ -48,7 +48,15 @@
         """Note that the registry responds; starts the grace period after an outage."""
         if self._disconnected:
             self._disconnected = False
-            self._grace_ends_at = now + REREGISTRATION_S
+            self.settle_for(now, REREGISTRATION_S)
+
+    def settling_s(self, now: float) -> float:
+        """Return how much longer endpoints without a record are retained."""
+        return max(0.0, self._grace_ends_at - now)
+
+    def settle_for(self, now: float, seconds: float) -> None:
+        """Retain endpoints without a record for at least this many seconds."""
+        self._grace_ends_at = max(self._grace_ends_at, now + seconds)
 
     def replace(self, now: float, records: Iterable[Endpoint]) -> None:
         """Apply the complete content of the registry."""
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/watchers.py
@@ -0,0 +1,148 @@
+"""Which entries watch the registry, and which watchers another entry follows."""
+
+from collections.abc import Mapping
+from math import ceil
+
+from amaranthtally.policy.rendezvous import rendezvous_weight
+
+__all__ = ["WatcherSelection", "elect_watchers", "ring_neighbours"]
+
+# Number of entries of a data centre for each watcher in it. A watcher answers two small
+# calls a second for each follower.
+ENTRIES_PER_WATCHER = 12
+# Least number of watchers, so that the followers of one that fails have others to ask.
+MIN_WATCHERS = 3
+# How long a watcher that failed or lost the registry is ranked behind the others, in
+# seconds. It is asked again earlier if no other watcher answers.
+FAILED_PAUSE_S = 3.0
+# How long an answer of a watcher counts as contact with the registry, in seconds: two
+# intervals between the calls to it.
+CONTACT_TTL_S = 2.0
+ELECTION_KEY = "registry"
+RING_KEY = "ring"
+
+
+def elect_watchers(data_centres: Mapping[str, str]) -> frozenset[str]:
+    """
+    Return the names of the watchers among entries, given the data centre of each.
+
+    Entries that know the same entries elect the same watchers without communicating.
+    While they disagree, more entries watch than necessary, or some follow an entry that
+    does not watch, which they learn from its answer.
+    """
+    by_data_centre: dict[str, list[str]] = {}
+    for name, data_centre in data_centres.items():
+        by_data_centre.setdefault(data_centre, []).append(name)
+    least = ceil(MIN_WATCHERS / max(1, len(by_data_centre)))
+    elected: set[str] = set()
+    for names in by_data_centre.values():
+        count = max(least, ceil(len(names) / ENTRIES_PER_WATCHER))
+        names.sort(key=lambda name: rendezvous_weight(name, ELECTION_KEY))
+        elected.update(names[:count])
+    return frozenset(elected)
+
+
+def ring_neighbours(
+    name: str, data_centre: str, data_centres: Mapping[str, str]
+) -> tuple[str, ...]:
+    """
+    Return the successors of an entry among the others, given the data centre of each.
+
+    One follows it in the ring of its data centre, one in the ring of all entries. Each
+    entry thus has few neighbours however many entries there are, and each is greeted by
+    some, so that one that starts while the registry rejects it is known to them.
+    """
+    near = [other for other in data_centres if data_centres[other] == data_centre]
+    successors = (_successor(name, near), _successor(name, list(data_centres)))
+    return tuple(dict.fromkeys(other for other in successors if other))
+
+
+def _successor(name: str, others: list[str]) -> str:
+    own = rendezvous_weight(name, RING_KEY)
+    weights = {other: rendezvous_weight(other, RING_KEY) for other in others}
+    return min(others, key=lambda o: (weights[o] <= own, weights[o]), default="")
+
+
+class WatcherSelection:
+    """
+    Ranks the watchers for one entry, and tracks its contact with them.
+
+    An entry is in contact with the registry through a watcher for ``CONTACT_TTL_S``
+    after each answer in which the watcher said that the registry answers it. Without
+    such contact the entry has to watch the registry itself. Times are time stamps in
+    seconds.
+    """
+
+    def __init__(self, name: str, data_centre: str, regions: Mapping[str, str]) -> None:
+        self._name = name
+        self._data_centre = data_centre
+        self._regions = regions
+        self._is_elected = True
+        self._ranked: tuple[str, ...] = ()
+        self._failed_until: dict[str, float] = {}
+        self._followed = ""
+        self._contact_until = 0.0
+
+    @property
+    def is_elected(self) -> bool:
+        """Whether this entry is one of the watchers."""
+        return self._is_elected
+
+    @property
+    def followed(self) -> str:
+        """The watcher whose changes this entry accepts; empty if there is none."""
+        return self._followed
+
+    def has_contact(self, now: float) -> bool:
+        """Whether a followed watcher recently had contact with the registry."""
+        return bool(self._followed) and now < self._contact_until
+
+    def replace_entries(self, data_centres: Mapping[str, str]) -> None:
+        """Elect the watchers among the other live entries and this one."""
+        elected = elect_watchers({**data_centres, self._name: self._data_centre})
+        self._is_elected = self._name in elected
+        others = elected - {self._name}
+        self._ranked = tuple(
+            sorted(others, key=lambda name: self._rank(name, data_centres[name]))
+        )
+        self._failed_until = {
+            name: until for name, until in self._failed_until.items() if name in others
+        }
+        if self._is_elected:
+            self._followed = ""
+
+    def candidates(self, now: float) -> tuple[str, ...]:
+        """Return the watchers to ask, near ones first, those that failed last."""
+        return tuple(
+            sorted(self._ranked, key=lambda name: now < self._failed_until.get(name, 0))
+        )
+
+    def note_answer(self, now: float, watcher: str, is_watching: bool) -> None:
+        """Note whether a watcher that answered has contact with the registry."""
+        if is_watching:
+            self._failed_until.pop(watcher, None)
+        else:
+            self.note_failure(now, watcher)
+
+    def follow(self, now: float, watcher: str) -> None:
+        """Follow a watcher that said that the registry answers it."""
+        if watcher in self._ranked and not self._is_elected:
+            self._followed = watcher
+            self._contact_until = now + CONTACT_TTL_S
+
+    def note_failure(self, now: float, watcher: str) -> None:
+        """Avoid a watcher that did not answer for a while, and stop following it."""
+        self._failed_until[watcher] = now + FAILED_PAUSE_S
+        if watcher == self._followed:
+            self._followed = ""
+
+    def _rank(self, name: str, data_centre: str) -> tuple[int, bytes]:
+        # The hash spreads the entries over watchers that are equally far.
+        weight = rendezvous_weight(name, self._name)
+        if data_centre == self._data_centre:
+            return 0, weight
+        is_near = self._region(data_centre) == self._region(self._data_centre)
+        return (1 if is_near else 2), weight
+
+    def _region(self, data_centre: str) -> str:
+        return self._regions.get(data_centre, data_centre)
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -63,6 +63,9 @@
   # read the endpoints' records; 0 if it has none.
   configuration @0 :UInt64;
   records @1 :UInt64;
+  # How much longer records may be missing after an outage of the store although their
+  # endpoints run.
+  settlingMicros @2 :Int64;
 }
 
 enum Document {
@@ -70,11 +73,28 @@
   records @1;
 }
 
+struct Change {
+  # A record as it was written at a revision of the store, or its removal.
+  key @0 :Text;
+  value @1 :Data;
+  revision @2 :UInt64;
+  isRemoved @3 :Bool;
+}
+
+struct Changes {
+  # All changes of records after one revision up to another, in order.
+  after @0 :UInt64;
+  revision @1 :UInt64;
+  changes @2 :List(Change);
+}
+
 interface Gateway {
-  # Sends the caller's name, address, data centre and versions; returns the receiver's
-  # versions and whether it is stopping.
-  greet @0 (name :Text, versions :Versions, address :Text, dataCentre :Text)
-      -> (versions :Versions, leaving :Bool);
+  # Sends the caller's name, address, data centre and versions, and whether the receiver
+  # is to push changes to it for a while; returns the receiver's versions, whether it is
+  # stopping, and whether it watches the store and the store answers.
+  greet @0 (name :Text, versions :Versions, address :Text, dataCentre :Text,
+            follows :Bool)
+      -> (versions :Versions, leaving :Bool, watches :Bool);
   # Not implemented any more; replaced by read.
   beliefs @1 () -> ();
   # Submits jobs; the receiver reports their outcomes by calling tell on the submitter.
@@ -88,4 +108,8 @@
   # the same slow link are answered in time.
   read @5 (document :Document, checksum :UInt32, offset :UInt32)
       -> (version :UInt64, size :UInt32, checksum :UInt32, offset :UInt32, part :Data);
+  # Returns the first changes after a revision, unless the receiver does not keep them.
+  readChanges @6 (after :UInt64) -> (isKept :Bool, batch :Changes);
+  # Sends changes to a follower; returns whether it still follows the sender.
+  pushChanges @7 (name :Text, batch :Changes, versions :Versions) -> (follows :Bool);
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -14,18 +14,21 @@
     PieceReport,
     StoredResult,
 )
+from amaranthtally.wire.changes import ChangeBatch, RecordChange
 from amaranthtally.wire.documents import Document, DocumentPart, PartRequest
 
 __all__ = [
     "GatewayStatus",
     "Versions",
     "gateway_schema",
+    "read_changes",
     "read_jobs",
     "read_part",
     "read_part_request",
     "read_reports",
     "read_results",
     "read_versions",
+    "write_changes",
     "write_jobs",
     "write_part",
     "write_part_request",
@@ -52,10 +55,16 @@
 
 
 class Versions(NamedTuple):
-    """The versions of a gateway's configuration and records; 0 if it has none."""
+    """
+    The versions of a gateway's configuration and records; 0 if it has none.
+
+    ``settling_s`` is how much longer records may be missing after an outage of the
+    store although their endpoints run, in seconds.
+    """
 
     configuration: int = 0
     records: int = 0
+    settling_s: float = 0.0
 
     def of(self, document: Document) -> int:
         """Return the version of one document."""
@@ -64,10 +73,15 @@
 
 
 class GatewayStatus(NamedTuple):
-    """A gateway's document versions; ``leaving`` is set once it is stopping."""
+    """
+    A gateway's document versions; ``leaving`` is set once it is stopping.
+
+    ``watches`` is set if it watches the store and the store answers.
+    """
 
     versions: Versions = Versions()
     leaving: bool = False
+    watches: bool = False
 
 
 # Pieces
@@ -195,11 +209,13 @@
     """Fill a ``Versions`` builder."""
     target.configuration = versions.configuration
     target.records = versions.records
+    target.settlingMicros = _micros(versions.settling_s)
 
 
 def read_versions(source: Any) -> Versions:
     """Decode a ``Versions`` reader."""
-    return Versions(source.configuration, source.records)
+    settling_s = source.settlingMicros / MICROSECONDS
+    return Versions(source.configuration, source.records, settling_s)
 
 
 def write_part_request(target: Any, request: PartRequest) -> None:
@@ -230,6 +246,32 @@
     )
 
 
+# Changes
+
+
+def write_changes(target: Any, batch: ChangeBatch) -> None:
+    """Fill a ``Changes`` builder."""
+    target.after = batch.after
+    target.revision = batch.revision
+    items = target.init("changes", len(batch.changes))
+    for item, change in zip(items, batch.changes, strict=True):
+        item.key = change.key
+        item.value = change.value or b""
+        item.revision = change.revision
+        item.isRemoved = change.value is None
+
+
+def read_changes(source: Any) -> ChangeBatch:
+    """Decode a ``Changes`` reader."""
+    changes = tuple(
+        RecordChange(
+            item.key, None if item.isRemoved else bytes(item.value), item.revision
+        )
+        for item in source.changes
+    )
+    return ChangeBatch(source.after, source.revision, changes)
+
+
 def _grouped(
     items: Iterable[ItemT], key: Callable[[ItemT], object]
 ) -> list[list[ItemT]]:
--- a/packages/wire/src/amaranthtally/wire/gateway_peer.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_peer.py
@@ -8,18 +8,21 @@
 import capnp
 
 from amaranthtally.policy import PeerRecord, PieceJob, PieceReport, StoredResult
+from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
 from amaranthtally.wire.errors import PeerLostError
 from amaranthtally.wire.gateway_codec import (
     GatewayStatus,
     Versions,
     gateway_schema,
+    read_changes,
     read_jobs,
     read_part,
     read_part_request,
     read_reports,
     read_results,
     read_versions,
+    write_changes,
     write_jobs,
     write_part,
     write_part_request,
@@ -35,13 +38,23 @@
     """Implements the requests that a gateway receives; no method may block."""
 
     def exchange_status(
-        self, name: str, record: PeerRecord, versions: Versions
+        self, name: str, record: PeerRecord, versions: Versions, follows: bool
     ) -> GatewayStatus:
-        """Receive a peer's address and versions; return this gateway's status."""
+        """
+        Receive a peer's address and versions; return this gateway's status.
+
+        With ``follows`` the peer wants to be sent the store's changes for a while.
+        """
 
     def read_part(self, request: PartRequest) -> DocumentPart:
         """Return a part of the configuration or of the records."""
 
+    def read_changes(self, after: int) -> ChangeBatch | None:
+        """Return changes after a revision of the store; ``None`` if not kept."""
+
+    def push_received(self, name: str, batch: ChangeBatch, versions: Versions) -> bool:
+        """Receive changes; return whether this gateway follows the peer."""
+
     def submit_jobs(self, submitter: str, jobs: Sequence[PieceJob]) -> None:
         """Accept jobs that a peer submits."""
 
@@ -79,16 +92,19 @@
         return self._peer
 
     async def exchange_status(
-        self, name: str, record: PeerRecord, versions: Versions
+        self, name: str, record: PeerRecord, versions: Versions, follows: bool
     ) -> GatewayStatus:
         """Send this gateway's address and versions; return the peer's status."""
         request = self._gateway.greet_request()
         request.name = name
         request.address = record.address
         request.dataCentre = record.data_centre
+        request.follows = follows
         write_versions(request.versions, versions)
         reply = await self._send(request)
-        return GatewayStatus(read_versions(reply.versions), reply.leaving)
+        return GatewayStatus(
+            read_versions(reply.versions), reply.leaving, reply.watches
+        )
 
     async def read_part(self, request: PartRequest) -> DocumentPart:
         """Read a part of the peer's configuration or records."""
@@ -96,6 +112,23 @@
         write_part_request(message, request)
         return read_part(await self._send(message))
 
+    async def read_changes(self, after: int) -> ChangeBatch | None:
+        """Read the first changes after a revision; ``None`` if they are not kept."""
+        request = self._gateway.readChanges_request()
+        request.after = after
+        reply = await self._send(request)
+        return read_changes(reply.batch) if reply.isKept else None
+
+    async def push_changes(
+        self, name: str, batch: ChangeBatch, versions: Versions
+    ) -> bool:
+        """Send changes; return whether the peer follows this gateway."""
+        request = self._gateway.pushChanges_request()
+        request.name = name
+        write_changes(request.batch, batch)
+        write_versions(request.versions, versions)
+        return (await self._send(request)).follows
+
     async def submit_jobs(
         self, submitter: str, jobs: Sequence[PieceJob], now: float
     ) -> None:
@@ -145,13 +178,17 @@
         versions: Any,
         address: str,
         dataCentre: str,  # noqa: N803 - name fixed by the schema
+        follows: bool,
         _context: Any,
         **_: Any,
     ) -> None:
         record = PeerRecord(address, dataCentre)
-        status = self._handler.exchange_status(name, record, read_versions(versions))
+        status = self._handler.exchange_status(
+            name, record, read_versions(versions), follows
+        )
         write_versions(_context.results.versions, status.versions)
         _context.results.leaving = status.leaving
+        _context.results.watches = status.watches
 
     async def read(
         self, document: Any, checksum: int, offset: int, _context: Any, **_: Any
@@ -159,6 +196,21 @@
         request = read_part_request(document, checksum, offset)
         write_part(_context.results, self._handler.read_part(request))
 
+    async def readChanges(  # noqa: N802 - name fixed by the schema
+        self, after: int, _context: Any, **_: Any
+    ) -> None:
+        batch = self._handler.read_changes(after)
+        _context.results.isKept = batch is not None
+        if batch is not None:
+            write_changes(_context.results.batch, batch)
+
+    async def pushChanges(  # noqa: N802 - name fixed by the schema
+        self, name: str, batch: Any, versions: Any, _context: Any, **_: Any
+    ) -> None:
+        _context.results.follows = self._handler.push_received(
+            name, read_changes(batch), read_versions(versions)
+        )
+
     async def ask(self, asker: str, asks: Any, _context: Any, **_: Any) -> None:
         self._handler.submit_jobs(asker, read_jobs(asks, self._loop.time()))
 
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -6,6 +6,7 @@
 import socket
 
 from amaranthtally.adapter import headers as names
+from amaranthtally.policy import elect_watchers
 from amaranthtally.standins.store import open_store_standin
 from tests.gateway.support import respond_with, route, run_with_cluster
 
@@ -333,3 +334,38 @@
         assert (await restarted.call("/job/"))[2] == b"job"
 
     run_with_cluster(tmp_path, check)
+
+
+def test_most_gateways_follow_others_and_need_no_calls_of_the_store(tmp_path):
+    """
+    Guards against a store that every gateway of a data centre watches, and against
+    gateways that miss changes when all that watch it are killed.
+    """
+
+    async def check(cluster):
+        await cluster.endpoint("old", "old", respond_with(b"old"))
+        await cluster.endpoint("new", "new", respond_with(b"new"))
+        cluster.configure(1, route("job", service="old"))
+        names = [f"gateway-{number}" for number in range(5)]
+        started = await asyncio.gather(*(cluster.gateway(name) for name in names))
+        gateways = dict(zip(names, started, strict=True))
+        watchers = elect_watchers(dict.fromkeys(names, "cluj-a"))
+        followers = [gateways[name] for name in names if name not in watchers]
+        for follower in followers:
+            await follower.wait_for_event("store_not_watched")
+        # The last watches of the followers end without events.
+        await asyncio.sleep(3.0)
+        cluster.configure(2, route("job", service="new"))
+        for follower in followers:
+            await follower.wait_for_event("configuration_in_force", version=2)
+            line = await follower.wait_for_event("configuration_read", version=2)
+            assert "source=store" not in line
+            assert (await follower.call("/job/"))[2] == b"new"
+        for name in watchers:
+            gateways[name].process.send(signal.SIGKILL)
+        cluster.configure(3, route("job", service="old"))
+        async with asyncio.timeout(4.0):
+            for follower in followers:
+                await follower.wait_for_event("configuration_in_force", version=3)
+
+    run_with_cluster(tmp_path, check)
--- a/tests/gateway/test_slow_links.py
+++ b/tests/gateway/test_slow_links.py
@@ -134,7 +134,8 @@
         async with AsyncExitStack() as stack:
             link = link_for(document)
             relay = await open_relay(stack, cluster.store.address, link)
-            gateway = await cluster.gateway("thin", store=relay.address)
+            # The only gateway of its data centre watches the store itself.
+            gateway = await cluster.gateway("thin", "iasi-a", store=relay.address)
             await gateway.wait_for_event("registered")
             cluster.store.put("op/config", document)
             await gateway.wait_for_event("configuration_in_force", version=2)
--- /dev/null
+++ b/tests/load/fleet.py
@@ -0,0 +1,398 @@
+"""
+A fleet of gateways and their store in one process, without network, on virtual time.
+
+The gateways run the product's own coordination. Their calls to the store and to each
+other take the usual time, and fail as the tests say.
+"""
+
+import asyncio
+from collections import Counter
+from contextlib import contextmanager, suppress
+from random import Random
+
+import msgspec
+from result import Err, Ok
+
+from amaranthtally.adapter.store import StoreEvents, StoreItem
+from amaranthtally.daemon.gateway.coordination import Coordination
+from amaranthtally.daemon.gateway.peer_prober import PeerProber
+from amaranthtally.daemon.gateway.routing_state import RoutingState
+from amaranthtally.platform import PlatformOutcomeUnknown, PlatformUnavailable
+from amaranthtally.platform.errors import PlatformHistoryCompacted
+from amaranthtally.policy import PeerDirectory, PeerRecord
+from amaranthtally.settings import GatewaySettings
+from amaranthtally.wire import PeerLostError
+from tests.gateway.support import configuration, route
+
+REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
+DATA_CENTRES = tuple(REGIONS)
+STORE_S = 0.004
+NEAR_S = 0.001
+FAR_S = 0.024
+NO_ANSWER_S = 1.5
+WATCH_MARGIN_S = 1.0
+PEER_TIMEOUT_S = 0.8
+# Price of a lease's renewal, in calls.
+RENEWAL_PRICE = 0.1
+
+
+class StoreModel:
+    """
+    The store, with faults for single gateways.
+
+    ``rejected`` gateways get errors, ``cut`` ones no answers, and the watches of
+    ``silent`` ones deliver no events.
+    """
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.history = []
+        self.compacted_at = 0
+        self.leases = {}
+        self.calls = Counter()
+        self.rejected = set()
+        self.cut = set()
+        self.silent = set()
+        self.is_down = False
+        self._changed = asyncio.Event()
+
+    def put(self, key, value, lease=0):
+        self.revision += 1
+        raw = value if isinstance(value, bytes) else msgspec.json.encode(value)
+        self.items[key] = StoreItem(key, raw, self.revision, lease)
+        self._record(self.items[key])
+
+    def remove(self, key):
+        if self.items.pop(key, None) is not None:
+            self.revision += 1
+            self._record(StoreItem(key, None, self.revision))
+
+    def end_lease(self, lease):
+        self.leases.pop(lease, None)
+        for key in [k for k, item in self.items.items() if item.lease == lease]:
+            self.remove(key)
+
+    def compact_history(self):
+        self.history.clear()
+        self.compacted_at = self.revision
+
+    def price(self):
+        """Return the price of all calls so far, in calls."""
+        renewals = self.calls["renew_lease"]
+        return sum(self.calls.values()) - renewals * (1.0 - RENEWAL_PRICE)
+
+    async def expire_leases(self):
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(0.1)
+            for lease in [k for k, end in self.leases.items() if end <= loop.time()]:
+                self.end_lease(lease)
+
+    async def wait_for_change(self, seconds):
+        with suppress(TimeoutError):
+            async with asyncio.timeout(seconds):
+                await self._changed.wait()
+
+    def _record(self, item):
+        self.history.append(item)
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+
+class StoreModelClient:
+    """The store's client of one gateway."""
+
+    is_receiving = False
+
+    def __init__(self, store, name):
+        self._store = store
+        self._name = name
+
+    async def list(self, prefix):
+        return await self._call("list", self._list)
+
+    async def watch(self, prefix, after, wait_s):
+        store = self._store
+        failure = await self._begin("watch")
+        if failure is not None:
+            return failure
+        loop = asyncio.get_running_loop()
+        end = loop.time() + wait_s
+        while True:
+            if self._name in store.silent or self._name in store.cut or store.is_down:
+                await asyncio.sleep(max(0.0, end - loop.time()) + WATCH_MARGIN_S)
+                return Err(PlatformOutcomeUnknown("TimeoutError"))
+            if after < store.compacted_at:
+                return Err(PlatformHistoryCompacted())
+            events = tuple(item for item in store.history if item.revision > after)
+            if events or loop.time() >= end:
+                return Ok(StoreEvents(events, store.revision))
+            await store.wait_for_change(end - loop.time())
+
+    async def get(self, key):
+        return await self._call("get", lambda: self._store.items.get(key))
+
+    async def transact(self, conditions, writes, removed=()):
+        def apply():
+            for condition in conditions:
+                item = self._store.items.get(condition.key)
+                if (item.revision if item else 0) != condition.revision:
+                    return None
+            for write in writes:
+                self._store.put(write.key, write.value, write.lease)
+            return self._store.revision
+
+        return await self._call("transact", apply)
+
+    async def grant_lease(self, ttl_s):
+        def grant():
+            lease = max(self._store.leases, default=0) + 1
+            self._store.leases[lease] = self._end(ttl_s)
+            return lease
+
+        return await self._call("grant_lease", grant)
+
+    async def renew_lease(self, lease):
+        def renew():
+            if lease not in self._store.leases:
+                return False
+            self._store.leases[lease] = self._end(6.0)
+            return True
+
+        return await self._call("renew_lease", renew)
+
+    async def end_lease(self, lease):
+        return await self._call("end_lease", lambda: self._store.end_lease(lease))
+
+    def _list(self):
+        return StoreEvents(tuple(self._store.items.values()), self._store.revision)
+
+    def _end(self, ttl_s):
+        return asyncio.get_running_loop().time() + ttl_s
+
+    async def _begin(self, name):
+        self._store.calls[name] += 1
+        if self._store.is_down or self._name in self._store.cut:
+            await asyncio.sleep(NO_ANSWER_S)
+            return Err(PlatformOutcomeUnknown("TimeoutError"))
+        await asyncio.sleep(STORE_S)
+        if self._name in self._store.rejected:
+            return Err(PlatformUnavailable("status 503"))
+        return None
+
+    async def _call(self, name, answer):
+        failure = await self._begin(name)
+        return Ok(answer()) if failure is None else failure
+
+
+class FleetConnections:
+    """The connections of one gateway to the others of its fleet."""
+
+    def __init__(self, fleet, name):
+        self._fleet = fleet
+        self._name = name
+        self._record = PeerRecord("", "")
+        self._addresses = {}
+        self.called = set()
+
+    def set_own_record(self, record):
+        self._record = record
+
+    def set_addresses(self, addresses):
+        self._addresses = dict(addresses)
+
+    async def exchange_status(self, peer, versions, follows=False):
+        member = await self._reach(peer)
+        return member.exchange_status(self._name, self._record, versions, follows)
+
+    async def read_part(self, peer, request):
+        return (await self._reach(peer)).coordination.documents.read_part(request)
+
+    async def read_changes(self, peer, after):
+        return (await self._reach(peer)).coordination.read_changes(after)
+
+    async def push_changes(self, peer, batch, versions):
+        if self._name in self._fleet.push_losers:
+            raise PeerLostError(peer, "lost")
+        member = await self._reach(peer)
+        return member.coordination.push_received(self._name, batch, versions)
+
+    async def _reach(self, peer):
+        self.called.add(peer)
+        if peer not in self._addresses:
+            raise PeerLostError(peer, "no address is known")
+        member = self._fleet.members.get(peer)
+        if member is None:
+            await asyncio.sleep(NEAR_S)
+            raise PeerLostError(peer, "refused")
+        if self._fleet.is_parted(self._name, peer):
+            await asyncio.sleep(PEER_TIMEOUT_S)
+            raise PeerLostError(peer, "no reply before the time-out")
+        near = REGIONS[member.data_centre] == REGIONS[self._record.data_centre]
+        await asyncio.sleep(NEAR_S if near else FAR_S)
+        return member
+
+
+class Member:
+    """A running gateway of the fleet."""
+
+    def __init__(self, fleet, name, data_centre):
+        self.name = name
+        self.data_centre = data_centre
+        self.connections = FleetConnections(fleet, name)
+        self.peers = PeerDirectory()
+        self._tasks = set()
+        settings = GatewaySettings(
+            name=name,
+            host="host",
+            region=REGIONS[data_centre],
+            data_centre=data_centre,
+            caller_address="127.0.0.1:0",
+            ready_address="127.0.0.1:0",
+            peer_address="127.0.0.1:0",
+            store_address="127.0.0.1:0",
+            regions=REGIONS,
+        )
+        record = PeerRecord(f"{name}:1", data_centre)
+        self.connections.set_own_record(record)
+        self.routing_state = RoutingState(settings, lambda changed: None)
+        self.prober = PeerProber(self.connections, self.peers, self._peers_changed)
+        self.coordination = Coordination(
+            settings,
+            record,
+            StoreModelClient(fleet.store, name),
+            self.connections,
+            self.routing_state,
+            self.peers,
+            self._peers_changed,
+            self._spawn,
+            lambda: False,
+            Random(name),
+        )
+        for work in [*self.coordination.tasks(), self.prober.run()]:
+            self._spawn(work)
+
+    @property
+    def version(self):
+        return self.coordination.configuration.version
+
+    @property
+    def endpoints(self):
+        return set(self.routing_state.directory.endpoints)
+
+    @property
+    def is_watching(self):
+        return self.coordination.store.is_watching
+
+    def exchange_status(self, name, record, versions, follows):
+        now = asyncio.get_running_loop().time()
+        if self.peers.note_greeting(now, name, record):
+            self._peers_changed()
+        return self.coordination.exchange_status(name, versions, follows)
+
+    def kill(self):
+        for task in list(self._tasks):
+            task.cancel()
+
+    def _peers_changed(self):
+        self.connections.set_addresses(self.peers.addresses)
+        self.coordination.entries_changed()
+        self.prober.wake()
+
+    def _spawn(self, work):
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+class Fleet:
+    """Gateways by name, spread over the data centres, and their store."""
+
+    def __init__(self, size):
+        self.store = StoreModel()
+        self.members = {}
+        self.push_losers = set()
+        self.parted = ()
+        self._version = 0
+        self._size = 0
+        self._expiry = asyncio.create_task(self.store.expire_leases())
+        self.configure()
+        self.add(size)
+
+    def add(self, count):
+        """Start further gateways, all at once."""
+        for _ in range(count):
+            name = f"entry-{self._size}"
+            self._size += 1
+            self.start(name)
+
+    def start(self, name):
+        number = int(name.rpartition("-")[2])
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        self.members[name] = Member(self, name, data_centre)
+
+    def kill(self, name):
+        self.members.pop(name).kill()
+
+    def freeze(self, name):
+        """Let a gateway hear nothing, neither from the store nor from its peers."""
+        self.store.cut.add(name)
+        self.parted = ({name},)
+
+    def is_parted(self, one, other):
+        return any((one in group) != (other in group) for group in self.parted)
+
+    def watchers(self):
+        return [name for name, member in self.members.items() if member.is_watching]
+
+    def configure(self):
+        """Write the next version of the configuration, and an endpoint with it."""
+        self._version += 1
+        self.store.put("op/config", configuration(self._version, route("job")))
+        self.store.put(f"servers/{self._version}", endpoint_record(self._version))
+        self.store.remove(f"servers/{self._version - 1}")
+
+    def late(self, names=None):
+        """Return the gateways without the newest configuration and endpoints."""
+        expected = {str(self._version)}
+        return [
+            name
+            for name, member in self.members.items()
+            if (names is None or name in names)
+            and (member.version != self._version or member.endpoints != expected)
+        ]
+
+    async def time_until_known(self, limit_s, names=None):
+        """Return the time until every gateway knows the newest state, in seconds."""
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        while self.late(names):
+            assert loop.time() - started < limit_s, self.late(names)
+            await asyncio.sleep(0.01)
+        return loop.time() - started
+
+    def close(self):
+        self._expiry.cancel()
+        for member in self.members.values():
+            member.kill()
+
+
+@contextmanager
+def open_fleet(size):
+    fleet = Fleet(size)
+    try:
+        yield fleet
+    finally:
+        fleet.close()
+
+
+def endpoint_record(number):
+    return {
+        "service": "job",
+        "address": f"10.0.0.1:{number}",
+        "zone": "a1",
+        "slots": 4,
+        "state": "ready",
+        "born": 1,
+    }
--- a/tests/unit/test_document_fetcher.py
+++ b/tests/unit/test_document_fetcher.py
@@ -15,8 +15,9 @@
 
 
 class FakeStore:
-    def __init__(self, is_connected=True):
+    def __init__(self, is_connected=True, is_watching=True):
         self.is_connected = is_connected
+        self.is_watching = is_watching
         self.is_receiving = False
 
 
