A withdrawal waits until the call's task knows what the queue has decided

Cause: at a call's deadline the entry withdraws it and the sidecar's queue drops it; the call's task learns of the drop a turn of the loop later, and a withdrawal in between found nothing to take out. Ruled out: the time-out of the query (0.5 s), a call that had begun (the service has no effect, and the test's later count holds).

--- a/packages/daemon/src/amaranthtally/daemon/sidecar/at_most_once.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/at_most_once.py
@@ -23,6 +23,8 @@
 __all__ = ["AtMostOnceCalls", "CallRunner"]
 
 MAX_STORED_OUTPUT_BYTES = 8 * 1024 * 1024
+# Turns of the event loop in which a call's task learns what its queue has decided.
+MAX_DECISION_TURNS = 4
 NO_ID = CallId("", 0, 0)
 
 log = get_logger()
@@ -211,13 +213,29 @@
         state = self._ledger.state(key)
         if state is CallState.ENDED or query is OutcomeQuery.WAIT:
             return await self._await_reply(NO_ID, key)
-        withdraw = query is OutcomeQuery.WITHDRAW and state is CallState.QUEUED
-        record = self._records[key]
-        if withdraw and self._runner.cancel_queued(record.call_id):
-            await asyncio.shield(record.reply)
+        if query is OutcomeQuery.WITHDRAW and await self._leave_queue(key):
             return self._withdraw(key, terms)
         return self._runner.reply(NO_ID, Status.UNKNOWN, reason="has not ended")
 
+    async def _leave_queue(self, key: str) -> bool:
+        """
+        Take a call out of the queue; return whether it was never started.
+
+        A call enters and leaves the queue in a task of its own, which runs a turn of
+        the event loop after the call was received or the queue has decided. A
+        withdrawal that came in between found no call to take out, and the caller of a
+        call that the queue had dropped at its deadline was told that it may have run.
+        """
+        record = self._records[key]
+        for _ in range(MAX_DECISION_TURNS):
+            if self._ledger.state(key) is not CallState.QUEUED:
+                break
+            if self._runner.cancel_queued(record.call_id):
+                await asyncio.shield(record.reply)
+                break
+            await asyncio.sleep(0)
+        return self._ledger.state(key) is None
+
     def _withdraw(self, key: str, terms: AtMostOnceTerms) -> StageReply:
         verdict = self._ledger.withdraw(self._runner.clock_s, key, terms)
         if verdict is CallVerdict.FULL:
