Rank the entries of a site once, and end requests of callers that are gone quietly

Owners: the entries were filtered and hashed for each piece, work that grows with the fleet; the ranking is kept until the set of entries changes. Same owners as before (tests/policy/test_pool_sites.py; a leaving entry as well).

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -117,9 +117,14 @@
         self._executor.submit(call)
         try:
             return await self._respond(request, call)
-        except (asyncio.CancelledError, ConnectionError):
+        except asyncio.CancelledError:
             self._executor.cancel_request(call)
             raise
+        except ConnectionError as error:
+            self._executor.cancel_request(call)
+            log.info("caller_left", request_id=call.id, cause=str(error))
+            # The server needs a response to end the exchange; nobody receives it.
+            return web.Response()
 
     # Checks
 
--- a/packages/policy/src/amaranthtally/policy/pool_sites.py
+++ b/packages/policy/src/amaranthtally/policy/pool_sites.py
@@ -78,12 +78,17 @@
         self._region = ""
         self._data_centre = ""
         self._peers: dict[str, Peer] = {}
+        # The entries ranked for each site, until the set of entries changes. With many
+        # entries, ranking them for each piece would be most of the work for the piece.
+        self._ranked: dict[tuple[str, str], list[Peer]] = {}
         self._leaving = False
         self._peer_paused_until: dict[str, float] = {}
         self._sites: dict[tuple[str, str], _Site] = {}
 
     def configure(self, name: str, region: str, data_centre: str) -> None:
         """Set this entry's own name, region and data centre."""
+        if (name, data_centre) != (self._name, self._data_centre):
+            self._ranked.clear()
         self._name = name
         self._region = region
         self._data_centre = data_centre
@@ -91,6 +96,7 @@
     def replace_peers(self, peers: Iterable[Peer]) -> None:
         """Replace the set of other live entries."""
         self._peers = {peer.name: peer for peer in peers if peer.name != self._name}
+        self._ranked.clear()
 
     @property
     def is_leaving(self) -> bool:
@@ -103,16 +109,13 @@
 
     def owner(self, now: float, pool: str, data_centre: str) -> str:
         """Return the name of a site's owner, empty if it is this entry."""
-        this_entry = Peer(self._name, self._data_centre)
-        alive = [p for p in self._peers.values() if not self._is_paused(now, p.name)]
-        if not self._leaving or not alive:
-            alive.append(this_entry)
-        in_data_centre = [p for p in alive if p.data_centre == data_centre]
-        key = f"{pool}/{data_centre}"
-        chosen = min(
-            in_data_centre or alive, key=lambda peer: rendezvous_weight(peer.name, key)
-        )
-        return "" if chosen.name == self._name else chosen.name
+        for peer in self._ranked_entries(pool, data_centre):
+            if peer.name == self._name:
+                if not self._leaving:
+                    return ""
+            elif not self._is_paused(now, peer.name):
+                return peer.name
+        return ""
 
     def peer_failed(self, now: float, peer: str) -> None:
         """Submit no jobs to a peer for a while, or until it is known to be back."""
@@ -235,6 +238,21 @@
         known_rank = max((r for r in site.waits if r <= rank), default=None)
         return 0.0 if known_rank is None else site.waits[known_rank].remaining_s(now)
 
+    def _ranked_entries(self, pool: str, data_centre: str) -> list[Peer]:
+        """Return all entries for a site, those in its data centre first, by hash."""
+        ranked = self._ranked.get((pool, data_centre))
+        if ranked is None:
+            key = f"{pool}/{data_centre}"
+            ranked = sorted(
+                [*self._peers.values(), Peer(self._name, self._data_centre)],
+                key=lambda peer: (
+                    peer.data_centre != data_centre,
+                    rendezvous_weight(peer.name, key),
+                ),
+            )
+            self._ranked[pool, data_centre] = ranked
+        return ranked
+
     def _is_paused(self, now: float, peer: str) -> bool:
         return now < self._peer_paused_until.get(peer, 0.0)
 
--- a/tests/policy/test_pool_sites.py
+++ b/tests/policy/test_pool_sites.py
@@ -2,8 +2,9 @@
 
 import pytest
 
-from amaranthtally.policy import Peer
+from amaranthtally.policy import Peer, pool_sites
 from amaranthtally.policy.pool_sites import PoolSites
+from amaranthtally.policy.rendezvous import rendezvous_weight
 from tests.policy.pieces import CLUJ, IASI, endpoint
 
 PEERS = [
@@ -40,6 +41,36 @@
     assert len(owners) == 1
 
 
+def test_the_entries_are_ranked_once_for_many_pieces(monkeypatch):
+    """Guards against work for each piece that grows with the number of entries."""
+    ranked = []
+
+    def weight(name, key):
+        ranked.append(name)
+        return rendezvous_weight(name, key)
+
+    monkeypatch.setattr(pool_sites, "rendezvous_weight", weight)
+    many = [Peer(f"entry-{n}", (CLUJ, IASI)[n % 2]) for n in range(300)]
+    sites = sites_of(many[0], peers=many)
+    owner = sites.owner(NOW, "roster", CLUJ)
+    before = len(ranked)
+    sites.peer_failed(NOW, owner)
+    assert sites.owner(NOW + 1.0, "roster", CLUJ) != owner
+    assert sites.owner(NOW + 10.0, "roster", CLUJ) == owner
+    assert len(ranked) == before
+    sites.replace_peers([peer for peer in many if peer.name != owner])
+    assert sites.owner(NOW + 10.0, "roster", CLUJ) != owner
+
+
+def test_a_leaving_entry_owns_a_site_only_if_it_is_alone():
+    sites = sites_of(PEERS[0])
+    sites.leave()
+    for pool in ("catalogue", "roster", "ledger"):
+        assert sites.owner(NOW, pool, CLUJ)
+    sites.replace_peers([])
+    assert not sites.owner(NOW, "roster", CLUJ)
+
+
 def test_a_peer_that_does_not_answer_owns_nothing_for_a_while():
     sites = sites_of(PEERS[5])
     owner = sites.owner(NOW, "roster", CLUJ)
--- /dev/null
+++ b/tests/unit/test_caller_handler.py
@@ -0,0 +1,63 @@
+"""The end of requests whose callers are gone."""
+
+from types import SimpleNamespace
+
+import pytest
+from aiohttp import ClientConnectionResetError
+
+from amaranthtally.daemon.gateway.caller_handler import CallerHandler
+from tests.support import run_async
+
+
+class Executor:
+    def __init__(self):
+        self.cancelled = []
+
+    def is_in_flight(self, request_id):
+        return False
+
+    def submit(self, call):
+        pass
+
+    def cancel_request(self, call):
+        self.cancelled.append(call.id)
+
+
+class Handler(CallerHandler):
+    """Accepts every request; writing the response fails."""
+
+    def _check(self, request):
+        caller = SimpleNamespace(id="request", deadline_s=1.0, piece_counts=())
+        table = SimpleNamespace(version=1, limits=SimpleNamespace(body_bytes=10))
+        return caller, SimpleNamespace(name="route", timeout_s=1.0), None, table
+
+    async def _read_body(self, request, limit):
+        return b""
+
+    def _new_call(self, *args):
+        stage = SimpleNamespace(pool="pool")
+        arrival = SimpleNamespace(
+            pipeline=SimpleNamespace(stages=[stage]), priority=0, deadline=1.0
+        )
+        return SimpleNamespace(id="request", account="", arrival=arrival)
+
+    async def _respond(self, request, call):
+        raise self.error
+
+
+@pytest.mark.parametrize(
+    "error",
+    [ClientConnectionResetError("closing transport"), ConnectionResetError("reset")],
+)
+def test_a_caller_that_is_gone_ends_its_request_without_an_error(error):
+    """Guards against a traceback in the log whenever a caller leaves a stream."""
+
+    async def check():
+        executor = Executor()
+        handler = Handler(executor, None, None, lambda: None, lambda: False)
+        handler.error = error
+        await handler.handle(SimpleNamespace())
+        assert executor.cancelled == ["request"]
+        assert handler.open_responses == 0
+
+    run_async(check())
