Followers read a large configuration from the store, not all from one watcher

A watcher hands the configuration to a dozen followers. One that stays above 64 KB compressed would fill its link for seconds (computed: 11 copies of 549 KB on 5 Mbit/s take 9.7 s; the users' allow 4); each follower then reads it from the store over its own link, and from the watcher only if the store does not answer.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -111,6 +111,7 @@
             client,
             watcher,
             self._follower,
+            self.configuration,
             self._records,
             peer_records,
             Registration(client, settings.name, record, random),
--- a/packages/daemon/src/amaranthtally/daemon/gateway/document_fetcher.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/document_fetcher.py
@@ -21,6 +21,10 @@
 # How much longer to wait for a store that is sending, in seconds. If a fetch from a
 # peer starts after this wait, the configuration is still in force within 4 s.
 STORE_FINISH_WAIT_S = 2.5
+# Largest compressed configuration that followers read from their watcher, in bytes. A
+# larger one would take seconds for all of them over the watcher's link, so that each
+# reads it from the store over its own.
+MAX_SHARED_BYTES = 65_536
 # Interval between checks whether the store is still sending, in seconds.
 POLL_INTERVAL_S = 0.05
 MS_PER_S = 1000.0
@@ -43,6 +47,9 @@
     def is_receiving(self) -> bool:
         """Whether the body of a response from the store is being received."""
 
+    async def read_configuration(self) -> bool:
+        """Read the configuration from the store; return whether it answered."""
+
 
 class DocumentHolder(Protocol):
     """Holds this gateway's copy of the configuration and of the endpoint records."""
@@ -144,7 +151,10 @@
             if not part.data:
                 raise MalformedDocumentError("the peer sent an empty part")
             reader.add(part)
-            if not self._is_newer(document, reader.version):
+            if not self._is_newer(document, reader.version) or (
+                self._is_for_the_store(document, reader)
+                and await self._store.read_configuration()
+            ):
                 reader.clear()
                 return
         version = reader.version
@@ -153,5 +163,13 @@
         finally:
             reader.clear()
 
+    def _is_for_the_store(self, document: Document, reader: DocumentReader) -> bool:
+        return (
+            document is Document.CONFIGURATION
+            and reader.size > MAX_SHARED_BYTES
+            and self._store.is_connected
+            and not self._store.is_watching
+        )
+
     def _is_newer(self, document: Document, version: int) -> bool:
         return version > self._holder.versions.of(document)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
@@ -4,6 +4,10 @@
 from collections.abc import Coroutine
 from typing import Any
 
+from result import Err
+
+from amaranthtally.adapter.configuration import CONFIGURATION_KEY
+from amaranthtally.daemon.gateway.configuration_tracker import ConfigurationTracker
 from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
 from amaranthtally.daemon.gateway.membership import PeerRecordTracker, Registration
 from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
@@ -24,6 +28,7 @@
         client: StoreClient,
         watcher: PrefixWatcher,
         follower: StoreFollower,
+        configuration: ConfigurationTracker,
         records: EndpointRecordTracker,
         peer_records: PeerRecordTracker,
         registration: Registration,
@@ -31,6 +36,7 @@
         self._client = client
         self._watcher = watcher
         self._follower = follower
+        self._configuration = configuration
         self._records = records
         self._peer_records = peer_records
         self._registration = registration
@@ -56,6 +62,15 @@
         """Whether the body of a response from the store is being received."""
         return self._client.is_receiving
 
+    async def read_configuration(self) -> bool:
+        """Read the configuration from the store; return whether it answered."""
+        response = await self._client.get(CONFIGURATION_KEY)
+        if isinstance(response, Err):
+            return False
+        if response.ok_value is not None:
+            self._configuration.apply_change(response.ok_value)
+        return True
+
     def note_settling(self, seconds: float) -> None:
         """Note how much longer records may be missing after an outage."""
         if seconds:
--- a/packages/wire/src/amaranthtally/wire/documents.py
+++ b/packages/wire/src/amaranthtally/wire/documents.py
@@ -131,6 +131,11 @@
         """The version being read; 0 before the first part."""
         return self._version
 
+    @property
+    def size(self) -> int:
+        """Size of the compressed document in bytes; 0 before the first part."""
+        return self._size
+
     @property
     def is_complete(self) -> bool:
         """Whether all parts have been received."""
--- a/tests/unit/test_document_fetcher.py
+++ b/tests/unit/test_document_fetcher.py
@@ -3,6 +3,8 @@
 import asyncio
 import random
 
+import pytest
+
 from amaranthtally.daemon.gateway.document_fetcher import DocumentFetcher
 from amaranthtally.daemon.gateway.version_gossip import VersionGossip
 from amaranthtally.wire import PeerLostError
@@ -19,6 +21,12 @@
         self.is_connected = is_connected
         self.is_watching = is_watching
         self.is_receiving = False
+        self.answers = True
+        self.reads = 0
+
+    async def read_configuration(self):
+        self.reads += 1
+        return self.answers
 
 
 class FakeHolder:
@@ -111,6 +119,36 @@
     run_async(check())
 
 
+@pytest.mark.parametrize("answers", [True, False])
+def test_a_follower_reads_a_large_configuration_from_the_store(answers):
+    """Guards against a watcher whose link is filled by what all followers read."""
+
+    async def check():
+        connections, holder = FakeConnections(), FakeHolder()
+        store = FakeStore(is_watching=False)
+        store.answers = answers
+        await DocumentFetcher(connections, holder, store).fetch_newer("peer", NEWER)
+        if answers:
+            assert (store.reads, len(connections.reads)) == (1, 1)
+            assert not holder.applied
+        else:
+            assert [call[3] for call in holder.applied] == [CONTENT]
+
+    run_async(check())
+
+
+def test_a_follower_reads_a_small_configuration_from_its_watcher():
+    async def check():
+        connections, holder = FakeConnections(), FakeHolder()
+        connections.snapshots[Document.CONFIGURATION].put(6, CONTENT[:10_000])
+        store = FakeStore(is_watching=False)
+        await DocumentFetcher(connections, holder, store).fetch_newer("peer", NEWER)
+        assert store.reads == 0
+        assert [call[3] for call in holder.applied] == [CONTENT[:10_000]]
+
+    run_async(check())
+
+
 def test_a_document_is_fetched_from_a_peer_if_the_store_sends_nothing():
     """Guards against a watch without events that hides a newer configuration."""
 
