--- a/packages/daemon/src/amaranthtally/daemon/entry/binder.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/binder.py
@@ -159,6 +159,13 @@
                 return await self._outcome_querier.bind(label, endpoint)
             except PeerLostError as error:
                 log.info("bind_failed", endpoint=endpoint.id, cause=str(error))
+        loads = self._outcome_querier.loads
+        log.warning(
+            "bind_impossible",
+            pool=stage.pool,
+            candidates=len(ranked),
+            leaving=",".join(sorted(name for name in loads if loads[name].leaving)),
+        )
         return None
 
     # Repeated requests
