--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -71,56 +71,30 @@
         self._peers = peers
         self._is_stopping = is_stopping
         self._neighbours: tuple[str, ...] = ()
+        self._selection = WatcherSelection(
+            settings.name, settings.data_centre, settings.regions
+        )
 
         self.configuration = ConfigurationTracker(self._with_push(routing_state))
         self._records = EndpointRecordTracker(
             routing_state.directory, settings.regions, routing_state.endpoints_changed
         )
         peer_records = PeerRecordTracker(settings.name, peers, on_peers)
-        listeners: dict[str, PrefixListener] = {
-            CONFIGURATION_KEY: self.configuration,
-            SERVERS_PREFIX: self._records,
-            ENTRIES_PREFIX: peer_records,
-        }
-        self._replica = StoreReplica(
-            PrefixDispatcher(listeners), lambda: self._pusher.wake()
-        )
+        self._replica = self._new_replica(peer_records)
         self.documents = HeldDocuments(
             self.configuration, self._replica, lambda: self._records.settling_s
         )
         self._pusher = ChangePusher(
-            connections,
-            self._replica,
-            lambda: self.documents.versions,
-            spawn,
+            connections, self._replica, lambda: self.documents.versions, spawn
         )
-        self._selection = WatcherSelection(
-            settings.name, settings.data_centre, settings.regions
-        )
-        self._follower = StoreFollower(
-            connections,
-            self._selection,
-            lambda: self.documents.versions,
-            self._catch_up,
-            lambda: watcher.note_reachable(),
-        )
-        watcher = PrefixWatcher(
-            client, ALL_KEYS, self._replica, self._records, self._follower, random
-        )
-        self.store = StoreSync(
-            client,
-            watcher,
-            self._follower,
-            self.configuration,
-            self._records,
-            peer_records,
-            Registration(client, settings.name, record, random),
+        registration = Registration(client, settings.name, record, random)
+        self.store = self._new_store(
+            client, connections, peer_records, registration, random
         )
-        fetcher = DocumentFetcher(connections, self.documents, self.store)
         self._receiver = ChangeReceiver(
             connections,
             self._replica,
-            fetcher,
+            DocumentFetcher(connections, self.documents, self.store),
             self.store,
             lambda: self._selection.followed,
             spawn,
@@ -152,7 +126,7 @@
         self._neighbours = ring_neighbours(
             self._settings.name, self._settings.data_centre, data_centres
         )
-        self._follower.entries_changed()
+        self.store.entries_changed()
 
     def exchange_status(
         self, name: str, versions: Versions, follows: bool
@@ -173,6 +147,42 @@
         self.documents.note_peer_versions(name, versions)
         return self._receiver.push_received(name, batch, versions)
 
+    def _new_replica(self, peer_records: PeerRecordTracker) -> StoreReplica:
+        listeners: dict[str, PrefixListener] = {
+            CONFIGURATION_KEY: self.configuration,
+            SERVERS_PREFIX: self._records,
+            ENTRIES_PREFIX: peer_records,
+        }
+        return StoreReplica(PrefixDispatcher(listeners), lambda: self._pusher.wake())
+
+    def _new_store(
+        self,
+        client: StoreClient,
+        connections: PeerConnections,
+        peer_records: PeerRecordTracker,
+        registration: Registration,
+        random: Random,
+    ) -> StoreSync:
+        follower = StoreFollower(
+            connections,
+            self._selection,
+            lambda: self.documents.versions,
+            self._catch_up,
+            lambda: watcher.note_reachable(),
+        )
+        watcher = PrefixWatcher(
+            client, ALL_KEYS, self._replica, self._records, follower, random
+        )
+        return StoreSync(
+            client,
+            watcher,
+            follower,
+            self.configuration,
+            self._records,
+            peer_records,
+            registration,
+        )
+
     def _catch_up(self, peer: str, versions: Versions) -> None:
         self.documents.note_peer_versions(peer, versions)
         self._receiver.catch_up(peer, versions)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
@@ -71,6 +71,10 @@
             self._configuration.apply_change(response.ok_value)
         return True
 
+    def entries_changed(self) -> None:
+        """Start or stop watching after a change of the set of live gateways."""
+        self._follower.entries_changed()
+
     def note_settling(self, seconds: float) -> None:
         """Note how much longer records may be missing after an outage."""
         if seconds:
