A peer's versions are noted in one place, and only when it is followed

Three callers noted the versions beside ChangeReceiver.catch_up, which all of them call; it does so itself now. tests/load/test_fleet_coordination.py, not_followed: failed before (10000, not 1).

Without a change of behaviour: the methods for a store that does not answer, which the dispatcher and two trackers had as empty ones, are gone, since the watcher tells the endpoints' tracker directly; the wait for the own watch stood twice (0.4 s).

--- a/packages/daemon/src/amaranthtally/daemon/gateway/change_receiver.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/change_receiver.py
@@ -5,7 +5,10 @@
 from typing import Any, Protocol
 
 from amaranthtally.adapter.store import StoreItem
-from amaranthtally.daemon.gateway.document_fetcher import DocumentFetcher
+from amaranthtally.daemon.gateway.document_fetcher import (
+    STORE_START_WAIT_S,
+    DocumentFetcher,
+)
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.daemon.logs import get_logger
@@ -15,10 +18,6 @@
 
 __all__ = ["ChangeReceiver"]
 
-# How long a watcher waits for a change that a peer has already, in seconds, before it
-# reads the change from the peer. Longer than the pause between its watches.
-OWN_WATCH_WAIT_S = 0.4
-
 log = get_logger()
 
 
@@ -47,6 +46,7 @@
         fetcher: DocumentFetcher,
         store: _Store,
         followed: Callable[[], str],
+        note_versions: Callable[[str, Versions], None],
         spawn: Callable[[Coroutine[Any, Any, None]], object],
     ) -> None:
         self._connections = connections
@@ -54,12 +54,14 @@
         self._fetcher = fetcher
         self._store = store
         self._followed = followed
+        self._note_versions = note_versions
         self._spawn = spawn
         self._is_reading = False
         self._refused: set[str] = set()
 
     def catch_up(self, peer: str, versions: Versions) -> None:
-        """Read in the background what a peer has in a newer version."""
+        """Note a peer's versions; read in the background what is newer there."""
+        self._note_versions(peer, versions)
         self._store.note_settling(versions.settling_s)
         self._spawn(self._fetcher.fetch_newer(peer, versions))
         is_behind = versions.records > self._replica.revision
@@ -86,7 +88,7 @@
     async def _read_changes(self, peer: str, versions: Versions) -> None:
         try:
             if self._store.is_watching:
-                await asyncio.sleep(OWN_WATCH_WAIT_S)
+                await asyncio.sleep(STORE_START_WAIT_S)
             while versions.records > self._replica.revision:
                 if not await self._read_next(peer, versions):
                     return
--- a/packages/daemon/src/amaranthtally/daemon/gateway/configuration_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/configuration_tracker.py
@@ -103,9 +103,3 @@
         self._newest_known = max(self._newest_known, table.version)
         self._value = value
         self._on_table(table)
-
-    def store_unreachable(self) -> None:
-        """Keep the configuration in force."""
-
-    def store_reachable(self) -> None:
-        """Do nothing: a newer version arrives as a change."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -97,6 +97,7 @@
             DocumentFetcher(connections, self.documents, self.store),
             self.store,
             lambda: self._selection.followed,
+            self.documents.note_peer_versions,
             spawn,
         )
         self._gossip = VersionGossip(
@@ -135,7 +136,7 @@
         watches = self.store.can_be_followed
         if follows and watches:
             self._pusher.note_follower(name, versions)
-        self._catch_up(name, versions)
+        self._receiver.catch_up(name, versions)
         return GatewayStatus(self.documents.versions, self._is_stopping(), watches)
 
     def read_changes(self, after: int) -> ChangeBatch | None:
@@ -144,7 +145,6 @@
 
     def push_received(self, name: str, batch: ChangeBatch, versions: Versions) -> bool:
         """Apply changes of a watcher; return whether this gateway follows it."""
-        self.documents.note_peer_versions(name, versions)
         return self._receiver.push_received(name, batch, versions)
 
     def _new_replica(self, peer_records: PeerRecordTracker) -> StoreReplica:
@@ -184,7 +184,6 @@
         )
 
     def _catch_up(self, peer: str, versions: Versions) -> None:
-        self.documents.note_peer_versions(peer, versions)
         self._receiver.catch_up(peer, versions)
 
     def _peers_to_greet(self) -> list[str]:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/document_fetcher.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/document_fetcher.py
@@ -13,7 +13,7 @@
 )
 from amaranthtally.wire.gateway_codec import Versions
 
-__all__ = ["DocumentFetcher", "DocumentHolder", "StoreStatus"]
+__all__ = ["STORE_START_WAIT_S", "DocumentFetcher", "DocumentHolder", "StoreStatus"]
 
 # How long to wait for the store to start sending a change that a peer has reported, in
 # seconds. Longer than the pause in which the watcher batches changes.
@@ -58,9 +58,6 @@
     def versions(self) -> Versions:
         """The versions of the documents held."""
 
-    def note_peer_versions(self, peer: str, versions: Versions) -> None:
-        """Note which versions a peer holds."""
-
     def apply_document(
         self, peer: str, document: Document, version: int, content: bytes
     ) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
@@ -125,12 +125,6 @@
             self._directory.put(name, record)
         self._on_change()
 
-    def store_unreachable(self) -> None:
-        """Keep the known peers."""
-
-    def store_reachable(self) -> None:
-        """Do nothing: gateways whose records expired are probed directly."""
-
     def expire(self) -> None:
         """Remove gateways that have shown no sign of life for too long."""
         expired = self._directory.expire(self._time())
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prefix_listener.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prefix_listener.py
@@ -17,12 +17,6 @@
     def apply_change(self, item: StoreItem) -> None:
         """Apply one changed or removed item."""
 
-    def store_unreachable(self) -> None:
-        """Note that the store did not answer."""
-
-    def store_reachable(self) -> None:
-        """Note that the store answered."""
-
 
 class PrefixDispatcher:
     """Passes each item to the listener of its key's prefix."""
@@ -40,13 +34,3 @@
         for prefix, listener in self._listeners.items():
             if item.key.startswith(prefix):
                 listener.apply_change(item)
-
-    def store_unreachable(self) -> None:
-        """Pass on that the store did not answer."""
-        for listener in self._listeners.values():
-            listener.store_unreachable()
-
-    def store_reachable(self) -> None:
-        """Pass on that the store answered."""
-        for listener in self._listeners.values():
-            listener.store_reachable()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prefix_watcher.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prefix_watcher.py
@@ -7,12 +7,11 @@
 from result import Err, Result
 
 from amaranthtally.adapter.store import StoreEvents
-from amaranthtally.daemon.gateway.prefix_listener import PrefixListener
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import PlatformError, PlatformHistoryCompacted, StoreClient
 
-__all__ = ["PrefixWatcher", "WatchDuty"]
+__all__ = ["ContactListener", "PrefixWatcher", "WatchDuty"]
 
 # A watch without events ends after this time, in seconds. A watch can stop delivering
 # events without ending. The other watchers notice a change that it misses, unless the
@@ -48,6 +47,16 @@
         """Wait until this gateway has to watch the store itself."""
 
 
+class ContactListener(Protocol):
+    """Is told whether the store answers."""
+
+    def store_unreachable(self) -> None:
+        """Note that the store did not answer."""
+
+    def store_reachable(self) -> None:
+        """Note that the store answered."""
+
+
 class PrefixWatcher:
     """Lists a prefix and watches it from that revision; lists again after a gap."""
 
@@ -56,7 +65,7 @@
         client: StoreClient,
         prefix: str,
         replica: StoreReplica,
-        listener: PrefixListener,
+        listener: ContactListener,
         duty: WatchDuty,
         random: Random,
     ) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_gossip.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_gossip.py
@@ -67,7 +67,6 @@
         except PeerLostError as error:
             log.info("peer_not_greeted", peer=peer, cause=str(error))
             return
-        self._holder.note_peer_versions(peer, status.versions)
         # The fetch runs in the background and does not delay the next round: the gossip
         # also shows the peers that this gateway is alive.
         self._fetch_newer(peer, status.versions)
--- a/tests/load/test_fleet_coordination.py
+++ b/tests/load/test_fleet_coordination.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from amaranthtally.wire.changes import ChangeBatch
+from amaranthtally.wire.gateway_codec import Versions
 from tests.load.fleet import open_fleet
 from tests.support.virtual_time import run_on_virtual_time
 
@@ -257,3 +259,16 @@
         assert all(m.endpoints == expected for m in fleet.members.values())
 
     run_with_fleet(30, check)
+
+
+def test_a_push_of_a_gateway_that_is_not_followed_changes_no_version():
+    """Guards against an alert for a configuration that nobody but a stranger has."""
+
+    async def check(fleet):
+        member = next(iter(fleet.members.values()))
+        batch = ChangeBatch(1, 10_000)
+        versions = Versions(configuration=10_000, records=10_000)
+        assert not member.coordination.push_received("stranger", batch, versions)
+        assert member.coordination.configuration.newest_known == member.version
+
+    run_with_fleet(6, check)
--- a/tests/unit/test_change_receiver.py
+++ b/tests/unit/test_change_receiver.py
@@ -62,12 +62,14 @@
         self.store = FakeStore()
         self.fetcher = FakeFetcher()
         self.tasks = []
+        self.noted = []
         self.receiver = ChangeReceiver(
             connections,
             self.replica,
             self.fetcher,
             self.store,
             lambda: WATCHER,
+            lambda peer, versions: self.noted.append((peer, versions)),
             lambda work: self.tasks.append(asyncio.create_task(work)),
         )
 
@@ -104,6 +106,7 @@
 
     async def check(receiver):
         assert not receiver.push(RecordChange("servers/b", b"1", 7), peer="stranger")
+        assert not receiver.noted
         assert set(receiver.listener.items) == {"servers/a"}
         assert receiver.replica.revision == 5
 
