--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -112,6 +112,8 @@
             pool=call.arrival.pipeline.stages[0].pool,
             priority=call.arrival.priority,
             pieces=",".join(str(n) for n in caller.piece_counts),
+            resumes=caller.resumed_request,
+            after=caller.last_event,
             left_ms=round((call.arrival.deadline - received_at) * 1000),
         )
         self._executor.submit(call)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
@@ -57,6 +57,7 @@
                 endpoint=name,
                 pool=endpoint.pool,
                 address=endpoint.address,
+                version=endpoint.version,
                 takes_calls=endpoint.takes_calls,
                 revision=item.revision,
             )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -276,6 +276,8 @@
             request_id=call.id,
             attempt=send.attempt.number,
             endpoint=send.endpoint,
+            version=endpoint.version if endpoint else "",
+            after=call.last_event or call.caller.last_event,
             hedge=send.hedge,
             left_ms=round((send.deadline - self._time()) * 1000),
         )
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -97,7 +97,7 @@
     ``models`` are those that it is configured to serve, all if empty; ``takes_calls``
     is false for a role that serves no calls. ``slots`` is the number of calls that run
     concurrently, 0 if unknown. ``incarnation`` changes with each start of a server that
-    keeps its id.
+    keeps its id. ``version`` is that of its software, "" if unknown.
     """
 
     id: str
@@ -110,6 +110,7 @@
     takes_calls: bool = True
     slots: int = 0
     incarnation: int = 0
+    version: str = ""
 
     def is_meant_for(self, model: str) -> bool:
         """Whether it is configured to serve a model, loaded or not; "" is any model."""
@@ -124,6 +125,7 @@
             and self.data_centre == other.data_centre
             and self.address == other.address
             and self.incarnation == other.incarnation
+            and self.version == other.version
         )
 
 
