--- /dev/null
+++ b/tests/gateway/test_stream_versions.py
@@ -0,0 +1,203 @@
+"""A stream goes on only at endpoints of the software version that began it."""
+
+import asyncio
+import signal
+
+import pytest
+
+from amaranthtally.adapter import headers as names
+from tests.gateway.fake_endpoint import (
+    STREAM_END,
+    Reset,
+    http_chunk,
+    stream_response_head,
+)
+from tests.gateway.support import STREAM, route, run_with_cluster
+
+STREAMS = 12
+LAST_EVENT = 3
+# Longer than a test runs, in seconds.
+ENDLESS_S = 1_000.0
+# Longest time that the tests give a gateway to pass on what it knows, in seconds.
+COPIED_WITHIN_S = 1.0
+
+
+def event(version, number):
+    return b"id: %d\ndata: %s\n\n" % (number, version.encode())
+
+
+def engine(version, after_first=ENDLESS_S):
+    """Return a script that begins streams, and completes those that go on."""
+
+    def script(request):
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        steps = [stream_response_head(request)]
+        if first == 1:
+            return [*steps, http_chunk(event(version, 1)), after_first]
+        rest = [http_chunk(event(version, n)) for n in range(first, LAST_EVENT + 1)]
+        return [*steps, *rest, STREAM_END]
+
+    return script
+
+
+def whole(version):
+    return b"".join(event(version, n) for n in range(1, LAST_EVENT + 1))
+
+
+async def start_engines(cluster, *versions, **options):
+    for number, version in enumerate(versions):
+        script = engine(version, **options)
+        await cluster.endpoint(f"e{number}", "job", script, version=version)
+    cluster.configure(1, route("job", resumable=True, **STREAM))
+
+
+class Caller:
+    """Begins a stream at one gateway, and takes it up at another."""
+
+    def __init__(self, serial):
+        self.first_id = f"first-{serial}"
+        self.received = b""
+
+    async def begin(self, gateway):
+        """Read the first event, and return the open response."""
+        response = await gateway.session.post(
+            f"{gateway.url}/job/", headers=gateway.headers(self.first_id)
+        )
+        self.received = await response.content.readuntil(b"\n\n")
+        return response
+
+    async def take_up(self, gateway, resumes=None):
+        """Take the stream up; return the status of the response."""
+        headers = {
+            names.LAST_EVENT_ID: "1",
+            names.RESUMED_REQUEST: self.first_id if resumes is None else resumes,
+        }
+        status, _, body = await gateway.call("/job/", **headers)
+        if status == 200:
+            self.received += body
+        return status
+
+    @property
+    def version(self):
+        """The version that began the stream."""
+        return self.received.splitlines()[1].removeprefix(b"data: ").decode()
+
+
+async def begin_all(gateway):
+    callers = [Caller(serial) for serial in range(STREAMS)]
+    responses = [await caller.begin(gateway) for caller in callers]
+    return callers, responses
+
+
+async def check_taken_up(callers, gateway):
+    for caller in callers:
+        assert await caller.take_up(gateway) == 200
+        assert caller.received == whole(caller.version)
+
+
+def test_an_answer_holds_events_of_one_version(tmp_path):
+    """Guards against a lost engine whose stream goes on at another version."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1", "v2", "v1", "v2", after_first=Reset)
+        gateway = await cluster.gateway()
+        for _ in range(STREAMS):
+            status, body, is_complete = await gateway.stream("/job/")
+            assert (status, is_complete) == (200, True)
+            assert body in (whole("v1"), whole("v2"))
+
+    run_with_cluster(tmp_path, check)
+
+
+def test_a_caller_that_returns_to_another_gateway_gets_the_same_version(tmp_path):
+    """Guards against a stream over two tries that holds events of two versions."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1", "v2", "v1", "v2")
+        first, second = await cluster.gateway("g1"), await cluster.gateway("g2")
+        callers, responses = await begin_all(first)
+        for response in responses:
+            response.close()
+        await check_taken_up(callers, second)
+
+    run_with_cluster(tmp_path, check)
+
+
+@pytest.mark.parametrize("data_centre", ["cluj-a", "iasi-a"], ids=["near", "far"])
+def test_a_killed_gateways_streams_go_on_at_their_version(tmp_path, data_centre):
+    """Guards against what only the killed gateway knew: the version of its streams."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1", "v2", "v1", "v2")
+        first = await cluster.gateway("g1")
+        second = await cluster.gateway("g2", data_centre=data_centre)
+        await first.wait_for_event("peer_connected")
+        callers, _ = await begin_all(first)
+        await asyncio.sleep(COPIED_WITHIN_S)
+        await first.process.kill()
+        await check_taken_up(callers, second)
+
+    run_with_cluster(tmp_path, check)
+
+
+def test_streams_go_on_while_gateways_restart_in_turn(tmp_path):
+    """Guards against copies that are lost as their holders are stopped one by one."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1", "v2", "v1", "v2")
+        first, second = await cluster.gateway("g1"), await cluster.gateway("g2")
+        await first.wait_for_event("peer_connected")
+        callers, _ = await begin_all(first)
+        await asyncio.sleep(COPIED_WITHIN_S)
+        await first.process.kill()
+        first = await cluster.gateway("g1")
+        await second.wait_for_event("peer_connected")
+        second.process.send(signal.SIGTERM)
+        await second.process.wait()
+        await check_taken_up(callers, first)
+
+    run_with_cluster(tmp_path, check)
+
+
+def test_a_stream_of_unknown_version_does_not_go_on(tmp_path):
+    """Guards against a guess at the version, where several serve side by side."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1", "v2")
+        gateway = await cluster.gateway()
+        for resumes in ("never-seen", ""):
+            for serial in range(STREAMS):
+                assert await Caller(serial).take_up(gateway, resumes) == 503
+
+    run_with_cluster(tmp_path, check)
+
+
+def test_a_stream_of_unknown_version_goes_on_where_there_is_one_version(tmp_path):
+    """Guards against refusals after a restart of all gateways, without a release."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1", "v1")
+        first = await cluster.gateway("g1")
+        callers, _ = await begin_all(first)
+        await asyncio.sleep(COPIED_WITHIN_S)
+        await first.process.kill()
+        await check_taken_up(callers, await cluster.gateway("g1"))
+
+    run_with_cluster(tmp_path, check)
+
+
+def test_a_version_that_has_just_gone_is_remembered(tmp_path):
+    """Guards against a new gateway that no longer sees the version of a stream."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1", "v2")
+        first = await cluster.gateway("g1")
+        callers, _ = await begin_all(first)
+        await asyncio.sleep(COPIED_WITHIN_S)
+        await first.process.kill()
+        cluster.store.remove("servers/e0")
+        second = await cluster.gateway("g1")
+        for caller in callers:
+            assert await caller.take_up(second) == 503
+
+    run_with_cluster(tmp_path, check)
