A stream goes on only at the software version that began it, at any gateway

Callers got answers whose first events came from one version of the engines and the rest from another, which do not fit together; nothing in the answer shows it.

Cause: a stream's state is partly at the endpoint, and the system held a stream to be resumable at any endpoint of the pool. A route that is split among pools drew a pool anew for each try (3, by reading). Class: state that belongs to a caller's whole exchange, kept for one attempt.

- Policy: the first event binds a request to that endpoint's version; later attempts, hedges and probes go to no other, attempts at another version are cancelled.
Candidates of a version are a group of their own, as the bounded subset for new work may hold none of a version that is being replaced.
- Not known: refused at once (503, not run), never guessed.

Weighed: a record in the store for each stream (aim: 10,000 a second, the store takes 400); the version in the answer for the caller to bring back (it brings only its own id); a version chosen by hash of the id (differs while gateways disagree on what is registered); a holder by hash of the id (28 calls a second and gateway at the aim, where batches to fixed holders take 10).

--- a/packages/daemon/src/amaranthtally/daemon/gateway/arrivals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/arrivals.py
@@ -9,6 +9,7 @@
     Arrival,
     PieceWork,
     Route,
+    StreamOrigin,
     request_rank,
     route_arrival,
     route_pipeline,
@@ -30,15 +31,20 @@
         route: Route,
         account: Account | None,
         size_bytes: int,
+        origin: StreamOrigin | None,
     ) -> Arrival:
-        """Return the arrival of a request that was received at ``now``."""
+        """
+        Return the arrival of a request that was received at ``now``.
+
+        ``origin`` is that of the stream which it takes up, ``None`` for a new request.
+        """
         requested_s = caller.deadline_s or route.timeout_s
         deadline = now + max(0.0, min(requested_s, route.timeout_s) - RESPONSE_MARGIN_S)
         return route_arrival(
             now,
             deadline,
             route,
-            route_pipeline(route, self._choose_pool(route)),
+            route_pipeline(route, origin.pool if origin else self._choose_pool(route)),
             request_id=caller.id,
             account=account.name if account else "",
             rank=request_rank(route, account),
@@ -46,6 +52,7 @@
             prefix=tuple(part.id for part in caller.prompt),
             prefix_sizes=tuple(part.tokens for part in caller.prompt),
             piece_work=_piece_work(caller, route),
+            origin=origin,
         )
 
     def _choose_pool(self, route: Route) -> str:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -27,8 +27,9 @@
     refusal_of,
     refusal_response,
 )
+from amaranthtally.daemon.gateway.resumption import StreamResumption
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.policy import Account, Route, RouteTable
+from amaranthtally.policy import Account, Route, RouteTable, StreamOrigin
 
 __all__ = ["CallerHandler"]
 
@@ -52,6 +53,7 @@
         executor: GatewayExecutor,
         arrivals: ArrivalBuilder,
         metrics: GatewayMetrics,
+        resumption: StreamResumption,
         table: Callable[[], RouteTable | None],
         is_stopping: Callable[[], bool],
     ) -> None:
@@ -59,6 +61,7 @@
         self._executor = executor
         self._arrivals = arrivals
         self._metrics = metrics
+        self._resumption = resumption
         self._table = table
         self._is_stopping = is_stopping
         self._open_responses = 0
@@ -100,9 +103,14 @@
             return self._refuse(request, BODY_TIMEOUT)
         if body is None:
             return self._refuse(request, BODY_TOO_LARGE)
+        origin = await self._resumption.origin_of(caller, route)
+        if isinstance(origin, Refusal):
+            return self._refuse(request, origin)
         if self._executor.is_in_flight(caller.id):
             return self._refuse(request, DUPLICATE_ID)
-        call = self._new_call(request, received_at, caller, route, account, body)
+        call = self._new_call(
+            request, received_at, caller, route, account, body, origin
+        )
         log.info(
             "request_received",
             request_id=call.id,
@@ -173,8 +181,11 @@
         route: Route,
         account: Account | None,
         body: bytes,
+        origin: StreamOrigin | None,
     ) -> LiveCall:
-        arrival = self._arrivals.build(received_at, caller, route, account, len(body))
+        arrival = self._arrivals.build(
+            received_at, caller, route, account, len(body), origin
+        )
         return LiveCall(
             arrival=arrival,
             caller=caller,
@@ -184,6 +195,7 @@
             route=route,
             account=arrival.account,
             received_at=received_at,
+            origin=origin,
         )
 
     # Responses
--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -27,9 +27,15 @@
 from amaranthtally.daemon.gateway.store_follower import StoreFollower
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.daemon.gateway.store_sync import StoreSync
+from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.daemon.gateway.version_gossip import VersionGossip
+from amaranthtally.daemon.gateway.version_recorder import (
+    VERSIONS_PREFIX,
+    VersionRecorder,
+)
 from amaranthtally.platform import StoreClient
 from amaranthtally.policy import (
+    CallKind,
     PeerDirectory,
     PeerRecord,
     RouteTable,
@@ -62,6 +68,7 @@
         connections: PeerConnections,
         routing_state: RoutingState,
         peers: PeerDirectory,
+        origins: StreamOriginTracker,
         on_peers: Callable[[], None],
         spawn: Callable[[Coroutine[Any, Any, None]], object],
         is_stopping: Callable[[], bool],
@@ -69,6 +76,7 @@
     ) -> None:
         self._settings = settings
         self._peers = peers
+        self._origins = origins
         self._is_stopping = is_stopping
         self._neighbours: tuple[str, ...] = ()
         self._selection = WatcherSelection(
@@ -79,6 +87,13 @@
         self._records = EndpointRecordTracker(
             routing_state.directory, settings.regions, routing_state.endpoints_changed
         )
+        self.versions = VersionRecorder(
+            settings.name,
+            client,
+            lambda: _streaming_pools(routing_state.table),
+            lambda: routing_state.directory.endpoints,
+            lambda: self.store.is_connected,
+        )
         peer_records = PeerRecordTracker(settings.name, peers, on_peers)
         self._replica = self._new_replica(peer_records)
         self.documents = HeldDocuments(
@@ -116,7 +131,7 @@
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the background tasks."""
-        return [*self.store.tasks(), self._gossip.run()]
+        return [*self.store.tasks(), self._gossip.run(), self.versions.run()]
 
     def entries_changed(self) -> None:
         """Elect watchers and neighbours among the entries that are alive now."""
@@ -127,6 +142,8 @@
         self._neighbours = ring_neighbours(
             self._settings.name, self._settings.data_centre, data_centres
         )
+        self._origins.entries_changed(data_centres)
+        self.versions.entries_changed(data_centres)
         self.store.entries_changed()
 
     def exchange_status(
@@ -152,6 +169,7 @@
             CONFIGURATION_KEY: self.configuration,
             SERVERS_PREFIX: self._records,
             ENTRIES_PREFIX: peer_records,
+            VERSIONS_PREFIX: self.versions,
         }
         return StoreReplica(PrefixDispatcher(listeners), lambda: self._pusher.wake())
 
@@ -199,3 +217,14 @@
             self._pusher.wake()
 
         return apply
+
+
+def _streaming_pools(table: RouteTable | None) -> frozenset[str]:
+    """Return the pools whose endpoints send streams."""
+    routes = table.routes if table else ()
+    return frozenset(
+        target.pool
+        for route in routes
+        if route.kind is CallKind.STREAMING
+        for target in route.targets
+    )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -27,6 +27,7 @@
     Endpoint,
     Send,
     StoredResult,
+    StreamOrigin,
 )
 
 __all__ = ["CallListener", "EndpointCalls", "endpoint_session"]
@@ -53,6 +54,9 @@
     def load_reported(self, endpoint: str, load: EndpointLoad, awaited: bool) -> None:
         """Handle an endpoint's load; ``awaited`` if it came with a call's response."""
 
+    def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
+        """Handle the first event of a stream, before its caller gets it."""
+
     def events_delivered(self, attempt: AttemptId, events: int) -> None:
         """Handle the number of events that a stream has delivered so far."""
 
@@ -167,8 +171,9 @@
                 call.route.kind is CallKind.STREAMING
                 and response_head.status == HTTP_OK
             ):
+                origin = StreamOrigin(endpoint.pool, endpoint.version)
                 return await self._relay_stream(
-                    call, send, response_head, response, started
+                    call, send, origin, response_head, response, started
                 )
             return await self._read_response(
                 call, send, response_head, response, started
@@ -227,6 +232,7 @@
         self,
         call: LiveCall,
         send: Send,
+        origin: StreamOrigin,
         response_head: ResponseHead,
         response: aiohttp.ClientResponse,
         started: float,
@@ -241,6 +247,7 @@
                     continue
                 if not call.stream_started:
                     call.stream_started = True
+                    self._listener.stream_began(call, origin)
                     await call.events.put(StreamStarted(response_head))
                 call.event_count += events.event_count
                 call.last_event = events.last_id or call.last_event
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -45,6 +45,7 @@
     RunPieces,
     Send,
     StoredResult,
+    StreamOrigin,
     SubmitToPeer,
 )
 
@@ -62,7 +63,9 @@
         settings: PolicySettings,
         session: aiohttp.ClientSession,
         metrics: GatewayMetrics,
+        on_stream_began: Callable[[LiveCall], None],
     ) -> None:
+        self._on_stream_began = on_stream_began
         self._planner = planner
         self._metrics = metrics
         self._endpoints: Mapping[str, Endpoint] = settings.endpoints
@@ -189,6 +192,11 @@
         actions = self._planner.load_report(self._time(), endpoint, report)
         self._decisions.carry_out(actions)
 
+    def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
+        """Note where a call's stream began, unless it goes on with an earlier one."""
+        call.origin = call.origin or origin
+        self._on_stream_began(call)
+
     def events_delivered(self, attempt: AttemptId, events: int) -> None:
         """Pass the number of events delivered to a stream's caller to the policy."""
         actions = self._planner.progress(self._time(), attempt, events)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from amaranthtally.adapter.messages import CallerRequest, ResponseHead
-from amaranthtally.policy import Arrival, AttemptId, Refuse, Route
+from amaranthtally.policy import Arrival, AttemptId, Refuse, Route, StreamOrigin
 
 __all__ = [
     "CallEvent",
@@ -67,6 +67,7 @@
 
     ``stream_started`` says whether the caller has been sent the head of a stream, and
     ``last_event`` is the id of the last complete event sent to it.
+    ``origin`` is where the stream began, ``None`` before its first event.
     ``failed_response`` is an endpoint's error response; the caller gets it if no
     attempt succeeds.
     """
@@ -82,6 +83,7 @@
     stream_started: bool = False
     last_event: str = ""
     event_count: int = 0
+    origin: StreamOrigin | None = None
     failed_response: CompleteResponse | None = None
     tasks: dict[AttemptId, asyncio.Task[None]] = field(default_factory=dict)
     events: asyncio.Queue[CallEvent] = field(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -25,6 +25,10 @@
     fate: str
 
 
+class _ResumptionLabels(NamedTuple):
+    source: str
+
+
 class _TransferLabels(NamedTuple):
     call: str
     outcome: str
@@ -46,6 +50,7 @@
     store_connected: bool
     store_watched: bool
     followers: int
+    stream_origins: int
     log_lines_lost: int
 
 
@@ -61,6 +66,7 @@
         self._request_tally: Tally[_RequestLabels] = Tally()
         self._attempt_tally: Tally[_CallLabels] = Tally()
         self._piece_tally: Tally[_CallLabels] = Tally()
+        self._resumption_tally: Tally[_ResumptionLabels] = Tally()
         self._transfer_tally: Tally[_TransferLabels] = Tally()
         self._received_bytes_tally: Tally[_TransferLabels] = Tally()
         self._requests = Counter(
@@ -72,6 +78,10 @@
         self._pieces = Counter(
             "amaranthtally_pieces_total", "Pieces in ended calls by pool and fate."
         )
+        self._resumptions = Counter(
+            "amaranthtally_streams_taken_up_total",
+            "Streams that callers take up, by how their version was found.",
+        )
         self._transfers = Counter(
             "amaranthtally_store_calls_total", "Calls at the store by call and outcome."
         )
@@ -119,6 +129,10 @@
         self._piece_tally[_CallLabels(pool, outcome)] += pieces
         self._call_seconds.observe({"pool": pool}, seconds)
 
+    def stream_taken_up(self, source: str) -> None:
+        """Count a stream that a caller takes up, by how its version was found."""
+        self._resumption_tally[_ResumptionLabels(source)] += 1
+
     def store_called(self, transfer: StoreTransfer) -> None:
         """Count a call to the store and the bytes of its response."""
         labels = _TransferLabels(transfer.call, transfer.outcome)
@@ -133,6 +147,8 @@
             self._attempts.set(attempt._asdict(), count)
         for piece, count in self._piece_tally.items():
             self._pieces.set(piece._asdict(), count)
+        for resumption, count in self._resumption_tally.items():
+            self._resumptions.set(resumption._asdict(), count)
         for transfer, count in self._transfer_tally.items():
             self._transfers.set(transfer._asdict(), count)
         for transfer, count in self._received_bytes_tally.items():
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -6,7 +6,13 @@
 
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.policy import PeerRecord, PieceJob, PieceReport, StoredResult
+from amaranthtally.policy import (
+    OriginEntry,
+    PeerRecord,
+    PieceJob,
+    PieceReport,
+    StoredResult,
+)
 from amaranthtally.wire import PeerLostError
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
@@ -138,6 +144,22 @@
             peer, lambda client: client.push_changes(self._name, batch, versions)
         )
 
+    async def copy_origins(self, peer: str, entries: Sequence[OriginEntry]) -> None:
+        """Give a peer copies of the origins of streams; raises ``PeerLostError``."""
+        now = self._loop.time()
+        await self._call(peer, lambda client: client.copy_origins(entries, now))
+
+    async def find_origin(self, peer: str, request_id: str) -> OriginEntry | None:
+        """
+        Return the origin of the stream that a request began, if a peer has it.
+
+        Raises ``PeerLostError``.
+        """
+        now = self._loop.time()
+        return await self._call(
+            peer, lambda client: client.find_origin(request_id, now)
+        )
+
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._clients):
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -4,7 +4,14 @@
 
 from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
-from amaranthtally.policy import PeerRecord, PieceJob, PieceReport, StoredResult
+from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
+from amaranthtally.policy import (
+    OriginEntry,
+    PeerRecord,
+    PieceJob,
+    PieceReport,
+    StoredResult,
+)
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
 from amaranthtally.wire.gateway_codec import GatewayStatus, Versions
@@ -20,10 +27,12 @@
         executor: GatewayExecutor,
         coordination: Callable[[], Coordination],
         on_peer_record: Callable[[str, PeerRecord], None],
+        origins: StreamOriginTracker,
     ) -> None:
         self._executor = executor
         self._coordination = coordination
         self._on_peer_record = on_peer_record
+        self._origins = origins
 
     def exchange_status(
         self, name: str, record: PeerRecord, versions: Versions, follows: bool
@@ -55,3 +64,11 @@
     def release_results(self, results: Sequence[StoredResult], ended: str) -> None:
         """Free results that a peer releases; ``ended`` is an ended request's id."""
         self._executor.results_freed(results, ended)
+
+    def copy_origins(self, entries: Sequence[OriginEntry]) -> None:
+        """Hold copies of what a peer knows of the origins of streams."""
+        self._origins.copies_received(entries)
+
+    def find_origin(self, request_id: str) -> OriginEntry | None:
+        """Return the origin of the stream that a request began, if it is held."""
+        return self._origins.find_held(request_id)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/refusals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/refusals.py
@@ -7,7 +7,7 @@
 from amaranthtally.adapter.callers import refusal_headers
 from amaranthtally.policy import RefusalReason, Refuse, RequestOutcome
 
-__all__ = ["STOPPING", "Refusal", "refusal_of", "refusal_response"]
+__all__ = ["STOPPING", "UNAVAILABLE", "Refusal", "refusal_of", "refusal_response"]
 
 # ``Retry-After`` if it is not known how long the cause will last, in seconds. An
 # ejected endpoint is tried again after about that time.
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -18,6 +18,7 @@
 from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.endpoint_calls import endpoint_session
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
+from amaranthtally.daemon.gateway.live_call import LiveCall
 from amaranthtally.daemon.gateway.metrics import (
     GatewayMetrics,
     GatewayState,
@@ -28,7 +29,9 @@
 )
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
+from amaranthtally.daemon.gateway.resumption import RESUME_WINDOW_S, StreamResumption
 from amaranthtally.daemon.gateway.routing_state import RoutingState
+from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.daemon.gateway.transfer_reporter import TransferReporter
 from amaranthtally.daemon.health import metrics_response
 from amaranthtally.daemon.lifecycle import (
@@ -111,6 +114,7 @@
     caller_handler: CallerHandler
     caller_server: web.Server
     coordination: Coordination
+    origins: StreamOriginTracker
     ports: Mapping[str, int]
 
 
@@ -130,8 +134,17 @@
     routing_state = RoutingState(
         settings, lambda changed: executor.settings_changed(changed)
     )
-    executor = _new_executor(routing_state, random, session, metrics)
+    executor = _new_executor(
+        routing_state,
+        random,
+        session,
+        metrics,
+        lambda call: _note_origin(origins, call),
+    )
     connections = PeerConnections(settings.name, executor.spawn, executor)
+    origins = StreamOriginTracker(
+        settings.name, settings.data_centre, connections, executor.spawn
+    )
     stack.callback(connections.close)
     executor.set_peer_connections(connections)
 
@@ -147,7 +160,7 @@
 
     # The handler exists before the port is known, and the record contains the port.
     handler = PeerHandler(
-        executor, lambda: coordination, peer_updater.peer_status_received
+        executor, lambda: coordination, peer_updater.peer_status_received, origins
     )
     port = await stack.enter_async_context(serve_gateway(handler, host, port))
     record = PeerRecord(f"{host}:{port}", settings.data_centre)
@@ -159,6 +172,7 @@
         connections,
         routing_state,
         peers,
+        origins,
         peer_updater.apply_live_peers,
         executor.spawn,
         stop.is_set,
@@ -189,12 +203,19 @@
             store_connected=coordination.store.is_connected,
             store_watched=coordination.store.is_watching,
             followers=coordination.follower_count,
+            stream_origins=origins.count,
             log_lines_lost=writer.dropped,
         )
 
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
+    resumption = StreamResumption(origins, coordination.versions.sole_version, metrics)
     caller_handler = CallerHandler(
-        executor, arrivals, metrics, lambda: routing_state.table, stop.is_set
+        executor,
+        arrivals,
+        metrics,
+        resumption,
+        lambda: routing_state.table,
+        stop.is_set,
     )
     caller_server = _new_caller_server(caller_handler)
     await _serve_metrics(settings, stack, metrics, state)
@@ -206,7 +227,13 @@
     )
     ports = {"port": caller_port, "ready": ready_port, "peers": port}
     return _RunningGateway(
-        executor, connections, caller_handler, caller_server, coordination, ports
+        executor,
+        connections,
+        caller_handler,
+        caller_server,
+        coordination,
+        origins,
+        ports,
     )
 
 
@@ -215,11 +242,19 @@
     random: Random,
     session: aiohttp.ClientSession,
     metrics: GatewayMetrics,
+    on_stream_began: Callable[[LiveCall], None],
 ) -> GatewayExecutor:
     initial = routing_state.initial_settings()
     planner_random = Random(random.getrandbits(SEED_BITS))
     planner = Planner(initial, planner_random, GATEWAY_COMPONENTS)
-    return GatewayExecutor(planner, initial, session, metrics)
+    return GatewayExecutor(planner, initial, session, metrics, on_stream_began)
+
+
+def _note_origin(origins: StreamOriginTracker, call: LiveCall) -> None:
+    """Note where a stream began, for as long as its caller may take it up."""
+    if call.origin is not None and call.route.is_resumable:
+        expires_at = call.arrival.deadline + RESUME_WINDOW_S
+        origins.note(call.id, call.origin, expires_at)
 
 
 def _new_caller_server(caller_handler: CallerHandler) -> web.Server:
@@ -291,6 +326,7 @@
     """
     gateway.connections.set_own_record(INACTIVE_RECORD)
     gateway.executor.stop_running_jobs()
+    gateway.origins.leave()
     await asyncio.gather(
         gateway.coordination.store.deregister(), asyncio.sleep(BALANCER_DRAIN_S)
     )
--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -0,0 +1,142 @@
+"""Records in the store which software versions the endpoints of each pool have had."""
+
+import asyncio
+from collections.abc import Callable, Mapping
+from typing import NamedTuple
+
+import msgspec
+from result import Err
+
+from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
+from amaranthtally.daemon.logs import get_logger
+from amaranthtally.platform import StoreClient
+from amaranthtally.policy import Endpoint, VersionHistory, rendezvous_weight
+
+__all__ = ["VERSIONS_PREFIX", "VersionRecorder"]
+
+VERSIONS_PREFIX = "versions/"
+# Interval between comparisons of the records with the endpoints, in seconds.
+CHECK_INTERVAL_S = 0.5
+# Pause after a write that the store refused or did not answer, in seconds.
+RETRY_DELAY_S = 2.0
+DUTY_KEY = "versions"
+
+log = get_logger()
+
+
+class _Record(NamedTuple):
+    """The versions on record for a pool, and the revision of the store's item."""
+
+    versions: frozenset[str]
+    revision: int
+
+
+class VersionRecorder:
+    """
+    Keeps the record of each pool, and says which pools have had one version only.
+
+    One gateway writes, chosen by hash among those alive. While gateways disagree about
+    who is alive, several may try; the store lets one of them write.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        client: StoreClient,
+        pools: Callable[[], frozenset[str]],
+        endpoints: Callable[[], Mapping[str, Endpoint]],
+        is_connected: Callable[[], bool],
+    ) -> None:
+        self._name = name
+        self._client = client
+        self._pools = pools
+        self._endpoints = endpoints
+        self._is_connected = is_connected
+        self._history = VersionHistory()
+        self._observed: Mapping[str, Endpoint] = {}
+        self._revisions: dict[str, int] = {}
+        self._is_writer = True
+        self._time = asyncio.get_running_loop().time
+
+    def sole_version(self, pool: str) -> str | None:
+        """
+        Return the only version that a pool has had lately, or else ``None``.
+
+        It is not known while the store does not answer: a new version may have come.
+        """
+        if not self._is_connected():
+            return None
+        self._observe()
+        return self._history.sole_version(pool)
+
+    def entries_changed(self, data_centres: Mapping[str, str]) -> None:
+        """Choose the writer among the live gateways."""
+        names = [self._name, *data_centres]
+        writer = min(names, key=lambda name: rendezvous_weight(name, DUTY_KEY))
+        self._is_writer = writer == self._name
+
+    async def run(self) -> None:
+        """Write due records until cancelled."""
+        while True:
+            await asyncio.sleep(CHECK_INTERVAL_S)
+            if self._is_writer and self._is_connected():
+                self._observe()
+                await self._write_due()
+
+    # Items of the store
+
+    def replace(self, items: tuple[StoreItem, ...]) -> None:
+        """Apply a complete listing of the records."""
+        records = {_pool_of(item): _decode(item) for item in items}
+        self._revisions = {pool: r.revision for pool, r in records.items()}
+        self._history.replace_recorded({p: r.versions for p, r in records.items()})
+
+    def apply_change(self, item: StoreItem) -> None:
+        """Apply a changed or removed record."""
+        pool, record = _pool_of(item), _decode(item)
+        self._revisions[pool] = record.revision
+        self._history.put_recorded(pool, record.versions)
+
+    def _observe(self) -> None:
+        endpoints = self._endpoints()
+        if endpoints is not self._observed:
+            self._observed = endpoints
+            self._history.observe(endpoints.values())
+
+    async def _write_due(self) -> None:
+        for pool in sorted(self._pools()):
+            versions = self._history.due_record(self._time(), pool)
+            if versions is not None and not await self._write(pool, versions):
+                await asyncio.sleep(RETRY_DELAY_S)
+
+    async def _write(self, pool: str, versions: frozenset[str]) -> bool:
+        key = f"{VERSIONS_PREFIX}{pool}"
+        value = msgspec.json.encode(sorted(versions))
+        written = await self._client.transact(
+            [StoreCondition(key, self._revisions.get(pool, 0))],
+            [StoreWrite(key, value)],
+        )
+        if isinstance(written, Err) or written.ok_value is None:
+            # Another gateway has written, or the outcome is unknown. The watch shows
+            # the record as it is now.
+            log.info("versions_not_recorded", pool=pool, versions=",".join(versions))
+            return False
+        self.apply_change(StoreItem(key, value, written.ok_value))
+        log.info("versions_recorded", pool=pool, versions=",".join(sorted(versions)))
+        return True
+
+
+def _pool_of(item: StoreItem) -> str:
+    return item.key.removeprefix(VERSIONS_PREFIX)
+
+
+def _decode(item: StoreItem) -> _Record:
+    """Return a record; without versions if it was removed or cannot be read."""
+    if item.value is None:
+        return _Record(frozenset(), 0)
+    try:
+        versions = msgspec.json.decode(item.value, type=list[str])
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        log.warning("record_malformed", key=item.key, cause=str(error))
+        versions = []
+    return _Record(frozenset(versions), item.revision)
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -70,6 +70,8 @@
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.pool_sites import Peer
+from amaranthtally.policy.rendezvous import rendezvous_weight
+from amaranthtally.policy.replica_holders import lookup_rounds, replica_holders
 from amaranthtally.policy.request_ledger import Counters
 from amaranthtally.policy.routes import (
     Account,
@@ -85,6 +87,12 @@
     request_rank,
 )
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
+from amaranthtally.policy.stream_origins import (
+    OriginEntry,
+    StreamOrigin,
+    StreamOrigins,
+)
+from amaranthtally.policy.version_history import VersionHistory
 from amaranthtally.policy.watchers import (
     WatcherSelection,
     elect_watchers,
@@ -120,6 +128,7 @@
     "LoadReport",
     "ModelPlan",
     "ModelUsage",
+    "OriginEntry",
     "Peer",
     "PeerDirectory",
     "PeerRecord",
@@ -153,12 +162,18 @@
     "Send",
     "Stage",
     "StoredResult",
+    "StreamOrigin",
+    "StreamOrigins",
     "SubmitToPeer",
+    "VersionHistory",
     "WatcherSelection",
     "WeightedPool",
     "elect_watchers",
     "gateway_settings",
+    "lookup_rounds",
     "plan_model_orders",
+    "rendezvous_weight",
+    "replica_holders",
     "request_rank",
     "ring_neighbours",
     "route_arrival",
--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -53,6 +53,7 @@
             arrival.input_bytes,
             arrival.prefix,
             prefix_sizes=arrival.prefix_sizes,
+            version=arrival.origin.version if arrival.origin else None,
         )
         choice = self._choose_engine(now, request, DEFAULT_STATS)
         return "" if choice is None else choice.endpoint.data_centre
@@ -68,7 +69,7 @@
     def _choose_engine(
         self, now: float, request: RouteRequest, stats: StageStats
     ) -> Choice | None:
-        regions = self._groups.candidates(request.stage)
+        regions = self._groups.candidates(request.stage, request.version)
         group = [endpoint for members in regions.values() for endpoint in members]
         usable = self._usable(now, group, request)
         matches = self._prefixes.matches(now, request.prefix, request.prefix_sizes)
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -215,6 +215,7 @@
             excluded,
             arrival.prefix_sizes,
             request.inputs,
+            request.version,
         )
 
     def _choose_probe(self, now: float, request: Request) -> Endpoint | None:
@@ -232,6 +233,8 @@
         endpoint = self._groups.find(name)
         if endpoint is None or not _may_run(endpoint, stage):
             return None
+        if request.version not in (None, endpoint.version):
+            return None
         load = self._loads.get_or_create(endpoint)
         left = request.arrival.deadline - now
         if not load.may_serve(stage.model):
@@ -289,6 +292,7 @@
         load = self._loads.get_or_create(choice.endpoint)
         attempt = LiveAttempt(
             endpoint=choice.endpoint.id,
+            version=choice.endpoint.version,
             sent_at=now,
             wait_s=choice.delay_s,
             run_s=choice.run_s,
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -6,6 +6,7 @@
 
 from amaranthtally.policy.model import Pipeline
 from amaranthtally.policy.routes import PieceStage
+from amaranthtally.policy.stream_origins import StreamOrigin
 
 __all__ = [
     "Arrival",
@@ -42,7 +43,9 @@
     for the deadline. ``prefix`` identifies the parts of the prompt, and
     ``prefix_sizes`` holds their tokens where they differ in size. ``piece_work`` is
     computed before the first stage. At ``caller_timeout_at`` the caller disconnects if
-    a stream has not begun; with 0 it waits until the deadline.
+    a stream has not begun; with 0 it waits until the deadline. ``origin`` is set if the
+    caller has the first part of its stream already: only endpoints of that origin may
+    send the rest.
     """
 
     request_id: str
@@ -58,6 +61,7 @@
     prefix_sizes: tuple[int, ...] = ()
     piece_work: PieceWork | None = None
     caller_timeout_at: float = 0.0
+    origin: StreamOrigin | None = None
 
     @property
     def latest_start(self) -> float:
--- a/packages/policy/src/amaranthtally/policy/gateway_policy.py
+++ b/packages/policy/src/amaranthtally/policy/gateway_policy.py
@@ -7,6 +7,7 @@
 from amaranthtally.policy.model import Pipeline, PolicySettings, Stage
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.routes import CallKind, Route
+from amaranthtally.policy.stream_origins import StreamOrigin
 
 __all__ = [
     "GATEWAY_COMPONENTS",
@@ -72,6 +73,7 @@
     prefix: tuple[int, ...],
     prefix_sizes: tuple[int, ...],
     piece_work: PieceWork | None,
+    origin: StreamOrigin | None = None,
 ) -> Arrival:
     """
     Return the arrival of a route's request at ``now``.
@@ -95,4 +97,5 @@
         caller_timeout_at=now + route.caller_timeout_s
         if route.caller_timeout_s
         else 0.0,
+        origin=origin,
     )
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -240,6 +240,8 @@
         if request is not None and attempt in request.live:
             request.chunks = max(request.chunks, chunks)
             live = request.live[attempt]
+            if request.version is None:
+                request.version = live.version
             if live.pending_prefill_tokens:
                 name = request.arrival.pipeline.name
                 self._first_event_times.add(name, now - live.sent_at)
@@ -460,11 +462,20 @@
     def _cancel_overtaken(
         self, now: float, request: Request, ahead: LiveAttempt
     ) -> list[Action]:
-        """Cancel earlier attempts that have fewer chunks than a later one."""
+        """
+        Cancel earlier attempts that have fewer chunks than a later one.
+
+        Attempts at another version than the first chunk's are cancelled too, as what
+        they would send does not fit to it.
+        """
         overtaken = [
             attempt
             for attempt, live in request.live.items()
-            if live.sent_at < ahead.sent_at and live.stream.chunks < ahead.stream.chunks
+            if live.version != request.version
+            or (
+                live.sent_at < ahead.sent_at
+                and live.stream.chunks < ahead.stream.chunks
+            )
         ]
         actions: list[Action] = []
         for attempt in overtaken:
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -18,10 +18,12 @@
     ``sent_at`` is a time stamp. Predicted when it was sent were ``wait_s``, ``run_s``,
     the number of ``concurrent`` other calls, and the ``cached_share`` of its prefix.
     ``pending_prefill_tokens`` are the prompt tokens that it was predicted to process, 0
-    after its first chunk. ``queries`` counts the queries for its outcome.
+    after its first chunk. ``queries`` counts the queries for its outcome. ``version``
+    is that of the endpoint's software.
     """
 
     endpoint: str
+    version: str
     sent_at: float
     wait_s: float
     run_s: float
@@ -46,6 +48,8 @@
     it, ``excluded`` the endpoints at which the current stage has failed. While the
     request ``awaits_inputs``, its pieces are being computed; ``inputs`` are their
     results, and ``retry_cost`` is the budget cost of the attempt that waits for them.
+    ``version`` is the software version at which the current stage's stream began, which
+    alone may go on with it; ``None`` before the first chunk.
     """
 
     arrival: Arrival
@@ -60,6 +64,7 @@
     inputs: tuple[StoredResult, ...] = ()
     awaits_inputs: bool = False
     retry_cost: float = 0.0
+    version: str | None = None
     excluded: frozenset[str] = frozenset()
     live: dict[AttemptId, LiveAttempt] = field(default_factory=dict)
     remaining: tuple[Stage, ...] = field(init=False)
@@ -68,6 +73,8 @@
     def __post_init__(self) -> None:
         self.remaining = self.arrival.pipeline.stages
         self.current_stage = self.remaining[0]
+        if self.arrival.origin is not None:
+            self.version = self.arrival.origin.version
 
     @property
     def id(self) -> str:
@@ -100,4 +107,5 @@
         self.resends = 0
         self.stage_attempts_not_run = 0
         self.chunks = 0
+        self.version = None
         self.excluded = frozenset()
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -91,7 +91,7 @@
         self, now: float, request: RouteRequest, stats: StageStats
     ) -> Choice | None:
         """Return the best candidate, or ``None`` when no endpoint takes work."""
-        regions = self._groups.candidates(request.stage)
+        regions = self._groups.candidates(request.stage, request.version)
         group = regions.get(self._region, [])
         cached = self._cached_shares(now, request, group, stats)
         loads = [
--- a/packages/policy/src/amaranthtally/policy/scoring.py
+++ b/packages/policy/src/amaranthtally/policy/scoring.py
@@ -22,7 +22,8 @@
     ``target_end`` is the end of the stage's share of the deadline and ``latest_end``
     the time after which the whole request would be late, both as time stamps.
     ``weight`` is that of attainment against cost, from 0 to 1. Endpoints in
-    ``excluded`` are not chosen.
+    ``excluded`` are not chosen, nor those of another software version than ``version``,
+    if it is set.
     """
 
     stage: Stage
@@ -34,6 +35,7 @@
     excluded: frozenset[str] = frozenset()
     prefix_sizes: tuple[int, ...] = ()
     inputs: tuple[StoredResult, ...] = ()
+    version: str | None = None
 
 
 class Choice(NamedTuple):
--- a/packages/policy/src/amaranthtally/policy/watchers.py
+++ b/packages/policy/src/amaranthtally/policy/watchers.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from math import ceil
 
-from amaranthtally.policy.rendezvous import rendezvous_weight
+from amaranthtally.policy.rendezvous import rendezvous_weight, ring_successor
 
 __all__ = ["WatcherSelection", "elect_watchers", "ring_neighbours"]
 
@@ -19,7 +19,6 @@
 # intervals between the calls to it.
 CONTACT_TTL_S = 2.0
 ELECTION_KEY = "registry"
-RING_KEY = "ring"
 
 
 def elect_watchers(data_centres: Mapping[str, str]) -> frozenset[str]:
@@ -53,16 +52,10 @@
     some, so that one that starts while the registry rejects it is known to them.
     """
     near = [other for other in data_centres if data_centres[other] == data_centre]
-    successors = (_successor(name, near), _successor(name, list(data_centres)))
+    successors = (ring_successor(name, near), ring_successor(name, data_centres))
     return tuple(dict.fromkeys(other for other in successors if other))
 
 
-def _successor(name: str, others: list[str]) -> str:
-    own = rendezvous_weight(name, RING_KEY)
-    weights = {other: rendezvous_weight(other, RING_KEY) for other in others}
-    return min(others, key=lambda o: (weights[o] <= own, weights[o]), default="")
-
-
 class WatcherSelection:
     """
     Ranks the watchers for one entry, and tracks its contact with them.
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -88,6 +88,15 @@
   changes @2 :List(Change);
 }
 
+struct StreamOrigin {
+  # The pool and the software version of the endpoint that began the stream of a request,
+  # and for how much longer this is to be known.
+  requestId @0 :Text;
+  pool @1 :Text;
+  version @2 :Text;
+  expiresMicros @3 :Int64;
+}
+
 interface Gateway {
   # Sends the caller's name, address, data centre and versions, and whether the receiver
   # is to push changes to it for a while; returns the receiver's versions, whether it is
@@ -112,4 +121,8 @@
   readChanges @6 (after :UInt64) -> (isKept :Bool, batch :Changes);
   # Sends changes to a follower; returns whether it still follows the sender.
   pushChanges @7 (name :Text, batch :Changes, versions :Versions) -> (follows :Bool);
+  # Gives the receiver copies of what the sender knows of the origins of streams.
+  copyOrigins @8 (origins :List(StreamOrigin)) -> ();
+  # Returns the origin of the stream that a request began, if the receiver knows it.
+  findOrigin @9 (requestId :Text) -> (isKnown :Bool, origin :StreamOrigin);
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -1,6 +1,6 @@
 """Conversion between the gateway protocol's messages and Cap'n Proto structs."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import replace
 from pathlib import Path
 from typing import Any, NamedTuple, TypeVar
@@ -8,11 +8,13 @@
 import capnp
 
 from amaranthtally.policy import (
+    OriginEntry,
     Piece,
     PieceFault,
     PieceJob,
     PieceReport,
     StoredResult,
+    StreamOrigin,
 )
 from amaranthtally.wire.changes import ChangeBatch, RecordChange
 from amaranthtally.wire.documents import Document, DocumentPart, PartRequest
@@ -23,6 +25,8 @@
     "gateway_schema",
     "read_changes",
     "read_jobs",
+    "read_origin",
+    "read_origins",
     "read_part",
     "read_part_request",
     "read_reports",
@@ -30,6 +34,8 @@
     "read_versions",
     "write_changes",
     "write_jobs",
+    "write_origin",
+    "write_origins",
     "write_part",
     "write_part_request",
     "write_reports",
@@ -272,6 +278,38 @@
     return ChangeBatch(source.after, source.revision, changes)
 
 
+# Origins of streams
+
+
+def write_origins(target: Any, entries: Sequence[OriginEntry], now: float) -> None:
+    """Fill a ``copyOrigins`` request; ``now`` is the current loop time."""
+    items = target.init("origins", len(entries))
+    for item, entry in zip(items, entries, strict=True):
+        write_origin(item, entry, now)
+
+
+def read_origins(source: Any, now: float) -> tuple[OriginEntry, ...]:
+    """Decode the entries of a ``copyOrigins`` request."""
+    return tuple(read_origin(item, now) for item in source)
+
+
+def write_origin(target: Any, entry: OriginEntry, now: float) -> None:
+    """Fill a ``StreamOrigin`` builder."""
+    target.requestId = entry.request_id
+    target.pool = entry.origin.pool
+    target.version = entry.origin.version
+    target.expiresMicros = _micros(entry.expires_at - now)
+
+
+def read_origin(source: Any, now: float) -> OriginEntry:
+    """Decode a ``StreamOrigin`` reader."""
+    return OriginEntry(
+        source.requestId,
+        StreamOrigin(source.pool, source.version),
+        now + source.expiresMicros / MICROSECONDS,
+    )
+
+
 def _grouped(
     items: Iterable[ItemT], key: Callable[[ItemT], object]
 ) -> list[list[ItemT]]:
--- a/packages/wire/src/amaranthtally/wire/gateway_peer.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_peer.py
@@ -7,7 +7,13 @@
 
 import capnp
 
-from amaranthtally.policy import PeerRecord, PieceJob, PieceReport, StoredResult
+from amaranthtally.policy import (
+    OriginEntry,
+    PeerRecord,
+    PieceJob,
+    PieceReport,
+    StoredResult,
+)
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
 from amaranthtally.wire.errors import PeerLostError
@@ -17,6 +23,8 @@
     gateway_schema,
     read_changes,
     read_jobs,
+    read_origin,
+    read_origins,
     read_part,
     read_part_request,
     read_reports,
@@ -24,6 +32,8 @@
     read_versions,
     write_changes,
     write_jobs,
+    write_origin,
+    write_origins,
     write_part,
     write_part_request,
     write_reports,
@@ -70,6 +80,12 @@
         ``ended_request`` is the id of a request that has ended, or empty.
         """
 
+    def copy_origins(self, entries: Sequence[OriginEntry]) -> None:
+        """Hold copies of what a peer knows of the origins of streams."""
+
+    def find_origin(self, request_id: str) -> OriginEntry | None:
+        """Return the origin of the stream that a request began, if it is held."""
+
 
 class GatewayClient:
     """
@@ -153,6 +169,19 @@
         write_results(request, results)
         await self._send(request)
 
+    async def copy_origins(self, entries: Sequence[OriginEntry], now: float) -> None:
+        """Give the peer copies of the origins of streams."""
+        request = self._gateway.copyOrigins_request()
+        write_origins(request, entries, now)
+        await self._send(request)
+
+    async def find_origin(self, request_id: str, now: float) -> OriginEntry | None:
+        """Return the origin of the stream that a request began, if the peer has it."""
+        request = self._gateway.findOrigin_request()
+        request.requestId = request_id
+        reply = await self._send(request)
+        return read_origin(reply.origin, now) if reply.isKnown else None
+
     def close(self) -> None:
         """Close the connection; calls in flight raise ``PeerLostError``."""
         self._stream.close()
@@ -220,6 +249,22 @@
     async def free(self, results: Any, ended: str, _context: Any, **_: Any) -> None:
         self._handler.release_results(read_results(results), ended)
 
+    async def copyOrigins(  # noqa: N802 - name fixed by the schema
+        self, origins: Any, _context: Any, **_: Any
+    ) -> None:
+        self._handler.copy_origins(read_origins(origins, self._loop.time()))
+
+    async def findOrigin(  # noqa: N802 - name fixed by the schema
+        self,
+        requestId: str,  # noqa: N803 - name fixed by the schema
+        _context: Any,
+        **_: Any,
+    ) -> None:
+        entry = self._handler.find_origin(requestId)
+        _context.results.isKnown = entry is not None
+        if entry is not None:
+            write_origin(_context.results.origin, entry, self._loop.time())
+
 
 async def connect_gateway(
     host: str, port: int, connect_timeout_s: float, call_timeout_s: float
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -17,6 +17,7 @@
 from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.peer_prober import PeerProber
 from amaranthtally.daemon.gateway.routing_state import RoutingState
+from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.platform import PlatformOutcomeUnknown, PlatformUnavailable
 from amaranthtally.platform.errors import PlatformHistoryCompacted
 from amaranthtally.policy import PeerDirectory, PeerRecord
@@ -195,6 +196,8 @@
         self._record = PeerRecord("", "")
         self._addresses = {}
         self.called = set()
+        self.copy_calls = 0
+        self.questions = 0
 
     def set_own_record(self, record):
         self._record = record
@@ -218,6 +221,15 @@
         member = await self._reach(peer)
         return member.coordination.push_received(self._name, batch, versions)
 
+    async def copy_origins(self, peer, entries):
+        member = await self._reach(peer)
+        self.copy_calls += 1
+        member.origins.copies_received(entries)
+
+    async def find_origin(self, peer, request_id):
+        self.questions += 1
+        return (await self._reach(peer)).origins.find_held(request_id)
+
     async def _reach(self, peer):
         self.called.add(peer)
         if peer not in self._addresses:
@@ -258,6 +270,9 @@
         self.connections.set_own_record(record)
         self.routing_state = RoutingState(settings, lambda changed: None)
         self.prober = PeerProber(self.connections, self.peers, self._peers_changed)
+        self.origins = StreamOriginTracker(
+            name, data_centre, self.connections, self._spawn
+        )
         self.coordination = Coordination(
             settings,
             record,
@@ -265,6 +280,7 @@
             self.connections,
             self.routing_state,
             self.peers,
+            self.origins,
             self._peers_changed,
             self._spawn,
             lambda: False,
--- a/tests/unit/test_caller_handler.py
+++ b/tests/unit/test_caller_handler.py
@@ -23,11 +23,22 @@
         self.cancelled.append(call.id)
 
 
+class Resumption:
+    async def origin_of(self, caller, route):
+        return None
+
+
 class Handler(CallerHandler):
     """Accepts every request; writing the response fails."""
 
     def _check(self, request):
-        caller = SimpleNamespace(id="request", deadline_s=1.0, piece_counts=())
+        caller = SimpleNamespace(
+            id="request",
+            deadline_s=1.0,
+            piece_counts=(),
+            last_event="",
+            resumed_request="",
+        )
         table = SimpleNamespace(version=1, limits=SimpleNamespace(body_bytes=10))
         return caller, SimpleNamespace(name="route", timeout_s=1.0), None, table
 
@@ -54,7 +65,9 @@
 
     async def check():
         executor = Executor()
-        handler = Handler(executor, None, None, lambda: None, lambda: False)
+        handler = Handler(
+            executor, None, None, Resumption(), lambda: None, lambda: False
+        )
         handler.error = error
         await handler.handle(SimpleNamespace())
         assert executor.cancelled == ["request"]
--- a/tests/unit/test_sent_inputs.py
+++ b/tests/unit/test_sent_inputs.py
@@ -29,9 +29,13 @@
 
     async def check():
         planner = FakePlanner()
-        executor = GatewayExecutor(planner, settings(endpoints("engine")), None, None)
+        executor = GatewayExecutor(
+            planner, settings(endpoints("engine")), None, None, lambda call: None
+        )
         executor._endpoint_calls = SimpleNamespace(run=run)
-        executor._calls["r"] = SimpleNamespace(id="r", tasks={})
+        executor._calls["r"] = SimpleNamespace(
+            id="r", tasks={}, last_event="", caller=SimpleNamespace(last_event="")
+        )
         executor._send(Send(AttemptId("r", 0, 1), "engine-0", 9.0))
         planner.inputs = ()
         (task,) = executor._calls["r"].tasks.values()
