--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -70,7 +70,7 @@
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.pool_sites import Peer
-from amaranthtally.policy.rendezvous import rendezvous_weight
+from amaranthtally.policy.rendezvous import duty_weight
 from amaranthtally.policy.replica_holders import lookup_rounds, replica_holders
 from amaranthtally.policy.request_ledger import Counters
 from amaranthtally.policy.routes import (
@@ -169,10 +169,10 @@
     "WatcherSelection",
     "WeightedPool",
     "elect_watchers",
+    "duty_weight",
     "gateway_settings",
     "lookup_rounds",
     "plan_model_orders",
-    "rendezvous_weight",
     "replica_holders",
     "request_rank",
     "ring_neighbours",
--- a/packages/policy/src/amaranthtally/policy/rendezvous.py
+++ b/packages/policy/src/amaranthtally/policy/rendezvous.py
@@ -1,12 +1,15 @@
 """Rendezvous hashing: processes rank candidates alike without communicating."""
 
 from collections.abc import Iterable
+from functools import lru_cache
 from hashlib import blake2b
 
-__all__ = ["rendezvous_weight", "ring_successor"]
+__all__ = ["duty_weight", "rendezvous_weight", "ring_successor"]
 
 WEIGHT_BYTES = 8
 RING_KEY = "ring"
+# Weights that are kept, for a few duties of each entry of a large fleet.
+MAX_KEPT_WEIGHTS = 8192
 
 
 def rendezvous_weight(name: str, key: str) -> bytes:
@@ -14,8 +17,25 @@
     return blake2b(f"{name}/{key}".encode(), digest_size=WEIGHT_BYTES).digest()
 
 
+@lru_cache(MAX_KEPT_WEIGHTS)
+def duty_weight(name: str, duty: str) -> bytes:
+    """
+    Return the weight of an entry for one of a few duties.
+
+    All entries are ranked at each change of their set: while a fleet starts, hashing
+    them anew each time would be most of the work.
+    """
+    return rendezvous_weight(name, duty)
+
+
 def ring_successor(name: str, others: Iterable[str]) -> str:
     """Return the member that follows a name in a ring by hash; "" without others."""
-    own = rendezvous_weight(name, RING_KEY)
-    weights = {other: rendezvous_weight(other, RING_KEY) for other in others}
-    return min(weights, key=lambda o: (weights[o] <= own, weights[o]), default="")
+    own = duty_weight(name, RING_KEY)
+    return min(
+        others,
+        key=lambda other: (
+            duty_weight(other, RING_KEY) <= own,
+            duty_weight(other, RING_KEY),
+        ),
+        default="",
+    )
--- a/packages/policy/src/amaranthtally/policy/watchers.py
+++ b/packages/policy/src/amaranthtally/policy/watchers.py
@@ -3,7 +3,11 @@
 from collections.abc import Mapping
 from math import ceil
 
-from amaranthtally.policy.rendezvous import rendezvous_weight, ring_successor
+from amaranthtally.policy.rendezvous import (
+    duty_weight,
+    rendezvous_weight,
+    ring_successor,
+)
 
 __all__ = ["WatcherSelection", "elect_watchers", "ring_neighbours"]
 
@@ -36,7 +40,7 @@
     elected: set[str] = set()
     for names in by_data_centre.values():
         count = max(least, ceil(len(names) / ENTRIES_PER_WATCHER))
-        names.sort(key=lambda name: rendezvous_weight(name, ELECTION_KEY))
+        names.sort(key=lambda name: duty_weight(name, ELECTION_KEY))
         elected.update(names[:count])
     return frozenset(elected)
 
