Entries too: a stream goes on only at its endpoint's software version

The same cause elsewhere: an entry resumes a stream at its offset at any sidecar of the pool. The policy binds it now as it does for gateways; a registration may name version= (empty: as before). Callers of entries have no way to take a stream up over tries, so nothing is kept across them. Sidecars hand over records of side effects, not streams.

--- a/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/pipelines.py
@@ -114,6 +114,7 @@
         address=table["address"],
         models=tuple(table.get("models", ())),
         takes_calls=table.get("role") != Role.PREFILL.value,
+        version=table.get("version", ""),
     )
 
 
--- a/packages/settings/src/amaranthtally/settings/kinds.py
+++ b/packages/settings/src/amaranthtally/settings/kinds.py
@@ -23,6 +23,7 @@
     "text",
 ]
 
+MAX_VERSION_LENGTH = 63
 NAME_PATTERN = r"^[a-z0-9][a-zA-Z0-9_.-]{0,62}$"
 MODEL_NAME_PART = r"[a-z0-9][a-zA-Z0-9_.-]{0,62}"
 MODEL_VERSION = r"[a-zA-Z0-9][a-zA-Z0-9_.-]{0,62}"
@@ -59,7 +60,8 @@
 
     An empty list of ``models`` means any model; a call that names no model gets the
     first in the list. ``model_slots`` is the number of models that fit into memory of
-    the engine at the same time; 0 means no limit.
+    the engine at the same time; 0 means no limit. ``version`` is that of the endpoint's
+    software: a stream that has begun goes on only at endpoints of the same version.
     """
 
     pool: Annotated[str, Meta(pattern=NAME_PATTERN)]
@@ -70,6 +72,7 @@
     models: list[Annotated[str, Meta(pattern=MODEL_PATTERN)]] = []
     role: Role = Role.BOTH
     model_slots: Annotated[int, Meta(ge=0)] = 0
+    version: Annotated[str, Meta(max_length=MAX_VERSION_LENGTH)] = ""
 
 
 def integer(low: int, high: int) -> Kind:
--- a/tests/settings/test_defaults.py
+++ b/tests/settings/test_defaults.py
@@ -35,3 +35,19 @@
     (stage,) = pipeline.stages
     assert stage.pool == "s"
     assert stage.price_per_s == default_of("stage.NAME.price_per_s")
+
+
+def test_an_endpoints_software_version_reaches_the_policy():
+    """Guards against streams of entries that go on at another software version."""
+    registration = {
+        "pool": "engines",
+        "host": "h1",
+        "region": REGION,
+        "data_centre": "cluj-1",
+        "address": "127.0.0.1:1",
+        "version": "v1.1",
+    }
+    change = Change(1, "c1", "ana", "", "", [Op("firm", "endpoint.e1", registration)])
+    view = SettingsView(Tree().fold(change))
+    built = PolicySettingsBuilder(REGION, "cluj-1").build(view)
+    assert built.endpoints["e1"].version == "v1.1"
