--- a/packages/daemon/src/amaranthtally/daemon/gateway/resumption.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/resumption.py
@@ -1,7 +1,6 @@
 """Finds where the streams began that callers take up."""
 
 import asyncio
-from collections.abc import Callable
 from typing import Protocol
 
 from amaranthtally.adapter.messages import CallerRequest
@@ -25,6 +24,11 @@
 INCOMPLETE_SEARCH = Refusal(
     UNAVAILABLE, "not all gateways could be asked about this stream", SEARCH_RETRY_S
 )
+# Its last endpoint has left or failed; the software of endpoints does not go back.
+VERSION_GONE = Refusal(
+    UNAVAILABLE,
+    "no endpoint of this stream's version is left; send it without Last-Event-Id",
+)
 MOVED_ROUTE = Refusal(
     UNAVAILABLE,
     "the route has left this stream's pool; send the request without Last-Event-Id",
@@ -43,6 +47,16 @@
         """Return the origin of the stream that a request began."""
 
 
+class _Versions(Protocol):
+    """Knows the software versions of pools."""
+
+    def sole_version(self, pool: str) -> str | None:
+        """Return the only version that a pool has had lately, or else ``None``."""
+
+    def is_served(self, pool: str, version: str) -> bool:
+        """Whether an endpoint of a pool has this version and takes calls."""
+
+
 class StreamResumption:
     """
     Returns the origin of the stream that a request takes up, or a refusal.
@@ -55,11 +69,11 @@
     def __init__(
         self,
         tracker: _Tracker,
-        sole_version: Callable[[str], str | None],
+        versions: _Versions,
         metrics: GatewayMetrics,
     ) -> None:
         self._tracker = tracker
-        self._sole_version = sole_version
+        self._versions = versions
         self._metrics = metrics
         self._time = asyncio.get_running_loop().time
 
@@ -73,7 +87,7 @@
         search = await self._search(caller)
         source = "known" if search.entry else "sole_version"
         origin = search.entry.origin if search.entry else self._sole_origin(route)
-        result = _checked(origin, route, search)
+        result = self._checked(origin, route, search)
         if isinstance(result, Refusal):
             source = "refused"
         else:
@@ -104,15 +118,14 @@
         if len(route.targets) != 1:
             return None
         pool = route.targets[0].pool
-        version = self._sole_version(pool)
+        version = self._versions.sole_version(pool)
         return None if version is None else StreamOrigin(pool, version)
 
-
-def _checked(
-    origin: StreamOrigin | None, route: Route, search: OriginSearch
-) -> StreamOrigin | Refusal:
-    if origin is None:
-        return UNKNOWN_ORIGIN if search.is_complete else INCOMPLETE_SEARCH
-    if all(target.pool != origin.pool for target in route.targets):
-        return MOVED_ROUTE
-    return origin
+    def _checked(
+        self, origin: StreamOrigin | None, route: Route, search: OriginSearch
+    ) -> StreamOrigin | Refusal:
+        if origin is None:
+            return UNKNOWN_ORIGIN if search.is_complete else INCOMPLETE_SEARCH
+        if all(target.pool != origin.pool for target in route.targets):
+            return MOVED_ROUTE
+        return origin if self._versions.is_served(*origin) else VERSION_GONE
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -208,7 +208,7 @@
         )
 
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
-    resumption = StreamResumption(origins, coordination.versions.sole_version, metrics)
+    resumption = StreamResumption(origins, coordination.versions, metrics)
     caller_handler = CallerHandler(
         executor,
         arrivals,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -69,6 +69,15 @@
         self._observe()
         return self._history.sole_version(pool)
 
+    def is_served(self, pool: str, version: str) -> bool:
+        """Whether an endpoint of a pool has this version and takes calls."""
+        return any(
+            endpoint.pool == pool
+            and endpoint.version == version
+            and endpoint.takes_calls
+            for endpoint in self._endpoints().values()
+        )
+
     def entries_changed(self, data_centres: Mapping[str, str]) -> None:
         """Choose the writer among the live gateways."""
         names = [self._name, *data_centres]
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -172,6 +172,29 @@
     run_with_cluster(tmp_path, check)
 
 
+def test_a_stream_whose_version_is_gone_is_refused_for_good(tmp_path):
+    """Guards against callers that are told to retry what cannot succeed any more."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1")
+        gateway = await cluster.gateway()
+        caller = Caller(0)
+        await caller.begin(gateway)
+        await cluster.endpoint("new", "job", engine("v2"), version="v2")
+        await gateway.wait_for_event("endpoint_changed", endpoint="new")
+        cluster.store.remove("servers/e0")
+        await gateway.wait_for_event("endpoint_removed", endpoint="e0")
+        headers = {
+            names.LAST_EVENT_ID: "1",
+            names.RESUMED_REQUEST: caller.first_id,
+        }
+        status, headers, _ = await gateway.call("/job/", **headers)
+        assert status == 503
+        assert names.RETRY_AFTER not in headers
+
+    run_with_cluster(tmp_path, check)
+
+
 def test_a_stream_of_unknown_version_goes_on_where_there_is_one_version(tmp_path):
     """Guards against refusals after a restart of all gateways, without a release."""
 
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -20,10 +20,10 @@
 PIECES = (1, 2)
 
 
-def events_of(request_id, first=1):
-    """Return the events of a request's stream, from number ``first``."""
+def events_of(key, version, first=1):
+    """Return the events of the stream for a key, from number ``first``."""
     return [
-        b"id: %d\ndata: %s/%d\n\n" % (n, request_id.encode(), n)
+        b"id: %d\ndata: %s/%s/%d\n\n" % (n, key.encode(), version.encode(), n)
         for n in range(first, EVENTS + 1)
     ]
 
@@ -46,9 +46,10 @@
 class EndpointScript:
     """Serves one endpoint's requests; the next ``faults_left`` fail with ``fault``."""
 
-    def __init__(self, records, kind):
+    def __init__(self, records, kind, version):
         self.records = records
         self.kind = kind
+        self.version = version
         self.fault = ""
         self.faults_left = 0
 
@@ -103,6 +104,7 @@
             self.records.wrong_inputs.append((request.id, handles))
         first = int(request.headers.get("last-event-id", 0)) + 1
         steps = [stream_response_head(request)]
-        for event in events_of(request.id, first):
+        key = request.headers[header_names.CHUNK_KEY.lower()]
+        for event in events_of(key, self.version, first):
             steps += [0.01, http_chunk(event)]
         return [*steps, STREAM_END]
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -30,8 +30,10 @@
     "read": ("work", 2),
     "first": ("pieces", 2),
     "second": ("pieces", 2),
-    "engine": ("engine", 2),
+    "engine": ("engine", 4),
 }
+# Versions of the endpoints of a pool, in order: each data centre has engines of both.
+VERSIONS = ("v1", "v1", "v2", "v2")
 # The gateway with a rate-limited link to the store, and the rate in bytes per second.
 RATE_LIMITED_GATEWAY = "gateway-2"
 LINK_BYTES_PER_S = 300_000.0
@@ -74,9 +76,7 @@
     async def start(self):
         for pool, (kind, count) in ENDPOINTS.items():
             for number in range(count):
-                await self._start_endpoint(
-                    f"{pool}-{number}", pool, kind, DATA_CENTRES[number]
-                )
+                await self._start_endpoint(f"{pool}-{number}", pool, kind, number)
         self.configure()
         for name in self.names:
             link = (
@@ -92,16 +92,21 @@
         for gateway in self.gateways.values():
             await gateway.wait_until_ready()
 
-    async def _start_endpoint(self, name, pool, kind, data_centre):
-        script = self.scripts[name] = EndpointScript(self.records, kind)
+    async def _start_endpoint(self, name, pool, kind, number):
+        data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        version = VERSIONS[number]
+        script = self.scripts[name] = EndpointScript(self.records, kind, version)
         endpoint = await self.cluster.endpoint(
-            name, pool, script, data_centre=data_centre
+            name, pool, script, data_centre=data_centre, version=version
         )
-        self.endpoints[name] = (endpoint, pool, data_centre)
+        self.endpoints[name] = (endpoint, pool, data_centre, version)
 
     def register(self, name, **record):
-        endpoint, pool, data_centre = self.endpoints[name]
-        self.store.put(f"servers/{name}", endpoint.record(pool, data_centre, **record))
+        endpoint, pool, data_centre, version = self.endpoints[name]
+        self.store.put(
+            f"servers/{name}",
+            endpoint.record(pool, data_centre, version=version, **record),
+        )
 
     def configure(self):
         """Write a new version of the configuration; return its number."""
