A gateway that starts while the store is away learns from any that runs, leaving or not

Cause: who left was greeted by nobody any more, a leaving process sent no address at which its state could be read, and one that starts has no address but from the store. Class: knowledge of the fleet that lives only where the store is read. One that starts no longer takes the store for answering when it wants its peers' records.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -23,7 +23,9 @@
     PrefixListener,
 )
 from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
+from amaranthtally.daemon.gateway.return_greeter import ReturnGreeter
 from amaranthtally.daemon.gateway.routing_state import RoutingState
+from amaranthtally.daemon.gateway.seed_reader import SeedReader
 from amaranthtally.daemon.gateway.store_follower import StoreFollower
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.daemon.gateway.store_sync import StoreSync
@@ -123,6 +125,20 @@
             self._peers_to_greet,
             random,
         )
+        seeds = [seed for seed in settings.seeds if seed != record.address]
+        self._greeter = ReturnGreeter(
+            settings.name,
+            settings.data_centre,
+            connections,
+            peers,
+            seeds,
+            lambda: self.documents.versions,
+            lambda: self.store.is_connected,
+            random,
+        )
+        self._seed_reader = SeedReader(
+            connections, seeds, lambda: self.documents.versions, self._catch_up, random
+        )
 
     @property
     def follower_count(self) -> int:
@@ -131,7 +147,13 @@
 
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the background tasks."""
-        return [*self.store.tasks(), self._gossip.run(), self.versions.run()]
+        return [
+            *self.store.tasks(),
+            self._gossip.run(),
+            self._greeter.run(),
+            self._seed_reader.run(),
+            self.versions.run(),
+        ]
 
     def entries_changed(self) -> None:
         """Elect watchers and neighbours among the entries that are alive now."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/document_fetcher.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/document_fetcher.py
@@ -18,6 +18,8 @@
 # How long to wait for the store to start sending a change that a peer has reported, in
 # seconds. Longer than the pause in which the watcher batches changes.
 STORE_START_WAIT_S = 0.4
+# The same for a gateway that has just started, in seconds: it asked the store first.
+STARTING_WAIT_S = 0.1
 # How much longer to wait for a store that is sending, in seconds. If a fetch from a
 # peer starts after this wait, the configuration is still in force within 4 s.
 STORE_FINISH_WAIT_S = 2.5
@@ -109,8 +111,10 @@
             self._is_fetching = False
 
     def _missing_documents(self, peer_versions: Versions) -> list[Document]:
-        # While the store answers, records are brought up to date change by change.
-        wanted = [Document.CONFIGURATION] if self._store.is_connected else Document
+        # While the store answers, records are brought up to date change by change. One
+        # that starts holds none yet, and does not know yet whether the store answers.
+        follows_changes = self._store.is_connected and self._holder.versions.records
+        wanted = [Document.CONFIGURATION] if follows_changes else Document
         return [
             document
             for document in wanted
@@ -120,7 +124,8 @@
     async def _wait_for_store(self, peer_versions: Versions) -> None:
         if not (self._store.is_connected and self._store.is_watching):
             return
-        await asyncio.sleep(STORE_START_WAIT_S)
+        is_starting = not self._holder.versions.records
+        await asyncio.sleep(STARTING_WAIT_S if is_starting else STORE_START_WAIT_S)
         deadline = self._time() + STORE_FINISH_WAIT_S
         while self._store.is_receiving and self._missing_documents(peer_versions):
             if self._time() >= deadline:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Mapping, Sequence
+from math import inf
 from typing import Any, Protocol
 
 from amaranthtally.daemon.lifecycle import split_address
@@ -16,10 +17,10 @@
 from amaranthtally.wire import PeerLostError
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
-from amaranthtally.wire.gateway_codec import GatewayStatus, Versions
+from amaranthtally.wire.gateway_codec import GatewayStatus, Greeter, Versions
 from amaranthtally.wire.gateway_peer import GatewayClient, connect_gateway
 
-__all__ = ["INACTIVE_RECORD", "PeerConnections"]
+__all__ = ["PeerConnections"]
 
 # Time-out for opening a connection, in seconds: ten times the round trip to another
 # region.
@@ -28,6 +29,9 @@
 # so a peer that does not answer in time has failed or is stalled.
 CALL_TIMEOUT_S = 0.8
 
+# How long a peer's answer counts as contact with the others, in seconds: a few rounds
+# of greetings.
+CONTACT_TTL_S = 2.0
 # Interval between probes of a peer that runs jobs of this gateway or has failed, in
 # seconds. A call costs the peer 0.2 ms.
 HEARTBEAT_INTERVAL_S = 0.5
@@ -36,8 +40,8 @@
 REPORT_ATTEMPTS = 3
 REPORT_RETRY_DELAY_S = 0.2
 
-# The record of a gateway that runs no jobs because it is starting or leaving.
-INACTIVE_RECORD = PeerRecord("", "")
+# Sent by a gateway that is starting.
+NO_RECORD = PeerRecord("", "")
 
 log = get_logger()
 
@@ -63,25 +67,38 @@
         name: str,
         spawn: Callable[[Coroutine[Any, Any, None]], object],
         listener: _Listener,
+        seeds: Sequence[str] = (),
     ) -> None:
         self._name = name
-        self._record = INACTIVE_RECORD
+        # The names of seeds are not known; they are called by their addresses.
+        self._seeds = {address: address for address in seeds}
+        self._greeter = Greeter(NO_RECORD)
         self._spawn = spawn
         self._listener = listener
-        self._addresses: Mapping[str, str] = {}
+        self._addresses: Mapping[str, str] = self._seeds
         self._clients: dict[str, GatewayClient] = {}
         self._connecting: dict[str, asyncio.Task[GatewayClient]] = {}
+        self._answered_at = -inf
         self._loop = asyncio.get_running_loop()
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether a peer has answered a call lately."""
+        return self._loop.time() - self._answered_at < CONTACT_TTL_S
+
     def set_own_record(self, record: PeerRecord) -> None:
         """Set the record that is sent to peers with each status from now on."""
-        self._record = record
+        self._greeter = Greeter(record)
+
+    def note_leaving(self) -> None:
+        """Tell peers with each status that this gateway is leaving."""
+        self._greeter = Greeter(self._greeter.record, is_leaving=True)
 
     def set_addresses(self, addresses: Mapping[str, str]) -> None:
         """Set the peers' addresses; close connections to any other address."""
-        self._addresses = addresses
+        self._addresses = {**self._seeds, **addresses}
         for name, client in list(self._clients.items()):
-            if addresses.get(name) != client.peer:
+            if self._addresses.get(name) != client.peer:
                 self._disconnect(name)
 
     def submit_jobs(self, peer: str, jobs: Sequence[PieceJob]) -> None:
@@ -116,7 +133,7 @@
         """
         return await self._call(
             peer,
-            lambda c: c.exchange_status(self._name, self._record, versions, follows),
+            lambda c: c.exchange_status(self._name, self._greeter, versions, follows),
         )
 
     async def read_part(self, peer: str, request: PartRequest) -> DocumentPart:
@@ -221,11 +238,13 @@
     ) -> Any:
         client = await self._client(peer)
         try:
-            return await call(client)
+            answer = await call(client)
         except PeerLostError:
             if self._clients.get(peer) is client:
                 self._disconnect(peer)
             raise
+        self._answered_at = self._loop.time()
+        return answer
 
     async def _client(self, peer: str) -> GatewayClient:
         client = self._clients.get(peer)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -7,14 +7,13 @@
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.policy import (
     OriginEntry,
-    PeerRecord,
     PieceJob,
     PieceReport,
     StoredResult,
 )
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
-from amaranthtally.wire.gateway_codec import GatewayStatus, Versions
+from amaranthtally.wire.gateway_codec import GatewayStatus, Greeter, Versions
 
 __all__ = ["PeerHandler"]
 
@@ -26,19 +25,19 @@
         self,
         executor: GatewayExecutor,
         coordination: Callable[[], Coordination],
-        on_peer_record: Callable[[str, PeerRecord], None],
+        on_greeting: Callable[[str, Greeter], None],
         origins: StreamOriginTracker,
     ) -> None:
         self._executor = executor
         self._coordination = coordination
-        self._on_peer_record = on_peer_record
+        self._on_greeting = on_greeting
         self._origins = origins
 
     def exchange_status(
-        self, name: str, record: PeerRecord, versions: Versions, follows: bool
+        self, name: str, greeter: Greeter, versions: Versions, follows: bool
     ) -> GatewayStatus:
         """Return this gateway's status; note the peer's record and versions."""
-        self._on_peer_record(name, record)
+        self._on_greeting(name, greeter)
         return self._coordination().exchange_status(name, versions, follows)
 
     def read_part(self, request: PartRequest) -> DocumentPart:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_updater.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_updater.py
@@ -8,7 +8,8 @@
 from amaranthtally.daemon.gateway.peer_prober import PeerProber
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.policy import Peer, PeerDirectory, PeerRecord
+from amaranthtally.policy import Peer, PeerDirectory
+from amaranthtally.wire.gateway_codec import Greeter
 
 __all__ = ["PeerUpdater"]
 
@@ -49,8 +50,15 @@
         self._on_change()
         self._prober.wake()
 
-    def peer_status_received(self, name: str, record: PeerRecord) -> None:
-        """Add the record that a peer sent with its status to the directory."""
-        if self._peers.note_greeting(self._time(), name, record):
+    def greeting_received(self, name: str, greeter: Greeter) -> None:
+        """Note in the directory that a peer runs, or that it is leaving."""
+        now, record = self._time(), greeter.record
+        if greeter.is_leaving:
+            if self._peers.note_leaving(now, name, record):
+                log.info("peer_left", peer=name)
+                self.apply_live_peers()
+            else:
+                self._connections.set_addresses(self._peers.addresses)
+        elif self._peers.note_greeting(now, name, record):
             log.info("peer_met", peer=name, address=record.address)
             self.apply_live_peers()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -23,10 +23,7 @@
     GatewayMetrics,
     GatewayState,
 )
-from amaranthtally.daemon.gateway.peer_connections import (
-    INACTIVE_RECORD,
-    PeerConnections,
-)
+from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
 from amaranthtally.daemon.gateway.resumption import RESUME_WINDOW_S, StreamResumption
@@ -141,7 +138,9 @@
         metrics,
         lambda call: _note_origin(origins, call),
     )
-    connections = PeerConnections(settings.name, executor.spawn, executor)
+    connections = PeerConnections(
+        settings.name, executor.spawn, executor, settings.seeds
+    )
     origins = StreamOriginTracker(
         settings.name, settings.data_centre, connections, executor.spawn
     )
@@ -160,7 +159,7 @@
 
     # The handler exists before the port is known, and the record contains the port.
     handler = PeerHandler(
-        executor, lambda: coordination, peer_updater.peer_status_received, origins
+        executor, lambda: coordination, peer_updater.greeting_received, origins
     )
     port = await stack.enter_async_context(serve_gateway(handler, host, port))
     record = PeerRecord(f"{host}:{port}", settings.data_centre)
@@ -324,7 +323,7 @@
     failed connection. Kept-alive connections are closed after their next response.
     Requests not sent to any endpoint are refused before the grace period ends.
     """
-    gateway.connections.set_own_record(INACTIVE_RECORD)
+    gateway.connections.note_leaving()
     gateway.executor.stop_running_jobs()
     gateway.origins.leave()
     await asyncio.gather(
--- a/packages/policy/src/amaranthtally/policy/peer_directory.py
+++ b/packages/policy/src/amaranthtally/policy/peer_directory.py
@@ -10,7 +10,7 @@
 MESSAGE_TTL_S = 3.0
 # Time for which the address of an entry that has left is retained, in seconds. It is
 # longer than the grace period of a stop, during which the entry waits for the results
-# that it requested from others.
+# that it requested from others, and the time until it is started again.
 ADDRESS_TTL_S = 30.0
 
 
@@ -63,6 +63,11 @@
         """
         return {name: record.address for name, record in self._known.items()}
 
+    @property
+    def departed(self) -> Mapping[str, PeerRecord]:
+        """Entries that left or fell silent recently, and may start again."""
+        return {name: self._known[name] for name in self._left_at}
+
     # Records
 
     def put(self, name: str, record: PeerRecord) -> None:
@@ -106,6 +111,20 @@
         self._left_at.pop(name, None)
         return is_new
 
+    def note_leaving(self, now: float, name: str, record: PeerRecord) -> bool:
+        """
+        Note that an entry is leaving; return whether it was alive until now.
+
+        Its address is retained: it still answers, and may be the only one that knows
+        the state of a registry that is unavailable.
+        """
+        was_alive = name in self.alive
+        self._registered.pop(name, None)
+        self._unconfirmed.pop(name, None)
+        self._known[name] = record
+        self._left_at[name] = now
+        return was_alive
+
     def note_alive(self, now: float, name: str) -> None:
         """Extend the life of an unconfirmed entry that answered a check."""
         if name in self._unconfirmed:
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -67,7 +67,8 @@
     regions. ``stop_grace`` is the time that a process may take to stop. ``retry_ratio``
     and ``retry_slack`` limit the attempts that all entries together make in addition to
     the first attempt of each request. Metrics are served at ``metrics_address``; if it
-    is empty, they are not served.
+    is empty, they are not served. ``seeds`` are addresses for peers of a few gateways,
+    which one that starts asks if the store does not answer; some may be out of date.
     """
 
     name: Name
@@ -78,6 +79,7 @@
     ready_address: Address
     peer_address: Address
     store_address: Address
+    seeds: list[Address] = msgspec.field(default_factory=list)
     regions: dict[str, str] = msgspec.field(default_factory=dict)
     stop_grace: Positive = 8.0
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -100,9 +100,10 @@
 interface Gateway {
   # Sends the caller's name, address, data centre and versions, and whether the receiver
   # is to push changes to it for a while; returns the receiver's versions, whether it is
-  # stopping, and whether it watches the store and the store answers.
+  # stopping, and whether it watches the store and the store answers. A caller that is
+  # stopping sends its address as leavingAddress, at which documents may still be read.
   greet @0 (name :Text, versions :Versions, address :Text, dataCentre :Text,
-            follows :Bool)
+            follows :Bool, leavingAddress :Text)
       -> (versions :Versions, leaving :Bool, watches :Bool);
   # Not implemented any more; replaced by read.
   beliefs @1 () -> ();
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -9,6 +9,7 @@
 
 from amaranthtally.policy import (
     OriginEntry,
+    PeerRecord,
     Piece,
     PieceFault,
     PieceJob,
@@ -21,6 +22,7 @@
 
 __all__ = [
     "GatewayStatus",
+    "Greeter",
     "Versions",
     "gateway_schema",
     "read_changes",
@@ -78,6 +80,17 @@
         return self.configuration if is_configuration else self.records
 
 
+class Greeter(NamedTuple):
+    """
+    The record of a gateway that sends its status; without an address while it starts.
+
+    One that ``is_leaving`` takes no more jobs, but lets its documents be read.
+    """
+
+    record: PeerRecord
+    is_leaving: bool = False
+
+
 class GatewayStatus(NamedTuple):
     """
     A gateway's document versions; ``leaving`` is set once it is stopping.
--- a/packages/wire/src/amaranthtally/wire/gateway_peer.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_peer.py
@@ -19,6 +19,7 @@
 from amaranthtally.wire.errors import PeerLostError
 from amaranthtally.wire.gateway_codec import (
     GatewayStatus,
+    Greeter,
     Versions,
     gateway_schema,
     read_changes,
@@ -48,7 +49,7 @@
     """Implements the requests that a gateway receives; no method may block."""
 
     def exchange_status(
-        self, name: str, record: PeerRecord, versions: Versions, follows: bool
+        self, name: str, greeter: Greeter, versions: Versions, follows: bool
     ) -> GatewayStatus:
         """
         Receive a peer's address and versions; return this gateway's status.
@@ -108,13 +109,16 @@
         return self._peer
 
     async def exchange_status(
-        self, name: str, record: PeerRecord, versions: Versions, follows: bool
+        self, name: str, greeter: Greeter, versions: Versions, follows: bool
     ) -> GatewayStatus:
         """Send this gateway's address and versions; return the peer's status."""
         request = self._gateway.greet_request()
         request.name = name
-        request.address = record.address
-        request.dataCentre = record.data_centre
+        if greeter.is_leaving:
+            request.leavingAddress = greeter.record.address
+        else:
+            request.address = greeter.record.address
+        request.dataCentre = greeter.record.data_centre
         request.follows = follows
         write_versions(request.versions, versions)
         reply = await self._send(request)
@@ -208,12 +212,14 @@
         address: str,
         dataCentre: str,  # noqa: N803 - name fixed by the schema
         follows: bool,
+        leavingAddress: str,  # noqa: N803 - name fixed by the schema
         _context: Any,
         **_: Any,
     ) -> None:
-        record = PeerRecord(address, dataCentre)
+        record = PeerRecord(address or leavingAddress, dataCentre)
+        greeter = Greeter(record, is_leaving=bool(leavingAddress))
         status = self._handler.exchange_status(
-            name, record, read_versions(versions), follows
+            name, greeter, read_versions(versions), follows
         )
         write_versions(_context.results.versions, status.versions)
         _context.results.leaving = status.leaving
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -9,13 +9,14 @@
 from collections import Counter
 from contextlib import contextmanager, suppress
 from random import Random
+from types import SimpleNamespace
 
 import msgspec
 from result import Err, Ok
 
 from amaranthtally.adapter.store import StoreEvents, StoreItem
 from amaranthtally.daemon.gateway.coordination import Coordination
-from amaranthtally.daemon.gateway.peer_prober import PeerProber
+from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.platform import PlatformOutcomeUnknown, PlatformUnavailable
@@ -23,10 +24,12 @@
 from amaranthtally.policy import PeerDirectory, PeerRecord
 from amaranthtally.settings import GatewaySettings
 from amaranthtally.wire import PeerLostError
+from amaranthtally.wire.gateway_codec import Greeter
 from tests.gateway.support import configuration, route
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 DATA_CENTRES = tuple(REGIONS)
+SEEDS = ["10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"]
 STORE_S = 0.004
 NEAR_S = 0.001
 FAR_S = 0.024
@@ -37,6 +40,13 @@
 RENEWAL_PRICE = 0.1
 
 
+def address_of(name):
+    return f"10.0.0.{name.rpartition('-')[2]}:1"
+
+
+NAMES_OF_SEEDS = {address_of(f"entry-{n}"): f"entry-{n}" for n in range(len(SEEDS))}
+
+
 class StoreModel:
     """
     The store, with faults for single gateways.
@@ -193,21 +203,26 @@
     def __init__(self, fleet, name):
         self._fleet = fleet
         self._name = name
-        self._record = PeerRecord("", "")
+        self._greeter = Greeter(PeerRecord("", ""))
         self._addresses = {}
         self.called = set()
         self.copy_calls = 0
         self.questions = 0
 
+    is_answered = True
+
     def set_own_record(self, record):
-        self._record = record
+        self._greeter = Greeter(record)
+
+    def note_leaving(self):
+        self._greeter = Greeter(self._greeter.record, is_leaving=True)
 
     def set_addresses(self, addresses):
         self._addresses = dict(addresses)
 
     async def exchange_status(self, peer, versions, follows=False):
         member = await self._reach(peer)
-        return member.exchange_status(self._name, self._record, versions, follows)
+        return member.exchange_status(self._name, self._greeter, versions, follows)
 
     async def read_part(self, peer, request):
         return (await self._reach(peer)).coordination.documents.read_part(request)
@@ -231,8 +246,9 @@
         return (await self._reach(peer)).origins.find_held(request_id)
 
     async def _reach(self, peer):
+        peer = NAMES_OF_SEEDS.get(peer, peer)
         self.called.add(peer)
-        if peer not in self._addresses:
+        if peer not in self._addresses and address_of(peer) not in SEEDS:
             raise PeerLostError(peer, "no address is known")
         member = self._fleet.members.get(peer)
         if member is None:
@@ -241,7 +257,7 @@
         if self._fleet.is_parted(self._name, peer):
             await asyncio.sleep(PEER_TIMEOUT_S)
             raise PeerLostError(peer, "no reply before the time-out")
-        near = REGIONS[member.data_centre] == REGIONS[self._record.data_centre]
+        near = REGIONS[member.data_centre] == REGIONS[self._greeter.record.data_centre]
         await asyncio.sleep(NEAR_S if near else FAR_S)
         return member
 
@@ -265,11 +281,19 @@
             peer_address="127.0.0.1:0",
             store_address="127.0.0.1:0",
             regions=REGIONS,
+            seeds=SEEDS,
         )
-        record = PeerRecord(f"{name}:1", data_centre)
+        record = PeerRecord(address_of(name), data_centre)
         self.connections.set_own_record(record)
         self.routing_state = RoutingState(settings, lambda changed: None)
-        self.prober = PeerProber(self.connections, self.peers, self._peers_changed)
+        self.is_leaving = False
+        self._updater = PeerUpdater(
+            self.peers,
+            self.connections,
+            SimpleNamespace(peers_changed=lambda peers: None),
+            self.routing_state,
+            lambda: self.coordination.entries_changed(),
+        )
         self.origins = StreamOriginTracker(
             name, data_centre, self.connections, self._spawn
         )
@@ -281,12 +305,12 @@
             self.routing_state,
             self.peers,
             self.origins,
-            self._peers_changed,
+            self._updater.apply_live_peers,
             self._spawn,
-            lambda: False,
+            lambda: self.is_leaving,
             Random(name),
         )
-        for work in [*self.coordination.tasks(), self.prober.run()]:
+        for work in [*self.coordination.tasks(), self._updater.prober.run()]:
             self._spawn(work)
 
     @property
@@ -301,21 +325,26 @@
     def is_watching(self):
         return self.coordination.store.is_watching
 
-    def exchange_status(self, name, record, versions, follows):
-        now = asyncio.get_running_loop().time()
-        if self.peers.note_greeting(now, name, record):
-            self._peers_changed()
+    def exchange_status(self, name, greeter, versions, follows):
+        self._updater.greeting_received(name, greeter)
         return self.coordination.exchange_status(name, versions, follows)
 
+    @property
+    def is_complete(self):
+        """Whether it can serve callers."""
+        return self.routing_state.is_complete
+
+    def leave(self):
+        """Begin a planned stop, as the process does on its signal."""
+        self.is_leaving = True
+        self.connections.note_leaving()
+        self.origins.leave()
+        self._spawn(self.coordination.store.deregister())
+
     def kill(self):
         for task in list(self._tasks):
             task.cancel()
 
-    def _peers_changed(self):
-        self.connections.set_addresses(self.peers.addresses)
-        self.coordination.entries_changed()
-        self.prober.wake()
-
     def _spawn(self, work):
         task = asyncio.create_task(work)
         self._tasks.add(task)
