A stream without a known origin goes on in an outage, where peers answer

Suspected cause: a sole version counted for nothing while the store did not answer. It counts now where peers have answered lately, since each answer tells what is newer, and all that were asked for the origin said that they have none; a gateway that is cut off from all still refuses. Test: without_a_name_goes_on_while_the_store_is_away (failed before).

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -95,6 +95,7 @@
             lambda: _streaming_pools(routing_state.table),
             lambda: routing_state.directory.endpoints,
             lambda: self.store.is_connected,
+            lambda: connections.is_answered,
         )
         peer_records = PeerRecordTracker(settings.name, peers, on_peers)
         self._replica = self._new_replica(peer_records)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/resumption.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/resumption.py
@@ -50,7 +50,7 @@
 class _Versions(Protocol):
     """Knows the software versions of pools."""
 
-    def sole_version(self, pool: str) -> str | None:
+    def sole_version(self, pool: str, all_peers_answered: bool) -> str | None:
         """Return the only version that a pool has had lately, or else ``None``."""
 
     def is_served(self, pool: str, version: str) -> bool:
@@ -86,7 +86,11 @@
         started = self._time()
         search = await self._search(caller)
         source = "known" if search.entry else "sole_version"
-        origin = search.entry.origin if search.entry else self._sole_origin(route)
+        origin = (
+            search.entry.origin
+            if search.entry
+            else self._sole_origin(route, search.is_complete)
+        )
         result = self._checked(origin, route, search)
         if isinstance(result, Refusal):
             source = "refused"
@@ -114,11 +118,13 @@
             expires_at = self._time() + route.timeout_s + RESUME_WINDOW_S
             self._tracker.note(caller.resumed_request, origin, expires_at)
 
-    def _sole_origin(self, route: Route) -> StreamOrigin | None:
+    def _sole_origin(
+        self, route: Route, all_peers_answered: bool
+    ) -> StreamOrigin | None:
         if len(route.targets) != 1:
             return None
         pool = route.targets[0].pool
-        version = self._versions.sole_version(pool)
+        version = self._versions.sole_version(pool, all_peers_answered)
         return None if version is None else StreamOrigin(pool, version)
 
     def _checked(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -46,25 +46,29 @@
         pools: Callable[[], frozenset[str]],
         endpoints: Callable[[], Mapping[str, Endpoint]],
         is_connected: Callable[[], bool],
+        is_informed: Callable[[], bool],
     ) -> None:
         self._name = name
         self._client = client
         self._pools = pools
         self._endpoints = endpoints
         self._is_connected = is_connected
+        self._is_informed = is_informed
         self._history = VersionHistory()
         self._observed: Mapping[str, Endpoint] = {}
         self._revisions: dict[str, int] = {}
         self._is_writer = True
         self._time = asyncio.get_running_loop().time
 
-    def sole_version(self, pool: str) -> str | None:
+    def sole_version(self, pool: str, all_peers_answered: bool) -> str | None:
         """
         Return the only version that a pool has had lately, or else ``None``.
 
-        It is not known while the store does not answer: a new version may have come.
+        While the store does not answer this gateway, others may know a new version.
+        They tell it with any answer; where some gave none, the version is not known.
         """
-        if not self._is_connected():
+        is_told = all_peers_answered and self._is_informed()
+        if not is_told and not self._is_connected():
             return None
         self._observe()
         return self._history.sole_version(pool)
--- a/tests/gateway/test_stream_versions.py
+++ b/tests/gateway/test_stream_versions.py
@@ -51,6 +51,11 @@
     cluster.configure(1, route("job", resumable=True, **STREAM))
 
 
+async def wait_for_record(cluster):
+    while "versions/job" not in cluster.store.items:
+        await asyncio.sleep(0.05)
+
+
 class Caller:
     """Begins a stream at one gateway, and takes it up at another."""
 
@@ -209,6 +214,23 @@
     run_with_cluster(tmp_path, check)
 
 
+def test_a_stream_without_a_name_goes_on_while_the_store_is_away(tmp_path):
+    """Guards against refusals of all streams in an outage, without a release."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1")
+        first, second = await cluster.gateway("g1"), await cluster.gateway("g2")
+        await second.wait_for_event("peer_connected")
+        await wait_for_record(cluster)
+        cluster.store.faults.unavailable = True
+        await second.wait_for_event("store_lost")
+        caller = Caller(0)
+        await caller.begin(first)
+        assert await caller.take_up(second, resumes="") == 200
+
+    run_with_cluster(tmp_path, check)
+
+
 def test_a_version_that_has_just_gone_is_remembered(tmp_path):
     """Guards against a new gateway that no longer sees the version of a stream."""
 
