The last gateways of a quick roll serve until another one does, for 3 s at most

Callers: in a roll of all gateways in 3.5 s, each refused what came 2.3 s after its signal, also while every other one was leaving too; callers came back to the next that refused them. The soak rolls all gateways while the store does not answer, and gives them seeds.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -66,6 +66,9 @@
 # How long the balancer may still send requests to a stopping gateway, in seconds. It
 # checks readiness once a second and stops after two failed checks.
 BALANCER_DRAIN_S = 2.3
+# The same while no other gateway takes requests, in seconds. What comes later
+# might not end within the grace period.
+ALONE_DRAIN_S = 3.0
 # The part of the grace period that is reserved for closing connections, in seconds.
 CLOSE_MARGIN_S = 0.5
 # Unsent requests are refused when this much of the grace period is left, in seconds.
@@ -112,6 +115,7 @@
     caller_server: web.Server
     coordination: Coordination
     origins: StreamOriginTracker
+    peers: PeerDirectory
     ports: Mapping[str, int]
 
 
@@ -232,6 +236,7 @@
         caller_server,
         coordination,
         origins,
+        peers,
         ports,
     )
 
@@ -323,18 +328,22 @@
     failed connection. Kept-alive connections are closed after their next response.
     Requests not sent to any endpoint are refused before the grace period ends.
     """
+    loop = asyncio.get_running_loop()
+    started = loop.time()
     gateway.connections.note_leaving()
     gateway.executor.stop_running_jobs()
     gateway.origins.leave()
     await asyncio.gather(
         gateway.coordination.store.deregister(), asyncio.sleep(BALANCER_DRAIN_S)
     )
+    # All gateways may leave together, as in a quick roll. Callers that are refused come
+    # back to another one that refuses them, until the first has started again.
+    while not gateway.peers.alive and loop.time() < started + ALONE_DRAIN_S:
+        await asyncio.sleep(POLL_INTERVAL_S)
     gateway.caller_handler.close()
-    refuse_at = (
-        asyncio.get_running_loop().time() + grace_s - BALANCER_DRAIN_S - REFUSE_MARGIN_S
-    )
+    refuse_at = started + grace_s - REFUSE_MARGIN_S
     while gateway.caller_handler.open_responses or gateway.executor.in_flight:
-        if asyncio.get_running_loop().time() >= refuse_at:
+        if loop.time() >= refuse_at:
             gateway.executor.refuse_unsent()
         await asyncio.sleep(POLL_INTERVAL_S)
     gateway.caller_server.pre_shutdown()
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -63,6 +63,26 @@
     run_with_cluster(tmp_path, check)
 
 
+def test_the_last_gateways_serve_longer_when_all_leave_together(tmp_path):
+    """Guards against a roll in which each gateway sends its callers to the others."""
+
+    async def check(cluster):
+        await cluster.endpoint("e", "job", lambda r: [complete_response(r)])
+        cluster.configure(1, route("job"))
+        gateways = [await cluster.gateway(f"g{n}") for n in range(2)]
+        await gateways[0].wait_for_event("peer_connected")
+        loop = asyncio.get_running_loop()
+        end = loop.time() + 2.8
+        for gateway in gateways:
+            gateway.process.send(signal.SIGTERM)
+        while loop.time() < end:
+            for gateway in gateways:
+                assert (await gateway.call("/job/"))[0] == 200
+            await asyncio.sleep(0.1)
+
+    run_with_cluster(tmp_path, check)
+
+
 def test_unsent_requests_are_refused_before_the_process_ends(tmp_path):
     """
     Guards against a connection that is closed without a response. The request still
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,8 @@
 ENDPOINT_FAULTS = ("refuse", "reset before", "reset after", "twice", "hang")
 # Shortest and longest duration of a fault, in seconds.
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 2.5
+# Longest time between two stops of a roll, in seconds.
+MAX_ROLL_INTERVAL_S = 0.7
 # Longest time between two signals to a gateway that is stopping, in seconds.
 MAX_SIGNAL_INTERVAL_S = 0.3
 
@@ -79,6 +81,24 @@
     await _store_fault(run, random, "unavailable")
 
 
+@fault
+async def roll_in_outage(run, random, name):
+    """Stop all gateways that have no fault, one after the other, without the store."""
+    outage = asyncio.create_task(
+        _store_fault(run, random, random.choice(("unavailable", "unanswered_watches")))
+    )
+    names = [name for name in run.names if name not in run.faulted]
+    run.faulted.update(names)
+    rolls = []
+    for rolled in names:
+        rolls.append(asyncio.create_task(planned_stop(run, random, rolled)))
+        await asyncio.sleep(MAX_ROLL_INTERVAL_S * random.random())
+    try:
+        await asyncio.gather(outage, *rolls)
+    finally:
+        run.faulted.difference_update(names)
+
+
 @fault
 async def store_answers_lost(run, random, name):
     await _store_fault(run, random, "lost_responses")
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -14,6 +14,8 @@
 from tests.soak.endpoints import EndpointScript, RunRecords
 
 DEFAULT_GATEWAYS = 3
+# Number of gateways that the others ask at their start if the store does not answer.
+SEEDS = 3
 DATA_CENTRES = ("cluj-a", "iasi-a")
 STAGES = [
     {"service": "first", "after": [], "sizeBytes": 1000},
@@ -139,6 +141,7 @@
             ready_address=ready,
             peer_address=peer,
             stop_grace=GRACE_S,
+            seeds=[self._addresses[seed][2] for seed in self.names[:SEEDS]],
         )
 
     async def stop_gateway(self, name):
