--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from tests.soak.callers import Callers
-from tests.soak.faults import FAULTS
+from tests.soak.faults import FAULTS, roll_in_outage
 from tests.soak.soak_run import DEFAULT_GATEWAYS, open_soak
 
 CONCURRENCY = 12
@@ -32,14 +32,21 @@
 SERVED_SHARE = 0.95
 
 
-async def run_soak(seed, seconds, folder, gateways=DEFAULT_GATEWAYS):
-    """Run one seed; return the violations and the number of responses by status."""
+async def run_soak(seed, seconds, folder, gateways=DEFAULT_GATEWAYS, rolls=0):
+    """
+    Run one seed; return the violations and the number of responses by status.
+
+    All gateways are also stopped in turn ``rolls`` times while the store is away. These
+    rolls have random numbers of their own, and leave the other faults of a seed alone.
+    """
     random = Random(seed)
     async with open_soak(folder, gateways) as run:
         callers = Callers(run, Random(random.random()))
         loop = asyncio.get_running_loop()
         calling = asyncio.create_task(callers.run(CONCURRENCY, loop.time() + seconds))
+        rolling = asyncio.create_task(_roll(run, Random(seed), seconds, rolls))
         await _inject_faults(run, random, loop.time() + seconds)
+        await rolling
         await calling
         await _check_recovery(run, random)
         check_records(run, callers)
@@ -56,6 +63,12 @@
     await asyncio.gather(*tasks)
 
 
+async def _roll(run, random, seconds, rolls):
+    for _ in range(rolls):
+        await asyncio.sleep(random.random() * seconds / rolls)
+        await roll_in_outage(run, random)
+
+
 async def _inject(run, random):
     fault = FAULTS[random.choice(sorted(FAULTS))]
     name = random.choice(run.names)
@@ -141,12 +154,22 @@
     parser.add_argument(
         "--gateways", type=int, default=DEFAULT_GATEWAYS, help="number of gateways"
     )
+    parser.add_argument(
+        "--rolls",
+        type=int,
+        default=0,
+        help="number of times that all gateways stop in turn without the store",
+    )
     arguments = parser.parse_args()
     has_violations = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         with tempfile.TemporaryDirectory() as folder:
             coroutine = run_soak(
-                seed, arguments.seconds, Path(folder), arguments.gateways
+                seed,
+                arguments.seconds,
+                Path(folder),
+                arguments.gateways,
+                arguments.rolls,
             )
             violations, statuses = asyncio.run(coroutine)
         has_violations |= bool(violations)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -81,8 +81,7 @@
     await _store_fault(run, random, "unavailable")
 
 
-@fault
-async def roll_in_outage(run, random, name):
+async def roll_in_outage(run, random):
     """Stop all gateways that have no fault, one after the other, without the store."""
     outage = asyncio.create_task(
         _store_fault(run, random, random.choice(("unavailable", "unanswered_watches")))
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -13,6 +13,8 @@
     9603: "an engine was sent a request whose inputs had just been released",
     11: "has not failed",
 }
+# The same with all gateways stopped in turn while the store is away.
+ROLL_SEEDS = {9901: "has not failed"}
 
 
 @pytest.mark.parametrize("seed", SEEDS)
@@ -24,3 +26,11 @@
     violations, statuses = run_async(run_soak(seed, SECONDS, tmp_path))
     assert violations == []
     assert statuses[200] > 100
+
+
+@pytest.mark.parametrize("seed", ROLL_SEEDS)
+def test_guarantees_hold_while_all_gateways_stop_in_turn(seed, tmp_path):
+    """Guards against a roll beside an outage that leaves no gateway with the state."""
+    violations, statuses = run_async(run_soak(seed, SECONDS, tmp_path, rolls=1))
+    assert violations == []
+    assert statuses[200] > 100
