A restarted sidecar is bound to although its last report said that it leaves

Callers got 503 for tokens while the only sidecar that ran counted as leaving, until the next poll (2 s).

--- a/packages/daemon/src/amaranthtally/daemon/entry/binder.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/binder.py
@@ -156,9 +156,12 @@
         # ended could not run, and nothing could confirm that it has not run.
         for endpoint in ranked[:MAX_BIND_ATTEMPTS]:
             try:
-                return await self._outcome_querier.bind(label, endpoint)
+                binding = await self._outcome_querier.bind(label, endpoint)
             except PeerLostError as error:
                 log.info("bind_failed", endpoint=endpoint.id, cause=str(error))
+                continue
+            if not self._outcome_querier.loads[endpoint.id].leaving:
+                return binding
         loads = self._outcome_querier.loads
         log.warning(
             "bind_impossible",
--- a/packages/policy/src/amaranthtally/policy/at_most_once.py
+++ b/packages/policy/src/amaranthtally/policy/at_most_once.py
@@ -241,22 +241,24 @@
     Return a pool's endpoints that calls may be bound to, best first.
 
     Endpoints in ``region`` come first, then those with the least backlog. ``turn``
-    rotates the order of equal ones, to spread the calls over them.
+    rotates the order of equal ones, to spread the calls over them. Those that reported
+    that they leave come last: one that has restarted since is known only by the next
+    answer, and may be the only one that runs.
     """
     usable = [
         endpoint
         for endpoint in sorted(endpoints, key=lambda e: e.id)
-        if endpoint.pool == pool
-        and endpoint.takes_calls
-        and not (endpoint.id in loads and loads[endpoint.id].leaving)
+        if endpoint.pool == pool and endpoint.takes_calls
     ]
     if not usable:
         return []
     first = turn % len(usable)
     rotated = usable[first:] + usable[:first]
 
-    def cost(endpoint: Endpoint) -> tuple[bool, float]:
+    def cost(endpoint: Endpoint) -> tuple[bool, bool, float]:
         load = loads.get(endpoint.id)
-        return endpoint.region != region, load.backlog_s if load else 0.0
+        if load is None:
+            return False, endpoint.region != region, 0.0
+        return load.leaving, endpoint.region != region, load.backlog_s
 
     return sorted(rotated, key=cost)
--- a/tests/at_most_once/test_handover.py
+++ b/tests/at_most_once/test_handover.py
@@ -122,3 +122,19 @@
             assert len(await effects(deployment)) == len(outputs)
 
     run_async(scenario())
+
+
+def test_a_restarted_sidecar_is_bound_to_although_it_is_known_as_leaving():
+    """Guards against 503 for a token while the only running sidecar counts as gone."""
+
+    async def scenario():
+        async with effects_deployment() as deployment:
+            await connect_all(deployment)
+            first, second = deployment.pool("dispatch")
+            assert await first.sidecar.stop() == 0
+            await second.sidecar.kill()
+            await restart_sidecar(deployment, first)
+            for entry in range(len(deployment.entries)):
+                assert await new_token(deployment, entry)
+
+    run_async(scenario())
