--- a/bench/decision_cost.py
+++ b/bench/decision_cost.py
@@ -18,20 +18,21 @@
 import msgspec
 
 from amaranthtally.policy import Planner
+from amaranthtally.policy.piece_events import PieceEvents
 from amaranthtally.simulator.days import simulate
 from amaranthtally.simulator.deployment import Fault, read_deployment
 
 EXAMPLE = Path(__file__).parent.parent / "examples" / "experiments" / "fleet.toml"
-EVENTS = (
-    "request_arrived",
-    "reply",
-    "progress",
-    "jobs_submitted",
-    "pieces_ended",
-    "reports_received",
-    "results_freed",
-    "tick",
-)
+EVENTS: dict[str, type[Planner | PieceEvents]] = {
+    "request_arrived": Planner,
+    "reply": Planner,
+    "progress": Planner,
+    "jobs_submitted": PieceEvents,
+    "call_ended": PieceEvents,
+    "reports_received": PieceEvents,
+    "results_freed": PieceEvents,
+    "tick": Planner,
+}
 BURST_S = 20.0
 SEED = 1
 MICRO = 1e6
@@ -45,19 +46,20 @@
         self._spent_s: dict[tuple[str, int], float] = defaultdict(float)
 
     def measure(self, event: str) -> None:
-        """Wrap a method of ``Planner`` to measure its calls."""
-        method: Callable[..., Any] = getattr(Planner, event)
+        """Wrap the method that handles an event to measure its calls."""
+        method: Callable[..., Any] = getattr(EVENTS[event], event)
 
         @wraps(method)
-        def measured(planner: Planner, *args: Any, **options: Any) -> Any:
-            key = (event, planner.pieces_waiting.bit_length())
+        def measured(target: Planner | PieceEvents, *args: Any, **options: Any) -> Any:
+            pieces = target.pieces if isinstance(target, Planner) else target
+            key = (event, pieces.waiting.bit_length())
             started_at = time.process_time()
-            result = method(planner, *args, **options)
+            result = method(target, *args, **options)
             self._counts[key] += 1
             self._spent_s[key] += time.process_time() - started_at
             return result
 
-        setattr(Planner, event, measured)
+        setattr(EVENTS[event], event, measured)
 
     def row(self, event: str) -> str:
         """Return the table row of an event."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -100,7 +100,7 @@
     @property
     def pieces_waiting(self) -> int:
         """Number of pieces that are queued here, for any gateway's requests."""
-        return self._planner.pieces_waiting
+        return self._planner.pieces.waiting
 
     @property
     def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
@@ -138,13 +138,14 @@
     @property
     def peers_to_probe(self) -> frozenset[str]:
         """The gateways to probe: those that run jobs of this one, and failed ones."""
-        return self._planner.awaited_peers | self._planner.unavailable_peers(
-            self._time()
+        return (
+            self._planner.pieces.awaited_peers
+            | self._planner.pieces.unavailable_peers(self._time())
         )
 
     def stop_running_jobs(self) -> None:
         """Stop running jobs of other gateways, because this one is leaving."""
-        self._decisions.carry_out(self._planner.entry_leaving(self._time()))
+        self._decisions.carry_out(self._planner.pieces.leave(self._time()))
 
     def refuse_unsent(self) -> None:
         """Refuse all requests not sent to any endpoint, as the process is ending."""
@@ -170,7 +171,7 @@
 
     def _is_busy(self) -> bool:
         # Queued and running jobs of other gateways need frequent ticks too.
-        return bool(self._calls) or self._planner.has_pieces
+        return bool(self._calls) or self._planner.pieces.is_busy
 
     # Results of calls
 
@@ -222,44 +223,48 @@
 
     def pieces_ended(self, call: int, result: PiecesEnded) -> None:
         """Pass the end of a call with pieces to the policy."""
-        actions = self._planner.pieces_ended(self._time(), call, result)
+        actions = self._planner.pieces.call_ended(self._time(), call, result)
         self._decisions.carry_out(actions)
 
     # Events from peers
 
     def peers_changed(self, peers: Sequence[Peer]) -> None:
         """Pass the set of other live gateways to the policy."""
-        self._decisions.carry_out(self._planner.peers_changed(self._time(), peers))
+        self._planner.pieces.replace_peers(peers)
 
     def peer_failed(self, peer: str) -> None:
         """Report to the policy that a gateway did not answer."""
-        self._decisions.carry_out(self._planner.peer_failed(self._time(), peer))
+        self._decisions.carry_out(self._planner.pieces.peer_failed(self._time(), peer))
 
     def peer_recovered(self, peer: str) -> None:
         """Report to the policy that a failed gateway answers and runs jobs again."""
-        if peer not in self._planner.unavailable_peers(self._time()):
+        if peer not in self._planner.pieces.unavailable_peers(self._time()):
             return
         log.info("peer_back", peer=peer)
-        self._decisions.carry_out(self._planner.peer_recovered(self._time(), peer))
+        self._planner.pieces.peer_recovered(peer)
 
     def jobs_submitted(self, submitter: str, jobs: Sequence[PieceJob]) -> None:
         """Pass the jobs that another gateway submits to the policy."""
         self._decisions.wake()
-        actions = self._planner.jobs_submitted(self._time(), submitter, jobs)
+        actions = self._planner.pieces.jobs_submitted(self._time(), submitter, jobs)
         self._decisions.carry_out(actions)
 
     def reports_received(self, reports: Sequence[PieceReport]) -> None:
         """Pass another gateway's reports on submitted jobs to the policy."""
-        self._decisions.carry_out(self._planner.reports_received(self._time(), reports))
+        self._decisions.carry_out(
+            self._planner.pieces.reports_received(self._time(), reports)
+        )
 
     def results_not_released(self, results: Sequence[StoredResult]) -> None:
         """Free results at their endpoints, as their release did not reach a peer."""
-        self._decisions.carry_out(self._planner.results_freed(self._time(), results))
+        self._decisions.carry_out(
+            self._planner.pieces.results_freed(self._time(), results)
+        )
 
     def results_freed(self, results: Sequence[StoredResult], ended: str) -> None:
         """Pass another gateway's release of results to the policy."""
         self._decisions.carry_out(
-            self._planner.results_freed(self._time(), results, ended)
+            self._planner.pieces.results_freed(self._time(), results, ended)
         )
 
     # Actions
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/piece_events.py
@@ -0,0 +1,96 @@
+"""The events of pieces, and of the other entries that run some of them."""
+
+from collections.abc import Callable, Iterable
+
+from amaranthtally.policy.actions import Action
+from amaranthtally.policy.piece_coordinator import (
+    CoordinatorEffects,
+    PieceCoordinator,
+)
+from amaranthtally.policy.piece_graph import StoredResult
+from amaranthtally.policy.piece_messages import PieceJob, PieceReport, PiecesEnded
+from amaranthtally.policy.pool_sites import Peer
+
+__all__ = ["PieceEvents"]
+
+
+class PieceEvents:
+    """
+    Passes events on to the coordinator of pieces.
+
+    Each event method takes the current time and returns the actions to execute.
+    ``apply`` turns what an event means for requests into actions.
+    """
+
+    def __init__(
+        self,
+        coordinator: PieceCoordinator,
+        apply: Callable[[float, CoordinatorEffects], list[Action]],
+    ) -> None:
+        self._coordinator = coordinator
+        self._apply = apply
+
+    @property
+    def is_busy(self) -> bool:
+        """Whether pieces are queued or running here, for any entry's requests."""
+        return self._coordinator.batcher.is_busy
+
+    @property
+    def waiting(self) -> int:
+        """Number of pieces that are queued here, for any entry's requests."""
+        return self._coordinator.batcher.queued_count
+
+    @property
+    def awaited_peers(self) -> frozenset[str]:
+        """The entries that currently run jobs submitted by this one."""
+        return self._coordinator.awaited_peers
+
+    def unavailable_peers(self, now: float) -> frozenset[str]:
+        """Return the live entries that get no jobs because they have failed."""
+        return self._coordinator.unavailable_peers(now)
+
+    # Pieces
+
+    def call_ended(self, now: float, call: int, end: PiecesEnded) -> list[Action]:
+        """Handle the end of a call with pieces."""
+        return self._apply(now, self._coordinator.call_ended(now, call, end))
+
+    def jobs_submitted(
+        self, now: float, submitter: str, jobs: Iterable[PieceJob]
+    ) -> list[Action]:
+        """Accept jobs from another entry."""
+        return self._apply(now, self._coordinator.accept_jobs(now, submitter, jobs))
+
+    def reports_received(
+        self, now: float, reports: Iterable[PieceReport]
+    ) -> list[Action]:
+        """Handle another entry's reports on jobs that were submitted to it."""
+        return self._apply(now, self._coordinator.take_reports(now, reports))
+
+    def results_freed(
+        self, now: float, results: Iterable[StoredResult], ended: str = ""
+    ) -> list[Action]:
+        """
+        Release results that another entry no longer needs.
+
+        ``ended`` is the id of a request that has ended there, if any.
+        """
+        return self._coordinator.free_for_peer(now, results, ended)
+
+    # Entries
+
+    def replace_peers(self, peers: Iterable[Peer]) -> None:
+        """Replace the set of other live entries."""
+        self._coordinator.replace_peers(peers)
+
+    def leave(self, now: float) -> list[Action]:
+        """Stop running jobs of other entries, because this entry is leaving."""
+        return self._apply(now, self._coordinator.leave(now))
+
+    def peer_failed(self, now: float, peer: str) -> list[Action]:
+        """Submit no jobs for a while to an entry that did not answer."""
+        return self._apply(now, self._coordinator.peer_failed(now, peer))
+
+    def peer_recovered(self, peer: str) -> None:
+        """Submit jobs again to an entry that has answered and runs jobs."""
+        self._coordinator.peer_recovered(peer)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -1,6 +1,5 @@
 """The decisions of an entry: admission, routing, retries, hedges and answers."""
 
-from collections.abc import Iterable
 from random import Random
 
 from amaranthtally.policy.actions import (
@@ -27,10 +26,9 @@
 from amaranthtally.policy.model import AttemptId, PolicySettings
 from amaranthtally.policy.outcome_recorder import OutcomeRecorder
 from amaranthtally.policy.piece_coordinator import CoordinatorEffects
+from amaranthtally.policy.piece_events import PieceEvents
 from amaranthtally.policy.piece_graph import StoredResult
-from amaranthtally.policy.piece_messages import PieceJob, PieceReport, PiecesEnded
 from amaranthtally.policy.planner_components import PlannerComponents
-from amaranthtally.policy.pool_sites import Peer
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.request_ledger import Counters, RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
@@ -89,6 +87,7 @@
         self._streams = StreamMonitor(self._times, self._loads)
         self._coordinator = components.coordinator()
         self._first_event_times = FirstEventTimes()
+        self._pieces = PieceEvents(self._coordinator, self._apply_effects)
         self._inputs = components.inputs(random, self._coordinator, self._times)
         self._outcome_recorder = OutcomeRecorder(
             self._times,
@@ -112,21 +111,16 @@
         )
         self._configure(0.0, settings)
 
+    @property
+    def pieces(self) -> PieceEvents:
+        """The events of pieces and of the other entries, which run some of them."""
+        return self._pieces
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were admitted and have not ended."""
         return len(self._ledger)
 
-    @property
-    def has_pieces(self) -> bool:
-        """Whether pieces are queued or running here, for any entry's requests."""
-        return self._coordinator.batcher.is_busy
-
-    @property
-    def pieces_waiting(self) -> int:
-        """Number of pieces that are queued here, for any entry's requests."""
-        return self._coordinator.batcher.queued_count
-
     @property
     def counters(self) -> Counters:
         """Totals since the start."""
@@ -162,61 +156,6 @@
             return self._compute_inputs(now, request, arrival.piece_work)
         return self._start_stage(now, request)
 
-    def pieces_ended(self, now: float, call: int, end: PiecesEnded) -> list[Action]:
-        """Handle the end of a call with pieces."""
-        return self._apply_effects(now, self._coordinator.call_ended(now, call, end))
-
-    def jobs_submitted(
-        self, now: float, submitter: str, jobs: Iterable[PieceJob]
-    ) -> list[Action]:
-        """Accept jobs from another entry."""
-        return self._apply_effects(
-            now, self._coordinator.accept_jobs(now, submitter, jobs)
-        )
-
-    def reports_received(
-        self, now: float, reports: Iterable[PieceReport]
-    ) -> list[Action]:
-        """Handle another entry's reports on jobs that were submitted to it."""
-        return self._apply_effects(now, self._coordinator.take_reports(now, reports))
-
-    def results_freed(
-        self, now: float, results: Iterable[StoredResult], ended: str = ""
-    ) -> list[Action]:
-        """
-        Release results that another entry no longer needs.
-
-        ``ended`` is the id of a request that has ended there, if any.
-        """
-        return self._coordinator.free_for_peer(now, results, ended)
-
-    def peers_changed(self, now: float, peers: Iterable[Peer]) -> list[Action]:
-        """Replace the set of other live entries."""
-        self._coordinator.replace_peers(peers)
-        return []
-
-    @property
-    def awaited_peers(self) -> frozenset[str]:
-        """The entries that currently run jobs submitted by this one."""
-        return self._coordinator.awaited_peers
-
-    def unavailable_peers(self, now: float) -> frozenset[str]:
-        """Return the live entries that get no jobs because they have failed."""
-        return self._coordinator.unavailable_peers(now)
-
-    def entry_leaving(self, now: float) -> list[Action]:
-        """Stop running jobs of other entries, because this entry is leaving."""
-        return self._apply_effects(now, self._coordinator.leave(now))
-
-    def peer_failed(self, now: float, peer: str) -> list[Action]:
-        """Submit no jobs for a while to an entry that did not answer."""
-        return self._apply_effects(now, self._coordinator.peer_failed(now, peer))
-
-    def peer_recovered(self, now: float, peer: str) -> list[Action]:
-        """Submit jobs again to an entry that has answered and runs jobs."""
-        self._coordinator.peer_recovered(peer)
-        return []
-
     def reply(
         self, now: float, attempt: AttemptId, result: AttemptResult
     ) -> list[Action]:
--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -144,7 +144,7 @@
         """Accept no more callers, and compute no more pieces for other entries."""
         self.leaving = True
         self.execute(
-            lambda: self._execute_actions(self.planner.entry_leaving(self.clock.now))
+            lambda: self._execute_actions(self.planner.pieces.leave(self.clock.now))
         )
 
     # Callers
@@ -196,16 +196,13 @@
 
     def peers_changed(self, peers: Sequence[Peer]) -> None:
         """Apply the current list of live entries."""
-        self.execute(
-            lambda: self._execute_actions(
-                self.planner.peers_changed(self.clock.now, peers)
-            )
-        )
+        self.execute(lambda: self.planner.pieces.replace_peers(peers))
 
     def _check_peers(self) -> None:
         now = self.clock.now
         for name in sorted(
-            self.planner.awaited_peers | self.planner.unavailable_peers(now)
+            self.planner.pieces.awaited_peers
+            | self.planner.pieces.unavailable_peers(now)
         ):
             peer = self._environment.peer(name)
             if (
@@ -214,8 +211,8 @@
                 and self.reaches(peer.data_centre)
             ):
                 if not peer.leaving:
-                    self._execute_actions(self.planner.peer_recovered(now, name))
-            elif name in self.planner.awaited_peers:
+                    self.planner.pieces.peer_recovered(name)
+            elif name in self.planner.pieces.awaited_peers:
                 self._peer_failed(name)
         self.call_later(PEER_CHECK_INTERVAL_S, self._check_peers)
 
@@ -228,7 +225,7 @@
 
     def _tick(self) -> None:
         self._execute_actions(self.planner.tick(self.clock.now))
-        self._ticking = bool(self._live) or self.planner.has_pieces
+        self._ticking = bool(self._live) or self.planner.pieces.is_busy
         if self._ticking:
             self.call_later(GATEWAY_TICK_S, self._tick)
 
@@ -276,7 +273,9 @@
     def _pieces_ended(self, call: int, end: PiecesEnded) -> None:
         if call in self._calls:
             self._calls.remove(call)
-            self._execute_actions(self.planner.pieces_ended(self.clock.now, call, end))
+            self._execute_actions(
+                self.planner.pieces.call_ended(self.clock.now, call, end)
+            )
 
     def _free_results(self, action: FreeResults) -> None:
         server = self._environment.server(action.endpoint)
@@ -322,25 +321,27 @@
         )
 
     def _peer_failed(self, name: str) -> None:
-        self._execute_actions(self.planner.peer_failed(self.clock.now, name))
+        self._execute_actions(self.planner.pieces.peer_failed(self.clock.now, name))
 
     def submit_jobs(self, submitter: str, action: SubmitToPeer) -> None:
         """Accept piece jobs that another entry submits."""
         self._start_ticking()
         self._execute_actions(
-            self.planner.jobs_submitted(self.clock.now, submitter, action.jobs)
+            self.planner.pieces.jobs_submitted(self.clock.now, submitter, action.jobs)
         )
 
     def report_outcomes(self, action: ReportToPeer) -> None:
         """Apply the outcomes of jobs that were submitted to another entry."""
         self._execute_actions(
-            self.planner.reports_received(self.clock.now, action.reports)
+            self.planner.pieces.reports_received(self.clock.now, action.reports)
         )
 
     def release_results(self, action: FreeAtPeer) -> None:
         """Release results that are no longer needed."""
         self._execute_actions(
-            self.planner.results_freed(self.clock.now, action.results, action.ended)
+            self.planner.pieces.results_freed(
+                self.clock.now, action.results, action.ended
+            )
         )
 
 
--- a/tests/policy/test_caller_departures.py
+++ b/tests/policy/test_caller_departures.py
@@ -93,7 +93,7 @@
     (call,) = [a for a in slow.planner.tick(now + 0.1) if isinstance(a, RunPieces)]
     late = now + DEADLINE_S - 0.5 * engine_s
     end = PiecesEnded(outcomes=(PieceOutcome(handle="h"),))
-    (refusal,) = refusals(slow.planner.pieces_ended(late, call.call, end))
+    (refusal,) = refusals(slow.planner.pieces.call_ended(late, call.call, end))
     assert (refusal.reason, refusal.outcome) == (
         RefusalReason.OVERLOAD,
         RequestOutcome.NOT_RUN,
--- a/tests/policy/test_request_inputs.py
+++ b/tests/policy/test_request_inputs.py
@@ -22,7 +22,7 @@
     driver.arrive(NOW - 0.5, piece_work=work)
     (call,) = [a for a in driver.planner.tick(NOW - 0.4) if isinstance(a, RunPieces)]
     end = PiecesEnded(outcomes=(PieceOutcome(handle="h"),))
-    (send,) = sends(driver.apply(driver.planner.pieces_ended(NOW, call.call, end)))
+    (send,) = sends(driver.apply(driver.planner.pieces.call_ended(NOW, call.call, end)))
     return send
 
 
