A version that came back is not dropped from the record as it goes again

The absence of a version was only ended when this gateway was asked what to record, which only the writer is: one that became the writer later counted an old absence, dropped a version that had gone a second before, and an unknown stream of it could have gone on at the other one. Absences end where endpoints are observed, which every gateway does. Test: an_absence_ends_although_nobody_asks (failed before). Without a change of behaviour: note_leaving no longer builds the list of all live entries for each greeting.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -92,8 +92,10 @@
         """Write due records until cancelled."""
         while True:
             await asyncio.sleep(CHECK_INTERVAL_S)
+            # Also while another gateway writes: a version that came back and went would
+            # otherwise count as absent all the while once this one writes.
+            self._observe()
             if self._is_writer and self._is_connected():
-                self._observe()
                 await self._write_due()
 
     # Items of the store
--- a/packages/policy/src/amaranthtally/policy/peer_directory.py
+++ b/packages/policy/src/amaranthtally/policy/peer_directory.py
@@ -118,7 +118,7 @@
         Its address is retained: it still answers, and may be the only one that knows
         the state of a registry that is unavailable.
         """
-        was_alive = name in self.alive
+        was_alive = name in self._registered or name in self._unconfirmed
         self._registered.pop(name, None)
         self._unconfirmed.pop(name, None)
         self._known[name] = record
--- a/packages/policy/src/amaranthtally/policy/version_history.py
+++ b/packages/policy/src/amaranthtally/policy/version_history.py
@@ -34,6 +34,7 @@
         versions: dict[str, set[str]] = {}
         for endpoint in endpoints:
             versions.setdefault(endpoint.pool, set()).add(endpoint.version)
+            self._absent_since.pop((endpoint.pool, endpoint.version), None)
         self._registered = {pool: frozenset(found) for pool, found in versions.items()}
 
     def replace_recorded(self, recorded: Mapping[str, PoolVersions]) -> None:
@@ -61,8 +62,6 @@
         registered = self._registered.get(pool, NO_VERSIONS)
         if not registered:
             return None
-        for version in registered:
-            self._absent_since.pop((pool, version), None)
         kept = {v for v in recorded - registered if not self._is_retired(now, pool, v)}
         due = registered | kept
         return due if due != recorded else None
--- a/tests/policy/test_version_history.py
+++ b/tests/policy/test_version_history.py
@@ -71,6 +71,16 @@
     assert history.due_record(LONG_S, POOL) is None
 
 
+def test_an_absence_ends_although_nobody_asks_what_to_record_meanwhile():
+    """Guards against a version that is dropped as it goes, after it had come back."""
+    history = recorded_history("v1", "v2")
+    history.observe(registered("v2"))
+    assert history.due_record(0.0, POOL) is None
+    history.observe(registered("v1", "v2"))
+    history.observe(registered("v2"))
+    assert history.due_record(LONG_S, POOL) is None
+
+
 def test_a_pool_without_endpoints_keeps_its_record():
     """Guards against a record that an outage of the registry wipes out."""
     history = recorded_history("v1")
