--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -70,6 +70,7 @@
         self._metrics = metrics
         self._endpoints: Mapping[str, Endpoint] = settings.endpoints
         self._calls: dict[str, LiveCall] = {}
+        self._rate_limits: dict[str, float] = {}
         self._endpoint_calls = EndpointCalls(session, self)
         self._piece_calls = PieceCalls(session, self.pieces_ended, metrics)
         self._connections: PeerConnections | None = None
@@ -193,6 +194,16 @@
         actions = self._planner.load_report(self._time(), endpoint, report)
         self._decisions.carry_out(actions)
 
+    def rate_limit_received(self, endpoint: str, limit: float | None) -> None:
+        """Log that an endpoint names another limit than before, or none any more."""
+        if limit == self._rate_limits.get(endpoint):
+            return
+        if limit is None:
+            del self._rate_limits[endpoint]
+        else:
+            self._rate_limits[endpoint] = limit
+        log.info("rate_limit_changed", endpoint=endpoint, limit=limit, source="answer")
+
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
         """Note where a call's stream began, unless it goes on with an earlier one."""
         call.origin = call.origin or origin
@@ -292,8 +303,11 @@
             version=endpoint.version if endpoint else "",
             after=call.last_event or call.caller.last_event,
             hedge=send.hedge,
+            limit=self._rate_limits.get(send.endpoint, ""),
             left_ms=round((send.deadline - self._time()) * 1000),
         )
+        if send.endpoint in self._rate_limits:
+            self._metrics.limited_attempt_sent(endpoint.pool if endpoint else "")
         # Read the inputs now, before the planner handles the next event. The planner
         # may then free them before the task below starts, and the engine would get a
         # request without its inputs.
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -25,6 +25,10 @@
     fate: str
 
 
+class _PoolLabels(NamedTuple):
+    pool: str
+
+
 class _ResumptionLabels(NamedTuple):
     source: str
 
@@ -65,6 +69,7 @@
     def __init__(self) -> None:
         self._request_tally: Tally[_RequestLabels] = Tally()
         self._attempt_tally: Tally[_CallLabels] = Tally()
+        self._limited_tally: Tally[_PoolLabels] = Tally()
         self._piece_tally: Tally[_CallLabels] = Tally()
         self._resumption_tally: Tally[_ResumptionLabels] = Tally()
         self._transfer_tally: Tally[_TransferLabels] = Tally()
@@ -75,6 +80,10 @@
         self._attempts = Counter(
             "amaranthtally_attempts_total", "Ended attempts by pool and fate."
         )
+        self._limited_attempts = Counter(
+            "amaranthtally_limited_attempts_total",
+            "Attempts sent to endpoints that name a rate limit, by pool.",
+        )
         self._pieces = Counter(
             "amaranthtally_pieces_total", "Pieces in ended calls by pool and fate."
         )
@@ -122,6 +131,10 @@
         """Count an ended attempt at an endpoint."""
         self._attempt_tally[_CallLabels(pool, outcome)] += 1
 
+    def limited_attempt_sent(self, pool: str) -> None:
+        """Count an attempt that is sent to an endpoint with a rate limit."""
+        self._limited_tally[_PoolLabels(pool)] += 1
+
     def pieces_ended(
         self, pool: str, outcome: str, pieces: int, seconds: float
     ) -> None:
@@ -145,6 +158,8 @@
             self._requests.set(request._asdict(), count)
         for attempt, count in self._attempt_tally.items():
             self._attempts.set(attempt._asdict(), count)
+        for limited, count in self._limited_tally.items():
+            self._limited_attempts.set(limited._asdict(), count)
         for piece, count in self._piece_tally.items():
             self._pieces.set(piece._asdict(), count)
         for resumption, count in self._resumption_tally.items():
