Endpoints that name a rate limit get no more than it from all gateways together

Cause: no decision read the header; and no gateway alone can keep to a number that is meant for all. Ruled out: a part of the limit for each gateway (unused, or too little where the callers are).

--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -18,10 +18,12 @@
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
+from amaranthtally.daemon.gateway.rate_limit_exchange import RateLimitExchange
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     GATEWAY_TICK_S,
     Answer as AnswerAction,
+    AskPermits,
     AttemptId,
     AttemptOutcome,
     AttemptResult,
@@ -38,12 +40,14 @@
     PolicySettings,
     PollLoad,
     QueryAttempt,
+    RateLimitChanged,
     RefusalReason,
     Refuse,
     ReportToPeer,
     RequestOutcome,
     RunPieces,
     Send,
+    SpreadRateLimits,
     StoredResult,
     StreamOrigin,
     SubmitToPeer,
@@ -70,11 +74,18 @@
         self._metrics = metrics
         self._endpoints: Mapping[str, Endpoint] = settings.endpoints
         self._calls: dict[str, LiveCall] = {}
-        self._rate_limits: dict[str, float] = {}
         self._endpoint_calls = EndpointCalls(session, self)
-        self._piece_calls = PieceCalls(session, self.pieces_ended, metrics)
+        self._piece_calls = PieceCalls(
+            session, self.pieces_ended, self.rate_limit_received, metrics
+        )
         self._connections: PeerConnections | None = None
         self._time = asyncio.get_running_loop().time
+        self._rate_limits = RateLimitExchange(
+            planner.limits,
+            self._get_connections,
+            lambda work: self._decisions.spawn(work),
+            lambda actions: self._decisions.carry_out(actions),
+        )
         self._decisions = DecisionLoop(
             planner,
             {
@@ -89,6 +100,9 @@
                 SubmitToPeer: self._submit_to_peer,
                 ReportToPeer: self._report_to_peer,
                 FreeAtPeer: self._release_at_peer,
+                RateLimitChanged: self._rate_limits.log_change,
+                SpreadRateLimits: self._rate_limits.spread,
+                AskPermits: self._rate_limits.ask,
             },
             GATEWAY_TICK_S,
         )
@@ -103,6 +117,16 @@
         """Number of pieces that are queued here, for any gateway's requests."""
         return self._planner.pieces.waiting
 
+    @property
+    def rate_limits(self) -> RateLimitExchange:
+        """Exchanges the rate limits of endpoints with the other gateways."""
+        return self._rate_limits
+
+    @property
+    def limit_count(self) -> int:
+        """Number of endpoints that name a rate limit."""
+        return len(self._planner.limits.rates)
+
     @property
     def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
         """Function that runs a coroutine in the background."""
@@ -146,7 +170,7 @@
 
     def stop_running_jobs(self) -> None:
         """Stop running jobs of other gateways, because this one is leaving."""
-        self._decisions.carry_out(self._planner.pieces.leave(self._time()))
+        self._decisions.carry_out(self._planner.leave(self._time()))
 
     def refuse_unsent(self) -> None:
         """Refuse all requests not sent to any endpoint, as the process is ending."""
@@ -194,15 +218,11 @@
         actions = self._planner.load_report(self._time(), endpoint, report)
         self._decisions.carry_out(actions)
 
-    def rate_limit_received(self, endpoint: str, limit: float | None) -> None:
-        """Log that an endpoint names another limit than before, or none any more."""
-        if limit == self._rate_limits.get(endpoint):
-            return
-        if limit is None:
-            del self._rate_limits[endpoint]
-        else:
-            self._rate_limits[endpoint] = limit
-        log.info("rate_limit_changed", endpoint=endpoint, limit=limit, source="answer")
+    def rate_limit_received(
+        self, endpoint: str, rate: float | None, sent_at: float
+    ) -> None:
+        """Pass the limit that a response names to the policy."""
+        self._rate_limits.response_received(endpoint, rate, sent_at)
 
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
         """Note where a call's stream began, unless it goes on with an earlier one."""
@@ -241,7 +261,7 @@
 
     def peers_changed(self, peers: Sequence[Peer]) -> None:
         """Pass the set of other live gateways to the policy."""
-        self._planner.pieces.replace_peers(peers)
+        self._decisions.carry_out(self._planner.replace_peers(self._time(), peers))
 
     def peer_failed(self, peer: str) -> None:
         """Report to the policy that a gateway did not answer."""
@@ -280,21 +300,25 @@
 
     # Actions
 
-    def _submit_to_peer(self, action: SubmitToPeer) -> None:
+    def _get_connections(self) -> PeerConnections:
         assert self._connections is not None
-        self._connections.submit_jobs(action.peer, action.jobs)
+        return self._connections
+
+    def _submit_to_peer(self, action: SubmitToPeer) -> None:
+        self._get_connections().submit_jobs(action.peer, action.jobs)
 
     def _report_to_peer(self, action: ReportToPeer) -> None:
-        assert self._connections is not None
-        self._connections.report_outcomes(action.peer, action.reports)
+        self._get_connections().report_outcomes(action.peer, action.reports)
 
     def _release_at_peer(self, action: FreeAtPeer) -> None:
-        assert self._connections is not None
-        self._connections.release_results(action.peer, action.results, action.ended)
+        self._get_connections().release_results(
+            action.peer, action.results, action.ended
+        )
 
     def _send(self, send: Send) -> None:
         call = self._calls[send.attempt.request_id]
         endpoint = self._endpoints.get(send.endpoint)
+        limits = self._planner.limits.rates
         log.info(
             "attempt_sent",
             request_id=call.id,
@@ -303,10 +327,10 @@
             version=endpoint.version if endpoint else "",
             after=call.last_event or call.caller.last_event,
             hedge=send.hedge,
-            limit=self._rate_limits.get(send.endpoint, ""),
+            limit=limits.get(send.endpoint, ""),
             left_ms=round((send.deadline - self._time()) * 1000),
         )
-        if send.endpoint in self._rate_limits:
+        if send.endpoint in limits:
             self._metrics.limited_attempt_sent(endpoint.pool if endpoint else "")
         # Read the inputs now, before the planner handles the next event. The planner
         # may then free them before the task below starts, and the engine would get a
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -55,6 +55,7 @@
     store_watched: bool
     followers: int
     stream_origins: int
+    rate_limits: int
     log_lines_lost: int
 
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -10,8 +10,11 @@
 from amaranthtally.policy import (
     OriginEntry,
     PeerRecord,
+    PermitAnswer,
+    PermitAsk,
     PieceJob,
     PieceReport,
+    RateLimitNotice,
     StoredResult,
 )
 from amaranthtally.wire import PeerLostError
@@ -177,6 +180,20 @@
             peer, lambda client: client.find_origin(request_id, now)
         )
 
+    async def spread_rate_limits(
+        self, peer: str, notices: Sequence[RateLimitNotice]
+    ) -> None:
+        """Pass limits of endpoints on to a peer; raises ``PeerLostError``."""
+        await self._call(peer, lambda client: client.spread_rate_limits(notices))
+
+    async def ask_permits(
+        self, peer: str, asks: Sequence[PermitAsk]
+    ) -> tuple[PermitAnswer, ...]:
+        """Ask a peer for permits to send to endpoints; raises ``PeerLostError``."""
+        return await self._call(
+            peer, lambda client: client.ask_permits(self._name, asks)
+        )
+
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._clients):
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -7,8 +7,11 @@
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.policy import (
     OriginEntry,
+    PermitAnswer,
+    PermitAsk,
     PieceJob,
     PieceReport,
+    RateLimitNotice,
     StoredResult,
 )
 from amaranthtally.wire.changes import ChangeBatch
@@ -64,6 +67,16 @@
         """Free results that a peer releases; ``ended`` is an ended request's id."""
         self._executor.results_freed(results, ended)
 
+    def rate_limits_received(self, notices: Sequence[RateLimitNotice]) -> None:
+        """Take the rate limits that a peer has passed on."""
+        self._executor.rate_limits.limits_received(notices)
+
+    def permits_asked(
+        self, asker: str, asks: Sequence[PermitAsk]
+    ) -> Sequence[PermitAnswer]:
+        """Return the permits that a peer gets."""
+        return self._executor.rate_limits.permits_asked(asker, asks)
+
     def copy_origins(self, entries: Sequence[OriginEntry]) -> None:
         """Hold copies of what a peer knows of the origins of streams."""
         self._origins.copies_received(entries)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -32,6 +32,7 @@
 log = get_logger()
 
 OnEnd = Callable[[int, PiecesEnded], None]
+OnRateLimit = Callable[[str, float | None, float], None]
 FAILED = PiecesEnded()
 
 
@@ -50,9 +51,14 @@
     """Sends calls with pieces to endpoints; passes the end of each to ``on_end``."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, on_end: OnEnd, metrics: GatewayMetrics
+        self,
+        session: aiohttp.ClientSession,
+        on_end: OnEnd,
+        on_rate_limit: OnRateLimit,
+        metrics: GatewayMetrics,
     ) -> None:
         self._session = session
+        self._on_rate_limit = on_rate_limit
         self._metrics = metrics
         self._on_end = on_end
         self._loop = asyncio.get_running_loop()
@@ -112,6 +118,7 @@
         ) as response:
             body = await response.read()
         response_head = read_response_head(response.status, response.headers)
+        self._on_rate_limit(endpoint.id, response_head.rate_limit, started)
         running = response_head.load.running if response_head.load else None
         queued = response_head.load.queued if response_head.load else 0
         if response_head.status != HTTP_OK:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -207,6 +207,7 @@
             store_watched=coordination.store.is_watching,
             followers=coordination.follower_count,
             stream_origins=origins.count,
+            rate_limits=executor.limit_count,
             log_lines_lost=writer.dropped,
         )
 
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -9,22 +9,26 @@
 from amaranthtally.policy.actions import (
     Action,
     Answer,
+    AskPermits,
     Cancel,
     FreeAtPeer,
     FreeResults,
     PieceSpec,
     PollLoad,
     QueryAttempt,
+    RateLimitChanged,
     RefusalReason,
     Refuse,
     ReportToPeer,
     RequestOutcome,
     RunPieces,
     Send,
+    SpreadRateLimits,
     SubmitToPeer,
 )
 from amaranthtally.policy.affinity import AffinityRouter
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
+from amaranthtally.policy.endpoint_limits import EndpointLimits
 from amaranthtally.policy.events import (
     Arrival,
     AttemptOutcome,
@@ -58,6 +62,8 @@
     plan_model_orders,
 )
 from amaranthtally.policy.peer_directory import PeerDirectory, PeerRecord
+from amaranthtally.policy.peer_group import PeerGroup
+from amaranthtally.policy.permits import PermitAnswer, PermitAsk
 from amaranthtally.policy.piece_coordinator import PieceCoordinator
 from amaranthtally.policy.piece_graph import Piece, StoredResult
 from amaranthtally.policy.piece_messages import (
@@ -70,6 +76,7 @@
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.pool_sites import Peer
+from amaranthtally.policy.rate_limits import RateLimitNotice
 from amaranthtally.policy.rendezvous import duty_weight
 from amaranthtally.policy.replica_holders import lookup_rounds, replica_holders
 from amaranthtally.policy.request_ledger import Counters
@@ -109,6 +116,7 @@
     "AffinityRouter",
     "Answer",
     "Arrival",
+    "AskPermits",
     "AttemptId",
     "AttemptOutcome",
     "AttemptResult",
@@ -120,6 +128,7 @@
     "DesiredModels",
     "Endpoint",
     "EndpointDirectory",
+    "EndpointLimits",
     "EngineLimits",
     "EngineModels",
     "FreeAtPeer",
@@ -131,7 +140,10 @@
     "OriginEntry",
     "Peer",
     "PeerDirectory",
+    "PeerGroup",
     "PeerRecord",
+    "PermitAnswer",
+    "PermitAsk",
     "Piece",
     "PieceCoordinator",
     "PieceFault",
@@ -151,6 +163,8 @@
     "Pool",
     "QueryAttempt",
     "QueuedCall",
+    "RateLimitChanged",
+    "RateLimitNotice",
     "RefusalReason",
     "Refuse",
     "ReportToPeer",
@@ -160,6 +174,7 @@
     "RunPieces",
     "RunQueue",
     "Send",
+    "SpreadRateLimits",
     "Stage",
     "StoredResult",
     "StreamOrigin",
@@ -168,8 +183,8 @@
     "VersionHistory",
     "WatcherSelection",
     "WeightedPool",
-    "elect_watchers",
     "duty_weight",
+    "elect_watchers",
     "gateway_settings",
     "lookup_rounds",
     "plan_model_orders",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -5,12 +5,15 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.model import AttemptId
+from amaranthtally.policy.permits import PermitAsk
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport
+from amaranthtally.policy.rate_limits import RateLimitNotice
 
 __all__ = [
     "Action",
     "Answer",
+    "AskPermits",
     "CallDetails",
     "Cancel",
     "FreeAtPeer",
@@ -18,12 +21,14 @@
     "PieceSpec",
     "PollLoad",
     "QueryAttempt",
+    "RateLimitChanged",
     "RefusalReason",
     "Refuse",
     "ReportToPeer",
     "RequestOutcome",
     "RunPieces",
     "Send",
+    "SpreadRateLimits",
     "SubmitToPeer",
 ]
 
@@ -46,6 +51,7 @@
     CALLER_GONE = "caller_gone"
     KEY_CONFLICT = "key_conflict"
     STOPPING = "stopping"
+    RATE_LIMIT = "rate_limit"
 
 
 @dataclass(frozen=True, slots=True)
@@ -198,6 +204,30 @@
     ended: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class RateLimitChanged:
+    """Log a limit that an own response named, or that another entry has passed on."""
+
+    notice: RateLimitNotice
+    is_own: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SpreadRateLimits:
+    """Pass limits that endpoints named on to other entries."""
+
+    peers: tuple[str, ...]
+    notices: tuple[RateLimitNotice, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class AskPermits:
+    """Ask the entry that issues them for permits to send to endpoints."""
+
+    peer: str
+    asks: tuple[PermitAsk, ...]
+
+
 Action = (
     Send
     | Cancel
@@ -210,4 +240,7 @@
     | SubmitToPeer
     | ReportToPeer
     | FreeAtPeer
+    | RateLimitChanged
+    | SpreadRateLimits
+    | AskPermits
 )
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -3,6 +3,7 @@
 from amaranthtally.policy.actions import Action, Send
 from amaranthtally.policy.budgets import RatioBudget
 from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.endpoint_limits import EndpointLimits
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
@@ -65,6 +66,7 @@
         ledger: RequestLedger,
         timers: Timers,
         streams: StreamMonitor,
+        limits: EndpointLimits,
     ) -> None:
         self._settings = settings
         self._times = times
@@ -75,6 +77,7 @@
         self._ledger = ledger
         self._timers = timers
         self._streams = streams
+        self._limits = limits
         self._budgets: dict[str, _PoolBudgets] = {}
 
     def configure(self, settings: PolicySettings) -> None:
@@ -88,6 +91,10 @@
         budgets = self._budgets_of(request.current_stage)
         budgets.retries.earn()
         budgets.hedges.earn()
+        return self.send_waiting(now, request)
+
+    def send_waiting(self, now: float, request: Request) -> list[Action]:
+        """Send the first attempt of a stage that has waited for a permit."""
         endpoint = None if request.bound_to else self._choose_probe(now, request)
         if endpoint is not None:
             return self._send_probe(now, request, endpoint)
@@ -205,6 +212,9 @@
     ) -> RouteRequest:
         arrival = request.arrival
         remaining = request.remaining
+        blocked = self._limits.blocked(now)
+        if blocked:
+            self._limits.note_wanted(request.current_stage.pool)
         return RouteRequest(
             request.current_stage,
             self._times.share_end(now, arrival.deadline, remaining),
@@ -212,7 +222,7 @@
             arrival.pipeline.weight_attainment,
             arrival.input_bytes + request.previous_bytes,
             arrival.prefix if request.current_stage.caches_prefixes else (),
-            excluded,
+            excluded | blocked,
             arrival.prefix_sizes,
             request.inputs,
             request.version,
@@ -239,6 +249,8 @@
         left = request.arrival.deadline - now
         if not load.may_serve(stage.model):
             return None
+        if name in self._limits.blocked(now):
+            return None
         if load.leaving or left < PROBE_SLACK * self._times.needed_s(request.remaining):
             return None
         if not stage.repeatable and now - load.reported_at > RECENT_REPORT_S:
@@ -306,6 +318,7 @@
             sum(route_request.prefix_sizes) * (1.0 - choice.cached_share)
         )
         attempt_id = self._ledger.add_attempt(request, load, attempt)
+        self._limits.take(now, choice.endpoint.id)
         if probe:
             self._ejections.probe_sent(choice.endpoint.id)
             self._ledger.counters.probes += 1
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/permit_waits.py
@@ -0,0 +1,83 @@
+"""Requests that wait for a permit, as every endpoint that could run them is limited."""
+
+from collections import Counter
+from collections.abc import Callable
+from typing import NamedTuple
+
+from amaranthtally.policy.actions import Action, RefusalReason
+from amaranthtally.policy.dispatch import Dispatcher
+from amaranthtally.policy.endpoint_limits import EndpointLimits
+from amaranthtally.policy.request_ledger import RequestLedger
+from amaranthtally.policy.requests import Request
+
+__all__ = ["PermitWaits", "RefuseRequest"]
+
+# How long a request waits for a permit at most, in seconds. One that would wait longer
+# is refused at once, and its caller may find permits at another entry.
+PERMIT_WAIT_S = 0.5
+
+RefuseRequest = Callable[[float, Request, RefusalReason, float], list[Action]]
+
+
+class _Wait(NamedTuple):
+    request_id: str
+    pool: str
+    until: float
+
+
+class PermitWaits:
+    """Sends waiting requests in order of arrival, and refuses those that wait long."""
+
+    def __init__(
+        self,
+        limits: EndpointLimits,
+        dispatcher: Dispatcher,
+        ledger: RequestLedger,
+        refuse: RefuseRequest,
+    ) -> None:
+        self._limits = limits
+        self._dispatcher = dispatcher
+        self._ledger = ledger
+        self._refuse = refuse
+        self._waits: dict[str, _Wait] = {}
+
+    def add(self, now: float, request: Request) -> list[Action]:
+        """Let a request wait if permits are all that it lacks, or else refuse it."""
+        pool = request.current_stage.pool
+        wait_s = self._limits.wait_s(now, pool)
+        if wait_s is None:
+            return self._refuse(now, request, RefusalReason.NO_ENDPOINT, 0.0)
+        if wait_s > PERMIT_WAIT_S:
+            return self._refuse(now, request, RefusalReason.RATE_LIMIT, wait_s)
+        self._waits[request.id] = _Wait(request.id, pool, now + PERMIT_WAIT_S)
+        return []
+
+    def tick(self, now: float) -> list[Action]:
+        """Send the requests for which there are permits."""
+        if not self._waits:
+            return []
+        counts = Counter(wait.pool for wait in self._waits.values())
+        self._limits.requests_wait(counts)
+        actions: list[Action] = []
+        for wait in list(self._waits.values()):
+            ended = self._end(now, wait)
+            if ended is not None:
+                del self._waits[wait.request_id]
+                actions += ended
+        return actions
+
+    def _end(self, now: float, wait: _Wait) -> list[Action] | None:
+        """Return what ends a wait, ``None`` if it goes on."""
+        request = self._ledger.find(wait.request_id)
+        if request is None:
+            return []
+        wait_s = self._limits.wait_s(now, wait.pool) or 0.0
+        left_s = wait.until - now
+        if 0.0 < wait_s <= left_s:
+            return None
+        sent = self._dispatcher.send_waiting(now, request)
+        if sent:
+            return sent
+        if wait_s == 0.0 and left_s > 0.0:
+            return None
+        return self._refuse(now, request, RefusalReason.RATE_LIMIT, wait_s)
--- a/packages/policy/src/amaranthtally/policy/piece_events.py
+++ b/packages/policy/src/amaranthtally/policy/piece_events.py
@@ -9,7 +9,6 @@
 )
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport, PiecesEnded
-from amaranthtally.policy.pool_sites import Peer
 
 __all__ = ["PieceEvents"]
 
@@ -79,14 +78,6 @@
 
     # Entries
 
-    def replace_peers(self, peers: Iterable[Peer]) -> None:
-        """Replace the set of other live entries."""
-        self._coordinator.replace_peers(peers)
-
-    def leave(self, now: float) -> list[Action]:
-        """Stop running jobs of other entries, because this entry is leaving."""
-        return self._apply(now, self._coordinator.leave(now))
-
     def peer_failed(self, now: float, peer: str) -> list[Action]:
         """Submit no jobs for a while to an entry that did not answer."""
         return self._apply(now, self._coordinator.peer_failed(now, peer))
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -48,6 +48,11 @@
 MOST_SLOWNESS = 8.0
 # Smaller deviations are ignored: call times differ as much by the sizes of pieces.
 SPEED_NOISE = 0.25
+# Share of a rate limit that is used; the rest covers calls that are delayed on the way.
+USED_RATE_SHARE = 0.9
+# Least rate that is used, in calls a second: without any call, an endpoint could not
+# show that its limit has ended.
+MIN_RATE = 0.1
 
 
 @dataclass(slots=True)
@@ -71,7 +76,9 @@
 
     ``foreign_calls`` is the number of other entries' calls at the endpoint by its last
     load report. ``learned_slowness`` is how many times as long as usual its calls took
-    at the time ``slowness_learned_at``.
+    at the time ``slowness_learned_at``. ``min_interval_s`` is the least time between
+    calls by the endpoint's rate limit, 0 without one; the next is due at
+    ``next_call_at``.
     """
 
     endpoint: Endpoint
@@ -88,11 +95,14 @@
     leaving: bool = False
     learned_slowness: float = 1.0
     slowness_learned_at: float = 0.0
+    min_interval_s: float = 0.0
+    next_call_at: float = 0.0
 
     def is_open(self, now: float) -> bool:
         """Whether a call may be sent now."""
         free = len(self.calls) < CALLS_AT_ONCE
-        return free and self.is_usable(now) and now >= self.full_until
+        is_due = now >= max(self.full_until, self.next_call_at)
+        return free and is_due and self.is_usable(now)
 
     def is_usable(self, now: float) -> bool:
         """Whether calls may be sent once those in progress have ended."""
@@ -121,7 +131,8 @@
             * call_s
             / max(1, self.limits.slots)
         )
-        return max(own_s, others_s, self.paused_until - now)
+        blocked_until = max(self.paused_until, self.next_call_at)
+        return max(own_s, others_s, blocked_until - now)
 
     def slowness(self, now: float) -> float:
         """
@@ -146,7 +157,8 @@
 
     def full_call_time_s(self, now: float) -> float:
         """Return how long a full call is predicted to run, in seconds."""
-        return self.limits.full_call_time_s() * self.slowness(now)
+        call_s = self.limits.full_call_time_s() * self.slowness(now)
+        return max(call_s, self.min_interval_s)
 
     def timeout_s(self, now: float, pieces: int) -> float:
         """Return the time-out of a call sent now, in seconds."""
@@ -176,6 +188,7 @@
         self.calls[call] = _Call(
             result_bytes, starts_at, self.limits.call_time_s(pieces)
         )
+        self.next_call_at = now + self.min_interval_s
 
     def note_ended(self, now: float, call: int, has_all_results: bool) -> None:
         """
@@ -228,6 +241,11 @@
         self.failures += 1
         self.paused_until = now + pause_s
 
+    def note_rate_limit(self, rate: float | None) -> None:
+        """Space calls by a limit in calls a second; ``None`` if there is none."""
+        used = 0.0 if rate is None else USED_RATE_SHARE * max(MIN_RATE, rate)
+        self.min_interval_s = 1.0 / used if used else 0.0
+
     def note_load(self, now: float, running: int, queued: int) -> None:
         """Take a load report; this entry's own calls are not counted as foreign."""
         self.foreign_calls = max(0, running + queued - len(self.calls))
@@ -272,6 +290,12 @@
         """Return the state of an endpoint by its id, or ``None``."""
         return self._servers.get(endpoint)
 
+    def note_rate_limit(self, endpoint: str, rate: float | None) -> None:
+        """Keep an endpoint's limit in calls a second; ``None`` if there is none."""
+        server = self._servers.get(endpoint)
+        if server is not None:
+            server.note_rate_limit(rate)
+
     def at_site(self, pool: str, data_centre: str) -> list[PieceServer]:
         """Return a pool's endpoints in a data centre, except those that are leaving."""
         servers = self._by_site.get((pool, data_centre), [])
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -1,5 +1,6 @@
 """The decisions of an entry: admission, routing, retries, hedges and answers."""
 
+from collections.abc import Sequence
 from random import Random
 
 from amaranthtally.policy.actions import (
@@ -11,6 +12,7 @@
     RequestOutcome,
 )
 from amaranthtally.policy.dispatch import Dispatcher
+from amaranthtally.policy.endpoint_limits import EndpointLimits
 from amaranthtally.policy.events import (
     Arrival,
     AttemptOutcome,
@@ -25,10 +27,13 @@
 from amaranthtally.policy.membership import Membership
 from amaranthtally.policy.model import AttemptId, PolicySettings
 from amaranthtally.policy.outcome_recorder import OutcomeRecorder
+from amaranthtally.policy.peer_group import PeerGroup
+from amaranthtally.policy.permit_waits import PermitWaits
 from amaranthtally.policy.piece_coordinator import CoordinatorEffects
 from amaranthtally.policy.piece_events import PieceEvents
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.planner_components import PlannerComponents
+from amaranthtally.policy.pool_sites import Peer
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.request_ledger import Counters, RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
@@ -98,6 +103,10 @@
             self._prefixes,
             self._ledger.counters,
         )
+        self._peers = PeerGroup()
+        self._limits = EndpointLimits(
+            self._peers, self._coordinator.batcher.servers.note_rate_limit
+        )
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -108,6 +117,10 @@
             self._ledger,
             self._timers,
             self._streams,
+            self._limits,
+        )
+        self._permit_waits = PermitWaits(
+            self._limits, self._dispatcher, self._ledger, self._refuse
         )
         self._configure(0.0, settings)
 
@@ -116,6 +129,11 @@
         """The events of pieces and of the other entries, which run some of them."""
         return self._pieces
 
+    @property
+    def limits(self) -> EndpointLimits:
+        """The rate limits of endpoints, and the permits that entries share."""
+        return self._limits
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were admitted and have not ended."""
@@ -245,10 +263,26 @@
         actions.extend(self._load_poller.due_polls(now))
         actions.extend(self._inputs.free_fetched(now, self._ledger))
         actions.extend(self._apply_effects(now, self._coordinator.tick(now)))
+        actions.extend(self._limits.tick(now))
+        actions.extend(self._permit_waits.tick(now))
         while (timer := self._timers.due(now)) is not None:
             actions.extend(self._timer_fired(now, timer))
         return actions
 
+    # Other entries
+
+    def replace_peers(self, now: float, peers: Sequence[Peer]) -> list[Action]:
+        """Replace the set of other live entries."""
+        self._coordinator.replace_peers(peers)
+        if not self._peers.replace(now, peers):
+            return []
+        return self._limits.peers_changed()
+
+    def leave(self, now: float) -> list[Action]:
+        """Take on no work of other entries, because this entry is leaving."""
+        self._peers.leave()
+        return self._apply_effects(now, self._coordinator.leave(now))
+
     # Pieces
 
     def _compute_inputs(
@@ -313,7 +347,7 @@
         if self._should_refuse_late(now, request):
             return self._refuse_late(now, request)
         actions = self._dispatcher.send_first(now, request)
-        return actions or self._refuse(now, request, RefusalReason.NO_ENDPOINT)
+        return actions or self._permit_waits.add(now, request)
 
     def _attempt_finished(
         self, now: float, request: Request, ended: LiveAttempt, result: AttemptResult
@@ -474,6 +508,8 @@
             settings.pools,
         )
         self._dispatcher.configure(settings)
+        self._peers.set_name(settings.entry)
+        self._limits.configure(settings.endpoints)
         self._accounts.configure(settings.accounts, settings.entries)
         self._admission.configure(settings.admission_headroom)
         self._router.configure(
--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -143,9 +143,7 @@
     def leave(self) -> None:
         """Accept no more callers, and compute no more pieces for other entries."""
         self.leaving = True
-        self.execute(
-            lambda: self._execute_actions(self.planner.pieces.leave(self.clock.now))
-        )
+        self.execute(lambda: self._execute_actions(self.planner.leave(self.clock.now)))
 
     # Callers
 
@@ -196,7 +194,11 @@
 
     def peers_changed(self, peers: Sequence[Peer]) -> None:
         """Apply the current list of live entries."""
-        self.execute(lambda: self.planner.pieces.replace_peers(peers))
+        self.execute(
+            lambda: self._execute_actions(
+                self.planner.replace_peers(self.clock.now, peers)
+            )
+        )
 
     def _check_peers(self) -> None:
         now = self.clock.now
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -97,6 +97,29 @@
   expiresMicros @3 :Int64;
 }
 
+struct RateLimit {
+  # The requests a second that an endpoint takes from all gateways together, below 0 if it
+  # names no limit any more; serial counts the changes that gateways have seen.
+  endpoint @0 :Text;
+  incarnation @1 :UInt64;
+  serial @2 :UInt64;
+  rate @3 :Float64;
+}
+
+struct PermitAsk {
+  # A number of permits to send to an endpoint, and its limit as the asker knows it.
+  endpoint @0 :Text;
+  rate @1 :Float64;
+  wanted @2 :UInt32;
+}
+
+struct PermitAnswer {
+  # The times until each permit becomes valid, and until it is worth asking again.
+  endpoint @0 :Text;
+  delaysMicros @1 :List(Int64);
+  retryAfterMicros @2 :Int64;
+}
+
 interface Gateway {
   # Sends the caller's name, address, data centre and versions, and whether the receiver
   # is to push changes to it for a while; returns the receiver's versions, whether it is
@@ -126,4 +149,8 @@
   copyOrigins @8 (origins :List(StreamOrigin)) -> ();
   # Returns the origin of the stream that a request began, if the receiver knows it.
   findOrigin @9 (requestId :Text) -> (isKnown :Bool, origin :StreamOrigin);
+  # Passes on the rate limits that endpoints have named.
+  spreadRateLimits @10 (limits :List(RateLimit)) -> ();
+  # Asks for permits to send to endpoints with rate limits that the receiver issues.
+  askPermits @11 (asker :Text, asks :List(PermitAsk)) -> (answers :List(PermitAnswer));
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_peer.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_peer.py
@@ -10,8 +10,11 @@
 from amaranthtally.policy import (
     OriginEntry,
     PeerRecord,
+    PermitAnswer,
+    PermitAsk,
     PieceJob,
     PieceReport,
+    RateLimitNotice,
     StoredResult,
 )
 from amaranthtally.wire.changes import ChangeBatch
@@ -41,6 +44,14 @@
     write_results,
     write_versions,
 )
+from amaranthtally.wire.rate_limit_codec import (
+    read_permit_answers,
+    read_permit_asks,
+    read_rate_limits,
+    write_permit_answers,
+    write_permit_asks,
+    write_rate_limits,
+)
 
 __all__ = ["GatewayClient", "GatewayHandler", "connect_gateway", "serve_gateway"]
 
@@ -87,6 +98,14 @@
     def find_origin(self, request_id: str) -> OriginEntry | None:
         """Return the origin of the stream that a request began, if it is held."""
 
+    def rate_limits_received(self, notices: Sequence[RateLimitNotice]) -> None:
+        """Take the rate limits that a peer has passed on."""
+
+    def permits_asked(
+        self, asker: str, asks: Sequence[PermitAsk]
+    ) -> Sequence[PermitAnswer]:
+        """Return the permits that a peer gets."""
+
 
 class GatewayClient:
     """
@@ -186,6 +205,21 @@
         reply = await self._send(request)
         return read_origin(reply.origin, now) if reply.isKnown else None
 
+    async def spread_rate_limits(self, notices: Sequence[RateLimitNotice]) -> None:
+        """Pass on the rate limits that endpoints have named."""
+        request = self._gateway.spreadRateLimits_request()
+        write_rate_limits(request, notices)
+        await self._send(request)
+
+    async def ask_permits(
+        self, asker: str, asks: Sequence[PermitAsk]
+    ) -> tuple[PermitAnswer, ...]:
+        """Ask for permits that the peer issues."""
+        request = self._gateway.askPermits_request()
+        request.asker = asker
+        write_permit_asks(request, asks)
+        return read_permit_answers((await self._send(request)).answers)
+
     def close(self) -> None:
         """Close the connection; calls in flight raise ``PeerLostError``."""
         self._stream.close()
@@ -271,6 +305,17 @@
         if entry is not None:
             write_origin(_context.results.origin, entry, self._loop.time())
 
+    async def spreadRateLimits(  # noqa: N802 - name fixed by the schema
+        self, limits: Any, _context: Any, **_: Any
+    ) -> None:
+        self._handler.rate_limits_received(read_rate_limits(limits))
+
+    async def askPermits(  # noqa: N802 - name fixed by the schema
+        self, asker: str, asks: Any, _context: Any, **_: Any
+    ) -> None:
+        answers = self._handler.permits_asked(asker, read_permit_asks(asks))
+        write_permit_answers(_context.results, answers)
+
 
 async def connect_gateway(
     host: str, port: int, connect_timeout_s: float, call_timeout_s: float
