--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -28,7 +28,7 @@
     refusal_response,
 )
 from amaranthtally.daemon.gateway.resumption import StreamResumption
-from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.logs import format_parts, get_logger
 from amaranthtally.policy import Account, Route, RouteTable, StreamOrigin
 
 __all__ = ["CallerHandler"]
@@ -133,6 +133,7 @@
             pool=call.arrival.pipeline.stages[0].pool,
             priority=call.arrival.priority,
             pieces=",".join(str(n) for n in caller.piece_counts),
+            prompt=format_parts(caller.shared_parts),
             resumes=caller.resumed_request,
             after=caller.last_event,
             left_ms=round((call.arrival.deadline - received_at) * 1000),
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -18,7 +18,7 @@
     StreamEvents,
     StreamStarted,
 )
-from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.logs import format_parts, get_logger
 from amaranthtally.policy import (
     AttemptId,
     AttemptOutcome,
@@ -136,7 +136,8 @@
             self._log(send, endpoint, "unreachable", repr(error), started)
             return AttemptResult(AttemptOutcome.NOT_RUN, unreachable=True)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            self._log(send, endpoint, "lost", repr(error), started)
+            parts = format_parts(call.caller.shared_parts)
+            self._log(send, endpoint, "lost", repr(error), started, prompt=parts)
             return _unknown_outcome(call)
 
     async def _exchange(
@@ -280,6 +281,7 @@
         outcome: str,
         cause: str,
         started: float,
+        **details: str,
     ) -> None:
         log.info(
             "attempt_ended",
@@ -290,6 +292,7 @@
             fate=outcome,
             cause=cause,
             ms=round((self._loop.time() - started) * 1000),
+            **details,
         )
 
 
--- a/packages/daemon/src/amaranthtally/daemon/logs.py
+++ b/packages/daemon/src/amaranthtally/daemon/logs.py
@@ -2,13 +2,16 @@
 
 import logging
 import sys
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 from contextlib import contextmanager
 from typing import Any, TextIO, cast
 
 from amaranthtally.daemon.log_writer import BoundedWriter
 
-__all__ = ["configure_logs", "get_logger"]
+__all__ = ["configure_logs", "format_parts", "get_logger"]
+
+# Most parts of a prompt in one line.
+MAX_LOGGED_PARTS = 8
 
 
 @contextmanager
@@ -56,3 +59,8 @@
     """Return a logger; never log keys, tokens or request bodies with it."""
     logger: structlog.typing.FilteringBoundLogger = structlog.get_logger()
     return logger
+
+
+def format_parts(parts: Iterable[int]) -> str:
+    """Return ids of parts of a prompt for a line, as callers write them."""
+    return ",".join(f"{part:x}" for part in list(parts)[:MAX_LOGGED_PARTS])
