--- a/tests/unit/test_sent_inputs.py
+++ b/tests/unit/test_sent_inputs.py
@@ -13,6 +13,8 @@
 class FakePlanner:
     """A planner whose request's inputs the test frees after the decision."""
 
+    limits = SimpleNamespace(rates={})
+
     def __init__(self):
         self.inputs = (RESULT,)
 
