--- a/tests/unit/test_caller_handler.py
+++ b/tests/unit/test_caller_handler.py
@@ -36,6 +36,7 @@
             id="request",
             deadline_s=1.0,
             piece_counts=(),
+            shared_parts=(),
             last_event="",
             resumed_request="",
         )
