--- a/tests/load/limits_fleet.py
+++ b/tests/load/limits_fleet.py
@@ -1,7 +1,5 @@
 """Entries of a fleet that share the rate limits of endpoints, on virtual time."""
 
-import heapq
-import itertools
 from random import Random
 
 from amaranthtally.policy import (
@@ -13,6 +11,7 @@
     RateLimitChanged,
     SpreadRateLimits,
 )
+from tests.load.event_clock import EventClock
 
 NEAR_S = 0.001
 FAR_S = 0.024
@@ -36,7 +35,7 @@
         return max((sum(a <= t < a + seconds for t in times) for a in times), default=0)
 
 
-class LimitsFleet:
+class LimitsFleet(EventClock):
     """
     Entries by name. Each sends a request to each endpoint at the rate of ``demand``.
 
@@ -44,8 +43,8 @@
     """
 
     def __init__(self, size, endpoints, demand, seed=1, tick_s=0.02):
+        super().__init__()
         self.random = Random(seed)
-        self.now = 0.0
         self.endpoints = {endpoint.name: endpoint for endpoint in endpoints}
         self.registered = {
             name: Endpoint(name, POOL, name, "a", "a", "10.0.0.1:1")
@@ -59,8 +58,6 @@
         self.messages = 0
         self.calls_at = {}
         self._tick_s = tick_s
-        self._events = []
-        self._serial = itertools.count()
         self._names = [f"entry-{n}" for n in range(size)]
         for name in self._names:
             self.start(name)
@@ -75,9 +72,9 @@
         self.members[name].configure(self.registered)
         self.known_by.pop(name, None)
         first = self.random.random()
-        self._later(first * self._tick_s, lambda: self._tick(name, self.members[name]))
+        self.later(first * self._tick_s, lambda: self._tick(name, self.members[name]))
         for endpoint in self.endpoints.values():
-            self._later(
+            self.later(
                 first, lambda e=endpoint: self._want(name, self.members.get(name), e)
             )
 
@@ -96,27 +93,13 @@
         first = next(iter(self.members))
         return self.groups[first].responsible(self.now, endpoint) or first
 
-    # Time
-
-    def at(self, when, action):
-        self._later(when - self.now, action)
-
-    def run_until(self, end):
-        while self._events and self._events[0][0] <= end:
-            self.now, _, action = heapq.heappop(self._events)
-            action()
-        self.now = end
-
-    def _later(self, delay_s, action):
-        heapq.heappush(self._events, (self.now + delay_s, next(self._serial), action))
-
     # Entries
 
     def _tick(self, name, limits):
         if self.members.get(name) is not limits:
             return
         self._carry_out(name, limits.tick(self.now))
-        self._later(self._tick_s, lambda: self._tick(name, limits))
+        self.later(self._tick_s, lambda: self._tick(name, limits))
 
     def _want(self, name, limits, endpoint):
         if limits is None or self.members.get(name) is not limits:
@@ -128,7 +111,7 @@
             self._send(name, limits, endpoint)
         rate = self.demand(name, self.now)
         pause_s = self.random.expovariate(rate) if rate else 0.5
-        self._later(pause_s, lambda: self._want(name, limits, endpoint))
+        self.later(pause_s, lambda: self._want(name, limits, endpoint))
 
     def _send(self, name, limits, endpoint):
         sent_at = self.now
@@ -142,7 +125,7 @@
                 )
                 self._carry_out(name, actions)
 
-        self._later(2 * FAR_S, answer)
+        self.later(2 * FAR_S, answer)
 
     def _carry_out(self, name, actions):
         for action in actions:
@@ -162,13 +145,13 @@
         if lost:
             if method == "permits_asked":
                 delay_s = NEAR_S if peer not in self.members else TIMEOUT_S
-                self._later(
+                self.later(
                     delay_s,
                     lambda: limits.permits_not_answered(self.now, peer, message),
                 )
             return
         delay_s = self.random.choice((NEAR_S, FAR_S))
-        self._later(
+        self.later(
             delay_s, lambda: self._arrive(name, limits, peer, method, message, delay_s)
         )
 
@@ -180,4 +163,4 @@
             self._carry_out(peer, receiver.notices_received(self.now, message))
             return
         answers = receiver.permits_asked(self.now, name, message)
-        self._later(delay_s, lambda: limits.permits_answered(self.now, answers))
+        self.later(delay_s, lambda: limits.permits_answered(self.now, answers))
