A part of prompts on which each endpoint ends is kept away from the others

Cause: requests were not told apart by what they contain, and lost ones were sent to the next engine.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 import aiohttp
+from aiohttp import hdrs
 from yarl import URL
 
 from amaranthtally.adapter.callers import request_headers
@@ -42,6 +43,11 @@
 HTTP_OK = 200
 HTTP_CONFLICT = 409
 FIRST_SERVER_ERROR = 500
+LOST_CONNECTION_ERRORS = (
+    OSError,
+    aiohttp.ClientPayloadError,
+    aiohttp.ServerDisconnectedError,
+)
 # Maximum size of one header of an endpoint's response, in bytes.
 MAX_HEADER_BYTES = 16_384
 
@@ -138,7 +144,7 @@
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             parts = format_parts(call.caller.shared_parts)
             self._log(send, endpoint, "lost", repr(error), started, prompt=parts)
-            return _unknown_outcome(call)
+            return _unknown_outcome(call, connection_lost=_is_connection_lost(error))
 
     async def _exchange(
         self,
@@ -234,7 +240,10 @@
             return AttemptResult(AttemptOutcome.FAILED, run_s=duration_s)
         call.finish(CompleteResponse(response_head, body))
         return AttemptResult(
-            AttemptOutcome.FINISHED, run_s=duration_s, output_bytes=len(body)
+            AttemptOutcome.FINISHED,
+            run_s=duration_s,
+            output_bytes=len(body),
+            is_framed=_is_framed(response),
         )
 
     async def _relay_stream(
@@ -272,6 +281,7 @@
             AttemptOutcome.FINISHED,
             run_s=self._loop.time() - started,
             output_bytes=size,
+            is_framed=_is_framed(response),
         )
 
     def _log(
@@ -324,9 +334,21 @@
             raise aiohttp.ClientPayloadError("connection reset") from error
 
 
-def _unknown_outcome(call: LiveCall) -> AttemptResult:
+def _unknown_outcome(call: LiveCall, *, connection_lost: bool = False) -> AttemptResult:
     """Return the result of an attempt that may have run or not."""
     may_repeat = call.route.is_repeatable
     return AttemptResult(
-        AttemptOutcome.FAILED if may_repeat else AttemptOutcome.UNKNOWN
+        AttemptOutcome.FAILED if may_repeat else AttemptOutcome.UNKNOWN,
+        connection_lost=connection_lost,
     )
+
+
+def _is_connection_lost(error: Exception) -> bool:
+    """Whether an error is the end of a connection, and not a response of no use."""
+    return isinstance(error, LOST_CONNECTION_ERRORS)
+
+
+def _is_framed(response: aiohttp.ClientResponse) -> bool:
+    """Whether a response has a length or chunks, and does not end by a close alone."""
+    encoding = response.headers.get(hdrs.TRANSFER_ENCODING, "")
+    return response.content_length is not None or "chunked" in encoding.lower()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -18,6 +18,7 @@
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
+from amaranthtally.daemon.gateway.prompt_exchange import PromptExchange
 from amaranthtally.daemon.gateway.rate_limit_exchange import RateLimitExchange
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -32,6 +33,7 @@
     FreeAtPeer,
     FreeResults,
     LoadReport,
+    PartChanged,
     Peer,
     PieceJob,
     PieceReport,
@@ -43,10 +45,13 @@
     RateLimitChanged,
     RefusalReason,
     Refuse,
+    ReportEnds,
+    ReportSuccess,
     ReportToPeer,
     RequestOutcome,
     RunPieces,
     Send,
+    SpreadPartNotices,
     SpreadRateLimits,
     StoredResult,
     StreamOrigin,
@@ -86,6 +91,12 @@
             lambda work: self._decisions.spawn(work),
             lambda actions: self._decisions.carry_out(actions),
         )
+        self._prompts = PromptExchange(
+            planner.prompts,
+            self._get_connections,
+            lambda work: self._decisions.spawn(work),
+            lambda actions: self._decisions.carry_out(actions),
+        )
         self._decisions = DecisionLoop(
             planner,
             {
@@ -103,6 +114,10 @@
                 RateLimitChanged: self._rate_limits.log_change,
                 SpreadRateLimits: self._rate_limits.spread,
                 AskPermits: self._rate_limits.ask,
+                PartChanged: self._prompts.log_change,
+                SpreadPartNotices: self._prompts.spread,
+                ReportEnds: self._prompts.report_ends,
+                ReportSuccess: self._prompts.report_success,
             },
             GATEWAY_TICK_S,
         )
@@ -122,6 +137,16 @@
         """Exchanges the rate limits of endpoints with the other gateways."""
         return self._rate_limits
 
+    @property
+    def prompts(self) -> PromptExchange:
+        """Exchanges with the other gateways what is known of parts of prompts."""
+        return self._prompts
+
+    @property
+    def blocked_part_count(self) -> int:
+        """Number of parts of prompts that are blocked."""
+        return self._planner.prompts.blocked_count
+
     @property
     def limit_count(self) -> int:
         """Number of endpoints that name a rate limit."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -56,6 +56,7 @@
     followers: int
     stream_origins: int
     rate_limits: int
+    prompt_parts_blocked: int
     log_lines_lost: int
 
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -9,6 +9,9 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     OriginEntry,
+    PartEnd,
+    PartNotice,
+    PartSuccess,
     PeerRecord,
     PermitAnswer,
     PermitAsk,
@@ -194,6 +197,25 @@
             peer, lambda client: client.ask_permits(self._name, asks)
         )
 
+    async def spread_part_notices(
+        self, peer: str, notices: Sequence[PartNotice]
+    ) -> None:
+        """Pass notices on parts of prompts on to a peer; raises ``PeerLostError``."""
+        now = self._loop.time()
+        await self._call(peer, lambda client: client.spread_part_notices(notices, now))
+
+    async def report_ends(self, peer: str, ends: Sequence[PartEnd]) -> None:
+        """Report ends of endpoints to a peer; raises ``PeerLostError``."""
+        now = self._loop.time()
+        await self._call(peer, lambda client: client.report_ends(ends, now))
+
+    async def report_successes(
+        self, peer: str, successes: Sequence[PartSuccess]
+    ) -> None:
+        """Report successes of parts to a peer; raises ``PeerLostError``."""
+        now = self._loop.time()
+        await self._call(peer, lambda client: client.report_successes(successes, now))
+
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._clients):
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -7,6 +7,9 @@
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.policy import (
     OriginEntry,
+    PartEnd,
+    PartNotice,
+    PartSuccess,
     PermitAnswer,
     PermitAsk,
     PieceJob,
@@ -77,6 +80,18 @@
         """Return the permits that a peer gets."""
         return self._executor.rate_limits.permits_asked(asker, asks)
 
+    def part_notices_received(self, notices: Sequence[PartNotice]) -> None:
+        """Take notices on parts of prompts that a peer has passed on."""
+        self._executor.prompts.notices_received(notices)
+
+    def ends_reported(self, ends: Sequence[PartEnd]) -> None:
+        """Take the ends of endpoints that a peer reports."""
+        self._executor.prompts.ends_reported(ends)
+
+    def successes_reported(self, successes: Sequence[PartSuccess]) -> None:
+        """Take the successes of parts that a peer reports."""
+        self._executor.prompts.successes_reported(successes)
+
     def copy_origins(self, entries: Sequence[OriginEntry]) -> None:
         """Hold copies of what a peer knows of the origins of streams."""
         self._origins.copies_received(entries)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -208,6 +208,7 @@
             followers=coordination.follower_count,
             stream_origins=origins.count,
             rate_limits=executor.limit_count,
+            prompt_parts_blocked=executor.blocked_part_count,
             log_lines_lost=writer.dropped,
         )
 
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -13,16 +13,20 @@
     Cancel,
     FreeAtPeer,
     FreeResults,
+    PartChanged,
     PieceSpec,
     PollLoad,
     QueryAttempt,
     RateLimitChanged,
     RefusalReason,
     Refuse,
+    ReportEnds,
+    ReportSuccess,
     ReportToPeer,
     RequestOutcome,
     RunPieces,
     Send,
+    SpreadPartNotices,
     SpreadRateLimits,
     SubmitToPeer,
 )
@@ -61,6 +65,8 @@
     ModelUsage,
     plan_model_orders,
 )
+from amaranthtally.policy.part_losses import PartEnd, PartSuccess
+from amaranthtally.policy.part_notices import PartNotice, PartState
 from amaranthtally.policy.peer_directory import PeerDirectory, PeerRecord
 from amaranthtally.policy.peer_group import PeerGroup
 from amaranthtally.policy.permits import PermitAnswer, PermitAsk
@@ -76,6 +82,7 @@
 from amaranthtally.policy.planner import Planner
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.pool_sites import Peer
+from amaranthtally.policy.prompt_guard import PromptGuard
 from amaranthtally.policy.rate_limits import RateLimitNotice
 from amaranthtally.policy.rendezvous import duty_weight
 from amaranthtally.policy.replica_holders import lookup_rounds, replica_holders
@@ -138,6 +145,11 @@
     "ModelPlan",
     "ModelUsage",
     "OriginEntry",
+    "PartChanged",
+    "PartEnd",
+    "PartNotice",
+    "PartState",
+    "PartSuccess",
     "Peer",
     "PeerDirectory",
     "PeerGroup",
@@ -161,12 +173,15 @@
     "PolicySettings",
     "PollLoad",
     "Pool",
+    "PromptGuard",
     "QueryAttempt",
     "QueuedCall",
     "RateLimitChanged",
     "RateLimitNotice",
     "RefusalReason",
     "Refuse",
+    "ReportEnds",
+    "ReportSuccess",
     "ReportToPeer",
     "RequestOutcome",
     "Route",
@@ -174,6 +189,7 @@
     "RunPieces",
     "RunQueue",
     "Send",
+    "SpreadPartNotices",
     "SpreadRateLimits",
     "Stage",
     "StoredResult",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -5,6 +5,8 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.model import AttemptId
+from amaranthtally.policy.part_losses import PartEnd, PartSuccess
+from amaranthtally.policy.part_notices import PartNotice
 from amaranthtally.policy.permits import PermitAsk
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport
@@ -18,16 +20,20 @@
     "Cancel",
     "FreeAtPeer",
     "FreeResults",
+    "PartChanged",
     "PieceSpec",
     "PollLoad",
     "QueryAttempt",
     "RateLimitChanged",
     "RefusalReason",
     "Refuse",
+    "ReportEnds",
+    "ReportSuccess",
     "ReportToPeer",
     "RequestOutcome",
     "RunPieces",
     "Send",
+    "SpreadPartNotices",
     "SpreadRateLimits",
     "SubmitToPeer",
 ]
@@ -51,6 +57,7 @@
     CALLER_GONE = "caller_gone"
     KEY_CONFLICT = "key_conflict"
     STOPPING = "stopping"
+    PROMPT_BLOCKED = "prompt_blocked"
     RATE_LIMIT = "rate_limit"
 
 
@@ -228,6 +235,38 @@
     asks: tuple[PermitAsk, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class PartChanged:
+    """Log that a part of prompts is blocked or cleared, here or by another entry."""
+
+    notice: PartNotice
+    is_own: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SpreadPartNotices:
+    """Pass notices on parts of prompts on to other entries."""
+
+    peers: tuple[str, ...]
+    notices: tuple[PartNotice, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReportEnds:
+    """Report ends of endpoints to an entry that decides on the parts."""
+
+    peer: str
+    ends: tuple[PartEnd, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class ReportSuccess:
+    """Report successes of parts to an entry that has asked."""
+
+    peer: str
+    successes: tuple[PartSuccess, ...]
+
+
 Action = (
     Send
     | Cancel
@@ -243,4 +282,8 @@
     | RateLimitChanged
     | SpreadRateLimits
     | AskPermits
+    | PartChanged
+    | SpreadPartNotices
+    | ReportEnds
+    | ReportSuccess
 )
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -313,6 +313,7 @@
             hedge=hedge,
             probe=probe,
             stream=StreamProgress(request.chunks),
+            incarnation=choice.endpoint.incarnation,
         )
         attempt.pending_prefill_tokens = round(
             sum(route_request.prefix_sizes) * (1.0 - choice.cached_share)
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -98,6 +98,8 @@
     ``permanent`` marks a failure that would recur at any endpoint, ``unreachable`` that
     no connection to the endpoint could be opened. With ``inputs_missing`` the attempt
     did not run because the endpoint no longer keeps a result that it was to read.
+    ``connection_lost`` says that the connection ended before the response. A response
+    that is not ``is_framed`` ends with its connection, whatever closes that.
     """
 
     outcome: AttemptOutcome
@@ -108,6 +110,8 @@
     permanent: bool = False
     unreachable: bool = False
     inputs_missing: bool = False
+    connection_lost: bool = False
+    is_framed: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/part_cases.py
@@ -0,0 +1,162 @@
+"""Decides from the reports of all entries which part of prompts ends endpoints."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from math import inf
+
+from amaranthtally.policy.part_losses import EVIDENCE_TTL_S, PartEnd, PartSuccess
+
+__all__ = ["PartCases"]
+
+# From how many ended endpoints on all entries are asked whether a part has succeeded.
+ENDS_TO_ASK = 2
+# Number of ended endpoints at which a part is blocked if it has never succeeded, and at
+# which one is that had succeeded before. Only ends in sequence count for the latter:
+# when many endpoints fail at a time, the parts of all requests are in flight there.
+ENDS_TO_BLOCK = 3
+SEQUENTIAL_ENDS_TO_BLOCK = 4
+# How long the entries have to answer before a part is blocked, in seconds.
+ANSWER_TIME_S = 0.4
+# Interval at which they are asked again, in seconds.
+ASK_INTERVAL_S = 2.0
+MAX_CASES = 4096
+
+
+@dataclass(slots=True)
+class _Case:
+    ends: dict[str, PartEnd] = field(default_factory=dict)
+    successes: int = 0
+    asked_at: float = -inf
+    first_asked_at: float = inf
+
+
+class PartCases:
+    """
+    The ends that entries have reported, by part; time stamps in seconds.
+
+    One request ends an endpoint, but all that it runs are lost with it. The part that
+    is at fault was in flight at every end and never succeeds; any other part that many
+    requests share succeeds at some endpoint in between.
+    """
+
+    def __init__(self) -> None:
+        self._cases: dict[int, _Case] = {}
+        # Ends of which the cause is known, with the time when that became known.
+        self._explained: dict[str, float] = {}
+        self._blocked: set[int] = set()
+
+    def add_end(self, now: float, end: PartEnd) -> None:
+        """Add a report; the latest request counts that was lost with an endpoint."""
+        if end.part in self._blocked:
+            self._explain(now, end.endpoint)
+        if end.endpoint in self._explained:
+            return
+        case = self._cases.setdefault(end.part, _Case())
+        case.successes = max(case.successes, end.successes)
+        known = case.ends.get(end.endpoint)
+        if known is not None:
+            sent_at = max(known.sent_at, end.sent_at)
+            end = end._replace(lost_at=min(known.lost_at, end.lost_at), sent_at=sent_at)
+        case.ends[end.endpoint] = end
+        while len(self._cases) > MAX_CASES:
+            del self._cases[next(iter(self._cases))]
+
+    def add_success(self, success: PartSuccess) -> None:
+        """Drop the ends before a request that succeeded."""
+        case = self._cases.get(success.part)
+        if case is None:
+            return
+        case.successes = max(1, case.successes)
+        case.ends = {
+            name: end
+            for name, end in case.ends.items()
+            if end.lost_at > success.sent_at
+        }
+
+    def part_blocked(self, now: float, part: int, endpoints: Iterable[str]) -> None:
+        """Count the ends of a part that is blocked for no other part."""
+        self._cases.pop(part, None)
+        self._blocked.add(part)
+        for endpoint in endpoints:
+            self._explain(now, endpoint)
+
+    def part_cleared(self, part: int) -> None:
+        """Put no more ends down to a part that is not blocked any more."""
+        self._blocked.discard(part)
+
+    def ends_of(self, part: int) -> tuple[PartEnd, ...]:
+        """Return the ends that count against a part, earliest first."""
+        case = self._cases.get(part)
+        ends = case.ends.values() if case else ()
+        return tuple(sorted(ends, key=lambda end: end.lost_at))
+
+    def due_questions(self, now: float) -> tuple[int, ...]:
+        """Return the parts of which all entries are to be asked now."""
+        due = []
+        for part, case in self._cases.items():
+            is_due = now - case.asked_at >= ASK_INTERVAL_S
+            if len(case.ends) >= ENDS_TO_ASK and is_due:
+                case.asked_at = now
+                case.first_asked_at = min(case.first_asked_at, now)
+                due.append(part)
+        return tuple(due)
+
+    def due_blocks(self, now: float) -> tuple[int, ...]:
+        """Return the parts that are to be blocked."""
+        return tuple(part for part in self._cases if self.is_at_fault(now, part))
+
+    def expire(self, now: float) -> None:
+        """Drop what is too old to count."""
+        for part, case in list(self._cases.items()):
+            case.ends = {
+                name: end
+                for name, end in case.ends.items()
+                if now - end.lost_at < EVIDENCE_TTL_S
+            }
+            if not case.ends:
+                del self._cases[part]
+        self._explained = {
+            name: at
+            for name, at in self._explained.items()
+            if now - at < EVIDENCE_TTL_S
+        }
+
+    def is_at_fault(self, now: float, part: int) -> bool:
+        """Whether a part is to be blocked."""
+        case = self._cases.get(part)
+        if case is None or now - case.first_asked_at < ANSWER_TIME_S:
+            return False
+        if not case.successes:
+            return len(case.ends) >= ENDS_TO_BLOCK
+        count = _count_sequential(self.ends_of(part))
+        return count >= SEQUENTIAL_ENDS_TO_BLOCK and not self._has_rival(case)
+
+    def _has_rival(self, case: _Case) -> bool:
+        """
+        Whether a part that has succeeded less often explains the same ends.
+
+        When all engines are down, nothing succeeds. The part that all requests of a
+        route share is then in flight at each end, as is the one at fault, and blocking
+        the shared one would refuse every request of the route.
+        """
+        needed = len(case.ends) // 2
+        return any(
+            rival.successes < case.successes
+            and len(rival.ends.keys() & case.ends.keys()) >= needed
+            for rival in self._cases.values()
+        )
+
+    def _explain(self, now: float, endpoint: str) -> None:
+        self._explained[endpoint] = now
+        for case in self._cases.values():
+            case.ends.pop(endpoint, None)
+
+
+def _count_sequential(ends: Iterable[PartEnd]) -> int:
+    """Return how many ends had a request that was sent after the one before."""
+    count, last = 0, -inf
+    for end in ends:
+        if end.sent_at >= last:
+            count += 1
+            last = end.lost_at
+    return count
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/part_losses.py
@@ -0,0 +1,175 @@
+"""What one entry sees of the parts of prompts: losses with endpoints, and successes."""
+
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import NamedTuple
+
+from amaranthtally.policy.model import Endpoint
+
+__all__ = ["EVIDENCE_TTL_S", "EndpointStart", "PartEnd", "PartLosses", "PartSuccess"]
+
+# How long ends and successes count, in seconds.
+EVIDENCE_TTL_S = 60.0
+# Within this time after a connection was lost, its endpoint shows whether it has ended,
+# in seconds: a few heartbeats, after which the registry drops its record.
+CONFIRMED_WITHIN_S = 6.0
+# A response that ends with its connection may be a part of one, if its endpoint ended.
+# It counts as a success this much later, in seconds, unless the endpoint is gone.
+UNFRAMED_DELAY_S = 1.5
+# Most parts whose successes are remembered, and most ends that are held.
+MAX_SUCCESSES = 4096
+MAX_ENDS = 1024
+
+
+class EndpointStart(NamedTuple):
+    """One start of an endpoint."""
+
+    id: str
+    incarnation: int
+
+
+class PartEnd(NamedTuple):
+    """
+    An endpoint that ended while a request with a part of a prompt was in flight there.
+
+    ``endpoint`` names one start of the endpoint. ``lost_at`` is when the connection was
+    lost and ``sent_at`` when the request had been sent. ``successes`` is the number of
+    requests with the part that had succeeded before at the entry that reports.
+    """
+
+    part: int
+    endpoint: str
+    lost_at: float
+    sent_at: float
+    successes: int = 0
+
+
+class PartSuccess(NamedTuple):
+    """A request with a part that was sent at ``sent_at`` and answered in full."""
+
+    part: int
+    sent_at: float
+    ended_at: float
+
+
+@dataclass(slots=True)
+class _Loss:
+    incarnation: int
+    lost_at: float
+    sent_at: dict[int, float] = field(default_factory=dict)
+
+
+class _Unframed(NamedTuple):
+    endpoint: str
+    due_at: float
+    successes: tuple[PartSuccess, ...]
+
+
+class PartLosses:
+    """
+    Ends and successes of this entry's requests; time stamps in seconds.
+
+    A lost connection does not show that its endpoint has ended. It counts once the
+    endpoint refuses connections, is not registered any more, or has started again.
+    """
+
+    def __init__(self) -> None:
+        self._losses: dict[str, _Loss] = {}
+        self._successes: dict[int, PartSuccess] = {}
+        self._success_counts: dict[int, int] = {}
+        self._unframed: list[_Unframed] = []
+        self._ends: list[PartEnd] = []
+
+    def ends(self, now: float) -> tuple[PartEnd, ...]:
+        """Return the ends that still count."""
+        self._ends = [e for e in self._ends if now - e.lost_at < EVIDENCE_TTL_S]
+        return tuple(self._ends)
+
+    def success(self, now: float, part: int) -> PartSuccess | None:
+        """Return the last success of a part, if it still counts."""
+        success = self._successes.get(part)
+        if success is None or now - success.ended_at >= EVIDENCE_TTL_S:
+            return None
+        return success
+
+    def attempt_lost(
+        self, now: float, endpoint: EndpointStart, parts: Iterable[int], sent_at: float
+    ) -> None:
+        """Note that the connection of an attempt was lost before its response ended."""
+        loss = self._losses.get(endpoint.id)
+        if loss is None or loss.incarnation != endpoint.incarnation:
+            loss = self._losses[endpoint.id] = _Loss(endpoint.incarnation, now)
+        for part in parts:
+            loss.sent_at[part] = max(sent_at, loss.sent_at.get(part, sent_at))
+
+    def attempt_succeeded(
+        self,
+        now: float,
+        endpoint: EndpointStart,
+        parts: Iterable[int],
+        sent_at: float,
+        is_framed: bool,
+    ) -> tuple[PartSuccess, ...]:
+        """Note a complete response; return the successes that count from now on."""
+        successes = tuple(PartSuccess(part, sent_at, now) for part in parts)
+        if not is_framed:
+            due_at = now + UNFRAMED_DELAY_S
+            self._unframed.append(_Unframed(endpoint.id, due_at, successes))
+            return ()
+        return self._count(successes)
+
+    def endpoint_unreachable(self, now: float, endpoint: str) -> tuple[PartEnd, ...]:
+        """Note that an endpoint refuses connections; return the ends it confirms."""
+        return self._confirm(now, [endpoint])
+
+    def endpoints_changed(
+        self, now: float, endpoints: Mapping[str, Endpoint]
+    ) -> tuple[PartEnd, ...]:
+        """Note which endpoints are registered; return the ends it confirms."""
+        ended = [
+            name
+            for name, loss in self._losses.items()
+            if name not in endpoints or endpoints[name].incarnation != loss.incarnation
+        ]
+        return self._confirm(now, ended)
+
+    def tick(self, now: float) -> tuple[PartSuccess, ...]:
+        """Drop losses that nothing has confirmed; return successes that count now."""
+        for name, loss in list(self._losses.items()):
+            if now - loss.lost_at >= CONFIRMED_WITHIN_S:
+                del self._losses[name]
+        if not self._unframed:
+            return ()
+        due = [item for item in self._unframed if item.due_at <= now]
+        self._unframed = [item for item in self._unframed if item.due_at > now]
+        counted = [item for item in due if item.endpoint not in self._losses]
+        return self._count([s for item in counted for s in item.successes])
+
+    def _confirm(self, now: float, names: Iterable[str]) -> tuple[PartEnd, ...]:
+        confirmed: list[PartEnd] = []
+        for name in names:
+            loss = self._losses.pop(name, None)
+            if loss is None or now - loss.lost_at >= CONFIRMED_WITHIN_S:
+                continue
+            self._unframed = [i for i in self._unframed if i.endpoint != name]
+            start = f"{name}/{loss.incarnation}"
+            for part, sent_at in loss.sent_at.items():
+                is_known = self.success(now, part) is not None
+                count = self._success_counts.get(part, 0) if is_known else 0
+                confirmed.append(PartEnd(part, start, loss.lost_at, sent_at, count))
+        self._ends = [*self._ends, *confirmed][-MAX_ENDS:]
+        return tuple(confirmed)
+
+    def _count(self, successes: Iterable[PartSuccess]) -> tuple[PartSuccess, ...]:
+        counted = tuple(successes)
+        for success in counted:
+            part = success.part
+            is_known = self.success(success.ended_at, part) is not None
+            count = self._success_counts.get(part, 0) if is_known else 0
+            self._success_counts[part] = count + 1
+            self._successes.pop(part, None)
+            self._successes[part] = success
+        while len(self._successes) > MAX_SUCCESSES:
+            oldest = next(iter(self._successes))
+            del self._successes[oldest], self._success_counts[oldest]
+        return counted
--- a/packages/policy/src/amaranthtally/policy/peer_group.py
+++ b/packages/policy/src/amaranthtally/policy/peer_group.py
@@ -1,6 +1,7 @@
 """The other live entries, as those that share duties and pass on news."""
 
 from collections.abc import Iterable
+from itertools import islice
 from random import Random
 
 from amaranthtally.policy.pool_sites import Peer
@@ -106,13 +107,18 @@
 
     def responsible(self, now: float, key: str) -> str:
         """Return the entry that has a duty, "" for this one."""
-        for name in self.ranked(key):
-            if name == self._name:
-                if not self._is_leaving:
-                    return ""
-            elif now >= self._paused_until.get(name, 0.0):
-                return name
-        return ""
+        first = self.first(now, key, 1)[0]
+        return "" if first == self._name else first
+
+    def first(self, now: float, key: str, count: int) -> tuple[str, ...]:
+        """Return the entries that share a duty, this one if no other takes it on."""
+        able = (name for name in self.ranked(key) if self._takes_on(now, name))
+        return tuple(islice(able, count)) or (self._name,)
+
+    def _takes_on(self, now: float, name: str) -> bool:
+        if name == self._name:
+            return not self._is_leaving
+        return now >= self._paused_until.get(name, 0.0)
 
     def receivers(self) -> tuple[str, ...]:
         """Return the peers to which news is passed on."""
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -35,6 +35,8 @@
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.pool_sites import Peer
 from amaranthtally.policy.prefixes import PrefixIndex
+from amaranthtally.policy.prompt_checks import PromptChecks
+from amaranthtally.policy.prompt_guard import PromptGuard
 from amaranthtally.policy.request_ledger import Counters, RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.stream_watch import StreamMonitor
@@ -119,6 +121,10 @@
             self._streams,
             self._limits,
         )
+        self._prompts = PromptGuard(
+            self._peers, lambda now, part: self._prompt_checks.refuse_all(now, part)
+        )
+        self._prompt_checks = PromptChecks(self._prompts, self._ledger, self._refuse)
         self._permit_waits = PermitWaits(
             self._limits, self._dispatcher, self._ledger, self._refuse
         )
@@ -134,6 +140,11 @@
         """The rate limits of endpoints, and the permits that entries share."""
         return self._limits
 
+    @property
+    def prompts(self) -> PromptGuard:
+        """The parts of prompts that are kept away from endpoints."""
+        return self._prompts
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were admitted and have not ended."""
@@ -153,6 +164,10 @@
 
     def request_arrived(self, now: float, arrival: Arrival) -> list[Action]:
         """Admit a request and start it, or refuse it."""
+        blocked = self._prompt_checks.refusal(now, arrival)
+        if blocked is not None:
+            self.counters.refused_on_arrival += 1
+            return [blocked]
         for stage in arrival.pipeline.stages:
             self._membership.prepare(now, stage)
         decision = self._admission.decide(now, arrival)
@@ -169,6 +184,7 @@
                 )
             ]
         request = self._ledger.open(arrival)
+        self._prompt_checks.request_opened(request)
         self._timers.set(arrival.deadline, request.id)
         if arrival.piece_work is not None:
             return self._compute_inputs(now, request, arrival.piece_work)
@@ -182,6 +198,17 @@
         if request is None or attempt not in request.live:
             return []
         ended = self._ledger.remove_attempt(request, attempt)
+        noted = self._prompt_checks.attempt_ended(now, request, ended, result)
+        return [*noted, *self._attempt_ended(now, request, attempt, ended, result)]
+
+    def _attempt_ended(
+        self,
+        now: float,
+        request: Request,
+        attempt: AttemptId,
+        ended: LiveAttempt,
+        result: AttemptResult,
+    ) -> list[Action]:
         if result.outcome is AttemptOutcome.FINISHED:
             return self._attempt_finished(now, request, ended, result)
         if (
@@ -239,7 +266,7 @@
     def settings_changed(self, now: float, settings: PolicySettings) -> list[Action]:
         """Apply new settings; requests in flight keep their pipeline."""
         self._configure(now, settings)
-        return []
+        return self._prompt_checks.endpoints_changed(now, settings.endpoints)
 
     def caller_disconnected(self, now: float, request_id: str) -> list[Action]:
         """Cancel a request whose caller has closed the connection."""
@@ -265,6 +292,7 @@
         actions.extend(self._apply_effects(now, self._coordinator.tick(now)))
         actions.extend(self._limits.tick(now))
         actions.extend(self._permit_waits.tick(now))
+        actions.extend(self._prompts.tick(now))
         while (timer := self._timers.due(now)) is not None:
             actions.extend(self._timer_fired(now, timer))
         return actions
@@ -276,7 +304,7 @@
         self._coordinator.replace_peers(peers)
         if not self._peers.replace(now, peers):
             return []
-        return self._limits.peers_changed()
+        return [*self._limits.peers_changed(), *self._prompts.peers_changed(now)]
 
     def leave(self, now: float) -> list[Action]:
         """Take on no work of other entries, because this entry is leaving."""
@@ -346,6 +374,8 @@
     def _start_stage(self, now: float, request: Request) -> list[Action]:
         if self._should_refuse_late(now, request):
             return self._refuse_late(now, request)
+        if self._prompt_checks.is_blocked(request):
+            return self._refuse(now, request, RefusalReason.PROMPT_BLOCKED)
         actions = self._dispatcher.send_first(now, request)
         return actions or self._permit_waits.add(now, request)
 
@@ -406,6 +436,8 @@
             return self._refuse(now, request, reason, result.retry_after_s)
         if self._cannot_meet_deadline(now, request):
             return self._refuse_late(now, request, result.retry_after_s)
+        if self._prompt_checks.is_blocked(request, is_retry=True):
+            return self._refuse(now, request, RefusalReason.PROMPT_BLOCKED)
         cost = self._retry_cost(request, ended, not_run)
         if request.arrival.piece_work is not None and (
             result.inputs_missing or not request.inputs
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/prompt_checks.py
@@ -0,0 +1,105 @@
+"""Checks an entry's requests for parts of prompts on which endpoints end."""
+
+from collections.abc import Callable, Mapping
+
+from amaranthtally.policy.actions import (
+    Action,
+    RefusalReason,
+    Refuse,
+    RequestOutcome,
+)
+from amaranthtally.policy.events import Arrival, AttemptOutcome, AttemptResult
+from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.part_losses import EndpointStart
+from amaranthtally.policy.prompt_guard import PromptGuard
+from amaranthtally.policy.request_ledger import RequestLedger
+from amaranthtally.policy.requests import LiveAttempt, Request
+
+__all__ = ["PromptChecks"]
+
+RefuseRequest = Callable[[float, Request, RefusalReason, float], list[Action]]
+
+
+class PromptChecks:
+    """Refuses requests with a blocked part, and notes what the others show."""
+
+    def __init__(
+        self, guard: PromptGuard, ledger: RequestLedger, refuse: RefuseRequest
+    ) -> None:
+        self._guard = guard
+        self._ledger = ledger
+        self._refuse = refuse
+        self._endpoints: Mapping[str, Endpoint] = {}
+        self._trials: set[str] = set()
+
+    # Requests
+
+    def refusal(self, now: float, arrival: Arrival) -> Refuse | None:
+        """Return the refusal of a request that arrives with a blocked part."""
+        part = self._guard.blocked_part(arrival.prefix[:-1])
+        if part is None:
+            return None
+        if self._guard.take_trial(now, part):
+            self._trials.add(arrival.request_id)
+            return None
+        return Refuse(
+            arrival.request_id,
+            RequestOutcome.NOT_RUN,
+            RefusalReason.PROMPT_BLOCKED,
+            self._guard.wait_s(now, part),
+        )
+
+    def request_opened(self, request: Request) -> None:
+        """Mark a request that is sent as a trial; it is sent once."""
+        request.is_trial = request.id in self._trials
+        self._trials.clear()
+
+    def is_blocked(self, request: Request, *, is_retry: bool = False) -> bool:
+        """Whether a request must not be sent, or not once more."""
+        if request.is_trial:
+            return is_retry
+        return self._guard.blocked_part(request.shared_parts) is not None
+
+    def refuse_all(self, now: float, part: int) -> list[Action]:
+        """Refuse all requests with a part, and cancel their attempts."""
+        wait_s = self._guard.wait_s(now, part)
+        actions: list[Action] = []
+        for request in self._ledger.requests:
+            if part in request.shared_parts and not request.chunks:
+                reason = RefusalReason.PROMPT_BLOCKED
+                actions += self._refuse(now, request, reason, wait_s)
+        return actions
+
+    # Evidence
+
+    def attempt_ended(
+        self, now: float, request: Request, ended: LiveAttempt, result: AttemptResult
+    ) -> list[Action]:
+        """Note what the end of an attempt shows of the parts of its prompt."""
+        if result.unreachable:
+            return self._guard.endpoint_unreachable(now, ended.endpoint)
+        parts = request.shared_parts
+        if not parts:
+            return []
+        start = EndpointStart(ended.endpoint, ended.incarnation)
+        if result.outcome is AttemptOutcome.FINISHED:
+            return self._guard.attempt_succeeded(
+                now, start, parts, ended.sent_at, result.is_framed
+            )
+        if not result.connection_lost:
+            return []
+        registered = self._endpoints.get(ended.endpoint)
+        if registered is not None and not registered.takes_calls:
+            # It is leaving, and ends as planned.
+            return []
+        self._guard.attempt_lost(now, start, parts, ended.sent_at)
+        if registered is None or registered.incarnation != ended.incarnation:
+            return self._guard.endpoint_unreachable(now, ended.endpoint)
+        return []
+
+    def endpoints_changed(
+        self, now: float, endpoints: Mapping[str, Endpoint]
+    ) -> list[Action]:
+        """Note which endpoints are registered."""
+        self._endpoints = endpoints
+        return self._guard.endpoints_changed(now, endpoints)
--- a/packages/policy/src/amaranthtally/policy/request_ledger.py
+++ b/packages/policy/src/amaranthtally/policy/request_ledger.py
@@ -56,6 +56,11 @@
         """Totals since the start."""
         return self._counters
 
+    @property
+    def requests(self) -> tuple[Request, ...]:
+        """All requests in flight."""
+        return tuple(self._requests.values())
+
     def find(self, request_id: str) -> Request | None:
         """Return a request in flight, or ``None``."""
         return self._requests.get(request_id)
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -19,7 +19,7 @@
     the number of ``concurrent`` other calls, and the ``cached_share`` of its prefix.
     ``pending_prefill_tokens`` are the prompt tokens that it was predicted to process, 0
     after its first chunk. ``queries`` counts the queries for its outcome. ``version``
-    is that of the endpoint's software.
+    is that of the endpoint's software, ``incarnation`` that of the endpoint.
     """
 
     endpoint: str
@@ -34,6 +34,7 @@
     queries: int = 0
     pending_prefill_tokens: int = 0
     stream: StreamProgress = field(default_factory=StreamProgress)
+    incarnation: int = 0
 
 
 @dataclass(slots=True)
@@ -49,7 +50,8 @@
     request ``awaits_inputs``, its pieces are being computed; ``inputs`` are their
     results, and ``retry_cost`` is the budget cost of the attempt that waits for them.
     ``version`` is the software version at which the current stage's stream began, which
-    alone may go on with it; ``None`` before the first chunk.
+    alone may go on with it; ``None`` before the first chunk. A request that
+    ``is_trial`` is sent once although a part of its prompt is blocked.
     """
 
     arrival: Arrival
@@ -66,6 +68,7 @@
     retry_cost: float = 0.0
     version: str | None = None
     excluded: frozenset[str] = frozenset()
+    is_trial: bool = False
     live: dict[AttemptId, LiveAttempt] = field(default_factory=dict)
     remaining: tuple[Stage, ...] = field(init=False)
     current_stage: Stage = field(init=False)
@@ -81,6 +84,11 @@
         """The request's id."""
         return self.arrival.request_id
 
+    @property
+    def shared_parts(self) -> tuple[int, ...]:
+        """The parts of its prompt but the last, which is its own."""
+        return self.arrival.prefix[:-1]
+
     @property
     def bound_to(self) -> str:
         """The only endpoint that may run the current stage, or "" if any may."""
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -120,6 +120,39 @@
   retryAfterMicros @2 :Int64;
 }
 
+enum PartState {
+  asked @0;
+  blocked @1;
+  cleared @2;
+}
+
+struct PartNotice {
+  # A question of its author whether requests with a part of prompts have succeeded, or
+  # that the part is blocked or not any more; ends are the ended endpoints that it explains.
+  part @0 :Text;
+  state @1 :PartState;
+  serial @2 :UInt64;
+  ageMicros @3 :Int64;
+  ends @4 :List(Text);
+  author @5 :Text;
+}
+
+struct PartEnd {
+  # An endpoint that ended while a request with the part was in flight there.
+  part @0 :Text;
+  endpoint @1 :Text;
+  lostAgeMicros @2 :Int64;
+  sentAgeMicros @3 :Int64;
+  successes @4 :UInt32;
+}
+
+struct PartSuccess {
+  # A request with the part that was answered in full.
+  part @0 :Text;
+  sentAgeMicros @1 :Int64;
+  endedAgeMicros @2 :Int64;
+}
+
 interface Gateway {
   # Sends the caller's name, address, data centre and versions, and whether the receiver
   # is to push changes to it for a while; returns the receiver's versions, whether it is
@@ -153,4 +186,10 @@
   spreadRateLimits @10 (limits :List(RateLimit)) -> ();
   # Asks for permits to send to endpoints with rate limits that the receiver issues.
   askPermits @11 (asker :Text, asks :List(PermitAsk)) -> (answers :List(PermitAnswer));
+  # Passes on notices on parts of prompts.
+  spreadPartNotices @12 (notices :List(PartNotice)) -> ();
+  # Reports ends of endpoints to a gateway that decides which part is at fault.
+  reportEnds @13 (ends :List(PartEnd)) -> ();
+  # Answers a question about parts that have succeeded.
+  reportSuccesses @14 (successes :List(PartSuccess)) -> ();
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_peer.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_peer.py
@@ -9,6 +9,9 @@
 
 from amaranthtally.policy import (
     OriginEntry,
+    PartEnd,
+    PartNotice,
+    PartSuccess,
     PeerRecord,
     PermitAnswer,
     PermitAsk,
@@ -44,6 +47,14 @@
     write_results,
     write_versions,
 )
+from amaranthtally.wire.prompt_codec import (
+    read_part_ends,
+    read_part_notices,
+    read_part_successes,
+    write_part_ends,
+    write_part_notices,
+    write_part_successes,
+)
 from amaranthtally.wire.rate_limit_codec import (
     read_permit_answers,
     read_permit_asks,
@@ -106,6 +117,15 @@
     ) -> Sequence[PermitAnswer]:
         """Return the permits that a peer gets."""
 
+    def part_notices_received(self, notices: Sequence[PartNotice]) -> None:
+        """Take notices on parts of prompts that a peer has passed on."""
+
+    def ends_reported(self, ends: Sequence[PartEnd]) -> None:
+        """Take the ends of endpoints that a peer reports."""
+
+    def successes_reported(self, successes: Sequence[PartSuccess]) -> None:
+        """Take the successes of parts that a peer reports."""
+
 
 class GatewayClient:
     """
@@ -220,6 +240,28 @@
         write_permit_asks(request, asks)
         return read_permit_answers((await self._send(request)).answers)
 
+    async def spread_part_notices(
+        self, notices: Sequence[PartNotice], now: float
+    ) -> None:
+        """Pass on notices on parts of prompts."""
+        request = self._gateway.spreadPartNotices_request()
+        write_part_notices(request, notices, now)
+        await self._send(request)
+
+    async def report_ends(self, ends: Sequence[PartEnd], now: float) -> None:
+        """Report ends of endpoints."""
+        request = self._gateway.reportEnds_request()
+        write_part_ends(request, ends, now)
+        await self._send(request)
+
+    async def report_successes(
+        self, successes: Sequence[PartSuccess], now: float
+    ) -> None:
+        """Report successes of parts, as the peer has asked."""
+        request = self._gateway.reportSuccesses_request()
+        write_part_successes(request, successes, now)
+        await self._send(request)
+
     def close(self) -> None:
         """Close the connection; calls in flight raise ``PeerLostError``."""
         self._stream.close()
@@ -316,6 +358,25 @@
         answers = self._handler.permits_asked(asker, read_permit_asks(asks))
         write_permit_answers(_context.results, answers)
 
+    async def spreadPartNotices(  # noqa: N802 - name fixed by the schema
+        self, notices: Any, _context: Any, **_: Any
+    ) -> None:
+        self._handler.part_notices_received(
+            read_part_notices(notices, self._loop.time())
+        )
+
+    async def reportEnds(  # noqa: N802 - name fixed by the schema
+        self, ends: Any, _context: Any, **_: Any
+    ) -> None:
+        self._handler.ends_reported(read_part_ends(ends, self._loop.time()))
+
+    async def reportSuccesses(  # noqa: N802 - name fixed by the schema
+        self, successes: Any, _context: Any, **_: Any
+    ) -> None:
+        self._handler.successes_reported(
+            read_part_successes(successes, self._loop.time())
+        )
+
 
 async def connect_gateway(
     host: str, port: int, connect_timeout_s: float, call_timeout_s: float
--- a/tests/unit/test_sent_inputs.py
+++ b/tests/unit/test_sent_inputs.py
@@ -14,6 +14,7 @@
     """A planner whose request's inputs the test frees after the decision."""
 
     limits = SimpleNamespace(rates={})
+    prompts = None
 
     def __init__(self):
         self.inputs = (RESULT,)
