A gateway that falls behind closes new connections unread

Callers: where the balancer hands most new connections to one gateway, all that it reads are late together. Cause: the listener takes whatever the kernel holds before it is known that it can be served. Why it holds: a closed connection is tried elsewhere at once; the number taken follows how late the loop's timers are.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -56,6 +56,7 @@
     followers: int
     stream_origins: int
     rate_limits: int
+    connections_closed_unread: int
     prompt_parts_blocked: int
     log_lines_lost: int
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -5,6 +5,7 @@
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from random import Random
 
@@ -15,6 +16,7 @@
 from amaranthtally.adapter.callers import READY_PATH
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
 from amaranthtally.daemon.gateway.caller_handler import CallerHandler
+from amaranthtally.daemon.gateway.connection_gate import ConnectionGate
 from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.endpoint_calls import endpoint_session
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
@@ -191,6 +193,7 @@
         run_in_background(stack, work)
 
     configuration = coordination.configuration
+    gate = ConnectionGate()
 
     def state() -> GatewayState:
         return GatewayState(
@@ -207,6 +210,7 @@
             store_watched=coordination.store.is_watching,
             followers=coordination.follower_count,
             stream_origins=origins.count,
+            connections_closed_unread=gate.closed,
             rate_limits=executor.limit_count,
             prompt_parts_blocked=executor.blocked_part_count,
             log_lines_lost=writer.dropped,
@@ -227,8 +231,9 @@
     ready_port = await _serve_readiness(
         settings, stack, lambda: routing_state.is_complete, stop
     )
+    run_in_background(stack, gate.run())
     caller_port = await stack.enter_async_context(
-        _serve(caller_server, settings.caller_address)
+        _serve(caller_server, settings.caller_address, gate)
     )
     ports = {"port": caller_port, "ready": ready_port, "peers": port}
     return _RunningGateway(
@@ -353,11 +358,14 @@
 
 
 @asynccontextmanager
-async def _serve(server: web.Server, address: str) -> AsyncIterator[int]:
-    """Serve at an address; yield the bound port."""
+async def _serve(
+    server: web.Server, address: str, gate: ConnectionGate | None = None
+) -> AsyncIterator[int]:
+    """Serve at an address; yield the bound port. A gate may take no connections."""
     host, port = split_address(address)
     loop = asyncio.get_running_loop()
-    listener = await loop.create_server(server, host, port, backlog=BACKLOG)
+    build = partial(gate.guard, server) if gate is not None else server
+    listener = await loop.create_server(build, host, port, backlog=BACKLOG)
     try:
         yield listener.sockets[0].getsockname()[1]
     finally:
