Tests of streams that have neither a length nor chunks

They passed on the code as it was: such a stream ends with its connection, is broken inside an event or by a reset, and goes on elsewhere where the route allows.

--- a/tests/gateway/test_answers.py
+++ b/tests/gateway/test_answers.py
@@ -385,3 +385,45 @@
             assert status == 504
         for request in endpoint.requests:
             await request.closed.wait()
+
+
+def test_a_stream_without_length_or_chunks_ends_with_its_connection(tmp_path):
+    """Guards against a caller that takes a whole stream for a broken one."""
+    script = [sse_events(1), 0.05, sse_events(2), Close]
+
+    @with_endpoints(tmp_path, lambda r: [response_head(r), *script], **STREAM)
+    async def check(gateway, _):
+        assert await gateway.stream("/job/") == (200, sse_events(1, 2), True)
+
+
+@pytest.mark.parametrize("end", [Close, Reset])
+def test_a_stream_without_length_that_ends_inside_an_event_is_broken(tmp_path, end):
+    """Guards against a truncated stream that looks whole, as its connection ended."""
+    script = [sse_events(1) + b"id: 2\nda", 0.05, end]
+
+    @with_endpoints(tmp_path, lambda r: [response_head(r), *script], **STREAM)
+    async def check(gateway, _):
+        assert await gateway.stream("/job/") == (200, sse_events(1), False)
+
+
+@pytest.mark.parametrize("end", [Close, Reset])
+def test_a_resumable_stream_without_length_goes_on_after_its_last_event(tmp_path, end):
+    """Guards against a stream that is given up although another engine can go on."""
+
+    def script(request):
+        if names.LAST_EVENT_ID.lower() not in request.headers:
+            return [response_head(request) + sse_events(1) + b"id: 2\nda", 0.05, end]
+        return [response_head(request) + sse_events(2, 3), Close]
+
+    @with_endpoints(tmp_path, script, script, resumable=True, **STREAM)
+    async def check(gateway, *_):
+        assert await gateway.stream("/job/") == (200, sse_events(1, 2, 3), True)
+
+
+def test_a_reset_stream_without_length_is_broken_between_events_too(tmp_path):
+    """Guards against a reset that is taken for the end of a stream."""
+    script = [sse_events(1), 0.05, Reset]
+
+    @with_endpoints(tmp_path, lambda r: [response_head(r), *script], **STREAM)
+    async def check(gateway, _):
+        assert await gateway.stream("/job/") == (200, sse_events(1), False)
