--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -12,7 +12,7 @@
 from random import Random
 
 from tests.soak.callers import Callers
-from tests.soak.faults import FAULTS, roll_in_outage
+from tests.soak.faults import FAULTS, name_limit, roll_in_outage
 from tests.soak.soak_run import DEFAULT_GATEWAYS, open_soak
 
 CONCURRENCY = 12
@@ -32,12 +32,13 @@
 SERVED_SHARE = 0.95
 
 
-async def run_soak(seed, seconds, folder, gateways=DEFAULT_GATEWAYS, rolls=0):
+async def run_soak(seed, seconds, folder, gateways=DEFAULT_GATEWAYS, rolls=0, limits=0):
     """
     Run one seed; return the violations and the number of responses by status.
 
     All gateways are also stopped in turn ``rolls`` times while the store is away. These
     rolls have random numbers of their own, and leave the other faults of a seed alone.
+    So have ``limits``, the number of endpoints that name a rate limit meanwhile.
     """
     random = Random(seed)
     async with open_soak(folder, gateways) as run:
@@ -45,8 +46,10 @@
         loop = asyncio.get_running_loop()
         calling = asyncio.create_task(callers.run(CONCURRENCY, loop.time() + seconds))
         rolling = asyncio.create_task(_roll(run, Random(seed), seconds, rolls))
+        own = Random(seed + 1)
+        limiting = [asyncio.create_task(name_limit(run, own)) for _ in range(limits)]
         await _inject_faults(run, random, loop.time() + seconds)
-        await rolling
+        await asyncio.gather(rolling, *limiting)
         await calling
         await _check_recovery(run, random)
         check_records(run, callers)
@@ -160,6 +163,12 @@
         default=0,
         help="number of times that all gateways stop in turn without the store",
     )
+    parser.add_argument(
+        "--limits",
+        type=int,
+        default=0,
+        help="number of endpoints that name a rate limit; at least 12 s are needed",
+    )
     arguments = parser.parse_args()
     has_violations = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
@@ -170,6 +179,7 @@
                 Path(folder),
                 arguments.gateways,
                 arguments.rolls,
+                arguments.limits,
             )
             violations, statuses = asyncio.run(coroutine)
         has_violations |= bool(violations)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -2,6 +2,7 @@
 
 import itertools
 import json
+import time
 from collections import Counter
 
 from amaranthtally.adapter import headers as header_names
@@ -52,11 +53,19 @@
         self.version = version
         self.fault = ""
         self.faults_left = 0
+        self.rate = None
+        self.arrivals = []
 
     def inject_fault(self, fault, count):
         self.fault, self.faults_left = fault, count
 
     def __call__(self, request):
+        if not request.target.endswith("free"):
+            self.arrivals.append(time.monotonic())
+        steps = self._steps(request)
+        return steps if self.rate is None else _with_limit(steps, self.rate)
+
+    def _steps(self, request):
         fault = self._next_fault(request)
         if fault == "refuse":
             return [not_executed_response(request)]
@@ -108,3 +117,13 @@
         for event in events_of(key, self.version, first):
             steps += [0.01, http_chunk(event)]
         return [*steps, STREAM_END]
+
+
+def _with_limit(steps, rate):
+    """Return steps whose response names a limit, as the first header."""
+    named = f"\r\n{header_names.RATE_LIMIT}: {rate}\r\n".encode()
+    first = next((n for n, step in enumerate(steps) if isinstance(step, bytes)), None)
+    if first is None:
+        return steps
+    head = steps[first].replace(b"\r\n", named, 1)
+    return [*steps[:first], head, *steps[first + 1 :]]
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import time
 
 from amaranthtally.standins.relay import LinkFault
 
@@ -11,6 +12,14 @@
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 2.5
 # Longest time between two stops of a roll, in seconds.
 MAX_ROLL_INTERVAL_S = 0.7
+# How long an endpoint names a rate limit, in seconds, and the limits that it may name,
+# in requests a second.
+LIMITED_S = 9.0
+RATES = (1.0, 4.0, 15.0)
+# From when on a limit binds all gateways after it was first named, and the time in
+# which requests are counted, in seconds.
+BINDING_AFTER_S = 4.0
+WINDOW_S = 4.0
 # Longest time between two signals to a gateway that is stopping, in seconds.
 MAX_SIGNAL_INTERVAL_S = 0.3
 
@@ -98,6 +107,26 @@
         run.faulted.difference_update(names)
 
 
+async def name_limit(run, random):
+    """Let an endpoint name a rate limit; check that all gateways keep to it."""
+    name = random.choice(sorted(run.scripts))
+    script = run.scripts[name]
+    rate = random.choice(RATES)
+    script.rate = rate
+    before = len(script.arrivals)
+    while len(script.arrivals) == before:
+        await asyncio.sleep(0.05)
+    named_at = time.monotonic()
+    await asyncio.sleep(LIMITED_S)
+    script.rate = None
+    bound = [at for at in script.arrivals if at >= named_at + BINDING_AFTER_S]
+    for first in bound:
+        count = sum(first <= at < first + WINDOW_S for at in bound)
+        if count > 1.5 * rate * WINDOW_S + 5:
+            run.violations.append(f"{name}: {count} requests in 4 s at {rate} a second")
+            return
+
+
 @fault
 async def store_answers_lost(run, random, name):
     await _store_fault(run, random, "lost_responses")
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -28,6 +28,21 @@
     assert statuses[200] > 100
 
 
+LIMIT_SEEDS = {9951: "has not failed"}
+# Time in which a limit is named, binds, and is counted.
+LIMIT_SECONDS = 12.0
+
+
+@pytest.mark.parametrize("seed", LIMIT_SEEDS)
+def test_guarantees_hold_while_endpoints_name_limits(seed, tmp_path):
+    """Guards against limits that are lost in restarts, pauses and reloads."""
+    violations, statuses = run_async(
+        run_soak(seed, LIMIT_SECONDS, tmp_path, rolls=1, limits=2)
+    )
+    assert violations == []
+    assert statuses[200] > 100
+
+
 @pytest.mark.parametrize("seed", ROLL_SEEDS)
 def test_guarantees_hold_while_all_gateways_stop_in_turn(seed, tmp_path):
     """Guards against a roll beside an outage that leaves no gateway with the state."""
