Part refusals and failed attempts from the planner; blocked parts are checked after inputs are made again

A request whose inputs were computed again was sent once more though its part had been blocked meanwhile; found in reading. Refusals of blocked requests all say when the part is tried next.

--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -5,8 +5,6 @@
 
 from amaranthtally.policy.actions import (
     Action,
-    Cancel,
-    QueryAttempt,
     RefusalReason,
     Refuse,
     RequestOutcome,
@@ -21,6 +19,7 @@
     LoadReport,
     PieceWork,
 )
+from amaranthtally.policy.failed_attempts import FailedAttempts
 from amaranthtally.policy.first_events import FirstEventTimes
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.load_poller import LoadPoller
@@ -37,6 +36,7 @@
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.prompt_checks import PromptChecks
 from amaranthtally.policy.prompt_guard import PromptGuard
+from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import Counters, RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.stream_watch import StreamMonitor
@@ -44,15 +44,6 @@
 
 __all__ = ["Planner"]
 
-# Maximum number of times that a stage is sent again after attempts that failed or did
-# not run: more than a small pool has endpoints, so that a rolling restart of the pool
-# makes no request fail.
-MAX_RESENDS = 4
-# Maximum number of queries for an attempt's outcome. There may be several, as the
-# connection may be reset during a query too.
-MAX_QUERIES = 3
-# Cost of a retry after a failed attempt, in tokens of the retry budget.
-FAILURE_COST = 1.0
 COMPONENTS = PlannerComponents()
 
 
@@ -121,12 +112,26 @@
             self._streams,
             self._limits,
         )
+        self._refusals = Refusals(
+            self._ledger, self._times, self._loads, self._admission, self._coordinator
+        )
         self._prompts = PromptGuard(
             self._peers, lambda now, part: self._prompt_checks.refuse_all(now, part)
         )
-        self._prompt_checks = PromptChecks(self._prompts, self._ledger, self._refuse)
+        self._prompt_checks = PromptChecks(
+            self._prompts, self._ledger, self._refusals.refuse
+        )
         self._permit_waits = PermitWaits(
-            self._limits, self._dispatcher, self._ledger, self._refuse
+            self._limits, self._dispatcher, self._ledger, self._refusals.refuse
+        )
+        self._failures = FailedAttempts(
+            self._ledger,
+            self._loads,
+            self._dispatcher,
+            self._outcome_recorder,
+            self._refusals,
+            self._prompt_checks,
+            self._recompute_inputs,
         )
         self._configure(0.0, settings)
 
@@ -215,8 +220,8 @@
             result.outcome is AttemptOutcome.LOST
             and not request.current_stage.repeatable
         ):
-            return self._query_outcome(now, request, attempt, ended)
-        return self._attempt_failed(now, request, ended, result)
+            return self._failures.query_outcome(now, request, attempt, ended)
+        return self._failures.attempt_failed(now, request, ended, result)
 
     def progress(self, now: float, attempt: AttemptId, chunks: int) -> list[Action]:
         """Handle chunks of a streamed stage; the caller now has ``chunks`` of them."""
@@ -238,7 +243,7 @@
                 now, request.current_stage, live.endpoint, live.stream, chunks
             )
             freed = self._inputs.free(now, request)
-            return freed + self._cancel_overtaken(now, request, live)
+            return freed + self._failures.cancel_overtaken(now, request, live)
         return []
 
     def load_report(
@@ -348,12 +353,16 @@
         for request_id in effects.failed:
             request = self._ledger.find(request_id)
             if request is not None:
-                actions += self._refuse(now, request, RefusalReason.STAGE_FAILED)
+                actions += self._refusals.refuse(
+                    now, request, RefusalReason.STAGE_FAILED
+                )
         for request_id in effects.late:
             request = self._ledger.find(request_id)
             if request is not None:
                 wait_s = self._inputs.retry_after_s(now, request.arrival)
-                actions += self._refuse(now, request, RefusalReason.OVERLOAD, wait_s)
+                actions += self._refusals.refuse(
+                    now, request, RefusalReason.OVERLOAD, wait_s
+                )
         for request_id in effects.ready:
             request = self._ledger.find(request_id)
             if request is not None and request.awaits_inputs:
@@ -366,16 +375,20 @@
         self._inputs.note_sent(now, request)
         if not request.stage_attempts:
             return self._start_stage(now, request)
+        if self._prompt_checks.is_blocked(request, is_retry=True):
+            return self._prompt_checks.refuse(now, request)
         actions = self._dispatcher.retry(now, request, request.retry_cost)
-        return actions or self._refuse(now, request, RefusalReason.STAGE_FAILED)
+        return actions or self._refusals.refuse(
+            now, request, RefusalReason.STAGE_FAILED
+        )
 
     # Stages
 
     def _start_stage(self, now: float, request: Request) -> list[Action]:
-        if self._should_refuse_late(now, request):
-            return self._refuse_late(now, request)
+        if self._refusals.should_refuse_late(now, request):
+            return self._refusals.refuse_late(now, request)
         if self._prompt_checks.is_blocked(request):
-            return self._refuse(now, request, RefusalReason.PROMPT_BLOCKED)
+            return self._prompt_checks.refuse(now, request)
         actions = self._dispatcher.send_first(now, request)
         return actions or self._permit_waits.add(now, request)
 
@@ -393,126 +406,6 @@
             return [*actions, *freed, self._ledger.close_answered(request)]
         return actions + self._start_stage(now, request)
 
-    def _should_refuse_late(self, now: float, request: Request) -> bool:
-        if not self._cannot_meet_deadline(now, request):
-            return False
-        # The stage may have recovered since its run times were measured. If no attempt
-        # is outstanding in the pool of the slowest stage, the request is sent, so that
-        # the stage is measured again; otherwise requests would be refused for ever.
-        slowest = self._times.slowest(request.remaining)
-        return self._loads.pool(slowest.pool).outstanding > 0
-
-    def _cannot_meet_deadline(self, now: float, request: Request) -> bool:
-        floor = self._times.floor_s(request.remaining)
-        return now + floor > request.arrival.deadline
-
-    # Failures
-
-    def _query_outcome(
-        self, now: float, request: Request, attempt: AttemptId, lost: LiveAttempt
-    ) -> list[Action]:
-        load = self._loads.find(lost.endpoint)
-        if lost.queries >= MAX_QUERIES or load is None:
-            return self._refuse(now, request, RefusalReason.STAGE_FAILED)
-        self._ledger.restore_attempt(request, attempt, lost)
-        return [QueryAttempt(attempt, lost.endpoint)]
-
-    def _attempt_failed(
-        self, now: float, request: Request, ended: LiveAttempt, result: AttemptResult
-    ) -> list[Action]:
-        not_run = result.outcome is AttemptOutcome.NOT_RUN
-        request.attempts_not_run += not_run
-        request.stage_attempts_not_run += not_run
-        self._outcome_recorder.attempt_failed(now, request, ended, result)
-        if request.live:
-            return []
-        if not result.inputs_missing:
-            request.excluded |= {ended.endpoint}
-        reason = RefusalReason.OVERLOAD if not_run else RefusalReason.STAGE_FAILED
-        may_resend = (
-            request.current_stage.repeatable or not_run
-        ) and request.has_attempts_left
-        if result.permanent or not may_resend or request.resends >= MAX_RESENDS:
-            return self._refuse(now, request, reason, result.retry_after_s)
-        if self._cannot_meet_deadline(now, request):
-            return self._refuse_late(now, request, result.retry_after_s)
-        if self._prompt_checks.is_blocked(request, is_retry=True):
-            return self._refuse(now, request, RefusalReason.PROMPT_BLOCKED)
-        cost = self._retry_cost(request, ended, not_run)
-        if request.arrival.piece_work is not None and (
-            result.inputs_missing or not request.inputs
-        ):
-            return self._recompute_inputs(now, request, cost)
-        actions = self._dispatcher.retry(now, request, cost)
-        return actions or self._refuse(now, request, reason, result.retry_after_s)
-
-    def _retry_cost(self, request: Request, ended: LiveAttempt, not_run: bool) -> float:
-        """
-        Return the budget cost of another attempt.
-
-        A retry is free if the endpoint refused the attempt because it is leaving or
-        lacks the model. Such an endpoint gets no second attempt, so that the number of
-        free retries is bounded by that of endpoints. Otherwise a rolling restart could
-        use up the retries of a request that one endpoint is still able to serve.
-        """
-        load = self._loads.find(ended.endpoint)
-        if (
-            not_run
-            and load is not None
-            and not load.accepts(request.current_stage.model)
-        ):
-            return 0.0
-        return self._settings.not_run_cost if not_run else FAILURE_COST
-
-    def _cancel_overtaken(
-        self, now: float, request: Request, ahead: LiveAttempt
-    ) -> list[Action]:
-        """
-        Cancel earlier attempts that have fewer chunks than a later one.
-
-        Attempts at another version than the first chunk's are cancelled too, as what
-        they would send does not fit to it.
-        """
-        overtaken = [
-            attempt
-            for attempt, live in request.live.items()
-            if live.version != request.version
-            or (
-                live.sent_at < ahead.sent_at
-                and live.stream.chunks < ahead.stream.chunks
-            )
-        ]
-        actions: list[Action] = []
-        for attempt in overtaken:
-            loser = self._ledger.remove_attempt(request, attempt)
-            self._outcome_recorder.attempt_overtaken(now, loser, ahead)
-            actions.append(Cancel(attempt, loser.endpoint))
-        return actions
-
-    def _refuse_late(
-        self, now: float, request: Request, retry_after_s: float = 0.0
-    ) -> list[Action]:
-        """Refuse, before its deadline, a request that can't be answered by then."""
-        # If no attempt has run, the caller may retry the request later.
-        reason = (
-            RefusalReason.OVERLOAD
-            if request.nothing_started
-            else RefusalReason.DEADLINE
-        )
-        return self._refuse(now, request, reason, retry_after_s)
-
-    def _refuse(
-        self,
-        now: float,
-        request: Request,
-        reason: RefusalReason,
-        retry_after_s: float = 0.0,
-    ) -> list[Action]:
-        backlog = self._admission.retry_after_s(now, request.remaining)
-        freed = self._coordinator.close(now, request.id)
-        wait_s = max(retry_after_s, backlog)
-        return [*freed, *self._ledger.close_refused(request, reason, wait_s)]
-
     # Timers
 
     def _timer_fired(self, now: float, timer: Timer) -> list[Action]:
@@ -527,7 +420,7 @@
 
     def _deadline_passed(self, now: float, request: Request) -> list[Action]:
         self._outcome_recorder.deadline_passed(now, request)
-        return self._refuse(now, request, RefusalReason.DEADLINE)
+        return self._refusals.refuse(now, request, RefusalReason.DEADLINE)
 
     def _configure(self, now: float, settings: PolicySettings) -> None:
         self._settings = settings
@@ -540,6 +433,7 @@
             settings.pools,
         )
         self._dispatcher.configure(settings)
+        self._failures.configure(settings.not_run_cost)
         self._peers.set_name(settings.entry)
         self._limits.configure(settings.endpoints)
         self._accounts.configure(settings.accounts, settings.entries)
--- a/packages/policy/src/amaranthtally/policy/prompt_checks.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_checks.py
@@ -60,14 +60,18 @@
             return is_retry
         return self._guard.blocked_part(request.shared_parts) is not None
 
+    def refuse(self, now: float, request: Request) -> list[Action]:
+        """Refuse a request that is blocked."""
+        part = self._guard.blocked_part(request.shared_parts)
+        wait_s = 0.0 if part is None else self._guard.wait_s(now, part)
+        return self._refuse(now, request, RefusalReason.PROMPT_BLOCKED, wait_s)
+
     def refuse_all(self, now: float, part: int) -> list[Action]:
         """Refuse all requests with a part, and cancel their attempts."""
-        wait_s = self._guard.wait_s(now, part)
         actions: list[Action] = []
         for request in self._ledger.requests:
             if part in request.shared_parts and not request.chunks:
-                reason = RefusalReason.PROMPT_BLOCKED
-                actions += self._refuse(now, request, reason, wait_s)
+                actions += self.refuse(now, request)
         return actions
 
     # Evidence
