--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -49,6 +49,7 @@
         self._parts = BlockedParts()
         self._questions: dict[tuple[str, int, int], None] = {}
         self._question_serial = 0
+        self._judges: tuple[str, ...] = ()
         self._repeat_at = 0.0
         self._expire_at = 0.0
 
@@ -109,7 +110,11 @@
 
     def peers_changed(self, now: float) -> list[Action]:
         """Report to those that decide now, and pass on to new entries what is known."""
-        actions = self._report(now, self._losses.ends(now))
+        actions: list[Action] = []
+        judges = self._peers.first(now, JUDGE_KEY, JUDGES)
+        if judges != self._judges:
+            self._judges = judges
+            actions += self._report(now, self._losses.ends(now))
         newcomers = self._peers.newcomers
         if newcomers and len(self._parts):
             actions.append(SpreadPartNotices(newcomers, self._parts.notices))
