--- a/tests/policy/test_prompt_blocks.py
+++ b/tests/policy/test_prompt_blocks.py
@@ -69,7 +69,7 @@
 
 
 def test_a_stream_that_has_begun_ends_but_is_not_sent_again():
-    """Guards against a stream that is cut, and one that goes on to the next endpoint."""
+    """Guards against a stream that is cut, and one that ends the next endpoint."""
     driver = new_driver()
     (first,) = sends(arrive(driver, 1.0))
     driver.planner.progress(1.05, first.attempt, 1)
