--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -142,16 +142,6 @@
         """Exchanges with the other gateways what is known of parts of prompts."""
         return self._prompts
 
-    @property
-    def blocked_part_count(self) -> int:
-        """Number of parts of prompts that are blocked."""
-        return self._planner.prompts.blocked_count
-
-    @property
-    def limit_count(self) -> int:
-        """Number of endpoints that name a rate limit."""
-        return len(self._planner.limits.rates)
-
     @property
     def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
         """Function that runs a coroutine in the background."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -23,8 +23,8 @@
 from amaranthtally.wire import PeerLostError
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
+from amaranthtally.wire.gateway_client import GatewayClient, connect_gateway
 from amaranthtally.wire.gateway_codec import GatewayStatus, Greeter, Versions
-from amaranthtally.wire.gateway_peer import GatewayClient, connect_gateway
 
 __all__ = ["PeerConnections"]
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prompt_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prompt_exchange.py
@@ -41,6 +41,11 @@
         self._carry_out = carry_out
         self._time = asyncio.get_running_loop().time
 
+    @property
+    def blocked_count(self) -> int:
+        """Number of parts of prompts that are blocked."""
+        return self._guard.blocked_count
+
     # Events
 
     def notices_received(self, notices: Sequence[PartNotice]) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/rate_limit_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/rate_limit_exchange.py
@@ -39,6 +39,11 @@
         self._carry_out = carry_out
         self._time = asyncio.get_running_loop().time
 
+    @property
+    def count(self) -> int:
+        """Number of endpoints that name a rate limit."""
+        return len(self._limits.rates)
+
     # Events
 
     def response_received(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -54,7 +54,7 @@
     SettingsFileError,
     load_gateway_settings,
 )
-from amaranthtally.wire.gateway_peer import serve_gateway
+from amaranthtally.wire.gateway_server import serve_gateway
 
 __all__ = ["run_gateway"]
 
@@ -211,8 +211,8 @@
             followers=coordination.follower_count,
             stream_origins=origins.count,
             connections_closed_unread=gate.closed,
-            rate_limits=executor.limit_count,
-            prompt_parts_blocked=executor.blocked_part_count,
+            rate_limits=executor.rate_limits.count,
+            prompt_parts_blocked=executor.prompts.blocked_count,
             log_lines_lost=writer.dropped,
         )
 
--- a/packages/policy/src/amaranthtally/policy/peer_group.py
+++ b/packages/policy/src/amaranthtally/policy/peer_group.py
@@ -17,7 +17,7 @@
 REPEAT_INTERVAL_S = 0.5
 REPEAT_FANOUT = 2
 # Expected number of entries that send what they know to one that has just started.
-GREETERS = 4
+JOIN_SENDERS = 4
 # How long an entry that did not answer has no duties, in seconds.
 PAUSE_S = 3.0
 
@@ -57,7 +57,7 @@
 
     @property
     def newcomers(self) -> tuple[str, ...]:
-        """The entries that the last change added and that this one is to greet."""
+        """Entries that the last change added, to be sent what is known here."""
         return self._newcomers
 
     def set_name(self, name: str) -> None:
@@ -73,7 +73,7 @@
         before = set(self._names)
         if set(names) == before:
             return False
-        share = GREETERS / max(1, len(names))
+        share = JOIN_SENDERS / max(1, len(names))
         added = (name for name in names if name not in before)
         self._newcomers = tuple(n for n in added if self._random.random() < share)
         self._names = names
--- a/packages/policy/src/amaranthtally/policy/permit_waits.py
+++ b/packages/policy/src/amaranthtally/policy/permit_waits.py
@@ -1,23 +1,21 @@
 """Requests that wait for a permit, as every endpoint that could run them is limited."""
 
 from collections import Counter
-from collections.abc import Callable
 from typing import NamedTuple
 
 from amaranthtally.policy.actions import Action, RefusalReason
 from amaranthtally.policy.dispatch import Dispatcher
 from amaranthtally.policy.endpoint_limits import EndpointLimits
+from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import Request
 
-__all__ = ["PermitWaits", "RefuseRequest"]
+__all__ = ["PermitWaits"]
 
 # How long a request waits for a permit at most, in seconds. One that would wait longer
 # is refused at once, and its caller may find permits at another entry.
 PERMIT_WAIT_S = 0.5
 
-RefuseRequest = Callable[[float, Request, RefusalReason, float], list[Action]]
-
 
 class _Wait(NamedTuple):
     request_id: str
@@ -33,12 +31,12 @@
         limits: EndpointLimits,
         dispatcher: Dispatcher,
         ledger: RequestLedger,
-        refuse: RefuseRequest,
+        refusals: Refusals,
     ) -> None:
         self._limits = limits
         self._dispatcher = dispatcher
         self._ledger = ledger
-        self._refuse = refuse
+        self._refusals = refusals
         self._waits: dict[str, _Wait] = {}
 
     def add(self, now: float, request: Request) -> list[Action]:
@@ -46,9 +44,9 @@
         pool = request.current_stage.pool
         wait_s = self._limits.wait_s(now, pool)
         if wait_s is None:
-            return self._refuse(now, request, RefusalReason.NO_ENDPOINT, 0.0)
+            return self._refusals.refuse(now, request, RefusalReason.NO_ENDPOINT)
         if wait_s > PERMIT_WAIT_S:
-            return self._refuse(now, request, RefusalReason.RATE_LIMIT, wait_s)
+            return self._refusals.refuse(now, request, RefusalReason.RATE_LIMIT, wait_s)
         self._waits[request.id] = _Wait(request.id, pool, now + PERMIT_WAIT_S)
         return []
 
@@ -80,4 +78,4 @@
             return sent
         if wait_s == 0.0 and left_s > 0.0:
             return None
-        return self._refuse(now, request, RefusalReason.RATE_LIMIT, wait_s)
+        return self._refusals.refuse(now, request, RefusalReason.RATE_LIMIT, wait_s)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -118,11 +118,9 @@
         self._prompts = PromptGuard(
             self._peers, lambda now, part: self._prompt_checks.refuse_all(now, part)
         )
-        self._prompt_checks = PromptChecks(
-            self._prompts, self._ledger, self._refusals.refuse
-        )
+        self._prompt_checks = PromptChecks(self._prompts, self._ledger, self._refusals)
         self._permit_waits = PermitWaits(
-            self._limits, self._dispatcher, self._ledger, self._refusals.refuse
+            self._limits, self._dispatcher, self._ledger, self._refusals
         )
         self._failures = FailedAttempts(
             self._ledger,
--- a/packages/policy/src/amaranthtally/policy/prompt_checks.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_checks.py
@@ -1,6 +1,6 @@
 """Checks an entry's requests for parts of prompts on which endpoints end."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 from amaranthtally.policy.actions import (
     Action,
@@ -12,23 +12,22 @@
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.part_losses import EndpointStart
 from amaranthtally.policy.prompt_guard import PromptGuard
+from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
 
 __all__ = ["PromptChecks"]
 
-RefuseRequest = Callable[[float, Request, RefusalReason, float], list[Action]]
-
 
 class PromptChecks:
     """Refuses requests with a blocked part, and notes what the others show."""
 
     def __init__(
-        self, guard: PromptGuard, ledger: RequestLedger, refuse: RefuseRequest
+        self, guard: PromptGuard, ledger: RequestLedger, refusals: Refusals
     ) -> None:
         self._guard = guard
         self._ledger = ledger
-        self._refuse = refuse
+        self._refusals = refusals
         self._endpoints: Mapping[str, Endpoint] = {}
         self._trials: set[str] = set()
 
@@ -64,7 +63,7 @@
         """Refuse a request that is blocked."""
         part = self._guard.blocked_part(request.shared_parts)
         wait_s = 0.0 if part is None else self._guard.wait_s(now, part)
-        return self._refuse(now, request, RefusalReason.PROMPT_BLOCKED, wait_s)
+        return self._refusals.refuse(now, request, RefusalReason.PROMPT_BLOCKED, wait_s)
 
     def refuse_all(self, now: float, part: int) -> list[Action]:
         """Refuse all requests with a part, and cancel their attempts."""
--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -16,7 +16,6 @@
     SpreadPartNotices,
 )
 from amaranthtally.policy.model import Endpoint
-from amaranthtally.policy.part_cases import PartCases
 from amaranthtally.policy.part_losses import (
     EndpointStart,
     PartEnd,
@@ -25,12 +24,13 @@
 )
 from amaranthtally.policy.part_notices import BlockedParts, PartNotice, PartState
 from amaranthtally.policy.peer_group import REPEAT_INTERVAL_S, PeerGroup
+from amaranthtally.policy.suspect_parts import SuspectParts
 
 __all__ = ["PromptGuard"]
 
 # Number of entries that decide on parts, in case one fails, and the key of this duty.
-JUDGES = 2
-JUDGE_KEY = "prompts"
+AGGREGATORS = 2
+AGGREGATOR_KEY = "prompts"
 EXPIRY_INTERVAL_S = 1.0
 # Most questions of other entries that are remembered, to answer each only once.
 MAX_QUESTIONS = 1024
@@ -45,11 +45,11 @@
         self._peers = peers
         self._on_blocked = on_blocked
         self._losses = PartLosses()
-        self._cases = PartCases()
+        self._suspects = SuspectParts()
         self._parts = BlockedParts()
         self._questions: dict[tuple[str, int, int], None] = {}
         self._question_serial = 0
-        self._judges: tuple[str, ...] = ()
+        self._aggregators: tuple[str, ...] = ()
         self._repeat_at = 0.0
         self._expire_at = 0.0
 
@@ -68,7 +68,7 @@
 
     def take_trial(self, now: float, part: int) -> bool:
         """Whether a request with a blocked part may be sent as a trial."""
-        if self._peers.responsible(now, JUDGE_KEY):
+        if self._peers.responsible(now, AGGREGATOR_KEY):
             return False
         return self._parts.take_trial(now, part)
 
@@ -111,9 +111,9 @@
     def peers_changed(self, now: float) -> list[Action]:
         """Report to those that decide now, and pass on to new entries what is known."""
         actions: list[Action] = []
-        judges = self._peers.first(now, JUDGE_KEY, JUDGES)
-        if judges != self._judges:
-            self._judges = judges
+        aggregators = self._peers.first(now, AGGREGATOR_KEY, AGGREGATORS)
+        if aggregators != self._aggregators:
+            self._aggregators = aggregators
             actions += self._report(now, self._losses.ends(now))
         newcomers = self._peers.newcomers
         if newcomers and len(self._parts):
@@ -128,16 +128,16 @@
     def ends_reported(self, now: float, ends: Iterable[PartEnd]) -> list[Action]:
         """Handle the ends that an entry reports."""
         for end in ends:
-            self._cases.add_end(now, end)
+            self._suspects.add_end(now, end)
             success = self._losses.success(now, end.part)
             if success is not None:
-                self._cases.add_success(success)
+                self._suspects.add_success(success)
         return []
 
     def successes_reported(self, successes: Iterable[PartSuccess]) -> None:
         """Handle the successes that an entry reports, as it was asked."""
         for success in successes:
-            self._cases.add_success(success)
+            self._suspects.add_success(success)
 
     def notices_received(
         self, now: float, notices: Iterable[PartNotice]
@@ -158,9 +158,9 @@
     def tick(self, now: float) -> list[Action]:
         """Ask about parts, block those at fault, and repeat notices to peers."""
         actions = self._count(now, self._losses.tick(now))
-        for part in self._cases.due_questions(now):
+        for part in self._suspects.due_questions(now):
             actions += self._ask(part)
-        for part in self._cases.due_blocks(now):
+        for part in self._suspects.due_blocks(now):
             actions += self._block(now, part)
         if len(self._parts) and now >= self._repeat_at:
             self._repeat_at = now + REPEAT_INTERVAL_S
@@ -169,7 +169,7 @@
                 actions.append(SpreadPartNotices(receivers, self._parts.notices))
         if now >= self._expire_at:
             self._expire_at = now + EXPIRY_INTERVAL_S
-            self._cases.expire(now)
+            self._suspects.expire(now)
             self._parts.expire(now)
         return actions
 
@@ -177,7 +177,7 @@
 
     def _ask(self, part: int) -> list[Action]:
         self._question_serial += 1
-        since = self._cases.ends_of(part)[0].lost_at
+        since = self._suspects.ends_of(part)[0].lost_at
         question = PartNotice(
             part,
             PartState.ASKED,
@@ -190,9 +190,9 @@
 
     def _block(self, now: float, part: int) -> list[Action]:
         # The block of another part may have explained its ends meanwhile.
-        if part in self._parts.blocked or not self._cases.is_at_fault(now, part):
+        if part in self._parts.blocked or not self._suspects.is_at_fault(now, part):
             return []
-        ends = self._cases.ends_of(part)
+        ends = self._suspects.ends_of(part)
         notice = self._parts.next_notice(
             part, PartState.BLOCKED, ends[0].lost_at, (end.endpoint for end in ends)
         )
@@ -202,9 +202,9 @@
     def _apply(self, now: float, notice: PartNotice, *, is_own: bool) -> list[Action]:
         actions: list[Action] = [PartChanged(notice, is_own)]
         if notice.state is not PartState.BLOCKED:
-            self._cases.part_cleared(notice.part)
+            self._suspects.part_cleared(notice.part)
             return actions
-        self._cases.part_blocked(now, notice.part, notice.ends)
+        self._suspects.part_blocked(now, notice.part, notice.ends)
         success = self._losses.success(now, notice.part)
         if success is not None and success.sent_at > notice.since:
             return [*actions, *self._clear(now, notice.part)]
@@ -213,13 +213,13 @@
     def _clear(self, now: float, part: int) -> list[Action]:
         notice = self._parts.next_notice(part, PartState.CLEARED, now)
         self._parts.put(now, notice)
-        self._cases.part_cleared(part)
+        self._suspects.part_cleared(part)
         return [PartChanged(notice, is_own=True), *self._spread((notice,))]
 
     def _count(self, now: float, successes: Iterable[PartSuccess]) -> list[Action]:
         actions: list[Action] = []
         for success in successes:
-            self._cases.add_success(success)
+            self._suspects.add_success(success)
             blocked = self._parts.find(success.part)
             is_blocked = blocked is not None and blocked.state is PartState.BLOCKED
             if blocked and is_blocked and success.sent_at > blocked.since:
@@ -237,11 +237,11 @@
         if not reported:
             return []
         actions: list[Action] = []
-        for judge in self._peers.first(now, JUDGE_KEY, JUDGES):
-            if judge == self._peers.name:
+        for aggregator in self._peers.first(now, AGGREGATOR_KEY, AGGREGATORS):
+            if aggregator == self._peers.name:
                 actions += self.ends_reported(now, reported)
             else:
-                actions.append(ReportEnds(judge, reported))
+                actions.append(ReportEnds(aggregator, reported))
         return actions
 
     def _spread(self, notices: tuple[PartNotice, ...]) -> list[Action]:
--- a/packages/policy/src/amaranthtally/policy/part_cases.py
+++ b/packages/policy/src/amaranthtally/policy/suspect_parts.py
@@ -6,7 +6,7 @@
 
 from amaranthtally.policy.part_losses import EVIDENCE_TTL_S, PartEnd, PartSuccess
 
-__all__ = ["PartCases"]
+__all__ = ["SuspectParts"]
 
 # From how many ended endpoints on all entries are asked whether a part has succeeded.
 ENDS_TO_ASK = 2
@@ -19,18 +19,18 @@
 ANSWER_TIME_S = 0.4
 # Interval at which they are asked again, in seconds.
 ASK_INTERVAL_S = 2.0
-MAX_CASES = 4096
+MAX_SUSPECTS = 4096
 
 
 @dataclass(slots=True)
-class _Case:
+class _Suspect:
     ends: dict[str, PartEnd] = field(default_factory=dict)
     successes: int = 0
     asked_at: float = -inf
     first_asked_at: float = inf
 
 
-class PartCases:
+class SuspectParts:
     """
     The ends that entries have reported, by part; time stamps in seconds.
 
@@ -40,7 +40,7 @@
     """
 
     def __init__(self) -> None:
-        self._cases: dict[int, _Case] = {}
+        self._suspects: dict[int, _Suspect] = {}
         # Ends of which the cause is known, with the time when that became known.
         self._explained: dict[str, float] = {}
         self._blocked: set[int] = set()
@@ -51,31 +51,31 @@
             self._explain(now, end.endpoint)
         if end.endpoint in self._explained:
             return
-        case = self._cases.setdefault(end.part, _Case())
-        case.successes = max(case.successes, end.successes)
-        known = case.ends.get(end.endpoint)
+        suspect = self._suspects.setdefault(end.part, _Suspect())
+        suspect.successes = max(suspect.successes, end.successes)
+        known = suspect.ends.get(end.endpoint)
         if known is not None:
             sent_at = max(known.sent_at, end.sent_at)
             end = end._replace(lost_at=min(known.lost_at, end.lost_at), sent_at=sent_at)
-        case.ends[end.endpoint] = end
-        while len(self._cases) > MAX_CASES:
-            del self._cases[next(iter(self._cases))]
+        suspect.ends[end.endpoint] = end
+        while len(self._suspects) > MAX_SUSPECTS:
+            del self._suspects[next(iter(self._suspects))]
 
     def add_success(self, success: PartSuccess) -> None:
         """Drop the ends before a request that succeeded."""
-        case = self._cases.get(success.part)
-        if case is None:
+        suspect = self._suspects.get(success.part)
+        if suspect is None:
             return
-        case.successes = max(1, case.successes)
-        case.ends = {
+        suspect.successes = max(1, suspect.successes)
+        suspect.ends = {
             name: end
-            for name, end in case.ends.items()
+            for name, end in suspect.ends.items()
             if end.lost_at > success.sent_at
         }
 
     def part_blocked(self, now: float, part: int, endpoints: Iterable[str]) -> None:
         """Count the ends of a part that is blocked for no other part."""
-        self._cases.pop(part, None)
+        self._suspects.pop(part, None)
         self._blocked.add(part)
         for endpoint in endpoints:
             self._explain(now, endpoint)
@@ -86,35 +86,35 @@
 
     def ends_of(self, part: int) -> tuple[PartEnd, ...]:
         """Return the ends that count against a part, earliest first."""
-        case = self._cases.get(part)
-        ends = case.ends.values() if case else ()
+        suspect = self._suspects.get(part)
+        ends = suspect.ends.values() if suspect else ()
         return tuple(sorted(ends, key=lambda end: end.lost_at))
 
     def due_questions(self, now: float) -> tuple[int, ...]:
         """Return the parts of which all entries are to be asked now."""
         due = []
-        for part, case in self._cases.items():
-            is_due = now - case.asked_at >= ASK_INTERVAL_S
-            if len(case.ends) >= ENDS_TO_ASK and is_due:
-                case.asked_at = now
-                case.first_asked_at = min(case.first_asked_at, now)
+        for part, suspect in self._suspects.items():
+            is_due = now - suspect.asked_at >= ASK_INTERVAL_S
+            if len(suspect.ends) >= ENDS_TO_ASK and is_due:
+                suspect.asked_at = now
+                suspect.first_asked_at = min(suspect.first_asked_at, now)
                 due.append(part)
         return tuple(due)
 
     def due_blocks(self, now: float) -> tuple[int, ...]:
         """Return the parts that are to be blocked."""
-        return tuple(part for part in self._cases if self.is_at_fault(now, part))
+        return tuple(part for part in self._suspects if self.is_at_fault(now, part))
 
     def expire(self, now: float) -> None:
         """Drop what is too old to count."""
-        for part, case in list(self._cases.items()):
-            case.ends = {
+        for part, suspect in list(self._suspects.items()):
+            suspect.ends = {
                 name: end
-                for name, end in case.ends.items()
+                for name, end in suspect.ends.items()
                 if now - end.lost_at < EVIDENCE_TTL_S
             }
-            if not case.ends:
-                del self._cases[part]
+            if not suspect.ends:
+                del self._suspects[part]
         self._explained = {
             name: at
             for name, at in self._explained.items()
@@ -123,15 +123,17 @@
 
     def is_at_fault(self, now: float, part: int) -> bool:
         """Whether a part is to be blocked."""
-        case = self._cases.get(part)
-        if case is None or now - case.first_asked_at < ANSWER_TIME_S:
+        suspect = self._suspects.get(part)
+        if suspect is None or now - suspect.first_asked_at < ANSWER_TIME_S:
             return False
-        if not case.successes:
-            return len(case.ends) >= ENDS_TO_BLOCK
+        if not suspect.successes:
+            return len(suspect.ends) >= ENDS_TO_BLOCK
         count = _count_sequential(self.ends_of(part))
-        return count >= SEQUENTIAL_ENDS_TO_BLOCK and not self._has_rival(case)
+        return count >= SEQUENTIAL_ENDS_TO_BLOCK and not self._has_likelier_cause(
+            suspect
+        )
 
-    def _has_rival(self, case: _Case) -> bool:
+    def _has_likelier_cause(self, suspect: _Suspect) -> bool:
         """
         Whether a part that has succeeded less often explains the same ends.
 
@@ -139,17 +141,17 @@
         route share is then in flight at each end, as is the one at fault, and blocking
         the shared one would refuse every request of the route.
         """
-        needed = len(case.ends) // 2
+        needed = len(suspect.ends) // 2
         return any(
-            rival.successes < case.successes
-            and len(rival.ends.keys() & case.ends.keys()) >= needed
-            for rival in self._cases.values()
+            other.successes < suspect.successes
+            and len(other.ends.keys() & suspect.ends.keys()) >= needed
+            for other in self._suspects.values()
         )
 
     def _explain(self, now: float, endpoint: str) -> None:
         self._explained[endpoint] = now
-        for case in self._cases.values():
-            case.ends.pop(endpoint, None)
+        for suspect in self._suspects.values():
+            suspect.ends.pop(endpoint, None)
 
 
 def _count_sequential(ends: Iterable[PartEnd]) -> int:
--- a/tests/load/prompts_fleet.py
+++ b/tests/load/prompts_fleet.py
@@ -102,7 +102,7 @@
             if self.groups[name].replace(self.now, peers):
                 self._carry_out(name, guard.peers_changed(self.now))
 
-    def judges(self):
+    def aggregators(self):
         first = next(iter(self.members))
         return self.groups[first].first(self.now, "prompts", 2)
 
--- a/tests/load/test_fatal_parts.py
+++ b/tests/load/test_fatal_parts.py
@@ -140,16 +140,16 @@
     for seed in SEEDS:
         fleet = PromptsFleet(size, seed=seed)
 
-        def kill_judges(fleet=fleet):
-            judges = fleet.judges()
-            for name in judges:
+        def kill_aggregators(fleet=fleet):
+            aggregators = fleet.aggregators()
+            for name in aggregators:
                 fleet.kill(name)
             fleet.at(fleet.now + 3.0, fleet.update_peers)
-            for name in judges:
+            for name in aggregators:
                 fleet.at(fleet.now + 4.0, lambda n=name: fleet.start(n))
             fleet.at(fleet.now + 4.2, fleet.update_peers)
 
-        fleet.at(6.0, kill_judges)
+        fleet.at(6.0, kill_aggregators)
         fleet.run_until(26.0)
         check_kept_away(fleet, 26.0)
 
@@ -184,7 +184,7 @@
     assert fleet.blocked_at
     fleet.end_engine = lambda name: None
     fleet.run_until(24.0)
-    name = fleet.judges()[0]
+    name = fleet.aggregators()[0]
     guard = fleet.members[name]
     start = EndpointStart(next(iter(fleet.engines)), 0)
     fleet._carry_out(
