An entry that has started again is answered when it asks about a part

Questions were numbered from 1 after each start, and entries answer each number once: a restarted aggregator would have heard of no success (found in reading; the test failed before).

--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -34,6 +34,8 @@
 EXPIRY_INTERVAL_S = 1.0
 # Most questions of other entries that are remembered, to answer each only once.
 MAX_QUESTIONS = 1024
+# Questions are numbered by time, with this many numbers a second.
+QUESTIONS_PER_S = 1000
 
 OnBlocked = Callable[[float, int], list[Action]]
 
@@ -159,7 +161,7 @@
         """Ask about parts, block those at fault, and repeat notices to peers."""
         actions = self._count(now, self._losses.tick(now))
         for part in self._suspects.due_questions(now):
-            actions += self._ask(part)
+            actions += self._ask(now, part)
         for part in self._suspects.due_blocks(now):
             actions += self._block(now, part)
         if len(self._parts) and now >= self._repeat_at:
@@ -175,8 +177,12 @@
 
     # Decisions
 
-    def _ask(self, part: int) -> list[Action]:
-        self._question_serial += 1
+    def _ask(self, now: float, part: int) -> list[Action]:
+        # Entries answer each question of an entry once. One that has started again must
+        # not repeat the numbers of before, or nobody would answer it.
+        self._question_serial = max(
+            self._question_serial + 1, int(now * QUESTIONS_PER_S)
+        )
         since = self._suspects.ends_of(part)[0].lost_at
         question = PartNotice(
             part,
