A response that ends with its connection is no success of a part if its endpoint ended with it

Cause, by reading and by test: a response without length or chunks that its endpoint's end cut between two events looked whole, counted as a success before the record was removed, and cleared the part. A part with successes is no longer spared for one that shares half of its ends only: all but one (found beside it: sound sessions were taken for likelier).

--- a/packages/policy/src/amaranthtally/policy/part_losses.py
+++ b/packages/policy/src/amaranthtally/policy/part_losses.py
@@ -14,8 +14,12 @@
 # in seconds: a few heartbeats, after which the registry drops its record.
 CONFIRMED_WITHIN_S = 6.0
 # A response that ends with its connection may be a part of one, if its endpoint ended.
-# It counts as a success this much later, in seconds, unless the endpoint is gone.
-UNFRAMED_DELAY_S = 1.5
+# It counts as a success this much later, in seconds, if the endpoint is still there: by
+# then the record of one that ended has been removed.
+UNFRAMED_DELAY_S = 4.5
+# Within this time of an endpoint's end, in seconds, a response that ended with its
+# connection counts as lost.
+CUT_WITHIN_S = 0.25
 # Most parts whose successes are remembered, and most ends that are held.
 MAX_SUCCESSES = 4096
 MAX_ENDS = 1024
@@ -60,8 +64,8 @@
 
 
 class _Unframed(NamedTuple):
-    endpoint: str
-    due_at: float
+    start: EndpointStart
+    ended_at: float
     successes: tuple[PartSuccess, ...]
 
 
@@ -113,8 +117,7 @@
         """Note a complete response; return the successes that count from now on."""
         successes = tuple(PartSuccess(part, sent_at, now) for part in parts)
         if not is_framed:
-            due_at = now + UNFRAMED_DELAY_S
-            self._unframed.append(_Unframed(endpoint.id, due_at, successes))
+            self._unframed.append(_Unframed(endpoint, now, successes))
             return ()
         return self._count(successes)
 
@@ -126,11 +129,16 @@
         self, now: float, endpoints: Mapping[str, Endpoint]
     ) -> tuple[PartEnd, ...]:
         """Note which endpoints are registered; return the ends it confirms."""
-        ended = [
-            name
-            for name, loss in self._losses.items()
-            if name not in endpoints or endpoints[name].incarnation != loss.incarnation
-        ]
+        starts = {
+            EndpointStart(n, loss.incarnation) for n, loss in self._losses.items()
+        }
+        starts.update(item.start for item in self._unframed)
+        ended = {
+            start.id
+            for start in starts
+            if start.id not in endpoints
+            or endpoints[start.id].incarnation != start.incarnation
+        }
         return self._confirm(now, ended)
 
     def tick(self, now: float) -> tuple[PartSuccess, ...]:
@@ -140,18 +148,18 @@
                 del self._losses[name]
         if not self._unframed:
             return ()
-        due = [item for item in self._unframed if item.due_at <= now]
-        self._unframed = [item for item in self._unframed if item.due_at > now]
-        counted = [item for item in due if item.endpoint not in self._losses]
+        due_before = now - UNFRAMED_DELAY_S
+        due = [item for item in self._unframed if item.ended_at <= due_before]
+        self._unframed = [i for i in self._unframed if i.ended_at > due_before]
+        counted = [item for item in due if item.start.id not in self._losses]
         return self._count([s for item in counted for s in item.successes])
 
     def _confirm(self, now: float, names: Iterable[str]) -> tuple[PartEnd, ...]:
         confirmed: list[PartEnd] = []
         for name in names:
-            loss = self._losses.pop(name, None)
+            loss = self._take_loss(name)
             if loss is None or now - loss.lost_at >= CONFIRMED_WITHIN_S:
                 continue
-            self._unframed = [i for i in self._unframed if i.endpoint != name]
             start = f"{name}/{loss.incarnation}"
             for part, sent_at in loss.sent_at.items():
                 is_known = self.success(now, part) is not None
@@ -160,6 +168,25 @@
         self._ends = [*self._ends, *confirmed][-MAX_ENDS:]
         return tuple(confirmed)
 
+    def _take_loss(self, name: str) -> _Loss | None:
+        """Return what was lost with an endpoint, or looked whole as it ended."""
+        loss = self._losses.pop(name, None)
+        unframed = [item for item in self._unframed if item.start.id == name]
+        if not unframed:
+            return loss
+        self._unframed = [item for item in self._unframed if item.start.id != name]
+        if loss is None:
+            last = unframed[-1]
+            loss = _Loss(last.start.incarnation, last.ended_at)
+        for item in unframed:
+            if item.ended_at < loss.lost_at - CUT_WITHIN_S:
+                self._count(item.successes)
+                continue
+            for success in item.successes:
+                sent_at = loss.sent_at.get(success.part, success.sent_at)
+                loss.sent_at[success.part] = max(sent_at, success.sent_at)
+        return loss
+
     def _count(self, successes: Iterable[PartSuccess]) -> tuple[PartSuccess, ...]:
         counted = tuple(successes)
         for success in counted:
--- a/packages/policy/src/amaranthtally/policy/suspect_parts.py
+++ b/packages/policy/src/amaranthtally/policy/suspect_parts.py
@@ -10,11 +10,17 @@
 
 # From how many ended endpoints on all entries are asked whether a part has succeeded.
 ENDS_TO_ASK = 2
-# Number of ended endpoints at which a part is blocked if it has never succeeded, and at
-# which one is that had succeeded before. Only ends in sequence count for the latter:
-# when many endpoints fail at a time, the parts of all requests are in flight there.
+# Number of ended endpoints at which a part is blocked if it has never succeeded.
 ENDS_TO_BLOCK = 3
-SEQUENTIAL_ENDS_TO_BLOCK = 4
+# The same for a part that had succeeded before: this many ends, of which so many are in
+# sequence. When many endpoints fail at a time, the parts of all requests are in flight
+# there.
+PROVEN_ENDS_TO_BLOCK = 4
+MIN_SEQUENTIAL_ENDS = 3
+# Ends of a part that another one need not share to be the likelier cause of the others.
+MAX_UNSHARED_ENDS = 1
+# A part with this many times as many ends is the likelier cause, whatever succeeded.
+MANY_MORE_ENDS = 2
 # How long the entries have to answer before a part is blocked, in seconds.
 ANSWER_TIME_S = 0.4
 # Interval at which they are asked again, in seconds.
@@ -126,26 +132,30 @@
         suspect = self._suspects.get(part)
         if suspect is None or now - suspect.first_asked_at < ANSWER_TIME_S:
             return False
-        if not suspect.successes:
-            return len(suspect.ends) >= ENDS_TO_BLOCK
-        count = _count_sequential(self.ends_of(part))
-        return count >= SEQUENTIAL_ENDS_TO_BLOCK and not self._has_likelier_cause(
-            suspect
+        is_enough = (
+            self._has_enough_proven_ends(part, suspect)
+            if suspect.successes
+            else len(suspect.ends) >= ENDS_TO_BLOCK
         )
+        return is_enough and not self._has_likelier_cause(suspect)
+
+    def _has_enough_proven_ends(self, part: int, suspect: _Suspect) -> bool:
+        if len(suspect.ends) < PROVEN_ENDS_TO_BLOCK:
+            return False
+        return _count_sequential(self.ends_of(part)) >= MIN_SEQUENTIAL_ENDS
 
     def _has_likelier_cause(self, suspect: _Suspect) -> bool:
         """
-        Whether a part that has succeeded less often explains the same ends.
+        Whether another part explains the same ends better.
 
         When all engines are down, nothing succeeds. The part that all requests of a
         route share is then in flight at each end, as is the one at fault, and blocking
         the shared one would refuse every request of the route.
         """
-        needed = len(suspect.ends) // 2
         return any(
-            other.successes < suspect.successes
-            and len(other.ends.keys() & suspect.ends.keys()) >= needed
+            _is_likelier(other, suspect)
             for other in self._suspects.values()
+            if other is not suspect
         )
 
     def _explain(self, now: float, endpoint: str) -> None:
@@ -162,3 +172,15 @@
             count += 1
             last = end.lost_at
     return count
+
+
+def _is_likelier(other: _Suspect, suspect: _Suspect) -> bool:
+    """Whether another part was in flight at the same ends, and is likelier at fault."""
+    shared = len(other.ends.keys() & suspect.ends.keys())
+    if shared < len(suspect.ends) - MAX_UNSHARED_ENDS:
+        return False
+    if len(other.ends) >= MANY_MORE_ENDS * len(suspect.ends):
+        return True
+    if other.successes == suspect.successes:
+        return len(other.ends) > len(suspect.ends)
+    return other.successes < suspect.successes
--- a/tests/load/prompts_fleet.py
+++ b/tests/load/prompts_fleet.py
@@ -44,7 +44,8 @@
     Entries by name. Sound requests come at ``sound_rate`` a second, fatal ones too.
 
     ``fatal_rate`` is a function of time. A request has the route's part, a session's or
-    the fatal one, and one of its own, which is not shared.
+    the fatal one, and one of its own, which is not shared. With ``looks_whole``, the
+    response to a fatal request ends with its connection as if it were whole.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         seed=1,
         tick_s=0.05,
         is_framed=True,
+        looks_whole=False,
     ):
         super().__init__()
         self.random = Random(seed)
@@ -72,6 +74,7 @@
         self.messages = 0
         self._fatal_rate = fatal_rate
         self._is_framed = is_framed
+        self._looks_whole = looks_whole
         self._tick_s = tick_s
         self._engine_serial = 0
         for _ in range(engines):
@@ -226,18 +229,25 @@
                 self._attempt(name, guard, parts, is_fatal, outcome, number + 1, False)
 
         def finish():
-            if engine.running.pop(key, None) and self.members.get(name) is guard:
+            if engine.running.pop(key, None):
                 outcome["served"] = number == 1
-                self._carry_out(
-                    name,
-                    guard.attempt_succeeded(
-                        self.now, start, parts, sent_at, self._is_framed
-                    ),
+                self._succeed(
+                    name, guard, start, parts, sent_at, is_framed=self._is_framed
                 )
 
-        engine.running[key] = lose
+        def look_whole():
+            self._succeed(name, guard, start, parts, sent_at, is_framed=False)
+
+        engine.running[key] = look_whole if is_fatal and self._looks_whole else lose
         if is_fatal:
             self.fatal_arrivals.append(self.now)
             self.later(END_AFTER_S, lambda: self.end_engine(engine.name))
         else:
             self.later(RUN_S * (0.5 + self.random.random()), finish)
+
+    def _succeed(self, name, guard, start, parts, sent_at, *, is_framed):
+        if self.members.get(name) is guard:
+            actions = guard.attempt_succeeded(
+                self.now, start, parts, sent_at, is_framed
+            )
+            self._carry_out(name, actions)
--- a/tests/load/test_fatal_parts.py
+++ b/tests/load/test_fatal_parts.py
@@ -192,3 +192,28 @@
     )
     fleet.run_until(25.5)
     assert all(not g.blocked_part((FATAL,)) for g in fleet.members.values())
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_responses_that_look_whole_as_their_endpoint_ends_are_no_success(size):
+    """Guards against a fatal part that is cleared by the ends that it causes."""
+    for seed in SEEDS:
+        fleet = PromptsFleet(size, seed=seed, is_framed=False, looks_whole=True)
+        fleet.run_until(26.0)
+        check_kept_away(fleet, 26.0)
+
+
+@pytest.mark.parametrize("size", SIZES)
+@pytest.mark.parametrize("rate", [2.0, 4.0, 20.0])
+def test_a_part_that_succeeded_often_is_kept_away_in_time(size, rate):
+    """Guards against a popular session that turns fatal and is taken for sound."""
+    for seed in SEEDS:
+        fleet = PromptsFleet(size, fatal_rate=lambda now: 0.0, seed=seed)
+        fleet.run_until(3.0)
+        start = EndpointStart(next(iter(fleet.engines)), 0)
+        for guard in fleet.members.values():
+            for _ in range(30):
+                guard.attempt_succeeded(fleet.now, start, (FATAL,), 2.5, True)
+        fleet._fatal_rate = lambda now: rate if now > 5.0 else 0.0
+        fleet.run_until(24.0)
+        check_kept_away(fleet, 24.0)
