A gateway that starts reads the rate limits that others know, before it serves

One that was killed and starts again within its lease is no new peer to the others: it knew limits only as they were repeated, by chance up to a second later, and sent what all others keep back.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -189,6 +189,10 @@
         """Pass limits of endpoints on to a peer; raises ``PeerLostError``."""
         await self._call(peer, lambda client: client.spread_rate_limits(notices))
 
+    async def read_rate_limits(self, peer: str) -> tuple[RateLimitNotice, ...]:
+        """Return the rate limits that a peer knows; raises ``PeerLostError``."""
+        return await self._call(peer, lambda client: client.read_rate_limits())
+
     async def ask_permits(
         self, peer: str, asks: Sequence[PermitAsk]
     ) -> tuple[PermitAnswer, ...]:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -74,6 +74,10 @@
         """Take the rate limits that a peer has passed on."""
         self._executor.rate_limits.limits_received(notices)
 
+    def known_rate_limits(self) -> Sequence[RateLimitNotice]:
+        """Return the rate limits that this gateway knows."""
+        return self._executor.rate_limits.known
+
     def permits_asked(
         self, asker: str, asks: Sequence[PermitAsk]
     ) -> Sequence[PermitAnswer]:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/rate_limit_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/rate_limit_exchange.py
@@ -44,6 +44,17 @@
         """Number of endpoints that name a rate limit."""
         return len(self._limits.rates)
 
+    @property
+    def known(self) -> Sequence[RateLimitNotice]:
+        """All notices of limits, to be read by a peer."""
+        return self._limits.notices
+
+    async def read_from(self, peer: str) -> int:
+        """Take what a peer knows; return how much. Raises ``PeerLostError``."""
+        notices = await self._connections().read_rate_limits(peer)
+        self.limits_received(notices)
+        return len(notices)
+
     # Events
 
     def response_received(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -25,6 +25,7 @@
     GatewayMetrics,
     GatewayState,
 )
+from amaranthtally.daemon.gateway.notice_reader import NoticeReader
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.peer_handler import PeerHandler
 from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
@@ -183,8 +184,12 @@
         stop.is_set,
         random,
     )
+    reader = NoticeReader(
+        lambda: tuple(peers.alive), [executor.rate_limits.read_from], random
+    )
     for work in [
         *coordination.tasks(),
+        reader.run(),
         peer_updater.prober.run(),
         executor.tick(),
         connections.run_heartbeat(lambda: executor.peers_to_probe),
--- a/packages/policy/src/amaranthtally/policy/endpoint_limits.py
+++ b/packages/policy/src/amaranthtally/policy/endpoint_limits.py
@@ -59,6 +59,11 @@
         """The limits in force by endpoint, in requests a second."""
         return self._rates
 
+    @property
+    def notices(self) -> tuple[RateLimitNotice, ...]:
+        """All notices that are held."""
+        return self._table.notices
+
     def configure(self, endpoints: Mapping[str, Endpoint]) -> None:
         """Set the registered endpoints."""
         self._endpoints = endpoints
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -192,4 +192,6 @@
   reportEnds @13 (ends :List(PartEnd)) -> ();
   # Answers a question about parts that have succeeded.
   reportSuccesses @14 (successes :List(PartSuccess)) -> ();
+  # Returns the rate limits that the receiver knows.
+  readRateLimits @15 () -> (limits :List(RateLimit));
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_client.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_client.py
@@ -45,6 +45,7 @@
 )
 from amaranthtally.wire.rate_limit_codec import (
     read_permit_answers,
+    read_rate_limits,
     write_permit_asks,
     write_rate_limits,
 )
@@ -156,6 +157,11 @@
         write_rate_limits(request, notices)
         await self._send(request)
 
+    async def read_rate_limits(self) -> tuple[RateLimitNotice, ...]:
+        """Return the rate limits that the peer knows."""
+        reply = await self._send(self._gateway.readRateLimits_request())
+        return read_rate_limits(reply.limits)
+
     async def ask_permits(
         self, asker: str, asks: Sequence[PermitAsk]
     ) -> tuple[PermitAnswer, ...]:
--- a/packages/wire/src/amaranthtally/wire/gateway_server.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_server.py
@@ -48,6 +48,7 @@
     read_permit_asks,
     read_rate_limits,
     write_permit_answers,
+    write_rate_limits,
 )
 
 __all__ = ["GatewayHandler", "serve_gateway"]
@@ -98,6 +99,9 @@
     def rate_limits_received(self, notices: Sequence[RateLimitNotice]) -> None:
         """Take the rate limits that a peer has passed on."""
 
+    def known_rate_limits(self) -> Sequence[RateLimitNotice]:
+        """Return the rate limits that this gateway knows."""
+
     def permits_asked(
         self, asker: str, asks: Sequence[PermitAsk]
     ) -> Sequence[PermitAnswer]:
@@ -189,6 +193,11 @@
     ) -> None:
         self._handler.rate_limits_received(read_rate_limits(limits))
 
+    async def readRateLimits(  # noqa: N802 - name fixed by the schema
+        self, _context: Any, **_: Any
+    ) -> None:
+        write_rate_limits(_context.results, self._handler.known_rate_limits())
+
     async def askPermits(  # noqa: N802 - name fixed by the schema
         self, asker: str, asks: Any, _context: Any, **_: Any
     ) -> None:
