A gateway that starts reads which parts of prompts are blocked, before it serves

Callers: each kill of a gateway could let a request or two with a blocked part through, each of which ends an endpoint. Cause: a restart within the lease is no change to the others, which repeat what they know at random peers.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -208,6 +208,11 @@
         now = self._loop.time()
         await self._call(peer, lambda client: client.spread_part_notices(notices, now))
 
+    async def read_part_notices(self, peer: str) -> tuple[PartNotice, ...]:
+        """Return the notices that a peer holds; raises ``PeerLostError``."""
+        now = self._loop.time()
+        return await self._call(peer, lambda client: client.read_part_notices(now))
+
     async def report_ends(self, peer: str, ends: Sequence[PartEnd]) -> None:
         """Report ends of endpoints to a peer; raises ``PeerLostError``."""
         now = self._loop.time()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -88,6 +88,10 @@
         """Take notices on parts of prompts that a peer has passed on."""
         self._executor.prompts.notices_received(notices)
 
+    def known_part_notices(self) -> Sequence[PartNotice]:
+        """Return the notices on parts of prompts that this gateway holds."""
+        return self._executor.prompts.known
+
     def ends_reported(self, ends: Sequence[PartEnd]) -> None:
         """Take the ends of endpoints that a peer reports."""
         self._executor.prompts.ends_reported(ends)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prompt_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prompt_exchange.py
@@ -46,6 +46,17 @@
         """Number of parts of prompts that are blocked."""
         return self._guard.blocked_count
 
+    @property
+    def known(self) -> Sequence[PartNotice]:
+        """All notices on parts of prompts, to be read by a peer."""
+        return self._guard.notices
+
+    async def read_from(self, peer: str) -> int:
+        """Take what a peer holds; return how much. Raises ``PeerLostError``."""
+        notices = await self._connections().read_part_notices(peer)
+        self.notices_received(notices)
+        return len(notices)
+
     # Events
 
     def notices_received(self, notices: Sequence[PartNotice]) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -185,7 +185,9 @@
         random,
     )
     reader = NoticeReader(
-        lambda: tuple(peers.alive), [executor.rate_limits.read_from], random
+        lambda: tuple(peers.alive),
+        [executor.rate_limits.read_from, executor.prompts.read_from],
+        random,
     )
     for work in [
         *coordination.tasks(),
--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -60,6 +60,11 @@
         """Number of parts that are blocked."""
         return len(self._parts.blocked)
 
+    @property
+    def notices(self) -> tuple[PartNotice, ...]:
+        """All notices that are held."""
+        return self._parts.notices
+
     # Requests
 
     def blocked_part(self, parts: Iterable[int]) -> int | None:
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -194,4 +194,6 @@
   reportSuccesses @14 (successes :List(PartSuccess)) -> ();
   # Returns the rate limits that the receiver knows.
   readRateLimits @15 () -> (limits :List(RateLimit));
+  # Returns the notices on parts of prompts that the receiver holds.
+  readPartNotices @16 () -> (notices :List(PartNotice));
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_client.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_client.py
@@ -39,6 +39,7 @@
     write_versions,
 )
 from amaranthtally.wire.prompt_codec import (
+    read_part_notices,
     write_part_ends,
     write_part_notices,
     write_part_successes,
@@ -179,6 +180,11 @@
         write_part_notices(request, notices, now)
         await self._send(request)
 
+    async def read_part_notices(self, now: float) -> tuple[PartNotice, ...]:
+        """Return the notices on parts of prompts that the peer holds."""
+        reply = await self._send(self._gateway.readPartNotices_request())
+        return read_part_notices(reply.notices, now)
+
     async def report_ends(self, ends: Sequence[PartEnd], now: float) -> None:
         """Report ends of endpoints."""
         request = self._gateway.reportEnds_request()
--- a/packages/wire/src/amaranthtally/wire/gateway_server.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_server.py
@@ -43,6 +43,7 @@
     read_part_ends,
     read_part_notices,
     read_part_successes,
+    write_part_notices,
 )
 from amaranthtally.wire.rate_limit_codec import (
     read_permit_asks,
@@ -110,6 +111,9 @@
     def part_notices_received(self, notices: Sequence[PartNotice]) -> None:
         """Take notices on parts of prompts that a peer has passed on."""
 
+    def known_part_notices(self) -> Sequence[PartNotice]:
+        """Return the notices on parts of prompts that this gateway holds."""
+
     def ends_reported(self, ends: Sequence[PartEnd]) -> None:
         """Take the ends of endpoints that a peer reports."""
 
@@ -211,6 +215,13 @@
             read_part_notices(notices, self._loop.time())
         )
 
+    async def readPartNotices(  # noqa: N802 - name fixed by the schema
+        self, _context: Any, **_: Any
+    ) -> None:
+        write_part_notices(
+            _context.results, self._handler.known_part_notices(), self._loop.time()
+        )
+
     async def reportEnds(  # noqa: N802 - name fixed by the schema
         self, ends: Any, _context: Any, **_: Any
     ) -> None:
--- a/tests/gateway/test_fatal_parts.py
+++ b/tests/gateway/test_fatal_parts.py
@@ -90,6 +90,32 @@
     return f"{SHARED}:100,{middle}:20,{serial:x}:10"
 
 
+def test_a_restarted_gateway_keeps_the_part_away_at_once(tmp_path):
+    """Guards against endpoints that end each time that a gateway is killed."""
+
+    async def check(cluster):
+        async with AsyncExitStack() as stack:
+            pool = FatalPool(cluster, stack)
+            for _ in range(ENDPOINTS):
+                await pool.start()
+            cluster.configure(1, route("chat", **STREAM, type="streaming"))
+            address = cluster.reserve_address()
+            first = await cluster.gateway("g0")
+            second = await cluster.gateway("g1", peer_address=address)
+            await first.wait_for_event("peer_connected", peer="g1")
+            loop = asyncio.get_running_loop()
+            await send_all(first, 0.3, loop.time() + 4.0, 0, True, [])
+            await second.wait_for_event("prompt_part_blocked")
+            await second.process.kill()
+            before = len(pool.fatal_arrivals)
+            second = await cluster.gateway("g1", peer_address=address)
+            await second.wait_for_event("notices_read", peer="g0")
+            await send_all(second, 0.05, loop.time() + 1.0, 5000, True, [])
+            assert len(pool.fatal_arrivals) == before
+
+    run_with_cluster(tmp_path, check)
+
+
 async def send_all(gateway, pause_s, end, first, fatal, outcomes):
     """Send streams until a time; note which were complete at the first attempt."""
     loop = asyncio.get_running_loop()
