--- a/packages/policy/src/amaranthtally/policy/permits.py
+++ b/packages/policy/src/amaranthtally/policy/permits.py
@@ -11,15 +11,10 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.peer_group import PeerGroup
+from amaranthtally.policy.rate_limits import MIN_RATE, interval_s
 
 __all__ = ["PermitAnswer", "PermitAsk", "PermitIssuer", "PermitStock"]
 
-# Share of a limit that is issued. The rest covers what is under way and requests that
-# are delayed on the network.
-ISSUED_SHARE = 0.9
-# Least rate at which permits are issued, in permits a second: without any request, an
-# endpoint could not show that its limit has ended.
-MIN_RATE = 0.1
 # How far ahead permits are issued, and how long each remains valid, in seconds.
 HORIZON_S = 0.5
 PERMIT_TTL_S = 1.5
@@ -89,7 +84,7 @@
         if issue is None:
             issue = self._issues[ask.endpoint] = _Issue(now, now)
         issue.asked_at = issue.askers[asker] = now
-        interval_s = 1.0 / (ISSUED_SHARE * max(MIN_RATE, ask.rate))
+        spacing_s = interval_s(ask.rate)
         issue.next_at = max(now, issue.next_at, issuer_since + HOLD_OFF_S)
         delays: list[float] = []
         while (
@@ -97,9 +92,9 @@
             and issue.next_at - now <= HORIZON_S
         ):
             delays.append(issue.next_at - now)
-            issue.next_at += interval_s
+            issue.next_at += spacing_s
         return PermitAnswer(
-            ask.endpoint, tuple(delays), self._retry_after_s(now, issue, interval_s)
+            ask.endpoint, tuple(delays), self._retry_after_s(now, issue, spacing_s)
         )
 
     def expire(self, now: float) -> None:
@@ -110,11 +105,11 @@
             if now - issue.asked_at < IDLE_TTL_S
         }
 
-    def _retry_after_s(self, now: float, issue: _Issue, interval_s: float) -> float:
+    def _retry_after_s(self, now: float, issue: _Issue, spacing_s: float) -> float:
         issue.askers = {
             name: at for name, at in issue.askers.items() if now - at < ASKER_TTL_S
         }
-        share_s = len(issue.askers) * interval_s / ASKS_PER_PERMIT
+        share_s = len(issue.askers) * spacing_s / ASKS_PER_PERMIT
         until_open_s = issue.next_at - now - HORIZON_S
         return min(MAX_RETRY_S, max(MIN_RETRY_S, share_s, until_open_s))
 
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.rate_limits import interval_s
 from amaranthtally.policy.routes import PieceLimits, Pool
 
 __all__ = ["PieceServer", "PieceServers", "speed_weight"]
@@ -48,11 +49,6 @@
 MOST_SLOWNESS = 8.0
 # Smaller deviations are ignored: call times differ as much by the sizes of pieces.
 SPEED_NOISE = 0.25
-# Share of a rate limit that is used; the rest covers calls that are delayed on the way.
-USED_RATE_SHARE = 0.9
-# Least rate that is used, in calls a second: without any call, an endpoint could not
-# show that its limit has ended.
-MIN_RATE = 0.1
 
 
 @dataclass(slots=True)
@@ -243,8 +239,7 @@
 
     def note_rate_limit(self, rate: float | None) -> None:
         """Space calls by a limit in calls a second; ``None`` if there is none."""
-        used = 0.0 if rate is None else USED_RATE_SHARE * max(MIN_RATE, rate)
-        self.min_interval_s = 1.0 / used if used else 0.0
+        self.min_interval_s = 0.0 if rate is None else interval_s(rate)
 
     def note_load(self, now: float, running: int, queued: int) -> None:
         """Take a load report; this entry's own calls are not counted as foreign."""
--- a/packages/policy/src/amaranthtally/policy/rate_limits.py
+++ b/packages/policy/src/amaranthtally/policy/rate_limits.py
@@ -6,7 +6,14 @@
 
 from amaranthtally.policy.model import Endpoint
 
-__all__ = ["RateLimitNotice", "RateLimitTable"]
+__all__ = ["MIN_RATE", "RateLimitNotice", "RateLimitTable", "interval_s"]
+
+# Share of a limit that is used. The rest covers what is under way and requests that are
+# delayed on the network.
+USED_SHARE = 0.9
+# Least rate that is used, in requests a second: without any request, an endpoint could
+# not show that its limit has ended.
+MIN_RATE = 0.1
 
 # Most endpoints whose limits are held; the oldest notices are dropped first.
 MAX_NOTICES = 1024
@@ -130,3 +137,8 @@
         self._known[notice.endpoint] = _Known(notice, now)
         if len(self._known) > MAX_NOTICES:
             del self._known[next(iter(self._known))]
+
+
+def interval_s(rate: float) -> float:
+    """Return the seconds between requests to an endpoint with a rate limit."""
+    return 1.0 / (USED_SHARE * max(MIN_RATE, rate))
