Ends are taken without a list of actions that was always empty; nothing is rebuilt where nothing is due

Responses that end with their connection are kept in order of their ends, so that the first one says whether any is due; the list was rebuilt at each tick of the planner. Behaviour as before; the fleet of the tests calls the method that returns nothing any more, its assertions are unchanged.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/prompt_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prompt_exchange.py
@@ -65,7 +65,7 @@
 
     def ends_reported(self, ends: Sequence[PartEnd]) -> None:
         """Handle the ends that a peer reports."""
-        self._carry_out(self._guard.ends_reported(self._time(), ends))
+        self._guard.ends_reported(self._time(), ends)
 
     def successes_reported(self, successes: Sequence[PartSuccess]) -> None:
         """Handle the successes that a peer reports."""
--- a/packages/policy/src/amaranthtally/policy/part_losses.py
+++ b/packages/policy/src/amaranthtally/policy/part_losses.py
@@ -146,9 +146,9 @@
         for name, loss in list(self._losses.items()):
             if now - loss.lost_at >= CONFIRMED_WITHIN_S:
                 del self._losses[name]
-        if not self._unframed:
-            return ()
         due_before = now - UNFRAMED_DELAY_S
+        if not self._unframed or self._unframed[0].ended_at > due_before:
+            return ()
         due = [item for item in self._unframed if item.ended_at <= due_before]
         self._unframed = [i for i in self._unframed if i.ended_at > due_before]
         counted = [item for item in due if item.start.id not in self._losses]
--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -132,14 +132,13 @@
         self._peers.note_failure(now, peer)
         return self._report(now, self._losses.ends(now))
 
-    def ends_reported(self, now: float, ends: Iterable[PartEnd]) -> list[Action]:
+    def ends_reported(self, now: float, ends: Iterable[PartEnd]) -> None:
         """Handle the ends that an entry reports."""
         for end in ends:
             self._suspects.add_end(now, end)
             success = self._losses.success(now, end.part)
             if success is not None:
                 self._suspects.add_success(success)
-        return []
 
     def successes_reported(self, successes: Iterable[PartSuccess]) -> None:
         """Handle the successes that an entry reports, as it was asked."""
@@ -250,7 +249,7 @@
         actions: list[Action] = []
         for aggregator in self._peers.first(now, AGGREGATOR_KEY, AGGREGATORS):
             if aggregator == self._peers.name:
-                actions += self.ends_reported(now, reported)
+                self.ends_reported(now, reported)
             else:
                 actions.append(ReportEnds(aggregator, reported))
         return actions
--- a/tests/load/prompts_fleet.py
+++ b/tests/load/prompts_fleet.py
@@ -149,6 +149,8 @@
             return
         if method == "successes":
             guard.successes_reported(message)
+        elif method == "ends_reported":
+            guard.ends_reported(self.now, message)
         else:
             self._carry_out(peer, getattr(guard, method)(self.now, message))
 
