Log lines name the content of requests, the same for all tries of one

request_received and attempt_ended fate=lost carry content=, a digest of method, host, target, prompt and body. No decision depends on it yet.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/arrivals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/arrivals.py
@@ -10,6 +10,7 @@
     PieceWork,
     Route,
     StreamOrigin,
+    request_key,
     request_rank,
     route_arrival,
     route_pipeline,
@@ -30,16 +31,20 @@
         caller: CallerRequest,
         route: Route,
         account: Account | None,
-        size_bytes: int,
+        method: str,
+        target: str,
+        body: bytes,
         origin: StreamOrigin | None,
     ) -> Arrival:
         """
         Return the arrival of a request that was received at ``now``.
 
-        ``origin`` is that of the stream which it takes up, ``None`` for a new request.
+        ``target`` is the request target as it was sent. ``origin`` is that of the
+        stream which the request takes up, ``None`` for a new one.
         """
         requested_s = caller.deadline_s or route.timeout_s
         deadline = now + max(0.0, min(requested_s, route.timeout_s) - RESPONSE_MARGIN_S)
+        parts = tuple(part.id for part in caller.prompt)
         return route_arrival(
             now,
             deadline,
@@ -48,10 +53,11 @@
             request_id=caller.id,
             account=account.name if account else "",
             rank=request_rank(route, account),
-            size_bytes=size_bytes,
-            prefix=tuple(part.id for part in caller.prompt),
+            size_bytes=len(body),
+            prefix=parts,
             prefix_sizes=tuple(part.tokens for part in caller.prompt),
             piece_work=_piece_work(caller, route),
+            key=request_key(method, caller.host, target, parts, body),
             origin=origin,
         )
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -134,6 +134,7 @@
             priority=call.arrival.priority,
             pieces=",".join(str(n) for n in caller.piece_counts),
             prompt=format_parts(caller.shared_parts),
+            content=call.arrival.key or "",
             resumes=caller.resumed_request,
             after=caller.last_event,
             left_ms=round((call.arrival.deadline - received_at) * 1000),
@@ -198,7 +199,14 @@
         origin: StreamOrigin | None,
     ) -> LiveCall:
         arrival = self._arrivals.build(
-            received_at, caller, route, account, len(body), origin
+            received_at,
+            caller,
+            route,
+            account,
+            request.method,
+            request.raw_path,
+            body,
+            origin,
         )
         return LiveCall(
             arrival=arrival,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -142,8 +142,11 @@
             self._log(send, endpoint, "unreachable", repr(error), started)
             return AttemptResult(AttemptOutcome.NOT_RUN, unreachable=True)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
-            parts = format_parts(call.caller.shared_parts)
-            self._log(send, endpoint, "lost", repr(error), started, prompt=parts)
+            details = {
+                "prompt": format_parts(call.caller.shared_parts),
+                "content": str(call.arrival.key or ""),
+            }
+            self._log(send, endpoint, "lost", repr(error), started, **details)
             return _unknown_outcome(call, connection_lost=_is_connection_lost(error))
 
     async def _exchange(
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -86,6 +86,7 @@
 from amaranthtally.policy.rate_limits import RateLimitNotice
 from amaranthtally.policy.rendezvous import duty_weight
 from amaranthtally.policy.replica_holders import lookup_rounds, replica_holders
+from amaranthtally.policy.request_key import RequestKey, request_key
 from amaranthtally.policy.request_ledger import Counters
 from amaranthtally.policy.routes import (
     Account,
@@ -183,6 +184,7 @@
     "ReportEnds",
     "ReportSuccess",
     "ReportToPeer",
+    "RequestKey",
     "RequestOutcome",
     "Route",
     "RouteTable",
@@ -205,6 +207,7 @@
     "lookup_rounds",
     "plan_model_orders",
     "replica_holders",
+    "request_key",
     "request_rank",
     "ring_neighbours",
     "route_arrival",
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from amaranthtally.policy.model import Pipeline
+from amaranthtally.policy.request_key import RequestKey
 from amaranthtally.policy.routes import PieceStage
 from amaranthtally.policy.stream_origins import StreamOrigin
 
@@ -45,7 +46,7 @@
     computed before the first stage. At ``caller_timeout_at`` the caller disconnects if
     a stream has not begun; with 0 it waits until the deadline. ``origin`` is set if the
     caller has the first part of its stream already: only endpoints of that origin may
-    send the rest.
+    send the rest. ``key`` identifies its content, ``None`` if that is not known.
     """
 
     request_id: str
@@ -62,6 +63,7 @@
     piece_work: PieceWork | None = None
     caller_timeout_at: float = 0.0
     origin: StreamOrigin | None = None
+    key: RequestKey | None = None
 
     @property
     def latest_start(self) -> float:
--- a/packages/policy/src/amaranthtally/policy/gateway_policy.py
+++ b/packages/policy/src/amaranthtally/policy/gateway_policy.py
@@ -6,6 +6,7 @@
 from amaranthtally.policy.events import Arrival, PieceWork
 from amaranthtally.policy.model import Pipeline, PolicySettings, Stage
 from amaranthtally.policy.planner_components import PlannerComponents
+from amaranthtally.policy.request_key import RequestKey
 from amaranthtally.policy.routes import CallKind, Route
 from amaranthtally.policy.stream_origins import StreamOrigin
 
@@ -73,6 +74,7 @@
     prefix: tuple[int, ...],
     prefix_sizes: tuple[int, ...],
     piece_work: PieceWork | None,
+    key: RequestKey | None = None,
     origin: StreamOrigin | None = None,
 ) -> Arrival:
     """
@@ -98,4 +100,5 @@
         if route.caller_timeout_s
         else 0.0,
         origin=origin,
+        key=key,
     )
