A request that ends endpoints is kept away under each of its ids

Callers saw: one request, sent again 0.4 s after each failure under a new id to any gateway, ended engine after engine (49 ends in 24 s, 35 sends later than 4 s after the third), and a fifth of the sound requests was lost with them.

Cause: the evidence of ends was kept by shared parts of prompts. A request's own part is left out on purpose, a request without a prompt has none, so nothing was counted. Class: evidence that belongs to a caller's whole exchange, kept for what one try shows.

Fix: the key of a request (digest of method, host, target, prompt, body) counts like one more part, at the same aggregators, with rules of its own (docs/DESIGN.md): three ends in sequence; its ends go on to count for its parts, which are at fault only if no one request explains them. An idle gateway that decides now ticks at once, not once a second.

Ruled out: two ends (sound requests in a rolling failure have two); ends put down to the request alone (a fatal part in requests that are sent again was never blocked); three aggregators for two (the same figures). A unit test of the caller handler failed since: its stand-in of an arrival had no key; it has one now.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -96,6 +96,7 @@
             self._get_connections,
             lambda work: self._decisions.spawn(work),
             lambda actions: self._decisions.carry_out(actions),
+            lambda: self._decisions.wake(),
         )
         self._decisions = DecisionLoop(
             planner,
@@ -204,14 +205,19 @@
         self._endpoints = settings.endpoints
         actions = self._planner.settings_changed(self._time(), settings)
         self._decisions.carry_out(actions)
+        if self._prompts.is_deciding:
+            self._decisions.wake()
 
     async def tick(self) -> None:
         """Call the planner's ``tick`` periodically until cancelled."""
         await self._decisions.tick(self._is_busy)
 
     def _is_busy(self) -> bool:
-        # Queued and running jobs of other gateways need frequent ticks too.
-        return bool(self._calls) or self._planner.pieces.is_busy
+        # Queued and running jobs of other gateways need frequent ticks too, and so do
+        # decisions on what endpoints end on.
+        if self._calls or self._planner.pieces.is_busy:
+            return True
+        return self._prompts.is_deciding
 
     # Results of calls
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prompt_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prompt_exchange.py
@@ -1,7 +1,7 @@
-"""Exchanges with peers what is known of the parts of prompts."""
+"""Exchanges with peers what is known of parts of prompts and of requests."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Iterable, Iterator, Sequence
 from typing import Any
 
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
@@ -10,12 +10,13 @@
     Action,
     PartChanged,
     PartEnd,
+    PartKey,
     PartNotice,
-    PartState,
     PartSuccess,
     PromptGuard,
     ReportEnds,
     ReportSuccess,
+    RequestKey,
     SpreadPartNotices,
 )
 from amaranthtally.wire import PeerLostError
@@ -24,6 +25,9 @@
 
 log = get_logger()
 
+# Most contents of requests in one line.
+MAX_LOGGED_CONTENTS = 8
+
 
 class PromptExchange:
     """Passes events on to the policy's guard of prompts; carries out its actions."""
@@ -34,11 +38,13 @@
         connections: Callable[[], PeerConnections],
         spawn: Callable[[Coroutine[Any, Any, None]], object],
         carry_out: Callable[[list[Action]], None],
+        wake: Callable[[], None],
     ) -> None:
         self._guard = guard
         self._connections = connections
         self._spawn = spawn
         self._carry_out = carry_out
+        self._wake = wake
         self._time = asyncio.get_running_loop().time
 
     @property
@@ -46,6 +52,16 @@
         """Number of parts of prompts that are blocked."""
         return self._guard.blocked_count
 
+    @property
+    def blocked_requests(self) -> int:
+        """Number of requests that are blocked."""
+        return self._guard.blocked_requests
+
+    @property
+    def is_deciding(self) -> bool:
+        """Whether decisions may be due that follow from reports."""
+        return self._guard.is_deciding(self._time())
+
     @property
     def known(self) -> Sequence[PartNotice]:
         """All notices on parts of prompts, to be read by a peer."""
@@ -65,6 +81,8 @@
 
     def ends_reported(self, ends: Sequence[PartEnd]) -> None:
         """Handle the ends that a peer reports."""
+        log.info("endpoint_ends_received", **_describe(ends))
+        self._wake()
         self._guard.ends_reported(self._time(), ends)
 
     def successes_reported(self, successes: Sequence[PartSuccess]) -> None:
@@ -74,12 +92,16 @@
     # Actions
 
     def log_change(self, action: PartChanged) -> None:
-        """Log that a part is blocked, or not any more."""
+        """Log that a part or a request is blocked, or not any more."""
         notice = action.notice
-        is_blocked = notice.state is PartState.BLOCKED
+        state = notice.state.value
+        if isinstance(notice.part, RequestKey):
+            event, subject = f"request_{state}", {"content": str(notice.part)}
+        else:
+            event, subject = f"prompt_part_{state}", {"part": f"{notice.part:x}"}
         log.warning(
-            "prompt_part_blocked" if is_blocked else "prompt_part_cleared",
-            part=format_parts([notice.part]),
+            event,
+            **subject,
             ends=",".join(notice.ends),
             serial=notice.serial,
             source="own" if action.is_own else "peer",
@@ -92,12 +114,7 @@
 
     def report_ends(self, action: ReportEnds) -> None:
         """Report ends to a peer, in the background."""
-        log.info(
-            "endpoint_ends_reported",
-            peer=action.peer,
-            parts=format_parts(end.part for end in action.ends),
-            endpoints=",".join(dict.fromkeys(end.endpoint for end in action.ends)),
-        )
+        log.info("endpoint_ends_reported", peer=action.peer, **_describe(action.ends))
         self._spawn(self._report_ends(action.peer, action.ends))
 
     def report_success(self, action: ReportSuccess) -> None:
@@ -124,3 +141,18 @@
             await self._connections().report_successes(peer, successes)
         except PeerLostError as error:
             log.info("successes_not_reported", peer=peer, cause=str(error))
+
+
+def _describe(ends: Sequence[PartEnd]) -> dict[str, str]:
+    """Return the fields of a line on ends: with what, and of which endpoints."""
+    parts = dict.fromkeys(end.part for end in ends)
+    contents = [part for part in parts if isinstance(part, RequestKey)]
+    return {
+        "parts": format_parts(_shared(parts)),
+        "contents": ",".join(str(key) for key in contents[:MAX_LOGGED_CONTENTS]),
+        "endpoints": ",".join(dict.fromkeys(end.endpoint for end in ends)),
+    }
+
+
+def _shared(parts: Iterable[PartKey]) -> Iterator[int]:
+    return (part for part in parts if not isinstance(part, RequestKey))
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -65,8 +65,9 @@
     ModelUsage,
     plan_model_orders,
 )
-from amaranthtally.policy.part_losses import PartEnd, PartSuccess
+from amaranthtally.policy.part_losses import PartEnd
 from amaranthtally.policy.part_notices import PartNotice, PartState
+from amaranthtally.policy.part_successes import PartKey, PartSuccess
 from amaranthtally.policy.peer_directory import PeerDirectory, PeerRecord
 from amaranthtally.policy.peer_group import PeerGroup
 from amaranthtally.policy.permits import PermitAnswer, PermitAsk
@@ -148,6 +149,7 @@
     "OriginEntry",
     "PartChanged",
     "PartEnd",
+    "PartKey",
     "PartNotice",
     "PartState",
     "PartSuccess",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -5,8 +5,9 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.model import AttemptId
-from amaranthtally.policy.part_losses import PartEnd, PartSuccess
+from amaranthtally.policy.part_losses import PartEnd
 from amaranthtally.policy.part_notices import PartNotice
+from amaranthtally.policy.part_successes import PartSuccess
 from amaranthtally.policy.permits import PermitAsk
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport
@@ -58,6 +59,7 @@
     KEY_CONFLICT = "key_conflict"
     STOPPING = "stopping"
     PROMPT_BLOCKED = "prompt_blocked"
+    REQUEST_BLOCKED = "request_blocked"
     RATE_LIMIT = "rate_limit"
 
 
@@ -237,7 +239,7 @@
 
 @dataclass(frozen=True, slots=True)
 class PartChanged:
-    """Log that a part of prompts is blocked or cleared, here or by another entry."""
+    """Log that a part or a request is blocked or cleared, here or elsewhere."""
 
     notice: PartNotice
     is_own: bool
@@ -245,7 +247,7 @@
 
 @dataclass(frozen=True, slots=True)
 class SpreadPartNotices:
-    """Pass notices on parts of prompts on to other entries."""
+    """Pass notices on parts of prompts and on requests on to other entries."""
 
     peers: tuple[str, ...]
     notices: tuple[PartNotice, ...]
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -5,6 +5,7 @@
 from enum import Enum
 
 from amaranthtally.policy.model import Pipeline
+from amaranthtally.policy.part_successes import PartKey
 from amaranthtally.policy.request_key import RequestKey
 from amaranthtally.policy.routes import PieceStage
 from amaranthtally.policy.stream_origins import StreamOrigin
@@ -65,6 +66,17 @@
     origin: StreamOrigin | None = None
     key: RequestKey | None = None
 
+    @property
+    def guarded_parts(self) -> tuple[PartKey, ...]:
+        """
+        What may be kept away from endpoints, as these end on it.
+
+        The last part of a prompt is the request's own or its session's, and other
+        requests of that session may be sound.
+        """
+        shared: tuple[PartKey, ...] = self.prefix[:-1]
+        return shared if self.key is None else (*shared, self.key)
+
     @property
     def latest_start(self) -> float:
         """
--- a/packages/policy/src/amaranthtally/policy/part_losses.py
+++ b/packages/policy/src/amaranthtally/policy/part_losses.py
@@ -1,15 +1,20 @@
-"""What one entry sees of the parts of prompts: losses with endpoints, and successes."""
+"""What one entry sees of parts of prompts and requests: losses with endpoints."""
 
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
 from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.part_successes import (
+    EVIDENCE_TTL_S,
+    PartKey,
+    PartSuccess,
+    PartSuccesses,
+)
+from amaranthtally.policy.request_key import RequestKey
 
-__all__ = ["EVIDENCE_TTL_S", "EndpointStart", "PartEnd", "PartLosses", "PartSuccess"]
+__all__ = ["EndpointStart", "PartEnd", "PartLosses"]
 
-# How long ends and successes count, in seconds.
-EVIDENCE_TTL_S = 60.0
 # Within this time after a connection was lost, its endpoint shows whether it has ended,
 # in seconds: a few heartbeats, after which the registry drops its record.
 CONFIRMED_WITHIN_S = 6.0
@@ -20,8 +25,7 @@
 # Within this time of an endpoint's end, in seconds, a response that ended with its
 # connection counts as lost.
 CUT_WITHIN_S = 0.25
-# Most parts whose successes are remembered, and most ends that are held.
-MAX_SUCCESSES = 4096
+# Most ends of parts that are held, and as many of requests.
 MAX_ENDS = 1024
 
 
@@ -34,33 +38,26 @@
 
 class PartEnd(NamedTuple):
     """
-    An endpoint that ended while a request with a part of a prompt was in flight there.
+    An endpoint that ended while a request with a part was in flight there.
 
+    ``part`` is a part of its prompt, or the request as a whole.
     ``endpoint`` names one start of the endpoint. ``lost_at`` is when the connection was
     lost and ``sent_at`` when the request had been sent. ``successes`` is the number of
     requests with the part that had succeeded before at the entry that reports.
     """
 
-    part: int
+    part: PartKey
     endpoint: str
     lost_at: float
     sent_at: float
     successes: int = 0
 
 
-class PartSuccess(NamedTuple):
-    """A request with a part that was sent at ``sent_at`` and answered in full."""
-
-    part: int
-    sent_at: float
-    ended_at: float
-
-
 @dataclass(slots=True)
 class _Loss:
     incarnation: int
     lost_at: float
-    sent_at: dict[int, float] = field(default_factory=dict)
+    sent_at: dict[PartKey, float] = field(default_factory=dict)
 
 
 class _Unframed(NamedTuple):
@@ -79,8 +76,7 @@
 
     def __init__(self) -> None:
         self._losses: dict[str, _Loss] = {}
-        self._successes: dict[int, PartSuccess] = {}
-        self._success_counts: dict[int, int] = {}
+        self._successes = PartSuccesses()
         self._unframed: list[_Unframed] = []
         self._ends: list[PartEnd] = []
 
@@ -89,15 +85,16 @@
         self._ends = [e for e in self._ends if now - e.lost_at < EVIDENCE_TTL_S]
         return tuple(self._ends)
 
-    def success(self, now: float, part: int) -> PartSuccess | None:
+    def success(self, now: float, part: PartKey) -> PartSuccess | None:
         """Return the last success of a part, if it still counts."""
-        success = self._successes.get(part)
-        if success is None or now - success.ended_at >= EVIDENCE_TTL_S:
-            return None
-        return success
+        return self._successes.find(now, part)
 
     def attempt_lost(
-        self, now: float, endpoint: EndpointStart, parts: Iterable[int], sent_at: float
+        self,
+        now: float,
+        endpoint: EndpointStart,
+        parts: Iterable[PartKey],
+        sent_at: float,
     ) -> None:
         """Note that the connection of an attempt was lost before its response ended."""
         loss = self._losses.get(endpoint.id)
@@ -110,7 +107,7 @@
         self,
         now: float,
         endpoint: EndpointStart,
-        parts: Iterable[int],
+        parts: Iterable[PartKey],
         sent_at: float,
         is_framed: bool,
     ) -> tuple[PartSuccess, ...]:
@@ -162,10 +159,10 @@
                 continue
             start = f"{name}/{loss.incarnation}"
             for part, sent_at in loss.sent_at.items():
-                is_known = self.success(now, part) is not None
-                count = self._success_counts.get(part, 0) if is_known else 0
+                count = self._successes.count(now, part)
                 confirmed.append(PartEnd(part, start, loss.lost_at, sent_at, count))
-        self._ends = [*self._ends, *confirmed][-MAX_ENDS:]
+        if confirmed:
+            self._ends = _latest([*self._ends, *confirmed])
         return tuple(confirmed)
 
     def _take_loss(self, name: str) -> _Loss | None:
@@ -190,13 +187,14 @@
     def _count(self, successes: Iterable[PartSuccess]) -> tuple[PartSuccess, ...]:
         counted = tuple(successes)
         for success in counted:
-            part = success.part
-            is_known = self.success(success.ended_at, part) is not None
-            count = self._success_counts.get(part, 0) if is_known else 0
-            self._success_counts[part] = count + 1
-            self._successes.pop(part, None)
-            self._successes[part] = success
-        while len(self._successes) > MAX_SUCCESSES:
-            oldest = next(iter(self._successes))
-            del self._successes[oldest], self._success_counts[oldest]
+            self._successes.add(success)
         return counted
+
+
+def _latest(ends: Iterable[PartEnd]) -> list[PartEnd]:
+    """Return the latest ends of parts, and of the many more requests."""
+    parts: list[PartEnd] = []
+    requests: list[PartEnd] = []
+    for end in ends:
+        (requests if isinstance(end.part, RequestKey) else parts).append(end)
+    return [*parts[-MAX_ENDS:], *requests[-MAX_ENDS:]]
--- a/packages/policy/src/amaranthtally/policy/prompt_checks.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_checks.py
@@ -1,4 +1,4 @@
-"""Checks an entry's requests for parts of prompts on which endpoints end."""
+"""Checks whether an entry's requests are such that endpoints end on them."""
 
 from collections.abc import Mapping
 
@@ -11,8 +11,10 @@
 from amaranthtally.policy.events import Arrival, AttemptOutcome, AttemptResult
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.part_losses import EndpointStart
+from amaranthtally.policy.part_successes import PartKey
 from amaranthtally.policy.prompt_guard import PromptGuard
 from amaranthtally.policy.refusals import Refusals
+from amaranthtally.policy.request_key import RequestKey
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
 
@@ -35,7 +37,7 @@
 
     def refusal(self, now: float, arrival: Arrival) -> Refuse | None:
         """Return the refusal of a request that arrives with a blocked part."""
-        part = self._guard.blocked_part(arrival.prefix[:-1])
+        part = self._guard.blocked_part(arrival.guarded_parts)
         if part is None:
             return None
         if self._guard.take_trial(now, part):
@@ -44,7 +46,7 @@
         return Refuse(
             arrival.request_id,
             RequestOutcome.NOT_RUN,
-            RefusalReason.PROMPT_BLOCKED,
+            _reason(part),
             self._guard.wait_s(now, part),
         )
 
@@ -57,19 +59,19 @@
         """Whether a request must not be sent, or not once more."""
         if request.is_trial:
             return is_retry
-        return self._guard.blocked_part(request.shared_parts) is not None
+        return self._guard.blocked_part(request.arrival.guarded_parts) is not None
 
     def refuse(self, now: float, request: Request) -> list[Action]:
         """Refuse a request that is blocked."""
-        part = self._guard.blocked_part(request.shared_parts)
+        part = self._guard.blocked_part(request.arrival.guarded_parts)
         wait_s = 0.0 if part is None else self._guard.wait_s(now, part)
-        return self._refusals.refuse(now, request, RefusalReason.PROMPT_BLOCKED, wait_s)
+        return self._refusals.refuse(now, request, _reason(part), wait_s)
 
-    def refuse_all(self, now: float, part: int) -> list[Action]:
+    def refuse_all(self, now: float, part: PartKey) -> list[Action]:
         """Refuse all requests with a part, and cancel their attempts."""
         actions: list[Action] = []
         for request in self._ledger.requests:
-            if part in request.shared_parts and not request.chunks:
+            if part in request.arrival.guarded_parts and not request.chunks:
                 actions += self.refuse(now, request)
         return actions
 
@@ -78,12 +80,10 @@
     def attempt_ended(
         self, now: float, request: Request, ended: LiveAttempt, result: AttemptResult
     ) -> list[Action]:
-        """Note what the end of an attempt shows of the parts of its prompt."""
+        """Note what the end of an attempt shows of its request."""
         if result.unreachable:
             return self._guard.endpoint_unreachable(now, ended.endpoint)
-        parts = request.shared_parts
-        if not parts:
-            return []
+        parts = request.arrival.guarded_parts
         start = EndpointStart(ended.endpoint, ended.incarnation)
         if result.outcome is AttemptOutcome.FINISHED:
             return self._guard.attempt_succeeded(
@@ -106,3 +106,9 @@
         """Note which endpoints are registered."""
         self._endpoints = endpoints
         return self._guard.endpoints_changed(now, endpoints)
+
+
+def _reason(part: PartKey | None) -> RefusalReason:
+    if isinstance(part, RequestKey):
+        return RefusalReason.REQUEST_BLOCKED
+    return RefusalReason.PROMPT_BLOCKED
--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -1,12 +1,14 @@
 """
-Keeps requests away from endpoints if a part of their prompts ends each endpoint.
+Keeps requests away from endpoints if they, or a part of their prompts, end each one.
 
-Entries report to two of them, chosen by hash, which requests were lost with endpoints.
-These decide from the reports of all which part is at fault, ask all whether they know
-better, and have it blocked everywhere.
+Entries report to two of them, chosen by hash, which requests were lost with
+endpoints. These decide from the reports of all which part is at fault, ask all whether
+they know better, and have it blocked everywhere. A request as a whole counts like a
+part: it may have no other that tells it apart, and comes again under other ids.
 """
 
 from collections.abc import Callable, Iterable, Mapping
+from math import inf
 
 from amaranthtally.policy.actions import (
     Action,
@@ -16,14 +18,11 @@
     SpreadPartNotices,
 )
 from amaranthtally.policy.model import Endpoint
-from amaranthtally.policy.part_losses import (
-    EndpointStart,
-    PartEnd,
-    PartLosses,
-    PartSuccess,
-)
+from amaranthtally.policy.part_losses import EndpointStart, PartEnd, PartLosses
 from amaranthtally.policy.part_notices import BlockedParts, PartNotice, PartState
+from amaranthtally.policy.part_successes import PartKey, PartSuccess
 from amaranthtally.policy.peer_group import REPEAT_INTERVAL_S, PeerGroup
+from amaranthtally.policy.request_key import RequestKey
 from amaranthtally.policy.suspect_parts import SuspectParts
 
 __all__ = ["PromptGuard"]
@@ -36,8 +35,10 @@
 MAX_QUESTIONS = 1024
 # Questions are numbered by time, with this many numbers a second.
 QUESTIONS_PER_S = 1000
+# For how long after a report decisions may be due, in seconds.
+DECIDING_S = 1.0
 
-OnBlocked = Callable[[float, int], list[Action]]
+OnBlocked = Callable[[float, PartKey], list[Action]]
 
 
 class PromptGuard:
@@ -49,42 +50,56 @@
         self._losses = PartLosses()
         self._suspects = SuspectParts()
         self._parts = BlockedParts()
-        self._questions: dict[tuple[str, int, int], None] = {}
+        self._questions: dict[tuple[str, PartKey, int], None] = {}
         self._question_serial = 0
         self._aggregators: tuple[str, ...] = ()
         self._repeat_at = 0.0
         self._expire_at = 0.0
+        self._reported_at = -inf
 
     @property
     def blocked_count(self) -> int:
         """Number of parts that are blocked."""
-        return len(self._parts.blocked)
+        return len(self._parts.blocked) - self.blocked_requests
+
+    @property
+    def blocked_requests(self) -> int:
+        """Number of requests that are blocked."""
+        return sum(isinstance(part, RequestKey) for part in self._parts.blocked)
 
     @property
     def notices(self) -> tuple[PartNotice, ...]:
         """All notices that are held."""
         return self._parts.notices
 
+    def is_deciding(self, now: float) -> bool:
+        """Whether ends were reported so shortly before that a decision may be due."""
+        return now - self._reported_at < DECIDING_S
+
     # Requests
 
-    def blocked_part(self, parts: Iterable[int]) -> int | None:
+    def blocked_part(self, parts: Iterable[PartKey]) -> PartKey | None:
         """Return the first part that is blocked, or ``None``."""
         if not self._parts.blocked:
             return None
         return next((part for part in parts if part in self._parts.blocked), None)
 
-    def take_trial(self, now: float, part: int) -> bool:
+    def take_trial(self, now: float, part: PartKey) -> bool:
         """Whether a request with a blocked part may be sent as a trial."""
         if self._peers.responsible(now, AGGREGATOR_KEY):
             return False
         return self._parts.take_trial(now, part)
 
-    def wait_s(self, now: float, part: int) -> float:
+    def wait_s(self, now: float, part: PartKey) -> float:
         """Return the seconds until a request with a blocked part may be tried."""
         return self._parts.wait_s(now, part)
 
     def attempt_lost(
-        self, now: float, endpoint: EndpointStart, parts: Iterable[int], sent_at: float
+        self,
+        now: float,
+        endpoint: EndpointStart,
+        parts: Iterable[PartKey],
+        sent_at: float,
     ) -> None:
         """Note that the connection of an attempt was lost before its response ended."""
         self._losses.attempt_lost(now, endpoint, parts, sent_at)
@@ -93,7 +108,7 @@
         self,
         now: float,
         endpoint: EndpointStart,
-        parts: Iterable[int],
+        parts: Iterable[PartKey],
         sent_at: float,
         is_framed: bool,
     ) -> list[Action]:
@@ -133,7 +148,8 @@
         return self._report(now, self._losses.ends(now))
 
     def ends_reported(self, now: float, ends: Iterable[PartEnd]) -> None:
-        """Handle the ends that an entry reports."""
+        """Handle the ends that an entry reports; what follows is due at the ticks."""
+        self._reported_at = now
         for end in ends:
             self._suspects.add_end(now, end)
             success = self._losses.success(now, end.part)
@@ -164,8 +180,8 @@
     def tick(self, now: float) -> list[Action]:
         """Ask about parts, block those at fault, and repeat notices to peers."""
         actions = self._count(now, self._losses.tick(now))
-        for part in self._suspects.due_questions(now):
-            actions += self._ask(now, part)
+        asked = self._suspects.due_questions(now)
+        actions += self._spread(tuple(self._question(now, part) for part in asked))
         for part in self._suspects.due_blocks(now):
             actions += self._block(now, part)
         if len(self._parts) and now >= self._repeat_at:
@@ -177,11 +193,12 @@
             self._expire_at = now + EXPIRY_INTERVAL_S
             self._suspects.expire(now)
             self._parts.expire(now)
+            self._suspects.keep_blocked(self._parts.blocked)
         return actions
 
     # Decisions
 
-    def _ask(self, now: float, part: int) -> list[Action]:
+    def _question(self, now: float, part: PartKey) -> PartNotice:
         # Entries answer each question of an entry once. One that has started again must
         # not repeat the numbers of before, or nobody would answer it.
         self._question_serial = max(
@@ -196,9 +213,9 @@
             author=self._peers.name,
         )
         self._is_new_question(question)
-        return self._spread((question,))
+        return question
 
-    def _block(self, now: float, part: int) -> list[Action]:
+    def _block(self, now: float, part: PartKey) -> list[Action]:
         # The block of another part may have explained its ends meanwhile.
         if part in self._parts.blocked or not self._suspects.is_at_fault(now, part):
             return []
@@ -220,7 +237,7 @@
             return [*actions, *self._clear(now, notice.part)]
         return [*actions, *self._on_blocked(now, notice.part)]
 
-    def _clear(self, now: float, part: int) -> list[Action]:
+    def _clear(self, now: float, part: PartKey) -> list[Action]:
         notice = self._parts.next_notice(part, PartState.CLEARED, now)
         self._parts.put(now, notice)
         self._suspects.part_cleared(part)
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -84,11 +84,6 @@
         """The request's id."""
         return self.arrival.request_id
 
-    @property
-    def shared_parts(self) -> tuple[int, ...]:
-        """The parts of its prompt but the last, which is its own."""
-        return self.arrival.prefix[:-1]
-
     @property
     def bound_to(self) -> str:
         """The only endpoint that may run the current stage, or "" if any may."""
--- a/packages/policy/src/amaranthtally/policy/suspect_parts.py
+++ b/packages/policy/src/amaranthtally/policy/suspect_parts.py
@@ -1,10 +1,12 @@
-"""Decides from the reports of all entries which part of prompts ends endpoints."""
+"""Decides from the reports of all entries what ends endpoints."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import dataclass, field
 from math import inf
 
-from amaranthtally.policy.part_losses import EVIDENCE_TTL_S, PartEnd, PartSuccess
+from amaranthtally.policy.part_losses import PartEnd
+from amaranthtally.policy.part_successes import EVIDENCE_TTL_S, PartKey, PartSuccess
+from amaranthtally.policy.request_key import RequestKey
 
 __all__ = ["SuspectParts"]
 
@@ -21,11 +23,19 @@
 MAX_UNSHARED_ENDS = 1
 # A part with this many times as many ends is the likelier cause, whatever succeeded.
 MANY_MORE_ENDS = 2
+# Number of ends of a part that are those of a request, too, for it to explain others.
+MIN_SHARED_ENDS = 2
+# Time within which a request that is at fault is blocked everywhere, in seconds.
+DECISION_TIME_S = 2.0
 # How long the entries have to answer before a part is blocked, in seconds.
 ANSWER_TIME_S = 0.4
-# Interval at which they are asked again, in seconds.
+# Interval at which they are asked about a part again, in seconds. Of a request they are
+# asked again with each further end only: many requests lose two endpoints when many
+# endpoints fail.
 ASK_INTERVAL_S = 2.0
 MAX_SUSPECTS = 4096
+# Most questions at a time.
+MAX_QUESTIONS = 64
 
 
 @dataclass(slots=True)
@@ -34,42 +44,53 @@
     successes: int = 0
     asked_at: float = -inf
     first_asked_at: float = inf
+    asked_ends: int = 0
 
 
 class SuspectParts:
     """
     The ends that entries have reported, by part; time stamps in seconds.
 
-    One request ends an endpoint, but all that it runs are lost with it. The part that
-    is at fault was in flight at every end and never succeeds; any other part that many
+    One request ends an endpoint, but all that it runs are lost with it. What is at
+    fault was in flight at every end and never succeeds: a request that is sent again
+    and again, or a part that different requests share. Any other part that many
     requests share succeeds at some endpoint in between.
     """
 
     def __init__(self) -> None:
-        self._suspects: dict[int, _Suspect] = {}
-        # Ends of which the cause is known, with the time when that became known.
+        self._parts: dict[PartKey, _Suspect] = {}
+        self._requests: dict[PartKey, _Suspect] = {}
+        # Those with enough ends to ask about them.
+        self._open: dict[PartKey, _Suspect] = {}
+        # Ends of which the cause is a part, with the time when that became known.
         self._explained: dict[str, float] = {}
-        self._blocked: set[int] = set()
+        self._blocked_parts: set[PartKey] = set()
+        # The ends of each request that is blocked.
+        self._blocked_requests: dict[PartKey, set[str]] = {}
 
     def add_end(self, now: float, end: PartEnd) -> None:
         """Add a report; the latest request counts that was lost with an endpoint."""
-        if end.part in self._blocked:
-            self._explain(now, end.endpoint)
-        if end.endpoint in self._explained:
+        if end.part in self._blocked_parts or end.part in self._blocked_requests:
+            self._explain(now, end.part, (end.endpoint,))
+        if self._is_explained(end):
             return
-        suspect = self._suspects.setdefault(end.part, _Suspect())
+        suspects = self._table(end.part)
+        suspect = suspects.pop(end.part, None) or _Suspect()
+        suspects[end.part] = suspect
         suspect.successes = max(suspect.successes, end.successes)
         known = suspect.ends.get(end.endpoint)
         if known is not None:
             sent_at = max(known.sent_at, end.sent_at)
             end = end._replace(lost_at=min(known.lost_at, end.lost_at), sent_at=sent_at)
         suspect.ends[end.endpoint] = end
-        while len(self._suspects) > MAX_SUSPECTS:
-            del self._suspects[next(iter(self._suspects))]
+        if len(suspect.ends) >= ENDS_TO_ASK:
+            self._open[end.part] = suspect
+        if len(suspects) > MAX_SUSPECTS:
+            self._drop(next(iter(suspects)))
 
     def add_success(self, success: PartSuccess) -> None:
         """Drop the ends before a request that succeeded."""
-        suspect = self._suspects.get(success.part)
+        suspect = self._table(success.part).get(success.part)
         if suspect is None:
             return
         suspect.successes = max(1, suspect.successes)
@@ -79,74 +100,82 @@
             if end.lost_at > success.sent_at
         }
 
-    def part_blocked(self, now: float, part: int, endpoints: Iterable[str]) -> None:
+    def part_blocked(self, now: float, part: PartKey, endpoints: Iterable[str]) -> None:
         """Count the ends of a part that is blocked for no other part."""
-        self._suspects.pop(part, None)
-        self._blocked.add(part)
-        for endpoint in endpoints:
-            self._explain(now, endpoint)
+        self._drop(part)
+        if isinstance(part, RequestKey):
+            self._blocked_requests.setdefault(part, set())
+        else:
+            self._blocked_parts.add(part)
+        self._explain(now, part, endpoints)
 
-    def part_cleared(self, part: int) -> None:
+    def part_cleared(self, part: PartKey) -> None:
         """Put no more ends down to a part that is not blocked any more."""
-        self._blocked.discard(part)
+        self._blocked_parts.discard(part)
+        self._blocked_requests.pop(part, None)
+
+    def keep_blocked(self, blocked: frozenset[PartKey]) -> None:
+        """Forget parts that are not blocked any more."""
+        gone = [*self._blocked_parts, *self._blocked_requests]
+        for part in gone:
+            if part not in blocked:
+                self.part_cleared(part)
 
-    def ends_of(self, part: int) -> tuple[PartEnd, ...]:
+    def ends_of(self, part: PartKey) -> tuple[PartEnd, ...]:
         """Return the ends that count against a part, earliest first."""
-        suspect = self._suspects.get(part)
-        ends = suspect.ends.values() if suspect else ()
-        return tuple(sorted(ends, key=lambda end: end.lost_at))
+        suspect = self._table(part).get(part)
+        return _in_order(suspect) if suspect else ()
 
-    def due_questions(self, now: float) -> tuple[int, ...]:
+    def due_questions(self, now: float) -> tuple[PartKey, ...]:
         """Return the parts of which all entries are to be asked now."""
-        due = []
-        for part, suspect in self._suspects.items():
-            is_due = now - suspect.asked_at >= ASK_INTERVAL_S
-            if len(suspect.ends) >= ENDS_TO_ASK and is_due:
+        due: list[PartKey] = []
+        for part, suspect in self._open.items():
+            if len(due) < MAX_QUESTIONS and _is_question_due(now, part, suspect):
                 suspect.asked_at = now
                 suspect.first_asked_at = min(suspect.first_asked_at, now)
+                suspect.asked_ends = len(suspect.ends)
                 due.append(part)
         return tuple(due)
 
-    def due_blocks(self, now: float) -> tuple[int, ...]:
+    def due_blocks(self, now: float) -> tuple[PartKey, ...]:
         """Return the parts that are to be blocked."""
-        return tuple(part for part in self._suspects if self.is_at_fault(now, part))
+        return tuple(part for part in self._open if self.is_at_fault(now, part))
 
     def expire(self, now: float) -> None:
         """Drop what is too old to count."""
-        for part, suspect in list(self._suspects.items()):
+        for part, suspect in [*self._parts.items(), *self._requests.items()]:
             suspect.ends = {
                 name: end
                 for name, end in suspect.ends.items()
                 if now - end.lost_at < EVIDENCE_TTL_S
             }
             if not suspect.ends:
-                del self._suspects[part]
+                self._drop(part)
+            elif len(suspect.ends) < ENDS_TO_ASK:
+                self._open.pop(part, None)
         self._explained = {
             name: at
             for name, at in self._explained.items()
             if now - at < EVIDENCE_TTL_S
         }
 
-    def is_at_fault(self, now: float, part: int) -> bool:
+    def is_at_fault(self, now: float, part: PartKey) -> bool:
         """Whether a part is to be blocked."""
-        suspect = self._suspects.get(part)
+        suspect = self._open.get(part)
         if suspect is None or now - suspect.first_asked_at < ANSWER_TIME_S:
             return False
-        is_enough = (
-            self._has_enough_proven_ends(part, suspect)
-            if suspect.successes
-            else len(suspect.ends) >= ENDS_TO_BLOCK
-        )
-        return is_enough and not self._has_likelier_cause(suspect)
-
-    def _has_enough_proven_ends(self, part: int, suspect: _Suspect) -> bool:
-        if len(suspect.ends) < PROVEN_ENDS_TO_BLOCK:
+        if not _has_enough_ends(part, suspect):
             return False
-        return _count_sequential(self.ends_of(part)) >= MIN_SEQUENTIAL_ENDS
+        if isinstance(part, RequestKey):
+            return not self._has_likelier(self._requests, suspect)
+        return not (
+            self._has_likelier(self._parts, suspect)
+            or self._has_request_at_fault(suspect)
+        )
 
-    def _has_likelier_cause(self, suspect: _Suspect) -> bool:
+    def _has_likelier(self, others: dict[PartKey, _Suspect], suspect: _Suspect) -> bool:
         """
-        Whether another part explains the same ends better.
+        Whether another part, or another request, explains the same ends better.
 
         When all engines are down, nothing succeeds. The part that all requests of a
         route share is then in flight at each end, as is the one at fault, and blocking
@@ -154,14 +183,97 @@
         """
         return any(
             _is_likelier(other, suspect)
-            for other in self._suspects.values()
+            for other in others.values()
             if other is not suspect
         )
 
-    def _explain(self, now: float, endpoint: str) -> None:
-        self._explained[endpoint] = now
-        for suspect in self._suspects.values():
-            suspect.ends.pop(endpoint, None)
+    def _has_request_at_fault(self, suspect: _Suspect) -> bool:
+        """
+        Whether one request explains all ends of a part but few.
+
+        The part may then be sound. If it is not, other requests with it end further
+        endpoints.
+        """
+        at_fault: list[Container[str]] = [*self._blocked_requests.values()]
+        at_fault += [
+            other.ends
+            for part, other in self._open.items()
+            if isinstance(part, RequestKey) and _has_enough_ends(part, other)
+        ]
+        needed = len(suspect.ends) - MAX_UNSHARED_ENDS
+        return any(_count_explained(suspect, ends) >= needed for ends in at_fault)
+
+    def _is_explained(self, end: PartEnd) -> bool:
+        if end.endpoint in self._explained:
+            return True
+        if not isinstance(end.part, RequestKey):
+            return False
+        return any(end.endpoint in ends for ends in self._blocked_requests.values())
+
+    def _explain(self, now: float, cause: PartKey, endpoints: Iterable[str]) -> None:
+        """
+        Count ends for no other suspect.
+
+        Those of a request go on to count for the parts that it holds, as one of these
+        may end endpoints in whatever request it comes. Another request with as many
+        ends may be the one at fault, and is left to be blocked too.
+        """
+        names = set(endpoints)
+        ends = self._blocked_requests.get(cause)
+        if ends is None:
+            self._explained.update(dict.fromkeys(names, now))
+            suspects = [*self._parts.values(), *self._requests.values()]
+        else:
+            ends |= names
+            suspects = [s for s in self._requests.values() if len(s.ends) < len(ends)]
+        for suspect in suspects:
+            for name in names:
+                suspect.ends.pop(name, None)
+
+    def _drop(self, part: PartKey) -> None:
+        self._table(part).pop(part, None)
+        self._open.pop(part, None)
+
+    def _table(self, part: PartKey) -> dict[PartKey, _Suspect]:
+        return self._requests if isinstance(part, RequestKey) else self._parts
+
+
+def _in_order(suspect: _Suspect) -> tuple[PartEnd, ...]:
+    return tuple(sorted(suspect.ends.values(), key=lambda end: end.lost_at))
+
+
+def _is_question_due(now: float, part: PartKey, suspect: _Suspect) -> bool:
+    if len(suspect.ends) < ENDS_TO_ASK:
+        return False
+    if isinstance(part, RequestKey):
+        return len(suspect.ends) > suspect.asked_ends
+    return now - suspect.asked_at >= ASK_INTERVAL_S
+
+
+def _has_enough_ends(part: PartKey, suspect: _Suspect) -> bool:
+    needed = PROVEN_ENDS_TO_BLOCK if suspect.successes else ENDS_TO_BLOCK
+    if len(suspect.ends) < needed:
+        return False
+    if not suspect.successes and not isinstance(part, RequestKey):
+        return True
+    # Many callers may send the same request. If all its endpoints fail at once, it is
+    # in flight at each, but at one after the other only if it is sent again.
+    return _count_sequential(_in_order(suspect)) >= MIN_SEQUENTIAL_ENDS
+
+
+def _count_explained(suspect: _Suspect, request_ends: Container[str]) -> int:
+    """
+    Return how many ends of a part a request explains.
+
+    It goes on to end endpoints until it is blocked everywhere, and those that noted it
+    may have failed since: what ends shortly after the ends that are known to be its own
+    is put down to it as well.
+    """
+    shared = [e.lost_at for name, e in suspect.ends.items() if name in request_ends]
+    if len(shared) < MIN_SHARED_ENDS:
+        return 0
+    first, last = min(shared), max(shared) + DECISION_TIME_S
+    return sum(first <= end.lost_at <= last for end in suspect.ends.values())
 
 
 def _count_sequential(ends: Iterable[PartEnd]) -> int:
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -135,6 +135,8 @@
   ageMicros @3 :Int64;
   ends @4 :List(Text);
   author @5 :Text;
+  # The part is the key of a whole request.
+  isRequest @6 :Bool;
 }
 
 struct PartEnd {
@@ -144,6 +146,7 @@
   lostAgeMicros @2 :Int64;
   sentAgeMicros @3 :Int64;
   successes @4 :UInt32;
+  isRequest @5 :Bool;
 }
 
 struct PartSuccess {
@@ -151,6 +154,7 @@
   part @0 :Text;
   sentAgeMicros @1 :Int64;
   endedAgeMicros @2 :Int64;
+  isRequest @3 :Bool;
 }
 
 interface Gateway {
--- a/packages/wire/src/amaranthtally/wire/prompt_codec.py
+++ b/packages/wire/src/amaranthtally/wire/prompt_codec.py
@@ -1,9 +1,16 @@
-"""Conversion of notices and reports on parts of prompts to Cap'n Proto structs."""
+"""Conversion of notices and reports on parts and requests to Cap'n Proto structs."""
 
 from collections.abc import Sequence
 from typing import Any
 
-from amaranthtally.policy import PartEnd, PartNotice, PartState, PartSuccess
+from amaranthtally.policy import (
+    PartEnd,
+    PartKey,
+    PartNotice,
+    PartState,
+    PartSuccess,
+    RequestKey,
+)
 
 __all__ = [
     "read_part_ends",
@@ -23,7 +30,7 @@
     """Fill a ``spreadPartNotices`` request; ``now`` is the current loop time."""
     items = target.init("notices", len(notices))
     for item, notice in zip(items, notices, strict=True):
-        item.part = f"{notice.part:x}"
+        _write_part(item, notice.part)
         item.state = notice.state.value
         item.serial = notice.serial
         item.ageMicros = _micros(now - notice.since)
@@ -35,7 +42,7 @@
     """Decode the notices of a ``spreadPartNotices`` request."""
     return tuple(
         PartNotice(
-            int(item.part, HEXADECIMAL),
+            _read_part(item),
             PartState(str(item.state)),
             item.serial,
             now - item.ageMicros / MICROSECONDS,
@@ -50,7 +57,7 @@
     """Fill a ``reportEnds`` request."""
     items = target.init("ends", len(ends))
     for item, end in zip(items, ends, strict=True):
-        item.part = f"{end.part:x}"
+        _write_part(item, end.part)
         item.endpoint = end.endpoint
         item.lostAgeMicros = _micros(now - end.lost_at)
         item.sentAgeMicros = _micros(now - end.sent_at)
@@ -61,7 +68,7 @@
     """Decode the ends of a ``reportEnds`` request."""
     return tuple(
         PartEnd(
-            int(item.part, HEXADECIMAL),
+            _read_part(item),
             item.endpoint,
             now - item.lostAgeMicros / MICROSECONDS,
             now - item.sentAgeMicros / MICROSECONDS,
@@ -77,7 +84,7 @@
     """Fill a ``reportSuccesses`` request."""
     items = target.init("successes", len(successes))
     for item, success in zip(items, successes, strict=True):
-        item.part = f"{success.part:x}"
+        _write_part(item, success.part)
         item.sentAgeMicros = _micros(now - success.sent_at)
         item.endedAgeMicros = _micros(now - success.ended_at)
 
@@ -86,7 +93,7 @@
     """Decode the successes of a ``reportSuccesses`` request."""
     return tuple(
         PartSuccess(
-            int(item.part, HEXADECIMAL),
+            _read_part(item),
             now - item.sentAgeMicros / MICROSECONDS,
             now - item.endedAgeMicros / MICROSECONDS,
         )
@@ -94,5 +101,16 @@
     )
 
 
+def _write_part(item: Any, part: PartKey) -> None:
+    item.isRequest = isinstance(part, RequestKey)
+    number = part.digest if isinstance(part, RequestKey) else part
+    item.part = f"{number:x}"
+
+
+def _read_part(item: Any) -> PartKey:
+    number = int(item.part, HEXADECIMAL)
+    return RequestKey(number) if item.isRequest else number
+
+
 def _micros(seconds: float) -> int:
     return int(seconds * MICROSECONDS)
--- a/tests/load/prompts_fleet.py
+++ b/tests/load/prompts_fleet.py
@@ -14,6 +14,7 @@
     SpreadPartNotices,
 )
 from amaranthtally.policy.part_losses import EndpointStart
+from amaranthtally.policy.prompt_guard import AGGREGATOR_KEY, AGGREGATORS
 from tests.load.event_clock import EventClock
 
 NEAR_S = 0.001
@@ -107,7 +108,7 @@
 
     def aggregators(self):
         first = next(iter(self.members))
-        return self.groups[first].first(self.now, "prompts", 2)
+        return self.groups[first].first(self.now, AGGREGATOR_KEY, AGGREGATORS)
 
     def _tick(self, name, guard):
         if self.members.get(name) is guard:
@@ -223,9 +224,7 @@
         def lose():
             if self.members.get(name) is not guard:
                 return
-            guard.attempt_lost(self.now, start, parts, sent_at)
-            if engine.name not in self.registered:
-                self._carry_out(name, guard.endpoint_unreachable(self.now, start.id))
+            self.note_lost(name, guard, start, parts, sent_at)
             may_retry = guard.blocked_part(parts) is None and not is_trial
             if number < MAX_ATTEMPTS and may_retry:
                 self._attempt(name, guard, parts, is_fatal, outcome, number + 1, False)
@@ -247,6 +246,11 @@
         else:
             self.later(RUN_S * (0.5 + self.random.random()), finish)
 
+    def note_lost(self, name, guard, start, parts, sent_at):
+        guard.attempt_lost(self.now, start, parts, sent_at)
+        if start.id not in self.registered:
+            self._carry_out(name, guard.endpoint_unreachable(self.now, start.id))
+
     def _succeed(self, name, guard, start, parts, sent_at, *, is_framed):
         if self.members.get(name) is guard:
             actions = guard.attempt_succeeded(
--- a/tests/policy/test_prompt_blocks.py
+++ b/tests/policy/test_prompt_blocks.py
@@ -1,5 +1,7 @@
 """Requests with a part of their prompts that is blocked, at one entry."""
 
+from dataclasses import replace
+
 from amaranthtally.policy import (
     AttemptOutcome,
     Cancel,
@@ -7,6 +9,7 @@
     PartState,
     RefusalReason,
     Refuse,
+    RequestKey,
     RequestOutcome,
 )
 from tests.policy.support import (
@@ -20,6 +23,7 @@
 FATAL = 0xBAD
 OTHER = 0xC0DE
 FIRST_TRIAL_S = 20.0
+KEY = RequestKey(0xFEED)
 
 
 def new_driver(**stage):
@@ -117,3 +121,38 @@
     block(driver, 2.0, state=PartState.CLEARED, serial=2)
     block(driver, 3.0)
     assert sends(arrive(driver, 3.1))
+
+
+def arrive_again(driver, now, key=KEY):
+    return driver.arrive(now, deadline_s=60.0, prefix=(OTHER, driver.serial), key=key)
+
+
+def test_a_blocked_request_is_refused_under_each_id_and_others_are_sent():
+    """Guards against a request that a new id lets through."""
+    driver = new_driver()
+    block(driver, 1.0, KEY)
+    (refusal,) = arrive_again(driver, 1.1)
+    assert refusal.reason is RefusalReason.REQUEST_BLOCKED
+    assert refusal.outcome is RequestOutcome.NOT_RUN
+    assert refusal.retry_after_s > FIRST_TRIAL_S
+    assert sends(arrive_again(driver, 1.2, RequestKey(0xFEEE)))
+
+
+def test_tries_in_flight_of_a_blocked_request_are_cancelled():
+    """Guards against endpoints that end on tries sent before it was known."""
+    driver = new_driver()
+    (first,) = sends(arrive_again(driver, 1.0))
+    assert Cancel(first.attempt, first.endpoint) in block(driver, 1.1, KEY)
+
+
+def test_a_request_without_a_prompt_is_evidence_too():
+    """Guards against requests that only their content tells apart."""
+    driver = new_driver()
+    (first,) = sends(driver.arrive(1.0, deadline_s=60.0, key=KEY))
+    driver.reply(1.2, first, AttemptOutcome.FAILED, connection_lost=True)
+    gone = endpoints("engine")
+    del gone[first.endpoint]
+    settings = replace(driver.planner._settings, endpoints=gone)
+    driver.planner.settings_changed(1.5, settings)
+    ends = driver.planner.prompts._losses.ends(1.5)
+    assert [end.part for end in ends] == [KEY]
--- a/tests/unit/test_caller_handler.py
+++ b/tests/unit/test_caller_handler.py
@@ -49,7 +49,7 @@
     def _new_call(self, *args):
         stage = SimpleNamespace(pool="pool")
         arrival = SimpleNamespace(
-            pipeline=SimpleNamespace(stages=[stage]), priority=0, deadline=1.0
+            pipeline=SimpleNamespace(stages=[stage]), priority=0, deadline=1.0, key=None
         )
         return SimpleNamespace(id="request", account="", arrival=arrival)
 
