A route is not blocked for one part of its prompts when those that decide are killed

Cause: the killed entries hold a third of the evidence of the part at fault, while all that are left report the route's part at each end; no part then shares all its ends but one.

Fix: a part that never succeeded, with three ends and half of the other's, is likelier; the other ends of that time go with it when it is blocked.

--- a/packages/policy/src/amaranthtally/policy/suspect_parts.py
+++ b/packages/policy/src/amaranthtally/policy/suspect_parts.py
@@ -21,6 +21,12 @@
 MIN_SEQUENTIAL_ENDS = 3
 # Ends of a part that another one need not share to be the likelier cause of the others.
 MAX_UNSHARED_ENDS = 1
+# Share of a part's ends, if it has succeeded before, that one that never has must share
+# to be the likelier cause.
+LIKELIER_SHARE = 0.5
+# Share of its ends that a part must share with one that is blocked, for its other ends
+# at that time to be put down to that one as well.
+EXPLAINED_SHARE = 2 / 3
 # A part with this many times as many ends is the likelier cause, whatever succeeded.
 MANY_MORE_ENDS = 2
 # Number of ends that a request and a part must share for the request to explain others.
@@ -216,7 +222,10 @@
             if isinstance(part, RequestKey) and _has_enough_ends(part, other)
         ]
         needed = len(suspect.ends) - MAX_UNSHARED_ENDS
-        return any(len(_explained_ends(suspect, ends)) >= needed for ends in at_fault)
+        return any(
+            len(_explained_ends(suspect, ends, MIN_SHARED_ENDS)) >= needed
+            for ends in at_fault
+        )
 
     def _is_explained(self, end: PartEnd) -> bool:
         if end.endpoint in self._explained:
@@ -238,8 +247,9 @@
         if ends is None:
             self._explained.update(dict.fromkeys(names, now))
             for suspect in [*self._parts.values(), *self._requests.values()]:
-                for name in names:
-                    suspect.ends.pop(name, None)
+                least = EXPLAINED_SHARE * len(suspect.ends)
+                for name in _explained_ends(suspect, names, least):
+                    del suspect.ends[name]
             return
         ends |= names
         for suspect in self._requests.values():
@@ -289,19 +299,21 @@
     return any(_is_likelier(other, suspect) for other in others)
 
 
-def _explained_ends(suspect: _Suspect, names: Container[str]) -> list[str]:
+def _explained_ends(
+    suspect: _Suspect, names: Container[str], least: float
+) -> list[str]:
     """
     Return the ends of a suspect that another cause, with these ends, explains.
 
     That goes on to end endpoints until it is blocked everywhere, and entries that noted
     it may have failed since: what ends shortly after the ends that are known to be its
-    own is put down to it as well.
+    own is put down to it as well, if it shares at least ``least`` ends.
     """
     shared = [e.lost_at for name, e in suspect.ends.items() if name in names]
     if not shared:
         return []
     first, last = min(shared), max(shared)
-    if len(shared) < MIN_SHARED_ENDS:
+    if len(shared) < least:
         return [name for name in suspect.ends if name in names]
     last += DECISION_TIME_S
     return [n for n, end in suspect.ends.items() if first <= end.lost_at <= last]
@@ -320,6 +332,11 @@
 def _is_likelier(other: _Suspect, suspect: _Suspect) -> bool:
     """Whether another part was in flight at the same ends, and is likelier at fault."""
     shared = len(other.ends.keys() & suspect.ends.keys())
+    # Entries may have failed with what they knew of the part at fault. The part of a
+    # whole route, on which the others report, would be blocked in its place.
+    enough = max(ENDS_TO_BLOCK, LIKELIER_SHARE * len(suspect.ends))
+    if suspect.successes and not other.successes and shared >= enough:
+        return True
     if shared < len(suspect.ends) - MAX_UNSHARED_ENDS:
         return False
     if len(other.ends) >= MANY_MORE_ENDS * len(suspect.ends):
--- a/tests/load/test_fatal_parts.py
+++ b/tests/load/test_fatal_parts.py
@@ -154,6 +154,28 @@
         check_kept_away(fleet, 26.0)
 
 
+@pytest.mark.parametrize("size", SIZES)
+def test_a_route_is_not_blocked_as_those_that_decide_are_killed(size):
+    """Guards against a whole route that is refused for a part of some requests."""
+    for seed in range(8):
+        fleet = PromptsFleet(
+            size, fatal_rate=lambda now: 20.0 if now > 5.0 else 0.0, seed=seed
+        )
+
+        def kill_aggregators(fleet=fleet):
+            killed = fleet.aggregators()
+            for name in killed:
+                fleet.kill(name)
+            fleet.later(3.0, fleet.update_peers)
+            for name in killed:
+                fleet.later(4.0, lambda n=name: fleet.start(n))
+            fleet.later(4.2, fleet.update_peers)
+
+        fleet.at(5.4 + 0.1 * seed, kill_aggregators)
+        fleet.run_until(20.0)
+        assert ROUTE_PART not in fleet.blocked_parts
+
+
 @pytest.mark.parametrize("size", SIZES)
 def test_the_part_is_kept_away_in_a_roll_of_the_whole_fleet(size):
     """Guards against knowledge that dies out with those that had it."""
