--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -215,7 +215,14 @@
         if response_head.load is not None:
             self._listener.load_reported(endpoint.id, response_head.load, awaited=True)
         if response_head.not_run:
-            self._log(send, endpoint, "not_run", str(response_head.status), started)
+            self._log(
+                send,
+                endpoint,
+                "not_run",
+                str(response_head.status),
+                started,
+                retry_after_s=str(response_head.retry_after_s or ""),
+            )
             return AttemptResult(
                 AttemptOutcome.NOT_RUN,
                 retry_after_s=response_head.retry_after_s,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -123,7 +123,14 @@
         queued = response_head.load.queued if response_head.load else 0
         if response_head.status != HTTP_OK:
             outcome = "not_run" if response_head.not_run else "failed"
-            self._log(action, endpoint, outcome, str(response_head.status), started)
+            self._log(
+                action,
+                endpoint,
+                outcome,
+                str(response_head.status),
+                started,
+                response_head.retry_after_s,
+            )
             return PiecesEnded(
                 refused=response_head.not_run, running=running, queued=queued
             )
@@ -141,6 +148,7 @@
         outcome: str,
         cause: str,
         started: float,
+        retry_after_s: float = 0.0,
     ) -> None:
         duration_s = self._loop.time() - started
         details = action.details
@@ -162,5 +170,6 @@
             requests=",".join(dict.fromkeys(p.request_id for p in action.pieces)),
             fate=outcome,
             cause=cause,
+            retry_after_s=retry_after_s or "",
             ms=round(duration_s * MS_PER_S),
         )
