An endpoint that asks for rest is left alone, and its pool's others serve

Callers saw: with three engines of nine turning away, requests sent to two of them in turn and refused within 7 ms, though six served; the endpoints in need got up to 15 requests in the 3 s they had asked for.

Cause: Retry-After of a 503 was read for the caller alone. Class: a wish of an endpoint that is handed on and not kept.

Fix: EndpointRests holds each wish to its end; SendRestrictions joins it with the rate limits before every send: first attempts, retries, hedges, probes, calls of stages and their frees (the same cause, found with the test of stages: 162 and 82 calls in one rest). If all rest, callers hear the shortest rest; one that ends within 0.5 s is waited for.

A Retry-After that is infinite is now no time at all, for callers too.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -65,6 +65,9 @@
     ) -> None:
         """Handle the limit that a response names, ``None`` if it names none."""
 
+    def rest_asked(self, endpoint: str, rest_s: float) -> None:
+        """Handle that an endpoint wants no requests for some seconds."""
+
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
         """Handle the first event of a stream, before its caller gets it."""
 
@@ -212,6 +215,8 @@
         self._listener.rate_limit_received(
             endpoint.id, response_head.rate_limit, started
         )
+        if response_head.rest_s:
+            self._listener.rest_asked(endpoint.id, response_head.rest_s)
         if response_head.load is not None:
             self._listener.load_reported(endpoint.id, response_head.load, awaited=True)
         if response_head.not_run:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -83,7 +83,11 @@
         self._calls: dict[str, LiveCall] = {}
         self._endpoint_calls = EndpointCalls(session, self)
         self._piece_calls = PieceCalls(
-            session, self.pieces_ended, self.rate_limit_received, metrics
+            session,
+            self.pieces_ended,
+            self.rate_limit_received,
+            self.rest_asked,
+            metrics,
         )
         self._connections: PeerConnections | None = None
         self._time = asyncio.get_running_loop().time
@@ -141,6 +145,11 @@
         """Exchanges the rate limits of endpoints with the other gateways."""
         return self._rate_limits
 
+    @property
+    def endpoints_resting(self) -> int:
+        """Number of endpoints that have asked this gateway for rest."""
+        return len(self._planner.rests.resting(self._time()))
+
     @property
     def prompts(self) -> PromptExchange:
         """Exchanges with the other gateways what is known of parts of prompts."""
@@ -248,6 +257,11 @@
         """Pass the limit that a response names to the policy."""
         self._rate_limits.response_received(endpoint, rate, sent_at)
 
+    def rest_asked(self, endpoint: str, rest_s: float) -> None:
+        """Leave an endpoint alone for some seconds, as it has asked."""
+        log.info("endpoint_rests", endpoint=endpoint, rest_s=rest_s)
+        self._planner.rests.rest_asked(self._time(), endpoint, rest_s)
+
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
         """Note where a call's stream began, unless it goes on with an earlier one."""
         call.origin = call.origin or origin
@@ -407,7 +421,8 @@
     def _free_results(self, action: FreeResults) -> None:
         endpoint = self._endpoints.get(action.endpoint)
         if endpoint is not None:
-            self._decisions.spawn(self._piece_calls.free(action, endpoint))
+            rest_s = self._planner.rests.left_s(self._time(), endpoint.id)
+            self._decisions.spawn(self._piece_calls.free(action, endpoint, rest_s))
 
     def _stop_attempts(self, call: LiveCall) -> None:
         current = asyncio.current_task()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -33,6 +33,7 @@
 
 OnEnd = Callable[[int, PiecesEnded], None]
 OnRateLimit = Callable[[str, float | None, float], None]
+OnRest = Callable[[str, float], None]
 FAILED = PiecesEnded()
 
 
@@ -55,10 +56,12 @@
         session: aiohttp.ClientSession,
         on_end: OnEnd,
         on_rate_limit: OnRateLimit,
+        on_rest: OnRest,
         metrics: GatewayMetrics,
     ) -> None:
         self._session = session
         self._on_rate_limit = on_rate_limit
+        self._on_rest = on_rest
         self._metrics = metrics
         self._on_end = on_end
         self._loop = asyncio.get_running_loop()
@@ -68,8 +71,16 @@
         end = FAILED if endpoint is None else await self._attempt(action, endpoint)
         self._on_end(action.call, end)
 
-    async def free(self, action: FreeResults, endpoint: Endpoint) -> None:
-        """Free results at an endpoint; a failure is only logged."""
+    async def free(
+        self, action: FreeResults, endpoint: Endpoint, rest_s: float
+    ) -> None:
+        """
+        Free results at an endpoint that still rests for some seconds.
+
+        A failure is only logged.
+        """
+        if rest_s:
+            await asyncio.sleep(rest_s)
         log.info(
             "results_freed",
             endpoint=endpoint.id,
@@ -88,6 +99,9 @@
                 ),
             ) as response:
                 await response.read()
+            head = read_response_head(response.status, response.headers)
+            if head.rest_s:
+                self._on_rest(endpoint.id, head.rest_s)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(
                 "results_not_freed",
@@ -119,6 +133,8 @@
             body = await response.read()
         response_head = read_response_head(response.status, response.headers)
         self._on_rate_limit(endpoint.id, response_head.rate_limit, started)
+        if response_head.rest_s:
+            self._on_rest(endpoint.id, response_head.rest_s)
         running = response_head.load.running if response_head.load else None
         queued = response_head.load.queued if response_head.load else 0
         if response_head.status != HTTP_OK:
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -34,6 +34,7 @@
 from amaranthtally.policy.affinity import AffinityRouter
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
 from amaranthtally.policy.endpoint_limits import EndpointLimits
+from amaranthtally.policy.endpoint_rests import EndpointRests
 from amaranthtally.policy.events import (
     Arrival,
     AttemptOutcome,
@@ -140,6 +141,7 @@
     "Endpoint",
     "EndpointDirectory",
     "EndpointLimits",
+    "EndpointRests",
     "EngineLimits",
     "EngineModels",
     "FreeAtPeer",
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -3,7 +3,6 @@
 from amaranthtally.policy.actions import Action, Send
 from amaranthtally.policy.budgets import RatioBudget
 from amaranthtally.policy.ejection import Ejections
-from amaranthtally.policy.endpoint_limits import EndpointLimits
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
@@ -11,6 +10,7 @@
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.scoring import Choice, RouteRequest
+from amaranthtally.policy.send_restrictions import SendRestrictions
 from amaranthtally.policy.stage_times import StageStats, StageTimes
 from amaranthtally.policy.stream_watch import STUCK_FACTOR, StreamMonitor
 from amaranthtally.policy.streams import StreamProgress
@@ -66,7 +66,7 @@
         ledger: RequestLedger,
         timers: Timers,
         streams: StreamMonitor,
-        limits: EndpointLimits,
+        restrictions: SendRestrictions,
     ) -> None:
         self._settings = settings
         self._times = times
@@ -77,7 +77,7 @@
         self._ledger = ledger
         self._timers = timers
         self._streams = streams
-        self._limits = limits
+        self._restrictions = restrictions
         self._budgets: dict[str, _PoolBudgets] = {}
 
     def configure(self, settings: PolicySettings) -> None:
@@ -212,9 +212,9 @@
     ) -> RouteRequest:
         arrival = request.arrival
         remaining = request.remaining
-        blocked = self._limits.blocked(now)
+        blocked = self._restrictions.blocked(now)
         if blocked:
-            self._limits.note_wanted(request.current_stage.pool)
+            self._restrictions.note_wanted(request.current_stage.pool)
         return RouteRequest(
             request.current_stage,
             self._times.share_end(now, arrival.deadline, remaining),
@@ -249,7 +249,7 @@
         left = request.arrival.deadline - now
         if not load.may_serve(stage.model):
             return None
-        if name in self._limits.blocked(now):
+        if name in self._restrictions.blocked(now):
             return None
         if load.leaving or left < PROBE_SLACK * self._times.needed_s(request.remaining):
             return None
@@ -319,7 +319,7 @@
             sum(route_request.prefix_sizes) * (1.0 - choice.cached_share)
         )
         attempt_id = self._ledger.add_attempt(request, load, attempt)
-        self._limits.take(now, choice.endpoint.id)
+        self._restrictions.take(now, choice.endpoint.id)
         if probe:
             self._ejections.probe_sent(choice.endpoint.id)
             self._ledger.counters.probes += 1
--- a/packages/policy/src/amaranthtally/policy/endpoint_limits.py
+++ b/packages/policy/src/amaranthtally/policy/endpoint_limits.py
@@ -139,10 +139,9 @@
         if endpoint in self._rates:
             self._stock.take(now, endpoint)
 
-    def wait_s(self, now: float, pool: str) -> float | None:
-        """Return how long the next permit of a pool takes; ``None`` without limits."""
-        names = self._limited_in(pool)
-        return min((self._stock.wait_s(now, name) for name in names), default=None)
+    def waits_s(self, now: float, pool: str) -> dict[str, float]:
+        """Return how long a permit takes for each endpoint of a pool with a limit."""
+        return {n: self._stock.wait_s(now, n) for n in self._limited_in(pool)}
 
     # Permits
 
--- a/packages/policy/src/amaranthtally/policy/failed_attempts.py
+++ b/packages/policy/src/amaranthtally/policy/failed_attempts.py
@@ -17,6 +17,7 @@
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.send_restrictions import SendRestrictions
 
 __all__ = ["FailedAttempts", "RecomputeInputs"]
 
@@ -49,6 +50,7 @@
         outcome_recorder: OutcomeRecorder,
         refusals: Refusals,
         prompt_checks: PromptChecks,
+        restrictions: SendRestrictions,
         recompute: RecomputeInputs,
     ) -> None:
         self._ledger = ledger
@@ -57,6 +59,7 @@
         self._outcome_recorder = outcome_recorder
         self._refusals = refusals
         self._prompt_checks = prompt_checks
+        self._restrictions = restrictions
         self._recompute = recompute
         self._not_run_cost = 0.0
 
@@ -102,9 +105,12 @@
         ):
             return self._recompute(now, request, cost)
         actions = self._dispatcher.retry(now, request, cost)
-        return actions or self._refusals.refuse(
-            now, request, reason, result.retry_after_s
-        )
+        if actions:
+            return actions
+        # Of several endpoints that rest, the first to take requests again counts.
+        wait = self._restrictions.wait(now, request.current_stage.pool)
+        retry_after_s = wait.wait_s if wait and not_run else result.retry_after_s
+        return self._refusals.refuse(now, request, reason, retry_after_s)
 
     def _retry_cost(self, request: Request, ended: LiveAttempt, not_run: bool) -> float:
         """
--- a/packages/policy/src/amaranthtally/policy/permit_waits.py
+++ b/packages/policy/src/amaranthtally/policy/permit_waits.py
@@ -1,19 +1,20 @@
-"""Requests that wait for a permit, as every endpoint that could run them is limited."""
+"""Requests that wait, as every endpoint that could run them is limited or rests."""
 
 from collections import Counter
 from typing import NamedTuple
 
 from amaranthtally.policy.actions import Action, RefusalReason
 from amaranthtally.policy.dispatch import Dispatcher
-from amaranthtally.policy.endpoint_limits import EndpointLimits
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import Request
+from amaranthtally.policy.send_restrictions import SendRestrictions
 
 __all__ = ["PermitWaits"]
 
-# How long a request waits for a permit at most, in seconds. One that would wait longer
-# is refused at once, and its caller may find permits at another entry.
+# How long a request waits for a permit, or the end of a rest, at most, in seconds. One
+# that would wait longer is refused at once, and its caller may be served by another
+# entry.
 PERMIT_WAIT_S = 0.5
 
 
@@ -28,34 +29,34 @@
 
     def __init__(
         self,
-        limits: EndpointLimits,
+        restrictions: SendRestrictions,
         dispatcher: Dispatcher,
         ledger: RequestLedger,
         refusals: Refusals,
     ) -> None:
-        self._limits = limits
+        self._restrictions = restrictions
         self._dispatcher = dispatcher
         self._ledger = ledger
         self._refusals = refusals
         self._waits: dict[str, _Wait] = {}
 
     def add(self, now: float, request: Request) -> list[Action]:
-        """Let a request wait if permits are all that it lacks, or else refuse it."""
+        """Let a request wait if a wait is all that it lacks, or else refuse it."""
         pool = request.current_stage.pool
-        wait_s = self._limits.wait_s(now, pool)
-        if wait_s is None:
+        wait = self._restrictions.wait(now, pool)
+        if wait is None:
             return self._refusals.refuse(now, request, RefusalReason.NO_ENDPOINT)
-        if wait_s > PERMIT_WAIT_S:
-            return self._refusals.refuse(now, request, RefusalReason.RATE_LIMIT, wait_s)
+        if wait.wait_s > PERMIT_WAIT_S:
+            return self._refusals.refuse(now, request, wait.reason, wait.wait_s)
         self._waits[request.id] = _Wait(request.id, pool, now + PERMIT_WAIT_S)
         return []
 
     def tick(self, now: float) -> list[Action]:
-        """Send the requests for which there are permits."""
+        """Send the requests that may be sent now."""
         if not self._waits:
             return []
         counts = Counter(wait.pool for wait in self._waits.values())
-        self._limits.requests_wait(counts)
+        self._restrictions.requests_wait(counts)
         actions: list[Action] = []
         for wait in list(self._waits.values()):
             ended = self._end(now, wait)
@@ -69,7 +70,8 @@
         request = self._ledger.find(wait.request_id)
         if request is None:
             return []
-        wait_s = self._limits.wait_s(now, wait.pool) or 0.0
+        restriction = self._restrictions.wait(now, wait.pool)
+        wait_s = restriction.wait_s if restriction else 0.0
         left_s = wait.until - now
         if 0.0 < wait_s <= left_s:
             return None
@@ -78,4 +80,5 @@
             return sent
         if wait_s == 0.0 and left_s > 0.0:
             return None
-        return self._refusals.refuse(now, request, RefusalReason.RATE_LIMIT, wait_s)
+        reason = restriction.reason if restriction else RefusalReason.OVERLOAD
+        return self._refusals.refuse(now, request, reason, wait_s)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -11,6 +11,7 @@
 )
 from amaranthtally.policy.dispatch import Dispatcher
 from amaranthtally.policy.endpoint_limits import EndpointLimits
+from amaranthtally.policy.endpoint_rests import EndpointRests
 from amaranthtally.policy.events import (
     Arrival,
     AttemptOutcome,
@@ -39,6 +40,7 @@
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import Counters, RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.send_restrictions import SendRestrictions
 from amaranthtally.policy.stream_watch import StreamMonitor
 from amaranthtally.policy.timers import Timer, Timers
 
@@ -100,6 +102,8 @@
         self._limits = EndpointLimits(
             self._peers, self._coordinator.batcher.servers.note_rate_limit
         )
+        self._rests = EndpointRests(self._coordinator.batcher.servers.note_rest)
+        restrictions = SendRestrictions(self._limits, self._rests)
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -110,7 +114,7 @@
             self._ledger,
             self._timers,
             self._streams,
-            self._limits,
+            restrictions,
         )
         self._refusals = Refusals(
             self._ledger, self._times, self._loads, self._admission, self._coordinator
@@ -120,7 +124,7 @@
         )
         self._prompt_checks = PromptChecks(self._prompts, self._ledger, self._refusals)
         self._permit_waits = PermitWaits(
-            self._limits, self._dispatcher, self._ledger, self._refusals
+            restrictions, self._dispatcher, self._ledger, self._refusals
         )
         self._failures = FailedAttempts(
             self._ledger,
@@ -129,6 +133,7 @@
             self._outcome_recorder,
             self._refusals,
             self._prompt_checks,
+            restrictions,
             self._recompute_inputs,
         )
         self._configure(0.0, settings)
@@ -143,6 +148,11 @@
         """The rate limits of endpoints, and the permits that entries share."""
         return self._limits
 
+    @property
+    def rests(self) -> EndpointRests:
+        """The endpoints that have asked this entry for rest."""
+        return self._rests
+
     @property
     def prompts(self) -> PromptGuard:
         """The parts of prompts that are kept away from endpoints."""
@@ -438,6 +448,7 @@
         self._failures.configure(settings.not_run_cost)
         self._peers.set_name(settings.entry)
         self._limits.configure(settings.endpoints)
+        self._rests.configure(settings.endpoints)
         self._accounts.configure(settings.accounts, settings.entries)
         self._admission.configure(settings.admission_headroom)
         self._router.configure(
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -320,3 +320,21 @@
     for read in (store.read_item, store.read_page, store.read_events, store.read_lease):
         assert read(b"<html>").is_err()
     assert store.read_revision(b'{"revision":4}') == Ok(4)
+
+
+@pytest.mark.parametrize(
+    ("status", "value", "rest_s"),
+    [
+        (503, "3", 3.0),
+        (503, "0.25", 0.25),
+        (503, "", 0.0),
+        (503, "-1", 0.0),
+        (503, "inf", 0.0),
+        (503, "soon", 0.0),
+        (429, "3", 0.0),
+    ],
+)
+def test_only_a_number_with_503_is_a_wish_for_rest(status, value, rest_s):
+    """Guards against endpoints that are left alone for ever for a malformed header."""
+    head = read_response_head(status, CIMultiDict({names.RETRY_AFTER: value}))
+    assert head.rest_s == rest_s
