An endpoint that says in its responses that it leaves gets no further requests

Cause: the header was forwarded and not read. Class: as with the rest, a word of an endpoint that is handed on and not kept.

Fix: what an endpoint says of itself in a response, to a request, a call of a stage or a free, goes to the policy in one place (head_received). The start that leaves takes no calls in all settings that follow, whatever its record says, is missing or comes back.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -60,13 +60,8 @@
     def load_reported(self, endpoint: str, load: EndpointLoad, awaited: bool) -> None:
         """Handle an endpoint's load; ``awaited`` if it came with a call's response."""
 
-    def rate_limit_received(
-        self, endpoint: str, rate: float | None, sent_at: float
-    ) -> None:
-        """Handle the limit that a response names, ``None`` if it names none."""
-
-    def rest_asked(self, endpoint: str, rest_s: float) -> None:
-        """Handle that an endpoint wants no requests for some seconds."""
+    def head_received(self, endpoint: str, head: ResponseHead, sent_at: float) -> None:
+        """Handle what an endpoint says of itself in a response."""
 
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
         """Handle the first event of a stream, before its caller gets it."""
@@ -212,11 +207,7 @@
         if response_head.request_id and response_head.request_id != call.id:
             self._log(send, endpoint, "mismatched", response_head.request_id, started)
             return _unknown_outcome(call)
-        self._listener.rate_limit_received(
-            endpoint.id, response_head.rate_limit, started
-        )
-        if response_head.rest_s:
-            self._listener.rest_asked(endpoint.id, response_head.rest_s)
+        self._listener.head_received(endpoint.id, response_head, started)
         if response_head.load is not None:
             self._listener.load_reported(endpoint.id, response_head.load, awaited=True)
         if response_head.not_run:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from amaranthtally.adapter.messages import EndpointLoad
+from amaranthtally.adapter.messages import EndpointLoad, ResponseHead
 from amaranthtally.daemon.decision_loop import DecisionLoop
 from amaranthtally.daemon.gateway.endpoint_calls import EndpointCalls
 from amaranthtally.daemon.gateway.endpoint_check import keeps_connections
@@ -83,11 +83,7 @@
         self._calls: dict[str, LiveCall] = {}
         self._endpoint_calls = EndpointCalls(session, self)
         self._piece_calls = PieceCalls(
-            session,
-            self.pieces_ended,
-            self.rate_limit_received,
-            self.rest_asked,
-            metrics,
+            session, self.pieces_ended, self.head_received, metrics
         )
         self._connections: PeerConnections | None = None
         self._time = asyncio.get_running_loop().time
@@ -251,16 +247,21 @@
         actions = self._planner.load_report(self._time(), endpoint, report)
         self._decisions.carry_out(actions)
 
-    def rate_limit_received(
-        self, endpoint: str, rate: float | None, sent_at: float
-    ) -> None:
-        """Pass the limit that a response names to the policy."""
-        self._rate_limits.response_received(endpoint, rate, sent_at)
-
-    def rest_asked(self, endpoint: str, rest_s: float) -> None:
-        """Leave an endpoint alone for some seconds, as it has asked."""
-        log.info("endpoint_rests", endpoint=endpoint, rest_s=rest_s)
-        self._planner.rests.rest_asked(self._time(), endpoint, rest_s)
+    def head_received(self, endpoint: str, head: ResponseHead, sent_at: float) -> None:
+        """Pass what an endpoint says of itself in a response to the policy."""
+        self._rate_limits.response_received(endpoint, head.rate_limit, sent_at)
+        if head.rest_s:
+            log.info("endpoint_rests", endpoint=endpoint, rest_s=head.rest_s)
+            self._planner.rests.rest_asked(self._time(), endpoint, head.rest_s)
+        if head.leaving:
+            self._leaving_announced(endpoint)
+
+    def _leaving_announced(self, endpoint: str) -> None:
+        if self._planner.is_leaving(endpoint):
+            return
+        log.info("endpoint_leaves", endpoint=endpoint, source="response")
+        actions = self._planner.leaving_announced(self._time(), endpoint)
+        self._decisions.carry_out(actions)
 
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
         """Note where a call's stream began, unless it goes on with an earlier one."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -8,6 +8,7 @@
 import aiohttp
 
 from amaranthtally.adapter import headers as names, pieces
+from amaranthtally.adapter.messages import ResponseHead
 from amaranthtally.adapter.responses import read_response_head
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.logs import get_logger
@@ -32,8 +33,7 @@
 log = get_logger()
 
 OnEnd = Callable[[int, PiecesEnded], None]
-OnRateLimit = Callable[[str, float | None, float], None]
-OnRest = Callable[[str, float], None]
+OnHead = Callable[[str, ResponseHead, float], None]
 FAILED = PiecesEnded()
 
 
@@ -49,19 +49,17 @@
 
 
 class PieceCalls:
-    """Sends calls with pieces to endpoints; passes the end of each to ``on_end``."""
+    """Sends calls with pieces to endpoints; passes on the end and the head of each."""
 
     def __init__(
         self,
         session: aiohttp.ClientSession,
         on_end: OnEnd,
-        on_rate_limit: OnRateLimit,
-        on_rest: OnRest,
+        on_head: OnHead,
         metrics: GatewayMetrics,
     ) -> None:
         self._session = session
-        self._on_rate_limit = on_rate_limit
-        self._on_rest = on_rest
+        self._on_head = on_head
         self._metrics = metrics
         self._on_end = on_end
         self._loop = asyncio.get_running_loop()
@@ -89,6 +87,7 @@
             held_ms=round(action.held_s * MS_PER_S),
         )
         url = f"http://{endpoint.address}{pieces.FREE_PATH}"
+        started = self._loop.time()
         try:
             async with self._session.post(
                 url,
@@ -100,8 +99,7 @@
             ) as response:
                 await response.read()
             head = read_response_head(response.status, response.headers)
-            if head.rest_s:
-                self._on_rest(endpoint.id, head.rest_s)
+            self._on_head(endpoint.id, head, started)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(
                 "results_not_freed",
@@ -132,9 +130,7 @@
         ) as response:
             body = await response.read()
         response_head = read_response_head(response.status, response.headers)
-        self._on_rate_limit(endpoint.id, response_head.rate_limit, started)
-        if response_head.rest_s:
-            self._on_rest(endpoint.id, response_head.rest_s)
+        self._on_head(endpoint.id, response_head, started)
         running = response_head.load.running if response_head.load else None
         queued = response_head.load.queued if response_head.load else 0
         if response_head.status != HTTP_OK:
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -1,6 +1,7 @@
 """The decisions of an entry: admission, routing, retries, hedges and answers."""
 
 from collections.abc import Sequence
+from dataclasses import replace
 from random import Random
 
 from amaranthtally.policy.actions import (
@@ -23,6 +24,7 @@
 from amaranthtally.policy.failed_attempts import FailedAttempts
 from amaranthtally.policy.first_events import FirstEventTimes
 from amaranthtally.policy.groups import EndpointGroups
+from amaranthtally.policy.leaving_endpoints import LeavingEndpoints
 from amaranthtally.policy.load_poller import LoadPoller
 from amaranthtally.policy.membership import Membership
 from amaranthtally.policy.model import AttemptId, PolicySettings
@@ -66,6 +68,8 @@
     ) -> None:
         random = random or Random(0)
         self._settings = settings
+        self._registered = settings
+        self._leaving = LeavingEndpoints()
         self._times = components.stage_times()
         self._loads = components.loads()
         self._ejections = components.ejections()
@@ -275,6 +279,19 @@
         """Handle that an endpoint refuses connections, or closes each at once."""
         return self._prompts.endpoint_unreachable(now, endpoint)
 
+    def is_leaving(self, endpoint: str) -> bool:
+        """Whether an endpoint takes no calls, or is not registered."""
+        registered = self._settings.endpoints.get(endpoint)
+        return registered is None or not registered.takes_calls
+
+    def leaving_announced(self, now: float, endpoint: str) -> list[Action]:
+        """Handle a response in which an endpoint says that it leaves."""
+        registered = self._registered.endpoints.get(endpoint)
+        if registered is None:
+            return []
+        self._leaving.add(registered)
+        return self.settings_changed(now, self._registered)
+
     def endpoint_restored(self, now: float, endpoint: str) -> list[Action]:
         """Use an endpoint again that had been marked as leaving."""
         self._membership.mark_restored(now, endpoint)
@@ -282,6 +299,10 @@
 
     def settings_changed(self, now: float, settings: PolicySettings) -> list[Action]:
         """Apply new settings; requests in flight keep their pipeline."""
+        self._registered = settings
+        endpoints = self._leaving.apply(settings.endpoints)
+        if endpoints is not settings.endpoints:
+            settings = replace(settings, endpoints=endpoints)
         self._configure(now, settings)
         return self._prompt_checks.endpoints_changed(now, settings.endpoints)
 
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -338,3 +338,13 @@
     """Guards against endpoints that are left alone for ever for a malformed header."""
     head = read_response_head(status, CIMultiDict({names.RETRY_AFTER: value}))
     assert head.rest_s == rest_s
+
+
+@pytest.mark.parametrize(
+    ("value", "is_leaving"), [("1", True), (" 1 ", True), ("0", False), ("yes", False)]
+)
+def test_only_one_value_says_that_an_endpoint_leaves(value, is_leaving):
+    """Guards against sound endpoints that are left out for a malformed header."""
+    head = read_response_head(200, CIMultiDict({names.LEAVING: value}))
+    assert head.leaving is is_leaving
+    assert (names.LEAVING, value) in head.headers
