--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -37,7 +37,10 @@
 # Questions are numbered by time, with this many numbers a second.
 QUESTIONS_PER_S = 1000
 # For how long after a report decisions may be due, in seconds.
-DECIDING_S = 1.0
+DECIDING_S = 2.5
+# Interval between decisions, in seconds. When many endpoints fail, there are thousands of
+# suspects.
+DECISION_INTERVAL_S = 0.05
 # Least time between two checks of an endpoint that loses attempts, in seconds.
 CHECK_INTERVAL_S = 0.25
 
@@ -56,6 +59,7 @@
         self._questions: dict[tuple[str, PartKey, int], None] = {}
         self._question_serial = 0
         self._aggregators: tuple[str, ...] = ()
+        self._decide_at = 0.0
         self._repeat_at = 0.0
         self._expire_at = 0.0
         self._reported_at = -inf
@@ -188,10 +192,9 @@
     def tick(self, now: float) -> list[Action]:
         """Ask about parts, block those at fault, and repeat notices to peers."""
         actions = self._count(now, self._losses.tick(now))
-        asked = self._suspects.due_questions(now)
-        actions += self._spread(tuple(self._question(now, part) for part in asked))
-        for part in self._suspects.due_blocks(now):
-            actions += self._block(now, part)
+        if now >= self._decide_at:
+            self._decide_at = now + DECISION_INTERVAL_S
+            actions += self._decide(now)
         if len(self._parts) and now >= self._repeat_at:
             self._repeat_at = now + REPEAT_INTERVAL_S
             receivers = self._peers.repeat_receivers()
@@ -211,6 +214,13 @@
 
     # Decisions
 
+    def _decide(self, now: float) -> list[Action]:
+        asked = self._suspects.due_questions(now)
+        actions = self._spread(tuple(self._question(now, part) for part in asked))
+        for part in self._suspects.due_blocks(now):
+            actions += self._block(now, part)
+        return actions
+
     def _question(self, now: float, part: PartKey) -> PartNotice:
         # Entries answer each question of an entry once. One that has started again must
         # not repeat the numbers of before, or nobody would answer it.
--- a/packages/policy/src/amaranthtally/policy/suspect_parts.py
+++ b/packages/policy/src/amaranthtally/policy/suspect_parts.py
@@ -181,10 +181,7 @@
         if suspect is None or now - suspect.first_asked_at < ANSWER_TIME_S:
             return False
         if isinstance(part, RequestKey):
-            others = [o for o in self._requests.values() if o is not suspect]
-            return _has_enough_ends(part, suspect) and not _has_likelier(
-                others, suspect
-            )
+            return self._is_request_at_fault(part, suspect)
         settled = self._settled(now, suspect)
         if not _has_enough_ends(part, settled):
             return False
@@ -199,6 +196,10 @@
             or self._has_request_at_fault(settled)
         )
 
+    def _is_request_at_fault(self, part: PartKey, suspect: _Suspect) -> bool:
+        others = (o for o in self._requests.values() if o is not suspect)
+        return _has_enough_ends(part, suspect) and not _has_likelier(others, suspect)
+
     def _settled(self, now: float, suspect: _Suspect) -> _Suspect:
         """Return a suspect with the ends that all entries have reported by now."""
         ends = {
