--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -38,8 +38,8 @@
 QUESTIONS_PER_S = 1000
 # For how long after a report decisions may be due, in seconds.
 DECIDING_S = 2.5
-# Interval between decisions, in seconds. When many endpoints fail, there are thousands of
-# suspects.
+# Interval between decisions, in seconds. Thousands of requests may be suspect when many
+# endpoints fail.
 DECISION_INTERVAL_S = 0.05
 # Least time between two checks of an endpoint that loses attempts, in seconds.
 CHECK_INTERVAL_S = 0.25
