--- a/tests/load/prompts_fleet.py
+++ b/tests/load/prompts_fleet.py
@@ -27,6 +27,8 @@
 RECORD_LAG_S = 1.0
 DOWN_S = 2.5
 MAX_ATTEMPTS = 2
+# How long after its death an entry is known to be dead.
+KNOWN_DEAD_S = 3.0
 
 ROUTE_PART = 0xC0DE
 FATAL = 0xBAD
@@ -121,6 +123,16 @@
         first = next(iter(self.members))
         return self.groups[first].first(self.now, AGGREGATOR_KEY, AGGREGATORS)
 
+    def kill_aggregators(self):
+        """Kill those that decide; they start again once the others know."""
+        killed = self.aggregators()
+        for name in killed:
+            self.kill(name)
+        self.later(KNOWN_DEAD_S, self.update_peers)
+        for name in killed:
+            self.later(KNOWN_DEAD_S + 1.0, lambda n=name: self.start(n))
+        self.later(KNOWN_DEAD_S + 1.2, self.update_peers)
+
     def _tick(self, name, guard):
         if self.members.get(name) is guard:
             self._carry_out(name, guard.tick(self.now))
--- a/tests/load/test_fatal_parts.py
+++ b/tests/load/test_fatal_parts.py
@@ -139,17 +139,7 @@
     """Guards against reports that die with the entries that hold them."""
     for seed in SEEDS:
         fleet = PromptsFleet(size, seed=seed)
-
-        def kill_aggregators(fleet=fleet):
-            aggregators = fleet.aggregators()
-            for name in aggregators:
-                fleet.kill(name)
-            fleet.at(fleet.now + 3.0, fleet.update_peers)
-            for name in aggregators:
-                fleet.at(fleet.now + 4.0, lambda n=name: fleet.start(n))
-            fleet.at(fleet.now + 4.2, fleet.update_peers)
-
-        fleet.at(6.0, kill_aggregators)
+        fleet.at(6.0, fleet.kill_aggregators)
         fleet.run_until(26.0)
         check_kept_away(fleet, 26.0)
 
@@ -161,17 +151,7 @@
         fleet = PromptsFleet(
             size, fatal_rate=lambda now: 20.0 if now > 5.0 else 0.0, seed=seed
         )
-
-        def kill_aggregators(fleet=fleet):
-            killed = fleet.aggregators()
-            for name in killed:
-                fleet.kill(name)
-            fleet.later(3.0, fleet.update_peers)
-            for name in killed:
-                fleet.later(4.0, lambda n=name: fleet.start(n))
-            fleet.later(4.2, fleet.update_peers)
-
-        fleet.at(5.4 + 0.1 * seed, kill_aggregators)
+        fleet.at(5.4 + 0.1 * seed, fleet.kill_aggregators)
         fleet.run_until(20.0)
         assert ROUTE_PART not in fleet.blocked_parts
 
--- a/tests/load/test_fatal_requests.py
+++ b/tests/load/test_fatal_requests.py
@@ -68,17 +68,7 @@
     """Guards against reports that die with the entries that hold them."""
     for seed in SEEDS:
         fleet = RequestsFleet(size, seed=seed)
-
-        def kill_aggregators(fleet=fleet):
-            killed = fleet.aggregators()
-            for name in killed:
-                fleet.kill(name)
-            fleet.later(3.0, fleet.update_peers)
-            for name in killed:
-                fleet.later(4.0, lambda n=name: fleet.start(n))
-            fleet.later(4.2, fleet.update_peers)
-
-        fleet.at(FIRST_AT + 0.9, kill_aggregators)
+        fleet.at(FIRST_AT + 0.9, fleet.kill_aggregators)
         fleet.run_until(PLAYED_S)
         check_kept_away(fleet)
 
