A full endpoint is not taken for one that has ended

Found in reading the diff, before it landed: an endpoint resets the connections beyond its limit, the check of it was reset as well, and each such loss counted as an end. Three full endpoints in a row would have blocked a sound request, or one that many callers send, for 60 s, in a burst.

An attempt that was lost within 50 ms without any part of a response starts no check, and an endpoint that goes on with attempts from before the loss has not ended.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
+from dataclasses import dataclass
 from typing import Protocol
 
 import aiohttp
@@ -134,8 +135,9 @@
     ) -> AttemptResult:
         started = self._loop.time()
         call.attempts += 1
+        exchange = _Exchange(started)
         try:
-            return await self._exchange(call, send, endpoint, inputs, started)
+            return await self._exchange(call, send, endpoint, inputs, exchange)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._log(send, endpoint, "unreachable", repr(error), started)
             return AttemptResult(AttemptOutcome.NOT_RUN, unreachable=True)
@@ -145,7 +147,11 @@
                 "content": str(call.arrival.key or ""),
             }
             self._log(send, endpoint, "lost", repr(error), started, **details)
-            return _unknown_outcome(call, connection_lost=_is_connection_lost(error))
+            return _unknown_outcome(
+                call,
+                connection_lost=_is_connection_lost(error),
+                begun=exchange.begun,
+            )
 
     async def _exchange(
         self,
@@ -153,8 +159,9 @@
         send: Send,
         endpoint: Endpoint,
         inputs: tuple[StoredResult, ...],
-        started: float,
+        exchange: "_Exchange",
     ) -> AttemptResult:
+        started = exchange.started
         remaining_s = send.deadline - started
         if remaining_s <= 0:
             return AttemptResult(AttemptOutcome.NOT_RUN)
@@ -174,6 +181,7 @@
             allow_redirects=False,
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
         ) as response:
+            exchange.begun = True
             response_head = read_response_head(response.status, response.headers)
             rejected = self._rejection(call, send, endpoint, response_head, started)
             if rejected is not None:
@@ -312,6 +320,14 @@
         )
 
 
+@dataclass(slots=True)
+class _Exchange:
+    """When an attempt was sent, and whether the endpoint has begun to answer."""
+
+    started: float
+    begun: bool = False
+
+
 class _ResetDetector:
     """
     Detects a response body that was cut off by a reset of the connection.
@@ -340,12 +356,15 @@
             raise aiohttp.ClientPayloadError("connection reset") from error
 
 
-def _unknown_outcome(call: LiveCall, *, connection_lost: bool = False) -> AttemptResult:
+def _unknown_outcome(
+    call: LiveCall, *, connection_lost: bool = False, begun: bool = False
+) -> AttemptResult:
     """Return the result of an attempt that may have run or not."""
     may_repeat = call.route.is_repeatable
     return AttemptResult(
         AttemptOutcome.FAILED if may_repeat else AttemptOutcome.UNKNOWN,
         connection_lost=connection_lost,
+        begun=begun,
     )
 
 
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -113,7 +113,8 @@
     no connection to the endpoint could be opened. With ``inputs_missing`` the attempt
     did not run because the endpoint no longer keeps a result that it was to read.
     ``connection_lost`` says that the connection ended before the response. A response
-    that is not ``is_framed`` ends with its connection, whatever closes that.
+    that is not ``is_framed`` ends with its connection, whatever closes that. With
+    ``begun`` the endpoint had begun to answer.
     """
 
     outcome: AttemptOutcome
@@ -126,6 +127,7 @@
     inputs_missing: bool = False
     connection_lost: bool = False
     is_framed: bool = True
+    begun: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/part_losses.py
+++ b/packages/policy/src/amaranthtally/policy/part_losses.py
@@ -88,6 +88,11 @@
         self._ends = [e for e in self._ends if now - e.lost_at < EVIDENCE_TTL_S]
         return tuple(self._ends)
 
+    def lost_at(self, endpoint: str) -> float | None:
+        """Return when the first of the connections to an endpoint was lost."""
+        loss = self._losses.get(endpoint)
+        return None if loss is None else loss.lost_at
+
     def success(self, now: float, part: PartKey) -> PartSuccess | None:
         """Return the last success of a part, if it still counts."""
         return self._successes.find(now, part)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -277,7 +277,7 @@
 
     def endpoint_closes_connections(self, now: float, endpoint: str) -> list[Action]:
         """Handle that an endpoint refuses connections, or closes each at once."""
-        return self._prompts.endpoint_unreachable(now, endpoint)
+        return self._prompt_checks.endpoint_closes_connections(now, endpoint)
 
     def is_leaving(self, endpoint: str) -> bool:
         """Whether an endpoint takes no calls, or is not registered."""
--- a/packages/policy/src/amaranthtally/policy/prompt_checks.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_checks.py
@@ -20,6 +20,11 @@
 
 __all__ = ["PromptChecks"]
 
+# An attempt whose connection is lost sooner than this, in seconds, and without any part
+# of a response, may never have been accepted: an endpoint resets the connections beyond
+# its limit, goes on with the others, and has not ended.
+ACCEPTED_AFTER_S = 0.05
+
 
 class PromptChecks:
     """Refuses requests with a blocked part, and notes what the others show."""
@@ -95,11 +100,24 @@
         if registered is not None and not registered.takes_calls:
             # It is leaving, and ends as planned.
             return []
-        checks = self._guard.attempt_lost(now, start, parts, ended.sent_at)
+        was_accepted = result.begun or now - ended.sent_at >= ACCEPTED_AFTER_S
+        checks = self._guard.attempt_lost(
+            now, start, parts, ended.sent_at, was_accepted
+        )
         if registered is None or registered.incarnation != ended.incarnation:
             return self._guard.endpoint_unreachable(now, ended.endpoint)
         return checks
 
+    def endpoint_closes_connections(self, now: float, endpoint: str) -> list[Action]:
+        """Note that an endpoint closes new connections, unless it keeps older ones."""
+        lost_at = self._guard.lost_at(endpoint)
+        is_running = lost_at is not None and any(
+            live.endpoint == endpoint and live.sent_at < lost_at
+            for request in self._ledger.requests
+            for live in request.live.values()
+        )
+        return [] if is_running else self._guard.endpoint_unreachable(now, endpoint)
+
     def endpoints_changed(
         self, now: float, endpoints: Mapping[str, Endpoint]
     ) -> list[Action]:
--- a/packages/policy/src/amaranthtally/policy/prompt_guard.py
+++ b/packages/policy/src/amaranthtally/policy/prompt_guard.py
@@ -108,14 +108,25 @@
         endpoint: EndpointStart,
         parts: Iterable[PartKey],
         sent_at: float,
+        was_accepted: bool = True,
     ) -> list[Action]:
-        """Note that the connection of an attempt was lost before its response ended."""
+        """
+        Note that the connection of an attempt was lost before its response ended.
+
+        Unless it ``was_accepted``, the endpoint may have had too many connections.
+        """
         self._losses.attempt_lost(now, endpoint, parts, sent_at)
+        if not was_accepted:
+            return []
         if now - self._checked_at.get(endpoint.id, -inf) < CHECK_INTERVAL_S:
             return []
         self._checked_at[endpoint.id] = now
         return [CheckEndpoint(endpoint.id)]
 
+    def lost_at(self, endpoint: str) -> float | None:
+        """Return when connections to an endpoint were lost, if it may have ended."""
+        return self._losses.lost_at(endpoint)
+
     def attempt_succeeded(
         self,
         now: float,
--- a/tests/policy/test_prompt_blocks.py
+++ b/tests/policy/test_prompt_blocks.py
@@ -5,6 +5,7 @@
 from amaranthtally.policy import (
     AttemptOutcome,
     Cancel,
+    CheckEndpoint,
     PartNotice,
     PartState,
     RefusalReason,
@@ -156,3 +157,47 @@
     driver.planner.settings_changed(1.5, settings)
     ends = driver.planner.prompts._losses.ends(1.5)
     assert [end.part for end in ends] == [KEY]
+
+
+def registered_driver(count):
+    """Return a driver whose endpoints have been registered after its start."""
+    listed = endpoints("engine", count)
+    pipeline = one_stage(streams=True, max_attempts=3)
+    driver = PlannerDriver(planner(listed, entry="e1"), pipeline)
+    driver.planner.settings_changed(0.5, driver.planner._settings)
+    return driver
+
+
+def checks(actions):
+    return [action for action in actions if isinstance(action, CheckEndpoint)]
+
+
+def lose(driver, now, send, **options):
+    return driver.reply(
+        now, send, AttemptOutcome.FAILED, connection_lost=True, **options
+    )
+
+
+def test_a_connection_that_was_never_accepted_is_no_reason_to_look_for_an_end():
+    """Guards against full endpoints that are taken for ended ones."""
+    driver = registered_driver(3)
+    (at_once,) = sends(arrive(driver, 1.0))
+    assert not checks(lose(driver, 1.01, at_once))
+    (begun,) = sends(arrive(driver, 2.0))
+    assert checks(lose(driver, 2.01, begun, begun=True))
+    (later,) = sends(arrive(driver, 3.0))
+    assert checks(lose(driver, 3.2, later))
+
+
+def test_an_endpoint_that_goes_on_with_older_requests_has_not_ended():
+    """Guards against full endpoints, of which connections were reset on the way."""
+    driver = registered_driver(1)
+    (running,) = sends(arrive(driver, 1.0))
+    (lost,) = sends(arrive(driver, 1.0))
+    lose(driver, 1.5, lost, begun=True)
+    driver.planner.endpoint_closes_connections(1.52, lost.endpoint)
+    losses = driver.planner.prompts._losses
+    assert not losses.ends(1.52)
+    lose(driver, 1.53, running, begun=True)
+    driver.planner.endpoint_closes_connections(1.6, lost.endpoint)
+    assert losses.ends(1.6)
