The soak lets endpoints ask for rest beside all other faults

Requests of one process in a rest are counted by the ids of its callers' requests; a process fault since excuses it.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -8,11 +8,12 @@
 import asyncio
 import sys
 import tempfile
+import time
 from pathlib import Path
 from random import Random
 
 from tests.soak.callers import Callers
-from tests.soak.faults import FAULTS, name_limit, roll_in_outage
+from tests.soak.faults import FAULTS, ask_rest, name_limit, roll_in_outage
 from tests.soak.soak_run import DEFAULT_GATEWAYS, open_soak
 
 CONCURRENCY = 12
@@ -32,13 +33,16 @@
 SERVED_SHARE = 0.95
 
 
-async def run_soak(seed, seconds, folder, gateways=DEFAULT_GATEWAYS, rolls=0, limits=0):
+async def run_soak(
+    seed, seconds, folder, gateways=DEFAULT_GATEWAYS, rolls=0, limits=0, rests=0
+):
     """
     Run one seed; return the violations and the number of responses by status.
 
     All gateways are also stopped in turn ``rolls`` times while the store is away. These
     rolls have random numbers of their own, and leave the other faults of a seed alone.
-    So have ``limits``, the number of endpoints that name a rate limit meanwhile.
+    So have ``limits``, the number of endpoints that name a rate limit meanwhile, and
+    ``rests``, the number of those that ask for rest.
     """
     random = Random(seed)
     async with open_soak(folder, gateways) as run:
@@ -48,8 +52,10 @@
         rolling = asyncio.create_task(_roll(run, Random(seed), seconds, rolls))
         own = Random(seed + 1)
         limiting = [asyncio.create_task(name_limit(run, own)) for _ in range(limits)]
+        own = Random(seed + 2)
+        resting = [asyncio.create_task(ask_rest(run, own)) for _ in range(rests)]
         await _inject_faults(run, random, loop.time() + seconds)
-        await asyncio.gather(rolling, *limiting)
+        await asyncio.gather(rolling, *limiting, *resting)
         await calling
         await _check_recovery(run, random)
         check_records(run, callers)
@@ -85,6 +91,7 @@
     finally:
         if is_process:
             run.faulted.discard(name)
+            run.last_fault_at[name] = time.monotonic()
 
 
 async def _check_recovery(run, random):
@@ -169,6 +176,9 @@
         default=0,
         help="number of endpoints that name a rate limit; at least 12 s are needed",
     )
+    parser.add_argument(
+        "--rests", type=int, default=0, help="number of endpoints that ask for rest"
+    )
     arguments = parser.parse_args()
     has_violations = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
@@ -180,6 +190,7 @@
                 arguments.gateways,
                 arguments.rolls,
                 arguments.limits,
+                arguments.rests,
             )
             violations, statuses = asyncio.run(coroutine)
         has_violations |= bool(violations)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -94,6 +94,7 @@
     async def _try(self, kind, request_id, stream):
         """Send a request; return whether its stream broke off and may be taken up."""
         gateway = self._soak_run.gateways[self._random.choice(self._soak_run.names)]
+        self._soak_run.sent_to[request_id] = gateway
         headers = gateway.headers(request_id, **(stream.headers if stream else {}))
         body = stream.received if stream else bytearray()
         before = len(body)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -12,6 +12,7 @@
     complete_response,
     http_chunk,
     not_executed_response,
+    response_head,
     stream_response_head,
 )
 
@@ -54,7 +55,11 @@
         self.fault = ""
         self.faults_left = 0
         self.rate = None
+        self.rest_s = 0.0
         self.arrivals = []
+        # Times and ids of requests, and of those that were turned away for a rest.
+        self.received = []
+        self.turned_away = []
 
     def inject_fault(self, fault, count):
         self.fault, self.faults_left = fault, count
@@ -62,6 +67,10 @@
     def __call__(self, request):
         if not request.target.endswith("free"):
             self.arrivals.append(time.monotonic())
+            self.received.append((time.monotonic(), request.id))
+        if self.rest_s:
+            self.turned_away.append((time.monotonic(), request.id))
+            return [_asks_rest(request, self.rest_s)]
         steps = self._steps(request)
         return steps if self.rate is None else _with_limit(steps, self.rate)
 
@@ -119,6 +128,12 @@
         return [*steps, STREAM_END]
 
 
+def _asks_rest(request, rest_s):
+    extra = {header_names.NOT_EXECUTED.replace("-", "_"): "1", "Retry_After": rest_s}
+    status = "503 Service Unavailable"
+    return response_head(request, status, length=0, signed=False, **extra)
+
+
 def _with_limit(steps, rate):
     """Return steps whose response names a limit, as the first header."""
     named = f"\r\n{header_names.RATE_LIMIT}: {rate}\r\n".encode()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -20,6 +20,12 @@
 # which requests are counted, in seconds.
 BINDING_AFTER_S = 4.0
 WINDOW_S = 4.0
+# For how long an endpoint turns requests away, and the rests that it may ask for, in
+# seconds; from when on a rest binds, and the requests of a gateway that it allows.
+RESTING_S = 5.0
+RESTS_S = (1.0, 3.0)
+RESTS_AFTER_S = 0.5
+ALLOWED_IN_REST = 2
 # Longest time between two signals to a gateway that is stopping, in seconds.
 MAX_SIGNAL_INTERVAL_S = 0.3
 
@@ -105,6 +111,7 @@
         await asyncio.gather(outage, *rolls)
     finally:
         run.faulted.difference_update(names)
+        run.last_fault_at.update(dict.fromkeys(names, time.monotonic()))
 
 
 async def name_limit(run, random):
@@ -127,6 +134,29 @@
             return
 
 
+async def ask_rest(run, random):
+    """Let an endpoint turn requests away and ask for rest; check that it gets one."""
+    name = random.choice(
+        sorted(n for n, s in run.scripts.items() if s.kind != "pieces")
+    )
+    script = run.scripts[name]
+    await asyncio.sleep(random_duration_s(random))
+    script.rest_s = random.choice(RESTS_S)
+    rest_s = script.rest_s
+    await asyncio.sleep(RESTING_S)
+    script.rest_s = 0.0
+    for asked_at, request_id in script.turned_away:
+        gateway = run.sent_to[request_id]
+        count = sum(
+            run.sent_to[other] is gateway and RESTS_AFTER_S < at - asked_at < rest_s
+            for at, other in script.received
+        )
+        is_excused = run.last_fault_at.get(gateway.process.name, 0.0) >= asked_at
+        if count > ALLOWED_IN_REST and not is_excused:
+            run.violations.append(f"{name}: {count} requests in a rest of {rest_s} s")
+            return
+
+
 @fault
 async def store_answers_lost(run, random, name):
     await _store_fault(run, random, "lost_responses")
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -69,6 +69,10 @@
         self.relays = {}
         self.gateways = {}
         self.faulted = set()
+        # When the last process fault of each gateway ended.
+        self.last_fault_at = {}
+        # The gateway to which each request was sent, by its id.
+        self.sent_to = {}
         self.violations = []
         self._stack = stack
         self._addresses = {}
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -49,3 +49,11 @@
     violations, statuses = run_async(run_soak(seed, SECONDS, tmp_path, rolls=1))
     assert violations == []
     assert statuses[200] > 100
+
+
+@pytest.mark.parametrize("seed", [10101])
+def test_guarantees_hold_while_endpoints_ask_for_rest(seed, tmp_path):
+    """Guards against rests that reloads, records and cut links make gateways forget."""
+    violations, statuses = run_async(run_soak(seed, SECONDS, tmp_path, rests=2))
+    assert violations == []
+    assert statuses[200] > 100
