Wishes and words of endpoints are kept while their records are missing or say so already

Read again before the landing: a rest or a leaving that came while the endpoint's record was missing, or said draining, was dropped, as only registered endpoints were looked up. A store that is behind, or back after an outage, could then bring the endpoint back as ready. Both are kept by the start of the endpoint that was asked. Responses without these headers are handled as before.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -61,7 +61,9 @@
     def load_reported(self, endpoint: str, load: EndpointLoad, awaited: bool) -> None:
         """Handle an endpoint's load; ``awaited`` if it came with a call's response."""
 
-    def head_received(self, endpoint: str, head: ResponseHead, sent_at: float) -> None:
+    def head_received(
+        self, endpoint: Endpoint, head: ResponseHead, sent_at: float
+    ) -> None:
         """Handle what an endpoint says of itself in a response."""
 
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
@@ -215,7 +217,7 @@
         if response_head.request_id and response_head.request_id != call.id:
             self._log(send, endpoint, "mismatched", response_head.request_id, started)
             return _unknown_outcome(call)
-        self._listener.head_received(endpoint.id, response_head, started)
+        self._listener.head_received(endpoint, response_head, started)
         if response_head.load is not None:
             self._listener.load_reported(endpoint.id, response_head.load, awaited=True)
         if response_head.not_run:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -247,19 +247,21 @@
         actions = self._planner.load_report(self._time(), endpoint, report)
         self._decisions.carry_out(actions)
 
-    def head_received(self, endpoint: str, head: ResponseHead, sent_at: float) -> None:
+    def head_received(
+        self, endpoint: Endpoint, head: ResponseHead, sent_at: float
+    ) -> None:
         """Pass what an endpoint says of itself in a response to the policy."""
-        self._rate_limits.response_received(endpoint, head.rate_limit, sent_at)
+        self._rate_limits.response_received(endpoint.id, head.rate_limit, sent_at)
         if head.rest_s:
-            log.info("endpoint_rests", endpoint=endpoint, rest_s=head.rest_s)
+            log.info("endpoint_rests", endpoint=endpoint.id, rest_s=head.rest_s)
             self._planner.rests.rest_asked(self._time(), endpoint, head.rest_s)
         if head.leaving:
             self._leaving_announced(endpoint)
 
-    def _leaving_announced(self, endpoint: str) -> None:
+    def _leaving_announced(self, endpoint: Endpoint) -> None:
         if self._planner.is_leaving(endpoint):
             return
-        log.info("endpoint_leaves", endpoint=endpoint, source="response")
+        log.info("endpoint_leaves", endpoint=endpoint.id, source="response")
         actions = self._planner.leaving_announced(self._time(), endpoint)
         self._decisions.carry_out(actions)
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -33,7 +33,7 @@
 log = get_logger()
 
 OnEnd = Callable[[int, PiecesEnded], None]
-OnHead = Callable[[str, ResponseHead, float], None]
+OnHead = Callable[[Endpoint, ResponseHead, float], None]
 FAILED = PiecesEnded()
 
 
@@ -99,7 +99,7 @@
             ) as response:
                 await response.read()
             head = read_response_head(response.status, response.headers)
-            self._on_head(endpoint.id, head, started)
+            self._on_head(endpoint, head, started)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             log.info(
                 "results_not_freed",
@@ -130,7 +130,7 @@
         ) as response:
             body = await response.read()
         response_head = read_response_head(response.status, response.headers)
-        self._on_head(endpoint.id, response_head, started)
+        self._on_head(endpoint, response_head, started)
         running = response_head.load.running if response_head.load else None
         queued = response_head.load.queued if response_head.load else 0
         if response_head.status != HTTP_OK:
--- a/packages/policy/src/amaranthtally/policy/endpoint_rests.py
+++ b/packages/policy/src/amaranthtally/policy/endpoint_rests.py
@@ -43,15 +43,17 @@
             elif endpoint is not None:
                 self._on_rest(name, rest.until)
 
-    def rest_asked(self, now: float, endpoint: str, rest_s: float) -> None:
-        """Note that a response asks for a rest; the longest of several holds."""
-        registered = self._endpoints.get(endpoint)
-        if registered is None:
-            return
-        known = self._rests.get(endpoint)
-        until = max(now + rest_s, known.until if known else 0.0)
-        self._rests[endpoint] = _Rest(registered.incarnation, until)
-        self._on_rest(endpoint, until)
+    def rest_asked(self, now: float, endpoint: Endpoint, rest_s: float) -> None:
+        """
+        Note that a response asks for a rest; the longest of several holds.
+
+        ``endpoint`` is the start that was asked, whose record may be missing just now.
+        """
+        known = self._rests.get(endpoint.id)
+        is_same = known is not None and known.incarnation == endpoint.incarnation
+        until = max(now + rest_s, known.until if known and is_same else 0.0)
+        self._rests[endpoint.id] = _Rest(endpoint.incarnation, until)
+        self._on_rest(endpoint.id, until)
 
     def resting(self, now: float) -> frozenset[str]:
         """Return the endpoints that are to be left alone now."""
--- a/packages/policy/src/amaranthtally/policy/leaving_endpoints.py
+++ b/packages/policy/src/amaranthtally/policy/leaving_endpoints.py
@@ -22,6 +22,10 @@
     def __init__(self) -> None:
         self._incarnations: dict[str, int] = {}
 
+    def knows(self, endpoint: Endpoint) -> bool:
+        """Whether this start of an endpoint is known to leave."""
+        return self._incarnations.get(endpoint.id) == endpoint.incarnation
+
     def add(self, endpoint: Endpoint) -> None:
         """Note that an endpoint leaves."""
         self._incarnations.pop(endpoint.id, None)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -27,7 +27,7 @@
 from amaranthtally.policy.leaving_endpoints import LeavingEndpoints
 from amaranthtally.policy.load_poller import LoadPoller
 from amaranthtally.policy.membership import Membership
-from amaranthtally.policy.model import AttemptId, PolicySettings
+from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings
 from amaranthtally.policy.outcome_recorder import OutcomeRecorder
 from amaranthtally.policy.peer_group import PeerGroup
 from amaranthtally.policy.permit_waits import PermitWaits
@@ -279,17 +279,18 @@
         """Handle that an endpoint refuses connections, or closes each at once."""
         return self._prompt_checks.endpoint_closes_connections(now, endpoint)
 
-    def is_leaving(self, endpoint: str) -> bool:
-        """Whether an endpoint takes no calls, or is not registered."""
-        registered = self._settings.endpoints.get(endpoint)
-        return registered is None or not registered.takes_calls
+    def is_leaving(self, endpoint: Endpoint) -> bool:
+        """Whether this start of an endpoint has said that it leaves."""
+        return self._leaving.knows(endpoint)
 
-    def leaving_announced(self, now: float, endpoint: str) -> list[Action]:
-        """Handle a response in which an endpoint says that it leaves."""
-        registered = self._registered.endpoints.get(endpoint)
-        if registered is None:
-            return []
-        self._leaving.add(registered)
+    def leaving_announced(self, now: float, endpoint: Endpoint) -> list[Action]:
+        """
+        Handle a response in which an endpoint says that it leaves.
+
+        ``endpoint`` is the start that was asked. Its record may be missing just now or
+        say so already, and yet be read again from a store that is behind.
+        """
+        self._leaving.add(endpoint)
         return self.settings_changed(now, self._registered)
 
     def endpoint_restored(self, now: float, endpoint: str) -> list[Action]:
--- a/tests/policy/test_endpoint_rests.py
+++ b/tests/policy/test_endpoint_rests.py
@@ -22,7 +22,8 @@
 
 
 def ask_rest(driver, now, name, rest_s=REST_S):
-    driver.planner.rests.rest_asked(now, name, rest_s)
+    endpoint = driver.planner._settings.endpoints[name]
+    driver.planner.rests.rest_asked(now, endpoint, rest_s)
 
 
 def names(driver):
@@ -123,3 +124,15 @@
     driver.planner.settings_changed(1.2, replace(settings, endpoints=without))
     driver.planner.settings_changed(1.4, settings)
     assert {send.endpoint for send in arrive_many(driver, 1.5)} == {other}
+
+
+def test_a_rest_that_is_asked_while_the_record_is_missing_holds():
+    """Guards against a wish that comes just as the store has dropped a record."""
+    driver = new_driver()
+    tired, other = names(driver)
+    settings = driver.planner._settings
+    without = {other: settings.endpoints[other]}
+    driver.planner.settings_changed(0.9, replace(settings, endpoints=without))
+    driver.planner.rests.rest_asked(1.0, settings.endpoints[tired], REST_S)
+    driver.planner.settings_changed(1.2, settings)
+    assert {send.endpoint for send in arrive_many(driver, 1.3)} == {other}
