A rolling failure does not block sound requests that are sent again

Cause: three ends in sequence were held to be proof, though other endpoints ended by themselves at that time.

--- a/packages/policy/src/amaranthtally/policy/suspect_parts.py
+++ b/packages/policy/src/amaranthtally/policy/suspect_parts.py
@@ -19,6 +19,12 @@
 # there.
 PROVEN_ENDS_TO_BLOCK = 4
 MIN_SEQUENTIAL_ENDS = 3
+# Number of ends in sequence at which a request is blocked if other endpoints ended at
+# that time: in a rolling failure, a sound request that its caller sends again is lost
+# at a few of them.
+SEQUENTIAL_ENDS_AMID_OTHERS = 5
+# How long before the first end of a request others count as of that time, in seconds.
+OTHERS_BEFORE_S = 5.0
 # Ends of a part that another one need not share to be the likelier cause of the others.
 MAX_UNSHARED_ENDS = 1
 # Share of a part's ends, if it has succeeded before, that one that never has must share
@@ -69,7 +75,7 @@
 
     def __init__(self) -> None:
         # When each end was first reported.
-        self._heard_at: dict[str, float] = {}
+        self._first_reported: dict[str, float] = {}
         self._parts: dict[PartKey, _Suspect] = {}
         self._requests: dict[PartKey, _Suspect] = {}
         # Those with enough ends to ask about them.
@@ -82,7 +88,7 @@
 
     def add_end(self, now: float, end: PartEnd) -> None:
         """Add a report; the latest request counts that was lost with an endpoint."""
-        self._heard_at.setdefault(end.endpoint, now)
+        self._first_reported.setdefault(end.endpoint, now)
         if end.part in self._blocked_parts or end.part in self._blocked_requests:
             self._explain(now, end.part, (end.endpoint,))
         if self._is_explained(end):
@@ -166,8 +172,10 @@
                 self._drop(part)
             elif len(suspect.ends) < ENDS_TO_ASK:
                 self._open.pop(part, None)
-        self._heard_at = {
-            name: at for name, at in self._heard_at.items() if now - at < EVIDENCE_TTL_S
+        self._first_reported = {
+            name: at
+            for name, at in self._first_reported.items()
+            if now - at < EVIDENCE_TTL_S
         }
         self._explained = {
             name: at
@@ -181,9 +189,9 @@
         if suspect is None or now - suspect.first_asked_at < ANSWER_TIME_S:
             return False
         if isinstance(part, RequestKey):
-            return self._is_request_at_fault(part, suspect)
+            return self._is_request_at_fault(suspect)
         settled = self._settled(now, suspect)
-        if not _has_enough_ends(part, settled):
+        if not _has_enough_ends(settled):
             return False
         others = [
             other
@@ -196,16 +204,38 @@
             or self._has_request_at_fault(settled)
         )
 
-    def _is_request_at_fault(self, part: PartKey, suspect: _Suspect) -> bool:
+    def _is_request_at_fault(self, suspect: _Suspect) -> bool:
         others = (o for o in self._requests.values() if o is not suspect)
-        return _has_enough_ends(part, suspect) and not _has_likelier(others, suspect)
+        return self._has_request_ends(suspect) and not _has_likelier(others, suspect)
+
+    def _has_request_ends(self, suspect: _Suspect) -> bool:
+        """
+        Whether a request was lost at enough ends, one after the other.
+
+        Many callers may send the same request. If all its endpoints fail at once, it is
+        in flight at each, but at one after the other only if it is sent again.
+        """
+        if len(suspect.ends) < _ends_to_block(suspect):
+            return False
+        sequential = _count_sequential(_in_order(suspect))
+        if sequential >= SEQUENTIAL_ENDS_AMID_OTHERS:
+            return True
+        return sequential >= MIN_SEQUENTIAL_ENDS and not self._has_other_ends(suspect)
+
+    def _has_other_ends(self, suspect: _Suspect) -> bool:
+        """Whether other endpoints ended about as a request was lost at its own."""
+        first = min(end.lost_at for end in suspect.ends.values())
+        return any(
+            at >= first - OTHERS_BEFORE_S and name not in suspect.ends
+            for name, at in self._first_reported.items()
+        )
 
     def _settled(self, now: float, suspect: _Suspect) -> _Suspect:
         """Return a suspect with the ends that all entries have reported by now."""
         ends = {
             name: end
             for name, end in suspect.ends.items()
-            if now - self._heard_at.get(name, now) >= SETTLED_AFTER_S
+            if now - self._first_reported.get(name, now) >= SETTLED_AFTER_S
         }
         return _Suspect(ends, suspect.successes)
 
@@ -220,7 +250,7 @@
         at_fault += [
             other.ends
             for part, other in self._open.items()
-            if isinstance(part, RequestKey) and _has_enough_ends(part, other)
+            if isinstance(part, RequestKey) and self._has_request_ends(other)
         ]
         needed = len(suspect.ends) - MAX_UNSHARED_ENDS
         return any(
@@ -278,14 +308,16 @@
     return now - suspect.asked_at >= ASK_INTERVAL_S
 
 
-def _has_enough_ends(part: PartKey, suspect: _Suspect) -> bool:
-    needed = PROVEN_ENDS_TO_BLOCK if suspect.successes else ENDS_TO_BLOCK
-    if len(suspect.ends) < needed:
+def _ends_to_block(suspect: _Suspect) -> int:
+    return PROVEN_ENDS_TO_BLOCK if suspect.successes else ENDS_TO_BLOCK
+
+
+def _has_enough_ends(suspect: _Suspect) -> bool:
+    """Whether a part was in flight at enough ends."""
+    if len(suspect.ends) < _ends_to_block(suspect):
         return False
-    if not suspect.successes and not isinstance(part, RequestKey):
+    if not suspect.successes:
         return True
-    # Many callers may send the same request. If all its endpoints fail at once, it is
-    # in flight at each, but at one after the other only if it is sent again.
     return _count_sequential(_in_order(suspect)) >= MIN_SEQUENTIAL_ENDS
 
 
