What endpoints show of themselves stands in a module of its own

EndpointSignals has it; calls of requests and of stages report heads to the same function. No behaviour changes.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -1,7 +1,7 @@
 """Sends callers' requests to endpoints and processes the responses."""
 
 import asyncio
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from typing import Protocol
@@ -32,7 +32,7 @@
     StreamOrigin,
 )
 
-__all__ = ["CallListener", "EndpointCalls", "endpoint_session"]
+__all__ = ["CallListener", "EndpointCalls", "OnHead", "endpoint_session"]
 
 # Time-out for opening a connection, in seconds: forty times the round trip to another
 # region.
@@ -55,17 +55,15 @@
 log = get_logger()
 
 
+OnHead = Callable[[Endpoint, ResponseHead, float], None]
+
+
 class CallListener(Protocol):
     """Is notified of the progress and the outcome of calls to endpoints."""
 
     def load_reported(self, endpoint: str, load: EndpointLoad, awaited: bool) -> None:
         """Handle an endpoint's load; ``awaited`` if it came with a call's response."""
 
-    def head_received(
-        self, endpoint: Endpoint, head: ResponseHead, sent_at: float
-    ) -> None:
-        """Handle what an endpoint says of itself in a response."""
-
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
         """Handle the first event of a stream, before its caller gets it."""
 
@@ -105,9 +103,11 @@
         self,
         session: aiohttp.ClientSession,
         listener: CallListener,
+        on_head: OnHead,
     ) -> None:
         self._session = session
         self._listener = listener
+        self._on_head = on_head
         self._loop = asyncio.get_running_loop()
 
     async def run(
@@ -217,7 +217,7 @@
         if response_head.request_id and response_head.request_id != call.id:
             self._log(send, endpoint, "mismatched", response_head.request_id, started)
             return _unknown_outcome(call)
-        self._listener.head_received(endpoint, response_head, started)
+        self._on_head(endpoint, response_head, started)
         if response_head.load is not None:
             self._listener.load_reported(endpoint.id, response_head.load, awaited=True)
         if response_head.not_run:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -6,10 +6,10 @@
 
 import aiohttp
 
-from amaranthtally.adapter.messages import EndpointLoad, ResponseHead
+from amaranthtally.adapter.messages import EndpointLoad
 from amaranthtally.daemon.decision_loop import DecisionLoop
 from amaranthtally.daemon.gateway.endpoint_calls import EndpointCalls
-from amaranthtally.daemon.gateway.endpoint_check import keeps_connections
+from amaranthtally.daemon.gateway.endpoint_signals import EndpointSignals
 from amaranthtally.daemon.gateway.live_call import (
     CompleteResponse,
     LiveCall,
@@ -81,10 +81,6 @@
         self._metrics = metrics
         self._endpoints: Mapping[str, Endpoint] = settings.endpoints
         self._calls: dict[str, LiveCall] = {}
-        self._endpoint_calls = EndpointCalls(session, self)
-        self._piece_calls = PieceCalls(
-            session, self.pieces_ended, self.head_received, metrics
-        )
         self._connections: PeerConnections | None = None
         self._time = asyncio.get_running_loop().time
         self._rate_limits = RateLimitExchange(
@@ -93,6 +89,16 @@
             lambda work: self._decisions.spawn(work),
             lambda actions: self._decisions.carry_out(actions),
         )
+        self._signals = EndpointSignals(
+            planner,
+            self._rate_limits,
+            lambda work: self._decisions.spawn(work),
+            lambda actions: self._decisions.carry_out(actions),
+        )
+        self._endpoint_calls = EndpointCalls(session, self, self._signals.head_received)
+        self._piece_calls = PieceCalls(
+            session, self.pieces_ended, self._signals.head_received, metrics
+        )
         self._prompts = PromptExchange(
             planner.prompts,
             self._get_connections,
@@ -142,9 +148,9 @@
         return self._rate_limits
 
     @property
-    def endpoints_backing_off(self) -> int:
-        """Number of endpoints that have asked this gateway to back off."""
-        return len(self._planner.backoffs.active(self._time()))
+    def signals(self) -> EndpointSignals:
+        """Passes on what endpoints show of themselves."""
+        return self._signals
 
     @property
     def prompts(self) -> PromptExchange:
@@ -247,26 +253,6 @@
         actions = self._planner.load_report(self._time(), endpoint, report)
         self._decisions.carry_out(actions)
 
-    def head_received(
-        self, endpoint: Endpoint, head: ResponseHead, sent_at: float
-    ) -> None:
-        """Pass what an endpoint says of itself in a response to the policy."""
-        self._rate_limits.response_received(endpoint.id, head.rate_limit, sent_at)
-        if head.backoff_s:
-            log.info("endpoint_backoff", endpoint=endpoint.id, backoff_s=head.backoff_s)
-            self._planner.backoffs.backoff_requested(
-                self._time(), endpoint, head.backoff_s
-            )
-        if head.leaving:
-            self._leaving_announced(endpoint)
-
-    def _leaving_announced(self, endpoint: Endpoint) -> None:
-        if self._planner.is_leaving(endpoint):
-            return
-        log.info("endpoint_leaves", endpoint=endpoint.id, source="response")
-        actions = self._planner.leaving_announced(self._time(), endpoint)
-        self._decisions.carry_out(actions)
-
     def stream_began(self, call: LiveCall, origin: StreamOrigin) -> None:
         """Note where a call's stream began, unless it goes on with an earlier one."""
         call.origin = call.origin or origin
@@ -391,14 +377,7 @@
     def _check_endpoint(self, check: CheckEndpoint) -> None:
         endpoint = self._endpoints.get(check.endpoint)
         if endpoint is not None:
-            self._decisions.spawn(self._check(endpoint))
-
-    async def _check(self, endpoint: Endpoint) -> None:
-        if await keeps_connections(endpoint.address):
-            return
-        log.info("endpoint_closes_connections", endpoint=endpoint.id)
-        actions = self._planner.endpoint_closes_connections(self._time(), endpoint.id)
-        self._decisions.carry_out(actions)
+            self._signals.check(endpoint)
 
     def _query_attempt(self, query: QueryAttempt) -> None:
         # Endpoints on this platform cannot be queried for the outcome of a call. Lost
@@ -426,7 +405,7 @@
     def _free_results(self, action: FreeResults) -> None:
         endpoint = self._endpoints.get(action.endpoint)
         if endpoint is not None:
-            backoff_s = self._planner.backoffs.left_s(self._time(), endpoint.id)
+            backoff_s = self._signals.backoff_left_s(endpoint.id)
             self._decisions.spawn(self._piece_calls.free(action, endpoint, backoff_s))
 
     def _stop_attempts(self, call: LiveCall) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -8,8 +8,8 @@
 import aiohttp
 
 from amaranthtally.adapter import headers as names, pieces
-from amaranthtally.adapter.messages import ResponseHead
 from amaranthtally.adapter.responses import read_response_head
+from amaranthtally.daemon.gateway.endpoint_calls import OnHead
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -33,7 +33,6 @@
 log = get_logger()
 
 OnEnd = Callable[[int, PiecesEnded], None]
-OnHead = Callable[[Endpoint, ResponseHead, float], None]
 FAILED = PiecesEnded()
 
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -220,7 +220,7 @@
             connections_closed_unread=gate.closed,
             rate_limits=executor.rate_limits.count,
             prompt_parts_blocked=executor.prompts.blocked_count,
-            endpoints_backing_off=executor.endpoints_backing_off,
+            endpoints_backing_off=executor.signals.backing_off,
             requests_blocked=executor.prompts.blocked_requests,
             log_lines_lost=writer.dropped,
         )
