Decisions on what may be sent to endpoints lie in a package of their own

send_restrictions, endpoint_limits, endpoint_backoffs, leaving_endpoints, permits and rate_limits move into policy/sending, with one way in. What entries tell each other of limits is below it, in limit_messages.

--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -32,9 +32,7 @@
     SubmitToPeer,
 )
 from amaranthtally.policy.affinity import AffinityRouter
-from amaranthtally.policy.endpoint_backoffs import EndpointBackoffs
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
-from amaranthtally.policy.endpoint_limits import EndpointLimits
 from amaranthtally.policy.events import (
     Arrival,
     AttemptOutcome,
@@ -52,6 +50,11 @@
     route_pipeline,
 )
 from amaranthtally.policy.invariants import InvariantError
+from amaranthtally.policy.limit_messages import (
+    PermitAnswer,
+    PermitAsk,
+    RateLimitNotice,
+)
 from amaranthtally.policy.model import (
     AccountLimits,
     AttemptId,
@@ -72,7 +75,6 @@
 from amaranthtally.policy.part_successes import PartKey, PartSuccess
 from amaranthtally.policy.peer_directory import PeerDirectory, PeerRecord
 from amaranthtally.policy.peer_group import PeerGroup
-from amaranthtally.policy.permits import PermitAnswer, PermitAsk
 from amaranthtally.policy.piece_coordinator import PieceCoordinator
 from amaranthtally.policy.piece_graph import Piece, StoredResult
 from amaranthtally.policy.piece_messages import (
@@ -86,7 +88,6 @@
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.pool_sites import Peer
 from amaranthtally.policy.prompt_guard import PromptGuard
-from amaranthtally.policy.rate_limits import RateLimitNotice
 from amaranthtally.policy.rendezvous import duty_weight
 from amaranthtally.policy.replica_holders import lookup_rounds, replica_holders
 from amaranthtally.policy.request_key import RequestKey, request_key
@@ -105,6 +106,7 @@
     request_rank,
 )
 from amaranthtally.policy.run_queue import QueuedCall, RunQueue
+from amaranthtally.policy.sending import EndpointBackoffs, EndpointLimits
 from amaranthtally.policy.stream_origins import (
     OriginEntry,
     StreamOrigin,
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -4,14 +4,13 @@
 from enum import Enum
 from typing import NamedTuple
 
+from amaranthtally.policy.limit_messages import PermitAsk, RateLimitNotice
 from amaranthtally.policy.model import AttemptId
 from amaranthtally.policy.part_losses import PartEnd
 from amaranthtally.policy.part_notices import PartNotice
 from amaranthtally.policy.part_successes import PartSuccess
-from amaranthtally.policy.permits import PermitAsk
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport
-from amaranthtally.policy.rate_limits import RateLimitNotice
 
 __all__ = [
     "Action",
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -10,7 +10,7 @@
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.scoring import Choice, RouteRequest
-from amaranthtally.policy.send_restrictions import SendRestrictions
+from amaranthtally.policy.sending import SendRestrictions
 from amaranthtally.policy.stage_times import StageStats, StageTimes
 from amaranthtally.policy.stream_watch import STUCK_FACTOR, StreamMonitor
 from amaranthtally.policy.streams import StreamProgress
--- a/packages/policy/src/amaranthtally/policy/failed_attempts.py
+++ b/packages/policy/src/amaranthtally/policy/failed_attempts.py
@@ -17,7 +17,7 @@
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
-from amaranthtally.policy.send_restrictions import SendRestrictions
+from amaranthtally.policy.sending import SendRestrictions
 
 __all__ = ["FailedAttempts", "RecomputeInputs"]
 
--- a/packages/policy/src/amaranthtally/policy/permit_waits.py
+++ b/packages/policy/src/amaranthtally/policy/permit_waits.py
@@ -8,7 +8,7 @@
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import Request
-from amaranthtally.policy.send_restrictions import SendRestrictions
+from amaranthtally.policy.sending import SendRestrictions
 
 __all__ = ["PermitWaits"]
 
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -3,8 +3,8 @@
 from collections.abc import Callable, Mapping
 from dataclasses import dataclass, field
 
+from amaranthtally.policy.limit_messages import interval_s
 from amaranthtally.policy.model import Endpoint
-from amaranthtally.policy.rate_limits import interval_s
 from amaranthtally.policy.routes import PieceLimits, Pool
 
 __all__ = ["PieceServer", "PieceServers", "speed_weight"]
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -11,8 +11,6 @@
     RequestOutcome,
 )
 from amaranthtally.policy.dispatch import Dispatcher
-from amaranthtally.policy.endpoint_backoffs import EndpointBackoffs
-from amaranthtally.policy.endpoint_limits import EndpointLimits
 from amaranthtally.policy.events import (
     Arrival,
     AttemptOutcome,
@@ -24,7 +22,6 @@
 from amaranthtally.policy.failed_attempts import FailedAttempts
 from amaranthtally.policy.first_events import FirstEventTimes
 from amaranthtally.policy.groups import EndpointGroups
-from amaranthtally.policy.leaving_endpoints import LeavingEndpoints
 from amaranthtally.policy.load_poller import LoadPoller
 from amaranthtally.policy.membership import Membership
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings
@@ -42,7 +39,12 @@
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import Counters, RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
-from amaranthtally.policy.send_restrictions import SendRestrictions
+from amaranthtally.policy.sending import (
+    EndpointBackoffs,
+    EndpointLimits,
+    LeavingEndpoints,
+    SendRestrictions,
+)
 from amaranthtally.policy.stream_watch import StreamMonitor
 from amaranthtally.policy.timers import Timer, Timers
 
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/sending/__init__.py
@@ -0,0 +1,18 @@
+"""
+Decides what may be sent to endpoints now: rate limits, backoffs, endpoints that leave.
+
+Other modules of the policy use what is exported here, and nothing else of this package.
+"""
+
+from amaranthtally.policy.sending.endpoint_backoffs import EndpointBackoffs
+from amaranthtally.policy.sending.endpoint_limits import EndpointLimits
+from amaranthtally.policy.sending.leaving_endpoints import LeavingEndpoints
+from amaranthtally.policy.sending.send_restrictions import SendRestrictions, SendWait
+
+__all__ = [
+    "EndpointBackoffs",
+    "EndpointLimits",
+    "LeavingEndpoints",
+    "SendRestrictions",
+    "SendWait",
+]
--- a/packages/policy/src/amaranthtally/policy/endpoint_limits.py
+++ b/packages/policy/src/amaranthtally/policy/sending/endpoint_limits.py
@@ -14,16 +14,16 @@
     RateLimitChanged,
     SpreadRateLimits,
 )
-from amaranthtally.policy.model import Endpoint
-from amaranthtally.policy.peer_group import REPEAT_INTERVAL_S, PeerGroup
-from amaranthtally.policy.permits import (
+from amaranthtally.policy.limit_messages import (
     MIN_RETRY_S,
     PermitAnswer,
     PermitAsk,
-    PermitIssuer,
-    PermitStock,
+    RateLimitNotice,
 )
-from amaranthtally.policy.rate_limits import RateLimitNotice, RateLimitTable
+from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.peer_group import REPEAT_INTERVAL_S, PeerGroup
+from amaranthtally.policy.sending.permits import PermitIssuer, PermitStock
+from amaranthtally.policy.sending.rate_limits import RateLimitTable
 
 __all__ = ["EndpointLimits"]
 
--- a/packages/policy/src/amaranthtally/policy/permits.py
+++ b/packages/policy/src/amaranthtally/policy/sending/permits.py
@@ -8,12 +8,17 @@
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from math import ceil
-from typing import NamedTuple
 
+from amaranthtally.policy.limit_messages import (
+    MIN_RATE,
+    MIN_RETRY_S,
+    PermitAnswer,
+    PermitAsk,
+    interval_s,
+)
 from amaranthtally.policy.peer_group import PeerGroup
-from amaranthtally.policy.rate_limits import MIN_RATE, interval_s
 
-__all__ = ["PermitAnswer", "PermitAsk", "PermitIssuer", "PermitStock"]
+__all__ = ["PermitIssuer", "PermitStock"]
 
 # How far ahead permits are issued, and how long each remains valid, in seconds.
 HORIZON_S = 0.5
@@ -23,8 +28,7 @@
 HOLD_OFF_S = HORIZON_S + PERMIT_TTL_S + 0.1
 # How long an entry counts as one that asks, in seconds.
 ASKER_TTL_S = 15.0
-# Bounds of the time after which an entry asks again if it got no permit, in seconds.
-MIN_RETRY_S = 0.1
+# Longest time after which an entry asks again if it got no permit, in seconds.
 MAX_RETRY_S = 10.0
 # Times that an entry asks for each permit that is its share.
 ASKS_PER_PERMIT = 2.0
@@ -36,26 +40,6 @@
 IDLE_TTL_S = 30.0
 
 
-class PermitAsk(NamedTuple):
-    """A request for permits of an endpoint with this limit, in requests a second."""
-
-    endpoint: str
-    rate: float
-    wanted: int
-
-
-class PermitAnswer(NamedTuple):
-    """
-    Permits of an endpoint, each by the seconds until it becomes valid.
-
-    Without permits, the entry asks again after ``retry_after_s``.
-    """
-
-    endpoint: str
-    delays_s: tuple[float, ...] = ()
-    retry_after_s: float = MIN_RETRY_S
-
-
 @dataclass(slots=True)
 class _Issue:
     """The state of an endpoint's permits; the next one is valid from ``next_at``."""
--- a/packages/policy/src/amaranthtally/policy/rate_limits.py
+++ b/packages/policy/src/amaranthtally/policy/sending/rate_limits.py
@@ -1,19 +1,12 @@
 """The rate limits that endpoints name, as known to one entry."""
 
 from collections.abc import Iterable, Mapping
-from math import inf
 from typing import NamedTuple
 
+from amaranthtally.policy.limit_messages import RateLimitNotice
 from amaranthtally.policy.model import Endpoint
 
-__all__ = ["MIN_RATE", "RateLimitNotice", "RateLimitTable", "interval_s"]
-
-# Share of a limit that is used. The rest covers what is under way and requests that are
-# delayed on the network.
-USED_SHARE = 0.9
-# Least rate that is used, in requests a second: without any request, an endpoint could
-# not show that its limit has ended.
-MIN_RATE = 0.1
+__all__ = ["RateLimitTable"]
 
 # Most endpoints whose limits are held; the oldest notices are dropped first.
 MAX_NOTICES = 1024
@@ -22,34 +15,6 @@
 LIFTED_TTL_S = 60.0
 
 
-class RateLimitNotice(NamedTuple):
-    """
-    A limit that an endpoint named: requests a second from all entries together.
-
-    ``rate`` is ``None`` if the endpoint names no limit any more. ``serial`` counts the
-    changes that entries have seen; ``incarnation`` is that of the endpoint.
-    """
-
-    endpoint: str
-    incarnation: int
-    serial: int
-    rate: float | None
-
-    @property
-    def rank(self) -> tuple[int, int, float]:
-        """
-        The order of notices of one endpoint; the one with the highest rank holds.
-
-        Of two entries that number different changes alike, the stricter one is right:
-        the next response shows whether the endpoint still names it.
-        """
-        return (
-            self.incarnation,
-            self.serial,
-            -inf if self.rate is None else -self.rate,
-        )
-
-
 class _Known(NamedTuple):
     notice: RateLimitNotice
     learned_at: float
@@ -137,8 +102,3 @@
         self._known[notice.endpoint] = _Known(notice, now)
         if len(self._known) > MAX_NOTICES:
             del self._known[next(iter(self._known))]
-
-
-def interval_s(rate: float) -> float:
-    """Return the seconds between requests to an endpoint with a rate limit."""
-    return 1.0 / (USED_SHARE * max(MIN_RATE, rate))
--- a/packages/policy/src/amaranthtally/policy/send_restrictions.py
+++ b/packages/policy/src/amaranthtally/policy/sending/send_restrictions.py
@@ -4,8 +4,8 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.actions import RefusalReason
-from amaranthtally.policy.endpoint_backoffs import EndpointBackoffs
-from amaranthtally.policy.endpoint_limits import EndpointLimits
+from amaranthtally.policy.sending.endpoint_backoffs import EndpointBackoffs
+from amaranthtally.policy.sending.endpoint_limits import EndpointLimits
 
 __all__ = ["SendRestrictions", "SendWait"]
 
--- a/tests/policy/test_leaving_endpoints.py
+++ b/tests/policy/test_leaving_endpoints.py
@@ -5,7 +5,7 @@
 import pytest
 
 from amaranthtally.policy import AttemptOutcome
-from amaranthtally.policy.leaving_endpoints import MAX_LEAVING, LeavingEndpoints
+from amaranthtally.policy.sending.leaving_endpoints import MAX_LEAVING, LeavingEndpoints
 from tests.policy.support import PlannerDriver, endpoints, one_stage, planner, sends
 
 
