Requests of routes and accounts with home regions are served there alone

One gate (policy/sending/send_gate) now says to which endpoints a request may go: first attempts, retries, hedges, probes, bound calls; the places of its pieces are chosen by the same regions. Both homes bind; what no region may serve is refused at once as not run. New homes bind what is under way; those of a dropped route still do.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
@@ -5,6 +5,7 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     EndpointDirectory,
+    HomeRegions,
     PolicySettings,
     RouteTable,
     gateway_settings,
@@ -22,6 +23,8 @@
 # Fraction of the shared retry ratio that an entry uses. When traffic falls, the request
 # rate that it measures for a pool lags by one window and is too high.
 RETRY_RATIO_FRACTION = 0.75
+# Most pairs or regions that one log line names.
+MAX_LOGGED = 8
 
 log = get_logger()
 
@@ -38,6 +41,7 @@
         self._on_settings = on_settings
         self._table: RouteTable | None = None
         self._directory = EndpointDirectory()
+        self._homes = HomeRegions()
         self._has_endpoints = False
         self._revision = 0
         self._entries = DEFAULT_ENTRY_COUNT
@@ -71,6 +75,8 @@
             pools=len(table.pools),
             keys=len(table.accounts_by_key),
         )
+        self._homes = table.homes
+        self._log_homes(self._homes)
         self._publish()
 
     def set_entry_count(self, count: int) -> None:
@@ -88,6 +94,27 @@
         self._has_endpoints = True
         self._publish()
 
+    def _log_homes(self, homes: HomeRegions) -> None:
+        """Log homes by which requests cannot be served, as operators should know."""
+        conflicts = homes.conflicts()
+        if conflicts:
+            log.warning(
+                "homes_exclude_each_other",
+                pairs=",".join(f"{p}:{a}" for p, a in conflicts[:MAX_LOGGED]),
+                count=len(conflicts),
+            )
+        known = set(self._settings.regions.values()) or {self._settings.region}
+        named = frozenset().union(
+            *homes.by_pipeline.values(), *homes.by_account.values()
+        )
+        unknown = sorted(named - known)
+        if unknown:
+            log.warning(
+                "home_regions_unknown",
+                regions=",".join(unknown[:MAX_LOGGED]),
+                count=len(unknown),
+            )
+
     def _publish(self) -> None:
         self._revision += 1
         self._on_settings(self._policy_settings())
@@ -100,6 +127,7 @@
             data_centre=process.data_centre,
             endpoints=self._directory.endpoints,
             pools=self._table.pools if self._table else {},
+            homes=self._homes,
             retry_budget=process.retry_ratio * RETRY_RATIO_FRACTION,
             retry_reserve=max(
                 1.0, RETRY_SLACK_FRACTION * process.retry_slack / self._entries
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -49,6 +49,7 @@
     route_arrival,
     route_pipeline,
 )
+from amaranthtally.policy.home_regions import HomeRegions, Regions
 from amaranthtally.policy.invariants import InvariantError
 from amaranthtally.policy.limit_messages import (
     PermitAnswer,
@@ -148,6 +149,7 @@
     "EngineModels",
     "FreeAtPeer",
     "FreeResults",
+    "HomeRegions",
     "InvariantError",
     "LoadReport",
     "ModelPlan",
@@ -187,6 +189,7 @@
     "QueuedCall",
     "RateLimitChanged",
     "RateLimitNotice",
+    "Regions",
     "RefusalReason",
     "Refuse",
     "ReportEnds",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -61,6 +61,7 @@
     PROMPT_BLOCKED = "prompt_blocked"
     REQUEST_BLOCKED = "request_blocked"
     RATE_LIMIT = "rate_limit"
+    NO_HOME_ENDPOINT = "no_home_endpoint"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -3,7 +3,7 @@
 from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.loads import EndpointLoad
 from amaranthtally.policy.rendezvous import rendezvous_weight
-from amaranthtally.policy.routing import Router
+from amaranthtally.policy.routing import NO_ENDPOINTS, Router
 from amaranthtally.policy.scoring import Choice, RouteRequest
 from amaranthtally.policy.stage_times import StageStats
 
@@ -40,7 +40,9 @@
     not shared takes a third of that.
     """
 
-    def predicted_data_centre(self, now: float, arrival: Arrival) -> str:
+    def predicted_data_centre(
+        self, now: float, arrival: Arrival, closed: frozenset[str] = NO_ENDPOINTS
+    ) -> str:
         """Return the data centre of the engine that a request's prompt would get."""
         if not arrival.prefix:
             return ""
@@ -52,6 +54,7 @@
             arrival.pipeline.weight_attainment,
             arrival.input_bytes,
             arrival.prefix,
+            closed,
             prefix_sizes=arrival.prefix_sizes,
             version=arrival.origin.version if arrival.origin else None,
         )
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -10,7 +10,7 @@
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.scoring import Choice, RouteRequest
-from amaranthtally.policy.sending import SendRestrictions
+from amaranthtally.policy.sending import Obstacle, SendGate
 from amaranthtally.policy.stage_times import StageStats, StageTimes
 from amaranthtally.policy.stream_watch import STUCK_FACTOR, StreamMonitor
 from amaranthtally.policy.streams import StreamProgress
@@ -34,6 +34,8 @@
 # not before ``MIN_RECHECK_S``.
 RECHECK_SHARE = 0.5
 MIN_RECHECK_S = 0.02
+# What keeps a request from an endpoint also if no other one may run it.
+NEVER_SENT = frozenset({Obstacle.NOT_AT_HOME})
 # A stream is first checked when this many chunks should have come.
 CHUNKS_BEFORE_CHECK = 3.0
 
@@ -66,7 +68,7 @@
         ledger: RequestLedger,
         timers: Timers,
         streams: StreamMonitor,
-        restrictions: SendRestrictions,
+        gate: SendGate,
     ) -> None:
         self._settings = settings
         self._times = times
@@ -77,7 +79,7 @@
         self._ledger = ledger
         self._timers = timers
         self._streams = streams
-        self._restrictions = restrictions
+        self._gate = gate
         self._budgets: dict[str, _PoolBudgets] = {}
 
     def configure(self, settings: PolicySettings) -> None:
@@ -204,6 +206,8 @@
         endpoint = self._groups.find(request.bound_to)
         if endpoint is None:
             return []
+        if self._gate.obstacle(now, endpoint, request.regions) in NEVER_SENT:
+            return []
         choice = self._router.predict(now, route_request, stats, endpoint)
         return self._send(now, request, route_request, choice)
 
@@ -212,9 +216,9 @@
     ) -> RouteRequest:
         arrival = request.arrival
         remaining = request.remaining
-        blocked = self._restrictions.blocked(now)
-        if blocked:
-            self._restrictions.note_wanted(request.current_stage.pool)
+        closed = self._gate.closed(now, request.regions)
+        if closed:
+            self._gate.note_wanted(request.current_stage.pool)
         return RouteRequest(
             request.current_stage,
             self._times.share_end(now, arrival.deadline, remaining),
@@ -222,7 +226,7 @@
             arrival.pipeline.weight_attainment,
             arrival.input_bytes + request.previous_bytes,
             arrival.prefix if request.current_stage.caches_prefixes else (),
-            excluded | blocked,
+            excluded | closed,
             arrival.prefix_sizes,
             request.inputs,
             request.version,
@@ -249,7 +253,7 @@
         left = request.arrival.deadline - now
         if not load.may_serve(stage.model):
             return None
-        if name in self._restrictions.blocked(now):
+        if self._gate.obstacle(now, endpoint, request.regions) is not None:
             return None
         if load.leaving or left < PROBE_SLACK * self._times.needed_s(request.remaining):
             return None
@@ -319,7 +323,7 @@
             sum(route_request.prefix_sizes) * (1.0 - choice.cached_share)
         )
         attempt_id = self._ledger.add_attempt(request, load, attempt)
-        self._restrictions.take(now, choice.endpoint.id)
+        self._gate.take(now, choice.endpoint.id)
         if probe:
             self._ejections.probe_sent(choice.endpoint.id)
             self._ledger.counters.probes += 1
--- a/packages/policy/src/amaranthtally/policy/failed_attempts.py
+++ b/packages/policy/src/amaranthtally/policy/failed_attempts.py
@@ -17,7 +17,7 @@
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
-from amaranthtally.policy.sending import SendRestrictions
+from amaranthtally.policy.sending import SendGate
 
 __all__ = ["FailedAttempts", "RecomputeInputs"]
 
@@ -50,7 +50,7 @@
         outcome_recorder: OutcomeRecorder,
         refusals: Refusals,
         prompt_checks: PromptChecks,
-        restrictions: SendRestrictions,
+        gate: SendGate,
         recompute: RecomputeInputs,
     ) -> None:
         self._ledger = ledger
@@ -59,7 +59,7 @@
         self._outcome_recorder = outcome_recorder
         self._refusals = refusals
         self._prompt_checks = prompt_checks
-        self._restrictions = restrictions
+        self._gate = gate
         self._recompute = recompute
         self._not_run_cost = 0.0
 
@@ -108,7 +108,7 @@
         if actions:
             return actions
         # Of several backoffs, the first to end counts.
-        wait = self._restrictions.wait(now, request.current_stage.pool)
+        wait = self._gate.wait(now, request.current_stage.pool, request.regions)
         retry_after_s = wait.wait_s if wait and not_run else result.retry_after_s
         return self._refusals.refuse(now, request, reason, retry_after_s)
 
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from amaranthtally.policy.home_regions import HomeRegions
 from amaranthtally.policy.routes import Pool
 
 __all__ = [
@@ -20,6 +21,7 @@
 RETRY_RESERVE = 64.0
 # Hedges that one entry may send in a pool beyond the ratio.
 HEDGE_RESERVE = 16.0
+NO_HOMES = HomeRegions()
 # Cost of a retry, in attempts, if the attempt before it provably did not run: the
 # refusal cost its endpoint about a quarter of what a call does.
 NOT_RUN_COST = 0.25
@@ -154,7 +156,7 @@
     first attempts, and reserves are attempts that may be made beyond the ratios.
     ``not_run_cost`` is the budget cost of a retry if the attempt before it provably did
     not run. Headroom is a share of the deadline. ``pools`` holds the pools whose limits
-    are configured.
+    are configured, ``homes`` the regions to which requests are confined.
     """
 
     revision: int
@@ -173,3 +175,4 @@
     not_run_cost: float = NOT_RUN_COST
     entry: str = ""
     pools: Mapping[str, Pool] = field(default_factory=dict)
+    homes: HomeRegions = NO_HOMES
--- a/packages/policy/src/amaranthtally/policy/permit_waits.py
+++ b/packages/policy/src/amaranthtally/policy/permit_waits.py
@@ -8,7 +8,7 @@
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import Request
-from amaranthtally.policy.sending import SendRestrictions
+from amaranthtally.policy.sending import SendGate
 
 __all__ = ["PermitWaits"]
 
@@ -29,12 +29,12 @@
 
     def __init__(
         self,
-        restrictions: SendRestrictions,
+        gate: SendGate,
         dispatcher: Dispatcher,
         ledger: RequestLedger,
         refusals: Refusals,
     ) -> None:
-        self._restrictions = restrictions
+        self._gate = gate
         self._dispatcher = dispatcher
         self._ledger = ledger
         self._refusals = refusals
@@ -43,9 +43,12 @@
     def add(self, now: float, request: Request) -> list[Action]:
         """Let a request wait if a wait is all that it lacks, or else refuse it."""
         pool = request.current_stage.pool
-        wait = self._restrictions.wait(now, pool)
+        wait = self._gate.wait(now, pool, request.regions)
         if wait is None:
-            return self._refusals.refuse(now, request, RefusalReason.NO_ENDPOINT)
+            reason = self._gate.refusal_reason([pool], request.regions)
+            return self._refusals.refuse(
+                now, request, reason or RefusalReason.NO_ENDPOINT
+            )
         if wait.wait_s > PERMIT_WAIT_S:
             return self._refusals.refuse(now, request, wait.reason, wait.wait_s)
         self._waits[request.id] = _Wait(request.id, pool, now + PERMIT_WAIT_S)
@@ -56,7 +59,7 @@
         if not self._waits:
             return []
         counts = Counter(wait.pool for wait in self._waits.values())
-        self._restrictions.requests_wait(counts)
+        self._gate.requests_wait(counts)
         actions: list[Action] = []
         for wait in list(self._waits.values()):
             ended = self._end(now, wait)
@@ -70,7 +73,7 @@
         request = self._ledger.find(wait.request_id)
         if request is None:
             return []
-        restriction = self._restrictions.wait(now, wait.pool)
+        restriction = self._gate.wait(now, wait.pool, request.regions)
         wait_s = restriction.wait_s if restriction else 0.0
         left_s = wait.until - now
         if 0.0 < wait_s <= left_s:
--- a/packages/policy/src/amaranthtally/policy/piece_coordinator.py
+++ b/packages/policy/src/amaranthtally/policy/piece_coordinator.py
@@ -6,6 +6,7 @@
 from amaranthtally.policy.actions import Action, FreeAtPeer, ReportToPeer, SubmitToPeer
 from amaranthtally.policy.batcher import Batcher, BatcherEffects
 from amaranthtally.policy.first_events import DEFAULT_S
+from amaranthtally.policy.home_regions import Regions
 from amaranthtally.policy.invariants import ensure
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.piece_graph import Piece, PieceGraph, StoredResult
@@ -108,6 +109,7 @@
         priority: int,
         reader: str = "",
         engine_s: float = DEFAULT_S,
+        regions: Regions | None = None,
     ) -> CoordinatorEffects:
         """
         Start a request's stages by submitting the pieces that are due first.
@@ -115,18 +117,24 @@
         ``key`` is the input of the first stages. ``objective`` and ``deadline`` are
         time stamps in seconds. ``reader`` is the data centre in which the request
         itself is expected to run, and ``engine_s`` how long its engine usually takes
-        until the first event, in seconds.
+        until the first event, in seconds. With ``regions`` its pieces run there only.
         """
         ensure(
             request_id not in self._requests, "the pieces of a request are started once"
         )
         graph = PieceGraph(request_id, stages, counts)
         staged = StagedRequest(
-            graph, key, objective, deadline, priority, reader, engine_s
+            graph, key, objective, deadline, priority, reader, engine_s, regions
         )
         self._requests[request_id] = staged
         return self._start_due(now, staged)
 
+    def confine(self, request_id: str, regions: Regions | None) -> None:
+        """Run the pieces of a request that are not submitted yet in these regions."""
+        staged = self._requests.get(request_id)
+        if staged is not None:
+            staged.regions = regions
+
     def recompute_inputs(self, now: float, request_id: str) -> CoordinatorEffects:
         """Recompute the results that a request reads, as one is not stored any more."""
         staged = self._requests[request_id]
@@ -303,7 +311,13 @@
     ) -> str | None:
         on_time_by = staged.objective - staged.engine_s
         return self._plans.choose_data_centre(
-            now, staged.graph, stage, staged.reader, on_time_by, staged.priority
+            now,
+            staged.graph,
+            stage,
+            staged.reader,
+            on_time_by,
+            staged.priority,
+            staged.regions,
         )
 
     def _job_for(
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -43,7 +43,7 @@
     EndpointBackoffs,
     EndpointLimits,
     LeavingEndpoints,
-    SendRestrictions,
+    SendGate,
 )
 from amaranthtally.policy.stream_watch import StreamMonitor
 from amaranthtally.policy.timers import Timer, Timers
@@ -51,6 +51,9 @@
 __all__ = ["Planner"]
 
 COMPONENTS = PlannerComponents()
+# Least time after which a request that no endpoint may serve is told to come back, in
+# seconds: operators and endpoints change places, which takes them longer than this.
+UNPLACED_RETRY_S = 1.0
 
 
 class Planner:
@@ -111,7 +114,7 @@
         self._backoffs = EndpointBackoffs(
             self._coordinator.batcher.servers.note_backoff
         )
-        restrictions = SendRestrictions(self._limits, self._backoffs)
+        self._gate = SendGate(self._limits, self._backoffs)
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -122,7 +125,7 @@
             self._ledger,
             self._timers,
             self._streams,
-            restrictions,
+            self._gate,
         )
         self._refusals = Refusals(
             self._ledger, self._times, self._loads, self._admission, self._coordinator
@@ -132,7 +135,7 @@
         )
         self._prompt_checks = PromptChecks(self._prompts, self._ledger, self._refusals)
         self._permit_waits = PermitWaits(
-            restrictions, self._dispatcher, self._ledger, self._refusals
+            self._gate, self._dispatcher, self._ledger, self._refusals
         )
         self._failures = FailedAttempts(
             self._ledger,
@@ -141,10 +144,11 @@
             self._outcome_recorder,
             self._refusals,
             self._prompt_checks,
-            restrictions,
+            self._gate,
             self._recompute_inputs,
         )
         self._configure(0.0, settings)
+        self._gate.configure(settings)
 
     @property
     def pieces(self) -> PieceEvents:
@@ -189,11 +193,16 @@
         if blocked is not None:
             self.counters.refused_on_arrival += 1
             return [blocked]
+        regions = self._gate.regions_of(arrival)
+        reason = self._gate.refusal_reason(_pools_of(arrival), regions)
+        if reason is not None:
+            self.counters.refused_on_arrival += 1
+            return [self._refuse_unplaced(arrival, reason)]
         for stage in arrival.pipeline.stages:
             self._membership.prepare(now, stage)
         decision = self._admission.decide(now, arrival)
         if decision.reason is None and arrival.piece_work is not None:
-            decision = self._inputs.decide(now, arrival, arrival.piece_work)
+            decision = self._inputs.decide(now, arrival, arrival.piece_work, regions)
         if decision.reason is not None:
             self.counters.refused_on_arrival += 1
             return [
@@ -205,6 +214,7 @@
                 )
             ]
         request = self._ledger.open(arrival)
+        request.regions = regions
         self._prompt_checks.request_opened(request)
         self._timers.set(arrival.deadline, request.id)
         if arrival.piece_work is not None:
@@ -309,7 +319,10 @@
         if endpoints is not settings.endpoints:
             settings = replace(settings, endpoints=endpoints)
         self._configure(now, settings)
-        return self._prompt_checks.endpoints_changed(now, settings.endpoints)
+        ended = self._prompt_checks.endpoints_changed(now, settings.endpoints)
+        if self._gate.configure(settings):
+            return [*ended, *self._apply_homes(now)]
+        return ended
 
     def caller_disconnected(self, now: float, request_id: str) -> list[Action]:
         """Cancel a request whose caller has closed the connection."""
@@ -354,6 +367,30 @@
         self._peers.leave()
         return self._apply_effects(now, self._coordinator.leave(now))
 
+    # Places
+
+    def _refuse_unplaced(self, arrival: Arrival, reason: RefusalReason) -> Refuse:
+        refused = self._admission.refuse(reason, UNPLACED_RETRY_S)
+        return Refuse(
+            arrival.request_id, RequestOutcome.NOT_RUN, reason, refused.retry_after_s
+        )
+
+    def _apply_homes(self, now: float) -> list[Action]:
+        """Confine requests in flight by new homes; refuse those without a place."""
+        actions: list[Action] = []
+        for request in self._ledger.requests:
+            regions = self._gate.regions_of(request.arrival)
+            if regions is None:
+                # The homes of a pipeline that was dropped still bind its requests.
+                regions = request.regions
+            request.regions = regions
+            self._coordinator.confine(request.id, regions)
+            pools = [stage.pool for stage in request.remaining]
+            reason = self._gate.refusal_reason(pools, regions)
+            if reason is not None and not request.live:
+                actions += self._refusals.refuse(now, request, reason, UNPLACED_RETRY_S)
+        return actions
+
     # Pieces
 
     def _compute_inputs(
@@ -370,8 +407,11 @@
             arrival.objective or arrival.deadline,
             self._inputs.pieces_deadline(arrival),
             arrival.priority,
-            self._router.predicted_data_centre(now, arrival),
+            self._router.predicted_data_centre(
+                now, arrival, self._gate.closed(now, request.regions)
+            ),
             self._first_event_times.mean_s(arrival.pipeline.name),
+            request.regions,
         )
         return self._apply_effects(now, effects)
 
@@ -482,3 +522,13 @@
             settings.region_latency_s,
             settings.traffic_price_per_gb,
         )
+
+
+def _pools_of(arrival: Arrival) -> list[str]:
+    """Return the pools that a request needs, those of its pieces included."""
+    pools = [stage.pool for stage in arrival.pipeline.stages]
+    work = arrival.piece_work
+    if work is not None:
+        counted = zip(work.stages, work.counts, strict=False)
+        pools += [stage.pool for stage, count in counted if count]
+    return pools
--- a/packages/policy/src/amaranthtally/policy/request_inputs.py
+++ b/packages/policy/src/amaranthtally/policy/request_inputs.py
@@ -7,6 +7,7 @@
 from amaranthtally.policy.actions import Action, RefusalReason
 from amaranthtally.policy.admission import ADMITTED, AdmissionDecision
 from amaranthtally.policy.events import Arrival, PieceWork
+from amaranthtally.policy.home_regions import Regions
 from amaranthtally.policy.piece_coordinator import PieceCoordinator
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import Request
@@ -42,7 +43,11 @@
         self._fetches: deque[_Fetch] = deque()
 
     def decide(
-        self, now: float, arrival: Arrival, work: PieceWork
+        self,
+        now: float,
+        arrival: Arrival,
+        work: PieceWork,
+        regions: Regions | None = None,
     ) -> AdmissionDecision:
         """
         Refuse a request whose pieces are predicted to miss their deadline.
@@ -51,7 +56,7 @@
         there past its deadline delays requests that could still be answered.
         """
         needed_s = self._coordinator.plans.predicted_time_s(
-            now, work.stages, work.counts, arrival.priority
+            now, work.stages, work.counts, arrival.priority, regions
         )
         excess_s = now + needed_s - self.pieces_deadline(arrival)
         if excess_s <= 0:
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from amaranthtally.policy.events import Arrival
+from amaranthtally.policy.home_regions import Regions
 from amaranthtally.policy.model import AttemptId, Stage
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.streams import StreamProgress
@@ -51,7 +52,8 @@
     results, and ``retry_cost`` is the budget cost of the attempt that waits for them.
     ``version`` is the software version at which the current stage's stream began, which
     alone may go on with it; ``None`` before the first chunk. A request that
-    ``is_trial`` is sent once although a part of its prompt is blocked.
+    ``is_trial`` is sent once although a part of its prompt is blocked. ``regions`` are
+    those to which it is confined, ``None`` if it may be served anywhere.
     """
 
     arrival: Arrival
@@ -69,6 +71,7 @@
     version: str | None = None
     excluded: frozenset[str] = frozenset()
     is_trial: bool = False
+    regions: Regions | None = None
     live: dict[AttemptId, LiveAttempt] = field(default_factory=dict)
     remaining: tuple[Stage, ...] = field(init=False)
     current_stage: Stage = field(init=False)
--- a/packages/policy/src/amaranthtally/policy/routes.py
+++ b/packages/policy/src/amaranthtally/policy/routes.py
@@ -6,6 +6,8 @@
 from math import ceil
 from typing import NamedTuple
 
+from amaranthtally.policy.home_regions import HomeRegions, Regions
+
 __all__ = [
     "Account",
     "CallKind",
@@ -27,6 +29,7 @@
 # Number of priorities of an account or a route; less urgent ones count as the last.
 # A rank combines both and must fit into two bytes in messages between entries.
 PRIORITIES = 100
+ANYWHERE: Regions = frozenset()
 
 
 class CallKind(Enum):
@@ -134,7 +137,8 @@
     late; ``max_event_gap_s`` is the longest time between two events of a stream that
     is not. ``caller_timeout_s`` is how long callers wait for a stream's first or next
     event before they disconnect; with 0 they wait until the deadline that they sent.
-    ``priority`` 0 is the highest.
+    ``priority`` 0 is the highest. Requests are served in ``home_regions`` only, in any
+    region if there are none.
     """
 
     name: str
@@ -152,6 +156,7 @@
     is_public: bool = False
     has_prompt: bool = False
     is_resumable: bool = False
+    home_regions: Regions = ANYWHERE
 
     @property
     def is_repeatable(self) -> bool:
@@ -161,10 +166,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Account:
-    """A client account; its ``priority``, if set, precedes that of the route."""
+    """
+    A client account; its ``priority``, if set, precedes that of the route.
+
+    Its requests are served in ``home_regions`` only, in any region if there are none.
+    """
 
     name: str
     priority: int | None = None
+    home_regions: Regions = ANYWHERE
 
 
 def request_rank(route: Route, account: Account | None) -> int:
@@ -231,6 +241,15 @@
                 return route
         return None
 
+    @property
+    def homes(self) -> HomeRegions:
+        """The home regions of routes and of accounts."""
+        accounts = self.accounts_by_key.values()
+        return HomeRegions(
+            {r.name: r.home_regions for r in self.routes if r.home_regions},
+            {a.name: a.home_regions for a in accounts if a.home_regions},
+        )
+
     def account_of(self, key: str) -> Account | None:
         """Return the account of an API key, or ``None``."""
         return self.accounts_by_key.get(key)
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -17,7 +17,7 @@
 )
 from amaranthtally.policy.stage_times import StageStats
 
-__all__ = ["Router"]
+__all__ = ["NO_ENDPOINTS", "Router"]
 
 LOCAL_CANDIDATES = 4
 REMOTE_CANDIDATES = 2
@@ -26,6 +26,7 @@
 LOCAL_LATENCY_S = 0.001
 LATENCY_WEIGHT = 0.1
 MIN_REPORT_WEIGHT = 0.5
+NO_ENDPOINTS: frozenset[str] = frozenset()
 
 
 class Router:
@@ -83,7 +84,9 @@
         stale, self._stale = self._stale, []
         return [name for name in stale if self._groups.find(name) is not None]
 
-    def predicted_data_centre(self, now: float, arrival: Arrival) -> str:
+    def predicted_data_centre(
+        self, now: float, arrival: Arrival, closed: frozenset[str] = NO_ENDPOINTS
+    ) -> str:
         """Return the data centre where a request will probably run, or ``""``."""
         return ""
 
--- a/packages/policy/src/amaranthtally/policy/sending/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/sending/__init__.py
@@ -7,12 +7,13 @@
 from amaranthtally.policy.sending.endpoint_backoffs import EndpointBackoffs
 from amaranthtally.policy.sending.endpoint_limits import EndpointLimits
 from amaranthtally.policy.sending.leaving_endpoints import LeavingEndpoints
-from amaranthtally.policy.sending.send_restrictions import SendRestrictions, SendWait
+from amaranthtally.policy.sending.send_gate import Obstacle, SendGate, SendWait
 
 __all__ = [
     "EndpointBackoffs",
     "EndpointLimits",
     "LeavingEndpoints",
-    "SendRestrictions",
+    "Obstacle",
+    "SendGate",
     "SendWait",
 ]
--- a/packages/policy/src/amaranthtally/policy/stage_plans.py
+++ b/packages/policy/src/amaranthtally/policy/stage_plans.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping
 
 from amaranthtally.policy.batcher import Batcher
+from amaranthtally.policy.home_regions import Regions
+from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.piece_graph import Piece, PieceGraph
 from amaranthtally.policy.pool_sites import PoolSites
 from amaranthtally.policy.routes import PieceLimits, PieceStage, Pool
@@ -41,14 +43,20 @@
         stages: tuple[PieceStage, ...],
         counts: tuple[int, ...],
         rank: int,
+        regions: Regions | None = None,
     ) -> float:
-        """Return how long the stages of a request take if it arrives now."""
+        """
+        Return how long the stages of a request take if it arrives now.
+
+        They run in ``regions``, or in any with ``None``.
+        """
         ends_s: list[float] = []
         for index, stage in enumerate(stages):
             count = counts[index] if index < len(counts) else 0
             start_s = max((ends_s[i] for i in stage.after if i < index), default=0.0)
             ends_s.append(
-                start_s + (self.stage_time_s(now, stage.pool, rank) if count else 0.0)
+                start_s
+                + (self.stage_time_s(now, stage.pool, rank, regions) if count else 0.0)
             )
         return max(ends_s, default=0.0)
 
@@ -57,9 +65,11 @@
         times_s = [self.stage_time_s(now, stage.pool, rank) for stage in stages]
         return max(times_s, default=0.0)
 
-    def stage_time_s(self, now: float, pool: str, rank: int) -> float:
+    def stage_time_s(
+        self, now: float, pool: str, rank: int, regions: Regions | None = None
+    ) -> float:
         """Return how long a stage takes at the site predicted to finish it first."""
-        candidates = self._batcher.servers.endpoint_by_data_centre(pool)
+        candidates = self._candidates(pool, regions)
         data_centre = self._sites.best_data_centre(now, pool, candidates, rank=rank)
         if data_centre is None:
             return 0.0
@@ -136,6 +146,7 @@
         reader: str,
         on_time_by: float,
         rank: int,
+        regions: Regions | None = None,
     ) -> str | None:
         """
         Return the data centre in which to run a stage, ``None`` without endpoints.
@@ -147,7 +158,8 @@
         transferred.
 
         ``reader`` is the data centre in which the request itself is expected to run,
-        and ``on_time_by`` the time stamp by which its inputs must be ready.
+        and ``on_time_by`` the time stamp by which its inputs must be ready. Only sites
+        in ``regions`` are chosen, unless it is ``None``.
         """
         pool = graph.stages[stage].pool
         saved_bytes: dict[str, float] = {}
@@ -160,8 +172,19 @@
             pieces = self._limits_of(pool).part_size(graph.count(stage))
             output_bytes = pieces * graph.stages[stage].result_bytes
             saved_bytes[reader] = saved_bytes.get(reader, 0.0) + output_bytes
-        candidates = self._batcher.servers.endpoint_by_data_centre(pool)
+        candidates = self._candidates(pool, regions)
         spare_s = on_time_by - self.remaining_time_s(graph, stage) - now
         return self._sites.best_data_centre(
             now, pool, candidates, saved_bytes, spare_s, rank
         )
+
+    def _candidates(self, pool: str, regions: Regions | None) -> dict[str, Endpoint]:
+        """Return one endpoint of a pool for each data centre in these regions."""
+        candidates = self._batcher.servers.endpoint_by_data_centre(pool)
+        if regions is None:
+            return candidates
+        return {
+            data_centre: endpoint
+            for data_centre, endpoint in candidates.items()
+            if endpoint.region in regions
+        }
--- a/packages/policy/src/amaranthtally/policy/staged_requests.py
+++ b/packages/policy/src/amaranthtally/policy/staged_requests.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from amaranthtally.policy.actions import Action
+from amaranthtally.policy.home_regions import Regions
 from amaranthtally.policy.piece_graph import PieceGraph
 
 __all__ = ["CoordinatorEffects", "StagedRequest"]
@@ -15,7 +16,8 @@
 
     ``key`` is the input of the first stages. ``reader`` is the data centre in which the
     request itself is expected to run. ``engine_s`` is how long its engine usually takes
-    until the first event, in seconds.
+    until the first event, in seconds. Its pieces run in ``regions`` only, anywhere if
+    it is ``None``.
     """
 
     graph: PieceGraph
@@ -25,6 +27,7 @@
     priority: int
     reader: str
     engine_s: float
+    regions: Regions | None = None
 
 
 @dataclass(slots=True)
--- a/packages/simulator/src/amaranthtally/simulator/pool_site_mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/pool_site_mechanisms.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-from amaranthtally.policy import Endpoint
+from amaranthtally.policy import Endpoint, Regions
 from amaranthtally.policy.piece_graph import PieceGraph
 from amaranthtally.policy.pool_sites import NO_SAVED_BYTES, PoolSites
 from amaranthtally.policy.stage_plans import StagePlans
@@ -32,12 +32,15 @@
         reader: str,
         on_time_by: float,
         rank: int,
+        regions: Regions | None = None,
     ) -> str | None:
         """Return the data centre of the stage's first input."""
         inputs = graph.inputs_of_stage(stage)
         if inputs:
             return inputs[0].data_centre
-        return super().choose_data_centre(now, graph, stage, reader, on_time_by, rank)
+        return super().choose_data_centre(
+            now, graph, stage, reader, on_time_by, rank, regions
+        )
 
 
 @without("weight of crossing", with_sites)
--- a/packages/simulator/src/amaranthtally/simulator/request_mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/request_mechanisms.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from amaranthtally.policy import Arrival, PieceWork, PolicySettings
+from amaranthtally.policy import Arrival, PieceWork, PolicySettings, Regions
 from amaranthtally.policy.admission import ADMITTED, AdmissionDecision
 from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.request_inputs import RequestInputs
@@ -28,7 +28,11 @@
     """Admits every request, regardless of the wait for its pieces."""
 
     def decide(
-        self, now: float, arrival: Arrival, work: PieceWork
+        self,
+        now: float,
+        arrival: Arrival,
+        work: PieceWork,
+        regions: Regions | None = None,
     ) -> AdmissionDecision:
         """Return the admitting decision."""
         return ADMITTED
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -135,6 +135,10 @@
         self.store.put(f"servers/{name}", endpoint.record(pool, **record))
         return endpoint
 
+    @staticmethod
+    def configuration(version, *routes, **options):
+        return configuration(version, *routes, **options)
+
     def configure(self, version, *routes, **options):
         self.store.put("op/config", configuration(version, *routes, **options))
 
--- a/tests/policy/test_packages.py
+++ b/tests/policy/test_packages.py
@@ -13,6 +13,7 @@
 BELOW_SENDING = {
     "actions",
     "events",
+    "home_regions",
     "limit_messages",
     "model",
     "peer_group",
