Nothing is sent to the endpoints of an evacuated data centre

The items come with the one watch of the whole store and in the records that peers pass on, so no further call is made; a gateway that starts while the store is silent has them from a peer.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -5,12 +5,14 @@
 from typing import Any
 
 from amaranthtally.adapter.configuration import CONFIGURATION_KEY
+from amaranthtally.adapter.evacuations import EVACUATIONS_PREFIX
 from amaranthtally.adapter.servers import SERVERS_PREFIX
 from amaranthtally.daemon.gateway.change_pusher import ChangePusher
 from amaranthtally.daemon.gateway.change_receiver import ChangeReceiver
 from amaranthtally.daemon.gateway.configuration_tracker import ConfigurationTracker
 from amaranthtally.daemon.gateway.document_fetcher import DocumentFetcher
 from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
+from amaranthtally.daemon.gateway.evacuation_tracker import EvacuationTracker
 from amaranthtally.daemon.gateway.held_documents import HeldDocuments
 from amaranthtally.daemon.gateway.membership import (
     ENTRIES_PREFIX,
@@ -89,6 +91,9 @@
         self._records = EndpointRecordTracker(
             routing_state.directory, settings.regions, routing_state.endpoints_changed
         )
+        self._evacuations = EvacuationTracker(
+            settings.regions, routing_state.evacuations_changed
+        )
         self.versions = VersionRecorder(
             settings.name,
             client,
@@ -189,7 +194,9 @@
         return self._receiver.push_received(name, batch, versions)
 
     def _new_replica(self, peer_records: PeerRecordTracker) -> StoreReplica:
+        # Evacuations first: endpoints are not used before it is known where they lie.
         listeners: dict[str, PrefixListener] = {
+            EVACUATIONS_PREFIX: self._evacuations,
             CONFIGURATION_KEY: self.configuration,
             SERVERS_PREFIX: self._records,
             ENTRIES_PREFIX: peer_records,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
@@ -42,6 +42,7 @@
         self._table: RouteTable | None = None
         self._directory = EndpointDirectory()
         self._homes = HomeRegions()
+        self._evacuated: frozenset[str] = frozenset()
         self._has_endpoints = False
         self._revision = 0
         self._entries = DEFAULT_ENTRY_COUNT
@@ -94,6 +95,16 @@
         self._has_endpoints = True
         self._publish()
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The data centres to whose endpoints nothing is sent."""
+        return self._evacuated
+
+    def evacuations_changed(self, data_centres: frozenset[str]) -> None:
+        """Send nothing more to the endpoints in these data centres."""
+        self._evacuated = data_centres
+        self._publish()
+
     def _log_homes(self, homes: HomeRegions) -> None:
         """Log homes by which requests cannot be served, as operators should know."""
         conflicts = homes.conflicts()
@@ -128,6 +139,7 @@
             endpoints=self._directory.endpoints,
             pools=self._table.pools if self._table else {},
             homes=self._homes,
+            evacuated=self._evacuated,
             retry_budget=process.retry_ratio * RETRY_RATIO_FRACTION,
             retry_reserve=max(
                 1.0, RETRY_SLACK_FRACTION * process.retry_slack / self._entries
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -62,6 +62,7 @@
     REQUEST_BLOCKED = "request_blocked"
     RATE_LIMIT = "rate_limit"
     NO_HOME_ENDPOINT = "no_home_endpoint"
+    EVACUATED = "evacuated"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -207,7 +207,8 @@
         for result in results:
             name = result.endpoint
             server = self._servers.find(name)
-            if server is not None:
+            # An evacuated endpoint is sent nothing; it drops results by itself in time.
+            if server is not None and not server.endpoint.is_evacuated:
                 result_stored_s = server.note_freed(now, result.handle)
                 stored_s[name] = max(stored_s.get(name, 0.0), result_stored_s)
                 by_endpoint.setdefault(name, []).append(result.handle)
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -35,7 +35,7 @@
 RECHECK_SHARE = 0.5
 MIN_RECHECK_S = 0.02
 # What keeps a request from an endpoint also if no other one may run it.
-NEVER_SENT = frozenset({Obstacle.NOT_AT_HOME})
+NEVER_SENT = frozenset({Obstacle.NOT_AT_HOME, Obstacle.EVACUATED})
 # A stream is first checked when this many chunks should have come.
 CHUNKS_BEFORE_CHECK = 3.0
 
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -99,7 +99,8 @@
     ``models`` are those that it is configured to serve, all if empty; ``takes_calls``
     is false for a role that serves no calls. ``slots`` is the number of calls that run
     concurrently, 0 if unknown. ``incarnation`` changes with each start of a server that
-    keeps its id. ``version`` is that of its software, "" if unknown.
+    keeps its id. ``version`` is that of its software, "" if unknown. One that
+    ``is_evacuated`` is sent nothing at all.
     """
 
     id: str
@@ -113,6 +114,7 @@
     slots: int = 0
     incarnation: int = 0
     version: str = ""
+    is_evacuated: bool = False
 
     def is_meant_for(self, model: str) -> bool:
         """Whether it is configured to serve a model, loaded or not; "" is any model."""
@@ -156,7 +158,8 @@
     first attempts, and reserves are attempts that may be made beyond the ratios.
     ``not_run_cost`` is the budget cost of a retry if the attempt before it provably did
     not run. Headroom is a share of the deadline. ``pools`` holds the pools whose limits
-    are configured, ``homes`` the regions to which requests are confined.
+    are configured, ``homes`` the regions to which requests are confined, ``evacuated``
+    the data centres to whose endpoints nothing is sent.
     """
 
     revision: int
@@ -176,3 +179,4 @@
     entry: str = ""
     pools: Mapping[str, Pool] = field(default_factory=dict)
     homes: HomeRegions = NO_HOMES
+    evacuated: frozenset[str] = frozenset()
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -44,6 +44,7 @@
     EndpointLimits,
     LeavingEndpoints,
     SendGate,
+    mark_evacuated,
 )
 from amaranthtally.policy.stream_watch import StreamMonitor
 from amaranthtally.policy.timers import Timer, Timers
@@ -315,13 +316,14 @@
     def settings_changed(self, now: float, settings: PolicySettings) -> list[Action]:
         """Apply new settings; requests in flight keep their pipeline."""
         self._registered = settings
-        endpoints = self._leaving.apply(settings.endpoints)
+        endpoints = mark_evacuated(settings.endpoints, settings.evacuated)
+        endpoints = self._leaving.apply(endpoints)
         if endpoints is not settings.endpoints:
             settings = replace(settings, endpoints=endpoints)
         self._configure(now, settings)
         ended = self._prompt_checks.endpoints_changed(now, settings.endpoints)
         if self._gate.configure(settings):
-            return [*ended, *self._apply_homes(now)]
+            return [*ended, *self._apply_places(now)]
         return ended
 
     def caller_disconnected(self, now: float, request_id: str) -> list[Action]:
@@ -375,7 +377,7 @@
             arrival.request_id, RequestOutcome.NOT_RUN, reason, refused.retry_after_s
         )
 
-    def _apply_homes(self, now: float) -> list[Action]:
+    def _apply_places(self, now: float) -> list[Action]:
         """Confine requests in flight by new homes; refuse those without a place."""
         actions: list[Action] = []
         for request in self._ledger.requests:
--- a/packages/policy/src/amaranthtally/policy/sending/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/sending/__init__.py
@@ -6,6 +6,7 @@
 
 from amaranthtally.policy.sending.endpoint_backoffs import EndpointBackoffs
 from amaranthtally.policy.sending.endpoint_limits import EndpointLimits
+from amaranthtally.policy.sending.evacuations import mark_evacuated
 from amaranthtally.policy.sending.leaving_endpoints import LeavingEndpoints
 from amaranthtally.policy.sending.send_gate import Obstacle, SendGate, SendWait
 
@@ -16,4 +17,5 @@
     "Obstacle",
     "SendGate",
     "SendWait",
+    "mark_evacuated",
 ]
--- a/packages/policy/src/amaranthtally/policy/sending/send_gate.py
+++ b/packages/policy/src/amaranthtally/policy/sending/send_gate.py
@@ -20,6 +20,7 @@
     """Why nothing may be sent to an endpoint."""
 
     LEAVING = "leaving"
+    EVACUATED = "evacuated"
     NOT_AT_HOME = "not_at_home"
     BACKOFF = "backoff"
     RATE_LIMIT = "rate_limit"
@@ -46,12 +47,13 @@
         self._backoffs = backoffs
         self._homes = HomeRegions()
         self._endpoints: Mapping[str, Endpoint] = {}
+        self._evacuated = NO_ENDPOINTS
         self._abroad: dict[Regions, frozenset[str]] = {}
         self._open_regions: dict[str, set[str]] = {}
 
     def configure(self, settings: PolicySettings) -> bool:
         """Apply new settings; return whether requests may now be without a place."""
-        homes_changed = settings.homes != self._homes
+        has_changed = settings.homes != self._homes
         self._homes = settings.homes
         if settings.endpoints is not self._endpoints:
             self._endpoints = settings.endpoints
@@ -61,7 +63,14 @@
                 if endpoint.takes_calls:
                     regions = self._open_regions.setdefault(endpoint.pool, set())
                     regions.add(endpoint.region)
-        return homes_changed
+            evacuated = frozenset(
+                name
+                for name, endpoint in settings.endpoints.items()
+                if endpoint.is_evacuated
+            )
+            has_changed = has_changed or evacuated != self._evacuated
+            self._evacuated = evacuated
+        return has_changed
 
     # Requests
 
@@ -73,10 +82,16 @@
         self, pools: Iterable[str], regions: Regions | None
     ) -> RefusalReason | None:
         """Return why a request that needs these pools has no place, if it has none."""
-        if regions is None:
+        if regions is None and not self._evacuated:
             return None
         for pool in pools:
-            if regions.isdisjoint(self._open_regions.get(pool, NO_ENDPOINTS)):
+            open_regions = self._open_regions.get(pool, NO_ENDPOINTS)
+            is_open = open_regions if regions is None else regions & open_regions
+            if is_open:
+                continue
+            if self._is_evacuated(pool, regions):
+                return RefusalReason.EVACUATED
+            if regions is not None:
                 return RefusalReason.NO_HOME_ENDPOINT
         return None
 
@@ -84,7 +99,9 @@
 
     def closed(self, now: float, regions: Regions | None) -> frozenset[str]:
         """Return the endpoints to which a request must not be sent now."""
-        closed = self._limits.blocked(now) | self._backoffs.active(now)
+        closed = (
+            self._limits.blocked(now) | self._backoffs.active(now) | self._evacuated
+        )
         return closed if regions is None else closed | self._outside(regions)
 
     def obstacle(
@@ -93,6 +110,8 @@
         """Return why a request must not be sent to an endpoint, ``None`` if it may."""
         if regions is not None and endpoint.region not in regions:
             return Obstacle.NOT_AT_HOME
+        if endpoint.id in self._evacuated:
+            return Obstacle.EVACUATED
         if not endpoint.takes_calls:
             return Obstacle.LEAVING
         if endpoint.id in self._backoffs.active(now):
@@ -122,12 +141,20 @@
         permits = self._limits.waits_s(now, pool)
         backoffs = self._backoffs.waits_s(now, pool)
         outside = NO_ENDPOINTS if regions is None else self._outside(regions)
+        outside |= self._evacuated
         waits = [
             _longer(permits.get(name, 0.0), backoffs.get(name, 0.0))
             for name in {*permits, *backoffs} - outside
         ]
         return min(waits, key=lambda wait: wait.wait_s, default=None)
 
+    def _is_evacuated(self, pool: str, regions: Regions | None) -> bool:
+        endpoints = (self._endpoints[name] for name in self._evacuated)
+        return any(
+            endpoint.pool == pool and (regions is None or endpoint.region in regions)
+            for endpoint in endpoints
+        )
+
     def _outside(self, regions: Regions) -> frozenset[str]:
         """Return the endpoints outside of these regions."""
         outside = self._abroad.get(regions)
