Cold endpoints take the requests of all gateways together that their pool's limit allows

A cold endpoint crashes well above coldPerS requests a second from all gateways; nothing read coldLeftMs. By its record, after a start that this gateway sees, and after an evacuation, whatever the record says; a year is cut to a minute.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from dataclasses import replace
 
 from result import Err
 
@@ -59,6 +60,7 @@
                 address=endpoint.address,
                 version=endpoint.version,
                 takes_calls=endpoint.takes_calls,
+                cold_s=endpoint.cold_s,
                 revision=item.revision,
             )
         self._on_change()
@@ -90,4 +92,4 @@
                 self._logged_revisions[item.key] = item.revision
                 log.warning("record_malformed", key=item.key, cause=decoded.err_value)
             return None
-        return decoded.ok_value
+        return replace(decoded.ok_value, revision=item.revision)
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -63,6 +63,7 @@
     RATE_LIMIT = "rate_limit"
     NO_HOME_ENDPOINT = "no_home_endpoint"
     EVACUATED = "evacuated"
+    COLD = "cold"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -100,7 +100,8 @@
     is false for a role that serves no calls. ``slots`` is the number of calls that run
     concurrently, 0 if unknown. ``incarnation`` changes with each start of a server that
     keeps its id. ``version`` is that of its software, "" if unknown. One that
-    ``is_evacuated`` is sent nothing at all.
+    ``is_evacuated`` is sent nothing at all. By its record, which has this ``revision``,
+    it stays cold for ``cold_s`` seconds from when it was written.
     """
 
     id: str
@@ -115,6 +116,8 @@
     incarnation: int = 0
     version: str = ""
     is_evacuated: bool = False
+    cold_s: float = 0.0
+    revision: int = 0
 
     def is_meant_for(self, model: str) -> bool:
         """Whether it is configured to serve a model, loaded or not; "" is any model."""
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -40,6 +40,7 @@
 from amaranthtally.policy.request_ledger import Counters, RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.sending import (
+    ColdEndpoints,
     EndpointBackoffs,
     EndpointLimits,
     LeavingEndpoints,
@@ -112,6 +113,7 @@
         self._limits = EndpointLimits(
             self._peers, self._coordinator.batcher.servers.note_rate_limit
         )
+        self._cold = ColdEndpoints()
         self._backoffs = EndpointBackoffs(
             self._coordinator.batcher.servers.note_backoff
         )
@@ -348,6 +350,8 @@
         actions.extend(self._load_poller.due_polls(now))
         actions.extend(self._inputs.free_fetched(now, self._ledger))
         actions.extend(self._apply_effects(now, self._coordinator.tick(now)))
+        if now >= self._cold.next_end:
+            self._limits.set_cold_rates(now, self._cold.rates(now))
         actions.extend(self._limits.tick(now))
         actions.extend(self._permit_waits.tick(now))
         actions.extend(self._prompts.tick(now))
@@ -516,6 +520,8 @@
         self._failures.configure(settings.not_run_cost)
         self._peers.set_name(settings.entry)
         self._limits.configure(settings.endpoints)
+        self._cold.configure(now, settings.endpoints, settings.pools)
+        self._limits.set_cold_rates(now, self._cold.rates(now))
         self._backoffs.configure(settings.endpoints)
         self._accounts.configure(settings.accounts, settings.entries)
         self._admission.configure(settings.admission_headroom)
--- a/packages/policy/src/amaranthtally/policy/routes.py
+++ b/packages/policy/src/amaranthtally/policy/routes.py
@@ -119,12 +119,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Pool:
-    """Interchangeable endpoints; the limits are those of one endpoint."""
+    """
+    Interchangeable endpoints; the limits are those of one endpoint.
+
+    One that is cold takes ``cold_rate`` requests a second, any number with 0. It is
+    cold for ``cold_start_s`` seconds after its start, and may become so later.
+    """
 
     name: str
     max_connections: int = 0
     pieces: PieceLimits | None = None
     engine: EngineLimits | None = None
+    cold_rate: float = 0.0
+    cold_start_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/sending/endpoint_limits.py
+++ b/packages/policy/src/amaranthtally/policy/sending/endpoint_limits.py
@@ -28,6 +28,8 @@
 __all__ = ["EndpointLimits"]
 
 EXPIRY_INTERVAL_S = 1.0
+# Share of a limit that an entry issues in place of one that is alive by its record.
+STAND_IN_SHARE = 0.5
 
 NO_ENDPOINTS: frozenset[str] = frozenset()
 
@@ -45,6 +47,8 @@
         self._peers = peers
         self._endpoints: Mapping[str, Endpoint] = {}
         self._table = RateLimitTable()
+        self._cold: Mapping[str, float] = {}
+        # The limits in force: those that endpoints name, and those of cold ones.
         self._rates: Mapping[str, float] = {}
         self._issuer = PermitIssuer()
         # Since when this entry has been the issuer of an endpoint, without a break.
@@ -67,14 +71,28 @@
     def configure(self, endpoints: Mapping[str, Endpoint]) -> None:
         """Set the registered endpoints."""
         self._endpoints = endpoints
-        if not len(self._table):
+        if not self._has_limits:
             return
         self._table.endpoints_changed(endpoints)
-        self._rates = self._table.rates
+        self._rates = self._strictest()
         self._stock.keep(self._rates)
         for endpoint, rate in self._rates.items():
             self._on_rate(endpoint, rate)
 
+    def set_cold_rates(self, now: float, rates: Mapping[str, float]) -> None:
+        """Set the limits of the cold endpoints, in requests a second."""
+        if rates == self._cold:
+            return
+        ended = self._cold.keys() - rates.keys()
+        self._cold = rates
+        self._refresh(now)
+        for name in (*ended, *rates):
+            self._on_rate(name, self._rates.get(name))
+
+    def is_cold(self, endpoint: str) -> bool:
+        """Whether an endpoint has a limit because it is cold."""
+        return endpoint in self._cold
+
     def peers_changed(self) -> list[Action]:
         """Pass on to new entries what is known."""
         newcomers = self._peers.newcomers
@@ -95,7 +113,7 @@
         if notice is None:
             return []
         self._refresh(now)
-        self._on_rate(notice.endpoint, notice.rate)
+        self._on_rate(notice.endpoint, self._rates.get(notice.endpoint))
         return [
             RateLimitChanged(notice, is_own=True),
             *self._spread((notice,)),
@@ -110,7 +128,7 @@
             return []
         self._refresh(now)
         for notice in newer:
-            self._on_rate(notice.endpoint, notice.rate)
+            self._on_rate(notice.endpoint, self._rates.get(notice.endpoint))
         changes = [RateLimitChanged(notice, is_own=False) for notice in newer]
         return [*changes, *self._spread(newer)]
 
@@ -166,10 +184,10 @@
 
     def tick(self, now: float) -> list[Action]:
         """Ask for the permits that are wanted, and repeat what is known to peers."""
-        if not len(self._table):
+        if not self._has_limits:
             return []
         actions = self._ask(now)
-        if now >= self._repeat_at:
+        if now >= self._repeat_at and len(self._table):
             self._repeat_at = now + REPEAT_INTERVAL_S
             receivers = self._peers.repeat_receivers()
             if receivers:
@@ -189,7 +207,7 @@
             # out too, and issues the permits itself.
             self._to_check.add(ask.endpoint)
             return PermitAnswer(ask.endpoint, (), 2 * MIN_RETRY_S)
-        return self._issuer.answer(now, asker, ask, since)
+        return self._issue(now, asker, ask, since)
 
     def _ask(self, now: float) -> list[Action]:
         asks: dict[str, list[PermitAsk]] = {}
@@ -203,10 +221,19 @@
             if since is None:
                 asks.setdefault(self._peers.responsible(now, name), []).append(ask)
             elif wanted:
-                answer = self._issuer.answer(now, self._peers.name, ask, since)
+                answer = self._issue(now, self._peers.name, ask, since)
                 self._stock.answered(now, answer)
         return [AskPermits(peer, tuple(listed)) for peer, listed in asks.items()]
 
+    def _issue(
+        self, now: float, asker: str, ask: PermitAsk, since: float
+    ) -> PermitAnswer:
+        # The entry that is first in rank does not answer this one, but may be alive:
+        # both then issue permits, each to a part of a fleet that is cut in two.
+        if self._peers.ranked(ask.endpoint)[0] != self._peers.name:
+            ask = ask._replace(rate=ask.rate * STAND_IN_SHARE)
+        return self._issuer.answer(now, asker, ask, since)
+
     def _note_issuer(self, now: float, endpoint: str) -> float | None:
         """Return since when this entry is an endpoint's issuer, ``None`` if not."""
         if self._peers.responsible(now, endpoint):
@@ -225,8 +252,18 @@
         receivers = self._peers.receivers()
         return [SpreadRateLimits(receivers, notices)] if receivers else []
 
+    @property
+    def _has_limits(self) -> bool:
+        return bool(self._cold) or bool(len(self._table))
+
+    def _strictest(self) -> Mapping[str, float]:
+        rates = dict(self._table.rates)
+        for name, rate in self._cold.items():
+            rates[name] = min(rate, rates.get(name, rate))
+        return rates
+
     def _refresh(self, now: float) -> None:
-        self._rates = self._table.rates
+        self._rates = self._strictest()
         self._stock.keep(self._rates)
         for name, rate in self._rates.items():
-            self._stock.open(now, name, rate)
+            self._stock.open(now, name, rate, is_cold=name in self._cold)
--- a/packages/policy/src/amaranthtally/policy/sending/permits.py
+++ b/packages/policy/src/amaranthtally/policy/sending/permits.py
@@ -23,6 +23,11 @@
 # How far ahead permits are issued, and how long each remains valid, in seconds.
 HORIZON_S = 0.5
 PERMIT_TTL_S = 1.5
+# Most permits of a cold endpoint that may lie unused, and the least time for which each
+# remains valid, in seconds. Its bound counts single seconds, and permits that were kept
+# could add up to more than it allows.
+COLD_PERMITS_KEPT = 5.0
+MIN_PERMIT_TTL_S = 0.5
 # How long an entry waits before it issues the first permit of an endpoint, in seconds:
 # until the last permit of an earlier issuer has expired, and all know the limit.
 HOLD_OFF_S = HORIZON_S + PERMIT_TTL_S + 0.1
@@ -102,6 +107,7 @@
 class _Held:
     """Permits by the time stamps from which they are valid, earliest first."""
 
+    ttl_s: float = PERMIT_TTL_S
     valid_from: list[float] = field(default_factory=list)
     wanted: int = 0
     asked_at: float = 0.0
@@ -121,7 +127,7 @@
         held = self._held.get(endpoint)
         if held is None:
             return False
-        while held.valid_from and held.valid_from[0] + PERMIT_TTL_S < now:
+        while held.valid_from and held.valid_from[0] + held.ttl_s < now:
             held.valid_from.pop(0)
         return bool(held.valid_from) and held.valid_from[0] <= now
 
@@ -130,16 +136,20 @@
         if self.has(now, endpoint):
             self._held[endpoint].valid_from.pop(0)
 
-    def open(self, now: float, endpoint: str, rate: float) -> None:
+    def open(
+        self, now: float, endpoint: str, rate: float, is_cold: bool = False
+    ) -> None:
         """
         Hold permits of an endpoint with a limit that has just become known.
 
         Unless requests wait, each entry asks first at a random time.
         """
-        if endpoint not in self._held:
+        held = self._held.get(endpoint)
+        if held is None:
             share_s = self._peers.size / max(MIN_RATE, rate) / ASKS_PER_PERMIT
             ask_at = now + min(MAX_RETRY_S, share_s) * self._peers.random.random()
-            self._held[endpoint] = _Held(ask_at=ask_at)
+            held = self._held[endpoint] = _Held(ask_at=ask_at)
+        held.ttl_s = _permit_ttl_s(rate) if is_cold else PERMIT_TTL_S
 
     def note_wanted(self, endpoint: str) -> None:
         """Note that a request could be sent to an endpoint."""
@@ -166,8 +176,8 @@
         held = self._held.get(endpoint)
         if held is None or held.is_asking or now < held.ask_at or not held.wanted:
             return 0
-        elapsed_s = max(PERMIT_TTL_S, now - held.asked_at)
-        wanted = ceil(held.wanted * PERMIT_TTL_S / elapsed_s) - len(held.valid_from)
+        elapsed_s = max(held.ttl_s, now - held.asked_at)
+        wanted = ceil(held.wanted * held.ttl_s / elapsed_s) - len(held.valid_from)
         if wanted <= 0:
             return 0
         held.wanted = 0
@@ -197,3 +207,9 @@
     def keep(self, rates: Mapping[str, float]) -> None:
         """Drop the permits of endpoints that name no limit any more."""
         self._held = {name: h for name, h in self._held.items() if name in rates}
+
+
+def _permit_ttl_s(cold_rate: float) -> float:
+    """Return how long permits of a cold endpoint remain valid, in seconds."""
+    kept_s = COLD_PERMITS_KEPT / max(MIN_RATE, cold_rate)
+    return min(PERMIT_TTL_S, max(MIN_PERMIT_TTL_S, kept_s))
--- a/packages/policy/src/amaranthtally/policy/sending/send_gate.py
+++ b/packages/policy/src/amaranthtally/policy/sending/send_gate.py
@@ -24,6 +24,7 @@
     NOT_AT_HOME = "not_at_home"
     BACKOFF = "backoff"
     RATE_LIMIT = "rate_limit"
+    COLD = "cold"
 
 
 class SendWait(NamedTuple):
@@ -117,7 +118,8 @@
         if endpoint.id in self._backoffs.active(now):
             return Obstacle.BACKOFF
         if endpoint.id in self._limits.blocked(now):
-            return Obstacle.RATE_LIMIT
+            is_cold = self._limits.is_cold(endpoint.id)
+            return Obstacle.COLD if is_cold else Obstacle.RATE_LIMIT
         return None
 
     def note_wanted(self, pool: str) -> None:
@@ -143,11 +145,18 @@
         outside = NO_ENDPOINTS if regions is None else self._outside(regions)
         outside |= self._evacuated
         waits = [
-            _longer(permits.get(name, 0.0), backoffs.get(name, 0.0))
+            self._longer(name, permits.get(name, 0.0), backoffs.get(name, 0.0))
             for name in {*permits, *backoffs} - outside
         ]
         return min(waits, key=lambda wait: wait.wait_s, default=None)
 
+    def _longer(self, endpoint: str, permit_s: float, backoff_s: float) -> SendWait:
+        if backoff_s > permit_s:
+            return SendWait(backoff_s, RefusalReason.OVERLOAD)
+        is_cold = self._limits.is_cold(endpoint)
+        reason = RefusalReason.COLD if is_cold else RefusalReason.RATE_LIMIT
+        return SendWait(permit_s, reason)
+
     def _is_evacuated(self, pool: str, regions: Regions | None) -> bool:
         endpoints = (self._endpoints[name] for name in self._evacuated)
         return any(
@@ -165,9 +174,3 @@
                 if endpoint.region not in regions
             )
         return outside
-
-
-def _longer(permit_s: float, backoff_s: float) -> SendWait:
-    if backoff_s > permit_s:
-        return SendWait(backoff_s, RefusalReason.OVERLOAD)
-    return SendWait(permit_s, RefusalReason.RATE_LIMIT)
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -349,3 +349,46 @@
     head = read_response_head(200, CIMultiDict({names.LEAVING: value}))
     assert head.leaving is is_leaving
     assert (names.LEAVING, value) in head.headers
+
+
+# Places
+
+
+def test_home_regions_of_routes_and_accounts_are_decoded():
+    tenants = [{"name": "a", "apiKeys": ["k", "l"], "allowedRegions": ["east"]}]
+    routes = [ROUTE | {"allowedRegions": ["east", "west"]}, ROUTE | {"name": "q"}]
+    homes = table_of(routes=routes, tenants=tenants).homes
+    assert homes.allowed("r", "") == {"east", "west"}
+    assert homes.allowed("r", "a") == {"east"}
+    assert homes.allowed("q", "a") == {"east"}
+    assert homes.allowed("q", "b") is None
+
+
+@pytest.mark.parametrize("nowhere", [{}, {"allowedRegions": []}])
+def test_a_route_without_home_regions_is_served_anywhere(nowhere):
+    """Guards against an empty list that is taken for a ban."""
+    table = table_of(routes=[ROUTE | nowhere], tenants=[{"name": "a"} | nowhere])
+    assert table.homes.allowed("r", "a") is None
+
+
+def test_what_a_pool_says_of_cold_endpoints_is_decoded():
+    service = SERVICE | {"coldStartS": 3.0, "coldPerS": 9.0}
+    pool = table_of(services=[service]).pools["p"]
+    assert (pool.cold_start_s, pool.cold_rate) == (3.0, 9.0)
+    assert table_of(services=[SERVICE]).pools["p"].cold_rate == 0.0
+
+
+@pytest.mark.parametrize(
+    ("left", "expected"), [(2500, 2.5), (0, 0.0), (-1, 0.0), (3.2e10, 3.2e7)]
+)
+def test_how_long_an_endpoint_stays_cold_is_decoded(left, expected):
+    record = {
+        "service": "s",
+        "address": "10.0.0.1:1",
+        "zone": "z",
+        "slots": 1,
+        "state": "ready",
+    }
+    body = json.dumps(record | {"coldLeftMs": left}).encode()
+    assert read_endpoint("servers/i", body, {}).unwrap().cold_s == expected
+    assert read_endpoint("servers/i", json.dumps(record).encode(), {}).is_ok()
