--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_signals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_signals.py
@@ -36,6 +36,11 @@
         """Number of endpoints that have asked this gateway to back off."""
         return len(self._planner.backoffs.active(self._time()))
 
+    @property
+    def cold(self) -> int:
+        """Number of endpoints that are sent few requests, as they are cold."""
+        return self._planner.limits.cold_count
+
     def backoff_left_s(self, endpoint: str) -> float:
         """Return how much longer an endpoint's backoff lasts, in seconds."""
         return self._planner.backoffs.left_s(self._time(), endpoint)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -59,6 +59,8 @@
     connections_closed_unread: int
     prompt_parts_blocked: int
     endpoints_backing_off: int
+    endpoints_cold: int
+    data_centres_evacuated: int
     requests_blocked: int
     log_lines_lost: int
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -221,6 +221,8 @@
             rate_limits=executor.rate_limits.count,
             prompt_parts_blocked=executor.prompts.blocked_count,
             endpoints_backing_off=executor.signals.backing_off,
+            endpoints_cold=executor.signals.cold,
+            data_centres_evacuated=len(routing_state.evacuated),
             requests_blocked=executor.prompts.blocked_requests,
             log_lines_lost=writer.dropped,
         )
--- a/packages/policy/src/amaranthtally/policy/sending/endpoint_limits.py
+++ b/packages/policy/src/amaranthtally/policy/sending/endpoint_limits.py
@@ -89,6 +89,11 @@
         for name in (*ended, *rates):
             self._on_rate(name, self._rates.get(name))
 
+    @property
+    def cold_count(self) -> int:
+        """Number of endpoints that have a limit because they are cold."""
+        return len(self._cold)
+
     def is_cold(self, endpoint: str) -> bool:
         """Whether an endpoint has a limit because it is cold."""
         return endpoint in self._cold
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -14,6 +14,7 @@
 
 from tests.soak.callers import Callers
 from tests.soak.faults import FAULTS, ask_backoff, name_limit, roll_in_outage
+from tests.soak.places import play_places
 from tests.soak.soak_run import DEFAULT_GATEWAYS, open_soak
 
 CONCURRENCY = 12
@@ -34,7 +35,14 @@
 
 
 async def run_soak(
-    seed, seconds, folder, gateways=DEFAULT_GATEWAYS, rolls=0, limits=0, backoffs=0
+    seed,
+    seconds,
+    folder,
+    gateways=DEFAULT_GATEWAYS,
+    rolls=0,
+    limits=0,
+    backoffs=0,
+    places=False,
 ):
     """
     Run one seed; return the violations and the number of responses by status.
@@ -42,7 +50,8 @@
     All gateways are also stopped in turn ``rolls`` times while the store is away. These
     rolls have random numbers of their own, and leave the other faults of a seed alone.
     So have ``limits``, the number of endpoints that name a rate limit meanwhile, and
-    ``backoffs``, the number of those that ask for a backoff.
+    ``backoffs``, the number of those that ask for a backoff. With ``places`` data
+    centres are evacuated in series, engines turn cold, and a route has a home region.
     """
     random = Random(seed)
     async with open_soak(folder, gateways) as run:
@@ -56,8 +65,12 @@
         backing_off = [
             asyncio.create_task(ask_backoff(run, own)) for _ in range(backoffs)
         ]
+        end_at = time.monotonic() + seconds
+        own = Random(seed + 3)
+        placing = [play_places(run, own, end_at)] if places else []
+        placing = [asyncio.create_task(work) for work in placing]
         await _inject_faults(run, random, loop.time() + seconds)
-        await asyncio.gather(rolling, *limiting, *backing_off)
+        await asyncio.gather(rolling, *limiting, *backing_off, *placing)
         await calling
         await _check_recovery(run, random)
         check_records(run, callers)
@@ -184,6 +197,11 @@
         default=0,
         help="number of endpoints that ask for a backoff",
     )
+    parser.add_argument(
+        "--places",
+        action="store_true",
+        help="evacuate data centres, cool engines down, and confine a route",
+    )
     arguments = parser.parse_args()
     has_violations = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
@@ -196,6 +214,7 @@
                 arguments.rolls,
                 arguments.limits,
                 arguments.backoffs,
+                arguments.places,
             )
             violations, statuses = asyncio.run(coroutine)
         has_violations |= bool(violations)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -212,5 +212,7 @@
 
 async def _store_fault(run, random, kind):
     setattr(run.store.faults, kind, True)
+    run.store_fault_at = float("inf")
     await asyncio.sleep(random_duration_s(random))
     setattr(run.store.faults, kind, False)
+    run.store_fault_at = time.monotonic()
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -71,6 +71,8 @@
         self.faulted = set()
         # When the last process fault of each gateway ended.
         self.last_fault_at = {}
+        # When the last fault of the store, or of a gateway's link to it, ended.
+        self.store_fault_at = 0.0
         # The gateway to which each request was sent, by its id.
         self.sent_to = {}
         self.violations = []
@@ -78,6 +80,7 @@
         self._addresses = {}
         self._version = 0
         self._additional_routes = []
+        self._services = SERVICES
 
     async def start(self):
         for pool, (kind, count) in ENDPOINTS.items():
@@ -118,9 +121,15 @@
         """Write a new version of the configuration; return its number."""
         self._version += 1
         routes = (*ROUTES, *self._additional_routes)
-        self.cluster.configure(self._version, *routes, services=SERVICES)
+        self.cluster.configure(self._version, *routes, services=self._services)
         return self._version
 
+    def configure_places(self, routes, services):
+        """Write a version with these routes and services beside the others."""
+        self._additional_routes += routes
+        self._services = [*SERVICES, *services]
+        return self.configure()
+
     def write_larger_version(self, random):
         """
         Write a version with ``ADDITIONAL_ROUTES`` more routes; return its number.
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -51,6 +51,20 @@
     assert statuses[200] > 100
 
 
+PLACES_SEEDS = {10203: "has not failed"}
+PLACES_SECONDS = 16.0
+
+
+@pytest.mark.parametrize("seed", PLACES_SEEDS)
+def test_guarantees_hold_while_places_change(seed, tmp_path):
+    """Guards against evacuations, homes and cold endpoints that a fault lets forget."""
+    violations, statuses = run_async(
+        run_soak(seed, PLACES_SECONDS, tmp_path, rolls=1, places=True)
+    )
+    assert violations == []
+    assert statuses[200] > 100
+
+
 @pytest.mark.parametrize("seed", [10101])
 def test_guarantees_hold_while_endpoints_ask_for_backoffs(seed, tmp_path):
     """Guards against backoffs that are lost in reloads, changes and cut links."""
