--- a/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/day_commands.py
@@ -1,6 +1,7 @@
 """The commands ``experiment draw``, ``experiment run`` and ``experiment search``."""
 
 import sys
+from collections.abc import Callable
 from contextlib import closing
 from pathlib import Path
 from typing import Annotated
@@ -30,7 +31,7 @@
     read_deployment,
     write_deployment,
 )
-from amaranthtally.simulator.draw import draw_deployment
+from amaranthtally.simulator.draw import FAMILIES
 from amaranthtally.simulator.errors import DeploymentError
 from amaranthtally.simulator.faults import check_faults
 from amaranthtally.simulator.mechanisms import POLICY, variant_names
@@ -45,6 +46,7 @@
 # A search uses short days, because violations show soon after a fault.
 SEARCH_S = 16.0
 DAY_S = 24.0
+DEFAULT_FAMILY = "mixed"
 
 Count = Annotated[int, Parameter(validator=validators.Number(gte=1))]
 
@@ -56,18 +58,20 @@
     app.command(search, name="search")
 
 
-def draw(*, seed: int, out: Path) -> int:
+def draw(*, seed: int, family: str = DEFAULT_FAMILY, out: Path) -> int:
     """
     Write a randomly drawn deployment and its day to a file.
 
     Parameters
     ----------
+    family
+        Family of deployments to draw from: mixed or regional.
     seed
         Seed of the draw; the same seed gives the same file.
     out
         TOML file to write.
     """
-    write_deployment(out, draw_deployment(seed))
+    write_deployment(out, _family(family)(seed))
     return 0
 
 
@@ -75,6 +79,7 @@
     *files: Path,
     drawn: int = 0,
     first: int = 1,
+    family: str = DEFAULT_FAMILY,
     variants: list[str] | None = None,
     seconds: float = DAY_S,
     seeds: Count = 4,
@@ -96,6 +101,8 @@
         Number of randomly drawn deployments to add.
     first
         Seed of the first drawn deployment; the next ones count up.
+    family
+        Family of deployments to draw from: mixed or regional.
     seconds
         Duration of the arrivals on drawn days, in seconds.
     variants
@@ -108,7 +115,7 @@
         Directory for the log of days, the table, the plot and the result as JSON.
     """
     try:
-        deployments = _deployments(files, range(first, first + drawn), seconds)
+        deployments = _deployments(files, range(first, first + drawn), family, seconds)
         selected = _select_variants(variants)
     except DeploymentError as error:
         sys.stderr.write(f"{error}\n")
@@ -124,7 +131,13 @@
     return EXIT_VIOLATION if _policy_has_violations(days) else 0
 
 
-def search(*, days: Count = 50, first: int = 1, jobs: Count = 2) -> int:
+def search(
+    *,
+    days: Count = 50,
+    first: int = 1,
+    family: str = DEFAULT_FAMILY,
+    jobs: Count = 2,
+) -> int:
     """
     Simulate the policy on short, randomly drawn days and report violated invariants.
 
@@ -136,10 +149,13 @@
         Number of days.
     first
         Seed of the first day; the next ones count up.
+    family
+        Family of deployments to draw from: mixed or regional.
     jobs
         Number of processes that simulate days in parallel.
     """
-    drawn = [draw_deployment(first + n, seconds=SEARCH_S) for n in range(days)]
+    draw_day = _family(family)
+    drawn = [draw_day(first + n, seconds=SEARCH_S) for n in range(days)]
     requested_jobs = day_jobs(drawn, [1], [POLICY.name])
     finished: dict[DayTrial, DayResult] = {}
     console = Console(stderr=True)
@@ -153,18 +169,23 @@
 
 
 def _deployments(
-    files: tuple[Path, ...], drawn: range, seconds: float
+    files: tuple[Path, ...], drawn: range, family: str, seconds: float
 ) -> list[Deployment]:
     from_files = [read_deployment(path) for path in files]
     for path, deployment in zip(files, from_files, strict=True):
         check_faults(path, deployment)
-    deployments = from_files + [draw_deployment(seed, seconds) for seed in drawn]
+    deployments = from_files + [_family(family)(seed, seconds) for seed in drawn]
     if not deployments:
         remedy = "name deployment files or give --drawn"
         raise DeploymentError("experiment run", "no deployment is given", remedy)
     return deployments
 
 
+def _family(name: str) -> Callable[..., Deployment]:
+    check_known("experiment", "--family", name, list(FAMILIES))
+    return FAMILIES[name]
+
+
 def _select_variants(names: list[str] | None) -> list[str]:
     known = variant_names()
     selected = names or known
--- a/packages/simulator/src/amaranthtally/simulator/callers.py
+++ b/packages/simulator/src/amaranthtally/simulator/callers.py
@@ -40,11 +40,14 @@
         random = self.random_for(kind.name, number)
         session = random.randrange(kind.sessions)
         shared = self.random_for(kind.name, "session", session)
+        head = self.random_for(kind.name, "head", session % max(1, kind.heads))
         sizes = [
+            _draw_int(head, kind.head_tokens) if kind.heads else 0,
             _draw_int(shared, kind.shared_tokens),
             _draw_int(random, kind.own_tokens),
         ]
         segments = [
+            head.getrandbits(SEGMENT_ID_BITS),
             shared.getrandbits(SEGMENT_ID_BITS),
             random.getrandbits(SEGMENT_ID_BITS),
         ]
--- a/packages/simulator/src/amaranthtally/simulator/deployment.py
+++ b/packages/simulator/src/amaranthtally/simulator/deployment.py
@@ -103,7 +103,8 @@
     by ``objective_s`` and ``late_worth`` by ``deadline_s``. Requests arrive in groups
     of ``clump``. Callers disconnect after ``patience_s`` without a first event; 0
     disables this timeout. The requests of each of the ``sessions`` share a prompt
-    prefix of ``shared_tokens``.
+    prefix of ``shared_tokens``; before it, sessions share one of ``heads`` parts of
+    ``head_tokens``, none if there are no heads.
     """
 
     name: str
@@ -125,6 +126,8 @@
     own_tokens: Range = (0, 0)
     answer_tokens: Range = (1, 1)
     sessions: int = 50
+    head_tokens: Range = (0, 0)
+    heads: int = 0
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/simulator/src/amaranthtally/simulator/draw.py
+++ b/packages/simulator/src/amaranthtally/simulator/draw.py
@@ -1,5 +1,6 @@
 """Random deployments, drawn from a seed."""
 
+from collections.abc import Callable
 from random import Random
 
 import msgspec
@@ -15,8 +16,16 @@
     Stage,
 )
 
-__all__ = ["draw_deployment"]
+__all__ = ["FAMILIES", "draw_deployment", "draw_regional_deployment"]
 
+DrawFamily = Callable[..., Deployment]
+# The families of drawn deployments, by name.
+FAMILIES: dict[str, DrawFamily] = {}
+
+REGIONS = ("cluj", "iasi", "bucuresti")
+# Numbers of heads that the prompts of a kind may begin with, and their longest in
+# tokens.
+HEADS = ((4, 4000), (16, 1200), (80, 400))
 CALL_S = 0.2
 # Time that the pieces of a full call add to ``CALL_S``, in seconds.
 FULL_BATCH_S = 0.17
@@ -47,6 +56,17 @@
 GLOBAL_FAULTS = frozenset({"kill_all", "rolling_stop"})
 
 
+def family(name: str) -> Callable[[DrawFamily], DrawFamily]:
+    """Return a decorator that registers a family of drawn deployments."""
+
+    def register(draw: DrawFamily) -> DrawFamily:
+        FAMILIES[name] = draw
+        return draw
+
+    return register
+
+
+@family("mixed")
 def draw_deployment(
     seed: int, seconds: float = 24.0, faults: int | None = None
 ) -> Deployment:
@@ -70,6 +90,56 @@
     return msgspec.structs.replace(deployment, faults=planned)
 
 
+@family("regional")
+def draw_regional_deployment(
+    seed: int, seconds: float = 24.0, faults: int | None = None
+) -> Deployment:
+    """
+    Return a drawn deployment over three regions with two data centres each.
+
+    Its prompts begin with heads that many sessions share, few long ones or many short
+    ones, and any kind of request may be the most frequent.
+    """
+    drawn = draw_deployment(seed, seconds, faults)
+    random = Random(f"regional/{seed}")
+    centres = tuple(
+        DataCentre(f"{region}-{letter}", region, random.randint(1, 3))
+        for region in REGIONS
+        for letter in "ab"
+    )
+    # The load of the drawn day is meant for its own number of data centres.
+    growth = len(centres) / len(drawn.data_centres)
+    mix = [random.uniform(0.4, 1.6) for _ in drawn.kinds]
+    kinds = tuple(
+        msgspec.structs.replace(
+            _with_heads(random, kind), rate=round(kind.rate * growth * weight, 3)
+        )
+        for kind, weight in zip(drawn.kinds, mix, strict=True)
+    )
+    regional = msgspec.structs.replace(
+        drawn, name=f"regional-{seed}", data_centres=centres, kinds=kinds
+    )
+    planned = tuple(
+        msgspec.structs.replace(
+            fault, target=_draw_target(random, regional, fault.kind)
+        )
+        for fault in drawn.faults
+    )
+    return msgspec.structs.replace(regional, faults=planned)
+
+
+def _with_heads(random: Random, kind: RequestKind) -> RequestKind:
+    if kind.call != "streaming":
+        return kind
+    heads, tokens = random.choice(HEADS)
+    return msgspec.structs.replace(
+        kind,
+        heads=heads,
+        head_tokens=(tokens // 2, tokens),
+        sessions=random.randint(50, 500),
+    )
+
+
 def _draw_centres(random: Random) -> tuple[DataCentre, ...]:
     names = ("cluj-a", "iasi-a", "bucuresti-a", "bucuresti-b")
     chosen = names[: random.randint(2, len(names))]
--- a/packages/simulator/src/amaranthtally/simulator/variants.py
+++ b/packages/simulator/src/amaranthtally/simulator/variants.py
@@ -23,6 +23,7 @@
 __all__ = [
     "POLICY",
     "Variant",
+    "instead",
     "variant",
     "variant_names",
     "with_arrivals",
@@ -88,6 +89,22 @@
     return register
 
 
+def instead(
+    name: str, to_variant: Callable[[Replacement], Variant]
+) -> Callable[[Replacement], Replacement]:
+    """
+    Return a decorator that registers a variant with another mechanism.
+
+    ``to_variant`` builds the variant from the decorated replacement.
+    """
+
+    def register(replacement: Replacement) -> Replacement:
+        _VARIANTS[name] = replace(to_variant(replacement), name=name)
+        return replacement
+
+    return register
+
+
 # Variants with a replaced component
 
 
