--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -31,6 +31,7 @@
 from amaranthtally.policy.piece_coordinator import CoordinatorEffects
 from amaranthtally.policy.piece_events import PieceEvents
 from amaranthtally.policy.piece_graph import StoredResult
+from amaranthtally.policy.place_checks import PlaceChecks
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.pool_sites import Peer
 from amaranthtally.policy.prefixes import PrefixIndex
@@ -53,9 +54,6 @@
 __all__ = ["Planner"]
 
 COMPONENTS = PlannerComponents()
-# Least time after which a request that no endpoint may serve is told to come back, in
-# seconds: operators and endpoints change places, which takes them longer than this.
-UNPLACED_RETRY_S = 1.0
 
 
 class Planner:
@@ -133,6 +131,13 @@
         self._refusals = Refusals(
             self._ledger, self._times, self._loads, self._admission, self._coordinator
         )
+        self._places = PlaceChecks(
+            self._gate,
+            self._ledger,
+            self._admission,
+            self._refusals,
+            self._coordinator,
+        )
         self._prompts = PromptGuard(
             self._peers, lambda now, part: self._prompt_checks.refuse_all(now, part)
         )
@@ -197,10 +202,10 @@
             self.counters.refused_on_arrival += 1
             return [blocked]
         regions = self._gate.regions_of(arrival)
-        reason = self._gate.refusal_reason(_pools_of(arrival), regions)
-        if reason is not None:
+        unplaced = self._places.refusal(arrival, regions)
+        if unplaced is not None:
             self.counters.refused_on_arrival += 1
-            return [self._refuse_unplaced(arrival, reason)]
+            return [unplaced]
         for stage in arrival.pipeline.stages:
             self._membership.prepare(now, stage)
         decision = self._admission.decide(now, arrival)
@@ -325,7 +330,7 @@
         self._configure(now, settings)
         ended = self._prompt_checks.endpoints_changed(now, settings.endpoints)
         if self._gate.configure(settings):
-            return [*ended, *self._apply_places(now)]
+            return [*ended, *self._places.places_changed(now)]
         return ended
 
     def caller_disconnected(self, now: float, request_id: str) -> list[Action]:
@@ -373,30 +378,6 @@
         self._peers.leave()
         return self._apply_effects(now, self._coordinator.leave(now))
 
-    # Places
-
-    def _refuse_unplaced(self, arrival: Arrival, reason: RefusalReason) -> Refuse:
-        refused = self._admission.refuse(reason, UNPLACED_RETRY_S)
-        return Refuse(
-            arrival.request_id, RequestOutcome.NOT_RUN, reason, refused.retry_after_s
-        )
-
-    def _apply_places(self, now: float) -> list[Action]:
-        """Confine requests in flight by new homes; refuse those without a place."""
-        actions: list[Action] = []
-        for request in self._ledger.requests:
-            regions = self._gate.regions_of(request.arrival)
-            if regions is None:
-                # The homes of a pipeline that was dropped still bind its requests.
-                regions = request.regions
-            request.regions = regions
-            self._coordinator.confine(request.id, regions)
-            pools = [stage.pool for stage in request.remaining]
-            reason = self._gate.refusal_reason(pools, regions)
-            if reason is not None and not request.live:
-                actions += self._refusals.refuse(now, request, reason, UNPLACED_RETRY_S)
-        return actions
-
     # Pieces
 
     def _compute_inputs(
@@ -530,13 +511,3 @@
             settings.region_latency_s,
             settings.traffic_price_per_gb,
         )
-
-
-def _pools_of(arrival: Arrival) -> list[str]:
-    """Return the pools that a request needs, those of its pieces included."""
-    pools = [stage.pool for stage in arrival.pipeline.stages]
-    work = arrival.piece_work
-    if work is not None:
-        counted = zip(work.stages, work.counts, strict=False)
-        pools += [stage.pool for stage, count in counted if count]
-    return pools
