--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -28,9 +28,6 @@
 RANK_PENALTY_S = 0.001
 # Cost of a failed attempt to its caller, in seconds: the retry waits for new inputs.
 FAILURE_PENALTY_S = 1.0
-# Cost of prefilling a token of a shared part that another engine may cache, as a delay
-# in seconds, beside the time that it takes: the engine's other requests wait for it.
-REREAD_S_PER_TOKEN = 2.0 / 32_400
 DEFAULT_STATS = StageStats()
 
 
@@ -43,8 +40,6 @@
     not shared takes a third of that.
     """
 
-    reread_s_per_token = REREAD_S_PER_TOKEN
-
     def predicted_data_centre(
         self, now: float, arrival: Arrival, closed: frozenset[str] = NO_ENDPOINTS
     ) -> str:
@@ -109,8 +104,6 @@
         if occupancy + 1 > load.limit:
             delay_s += load.wait_s(occupancy, stats.mean_s)
         tokens = load.pending_prefill_tokens + sum(request.prefix_sizes) * (1.0 - share)
-        shared = sum(request.prefix_sizes[:-1])
-        reread = max(0.0, shared - share * sum(request.prefix_sizes))
         prefill_s = (
             tokens * PREFILL_S_PER_TOKEN + CONCURRENCY_DELAY_S * occupancy
         ) * load.slowness(now)
@@ -120,9 +113,7 @@
             if result.data_centre != load.endpoint.data_centre
         )
         risk = load.failure_rate(now)
-        wait_s = delay_s + prefill_s + transfer_s
-        penalty_s += self.reread_s_per_token * reread
-        score = wait_s + penalty_s + FAILURE_PENALTY_S * risk
+        score = delay_s + prefill_s + transfer_s + penalty_s + FAILURE_PENALTY_S * risk
         concurrent = load.concurrent(occupancy)
         run_s = stats.loaded_mean_s(concurrent) * load.slowness(now)
         return Choice(
