--- a/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
@@ -62,6 +62,11 @@
         """Whether both the routes and the endpoints have been read at least once."""
         return self._table is not None and self._has_endpoints
 
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """The data centres to whose endpoints nothing is sent."""
+        return self._evacuated
+
     def initial_settings(self) -> PolicySettings:
         """Return the policy's settings at the start, without routes and endpoints."""
         return self._policy_settings()
@@ -95,37 +100,11 @@
         self._has_endpoints = True
         self._publish()
 
-    @property
-    def evacuated(self) -> frozenset[str]:
-        """The data centres to whose endpoints nothing is sent."""
-        return self._evacuated
-
     def evacuations_changed(self, data_centres: frozenset[str]) -> None:
         """Send nothing more to the endpoints in these data centres."""
         self._evacuated = data_centres
         self._publish()
 
-    def _log_homes(self, homes: HomeRegions) -> None:
-        """Log homes by which requests cannot be served, as operators should know."""
-        conflicts = homes.conflicts()
-        if conflicts:
-            log.warning(
-                "homes_exclude_each_other",
-                pairs=",".join(f"{p}:{a}" for p, a in conflicts[:MAX_LOGGED]),
-                count=len(conflicts),
-            )
-        known = set(self._settings.regions.values()) or {self._settings.region}
-        named = frozenset().union(
-            *homes.by_pipeline.values(), *homes.by_account.values()
-        )
-        unknown = sorted(named - known)
-        if unknown:
-            log.warning(
-                "home_regions_unknown",
-                regions=",".join(unknown[:MAX_LOGGED]),
-                count=len(unknown),
-            )
-
     def _publish(self) -> None:
         self._revision += 1
         self._on_settings(self._policy_settings())
@@ -147,3 +126,24 @@
             entry=process.name,
         )
         return gateway_settings(settings)
+
+    def _log_homes(self, homes: HomeRegions) -> None:
+        """Log homes by which requests cannot be served, as operators should know."""
+        conflicts = homes.conflicts()
+        if conflicts:
+            log.warning(
+                "homes_exclude_each_other",
+                pairs=",".join(f"{p}:{a}" for p, a in conflicts[:MAX_LOGGED]),
+                count=len(conflicts),
+            )
+        known = set(self._settings.regions.values()) or {self._settings.region}
+        named = frozenset().union(
+            *homes.by_pipeline.values(), *homes.by_account.values()
+        )
+        unknown = sorted(named - known)
+        if unknown:
+            log.warning(
+                "home_regions_unknown",
+                regions=",".join(unknown[:MAX_LOGGED]),
+                count=len(unknown),
+            )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -108,8 +108,7 @@
         records = {_pool_of(item): _decode(item) for item in items}
         for pool, record in records.items():
             if record.revision != self._revisions.get(pool):
-                versions = ",".join(sorted(record.versions))
-                log.info("versions_known", pool=pool, versions=versions)
+                _log_known(pool, record)
         self._revisions = {pool: r.revision for pool, r in records.items()}
         self._history.replace_recorded({p: r.versions for p, r in records.items()})
 
@@ -118,9 +117,7 @@
         pool, record = _pool_of(item), _decode(item)
         self._revisions[pool] = record.revision
         self._history.put_recorded(pool, record.versions)
-        log.info(
-            "versions_known", pool=pool, versions=",".join(sorted(record.versions))
-        )
+        _log_known(pool, record)
 
     def _observe(self) -> None:
         endpoints = self._endpoints()
@@ -151,6 +148,10 @@
         return True
 
 
+def _log_known(pool: str, record: _Record) -> None:
+    log.info("versions_known", pool=pool, versions=",".join(sorted(record.versions)))
+
+
 def _pool_of(item: StoreItem) -> str:
     return item.key.removeprefix(VERSIONS_PREFIX)
 
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -155,6 +155,7 @@
             self._gate,
             self._recompute_inputs,
         )
+        settings = self._without_closed(settings)
         self._configure(0.0, settings)
         self._gate.configure(settings)
 
@@ -323,10 +324,7 @@
     def settings_changed(self, now: float, settings: PolicySettings) -> list[Action]:
         """Apply new settings; requests in flight keep their pipeline."""
         self._registered = settings
-        endpoints = mark_evacuated(settings.endpoints, settings.evacuated)
-        endpoints = self._leaving.apply(endpoints)
-        if endpoints is not settings.endpoints:
-            settings = replace(settings, endpoints=endpoints)
+        settings = self._without_closed(settings)
         self._configure(now, settings)
         ended = self._prompt_checks.endpoints_changed(now, settings.endpoints)
         if self._gate.configure(settings):
@@ -487,6 +485,14 @@
         self._outcome_recorder.deadline_passed(now, request)
         return self._refusals.refuse(now, request, RefusalReason.DEADLINE)
 
+    def _without_closed(self, settings: PolicySettings) -> PolicySettings:
+        """Return settings in which evacuated and leaving endpoints take no calls."""
+        endpoints = mark_evacuated(settings.endpoints, settings.evacuated)
+        endpoints = self._leaving.apply(endpoints)
+        if endpoints is settings.endpoints:
+            return settings
+        return replace(settings, endpoints=endpoints)
+
     def _configure(self, now: float, settings: PolicySettings) -> None:
         self._settings = settings
         self._membership.replace(now, settings)
--- a/tests/policy/test_evacuations.py
+++ b/tests/policy/test_evacuations.py
@@ -60,6 +60,14 @@
         assert places(listed, driven.arrive(now + n * 0.01)) == {REMOTE_REGION}
 
 
+def test_an_entry_that_starts_during_an_evacuation_sends_nothing_there():
+    """Guards against the first settings of a process, which are not a change."""
+    listed = endpoints("engine", local=4, remote=2)
+    driven = start(listed, evacuated=LOCAL)
+    for n in range(REQUESTS):
+        assert places(listed, driven.arrive(n * 0.01)) == {REMOTE_REGION}
+
+
 def test_retries_and_probes_avoid_it_too():
     """Guards against a failure elsewhere that sends a request back there."""
     listed = endpoints("engine", local=3, remote=2)
