--- a/packages/simulator/src/amaranthtally/simulator/attempts.py
+++ b/packages/simulator/src/amaranthtally/simulator/attempts.py
@@ -48,7 +48,7 @@
         planner: Planner,
         live: dict[str, LiveRequest],
         execute_actions: Callable[[list[Action]], None],
-        on_first_event: Callable[[Request], None],
+        on_event: Callable[[Request], None],
     ) -> None:
         self.first_attempts = 0
         self.failure_retries = 0
@@ -57,7 +57,7 @@
         self._planner = planner
         self._live = live
         self._execute_actions = execute_actions
-        self._on_first_event = on_first_event
+        self._on_event = on_event
 
     def send(self, send: Send, server: Server | None) -> None:
         """Send an attempt; ``server`` is ``None`` if the endpoint is not registered."""
@@ -149,8 +149,8 @@
         live = self._live.get(attempt_id.request_id)
         if live is None or attempt_id not in live.attempts:
             return
-        if not live.event_count:
-            self._on_first_event(live.request)
+        if event_count > live.event_count:
+            self._on_event(live.request)
         live.event_count = max(live.event_count, event_count)
         self._execute_actions(
             self._planner.progress(self._clock.now, attempt_id, live.event_count)
--- a/packages/simulator/src/amaranthtally/simulator/callers.py
+++ b/packages/simulator/src/amaranthtally/simulator/callers.py
@@ -161,10 +161,15 @@
 
     # Responses
 
-    def first_event_received(self, request: Request) -> None:
-        """Record the time of a stream's first event."""
+    def event_received(self, request: Request) -> None:
+        """Record the time of a stream's event, and the gap before it."""
+        now = self._clock.now
         if request.first_event_at is None:
-            request.first_event_at = self._clock.now
+            request.first_event_at = now
+        else:
+            gap_s = now - request.last_event_at
+            request.longest_gap_s = max(request.longest_gap_s, gap_s)
+        request.last_event_at = now
 
     def response_received(self, request: Request) -> None:
         """Record a complete response."""
@@ -175,7 +180,9 @@
             if request.first_event_at is None
             else request.first_event_at
         )
-        is_late = at > request.objective
+        max_gap_s = request.kind.max_gap_s
+        has_stalled = 0.0 < max_gap_s < request.longest_gap_s
+        is_late = at > request.objective or has_stalled
         self._end(request, Ending.LATE if is_late else Ending.ON_TIME)
 
     def refusal_received(self, request: Request, refusal: Refuse) -> None:
@@ -206,6 +213,7 @@
             self._end(request, ending)
             return
         request.first_event_at = None
+        request.longest_gap_s = 0.0
         request.awaits_response = False
         self._clock.after(wait_s, lambda: self._send(request))
 
--- a/packages/simulator/src/amaranthtally/simulator/deployment.py
+++ b/packages/simulator/src/amaranthtally/simulator/deployment.py
@@ -100,10 +100,11 @@
     A kind of request: rate per second, times in seconds, sizes in tokens.
 
     A request of call type ``effect`` may run at most once. A response earns ``worth``
-    by ``objective_s`` and ``late_worth`` by ``deadline_s``. Requests arrive in groups
-    of ``clump``. Callers disconnect after ``patience_s`` without a first event; 0
-    disables this timeout. The requests of each of the ``sessions`` share a prompt
-    prefix of ``shared_tokens``; before it, sessions share one of ``heads`` parts of
+    by ``objective_s`` and ``late_worth`` by ``deadline_s``; with ``max_gap_s`` it is
+    late too if two events are further apart. Requests arrive in groups of ``clump``.
+    Callers disconnect after ``patience_s`` without a first event; 0 disables this
+    timeout. The requests of each of the ``sessions`` share a prompt prefix of
+    ``shared_tokens``; before it, sessions share one of ``heads`` parts of
     ``head_tokens``, none if there are no heads.
     """
 
@@ -128,6 +129,7 @@
     sessions: int = 50
     head_tokens: Range = (0, 0)
     heads: int = 0
+    max_gap_s: float = 0.0
 
 
 class Fault(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
--- a/packages/simulator/src/amaranthtally/simulator/draw.py
+++ b/packages/simulator/src/amaranthtally/simulator/draw.py
@@ -23,6 +23,8 @@
 FAMILIES: dict[str, DrawFamily] = {}
 
 REGIONS = ("cluj", "iasi", "bucuresti")
+# Longest gap between two events of a stream that is on time, in seconds.
+GAP_S = (0.3, 0.6)
 # Numbers of heads that the prompts of a kind may begin with, and their longest in
 # tokens.
 HEADS = ((4, 4000), (16, 1200), (80, 400))
@@ -137,6 +139,7 @@
         heads=heads,
         head_tokens=(tokens // 2, tokens),
         sessions=random.randint(50, 500),
+        max_gap_s=round(random.uniform(*GAP_S), 2),
     )
 
 
--- a/packages/simulator/src/amaranthtally/simulator/engines.py
+++ b/packages/simulator/src/amaranthtally/simulator/engines.py
@@ -109,7 +109,9 @@
         if remaining <= 0:
             self._finish(attempt)
             return
-        next_s = min(remaining, TOKENS_PER_EVENT) * self._step_s()
+        # The prompts that the engine prefills meanwhile delay all its streams.
+        prefill_s = max(0.0, self._prefill_until - self.clock.now)
+        next_s = prefill_s + min(remaining, TOKENS_PER_EVENT) * self._step_s()
         self.after(next_s, lambda: self._emit(attempt, events + 1))
 
     def _finish(self, attempt: Attempt) -> None:
--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -67,8 +67,8 @@
     def request_of_piece(self, try_id: str) -> Request:
         """Return the request of a piece, even if the request has ended."""
 
-    def first_event_received(self, request: Request) -> None:
-        """Notify the caller of a stream's first event."""
+    def event_received(self, request: Request) -> None:
+        """Notify the caller of an event of a stream."""
 
     def response_received(self, request: Request) -> None:
         """Notify the caller of a complete response."""
@@ -104,7 +104,7 @@
             planner,
             self._live,
             self._execute_actions,
-            environment.first_event_received,
+            environment.event_received,
         )
         self._handlers: dict[type, Callable[[Any], None]] = {
             Send: self._send,
--- a/packages/simulator/src/amaranthtally/simulator/requests.py
+++ b/packages/simulator/src/amaranthtally/simulator/requests.py
@@ -26,8 +26,9 @@
     ``piece_counts`` holds the number of pieces of each stage, ``prefix`` the ids of the
     prompt segments and ``prefix_sizes`` their sizes in tokens. ``tries`` counts how
     often it was sent, last at ``sent_at``; ``awaits_response`` is false between tries.
-    ``first_event_at`` is the time of the first event of the current try, and
-    ``stage_s`` the stage time spent on the request.
+    ``first_event_at`` and ``last_event_at`` are the times of the first and the latest
+    event of the current try, whose longest gap between two is ``longest_gap_s``.
+    ``stage_s`` is the stage time spent on the request.
     """
 
     id: str
@@ -41,6 +42,8 @@
     sent_at: float = 0.0
     awaits_response: bool = False
     first_event_at: float | None = None
+    last_event_at: float = 0.0
+    longest_gap_s: float = 0.0
     stage_s: float = 0.0
 
     @property
--- a/packages/simulator/src/amaranthtally/simulator/simulation.py
+++ b/packages/simulator/src/amaranthtally/simulator/simulation.py
@@ -103,9 +103,9 @@
         arrival = policy_arrival(request, routing, self.clock.now)
         return self._variant.adapt_arrival(arrival)
 
-    def first_event_received(self, request: Request) -> None:
-        """Notify the caller of a stream's first event."""
-        self.callers.first_event_received(request)
+    def event_received(self, request: Request) -> None:
+        """Notify the caller of an event of a stream."""
+        self.callers.event_received(request)
 
     def response_received(self, request: Request) -> None:
         """Notify the caller of a complete response."""
--- a/tests/simulator/test_days.py
+++ b/tests/simulator/test_days.py
@@ -175,3 +175,27 @@
 def with_caller_timeout(kind, patience_s):
     """Return a kind whose callers disconnect after this time without an event."""
     return msgspec.structs.replace(kind, patience_s=patience_s)
+
+
+def test_a_prompt_delays_the_streams_that_run_beside_it():
+    """Guards against a simulator in which prompts may gather at one engine for free."""
+    streams = msgspec.structs.replace(
+        CLAIM,
+        name="stream",
+        stages=(),
+        max_gap_s=0.1,
+        own_tokens=(100, 100),
+        answer_tokens=(200, 200),
+    )
+    prompts = msgspec.structs.replace(
+        CLAIM, name="prompt", stages=(), rate=3.0, own_tokens=(12_000, 12_000)
+    )
+
+    def late(*kinds):
+        deployment = small_deployment(seconds=8.0, kinds=kinds)
+        records = simulate(deployment, 1).callers.records
+        ended = [r for r in records if r.kind == "stream"]
+        return sum(r.ending is Ending.LATE for r in ended) / len(ended)
+
+    assert late(streams) == 0.0
+    assert late(streams, prompts) > 0.1
