A record that is written again describes the same endpoint

Since endpoints carry the revision of their record, each rewritten record counted as a change, and the candidates of all pools were built anew.

--- a/tests/policy/test_cold_endpoints.py
+++ b/tests/policy/test_cold_endpoints.py
@@ -1,10 +1,12 @@
 """Endpoints that are cold: from when to when, and by whose word."""
 
 from dataclasses import replace
+from random import Random
 
 import pytest
 
 from amaranthtally.policy import Pool, RefusalReason
+from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.sending.cold_endpoints import MAX_COLD_S, ColdEndpoints
 from amaranthtally.policy.sending.permits import HOLD_OFF_S
 from tests.policy.support import (
@@ -53,6 +55,13 @@
     assert cold.rates(14.0) == {}
 
 
+def test_a_record_that_is_written_again_is_of_the_same_endpoint():
+    """Guards against groups and loads that are built anew for an unchanged endpoint."""
+    groups = EndpointGroups(Random(1))
+    assert groups.replace("cluj", listed(revision=1))
+    assert not groups.replace("cluj", listed(revision=2))
+
+
 def test_a_record_that_says_so_ends_it(cold):
     cold.configure(10.0, listed(30.0, revision=2), POOLS)
     cold.configure(11.0, listed(0.0, revision=3), POOLS)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -121,7 +121,12 @@
     rate = random.choice(RATES)
     script.rate = rate
     before = len(script.arrivals)
+    give_up_at = time.monotonic() + LIMITED_S
     while len(script.arrivals) == before:
+        if time.monotonic() > give_up_at:
+            # Its data centre is evacuated, or the callers have ended: nobody hears it.
+            script.rate = None
+            return
         await asyncio.sleep(0.05)
     named_at = time.monotonic()
     await asyncio.sleep(LIMITED_S)
