--- a/packages/policy/src/amaranthtally/policy/sending/cold_endpoints.py
+++ b/packages/policy/src/amaranthtally/policy/sending/cold_endpoints.py
@@ -31,7 +31,8 @@
 
     Their records say so, and may be late or lack it. An endpoint that starts while this
     entry watches, and one that is taken back after an evacuation, therefore count as
-    cold for the time that the pool takes to start, whatever their records say.
+    cold for the time that the pool takes to start, whatever the records say that are
+    known then. A further record decides anew.
     """
 
     def __init__(self) -> None:
@@ -79,8 +80,6 @@
         cold_until = now + start_s
     elif before.revision == endpoint.revision:
         cold_until = before.cold_until
-    elif before.cold_until > now and not _says_warm(endpoint):
-        cold_until = now
     is_new = before is None or before.revision != endpoint.revision
     if is_new and endpoint.cold_s > 0.0:
         cold_until = max(cold_until, now + min(MAX_COLD_S, endpoint.cold_s))
@@ -89,7 +88,3 @@
     return _Known(
         endpoint.incarnation, endpoint.revision, endpoint.is_evacuated, cold_until
     )
-
-
-def _says_warm(endpoint: Endpoint) -> bool:
-    return not endpoint.cold_s > 0.0
