An ejected endpoint serves again when the others of its pool leave

Callers were refused (503, not run, or unknown at a later stage) in a rolling restart beside load. Half of the pool may be ejected, but the share was checked at the ejection only, so all that was left of the pool was ejected and each request was refused without a try.

Ruled out: late reports of the former start (the endpoint was not marked as leaving), and probes without time to spare (4.0 s left of 0.08 s needed; the ejection itself had not ended).

The share is kept when an endpoint leaves or its record changes: endpoints beyond it are readmitted, longest ejected first.

--- a/packages/policy/src/amaranthtally/policy/ejection.py
+++ b/packages/policy/src/amaranthtally/policy/ejection.py
@@ -95,6 +95,19 @@
         self._extend(now, health)
         return True
 
+    def readmit_excess(self, pool: str, pool_size: int) -> list[str]:
+        """
+        Readmit endpoints beyond the share that may be ejected; return their ids.
+
+        The share is kept as others leave: if the endpoints that are not ejected stop,
+        requests would otherwise be refused although an ejected one may serve them.
+        """
+        ejected = self._ejected.get(pool, {})
+        readmitted = list(ejected)[: len(ejected) - int(pool_size * MAX_EJECTED_SHARE)]
+        for endpoint in readmitted:
+            self.succeeded(endpoint)
+        return readmitted
+
     def forget(self, endpoint: str) -> None:
         """Discard the state of an endpoint that was removed or re-registered."""
         health = self._health.pop(endpoint, None)
--- a/packages/policy/src/amaranthtally/policy/membership.py
+++ b/packages/policy/src/amaranthtally/policy/membership.py
@@ -57,6 +57,8 @@
                 load.endpoint = new
             else:
                 self._forget(now, name)
+        for pool in {endpoint.pool for endpoint in settings.endpoints.values()}:
+            self._readmit_excess(now, pool)
         self._update_unconfirmed(settings)
 
     def prepare(self, now: float, stage: Stage) -> None:
@@ -97,6 +99,7 @@
         load.leaving = True
         self._excluded[endpoint] = now
         self._loads.remove_from_pool(now, load)
+        self._readmit_excess(now, load.endpoint.pool)
 
     def mark_restored(self, now: float, endpoint: str) -> None:
         """Send new work again to an endpoint that was marked as leaving."""
@@ -108,7 +111,7 @@
         """Count a failed attempt; return whether its endpoint is ejected for it."""
         load.note_outcome(now, failed=True)
         pool = load.endpoint.pool
-        pool_size = self._loads.pool(pool).size + len(self._ejections.ejected(pool))
+        pool_size = self._pool_size(pool)
         if not self._ejections.failed(now, load.endpoint.id, pool, pool_size):
             return False
         self._loads.remove_from_pool(now, load)
@@ -174,6 +177,16 @@
             self._excluded.pop(load.endpoint.id, None)
             self._loads.add_to_pool(now, load)
 
+    def _pool_size(self, pool: str) -> int:
+        """Return the number of a pool's endpoints that are not leaving."""
+        return self._loads.pool(pool).size + len(self._ejections.ejected(pool))
+
+    def _readmit_excess(self, now: float, pool: str) -> None:
+        for name in self._ejections.readmit_excess(pool, self._pool_size(pool)):
+            load = self._loads.find(name)
+            if load is not None and not load.leaving:
+                self._readmit(now, load)
+
     def _add_if_usable(self, now: float, load: EndpointLoad) -> None:
         if not load.leaving and not self._ejections.is_ejected(load.endpoint.id):
             self._loads.add_to_pool(now, load)
--- a/tests/policy/test_failures.py
+++ b/tests/policy/test_failures.py
@@ -1,5 +1,9 @@
 """Retries, hedges, ejection, resumption of streams, and outcomes of refusals."""
 
+from dataclasses import replace
+
+import pytest
+
 from amaranthtally.policy import (
     AttemptOutcome,
     Cancel,
@@ -17,6 +21,7 @@
     refusal,
     report,
     sends,
+    settings,
 )
 
 
@@ -81,6 +86,32 @@
     assert sends(driver.arrive(now + 0.01))
 
 
+@pytest.mark.parametrize("how", ["notice", "settings"])
+def test_an_ejected_endpoint_serves_once_the_others_leave(how):
+    """
+    Guards against refusals in a rolling restart: an endpoint was ejected while it
+    started, the other one stopped, and requests were refused with one that could serve.
+    """
+    listed = endpoints("engine", 2)
+    driver = PlannerDriver(planner(listed), one_stage())
+    now = driver.train()
+    first = [send for _ in range(8) for send in sends(driver.arrive(now))]
+    for send in first:
+        if send.endpoint == "engine-0":
+            (send,) = sends(driver.reply(now, send, AttemptOutcome.FAILED))
+        driver.reply(now, send)
+    assert driver.planner.counters.ejections == 1
+    if how == "notice":
+        driver.planner.endpoint_leaving(now, "engine-1")
+    else:
+        stopping = replace(listed["engine-1"], takes_calls=False)
+        changed = settings({**listed, "engine-1": stopping})
+        driver.planner.settings_changed(now, changed)
+    (send,) = sends(driver.arrive(now + 0.001))
+    assert send.endpoint == "engine-0"
+    assert answered(driver.reply(now + 0.1, send))
+
+
 def test_permanent_failure_is_not_retried():
     """
     Guards against one malformed input that is sent to all engines in turn and has them
