Read load reports with the slowness of the endpoint's host

A report with four figures was dropped as a whole. Absurd figures are bounded and logged once per endpoint; the slowness scales the predicted times of calls with pieces, at least half of what was observed.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_signals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_signals.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from amaranthtally.adapter.messages import ResponseHead
+from amaranthtally.adapter.messages import EndpointLoad, ResponseHead
 from amaranthtally.daemon.gateway.endpoint_check import keeps_connections
 from amaranthtally.daemon.gateway.rate_limit_exchange import RateLimitExchange
 from amaranthtally.daemon.logs import get_logger
@@ -30,6 +30,7 @@
         self._spawn = spawn
         self._carry_out = carry_out
         self._time = asyncio.get_running_loop().time
+        self._bounded_reports: set[str] = set()
 
     @property
     def backing_off(self) -> int:
@@ -49,6 +50,8 @@
         self, endpoint: Endpoint, head: ResponseHead, sent_at: float
     ) -> None:
         """Handle what an endpoint says of itself in the head of a response."""
+        if head.load is not None and head.load.is_bounded:
+            self._log_bounded(endpoint, head.load)
         self._rate_limits.response_received(endpoint.id, head.rate_limit, sent_at)
         if head.backoff_s:
             log.info("endpoint_backoff", endpoint=endpoint.id, backoff_s=head.backoff_s)
@@ -59,6 +62,20 @@
             log.info("endpoint_leaves", endpoint=endpoint.id, source="response")
             self._carry_out(self._planner.leaving_announced(self._time(), endpoint))
 
+    def _log_bounded(self, endpoint: Endpoint, load: EndpointLoad) -> None:
+        """Log the absurd report of an endpoint, the first time only."""
+        if endpoint.id in self._bounded_reports:
+            return
+        self._bounded_reports.add(endpoint.id)
+        log.warning(
+            "load_report_bounded",
+            endpoint=endpoint.id,
+            running=load.running,
+            queued=load.queued,
+            slots=load.slots,
+            host_slowness="" if load.host_slowness is None else load.host_slowness,
+        )
+
     def check(self, endpoint: Endpoint) -> None:
         """Find out, in the background, whether an endpoint has ended."""
         self._spawn(self._check(endpoint))
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -249,6 +249,7 @@
             backlog_s=0.0,
             leaving=False,
             ended=int(awaited),
+            host_slowness=load.host_slowness,
         )
         actions = self._planner.load_report(self._time(), endpoint, report)
         self._decisions.carry_out(actions)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -130,8 +130,10 @@
             body = await response.read()
         response_head = read_response_head(response.status, response.headers)
         self._on_head(endpoint, response_head, started)
-        running = response_head.load.running if response_head.load else None
-        queued = response_head.load.queued if response_head.load else 0
+        load = response_head.load
+        running = load.running if load else None
+        queued = load.queued if load else 0
+        slowness = load.host_slowness if load else None
         if response_head.status != HTTP_OK:
             outcome = "not_run" if response_head.not_run else "failed"
             self._log(
@@ -142,15 +144,13 @@
                 started,
                 response_head.retry_after_s,
             )
-            return PiecesEnded(
-                refused=response_head.not_run, running=running, queued=queued
-            )
+            return PiecesEnded((), response_head.not_run, running, queued, slowness)
         outcomes = pieces.read_outcomes(body, action.pieces)
         if outcomes.is_err():
             self._log(action, endpoint, "unreadable", str(outcomes.err()), started)
             return FAILED
         self._log(action, endpoint, "finished", _faults(outcomes.unwrap()), started)
-        return PiecesEnded(outcomes.unwrap(), running=running, queued=queued)
+        return PiecesEnded(outcomes.unwrap(), False, running, queued, slowness)
 
     def _log(
         self,
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -225,7 +225,7 @@
         has_all_results = bool(end.outcomes) and all(o.handle for o in end.outcomes)
         server.note_ended(now, call_id, has_all_results)
         if end.running is not None:
-            server.note_load(now, end.running, end.queued)
+            server.note_load(now, end.running, end.queued, end.host_slowness)
         if end.outcomes:
             server.note_success()
         else:
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -138,6 +138,8 @@
     ``models`` are those that it serves now; ``None`` stands for any model. ``ended``
     counts this entry's attempts that the report no longer contains although the planner
     has not yet processed their end, such as the one whose reply carried the report.
+    ``host_slowness`` is how many times as long as usual work takes on its host, or
+    ``None`` if it does not say.
     """
 
     incarnation: int
@@ -149,6 +151,7 @@
     leaving: bool
     models: frozenset[str] | None = None
     ended: int = 0
+    host_slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/piece_messages.py
+++ b/packages/policy/src/amaranthtally/policy/piece_messages.py
@@ -41,12 +41,15 @@
     Without outcomes the call failed as a whole, and ``refused`` tells whether the
     endpoint answered that it did not start. ``running`` and ``queued`` are the numbers
     of calls at the endpoint; ``running`` is ``None`` if it did not report them.
+    ``host_slowness`` is how many times as long as usual work takes on its host, or
+    ``None`` if it did not report that.
     """
 
     outcomes: tuple[PieceOutcome, ...] = ()
     refused: bool = False
     running: int | None = None
     queued: int = 0
+    host_slowness: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -49,6 +49,12 @@
 MOST_SLOWNESS = 8.0
 # Smaller deviations are ignored: call times differ as much by the sizes of pieces.
 SPEED_NOISE = 0.25
+# Half-life of the weight of a reported slowness, in seconds: a report comes with the
+# end of a call, and the call that is predicted next ends about this long after it.
+HOST_SLOWNESS_HALF_LIFE_S = 0.5
+# How far below the observed slowness a reported one may lower the prediction. Without
+# this bound, an endpoint that reports a false speed would be sent most of all pieces.
+LEAST_OF_OBSERVED = 0.5
 
 
 @dataclass(slots=True)
@@ -75,6 +81,7 @@
     at the time ``slowness_learned_at``. ``min_interval_s`` is the least time between
     calls by the endpoint's rate limit, 0 without one; the next is due at
     ``next_call_at``. Until ``backoff_until`` none is sent, as the endpoint asked.
+    ``host_slowness`` is the slowness that it last reported, ``None`` if it did not.
     """
 
     endpoint: Endpoint
@@ -94,6 +101,7 @@
     min_interval_s: float = 0.0
     next_call_at: float = 0.0
     backoff_until: float = 0.0
+    host_slowness: float | None = None
 
     def is_open(self, now: float) -> bool:
         """Whether a call may be sent now."""
@@ -139,9 +147,19 @@
         endpoint of three that had become four times slower was predicted to be as fast
         as the others. A third of all requests were sent there and were late, and the
         results that they read filled the memory of the endpoints that stored them.
+
+        A slowness that the endpoint reports counts more the newer it is. It is known
+        before any call has taken longer, and it is no noise of the sizes of pieces.
         """
         slowness = self._decayed_slowness(now)
-        return slowness if slowness > 1.0 + SPEED_NOISE else 1.0
+        observed = slowness if slowness > 1.0 + SPEED_NOISE else 1.0
+        if self.host_slowness is None:
+            return observed
+        least = LEAST_OF_OBSERVED * observed
+        reported = min(MOST_SLOWNESS, max(least, self.host_slowness))
+        age_s = max(0.0, now - self.load_reported_at)
+        weight = 0.5 ** (age_s / HOST_SLOWNESS_HALF_LIFE_S)
+        return observed + weight * (reported - observed)
 
     def _decayed_slowness(self, now: float) -> float:
         return 1.0 + (self.learned_slowness - 1.0) * speed_weight(
@@ -242,9 +260,12 @@
         """Space calls by a limit in calls a second; ``None`` if there is none."""
         self.min_interval_s = 0.0 if rate is None else interval_s(rate)
 
-    def note_load(self, now: float, running: int, queued: int) -> None:
+    def note_load(
+        self, now: float, running: int, queued: int, host_slowness: float | None = None
+    ) -> None:
         """Take a load report; this entry's own calls are not counted as foreign."""
         self.foreign_calls = max(0, running + queued - len(self.calls))
+        self.host_slowness = host_slowness
         self.load_reported_at = now
         if self.foreign_calls:
             self.only_caller_until = now
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -249,6 +249,31 @@
     assert (head.load, head.retry_after_s) == (None, 0.0)
 
 
+LOADS = {
+    "3,0,8": EndpointLoad(3, 0, 8),
+    "3,0,8,250": EndpointLoad(3, 0, 8, 2.5),
+    "3, 0, 8, 87.5": EndpointLoad(3, 0, 8, 0.875),
+    "-3,0,8": EndpointLoad(0, 0, 8, is_bounded=True),
+    "3,0,8,0": EndpointLoad(3, 0, 8, 0.05, is_bounded=True),
+    "3,0,8,inf": EndpointLoad(3, 0, 8, 50.0, is_bounded=True),
+    "3,0,8,nan": EndpointLoad(3, 0, 8, is_bounded=True),
+    "3,999999999,8,100": EndpointLoad(3, 100_000, 8, 1.0, is_bounded=True),
+    "3,0,8,": None,
+    "3,0,8,x": None,
+    "3,0,8,100,1": None,
+    "3,0": None,
+    "inf,0,8": None,
+    "": None,
+}
+
+
+@pytest.mark.parametrize("value", LOADS)
+def test_a_load_report_has_three_figures_or_four(value):
+    """Guards against dropping a report with a slowness, or trusting absurd figures."""
+    head = read_response_head(200, CIMultiDict({names.LOAD: value}))
+    assert head.load == LOADS[value]
+
+
 # Pieces
 
 
--- a/tests/policy/test_batcher.py
+++ b/tests/policy/test_batcher.py
@@ -6,6 +6,7 @@
 
 from amaranthtally.policy import PieceFault, PieceOutcome, PiecesEnded, StoredResult
 from amaranthtally.policy.batcher import LINGER_S, Batcher
+from amaranthtally.policy.piece_servers import PieceServer
 from tests.policy.pieces import (
     CATALOGUE,
     CLUJ,
@@ -395,3 +396,30 @@
 def test_the_time_out_of_a_call_allows_for_a_slow_endpoint(batcher):
     (call,) = send(batcher, NOW, job("a"))
     assert call.timeout_s >= 5.0 * (0.2 + 0.02125)
+
+
+def test_a_reported_slowness_changes_predictions_until_it_is_old(batcher):
+    """Guards against learning that a host is slow only from calls that were late."""
+    usual_s = CATALOGUE.full_call_time_s()
+    now = NOW
+    for name in ("a", "b", "c"):
+        (call,) = send(batcher, now, job(name))
+        now += LINGER_S + 0.2 + 0.02125
+        end = replace(completed(call), running=0, host_slowness=3.0)
+        batcher.call_ended(now, call.call, end)
+    assert batcher.slowdown_s(now, "catalogue", CLUJ) > 1.5 * usual_s
+    assert batcher.slowdown_s(now + 10.0, "catalogue", CLUJ) < 0.01 * usual_s
+
+
+def test_a_false_speed_makes_no_endpoint_twice_as_fast_as_observed():
+    """Guards against an endpoint that takes most pieces by claiming to be fast."""
+    server = PieceServer(endpoint("a", CLUJ), CATALOGUE)
+    server.note_load(NOW, 0, 0, 0.05)
+    assert server.slowness(NOW) == 0.5
+    now = NOW
+    for call in range(4):
+        server.note_sent(now, call, 1, 0.0)
+        now += 8.0 * CATALOGUE.call_time_s(1)
+        server.note_ended(now, call, True)
+        server.note_load(now, 0, 0, 0.05)
+    assert server.slowness(now) >= 3.0
