Share calls, prompt tokens and reports of endpoints among entries

Entries know neither each other's prompts nor loads newer than their own last answer from an endpoint. Groups of at most 16 entries exchange their own figures through a relay, and relays exchange sums; nothing is sent before an endpoint reports a slowness. The occupancy of endpoints uses the shared calls by their weight.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -16,6 +16,7 @@
     RequestFailed,
     StreamEnded,
 )
+from amaranthtally.daemon.gateway.load_exchange import LoadExchange
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
@@ -32,6 +33,7 @@
     Cancel,
     CheckEndpoint,
     Endpoint,
+    ExchangeLoads,
     FreeAtPeer,
     FreeResults,
     LoadReport,
@@ -106,6 +108,12 @@
             lambda actions: self._decisions.carry_out(actions),
             lambda: self._decisions.wake(),
         )
+        self._loads = LoadExchange(
+            planner.load_view,
+            self._get_connections,
+            lambda work: self._decisions.spawn(work),
+            lambda: self._decisions.wake(),
+        )
         self._decisions = DecisionLoop(
             planner,
             {
@@ -128,6 +136,7 @@
                 SpreadPartNotices: self._prompts.spread,
                 ReportEnds: self._prompts.report_ends,
                 ReportSuccess: self._prompts.report_success,
+                ExchangeLoads: self._loads.exchange,
             },
             GATEWAY_TICK_S,
         )
@@ -157,6 +166,11 @@
         """Exchanges with the other gateways what is known of parts of prompts."""
         return self._prompts
 
+    @property
+    def loads(self) -> LoadExchange:
+        """Exchanges with the other gateways what is known of endpoints' loads."""
+        return self._loads
+
     @property
     def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
         """Function that runs a coroutine in the background."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -63,6 +63,12 @@
     data_centres_evacuated: int
     requests_blocked: int
     log_lines_lost: int
+    load_view_pools: int
+    load_view_senders: int
+    load_view_messages: int
+    load_view_sent_bytes: int
+    load_view_failures: int
+    load_view_rejected: int
 
 
 class GatewayMetrics:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -8,6 +8,7 @@
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
+    LoadMessage,
     OriginEntry,
     PartEnd,
     PartNotice,
@@ -225,6 +226,12 @@
         now = self._loop.time()
         await self._call(peer, lambda client: client.report_successes(successes, now))
 
+    async def exchange_loads(self, peer: str, message: LoadMessage) -> LoadMessage:
+        """Send a peer what is known of loads; raises ``PeerLostError``."""
+        return await self._call(
+            peer, lambda client: client.exchange_loads(self._name, message)
+        )
+
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._clients):
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -6,6 +6,7 @@
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.policy import (
+    LoadMessage,
     OriginEntry,
     PartEnd,
     PartNotice,
@@ -100,6 +101,10 @@
         """Take the successes of parts that a peer reports."""
         self._executor.prompts.successes_reported(successes)
 
+    def loads_exchanged(self, sender: str, message: LoadMessage) -> LoadMessage:
+        """Take what a peer knows of endpoints' loads; return what it lacks."""
+        return self._executor.loads.exchange_received(sender, message)
+
     def copy_origins(self, entries: Sequence[OriginEntry]) -> None:
         """Hold copies of what a peer knows of the origins of streams."""
         self._origins.copies_received(entries)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -203,6 +203,7 @@
     gate = ConnectionGate()
 
     def state() -> GatewayState:
+        view = executor.loads.view
         return GatewayState(
             in_flight=executor.in_flight,
             pieces_waiting=executor.pieces_waiting,
@@ -225,6 +226,12 @@
             data_centres_evacuated=len(routing_state.evacuated),
             requests_blocked=executor.prompts.blocked_requests,
             log_lines_lost=writer.dropped,
+            load_view_pools=len(view.active_pools),
+            load_view_senders=view.senders,
+            load_view_messages=view.counters.messages,
+            load_view_sent_bytes=view.counters.sent_bytes,
+            load_view_failures=view.counters.failures,
+            load_view_rejected=view.counters.rejected,
         )
 
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -12,6 +12,7 @@
     AskPermits,
     Cancel,
     CheckEndpoint,
+    ExchangeLoads,
     FreeAtPeer,
     FreeResults,
     PartChanged,
@@ -56,6 +57,8 @@
     PermitAsk,
     RateLimitNotice,
 )
+from amaranthtally.policy.load_messages import LoadFigures, LoadMessage, SharedReport
+from amaranthtally.policy.load_view import EndpointView, LoadView
 from amaranthtally.policy.model import (
     AccountLimits,
     AttemptId,
@@ -139,6 +142,7 @@
     "CallerLimits",
     "Cancel",
     "CheckEndpoint",
+    "ExchangeLoads",
     "Counters",
     "DesiredModels",
     "Endpoint",
@@ -151,7 +155,12 @@
     "FreeResults",
     "HomeRegions",
     "InvariantError",
+    "EndpointView",
+    "LoadFigures",
+    "LoadMessage",
     "LoadReport",
+    "LoadView",
+    "SharedReport",
     "ModelPlan",
     "ModelUsage",
     "OriginEntry",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.limit_messages import PermitAsk, RateLimitNotice
+from amaranthtally.policy.load_messages import LoadMessage
 from amaranthtally.policy.model import AttemptId
 from amaranthtally.policy.part_losses import PartEnd
 from amaranthtally.policy.part_notices import PartNotice
@@ -19,6 +20,7 @@
     "CallDetails",
     "Cancel",
     "CheckEndpoint",
+    "ExchangeLoads",
     "FreeAtPeer",
     "FreeResults",
     "PartChanged",
@@ -279,6 +281,14 @@
     successes: tuple[PartSuccess, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class ExchangeLoads:
+    """Send an entry what is known of endpoints' loads, for what it knows."""
+
+    peer: str
+    message: LoadMessage
+
+
 Action = (
     Send
     | Cancel
@@ -299,4 +309,5 @@
     | SpreadPartNotices
     | ReportEnds
     | ReportSuccess
+    | ExchangeLoads
 )
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -5,7 +5,7 @@
 all entries which pieces share a call there and in which order.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Callable, Iterable, Mapping
 
 from amaranthtally.policy.actions import Action, FreeResults, RunPieces
 from amaranthtally.policy.batcher_effects import (
@@ -15,6 +15,7 @@
     requests_to_retry,
 )
 from amaranthtally.policy.call_filling import CallFill, FillCall, fill_call
+from amaranthtally.policy.events import LoadReport
 from amaranthtally.policy.input_reads import InputReads
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.piece_graph import Piece, StoredResult
@@ -42,6 +43,8 @@
 # centre. An endpoint that was only full is tried twice in this time.
 GIVE_UP_S = 0.5
 
+OnReport = Callable[[float, str, LoadReport], None]
+
 
 class Batcher:
     """
@@ -72,6 +75,7 @@
         self._calls: dict[int, PieceCall] = {}
         self._input_reads = InputReads()
         self._next_call = 0
+        self._on_report: OnReport | None = None
 
     @property
     def servers(self) -> PieceServers:
@@ -88,6 +92,10 @@
         """Whether ``tick`` has anything to do: queued pieces, or inputs to free."""
         return bool(self._input_reads) or any(self._queues.values())
 
+    def set_report_listener(self, on_report: OnReport) -> None:
+        """Pass on the reports of endpoints that name the slowness of their hosts."""
+        self._on_report = on_report
+
     def configure(
         self, endpoints: Mapping[str, Endpoint], pools: Mapping[str, Pool]
     ) -> None:
@@ -226,11 +234,29 @@
         server.note_ended(now, call_id, has_all_results)
         if end.running is not None:
             server.note_load(now, end.running, end.queued, end.host_slowness)
+            self._pass_on(now, server, end.running, end)
         if end.outcomes:
             server.note_success()
         else:
             server.note_failure(now)
 
+    def _pass_on(
+        self, now: float, server: PieceServer, running: int, end: PiecesEnded
+    ) -> None:
+        if self._on_report is None or end.host_slowness is None:
+            return
+        report = LoadReport(
+            incarnation=server.endpoint.incarnation,
+            running=running,
+            queued=end.queued,
+            limit=server.limits.slots,
+            service_s=0.0,
+            backlog_s=0.0,
+            leaving=False,
+            host_slowness=end.host_slowness,
+        )
+        self._on_report(now, server.endpoint.id, report)
+
     def _process_outcome(
         self,
         now: float,
--- a/packages/policy/src/amaranthtally/policy/loads.py
+++ b/packages/policy/src/amaranthtally/policy/loads.py
@@ -1,6 +1,6 @@
 """Load of each endpoint, estimated from late reports and the entry's own attempts."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from math import copysign, exp
 
 from amaranthtally.policy.events import LoadReport
@@ -105,12 +105,18 @@
         Return the predicted number of calls at the endpoint, running and queued.
 
         The lower the weight of reports, the closer the calls of other entries are
-        taken to be to the pool's average.
+        taken to be to the pool's average. Where entries share a view of the pool, its
+        figures count the more the newer they are.
         """
         others = self.other_calls(now) if self._other_calls > 0.0 else 0.0
         weight = self.pool.report_weight
         if weight < 1.0:
             others = weight * others + (1.0 - weight) * self.pool.mean_other_calls(now)
+        view = self.pool.view
+        if view is not None:
+            shared = view.find(now, self.endpoint.id)
+            if shared is not None:
+                others += shared.weight * (shared.calls - others)
         return self.outstanding + others
 
     def concurrent(self, occupancy: float) -> float:
@@ -216,6 +222,7 @@
         self._build = build
         self._loads: dict[str, EndpointLoad] = {}
         self._pools: dict[str, PoolLoad] = {}
+        self._changed: set[str] | None = None
 
     def __len__(self) -> int:
         return len(self._loads)
@@ -270,10 +277,28 @@
         load.pool.capacity += load.limit - old_limit
         load.pool.replace_other_calls(now, old_others, load.other_calls(now))
 
+    def watch(self, watched: bool) -> None:
+        """Note from now on which endpoints' own attempts change; first, all of them."""
+        self._changed = set(self._loads) if watched else None
+
+    def take_changed(self) -> Collection[str]:
+        """Return the endpoints whose own attempts have changed since the last call."""
+        if not self._changed:
+            return ()
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def note_changed(self, endpoint: str) -> None:
+        """Note that the calls or prompt tokens of an endpoint have changed."""
+        if self._changed is not None:
+            self._changed.add(endpoint)
+
     def add_attempt(self, load: EndpointLoad) -> None:
         """Count an attempt that is sent to an endpoint."""
         load.outstanding += 1
         load.pool.outstanding += 1
+        if self._changed is not None:
+            self._changed.add(load.endpoint.id)
 
     def remove_attempt(self, endpoint: str, pool: str) -> None:
         """Subtract an attempt that ended; its endpoint may have been removed."""
@@ -281,6 +306,8 @@
         if load is not None:
             # An endpoint that was removed and registered again starts from 0.
             load.outstanding = max(0, load.outstanding - 1)
+            if self._changed is not None:
+                self._changed.add(endpoint)
         sums = self.pool(pool)
         sums.outstanding -= 1
         ensure(sums.outstanding >= 0, "attempts at a pool are not negative")
@@ -290,6 +317,7 @@
         load = self._loads.pop(endpoint, None)
         if load is not None:
             self.remove_from_pool(now, load)
+            self.note_changed(endpoint)
 
     def ids(self) -> list[str]:
         """Return the ids of the endpoints in the table."""
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -23,6 +23,8 @@
 from amaranthtally.policy.first_events import FirstEventTimes
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.load_poller import LoadPoller
+from amaranthtally.policy.load_view import LoadView
+from amaranthtally.policy.load_view_feed import LoadViewFeed
 from amaranthtally.policy.membership import Membership
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings
 from amaranthtally.policy.outcome_recorder import OutcomeRecorder
@@ -116,6 +118,14 @@
             self._coordinator.batcher.servers.note_backoff
         )
         self._gate = SendGate(self._limits, self._backoffs)
+        self._load_view = components.load_view(
+            self._observed_slowness, _copy_of(random)
+        )
+        self._view_feed = LoadViewFeed(self._load_view, self._loads)
+        self._coordinator.batcher.set_report_listener(self._view_feed.report_received)
+        set_view = getattr(self._router, "set_view", None)
+        if set_view is not None:
+            set_view(self._load_view)
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -179,6 +189,11 @@
         """The parts of prompts that are kept away from endpoints."""
         return self._prompts
 
+    @property
+    def load_view(self) -> LoadView:
+        """What this entry and the others know together of the endpoints' loads."""
+        return self._load_view
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were admitted and have not ended."""
@@ -286,6 +301,7 @@
     ) -> list[Action]:
         """Handle a load report, which came with a reply or was polled."""
         self._membership.apply_report(now, endpoint, report)
+        self._view_feed.report_received(now, endpoint, report)
         return []
 
     def cache_event(self, now: float, endpoint: str, event: CacheEvent) -> list[Action]:
@@ -358,6 +374,7 @@
         actions.extend(self._limits.tick(now))
         actions.extend(self._permit_waits.tick(now))
         actions.extend(self._prompts.tick(now))
+        actions.extend(self._view_feed.tick(now))
         while (timer := self._timers.due(now)) is not None:
             actions.extend(self._timer_fired(now, timer))
         return actions
@@ -369,6 +386,7 @@
         self._coordinator.replace_peers(peers)
         if not self._peers.replace(now, peers):
             return []
+        self._view_feed.peers_changed(now, peers)
         return [*self._limits.peers_changed(), *self._prompts.peers_changed(now)]
 
     def leave(self, now: float) -> list[Action]:
@@ -485,6 +503,10 @@
         self._outcome_recorder.deadline_passed(now, request)
         return self._refusals.refuse(now, request, RefusalReason.DEADLINE)
 
+    def _observed_slowness(self, now: float, endpoint: str) -> float:
+        load = self._loads.find(endpoint)
+        return 1.0 if load is None else load.slowness(now)
+
     def _without_closed(self, settings: PolicySettings) -> PolicySettings:
         """Return settings in which evacuated and leaving endpoints take no calls."""
         endpoints = mark_evacuated(settings.endpoints, settings.evacuated)
@@ -506,6 +528,7 @@
         self._dispatcher.configure(settings)
         self._failures.configure(settings.not_run_cost)
         self._peers.set_name(settings.entry)
+        self._view_feed.configure(settings)
         self._limits.configure(settings.endpoints)
         self._cold.configure(now, settings.endpoints, settings.pools)
         self._limits.set_cold_rates(now, self._cold.rates(now))
@@ -517,3 +540,10 @@
             settings.region_latency_s,
             settings.traffic_price_per_gb,
         )
+
+
+def _copy_of(random: Random) -> Random:
+    """Return a generator in the same state; draws from it leave the other as it is."""
+    copy = Random()
+    copy.setstate(random.getstate())
+    return copy
--- a/packages/policy/src/amaranthtally/policy/planner_components.py
+++ b/packages/policy/src/amaranthtally/policy/planner_components.py
@@ -8,6 +8,7 @@
 from amaranthtally.policy.admission import Admission
 from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.groups import EndpointGroups
+from amaranthtally.policy.load_view import LoadView, build_load_view
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.piece_coordinator import PieceCoordinator
 from amaranthtally.policy.prefixes import PrefixIndex
@@ -15,7 +16,7 @@
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.stage_times import StageTimes
 
-__all__ = ["BuildInputs", "BuildRouter", "PlannerComponents"]
+__all__ = ["BuildInputs", "BuildLoadView", "BuildRouter", "PlannerComponents"]
 
 BuildAdmission = Callable[[Random, StageTimes, LoadTable, AccountShares], Admission]
 BuildRouter = Callable[
@@ -23,6 +24,8 @@
 ]
 BuildInputs = Callable[[Random, PieceCoordinator, StageTimes], RequestInputs]
 
+BuildLoadView = Callable[[Callable[[float, str], float], Random], LoadView]
+
 
 @dataclass(frozen=True, slots=True)
 class PlannerComponents:
@@ -36,3 +39,4 @@
     router: BuildRouter = Router
     coordinator: Callable[[], PieceCoordinator] = PieceCoordinator
     inputs: BuildInputs = RequestInputs
+    load_view: BuildLoadView = build_load_view
--- a/packages/policy/src/amaranthtally/policy/pool_loads.py
+++ b/packages/policy/src/amaranthtally/policy/pool_loads.py
@@ -1,8 +1,10 @@
 """Sums over a pool's endpoints, and the weight given to their load reports."""
 
+from typing import Protocol
+
 from amaranthtally.policy.regression import DecayingRegression
 
-__all__ = ["PoolLoad", "other_calls_decay"]
+__all__ = ["EndpointFigures", "PoolLoad", "SharedView", "other_calls_decay"]
 
 OTHER_CALLS_HALF_LIFE_S = 5.0
 MAX_UPSTREAM_RATIO = 4.0
@@ -10,6 +12,25 @@
 RESPONSE_PRIOR_VARIANCE = 0.2
 
 
+class EndpointFigures(Protocol):
+    """Calls of other entries at an endpoint, and how far the number may be trusted."""
+
+    @property
+    def calls(self) -> float:
+        """Calls of other entries in flight."""
+
+    @property
+    def weight(self) -> float:
+        """Weight from 0 to 1."""
+
+
+class SharedView(Protocol):
+    """What entries share of the loads of endpoints."""
+
+    def find(self, now: float, endpoint: str) -> EndpointFigures | None:
+        """Return what is known of an endpoint, or ``None``."""
+
+
 class PoolLoad:
     """
     Sums over the endpoints of a pool that an entry uses, updated incrementally.
@@ -17,7 +38,7 @@
     ``pending`` counts this entry's requests that have yet to finish a stage in the
     pool, including those still in earlier stages; ``outstanding`` counts only those at
     the pool's endpoints. The cost of reading the sums does not depend on the pool's
-    size.
+    size. ``view`` is what entries share of the pool, ``None`` where they do not.
     """
 
     __slots__ = (
@@ -29,6 +50,7 @@
         "outstanding",
         "pending",
         "size",
+        "view",
     )
 
     def __init__(self) -> None:
@@ -38,6 +60,7 @@
         self.outstanding = 0
         self.pending = 0
         self.size = 0
+        self.view: SharedView | None = None
         self._other_calls = 0.0
         self._other_calls_at = 0.0
 
--- a/packages/policy/src/amaranthtally/policy/request_ledger.py
+++ b/packages/policy/src/amaranthtally/policy/request_ledger.py
@@ -160,6 +160,7 @@
             load.pending_prefill_tokens = max(
                 0, load.pending_prefill_tokens - attempt.pending_prefill_tokens
             )
+            self._loads.note_changed(attempt.endpoint)
         attempt.pending_prefill_tokens = 0
 
     def restore_attempt(
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -157,6 +157,30 @@
   isRequest @3 :Bool;
 }
 
+struct LoadFigures {
+  # What a sender knows of an endpoint, which is named by the CRC-32 of its id and
+  # incarnation: calls in flight, prompt tokens yet to be processed in units of 64, and the
+  # newest load report. A slowness of 100 is the usual one, 0 stands for no report.
+  key @0 :UInt32;
+  calls @1 :UInt16;
+  prefillUnits @2 :UInt16;
+  slownessPercent @3 :UInt16;
+  reportAgeMillis @4 :UInt16;
+  reportedCalls @5 :UInt16;
+}
+
+struct LoadMessage {
+  # Figures that changed after the sender's message with the serial base; with base 0 they
+  # replace all earlier ones. heard is the serial of the receiver's last message that was
+  # taken. group names the entries whose sums these are, if not the sender's own figures.
+  incarnation @0 :UInt64;
+  serial @1 :UInt32;
+  base @2 :UInt32;
+  heard @3 :UInt32;
+  group @4 :Text;
+  figures @5 :List(LoadFigures);
+}
+
 interface Gateway {
   # Sends the caller's name, address, data centre and versions, and whether the receiver
   # is to push changes to it for a while; returns the receiver's versions, whether it is
@@ -200,4 +224,6 @@
   readRateLimits @15 () -> (limits :List(RateLimit));
   # Returns the notices on parts of prompts that the receiver holds.
   readPartNotices @16 () -> (notices :List(PartNotice));
+  # Sends what the sender knows of endpoints' loads; returns what it lacks.
+  exchangeLoads @17 (sender :Text, message :LoadMessage) -> (answer :LoadMessage);
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_client.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_client.py
@@ -7,6 +7,7 @@
 import capnp
 
 from amaranthtally.policy import (
+    LoadMessage,
     OriginEntry,
     PartEnd,
     PartNotice,
@@ -38,6 +39,7 @@
     write_results,
     write_versions,
 )
+from amaranthtally.wire.load_view_codec import read_load_message, write_load_message
 from amaranthtally.wire.prompt_codec import (
     read_part_notices,
     write_part_ends,
@@ -199,6 +201,13 @@
         write_part_successes(request, successes, now)
         await self._send(request)
 
+    async def exchange_loads(self, sender: str, message: LoadMessage) -> LoadMessage:
+        """Send what is known of endpoints' loads; return what the peer knows."""
+        request = self._gateway.exchangeLoads_request()
+        request.sender = sender
+        write_load_message(request.message, message)
+        return read_load_message((await self._send(request)).answer)
+
     def close(self) -> None:
         """Close the connection; calls in flight raise ``PeerLostError``."""
         self._stream.close()
--- a/packages/wire/src/amaranthtally/wire/gateway_server.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_server.py
@@ -8,6 +8,7 @@
 import capnp
 
 from amaranthtally.policy import (
+    LoadMessage,
     OriginEntry,
     PartEnd,
     PartNotice,
@@ -39,6 +40,7 @@
     write_part,
     write_versions,
 )
+from amaranthtally.wire.load_view_codec import read_load_message, write_load_message
 from amaranthtally.wire.prompt_codec import (
     read_part_ends,
     read_part_notices,
@@ -120,6 +122,9 @@
     def successes_reported(self, successes: Sequence[PartSuccess]) -> None:
         """Take the successes of parts that a peer reports."""
 
+    def loads_exchanged(self, sender: str, message: LoadMessage) -> LoadMessage:
+        """Take what a peer knows of endpoints' loads; return what it lacks."""
+
 
 class _GatewayServer(gateway_schema.Gateway.Server):
     def __init__(self, handler: GatewayHandler) -> None:
@@ -234,6 +239,12 @@
             read_part_successes(successes, self._loop.time())
         )
 
+    async def exchangeLoads(  # noqa: N802 - name fixed by the schema
+        self, sender: str, message: Any, _context: Any, **_: Any
+    ) -> None:
+        answer = self._handler.loads_exchanged(sender, read_load_message(message))
+        write_load_message(_context.results.answer, answer)
+
 
 @asynccontextmanager
 async def serve_gateway(
