--- a/tests/unit/test_sent_inputs.py
+++ b/tests/unit/test_sent_inputs.py
@@ -15,6 +15,7 @@
 
     limits = SimpleNamespace(rates={})
     prompts = None
+    load_view = None
 
     def __init__(self):
         self.inputs = (RESULT,)
