--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from amaranthtally.policy.engine_views import EnginePrediction
 from amaranthtally.policy.limit_messages import PermitAsk, RateLimitNotice
 from amaranthtally.policy.model import AttemptId
 from amaranthtally.policy.part_losses import PartEnd
@@ -72,7 +73,7 @@
     Send one attempt to an endpoint; ``deadline`` is the attempt's own time stamp.
 
     ``resume_offset`` is the number of chunks that the caller already has: a resumed
-    stream starts after them.
+    stream starts after them. ``prediction`` is set if a shared view told of the engine.
     """
 
     attempt: AttemptId
@@ -80,6 +81,7 @@
     deadline: float
     hedge: bool = False
     resume_offset: int = 0
+    prediction: EnginePrediction | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -7,7 +7,17 @@
 from amaranthtally.policy.scoring import Choice, RouteRequest
 from amaranthtally.policy.stage_times import StageStats
 
-__all__ = ["AffinityRouter"]
+__all__ = [
+    "CONCURRENCY_DELAY_S",
+    "FAILURE_PENALTY_S",
+    "FIRST_RANK_SHARE",
+    "PREFILL_S_PER_TOKEN",
+    "RANK_PENALTY_S",
+    "TRANSFER_S_PER_BYTE",
+    "AffinityRouter",
+    "shared_part",
+    "shared_share",
+]
 
 # Time in which an engine prefills one token of a prompt, in seconds: 32 tokens per
 # millisecond, from the users' data sheet of their engines.
@@ -78,7 +88,7 @@
         matches = self._prefixes.matches(now, request.prefix, request.prefix_sizes)
         cached_shares = {match.endpoint: match.share for match in matches}
         ranks = self._ranks(request, usable)
-        first_rank_share = FIRST_RANK_SHARE * _shared_share(request.prefix_sizes)
+        first_rank_share = FIRST_RANK_SHARE * shared_share(request.prefix_sizes)
         best: Choice | None = None
         for load in usable:
             rank = ranks[load.endpoint.id]
@@ -124,13 +134,19 @@
         self, request: RouteRequest, usable: list[EndpointLoad]
     ) -> dict[str, int]:
         """Return each engine's rendezvous rank for the prompt, from 0."""
-        # The last part belongs to the request alone; the one before it is shared.
-        shared = request.prefix[-2] if len(request.prefix) > 1 else request.prefix[0]
-        key = f"{shared:x}"
+        key = shared_part(request.prefix)
         ids = [load.endpoint.id for load in usable]
         ranked = sorted(ids, key=lambda name: rendezvous_weight(name, key))
         return {name: rank for rank, name in enumerate(ranked)}
 
 
-def _shared_share(sizes: tuple[int, ...]) -> float:
+def shared_part(prefix: tuple[int, ...]) -> str:
+    """Return the key by which engines are ranked for a prompt."""
+    # The last part belongs to the request alone; the one before it is shared.
+    shared = prefix[-2] if len(prefix) > 1 else prefix[0]
+    return f"{shared:x}"
+
+
+def shared_share(sizes: tuple[int, ...]) -> float:
+    """Return the share of a prompt's tokens that other requests have, too."""
     return sum(sizes[:-1]) / max(1, sum(sizes))
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -230,6 +230,7 @@
             arrival.prefix_sizes,
             request.inputs,
             request.version,
+            arrival.objective,
         )
 
     def _choose_probe(self, now: float, request: Request) -> Endpoint | None:
@@ -318,6 +319,7 @@
             probe=probe,
             stream=StreamProgress(request.chunks),
             incarnation=choice.endpoint.incarnation,
+            prediction=choice.prediction,
         )
         attempt.pending_prefill_tokens = round(
             sum(route_request.prefix_sizes) * (1.0 - choice.cached_share)
@@ -341,6 +343,7 @@
                 _attempt_deadline(request, route_request),
                 hedge=hedge,
                 resume_offset=request.chunks,
+                prediction=choice.prediction,
             )
         ]
 
--- a/packages/policy/src/amaranthtally/policy/gateway_policy.py
+++ b/packages/policy/src/amaranthtally/policy/gateway_policy.py
@@ -2,7 +2,7 @@
 
 from dataclasses import replace
 
-from amaranthtally.policy.affinity import AffinityRouter
+from amaranthtally.policy.engine_choice import build_router
 from amaranthtally.policy.events import Arrival, PieceWork
 from amaranthtally.policy.model import Pipeline, PolicySettings, Stage
 from amaranthtally.policy.planner_components import PlannerComponents
@@ -19,7 +19,7 @@
     "route_pipeline",
 ]
 
-GATEWAY_COMPONENTS = PlannerComponents(router=AffinityRouter)
+GATEWAY_COMPONENTS = PlannerComponents(router=build_router)
 # Interval between the planner's ticks, in seconds. Batches of pieces wait for a few
 # ticks to fill, which calls for a short one; each tick costs processor time.
 GATEWAY_TICK_S = 0.006
@@ -57,6 +57,7 @@
         streams=route.kind is CallKind.STREAMING,
         max_attempts=route.max_attempts,
         hedges=route.kind in HEDGED_KINDS,
+        max_event_gap_s=route.max_event_gap_s,
     )
     return Pipeline(route.name, (stage,), route.timeout_s, WEIGHT_ATTAINMENT)
 
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -43,8 +43,10 @@
     A stage that is not ``repeatable`` has a side effect and runs at most once.
     ``price_per_s`` is the price of one second of an endpoint. ``max_attempts`` bounds
     the attempts of one request that may have run; with 0 only the retry budget does.
-    Without ``hedges`` a request has one attempt at a time. ``key`` identifies the
-    stage's statistics; it is computed once because each decision uses it many times.
+    Without ``hedges`` a request has one attempt at a time. Streams with a longer gap
+    between two events than ``max_event_gap_s`` are late, with 0 there is no limit.
+    ``key`` identifies the stage's statistics; it is computed once because each decision
+    uses it many times.
     """
 
     name: str
@@ -55,6 +57,7 @@
     price_per_s: float = 0.0005
     max_attempts: int = 0
     hedges: bool = True
+    max_event_gap_s: float = 0.0
     key: tuple[str, str, str] = field(init=False, repr=False, compare=False)
 
     def __post_init__(self) -> None:
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -269,6 +269,10 @@
             if live.pending_prefill_tokens:
                 name = request.arrival.pipeline.name
                 self._first_event_times.add(name, now - live.sent_at)
+                if live.prediction is not None:
+                    pool = request.current_stage.pool
+                    took_s = now - live.sent_at
+                    self._router.note_first_event(pool, took_s, live.prediction)
                 # The prefix is cached as soon as it has been processed. If it were
                 # recorded only at the end of the stream, the next request of the
                 # session, which may arrive before that, would be sent elsewhere.
@@ -369,6 +373,7 @@
         self._coordinator.replace_peers(peers)
         if not self._peers.replace(now, peers):
             return []
+        self._router.set_entry_count(self._peers.size)
         return [*self._limits.peers_changed(), *self._prompts.peers_changed(now)]
 
     def leave(self, now: float) -> list[Action]:
@@ -516,4 +521,5 @@
             settings.region,
             settings.region_latency_s,
             settings.traffic_price_per_gb,
+            settings.data_centre,
         )
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from amaranthtally.policy.engine_views import EnginePrediction
 from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.home_regions import Regions
 from amaranthtally.policy.model import AttemptId, Stage
@@ -36,6 +37,7 @@
     pending_prefill_tokens: int = 0
     stream: StreamProgress = field(default_factory=StreamProgress)
     incarnation: int = 0
+    prediction: EnginePrediction | None = None
 
 
 @dataclass(slots=True)
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -4,6 +4,7 @@
 from random import Random
 
 from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.engine_views import EnginePrediction, EngineView
 from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import EndpointLoad, LoadTable
@@ -59,13 +60,28 @@
         self._network = NetworkCosts("", 0.0, self.round_trip_s)
 
     def configure(
-        self, region: str, remote_latency_s: float, price_per_gb: float
+        self,
+        region: str,
+        remote_latency_s: float,
+        price_per_gb: float,
+        data_centre: str = "",
     ) -> None:
-        """Set the entry's region, one-way latency in seconds and price of traffic."""
+        """Set the entry's location, one-way latency in seconds and traffic price."""
         self._region = region
         self._remote_latency_s = remote_latency_s
         self._network = NetworkCosts(region, price_per_gb, self.round_trip_s)
 
+    def set_view(self, view: EngineView) -> None:
+        """Choose by a view that entries share; ignored unless a subclass does."""
+
+    def set_entry_count(self, count: int) -> None:
+        """Set the number of live entries; ignored unless a subclass needs it."""
+
+    def note_first_event(
+        self, pool: str, took_s: float, prediction: EnginePrediction
+    ) -> None:
+        """Note the time to an attempt's first event; ignored like a view."""
+
     def round_trip_s(self, region: str) -> float:
         """Return the smoothed round-trip time to a region, in seconds."""
         smoothed_s = self._round_trip_s.get(region)
--- a/packages/policy/src/amaranthtally/policy/scoring.py
+++ b/packages/policy/src/amaranthtally/policy/scoring.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from typing import NamedTuple
 
+from amaranthtally.policy.engine_views import EnginePrediction
 from amaranthtally.policy.loads import EndpointLoad
 from amaranthtally.policy.model import Endpoint, Stage
 from amaranthtally.policy.piece_graph import StoredResult
@@ -23,7 +24,7 @@
     the time after which the whole request would be late, both as time stamps.
     ``weight`` is that of attainment against cost, from 0 to 1. Endpoints in
     ``excluded`` are not chosen, nor those of another software version than ``version``,
-    if it is set.
+    if it is set. After ``objective``, a time stamp or 0, the first event is late.
     """
 
     stage: Stage
@@ -36,6 +37,7 @@
     prefix_sizes: tuple[int, ...] = ()
     inputs: tuple[StoredResult, ...] = ()
     version: str | None = None
+    objective: float = 0.0
 
 
 class Choice(NamedTuple):
@@ -58,6 +60,7 @@
     risk: float
     price: float
     score: float
+    prediction: EnginePrediction | None = None
 
 
 class NetworkCosts(NamedTuple):
