--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -74,6 +74,7 @@
 
     ``resume_offset`` is the number of chunks that the caller already has: a resumed
     stream starts after them. ``prediction`` is set if a shared view told of the engine.
+    ``stalled`` says that a first attempt had stalled when this one was sent.
     """
 
     attempt: AttemptId
@@ -82,6 +83,7 @@
     hedge: bool = False
     resume_offset: int = 0
     prediction: EnginePrediction | None = None
+    stalled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "CONCURRENCY_DELAY_S",
+    "DEFAULT_STATS",
     "FAILURE_PENALTY_S",
     "FIRST_RANK_SHARE",
     "PREFILL_S_PER_TOKEN",
@@ -67,8 +68,9 @@
             closed,
             prefix_sizes=arrival.prefix_sizes,
             version=arrival.origin.version if arrival.origin else None,
+            objective=arrival.objective,
         )
-        choice = self._choose_engine(now, request, DEFAULT_STATS)
+        choice = self._predicted_engine(now, request)
         return "" if choice is None else choice.endpoint.data_centre
 
     def choose(
@@ -79,6 +81,9 @@
             return super().choose(now, request, stats)
         return self._choose_engine(now, request, stats)
 
+    def _predicted_engine(self, now: float, request: RouteRequest) -> Choice | None:
+        return self._choose_engine(now, request, DEFAULT_STATS)
+
     def _choose_engine(
         self, now: float, request: RouteRequest, stats: StageStats
     ) -> Choice | None:
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -1,8 +1,11 @@
 """Sends the attempts of requests: first attempts, retries, hedges and probes."""
 
+from math import inf
+
 from amaranthtally.policy.actions import Action, Send
 from amaranthtally.policy.budgets import RatioBudget
 from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.engine_choice import StalledAttempts
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
@@ -81,6 +84,7 @@
         self._streams = streams
         self._gate = gate
         self._budgets: dict[str, _PoolBudgets] = {}
+        self._stalls = StalledAttempts()
 
     def configure(self, settings: PolicySettings) -> None:
         """Apply new settings."""
@@ -128,7 +132,13 @@
         attempt = request.live[slow]
         if not request.current_stage.repeatable or len(request.live) > 1:
             return []
-        if not request.current_stage.hedges or not request.has_attempts_left:
+        if not request.has_attempts_left:
+            return []
+        if self._may_be_stalled(request, attempt):
+            actions = self._hedge_stalled(now, request, slow, attempt)
+            if actions:
+                return actions
+        if not request.current_stage.hedges:
             return []
         stats = self._times.stats_for(request.current_stage)
         if request.current_stage.streams:
@@ -144,6 +154,65 @@
         self._timers.set(self._next_check_at(now, attempt, stats), request.id, slow)
         return []
 
+    def note_first_event(
+        self, now: float, request: Request, attempt: LiveAttempt
+    ) -> None:
+        """Note the first event of an attempt that was sent by a shared view."""
+        if attempt.prediction is None:
+            return
+        pool, took_s = request.current_stage.pool, now - attempt.sent_at
+        self._router.note_first_event(pool, took_s, attempt.prediction)
+        self._stalls.note(pool, took_s, attempt.first_answer_s)
+
+    def note_answer(self, now: float, request: Request, ended: LiveAttempt) -> None:
+        """Note the time of an answer that is not a stream."""
+        stage = request.current_stage
+        if not stage.streams and self._router.covers(stage.pool):
+            self._stalls.note(stage.pool, now - ended.sent_at, ended.first_answer_s)
+
+    def _may_be_stalled(self, request: Request, attempt: LiveAttempt) -> bool:
+        """Whether an attempt is a first one, without an event, by a shared view."""
+        stage = request.current_stage
+        if request.stage_attempts != 1 or attempt.probe or request.bound_to:
+            return False
+        if attempt.prediction is None and stage.streams:
+            return False
+        return request.may_begin_elsewhere and self._router.covers(stage.pool)
+
+    def _hedge_stalled(
+        self, now: float, request: Request, slow: AttemptId, attempt: LiveAttempt
+    ) -> list[Action]:
+        """Send a first attempt that has stalled to a second endpoint with room."""
+        pool, waited_s = request.current_stage.pool, now - attempt.sent_at
+        after_s = self._stalls.stalled_after_s(pool, attempt.first_answer_s)
+        if (
+            waited_s >= after_s
+            and self._budgets_of(request.current_stage).hedges.tokens >= 1
+        ):
+            actions = self._send_second(now, request, attempt)
+            if actions:
+                self._stalls.note_hedged(pool, waited_s, attempt.first_answer_s)
+                return actions
+        if not request.current_stage.hedges and after_s < inf:
+            again_s = max(MIN_RECHECK_S, after_s - waited_s, RECHECK_SHARE * waited_s)
+            self._timers.set(now + again_s, request.id, slow)
+        return []
+
+    def _send_second(
+        self, now: float, request: Request, attempt: LiveAttempt
+    ) -> list[Action]:
+        stage = request.current_stage
+        hedges = self._budgets_of(stage).hedges
+        excluded = request.excluded | {attempt.endpoint}
+        route_request = self._route_request(now, request, excluded)
+        choice = self._router.choose(now, route_request, self._times.stats_for(stage))
+        if choice is None or not self._router.shows_room(now, choice):
+            return []
+        if not hedges.take():
+            return []
+        self._ledger.counters.hedges += 1
+        return self._send(now, request, route_request, choice, hedge=True, stalled=True)
+
     def _first_check_delay_s(self, stage: Stage, choice: Choice) -> float:
         """Return the run time after which an attempt is first checked."""
         stats = self._times.stats_for(stage)
@@ -305,6 +374,7 @@
         choice: Choice,
         hedge: bool = False,
         probe: bool = False,
+        stalled: bool = False,
     ) -> list[Action]:
         load = self._loads.get_or_create(choice.endpoint)
         attempt = LiveAttempt(
@@ -335,6 +405,11 @@
             check_after_s = choice.delay_s + self._first_check_delay_s(
                 request.current_stage, choice
             )
+            if self._may_be_stalled(request, attempt):
+                stalled_after_s = self._stalls.stalled_after_s(
+                    request.current_stage.pool, attempt.first_answer_s
+                )
+                check_after_s = min(check_after_s, stalled_after_s)
             self._timers.set(now + check_after_s, request.id, attempt_id)
         return [
             Send(
@@ -344,6 +419,7 @@
                 hedge=hedge,
                 resume_offset=request.chunks,
                 prediction=choice.prediction,
+                stalled=stalled,
             )
         ]
 
--- a/packages/policy/src/amaranthtally/policy/engine_choice/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/engine_choice/__init__.py
@@ -5,5 +5,6 @@
 """
 
 from amaranthtally.policy.engine_choice.router import build_router
+from amaranthtally.policy.engine_choice.stalls import StalledAttempts
 
-__all__ = ["build_router"]
+__all__ = ["StalledAttempts", "build_router"]
--- a/packages/policy/src/amaranthtally/policy/engine_choice/router.py
+++ b/packages/policy/src/amaranthtally/policy/engine_choice/router.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.affinity import (
+    DEFAULT_STATS,
     FAILURE_PENALTY_S,
     FIRST_RANK_SHARE,
     RANK_PENALTY_S,
@@ -51,6 +52,10 @@
 MIN_SPREAD_S = 0.002
 # Scores farther from the best than this many such differences are not drawn.
 MAX_SPREADS = 5.0
+# Least weight of a view that is held to show room, and most streams that may become
+# late by an attempt: a hedge is not worth more than the stream that it may save.
+ROOM_WEIGHT = 0.5
+ROOM_LATE_STREAMS = 0.1
 
 
 class _Candidate(NamedTuple):
@@ -112,6 +117,22 @@
         super().configure(region, remote_latency_s, price_per_gb, data_centre)
         self._sets.configure(region, data_centre)
 
+    def covers(self, pool: str) -> bool:
+        """Whether a shared view tells of the endpoints of a pool."""
+        return self._view is not None and self._view.is_active(pool)
+
+    def shows_room(self, now: float, choice: Choice) -> bool:
+        """Whether a shared view shows room for one more attempt at an endpoint."""
+        if self._view is None or not self._view.is_active(choice.endpoint.pool):
+            return False
+        figures = self._view.find(now, choice.endpoint.id)
+        if figures is None or figures.weight < ROOM_WEIGHT:
+            return False
+        if choice.prediction and choice.prediction.late_streams > ROOM_LATE_STREAMS:
+            return False
+        load = self._loads.get_or_create(choice.endpoint)
+        return load.outstanding + figures.calls < load.limit
+
     def prompt_speed(self, pool: str) -> PromptSpeed:
         """Return what is known of how fast a pool's engines process prompts."""
         return self._speeds.of(pool)
@@ -126,7 +147,7 @@
         self, now: float, request: RouteRequest, stats: StageStats
     ) -> Choice | None:
         """Return the best candidate, or ``None`` when no endpoint takes work."""
-        if request.prefix and self._covers(request.stage.pool):
+        if request.prefix and self.covers(request.stage.pool):
             own_tokens = sum(request.prefix_sizes) - sum(request.prefix_sizes[:-1])
             speed = self._speeds.of(request.stage.pool)
             self._demand.add(
@@ -134,24 +155,20 @@
             )
         return super().choose(now, request, stats)
 
-    def _covers(self, pool: str) -> bool:
-        return self._view is not None and self._view.is_active(pool)
-
     def _choose_engine(
         self, now: float, request: RouteRequest, stats: StageStats
     ) -> Choice | None:
-        stage = request.stage
-        if not self._covers(stage.pool):
+        pool = request.stage.pool
+        if not self.covers(pool):
             return super()._choose_engine(now, request, stats)
-        regions = self._groups.candidates(stage, request.version)
-        key = (stage.pool, stage.model, request.version)
-        engines = self._sets.get(key, regions)
+        engines = self._engines(request)
         if not self._has_weight(now, engines, request):
             return super()._choose_engine(now, request, stats)
-        options = self._options(now, request, stats, engines)
+        candidates = self._candidates(now, request, engines)
+        options = self._options(now, request, stats, engines, candidates)
         if not options:
             return None
-        self._note_levels(now, stage.pool, options)
+        self._note_levels(now, pool, options)
         return self._to_choice(self._draw_best(request, options), stats)
 
     def _has_weight(
@@ -165,6 +182,29 @@
                 return True
         return False
 
+    def _predicted_engine(self, now: float, request: RouteRequest) -> Choice | None:
+        """
+        Return the best holder of the prefix.
+
+        Pieces are computed near it, and later their results draw the prompt there. An
+        engine drawn at random would not be drawn again.
+        """
+        if not self.covers(request.stage.pool):
+            return super()._predicted_engine(now, request)
+        engines = self._engines(request)
+        if not self._has_weight(now, engines, request):
+            return super()._predicted_engine(now, request)
+        stats = DEFAULT_STATS
+        holders = self._holders(now, request, engines)
+        options = self._options(now, request, stats, engines, holders.values())
+        best = min(options, key=lambda option: option.score, default=None)
+        return None if best is None else self._to_choice(best, stats)
+
+    def _engines(self, request: RouteRequest) -> CandidateSet:
+        stage = request.stage
+        regions = self._groups.candidates(stage, request.version)
+        return self._sets.get((stage.pool, stage.model, request.version), regions)
+
     # Candidates
 
     def _options(
@@ -173,33 +213,41 @@
         request: RouteRequest,
         stats: StageStats,
         engines: CandidateSet,
+        candidates: Iterable[_Candidate],
     ) -> list[_Option]:
         speed = self._speeds.of(request.stage.pool)
         predictor = Predictor(now, request, stats, speed)
         shared_s = sum(request.prefix_sizes[:-1]) * speed.s_per_token
         return [
             self._evaluate(now, request, stats, engines, predictor, shared_s, candidate)
-            for candidate in self._candidates(now, request, engines)
+            for candidate in candidates
         ]
 
     def _candidates(
         self, now: float, request: RouteRequest, engines: CandidateSet
     ) -> Iterable[_Candidate]:
         """Return the engines to compare: holders of the prefix, and drawn ones."""
+        candidates = self._holders(now, request, engines)
+        for load in self._drawn(now, request, engines):
+            if load.endpoint.id not in candidates:
+                candidates[load.endpoint.id] = _Candidate(load, 0.0, -1)
+        return candidates.values()
+
+    def _holders(
+        self, now: float, request: RouteRequest, engines: CandidateSet
+    ) -> dict[str, _Candidate]:
+        """Return the engines that rank first for the prefix or are known to hold it."""
         matches = self._prefixes.matches(now, request.prefix, request.prefix_sizes)
         cached = {match.endpoint: match.share for match in matches}
         candidates: dict[str, _Candidate] = {}
         for candidate in self._ranked_holders(now, request, engines, cached):
             candidates[candidate.load.endpoint.id] = candidate
         known = [engines.by_id[name] for name in cached if name in engines.by_id]
-        for load in (
-            *self._usable(now, known, request),
-            *self._drawn(now, request, engines),
-        ):
+        for load in self._usable(now, known, request):
             name = load.endpoint.id
             if name not in candidates:
-                candidates[name] = _Candidate(load, cached.get(name, 0.0), -1)
-        return candidates.values()
+                candidates[name] = _Candidate(load, cached[name], -1)
+        return candidates
 
     def _ranked_holders(
         self,
--- a/packages/policy/src/amaranthtally/policy/failed_attempts.py
+++ b/packages/policy/src/amaranthtally/policy/failed_attempts.py
@@ -137,12 +137,15 @@
         Cancel earlier attempts that have fewer chunks than a later one.
 
         Attempts at another version than the first chunk's are cancelled too, as what
-        they would send does not fit to it.
+        they would send does not fit to it. Of a stage without hedges only one goes on:
+        its caller would get the events of both.
         """
+        goes_on_alone = not request.current_stage.hedges
         overtaken = [
             attempt
             for attempt, live in request.live.items()
-            if live.version != request.version
+            if (goes_on_alone and live is not ahead)
+            or live.version != request.version
             or (
                 live.sent_at < ahead.sent_at
                 and live.stream.chunks < ahead.stream.chunks
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -269,10 +269,7 @@
             if live.pending_prefill_tokens:
                 name = request.arrival.pipeline.name
                 self._first_event_times.add(name, now - live.sent_at)
-                if live.prediction is not None:
-                    pool = request.current_stage.pool
-                    took_s = now - live.sent_at
-                    self._router.note_first_event(pool, took_s, live.prediction)
+                self._dispatcher.note_first_event(now, request, live)
                 # The prefix is cached as soon as it has been processed. If it were
                 # recorded only at the end of the stream, the next request of the
                 # session, which may arrive before that, would be sent elsewhere.
@@ -464,6 +461,7 @@
         self, now: float, request: Request, ended: LiveAttempt, result: AttemptResult
     ) -> list[Action]:
         self._outcome_recorder.attempt_finished(now, request, ended, result)
+        self._dispatcher.note_answer(now, request, ended)
         request.previous_bytes = result.output_bytes
         losers = list(request.live.values())
         actions = self._ledger.cancel_all(request)
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -39,6 +39,13 @@
     incarnation: int = 0
     prediction: EnginePrediction | None = None
 
+    @property
+    def first_answer_s(self) -> float:
+        """Predicted seconds to its first event or its answer, by a shared view."""
+        if self.prediction is not None:
+            return self.prediction.first_event_s
+        return self.wait_s + self.run_s
+
 
 @dataclass(slots=True)
 class Request:
@@ -100,6 +107,13 @@
         limit = self.current_stage.max_attempts
         return not limit or self.stage_attempts - self.stage_attempts_not_run < limit
 
+    @property
+    def may_begin_elsewhere(self) -> bool:
+        """Whether a second endpoint could begin the answer, as nothing of it came."""
+        has_inputs = self.arrival.piece_work is None or bool(self.inputs)
+        begins = self.arrival.origin is None and not self.chunks
+        return begins and has_inputs and not self.is_trial
+
     @property
     def nothing_started(self) -> bool:
         """Whether all attempts sent provably did not run."""
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -82,6 +82,14 @@
     ) -> None:
         """Note the time to an attempt's first event; ignored like a view."""
 
+    def covers(self, pool: str) -> bool:
+        """Whether a shared view tells of the endpoints of a pool."""
+        return False
+
+    def shows_room(self, now: float, choice: Choice) -> bool:
+        """Whether a shared view shows room for one more attempt at an endpoint."""
+        return False
+
     def round_trip_s(self, region: str) -> float:
         """Return the smoothed round-trip time to a region, in seconds."""
         smoothed_s = self._round_trip_s.get(region)
--- a/tests/policy/engine_fleet.py
+++ b/tests/policy/engine_fleet.py
@@ -124,7 +124,10 @@
     def _snapshot(self, routers):
         loads = [{e: t.find(e) for e in self.endpoints} for _, t in routers]
         return {
-            e: [(x[e].outstanding, x[e].pending_prefill_tokens) if x[e] else (0, 0) for x in loads]
+            e: [
+                (x[e].outstanding, x[e].pending_prefill_tokens) if x[e] else (0, 0)
+                for x in loads
+            ]
             for e in self.endpoints
         }
 
@@ -185,7 +188,18 @@
         loads.add_attempt(load)
         pending = round(sum(s for _, s in prompt) * (1 - choice.cached_share))
         load.pending_prefill_tokens += pending
-        self._after(first_s, self._begin, entry, engine, load, pending, serial, first_s, choice, prompt)
+        self._after(
+            first_s,
+            self._begin,
+            entry,
+            engine,
+            load,
+            pending,
+            serial,
+            first_s,
+            choice,
+            prompt,
+        )
 
     def _begin(self, entry, engine, load, pending, serial, first_s, choice, prompt):
         load.pending_prefill_tokens -= pending
@@ -216,7 +230,11 @@
         fleet = self._fleet
         lag = now - fleet.lag_s
         seen = next((s for at, s in reversed(fleet.history) if at <= lag), None)
-        others = [pair for n, pair in enumerate((seen or {}).get(endpoint, ())) if n != self._entry]
+        others = [
+            pair
+            for n, pair in enumerate((seen or {}).get(endpoint, ()))
+            if n != self._entry
+        ]
         return Figures(
             sum(calls for calls, _ in others),
             sum(tokens for _, tokens in others),
