--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -10,6 +10,7 @@
 from amaranthtally.daemon.decision_loop import DecisionLoop
 from amaranthtally.daemon.gateway.endpoint_calls import EndpointCalls
 from amaranthtally.daemon.gateway.endpoint_signals import EndpointSignals
+from amaranthtally.daemon.gateway.engine_choices import prediction_fields
 from amaranthtally.daemon.gateway.live_call import (
     CompleteResponse,
     LiveCall,
@@ -358,6 +359,10 @@
             hedge=send.hedge,
             limit=limits.get(send.endpoint, ""),
             left_ms=round((send.deadline - self._time()) * 1000),
+            **prediction_fields(send),
+        )
+        self._metrics.engine_choices.attempt_sent(
+            endpoint.pool if endpoint else "", send
         )
         if send.endpoint in limits:
             self._metrics.limited_attempt_sent(endpoint.pool if endpoint else "")
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -6,6 +6,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram
 
+from amaranthtally.daemon.gateway.engine_choices import EngineChoiceMetrics
 from amaranthtally.platform import StoreTransfer
 
 __all__ = ["GatewayMetrics", "GatewayState"]
@@ -81,6 +82,7 @@
         self._resumption_tally: Tally[_ResumptionLabels] = Tally()
         self._transfer_tally: Tally[_TransferLabels] = Tally()
         self._received_bytes_tally: Tally[_TransferLabels] = Tally()
+        self.engine_choices = EngineChoiceMetrics()
         self._requests = Counter(
             "amaranthtally_requests_total", "Requests by route, status and reason."
         )
@@ -175,5 +177,6 @@
             self._transfers.set(transfer._asdict(), count)
         for transfer, count in self._received_bytes_tally.items():
             self._bytes.set(transfer._asdict(), count)
+        self.engine_choices.refresh()
         for name in GatewayState.__dataclass_fields__:
             self._state.set({"name": name}, float(getattr(state, name)))
--- a/packages/policy/src/amaranthtally/policy/engine_choice/predictor.py
+++ b/packages/policy/src/amaranthtally/policy/engine_choice/predictor.py
@@ -24,17 +24,18 @@
     """
     The predictions for a prompt at one engine; times in seconds.
 
-    ``prompt_work`` is that of ``EnginePrediction``. ``work_s`` is the time that the
-    engine spends on this prompt alone; ``delay_s`` is spent in the queue and on the
-    network. ``late_share`` is the probability that the request is late, or that the
-    streams there are.
+    ``own_work`` and ``others_work`` are those of ``EnginePrediction``. ``work_s`` is
+    the time that the engine spends on this prompt alone; ``delay_s`` is spent in the
+    queue and on the network. ``late_share`` is the probability that the request is
+    late, or that the streams there are.
     """
 
     delay_s: float
     first_event_s: float
     fixed_s: float
     work_s: float
-    prompt_work: float
+    own_work: float
+    others_work: float
     event_gap_s: float
     calls: float
     slowness: float
@@ -85,21 +86,23 @@
         """
         now = self._now
         calls = load.occupancy(now)
-        ahead = float(load.pending_prefill_tokens)
+        ahead, others_tokens = load.pending_prefill_tokens, 0.0
         slowness = load.slowness(now)
         if figures is not None:
             weight = figures.weight
             others = calls - load.outstanding
             others += weight * (max(0.0, figures.calls) - others)
             calls = load.outstanding + others
-            ahead += weight * max(0.0, figures.prefill_tokens)
+            others_tokens = weight * max(0.0, figures.prefill_tokens)
             slowness = _slowness(slowness, figures)
         delay_s = round_trip_s
         if calls + 1 > load.limit:
             delay_s += load.wait_s(calls, self._stats.mean_s)
         tokens = self._tokens * (1.0 - cached_share)
-        prompt_work = (ahead + tokens) * slowness
-        prompt_s = prompt_work * self._s_per_token
+        own_work = (ahead + tokens) * slowness
+        others_work = others_tokens * slowness
+        others_s = self._speed.remaining_share * others_work * self._s_per_token
+        prompt_s = own_work * self._s_per_token + others_s
         fixed_s = delay_s + CONCURRENCY_DELAY_S * calls * slowness
         first_event_s = fixed_s + self._speed.fixed_s * slowness + prompt_s
         event_s = self._stats.chunk_time_s(load.concurrent(calls)) * slowness
@@ -114,7 +117,8 @@
             first_event_s,
             fixed_s,
             tokens * slowness * self._s_per_token,
-            prompt_work if tokens >= ahead else 0.0,
+            own_work if tokens >= ahead else 0.0,
+            others_work,
             prompt_s + event_s,
             calls,
             slowness,
--- a/packages/policy/src/amaranthtally/policy/engine_choice/prompt_speed.py
+++ b/packages/policy/src/amaranthtally/policy/engine_choice/prompt_speed.py
@@ -1,6 +1,7 @@
 """Learns how fast the engines of a pool process prompts."""
 
 from amaranthtally.policy.affinity import PREFILL_S_PER_TOKEN
+from amaranthtally.policy.regression import DecayingRegression
 
 __all__ = ["PromptSpeed", "PromptSpeeds"]
 
@@ -18,19 +19,37 @@
 MAX_FIXED_S = 0.1
 DEFAULT_FIXED_S = 0.01
 MAX_POOLS = 1_024
+# A time that differs by more from the predicted one counts as different by this much,
+# in seconds: how long an engine hangs says nothing about the prompts before.
+MAX_EXCESS_S = 0.5
+# Prior for the share of others' tokens that still delay a prompt, its weight in seconds
+# squared (that of prompts that differ by 50 ms), and samples before it is learned. A
+# prompt of 0.2 s is counted in full until its first event: half of it is left on
+# average, and an eighth of the whole if the view needs 0.1 s to tell of it.
+REMAINING_PRIOR = 0.2
+REMAINING_PRIOR_VARIANCE_S2 = 2.5e-3
+MIN_REMAINING_SAMPLES = 50
 
 
 class PromptSpeed:
     """
     The time per prompt token and the fixed time to a first event, in seconds.
 
-    Both follow the median of observed times. A sample changes each by its part in the
-    predicted time: long prompts tell the time per token, short ones the fixed time.
+    ``remaining_share`` is the share of other entries' prompt tokens, as shown by the
+    view, by which a first event is delayed. An engine processes prompts in less time
+    than some views need to tell of them: entries that relied on these would all choose
+    the engine that had no prompts a while ago.
+
+    Both times follow the median of observed times. A sample changes each by its part in
+    the predicted time: long prompts tell the time per token, short ones the fixed time.
     """
 
-    __slots__ = ("fixed_s", "s_per_token")
+    __slots__ = ("_remaining", "_samples", "fixed_s", "remaining_share", "s_per_token")
 
     def __init__(self) -> None:
+        self._remaining = DecayingRegression(REMAINING_PRIOR_VARIANCE_S2)
+        self._samples = 0
+        self.remaining_share = REMAINING_PRIOR
         self.s_per_token = PREFILL_S_PER_TOKEN
         self.fixed_s = DEFAULT_FIXED_S
 
@@ -39,15 +58,22 @@
         """Prompt tokens that an engine of usual speed processes in a second."""
         return 1.0 / self.s_per_token
 
-    def add(self, work: float, took_s: float) -> None:
+    def add(self, own_work: float, others_work: float, took_s: float) -> None:
         """
         Add the time to a first event, without network and queue.
 
-        ``work`` is the number of tokens processed meanwhile, each times the slowness of
-        the engine.
+        The arguments are those of ``EnginePrediction``.
         """
-        if work <= 0:
+        if own_work <= 0:
             return
+        others_s = others_work * self.s_per_token
+        excess_s = took_s - self.fixed_s - own_work * self.s_per_token
+        self._remaining.add(others_s, min(MAX_EXCESS_S, max(-MAX_EXCESS_S, excess_s)))
+        self._samples += 1
+        if self._samples >= MIN_REMAINING_SAMPLES:
+            slope = self._remaining.slope(REMAINING_PRIOR)
+            self.remaining_share = min(1.0, slope)
+        work = own_work + self.remaining_share * others_work
         predicted_s = self.fixed_s + work * self.s_per_token
         sign = 1.0 if took_s > predicted_s else -1.0
         token_share = work * self.s_per_token / predicted_s
--- a/packages/policy/src/amaranthtally/policy/engine_choice/router.py
+++ b/packages/policy/src/amaranthtally/policy/engine_choice/router.py
@@ -141,7 +141,8 @@
         self, pool: str, took_s: float, prediction: EnginePrediction
     ) -> None:
         """Learn the prompt speed from the time to the first event of an attempt."""
-        self._speeds.of(pool).add(prediction.prompt_work, took_s - prediction.fixed_s)
+        prompt_s = took_s - prediction.fixed_s
+        self._speeds.of(pool).add(prediction.own_work, prediction.others_work, prompt_s)
 
     def choose(
         self, now: float, request: RouteRequest, stats: StageStats
@@ -364,9 +365,11 @@
             forecast.first_event_s,
             forecast.event_gap_s,
             forecast.late_streams,
-            forecast.prompt_work,
+            forecast.own_work,
+            forecast.others_work,
             forecast.fixed_s,
             option.weight,
+            self._speeds.of(candidate.load.endpoint.pool).tokens_per_s,
             candidate.rank,
             option.level.label,
         )
--- a/packages/policy/src/amaranthtally/policy/engine_views.py
+++ b/packages/policy/src/amaranthtally/policy/engine_views.py
@@ -41,10 +41,12 @@
 
     ``event_gap_s`` is the longest gap between events of the streams there while the
     prompt is processed. ``late_streams`` is the expected number of streams that become
-    late, the new one included. ``prompt_work`` counts the tokens that are processed
-    before the first event, each times the slowness of the engine. It is 0 if most of
-    them are of other prompts, of which an unknown part has been processed by now.
+    late, the new one included. ``own_work`` counts the tokens of this entry's prompts
+    that are processed before the first event, each times the slowness of the engine. It
+    is 0 if most of them are of earlier prompts, of which an unknown part has been
+    processed by now. ``others_work`` counts those of other entries by the view.
     ``fixed_s`` is the part of ``first_event_s`` that does not depend on tokens.
+    ``tokens_per_s`` is the learned prompt speed of the pool.
     ``holder_rank`` is the engine's rank for the prefix, -1 if it was drawn. ``level``
     says how far it is.
     """
@@ -52,8 +54,10 @@
     first_event_s: float
     event_gap_s: float
     late_streams: float
-    prompt_work: float
+    own_work: float
+    others_work: float
     fixed_s: float
     weight: float
+    tokens_per_s: float
     holder_rank: int
     level: str
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -266,10 +266,11 @@
             live = request.live[attempt]
             if request.version is None:
                 request.version = live.version
+            if live.prediction is not None and not live.stream.last_chunk_at:
+                self._dispatcher.note_first_event(now, request, live)
             if live.pending_prefill_tokens:
                 name = request.arrival.pipeline.name
                 self._first_event_times.add(name, now - live.sent_at)
-                self._dispatcher.note_first_event(now, request, live)
                 # The prefix is cached as soon as it has been processed. If it were
                 # recorded only at the end of the stream, the next request of the
                 # session, which may arrive before that, would be sent elsewhere.
--- a/tests/policy/test_packages.py
+++ b/tests/policy/test_packages.py
@@ -20,19 +20,39 @@
     "routes",
 }
 
+# What the choice of engines builds on.
+BELOW_ENGINE_CHOICE = {
+    "affinity",
+    "ejection",
+    "engine_views",
+    "groups",
+    "loads",
+    "model",
+    "prefixes",
+    "quantiles",
+    "regression",
+    "rendezvous",
+    "routing",
+    "scoring",
+    "stage_times",
+}
+PACKAGES = {"sending": BELOW_SENDING, "engine_choice": BELOW_ENGINE_CHOICE}
+
 
 def imports_of(path):
     return set(IMPORT.findall(path.read_text("utf-8")))
 
 
-def test_the_package_for_sending_imports_only_what_is_below_it():
-    """Guards against a cycle through what decides on sends and what sends."""
-    for path in (POLICY / "sending").glob("*.py"):
-        outer = {i for i in imports_of(path) if not i.startswith("sending.")}
-        assert outer <= BELOW_SENDING, path.name
+@pytest.mark.parametrize("package", PACKAGES)
+def test_a_package_imports_only_what_is_below_it(package):
+    """Guards against a cycle, as through what decides on sends and what sends."""
+    for path in (POLICY / package).glob("*.py"):
+        outer = {i for i in imports_of(path) if not i.startswith(f"{package}.")}
+        assert outer <= PACKAGES[package], path.name
 
 
 @pytest.mark.parametrize("path", sorted(POLICY.glob("*.py")), ids=lambda p: p.stem)
-def test_other_modules_use_what_the_package_for_sending_exports(path):
+def test_other_modules_use_what_packages_export(path):
     """Guards against a send that asks one restriction and passes the others by."""
-    assert not [i for i in imports_of(path) if i.startswith("sending.")]
+    inner = tuple(f"{package}." for package in PACKAGES)
+    assert not [i for i in imports_of(path) if i.startswith(inner)]
