--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -173,11 +173,13 @@
     def _may_be_stalled(self, request: Request, attempt: LiveAttempt) -> bool:
         """Whether an attempt is a first one, without an event, by a shared view."""
         stage = request.current_stage
+        if not self._router.covers(stage.pool):
+            return False
         if request.stage_attempts != 1 or attempt.probe or request.bound_to:
             return False
         if attempt.prediction is None and stage.streams:
             return False
-        return request.may_begin_elsewhere and self._router.covers(stage.pool)
+        return request.may_begin_elsewhere
 
     def _hedge_stalled(
         self, now: float, request: Request, slow: AttemptId, attempt: LiveAttempt
--- a/packages/policy/src/amaranthtally/policy/engine_choice/predictor.py
+++ b/packages/policy/src/amaranthtally/policy/engine_choice/predictor.py
@@ -18,6 +18,8 @@
 # A report may make an engine look faster than observed by this factor at most, since a
 # false one would otherwise draw all traffic to its engine.
 MAX_CLAIMED_SPEEDUP = 2.0
+# What a view says of an engine whose slowness it does not know.
+UNKNOWN_SLOWNESS = 1.0
 
 
 class EngineForecast(NamedTuple):
@@ -137,6 +139,8 @@
 
 
 def _slowness(observed: float, figures: EngineFigures) -> float:
+    if figures.slowness == UNKNOWN_SLOWNESS:
+        return observed
     weight = figures.weight
     slowness = weight * figures.slowness + (1.0 - weight) * observed
     return max(slowness, observed / MAX_CLAIMED_SPEEDUP)
--- a/tests/policy/test_engine_choice.py
+++ b/tests/policy/test_engine_choice.py
@@ -79,11 +79,13 @@
 # Predictions
 
 
-def forecast(figures=None):
+def forecast(figures=None, observed=()):
     _, loads = router(build_router, FLEET)
     wanted = request(1.0, objective=2.2)
     predictor = Predictor(1.0, wanted, STATS, PromptSpeed())
     load = loads.get_or_create(FLEET["e0"])
+    for ratio in observed:
+        load.note_chunk_time(1.0, ratio)
     return predictor.forecast(load, figures, 0.0, 0.002)
 
 
@@ -102,6 +104,10 @@
     claimed = forecast(Figures(slowness=0.05))
     assert claimed.slowness == pytest.approx(0.5)
     assert claimed.work_s == pytest.approx(forecast().work_s / 2)
+    observed = forecast(observed=[4.0] * 20).slowness
+    assert observed > 3
+    assert forecast(Figures(slowness=0.05), [4.0] * 20).slowness == observed / 2
+    assert forecast(Figures(slowness=1.0), [4.0] * 20).slowness == observed
 
 
 @pytest.mark.parametrize("tokens_per_s", [40_800, 36_100, 12_000])
