--- a/tests/policy/engine_fleet.py
+++ b/tests/policy/engine_fleet.py
@@ -154,12 +154,12 @@
             self.after(self.random.expovariate(rate), self._arrive, rate, seconds)
         entry = self.entry_of(self.random.randrange(len(self.routers)), self.now)
         own = 10**6 + self.total
-        session = int(self.random.paretovariate(1.0)) % 40 if self.sessions else own
+        session = int(self.random.paretovariate(1.0)) % 40
         if self.random.random() < 0.4:
             prompt = ((1, 2520), (100 + session, 3780), (own, 2890))
         else:
             prompt = ((2, 100), (300 + session, 70), (own, 540))
-        self._send(entry, prompt)
+        self._send(entry, prompt if self.sessions else prompt[-1:])
 
     def _send(self, entry, prompt):
         built, loads = self.routers[entry]
@@ -177,7 +177,7 @@
         self.total += 1
         self.reread += tokens
         away = load.endpoint.data_centre != SITES[entry % 6]
-        self.outside.append((self.now, away))
+        self.outside.append((self.now, entry, away))
         loads.add_attempt(load)
         pending = round(sum(s for _, s in prompt) * (1 - choice.cached_share))
         load.pending_prefill_tokens += pending
--- a/tests/policy/test_engine_choice.py
+++ b/tests/policy/test_engine_choice.py
@@ -8,6 +8,7 @@
 from amaranthtally.policy import GATEWAY_COMPONENTS, AffinityRouter
 from amaranthtally.policy.affinity import PREFILL_S_PER_TOKEN
 from amaranthtally.policy.engine_choice import build_router
+from amaranthtally.policy.engine_choice.candidates import CandidateSet
 from amaranthtally.policy.engine_choice.predictor import Predictor
 from amaranthtally.policy.engine_choice.prefix_demand import MAX_HOLDERS
 from amaranthtally.policy.engine_choice.prompt_speed import MAX_FACTOR, PromptSpeed
@@ -168,7 +169,7 @@
         fleets = [Fleet(build_router, FLEET, seed=n, sessions=False) for n in range(3)]
         for fleet in fleets:
             fleet.pick = pick
-            fleet.run(90, 6)
+            fleet.run(200, 6)
         return fleets
 
     lagging = run(None)
@@ -191,11 +192,25 @@
     fleet.run(90, 12)
 
     def outside(start, end):
-        flags = [flag for at, flag in fleet.outside if start <= at < end]
-        return sum(flags) / len(flags)
+        there = [x for x in fleet.outside if start <= x[0] < end and x[1] % 6 == 0]
+        return sum(away for _, _, away in there) / len(there)
 
     assert fleet.late_share < 0.1
-    assert outside(5, 8) > max(outside(1, 4), outside(10, 12))
+    assert outside(5, 8) > 1.25 * max(outside(1, 4), outside(10, 12))
+
+
+def test_far_engines_are_used_gradually_while_near_ones_are_full():
+    """Guards against entries that all move to another region at once, or never."""
+    ranked = CandidateSet({"": list(FLEET.values())}, "", "").ranked("7")[:MAX_HOLDERS]
+    near = {name for name, e in FLEET.items() if e.region == SITES[0][:-2]}
+    full = dict.fromkeys(near | {e.id for e in ranked}, Figures(30, 5e5))
+    built, _ = router(build_router, FLEET, view=FakeView(Figures(), **full))
+    chosen = []
+    for n in range(60):
+        wanted = request(n / 10, ((7, 540),))
+        chosen.append(built.choose(n / 10, wanted, STATS).endpoint.id not in full)
+    assert sum(chosen[:5]) <= 2
+    assert sum(chosen[-20:]) >= 12
 
 
 @pytest.mark.parametrize("workload", ["15 of 100 change every 0.6 s", "a slow third"])
