--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -4,6 +4,7 @@
 from enum import Enum
 from typing import NamedTuple
 
+from amaranthtally.policy.engine_views import EnginePrediction
 from amaranthtally.policy.limit_messages import PermitAsk, RateLimitNotice
 from amaranthtally.policy.load_messages import LoadMessage
 from amaranthtally.policy.model import AttemptId
@@ -74,7 +75,8 @@
     Send one attempt to an endpoint; ``deadline`` is the attempt's own time stamp.
 
     ``resume_offset`` is the number of chunks that the caller already has: a resumed
-    stream starts after them.
+    stream starts after them. ``prediction`` is set if a shared view told of the engine.
+    ``stalled`` says that a first attempt had stalled when this one was sent.
     """
 
     attempt: AttemptId
@@ -82,6 +84,8 @@
     deadline: float
     hedge: bool = False
     resume_offset: int = 0
+    prediction: EnginePrediction | None = None
+    stalled: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -281,6 +281,8 @@
             live = request.live[attempt]
             if request.version is None:
                 request.version = live.version
+            if live.prediction is not None and not live.stream.last_chunk_at:
+                self._dispatcher.note_first_event(now, request, live)
             if live.pending_prefill_tokens:
                 name = request.arrival.pipeline.name
                 self._first_event_times.add(name, now - live.sent_at)
@@ -387,6 +389,7 @@
         if not self._peers.replace(now, peers):
             return []
         self._view_feed.peers_changed(now, peers)
+        self._router.set_entry_count(self._peers.size)
         return [*self._limits.peers_changed(), *self._prompts.peers_changed(now)]
 
     def leave(self, now: float) -> list[Action]:
@@ -477,6 +480,7 @@
         self, now: float, request: Request, ended: LiveAttempt, result: AttemptResult
     ) -> list[Action]:
         self._outcome_recorder.attempt_finished(now, request, ended, result)
+        self._dispatcher.note_answer(now, request, ended)
         request.previous_bytes = result.output_bytes
         losers = list(request.live.values())
         actions = self._ledger.cancel_all(request)
@@ -539,6 +543,7 @@
             settings.region,
             settings.region_latency_s,
             settings.traffic_price_per_gb,
+            settings.data_centre,
         )
 
 
