Divide engine and stage time among accounts by the work of the fleet

AccountShares moves into the package fair_shares; FairShares adds to it the division by the work that other entries report. It is used by admission for engines and for stages where the setting fair_shares or a pool whose endpoints report their speed calls for it; all other requests are admitted as before.

--- a/packages/operator/src/amaranthtally/operator/experiment/ablations.py
+++ b/packages/operator/src/amaranthtally/operator/experiment/ablations.py
@@ -30,15 +30,16 @@
     RunQueue,
     Stage,
 )
-from amaranthtally.policy.accounts import AccountShares
 from amaranthtally.policy.admission import Admission, AdmissionDecision
 from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.fair_shares import FairShares
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import EndpointLoad, LoadTable, PoolLoad
 from amaranthtally.policy.prefixes import PrefixIndex
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.scoring import Choice, RouteRequest
 from amaranthtally.policy.stage_times import StageStats, StageTimes
+from amaranthtally.policy.usage_messages import Resource
 from amaranthtally.simulator.request_mechanisms import (
     UNBOUNDED_BUDGET,
     WithoutEjections,
@@ -91,12 +92,14 @@
         return AdmissionDecision()
 
 
-class NoShares(AccountShares):
+class NoShares(FairShares):
     """Does not limit accounts to shares of the queue."""
 
-    def allowance(self, now: float, account: str) -> float:
+    def allowance(
+        self, now: float, account: str, resource: Resource | None = None
+    ) -> float:
         """Return 1: every account may use the whole queue."""
-        super().allowance(now, account)
+        super().allowance(now, account, resource)
         return 1.0
 
 
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -12,6 +12,7 @@
     AskPermits,
     Cancel,
     CheckEndpoint,
+    FairSharesChanged,
     FreeAtPeer,
     FreeResults,
     PartChanged,
@@ -27,9 +28,11 @@
     RequestOutcome,
     RunPieces,
     Send,
+    SendUsage,
     SpreadPartNotices,
     SpreadRateLimits,
     SubmitToPeer,
+    UsageFault,
 )
 from amaranthtally.policy.affinity import AffinityRouter
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
@@ -41,6 +44,7 @@
     LoadReport,
     PieceWork,
 )
+from amaranthtally.policy.fair_shares import FairShares, SharesState, UsageSender
 from amaranthtally.policy.gateway_policy import (
     GATEWAY_COMPONENTS,
     GATEWAY_TICK_S,
@@ -113,6 +117,12 @@
     StreamOrigin,
     StreamOrigins,
 )
+from amaranthtally.policy.usage_messages import (
+    AccountUsage,
+    Resource,
+    UsageReport,
+    Work,
+)
 from amaranthtally.policy.version_history import VersionHistory
 from amaranthtally.policy.watchers import (
     WatcherSelection,
@@ -126,6 +136,7 @@
     "RESPONSE_MARGIN_S",
     "Account",
     "AccountLimits",
+    "AccountUsage",
     "Action",
     "AffinityRouter",
     "Answer",
@@ -147,6 +158,8 @@
     "EndpointBackoffs",
     "EngineLimits",
     "EngineModels",
+    "FairShares",
+    "FairSharesChanged",
     "FreeAtPeer",
     "FreeResults",
     "HomeRegions",
@@ -197,11 +210,14 @@
     "ReportToPeer",
     "RequestKey",
     "RequestOutcome",
+    "Resource",
     "Route",
     "RouteTable",
     "RunPieces",
     "RunQueue",
     "Send",
+    "SendUsage",
+    "SharesState",
     "SpreadPartNotices",
     "SpreadRateLimits",
     "Stage",
@@ -209,9 +225,13 @@
     "StreamOrigin",
     "StreamOrigins",
     "SubmitToPeer",
+    "UsageFault",
+    "UsageReport",
+    "UsageSender",
     "VersionHistory",
     "WatcherSelection",
     "WeightedPool",
+    "Work",
     "duty_weight",
     "elect_watchers",
     "gateway_settings",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -11,6 +11,7 @@
 from amaranthtally.policy.part_successes import PartSuccess
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport
+from amaranthtally.policy.usage_messages import Resource, UsageReport
 
 __all__ = [
     "Action",
@@ -19,6 +20,7 @@
     "CallDetails",
     "Cancel",
     "CheckEndpoint",
+    "FairSharesChanged",
     "FreeAtPeer",
     "FreeResults",
     "PartChanged",
@@ -34,9 +36,11 @@
     "RequestOutcome",
     "RunPieces",
     "Send",
+    "SendUsage",
     "SpreadPartNotices",
     "SpreadRateLimits",
     "SubmitToPeer",
+    "UsageFault",
 ]
 
 
@@ -279,6 +283,38 @@
     successes: tuple[PartSuccess, ...]
 
 
+@dataclass(frozen=True, slots=True)
+class SendUsage:
+    """Report the work of client accounts to other entries."""
+
+    peers: tuple[str, ...]
+    report: UsageReport
+
+
+@dataclass(frozen=True, slots=True)
+class FairSharesChanged:
+    """
+    Log that a resource is divided among accounts, or not any more.
+
+    ``level_s`` is the work by unit of share, ``above`` the number of accounts with more
+    than that, and ``senders`` the number of entries that were heard.
+    """
+
+    resource: Resource
+    is_short: bool
+    level_s: float
+    above: int
+    senders: int
+
+
+@dataclass(frozen=True, slots=True)
+class UsageFault:
+    """Log that an entry reports absurd figures, which are bounded or left out."""
+
+    peer: str
+    fault: str
+
+
 Action = (
     Send
     | Cancel
@@ -299,4 +335,7 @@
     | SpreadPartNotices
     | ReportEnds
     | ReportSuccess
+    | SendUsage
+    | FairSharesChanged
+    | UsageFault
 )
--- a/packages/policy/src/amaranthtally/policy/admission.py
+++ b/packages/policy/src/amaranthtally/policy/admission.py
@@ -4,12 +4,13 @@
 from random import Random
 from typing import NamedTuple
 
-from amaranthtally.policy.accounts import AccountShares
 from amaranthtally.policy.actions import RefusalReason
 from amaranthtally.policy.events import Arrival
+from amaranthtally.policy.fair_shares import FairShares
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.model import Stage
 from amaranthtally.policy.stage_times import StageTimes
+from amaranthtally.policy.usage_messages import Resource
 
 __all__ = ["ADMITTED", "Admission", "AdmissionDecision"]
 
@@ -51,7 +52,7 @@
         random: Random,
         times: StageTimes,
         loads: LoadTable,
-        accounts: AccountShares,
+        accounts: FairShares,
     ) -> None:
         self._random = random
         self._times = times
@@ -71,6 +72,8 @@
         rate_wait_s = self._accounts.rate_wait_s(now, arrival.account)
         if rate_wait_s > 0:
             return self.refuse(RefusalReason.ACCOUNT_LIMIT, rate_wait_s)
+        if self._accounts.covers(arrival):
+            return self._decide_by_fleet(now, arrival, work_s)
         decision = self._check_backlog(now, arrival)
         if decision.reason is None:
             self._accounts.add_admitted(arrival.account, work_s)
@@ -83,7 +86,26 @@
         )
         return self._add_jitter(wait_s)
 
-    def _check_backlog(self, now: float, arrival: Arrival) -> AdmissionDecision:
+    def _decide_by_fleet(
+        self, now: float, arrival: Arrival, work_s: float
+    ) -> AdmissionDecision:
+        """
+        Admit or refuse a request by its account's share of engine time.
+
+        A request with pieces is counted as admitted only with its pieces.
+        """
+        self._accounts.offer(now, arrival, Resource.ENGINES, work_s)
+        decision = self._check_backlog(now, arrival, is_fleet=True)
+        if decision.reason is not None:
+            return decision
+        self._accounts.add_admitted(arrival.account, work_s)
+        if arrival.piece_work is None:
+            self._accounts.admit(now, arrival, Resource.ENGINES, work_s)
+        return decision
+
+    def _check_backlog(
+        self, now: float, arrival: Arrival, is_fleet: bool = False
+    ) -> AdmissionDecision:
         stages = arrival.pipeline.stages
         backlog = max((self._backlog(now, s) for s in stages), key=lambda b: b.wait_s)
         slowest = self._times.slowest(stages)
@@ -97,6 +119,8 @@
         if needed_s > remaining_s:
             return self.refuse(RefusalReason.OVERLOAD, backlog.wait_s)
         max_wait_s = max(0.0, remaining_s * self._headroom - needed_s)
+        if is_fleet:
+            return self._check_share(now, arrival, backlog.wait_s, max_wait_s)
         fair_wait_s = max_wait_s * self._accounts.allowance(now, arrival.account)
         allowed_wait_s = min(max_wait_s, max(fair_wait_s, backlog.mean_s))
         if backlog.wait_s <= allowed_wait_s:
@@ -108,6 +132,29 @@
         )
         return self.refuse(reason, backlog.wait_s - allowed_wait_s)
 
+    def _check_share(
+        self, now: float, arrival: Arrival, wait_s: float, max_wait_s: float
+    ) -> AdmissionDecision:
+        """Admit a request if its account may wait for so long."""
+        allowed_wait_s = self._accounts.allowed_wait_s(
+            now, arrival.account, Resource.ENGINES, max_wait_s
+        )
+        if wait_s <= allowed_wait_s:
+            return ADMITTED
+        after_s, spread_s = self._accounts.return_times_s(
+            now, arrival.account, Resource.ENGINES
+        )
+        decision = self.refuse(
+            RefusalReason.ACCOUNT_LIMIT
+            if allowed_wait_s < max_wait_s
+            else RefusalReason.OVERLOAD,
+            max(wait_s - allowed_wait_s, after_s) + spread_s * self._random.random(),
+        )
+        self._accounts.refused(
+            now, arrival, Resource.ENGINES, max_wait_s, decision.retry_after_s
+        )
+        return decision
+
     def _backlog(self, now: float, stage: Stage) -> _Backlog:
         pool = self._loads.pool(stage.pool)
         # Work queues only while every slot is busy, when batched calls are slowest.
--- a/packages/policy/src/amaranthtally/policy/accounts.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/account_shares.py
@@ -1,10 +1,11 @@
-"""Rate limits of client accounts, and their fair shares of capacity under overload."""
+"""Rate limits of client accounts, and their fair shares of one entry's capacity."""
 
 from collections.abc import Mapping
 from dataclasses import dataclass
 from math import exp, inf
 
 from amaranthtally.policy.budgets import RateLimit
+from amaranthtally.policy.fair_shares.division import OVERLOAD_RATIO, fair_level
 from amaranthtally.policy.model import AccountLimits
 
 __all__ = ["AccountShares"]
@@ -13,8 +14,6 @@
 DECAY_S = 5.0
 # Interval between computations of the fair level, in seconds.
 REFRESH_S = 0.5
-# Ratio of offered to admitted work above which the entry counts as overloaded.
-OVERLOAD_RATIO = 1.05
 # Offered work in seconds below which an account without a rate limit is forgotten.
 IDLE_WORK_S = 1e-3
 NO_LIMITS = AccountLimits()
@@ -36,7 +35,7 @@
 
 class AccountShares:
     """
-    Enforces the accounts' rate limits, and their fair shares under overload.
+    Enforces the accounts' rate limits, and their fair shares by this entry's own view.
 
     The work offered and the work admitted are tracked by account. Both decay
     exponentially with the time constant ``DECAY_S``. Under overload the capacity, taken
@@ -116,18 +115,13 @@
         self._level = self._fair_level(admitted) if overloaded else inf
 
     def _fair_level(self, capacity: float) -> float:
-        """Return the level at which the accounts' fair work adds up to ``capacity``."""
-        demands = sorted(
-            (account.offered / self._share(name), self._share(name))
-            for name, account in self._accounts.items()
+        return fair_level(
+            (
+                (account.offered / self._share(name), self._share(name))
+                for name, account in self._accounts.items()
+            ),
+            capacity,
         )
-        weight = sum(share for _, share in demands)
-        for demand, share in demands:
-            if demand * weight >= capacity:
-                return capacity / weight
-            capacity -= demand * share
-            weight -= share
-        return inf
 
     def _usage(self, now: float, name: str) -> _AccountUsage:
         usage = self._accounts.get(name)
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -0,0 +1,427 @@
+"""Fair shares of the fleet's engine time and stage time under overload."""
+
+from collections.abc import Mapping
+from dataclasses import replace
+from math import inf, isfinite, log
+from typing import NamedTuple
+
+from amaranthtally.policy.actions import Action, FairSharesChanged, UsageFault
+from amaranthtally.policy.events import Arrival
+from amaranthtally.policy.fair_shares.account_shares import AccountShares
+from amaranthtally.policy.fair_shares.division import (
+    NO_SHORTAGE,
+    OVERLOAD_RATIO,
+    Division,
+    divide,
+)
+from amaranthtally.policy.fair_shares.early_retries import EarlyRetries
+from amaranthtally.policy.fair_shares.own_usage import DECAY_S, OwnUsage, UsageEntry
+from amaranthtally.policy.fair_shares.peer_usage import REPORT_TTL_S, PeerUsage
+from amaranthtally.policy.fair_shares.strain import Strain
+from amaranthtally.policy.model import AccountLimits
+from amaranthtally.policy.usage_messages import (
+    NO_WORK,
+    Resource,
+    UsageReport,
+    Work,
+    account_digest,
+)
+
+__all__ = ["SEND_INTERVAL_S", "FairShares", "SharesState"]
+
+# Interval between reports to other entries, in seconds.
+SEND_INTERVAL_S = 0.5
+# Interval between computations of the division, in seconds. With that of the reports it
+# stays below the second within which lent share is returned.
+DIVIDE_INTERVAL_S = 0.2
+# Part of the mean work below which an account counts as starved while it is refused.
+# Twice the guaranteed quarter, so that it is served before it falls to that.
+STARVED_PART = 0.5
+# Part of a request's work that is charged for a retry before the named time. A caller
+# that sends ten such retries forgoes one request.
+RETRY_CHARGE = 0.1
+# Part of an account's share that charges use up at most, so that retries in a loop
+# leave it the rest.
+MAX_CHARGED_PART = 0.5
+# Longest time by which the return of a refused account is put off beyond its backlog,
+# in seconds; and the longest by which returns are spread in addition.
+MAX_RETURN_S = 2 * DECAY_S
+MIN_SPREAD_S = 0.2
+# Rank of requests of starved accounts.
+MOST_URGENT = 0
+# Bounds of a share: the least one counts for shares of 0 and below.
+MIN_SHARE = 1e-6
+MAX_SHARE = 1e6
+# Accounts that reports sum up and that are divided among, at most.
+MAX_REST = 1024
+NO_LIMITS = AccountLimits()
+
+
+class SharesState(NamedTuple):
+    """What an operator sees: infinite levels without shortage, in seconds of work."""
+
+    engines_level_s: float
+    stages_level_s: float
+    accounts: int
+    senders: int
+    is_overloaded: bool
+
+
+class FairShares(AccountShares):
+    """
+    Divides engine time and stage time among accounts, by the work of the whole fleet.
+
+    It is in use for all requests if the entry's setting says so, else for those with a
+    pool whose endpoints report their speed. The methods without a ``Resource`` act on
+    this entry's own view, which serves all other requests; time stamps are in seconds.
+
+    Work is offered when a request arrives and admitted if the request is. The division
+    takes the admitted work of this entry and of the reports of other entries as the
+    capacity. An account above its share may wait for a part of the usual time only, so
+    that it is refused before any other account is; as long as nothing waits, nothing is
+    refused. An entry that hears nothing divides its own work.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._is_set = False
+        self._pools: set[str] = set()
+        self._own = OwnUsage()
+        self._peers = PeerUsage()
+        self._retries = EarlyRetries()
+        self._strain = Strain()
+        self._shares: dict[int, float] = {}
+        self._divisions = [NO_SHORTAGE] * len(Resource)
+        self._own_divisions = [NO_SHORTAGE] * len(Resource)
+        self._divided_at = -inf
+        self._scale = 1.0
+        self._serial = 0
+        self._sent_at = -inf
+        self._changes: list[Action] = []
+
+    @property
+    def is_used(self) -> bool:
+        """Whether any requests are admitted by the fleet's shares."""
+        return self._is_set or bool(self._pools)
+
+    @property
+    def state(self) -> SharesState:
+        """A snapshot for the metrics."""
+        return SharesState(
+            self._divisions[Resource.ENGINES].level,
+            self._divisions[Resource.STAGES].level,
+            len(self._own),
+            len(self._peers),
+            self._is_overloaded,
+        )
+
+    # Settings
+
+    def configure(
+        self,
+        limits: Mapping[str, AccountLimits],
+        entries: int,
+        fair_shares: bool = False,
+    ) -> None:
+        """Change the limits; with ``fair_shares`` all requests are divided fairly."""
+        super().configure(limits, entries)
+        self._is_set = fair_shares
+        self._shares = {
+            account_digest(name): _bounded_share(limit.share)
+            for name, limit in limits.items()
+        }
+
+    def pool_reports_speed(self, pool: str) -> None:
+        """Note that an endpoint of a pool reports how fast its host is now."""
+        self._pools.add(pool)
+
+    def set_sampled_part(self, part: float) -> None:
+        """Set which part of the other entries reports to this one, 0 to 1."""
+        self._scale = 1.0 / part if 0.0 < part < 1.0 else 1.0
+
+    def covers(self, arrival: Arrival) -> bool:
+        """Whether a request is admitted by the fleet's shares."""
+        if self._is_set:
+            return True
+        if not self._pools:
+            return False
+        if any(stage.pool in self._pools for stage in arrival.pipeline.stages):
+            return True
+        work = arrival.piece_work
+        return work is not None and any(s.pool in self._pools for s in work.stages)
+
+    # Requests
+
+    def offer(
+        self, now: float, arrival: Arrival, resource: Resource, work_s: float
+    ) -> None:
+        """Count the work of a request that arrived, or charge it for a retry."""
+        entry = self._own.entry(now, arrival.account)
+        if self._retries.is_early(now, arrival.account, arrival.key):
+            entry.charged[resource] += RETRY_CHARGE * work_s
+        else:
+            entry.offered[resource] += work_s
+
+    def admit(
+        self, now: float, arrival: Arrival, resource: Resource, work_s: float
+    ) -> None:
+        """Count the work of a request as admitted."""
+        self._own.entry(now, arrival.account).admitted[resource] += work_s
+
+    def withdraw(
+        self, now: float, arrival: Arrival, resource: Resource, work_s: float
+    ) -> None:
+        """Take back offered work of a request that another resource has no room for."""
+        if self._retries.is_early(now, arrival.account, arrival.key):
+            return
+        entry = self._own.entry(now, arrival.account)
+        entry.offered[resource] = max(0.0, entry.offered[resource] - work_s)
+
+    def refused(
+        self,
+        now: float,
+        arrival: Arrival,
+        resource: Resource,
+        max_wait_s: float,
+        retry_after_s: float,
+    ) -> None:
+        """
+        Note the refusal of a request that could wait for ``max_wait_s``.
+
+        ``retry_after_s`` is the time until which it was told not to come back.
+        """
+        self._retries.note_refused(now, arrival.account, arrival.key, retry_after_s)
+        if self._is_starved(now, arrival.account, resource):
+            self._strain.note_refused(now, resource, max_wait_s)
+
+    def allowance(
+        self, now: float, account: str, resource: Resource | None = None
+    ) -> float:
+        """
+        Return the factor, 0 to 1, by which the account's allowed wait is reduced.
+
+        It is 1 for an account within its fair share, else the ratio of that share to
+        the work admitted for it. Without a ``resource`` it is that of this entry alone.
+        """
+        if resource is None:
+            return super().allowance(now, account)
+        division = self._division(now, resource)
+        if not division.is_short:
+            return 1.0
+        entry = self._own.entry(now, account)
+        fair_s = division.level * self._share_of(entry.digest)
+        charged_s = min(entry.charged[resource], MAX_CHARGED_PART * fair_s)
+        used_s = self._work(entry, resource, division).admitted_s + charged_s
+        return 1.0 if used_s <= fair_s else fair_s / used_s
+
+    def allowed_wait_s(
+        self, now: float, account: str, resource: Resource, max_wait_s: float
+    ) -> float:
+        """Return how long a request may wait that is on time after ``max_wait_s``."""
+        allowance = self.allowance(now, account, resource)
+        if allowance >= 1.0 or max_wait_s <= 0.0:
+            return max_wait_s
+        limit_s = self._peers.wait_limit_s(now, resource)
+        limit_s = min(limit_s, self._strain.limit_s(now, resource))
+        return allowance * min(max_wait_s, limit_s)
+
+    def return_times_s(
+        self, now: float, account: str, resource: Resource
+    ) -> tuple[float, float]:
+        """
+        Return when an account is likely to be within its share, and the spread.
+
+        The first is when its admitted work has decayed to its share. Within the second,
+        what it is refused now fits into its share: callers that come back evenly in
+        that time do not exceed it again.
+        """
+        division = self._division(now, resource)
+        if not division.is_short:
+            return 0.0, 0.0
+        entry = self._own.entry(now, account)
+        work = self._work(entry, resource, division)
+        fair_s = max(1e-9, division.level * self._share_of(entry.digest))
+        if work.admitted_s <= fair_s:
+            return 0.0, MIN_SPREAD_S
+        after_s = DECAY_S * log(work.admitted_s / fair_s)
+        spread_s = DECAY_S * max(0.0, work.offered_s - fair_s) / fair_s
+        return (
+            min(MAX_RETURN_S, after_s),
+            min(MAX_RETURN_S, max(MIN_SPREAD_S, spread_s)),
+        )
+
+    def prioritized(self, now: float, arrival: Arrival) -> Arrival:
+        """
+        Return an arrival with the rank by which its pieces are served.
+
+        Pieces are served by rank, and an account whose requests all have a low one gets
+        nothing while those of others fill the pool. It is served first until it is no
+        longer starved.
+        """
+        if not self.is_used or arrival.piece_work is None or not arrival.priority:
+            return arrival
+        if not self.covers(arrival):
+            return arrival
+        if not self._is_starved(now, arrival.account, Resource.STAGES):
+            return arrival
+        return replace(arrival, priority=MOST_URGENT)
+
+    # Exchange with other entries
+
+    def usage_to_send(self, now: float) -> UsageReport | None:
+        """Return the report that is due, if this entry or another is overloaded."""
+        if not self.is_used or now - self._sent_at < SEND_INTERVAL_S:
+            return None
+        self._divide_if_due(now)
+        if not (self._is_overloaded or self._peers.is_overloaded(now)):
+            return None
+        self._sent_at = now
+        self._serial += 1
+        listed = self._own.largest()
+        return UsageReport(
+            incarnation=0,
+            serial=self._serial,
+            remaining_s=REPORT_TTL_S,
+            is_overloaded=self._is_overloaded,
+            wait_limits_s=(
+                self._reported_limit_s(now, Resource.ENGINES),
+                self._reported_limit_s(now, Resource.STAGES),
+            ),
+            accounts=listed,
+            rest=self._own.rest(listed),
+            rest_accounts=len(self._own) - len(listed),
+        )
+
+    def usage_received(
+        self, now: float, sender: str, report: UsageReport
+    ) -> list[Action]:
+        """Take the report of another entry; returns what is to be logged of it."""
+        fault = self._peers.received(now, sender, report)
+        return [UsageFault(sender, fault)] if fault else []
+
+    def refresh(self, now: float) -> None:
+        """Recompute what is due, and forget idle accounts and expired reports."""
+        super().refresh(now)
+        if self.is_used:
+            self._divide_if_due(now)
+
+    def take_changes(self) -> list[Action]:
+        """Return the changes of the division that are to be logged."""
+        changes, self._changes = self._changes, []
+        return changes
+
+    # Division
+
+    @property
+    def _is_overloaded(self) -> bool:
+        return any(division.is_short for division in self._own_divisions)
+
+    def _division(self, now: float, resource: Resource) -> Division:
+        self._divide_if_due(now)
+        return self._divisions[resource]
+
+    def _divide_if_due(self, now: float) -> None:
+        if now - self._divided_at < DIVIDE_INTERVAL_S:
+            return
+        self._divided_at = now
+        self._own.refresh(now)
+        self._peers.refresh(now)
+        for resource in Resource:
+            before = self._divisions[resource]
+            own = self._divide_own(resource)
+            fleet = self._divide_fleet(resource) if len(self._peers) else own
+            self._own_divisions[resource] = own
+            self._divisions[resource] = fleet if fleet.is_short else own
+            self._note_change(resource, before, self._divisions[resource])
+
+    def _divide_own(self, resource: Resource) -> Division:
+        demands = []
+        for _, entry in self._own:
+            share = self._share_of(entry.digest)
+            demands.append((entry.work(resource).offered_s / share, share))
+        total = self._own.total(resource)
+        return divide(demands, total.offered_s, total.admitted_s, is_local=True)
+
+    def _divide_fleet(self, resource: Resource) -> Division:
+        works = {
+            digest: _scaled(work[resource], self._scale)
+            for digest, work in self._peers.accounts.items()
+        }
+        for _, entry in self._own:
+            peers = works.get(entry.digest, NO_WORK)
+            works[entry.digest] = _added(entry.work(resource), peers)
+        demands = []
+        for digest, work in works.items():
+            share = self._share_of(digest)
+            demands.append((work.offered_s / share, share))
+        rest = _scaled(self._peers.rest(resource), self._scale)
+        if self._peers.rest_accounts:
+            part = rest.offered_s / self._peers.rest_accounts
+            demands += [(part, 1.0)] * min(self._peers.rest_accounts, MAX_REST)
+        offered_s = sum(w.offered_s for w in works.values()) + rest.offered_s
+        admitted_s = sum(w.admitted_s for w in works.values()) + rest.admitted_s
+        return divide(demands, offered_s, admitted_s, is_local=False)
+
+    def _note_change(
+        self, resource: Resource, before: Division, after: Division
+    ) -> None:
+        if before.is_short == after.is_short:
+            return
+        self._changes.append(
+            FairSharesChanged(
+                resource,
+                after.is_short,
+                after.level,
+                self._above(resource, after),
+                len(self._peers),
+            )
+        )
+
+    def _above(self, resource: Resource, division: Division) -> int:
+        """Return how many accounts of this entry are above their share."""
+        return sum(
+            self._work(entry, resource, division).admitted_s
+            > division.level * self._share_of(entry.digest)
+            for _, entry in self._own
+        )
+
+    # Accounts
+
+    def _is_starved(self, now: float, account: str, resource: Resource) -> bool:
+        """Whether an account is refused requests and gets far less than the mean."""
+        division = self._division(now, resource)
+        entry = self._own.find(account)
+        if not division.is_short or entry is None:
+            return False
+        own = entry.work(resource)
+        if own.offered_s <= OVERLOAD_RATIO * own.admitted_s:
+            return False
+        bound_s = STARVED_PART * division.mean * self._share_of(entry.digest)
+        return self._work(entry, resource, division).admitted_s < bound_s
+
+    def _work(self, entry: UsageEntry, resource: Resource, division: Division) -> Work:
+        """Return the work of an account that a division refers to."""
+        own = entry.work(resource)
+        peers = self._peers.accounts.get(entry.digest)
+        if division.is_local or peers is None:
+            return own
+        return _added(own, _scaled(peers[resource], self._scale))
+
+    def _share_of(self, digest: int) -> float:
+        return self._shares.get(digest, NO_LIMITS.share)
+
+    def _reported_limit_s(self, now: float, resource: Resource) -> float:
+        limit_s = self._strain.limit_s(now, resource)
+        return limit_s if isfinite(limit_s) else 0.0
+
+
+def _bounded_share(share: float) -> float:
+    return min(MAX_SHARE, max(MIN_SHARE, share)) if isfinite(share) else MIN_SHARE
+
+
+def _scaled(work: Work, factor: float) -> Work:
+    return Work(work.offered_s * factor, work.admitted_s * factor)
+
+
+def _added(one: Work, other: Work) -> Work:
+    return Work(one.offered_s + other.offered_s, one.admitted_s + other.admitted_s)
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/strain.py
@@ -0,0 +1,38 @@
+"""The shortest wait that accounts far below their share could not accept."""
+
+from math import inf
+
+from amaranthtally.policy.usage_messages import Resource
+
+__all__ = ["Strain"]
+
+# How long a limit holds after the refusal that gave rise to it, in seconds: callers of
+# an account that returns are to be served within a second.
+HOLD_S = 1.0
+
+
+class Strain:
+    """
+    Limits, by resource, of the waits that accounts above their share may cause.
+
+    An account that only sends urgent requests accepts a short wait, and one that sends
+    others a long one. Were each refused by its own wait alone, the second would keep
+    the queue longer than the first can accept, and the first would get nothing.
+    """
+
+    def __init__(self) -> None:
+        self._limits_s = [inf] * len(Resource)
+        self._until = [-inf] * len(Resource)
+
+    def note_refused(self, now: float, resource: Resource, max_wait_s: float) -> None:
+        """Note the longest wait that a request, refused undeservedly, could accept."""
+        if max_wait_s <= 0.0:
+            return
+        limit_s = self.limit_s(now, resource)
+        self._limits_s[resource] = min(limit_s, max_wait_s)
+        if max_wait_s <= limit_s:
+            self._until[resource] = now + HOLD_S
+
+    def limit_s(self, now: float, resource: Resource) -> float:
+        """Return the limit in seconds; infinite without one."""
+        return self._limits_s[resource] if now < self._until[resource] else inf
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -163,7 +163,8 @@
     ``not_run_cost`` is the budget cost of a retry if the attempt before it provably did
     not run. Headroom is a share of the deadline. ``pools`` holds the pools whose limits
     are configured, ``homes`` the regions to which requests are confined, ``evacuated``
-    the data centres to whose endpoints nothing is sent.
+    the data centres to whose endpoints nothing is sent. With ``fair_shares`` capacity
+    is divided among accounts by the work of the whole fleet.
     """
 
     revision: int
@@ -184,3 +185,4 @@
     pools: Mapping[str, Pool] = field(default_factory=dict)
     homes: HomeRegions = NO_HOMES
     evacuated: frozenset[str] = frozenset()
+    fair_shares: bool = False
--- a/packages/policy/src/amaranthtally/policy/peer_group.py
+++ b/packages/policy/src/amaranthtally/policy/peer_group.py
@@ -34,6 +34,8 @@
         self._random = Random(0)
         self._name = ""
         self._names: tuple[str, ...] = ()
+        # The other entries that are yet to be sent to in this turn.
+        self._turn: list[str] = []
         self._newcomers: tuple[str, ...] = ()
         self._paused_until: dict[str, float] = {}
         self._is_leaving = False
@@ -77,6 +79,7 @@
         added = (name for name in names if name not in before)
         self._newcomers = tuple(n for n in added if self._random.random() < share)
         self._names = names
+        self._turn.clear()
         self._ranked.clear()
         self._changed_at = now
         return True
@@ -128,6 +131,19 @@
         """Return the peers to which what is known is sent again."""
         return self._sample(REPEAT_FANOUT)
 
+    def next_receivers(self, count: int) -> tuple[str, ...]:
+        """Return the peers whose turn it is; each has one before any has another."""
+        if len(self._names) <= count:
+            return self._names
+        chosen, self._turn = self._turn[:count], self._turn[count:]
+        if len(chosen) < count:
+            missing = count - len(chosen)
+            others = [name for name in self._names if name not in chosen]
+            chosen += self._random.sample(others, missing)
+            self._turn = [name for name in self._names if name not in chosen[-missing:]]
+            self._random.shuffle(self._turn)
+        return tuple(chosen)
+
     def _sample(self, count: int) -> tuple[str, ...]:
         if len(self._names) <= count:
             return self._names
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -20,6 +20,7 @@
     PieceWork,
 )
 from amaranthtally.policy.failed_attempts import FailedAttempts
+from amaranthtally.policy.fair_shares import FairShares, UsageSender
 from amaranthtally.policy.first_events import FirstEventTimes
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.load_poller import LoadPoller
@@ -97,7 +98,9 @@
         self._coordinator = components.coordinator()
         self._first_event_times = FirstEventTimes()
         self._pieces = PieceEvents(self._coordinator, self._apply_effects)
-        self._inputs = components.inputs(random, self._coordinator, self._times)
+        self._inputs = components.inputs(
+            random, self._coordinator, self._times, self._accounts
+        )
         self._outcome_recorder = OutcomeRecorder(
             self._times,
             self._loads,
@@ -108,6 +111,7 @@
             self._ledger.counters,
         )
         self._peers = PeerGroup()
+        self._usage = UsageSender(self._accounts, self._peers)
         self._limits = EndpointLimits(
             self._peers, self._coordinator.batcher.servers.note_rate_limit
         )
@@ -179,6 +183,16 @@
         """The parts of prompts that are kept away from endpoints."""
         return self._prompts
 
+    @property
+    def shares(self) -> FairShares:
+        """The client accounts' shares of engine time and stage time."""
+        return self._accounts
+
+    @property
+    def usage(self) -> UsageSender:
+        """Reports the work of client accounts to the other entries."""
+        return self._usage
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were admitted and have not ended."""
@@ -209,6 +223,7 @@
             return [unplaced]
         for stage in arrival.pipeline.stages:
             self._membership.prepare(now, stage)
+        arrival = self._accounts.prioritized(now, arrival)
         decision = self._admission.decide(now, arrival)
         if decision.reason is None and arrival.piece_work is not None:
             decision = self._inputs.decide(now, arrival, arrival.piece_work, regions)
@@ -356,6 +371,7 @@
         if now >= self._cold.next_end:
             self._limits.set_cold_rates(now, self._cold.rates(now))
         actions.extend(self._limits.tick(now))
+        actions.extend(self._usage.tick(now))
         actions.extend(self._permit_waits.tick(now))
         actions.extend(self._prompts.tick(now))
         while (timer := self._timers.due(now)) is not None:
@@ -510,7 +526,9 @@
         self._cold.configure(now, settings.endpoints, settings.pools)
         self._limits.set_cold_rates(now, self._cold.rates(now))
         self._backoffs.configure(settings.endpoints)
-        self._accounts.configure(settings.accounts, settings.entries)
+        self._accounts.configure(
+            settings.accounts, settings.entries, settings.fair_shares
+        )
         self._admission.configure(settings.admission_headroom)
         self._router.configure(
             settings.region,
--- a/packages/policy/src/amaranthtally/policy/planner_components.py
+++ b/packages/policy/src/amaranthtally/policy/planner_components.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from random import Random
 
-from amaranthtally.policy.accounts import AccountShares
 from amaranthtally.policy.admission import Admission
 from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.fair_shares import FairShares, fair_shares
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import LoadTable
 from amaranthtally.policy.piece_coordinator import PieceCoordinator
@@ -17,11 +17,13 @@
 
 __all__ = ["BuildInputs", "BuildRouter", "PlannerComponents"]
 
-BuildAdmission = Callable[[Random, StageTimes, LoadTable, AccountShares], Admission]
+BuildAdmission = Callable[[Random, StageTimes, LoadTable, FairShares], Admission]
 BuildRouter = Callable[
     [Random, EndpointGroups, LoadTable, Ejections, PrefixIndex], Router
 ]
-BuildInputs = Callable[[Random, PieceCoordinator, StageTimes], RequestInputs]
+BuildInputs = Callable[
+    [Random, PieceCoordinator, StageTimes, FairShares], RequestInputs
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,7 +33,7 @@
     stage_times: Callable[[], StageTimes] = StageTimes
     loads: Callable[[], LoadTable] = LoadTable
     ejections: Callable[[], Ejections] = Ejections
-    accounts: Callable[[], AccountShares] = AccountShares
+    accounts: Callable[[], FairShares] = fair_shares
     admission: BuildAdmission = Admission
     router: BuildRouter = Router
     coordinator: Callable[[], PieceCoordinator] = PieceCoordinator
--- a/packages/policy/src/amaranthtally/policy/request_inputs.py
+++ b/packages/policy/src/amaranthtally/policy/request_inputs.py
@@ -7,11 +7,13 @@
 from amaranthtally.policy.actions import Action, RefusalReason
 from amaranthtally.policy.admission import ADMITTED, AdmissionDecision
 from amaranthtally.policy.events import Arrival, PieceWork
+from amaranthtally.policy.fair_shares import FairShares
 from amaranthtally.policy.home_regions import Regions
 from amaranthtally.policy.piece_coordinator import PieceCoordinator
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import Request
 from amaranthtally.policy.stage_times import StageTimes
+from amaranthtally.policy.usage_messages import Resource
 
 __all__ = ["RequestInputs"]
 
@@ -35,11 +37,16 @@
     """Admits requests by their stages, and frees the inputs that engines have read."""
 
     def __init__(
-        self, random: Random, coordinator: PieceCoordinator, times: StageTimes
+        self,
+        random: Random,
+        coordinator: PieceCoordinator,
+        times: StageTimes,
+        accounts: FairShares,
     ) -> None:
         self._random = random
         self._coordinator = coordinator
         self._times = times
+        self._accounts = accounts
         self._fetches: deque[_Fetch] = deque()
 
     def decide(
@@ -58,6 +65,8 @@
         needed_s = self._coordinator.plans.predicted_time_s(
             now, work.stages, work.counts, arrival.priority, regions
         )
+        if self._accounts.covers(arrival):
+            return self._decide_by_fleet(now, arrival, work, needed_s)
         excess_s = now + needed_s - self.pieces_deadline(arrival)
         if excess_s <= 0:
             return ADMITTED
@@ -65,6 +74,38 @@
             RefusalReason.OVERLOAD, max(excess_s, self.retry_after_s(now, arrival))
         )
 
+    def _decide_by_fleet(
+        self, now: float, arrival: Arrival, work: PieceWork, needed_s: float
+    ) -> AdmissionDecision:
+        """Admit or refuse a request by its account's share of stage time."""
+        plans = self._coordinator.plans
+        stages_s = plans.work_s(work.stages, work.counts)
+        engines_s = self._times.median_s(arrival.pipeline.stages)
+        self._accounts.offer(now, arrival, Resource.STAGES, stages_s)
+        idle_s = plans.idle_time_s(work.stages, work.counts)
+        max_wait_s = self.pieces_deadline(arrival) - now - idle_s
+        allowed_wait_s = self._accounts.allowed_wait_s(
+            now, arrival.account, Resource.STAGES, max_wait_s
+        )
+        excess_s = needed_s - idle_s - allowed_wait_s
+        if excess_s <= 0:
+            self._accounts.admit(now, arrival, Resource.STAGES, stages_s)
+            self._accounts.admit(now, arrival, Resource.ENGINES, engines_s)
+            return ADMITTED
+        self._accounts.withdraw(now, arrival, Resource.ENGINES, engines_s)
+        after_s, spread_s = self._accounts.return_times_s(
+            now, arrival.account, Resource.STAGES
+        )
+        wait_s = max(excess_s, after_s, self.retry_after_s(now, arrival))
+        wait_s += spread_s * self._random.random()
+        self._accounts.refused(now, arrival, Resource.STAGES, max_wait_s, wait_s)
+        return AdmissionDecision(
+            RefusalReason.ACCOUNT_LIMIT
+            if allowed_wait_s < max_wait_s
+            else RefusalReason.OVERLOAD,
+            wait_s,
+        )
+
     def pieces_deadline(self, arrival: Arrival) -> float:
         """
         Return the time stamp by which the pieces of a request must be done.
--- a/packages/policy/src/amaranthtally/policy/stage_plans.py
+++ b/packages/policy/src/amaranthtally/policy/stage_plans.py
@@ -1,6 +1,6 @@
 """Predicts how long the stages of requests take, and chooses where they run."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from amaranthtally.policy.batcher import Batcher
 from amaranthtally.policy.home_regions import Regions
@@ -50,15 +50,24 @@
 
         They run in ``regions``, or in any with ``None``.
         """
-        ends_s: list[float] = []
-        for index, stage in enumerate(stages):
-            count = counts[index] if index < len(counts) else 0
-            start_s = max((ends_s[i] for i in stage.after if i < index), default=0.0)
-            ends_s.append(
-                start_s
-                + (self.stage_time_s(now, stage.pool, rank, regions) if count else 0.0)
-            )
-        return max(ends_s, default=0.0)
+        return _longest_path_s(
+            stages,
+            counts,
+            lambda pool: self.stage_time_s(now, pool, rank, regions),
+        )
+
+    def idle_time_s(
+        self, stages: tuple[PieceStage, ...], counts: tuple[int, ...]
+    ) -> float:
+        """Return how long the stages of a request take if none of them waits."""
+        return _longest_path_s(stages, counts, self.full_call_time_s)
+
+    def work_s(self, stages: tuple[PieceStage, ...], counts: tuple[int, ...]) -> float:
+        """Return how much of the endpoints' time the pieces of a request take."""
+        return sum(
+            self.piece_share_s(stage.pool) * count
+            for stage, count in zip(stages, counts, strict=False)
+        )
 
     def backlog_s(self, now: float, stages: tuple[PieceStage, ...], rank: int) -> float:
         """Return how long the slowest of these stages takes now, its wait included."""
@@ -188,3 +197,17 @@
             for data_centre, endpoint in candidates.items()
             if endpoint.region in regions
         }
+
+
+def _longest_path_s(
+    stages: tuple[PieceStage, ...],
+    counts: tuple[int, ...],
+    time_s: Callable[[str], float],
+) -> float:
+    """Return when the last stage ends if each takes the time of its pool."""
+    ends_s: list[float] = []
+    for index, stage in enumerate(stages):
+        count = counts[index] if index < len(counts) else 0
+        start_s = max((ends_s[i] for i in stage.after if i < index), default=0.0)
+        ends_s.append(start_s + (time_s(stage.pool) if count else 0.0))
+    return max(ends_s, default=0.0)
