--- a/packages/policy/src/amaranthtally/policy/fair_shares/division.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/division.py
@@ -1,13 +1,26 @@
 """Weighted max-min fair division of a capacity among client accounts."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from math import inf
 from typing import NamedTuple
 
-__all__ = ["NO_SHORTAGE", "OVERLOAD_RATIO", "Division", "divide", "fair_level"]
+from amaranthtally.policy.usage_messages import Work
+
+__all__ = [
+    "NO_SHORTAGE",
+    "OVERLOAD_RATIO",
+    "Division",
+    "divide",
+    "fair_level",
+    "is_overloaded",
+    "is_starved",
+]
 
 # Ratio of offered to admitted work above which a resource counts as overloaded.
 OVERLOAD_RATIO = 1.05
+# Part of the mean work below which an account counts as starved while it is refused.
+# Twice the guaranteed quarter, so that it is served before it falls to that.
+STARVED_PART = 0.5
 
 
 class Division(NamedTuple):
@@ -48,15 +61,32 @@
     return inf
 
 
-def divide(
-    demands: list[tuple[float, float]],
-    offered_s: float,
-    admitted_s: float,
-    is_local: bool,
-) -> Division:
-    """Divide what is admitted, if more is offered."""
-    if offered_s <= OVERLOAD_RATIO * admitted_s or not demands:
-        return NO_SHORTAGE
-    weight = sum(share for demand, share in demands if demand > 0.0)
+def divide(accounts: Sequence[tuple[Work, float]], is_local: bool) -> Division:
+    """
+    Divide the admitted work among accounts, each with its share, if more is offered.
+
+    A resource is also short while one account is refused and gets far less than the
+    mean: a small account's requests are lost in the total.
+    """
+    offered_s = sum(work.offered_s for work, _ in accounts)
+    admitted_s = sum(work.admitted_s for work, _ in accounts)
+    weight = sum(share for work, share in accounts if work.offered_s > 0.0)
     mean = admitted_s / weight if weight else 0.0
-    return Division(fair_level(demands, admitted_s), mean, is_local)
+    if not is_overloaded(Work(offered_s, admitted_s)) and not any(
+        is_starved(work, share, mean) for work, share in accounts
+    ):
+        return NO_SHORTAGE
+    level = fair_level(
+        ((work.offered_s / share, share) for work, share in accounts), admitted_s
+    )
+    return Division(level, mean, is_local)
+
+
+def is_overloaded(work: Work) -> bool:
+    """Whether much of the offered work is refused."""
+    return work.offered_s > OVERLOAD_RATIO * work.admitted_s
+
+
+def is_starved(work: Work, share: float, mean: float) -> bool:
+    """Whether an account is refused work and gets far less than the mean."""
+    return is_overloaded(work) and work.admitted_s < STARVED_PART * mean * share
--- a/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -10,9 +10,10 @@
 from amaranthtally.policy.fair_shares.account_shares import AccountShares
 from amaranthtally.policy.fair_shares.division import (
     NO_SHORTAGE,
-    OVERLOAD_RATIO,
     Division,
     divide,
+    is_overloaded,
+    is_starved,
 )
 from amaranthtally.policy.fair_shares.early_retries import EarlyRetries
 from amaranthtally.policy.fair_shares.own_usage import DECAY_S, OwnUsage, UsageEntry
@@ -34,9 +35,6 @@
 # Interval between computations of the division, in seconds. With that of the reports it
 # stays below the second within which lent share is returned.
 DIVIDE_INTERVAL_S = 0.2
-# Part of the mean work below which an account counts as starved while it is refused.
-# Twice the guaranteed quarter, so that it is served before it falls to that.
-STARVED_PART = 0.5
 # Part of a request's work that is charged for a retry before the named time. A caller
 # that sends ten such retries forgoes one request.
 RETRY_CHARGE = 0.1
@@ -191,7 +189,7 @@
         ``retry_after_s`` is the time until which it was told not to come back.
         """
         self._retries.note_refused(now, arrival.account, arrival.key, retry_after_s)
-        if self._is_starved(now, arrival.account, resource):
+        if self._is_entitled(now, arrival.account, resource):
             self._strain.note_refused(now, resource, max_wait_s)
 
     def allowance(
@@ -218,8 +216,12 @@
         self, now: float, account: str, resource: Resource, max_wait_s: float
     ) -> float:
         """Return how long a request may wait that is on time after ``max_wait_s``."""
+        if max_wait_s <= 0.0:
+            return max_wait_s
         allowance = self.allowance(now, account, resource)
-        if allowance >= 1.0 or max_wait_s <= 0.0:
+        if allowance >= 1.0:
+            if self._is_entitled(now, account, resource):
+                self._strain.renew(now, resource, max_wait_s)
             return max_wait_s
         limit_s = self._peers.wait_limit_s(now, resource)
         limit_s = min(limit_s, self._strain.limit_s(now, resource))
@@ -335,12 +337,11 @@
             self._note_change(resource, before, self._divisions[resource])
 
     def _divide_own(self, resource: Resource) -> Division:
-        demands = []
-        for _, entry in self._own:
-            share = self._share_of(entry.digest)
-            demands.append((entry.work(resource).offered_s / share, share))
-        total = self._own.total(resource)
-        return divide(demands, total.offered_s, total.admitted_s, is_local=True)
+        accounts = [
+            (entry.work(resource), self._share_of(entry.digest))
+            for _, entry in self._own
+        ]
+        return divide(accounts, is_local=True)
 
     def _divide_fleet(self, resource: Resource) -> Division:
         works = {
@@ -350,17 +351,13 @@
         for _, entry in self._own:
             peers = works.get(entry.digest, NO_WORK)
             works[entry.digest] = _added(entry.work(resource), peers)
-        demands = []
-        for digest, work in works.items():
-            share = self._share_of(digest)
-            demands.append((work.offered_s / share, share))
-        rest = _scaled(self._peers.rest(resource), self._scale)
-        if self._peers.rest_accounts:
-            part = rest.offered_s / self._peers.rest_accounts
-            demands += [(part, 1.0)] * min(self._peers.rest_accounts, MAX_REST)
-        offered_s = sum(w.offered_s for w in works.values()) + rest.offered_s
-        admitted_s = sum(w.admitted_s for w in works.values()) + rest.admitted_s
-        return divide(demands, offered_s, admitted_s, is_local=False)
+        accounts = [(work, self._share_of(digest)) for digest, work in works.items()]
+        count = min(self._peers.rest_accounts, MAX_REST)
+        if count:
+            # The accounts that reports only sum up are taken for equal ones.
+            rest = _scaled(self._peers.rest(resource), self._scale / count)
+            accounts += [(rest, NO_LIMITS.share)] * count
+        return divide(accounts, is_local=False)
 
     def _note_change(
         self, resource: Resource, before: Division, after: Division
@@ -393,11 +390,23 @@
         entry = self._own.find(account)
         if not division.is_short or entry is None:
             return False
-        own = entry.work(resource)
-        if own.offered_s <= OVERLOAD_RATIO * own.admitted_s:
+        return is_overloaded(entry.work(resource)) and is_starved(
+            self._work(entry, resource, division),
+            self._share_of(entry.digest),
+            division.mean,
+        )
+
+    def _is_entitled(self, now: float, account: str, resource: Resource) -> bool:
+        """Whether an account should be refused nothing, as all it asks is its share."""
+        division = self._division(now, resource)
+        entry = self._own.find(account)
+        if not division.is_short or entry is None:
             return False
-        bound_s = STARVED_PART * division.mean * self._share_of(entry.digest)
-        return self._work(entry, resource, division).admitted_s < bound_s
+        work = self._work(entry, resource, division)
+        share = self._share_of(entry.digest)
+        return work.offered_s <= division.level * share or is_starved(
+            work, share, division.mean
+        )
 
     def _work(self, entry: UsageEntry, resource: Resource, division: Division) -> Work:
         """Return the work of an account that a division refers to."""
--- a/packages/policy/src/amaranthtally/policy/fair_shares/strain.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/strain.py
@@ -1,4 +1,4 @@
-"""The shortest wait that accounts far below their share could not accept."""
+"""The shortest wait that accounts within their share could not accept."""
 
 from math import inf
 
@@ -6,9 +6,13 @@
 
 __all__ = ["Strain"]
 
-# How long a limit holds after the refusal that gave rise to it, in seconds: callers of
-# an account that returns are to be served within a second.
-HOLD_S = 1.0
+# Part of the refused request's wait to which others are limited. What arrives between
+# two refusals of theirs lengthens the queue beyond the limit.
+GAP = 0.5
+# How long a limit holds after the last request that needs it, in seconds: the time
+# constant of the sums of work. An account with a request every few seconds would else
+# find the queue full again each time.
+HOLD_S = 5.0
 
 
 class Strain:
@@ -29,8 +33,13 @@
         if max_wait_s <= 0.0:
             return
         limit_s = self.limit_s(now, resource)
-        self._limits_s[resource] = min(limit_s, max_wait_s)
-        if max_wait_s <= limit_s:
+        self._limits_s[resource] = min(limit_s, GAP * max_wait_s)
+        if GAP * max_wait_s <= limit_s:
+            self._until[resource] = now + HOLD_S
+
+    def renew(self, now: float, resource: Resource, max_wait_s: float) -> None:
+        """Keep a limit in force that a request needs, whether or not it is refused."""
+        if now < self._until[resource] and GAP * max_wait_s <= self._limits_s[resource]:
             self._until[resource] = now + HOLD_S
 
     def limit_s(self, now: float, resource: Resource) -> float:
--- a/packages/policy/src/amaranthtally/policy/usage_messages.py
+++ b/packages/policy/src/amaranthtally/policy/usage_messages.py
@@ -49,8 +49,8 @@
 
     Of the reports of one start of an entry, which has its own ``incarnation``, the one
     with the highest ``serial`` holds. It holds for ``remaining_s`` seconds more.
-    ``wait_limits_s`` has for each ``Resource`` the shortest wait that an account far
-    below its share could not accept, 0 without one. ``rest`` sums the work of
+    ``wait_limits_s`` has for each ``Resource`` the shortest wait that an account
+    within its share could not accept, 0 without one. ``rest`` sums the work of
     ``rest_accounts`` accounts that are not listed.
     """
 
