Accounts within their share are served before all that ask for more

With several borrowers, some were always just below their level and kept the queue at its limit; an account that returned waited for seconds. In a partition the two halves do not make way for each other's small accounts: these get the guaranteed quarter of the mean, which the test now states.

--- a/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -215,14 +215,19 @@
     def allowed_wait_s(
         self, now: float, account: str, resource: Resource, max_wait_s: float
     ) -> float:
-        """Return how long a request may wait that is on time after ``max_wait_s``."""
-        if max_wait_s <= 0.0:
+        """
+        Return how long a request may wait that is on time after ``max_wait_s``.
+
+        The limit for the sake of accounts within their share applies to all that ask
+        for more than theirs, whatever they got lately: among many of these there are
+        always some that are just below it.
+        """
+        if max_wait_s <= 0.0 or not self._division(now, resource).is_short:
             return max_wait_s
-        allowance = self.allowance(now, account, resource)
-        if allowance >= 1.0:
-            if self._is_entitled(now, account, resource):
-                self._strain.renew(now, resource, max_wait_s)
+        if self._is_entitled(now, account, resource):
+            self._strain.renew(now, resource, max_wait_s)
             return max_wait_s
+        allowance = self.allowance(now, account, resource)
         limit_s = self._peers.wait_limit_s(now, resource)
         limit_s = min(limit_s, self._strain.limit_s(now, resource))
         return allowance * min(max_wait_s, limit_s)
