--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -21,6 +21,7 @@
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
 from amaranthtally.daemon.gateway.prompt_exchange import PromptExchange
 from amaranthtally.daemon.gateway.rate_limit_exchange import RateLimitExchange
+from amaranthtally.daemon.gateway.usage_exchange import UsageExchange
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     GATEWAY_TICK_S,
@@ -32,6 +33,7 @@
     Cancel,
     CheckEndpoint,
     Endpoint,
+    FairSharesChanged,
     FreeAtPeer,
     FreeResults,
     LoadReport,
@@ -53,11 +55,13 @@
     RequestOutcome,
     RunPieces,
     Send,
+    SendUsage,
     SpreadPartNotices,
     SpreadRateLimits,
     StoredResult,
     StreamOrigin,
     SubmitToPeer,
+    UsageFault,
 )
 
 __all__ = ["GatewayExecutor"]
@@ -106,6 +110,13 @@
             lambda actions: self._decisions.carry_out(actions),
             lambda: self._decisions.wake(),
         )
+        self._usage = UsageExchange(
+            planner,
+            self._get_connections,
+            metrics,
+            lambda work: self._decisions.spawn(work),
+            lambda actions: self._decisions.carry_out(actions),
+        )
         self._decisions = DecisionLoop(
             planner,
             {
@@ -128,6 +139,9 @@
                 SpreadPartNotices: self._prompts.spread,
                 ReportEnds: self._prompts.report_ends,
                 ReportSuccess: self._prompts.report_success,
+                SendUsage: self._usage.send,
+                FairSharesChanged: self._usage.log_change,
+                UsageFault: self._usage.log_fault,
             },
             GATEWAY_TICK_S,
         )
@@ -157,6 +171,11 @@
         """Exchanges with the other gateways what is known of parts of prompts."""
         return self._prompts
 
+    @property
+    def usage(self) -> UsageExchange:
+        """Exchanges the work of client accounts with the other gateways."""
+        return self._usage
+
     @property
     def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
         """Function that runs a coroutine in the background."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -33,6 +33,10 @@
     source: str
 
 
+class _OutcomeLabels(NamedTuple):
+    outcome: str
+
+
 class _TransferLabels(NamedTuple):
     call: str
     outcome: str
@@ -63,6 +67,11 @@
     data_centres_evacuated: int
     requests_blocked: int
     log_lines_lost: int
+    fair_share_accounts: int
+    fair_share_senders: int
+    fair_share_overloaded: bool
+    fair_share_engines_s: float
+    fair_share_stages_s: float
 
 
 class GatewayMetrics:
@@ -79,6 +88,7 @@
         self._limited_tally: Tally[_PoolLabels] = Tally()
         self._piece_tally: Tally[_CallLabels] = Tally()
         self._resumption_tally: Tally[_ResumptionLabels] = Tally()
+        self._usage_tally: Tally[_OutcomeLabels] = Tally()
         self._transfer_tally: Tally[_TransferLabels] = Tally()
         self._received_bytes_tally: Tally[_TransferLabels] = Tally()
         self._requests = Counter(
@@ -101,6 +111,10 @@
         self._transfers = Counter(
             "amaranthtally_store_calls_total", "Calls at the store by call and outcome."
         )
+        self._usage_reports = Counter(
+            "amaranthtally_usage_reports_total",
+            "Reports of the work of accounts that gateways exchange, by outcome.",
+        )
         self._bytes = Counter(
             "amaranthtally_store_received_bytes_total",
             "Bytes of the store's answers by call and outcome.",
@@ -153,6 +167,10 @@
         """Count a stream that a caller takes up, by how its version was found."""
         self._resumption_tally[_ResumptionLabels(source)] += 1
 
+    def usage_reported(self, outcome: str) -> None:
+        """Count a report of the work of accounts, received, sent or not sent."""
+        self._usage_tally[_OutcomeLabels(outcome)] += 1
+
     def store_called(self, transfer: StoreTransfer) -> None:
         """Count a call to the store and the bytes of its response."""
         labels = _TransferLabels(transfer.call, transfer.outcome)
@@ -171,6 +189,8 @@
             self._pieces.set(piece._asdict(), count)
         for resumption, count in self._resumption_tally.items():
             self._resumptions.set(resumption._asdict(), count)
+        for outcome, count in self._usage_tally.items():
+            self._usage_reports.set(outcome._asdict(), count)
         for transfer, count in self._transfer_tally.items():
             self._transfers.set(transfer._asdict(), count)
         for transfer, count in self._received_bytes_tally.items():
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -19,8 +19,9 @@
     PieceReport,
     RateLimitNotice,
     StoredResult,
+    UsageReport,
 )
-from amaranthtally.wire import PeerLostError
+from amaranthtally.wire import MethodUnknownError, PeerLostError
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
 from amaranthtally.wire.gateway_client import GatewayClient, connect_gateway
@@ -225,6 +226,10 @@
         now = self._loop.time()
         await self._call(peer, lambda client: client.report_successes(successes, now))
 
+    async def exchange_usage(self, peer: str, report: UsageReport) -> None:
+        """Report the work of client accounts to a peer; raises ``PeerLostError``."""
+        await self._call(peer, lambda client: client.exchange_usage(self._name, report))
+
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._clients):
@@ -287,6 +292,8 @@
         client = await self._client(peer)
         try:
             answer = await call(client)
+        except MethodUnknownError:
+            raise
         except PeerLostError:
             if self._clients.get(peer) is client:
                 self._disconnect(peer)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -16,6 +16,7 @@
     PieceReport,
     RateLimitNotice,
     StoredResult,
+    UsageReport,
 )
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
@@ -100,6 +101,10 @@
         """Take the successes of parts that a peer reports."""
         self._executor.prompts.successes_reported(successes)
 
+    def usage_received(self, sender: str, report: UsageReport) -> None:
+        """Take the work of client accounts that a peer reports."""
+        self._executor.usage.received(sender, report)
+
     def copy_origins(self, entries: Sequence[OriginEntry]) -> None:
         """Hold copies of what a peer knows of the origins of streams."""
         self._origins.copies_received(entries)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
@@ -124,6 +124,7 @@
                 1.0, RETRY_SLACK_FRACTION * process.retry_slack / self._entries
             ),
             entry=process.name,
+            fair_shares=process.fair_shares,
         )
         return gateway_settings(settings)
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -203,6 +203,7 @@
     gate = ConnectionGate()
 
     def state() -> GatewayState:
+        shares = executor.usage.state
         return GatewayState(
             in_flight=executor.in_flight,
             pieces_waiting=executor.pieces_waiting,
@@ -225,6 +226,11 @@
             data_centres_evacuated=len(routing_state.evacuated),
             requests_blocked=executor.prompts.blocked_requests,
             log_lines_lost=writer.dropped,
+            fair_share_accounts=shares.accounts,
+            fair_share_senders=shares.senders,
+            fair_share_overloaded=shares.is_overloaded,
+            fair_share_engines_s=shares.engines_level_s,
+            fair_share_stages_s=shares.stages_level_s,
         )
 
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -69,6 +69,8 @@
     the first attempt of each request. Metrics are served at ``metrics_address``; if it
     is empty, they are not served. ``seeds`` are addresses for peers of a few gateways,
     which one that starts asks if the store does not answer; some may be out of date.
+    With ``fair_shares`` the fleet's capacity is divided fairly among accounts under
+    overload; without, only that of pools whose endpoints report their speed is.
     """
 
     name: Name
@@ -85,6 +87,7 @@
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2
     retry_slack: Annotated[float, Meta(ge=0)] = 50.0
     metrics_address: OptionalAddress = ""
+    fair_shares: bool = False
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -4,6 +4,7 @@
 from amaranthtally.wire.connections import EntryConnections
 from amaranthtally.wire.errors import (
     ChunkRefusedError,
+    MethodUnknownError,
     PeerLostError,
     ReplyMismatchError,
     WireError,
@@ -39,6 +40,7 @@
     "ChunksHandler",
     "EntryConnections",
     "HelloReply",
+    "MethodUnknownError",
     "Load",
     "ModelState",
     "OutcomeQuery",
--- a/packages/wire/src/amaranthtally/wire/errors.py
+++ b/packages/wire/src/amaranthtally/wire/errors.py
@@ -1,6 +1,12 @@
 """Errors of the protocols between entries, sidecars and gateways."""
 
-__all__ = ["ChunkRefusedError", "PeerLostError", "ReplyMismatchError", "WireError"]
+__all__ = [
+    "ChunkRefusedError",
+    "MethodUnknownError",
+    "PeerLostError",
+    "ReplyMismatchError",
+    "WireError",
+]
 
 
 class WireError(Exception):
@@ -23,6 +29,14 @@
         self.peer = peer
 
 
+class MethodUnknownError(PeerLostError):
+    """
+    A peer does not know the method called, as it runs an older version.
+
+    The call has not run, and the connection is sound.
+    """
+
+
 class ReplyMismatchError(WireError):
     """
     A peer sent the reply to another call, or a chunk of one; it is discarded.
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -157,6 +157,29 @@
   isRequest @3 :Bool;
 }
 
+struct AccountUsage {
+  # The work of one account, named by its digest, in seconds, as decaying sums.
+  account @0 :UInt64;
+  engineOfferedS @1 :Float32;
+  engineAdmittedS @2 :Float32;
+  stageOfferedS @3 :Float32;
+  stageAdmittedS @4 :Float32;
+}
+
+struct Usage {
+  # The work of accounts at one gateway: the largest, and the sum of the rest. The limits
+  # are the shortest waits that accounts within their share could not accept, 0 for none.
+  incarnation @0 :UInt64;
+  serial @1 :UInt64;
+  remainingMicros @2 :Int64;
+  isOverloaded @3 :Bool;
+  engineLimitS @4 :Float32;
+  stageLimitS @5 :Float32;
+  accounts @6 :List(AccountUsage);
+  rest @7 :AccountUsage;
+  restAccounts @8 :UInt32;
+}
+
 interface Gateway {
   # Sends the caller's name, address, data centre and versions, and whether the receiver
   # is to push changes to it for a while; returns the receiver's versions, whether it is
@@ -200,4 +223,8 @@
   readRateLimits @15 () -> (limits :List(RateLimit));
   # Returns the notices on parts of prompts that the receiver holds.
   readPartNotices @16 () -> (notices :List(PartNotice));
+  # Reserved for the exchange of loads.
+  exchangeLoads @17 () -> ();
+  # Reports the work of client accounts at the sender.
+  exchangeUsage @18 (sender :Text, usage :Usage) -> ();
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_client.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_client.py
@@ -17,10 +17,11 @@
     PieceReport,
     RateLimitNotice,
     StoredResult,
+    UsageReport,
 )
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
-from amaranthtally.wire.errors import PeerLostError
+from amaranthtally.wire.errors import MethodUnknownError, PeerLostError
 from amaranthtally.wire.gateway_codec import (
     GatewayStatus,
     Greeter,
@@ -50,6 +51,7 @@
     write_permit_asks,
     write_rate_limits,
 )
+from amaranthtally.wire.usage_codec import write_usage
 
 __all__ = ["GatewayClient", "connect_gateway"]
 
@@ -199,6 +201,13 @@
         write_part_successes(request, successes, now)
         await self._send(request)
 
+    async def exchange_usage(self, sender: str, report: UsageReport) -> None:
+        """Report the work of client accounts at the sender."""
+        request = self._gateway.exchangeUsage_request()
+        request.sender = sender
+        write_usage(request.usage, report)
+        await self._send(request)
+
     def close(self) -> None:
         """Close the connection; calls in flight raise ``PeerLostError``."""
         self._stream.close()
@@ -208,6 +217,8 @@
             async with asyncio.timeout(self._timeout_s):
                 return await request.send()
         except capnp.KjException as error:
+            if error.type == capnp.KjException.Type.UNIMPLEMENTED:
+                raise MethodUnknownError(self._peer, "method not known") from error
             raise PeerLostError(self._peer, str(error).splitlines()[0]) from error
         except TimeoutError as error:
             raise PeerLostError(self._peer, "no reply before the time-out") from error
--- a/packages/wire/src/amaranthtally/wire/gateway_server.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_server.py
@@ -19,6 +19,7 @@
     PieceReport,
     RateLimitNotice,
     StoredResult,
+    UsageReport,
 )
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
@@ -51,6 +52,7 @@
     write_permit_answers,
     write_rate_limits,
 )
+from amaranthtally.wire.usage_codec import read_usage
 
 __all__ = ["GatewayHandler", "serve_gateway"]
 
@@ -120,6 +122,9 @@
     def successes_reported(self, successes: Sequence[PartSuccess]) -> None:
         """Take the successes of parts that a peer reports."""
 
+    def usage_received(self, sender: str, report: UsageReport) -> None:
+        """Take the work of client accounts that a peer reports."""
+
 
 class _GatewayServer(gateway_schema.Gateway.Server):
     def __init__(self, handler: GatewayHandler) -> None:
@@ -234,6 +239,11 @@
             read_part_successes(successes, self._loop.time())
         )
 
+    async def exchangeUsage(  # noqa: N802 - name fixed by the schema
+        self, sender: str, usage: Any, _context: Any, **_: Any
+    ) -> None:
+        self._handler.usage_received(sender, read_usage(usage))
+
 
 @asynccontextmanager
 async def serve_gateway(
--- a/tests/policy/test_fair_shares.py
+++ b/tests/policy/test_fair_shares.py
@@ -81,6 +81,7 @@
     lent = fleet.run(5.0, traffic)
     assert sum(lent.values()) >= 0.9 * 5.0
     traffic["back"] = Traffic(min(rate, 18.0 / (borrowers + 1)), (2,))
+    fleet.run(1.0 / traffic["back"].rate, traffic)
     fleet.run(1.0, traffic)
     returned = fleet.run(4.0, traffic)
     assert returned["back"] >= 0.95 * fleet.offered["back"]
