--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -23,6 +23,7 @@
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
 from amaranthtally.daemon.gateway.prompt_exchange import PromptExchange
 from amaranthtally.daemon.gateway.rate_limit_exchange import RateLimitExchange
+from amaranthtally.daemon.gateway.usage_exchange import UsageExchange
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
     GATEWAY_TICK_S,
@@ -35,6 +36,7 @@
     CheckEndpoint,
     Endpoint,
     ExchangeLoads,
+    FairSharesChanged,
     FreeAtPeer,
     FreeResults,
     LoadReport,
@@ -57,11 +59,13 @@
     ResponseLimits,
     RunPieces,
     Send,
+    SendUsage,
     SpreadPartNotices,
     SpreadRateLimits,
     StoredResult,
     StreamOrigin,
     SubmitToPeer,
+    UsageFault,
 )
 
 __all__ = ["GatewayExecutor"]
@@ -118,6 +122,13 @@
             lambda work: self._decisions.spawn(work),
             lambda: self._decisions.wake(),
         )
+        self._usage = UsageExchange(
+            planner,
+            self._get_connections,
+            metrics,
+            lambda work: self._decisions.spawn(work),
+            lambda actions: self._decisions.carry_out(actions),
+        )
         self._decisions = DecisionLoop(
             planner,
             {
@@ -141,6 +152,9 @@
                 ReportEnds: self._prompts.report_ends,
                 ReportSuccess: self._prompts.report_success,
                 ExchangeLoads: self._loads.exchange,
+                SendUsage: self._usage.send,
+                FairSharesChanged: self._usage.log_change,
+                UsageFault: self._usage.log_fault,
             },
             GATEWAY_TICK_S,
         )
@@ -175,6 +189,11 @@
         """Exchanges with the other gateways what is known of endpoints' loads."""
         return self._loads
 
+    @property
+    def usage(self) -> UsageExchange:
+        """Exchanges the work of client accounts with the other gateways."""
+        return self._usage
+
     @property
     def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
         """Function that runs a coroutine in the background."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -1,8 +1,9 @@
 """Metrics of a gateway, served at its metrics address."""
 
 from collections import Counter as Tally
+from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 from aioprometheus import Counter, Gauge, Histogram
 
@@ -34,6 +35,10 @@
     source: str
 
 
+class _OutcomeLabels(NamedTuple):
+    outcome: str
+
+
 class _TransferLabels(NamedTuple):
     call: str
     outcome: str
@@ -70,6 +75,11 @@
     load_view_sent_bytes: int
     load_view_failures: int
     load_view_rejected: int
+    fair_share_accounts: int
+    fair_share_senders: int
+    fair_share_overloaded: bool
+    fair_share_engines_s: float
+    fair_share_stages_s: float
 
 
 class GatewayMetrics:
@@ -87,6 +97,7 @@
         self._over_limit_tally: Tally[_PoolLabels] = Tally()
         self._piece_tally: Tally[_CallLabels] = Tally()
         self._resumption_tally: Tally[_ResumptionLabels] = Tally()
+        self._usage_tally: Tally[_OutcomeLabels] = Tally()
         self._transfer_tally: Tally[_TransferLabels] = Tally()
         self._received_bytes_tally: Tally[_TransferLabels] = Tally()
         self.engine_choices = EngineChoiceMetrics()
@@ -114,6 +125,10 @@
         self._transfers = Counter(
             "amaranthtally_store_calls_total", "Calls at the store by call and outcome."
         )
+        self._usage_reports = Counter(
+            "amaranthtally_usage_reports_total",
+            "Reports of the work of accounts that gateways exchange, by outcome.",
+        )
         self._bytes = Counter(
             "amaranthtally_store_received_bytes_total",
             "Bytes of the store's answers by call and outcome.",
@@ -170,6 +185,10 @@
         """Count a stream that a caller takes up, by how its version was found."""
         self._resumption_tally[_ResumptionLabels(source)] += 1
 
+    def usage_reported(self, outcome: str) -> None:
+        """Count a report of the work of accounts, received, sent or not sent."""
+        self._usage_tally[_OutcomeLabels(outcome)] += 1
+
     def store_called(self, transfer: StoreTransfer) -> None:
         """Count a call to the store and the bytes of its response."""
         labels = _TransferLabels(transfer.call, transfer.outcome)
@@ -178,22 +197,21 @@
 
     def refresh(self, state: GatewayState) -> None:
         """Set the collectors to the tallies and to a snapshot of the state."""
-        for request, count in self._request_tally.items():
-            self._requests.set(request._asdict(), count)
-        for attempt, count in self._attempt_tally.items():
-            self._attempts.set(attempt._asdict(), count)
-        for limited, count in self._limited_tally.items():
-            self._limited_attempts.set(limited._asdict(), count)
-        for over, count in self._over_limit_tally.items():
-            self._over_limit.set(over._asdict(), count)
-        for piece, count in self._piece_tally.items():
-            self._pieces.set(piece._asdict(), count)
-        for resumption, count in self._resumption_tally.items():
-            self._resumptions.set(resumption._asdict(), count)
-        for transfer, count in self._transfer_tally.items():
-            self._transfers.set(transfer._asdict(), count)
-        for transfer, count in self._received_bytes_tally.items():
-            self._bytes.set(transfer._asdict(), count)
+        _copy_tally(self._request_tally, self._requests)
+        _copy_tally(self._attempt_tally, self._attempts)
+        _copy_tally(self._limited_tally, self._limited_attempts)
+        _copy_tally(self._over_limit_tally, self._over_limit)
+        _copy_tally(self._piece_tally, self._pieces)
+        _copy_tally(self._resumption_tally, self._resumptions)
+        _copy_tally(self._usage_tally, self._usage_reports)
+        _copy_tally(self._transfer_tally, self._transfers)
+        _copy_tally(self._received_bytes_tally, self._bytes)
         self.engine_choices.refresh()
         for name in GatewayState.__dataclass_fields__:
             self._state.set({"name": name}, float(getattr(state, name)))
+
+
+def _copy_tally(tally: Mapping[Any, int], counter: Counter) -> None:
+    """Set a counter to a tally, whose keys are tuples with the names of labels."""
+    for labels, count in tally.items():
+        counter.set(labels._asdict(), count)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -213,6 +213,7 @@
 
     def state() -> GatewayState:
         view = executor.loads.view
+        shares = executor.usage.state
         return GatewayState(
             in_flight=executor.in_flight,
             pieces_waiting=executor.pieces_waiting,
@@ -241,6 +242,11 @@
             load_view_sent_bytes=view.counters.sent_bytes,
             load_view_failures=view.counters.failures,
             load_view_rejected=view.counters.rejected,
+            fair_share_accounts=shares.accounts,
+            fair_share_senders=shares.senders,
+            fair_share_overloaded=shares.is_overloaded,
+            fair_share_engines_s=shares.engines_level_s,
+            fair_share_stages_s=shares.stages_level_s,
         )
 
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -13,6 +13,7 @@
     Cancel,
     CheckEndpoint,
     ExchangeLoads,
+    FairSharesChanged,
     FreeAtPeer,
     FreeResults,
     PartChanged,
@@ -28,9 +29,11 @@
     RequestOutcome,
     RunPieces,
     Send,
+    SendUsage,
     SpreadPartNotices,
     SpreadRateLimits,
     SubmitToPeer,
+    UsageFault,
 )
 from amaranthtally.policy.affinity import AffinityRouter
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
@@ -42,6 +45,7 @@
     LoadReport,
     PieceWork,
 )
+from amaranthtally.policy.fair_shares import FairShares, SharesState, UsageSender
 from amaranthtally.policy.gateway_policy import (
     GATEWAY_COMPONENTS,
     GATEWAY_TICK_S,
@@ -122,6 +126,12 @@
     StreamOrigin,
     StreamOrigins,
 )
+from amaranthtally.policy.usage_messages import (
+    AccountUsage,
+    Resource,
+    UsageReport,
+    Work,
+)
 from amaranthtally.policy.version_history import VersionHistory
 from amaranthtally.policy.watchers import (
     WatcherSelection,
@@ -136,6 +146,7 @@
     "RESPONSE_MARGIN_S",
     "Account",
     "AccountLimits",
+    "AccountUsage",
     "Action",
     "AffinityRouter",
     "Answer",
@@ -158,6 +169,8 @@
     "EndpointBackoffs",
     "EngineLimits",
     "EngineModels",
+    "FairShares",
+    "FairSharesChanged",
     "FreeAtPeer",
     "FreeResults",
     "HomeRegions",
@@ -216,11 +229,14 @@
     "ResponseKind",
     "ResponseLimit",
     "ResponseLimits",
+    "Resource",
     "Route",
     "RouteTable",
     "RunPieces",
     "RunQueue",
     "Send",
+    "SendUsage",
+    "SharesState",
     "SpreadPartNotices",
     "SpreadRateLimits",
     "Stage",
@@ -228,9 +244,13 @@
     "StreamOrigin",
     "StreamOrigins",
     "SubmitToPeer",
+    "UsageFault",
+    "UsageReport",
+    "UsageSender",
     "VersionHistory",
     "WatcherSelection",
     "WeightedPool",
+    "Work",
     "duty_weight",
     "elect_watchers",
     "gateway_settings",
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -20,6 +20,7 @@
     PieceWork,
 )
 from amaranthtally.policy.failed_attempts import FailedAttempts
+from amaranthtally.policy.fair_shares import FairShares, UsageSender
 from amaranthtally.policy.first_events import FirstEventTimes
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.load_poller import LoadPoller
@@ -99,7 +100,9 @@
         self._coordinator = components.coordinator()
         self._first_event_times = FirstEventTimes()
         self._pieces = PieceEvents(self._coordinator, self._apply_effects)
-        self._inputs = components.inputs(random, self._coordinator, self._times)
+        self._inputs = components.inputs(
+            random, self._coordinator, self._times, self._accounts
+        )
         self._outcome_recorder = OutcomeRecorder(
             self._times,
             self._loads,
@@ -110,6 +113,7 @@
             self._ledger.counters,
         )
         self._peers = PeerGroup()
+        self._usage = UsageSender(self._accounts, self._peers)
         self._limits = EndpointLimits(
             self._peers, self._coordinator.batcher.servers.note_rate_limit
         )
@@ -194,6 +198,16 @@
         """What this entry and the others know together of the endpoints' loads."""
         return self._load_view
 
+    @property
+    def shares(self) -> FairShares:
+        """The client accounts' shares of engine time and stage time."""
+        return self._accounts
+
+    @property
+    def usage(self) -> UsageSender:
+        """Reports the work of client accounts to the other entries."""
+        return self._usage
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were admitted and have not ended."""
@@ -224,6 +238,7 @@
             return [unplaced]
         for stage in arrival.pipeline.stages:
             self._membership.prepare(now, stage)
+        arrival = self._accounts.prioritized(now, arrival)
         decision = self._admission.decide(now, arrival)
         if decision.reason is None and arrival.piece_work is not None:
             decision = self._inputs.decide(now, arrival, arrival.piece_work, regions)
@@ -374,6 +389,7 @@
         if now >= self._cold.next_end:
             self._limits.set_cold_rates(now, self._cold.rates(now))
         actions.extend(self._limits.tick(now))
+        actions.extend(self._usage.tick(now))
         actions.extend(self._permit_waits.tick(now))
         actions.extend(self._prompts.tick(now))
         actions.extend(self._view_feed.tick(now))
@@ -537,7 +553,9 @@
         self._cold.configure(now, settings.endpoints, settings.pools)
         self._limits.set_cold_rates(now, self._cold.rates(now))
         self._backoffs.configure(settings.endpoints)
-        self._accounts.configure(settings.accounts, settings.entries)
+        self._accounts.configure(
+            settings.accounts, settings.entries, settings.fair_shares
+        )
         self._admission.configure(settings.admission_headroom)
         self._router.configure(
             settings.region,
--- a/packages/policy/src/amaranthtally/policy/planner_components.py
+++ b/packages/policy/src/amaranthtally/policy/planner_components.py
@@ -4,9 +4,9 @@
 from dataclasses import dataclass
 from random import Random
 
-from amaranthtally.policy.accounts import AccountShares
 from amaranthtally.policy.admission import Admission
 from amaranthtally.policy.ejection import Ejections
+from amaranthtally.policy.fair_shares import FairShares, fair_shares
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.load_view import LoadView, build_load_view
 from amaranthtally.policy.loads import LoadTable
@@ -18,11 +18,13 @@
 
 __all__ = ["BuildInputs", "BuildLoadView", "BuildRouter", "PlannerComponents"]
 
-BuildAdmission = Callable[[Random, StageTimes, LoadTable, AccountShares], Admission]
+BuildAdmission = Callable[[Random, StageTimes, LoadTable, FairShares], Admission]
 BuildRouter = Callable[
     [Random, EndpointGroups, LoadTable, Ejections, PrefixIndex], Router
 ]
-BuildInputs = Callable[[Random, PieceCoordinator, StageTimes], RequestInputs]
+BuildInputs = Callable[
+    [Random, PieceCoordinator, StageTimes, FairShares], RequestInputs
+]
 
 BuildLoadView = Callable[[Callable[[float, str], float], Random], LoadView]
 
@@ -34,7 +36,7 @@
     stage_times: Callable[[], StageTimes] = StageTimes
     loads: Callable[[], LoadTable] = LoadTable
     ejections: Callable[[], Ejections] = Ejections
-    accounts: Callable[[], AccountShares] = AccountShares
+    accounts: Callable[[], FairShares] = fair_shares
     admission: BuildAdmission = Admission
     router: BuildRouter = Router
     coordinator: Callable[[], PieceCoordinator] = PieceCoordinator
--- a/packages/wire/src/amaranthtally/wire/gateway_client.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_client.py
@@ -18,10 +18,11 @@
     PieceReport,
     RateLimitNotice,
     StoredResult,
+    UsageReport,
 )
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
-from amaranthtally.wire.errors import PeerLostError
+from amaranthtally.wire.errors import MethodUnknownError, PeerLostError
 from amaranthtally.wire.gateway_codec import (
     MAX_MESSAGE_WORDS,
     GatewayStatus,
@@ -53,6 +54,7 @@
     write_permit_asks,
     write_rate_limits,
 )
+from amaranthtally.wire.usage_codec import write_usage
 
 __all__ = ["GatewayClient", "connect_gateway"]
 
@@ -211,6 +213,13 @@
         write_load_message(request.message, message)
         return read_load_message((await self._send(request)).answer)
 
+    async def exchange_usage(self, sender: str, report: UsageReport) -> None:
+        """Report the work of client accounts at the sender."""
+        request = self._gateway.exchangeUsage_request()
+        request.sender = sender
+        write_usage(request.usage, report)
+        await self._send(request)
+
     def close(self) -> None:
         """Close the connection; calls in flight raise ``PeerLostError``."""
         self._stream.close()
@@ -220,6 +229,8 @@
             async with asyncio.timeout(self._timeout_s):
                 return await request.send()
         except capnp.KjException as error:
+            if error.type == capnp.KjException.Type.UNIMPLEMENTED:
+                raise MethodUnknownError(self._peer, "method not known") from error
             raise PeerLostError(self._peer, str(error).splitlines()[0]) from error
         except TimeoutError as error:
             raise PeerLostError(self._peer, "no reply before the time-out") from error
--- a/packages/wire/src/amaranthtally/wire/gateway_server.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_server.py
@@ -20,6 +20,7 @@
     PieceReport,
     RateLimitNotice,
     StoredResult,
+    UsageReport,
 )
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
@@ -54,6 +55,7 @@
     write_permit_answers,
     write_rate_limits,
 )
+from amaranthtally.wire.usage_codec import read_usage
 
 __all__ = ["GatewayHandler", "serve_gateway"]
 
@@ -126,6 +128,9 @@
     def loads_exchanged(self, sender: str, message: LoadMessage) -> LoadMessage:
         """Take what a peer knows of endpoints' loads; return what it lacks."""
 
+    def usage_received(self, sender: str, report: UsageReport) -> None:
+        """Take the work of client accounts that a peer reports."""
+
 
 class _GatewayServer(gateway_schema.Gateway.Server):
     def __init__(self, handler: GatewayHandler) -> None:
@@ -246,6 +251,11 @@
         answer = self._handler.loads_exchanged(sender, read_load_message(message))
         write_load_message(_context.results.answer, answer)
 
+    async def exchangeUsage(  # noqa: N802 - name fixed by the schema
+        self, sender: str, usage: Any, _context: Any, **_: Any
+    ) -> None:
+        self._handler.usage_received(sender, read_usage(usage))
+
 
 @asynccontextmanager
 async def serve_gateway(
