--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -5,7 +5,7 @@
 all entries which pieces share a call there and in which order.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Container, Iterable, Mapping
 
 from amaranthtally.policy.actions import Action, FreeResults, RunPieces
 from amaranthtally.policy.batcher_effects import (
@@ -27,6 +27,7 @@
 )
 from amaranthtally.policy.piece_queue import QueuedPiece
 from amaranthtally.policy.piece_servers import PieceServer, PieceServers
+from amaranthtally.policy.result_memory import ActivePools, SiteMemory
 from amaranthtally.policy.routes import Pool
 from amaranthtally.policy.site_queue import SiteQueue
 
@@ -72,6 +73,20 @@
         self._calls: dict[int, PieceCall] = {}
         self._input_reads = InputReads()
         self._next_call = 0
+        self._active = ActivePools()
+        self._memory = SiteMemory(self._servers)
+        # Requests that ended while a call with their pieces was in progress.
+        self._ended: set[str] = set()
+
+    @property
+    def active_pools(self) -> ActivePools:
+        """The pools for which room and lateness are checked before each call."""
+        return self._active
+
+    @property
+    def memory(self) -> SiteMemory:
+        """The memory for results at the sites that this entry owns."""
+        return self._memory
 
     @property
     def servers(self) -> PieceServers:
@@ -93,6 +108,7 @@
     ) -> None:
         """Use these endpoints and pools."""
         self._servers.replace(endpoints, pools)
+        self._memory.servers_changed()
 
     def wait_s(self, now: float, pool: str, data_centre: str, rank: int) -> float:
         """
@@ -131,6 +147,7 @@
         """
         sites: dict[tuple[str, str], None] = {}
         for job in jobs:
+            self._ended.discard(job.piece.request_id)
             if job.piece in self._pending:
                 continue
             self._queue(now, job)
@@ -148,6 +165,7 @@
         if server is not None:
             self._note_end(now, server, call_id, end)
         effects = BatcherEffects()
+        self._forget_ended(call)
         freed = call.complete_requests - self._input_reads.cancel(
             call_id, requests_to_retry(call, end)
         )
@@ -199,6 +217,36 @@
         """Remove the queued pieces of a request that has ended."""
         for queue in self._queues.values():
             self._remove_pending(queue.take_request(request_id))
+        if self._active and any(
+            job.piece.request_id == request_id
+            for call in self._calls.values()
+            for job in call.jobs
+        ):
+            self._ended.add(request_id)
+
+    def withdraw_pieces(self, pieces: Iterable[Piece]) -> list[Piece]:
+        """Remove those of these pieces that are queued, and return them."""
+        wanted = self._pending.intersection(pieces)
+        if not wanted:
+            return []
+        taken = [
+            queued
+            for queue in self._queues.values()
+            for queued in queue.take(lambda queued: queued.job.piece in wanted)
+        ]
+        self._remove_pending(taken)
+        return [queued.job.piece for queued in taken]
+
+    def return_jobs_of(self, submitters: Container[str]) -> BatcherEffects:
+        """Return the queued jobs of entries that are gone; nobody reads the results."""
+        taken = [
+            queued
+            for site, queue in self._queues.items()
+            if site[0] in self._active
+            for queued in queue.take(lambda queued: queued.job.submitter in submitters)
+        ]
+        self._remove_pending(taken)
+        return self.refuse(queued.job for queued in taken)
 
     def free(self, now: float, results: Iterable[StoredResult]) -> list[Action]:
         """Return the actions by which endpoints delete stored results."""
@@ -210,6 +258,8 @@
             # An evacuated endpoint is sent nothing; it drops results by itself in time.
             if server is not None and not server.endpoint.is_evacuated:
                 result_stored_s = server.note_freed(now, result.handle)
+                if result_stored_s:
+                    self._memory.result_freed(server.endpoint.pool, result_stored_s)
                 stored_s[name] = max(stored_s.get(name, 0.0), result_stored_s)
                 by_endpoint.setdefault(name, []).append(result.handle)
         return [
@@ -245,7 +295,7 @@
             if server is not None:
                 server.note_full(now)
             if not inputs_freed:
-                self._queue(now, job)
+                self._queue_again(now, job)
                 return
             outcome = PieceOutcome(fault=PieceFault.INPUT_MISSING)
         if server is not None and outcome.handle:
@@ -261,7 +311,7 @@
         effects: BatcherEffects,
     ) -> None:
         if end.refused and not inputs_freed:
-            self._queue(now, job)
+            self._queue_again(now, job)
         else:
             outcome = PieceOutcome(fault=PieceFault.FAILED)
             self._report(now, job, "", outcome, effects, inputs_freed)
@@ -270,9 +320,25 @@
         site = (job.pool, job.data_centre)
         self._pending.add(job.piece)
         self._queues.setdefault(site, SiteQueue()).add(QueuedPiece(job, now))
+        if job.pool in self._active:
+            self._memory.piece_queued(now, job)
+
+    def _queue_again(self, now: float, job: PieceJob) -> None:
+        """Queue a job that did not run, unless its request ended during the call."""
+        if job.piece.request_id not in self._ended:
+            self._queue(now, job)
+
+    def _forget_ended(self, ended: PieceCall) -> None:
+        """Forget ended requests of which no other call holds pieces."""
+        if self._ended:
+            calls = self._calls.values()
+            running = {job.piece.request_id for call in calls for job in call.jobs}
+            self._ended &= running | {job.piece.request_id for job in ended.jobs}
 
     def _remove_pending(self, queued_pieces: Iterable[QueuedPiece]) -> None:
-        self._pending.difference_update(queued.job.piece for queued in queued_pieces)
+        pieces = [queued.job.piece for queued in queued_pieces]
+        self._pending.difference_update(pieces)
+        self._memory.pieces_removed(pieces)
 
     def _report(
         self,
@@ -293,9 +359,17 @@
             self.wait_s(now, job.pool, job.data_centre, job.priority),
             inputs_freed,
             self.slowdown_s(now, job.pool, job.data_centre),
+            self._room_wait_s(now, job),
         )
         effects.reports.setdefault(job.submitter, []).append(report)
 
+    def _room_wait_s(self, now: float, job: PieceJob) -> float | None:
+        if job.pool not in self._active:
+            return None
+        return self._memory.room_wait_s(
+            now, job.pool, job.data_centre, job.result_bytes
+        )
+
     # Calls
 
     def _flush(
@@ -307,19 +381,50 @@
             return
         self._report_fault(now, queue.take_late(now), PieceFault.LATE, effects)
         servers = self._servers.at_site(*site)
+        if site[0] in self._active:
+            late = self._take_late_everywhere(now, queue, servers)
+            self._report_fault(now, late, PieceFault.LATE, effects)
         for server in servers:
             if not queue:
                 return
             if server.is_open(now) and self._is_due(now, server, queue):
-                fill = self._fill(
-                    now, queue.pieces, server.limits, server.free_bytes(now)
-                )
-                if fill.pieces:
+                fill = self._fill_call(now, server, queue)
+                if fill is not None and fill.pieces:
                     effects.actions.append(self._send(now, server, queue, fill))
         self._refuse_crowded_out(now, queue, servers, effects)
         if not any(server.is_usable(now) for server in servers):
             self._give_up(now, queue, not servers, effects)
 
+    def _fill_call(
+        self, now: float, server: PieceServer, queue: SiteQueue
+    ) -> CallFill | None:
+        if server.endpoint.pool not in self._active:
+            free_bytes = server.free_bytes(now)
+            return self._fill(now, queue.pieces, server.limits, free_bytes)
+        pieces = self._in_time(now, server, queue)
+        if not pieces:
+            return None
+        return self._memory.fill(now, server, pieces, self._fill)
+
+    def _in_time(
+        self, now: float, server: PieceServer, queue: SiteQueue
+    ) -> list[QueuedPiece]:
+        """Return the pieces that an endpoint, slow as it is now, ends in time."""
+        excess_s = _excess_s(now, server)
+        if excess_s <= 0:
+            return queue.pieces
+        return [q for q in queue if q.job.deadline >= now + excess_s]
+
+    def _take_late_everywhere(
+        self, now: float, queue: SiteQueue, servers: list[PieceServer]
+    ) -> list[QueuedPiece]:
+        """Remove and return the pieces that no endpoint here ends in time."""
+        excesses_s = [_excess_s(now, s) for s in servers if s.is_usable(now)]
+        least_s = min(excesses_s, default=0.0)
+        if least_s <= 0:
+            return []
+        return queue.take(lambda queued: queued.job.deadline < now + least_s)
+
     def _is_due(self, now: float, server: PieceServer, queue: SiteQueue) -> bool:
         """Whether the queue fills a call, or a piece has waited for the linger time."""
         if len(queue) >= server.limits.batch:
@@ -335,6 +440,7 @@
     ) -> RunPieces:
         self._next_call += 1
         queue.remove(fill.pieces)
+        self._memory.pieces_removed(queued.job.piece for queued in fill.pieces)
         jobs = tuple(queued.job for queued in fill.pieces)
         is_only_caller = server.is_only_caller(now)
         timeout_s = server.timeout_s(now, len(jobs))
@@ -394,3 +500,8 @@
         self._remove_pending(queued_pieces)
         for queued in queued_pieces:
             self._report(now, queued.job, "", PieceOutcome(fault=fault), effects)
+
+
+def _excess_s(now: float, server: PieceServer) -> float:
+    """Return by how much longer than usual a full call takes, in seconds."""
+    return server.limits.full_call_time_s() * (server.slowness(now) - 1.0)
--- a/packages/policy/src/amaranthtally/policy/piece_coordinator.py
+++ b/packages/policy/src/amaranthtally/policy/piece_coordinator.py
@@ -17,6 +17,7 @@
     PiecesEnded,
 )
 from amaranthtally.policy.pool_sites import Peer, PoolSites
+from amaranthtally.policy.result_memory import latest_call_start
 from amaranthtally.policy.result_releaser import ResultReleaser
 from amaranthtally.policy.routes import PieceStage, Pool
 from amaranthtally.policy.stage_plans import StagePlans
@@ -58,6 +59,8 @@
         self._plans = build_plans(self._sites, self._batcher)
         self._requests: dict[str, StagedRequest] = {}
         self._submitted = SubmittedPieces()
+        self._live_peers: frozenset[str] = frozenset()
+        self._gone_peers: set[str] = set()
 
     @property
     def batcher(self) -> Batcher:
@@ -84,8 +87,20 @@
 
     def replace_peers(self, peers: Iterable[Peer]) -> None:
         """Replace the set of other live entries."""
+        peers = tuple(peers)
+        live = frozenset(peer.name for peer in peers)
+        self._gone_peers = (self._gone_peers | self._live_peers) - live
+        self._live_peers = live
         self._sites.replace_peers(peers)
 
+    def pool_reports_speed(self, pool: str) -> None:
+        """
+        Check room and lateness for a pool's pieces, and move waiting ones, from now on.
+
+        Called for a report of an endpoint of the pool that holds its host's slowness.
+        """
+        self._batcher.active_pools.add(pool)
+
     def owner(self, now: float, pool: str, data_centre: str) -> str:
         """Return the name of a site's owner, empty if it is this entry."""
         return self._sites.owner(now, pool, data_centre)
@@ -135,9 +150,16 @@
         if staged is not None:
             staged.regions = regions
 
-    def recompute_inputs(self, now: float, request_id: str) -> CoordinatorEffects:
-        """Recompute the results that a request reads, as one is not stored any more."""
+    def recompute_inputs(
+        self, now: float, request_id: str, has_begun: bool = False
+    ) -> CoordinatorEffects:
+        """
+        Recompute the results that a request reads, as one is not stored any more.
+
+        With ``has_begun`` its caller has events of the response already.
+        """
         staged = self._requests[request_id]
+        staged.has_begun = has_begun
         freed = self._releaser.free(now, staged.graph.invalidate_request_inputs())
         effects = self._start_due(now, staged)
         effects.actions[:0] = freed
@@ -205,6 +227,10 @@
     def tick(self, now: float) -> CoordinatorEffects:
         """Send the calls that are due, and resubmit pieces whose report is overdue."""
         effects = CoordinatorEffects()
+        if self._gone_peers:
+            gone, self._gone_peers = self._gone_peers, set()
+            returned = self._batcher.return_jobs_of(gone)
+            self._add_batcher_effects(now, returned, effects)
         overdue = self._submitted.overdue(now)
         # The piece may still be queued there. In another data centre, it would be
         # computed a second time.
@@ -288,7 +314,7 @@
                 effects.failed.append(piece.request_id)
                 return
             job = self._job_for(now, staged, piece, data_centre)
-            if job.deadline < now:
+            if job.deadline < now + self._later_waits_s(now, staged, piece.stage):
                 effects.late.append(piece.request_id)
                 return
             owner = self._sites.owner(now, job.pool, job.data_centre)
@@ -325,6 +351,11 @@
     ) -> PieceJob:
         stage = staged.graph.stages[piece.stage]
         remaining_time_s = self._plans.remaining_time_s(staged.graph, piece.stage)
+        deadline = staged.deadline - remaining_time_s
+        if stage.pool in self._batcher.active_pools:
+            deadline = latest_call_start(
+                staged.objective, staged.deadline, remaining_time_s, staged.has_begun
+            )
         piece_share_s = self._plans.piece_share_s(stage.pool)
         self._sites.note_submitted(
             now, stage.pool, data_centre, piece_share_s, staged.priority
@@ -335,7 +366,7 @@
             data_centre,
             stage.result_bytes,
             staged.objective - remaining_time_s - staged.engine_s,
-            staged.deadline - remaining_time_s,
+            deadline,
             staged.priority,
             "" if stage.after else staged.key,
             staged.graph.inputs_of(piece),
@@ -343,6 +374,16 @@
             staged.graph.is_started,
         )
 
+    def _later_waits_s(self, now: float, staged: StagedRequest, stage: int) -> float:
+        """Return how much longer than when idle the later stages take at the least."""
+        pool = staged.graph.stages[stage].pool
+        if pool not in self._batcher.active_pools or not staged.graph.readers(stage):
+            return 0.0
+        rest_s = self._plans.rest_time_s(
+            now, staged.graph, stage, staged.priority, staged.regions
+        )
+        return rest_s - self._plans.idle_rest_time_s(staged.graph, stage)
+
     def _resubmit(
         self,
         now: float,
@@ -428,6 +469,9 @@
                 now, *site, report.wait_s, report.slowdown_s, staged.priority
             )
             size = staged.graph.stages[piece.stage].result_bytes
+            if report.room_wait_s is not None:
+                self.pool_reports_speed(report.pool)
+                self._plans.rooms.update(now, *site, size, report.room_wait_s)
             result = StoredResult(
                 report.handle, report.endpoint, report.data_centre, size
             )
--- a/packages/policy/src/amaranthtally/policy/piece_messages.py
+++ b/packages/policy/src/amaranthtally/policy/piece_messages.py
@@ -83,6 +83,8 @@
     ``wait_s`` is how long a new job of the same priority would wait for a call there,
     ``slowdown_s`` how much longer than usual a call takes there, both in seconds.
     ``inputs_freed`` tells that the piece's inputs have been freed already.
+    ``room_wait_s`` is how long another result of that size would wait there for room,
+    ``None`` if the pool does not report its speed.
     """
 
     piece: Piece
@@ -94,3 +96,4 @@
     wait_s: float = 0.0
     inputs_freed: bool = False
     slowdown_s: float = 0.0
+    room_wait_s: float | None = None
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -408,7 +408,10 @@
         request.retry_cost = retry_cost
         request.inputs = ()
         return self._apply_effects(
-            now, self._coordinator.recompute_inputs(now, request.id)
+            now,
+            self._coordinator.recompute_inputs(
+                now, request.id, has_begun=request.chunks > 0
+            ),
         )
 
     def _apply_effects(self, now: float, effects: CoordinatorEffects) -> list[Action]:
--- a/packages/policy/src/amaranthtally/policy/pool_sites.py
+++ b/packages/policy/src/amaranthtally/policy/pool_sites.py
@@ -12,7 +12,7 @@
 from amaranthtally.policy.piece_servers import speed_weight
 from amaranthtally.policy.rendezvous import rendezvous_weight
 
-__all__ = ["Peer", "PoolSites"]
+__all__ = ["NO_ROOM_WAITS", "Peer", "PoolSites"]
 
 # Penalty for running a stage outside the entry's own data centre or region, in seconds
 # of waiting time: the network delay, and the cost of the traffic for the results.
@@ -32,6 +32,7 @@
 PEER_PAUSE_S = 3.0
 
 NO_SAVED_BYTES: Mapping[str, float] = {}
+NO_ROOM_WAITS: Mapping[str, float] = {}
 
 
 @dataclass(frozen=True, slots=True)
@@ -208,6 +209,7 @@
         saved_bytes: Mapping[str, float] = NO_SAVED_BYTES,
         spare_s: float = 0.0,
         rank: int = 0,
+        room_waits_s: Mapping[str, float] = NO_ROOM_WAITS,
     ) -> str | None:
         """
         Return the data centre in which to run a stage, ``None`` without candidates.
@@ -216,6 +218,8 @@
         ``saved_bytes`` maps a data centre to the bytes that cross no link if the stage
         runs there: the inputs stored there, and the results read there later. The more
         time the request can spare, the longer it may wait to save that traffic.
+        ``room_waits_s`` maps a data centre to the time until its endpoints have room
+        for a result, in seconds.
         """
         most_extra_s = SPARED_SHARE * max(0.0, spare_s)
         open_sites = {
@@ -226,7 +230,7 @@
         return min(
             open_sites,
             key=lambda name: (
-                self.wait_s(now, pool, name, rank)
+                max(self.wait_s(now, pool, name, rank), room_waits_s.get(name, 0.0))
                 + self.distance_penalty_s(open_sites[name])
                 - min(most_extra_s, CROSSING_S_PER_BYTE * saved_bytes.get(name, 0.0))
             ),
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/result_memory/active_pools.py
@@ -0,0 +1,20 @@
+"""The pools whose endpoints report their speed, for which this package takes effect."""
+
+__all__ = ["ActivePools"]
+
+
+class ActivePools:
+    """The names of pools of which an endpoint has reported its host's slowness."""
+
+    def __init__(self) -> None:
+        self._names: set[str] = set()
+
+    def __contains__(self, pool: str) -> bool:
+        return pool in self._names
+
+    def __bool__(self) -> bool:
+        return bool(self._names)
+
+    def add(self, pool: str) -> None:
+        """Take effect for a pool from now on."""
+        self._names.add(pool)
--- /dev/null
+++ b/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
@@ -0,0 +1,108 @@
+"""The memory for results at the pool sites that this entry owns."""
+
+from collections.abc import Iterable
+
+from amaranthtally.policy.call_filling import CallFill, FillCall
+from amaranthtally.policy.piece_graph import Piece
+from amaranthtally.policy.piece_messages import PieceJob
+from amaranthtally.policy.piece_queue import QueuedPiece
+from amaranthtally.policy.piece_servers import PieceServer, PieceServers
+from amaranthtally.policy.result_memory.hold_times import HoldTimes
+from amaranthtally.policy.result_memory.reservations import Reservations
+from amaranthtally.policy.result_memory.room_waits import time_until_room_s
+
+__all__ = ["SiteMemory"]
+
+
+class SiteMemory:
+    """
+    Reserves memory for queued pieces, and predicts when a result will find room.
+
+    Memory is reserved for pieces of started requests only: the pieces computed for them
+    are wasted if the next one finds no room. Times are time stamps in seconds.
+    """
+
+    def __init__(self, servers: PieceServers) -> None:
+        self._servers = servers
+        self._reservations = Reservations()
+        self._holds = HoldTimes()
+
+    @property
+    def reservation_count(self) -> int:
+        """Number of pieces for which memory is reserved."""
+        return len(self._reservations)
+
+    def servers_changed(self) -> None:
+        """End the reservations at endpoints that are gone or were replaced."""
+        self._reservations.retain(self._servers)
+
+    def piece_queued(self, now: float, job: PieceJob) -> None:
+        """Reserve memory for a piece of a started request, if there is any."""
+        if not (job.is_started or job.inputs):
+            return
+        servers = self._servers.at_site(job.pool, job.data_centre)
+        limited = [server for server in servers if server.limits.memory_bytes]
+        self._reservations.reserve(
+            now, job.piece, job.result_bytes, job.deadline, limited
+        )
+
+    def pieces_removed(self, pieces: Iterable[Piece]) -> None:
+        """End the reservations of pieces that are sent, refused or withdrawn."""
+        self._reservations.release(pieces)
+
+    def result_freed(self, pool: str, held_s: float) -> None:
+        """Learn for how long results of a pool are stored, in seconds."""
+        self._holds.add(pool, held_s)
+
+    def fill(
+        self,
+        now: float,
+        server: PieceServer,
+        queue: list[QueuedPiece],
+        fill_call: FillCall,
+    ) -> CallFill:
+        """
+        Choose pieces for a call that leave the room reserved for the other pieces.
+
+        If the most urgent pieces would take that room, only those that have a
+        reservation at the endpoint are chosen, for which there always is room.
+        """
+        free_bytes = server.free_bytes(now)
+        fill = fill_call(now, queue, server.limits, free_bytes)
+        reserved = self._reservations.pieces_at(now, server)
+        if not reserved:
+            return fill
+        chosen = {queued.job.piece for queued in fill.pieces}
+        held_bytes = self._reservations.reserved_bytes(server, without=chosen)
+        chosen_bytes = sum(queued.job.result_bytes for queued in fill.pieces)
+        if chosen_bytes + held_bytes <= free_bytes:
+            return fill
+        holders = [queued for queued in queue if queued.job.piece in reserved]
+        return fill_call(now, holders, server.limits, free_bytes) if holders else fill
+
+    def room_wait_s(
+        self, now: float, pool: str, data_centre: str, size_bytes: float
+    ) -> float:
+        """Return how long a result waits for room at a site, in seconds."""
+        servers = self._servers.at_site(pool, data_centre)
+        return min(
+            (self._room_wait_s(now, server, size_bytes) for server in servers),
+            default=0.0,
+        )
+
+    def _room_wait_s(self, now: float, server: PieceServer, size_bytes: float) -> float:
+        limits = server.limits
+        if not limits.memory_bytes:
+            return 0.0
+        free_bytes = server.free_bytes(now) - self._reservations.reserved_bytes(server)
+        hold_s = self._holds.mean_s(server.endpoint.pool)
+        releases = [
+            (min(stored.expires_at, stored.stored_at + hold_s), stored.size_bytes)
+            for stored in server.stored.values()
+        ]
+        releases += [
+            (server.busy_until + hold_s, call.result_bytes)
+            for call in server.calls.values()
+        ]
+        wait_s = time_until_room_s(now, size_bytes - free_bytes, releases)
+        return min(wait_s, limits.result_ttl_s or wait_s)
--- a/packages/policy/src/amaranthtally/policy/stage_plans.py
+++ b/packages/policy/src/amaranthtally/policy/stage_plans.py
@@ -6,7 +6,8 @@
 from amaranthtally.policy.home_regions import Regions
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.piece_graph import Piece, PieceGraph
-from amaranthtally.policy.pool_sites import PoolSites
+from amaranthtally.policy.pool_sites import NO_ROOM_WAITS, PoolSites
+from amaranthtally.policy.result_memory import RoomWaits
 from amaranthtally.policy.routes import PieceLimits, PieceStage, Pool
 
 __all__ = ["StagePlans"]
@@ -25,6 +26,12 @@
         self._sites = sites
         self._batcher = batcher
         self._pools: Mapping[str, Pool] = {}
+        self._rooms = RoomWaits()
+
+    @property
+    def rooms(self) -> RoomWaits:
+        """How long results wait for room, as the owners of sites report it."""
+        return self._rooms
 
     @property
     def is_configured(self) -> bool:
@@ -56,7 +63,13 @@
             start_s = max((ends_s[i] for i in stage.after if i < index), default=0.0)
             ends_s.append(
                 start_s
-                + (self.stage_time_s(now, stage.pool, rank, regions) if count else 0.0)
+                + (
+                    self.stage_time_s(
+                        now, stage.pool, rank, regions, stage.result_bytes
+                    )
+                    if count
+                    else 0.0
+                )
             )
         return max(ends_s, default=0.0)
 
@@ -66,14 +79,115 @@
         return max(times_s, default=0.0)
 
     def stage_time_s(
-        self, now: float, pool: str, rank: int, regions: Regions | None = None
+        self,
+        now: float,
+        pool: str,
+        rank: int,
+        regions: Regions | None = None,
+        result_bytes: float = 0.0,
+    ) -> float:
+        """
+        Return how long a stage takes at the site predicted to finish it first.
+
+        Its call waits until the endpoint has room for results of ``result_bytes``.
+        """
+        wait_s = self._least_wait_s(now, pool, rank, regions, result_bytes)
+        return 0.0 if wait_s is None else wait_s + self.full_call_time_s(pool)
+
+    def rest_time_s(
+        self,
+        now: float,
+        graph: PieceGraph,
+        stage: int,
+        rank: int,
+        regions: Regions | None,
+    ) -> float:
+        """
+        Return how long the stages after this one take at the least, in seconds.
+
+        A wait at a later stage counts only as far as it is longer than the time until
+        the request gets there: queues become shorter meanwhile, and this predicts what
+        can't be reached any more.
+        """
+        limits = self._limits_of(graph.stages[stage].pool)
+        own_s = limits.call_time_s(limits.part_size(graph.count(stage)))
+        return self._rest_from_s(now, graph, stage, own_s, rank, regions) - own_s
+
+    def _rest_from_s(
+        self,
+        now: float,
+        graph: PieceGraph,
+        stage: int,
+        done_s: float,
+        rank: int,
+        regions: Regions | None,
     ) -> float:
-        """Return how long a stage takes at the site predicted to finish it first."""
+        """Return when the last stage is done if this one is after ``done_s`` s."""
+        latest_s = done_s
+        for reader in graph.readers(stage):
+            count = graph.count(reader)
+            end_s = done_s
+            if count:
+                next_stage = graph.stages[reader]
+                limits = self._limits_of(next_stage.pool)
+                wait_s = 0.0
+                if next_stage.pool in self._batcher.active_pools:
+                    wait_s = (
+                        self._least_wait_s(
+                            now, next_stage.pool, rank, regions, next_stage.result_bytes
+                        )
+                        or 0.0
+                    )
+                end_s = max(done_s, wait_s) + limits.call_time_s(
+                    limits.part_size(count)
+                )
+            latest_s = max(
+                latest_s, self._rest_from_s(now, graph, reader, end_s, rank, regions)
+            )
+        return latest_s
+
+    def _least_wait_s(
+        self,
+        now: float,
+        pool: str,
+        rank: int,
+        regions: Regions | None,
+        result_bytes: float,
+    ) -> float | None:
+        """Return the wait at the site that is predicted to finish first, if any."""
         candidates = self._candidates(pool, regions)
-        data_centre = self._sites.best_data_centre(now, pool, candidates, rank=rank)
+        rooms_s = self._room_waits_s(now, pool, candidates, result_bytes)
+        data_centre = self._sites.best_data_centre(
+            now, pool, candidates, rank=rank, room_waits_s=rooms_s
+        )
         if data_centre is None:
-            return 0.0
-        return self.wait_s(now, pool, data_centre, rank) + self.full_call_time_s(pool)
+            return None
+        wait_s = self.wait_s(now, pool, data_centre, rank)
+        return max(wait_s, rooms_s.get(data_centre, 0.0))
+
+    def _room_waits_s(
+        self,
+        now: float,
+        pool: str,
+        candidates: Mapping[str, Endpoint],
+        result_bytes: float,
+    ) -> Mapping[str, float]:
+        """Return how long results wait for room in each data centre, in seconds."""
+        if pool not in self._batcher.active_pools:
+            return NO_ROOM_WAITS
+        return {
+            name: self.room_wait_s(now, pool, name, result_bytes) for name in candidates
+        }
+
+    def room_wait_s(
+        self, now: float, pool: str, data_centre: str, result_bytes: float
+    ) -> float:
+        """Return how long a result waits for room at a site, in seconds."""
+        if not self._sites.owner(now, pool, data_centre):
+            return self._batcher.memory.room_wait_s(
+                now, pool, data_centre, result_bytes
+            )
+        return self._rooms.wait_s(now, pool, data_centre, result_bytes)
 
     def wait_s(self, now: float, pool: str, data_centre: str, rank: int) -> float:
         """Return how much later than at an idle site a piece is done there."""
@@ -94,6 +208,11 @@
             limits.part_size(graph.count(stage))
         )
 
+    def idle_rest_time_s(self, graph: PieceGraph, stage: int) -> float:
+        """Return how long the stages after this one take on idle endpoints."""
+        readers = graph.readers(stage)
+        return max((self.remaining_time_s(graph, r) for r in readers), default=0.0)
+
     def part_index(self, graph: PieceGraph, piece: Piece) -> int:
         """Return the index of the part of its stage that a piece belongs to."""
         limits = self._limits_of(graph.stages[piece.stage].pool)
@@ -174,8 +293,11 @@
             saved_bytes[reader] = saved_bytes.get(reader, 0.0) + output_bytes
         candidates = self._candidates(pool, regions)
         spare_s = on_time_by - self.remaining_time_s(graph, stage) - now
+        rooms_s = self._room_waits_s(
+            now, pool, candidates, graph.stages[stage].result_bytes
+        )
         return self._sites.best_data_centre(
-            now, pool, candidates, saved_bytes, spare_s, rank
+            now, pool, candidates, saved_bytes, spare_s, rank, rooms_s
         )
 
     def _candidates(self, pool: str, regions: Regions | None) -> dict[str, Endpoint]:
--- a/packages/policy/src/amaranthtally/policy/staged_requests.py
+++ b/packages/policy/src/amaranthtally/policy/staged_requests.py
@@ -17,7 +17,7 @@
     ``key`` is the input of the first stages. ``reader`` is the data centre in which the
     request itself is expected to run. ``engine_s`` is how long its engine usually takes
     until the first event, in seconds. Its pieces run in ``regions`` only, anywhere if
-    it is ``None``.
+    it is ``None``. With ``has_begun`` its caller has events of the response already.
     """
 
     graph: PieceGraph
@@ -28,6 +28,7 @@
     reader: str
     engine_s: float
     regions: Regions | None = None
+    has_begun: bool = False
 
 
 @dataclass(slots=True)
