--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -19,6 +19,7 @@
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
+from amaranthtally.daemon.gateway.piece_move_exchange import PieceMoveExchange
 from amaranthtally.daemon.gateway.prompt_exchange import PromptExchange
 from amaranthtally.daemon.gateway.rate_limit_exchange import RateLimitExchange
 from amaranthtally.daemon.logs import get_logger
@@ -58,6 +59,7 @@
     StoredResult,
     StreamOrigin,
     SubmitToPeer,
+    WithdrawAtPeer,
 )
 
 __all__ = ["GatewayExecutor"]
@@ -99,6 +101,12 @@
         self._piece_calls = PieceCalls(
             session, self.pieces_ended, self._signals.head_received, metrics
         )
+        self._moves = PieceMoveExchange(
+            planner.pieces,
+            self._get_connections,
+            lambda work: self._decisions.spawn(work),
+            lambda actions: self._decisions.carry_out(actions),
+        )
         self._prompts = PromptExchange(
             planner.prompts,
             self._get_connections,
@@ -120,6 +128,7 @@
                 SubmitToPeer: self._submit_to_peer,
                 ReportToPeer: self._report_to_peer,
                 FreeAtPeer: self._release_at_peer,
+                WithdrawAtPeer: self._moves.withdraw,
                 RateLimitChanged: self._rate_limits.log_change,
                 SpreadRateLimits: self._rate_limits.spread,
                 AskPermits: self._rate_limits.ask,
@@ -152,6 +161,11 @@
         """Passes on what endpoints show of themselves."""
         return self._signals
 
+    @property
+    def moves(self) -> PieceMoveExchange:
+        """Withdraws jobs from the other gateways, so that they run elsewhere."""
+        return self._moves
+
     @property
     def prompts(self) -> PromptExchange:
         """Exchanges with the other gateways what is known of parts of prompts."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -15,6 +15,7 @@
     PeerRecord,
     PermitAnswer,
     PermitAsk,
+    Piece,
     PieceJob,
     PieceReport,
     RateLimitNotice,
@@ -111,6 +112,12 @@
         """Submit jobs to a peer, in the background."""
         self._spawn(self._submit_jobs(peer, jobs))
 
+    async def withdraw_jobs(
+        self, peer: str, pieces: Sequence[Piece]
+    ) -> tuple[Piece, ...]:
+        """Withdraw jobs that a peer has not started; raises ``PeerLostError``."""
+        return await self._call(peer, lambda client: client.withdraw_jobs(pieces))
+
     def report_outcomes(self, peer: str, reports: Sequence[PieceReport]) -> None:
         """
         Report the outcomes of a peer's jobs to it, in the background.
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_handler.py
@@ -12,6 +12,7 @@
     PartSuccess,
     PermitAnswer,
     PermitAsk,
+    Piece,
     PieceJob,
     PieceReport,
     RateLimitNotice,
@@ -62,6 +63,10 @@
         """Accept jobs that a peer submits."""
         self._executor.jobs_submitted(submitter, jobs)
 
+    def withdraw_jobs(self, pieces: Sequence[Piece]) -> Sequence[Piece]:
+        """Drop those of a peer's jobs that have not started, and return them."""
+        return self._executor.moves.jobs_withdrawn(pieces)
+
     def report_outcomes(self, reports: Sequence[PieceReport]) -> None:
         """Handle a peer's reports on jobs that this gateway submitted."""
         self._executor.reports_received(reports)
--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_move_exchange.py
@@ -0,0 +1,62 @@
+"""Withdraws jobs from peers, so that they run elsewhere."""
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any
+
+from amaranthtally.daemon.gateway.peer_connections import PeerConnections
+from amaranthtally.daemon.logs import get_logger
+from amaranthtally.policy import Action, Piece, PieceEvents, WithdrawAtPeer
+from amaranthtally.wire import PeerLostError
+
+__all__ = ["PieceMoveExchange"]
+
+log = get_logger()
+
+
+class PieceMoveExchange:
+    """Passes withdrawals of jobs on to peers, and peers' withdrawals to the policy."""
+
+    def __init__(
+        self,
+        pieces: PieceEvents,
+        connections: Callable[[], PeerConnections],
+        spawn: Callable[[Coroutine[Any, Any, None]], object],
+        carry_out: Callable[[list[Action]], None],
+    ) -> None:
+        self._pieces = pieces
+        self._connections = connections
+        self._spawn = spawn
+        self._carry_out = carry_out
+        self._time = asyncio.get_running_loop().time
+
+    # Events
+
+    def jobs_withdrawn(self, pieces: Sequence[Piece]) -> Sequence[Piece]:
+        """Drop those of a peer's jobs that have not started, and return them."""
+        withdrawn = self._pieces.jobs_withdrawn(pieces)
+        log.info("jobs_withdrawn", asked=len(pieces), pieces=len(withdrawn))
+        return withdrawn
+
+    # Actions
+
+    def withdraw(self, action: WithdrawAtPeer) -> None:
+        """Withdraw jobs from a peer, in the background."""
+        self._spawn(self._withdraw(action))
+
+    async def _withdraw(self, action: WithdrawAtPeer) -> None:
+        peer, serial, pieces = action.peer, action.serial, action.pieces
+        try:
+            withdrawn = await self._connections().withdraw_jobs(peer, pieces)
+        except PeerLostError as error:
+            log.info(
+                "jobs_not_withdrawn", peer=peer, pieces=len(pieces), cause=str(error)
+            )
+            self._carry_out(
+                self._pieces.withdrawal_failed(self._time(), peer, serial, pieces)
+            )
+            return
+        log.info("jobs_moved", peer=peer, asked=len(pieces), pieces=len(withdrawn))
+        self._carry_out(
+            self._pieces.withdrawal_answered(self._time(), peer, serial, withdrawn)
+        )
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -30,6 +30,7 @@
     SpreadPartNotices,
     SpreadRateLimits,
     SubmitToPeer,
+    WithdrawAtPeer,
 )
 from amaranthtally.policy.affinity import AffinityRouter
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
@@ -77,6 +78,7 @@
 from amaranthtally.policy.peer_directory import PeerDirectory, PeerRecord
 from amaranthtally.policy.peer_group import PeerGroup
 from amaranthtally.policy.piece_coordinator import PieceCoordinator
+from amaranthtally.policy.piece_events import PieceEvents
 from amaranthtally.policy.piece_graph import Piece, StoredResult
 from amaranthtally.policy.piece_messages import (
     PieceFault,
@@ -169,6 +171,7 @@
     "PermitAsk",
     "Piece",
     "PieceCoordinator",
+    "PieceEvents",
     "PieceFault",
     "PieceJob",
     "PieceLimits",
@@ -209,6 +212,7 @@
     "StreamOrigin",
     "StreamOrigins",
     "SubmitToPeer",
+    "WithdrawAtPeer",
     "VersionHistory",
     "WatcherSelection",
     "WeightedPool",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -9,7 +9,7 @@
 from amaranthtally.policy.part_losses import PartEnd
 from amaranthtally.policy.part_notices import PartNotice
 from amaranthtally.policy.part_successes import PartSuccess
-from amaranthtally.policy.piece_graph import StoredResult
+from amaranthtally.policy.piece_graph import Piece, StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport
 
 __all__ = [
@@ -37,6 +37,7 @@
     "SpreadPartNotices",
     "SpreadRateLimits",
     "SubmitToPeer",
+    "WithdrawAtPeer",
 ]
 
 
@@ -216,6 +217,19 @@
     ended: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class WithdrawAtPeer:
+    """
+    Withdraw those of these jobs that another entry has not started.
+
+    ``serial`` is passed on with the answer.
+    """
+
+    peer: str
+    serial: int
+    pieces: tuple[Piece, ...]
+
+
 @dataclass(frozen=True, slots=True)
 class RateLimitChanged:
     """Log a limit that an own response named, or that another entry has passed on."""
@@ -291,6 +305,7 @@
     | SubmitToPeer
     | ReportToPeer
     | FreeAtPeer
+    | WithdrawAtPeer
     | RateLimitChanged
     | SpreadRateLimits
     | AskPermits
--- a/packages/policy/src/amaranthtally/policy/piece_coordinator.py
+++ b/packages/policy/src/amaranthtally/policy/piece_coordinator.py
@@ -3,7 +3,13 @@
 from collections.abc import Callable, Iterable, Mapping
 from dataclasses import replace
 
-from amaranthtally.policy.actions import Action, FreeAtPeer, ReportToPeer, SubmitToPeer
+from amaranthtally.policy.actions import (
+    Action,
+    FreeAtPeer,
+    ReportToPeer,
+    SubmitToPeer,
+    WithdrawAtPeer,
+)
 from amaranthtally.policy.batcher import Batcher, BatcherEffects
 from amaranthtally.policy.first_events import DEFAULT_S
 from amaranthtally.policy.home_regions import Regions
@@ -16,6 +22,7 @@
     PieceReport,
     PiecesEnded,
 )
+from amaranthtally.policy.piece_mover import PieceMover
 from amaranthtally.policy.pool_sites import Peer, PoolSites
 from amaranthtally.policy.result_memory import latest_call_start
 from amaranthtally.policy.result_releaser import ResultReleaser
@@ -35,6 +42,8 @@
 # and the more of them the fuller it is.
 REPORT_TIMEOUT_S = 2.0
 
+# The serial of withdrawals whose jobs are submitted elsewhere already.
+NO_MOVE = 0
 NO_FIXED_DATA_CENTRES: Mapping[Piece, str] = {}
 
 
@@ -59,6 +68,9 @@
         self._plans = build_plans(self._sites, self._batcher)
         self._requests: dict[str, StagedRequest] = {}
         self._submitted = SubmittedPieces()
+        self._mover = PieceMover(
+            self._batcher, self._sites, self._plans, self._submitted, self._requests
+        )
         self._live_peers: frozenset[str] = frozenset()
         self._gone_peers: set[str] = set()
 
@@ -193,6 +205,28 @@
         self._add_batcher_effects(now, batcher_effects, effects)
         return effects
 
+    def withdraw_jobs(self, pieces: Iterable[Piece]) -> tuple[Piece, ...]:
+        """Drop those of another entry's jobs that are still queued; return them."""
+        return tuple(self._batcher.withdraw_pieces(pieces))
+
+    def withdrawal_answered(
+        self, now: float, peer: str, serial: int, withdrawn: Iterable[Piece]
+    ) -> CoordinatorEffects:
+        """Submit the jobs that a peer has withdrawn to where they are moved."""
+        effects = CoordinatorEffects()
+        targets = self._mover.answered(peer, serial, withdrawn)
+        self._resubmit(now, targets, effects, False, targets)
+        return effects
+
+    def withdrawal_failed(
+        self, now: float, peer: str, serial: int, pieces: Iterable[Piece]
+    ) -> CoordinatorEffects:
+        """Submit jobs again to a peer that may have withdrawn them."""
+        effects = CoordinatorEffects()
+        targets = self._mover.failed(now, peer, serial, pieces)
+        self._resubmit(now, targets, effects, False, targets)
+        return effects
+
     def take_reports(
         self, now: float, reports: Iterable[PieceReport]
     ) -> CoordinatorEffects:
@@ -236,6 +270,7 @@
         # computed a second time.
         fixed = {piece: submitted.data_centre for piece, submitted in overdue.items()}
         self._resubmit(now, overdue, effects, fixed_data_centres=fixed)
+        self._move_due(now, effects)
         self._add_batcher_effects(now, self._batcher.tick(now), effects)
         return effects
 
@@ -261,6 +296,7 @@
         if staged is None:
             return []
         self._batcher.withdraw(request_id)
+        self._mover.moves.cancel_request(request_id)
         # The peers drop the request's queued jobs, whose results nobody would read.
         ended: list[Action] = [
             FreeAtPeer(owner, (), request_id)
@@ -321,7 +357,8 @@
             by_owner.setdefault(owner, []).append(job)
             report_due = self._report_due(now, job) if owner else float("inf")
             self._submitted.add(
-                piece, SubmittedPiece(owner, job.pool, job.data_centre, report_due)
+                piece,
+                SubmittedPiece(owner, job.pool, job.data_centre, report_due, now),
             )
             staged.graph.mark_running(piece)
         for owner, jobs in by_owner.items():
@@ -354,7 +391,10 @@
         deadline = staged.deadline - remaining_time_s
         if stage.pool in self._batcher.active_pools:
             deadline = latest_call_start(
-                staged.objective, staged.deadline, remaining_time_s, staged.has_begun
+                staged.objective,
+                staged.deadline,
+                remaining_time_s,
+                staged.has_begun or staged.graph.is_started,
             )
         piece_share_s = self._plans.piece_share_s(stage.pool)
         self._sites.note_submitted(
@@ -393,8 +433,12 @@
         fixed_data_centres: Mapping[Piece, str] = NO_FIXED_DATA_CENTRES,
     ) -> None:
         by_request: dict[str, list[Piece]] = {}
-        for piece in pieces:
-            self._submitted.remove(piece)
+        by_old_owner: dict[str, list[Piece]] = {}
+        for piece in tuple(pieces):
+            old = self._submitted.remove(piece)
+            self._mover.moves.cancel(piece)
+            if old is not None and old.owner and old.pool in self._batcher.active_pools:
+                by_old_owner.setdefault(old.owner, []).append(piece)
             staged = self._requests.get(piece.request_id)
             if staged is None or piece.request_id in effects.failed:
                 continue
@@ -415,6 +459,35 @@
                     effects,
                     fixed_data_centres,
                 )
+        self._withdraw_at_old_owners(by_old_owner, effects)
+
+    def _withdraw_at_old_owners(
+        self, by_owner: Mapping[str, list[Piece]], effects: CoordinatorEffects
+    ) -> None:
+        """Withdraw pieces that another entry runs now where they may be queued."""
+        for owner, pieces in by_owner.items():
+            new = [self._submitted.find(piece) for piece in pieces]
+            left = tuple(
+                piece
+                for piece, submitted in zip(pieces, new, strict=True)
+                if submitted is None or submitted.owner != owner
+            )
+            if left:
+                effects.actions.append(WithdrawAtPeer(owner, NO_MOVE, left))
+
+    def _move_due(self, now: float, effects: CoordinatorEffects) -> None:
+        """Withdraw the jobs that are moved now, and submit those of own sites."""
+        for withdrawal in self._mover.due(now):
+            if withdrawal.owner:
+                effects.actions.append(
+                    WithdrawAtPeer(
+                        withdrawal.owner, withdrawal.serial, withdrawal.pieces
+                    )
+                )
+                continue
+            withdrawn = self._batcher.withdraw_pieces(withdrawal.pieces)
+            targets = self._mover.answered("", withdrawal.serial, withdrawn)
+            self._resubmit(now, targets, effects, False, targets)
 
     def _report_due(self, now: float, job: PieceJob) -> float:
         wait_s = self._plans.wait_s(now, job.pool, job.data_centre, job.priority)
@@ -443,6 +516,7 @@
         reported_requests: dict[str, None] = {}
         for report in reports:
             submitted = self._submitted.remove(report.piece)
+            self._mover.moves.cancel(report.piece)
             staged = self._requests.get(report.piece.request_id)
             if staged is None or submitted is None:
                 # The request has ended, or the piece was computed elsewhere meanwhile.
--- a/packages/policy/src/amaranthtally/policy/piece_events.py
+++ b/packages/policy/src/amaranthtally/policy/piece_events.py
@@ -7,7 +7,7 @@
     CoordinatorEffects,
     PieceCoordinator,
 )
-from amaranthtally.policy.piece_graph import StoredResult
+from amaranthtally.policy.piece_graph import Piece, StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport, PiecesEnded
 
 __all__ = ["PieceEvents"]
@@ -60,6 +60,30 @@
         """Accept jobs from another entry."""
         return self._apply(now, self._coordinator.accept_jobs(now, submitter, jobs))
 
+    def jobs_withdrawn(self, pieces: Iterable[Piece]) -> tuple[Piece, ...]:
+        """Drop those of another entry's jobs that are still queued; return them."""
+        return self._coordinator.withdraw_jobs(pieces)
+
+    def withdrawal_answered(
+        self, now: float, peer: str, serial: int, withdrawn: Iterable[Piece]
+    ) -> list[Action]:
+        """Handle which jobs another entry has withdrawn."""
+        return self._apply(
+            now, self._coordinator.withdrawal_answered(now, peer, serial, withdrawn)
+        )
+
+    def withdrawal_failed(
+        self, now: float, peer: str, serial: int, pieces: Iterable[Piece]
+    ) -> list[Action]:
+        """Handle that another entry did not answer a withdrawal of these jobs."""
+        return self._apply(
+            now, self._coordinator.withdrawal_failed(now, peer, serial, pieces)
+        )
+
+    def pool_reports_speed(self, pool: str) -> None:
+        """Check room and lateness for a pool's pieces, and move them, from now on."""
+        self._coordinator.pool_reports_speed(pool)
+
     def reports_received(
         self, now: float, reports: Iterable[PieceReport]
     ) -> list[Action]:
--- a/packages/policy/src/amaranthtally/policy/pool_sites.py
+++ b/packages/policy/src/amaranthtally/policy/pool_sites.py
@@ -12,7 +12,7 @@
 from amaranthtally.policy.piece_servers import speed_weight
 from amaranthtally.policy.rendezvous import rendezvous_weight
 
-__all__ = ["NO_ROOM_WAITS", "Peer", "PoolSites"]
+__all__ = ["CROSSING_S_PER_BYTE", "NO_ROOM_WAITS", "Peer", "PoolSites"]
 
 # Penalty for running a stage outside the entry's own data centre or region, in seconds
 # of waiting time: the network delay, and the cost of the traffic for the results.
--- a/packages/policy/src/amaranthtally/policy/result_memory/active_pools.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/active_pools.py
@@ -9,7 +9,7 @@
     def __init__(self) -> None:
         self._names: set[str] = set()
 
-    def __contains__(self, pool: str) -> bool:
+    def __contains__(self, pool: object) -> bool:
         return pool in self._names
 
     def __bool__(self) -> bool:
--- a/packages/policy/src/amaranthtally/policy/result_memory/reservations.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/reservations.py
@@ -84,6 +84,22 @@
             piece for piece, held in self._by_piece.items() if held.server is server
         )
 
+    def shrink(
+        self, server: PieceServer, most_bytes: float, without: Container[Piece]
+    ) -> None:
+        """
+        End the newest reservations at an endpoint beyond so many bytes.
+
+        Those of the pieces ``without`` are not counted, as they are being sent.
+        """
+        for piece, held in list(self._by_piece.items()):
+            if held.server is not server or piece in without:
+                continue
+            most_bytes -= held.size_bytes
+            if most_bytes < 0:
+                del self._by_piece[piece]
+                most_bytes += held.size_bytes
+
     def reserved_bytes(
         self, server: PieceServer, without: Container[Piece] = NO_PIECES
     ) -> float:
--- a/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
@@ -1,6 +1,6 @@
 """The memory for results at the pool sites that this entry owns."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
 from amaranthtally.policy.call_filling import CallFill, FillCall
 from amaranthtally.policy.piece_graph import Piece
@@ -18,8 +18,9 @@
     """
     Reserves memory for queued pieces, and predicts when a result will find room.
 
-    Memory is reserved for pieces of started requests only: the pieces computed for them
-    are wasted if the next one finds no room. Times are time stamps in seconds.
+    Memory is reserved for pieces of started requests that can be on time: the pieces
+    computed for them are wasted if the next one finds no room. Times are time stamps in
+    seconds.
     """
 
     def __init__(self, servers: PieceServers) -> None:
@@ -38,7 +39,7 @@
 
     def piece_queued(self, now: float, job: PieceJob) -> None:
         """Reserve memory for a piece of a started request, if there is any."""
-        if not (job.is_started or job.inputs):
+        if not (job.is_started or job.inputs) or job.start_by < now:
             return
         servers = self._servers.at_site(job.pool, job.data_centre)
         limited = [server for server in servers if server.limits.memory_bytes]
@@ -62,23 +63,25 @@
         fill_call: FillCall,
     ) -> CallFill:
         """
-        Choose pieces for a call that leave the room reserved for the other pieces.
+        Choose pieces for a call; less urgent ones leave the room that is reserved.
 
-        If the most urgent pieces would take that room, only those that have a
-        reservation at the endpoint are chosen, for which there always is room.
+        More urgent ones may take it. Otherwise a request that has begun would go before
+        those that are more urgent, and calls would hold fewer pieces.
         """
         free_bytes = server.free_bytes(now)
         fill = fill_call(now, queue, server.limits, free_bytes)
         reserved = self._reservations.pieces_at(now, server)
         if not reserved:
             return fill
-        chosen = {queued.job.piece for queued in fill.pieces}
-        held_bytes = self._reservations.reserved_bytes(server, without=chosen)
-        chosen_bytes = sum(queued.job.result_bytes for queued in fill.pieces)
-        if chosen_bytes + held_bytes <= free_bytes:
-            return fill
-        holders = [queued for queued in queue if queued.job.piece in reserved]
-        return fill_call(now, holders, server.limits, free_bytes) if holders else fill
+        waiting = _left_out(queue, fill, reserved)
+        if waiting and _bytes_of(fill.pieces) + _bytes_of(waiting) > free_bytes:
+            share_s = server.limits.piece_share_s
+            first = min(queued.urgency(now, share_s) for queued in waiting)
+            urgent = [q for q in queue if q.urgency(now, share_s) <= first]
+            fill = fill_call(now, urgent, server.limits, free_bytes)
+        left_bytes = free_bytes - _bytes_of(fill.pieces)
+        self._reservations.shrink(server, left_bytes, _pieces_of(fill))
+        return fill
 
     def room_wait_s(
         self, now: float, pool: str, data_centre: str, size_bytes: float
@@ -106,3 +109,23 @@
         ]
         wait_s = time_until_room_s(now, size_bytes - free_bytes, releases)
         return min(wait_s, limits.result_ttl_s or wait_s)
+
+
+def _pieces_of(fill: CallFill) -> frozenset[Piece]:
+    return frozenset(queued.job.piece for queued in fill.pieces)
+
+
+def _left_out(
+    queue: list[QueuedPiece], fill: CallFill, reserved: Container[Piece]
+) -> list[QueuedPiece]:
+    """Return the queued pieces with a reservation that are not in a call."""
+    chosen = _pieces_of(fill)
+    return [
+        queued
+        for queued in queue
+        if queued.job.piece in reserved and queued.job.piece not in chosen
+    ]
+
+
+def _bytes_of(queued_pieces: Iterable[QueuedPiece]) -> float:
+    return sum(queued.job.result_bytes for queued in queued_pieces)
--- a/packages/policy/src/amaranthtally/policy/stage_plans.py
+++ b/packages/policy/src/amaranthtally/policy/stage_plans.py
@@ -155,7 +155,7 @@
         result_bytes: float,
     ) -> float | None:
         """Return the wait at the site that is predicted to finish first, if any."""
-        candidates = self._candidates(pool, regions)
+        candidates = self.candidates(pool, regions)
         rooms_s = self._room_waits_s(now, pool, candidates, result_bytes)
         data_centre = self._sites.best_data_centre(
             now, pool, candidates, rank=rank, room_waits_s=rooms_s
@@ -291,7 +291,7 @@
             pieces = self._limits_of(pool).part_size(graph.count(stage))
             output_bytes = pieces * graph.stages[stage].result_bytes
             saved_bytes[reader] = saved_bytes.get(reader, 0.0) + output_bytes
-        candidates = self._candidates(pool, regions)
+        candidates = self.candidates(pool, regions)
         spare_s = on_time_by - self.remaining_time_s(graph, stage) - now
         rooms_s = self._room_waits_s(
             now, pool, candidates, graph.stages[stage].result_bytes
@@ -300,7 +300,7 @@
             now, pool, candidates, saved_bytes, spare_s, rank, rooms_s
         )
 
-    def _candidates(self, pool: str, regions: Regions | None) -> dict[str, Endpoint]:
+    def candidates(self, pool: str, regions: Regions | None) -> dict[str, Endpoint]:
         """Return one endpoint of a pool for each data centre in these regions."""
         candidates = self._batcher.servers.endpoint_by_data_centre(pool)
         if regions is None:
--- a/packages/policy/src/amaranthtally/policy/submitted_pieces.py
+++ b/packages/policy/src/amaranthtally/policy/submitted_pieces.py
@@ -1,5 +1,6 @@
 """The pieces that an entry has submitted and that have not been reported yet."""
 
+from collections.abc import Container
 from math import inf
 from typing import NamedTuple
 
@@ -12,13 +13,15 @@
     """
     Where a piece was submitted, and the time stamp by which its report is expected.
 
-    ``owner`` is the entry it was submitted to, empty for this entry itself.
+    ``owner`` is the entry it was submitted to, empty for this entry itself, at the time
+    stamp ``submitted_at``.
     """
 
     owner: str
     pool: str
     data_centre: str
     report_due: float
+    submitted_at: float = 0.0
 
 
 class SubmittedPieces:
@@ -45,6 +48,14 @@
         """Remove a piece and return its record, or ``None`` if there is none."""
         return self._submitted.pop(piece, None)
 
+    def find(self, piece: Piece) -> SubmittedPiece | None:
+        """Return where a piece was submitted, or ``None`` if it was not."""
+        return self._submitted.get(piece)
+
+    def in_pools(self, pools: Container[str]) -> list[tuple[Piece, SubmittedPiece]]:
+        """Return the pieces that were submitted to these pools, with their records."""
+        return [(p, s) for p, s in self._submitted.items() if s.pool in pools]
+
     def submitted_to(self, owner: str) -> list[Piece]:
         """Return the pieces that were submitted to an entry."""
         return [
--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -14,6 +14,7 @@
     FreeAtPeer,
     FreeResults,
     Peer,
+    Piece,
     PiecesEnded,
     Planner,
     PolicySettings,
@@ -24,6 +25,7 @@
     RunPieces,
     Send,
     SubmitToPeer,
+    WithdrawAtPeer,
 )
 from amaranthtally.simulator.attempts import (
     CONNECT_TIMEOUT_S,
@@ -118,6 +120,7 @@
             SubmitToPeer: self._submit_to_peer,
             ReportToPeer: self._report_to_peer,
             FreeAtPeer: self._free_at_peer,
+            WithdrawAtPeer: self._withdraw_at_peer,
         }
         self.call_later(PEER_CHECK_INTERVAL_S, self._check_peers)
 
@@ -322,6 +325,17 @@
             lambda: self.release_results(action),
         )
 
+    def _withdraw_at_peer(self, action: WithdrawAtPeer) -> None:
+        self._to_peer(
+            action.peer,
+            lambda peer: peer.withdraw_jobs(self, action),
+            lambda: self._execute_actions(
+                self.planner.pieces.withdrawal_failed(
+                    self.clock.now, action.peer, action.serial, action.pieces
+                )
+            ),
+        )
+
     def _peer_failed(self, name: str) -> None:
         self._execute_actions(self.planner.pieces.peer_failed(self.clock.now, name))
 
@@ -332,6 +346,26 @@
             self.planner.pieces.jobs_submitted(self.clock.now, submitter, action.jobs)
         )
 
+    def withdraw_jobs(self, submitter: "Entry", action: WithdrawAtPeer) -> None:
+        """Drop queued jobs of another entry, and answer which."""
+        withdrawn = self.planner.pieces.jobs_withdrawn(action.pieces)
+        self.send_to(
+            submitter.data_centre,
+            lambda: submitter.execute(
+                lambda: submitter.jobs_withdrawn(self.name, action.serial, withdrawn)
+            ),
+        )
+
+    def jobs_withdrawn(
+        self, owner: str, serial: int, withdrawn: Sequence[Piece]
+    ) -> None:
+        """Apply another entry's answer to a withdrawal."""
+        self._execute_actions(
+            self.planner.pieces.withdrawal_answered(
+                self.clock.now, owner, serial, withdrawn
+            )
+        )
+
     def report_outcomes(self, action: ReportToPeer) -> None:
         """Apply the outcomes of jobs that were submitted to another entry."""
         self._execute_actions(
--- a/packages/simulator/src/amaranthtally/simulator/pool_site_mechanisms.py
+++ b/packages/simulator/src/amaranthtally/simulator/pool_site_mechanisms.py
@@ -4,7 +4,7 @@
 
 from amaranthtally.policy import Endpoint, Regions
 from amaranthtally.policy.piece_graph import PieceGraph
-from amaranthtally.policy.pool_sites import NO_SAVED_BYTES, PoolSites
+from amaranthtally.policy.pool_sites import NO_ROOM_WAITS, NO_SAVED_BYTES, PoolSites
 from amaranthtally.policy.stage_plans import StagePlans
 from amaranthtally.simulator.variants import with_plans, with_sites, without
 
@@ -55,9 +55,12 @@
         saved_bytes: Mapping[str, float] = NO_SAVED_BYTES,
         spare_s: float = 0.0,
         rank: int = 0,
+        room_waits_s: Mapping[str, float] = NO_ROOM_WAITS,
     ) -> str | None:
         """Return the data centre with the shortest wait."""
-        return super().best_data_centre(now, pool, candidates, rank=rank)
+        return super().best_data_centre(
+            now, pool, candidates, rank=rank, room_waits_s=room_waits_s
+        )
 
 
 @without("doubts about peers", with_sites)
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -49,6 +49,10 @@
   inputsFreed @7 :Bool;
   # How much longer than usual a call at that pool currently takes.
   slowerMicros @8 :Int64;
+  # Whether the pool's endpoints report their speed, and how long another result of that
+  # size would wait there for room.
+  reportsRoom @9 :Bool;
+  roomMicros @10 :Int64;
 }
 
 struct StoredResult {
@@ -157,6 +161,13 @@
   isRequest @3 :Bool;
 }
 
+struct PieceName {
+  # A piece of a stage of a request.
+  requestId @0 :Text;
+  stage @1 :UInt16;
+  number @2 :UInt16;
+}
+
 interface Gateway {
   # Sends the caller's name, address, data centre and versions, and whether the receiver
   # is to push changes to it for a while; returns the receiver's versions, whether it is
@@ -200,4 +211,9 @@
   readRateLimits @15 () -> (limits :List(RateLimit));
   # Returns the notices on parts of prompts that the receiver holds.
   readPartNotices @16 () -> (notices :List(PartNotice));
+  # Not implemented here; the numbers are taken.
+  exchangeLoads @17 () -> ();
+  exchangeUsage @18 () -> ();
+  # Drops those of the jobs that are queued and not started; returns which.
+  withdrawJobs @19 (pieces :List(PieceName)) -> (withdrawn :List(PieceName));
 }
--- a/packages/wire/src/amaranthtally/wire/gateway_client.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_client.py
@@ -13,6 +13,7 @@
     PartSuccess,
     PermitAnswer,
     PermitAsk,
+    Piece,
     PieceJob,
     PieceReport,
     RateLimitNotice,
@@ -29,11 +30,13 @@
     read_changes,
     read_origin,
     read_part,
+    read_pieces,
     read_versions,
     write_changes,
     write_jobs,
     write_origins,
     write_part_request,
+    write_pieces,
     write_reports,
     write_results,
     write_versions,
@@ -124,6 +127,12 @@
         write_jobs(request, jobs, now)
         await self._send(request)
 
+    async def withdraw_jobs(self, pieces: Sequence[Piece]) -> tuple[Piece, ...]:
+        """Withdraw jobs that the peer has not started; return those withdrawn."""
+        request = self._gateway.withdrawJobs_request()
+        write_pieces(request.init("pieces", len(pieces)), pieces)
+        return read_pieces((await self._send(request)).withdrawn)
+
     async def report_outcomes(self, reports: Sequence[PieceReport]) -> None:
         """Report the outcomes of jobs that the peer submitted."""
         request = self._gateway.tell_request()
--- a/packages/wire/src/amaranthtally/wire/gateway_codec.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_codec.py
@@ -31,6 +31,7 @@
     "read_origins",
     "read_part",
     "read_part_request",
+    "read_pieces",
     "read_reports",
     "read_results",
     "read_versions",
@@ -40,6 +41,7 @@
     "write_origins",
     "write_part",
     "write_part_request",
+    "write_pieces",
     "write_reports",
     "write_results",
     "write_versions",
@@ -49,6 +51,8 @@
 gateway_schema: Any = capnp.load(str(Path(__file__).with_name("gateway.capnp")))
 
 MICROSECONDS = 1_000_000
+# Longest wait for room that is sent or accepted, in seconds. Results expire sooner.
+LONGEST_ROOM_WAIT_S = 60.0
 
 ItemT = TypeVar("ItemT")
 _FAULTS = {
@@ -161,7 +165,13 @@
 def write_reports(target: Any, reports: Iterable[PieceReport]) -> None:
     """Fill the reports of a ``tell`` request, grouped by stage of a request."""
     groups = _grouped(
-        reports, lambda report: (report.piece[:2], report[1:4], report.inputs_freed)
+        reports,
+        lambda report: (
+            report.piece[:2],
+            report[1:4],
+            report.inputs_freed,
+            report.room_wait_s,
+        ),
     )
     for item, group in zip(target.init("told", len(groups)), groups, strict=True):
         first = group[0]
@@ -173,6 +183,8 @@
         item.waitMicros = _micros(first.wait_s)
         item.slowerMicros = _micros(first.slowdown_s)
         item.inputsFreed = first.inputs_freed
+        item.reportsRoom = first.room_wait_s is not None
+        item.roomMicros = _micros(min(first.room_wait_s or 0.0, LONGEST_ROOM_WAIT_S))
         outcomes = item.init("outcomes", len(group))
         for outcome, report in zip(outcomes, group, strict=True):
             outcome.number = report.piece.number
@@ -193,12 +205,31 @@
             wait_s=item.waitMicros / MICROSECONDS,
             slowdown_s=item.slowerMicros / MICROSECONDS,
             inputs_freed=item.inputsFreed,
+            room_wait_s=_room_wait_s(item) if item.reportsRoom else None,
         )
         for item in source
         for outcome in item.outcomes
     )
 
 
+def _room_wait_s(item: Any) -> float:
+    wait_s = item.roomMicros / MICROSECONDS
+    return min(max(wait_s, 0.0), LONGEST_ROOM_WAIT_S)
+
+
+def write_pieces(items: Any, pieces: Iterable[Piece]) -> None:
+    """Fill a list of names of pieces."""
+    for item, piece in zip(items, pieces, strict=True):
+        item.requestId = piece.request_id
+        item.stage = piece.stage
+        item.number = piece.number
+
+
+def read_pieces(source: Any) -> tuple[Piece, ...]:
+    """Decode a list of names of pieces."""
+    return tuple(Piece(item.requestId, item.stage, item.number) for item in source)
+
+
 def write_results(target: Any, results: Iterable[StoredResult]) -> None:
     """Fill the results of a ``free`` request."""
     results = tuple(results)
--- a/packages/wire/src/amaranthtally/wire/gateway_server.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_server.py
@@ -15,6 +15,7 @@
     PeerRecord,
     PermitAnswer,
     PermitAsk,
+    Piece,
     PieceJob,
     PieceReport,
     RateLimitNotice,
@@ -31,12 +32,14 @@
     read_jobs,
     read_origins,
     read_part_request,
+    read_pieces,
     read_reports,
     read_results,
     read_versions,
     write_changes,
     write_origin,
     write_part,
+    write_pieces,
     write_versions,
 )
 from amaranthtally.wire.prompt_codec import (
@@ -79,6 +82,9 @@
     def submit_jobs(self, submitter: str, jobs: Sequence[PieceJob]) -> None:
         """Accept jobs that a peer submits."""
 
+    def withdraw_jobs(self, pieces: Sequence[Piece]) -> Sequence[Piece]:
+        """Drop those of these jobs that have not started, and return them."""
+
     def report_outcomes(self, reports: Sequence[PieceReport]) -> None:
         """Receive the outcomes of jobs that this gateway submitted."""
 
@@ -227,6 +233,12 @@
     ) -> None:
         self._handler.ends_reported(read_part_ends(ends, self._loop.time()))
 
+    async def withdrawJobs(  # noqa: N802 - name fixed by the schema
+        self, pieces: Any, _context: Any, **_: Any
+    ) -> None:
+        withdrawn = self._handler.withdraw_jobs(read_pieces(pieces))
+        write_pieces(_context.results.init("withdrawn", len(withdrawn)), withdrawn)
+
     async def reportSuccesses(  # noqa: N802 - name fixed by the schema
         self, successes: Any, _context: Any, **_: Any
     ) -> None:
