--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -7,7 +7,7 @@
 from amaranthtally.policy.model import Endpoint
 from amaranthtally.policy.routes import PieceLimits, Pool
 
-__all__ = ["PieceServer", "PieceServers", "speed_weight"]
+__all__ = ["PieceServer", "PieceServers", "StoredRecord", "speed_weight"]
 
 # How many calls are sent to one endpoint at once. It runs one call at a time, so the
 # pieces that become due meanwhile wait here, where they can share the next call.
@@ -59,7 +59,9 @@
 
 
 @dataclass(slots=True)
-class _StoredRecord:
+class StoredRecord:
+    """A result stored at an endpoint; times are time stamps in seconds."""
+
     size_bytes: float
     stored_at: float
     expires_at: float
@@ -81,7 +83,7 @@
     limits: PieceLimits
     busy_until: float = 0.0
     calls: dict[int, _Call] = field(default_factory=dict)
-    stored: dict[str, _StoredRecord] = field(default_factory=dict)
+    stored: dict[str, StoredRecord] = field(default_factory=dict)
     foreign_calls: int = 0
     load_reported_at: float = 0.0
     paused_until: float = 0.0
@@ -217,7 +219,7 @@
     def note_stored(self, now: float, handle: str, size_bytes: float) -> None:
         """Record a result that the endpoint stores."""
         expires_at = now + (self.limits.result_ttl_s or float("inf"))
-        self.stored[handle] = _StoredRecord(size_bytes, now, expires_at)
+        self.stored[handle] = StoredRecord(size_bytes, now, expires_at)
 
     def note_freed(self, now: float, handle: str) -> float:
         """Record that a result is deleted; return how many seconds it was stored."""
--- a/packages/policy/src/amaranthtally/policy/result_memory/reservations.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/reservations.py
@@ -32,7 +32,9 @@
     def __init__(self) -> None:
         self._by_piece: dict[Piece, _Reservation] = {}
 
-    def __len__(self) -> int:
+    def count(self, now: float) -> int:
+        """Return the number of reservations that have not ended."""
+        self._expire(now)
         return len(self._by_piece)
 
     def reserve(
--- a/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
@@ -6,7 +6,11 @@
 from amaranthtally.policy.piece_graph import Piece
 from amaranthtally.policy.piece_messages import PieceJob
 from amaranthtally.policy.piece_queue import QueuedPiece
-from amaranthtally.policy.piece_servers import PieceServer, PieceServers
+from amaranthtally.policy.piece_servers import (
+    PieceServer,
+    PieceServers,
+    StoredRecord,
+)
 from amaranthtally.policy.result_memory.hold_times import HoldTimes
 from amaranthtally.policy.result_memory.reservations import Reservations
 from amaranthtally.policy.result_memory.room_waits import time_until_room_s
@@ -28,10 +32,14 @@
         self._reservations = Reservations()
         self._holds = HoldTimes()
 
-    @property
-    def reservation_count(self) -> int:
-        """Number of pieces for which memory is reserved."""
-        return len(self._reservations)
+    def reservation_count(self, now: float) -> int:
+        """Return the number of pieces for which memory is reserved."""
+        return self._reservations.count(now)
+
+    def reserved_bytes(self, now: float, server: PieceServer) -> float:
+        """Return the bytes that are reserved at an endpoint."""
+        pieces = self._reservations.pieces_at(now, server)
+        return self._reservations.reserved_bytes(server) if pieces else 0.0
 
     def servers_changed(self) -> None:
         """End the reservations at endpoints that are gone or were replaced."""
@@ -98,9 +106,13 @@
         if not limits.memory_bytes:
             return 0.0
         free_bytes = server.free_bytes(now) - self._reservations.reserved_bytes(server)
-        hold_s = self._holds.mean_s(server.endpoint.pool)
+        # Until one has been observed, results are taken to be read during the next call.
+        hold_s = self._holds.mean_s(server.endpoint.pool) or limits.full_call_time_s()
         releases = [
-            (min(stored.expires_at, stored.stored_at + hold_s), stored.size_bytes)
+            (
+                min(stored.expires_at, now + _remaining_s(now, stored, hold_s)),
+                stored.size_bytes,
+            )
             for stored in server.stored.values()
         ]
         releases += [
@@ -111,6 +123,17 @@
         return min(wait_s, limits.result_ttl_s or wait_s)
 
 
+def _remaining_s(now: float, stored: StoredRecord, hold_s: float) -> float:
+    """
+    Return for how long a result is expected to be stored yet, in seconds.
+
+    One that has been stored for longer than usual has a consumer that is held up, and
+    is expected to stay for as long again.
+    """
+    age_s = now - stored.stored_at
+    return hold_s - age_s if age_s < hold_s else age_s
+
+
 def _pieces_of(fill: CallFill) -> frozenset[Piece]:
     return frozenset(queued.job.piece for queued in fill.pieces)
 
