--- a/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
@@ -106,8 +106,9 @@
         if not limits.memory_bytes:
             return 0.0
         free_bytes = server.free_bytes(now) - self._reservations.reserved_bytes(server)
-        # Until one has been observed, results are taken to be read during the next call.
-        hold_s = self._holds.mean_s(server.endpoint.pool) or limits.full_call_time_s()
+        # Until one is observed, results are taken to be read during the next call.
+        learned_s = self._holds.mean_s(server.endpoint.pool)
+        hold_s = learned_s or limits.full_call_time_s()
         releases = [
             (
                 min(stored.expires_at, now + _remaining_s(now, stored, hold_s)),
