--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -21,6 +21,7 @@
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.piece_calls import PieceCalls
+from amaranthtally.daemon.gateway.piece_move_exchange import PieceMoveExchange
 from amaranthtally.daemon.gateway.prompt_exchange import PromptExchange
 from amaranthtally.daemon.gateway.rate_limit_exchange import RateLimitExchange
 from amaranthtally.daemon.gateway.usage_exchange import UsageExchange
@@ -66,6 +67,7 @@
     StreamOrigin,
     SubmitToPeer,
     UsageFault,
+    WithdrawAtPeer,
 )
 
 __all__ = ["GatewayExecutor"]
@@ -109,6 +111,12 @@
         self._piece_calls = PieceCalls(
             session, self.pieces_ended, head_received, metrics, limits
         )
+        self._moves = PieceMoveExchange(
+            planner.pieces,
+            self._get_connections,
+            lambda work: self._decisions.spawn(work),
+            lambda actions: self._decisions.carry_out(actions),
+        )
         self._prompts = PromptExchange(
             planner.prompts,
             self._get_connections,
@@ -143,6 +151,7 @@
                 SubmitToPeer: self._submit_to_peer,
                 ReportToPeer: self._report_to_peer,
                 FreeAtPeer: self._release_at_peer,
+                WithdrawAtPeer: self._moves.withdraw,
                 RateLimitChanged: self._rate_limits.log_change,
                 SpreadRateLimits: self._rate_limits.spread,
                 AskPermits: self._rate_limits.ask,
@@ -179,6 +188,11 @@
         """Passes on what endpoints show of themselves."""
         return self._signals
 
+    @property
+    def moves(self) -> PieceMoveExchange:
+        """Withdraws jobs from the other gateways, so that they run elsewhere."""
+        return self._moves
+
     @property
     def prompts(self) -> PromptExchange:
         """Exchanges with the other gateways what is known of parts of prompts."""
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -34,6 +34,7 @@
     SpreadRateLimits,
     SubmitToPeer,
     UsageFault,
+    WithdrawAtPeer,
 )
 from amaranthtally.policy.affinity import AffinityRouter
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
@@ -84,6 +85,7 @@
 from amaranthtally.policy.peer_directory import PeerDirectory, PeerRecord
 from amaranthtally.policy.peer_group import PeerGroup
 from amaranthtally.policy.piece_coordinator import PieceCoordinator
+from amaranthtally.policy.piece_events import PieceEvents
 from amaranthtally.policy.piece_graph import Piece, StoredResult
 from amaranthtally.policy.piece_messages import (
     PieceFault,
@@ -198,6 +200,7 @@
     "PermitAsk",
     "Piece",
     "PieceCoordinator",
+    "PieceEvents",
     "PieceFault",
     "PieceJob",
     "PieceLimits",
@@ -247,6 +250,7 @@
     "UsageFault",
     "UsageReport",
     "UsageSender",
+    "WithdrawAtPeer",
     "VersionHistory",
     "WatcherSelection",
     "WeightedPool",
--- a/packages/policy/src/amaranthtally/policy/load_view_feed.py
+++ b/packages/policy/src/amaranthtally/policy/load_view_feed.py
@@ -1,6 +1,6 @@
 """Tells the shared view of loads what this entry sends and hears."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 from amaranthtally.policy.actions import Action
 from amaranthtally.policy.events import LoadReport
@@ -17,12 +17,15 @@
     Passes events of the planner on to the view, and the view to the loads of its pools.
 
     The loads are watched once a pool takes part; until then a change of the entry's
-    attempts costs a comparison.
+    attempts costs a comparison. ``on_pool_active`` is told of each pool that takes part.
     """
 
-    def __init__(self, view: LoadView, loads: LoadTable) -> None:
+    def __init__(
+        self, view: LoadView, loads: LoadTable, on_pool_active: Callable[[str], None]
+    ) -> None:
         self._view = view
         self._loads = loads
+        self._on_pool_active = on_pool_active
         self._pools: frozenset[str] = frozenset()
         self._endpoints: Mapping[str, Endpoint] = {}
 
@@ -62,5 +65,7 @@
             self._loads.pool(pool).view = None
         for pool in pools:
             self._loads.pool(pool).view = self._view
+        for pool in pools - self._pools:
+            self._on_pool_active(pool)
         self._pools = pools
         self._loads.watch(bool(pools))
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -125,7 +125,9 @@
         self._load_view = components.load_view(
             self._observed_slowness, _copy_of(random)
         )
-        self._view_feed = LoadViewFeed(self._load_view, self._loads)
+        self._view_feed = LoadViewFeed(
+            self._load_view, self._loads, self._pool_reports_speed
+        )
         self._coordinator.batcher.set_report_listener(self._view_feed.report_received)
         set_view = getattr(self._router, "set_view", None)
         if set_view is not None:
@@ -445,7 +447,10 @@
         request.retry_cost = retry_cost
         request.inputs = ()
         return self._apply_effects(
-            now, self._coordinator.recompute_inputs(now, request.id)
+            now,
+            self._coordinator.recompute_inputs(
+                now, request.id, has_begun=request.chunks > 0
+            ),
         )
 
     def _apply_effects(self, now: float, effects: CoordinatorEffects) -> list[Action]:
@@ -527,6 +532,11 @@
         load = self._loads.find(endpoint)
         return 1.0 if load is None else load.slowness(now)
 
+    def _pool_reports_speed(self, pool: str) -> None:
+        """Divide a pool's time among accounts, and plan the memory for its results."""
+        self._accounts.pool_reports_speed(pool)
+        self._coordinator.pool_reports_speed(pool)
+
     def _without_closed(self, settings: PolicySettings) -> PolicySettings:
         """Return settings in which evacuated and leaving endpoints take no calls."""
         endpoints = mark_evacuated(settings.endpoints, settings.evacuated)
