--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -361,9 +361,9 @@
             left_ms=round((send.deadline - self._time()) * 1000),
             **prediction_fields(send),
         )
-        self._metrics.engine_choices.attempt_sent(
-            endpoint.pool if endpoint else "", send
-        )
+        if send.stalled or send.prediction is not None:
+            pool = endpoint.pool if endpoint else ""
+            self._metrics.engine_choices.attempt_sent(pool, send)
         if send.endpoint in limits:
             self._metrics.limited_attempt_sent(endpoint.pool if endpoint else "")
         # Read the inputs now, before the planner handles the next event. The planner
