--- a/packages/policy/src/amaranthtally/policy/load_view/contributions.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/contributions.py
@@ -1,7 +1,6 @@
 """Sums of what senders have told of the calls at endpoints."""
 
-from collections.abc import Iterable
-from typing import NamedTuple
+from collections.abc import Iterable, Mapping
 
 from amaranthtally.policy.load_messages import LoadMessage
 
@@ -18,14 +17,13 @@
 MAX_KEYS = 20_000
 
 
-class Figures(NamedTuple):
-    """Calls in flight at an endpoint, and their prompt tokens yet to be processed."""
+# Calls in flight at an endpoint, and their prompt tokens yet to be processed. It is a
+# plain tuple, as a relay makes thousands of them a second.
+Figures = tuple[int, int]
+NO_CALLS: Figures = (0, 0)
 
-    calls: int
-    prefill_tokens: int
 
-
-NO_CALLS = Figures(0, 0)
+NOTHING: Mapping[int, Figures] = {}
 
 
 class _Source:
@@ -67,15 +65,10 @@
         """Return the sums for an endpoint."""
         return self._totals.get(key, NO_CALLS)
 
-    def of(self, sender: str, key: int) -> Figures:
-        """Return what one sender has contributed for an endpoint."""
-        source = self._sources.get(sender)
-        return NO_CALLS if source is None else source.figures.get(key, NO_CALLS)
-
-    def names(self, sender: str, key: int) -> bool:
-        """Whether a sender has had calls at an endpoint since it was first heard."""
+    def figures_of(self, sender: str) -> Mapping[int, Figures]:
+        """Return what one sender has contributed, by endpoint."""
         source = self._sources.get(sender)
-        return source is not None and key in source.figures
+        return NOTHING if source is None else source.figures
 
     def serial_of(self, sender: str) -> int:
         """Return the serial of the last message taken from a sender, 0 without one."""
@@ -107,7 +100,7 @@
         source.serial = message.serial
         source.heard_at = self._heard_at = now
         for item in message.figures[:MAX_KEYS]:
-            figures = Figures(
+            figures = (
                 min(MAX_CALLS, max(0, item.calls)),
                 min(MAX_TOKENS, max(0, item.prefill_tokens)),
             )
@@ -153,9 +146,9 @@
 
     def _add(self, key: int, before: Figures, after: Figures) -> None:
         total = self._totals.get(key, NO_CALLS)
-        calls = total.calls - before.calls + after.calls
-        tokens = total.prefill_tokens - before.prefill_tokens + after.prefill_tokens
+        calls = total[0] - before[0] + after[0]
+        tokens = total[1] - before[1] + after[1]
         if calls or tokens:
-            self._totals[key] = Figures(calls, tokens)
+            self._totals[key] = (calls, tokens)
         else:
             self._totals.pop(key, None)
--- a/packages/policy/src/amaranthtally/policy/load_view/outbox.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/outbox.py
@@ -4,7 +4,7 @@
 from typing import NamedTuple
 
 from amaranthtally.policy.load_messages import LoadFigures
-from amaranthtally.policy.load_view.contributions import NO_CALLS, Figures
+from amaranthtally.policy.load_view.contributions import Figures
 from amaranthtally.policy.load_view.reports import KnownReport
 
 __all__ = ["ChangeLog", "Outbox", "Sources"]
@@ -28,16 +28,14 @@
 
     figures: Callable[[int], Figures]
     report: Callable[[int], KnownReport | None]
-    concerns: Callable[[int], bool]
 
 
-class _Sent(NamedTuple):
-    figures: Figures = NO_CALLS
-    slowness: float = 1.0
-    reported_at: float = -1.0
-
-
-NOTHING_SENT = _Sent()
+# Calls, prompt tokens, slowness and time of the report that were sent of an endpoint,
+# and the size of a change, its endpoint, figures and report. They are plain tuples, as
+# a relay makes thousands of them a second.
+_Sent = tuple[int, int, float, float]
+_Change = tuple[float, int, Figures, KnownReport | None]
+NOTHING_SENT: _Sent = (0, 0, 1.0, -1.0)
 
 
 class ChangeLog:
@@ -110,25 +108,25 @@
             self._sent.pop(key, None)
             self._pending.discard(key)
 
-    def want(self, keys: Iterable[int]) -> None:
-        """Look at endpoints anew, as the receiver may be concerned by them now."""
-        self._pending.update(keys)
-
     def collect(
         self, now: float, sources: Sources, most: int
     ) -> tuple[LoadFigures, ...]:
         """Return the largest changes, of at most ``most`` endpoints."""
         self._seen, changed = self._changes.since(self._seen)
         self._pending.update(changed)
-        sizes: dict[int, float] = {}
-        for key in filter(sources.concerns, self._pending):
-            size = self._change(now, key, sources)
+        found: list[_Change] = []
+        for key in self._pending:
+            figures, report = sources.figures(key), sources.report(key)
+            size = _change_size(self._sent.get(key, NOTHING_SENT), figures, report)
             if size > 0.0:
-                sizes[key] = size
+                found.append((size, key, figures, report))
         # A change too small to be sent is looked at again after the next change.
-        self._pending = set(sizes)
-        ranked = sorted(sizes, key=sizes.__getitem__, reverse=True)[: max(0, most)]
-        return tuple(self._take(now, key, sources) for key in ranked)
+        self._pending.clear()
+        if len(found) > most:
+            found.sort(key=_size_of, reverse=True)
+            self._pending.update(change[1] for change in found[max(0, most) :])
+            del found[max(0, most) :]
+        return tuple([self._take(now, change) for change in found])
 
     def note_sent(self) -> tuple[int, int]:
         """Return the serial and the base of the message that is sent now."""
@@ -138,37 +136,37 @@
     def note_heard(self, key: int, report: KnownReport) -> None:
         """Note a report that the receiver itself has sent."""
         sent = self._sent.get(key, NOTHING_SENT)
-        self._sent[key] = _Sent(sent.figures, report.slowness, report.heard_at)
+        self._sent[key] = (sent[0], sent[1], report.slowness, report.heard_at)
 
-    def _change(self, now: float, key: int, sources: Sources) -> float:
-        sent = self._sent.get(key, NOTHING_SENT)
-        figures, report = sources.figures(key), sources.report(key)
-        calls = abs(figures.calls - sent.figures.calls)
-        tokens = abs(figures.prefill_tokens - sent.figures.prefill_tokens)
-        size = float(calls)
-        if tokens >= LEAST_TOKENS or (tokens and not figures.prefill_tokens):
-            size += tokens / TOKENS_PER_CALL
-        return size + _slowness_change(now, sent, report)
-
-    def _take(self, now: float, key: int, sources: Sources) -> LoadFigures:
+    def _take(self, now: float, change: _Change) -> LoadFigures:
+        _, key, (calls, tokens), report = change
         sent = self._sent.get(key, NOTHING_SENT)
-        figures, report = sources.figures(key), sources.report(key)
-        shared = None
-        if report is not None and report.heard_at > sent.reported_at:
+        shared, slowness, reported_at = None, sent[2], sent[3]
+        if report is not None and report.heard_at > reported_at:
             shared = report.share(now)
-            sent = _Sent(figures, report.slowness, report.heard_at)
-        self._sent[key] = sent._replace(figures=figures)
-        self._pending.discard(key)
-        return LoadFigures(key, figures.calls, figures.prefill_tokens, shared)
+            slowness, reported_at = report.slowness, report.heard_at
+        self._sent[key] = (calls, tokens, slowness, reported_at)
+        return LoadFigures(key, calls, tokens, shared)
 
 
-def _slowness_change(now: float, sent: _Sent, report: KnownReport | None) -> float:
-    """Return the size of the change that a report shows, 0 if it is not to be sent."""
-    if report is None or report.heard_at <= sent.reported_at:
-        return 0.0
-    change = abs(report.slowness - sent.slowness) / sent.slowness
+def _change_size(sent: _Sent, figures: Figures, report: KnownReport | None) -> float:
+    """Return the size of a change, 0 if it is too small to be sent."""
+    size = float(abs(figures[0] - sent[0]))
+    tokens = abs(figures[1] - sent[1])
+    if tokens >= LEAST_TOKENS or (tokens and not figures[1]):
+        size += tokens / TOKENS_PER_CALL
+    if report is not None and report.heard_at > sent[3]:
+        size += _slowness_change(sent, report)
+    return size
+
+
+def _slowness_change(sent: _Sent, report: KnownReport) -> float:
+    change = abs(report.slowness - sent[2]) / sent[2]
     if change >= LEAST_SLOWNESS:
         return change / SLOWNESS_PER_CALL
     deviates = abs(report.slowness - 1.0) >= LEAST_SLOWNESS
-    is_old = report.heard_at - sent.reported_at >= RENEW_S
-    return 1.0 if deviates and is_old else 0.0
+    return 1.0 if deviates and report.heard_at - sent[3] >= RENEW_S else 0.0
+
+
+def _size_of(change: _Change) -> float:
+    return change[0]
--- a/packages/policy/src/amaranthtally/policy/load_view/partners.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/partners.py
@@ -11,13 +11,8 @@
 # Size of the largest message, in bytes: on the slowest link of an entry, 5 Mbit/s, it
 # takes 7 ms.
 MAX_MESSAGE_BYTES = 4_096
-# Bytes a second that an entry of a large fleet sends for this exchange: a fifth of its
-# 18 KB/s for control is left to other messages.
-LEAST_BYTES_PER_S = 14_400.0
-# The same in a small fleet: 7% of the slowest link of an entry. It falls in proportion
-# to the number of entries beyond ``ENTRIES_AT_MOST_BYTES``.
-MOST_BYTES_PER_S = 40_000.0
-ENTRIES_AT_MOST_BYTES = 128
+# Bytes a second that an entry sends for this exchange: a tenth of its slowest link.
+BYTES_PER_S = 64_000.0
 # Seconds in which bytes that were not sent may be sent later.
 BURST_S = 2.0
 
@@ -41,19 +36,13 @@
     """Bounds the bytes that an entry sends; time stamps are in seconds."""
 
     def __init__(self) -> None:
-        self._rate = MOST_BYTES_PER_S
-        self._bytes = MOST_BYTES_PER_S
+        self._bytes = BYTES_PER_S
         self._at = 0.0
 
-    def configure(self, entries: int) -> None:
-        """Set the number of entries in the fleet."""
-        rate = MOST_BYTES_PER_S * ENTRIES_AT_MOST_BYTES / max(1, entries)
-        self._rate = min(MOST_BYTES_PER_S, max(LEAST_BYTES_PER_S, rate))
-
     def most_figures(self, now: float) -> int:
         """Return of how many endpoints a message may hold figures now."""
-        gained = max(0.0, now - self._at) * self._rate
-        self._bytes = min(BURST_S * self._rate, self._bytes + gained)
+        gained = max(0.0, now - self._at) * BYTES_PER_S
+        self._bytes = min(BURST_S * BYTES_PER_S, self._bytes + gained)
         self._at = max(self._at, now)
         left = min(float(MAX_MESSAGE_BYTES), self._bytes) - message_bytes(0)
         return max(0, int(left // FIGURES_BYTES))
--- a/packages/policy/src/amaranthtally/policy/load_view/view.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/view.py
@@ -35,13 +35,14 @@
 REMOTE_INTERVAL_S = 0.25
 # Time after which an entry is called although nothing has changed, in seconds.
 RENEWAL_S = 1.0
-# Number of entries up to which the interval holds. In larger fleets relays have more
-# partners, and it grows in proportion so that their messages fit into the byte budget.
-ENTRIES_AT_INTERVAL = 64
-MAX_INTERVAL_S = 0.8
-# Number of endpoints beyond which a receiver is sent only those at which it has had
-# calls itself. An entry uses at most 64 endpoints of a pool in its own region.
-MAX_SENT_TO_ALL = 256
+# Number of entries up to which the interval holds. It grows in proportion beyond, as
+# more changes have to fit into what a relay may send.
+ENTRIES_AT_INTERVAL = 32
+MAX_INTERVAL_S = 0.4
+# Number of entries beyond which nothing is exchanged. At 750 entries, each of 11,000
+# endpoints changes four times a second, and a relay would have to send its members
+# several times the 18 KB/s that an entry has for control.
+MAX_ENTRIES = 96
 # A report makes an endpoint look at most this much faster than was observed. An
 # endpoint with false reports then gets about twice an equal share of the calls.
 LEAST_OF_OBSERVED = 0.5
@@ -135,10 +136,6 @@
             self._keys = EndpointKeys(self._endpoints)
         return self._keys
 
-    @property
-    def _is_small(self) -> bool:
-        return len(self._endpoints) <= MAX_SENT_TO_ALL
-
     def is_active(self, pool: str) -> bool:
         """Whether a pool takes part."""
         return pool in self._active
@@ -163,9 +160,7 @@
         figures, age_s = self._others(now, key)
         weight = 0.0 if age_s is None else half_lives.calls.weight(age_s)
         slowness = self._slowness(now, endpoint, self._reports.find(key), half_lives)
-        return EndpointView(
-            float(figures.calls), float(figures.prefill_tokens), slowness, weight
-        )
+        return EndpointView(float(figures[0]), float(figures[1]), slowness, weight)
 
     # The entry itself
 
@@ -212,7 +207,7 @@
         if endpoint.pool not in self._active:
             return
         key = self._index.key_of(endpoint.id)
-        figures = Figures(calls, prefill_tokens)
+        figures = (calls, prefill_tokens)
         if key is None or self._own.get(key, NO_CALLS) == figures:
             return
         self._own[key] = figures
@@ -229,6 +224,8 @@
         self._next_tick = now + INTERVAL_S
         self._refresh(now)
         actions: list[Action] = []
+        if len(self._peers) >= MAX_ENTRIES:
+            return actions
         for name, group, interval_s in self._receivers(now):
             message = self._due_message(now, name, group, interval_s)
             if message is not None:
@@ -254,9 +251,7 @@
         source = message.group or sender
         self._take(now, into, source, sender, message, caller.outbox)
         heard = message.serial if into.serial_of(source) == message.serial else 0
-        sources = (
-            self._to_relay(message.group) if message.group else self._to_member(sender)
-        )
+        sources = self._to_relay() if message.group else self._to_member(sender)
         most = self._budget.most_figures(now)
         figures = caller.outbox.collect(now, sources, most)
         self._count_sent(figures)
@@ -302,7 +297,8 @@
             (at for at in (self._members.heard_at, self._sums.heard_at) if at),
             default=None,
         )
-        figures = _sum(self._members.total(key), self._sums.total(key))
+        members, sums = self._members.total(key), self._sums.total(key)
+        figures = (members[0] + sums[0], members[1] + sums[1])
         if heard_at is None:
             return figures, None
         # Members call at each change: silence shows that nothing has changed, until
@@ -328,38 +324,25 @@
         return self._own.get(key, NO_CALLS)
 
     def _group_sum(self, key: int) -> Figures:
-        return _sum(self._own_figures(key), self._members.total(key))
+        own, members = self._own.get(key, NO_CALLS), self._members.total(key)
+        return own[0] + members[0], own[1] + members[1]
 
     def _to_member(self, name: str) -> Sources:
         """Return what a member of the group lacks: all calls but its own."""
         is_relay = not len(self._relayed)
+        contributed = self._members.figures_of(name)
 
         def figures(key: int) -> Figures:
-            total = self._group_sum(key)
-            if is_relay:
-                total = _sum(total, self._sums.total(key))
-            return _less(total, self._members.of(name, key))
+            calls, tokens = self._group_sum(key)
+            sums = self._sums.total(key) if is_relay else NO_CALLS
+            its = contributed.get(key, NO_CALLS)
+            return calls + sums[0] - its[0], tokens + sums[1] - its[1]
 
-        return self._sources(
-            figures, lambda key: self._is_small or self._members.names(name, key)
-        )
+        return Sources(figures, self._reports.find)
 
-    def _to_relay(self, group: str) -> Sources:
+    def _to_relay(self) -> Sources:
         """Return what the relay of another group lacks: the sums of this group."""
-        region = self._groups.region_of_group(group)
-
-        def concerns(key: int) -> bool:
-            if self._is_small or self._sums.names(group, key):
-                return True
-            endpoint = self._index.find(key)
-            return endpoint is not None and endpoint.region == region
-
-        return self._sources(self._group_sum, concerns)
-
-    def _sources(
-        self, figures: Callable[[int], Figures], concerns: Callable[[int], bool]
-    ) -> Sources:
-        return Sources(figures, self._reports.find, concerns)
+        return Sources(self._group_sum, self._reports.find)
 
     # Messages
 
@@ -391,9 +374,9 @@
         if partner.awaited or silent_s < interval_s:
             return None
         sources = (
-            self._to_relay(group)
+            self._to_relay()
             if group
-            else self._sources(self._own_figures, lambda key: True)
+            else Sources(self._own_figures, self._reports.find)
         )
         figures = partner.outbox.collect(now, sources, self._budget.most_figures(now))
         if not figures and silent_s < RENEWAL_S - INTERVAL_S:
@@ -425,7 +408,6 @@
             self._counters.rejected += 1
             return
         self._note(changed)
-        outbox.want(changed)
         for item in message.figures:
             if item.report is None or item.key not in self._index:
                 continue
@@ -486,7 +468,6 @@
         self._note(self._sums.keep(self._groups.names))
         self._called = {n: p for n, p in self._called.items() if n in names}
         self._callers = {n: p for n, p in self._callers.items() if n in names}
-        self._budget.configure(len(names) + 1)
         self._interval_s = min(
             MAX_INTERVAL_S,
             INTERVAL_S * max(1.0, (len(names) + 1) / ENTRIES_AT_INTERVAL),
@@ -500,14 +481,3 @@
     ``random`` draws what tells this start of the entry from earlier ones.
     """
     return LoadView(observed, random)
-
-
-def _sum(one: Figures, other: Figures) -> Figures:
-    return Figures(one.calls + other.calls, one.prefill_tokens + other.prefill_tokens)
-
-
-def _less(one: Figures, other: Figures) -> Figures:
-    return Figures(
-        max(0, one.calls - other.calls),
-        max(0, one.prefill_tokens - other.prefill_tokens),
-    )
--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -11,6 +11,7 @@
     AttemptOutcome,
     AttemptResult,
     Cancel,
+    ExchangeLoads,
     FreeAtPeer,
     FreeResults,
     Peer,
@@ -118,6 +119,7 @@
             SubmitToPeer: self._submit_to_peer,
             ReportToPeer: self._report_to_peer,
             FreeAtPeer: self._free_at_peer,
+            ExchangeLoads: self._exchange_loads,
         }
         self.call_later(PEER_CHECK_INTERVAL_S, self._check_peers)
 
@@ -322,6 +324,25 @@
             lambda: self.release_results(action),
         )
 
+    def _exchange_loads(self, action: ExchangeLoads) -> None:
+        view = self.planner.load_view
+
+        def reply(peer: Entry) -> None:
+            now = self.clock.now
+            answer = peer.planner.load_view.exchange_received(
+                now, self.name, action.message
+            )
+            peer.send_to(
+                self.data_centre,
+                lambda: view.exchange_answered(self.clock.now, action.peer, answer),
+            )
+
+        self._to_peer(
+            action.peer,
+            reply,
+            lambda: view.exchange_failed(self.clock.now, action.peer),
+        )
+
     def _peer_failed(self, name: str) -> None:
         self._execute_actions(self.planner.pieces.peer_failed(self.clock.now, name))
 
--- a/tests/policy/test_load_view.py
+++ b/tests/policy/test_load_view.py
@@ -8,7 +8,7 @@
 
 from amaranthtally.policy import LoadFigures, LoadMessage
 from amaranthtally.policy.load_messages import message_bytes
-from amaranthtally.policy.load_view.contributions import Contributions, Figures
+from amaranthtally.policy.load_view.contributions import Contributions
 from amaranthtally.policy.load_view.half_life import HalfLife
 from tests.policy.load_fleet import POOL, Fleet, engine, report
 
@@ -157,15 +157,13 @@
             now, sender, sender, LoadMessage(incarnation, serial, base, 0, "", items)
         )
         for key in range(4):
-            parts = [table.of(name, key) for name in "ab"]
-            sums = Figures(
-                sum(p.calls for p in parts), sum(p.prefill_tokens for p in parts)
-            )
+            parts = [table.figures_of(name).get(key, (0, 0)) for name in "ab"]
+            sums = tuple(sum(figures) for figures in zip(*parts, strict=True))
             assert table.total(key) == sums
-            assert 0 <= sums.calls <= 8_000
+            assert 0 <= sums[0] <= 8_000
     table.expire(now + 2.1)
     assert not len(table)
-    assert table.total(0) == Figures(0, 0)
+    assert table.total(0) == (0, 0)
 
 
 @pytest.mark.parametrize("half_life_s", [0.2, 0.8, 3.2])
