--- a/packages/policy/src/amaranthtally/policy/load_view/view.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/view.py
@@ -35,10 +35,10 @@
 REMOTE_INTERVAL_S = 0.25
 # Time after which an entry is called although nothing has changed, in seconds.
 RENEWAL_S = 1.0
-# Number of entries up to which the interval holds. It grows in proportion beyond, as
-# more changes have to fit into what a relay may send.
-ENTRIES_AT_INTERVAL = 32
-MAX_INTERVAL_S = 0.4
+# Number of entries up to which the interval holds. Beyond, it grows with its square, as
+# do the changes of all entries that a relay sends to each of its members.
+ENTRIES_AT_INTERVAL = 45
+MAX_INTERVAL_S = 0.5
 # Number of entries beyond which nothing is exchanged. At 750 entries, each of 11,000
 # endpoints changes four times a second, and a relay would have to send its members
 # several times the 18 KB/s that an entry has for control.
@@ -470,7 +470,7 @@
         self._callers = {n: p for n, p in self._callers.items() if n in names}
         self._interval_s = min(
             MAX_INTERVAL_S,
-            INTERVAL_S * max(1.0, (len(names) + 1) / ENTRIES_AT_INTERVAL),
+            INTERVAL_S * max(1.0, ((len(names) + 1) / ENTRIES_AT_INTERVAL) ** 2),
         )
 
 
--- a/tests/policy/test_load_view.py
+++ b/tests/policy/test_load_view.py
@@ -6,15 +6,27 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from amaranthtally.policy import LoadFigures, LoadMessage
+from amaranthtally.policy import ExchangeLoads, LoadFigures, LoadMessage
 from amaranthtally.policy.load_messages import message_bytes
 from amaranthtally.policy.load_view.contributions import Contributions
 from amaranthtally.policy.load_view.half_life import HalfLife
+from amaranthtally.policy.pool_sites import Peer
 from tests.policy.load_fleet import POOL, Fleet, engine, report
+from tests.policy.support import LOCAL_REGION, PlannerDriver, one_stage, planner
+from tests.policy.test_packages import POLICY, imports_of
 
 # Entries of the smallest fleet with two groups in a region, and of a small one.
 LARGE = 68
 SMALL = 9
+BELOW_LOAD_VIEW = {
+    "actions",
+    "events",
+    "load_messages",
+    "model",
+    "peer_group",
+    "pool_sites",
+    "rendezvous",
+}
 
 
 def test_nothing_is_sent_where_no_endpoint_reports_a_slowness():
@@ -202,3 +214,46 @@
         delays.append(fleet.now - began)
     assert fmean(delays) < 1.0
     assert POOL in fleet.views["g0"].active_pools
+
+
+def test_the_package_is_used_by_its_facade_and_uses_none_of_its_users():
+    """Guards against decisions that depend on what the view is made of."""
+    for path in POLICY.rglob("*.py"):
+        imports = imports_of(path)
+        if path.parent.name == "load_view":
+            outer = {i for i in imports if not i.startswith("load_view")}
+            assert outer <= BELOW_LOAD_VIEW, path.name
+        else:
+            assert not [i for i in imports if i.startswith("load_view.")], path.name
+
+
+def test_planners_count_each_others_attempts_once_a_slowness_was_reported():
+    """Guards against a view that no planner feeds, or that no choice uses."""
+    listed = {"e0": engine("e0")}
+    names = ("g0", "g1")
+    planners = {n: planner(listed, seed, entry=n) for seed, n in enumerate(names)}
+    for name, driven in planners.items():
+        driven.replace_peers(0.0, [Peer(n, LOCAL_REGION) for n in names if n != name])
+    driver = PlannerDriver(planners["g0"], one_stage(POOL))
+
+    def run(until):
+        for now in (until - 0.6, until - 0.4, until - 0.2, until):
+            for name, driven in planners.items():
+                actions = driven.tick(now)
+                for action in (a for a in actions if isinstance(a, ExchangeLoads)):
+                    other = planners[action.peer].load_view
+                    answer = other.exchange_received(now, name, action.message)
+                    driven.load_view.exchange_answered(now, action.peer, answer)
+        load = planners["g1"]._loads.get_or_create(listed["e0"])
+        return load.occupancy(until)
+
+    driver.arrive(0.1, prefix=(1, 2), prefix_sizes=(600, 400))
+    assert run(1.0) == 0.0
+    for driven in planners.values():
+        driven.load_report(1.0, "e0", report(0, 1.0))
+    assert 0.5 < run(2.0) <= 1.0
+    known = planners["g1"].load_view.find(2.0, "e0")
+    assert (known.calls, known.prefill_tokens) == (1.0, 1000.0)
+    (send,) = driver.live.values()
+    driver.reply(2.1, send)
+    assert run(3.0) == 0.0
