Compare accounts with their level as it grows or decays; retries count as offered

A division computed early, or in the middle of a decision, took rising load for shortage and put every account above its share: seen with one account at two gateways. Requests of equal content that are not retries no longer hide demand.

--- a/packages/policy/src/amaranthtally/policy/fair_shares/division.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/division.py
@@ -18,6 +18,8 @@
 
 # Ratio of offered to admitted work above which a resource counts as overloaded.
 OVERLOAD_RATIO = 1.05
+# Admitted work in seconds below which nothing is known of the capacity yet.
+MIN_CAPACITY_S = 1e-3
 # Part of the mean work below which an account counts as starved while it is refused.
 # Twice the guaranteed quarter, so that it is served before it falls to that.
 STARVED_PART = 0.5
@@ -28,12 +30,14 @@
     The division of a resource; ``level`` and ``mean`` are work per unit of share.
 
     An account with more work than ``level`` times its share is above its share.
-    ``mean`` is the capacity by the shares of all accounts with demand. With
+    ``mean`` is the capacity by the shares of all accounts with demand; ``capacity_s``
+    is the work that was admitted when the division was computed. With
     ``is_local`` both refer to this entry's work alone, not to the fleet's.
     """
 
     level: float = inf
     mean: float = 0.0
+    capacity_s: float = 0.0
     is_local: bool = False
 
     @property
@@ -71,6 +75,8 @@
     offered_s = sum(work.offered_s for work, _ in accounts)
     admitted_s = sum(work.admitted_s for work, _ in accounts)
     weight = sum(share for work, share in accounts if work.offered_s > 0.0)
+    if admitted_s < MIN_CAPACITY_S:
+        return NO_SHORTAGE
     mean = admitted_s / weight if weight else 0.0
     if not is_overloaded(Work(offered_s, admitted_s)) and not any(
         is_starved(work, share, mean) for work, share in accounts
@@ -79,7 +85,7 @@
     level = fair_level(
         ((work.offered_s / share, share) for work, share in accounts), admitted_s
     )
-    return Division(level, mean, is_local)
+    return Division(level, mean, admitted_s, is_local)
 
 
 def is_overloaded(work: Work) -> bool:
--- a/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -38,9 +38,9 @@
 # Part of a request's work that is charged for a retry before the named time. A caller
 # that sends ten such retries forgoes one request.
 RETRY_CHARGE = 0.1
-# Part of an account's share that charges use up at most, so that retries in a loop
-# leave it the rest.
-MAX_CHARGED_PART = 0.5
+# Part of an account's share that charges use up at most: different requests may have
+# the same content, and are then taken for retries.
+MAX_CHARGED_PART = 0.25
 # Longest time by which the return of a refused account is put off beyond its backlog,
 # in seconds; and the longest by which returns are spread in addition.
 MAX_RETURN_S = 2 * DECAY_S
@@ -92,6 +92,8 @@
         self._divisions = [NO_SHORTAGE] * len(Resource)
         self._own_divisions = [NO_SHORTAGE] * len(Resource)
         self._divided_at = -inf
+        # Admitted work of the peers, as it was when the division was computed.
+        self._peers_admitted_s = [0.0] * len(Resource)
         self._scale = 1.0
         self._serial = 0
         self._sent_at = -inf
@@ -153,25 +155,30 @@
     def offer(
         self, now: float, arrival: Arrival, resource: Resource, work_s: float
     ) -> None:
-        """Count the work of a request that arrived, or charge it for a retry."""
+        """
+        Count the work of a request that arrived.
+
+        A request with the content of one that was told to come back later is charged
+        to its account in addition.
+        """
+        # A division computed between this and the decision on the request would take
+        # the request for one that is refused.
+        self._divide_if_due(now)
         entry = self._own.entry(now, arrival.account)
+        entry.offered[resource] += work_s
         if self._retries.is_early(now, arrival.account, arrival.key):
             entry.charged[resource] += RETRY_CHARGE * work_s
-        else:
-            entry.offered[resource] += work_s
 
     def admit(
         self, now: float, arrival: Arrival, resource: Resource, work_s: float
     ) -> None:
         """Count the work of a request as admitted."""
-        self._own.entry(now, arrival.account).admitted[resource] += work_s
+        self._own.admit(now, arrival.account, resource, work_s)
 
     def withdraw(
         self, now: float, arrival: Arrival, resource: Resource, work_s: float
     ) -> None:
         """Take back offered work of a request that another resource has no room for."""
-        if self._retries.is_early(now, arrival.account, arrival.key):
-            return
         entry = self._own.entry(now, arrival.account)
         entry.offered[resource] = max(0.0, entry.offered[resource] - work_s)
 
@@ -207,7 +214,7 @@
         if not division.is_short:
             return 1.0
         entry = self._own.entry(now, account)
-        fair_s = division.level * self._share_of(entry.digest)
+        fair_s = self._fair_s(now, entry, resource, division)
         charged_s = min(entry.charged[resource], MAX_CHARGED_PART * fair_s)
         used_s = self._work(entry, resource, division).admitted_s + charged_s
         return 1.0 if used_s <= fair_s else fair_s / used_s
@@ -247,7 +254,7 @@
             return 0.0, 0.0
         entry = self._own.entry(now, account)
         work = self._work(entry, resource, division)
-        fair_s = max(1e-9, division.level * self._share_of(entry.digest))
+        fair_s = max(1e-9, self._fair_s(now, entry, resource, division))
         if work.admitted_s <= fair_s:
             return 0.0, MIN_SPREAD_S
         after_s = DECAY_S * log(work.admitted_s / fair_s)
@@ -362,6 +369,9 @@
             # The accounts that reports only sum up are taken for equal ones.
             rest = _scaled(self._peers.rest(resource), self._scale / count)
             accounts += [(rest, NO_LIMITS.share)] * count
+        own_s = self._own.admitted_s(self._divided_at, resource)
+        total_s = sum(work.admitted_s for work, _ in accounts)
+        self._peers_admitted_s[resource] = max(0.0, total_s - own_s)
         return divide(accounts, is_local=False)
 
     def _note_change(
@@ -408,10 +418,24 @@
         if not division.is_short or entry is None:
             return False
         work = self._work(entry, resource, division)
-        share = self._share_of(entry.digest)
-        return work.offered_s <= division.level * share or is_starved(
-            work, share, division.mean
-        )
+        if work.offered_s <= self._fair_s(now, entry, resource, division):
+            return True
+        return is_starved(work, self._share_of(entry.digest), division.mean)
+
+    def _fair_s(
+        self, now: float, entry: UsageEntry, resource: Resource, division: Division
+    ) -> float:
+        """
+        Return the fair work of an account now.
+
+        Since the division was computed, all sums have grown or decayed. Compared with
+        its level alone, every account would be above its share while load rises.
+        """
+        admitted_s = self._own.admitted_s(now, resource)
+        if not division.is_local:
+            admitted_s += self._peers_admitted_s[resource]
+        growth = admitted_s / division.capacity_s
+        return division.level * growth * self._share_of(entry.digest)
 
     def _work(self, entry: UsageEntry, resource: Resource, division: Division) -> Work:
         """Return the work of an account that a division refers to."""
--- a/packages/policy/src/amaranthtally/policy/fair_shares/own_usage.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/own_usage.py
@@ -66,6 +66,7 @@
 
     def __init__(self) -> None:
         self._entries: dict[str, UsageEntry] = {}
+        self._admitted = UsageEntry(0, 0.0)
 
     def __len__(self) -> int:
         return len(self._entries)
@@ -86,6 +87,19 @@
         entry.decay(now)
         return entry
 
+    def admit(
+        self, now: float, account: str, resource: Resource, work_s: float
+    ) -> None:
+        """Count work as admitted."""
+        self.entry(now, account).admitted[resource] += work_s
+        self._admitted.decay(now)
+        self._admitted.admitted[resource] += work_s
+
+    def admitted_s(self, now: float, resource: Resource) -> float:
+        """Return the admitted work of all accounts at ``now``."""
+        self._admitted.decay(now)
+        return self._admitted.admitted[resource]
+
     def refresh(self, now: float) -> None:
         """Decay all work, and forget accounts that are idle."""
         for name in list(self._entries):
