--- a/tests/policy/test_fair_shares.py
+++ b/tests/policy/test_fair_shares.py
@@ -87,6 +87,22 @@
     assert returned["back"] >= 0.95 * fleet.offered["back"]
 
 
+@properties
+@given(st.floats(25.0, 60.0), st.floats(1.0, 4.0))
+def test_accounts_at_different_entries_divide_what_both_get(rate, times):
+    """
+    Guards against entries that each divide only their own work.
+
+    Without reports, the queue is kept full by one account alone, and the other, at
+    another entry, gets nothing.
+    """
+    fleet = SharesFleet(ENTRIES)
+    traffic = {"a": Traffic(rate, (0,)), "b": Traffic(rate * times, (1,))}
+    fleet.run(WARM_UP_S, traffic)
+    served = fleet.run(WINDOW_S, traffic)
+    assert min(served.values()) >= 0.4 * sum(served.values()), served
+
+
 def test_shares_keep_their_weight():
     """Guards against weights that the exchange between entries loses."""
     limits = {"a": AccountLimits(share=3.0), "b": AccountLimits(share=1.0)}
