--- a/packages/policy/src/amaranthtally/policy/load_view_feed.py
+++ b/packages/policy/src/amaranthtally/policy/load_view_feed.py
@@ -17,7 +17,7 @@
     Passes events of the planner on to the view, and the view to the loads of its pools.
 
     The loads are watched once a pool takes part; until then a change of the entry's
-    attempts costs a comparison. ``on_pool_active`` is told of each pool that takes part.
+    attempts costs a comparison. ``on_pool_active`` is called with each pool that does.
     """
 
     def __init__(
