Memory of an entry: what is held for callers is counted and bounded

With the setting memory_mb a gateway counts request and response bodies, queued events and unread bytes by request. It reads an endpoint's response without waiting for a slow caller, since endpoints cut off what remains unread. New work that does not fit is refused before its body is read. Beyond the limit the request that holds the most is ended, a stream as broken.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -1,6 +1,7 @@
 """Handles callers' HTTP requests."""
 
 import asyncio
+import socket
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -10,6 +11,12 @@
 from amaranthtally.adapter.callers import read_caller_request, request_id_of
 from amaranthtally.adapter.messages import CallerRequest, ResponseHead
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
+from amaranthtally.daemon.gateway.caller_memory import (
+    BYTES_PER_KB,
+    REQUEST_BYTES,
+    CallerMemory,
+    EntryMemory,
+)
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
 from amaranthtally.daemon.gateway.live_call import (
     CallEvent,
@@ -19,9 +26,11 @@
     StreamEnded,
     StreamEvents,
     StreamStarted,
+    event_queue,
 )
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.refusals import (
+    NO_MEMORY,
     STOPPING,
     Refusal,
     refusal_of,
@@ -37,6 +46,12 @@
 
 log = get_logger()
 
+# What the kernel may hold for a caller that does not read, in bytes. It grows to some
+# megabytes by itself, which count toward the host's memory, but not the process's own.
+SEND_BUFFER_BYTES = 65_536
+# Events are written in parts of this size, in bytes, if the memory is limited. What is
+# written is copied, and a larger part would be held twice until all of it is read.
+SLICE_BYTES = 16_384
 # How long a body may still take once a stopping gateway refuses further requests, in
 # seconds. It is not run before it is complete.
 LAST_BODY_S = 0.3
@@ -60,8 +75,10 @@
         resumption: StreamResumption,
         table: Callable[[], RouteTable | None],
         is_stopping: Callable[[], bool],
+        memory: EntryMemory | None = None,
     ) -> None:
         self._is_closed = False
+        self._memory = memory or EntryMemory()
         self._executor = executor
         self._arrivals = arrivals
         self._metrics = metrics
@@ -90,13 +107,15 @@
         """Handle one request and return its response."""
         received_at = self._time()
         self._open_responses += 1
+        memory = self._memory.open()
         try:
-            return await self._handle(request, received_at)
+            return await self._handle(request, received_at, memory)
         finally:
+            memory.close()
             self._open_responses -= 1
 
     async def _handle(
-        self, request: web.BaseRequest, received_at: float
+        self, request: web.BaseRequest, received_at: float, memory: CallerMemory
     ) -> web.StreamResponse:
         checked = self._check(request)
         if isinstance(checked, Refusal):
@@ -109,21 +128,22 @@
         try:
             async with asyncio.timeout(limit_s) as timeout:
                 self._body_timeouts.add(timeout)
-                body = await self._read_body(request, table.limits.body_bytes)
+                body = await self._read_body(request, table.limits.body_bytes, memory)
         except TimeoutError:
             return self._refuse(request, STOPPING if self._is_closed else BODY_TIMEOUT)
         finally:
             self._body_timeouts.discard(timeout)
-        if body is None:
-            return self._refuse(request, BODY_TOO_LARGE)
+        if isinstance(body, Refusal):
+            return self._refuse(request, body)
         origin = await self._resumption.origin_of(caller, route)
         if isinstance(origin, Refusal):
             return self._refuse(request, origin)
         if self._executor.is_in_flight(caller.id):
             return self._refuse(request, DUPLICATE_ID)
         call = self._new_call(
-            request, received_at, caller, route, account, body, origin
+            request, received_at, caller, route, account, body, origin, memory
         )
+        memory.call_on_excess(lambda held: self._end_for_memory(request, call, held))
         log.info(
             "request_received",
             request_id=call.id,
@@ -173,20 +193,30 @@
             return UNKNOWN_KEY
         return caller, route, account, table
 
-    async def _read_body(self, request: web.BaseRequest, limit: int) -> bytes | None:
-        """Return the body, or ``None`` if it is larger than ``limit`` bytes."""
+    async def _read_body(
+        self, request: web.BaseRequest, limit: int, memory: CallerMemory
+    ) -> bytes | Refusal:
+        """Return the body, unless it is over ``limit`` bytes or there is no room."""
+        announced = request.content_length or 0
+        if announced > limit:
+            return BODY_TOO_LARGE
+        if not self._memory.admits(announced):
+            return NO_MEMORY
+        memory.add(REQUEST_BYTES + announced)
         if not request.can_read_body:
             return b""
-        if (request.content_length or 0) > limit:
-            return None
         parts: list[bytes] = []
         size = 0
         async for part in request.content.iter_any():
             size += len(part)
             if size > limit:
-                return None
+                return BODY_TOO_LARGE
+            if size > announced:
+                if not self._memory.admits(len(part)):
+                    return NO_MEMORY
+                memory.add(len(part))
             parts.append(part)
-        return b"".join(parts)
+        return NO_MEMORY if memory.is_ended else b"".join(parts)
 
     def _new_call(
         self,
@@ -197,6 +227,7 @@
         account: Account | None,
         body: bytes,
         origin: StreamOrigin | None,
+        memory: CallerMemory,
     ) -> LiveCall:
         arrival = self._arrivals.build(
             received_at,
@@ -217,6 +248,8 @@
             route=route,
             account=arrival.account,
             received_at=received_at,
+            memory=memory,
+            events=event_queue(is_limited=self._memory.is_limited),
             origin=origin,
         )
 
@@ -228,7 +261,16 @@
         event = await call.next()
         if isinstance(event, StreamStarted):
             return await self._stream(request, call, event.head)
-        return self._complete_response(request, call, event)
+        response = self._complete_response(request, call, event)
+        if self._memory.is_limited:
+            # Written here and not by the server, so that the body stays counted until
+            # the caller has read it.
+            call.is_answering = True
+            _limit_send_buffer(request)
+            await response.prepare(request)
+            await response.write_eof()
+            await self._await_reading(request, call)
+        return response
 
     def _complete_response(
         self, request: web.BaseRequest, call: LiveCall, event: CallEvent
@@ -252,14 +294,18 @@
         response.headers.extend(head.headers)
         response.enable_chunked_encoding()
         self._close_if_stopping(response)
+        call.is_answering = True
+        if self._memory.is_limited:
+            _limit_send_buffer(request)
         await response.prepare(request)
         event = await call.next()
         while isinstance(event, StreamEvents):
-            await response.write(event.body)
+            await self._write_events(request, response, call, event.body)
             event = await call.next()
         if isinstance(event, StreamEnded):
             await response.write_eof()
             self._log_end(call, head.status, "answered")
+            await self._await_reading(request, call)
             return response
         assert isinstance(event, RequestFailed)
         refusal = refusal_of(event.refusal)
@@ -270,6 +316,61 @@
             request.transport.close()
         return response
 
+    async def _write_events(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        call: LiveCall,
+        body: bytes,
+    ) -> None:
+        if not self._memory.is_limited:
+            await response.write(body)
+            call.memory.remove_event(body)
+            return
+        for start in range(0, len(body), SLICE_BYTES):
+            await response.write(body[start : start + SLICE_BYTES])
+            if request.transport is not None:
+                call.memory.set_unsent(request.transport.get_write_buffer_size())
+        call.memory.remove_event(body)
+
+    async def _await_reading(self, request: web.BaseRequest, call: LiveCall) -> None:
+        """
+        Wait until the kernel has taken all that was written.
+
+        Once this handler returns, what is left in the connection's buffer would no
+        longer be counted.
+        """
+        transport = request.transport
+        if not self._memory.is_limited or transport is None:
+            return
+        call.memory.set_unsent(transport.get_write_buffer_size())
+        transport.set_write_buffer_limits(0)
+        try:
+            await request.writer.drain()
+        finally:
+            transport.set_write_buffer_limits()
+
+    def _end_for_memory(
+        self, request: web.BaseRequest, call: LiveCall, held: int
+    ) -> None:
+        """End a request that holds the most memory; never as a complete one."""
+        budget = self._memory.budget
+        log.warning(
+            "request_ended_for_memory",
+            request_id=call.id,
+            route=call.route.name,
+            account=call.account,
+            held_kb=round(held / BYTES_PER_KB),
+            all_held_kb=round(budget.used / BYTES_PER_KB),
+            limit_kb=round(budget.limit / BYTES_PER_KB),
+            events=call.event_count,
+            is_answering=call.is_answering,
+        )
+        if not call.is_answering:
+            self._executor.end_for_memory(call)
+        elif request.transport is not None:
+            request.transport.abort()
+
     def _relay_response(self, relayed: CompleteResponse) -> web.Response:
         response = web.Response(status=relayed.head.status, body=relayed.body)
         response.headers.popall(hdrs.CONTENT_TYPE, None)
@@ -317,3 +418,10 @@
             events=call.event_count,
             ms=round(duration_s * 1000),
         )
+
+
+def _limit_send_buffer(request: web.BaseRequest) -> None:
+    transport = request.transport
+    connection = transport.get_extra_info("socket") if transport is not None else None
+    if connection is not None:
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
--- /dev/null
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
@@ -0,0 +1,171 @@
+"""Counts what is held for callers, and ends the largest of them beyond the limit."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from math import inf
+from pathlib import Path
+from resource import getpagesize
+
+from amaranthtally.daemon.logs import get_logger
+from amaranthtally.policy import MemoryBudget, build_memory_budget, usable_bytes
+
+__all__ = ["CallerMemory", "EntryMemory"]
+
+BYTES_PER_MB = 1_000_000
+BYTES_PER_KB = 1000
+# What an open request takes beside its bodies, in bytes: its task, its connection's
+# objects and its state in the policy.
+REQUEST_BYTES = 32_768
+# What a queued event takes beside its bytes: an object, a bytes object and a place in
+# the queue.
+EVENT_BYTES = 128
+# The process's own need is the least of this many measurements. A single one includes
+# what has arrived and is not counted yet.
+SAMPLES = 30
+SAMPLE_INTERVAL_S = 1.0
+# A change of the limit by less than this part is not logged.
+LOGGED_CHANGE = 0.1
+STATM = Path("/proc/self/statm")
+RESIDENT_FIELD = 1
+
+log = get_logger()
+
+OnExcess = Callable[[int], None]
+
+
+class CallerMemory:
+    """What is held for one request; nothing is counted once it is closed or ended."""
+
+    def __init__(self, memory: "EntryMemory") -> None:
+        self._memory = memory
+        self._unsent = 0
+        self._on_excess: OnExcess | None = None
+        self._is_open = True
+        self._is_ended = False
+
+    @property
+    def is_ended(self) -> bool:
+        """Whether the request was ended because it held the most memory."""
+        return self._is_ended
+
+    def call_on_excess(self, on_excess: OnExcess) -> None:
+        """Set what ends the request, given the bytes that it held."""
+        self._on_excess = on_excess
+
+    def add(self, size: int) -> None:
+        """Count bytes that are held from now on; may end this or another request."""
+        if self._is_open:
+            self._memory.hold(self, size)
+
+    def remove(self, size: int) -> None:
+        """Count bytes as no longer held."""
+        if self._is_open:
+            self._memory.budget.release(self, size)
+
+    def add_event(self, body: bytes) -> None:
+        """Count an event that is queued for the caller."""
+        self.add(len(body) + EVENT_BYTES)
+
+    def remove_event(self, body: bytes) -> None:
+        """Count an event as no longer queued."""
+        self.remove(len(body) + EVENT_BYTES)
+
+    def set_unsent(self, size: int) -> None:
+        """Count the bytes that were written and that the caller has not read."""
+        if size > self._unsent:
+            self.add(size - self._unsent)
+        elif size < self._unsent:
+            self.remove(self._unsent - size)
+        self._unsent = size
+
+    def close(self) -> None:
+        """Count nothing more, as the request has ended."""
+        if self._is_open:
+            self._is_open = False
+            self._memory.budget.release(self, self._memory.budget.held(self))
+
+    def end(self) -> None:
+        """End the request, once the current callback has returned."""
+        held = self._memory.budget.held(self)
+        self.close()
+        self._is_ended = True
+        if self._on_excess is not None:
+            asyncio.get_running_loop().call_soon(self._on_excess, held)
+
+
+class EntryMemory:
+    """
+    The memory of this process for callers; unlimited if ``memory_mb`` is 0.
+
+    ``memory_mb`` is what the process as a whole may use, in megabytes.
+    """
+
+    def __init__(
+        self, memory_mb: float = 0, budget: MemoryBudget | None = None
+    ) -> None:
+        self._memory_bytes = memory_mb * BYTES_PER_MB
+        self._budget = budget or build_memory_budget()
+        self._own_samples: deque[int] = deque(maxlen=SAMPLES)
+        self._ended = 0
+        self._logged_limit = inf
+        if self._memory_bytes:
+            self.update_limit(resident_bytes())
+
+    @property
+    def is_limited(self) -> bool:
+        """Whether there is a limit."""
+        return self._budget.limit < inf
+
+    @property
+    def budget(self) -> MemoryBudget:
+        """The totals."""
+        return self._budget
+
+    @property
+    def ended(self) -> int:
+        """Number of requests that were ended because they held the most."""
+        return self._ended
+
+    def open(self) -> CallerMemory:
+        """Return the memory of a new request."""
+        return CallerMemory(self)
+
+    def admits(self, body_bytes: int) -> bool:
+        """Whether a new request with a body of this size fits."""
+        return self._budget.admits(body_bytes + REQUEST_BYTES)
+
+    def hold(self, caller: CallerMemory, size: int) -> None:
+        """Count bytes of a request; end the largest requests beyond the limit."""
+        self._budget.hold(caller, size)
+        while self._budget.used > self._budget.limit:
+            largest = self._budget.largest()
+            if not isinstance(largest, CallerMemory):
+                return
+            self._ended += 1
+            largest.end()
+
+    def update_limit(self, resident: int) -> None:
+        """Set the limit from the resident memory of the process, in bytes."""
+        self._own_samples.append(max(0, resident - self._budget.used))
+        limit = usable_bytes(self._memory_bytes, min(self._own_samples))
+        self._budget.set_limit(limit)
+        if abs(limit - self._logged_limit) > LOGGED_CHANGE * limit:
+            self._logged_limit = limit
+            log.info(
+                "memory_limit",
+                limit_kb=round(limit / BYTES_PER_KB),
+                own_kb=round(min(self._own_samples) / BYTES_PER_KB),
+                held_kb=round(self._budget.used / BYTES_PER_KB),
+            )
+
+    async def run(self) -> None:
+        """Update the limit periodically until cancelled."""
+        while self._memory_bytes:
+            self.update_limit(resident_bytes())
+            await asyncio.sleep(SAMPLE_INTERVAL_S)
+
+
+def resident_bytes() -> int:
+    """Return the resident memory of this process."""
+    return int(STATM.read_text().split()[RESIDENT_FIELD]) * getpagesize()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -17,7 +17,6 @@
 from amaranthtally.daemon.gateway.live_call import (
     CompleteResponse,
     LiveCall,
-    StreamEvents,
     StreamStarted,
 )
 from amaranthtally.daemon.logs import format_parts, get_logger
@@ -265,11 +264,11 @@
         started: float,
     ) -> AttemptResult:
         with _ResetDetector(response) as detector:
-            body = await response.read()
+            body = await _read_body(call, response)
         detector.check()
         duration_s = self._loop.time() - started
         if response_head.status >= FIRST_SERVER_ERROR:
-            call.failed_response = CompleteResponse(response_head, body)
+            call.fail_with(CompleteResponse(response_head, body))
             return AttemptResult(AttemptOutcome.FAILED, run_s=duration_s)
         call.finish(CompleteResponse(response_head, body))
         return AttemptResult(
@@ -302,7 +301,7 @@
                     await call.events.put(StreamStarted(response_head))
                 call.event_count += events.event_count
                 call.last_event = events.last_id or call.last_event
-                await call.events.put(StreamEvents(events.body))
+                await call.put_events(events.body)
                 self._listener.events_delivered(send.attempt, call.event_count)
         detector.check()
         if buffer.pending_bytes:
@@ -375,6 +374,21 @@
             raise aiohttp.ClientPayloadError("connection reset") from error
 
 
+async def _read_body(call: LiveCall, response: aiohttp.ClientResponse) -> bytes:
+    """Read a response's body, counted as held for its caller from the first byte."""
+    parts: list[bytes] = []
+    size = 0
+    try:
+        async for part in response.content.iter_any():
+            parts.append(part)
+            size += len(part)
+            call.memory.add(len(part))
+    except BaseException:
+        call.memory.remove(size)
+        raise
+    return b"".join(parts)
+
+
 def _unknown_outcome(
     call: LiveCall, *, connection_lost: bool = False, begun: bool = False
 ) -> AttemptResult:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -193,6 +193,16 @@
         self._stop_attempts(call)
         log.info("request_abandoned", request_id=call.id, attempts=call.attempts)
 
+    def end_for_memory(self, call: LiveCall) -> None:
+        """End a request whose response has not begun, as it holds too much memory."""
+        if self._calls.get(call.id) is not call:
+            return
+        self._decisions.carry_out(
+            self._planner.caller_disconnected(self._time(), call.id)
+        )
+        outcome = RequestOutcome.UNKNOWN if call.attempts else RequestOutcome.NOT_RUN
+        self._refuse(Refuse(call.id, outcome, RefusalReason.MEMORY))
+
     @property
     def peers_to_probe(self) -> frozenset[str]:
         """The gateways to probe: those that run jobs of this one, and failed ones."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from amaranthtally.adapter.messages import CallerRequest, ResponseHead
+from amaranthtally.daemon.gateway.caller_memory import CallerMemory
 from amaranthtally.policy import Arrival, AttemptId, Refuse, Route, StreamOrigin
 
 __all__ = [
@@ -14,10 +15,12 @@
     "StreamEnded",
     "StreamEvents",
     "StreamStarted",
+    "event_queue",
 ]
 
 # Events of a stream that may be queued for a slow caller before the gateway stops
-# reading from the endpoint. A fast engine sends as many in a second.
+# reading from the endpoint, if its memory has no limit. A fast engine sends as many in
+# a second.
 MAX_QUEUED_EVENTS = 64
 
 
@@ -60,6 +63,11 @@
 )
 
 
+def event_queue(*, is_limited: bool) -> asyncio.Queue[CallEvent]:
+    """Return a queue of events; a limited memory bounds its size, not its length."""
+    return asyncio.Queue(0 if is_limited else MAX_QUEUED_EVENTS)
+
+
 @dataclass(slots=True)
 class LiveCall:
     """
@@ -68,6 +76,10 @@
     ``stream_started`` says whether the caller has been sent the head of a stream, and
     ``last_event`` is the id of the last complete event sent to it.
     ``origin`` is where the stream began, ``None`` before its first event.
+    ``memory`` counts what is held for it. A gateway with a limited memory reads from
+    endpoints without waiting for the caller, since endpoints cut off responses that
+    remain unread; ``events`` has no limit of its own then.
+    ``is_answering`` says whether any of the response may have been written.
     ``failed_response`` is an endpoint's error response; the caller gets it if no
     attempt succeeds.
     """
@@ -80,6 +92,8 @@
     route: Route
     account: str
     received_at: float
+    memory: CallerMemory
+    is_answering: bool = False
     stream_started: bool = False
     last_event: str = ""
     event_count: int = 0
@@ -87,7 +101,7 @@
     failed_response: CompleteResponse | None = None
     tasks: dict[AttemptId, asyncio.Task[None]] = field(default_factory=dict)
     events: asyncio.Queue[CallEvent] = field(
-        default_factory=lambda: asyncio.Queue(MAX_QUEUED_EVENTS)
+        default_factory=lambda: event_queue(is_limited=False)
     )
     attempts: int = 0
     final_event: CallEvent | None = None
@@ -108,6 +122,17 @@
         if not self.events.full():
             self.events.put_nowait(event)
 
+    async def put_events(self, body: bytes) -> None:
+        """Queue complete events for the caller."""
+        self.memory.add_event(body)
+        await self.events.put(StreamEvents(body))
+
+    def fail_with(self, response: CompleteResponse) -> None:
+        """Keep an endpoint's error response, in place of an earlier one."""
+        if self.failed_response is not None:
+            self.memory.remove(len(self.failed_response.body))
+        self.failed_response = response
+
     async def next(self) -> CallEvent:
         """Return the next event for the caller."""
         if self.final_event is not None and self.events.empty():
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -63,6 +63,9 @@
     data_centres_evacuated: int
     requests_blocked: int
     log_lines_lost: int
+    memory_held_bytes: int
+    memory_limit_bytes: float
+    requests_ended_for_memory: int
 
 
 class GatewayMetrics:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/refusals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/refusals.py
@@ -7,7 +7,14 @@
 from amaranthtally.adapter.callers import refusal_headers
 from amaranthtally.policy import RefusalReason, Refuse, RequestOutcome
 
-__all__ = ["STOPPING", "UNAVAILABLE", "Refusal", "refusal_of", "refusal_response"]
+__all__ = [
+    "NO_MEMORY",
+    "STOPPING",
+    "UNAVAILABLE",
+    "Refusal",
+    "refusal_of",
+    "refusal_response",
+]
 
 # ``Retry-After`` if it is not known how long the cause will last, in seconds. An
 # ejected endpoint is tried again after about that time.
@@ -29,6 +36,9 @@
 # The caller can retry at once, since another gateway will take the request.
 STOPPING = Refusal(UNAVAILABLE, "this process is leaving; come back now", 0.05)
 
+# The caller can retry soon, since another gateway may have room.
+NO_MEMORY = Refusal(UNAVAILABLE, "no memory for more; come back", DEFAULT_RETRY_AFTER_S)
+
 
 def refusal_of(refuse: Refuse) -> Refusal:
     """
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -16,6 +16,7 @@
 from amaranthtally.adapter.callers import READY_PATH
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
 from amaranthtally.daemon.gateway.caller_handler import CallerHandler
+from amaranthtally.daemon.gateway.caller_memory import EntryMemory
 from amaranthtally.daemon.gateway.connection_gate import ConnectionGate
 from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.endpoint_calls import endpoint_session
@@ -139,6 +140,7 @@
     random = Random(secrets.randbits(SEED_BITS))
 
     limits = build_response_limits()
+    memory = EntryMemory(settings.memory_mb)
 
     def settings_changed(changed: PolicySettings) -> None:
         if routing_state.table is not None:
@@ -205,6 +207,7 @@
         executor.tick(),
         connections.run_heartbeat(lambda: executor.peers_to_probe),
         writer.flush_periodically(),
+        memory.run(),
     ]:
         run_in_background(stack, work)
 
@@ -234,6 +237,9 @@
             data_centres_evacuated=len(routing_state.evacuated),
             requests_blocked=executor.prompts.blocked_requests,
             log_lines_lost=writer.dropped,
+            memory_held_bytes=memory.budget.used,
+            memory_limit_bytes=memory.budget.limit if memory.is_limited else 0,
+            requests_ended_for_memory=memory.ended,
         )
 
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
@@ -245,6 +251,7 @@
         resumption,
         lambda: routing_state.table,
         stop.is_set,
+        memory,
     )
     caller_server = _new_caller_server(caller_handler)
     await _serve_metrics(settings, stack, metrics, state)
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -56,6 +56,11 @@
     PermitAsk,
     RateLimitNotice,
 )
+from amaranthtally.policy.memory_budget import (
+    MemoryBudget,
+    build_memory_budget,
+    usable_bytes,
+)
 from amaranthtally.policy.model import (
     AccountLimits,
     AttemptId,
@@ -127,6 +132,9 @@
 )
 
 __all__ = [
+    "MemoryBudget",
+    "build_memory_budget",
+    "usable_bytes",
     "build_response_limits",
     "GATEWAY_COMPONENTS",
     "GATEWAY_TICK_S",
--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -64,6 +64,7 @@
     NO_HOME_ENDPOINT = "no_home_endpoint"
     EVACUATED = "evacuated"
     COLD = "cold"
+    MEMORY = "memory"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -69,6 +69,8 @@
     the first attempt of each request. Metrics are served at ``metrics_address``; if it
     is empty, they are not served. ``seeds`` are addresses for peers of a few gateways,
     which one that starts asks if the store does not answer; some may be out of date.
+    ``memory_mb`` is the memory that the process may use, in megabytes; with 0 there is
+    no limit on what it holds for callers.
     """
 
     name: Name
@@ -84,6 +86,7 @@
     stop_grace: Positive = 8.0
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2
     retry_slack: Annotated[float, Meta(ge=0)] = 50.0
+    memory_mb: Annotated[float, Meta(ge=0)] = 0.0
     metrics_address: OptionalAddress = ""
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
--- a/tests/policy/test_response_limits.py
+++ b/tests/policy/test_response_limits.py
@@ -9,7 +9,7 @@
 from tests.policy.test_packages import IMPORT, imports_of
 
 POLICY = Path(amaranthtally.policy.__file__).parent
-PACKAGES = ("response_limits",)
+PACKAGES = ("response_limits", "memory_budget")
 MIB = 1024 * 1024
 
 
--- a/tests/unit/test_caller_handler.py
+++ b/tests/unit/test_caller_handler.py
@@ -43,7 +43,7 @@
         table = SimpleNamespace(version=1, limits=SimpleNamespace(body_bytes=10))
         return caller, SimpleNamespace(name="route", timeout_s=1.0), None, table
 
-    async def _read_body(self, request, limit):
+    async def _read_body(self, request, limit, memory):
         return b""
 
     def _new_call(self, *args):
