Memory of an endpoint: a bound on what it holds, learned from its ends

An endpoint crashes if the requests that it holds exceed its memory, and reports neither. The planner counts the bytes of requests sent to each endpoint, compares what endpoints held when they ended with what others outlived, and from two ends above that keeps endpoints of the pool under a bound between the two.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -297,6 +297,7 @@
         )
         actions = self._planner.reply(self._time(), attempt, result)
         self._decisions.carry_out(actions)
+        self._log_learned_bounds()
 
     def pieces_ended(self, call: int, result: PiecesEnded) -> None:
         """Pass the end of a call with pieces to the policy."""
@@ -346,6 +347,17 @@
 
     # Actions
 
+    def _log_learned_bounds(self) -> None:
+        for learned in self._planner.endpoint_memory.take_news():
+            log.info(
+                "endpoint_ended_with_much_held",
+                endpoint=learned.endpoint,
+                pool=learned.pool,
+                held_bytes=learned.held,
+                outlived_bytes=learned.outlived,
+                bound_bytes="" if learned.bound is None else round(learned.bound),
+            )
+
     def _get_connections(self) -> PeerConnections:
         assert self._connections is not None
         return self._connections
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -5,6 +5,7 @@
 from amaranthtally.policy.ejection import Ejections
 from amaranthtally.policy.groups import EndpointGroups
 from amaranthtally.policy.loads import LoadTable
+from amaranthtally.policy.memory_budget import EndpointMemory
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
@@ -69,6 +70,7 @@
         timers: Timers,
         streams: StreamMonitor,
         gate: SendGate,
+        memory: EndpointMemory,
     ) -> None:
         self._settings = settings
         self._times = times
@@ -80,6 +82,7 @@
         self._timers = timers
         self._streams = streams
         self._gate = gate
+        self._memory = memory
         self._budgets: dict[str, _PoolBudgets] = {}
 
     def configure(self, settings: PolicySettings) -> None:
@@ -118,6 +121,11 @@
         self._ledger.counters.retries += bool(actions)
         return actions
 
+    def full(self, now: float, request: Request) -> frozenset[str]:
+        """Return the endpoints whose memory has no room for a request."""
+        pool = request.current_stage.pool
+        return self._memory.full(now, pool, request.sent_bytes)
+
     def hedge(self, now: float, request: Request, slow: AttemptId) -> list[Action]:
         """
         Send a second attempt while a slow one is running, if it is worth its cost.
@@ -219,6 +227,7 @@
         closed = self._gate.closed(now, request.regions)
         if closed:
             self._gate.note_wanted(request.current_stage.pool)
+        closed |= self.full(now, request)
         return RouteRequest(
             request.current_stage,
             self._times.share_end(now, arrival.deadline, remaining),
@@ -255,6 +264,8 @@
             return None
         if self._gate.obstacle(now, endpoint, request.regions) is not None:
             return None
+        if name in self.full(now, request):
+            return None
         if load.leaving or left < PROBE_SLACK * self._times.needed_s(request.remaining):
             return None
         if not stage.repeatable and now - load.reported_at > RECENT_REPORT_S:
--- a/packages/policy/src/amaranthtally/policy/memory_budget/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/memory_budget/__init__.py
@@ -1,5 +1,5 @@
 """
-Decides what an entry's memory may hold for callers, and whose work is ended beyond it.
+Decides what may be held in the memory of an entry for callers, and of an endpoint.
 
 Other modules use what is exported here, and nothing else of this package.
 """
@@ -9,5 +9,17 @@
     build_memory_budget,
     usable_bytes,
 )
+from amaranthtally.policy.memory_budget.endpoint_memory import (
+    EndpointMemory,
+    HeldRequest,
+    build_endpoint_memory,
+)
 
-__all__ = ["MemoryBudget", "build_memory_budget", "usable_bytes"]
+__all__ = [
+    "EndpointMemory",
+    "HeldRequest",
+    "MemoryBudget",
+    "build_endpoint_memory",
+    "build_memory_budget",
+    "usable_bytes",
+]
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -22,8 +22,10 @@
 from amaranthtally.policy.failed_attempts import FailedAttempts
 from amaranthtally.policy.first_events import FirstEventTimes
 from amaranthtally.policy.groups import EndpointGroups
+from amaranthtally.policy.held_requests import note_attempt_ended
 from amaranthtally.policy.load_poller import LoadPoller
 from amaranthtally.policy.membership import Membership
+from amaranthtally.policy.memory_budget import EndpointMemory, build_endpoint_memory
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings
 from amaranthtally.policy.outcome_recorder import OutcomeRecorder
 from amaranthtally.policy.peer_group import PeerGroup
@@ -81,7 +83,8 @@
         self._prefixes = PrefixIndex()
         self._accounts = components.accounts()
         self._timers = Timers()
-        self._ledger = RequestLedger(self._loads)
+        self._endpoint_memory = build_endpoint_memory()
+        self._ledger = RequestLedger(self._loads, self._endpoint_memory)
         groups = EndpointGroups(random)
         self._membership = Membership(
             groups, self._loads, self._ejections, self._prefixes
@@ -127,6 +130,7 @@
             self._timers,
             self._streams,
             self._gate,
+            self._endpoint_memory,
         )
         self._refusals = Refusals(
             self._ledger, self._times, self._loads, self._admission, self._coordinator
@@ -179,6 +183,11 @@
         """The parts of prompts that are kept away from endpoints."""
         return self._prompts
 
+    @property
+    def endpoint_memory(self) -> EndpointMemory:
+        """What endpoints hold for this entry, and the learned bounds."""
+        return self._endpoint_memory
+
     @property
     def in_flight(self) -> int:
         """Number of requests that were admitted and have not ended."""
@@ -238,6 +247,7 @@
         if request is None or attempt not in request.live:
             return []
         ended = self._ledger.remove_attempt(request, attempt)
+        note_attempt_ended(self._endpoint_memory, now, ended, result)
         noted = self._prompt_checks.attempt_ended(now, request, ended, result)
         return [*noted, *self._attempt_ended(now, request, attempt, ended, result)]
 
@@ -300,6 +310,7 @@
 
     def endpoint_closes_connections(self, now: float, endpoint: str) -> list[Action]:
         """Handle that an endpoint refuses connections, or closes each at once."""
+        self._endpoint_memory.endpoint_closed(now, endpoint)
         return self._prompt_checks.endpoint_closes_connections(now, endpoint)
 
     def is_leaving(self, endpoint: Endpoint) -> bool:
@@ -326,6 +337,7 @@
         self._registered = settings
         settings = self._without_closed(settings)
         self._configure(now, settings)
+        self._endpoint_memory.endpoints_changed(now, settings.endpoints)
         ended = self._prompt_checks.endpoints_changed(now, settings.endpoints)
         if self._gate.configure(settings):
             return [*ended, *self._places.places_changed(now)]
@@ -453,6 +465,8 @@
         if self._prompt_checks.is_blocked(request):
             return self._prompt_checks.refuse(now, request)
         actions = self._dispatcher.send_first(now, request)
+        if not actions and self._dispatcher.full(now, request):
+            return self._refusals.refuse(now, request, RefusalReason.OVERLOAD)
         return actions or self._permit_waits.add(now, request)
 
     def _attempt_finished(
--- a/packages/policy/src/amaranthtally/policy/request_ledger.py
+++ b/packages/policy/src/amaranthtally/policy/request_ledger.py
@@ -13,6 +13,7 @@
 from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.invariants import ensure
 from amaranthtally.policy.loads import EndpointLoad, LoadTable
+from amaranthtally.policy.memory_budget import EndpointMemory
 from amaranthtally.policy.model import AttemptId
 from amaranthtally.policy.requests import LiveAttempt, Request
 
@@ -43,8 +44,9 @@
     endpoint, consistent with them.
     """
 
-    def __init__(self, loads: LoadTable) -> None:
+    def __init__(self, loads: LoadTable, memory: EndpointMemory) -> None:
         self._loads = loads
+        self._memory = memory
         self._requests: dict[str, Request] = {}
         self._counters = Counters()
 
@@ -142,6 +144,9 @@
         attempt_id = AttemptId(request.id, request.stage_index, request.stage_attempts)
         request.live[attempt_id] = attempt
         self._loads.add_attempt(load)
+        attempt.held = self._memory.sent(
+            attempt.endpoint, stage.pool, attempt.incarnation, request.sent_bytes
+        )
         load.pending_prefill_tokens += attempt.pending_prefill_tokens
         return attempt_id
 
@@ -149,6 +154,8 @@
         """Remove an attempt that has ended or is being cancelled."""
         attempt = request.live.pop(attempt_id)
         self.mark_prefill_done(attempt)
+        if attempt.held is not None:
+            self._memory.ended(attempt.held)
         self._loads.remove_attempt(attempt.endpoint, request.current_stage.pool)
         return attempt
 
@@ -174,6 +181,11 @@
         ensure(load is not None, "only known endpoints are queried")
         attempt.queries += 1
         request.live[attempt_id] = attempt
+        if attempt.held is not None:
+            held = attempt.held
+            attempt.held = self._memory.sent(
+                held.endpoint, held.pool, held.incarnation, request.sent_bytes
+            )
         if load is not None:
             self._loads.add_attempt(load)
 
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -4,6 +4,7 @@
 
 from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.home_regions import Regions
+from amaranthtally.policy.memory_budget import HeldRequest
 from amaranthtally.policy.model import AttemptId, Stage
 from amaranthtally.policy.piece_graph import StoredResult
 from amaranthtally.policy.streams import StreamProgress
@@ -20,7 +21,8 @@
     the number of ``concurrent`` other calls, and the ``cached_share`` of its prefix.
     ``pending_prefill_tokens`` are the prompt tokens that it was predicted to process, 0
     after its first chunk. ``queries`` counts the queries for its outcome. ``version``
-    is that of the endpoint's software, ``incarnation`` that of the endpoint.
+    is that of the endpoint's software, ``incarnation`` that of the endpoint. ``held``
+    is what the endpoint holds for it.
     """
 
     endpoint: str
@@ -36,6 +38,7 @@
     pending_prefill_tokens: int = 0
     stream: StreamProgress = field(default_factory=StreamProgress)
     incarnation: int = 0
+    held: HeldRequest | None = None
 
 
 @dataclass(slots=True)
@@ -92,6 +95,11 @@
         """The only endpoint that may run the current stage, or "" if any may."""
         return self.arrival.bound.get(self.stage_index, "")
 
+    @property
+    def sent_bytes(self) -> int:
+        """Bytes of what an attempt at the current stage is sent."""
+        return self.arrival.input_bytes + self.previous_bytes
+
     @property
     def has_attempts_left(self) -> bool:
         """Whether the stage's limit allows another attempt that may run."""
