--- a/packages/policy/src/amaranthtally/policy/memory_budget/endpoint_memory.py
+++ b/packages/policy/src/amaranthtally/policy/memory_budget/endpoint_memory.py
@@ -106,7 +106,6 @@
 
     def __init__(self) -> None:
         self._held: dict[str, int] = {}
-        self._counts: dict[str, int] = {}
         self._losses: dict[str, _Loss] = {}
         self._pools: dict[str, _Pool] = {}
         self._learned: set[str] = set()
@@ -143,17 +142,15 @@
         """Note a request that is sent; return what to pass when it ends."""
         size = int(body_bytes) + HEAD_BYTES
         self._held[endpoint] = self._held.get(endpoint, 0) + size
-        self._counts[endpoint] = self._counts.get(endpoint, 0) + 1
         return HeldRequest(endpoint, pool, incarnation, size)
 
     def ended(self, request: HeldRequest) -> None:
         """Note that a request has ended or is cancelled."""
         name = request.endpoint
-        if self._counts.get(name, 0) > 1:
-            self._counts[name] -= 1
-            self._held[name] -= request.size
+        left = self._held.get(name, 0) - request.size
+        if left > 0:
+            self._held[name] = left
         else:
-            self._counts.pop(name, None)
             self._held.pop(name, None)
 
     def finished(self, now: float, request: HeldRequest) -> None:
@@ -164,7 +161,7 @@
     def lost(self, now: float, request: HeldRequest) -> None:
         """Note that the connection of a request that has just ended was lost."""
         name = request.endpoint
-        if name not in self._counts:
+        if name not in self._held:
             # It held this one request, or the last of several whose first was noted.
             return
         held = self.held(name) + request.size
@@ -178,7 +175,7 @@
 
         One that goes on with older requests is full, or cut off, and has not ended.
         """
-        if endpoint not in self._counts:
+        if endpoint not in self._held:
             self._endpoint_ended(now, endpoint)
 
     def _endpoint_ended(self, now: float, endpoint: str) -> None:
