--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -241,6 +241,16 @@
         self._stop_attempts(call)
         log.info("request_abandoned", request_id=call.id, attempts=call.attempts)
 
+    def end_for_memory(self, call: LiveCall) -> None:
+        """End a request whose response has not begun, as it holds too much memory."""
+        if self._calls.get(call.id) is not call:
+            return
+        self._decisions.carry_out(
+            self._planner.caller_disconnected(self._time(), call.id)
+        )
+        outcome = RequestOutcome.UNKNOWN if call.attempts else RequestOutcome.NOT_RUN
+        self._refuse(Refuse(call.id, outcome, RefusalReason.MEMORY))
+
     @property
     def peers_to_probe(self) -> frozenset[str]:
         """The gateways to probe: those that run jobs of this one, and failed ones."""
@@ -336,6 +346,7 @@
         )
         actions = self._planner.reply(self._time(), attempt, result)
         self._decisions.carry_out(actions)
+        self._log_learned_bounds()
 
     def pieces_ended(self, call: int, result: PiecesEnded) -> None:
         """Pass the end of a call with pieces to the policy."""
@@ -385,6 +396,17 @@
 
     # Actions
 
+    def _log_learned_bounds(self) -> None:
+        for learned in self._planner.endpoint_memory.take_news():
+            log.info(
+                "endpoint_ended_with_much_held",
+                endpoint=learned.endpoint,
+                pool=learned.pool,
+                held_bytes=learned.held,
+                outlived_bytes=learned.outlived,
+                bound_bytes="" if learned.bound is None else round(learned.bound),
+            )
+
     def _get_connections(self) -> PeerConnections:
         assert self._connections is not None
         return self._connections
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -80,6 +80,9 @@
     fair_share_overloaded: bool
     fair_share_engines_s: float
     fair_share_stages_s: float
+    memory_held_bytes: int
+    memory_limit_bytes: float
+    requests_ended_for_memory: int
 
 
 class GatewayMetrics:
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -64,6 +64,11 @@
 )
 from amaranthtally.policy.load_messages import LoadFigures, LoadMessage, SharedReport
 from amaranthtally.policy.load_view import EndpointView, LoadView
+from amaranthtally.policy.memory_budget import (
+    MemoryBudget,
+    build_memory_budget,
+    usable_bytes,
+)
 from amaranthtally.policy.model import (
     AccountLimits,
     AttemptId,
@@ -142,6 +147,9 @@
 )
 
 __all__ = [
+    "MemoryBudget",
+    "build_memory_budget",
+    "usable_bytes",
     "build_response_limits",
     "GATEWAY_COMPONENTS",
     "GATEWAY_TICK_S",
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -71,6 +71,8 @@
     which one that starts asks if the store does not answer; some may be out of date.
     With ``fair_shares`` the fleet's capacity is divided fairly among accounts under
     overload; without, only that of pools whose endpoints report their speed is.
+    ``memory_mb`` is the memory that the process may use, in megabytes; with 0 there is
+    no limit on what it holds for callers.
     """
 
     name: Name
@@ -86,6 +88,7 @@
     stop_grace: Positive = 8.0
     retry_ratio: Annotated[float, Meta(ge=0)] = 0.2
     retry_slack: Annotated[float, Meta(ge=0)] = 50.0
+    memory_mb: Annotated[float, Meta(ge=0)] = 0.0
     metrics_address: OptionalAddress = ""
     fair_shares: bool = False
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
