--- a/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -235,7 +235,7 @@
             self._strain.renew(now, resource, max_wait_s)
             return max_wait_s
         allowance = self.allowance(now, account, resource)
-        limit_s = self._peers.wait_limit_s(now, resource)
+        limit_s = self._peers.wait_limit_s(resource)
         limit_s = min(limit_s, self._strain.limit_s(now, resource))
         return allowance * min(max_wait_s, limit_s)
 
@@ -255,9 +255,7 @@
         entry = self._own.entry(now, account)
         work = self._work(entry, resource, division)
         fair_s = max(1e-9, self._fair_s(now, entry, resource, division))
-        if work.admitted_s <= fair_s:
-            return 0.0, MIN_SPREAD_S
-        after_s = DECAY_S * log(work.admitted_s / fair_s)
+        after_s = DECAY_S * log(max(1.0, work.admitted_s / fair_s))
         spread_s = DECAY_S * max(0.0, work.offered_s - fair_s) / fair_s
         return (
             min(MAX_RETURN_S, after_s),
--- a/packages/policy/src/amaranthtally/policy/fair_shares/peer_usage.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/peer_usage.py
@@ -48,6 +48,7 @@
         self._accounts: dict[int, tuple[Work, Work]] = {}
         self._rest: tuple[Work, Work] = (NO_WORK, NO_WORK)
         self._rest_accounts = 0
+        self._limits_s = [inf] * len(Resource)
 
     def __len__(self) -> int:
         return len(self._held)
@@ -74,14 +75,9 @@
             if held.expires_at > now
         )
 
-    def wait_limit_s(self, now: float, resource: Resource) -> float:
+    def wait_limit_s(self, resource: Resource) -> float:
         """Return the shortest reported wait limit, infinite without one."""
-        limits = (
-            held.report.wait_limits_s[resource]
-            for held in self._held.values()
-            if held.expires_at > now
-        )
-        return min((limit for limit in limits if limit > 0.0), default=inf)
+        return self._limits_s[resource]
 
     def received(self, now: float, sender: str, report: UsageReport) -> str:
         """
@@ -111,6 +107,7 @@
         self._accounts = {}
         self._rest = (NO_WORK, NO_WORK)
         self._rest_accounts = 0
+        self._limits_s = [inf] * len(Resource)
         for held in self._held.values():
             self._add(held.report)
 
@@ -120,6 +117,9 @@
             self._accounts[usage.account] = (
                 usage.work if known is None else _sum(known, usage.work)
             )
+        for resource, limit_s in zip(Resource, report.wait_limits_s, strict=True):
+            if limit_s > 0.0:
+                self._limits_s[resource] = min(self._limits_s[resource], limit_s)
         self._rest = _sum(self._rest, report.rest)
         # Entries leave out much the same accounts: the number is not added up.
         self._rest_accounts = max(self._rest_accounts, report.rest_accounts)
