--- a/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -5,36 +5,24 @@
 from math import inf, isfinite, log
 from typing import NamedTuple
 
-from amaranthtally.policy.actions import Action, FairSharesChanged, UsageFault
+from amaranthtally.policy.actions import Action, UsageFault
 from amaranthtally.policy.events import Arrival
 from amaranthtally.policy.fair_shares.account_shares import AccountShares
-from amaranthtally.policy.fair_shares.division import (
-    NO_SHORTAGE,
-    Division,
-    divide,
-    is_overloaded,
-    is_starved,
-)
 from amaranthtally.policy.fair_shares.early_retries import EarlyRetries
-from amaranthtally.policy.fair_shares.own_usage import DECAY_S, OwnUsage, UsageEntry
+from amaranthtally.policy.fair_shares.fleet_division import FleetDivision
+from amaranthtally.policy.fair_shares.own_usage import DECAY_S, OwnUsage
 from amaranthtally.policy.fair_shares.peer_usage import REPORT_TTL_S, PeerUsage
 from amaranthtally.policy.fair_shares.strain import Strain
 from amaranthtally.policy.model import AccountLimits
 from amaranthtally.policy.usage_messages import (
-    NO_WORK,
     Resource,
     UsageReport,
-    Work,
-    account_digest,
 )
 
 __all__ = ["SEND_INTERVAL_S", "FairShares", "SharesState"]
 
 # Interval between reports to other entries, in seconds.
 SEND_INTERVAL_S = 0.5
-# Interval between computations of the division, in seconds. With that of the reports it
-# stays below the second within which lent share is returned.
-DIVIDE_INTERVAL_S = 0.2
 # Part of a request's work that is charged for a retry before the named time. A caller
 # that sends ten such retries forgoes one request.
 RETRY_CHARGE = 0.1
@@ -47,12 +35,6 @@
 MIN_SPREAD_S = 0.2
 # Rank of requests of starved accounts.
 MOST_URGENT = 0
-# Bounds of a share: the least one counts for shares of 0 and below.
-MIN_SHARE = 1e-6
-MAX_SHARE = 1e6
-# Accounts that reports sum up and that are divided among, at most.
-MAX_REST = 1024
-NO_LIMITS = AccountLimits()
 
 
 class SharesState(NamedTuple):
@@ -88,16 +70,9 @@
         self._peers = PeerUsage()
         self._retries = EarlyRetries()
         self._strain = Strain()
-        self._shares: dict[int, float] = {}
-        self._divisions = [NO_SHORTAGE] * len(Resource)
-        self._own_divisions = [NO_SHORTAGE] * len(Resource)
-        self._divided_at = -inf
-        # Admitted work of the peers, as it was when the division was computed.
-        self._peers_admitted_s = [0.0] * len(Resource)
-        self._scale = 1.0
+        self._fleet = FleetDivision(self._own, self._peers)
         self._serial = 0
         self._sent_at = -inf
-        self._changes: list[Action] = []
 
     @property
     def is_used(self) -> bool:
@@ -108,11 +83,11 @@
     def state(self) -> SharesState:
         """A snapshot for the metrics."""
         return SharesState(
-            self._divisions[Resource.ENGINES].level,
-            self._divisions[Resource.STAGES].level,
+            self._fleet.division(Resource.ENGINES).level,
+            self._fleet.division(Resource.STAGES).level,
             len(self._own),
             len(self._peers),
-            self._is_overloaded,
+            self._fleet.is_overloaded,
         )
 
     # Settings
@@ -126,10 +101,7 @@
         """Change the limits; with ``fair_shares`` all requests are divided fairly."""
         super().configure(limits, entries)
         self._is_set = fair_shares
-        self._shares = {
-            account_digest(name): _bounded_share(limit.share)
-            for name, limit in limits.items()
-        }
+        self._fleet.configure(limits)
 
     def pool_reports_speed(self, pool: str) -> None:
         """Note that an endpoint of a pool reports how fast its host is now."""
@@ -137,7 +109,7 @@
 
     def set_sampled_part(self, part: float) -> None:
         """Set which part of the other entries reports to this one, 0 to 1."""
-        self._scale = 1.0 / part if 0.0 < part < 1.0 else 1.0
+        self._fleet.set_sampled_part(part)
 
     def covers(self, arrival: Arrival) -> bool:
         """Whether a request is admitted by the fleet's shares."""
@@ -163,7 +135,7 @@
         """
         # A division computed between this and the decision on the request would take
         # the request for one that is refused.
-        self._divide_if_due(now)
+        self._fleet.divide_if_due(now)
         entry = self._own.entry(now, arrival.account)
         entry.offered[resource] += work_s
         if self._retries.is_early(now, arrival.account, arrival.key):
@@ -196,7 +168,7 @@
         ``retry_after_s`` is the time until which it was told not to come back.
         """
         self._retries.note_refused(now, arrival.account, arrival.key, retry_after_s)
-        if self._is_entitled(now, arrival.account, resource):
+        if self._fleet.is_entitled(now, arrival.account, resource):
             self._strain.note_refused(now, resource, max_wait_s)
 
     def allowance(
@@ -210,13 +182,13 @@
         """
         if resource is None:
             return super().allowance(now, account)
-        division = self._division(now, resource)
+        division = self._fleet.division(resource)
         if not division.is_short:
             return 1.0
         entry = self._own.entry(now, account)
-        fair_s = self._fair_s(now, entry, resource, division)
+        fair_s = self._fleet.fair_s(now, entry, resource)
         charged_s = min(entry.charged[resource], MAX_CHARGED_PART * fair_s)
-        used_s = self._work(entry, resource, division).admitted_s + charged_s
+        used_s = self._fleet.work(entry, resource).admitted_s + charged_s
         return 1.0 if used_s <= fair_s else fair_s / used_s
 
     def allowed_wait_s(
@@ -229,9 +201,9 @@
         for more than theirs, whatever they got lately: among many of these there are
         always some that are just below it.
         """
-        if max_wait_s <= 0.0 or not self._division(now, resource).is_short:
+        if max_wait_s <= 0.0 or not self._fleet.division(resource).is_short:
             return max_wait_s
-        if self._is_entitled(now, account, resource):
+        if self._fleet.is_entitled(now, account, resource):
             self._strain.renew(now, resource, max_wait_s)
             return max_wait_s
         allowance = self.allowance(now, account, resource)
@@ -249,12 +221,12 @@
         what it is refused now fits into its share: callers that come back evenly in
         that time do not exceed it again.
         """
-        division = self._division(now, resource)
+        division = self._fleet.division(resource)
         if not division.is_short:
             return 0.0, 0.0
         entry = self._own.entry(now, account)
-        work = self._work(entry, resource, division)
-        fair_s = max(1e-9, self._fair_s(now, entry, resource, division))
+        work = self._fleet.work(entry, resource)
+        fair_s = max(1e-9, self._fleet.fair_s(now, entry, resource))
         after_s = DECAY_S * log(max(1.0, work.admitted_s / fair_s))
         spread_s = DECAY_S * max(0.0, work.offered_s - fair_s) / fair_s
         return (
@@ -274,7 +246,8 @@
             return arrival
         if not self.covers(arrival):
             return arrival
-        if not self._is_starved(now, arrival.account, Resource.STAGES):
+        self._fleet.divide_if_due(now)
+        if not self._fleet.is_starved(arrival.account, Resource.STAGES):
             return arrival
         return replace(arrival, priority=MOST_URGENT)
 
@@ -284,8 +257,8 @@
         """Return the report that is due, if this entry or another is overloaded."""
         if not self.is_used or now - self._sent_at < SEND_INTERVAL_S:
             return None
-        self._divide_if_due(now)
-        if not (self._is_overloaded or self._peers.is_overloaded(now)):
+        self._fleet.divide_if_due(now)
+        if not (self._fleet.is_overloaded or self._peers.is_overloaded(now)):
             return None
         self._sent_at = now
         self._serial += 1
@@ -294,7 +267,7 @@
             incarnation=0,
             serial=self._serial,
             remaining_s=REPORT_TTL_S,
-            is_overloaded=self._is_overloaded,
+            is_overloaded=self._fleet.is_overloaded,
             wait_limits_s=(
                 self._reported_limit_s(now, Resource.ENGINES),
                 self._reported_limit_s(now, Resource.STAGES),
@@ -315,149 +288,12 @@
         """Recompute what is due, and forget idle accounts and expired reports."""
         super().refresh(now)
         if self.is_used:
-            self._divide_if_due(now)
+            self._fleet.divide_if_due(now)
 
     def take_changes(self) -> list[Action]:
         """Return the changes of the division that are to be logged."""
-        changes, self._changes = self._changes, []
-        return changes
-
-    # Division
-
-    @property
-    def _is_overloaded(self) -> bool:
-        return any(division.is_short for division in self._own_divisions)
-
-    def _division(self, now: float, resource: Resource) -> Division:
-        self._divide_if_due(now)
-        return self._divisions[resource]
-
-    def _divide_if_due(self, now: float) -> None:
-        if now - self._divided_at < DIVIDE_INTERVAL_S:
-            return
-        self._divided_at = now
-        self._own.refresh(now)
-        self._peers.refresh(now)
-        for resource in Resource:
-            before = self._divisions[resource]
-            own = self._divide_own(resource)
-            fleet = self._divide_fleet(resource) if len(self._peers) else own
-            self._own_divisions[resource] = own
-            self._divisions[resource] = fleet if fleet.is_short else own
-            self._note_change(resource, before, self._divisions[resource])
-
-    def _divide_own(self, resource: Resource) -> Division:
-        accounts = [
-            (entry.work(resource), self._share_of(entry.digest))
-            for _, entry in self._own
-        ]
-        return divide(accounts, is_local=True)
-
-    def _divide_fleet(self, resource: Resource) -> Division:
-        works = {
-            digest: _scaled(work[resource], self._scale)
-            for digest, work in self._peers.accounts.items()
-        }
-        for _, entry in self._own:
-            peers = works.get(entry.digest, NO_WORK)
-            works[entry.digest] = _added(entry.work(resource), peers)
-        accounts = [(work, self._share_of(digest)) for digest, work in works.items()]
-        count = min(self._peers.rest_accounts, MAX_REST)
-        if count:
-            # The accounts that reports only sum up are taken for equal ones.
-            rest = _scaled(self._peers.rest(resource), self._scale / count)
-            accounts += [(rest, NO_LIMITS.share)] * count
-        own_s = self._own.admitted_s(self._divided_at, resource)
-        total_s = sum(work.admitted_s for work, _ in accounts)
-        self._peers_admitted_s[resource] = max(0.0, total_s - own_s)
-        return divide(accounts, is_local=False)
-
-    def _note_change(
-        self, resource: Resource, before: Division, after: Division
-    ) -> None:
-        if before.is_short == after.is_short:
-            return
-        self._changes.append(
-            FairSharesChanged(
-                resource,
-                after.is_short,
-                after.level,
-                self._above(resource, after),
-                len(self._peers),
-            )
-        )
-
-    def _above(self, resource: Resource, division: Division) -> int:
-        """Return how many accounts of this entry are above their share."""
-        return sum(
-            self._work(entry, resource, division).admitted_s
-            > division.level * self._share_of(entry.digest)
-            for _, entry in self._own
-        )
-
-    # Accounts
-
-    def _is_starved(self, now: float, account: str, resource: Resource) -> bool:
-        """Whether an account is refused requests and gets far less than the mean."""
-        division = self._division(now, resource)
-        entry = self._own.find(account)
-        if not division.is_short or entry is None:
-            return False
-        return is_overloaded(entry.work(resource)) and is_starved(
-            self._work(entry, resource, division),
-            self._share_of(entry.digest),
-            division.mean,
-        )
-
-    def _is_entitled(self, now: float, account: str, resource: Resource) -> bool:
-        """Whether an account should be refused nothing, as all it asks is its share."""
-        division = self._division(now, resource)
-        entry = self._own.find(account)
-        if not division.is_short or entry is None:
-            return False
-        work = self._work(entry, resource, division)
-        if work.offered_s <= self._fair_s(now, entry, resource, division):
-            return True
-        return is_starved(work, self._share_of(entry.digest), division.mean)
-
-    def _fair_s(
-        self, now: float, entry: UsageEntry, resource: Resource, division: Division
-    ) -> float:
-        """
-        Return the fair work of an account now.
-
-        Since the division was computed, all sums have grown or decayed. Compared with
-        its level alone, every account would be above its share while load rises.
-        """
-        admitted_s = self._own.admitted_s(now, resource)
-        if not division.is_local:
-            admitted_s += self._peers_admitted_s[resource]
-        growth = admitted_s / division.capacity_s
-        return division.level * growth * self._share_of(entry.digest)
-
-    def _work(self, entry: UsageEntry, resource: Resource, division: Division) -> Work:
-        """Return the work of an account that a division refers to."""
-        own = entry.work(resource)
-        peers = self._peers.accounts.get(entry.digest)
-        if division.is_local or peers is None:
-            return own
-        return _added(own, _scaled(peers[resource], self._scale))
-
-    def _share_of(self, digest: int) -> float:
-        return self._shares.get(digest, NO_LIMITS.share)
+        return self._fleet.take_changes()
 
     def _reported_limit_s(self, now: float, resource: Resource) -> float:
         limit_s = self._strain.limit_s(now, resource)
         return limit_s if isfinite(limit_s) else 0.0
-
-
-def _bounded_share(share: float) -> float:
-    return min(MAX_SHARE, max(MIN_SHARE, share)) if isfinite(share) else MIN_SHARE
-
-
-def _scaled(work: Work, factor: float) -> Work:
-    return Work(work.offered_s * factor, work.admitted_s * factor)
-
-
-def _added(one: Work, other: Work) -> Work:
-    return Work(one.offered_s + other.offered_s, one.admitted_s + other.admitted_s)
