--- a/tests/policy/test_piece_moves.py
+++ b/tests/policy/test_piece_moves.py
@@ -95,6 +95,25 @@
     assert coordinator.batcher.queued_count == len(withdrawal.pieces)
 
 
+def test_a_job_whose_withdrawal_is_not_answered_is_submitted_again_at_once():
+    """The owner had withdrawn it, and it waited for seconds until it was overdue."""
+    fleet = Fleet()
+    fleet.overload(IASI)
+    fleet.advance(0.02)
+    sender = fleet.entries["cluj"]
+    move = next(a for _, a, _ in fleet.messages if isinstance(a, WithdrawAtPeer))
+    failed = sender.withdrawal_failed(fleet.now, move.peer, move.serial, move.pieces)
+    assert jobs_in(failed) == set(move.pieces)
+    # An answer that comes after all must not leave them with nobody either.
+    late = sender.withdrawal_answered(fleet.now, move.peer, move.serial, move.pieces)
+    assert jobs_in(late) == set(move.pieces)
+
+
+def jobs_in(effects):
+    submissions = [a for a in effects.actions if isinstance(a, SubmitToPeer)]
+    return {job.piece for submission in submissions for job in submission.jobs}
+
+
 steps = st.lists(
     st.one_of(
         st.tuples(st.just("begin"), st.integers(0, 40), st.sampled_from([CLUJ, IASI])),
