--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -8,6 +8,7 @@
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.result_memory import EngineMemory
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.scoring import Choice, RouteRequest
 from amaranthtally.policy.sending import Obstacle, SendGate
@@ -69,6 +70,7 @@
         timers: Timers,
         streams: StreamMonitor,
         gate: SendGate,
+        memory: EngineMemory,
     ) -> None:
         self._settings = settings
         self._times = times
@@ -80,6 +82,7 @@
         self._timers = timers
         self._streams = streams
         self._gate = gate
+        self._memory = memory
         self._budgets: dict[str, _PoolBudgets] = {}
 
     def configure(self, settings: PolicySettings) -> None:
@@ -95,6 +98,11 @@
         budgets.hedges.earn()
         return self.send_waiting(now, request)
 
+    def is_memory_full(self, now: float, request: Request) -> bool:
+        """Whether endpoints lack only memory for the prompt of a request."""
+        pool = request.current_stage.pool
+        return bool(self._memory.full(now, pool, request.segments))
+
     def send_waiting(self, now: float, request: Request) -> list[Action]:
         """Send the first attempt of a stage that has waited for a permit."""
         endpoint = None if request.bound_to else self._choose_probe(now, request)
@@ -217,8 +225,10 @@
         arrival = request.arrival
         remaining = request.remaining
         closed = self._gate.closed(now, request.regions)
+        pool = request.current_stage.pool
         if closed:
-            self._gate.note_wanted(request.current_stage.pool)
+            self._gate.note_wanted(pool)
+        full = self._memory.full(now, pool, request.segments)
         return RouteRequest(
             request.current_stage,
             self._times.share_end(now, arrival.deadline, remaining),
@@ -226,7 +236,7 @@
             arrival.pipeline.weight_attainment,
             arrival.input_bytes + request.previous_bytes,
             arrival.prefix if request.current_stage.caches_prefixes else (),
-            excluded | closed,
+            excluded | closed | full,
             arrival.prefix_sizes,
             request.inputs,
             request.version,
@@ -255,6 +265,8 @@
             return None
         if self._gate.obstacle(now, endpoint, request.regions) is not None:
             return None
+        if name in self._memory.full(now, stage.pool, request.segments):
+            return None
         if load.leaving or left < PROBE_SLACK * self._times.needed_s(request.remaining):
             return None
         if not stage.repeatable and now - load.reported_at > RECENT_REPORT_S:
--- a/packages/policy/src/amaranthtally/policy/permit_waits.py
+++ b/packages/policy/src/amaranthtally/policy/permit_waits.py
@@ -46,6 +46,8 @@
         wait = self._gate.wait(now, pool, request.regions)
         if wait is None:
             reason = self._gate.refusal_reason([pool], request.regions)
+            if reason is None and self._dispatcher.is_memory_full(now, request):
+                reason = RefusalReason.OVERLOAD
             return self._refusals.refuse(
                 now, request, reason or RefusalReason.NO_ENDPOINT
             )
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -40,6 +40,7 @@
 from amaranthtally.policy.refusals import Refusals
 from amaranthtally.policy.request_ledger import Counters, RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.result_memory import EngineMemory
 from amaranthtally.policy.sending import (
     ColdEndpoints,
     EndpointBackoffs,
@@ -81,7 +82,9 @@
         self._prefixes = PrefixIndex()
         self._accounts = components.accounts()
         self._timers = Timers()
-        self._ledger = RequestLedger(self._loads)
+        self._coordinator = components.coordinator()
+        self._engine_memory = EngineMemory(self._coordinator.batcher.active_pools)
+        self._ledger = RequestLedger(self._loads, self._engine_memory)
         groups = EndpointGroups(random)
         self._membership = Membership(
             groups, self._loads, self._ejections, self._prefixes
@@ -94,7 +97,6 @@
             random, self._times, self._loads, self._accounts
         )
         self._streams = StreamMonitor(self._times, self._loads)
-        self._coordinator = components.coordinator()
         self._first_event_times = FirstEventTimes()
         self._pieces = PieceEvents(self._coordinator, self._apply_effects)
         self._inputs = components.inputs(random, self._coordinator, self._times)
@@ -127,6 +129,7 @@
             self._timers,
             self._streams,
             self._gate,
+            self._engine_memory,
         )
         self._refusals = Refusals(
             self._ledger, self._times, self._loads, self._admission, self._coordinator
@@ -506,6 +509,7 @@
             settings.endpoints,
             settings.pools,
         )
+        self._engine_memory.configure(settings.endpoints, settings.pools)
         self._dispatcher.configure(settings)
         self._failures.configure(settings.not_run_cost)
         self._peers.set_name(settings.entry)
--- a/packages/policy/src/amaranthtally/policy/request_ledger.py
+++ b/packages/policy/src/amaranthtally/policy/request_ledger.py
@@ -15,6 +15,7 @@
 from amaranthtally.policy.loads import EndpointLoad, LoadTable
 from amaranthtally.policy.model import AttemptId
 from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.result_memory import EngineMemory
 
 __all__ = ["Counters", "RequestLedger"]
 
@@ -43,8 +44,9 @@
     endpoint, consistent with them.
     """
 
-    def __init__(self, loads: LoadTable) -> None:
+    def __init__(self, loads: LoadTable, memory: EngineMemory | None = None) -> None:
         self._loads = loads
+        self._memory = memory
         self._requests: dict[str, Request] = {}
         self._counters = Counters()
 
@@ -142,6 +144,8 @@
         attempt_id = AttemptId(request.id, request.stage_index, request.stage_attempts)
         request.live[attempt_id] = attempt
         self._loads.add_attempt(load)
+        if self._memory is not None:
+            self._memory.attempt_added(attempt_id, attempt.endpoint, request.segments)
         load.pending_prefill_tokens += attempt.pending_prefill_tokens
         return attempt_id
 
@@ -149,6 +153,8 @@
         """Remove an attempt that has ended or is being cancelled."""
         attempt = request.live.pop(attempt_id)
         self.mark_prefill_done(attempt)
+        if self._memory is not None:
+            self._memory.attempt_removed(attempt_id)
         self._loads.remove_attempt(attempt.endpoint, request.current_stage.pool)
         return attempt
 
@@ -174,6 +180,8 @@
         ensure(load is not None, "only known endpoints are queried")
         attempt.queries += 1
         request.live[attempt_id] = attempt
+        if self._memory is not None:
+            self._memory.attempt_added(attempt_id, attempt.endpoint, request.segments)
         if load is not None:
             self._loads.add_attempt(load)
 
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -87,6 +87,11 @@
         """The request's id."""
         return self.arrival.request_id
 
+    @property
+    def segments(self) -> tuple[tuple[int, ...], tuple[int, ...]]:
+        """The segments of its prompt and their tokens."""
+        return self.arrival.prefix, self.arrival.prefix_sizes
+
     @property
     def bound_to(self) -> str:
         """The only endpoint that may run the current stage, or "" if any may."""
