--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -106,6 +106,7 @@
             self._get_connections,
             lambda work: self._decisions.spawn(work),
             lambda actions: self._decisions.carry_out(actions),
+            metrics,
         )
         self._prompts = PromptExchange(
             planner.prompts,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -29,6 +29,10 @@
     pool: str
 
 
+class _OutcomeLabels(NamedTuple):
+    outcome: str
+
+
 class _ResumptionLabels(NamedTuple):
     source: str
 
@@ -62,6 +66,9 @@
     endpoints_cold: int
     data_centres_evacuated: int
     requests_blocked: int
+    results_reserved: int
+    pieces_moving: int
+    pieces_dropped: int
     log_lines_lost: int
 
 
@@ -78,6 +85,7 @@
         self._attempt_tally: Tally[_CallLabels] = Tally()
         self._limited_tally: Tally[_PoolLabels] = Tally()
         self._piece_tally: Tally[_CallLabels] = Tally()
+        self._move_tally: Tally[_OutcomeLabels] = Tally()
         self._resumption_tally: Tally[_ResumptionLabels] = Tally()
         self._transfer_tally: Tally[_TransferLabels] = Tally()
         self._received_bytes_tally: Tally[_TransferLabels] = Tally()
@@ -94,6 +102,10 @@
         self._pieces = Counter(
             "amaranthtally_pieces_total", "Pieces in ended calls by pool and fate."
         )
+        self._moves = Counter(
+            "amaranthtally_pieces_moved_total",
+            "Own jobs whose withdrawal was asked for at a peer, by outcome.",
+        )
         self._resumptions = Counter(
             "amaranthtally_streams_taken_up_total",
             "Streams that callers take up, by how their version was found.",
@@ -149,6 +161,10 @@
         self._piece_tally[_CallLabels(pool, outcome)] += pieces
         self._call_seconds.observe({"pool": pool}, seconds)
 
+    def pieces_moved(self, outcome: str, pieces: int) -> None:
+        """Count jobs that a peer was asked to withdraw, so that they run elsewhere."""
+        self._move_tally[_OutcomeLabels(outcome)] += pieces
+
     def stream_taken_up(self, source: str) -> None:
         """Count a stream that a caller takes up, by how its version was found."""
         self._resumption_tally[_ResumptionLabels(source)] += 1
@@ -169,6 +185,8 @@
             self._limited_attempts.set(limited._asdict(), count)
         for piece, count in self._piece_tally.items():
             self._pieces.set(piece._asdict(), count)
+        for move, count in self._move_tally.items():
+            self._moves.set(move._asdict(), count)
         for resumption, count in self._resumption_tally.items():
             self._resumptions.set(resumption._asdict(), count)
         for transfer, count in self._transfer_tally.items():
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_move_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_move_exchange.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable, Coroutine, Sequence
 from typing import Any
 
+from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import Action, Piece, PieceEvents, WithdrawAtPeer
@@ -23,13 +24,31 @@
         connections: Callable[[], PeerConnections],
         spawn: Callable[[Coroutine[Any, Any, None]], object],
         carry_out: Callable[[list[Action]], None],
+        metrics: GatewayMetrics,
     ) -> None:
         self._pieces = pieces
         self._connections = connections
         self._spawn = spawn
         self._carry_out = carry_out
+        self._metrics = metrics
         self._time = asyncio.get_running_loop().time
 
+    @property
+    def moving(self) -> int:
+        """Number of own jobs that are being withdrawn to run elsewhere."""
+        return self._pieces.moving
+
+    @property
+    def reserved(self) -> int:
+        """Number of queued pieces for which result memory is reserved."""
+        return self._pieces.reserved(self._time())
+
+    @property
+    def dropped(self) -> int:
+        """Number of pieces not computed as nobody could use their results."""
+        drops = self._pieces.drops
+        return drops.late + drops.ended + drops.gone
+
     # Events
 
     def jobs_withdrawn(self, pieces: Sequence[Piece]) -> Sequence[Piece]:
@@ -52,11 +71,14 @@
             log.info(
                 "jobs_not_withdrawn", peer=peer, pieces=len(pieces), cause=str(error)
             )
+            self._metrics.pieces_moved("unanswered", len(pieces))
             self._carry_out(
                 self._pieces.withdrawal_failed(self._time(), peer, serial, pieces)
             )
             return
         log.info("jobs_moved", peer=peer, asked=len(pieces), pieces=len(withdrawn))
+        self._metrics.pieces_moved("moved", len(withdrawn))
+        self._metrics.pieces_moved("stayed", len(pieces) - len(withdrawn))
         self._carry_out(
             self._pieces.withdrawal_answered(self._time(), peer, serial, withdrawn)
         )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -224,6 +224,9 @@
             endpoints_cold=executor.signals.cold,
             data_centres_evacuated=len(routing_state.evacuated),
             requests_blocked=executor.prompts.blocked_requests,
+            results_reserved=executor.moves.reserved,
+            pieces_moving=executor.moves.moving,
+            pieces_dropped=executor.moves.dropped,
             log_lines_lost=writer.dropped,
         )
 
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -27,7 +27,7 @@
 )
 from amaranthtally.policy.piece_queue import QueuedPiece
 from amaranthtally.policy.piece_servers import PieceServer, PieceServers
-from amaranthtally.policy.result_memory import ActivePools, SiteMemory
+from amaranthtally.policy.result_memory import ActivePools, DropCounts, SiteMemory
 from amaranthtally.policy.routes import Pool
 from amaranthtally.policy.site_queue import SiteQueue
 
@@ -75,6 +75,7 @@
         self._next_call = 0
         self._active = ActivePools()
         self._memory = SiteMemory(self._servers)
+        self._drops = DropCounts()
         # Requests that ended while a call with their pieces was in progress.
         self._ended: set[str] = set()
 
@@ -83,6 +84,11 @@
         """The pools for which room and lateness are checked before each call."""
         return self._active
 
+    @property
+    def drops(self) -> DropCounts:
+        """How many pieces of active pools were not computed, by reason."""
+        return self._drops
+
     @property
     def memory(self) -> SiteMemory:
         """The memory for results at the sites that this entry owns."""
@@ -246,6 +252,7 @@
             for queued in queue.take(lambda queued: queued.job.submitter in submitters)
         ]
         self._remove_pending(taken)
+        self._drops.gone += len(taken)
         return self.refuse(queued.job for queued in taken)
 
     def free(self, now: float, results: Iterable[StoredResult]) -> list[Action]:
@@ -325,7 +332,9 @@
 
     def _queue_again(self, now: float, job: PieceJob) -> None:
         """Queue a job that did not run, unless its request ended during the call."""
-        if job.piece.request_id not in self._ended:
+        if job.piece.request_id in self._ended:
+            self._drops.ended += 1
+        else:
             self._queue(now, job)
 
     def _forget_ended(self, ended: PieceCall) -> None:
@@ -423,7 +432,9 @@
         least_s = min(excesses_s, default=0.0)
         if least_s <= 0:
             return []
-        return queue.take(lambda queued: queued.job.deadline < now + least_s)
+        late = queue.take(lambda queued: queued.job.deadline < now + least_s)
+        self._drops.late += len(late)
+        return late
 
     def _is_due(self, now: float, server: PieceServer, queue: SiteQueue) -> bool:
         """Whether the queue fills a call, or a piece has waited for the linger time."""
--- a/packages/policy/src/amaranthtally/policy/piece_coordinator.py
+++ b/packages/policy/src/amaranthtally/policy/piece_coordinator.py
@@ -281,6 +281,11 @@
         self._add_batcher_effects(now, self._batcher.hand_back(), effects)
         return effects
 
+    @property
+    def moving_count(self) -> int:
+        """Number of jobs that are being withdrawn to run elsewhere."""
+        return len(self._mover.moves)
+
     @property
     def awaited_peers(self) -> frozenset[str]:
         """The peers that still owe a report on a submitted job."""
@@ -351,6 +356,7 @@
                 return
             job = self._job_for(now, staged, piece, data_centre)
             if job.deadline < now + self._later_waits_s(now, staged, piece.stage):
+                self._batcher.drops.late += job.deadline >= now
                 effects.late.append(piece.request_id)
                 return
             owner = self._sites.owner(now, job.pool, job.data_centre)
--- a/packages/policy/src/amaranthtally/policy/piece_events.py
+++ b/packages/policy/src/amaranthtally/policy/piece_events.py
@@ -9,6 +9,7 @@
 )
 from amaranthtally.policy.piece_graph import Piece, StoredResult
 from amaranthtally.policy.piece_messages import PieceJob, PieceReport, PiecesEnded
+from amaranthtally.policy.result_memory import DropCounts
 
 __all__ = ["PieceEvents"]
 
@@ -39,6 +40,20 @@
         """Number of pieces that are queued here, for any entry's requests."""
         return self._coordinator.batcher.queued_count
 
+    @property
+    def moving(self) -> int:
+        """Number of own jobs that are being withdrawn to run elsewhere."""
+        return self._coordinator.moving_count
+
+    @property
+    def drops(self) -> DropCounts:
+        """How many pieces were not computed as nobody could use their results."""
+        return self._coordinator.batcher.drops
+
+    def reserved(self, now: float) -> int:
+        """Return the number of queued pieces for which result memory is reserved."""
+        return self._coordinator.batcher.memory.reservation_count(now)
+
     @property
     def awaited_peers(self) -> frozenset[str]:
         """The entries that currently run jobs submitted by this one."""
--- a/packages/policy/src/amaranthtally/policy/result_memory/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/__init__.py
@@ -6,6 +6,7 @@
 """
 
 from amaranthtally.policy.result_memory.active_pools import ActivePools
+from amaranthtally.policy.result_memory.drop_counts import DropCounts
 from amaranthtally.policy.result_memory.engine_memory import EngineMemory
 from amaranthtally.policy.result_memory.latest_starts import latest_call_start
 from amaranthtally.policy.result_memory.reservations import Reservations
@@ -14,6 +15,7 @@
 
 __all__ = [
     "ActivePools",
+    "DropCounts",
     "EngineMemory",
     "Reservations",
     "RoomWaits",
