--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -68,6 +68,9 @@
     endpoints_cold: int
     data_centres_evacuated: int
     requests_blocked: int
+    results_reserved: int
+    pieces_moving: int
+    pieces_dropped: int
     log_lines_lost: int
     load_view_pools: int
     load_view_senders: int
@@ -99,6 +102,7 @@
         self._limited_tally: Tally[_PoolLabels] = Tally()
         self._over_limit_tally: Tally[_PoolLabels] = Tally()
         self._piece_tally: Tally[_CallLabels] = Tally()
+        self._move_tally: Tally[_OutcomeLabels] = Tally()
         self._resumption_tally: Tally[_ResumptionLabels] = Tally()
         self._usage_tally: Tally[_OutcomeLabels] = Tally()
         self._transfer_tally: Tally[_TransferLabels] = Tally()
@@ -121,6 +125,10 @@
         self._pieces = Counter(
             "amaranthtally_pieces_total", "Pieces in ended calls by pool and fate."
         )
+        self._moves = Counter(
+            "amaranthtally_pieces_moved_total",
+            "Own jobs whose withdrawal was asked for at a peer, by outcome.",
+        )
         self._resumptions = Counter(
             "amaranthtally_streams_taken_up_total",
             "Streams that callers take up, by how their version was found.",
@@ -184,6 +192,10 @@
         self._piece_tally[_CallLabels(pool, outcome)] += pieces
         self._call_seconds.observe({"pool": pool}, seconds)
 
+    def pieces_moved(self, outcome: str, pieces: int) -> None:
+        """Count jobs that a peer was asked to withdraw, so that they run elsewhere."""
+        self._move_tally[_OutcomeLabels(outcome)] += pieces
+
     def stream_taken_up(self, source: str) -> None:
         """Count a stream that a caller takes up, by how its version was found."""
         self._resumption_tally[_ResumptionLabels(source)] += 1
@@ -205,6 +217,7 @@
         _copy_tally(self._limited_tally, self._limited_attempts)
         _copy_tally(self._over_limit_tally, self._over_limit)
         _copy_tally(self._piece_tally, self._pieces)
+        _copy_tally(self._move_tally, self._moves)
         _copy_tally(self._resumption_tally, self._resumptions)
         _copy_tally(self._usage_tally, self._usage_reports)
         _copy_tally(self._transfer_tally, self._transfers)
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -12,6 +12,7 @@
 from amaranthtally.policy.model import AttemptId, Endpoint, PolicySettings, Stage
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.result_memory import EngineMemory
 from amaranthtally.policy.routing import Router
 from amaranthtally.policy.scoring import Choice, RouteRequest
 from amaranthtally.policy.sending import Obstacle, SendGate
@@ -74,6 +75,7 @@
         streams: StreamMonitor,
         gate: SendGate,
         memory: EndpointMemory,
+        engine_memory: EngineMemory,
     ) -> None:
         self._settings = settings
         self._times = times
@@ -86,6 +88,7 @@
         self._streams = streams
         self._gate = gate
         self._memory = memory
+        self._engine_memory = engine_memory
         self._budgets: dict[str, _PoolBudgets] = {}
         self._stalls = StalledAttempts()
 
@@ -102,6 +105,11 @@
         budgets.hedges.earn()
         return self.send_waiting(now, request)
 
+    def is_memory_full(self, now: float, request: Request) -> bool:
+        """Whether endpoints lack only memory for the prompt of a request."""
+        pool = request.current_stage.pool
+        return bool(self._engine_memory.full(now, pool, request.segments))
+
     def send_waiting(self, now: float, request: Request) -> list[Action]:
         """Send the first attempt of a stage that has waited for a permit."""
         endpoint = None if request.bound_to else self._choose_probe(now, request)
@@ -128,7 +136,8 @@
     def full(self, now: float, request: Request) -> frozenset[str]:
         """Return the endpoints whose memory has no room for a request."""
         pool = request.current_stage.pool
-        return self._memory.full(now, pool, request.sent_bytes)
+        full = self._memory.full(now, pool, request.sent_bytes)
+        return full | self._engine_memory.full(now, pool, request.segments)
 
     def hedge(self, now: float, request: Request, slow: AttemptId) -> list[Action]:
         """
--- a/packages/policy/src/amaranthtally/policy/request_ledger.py
+++ b/packages/policy/src/amaranthtally/policy/request_ledger.py
@@ -16,6 +16,7 @@
 from amaranthtally.policy.memory_budget import EndpointMemory
 from amaranthtally.policy.model import AttemptId
 from amaranthtally.policy.requests import LiveAttempt, Request
+from amaranthtally.policy.result_memory import EngineMemory
 
 __all__ = ["Counters", "RequestLedger"]
 
@@ -44,9 +45,15 @@
     endpoint, consistent with them.
     """
 
-    def __init__(self, loads: LoadTable, memory: EndpointMemory) -> None:
+    def __init__(
+        self,
+        loads: LoadTable,
+        memory: EndpointMemory,
+        engine_memory: EngineMemory | None = None,
+    ) -> None:
         self._loads = loads
         self._memory = memory
+        self._engine_memory = engine_memory
         self._requests: dict[str, Request] = {}
         self._counters = Counters()
 
@@ -147,6 +154,10 @@
         attempt.held = self._memory.sent(
             attempt.endpoint, stage.pool, attempt.incarnation, request.sent_bytes
         )
+        if self._engine_memory is not None:
+            self._engine_memory.attempt_added(
+                attempt_id, attempt.endpoint, request.segments
+            )
         load.pending_prefill_tokens += attempt.pending_prefill_tokens
         return attempt_id
 
@@ -156,6 +167,8 @@
         self.mark_prefill_done(attempt)
         if attempt.held is not None:
             self._memory.ended(attempt.held)
+        if self._engine_memory is not None:
+            self._engine_memory.attempt_removed(attempt_id)
         self._loads.remove_attempt(attempt.endpoint, request.current_stage.pool)
         return attempt
 
@@ -187,6 +200,10 @@
             attempt.held = self._memory.sent(
                 held.endpoint, held.pool, held.incarnation, request.sent_bytes
             )
+        if self._engine_memory is not None:
+            self._engine_memory.attempt_added(
+                attempt_id, attempt.endpoint, request.segments
+            )
         if load is not None:
             self._loads.add_attempt(load)
 
