--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -102,7 +102,7 @@
             session, self.pieces_ended, self._signals.head_received, metrics
         )
         self._moves = PieceMoveExchange(
-            planner.pieces,
+            planner,
             self._get_connections,
             lambda work: self._decisions.spawn(work),
             lambda actions: self._decisions.carry_out(actions),
@@ -318,6 +318,10 @@
         log.info("peer_back", peer=peer)
         self._planner.pieces.peer_recovered(peer)
 
+    def submitter_lost(self, peer: str) -> None:
+        """Pass on that a gateway could not be told the outcomes of its jobs."""
+        self._planner.pieces.submitter_lost(peer)
+
     def jobs_submitted(self, submitter: str, jobs: Sequence[PieceJob]) -> None:
         """Pass the jobs that another gateway submits to the policy."""
         self._decisions.wake()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -62,6 +62,9 @@
     def peer_recovered(self, peer: str) -> None:
         """Handle a peer that answers and runs jobs again."""
 
+    def submitter_lost(self, peer: str) -> None:
+        """Handle a peer that could not be told the outcomes of its jobs."""
+
     def results_not_released(self, results: Sequence[StoredResult]) -> None:
         """Handle results whose release did not reach a peer."""
 
@@ -274,6 +277,7 @@
                     "peer_not_told", peer=peer, pieces=len(reports), cause=str(error)
                 )
             await asyncio.sleep(REPORT_RETRY_DELAY_S)
+        self._listener.submitter_lost(peer)
 
     async def _release_results(
         self, peer: str, results: Sequence[StoredResult], ended: str
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_move_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_move_exchange.py
@@ -7,7 +7,7 @@
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.policy import Action, Piece, PieceEvents, WithdrawAtPeer
+from amaranthtally.policy import Action, Piece, Planner, WithdrawAtPeer
 from amaranthtally.wire import PeerLostError
 
 __all__ = ["PieceMoveExchange"]
@@ -20,13 +20,13 @@
 
     def __init__(
         self,
-        pieces: PieceEvents,
+        planner: Planner,
         connections: Callable[[], PeerConnections],
         spawn: Callable[[Coroutine[Any, Any, None]], object],
         carry_out: Callable[[list[Action]], None],
         metrics: GatewayMetrics,
     ) -> None:
-        self._pieces = pieces
+        self._planner = planner
         self._connections = connections
         self._spawn = spawn
         self._carry_out = carry_out
@@ -36,24 +36,24 @@
     @property
     def moving(self) -> int:
         """Number of own jobs that are being withdrawn to run elsewhere."""
-        return self._pieces.moving
+        return self._planner.pieces.moving
 
     @property
     def reserved(self) -> int:
         """Number of queued pieces for which result memory is reserved."""
-        return self._pieces.reserved(self._time())
+        return self._planner.pieces.reserved(self._time())
 
     @property
     def dropped(self) -> int:
         """Number of pieces not computed as nobody could use their results."""
-        drops = self._pieces.drops
+        drops = self._planner.pieces.drops
         return drops.late + drops.ended + drops.gone
 
     # Events
 
     def jobs_withdrawn(self, pieces: Sequence[Piece]) -> Sequence[Piece]:
         """Drop those of a peer's jobs that have not started, and return them."""
-        withdrawn = self._pieces.jobs_withdrawn(pieces)
+        withdrawn = self._planner.pieces.jobs_withdrawn(pieces)
         log.info("jobs_withdrawn", asked=len(pieces), pieces=len(withdrawn))
         return withdrawn
 
@@ -73,12 +73,16 @@
             )
             self._metrics.pieces_moved("unanswered", len(pieces))
             self._carry_out(
-                self._pieces.withdrawal_failed(self._time(), peer, serial, pieces)
+                self._planner.pieces.withdrawal_failed(
+                    self._time(), peer, serial, pieces
+                )
             )
             return
         log.info("jobs_moved", peer=peer, asked=len(pieces), pieces=len(withdrawn))
         self._metrics.pieces_moved("moved", len(withdrawn))
         self._metrics.pieces_moved("stayed", len(pieces) - len(withdrawn))
         self._carry_out(
-            self._pieces.withdrawal_answered(self._time(), peer, serial, withdrawn)
+            self._planner.pieces.withdrawal_answered(
+                self._time(), peer, serial, withdrawn
+            )
         )
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -5,7 +5,7 @@
 all entries which pieces share a call there and in which order.
 """
 
-from collections.abc import Container, Iterable, Mapping
+from collections.abc import Iterable, Mapping
 
 from amaranthtally.policy.actions import Action, FreeResults, RunPieces
 from amaranthtally.policy.batcher_effects import (
@@ -243,17 +243,13 @@
         self._remove_pending(taken)
         return [queued.job.piece for queued in taken]
 
-    def return_jobs_of(self, submitters: Container[str]) -> BatcherEffects:
-        """Return the queued jobs of entries that are gone; nobody reads the results."""
-        taken = [
-            queued
-            for site, queue in self._queues.items()
-            if site[0] in self._active
-            for queued in queue.take(lambda queued: queued.job.submitter in submitters)
-        ]
-        self._remove_pending(taken)
-        self._drops.gone += len(taken)
-        return self.refuse(queued.job for queued in taken)
+    def drop_jobs_of(self, submitter: str) -> None:
+        """Drop the queued jobs of an entry that is gone; nobody reads the results."""
+        for site, queue in self._queues.items():
+            if site[0] in self._active:
+                taken = queue.take(lambda queued: queued.job.submitter == submitter)
+                self._remove_pending(taken)
+                self._drops.gone += len(taken)
 
     def free(self, now: float, results: Iterable[StoredResult]) -> list[Action]:
         """Return the actions by which endpoints delete stored results."""
--- a/packages/policy/src/amaranthtally/policy/piece_coordinator.py
+++ b/packages/policy/src/amaranthtally/policy/piece_coordinator.py
@@ -71,8 +71,6 @@
         self._mover = PieceMover(
             self._batcher, self._sites, self._plans, self._submitted, self._requests
         )
-        self._live_peers: frozenset[str] = frozenset()
-        self._gone_peers: set[str] = set()
 
     @property
     def batcher(self) -> Batcher:
@@ -99,10 +97,6 @@
 
     def replace_peers(self, peers: Iterable[Peer]) -> None:
         """Replace the set of other live entries."""
-        peers = tuple(peers)
-        live = frozenset(peer.name for peer in peers)
-        self._gone_peers = (self._gone_peers | self._live_peers) - live
-        self._live_peers = live
         self._sites.replace_peers(peers)
 
     def pool_reports_speed(self, pool: str) -> None:
@@ -247,6 +241,10 @@
             self._batcher.withdraw(ended)
         return self._batcher.free(now, results)
 
+    def submitter_lost(self, peer: str) -> None:
+        """Drop the queued jobs of a peer that takes no reports on them."""
+        self._batcher.drop_jobs_of(peer)
+
     def peer_failed(self, now: float, peer: str) -> CoordinatorEffects:
         """Submit the unreported jobs of a peer that failed to another entry."""
         self._sites.peer_failed(now, peer)
@@ -261,10 +259,6 @@
     def tick(self, now: float) -> CoordinatorEffects:
         """Send the calls that are due, and resubmit pieces whose report is overdue."""
         effects = CoordinatorEffects()
-        if self._gone_peers:
-            gone, self._gone_peers = self._gone_peers, set()
-            returned = self._batcher.return_jobs_of(gone)
-            self._add_batcher_effects(now, returned, effects)
         overdue = self._submitted.overdue(now)
         # The piece may still be queued there. In another data centre, it would be
         # computed a second time.
--- a/packages/policy/src/amaranthtally/policy/piece_events.py
+++ b/packages/policy/src/amaranthtally/policy/piece_events.py
@@ -121,6 +121,10 @@
         """Submit no jobs for a while to an entry that did not answer."""
         return self._apply(now, self._coordinator.peer_failed(now, peer))
 
+    def submitter_lost(self, peer: str) -> None:
+        """Compute no more pieces for an entry that could not be told of outcomes."""
+        self._coordinator.submitter_lost(peer)
+
     def peer_recovered(self, peer: str) -> None:
         """Submit jobs again to an entry that has answered and runs jobs."""
         self._coordinator.peer_recovered(peer)
--- a/packages/policy/src/amaranthtally/policy/result_memory/drop_counts.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/drop_counts.py
@@ -11,8 +11,7 @@
     Numbers of pieces since the start, by why they were not computed.
 
     ``late``: their endpoints are slow, or a later stage has no room in time. ``ended``:
-    their request ended during their call. ``gone``: their submitter is not live any
-    more.
+    their request ended during their call. ``gone``: their submitter takes no reports.
     """
 
     late: int = 0
--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -315,7 +315,9 @@
 
     def _report_to_peer(self, action: ReportToPeer) -> None:
         self._to_peer(
-            action.peer, lambda peer: peer.report_outcomes(action), lambda: None
+            action.peer,
+            lambda peer: peer.report_outcomes(action),
+            lambda: self.planner.pieces.submitter_lost(action.peer),
         )
 
     def _free_at_peer(self, action: FreeAtPeer) -> None:
