--- a/packages/policy/src/amaranthtally/policy/piece_mover.py
+++ b/packages/policy/src/amaranthtally/policy/piece_mover.py
@@ -6,7 +6,12 @@
 
 from amaranthtally.policy.batcher import Batcher
 from amaranthtally.policy.piece_graph import Piece
-from amaranthtally.policy.piece_moves import Moves, SiteWait, is_move_worth_it
+from amaranthtally.policy.piece_moves import (
+    Moves,
+    SiteWait,
+    is_move_worth_it,
+    may_gain,
+)
 from amaranthtally.policy.pool_sites import CROSSING_S_PER_BYTE, PoolSites
 from amaranthtally.policy.stage_plans import StagePlans
 from amaranthtally.policy.staged_requests import StagedRequest
@@ -108,18 +113,21 @@
         submitted = group.submitted
         pool, here = submitted.pool, submitted.data_centre
         candidates = self._plans.candidates(pool, staged.regions)
-        if here in candidates and self._has_new_owner(now, submitted):
-            return here
-        waits = [
+        waited_s = now - submitted.submitted_at
+        current = self._site_wait(now, staged, group.stage, pool, here, count, added)
+        if here in candidates:
+            if self._has_new_owner(now, submitted):
+                return here
+            if not may_gain(waited_s, current):
+                return None
+        others = [
             self._site_wait(now, staged, group.stage, pool, name, count, added)
             for name in candidates
             if name != here
         ]
-        best = min(waits, key=lambda site: site.wait_s + site.crossing_s, default=None)
+        best = min(others, key=lambda site: site.wait_s + site.crossing_s, default=None)
         if best is None or here not in candidates:
             return None if best is None else best.data_centre
-        current = self._site_wait(now, staged, group.stage, pool, here, count, added)
-        waited_s = now - submitted.submitted_at
         call_s = self._plans.full_call_time_s(pool)
         is_worth_it = is_move_worth_it(waited_s, current, best, call_s)
         return best.data_centre if is_worth_it else None
--- a/packages/policy/src/amaranthtally/policy/piece_moves/move_gain.py
+++ b/packages/policy/src/amaranthtally/policy/piece_moves/move_gain.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-__all__ = ["SiteWait", "is_move_worth_it"]
+__all__ = ["SiteWait", "is_move_worth_it", "may_gain"]
 
 # Time that a move takes in addition to the transfer of inputs, in seconds: the
 # withdrawal and the submission, each a round trip to another region.
@@ -22,6 +22,11 @@
     crossing_s: float = 0.0
 
 
+def may_gain(waited_s: float, here: SiteWait) -> bool:
+    """Whether a move to an idle site without any cost of transfer is worth it."""
+    return here.wait_s - waited_s > 2 * EXCHANGE_S
+
+
 def is_move_worth_it(
     waited_s: float, here: SiteWait, there: SiteWait, call_s: float
 ) -> bool:
--- a/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/site_memory.py
@@ -73,8 +73,8 @@
         """
         Choose pieces for a call; less urgent ones leave the room that is reserved.
 
-        More urgent ones may take it. Otherwise a request that has begun would go before
-        those that are more urgent, and calls would hold fewer pieces.
+        Those that are as urgent or more may take it. Otherwise a request that has begun
+        would go before them, and calls would hold fewer pieces.
         """
         free_bytes = server.free_bytes(now)
         fill = fill_call(now, queue, server.limits, free_bytes)
@@ -83,9 +83,8 @@
             return fill
         waiting = _left_out(queue, fill, reserved)
         if waiting and _bytes_of(fill.pieces) + _bytes_of(waiting) > free_bytes:
-            share_s = server.limits.piece_share_s
-            first = min(queued.urgency(now, share_s) for queued in waiting)
-            urgent = [q for q in queue if q.urgency(now, share_s) <= first]
+            first = min(_rank(now, queued) for queued in waiting)
+            urgent = [queued for queued in queue if _rank(now, queued) <= first]
             fill = fill_call(now, urgent, server.limits, free_bytes)
         left_bytes = free_bytes - _bytes_of(fill.pieces)
         self._reservations.shrink(server, left_bytes, _pieces_of(fill))
@@ -135,6 +134,11 @@
     return hold_s - age_s if age_s < hold_s else age_s
 
 
+def _rank(now: float, queued: QueuedPiece) -> tuple[bool, int]:
+    """Return whether a piece is late, and its priority; the lowest goes first."""
+    return now > queued.job.start_by, queued.job.priority
+
+
 def _pieces_of(fill: CallFill) -> frozenset[Piece]:
     return frozenset(queued.job.piece for queued in fill.pieces)
 
