--- a/packages/policy/src/amaranthtally/policy/fair_shares/usage_sender.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/usage_sender.py
@@ -7,12 +7,9 @@
 
 __all__ = ["UsageSender"]
 
-# Most and fewest receivers of a report. With the most, each of 25 entries hears every
-# other one within two intervals, a second. In larger fleets the number falls, so that
-# the reports of the whole fleet grow in proportion to it.
-MAX_RECEIVERS = 12
-MIN_RECEIVERS = 4
-FLEET_RECEIVERS = 600
+# Receivers of a report. A few keep the traffic between regions, which is billed, small;
+# with a report in each interval an entry still hears sixteen others while theirs hold.
+RECEIVERS = 4
 # Intervals in which a report holds.
 ROUNDS = int(REPORT_TTL_S / SEND_INTERVAL_S)
 
@@ -33,8 +30,7 @@
     @property
     def receivers(self) -> int:
         """Number of entries to which each report is sent."""
-        share = FLEET_RECEIVERS // max(1, self._peers.size)
-        return min(self._peers.size - 1, max(MIN_RECEIVERS, min(MAX_RECEIVERS, share)))
+        return min(self._peers.size - 1, RECEIVERS)
 
     def tick(self, now: float) -> list[Action]:
         """Return the report that is due, and the changes to be logged."""
