Keep the connection to a peer that does not know a method

A gateway of an older version answers a new method with an error. Closing its connection for that would lose the jobs in flight there, every three seconds while gateways are replaced one by one.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -21,7 +21,7 @@
     RateLimitNotice,
     StoredResult,
 )
-from amaranthtally.wire import PeerLostError
+from amaranthtally.wire import MethodUnknownError, PeerLostError
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
 from amaranthtally.wire.gateway_client import GatewayClient, connect_gateway
@@ -294,6 +294,9 @@
         client = await self._client(peer)
         try:
             answer = await call(client)
+        except MethodUnknownError:
+            # Calls that the peer knows are in flight on the same connection.
+            raise
         except PeerLostError:
             if self._clients.get(peer) is client:
                 self._disconnect(peer)
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -4,6 +4,7 @@
 from amaranthtally.wire.connections import EntryConnections
 from amaranthtally.wire.errors import (
     ChunkRefusedError,
+    MethodUnknownError,
     PeerLostError,
     ReplyMismatchError,
     WireError,
@@ -42,6 +43,7 @@
     "Load",
     "ModelState",
     "OutcomeQuery",
+    "MethodUnknownError",
     "PeerLostError",
     "ReplyMismatchError",
     "SettingsDelta",
--- a/packages/wire/src/amaranthtally/wire/errors.py
+++ b/packages/wire/src/amaranthtally/wire/errors.py
@@ -1,6 +1,12 @@
 """Errors of the protocols between entries, sidecars and gateways."""
 
-__all__ = ["ChunkRefusedError", "PeerLostError", "ReplyMismatchError", "WireError"]
+__all__ = [
+    "ChunkRefusedError",
+    "MethodUnknownError",
+    "PeerLostError",
+    "ReplyMismatchError",
+    "WireError",
+]
 
 
 class WireError(Exception):
@@ -23,6 +29,13 @@
         self.peer = peer
 
 
+class MethodUnknownError(PeerLostError):
+    """A peer of an older version does not know a call; its connection goes on."""
+
+    def __init__(self, peer: str) -> None:
+        super().__init__(peer, "it does not know the method")
+
+
 class ReplyMismatchError(WireError):
     """
     A peer sent the reply to another call, or a chunk of one; it is discarded.
--- a/packages/wire/src/amaranthtally/wire/gateway_client.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_client.py
@@ -21,7 +21,7 @@
 )
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.documents import DocumentPart, PartRequest
-from amaranthtally.wire.errors import PeerLostError
+from amaranthtally.wire.errors import MethodUnknownError, PeerLostError
 from amaranthtally.wire.gateway_codec import (
     GatewayStatus,
     Greeter,
@@ -55,6 +55,9 @@
 
 __all__ = ["GatewayClient", "connect_gateway"]
 
+# Type of the exception with which a peer answers a call that it does not know.
+UNIMPLEMENTED = "UNIMPLEMENTED"
+
 
 class GatewayClient:
     """
@@ -217,6 +220,8 @@
             async with asyncio.timeout(self._timeout_s):
                 return await request.send()
         except capnp.KjException as error:
+            if error.type == UNIMPLEMENTED:
+                raise MethodUnknownError(self._peer) from error
             raise PeerLostError(self._peer, str(error).splitlines()[0]) from error
         except TimeoutError as error:
             raise PeerLostError(self._peer, "no reply before the time-out") from error
