--- a/packages/policy/src/amaranthtally/policy/load_view/view.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/view.py
@@ -40,7 +40,7 @@
 ENTRIES_AT_INTERVAL = 45
 MAX_INTERVAL_S = 0.5
 # Number of entries beyond which nothing is exchanged. At 750 entries, each of 11,000
-# endpoints changes four times a second, and a relay would have to send its members
+# endpoints changes three times a second, and a relay would have to send its members
 # several times the 18 KB/s that an entry has for control.
 MAX_ENTRIES = 96
 # A report makes an endpoint look at most this much faster than was observed. An
--- a/tests/policy/test_load_view.py
+++ b/tests/policy/test_load_view.py
@@ -11,7 +11,7 @@
 from amaranthtally.policy.load_view.contributions import Contributions
 from amaranthtally.policy.load_view.half_life import HalfLife
 from amaranthtally.policy.pool_sites import Peer
-from tests.policy.load_fleet import POOL, Fleet, engine, report
+from bench.load_fleet import POOL, Fleet, engine, report
 from tests.policy.support import LOCAL_REGION, PlannerDriver, one_stage, planner
 from tests.policy.test_packages import POLICY, imports_of
 
