--- a/bench/load_fleet.py
+++ b/bench/load_fleet.py
@@ -40,6 +40,7 @@
         self.views = {}
         self.calls = {}
         self.lost = set()
+        self.loss = 0.0
         self.messages = 0
         self._due = []
         self._serial = itertools.count()
@@ -105,7 +106,13 @@
         latency_s = NEAR_S if is_near else FAR_S
 
         def arrive():
+            if self.random.random() < self.loss:
+                self._later(0.8, lambda: caller.exchange_failed(self.now, action.peer))
+                return
             answer = callee.exchange_received(self.now, name, action.message)
+            if self.random.random() < self.loss:
+                self._later(0.8, lambda: caller.exchange_failed(self.now, action.peer))
+                return
             self._later(
                 latency_s,
                 lambda: caller.exchange_answered(self.now, action.peer, answer),
--- a/tests/policy/test_load_view.py
+++ b/tests/policy/test_load_view.py
@@ -55,6 +55,28 @@
             assert known.calls == fleet.truth(name, endpoint), (name, endpoint)
 
 
+@pytest.mark.parametrize("seed", range(6))
+def test_lost_calls_and_answers_leave_no_wrong_figures(seed):
+    """Guards against calls that count twice, or stay wrong, after a lost message."""
+    fleet, random = Fleet(25, 8), Random(seed)
+    names = list(fleet.views)
+    for _ in range(20):
+        fleet.loss = random.choice((0.0, 0.2, 0.6))
+        fleet.lost = {frozenset(random.sample(names, 2)) for _ in range(20)}
+        for name in names:
+            fleet.set_calls(name, "e0", 1)
+            fleet.set_calls(name, f"e{random.randrange(1, 8)}", random.randrange(4))
+        fleet.run(0.3)
+        for name in names:
+            assert 0 <= fleet.find(name, "e0").calls <= 24
+    fleet.loss, fleet.lost = 0.0, set()
+    fleet.run(8.0)
+    for name in names:
+        for endpoint in fleet.endpoints:
+            known = fleet.find(name, endpoint)
+            assert known.calls == fleet.truth(name, endpoint), (name, endpoint)
+
+
 def test_a_killed_entry_and_its_calls_are_forgotten_and_its_duties_taken_on():
     """Guards against calls of a dead entry, or a dead relay, that stay for ever."""
     fleet = Fleet(LARGE, 12)
