--- a/bench/load_traffic.py
+++ b/bench/load_traffic.py
@@ -12,7 +12,7 @@
 from statistics import fmean, pvariance
 
 from amaranthtally.policy.load_view.endpoint_keys import EndpointKeys
-from amaranthtally.policy.load_view.view import MAX_ENTRIES
+from amaranthtally.policy.load_view.exchange import MAX_ENTRIES
 from bench.load_fleet import TICK_S, Fleet, report
 
 # Endpoints, and streams a second for each entry: the workload of customer M, and the
--- a/packages/policy/src/amaranthtally/policy/load_view/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/__init__.py
@@ -6,11 +6,7 @@
 what is exported here, and nothing else of this package.
 """
 
-from amaranthtally.policy.load_view.view import (
-    EndpointView,
-    LoadView,
-    LoadViewCounters,
-    build_load_view,
-)
+from amaranthtally.policy.load_view.exchange import LoadViewCounters
+from amaranthtally.policy.load_view.view import EndpointView, LoadView, build_load_view
 
 __all__ = ["EndpointView", "LoadView", "LoadViewCounters", "build_load_view"]
--- a/tests/policy/test_load_traffic.py
+++ b/tests/policy/test_load_traffic.py
@@ -2,8 +2,8 @@
 
 import pytest
 
+from amaranthtally.policy.load_view.exchange import MAX_ENTRIES
 from amaranthtally.policy.load_view.partners import BYTES_PER_S
-from amaranthtally.policy.load_view.view import MAX_ENTRIES
 from bench.load_fleet import Fleet
 from bench.load_traffic import Traffic, queue_variance
 
--- a/tests/policy/test_load_view.py
+++ b/tests/policy/test_load_view.py
@@ -84,7 +84,10 @@
         fleet.set_calls(name, "e1", 1)
     fleet.run(3.0)
     view = fleet.views["g0"]
-    relay = view._groups.relay(fleet.now, view._groups.own_group) or "g0"
+    relay = (
+        view._exchange._groups.relay(fleet.now, view._exchange._groups.own_group)
+        or "g0"
+    )
     del fleet.views[relay]
     fleet.run(5.0)
     for name in fleet.views:
