--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -311,6 +311,7 @@
         try:
             answer = await call(client)
         except MethodUnknownError:
+            # Calls that the peer knows are in flight on the same connection.
             raise
         except PeerLostError:
             if self._clients.get(peer) is client:
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -44,6 +44,7 @@
     "Load",
     "ModelState",
     "OutcomeQuery",
+    "MethodUnknownError",
     "PeerLostError",
     "ReplyMismatchError",
     "SettingsDelta",
--- a/packages/wire/src/amaranthtally/wire/errors.py
+++ b/packages/wire/src/amaranthtally/wire/errors.py
@@ -30,11 +30,10 @@
 
 
 class MethodUnknownError(PeerLostError):
-    """
-    A peer does not know the method called, as it runs an older version.
+    """A peer of an older version does not know a call; its connection goes on."""
 
-    The call has not run, and the connection is sound.
-    """
+    def __init__(self, peer: str) -> None:
+        super().__init__(peer, "it does not know the method")
 
 
 class ReplyMismatchError(WireError):
--- a/packages/wire/src/amaranthtally/wire/gateway_client.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_client.py
@@ -61,6 +61,9 @@
 
 __all__ = ["GatewayClient", "connect_gateway"]
 
+# Type of the exception with which a peer answers a call that it does not know.
+UNIMPLEMENTED = "UNIMPLEMENTED"
+
 
 class GatewayClient:
     """
@@ -238,8 +241,8 @@
             async with asyncio.timeout(self._timeout_s):
                 return await request.send()
         except capnp.KjException as error:
-            if error.type == capnp.KjException.Type.UNIMPLEMENTED:
-                raise MethodUnknownError(self._peer, "method not known") from error
+            if error.type == UNIMPLEMENTED:
+                raise MethodUnknownError(self._peer) from error
             raise PeerLostError(self._peer, str(error).splitlines()[0]) from error
         except TimeoutError as error:
             raise PeerLostError(self._peer, "no reply before the time-out") from error
