--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -1,6 +1,7 @@
 """A simulated entry: it executes its planner's actions, and can fail."""
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any, Protocol
 
 from amaranthtally.policy import (
@@ -11,6 +12,7 @@
     AttemptOutcome,
     AttemptResult,
     Cancel,
+    FairSharesChanged,
     FreeAtPeer,
     FreeResults,
     Peer,
@@ -23,7 +25,9 @@
     ReportToPeer,
     RunPieces,
     Send,
+    SendUsage,
     SubmitToPeer,
+    UsageFault,
 )
 from amaranthtally.simulator.attempts import (
     CONNECT_TIMEOUT_S,
@@ -118,6 +122,9 @@
             SubmitToPeer: self._submit_to_peer,
             ReportToPeer: self._report_to_peer,
             FreeAtPeer: self._free_at_peer,
+            SendUsage: self._send_usage,
+            FairSharesChanged: lambda action: None,
+            UsageFault: lambda action: None,
         }
         self.call_later(PEER_CHECK_INTERVAL_S, self._check_peers)
 
@@ -322,6 +329,21 @@
             lambda: self.release_results(action),
         )
 
+    def _send_usage(self, action: SendUsage) -> None:
+        for name in action.peers:
+            self._to_peer(
+                name,
+                lambda peer: peer.receive_usage(self.name, action),
+                partial(self._usage_not_received, name),
+            )
+
+    def _usage_not_received(self, name: str) -> None:
+        self.planner.usage.not_received(self.clock.now, name)
+
+    def receive_usage(self, sender: str, action: SendUsage) -> None:
+        """Take the work of accounts that another entry reports."""
+        self.planner.shares.usage_received(self.clock.now, sender, action.report)
+
     def _peer_failed(self, name: str) -> None:
         self._execute_actions(self.planner.pieces.peer_failed(self.clock.now, name))
 
