--- a/packages/simulator/src/amaranthtally/simulator/entries.py
+++ b/packages/simulator/src/amaranthtally/simulator/entries.py
@@ -1,6 +1,7 @@
 """A simulated entry: it executes its planner's actions, and can fail."""
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from typing import Any, Protocol
 
 from amaranthtally.policy import (
@@ -12,6 +13,7 @@
     AttemptResult,
     Cancel,
     ExchangeLoads,
+    FairSharesChanged,
     FreeAtPeer,
     FreeResults,
     Peer,
@@ -25,7 +27,9 @@
     ReportToPeer,
     RunPieces,
     Send,
+    SendUsage,
     SubmitToPeer,
+    UsageFault,
     WithdrawAtPeer,
 )
 from amaranthtally.simulator.attempts import (
@@ -123,6 +127,9 @@
             FreeAtPeer: self._free_at_peer,
             WithdrawAtPeer: self._withdraw_at_peer,
             ExchangeLoads: self._exchange_loads,
+            SendUsage: self._send_usage,
+            FairSharesChanged: lambda action: None,
+            UsageFault: lambda action: None,
         }
         self.call_later(PEER_CHECK_INTERVAL_S, self._check_peers)
 
@@ -359,6 +366,21 @@
             lambda: view.exchange_failed(self.clock.now, action.peer),
         )
 
+    def _send_usage(self, action: SendUsage) -> None:
+        for name in action.peers:
+            self._to_peer(
+                name,
+                lambda peer: peer.receive_usage(self.name, action),
+                partial(self._usage_not_received, name),
+            )
+
+    def _usage_not_received(self, name: str) -> None:
+        self.planner.usage.not_received(self.clock.now, name)
+
+    def receive_usage(self, sender: str, action: SendUsage) -> None:
+        """Take the work of accounts that another entry reports."""
+        self.planner.shares.usage_received(self.clock.now, sender, action.report)
+
     def _peer_failed(self, name: str) -> None:
         self._execute_actions(self.planner.pieces.peer_failed(self.clock.now, name))
 
--- a/packages/wire/src/amaranthtally/wire/__init__.py
+++ b/packages/wire/src/amaranthtally/wire/__init__.py
@@ -44,7 +44,6 @@
     "Load",
     "ModelState",
     "OutcomeQuery",
-    "MethodUnknownError",
     "PeerLostError",
     "ReplyMismatchError",
     "SettingsDelta",
