--- a/packages/policy/src/amaranthtally/policy/piece_mover.py
+++ b/packages/policy/src/amaranthtally/policy/piece_mover.py
@@ -86,13 +86,13 @@
             groups.setdefault(group, []).append(piece)
         return self._begin(now, groups)
 
-    def _begin(
-        self, now: float, groups: Mapping[_Group, list[Piece]]
-    ) -> list[Withdrawal]:
+    def _begin(self, now: float, groups: dict[_Group, list[Piece]]) -> list[Withdrawal]:
         by_route: dict[tuple[str, str], list[Piece]] = {}
-        # Pieces that this search sends to a site make those that follow wait there.
+        # A site gets one part of a stage in each search. Every entry sees the same idle
+        # site; if each sent it all that gains, it would be overloaded by the next one.
         added: Counter[tuple[str, str]] = Counter()
-        for group, pieces in groups.items():
+        # Those submitted last wait longest; the first may be in a call already.
+        for group, pieces in reversed(groups.items()):
             pool = group.submitted.pool
             target = self._target(now, group, len(pieces), added)
             if target is not None:
@@ -129,6 +129,8 @@
         if best is None or here not in candidates:
             return None if best is None else best.data_centre
         call_s = self._plans.full_call_time_s(pool)
+        if added[pool, best.data_centre]:
+            return None
         is_worth_it = is_move_worth_it(waited_s, current, best, call_s)
         return best.data_centre if is_worth_it else None
 
