--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -133,7 +133,7 @@
             self._observed_slowness, _copy_of(random)
         )
         self._view_feed = LoadViewFeed(
-            self._load_view, self._loads, self._pool_reports_speed
+            self._load_view, self._loads, self._coordinator.pool_reports_speed
         )
         self._coordinator.batcher.set_report_listener(self._view_feed.report_received)
         self._router.set_view(self._load_view)
@@ -549,11 +549,6 @@
         load = self._loads.find(endpoint)
         return 1.0 if load is None else load.slowness(now)
 
-    def _pool_reports_speed(self, pool: str) -> None:
-        """Divide a pool's time among accounts, and plan the memory for its results."""
-        self._accounts.pool_reports_speed(pool)
-        self._coordinator.pool_reports_speed(pool)
-
     def _without_closed(self, settings: PolicySettings) -> PolicySettings:
         """Return settings in which evacuated and leaving endpoints take no calls."""
         endpoints = mark_evacuated(settings.endpoints, settings.evacuated)
