--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -137,6 +137,8 @@
         """Return the endpoints whose memory has no room for a request."""
         pool = request.current_stage.pool
         full = self._memory.full(now, pool, request.sent_bytes)
+        if not self._engine_memory.covers(pool):
+            return full
         return full | self._engine_memory.full(now, pool, request.segments)
 
     def hedge(self, now: float, request: Request, slow: AttemptId) -> list[Action]:
@@ -307,7 +309,9 @@
         closed = self._gate.closed(now, request.regions)
         if closed:
             self._gate.note_wanted(request.current_stage.pool)
-        closed |= self.full(now, request)
+        full = self.full(now, request)
+        if full:
+            closed |= full
         return RouteRequest(
             request.current_stage,
             self._times.share_end(now, arrival.deadline, remaining),
--- a/packages/policy/src/amaranthtally/policy/result_memory/engine_memory.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/engine_memory.py
@@ -108,6 +108,10 @@
         held = self._held.get(endpoint)
         return 0 if held is None else held.tokens
 
+    def covers(self, pool: str) -> bool:
+        """Whether a pool is active and its engines' capacity is configured."""
+        return pool in self._capacities and pool in self._active
+
     def full(self, now: float, pool: str, segments: Segments) -> frozenset[str]:
         """Return the endpoints of a pool that cannot hold a prompt now."""
         capacity = self._capacities.get(pool)
