--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -70,7 +70,7 @@
     is empty, they are not served. ``seeds`` are addresses for peers of a few gateways,
     which one that starts asks if the store does not answer; some may be out of date.
     With ``fair_shares`` the fleet's capacity is divided fairly among accounts under
-    overload; without, only that of pools whose endpoints report their speed is.
+    overload; without, each gateway goes by the engine work that it was offered itself.
     ``memory_mb`` is the memory that the process may use, in megabytes; with 0 there is
     no limit on what it holds for callers.
     """
