--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -399,8 +399,6 @@
             self._planner.pieces.results_freed(self._time(), results, ended)
         )
 
-    # Actions
-
     def _log_learned_bounds(self) -> None:
         for learned in self._planner.endpoint_memory.take_news():
             log.info(
@@ -412,6 +410,8 @@
                 bound_bytes="" if learned.bound is None else round(learned.bound),
             )
 
+    # Actions
+
     def _get_connections(self) -> PeerConnections:
         assert self._connections is not None
         return self._connections
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -155,13 +155,20 @@
                 started,
                 response_head.retry_after_s,
             )
-            return PiecesEnded((), response_head.not_run, running, queued, slowness)
+            return PiecesEnded(
+                refused=response_head.not_run,
+                running=running,
+                queued=queued,
+                host_slowness=slowness,
+            )
         outcomes = pieces.read_outcomes(body, action.pieces)
         if outcomes.is_err():
             self._log(action, endpoint, "unreadable", str(outcomes.err()), started)
             return FAILED
         self._log(action, endpoint, "finished", _faults(outcomes.unwrap()), started)
-        return PiecesEnded(outcomes.unwrap(), False, running, queued, slowness)
+        return PiecesEnded(
+            outcomes.unwrap(), running=running, queued=queued, host_slowness=slowness
+        )
 
     def _log(
         self,
