--- a/bench/load_traffic.py
+++ b/bench/load_traffic.py
@@ -44,7 +44,7 @@
         names = list(self.fleet.endpoints)
         self.events = []
         for name, view in self.fleet.views.items():
-            # One index for all: at 750 entries the test would hold gigabytes.
+            # One index for all: one for each of 750 entries would take gigabytes.
             view._keys = keys  # noqa: SLF001
             view.report_received(0.0, self.fleet.endpoints["e0"], report())
             self._measure(name, view)
--- a/packages/wire/src/amaranthtally/wire/gateway.capnp
+++ b/packages/wire/src/amaranthtally/wire/gateway.capnp
@@ -49,8 +49,8 @@
   inputsFreed @7 :Bool;
   # How much longer than usual a call at that pool currently takes.
   slowerMicros @8 :Int64;
-  # Whether the pool's endpoints report their speed, and how long another result of that
-  # size would wait there for room.
+  # Whether the owner plans the result memory of the pool, as its endpoints report their
+  # speed, and how long another result of the same size would wait there for room.
   reportsRoom @9 :Bool;
   roomMicros @10 :Int64;
 }
@@ -196,7 +196,8 @@
 
 struct Usage {
   # The work of accounts at one gateway: the largest, and the sum of the rest. The limits
-  # are the shortest waits that accounts within their share could not accept, 0 for none.
+  # bound the waits of accounts above their share, so that those within theirs are not
+  # refused; 0 for none.
   incarnation @0 :UInt64;
   serial @1 :UInt64;
   remainingMicros @2 :Int64;
