--- a/tests/unit/test_sent_inputs.py
+++ b/tests/unit/test_sent_inputs.py
@@ -16,7 +16,6 @@
     limits = SimpleNamespace(rates={})
     prompts = None
     load_view = None
-    pieces = None
 
     def __init__(self):
         self.inputs = (RESULT,)
--- a/tests/unit/test_usage_exchange.py
+++ b/tests/unit/test_usage_exchange.py
@@ -1,19 +1,21 @@
 """Usage reports between gateways, over the wire."""
 
 import asyncio
-from importlib.resources import files
 from types import SimpleNamespace
 
 import capnp
 import pytest
 
 from amaranthtally.policy import AccountUsage, UsageReport, Work
+from amaranthtally.policy.fair_shares.fair_shares import SEND_INTERVAL_S
+from amaranthtally.policy.fair_shares.usage_sender import RECEIVERS
 from amaranthtally.wire import MethodUnknownError
 from amaranthtally.wire.gateway_client import connect_gateway
 from amaranthtally.wire.gateway_codec import gateway_schema
 from amaranthtally.wire.gateway_server import serve_gateway
 from amaranthtally.wire.usage_codec import write_usage
 from tests.support import run_async
+from tests.unit.test_older_gateways import older_schema
 
 WORKS = (Work(2.0, 1.0), Work(0.5, 0.25))
 REPORT = UsageReport(
@@ -28,20 +30,13 @@
 )
 # Bytes a second that an entry of 750 sends and receives for control in all.
 CONTROL_BYTES_PER_S = 18_000
-LARGE_FLEET_RECEIVERS = 4
-REPORTS_PER_S = 2
+REPORTS_PER_S = 1 / SEND_INTERVAL_S
 
 
 def older_gateway(folder):
     """Return a gateway of a version without the method."""
-    lines = files("amaranthtally.wire").joinpath("gateway.capnp").read_text("utf-8")
-    newer = ("exchangeUsage @18", "withdrawJobs @19")
-    known = [line for line in lines.splitlines() if not any(n in line for n in newer)]
-    path = folder / "older.capnp"
-    path.write_text("\n".join(known))
-    schema = capnp.SchemaParser().load(str(path))
-
-    class OlderGateway(schema.Gateway.Server):
+
+    class OlderGateway(older_schema(folder).Gateway.Server):
         """Knows the methods of its schema only."""
 
     return OlderGateway()
@@ -93,5 +88,5 @@
     usage = gateway_schema.Usage.new_message()
     write_usage(usage, REPORT)
     size = len(usage.to_bytes())
-    sent_and_received = 2 * LARGE_FLEET_RECEIVERS * REPORTS_PER_S * size
+    sent_and_received = 2 * RECEIVERS * REPORTS_PER_S * size
     assert sent_and_received < CONTROL_BYTES_PER_S, size
