--- a/packages/policy/src/amaranthtally/policy/admission.py
+++ b/packages/policy/src/amaranthtally/policy/admission.py
@@ -72,7 +72,7 @@
         rate_wait_s = self._accounts.rate_wait_s(now, arrival.account)
         if rate_wait_s > 0:
             return self.refuse(RefusalReason.ACCOUNT_LIMIT, rate_wait_s)
-        if self._accounts.covers(arrival):
+        if self._accounts.is_used:
             return self._decide_by_fleet(now, arrival, work_s)
         decision = self._check_backlog(now, arrival)
         if decision.reason is None:
--- a/packages/policy/src/amaranthtally/policy/fair_shares/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/__init__.py
@@ -12,5 +12,5 @@
 
 
 def fair_shares() -> FairShares:
-    """Return shares that are off until settings or reports turn them on."""
+    """Return shares that are off until the entry's settings turn them on."""
     return FairShares()
--- a/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -14,10 +14,7 @@
 from amaranthtally.policy.fair_shares.peer_usage import REPORT_TTL_S, PeerUsage
 from amaranthtally.policy.fair_shares.strain import Strain
 from amaranthtally.policy.model import AccountLimits
-from amaranthtally.policy.usage_messages import (
-    Resource,
-    UsageReport,
-)
+from amaranthtally.policy.usage_messages import Resource, UsageReport
 
 __all__ = ["SEND_INTERVAL_S", "FairShares", "SharesState"]
 
@@ -51,9 +48,8 @@
     """
     Divides engine time and stage time among accounts, by the work of the whole fleet.
 
-    It is in use for all requests if the entry's setting says so, else for those with a
-    pool whose endpoints report their speed. The methods without a ``Resource`` act on
-    this entry's own view, which serves all other requests; time stamps are in seconds.
+    It is in use if the entry's setting says so. The methods without a ``Resource`` act
+    on this entry's own view, which decides otherwise; time stamps are in seconds.
 
     Work is offered when a request arrives and admitted if the request is. The division
     takes the admitted work of this entry and of the reports of other entries as the
@@ -64,8 +60,7 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._is_set = False
-        self._pools: set[str] = set()
+        self._is_used = False
         self._own = OwnUsage()
         self._peers = PeerUsage()
         self._retries = EarlyRetries()
@@ -76,8 +71,8 @@
 
     @property
     def is_used(self) -> bool:
-        """Whether any requests are admitted by the fleet's shares."""
-        return self._is_set or bool(self._pools)
+        """Whether requests are admitted by the fleet's shares."""
+        return self._is_used
 
     @property
     def state(self) -> SharesState:
@@ -98,30 +93,15 @@
         entries: int,
         fair_shares: bool = False,
     ) -> None:
-        """Change the limits; with ``fair_shares`` all requests are divided fairly."""
+        """Change the limits; ``fair_shares`` turns the fleet's shares on."""
         super().configure(limits, entries)
-        self._is_set = fair_shares
+        self._is_used = fair_shares
         self._fleet.configure(limits)
 
-    def pool_reports_speed(self, pool: str) -> None:
-        """Note that an endpoint of a pool reports how fast its host is now."""
-        self._pools.add(pool)
-
     def set_sampled_part(self, part: float) -> None:
         """Set which part of the other entries reports to this one, 0 to 1."""
         self._fleet.set_sampled_part(part)
 
-    def covers(self, arrival: Arrival) -> bool:
-        """Whether a request is admitted by the fleet's shares."""
-        if self._is_set:
-            return True
-        if not self._pools:
-            return False
-        if any(stage.pool in self._pools for stage in arrival.pipeline.stages):
-            return True
-        work = arrival.piece_work
-        return work is not None and any(s.pool in self._pools for s in work.stages)
-
     # Requests
 
     def offer(
@@ -244,8 +224,6 @@
         """
         if not self.is_used or arrival.piece_work is None or not arrival.priority:
             return arrival
-        if not self.covers(arrival):
-            return arrival
         self._fleet.divide_if_due(now)
         if not self._fleet.is_starved(arrival.account, Resource.STAGES):
             return arrival
--- a/packages/policy/src/amaranthtally/policy/request_inputs.py
+++ b/packages/policy/src/amaranthtally/policy/request_inputs.py
@@ -65,7 +65,7 @@
         needed_s = self._coordinator.plans.predicted_time_s(
             now, work.stages, work.counts, arrival.priority, regions
         )
-        if self._accounts.covers(arrival):
+        if self._accounts.is_used:
             return self._decide_by_fleet(now, arrival, work, needed_s)
         excess_s = now + needed_s - self.pieces_deadline(arrival)
         if excess_s <= 0:
--- a/tests/policy/test_fair_shares.py
+++ b/tests/policy/test_fair_shares.py
@@ -229,15 +229,16 @@
     assert shares._peers.accounts[7][RESOURCE].offered_s >= 50.0
 
 
-def test_a_pool_that_reports_its_speed_turns_shares_on_for_its_requests_only():
-    """Guards against an effect on deployments whose endpoints report no speed."""
+def test_only_the_setting_turns_shares_on():
+    """Guards against an effect on deployments that do not ask for fair shares."""
     shares = FairShares()
+    assert not shares.is_used
     shares.configure({}, 1)
-    assert not shares.is_used and not shares.covers(arrival("a"))
-    shares.pool_reports_speed("other")
-    assert shares.is_used and not shares.covers(arrival("a"))
-    shares.pool_reports_speed("engine")
-    assert shares.covers(arrival("a"))
+    assert not shares.is_used
+    shares.configure({}, 1, fair_shares=True)
+    assert shares.is_used
+    shares.configure({}, 1)
+    assert not shares.is_used
 
 
 def test_returns_of_refused_callers_are_put_off_and_spread():
--- a/tests/policy/test_share_admission.py
+++ b/tests/policy/test_share_admission.py
@@ -108,19 +108,15 @@
     assert admitted[True] >= 0.9 * admitted[False], admitted
 
 
-@pytest.mark.parametrize("pool, is_same", [("elsewhere", True), ("catalogue", False)])
-def test_only_requests_with_a_pool_that_reports_speed_are_treated_differently(
-    pool, is_same
-):
+@pytest.mark.parametrize("is_on", [False, True])
+def test_requests_are_treated_differently_only_with_the_setting(is_on):
     """Guards against an effect on deployments where nothing calls for the shares."""
     outcomes = []
-    for reported in ("", pool):
-        driver = StageDriver()
-        if reported:
-            driver.planner.shares.pool_reports_speed(reported)
+    for options in ({}, {"fair_shares": is_on}):
+        driver = StageDriver(**options)
         driver.run(6.0, {"flood": (2, URGENT), "quiet": (50, PATIENT)})
         outcomes.append((driver.admitted, driver.refusals))
-    assert (outcomes[0] == outcomes[1]) is is_same
+    assert (outcomes[0] == outcomes[1]) is not is_on
 
 
 def test_a_flood_at_engines_is_refused_within_its_share():
