--- a/packages/policy/src/amaranthtally/policy/affinity.py
+++ b/packages/policy/src/amaranthtally/policy/affinity.py
@@ -16,7 +16,7 @@
     "RANK_PENALTY_S",
     "TRANSFER_S_PER_BYTE",
     "AffinityRouter",
-    "shared_part",
+    "prefix_rank_key",
     "shared_share",
 ]
 
@@ -139,13 +139,13 @@
         self, request: RouteRequest, usable: list[EndpointLoad]
     ) -> dict[str, int]:
         """Return each engine's rendezvous rank for the prompt, from 0."""
-        key = shared_part(request.prefix)
+        key = prefix_rank_key(request.prefix)
         ids = [load.endpoint.id for load in usable]
         ranked = sorted(ids, key=lambda name: rendezvous_weight(name, key))
         return {name: rank for rank, name in enumerate(ranked)}
 
 
-def shared_part(prefix: tuple[int, ...]) -> str:
+def prefix_rank_key(prefix: tuple[int, ...]) -> str:
     """Return the key by which engines are ranked for a prompt."""
     # The last part belongs to the request alone; the one before it is shared.
     shared = prefix[-2] if len(prefix) > 1 else prefix[0]
--- a/packages/policy/src/amaranthtally/policy/engine_choice/router.py
+++ b/packages/policy/src/amaranthtally/policy/engine_choice/router.py
@@ -12,7 +12,7 @@
     RANK_PENALTY_S,
     TRANSFER_S_PER_BYTE,
     AffinityRouter,
-    shared_part,
+    prefix_rank_key,
     shared_share,
 )
 from amaranthtally.policy.ejection import Ejections
@@ -149,10 +149,11 @@
     ) -> Choice | None:
         """Return the best candidate, or ``None`` when no endpoint takes work."""
         if request.prefix and self.covers(request.stage.pool):
-            own_tokens = sum(request.prefix_sizes) - sum(request.prefix_sizes[:-1])
             speed = self._speeds.of(request.stage.pool)
             self._demand.add(
-                now, shared_part(request.prefix), own_tokens * speed.s_per_token
+                now,
+                prefix_rank_key(request.prefix),
+                _own_tokens(request) * speed.s_per_token,
             )
         return super().choose(now, request, stats)
 
@@ -177,7 +178,7 @@
     ) -> bool:
         """Whether the view tells anything of the engines that rank first."""
         assert self._view is not None
-        for endpoint in engines.ranked(shared_part(request.prefix)):
+        for endpoint in engines.ranked(prefix_rank_key(request.prefix)):
             figures = self._view.find(now, endpoint.id)
             if figures is not None and figures.weight > 0.0:
                 return True
@@ -263,7 +264,7 @@
         Entries do not tell each other of prompts. That all send a prefix to the engines
         that rank first makes these hold it.
         """
-        prefix = shared_part(request.prefix)
+        prefix = prefix_rank_key(request.prefix)
         holders = self._demand.holders(now, prefix, self._entries)
         assumed_share = FIRST_RANK_SHARE * shared_share(request.prefix_sizes)
         loads = self._usable(now, engines.ranked(prefix), request)[:MAX_HOLDERS]
@@ -343,9 +344,10 @@
 
     def _draw_best(self, request: RouteRequest, options: list[_Option]) -> _Option:
         """Return one of the options whose scores are about the best, at random."""
-        own_tokens = request.prefix_sizes[-1] if request.prefix_sizes else 0
         speed = self._speeds.of(request.stage.pool)
-        spread_s = max(MIN_SPREAD_S, EQUAL_SHARE * own_tokens * speed.s_per_token)
+        spread_s = max(
+            MIN_SPREAD_S, EQUAL_SHARE * _own_tokens(request) * speed.s_per_token
+        )
         best = min(option.score for option in options)
         near = [o for o in options if o.score - best <= MAX_SPREADS * spread_s]
         if len(near) == 1:
@@ -386,6 +388,11 @@
         )
 
 
+def _own_tokens(request: RouteRequest) -> int:
+    """Return the prompt tokens that no other request has."""
+    return request.prefix_sizes[-1] if request.prefix_sizes else 0
+
+
 def build_router(
     random: Random,
     groups: EndpointGroups,
--- a/packages/policy/src/amaranthtally/policy/fair_shares/account_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/account_shares.py
@@ -6,12 +6,11 @@
 
 from amaranthtally.policy.budgets import RateLimit
 from amaranthtally.policy.fair_shares.division import OVERLOAD_RATIO, fair_level
+from amaranthtally.policy.fair_shares.own_usage import DECAY_S
 from amaranthtally.policy.model import AccountLimits
 
 __all__ = ["AccountShares"]
 
-# Time constant of the exponential decay of offered and admitted work, in seconds.
-DECAY_S = 5.0
 # Interval between computations of the fair level, in seconds.
 REFRESH_S = 0.5
 # Offered work in seconds below which an account without a rate limit is forgotten.
--- a/packages/policy/src/amaranthtally/policy/fair_shares/fleet_division.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fleet_division.py
@@ -108,7 +108,7 @@
         }
         for _, entry in self._own:
             peers = works.get(entry.digest, NO_WORK)
-            works[entry.digest] = _added(entry.work(resource), peers)
+            works[entry.digest] = entry.work(resource).plus(peers)
         accounts = [(work, self._share_of(digest)) for digest, work in works.items()]
         count = min(self._peers.rest_accounts, MAX_REST)
         if count:
@@ -188,7 +188,7 @@
         peers = self._peers.accounts.get(entry.digest)
         if self._divisions[resource].is_local or peers is None:
             return own
-        return _added(own, _scaled(peers[resource], self._scale))
+        return own.plus(_scaled(peers[resource], self._scale))
 
     def _share_of(self, digest: int) -> float:
         return self._shares.get(digest, NO_LIMITS.share)
@@ -200,7 +200,3 @@
 
 def _scaled(work: Work, factor: float) -> Work:
     return Work(work.offered_s * factor, work.admitted_s * factor)
-
-
-def _added(one: Work, other: Work) -> Work:
-    return Work(one.offered_s + other.offered_s, one.admitted_s + other.admitted_s)
--- a/packages/policy/src/amaranthtally/policy/fair_shares/peer_usage.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/peer_usage.py
@@ -133,11 +133,7 @@
 
 
 def _sum(one: tuple[Work, Work], other: tuple[Work, Work]) -> tuple[Work, Work]:
-    (a, b), (c, d) = one, other
-    return (
-        Work(a.offered_s + c.offered_s, a.admitted_s + c.admitted_s),
-        Work(b.offered_s + d.offered_s, b.admitted_s + d.admitted_s),
-    )
+    return one[0].plus(other[0]), one[1].plus(other[1])
 
 
 def _bounded(report: UsageReport) -> tuple[UsageReport, str]:
--- a/packages/policy/src/amaranthtally/policy/usage_messages.py
+++ b/packages/policy/src/amaranthtally/policy/usage_messages.py
@@ -32,6 +32,12 @@
     offered_s: float = 0.0
     admitted_s: float = 0.0
 
+    def plus(self, other: "Work") -> "Work":
+        """Return the sums of both."""
+        return Work(
+            self.offered_s + other.offered_s, self.admitted_s + other.admitted_s
+        )
+
 
 NO_WORK = Work()
 
@@ -49,6 +55,7 @@
 
     Of the reports of one start of an entry, which has its own ``incarnation``, the one
     with the highest ``serial`` holds. It holds for ``remaining_s`` seconds more.
+    The incarnation is 0 until the report is sent, when the gateway fills it in.
     ``wait_limits_s`` has for each ``Resource`` the shortest wait that an account
     within its share could not accept, 0 without one. ``rest`` sums the work of
     ``rest_accounts`` accounts that are not listed.
