--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -402,7 +402,7 @@
     # Actions
 
     def _log_learned_bounds(self) -> None:
-        for learned in self._planner.endpoint_memory.take_news():
+        for learned in self._planner.endpoint_memory.take_learned():
             log.info(
                 "endpoint_ended_with_much_held",
                 endpoint=learned.endpoint,
--- a/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -12,7 +12,7 @@
 from amaranthtally.policy.fair_shares.fleet_division import FleetDivision
 from amaranthtally.policy.fair_shares.own_usage import DECAY_S, OwnUsage
 from amaranthtally.policy.fair_shares.peer_usage import REPORT_TTL_S, PeerUsage
-from amaranthtally.policy.fair_shares.strain import Strain
+from amaranthtally.policy.fair_shares.wait_limits import WaitLimits
 from amaranthtally.policy.model import AccountLimits
 from amaranthtally.policy.usage_messages import Resource, UsageReport
 
@@ -64,7 +64,7 @@
         self._own = OwnUsage()
         self._peers = PeerUsage()
         self._retries = EarlyRetries()
-        self._strain = Strain()
+        self._wait_limits = WaitLimits()
         self._fleet = FleetDivision(self._own, self._peers)
         self._serial = 0
         self._sent_at = -inf
@@ -149,7 +149,7 @@
         """
         self._retries.note_refused(now, arrival.account, arrival.key, retry_after_s)
         if self._fleet.is_entitled(now, arrival.account, resource):
-            self._strain.note_refused(now, resource, max_wait_s)
+            self._wait_limits.note_refused(now, resource, max_wait_s)
 
     def allowance(
         self, now: float, account: str, resource: Resource | None = None
@@ -184,11 +184,11 @@
         if max_wait_s <= 0.0 or not self._fleet.division(resource).is_short:
             return max_wait_s
         if self._fleet.is_entitled(now, account, resource):
-            self._strain.renew(now, resource, max_wait_s)
+            self._wait_limits.renew(now, resource, max_wait_s)
             return max_wait_s
         allowance = self.allowance(now, account, resource)
         limit_s = self._peers.wait_limit_s(resource)
-        limit_s = min(limit_s, self._strain.limit_s(now, resource))
+        limit_s = min(limit_s, self._wait_limits.limit_s(now, resource))
         return allowance * min(max_wait_s, limit_s)
 
     def return_times_s(
@@ -273,5 +273,5 @@
         return self._fleet.take_changes()
 
     def _reported_limit_s(self, now: float, resource: Resource) -> float:
-        limit_s = self._strain.limit_s(now, resource)
+        limit_s = self._wait_limits.limit_s(now, resource)
         return limit_s if isfinite(limit_s) else 0.0
--- a/packages/policy/src/amaranthtally/policy/fair_shares/strain.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/wait_limits.py
@@ -1,21 +1,22 @@
-"""The shortest wait that accounts within their share could not accept."""
+"""Limits of waits, for the sake of accounts whose requests accept only short ones."""
 
 from math import inf
 
+from amaranthtally.policy.fair_shares.own_usage import DECAY_S
 from amaranthtally.policy.usage_messages import Resource
 
-__all__ = ["Strain"]
+__all__ = ["WaitLimits"]
 
 # Part of the refused request's wait to which others are limited. What arrives between
 # two refusals of theirs lengthens the queue beyond the limit.
-GAP = 0.5
+LIMIT_PART = 0.5
 # How long a limit holds after the last request that needs it, in seconds: the time
 # constant of the sums of work. An account with a request every few seconds would else
 # find the queue full again each time.
-HOLD_S = 5.0
+HOLD_S = DECAY_S
 
 
-class Strain:
+class WaitLimits:
     """
     Limits, by resource, of the waits that accounts above their share may cause.
 
@@ -33,13 +34,16 @@
         if max_wait_s <= 0.0:
             return
         limit_s = self.limit_s(now, resource)
-        self._limits_s[resource] = min(limit_s, GAP * max_wait_s)
-        if GAP * max_wait_s <= limit_s:
+        self._limits_s[resource] = min(limit_s, LIMIT_PART * max_wait_s)
+        if LIMIT_PART * max_wait_s <= limit_s:
             self._until[resource] = now + HOLD_S
 
     def renew(self, now: float, resource: Resource, max_wait_s: float) -> None:
         """Keep a limit in force that a request needs, whether or not it is refused."""
-        if now < self._until[resource] and GAP * max_wait_s <= self._limits_s[resource]:
+        if (
+            now < self._until[resource]
+            and LIMIT_PART * max_wait_s <= self._limits_s[resource]
+        ):
             self._until[resource] = now + HOLD_S
 
     def limit_s(self, now: float, resource: Resource) -> float:
--- a/packages/policy/src/amaranthtally/policy/load_view/contributions.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/contributions.py
@@ -4,7 +4,7 @@
 
 from amaranthtally.policy.load_messages import LoadMessage
 
-__all__ = ["Contributions", "Figures", "NO_CALLS"]
+__all__ = ["NO_CALLS", "Contributions", "Figures"]
 
 # How long a contribution that is not renewed is counted, in seconds: senders renew
 # theirs at least once a second, and one renewal may be lost.
@@ -16,14 +16,11 @@
 # Number of endpoints of which one sender is heard.
 MAX_KEYS = 20_000
 
-
 # Calls in flight at an endpoint, and their prompt tokens yet to be processed. It is a
 # plain tuple, as a relay makes thousands of them a second.
 Figures = tuple[int, int]
 NO_CALLS: Figures = (0, 0)
-
-
-NOTHING: Mapping[int, Figures] = {}
+NO_FIGURES: Mapping[int, Figures] = {}
 
 
 class _Source:
@@ -68,7 +65,7 @@
     def figures_of(self, sender: str) -> Mapping[int, Figures]:
         """Return what one sender has contributed, by endpoint."""
         source = self._sources.get(sender)
-        return NOTHING if source is None else source.figures
+        return NO_FIGURES if source is None else source.figures
 
     def serial_of(self, sender: str) -> int:
         """Return the serial of the last message taken from a sender, 0 without one."""
--- a/packages/policy/src/amaranthtally/policy/load_view/groups.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/groups.py
@@ -27,6 +27,7 @@
         self._data_centre = ""
         self._peers: dict[str, str] = {}
         self._region_of: Callable[[str], str] = str
+        # The members of each group, in the order in which they become its relay.
         self._members: dict[str, list[str]] = {}
         self._regions: dict[str, str] = {}
         self._own = ""
@@ -70,10 +71,6 @@
         """Return the region of a group."""
         return self._regions[group]
 
-    def members(self, group: str) -> tuple[str, ...]:
-        """Return a group's members in the order in which they become its relay."""
-        return tuple(self._members.get(group, ()))
-
     def relay(self, now: float, group: str) -> str:
         """Return the relay of a group, "" if it is this entry, or none answers."""
         for name in self._members.get(group, ()):
--- a/packages/policy/src/amaranthtally/policy/load_view/half_life.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/half_life.py
@@ -8,7 +8,6 @@
 # Half-life before enough reports were compared, in seconds: what an entry hears of an
 # endpoint was observed to be outdated within about this time.
 DEFAULT_S = 0.5
-MIN_S = LAGS_S[0]
 MAX_S = LAGS_S[-1]
 # Number of differences after which their mean is relied on, and the least weight of the
 # newest one: a mean follows a change of the workload within about 50 reports.
--- a/packages/policy/src/amaranthtally/policy/load_view/view.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/view.py
@@ -104,10 +104,6 @@
         """Return the time in which the calls at a pool's endpoints change by half."""
         return self._half_lives_of(pool).calls.seconds
 
-    def slowness_half_life_s(self, pool: str) -> float:
-        """Return the time in which the slowness of a pool's endpoints changes."""
-        return self._half_lives_of(pool).slowness.seconds
-
     def find(self, now: float, endpoint: str) -> EndpointView | None:
         """Return what is known of an endpoint, ``None`` if its pool takes no part."""
         registered = self._endpoints.get(endpoint)
--- a/packages/policy/src/amaranthtally/policy/memory_budget/endpoint_memory.py
+++ b/packages/policy/src/amaranthtally/policy/memory_budget/endpoint_memory.py
@@ -67,7 +67,8 @@
 @dataclass(slots=True)
 class _Pool:
     finished: int = 0
-    # What endpoints held and outlived, in this period and in the one before.
+    # The most bytes that an endpoint held when it finished a request, which it thus
+    # outlived, in this period and in the one before.
     outlived: int = 0
     outlived_before: int = 0
     period_began: float = 0.0
@@ -108,17 +109,18 @@
         self._held: dict[str, int] = {}
         self._losses: dict[str, _Loss] = {}
         self._pools: dict[str, _Pool] = {}
+        # Pools that have had a bound, so that others cost only a lookup.
         self._learned: set[str] = set()
-        self._news: list[LearnedBound] = []
+        self._untaken: list[LearnedBound] = []
 
     def bound(self, now: float, pool: str) -> float | None:
         """Return the bound on an endpoint of a pool, in bytes; ``None`` for none."""
         return self._pools[pool].bound(now) if pool in self._learned else None
 
-    def take_news(self) -> list[LearnedBound]:
+    def take_learned(self) -> list[LearnedBound]:
         """Return the ends that were learned from since the last call."""
-        news, self._news = self._news, []
-        return news
+        taken, self._untaken = self._untaken, []
+        return taken
 
     def held(self, endpoint: str) -> int:
         """Return the bytes that an endpoint holds for this entry."""
@@ -191,7 +193,7 @@
         pool.ends.append((now, loss.held))
         if len(pool.ends) >= MIN_ENDS:
             self._learned.add(loss.pool)
-        self._news.append(
+        self._untaken.append(
             LearnedBound(
                 loss.pool, endpoint, loss.held, pool.most_outlived, pool.bound(now)
             )
--- a/packages/policy/src/amaranthtally/policy/piece_coordinator.py
+++ b/packages/policy/src/amaranthtally/policy/piece_coordinator.py
@@ -103,7 +103,8 @@
         """
         Check room and lateness for a pool's pieces, and move waiting ones, from now on.
 
-        Called for a report of an endpoint of the pool that holds its host's slowness.
+        Called once the shared view of loads covers the pool, and for a report of a
+        site's owner that names the wait for room.
         """
         self._batcher.active_pools.add(pool)
 
--- a/packages/policy/src/amaranthtally/policy/piece_events.py
+++ b/packages/policy/src/amaranthtally/policy/piece_events.py
@@ -95,10 +95,6 @@
             now, self._coordinator.withdrawal_failed(now, peer, serial, pieces)
         )
 
-    def pool_reports_speed(self, pool: str) -> None:
-        """Check room and lateness for a pool's pieces, and move them, from now on."""
-        self._coordinator.pool_reports_speed(pool)
-
     def reports_received(
         self, now: float, reports: Iterable[PieceReport]
     ) -> list[Action]:
