--- a/packages/policy/src/amaranthtally/policy/actions.py
+++ b/packages/policy/src/amaranthtally/policy/actions.py
@@ -81,8 +81,8 @@
     Send one attempt to an endpoint; ``deadline`` is the attempt's own time stamp.
 
     ``resume_offset`` is the number of chunks that the caller already has: a resumed
-    stream starts after them. ``prediction`` is set if a shared view told of the engine.
-    ``stalled`` says that a first attempt had stalled when this one was sent.
+    stream starts after them. ``prediction`` is set if the engine was chosen by a shared
+    view. ``stalled`` says that this is a hedge of a first attempt that had stalled.
     """
 
     attempt: AttemptId
@@ -233,7 +233,8 @@
     """
     Withdraw those of these jobs that another entry has not started.
 
-    ``serial`` is passed on with the answer.
+    ``serial`` is passed on with the answer; it is 0 for jobs that are not moved, but of
+    which no report is expected from that entry any more.
     """
 
     peer: str
@@ -306,7 +307,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ExchangeLoads:
-    """Send an entry what is known of endpoints' loads, for what it knows."""
+    """Send another entry load figures; its answer holds those that this one lacks."""
 
     peer: str
     message: LoadMessage
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -80,7 +80,8 @@
         self._active = ActivePools()
         self._memory = SiteMemory(self._servers)
         self._drops = DropCounts()
-        # Requests that ended while a call with their pieces was in progress.
+        # Requests that ended while a call with their pieces was in progress. A piece of
+        # theirs that the call did not compute is not queued again.
         self._ended: set[str] = set()
 
     @property
@@ -296,6 +297,7 @@
     def _pass_on(
         self, now: float, server: PieceServer, running: int, end: PiecesEnded
     ) -> None:
+        """Pass the load that came with the end of a call to the listener."""
         if self._on_report is None or end.host_slowness is None:
             return
         report = LoadReport(
@@ -429,6 +431,7 @@
     def _fill_call(
         self, now: float, server: PieceServer, queue: SiteQueue
     ) -> CallFill | None:
+        """Choose pieces for a call; of active pools, only those that end in time."""
         if server.endpoint.pool not in self._active:
             free_bytes = server.free_bytes(now)
             return self._fill(now, queue.pieces, server.limits, free_bytes)
--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -106,7 +106,7 @@
         return self.send_waiting(now, request)
 
     def is_memory_full(self, now: float, request: Request) -> bool:
-        """Whether endpoints lack only memory for the prompt of a request."""
+        """Whether an engine of the pool lacks memory for the prompt of a request."""
         pool = request.current_stage.pool
         return bool(self._engine_memory.full(now, pool, request.segments))
 
@@ -174,7 +174,7 @@
     def note_first_event(
         self, now: float, request: Request, attempt: LiveAttempt
     ) -> None:
-        """Note the first event of an attempt that was sent by a shared view."""
+        """Note the first event of an attempt whose engine a shared view chose."""
         if attempt.prediction is None:
             return
         pool, took_s = request.current_stage.pool, now - attempt.sent_at
@@ -188,7 +188,12 @@
             self._stalls.note(stage.pool, now - ended.sent_at, ended.first_answer_s)
 
     def _may_be_stalled(self, request: Request, attempt: LiveAttempt) -> bool:
-        """Whether an attempt is a first one, without an event, by a shared view."""
+        """
+        Whether an attempt may be hedged for being slow to begin its answer.
+
+        It is the first one of its stage in a pool that a shared view covers, and
+        nothing of the answer has come yet.
+        """
         stage = request.current_stage
         if not self._router.covers(stage.pool):
             return False
@@ -220,6 +225,7 @@
     def _send_second(
         self, now: float, request: Request, attempt: LiveAttempt
     ) -> list[Action]:
+        """Send the hedge of a stalled attempt if the view shows room for it."""
         stage = request.current_stage
         hedges = self._budgets_of(stage).hedges
         excluded = request.excluded | {attempt.endpoint}
--- a/packages/policy/src/amaranthtally/policy/engine_choice/prefix_demand.py
+++ b/packages/policy/src/amaranthtally/policy/engine_choice/prefix_demand.py
@@ -36,7 +36,8 @@
         """
         Return how many engines hold a prefix.
 
-        The other ``entries`` are assumed to get as many requests with it as this one.
+        Each of the ``entries``, of which this is one, is assumed to get as many
+        requests with the prefix.
         """
         load = self._current(now, prefix) / DEMAND_S * entries
         return min(MAX_HOLDERS, 1 + int(load / HOLDER_LOAD))
--- a/packages/policy/src/amaranthtally/policy/load_view_feed.py
+++ b/packages/policy/src/amaranthtally/policy/load_view_feed.py
@@ -16,8 +16,8 @@
     """
     Passes events of the planner on to the view, and the view to the loads of its pools.
 
-    The loads are watched once a pool takes part; until then a change of the entry's
-    attempts costs a comparison. ``on_pool_active`` is called with each pool that does.
+    Changes of the entry's own attempts are collected only while the view covers a pool.
+    ``on_pool_active`` is called with each pool that it begins to cover.
     """
 
     def __init__(
--- a/packages/policy/src/amaranthtally/policy/piece_coordinator.py
+++ b/packages/policy/src/amaranthtally/policy/piece_coordinator.py
@@ -42,7 +42,7 @@
 # and the more of them the fuller it is.
 REPORT_TIMEOUT_S = 2.0
 
-# The serial of withdrawals whose jobs are submitted elsewhere already.
+# The serial of withdrawals of jobs that are submitted elsewhere already, or ended.
 NO_MOVE = 0
 NO_FIXED_DATA_CENTRES: Mapping[Piece, str] = {}
 
--- a/packages/policy/src/amaranthtally/policy/piece_mover.py
+++ b/packages/policy/src/amaranthtally/policy/piece_mover.py
@@ -43,7 +43,7 @@
 
 class PieceMover:
     """
-    Withdraws jobs that would be done earlier elsewhere.
+    Chooses the jobs to withdraw as they would be done earlier elsewhere.
 
     Also those whose site has a new owner, or is not in the home regions of their
     request any more. Applies to active pools only.
@@ -108,7 +108,7 @@
     def _target(
         self, now: float, group: _Group, count: int, added: Counter[tuple[str, str]]
     ) -> str | None:
-        """Return the data centre to move a group to, ``None`` to leave it there."""
+        """Return the data centre to move a group to, ``None`` to leave it as it is."""
         staged = self._requests[group.request_id]
         submitted = group.submitted
         pool, here = submitted.pool, submitted.data_centre
--- a/packages/policy/src/amaranthtally/policy/requests.py
+++ b/packages/policy/src/amaranthtally/policy/requests.py
@@ -22,8 +22,9 @@
     the number of ``concurrent`` other calls, and the ``cached_share`` of its prefix.
     ``pending_prefill_tokens`` are the prompt tokens that it was predicted to process, 0
     after its first chunk. ``queries`` counts the queries for its outcome. ``version``
-    is that of the endpoint's software, ``incarnation`` that of the endpoint. ``held``
-    is what the endpoint holds for it.
+    is that of the endpoint's software, ``incarnation`` that of the endpoint.
+    ``prediction`` is set if its engine was chosen by a shared view. ``held`` counts its
+    bytes in the memory of the endpoint.
     """
 
     endpoint: str
@@ -44,7 +45,7 @@
 
     @property
     def first_answer_s(self) -> float:
-        """Predicted seconds to its first event or its answer, by a shared view."""
+        """Predicted seconds to its first event, or to its whole answer without view."""
         if self.prediction is not None:
             return self.prediction.first_event_s
         return self.wait_s + self.run_s
@@ -122,7 +123,7 @@
 
     @property
     def may_begin_elsewhere(self) -> bool:
-        """Whether a second endpoint could begin the answer, as nothing of it came."""
+        """Whether another endpoint may begin the answer, as nothing of it has come."""
         has_inputs = self.arrival.piece_work is None or bool(self.inputs)
         begins = self.arrival.origin is None and not self.chunks
         return begins and has_inputs and not self.is_trial
--- a/packages/policy/src/amaranthtally/policy/result_memory/active_pools.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/active_pools.py
@@ -16,5 +16,5 @@
         return bool(self._names)
 
     def add(self, pool: str) -> None:
-        """Take effect for a pool from now on."""
+        """Add a pool; it stays active until the process ends."""
         self._names.add(pool)
--- a/packages/policy/src/amaranthtally/policy/result_memory/room_waits.py
+++ b/packages/policy/src/amaranthtally/policy/result_memory/room_waits.py
@@ -1,4 +1,4 @@
-"""How long a result of a given size waits for room at a pool site."""
+"""How long a result of a given size waits for free memory at a pool site."""
 
 from collections.abc import Iterable
 from typing import NamedTuple
--- a/packages/policy/src/amaranthtally/policy/routing.py
+++ b/packages/policy/src/amaranthtally/policy/routing.py
@@ -80,7 +80,7 @@
     def note_first_event(
         self, pool: str, took_s: float, prediction: EnginePrediction
     ) -> None:
-        """Note the time to an attempt's first event; ignored like a view."""
+        """Note the time to a first event; ignored unless a subclass learns from it."""
 
     def covers(self, pool: str) -> bool:
         """Whether a shared view tells of the endpoints of a pool."""
