--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -143,7 +143,8 @@
         """
         Send a second attempt while a slow one is running, if it is worth its cost.
 
-        Only repeatable stages are hedged, with at most two concurrent attempts. If no
+        Only repeatable stages are hedged, with at most two concurrent attempts. A first
+        attempt that has stalled may be hedged even in a stage without hedges. If no
         hedge is sent, a timer is set to check the slow attempt again.
         """
         attempt = request.live[slow]
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -43,8 +43,9 @@
     A stage that is not ``repeatable`` has a side effect and runs at most once.
     ``price_per_s`` is the price of one second of an endpoint. ``max_attempts`` bounds
     the attempts of one request that may have run; with 0 only the retry budget does.
-    Without ``hedges`` a request has one attempt at a time. Streams with a longer gap
-    between two events than ``max_event_gap_s`` are late, with 0 there is no limit.
+    Without ``hedges`` a request has one attempt at a time, unless the first has
+    stalled. Streams with a longer gap between two events than ``max_event_gap_s`` are
+    late, with 0 there is no limit.
     ``key`` identifies the stage's statistics; it is computed once because each decision
     uses it many times.
     """
