--- a/packages/policy/src/amaranthtally/policy/load_view/exchange.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/exchange.py
@@ -72,6 +72,8 @@
         self._take_report = take_report
         self._counters = LoadViewCounters()
         self._groups = EntryGroups()
+        # By sender: the figures of members of this group while this entry is its relay,
+        # the sums of other groups by their relays, and what the own relay answers.
         self._members = Contributions()
         self._sums = Contributions()
         self._relayed = Contributions()
@@ -222,8 +224,8 @@
         def figures(key: int) -> Figures:
             calls, tokens = self._group_sum(key)
             sums = self._sums.total(key) if is_relay else NO_CALLS
-            its = contributed.get(key, NO_CALLS)
-            return calls + sums[0] - its[0], tokens + sums[1] - its[1]
+            own = contributed.get(key, NO_CALLS)
+            return calls + sums[0] - own[0], tokens + sums[1] - own[1]
 
         return Sources(figures, self._reports.find)
 
