--- a/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
+++ b/packages/policy/src/amaranthtally/policy/fair_shares/fair_shares.py
@@ -12,12 +12,9 @@
 from amaranthtally.policy.fair_shares.fleet_division import FleetDivision
 from amaranthtally.policy.fair_shares.own_usage import DECAY_S, OwnUsage
 from amaranthtally.policy.fair_shares.peer_usage import REPORT_TTL_S, PeerUsage
-from amaranthtally.policy.fair_shares.strain import Strain
+from amaranthtally.policy.fair_shares.wait_limits import WaitLimits
 from amaranthtally.policy.model import AccountLimits
-from amaranthtally.policy.usage_messages import (
-    Resource,
-    UsageReport,
-)
+from amaranthtally.policy.usage_messages import Resource, UsageReport
 
 __all__ = ["SEND_INTERVAL_S", "FairShares", "SharesState"]
 
@@ -51,9 +48,8 @@
     """
     Divides engine time and stage time among accounts, by the work of the whole fleet.
 
-    It is in use for all requests if the entry's setting says so, else for those with a
-    pool whose endpoints report their speed. The methods without a ``Resource`` act on
-    this entry's own view, which serves all other requests; time stamps are in seconds.
+    It is in use if the entry's setting says so. The methods without a ``Resource`` act
+    on this entry's own view, which decides otherwise; time stamps are in seconds.
 
     Work is offered when a request arrives and admitted if the request is. The division
     takes the admitted work of this entry and of the reports of other entries as the
@@ -64,20 +60,19 @@
 
     def __init__(self) -> None:
         super().__init__()
-        self._is_set = False
-        self._pools: set[str] = set()
+        self._is_used = False
         self._own = OwnUsage()
         self._peers = PeerUsage()
         self._retries = EarlyRetries()
-        self._strain = Strain()
+        self._wait_limits = WaitLimits()
         self._fleet = FleetDivision(self._own, self._peers)
         self._serial = 0
         self._sent_at = -inf
 
     @property
     def is_used(self) -> bool:
-        """Whether any requests are admitted by the fleet's shares."""
-        return self._is_set or bool(self._pools)
+        """Whether requests are admitted by the fleet's shares."""
+        return self._is_used
 
     @property
     def state(self) -> SharesState:
@@ -98,30 +93,15 @@
         entries: int,
         fair_shares: bool = False,
     ) -> None:
-        """Change the limits; with ``fair_shares`` all requests are divided fairly."""
+        """Change the limits; ``fair_shares`` turns the fleet's shares on."""
         super().configure(limits, entries)
-        self._is_set = fair_shares
+        self._is_used = fair_shares
         self._fleet.configure(limits)
 
-    def pool_reports_speed(self, pool: str) -> None:
-        """Note that an endpoint of a pool reports how fast its host is now."""
-        self._pools.add(pool)
-
     def set_sampled_part(self, part: float) -> None:
         """Set which part of the other entries reports to this one, 0 to 1."""
         self._fleet.set_sampled_part(part)
 
-    def covers(self, arrival: Arrival) -> bool:
-        """Whether a request is admitted by the fleet's shares."""
-        if self._is_set:
-            return True
-        if not self._pools:
-            return False
-        if any(stage.pool in self._pools for stage in arrival.pipeline.stages):
-            return True
-        work = arrival.piece_work
-        return work is not None and any(s.pool in self._pools for s in work.stages)
-
     # Requests
 
     def offer(
@@ -169,7 +149,7 @@
         """
         self._retries.note_refused(now, arrival.account, arrival.key, retry_after_s)
         if self._fleet.is_entitled(now, arrival.account, resource):
-            self._strain.note_refused(now, resource, max_wait_s)
+            self._wait_limits.note_refused(now, resource, max_wait_s)
 
     def allowance(
         self, now: float, account: str, resource: Resource | None = None
@@ -204,11 +184,11 @@
         if max_wait_s <= 0.0 or not self._fleet.division(resource).is_short:
             return max_wait_s
         if self._fleet.is_entitled(now, account, resource):
-            self._strain.renew(now, resource, max_wait_s)
+            self._wait_limits.renew(now, resource, max_wait_s)
             return max_wait_s
         allowance = self.allowance(now, account, resource)
         limit_s = self._peers.wait_limit_s(resource)
-        limit_s = min(limit_s, self._strain.limit_s(now, resource))
+        limit_s = min(limit_s, self._wait_limits.limit_s(now, resource))
         return allowance * min(max_wait_s, limit_s)
 
     def return_times_s(
@@ -244,8 +224,6 @@
         """
         if not self.is_used or arrival.piece_work is None or not arrival.priority:
             return arrival
-        if not self.covers(arrival):
-            return arrival
         self._fleet.divide_if_due(now)
         if not self._fleet.is_starved(arrival.account, Resource.STAGES):
             return arrival
@@ -295,5 +273,5 @@
         return self._fleet.take_changes()
 
     def _reported_limit_s(self, now: float, resource: Resource) -> float:
-        limit_s = self._strain.limit_s(now, resource)
+        limit_s = self._wait_limits.limit_s(now, resource)
         return limit_s if isfinite(limit_s) else 0.0
--- a/packages/policy/src/amaranthtally/policy/piece_coordinator.py
+++ b/packages/policy/src/amaranthtally/policy/piece_coordinator.py
@@ -42,7 +42,7 @@
 # and the more of them the fuller it is.
 REPORT_TIMEOUT_S = 2.0
 
-# The serial of withdrawals whose jobs are submitted elsewhere already.
+# The serial of withdrawals of jobs that are submitted elsewhere already, or ended.
 NO_MOVE = 0
 NO_FIXED_DATA_CENTRES: Mapping[Piece, str] = {}
 
@@ -103,7 +103,8 @@
         """
         Check room and lateness for a pool's pieces, and move waiting ones, from now on.
 
-        Called for a report of an endpoint of the pool that holds its host's slowness.
+        Called once the shared view of loads covers the pool, and for a report of a
+        site's owner that names the wait for room.
         """
         self._batcher.active_pools.add(pool)
 
