An answer that is neither taken nor lost ends after two seconds; prompts of others count for engines' memory

Found in the review: an answer of an entry that cannot be decoded left its exchange of loads waiting for ever; a request that became the largest in memory before it was submitted was counted as ended and went on uncounted; nothing told the memory of engines what other entries' prompts take.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
@@ -43,6 +43,7 @@
         self._on_excess: OnExcess | None = None
         self._is_open = True
         self._is_ended = False
+        self._held_at_end = 0
 
     @property
     def is_ended(self) -> bool:
@@ -52,6 +53,9 @@
     def call_on_excess(self, on_excess: OnExcess) -> None:
         """Set what ends the request, given the bytes that it held."""
         self._on_excess = on_excess
+        # It may have become the largest before there was anything to end it with.
+        if self._is_ended:
+            self._schedule_end()
 
     def add(self, size: int) -> None:
         """Count bytes that are held from now on; may end this or another request."""
@@ -87,11 +91,14 @@
 
     def end(self) -> None:
         """End the request, once the current callback has returned."""
-        held = self._memory.budget.held(self)
+        self._held_at_end = self._memory.budget.held(self)
         self.close()
         self._is_ended = True
+        self._schedule_end()
+
+    def _schedule_end(self) -> None:
         if self._on_excess is not None:
-            asyncio.get_running_loop().call_soon(self._on_excess, held)
+            asyncio.get_running_loop().call_soon(self._on_excess, self._held_at_end)
 
 
 class EntryMemory:
--- a/packages/policy/src/amaranthtally/policy/load_view/exchange.py
+++ b/packages/policy/src/amaranthtally/policy/load_view/exchange.py
@@ -24,6 +24,10 @@
 REMOTE_INTERVAL_S = 0.25
 # Time after which an entry is called although nothing has changed, in seconds.
 RENEWAL_S = 1.0
+# How long an answer is awaited, in seconds: longer than the time-out of a call between
+# entries. One that cannot be decoded is neither an answer nor a failure, and its entry
+# would never be called again.
+LONGEST_ANSWER_S = 2.0
 # Number of entries up to which the interval holds. Beyond, it grows with its square, as
 # do the changes of all entries that a relay sends to each of its members.
 ENTRIES_AT_INTERVAL = 45
@@ -260,6 +264,9 @@
         if partner is None:
             partner = self._called[name] = Partner(Outbox(self._changes))
         silent_s = now - partner.called_at
+        if partner.awaited and silent_s >= LONGEST_ANSWER_S:
+            self.failed(now, name)
+            return None
         if partner.awaited or silent_s < interval_s:
             return None
         sources = (
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -137,6 +137,7 @@
         )
         self._coordinator.batcher.set_report_listener(self._view_feed.report_received)
         self._router.set_view(self._load_view)
+        self._engine_memory.use_view(self._prompt_tokens_of_others)
         self._dispatcher = Dispatcher(
             settings,
             self._times,
@@ -549,6 +550,11 @@
         load = self._loads.find(endpoint)
         return 1.0 if load is None else load.slowness(now)
 
+    def _prompt_tokens_of_others(self, now: float, endpoint: str) -> float:
+        """Return the tokens that other entries' prompts are known to add there."""
+        figures = self._load_view.find(now, endpoint)
+        return figures.weight * figures.prefill_tokens if figures is not None else 0.0
+
     def _without_closed(self, settings: PolicySettings) -> PolicySettings:
         """Return settings in which evacuated and leaving endpoints take no calls."""
         endpoints = mark_evacuated(settings.endpoints, settings.evacuated)
--- a/tests/policy/test_load_view.py
+++ b/tests/policy/test_load_view.py
@@ -29,6 +29,18 @@
 }
 
 
+def test_an_entry_whose_answer_is_neither_taken_nor_lost_is_called_again():
+    """Guards against an undecodable answer that ends the exchange with its sender."""
+    fleet = Fleet(2, 6)
+    fleet.run(2.0)
+    sent = []
+    for name, view in fleet.views.items():
+        for step in range(80):
+            sent += [(name, a) for a in view.tick(10.0 + 0.1 * step)]
+    calls = [name for name, _ in sent]
+    assert max(calls.count(name) for name in fleet.views) >= 2
+
+
 def test_nothing_is_sent_where_no_endpoint_reports_a_slowness():
     """Guards against traffic in deployments that do not need the view."""
     fleet = Fleet(SMALL, 6, active=False)
