--- a/tests/policy/test_load_view.py
+++ b/tests/policy/test_load_view.py
@@ -13,20 +13,11 @@
 from amaranthtally.policy.pool_sites import Peer
 from bench.load_fleet import POOL, Fleet, engine, report
 from tests.policy.support import LOCAL_REGION, PlannerDriver, one_stage, planner
-from tests.policy.test_packages import POLICY, imports_of
+from tests.policy.test_packages import BELOW, POLICY, imports_of
 
 # Entries of the smallest fleet with two groups in a region, and of a small one.
 LARGE = 68
 SMALL = 9
-BELOW_LOAD_VIEW = {
-    "actions",
-    "events",
-    "load_messages",
-    "model",
-    "peer_group",
-    "pool_sites",
-    "rendezvous",
-}
 
 
 def test_an_entry_whose_answer_is_neither_taken_nor_lost_is_called_again():
@@ -259,7 +250,7 @@
         imports = imports_of(path)
         if path.parent.name == "load_view":
             outer = {i for i in imports if not i.startswith("load_view")}
-            assert outer <= BELOW_LOAD_VIEW, path.name
+            assert outer <= BELOW["load_view"], path.name
         else:
             assert not [i for i in imports if i.startswith("load_view.")], path.name
 
