--- a/tests/policy/test_share_admission.py
+++ b/tests/policy/test_share_admission.py
@@ -13,6 +13,7 @@
     RequestOutcome,
     RunPieces,
 )
+from bench.load_fleet import report
 from tests.policy.pieces import (
     CATALOGUE,
     CLUJ,
@@ -119,6 +120,18 @@
     assert (outcomes[0] == outcomes[1]) is not is_on
 
 
+@pytest.mark.parametrize("is_on", [False, True])
+def test_reports_of_speed_do_not_turn_shares_on(is_on):
+    """Guards against shares at some entries only, by what their endpoints report."""
+    listed = endpoints("engine", 1)
+    planner = Planner(settings(listed, fair_shares=is_on), Random(1))
+    for name in listed:
+        planner.load_report(0.1, name, report(slowness=2.0))
+    planner.tick(0.2)
+    assert planner.load_view.active_pools == {"engine"}
+    assert planner.shares.is_used is is_on
+
+
 def test_a_flood_at_engines_is_refused_within_its_share():
     """Guards against engine time that a flood takes from accounts with few requests."""
     driver = PlannerDriver(
