--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -13,7 +13,7 @@
 from amaranthtally.policy.request_ledger import RequestLedger
 from amaranthtally.policy.requests import LiveAttempt, Request
 from amaranthtally.policy.result_memory import EngineMemory
-from amaranthtally.policy.routing import Router
+from amaranthtally.policy.routing import NO_ENDPOINTS, Router
 from amaranthtally.policy.scoring import Choice, RouteRequest
 from amaranthtally.policy.sending import Obstacle, SendGate
 from amaranthtally.policy.stage_times import StageStats, StageTimes
@@ -136,10 +136,12 @@
     def full(self, now: float, request: Request) -> frozenset[str]:
         """Return the endpoints whose memory has no room for a request."""
         pool = request.current_stage.pool
-        full = self._memory.full(now, pool, request.sent_bytes)
-        if not self._engine_memory.covers(pool):
-            return full
-        return full | self._engine_memory.full(now, pool, request.segments)
+        full = NO_ENDPOINTS
+        if self._memory.covers(pool):
+            full = self._memory.full(now, pool, request.sent_bytes)
+        if self._engine_memory.covers(pool):
+            full |= self._engine_memory.full(now, pool, request.segments)
+        return full
 
     def hedge(self, now: float, request: Request, slow: AttemptId) -> list[Action]:
         """
--- a/packages/policy/src/amaranthtally/policy/memory_budget/endpoint_memory.py
+++ b/packages/policy/src/amaranthtally/policy/memory_budget/endpoint_memory.py
@@ -126,6 +126,10 @@
         """Return the bytes that an endpoint holds for this entry."""
         return self._held.get(endpoint, 0)
 
+    def covers(self, pool: str) -> bool:
+        """Whether a bound has been learned for a pool; it may have ended."""
+        return pool in self._learned
+
     def full(self, now: float, pool: str, body_bytes: float) -> frozenset[str]:
         """
         Return the endpoints that must not be sent a request of this size now.
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -253,7 +253,8 @@
             return [unplaced]
         for stage in arrival.pipeline.stages:
             self._membership.prepare(now, stage)
-        arrival = self._accounts.prioritized(now, arrival)
+        if self._settings.fair_shares:
+            arrival = self._accounts.prioritized(now, arrival)
         decision = self._admission.decide(now, arrival)
         if decision.reason is None and arrival.piece_work is not None:
             decision = self._inputs.decide(now, arrival, arrival.piece_work, regions)
