--- a/packages/policy/src/amaranthtally/policy/dispatch.py
+++ b/packages/policy/src/amaranthtally/policy/dispatch.py
@@ -106,9 +106,8 @@
         return self.send_waiting(now, request)
 
     def is_memory_full(self, now: float, request: Request) -> bool:
-        """Whether an engine of the pool lacks memory for the prompt of a request."""
-        pool = request.current_stage.pool
-        return bool(self._engine_memory.full(now, pool, request.segments))
+        """Whether some endpoints lack only memory for a request."""
+        return bool(self.full(now, request))
 
     def send_waiting(self, now: float, request: Request) -> list[Action]:
         """Send the first attempt of a stage that has waited for a permit."""
--- a/packages/policy/src/amaranthtally/policy/memory_budget/endpoint_memory.py
+++ b/packages/policy/src/amaranthtally/policy/memory_budget/endpoint_memory.py
@@ -107,6 +107,7 @@
 
     def __init__(self) -> None:
         self._held: dict[str, int] = {}
+        self._pool_of: dict[str, str] = {}
         self._losses: dict[str, _Loss] = {}
         self._pools: dict[str, _Pool] = {}
         # Pools that have had a bound, so that others cost only a lookup.
@@ -140,7 +141,11 @@
         if bound is None:
             return NO_ENDPOINTS
         room = bound - body_bytes - HEAD_BYTES
-        return frozenset(name for name, held in self._held.items() if held > room)
+        return frozenset(
+            name
+            for name, held in self._held.items()
+            if held > room and self._pool_of[name] == pool
+        )
 
     def sent(
         self, endpoint: str, pool: str, incarnation: int, body_bytes: float
@@ -148,6 +153,7 @@
         """Note a request that is sent; return what to pass when it ends."""
         size = int(body_bytes) + HEAD_BYTES
         self._held[endpoint] = self._held.get(endpoint, 0) + size
+        self._pool_of[endpoint] = pool
         return HeldRequest(endpoint, pool, incarnation, size)
 
     def ended(self, request: HeldRequest) -> None:
@@ -158,6 +164,7 @@
             self._held[name] = left
         else:
             self._held.pop(name, None)
+            self._pool_of.pop(name, None)
 
     def finished(self, now: float, request: HeldRequest) -> None:
         """Note that an endpoint finished a request that has just ended."""
--- a/packages/policy/src/amaranthtally/policy/planner.py
+++ b/packages/policy/src/amaranthtally/policy/planner.py
@@ -512,8 +512,6 @@
         if self._prompt_checks.is_blocked(request):
             return self._prompt_checks.refuse(now, request)
         actions = self._dispatcher.send_first(now, request)
-        if not actions and self._dispatcher.full(now, request):
-            return self._refusals.refuse(now, request, RefusalReason.OVERLOAD)
         return actions or self._permit_waits.add(now, request)
 
     def _attempt_finished(
--- a/tests/policy/test_endpoint_memory.py
+++ b/tests/policy/test_endpoint_memory.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from amaranthtally.policy import AttemptOutcome, Endpoint, Planner, RefusalReason
+from amaranthtally.policy.memory_budget import build_endpoint_memory
 from tests.policy.support import (
     PlannerDriver,
     endpoints,
@@ -115,3 +116,23 @@
     play(driven, 20, size=7)
     play(driven, 5, size=9, room=ROOM)
     assert not any(driven.planner.endpoint_memory.held(f"engine-{n}") for n in (0, 1))
+
+
+def test_the_bound_of_one_pool_leaves_out_no_endpoint_of_another():
+    """Guards against requests that are refused for what another pool holds."""
+    memory = build_endpoint_memory()
+    for number in range(60):
+        held = memory.sent("a-0", "a", 1, BODY)
+        memory.ended(held)
+        memory.finished(float(number), held)
+    for now in (80.0, 90.0):
+        sent = [memory.sent("a-0", "a", 1, BODY) for _ in range(9)]
+        for held in sent:
+            memory.ended(held)
+            memory.lost(now, held)
+        memory.endpoint_closed(now, "a-0")
+    for _ in range(20):
+        memory.sent("b-0", "b", 1, BODY)
+        memory.sent("a-0", "a", 9, BODY)
+    assert memory.bound(100.0, "a") is not None
+    assert memory.full(100.0, "a", BODY) == {"a-0"}
--- a/tests/unit/test_older_gateways.py
+++ b/tests/unit/test_older_gateways.py
@@ -30,8 +30,9 @@
             pass
 
     async def accept(stream):
-        connections.append(stream)
-        await capnp.TwoPartyServer(stream, bootstrap=Server()).on_disconnect()
+        server = capnp.TwoPartyServer(stream, bootstrap=Server())
+        connections.append(server)
+        await server.on_disconnect()
 
     async def check():
         async with capnp.kj_loop():
--- a/tests/unit/test_usage_exchange.py
+++ b/tests/unit/test_usage_exchange.py
@@ -68,9 +68,8 @@
 
     async def check():
         async def accept(stream):
-            await capnp.TwoPartyServer(
-                stream, bootstrap=older_gateway(tmp_path)
-            ).on_disconnect()
+            server = capnp.TwoPartyServer(stream, bootstrap=older_gateway(tmp_path))
+            await server.on_disconnect()
 
         async with capnp.kj_loop():
             server = await capnp.AsyncIoStream.create_server(accept, "127.0.0.1", 0)
