--- a/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/routing_state.py
@@ -125,6 +125,7 @@
             ),
             entry=process.name,
             fair_shares=process.fair_shares,
+            shared_loads=process.shared_loads,
         )
         return gateway_settings(settings)
 
--- a/packages/policy/src/amaranthtally/policy/load_view_feed.py
+++ b/packages/policy/src/amaranthtally/policy/load_view_feed.py
@@ -27,11 +27,13 @@
         self._loads = loads
         self._on_pool_active = on_pool_active
         self._pools: frozenset[str] = frozenset()
+        self._is_on = True
         self._endpoints: Mapping[str, Endpoint] = {}
 
     def configure(self, settings: PolicySettings) -> None:
         """Apply new settings."""
         self._endpoints = settings.endpoints
+        self._is_on = settings.shared_loads
         self._view.configure(settings.entry, settings.data_centre)
         self._view.endpoints_changed(settings.endpoints)
 
@@ -42,7 +44,9 @@
     def report_received(self, now: float, endpoint: str, report: LoadReport) -> None:
         """Handle a load report; one without a slowness is of no use to the view."""
         registered = self._endpoints.get(endpoint)
-        if report.host_slowness is not None and registered is not None:
+        if not self._is_on or report.host_slowness is None:
+            return
+        if registered is not None:
             self._view.report_received(now, registered, report)
 
     def tick(self, now: float) -> list[Action]:
--- a/packages/policy/src/amaranthtally/policy/model.py
+++ b/packages/policy/src/amaranthtally/policy/model.py
@@ -168,7 +168,8 @@
     not run. Headroom is a share of the deadline. ``pools`` holds the pools whose limits
     are configured, ``homes`` the regions to which requests are confined, ``evacuated``
     the data centres to whose endpoints nothing is sent. With ``fair_shares`` capacity
-    is divided among accounts by the work of the whole fleet.
+    is divided among accounts by the work of the whole fleet. Without ``shared_loads``
+    entries tell each other nothing of endpoints, whatever these report.
     """
 
     revision: int
@@ -190,3 +191,4 @@
     homes: HomeRegions = NO_HOMES
     evacuated: frozenset[str] = frozenset()
     fair_shares: bool = False
+    shared_loads: bool = True
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -71,8 +71,9 @@
     which one that starts asks if the store does not answer; some may be out of date.
     With ``fair_shares`` the fleet's capacity is divided fairly among accounts under
     overload; without, each gateway goes by the engine work that it was offered itself.
-    ``memory_mb`` is the memory that the process may use, in megabytes; with 0 there is
-    no limit on what it holds for callers.
+    Without ``shared_loads`` gateways do not share the loads of endpoints that report
+    their speed. ``memory_mb`` is the memory that the process may use, in megabytes;
+    with 0 there is no limit on what it holds for callers.
     """
 
     name: Name
@@ -91,6 +92,7 @@
     memory_mb: Annotated[float, Meta(ge=0)] = 0.0
     metrics_address: OptionalAddress = ""
     fair_shares: bool = False
+    shared_loads: bool = True
     log_level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
 
 
--- a/tests/policy/test_load_view.py
+++ b/tests/policy/test_load_view.py
@@ -285,3 +285,11 @@
     (send,) = driver.live.values()
     driver.reply(2.1, send)
     assert run(3.0) == 0.0
+
+
+def test_without_the_setting_reports_share_nothing():
+    """Guards against an exchange of loads that an operator has switched off."""
+    driven = planner({"e0": engine("e0", LOCAL_REGION)}, shared_loads=False)
+    driven.load_report(1.0, "e0", report())
+    driven.tick(1.1)
+    assert not driven.load_view.active_pools
