Log which response an attempt's outcome rests on, and over which connection

Cause: attempt_ended fate=not_run named a status only.

Change: attempt_ended (not_run, unsigned, mismatched, failed, lost) and pieces_ended name status, response_id, not_executed, signed, connection_ms and connection_calls. Connections note their age, calls and last call. No logic changed.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -13,6 +13,7 @@
 from amaranthtally.adapter.callers import request_headers
 from amaranthtally.adapter.messages import EndpointLoad, ResponseHead, SystemHeaders
 from amaranthtally.adapter.responses import read_response_head
+from amaranthtally.daemon.gateway.call_logs import response_fields, trace_fields
 from amaranthtally.daemon.gateway.event_buffer import EventBuffer
 from amaranthtally.daemon.gateway.live_call import (
     CompleteResponse,
@@ -21,6 +22,7 @@
 )
 from amaranthtally.daemon.logs import format_parts, get_logger
 from amaranthtally.platform import (
+    CallTrace,
     ResponseLimitError,
     bounded_connector,
     response_bounds,
@@ -152,7 +154,7 @@
         try:
             return await self._exchange(call, send, endpoint, inputs, exchange)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            self._log(send, endpoint, "unreachable", repr(error), started)
+            self._log(send, endpoint, "unreachable", repr(error), exchange)
             return AttemptResult(AttemptOutcome.NOT_RUN, unreachable=True)
         except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             fate = "lost"
@@ -163,7 +165,7 @@
                 "prompt": format_parts(call.caller.shared_parts),
                 "content": str(call.arrival.key or ""),
             }
-            self._log(send, endpoint, fate, repr(error), started, **details)
+            self._log(send, endpoint, fate, repr(error), exchange, **details)
             return _unknown_outcome(
                 call,
                 connection_lost=_is_connection_lost(error),
@@ -192,7 +194,7 @@
         )
         is_stream = call.route.kind is CallKind.STREAMING
         kind = ResponseKind.STREAM if is_stream else ResponseKind.REQUEST
-        with response_bounds(self._limits.of(kind)):
+        with response_bounds(self._limits.of(kind), call.id) as exchange.trace:
             response = await self._session.request(
                 call.method,
                 URL(f"http://{endpoint.address}{call.target}", encoded=True),
@@ -204,7 +206,8 @@
         async with response:
             exchange.begun = True
             response_head = read_response_head(response.status, response.headers)
-            rejected = self._rejection(call, send, endpoint, response_head, started)
+            exchange.head = response_head
+            rejected = self._rejection(call, send, endpoint, response_head, exchange)
             if rejected is not None:
                 if rejected.outcome is not AttemptOutcome.NOT_RUN:
                     response.close()
@@ -214,6 +217,9 @@
                 return await self._relay_stream(
                     call, send, origin, response_head, response, started
                 )
+            if response_head.status >= FIRST_SERVER_ERROR:
+                cause = str(response_head.status)
+                self._log(send, endpoint, "failed", cause, exchange)
             return await self._read_response(
                 call, send, response_head, response, started
             )
@@ -224,16 +230,16 @@
         send: Send,
         endpoint: Endpoint,
         response_head: ResponseHead,
-        started: float,
+        exchange: "_Exchange",
     ) -> AttemptResult | None:
         """Return the result if the response cannot be used, or else ``None``."""
         # An endpoint that answers twice or too late leaves a response on a kept-alive
         # connection, where it would be read as the response to the next request. Such a
         # response has the id of another request.
         if response_head.request_id and response_head.request_id != call.id:
-            self._log(send, endpoint, "mismatched", response_head.request_id, started)
+            self._log(send, endpoint, "mismatched", response_head.request_id, exchange)
             return _unknown_outcome(call)
-        self._on_head(endpoint, response_head, started)
+        self._on_head(endpoint, response_head, exchange.started)
         if response_head.load is not None:
             self._listener.load_reported(endpoint.id, response_head.load, awaited=True)
         if response_head.not_run:
@@ -242,7 +248,7 @@
                 endpoint,
                 "not_run",
                 str(response_head.status),
-                started,
+                exchange,
                 retry_after_s=str(response_head.retry_after_s or ""),
             )
             return AttemptResult(
@@ -251,7 +257,7 @@
                 inputs_missing=response_head.status == HTTP_CONFLICT,
             )
         if not response_head.signature:
-            self._log(send, endpoint, "unsigned", str(response_head.status), started)
+            self._log(send, endpoint, "unsigned", str(response_head.status), exchange)
             return _unknown_outcome(call)
         return None
 
@@ -322,9 +328,10 @@
         endpoint: Endpoint,
         outcome: str,
         cause: str,
-        started: float,
+        exchange: "_Exchange",
         **details: str,
     ) -> None:
+        response = response_fields(exchange.head) if exchange.head else {}
         log.info(
             "attempt_ended",
             request_id=send.attempt.request_id,
@@ -333,17 +340,21 @@
             address=endpoint.address,
             fate=outcome,
             cause=cause,
-            ms=round((self._loop.time() - started) * 1000),
+            ms=round((self._loop.time() - exchange.started) * 1000),
+            **response,
+            **trace_fields(exchange.trace),
             **details,
         )
 
 
 @dataclass(slots=True)
 class _Exchange:
-    """When an attempt was sent, and whether the endpoint has begun to answer."""
+    """When an attempt was sent, over which connection, and what was answered."""
 
     started: float
     begun: bool = False
+    trace: CallTrace | None = None
+    head: ResponseHead | None = None
 
 
 class _ResetDetector:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -9,6 +9,11 @@
 
 from amaranthtally.adapter import headers as names, pieces
 from amaranthtally.adapter.responses import read_response_head
+from amaranthtally.daemon.gateway.call_logs import (
+    LogFields,
+    response_fields,
+    trace_fields,
+)
 from amaranthtally.daemon.gateway.endpoint_calls import OnHead
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.logs import get_logger
@@ -128,7 +133,7 @@
         self, action: RunPieces, endpoint: Endpoint, started: float
     ) -> PiecesEnded:
         url = f"http://{endpoint.address}{pieces.RUN_PATH}"
-        with response_bounds(self._limits.of(ResponseKind.PIECES)):
+        with response_bounds(self._limits.of(ResponseKind.PIECES)) as trace:
             response = await self._session.post(
                 url,
                 data=pieces.write_pieces(action.pieces, started),
@@ -154,6 +159,7 @@
                 str(response_head.status),
                 started,
                 response_head.retry_after_s,
+                response_fields(response_head) | trace_fields(trace),
             )
             return PiecesEnded(
                 refused=response_head.not_run,
@@ -178,6 +184,7 @@
         cause: str,
         started: float,
         retry_after_s: float = 0.0,
+        response: LogFields | None = None,
     ) -> None:
         duration_s = self._loop.time() - started
         details = action.details
@@ -201,4 +208,5 @@
             cause=cause,
             retry_after_s=retry_after_s or "",
             ms=round(duration_s * MS_PER_S),
+            **(response or {}),
         )
--- a/packages/platform/src/amaranthtally/platform/__init__.py
+++ b/packages/platform/src/amaranthtally/platform/__init__.py
@@ -1,6 +1,8 @@
 """Clients of the platform: key-value service, store, leases and list of hosts."""
 
 from amaranthtally.platform.bounded_responses import (
+    CallTrace,
+    ConnectionUse,
     ResponseLimitError,
     bounded_connector,
     response_bounds,
@@ -24,6 +26,8 @@
 
 __all__ = [
     "CALLER_HEADER",
+    "CallTrace",
+    "ConnectionUse",
     "KeyValueEntry",
     "VersionedValue",
     "HostList",
--- a/packages/platform/src/amaranthtally/platform/bounded_responses.py
+++ b/packages/platform/src/amaranthtally/platform/bounded_responses.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from contextvars import ContextVar
+from dataclasses import dataclass
 from functools import partial
 from typing import Any
 
@@ -12,7 +13,13 @@
 
 from amaranthtally.policy import ResponseLimit
 
-__all__ = ["ResponseLimitError", "bounded_connector", "response_bounds"]
+__all__ = [
+    "CallTrace",
+    "ConnectionUse",
+    "ResponseLimitError",
+    "bounded_connector",
+    "response_bounds",
+]
 
 FIRST_FINAL_STATUS = 200
 
@@ -21,19 +28,53 @@
     """A response has exceeded one of its bounds; its connection is closed."""
 
 
-_limit_of_call: ContextVar[ResponseLimit | None] = ContextVar(
-    "_limit_of_call", default=None
+@dataclass(frozen=True, slots=True)
+class ConnectionUse:
+    """
+    What a connection had been used for when a call was sent over it.
+
+    ``age_s`` is the time since it was opened, in seconds, and ``calls`` the number of
+    earlier calls on it. ``previous_call`` is the name of the last one, empty if there
+    is none or it had no name.
+    """
+
+    age_s: float = 0.0
+    calls: int = 0
+    previous_call: str = ""
+
+
+@dataclass(slots=True)
+class CallTrace:
+    """
+    The bounds of a call's response, and the connection that the call was sent over.
+
+    ``connection`` is ``None`` until the call has a connection; nothing of the call has
+    been sent before that.
+    """
+
+    limit: ResponseLimit
+    call: str = ""
+    connection: ConnectionUse | None = None
+
+
+_current_trace: ContextVar[CallTrace | None] = ContextVar(
+    "_current_trace", default=None
 )
 
 
 @contextmanager
-def response_bounds(limit: ResponseLimit) -> Iterator[None]:
-    """Bound the responses to the calls that this task begins within the context."""
-    token = _limit_of_call.set(limit)
+def response_bounds(limit: ResponseLimit, call: str = "") -> Iterator[CallTrace]:
+    """
+    Bound the responses to the calls that this task begins within the context.
+
+    ``call`` names them. The trace shows the connection of the last one that was sent.
+    """
+    trace = CallTrace(limit, call)
+    token = _current_trace.set(trace)
     try:
-        yield
+        yield trace
     finally:
-        _limit_of_call.reset(token)
+        _current_trace.reset(token)
 
 
 def bounded_connector(**options: Any) -> aiohttp.TCPConnector:
@@ -56,6 +97,9 @@
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._limit: ResponseLimit | None = None
+        self._opened_at = loop.time()
+        self._calls = 0
+        self._previous_call = ""
         self._limit_error: ResponseLimitError | None = None
         self._awaits_head = False
         self._received = 0
@@ -65,7 +109,9 @@
     def set_response_params(self, **params: Any) -> None:
         """Begin to read the response to a request that is about to be sent."""
         self._stop_stall_check()
-        self._limit = _limit_of_call.get()
+        trace = _current_trace.get()
+        self._limit = trace.limit if trace is not None else None
+        self._note_use(trace)
         self._awaits_head = True
         self._received = 0
         if self._limit is not None:
@@ -115,6 +161,13 @@
         self._stop_stall_check()
         super().connection_lost(exc)
 
+    def _note_use(self, trace: CallTrace | None) -> None:
+        if trace is not None:
+            age_s = self._loop.time() - self._opened_at
+            trace.connection = ConnectionUse(age_s, self._calls, self._previous_call)
+        self._calls += 1
+        self._previous_call = trace.call if trace is not None else ""
+
     def _is_complete(self) -> bool:
         if self._awaits_head:
             return False
