Pieces get no results of an earlier call on their connection

Change: the response to a call without an id counts only if the call is the first on its connection, so each call with pieces opens one. Frees, whose answers decide nothing, use these connections again; requests have others. A handle that an endpoint names for a second piece is no result of that piece.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
@@ -95,7 +95,8 @@
         needs_new_connection: bool = False,
         is_answer_needed: bool = True,
     ) -> None:
-        self._trace = CallTrace(limit, call, needs_new_connection)
+        is_alone = needs_new_connection or (not call and is_answer_needed)
+        self._trace = CallTrace(limit, call, needs_new_connection=is_alone)
         self._head: ResponseHead | None = None
         self._time = asyncio.get_running_loop().time
         self._started = self._time()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -138,6 +138,10 @@
             ),
         )
         async with response:
+            if not exchange.is_own:
+                response.close()
+                self._log(action, endpoint, "mismatched", head.request_id, exchange)
+                return FAILED
             body = await response.read()
         self._on_head(endpoint, head, exchange.started)
         load = head.load
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -9,6 +9,8 @@
 
 __all__ = ["PieceServer", "PieceServers", "StoredRecord", "speed_weight"]
 
+# How long handles of results without a time to live are known, in seconds.
+NAMED_S = 10.0
 # How many calls are sent to one endpoint at once. It runs one call at a time, so the
 # pieces that become due meanwhile wait here, where they can share the next call.
 CALLS_AT_ONCE = 1
@@ -91,6 +93,7 @@
     busy_until: float = 0.0
     calls: dict[int, _Call] = field(default_factory=dict)
     stored: dict[str, StoredRecord] = field(default_factory=dict)
+    named: dict[str, float] = field(default_factory=dict)
     foreign_calls: int = 0
     load_reported_at: float = 0.0
     paused_until: float = 0.0
@@ -239,6 +242,21 @@
         expires_at = now + (self.limits.result_ttl_s or float("inf"))
         self.stored[handle] = StoredRecord(size_bytes, now, expires_at)
 
+    def names_anew(self, now: float, handle: str) -> bool:
+        """
+        Note that the endpoint names a result by a handle; false if it has done before.
+
+        Freed results count too, for as long as the endpoint may keep them.
+        """
+        oldest = next(iter(self.named), None)
+        while oldest is not None and self.named[oldest] <= now:
+            del self.named[oldest]
+            oldest = next(iter(self.named), None)
+        if handle in self.named:
+            return False
+        self.named[handle] = now + (self.limits.result_ttl_s or NAMED_S)
+        return True
+
     def note_freed(self, now: float, handle: str) -> float:
         """Record that a result is deleted; return how many seconds it was stored."""
         stored = self.stored.pop(handle, None)
--- a/tests/policy/test_batcher.py
+++ b/tests/policy/test_batcher.py
@@ -423,3 +423,14 @@
         server.note_ended(now, call, True)
         server.note_load(now, 0, 0, 0.05)
     assert server.slowness(now) >= 3.0
+
+
+def test_a_handle_is_the_result_of_one_piece_only(batcher):
+    """Guards against a request that is computed from another request's result."""
+    (first,) = send(batcher, NOW, job("a"))
+    outcomes = completed(first)
+    batcher.call_ended(NOW + 0.3, first.call, outcomes)
+    (second,) = send(batcher, NOW + 0.4, job("b"))
+    effects = batcher.call_ended(NOW + 0.7, second.call, outcomes)
+    report = reports_by_request(effects)["b"]
+    assert (report.handle, report.fault) == ("", PieceFault.FAILED)
