Origins of streams outlive all gateways while several versions serve

All were refused as unknown.

Cause: where a stream began was held by gateways and copies at other gateways only; the store has a pool's versions, which decide nothing once there are two.

Change: while a pool has had several versions, gateways write the origins of their streams to the store, in items of 4 s under a lease, each 0.25 s (up to six gateways each its own; in larger fleets one of each data centre, at most 24 writes a second in all). All gateways read the items with the other records. Nothing is guessed: what is not known is refused as before.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -19,6 +19,10 @@
     PeerRecordTracker,
     Registration,
 )
+from amaranthtally.daemon.gateway.origin_recorder import (
+    ORIGINS_PREFIX,
+    OriginRecorder,
+)
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.prefix_listener import (
     PrefixDispatcher,
@@ -103,6 +107,15 @@
             lambda: connections.is_answered,
             lambda item: self._replica.note_written(item),
         )
+        self._origin_recorder = OriginRecorder(
+            settings.name,
+            settings.data_centre,
+            client,
+            origins.entries,
+            origins.copies_received,
+            lambda: self.versions.has_several,
+            lambda: self.store.is_connected,
+        )
         peer_records = PeerRecordTracker(settings.name, peers, on_peers)
         self._replica = self._new_replica(peer_records)
         self.documents = HeldDocuments(
@@ -160,6 +173,7 @@
             self._greeter.run(),
             self._seed_reader.run(),
             self.versions.run(),
+            self._origin_recorder.run(),
         ]
 
     def entries_changed(self) -> None:
@@ -172,6 +186,7 @@
             self._settings.name, self._settings.data_centre, data_centres
         )
         self._origins.entries_changed(data_centres)
+        self._origin_recorder.entries_changed(data_centres)
         self.versions.entries_changed(data_centres)
         self.store.entries_changed()
 
@@ -201,6 +216,7 @@
             SERVERS_PREFIX: self._records,
             ENTRIES_PREFIX: peer_records,
             VERSIONS_PREFIX: self.versions,
+            ORIGINS_PREFIX: self._origin_recorder,
         }
         return StoreReplica(PrefixDispatcher(listeners), lambda: self._pusher.wake())
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/stream_origin_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/stream_origin_tracker.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 from typing import Any
 
+from amaranthtally.daemon.gateway.origin_recorder import writer_of
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -21,6 +22,8 @@
 # How long copies wait for others to the same peer, in seconds. A gateway that is killed
 # loses what it has not yet copied.
 BATCH_INTERVAL_S = 0.2
+# The same to the gateway that records for all of its data centre, in seconds.
+RECORDER_INTERVAL_S = 1.0
 # Most entries in one call. With names of usual length, a call takes about 20 KB.
 MAX_BATCH = 256
 # Pause before copies are sent again to a holder that did not answer, in seconds.
@@ -47,8 +50,8 @@
     Holds the origins of this gateway's streams, and copies of other gateways'.
 
     Callers may take a stream up at any gateway, most often as the one that began it has
-    failed. Each origin is therefore copied to two others, which pass all that they hold
-    on when they leave.
+    failed. Each origin is therefore copied to two others, and to the one that records
+    those of the data centre. All pass on what they hold when they leave.
     """
 
     def __init__(
@@ -65,6 +68,9 @@
         self._origins = StreamOrigins()
         self._data_centres: Mapping[str, str] = {}
         self._holders: tuple[str, ...] = ()
+        self._recorder = ""
+        # When the origins that this gateway noted itself expire.
+        self._own: dict[str, float] = {}
         self._queues: dict[str, dict[str, OriginEntry]] = {}
         self._sending: set[str] = set()
         self._searches = 0
@@ -79,19 +85,37 @@
         """Hold the origin of a stream until a time stamp, here and at the holders."""
         entry = OriginEntry(request_id, origin, expires_at)
         self._origins.put(self._time(), entry)
+        self._note_own(entry)
         self._copy([entry], self._holders)
 
+    def _note_own(self, entry: OriginEntry) -> None:
+        now = self._time()
+        self._own[entry.request_id] = entry.expires_at
+        while (oldest := next(iter(self._own), "")) and self._own[oldest] <= now:
+            del self._own[oldest]
+
     def copies_received(self, entries: Iterable[OriginEntry]) -> None:
         """Hold copies that a peer has sent."""
         now = self._time()
         for entry in entries:
             self._origins.put(now, entry)
 
+    def entries(self, own_only: bool) -> tuple[OriginEntry, ...]:
+        """Return what is held, or only what this gateway has noted itself."""
+        entries = self._origins.entries(self._time())
+        if not own_only:
+            return entries
+        return tuple(entry for entry in entries if entry.request_id in self._own)
+
     def entries_changed(self, data_centres: Mapping[str, str]) -> None:
         """Copy to new holders after a change of the set of the other live gateways."""
         self._data_centres = data_centres
         before = self._holders
-        self._holders = replica_holders(self._name, self._data_centre, data_centres)
+        holders = replica_holders(self._name, self._data_centre, data_centres)
+        recorder = writer_of(self._name, self._data_centre, data_centres)
+        self._recorder = "" if recorder in (self._name, *holders) else recorder
+        recorders = (self._recorder,) if self._recorder else ()
+        self._holders = (*holders, *recorders)
         self._copy_all([name for name in self._holders if name not in before])
 
     def leave(self) -> None:
@@ -166,14 +190,14 @@
 
     async def _send_queue(self, peer: str) -> None:
         try:
-            pause_s = BATCH_INTERVAL_S
+            pause_s = interval_s = self._interval_s(peer)
             while peer in self._queues:
                 await asyncio.sleep(pause_s)
                 entries = tuple(self._queues.pop(peer).values())
                 if peer not in self._holders:
                     return
                 is_sent = await self._send(peer, entries)
-                pause_s = BATCH_INTERVAL_S if is_sent else RETRY_DELAY_S
+                pause_s = interval_s if is_sent else RETRY_DELAY_S
                 if not is_sent:
                     # It may have restarted, and then holds nothing of what it was sent.
                     held = self._origins.entries(self._time())
@@ -181,6 +205,9 @@
         finally:
             self._sending.discard(peer)
 
+    def _interval_s(self, peer: str) -> float:
+        return RECORDER_INTERVAL_S if peer == self._recorder else BATCH_INTERVAL_S
+
     async def _send(self, peer: str, entries: Sequence[OriginEntry]) -> bool:
         try:
             for first in range(0, len(entries), MAX_BATCH):
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -76,6 +76,12 @@
         self._observe()
         return self._history.sole_version(pool)
 
+    @property
+    def has_several(self) -> bool:
+        """Whether a pool has had several versions lately."""
+        self._observe()
+        return self._history.has_several(self._pools())
+
     def is_served(self, pool: str, version: str) -> bool:
         """Whether an endpoint of a pool has this version and takes calls."""
         return any(
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -16,6 +16,7 @@
 from tests.soak.faults import FAULTS, ask_backoff, name_limit, roll_in_outage
 from tests.soak.places import play_places
 from tests.soak.soak_run import DEFAULT_GATEWAYS, open_soak
+from tests.soak.strays import send_strays
 
 CONCURRENCY = 12
 # Faults of a whole process. A gateway has at most one of them at a time, since most of
@@ -43,6 +44,7 @@
     limits=0,
     backoffs=0,
     places=False,
+    strays=False,
 ):
     """
     Run one seed; return the violations and the number of responses by status.
@@ -52,6 +54,7 @@
     So have ``limits``, the number of endpoints that name a rate limit meanwhile, and
     ``backoffs``, the number of those that ask for a backoff. With ``places`` data
     centres are evacuated in series, engines turn cold, and a route has a home region.
+    With ``strays`` endpoints send responses that belong to no call.
     """
     random = Random(seed)
     async with open_soak(folder, gateways) as run:
@@ -68,6 +71,8 @@
         end_at = time.monotonic() + seconds
         own = Random(seed + 3)
         placing = [play_places(run, own, end_at)] if places else []
+        if strays:
+            placing.append(send_strays(run, Random(seed + 4), end_at))
         placing = [asyncio.create_task(work) for work in placing]
         await _inject_faults(run, random, loop.time() + seconds)
         await asyncio.gather(rolling, *limiting, *backing_off, *placing)
@@ -202,6 +207,11 @@
         action="store_true",
         help="evacuate data centres, cool engines down, and confine a route",
     )
+    parser.add_argument(
+        "--strays",
+        action="store_true",
+        help="let endpoints send responses that belong to no call",
+    )
     arguments = parser.parse_args()
     has_violations = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
@@ -215,6 +225,7 @@
                 arguments.limits,
                 arguments.backoffs,
                 arguments.places,
+                arguments.strays,
             )
             violations, statuses = asyncio.run(coroutine)
         has_violations |= bool(violations)
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -56,6 +56,7 @@
         self.faults_left = 0
         self.rate = None
         self.backoff_s = 0.0
+        self.strays = None
         self.arrivals = []
         # Times and ids of requests, and of those that were turned away for a backoff.
         self.received = []
@@ -72,6 +73,8 @@
             self.turned_away.append((time.monotonic(), request.id))
             return [_asks_backoff(request, self.backoff_s)]
         steps = self._steps(request)
+        if self.strays is not None:
+            steps = self.strays.add(request, steps)
         return steps if self.rate is None else _with_limit(steps, self.rate)
 
     def _steps(self, request):
