A follower that cannot apply changes reads all records; listings pass on what is theirs

Cause: the pages of a listing are read one after the other. Items of later pages may be newer than the first page's revision; they were passed on to followers in a batch up to that revision, which ChangeBatch.check refuses, again and again. Class: state that cannot heal, as a refusal repeats without an end.

Change: items newer than a listing are held but not passed on: the watch goes on at the listing's revision and returns them. Whatever the cause, a follower that refuses a batch reads all records of the watcher, at most one read at a time, with a pause that doubles from 0.5 to 8 s while nothing newer comes.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/change_receiver.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/change_receiver.py
@@ -18,6 +18,10 @@
 
 __all__ = ["ChangeReceiver"]
 
+# Pause after records could not be read anew, in seconds; it doubles each time.
+FIRST_RECOVERY_PAUSE_S = 0.5
+MAX_RECOVERY_PAUSE_S = 8.0
+
 log = get_logger()
 
 
@@ -57,7 +61,14 @@
         self._note_versions = note_versions
         self._spawn = spawn
         self._is_reading = False
-        self._refused: set[str] = set()
+        self._refused = 0
+        self._is_recovering = False
+        self._recovery_pause_s = FIRST_RECOVERY_PAUSE_S
+
+    @property
+    def refused(self) -> int:
+        """Number of batches of changes that could not be applied."""
+        return self._refused
 
     def catch_up(self, peer: str, versions: Versions) -> None:
         """Note a peer's versions; read in the background what is newer there."""
@@ -77,7 +88,7 @@
         try:
             batch.check()
         except MalformedChangesError as error:
-            self._refuse(peer, error)
+            self._refuse(peer, versions, error)
             return False
         self._store.note_settling(versions.settling_s)
         if batch.after <= self._replica.revision:
@@ -95,7 +106,7 @@
         except PeerLostError as error:
             log.info("changes_not_read", peer=peer, cause=str(error))
         except MalformedChangesError as error:
-            self._refuse(peer, error)
+            self._refuse(peer, versions, error)
         finally:
             self._is_reading = False
 
@@ -117,8 +128,41 @@
         items = tuple(StoreItem(c.key, c.value, c.revision) for c in batch.changes)
         self._replica.apply(items, batch.revision)
 
-    def _refuse(self, peer: str, error: MalformedChangesError) -> None:
-        # A faulty peer repeats its mistake: its first batch is logged, not each one.
-        if peer not in self._refused:
-            self._refused.add(peer)
-            log.warning("changes_refused", peer=peer, cause=str(error))
+    def _refuse(
+        self, peer: str, versions: Versions, error: MalformedChangesError
+    ) -> None:
+        """Read all records of a peer, as one of its batches cannot be applied."""
+        self._refused += 1
+        if self._is_recovering:
+            return
+        self._is_recovering = True
+        log.warning(
+            "changes_refused",
+            peer=peer,
+            cause=str(error),
+            refused=self._refused,
+            pause_s=self._recovery_pause_s,
+        )
+        self._spawn(self._recover(peer, versions))
+
+    async def _recover(self, peer: str, versions: Versions) -> None:
+        known = self._replica.revision
+        try:
+            await self._fetcher.fetch_records(peer, versions)
+            has_advanced = self._replica.revision > known
+            log.info(
+                "records_read_anew",
+                peer=peer,
+                revision=self._replica.revision,
+                has_advanced=has_advanced,
+            )
+            if has_advanced:
+                self._recovery_pause_s = FIRST_RECOVERY_PAUSE_S
+                return
+            # The next refusal tries again, after a longer pause each time.
+            await asyncio.sleep(self._recovery_pause_s)
+            self._recovery_pause_s = min(
+                MAX_RECOVERY_PAUSE_S, 2.0 * self._recovery_pause_s
+            )
+        finally:
+            self._is_recovering = False
--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -165,6 +165,11 @@
         """Number of gateways that follow this one."""
         return self._pusher.follower_count
 
+    @property
+    def changes_refused(self) -> int:
+        """Number of batches of a watcher's changes that could not be applied."""
+        return self._receiver.refused
+
     def tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the background tasks."""
         return [
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -60,6 +60,7 @@
     store_connected: bool
     store_watched: bool
     followers: int
+    changes_refused: int
     stream_origins: int
     rate_limits: int
     connections_closed_unread: int
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -232,6 +232,7 @@
             store_connected=coordination.store.is_connected,
             store_watched=coordination.store.is_watching,
             followers=coordination.follower_count,
+            changes_refused=coordination.changes_refused,
             stream_origins=origins.count,
             connections_closed_unread=gate.closed,
             rate_limits=executor.rate_limits.count,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_replica.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_replica.py
@@ -114,12 +114,14 @@
     def _differences(
         self, held: dict[str, StoreItem], revision: int
     ) -> list[RecordChange]:
-        # A listing does not say at which revision a record was removed. That of the
-        # listing is later than the revision of each gateway that still has the record.
+        # Pages of a listing are read one after the other: items of later pages may be
+        # newer than its revision, and are returned again by the watch that goes on
+        # there. Nor does a listing say at which revision a record was removed. Its own
+        # is later than that of each gateway that still has the record.
         changed = [
             RecordChange(item.key, item.value, item.revision)
             for item in held.values()
-            if item.revision > self._revision
+            if self._revision < item.revision <= revision
         ]
         removed = [
             RecordChange(k, None, revision) for k in self._items if k not in held
--- a/tests/unit/test_change_receiver.py
+++ b/tests/unit/test_change_receiver.py
@@ -210,3 +210,28 @@
         assert not connections.reads
 
     run_with_receiver(check, connections)
+
+
+def test_a_follower_that_cannot_apply_a_batch_reads_all_records():
+    """Guards against requests to endpoints whose leaving a follower never hears of."""
+
+    async def check(receiver):
+        for _ in range(3):
+            assert not receiver.push(RecordChange("servers/b", b"1", 12), revision=9)
+            await asyncio.sleep(0)
+        assert receiver.fetcher.records == [WATCHER]
+        assert receiver.receiver.refused == 3
+
+    run_with_receiver(check)
+
+
+def test_a_follower_that_reads_a_batch_it_cannot_apply_reads_all_records():
+    """Guards against the same, where the batch was asked for."""
+    batch = ChangeBatch(5, 9, (RecordChange("servers/b", b"1", 12),))
+
+    async def check(receiver):
+        receiver.receiver.catch_up(WATCHER, Versions(configuration=1, records=9))
+        await receiver.finish()
+        assert receiver.fetcher.records == [WATCHER]
+
+    run_with_receiver(check, FakeConnections([batch]))
--- a/tests/unit/test_store_replica.py
+++ b/tests/unit/test_store_replica.py
@@ -1,6 +1,7 @@
 """The replica of the store's records, and the changes that gateways pass on."""
 
 import pytest
+from hypothesis import given, strategies as st
 
 from amaranthtally.adapter.store import StoreItem
 from amaranthtally.daemon.gateway import store_replica
@@ -156,3 +157,91 @@
     assert replica.revision == 5
     replica.apply((StoreItem("servers/b", b"1", 6),), 6)
     assert "servers/b" in listener.items
+
+
+def test_a_listing_with_items_newer_than_itself_is_passed_on(replica):
+    """Guards against followers that refuse all changes after a listing of two pages."""
+    items = (StoreItem("servers/b", b"1", 7), StoreItem("servers/c", b"1", 12))
+    replica.replace(items, 9)
+    batch = replica.changes_after(5)
+    batch.check()
+    assert [change.key for change in batch.changes] == ["servers/b", "servers/a"]
+    # The watch goes on at the listing's revision, and returns the newer item again.
+    replica.apply((items[1],), 12)
+    batch = replica.changes_after(9)
+    batch.check()
+    assert [change.key for change in batch.changes] == ["servers/c"]
+
+
+class _Store:
+    """A store with pages, for the property test; its state is a dict by key."""
+
+    def __init__(self):
+        self.revision = 1
+        self.items = {}
+        self.events = []
+
+    def write(self, key, value):
+        self.revision += 1
+        if value is None:
+            self.items.pop(key, None)
+        else:
+            self.items[key] = StoreItem(key, value, self.revision)
+        self.events.append(StoreItem(key, value, self.revision))
+
+    def page(self, after, size):
+        keys = sorted(key for key in self.items if key > after)
+        return [self.items[key] for key in keys[:size]], len(keys) > size
+
+
+KEYS = st.sampled_from([f"servers/{name}" for name in "abcdef"])
+WRITES = st.lists(st.tuples(KEYS, st.sampled_from([b"1", b"2", None])), max_size=4)
+STEPS = st.lists(
+    st.tuples(st.sampled_from(["list", "watch", "follow"]), st.lists(WRITES)),
+    max_size=12,
+)
+
+
+@given(STEPS)
+def test_pages_writes_and_watches_in_any_order_end_in_equal_states(steps):
+    """Guards against a watcher or follower that stays behind, whatever came between."""
+    store, watcher, follower = _Store(), StoreReplica(Listener()), Listener()
+    copy = StoreReplica(follower)
+
+    def write(batches):
+        for key, value in batches.pop(0) if batches else ():
+            store.write(key, value)
+
+    def read_pages(batches):
+        revision, items, after, has_more = store.revision, [], "", True
+        while has_more:
+            page, has_more = store.page(after, 2)
+            items += page
+            after = page[-1].key if page else ""
+            write(batches)
+        watcher.replace(tuple(items), revision)
+
+    def watch(batches):
+        events = [e for e in store.events if e.revision > watcher.revision]
+        watcher.apply(tuple(events), store.revision)
+        write(batches)
+
+    def follow(batches):
+        while copy.revision < watcher.revision:
+            batch = watcher.changes_after(copy.revision)
+            if batch is None or not copy.revision:
+                copy.replace(watcher.items, watcher.revision)
+                break
+            batch.check()
+            items = [StoreItem(c.key, c.value, c.revision) for c in batch.changes]
+            copy.apply(tuple(items), batch.revision)
+        write(batches)
+
+    read_pages([])
+    for name, batches in steps:
+        {"list": read_pages, "watch": watch, "follow": follow}[name](list(batches))
+    watch([])
+    follow([])
+    values = {item.key: item.value for item in store.items.values()}
+    assert {item.key: item.value for item in watcher.items} == values
+    assert {item.key: item.value for item in copy.items} == values
