Whole responses are written in parts, and held once

Cause: a body was counted once and held twice until its caller had read it: head and body were joined into a new object in the transport's buffer.

Change: with a limited memory, bodies of over 16 KB are written in parts as events are, each once the one before has been taken.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -49,8 +49,8 @@
 # What the kernel may hold for a caller that does not read, in bytes. It grows to some
 # megabytes by itself, which count toward the host's memory, but not the process's own.
 SEND_BUFFER_BYTES = 65_536
-# Events are written in parts of this size, in bytes, if the memory is limited. What is
-# written is copied, and a larger part would be held twice until all of it is read.
+# Bodies and events are written in parts of this size, in bytes, if the memory is
+# limited. What is written is copied: a larger part is held twice until it is read.
 SLICE_BYTES = 16_384
 # How long a body may still take once a stopping gateway refuses further requests, in
 # seconds. It is not run before it is complete.
@@ -261,6 +261,8 @@
         event = await call.next()
         if isinstance(event, StreamStarted):
             return await self._stream(request, call, event.head)
+        if isinstance(event, CompleteResponse) and self._is_written_in_parts(event):
+            return await self._write_whole(request, call, event)
         response = self._complete_response(request, call, event)
         if self._memory.is_limited:
             # Written here and not by the server, so that the body stays counted until
@@ -287,6 +289,26 @@
         self._log_end(call, refusal.status, outcome, refusal)
         return self._close_if_stopping(refusal_response(refusal, call.id))
 
+    def _is_written_in_parts(self, whole: CompleteResponse) -> bool:
+        return self._memory.is_limited and len(whole.body) > SLICE_BYTES
+
+    async def _write_whole(
+        self, request: web.BaseRequest, call: LiveCall, whole: CompleteResponse
+    ) -> web.StreamResponse:
+        """Write a whole response in parts, so that only its body is held meanwhile."""
+        self._log_end(call, whole.head.status, "answered")
+        response = web.StreamResponse(status=whole.head.status)
+        response.headers.extend(whole.head.headers)
+        response.content_length = len(whole.body)
+        self._close_if_stopping(response)
+        call.is_answering = True
+        _limit_send_buffer(request)
+        await response.prepare(request)
+        await self._write_parts(request, response, call, whole.body)
+        await response.write_eof()
+        await self._await_reading(request, call)
+        return response
+
     async def _stream(
         self, request: web.BaseRequest, call: LiveCall, head: ResponseHead
     ) -> web.StreamResponse:
@@ -327,11 +349,20 @@
             await response.write(body)
             call.memory.remove_event(body)
             return
+        await self._write_parts(request, response, call, body)
+        call.memory.remove_event(body)
+
+    async def _write_parts(
+        self,
+        request: web.BaseRequest,
+        response: web.StreamResponse,
+        call: LiveCall,
+        body: bytes,
+    ) -> None:
         for start in range(0, len(body), SLICE_BYTES):
             await response.write(body[start : start + SLICE_BYTES])
             if request.transport is not None:
                 call.memory.set_unsent(request.transport.get_write_buffer_size())
-        call.memory.remove_event(body)
 
     async def _await_reading(self, request: web.BaseRequest, call: LiveCall) -> None:
         """
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -28,6 +28,10 @@
 LIMIT_MB = SMALL_MB / 8
 SLOW_CALLERS = 1000
 FEW_EVENTS = 8
+# Documents that fit into the memory of a process once, but not twice.
+DOCUMENT_BYTES = 1_000_000
+DOCUMENTS = 90
+DOCUMENTS_MB = 200
 # A gateway takes 16 connections in 50 ms, and closes others unread.
 CONNECTIONS = 8
 PAUSE_S = 0.05
@@ -204,3 +208,25 @@
             assert body.count(b"data: ") == FEW_EVENTS
 
     run_with_cluster(tmp_path, check)
+
+
+def test_whole_responses_to_slow_callers_are_held_once(tmp_path):
+    """Guards against slow readers of documents that take a gateway beyond its memory."""
+
+    async def check(cluster):
+        document = b"d" * DOCUMENT_BYTES
+        await cluster.endpoint("e", "document", respond_with(document), slots=64)
+        cluster.configure(1, route("document", timeoutMs=30_000))
+        gateway = await cluster.gateway(memory_mb=DOCUMENTS_MB)
+        callers = [SlowCaller(gateway, "/document/") for _ in range(DOCUMENTS)]
+        for number in range(0, DOCUMENTS, CONNECTIONS):
+            await asyncio.sleep(PAUSE_S)
+            batch = callers[number : number + CONNECTIONS]
+            heads = await asyncio.gather(*(c.send_when_taken() for c in batch))
+            assert all(head.startswith(b"HTTP/1.1 200 ") for head in heads)
+        assert memory_mb(gateway.process.pid) < DOCUMENTS_MB
+        for caller in callers:
+            assert await caller.reader.readexactly(DOCUMENT_BYTES) == document
+            caller.writer.close()
+
+    run_with_cluster(tmp_path, check)
