A sidecar's calls have connections of their own; entries ask the same place

The incident's class, found by search: a sidecar kept connections to the endpoint beside it and took the next response for the call's, so that a second answer gave a stage another call's result, or counted as its failure. Its endpoints name no call in their responses, so each call has its own connection. "Not run" of sidecars, entries and queries is decided by policy/not_run.py as at gateways.

--- a/packages/daemon/src/amaranthtally/daemon/entry/outcome_queries.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/outcome_queries.py
@@ -7,7 +7,13 @@
 
 from amaranthtally.daemon.entry.bound import BoundRequest
 from amaranthtally.daemon.entry.sidecar_connections import SidecarConnections
-from amaranthtally.policy import Endpoint, LoadReport, RequestOutcome
+from amaranthtally.policy import (
+    CallEnd,
+    Endpoint,
+    LoadReport,
+    RequestOutcome,
+    proof_of_not_run,
+)
 from amaranthtally.policy.at_most_once import Binding
 from amaranthtally.policy.handover import rank_successors
 from amaranthtally.wire import Load, OutcomeQuery, PeerLostError, StageReply, Status
@@ -154,11 +160,11 @@
         ``UNKNOWN``. Returns ``None`` if the key was used with another input.
         """
         replies = await self.query_all(bound, OutcomeQuery.WITHDRAW)
-        statuses = [reply.status if reply else Status.UNKNOWN for reply in replies]
-        if Status.CONFLICT in statuses:
+        if any(reply and reply.status is Status.CONFLICT for reply in replies):
             return None
-        all_not_run = all(status is Status.NOT_RUN for status in statuses)
-        return RequestOutcome.NOT_RUN if all_not_run else RequestOutcome.UNKNOWN
+        proofs = [proof_of_not_run(_end_of(reply)) for reply in replies]
+        is_proved = all(proof is not None for proof in proofs)
+        return RequestOutcome.NOT_RUN if is_proved else RequestOutcome.UNKNOWN
 
 
 async def _bounded(query: Coroutine[Any, Any, StageReply | None]) -> StageReply | None:
@@ -169,6 +175,12 @@
         return None
 
 
+def _end_of(reply: StageReply | None) -> CallEnd:
+    """Return what a sidecar's reply to a query says of a call."""
+    states_not_run = reply is not None and reply.status is Status.NOT_RUN
+    return CallEnd(is_own=reply is not None, states_not_run=states_not_run)
+
+
 def _is_unrelated(reply: StageReply, binding: Binding) -> bool:
     """Whether a reply is from another incarnation that has no record of the call."""
     is_other_incarnation = reply.load.incarnation != binding.incarnation
--- a/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
@@ -9,9 +9,11 @@
     AttemptId,
     AttemptOutcome,
     AttemptResult,
+    CallEnd,
     Endpoint,
     Send,
     Stage,
+    proof_of_not_run,
 )
 from amaranthtally.wire import AtMostOnceTerms, CallId, StageCall, StageReply, Status
 
@@ -87,6 +89,9 @@
 def read_reply(request: LiveRequest, stage: Stage, reply: StageReply) -> StageResult:
     """Return an attempt's result; a streamed output is joined from its chunks."""
     outcome = _OUTCOME_BY_STATUS[reply.status]
+    # The client has compared the reply's call with the one that was sent.
+    stated = reply.status is Status.NOT_RUN
+    proof = proof_of_not_run(CallEnd(is_own=True, states_not_run=stated))
     output = reply.output
     if outcome is AttemptOutcome.FINISHED and stage.streams:
         # An engine that dies can end its stream early without an error. The sidecar
@@ -107,6 +112,7 @@
         len(output),
         reply.retry_after_s,
         permanent=reply.permanent,
+        proof=proof,
     )
     return StageResult(result, output)
 
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/endpoint_call.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/endpoint_call.py
@@ -10,6 +10,7 @@
     EndpointError,
     ModelMissingError,
 )
+from amaranthtally.policy import CallEnd, proof_of_not_run
 from amaranthtally.wire import StageCall, Status
 
 __all__ = ["CallResult", "call_endpoint"]
@@ -37,7 +38,8 @@
     try:
         return CallResult(Status.FINISHED, await adapter(target))
     except ModelMissingError as error:
-        return CallResult(Status.NOT_RUN, reason=str(error), model_missing=True)
+        status = _status_of(target.call, CallEnd(is_own=True, states_not_run=True))
+        return CallResult(status, reason=str(error), model_missing=True)
     except EndpointError as error:
         return CallResult(
             Status.FAILED,
@@ -50,9 +52,14 @@
 
 
 def _connection_failed(call: StageCall, error: Exception) -> CallResult:
-    if isinstance(error, aiohttp.ClientConnectorError):
-        return CallResult(
-            Status.NOT_RUN, reason="endpoint unreachable", overloaded=True
-        )
-    status = Status.FAILED if call.repeatable else Status.UNKNOWN
-    return CallResult(status, reason=type(error).__name__, overloaded=True)
+    was_sent = not isinstance(error, aiohttp.ClientConnectorError)
+    reason = type(error).__name__ if was_sent else "endpoint unreachable"
+    status = _status_of(call, CallEnd(was_sent=was_sent))
+    return CallResult(status, reason=reason, overloaded=True)
+
+
+def _status_of(call: StageCall, end: CallEnd) -> Status:
+    """Return the status of a call that did not finish."""
+    if proof_of_not_run(end) is not None:
+        return Status.NOT_RUN
+    return Status.FAILED if call.repeatable else Status.UNKNOWN
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -26,7 +26,7 @@
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.settings import SidecarSettings
 
-__all__ = ["run_sidecar"]
+__all__ = ["open_endpoint_session", "run_sidecar"]
 
 HTTP_GRACE_S = 1.0
 
@@ -60,7 +60,7 @@
 
 
 async def _open_shared(stack: AsyncExitStack, names: list[str]) -> SharedResources:
-    session = await stack.enter_async_context(_open_session())
+    session = await stack.enter_async_context(open_endpoint_session())
     state = SettingsState()
     sync = SettingsSync(names[0], state, SIDECAR_LINKS, names[1:])
     stack.push_async_callback(sync.close)
@@ -92,7 +92,13 @@
     await service.hand_over_records(True)
 
 
-def _open_session() -> aiohttp.ClientSession:
-    # The run queue limits the concurrency. A limit in the connector as well would
-    # delay calls without the queue's knowledge.
-    return aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0))
+def open_endpoint_session() -> aiohttp.ClientSession:
+    """
+    Return a session for calls to the endpoint beside this process.
+
+    Endpoints may answer twice or late and name no call in their responses: each call
+    has a connection of its own, so that its response is its own. The run queue limits
+    the concurrency; a limit here would delay calls without its knowledge.
+    """
+    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    return aiohttp.ClientSession(connector=connector)
