--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -65,6 +65,17 @@
     assert statuses[200] > 100
 
 
+STRAY_SEEDS = {1: "orders ran twice on responses that named no request"}
+
+
+@pytest.mark.parametrize("seed", STRAY_SEEDS)
+def test_guarantees_hold_while_endpoints_send_responses_to_no_call(seed, tmp_path):
+    """Guards against calls that count as not run, or get the results of others."""
+    violations, statuses = run_async(run_soak(seed, SECONDS, tmp_path, strays=True))
+    assert violations == []
+    assert statuses[200] > 100
+
+
 @pytest.mark.parametrize("seed", [10101])
 def test_guarantees_hold_while_endpoints_ask_for_backoffs(seed, tmp_path):
     """Guards against backoffs that are lost in reloads, changes and cut links."""
