Short requests are served while documents fill a gateway's memory

Cause: what an answer would hold was not counted when its request was admitted, and large and short requests were admitted up to the same share of the limit.

Change: a request reserves the size that its route's responses have had lately, and what comes takes its place. Work of over 64 KB is admitted up to three quarters of the limit, other work up to nine tenths, as before.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -38,7 +38,13 @@
 )
 from amaranthtally.daemon.gateway.resumption import StreamResumption
 from amaranthtally.daemon.logs import format_parts, get_logger
-from amaranthtally.policy import Account, Route, RouteTable, StreamOrigin
+from amaranthtally.policy import (
+    Account,
+    ResponseSizes,
+    Route,
+    RouteTable,
+    StreamOrigin,
+)
 
 __all__ = ["CallerHandler"]
 
@@ -79,6 +85,7 @@
     ) -> None:
         self._is_closed = False
         self._memory = memory or EntryMemory()
+        self._response_sizes = ResponseSizes()
         self._executor = executor
         self._arrivals = arrivals
         self._metrics = metrics
@@ -135,6 +142,10 @@
             self._body_timeouts.discard(timeout)
         if isinstance(body, Refusal):
             return self._refuse(request, body)
+        expected = self._response_sizes.expected(route.name)
+        if expected and not self._memory.admits(expected):
+            return self._refuse(request, NO_MEMORY)
+        memory.reserve(expected)
         origin = await self._resumption.origin_of(caller, route)
         if isinstance(origin, Refusal):
             return self._refuse(request, origin)
@@ -261,6 +272,9 @@
         event = await call.next()
         if isinstance(event, StreamStarted):
             return await self._stream(request, call, event.head)
+        if isinstance(event, CompleteResponse):
+            self._response_sizes.note(call.route.name, len(event.body))
+        call.memory.end_reservation()
         if isinstance(event, CompleteResponse) and self._is_written_in_parts(event):
             return await self._write_whole(request, call, event)
         response = self._complete_response(request, call, event)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
@@ -40,6 +40,7 @@
     def __init__(self, memory: "EntryMemory") -> None:
         self._memory = memory
         self._unsent = 0
+        self._reserved = 0
         self._on_excess: OnExcess | None = None
         self._is_open = True
         self._is_ended = False
@@ -57,10 +58,22 @@
         if self._is_ended:
             self._schedule_end()
 
+    def reserve(self, size: int) -> None:
+        """Count bytes that are expected; those that come take their place."""
+        self.add(size)
+        self._reserved = size
+
+    def end_reservation(self) -> None:
+        """Count what was expected and has not come as no longer held."""
+        self.remove(self._reserved)
+        self._reserved = 0
+
     def add(self, size: int) -> None:
         """Count bytes that are held from now on; may end this or another request."""
-        if self._is_open:
-            self._memory.hold(self, size)
+        expected = min(size, self._reserved)
+        self._reserved -= expected
+        if self._is_open and size > expected:
+            self._memory.hold(self, size - expected)
 
     def remove(self, size: int) -> None:
         """Count bytes as no longer held."""
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -66,6 +66,7 @@
 from amaranthtally.policy.load_view import EndpointView, LoadView
 from amaranthtally.policy.memory_budget import (
     MemoryBudget,
+    ResponseSizes,
     build_memory_budget,
     usable_bytes,
 )
@@ -246,6 +247,7 @@
     "ResponseKind",
     "ResponseLimit",
     "ResponseLimits",
+    "ResponseSizes",
     "Route",
     "RouteTable",
     "RunPieces",
--- a/packages/policy/src/amaranthtally/policy/memory_budget/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/memory_budget/__init__.py
@@ -14,11 +14,13 @@
     HeldRequest,
     build_endpoint_memory,
 )
+from amaranthtally.policy.memory_budget.response_sizes import ResponseSizes
 
 __all__ = [
     "EndpointMemory",
     "HeldRequest",
     "MemoryBudget",
+    "ResponseSizes",
     "build_endpoint_memory",
     "build_memory_budget",
     "usable_bytes",
--- a/packages/policy/src/amaranthtally/policy/memory_budget/budget.py
+++ b/packages/policy/src/amaranthtally/policy/memory_budget/budget.py
@@ -12,6 +12,10 @@
 # New work may fill this share of the limit. The rest is for the responses to work in
 # progress, so that an entry refuses new work before it ends a stream.
 ADMITTED_SHARE = 0.9
+# The same for work that is expected to hold much, so that small work beside it is not
+# refused, and how much that is, in bytes.
+LARGE_ADMITTED_SHARE = 0.75
+LARGE_BYTES = 65_536
 # The share of a process's memory that is left to what is not counted: the buffers of
 # sockets, and blocks that the allocator cannot use again.
 UNCOUNTED_SHARE = 0.125
@@ -49,7 +53,8 @@
 
     def admits(self, size: int) -> bool:
         """Whether new work of this size fits beside what is held."""
-        return self._used + size <= ADMITTED_SHARE * self._limit
+        share = LARGE_ADMITTED_SHARE if size > LARGE_BYTES else ADMITTED_SHARE
+        return self._used + size <= share * self._limit
 
     def held(self, owner: Hashable) -> int:
         """Return the bytes that an owner holds."""
--- a/tests/policy/test_memory_budget.py
+++ b/tests/policy/test_memory_budget.py
@@ -4,7 +4,7 @@
 
 from hypothesis import given, strategies as st
 
-from amaranthtally.policy import build_memory_budget, usable_bytes
+from amaranthtally.policy import ResponseSizes, build_memory_budget, usable_bytes
 
 MB = 1_000_000
 CHANGES = st.lists(
@@ -50,3 +50,22 @@
     """Guards against an entry that refuses everything once its allocator has grown."""
     assert usable_bytes(200 * MB, 80 * MB) == 95 * MB
     assert usable_bytes(200 * MB, 500 * MB) == 25 * MB
+
+
+def test_much_work_leaves_room_for_little():
+    """Guards against short requests that are refused beside many documents."""
+    budget = build_memory_budget(100 * MB)
+    while budget.admits(MB):
+        budget.hold(object(), MB)
+    assert 70 * MB < budget.used < 80 * MB
+    assert budget.admits(MB // 32)
+
+
+def test_the_expected_size_follows_the_largest_recent_response():
+    """Guards against documents that are admitted as if they were short."""
+    sizes = ResponseSizes()
+    assert sizes.expected("documents") == 0
+    sizes.note("documents", MB)
+    sizes.note("documents", 100)
+    assert 0.9 * MB < sizes.expected("documents") < MB
+    assert sizes.expected("lookups") == 0
--- a/tests/unit/test_caller_memory.py
+++ b/tests/unit/test_caller_memory.py
@@ -22,3 +22,23 @@
         assert ended == [2000]
 
     run_async(check())
+
+
+def test_what_comes_takes_the_place_of_what_was_expected():
+    """Guards against a response that is counted twice, or still once it is smaller."""
+
+    async def check():
+        budget = build_memory_budget()
+        budget.set_limit(10_000)
+        memory = EntryMemory(budget=budget).open()
+        memory.reserve(1000)
+        memory.add(400)
+        assert budget.used == 1000
+        memory.end_reservation()
+        assert budget.used == 400
+        memory.add(500)
+        assert budget.used == 900
+        memory.close()
+        assert budget.used == 0
+
+    run_async(check())
