Streams that are taken up go before new requests of their account

Cause: a stream that is taken up ranked as a new request of its route.

Change: it has the rank of the route of the highest priority, within its account's priority. Only a stream whose origin is known has it.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/arrivals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/arrivals.py
@@ -52,7 +52,7 @@
             route_pipeline(route, origin.pool if origin else self._choose_pool(route)),
             request_id=caller.id,
             account=account.name if account else "",
-            rank=request_rank(route, account),
+            rank=request_rank(route, account, is_resumed=origin is not None),
             size_bytes=len(body),
             prefix=parts,
             prefix_sizes=tuple(part.tokens for part in caller.prompt),
--- a/packages/policy/src/amaranthtally/policy/routes.py
+++ b/packages/policy/src/amaranthtally/policy/routes.py
@@ -184,18 +184,23 @@
     home_regions: Regions = ANYWHERE
 
 
-def request_rank(route: Route, account: Account | None) -> int:
+def request_rank(
+    route: Route, account: Account | None, *, is_resumed: bool = False
+) -> int:
     """
     Return the rank by which requests are served under load; 0 is the most urgent.
 
     The account's priority decides, and among accounts of equal priority the route's.
     Without the second, all accounts having the same priority, the route that operators
     had given the highest priority was on time less often in a burst than any other.
+    A stream that ``is_resumed`` goes before new requests of its account: its caller has
+    read a part, which is lost if it is refused.
     """
     account_priority = route.priority
     if account is not None and account.priority is not None:
         account_priority = account.priority
-    return _bounded(account_priority) * PRIORITIES + _bounded(route.priority)
+    route_priority = 0 if is_resumed else _bounded(route.priority)
+    return _bounded(account_priority) * PRIORITIES + route_priority
 
 
 def _bounded(priority: int) -> int:
--- a/tests/policy/test_routes.py
+++ b/tests/policy/test_routes.py
@@ -37,3 +37,10 @@
     assert ranks((99, Account("e", 99))) == [largest]
     assert largest < 2**16
     assert ranks((-5, Account("f", -5))) == [0]
+
+
+def test_a_stream_that_goes_on_precedes_new_requests_of_its_account():
+    """Guards against callers that lose what they have read of a stream in a burst."""
+    resumed = request_rank(route(2), OTHER_ACCOUNT, is_resumed=True)
+    assert resumed < request_rank(route(1), OTHER_ACCOUNT)
+    assert resumed > request_rank(route(2), URGENT_ACCOUNT)
