The recorder of origins pauses after a refusal, and writes only what began nearby

In fleets of more than six gateways, what was read from the store was written again by each data centre.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -112,7 +112,7 @@
             settings.data_centre,
             client,
             origins.entries,
-            origins.copies_received,
+            origins.records_read,
             lambda: self.versions.has_several,
             lambda: self.store.is_connected,
         )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
@@ -9,7 +9,7 @@
 
 from amaranthtally.adapter.store import StoreItem, StoreWrite
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.platform import PlatformUnavailable, StoreClient
+from amaranthtally.platform import StoreClient
 from amaranthtally.policy import OriginEntry, StreamOrigin, duty_weight
 
 __all__ = ["ORIGINS_PREFIX", "OriginRecorder", "writer_of"]
@@ -32,6 +32,8 @@
 # How long the items outlive their writer, in seconds, and when their lease is renewed.
 LEASE_TTL_S = 60.0
 RENEW_INTERVAL_S = 15.0
+# Pause after a call that the store refused or did not answer, in seconds.
+RETRY_DELAY_S = 1.0
 # How long an origin that was read may be used, in seconds.
 KEPT_S = SEGMENT_S * SEGMENTS
 
@@ -113,8 +115,10 @@
         """Write what is due until cancelled."""
         while True:
             await asyncio.sleep(self._interval_s)
-            if self._is_writer and self._is_needed() and self._is_connected():
-                await self._write_due()
+            if not (self._is_writer and self._is_needed() and self._is_connected()):
+                continue
+            if not await self._write_due():
+                await asyncio.sleep(RETRY_DELAY_S)
 
     # Items of the store
 
@@ -145,28 +149,33 @@
     def _own_prefix(self) -> str:
         return f"{ORIGINS_PREFIX}{self._lease}/"
 
-    async def _write_due(self) -> None:
+    async def _write_due(self) -> bool:
+        """Write what is due; false if the store refused it or did not answer."""
         entries = self._held(self._writes_own_only)
         held = {entry.request_id: entry.origin for entry in entries}
         due = {r: origin for r, origin in held.items() if r not in self._written}
         if not due and not self._lease:
-            return
-        if not await self._hold_lease() or not due:
-            return
+            return True
+        if not await self._hold_lease():
+            return False
+        # A new lease has none of what was written under the one before.
+        due = {r: origin for r, origin in held.items() if r not in self._written}
+        if not due:
+            return True
         segment = self._segment_for(due)
         key = f"{self._own_prefix}{segment.number}"
         value = _encode(segment.entries | due)
         written = await self._client.transact([], [StoreWrite(key, value, self._lease)])
         if isinstance(written, Err):
             log.info("origins_not_recorded", cause=str(written.err_value))
-            # The lease may have ended; without one, all that is held is due again.
-            if isinstance(written.err_value, PlatformUnavailable):
-                self._lose_lease()
-            return
+            # The lease may have ended: the next try asks.
+            self._renew_at = 0.0
+            return False
         segment.entries |= due
         segment.size = len(value)
         self._written = frozenset(held)
         log.debug("origins_recorded", key=key, origins=len(due), bytes=len(value))
+        return True
 
     def _segment_for(self, due: Mapping[str, StreamOrigin]) -> _Segment:
         now, segment = self._time(), self._segment
--- a/packages/daemon/src/amaranthtally/daemon/gateway/stream_origin_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/stream_origin_tracker.py
@@ -69,8 +69,9 @@
         self._data_centres: Mapping[str, str] = {}
         self._holders: tuple[str, ...] = ()
         self._recorder = ""
-        # When the origins that this gateway noted itself expire.
+        # When the origins expire that this gateway noted itself, and that peers copied.
         self._own: dict[str, float] = {}
+        self._copied: dict[str, float] = {}
         self._queues: dict[str, dict[str, OriginEntry]] = {}
         self._sending: set[str] = set()
         self._searches = 0
@@ -85,27 +86,30 @@
         """Hold the origin of a stream until a time stamp, here and at the holders."""
         entry = OriginEntry(request_id, origin, expires_at)
         self._origins.put(self._time(), entry)
-        self._note_own(entry)
+        _note_expiry(self._own, self._time(), entry)
         self._copy([entry], self._holders)
 
-    def _note_own(self, entry: OriginEntry) -> None:
-        now = self._time()
-        self._own[entry.request_id] = entry.expires_at
-        while (oldest := next(iter(self._own), "")) and self._own[oldest] <= now:
-            del self._own[oldest]
-
     def copies_received(self, entries: Iterable[OriginEntry]) -> None:
         """Hold copies that a peer has sent."""
         now = self._time()
         for entry in entries:
             self._origins.put(now, entry)
+            _note_expiry(self._copied, now, entry)
+
+    def records_read(self, entries: Iterable[OriginEntry]) -> None:
+        """Hold what the store has; it is neither passed on nor written again."""
+        now = self._time()
+        for entry in entries:
+            self._origins.put(now, entry)
 
     def entries(self, own_only: bool) -> tuple[OriginEntry, ...]:
-        """Return what is held, or only what this gateway has noted itself."""
-        entries = self._origins.entries(self._time())
-        if not own_only:
-            return entries
-        return tuple(entry for entry in entries if entry.request_id in self._own)
+        """Return what was noted here, and peers' copies unless ``own_only``."""
+        copied = {} if own_only else self._copied
+        return tuple(
+            entry
+            for entry in self._origins.entries(self._time())
+            if entry.request_id in self._own or entry.request_id in copied
+        )
 
     def entries_changed(self, data_centres: Mapping[str, str]) -> None:
         """Copy to new holders after a change of the set of the other live gateways."""
@@ -176,7 +180,7 @@
     # Copies
 
     def _copy_all(self, peers: Sequence[str]) -> None:
-        entries = self._origins.entries(self._time()) if peers else ()
+        entries = self.entries(own_only=False) if peers else ()
         if entries:
             self._copy(entries, peers)
 
@@ -200,7 +204,7 @@
                 pause_s = interval_s if is_sent else RETRY_DELAY_S
                 if not is_sent:
                     # It may have restarted, and then holds nothing of what it was sent.
-                    held = self._origins.entries(self._time())
+                    held = self.entries(own_only=False)
                     self._queues[peer] = {entry.request_id: entry for entry in held}
         finally:
             self._sending.discard(peer)
@@ -219,3 +223,10 @@
             )
             return False
         return True
+
+
+def _note_expiry(expiry: dict[str, float], now: float, entry: OriginEntry) -> None:
+    """Note when an entry expires, and forget the oldest that have expired."""
+    expiry[entry.request_id] = entry.expires_at
+    while (oldest := next(iter(expiry), "")) and expiry[oldest] <= now:
+        del expiry[oldest]
