Calls with pieces follow no redirect

Found on reading the diff: a redirect of a stage's server was followed, so that the response came from a server that nobody chose, and the call with its keys and handles went there.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -187,7 +187,6 @@
             URL(f"http://{endpoint.address}{call.target}", encoded=True),
             headers=request_headers(call.caller, system_headers),
             data=call.body or None,
-            allow_redirects=False,
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
         )
         async with response:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
@@ -159,10 +159,14 @@
         """
         Send the call; return the response, whose body is unread, and its decoded head.
 
+        A redirect is a response like any other: followed, it would bring another
+        server's response, and send the call to where nobody checked that it may go.
         Raises ``aiohttp.ClientError``, ``OSError``, ``TimeoutError`` or ``ValueError``.
         """
         with response_bounds(self._trace):
-            response = await session.request(method, url, **options)
+            response = await session.request(
+                method, url, allow_redirects=False, **options
+            )
         self._head = read_response_head(response.status, response.headers)
         return response, self._head
 
--- a/tests/gateway/test_not_run.py
+++ b/tests/gateway/test_not_run.py
@@ -215,3 +215,30 @@
             assert {handle.split("/")[1] for handle in handles} == {request.id}
 
     run_with_cluster(tmp_path, check)
+
+
+def test_a_call_with_pieces_follows_no_redirect(tmp_path):
+    """Guards against results of a server that nobody chose."""
+
+    async def check(cluster):
+        other = await cluster.endpoint("other", "other", pieces_answered_twice("x"))
+
+        def script(request):
+            location = f"http://{other.address}{request.target}"
+            status = "307 Temporary Redirect"
+            return [complete_response(request, b"", status, Location=location)]
+
+        await cluster.endpoint("first", "first", script)
+        await cluster.endpoint("engine", "engine", respond_with(b"text"))
+        stages = [{"service": "first", "after": [], "sizeBytes": 1000}]
+        cluster.configure(
+            1,
+            route("ask", phases=stages, service="engine", **STREAM),
+            services=[{"name": "first", "segments": SEGMENTS}],
+        )
+        gateway = await cluster.gateway()
+        headers = {**piece_headers("1"), names.DEADLINE_MS: "1000"}
+        await gateway.call("/ask/", **headers)
+        assert not other.requests
+
+    run_with_cluster(tmp_path, check)
