A piece that is made again may have the handle that it had

Cause: since pieces get no results of an earlier call, a handle that an endpoint named a second time was no result, also for the same piece. A request that was begun again under its id then failed.

--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -334,7 +334,7 @@
         if (
             server is not None
             and outcome.handle
-            and not server.names_anew(now, outcome.handle)
+            and not server.is_result_of(now, outcome.handle, job.piece)
         ):
             outcome = PieceOutcome(fault=PieceFault.FAILED)
         if server is not None and outcome.handle:
--- a/packages/policy/src/amaranthtally/policy/piece_servers.py
+++ b/packages/policy/src/amaranthtally/policy/piece_servers.py
@@ -5,6 +5,7 @@
 
 from amaranthtally.policy.limit_messages import interval_s
 from amaranthtally.policy.model import Endpoint
+from amaranthtally.policy.piece_graph import Piece
 from amaranthtally.policy.routes import PieceLimits, Pool
 
 __all__ = ["PieceServer", "PieceServers", "StoredRecord", "speed_weight"]
@@ -93,7 +94,7 @@
     busy_until: float = 0.0
     calls: dict[int, _Call] = field(default_factory=dict)
     stored: dict[str, StoredRecord] = field(default_factory=dict)
-    named: dict[str, float] = field(default_factory=dict)
+    named: dict[str, tuple[Piece, float]] = field(default_factory=dict)
     foreign_calls: int = 0
     load_reported_at: float = 0.0
     paused_until: float = 0.0
@@ -242,20 +243,20 @@
         expires_at = now + (self.limits.result_ttl_s or float("inf"))
         self.stored[handle] = StoredRecord(size_bytes, now, expires_at)
 
-    def names_anew(self, now: float, handle: str) -> bool:
+    def is_result_of(self, now: float, handle: str, piece: Piece) -> bool:
         """
-        Note that the endpoint names a result by a handle; false if it has done before.
+        Note that the endpoint names a piece's result; false if it is another piece's.
 
         Freed results count too, for as long as the endpoint may keep them.
         """
         oldest = next(iter(self.named), None)
-        while oldest is not None and self.named[oldest] <= now:
+        while oldest is not None and self.named[oldest][1] <= now:
             del self.named[oldest]
             oldest = next(iter(self.named), None)
-        if handle in self.named:
-            return False
-        self.named[handle] = now + (self.limits.result_ttl_s or NAMED_S)
-        return True
+        known, _ = self.named.pop(handle, (piece, now))
+        expires_at = now + (self.limits.result_ttl_s or NAMED_S)
+        self.named[handle] = (known, expires_at)
+        return known == piece
 
     def note_freed(self, now: float, handle: str) -> float:
         """Record that a result is deleted; return how many seconds it was stored."""
--- a/tests/policy/test_batcher.py
+++ b/tests/policy/test_batcher.py
@@ -434,3 +434,13 @@
     effects = batcher.call_ended(NOW + 0.7, second.call, outcomes)
     report = reports_by_request(effects)["b"]
     assert (report.handle, report.fault) == ("", PieceFault.FAILED)
+
+
+def test_a_piece_that_is_made_again_may_have_the_handle_that_it_had(batcher):
+    """Guards against a request that fails as its piece was made twice."""
+    (first,) = send(batcher, NOW, job("a"))
+    outcomes = completed(first)
+    batcher.call_ended(NOW + 0.3, first.call, outcomes)
+    (again,) = send(batcher, NOW + 0.4, job("a"))
+    effects = batcher.call_ended(NOW + 0.7, again.call, outcomes)
+    assert reports_by_request(effects)["a"].handle == outcomes.outcomes[0].handle
