One path writes whole responses, whatever their status

The parts of the commit that holds bodies once were a special case beside the path they were meant for: a second copy of its steps, for successes only. Now each whole response of a gateway with a limited memory is written by the same steps.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -275,19 +275,31 @@
         if isinstance(event, CompleteResponse):
             self._response_sizes.note(call.route.name, len(event.body))
         call.memory.end_reservation()
-        if isinstance(event, CompleteResponse) and self._is_written_in_parts(event):
-            return await self._write_whole(request, call, event)
         response = self._complete_response(request, call, event)
         if self._memory.is_limited:
-            # Written here and not by the server, so that the body stays counted until
-            # the caller has read it.
-            call.is_answering = True
-            _limit_send_buffer(request)
-            await response.prepare(request)
-            await response.write_eof()
-            await self._await_reading(request, call)
+            await self._write_whole(request, call, response)
         return response
 
+    async def _write_whole(
+        self, request: web.BaseRequest, call: LiveCall, response: web.Response
+    ) -> None:
+        """
+        Write a whole response in parts, so that only its body is held meanwhile.
+
+        It is written here and not by the server, so that the body stays counted until
+        the caller has read it.
+        """
+        call.is_answering = True
+        _limit_send_buffer(request)
+        await response.prepare(request)
+        body = response.body
+        assert isinstance(body, bytes)
+        # The server would write it once more, in one part.
+        response.body = None
+        await self._write_parts(request, response, call, body)
+        await response.write_eof()
+        await self._await_reading(request, call)
+
     def _complete_response(
         self, request: web.BaseRequest, call: LiveCall, event: CallEvent
     ) -> web.Response:
@@ -303,26 +315,6 @@
         self._log_end(call, refusal.status, outcome, refusal)
         return self._close_if_stopping(refusal_response(refusal, call.id))
 
-    def _is_written_in_parts(self, whole: CompleteResponse) -> bool:
-        return self._memory.is_limited and len(whole.body) > SLICE_BYTES
-
-    async def _write_whole(
-        self, request: web.BaseRequest, call: LiveCall, whole: CompleteResponse
-    ) -> web.StreamResponse:
-        """Write a whole response in parts, so that only its body is held meanwhile."""
-        self._log_end(call, whole.head.status, "answered")
-        response = web.StreamResponse(status=whole.head.status)
-        response.headers.extend(whole.head.headers)
-        response.content_length = len(whole.body)
-        self._close_if_stopping(response)
-        call.is_answering = True
-        _limit_send_buffer(request)
-        await response.prepare(request)
-        await self._write_parts(request, response, call, whole.body)
-        await response.write_eof()
-        await self._await_reading(request, call)
-        return response
-
     async def _stream(
         self, request: web.BaseRequest, call: LiveCall, head: ResponseHead
     ) -> web.StreamResponse:
--- a/tests/gateway/test_caller_memory.py
+++ b/tests/gateway/test_caller_memory.py
@@ -4,9 +4,12 @@
 import socket
 import time
 
+import pytest
+
 from bench.process_cost import memory_mb
 from tests.gateway.fake_endpoint import (
     STREAM_END,
+    complete_response,
     http_chunk,
     stream_response_head,
 )
@@ -210,20 +213,26 @@
     run_with_cluster(tmp_path, check)
 
 
-def test_whole_responses_to_slow_callers_are_held_once(tmp_path):
+@pytest.mark.parametrize("status", ["200 OK", "500 Failed"])
+def test_whole_responses_to_slow_callers_are_held_once(tmp_path, status):
     """Guards against slow readers of documents that take a gateway's memory."""
 
     async def check(cluster):
         document = b"d" * DOCUMENT_BYTES
-        await cluster.endpoint("e", "document", respond_with(document), slots=64)
-        cluster.configure(1, route("document", timeoutMs=30_000))
+
+        def script(request):
+            return [complete_response(request, document, status)]
+
+        await cluster.endpoint("e", "document", script, slots=64)
+        cluster.configure(1, route("document", "non_idempotent", timeoutMs=30_000))
         gateway = await cluster.gateway(memory_mb=DOCUMENTS_MB)
         callers = [SlowCaller(gateway, "/document/") for _ in range(DOCUMENTS)]
         for number in range(0, DOCUMENTS, CONNECTIONS):
             await asyncio.sleep(PAUSE_S)
             batch = callers[number : number + CONNECTIONS]
             heads = await asyncio.gather(*(c.send_when_taken() for c in batch))
-            assert all(head.startswith(b"HTTP/1.1 200 ") for head in heads)
+            expected = f"HTTP/1.1 {status[:3]} ".encode()
+            assert all(head.startswith(expected) for head in heads)
         assert memory_mb(gateway.process.pid) < DOCUMENTS_MB
         for caller in callers:
             assert await caller.reader.readexactly(DOCUMENT_BYTES) == document
