The result of an unreachable endpoint stands once; fewer switches on an exchange

The change built the same result at three places, beside those that the simulator and the replay had already: UNREACHABLE in policy/events.py serves all five. A call with pieces asks for its new connection itself, so that EndpointExchange needs one switch in place of two; without it such a call's response counts as nobody's. The outcome of a sidecar's reply is decided by the proof, which was computed beside it before. The batcher asks once whether a result has a server and a handle.

--- a/packages/daemon/src/amaranthtally/daemon/entry/attempts.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/attempts.py
@@ -18,14 +18,13 @@
 from amaranthtally.daemon.entry.stream_text import ChunkOutcome
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
-    NOT_SENT,
+    UNREACHABLE,
     AttemptId,
     AttemptOutcome,
     AttemptResult,
     CacheEvent,
     Endpoint,
     Send,
-    proof_of_not_run,
 )
 from amaranthtally.wire import OutcomeQuery, PeerLostError, StageReply, WireError
 
@@ -83,11 +82,7 @@
             client = await self._connections.client(endpoint)
         except PeerLostError as error:
             self._log_attempt(attempt, endpoint, "unreachable", str(error))
-            proof = proof_of_not_run(NOT_SENT)
-            result = AttemptResult(
-                AttemptOutcome.NOT_RUN, unreachable=True, proof=proof
-            )
-            self._listener.attempt_ended(attempt, result)
+            self._listener.attempt_ended(attempt, UNREACHABLE)
             return
         remaining_s = send.deadline - self._loop.time()
         call = build_call(
--- a/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
@@ -21,7 +21,6 @@
 
 _OUTCOME_BY_STATUS = {
     Status.FINISHED: AttemptOutcome.FINISHED,
-    Status.NOT_RUN: AttemptOutcome.NOT_RUN,
     Status.FAILED: AttemptOutcome.FAILED,
     Status.UNKNOWN: AttemptOutcome.UNKNOWN,
     Status.CONFLICT: AttemptOutcome.UNKNOWN,
@@ -88,10 +87,10 @@
 
 def read_reply(request: LiveRequest, stage: Stage, reply: StageReply) -> StageResult:
     """Return an attempt's result; a streamed output is joined from its chunks."""
-    outcome = _OUTCOME_BY_STATUS[reply.status]
     # The client has compared the reply's call with the one that was sent.
     stated = reply.status is Status.NOT_RUN
     proof = proof_of_not_run(CallEnd(is_own=True, states_not_run=stated))
+    outcome = AttemptOutcome.NOT_RUN if proof else _OUTCOME_BY_STATUS[reply.status]
     output = reply.output
     if outcome is AttemptOutcome.FINISHED and stage.streams:
         # An engine that dies can end its stream early without an error. The sidecar
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -19,7 +19,7 @@
 from amaranthtally.daemon.logs import format_parts, get_logger
 from amaranthtally.platform import ResponseLimitError
 from amaranthtally.policy import (
-    NOT_SENT,
+    UNREACHABLE,
     AttemptId,
     AttemptOutcome,
     AttemptResult,
@@ -31,7 +31,6 @@
     Send,
     StoredResult,
     StreamOrigin,
-    proof_of_not_run,
 )
 
 __all__ = ["CallListener", "EndpointCalls", "OnHead"]
@@ -102,10 +101,7 @@
         ``endpoint`` is ``None`` if it is no longer registered.
         """
         if endpoint is None:
-            proof = proof_of_not_run(NOT_SENT)
-            result = AttemptResult(
-                AttemptOutcome.NOT_RUN, unreachable=True, proof=proof
-            )
+            result = UNREACHABLE
         else:
             result = await self._attempt(call, send, endpoint, inputs)
         self._listener.attempt_ended(send.attempt, result)
@@ -144,9 +140,7 @@
         """Return the result of an attempt that has no complete response."""
         if exchange.proof is NotRunProof.NOT_SENT:
             self._log(send, endpoint, "unreachable", repr(error), exchange)
-            return AttemptResult(
-                AttemptOutcome.NOT_RUN, unreachable=True, proof=exchange.proof
-            )
+            return UNREACHABLE
         fate = "lost"
         if isinstance(error, ResponseLimitError):
             fate = "over_limit"
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
@@ -83,8 +83,8 @@
 
     ``call`` is the id that the call bears and that its response must bear too. A call
     without one must be the first on its connection for its response to count as its
-    own, unless its answer is not needed. Endpoints may answer twice or late, and what
-    is left on a connection is read where the next response is expected.
+    own. Endpoints may answer twice or late, and what is left on a connection is read
+    where the next response is expected.
     """
 
     def __init__(
@@ -93,10 +93,8 @@
         call: str = "",
         *,
         needs_new_connection: bool = False,
-        is_answer_needed: bool = True,
     ) -> None:
-        is_alone = needs_new_connection or (not call and is_answer_needed)
-        self._trace = CallTrace(limit, call, needs_new_connection=is_alone)
+        self._trace = CallTrace(limit, call, needs_new_connection)
         self._head: ResponseHead | None = None
         self._time = asyncio.get_running_loop().time
         self._started = self._time()
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -89,9 +89,8 @@
             results=len(action.handles),
             held_ms=round(action.held_s * MS_PER_S),
         )
-        exchange = EndpointExchange(
-            self._limits.of(ResponseKind.FREE), is_answer_needed=False
-        )
+        # Its answer decides nothing, so that any connection will do.
+        exchange = EndpointExchange(self._limits.of(ResponseKind.FREE))
         try:
             response, head = await exchange.send(
                 self._session,
@@ -115,7 +114,9 @@
             )
 
     async def _attempt(self, action: RunPieces, endpoint: Endpoint) -> PiecesEnded:
-        exchange = EndpointExchange(self._limits.of(ResponseKind.PIECES))
+        exchange = EndpointExchange(
+            self._limits.of(ResponseKind.PIECES), needs_new_connection=True
+        )
         try:
             return await self._exchange(action, endpoint, exchange)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/packages/operator/src/amaranthtally/operator/replay/entry.py
+++ b/packages/operator/src/amaranthtally/operator/replay/entry.py
@@ -11,6 +11,7 @@
 from amaranthtally.operator.replay.sidecar import Call, FakeSidecar
 from amaranthtally.operator.replay.trace import TraceArrival
 from amaranthtally.policy import (
+    UNREACHABLE,
     Action,
     Answer,
     Arrival,
@@ -269,7 +270,7 @@
     def _unreachable_result(self) -> AttemptResult:
         if self._network.is_cut_undetected:
             return AttemptResult(AttemptOutcome.LOST)
-        return AttemptResult(AttemptOutcome.NOT_RUN, unreachable=True)
+        return UNREACHABLE
 
     def _deliver_progress(
         self, sidecar: FakeSidecar, attempt: AttemptId, chunks: int
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -39,6 +39,7 @@
 from amaranthtally.policy.affinity import AffinityRouter
 from amaranthtally.policy.endpoint_directory import EndpointDirectory
 from amaranthtally.policy.events import (
+    UNREACHABLE,
     Arrival,
     AttemptOutcome,
     AttemptResult,
@@ -85,12 +86,7 @@
     ModelUsage,
     plan_model_orders,
 )
-from amaranthtally.policy.not_run import (
-    NOT_SENT,
-    CallEnd,
-    NotRunProof,
-    proof_of_not_run,
-)
+from amaranthtally.policy.not_run import CallEnd, NotRunProof, proof_of_not_run
 from amaranthtally.policy.part_losses import PartEnd
 from amaranthtally.policy.part_notices import PartNotice, PartState
 from amaranthtally.policy.part_successes import PartKey, PartSuccess
@@ -156,8 +152,8 @@
 __all__ = [
     "GATEWAY_COMPONENTS",
     "GATEWAY_TICK_S",
-    "NOT_SENT",
     "RESPONSE_MARGIN_S",
+    "UNREACHABLE",
     "Account",
     "AccountLimits",
     "AccountUsage",
--- a/packages/policy/src/amaranthtally/policy/batcher.py
+++ b/packages/policy/src/amaranthtally/policy/batcher.py
@@ -329,16 +329,13 @@
                 self._queue_again(now, job)
                 return
             outcome = PieceOutcome(fault=PieceFault.INPUT_MISSING)
-        # A handle belongs to one piece. Named for a second one, that piece's request
-        # would be computed from the first one's result.
-        if (
-            server is not None
-            and outcome.handle
-            and not server.is_result_of(now, outcome.handle, job.piece)
-        ):
-            outcome = PieceOutcome(fault=PieceFault.FAILED)
         if server is not None and outcome.handle:
-            server.note_stored(now, outcome.handle, job.result_bytes)
+            # A handle belongs to one piece. Named for a second one, that piece's
+            # request would be computed from the first one's result.
+            if server.is_result_of(now, outcome.handle, job.piece):
+                server.note_stored(now, outcome.handle, job.result_bytes)
+            else:
+                outcome = PieceOutcome(fault=PieceFault.FAILED)
         self._report(now, job, endpoint, outcome, effects, inputs_freed)
 
     def _process_call_failure(
--- a/packages/policy/src/amaranthtally/policy/events.py
+++ b/packages/policy/src/amaranthtally/policy/events.py
@@ -5,13 +5,14 @@
 from enum import Enum
 
 from amaranthtally.policy.model import Pipeline
-from amaranthtally.policy.not_run import NotRunProof
+from amaranthtally.policy.not_run import NOT_SENT, NotRunProof, proof_of_not_run
 from amaranthtally.policy.part_successes import PartKey
 from amaranthtally.policy.request_key import RequestKey
 from amaranthtally.policy.routes import PieceStage
 from amaranthtally.policy.stream_origins import StreamOrigin
 
 __all__ = [
+    "UNREACHABLE",
     "Arrival",
     "AttemptOutcome",
     "AttemptResult",
@@ -133,6 +134,11 @@
     proof: NotRunProof | None = None
 
 
+UNREACHABLE = AttemptResult(
+    AttemptOutcome.NOT_RUN, unreachable=True, proof=proof_of_not_run(NOT_SENT)
+)
+
+
 @dataclass(frozen=True, slots=True)
 class LoadReport:
     """
--- a/packages/simulator/src/amaranthtally/simulator/attempts.py
+++ b/packages/simulator/src/amaranthtally/simulator/attempts.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass, field
 
 from amaranthtally.policy import (
+    UNREACHABLE,
     Action,
     AttemptId,
     AttemptOutcome,
@@ -22,7 +23,6 @@
 
 # Connect timeout of a call to an unreachable endpoint, in seconds.
 CONNECT_TIMEOUT_S = 0.5
-UNREACHABLE = AttemptResult(AttemptOutcome.NOT_RUN, unreachable=True)
 
 
 @dataclass(slots=True)
