Origins' sources are kept by the class that keeps origins; one choice of a duty's holder

The tracker had two maps of expiry times beside StreamOrigins, which expires, bounds and extends entries already: two more of these serve. Who records is a decision: it moves from the daemon to policy/replica_holders.py, and duty_holder is what both recorders call for the entry that has a duty. The recorder compares what is held with what is written once in place of twice.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
@@ -10,19 +10,21 @@
 from amaranthtally.adapter.store import StoreItem, StoreWrite
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import StoreClient
-from amaranthtally.policy import OriginEntry, StreamOrigin, duty_weight
+from amaranthtally.policy import (
+    OriginEntry,
+    StreamOrigin,
+    recording_entry,
+    records_alone,
+)
 
-__all__ = ["ORIGINS_PREFIX", "OriginRecorder", "writer_of"]
+__all__ = ["ORIGINS_PREFIX", "OriginRecorder"]
 
 ORIGINS_PREFIX = "origins/"
-DUTY_KEY = "origins"
 # Interval between writes, in seconds: a stream whose first event comes later than that
 # before all gateways fail is known to nobody.
 WRITE_INTERVAL_S = 0.25
 # Most writes per second of all gateways together.
 MAX_WRITES_PER_S = 24.0
-# In a fleet of up to this size each gateway writes for itself, without a copy before.
-MAX_WRITERS = 6
 # Each item holds the streams that became known in this time, in seconds. This many
 # items are kept, so that the oldest holds no stream that may still be taken up.
 SEGMENT_S = 4.0
@@ -82,7 +84,6 @@
         Create it; ``note`` holds what is read.
 
         ``held`` returns what is held here, or only what this gateway has noted itself.
-
         ``is_needed`` says whether a pool has had several versions lately.
         """
         self._name = name
@@ -103,13 +104,14 @@
 
     def entries_changed(self, data_centres: Mapping[str, str]) -> None:
         """Choose the writer of this data centre among the live gateways."""
-        writer = writer_of(self._name, self._data_centre, data_centres)
+        writer = recording_entry(self._name, self._data_centre, data_centres)
         self._is_writer = writer == self._name
-        self._writes_own_only = len(data_centres) < MAX_WRITERS
-        count = len({self._data_centre, *data_centres.values()})
+        self._writes_own_only = records_alone(data_centres)
         if self._writes_own_only:
-            count = 1 + len(data_centres)
-        self._interval_s = max(WRITE_INTERVAL_S, count / MAX_WRITES_PER_S)
+            writers = 1 + len(data_centres)
+        else:
+            writers = len({self._data_centre, *data_centres.values()})
+        self._interval_s = max(WRITE_INTERVAL_S, writers / MAX_WRITES_PER_S)
 
     async def run(self) -> None:
         """Write what is due until cancelled."""
@@ -153,16 +155,15 @@
         """Write what is due; false if the store refused it or did not answer."""
         entries = self._held(self._writes_own_only)
         held = {entry.request_id: entry.origin for entry in entries}
-        due = {r: origin for r, origin in held.items() if r not in self._written}
-        if not due and not self._lease:
+        if not held and not self._lease:
             return True
         if not await self._hold_lease():
             return False
-        # A new lease has none of what was written under the one before.
+        # Only now: a new lease has none of what was written under the one before.
         due = {r: origin for r, origin in held.items() if r not in self._written}
         if not due:
             return True
-        segment = self._segment_for(due)
+        segment = self._current_segment()
         key = f"{self._own_prefix}{segment.number}"
         value = _encode(segment.entries | due)
         written = await self._client.transact([], [StoreWrite(key, value, self._lease)])
@@ -177,7 +178,7 @@
         log.debug("origins_recorded", key=key, origins=len(due), bytes=len(value))
         return True
 
-    def _segment_for(self, due: Mapping[str, StreamOrigin]) -> _Segment:
+    def _current_segment(self) -> _Segment:
         now, segment = self._time(), self._segment
         is_over = now - segment.opened_at >= SEGMENT_S
         if segment.entries and (is_over or segment.size > MAX_SEGMENT_BYTES):
@@ -211,14 +212,6 @@
         self._segment = _Segment(0, self._time())
 
 
-def writer_of(name: str, data_centre: str, data_centres: Mapping[str, str]) -> str:
-    """Return the gateway that writes what ``name`` begins: itself or another one."""
-    if len(data_centres) < MAX_WRITERS:
-        return name
-    names = [name, *(n for n, near in data_centres.items() if near == data_centre)]
-    return min(names, key=lambda candidate: duty_weight(candidate, DUTY_KEY))
-
-
 def _encode(entries: Mapping[str, StreamOrigin]) -> bytes:
     groups: dict[StreamOrigin, list[str]] = {}
     for request, origin in entries.items():
--- a/packages/daemon/src/amaranthtally/daemon/gateway/stream_origin_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/stream_origin_tracker.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-from amaranthtally.daemon.gateway.origin_recorder import writer_of
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import (
@@ -13,6 +12,7 @@
     StreamOrigin,
     StreamOrigins,
     lookup_rounds,
+    recording_entry,
     replica_holders,
 )
 from amaranthtally.wire import PeerLostError
@@ -69,9 +69,9 @@
         self._data_centres: Mapping[str, str] = {}
         self._holders: tuple[str, ...] = ()
         self._recorder = ""
-        # When the origins expire that this gateway noted itself, and that peers copied.
-        self._own: dict[str, float] = {}
-        self._copied: dict[str, float] = {}
+        # Of these, what this gateway noted itself, and what peers have copied.
+        self._noted = StreamOrigins()
+        self._copied = StreamOrigins()
         self._queues: dict[str, dict[str, OriginEntry]] = {}
         self._sending: set[str] = set()
         self._searches = 0
@@ -85,8 +85,9 @@
     def note(self, request_id: str, origin: StreamOrigin, expires_at: float) -> None:
         """Hold the origin of a stream until a time stamp, here and at the holders."""
         entry = OriginEntry(request_id, origin, expires_at)
-        self._origins.put(self._time(), entry)
-        _note_expiry(self._own, self._time(), entry)
+        now = self._time()
+        self._origins.put(now, entry)
+        self._noted.put(now, entry)
         self._copy([entry], self._holders)
 
     def copies_received(self, entries: Iterable[OriginEntry]) -> None:
@@ -94,7 +95,7 @@
         now = self._time()
         for entry in entries:
             self._origins.put(now, entry)
-            _note_expiry(self._copied, now, entry)
+            self._copied.put(now, entry)
 
     def records_read(self, entries: Iterable[OriginEntry]) -> None:
         """Hold what the store has; it is neither passed on nor written again."""
@@ -104,19 +105,16 @@
 
     def entries(self, own_only: bool) -> tuple[OriginEntry, ...]:
         """Return what was noted here, and peers' copies unless ``own_only``."""
-        copied = {} if own_only else self._copied
-        return tuple(
-            entry
-            for entry in self._origins.entries(self._time())
-            if entry.request_id in self._own or entry.request_id in copied
-        )
+        now = self._time()
+        noted = self._noted.entries(now)
+        return noted if own_only else (*noted, *self._copied.entries(now))
 
     def entries_changed(self, data_centres: Mapping[str, str]) -> None:
         """Copy to new holders after a change of the set of the other live gateways."""
         self._data_centres = data_centres
         before = self._holders
         holders = replica_holders(self._name, self._data_centre, data_centres)
-        recorder = writer_of(self._name, self._data_centre, data_centres)
+        recorder = recording_entry(self._name, self._data_centre, data_centres)
         self._recorder = "" if recorder in (self._name, *holders) else recorder
         recorders = (self._recorder,) if self._recorder else ()
         self._holders = (*holders, *recorders)
@@ -223,10 +221,3 @@
             )
             return False
         return True
-
-
-def _note_expiry(expiry: dict[str, float], now: float, entry: OriginEntry) -> None:
-    """Note when an entry expires, and forget the oldest that have expired."""
-    expiry[entry.request_id] = entry.expires_at
-    while (oldest := next(iter(expiry), "")) and expiry[oldest] <= now:
-        del expiry[oldest]
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -10,7 +10,7 @@
 from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import StoreClient
-from amaranthtally.policy import Endpoint, VersionHistory, duty_weight
+from amaranthtally.policy import Endpoint, VersionHistory, duty_holder
 
 __all__ = ["VERSIONS_PREFIX", "VersionRecorder"]
 
@@ -94,8 +94,7 @@
     def entries_changed(self, data_centres: Mapping[str, str]) -> None:
         """Choose the writer among the live gateways."""
         names = [self._name, *data_centres]
-        writer = min(names, key=lambda name: duty_weight(name, DUTY_KEY))
-        self._is_writer = writer == self._name
+        self._is_writer = duty_holder(names, DUTY_KEY) == self._name
 
     async def run(self) -> None:
         """Write due records until cancelled."""
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -106,8 +106,13 @@
 from amaranthtally.policy.planner_components import PlannerComponents
 from amaranthtally.policy.pool_sites import Peer
 from amaranthtally.policy.prompt_guard import PromptGuard
-from amaranthtally.policy.rendezvous import duty_weight
-from amaranthtally.policy.replica_holders import lookup_rounds, replica_holders
+from amaranthtally.policy.rendezvous import duty_holder
+from amaranthtally.policy.replica_holders import (
+    lookup_rounds,
+    recording_entry,
+    records_alone,
+    replica_holders,
+)
 from amaranthtally.policy.request_key import RequestKey, request_key
 from amaranthtally.policy.request_ledger import Counters
 from amaranthtally.policy.response_limits import (
@@ -269,12 +274,14 @@
     "Work",
     "build_memory_budget",
     "build_response_limits",
-    "duty_weight",
+    "duty_holder",
     "elect_watchers",
     "gateway_settings",
     "lookup_rounds",
     "plan_model_orders",
     "proof_of_not_run",
+    "recording_entry",
+    "records_alone",
     "replica_holders",
     "request_key",
     "request_rank",
--- a/packages/policy/src/amaranthtally/policy/rendezvous.py
+++ b/packages/policy/src/amaranthtally/policy/rendezvous.py
@@ -4,7 +4,7 @@
 from functools import lru_cache
 from hashlib import blake2b
 
-__all__ = ["duty_weight", "rendezvous_weight", "ring_successor"]
+__all__ = ["duty_holder", "duty_weight", "rendezvous_weight", "ring_successor"]
 
 WEIGHT_BYTES = 8
 RING_KEY = "ring"
@@ -28,6 +28,11 @@
     return rendezvous_weight(name, duty)
 
 
+def duty_holder(names: Iterable[str], duty: str) -> str:
+    """Return the entry, of at least one, that has a duty."""
+    return min(names, key=lambda name: duty_weight(name, duty))
+
+
 def ring_successor(name: str, others: Iterable[str]) -> str:
     """Return the member that follows a name in a ring by hash; "" without others."""
     own = duty_weight(name, RING_KEY)
--- a/packages/policy/src/amaranthtally/policy/replica_holders.py
+++ b/packages/policy/src/amaranthtally/policy/replica_holders.py
@@ -2,13 +2,30 @@
 
 from collections.abc import Mapping
 
-from amaranthtally.policy.rendezvous import ring_successor
+from amaranthtally.policy.rendezvous import duty_holder, ring_successor
 
-__all__ = ["lookup_rounds", "replica_holders"]
+__all__ = ["lookup_rounds", "recording_entry", "records_alone", "replica_holders"]
 
 # Most entries of which all are asked. In a larger fleet, only those of two data centres
 # are, so that the cost of a question does not grow with the fleet.
 MAX_ASKED = 128
+# In a fleet of up to this size each entry records what it knows, without a copy before.
+MAX_RECORDING = 6
+RECORDING_DUTY = "origins"
+
+
+def records_alone(data_centres: Mapping[str, str]) -> bool:
+    """Whether each entry records for itself, given the data centres of the others."""
+    return len(data_centres) < MAX_RECORDING
+
+
+def recording_entry(
+    name: str, data_centre: str, data_centres: Mapping[str, str]
+) -> str:
+    """Return the entry that records what one knows: itself, or one for many."""
+    if records_alone(data_centres):
+        return name
+    return duty_holder([name, *_members(data_centre, data_centres)], RECORDING_DUTY)
 
 
 def replica_holders(
