Tests and the bench of slow readers: leftovers stand once, names of headers from the adapter

test_not_run and the soak's strays each had the list of refusals without an id: it stands beside the scripted endpoint. bench.slow_readers spelled a header's name of the users' pages; it takes it from the adapter, and catches the client's errors by name in place of any.

--- a/bench/slow_readers.py
+++ b/bench/slow_readers.py
@@ -11,9 +11,13 @@
 import sys
 import tempfile
 import time
+from collections import Counter
 from dataclasses import dataclass, field
 from pathlib import Path
 
+import aiohttp
+
+from amaranthtally.adapter import headers as names
 from bench.process_cost import memory_mb
 from tests.gateway.support import open_gateway_cluster, respond_with, route
 
@@ -33,12 +37,8 @@
     """What was seen; sizes in megabytes."""
 
     peak_mb: float = 0.0
-    documents: dict[str, int] = field(default_factory=dict)
-    lookups: dict[str, int] = field(default_factory=dict)
-
-    def count(self, counts: dict[str, int], outcome: str) -> None:
-        """Count one outcome."""
-        counts[outcome] = counts.get(outcome, 0) + 1
+    documents: Counter[str] = field(default_factory=Counter)
+    lookups: Counter[str] = field(default_factory=Counter)
 
 
 async def _read_slowly(gateway, figures, size, rate):
@@ -47,9 +47,7 @@
             asyncio.timeout(READ_S),
             gateway.session.post(
                 f"{gateway.url}/documents/",
-                headers=gateway.headers(
-                    **{"X-Amaranthtally-Deadline-Ms": str(TIMEOUT_MS)}
-                ),
+                headers=gateway.headers(**{names.DEADLINE_MS: str(TIMEOUT_MS)}),
             ) as response,
         ):
             received = 0
@@ -59,21 +57,19 @@
                     await asyncio.sleep(len(part) / rate)
             whole = response.status == 200 and received == size
             outcome = "whole" if whole else str(response.status)
-    except (TimeoutError, OSError) as error:
+    except (aiohttp.ClientError, OSError, TimeoutError) as error:
         outcome = type(error).__name__
-    except Exception as error:
-        outcome = type(error).__name__
-    figures.count(figures.documents, outcome)
+    figures.documents[outcome] += 1
 
 
-async def _look_up(gateway, figures, end_at):
-    while time.monotonic() < end_at:
+async def _look_up(gateway, figures):
+    while True:
         try:
             status, _, body = await gateway.call("/lookups/")
             outcome = "whole" if (status, body) == (200, b"found") else str(status)
-        except Exception as error:
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
             outcome = type(error).__name__
-        figures.count(figures.lookups, outcome)
+        figures.lookups[outcome] += 1
         await asyncio.sleep(0.1)
 
 
@@ -96,9 +92,8 @@
             gateway = await cluster.gateway(memory_mb=MEMORY_MB)
             watch = asyncio.create_task(_watch(gateway, figures))
             started = time.monotonic()
-            end_at = started + ARRIVAL_S + READ_S
             lookups = [
-                asyncio.create_task(_look_up(gateway, figures, end_at))
+                asyncio.create_task(_look_up(gateway, figures))
                 for _ in range(SHORT_CALLERS)
             ]
             readers = []
@@ -112,6 +107,7 @@
                 work.cancel()
             await asyncio.gather(*lookups, return_exceptions=True)
             watch.cancel()
+            await asyncio.gather(watch, return_exceptions=True)
     return figures, took_s
 
 
@@ -128,7 +124,7 @@
     sys.stdout.write(
         f"callers={arguments.callers} size={arguments.size} rate={arguments.rate} "
         f"peak_mb={figures.peak_mb:.1f} limit_mb={MEMORY_MB} took_s={took_s:.1f} "
-        f"documents={figures.documents} lookups={figures.lookups}\n"
+        f"documents={dict(figures.documents)} lookups={dict(figures.lookups)}\n"
     )
 
 
--- a/tests/gateway/fake_endpoint.py
+++ b/tests/gateway/fake_endpoint.py
@@ -163,6 +163,22 @@
     return response_head(request, status, length=0, signed=False, **extra)
 
 
+def response_without_id(status, header=b"", body=b""):
+    """Return a whole response that names no request."""
+    length = b"Content-Length: %d\r\n\r\n" % len(body)
+    return b"HTTP/1.1 %s\r\n%s" % (status, header) + length + body
+
+
+NOT_EXECUTED_LINE = f"{names.NOT_EXECUTED}: 1\r\n".encode()
+REFUSALS_WITHOUT_ID = {
+    "503": response_without_id(b"503 Service Unavailable", NOT_EXECUTED_LINE),
+    "429": response_without_id(b"429 Too Many Requests", NOT_EXECUTED_LINE),
+    "421": response_without_id(b"421 Misdirected Request"),
+    "400": response_without_id(b"400 Bad Request", NOT_EXECUTED_LINE),
+    "409": response_without_id(b"409 Conflict", NOT_EXECUTED_LINE),
+}
+
+
 def sse_events(*numbers):
     """Return complete events with these ids."""
     return b"".join(b"id: %d\ndata: word%d\n\n" % (n, n) for n in numbers)
--- a/tests/gateway/test_not_run.py
+++ b/tests/gateway/test_not_run.py
@@ -8,9 +8,11 @@
 
 from amaranthtally.adapter import headers as names
 from tests.gateway.fake_endpoint import (
+    REFUSALS_WITHOUT_ID,
+    SIGNATURE,
     complete_response,
     not_executed_response,
-    response_head,
+    response_without_id,
 )
 from tests.gateway.support import (
     SEGMENTS,
@@ -24,24 +26,11 @@
 CALLS = 6
 # Time between a response that nobody asked for and the call's own, in seconds.
 OWN_RESPONSE_AFTER_S = 0.1
-NOT_EXECUTED = f"{names.NOT_EXECUTED}: 1\r\n".encode()
 # Statuses that tell a caller that its request has not run and never will.
 PROMISES = (408, 421, 429, 503)
-LEFTOVERS = {
-    "503": (b"503 Service Unavailable", NOT_EXECUTED),
-    "429": (b"429 Too Many Requests", NOT_EXECUTED),
-    "421": (b"421 Misdirected Request", b""),
-    "400": (b"400 Bad Request", NOT_EXECUTED),
-    "409": (b"409 Conflict", NOT_EXECUTED),
-}
 
 
-def response_without_id(status, header):
-    """Return a whole response that names no request."""
-    return b"HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n" % (status, header)
-
-
-def leftover_before_second(leftover):
+def leftover_before_second(words):
     """Return a script that sends a leftover before the response to each second call."""
     serials = itertools.count(1)
 
@@ -49,18 +38,19 @@
         own = complete_response(request, b"done")
         if next(serials) % 2:
             return [own]
-        return [leftover(request), OWN_RESPONSE_AFTER_S, own]
+        leftover = REFUSALS_WITHOUT_ID[words]
+        return [leftover, OWN_RESPONSE_AFTER_S, own]
 
     return script
 
 
-async def call_often(cluster, scripts, **options):
+async def call_often(cluster, scripts):
     """Send requests to endpoints that run each; return their statuses and runs."""
     endpoints = [
         await cluster.endpoint(f"e{n}", "job", script)
         for n, script in enumerate(scripts)
     ]
-    cluster.configure(1, route("job", "non_idempotent", **options))
+    cluster.configure(1, route("job", "non_idempotent"))
     gateway = await cluster.gateway()
     statuses = [(await gateway.call("/job/"))[0] for _ in range(CALLS)]
     runs = [request.id for endpoint in endpoints for request in endpoint.requests]
@@ -68,15 +58,12 @@
 
 
 @pytest.mark.parametrize("count", [1, 2], ids=["one", "two"])
-@pytest.mark.parametrize("words", LEFTOVERS)
+@pytest.mark.parametrize("words", REFUSALS_WITHOUT_ID)
 def test_a_response_without_an_id_proves_nothing_of_a_call(tmp_path, words, count):
     """Guards against orders that ran and are refused as not run, or run twice."""
 
     async def check(cluster):
-        def leftover(_):
-            return response_without_id(*LEFTOVERS[words])
-
-        scripts = [leftover_before_second(leftover) for _ in range(count)]
+        scripts = [leftover_before_second(words) for _ in range(count)]
         statuses, runs = await call_often(cluster, scripts)
         assert not set(statuses) & set(PROMISES)
         assert len(runs) == len(set(runs)) == CALLS
@@ -88,14 +75,12 @@
     """Guards against a caller that gets an answer to no request as its own."""
 
     async def check(cluster):
-        def leftover(request):
-            request.headers.pop(names.REQUEST_ID.lower())
-            head = response_head(request, length=7)
-            return head.replace(f"{names.REQUEST_ID}: \r\n".encode(), b"") + b"foreign"
+        signed = f"{names.SIGNATURE}: {SIGNATURE}\r\n".encode()
+        leftover = response_without_id(b"200 OK", signed, b"foreign")
 
         def script(request):
-            stranger = type(request)("GET", "/", dict(request.headers), b"")
-            return [leftover(stranger), 0.1, complete_response(request, b"done")]
+            own = complete_response(request, b"done")
+            return [leftover, OWN_RESPONSE_AFTER_S, own]
 
         await cluster.endpoint("e0", "job", script)
         cluster.configure(1, route("job", "non_idempotent"))
@@ -193,18 +178,23 @@
     return script
 
 
+def configure_one_stage(cluster):
+    """Configure a route with one stage before its engine."""
+    stages = [{"service": "first", "after": [], "sizeBytes": 1000}]
+    cluster.configure(
+        1,
+        route("ask", phases=stages, service="engine", **STREAM),
+        services=[{"name": "first", "segments": SEGMENTS}],
+    )
+
+
 def test_pieces_get_no_results_of_an_earlier_call(tmp_path):
     """Guards against a request that is computed from another request's results."""
 
     async def check(cluster):
         await cluster.endpoint("first", "first", pieces_answered_twice("m"))
         engine = await cluster.endpoint("engine", "engine", respond_with(b"text"))
-        stages = [{"service": "first", "after": [], "sizeBytes": 1000}]
-        cluster.configure(
-            1,
-            route("ask", phases=stages, service="engine", **STREAM),
-            services=[{"name": "first", "segments": SEGMENTS}],
-        )
+        configure_one_stage(cluster)
         gateway = await cluster.gateway()
         for _ in range(CALLS):
             await gateway.call("/ask/", **piece_headers("2"))
@@ -230,12 +220,7 @@
 
         await cluster.endpoint("first", "first", script)
         await cluster.endpoint("engine", "engine", respond_with(b"text"))
-        stages = [{"service": "first", "after": [], "sizeBytes": 1000}]
-        cluster.configure(
-            1,
-            route("ask", phases=stages, service="engine", **STREAM),
-            services=[{"name": "first", "segments": SEGMENTS}],
-        )
+        configure_one_stage(cluster)
         gateway = await cluster.gateway()
         headers = {**piece_headers("1"), names.DEADLINE_MS: "1000"}
         await gateway.call("/ask/", **headers)
--- a/tests/soak/strays.py
+++ b/tests/soak/strays.py
@@ -3,8 +3,11 @@
 import asyncio
 import time
 
-from amaranthtally.adapter import headers as header_names
-from tests.gateway.fake_endpoint import complete_response
+from tests.gateway.fake_endpoint import (
+    REFUSALS_WITHOUT_ID,
+    complete_response,
+    response_without_id,
+)
 
 # How long an endpoint sends such responses, in seconds, and to which share of calls.
 STRAY_S = 2.0
@@ -16,15 +19,7 @@
 SECOND_SHARE = 0.5
 # Time between a response that nobody asked for and the call's own, in seconds.
 OWN_AFTER_S = 0.02
-NOT_EXECUTED = f"{header_names.NOT_EXECUTED}: 1\r\n".encode()
-WITHOUT_ID = (
-    (b"503 Service Unavailable", NOT_EXECUTED),
-    (b"429 Too Many Requests", NOT_EXECUTED),
-    (b"421 Misdirected Request", b""),
-    (b"400 Bad Request", NOT_EXECUTED),
-    (b"409 Conflict", NOT_EXECUTED),
-    (b"200 OK", b""),
-)
+WITHOUT_ID = (*REFUSALS_WITHOUT_ID.values(), response_without_id(b"200 OK"))
 # Statuses that promise "not run", with which a run itself ends.
 OWN_STATUSES = ("503 Unavailable", "429 Too Many", "408 Timeout", "421 Misdirected")
 
@@ -36,7 +31,6 @@
         self._random = random
         self._last = {}
         self.active = False
-        self.sent = 0
 
     def add(self, request, steps):
         """Return the steps of a response, with strays before or in place of them."""
@@ -45,16 +39,13 @@
         self._last[request.connection] = whole[-1] if len(whole) == 1 else None
         if not self.active or self._random.random() > STRAY_SHARE:
             return steps
-        self.sent += 1
         # Callers may take requests that may run twice for not run: no harm is done.
         if request.id.startswith("order") and self._random.random() < OWN_SHARE:
             status = self._random.choice(OWN_STATUSES)
             return [complete_response(request, b"failed", status)]
         if previous is not None and self._random.random() < SECOND_SHARE:
             return [previous, OWN_AFTER_S, *steps]
-        status, header = self._random.choice(WITHOUT_ID)
-        stray = b"HTTP/1.1 %s\r\n%sContent-Length: 0\r\n\r\n" % (status, header)
-        return [stray, OWN_AFTER_S, *steps]
+        return [self._random.choice(WITHOUT_ID), OWN_AFTER_S, *steps]
 
 
 async def send_strays(run, random, end_at):
