Log a background task that an exception ends, and what a rejection rests on

Nothing showed whether the loops of a gateway run: an exception that ends one was held by its task until the process stops. Nor did a 404 or an attempt say which version and revision it rested on, or when the store last confirmed them.

Logged: task_failed with its traceback; version, records and confirmed_s of request_rejected; the record's revision of attempt_sent. Exported: tasks_failed and store_confirmed_s. No logic is changed.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 from collections.abc import Callable
-from typing import TypeVar
+from typing import NamedTuple, TypeVar
 
 from aiohttp import hdrs, web
 from result import Err
@@ -46,7 +46,7 @@
     StreamOrigin,
 )
 
-__all__ = ["CallerHandler"]
+__all__ = ["CallerHandler", "RoutingEvidence"]
 
 ResponseT = TypeVar("ResponseT", bound=web.StreamResponse)
 
@@ -70,6 +70,19 @@
 DUPLICATE_ID = Refusal(400, "a request with this id is in flight; use a new id")
 
 
+class RoutingEvidence(NamedTuple):
+    """
+    What a rejection rests on, for its log line.
+
+    It holds the configuration's version, the revision of the records, and the time
+    since the store last confirmed them, in seconds.
+    """
+
+    version: int
+    records: int
+    confirmed_s: float
+
+
 class CallerHandler:
     """Checks requests against the route table, submits them and writes responses."""
 
@@ -80,6 +93,7 @@
         metrics: GatewayMetrics,
         resumption: StreamResumption,
         table: Callable[[], RouteTable | None],
+        evidence: Callable[[], RoutingEvidence],
         is_stopping: Callable[[], bool],
         memory: EntryMemory | None = None,
     ) -> None:
@@ -91,6 +105,7 @@
         self._metrics = metrics
         self._resumption = resumption
         self._table = table
+        self._evidence = evidence
         self._is_stopping = is_stopping
         self._open_responses = 0
         self._body_timeouts: set[asyncio.Timeout] = set()
@@ -422,6 +437,7 @@
             request_id=request_id,
             status=refusal.status,
             reason=refusal.reason,
+            **self._evidence()._asdict(),
         )
         return self._close_if_stopping(refusal_response(refusal, request_id))
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -433,6 +433,7 @@
             attempt=send.attempt.number,
             endpoint=send.endpoint,
             version=endpoint.version if endpoint else "",
+            revision=endpoint.revision if endpoint else 0,
             after=call.last_event or call.caller.last_event,
             hedge=send.hedge,
             limit=limits.get(send.endpoint, ""),
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -59,6 +59,8 @@
     records: int
     store_connected: bool
     store_watched: bool
+    store_confirmed_s: float
+    tasks_failed: int
     followers: int
     changes_refused: int
     stream_origins: int
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prefix_watcher.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prefix_watcher.py
@@ -1,6 +1,7 @@
 """Watches a prefix of the store, while this gateway has to, into a replica."""
 
 import asyncio
+from math import inf
 from random import Random
 from typing import Protocol
 
@@ -77,6 +78,13 @@
         self._random = random
         self._must_list = True
         self._is_unreachable = False
+        self._confirmed_at = -inf
+        self._time = asyncio.get_running_loop().time
+
+    @property
+    def confirmed_s(self) -> float:
+        """Seconds since the store or the followed watcher answered, or ``inf``."""
+        return self._time() - self._confirmed_at
 
     @property
     def is_connected(self) -> bool:
@@ -105,6 +113,7 @@
 
     def note_reachable(self) -> None:
         """Note that the store answers this gateway or the watcher that it follows."""
+        self._confirmed_at = self._time()
         if self._is_unreachable:
             self._is_unreachable = False
             log.info("store_regained", prefix=self._prefix)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -14,7 +14,7 @@
 
 from amaranthtally.adapter.callers import READY_PATH
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
-from amaranthtally.daemon.gateway.caller_handler import CallerHandler
+from amaranthtally.daemon.gateway.caller_handler import CallerHandler, RoutingEvidence
 from amaranthtally.daemon.gateway.caller_memory import EntryMemory
 from amaranthtally.daemon.gateway.connection_gate import ConnectionGate
 from amaranthtally.daemon.gateway.coordination import Coordination
@@ -40,6 +40,7 @@
 from amaranthtally.daemon.lifecycle import (
     ReloadSignal,
     StopSignal,
+    failed_task_count,
     run_in_background,
     split_address,
     stop_on_signal,
@@ -231,6 +232,8 @@
             records=coordination.documents.versions.records,
             store_connected=coordination.store.is_connected,
             store_watched=coordination.store.is_watching,
+            store_confirmed_s=coordination.store.confirmed_s,
+            tasks_failed=failed_task_count(),
             followers=coordination.follower_count,
             changes_refused=coordination.changes_refused,
             stream_origins=origins.count,
@@ -269,6 +272,11 @@
         metrics,
         resumption,
         lambda: routing_state.table,
+        lambda: RoutingEvidence(
+            configuration.version,
+            coordination.documents.versions.records,
+            coordination.store.confirmed_s,
+        ),
         stop.is_set,
         memory,
     )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
@@ -57,6 +57,11 @@
         watcher = self._watcher
         return self.is_watching and watcher.is_connected and watcher.is_listed
 
+    @property
+    def confirmed_s(self) -> float:
+        """Seconds since the store or the followed watcher answered, or ``inf``."""
+        return self._watcher.confirmed_s
+
     @property
     def is_receiving(self) -> bool:
         """Whether the body of a response from the store is being received."""
--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -8,10 +8,13 @@
 
 from aiohttp import web
 
+from amaranthtally.daemon.logs import get_logger
+
 __all__ = [
     "HttpServer",
     "ReloadSignal",
     "StopSignal",
+    "failed_task_count",
     "open_http",
     "run_in_background",
     "serve_http",
@@ -21,6 +24,9 @@
 
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
+log = get_logger()
+_failed_tasks: set[str] = set()
+
 
 def split_address(address: str) -> tuple[str, int]:
     """Return the host and port of ``ip:port``."""
@@ -130,6 +136,8 @@
 def run_in_background(stack: AsyncExitStack, work: Coroutine[Any, Any, None]) -> None:
     """Run ``work`` in a background task that is cancelled when the stack closes."""
     task = asyncio.create_task(work)
+    name = getattr(work, "__qualname__", "unnamed")
+    task.add_done_callback(lambda _: _report_end(task, name))
 
     async def cancel_task() -> None:
         task.cancel()
@@ -139,6 +147,18 @@
     stack.push_async_callback(cancel_task)
 
 
+def failed_task_count() -> int:
+    """Return the number of background tasks that an exception has ended."""
+    return len(_failed_tasks)
+
+
+def _report_end(task: asyncio.Task[None], name: str) -> None:
+    if task.cancelled() or task.exception() is None:
+        return
+    _failed_tasks.add(name)
+    log.error("task_failed", task=name, exc_info=task.exception())
+
+
 class HttpServer:
     """A listening HTTP server."""
 
