Take no nested record as the end of following the store

Callers saw 404 on routes that had been added and calls at endpoints that had left, at all gateways for good, or gateways that never got ready: a record with a field nested 4,000 deep makes msgspec raise RecursionError, also where the type ignores the field, and the decoders caught msgspec's errors only.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
@@ -9,6 +9,7 @@
 
 from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.decoding import decode_json
 from amaranthtally.platform import PlatformOutcomeUnknown, StoreClient
 from amaranthtally.policy import PeerDirectory, PeerRecord
 
@@ -139,8 +140,8 @@
 
 
 def _decode(item: StoreItem) -> PeerRecord | None:
-    try:
-        return msgspec.json.decode(item.value or b"", type=PeerRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        log.warning("record_malformed", key=item.key, cause=str(error))
+    decoded = decode_json(item.value or b"", PeerRecord)
+    if isinstance(decoded, Err):
+        log.warning("record_malformed", key=item.key, cause=str(decoded.err_value))
         return None
+    return decoded.ok_value
--- a/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
@@ -9,6 +9,7 @@
 
 from amaranthtally.adapter.store import StoreItem, StoreWrite
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.decoding import decode_json
 from amaranthtally.platform import StoreClient
 from amaranthtally.policy import (
     OriginEntry,
@@ -133,15 +134,14 @@
         """Hold the origins of a written item; a removed one says nothing."""
         if item.value is None or item.key.startswith(self._own_prefix):
             return
-        try:
-            groups = msgspec.json.decode(item.value, type=list[_Group])
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            log.warning("record_malformed", key=item.key, cause=str(error))
+        decoded = decode_json(item.value, list[_Group])
+        if isinstance(decoded, Err):
+            log.warning("record_malformed", key=item.key, cause=str(decoded.err_value))
             return
         expires_at = self._time() + KEPT_S
         self._note(
             OriginEntry(request, StreamOrigin(group.pool, group.version), expires_at)
-            for group in groups
+            for group in decoded.ok_value
             for request in group.requests
         )
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -9,6 +9,7 @@
 
 from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.decoding import decode_json
 from amaranthtally.platform import StoreClient
 from amaranthtally.policy import Endpoint, VersionHistory, duty_holder
 
@@ -165,9 +166,7 @@
     """Return a record; without versions if it was removed or cannot be read."""
     if item.value is None:
         return _Record(frozenset(), 0)
-    try:
-        versions = msgspec.json.decode(item.value, type=list[str])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        log.warning("record_malformed", key=item.key, cause=str(error))
-        versions = []
-    return _Record(frozenset(versions), item.revision)
+    decoded = decode_json(item.value, list[str])
+    if isinstance(decoded, Err):
+        log.warning("record_malformed", key=item.key, cause=str(decoded.err_value))
+    return _Record(frozenset(decoded.unwrap_or([])), item.revision)
--- a/packages/wire/src/amaranthtally/wire/documents.py
+++ b/packages/wire/src/amaranthtally/wire/documents.py
@@ -5,6 +5,9 @@
 from enum import Enum
 
 import msgspec
+from result import Err
+
+from amaranthtally.decoding import DecodeBounds, decode_msgpack
 
 __all__ = [
     "Document",
@@ -27,6 +30,8 @@
 MAX_SNAPSHOTS = 4
 COMPRESSION_LEVEL = 1
 
+_BOUNDS = DecodeBounds(size_bytes=MAX_DOCUMENT_BYTES)
+
 
 class MalformedDocumentError(ValueError):
     """The content of a document is invalid; it has to be read again."""
@@ -185,10 +190,10 @@
 
 def decode_records(content: bytes) -> tuple[Record, ...]:
     """Decode records; raise ``MalformedDocumentError`` if they are invalid."""
-    try:
-        return msgspec.msgpack.decode(content, type=tuple[Record, ...])
-    except msgspec.MsgspecError as error:
-        raise MalformedDocumentError(str(error)) from error
+    decoded = decode_msgpack(content, tuple[Record, ...], _BOUNDS)
+    if isinstance(decoded, Err):
+        raise MalformedDocumentError(str(decoded.err_value)) from decoded.err_value
+    return decoded.ok_value
 
 
 def _part(snapshot: _Snapshot, offset: int) -> DocumentPart:
