Take no endpoint from a record whose values are out of range

Requests of a pool got 500, as computing the load of an endpoint with 10^310 slots overflowed. Ports 0 and 99999, superscript digits and hosts with line ends or empty labels were taken as addresses: such endpoints were in the routing table, tried and counted.

A record names no endpoint if its port is not 1 to 65535 in ASCII digits, its host can be none, its slots are not 0 to 65,536 (0 counts as 1, as before), its start not 0 to 2^53 - 1 ms or its cold time beyond 1e12 ms; a negative cold time is over, as before. The error names the field.

--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -167,6 +167,64 @@
     assert read_record(**fields).is_err()
 
 
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("slots", -1),
+        ("slots", 65_537),
+        ("slots", 10**310),
+        ("born", -1),
+        ("born", 2**53),
+        ("born", 10**310),
+        ("coldLeftMs", 1.1e12),
+        ("coldLeftMs", 10**310),
+        *[
+            ("address", address)
+            for address in (
+                "10.0.0.9:0",
+                "10.0.0.9:65536",
+                "10.0.0.9:000080",
+                "10.0.0.9:+80",
+                "10.0.0.9:\u00b2",
+                "10.0.0.9:\u0661",
+                "10.0.0.9:80\n",
+                "10.0.0.9\r\n:80",
+                "10.0.0.256:80",
+                "10.0.0.9/x:80",
+                "user@a:80",
+                "a..b:80",
+                ".a:80",
+                "a.:80",
+                "-a:80",
+                "a b:80",
+                "a\x00:80",
+                "::1:80",
+                "[::1:80",
+                "[::x]:80",
+                ":80",
+                "a" * 64 + ":80",
+                ".".join(["a" * 50] * 5) + ":80",
+            )
+        ],
+    ],
+)
+def test_a_record_out_of_range_names_its_field(field, value):
+    """Guards against an endpoint whose load overflows or where nothing can listen."""
+    assert field in read_record(**{field: value}).unwrap_err()
+
+
+@pytest.mark.parametrize(
+    "address", ["10.0.0.9:1", "[::1]:65535", "i-1.cluj-a.example:80", "host_1:8080"]
+)
+def test_an_address_in_range_is_kept(address):
+    assert read_record(address=address).unwrap().address == address
+
+
+def test_zero_slots_count_as_one_and_a_negative_time_is_over():
+    assert read_record(slots=0).unwrap().slots == 1
+    assert read_record(coldLeftMs=-5).unwrap().cold_s == 0.0
+
+
 # Callers
 
 
