--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -14,6 +14,7 @@
 from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
 from amaranthtally.daemon.gateway.evacuation_tracker import EvacuationTracker
 from amaranthtally.daemon.gateway.held_documents import HeldDocuments
+from amaranthtally.daemon.gateway.listener_guard import ListenerGuard
 from amaranthtally.daemon.gateway.membership import (
     ENTRIES_PREFIX,
     PeerRecordTracker,
@@ -29,6 +30,7 @@
     PrefixListener,
 )
 from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.gateway.return_greeter import ReturnGreeter
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.seed_reader import SeedReader
@@ -58,6 +60,8 @@
 
 # The empty prefix, which matches every key. A gateway needs all keys of the store.
 ALL_KEYS = ""
+# Stands for the routes in force, beside the prefixes of the records.
+ROUTES = "routes"
 
 
 class Coordination:
@@ -81,7 +85,9 @@
         spawn: Callable[[Coroutine[Any, Any, None]], object],
         is_stopping: Callable[[], bool],
         random: Random,
+        faults: RecordFaults,
     ) -> None:
+        self._faults = faults
         self._settings = settings
         self._peers = peers
         self._origins = origins
@@ -91,9 +97,15 @@
             settings.name, settings.data_centre, settings.regions
         )
 
-        self.configuration = ConfigurationTracker(self._with_push(routing_state))
+        self._guard = ListenerGuard(faults, spawn)
+        self.configuration = ConfigurationTracker(
+            self._with_push(routing_state), faults
+        )
         self._records = EndpointRecordTracker(
-            routing_state.directory, settings.regions, routing_state.endpoints_changed
+            routing_state.directory,
+            settings.regions,
+            routing_state.endpoints_changed,
+            faults,
         )
         self._evacuations = EvacuationTracker(
             settings.regions, routing_state.evacuations_changed
@@ -106,6 +118,7 @@
             lambda: self.store.is_connected,
             lambda: connections.is_answered,
             lambda item: self._replica.note_written(item),
+            faults,
         )
         self._origin_recorder = OriginRecorder(
             settings.name,
@@ -115,8 +128,9 @@
             origins.records_read,
             lambda: self.versions.has_several,
             lambda: self.store.is_connected,
+            faults,
         )
-        peer_records = PeerRecordTracker(settings.name, peers, on_peers)
+        peer_records = PeerRecordTracker(settings.name, peers, on_peers, faults)
         self._replica = self._new_replica(peer_records)
         self.documents = HeldDocuments(
             self.configuration, self._replica, lambda: self._records.settling_s
@@ -165,6 +179,11 @@
         """Number of gateways that follow this one."""
         return self._pusher.follower_count
 
+    @property
+    def needs_listing(self) -> bool:
+        """Whether a listener failed and lacks changes of the store."""
+        return self._guard.needs_listing
+
     @property
     def changes_refused(self) -> int:
         """Number of batches of a watcher's changes that could not be applied."""
@@ -223,7 +242,10 @@
             VERSIONS_PREFIX: self.versions,
             ORIGINS_PREFIX: self._origin_recorder,
         }
-        return StoreReplica(PrefixDispatcher(listeners), lambda: self._pusher.wake())
+        dispatcher = PrefixDispatcher(
+            listeners, self._guard, lambda: self._replica.items
+        )
+        return StoreReplica(dispatcher, lambda: self._pusher.wake())
 
     def _new_store(
         self,
@@ -265,7 +287,10 @@
 
     def _with_push(self, routing_state: RoutingState) -> Callable[[RouteTable], None]:
         def apply(table: RouteTable) -> None:
-            routing_state.apply_table(table)
+            def put_in_force() -> None:
+                routing_state.apply_table(table)
+
+            self._guard.apply_all(ROUTES, table.version, put_in_force, put_in_force)
             self._pusher.wake()
 
         return apply
