Believe that a pool has one version on evidence newer than the request

sole_version was trusted while no call to the store had failed, and a watch that hears nothing fails after up to 3.4 s. Answers of peers counted although they do not say up to which revision the peer knows the records.

The store is now asked after the request came, with a watch of wait 0 whose changes are applied first; calls are shared and begin 0.2 s apart. Without its answer all peers have to name their revision, and what they have more is read. Otherwise the request is refused with Retry-After. An origin that the store had and this gateway had not read yet is used, so that more streams go on after a failure of all gateways.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/change_receiver.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/change_receiver.py
@@ -81,6 +81,18 @@
             self._is_reading = True
             self._spawn(self._read_changes(peer, versions))
 
+    async def read_missing(self, peer: str, versions: Versions) -> bool:
+        """Read what a peer has and this gateway lacks; return whether it has it all."""
+        try:
+            while versions.records > self._replica.revision:
+                if not await self._read_next(peer, versions):
+                    break
+        except PeerLostError as error:
+            log.info("changes_not_read", peer=peer, cause=str(error))
+        except MalformedChangesError as error:
+            self._refuse(peer, versions, error)
+        return self._replica.revision >= versions.records
+
     def push_received(self, peer: str, batch: ChangeBatch, versions: Versions) -> bool:
         """Apply pushed changes; return whether this gateway follows the peer."""
         if peer != self._followed():
--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -23,15 +23,18 @@
     ORIGINS_PREFIX,
     OriginRecorder,
 )
+from amaranthtally.daemon.gateway.peer_confirmation import PeerConfirmation
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.prefix_listener import (
     PrefixDispatcher,
     PrefixListener,
 )
 from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
+from amaranthtally.daemon.gateway.resumption import Evidence
 from amaranthtally.daemon.gateway.return_greeter import ReturnGreeter
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.seed_reader import SeedReader
+from amaranthtally.daemon.gateway.store_confirmation import StoreConfirmation
 from amaranthtally.daemon.gateway.store_follower import StoreFollower
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.daemon.gateway.store_sync import StoreSync
@@ -58,6 +61,10 @@
 
 # The empty prefix, which matches every key. A gateway needs all keys of the store.
 ALL_KEYS = ""
+# How long the caller of a stream whose origin nobody knows waits for an answer of the
+# store, and then of the peers, in seconds: for the interval between two checks and the
+# time-out of one.
+CONFIRMATION_S = 0.6
 
 
 class Coordination:
@@ -104,7 +111,6 @@
             lambda: _streaming_pools(routing_state.table),
             lambda: routing_state.directory.endpoints,
             lambda: self.store.is_connected,
-            lambda: connections.is_answered,
             lambda item: self._replica.note_written(item),
         )
         self._origin_recorder = OriginRecorder(
@@ -137,6 +143,14 @@
             self.documents.note_peer_versions,
             spawn,
         )
+        self._store_confirmation = StoreConfirmation(client, self._replica, spawn)
+        self._peer_confirmation = PeerConfirmation(
+            connections,
+            lambda: tuple(peers.alive),
+            lambda: self.documents.versions,
+            self._receiver.read_missing,
+            spawn,
+        )
         self._gossip = VersionGossip(
             connections,
             self.documents,
@@ -195,6 +209,19 @@
         self.versions.entries_changed(data_centres)
         self.store.entries_changed()
 
+    async def confirm_records(self) -> Evidence:
+        """
+        Bring the records up to date, and return who has said that they are.
+
+        The store knows all that any gateway does. Where it does not answer, all peers
+        are asked instead.
+        """
+        if await self._store_confirmation.confirm(CONFIRMATION_S):
+            return Evidence.STORE
+        if await self._peer_confirmation.confirm(CONFIRMATION_S):
+            return Evidence.PEERS
+        return Evidence.NONE
+
     def exchange_status(
         self, name: str, versions: Versions, follows: bool
     ) -> GatewayStatus:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Mapping, Sequence
-from math import inf
 from typing import Any, Protocol
 
 from amaranthtally.daemon.lifecycle import split_address
@@ -37,10 +36,6 @@
 # Time-out for a call, in seconds. No call between gateways waits for work to be done,
 # so a peer that does not answer in time has failed or is stalled.
 CALL_TIMEOUT_S = 0.8
-
-# How long a peer's answer counts as contact with the others, in seconds: a few rounds
-# of greetings.
-CONTACT_TTL_S = 2.0
 # Interval between probes of a peer that runs jobs of this gateway or has failed, in
 # seconds. A call costs the peer 0.2 ms.
 HEARTBEAT_INTERVAL_S = 0.5
@@ -90,14 +85,8 @@
         self._addresses: Mapping[str, str] = self._seeds
         self._clients: dict[str, GatewayClient] = {}
         self._connecting: dict[str, asyncio.Task[GatewayClient]] = {}
-        self._answered_at = -inf
         self._loop = asyncio.get_running_loop()
 
-    @property
-    def is_answered(self) -> bool:
-        """Whether a peer has answered a call lately."""
-        return self._loop.time() - self._answered_at < CONTACT_TTL_S
-
     def set_own_record(self, record: PeerRecord) -> None:
         """Set the record that is sent to peers with each status from now on."""
         self._greeter = Greeter(record)
@@ -317,7 +306,6 @@
             if self._clients.get(peer) is client:
                 self._disconnect(peer)
             raise
-        self._answered_at = self._loop.time()
         return answer
 
     async def _client(self, peer: str) -> GatewayClient:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from amaranthtally.adapter.callers import READY_PATH
+from amaranthtally.adapter.messages import CallerRequest
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
 from amaranthtally.daemon.gateway.caller_handler import CallerHandler, RoutingEvidence
 from amaranthtally.daemon.gateway.caller_memory import EntryMemory
@@ -55,6 +56,7 @@
     Planner,
     PolicySettings,
     ResponseLimits,
+    Route,
     build_response_limits,
 )
 from amaranthtally.settings import (
@@ -265,7 +267,13 @@
         )
 
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
-    resumption = StreamResumption(origins, coordination.versions, metrics)
+    resumption = StreamResumption(
+        origins,
+        coordination.versions,
+        coordination.confirm_records,
+        partial(_route_of, routing_state),
+        metrics,
+    )
     caller_handler = CallerHandler(
         executor,
         arrivals,
@@ -323,6 +331,11 @@
         origins.note(call.id, call.origin, expires_at)
 
 
+def _route_of(routing_state: RoutingState, caller: CallerRequest) -> Route | None:
+    table = routing_state.table
+    return table.match(caller.host, caller.path) if table else None
+
+
 def _new_caller_server(caller_handler: CallerHandler) -> web.Server:
     return web.Server(
         caller_handler.handle,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -46,7 +46,6 @@
         pools: Callable[[], frozenset[str]],
         endpoints: Callable[[], Mapping[str, Endpoint]],
         is_connected: Callable[[], bool],
-        is_informed: Callable[[], bool],
         on_written: Callable[[StoreItem], None],
     ) -> None:
         """Create it; ``on_written`` gets each item that it has written."""
@@ -55,7 +54,6 @@
         self._pools = pools
         self._endpoints = endpoints
         self._is_connected = is_connected
-        self._is_informed = is_informed
         self._on_written = on_written
         self._history = VersionHistory()
         self._observed: Mapping[str, Endpoint] = {}
@@ -63,19 +61,21 @@
         self._is_writer = True
         self._time = asyncio.get_running_loop().time
 
-    def sole_version(self, pool: str, all_peers_answered: bool) -> str | None:
+    def sole_version(self, pool: str) -> str | None:
         """
         Return the only version that a pool has had lately, or else ``None``.
 
-        While the store does not answer this gateway, others may know a new version.
-        They tell it with any answer; where some gave none, the version is not known.
+        It is the only one among the records held. Whether others know a newer one has
+        to be confirmed before.
         """
-        is_told = all_peers_answered and self._is_informed()
-        if not is_told and not self._is_connected():
-            return None
         self._observe()
         return self._history.sole_version(pool)
 
+    def has_had_several(self, pool: str) -> bool:
+        """Whether a pool has had several versions lately."""
+        self._observe()
+        return self._history.has_several([pool])
+
     @property
     def has_several(self) -> bool:
         """Whether a pool has had several versions lately."""
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -11,6 +11,7 @@
 from amaranthtally.adapter import headers as names
 from amaranthtally.standins.ports import LOOPBACK, reserve_port
 from amaranthtally.standins.process import start_process
+from amaranthtally.standins.relay import Relay
 from amaranthtally.standins.store import open_store_standin
 from tests.gateway.fake_endpoint import (
     complete_response,
@@ -163,6 +164,12 @@
         session = aiohttp.ClientSession(auto_decompress=False)
         return Gateway(process, await self._stack.enter_async_context(session))
 
+    async def relay(self, target):
+        """Start a relay to an address."""
+        relay = Relay(target)
+        await self._stack.enter_async_context(relay.serve())
+        return relay
+
     def reserve_address(self):
         """Reserve an address for as long as the cluster runs."""
         return f"{LOOPBACK}:{self._stack.enter_context(reserve_port())}"
