Refuse numbers of the configuration and of peers that nothing can use

A configuration with 10^310 in a time failed outside of the decoder, one with negative times, weights that are all 0, or phases that wait for each other or for one that does not exist was put in force: requests of its routes fail. A version that no message can carry would end the exchange between gateways. Such a configuration is refused as a whole, the one before stays in force, and the error names the field.

A peer's record whose address is none is malformed too. Malformed records are logged once for each revision of a key, a refused configuration once, and both are counted as amaranthtally_records_malformed_total by prefix: peers', versions' and origins' were logged with each listing.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/configuration_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/configuration_tracker.py
@@ -2,11 +2,13 @@
 
 import asyncio
 from collections.abc import Callable
+from hashlib import sha256
 
 from result import Err
 
 from amaranthtally.adapter.configuration import CONFIGURATION_KEY, read_configuration
 from amaranthtally.adapter.store import StoreItem
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import RouteTable
 
@@ -22,7 +24,14 @@
 class ConfigurationTracker:
     """Passes newer configurations to ``on_table``; drops older and malformed ones."""
 
-    def __init__(self, on_table: Callable[[RouteTable], None]) -> None:
+    def __init__(
+        self,
+        on_table: Callable[[RouteTable], None],
+        faults: RecordFaults | None = None,
+    ) -> None:
+        self._faults = faults or RecordFaults()
+        # A digest of the last one that was refused: it is logged once.
+        self._refused = b""
         self._on_table = on_table
         self._version = 0
         self._value = b""
@@ -84,9 +93,15 @@
         # blocks the event loop for a tenth of a second, so an equal one is skipped.
         if value == self._value:
             return
+        digest = sha256(value).digest()
+        if digest == self._refused:
+            return
         decoded = read_configuration(value)
         if isinstance(decoded, Err):
-            log.error("configuration_malformed", cause=decoded.err_value)
+            self._refused = digest
+            self._faults.configuration_malformed(
+                CONFIGURATION_KEY, decoded.err_value, source
+            )
             return
         table = decoded.ok_value
         # Responses may arrive out of order: never replace a version by an older one.
--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -29,6 +29,7 @@
     PrefixListener,
 )
 from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.gateway.return_greeter import ReturnGreeter
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.seed_reader import SeedReader
@@ -81,7 +82,9 @@
         spawn: Callable[[Coroutine[Any, Any, None]], object],
         is_stopping: Callable[[], bool],
         random: Random,
+        faults: RecordFaults,
     ) -> None:
+        self._faults = faults
         self._settings = settings
         self._peers = peers
         self._origins = origins
@@ -91,9 +94,14 @@
             settings.name, settings.data_centre, settings.regions
         )
 
-        self.configuration = ConfigurationTracker(self._with_push(routing_state))
+        self.configuration = ConfigurationTracker(
+            self._with_push(routing_state), faults
+        )
         self._records = EndpointRecordTracker(
-            routing_state.directory, settings.regions, routing_state.endpoints_changed
+            routing_state.directory,
+            settings.regions,
+            routing_state.endpoints_changed,
+            faults,
         )
         self._evacuations = EvacuationTracker(
             settings.regions, routing_state.evacuations_changed
@@ -106,6 +114,7 @@
             lambda: self.store.is_connected,
             lambda: connections.is_answered,
             lambda item: self._replica.note_written(item),
+            faults,
         )
         self._origin_recorder = OriginRecorder(
             settings.name,
@@ -115,8 +124,9 @@
             origins.records_read,
             lambda: self.versions.has_several,
             lambda: self.store.is_connected,
+            faults,
         )
-        peer_records = PeerRecordTracker(settings.name, peers, on_peers)
+        peer_records = PeerRecordTracker(settings.name, peers, on_peers, faults)
         self._replica = self._new_replica(peer_records)
         self.documents = HeldDocuments(
             self.configuration, self._replica, lambda: self._records.settling_s
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
@@ -6,8 +6,9 @@
 
 from result import Err
 
-from amaranthtally.adapter.servers import endpoint_id, read_endpoint
+from amaranthtally.adapter.servers import SERVERS_PREFIX, endpoint_id, read_endpoint
 from amaranthtally.adapter.store import StoreItem
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.policy import Endpoint, EndpointDirectory
 
@@ -24,11 +25,12 @@
         directory: EndpointDirectory,
         regions: Mapping[str, str],
         on_change: Callable[[], None],
+        faults: RecordFaults,
     ) -> None:
+        self._faults = faults
         self._directory = directory
         self._regions = regions
         self._on_change = on_change
-        self._logged_revisions: dict[str, int] = {}
         self._time = asyncio.get_running_loop().time
 
     @property
@@ -86,10 +88,7 @@
     def _decode(self, item: StoreItem) -> Endpoint | None:
         decoded = read_endpoint(item.key, item.value or b"", self._regions)
         if isinstance(decoded, Err):
-            # Other systems can write under this prefix too: log each malformed
-            # revision of a key once.
-            if self._logged_revisions.get(item.key) != item.revision:
-                self._logged_revisions[item.key] = item.revision
-                log.warning("record_malformed", key=item.key, cause=decoded.err_value)
+            # Other systems can write under this prefix too.
+            self._faults.record_malformed(SERVERS_PREFIX, item, decoded.err_value)
             return None
         return replace(decoded.ok_value, revision=item.revision)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
@@ -5,9 +5,11 @@
 from random import Random
 
 import msgspec
-from result import Err
+from result import Err, Result
 
+from amaranthtally.adapter.addresses import read_host
 from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.decoding import decode_json
 from amaranthtally.platform import PlatformOutcomeUnknown, StoreClient
@@ -94,16 +96,21 @@
     """Updates the directory of peer gateways from their records in the store."""
 
     def __init__(
-        self, own_name: str, directory: PeerDirectory, on_change: Callable[[], None]
+        self,
+        own_name: str,
+        directory: PeerDirectory,
+        on_change: Callable[[], None],
+        faults: RecordFaults,
     ) -> None:
         self._own_name = own_name
+        self._faults = faults
         self._directory = directory
         self._on_change = on_change
         self._time = asyncio.get_running_loop().time
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
         """Apply a complete listing; peers without a record become unconfirmed."""
-        decoded = [(_name_of(item), _decode(item)) for item in items]
+        decoded = [(_name_of(item), self._decode(item)) for item in items]
         peers = {name: record for name, record in decoded if record is not None}
         peers.pop(self._own_name, None)
         unconfirmed_before = set(self._directory.unconfirmed)
@@ -118,7 +125,7 @@
         name = _name_of(item)
         if name == self._own_name:
             return
-        record = None if item.value is None else _decode(item)
+        record = None if item.value is None else self._decode(item)
         if record is None:
             self._directory.records_removed(self._time(), [name])
             log.info("peer_doubted", peer=name, revision=item.revision)
@@ -134,14 +141,20 @@
         if expired:
             self._on_change()
 
+    def _decode(self, item: StoreItem) -> PeerRecord | None:
+        decoded = _read_peer(item.value or b"")
+        if isinstance(decoded, Err):
+            self._faults.record_malformed(ENTRIES_PREFIX, item, decoded.err_value)
+            return None
+        return decoded.ok_value
+
 
 def _name_of(item: StoreItem) -> str:
     return item.key.removeprefix(ENTRIES_PREFIX)
 
 
-def _decode(item: StoreItem) -> PeerRecord | None:
-    decoded = decode_json(item.value or b"", PeerRecord)
-    if isinstance(decoded, Err):
-        log.warning("record_malformed", key=item.key, cause=str(decoded.err_value))
-        return None
-    return decoded.ok_value
+def _read_peer(value: bytes) -> Result[PeerRecord, str]:
+    decoded = decode_json(value, PeerRecord).map_err(str)
+    return decoded.and_then(
+        lambda record: read_host(record.address).map(lambda _: record)
+    )
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import Counter, Gauge, Histogram
 
 from amaranthtally.daemon.gateway.engine_choices import EngineChoiceMetrics
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.platform import StoreTransfer
 
 __all__ = ["GatewayMetrics", "GatewayState"]
@@ -111,6 +112,7 @@
         self._transfer_tally: Tally[_TransferLabels] = Tally()
         self._received_bytes_tally: Tally[_TransferLabels] = Tally()
         self.engine_choices = EngineChoiceMetrics()
+        self.record_faults = RecordFaults()
         self._requests = Counter(
             "amaranthtally_requests_total", "Requests by route, status and reason."
         )
@@ -147,6 +149,14 @@
             "amaranthtally_store_received_bytes_total",
             "Bytes of the store's answers by call and outcome.",
         )
+        self._malformed = Counter(
+            "amaranthtally_records_malformed_total",
+            "Records of the store that cannot be used, by prefix of their keys.",
+        )
+        self._listeners_failed = Counter(
+            "amaranthtally_listeners_failed_total",
+            "Failures to apply changes of the store, by prefix of their keys.",
+        )
         self._seconds = Histogram(
             "amaranthtally_request_seconds",
             "Time from arrival to the end of a request, by route.",
@@ -226,6 +236,10 @@
         _copy_tally(self._transfer_tally, self._transfers)
         _copy_tally(self._received_bytes_tally, self._bytes)
         self.engine_choices.refresh()
+        for prefix, count in self.record_faults.malformed.items():
+            self._malformed.set({"prefix": prefix}, count)
+        for prefix, count in self.record_faults.failed.items():
+            self._listeners_failed.set({"prefix": prefix}, count)
         for name in GatewayState.__dataclass_fields__:
             self._state.set({"name": name}, float(getattr(state, name)))
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from amaranthtally.adapter.store import StoreItem, StoreWrite
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.decoding import decode_json
 from amaranthtally.platform import StoreClient
@@ -80,6 +81,7 @@
         note: Callable[[Iterable[OriginEntry]], None],
         is_needed: Callable[[], bool],
         is_connected: Callable[[], bool],
+        faults: RecordFaults,
     ) -> None:
         """
         Create it; ``note`` holds what is read.
@@ -88,6 +90,7 @@
         ``is_needed`` says whether a pool has had several versions lately.
         """
         self._name = name
+        self._faults = faults
         self._data_centre = data_centre
         self._client = client
         self._held = held
@@ -136,7 +139,8 @@
             return
         decoded = decode_json(item.value, list[_Group])
         if isinstance(decoded, Err):
-            log.warning("record_malformed", key=item.key, cause=str(decoded.err_value))
+            cause = str(decoded.err_value)
+            self._faults.record_malformed(ORIGINS_PREFIX, item, cause)
             return
         expires_at = self._time() + KEPT_S
         self._note(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -197,6 +197,7 @@
         executor.spawn,
         stop.is_set,
         random,
+        metrics.record_faults,
     )
     reader = NoticeReader(
         lambda: tuple(peers.alive),
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -8,6 +8,7 @@
 from result import Err
 
 from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.decoding import decode_json
 from amaranthtally.platform import StoreClient
@@ -49,9 +50,11 @@
         is_connected: Callable[[], bool],
         is_informed: Callable[[], bool],
         on_written: Callable[[StoreItem], None],
+        faults: RecordFaults,
     ) -> None:
         """Create it; ``on_written`` gets each item that it has written."""
         self._name = name
+        self._faults = faults
         self._client = client
         self._pools = pools
         self._endpoints = endpoints
@@ -111,7 +114,7 @@
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
         """Apply a complete listing of the records."""
-        records = {_pool_of(item): _decode(item) for item in items}
+        records = {_pool_of(item): self._decode(item) for item in items}
         for pool, record in records.items():
             if record.revision != self._revisions.get(pool):
                 _log_known(pool, record)
@@ -120,11 +123,21 @@
 
     def apply_change(self, item: StoreItem) -> None:
         """Apply a changed or removed record."""
-        pool, record = _pool_of(item), _decode(item)
+        pool, record = _pool_of(item), self._decode(item)
         self._revisions[pool] = record.revision
         self._history.put_recorded(pool, record.versions)
         _log_known(pool, record)
 
+    def _decode(self, item: StoreItem) -> _Record:
+        """Return a record; without versions if it was removed or cannot be read."""
+        if item.value is None:
+            return _Record(frozenset(), 0)
+        decoded = decode_json(item.value, list[str])
+        if isinstance(decoded, Err):
+            cause = str(decoded.err_value)
+            self._faults.record_malformed(VERSIONS_PREFIX, item, cause)
+        return _Record(frozenset(decoded.unwrap_or([])), item.revision)
+
     def _observe(self) -> None:
         endpoints = self._endpoints()
         if endpoints is not self._observed:
@@ -160,13 +173,3 @@
 
 def _pool_of(item: StoreItem) -> str:
     return item.key.removeprefix(VERSIONS_PREFIX)
-
-
-def _decode(item: StoreItem) -> _Record:
-    """Return a record; without versions if it was removed or cannot be read."""
-    if item.value is None:
-        return _Record(frozenset(), 0)
-    decoded = decode_json(item.value, list[str])
-    if isinstance(decoded, Err):
-        log.warning("record_malformed", key=item.key, cause=str(decoded.err_value))
-    return _Record(frozenset(decoded.unwrap_or([])), item.revision)
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -121,6 +121,62 @@
         assert read_configuration(body).is_err()
 
 
+HUGE = 10**310
+
+
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("timeoutMs", HUGE),
+        ("timeoutMs", -1),
+        ("timeoutMs", 1e308),
+        ("latencySloMs", -0.5),
+        ("itlTargetMs", HUGE),
+        ("priority", HUGE),
+        ("maxAttempts", -HUGE),
+        ("split", [{"service": "s", "weight": -1}]),
+        ("split", [{"service": "s", "weight": 0}, {"service": "t", "weight": 0}]),
+        ("phases", [{"service": "p", "after": [1]}]),
+        ("phases", [{"service": "p", "after": [-1]}]),
+        ("phases", [{"service": "p", "after": [0]}]),
+        ("phases", [{"service": "p", "after": [1]}, {"service": "p", "after": [0]}]),
+        ("phases", [{"service": "p", "sizeBytes": HUGE}]),
+    ],
+)
+def test_a_route_out_of_range_is_refused_by_its_field(field, value):
+    """Guards against a configuration in force with which every request fails."""
+    body = json.dumps({"version": 7, "routes": [ROUTE | {field: value}]}).encode()
+    assert field in read_configuration(body).unwrap_err()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"version": -1},
+        {"version": HUGE},
+        {"version": 2**53},
+        {"services": [SERVICE | {"coldStartS": -1.0}]},
+        {"services": [SERVICE | {"coldPerS": 1e300}]},
+        {"services": [SERVICE | {"maxConnections": HUGE}]},
+        {"services": [SERVICE | {"runtime": {"kvCapacity": -1}}]},
+        {"services": [SERVICE | {"segments": {"headroomMb": 1e308}}]},
+        {"limits": {"idleTimeoutMs": -1}},
+        {"limits": {"maxBodyBytes": HUGE}},
+        {"tenants": [{"name": "t", "priority": HUGE}]},
+    ],
+)
+def test_a_configuration_out_of_range_is_refused(fields):
+    """Guards against numbers that no message between gateways can carry."""
+    body = json.dumps({"version": 7} | fields).encode()
+    assert read_configuration(body).is_err()
+
+
+@pytest.mark.parametrize("text", ["NaN", "Infinity", "1e999", "[" * 300 + "]" * 300])
+def test_a_number_that_is_none_is_refused(text):
+    body = '{"version":7,"routes":[],"x":1,"limits":{"idleTimeoutMs":' + text + "}}"
+    assert read_configuration(body.encode()).is_err()
+
+
 # Endpoints
 
 
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -12,6 +12,7 @@
 
 from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.policy import PeerDirectory, PeerRecord
@@ -148,6 +149,7 @@
             self._spawn,
             lambda: self.is_leaving,
             Random(name),
+            RecordFaults(),
         )
         for work in [*self.coordination.tasks(), self._updater.prober.run()]:
             self._spawn(work)
--- a/tests/unit/test_configuration_tracker.py
+++ b/tests/unit/test_configuration_tracker.py
@@ -2,8 +2,10 @@
 
 import json
 
+from amaranthtally.adapter.store import StoreItem
 from amaranthtally.daemon.gateway import configuration_tracker
 from amaranthtally.daemon.gateway.configuration_tracker import ConfigurationTracker
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from tests.gateway.support import configuration, route
 from tests.support import run_async
 
@@ -48,3 +50,30 @@
         assert tracker.behind_s == 0.0
 
     run_async(check())
+
+
+def test_a_refused_configuration_is_counted_once_and_the_one_before_stays():
+    """Guards against an error in the log with each listing, and against an old one."""
+
+    async def check():
+        tables, faults = [], RecordFaults()
+        tracker = ConfigurationTracker(tables.append, faults)
+        tracker.apply(document(3), "store")
+        for _ in range(3):
+            tracker.apply(b'{"version":-4}', "store")
+        assert (tracker.version, len(tables)) == (3, 1)
+        assert faults.malformed == {"op/config": 1}
+        tracker.apply(document(5), "store")
+        assert tracker.version == 5
+
+    run_async(check())
+
+
+def test_each_malformed_revision_of_a_key_is_counted_once():
+    """Guards against a line for each record with each listing."""
+    faults = RecordFaults()
+    items = [StoreItem("servers/a", b"", 3), StoreItem("servers/b", b"", 3)]
+    for item in [*items, *items]:
+        faults.record_malformed("servers/", item, "cause")
+    faults.record_malformed("servers/", StoreItem("servers/a", b"", 4), "cause")
+    assert faults.malformed == {"servers/": 3}
--- a/tests/unit/test_origin_recorder.py
+++ b/tests/unit/test_origin_recorder.py
@@ -6,6 +6,7 @@
 
 from amaranthtally.adapter.store import StoreItem
 from amaranthtally.daemon.gateway.origin_recorder import OriginRecorder
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.platform import PlatformUnavailable
 from amaranthtally.policy import OriginEntry, StreamOrigin
 from tests.support.virtual_time import run_on_virtual_time
@@ -65,6 +66,7 @@
             lambda entries: self.read.update((e.request_id, e.origin) for e in entries),
             lambda: self.is_needed,
             lambda: True,
+            RecordFaults(),
         )
 
     def begin(self, request_id, version="v1"):
