Keep a listener that fails from stopping others, and apply its changes later

A listener that raised ended the loop that follows the store, or the task that applied a watcher's changes: the other listeners missed them, and as the revision was stored before, nobody read them again. Seen as routes and endpoints that some gateways lack for good.

ListenerGuard runs each listener by itself. The revision is stored first: followers are sent the change, and the retry takes the records from the replica. A fresh listing of the store would bring the same records, cost a call each time and fail while the store is away. The routing table in force is guarded alike. A reader of records that raises makes its own record malformed. The evacuations are noted only once they are published, or a retry would take them for known.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -14,6 +14,7 @@
 from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
 from amaranthtally.daemon.gateway.evacuation_tracker import EvacuationTracker
 from amaranthtally.daemon.gateway.held_documents import HeldDocuments
+from amaranthtally.daemon.gateway.listener_guard import ListenerGuard
 from amaranthtally.daemon.gateway.membership import (
     ENTRIES_PREFIX,
     PeerRecordTracker,
@@ -59,6 +60,8 @@
 
 # The empty prefix, which matches every key. A gateway needs all keys of the store.
 ALL_KEYS = ""
+# Stands for the routes in force, beside the prefixes of the records.
+ROUTES = "routes"
 
 
 class Coordination:
@@ -94,6 +97,7 @@
             settings.name, settings.data_centre, settings.regions
         )
 
+        self._guard = ListenerGuard(faults, spawn)
         self.configuration = ConfigurationTracker(
             self._with_push(routing_state), faults
         )
@@ -175,6 +179,11 @@
         """Number of gateways that follow this one."""
         return self._pusher.follower_count
 
+    @property
+    def needs_listing(self) -> bool:
+        """Whether a listener failed and lacks changes of the store."""
+        return self._guard.needs_listing
+
     @property
     def changes_refused(self) -> int:
         """Number of batches of a watcher's changes that could not be applied."""
@@ -233,7 +242,10 @@
             VERSIONS_PREFIX: self.versions,
             ORIGINS_PREFIX: self._origin_recorder,
         }
-        return StoreReplica(PrefixDispatcher(listeners), lambda: self._pusher.wake())
+        dispatcher = PrefixDispatcher(
+            listeners, self._guard, lambda: self._replica.items
+        )
+        return StoreReplica(dispatcher, lambda: self._pusher.wake())
 
     def _new_store(
         self,
@@ -275,7 +287,10 @@
 
     def _with_push(self, routing_state: RoutingState) -> Callable[[RouteTable], None]:
         def apply(table: RouteTable) -> None:
-            routing_state.apply_table(table)
+            def put_in_force() -> None:
+                routing_state.apply_table(table)
+
+            self._guard.apply_all(ROUTES, table.version, put_in_force, put_in_force)
             self._pusher.wake()
 
         return apply
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
@@ -4,8 +4,6 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
-from result import Err
-
 from amaranthtally.adapter.servers import SERVERS_PREFIX, endpoint_id, read_endpoint
 from amaranthtally.adapter.store import StoreItem
 from amaranthtally.daemon.gateway.record_faults import RecordFaults
@@ -86,9 +84,10 @@
             self._on_change()
 
     def _decode(self, item: StoreItem) -> Endpoint | None:
-        decoded = read_endpoint(item.key, item.value or b"", self._regions)
-        if isinstance(decoded, Err):
-            # Other systems can write under this prefix too.
-            self._faults.record_malformed(SERVERS_PREFIX, item, decoded.err_value)
-            return None
-        return replace(decoded.ok_value, revision=item.revision)
+        # Other systems can write under this prefix too.
+        endpoint = self._faults.read(
+            SERVERS_PREFIX,
+            item,
+            lambda value: read_endpoint(item.key, value, self._regions),
+        )
+        return None if endpoint is None else replace(endpoint, revision=item.revision)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/evacuation_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/evacuation_tracker.py
@@ -44,8 +44,9 @@
 
     def _update(self, since: dict[str, int]) -> None:
         since.pop("", None)
-        before, self._since = self._since, since
+        before = self._since
         if before.keys() == since.keys():
+            self._since = since
             return
         for name in since.keys() - before.keys():
             log.info("evacuation_in_force", data_centre=name, revision=since[name])
@@ -54,3 +55,5 @@
         for name in before.keys() - since.keys():
             log.info("evacuation_ended", data_centre=name)
         self._on_change(frozenset(since))
+        # Only now: if that raised, the same listing applies them once more.
+        self._since = since
--- a/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
@@ -142,11 +142,7 @@
             self._on_change()
 
     def _decode(self, item: StoreItem) -> PeerRecord | None:
-        decoded = _read_peer(item.value or b"")
-        if isinstance(decoded, Err):
-            self._faults.record_malformed(ENTRIES_PREFIX, item, decoded.err_value)
-            return None
-        return decoded.ok_value
+        return self._faults.read(ENTRIES_PREFIX, item, _read_peer)
 
 
 def _name_of(item: StoreItem) -> str:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from result import Err
+from result import Err, Result
 
 from amaranthtally.adapter.store import StoreItem, StoreWrite
 from amaranthtally.daemon.gateway.record_faults import RecordFaults
@@ -137,15 +137,13 @@
         """Hold the origins of a written item; a removed one says nothing."""
         if item.value is None or item.key.startswith(self._own_prefix):
             return
-        decoded = decode_json(item.value, list[_Group])
-        if isinstance(decoded, Err):
-            cause = str(decoded.err_value)
-            self._faults.record_malformed(ORIGINS_PREFIX, item, cause)
+        groups = self._faults.read(ORIGINS_PREFIX, item, _read_groups)
+        if groups is None:
             return
         expires_at = self._time() + KEPT_S
         self._note(
             OriginEntry(request, StreamOrigin(group.pool, group.version), expires_at)
-            for group in decoded.ok_value
+            for group in groups
             for request in group.requests
         )
 
@@ -216,6 +214,10 @@
         self._segment = _Segment(0, self._time())
 
 
+def _read_groups(value: bytes) -> Result[list[_Group], str]:
+    return decode_json(value, list[_Group]).map_err(str)
+
+
 def _encode(entries: Mapping[str, StreamOrigin]) -> bytes:
     groups: dict[StreamOrigin, list[str]] = {}
     for request, origin in entries.items():
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prefix_listener.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prefix_listener.py
@@ -1,9 +1,11 @@
 """Listeners for the store's items, by the prefix of their keys."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Protocol
 
 from amaranthtally.adapter.store import StoreItem
+from amaranthtally.daemon.gateway.listener_guard import ListenerGuard
 
 __all__ = ["PrefixDispatcher", "PrefixListener"]
 
@@ -19,18 +21,41 @@
 
 
 class PrefixDispatcher:
-    """Passes each item to the listener of its key's prefix."""
-
-    def __init__(self, listeners: Mapping[str, PrefixListener]) -> None:
+    """
+    Passes each item to the listener of its key's prefix.
+
+    One that raises keeps no other from its items; it gets all ``records`` later.
+    """
+
+    def __init__(
+        self,
+        listeners: Mapping[str, PrefixListener],
+        guard: ListenerGuard,
+        records: Callable[[], tuple[StoreItem, ...]],
+    ) -> None:
         self._listeners = listeners
+        self._guard = guard
+        self._records = records
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
         """Give each listener all items under its prefix."""
+        revision = max((item.revision for item in items), default=0)
         for prefix, listener in self._listeners.items():
-            listener.replace(tuple(i for i in items if i.key.startswith(prefix)))
+            work = partial(listener.replace, _under(prefix, items))
+            self._guard.apply_all(prefix, revision, work, self._retry(prefix))
 
     def apply_change(self, item: StoreItem) -> None:
         """Pass on one change; ignore keys that no listener's prefix matches."""
         for prefix, listener in self._listeners.items():
             if item.key.startswith(prefix):
-                listener.apply_change(item)
+                work = partial(listener.apply_change, item)
+                self._guard.apply(prefix, item.revision, work, self._retry(prefix))
+
+    def _retry(self, prefix: str) -> Callable[[], None]:
+        """Return what gives a listener the records that are held by then."""
+        listener = self._listeners[prefix]
+        return lambda: listener.replace(_under(prefix, self._records()))
+
+
+def _under(prefix: str, items: tuple[StoreItem, ...]) -> tuple[StoreItem, ...]:
+    return tuple(item for item in items if item.key.startswith(prefix))
--- a/packages/daemon/src/amaranthtally/daemon/gateway/record_faults.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/record_faults.py
@@ -1,7 +1,10 @@
 """Logs and counts records that cannot be used, and listeners that fail on a change."""
 
 from collections import Counter as Tally, OrderedDict
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
+from typing import TypeVar
+
+from result import Err, Result
 
 from amaranthtally.adapter.store import StoreItem
 from amaranthtally.daemon.logs import get_logger
@@ -16,6 +19,8 @@
 
 log = get_logger()
 
+T = TypeVar("T")
+
 
 class RecordFaults:
     """
@@ -40,10 +45,44 @@
         """Number of times that a listener failed, by prefix."""
         return self._failed
 
-    def record_malformed(self, prefix: str, item: StoreItem, cause: str) -> bool:
-        """Note a malformed record; return whether this revision of it is new."""
+    def read(
+        self, prefix: str, item: StoreItem, read: Callable[[bytes], Result[T, str]]
+    ) -> T | None:
+        """
+        Return what a record says, or ``None`` and note it if it cannot be used.
+
+        A reader that raises makes its record malformed: if it went on, one record would
+        keep all others under its prefix from their listener, and a retry as well.
+        """
+        try:
+            decoded = read(item.value or b"")
+        except Exception as error:
+            decoded = Err(repr(error))
+        if isinstance(decoded, Err):
+            self._note_malformed(prefix, item, decoded.err_value)
+            return None
+        return decoded.ok_value
+
+    def configuration_malformed(self, prefix: str, cause: str, source: str) -> None:
+        """Note a configuration that is refused; the one before stays in force."""
+        self._malformed[prefix] += 1
+        log.error(
+            "configuration_malformed", cause=cause[:MAX_LOGGED_LENGTH], source=source
+        )
+
+    def listener_failed(
+        self, prefix: str, revision: int, error: Exception, *, is_logged: bool
+    ) -> None:
+        """Count a listener that raised an exception; log it with its traceback."""
+        self._failed[prefix] += 1
+        if is_logged:
+            log.error(
+                "listener_failed", prefix=prefix, revision=revision, exc_info=error
+            )
+
+    def _note_malformed(self, prefix: str, item: StoreItem, cause: str) -> None:
         if self._revisions.get(item.key) == item.revision:
-            return False
+            return
         self._revisions[item.key] = item.revision
         self._revisions.move_to_end(item.key)
         if len(self._revisions) > MAX_KEYS:
@@ -55,16 +94,3 @@
             revision=item.revision,
             cause=cause[:MAX_LOGGED_LENGTH],
         )
-        return True
-
-    def configuration_malformed(self, prefix: str, cause: str, source: str) -> None:
-        """Note a configuration that is refused; the one before stays in force."""
-        self._malformed[prefix] += 1
-        log.error(
-            "configuration_malformed", cause=cause[:MAX_LOGGED_LENGTH], source=source
-        )
-
-    def listener_failed(self, prefix: str, revision: int, error: Exception) -> None:
-        """Note that a listener raised an exception, with its traceback."""
-        self._failed[prefix] += 1
-        log.error("listener_failed", prefix=prefix, revision=revision, exc_info=error)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 import msgspec
-from result import Err
+from result import Err, Result
 
 from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
 from amaranthtally.daemon.gateway.record_faults import RecordFaults
@@ -132,11 +132,8 @@
         """Return a record; without versions if it was removed or cannot be read."""
         if item.value is None:
             return _Record(frozenset(), 0)
-        decoded = decode_json(item.value, list[str])
-        if isinstance(decoded, Err):
-            cause = str(decoded.err_value)
-            self._faults.record_malformed(VERSIONS_PREFIX, item, cause)
-        return _Record(frozenset(decoded.unwrap_or([])), item.revision)
+        versions = self._faults.read(VERSIONS_PREFIX, item, _read_versions)
+        return _Record(frozenset(versions or ()), item.revision)
 
     def _observe(self) -> None:
         endpoints = self._endpoints()
@@ -167,6 +164,10 @@
         return True
 
 
+def _read_versions(value: bytes) -> Result[list[str], str]:
+    return decode_json(value, list[str]).map_err(str)
+
+
 def _log_known(pool: str, record: _Record) -> None:
     log.info("versions_known", pool=pool, versions=",".join(sorted(record.versions)))
 
--- a/tests/unit/test_configuration_tracker.py
+++ b/tests/unit/test_configuration_tracker.py
@@ -2,6 +2,8 @@
 
 import json
 
+from result import Err
+
 from amaranthtally.adapter.store import StoreItem
 from amaranthtally.daemon.gateway import configuration_tracker
 from amaranthtally.daemon.gateway.configuration_tracker import ConfigurationTracker
@@ -73,7 +75,6 @@
     """Guards against a line for each record with each listing."""
     faults = RecordFaults()
     items = [StoreItem("servers/a", b"", 3), StoreItem("servers/b", b"", 3)]
-    for item in [*items, *items]:
-        faults.record_malformed("servers/", item, "cause")
-    faults.record_malformed("servers/", StoreItem("servers/a", b"", 4), "cause")
+    for item in [*items, *items, StoreItem("servers/a", b"", 4)]:
+        assert faults.read("servers/", item, lambda value: Err("cause")) is None
     assert faults.malformed == {"servers/": 3}
