A reset ends no response of the store or of a sidecar's endpoint

A response with neither a length nor chunks ends with its connection, and aiohttp takes a reset for that end. Gateways checked for it after each response of an endpoint; the clients of the store and of the settings, and the sidecar's calls, took the first part of such a body for all of it: a lease counted as renewed or gone, a key as absent, a truncated result as finished.

The connections that bound responses now end the body with an error when they are reset, and all of these clients use them. The gateway's own check, which could miss a connection that was released before it looked, is gone.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -246,9 +246,7 @@
         response: aiohttp.ClientResponse,
         exchange: EndpointExchange,
     ) -> AttemptResult:
-        with _ResetDetector(response) as detector:
-            body = await _read_body(call, response)
-        detector.check()
+        body = await _read_body(call, response)
         duration_s = exchange.elapsed_s
         if head.status >= FIRST_SERVER_ERROR:
             call.fail_with(CompleteResponse(head, body))
@@ -272,21 +270,19 @@
     ) -> AttemptResult:
         buffer = EventBuffer()
         size = 0
-        with _ResetDetector(response) as detector:
-            async for data in response.content.iter_any():
-                events = buffer.feed(data)
-                size += len(events.body)
-                if not events.event_count:
-                    continue
-                if not call.stream_started:
-                    call.stream_started = True
-                    self._listener.stream_began(call, origin)
-                    await call.events.put(StreamStarted(head))
-                call.event_count += events.event_count
-                call.last_event = events.last_id or call.last_event
-                await call.put_events(events.body)
-                self._listener.events_delivered(send.attempt, call.event_count)
-        detector.check()
+        async for data in response.content.iter_any():
+            events = buffer.feed(data)
+            size += len(events.body)
+            if not events.event_count:
+                continue
+            if not call.stream_started:
+                call.stream_started = True
+                self._listener.stream_began(call, origin)
+                await call.events.put(StreamStarted(head))
+            call.event_count += events.event_count
+            call.last_event = events.last_id or call.last_event
+            await call.put_events(events.body)
+            self._listener.events_delivered(send.attempt, call.event_count)
         if buffer.pending_bytes:
             raise aiohttp.ClientPayloadError("stream ended in the middle of an event")
         if not call.stream_started:
@@ -322,34 +318,6 @@
         )
 
 
-class _ResetDetector:
-    """
-    Detects a response body that was cut off by a reset of the connection.
-
-    A response without a length ends with its connection, and aiohttp treats a reset as
-    that end, so that a truncated body would look complete. The protocol object still
-    holds the error that closed the connection.
-    """
-
-    def __init__(self, response: aiohttp.ClientResponse) -> None:
-        connection = response.connection
-        self._protocol = connection.protocol if connection is not None else None
-
-    def __enter__(self) -> "_ResetDetector":
-        return self
-
-    def __exit__(self, *exc_info: object) -> None:
-        """Do nothing: there is nothing to release."""
-
-    def check(self) -> None:
-        """Raise ``ClientPayloadError`` if the connection was reset."""
-        if self._protocol is None:
-            return
-        error = self._protocol.exception()
-        if isinstance(error, OSError):
-            raise aiohttp.ClientPayloadError("connection reset") from error
-
-
 async def _read_body(call: LiveCall, response: aiohttp.ClientResponse) -> bytes:
     """Read a response's body, counted as held for its caller from the first byte."""
     parts: list[bytes] = []
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -24,6 +24,7 @@
     open_endpoint,
 )
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
+from amaranthtally.platform import bounded_connector
 from amaranthtally.settings import SidecarSettings
 
 __all__ = ["open_endpoint_session", "run_sidecar"]
@@ -100,5 +101,5 @@
     has a connection of its own, so that its response is its own. The run queue limits
     the concurrency; a limit here would delay calls without its knowledge.
     """
-    connector = aiohttp.TCPConnector(limit=0, force_close=True)
+    connector = bounded_connector(limit=0, force_close=True)
     return aiohttp.ClientSession(connector=connector)
--- a/packages/platform/src/amaranthtally/platform/bounded_responses.py
+++ b/packages/platform/src/amaranthtally/platform/bounded_responses.py
@@ -1,4 +1,8 @@
-"""HTTP connections that end a response which is too large or makes no progress."""
+"""
+HTTP connections that end a response which is too large or makes no progress.
+
+They also tell a response that is cut off by a reset from one that has ended.
+"""
 
 import asyncio
 from collections.abc import Iterator
@@ -172,8 +176,16 @@
         super().resume_reading(resume_parser)
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Handle the end of the connection."""
+        """
+        Handle the end of the connection; a reset is no end of a response.
+
+        aiohttp takes any end of the connection for the end of a body that has neither
+        a length nor chunks, so that a truncated body would look complete.
+        """
         self._stop_stall_check()
+        payload = self._payload
+        if isinstance(exc, OSError) and payload is not None and not payload.is_eof():
+            payload.set_exception(aiohttp.ClientPayloadError("connection reset"), exc)
         super().connection_lost(exc)
 
     def _note_use(self, trace: CallTrace | None) -> None:
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -18,6 +18,7 @@
 from aiohttp import hdrs
 from result import Err, Ok, Result
 
+from amaranthtally.platform.bounded_responses import bounded_connector
 from amaranthtally.platform.errors import (
     PlatformError,
     PlatformOutcomeUnknown,
@@ -198,7 +199,9 @@
 
     ``caller`` identifies this process to the platform, which counts calls by caller.
     """
-    async with aiohttp.ClientSession(headers={CALLER_HEADER: caller}) as session:
+    async with aiohttp.ClientSession(
+        headers={CALLER_HEADER: caller}, connector=bounded_connector()
+    ) as session:
         yield KeyValueClient(session, url)
 
 
