--- a/bench/light_fleet.py
+++ b/bench/light_fleet.py
@@ -16,7 +16,7 @@
 from amaranthtally.daemon.entry.change_store import ChangeStore
 from amaranthtally.daemon.entry.log_follower import LogFollower
 from amaranthtally.daemon.entry.snapshots import SnapshotStore
-from amaranthtally.daemon.lifecycle import run_in_background, stop_on_signal
+from amaranthtally.daemon.lifecycle import stop_on_signal
 from amaranthtally.daemon.logs import configure_logs
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import (
@@ -24,6 +24,7 @@
     SIDECAR_LINKS,
     SettingsSync,
 )
+from amaranthtally.daemon.supervision import open_supervisor
 from amaranthtally.platform import open_key_value
 from amaranthtally.wire import serve_sidecar
 from amaranthtally.wire.loop import run
@@ -60,20 +61,20 @@
     return state
 
 
-async def open_entry(name, platform, stack):
+async def open_entry(name, platform, stack, supervisor):
     state = open_state(name)
     client = await stack.enter_async_context(open_key_value(platform, name))
     follower = LogFollower(ChangeStore(client), SnapshotStore(client), state)
-    sync = SettingsSync(name, state, ENTRY_LINKS)
+    sync = SettingsSync(name, state, ENTRY_LINKS, supervisor)
     stack.push_async_callback(sync.close)
-    run_in_background(stack, follower.follow())
-    run_in_background(stack, sync.run())
+    supervisor.run(f"log_follower[{name}]", follower.follow)
+    supervisor.run(f"settings_sync[{name}]", sync.run)
 
 
-async def open_sidecar(name, stack):
-    sync = SettingsSync(name, open_state(name), SIDECAR_LINKS)
+async def open_sidecar(name, stack, supervisor):
+    sync = SettingsSync(name, open_state(name), SIDECAR_LINKS, supervisor)
     stack.push_async_callback(sync.close)
-    run_in_background(stack, sync.run())
+    supervisor.run(f"settings_sync[{name}]", sync.run)
     port = await stack.enter_async_context(
         serve_sidecar(LightSidecar(sync), "127.0.0.1", 0)
     )
@@ -84,12 +85,14 @@
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
+        supervisor = stack.enter_context(open_supervisor())
         for number in range(arguments.first, arguments.first + arguments.nodes):
             name = f"{arguments.role}-l{number}"
             if arguments.role == "entry":
-                await open_entry(name, arguments.platform, stack)
+                await open_entry(name, arguments.platform, stack, supervisor)
             else:
-                await open_sidecar(name, stack)
+                await open_sidecar(name, stack, supervisor)
+        stack.push_async_callback(supervisor.close)
         write_log_line(event="listening", port=0)
         await stop.wait()
 
--- a/packages/daemon/src/amaranthtally/daemon/decision_loop.py
+++ b/packages/daemon/src/amaranthtally/daemon/decision_loop.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import Action, Planner
 
 __all__ = ["DecisionLoop"]
@@ -25,12 +26,13 @@
         self,
         planner: Planner,
         handlers: Mapping[type, Callable[[Any], None]],
+        supervisor: Supervisor,
         tick_s: float = TICK_S,
     ) -> None:
         self._planner = planner
         self._handlers = handlers
         self._tick_s = tick_s
-        self._tasks: set[asyncio.Task[None]] = set()
+        self._supervisor = supervisor
         self._woken = asyncio.Event()
         self._loop = asyncio.get_running_loop()
 
@@ -44,11 +46,8 @@
         self._woken.set()
 
     def spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        """Run ``work`` in a background task; log an error that it raises."""
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._on_task_done)
-        return task
+        """Run ``work`` in a background task; an error is reported by its name."""
+        return self._supervisor.spawn_call(work)
 
     async def tick(self, is_busy: Callable[[], bool]) -> None:
         """
@@ -59,9 +58,8 @@
         """
         while True:
             await self._wait_for_tick(is_busy())
-            # An uncaught error would end this task. No deadline would be enforced
-            # from then on, and callers would wait for ever. Log the error and try
-            # again at the next tick.
+            # An uncaught error would end this task, and no deadline would be enforced
+            # before its restart. Log the error and try again at the next tick.
             try:
                 self.carry_out(self._planner.tick(self._loop.time()))
             except Exception as error:
@@ -75,8 +73,3 @@
         with suppress(TimeoutError):
             async with asyncio.timeout(IDLE_TICK_S):
                 await self._woken.wait()
-
-    def _on_task_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("policy_failed", cause=repr(task.exception()))
--- a/packages/daemon/src/amaranthtally/daemon/entry/committer.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/committer.py
@@ -15,6 +15,7 @@
 from amaranthtally.daemon.entry.snapshots import SnapshotStore
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.settings_state import SettingsState
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.platform import PlatformError
 from amaranthtally.settings import (
     Change,
@@ -83,12 +84,14 @@
         snapshots: SnapshotStore,
         state: SettingsState,
         follower: LogFollower,
+        supervisor: Supervisor,
         served_models: Callable[[], Served] = dict,
     ) -> None:
         self._changes = changes
         self._snapshots = snapshots
         self._state = state
         self._follower = follower
+        self._supervisor = supervisor
         self._served_models = served_models
         self._commit_lock = asyncio.Lock()
         self._last_snapshot_block = 0
@@ -269,7 +272,7 @@
             log.info("snapshot_written", revision=tree.revision)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+        task = self._supervisor.spawn_call(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -12,6 +12,7 @@
 from amaranthtally.daemon.entry.outcome_queries import OutcomeQuerier, load_report
 from amaranthtally.daemon.entry.sidecar_connections import SidecarConnections
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import (
     Answer,
     AttemptId,
@@ -41,7 +42,11 @@
     """Runs the requests of one entry; the planner makes every decision."""
 
     def __init__(
-        self, planner: Planner, settings: PolicySettings, metrics: EntryMetrics
+        self,
+        planner: Planner,
+        settings: PolicySettings,
+        metrics: EntryMetrics,
+        supervisor: Supervisor,
     ) -> None:
         self._planner = planner
         self._metrics = metrics
@@ -64,6 +69,7 @@
                 Answer: self._answer,
                 Refuse: self._refuse,
             },
+            supervisor,
         )
 
     @property
@@ -190,7 +196,7 @@
         if request.bound is None:
             request.refuse(refusal)
             return
-        task = asyncio.create_task(self._withdraw(request, refusal))
+        task = self._decisions.spawn(self._withdraw(request, refusal))
         self._withdrawals.add(task)
         task.add_done_callback(self._withdrawals.discard)
 
--- a/packages/daemon/src/amaranthtally/daemon/entry/host_watch.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/host_watch.py
@@ -1,9 +1,10 @@
 """Polls the platform's list of hosts and probes unavailable endpoints."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from dataclasses import dataclass
 from random import uniform
+from typing import Any
 
 from result import Err
 
@@ -12,6 +13,7 @@
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import HostList
 from amaranthtally.policy import Endpoint
+from amaranthtally.wire import PeerLostError
 
 __all__ = ["poll_hosts", "probe_endpoints"]
 
@@ -53,6 +55,7 @@
     membership: Membership,
     connections: SidecarConnections,
     endpoints: Callable[[], Mapping[str, Endpoint]],
+    spawn: Callable[[Coroutine[Any, Any, None]], asyncio.Task[None]],
 ) -> None:
     """
     Probe unavailable endpoints until cancelled, at increasing intervals.
@@ -71,10 +74,16 @@
         probed = [registered[e] for e in due[:MAX_CONCURRENT_PROBES] if e in registered]
         for endpoint in probed:
             _schedule_next(probes[endpoint.id], now)
-        await asyncio.gather(
-            *(connections.poll_load(endpoint) for endpoint in probed),
-            return_exceptions=True,
-        )
+        # One that fails in an unexpected way is reported, and the others are probed.
+        if probed:
+            await asyncio.wait([spawn(_probe(connections, e)) for e in probed])
+
+
+async def _probe(connections: SidecarConnections, endpoint: Endpoint) -> None:
+    try:
+        await connections.poll_load(endpoint)
+    except PeerLostError as error:
+        log.debug("load_poll_failed", endpoint=endpoint.id, cause=str(error))
 
 
 def _is_due(probes: dict[str, _Probe], endpoint: str, now: float) -> bool:
--- a/packages/daemon/src/amaranthtally/daemon/entry/log_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/log_follower.py
@@ -47,6 +47,13 @@
         """Whether the last call to the platform succeeded."""
         return bool(self._connected)
 
+    def distrust_connection(self) -> None:
+        """Count as not connected until the platform has answered once more."""
+        self._connected = None
+        connected_gauge.set({}, 0)
+        # Those that wait for the first read load the settings from elsewhere.
+        self._first_read_done.set()
+
     async def follow(self) -> None:
         """Read the log, then watch its head, until cancelled."""
         known_head = LogHead(0)
--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -37,7 +37,6 @@
 from amaranthtally.daemon.lifecycle import (
     StopSignal,
     open_http,
-    run_in_background,
     serve_http,
     stop_on_signal,
 )
@@ -45,6 +44,7 @@
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import ENTRY_LINKS, SettingsSync
 from amaranthtally.daemon.signatures import KeyRing
+from amaranthtally.daemon.supervision import Supervisor, open_supervisor
 from amaranthtally.platform import (
     CALLER_HEADER,
     HostList,
@@ -88,8 +88,9 @@
 ) -> EntryDrainController:
     initial_settings = PolicySettings(0, settings.region, settings.data_centre)
     metrics = EntryMetrics()
+    supervisor = stack.enter_context(open_supervisor())
     planner = Planner(initial_settings, Random(secrets.randbits(SEED_BITS)))
-    executor = Executor(planner, initial_settings, metrics)
+    executor = Executor(planner, initial_settings, metrics, supervisor)
 
     membership = Membership(executor)
     builder = PolicySettingsBuilder(settings.region, settings.data_centre)
@@ -108,7 +109,7 @@
     def served_models() -> Served:
         return _served_models(loads, connections)
 
-    settings_services = await _open_settings(settings, stack, served_models)
+    settings_services = await _open_settings(settings, stack, served_models, supervisor)
     state = settings_services.state
 
     def on_load(endpoint: str, load: Load) -> None:
@@ -125,6 +126,7 @@
         settings.connect_timeout,
         on_load,
         membership.note_unreachable,
+        supervisor,
     )
     stack.push_async_callback(connections.close)
     outcome_querier = OutcomeQuerier(connections)
@@ -145,23 +147,35 @@
         settings.prefix_blocks,
     )
     state.add_listener(on_change)
-    initial_load = load_from_peers(
-        settings.peers, state, settings_services.follower, settings.connect_timeout
-    )
     session = await stack.enter_async_context(
         aiohttp.ClientSession(headers={CALLER_HEADER: settings.name})
     )
     sweeper = ClaimSweeper(settings_services.key_value, settings.claim_ttl, Random())
-    for background_work in (
-        settings_services.follower.follow(),
-        initial_load,
-        settings_services.sync.run(),
-        executor.tick(),
-        poll_hosts(HostList(session, settings.platform_url), membership),
-        probe_endpoints(membership, connections, lambda: executor.endpoints),
-        sweeper.run(),
-    ):
-        run_in_background(stack, background_work)
+    hosts = HostList(session, settings.platform_url)
+    stack.push_async_callback(supervisor.close)
+    # Without its ticks, no deadline is enforced and no retry is sent.
+    supervisor.run("decision_loop", executor.tick, is_vital=True)
+    # Without these, requests are served on by the settings in force, and newer ones
+    # come from sidecars.
+    follower = settings_services.follower
+    supervisor.run("log_follower", follower.follow, follower.distrust_connection)
+    supervisor.run(
+        "initial_load",
+        lambda: load_from_peers(
+            settings.peers, state, follower, settings.connect_timeout
+        ),
+        may_end=True,
+    )
+    sync = settings_services.sync
+    supervisor.run("settings_sync", sync.run, sync.announce_anew)
+    supervisor.run("host_poll", lambda: poll_hosts(hosts, membership))
+    supervisor.run(
+        "endpoint_probe",
+        lambda: probe_endpoints(
+            membership, connections, lambda: executor.endpoints, supervisor.spawn_call
+        ),
+    )
+    supervisor.run("claim_sweep", sweeper.run)
 
     def ready() -> bool:
         return state.loaded.is_set() and not stop.is_set()
@@ -186,7 +200,7 @@
     def refresh_metrics() -> None:
         metrics.refresh(executor.in_flight, connections.open_count)
 
-    add_health_routes(app, ready, refresh_metrics)
+    add_health_routes(app, ready, refresh_metrics, supervisor)
     app.on_response_prepare.append(close_connections_when_stopping(stop))
     server = await stack.enter_async_context(
         open_http(app, settings.caller_address, HTTP_GRACE_S)
@@ -240,7 +254,10 @@
 
 
 async def _open_settings(
-    settings: EntrySettings, stack: AsyncExitStack, served_models: Callable[[], Served]
+    settings: EntrySettings,
+    stack: AsyncExitStack,
+    served_models: Callable[[], Served],
+    supervisor: Supervisor,
 ) -> _SettingsServices:
     key_value = await stack.enter_async_context(
         open_key_value(settings.platform_url, settings.name)
@@ -249,9 +266,11 @@
     changes = ChangeStore(key_value)
     snapshots = SnapshotStore(key_value)
     follower = LogFollower(changes, snapshots, state)
-    committer = Committer(changes, snapshots, state, follower, served_models)
+    committer = Committer(
+        changes, snapshots, state, follower, supervisor, served_models
+    )
     stack.push_async_callback(committer.close)
-    sync = SettingsSync(settings.name, state, ENTRY_LINKS)
+    sync = SettingsSync(settings.name, state, ENTRY_LINKS, supervisor)
     stack.push_async_callback(sync.close)
     audit = AuditReader(changes, state)
     return _SettingsServices(key_value, state, follower, committer, audit, sync)
--- a/packages/daemon/src/amaranthtally/daemon/entry/sidecar_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/sidecar_connections.py
@@ -8,6 +8,7 @@
 from amaranthtally.daemon.entry.heartbeat import watch_heartbeat
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import Endpoint
 from amaranthtally.wire import (
     Load,
@@ -32,12 +33,14 @@
         connect_timeout: float,
         on_load: Callable[[str, Load], None],
         on_unreachable: Callable[[str], None],
+        supervisor: Supervisor,
     ) -> None:
         self._entry = entry
         self._source = source
         self._connect_timeout = connect_timeout
         self._on_load = on_load
         self._on_unreachable = on_unreachable
+        self._supervisor = supervisor
         self._clients: dict[str, SidecarClient] = {}
         self._incarnations: dict[str, int] = {}
         self._connecting: dict[str, asyncio.Task[SidecarClient]] = {}
@@ -68,7 +71,9 @@
             return client
         connecting = self._connecting.get(endpoint.id)
         if connecting is None:
-            connecting = asyncio.create_task(self._connect(endpoint))
+            connecting = self._supervisor.spawn(
+                "SidecarConnections.connect", self._connect(endpoint), (PeerLostError,)
+            )
             self._connecting[endpoint.id] = connecting
             connecting.add_done_callback(
                 lambda _: self._connecting.pop(endpoint.id, None)
@@ -144,6 +149,6 @@
         log.info("sidecar_disconnected", endpoint=endpoint, address=client.peer)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
-        task = asyncio.create_task(work)
+        task = self._supervisor.spawn_call(work)
         self._watchers.add(task)
         task.add_done_callback(self._watchers.discard)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/connection_gate.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/connection_gate.py
@@ -89,6 +89,10 @@
         self._closed += 1
         return _UnreadConnection()
 
+    def reset_estimate(self) -> None:
+        """Take connections as after the start, until the event loop was checked."""
+        self._estimate = LoadEstimate()
+
     async def run(self) -> None:
         """Check the event loop until cancelled."""
         while True:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -1,8 +1,7 @@
 """What a gateway knows of the store and of its peers, and how it is kept up to date."""
 
-from collections.abc import Callable, Coroutine
+from collections.abc import Callable
 from random import Random
-from typing import Any
 
 from amaranthtally.adapter.configuration import CONFIGURATION_KEY
 from amaranthtally.adapter.evacuations import EVACUATIONS_PREFIX
@@ -41,6 +40,7 @@
     VERSIONS_PREFIX,
     VersionRecorder,
 )
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.platform import StoreClient
 from amaranthtally.policy import (
     CallKind,
@@ -64,8 +64,8 @@
     """
     Follows the store, by itself or through a watcher, and tells peers what it knows.
 
-    ``on_peers`` is called after each change of the peers' records, ``spawn`` runs a
-    coroutine in the background, and ``is_stopping`` says whether this gateway stops.
+    ``on_peers`` is called after each change of the peers' records, and ``is_stopping``
+    says whether this gateway stops.
     """
 
     def __init__(
@@ -78,13 +78,14 @@
         peers: PeerDirectory,
         origins: StreamOriginTracker,
         on_peers: Callable[[], None],
-        spawn: Callable[[Coroutine[Any, Any, None]], object],
+        supervisor: Supervisor,
         is_stopping: Callable[[], bool],
         random: Random,
     ) -> None:
         self._settings = settings
         self._peers = peers
         self._origins = origins
+        self._supervisor = supervisor
         self._is_stopping = is_stopping
         self._neighbours: tuple[str, ...] = ()
         self._selection = WatcherSelection(
@@ -122,7 +123,10 @@
             self.configuration, self._replica, lambda: self._records.settling_s
         )
         self._pusher = ChangePusher(
-            connections, self._replica, lambda: self.documents.versions, spawn
+            connections,
+            self._replica,
+            lambda: self.documents.versions,
+            supervisor.spawn_call,
         )
         registration = Registration(client, settings.name, record, random)
         self.store = self._new_store(
@@ -135,7 +139,7 @@
             self.store,
             lambda: self._selection.followed,
             self.documents.note_peer_versions,
-            spawn,
+            supervisor.spawn_call,
         )
         self._gossip = VersionGossip(
             connections,
@@ -170,16 +174,18 @@
         """Number of batches of a watcher's changes that could not be applied."""
         return self._receiver.refused
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the background tasks."""
-        return [
-            *self.store.tasks(),
-            self._gossip.run(),
-            self._greeter.run(),
-            self._seed_reader.run(),
-            self.versions.run(),
-            self._origin_recorder.run(),
-        ]
+    def start(self) -> None:
+        """Start the background tasks."""
+        self.store.start()
+        # None of these is vital: what they learn or write only matters beside the
+        # store, and a gateway whose callers are served is not taken out of service.
+        run = self._supervisor.run
+        run("version_gossip", self._gossip.run)
+        run("return_greeter", self._greeter.run)
+        run("seed_reader", self._seed_reader.run, may_end=True)
+        run("version_recorder", self.versions.run, self.versions.observe_anew)
+        origins = self._origin_recorder
+        run("origin_recorder", origins.run, origins.write_anew)
 
     def entries_changed(self) -> None:
         """Elect watchers and neighbours among the entries that are alive now."""
@@ -251,6 +257,7 @@
             self._records,
             peer_records,
             registration,
+            self._supervisor,
         )
 
     def _catch_up(self, peer: str, versions: Versions) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -1,8 +1,7 @@
 """Executes the policy's actions by calling endpoints directly, without sidecars."""
 
 import asyncio
-from collections.abc import Callable, Coroutine, Mapping, Sequence
-from typing import Any
+from collections.abc import Callable, Mapping, Sequence
 
 from amaranthtally.adapter.messages import EndpointLoad
 from amaranthtally.daemon.decision_loop import DecisionLoop
@@ -25,6 +24,7 @@
 from amaranthtally.daemon.gateway.rate_limit_exchange import RateLimitExchange
 from amaranthtally.daemon.gateway.usage_exchange import UsageExchange
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import (
     GATEWAY_TICK_S,
     Answer as AnswerAction,
@@ -84,6 +84,7 @@
         metrics: GatewayMetrics,
         on_stream_began: Callable[[LiveCall], None],
         limits: ResponseLimits,
+        supervisor: Supervisor,
     ) -> None:
         self._on_stream_began = on_stream_began
         self._planner = planner
@@ -166,6 +167,7 @@
                 FairSharesChanged: self._usage.log_change,
                 UsageFault: self._usage.log_fault,
             },
+            supervisor,
             GATEWAY_TICK_S,
         )
 
@@ -209,11 +211,6 @@
         """Exchanges the work of client accounts with the other gateways."""
         return self._usage
 
-    @property
-    def spawn(self) -> Callable[[Coroutine[Any, Any, None]], object]:
-        """Function that runs a coroutine in the background."""
-        return self._decisions.spawn
-
     def set_peer_connections(self, connections: PeerConnections) -> None:
         """Set the connections to peers, which are created after this executor."""
         self._connections = connections
--- a/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
@@ -47,6 +47,10 @@
             pause_s = RENEW_INTERVAL_S if renewed else RETRY_DELAY_S
             await asyncio.sleep(pause_s * (1.0 + RETRY_JITTER * self._random.random()))
 
+    def forget_lease(self) -> None:
+        """Register again under a new lease; the old one ends by itself."""
+        self._lease = 0
+
     async def deregister(self) -> None:
         """Remove the record, so that peers submit no more jobs to this gateway."""
         self._is_deregistered = True
--- a/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
@@ -113,6 +113,10 @@
             writers = len({self._data_centre, *data_centres.values()})
         self._interval_s = max(WRITE_INTERVAL_S, writers / MAX_WRITES_PER_S)
 
+    def write_anew(self) -> None:
+        """Write everything again under a new lease; the old one ends by itself."""
+        self._lose_lease()
+
     async def run(self) -> None:
         """Write what is due until cancelled."""
         while True:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -7,6 +7,7 @@
 
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import (
     LoadMessage,
     OriginEntry,
@@ -77,7 +78,7 @@
     def __init__(
         self,
         name: str,
-        spawn: Callable[[Coroutine[Any, Any, None]], object],
+        supervisor: Supervisor,
         listener: _Listener,
         seeds: Sequence[str] = (),
     ) -> None:
@@ -85,7 +86,7 @@
         # The names of seeds are not known; they are called by their addresses.
         self._seeds = {address: address for address in seeds}
         self._greeter = Greeter(NO_RECORD)
-        self._spawn = spawn
+        self._supervisor = supervisor
         self._listener = listener
         self._addresses: Mapping[str, str] = self._seeds
         self._clients: dict[str, GatewayClient] = {}
@@ -247,6 +248,9 @@
         """Report the work of client accounts to a peer; raises ``PeerLostError``."""
         await self._call(peer, lambda client: client.exchange_usage(self._name, report))
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._supervisor.spawn_call(work)
+
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._clients):
@@ -329,7 +333,11 @@
             raise PeerLostError(peer, "no address is known")
         connecting = self._connecting.get(peer)
         if connecting is None:
-            connecting = asyncio.create_task(self._connect(peer, address))
+            connecting = self._supervisor.spawn(
+                "PeerConnections.connect",
+                self._connect(peer, address),
+                (PeerLostError,),
+            )
             self._connecting[peer] = connecting
             connecting.add_done_callback(lambda _: self._connecting.pop(peer, None))
         return await asyncio.shield(connecting)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prefix_watcher.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prefix_watcher.py
@@ -96,6 +96,10 @@
         """Whether the replica continues from a listing without a gap."""
         return not self._must_list
 
+    def list_anew(self) -> None:
+        """List the prefix before the next watch, as the replica may have a gap."""
+        self._must_list = True
+
     async def run(self) -> None:
         """Watch whenever it is due, until cancelled."""
         while True:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -36,17 +36,16 @@
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.daemon.gateway.transfer_reporter import TransferReporter
-from amaranthtally.daemon.health import metrics_response
+from amaranthtally.daemon.health import metrics_response, readiness_response
 from amaranthtally.daemon.lifecycle import (
     ReloadSignal,
     StopSignal,
-    failed_task_count,
-    run_in_background,
     split_address,
     stop_on_signal,
 )
 from amaranthtally.daemon.log_writer import BoundedWriter
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import Supervisor, open_supervisor
 from amaranthtally.platform import open_store
 from amaranthtally.policy import (
     GATEWAY_COMPONENTS,
@@ -141,6 +140,7 @@
         open_store(settings.store_address, TransferReporter(metrics).record)
     )
     random = Random(secrets.randbits(SEED_BITS))
+    supervisor = stack.enter_context(open_supervisor())
 
     limits = build_response_limits()
     memory = EntryMemory(settings.memory_mb)
@@ -158,12 +158,11 @@
         metrics,
         lambda call: _note_origin(origins, call),
         limits,
+        supervisor,
     )
-    connections = PeerConnections(
-        settings.name, executor.spawn, executor, settings.seeds
-    )
+    connections = PeerConnections(settings.name, supervisor, executor, settings.seeds)
     origins = StreamOriginTracker(
-        settings.name, settings.data_centre, connections, executor.spawn
+        settings.name, settings.data_centre, connections, supervisor.spawn_call
     )
     stack.callback(connections.close)
     executor.set_peer_connections(connections)
@@ -194,7 +193,7 @@
         peers,
         origins,
         peer_updater.apply_live_peers,
-        executor.spawn,
+        supervisor,
         stop.is_set,
         random,
     )
@@ -203,19 +202,13 @@
         [executor.rate_limits.read_from, executor.prompts.read_from],
         random,
     )
-    for work in [
-        *coordination.tasks(),
-        reader.run(),
-        peer_updater.prober.run(),
-        executor.tick(),
-        connections.run_heartbeat(lambda: executor.peers_to_probe),
-        writer.flush_periodically(),
-        memory.run(),
-    ]:
-        run_in_background(stack, work)
-
-    configuration = coordination.configuration
     gate = ConnectionGate()
+    stack.push_async_callback(supervisor.close)
+    coordination.start()
+    _start_tasks(
+        supervisor, executor, connections, peer_updater, reader, writer, memory, gate
+    )
+    configuration = coordination.configuration
 
     def state() -> GatewayState:
         view = executor.loads.view
@@ -233,7 +226,7 @@
             store_connected=coordination.store.is_connected,
             store_watched=coordination.store.is_watching,
             store_confirmed_s=coordination.store.confirmed_s,
-            tasks_failed=failed_task_count(),
+            tasks_failed=supervisor.failure_count,
             followers=coordination.follower_count,
             changes_refused=coordination.changes_refused,
             stream_origins=origins.count,
@@ -283,9 +276,8 @@
     caller_server = _new_caller_server(caller_handler)
     await _serve_metrics(settings, stack, metrics, state)
     ready_port = await _serve_readiness(
-        settings, stack, lambda: routing_state.is_complete, stop
+        settings, stack, lambda: routing_state.is_complete, stop, supervisor
     )
-    run_in_background(stack, gate.run())
     caller_port = await stack.enter_async_context(
         _serve(caller_server, settings.caller_address, gate)
     )
@@ -302,6 +294,33 @@
     )
 
 
+def _start_tasks(
+    supervisor: Supervisor,
+    executor: GatewayExecutor,
+    connections: PeerConnections,
+    peer_updater: PeerUpdater,
+    reader: NoticeReader,
+    writer: BoundedWriter,
+    memory: EntryMemory,
+    gate: ConnectionGate,
+) -> None:
+    """Start the background tasks that don't belong to the coordination."""
+    # Without its ticks, no deadline is enforced and no retry is sent.
+    supervisor.run("decision_loop", executor.tick, is_vital=True)
+    # Without its checks, the gate closes all connections after the first few.
+    supervisor.run("connection_gate", gate.run, gate.reset_estimate, is_vital=True)
+    # Without these, requests are still served, if less well.
+    supervisor.run("notice_reader", reader.run, may_end=True)
+    prober = peer_updater.prober
+    supervisor.run("peer_prober", prober.run, prober.wake)
+    supervisor.run(
+        "peer_heartbeat",
+        lambda: connections.run_heartbeat(lambda: executor.peers_to_probe),
+    )
+    supervisor.run("log_flush", writer.flush_periodically)
+    supervisor.run("memory_limit", memory.run, may_end=not memory.is_limited)
+
+
 def _new_executor(
     routing_state: RoutingState,
     random: Random,
@@ -309,11 +328,14 @@
     metrics: GatewayMetrics,
     on_stream_began: Callable[[LiveCall], None],
     limits: ResponseLimits,
+    supervisor: Supervisor,
 ) -> GatewayExecutor:
     initial = routing_state.initial_settings()
     planner_random = Random(random.getrandbits(SEED_BITS))
     planner = Planner(initial, planner_random, GATEWAY_COMPONENTS)
-    return GatewayExecutor(planner, initial, sessions, metrics, on_stream_began, limits)
+    return GatewayExecutor(
+        planner, initial, sessions, metrics, on_stream_began, limits, supervisor
+    )
 
 
 def _note_origin(origins: StreamOriginTracker, call: LiveCall) -> None:
@@ -352,8 +374,9 @@
     stack: AsyncExitStack,
     is_complete: Callable[[], bool],
     stop: StopSignal,
+    supervisor: Supervisor,
 ) -> int:
-    ready_server = web.Server(_readiness_handler(is_complete, stop))
+    ready_server = web.Server(_readiness_handler(is_complete, stop, supervisor))
     return await stack.enter_async_context(_serve(ready_server, settings.ready_address))
 
 
@@ -368,14 +391,13 @@
 
 
 def _readiness_handler(
-    is_complete: Callable[[], bool], stop: StopSignal
+    is_complete: Callable[[], bool], stop: StopSignal, supervisor: Supervisor
 ) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path != READY_PATH:
             return web.Response(status=404, text="unknown path\n")
-        if is_complete() and not stop.is_set():
-            return web.Response(text="ready\n")
-        return web.Response(status=503, text="not ready: starting or stopping\n")
+        is_serving = is_complete() and not stop.is_set()
+        return readiness_response(is_serving, supervisor)
 
     return handle
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
@@ -65,6 +65,10 @@
         """Start or stop watching after a change of the set of live gateways."""
         self._update_duty()
 
+    def watch_anew(self) -> None:
+        """Let this gateway watch the store itself until a watcher has answered."""
+        self._due.set()
+
     async def run(self) -> None:
         """Call watchers until cancelled."""
         while True:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
@@ -1,8 +1,6 @@
 """Keeps a gateway's state in step with the store, and its record in the store."""
 
 import asyncio
-from collections.abc import Coroutine
-from typing import Any
 
 from result import Err
 
@@ -12,12 +10,15 @@
 from amaranthtally.daemon.gateway.membership import PeerRecordTracker, Registration
 from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
 from amaranthtally.daemon.gateway.store_follower import StoreFollower
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.platform import StoreClient
 
 __all__ = ["StoreSync"]
 
 # Interval between removals of endpoints and peers whose records expired, in seconds.
 EXPIRE_INTERVAL_S = 0.5
+WATCHER_TASK = "store_watcher"
+FOLLOWER_TASK = "store_follower"
 
 
 class StoreSync:
@@ -32,6 +33,7 @@
         records: EndpointRecordTracker,
         peer_records: PeerRecordTracker,
         registration: Registration,
+        supervisor: Supervisor,
     ) -> None:
         self._client = client
         self._watcher = watcher
@@ -40,10 +42,14 @@
         self._records = records
         self._peer_records = peer_records
         self._registration = registration
+        self._supervisor = supervisor
 
     @property
     def is_connected(self) -> bool:
         """Whether the store answers this gateway or the watcher that it follows."""
+        task = WATCHER_TASK if self._follower.is_watching else FOLLOWER_TASK
+        if task in self._supervisor.failing:
+            return False
         return not self._follower.is_watching or self._watcher.is_connected
 
     @property
@@ -54,6 +60,8 @@
     @property
     def can_be_followed(self) -> bool:
         """Whether this gateway watches the store, and the store answers."""
+        if self._supervisor.failing_vital:
+            return False
         watcher = self._watcher
         return self.is_watching and watcher.is_connected and watcher.is_listed
 
@@ -85,14 +93,17 @@
         if seconds:
             self._records.settle_for(seconds)
 
-    def tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the background tasks of the connection to the store."""
-        return [
-            self._watcher.run(),
-            self._follower.run(),
-            self._registration.run(),
-            self._expire(),
-        ]
+    def start(self) -> None:
+        """Start the background tasks of the connection to the store."""
+        run = self._supervisor.run
+        watcher, follower = self._watcher, self._follower
+        run(WATCHER_TASK, watcher.run, watcher.list_anew, is_vital=True)
+        run(FOLLOWER_TASK, follower.run, follower.watch_anew, is_vital=True)
+        # Without its record, a gateway still serves its callers.
+        registration = self._registration
+        run("registration", registration.run, registration.forget_lease, may_end=True)
+        # Endpoints that ended would be used for ever.
+        run("record_expiry", self._expire, is_vital=True)
 
     async def deregister(self) -> None:
         """Remove this gateway's record from the store."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -96,6 +96,10 @@
         names = [self._name, *data_centres]
         self._is_writer = duty_holder(names, DUTY_KEY) == self._name
 
+    def observe_anew(self) -> None:
+        """Observe the endpoints again, though they have not changed."""
+        self._observed = {}
+
     async def run(self) -> None:
         """Write due records until cancelled."""
         while True:
--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -3,7 +3,7 @@
 import asyncio
 import signal
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterator
-from contextlib import AsyncExitStack, asynccontextmanager, contextmanager, suppress
+from contextlib import asynccontextmanager, contextmanager
 from typing import Any
 
 from aiohttp import web
@@ -14,9 +14,7 @@
     "HttpServer",
     "ReloadSignal",
     "StopSignal",
-    "failed_task_count",
     "open_http",
-    "run_in_background",
     "serve_http",
     "split_address",
     "stop_on_signal",
@@ -25,7 +23,6 @@
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 log = get_logger()
-_failed_tasks: set[str] = set()
 
 
 def split_address(address: str) -> tuple[str, int]:
@@ -69,7 +66,9 @@
         finished = tasks[0].done()
         for task in tasks:
             task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        ended, _ = await asyncio.gather(*tasks, return_exceptions=True)
+        if isinstance(ended, Exception):
+            log.error("stop_failed", exc_info=ended)
         return finished
 
 
@@ -133,32 +132,6 @@
             self._reload()
 
 
-def run_in_background(stack: AsyncExitStack, work: Coroutine[Any, Any, None]) -> None:
-    """Run ``work`` in a background task that is cancelled when the stack closes."""
-    task = asyncio.create_task(work)
-    name = getattr(work, "__qualname__", "unnamed")
-    task.add_done_callback(lambda _: _report_end(task, name))
-
-    async def cancel_task() -> None:
-        task.cancel()
-        with suppress(asyncio.CancelledError):
-            await task
-
-    stack.push_async_callback(cancel_task)
-
-
-def failed_task_count() -> int:
-    """Return the number of background tasks that an exception has ended."""
-    return len(_failed_tasks)
-
-
-def _report_end(task: asyncio.Task[None], name: str) -> None:
-    if task.cancelled() or task.exception() is None:
-        return
-    _failed_tasks.add(name)
-    log.error("task_failed", task=name, exc_info=task.exception())
-
-
 class HttpServer:
     """A listening HTTP server."""
 
--- a/packages/daemon/src/amaranthtally/daemon/settings_state.py
+++ b/packages/daemon/src/amaranthtally/daemon/settings_state.py
@@ -85,6 +85,20 @@
 
     def _notify(self, source: str) -> None:
         revision_gauge.set({}, self.revision)
-        for listener in self._listeners:
-            listener(self.tree)
+        errors = [
+            error
+            for listener in self._listeners
+            if (error := _error_of(listener, self.tree)) is not None
+        ]
         log.info("settings_in_force", revision=self.revision, source=source)
+        if errors:
+            raise errors[0]
+
+
+def _error_of(listener: Callable[[Tree], None], tree: Tree) -> Exception | None:
+    """Call a listener; return its exception, so that the others are called, too."""
+    try:
+        listener(tree)
+    except Exception as error:
+        return error
+    return None
--- a/packages/daemon/src/amaranthtally/daemon/settings_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/settings_sync.py
@@ -15,6 +15,7 @@
     endpoint_registrations,
 )
 from amaranthtally.daemon.settings_state import SettingsState
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.settings import Tree
 from amaranthtally.wire import (
     SettingsDelta,
@@ -62,12 +63,14 @@
         name: str,
         state: SettingsState,
         plan: LinkPlan,
+        supervisor: Supervisor,
         other_endpoints: Sequence[str] = (),
     ) -> None:
         self._name = name
         self._other_endpoints = other_endpoints
         self._state = state
         self._plan = plan
+        self._supervisor = supervisor
         self._endpoints: dict[str, Any] = {}
         self._addresses: tuple[str, ...] = ()
         self._clients: dict[str, SidecarClient] = {}
@@ -143,6 +146,10 @@
             self._announce_to_all()
             await self._next_round()
 
+    def announce_anew(self) -> None:
+        """Forget what peers have answered, so that all are told the revision again."""
+        self._peer_revisions.clear()
+
     async def close(self) -> None:
         """Close the connections and cancel the running tasks."""
         for client in self._clients.values():
@@ -215,7 +222,7 @@
             client.close()
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(work)
+        task = self._supervisor.spawn_call(work)
         self._tasks.add(task)
         task.add_done_callback(self._on_task_done)
         return task
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/at_most_once.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/at_most_once.py
@@ -7,6 +7,7 @@
 
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.sidecar.waiters import Waiters
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy.at_most_once import CallLedger, CallState, CallVerdict
 from amaranthtally.policy.handover import HandedOverCall, Handover, ReceivedHandovers
 from amaranthtally.wire import (
@@ -69,16 +70,20 @@
     """The at-most-once calls of one incarnation and their results."""
 
     def __init__(
-        self, ledger: CallLedger, received: ReceivedHandovers, runner: CallRunner
+        self,
+        ledger: CallLedger,
+        received: ReceivedHandovers,
+        runner: CallRunner,
+        supervisor: Supervisor,
     ) -> None:
         self._ledger = ledger
         self._received = received
         self._runner = runner
+        self._supervisor = supervisor
         self._records: dict[str, _Record] = {}
         self._running: dict[str, Waiters] = {}
         self._outputs: OrderedDict[str, int] = OrderedDict()
         self._output_bytes = 0
-        self._call_tasks: set[asyncio.Task[None]] = set()
 
     async def run(self, call: StageCall, on_chunk: ChunkHandler) -> StageReply:
         """Run a call, or return the reply of the call that has run under its key."""
@@ -98,9 +103,7 @@
         self._records[key] = _Record(call.id, Waiters(lambda: self._runner.clock_s))
         # The call runs in a task of its own: an entry that dies or disconnects must not
         # cancel a call whose effect may already have happened.
-        task = asyncio.create_task(self._run_call(call, on_chunk))
-        self._call_tasks.add(task)
-        task.add_done_callback(self._call_tasks.discard)
+        self._supervisor.spawn("AtMostOnceCalls.run", self._run_call(call, on_chunk))
         return await self._await_reply(call.id, key)
 
     def started(self, key: str) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/drain.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/drain.py
@@ -5,6 +5,7 @@
 
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.sidecar.handler import StageHandler
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.settings import Scope, SidecarSettings, Tree
 from amaranthtally.settings.catalogue import DRAIN_PREFIX, EVACUATION_PREFIX
 from amaranthtally.wire import EntryConnections
@@ -26,13 +27,14 @@
         handler: StageHandler,
         connections: EntryConnections,
         hand_over: Callable[[bool], Awaitable[None]],
+        supervisor: Supervisor,
     ) -> None:
         self._settings = settings
         self._handler = handler
         self._connections = connections
         self._hand_over = hand_over
+        self._supervisor = supervisor
         self._draining = False
-        self._tasks: set[asyncio.Task[None]] = set()
 
     def settings_changed(self, tree: Tree) -> None:
         """
@@ -51,9 +53,7 @@
         self._draining = draining
         self._handler.set_draining(draining)
         log.info("host_drains", host=self._settings.host, draining=draining)
-        task = asyncio.create_task(self._announce())
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        self._supervisor.spawn("DrainController.announce", self._announce())
 
     async def shut_down(self) -> None:
         """
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/endpoint_service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/endpoint_service.py
@@ -6,7 +6,7 @@
 
 import aiohttp
 
-from amaranthtally.daemon.lifecycle import run_in_background, split_address
+from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import SettingsSync
 from amaranthtally.daemon.sidecar.drain import DrainController
@@ -17,6 +17,7 @@
 from amaranthtally.daemon.sidecar.model_reconciler import ModelReconciler
 from amaranthtally.daemon.sidecar.served_models import ServedModels
 from amaranthtally.daemon.signatures import KeyRing
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.platform import CALLER_HEADER
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import EntryConnections, serve_sidecar
@@ -34,6 +35,7 @@
     state: SettingsState
     sync: SettingsSync
     metrics: SidecarMetrics
+    supervisor: Supervisor
 
 
 class EndpointService:
@@ -59,12 +61,28 @@
             self._metrics,
             shared.sync,
             self.models,
+            shared.supervisor,
             self.cache,
         )
         self.drain = DrainController(
-            settings, self.handler, self.connections, self.hand_over_records
+            settings,
+            self.handler,
+            self.connections,
+            self.hand_over_records,
+            shared.supervisor,
         )
         self.port = 0
+        self.reconciler: ModelReconciler | None = None
+
+    def start(self, supervisor: Supervisor) -> None:
+        """Start the background tasks; without them, calls are served on."""
+        name = self.settings.endpoint
+        if self.cache is not None:
+            work = self.cache.follow_events
+            supervisor.run(f"engine_events[{name}]", work, self.cache.clear)
+        if self.reconciler is not None:
+            # It plans from the engine's state, which it reads in each step.
+            supervisor.run(f"model_reconciler[{name}]", self.reconciler.run)
 
     async def announce_load(self) -> None:
         """Announce the load to the connected entries."""
@@ -97,10 +115,8 @@
     """
     service = EndpointService(settings, shared, is_only_endpoint)
     shared.state.add_listener(service.drain.settings_changed)
-    if service.cache is not None:
-        run_in_background(stack, service.cache.follow_events())
-        if settings.platform_url:
-            await _start_reconciler(stack, service, shared.state)
+    if service.cache is not None and settings.platform_url:
+        service.reconciler = await _open_reconciler(stack, service, shared.state)
     host, port = split_address(settings.wire_address)
     service.port = await stack.enter_async_context(
         serve_sidecar(service.handler, host, port, service.connections)
@@ -108,13 +124,13 @@
     return service
 
 
-async def _start_reconciler(
+async def _open_reconciler(
     stack: AsyncExitStack, service: EndpointService, state: SettingsState
-) -> None:
+) -> ModelReconciler:
     headers = {CALLER_HEADER: service.settings.endpoint}
     session = await stack.enter_async_context(aiohttp.ClientSession(headers=headers))
     reconciler = ModelReconciler(
         service.settings, session, service.models, service.announce_load
     )
     state.add_listener(reconciler.settings_changed)
-    run_in_background(stack, reconciler.run())
+    return reconciler
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/engine_cache.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/engine_cache.py
@@ -64,6 +64,10 @@
         """Return the changes since the serial of an entry's last update."""
         return self._index.update_since(serial)
 
+    def clear(self) -> None:
+        """Forget the engine's events, so that all are read again."""
+        self._index.reset()
+
     async def follow_events(self) -> None:
         """Read events by long polling until cancelled."""
         while True:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -18,6 +18,7 @@
 from amaranthtally.daemon.sidecar.served_models import ServedModels
 from amaranthtally.daemon.sidecar.tombstones import Tombstones
 from amaranthtally.daemon.signatures import KeyRing
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import QueuedCall, RunQueue
 from amaranthtally.policy.at_most_once import CallLedger
 from amaranthtally.policy.handover import Handover, ReceivedHandovers
@@ -57,6 +58,7 @@
         metrics: EndpointMetrics,
         sync: SettingsSync,
         models: ServedModels,
+        supervisor: Supervisor,
         cache: EngineCache | None = None,
     ) -> None:
         self._settings = settings
@@ -74,6 +76,7 @@
             ),
             ReceivedHandovers(settings.record_capacity),
             self,
+            supervisor,
         )
         self._handover_keys = KeyRing(settings.handover_keys)
         self._tombstones = Tombstones(TOMBSTONE_CAPACITY)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/prefix_cache_index.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/prefix_cache_index.py
@@ -88,6 +88,12 @@
             self._last_event = event.serial
             self._apply_event(event)
 
+    def reset(self) -> None:
+        """Forget all events, as after a restart of the engine."""
+        self._clear()
+        self._epoch = ""
+        self._last_event = 0
+
     def update_since(self, serial: int) -> CacheUpdate:
         """Return the changes since a serial, or a reset if they are not all known."""
         if serial == self._serial:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -11,7 +11,6 @@
 from amaranthtally.daemon.health import add_health_routes
 from amaranthtally.daemon.lifecycle import (
     StopSignal,
-    run_in_background,
     serve_http,
     stop_on_signal,
 )
@@ -24,6 +23,7 @@
     open_endpoint,
 )
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
+from amaranthtally.daemon.supervision import Supervisor, open_supervisor
 from amaranthtally.settings import SidecarSettings
 
 __all__ = ["open_endpoint_session", "run_sidecar"]
@@ -44,7 +44,12 @@
             await open_endpoint(stack, settings, shared, is_only_endpoint)
             for settings in endpoints
         ]
-        http_port = await _serve_health(stack, stop, services)
+        stack.push_async_callback(shared.supervisor.close)
+        sync = shared.sync
+        shared.supervisor.run("settings_sync", sync.run, sync.announce_anew)
+        for service in services:
+            service.start(shared.supervisor)
+        http_port = await _serve_health(stack, stop, services, shared.supervisor)
         for service in services:
             log.info(
                 "listening",
@@ -62,21 +67,24 @@
 async def _open_shared(stack: AsyncExitStack, names: list[str]) -> SharedResources:
     session = await stack.enter_async_context(open_endpoint_session())
     state = SettingsState()
-    sync = SettingsSync(names[0], state, SIDECAR_LINKS, names[1:])
+    supervisor = stack.enter_context(open_supervisor())
+    sync = SettingsSync(names[0], state, SIDECAR_LINKS, supervisor, names[1:])
     stack.push_async_callback(sync.close)
-    run_in_background(stack, sync.run())
-    return SharedResources(session, state, sync, SidecarMetrics())
+    return SharedResources(session, state, sync, SidecarMetrics(), supervisor)
 
 
 async def _serve_health(
-    stack: AsyncExitStack, stop: StopSignal, services: list[EndpointService]
+    stack: AsyncExitStack,
+    stop: StopSignal,
+    services: list[EndpointService],
+    supervisor: Supervisor,
 ) -> int:
     def refresh() -> None:
         for service in services:
             service.refresh_metrics()
 
     app = web.Application()
-    add_health_routes(app, lambda: not stop.is_set(), refresh)
+    add_health_routes(app, lambda: not stop.is_set(), refresh, supervisor)
     address = services[0].settings.http_address
     return await stack.enter_async_context(serve_http(app, address, HTTP_GRACE_S))
 
--- a/packages/daemon/src/amaranthtally/daemon/supervision.py
+++ b/packages/daemon/src/amaranthtally/daemon/supervision.py
@@ -7,6 +7,7 @@
 from dataclasses import dataclass, field
 from functools import partial
 from random import Random
+from traceback import format_exception
 from typing import Any, TypeVar
 
 from aioprometheus import Counter as CounterMetric, Gauge
@@ -32,6 +33,9 @@
 # seconds: half of the window, or a task that fails at regular intervals would change
 # between failing and well.
 WELL_AFTER_S = FAILURE_WINDOW_S / 2
+# Innermost frames in a logged traceback. A thousand of them, as of a RecursionError,
+# would fill the buffer of the log.
+MAX_TRACEBACK_FRAMES = 30
 # The label of errors that the event loop reports outside of any supervised task.
 EVENT_LOOP = "event_loop"
 
@@ -176,7 +180,7 @@
             message=context.get("message", ""),
             source=repr(source),
             failures=failures,
-            exc_info=error,
+            exception=_traceback_of(error) if error is not None else "",
         )
 
     # Supervised tasks
@@ -207,7 +211,7 @@
             task=task.name,
             failures=failures,
             restarts_in_s=round(delay_s, 3),
-            exc_info=error,
+            exception=_traceback_of(error),
         )
         is_frequent = (
             len(task.failed_at) == MAX_FAILURES
@@ -253,7 +257,9 @@
             return
         name = ended.get_name()
         failures = self._count_failure(name)
-        log.error("task_failed", task=name, failures=failures, exc_info=error)
+        log.error(
+            "task_failed", task=name, failures=failures, exception=_traceback_of(error)
+        )
         if name in self._tasks:
             # Not the work failed but its supervision, so that nothing restarts it.
             _mark_failing(self._tasks[name])
@@ -320,6 +326,11 @@
         task.recovery = None
 
 
+def _traceback_of(error: BaseException) -> str:
+    lines = format_exception(error, limit=-MAX_TRACEBACK_FRAMES)
+    return "".join(lines).rstrip()
+
+
 def _error_of(ended: asyncio.Task[Any]) -> BaseException | None:
     if not ended.cancelled():
         return ended.exception()
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -14,6 +14,7 @@
 from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import PeerDirectory, PeerRecord
 from amaranthtally.settings import GatewaySettings
 from amaranthtally.wire import PeerLostError
@@ -109,7 +110,7 @@
         self.data_centre = data_centre
         self.connections = FleetConnections(fleet, name)
         self.peers = PeerDirectory()
-        self._tasks = set()
+        self._supervisor = Supervisor(Random(name))
         settings = GatewaySettings(
             name=name,
             host="host",
@@ -134,7 +135,7 @@
             lambda: self.coordination.entries_changed(),
         )
         self.origins = StreamOriginTracker(
-            name, data_centre, self.connections, self._spawn
+            name, data_centre, self.connections, self._supervisor.spawn_call
         )
         self.coordination = Coordination(
             settings,
@@ -145,12 +146,12 @@
             self.peers,
             self.origins,
             self._updater.apply_live_peers,
-            self._spawn,
+            self._supervisor,
             lambda: self.is_leaving,
             Random(name),
         )
-        for work in [*self.coordination.tasks(), self._updater.prober.run()]:
-            self._spawn(work)
+        self.coordination.start()
+        self._supervisor.run("peer_prober", self._updater.prober.run)
 
     @property
     def version(self):
@@ -178,17 +179,12 @@
         self.is_leaving = True
         self.connections.note_leaving()
         self.origins.leave()
-        self._spawn(self.coordination.store.deregister())
+        self._supervisor.spawn_call(self.coordination.store.deregister())
 
     def kill(self):
-        for task in list(self._tasks):
+        for task in self._supervisor.running:
             task.cancel()
 
-    def _spawn(self, work):
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 class Fleet:
     """Gateways by name, spread over the data centres, and their store."""
--- a/tests/settings/test_racing_writers.py
+++ b/tests/settings/test_racing_writers.py
@@ -12,6 +12,7 @@
 from amaranthtally.daemon.entry.log_follower import LogFollower
 from amaranthtally.daemon.entry.snapshots import SnapshotStore
 from amaranthtally.daemon.settings_state import SettingsState
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.platform import PlatformOutcomeUnknown
 from amaranthtally.settings import Op, Proposal, Tree, decode_change
 from tests.settings.fake_store import FakeStore, Fault
@@ -39,7 +40,9 @@
         self.state = SettingsState()
         changes, snapshots = ChangeStore(store), SnapshotStore(store)
         self.follower = LogFollower(changes, snapshots, self.state)
-        self.committer = Committer(changes, snapshots, self.state, self.follower)
+        self.committer = Committer(
+            changes, snapshots, self.state, self.follower, Supervisor()
+        )
         self.results = {}
 
     async def write(self, targets):
--- a/tests/unit/test_older_gateways.py
+++ b/tests/unit/test_older_gateways.py
@@ -7,6 +7,7 @@
 import pytest
 
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import LoadMessage
 from amaranthtally.wire import MethodUnknownError, gateway_codec
 from amaranthtally.wire.gateway_codec import Versions
@@ -41,7 +42,7 @@
     async def call_twice():
         listener = await capnp.AsyncIoStream.create_server(accept, "127.0.0.1", 0)
         port = listener.sockets[0].getsockname()[1]
-        peers = PeerConnections("g0", None, None)
+        peers = PeerConnections("g0", Supervisor(), None)
         peers.set_addresses({"g1": f"127.0.0.1:{port}"})
         for _ in range(2):
             with pytest.raises(MethodUnknownError):
--- a/tests/unit/test_sent_inputs.py
+++ b/tests/unit/test_sent_inputs.py
@@ -4,6 +4,7 @@
 
 from amaranthtally.daemon.gateway.endpoint_exchange import EndpointSessions
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import AttemptId, Send, StoredResult, build_response_limits
 from tests.policy.support import endpoints, settings
 from tests.support import run_async
@@ -41,6 +42,7 @@
             None,
             lambda call: None,
             build_response_limits(),
+            Supervisor(),
         )
         executor._endpoint_calls = SimpleNamespace(run=run)
         executor._calls["r"] = SimpleNamespace(
--- a/tests/unit/test_settings_sync.py
+++ b/tests/unit/test_settings_sync.py
@@ -4,6 +4,7 @@
 
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import SIDECAR_LINKS, SettingsSync
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.wire import SettingsDelta
 from tests.support import run_async
 
@@ -22,7 +23,7 @@
             await asyncio.sleep(10.0)
             return SettingsDelta(0, (), b"")
 
-        sync = SettingsSync("one", SettingsState(), SIDECAR_LINKS)
+        sync = SettingsSync("one", SettingsState(), SIDECAR_LINKS, Supervisor())
         for revision in range(1, 25):
             sync.note_revision(revision, fetch)
             await asyncio.sleep(0.1)
--- a/tests/unit/test_supervision.py
+++ b/tests/unit/test_supervision.py
@@ -6,6 +6,8 @@
 import pytest
 from structlog.testing import capture_logs
 
+from amaranthtally.daemon.lifecycle import StopSignal
+from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.supervision import (
     EVENT_LOOP,
     MAX_FAILURES,
@@ -16,6 +18,7 @@
     TaskEndedError,
     open_supervisor,
 )
+from amaranthtally.settings import Tree
 from tests.support.virtual_time import run_on_virtual_time
 
 LONGEST_PAUSE_S = MAX_RESTART_DELAY_S * (1.0 + RESTART_JITTER)
@@ -76,7 +79,25 @@
     assert line["task"] == "follower"
     assert line["failures"] == 1
     assert line["restarts_in_s"] > 0
-    assert line["exc_info"] is fault
+    assert type(fault).__name__ in line["exception"]
+
+
+def test_a_deep_recursion_fits_into_a_line_of_the_log():
+    """Guards against a line that fills the buffer of the log at each failure."""
+
+    def recurse(one, other):
+        other(other, one)
+
+    async def fail():
+        recurse(recurse, lambda one, other: other(other, one))
+
+    async def check(supervisor):
+        supervisor.run("loop", fail)
+        await asyncio.sleep(0.05)
+
+    (line,) = events(run_supervised(check), "task_failed")
+    assert "RecursionError" in line["exception"]
+    assert len(line["exception"]) < 10_000
 
 
 def test_a_task_that_fails_again_and_again_is_failing_until_it_has_run_for_a_while():
@@ -133,7 +154,7 @@
         assert set(supervisor.failures) == {"loop"}
 
     (first, *_) = events(run_supervised(check), "task_failed")
-    assert isinstance(first["exc_info"], TaskEndedError)
+    assert TaskEndedError.__name__ in first["exception"]
 
 
 def test_a_task_that_something_else_cancels_has_failed():
@@ -189,7 +210,8 @@
         assert supervisor.failures == {"call": 1, "Loop.run": 1}
 
     lines = events(run_supervised(check), "task_failed")
-    assert [line["exc_info"] for line in lines] == [fault, fault]
+    assert len(lines) == 2
+    assert all("raise self.fault" in line["exception"] for line in lines)
 
 
 def test_what_asyncio_would_only_print_is_logged_and_counted():
@@ -209,3 +231,34 @@
     with capture_logs() as lines:
         run_on_virtual_time(check())
     assert len(events(lines, "event_loop_error")) == 2
+
+
+def test_a_stop_that_fails_is_logged():
+    """Guards against requests that are cut as the drain ended with an exception."""
+
+    async def check():
+        work = Loop(ValueError("a")).run()
+        assert await StopSignal().run_until_forced(work, 1.0)
+
+    with capture_logs() as lines:
+        run_on_virtual_time(check())
+    (line,) = events(lines, "stop_failed")
+    assert str(line["exc_info"]) == "a"
+
+
+def test_a_listener_of_settings_that_fails_leaves_the_others_whole():
+    """Guards against settings that are in force in a part of a process only."""
+
+    async def check():
+        state, seen = SettingsState(), []
+
+        def fail(tree):
+            raise ValueError("a")
+
+        state.add_listener(fail)
+        state.add_listener(lambda tree: seen.append(tree.revision))
+        with pytest.raises(ValueError, match="a"):
+            state.apply_tree(Tree(revision=7), "platform")
+        assert seen == [7]
+
+    run_on_virtual_time(check())
--- a/tests/unit/test_withdrawals.py
+++ b/tests/unit/test_withdrawals.py
@@ -5,6 +5,7 @@
 import pytest
 
 from amaranthtally.daemon.sidecar.at_most_once import AtMostOnceCalls
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy.at_most_once import CallLedger
 from amaranthtally.policy.handover import ReceivedHandovers
 from amaranthtally.wire import (
@@ -85,7 +86,7 @@
     async def run():
         runner = QueueRunner()
         ledger = CallLedger(1, 10, 60.0)
-        calls = AtMostOnceCalls(ledger, ReceivedHandovers(10), runner)
+        calls = AtMostOnceCalls(ledger, ReceivedHandovers(10), runner, Supervisor())
         runner.calls = calls
         running = asyncio.create_task(calls.run(CALL, ignore_chunk))
         while runner.start is None:
@@ -118,7 +119,9 @@
 
     async def run():
         runner = QueueRunner()
-        calls = AtMostOnceCalls(CallLedger(1, 10, 60.0), ReceivedHandovers(10), runner)
+        calls = AtMostOnceCalls(
+            CallLedger(1, 10, 60.0), ReceivedHandovers(10), runner, Supervisor()
+        )
         runner.calls = calls
         running = asyncio.create_task(calls.run(CALL, ignore_chunk))
         await asyncio.sleep(0)
