Explain from logs why a route was unknown and why an endpoint was still used

The timeline of a request shows what a gateway decided, not what it had not heard of.

explain-route and explain-endpoint read the logs of all gateways: what was in force and how old it was, who knew of something newer and when, and which task, watch or record had failed at the gateway or at the one that it followed. A verdict holds only what a line says, else that no failure is in the logs. Logs without revisions and ages are read too.

--- a/packages/operator/src/amaranthtally/operator/log_lines.py
+++ b/packages/operator/src/amaranthtally/operator/log_lines.py
@@ -1,14 +1,15 @@
 """Parses the daemons' log lines, which consist of ``key=value`` pairs."""
 
 import re
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from dataclasses import dataclass
 from datetime import datetime
 from pathlib import Path
 
-__all__ = ["MS_PER_S", "LogLine", "parse_line", "read_lines"]
+__all__ = ["MS_PER_S", "LogLine", "parse_line", "read_events", "read_lines"]
 
 MS_PER_S = 1000.0
+EVENT = re.compile(r"\bevent=(\w+)")
 KEY_VALUE_PAIR = re.compile(r'([\w.]+)=("(?:[^"\\]|\\.)*"|\S*)')
 
 
@@ -32,6 +33,19 @@
         except ValueError:
             return 0.0
 
+    def optional_number(self, name: str) -> float | None:
+        """Return a field as a number; ``None`` when it is missing or not a number."""
+        try:
+            return float(self.fields.get(name, ""))
+        except ValueError:
+            return None
+
+    @property
+    def cause(self) -> str:
+        """The exception of a line without its traceback, or else its cause."""
+        lines = self.text("exception").split("\\n")
+        return next((line for line in reversed(lines) if line), self.text("cause"))
+
     def values(self, name: str) -> list[str]:
         """Return the values of a comma-separated field."""
         return [value for value in self.text(name).split(",") if value]
@@ -58,3 +72,20 @@
         for text in file:
             if containing in text:
                 yield parse_line(path.stem, text)
+
+
+def read_events(
+    path: Path, events: Container[str], containing: str = ""
+) -> Iterator[LogLine | None]:
+    """
+    Yield the lines of a log file with one of the events; raises ``OSError``.
+
+    With ``containing``, lines of any event that contain this text are included. Yields
+    ``None`` for a line that can't be parsed.
+    """
+    with path.open(encoding="utf-8", errors="replace") as file:
+        for text in file:
+            event = EVENT.search(text)
+            is_wanted = event is not None and event[1] in events
+            if is_wanted or (containing and containing in text):
+                yield parse_line(path.stem, text)
--- a/packages/operator/src/amaranthtally/operator/main.py
+++ b/packages/operator/src/amaranthtally/operator/main.py
@@ -5,9 +5,11 @@
 from cyclopts import App
 
 from amaranthtally.operator import experiment, replay
+from amaranthtally.operator.endpoint_explanation import add_explain_endpoint_command
 from amaranthtally.operator.explain import add_explain_command
 from amaranthtally.operator.fleet_commands import add_fleet_commands
 from amaranthtally.operator.request_command import add_request_command
+from amaranthtally.operator.route_explanation import add_explain_route_command
 from amaranthtally.operator.settings_commands import app as settings_app
 from amaranthtally.operator.stages_command import add_stages_command
 
@@ -26,6 +28,8 @@
 add_fleet_commands(app)
 add_request_command(app)
 add_explain_command(app)
+add_explain_route_command(app)
+add_explain_endpoint_command(app)
 add_stages_command(app)
 replay.register(app)
 experiment.register(app)
