--- a/packages/operator/src/amaranthtally/operator/endpoint_explanation.py
+++ b/packages/operator/src/amaranthtally/operator/endpoint_explanation.py
@@ -14,6 +14,7 @@
     Explanation,
     Fact,
     StateHistory,
+    confirmed_before,
     is_unconfirmed,
     read_history,
     render_explanation,
@@ -214,8 +215,8 @@
     causes = history.malformed(process, at, endpoint)
     causes += history.troubles(process, at)
     age_s = use.attempt.optional_number("records_age_s")
-    if not causes and is_unconfirmed(age_s):
-        text = f"the records of {process} were last confirmed {age_s:.1f} s before"
+    if not causes and age_s is not None and is_unconfirmed(age_s):
+        text = f"the records of {process} were {confirmed_before(age_s)}"
         causes.append(Fact(text, (use.attempt,)))
     return causes or [Fact(f"no failure at {process} by then is in these logs", ())]
 
@@ -227,7 +228,7 @@
     age_s = use.attempt.optional_number("records_age_s")
     if age_s is None:
         return f"{text}; the age of the records is not logged"
-    return f"{text}, and the records were last confirmed {age_s:.1f} s before"
+    return f"{text}, and the records were {confirmed_before(age_s)}"
 
 
 def _arrivals(
--- a/packages/operator/src/amaranthtally/operator/route_explanation.py
+++ b/packages/operator/src/amaranthtally/operator/route_explanation.py
@@ -14,6 +14,7 @@
     Explanation,
     Fact,
     StateHistory,
+    confirmed_before,
     is_unconfirmed,
     read_history,
     render_explanation,
@@ -28,11 +29,10 @@
     "configuration_read",
     "configuration_heard_of",
 )
-# What the ages in a rejection say. Gateways before configuration_age_s log confirmed_s.
+# Whose age the fields of a rejection tell.
 AGES = {
-    "configuration_age_s": "the configuration was last confirmed",
-    "records_age_s": "the records were last confirmed",
-    "confirmed_s": "the store or the followed gateway had last answered",
+    "configuration_age_s": "the configuration was",
+    "records_age_s": "the records were",
 }
 
 
@@ -195,7 +195,11 @@
     for field, text in AGES.items():
         age_s = rejection.optional_number(field)
         if age_s is not None:
-            texts.append(f"{text} {age_s:.1f} s before")
+            texts.append(f"{text} {confirmed_before(age_s)}")
+    answered_s = rejection.optional_number("confirmed_s")
+    if answered_s is not None and not texts:
+        text = "the store or the followed gateway had last answered"
+        texts.append(f"{text} {answered_s:.1f} s before")
     if not texts:
         texts.append("when this version was last confirmed is not logged")
     records = rejection.text("records")
@@ -209,10 +213,9 @@
     if rejection is None:
         return []
     age_s = rejection.optional_number("configuration_age_s")
-    if not is_unconfirmed(age_s):
+    if age_s is None or not is_unconfirmed(age_s):
         return []
-    text = f"the configuration was last confirmed {age_s:.1f} s before"
-    return [Fact(text, (rejection,))]
+    return [Fact(f"the configuration was {confirmed_before(age_s)}", (rejection,))]
 
 
 def _newer(
