Refuse a request whose withdrawal failed; test a fleet whose watchers fail

An entry's task that withdraws the calls of a refused request could fail with its caller waiting for ever; the request is now refused as unknown, and the error reported.

New: a fleet of 30 whose watchers all get an answer that raises, and fleets of 6 and 30 in which one does.

--- a/packages/daemon/src/amaranthtally/daemon/entry/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/executor.py
@@ -205,7 +205,12 @@
         assert request.bound is not None
         # The policy knows only what this entry sent. A request with effects may also
         # have been sent through another entry, which only the bound sidecars know.
-        outcome = await self._outcome_querier.withdraw(request.bound)
+        try:
+            outcome = await self._outcome_querier.withdraw(request.bound)
+        except Exception:
+            # Its caller would wait for ever. The error is reported with the task.
+            request.refuse(replace(refusal, outcome=RequestOutcome.UNKNOWN))
+            raise
         if outcome is None:
             refusal = replace(
                 refusal,
--- a/tests/failure/test_failing_tasks.py
+++ b/tests/failure/test_failing_tasks.py
@@ -21,8 +21,8 @@
 from tests.support.faulty_daemon import LISTING
 
 FAULTY_DAEMON = "tests.support.faulty_daemon"
-SOURCES = Path(__file__).parents[2] / "packages"
-# Where tasks are created whose creator awaits them, with the reason beside each.
+PACKAGES = Path(__file__).parents[2] / "packages"
+CREATION = re.compile(r"create_task\(|ensure_future\(|TaskGroup\(|run_coroutine_thr")
 CREATES_TASKS = {
     "supervision.py",
     # The stop of the process and its second signal, awaited together.
@@ -32,22 +32,15 @@
     # A message of chunks; what it raises is reported by the event loop.
     "chunk_batcher.py",
 }
-CREATION = re.compile(r"create_task\(|ensure_future\(|TaskGroup\(|run_coroutine_thr")
-# What may run beside supervised tasks: the program itself, and one task for each
-# connection that it accepts.
+# The program itself, and one task for each connection that it accepts.
 UNSUPERVISED = re.compile(r"run_(gateway|entry|sidecar)|RequestHandler\.start")
+STORE_TASKS = {"store_watcher", "store_follower", "record_expiry"}
 VITAL = {
-    "gateway": {
-        "store_watcher",
-        "store_follower",
-        "record_expiry",
-        "decision_loop",
-        "connection_gate",
-    },
+    "gateway": STORE_TASKS | {"decision_loop", "connection_gate"},
     "entry": {"decision_loop"},
     "sidecar": set(),
 }
-# Tasks that have ended by the time that a program is ready.
+# Tasks that end early: these fail once before that, and memory_limit has no limit.
 SHORT = {"notice_reader", "initial_load", "seed_reader", "memory_limit"}
 LIMIT_S = 20.0
 CONFIGURATION_S = 2.5
@@ -59,162 +52,136 @@
     def __init__(self, session, settings_file, readiness, metrics):
         self._session = session
         self._folder = settings_file.with_suffix(".faults")
-        self._readiness = readiness
-        self._metrics = metrics
+        self._urls = {"readiness": readiness, "metrics": metrics}
 
-    def fail(self, *names, how="always"):
+    def fail(self, names, how="always"):
         for name in names:
             (self._folder / name).write_text(how)
 
-    def stop_failing(self, *names):
+    def stop_failing(self, names):
         for name in names:
             (self._folder / name).unlink()
 
     def listing(self):
         return json.loads((self._folder / LISTING).read_text())
 
-    async def readiness(self):
-        async with self._session.get(self._readiness) as response:
+    async def get(self, what):
+        async with self._session.get(self._urls[what]) as response:
             return response.status, await response.text()
 
-    async def metric(self, name):
-        """Return the values of a metric by task."""
-        async with self._session.get(self._metrics) as response:
-            text = await response.text()
-        pattern = re.compile(rf'^{name}{{task="([^"]+)"}} (\S+)$', re.MULTILINE)
-        return {task: float(value) for task, value in pattern.findall(text)}
+    async def is_ready(self):
+        return (await self.get("readiness"))[0] == 200
+
+    async def tasks(self, metric):
+        """Return the tasks for which a metric is not zero."""
+        _, text = await self.get("metrics")
+        pairs = re.findall(rf'^{metric}{{task="([^"]+)"}} (\S+)$', text, re.MULTILINE)
+        return {task for task, value in pairs if float(value)}
 
     async def failed(self):
-        return set(await self.metric("amaranthtally_tasks_failed_total"))
+        return await self.tasks("amaranthtally_tasks_failed_total")
 
     async def failing(self):
-        values = await self.metric("amaranthtally_task_failing")
-        return {task for task, value in values.items() if value}
+        return await self.tasks("amaranthtally_task_failing")
 
 
-async def wait_until(condition):
+async def wait_for(read, is_expected):
+    """Wait until what is read is as expected."""
     async with asyncio.timeout(LIMIT_S):
-        while not await condition():
+        while not is_expected(await read()):
             await asyncio.sleep(0.05)
 
 
-async def check_tasks(daemon, program, check_served, check_vital):
+async def check_tasks(daemon, vital, check_served, check_out_of_service):
     """Let each task of a program fail, once and then again and again."""
-
-    async def is_ready():
-        return (await daemon.readiness())[0] == 200
-
-    await wait_until(is_ready)
+    await wait_for(daemon.is_ready, bool)
     listing = daemon.listing()
     tasks = listing["vital"]
-    assert {name for name, is_vital in tasks.items() if is_vital} == VITAL[program]
+    assert {name for name, is_vital in tasks.items() if is_vital} == vital
     assert not [n for n in listing["unsupervised"] if not UNSUPERVISED.fullmatch(n)]
     lasting = set(tasks) - SHORT
 
-    daemon.fail(*lasting, how="once")
-
-    async def have_failed():
-        return await daemon.failed() >= lasting
-
-    await wait_until(have_failed)
-    assert await is_ready()
+    daemon.fail(lasting, how="once")
+    await wait_for(daemon.failed, lasting.issubset)
+    assert await daemon.is_ready()
     await check_served()
 
-    others = lasting - VITAL[program]
-    daemon.fail(*others)
-
-    async def others_fail():
-        return await daemon.failing() == others
-
-    await wait_until(others_fail)
-    assert await is_ready()
+    daemon.fail(lasting - vital)
+    await wait_for(daemon.failing, (lasting - vital).__eq__)
+    assert await daemon.is_ready()
     await check_served()
-    daemon.stop_failing(*others)
+    daemon.stop_failing(lasting - vital)
 
-    for name in sorted(VITAL[program]):
-        daemon.fail(name)
-
-        async def is_out_of_service(task=name):
-            status, text = await daemon.readiness()
-            return status == 503 and task in text
-
-        await wait_until(is_out_of_service)
-        await check_vital(name)
-        daemon.stop_failing(name)
-        await wait_until(is_ready)
+    for name in sorted(vital):
+        daemon.fail([name])
+        await wait_for(
+            lambda: daemon.get("readiness"),
+            lambda response, name=name: response[0] == 503 and name in response[1],
+        )
+        await check_out_of_service(name)
+        daemon.stop_failing([name])
+        await wait_for(daemon.is_ready, bool)
+    await wait_for(daemon.failing, set().__eq__)
     await check_served()
 
-    async def all_well():
-        return not await daemon.failing()
 
-    await wait_until(all_well)
+async def is_followable(port):
+    """Return whether a gateway tells peers that it watches the store."""
+    client = await connect_gateway("127.0.0.1", port, 1.0, 1.0)
+    try:
+        greeter = Greeter(PeerRecord("", ""))
+        status = await client.exchange_status("test", greeter, Versions(), False)
+        return status.watches
+    finally:
+        client.close()
 
 
 def test_tasks_of_a_gateway(tmp_path, monkeypatch):
     """Guards against gateways that go on as connected while a loop has ended."""
-    monkeypatch.setattr(
-        support,
-        "start_process",
-        lambda name, _, *a: start_process(name, FAULTY_DAEMON, *a),
-    )
+
+    def start_faulty(name, module, *arguments):
+        return start_process(name, FAULTY_DAEMON, *arguments)
+
+    monkeypatch.setattr(support, "start_process", start_faulty)
 
     async def check(cluster):
         await cluster.endpoint("job", "job", respond_with(b"done"))
         cluster.configure(1, route("job"))
+        (tmp_path / "g1.faults").mkdir()
+        for name in ("notice_reader", "seed_reader"):
+            (tmp_path / "g1.faults" / name).write_text("once")
         metrics = cluster.reserve_address()
-        faults = tmp_path / "g1.faults"
-        faults.mkdir()
-        # Tasks that end early are made to fail before that.
-        for name in SHORT - {"memory_limit"}:
-            (faults / name).write_text("once")
         gateway = await cluster.gateway("g1", metrics_address=metrics)
-        other = await cluster.gateway("g2")
+        gateways = [gateway, await cluster.gateway("g2")]
         ports = gateway.process.ports
+        ready = f"http://127.0.0.1:{ports['ready']}/v1/readyz"
         daemon = Faulty(
-            gateway.session,
-            tmp_path / "g1.toml",
-            f"http://127.0.0.1:{ports['ready']}/v1/readyz",
-            f"http://{metrics}/metrics",
+            gateway.session, tmp_path / "g1.toml", ready, f"http://{metrics}/metrics"
         )
-        version = 1
+        paths = iter(range(2, 9))
 
         async def check_served():
-            nonlocal version
-            version += 1
-            path = f"new{version}"
-            cluster.configure(version, route("job"), route(path, service="job"))
+            version = next(paths)
+            new = route(f"new{version}", service="job")
+            cluster.configure(version, route("job"), new)
             await asyncio.sleep(CONFIGURATION_S)
-            for one in (gateway, other):
-                assert (await one.call("/job/"))[0] == 200
-                assert (await one.call(f"/{path}/"))[0] == 200
+            for path in ("/job/", f"/new{version}/"):
+                assert [(await g.call(path))[0] for g in gateways] == [200, 200]
             assert await is_followable(ports["peers"])
 
-        async def check_vital(name):
+        async def check_out_of_service(name):
             assert not await is_followable(ports["peers"])
-            if name.startswith("store"):
+            if name in STORE_TASKS:
                 # Callers whom the balancer still sends are served by what is known.
                 assert (await gateway.call("/job/"))[0] == 200
 
-        await check_tasks(daemon, "gateway", check_served, check_vital)
-        assert {"seed_reader", "notice_reader"} <= await daemon.failed()
-
-    async def check_with_peer(cluster):
         async with capnp.kj_loop():
-            await check(cluster)
-
-    run_with_cluster(tmp_path, check_with_peer)
-
+            await check_tasks(
+                daemon, VITAL["gateway"], check_served, check_out_of_service
+            )
+        assert {"seed_reader", "notice_reader"} <= await daemon.failed()
 
-async def is_followable(port):
-    """Return whether a gateway tells peers that it watches the store."""
-    client = await connect_gateway("127.0.0.1", port, 1.0, 1.0)
-    try:
-        greeter = Greeter(PeerRecord("", ""))
-        return (
-            await client.exchange_status("test", greeter, Versions(), False)
-        ).watches
-    finally:
-        client.close()
+    run_with_cluster(tmp_path, check)
 
 
 @pytest.mark.parametrize("program", ["entry", "sidecar"])
@@ -224,11 +191,9 @@
 
     async def run():
         async with open_deployment(model_plan(1)) as deployment:
-            if program == "entry":
-                file = deployment.entry_files[0]
-                url = deployment.entry_url()
-            else:
-                pair = next(iter(deployment.endpoints.values()))
+            (pair,) = deployment.endpoints.values()
+            file, url = deployment.entry_files[0], deployment.entry_url()
+            if program == "sidecar":
                 file = pair.sidecar_file
                 url = f"http://127.0.0.1:{pair.sidecar.ports['http']}"
             daemon = Faulty(deployment.http, file, f"{url}/readyz", f"{url}/metrics")
@@ -236,20 +201,20 @@
             async def check_served():
                 assert (await deployment.call("assessment", "claim")).status == 200
 
-            async def check_vital(name):
+            async def ignore(name):
                 pass
 
-            await check_tasks(daemon, program, check_served, check_vital)
+            await check_tasks(daemon, VITAL[program], check_served, ignore)
 
     run_async(run())
 
 
 def test_tasks_are_created_under_supervision():
     """Guards against a task that is added later and ends without being noticed."""
-    daemon = [
+    sources = [
         path
         for package in ("daemon", "wire", "platform")
-        for path in (SOURCES / package).rglob("*.py")
+        for path in (PACKAGES / package).rglob("*.py")
     ]
-    found = {p.name for p in daemon if CREATION.search(p.read_text(encoding="utf-8"))}
-    assert found <= CREATES_TASKS
+    found = {p.name for p in sources if CREATION.search(p.read_text(encoding="utf-8"))}
+    assert found == CREATES_TASKS
--- a/tests/load/store_model.py
+++ b/tests/load/store_model.py
@@ -23,7 +23,8 @@
     The store, with faults for single gateways.
 
     ``rejected`` gateways get errors, ``cut`` ones no answers, and the watches of
-    ``silent`` ones deliver no events.
+    ``silent`` ones deliver no events. ``faulty`` ones raise an exception at each
+    answer with events.
     """
 
     def __init__(self):
@@ -36,6 +37,7 @@
         self.rejected = set()
         self.cut = set()
         self.silent = set()
+        self.faulty = set()
         self.is_down = False
         self._changed = asyncio.Event()
 
@@ -92,6 +94,7 @@
         self._name = name
 
     async def list(self, prefix):
+        self._raise_fault()
         return await self._call("list", self._list)
 
     async def watch(self, prefix, after, wait_s):
@@ -108,10 +111,16 @@
             if after < store.compacted_at:
                 return Err(PlatformHistoryCompacted())
             events = tuple(item for item in store.history if item.revision > after)
+            if events:
+                self._raise_fault()
             if events or loop.time() >= end:
                 return Ok(StoreEvents(events, store.revision))
             await store.wait_for_change(end - loop.time())
 
+    def _raise_fault(self):
+        if self._name in self._store.faulty:
+            raise ValueError("an answer that cannot be handled")
+
     async def get(self, key):
         return await self._call("get", lambda: self._store.items.get(key))
 
--- a/tests/load/test_fleet_coordination.py
+++ b/tests/load/test_fleet_coordination.py
@@ -96,6 +96,10 @@
     fleet.store.silent.add(watcher_of(fleet))
 
 
+def break_watcher(fleet):
+    fleet.store.faulty.add(watcher_of(fleet))
+
+
 def lose_pushes(fleet):
     fleet.push_losers = set(fleet.members)
 
@@ -112,6 +116,7 @@
         cut_watcher_from_store,
         reject_watcher,
         silence_watch,
+        break_watcher,
         lose_pushes,
         compact_history,
     ],
@@ -121,14 +126,16 @@
 def test_a_change_is_known_in_time_although_a_watcher_fails(fail, lead_s, size):
     """
     Guards against followers that wait for a watcher which is gone, hangs, has lost the
-    store without noticing, or sends nothing; the store answers all others.
+    store without noticing, fails at its answers, or sends nothing; the store answers
+    all others.
     """
 
     async def check(fleet):
         names = set(fleet.members)
         fail(fleet)
-        for faulty in (fleet.store.cut, fleet.store.rejected, fleet.store.silent):
-            names -= faulty
+        store = fleet.store
+        for failed in (store.cut, store.rejected, store.silent, store.faulty):
+            names -= failed
         names &= set(fleet.members)
         await asyncio.sleep(lead_s)
         fleet.configure()
@@ -137,6 +144,24 @@
     run_with_fleet(size, check)
 
 
+def test_a_watcher_that_failed_once_is_up_to_date_in_time():
+    """Guards against a loop that an exception ends, in all watchers at once."""
+
+    async def check(fleet):
+        watchers = fleet.watchers()
+        fleet.store.faulty.update(watchers)
+        fleet.configure()
+        await asyncio.sleep(1.0)
+        # The others watch the store themselves, or follow one that does.
+        await fleet.time_until_known(IN_FORCE_S, set(fleet.members) - set(watchers))
+        fleet.store.faulty.clear()
+        await fleet.time_until_known(IN_TOUCH_S + IN_FORCE_S)
+        fleet.configure()
+        await fleet.time_until_known(IN_FORCE_S)
+
+    run_with_fleet(30, check)
+
+
 def test_a_change_is_known_in_time_although_all_watchers_are_rejected():
     """Guards against followers that take the watchers' word that the store is away."""
 
--- a/tests/unit/test_withdrawals.py
+++ b/tests/unit/test_withdrawals.py
@@ -1,11 +1,19 @@
 """Withdrawals of queued calls that may run at most once."""
 
 import asyncio
+from types import SimpleNamespace
 
 import pytest
 
+from amaranthtally.daemon.entry.executor import Executor
 from amaranthtally.daemon.sidecar.at_most_once import AtMostOnceCalls
 from amaranthtally.daemon.supervision import Supervisor
+from amaranthtally.policy import (
+    PolicySettings,
+    RefusalReason,
+    Refuse,
+    RequestOutcome,
+)
 from amaranthtally.policy.at_most_once import CallLedger
 from amaranthtally.policy.handover import ReceivedHandovers
 from amaranthtally.wire import (
@@ -132,3 +140,27 @@
         return reply.status
 
     assert run_async(run()) is Status.NOT_RUN
+
+
+def test_a_request_whose_withdrawal_fails_is_refused_as_unknown():
+    """Guards against a caller that waits for ever as a background task has failed."""
+    refusals = []
+
+    async def fail(bound):
+        raise ValueError("an answer that cannot be handled")
+
+    async def check():
+        supervisor = Supervisor()
+        executor = Executor(None, PolicySettings(0, "r", "dc"), None, supervisor)
+        executor._outcome_querier = SimpleNamespace(withdraw=fail)
+        executor._requests["order"] = SimpleNamespace(
+            bound=object(), tasks={}, refuse=refusals.append
+        )
+        refusal = Refuse("order", RequestOutcome.NOT_RUN, RefusalReason.STOPPING, 1.0)
+        executor._refuse(refusal)
+        while executor.in_flight:
+            await asyncio.sleep(0)
+        assert supervisor.failures == {"Executor._withdraw": 1}
+
+    run_async(check())
+    assert [refusal.outcome for refusal in refusals] == [RequestOutcome.UNKNOWN]
