--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -13,6 +13,7 @@
 from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
 from amaranthtally.daemon.gateway.evacuation_tracker import EvacuationTracker
 from amaranthtally.daemon.gateway.held_documents import HeldDocuments
+from amaranthtally.daemon.gateway.listener_guard import ListenerGuard
 from amaranthtally.daemon.gateway.membership import (
     ENTRIES_PREFIX,
     PeerRecordTracker,
@@ -22,15 +23,19 @@
     ORIGINS_PREFIX,
     OriginRecorder,
 )
+from amaranthtally.daemon.gateway.peer_confirmation import PeerConfirmation
 from amaranthtally.daemon.gateway.peer_connections import PeerConnections
 from amaranthtally.daemon.gateway.prefix_listener import (
     PrefixDispatcher,
     PrefixListener,
 )
 from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
+from amaranthtally.daemon.gateway.resumption import Evidence
 from amaranthtally.daemon.gateway.return_greeter import ReturnGreeter
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.seed_reader import SeedReader
+from amaranthtally.daemon.gateway.store_confirmation import StoreConfirmation
 from amaranthtally.daemon.gateway.store_follower import StoreFollower
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.daemon.gateway.store_sync import StoreSync
@@ -58,6 +63,12 @@
 
 # The empty prefix, which matches every key. A gateway needs all keys of the store.
 ALL_KEYS = ""
+# Stands for the routes in force, beside the prefixes of the records.
+ROUTES = "routes"
+# How long the caller of a stream whose origin nobody knows waits for an answer of the
+# store, and then of the peers, in seconds: for the interval between two checks and the
+# time-out of one.
+CONFIRMATION_S = 0.6
 
 
 class Coordination:
@@ -81,7 +92,9 @@
         supervisor: Supervisor,
         is_stopping: Callable[[], bool],
         random: Random,
+        faults: RecordFaults,
     ) -> None:
+        self._faults = faults
         self._settings = settings
         self._peers = peers
         self._origins = origins
@@ -92,9 +105,15 @@
             settings.name, settings.data_centre, settings.regions
         )
 
-        self.configuration = ConfigurationTracker(self._with_push(routing_state))
+        self._guard = ListenerGuard(faults, supervisor.spawn_call)
+        self.configuration = ConfigurationTracker(
+            self._with_push(routing_state), faults
+        )
         self._records = EndpointRecordTracker(
-            routing_state.directory, settings.regions, routing_state.endpoints_changed
+            routing_state.directory,
+            settings.regions,
+            routing_state.endpoints_changed,
+            faults,
         )
         self._evacuations = EvacuationTracker(
             settings.regions, routing_state.evacuations_changed
@@ -105,8 +124,8 @@
             lambda: _streaming_pools(routing_state.table),
             lambda: routing_state.directory.endpoints,
             lambda: self.store.is_connected,
-            lambda: connections.is_answered,
             lambda item: self._replica.note_written(item),
+            faults,
         )
         self._origin_recorder = OriginRecorder(
             settings.name,
@@ -116,8 +135,9 @@
             origins.records_read,
             lambda: self.versions.has_several,
             lambda: self.store.is_connected,
+            faults,
         )
-        peer_records = PeerRecordTracker(settings.name, peers, on_peers)
+        peer_records = PeerRecordTracker(settings.name, peers, on_peers, faults)
         self._replica = self._new_replica(peer_records)
         self.documents = HeldDocuments(
             self.configuration, self._replica, lambda: self._records.settling_s
@@ -141,6 +161,16 @@
             self.documents.note_peer_versions,
             supervisor.spawn_call,
         )
+        self._store_confirmation = StoreConfirmation(
+            client, self._replica, supervisor.spawn_call
+        )
+        self._peer_confirmation = PeerConfirmation(
+            connections,
+            lambda: tuple(peers.alive),
+            lambda: self.documents.versions,
+            self._receiver.read_missing,
+            supervisor.spawn_call,
+        )
         self._gossip = VersionGossip(
             connections,
             self.documents,
@@ -169,6 +199,11 @@
         """Number of gateways that follow this one."""
         return self._pusher.follower_count
 
+    @property
+    def needs_listing(self) -> bool:
+        """Whether a listener failed and lacks changes of the store."""
+        return self._guard.needs_listing
+
     @property
     def changes_refused(self) -> int:
         """Number of batches of a watcher's changes that could not be applied."""
@@ -201,6 +236,19 @@
         self.versions.entries_changed(data_centres)
         self.store.entries_changed()
 
+    async def confirm_records(self) -> Evidence:
+        """
+        Bring the records up to date, and return who has said that they are.
+
+        The store knows all that any gateway does. Where it does not answer, all peers
+        are asked instead.
+        """
+        if await self._store_confirmation.confirm(CONFIRMATION_S):
+            return Evidence.STORE
+        if await self._peer_confirmation.confirm(CONFIRMATION_S):
+            return Evidence.PEERS
+        return Evidence.NONE
+
     def exchange_status(
         self, name: str, versions: Versions, follows: bool
     ) -> GatewayStatus:
@@ -229,7 +277,10 @@
             VERSIONS_PREFIX: self.versions,
             ORIGINS_PREFIX: self._origin_recorder,
         }
-        return StoreReplica(PrefixDispatcher(listeners), lambda: self._pusher.wake())
+        dispatcher = PrefixDispatcher(
+            listeners, self._guard, lambda: self._replica.items
+        )
+        return StoreReplica(dispatcher, lambda: self._pusher.wake())
 
     def _new_store(
         self,
@@ -272,7 +323,10 @@
 
     def _with_push(self, routing_state: RoutingState) -> Callable[[RouteTable], None]:
         def apply(table: RouteTable) -> None:
-            routing_state.apply_table(table)
+            def put_in_force() -> None:
+                routing_state.apply_table(table)
+
+            self._guard.apply_all(ROUTES, table.version, put_in_force, put_in_force)
             self._pusher.wake()
 
         return apply
--- a/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/metrics.py
@@ -8,6 +8,7 @@
 from aioprometheus import Counter, Gauge, Histogram
 
 from amaranthtally.daemon.gateway.engine_choices import EngineChoiceMetrics
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.platform import StoreTransfer
 
 __all__ = ["GatewayMetrics", "GatewayState"]
@@ -104,6 +105,7 @@
         self._attempt_tally: Tally[_CallLabels] = Tally()
         self._limited_tally: Tally[_PoolLabels] = Tally()
         self._over_limit_tally: Tally[_PoolLabels] = Tally()
+        self._unreachable_tally: Tally[_PoolLabels] = Tally()
         self._piece_tally: Tally[_CallLabels] = Tally()
         self._move_tally: Tally[_OutcomeLabels] = Tally()
         self._resumption_tally: Tally[_ResumptionLabels] = Tally()
@@ -111,6 +113,7 @@
         self._transfer_tally: Tally[_TransferLabels] = Tally()
         self._received_bytes_tally: Tally[_TransferLabels] = Tally()
         self.engine_choices = EngineChoiceMetrics()
+        self.record_faults = RecordFaults()
         self._requests = Counter(
             "amaranthtally_requests_total", "Requests by route, status and reason."
         )
@@ -125,6 +128,10 @@
             "amaranthtally_responses_over_limit_total",
             "Responses that were cut off because they exceeded a bound, by pool.",
         )
+        self._unreachable = Counter(
+            "amaranthtally_endpoints_unreachable_total",
+            "Reports of endpoints that stay unreachable while their record stays.",
+        )
         self._pieces = Counter(
             "amaranthtally_pieces_total", "Pieces in ended calls by pool and fate."
         )
@@ -147,6 +154,14 @@
             "amaranthtally_store_received_bytes_total",
             "Bytes of the store's answers by call and outcome.",
         )
+        self._malformed = Counter(
+            "amaranthtally_records_malformed_total",
+            "Records of the store that cannot be used, by prefix of their keys.",
+        )
+        self._listeners_failed = Counter(
+            "amaranthtally_listeners_failed_total",
+            "Failures to apply changes of the store, by prefix of their keys.",
+        )
         self._seconds = Histogram(
             "amaranthtally_request_seconds",
             "Time from arrival to the end of a request, by route.",
@@ -188,6 +203,10 @@
         """Count a response that was cut off because it exceeded a bound."""
         self._over_limit_tally[_PoolLabels(pool)] += 1
 
+    def unreachable_endpoint_reported(self, pool: str) -> None:
+        """Count a report of an endpoint that stays unreachable, as does its record."""
+        self._unreachable_tally[_PoolLabels(pool)] += 1
+
     def pieces_ended(
         self, pool: str, outcome: str, pieces: int, seconds: float
     ) -> None:
@@ -219,6 +238,7 @@
         _copy_tally(self._attempt_tally, self._attempts)
         _copy_tally(self._limited_tally, self._limited_attempts)
         _copy_tally(self._over_limit_tally, self._over_limit)
+        _copy_tally(self._unreachable_tally, self._unreachable)
         _copy_tally(self._piece_tally, self._pieces)
         _copy_tally(self._move_tally, self._moves)
         _copy_tally(self._resumption_tally, self._resumptions)
@@ -226,6 +246,10 @@
         _copy_tally(self._transfer_tally, self._transfers)
         _copy_tally(self._received_bytes_tally, self._bytes)
         self.engine_choices.refresh()
+        for prefix, count in self.record_faults.malformed.items():
+            self._malformed.set({"prefix": prefix}, count)
+        for prefix, count in self.record_faults.failed.items():
+            self._listeners_failed.set({"prefix": prefix}, count)
         for name in GatewayState.__dataclass_fields__:
             self._state.set({"name": name}, float(getattr(state, name)))
 
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -12,6 +12,7 @@
 
 from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.daemon.supervision import Supervisor
@@ -149,6 +150,7 @@
             self._supervisor,
             lambda: self.is_leaving,
             Random(name),
+            RecordFaults(),
         )
         self.coordination.start()
         self._supervisor.run("peer_prober", self._updater.prober.run)
