--- a/packages/daemon/src/amaranthtally/daemon/gateway/state_freshness.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/state_freshness.py
@@ -45,6 +45,9 @@
     sent_at: float
 
 
+NO_EVIDENCE = _Evidence(0, -inf, -inf)
+
+
 def state_clock() -> float:
     """Return seconds on a clock that goes on while the process or host stands still."""
     if hasattr(time, "CLOCK_BOOTTIME"):
@@ -70,7 +73,7 @@
     ) -> None:
         self._held = held
         self._clock = clock
-        self._confirmed = {kind: _Evidence(0, -inf, -inf) for kind in StateKind}
+        self._confirmed = dict.fromkeys(StateKind, NO_EVIDENCE)
         self._pending: dict[StateKind, deque[_Evidence]] = {
             kind: deque(maxlen=MAX_PENDING) for kind in StateKind
         }
@@ -96,7 +99,7 @@
         """Return the age of a kind of state in seconds, ``inf`` without evidence."""
         now = self.now()
         self._take_pending(kind)
-        return now - self._confirmed[kind].as_of
+        return now - self._last(kind).as_of
 
     @property
     def log_fields(self) -> dict[str, float]:
@@ -109,7 +112,7 @@
     def confirmed_version(self, kind: StateKind) -> int:
         """Return the version up to which a kind of state was last confirmed."""
         self._take_pending(kind)
-        return self._confirmed[kind].version
+        return self._last(kind).version
 
     def confirm(
         self, kind: StateKind, sent_at: float, age_s: float = 0.0, version: int = 0
@@ -180,8 +183,14 @@
             self.now()
             await asyncio.sleep(CHECK_INTERVAL_S)
 
+    def _last(self, kind: StateKind) -> _Evidence:
+        # Records are discarded if the store turns out to have gone back, as after a
+        # loss of its data. What confirmed them is void then.
+        last = self._confirmed[kind]
+        return last if last.version <= self._held(kind) else NO_EVIDENCE
+
     def _is_confirmed_again(self, kind: StateKind) -> bool:
-        return self._confirmed[kind].sent_at >= self._resumed_at
+        return self._last(kind).sent_at >= self._resumed_at
 
     def _take_pending(self, kind: StateKind) -> None:
         pending = self._pending[kind]
@@ -191,12 +200,11 @@
         taken = [evidence for evidence in pending if evidence.version <= held]
         if not taken:
             return
-        last = self._confirmed[kind]
-        best = max([last, *taken], key=lambda evidence: evidence.as_of)
+        known = [self._last(kind), *taken]
         self._confirmed[kind] = _Evidence(
-            max(held, last.version),
-            best.as_of,
-            max(evidence.sent_at for evidence in [last, *taken]),
+            held,
+            max(evidence.as_of for evidence in known),
+            max(evidence.sent_at for evidence in known),
         )
         kept = [evidence for evidence in pending if evidence.version > held]
         self._pending[kind] = deque(kept, maxlen=MAX_PENDING)
--- a/tests/unit/test_state_freshness.py
+++ b/tests/unit/test_state_freshness.py
@@ -73,6 +73,12 @@
     assert node.freshness.age_s(RECORDS) == inf
     node.held = 6
     assert node.freshness.age_s(RECORDS) == 1.0
+    # The store has gone back, and the records were discarded.
+    node.held = 0
+    assert node.freshness.age_s(RECORDS) == inf
+    node.freshness.confirm(RECORDS, 99.5)
+    assert node.freshness.confirmed_version(RECORDS) == 0
+    assert node.freshness.age_s(RECORDS) == 0.5
 
 
 def test_nothing_is_trusted_after_a_standstill_until_it_is_confirmed_again():
