--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -35,6 +35,7 @@
 from amaranthtally.daemon.gateway.peer_updater import PeerUpdater
 from amaranthtally.daemon.gateway.resumption import RESUME_WINDOW_S, StreamResumption
 from amaranthtally.daemon.gateway.routing_state import RoutingState
+from amaranthtally.daemon.gateway.state_freshness import StateKind
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.daemon.gateway.transfer_reporter import TransferReporter
 from amaranthtally.daemon.health import metrics_response, readiness_response
@@ -161,6 +162,7 @@
         lambda call: _note_origin(origins, call),
         limits,
         supervisor,
+        lambda: coordination.freshness.log_fields,
     )
     connections = PeerConnections(settings.name, supervisor, executor, settings.seeds)
     origins = StreamOriginTracker(
@@ -205,6 +207,9 @@
         [executor.rate_limits.read_from, executor.prompts.read_from],
         random,
     )
+
+    configuration = coordination.configuration
+    freshness = coordination.freshness
     gate = ConnectionGate()
     stack.push_async_callback(supervisor.close)
     coordination.start()
@@ -228,7 +233,9 @@
             records=coordination.documents.versions.records,
             store_connected=coordination.store.is_connected,
             store_watched=coordination.store.is_watching,
-            store_confirmed_s=coordination.store.confirmed_s,
+            configuration_age_s=freshness.age_s(StateKind.CONFIGURATION),
+            records_age_s=freshness.age_s(StateKind.RECORDS),
+            records_behind_s=coordination.records_behind_s,
             tasks_failed=supervisor.failure_count,
             followers=coordination.follower_count,
             changes_refused=coordination.changes_refused,
@@ -267,6 +274,7 @@
         coordination.confirm_records,
         partial(_route_of, routing_state),
         metrics,
+        lambda: freshness.log_fields,
     )
     caller_handler = CallerHandler(
         executor,
@@ -277,7 +285,8 @@
         lambda: RoutingEvidence(
             configuration.version,
             coordination.documents.versions.records,
-            coordination.store.confirmed_s,
+            **freshness.log_fields,
+            is_confirmed=coordination.is_configuration_confirmed,
         ),
         stop.is_set,
         memory,
@@ -338,12 +347,20 @@
     on_stream_began: Callable[[LiveCall], None],
     limits: ResponseLimits,
     supervisor: Supervisor,
+    ages: Callable[[], Mapping[str, float]],
 ) -> GatewayExecutor:
     initial = routing_state.initial_settings()
     planner_random = Random(random.getrandbits(SEED_BITS))
     planner = Planner(initial, planner_random, GATEWAY_COMPONENTS)
     return GatewayExecutor(
-        planner, initial, sessions, metrics, on_stream_began, limits, supervisor
+        planner,
+        initial,
+        sessions,
+        metrics,
+        on_stream_began,
+        limits,
+        supervisor,
+        ages,
     )
 
 
