One late check of the event loop costs no connections

The number is halved after two late checks in a row, and only if at least half of it was taken before one of them: otherwise connections are not what makes the loop late.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/connection_gate.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/connection_gate.py
@@ -17,8 +17,11 @@
 # second one, in seconds. Callers give a connection up that is not read for a second.
 CLOSE_DELAY_S = 0.1
 OPEN_DELAY_S = 0.05
-# Most connections that are taken between two checks. The number is halved after a check
-# that was later than ``LATE_CHECK_S``, and grows by one after each other check.
+# Most connections that are taken between two checks. The number is halved after two
+# checks in a row that were later than ``LATE_CHECK_S``, if at least half of it was
+# taken before one of them, and grows by one after each check in time. A single late
+# check is a pause that is over, and checks that are late though few connections came
+# are not late because of these: callers would pay for a neighbour on the host.
 MAX_PER_CHECK = 16
 LATE_CHECK_S = 0.03
 LOG_INTERVAL_S = 1.0
@@ -34,6 +37,8 @@
         self._is_open = True
         self._allowed = float(MAX_PER_CHECK)
         self._taken = 0
+        self._taken_before = 0
+        self._was_late = False
 
     @property
     def delay_s(self) -> float:
@@ -44,11 +49,14 @@
         """Note how late a check of the event loop was, in seconds."""
         sample_s = min(MAX_DELAY_S, max(0.0, delay_s))
         self._delay_s += DELAY_WEIGHT * (sample_s - self._delay_s)
-        self._taken = 0
-        if sample_s > LATE_CHECK_S:
-            self._allowed = max(1.0, self._allowed / 2.0)
-        else:
+        is_in_use = max(self._taken, self._taken_before) >= self._allowed / 2.0
+        self._taken_before, self._taken = self._taken, 0
+        is_late = sample_s > LATE_CHECK_S
+        if not is_late:
             self._allowed = min(MAX_PER_CHECK, self._allowed + 1.0)
+        elif self._was_late and is_in_use:
+            self._allowed = max(1.0, self._allowed / 2.0)
+        self._was_late = is_late
         if self._delay_s > CLOSE_DELAY_S:
             self._is_open = False
         elif self._delay_s < OPEN_DELAY_S:
--- a/tests/unit/test_connection_gate.py
+++ b/tests/unit/test_connection_gate.py
@@ -2,8 +2,15 @@
 
 import asyncio
 
+import pytest
+
 from amaranthtally.daemon.gateway import connection_gate
-from amaranthtally.daemon.gateway.connection_gate import ConnectionGate
+from amaranthtally.daemon.gateway.connection_gate import (
+    LATE_CHECK_S,
+    MAX_PER_CHECK,
+    ConnectionGate,
+    LoadEstimate,
+)
 from tests.support import run_async
 
 
@@ -49,3 +56,39 @@
         server.close()
 
     run_async(check())
+
+
+def taken(estimate):
+    """Return how many of many connections are taken until the next check."""
+    return sum(estimate.take() for _ in range(10 * MAX_PER_CHECK))
+
+
+@pytest.mark.parametrize("delay_s", [LATE_CHECK_S + 0.01, 0.1, 5.0])
+def test_single_late_checks_cost_no_connections(delay_s):
+    """Guards against resets as a process wakes, or after a moment of a neighbour's."""
+    estimate = LoadEstimate()
+    for _ in range(5):
+        estimate.note_check(delay_s)
+        assert taken(estimate) == MAX_PER_CHECK
+        for _ in range(10):
+            estimate.note_check(0.0)
+
+
+def test_late_checks_in_a_row_reduce_what_is_taken():
+    """Guards against a gateway that goes on to take what makes it late."""
+    estimate = LoadEstimate()
+    counts = []
+    for _ in range(5):
+        estimate.note_check(LATE_CHECK_S + 0.01)
+        counts.append(taken(estimate))
+    assert counts == [MAX_PER_CHECK, 8, 4, 2, 1]
+
+
+def test_late_checks_without_connections_cost_none():
+    """Guards against callers who pay for what other processes of the host do."""
+    estimate = LoadEstimate()
+    for _ in range(20):
+        estimate.note_check(LATE_CHECK_S + 0.01)
+        assert estimate.take()
+    estimate.note_check(LATE_CHECK_S + 0.01)
+    assert taken(estimate) == MAX_PER_CHECK
