Count a version as absent only while its absence is observed

A version without endpoints leaves the record after 120 s. The writer counted from when it first missed it, also over a time in which it stood still or its watch had a gap. An endpoint may have come, begun streams and gone meanwhile; with the version off the record, another one is taken to be the pool's only one, and such a stream would go on at it. The absence now counts anew after each listing and after a check that is over 2 s late.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -17,6 +17,9 @@
 VERSIONS_PREFIX = "versions/"
 # Interval between comparisons of the records with the endpoints, in seconds.
 CHECK_INTERVAL_S = 0.5
+# A longer time between two comparisons, in seconds, is one for which the process stood
+# still or was kept from running.
+MAX_CHECK_GAP_S = 2.0
 # Pause after a write that the store refused or did not answer, in seconds.
 RETRY_DELAY_S = 2.0
 DUTY_KEY = "versions"
@@ -99,7 +102,10 @@
     async def run(self) -> None:
         """Write due records until cancelled."""
         while True:
+            slept_at = self._time()
             await asyncio.sleep(CHECK_INTERVAL_S)
+            if self._time() - slept_at > MAX_CHECK_GAP_S:
+                self._history.observation_missed()
             # Also while another gateway writes: a version that came back and went would
             # otherwise count as absent all the while once this one writes.
             self._observe()
@@ -109,7 +115,13 @@
     # Items of the store
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
-        """Apply a complete listing of the records."""
+        """
+        Apply a complete listing of the records.
+
+        The first one and each after a gap in the watch: an endpoint of a version may
+        have come, begun streams and gone since the last change that was seen.
+        """
+        self._history.observation_missed()
         records = {_pool_of(item): _decode(item) for item in items}
         for pool, record in records.items():
             if record.revision != self._revisions.get(pool):
--- a/packages/policy/src/amaranthtally/policy/version_history.py
+++ b/packages/policy/src/amaranthtally/policy/version_history.py
@@ -37,6 +37,14 @@
             self._absent_since.pop((endpoint.pool, endpoint.version), None)
         self._registered = {pool: frozenset(found) for pool, found in versions.items()}
 
+    def observation_missed(self) -> None:
+        """
+        Note that endpoints may have come and gone unseen.
+
+        Versions without endpoints count as absent from the next check on.
+        """
+        self._absent_since.clear()
+
     def replace_recorded(self, recorded: Mapping[str, PoolVersions]) -> None:
         """Apply all versions on record."""
         self._recorded = dict(recorded)
--- a/tests/policy/test_version_history.py
+++ b/tests/policy/test_version_history.py
@@ -96,3 +96,13 @@
     origins.put(1.0, OriginEntry("r", StreamOrigin(POOL, "v2"), 20.0))
     assert origins.find(15.0, "r") == first._replace(expires_at=20.0)
     assert origins.find(20.0, "r") is None
+
+
+def test_a_version_is_not_dropped_for_an_absence_that_was_not_observed():
+    """Guards against streams of a version that came and went while nobody looked."""
+    history = recorded_history("v1", "v2")
+    history.observe(registered("v2"))
+    assert history.due_record(0.0, POOL) is None
+    history.observation_missed()
+    assert history.due_record(LONG_S, POOL) is None
+    assert history.due_record(2 * LONG_S, POOL) == {"v2"}
