Soak: odd records and silent links, with the effect of each change checked

With either, routes are added and endpoints leave all the time: 2.5 s later each gateway in touch has to know the route and to leave the endpoint alone.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,7 +13,9 @@
 from random import Random
 
 from tests.soak.callers import Callers
+from tests.soak.changes import check_processes, play_changes, silence_links
 from tests.soak.faults import FAULTS, ask_backoff, name_limit, roll_in_outage
+from tests.soak.odd_records import write_odd_records
 from tests.soak.places import play_places
 from tests.soak.soak_run import DEFAULT_GATEWAYS, open_soak
 from tests.soak.strays import send_strays
@@ -22,6 +24,8 @@
 # Faults of a whole process. A gateway has at most one of them at a time, since most of
 # them restart it.
 PROCESS_FAULTS = ("kill", "planned_stop", "stop_among_signals", "pause")
+# Faults of the whole store, after which no gateway is in touch for a while.
+STORE_FAULTS = ("store_down", "store_answers_lost", "store_silent")
 # Shortest and longest time between two injections, in seconds. Many faults last longer,
 # so that faults overlap.
 INJECTION_INTERVAL_S = (0.1, 1.2)
@@ -45,6 +49,8 @@
     backoffs=0,
     places=False,
     strays=False,
+    odd_records=0,
+    silences=0,
 ):
     """
     Run one seed; return the violations and the number of responses by status.
@@ -54,10 +60,14 @@
     So have ``limits``, the number of endpoints that name a rate limit meanwhile, and
     ``backoffs``, the number of those that ask for a backoff. With ``places`` data
     centres are evacuated in series, engines turn cold, and a route has a home region.
-    With ``strays`` endpoints send responses that belong to no call.
+    With ``strays`` endpoints send responses that belong to no call. ``odd_records``
+    entries that cannot be used are written to the store, and ``silences`` links between
+    the store and a gateway go silent; with either, the effect of changes is checked,
+    the store as a whole does not fail, and one gateway alone has faults of its own.
     """
     random = Random(seed)
-    async with open_soak(folder, gateways) as run:
+    has_checked_changes = bool(odd_records or silences)
+    async with open_soak(folder, gateways, has_checked_changes) as run:
         callers = Callers(run, Random(random.random()))
         loop = asyncio.get_running_loop()
         calling = asyncio.create_task(callers.run(CONCURRENCY, loop.time() + seconds))
@@ -73,10 +83,18 @@
         placing = [play_places(run, own, end_at)] if places else []
         if strays:
             placing.append(send_strays(run, Random(seed + 4), end_at))
+        if odd_records:
+            own = Random(seed + 5)
+            placing.append(write_odd_records(run, own, odd_records, end_at))
+        if silences:
+            placing.append(silence_links(run, Random(seed + 6), silences, end_at))
+        if has_checked_changes:
+            placing.append(play_changes(run, Random(seed + 7), end_at))
         placing = [asyncio.create_task(work) for work in placing]
         await _inject_faults(run, random, loop.time() + seconds)
         await asyncio.gather(rolling, *limiting, *backing_off, *placing)
         await calling
+        check_processes(run)
         await _check_recovery(run, random)
         check_records(run, callers)
         return run.violations, callers.statuses
@@ -99,19 +117,27 @@
 
 
 async def _inject(run, random):
-    fault = FAULTS[random.choice(sorted(FAULTS))]
-    name = random.choice(run.names)
+    faults = FAULTS
+    names = run.names
+    if run.has_checked_changes:
+        # Else hardly any gateway would be in touch, and hardly any change be checked.
+        faults = {n: f for n, f in FAULTS.items() if n not in STORE_FAULTS}
+        names = run.names[-1:]
+    fault = faults[random.choice(sorted(faults))]
+    name = random.choice(names)
     is_process = fault.__name__ in PROCESS_FAULTS
     if is_process and name in run.faulted:
         return
-    if is_process:
-        run.faulted.add(name)
-    try:
+    if not is_process:
         await fault(run, random, name)
+        return
+    run.faulted.add(name)
+    try:
+        with run.disturbed(name):
+            await fault(run, random, name)
     finally:
-        if is_process:
-            run.faulted.discard(name)
-            run.last_fault_at[name] = time.monotonic()
+        run.faulted.discard(name)
+        run.last_fault_at[name] = time.monotonic()
 
 
 async def _check_recovery(run, random):
@@ -212,6 +238,18 @@
         action="store_true",
         help="let endpoints send responses that belong to no call",
     )
+    parser.add_argument(
+        "--odd-records",
+        type=int,
+        default=0,
+        help="number of entries that cannot be used; the effect of changes is checked",
+    )
+    parser.add_argument(
+        "--silences",
+        type=int,
+        default=0,
+        help="number of links to the store that go silent; changes are checked",
+    )
     arguments = parser.parse_args()
     has_violations = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
@@ -226,6 +264,8 @@
                 arguments.backoffs,
                 arguments.places,
                 arguments.strays,
+                arguments.odd_records,
+                arguments.silences,
             )
             violations, statuses = asyncio.run(coroutine)
         has_violations |= bool(violations)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -87,8 +87,9 @@
     """Fail the link between a gateway and the store."""
     relay = run.relays[name]
     relay.fail(random.choice(list(LinkFault)))
-    await asyncio.sleep(2.0 * random_duration_s(random))
-    relay.clear_fault()
+    with run.disturbed(name):
+        await asyncio.sleep(2.0 * random_duration_s(random))
+        relay.clear_fault()
 
 
 @fault
@@ -108,7 +109,8 @@
         rolls.append(asyncio.create_task(planned_stop(run, random, rolled)))
         await asyncio.sleep(MAX_ROLL_INTERVAL_S * random.random())
     try:
-        await asyncio.gather(outage, *rolls)
+        with run.disturbed():
+            await asyncio.gather(outage, *rolls)
     finally:
         run.faulted.difference_update(names)
         run.last_fault_at.update(dict.fromkeys(names, time.monotonic()))
@@ -218,6 +220,7 @@
 async def _store_fault(run, random, kind):
     setattr(run.store.faults, kind, True)
     run.store_fault_at = float("inf")
-    await asyncio.sleep(random_duration_s(random))
-    setattr(run.store.faults, kind, False)
+    with run.disturbed():
+        await asyncio.sleep(random_duration_s(random))
+        setattr(run.store.faults, kind, False)
     run.store_fault_at = time.monotonic()
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -7,7 +7,10 @@
 
 import asyncio
 import signal
-from contextlib import AsyncExitStack, asynccontextmanager
+import time
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
+from dataclasses import dataclass
+from math import inf
 
 from amaranthtally.standins.relay import RateLimitedLink, Relay
 from tests.gateway.support import SEGMENTS, STREAM, open_gateway_cluster, route
@@ -50,6 +53,17 @@
 GRACE_TOLERANCE_S = 1.0
 # Number of last log lines of the process that a violation includes.
 LOG_LINES = 40
+# How long a gateway is not in touch after a disturbance of it has ended, in seconds.
+RETURN_S = 4.0
+
+
+@dataclass
+class _Disturbance:
+    """A time in which one gateway, or each one without a name, is not in touch."""
+
+    name: str
+    begun: float
+    ended: float = inf
 
 
 class SoakRun:
@@ -59,7 +73,7 @@
     ``faulted`` holds the names of the gateways that have a process fault.
     """
 
-    def __init__(self, cluster, stack, gateways):
+    def __init__(self, cluster, stack, gateways, has_checked_changes=False):
         self.cluster = cluster
         self.names = tuple(f"gateway-{number}" for number in range(gateways))
         self.store = cluster.store
@@ -76,6 +90,16 @@
         # The gateway to which each request was sent, by its id.
         self.sent_to = {}
         self.violations = []
+        # Relays that only silences use, before those of other faults, by gateway.
+        self.silent_links = {}
+        self.silenced = set()
+        # Keys of the entries that cannot be used.
+        self.odd_keys = []
+        # Calls to added routes at gateways in touch, and seconds after endpoints left
+        # in which these were in touch.
+        self.checked = {"routes": 0, "seconds without an endpoint": 0}
+        self.has_checked_changes = has_checked_changes
+        self._disturbances = []
         self._stack = stack
         self._addresses = {}
         self._version = 0
@@ -96,6 +120,9 @@
             relay = Relay(self.store.address, link)
             await self._stack.enter_async_context(relay.serve())
             self.relays[name] = relay
+            if self.has_checked_changes:
+                self.silent_links[name] = Relay(relay.address)
+                await self._stack.enter_async_context(self.silent_links[name].serve())
             self._addresses[name] = [self.cluster.reserve_address() for _ in range(3)]
         await asyncio.gather(*(self.start_gateway(name) for name in self.names))
         for gateway in self.gateways.values():
@@ -130,12 +157,39 @@
         self._services = [*SERVICES, *services]
         return self.configure()
 
+    def add_route(self, added):
+        """Write a version with one more route; return its number."""
+        self._additional_routes.append(added)
+        return self.configure()
+
+    @contextmanager
+    def disturbed(self, name=""):
+        """Count a gateway as not in touch within this context, or all of them."""
+        disturbance = _Disturbance(name, time.monotonic())
+        self._disturbances.append(disturbance)
+        try:
+            yield
+        finally:
+            disturbance.ended = time.monotonic()
+
+    def is_in_touch(self, name, at):
+        """Whether a gateway was undisturbed at a time and ``RETURN_S`` before it."""
+        return not any(
+            disturbance.name in ("", name)
+            and disturbance.begun <= at < disturbance.ended + RETURN_S
+            for disturbance in self._disturbances
+        )
+
     def write_larger_version(self, random):
         """
         Write a version with ``ADDITIONAL_ROUTES`` more routes; return its number.
 
-        The configuration grows at most ``MAX_GROWTHS`` times.
+        The configuration grows at most ``MAX_GROWTHS`` times. It does not where changes
+        are checked: a large one takes longer over the rate-limited link than a small
+        change may.
         """
+        if self.has_checked_changes:
+            return self.configure()
         if len(self._additional_routes) < MAX_GROWTHS * ADDITIONAL_ROUTES:
             names = [
                 f"{random.getrandbits(ROUTE_NAME_BITS):x}"
@@ -149,7 +203,7 @@
         self.gateways[name] = await self.cluster.start_gateway(
             name,
             DATA_CENTRES[self.names.index(name) % len(DATA_CENTRES)],
-            self.relays[name].address,
+            self.silent_links.get(name, self.relays[name]).address,
             caller_address=caller,
             ready_address=ready,
             peer_address=peer,
@@ -178,9 +232,9 @@
 
 
 @asynccontextmanager
-async def open_soak(folder, gateways=DEFAULT_GATEWAYS):
+async def open_soak(folder, gateways=DEFAULT_GATEWAYS, has_checked_changes=False):
     """Yield a soak run with every gateway ready; end its processes on exit."""
     async with open_gateway_cluster(folder) as cluster, AsyncExitStack() as stack:
-        run = SoakRun(cluster, stack, gateways)
+        run = SoakRun(cluster, stack, gateways, has_checked_changes)
         await run.start()
         yield run
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -82,3 +82,30 @@
     violations, statuses = run_async(run_soak(seed, SECONDS, tmp_path, backoffs=2))
     assert violations == []
     assert statuses[200] > 100
+
+
+# Seeds with entries of the store that cannot be used; without the fix of their cause
+# routes that were added got 404, and endpoints that had left got requests.
+ODD_SEEDS = {2: "a nested record ended the loops that follow the store"}
+SILENCE_SEEDS = {2: "has not failed"}
+CHANGE_SECONDS = 8.0
+
+
+@pytest.mark.parametrize("seed", ODD_SEEDS)
+def test_changes_take_effect_beside_records_that_cannot_be_used(seed, tmp_path):
+    """Guards against one entry that keeps every change of the others from a gateway."""
+    violations, statuses = run_async(
+        run_soak(seed, CHANGE_SECONDS, tmp_path, gateways=4, odd_records=8)
+    )
+    assert violations == []
+    assert statuses[200] > 100
+
+
+@pytest.mark.parametrize("seed", SILENCE_SEEDS)
+def test_changes_take_effect_while_links_to_the_store_are_silent(seed, tmp_path):
+    """Guards against a silent link that keeps changes from others than its gateway."""
+    violations, statuses = run_async(
+        run_soak(seed, CHANGE_SECONDS, tmp_path, gateways=4, silences=3)
+    )
+    assert violations == []
+    assert statuses[200] > 100
