--- a/tests/soak/odd_records.py
+++ b/tests/soak/odd_records.py
@@ -54,19 +54,17 @@
         """Return the key and the value of an entry."""
         self._serial += 1
         name = f"{self._random.choice(NAMES)}-{self._serial}"
-        prefix, fields = self._random.choice(
-            [
-                ("servers/", self._endpoint()),
-                ("servers/", self._endpoint()),
-                ("entries/", {"address": self._closed, "data_centre": "cluj-a"}),
-                ("versions/", ["v1"]),
-                ("origins/", [{"pool": "engine", "version": "v1", "requests": []}]),
-                ("op/", {"version": 1, "routes": [], "services": [], "tenants": []}),
-                ("op/config-", {"version": 9999}),
-                ("op/evacuate/", {}),
-                ("op/evacuate-", {}),
-            ]
-        )
+        peer = {"address": self._closed, "data_centre": "cluj-a"}
+        origins = [{"pool": "engine", "version": "v1", "requests": []}]
+        options = [
+            *[("servers/", self._endpoint())] * 4,
+            *[("entries/", peer), ("origins/", origins), ("versions/", ["v1"])] * 2,
+            # Neighbours of the configuration and of evacuations.
+            ("op/", {"version": 1, "routes": [], "services": [], "tenants": []}),
+            ("op/config-", {"version": 9999}),
+            ("op/evacuate/", {}),
+        ]
+        prefix, fields = self._random.choice(options)
         return f"{prefix}{name}", self._value(fields)
 
     def _endpoint(self):
