--- a/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/membership.py
@@ -5,10 +5,13 @@
 from random import Random
 
 import msgspec
-from result import Err
+from result import Err, Result
 
+from amaranthtally.adapter.addresses import read_host
 from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.decoding import decode_json
 from amaranthtally.platform import PlatformOutcomeUnknown, StoreClient
 from amaranthtally.policy import PeerDirectory, PeerRecord
 
@@ -47,6 +50,10 @@
             pause_s = RENEW_INTERVAL_S if renewed else RETRY_DELAY_S
             await asyncio.sleep(pause_s * (1.0 + RETRY_JITTER * self._random.random()))
 
+    def forget_lease(self) -> None:
+        """Register again under a new lease; the old one ends by itself."""
+        self._lease = 0
+
     async def deregister(self) -> None:
         """Remove the record, so that peers submit no more jobs to this gateway."""
         self._is_deregistered = True
@@ -93,16 +100,21 @@
     """Updates the directory of peer gateways from their records in the store."""
 
     def __init__(
-        self, own_name: str, directory: PeerDirectory, on_change: Callable[[], None]
+        self,
+        own_name: str,
+        directory: PeerDirectory,
+        on_change: Callable[[], None],
+        faults: RecordFaults,
     ) -> None:
         self._own_name = own_name
+        self._faults = faults
         self._directory = directory
         self._on_change = on_change
         self._time = asyncio.get_running_loop().time
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
         """Apply a complete listing; peers without a record become unconfirmed."""
-        decoded = [(_name_of(item), _decode(item)) for item in items]
+        decoded = [(_name_of(item), self._decode(item)) for item in items]
         peers = {name: record for name, record in decoded if record is not None}
         peers.pop(self._own_name, None)
         unconfirmed_before = set(self._directory.unconfirmed)
@@ -117,7 +129,7 @@
         name = _name_of(item)
         if name == self._own_name:
             return
-        record = None if item.value is None else _decode(item)
+        record = None if item.value is None else self._decode(item)
         if record is None:
             self._directory.records_removed(self._time(), [name])
             log.info("peer_doubted", peer=name, revision=item.revision)
@@ -133,14 +145,16 @@
         if expired:
             self._on_change()
 
+    def _decode(self, item: StoreItem) -> PeerRecord | None:
+        return self._faults.read(ENTRIES_PREFIX, item, _read_peer)
+
 
 def _name_of(item: StoreItem) -> str:
     return item.key.removeprefix(ENTRIES_PREFIX)
 
 
-def _decode(item: StoreItem) -> PeerRecord | None:
-    try:
-        return msgspec.json.decode(item.value or b"", type=PeerRecord)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        log.warning("record_malformed", key=item.key, cause=str(error))
-        return None
+def _read_peer(value: bytes) -> Result[PeerRecord, str]:
+    decoded = decode_json(value, PeerRecord).map_err(str)
+    return decoded.and_then(
+        lambda record: read_host(record.address).map(lambda _: record)
+    )
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -121,6 +121,62 @@
         assert read_configuration(body).is_err()
 
 
+HUGE = 10**310
+
+
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("timeoutMs", HUGE),
+        ("timeoutMs", -1),
+        ("timeoutMs", 1e308),
+        ("latencySloMs", -0.5),
+        ("itlTargetMs", HUGE),
+        ("priority", HUGE),
+        ("maxAttempts", -HUGE),
+        ("split", [{"service": "s", "weight": -1}]),
+        ("split", [{"service": "s", "weight": 0}, {"service": "t", "weight": 0}]),
+        ("phases", [{"service": "p", "after": [1]}]),
+        ("phases", [{"service": "p", "after": [-1]}]),
+        ("phases", [{"service": "p", "after": [0]}]),
+        ("phases", [{"service": "p", "after": [1]}, {"service": "p", "after": [0]}]),
+        ("phases", [{"service": "p", "sizeBytes": HUGE}]),
+    ],
+)
+def test_a_route_out_of_range_is_refused_by_its_field(field, value):
+    """Guards against a configuration in force with which every request fails."""
+    body = json.dumps({"version": 7, "routes": [ROUTE | {field: value}]}).encode()
+    assert field in read_configuration(body).unwrap_err()
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"version": -1},
+        {"version": HUGE},
+        {"version": 2**53},
+        {"services": [SERVICE | {"coldStartS": -1.0}]},
+        {"services": [SERVICE | {"coldPerS": 1e300}]},
+        {"services": [SERVICE | {"maxConnections": HUGE}]},
+        {"services": [SERVICE | {"runtime": {"kvCapacity": -1}}]},
+        {"services": [SERVICE | {"segments": {"headroomMb": 1e308}}]},
+        {"limits": {"idleTimeoutMs": -1}},
+        {"limits": {"maxBodyBytes": HUGE}},
+        {"tenants": [{"name": "t", "priority": HUGE}]},
+    ],
+)
+def test_a_configuration_out_of_range_is_refused(fields):
+    """Guards against numbers that no message between gateways can carry."""
+    body = json.dumps({"version": 7} | fields).encode()
+    assert read_configuration(body).is_err()
+
+
+@pytest.mark.parametrize("text", ["NaN", "Infinity", "1e999", "[" * 300 + "]" * 300])
+def test_a_number_that_is_none_is_refused(text):
+    body = '{"version":7,"routes":[],"x":1,"limits":{"idleTimeoutMs":' + text + "}}"
+    assert read_configuration(body.encode()).is_err()
+
+
 # Endpoints
 
 
@@ -167,6 +223,64 @@
     assert read_record(**fields).is_err()
 
 
+@pytest.mark.parametrize(
+    "field, value",
+    [
+        ("slots", -1),
+        ("slots", 65_537),
+        ("slots", 10**310),
+        ("born", -1),
+        ("born", 2**53),
+        ("born", 10**310),
+        ("coldLeftMs", 1.1e12),
+        ("coldLeftMs", 10**310),
+        *[
+            ("address", address)
+            for address in (
+                "10.0.0.9:0",
+                "10.0.0.9:65536",
+                "10.0.0.9:000080",
+                "10.0.0.9:+80",
+                "10.0.0.9:\u00b2",
+                "10.0.0.9:\u0661",
+                "10.0.0.9:80\n",
+                "10.0.0.9\r\n:80",
+                "10.0.0.256:80",
+                "10.0.0.9/x:80",
+                "user@a:80",
+                "a..b:80",
+                ".a:80",
+                "a.:80",
+                "-a:80",
+                "a b:80",
+                "a\x00:80",
+                "::1:80",
+                "[::1:80",
+                "[::x]:80",
+                ":80",
+                "a" * 64 + ":80",
+                ".".join(["a" * 50] * 5) + ":80",
+            )
+        ],
+    ],
+)
+def test_a_record_out_of_range_names_its_field(field, value):
+    """Guards against an endpoint whose load overflows or where nothing can listen."""
+    assert field in read_record(**{field: value}).unwrap_err()
+
+
+@pytest.mark.parametrize(
+    "address", ["10.0.0.9:1", "[::1]:65535", "i-1.cluj-a.example:80", "host_1:8080"]
+)
+def test_an_address_in_range_is_kept(address):
+    assert read_record(address=address).unwrap().address == address
+
+
+def test_zero_slots_count_as_one_and_a_negative_time_is_over():
+    assert read_record(slots=0).unwrap().slots == 1
+    assert read_record(coldLeftMs=-5).unwrap().cold_s == 0.0
+
+
 # Callers
 
 
