Keep an endpoint whose record becomes unreadable, unless it says it leaves

A malformed record in place of a sound one counted as removed: one bad write emptied a pool of one endpoint, and a release that writes a value nobody knows would empty all its pools. The endpoint stays as it was known until its record is sound again or removed. A record whose state can be read and is not ready ends calls, and so does one that is no JSON or nested too deep and contains the word draining: a request must not reach a server that said that it leaves.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable, Mapping
 from dataclasses import replace
 
-from amaranthtally.adapter.servers import SERVERS_PREFIX, endpoint_id, read_endpoint
+from amaranthtally.adapter.servers import (
+    SERVERS_PREFIX,
+    endpoint_id,
+    read_endpoint,
+    says_it_leaves,
+)
 from amaranthtally.adapter.store import StoreItem
 from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
@@ -90,4 +95,17 @@
             item,
             lambda value: read_endpoint(item.key, value, self._regions),
         )
-        return None if endpoint is None else replace(endpoint, revision=item.revision)
+        if endpoint is None:
+            return self._last_sound(item)
+        return replace(endpoint, revision=item.revision)
+
+    def _last_sound(self, item: StoreItem) -> Endpoint | None:
+        """
+        Return the endpoint whose record became malformed, as it was known before.
+
+        One bad write does not take it from its pool, unless it says that it leaves.
+        """
+        known = self._directory.endpoints.get(endpoint_id(item.key))
+        if known is not None and says_it_leaves(item.value or b""):
+            return replace(known, takes_calls=False)
+        return known
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -246,6 +246,7 @@
                 "10.0.0.9:80\n",
                 "10.0.0.9\r\n:80",
                 "10.0.0.256:80",
+                "[fe80::1%a\n]:80",
                 "10.0.0.9/x:80",
                 "user@a:80",
                 "a..b:80",
