--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -100,7 +100,9 @@
 
         self.configuration = ConfigurationTracker(self._with_push(routing_state))
         self._records = EndpointRecordTracker(
-            routing_state.directory, settings.regions, routing_state.endpoints_changed
+            routing_state.directory,
+            settings.regions,
+            lambda: self._endpoints_changed(routing_state),
         )
         self._evacuations = EvacuationTracker(
             settings.regions, routing_state.evacuations_changed
@@ -280,6 +282,11 @@
             registration,
         )
 
+    def _endpoints_changed(self, routing_state: RoutingState) -> None:
+        # Each change, as a version may come and go between two checks of the recorder.
+        self.versions.endpoints_changed()
+        routing_state.endpoints_changed()
+
     def _catch_up(self, peer: str, versions: Versions) -> None:
         self._receiver.catch_up(peer, versions)
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -94,6 +94,10 @@
             for endpoint in self._endpoints().values()
         )
 
+    def endpoints_changed(self) -> None:
+        """Note the versions of the endpoints, before any stream begins at a new one."""
+        self._observe()
+
     def entries_changed(self, data_centres: Mapping[str, str]) -> None:
         """Choose the writer among the live gateways."""
         names = [self._name, *data_centres]
@@ -109,6 +113,7 @@
             # Also while another gateway writes: a version that came back and went would
             # otherwise count as absent all the while once this one writes.
             self._observe()
+            self._history.forget_unrecorded(self._time())
             if self._is_writer and self._is_connected():
                 await self._write_due()
 
--- a/packages/policy/src/amaranthtally/policy/version_history.py
+++ b/packages/policy/src/amaranthtally/policy/version_history.py
@@ -16,7 +16,7 @@
 
 class VersionHistory:
     """
-    The versions of each pool's endpoints: those registered now, and those on record.
+    The versions of each pool's endpoints: registered now, seen lately, or on record.
 
     Where a pool has had one version only, each of its streams began at that version,
     also one that no running entry knows. The endpoints of a version may all have gone a
@@ -27,6 +27,9 @@
     def __init__(self) -> None:
         self._recorded: dict[str, PoolVersions] = {}
         self._registered: dict[str, PoolVersions] = {}
+        # Versions that were seen and are not on record yet. Their endpoints may go
+        # before they are recorded, and have begun streams.
+        self._unrecorded: dict[str, PoolVersions] = {}
         self._absent_since: dict[tuple[str, str], float] = {}
 
     def observe(self, endpoints: Iterable[Endpoint]) -> None:
@@ -36,6 +39,18 @@
             versions.setdefault(endpoint.pool, set()).add(endpoint.version)
             self._absent_since.pop((endpoint.pool, endpoint.version), None)
         self._registered = {pool: frozenset(found) for pool, found in versions.items()}
+        for pool, found in self._registered.items():
+            recorded = self._recorded.get(pool, NO_VERSIONS)
+            self._keep_unrecorded(
+                pool, (self._unrecorded.get(pool, NO_VERSIONS) | found) - recorded
+            )
+
+    def forget_unrecorded(self, now: float) -> None:
+        """Forget versions that nobody recorded and that have long had no endpoint."""
+        for pool, versions in list(self._unrecorded.items()):
+            registered = self._registered.get(pool, NO_VERSIONS)
+            gone = {v for v in versions - registered if self._is_retired(now, pool, v)}
+            self._keep_unrecorded(pool, versions - gone)
 
     def observation_missed(self) -> None:
         """
@@ -48,10 +63,15 @@
     def replace_recorded(self, recorded: Mapping[str, PoolVersions]) -> None:
         """Apply all versions on record."""
         self._recorded = dict(recorded)
+        for pool, versions in list(self._unrecorded.items()):
+            noted = self._recorded.get(pool, NO_VERSIONS)
+            self._keep_unrecorded(pool, versions - noted)
 
     def put_recorded(self, pool: str, versions: PoolVersions) -> None:
         """Apply the versions on record of one pool; none if the record is removed."""
         self._recorded[pool] = versions
+        unrecorded = self._unrecorded.get(pool, NO_VERSIONS)
+        self._keep_unrecorded(pool, unrecorded - versions)
 
     def sole_version(self, pool: str) -> str | None:
         """Return the only version that a pool has had lately, or else ``None``."""
@@ -65,7 +85,14 @@
 
     def _versions(self, pool: str) -> PoolVersions:
         recorded = self._recorded.get(pool, NO_VERSIONS)
-        return recorded | self._registered.get(pool, NO_VERSIONS)
+        unrecorded = self._unrecorded.get(pool, NO_VERSIONS)
+        return recorded | unrecorded | self._registered.get(pool, NO_VERSIONS)
+
+    def _keep_unrecorded(self, pool: str, versions: PoolVersions) -> None:
+        if versions:
+            self._unrecorded[pool] = versions
+        else:
+            self._unrecorded.pop(pool, None)
 
     def due_record(self, now: float, pool: str) -> PoolVersions | None:
         """
@@ -76,10 +103,13 @@
         """
         recorded = self._recorded.get(pool, NO_VERSIONS)
         registered = self._registered.get(pool, NO_VERSIONS)
-        if not registered:
+        added = registered | self._unrecorded.get(pool, NO_VERSIONS)
+        if not added:
             return None
-        kept = {v for v in recorded - registered if not self._is_retired(now, pool, v)}
-        due = registered | kept
+        kept = recorded - registered
+        if registered:
+            kept = frozenset(v for v in kept if not self._is_retired(now, pool, v))
+        due = added | kept
         return due if due != recorded else None
 
     def _is_retired(self, now: float, pool: str, version: str) -> bool:
--- a/tests/gateway/test_streams_out_of_step.py
+++ b/tests/gateway/test_streams_out_of_step.py
@@ -193,3 +193,22 @@
     for caller in callers:
         (await caller.begin(gateway)).close()
     return callers
+
+
+@pytest.mark.parametrize("resumes", [True, False], ids=["named", "unnamed"])
+def test_a_version_that_served_for_a_moment_is_remembered(tmp_path, resumes):
+    """Guards against a version that comes and goes between two checks."""
+
+    async def check(cluster):
+        await start_engines(cluster, "v1")
+        first, second = await cluster.gateway("g1"), await cluster.gateway("g2")
+        for gateway in (first, second):
+            await gateway.wait_for_event("versions_known", pool="job")
+        await release(cluster, first)
+        callers = await begin_at_both_versions(first)
+        await first.process.kill()
+        cluster.store.remove("servers/new")
+        await second.wait_for_event("endpoint_removed", endpoint="new")
+        await take_up_all(callers, second, resumes)
+
+    run_with_cluster(tmp_path, check)
--- a/tests/policy/test_version_history.py
+++ b/tests/policy/test_version_history.py
@@ -106,3 +106,27 @@
     history.observation_missed()
     assert history.due_record(LONG_S, POOL) is None
     assert history.due_record(2 * LONG_S, POOL) == {"v2"}
+
+
+def test_a_version_that_came_and_went_unrecorded_is_remembered():
+    """Guards against streams of a version whose only endpoint failed at once."""
+    history = recorded_history("v1")
+    history.observe(registered("v1", "v2"))
+    history.observe(registered("v1"))
+    assert history.sole_version(POOL) is None
+    assert history.due_record(0.0, POOL) == {"v1", "v2"}
+    history.put_recorded(POOL, frozenset({"v1", "v2"}))
+    history.put_recorded(POOL, frozenset({"v1"}))
+    assert history.sole_version(POOL) == "v1"
+
+
+def test_a_version_that_nobody_records_is_forgotten():
+    """Guards against refusals for good at one gateway."""
+    history = recorded_history("v1")
+    history.observe(registered("v1", "v2"))
+    history.observe(registered("v1"))
+    for now in (0.0, LONG_S - 20.0):
+        history.forget_unrecorded(now)
+        assert history.sole_version(POOL) is None
+    history.forget_unrecorded(LONG_S)
+    assert history.sole_version(POOL) == "v1"
