Merge order: a version that served for a moment

A stream's version also counts as confirmed only while no listener lacks changes, and the store's answer to a confirmation makes the records young.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -124,7 +124,7 @@
         self._records = EndpointRecordTracker(
             routing_state.directory,
             settings.regions,
-            routing_state.endpoints_changed,
+            lambda: self._endpoints_changed(routing_state),
             faults,
         )
         self._evacuations = EvacuationTracker(
@@ -289,7 +289,13 @@
         The store knows all that any gateway does. Where it does not answer, all peers
         are asked instead.
         """
-        if await self._store_confirmation.confirm(CONFIRMATION_S):
+        asked_at = self.freshness.now()
+        is_confirmed = await self._store_confirmation.confirm(CONFIRMATION_S)
+        # What a listener failed on is held, but not in force.
+        if self.needs_listing:
+            return Evidence.NONE
+        if is_confirmed:
+            self.freshness.confirm(StateKind.RECORDS, asked_at)
             return Evidence.STORE
         if await self._peer_confirmation.confirm(CONFIRMATION_S):
             return Evidence.PEERS
@@ -374,6 +380,11 @@
         self.documents.note_peer_versions(peer, versions)
         self._records_lag.note_version(versions.records)
 
+    def _endpoints_changed(self, routing_state: RoutingState) -> None:
+        # Each change, as a version may come and go between two checks of the recorder.
+        self.versions.endpoints_changed()
+        routing_state.endpoints_changed()
+
     def _catch_up(self, peer: str, versions: Versions) -> None:
         self._receiver.catch_up(peer, versions)
 
