--- a/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/origin_recorder.py
@@ -5,10 +5,12 @@
 from dataclasses import dataclass, field
 
 import msgspec
-from result import Err
+from result import Err, Result
 
 from amaranthtally.adapter.store import StoreItem, StoreWrite
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.decoding import decode_json
 from amaranthtally.platform import StoreClient
 from amaranthtally.policy import (
     OriginEntry,
@@ -79,6 +81,7 @@
         note: Callable[[Iterable[OriginEntry]], None],
         is_needed: Callable[[], bool],
         is_connected: Callable[[], bool],
+        faults: RecordFaults,
     ) -> None:
         """
         Create it; ``note`` holds what is read.
@@ -87,6 +90,7 @@
         ``is_needed`` says whether a pool has had several versions lately.
         """
         self._name = name
+        self._faults = faults
         self._data_centre = data_centre
         self._client = client
         self._held = held
@@ -113,6 +117,10 @@
             writers = len({self._data_centre, *data_centres.values()})
         self._interval_s = max(WRITE_INTERVAL_S, writers / MAX_WRITES_PER_S)
 
+    def write_anew(self) -> None:
+        """Write everything again under a new lease; the old one ends by itself."""
+        self._lose_lease()
+
     async def run(self) -> None:
         """Write what is due until cancelled."""
         while True:
@@ -133,10 +141,8 @@
         """Hold the origins of a written item; a removed one says nothing."""
         if item.value is None or item.key.startswith(self._own_prefix):
             return
-        try:
-            groups = msgspec.json.decode(item.value, type=list[_Group])
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-            log.warning("record_malformed", key=item.key, cause=str(error))
+        groups = self._faults.read(ORIGINS_PREFIX, item, _read_groups)
+        if groups is None:
             return
         expires_at = self._time() + KEPT_S
         self._note(
@@ -212,6 +218,10 @@
         self._segment = _Segment(0, self._time())
 
 
+def _read_groups(value: bytes) -> Result[list[_Group], str]:
+    return decode_json(value, list[_Group]).map_err(str)
+
+
 def _encode(entries: Mapping[str, StreamOrigin]) -> bytes:
     groups: dict[StreamOrigin, list[str]] = {}
     for request, origin in entries.items():
--- a/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/peer_connections.py
@@ -2,11 +2,11 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine, Mapping, Sequence
-from math import inf
 from typing import Any, Protocol
 
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.policy import (
     LoadMessage,
     OriginEntry,
@@ -37,10 +37,6 @@
 # Time-out for a call, in seconds. No call between gateways waits for work to be done,
 # so a peer that does not answer in time has failed or is stalled.
 CALL_TIMEOUT_S = 0.8
-
-# How long a peer's answer counts as contact with the others, in seconds: a few rounds
-# of greetings.
-CONTACT_TTL_S = 2.0
 # Interval between probes of a peer that runs jobs of this gateway or has failed, in
 # seconds. A call costs the peer 0.2 ms.
 HEARTBEAT_INTERVAL_S = 0.5
@@ -77,7 +73,7 @@
     def __init__(
         self,
         name: str,
-        spawn: Callable[[Coroutine[Any, Any, None]], object],
+        supervisor: Supervisor,
         listener: _Listener,
         seeds: Sequence[str] = (),
     ) -> None:
@@ -85,19 +81,13 @@
         # The names of seeds are not known; they are called by their addresses.
         self._seeds = {address: address for address in seeds}
         self._greeter = Greeter(NO_RECORD)
-        self._spawn = spawn
+        self._supervisor = supervisor
         self._listener = listener
         self._addresses: Mapping[str, str] = self._seeds
         self._clients: dict[str, GatewayClient] = {}
         self._connecting: dict[str, asyncio.Task[GatewayClient]] = {}
-        self._answered_at = -inf
         self._loop = asyncio.get_running_loop()
 
-    @property
-    def is_answered(self) -> bool:
-        """Whether a peer has answered a call lately."""
-        return self._loop.time() - self._answered_at < CONTACT_TTL_S
-
     def set_own_record(self, record: PeerRecord) -> None:
         """Set the record that is sent to peers with each status from now on."""
         self._greeter = Greeter(record)
@@ -247,6 +237,9 @@
         """Report the work of client accounts to a peer; raises ``PeerLostError``."""
         await self._call(peer, lambda client: client.exchange_usage(self._name, report))
 
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        self._supervisor.spawn_call(work)
+
     def close(self) -> None:
         """Close every connection."""
         for name in list(self._clients):
@@ -317,7 +310,6 @@
             if self._clients.get(peer) is client:
                 self._disconnect(peer)
             raise
-        self._answered_at = self._loop.time()
         return answer
 
     async def _client(self, peer: str) -> GatewayClient:
@@ -329,7 +321,11 @@
             raise PeerLostError(peer, "no address is known")
         connecting = self._connecting.get(peer)
         if connecting is None:
-            connecting = asyncio.create_task(self._connect(peer, address))
+            connecting = self._supervisor.spawn(
+                "PeerConnections.connect",
+                self._connect(peer, address),
+                (PeerLostError,),
+            )
             self._connecting[peer] = connecting
             connecting.add_done_callback(lambda _: self._connecting.pop(peer, None))
         return await asyncio.shield(connecting)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -13,6 +13,7 @@
 from aiohttp import web
 
 from amaranthtally.adapter.callers import READY_PATH
+from amaranthtally.adapter.messages import CallerRequest
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
 from amaranthtally.daemon.gateway.caller_handler import CallerHandler, RoutingEvidence
 from amaranthtally.daemon.gateway.caller_memory import EntryMemory
@@ -37,17 +38,16 @@
 from amaranthtally.daemon.gateway.state_freshness import StateKind
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
 from amaranthtally.daemon.gateway.transfer_reporter import TransferReporter
-from amaranthtally.daemon.health import metrics_response
+from amaranthtally.daemon.health import metrics_response, readiness_response
 from amaranthtally.daemon.lifecycle import (
     ReloadSignal,
     StopSignal,
-    failed_task_count,
-    run_in_background,
     split_address,
     stop_on_signal,
 )
 from amaranthtally.daemon.log_writer import BoundedWriter
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import Supervisor, open_supervisor
 from amaranthtally.platform import open_store
 from amaranthtally.policy import (
     GATEWAY_COMPONENTS,
@@ -56,6 +56,7 @@
     Planner,
     PolicySettings,
     ResponseLimits,
+    Route,
     build_response_limits,
 )
 from amaranthtally.settings import (
@@ -142,6 +143,7 @@
         open_store(settings.store_address, TransferReporter(metrics).record)
     )
     random = Random(secrets.randbits(SEED_BITS))
+    supervisor = stack.enter_context(open_supervisor())
 
     limits = build_response_limits()
     memory = EntryMemory(settings.memory_mb)
@@ -159,13 +161,12 @@
         metrics,
         lambda call: _note_origin(origins, call),
         limits,
+        supervisor,
         lambda: coordination.freshness.log_fields,
     )
-    connections = PeerConnections(
-        settings.name, executor.spawn, executor, settings.seeds
-    )
+    connections = PeerConnections(settings.name, supervisor, executor, settings.seeds)
     origins = StreamOriginTracker(
-        settings.name, settings.data_centre, connections, executor.spawn
+        settings.name, settings.data_centre, connections, supervisor.spawn_call
     )
     stack.callback(connections.close)
     executor.set_peer_connections(connections)
@@ -196,29 +197,26 @@
         peers,
         origins,
         peer_updater.apply_live_peers,
-        executor.spawn,
+        supervisor,
         stop.is_set,
         random,
+        metrics.record_faults,
     )
     reader = NoticeReader(
         lambda: tuple(peers.alive),
         [executor.rate_limits.read_from, executor.prompts.read_from],
         random,
     )
-    for work in [
-        *coordination.tasks(),
-        reader.run(),
-        peer_updater.prober.run(),
-        executor.tick(),
-        connections.run_heartbeat(lambda: executor.peers_to_probe),
-        writer.flush_periodically(),
-        memory.run(),
-    ]:
-        run_in_background(stack, work)
 
     configuration = coordination.configuration
     freshness = coordination.freshness
     gate = ConnectionGate()
+    stack.push_async_callback(supervisor.close)
+    coordination.start()
+    _start_tasks(
+        supervisor, executor, connections, peer_updater, reader, writer, memory, gate
+    )
+    configuration = coordination.configuration
 
     def state() -> GatewayState:
         view = executor.loads.view
@@ -238,7 +236,7 @@
             configuration_age_s=freshness.age_s(StateKind.CONFIGURATION),
             records_age_s=freshness.age_s(StateKind.RECORDS),
             records_behind_s=coordination.records_behind_s,
-            tasks_failed=failed_task_count(),
+            tasks_failed=supervisor.failure_count,
             followers=coordination.follower_count,
             changes_refused=coordination.changes_refused,
             stream_origins=origins.count,
@@ -271,7 +269,12 @@
 
     arrivals = ArrivalBuilder(Random(random.getrandbits(SEED_BITS)))
     resumption = StreamResumption(
-        origins, coordination.versions, metrics, lambda: freshness.log_fields
+        origins,
+        coordination.versions,
+        coordination.confirm_records,
+        partial(_route_of, routing_state),
+        metrics,
+        lambda: freshness.log_fields,
     )
     caller_handler = CallerHandler(
         executor,
@@ -291,9 +294,8 @@
     caller_server = _new_caller_server(caller_handler)
     await _serve_metrics(settings, stack, metrics, state)
     ready_port = await _serve_readiness(
-        settings, stack, lambda: routing_state.is_complete, stop
+        settings, stack, lambda: routing_state.is_complete, stop, supervisor
     )
-    run_in_background(stack, gate.run())
     caller_port = await stack.enter_async_context(
         _serve(caller_server, settings.caller_address, gate)
     )
@@ -310,6 +312,33 @@
     )
 
 
+def _start_tasks(
+    supervisor: Supervisor,
+    executor: GatewayExecutor,
+    connections: PeerConnections,
+    peer_updater: PeerUpdater,
+    reader: NoticeReader,
+    writer: BoundedWriter,
+    memory: EntryMemory,
+    gate: ConnectionGate,
+) -> None:
+    """Start the background tasks that don't belong to the coordination."""
+    # Without its ticks, no deadline is enforced and no retry is sent.
+    supervisor.run("decision_loop", executor.tick, is_vital=True)
+    # Without its checks, the gate closes all connections after the first few.
+    supervisor.run("connection_gate", gate.run, gate.reset_estimate, is_vital=True)
+    # Without these, requests are still served, if less well.
+    supervisor.run("notice_reader", reader.run, may_end=True)
+    prober = peer_updater.prober
+    supervisor.run("peer_prober", prober.run, prober.wake)
+    supervisor.run(
+        "peer_heartbeat",
+        lambda: connections.run_heartbeat(lambda: executor.peers_to_probe),
+    )
+    supervisor.run("log_flush", writer.flush_periodically)
+    supervisor.run("memory_limit", memory.run, may_end=not memory.is_limited)
+
+
 def _new_executor(
     routing_state: RoutingState,
     random: Random,
@@ -317,13 +346,21 @@
     metrics: GatewayMetrics,
     on_stream_began: Callable[[LiveCall], None],
     limits: ResponseLimits,
+    supervisor: Supervisor,
     ages: Callable[[], Mapping[str, float]],
 ) -> GatewayExecutor:
     initial = routing_state.initial_settings()
     planner_random = Random(random.getrandbits(SEED_BITS))
     planner = Planner(initial, planner_random, GATEWAY_COMPONENTS)
     return GatewayExecutor(
-        planner, initial, sessions, metrics, on_stream_began, limits, ages
+        planner,
+        initial,
+        sessions,
+        metrics,
+        on_stream_began,
+        limits,
+        supervisor,
+        ages,
     )
 
 
@@ -334,6 +371,11 @@
         origins.note(call.id, call.origin, expires_at)
 
 
+def _route_of(routing_state: RoutingState, caller: CallerRequest) -> Route | None:
+    table = routing_state.table
+    return table.match(caller.host, caller.path) if table else None
+
+
 def _new_caller_server(caller_handler: CallerHandler) -> web.Server:
     return web.Server(
         caller_handler.handle,
@@ -363,8 +405,9 @@
     stack: AsyncExitStack,
     is_complete: Callable[[], bool],
     stop: StopSignal,
+    supervisor: Supervisor,
 ) -> int:
-    ready_server = web.Server(_readiness_handler(is_complete, stop))
+    ready_server = web.Server(_readiness_handler(is_complete, stop, supervisor))
     return await stack.enter_async_context(_serve(ready_server, settings.ready_address))
 
 
@@ -379,14 +422,13 @@
 
 
 def _readiness_handler(
-    is_complete: Callable[[], bool], stop: StopSignal
+    is_complete: Callable[[], bool], stop: StopSignal, supervisor: Supervisor
 ) -> Callable[[web.BaseRequest], Awaitable[web.StreamResponse]]:
     async def handle(request: web.BaseRequest) -> web.StreamResponse:
         if request.path != READY_PATH:
             return web.Response(status=404, text="unknown path\n")
-        if is_complete() and not stop.is_set():
-            return web.Response(text="ready\n")
-        return web.Response(status=503, text="not ready: starting or stopping\n")
+        is_serving = is_complete() and not stop.is_set()
+        return readiness_response(is_serving, supervisor)
 
     return handle
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -5,10 +5,12 @@
 from typing import NamedTuple
 
 import msgspec
-from result import Err
+from result import Err, Result
 
 from amaranthtally.adapter.store import StoreCondition, StoreItem, StoreWrite
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.decoding import decode_json
 from amaranthtally.platform import StoreClient
 from amaranthtally.policy import Endpoint, VersionHistory, duty_holder
 
@@ -17,6 +19,9 @@
 VERSIONS_PREFIX = "versions/"
 # Interval between comparisons of the records with the endpoints, in seconds.
 CHECK_INTERVAL_S = 0.5
+# A longer time between two comparisons, in seconds, is one for which the process stood
+# still or was kept from running.
+MAX_CHECK_GAP_S = 2.0
 # Pause after a write that the store refused or did not answer, in seconds.
 RETRY_DELAY_S = 2.0
 DUTY_KEY = "versions"
@@ -46,16 +51,16 @@
         pools: Callable[[], frozenset[str]],
         endpoints: Callable[[], Mapping[str, Endpoint]],
         is_connected: Callable[[], bool],
-        is_informed: Callable[[], bool],
         on_written: Callable[[StoreItem], None],
+        faults: RecordFaults,
     ) -> None:
         """Create it; ``on_written`` gets each item that it has written."""
         self._name = name
+        self._faults = faults
         self._client = client
         self._pools = pools
         self._endpoints = endpoints
         self._is_connected = is_connected
-        self._is_informed = is_informed
         self._on_written = on_written
         self._history = VersionHistory()
         self._observed: Mapping[str, Endpoint] = {}
@@ -63,19 +68,21 @@
         self._is_writer = True
         self._time = asyncio.get_running_loop().time
 
-    def sole_version(self, pool: str, all_peers_answered: bool) -> str | None:
+    def sole_version(self, pool: str) -> str | None:
         """
         Return the only version that a pool has had lately, or else ``None``.
 
-        While the store does not answer this gateway, others may know a new version.
-        They tell it with any answer; where some gave none, the version is not known.
+        It is the only one among the records held. Whether others know a newer one has
+        to be confirmed before.
         """
-        is_told = all_peers_answered and self._is_informed()
-        if not is_told and not self._is_connected():
-            return None
         self._observe()
         return self._history.sole_version(pool)
 
+    def has_had_several(self, pool: str) -> bool:
+        """Whether a pool has had several versions lately."""
+        self._observe()
+        return self._history.has_several([pool])
+
     @property
     def has_several(self) -> bool:
         """Whether a pool has had several versions lately."""
@@ -96,10 +103,17 @@
         names = [self._name, *data_centres]
         self._is_writer = duty_holder(names, DUTY_KEY) == self._name
 
+    def observe_anew(self) -> None:
+        """Observe the endpoints again, though they have not changed."""
+        self._observed = {}
+
     async def run(self) -> None:
         """Write due records until cancelled."""
         while True:
+            slept_at = self._time()
             await asyncio.sleep(CHECK_INTERVAL_S)
+            if self._time() - slept_at > MAX_CHECK_GAP_S:
+                self._history.observation_missed()
             # Also while another gateway writes: a version that came back and went would
             # otherwise count as absent all the while once this one writes.
             self._observe()
@@ -109,8 +123,14 @@
     # Items of the store
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
-        """Apply a complete listing of the records."""
-        records = {_pool_of(item): _decode(item) for item in items}
+        """
+        Apply a complete listing of the records.
+
+        The first one and each after a gap in the watch: an endpoint of a version may
+        have come, begun streams and gone since the last change that was seen.
+        """
+        self._history.observation_missed()
+        records = {_pool_of(item): self._decode(item) for item in items}
         for pool, record in records.items():
             if record.revision != self._revisions.get(pool):
                 _log_known(pool, record)
@@ -119,11 +139,18 @@
 
     def apply_change(self, item: StoreItem) -> None:
         """Apply a changed or removed record."""
-        pool, record = _pool_of(item), _decode(item)
+        pool, record = _pool_of(item), self._decode(item)
         self._revisions[pool] = record.revision
         self._history.put_recorded(pool, record.versions)
         _log_known(pool, record)
 
+    def _decode(self, item: StoreItem) -> _Record:
+        """Return a record; without versions if it was removed or cannot be read."""
+        if item.value is None:
+            return _Record(frozenset(), 0)
+        versions = self._faults.read(VERSIONS_PREFIX, item, _read_versions)
+        return _Record(frozenset(versions or ()), item.revision)
+
     def _observe(self) -> None:
         endpoints = self._endpoints()
         if endpoints is not self._observed:
@@ -153,21 +180,13 @@
         return True
 
 
+def _read_versions(value: bytes) -> Result[list[str], str]:
+    return decode_json(value, list[str]).map_err(str)
+
+
 def _log_known(pool: str, record: _Record) -> None:
     log.info("versions_known", pool=pool, versions=",".join(sorted(record.versions)))
 
 
 def _pool_of(item: StoreItem) -> str:
     return item.key.removeprefix(VERSIONS_PREFIX)
-
-
-def _decode(item: StoreItem) -> _Record:
-    """Return a record; without versions if it was removed or cannot be read."""
-    if item.value is None:
-        return _Record(frozenset(), 0)
-    try:
-        versions = msgspec.json.decode(item.value, type=list[str])
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        log.warning("record_malformed", key=item.key, cause=str(error))
-        versions = []
-    return _Record(frozenset(versions), item.revision)
