Refuse nothing for good on a configuration that a listener has not put in force

The version counts as held once it is decoded. If putting it in force fails, routes of the table before were refused with 404 until the listener has got it again. While a listener needs its records anew the refusal is 503 with Retry-After. The new test fails without the check.

The test of ended loops names the supervisor's tasks; on the merged code it found none by the names of their coroutines, and failed with AttributeError.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -225,7 +225,8 @@
         While the store answers nobody, peers that hold no newer one are enough. A newer
         version that was heard of and never comes counts for a while only.
         """
-        if 0.0 < self.configuration.behind_s <= AWAITED_S:
+        # What is held is not in force yet while a listener has failed to apply it.
+        if self.needs_listing or 0.0 < self.configuration.behind_s <= AWAITED_S:
             return False
         freshness = self.freshness
         return (
--- a/tests/load/test_stale_watchers.py
+++ b/tests/load/test_stale_watchers.py
@@ -27,9 +27,11 @@
 
 
 def end_loops(member, *names):
-    for task in member._tasks:
-        if task.get_coro().__qualname__ in names:
-            task.cancel()
+    # A supervisor starts what failed again, but not what is cancelled.
+    ended = [t for t in member._supervisor.running if t.get_name() in names]
+    assert len(ended) == len(names)
+    for task in ended:
+        task.cancel()
 
 
 def test_a_gateway_whose_loops_have_ended_is_not_in_touch():
@@ -40,8 +42,8 @@
         selections = {m: m.coordination._selection for m in members}
         follower = next(m for m, s in selections.items() if s.followed)
         watcher = fleet.members[selections[follower].followed]
-        end_loops(watcher, "PrefixWatcher.run")
-        end_loops(follower, "StoreFollower.run", "VersionGossip.run")
+        end_loops(watcher, "store_watcher")
+        end_loops(follower, "store_follower", "version_gossip")
         await asyncio.sleep(NOTICED_S)
         assert not watcher.coordination.store.can_be_followed
         followed = {s.followed for m, s in selections.items() if m is not follower}
@@ -74,3 +76,23 @@
         assert max(oldest.values()) <= MAX_AGE_S
 
     run_with_fleet(check)
+
+
+def test_a_configuration_that_is_held_and_not_in_force_refuses_nothing_for_good():
+    """Guards against 404 for a route whose table a listener failed to put in force."""
+
+    async def check(fleet):
+        member = next(iter(fleet.members.values()))
+        put_in_force, member.routing_state.apply_table = (
+            member.routing_state.apply_table,
+            None,
+        )
+        fleet.configure()
+        await asyncio.sleep(2.0)
+        assert member.version == 2
+        assert not member.coordination.is_configuration_confirmed
+        member.routing_state.apply_table = put_in_force
+        await asyncio.sleep(5.0)
+        assert member.coordination.is_configuration_confirmed
+
+    run_with_fleet(check)
