--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -155,7 +155,6 @@
             self.configuration,
             self._replica,
             lambda: self._records.settling_s,
-            self.freshness,
         )
         self._records_lag = RecordsLag(lambda: self._replica.revision, clock)
         self._lag_reporter = LagReporter(
@@ -226,7 +225,8 @@
         While the store answers nobody, peers that hold no newer one are enough. A newer
         version that was heard of and never comes counts for a while only.
         """
-        if 0.0 < self.configuration.behind_s <= AWAITED_S:
+        # What is held is not in force yet while a listener has failed to apply it.
+        if self.needs_listing or 0.0 < self.configuration.behind_s <= AWAITED_S:
             return False
         freshness = self.freshness
         return (
@@ -309,7 +309,8 @@
         if follows and watches:
             self._pusher.note_follower(name, versions)
         self._receiver.catch_up(name, versions)
-        return GatewayStatus(self.documents.versions, self._is_stopping(), watches)
+        told = self.freshness.add_ages(self.documents.versions)
+        return GatewayStatus(told, self._is_stopping(), watches)
 
     def read_changes(self, after: int) -> ChangeBatch | None:
         """Return changes after a revision of the store; ``None`` if not kept."""
