Decode all that comes from outside by the package decoding

The decoders of the entry, the sidecar and the platform's clients caught errors of msgspec, some of them or none: a nested body, a claim, a settings change or a row without base64 that nobody can read raised in the task that reads it, and ended it or the request with 500. One row of a listing that is not base64 has an empty value and keeps no other from being read.

--- a/packages/daemon/src/amaranthtally/daemon/entry/admin_requests.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/admin_requests.py
@@ -2,7 +2,6 @@
 
 from typing import Any
 
-import msgspec
 from aiohttp import web
 from result import Err, Ok, Result
 
@@ -12,6 +11,7 @@
     ChangeRejected,
     CommitError,
 )
+from amaranthtally.decoding import decode_json
 from amaranthtally.platform import PlatformError, PlatformOutcomeUnknown
 from amaranthtally.settings import Change, Scope
 from amaranthtally.settings.documents import MistakeRow
@@ -19,15 +19,16 @@
 __all__ = ["parse_integer", "parse_scope", "read_body", "unwrap_commit", "unwrap_read"]
 
 
-async def read_body(request: web.Request, kind: type) -> Any:
+async def read_body(request: web.Request, kind: type[Any]) -> Any:
     """Return the decoded body; raises ``AdminError``."""
     try:
-        return msgspec.json.decode(await request.read(), type=kind)
+        decoded = decode_json(await request.read(), kind)
     except web.HTTPRequestEntityTooLarge as error:
         raise AdminError(413, "Body too large", "Split the batch.") from error
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        detail = f"{error}; see {OPENAPI_PATH}"
-        raise AdminError(400, "Bad body", detail) from error
+    if isinstance(decoded, Err):
+        detail = f"{decoded.err_value}; see {OPENAPI_PATH}"
+        raise AdminError(400, "Bad body", detail) from decoded.err_value
+    return decoded.ok_value
 
 
 def parse_integer(text: str | int, name: str) -> int:
--- a/packages/daemon/src/amaranthtally/daemon/entry/bound.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/bound.py
@@ -4,7 +4,9 @@
 from hashlib import sha256
 
 import msgspec
+from result import Err
 
+from amaranthtally.decoding import decode_json
 from amaranthtally.policy import Pipeline, Stage
 from amaranthtally.policy.at_most_once import Binding
 from amaranthtally.wire import AtMostOnceTerms
@@ -64,5 +66,7 @@
 
 def fingerprint_of(body: bytes) -> str:
     """Return a digest of a JSON value, independent of spacing and order of keys."""
-    value = msgspec.json.decode(body)
-    return sha256(msgspec.json.encode(value, order="sorted")).hexdigest()
+    value = decode_json(bytes(body), object)
+    if isinstance(value, Err):
+        return sha256(bytes(body)).hexdigest()
+    return sha256(msgspec.json.encode(value.ok_value, order="sorted")).hexdigest()
--- a/packages/daemon/src/amaranthtally/daemon/entry/callers.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/callers.py
@@ -6,6 +6,7 @@
 
 import msgspec
 from aiohttp import web
+from result import Err
 
 from amaranthtally.daemon.entry.binder import Binder, EffectRequest
 from amaranthtally.daemon.entry.bound import BoundRequest
@@ -29,6 +30,7 @@
 )
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.prompts import input_prefix_blocks
+from amaranthtally.decoding import decode_json
 from amaranthtally.policy import Arrival, Pipeline
 from amaranthtally.settings import SettingsView
 
@@ -197,13 +199,15 @@
     async def _read_body(self, request: web.Request) -> _Body | Problem:
         try:
             raw = await request.read()
-            body = msgspec.json.decode(raw, type=_Body)
         except web.HTTPRequestEntityTooLarge:
             return Problem(
                 413, "Body too large", f"Send at most {self._max_body_bytes} bytes."
             )
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
-            return Problem(400, "Bad body", f"{error}. Send JSON with a key 'input'.")
+        decoded = decode_json(raw, _Body)
+        if isinstance(decoded, Err):
+            cause = decoded.err_value
+            return Problem(400, "Bad body", f"{cause}. Send JSON with a key 'input'.")
+        body = decoded.ok_value
         deadline_ms = body.deadline_ms
         if deadline_ms is not None and not 0 < deadline_ms <= MAX_DEADLINE_MS:
             return Problem(
--- a/packages/daemon/src/amaranthtally/daemon/entry/change_store.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/change_store.py
@@ -19,8 +19,9 @@
     PlatformError,
     PlatformOutcomeUnknown,
     PlatformUnavailable,
+    decode_entry,
 )
-from amaranthtally.settings import Change, decode_change, encode_change
+from amaranthtally.settings import Change, encode_change
 
 __all__ = ["BLOCK", "ChangeStore", "LogHead", "block_prefix"]
 
@@ -60,14 +61,14 @@
     async def read_head(self) -> Result[LogHead, PlatformError]:
         """Read the head without waiting."""
         result = await self._platform.get(HEAD_KEY)
-        return result.map(lambda entry: _parse_head(entry, 0))
+        return result.and_then(lambda entry: _parse_head(entry, 0))
 
     async def watch_head(
         self, index: int, wait_s: float
     ) -> Result[LogHead, PlatformError]:
         """Read the head after it has changed since ``index``, or after ``wait_s``."""
         result = await self._platform.watch(HEAD_KEY, index, wait_s)
-        return result.map(
+        return result.and_then(
             lambda listing: _parse_head(
                 next(iter(listing.entries), None), listing.index
             )
@@ -97,7 +98,11 @@
     async def read_change(self, number: int) -> Result[Change | None, PlatformError]:
         """Read one change; ``Ok(None)`` if there is none with this number."""
         result = await self._platform.get(_key(number))
-        return result.map(lambda entry: decode_change(entry.value) if entry else None)
+        if isinstance(result, Err):
+            return result
+        if result.ok_value is None:
+            return Ok(None)
+        return decode_entry(result.ok_value, Change)
 
     async def read_changes(
         self, after: int, last: int
@@ -108,7 +113,11 @@
             result = await self._platform.list(block_prefix(block))
             if isinstance(result, Err):
                 return result
-            changes += [decode_change(e.value) for e in result.ok_value.entries]
+            for entry in result.ok_value.entries:
+                change = decode_entry(entry, Change)
+                if isinstance(change, Err):
+                    return change
+                changes.append(change.ok_value)
         return Ok([change for change in changes if after < change.number <= last])
 
     async def write_change(self, change: Change) -> Result[Change, PlatformError]:
@@ -153,11 +162,14 @@
     return f"{CHANGE_PREFIX}{number:0{NUMBER_WIDTH}}"
 
 
-def _parse_head(entry: KeyValueEntry | None, index: int) -> LogHead:
+def _parse_head(
+    entry: KeyValueEntry | None, index: int
+) -> Result[LogHead, PlatformError]:
     if entry is None:
-        return LogHead(index)
-    head = msgspec.json.decode(entry.value, type=_Head)
-    return LogHead(entry.index, head.number, head.change)
+        return Ok(LogHead(index))
+    return decode_entry(entry, _Head).map(
+        lambda head: LogHead(entry.index, head.number, head.change)
+    )
 
 
 def _encode_head(change: Change) -> bytes:
--- a/packages/daemon/src/amaranthtally/daemon/entry/claim_sweep.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/claim_sweep.py
@@ -3,12 +3,11 @@
 import asyncio
 from random import Random
 
-import msgspec
 from result import Err
 
 from amaranthtally.daemon.entry.claims import CLAIM_PREFIX, SHARD_DIGITS, Claim
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.platform import KeyValueClient, KeyValueEntry
+from amaranthtally.platform import KeyValueClient, KeyValueEntry, decode_entry
 
 __all__ = ["ClaimSweeper"]
 
@@ -57,8 +56,9 @@
         return removed
 
     def _is_old(self, entry: KeyValueEntry, now: float) -> bool:
-        claim = msgspec.json.decode(entry.value, type=Claim)
-        return now - claim.claimed_at > self._ttl
+        # One that cannot be read is kept: its age is not known.
+        claim = decode_entry(entry, Claim)
+        return claim.map(lambda c: now - c.claimed_at > self._ttl).unwrap_or(False)
 
     async def _remove(self, entry: KeyValueEntry) -> bool:
         # Delete only this version of the key: since the read, another sweep may have
--- a/packages/daemon/src/amaranthtally/daemon/entry/claims.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/claims.py
@@ -16,7 +16,12 @@
 
 from amaranthtally.daemon.entry.outage import OutageDetector
 from amaranthtally.daemon.logs import get_logger
-from amaranthtally.platform import KeyValueClient, PlatformError, PlatformUnavailable
+from amaranthtally.platform import (
+    KeyValueClient,
+    PlatformError,
+    PlatformUnavailable,
+    decode_entry,
+)
 from amaranthtally.policy.at_most_once import Binding
 
 __all__ = [
@@ -164,7 +169,7 @@
             return read
         if read.ok_value is None:
             return Ok(None)
-        return Ok(msgspec.json.decode(read.ok_value.value, type=Claim))
+        return decode_entry(read.ok_value, Claim)
 
 
 def claim_path(account: str, pipeline: str, key: str) -> str:
--- a/packages/daemon/src/amaranthtally/daemon/entry/snapshots.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/snapshots.py
@@ -12,7 +12,13 @@
 from result import Err, Ok, Result
 
 from amaranthtally.daemon.entry.change_store import BLOCK, block_prefix
-from amaranthtally.platform import KeyValueClient, KeyValueEntry, PlatformError
+from amaranthtally.decoding import DecodeError
+from amaranthtally.platform import (
+    KeyValueClient,
+    PlatformError,
+    PlatformUnavailable,
+    decode_entry,
+)
 from amaranthtally.settings import (
     Snapshot,
     SnapshotPointer,
@@ -46,11 +52,17 @@
                 return result
             if result.ok_value is None:
                 return Ok(None)
-            pointer = _parse_pointer(result.ok_value)
+            parsed = decode_entry(result.ok_value, SnapshotPointer)
+            if isinstance(parsed, Err):
+                return parsed
+            pointer = parsed.ok_value
             parts = await self._read_parts(pointer)
             if isinstance(parts, Err):
                 return parts
-            tree = join_snapshot(pointer, parts.ok_value)
+            try:
+                tree = join_snapshot(pointer, parts.ok_value)
+            except DecodeError as error:
+                return Err(PlatformUnavailable(f"malformed snapshot: {error}"))
             # A part is missing if a newer snapshot has replaced this one since the
             # pointer was read; read the new pointer then.
             if tree is not None:
@@ -63,7 +75,12 @@
         if isinstance(result, Err):
             return result
         entry = result.ok_value
-        old = _parse_pointer(entry) if entry else SnapshotPointer(0, 0, "", 0)
+        old = SnapshotPointer(0, 0, "", 0)
+        if entry:
+            parsed = decode_entry(entry, SnapshotPointer)
+            if isinstance(parsed, Err):
+                return parsed
+            old = parsed.ok_value
         block = tree.revision // BLOCK
         if old.block >= block:
             return Ok(False)
@@ -134,7 +151,3 @@
 
 def _part_key(block: int, digest: str, number: int) -> str:
     return f"{PARTS_PREFIX}{block:0{BLOCK_WIDTH}}/{digest}-{number:03}"
-
-
-def _parse_pointer(entry: KeyValueEntry) -> SnapshotPointer:
-    return msgspec.json.decode(entry.value, type=SnapshotPointer)
--- a/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/stage_calls.py
@@ -3,8 +3,10 @@
 from dataclasses import dataclass
 
 import msgspec
+from result import Ok
 
 from amaranthtally.daemon.entry.live_request import LiveRequest, StageRecord
+from amaranthtally.decoding import decode_json
 from amaranthtally.policy import (
     AttemptId,
     AttemptOutcome,
@@ -97,7 +99,8 @@
         # reports the number of chunks of a stream that its engine declared complete. If
         # the entry has a different number, chunks are missing, and the attempt counts
         # as failed, so that another one continues the stream.
-        expected_chunks = msgspec.json.decode(output, type=_StreamEnd).chunks
+        end = decode_json(output, _StreamEnd)
+        expected_chunks = end.ok_value.chunks if isinstance(end, Ok) else None
         outcome = (
             AttemptOutcome.FINISHED
             if expected_chunks == len(request.chunks)
--- a/packages/daemon/src/amaranthtally/daemon/entry/tokens.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/tokens.py
@@ -6,13 +6,13 @@
 """
 
 import base64
-import binascii
 import secrets
 
 import msgspec
-from result import Err, Ok, Result
+from result import Err, Result
 
 from amaranthtally.daemon.signatures import KeyRing
+from amaranthtally.decoding import DecodeError, decode_base64, decode_json
 from amaranthtally.policy.at_most_once import Binding
 
 __all__ = [
@@ -58,16 +58,12 @@
     def verify(self, text: str) -> Result[Token, TokenError]:
         """Return the token of a signed text, or an error."""
         body_text, _, mac_text = text.removeprefix(TOKEN_PREFIX).partition(".")
-        try:
-            body, mac = _decode(body_text), _decode(mac_text)
-        except (binascii.Error, ValueError):
+        body, mac = _decode(body_text), _decode(mac_text)
+        if isinstance(body, Err) or isinstance(mac, Err):
             return Err(TokenError())
-        if not self._keys.accepts(body, mac):
-            return Err(TokenError())
-        try:
-            return Ok(msgspec.json.decode(body, type=Token))
-        except msgspec.DecodeError:
+        if not self._keys.accepts(body.ok_value, mac.ok_value):
             return Err(TokenError())
+        return decode_json(body.ok_value, Token).map_err(lambda _: TokenError())
 
 
 def new_token(account: str, pipeline: str, bindings: list[Binding]) -> Token:
@@ -84,6 +80,6 @@
     return base64.urlsafe_b64encode(data).rstrip(b"=").decode()
 
 
-def _decode(text: str) -> bytes:
+def _decode(text: str) -> Result[bytes, DecodeError]:
     padded = text + "=" * (-len(text) % 4)
-    return base64.b64decode(padded, altchars=b"-_", validate=True)
+    return decode_base64(padded, altchars=b"-_")
--- a/packages/daemon/src/amaranthtally/daemon/prompts.py
+++ b/packages/daemon/src/amaranthtally/daemon/prompts.py
@@ -8,10 +8,10 @@
 
 from collections.abc import Iterable
 from hashlib import blake2b
-from typing import Any
 
 import msgspec
 
+from amaranthtally.decoding import decode_json
 from amaranthtally.policy import Pipeline
 
 __all__ = [
@@ -29,8 +29,7 @@
 
 def input_text(value: msgspec.Raw) -> str:
     """Return a JSON string decoded, and any other JSON value as its JSON text."""
-    decoded: Any = msgspec.json.decode(value)
-    return decoded if isinstance(decoded, str) else bytes(value).decode()
+    return decode_json(bytes(value), str).unwrap_or(bytes(value).decode())
 
 
 def build_prompt(text: str, documents: Iterable[str]) -> str:
--- a/packages/daemon/src/amaranthtally/daemon/settings_state.py
+++ b/packages/daemon/src/amaranthtally/daemon/settings_state.py
@@ -3,7 +3,6 @@
 import asyncio
 from collections.abc import Callable, Iterable
 
-import msgspec
 from aioprometheus import Gauge
 
 from amaranthtally.daemon.logs import get_logger
@@ -72,7 +71,7 @@
             is_newer = self._log.apply_delta(
                 ChangeDelta(delta.revision, delta.changes, delta.snapshot)
             )
-        except (msgspec.DecodeError, ValueError) as error:
+        except ValueError as error:
             log.error("settings_gap_unreadable", source=source, cause=str(error))
             return
         if is_newer:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
@@ -6,9 +6,11 @@
 
 import aiohttp
 import msgspec
+from result import Err, Ok
 
 from amaranthtally.daemon.prompts import build_prompt, cache_salt, input_text
 from amaranthtally.daemon.sidecar.engine_cache import EngineCache
+from amaranthtally.decoding import decode_json
 from amaranthtally.wire import ChunkHandler, StageCall
 
 __all__ = [
@@ -192,11 +194,13 @@
     choices: list[_Choice]
 
 
-_completions = msgspec.json.Decoder(_Completion)
-
-
 def _completion_text(data: bytes) -> str:
-    return _completions.decode(data).choices[0].text
+    decoded = decode_json(data, _Completion)
+    if isinstance(decoded, Err):
+        raise EndpointError(f"malformed event of the engine: {decoded.err_value}")
+    if not decoded.ok_value.choices:
+        raise EndpointError("an event of the engine has no choice")
+    return decoded.ok_value.choices[0].text
 
 
 # Plain services
@@ -216,16 +220,18 @@
 
 
 def _read_input(call: StageCall) -> _StageInput:
-    return msgspec.json.decode(call.input, type=_StageInput)
+    decoded = decode_json(call.input, _StageInput)
+    if isinstance(decoded, Err):
+        cause = f"malformed input of the stage: {decoded.err_value}"
+        raise EndpointError(cause, permanent=True)
+    return decoded.ok_value
 
 
 def _documents(previous: msgspec.Raw) -> list[str]:
     if bytes(previous) == b"null":
         return []
-    try:
-        return msgspec.json.decode(previous, type=_RetrieverOutput).documents
-    except msgspec.ValidationError:
-        return []
+    decoded = decode_json(bytes(previous), _RetrieverOutput)
+    return decoded.ok_value.documents if isinstance(decoded, Ok) else []
 
 
 def _timeout(call: StageCall) -> aiohttp.ClientTimeout:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/engine_cache.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/engine_cache.py
@@ -12,6 +12,7 @@
     EngineEvent,
     PrefixCacheIndex,
 )
+from amaranthtally.decoding import DecodeError, decode_json, unwrap_decoded
 from amaranthtally.wire import CacheUpdate
 
 __all__ = ["EngineCache"]
@@ -76,7 +77,7 @@
                 # Under load each poll would return a single event; the pause lets
                 # several accumulate.
                 await asyncio.sleep(POLL_PAUSE_S)
-            except (aiohttp.ClientError, TimeoutError, msgspec.MsgspecError) as error:
+            except (aiohttp.ClientError, TimeoutError, DecodeError) as error:
                 log.debug("cache_events_unread", cause=type(error).__name__)
                 await asyncio.sleep(RETRY_S)
 
@@ -92,7 +93,7 @@
             timeout=aiohttp.ClientTimeout(total=LONG_POLL_S + READ_MARGIN_S),
         ) as response:
             response.raise_for_status()
-            batch = msgspec.json.decode(await response.read(), type=_Events)
+            batch = unwrap_decoded(decode_json(await response.read(), _Events))
         events = [
             EngineEvent(e.serial, e.kind == "stored", e.block) for e in batch.events
         ]
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/engine_orders.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/engine_orders.py
@@ -7,6 +7,7 @@
 import aiohttp
 import msgspec
 
+from amaranthtally.decoding import DecodeError, decode_json, unwrap_decoded
 from amaranthtally.policy import EngineModels
 from amaranthtally.policy.model_orders import Load, Order, SetRole, Unload
 from amaranthtally.settings import ModelReference
@@ -77,8 +78,9 @@
                 f"{self._url}/v1/load", timeout=timeout
             ) as response:
                 response.raise_for_status()
-                state = msgspec.json.decode(await response.read(), type=_EngineState)
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+                body = await response.read()
+                state = unwrap_decoded(decode_json(body, _EngineState))
+        except (aiohttp.ClientError, TimeoutError, DecodeError) as error:
             raise OrderError(
                 f"engine's state unread: {type(error).__name__}"
             ) from error
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handover.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handover.py
@@ -5,10 +5,12 @@
 from contextlib import suppress
 
 import msgspec
+from result import Err
 
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.signatures import KeyRing
+from amaranthtally.decoding import decode_msgpack
 from amaranthtally.policy import Endpoint
 from amaranthtally.policy.handover import Handover, rank_successors
 from amaranthtally.settings import SettingsView, Tree
@@ -85,7 +87,11 @@
     if not keys.accepts(body, signature):
         log.error("handover_refused", cause="invalid signature; compare handover_keys")
         return None
-    return msgspec.msgpack.decode(body, type=Handover)
+    decoded = decode_msgpack(body, Handover)
+    if isinstance(decoded, Err):
+        log.error("handover_refused", cause=str(decoded.err_value))
+        return None
+    return decoded.ok_value
 
 
 def endpoints_of(tree: Tree) -> list[Endpoint]:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/order_lease.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/order_lease.py
@@ -9,6 +9,7 @@
 from result import Err, Result
 
 from amaranthtally.daemon.sidecar.engine_orders import LeaseGrant, boot_time
+from amaranthtally.decoding import decode_json
 from amaranthtally.platform import LeaseClient, PlatformError, PlatformOutcomeUnknown
 
 __all__ = ["LeaseNotHeldError", "OrderLease"]
@@ -95,7 +96,14 @@
 
 
 def _decode_fence(value: bytes) -> _Fence:
-    return msgspec.json.decode(value, type=_Fence) if value else _Fence()
+    if not value:
+        return _Fence()
+    decoded = decode_json(value, _Fence)
+    if isinstance(decoded, Err):
+        raise LeaseNotHeldError(
+            f"the fencing number is unreadable: {decoded.err_value}"
+        )
+    return decoded.ok_value
 
 
 def _unwrap(result: Result[ValueT, PlatformError]) -> ValueT:
--- a/packages/decoding/src/amaranthtally/decoding/__init__.py
+++ b/packages/decoding/src/amaranthtally/decoding/__init__.py
@@ -26,6 +26,7 @@
     "decode_base64",
     "decode_json",
     "decode_msgpack",
+    "unwrap_decoded",
 ]
 
 # Most nested arrays and objects. The interpreter allows about 1,000 calls within each
@@ -113,6 +114,13 @@
         return Err(_from_exception(error))
 
 
+def unwrap_decoded(result: Result[T, DecodeError]) -> T:
+    """Return a decoded value, or raise its ``DecodeError`` for a caller to handle."""
+    if isinstance(result, Err):
+        raise result.err_value
+    return result.ok_value
+
+
 @lru_cache(MAX_DECODERS)
 def _json_decoder(kind: Any) -> msgspec.json.Decoder[Any]:
     return msgspec.json.Decoder(kind)
--- a/packages/platform/src/amaranthtally/platform/__init__.py
+++ b/packages/platform/src/amaranthtally/platform/__init__.py
@@ -19,6 +19,7 @@
     KeyValueClient,
     KeyValueEntry,
     Listing,
+    decode_entry,
     open_key_value,
 )
 from amaranthtally.platform.leases import LeaseClient, VersionedValue
@@ -43,6 +44,7 @@
     "StoreClient",
     "StoreTransfer",
     "bounded_connector",
+    "decode_entry",
     "open_key_value",
     "open_store",
     "response_bounds",
--- a/packages/platform/src/amaranthtally/platform/hosts.py
+++ b/packages/platform/src/amaranthtally/platform/hosts.py
@@ -7,6 +7,7 @@
 from aiohttp import hdrs
 from result import Err, Ok, Result
 
+from amaranthtally.decoding import DecodeError, decode_json, unwrap_decoded
 from amaranthtally.platform.errors import PlatformError, PlatformUnavailable
 from amaranthtally.platform.timeouts import answer_timeout
 
@@ -56,11 +57,11 @@
                 if response.status != NOT_MODIFIED:
                     self._parse(await response.read())
                     self._etag = response.headers.get(hdrs.ETAG, "")
-        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+        except (aiohttp.ClientError, TimeoutError, DecodeError) as error:
             return Err(PlatformUnavailable(type(error).__name__))
         return Ok(self._leaving)
 
     def _parse(self, body: bytes) -> None:
-        hosts = msgspec.json.decode(body, type=list[_ListedHost])
+        hosts = unwrap_decoded(decode_json(body, list[_ListedHost]))
         leaving = (h.host for h in hosts if h.state is HostState.LEAVING)
         self._leaving = frozenset(leaving)
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -6,18 +6,19 @@
 ``?index=N&wait=30s`` for a long poll; values are in base64.
 """
 
-import base64
 import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from email.utils import parsedate_to_datetime
+from typing import TypeVar
 
 import aiohttp
 import msgspec
 from aiohttp import hdrs
 from result import Err, Ok, Result
 
+from amaranthtally.decoding import decode_base64, decode_json
 from amaranthtally.platform.bounded_responses import bounded_connector
 from amaranthtally.platform.errors import (
     PlatformError,
@@ -26,7 +27,13 @@
 )
 from amaranthtally.platform.timeouts import answer_timeout
 
-__all__ = ["KeyValueEntry", "KeyValueClient", "Listing", "open_key_value"]
+__all__ = [
+    "KeyValueClient",
+    "KeyValueEntry",
+    "Listing",
+    "decode_entry",
+    "open_key_value",
+]
 
 CALLER_HEADER = "X-Caller"
 INDEX_HEADER = "X-Consul-Index"
@@ -37,6 +44,8 @@
 HTTP_NOT_FOUND = 404
 HTTP_OK = 200
 
+T = TypeVar("T")
+
 
 class _Row(msgspec.Struct, frozen=True):
     Key: str
@@ -185,11 +194,24 @@
             return Err(PlatformUnavailable(type(error).__name__))
         if response.status not in (HTTP_OK, HTTP_NOT_FOUND):
             return Err(PlatformUnavailable(f"status {response.status}"))
-        index = int(response.headers.get(INDEX_HEADER, "0"))
+        try:
+            index = int(response.headers.get(INDEX_HEADER, "0"))
+        except ValueError as error:
+            return Err(PlatformUnavailable(f"malformed response: {error}"))
         if response.status == HTTP_NOT_FOUND:
             return Ok(Listing(index, ()))
-        rows = msgspec.json.decode(body, type=list[_Row])
-        return Ok(Listing(index, tuple(_entry(row) for row in rows)))
+        return (
+            decode_json(body, list[_Row])
+            .map(lambda rows: Listing(index, tuple(_entry(row) for row in rows)))
+            .map_err(lambda e: PlatformUnavailable(f"malformed response: {e}"))
+        )
+
+
+def decode_entry(entry: KeyValueEntry, kind: type[T]) -> Result[T, PlatformError]:
+    """Decode the JSON value of a key."""
+    return decode_json(entry.value, kind).map_err(
+        lambda error: PlatformUnavailable(f"value of {entry.key!r}: {error}")
+    )
 
 
 @asynccontextmanager
@@ -211,4 +233,7 @@
 
 
 def _entry(row: _Row) -> KeyValueEntry:
-    return KeyValueEntry(row.Key, base64.b64decode(row.Value), row.ModifyIndex)
+    # A value that is not base64 becomes an empty one, which no reader of a value takes:
+    # it keeps no other key of the listing from being read.
+    value = decode_base64(row.Value).unwrap_or(b"")
+    return KeyValueEntry(row.Key, value, row.ModifyIndex)
--- a/packages/platform/src/amaranthtally/platform/leases.py
+++ b/packages/platform/src/amaranthtally/platform/leases.py
@@ -5,12 +5,13 @@
 act after the lease has expired.
 """
 
-import base64
+from typing import TypeVar
 
 import aiohttp
 import msgspec
 from result import Err, Ok, Result
 
+from amaranthtally.decoding import decode_base64, decode_json
 from amaranthtally.platform.errors import (
     PlatformError,
     PlatformOutcomeUnknown,
@@ -23,6 +24,8 @@
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 
+T = TypeVar("T")
+
 
 class VersionedValue(msgspec.Struct, frozen=True):
     """A key's value and index; the index is 0 if the key is absent."""
@@ -52,7 +55,7 @@
         """Create a session that expires ``ttl_s`` seconds later; return its id."""
         body = msgspec.json.encode({"TTL": f"{ttl_s}s"})
         answer = await self._put("/v1/session/create", {}, body)
-        return answer.map(lambda raw: msgspec.json.decode(raw, type=_Session).ID)
+        return answer.and_then(lambda raw: _decode(raw, _Session)).map(lambda s: s.ID)
 
     async def close_session(self, session: str) -> Result[bytes, PlatformError]:
         """End a session and release its keys."""
@@ -71,8 +74,7 @@
             return Ok(VersionedValue())
         if response.status != HTTP_OK:
             return Err(PlatformUnavailable(f"status {response.status}"))
-        row = msgspec.json.decode(body, type=list[_Row])[0]
-        return Ok(VersionedValue(base64.b64decode(row.Value), row.ModifyIndex))
+        return _decode(body, list[_Row]).and_then(_read_row)
 
     async def acquire(
         self, key: str, value: bytes, index: int, session: str
@@ -97,3 +99,21 @@
         if response.status != HTTP_OK:
             return Err(PlatformUnavailable(f"status {response.status}"))
         return Ok(raw)
+
+
+def _decode(body: bytes, kind: type[T]) -> Result[T, PlatformError]:
+    return decode_json(body, kind).map_err(_malformed)
+
+
+def _read_row(rows: list[_Row]) -> Result[VersionedValue, PlatformError]:
+    if not rows:
+        return Err(PlatformUnavailable("malformed response: no row"))
+    return (
+        decode_base64(rows[0].Value)
+        .map(lambda value: VersionedValue(value, rows[0].ModifyIndex))
+        .map_err(_malformed)
+    )
+
+
+def _malformed(cause: ValueError) -> PlatformError:
+    return PlatformUnavailable(f"malformed response: {cause}")
--- a/packages/settings/src/amaranthtally/settings/change_log.py
+++ b/packages/settings/src/amaranthtally/settings/change_log.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from amaranthtally.decoding import decode_json, unwrap_decoded
 from amaranthtally.settings.snapshot import decode_tree, encode_tree
 from amaranthtally.settings.tree import Change, Tree
 
@@ -20,8 +21,8 @@
 
 
 def decode_change(data: bytes) -> Change:
-    """Return the change encoded in ``data``; raises ``msgspec.DecodeError``."""
-    return msgspec.json.decode(data, type=Change)
+    """Return the change encoded in ``data``; raises ``DecodeError``."""
+    return unwrap_decoded(decode_json(data, Change))
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/settings/src/amaranthtally/settings/snapshot.py
+++ b/packages/settings/src/amaranthtally/settings/snapshot.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from amaranthtally.decoding import decode_json, unwrap_decoded
 from amaranthtally.settings.tree import Op, Tree
 
 __all__ = [
@@ -66,8 +67,8 @@
 
 
 def decode_tree(data: bytes) -> Tree:
-    """Return the tree encoded in ``data``; raises ``msgspec.DecodeError``."""
-    document = msgspec.json.decode(data, type=_Document)
+    """Return the tree encoded in ``data``; raises ``DecodeError``."""
+    document = unwrap_decoded(decode_json(data, _Document))
     ops = (Op(row.scope, row.key, row.value) for row in document.rows)
     return Tree(document.revision - 1).apply(ops)
 
