--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_replica.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_replica.py
@@ -49,7 +49,7 @@
         """Apply a complete listing, unless newer changes are known already."""
         if revision < self._revision:
             return
-        held = {item.key: item for item in items if item.key != CONFIGURATION_KEY}
+        held = {item.key: item for item in items if _is_record(item)}
         if self._revision:
             self._keep(self._differences(held, revision))
         else:
@@ -71,7 +71,7 @@
         records = [
             item
             for item in items
-            if item.revision > self._revision and item.key != CONFIGURATION_KEY
+            if item.revision > self._revision and _is_record(item)
         ]
         for item in records:
             if item.value is None:
@@ -132,3 +132,8 @@
         self._changes.extend(changes)
         while len(self._changes) > MAX_CHANGES_KEPT:
             self._changes_from = self._changes.popleft().revision
+
+
+def _is_record(item: StoreItem) -> bool:
+    """Whether an item is held; followers refuse changes with an empty key."""
+    return item.key not in ("", CONFIGURATION_KEY)
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -128,6 +128,7 @@
         self.connections.set_own_record(record)
         self.routing_state = RoutingState(settings, lambda changed: None)
         self.is_leaving = False
+        self.faults = RecordFaults()
         self._updater = PeerUpdater(
             self.peers,
             self.connections,
@@ -150,7 +151,7 @@
             self._supervisor,
             lambda: self.is_leaving,
             Random(name),
-            RecordFaults(),
+            self.faults,
             asyncio.get_running_loop().time,
         )
         self.coordination.start()
@@ -223,6 +224,10 @@
         self.store.cut.add(name)
         self.parted = ({name},)
 
+    @property
+    def version(self):
+        return self._version
+
     def is_parted(self, one, other):
         return any((one in group) != (other in group) for group in self.parted)
 
--- a/tests/unit/test_store_replica.py
+++ b/tests/unit/test_store_replica.py
@@ -245,3 +245,12 @@
     values = {item.key: item.value for item in store.items.values()}
     assert {item.key: item.value for item in watcher.items} == values
     assert {item.key: item.value for item in copy.items} == values
+
+
+def test_a_record_without_a_key_keeps_no_change_from_followers(replica, listener):
+    """Guards against batches that every follower refuses."""
+    replica.apply((StoreItem("", b"1", 6), StoreItem("servers/b", b"1", 7)), 7)
+    replica.replace((StoreItem("", b"1", 6), StoreItem("servers/b", b"1", 7)), 8)
+    batch = replica.changes_after(5)
+    batch.check()
+    assert {change.key for change in batch.changes} == {"servers/a", "servers/b"}
