--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -124,25 +124,22 @@
 HUGE = 10**310
 
 
-@pytest.mark.parametrize(
-    "field, value",
-    [
-        ("timeoutMs", HUGE),
-        ("timeoutMs", -1),
-        ("timeoutMs", 1e308),
-        ("latencySloMs", -0.5),
-        ("itlTargetMs", HUGE),
-        ("priority", HUGE),
-        ("maxAttempts", -HUGE),
-        ("split", [{"service": "s", "weight": -1}]),
-        ("split", [{"service": "s", "weight": 0}, {"service": "t", "weight": 0}]),
-        ("phases", [{"service": "p", "after": [1]}]),
-        ("phases", [{"service": "p", "after": [-1]}]),
-        ("phases", [{"service": "p", "after": [0]}]),
-        ("phases", [{"service": "p", "after": [1]}, {"service": "p", "after": [0]}]),
-        ("phases", [{"service": "p", "sizeBytes": HUGE}]),
-    ],
-)
+BAD_ROUTES = [("timeoutMs", value) for value in (HUGE, -1, 1e308)]
+BAD_ROUTES += [("latencySloMs", -0.5), ("itlTargetMs", HUGE)]
+BAD_ROUTES += [("priority", HUGE), ("maxAttempts", -HUGE)]
+# Weights of a split, and the phases that each phase comes after.
+BAD_ROUTES += [
+    ("split", [{"service": "s", "weight": weight} for weight in weights])
+    for weights in ([-1], [0, 0])
+]
+BAD_ROUTES += [
+    ("phases", [{"service": "p", "after": [index]} for index in after])
+    for after in ([1], [-1], [0], [1, 0])
+]
+BAD_ROUTES += [("phases", [{"service": "p", "sizeBytes": HUGE}])]
+
+
+@pytest.mark.parametrize("field, value", BAD_ROUTES)
 def test_a_route_out_of_range_is_refused_by_its_field(field, value):
     """Guards against a configuration in force with which every request fails."""
     body = json.dumps({"version": 7, "routes": [ROUTE | {field: value}]}).encode()
@@ -223,48 +220,37 @@
     assert read_record(**fields).is_err()
 
 
-@pytest.mark.parametrize(
-    "field, value",
-    [
-        ("slots", -1),
-        ("slots", 65_537),
-        ("slots", 10**310),
-        ("born", -1),
-        ("born", 2**53),
-        ("born", 10**310),
-        ("coldLeftMs", 1.1e12),
-        ("coldLeftMs", 10**310),
-        *[
-            ("address", address)
-            for address in (
-                "10.0.0.9:0",
-                "10.0.0.9:65536",
-                "10.0.0.9:000080",
-                "10.0.0.9:+80",
-                "10.0.0.9:\u00b2",
-                "10.0.0.9:\u0661",
-                "10.0.0.9:80\n",
-                "10.0.0.9\r\n:80",
-                "10.0.0.256:80",
-                "[fe80::1%a\n]:80",
-                "10.0.0.9/x:80",
-                "user@a:80",
-                "a..b:80",
-                ".a:80",
-                "a.:80",
-                "-a:80",
-                "a b:80",
-                "a\x00:80",
-                "::1:80",
-                "[::1:80",
-                "[::x]:80",
-                ":80",
-                "a" * 64 + ":80",
-                ".".join(["a" * 50] * 5) + ":80",
-            )
-        ],
-    ],
-)
+BAD_PORTS = ["0", "65536", "000080", "+80", "\u00b2", "\u0661", "80\n", ""]
+BAD_HOSTS = [
+    "10.0.0.9\r\n",
+    "a..b",
+    ".a",
+    "a.",
+    "-a",
+    "a b",
+    "a\x00",
+    "::1",
+    "[::1",
+    "",
+]
+BAD_HOSTS += [
+    "[::x]",
+    "[fe80::1%a\n]",
+    "user@a",
+    "10.0.0.9/x",
+    "a" * 64,
+    "a." * 127 + "a",
+    "10.0.0.256",
+    ".".join(["a" * 50] * 5),
+]
+BAD_VALUES = [("slots", value) for value in (-1, 65_537, HUGE)]
+BAD_VALUES += [("born", value) for value in (-1, 2**53, HUGE)]
+BAD_VALUES += [("coldLeftMs", value) for value in (1.1e12, HUGE)]
+BAD_VALUES += [("address", f"10.0.0.9:{port}") for port in BAD_PORTS]
+BAD_VALUES += [("address", f"{host}:80") for host in BAD_HOSTS]
+
+
+@pytest.mark.parametrize("field, value", BAD_VALUES)
 def test_a_record_out_of_range_names_its_field(field, value):
     """Guards against an endpoint whose load overflows or where nothing can listen."""
     assert field in read_record(**{field: value}).unwrap_err()
--- a/tests/gateway/test_odd_records.py
+++ b/tests/gateway/test_odd_records.py
@@ -101,3 +101,23 @@
     """Guards against one record that cannot be used and stops all others."""
     odd = OUT_OF_RANGE[record]
     run_with_cluster(tmp_path, lambda cluster: check_beside(cluster, odd, is_first))
+
+
+def test_malformed_records_are_counted_once_a_revision(tmp_path):
+    """Guards against odd records that operators do not hear of."""
+
+    async def check(cluster):
+        await cluster.endpoint("stays", "job", respond_with(b"stays"))
+        cluster.configure(1, route("job"))
+        cluster.store.put(*SLOTS_TOO_LARGE)
+        port = cluster.reserve_address().rpartition(":")[2]
+        gateway = await cluster.gateway(metrics_address=f"127.0.0.1:{port}")
+        cluster.store.put(*NESTED_RECORDS["endpoint"])
+        await gateway.wait_for_event(
+            "record_malformed", revision=cluster.store.revision
+        )
+        async with gateway.session.get(f"http://127.0.0.1:{port}/metrics") as response:
+            text = await response.text()
+        assert 'amaranthtally_records_malformed_total{prefix="servers/"} 2' in text
+
+    run_with_cluster(tmp_path, check)
