Soak: background tasks that fail, with changes checked; explain failed listeners

--failing-tasks N runs the gateways with the daemon whose tasks fail on demand: vital tasks fail once, or for up to 3 s, in which their gateway is not in touch. A failed listener is a cause in the explanations until listener_recovered, by the prefix that its lines name.

--- a/packages/operator/src/amaranthtally/operator/state_history.py
+++ b/packages/operator/src/amaranthtally/operator/state_history.py
@@ -44,6 +44,7 @@
         "configuration_read",
         "endpoints_expired",
         "endpoints_read",
+        "listener_recovered",
         "listening",
         "process_stood_still",
         "record_malformed",
@@ -181,18 +182,16 @@
 
     def _failures(self, process: str, at: datetime) -> Iterator[Fact]:
         """Yield the tasks, calls and listeners that had failed and were not well."""
-        failing: dict[str, LogLine] = {}
-        for line in self.held(process, at, "task_failing", "task_recovered"):
-            if line.event == "task_failing":
-                failing[line.text("task")] = line
-            else:
-                failing.pop(line.text("task"), None)
-        newest: dict[tuple[str, str], LogLine] = {}
-        for line in self.held(process, at, *FAILURE_EVENTS):
-            newest[line.event, line.text("task") or line.text("listener")] = line
+        failing = self._open(process, at, "task_failing", "task_recovered", "task")
+        newest = self._open(
+            process, at, "listener_failed", "listener_recovered", "prefix"
+        )
+        for line in self.held(process, at, "task_failed", "policy_failed"):
+            newest[f"{line.event} {line.text('task')}"] = line
         for line in newest.values():
             before_s = seconds_between(line.timestamp, at)
-            is_over = not _has_ended_a_task(line) and before_s > RESTARTED_TASK_S
+            is_lasting = line.event == "listener_failed" or _has_ended_a_task(line)
+            is_over = not is_lasting and before_s > RESTARTED_TASK_S
             mark = failing.pop(line.text("task"), None)
             if is_over and mark is None:
                 continue
@@ -204,6 +203,18 @@
                 (line, mark) if mark else (line,),
             )
 
+    def _open(
+        self, process: str, at: datetime, begun: str, ended: str, name: str
+    ) -> dict[str, LogLine]:
+        """Return the last line of what began and had not ended, by a field."""
+        lines: dict[str, LogLine] = {}
+        for line in self.held(process, at, begun, ended):
+            if line.event == begun:
+                lines[line.text(name)] = line
+            else:
+                lines.pop(line.text(name), None)
+        return lines
+
     def _contact(self, process: str, at: datetime) -> Iterator[Fact]:
         line = self.last(process, at, "store_lost", "store_regained")
         if line is not None and line.event == "store_lost":
@@ -219,12 +230,9 @@
             if before_s <= RESTARTED_TASK_S:
                 text = f"{process} had stood still for {line.text('seconds')} s"
                 yield Fact(f"{text} until {before_s:.1f} s before", (line,))
-        behind: dict[str, LogLine] = {}
-        for line in self.held(process, at, "state_behind_peers", "state_caught_up"):
-            if line.event == "state_behind_peers":
-                behind[line.text("kind")] = line
-            else:
-                behind.pop(line.text("kind"), None)
+        behind = self._open(
+            process, at, "state_behind_peers", "state_caught_up", "kind"
+        )
         for kind, line in behind.items():
             since_s = seconds_between(line.timestamp, at) + line.number("behind_s")
             text = f"{process} was behind its peers in {kind} for {since_s:.1f} s"
@@ -319,7 +327,8 @@
     if line.event == "policy_failed":
         return "a decision or a call in the background failed"
     if line.event == "listener_failed":
-        return f"the listener {line.text('listener')} failed on a change"
+        revision = line.text("revision")
+        return f"what applies {line.text('prefix')} failed at revision {revision}"
     is_loop = any(name in task.lower() for name in STORE_TASK_NAMES)
     role = (
         f"the loop that follows the store, {task}," if is_loop else f"the task {task}"
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -127,6 +127,8 @@
 
     def __init__(self, stack, store, folder):
         self.store = store
+        self.folder = folder
+        self.daemon_module = "amaranthtally.daemon.main"
         self._stack = stack
         self._folder = folder
 
@@ -158,7 +160,7 @@
             tomli_w.dumps(self.settings(name, data_centre, store) | options)
         )
         process = await start_process(
-            name, "amaranthtally.daemon.main", "gateway", "--settings", path
+            name, self.daemon_module, "gateway", "--settings", path
         )
         self._stack.push_async_callback(process.kill)
         session = aiohttp.ClientSession(auto_decompress=False)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -13,7 +13,7 @@
 from random import Random
 
 from tests.soak.callers import Callers
-from tests.soak.changes import check_processes, play_changes, silence_links
+from tests.soak.changes import check_processes, fail_tasks, play_changes, silence_links
 from tests.soak.faults import FAULTS, ask_backoff, name_limit, roll_in_outage
 from tests.soak.odd_records import write_odd_records
 from tests.soak.places import play_places
@@ -21,6 +21,8 @@
 from tests.soak.strays import send_strays
 
 CONCURRENCY = 12
+# The same with tasks that fail on demand.
+FAULTY_DAEMON = "tests.support.faulty_daemon"
 # Faults of a whole process. A gateway has at most one of them at a time, since most of
 # them restart it.
 PROCESS_FAULTS = ("kill", "planned_stop", "stop_among_signals", "pause")
@@ -51,6 +53,7 @@
     strays=False,
     odd_records=0,
     silences=0,
+    failing_tasks=0,
 ):
     """
     Run one seed; return the violations and the number of responses by status.
@@ -62,12 +65,14 @@
     centres are evacuated in series, engines turn cold, and a route has a home region.
     With ``strays`` endpoints send responses that belong to no call. ``odd_records``
     entries that cannot be used are written to the store, and ``silences`` links between
-    the store and a gateway go silent; with either, the effect of changes is checked,
-    the store as a whole does not fail, and one gateway alone has faults of its own.
+    the store and a gateway go silent, and ``failing_tasks`` background tasks fail; with
+    any of these, the effect of changes is checked, the store as a whole does not fail,
+    and one gateway alone has other faults of its own.
     """
     random = Random(seed)
-    has_checked_changes = bool(odd_records or silences)
-    async with open_soak(folder, gateways, has_checked_changes) as run:
+    has_checked_changes = bool(odd_records or silences or failing_tasks)
+    module = FAULTY_DAEMON if failing_tasks else ""
+    async with open_soak(folder, gateways, has_checked_changes, module) as run:
         callers = Callers(run, Random(random.random()))
         loop = asyncio.get_running_loop()
         calling = asyncio.create_task(callers.run(CONCURRENCY, loop.time() + seconds))
@@ -88,6 +93,8 @@
             placing.append(write_odd_records(run, own, odd_records, end_at))
         if silences:
             placing.append(silence_links(run, Random(seed + 6), silences, end_at))
+        if failing_tasks:
+            placing.append(fail_tasks(run, Random(seed + 8), failing_tasks, end_at))
         if has_checked_changes:
             placing.append(play_changes(run, Random(seed + 7), end_at))
         placing = [asyncio.create_task(work) for work in placing]
@@ -250,6 +257,12 @@
         default=0,
         help="number of links to the store that go silent; changes are checked",
     )
+    parser.add_argument(
+        "--failing-tasks",
+        type=int,
+        default=0,
+        help="number of failures of background tasks; changes are checked",
+    )
     arguments = parser.parse_args()
     has_violations = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
@@ -266,6 +279,7 @@
                 arguments.strays,
                 arguments.odd_records,
                 arguments.silences,
+                arguments.failing_tasks,
             )
             violations, statuses = asyncio.run(coroutine)
         has_violations |= bool(violations)
--- a/tests/soak/changes.py
+++ b/tests/soak/changes.py
@@ -27,6 +27,12 @@
 # How long a link is silent, in seconds: shorter and longer than calls to the store.
 SILENT_S = (1.0, 6.0)
 SILENCES = (LinkFault.HALF_OPEN, LinkFault.REPLIES_LOST, LinkFault.HELD)
+# Background tasks that are made to fail, and for how long those of one gateway fail
+# again and again, in seconds.
+TASKS = ("store_watcher", "store_follower", "record_expiry", "decision_loop")
+FAILING_S = (0.5, 3.0)
+# Share of the failures that are single ones, after which a gateway stays in touch.
+SINGLE_SHARE = 0.7
 # Refusals that say that a route or a key is not known; of 503, those with this text.
 UNKNOWN = (401, 404)
 UNAVAILABLE = 503
@@ -56,6 +62,31 @@
     run.silenced.discard(name)
 
 
+async def fail_tasks(run, random, count, end_at):
+    """Let background tasks fail, once each or for a while, until a time stamp."""
+    left_s = max(0.0, end_at - time.monotonic())
+    await asyncio.gather(
+        *(_fail_task(run, random, random.random() * left_s) for _ in range(count))
+    )
+
+
+async def _fail_task(run, random, after_s):
+    name, task = random.choice(run.names), random.choice(TASKS)
+    is_single = random.random() < SINGLE_SHARE
+    duration_s = random.uniform(*FAILING_S)
+    await asyncio.sleep(after_s)
+    file = run.cluster.folder / f"{name}.faults" / task
+    if file.exists():
+        return
+    if is_single:
+        file.write_text("once")
+        return
+    with run.disturbed(name):
+        file.write_text("always")
+        await asyncio.sleep(duration_s)
+        file.unlink(missing_ok=True)
+
+
 async def play_changes(run, random, end_at):
     """Add routes and let endpoints leave until a time stamp; check each change."""
     checks = []
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -232,9 +232,12 @@
 
 
 @asynccontextmanager
-async def open_soak(folder, gateways=DEFAULT_GATEWAYS, has_checked_changes=False):
+async def open_soak(
+    folder, gateways=DEFAULT_GATEWAYS, has_checked_changes=False, module=""
+):
     """Yield a soak run with every gateway ready; end its processes on exit."""
     async with open_gateway_cluster(folder) as cluster, AsyncExitStack() as stack:
+        cluster.daemon_module = module or cluster.daemon_module
         run = SoakRun(cluster, stack, gateways, has_checked_changes)
         await run.start()
         yield run
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -88,6 +88,7 @@
 # routes that were added got 404, and endpoints that had left got requests.
 ODD_SEEDS = {2: "a nested record ended the loops that follow the store"}
 SILENCE_SEEDS = {2: "has not failed"}
+TASK_SEEDS = {3: "has not failed"}
 CHANGE_SECONDS = 8.0
 
 
@@ -109,3 +110,13 @@
     )
     assert violations == []
     assert statuses[200] > 100
+
+
+@pytest.mark.parametrize("seed", TASK_SEEDS)
+def test_changes_take_effect_although_background_tasks_fail(seed, tmp_path):
+    """Guards against a task that is not started again, or loses a change by that."""
+    violations, statuses = run_async(
+        run_soak(seed, CHANGE_SECONDS, tmp_path, gateways=4, failing_tasks=8)
+    )
+    assert violations == []
+    assert statuses[200] > 100
--- a/tests/unit/test_explain_state.py
+++ b/tests/unit/test_explain_state.py
@@ -141,8 +141,8 @@
             "g1 had refused changes of g2 2.0 s before (not ordered)",
         ),
         (
-            ("listener_failed", {"listener": "records", "cause": "KeyError"}),
-            "the listener records failed on a change at g1 2.0 s before",
+            ("listener_failed", {"prefix": "a/", "revision": 8, "cause": "KeyError"}),
+            "what applies a/ failed at revision 8 at g1 2.0 s before",
         ),
         (
             ("task_failed", {"task": "store_watch", "failures": 3, "restarts_in_s": 1}),
@@ -179,13 +179,22 @@
         [("task_failed", {"task": "a", "failures": 1})],
         [("task_failed", {"task": "a"}), ("listening", {"name": "g1"})],
         [("state_behind_peers", {"kind": "a"}), ("state_caught_up", {"kind": "a"})],
+        [("listener_failed", {"prefix": "a"}), ("listener_recovered", {"prefix": "a"})],
         [
             ("task_failed", {"task": "a", "failures": 3, "restarts_in_s": 1}),
             ("task_failing", {"task": "a"}),
             ("task_recovered", {"task": "a"}),
         ],
     ],
-    ids=["regained", "restarted", "call", "new process", "caught up", "recovered"],
+    ids=[
+        "regained",
+        "restarted",
+        "call",
+        "new process",
+        "caught up",
+        "listener",
+        "recovered",
+    ],
 )
 def test_a_trouble_that_is_over_is_no_cause(healed):
     lines = [line("g1", 3 + n, event, **f) for n, (event, f) in enumerate(healed)]
