--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -35,8 +35,14 @@
 from amaranthtally.daemon.gateway.return_greeter import ReturnGreeter
 from amaranthtally.daemon.gateway.routing_state import RoutingState
 from amaranthtally.daemon.gateway.seed_reader import SeedReader
+from amaranthtally.daemon.gateway.state_freshness import (
+    StateFreshness,
+    StateKind,
+    state_clock,
+)
+from amaranthtally.daemon.gateway.state_lag import LagReporter, RecordsLag
 from amaranthtally.daemon.gateway.store_confirmation import StoreConfirmation
-from amaranthtally.daemon.gateway.store_follower import StoreFollower
+from amaranthtally.daemon.gateway.store_follower import MAX_AGE_S, StoreFollower
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.daemon.gateway.store_sync import StoreSync
 from amaranthtally.daemon.gateway.stream_origin_tracker import StreamOriginTracker
@@ -69,6 +75,10 @@
 # store, and then of the peers, in seconds: for the interval between two checks and the
 # time-out of one.
 CONFIRMATION_S = 0.6
+# How long a version of the configuration that was heard of is waited for, in seconds.
+# One takes at most some seconds over the slowest link. It may never come, if the
+# gateway that held it has ended and the store has lost it.
+AWAITED_S = 30.0
 
 
 class Coordination:
@@ -93,9 +103,11 @@
         is_stopping: Callable[[], bool],
         random: Random,
         faults: RecordFaults,
+        clock: Callable[[], float] = state_clock,
     ) -> None:
         self._faults = faults
         self._settings = settings
+        self.freshness = StateFreshness(self._held_version, clock)
         self._peers = peers
         self._origins = origins
         self._supervisor = supervisor
@@ -140,7 +152,18 @@
         peer_records = PeerRecordTracker(settings.name, peers, on_peers, faults)
         self._replica = self._new_replica(peer_records)
         self.documents = HeldDocuments(
-            self.configuration, self._replica, lambda: self._records.settling_s
+            self.configuration,
+            self._replica,
+            lambda: self._records.settling_s,
+            self.freshness,
+        )
+        self._records_lag = RecordsLag(lambda: self._replica.revision, clock)
+        self._lag_reporter = LagReporter(
+            {
+                StateKind.CONFIGURATION.value: lambda: self.configuration.behind_s,
+                StateKind.RECORDS.value: lambda: self.records_behind_s,
+            },
+            clock,
         )
         self._pusher = ChangePusher(
             connections,
@@ -158,7 +181,7 @@
             DocumentFetcher(connections, self.documents, self.store),
             self.store,
             lambda: self._selection.followed,
-            self.documents.note_peer_versions,
+            self._note_peer_versions,
             supervisor.spawn_call,
         )
         self._store_confirmation = StoreConfirmation(
@@ -178,6 +201,7 @@
             self.store,
             self._peers_to_greet,
             random,
+            self.freshness,
         )
         seeds = [seed for seed in settings.seeds if seed != record.address]
         self._greeter = ReturnGreeter(
@@ -194,6 +218,27 @@
             connections, seeds, lambda: self.documents.versions, self._catch_up, random
         )
 
+    @property
+    def is_configuration_confirmed(self) -> bool:
+        """
+        Whether nothing says that the configuration in force may be out of date.
+
+        While the store answers nobody, peers that hold no newer one are enough. A newer
+        version that was heard of and never comes counts for a while only.
+        """
+        if 0.0 < self.configuration.behind_s <= AWAITED_S:
+            return False
+        freshness = self.freshness
+        return (
+            freshness.is_trusted(StateKind.CONFIGURATION, MAX_AGE_S)
+            or freshness.peers_agree
+        )
+
+    @property
+    def records_behind_s(self) -> float:
+        """Seconds since a peer is known to hold records that are missing, or 0."""
+        return self._records_lag.behind_s
+
     @property
     def follower_count(self) -> int:
         """Number of gateways that follow this one."""
@@ -215,6 +260,7 @@
         # None of these is vital: what they learn or write only matters beside the
         # store, and a gateway whose callers are served is not taken out of service.
         run = self._supervisor.run
+        run("state_lag", self._lag_reporter.run)
         run("version_gossip", self._gossip.run)
         run("return_greeter", self._greeter.run)
         run("seed_reader", self._seed_reader.run, may_end=True)
@@ -296,9 +342,16 @@
             lambda: self.documents.versions,
             self._catch_up,
             lambda: watcher.note_reachable(),
+            self.freshness,
         )
         watcher = PrefixWatcher(
-            client, ALL_KEYS, self._replica, self._records, follower, random
+            client,
+            ALL_KEYS,
+            self._replica,
+            self._records,
+            follower,
+            random,
+            self.freshness,
         )
         return StoreSync(
             client,
@@ -309,8 +362,18 @@
             peer_records,
             registration,
             self._supervisor,
+            self.freshness,
         )
 
+    def _held_version(self, kind: StateKind) -> int:
+        if kind is StateKind.CONFIGURATION:
+            return self.configuration.version
+        return self._replica.revision
+
+    def _note_peer_versions(self, peer: str, versions: Versions) -> None:
+        self.documents.note_peer_versions(peer, versions)
+        self._records_lag.note_version(versions.records)
+
     def _catch_up(self, peer: str, versions: Versions) -> None:
         self._receiver.catch_up(peer, versions)
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/resumption.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/resumption.py
@@ -1,7 +1,7 @@
 """Finds where the streams began that callers take up."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from enum import StrEnum
 from typing import Protocol
 
@@ -93,6 +93,7 @@
         confirm: Callable[[], Awaitable[Evidence]],
         route_of: Callable[[CallerRequest], Route | None],
         metrics: GatewayMetrics,
+        ages: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
         """
         Create it.
@@ -105,6 +106,7 @@
         self._tracker = tracker
         self._versions = versions
         self._metrics = metrics
+        self._ages = ages
         self._time = asyncio.get_running_loop().time
 
     async def origin_of(
@@ -143,6 +145,7 @@
             pool=origin.pool if origin else "",
             version=origin.version if origin else "",
             ms=round((self._time() - started) * 1000),
+            **self._ages(),
         )
         return result
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
@@ -1,6 +1,7 @@
 """Keeps a gateway's state in step with the store, and its record in the store."""
 
 import asyncio
+from math import inf
 
 from result import Err
 
@@ -9,7 +10,8 @@
 from amaranthtally.daemon.gateway.endpoint_record_tracker import EndpointRecordTracker
 from amaranthtally.daemon.gateway.membership import PeerRecordTracker, Registration
 from amaranthtally.daemon.gateway.prefix_watcher import PrefixWatcher
-from amaranthtally.daemon.gateway.store_follower import StoreFollower
+from amaranthtally.daemon.gateway.state_freshness import StateFreshness, StateKind
+from amaranthtally.daemon.gateway.store_follower import MAX_AGE_S, StoreFollower
 from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.platform import StoreClient
 
@@ -34,6 +36,7 @@
         peer_records: PeerRecordTracker,
         registration: Registration,
         supervisor: Supervisor,
+        freshness: StateFreshness,
     ) -> None:
         self._client = client
         self._watcher = watcher
@@ -43,14 +46,22 @@
         self._peer_records = peer_records
         self._registration = registration
         self._supervisor = supervisor
+        self._freshness = freshness
+        self._started_at = freshness.now()
 
     @property
     def is_connected(self) -> bool:
-        """Whether the store answers this gateway or the watcher that it follows."""
+        """
+        Whether the store, or a gateway in touch with it, confirms what is held.
+
+        One that starts and holds nothing counts as connected until a call has failed.
+        """
         task = WATCHER_TASK if self._follower.is_watching else FOLLOWER_TASK
         if task in self._supervisor.failing:
             return False
-        return not self._follower.is_watching or self._watcher.is_connected
+        if self._follower.is_watching and self._watcher.is_failing:
+            return False
+        return self._follower.is_confirmed or self._is_starting
 
     @property
     def is_watching(self) -> bool:
@@ -59,17 +70,12 @@
 
     @property
     def can_be_followed(self) -> bool:
-        """Whether this gateway watches the store, and the store answers."""
+        """Whether this gateway watches the store, and the store lately answered."""
         if self._supervisor.failing_vital:
             return False
         watcher = self._watcher
         return self.is_watching and watcher.is_connected and watcher.is_listed
 
-    @property
-    def confirmed_s(self) -> float:
-        """Seconds since the store or the followed watcher answered, or ``inf``."""
-        return self._watcher.confirmed_s
-
     @property
     def is_receiving(self) -> bool:
         """Whether the body of a response from the store is being received."""
@@ -97,6 +103,8 @@
         """Start the background tasks of the connection to the store."""
         run = self._supervisor.run
         watcher, follower = self._watcher, self._follower
+        # A standstill between two of its readings is noticed by the next question.
+        run("state_freshness", self._freshness.run)
         run(WATCHER_TASK, watcher.run, watcher.list_anew, is_vital=True)
         run(FOLLOWER_TASK, follower.run, follower.watch_anew, is_vital=True)
         # Without its record, a gateway still serves its callers.
@@ -109,6 +117,11 @@
         """Remove this gateway's record from the store."""
         await self._registration.deregister()
 
+    @property
+    def _is_starting(self) -> bool:
+        is_held = self._freshness.age_s(StateKind.RECORDS) < inf
+        return not is_held and self._freshness.is_recent(self._started_at, MAX_AGE_S)
+
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_INTERVAL_S)
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -151,6 +151,7 @@
             lambda: self.is_leaving,
             Random(name),
             RecordFaults(),
+            asyncio.get_running_loop().time,
         )
         self.coordination.start()
         self._supervisor.run("peer_prober", self._updater.prober.run)
--- /dev/null
+++ b/tests/load/test_stale_watchers.py
@@ -0,0 +1,76 @@
+"""Gateways that no longer hear of changes, in a fleet on virtual time."""
+
+import asyncio
+
+import pytest
+
+from amaranthtally.daemon.gateway.prefix_watcher import MAX_WATCHER_AGE_S
+from amaranthtally.daemon.gateway.state_freshness import StateKind
+from amaranthtally.daemon.gateway.store_follower import MAX_AGE_S
+from tests.load.fleet import open_fleet
+from tests.support.virtual_time import run_on_virtual_time
+
+SIZE = 30
+SETTLED_S = 12.0
+# A follower asks its watcher each second.
+NOTICED_S = MAX_WATCHER_AGE_S + 2.0
+POLL_S = 0.05
+
+
+def run_with_fleet(check):
+    async def run():
+        with open_fleet(SIZE) as fleet:
+            await asyncio.sleep(SETTLED_S)
+            await check(fleet)
+
+    run_on_virtual_time(run())
+
+
+def end_loops(member, *names):
+    for task in member._tasks:
+        if task.get_coro().__qualname__ in names:
+            task.cancel()
+
+
+def test_a_gateway_whose_loops_have_ended_is_not_in_touch():
+    """Guards against a watcher without its loop, and a follower that asks nobody."""
+
+    async def check(fleet):
+        members = fleet.members.values()
+        selections = {m: m.coordination._selection for m in members}
+        follower = next(m for m, s in selections.items() if s.followed)
+        watcher = fleet.members[selections[follower].followed]
+        end_loops(watcher, "PrefixWatcher.run")
+        end_loops(follower, "StoreFollower.run", "VersionGossip.run")
+        await asyncio.sleep(NOTICED_S)
+        assert not watcher.coordination.store.can_be_followed
+        followed = {s.followed for m, s in selections.items() if m is not follower}
+        assert watcher.name not in followed
+        await asyncio.sleep(MAX_AGE_S - NOTICED_S + POLL_S)
+        assert not follower.coordination.store.is_connected
+
+    run_with_fleet(check)
+
+
+@pytest.mark.parametrize("loses_answers", [False, True])
+def test_no_gateway_counts_as_out_of_date_in_calm(loses_answers):
+    """Guards against a bound that a slow or lost answer exceeds without any harm."""
+
+    async def check(fleet):
+        oldest = dict.fromkeys(StateKind, 0.0)
+        for tick in range(int(60.0 / POLL_S)):
+            if loses_answers and tick == 100:
+                fleet.store.cut.update(fleet.watchers())
+            if tick == 102:
+                fleet.store.cut.clear()
+            await asyncio.sleep(POLL_S)
+            for member in fleet.members.values():
+                for kind in StateKind:
+                    age_s = member.coordination.freshness.age_s(kind)
+                    oldest[kind] = max(oldest[kind], age_s)
+                if not loses_answers:
+                    assert member.coordination.store.is_connected
+                assert member.coordination.is_configuration_confirmed
+        assert max(oldest.values()) <= MAX_AGE_S
+
+    run_with_fleet(check)
