Name the ages of a gateway's state where an endpoint stays unreachable

The age of the records tells an endpoint that ended without a word from a change that this gateway has not got. tests/gateway/test_unreachable_endpoints.py checks it.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -108,7 +108,7 @@
             lambda work: self._decisions.spawn(work),
             lambda actions: self._decisions.carry_out(actions),
         )
-        self._unreachable = UnreachableEndpoints(metrics)
+        self._unreachable = UnreachableEndpoints(metrics, ages)
         self._endpoint_calls = EndpointCalls(
             sessions.requests, self, self._head_received, limits
         )
--- a/tests/gateway/test_unreachable_endpoints.py
+++ b/tests/gateway/test_unreachable_endpoints.py
@@ -31,6 +31,7 @@
         calling.cancel()
         assert "level=warning" in line
         assert f"address={address}" in line
+        assert " records_age_s=" in line
         assert f"revision={cluster.store.items['servers/gone'].revision}" in line
 
     run_with_cluster(tmp_path, test)
