--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -32,7 +32,8 @@
 
 
 def address_of(name):
-    return f"10.0.0.{name.rpartition('-')[2]}:1"
+    number = int(name.rpartition("-")[2])
+    return f"10.0.{number // 256}.{number % 256}:1"
 
 
 NAMES_OF_SEEDS = {address_of(f"entry-{n}"): f"entry-{n}" for n in range(len(SEEDS))}
