Escape surrogates in log lines instead of raising

A stage endpoint whose response id was one byte that is not UTF-8 got no more calls: aiohttp decodes such a byte to a surrogate, the log line with it raised UnicodeEncodeError in the handler, and the end of the call was not reported. Requests at such an endpoint ended with 504 the same way. The writer encodes with backslashreplace, as the standard error stream does, so that no character makes a line raise.

--- a/packages/daemon/src/amaranthtally/daemon/log_writer.py
+++ b/packages/daemon/src/amaranthtally/daemon/log_writer.py
@@ -45,7 +45,8 @@
 
     def write(self, text: str) -> int:
         """Write one line; buffer or drop it if the pipe is full."""
-        line = text.encode()
+        # Headers that are not UTF-8 contain surrogates, which have no encoding.
+        line = text.encode(errors="backslashreplace")
         if self._has_room(line):
             self._lines.append(line)
         else:
--- a/tests/unit/test_log_writer.py
+++ b/tests/unit/test_log_writer.py
@@ -30,6 +30,13 @@
         return output
 
 
+def test_surrogates_are_escaped(pipe):
+    """Guards against a log line that raises in the handler that writes it."""
+    reader, descriptor = pipe
+    BoundedWriter(descriptor).write("event=received id=\udcff\n")
+    assert read_all(reader) == b"event=received id=\\udcff\n"
+
+
 def test_lines_are_written_immediately(pipe):
     reader, descriptor = pipe
     writer = BoundedWriter(descriptor)
