Report the end of a call to an endpoint whatever it raises

A stage endpoint that sent one odd response head, or whose record key held a line break, got no further calls, and requests at an odd endpoint waited until their deadline: 4 of 12 ended with 504 after 2.5 s beside a sound endpoint. PieceCalls did not catch ValueError, and any exception in a handler ended the task before it told the policy that the call is over.

PieceCalls.run and EndpointCalls.run report the end for any exception, and for a cancellation that is not their own, as of unknown outcome. The exception goes on to the supervisor, which logs its traceback and counts it. Errors of a call are named in one place, CALL_ERRORS, ValueError included.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -1,5 +1,6 @@
 """Sends callers' requests to endpoints and processes the responses."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol
 
@@ -9,7 +10,7 @@
 
 from amaranthtally.adapter.callers import request_headers
 from amaranthtally.adapter.messages import EndpointLoad, ResponseHead, SystemHeaders
-from amaranthtally.daemon.gateway.endpoint_exchange import EndpointExchange
+from amaranthtally.daemon.gateway.endpoint_exchange import CALL_ERRORS, EndpointExchange
 from amaranthtally.daemon.gateway.event_buffer import EventBuffer
 from amaranthtally.daemon.gateway.live_call import (
     CompleteResponse,
@@ -17,6 +18,7 @@
     StreamStarted,
 )
 from amaranthtally.daemon.logs import format_parts, get_logger
+from amaranthtally.daemon.supervision import is_cancelled_by_owner
 from amaranthtally.platform import ResponseLimitError
 from amaranthtally.policy import (
     UNREACHABLE,
@@ -101,12 +103,18 @@
         """
         Send an attempt with the results that are its inputs.
 
-        ``endpoint`` is ``None`` if it is no longer registered.
+        ``endpoint`` is ``None`` if it is no longer registered. The end of the attempt
+        is reported whatever is raised, or its request would wait until its deadline.
+        The exception is left to the supervisor.
         """
-        if endpoint is None:
-            result = UNREACHABLE
-        else:
-            result = await self._attempt(call, send, endpoint, inputs)
+        result = UNREACHABLE
+        try:
+            if endpoint is not None:
+                result = await self._attempt(call, send, endpoint, inputs)
+        except (Exception, asyncio.CancelledError) as error:
+            if not is_cancelled_by_owner(error):
+                self._listener.attempt_ended(send.attempt, _unknown_outcome(call))
+            raise
         self._listener.attempt_ended(send.attempt, result)
 
     async def _attempt(
@@ -129,7 +137,7 @@
         call.tried_endpoints.add(endpoint.id)
         try:
             return await self._exchange(call, send, endpoint, inputs, exchange)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except CALL_ERRORS as error:
             return self._broken_off(call, send, endpoint, exchange, error)
 
     def _broken_off(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
@@ -18,7 +18,13 @@
     proof_of_not_run,
 )
 
-__all__ = ["EndpointExchange", "EndpointSessions", "LogFields", "endpoint_sessions"]
+__all__ = [
+    "CALL_ERRORS",
+    "EndpointExchange",
+    "EndpointSessions",
+    "LogFields",
+    "endpoint_sessions",
+]
 
 # Idle connections are closed after this time, in seconds, before the endpoints close
 # them. If a request were sent just as the endpoint closes the connection, its outcome
@@ -30,6 +36,9 @@
 # Maximum size of one header of an endpoint's response, in bytes.
 MAX_HEADER_BYTES = 16_384
 MS_PER_S = 1000
+# What a call raises if its connection fails or its response is malformed. The client
+# raises ValueError for some heads of responses.
+CALL_ERRORS = (aiohttp.ClientError, OSError, TimeoutError, ValueError)
 
 LogFields = Mapping[str, str | int]
 
@@ -159,7 +168,7 @@
 
         A redirect is a response like any other: followed, it would bring another
         server's response, and send the call to where nobody checked that it may go.
-        Raises ``aiohttp.ClientError``, ``OSError``, ``TimeoutError`` or ``ValueError``.
+        Raises ``CALL_ERRORS``.
         """
         with response_bounds(self._trace):
             response = await session.request(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -9,9 +9,10 @@
 
 from amaranthtally.adapter import headers as names, pieces
 from amaranthtally.daemon.gateway.endpoint_calls import OnHead
-from amaranthtally.daemon.gateway.endpoint_exchange import EndpointExchange
+from amaranthtally.daemon.gateway.endpoint_exchange import CALL_ERRORS, EndpointExchange
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.daemon.supervision import is_cancelled_by_owner
 from amaranthtally.platform import ResponseLimitError
 from amaranthtally.policy import (
     Endpoint,
@@ -68,8 +69,20 @@
         self._on_end = on_end
 
     async def run(self, action: RunPieces, endpoint: Endpoint | None) -> None:
-        """Send one call; ``endpoint`` is ``None`` if it is no longer registered."""
-        end = FAILED if endpoint is None else await self._attempt(action, endpoint)
+        """
+        Send one call; ``endpoint`` is ``None`` if it is no longer registered.
+
+        Its end is passed on whatever is raised, or the place that the call takes at the
+        endpoint would never be free again. The exception is left to the supervisor.
+        """
+        end = FAILED
+        try:
+            if endpoint is not None:
+                end = await self._attempt(action, endpoint)
+        except (Exception, asyncio.CancelledError) as error:
+            if not is_cancelled_by_owner(error):
+                self._on_end(action.call, FAILED)
+            raise
         self._on_end(action.call, end)
 
     async def free(
@@ -105,7 +118,7 @@
             async with response:
                 await response.read()
             self._on_head(endpoint, head, exchange.started)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except CALL_ERRORS as error:
             log.info(
                 "results_not_freed",
                 endpoint=endpoint.id,
@@ -119,7 +132,7 @@
         )
         try:
             return await self._exchange(action, endpoint, exchange)
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except CALL_ERRORS as error:
             is_over_limit = isinstance(error, ResponseLimitError)
             fate = "over_limit" if is_over_limit else "lost"
             self._log(action, endpoint, fate, repr(error), exchange)
--- a/packages/daemon/src/amaranthtally/daemon/supervision.py
+++ b/packages/daemon/src/amaranthtally/daemon/supervision.py
@@ -14,7 +14,13 @@
 
 from amaranthtally.daemon.logs import get_logger
 
-__all__ = ["Supervisor", "TaskEndedError", "Work", "open_supervisor"]
+__all__ = [
+    "Supervisor",
+    "TaskEndedError",
+    "Work",
+    "is_cancelled_by_owner",
+    "open_supervisor",
+]
 
 # Pause before the first restart of a task that failed, in seconds. It doubles with each
 # further failure. A single failure has to cost a small part of the 4 s in which users
@@ -287,15 +293,24 @@
         loop.set_exception_handler(previous)
 
 
+def is_cancelled_by_owner(error: BaseException) -> bool:
+    """
+    Whether an exception is the cancellation of the current task.
+
+    If not, something that the task awaits may have been cancelled.
+    """
+    current = asyncio.current_task()
+    is_cancelling = current is None or current.cancelling() > 0
+    return isinstance(error, asyncio.CancelledError) and is_cancelling
+
+
 async def _run_once(task: _SupervisedTask) -> Exception | None:
     """Run a task; return its failure, or ``None`` if it has ended as it may."""
     try:
         await task.work()
-    except asyncio.CancelledError:
-        current = asyncio.current_task()
-        if current is None or current.cancelling():
+    except asyncio.CancelledError as error:
+        if is_cancelled_by_owner(error):
             raise
-        # Something that the task awaits was cancelled, not the task itself.
         return TaskEndedError("cancelled, though not by its owner")
     except Exception as error:
         return error
