Execute the other actions when the handler of one raises

The actions of one tick belong to different requests. A handler that raised dropped all actions after its own: requests that had ended for the policy got no response and attempts that it had decided on were not sent. Each action is executed by itself; an exception is logged with its traceback and counted as that of DecisionLoop and the type of the action.

--- a/packages/daemon/src/amaranthtally/daemon/decision_loop.py
+++ b/packages/daemon/src/amaranthtally/daemon/decision_loop.py
@@ -37,9 +37,18 @@
         self._loop = asyncio.get_running_loop()
 
     def carry_out(self, actions: list[Action]) -> None:
-        """Execute actions in order with the handlers registered for their types."""
+        """
+        Execute actions in order with the handlers registered for their types.
+
+        They belong to different requests: one whose handler raises is reported, and the
+        others are executed.
+        """
         for action in actions:
-            self._handlers[type(action)](action)
+            try:
+                self._handlers[type(action)](action)
+            except Exception as error:
+                name = f"{DecisionLoop.__name__}.{type(action).__name__}"
+                self._supervisor.report_error(name, error)
 
     def wake(self) -> None:
         """Start ticking at the short interval because a request is in flight."""
--- a/packages/daemon/src/amaranthtally/daemon/supervision.py
+++ b/packages/daemon/src/amaranthtally/daemon/supervision.py
@@ -163,6 +163,13 @@
         """Spawn a coroutine under the qualified name of its function."""
         return self.spawn(getattr(work, "__qualname__", "unnamed"), work)
 
+    def report_error(self, name: str, error: BaseException) -> None:
+        """Log and count an exception that its task goes on after."""
+        failures = self._count_failure(name)
+        log.error(
+            "task_failed", task=name, failures=failures, exception=_traceback_of(error)
+        )
+
     async def close(self) -> None:
         """Cancel all tasks and wait until they have ended."""
         for task in self._tasks.values():
@@ -262,10 +269,7 @@
         if error is None or isinstance(error, expected):
             return
         name = ended.get_name()
-        failures = self._count_failure(name)
-        log.error(
-            "task_failed", task=name, failures=failures, exception=_traceback_of(error)
-        )
+        self.report_error(name, error)
         if name in self._tasks:
             # Not the work failed but its supervision, so that nothing restarts it.
             _mark_failing(self._tasks[name])
