Cancel a request whose handling raises

After an exception in the handler of a request, its attempts ran on at their endpoints and its id stayed in flight for good: the same id got 400 until the gateway ended. Only a cancelled handler and a lost connection cancelled the request, and the planner could raise after the id was noted. Any exception cancels it now, is logged with its traceback and counted as that of CallerHandler.handle; attempts are stopped even if the planner raises again.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -103,6 +103,7 @@
         table: Callable[[], RouteTable | None],
         evidence: Callable[[], RoutingEvidence],
         is_stopping: Callable[[], bool],
+        report_error: Callable[[str, Exception], None],
         memory: EntryMemory | None = None,
     ) -> None:
         self._is_closed = False
@@ -115,6 +116,7 @@
         self._table = table
         self._evidence = evidence
         self._is_stopping = is_stopping
+        self._report_error = report_error
         self._open_responses = 0
         self._body_timeouts: set[asyncio.Timeout] = set()
         self._time = asyncio.get_running_loop().time
@@ -193,8 +195,8 @@
             after=caller.last_event,
             left_ms=round((call.arrival.deadline - received_at) * 1000),
         )
-        self._executor.submit(call)
         try:
+            self._executor.submit(call)
             return await self._respond(request, call)
         except asyncio.CancelledError:
             self._executor.cancel_request(call)
@@ -204,6 +206,11 @@
             log.info("caller_left", request_id=call.id, cause=str(error))
             # The server needs a response to end the exchange; nobody receives it.
             return web.Response()
+        except Exception as error:
+            # Its id would stay in flight, and its attempts would run on for nobody.
+            self._report_error(f"{CallerHandler.__name__}.handle", error)
+            self._executor.cancel_request(call)
+            raise
 
     # Checks
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -236,10 +236,12 @@
         """Cancel a request and its attempts, as its caller has disconnected."""
         if self._calls.pop(call.id, None) is None:
             return
-        self._decisions.carry_out(
-            self._planner.caller_disconnected(self._time(), call.id)
-        )
-        self._stop_attempts(call)
+        try:
+            self._decisions.carry_out(
+                self._planner.caller_disconnected(self._time(), call.id)
+            )
+        finally:
+            self._stop_attempts(call)
         log.info("request_abandoned", request_id=call.id, attempts=call.attempts)
 
     def end_for_memory(self, call: LiveCall) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -289,6 +289,7 @@
             is_confirmed=coordination.is_configuration_confirmed,
         ),
         stop.is_set,
+        supervisor.report_error,
         memory,
     )
     caller_server = _new_caller_server(caller_handler)
--- a/tests/unit/test_caller_handler.py
+++ b/tests/unit/test_caller_handler.py
@@ -57,6 +57,36 @@
         raise self.error
 
 
+def new_handler(executor, error, report=None):
+    handler = Handler(
+        executor, None, None, Resumption(), lambda: None, None, lambda: False, report
+    )
+    handler.error = error
+    return handler
+
+
+class FailingExecutor(Executor):
+    def submit(self, call):
+        raise RuntimeError("a fault")
+
+
+@pytest.mark.parametrize("executor_type", [Executor, FailingExecutor])
+def test_a_request_whose_handling_raises_is_cancelled(executor_type):
+    """Guards against an id that stays in flight and attempts that run on for nobody."""
+
+    async def check():
+        executor, reported = executor_type(), []
+        handler = new_handler(
+            executor, RuntimeError("a fault"), lambda name, error: reported.append(name)
+        )
+        with pytest.raises(RuntimeError, match="a fault"):
+            await handler.handle(SimpleNamespace())
+        assert executor.cancelled == ["request"]
+        assert reported == ["CallerHandler.handle"]
+
+    run_async(check())
+
+
 @pytest.mark.parametrize(
     "error",
     [ClientConnectionResetError("closing transport"), ConnectionResetError("reset")],
@@ -66,10 +96,7 @@
 
     async def check():
         executor = Executor()
-        handler = Handler(
-            executor, None, None, Resumption(), lambda: None, None, lambda: False
-        )
-        handler.error = error
+        handler = new_handler(executor, error)
         await handler.handle(SimpleNamespace())
         assert executor.cancelled == ["request"]
         assert handler.open_responses == 0
