Refuse endpoint ids that no header can hold

Each call names its endpoint in a header. A record whose key held a line break or another control character made an endpoint that was chosen like any other and to which every call raised ValueError.

--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -256,6 +256,13 @@
     assert field in read_record(**{field: value}).unwrap_err()
 
 
+@pytest.mark.parametrize("end", ["\n", "\r\nX: y", "\x00", "\x7f"])
+def test_an_endpoint_id_that_no_header_can_hold_is_an_error(end):
+    """Guards against an endpoint to which every call raises."""
+    value = json.dumps(RECORD).encode()
+    assert "key" in read_endpoint(f"servers/i-{end}", value, {}).unwrap_err()
+
+
 @pytest.mark.parametrize(
     "address", ["10.0.0.9:1", "[::1]:65535", "i-1.cluj-a.example:80", "host_1:8080"]
 )
