Refuse configurations with an account name that no header can hold

The account of a request is sent to its endpoint in a header. With a line break in the name of an account, all its requests got 502.

--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -160,10 +160,12 @@
         {"limits": {"idleTimeoutMs": -1}},
         {"limits": {"maxBodyBytes": HUGE}},
         {"tenants": [{"name": "t", "priority": HUGE}]},
+        {"tenants": [{"name": "t\n"}]},
+        {"tenants": [{"name": "t\r\nX: y"}]},
     ],
 )
 def test_a_configuration_out_of_range_is_refused(fields):
-    """Guards against numbers that no message between gateways can carry."""
+    """Guards against numbers and names that no message or header can carry."""
     body = json.dumps({"version": 7} | fields).encode()
     assert read_configuration(body).is_err()
 
