Refuse ids of callers that are not UTF-8

The server makes surrogates of header bytes that are not UTF-8. A stream with such an id was accepted; the message that tells other gateways of it could not be encoded and was dropped with the sound streams in it, and the record of origins raised. The request id, Last-Event-Id, the resumed request and the key of pieces must be UTF-8 now, or the request gets 400 and nothing is run.

--- a/tests/unit/test_caller_headers.py
+++ b/tests/unit/test_caller_headers.py
@@ -1,11 +1,12 @@
 """Decoding of callers' headers."""
 
+import pytest
 from hypothesis import given, settings, strategies as st
 from multidict import CIMultiDict
 from result import Err
 
 from amaranthtally.adapter import headers as names
-from amaranthtally.adapter.callers import MAX_PIECES, read_caller_request
+from amaranthtally.adapter.callers import MAX_PIECES, read_caller_request, request_id_of
 
 NUMBERS = st.one_of(
     st.integers().map(str),
@@ -36,3 +37,21 @@
     counts = [part.tokens for part in caller.prompt]
     for count in [*counts, caller.prompt_tokens, caller.output_tokens]:
         assert 0 <= float(count) < 1e9
+
+
+@pytest.mark.parametrize(
+    "name",
+    [
+        names.REQUEST_ID,
+        names.LAST_EVENT_ID,
+        names.RESUMED_REQUEST,
+        names.CHUNK_KEY,
+        names.PROMPT_PARTS,
+    ],
+)
+def test_an_id_that_is_not_utf_8_is_refused(name):
+    """Guards against an id that makes records and messages of other requests raise."""
+    headers = CIMultiDict({names.REQUEST_ID: "r"} | {name: "a\udcff"})
+    cause = read_caller_request(headers, "/").unwrap_err()
+    # Both go into the refusal.
+    assert (cause + request_id_of(headers)).encode()
