End an attempt whose start raises

An action that raises is logged and the others are executed, but the policy counted the attempt that it had decided on as running: its request waited until its deadline. The attempt is reported as of unknown outcome at once. It was not sent, yet "not run" would let the policy send without end while the fault lasts.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -35,7 +35,7 @@
     StreamOrigin,
 )
 
-__all__ = ["CallListener", "EndpointCalls", "OnHead"]
+__all__ = ["CallListener", "EndpointCalls", "OnHead", "unknown_outcome"]
 
 # Time-out for opening a connection, in seconds: forty times the round trip to another
 # region.
@@ -113,7 +113,7 @@
                 result = await self._attempt(call, send, endpoint, inputs)
         except (Exception, asyncio.CancelledError) as error:
             if not is_cancelled_by_owner(error):
-                self._listener.attempt_ended(send.attempt, _unknown_outcome(call))
+                self._listener.attempt_ended(send.attempt, unknown_outcome(call))
             raise
         self._listener.attempt_ended(send.attempt, result)
 
@@ -162,7 +162,7 @@
             "content": str(call.arrival.key or ""),
         }
         self._log(send, endpoint, fate, repr(error), exchange, **details)
-        return _unknown_outcome(
+        return unknown_outcome(
             call,
             connection_lost=_is_connection_lost(error),
             begun=exchange.begun,
@@ -221,7 +221,7 @@
         """Return the result if the response cannot be used, or else ``None``."""
         if not exchange.is_own:
             self._log(send, endpoint, "mismatched", head.request_id, exchange)
-            return _unknown_outcome(call)
+            return unknown_outcome(call)
         self._on_head(endpoint, head, exchange.started)
         if head.load is not None:
             self._listener.load_reported(endpoint.id, head.load, awaited=True)
@@ -243,12 +243,12 @@
             )
         if not head.signature:
             self._log(send, endpoint, "unsigned", str(head.status), exchange)
-            return _unknown_outcome(call)
+            return unknown_outcome(call)
         # The endpoint ran the request and ended it with a status that its caller would
         # take for "not run, send it again".
         if head.reads_as_not_run and not call.route.is_repeatable:
             self._log(send, endpoint, "unproven", str(head.status), exchange)
-            return _unknown_outcome(call)
+            return unknown_outcome(call)
         return None
 
     async def _read_response(
@@ -345,7 +345,7 @@
     return b"".join(parts)
 
 
-def _unknown_outcome(
+def unknown_outcome(
     call: LiveCall, *, connection_lost: bool = False, begun: bool = False
 ) -> AttemptResult:
     """Return the result of an attempt that may have run or not."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -5,7 +5,7 @@
 
 from amaranthtally.adapter.messages import EndpointLoad, ResponseHead
 from amaranthtally.daemon.decision_loop import DecisionLoop
-from amaranthtally.daemon.gateway.endpoint_calls import EndpointCalls
+from amaranthtally.daemon.gateway.endpoint_calls import EndpointCalls, unknown_outcome
 from amaranthtally.daemon.gateway.endpoint_exchange import EndpointSessions
 from amaranthtally.daemon.gateway.endpoint_signals import EndpointSignals
 from amaranthtally.daemon.gateway.engine_choices import prediction_fields
@@ -436,6 +436,17 @@
         )
 
     def _send(self, send: Send) -> None:
+        try:
+            self._start_attempt(send)
+        except Exception:
+            # The policy counts the attempt as running. Its outcome is unknown and not
+            # "not run", or a fault that lasts would make it send without end.
+            call = self._calls.get(send.attempt.request_id)
+            if call is not None:
+                self.attempt_ended(send.attempt, unknown_outcome(call))
+            raise
+
+    def _start_attempt(self, send: Send) -> None:
         call = self._calls[send.attempt.request_id]
         endpoint = self._endpoints.get(send.endpoint)
         limits = self._planner.limits.rates
--- a/tests/unit/test_sent_inputs.py
+++ b/tests/unit/test_sent_inputs.py
@@ -2,10 +2,18 @@
 
 from types import SimpleNamespace
 
+import pytest
+
 from amaranthtally.daemon.gateway.endpoint_exchange import EndpointSessions
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
 from amaranthtally.daemon.supervision import Supervisor
-from amaranthtally.policy import AttemptId, Send, StoredResult, build_response_limits
+from amaranthtally.policy import (
+    AttemptId,
+    AttemptOutcome,
+    Send,
+    StoredResult,
+    build_response_limits,
+)
 from tests.policy.support import endpoints, settings
 from tests.support import run_async
 
@@ -26,6 +34,18 @@
         return self.inputs
 
 
+def new_executor(planner):
+    return GatewayExecutor(
+        planner,
+        settings(endpoints("engine")),
+        EndpointSessions(requests=None, pieces=None),
+        None,
+        lambda call: None,
+        build_response_limits(),
+        Supervisor(),
+    )
+
+
 def test_inputs_that_are_freed_before_a_call_starts_are_still_sent():
     """Guards against an engine that gets a request without its inputs."""
     sent_inputs = []
@@ -35,15 +55,7 @@
 
     async def check():
         planner = FakePlanner()
-        executor = GatewayExecutor(
-            planner,
-            settings(endpoints("engine")),
-            EndpointSessions(requests=None, pieces=None),
-            None,
-            lambda call: None,
-            build_response_limits(),
-            Supervisor(),
-        )
+        executor = new_executor(planner)
         executor._endpoint_calls = SimpleNamespace(run=run)
         executor._calls["r"] = SimpleNamespace(
             id="r", tasks={}, last_event="", caller=SimpleNamespace(last_event="")
@@ -55,3 +67,26 @@
 
     run_async(check())
     assert sent_inputs == [(RESULT,)]
+
+
+def test_an_attempt_that_cannot_be_started_is_reported():
+    """Guards against a request that waits for an attempt that never began."""
+    ends = []
+
+    async def check():
+        # A planner without inputs, which raises when it is asked for them.
+        executor = new_executor(
+            SimpleNamespace(limits=FakePlanner.limits, prompts=None, load_view=None)
+        )
+        executor.attempt_ended = lambda attempt, result: ends.append(result.outcome)
+        executor._calls["r"] = SimpleNamespace(
+            id="r",
+            last_event="",
+            caller=SimpleNamespace(last_event=""),
+            route=SimpleNamespace(is_repeatable=False),
+        )
+        with pytest.raises(AttributeError):
+            executor._send(Send(AttemptId("r", 0, 1), "engine-0", 9.0))
+
+    run_async(check())
+    assert ends == [AttemptOutcome.UNKNOWN]
