--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -1,5 +1,6 @@
 """Sends callers' requests to endpoints and processes the responses."""
 
+import asyncio
 from collections.abc import Callable
 from typing import Protocol
 
@@ -9,7 +10,7 @@
 
 from amaranthtally.adapter.callers import request_headers
 from amaranthtally.adapter.messages import EndpointLoad, ResponseHead, SystemHeaders
-from amaranthtally.daemon.gateway.endpoint_exchange import EndpointExchange
+from amaranthtally.daemon.gateway.endpoint_exchange import CALL_ERRORS, EndpointExchange
 from amaranthtally.daemon.gateway.event_buffer import EventBuffer
 from amaranthtally.daemon.gateway.live_call import (
     CompleteResponse,
@@ -17,6 +18,7 @@
     StreamStarted,
 )
 from amaranthtally.daemon.logs import format_parts, get_logger
+from amaranthtally.daemon.supervision import is_cancelled_by_owner
 from amaranthtally.platform import ResponseLimitError
 from amaranthtally.policy import (
     UNREACHABLE,
@@ -33,7 +35,7 @@
     StreamOrigin,
 )
 
-__all__ = ["CallListener", "EndpointCalls", "OnHead"]
+__all__ = ["CallListener", "EndpointCalls", "OnHead", "unknown_outcome"]
 
 # Time-out for opening a connection, in seconds: forty times the round trip to another
 # region.
@@ -101,12 +103,18 @@
         """
         Send an attempt with the results that are its inputs.
 
-        ``endpoint`` is ``None`` if it is no longer registered.
+        ``endpoint`` is ``None`` if it is no longer registered. The end of the attempt
+        is reported whatever is raised, or its request would wait until its deadline.
+        The exception is left to the supervisor.
         """
-        if endpoint is None:
-            result = UNREACHABLE
-        else:
-            result = await self._attempt(call, send, endpoint, inputs)
+        result = UNREACHABLE
+        try:
+            if endpoint is not None:
+                result = await self._attempt(call, send, endpoint, inputs)
+        except (Exception, asyncio.CancelledError) as error:
+            if not is_cancelled_by_owner(error):
+                self._listener.attempt_ended(send.attempt, unknown_outcome(call))
+            raise
         self._listener.attempt_ended(send.attempt, result)
 
     async def _attempt(
@@ -129,7 +137,7 @@
         call.tried_endpoints.add(endpoint.id)
         try:
             return await self._exchange(call, send, endpoint, inputs, exchange)
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+        except CALL_ERRORS as error:
             return self._broken_off(call, send, endpoint, exchange, error)
 
     def _broken_off(
@@ -154,7 +162,7 @@
             "content": str(call.arrival.key or ""),
         }
         self._log(send, endpoint, fate, repr(error), exchange, **details)
-        return _unknown_outcome(
+        return unknown_outcome(
             call,
             connection_lost=_is_connection_lost(error),
             begun=exchange.begun,
@@ -213,7 +221,7 @@
         """Return the result if the response cannot be used, or else ``None``."""
         if not exchange.is_own:
             self._log(send, endpoint, "mismatched", head.request_id, exchange)
-            return _unknown_outcome(call)
+            return unknown_outcome(call)
         self._on_head(endpoint, head, exchange.started)
         if head.load is not None:
             self._listener.load_reported(endpoint.id, head.load, awaited=True)
@@ -235,12 +243,12 @@
             )
         if not head.signature:
             self._log(send, endpoint, "unsigned", str(head.status), exchange)
-            return _unknown_outcome(call)
+            return unknown_outcome(call)
         # The endpoint ran the request and ended it with a status that its caller would
         # take for "not run, send it again".
         if head.reads_as_not_run and not call.route.is_repeatable:
             self._log(send, endpoint, "unproven", str(head.status), exchange)
-            return _unknown_outcome(call)
+            return unknown_outcome(call)
         return None
 
     async def _read_response(
@@ -337,7 +345,7 @@
     return b"".join(parts)
 
 
-def _unknown_outcome(
+def unknown_outcome(
     call: LiveCall, *, connection_lost: bool = False, begun: bool = False
 ) -> AttemptResult:
     """Return the result of an attempt that may have run or not."""
--- a/tests/adapter/test_translation.py
+++ b/tests/adapter/test_translation.py
@@ -160,10 +160,12 @@
         {"limits": {"idleTimeoutMs": -1}},
         {"limits": {"maxBodyBytes": HUGE}},
         {"tenants": [{"name": "t", "priority": HUGE}]},
+        {"tenants": [{"name": "t\n"}]},
+        {"tenants": [{"name": "t\r\nX: y"}]},
     ],
 )
 def test_a_configuration_out_of_range_is_refused(fields):
-    """Guards against numbers that no message between gateways can carry."""
+    """Guards against numbers and names that no message or header can carry."""
     body = json.dumps({"version": 7} | fields).encode()
     assert read_configuration(body).is_err()
 
@@ -256,6 +258,13 @@
     assert field in read_record(**{field: value}).unwrap_err()
 
 
+@pytest.mark.parametrize("end", ["\n", "\r\nX: y", "\x00", "\x7f"])
+def test_an_endpoint_id_that_no_header_can_hold_is_an_error(end):
+    """Guards against an endpoint to which every call raises."""
+    value = json.dumps(RECORD).encode()
+    assert "key" in read_endpoint(f"servers/i-{end}", value, {}).unwrap_err()
+
+
 @pytest.mark.parametrize(
     "address", ["10.0.0.9:1", "[::1]:65535", "i-1.cluj-a.example:80", "host_1:8080"]
 )
@@ -400,6 +409,13 @@
     assert outcomes[1].fault is PieceFault.INPUT_MISSING
 
 
+@pytest.mark.parametrize("handle", ["a\nb", "a\r\nX: y", "a\x00", "a,b"])
+def test_outcomes_with_a_handle_that_no_header_can_hold_are_an_error(handle):
+    """Guards against a result for which the engine's endpoint is blamed."""
+    body = json.dumps({"entries": [{"handle": handle}, {"handle": "h"}]}).encode()
+    assert "handle" in pieces.read_outcomes(body, PIECES).unwrap_err()
+
+
 @pytest.mark.parametrize("body", [b"", b"{}", b'{"entries":[{"handle":"h"}]}', b"\xff"])
 def test_outcomes_that_do_not_match_the_pieces_are_an_error(body):
     assert pieces.read_outcomes(body, PIECES).is_err()
