--- a/tests/adapter/test_odd_store_responses.py
+++ b/tests/adapter/test_odd_store_responses.py
@@ -20,3 +20,11 @@
     assert read_page(json.dumps({"entries": [item], "at": at}).encode()).is_err()
     assert read_events(json.dumps({"events": [item], "at": at}).encode()).is_err()
     assert read_revision(json.dumps({"revision": number}).encode()).is_err()
+
+
+@pytest.mark.parametrize("value", [None, 7, ["x"]])
+def test_an_odd_value_loses_no_other_item(value):
+    """Guards against one item whose value is no string losing its whole page."""
+    items = [{"key": "a", "value": value}, {"key": "b", "value": "MQ=="}]
+    page = read_page(json.dumps({"entries": items, "at": 1}).encode()).unwrap()
+    assert [item.value for item in page.items] == [b"", b"1"]
