End a listing whose pages do not advance

Operators saw calls to the store without end, each of which is paid for, and a gateway that never got its records: a store, or a proxy before it, that says `hasMore` and repeats a page was asked for the next one again and again.

--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -125,7 +125,11 @@
             revision = revision or page.revision
             if not page.has_more or not page.items:
                 return Ok(store.StoreEvents(tuple(items), revision))
-            after = page.items[-1].key
+            last = page.items[-1].key
+            if last <= after:
+                # The next call would return the same page, and so on without end.
+                return Err(PlatformUnavailable("malformed response: page repeated"))
+            after = last
 
     async def watch(
         self, prefix: str, after: int, wait_s: float
