Apply the configuration again that its listener failed on

Callers got answers by the configuration before for as long as no listing came, although `listener_recovered` was logged: after one exception while a configuration was read, the retry replaced the items of its key by those of the replica, which does not hold the configuration, so that nothing was applied and nothing raised. The tracker now keeps the store's last configuration until it is applied, and the retry applies that one. The new test, with the real key and two failures, failed before: the guard counted as recovered after the first retry, with nothing in force.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/configuration_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/configuration_tracker.py
@@ -35,6 +35,8 @@
         self._on_table = on_table
         self._version = 0
         self._value = b""
+        # The store's last one, while applying it has not succeeded.
+        self._unapplied: tuple[StoreItem, ...] = ()
         self._newest_known = 0
         self._newer_known_since = 0.0
         self._time = asyncio.get_running_loop().time
@@ -78,14 +80,21 @@
         )
 
     def replace(self, items: tuple[StoreItem, ...]) -> None:
-        """Apply the newest configuration among the items, if there is one."""
-        for item in items:
+        """
+        Apply the newest configuration among the items, if there is one.
+
+        The replica does not hold the configuration. After a failure, its items
+        therefore lack the one that failed, which is applied again.
+        """
+        for item in items or self._unapplied:
             self.apply_change(item)
 
     def apply_change(self, item: StoreItem) -> None:
         """Apply a changed configuration of the store."""
         if item.key == CONFIGURATION_KEY and item.value is not None:
+            self._unapplied = (item,)
             self.apply(item.value, STORE_SOURCE)
+            self._unapplied = ()
 
     def apply(self, value: bytes, source: str) -> None:
         """Apply a configuration; ``source`` is the store or a peer, for the log."""
--- a/tests/unit/test_listener_guard.py
+++ b/tests/unit/test_listener_guard.py
@@ -1,15 +1,20 @@
 """Listeners that fail on the store's changes, beside others, and their retries."""
 
 import asyncio
+import json
 
 import pytest
 
+from amaranthtally.adapter.configuration import CONFIGURATION_KEY
 from amaranthtally.adapter.store import StoreItem
+from amaranthtally.daemon.gateway import configuration_tracker
+from amaranthtally.daemon.gateway.configuration_tracker import ConfigurationTracker
 from amaranthtally.daemon.gateway.evacuation_tracker import EvacuationTracker
 from amaranthtally.daemon.gateway.listener_guard import ListenerGuard
 from amaranthtally.daemon.gateway.prefix_listener import PrefixDispatcher
 from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
+from tests.gateway.support import configuration
 from tests.support.virtual_time import run_on_virtual_time
 from tests.unit.test_store_replica import Listener
 
@@ -152,6 +157,39 @@
     assert published == [frozenset({"x"})] * 2
 
 
+def test_a_configuration_whose_listener_failed_is_applied_by_the_retry(monkeypatch):
+    """Guards against a configuration reported as recovered that is never in force."""
+    read, failures = configuration_tracker.read_configuration, [1, 1]
+
+    def fail_first(value):
+        if failures:
+            failures.pop()
+            raise LookupError("nobody expected this")
+        return read(value)
+
+    monkeypatch.setattr(configuration_tracker, "read_configuration", fail_first)
+
+    async def check():
+        guard = ListenerGuard(RecordFaults(), asyncio.ensure_future)
+        tables = []
+        tracker = ConfigurationTracker(tables.append)
+        dispatcher = PrefixDispatcher(
+            {CONFIGURATION_KEY: tracker}, guard, lambda: replica.items
+        )
+        replica = StoreReplica(dispatcher)
+        value = json.dumps(configuration(7)).encode()
+        replica.apply((StoreItem(CONFIGURATION_KEY, value, 3),), 3)
+        assert guard.needs_listing
+        # The first retry fails too.
+        await asyncio.sleep(0.6)
+        assert guard.needs_listing
+        await asyncio.sleep(1.1)
+        assert not guard.needs_listing
+        assert [table.version for table in tables] == [7]
+
+    run_on_virtual_time(check())
+
+
 def test_a_reader_that_raises_makes_its_record_malformed():
     """Guards against one record that keeps all others from their listener."""
     faults = RecordFaults()
