Let nobody follow a gateway whose listener lacks changes

Callers of other gateways could get 404 and 401 for good by what a watcher held but had not put in force: it told its followers the usual ages and that it can be followed, while it refused nothing for good itself. While a listener needs its records anew, a gateway now says that it does not watch, and tells no age of its configuration. The new test of a fleet failed before: the watcher still said that it watches, with an age of 2.7 s.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -1,6 +1,7 @@
 """What a gateway knows of the store and of its peers, and how it is kept up to date."""
 
 from collections.abc import Callable
+from math import inf
 from random import Random
 
 from amaranthtally.adapter.configuration import CONFIGURATION_KEY
@@ -305,11 +306,14 @@
         self, name: str, versions: Versions, follows: bool
     ) -> GatewayStatus:
         """Return this gateway's status; read what the peer has in a newer version."""
-        watches = self.store.can_be_followed
+        # Followers would take what is not in force here for the newest that there is.
+        watches = self.store.can_be_followed and not self.needs_listing
         if follows and watches:
             self._pusher.note_follower(name, versions)
         self._receiver.catch_up(name, versions)
         told = self.freshness.add_ages(self.documents.versions)
+        if self.needs_listing:
+            told = told._replace(configuration_age_s=inf)
         return GatewayStatus(told, self._is_stopping(), watches)
 
     def read_changes(self, after: int) -> ChangeBatch | None:
--- a/tests/load/test_stale_watchers.py
+++ b/tests/load/test_stale_watchers.py
@@ -1,12 +1,14 @@
 """Gateways that no longer hear of changes, in a fleet on virtual time."""
 
 import asyncio
+from math import inf
 
 import pytest
 
 from amaranthtally.daemon.gateway.prefix_watcher import MAX_WATCHER_AGE_S
 from amaranthtally.daemon.gateway.state_freshness import StateKind
 from amaranthtally.daemon.gateway.store_follower import MAX_AGE_S
+from amaranthtally.wire.gateway_codec import Versions
 from tests.load.fleet import open_fleet
 from tests.support.virtual_time import run_on_virtual_time
 
@@ -96,3 +98,24 @@
         assert member.coordination.is_configuration_confirmed
 
     run_with_fleet(check)
+
+
+def test_a_gateway_whose_listener_failed_is_not_followed():
+    """Guards against followers that refuse for good what their watcher failed on."""
+
+    async def check(fleet):
+        watcher = fleet.members[next(iter(fleet.watchers()))]
+        put_in_force = watcher.routing_state.apply_table
+        watcher.routing_state.apply_table = None
+        fleet.configure()
+        await asyncio.sleep(3.0)
+        told = watcher.coordination.exchange_status("other", Versions(), False)
+        assert not told.watches
+        assert told.versions.configuration_age_s == inf
+        watcher.routing_state.apply_table = put_in_force
+        await asyncio.sleep(9.0)
+        told = watcher.coordination.exchange_status("other", Versions(), False)
+        assert told.watches
+        assert told.versions.configuration_age_s < inf
+
+    run_with_fleet(check)
