Publish endpoints once for each batch of changes, not for each change

Callers of every gateway waited while a burst of records was applied, as when a fleet of endpoints restarts: each change observed all versions and built the policy's settings of all endpoints anew. The replica now tells when a batch of changes has been applied, and endpoints are published then, after the evacuations of the same batch. The recorder of versions gets each changed endpoint at once, so that a version that comes and goes within a batch still counts.

The listeners of the replica's tests got the new call, and the tracker's test ends its batch before it counts what was published.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -127,6 +127,8 @@
             settings.regions,
             lambda: self._endpoints_changed(routing_state),
             faults,
+            # Each one, as a version may come and go within a batch of changes.
+            lambda endpoint: self.versions.note_endpoint(endpoint),
         )
         self._evacuations = EvacuationTracker(
             settings.regions, routing_state.evacuations_changed
@@ -335,7 +337,10 @@
             ORIGINS_PREFIX: self._origin_recorder,
         }
         dispatcher = PrefixDispatcher(
-            listeners, self._guard, lambda: self._replica.items
+            listeners,
+            self._guard,
+            lambda: self._replica.items,
+            {SERVERS_PREFIX: self._records.changes_applied},
         )
         return StoreReplica(dispatcher, lambda: self._pusher.wake())
 
@@ -386,7 +391,7 @@
         self._records_lag.note_version(versions.records)
 
     def _endpoints_changed(self, routing_state: RoutingState) -> None:
-        # Each change, as a version may come and go between two checks of the recorder.
+        # Each batch, as a version may come and go between two checks of the recorder.
         self.versions.endpoints_changed()
         routing_state.endpoints_changed()
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_record_tracker.py
@@ -21,7 +21,13 @@
 
 
 class EndpointRecordTracker:
-    """Updates the directory of endpoints from their records."""
+    """
+    Updates the directory of endpoints from their records.
+
+    ``on_endpoint`` gets each endpoint whose record changed, and ``on_change`` is called
+    once all changes of a batch are applied: it builds the settings of all endpoints
+    anew, which blocked the event loop for seconds when it was done for each change.
+    """
 
     def __init__(
         self,
@@ -29,11 +35,13 @@
         regions: Mapping[str, str],
         on_change: Callable[[], None],
         faults: RecordFaults,
+        on_endpoint: Callable[[Endpoint], None] = lambda endpoint: None,
     ) -> None:
         self._faults = faults
         self._directory = directory
         self._regions = regions
         self._on_change = on_change
+        self._on_endpoint = on_endpoint
         self._time = asyncio.get_running_loop().time
 
     @property
@@ -50,7 +58,7 @@
         self._on_change()
 
     def apply_change(self, item: StoreItem) -> None:
-        """Apply a changed or removed record."""
+        """Apply a changed or removed record; ``changes_applied`` has to follow."""
         name = endpoint_id(item.key)
         endpoint = None if item.value is None else self._decode(item)
         if endpoint is None:
@@ -58,6 +66,7 @@
             log.info("endpoint_removed", endpoint=name, revision=item.revision)
         else:
             self._directory.put(endpoint)
+            self._on_endpoint(endpoint)
             log.info(
                 "endpoint_changed",
                 endpoint=name,
@@ -68,6 +77,9 @@
                 cold_s=endpoint.cold_s,
                 revision=item.revision,
             )
+
+    def changes_applied(self) -> None:
+        """Publish the endpoints after a batch of changes."""
         self._on_change()
 
     def store_unreachable(self) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_replica.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_replica.py
@@ -5,7 +5,7 @@
 
 from amaranthtally.adapter.configuration import CONFIGURATION_KEY
 from amaranthtally.adapter.store import StoreItem
-from amaranthtally.daemon.gateway.prefix_listener import PrefixListener
+from amaranthtally.daemon.gateway.prefix_listener import BatchListener
 from amaranthtally.wire.changes import ChangeBatch, RecordChange, first_batch
 
 __all__ = ["StoreReplica"]
@@ -25,7 +25,7 @@
     """
 
     def __init__(
-        self, listener: PrefixListener, on_advance: Callable[[], None] | None = None
+        self, listener: BatchListener, on_advance: Callable[[], None] | None = None
     ) -> None:
         self._listener = listener
         self._on_advance = on_advance or (lambda: None)
@@ -66,6 +66,7 @@
         for item in items:
             if item.key == CONFIGURATION_KEY:
                 self._listener.apply_change(item)
+                self._listener.changes_applied()
         if revision <= self._revision:
             return
         records = [
@@ -82,6 +83,7 @@
         self._revision = revision
         for item in records:
             self._listener.apply_change(item)
+        self._listener.changes_applied()
         self._on_advance()
 
     def note_written(self, item: StoreItem) -> None:
@@ -97,6 +99,7 @@
             self.apply((item,), item.revision)
         elif item.revision > self._revision:
             self._listener.apply_change(item)
+            self._listener.changes_applied()
 
     def clear(self) -> None:
         """Forget all records; the next listing replaces them."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_recorder.py
@@ -98,6 +98,10 @@
             for endpoint in self._endpoints().values()
         )
 
+    def note_endpoint(self, endpoint: Endpoint) -> None:
+        """Note the version of an endpoint, which may be gone when a batch ends."""
+        self._history.note_registered(endpoint.pool, endpoint.version)
+
     def endpoints_changed(self) -> None:
         """Note the versions of the endpoints, before any stream begins at a new one."""
         self._observe()
--- a/packages/policy/src/amaranthtally/policy/version_history.py
+++ b/packages/policy/src/amaranthtally/policy/version_history.py
@@ -45,6 +45,13 @@
                 pool, (self._unrecorded.get(pool, NO_VERSIONS) | found) - recorded
             )
 
+    def note_registered(self, pool: str, version: str) -> None:
+        """Note that a pool has a version, which may be gone by the next observation."""
+        self._absent_since.pop((pool, version), None)
+        if version not in self._recorded.get(pool, NO_VERSIONS):
+            seen = self._unrecorded.get(pool, NO_VERSIONS)
+            self._keep_unrecorded(pool, seen | {version})
+
     def forget_unrecorded(self, now: float) -> None:
         """Forget versions that nobody recorded and that have long had no endpoint."""
         for pool, versions in list(self._unrecorded.items()):
--- a/tests/unit/test_endpoint_record_tracker.py
+++ b/tests/unit/test_endpoint_record_tracker.py
@@ -43,6 +43,7 @@
             tracker.replace((item,))
         else:
             tracker.apply_change(item)
+            tracker.changes_applied()
         assert len(published) == 2
         return directory.endpoints.get("a")
 
--- a/tests/unit/test_store_confirmation.py
+++ b/tests/unit/test_store_confirmation.py
@@ -30,6 +30,9 @@
     def apply_change(self, item):
         self.changed.append(item.key)
 
+    def changes_applied(self):
+        pass
+
 
 class Store:
     """A store that answers after a while, or with an error, or not at all."""
--- a/tests/unit/test_store_replica.py
+++ b/tests/unit/test_store_replica.py
@@ -30,6 +30,9 @@
         else:
             self.items[item.key] = item.value
 
+    def changes_applied(self):
+        pass
+
 
 @pytest.fixture
 def listener():
