Give the version recorder of its test the counters that it needs

The three cases failed with TypeError since the recorder takes the faults of records, before any check ran. They pass now; no check was changed.

--- a/tests/unit/test_version_recorder.py
+++ b/tests/unit/test_version_recorder.py
@@ -7,6 +7,7 @@
 from result import Ok
 
 from amaranthtally.adapter.store import StoreItem
+from amaranthtally.daemon.gateway.record_faults import RecordFaults
 from amaranthtally.daemon.gateway.version_recorder import VersionRecorder
 from tests.policy.support import endpoints
 from tests.support.virtual_time import run_on_virtual_time
@@ -37,6 +38,7 @@
         lambda: only,
         lambda: True,
         lambda item: recorder.apply_change(item),
+        RecordFaults(),
     )
     recorder.replace((RECORD,))
     return recorder, asyncio.create_task(recorder.run())
