Count agreement on the configuration only if most gateways agree

Callers of a data centre that is cut off from the store and from the others could get 404 and 401 for good for hours, for routes and keys added since: any one peer of any finite age was enough, and two gateways there confirmed each other. Agreement now counts if the gateways that agree, this one included, are more than half of those asked in the last 30 s. Registered ones that do not answer are asked as well, as they stay registered while the store is away. In an outage of the store without a cut, 404 stays 404.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/state_freshness.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/state_freshness.py
@@ -25,6 +25,9 @@
 # How long an answer of a watcher of an older version, which tells no age, or a peer's
 # agreement on the configuration, counts, in seconds: several rounds of calls.
 AGREEMENT_TTL_S = 4.0
+# How long it counts whether a peer answered, in seconds. Each round asks two random
+# peers and may wait for one that is lost: about forty answers in that time.
+CONTACT_TTL_S = 30.0
 AGE_DIGITS = 3
 
 log = get_logger()
@@ -37,6 +40,13 @@
     RECORDS = "records"
 
 
+class _Contact(NamedTuple):
+    """When a peer was last asked, and whether it held no newer configuration."""
+
+    sent_at: float
+    agrees: bool
+
+
 class _Evidence(NamedTuple):
     """A version, and the time as of which nothing newer existed."""
 
@@ -79,6 +89,7 @@
         }
         self._older_watcher_at = -inf
         self._agreed_at = -inf
+        self._contacts: dict[str, _Contact] = {}
         self._ran_at = clock()
         self._resumed_at = -inf
         self._on_resumed: list[Callable[[], None]] = []
@@ -127,7 +138,9 @@
             self._pending[kind].append(evidence)
             self._take_pending(kind)
 
-    def confirm_versions(self, versions: Versions, sent_at: float) -> None:
+    def confirm_versions(
+        self, versions: Versions, sent_at: float, peer: str = ""
+    ) -> None:
         """Note a peer's answer to a call; its versions bear the ages of its state."""
         self.confirm(
             StateKind.CONFIGURATION,
@@ -142,6 +155,11 @@
             return
         if versions.configuration <= self._held(StateKind.CONFIGURATION):
             self._agreed_at = max(self._agreed_at, sent_at)
+            self._contacts[peer] = _Contact(sent_at, agrees=True)
+
+    def note_unanswered(self, peer: str, sent_at: float) -> None:
+        """Note that a peer did not answer a call."""
+        self._contacts[peer] = _Contact(sent_at, agrees=False)
 
     def note_older_watcher(self, sent_at: float) -> None:
         """Note an answer of a watcher that tells no ages, but that it watches."""
@@ -149,8 +167,22 @@
 
     @property
     def peers_agree(self) -> bool:
-        """Whether a peer recently held no newer configuration than this gateway."""
-        return self.is_recent(self._agreed_at, AGREEMENT_TTL_S)
+        """
+        Whether most gateways hold no newer configuration than this one.
+
+        A peer has to have agreed recently. This gateway counts as one, and peers that
+        were asked lately and did not answer count against: a part of the fleet that is
+        cut off from the store and from the others would confirm itself for hours.
+        """
+        if not self.is_recent(self._agreed_at, AGREEMENT_TTL_S):
+            return False
+        self._contacts = {
+            peer: contact
+            for peer, contact in self._contacts.items()
+            if self.is_recent(contact.sent_at, CONTACT_TTL_S)
+        }
+        agreeing = sum(contact.agrees for contact in self._contacts.values())
+        return 2 * (agreeing + 1) > len(self._contacts) + 1
 
     def told_age_s(self, kind: StateKind) -> float:
         """Return the age that peers may rely on; ``inf`` until confirmed again."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_follower.py
@@ -134,7 +134,7 @@
         if not is_watching:
             return False
         if tells_age:
-            self._freshness.confirm_versions(status.versions, sent_at)
+            self._freshness.confirm_versions(status.versions, sent_at, peer)
         elif follows:
             self._freshness.note_older_watcher(sent_at)
         if follows:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/version_gossip.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/version_gossip.py
@@ -70,8 +70,9 @@
             )
         except PeerLostError as error:
             log.info("peer_not_greeted", peer=peer, cause=str(error))
+            self._freshness.note_unanswered(peer, sent_at)
             return
-        self._freshness.confirm_versions(status.versions, sent_at)
+        self._freshness.confirm_versions(status.versions, sent_at, peer)
         # The fetch runs in the background and does not delay the next round: the gossip
         # also shows the peers that this gateway is alive.
         self._fetch_newer(peer, status.versions)
--- a/tests/load/test_stale_watchers.py
+++ b/tests/load/test_stale_watchers.py
@@ -119,3 +119,25 @@
         assert told.versions.configuration_age_s < inf
 
     run_with_fleet(check)
+
+
+def test_only_a_data_centre_that_is_cut_off_refuses_nothing_for_good():
+    """Guards against 404 for hours by gateways that only confirm each other."""
+
+    async def check(fleet):
+        members = fleet.members
+        parted = {n for n, m in members.items() if m.data_centre == "a1"}
+        assert 1 < len(parted) < SIZE / 2
+        fleet.store.is_down = True
+        await asyncio.sleep(60.0)
+        # Without a cut, an outage of the store leaves refusals as they are.
+        coordinations = {n: m.coordination for n, m in members.items()}
+        assert all(c.is_configuration_confirmed for c in coordinations.values())
+        fleet.parted = (parted,)
+        await asyncio.sleep(60.0)
+        confirmed = {
+            n for n, c in coordinations.items() if c.is_configuration_confirmed
+        }
+        assert confirmed == set(members) - parted
+
+    run_with_fleet(check)
--- a/tests/unit/test_state_freshness.py
+++ b/tests/unit/test_state_freshness.py
@@ -108,6 +108,22 @@
     assert not node.freshness.peers_agree
 
 
+@pytest.mark.parametrize(
+    ("answering", "silent", "agree"),
+    [(1, 0, True), (1, 1, True), (1, 2, False), (2, 3, False), (3, 3, True)],
+)
+def test_peers_agree_if_they_are_most_of_those_asked(answering, silent, agree):
+    """Guards against 404 for good by gateways cut off from the store and the others."""
+    node = Node()
+    for number in range(answering + silent):
+        if number < answering:
+            told = Versions(5, 5, 0.0, 86_400.0, inf)
+            node.freshness.confirm_versions(told, 100.0, f"peer-{number}")
+        else:
+            node.freshness.note_unanswered(f"peer-{number}", 100.0)
+    assert node.freshness.peers_agree == agree
+
+
 def test_a_watcher_that_tells_no_age_is_trusted_as_before():
     """Guards against refused callers while gateways are upgraded one by one."""
     node = Node()
