--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -1,6 +1,7 @@
 """What a gateway knows of the store and of its peers, and how it is kept up to date."""
 
 from collections.abc import Callable
+from math import inf
 from random import Random
 
 from amaranthtally.adapter.configuration import CONFIGURATION_KEY
@@ -126,6 +127,8 @@
             settings.regions,
             lambda: self._endpoints_changed(routing_state),
             faults,
+            # Each one, as a version may come and go within a batch of changes.
+            lambda endpoint: self.versions.note_endpoint(endpoint),
         )
         self._evacuations = EvacuationTracker(
             settings.regions, routing_state.evacuations_changed
@@ -305,11 +308,14 @@
         self, name: str, versions: Versions, follows: bool
     ) -> GatewayStatus:
         """Return this gateway's status; read what the peer has in a newer version."""
-        watches = self.store.can_be_followed
+        # Followers would take what is not in force here for the newest that there is.
+        watches = self.store.can_be_followed and not self.needs_listing
         if follows and watches:
             self._pusher.note_follower(name, versions)
         self._receiver.catch_up(name, versions)
         told = self.freshness.add_ages(self.documents.versions)
+        if self.needs_listing:
+            told = told._replace(configuration_age_s=inf)
         return GatewayStatus(told, self._is_stopping(), watches)
 
     def read_changes(self, after: int) -> ChangeBatch | None:
@@ -331,7 +337,10 @@
             ORIGINS_PREFIX: self._origin_recorder,
         }
         dispatcher = PrefixDispatcher(
-            listeners, self._guard, lambda: self._replica.items
+            listeners,
+            self._guard,
+            lambda: self._replica.items,
+            {SERVERS_PREFIX: self._records.changes_applied},
         )
         return StoreReplica(dispatcher, lambda: self._pusher.wake())
 
@@ -382,7 +391,7 @@
         self._records_lag.note_version(versions.records)
 
     def _endpoints_changed(self, routing_state: RoutingState) -> None:
-        # Each change, as a version may come and go between two checks of the recorder.
+        # Each batch, as a version may come and go between two checks of the recorder.
         self.versions.endpoints_changed()
         routing_state.endpoints_changed()
 
