--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -111,6 +111,7 @@
         one, so that a watch from there returns whatever changed between them.
         """
         items: list[store.StoreItem] = []
+        seen: set[str] = set()
         after, revision = "", 0
         while True:
             call = store.list_items(prefix, after)
@@ -126,9 +127,10 @@
             if not page.has_more or not page.items:
                 return Ok(store.StoreEvents(tuple(items), revision))
             last = page.items[-1].key
-            if last <= after:
+            if last in seen:
                 # The next call would return the same page, and so on without end.
                 return Err(PlatformUnavailable("malformed response: page repeated"))
+            seen.add(last)
             after = last
 
     async def watch(
