One method applies a change under guard; names and a comment read plainly

ListenerGuard.apply only passed its arguments on to a private twin with the same signature. No behaviour changes.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -42,7 +42,7 @@
     state_clock,
 )
 from amaranthtally.daemon.gateway.state_lag import LagReporter, RecordsLag
-from amaranthtally.daemon.gateway.store_confirmation import StoreConfirmation
+from amaranthtally.daemon.gateway.store_confirmation import ALL_KEYS, StoreConfirmation
 from amaranthtally.daemon.gateway.store_follower import MAX_AGE_S, StoreFollower
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.daemon.gateway.store_sync import StoreSync
@@ -68,8 +68,6 @@
 
 __all__ = ["Coordination"]
 
-# The empty prefix, which matches every key. A gateway needs all keys of the store.
-ALL_KEYS = ""
 # Stands for the routes in force, beside the prefixes of the records.
 ROUTES = "routes"
 # How long the caller of a stream whose origin nobody knows waits for an answer of the
--- a/packages/daemon/src/amaranthtally/daemon/gateway/listener_guard.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/listener_guard.py
@@ -49,30 +49,12 @@
         revision: int,
         work: Callable[[], None],
         retry: Callable[[], None],
-    ) -> None:
-        """Apply one change; if that raises, ``retry`` applies all that is known."""
-        self._try(prefix, revision, work, retry)
-
-    def apply_all(
-        self,
-        prefix: str,
-        revision: int,
-        work: Callable[[], None],
-        retry: Callable[[], None],
-    ) -> None:
-        """Apply all that is known, after which no retry is due unless this raises."""
-        if not self._try(prefix, revision, work, retry):
-            return
-        if self._retries.pop(prefix, None) is not None:
-            log.info("listener_recovered", prefix=prefix, revision=revision)
-
-    def _try(
-        self,
-        prefix: str,
-        revision: int,
-        work: Callable[[], None],
-        retry: Callable[[], None],
     ) -> bool:
+        """
+        Apply one change; return whether it did not raise.
+
+        If it raised, ``retry`` applies all that is known, later.
+        """
         try:
             work()
         except Exception as error:
@@ -86,6 +68,19 @@
             return False
         return True
 
+    def apply_all(
+        self,
+        prefix: str,
+        revision: int,
+        work: Callable[[], None],
+        retry: Callable[[], None],
+    ) -> None:
+        """Apply all that is known, after which no retry is due unless this raises."""
+        if not self.apply(prefix, revision, work, retry):
+            return
+        if self._retries.pop(prefix, None) is not None:
+            log.info("listener_recovered", prefix=prefix, revision=revision)
+
     async def _recover(self, prefix: str, revision: int) -> None:
         pause_s = FIRST_RETRY_S
         try:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/prefix_watcher.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/prefix_watcher.py
@@ -36,8 +36,7 @@
 # must take effect.
 CHANGE_BATCH_S = 0.25
 # Least interval between the starts of a watch that ends early without events and of the
-# next one, in seconds. An overloaded store, or a proxy before it, may end each at once:
-# 1,914 watches in 4 s by one gateway without the interval.
+# next one, in seconds. An overloaded store, or a proxy before it, may end each at once.
 MIN_WATCH_INTERVAL_S = 0.5
 # Greatest age of the records of a gateway whose watch works, in seconds. Ages count
 # from when a call was sent: a watch that was answered at the last moment, one whose
--- a/packages/daemon/src/amaranthtally/daemon/gateway/state_freshness.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/state_freshness.py
@@ -184,7 +184,7 @@
         agreeing = sum(contact.agrees for contact in self._contacts.values())
         return 2 * (agreeing + 1) > len(self._contacts) + 1
 
-    def told_age_s(self, kind: StateKind) -> float:
+    def reported_age_s(self, kind: StateKind) -> float:
         """Return the age that peers may rely on; ``inf`` until confirmed again."""
         age_s = self.age_s(kind)
         return age_s if self._is_confirmed_again(kind) else inf
@@ -192,8 +192,8 @@
     def add_ages(self, versions: Versions) -> Versions:
         """Return the versions held with the ages that the caller may rely on."""
         return versions._replace(
-            configuration_age_s=self.told_age_s(StateKind.CONFIGURATION),
-            records_age_s=self.told_age_s(StateKind.RECORDS),
+            configuration_age_s=self.reported_age_s(StateKind.CONFIGURATION),
+            records_age_s=self.reported_age_s(StateKind.RECORDS),
         )
 
     def is_trusted(self, kind: StateKind, limit_s: float) -> bool:
@@ -205,7 +205,7 @@
         """
         if self.is_recent(self._older_watcher_at, AGREEMENT_TTL_S):
             return True
-        return self.told_age_s(kind) <= limit_s
+        return self.reported_age_s(kind) <= limit_s
 
     def is_recent(self, sent_at: float, limit_s: float) -> bool:
         """Return whether a call was sent lately, and since the last standstill."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_confirmation.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_confirmation.py
@@ -10,9 +10,9 @@
 from amaranthtally.daemon.gateway.store_replica import StoreReplica
 from amaranthtally.platform import StoreClient
 
-__all__ = ["StoreConfirmation"]
+__all__ = ["ALL_KEYS", "StoreConfirmation"]
 
-# The empty prefix, which matches every key.
+# The empty prefix, which matches every key. A gateway needs all keys of the store.
 ALL_KEYS = ""
 # Time for one answer, in seconds: ten round trips to a store in another region.
 CALL_TIMEOUT_S = 0.4
