--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -261,6 +261,20 @@
         """Stop running jobs of other gateways, because this one is leaving."""
         self._decisions.carry_out(self._planner.leave(self._time()))
 
+    def log_unanswered(self) -> None:
+        """Log the requests whose connections are closed without an answer."""
+        for call in self._calls.values():
+            log.warning(
+                "request_unanswered",
+                request_id=call.id,
+                route=call.route.name,
+                attempts=call.attempts,
+                attempts_running=len(call.tasks),
+                is_answering=call.is_answering,
+                ms=round((self._time() - call.received_at) * 1000),
+                left_ms=round((call.arrival.deadline - self._time()) * 1000),
+            )
+
     def refuse_unsent(self) -> None:
         """Refuse all requests not sent to any endpoint, as the process is ending."""
         for call in list(self._calls.values()):
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -114,6 +114,7 @@
         limit_s = settings.stop_grace - CLOSE_MARGIN_S
         if not await stop.run_until_forced(work, limit_s):
             log.warning("gateway_stop_forced", in_flight=gateway.executor.in_flight)
+            gateway.executor.log_unanswered()
     log.info("gateway_stopped", name=settings.name)
 
 
@@ -458,6 +459,7 @@
     while peers.departed and not peers.alive and loop.time() < started + ALONE_DRAIN_S:
         await asyncio.sleep(POLL_INTERVAL_S)
     gateway.caller_handler.close()
+    log.info("gateway_refuses", in_flight=gateway.executor.in_flight)
     refuse_at = started + grace_s - REFUSE_MARGIN_S
     while gateway.caller_handler.open_responses or gateway.executor.in_flight:
         if loop.time() >= refuse_at:
--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -37,13 +37,16 @@
     def __init__(self) -> None:
         self._requested = asyncio.Event()
         self._forced = asyncio.Event()
+        self._received = 0
 
     def is_set(self) -> bool:
         """Whether a stop has been requested."""
         return self._requested.is_set()
 
-    def receive(self) -> None:
+    def receive(self, number: signal.Signals) -> None:
         """Handle one stop signal."""
+        self._received += 1
+        log.info("stop_signal", signal=number.name, count=self._received)
         if self._requested.is_set():
             self._forced.set()
         self._requested.set()
@@ -84,7 +87,7 @@
     loop = asyncio.get_running_loop()
     stop = StopSignal()
     for number in STOP_SIGNALS:
-        loop.add_signal_handler(number, stop.receive)
+        loop.add_signal_handler(number, stop.receive, number)
     try:
         yield stop
     finally:
