--- a/packages/standins/src/amaranthtally/standins/store.py
+++ b/packages/standins/src/amaranthtally/standins/store.py
@@ -31,13 +31,15 @@
 
     With ``unavailable`` every call gets status 503. With ``unanswered_watches`` a watch
     gets no response until 60 s after its time-out. With ``endless_watches`` the
-    response to a watch is white space without end. With ``lost_responses`` the store
-    applies each write and closes the connection without a response.
+    response to a watch is white space without end, with ``endless_lease_ends`` that to
+    the end of a lease. With ``lost_responses`` the store applies each write and closes
+    the connection without a response.
     """
 
     unavailable: bool = False
     unanswered_watches: bool = False
     endless_watches: bool = False
+    endless_lease_ends: bool = False
     lost_responses: bool = False
 
 
@@ -157,7 +159,7 @@
         loop = asyncio.get_running_loop()
         end = loop.time() + wait_s
         if self._store.faults.endless_watches:
-            return await self._write_endlessly(request)
+            return await self._write_endlessly(request, "endless_watches")
         while True:
             if self._store.faults.unanswered_watches:
                 await asyncio.sleep(wait_s + 60.0)
@@ -178,10 +180,12 @@
             except TimeoutError:
                 continue
 
-    async def _write_endlessly(self, request: web.Request) -> web.StreamResponse:
+    async def _write_endlessly(
+        self, request: web.Request, fault: str
+    ) -> web.StreamResponse:
         response = web.StreamResponse()
         await response.prepare(request)
-        while self._store.faults.endless_watches:
+        while getattr(self._store.faults, fault):
             await response.write(b" ")
             await asyncio.sleep(SPACE_INTERVAL_S)
         return response
@@ -212,8 +216,10 @@
         lease = int(request.match_info["lease"])
         return web.Response(status=200 if lease in self._store.leases else 404)
 
-    async def end_lease(self, request: web.Request) -> web.Response:
+    async def end_lease(self, request: web.Request) -> web.StreamResponse:
         self._store.end_lease(int(request.match_info["lease"]))
+        if self._store.faults.endless_lease_ends:
+            return await self._write_endlessly(request, "endless_lease_ends")
         return web.Response()
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -9,12 +9,20 @@
 import sys
 import tempfile
 import time
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 
 from tests.soak.callers import Callers
 from tests.soak.changes import check_processes, fail_tasks, play_changes, silence_links
-from tests.soak.faults import FAULTS, ask_backoff, name_limit, roll_in_outage
+from tests.soak.endpoints import slow_down_endpoints
+from tests.soak.faults import (
+    FAULTS,
+    PLANNED_WORK,
+    ask_backoff,
+    name_limit,
+    roll_in_outage,
+)
 from tests.soak.odd_records import write_odd_records
 from tests.soak.places import play_places
 from tests.soak.soak_run import DEFAULT_GATEWAYS, open_soak
@@ -25,7 +33,13 @@
 FAULTY_DAEMON = "tests.support.faulty_daemon"
 # Faults of a whole process. A gateway has at most one of them at a time, since most of
 # them restart it.
-PROCESS_FAULTS = ("kill", "planned_stop", "stop_among_signals", "pause")
+PROCESS_FAULTS = (
+    "kill",
+    "planned_stop",
+    "stop_among_signals",
+    "stop_among_requests_to_stop",
+    "pause",
+)
 # Faults of the whole store, after which no gateway is in touch for a while.
 STORE_FAULTS = ("store_down", "store_answers_lost", "store_silent")
 # Shortest and longest time between two injections, in seconds. Many faults last longer,
@@ -41,22 +55,10 @@
 SERVED_SHARE = 0.95
 
 
-async def run_soak(
-    seed,
-    seconds,
-    folder,
-    gateways=DEFAULT_GATEWAYS,
-    rolls=0,
-    limits=0,
-    backoffs=0,
-    places=False,
-    strays=False,
-    odd_records=0,
-    silences=0,
-    failing_tasks=0,
-):
+@dataclass(frozen=True)
+class SoakOptions:
     """
-    Run one seed; return the violations and the number of responses by status.
+    What a soak run has beside its random faults.
 
     All gateways are also stopped in turn ``rolls`` times while the store is away. These
     rolls have random numbers of their own, and leave the other faults of a seed alone.
@@ -67,52 +69,83 @@
     entries that cannot be used are written to the store, and ``silences`` links between
     the store and a gateway go silent, and ``failing_tasks`` background tasks fail; with
     any of these, the effect of changes is checked, the store as a whole does not fail,
-    and one gateway alone has other faults of its own.
+    and one gateway alone has other faults of its own. With ``planned`` there is planned
+    work only, endpoints are slow, and every request that was passed on is answered.
     """
+
+    gateways: int = DEFAULT_GATEWAYS
+    rolls: int = 0
+    limits: int = 0
+    backoffs: int = 0
+    places: bool = False
+    strays: bool = False
+    odd_records: int = 0
+    silences: int = 0
+    failing_tasks: int = 0
+    planned: bool = False
+
+    @property
+    def has_checked_changes(self):
+        return bool(self.odd_records or self.silences or self.failing_tasks)
+
+
+async def run_soak(seed, seconds, folder, **options):
+    """Run one seed; return the violations and the number of responses by status."""
+    options = SoakOptions(**options)
     random = Random(seed)
-    has_checked_changes = bool(odd_records or silences or failing_tasks)
-    module = FAULTY_DAEMON if failing_tasks else ""
-    async with open_soak(folder, gateways, has_checked_changes, module) as run:
+    module = FAULTY_DAEMON if options.failing_tasks else ""
+    has_checked_changes = options.has_checked_changes
+    async with open_soak(folder, options.gateways, has_checked_changes, module) as run:
+        if options.planned:
+            slow_down_endpoints(run, Random(seed + 9))
         callers = Callers(run, Random(random.random()))
         loop = asyncio.get_running_loop()
         calling = asyncio.create_task(callers.run(CONCURRENCY, loop.time() + seconds))
-        rolling = asyncio.create_task(_roll(run, Random(seed), seconds, rolls))
-        own = Random(seed + 1)
-        limiting = [asyncio.create_task(name_limit(run, own)) for _ in range(limits)]
-        own = Random(seed + 2)
-        backing_off = [
-            asyncio.create_task(ask_backoff(run, own)) for _ in range(backoffs)
-        ]
-        end_at = time.monotonic() + seconds
-        own = Random(seed + 3)
-        placing = [play_places(run, own, end_at)] if places else []
-        if strays:
-            placing.append(send_strays(run, Random(seed + 4), end_at))
-        if odd_records:
-            own = Random(seed + 5)
-            placing.append(write_odd_records(run, own, odd_records, end_at))
-        if silences:
-            placing.append(silence_links(run, Random(seed + 6), silences, end_at))
-        if failing_tasks:
-            placing.append(fail_tasks(run, Random(seed + 8), failing_tasks, end_at))
-        if has_checked_changes:
-            placing.append(play_changes(run, Random(seed + 7), end_at))
-        placing = [asyncio.create_task(work) for work in placing]
-        await _inject_faults(run, random, loop.time() + seconds)
-        await asyncio.gather(rolling, *limiting, *backing_off, *placing)
+        additional = _start_additional(run, options, seed, seconds)
+        faults = PLANNED_WORK if options.planned else FAULTS
+        await _inject_faults(run, random, loop.time() + seconds, faults)
+        await asyncio.gather(*additional)
         await calling
         check_processes(run)
         await _check_recovery(run, random)
         check_records(run, callers)
+        if options.planned:
+            check_answers(run, callers)
         return run.violations, callers.statuses
 
 
-async def _inject_faults(run, random, end_at):
+def _start_additional(run, options, seed, seconds):
+    """Start what the options ask for, each with random numbers of its own."""
+    end_at = time.monotonic() + seconds
+    works = [_roll(run, Random(seed), seconds, options.rolls)]
+    own = Random(seed + 1)
+    works += [name_limit(run, own) for _ in range(options.limits)]
+    own = Random(seed + 2)
+    works += [ask_backoff(run, own) for _ in range(options.backoffs)]
+    if options.places:
+        works.append(play_places(run, Random(seed + 3), end_at))
+    if options.strays:
+        works.append(send_strays(run, Random(seed + 4), end_at))
+    if options.odd_records:
+        own = Random(seed + 5)
+        works.append(write_odd_records(run, own, options.odd_records, end_at))
+    if options.silences:
+        own = Random(seed + 6)
+        works.append(silence_links(run, own, options.silences, end_at))
+    if options.failing_tasks:
+        own = Random(seed + 8)
+        works.append(fail_tasks(run, own, options.failing_tasks, end_at))
+    if options.has_checked_changes:
+        works.append(play_changes(run, Random(seed + 7), end_at))
+    return [asyncio.create_task(work) for work in works]
+
+
+async def _inject_faults(run, random, end_at, faults):
     tasks = []
     loop = asyncio.get_running_loop()
     while loop.time() < end_at:
         for _ in range(1 + (random.random() < SIMULTANEOUS_SHARE)):
-            tasks.append(asyncio.create_task(_inject(run, random)))
+            tasks.append(asyncio.create_task(_inject(run, random, faults)))
         await asyncio.sleep(random.uniform(*INJECTION_INTERVAL_S))
     await asyncio.gather(*tasks)
 
@@ -123,12 +156,11 @@
         await roll_in_outage(run, random)
 
 
-async def _inject(run, random):
-    faults = FAULTS
+async def _inject(run, random, faults):
     names = run.names
     if run.has_checked_changes:
         # Else hardly any gateway would be in touch, and hardly any change be checked.
-        faults = {n: f for n, f in FAULTS.items() if n not in STORE_FAULTS}
+        faults = {n: f for n, f in faults.items() if n not in STORE_FAULTS}
         names = run.names[-1:]
     fault = faults[random.choice(sorted(faults))]
     name = random.choice(names)
@@ -201,6 +233,17 @@
         run.violations.append(f"{request_id}: ran with wrong inputs {inputs}")
 
 
+def check_answers(run, callers):
+    """Check that every request that was passed on got an answer."""
+    passed_on = {r for script in run.scripts.values() for _, r in script.received}
+    passed_on |= {r for r, _ in run.records.piece_of_handle.values()}
+    run.violations += [
+        f"{request_id}: passed on, and its connection closed without an answer"
+        for request_id in callers.unanswered
+        if request_id in passed_on
+    ]
+
+
 def main():
     """Parse the command line, run the seeds and return the exit code."""
     parser = argparse.ArgumentParser(prog="soak", description=__doc__)
@@ -263,24 +306,19 @@
         default=0,
         help="number of failures of background tasks; changes are checked",
     )
+    parser.add_argument(
+        "--planned",
+        action="store_true",
+        help="planned work only; every request that was passed on must be answered",
+    )
     arguments = parser.parse_args()
     has_violations = False
     for seed in range(arguments.seed, arguments.seed + arguments.seeds):
         with tempfile.TemporaryDirectory() as folder:
-            coroutine = run_soak(
-                seed,
-                arguments.seconds,
-                Path(folder),
-                arguments.gateways,
-                arguments.rolls,
-                arguments.limits,
-                arguments.backoffs,
-                arguments.places,
-                arguments.strays,
-                arguments.odd_records,
-                arguments.silences,
-                arguments.failing_tasks,
-            )
+            options = vars(arguments) | {}
+            for name in ("seed", "seeds", "seconds"):
+                options.pop(name)
+            coroutine = run_soak(seed, arguments.seconds, Path(folder), **options)
             violations, statuses = asyncio.run(coroutine)
         has_violations |= bool(violations)
         sys.stdout.write(f"seed={seed} statuses={sorted(statuses.items())} ")
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -57,8 +57,8 @@
     """
     Sends random requests from several concurrent callers.
 
-    ``orders`` and ``not_run`` hold request ids: of all orders, and of all requests
-    that were refused without a run.
+    ``orders``, ``not_run`` and ``unanswered`` hold request ids: of all orders, of all
+    requests that were refused without a run, and of those whose connection failed.
     """
 
     def __init__(self, run, random, prefix=""):
@@ -68,6 +68,7 @@
         self._serial = 0
         self.orders = []
         self.not_run = []
+        self.unanswered = []
         self.statuses = {}
 
     async def run(self, concurrency, end_at):
@@ -103,6 +104,7 @@
                 status, signature = await self._send(gateway, kind, headers, body)
         except (aiohttp.ClientError, OSError):
             self._count(NO_RESPONSE)
+            self.unanswered.append(request_id)
             if kind == "order":
                 self.orders.append(request_id)
             return stream is not None and stream.keep_whole_events()
--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -20,6 +20,8 @@
 # Number of pieces of each of the two stages before the engine. The engine gets one
 # input handle for each piece of the second stage.
 PIECES = (1, 2)
+# Well below the time-out of the routes, as stages come before an engine, in seconds.
+MAX_PAUSE_S = 1.0
 
 
 def events_of(key, version, first=1):
@@ -57,6 +59,9 @@
         self.rate = None
         self.backoff_s = 0.0
         self.strays = None
+        # Longest time before each part of a response, in seconds, and its draw.
+        self.max_pause_s = 0.0
+        self.draw = None
         self.arrivals = []
         # Times and ids of requests, and of those that were turned away for a backoff.
         self.received = []
@@ -102,7 +107,10 @@
 
     def _work(self, request):
         self.records.runs[request.id] += 1
-        return [0.02, complete_response(request, request.id.encode())]
+        return [
+            0.02 + self._pause_s(),
+            complete_response(request, request.id.encode()),
+        ]
 
     def _pieces(self, request):
         results = []
@@ -127,9 +135,18 @@
         steps = [stream_response_head(request)]
         key = request.headers[header_names.CHUNK_KEY.lower()]
         for event in events_of(key, self.version, first):
-            steps += [0.01, http_chunk(event)]
+            steps += [0.01 + self._pause_s() / EVENTS, http_chunk(event)]
         return [*steps, STREAM_END]
 
+    def _pause_s(self):
+        return self.draw.uniform(0.0, self.max_pause_s) if self.draw else 0.0
+
+
+def slow_down_endpoints(run, draw):
+    """Let all endpoints take up to ``MAX_PAUSE_S`` longer, so that stops meet work."""
+    for script in run.scripts.values():
+        script.max_pause_s, script.draw = MAX_PAUSE_S, draw
+
 
 def _asks_backoff(request, backoff_s):
     extra = {header_names.NOT_EXECUTED.replace("-", "_"): "1", "Retry_After": backoff_s}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -7,6 +7,8 @@
 from amaranthtally.standins.relay import LinkFault
 
 FAULTS = {}
+# Planned work, which excuses no request that ends unanswered.
+PLANNED_WORK = {}
 ENDPOINT_FAULTS = ("refuse", "reset before", "reset after", "twice", "hang")
 # Shortest and longest duration of a fault, in seconds.
 MIN_FAULT_S, MAX_FAULT_S = 0.3, 2.5
@@ -36,6 +38,12 @@
     return function
 
 
+def planned_work(function):
+    """Register planned work under its function's name."""
+    PLANNED_WORK[function.__name__] = function
+    return function
+
+
 def random_duration_s(random):
     return random.uniform(MIN_FAULT_S, MAX_FAULT_S)
 
@@ -49,6 +57,7 @@
 
 
 @fault
+@planned_work
 async def planned_stop(run, random, name):
     await run.stop_gateway(name)
     await run.start_gateway(name)
@@ -70,6 +79,18 @@
     await run.start_gateway(name)
 
 
+@planned_work
+async def stop_among_requests_to_stop(run, random, name):
+    """Stop a gateway; ask for the stop and for reloads again until it ends."""
+    stopping = asyncio.create_task(run.stop_gateway(name))
+    process = run.gateways[name].process
+    while not stopping.done():
+        await asyncio.sleep(2.0 * random.random())
+        process.send(random.choice((signal.SIGHUP, signal.SIGTERM, signal.SIGINT)))
+    await stopping
+    await run.start_gateway(name)
+
+
 @fault
 async def pause(run, random, name):
     run.gateways[name].process.send(signal.SIGSTOP)
@@ -78,6 +99,7 @@
 
 
 @fault
+@planned_work
 async def reload(run, random, name):
     run.gateways[name].process.send(signal.SIGHUP)
 
@@ -191,11 +213,13 @@
 
 
 @fault
+@planned_work
 async def new_version(run, random, name):
     run.configure()
 
 
 @fault
+@planned_work
 async def large_version(run, random, name):
     run.write_larger_version(random)
 
@@ -207,6 +231,7 @@
 
 
 @fault
+@planned_work
 async def endpoint_leaves(run, random, name):
     """Drain an endpoint, remove its record and register it again."""
     endpoint = random.choice(sorted(run.endpoints))
