A stop that is asked for again goes on as it is; SIGQUIT forces it

Callers saw closed connections for requests that endpoints ran: a second SIGTERM or SIGINT forced the stop in entries, gateways and sidecars, and a gateway then closed what was in flight. Who repeats SIGTERM (a supervisor, a platform, an operator beside one) does not mean that; the grace bounds the stop anyway. Class: one signal with two meanings, told apart by whether it came before. SIGTERM and SIGINT are idempotent now, SIGQUIT ends a stop at once.

--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -20,7 +20,10 @@
     "stop_on_signal",
 ]
 
-STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+GRACEFUL_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+# A stop is asked for again by supervisors that repeat themselves, and by an operator
+# beside one; whoever means it to end at once says so with a signal of its own.
+FORCE_SIGNAL = signal.SIGQUIT
 
 log = get_logger()
 
@@ -32,7 +35,12 @@
 
 
 class StopSignal:
-    """The first signal requests a graceful stop, the second an immediate one."""
+    """
+    Whether the process was asked to stop, and whether to do so at once.
+
+    SIGTERM and SIGINT request a graceful stop, however often they come; SIGQUIT ends
+    what is left of it, or forces a stop that nobody has requested yet.
+    """
 
     def __init__(self) -> None:
         self._requested = asyncio.Event()
@@ -47,9 +55,9 @@
         """Handle one stop signal."""
         self._received += 1
         log.info("stop_signal", signal=number.name, count=self._received)
-        if self._requested.is_set():
-            self._forced.set()
         self._requested.set()
+        if number == FORCE_SIGNAL:
+            self._forced.set()
 
     async def wait(self) -> None:
         """Wait until a stop is requested."""
@@ -59,7 +67,7 @@
         self, work: Coroutine[Any, Any, None], limit_s: float
     ) -> bool:
         """
-        Run ``work`` until it ends, a second signal arrives or ``limit_s`` has passed.
+        Run ``work`` until it ends, a stop is forced or ``limit_s`` has passed.
 
         Return whether ``work`` ended by itself; otherwise it is cancelled. Without the
         limit, one call that hangs would keep the process from ever stopping.
@@ -78,7 +86,7 @@
 @contextmanager
 def stop_on_signal() -> Iterator[StopSignal]:
     """
-    Handle SIGTERM and SIGINT with the ``StopSignal`` yielded; ignore them on exit.
+    Handle all stop signals with the ``StopSignal`` yielded; ignore them on exit.
 
     If the default handlers were restored on exit, a second SIGTERM during process
     shutdown would kill the process, and a graceful stop that interrupted no request
@@ -86,12 +94,13 @@
     """
     loop = asyncio.get_running_loop()
     stop = StopSignal()
-    for number in STOP_SIGNALS:
+    numbers = (*GRACEFUL_SIGNALS, FORCE_SIGNAL)
+    for number in numbers:
         loop.add_signal_handler(number, stop.receive, number)
     try:
         yield stop
     finally:
-        for number in STOP_SIGNALS:
+        for number in numbers:
             loop.remove_signal_handler(number)
             signal.signal(number, signal.SIG_IGN)
 
--- a/packages/daemon/src/amaranthtally/daemon/main.py
+++ b/packages/daemon/src/amaranthtally/daemon/main.py
@@ -26,7 +26,8 @@
 An entry accepts callers' requests over HTTP and routes their stages; a sidecar
 runs beside one endpoint, and all calls to the endpoint pass through it. A gateway is
 an entry on the users' platform, where endpoints are called without sidecars. SIGTERM
-stops each of them gracefully: requests already accepted are finished first.
+stops each of them gracefully: requests already accepted are finished first. SIGQUIT
+ends such a stop at once, with a refusal of whatever is not finished.
 """
 
 
@@ -39,7 +40,7 @@
 
 
 def main(argv: list[str] | None = None) -> int:
-    """Run one role until SIGTERM or SIGINT; return the exit code."""
+    """Run one role until a stop signal; return the exit code."""
     arguments = _parser().parse_args(argv)
     start_role = _ROLES[arguments.role]
     try:
