A stop that is forced, or out of time, or fails, answers every request that it holds

Callers saw a closed connection for what endpoints ran: a gateway whose drain did not end by itself closed its connections as they were. An entry refuses what is left in the same place; the gateway had no such step. Class: an end of the process that is not part of the design of its answers. A drain that raises counts as not done: test_a_stop_that_fails_is_logged asserted the contrary and now asks for False, so that the rest is answered. A try whose stream is looked up is bound by the same time-out as its body.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -118,7 +118,7 @@
         self._is_stopping = is_stopping
         self._report_error = report_error
         self._open_responses = 0
-        self._body_timeouts: set[asyncio.Timeout] = set()
+        self._read_timeouts: set[asyncio.Timeout] = set()
         self._time = asyncio.get_running_loop().time
 
     @property
@@ -126,13 +126,16 @@
         """Number of requests being handled whose response is not complete."""
         return self._open_responses
 
-    def close(self) -> None:
-        """Refuse all further requests, as the balancer should send no more."""
+    def close(self, last_body_s: float = LAST_BODY_S) -> None:
+        """
+        Refuse all further requests, as the balancer should send no more.
+
+        Those that are being read are refused after ``last_body_s`` seconds: a caller
+        that has stopped sending would hold the process to the end of its grace period.
+        """
         self._is_closed = True
-        # A caller that has stopped sending would hold the process to the end of its
-        # grace period.
-        latest = self._time() + LAST_BODY_S
-        for timeout in self._body_timeouts:
+        latest = self._time() + last_body_s
+        for timeout in self._read_timeouts:
             timeout.reschedule(min(latest, timeout.when() or latest))
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -159,21 +162,15 @@
         limit_s = min(caller.deadline_s or route.timeout_s, route.timeout_s)
         try:
             async with asyncio.timeout(limit_s) as timeout:
-                self._body_timeouts.add(timeout)
-                body = await self._read_body(request, table.limits.body_bytes, memory)
+                self._read_timeouts.add(timeout)
+                read = await self._read(request, caller, route, table, memory)
         except TimeoutError:
             return self._refuse(request, STOPPING if self._is_closed else BODY_TIMEOUT)
         finally:
-            self._body_timeouts.discard(timeout)
-        if isinstance(body, Refusal):
-            return self._refuse(request, body)
-        expected = self._response_sizes.expected(route.name)
-        if expected and not self._memory.admits(expected):
-            return self._refuse(request, NO_MEMORY)
-        memory.reserve(expected)
-        origin = await self._resumption.origin_of(caller, route)
-        if isinstance(origin, Refusal):
-            return self._refuse(request, origin)
+            self._read_timeouts.discard(timeout)
+        if isinstance(read, Refusal):
+            return self._refuse(request, read)
+        body, origin = read
         if self._executor.is_in_flight(caller.id):
             return self._refuse(request, DUPLICATE_ID)
         call = self._new_call(
@@ -238,6 +235,25 @@
         """Return the refusal, unless a newer configuration may allow the request."""
         return refusal if self._evidence().is_confirmed else NOT_CONFIRMED
 
+    async def _read(
+        self,
+        request: web.BaseRequest,
+        caller: CallerRequest,
+        route: Route,
+        table: RouteTable,
+        memory: CallerMemory,
+    ) -> tuple[bytes, StreamOrigin | None] | Refusal:
+        """Return the body, and the origin of the stream that the request takes up."""
+        body = await self._read_body(request, table.limits.body_bytes, memory)
+        if isinstance(body, Refusal):
+            return body
+        expected = self._response_sizes.expected(route.name)
+        if expected and not self._memory.admits(expected):
+            return NO_MEMORY
+        memory.reserve(expected)
+        origin = await self._resumption.origin_of(caller, route)
+        return origin if isinstance(origin, Refusal) else (body, origin)
+
     async def _read_body(
         self, request: web.BaseRequest, limit: int, memory: CallerMemory
     ) -> bytes | Refusal:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/executor.py
@@ -88,6 +88,7 @@
         supervisor: Supervisor,
         ages: Callable[[], Mapping[str, float]] = dict,
     ) -> None:
+        self._supervisor = supervisor
         self._on_stream_began = on_stream_began
         self._planner = planner
         self._metrics = metrics
@@ -261,26 +262,21 @@
         """Stop running jobs of other gateways, because this one is leaving."""
         self._decisions.carry_out(self._planner.leave(self._time()))
 
-    def log_unanswered(self) -> None:
-        """Log the requests whose connections are closed without an answer."""
-        for call in self._calls.values():
-            log.warning(
-                "request_unanswered",
-                request_id=call.id,
-                route=call.route.name,
-                attempts=call.attempts,
-                attempts_running=len(call.tasks),
-                is_answering=call.is_answering,
-                ms=round((self._time() - call.received_at) * 1000),
-                left_ms=round((call.arrival.deadline - self._time()) * 1000),
-            )
-
     def refuse_unsent(self) -> None:
         """Refuse all requests not sent to any endpoint, as the process is ending."""
         for call in list(self._calls.values()):
             if not call.attempts:
                 self._end(call, RefusalReason.STOPPING)
 
+    def end_all(self) -> None:
+        """End all requests, as the process ends; the policy says which may have run."""
+        for call in list(self._calls.values()):
+            try:
+                self._end(call, RefusalReason.STOPPING)
+            except Exception as error:
+                # One that cannot be ended must not keep the others from their answers.
+                self._supervisor.report_error("GatewayExecutor.end_all", error)
+
     def _end(self, call: LiveCall, reason: RefusalReason) -> None:
         """End a request; the policy says whether it has run."""
         self._decisions.carry_out(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -4,7 +4,6 @@
 import secrets
 from collections.abc import AsyncIterator, Awaitable, Callable, Mapping
 from contextlib import AsyncExitStack, asynccontextmanager
-from dataclasses import dataclass
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -19,6 +18,7 @@
 from amaranthtally.daemon.gateway.caller_memory import EntryMemory
 from amaranthtally.daemon.gateway.connection_gate import ConnectionGate
 from amaranthtally.daemon.gateway.coordination import Coordination
+from amaranthtally.daemon.gateway.drain import GatewayDrainController
 from amaranthtally.daemon.gateway.endpoint_exchange import (
     EndpointSessions,
     endpoint_sessions,
@@ -75,18 +75,6 @@
 # of about four thousand file descriptors.
 KEEPALIVE_TIMEOUT_S = 30.0
 MAX_HEADER_BYTES = 16_384
-# How long the balancer may still send requests to a stopping gateway, in seconds. It
-# checks readiness once a second and stops after two failed checks.
-BALANCER_DRAIN_S = 2.3
-# The same while all other gateways are leaving too, in seconds. What comes later might
-# not end within the grace period.
-ALONE_DRAIN_S = 3.0
-# The part of the grace period that is reserved for closing connections, in seconds.
-CLOSE_MARGIN_S = 0.5
-# Unsent requests are refused when this much of the grace period is left, in seconds.
-# Their callers have time to retry elsewhere, and requests sent by then can finish.
-REFUSE_MARGIN_S = 3.5
-POLL_INTERVAL_S = 0.05
 # How long to wait for open connections when the process ends, in seconds. aiohttp takes
 # 0 as no limit: a single caller with an idle open connection then kept the process
 # running to the end of its grace period, until it was killed, and delayed its restart.
@@ -106,38 +94,20 @@
         await stack.enter_async_context(capnp.kj_loop())
         stack.enter_context(reloads.handled_by(lambda: _reload(path)))
         stop = stack.enter_context(stop_on_signal())
-        gateway = await _start(settings, stack, stop, writer)
-        log.info("listening", role="gateway", name=settings.name, **gateway.ports)
+        drain = await _start(settings, stack, stop, writer)
         await stop.wait()
-        log.info("gateway_leaving", in_flight=gateway.executor.in_flight)
-        work = _drain(gateway, settings.stop_grace)
-        limit_s = settings.stop_grace - CLOSE_MARGIN_S
-        if not await stop.run_until_forced(work, limit_s):
-            log.warning("gateway_stop_forced", in_flight=gateway.executor.in_flight)
-            gateway.executor.log_unanswered()
+        log.info("gateway_leaving", in_flight=drain.in_flight)
+        if not await stop.run_until_forced(drain.shut_down(), drain.limit_s):
+            await drain.abort()
     log.info("gateway_stopped", name=settings.name)
 
 
-@dataclass(frozen=True, slots=True)
-class _RunningGateway:
-    """The components of a running gateway that are needed to stop it."""
-
-    executor: GatewayExecutor
-    connections: PeerConnections
-    caller_handler: CallerHandler
-    caller_server: web.Server
-    coordination: Coordination
-    origins: StreamOriginTracker
-    peers: PeerDirectory
-    ports: Mapping[str, int]
-
-
 async def _start(
     settings: GatewaySettings,
     stack: AsyncExitStack,
     stop: StopSignal,
     writer: BoundedWriter,
-) -> _RunningGateway:
+) -> GatewayDrainController:
     metrics = GatewayMetrics()
     sessions = await stack.enter_async_context(endpoint_sessions())
     client = await stack.enter_async_context(
@@ -302,15 +272,16 @@
         _serve(caller_server, settings.caller_address, gate)
     )
     ports = {"port": caller_port, "ready": ready_port, "peers": port}
-    return _RunningGateway(
+    log.info("listening", role="gateway", name=settings.name, **ports)
+    return GatewayDrainController(
         executor,
-        connections,
         caller_handler,
         caller_server,
-        coordination,
-        origins,
         peers,
-        ports,
+        (connections.note_leaving, executor.stop_running_jobs, origins.leave),
+        coordination.store.deregister,
+        supervisor,
+        settings.stop_grace,
     )
 
 
@@ -435,39 +406,6 @@
     return handle
 
 
-async def _drain(gateway: _RunningGateway, grace_s: float) -> None:
-    """
-    Serve until the balancer sends no more requests, then finish all responses.
-
-    Peers are informed at once that this gateway runs no more of their jobs. The
-    listener stays open to the end: if other gateways of the data centre are down, the
-    balancer still sends callers here, and an explicit refusal is better for them than a
-    failed connection. Kept-alive connections are closed after their next response.
-    Requests not sent to any endpoint are refused before the grace period ends.
-    """
-    loop = asyncio.get_running_loop()
-    started = loop.time()
-    gateway.connections.note_leaving()
-    gateway.executor.stop_running_jobs()
-    gateway.origins.leave()
-    await asyncio.gather(
-        gateway.coordination.store.deregister(), asyncio.sleep(BALANCER_DRAIN_S)
-    )
-    # All gateways may leave together, as in a quick roll. Callers that are refused come
-    # back to another one that refuses them, until the first has started again.
-    peers = gateway.peers
-    while peers.departed and not peers.alive and loop.time() < started + ALONE_DRAIN_S:
-        await asyncio.sleep(POLL_INTERVAL_S)
-    gateway.caller_handler.close()
-    log.info("gateway_refuses", in_flight=gateway.executor.in_flight)
-    refuse_at = started + grace_s - REFUSE_MARGIN_S
-    while gateway.caller_handler.open_responses or gateway.executor.in_flight:
-        if loop.time() >= refuse_at:
-            gateway.executor.refuse_unsent()
-        await asyncio.sleep(POLL_INTERVAL_S)
-    gateway.caller_server.pre_shutdown()
-
-
 @asynccontextmanager
 async def _serve(
     server: web.Server, address: str, gate: ConnectionGate | None = None
--- a/packages/daemon/src/amaranthtally/daemon/lifecycle.py
+++ b/packages/daemon/src/amaranthtally/daemon/lifecycle.py
@@ -69,8 +69,9 @@
         """
         Run ``work`` until it ends, a stop is forced or ``limit_s`` has passed.
 
-        Return whether ``work`` ended by itself; otherwise it is cancelled. Without the
-        limit, one call that hangs would keep the process from ever stopping.
+        Return whether ``work`` ended by itself and without an exception; otherwise it
+        is cancelled, and the rest is the caller's to end. Without the limit, one call
+        that hangs would keep the process from ever stopping.
         """
         tasks = [asyncio.create_task(work), asyncio.create_task(self._forced.wait())]
         await asyncio.wait(tasks, timeout=limit_s, return_when=asyncio.FIRST_COMPLETED)
@@ -80,6 +81,7 @@
         ended, _ = await asyncio.gather(*tasks, return_exceptions=True)
         if isinstance(ended, Exception):
             log.error("stop_failed", exc_info=ended)
+            return False
         return finished
 
 
