A stop waits for no answer of the store

Callers of unsent requests saw a closed connection in place of a refusal: the drain waited for the removal of its record before it refused anything, and a store that trickles its answer has 30 s for it. Class: a wait whose length somebody else decides. The removal runs beside the drain under supervision.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/drain.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/drain.py
@@ -87,7 +87,9 @@
         """
         started = self._time()
         self._announce()
-        await asyncio.gather(self._deregister(), asyncio.sleep(BALANCER_DRAIN_S))
+        # Nothing waits for the store: whether and when it answers is not ours to say.
+        self._supervisor.spawn_call(self._deregister())
+        await asyncio.sleep(BALANCER_DRAIN_S)
         # All gateways may leave together, as in a quick roll. Callers that are refused
         # come back to another one that refuses them, until the first has started again.
         while self._is_alone and self._time() < started + ALONE_DRAIN_S:
