A response is open until its caller has read it, whatever the limit of the memory

Callers that read slowly got the first part of a response only if a gateway without a memory limit stopped meanwhile: its handler returns before the server writes, so that the stop took it for answered. It is written inside the handler now, as it was with a limit.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -326,8 +326,7 @@
             self._response_sizes.note(call.route.name, len(event.body))
         call.memory.end_reservation()
         response = self._complete_response(request, call, event)
-        if self._memory.is_limited:
-            await self._write_whole(request, call, response)
+        await self._write_whole(request, call, response)
         return response
 
     async def _write_whole(
@@ -336,11 +335,12 @@
         """
         Write a whole response in parts, so that only its body is held meanwhile.
 
-        It is written here and not by the server, so that the body stays counted until
-        the caller has read it.
+        It is written here and not by the server, so that the body stays counted, and
+        the response counts as open, until the caller has read it.
         """
         call.is_answering = True
-        _limit_send_buffer(request)
+        if self._memory.is_limited:
+            _limit_send_buffer(request)
         await response.prepare(request)
         body = response.body
         assert isinstance(body, bytes)
@@ -425,10 +425,10 @@
         Wait until the kernel has taken all that was written.
 
         Once this handler returns, what is left in the connection's buffer would no
-        longer be counted.
+        longer be counted, and a stop would not wait for it.
         """
         transport = request.transport
-        if not self._memory.is_limited or transport is None:
+        if transport is None:
             return
         call.memory.set_unsent(transport.get_write_buffer_size())
         transport.set_write_buffer_limits(0)
--- a/tests/soak/test_gateway_soak.py
+++ b/tests/soak/test_gateway_soak.py
@@ -84,6 +84,20 @@
     assert statuses[200] > 100
 
 
+PLANNED_SEEDS = {2: "requests ended unanswered as a stop was asked for again"}
+PLANNED_SECONDS = 8.0
+
+
+@pytest.mark.parametrize("seed", PLANNED_SEEDS)
+def test_planned_work_leaves_no_request_unanswered(seed, tmp_path):
+    """Guards against stops, reloads and changes in series that close connections."""
+    violations, statuses = run_async(
+        run_soak(seed, PLANNED_SECONDS, tmp_path, planned=True)
+    )
+    assert violations == []
+    assert statuses[200] > 50
+
+
 # Seeds with entries of the store that cannot be used; without the fix of their cause
 # routes that were added got 404, and endpoints that had left got requests.
 ODD_SEEDS = {2: "a nested record ended the loops that follow the store"}
