--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -20,6 +20,11 @@
     return line.split(SEPARATOR)[-1].strip() == INTERMITTENT
 
 
+def issue_of(line):
+    """The number of the issue in a line's third column."""
+    return line.split(SEPARATOR)[2].strip()
+
+
 def known_red_by_test():
     """Return the lines by the node id of their tests."""
     return {line.split(SEPARATOR)[0].strip(): line for line in known_red_lines()}
