--- a/tests/clients/crowds.py
+++ b/tests/clients/crowds.py
@@ -1,6 +1,7 @@
 """Crowds of connections that send or read without regard to any limit."""
 
 import asyncio
+import struct
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass
 
@@ -115,3 +116,25 @@
     finally:
         for writer in writers:
             writer.transport.abort()
+
+
+def _frame_head(words, segments=1):
+    """Return the head of a Cap'n Proto message whose first segment has a size."""
+    return struct.pack("<II", segments - 1, words)
+
+
+# Just below the largest message that a peer may send, in words of 8 bytes.
+LARGE_FRAME_WORDS = 2_000_000
+PEER_FLOODS = {
+    "text": Flood(b"", b"a"),
+    "zeros": Flood(b"", b"\0"),
+    "too large a message": Flood(_frame_head(2**31), b"\0"),
+    "too many segments": Flood(_frame_head(1, segments=2**31), b"\1\0\0\0"),
+    "a large message": Flood(_frame_head(LARGE_FRAME_WORDS), b"\0"),
+    "messages that nobody reads": Flood(b"", _frame_head(1) + bytes(8), is_read=False),
+}
+PEERS_LEFT_OPEN = {
+    "nothing": b"",
+    "half a frame": b"\0\0\0",
+    "half a message": _frame_head(1000) + bytes(400),
+}
--- a/tests/clients/support.py
+++ b/tests/clients/support.py
@@ -2,7 +2,7 @@
 
 import resource
 from contextlib import asynccontextmanager, contextmanager
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
 
@@ -32,7 +32,11 @@
 
 @dataclass(frozen=True)
 class Listener:
-    """An address of a process, and an ordinary request that it answers with 200."""
+    """
+    An address of a process, and an ordinary request that it answers with 200.
+
+    It answers at ``answering_port``, if this is another one.
+    """
 
     process: Any
     port: int
@@ -40,6 +44,7 @@
     headers: dict
     method: str = "GET"
     body: bytes = b""
+    answering_port: int = 0
 
     @property
     def host(self):
@@ -58,7 +63,8 @@
         return False
 
     async def _answers_once(self, session):
-        url = f"http://{self.host}:{self.port}{self.path}"
+        port = self.answering_port or self.port
+        url = f"http://{self.host}:{port}{self.path}"
         try:
             async with session.request(
                 self.method, url, headers=self.headers, data=self.body
@@ -93,13 +99,14 @@
 
 
 LISTENERS = {}
+PEER_LISTENERS = {}
 
 
-def listener(name):
+def listener(name, registry=LISTENERS):
     """Register what opens a listener under a name."""
 
     def register(function):
-        LISTENERS[name] = asynccontextmanager(function)
+        registry[name] = asynccontextmanager(function)
         return function
 
     return register
@@ -138,6 +145,13 @@
         yield opened
 
 
+@listener("gateway peers", PEER_LISTENERS)
+async def _gateway_peers(folder, descriptors=0):
+    async for opened in _gateway(folder, descriptors, "port", "/job/", True):
+        peers = opened.process.ports["peers"]
+        yield replace(opened, port=peers, answering_port=opened.port)
+
+
 async def _entry(descriptors):
     with few_descriptors(descriptors):
         opening = open_deployment(plan(), servers=1)
@@ -178,3 +192,10 @@
         yield Listener(sidecar, sidecar.ports["http"], "/readyz", {})
     finally:
         await opening.__aexit__(None, None, None)
+
+
+@listener("sidecar peers", PEER_LISTENERS)
+async def _sidecar_peers(folder, descriptors=0):
+    async for opened in _sidecar_health(folder, descriptors):
+        peers = opened.process.ports["port"]
+        yield replace(opened, port=peers, answering_port=opened.port)
