--- a/packages/daemon/src/amaranthtally/daemon/gateway/connection_gate.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/connection_gate.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from typing import cast
 
 from amaranthtally.daemon.logs import get_logger
 
@@ -90,7 +91,7 @@
         """Number of connections that were closed unread."""
         return self._closed
 
-    def guard(self, build: Callable[[], asyncio.Protocol]) -> asyncio.Protocol:
+    def guard(self, build: Callable[[], asyncio.BaseProtocol]) -> asyncio.BaseProtocol:
         """Return the protocol of a new connection."""
         if self._estimate.take():
             return build()
@@ -123,5 +124,5 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Reset the connection, so that its caller knows at once."""
-        assert isinstance(transport, asyncio.Transport)
-        transport.abort()
+        # uvloop's transports are no subclass of asyncio's.
+        cast(asyncio.Transport, transport).abort()
--- a/tests/unit/test_connection_gate.py
+++ b/tests/unit/test_connection_gate.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import pytest
+import uvloop
 
 from amaranthtally.daemon.gateway import connection_gate
 from amaranthtally.daemon.gateway.connection_gate import (
@@ -92,3 +93,21 @@
         assert estimate.take()
     estimate.note_check(LATE_CHECK_S + 0.01)
     assert taken(estimate) == MAX_PER_CHECK
+
+
+def test_an_unread_connection_is_reset_without_an_error():
+    """Guards against an exception, with its traceback in the log, for each of them."""
+
+    async def check():
+        loop = asyncio.get_running_loop()
+        errors = []
+        loop.set_exception_handler(lambda _, context: errors.append(context))
+        gate = ConnectionGate()
+        server = await loop.create_server(lambda: gate.guard(Echo), "127.0.0.1", 0)
+        port = server.sockets[0].getsockname()[1]
+        async with server:
+            answers = [await exchange(port) for _ in range(MAX_PER_CHECK + 4)]
+        assert b"" in answers
+        assert errors == []
+
+    uvloop.run(asyncio.wait_for(check(), 10.0))
