Strangers at the peers' addresses give way, and send no large message first

30 strangers took a gateway to 180 MB and a sidecar to 344 MB of 150 by large messages, and 260 that stayed connected kept callers at another address from any answer. Cause: a connection of a stranger was the same as a peer's from its first byte on, without a most. A connection is known once a call has come over it; until then it is closed after 5 s, gives way to new ones, and its first message, which only asks for an object, has 8 KB at most.

Not bounded: a stranger that sends a small message and then a large one, for 5 s.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -59,6 +59,7 @@
 from amaranthtally.policy import (
     CALLER_SHARE,
     GATEWAY_COMPONENTS,
+    PEER_SHARE,
     CallerLimits,
     ConnectionLimits,
     PeerDirectory,
@@ -77,6 +78,7 @@
     load_gateway_settings,
 )
 from amaranthtally.wire.gateway_server import serve_gateway
+from amaranthtally.wire.peer_listener import PeerLimits
 
 __all__ = ["run_gateway"]
 
@@ -163,7 +165,10 @@
     handler = PeerHandler(
         executor, lambda: coordination, peer_updater.greeting_received, origins
     )
-    port = await stack.enter_async_context(serve_gateway(handler, host, port))
+    peer_limits = PeerLimits(most_connections(PEER_SHARE, descriptor_limit()))
+    port = await stack.enter_async_context(
+        serve_gateway(handler, host, port, peer_limits)
+    )
     record = PeerRecord(f"{host}:{port}", settings.data_centre)
     connections.set_own_record(record)
     coordination = Coordination(
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/endpoint_service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/endpoint_service.py
@@ -6,6 +6,7 @@
 
 import aiohttp
 
+from amaranthtally.daemon.connections import descriptor_limit
 from amaranthtally.daemon.lifecycle import split_address
 from amaranthtally.daemon.settings_state import SettingsState
 from amaranthtally.daemon.settings_sync import SettingsSync
@@ -19,8 +20,10 @@
 from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.daemon.supervision import Supervisor
 from amaranthtally.platform import CALLER_HEADER
+from amaranthtally.policy import PEER_SHARE, most_connections
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import EntryConnections, serve_sidecar
+from amaranthtally.wire.peer_listener import PeerLimits
 
 __all__ = ["EndpointService", "SharedResources", "open_endpoint"]
 
@@ -118,8 +121,9 @@
     if service.cache is not None and settings.platform_url:
         service.reconciler = await _open_reconciler(stack, service, shared.state)
     host, port = split_address(settings.wire_address)
+    peer_limits = PeerLimits(most_connections(PEER_SHARE, descriptor_limit()))
     service.port = await stack.enter_async_context(
-        serve_sidecar(service.handler, host, port, service.connections)
+        serve_sidecar(service.handler, host, port, service.connections, peer_limits)
     )
     return service
 
--- a/packages/wire/src/amaranthtally/wire/gateway_server.py
+++ b/packages/wire/src/amaranthtally/wire/gateway_server.py
@@ -46,6 +46,12 @@
     write_versions,
 )
 from amaranthtally.wire.load_view_codec import read_load_message, write_load_message
+from amaranthtally.wire.peer_listener import (
+    PeerConnection,
+    PeerLimits,
+    listen_for_peers,
+    noting_calls,
+)
 from amaranthtally.wire.prompt_codec import (
     read_part_ends,
     read_part_notices,
@@ -138,8 +144,10 @@
         """Take the work of client accounts that a peer reports."""
 
 
+@noting_calls
 class _GatewayServer(gateway_schema.Gateway.Server):
-    def __init__(self, handler: GatewayHandler) -> None:
+    def __init__(self, handler: GatewayHandler, connection: PeerConnection) -> None:
+        self.connection = connection
         self._handler = handler
         self._loop = asyncio.get_running_loop()
 
@@ -271,7 +279,7 @@
 
 @asynccontextmanager
 async def serve_gateway(
-    handler: GatewayHandler, host: str, port: int
+    handler: GatewayHandler, host: str, port: int, limits: PeerLimits | None = None
 ) -> AsyncIterator[int]:
     """
     Serve ``handler`` over TCP and yield the bound port; port 0 picks a free one.
@@ -279,17 +287,13 @@
     Must run inside ``capnp.kj_loop()``.
     """
 
-    async def accept(stream: Any) -> None:
+    async def serve(stream: Any, connection: PeerConnection) -> None:
         server = capnp.TwoPartyServer(
             stream,
-            bootstrap=_GatewayServer(handler),
+            bootstrap=_GatewayServer(handler, connection),
             traversal_limit_in_words=MAX_MESSAGE_WORDS,
         )
         await server.on_disconnect()
 
-    listener = await capnp.AsyncIoStream.create_server(accept, host, port)
-    try:
-        yield listener.sockets[0].getsockname()[1]
-    finally:
-        listener.close()
-        await asyncio.sleep(0)
+    async with listen_for_peers(serve, host, port, limits or PeerLimits()) as bound:
+        yield bound
--- a/packages/wire/src/amaranthtally/wire/server.py
+++ b/packages/wire/src/amaranthtally/wire/server.py
@@ -31,6 +31,12 @@
     StageReply,
     StreamPart,
 )
+from amaranthtally.wire.peer_listener import (
+    PeerConnection,
+    PeerLimits,
+    listen_for_peers,
+    noting_calls,
+)
 from amaranthtally.wire.stream_codec import read_part, write_parts
 from amaranthtally.wire.streams import OpenStreams
 
@@ -125,8 +131,15 @@
         _write_settings_delta(_context.results, self._source.changes_since(revision))
 
 
+@noting_calls
 class _SidecarServer(schema.Sidecar.Server):
-    def __init__(self, handler: SidecarHandler, connections: EntryConnections) -> None:
+    def __init__(
+        self,
+        handler: SidecarHandler,
+        connections: EntryConnections,
+        connection: PeerConnection,
+    ) -> None:
+        self.connection = connection
         self._handler = handler
         self._connections = connections
         self._batcher: ChunkBatcher | None = None
@@ -277,6 +290,7 @@
     host: str,
     port: int,
     connections: EntryConnections | None = None,
+    limits: PeerLimits | None = None,
 ) -> AsyncIterator[int]:
     """
     Serve ``handler`` over TCP and yield the bound port; port 0 picks a free one.
@@ -286,8 +300,8 @@
     """
     open_connections = EntryConnections() if connections is None else connections
 
-    async def accept(stream: Any) -> None:
-        sidecar = _SidecarServer(handler, open_connections)
+    async def serve(stream: Any, connection: PeerConnection) -> None:
+        sidecar = _SidecarServer(handler, open_connections, connection)
         open_connections.connection_opened(sidecar)
         try:
             server = capnp.TwoPartyServer(stream, bootstrap=sidecar)
@@ -296,9 +310,5 @@
             open_connections.connection_closed(sidecar)
             sidecar.disconnected()
 
-    listener = await capnp.AsyncIoStream.create_server(accept, host, port)
-    try:
-        yield listener.sockets[0].getsockname()[1]
-    finally:
-        listener.close()
-        await asyncio.sleep(0)
+    async with listen_for_peers(serve, host, port, limits or PeerLimits()) as bound:
+        yield bound
