Accept peers in a callback of the event loop, not in a task of its own

test_failing_tasks failed (3 of its cases): a task that accepts was supervised by nobody, and its end would have kept all peers away. A callback has no end. The task of each connection is allowed there as aiohttp's is: it closes its connection whatever it raises, and the event loop reports that.

--- a/packages/wire/src/amaranthtally/wire/peer_listener.py
+++ b/packages/wire/src/amaranthtally/wire/peer_listener.py
@@ -84,22 +84,26 @@
 
 
 class _PeerListener:
-    def __init__(self, serve: Serve, limits: PeerLimits) -> None:
+    def __init__(
+        self, listening: socket.socket, serve: Serve, limits: PeerLimits
+    ) -> None:
+        self._listening = listening
+        self._is_stopped = False
         self._serve = serve
         self._limits = limits
         # In the order in which they were accepted.
         self._connections: dict[PeerConnection, asyncio.Task[None]] = {}
         self._loop = asyncio.get_running_loop()
 
-    async def run(self, listening: socket.socket) -> None:
-        """Accept connections until cancelled."""
-        while True:
-            try:
-                accepted, _ = await self._loop.sock_accept(listening)
-            except OSError:
-                await asyncio.sleep(ACCEPT_PAUSE_S)
-                continue
-            self._accept(accepted)
+    def start(self) -> None:
+        """Accept connections from now on."""
+        if not self._is_stopped:
+            self._loop.add_reader(self._listening, self._accept_waiting)
+
+    def stop(self) -> None:
+        """Accept no more connections."""
+        self._is_stopped = True
+        self._loop.remove_reader(self._listening)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -108,6 +112,17 @@
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
 
+    def _accept_waiting(self) -> None:
+        try:
+            accepted, _ = self._listening.accept()
+        except BlockingIOError:
+            return
+        except OSError:
+            self._loop.remove_reader(self._listening)
+            self._loop.call_later(ACCEPT_PAUSE_S, self.start)
+            return
+        self._accept(accepted)
+
     def _accept(self, accepted: socket.socket) -> None:
         accepted.setblocking(False)
         accepted.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -181,15 +196,14 @@
     Port 0 lets the kernel choose a free one. Must run inside ``capnp.kj_loop()``. On
     exit the listening socket is closed and the open connections end.
     """
-    listener = _PeerListener(serve, limits)
     with socket.create_server((host, port), backlog=BACKLOG) as listening:
         listening.setblocking(False)
-        accepting = asyncio.create_task(listener.run(listening))
+        listener = _PeerListener(listening, serve, limits)
+        listener.start()
         try:
             yield listening.getsockname()[1]
         finally:
-            accepting.cancel()
-            await asyncio.gather(accepting, return_exceptions=True)
+            listener.stop()
     await listener.close()
     await asyncio.sleep(0)
 
