--- a/packages/daemon/src/amaranthtally/daemon/connections/connection_table.py
+++ b/packages/daemon/src/amaranthtally/daemon/connections/connection_table.py
@@ -24,6 +24,8 @@
 SWEEP_INTERVAL_S = 0.5
 # Most bytes that are read at once. A connection that is not read on holds no more.
 READ_BYTES = 16_384
+# The reason for closing a connection on which a request was answered, and none came.
+IDLE = "idle"
 
 log = get_logger()
 open_metric = Gauge("amaranthtally_connections_open", "Open connections by listener.")
@@ -100,16 +102,17 @@
         meanwhile is read.
         """
         now, limits = self._loop.time(), self.limits
-        overdue = set()
+        overdue: dict[BoundedConnection, str] = {}
         for connection in list(self._connections):
             state = connection.state
             if state.phase is ConnectionPhase.RESPONSE:
                 connection.note_busy(now)
             elif is_overdue(state, limits, now):
-                overdue.add(connection)
-        for connection in overdue & self._overdue:
-            self._close(connection, "too_slow")
-        self._overdue = overdue - self._overdue
+                is_idle = state.phase is ConnectionPhase.IDLE
+                overdue[connection] = IDLE if is_idle else "too_slow"
+        for connection in overdue.keys() & self._overdue:
+            self._close(connection, overdue.pop(connection))
+        self._overdue = set(overdue)
 
     def _close(self, connection: BoundedConnection, reason: str) -> None:
         self.note_closed(reason)
@@ -118,10 +121,12 @@
 
     def _report(self) -> None:
         open_metric.set({"listener": self._name}, self.count)
-        if not self._closed:
-            return
         for reason, count in self._closed.items():
             closed_metric.add({"listener": self._name, "reason": reason}, count)
+        # Clients that come back open a new connection: nothing is wrong.
+        self._closed.pop(IDLE, None)
+        if not self._closed:
+            return
         log.warning(
             "connections_closed",
             listener=self._name,
--- a/packages/policy/src/amaranthtally/policy/connections.py
+++ b/packages/policy/src/amaranthtally/policy/connections.py
@@ -14,7 +14,6 @@
     "ConnectionLimits",
     "ConnectionPhase",
     "ConnectionState",
-    "DescriptorShare",
     "caller_connection_limits",
     "is_overdue",
     "most_connections",
@@ -26,6 +25,11 @@
 # A body must go on within this time, and a caller must read some of its response, in
 # seconds: longer than any caller waits that wants an answer.
 STALL_TIMEOUT_S = 30.0
+# The part of a process's descriptors that the connections of callers may take, that of
+# peers, and that of the few clients of readiness, metrics and the like.
+CALLER_SHARE = 3 / 8
+PEER_SHARE = 1 / 4
+SERVICE_SHARE = 1 / 32
 # What a connection may hold outside of any request, in bytes: part of a head and its
 # parsed headers, a read that waits, and the objects of the connection.
 CONNECTION_BYTES = 98_304
@@ -59,16 +63,6 @@
     RESPONSE = 4
 
 
-class DescriptorShare(float):
-    """The part of a process's descriptors that one listener's connections may take."""
-
-
-CALLER_SHARE = DescriptorShare(3 / 8)
-PEER_SHARE = DescriptorShare(1 / 4)
-# Of readiness, metrics and the like: a few clients, each with a connection or two.
-SERVICE_SHARE = DescriptorShare(1 / 32)
-
-
 @dataclass(frozen=True, slots=True)
 class ConnectionLimits:
     """
@@ -112,13 +106,13 @@
 
 
 def most_connections(
-    share: DescriptorShare, descriptors: float, memory_bytes: float = 0.0
+    share: float, descriptors: float, memory_bytes: float = 0.0
 ) -> int:
     """
     Return the most connections of a listener.
 
-    ``descriptors`` is how many the process may open; a ``memory_bytes`` of 0 sets no
-    limit.
+    ``share`` is the part that it may take of ``descriptors``, which the process may
+    open; a ``memory_bytes`` of 0 sets no limit.
     """
     by_memory = MEMORY_SHARE * memory_bytes / CONNECTION_BYTES
     most = min(descriptors * share, by_memory or MOST_CONNECTIONS, MOST_CONNECTIONS)
