Crowd tests share one check of each kind; a constant and a condition that stood twice

The checks after a flood, and beside connections left open, stood once for HTTP and once for peers; entering a deployment by hand is an exit stack's. BYTES_PER_MB is caller_memory's. note_busy is only called where the response is read.

--- a/packages/daemon/src/amaranthtally/daemon/connections/bounded_connection.py
+++ b/packages/daemon/src/amaranthtally/daemon/connections/bounded_connection.py
@@ -59,8 +59,7 @@
 
     def note_busy(self, now: float) -> None:
         """Note that the connection still has a request; it is idle from its end on."""
-        if not self._is_unread:
-            self._since = now
+        self._since = now
 
     def close(self) -> None:
         """Close the connection; what its client has not read is dropped."""
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -22,7 +22,7 @@
 )
 from amaranthtally.daemon.gateway.arrivals import ArrivalBuilder
 from amaranthtally.daemon.gateway.caller_handler import CallerHandler, RoutingEvidence
-from amaranthtally.daemon.gateway.caller_memory import EntryMemory
+from amaranthtally.daemon.gateway.caller_memory import BYTES_PER_MB, EntryMemory
 from amaranthtally.daemon.gateway.connection_gate import ConnectionGate
 from amaranthtally.daemon.gateway.coordination import Coordination
 from amaranthtally.daemon.gateway.drain import GatewayDrainController
@@ -83,7 +83,6 @@
 __all__ = ["run_gateway"]
 
 SEED_BITS = 64
-BYTES_PER_MB = 1_000_000
 # How long to wait for open connections when the process ends, in seconds. aiohttp takes
 # 0 as no limit: a single caller with an idle open connection then kept the process
 # running to the end of its grace period, until it was killed, and delayed its restart.
--- a/tests/clients/support.py
+++ b/tests/clients/support.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import resource
-from contextlib import asynccontextmanager, contextmanager
+from contextlib import AsyncExitStack, asynccontextmanager, contextmanager
 from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any
@@ -10,6 +10,7 @@
 import aiohttp
 
 from amaranthtally.standins.deployment import ADMIN_KEY, open_deployment
+from tests.clients.crowds import connections_left_open, send_flood
 from tests.gateway.fake_endpoint import complete_response
 from tests.gateway.support import open_gateway_cluster, route
 from tests.support import plan
@@ -28,7 +29,10 @@
 # Descriptors that a process may hold beyond those before the crowd came: connections
 # to endpoints and peers come and go meanwhile.
 DESCRIPTOR_SLACK = 24
-
+# Connections that are left open: more than the process may open descriptors.
+CROWD = 260
+# How long descriptors may take to be closed after a crowd has gone, in seconds.
+CLOSING_TIMEOUT_S = 20.0
 # Size of a response, in bytes: more than the kernel holds for a reader.
 LARGE_BYTES = 300_000
 
@@ -156,46 +160,39 @@
         yield replace(opened, port=peers, answering_port=opened.port)
 
 
-async def _entry(descriptors):
-    with few_descriptors(descriptors):
-        opening = open_deployment(plan(), servers=1)
-        deployment = await opening.__aenter__()
-    return opening, deployment
+@asynccontextmanager
+async def _deployment(descriptors):
+    async with AsyncExitStack() as stack:
+        with few_descriptors(descriptors):
+            opening = open_deployment(plan(), servers=1)
+            deployment = await stack.enter_async_context(opening)
+        yield deployment
 
 
 @listener("entry callers")
 async def _entry_callers(folder, descriptors=0):
-    opening, deployment = await _entry(descriptors)
-    try:
+    async with _deployment(descriptors) as deployment:
         (entry,) = deployment.entries
         key = deployment.plan.accounts[0].key
         headers = {"Authorization": f"Bearer {key}", "Content-Type": "application/json"}
         path = "/v1/pipelines/assessment/requests"
         body = b'{"input": "baler"}'
         yield Listener(entry, entry.ports["port"], path, headers, "POST", body)
-    finally:
-        await opening.__aexit__(None, None, None)
 
 
 @listener("entry administration")
 async def _entry_administration(folder, descriptors=0):
-    opening, deployment = await _entry(descriptors)
-    try:
+    async with _deployment(descriptors) as deployment:
         (entry,) = deployment.entries
         headers = {"Authorization": f"Bearer {ADMIN_KEY}"}
         yield Listener(entry, entry.ports["admin"], "/admin/v1/status", headers)
-    finally:
-        await opening.__aexit__(None, None, None)
 
 
 @listener("sidecar health")
 async def _sidecar_health(folder, descriptors=0):
-    opening, deployment = await _entry(descriptors)
-    try:
+    async with _deployment(descriptors) as deployment:
         sidecar = deployment.pool("assessment")[0].sidecar
         yield Listener(sidecar, sidecar.ports["http"], "/readyz", {})
-    finally:
-        await opening.__aexit__(None, None, None)
 
 
 @listener("sidecar peers", PEER_LISTENERS)
@@ -203,3 +200,33 @@
     async for opened in _sidecar_health(folder, descriptors):
         peers = opened.process.ports["port"]
         yield replace(opened, port=peers, answering_port=opened.port)
+
+
+async def check_unharmed(opened, descriptors_before):
+    """Check that a process lives, answers, and holds neither memory nor descriptors."""
+    assert opened.process.exit_code is None
+    assert opened.peak_mb < MEMORY_MB
+    assert await opened.answers()
+    async with asyncio.timeout(CLOSING_TIMEOUT_S):
+        while opened.descriptors > descriptors_before + DESCRIPTOR_SLACK:
+            await asyncio.sleep(0.1)
+
+
+async def check_flood(opening, flood):
+    """Check a process after a flood."""
+    async with opening as opened:
+        assert await opened.answers()
+        before = opened.descriptors
+        await send_flood(opened.host, opened.port, flood)
+        await check_unharmed(opened, before)
+
+
+async def check_left_open(opening, sent):
+    """Check a process while connections are left open, and after."""
+    async with opening as opened:
+        assert await opened.answers()
+        before = opened.descriptors
+        async with connections_left_open(opened.host, opened.port, CROWD, sent):
+            await asyncio.sleep(1.0)
+            assert await opened.answers()
+        await check_unharmed(opened, before)
