--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -234,6 +234,19 @@
     cluster.configure(1, ask, services=services)
 
 
+async def open_silent_stage(cluster):
+    """Configure a route at ``/job/`` whose stage never answers; return call headers."""
+    await cluster.endpoint("stage", "stage", lambda r: [60.0])
+    await cluster.endpoint("e", "job", lambda r: [complete_response(r)])
+    stages = [{"service": "stage", "after": [], "sizeBytes": 1}]
+    segments = {"slots": 1, "queue": 2, "batch": 8, "callMs": 5000.0}
+    long = {"timeoutMs": 30000, "latencySloMs": 30000}
+    staged_route = route("job", phases=stages, **STREAM | long)
+    services = [{"name": "stage", "segments": segments}]
+    cluster.configure(1, staged_route, services=services)
+    return {names.CHUNK_COUNTS: "1", names.DEADLINE_MS: "30000"}
+
+
 def piece_headers(counts):
     """Return the headers of a request with these numbers of pieces in its stages."""
     return {names.CHUNK_COUNTS: counts, names.CHUNK_KEY: "input"}
--- a/tests/gateway/test_answers_at_a_stop.py
+++ b/tests/gateway/test_answers_at_a_stop.py
@@ -9,7 +9,7 @@
 
 from amaranthtally.adapter import headers as names
 from tests.gateway.fake_endpoint import complete_response, response_head
-from tests.gateway.support import STREAM, route, run_with_cluster
+from tests.gateway.support import open_silent_stage, route, run_with_cluster
 
 CALLERS = 24
 # How long an endpoint takes, in seconds, in two parts.
@@ -139,17 +139,9 @@
     """Guards against a closed connection, as a step of the stop before it hangs."""
 
     async def check(cluster):
-        stages = [{"service": "stage", "after": [], "sizeBytes": 1}]
-        segments = {"slots": 1, "queue": 2, "batch": 8, "callMs": 5000.0}
-        await cluster.endpoint("stage", "stage", lambda r: [60.0])
-        await cluster.endpoint("e", "job", lambda r: [complete_response(r)])
-        long = {"timeoutMs": 30000, "latencySloMs": 30000}
-        staged_route = route("job", phases=stages, **STREAM | long)
-        services = [{"name": "stage", "segments": segments}]
-        cluster.configure(1, staged_route, services=services)
+        headers = await open_silent_stage(cluster)
         gateway = await cluster.gateway(stop_grace=8.0)
         await gateway.wait_for_event("registered")
-        headers = {names.CHUNK_COUNTS: "1", names.DEADLINE_MS: "30000"}
         call = asyncio.create_task(gateway.call("/job/", **headers))
         await gateway.wait_for_event("request_received")
         cluster.store.faults.endless_lease_ends = True
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -13,7 +13,7 @@
     sse_events,
     stream_response_head,
 )
-from tests.gateway.support import STREAM, route, run_with_cluster
+from tests.gateway.support import STREAM, open_silent_stage, route, run_with_cluster
 
 
 def test_open_streams_are_completed_before_the_process_ends(tmp_path):
@@ -90,17 +90,8 @@
     """
 
     async def check(cluster):
-        stages = [{"service": "stage", "after": [], "sizeBytes": 1}]
-        segments = {"slots": 1, "queue": 2, "batch": 8, "callMs": 5000.0}
-        await cluster.endpoint("stage", "stage", lambda r: [60.0])
-        await cluster.endpoint("e", "job", lambda r: [complete_response(r)])
-        long = {"timeoutMs": 30000, "latencySloMs": 30000}
-        staged_route = route("job", phases=stages, **STREAM | long)
-        cluster.configure(
-            1, staged_route, services=[{"name": "stage", "segments": segments}]
-        )
+        headers = await open_silent_stage(cluster)
         gateway = await cluster.gateway(stop_grace=8.0)
-        headers = {names.CHUNK_COUNTS: "1", names.DEADLINE_MS: "30000"}
         call = asyncio.create_task(gateway.call("/job/", **headers))
         await gateway.wait_for_event("request_received")
         gateway.process.send(signal.SIGTERM)
