Keep the tasks of connections that gave way until they have ended

A connection that made room left the only place that holds its task, so that a stop did not wait for it. Two names say what they do. 24 tests of peers, crowds at their addresses and supervised tasks pass; formatter, linter and types are clean.

--- a/packages/wire/src/amaranthtally/wire/peer_listener.py
+++ b/packages/wire/src/amaranthtally/wire/peer_listener.py
@@ -64,7 +64,7 @@
         """Close it, whatever it waits for."""
         self._closed.set()
 
-    def close_if_strange(self) -> None:
+    def close_unless_known(self) -> None:
         """Close it, unless a call has come over it."""
         if not self._is_known:
             self.close()
@@ -93,6 +93,8 @@
         self._limits = limits
         # In the order in which they were accepted.
         self._connections: dict[PeerConnection, asyncio.Task[None]] = {}
+        # Tasks of connections that gave way; the event loop alone holds them weakly.
+        self._closing: set[asyncio.Task[None]] = set()
         self._loop = asyncio.get_running_loop()
 
     def start(self) -> None:
@@ -107,7 +109,7 @@
 
     async def close(self) -> None:
         """Close all connections."""
-        tasks = list(self._connections.values())
+        tasks = [*self._connections.values(), *self._closing]
         for task in tasks:
             task.cancel()
         await asyncio.gather(*tasks, return_exceptions=True)
@@ -132,7 +134,11 @@
         connection = PeerConnection(accepted)
         task = self._loop.create_task(self._handle(connection))
         self._connections[connection] = task
-        task.add_done_callback(lambda _: self._connections.pop(connection, None))
+        task.add_done_callback(lambda task: self._forget(connection, task))
+
+    def _forget(self, connection: PeerConnection, task: asyncio.Task[None]) -> None:
+        self._connections.pop(connection, None)
+        self._closing.discard(task)
 
     def _has_room(self) -> bool:
         """Whether there is room for one more, after a stranger has made some."""
@@ -142,13 +148,13 @@
         longest = next(strangers, None)
         if longest is None:
             return False
-        self._connections.pop(longest, None)
+        self._closing.add(self._connections.pop(longest))
         longest.close()
         return True
 
     async def _handle(self, connection: PeerConnection) -> None:
         timer = self._loop.call_later(
-            self._limits.first_call_s, connection.close_if_strange
+            self._limits.first_call_s, connection.close_unless_known
         )
         try:
             await connection.run_until_closed(self._run(connection))
@@ -158,7 +164,7 @@
     async def _run(self, connection: PeerConnection) -> None:
         stream = None
         try:
-            if not await self._starts_well(connection.socket):
+            if not await self._has_small_first_message(connection.socket):
                 return
             stream = await capnp.AsyncIoStream.create_connection(sock=connection.socket)
             await self._serve(stream, connection)
@@ -170,7 +176,7 @@
             else:
                 stream.close()
 
-    async def _starts_well(self, accepted: socket.socket) -> bool:
+    async def _has_small_first_message(self, accepted: socket.socket) -> bool:
         """Wait for the head of the first message; return whether a peer sends such."""
         pause_s = FIRST_LOOK_S
         while True:
