Everything that reads a server's responses does so through bounded sessions

Callers saw: a sidecar whose endpoint sends a body without end grows by gigabytes in seconds, and its other calls end with it. The host list, leases, weights, an engine's state, orders and events, and the operators' command line believed a status of 000, and took a body that a reset had cut for a whole one (acquired leases, host list). Cause: only the gateway's and the store's calls named bounds; others used the bounded connections without any, or plain sessions. Bodies were read whole by response.read(). Change: bounded_session is the one way to a session; it always has bounds, those of the kind of call or its own, and checks heads. Bodies are counted as they come and once decompressed. Reception sums what is held of all bodies that are not complete, and ends the largest beyond a limit. read_body drops what came of a broken response: the error that ended it refers to itself and to the frame with the parts, which stayed until the next full garbage collection. New settings of a sidecar: max_response_bytes (16 MiB) and response_memory_mb (128 MB, the sum over its process).

--- a/packages/daemon/src/amaranthtally/daemon/entry/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/entry/service.py
@@ -6,7 +6,6 @@
 from dataclasses import dataclass
 from random import Random
 
-import aiohttp
 import capnp
 from aiohttp import web
 
@@ -53,6 +52,7 @@
     CALLER_HEADER,
     HostList,
     KeyValueClient,
+    bounded_session,
     open_key_value,
 )
 from amaranthtally.policy import (
@@ -158,7 +158,7 @@
     )
     state.add_listener(on_change)
     session = await stack.enter_async_context(
-        aiohttp.ClientSession(headers={CALLER_HEADER: settings.name})
+        bounded_session(headers={CALLER_HEADER: settings.name})
     )
     sweeper = ClaimSweeper(settings_services.key_value, settings.claim_ttl, Random())
     hosts = HostList(session, settings.platform_url)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/adapters.py
@@ -11,6 +11,8 @@
 from amaranthtally.daemon.prompts import build_prompt, cache_salt, input_text
 from amaranthtally.daemon.sidecar.engine_cache import EngineCache
 from amaranthtally.decoding import decode_json
+from amaranthtally.platform import read_body, response_bounds
+from amaranthtally.policy import DEFAULT_STAGE_LIMITS, StageLimits
 from amaranthtally.wire import ChunkHandler, StageCall
 
 __all__ = [
@@ -52,13 +54,18 @@
 
 @dataclass(frozen=True, slots=True)
 class EndpointCall:
-    """A stage call and the endpoint to send it to; ``cache`` is set for an engine."""
+    """
+    A stage call and the endpoint to send it to.
+
+    ``cache`` is set for an engine. ``limits`` bound what the endpoint may return.
+    """
 
     session: aiohttp.ClientSession
     url: str
     call: StageCall
     on_chunk: ChunkHandler
     cache: EngineCache | None = None
+    limits: StageLimits = DEFAULT_STAGE_LIMITS
 
 
 Adapter = Callable[[EndpointCall], Awaitable[bytes]]
@@ -140,12 +147,9 @@
         "request_id": target.call.id.request_id,
     }
     offset = target.call.resume_offset
-    async with target.session.post(
-        target.url + "/v1/completions",
-        data=msgspec.json.encode(body),
-        headers=_JSON_HEADERS,
-        timeout=_timeout(target.call),
-    ) as response:
+    with response_bounds(target.limits.stream):
+        response = await _send(target, "/v1/completions", body, {})
+    async with response:
         # A late order of a previous lease holder may have unloaded the model since the
         # last reading of the engine's state.
         if response.status == NOT_FOUND:
@@ -251,14 +255,22 @@
 async def _post(
     target: EndpointCall, path: str, body: Any, headers: dict[str, str] | None = None
 ) -> bytes:
-    async with target.session.post(
+    with response_bounds(target.limits.whole):
+        response = await _send(target, path, body, headers or {})
+    async with response:
+        await _raise_for_status(response)
+        return await read_body(response)
+
+
+async def _send(
+    target: EndpointCall, path: str, body: Any, headers: dict[str, str]
+) -> aiohttp.ClientResponse:
+    return await target.session.post(
         target.url + path,
         data=msgspec.json.encode(body),
-        headers={**_JSON_HEADERS, **(headers or {})},
+        headers={**_JSON_HEADERS, **headers},
         timeout=_timeout(target.call),
-    ) as response:
-        await _raise_for_status(response)
-        return await response.read()
+    )
 
 
 async def _raise_for_status(response: aiohttp.ClientResponse) -> None:
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/endpoint_service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/endpoint_service.py
@@ -19,7 +19,7 @@
 from amaranthtally.daemon.sidecar.served_models import ServedModels
 from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.daemon.supervision import Supervisor
-from amaranthtally.platform import CALLER_HEADER
+from amaranthtally.platform import CALLER_HEADER, bounded_session
 from amaranthtally.policy import PEER_SHARE, most_connections
 from amaranthtally.settings import SidecarSettings
 from amaranthtally.wire import EntryConnections, serve_sidecar
@@ -132,7 +132,7 @@
     stack: AsyncExitStack, service: EndpointService, state: SettingsState
 ) -> ModelReconciler:
     headers = {CALLER_HEADER: service.settings.endpoint}
-    session = await stack.enter_async_context(aiohttp.ClientSession(headers=headers))
+    session = await stack.enter_async_context(bounded_session(headers=headers))
     reconciler = ModelReconciler(
         service.settings, session, service.models, service.announce_load
     )
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/engine_cache.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/engine_cache.py
@@ -13,6 +13,7 @@
     PrefixCacheIndex,
 )
 from amaranthtally.decoding import DecodeError, decode_json, unwrap_decoded
+from amaranthtally.platform import read_body
 from amaranthtally.wire import CacheUpdate
 
 __all__ = ["EngineCache"]
@@ -93,7 +94,7 @@
             timeout=aiohttp.ClientTimeout(total=LONG_POLL_S + READ_MARGIN_S),
         ) as response:
             response.raise_for_status()
-            batch = unwrap_decoded(decode_json(await response.read(), _Events))
+            batch = unwrap_decoded(decode_json(await read_body(response), _Events))
         events = [
             EngineEvent(e.serial, e.kind == "stored", e.block) for e in batch.events
         ]
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/engine_orders.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/engine_orders.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from amaranthtally.decoding import DecodeError, decode_json, unwrap_decoded
+from amaranthtally.platform import read_body
 from amaranthtally.policy import EngineModels
 from amaranthtally.policy.model_orders import Load, Order, SetRole, Unload
 from amaranthtally.settings import ModelReference
@@ -78,7 +79,7 @@
                 f"{self._url}/v1/load", timeout=timeout
             ) as response:
                 response.raise_for_status()
-                body = await response.read()
+                body = await read_body(response)
                 state = unwrap_decoded(decode_json(body, _EngineState))
         except (aiohttp.ClientError, TimeoutError, DecodeError) as error:
             raise OrderError(
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/handler.py
@@ -19,7 +19,7 @@
 from amaranthtally.daemon.sidecar.tombstones import Tombstones
 from amaranthtally.daemon.signatures import KeyRing
 from amaranthtally.daemon.supervision import Supervisor
-from amaranthtally.policy import QueuedCall, RunQueue
+from amaranthtally.policy import QueuedCall, RunQueue, build_stage_limits
 from amaranthtally.policy.at_most_once import CallLedger
 from amaranthtally.policy.handover import Handover, ReceivedHandovers
 from amaranthtally.settings import SidecarSettings
@@ -67,6 +67,7 @@
         self._session = session
         self._metrics = metrics
         self._cache = cache
+        self._limits = build_stage_limits(settings.max_response_bytes)
         self._adapter = adapter_for(settings.endpoint_kind)
         self._incarnation = secrets.randbits(INCARNATION_BITS) | 1
         self._queue = RunQueue(settings.concurrency, settings.queue_capacity)
@@ -259,7 +260,12 @@
     ) -> StageReply:
         started = self._loop.time()
         target = EndpointCall(
-            self._session, self._settings.endpoint_url, call, on_chunk, self._cache
+            self._session,
+            self._settings.endpoint_url,
+            call,
+            on_chunk,
+            self._cache,
+            self._limits,
         )
         try:
             result = await call_endpoint(self._adapter, target)
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/service.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Sequence
 from contextlib import AsyncExitStack
+from math import inf
 
 import aiohttp
 import capnp
@@ -25,12 +26,14 @@
 )
 from amaranthtally.daemon.sidecar.metrics import SidecarMetrics
 from amaranthtally.daemon.supervision import Supervisor, open_supervisor
-from amaranthtally.platform import bounded_connector
+from amaranthtally.platform import Reception, bounded_session
+from amaranthtally.policy import DEFAULT_STAGE_LIMITS
 from amaranthtally.settings import SidecarSettings
 
 __all__ = ["open_endpoint_session", "run_sidecar"]
 
 HTTP_GRACE_S = 1.0
+BYTES_PER_MB = 1_000_000
 
 log = get_logger()
 
@@ -40,7 +43,7 @@
     async with AsyncExitStack() as stack:
         await stack.enter_async_context(capnp.kj_loop())
         stop = stack.enter_context(stop_on_signal())
-        shared = await _open_shared(stack, [s.endpoint for s in endpoints])
+        shared = await _open_shared(stack, endpoints)
         is_only_endpoint = len(endpoints) == 1
         services = [
             await open_endpoint(stack, settings, shared, is_only_endpoint)
@@ -66,8 +69,13 @@
         log.info("sidecar_stopped", endpoint=settings.endpoint)
 
 
-async def _open_shared(stack: AsyncExitStack, names: list[str]) -> SharedResources:
-    session = await stack.enter_async_context(open_endpoint_session())
+async def _open_shared(
+    stack: AsyncExitStack, endpoints: Sequence[SidecarSettings]
+) -> SharedResources:
+    names = [settings.endpoint for settings in endpoints]
+    # All endpoints of a file have the same.
+    memory_mb = endpoints[0].response_memory_mb
+    session = await stack.enter_async_context(open_endpoint_session(memory_mb))
     state = SettingsState()
     supervisor = stack.enter_context(open_supervisor())
     sync = SettingsSync(names[0], state, SIDECAR_LINKS, supervisor, names[1:])
@@ -106,13 +114,20 @@
     await service.hand_over_records(True)
 
 
-def open_endpoint_session() -> aiohttp.ClientSession:
+def open_endpoint_session(
+    response_memory_mb: float = inf,
+) -> aiohttp.ClientSession:
     """
     Return a session for calls to the endpoint beside this process.
 
+    Its responses may take ``response_memory_mb`` megabytes together.
+
     Endpoints may answer twice or late and name no call in their responses: each call
     has a connection of its own, so that its response is its own. The run queue limits
     the concurrency; a limit here would delay calls without its knowledge.
     """
-    connector = bounded_connector(limit=0, force_close=True)
-    return aiohttp.ClientSession(connector=connector)
+    return bounded_session(
+        DEFAULT_STAGE_LIMITS.whole,
+        Reception(response_memory_mb * BYTES_PER_MB),
+        connector_options={"limit": 0, "force_close": True},
+    )
--- a/packages/daemon/src/amaranthtally/daemon/sidecar/weights.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/weights.py
@@ -7,6 +7,8 @@
 from aiohttp import hdrs
 
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.platform import response_bounds
+from amaranthtally.policy import WEIGHTS_LIMIT
 
 __all__ = ["WeightsError", "copy_weights"]
 
@@ -55,9 +57,11 @@
 ) -> float | None:
     timeout = aiohttp.ClientTimeout(total=None, sock_read=READ_TIMEOUT_S)
     try:
-        async with session.get(
-            f"{store_url}/v1/weights/{model}", timeout=timeout
-        ) as source:
+        with response_bounds(WEIGHTS_LIMIT):
+            source = await session.get(
+                f"{store_url}/v1/weights/{model}", timeout=timeout
+            )
+        async with source:
             if source.status == TOO_MANY_REQUESTS:
                 return float(source.headers.get(hdrs.RETRY_AFTER, DEFAULT_WAIT_S))
             source.raise_for_status()
--- a/packages/operator/src/amaranthtally/operator/connection.py
+++ b/packages/operator/src/amaranthtally/operator/connection.py
@@ -10,6 +10,7 @@
 from result import Err, Ok, Result
 
 from amaranthtally.operator.exit_codes import ExitCode
+from amaranthtally.platform import bounded_session, read_body
 from amaranthtally.settings.documents import AdminProblem
 
 __all__ = ["Connection", "Failure", "Target"]
@@ -88,12 +89,12 @@
         data = None if body is None else msgspec.json.encode(body)
         try:
             async with (
-                aiohttp.ClientSession(headers=self._headers, timeout=timeout) as http,
+                bounded_session(headers=self._headers, timeout=timeout) as http,
                 http.request(
                     method, f"{self._url}/{path}", params=params, data=data
                 ) as response,
             ):
-                raw = await response.read()
+                raw = await read_body(response)
         except aiohttp.InvalidURL:
             return Err(
                 _unreachable(
--- a/packages/operator/src/amaranthtally/operator/request_command.py
+++ b/packages/operator/src/amaranthtally/operator/request_command.py
@@ -10,6 +10,7 @@
 
 from amaranthtally.operator.exit_codes import ExitCode
 from amaranthtally.operator.output import print_document, print_table
+from amaranthtally.platform import bounded_session, read_body
 
 __all__ = ["add_request_command"]
 
@@ -100,10 +101,10 @@
     total = body["deadline_ms"] / MS_PER_S + RESPONSE_MARGIN_S
     timeout = aiohttp.ClientTimeout(total=total)
     async with (
-        aiohttp.ClientSession(timeout=timeout) as http,
+        bounded_session(timeout=timeout) as http,
         http.post(url, json=body, headers=headers) as response,
     ):
-        return response.status, await response.read()
+        return response.status, await read_body(response)
 
 
 def _print_refusal(raw: bytes) -> ExitCode:
--- a/packages/platform/src/amaranthtally/platform/__init__.py
+++ b/packages/platform/src/amaranthtally/platform/__init__.py
@@ -6,6 +6,8 @@
     MalformedHeadError,
     ResponseLimitError,
     bounded_connector,
+    bounded_session,
+    read_body,
     response_bounds,
 )
 from amaranthtally.platform.errors import (
@@ -24,6 +26,7 @@
     open_key_value,
 )
 from amaranthtally.platform.leases import LeaseClient, VersionedValue
+from amaranthtally.platform.reception import Reception
 from amaranthtally.platform.store import StoreClient, StoreTransfer, open_store
 
 __all__ = [
@@ -42,12 +45,15 @@
     "PlatformUnavailable",
     "PlatformError",
     "PlatformHistoryCompacted",
+    "Reception",
     "ResponseLimitError",
     "StoreClient",
     "StoreTransfer",
     "bounded_connector",
+    "bounded_session",
     "decode_entry",
     "open_key_value",
     "open_store",
+    "read_body",
     "response_bounds",
 ]
--- a/packages/platform/src/amaranthtally/platform/bounded_responses.py
+++ b/packages/platform/src/amaranthtally/platform/bounded_responses.py
@@ -5,24 +5,26 @@
 """
 
 import asyncio
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator, Mapping
 from contextlib import contextmanager
 from contextvars import ContextVar
 from dataclasses import dataclass
 from functools import partial
+from math import inf
 from typing import Any
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from result import Err
 
+from amaranthtally.platform.reception import Reception
 from amaranthtally.platform.response_heads import (
     FIRST_FINAL_STATUS,
     end_of_head,
     is_head_begun,
     read_status,
 )
-from amaranthtally.policy import ResponseLimit
+from amaranthtally.policy import PLATFORM_LIMIT, ResponseLimit
 
 __all__ = [
     "CallTrace",
@@ -30,6 +32,8 @@
     "MalformedHeadError",
     "ResponseLimitError",
     "bounded_connector",
+    "bounded_session",
+    "read_body",
     "response_bounds",
 ]
 
@@ -84,8 +88,9 @@
     """
     Bound the responses to the calls that this task begins within the context.
 
-    A trace then shows the connection of the last call that was sent. Only connectors of
-    ``bounded_connector`` fill it in and open new connections for it.
+    The bounds take the place of the connector's own. A trace then shows the connection
+    of the last call that was sent. Only connectors of ``bounded_connector`` fill it in
+    and open new connections for it.
     """
     trace = bounds if isinstance(bounds, CallTrace) else CallTrace(bounds)
     token = _current_trace.set(trace)
@@ -95,20 +100,74 @@
         _current_trace.reset(token)
 
 
-def bounded_connector(**options: Any) -> aiohttp.TCPConnector:
+def bounded_session(
+    bounds: ResponseLimit = PLATFORM_LIMIT,
+    reception: Reception | None = None,
+    *,
+    connector_options: Mapping[str, Any] | None = None,
+    **options: Any,
+) -> aiohttp.ClientSession:
+    """Return a session of ``bounded_connector`` that keeps no cookies."""
+    return aiohttp.ClientSession(
+        connector=bounded_connector(bounds, reception, **(connector_options or {})),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        **options,
+    )
+
+
+def bounded_connector(
+    bounds: ResponseLimit = PLATFORM_LIMIT,
+    reception: Reception | None = None,
+    **options: Any,
+) -> aiohttp.TCPConnector:
     """
-    Return a connector whose connections enforce ``response_bounds``.
+    Return a connector whose connections check heads and enforce ``response_bounds``.
 
-    A call raises ``ResponseLimitError`` if its response exceeds them.
+    ``bounds`` are those of the calls outside of such a context. ``reception`` bounds
+    what all responses that are held take together; without it, nothing does. A call
+    raises ``ResponseLimitError`` if its response exceeds the bounds, and
+    ``MalformedHeadError`` if the head departs from the standard.
     """
     connector = _BoundedConnector(**options)
     # aiohttp bounds single lines and their number only. It has no public option for the
     # protocol class; ``tests/platform/test_bounded_responses.py`` fails without this.
-    factory: Any = partial(BoundedResponseHandler, asyncio.get_running_loop())
+    factory: Any = partial(
+        BoundedResponseHandler,
+        asyncio.get_running_loop(),
+        bounds,
+        reception or Reception(),
+    )
     connector._factory = factory  # noqa: SLF001
     return connector
 
 
+def _ignore_size(size: int) -> None:
+    pass
+
+
+async def read_body(
+    response: aiohttp.ClientResponse, on_part: Callable[[int], None] = _ignore_size
+) -> bytes:
+    """
+    Return the whole body of a response; what came of a broken one is dropped.
+
+    ``on_part`` is called with the size of each part as it comes, in bytes.
+    """
+    parts: list[bytes] = []
+    part = b""
+    try:
+        async for part in response.content.iter_any():
+            parts.append(part)
+            on_part(len(part))
+    except BaseException:
+        # The error refers to this frame, and to itself: until it is collected as
+        # garbage, it would keep what has come.
+        parts.clear()
+        part = b""
+        raise
+    return b"".join(parts)
+
+
 class _BoundedConnector(aiohttp.TCPConnector):
     """Opens a connection for each call that needs a new one."""
 
@@ -123,9 +182,16 @@
 class BoundedResponseHandler(ResponseHandler):
     """Checks the head of each response, and counts its bytes as they arrive."""
 
-    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+    def __init__(
+        self,
+        loop: asyncio.AbstractEventLoop,
+        default_limit: ResponseLimit,
+        reception: Reception,
+    ) -> None:
         super().__init__(loop)
-        self._limit: ResponseLimit | None = None
+        self._reception = reception
+        self._default_limit = default_limit
+        self._limit = default_limit
         self._opened_at = loop.time()
         self._calls = 0
         self._previous_call = ""
@@ -133,27 +199,32 @@
         self._awaits_head = False
         self._head = bytearray()
         self._received = 0
+        self._held = 0
         self._received_at = 0.0
         self._stall_check: asyncio.TimerHandle | None = None
 
     def set_response_params(self, **params: Any) -> None:
         """Begin to read the response to a request that is about to be sent."""
-        self._stop_stall_check()
+        self._stop_watching()
         trace = _current_trace.get()
-        self._limit = trace.limit if trace is not None else None
+        self._limit = trace.limit if trace is not None else self._default_limit
         self._note_use(trace)
         self._awaits_head = True
         self._head.clear()
         self._received = 0
-        if self._limit is not None:
-            params["max_headers"] = self._limit.header_lines
+        self._held = 0
+        params["max_headers"] = self._limit.header_lines
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
         """Parse received bytes; close the connection if they break a rule."""
         # Without a parser no call has been sent: aiohttp keeps what it is to parse.
-        if not data or self._parser is None:
+        if self._parser is None:
             super().data_received(data)
+        elif not data:
+            # More of a body is decoded, of which enough had been decoded before.
+            super().data_received(data)
+            self._count_body()
         elif self._awaits_head:
             self._received += len(data)
             self._receive_head(data)
@@ -180,10 +251,9 @@
                 return
         if not is_head_begun(self._head):
             self._end(MalformedHeadError("no status line"))
-        elif self._limit is not None and self._received > self._limit.head_bytes:
-            self._end(
-                ResponseLimitError(f"head of over {self._limit.head_bytes} bytes")
-            )
+        elif self._received > self._limit.head_bytes:
+            most = self._limit.head_bytes
+            self._end(ResponseLimitError(f"head of over {most} bytes"))
 
     def _begin_body(self, head: bytes) -> None:
         self._awaits_head = False
@@ -198,17 +268,28 @@
     def _receive_body(self, data: bytes) -> None:
         self._received_at = self._loop.time()
         super().data_received(data)
-        if self._limit is not None and self._received > self._limit.body_bytes:
-            self._end(
-                ResponseLimitError(f"body of over {self._limit.body_bytes} bytes")
-            )
+        self._count_body()
+
+    def _count_body(self) -> None:
+        """End a body that is too large, as it comes or once it is decoded."""
+        payload = self._payload
+        if payload is None:
+            return
+        decoded = payload.total_bytes
+        most = self._limit.body_bytes
+        if max(self._received, decoded) > most:
+            self._end(ResponseLimitError(f"body of over {most} bytes"))
+        elif self._limit.is_held and not payload.is_eof():
+            added, self._held = decoded - self._held, decoded
+            self._reception.hold(self._end_largest, added)
 
     def feed_data(self, data: Any, size: int = 0) -> None:
-        """Pass on a parsed head, and watch over the progress of its body."""
+        """Pass on a parsed head, and watch over its body until it is complete."""
         payload = data[1]
-        if self._limit is not None and not payload.is_eof():
-            self._schedule_stall_check(self._limit.stall_s)
-            payload.on_eof(self._stop_stall_check)
+        if not payload.is_eof():
+            if self._limit.stall_s < inf:
+                self._schedule_stall_check(self._limit.stall_s)
+            payload.on_eof(self._stop_watching)
         super().feed_data(data, size)
 
     def set_exception(self, exc: BaseException, *args: Any) -> None:
@@ -227,7 +308,7 @@
         aiohttp takes any end of the connection for the end of a body that has neither
         a length nor chunks, so that a truncated body would look complete.
         """
-        self._stop_stall_check()
+        self._stop_watching()
         payload = self._payload
         if isinstance(exc, OSError) and payload is not None and not payload.is_eof():
             payload.set_exception(aiohttp.ClientPayloadError("connection reset"), exc)
@@ -245,11 +326,19 @@
             return False
         return self._payload is None or self._payload.is_eof()
 
+    def _stop_watching(self) -> None:
+        """Watch no longer, as the body is complete or nobody awaits it."""
+        self._stop_stall_check()
+        self._reception.release(self._end_largest)
+
+    def _end_largest(self) -> None:
+        self._end(ResponseLimitError("largest of responses that do not fit together"))
+
     def _end(self, error: aiohttp.ClientError) -> None:
         self._end_error = error
         payload, transport = self._payload, self.transport
         self._payload = None
-        self._stop_stall_check()
+        self._stop_watching()
         self.set_exception(error)
         if payload is not None and not payload.is_eof():
             payload.set_exception(error)
@@ -270,7 +359,7 @@
 
     def _check_stall(self) -> None:
         self._stall_check = None
-        if self._limit is None or self.transport is None or self._is_complete():
+        if self.transport is None or self._is_complete():
             return
         now = self._loop.time()
         # While this process does not read, silence is not the endpoint's.
--- a/packages/platform/src/amaranthtally/platform/hosts.py
+++ b/packages/platform/src/amaranthtally/platform/hosts.py
@@ -8,6 +8,7 @@
 from result import Err, Ok, Result
 
 from amaranthtally.decoding import DecodeError, decode_json, unwrap_decoded
+from amaranthtally.platform.bounded_responses import read_body
 from amaranthtally.platform.errors import PlatformError, PlatformUnavailable
 from amaranthtally.platform.timeouts import answer_timeout
 
@@ -55,7 +56,7 @@
             ) as response:
                 response.raise_for_status()
                 if response.status != NOT_MODIFIED:
-                    self._parse(await response.read())
+                    self._parse(await read_body(response))
                     self._etag = response.headers.get(hdrs.ETAG, "")
         except (aiohttp.ClientError, TimeoutError, DecodeError) as error:
             return Err(PlatformUnavailable(type(error).__name__))
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -19,7 +19,10 @@
 from result import Err, Ok, Result
 
 from amaranthtally.decoding import decode_base64, decode_json
-from amaranthtally.platform.bounded_responses import bounded_connector
+from amaranthtally.platform.bounded_responses import (
+    bounded_session,
+    read_body,
+)
 from amaranthtally.platform.errors import (
     PlatformError,
     PlatformOutcomeUnknown,
@@ -129,14 +132,14 @@
                 timeout=answer_timeout(READ_TIMEOUT_S, READ_TIMEOUT_S),
             ) as response:
                 self._note_clock(response)
-                text = await response.text()
+                body = await read_body(response)
         except aiohttp.ClientConnectorError as error:
             return Err(PlatformUnavailable(str(error)))
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(PlatformOutcomeUnknown(type(error).__name__))
         if response.status != HTTP_OK:
             return Err(PlatformUnavailable(f"status {response.status}"))
-        return Ok(text.strip() == "true")
+        return Ok(body.strip() == b"true")
 
     async def delete(self, key: str, index: int) -> Result[bool, PlatformError]:
         """Delete a key that still has ``index``; ``Ok(False)`` if it has not."""
@@ -147,12 +150,12 @@
                 timeout=answer_timeout(READ_TIMEOUT_S, READ_TIMEOUT_S),
             ) as response:
                 self._note_clock(response)
-                text = await response.text()
+                body = await read_body(response)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(PlatformOutcomeUnknown(type(error).__name__))
         if response.status != HTTP_OK:
             return Err(PlatformUnavailable(f"status {response.status}"))
-        return Ok(text.strip() == "true")
+        return Ok(body.strip() == b"true")
 
     async def delete_prefix(self, prefix: str) -> Result[None, PlatformError]:
         """Delete every key under a prefix."""
@@ -162,7 +165,7 @@
                 params={"recurse": ""},
                 timeout=answer_timeout(READ_TIMEOUT_S, READ_TIMEOUT_S),
             ) as response:
-                await response.read()
+                await read_body(response)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(PlatformOutcomeUnknown(type(error).__name__))
         if response.status != HTTP_OK:
@@ -189,7 +192,7 @@
                 timeout=answer_timeout(read_timeout_s, READ_TIMEOUT_S),
             ) as response:
                 self._note_clock(response)
-                body = await response.read()
+                body = await read_body(response)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(PlatformUnavailable(type(error).__name__))
         if response.status not in (HTTP_OK, HTTP_NOT_FOUND):
@@ -221,9 +224,7 @@
 
     ``caller`` identifies this process to the platform, which counts calls by caller.
     """
-    async with aiohttp.ClientSession(
-        headers={CALLER_HEADER: caller}, connector=bounded_connector()
-    ) as session:
+    async with bounded_session(headers={CALLER_HEADER: caller}) as session:
         yield KeyValueClient(session, url)
 
 
--- a/packages/platform/src/amaranthtally/platform/leases.py
+++ b/packages/platform/src/amaranthtally/platform/leases.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from amaranthtally.decoding import decode_base64, decode_json
+from amaranthtally.platform.bounded_responses import read_body
 from amaranthtally.platform.errors import (
     PlatformError,
     PlatformOutcomeUnknown,
@@ -67,7 +68,7 @@
             async with self._session.get(
                 f"{self._url}/v1/kv/{key}", timeout=self._timeout
             ) as response:
-                body = await response.read()
+                body = await read_body(response)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(PlatformUnavailable(type(error).__name__))
         if response.status == HTTP_NOT_FOUND:
@@ -91,7 +92,7 @@
             async with self._session.put(
                 self._url + path, params=params, data=body, timeout=self._timeout
             ) as response:
-                raw = await response.read()
+                raw = await read_body(response)
         except aiohttp.ClientConnectorError as error:
             return Err(PlatformUnavailable(type(error).__name__))
         except (aiohttp.ClientError, TimeoutError) as error:
--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -11,8 +11,7 @@
 
 from amaranthtally.adapter import store
 from amaranthtally.platform.bounded_responses import (
-    ResponseLimitError,
-    bounded_connector,
+    bounded_session,
     response_bounds,
 )
 from amaranthtally.platform.errors import (
@@ -211,9 +210,6 @@
                 pending.headers_at = self._time()
                 async for data in response.content.iter_any():
                     pending.body += data
-                    # The bound of the connection counts the bytes before decompression.
-                    if len(pending.body) > self._limit.body_bytes:
-                        raise ResponseLimitError("body too large once decompressed")
                 outcome = ENDED
                 return Ok((response.status, bytes(pending.body)))
         except aiohttp.ClientConnectorError as error:
@@ -253,10 +249,7 @@
     response that exceeds ``limit`` is cut off and counts as lost.
     """
     limit = limit or build_response_limits().of(ResponseKind.STORE)
-    connector = bounded_connector()
-    async with aiohttp.ClientSession(
-        connector=connector, cookie_jar=aiohttp.DummyCookieJar()
-    ) as session:
+    async with bounded_session(limit) as session:
         yield StoreClient(session, address, on_transfer, limit)
         # Run the loop once, so that transports close before it ends.
         await asyncio.sleep(0)
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -128,10 +128,15 @@
 from amaranthtally.policy.request_key import RequestKey, request_key
 from amaranthtally.policy.request_ledger import Counters
 from amaranthtally.policy.response_limits import (
+    DEFAULT_STAGE_LIMITS,
+    PLATFORM_LIMIT,
+    WEIGHTS_LIMIT,
     ResponseKind,
     ResponseLimit,
     ResponseLimits,
+    StageLimits,
     build_response_limits,
+    build_stage_limits,
 )
 from amaranthtally.policy.routes import (
     Account,
@@ -269,6 +274,10 @@
     "Resource",
     "ResponseKind",
     "ResponseLimit",
+    "StageLimits",
+    "DEFAULT_STAGE_LIMITS",
+    "PLATFORM_LIMIT",
+    "WEIGHTS_LIMIT",
     "ResponseLimits",
     "ResponseSizes",
     "Route",
@@ -296,6 +305,7 @@
     "Work",
     "build_memory_budget",
     "build_response_limits",
+    "build_stage_limits",
     "duty_holder",
     "elect_watchers",
     "gateway_settings",
--- a/packages/policy/src/amaranthtally/policy/response_limits/limits.py
+++ b/packages/policy/src/amaranthtally/policy/response_limits/limits.py
@@ -6,9 +6,20 @@
 """
 
 from enum import Enum
+from math import inf
 from typing import NamedTuple
 
-__all__ = ["ResponseKind", "ResponseLimit", "ResponseLimits", "build_response_limits"]
+__all__ = [
+    "DEFAULT_STAGE_LIMITS",
+    "PLATFORM_LIMIT",
+    "WEIGHTS_LIMIT",
+    "ResponseKind",
+    "ResponseLimit",
+    "ResponseLimits",
+    "StageLimits",
+    "build_response_limits",
+    "build_stage_limits",
+]
 
 KIB = 1024
 MIB = 1024 * KIB
@@ -30,6 +41,10 @@
 MAX_FREE_BYTES = 64 * KIB
 # The store returns all records of a prefix at once, and the operators' configuration.
 MAX_STORE_BYTES = 32 * MIB
+# What a sidecar's endpoint may return for a stage, in bytes, and the multiple of it
+# that bounds an engine's stream.
+DEFAULT_STAGE_BYTES = RESPONSE_FACTOR * DEFAULT_REQUEST_BYTES
+STAGE_STREAM_FACTOR = 4
 
 
 class ResponseKind(Enum):
@@ -48,13 +63,28 @@
 
     ``head_bytes`` includes informational responses before the final head, and
     ``body_bytes`` includes the framing of chunks. ``stall_s`` is how long a response
-    that has begun may bring no bytes, in seconds.
+    that has begun may bring no bytes, in seconds. ``is_held`` says whether a body is
+    kept until it is complete; others are passed on as they come.
     """
 
     head_bytes: int
     header_lines: int
-    body_bytes: int
+    body_bytes: float
     stall_s: float
+    is_held: bool = True
+
+
+class StageLimits(NamedTuple):
+    """Bounds of the responses of a sidecar's endpoint, to whole calls and streams."""
+
+    whole: ResponseLimit
+    stream: ResponseLimit
+
+
+# The clients of these have time-outs of their own, some of them longer than a stall.
+PLATFORM_LIMIT = ResponseLimit(MAX_HEAD_BYTES, MAX_HEADER_LINES, MAX_STORE_BYTES, inf)
+# Weights have any size: they are passed on to the engine, which knows how large it is.
+WEIGHTS_LIMIT = ResponseLimit(MAX_HEAD_BYTES, MAX_HEADER_LINES, inf, inf, is_held=False)
 
 
 class ResponseLimits:
@@ -78,10 +108,24 @@
     def of(self, kind: ResponseKind) -> ResponseLimit:
         """Return the bounds of a response to a call of this kind."""
         return ResponseLimit(
-            MAX_HEAD_BYTES, MAX_HEADER_LINES, self._bodies[kind], MAX_STALL_S
+            MAX_HEAD_BYTES,
+            MAX_HEADER_LINES,
+            self._bodies[kind],
+            MAX_STALL_S,
+            is_held=kind is not ResponseKind.STREAM,
         )
 
 
 def build_response_limits(request_bytes: int = DEFAULT_REQUEST_BYTES) -> ResponseLimits:
     """Return the bounds for a configuration's largest request body, in bytes."""
     return ResponseLimits(request_bytes)
+
+
+def build_stage_limits(response_bytes: int) -> StageLimits:
+    """Return the bounds for the largest response of an endpoint, in bytes."""
+    whole = ResponseLimit(MAX_HEAD_BYTES, MAX_HEADER_LINES, response_bytes, inf)
+    stream_bytes = STAGE_STREAM_FACTOR * response_bytes
+    return StageLimits(whole, whole._replace(body_bytes=stream_bytes, is_held=False))
+
+
+DEFAULT_STAGE_LIMITS = build_stage_limits(DEFAULT_STAGE_BYTES)
--- a/packages/settings/src/amaranthtally/settings/process.py
+++ b/packages/settings/src/amaranthtally/settings/process.py
@@ -28,7 +28,16 @@
 Count = Annotated[int, Meta(ge=1)]
 ENDPOINTS = "endpoints"
 ENDPOINT_KEYS = frozenset({"endpoint", "wire_address", "endpoint_url"})
-SHARED_KEYS = frozenset({"host", "region", "data_centre", "http_address", "log_level"})
+SHARED_KEYS = frozenset(
+    {
+        "host",
+        "region",
+        "data_centre",
+        "http_address",
+        "log_level",
+        "response_memory_mb",
+    }
+)
 
 
 class EntrySettings(msgspec.Struct, frozen=True, kw_only=True):
@@ -97,7 +106,13 @@
 
 
 class SidecarSettings(msgspec.Struct, frozen=True, kw_only=True):
-    """Settings of a sidecar. Addresses are ``ip:port``; times are in seconds."""
+    """
+    Settings of a sidecar. Addresses are ``ip:port``; times are in seconds.
+
+    ``max_response_bytes`` is the largest response of the endpoint that is accepted, and
+    a quarter of the longest stream. ``response_memory_mb`` is what the responses that a
+    process is receiving may take together, in megabytes; beyond, the largest is ended.
+    """
 
     endpoint: Name
     host: Name
@@ -111,6 +126,8 @@
     order_lease_ttl: Annotated[float, Meta(ge=3)] = 10.0
     unload_wait: Annotated[float, Meta(ge=0)] = 30.0
     concurrency: Count = 4
+    max_response_bytes: Count = 16_777_216
+    response_memory_mb: Positive = 128.0
     queue_capacity: Count = 64
     record_ttl: Positive = 900.0
     record_capacity: Count = 10_000
