Responses that a gateway is receiving fit into its memory together

Callers saw: 48 callers of 8 endpoints whose bodies never end took a gateway with memory_mb = 300 to 1,256 MB (body), 978 to 1,155 MB (chunks, events of 64 kB), and other callers got 503, as nothing was left for new requests. Cause, in three parts. Requests that were ended for their memory kept it: the error or the cancellation refers to the frame with the parts of the body, and CallerMemory to the request that refers to it, so that all stayed until a full garbage collection; counted, it was free. Bodies that were not complete could take the whole limit. Each response had its bound, all together had none. What was ruled out: the allocator (used bytes, not free ones, grew in mallinfo2), buffers of readers (at most 24 MB of 420).

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
@@ -8,6 +8,7 @@
 from resource import getpagesize
 
 from amaranthtally.daemon.logs import get_logger
+from amaranthtally.platform import Reception
 from amaranthtally.policy import MemoryBudget, build_memory_budget, usable_bytes
 
 __all__ = ["CallerMemory", "EntryMemory"]
@@ -26,6 +27,10 @@
 SAMPLE_INTERVAL_S = 1.0
 # A change of the limit by less than this part is not logged.
 LOGGED_CHANGE = 0.1
+# What bodies that are not complete may take of the limit. A body is joined from its
+# parts, so that it takes twice its size for a moment; and servers that send without end
+# leave room for other requests.
+RECEIVED_SHARE = 0.5
 STATM = Path("/proc/self/statm")
 RESIDENT_FIELD = 1
 
@@ -98,17 +103,23 @@
 
     def close(self) -> None:
         """Count nothing more, as the request has ended."""
-        if self._is_open:
-            self._is_open = False
-            self._memory.budget.release(self, self._memory.budget.held(self))
+        self._stop_counting()
+        # It refers to the request, which refers to this: what the request holds would
+        # stay until the next collection of garbage.
+        self._on_excess = None
 
     def end(self) -> None:
         """End the request, once the current callback has returned."""
         self._held_at_end = self._memory.budget.held(self)
-        self.close()
+        self._stop_counting()
         self._is_ended = True
         self._schedule_end()
 
+    def _stop_counting(self) -> None:
+        if self._is_open:
+            self._is_open = False
+            self._memory.budget.release(self, self._memory.budget.held(self))
+
     def _schedule_end(self) -> None:
         if self._on_excess is not None:
             asyncio.get_running_loop().call_soon(self._on_excess, self._held_at_end)
@@ -118,12 +129,17 @@
     """
     The memory of this process for callers; unlimited if ``memory_mb`` is 0.
 
-    ``memory_mb`` is what the process as a whole may use, in megabytes.
+    ``memory_mb`` is what the process as a whole may use, in megabytes. ``reception``
+    gets its limit from here.
     """
 
     def __init__(
-        self, memory_mb: float = 0, budget: MemoryBudget | None = None
+        self,
+        memory_mb: float = 0,
+        budget: MemoryBudget | None = None,
+        reception: Reception | None = None,
     ) -> None:
+        self._reception = reception or Reception()
         self._memory_bytes = memory_mb * BYTES_PER_MB
         self._budget = budget or build_memory_budget()
         self._own_samples: deque[int] = deque(maxlen=SAMPLES)
@@ -170,6 +186,7 @@
         self._own_samples.append(max(0, resident - self._budget.used))
         limit = usable_bytes(self._memory_bytes, min(self._own_samples))
         self._budget.set_limit(limit)
+        self._reception.set_limit(RECEIVED_SHARE * limit)
         if abs(limit - self._logged_limit) > LOGGED_CHANGE * limit:
             self._logged_limit = limit
             log.info(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -23,7 +23,7 @@
 )
 from amaranthtally.daemon.logs import format_parts, get_logger
 from amaranthtally.daemon.supervision import is_cancelled_by_owner
-from amaranthtally.platform import ResponseLimitError
+from amaranthtally.platform import ResponseLimitError, read_body
 from amaranthtally.policy import (
     UNREACHABLE,
     AttemptId,
@@ -334,17 +334,18 @@
 
 async def _read_body(call: LiveCall, response: aiohttp.ClientResponse) -> bytes:
     """Read a response's body, counted as held for its caller from the first byte."""
-    parts: list[bytes] = []
     size = 0
+
+    def count(part_bytes: int) -> None:
+        nonlocal size
+        size += part_bytes
+        call.memory.add(part_bytes)
+
     try:
-        async for part in response.content.iter_any():
-            parts.append(part)
-            size += len(part)
-            call.memory.add(len(part))
+        return await read_body(response, count)
     except BaseException:
         call.memory.remove(size)
         raise
-    return b"".join(parts)
 
 
 def unknown_outcome(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
@@ -13,8 +13,9 @@
 from amaranthtally.platform import (
     CallTrace,
     MalformedHeadError,
+    Reception,
     ResponseLimitError,
-    bounded_connector,
+    bounded_session,
     response_bounds,
 )
 from amaranthtally.policy import (
@@ -64,22 +65,29 @@
 
 
 @asynccontextmanager
-async def endpoint_sessions() -> AsyncIterator[EndpointSessions]:
-    """Open sessions for calls to endpoints; bodies are not decompressed."""
+async def endpoint_sessions(reception: Reception) -> AsyncIterator[EndpointSessions]:
+    """
+    Open sessions for calls to endpoints; bodies are not decompressed.
+
+    ``reception`` bounds what all their responses may take together.
+    """
     async with AsyncExitStack() as stack:
         yield EndpointSessions(
-            await stack.enter_async_context(_new_session(IDLE_TIMEOUT_S)),
-            await stack.enter_async_context(_new_session(PIECES_IDLE_TIMEOUT_S)),
+            await stack.enter_async_context(_new_session(IDLE_TIMEOUT_S, reception)),
+            await stack.enter_async_context(
+                _new_session(PIECES_IDLE_TIMEOUT_S, reception)
+            ),
         )
 
 
-def _new_session(idle_timeout_s: float) -> aiohttp.ClientSession:
-    connector = bounded_connector(
-        limit=0, keepalive_timeout=idle_timeout_s, use_dns_cache=False
-    )
-    session = aiohttp.ClientSession(
-        connector=connector,
-        cookie_jar=aiohttp.DummyCookieJar(),
+def _new_session(idle_timeout_s: float, reception: Reception) -> aiohttp.ClientSession:
+    session = bounded_session(
+        reception=reception,
+        connector_options={
+            "limit": 0,
+            "keepalive_timeout": idle_timeout_s,
+            "use_dns_cache": False,
+        },
         auto_decompress=False,
         skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding", "Content-Type"),
         max_field_size=MAX_HEADER_BYTES,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/piece_calls.py
@@ -17,6 +17,7 @@
 from amaranthtally.daemon.gateway.metrics import GatewayMetrics
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.supervision import is_cancelled_by_owner
+from amaranthtally.platform import read_body
 from amaranthtally.policy import (
     Endpoint,
     FreeResults,
@@ -119,7 +120,7 @@
                 ),
             )
             async with response:
-                await response.read()
+                await read_body(response)
             self._on_head(endpoint, head, exchange.started)
         except CALL_ERRORS as error:
             log.info(
@@ -157,7 +158,7 @@
                 response.close()
                 self._log(action, endpoint, "mismatched", head.request_id, exchange)
                 return FAILED
-            body = await response.read()
+            body = await read_body(response)
         self._on_head(endpoint, head, exchange.started)
         load = head.load
         running = load.running if load else None
--- a/packages/daemon/src/amaranthtally/daemon/gateway/service.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/service.py
@@ -55,7 +55,7 @@
 from amaranthtally.daemon.log_writer import BoundedWriter
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.daemon.supervision import Supervisor, open_supervisor
-from amaranthtally.platform import open_store
+from amaranthtally.platform import Reception, open_store
 from amaranthtally.policy import (
     CALLER_SHARE,
     GATEWAY_COMPONENTS,
@@ -117,7 +117,8 @@
     writer: BoundedWriter,
 ) -> GatewayDrainController:
     metrics = GatewayMetrics()
-    sessions = await stack.enter_async_context(endpoint_sessions())
+    reception = Reception()
+    sessions = await stack.enter_async_context(endpoint_sessions(reception))
     client = await stack.enter_async_context(
         open_store(settings.store_address, TransferReporter(metrics).record)
     )
@@ -125,7 +126,7 @@
     supervisor = stack.enter_context(open_supervisor())
 
     limits = build_response_limits()
-    memory = EntryMemory(settings.memory_mb)
+    memory = EntryMemory(settings.memory_mb, reception=reception)
 
     def settings_changed(changed: PolicySettings) -> None:
         if routing_state.table is not None:
