Connections parse what servers send in turns, a slice at a time

Callers saw: beside endpoints that send small chunks, events or chunk sizes without end, a gateway's other callers waited for over a second, or were reset as its event loop was late. Cause: whatever had arrived on a connection was parsed in one callback, up to 256 kB of it for each connection; 16 kB of one-byte chunks take 0.8 ms, one chunk of 16 kB a few microseconds. Change: ReadTurns. A connection parses 16 KiB at a time, and all of a session 64 KiB before the event loop goes on; it is not read while it has more. What is left as a connection ends is parsed first, and a connection with more than its response is not reused.

--- a/packages/platform/src/amaranthtally/platform/bounded_responses.py
+++ b/packages/platform/src/amaranthtally/platform/bounded_responses.py
@@ -17,6 +17,7 @@
 from aiohttp.client_proto import ResponseHandler
 from result import Err
 
+from amaranthtally.platform.read_turns import ReadTurns
 from amaranthtally.platform.reception import Reception
 from amaranthtally.platform.response_heads import (
     FIRST_FINAL_STATUS,
@@ -136,6 +137,7 @@
         asyncio.get_running_loop(),
         bounds,
         reception or Reception(),
+        ReadTurns(),
     )
     connector._factory = factory  # noqa: SLF001
     return connector
@@ -187,9 +189,14 @@
         loop: asyncio.AbstractEventLoop,
         default_limit: ResponseLimit,
         reception: Reception,
+        turns: ReadTurns,
     ) -> None:
         super().__init__(loop)
         self._reception = reception
+        self._turns = turns
+        # What has been received and not parsed, from ``_parsed`` on.
+        self._unparsed = b""
+        self._parsed = 0
         self._default_limit = default_limit
         self._limit = default_limit
         self._opened_at = loop.time()
@@ -203,6 +210,21 @@
         self._received_at = 0.0
         self._stall_check: asyncio.TimerHandle | None = None
 
+    @property
+    def can_parse(self) -> bool:
+        """Whether there are bytes to parse, and a reader with room for them."""
+        is_open = self.transport is not None
+        return is_open and self._has_unparsed and not self._reading_paused
+
+    @property
+    def should_close(self) -> bool:
+        """Whether the connection cannot be used for another call."""
+        return super().should_close or self._has_unparsed
+
+    @property
+    def _has_unparsed(self) -> bool:
+        return self._parsed < len(self._unparsed)
+
     def set_response_params(self, **params: Any) -> None:
         """Begin to read the response to a request that is about to be sent."""
         self._stop_watching()
@@ -217,7 +239,7 @@
         super().set_response_params(**params)
 
     def data_received(self, data: bytes) -> None:
-        """Parse received bytes; close the connection if they break a rule."""
+        """Parse received bytes in slices; read no more until they are parsed."""
         # Without a parser no call has been sent: aiohttp keeps what it is to parse.
         if self._parser is None:
             super().data_received(data)
@@ -225,7 +247,31 @@
             # More of a body is decoded, of which enough had been decoded before.
             super().data_received(data)
             self._count_body()
-        elif self._awaits_head:
+        else:
+            self._unparsed = self._unparsed[self._parsed :] + data
+            self._parsed = 0
+            self._turns.request(self)
+            if self._has_unparsed:
+                self._pause_transport_reading()
+
+    def parse_slice(self, most_bytes: int) -> int:
+        """Parse a slice of what was received; read on after the last one."""
+        data = self._unparsed[self._parsed : self._parsed + most_bytes]
+        self._parsed += len(data)
+        if self.transport is None:
+            # The call has been given up.
+            self._parsed = len(self._unparsed)
+        else:
+            self._parse(data)
+        if not self._has_unparsed:
+            self._unparsed, self._parsed = b"", 0
+            if not self._reading_paused:
+                self._resume_transport_reading()
+        return len(data)
+
+    def _parse(self, data: bytes) -> None:
+        """Parse bytes; close the connection if they break a rule."""
+        if self._awaits_head:
             self._received += len(data)
             self._receive_head(data)
         elif self._is_complete():
@@ -263,7 +309,7 @@
         self._received_at = self._loop.time()
         super().data_received(head)
         if body and self.transport is not None and self._exception is None:
-            self.data_received(body)
+            self._parse(body)
 
     def _receive_body(self, data: bytes) -> None:
         self._received_at = self._loop.time()
@@ -300,6 +346,13 @@
         """Read again; the time without reading does not count as the endpoint's."""
         self._received_at = self._loop.time()
         super().resume_reading(resume_parser)
+        if self.can_parse:
+            self._turns.request(self)
+
+    def _resume_transport_reading(self) -> None:
+        # aiohttp resumes as its reader has room, though slices may still be left.
+        if not self._has_unparsed:
+            super()._resume_transport_reading()
 
     def connection_lost(self, exc: BaseException | None) -> None:
         """
@@ -308,6 +361,8 @@
         aiohttp takes any end of the connection for the end of a body that has neither
         a length nor chunks, so that a truncated body would look complete.
         """
+        while self._has_unparsed:
+            self.parse_slice(len(self._unparsed))
         self._stop_watching()
         payload = self._payload
         if isinstance(exc, OSError) and payload is not None and not payload.is_eof():
@@ -363,7 +418,7 @@
             return
         now = self._loop.time()
         # While this process does not read, silence is not the endpoint's.
-        if self._reading_paused:
+        if self._reading_paused or self._has_unparsed:
             self._received_at = now
         left_s = self._received_at + self._limit.stall_s - now
         if left_s > 0:
--- a/tests/gateway/test_response_memory.py
+++ b/tests/gateway/test_response_memory.py
@@ -50,6 +50,7 @@
     "chunk extensions": (chunked_head, b"1;" + b"e" * 65_536),
     "trailers": (lambda r: chunked_head(r) + b"0\r\n", b"X-Line: value\r\n" * 4000),
     "events": (stream_response_head, http_chunk(sse_events(1, 2)) * 2000),
+    "large events": (stream_response_head, http_chunk(b"data: " + BLOCK + b"\n\n")),
     "zeros": (no_head, bytes(65_536)),
     "status line": (lambda r: b"HTTP/1.1 200 ", BLOCK),
     "header lines": (lambda r: response_head(r)[:-2], b"X-Line: value\r\n" * 4000),
