Writes to the key-value service are sent once, and an answer that says nothing is none

Callers saw: a service that closed the connection, or broke off in the head of its answer, got the same compare-and-swap, deletion or acquisition a second time. Where the first had taken effect the second says that it had not, and the caller believed that. An answer that was neither true nor false (other words, no UTF-8) was believed as false, or raised what nobody catches. Cause: aiohttp sends PUT and DELETE again by itself if a connection ends before the response; only the gateway's sessions had that switched off. The clients compared the text with 'true'. Change: bounded_session sends nothing again unless it is told so (the store's, whose writes are POSTs and the end of a lease); reads of the key-value service are sent once more by its client, as before. read_flag takes true or false only; otherwise the outcome is unknown.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
@@ -81,7 +81,8 @@
 
 
 def _new_session(idle_timeout_s: float, reception: Reception) -> aiohttp.ClientSession:
-    session = bounded_session(
+    # Only the policy decides on retries, so that nothing is sent again.
+    return bounded_session(
         reception=reception,
         connector_options={
             "limit": 0,
@@ -93,12 +94,6 @@
         max_field_size=MAX_HEADER_BYTES,
         max_line_size=MAX_HEADER_BYTES,
     )
-    # By default aiohttp resends a request with an idempotent method if a kept-alive
-    # connection closes before the response. The endpoint may have run the request, and
-    # the HTTP method does not show whether the request may run twice. Only the policy
-    # decides on retries.
-    session._retry_connection = False  # noqa: SLF001
-    return session
 
 
 class EndpointExchange:
--- a/packages/platform/src/amaranthtally/platform/bounded_responses.py
+++ b/packages/platform/src/amaranthtally/platform/bounded_responses.py
@@ -105,15 +105,24 @@
     bounds: ResponseLimit = PLATFORM_LIMIT,
     reception: Reception | None = None,
     *,
+    resends: bool = False,
     connector_options: Mapping[str, Any] | None = None,
     **options: Any,
 ) -> aiohttp.ClientSession:
-    """Return a session of ``bounded_connector`` that keeps no cookies."""
-    return aiohttp.ClientSession(
+    """
+    Return a session of ``bounded_connector`` that keeps no cookies.
+
+    With ``resends`` a call whose method is idempotent is sent again if its connection
+    ends before a response. Its first copy may have taken effect, and the method does
+    not show whether the call may run twice.
+    """
+    session = aiohttp.ClientSession(
         connector=bounded_connector(bounds, reception, **(connector_options or {})),
         cookie_jar=aiohttp.DummyCookieJar(),
         **options,
     )
+    session._retry_connection = resends  # noqa: SLF001
+    return session
 
 
 def bounded_connector(
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -36,6 +36,7 @@
     "Listing",
     "decode_entry",
     "open_key_value",
+    "read_flag",
 ]
 
 CALLER_HEADER = "X-Caller"
@@ -47,6 +48,8 @@
 HTTP_NOT_FOUND = 404
 HTTP_OK = 200
 
+FLAGS = {b"true": True, b"false": False}
+
 T = TypeVar("T")
 
 
@@ -139,7 +142,7 @@
             return Err(PlatformOutcomeUnknown(type(error).__name__))
         if response.status != HTTP_OK:
             return Err(PlatformUnavailable(f"status {response.status}"))
-        return Ok(body.strip() == b"true")
+        return read_flag(body)
 
     async def delete(self, key: str, index: int) -> Result[bool, PlatformError]:
         """Delete a key that still has ``index``; ``Ok(False)`` if it has not."""
@@ -155,7 +158,7 @@
             return Err(PlatformOutcomeUnknown(type(error).__name__))
         if response.status != HTTP_OK:
             return Err(PlatformUnavailable(f"status {response.status}"))
-        return Ok(body.strip() == b"true")
+        return read_flag(body)
 
     async def delete_prefix(self, prefix: str) -> Result[None, PlatformError]:
         """Delete every key under a prefix."""
@@ -172,6 +175,28 @@
             return Err(PlatformUnavailable(f"status {response.status}"))
         return Ok(None)
 
+    async def _fetch(
+        self, key: str, params: dict[str, str], read_timeout_s: float
+    ) -> tuple[aiohttp.ClientResponse, bytes]:
+        """Read a response; send the call again if its idle connection was closed."""
+        try:
+            return await self._fetch_once(key, params, read_timeout_s)
+        except aiohttp.ClientConnectorError:
+            raise
+        except (aiohttp.ClientOSError, aiohttp.ServerDisconnectedError):
+            return await self._fetch_once(key, params, read_timeout_s)
+
+    async def _fetch_once(
+        self, key: str, params: dict[str, str], read_timeout_s: float
+    ) -> tuple[aiohttp.ClientResponse, bytes]:
+        async with self._session.get(
+            f"{self._url}/v1/kv/{key}",
+            params=params,
+            timeout=answer_timeout(read_timeout_s, READ_TIMEOUT_S),
+        ) as response:
+            self._note_clock(response)
+            return response, await read_body(response)
+
     def _note_clock(self, response: aiohttp.ClientResponse) -> None:
         date = response.headers.get(hdrs.DATE)
         if date is None or response.status not in (HTTP_OK, HTTP_NOT_FOUND):
@@ -186,13 +211,7 @@
         self, key: str, params: dict[str, str], read_timeout_s: float = READ_TIMEOUT_S
     ) -> Result[Listing, PlatformError]:
         try:
-            async with self._session.get(
-                f"{self._url}/v1/kv/{key}",
-                params=params,
-                timeout=answer_timeout(read_timeout_s, READ_TIMEOUT_S),
-            ) as response:
-                self._note_clock(response)
-                body = await read_body(response)
+            response, body = await self._fetch(key, params, read_timeout_s)
         except (aiohttp.ClientError, TimeoutError) as error:
             return Err(PlatformUnavailable(type(error).__name__))
         if response.status not in (HTTP_OK, HTTP_NOT_FOUND):
@@ -210,6 +229,14 @@
         )
 
 
+def read_flag(body: bytes) -> Result[bool, PlatformError]:
+    """Return whether a write was made; it is unknown if the service says neither."""
+    flag = FLAGS.get(body.strip())
+    return (
+        Err(PlatformOutcomeUnknown("malformed response")) if flag is None else Ok(flag)
+    )
+
+
 def decode_entry(entry: KeyValueEntry, kind: type[T]) -> Result[T, PlatformError]:
     """Decode the JSON value of a key."""
     return decode_json(entry.value, kind).map_err(
--- a/packages/platform/src/amaranthtally/platform/leases.py
+++ b/packages/platform/src/amaranthtally/platform/leases.py
@@ -18,6 +18,7 @@
     PlatformOutcomeUnknown,
     PlatformUnavailable,
 )
+from amaranthtally.platform.key_value import read_flag
 
 __all__ = ["VersionedValue", "LeaseClient"]
 
@@ -83,7 +84,7 @@
         """Acquire a key that still has ``index`` and that no session holds."""
         params = {"cas": str(index), "acquire": session}
         answer = await self._put(f"/v1/kv/{key}", params, value)
-        return answer.map(lambda raw: raw.strip() == b"true")
+        return answer.and_then(read_flag)
 
     async def _put(
         self, path: str, params: dict[str, str], body: bytes
--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -249,7 +249,7 @@
     response that exceeds ``limit`` is cut off and counts as lost.
     """
     limit = limit or build_response_limits().of(ResponseKind.STORE)
-    async with bounded_session(limit) as session:
+    async with bounded_session(limit, resends=True) as session:
         yield StoreClient(session, address, on_transfer, limit)
         # Run the loop once, so that transports close before it ends.
         await asyncio.sleep(0)
