Weights count as copied only once the engine was sent all of them

Operators saw: an engine that answers 200 before it has read the weights counts as loaded with a part of them, also where the weight store broke off meanwhile. A Retry-After of the store that is no number ended the task that loads models; 'nan' and 1e9 let it wait for ever. Cause: the response to an upload was read as its end; the header went through float() alone. Change: the copy notes whether the source was sent to its end; what is no time of up to 600 s to come back is one second.

--- a/packages/daemon/src/amaranthtally/daemon/sidecar/weights.py
+++ b/packages/daemon/src/amaranthtally/daemon/sidecar/weights.py
@@ -1,6 +1,7 @@
 """Copies model weights from the platform's weight store to an engine."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from random import uniform
 
 import aiohttp
@@ -16,6 +17,8 @@
 READ_TIMEOUT_S = 30.0
 TOO_MANY_REQUESTS = 429
 DEFAULT_WAIT_S = 1.0
+# A longer one, in seconds, is not believed.
+MAX_WAIT_S = 600.0
 MAX_JITTER = 8.0
 
 log = get_logger()
@@ -63,14 +66,40 @@
             )
         async with source:
             if source.status == TOO_MANY_REQUESTS:
-                return float(source.headers.get(hdrs.RETRY_AFTER, DEFAULT_WAIT_S))
+                return _wait_s(source.headers.get(hdrs.RETRY_AFTER, ""))
             source.raise_for_status()
+            weights = _Weights(source)
             async with session.put(
                 f"{engine_url}/v1/weights/{model}",
-                data=source.content.iter_chunked(CHUNK_BYTES),
+                data=weights.read(),
                 timeout=timeout,
             ) as target:
                 target.raise_for_status()
     except (aiohttp.ClientError, TimeoutError) as error:
         raise WeightsError(model, type(error).__name__) from error
+    # An engine may answer before it has been sent everything.
+    if not weights.is_complete:
+        raise WeightsError(model, "the engine did not read them to the end")
     return None
+
+
+class _Weights:
+    """The weights in a response, as they are passed on."""
+
+    def __init__(self, source: aiohttp.ClientResponse) -> None:
+        self._source = source
+        self.is_complete = False
+
+    async def read(self) -> AsyncIterator[bytes]:
+        async for part in self._source.content.iter_chunked(CHUNK_BYTES):
+            yield part
+        self.is_complete = True
+
+
+def _wait_s(retry_after: str) -> float:
+    """Return the seconds that a header names; it may also name a date, or be wrong."""
+    try:
+        wait_s = float(retry_after)
+    except ValueError:
+        return DEFAULT_WAIT_S
+    return wait_s if 0.0 <= wait_s <= MAX_WAIT_S else DEFAULT_WAIT_S
