--- a/tests/gateway/fake_endpoint.py
+++ b/tests/gateway/fake_endpoint.py
@@ -109,26 +109,55 @@
         return False
 
 
+# A step of an ``EarlyEndpoint`` that reads the body.
+READ = object()
+
+
+class EarlyEndpoint(FakeEndpoint):
+    """An endpoint that answers one request as soon as it has read its head."""
+
+    async def serve(self, reader, writer):
+        try:
+            request = parse_request(await reader.readuntil(b"\r\n\r\n"))
+            self.requests.append(request)
+            for step in self.script(request):
+                if step is READ:
+                    await reader.readexactly(int(request.headers["content-length"]))
+                elif not await self._perform(step, reader, writer, request):
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+        finally:
+            writer.close()
+
+
 async def read_request(reader):
     """Read one request with a length; return ``None`` if the connection has ended."""
     try:
         request_head = await reader.readuntil(b"\r\n\r\n")
     except asyncio.IncompleteReadError:
         return None
-    first, *lines = request_head.decode("latin-1").strip().split("\r\n")
+    request = parse_request(request_head)
+    length = int(request.headers.get("content-length", 0))
+    request.body = await reader.readexactly(length)
+    return request
+
+
+def parse_request(head):
+    """Return the request of a head, without its body."""
+    first, *lines = head.decode("latin-1").strip().split("\r\n")
     method, target, _ = first.split(" ", 2)
     headers = {}
     for line in lines:
         key, _, value = line.partition(":")
         headers[key.strip().lower()] = value.strip()
-    body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return ReceivedRequest(method, target, headers, body)
+    return ReceivedRequest(method, target, headers, b"")
 
 
 @asynccontextmanager
-async def open_endpoint(name, script):
+async def open_endpoint(name, script, endpoint_type=FakeEndpoint):
     """Serve an endpoint on loopback."""
-    endpoint = FakeEndpoint(name, script)
+    endpoint = endpoint_type(name, script)
     server = await asyncio.start_server(endpoint.serve, "127.0.0.1", 0)
     host, port = server.sockets[0].getsockname()
     endpoint.address = f"{host}:{port}"
--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -14,6 +14,7 @@
 from amaranthtally.standins.relay import Relay
 from amaranthtally.standins.store import open_store_standin
 from tests.gateway.fake_endpoint import (
+    FakeEndpoint,
     complete_response,
     open_endpoint,
     piece_script,
@@ -132,9 +133,11 @@
         self._stack = stack
         self._folder = folder
 
-    async def endpoint(self, name, pool, script, **record):
+    async def endpoint(self, name, pool, script, endpoint_type=FakeEndpoint, **record):
         """Start an endpoint and register it."""
-        endpoint = await self._stack.enter_async_context(open_endpoint(name, script))
+        endpoint = await self._stack.enter_async_context(
+            open_endpoint(name, script, endpoint_type)
+        )
         self.store.put(f"servers/{name}", endpoint.record(pool, **record))
         return endpoint
 
--- a/tests/lifecycle/test_sidecar_responses.py
+++ b/tests/lifecycle/test_sidecar_responses.py
@@ -15,7 +15,15 @@
     connect_sidecar,
 )
 from bench.process_cost import memory_mb
-from tests.gateway.fake_endpoint import open_endpoint
+from tests.gateway.fake_endpoint import (
+    READ,
+    Close,
+    EarlyEndpoint,
+    FakeEndpoint,
+    Reset,
+    open_endpoint,
+)
+from tests.gateway.malformed_heads import malformed_responses
 from tests.support import run_async
 
 CALLS = 24
@@ -68,14 +76,17 @@
         )
 
 
-def run_with_sidecar(tmp_path, script, test):
-    """Run a test with a sidecar; its endpoint answers ``BAD`` inputs by a script."""
+def run_with_sidecar(tmp_path, script, test, endpoint_type=FakeEndpoint):
+    """Run a test with a sidecar; its endpoint answers ``GOOD`` inputs soundly."""
 
     def answer(request):
-        return script(request) if BAD in request.body else [SOUND]
+        return [SOUND] if GOOD in request.body else script(request)
 
     async def run():
-        async with capnp.kj_loop(), open_endpoint("order", answer) as endpoint:
+        async with (
+            capnp.kj_loop(),
+            open_endpoint("order", answer, endpoint_type) as endpoint,
+        ):
             settings = {
                 "endpoint": "order-1",
                 "host": "host-1",
@@ -126,3 +137,58 @@
         assert peak - before < MAX_GROWTH_MB
 
     run_with_sidecar(tmp_path, script, check)
+
+
+MALFORMED = malformed_responses([], OUTPUT)
+
+
+@pytest.mark.parametrize("repeatable", [True, False])
+def test_a_malformed_head_gives_no_output(tmp_path, repeatable):
+    """Guards against a status of 000 that ends a stage, and a second run of a call."""
+    responses = iter(MALFORMED.values())
+
+    def script(request):
+        return [next(responses), 0.02, Close]
+
+    async def check(sidecar, endpoint):
+        replies = {name: await sidecar.call(BAD, repeatable) for name in MALFORMED}
+        expected = Status.FAILED if repeatable else Status.UNKNOWN
+        statuses = {name: reply.status for name, reply in replies.items()}
+        assert {n: s for n, s in statuses.items() if s is not expected} == {}
+        assert len(endpoint.requests) == len(MALFORMED)
+
+    run_with_sidecar(tmp_path, script, check)
+
+
+UPLOAD_BYTES = 900_000
+EARLY = {
+    "close": HEAD + b"\r\n" + OUTPUT,
+    "length": SOUND[:-1],
+    "chunks": CHUNKED + b"8\r\n" + OUTPUT[:8],
+}
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.3])
+@pytest.mark.parametrize("name", EARLY)
+def test_a_part_of_an_early_response_gives_no_output(tmp_path, name, pause_s):
+    """Guards against a part that is taken for whole as an upload is still written."""
+
+    async def check(sidecar, endpoint):
+        reply = await sidecar.call(BAD, repeatable=False, input_bytes=UPLOAD_BYTES)
+        assert reply.status is Status.UNKNOWN
+        assert len(endpoint.requests) == 1
+
+    def script(request):
+        return [EARLY[name], pause_s, Reset]
+
+    run_with_sidecar(tmp_path, script, check, EarlyEndpoint)
+
+
+def test_a_whole_early_response_gives_its_output(tmp_path):
+    """Guards against a reader that takes every early response for a broken one."""
+
+    async def check(sidecar, endpoint):
+        reply = await sidecar.call(BAD, repeatable=False, input_bytes=UPLOAD_BYTES)
+        assert (reply.status, reply.output) == (Status.FINISHED, OUTPUT)
+
+    run_with_sidecar(tmp_path, lambda r: [SOUND, READ, Close], check, EarlyEndpoint)
