The bounded connections are three modules: the call's bounds, the connection, the sessions

No change of behaviour, but that a connection whose transport was not paused is not resumed, and that nothing is parsed once a response has failed. bounded_responses.py had grown to 436 lines with three jobs: call_bounds.py says what a call may be sent, response_handler.py reads it, sessions.py is what clients use.

--- a/packages/platform/src/amaranthtally/platform/__init__.py
+++ b/packages/platform/src/amaranthtally/platform/__init__.py
@@ -1,13 +1,10 @@
 """Clients of the platform: key-value service, store, leases and list of hosts."""
 
-from amaranthtally.platform.bounded_responses import (
+from amaranthtally.platform.call_bounds import (
     CallTrace,
     ConnectionUse,
     MalformedHeadError,
     ResponseLimitError,
-    bounded_connector,
-    bounded_session,
-    read_body,
     response_bounds,
 )
 from amaranthtally.platform.errors import (
@@ -27,6 +24,11 @@
 )
 from amaranthtally.platform.leases import LeaseClient, VersionedValue
 from amaranthtally.platform.reception import Reception
+from amaranthtally.platform.sessions import (
+    bounded_connector,
+    bounded_session,
+    read_body,
+)
 from amaranthtally.platform.store import StoreClient, StoreTransfer, open_store
 
 __all__ = [
--- a/packages/platform/src/amaranthtally/platform/hosts.py
+++ b/packages/platform/src/amaranthtally/platform/hosts.py
@@ -8,8 +8,8 @@
 from result import Err, Ok, Result
 
 from amaranthtally.decoding import DecodeError, decode_json, unwrap_decoded
-from amaranthtally.platform.bounded_responses import read_body
 from amaranthtally.platform.errors import PlatformError, PlatformUnavailable
+from amaranthtally.platform.sessions import read_body
 from amaranthtally.platform.timeouts import answer_timeout
 
 __all__ = ["HostList", "HostState"]
--- a/packages/platform/src/amaranthtally/platform/key_value.py
+++ b/packages/platform/src/amaranthtally/platform/key_value.py
@@ -19,15 +19,15 @@
 from result import Err, Ok, Result
 
 from amaranthtally.decoding import decode_base64, decode_json
-from amaranthtally.platform.bounded_responses import (
-    bounded_session,
-    read_body,
-)
 from amaranthtally.platform.errors import (
     PlatformError,
     PlatformOutcomeUnknown,
     PlatformUnavailable,
 )
+from amaranthtally.platform.sessions import (
+    bounded_session,
+    read_body,
+)
 from amaranthtally.platform.timeouts import answer_timeout
 
 __all__ = [
--- a/packages/platform/src/amaranthtally/platform/leases.py
+++ b/packages/platform/src/amaranthtally/platform/leases.py
@@ -12,13 +12,13 @@
 from result import Err, Ok, Result
 
 from amaranthtally.decoding import decode_base64, decode_json
-from amaranthtally.platform.bounded_responses import read_body
 from amaranthtally.platform.errors import (
     PlatformError,
     PlatformOutcomeUnknown,
     PlatformUnavailable,
 )
 from amaranthtally.platform.key_value import read_flag
+from amaranthtally.platform.sessions import read_body
 
 __all__ = ["VersionedValue", "LeaseClient"]
 
--- a/packages/platform/src/amaranthtally/platform/bounded_responses.py
+++ b/packages/platform/src/amaranthtally/platform/response_handler.py
@@ -5,11 +5,6 @@
 """
 
 import asyncio
-from collections.abc import Callable, Iterator, Mapping
-from contextlib import contextmanager
-from contextvars import ContextVar
-from dataclasses import dataclass
-from functools import partial
 from math import inf
 from typing import Any
 
@@ -17,6 +12,13 @@
 from aiohttp.client_proto import ResponseHandler
 from result import Err
 
+from amaranthtally.platform.call_bounds import (
+    CallTrace,
+    ConnectionUse,
+    MalformedHeadError,
+    ResponseLimitError,
+    current_trace,
+)
 from amaranthtally.platform.read_turns import ReadTurns
 from amaranthtally.platform.reception import Reception
 from amaranthtally.platform.response_heads import (
@@ -25,169 +27,9 @@
     is_head_begun,
     read_status,
 )
-from amaranthtally.policy import PLATFORM_LIMIT, ResponseLimit
-
-__all__ = [
-    "CallTrace",
-    "ConnectionUse",
-    "MalformedHeadError",
-    "ResponseLimitError",
-    "bounded_connector",
-    "bounded_session",
-    "read_body",
-    "response_bounds",
-]
-
-
-class MalformedHeadError(aiohttp.ClientError):
-    """A response's head departs from the standard; its connection is closed."""
-
-
-class ResponseLimitError(aiohttp.ClientError):
-    """A response has exceeded one of its bounds; its connection is closed."""
-
-
-@dataclass(frozen=True, slots=True)
-class ConnectionUse:
-    """
-    What a connection had been used for when a call was sent over it.
-
-    ``age_s`` is the time since it was opened, in seconds, and ``calls`` the number of
-    earlier calls on it. ``previous_call`` is the name of the last one, empty if there
-    is none or it had no name.
-    """
-
-    age_s: float = 0.0
-    calls: int = 0
-    previous_call: str = ""
-
+from amaranthtally.policy import ResponseLimit
 
-@dataclass(slots=True)
-class CallTrace:
-    """
-    The bounds of a call's response, and the connection that the call was sent over.
-
-    ``call`` is the id that the response is to bear, empty if it bears none. A call that
-    ``needs_new_connection`` is sent over one that nothing was sent over before.
-    ``connection`` is ``None`` until the call has a connection; nothing of the call has
-    been sent before that.
-    """
-
-    limit: ResponseLimit
-    call: str = ""
-    needs_new_connection: bool = False
-    connection: ConnectionUse | None = None
-
-
-_current_trace: ContextVar[CallTrace | None] = ContextVar(
-    "_current_trace", default=None
-)
-
-
-@contextmanager
-def response_bounds(bounds: ResponseLimit | CallTrace) -> Iterator[None]:
-    """
-    Bound the responses to the calls that this task begins within the context.
-
-    The bounds take the place of the connector's own. A trace then shows the connection
-    of the last call that was sent. Only connectors of ``bounded_connector`` fill it in
-    and open new connections for it.
-    """
-    trace = bounds if isinstance(bounds, CallTrace) else CallTrace(bounds)
-    token = _current_trace.set(trace)
-    try:
-        yield
-    finally:
-        _current_trace.reset(token)
-
-
-def bounded_session(
-    bounds: ResponseLimit = PLATFORM_LIMIT,
-    reception: Reception | None = None,
-    *,
-    resends: bool = False,
-    connector_options: Mapping[str, Any] | None = None,
-    **options: Any,
-) -> aiohttp.ClientSession:
-    """
-    Return a session of ``bounded_connector`` that keeps no cookies.
-
-    With ``resends`` a call whose method is idempotent is sent again if its connection
-    ends before a response. Its first copy may have taken effect, and the method does
-    not show whether the call may run twice.
-    """
-    session = aiohttp.ClientSession(
-        connector=bounded_connector(bounds, reception, **(connector_options or {})),
-        cookie_jar=aiohttp.DummyCookieJar(),
-        **options,
-    )
-    session._retry_connection = resends  # noqa: SLF001
-    return session
-
-
-def bounded_connector(
-    bounds: ResponseLimit = PLATFORM_LIMIT,
-    reception: Reception | None = None,
-    **options: Any,
-) -> aiohttp.TCPConnector:
-    """
-    Return a connector whose connections check heads and enforce ``response_bounds``.
-
-    ``bounds`` are those of the calls outside of such a context. ``reception`` bounds
-    what all responses that are held take together; without it, nothing does. A call
-    raises ``ResponseLimitError`` if its response exceeds the bounds, and
-    ``MalformedHeadError`` if the head departs from the standard.
-    """
-    connector = _BoundedConnector(**options)
-    # aiohttp bounds single lines and their number only. It has no public option for the
-    # protocol class; ``tests/platform/test_bounded_responses.py`` fails without this.
-    factory: Any = partial(
-        BoundedResponseHandler,
-        asyncio.get_running_loop(),
-        bounds,
-        reception or Reception(),
-        ReadTurns(),
-    )
-    connector._factory = factory  # noqa: SLF001
-    return connector
-
-
-def _ignore_size(size: int) -> None:
-    pass
-
-
-async def read_body(
-    response: aiohttp.ClientResponse, on_part: Callable[[int], None] = _ignore_size
-) -> bytes:
-    """
-    Return the whole body of a response; what came of a broken one is dropped.
-
-    ``on_part`` is called with the size of each part as it comes, in bytes.
-    """
-    parts: list[bytes] = []
-    part = b""
-    try:
-        async for part in response.content.iter_any():
-            parts.append(part)
-            on_part(len(part))
-    except BaseException:
-        # The error refers to this frame, and to itself: until it is collected as
-        # garbage, it would keep what has come.
-        parts.clear()
-        part = b""
-        raise
-    return b"".join(parts)
-
-
-class _BoundedConnector(aiohttp.TCPConnector):
-    """Opens a connection for each call that needs a new one."""
-
-    async def _get(self, *args: Any) -> Any:
-        # aiohttp offers new connections for all calls or for none.
-        trace = _current_trace.get()
-        if trace is not None and trace.needs_new_connection:
-            return None
-        return await super()._get(*args)
+__all__ = ["BoundedResponseHandler"]
 
 
 class BoundedResponseHandler(ResponseHandler):
@@ -206,6 +48,7 @@
         # What has been received and not parsed, from ``_parsed`` on.
         self._unparsed = b""
         self._parsed = 0
+        self._is_held_back = False
         self._default_limit = default_limit
         self._limit = default_limit
         self._opened_at = loop.time()
@@ -237,7 +80,7 @@
     def set_response_params(self, **params: Any) -> None:
         """Begin to read the response to a request that is about to be sent."""
         self._stop_watching()
-        trace = _current_trace.get()
+        trace = current_trace()
         self._limit = trace.limit if trace is not None else self._default_limit
         self._note_use(trace)
         self._awaits_head = True
@@ -260,23 +103,29 @@
             self._unparsed = self._unparsed[self._parsed :] + data
             self._parsed = 0
             self._turns.request(self)
-            if self._has_unparsed:
+            if self._has_unparsed and not self._is_held_back:
+                self._is_held_back = True
                 self._pause_transport_reading()
 
     def parse_slice(self, most_bytes: int) -> int:
         """Parse a slice of what was received; read on after the last one."""
         data = self._unparsed[self._parsed : self._parsed + most_bytes]
         self._parsed += len(data)
-        if self.transport is None:
-            # The call has been given up.
+        if self.transport is None or self._exception is not None:
+            # The call has been given up, or has failed.
             self._parsed = len(self._unparsed)
         else:
             self._parse(data)
         if not self._has_unparsed:
             self._unparsed, self._parsed = b"", 0
+            self._read_on()
+        return len(data)
+
+    def _read_on(self) -> None:
+        if self._is_held_back:
+            self._is_held_back = False
             if not self._reading_paused:
                 self._resume_transport_reading()
-        return len(data)
 
     def _parse(self, data: bytes) -> None:
         """Parse bytes; close the connection if they break a rule."""
--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -10,16 +10,14 @@
 from result import Err, Ok, Result
 
 from amaranthtally.adapter import store
-from amaranthtally.platform.bounded_responses import (
-    bounded_session,
-    response_bounds,
-)
+from amaranthtally.platform.call_bounds import response_bounds
 from amaranthtally.platform.errors import (
     PlatformError,
     PlatformHistoryCompacted,
     PlatformOutcomeUnknown,
     PlatformUnavailable,
 )
+from amaranthtally.platform.sessions import bounded_session
 from amaranthtally.platform.timeouts import answer_timeout
 from amaranthtally.policy import ResponseKind, ResponseLimit, build_response_limits
 
