A pause between two chunks loses no part of a sound response

Callers saw: seldom, a sound response of many small chunks ended as broken off (502), where its connection closed while its reader was slow. Cause: aiohttp's reader asks for a pause after 16,384 chunks that nobody has read. The parser acts on it at the next byte, also if the reader has gone on since; what it keeps then is parsed with the next bytes, and lost if the connection ends before. Slices make that more frequent: a pause that falls on the end of one is acted on in the next. Change: after a pause was asked for, what the parser has kept is parsed at once unless the reader is really paused. The new test fails without it, and with a plain session of aiohttp.

--- a/packages/platform/src/amaranthtally/platform/response_handler.py
+++ b/packages/platform/src/amaranthtally/platform/response_handler.py
@@ -49,6 +49,7 @@
         self._unparsed = b""
         self._parsed = 0
         self._is_held_back = False
+        self._may_stop_early = False
         self._default_limit = default_limit
         self._limit = default_limit
         self._opened_at = loop.time()
@@ -172,6 +173,12 @@
     def _receive_body(self, data: bytes) -> None:
         self._received_at = self._loop.time()
         super().data_received(data)
+        # A pause that the reader asks for between two chunks stops the parser at the
+        # next byte, also if the reader has gone on since: the rest would be lost with
+        # the connection.
+        if self._may_stop_early and not self._reading_paused:
+            self._may_stop_early = False
+            super().data_received(b"")
         self._count_body()
 
     def _count_body(self) -> None:
@@ -200,6 +207,11 @@
         """Store an error for the reader; a broken rule explains later errors."""
         super().set_exception(self._end_error or exc, *args)
 
+    def pause_reading(self) -> None:
+        """Read no more, as the reader has enough."""
+        self._may_stop_early = True
+        super().pause_reading()
+
     def resume_reading(self, resume_parser: bool = True) -> None:
         """Read again; the time without reading does not count as the endpoint's."""
         self._received_at = self._loop.time()
--- a/tests/platform/test_read_turns.py
+++ b/tests/platform/test_read_turns.py
@@ -17,6 +17,7 @@
 HEAD = b"HTTP/1.1 200 OK\r\n"
 BODY = bytes(random.Random(1).randbytes(700_000))
 SMALL = BODY[:30_000]
+MANY_CHUNKS = 16_385
 PAUSE_S = 0.002
 
 
@@ -86,6 +87,42 @@
     run_async(check())
 
 
+def test_a_pause_between_chunks_loses_nothing():
+    """Guards against the rest of a response that the parser keeps as it is over."""
+
+    async def check():
+        # One chunk more than the reader takes before it asks for a pause, and less than
+        # a slice.
+        body = SMALL[: MANY_CHUNKS + 1000]
+        first = chunks(body[:MANY_CHUNKS], 1).removesuffix(b"0\r\n\r\n")
+        rest = chunks(body[MANY_CHUNKS:], 1).split(b"\r\n\r\n", 1)[1]
+        is_read = asyncio.Event()
+
+        async def answer(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(first)
+            await is_read.wait()
+            writer.write(rest)
+            await writer.drain()
+            writer.close()
+
+        server = await asyncio.start_server(answer, "127.0.0.1", 0)
+        url = f"http://127.0.0.1:{server.sockets[0].getsockname()[1]}/"
+        async with bounded_session() as session, session.get(url) as response:
+            content = response.content
+            while content.total_bytes < MANY_CHUNKS:
+                await asyncio.sleep(PAUSE_S)
+            received = content.read_nowait()
+            is_read.set()
+            # The connection ends before the reader goes on.
+            while not content.is_eof() and content.exception() is None:
+                await asyncio.sleep(PAUSE_S)
+            assert received + await content.read() == body
+        server.close()
+
+    run_async(check())
+
+
 def test_a_call_that_is_given_up_leaves_nothing_behind():
     """Guards against slices of a connection that nobody reads any more."""
 
