Test of failing tasks: a daemon may be ready before it has written its listing

test_tasks_of_an_entry_and_of_a_sidecar[entry] failed once in a whole run (FileNotFoundError of tasks.json): the daemon writes its first listing 20 ms after its supervisor is made, and the entry was ready sooner. A race of the test, on the code before too; it waits for the listing now, and checks the same of it.

--- a/tests/failure/test_failing_tasks.py
+++ b/tests/failure/test_failing_tasks.py
@@ -69,8 +69,13 @@
         for name in names:
             (self._folder / name).unlink()
 
-    def listing(self):
-        return json.loads((self._folder / LISTING).read_text())
+    async def listing(self):
+        """Return the daemon's listing; it may be ready before it writes the first."""
+        file = self._folder / LISTING
+        async with asyncio.timeout(LIMIT_S):
+            while not (file.exists() and (text := file.read_text())):
+                await asyncio.sleep(0.01)
+        return json.loads(text)
 
     async def get(self, what):
         async with self._session.get(self._urls[what]) as response:
@@ -102,7 +107,7 @@
 async def check_tasks(daemon, vital, check_served, check_out_of_service):
     """Let each task of a program fail, once and then again and again."""
     await wait_for(daemon.is_ready, bool)
-    listing = daemon.listing()
+    listing = await daemon.listing()
     tasks = listing["vital"]
     assert {name for name, is_vital in tasks.items() if is_vital} == vital
     assert not [n for n in listing["unsupervised"] if not UNSUPERVISED.fullmatch(n)]
