Turns of connections are counted by the time that they take, not by bytes

Cause: 64 KiB a turn are right for chunks of one byte (3 ms) and far too few for large ones (some microseconds): sound bodies took many turns. Ruled out: the memory of responses together (no response was ended in a run with its log). Change: a turn lasts 5 ms.

--- a/packages/platform/src/amaranthtally/platform/read_turns.py
+++ b/packages/platform/src/amaranthtally/platform/read_turns.py
@@ -7,14 +7,16 @@
 """
 
 import asyncio
+import time
 from typing import Protocol
 
 __all__ = ["ReadTurns", "SlicedConnection"]
 
-# What one connection parses at a time, and all of them together before the event loop
-# goes on, in bytes. In the smallest chunks this takes some milliseconds.
+# What one connection parses at a time, in bytes. In the smallest chunks this takes a
+# millisecond, in large ones some microseconds.
 SLICE_BYTES = 16_384
-TURN_BYTES = 65_536
+# How long slices are parsed before the event loop goes on, in seconds.
+TURN_S = 0.005
 
 
 class SlicedConnection(Protocol):
@@ -24,8 +26,8 @@
     def can_parse(self) -> bool:
         """Whether there is anything to parse, and nothing else to wait for."""
 
-    def parse_slice(self, most_bytes: int) -> int:
-        """Parse a slice; return its size in bytes."""
+    def parse_slice(self, most_bytes: int) -> None:
+        """Parse a slice of at most this size."""
 
 
 class ReadTurns:
@@ -35,7 +37,7 @@
         self._loop = asyncio.get_running_loop()
         # Used as an ordered set.
         self._waiting: dict[SlicedConnection, None] = {}
-        self._left_bytes = TURN_BYTES
+        self._left_s = TURN_S
         self._is_scheduled = False
 
     def request(self, connection: SlicedConnection) -> None:
@@ -44,12 +46,12 @@
             self._is_scheduled = True
             self._loop.call_soon(self._begin_turn)
         self._waiting[connection] = None
-        if len(self._waiting) == 1 and self._left_bytes > 0:
+        if len(self._waiting) == 1 and self._left_s > 0.0:
             self._parse_next()
 
     def _begin_turn(self) -> None:
-        self._left_bytes = TURN_BYTES
-        while self._waiting and self._left_bytes > 0:
+        self._left_s = TURN_S
+        while self._waiting and self._left_s > 0.0:
             self._parse_next()
         self._is_scheduled = bool(self._waiting)
         if self._is_scheduled:
@@ -58,6 +60,9 @@
     def _parse_next(self) -> None:
         connection = next(iter(self._waiting))
         del self._waiting[connection]
-        self._left_bytes -= connection.parse_slice(SLICE_BYTES)
+        # The loop's own clock stands still within a callback.
+        began = time.perf_counter()
+        connection.parse_slice(SLICE_BYTES)
+        self._left_s -= time.perf_counter() - began
         if connection.can_parse:
             self._waiting[connection] = None
--- a/packages/platform/src/amaranthtally/platform/response_handler.py
+++ b/packages/platform/src/amaranthtally/platform/response_handler.py
@@ -108,7 +108,7 @@
                 self._is_held_back = True
                 self._pause_transport_reading()
 
-    def parse_slice(self, most_bytes: int) -> int:
+    def parse_slice(self, most_bytes: int) -> None:
         """Parse a slice of what was received; read on after the last one."""
         data = self._unparsed[self._parsed : self._parsed + most_bytes]
         self._parsed += len(data)
@@ -120,7 +120,6 @@
         if not self._has_unparsed:
             self._unparsed, self._parsed = b"", 0
             self._read_on()
-        return len(data)
 
     def _read_on(self) -> None:
         if self._is_held_back:
--- a/tests/platform/test_read_turns.py
+++ b/tests/platform/test_read_turns.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+import time
 from collections import Counter
 from contextlib import suppress
 
@@ -10,13 +11,14 @@
 from aiohttp.client_proto import ResponseHandler
 
 from amaranthtally.platform import Reception, ResponseLimitError, bounded_session
-from amaranthtally.platform.read_turns import SLICE_BYTES, TURN_BYTES, ReadTurns
+from amaranthtally.platform.read_turns import SLICE_BYTES, TURN_S, ReadTurns
 from amaranthtally.policy import PLATFORM_LIMIT
 from tests.support import run_async
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 BODY = bytes(random.Random(1).randbytes(700_000))
 SMALL = BODY[:30_000]
+SLICES_A_TURN = 4
 MANY_CHUNKS = 16_385
 PAUSE_S = 0.002
 
@@ -37,7 +39,7 @@
         SMALL,
     ),
 }
-WRITES = (1, 100, SLICE_BYTES, TURN_BYTES + 1, 10_000_000)
+WRITES = (1, 100, SLICE_BYTES, SLICE_BYTES + 1, 10_000_000)
 
 
 async def serve(data, write_bytes):
@@ -183,11 +185,22 @@
         size = min(self.left, most_bytes)
         self.left -= size
         self.order.append(self.name)
-        return size
 
 
-def test_a_connection_waits_for_one_slice_of_each_other():
+class Clock:
+    """A clock on which each slice takes a quarter of a turn."""
+
+    def __init__(self):
+        self.readings = 0
+
+    def __call__(self):
+        self.readings += 1
+        return self.readings // 2 * TURN_S / SLICES_A_TURN
+
+
+def test_a_connection_waits_for_one_slice_of_each_other(monkeypatch):
     """Guards against a server that is answered only once others have sent all."""
+    monkeypatch.setattr(time, "perf_counter", Clock())
 
     async def check():
         order = []
@@ -199,7 +212,7 @@
             before = len(order)
             await asyncio.sleep(0)
             whole = [name for name in order[before:] if name != "small"]
-            assert len(whole) <= TURN_BYTES // SLICE_BYTES
+            assert len(whole) <= SLICES_A_TURN
         assert order.index("small") <= 12
 
     run_async(check())
@@ -235,7 +248,8 @@
             await asyncio.gather(*(read() for _ in range(12)))
         turns.cancel()
         server.close()
-        assert max(parsed.values()) <= TURN_BYTES + SLICE_BYTES
+        assert max(parsed.values()) <= (SLICES_A_TURN + 1) * SLICE_BYTES
 
     monkeypatch.setattr(ResponseHandler, "data_received", count)
+    monkeypatch.setattr(time, "perf_counter", Clock())
     run_async(check())
