What parsing one connection raises does not end the turns of all

Found in reading the diff: had parsing one connection raised in a turn, the next turn was never begun, and no connection of its session would have been read again. The next turn is begun whatever is raised; the test fails without that (time-out).

--- a/packages/platform/src/amaranthtally/platform/read_turns.py
+++ b/packages/platform/src/amaranthtally/platform/read_turns.py
@@ -42,19 +42,25 @@
 
     def request(self, connection: SlicedConnection) -> None:
         """Let a connection parse: at once if no other waits, else in its turn."""
-        if not self._is_scheduled:
-            self._is_scheduled = True
-            self._loop.call_soon(self._begin_turn)
         self._waiting[connection] = None
+        self._schedule()
         if len(self._waiting) == 1 and self._left_s > 0.0:
             self._parse_next()
 
     def _begin_turn(self) -> None:
         self._left_s = TURN_S
-        while self._waiting and self._left_s > 0.0:
-            self._parse_next()
-        self._is_scheduled = bool(self._waiting)
-        if self._is_scheduled:
+        self._is_scheduled = False
+        try:
+            while self._waiting and self._left_s > 0.0:
+                self._parse_next()
+        finally:
+            # What one connection raises must not stop all the others.
+            if self._waiting:
+                self._schedule()
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled:
+            self._is_scheduled = True
             self._loop.call_soon(self._begin_turn)
 
     def _parse_next(self) -> None:
--- a/tests/platform/test_read_turns.py
+++ b/tests/platform/test_read_turns.py
@@ -218,6 +218,34 @@
     run_async(check())
 
 
+class FailingConnection(Connection):
+    """Raises with its second slice."""
+
+    def parse_slice(self, most_bytes):
+        super().parse_slice(most_bytes)
+        if self.order.count(self.name) > 1:
+            raise ValueError
+
+
+def test_what_one_connection_raises_does_not_stop_the_others():
+    """Guards against a process that reads no response any more after one error."""
+
+    async def check():
+        order = []
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
+        turns = ReadTurns()
+        turns.request(FailingConnection("failing", 5 * SLICE_BYTES, order))
+        others = [Connection(name, 5 * SLICE_BYTES, order) for name in "ab"]
+        for other in others:
+            turns.request(other)
+        async with asyncio.timeout(5.0):
+            while any(other.can_parse for other in others):
+                await asyncio.sleep(0)
+        assert order.count("failing") == 2
+
+    run_async(check())
+
+
 def test_little_is_parsed_at_a_time_however_much_has_come(monkeypatch):
     """Guards against an event loop that serves nobody while it parses small chunks."""
     parsed = Counter()
