--- a/packages/platform/src/amaranthtally/platform/store.py
+++ b/packages/platform/src/amaranthtally/platform/store.py
@@ -10,7 +10,6 @@
 from result import Err, Ok, Result
 
 from amaranthtally.adapter import store
-from amaranthtally.platform.call_bounds import response_bounds
 from amaranthtally.platform.errors import (
     PlatformError,
     PlatformHistoryCompacted,
@@ -72,10 +71,8 @@
         session: aiohttp.ClientSession,
         address: str,
         on_transfer: Callable[[StoreTransfer], None],
-        limit: ResponseLimit,
     ) -> None:
         self._session = session
-        self._limit = limit
         self._url = f"http://{address}"
         self._on_transfer = on_transfer
         self._pending_responses: list[_PendingResponse] = []
@@ -194,16 +191,15 @@
         self._pending_responses.append(pending)
         outcome = CANCELLED
         try:
-            with response_bounds(self._limit):
-                request = self._session.request(
-                    call.method,
-                    self._url + call.path,
-                    params=call.query,
-                    data=call.body,
-                    headers={"Content-Type": "application/json"} if call.body else None,
-                    timeout=answer_timeout(read_timeout_s, CONNECT_TIMEOUT_S),
-                )
-                response = await request
+            request = self._session.request(
+                call.method,
+                self._url + call.path,
+                params=call.query,
+                data=call.body,
+                headers={"Content-Type": "application/json"} if call.body else None,
+                timeout=answer_timeout(read_timeout_s, CONNECT_TIMEOUT_S),
+            )
+            response = await request
             async with response:
                 pending.headers_at = self._time()
                 async for data in response.content.iter_any():
@@ -248,7 +244,7 @@
     """
     limit = limit or build_response_limits().of(ResponseKind.STORE)
     async with bounded_session(limit, resends=True) as session:
-        yield StoreClient(session, address, on_transfer, limit)
+        yield StoreClient(session, address, on_transfer)
         # Run the loop once, so that transports close before it ends.
         await asyncio.sleep(0)
 
