--- a/review/4/case.py
+++ b/review/4/case.py
@@ -5,11 +5,10 @@
 from pathlib import Path
 
 from review.common2.http import Message, encode, read_body, read_head
+from review.common2.memory import enforce_memory
 from review.common2.world import BOUNDS, Gateway, Server, World, answer, route, run_case
 
 ZONES = {"cluj-a": "transilvania", "bucuresti-a": "muntenia", "iasi-a": "moldova-reg"}
-MEMORY_MB = 300
-KIB_PER_MB = 1024
 BODY_BYTES = 4_194_304
 USUAL_UPLOADS = 16
 # burst, x = 2.5: the largest on the site.
@@ -18,8 +17,6 @@
 BURST_WAVE = 2
 WAVE_INTERVAL_S = 3.0
 WORK_S = 1.0
-CHECK_INTERVAL_S = 0.01
-RESTART_S = 0.5
 OPEN_INTERVAL_S = 0.05
 ALLOWED_LOST = 3
 
@@ -67,32 +64,6 @@
         self._reader = self._writer = None
 
 
-async def enforce_memory(world: World, gateway: Gateway) -> None:
-    """Kill the process whenever it exceeds its memory, and start it again."""
-    peak = 0
-    while True:
-        await asyncio.sleep(CHECK_INTERVAL_S)
-        resident = resident_kib(gateway)
-        if resident > peak + KIB_PER_MB:
-            peak = resident
-            world.record.note(f"{gateway.name}: {resident} KiB resident")
-        if resident > MEMORY_MB * KIB_PER_MB:
-            world.record.note(f"{gateway.name} is killed for its memory")
-            await gateway.kill()
-            await asyncio.sleep(RESTART_S)
-            await gateway.start()
-            peak = 0
-
-
-def resident_kib(gateway: Gateway) -> int:
-    """Return the resident memory of a gateway's process."""
-    if gateway.process is None or gateway.process.returncode is not None:
-        return 0
-    status = Path(f"/proc/{gateway.process.pid}/status").read_text()
-    fields = [line.split() for line in status.splitlines()]
-    return next((int(field[1]) for field in fields if field[0] == "VmRSS:"), 0)
-
-
 async def case(world: World, has_trouble: bool) -> bool:
     """Return whether the requests that were passed on have been answered."""
     for zone in ZONES:
--- a/review/common2/world.py
+++ b/review/common2/world.py
@@ -21,6 +21,7 @@
 HOST = "api.example"
 KEY = "key-of-the-account-0001"
 START_TIMEOUT_S = 20.0
+MEMORY_MB = 300
 # The bounds of the small sites' sheets.
 BOUNDS = {
     "stableWindowMs": 4000,
@@ -318,7 +319,7 @@
             "listen": {name: f"{gateway.ip}:{port}" for name, port in PORTS.items()},
             "platform": {"address": store},
             "bounds": BOUNDS,
-            "limits": {"memoryMb": 300},
+            "limits": {"memoryMb": MEMORY_MB},
         }
         return render((ROOT / "deploy/gateway.toml").read_text(), fields)
 
