Bodies are held once, and large responses are read as room comes free

Cause: bodies were counted once and stood two to three times: joined from their parts, joined with the head as they were sent, and as small parts whose space the allocator keeps. Announced bytes that had not come hid the process's own need, so that the limit was too high for 30 s. Responses that came together were read without waiting, and the largest ended.

Responses of a known size wait for their turn, 4 s at most.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/arrivals.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/arrivals.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from amaranthtally.adapter.messages import CallerRequest
+from amaranthtally.daemon.gateway.held_body import HeldBody
 from amaranthtally.policy import (
     RESPONSE_MARGIN_S,
     Account,
@@ -33,7 +34,7 @@
         account: Account | None,
         method: str,
         target: str,
-        body: bytes,
+        body: HeldBody,
         origin: StreamOrigin | None,
     ) -> Arrival:
         """
@@ -53,11 +54,11 @@
             request_id=caller.id,
             account=account.name if account else "",
             rank=request_rank(route, account, is_resumed=origin is not None),
-            size_bytes=len(body),
+            size_bytes=body.size,
             prefix=parts,
             prefix_sizes=tuple(part.tokens for part in caller.prompt),
             piece_work=_piece_work(caller, route),
-            key=request_key(method, caller.host, target, parts, body),
+            key=request_key(method, caller.host, target, parts, *body.parts()),
             origin=origin,
         )
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import NamedTuple, TypeVar
 
 from aiohttp import hdrs, web
@@ -18,6 +18,7 @@
     EntryMemory,
 )
 from amaranthtally.daemon.gateway.executor import GatewayExecutor
+from amaranthtally.daemon.gateway.held_body import HeldBody
 from amaranthtally.daemon.gateway.live_call import (
     CallEvent,
     CompleteResponse,
@@ -55,8 +56,8 @@
 # What the kernel may hold for a caller that does not read, in bytes. It grows to some
 # megabytes by itself, which count toward the host's memory, but not the process's own.
 SEND_BUFFER_BYTES = 65_536
-# Bodies and events are written in parts of this size, in bytes, if the memory is
-# limited. What is written is copied: a larger part is held twice until it is read.
+# Bodies and events are written in parts of this size, in bytes. What is written of an
+# event is copied: a larger part is held twice until it is read.
 SLICE_BYTES = 16_384
 # How long a body may still take once a stopping gateway refuses further requests, in
 # seconds. It is not run before it is complete.
@@ -242,7 +243,7 @@
         route: Route,
         table: RouteTable,
         memory: CallerMemory,
-    ) -> tuple[bytes, StreamOrigin | None] | Refusal:
+    ) -> tuple[HeldBody, StreamOrigin | None] | Refusal:
         """Return the body, and the origin of the stream that the request takes up."""
         body = await self._read_body(request, table.limits.body_bytes, memory)
         if isinstance(body, Refusal):
@@ -256,28 +257,27 @@
 
     async def _read_body(
         self, request: web.BaseRequest, limit: int, memory: CallerMemory
-    ) -> bytes | Refusal:
+    ) -> HeldBody | Refusal:
         """Return the body, unless it is over ``limit`` bytes or there is no room."""
         announced = request.content_length or 0
         if announced > limit:
             return BODY_TOO_LARGE
         if not self._memory.admits(announced):
             return NO_MEMORY
-        memory.add(REQUEST_BYTES + announced)
+        memory.add(REQUEST_BYTES)
+        memory.reserve(announced)
+        body = HeldBody(announced)
         if not request.can_read_body:
-            return b""
-        parts: list[bytes] = []
-        size = 0
+            return body
         async for part in request.content.iter_any():
-            size += len(part)
-            if size > limit:
+            if body.size + len(part) > limit:
                 return BODY_TOO_LARGE
-            if size > announced:
-                if not self._memory.admits(len(part)):
-                    return NO_MEMORY
-                memory.add(len(part))
-            parts.append(part)
-        return NO_MEMORY if memory.is_ended else b"".join(parts)
+            is_announced = len(part) <= memory.reserved
+            if not is_announced and not self._memory.admits_more(len(part)):
+                return NO_MEMORY
+            memory.add(len(part))
+            body.append(part)
+        return NO_MEMORY if memory.is_ended else body
 
     def _new_call(
         self,
@@ -286,7 +286,7 @@
         caller: CallerRequest,
         route: Route,
         account: Account | None,
-        body: bytes,
+        body: HeldBody,
         origin: StreamOrigin | None,
         memory: CallerMemory,
     ) -> LiveCall:
@@ -323,14 +323,18 @@
         if isinstance(event, StreamStarted):
             return await self._stream(request, call, event.head)
         if isinstance(event, CompleteResponse):
-            self._response_sizes.note(call.route.name, len(event.body))
+            self._response_sizes.note(call.route.name, event.body.size)
         call.memory.end_reservation()
-        response = self._complete_response(request, call, event)
-        await self._write_whole(request, call, response)
+        response, parts = self._complete_response(call, event)
+        await self._write_whole(request, call, response, parts)
         return response
 
     async def _write_whole(
-        self, request: web.BaseRequest, call: LiveCall, response: web.Response
+        self,
+        request: web.BaseRequest,
+        call: LiveCall,
+        response: web.Response,
+        parts: Iterable[bytes | memoryview],
     ) -> None:
         """
         Write a whole response in parts, so that only its body is held meanwhile.
@@ -342,17 +346,16 @@
         if self._memory.is_limited:
             _limit_send_buffer(request)
         await response.prepare(request)
-        body = response.body
-        assert isinstance(body, bytes)
-        # The server would write it once more, in one part.
-        response.body = None
-        await self._write_parts(request, response, call, body)
+        # The connection keeps views of the body, which is counted until it is read.
+        for part in parts:
+            await response.write(part)
         await response.write_eof()
-        await self._await_reading(request, call)
+        await self._await_reading(request)
 
     def _complete_response(
-        self, request: web.BaseRequest, call: LiveCall, event: CallEvent
-    ) -> web.Response:
+        self, call: LiveCall, event: CallEvent
+    ) -> tuple[web.Response, Iterable[bytes | memoryview]]:
+        """Return a response without its body, and the parts of the body."""
         if isinstance(event, CompleteResponse):
             self._log_end(call, event.head.status, "answered")
             return self._relay_response(event)
@@ -363,7 +366,11 @@
         refusal = refusal_of(event.refusal)
         outcome = event.refusal.outcome.value
         self._log_end(call, refusal.status, outcome, refusal)
-        return self._close_if_stopping(refusal_response(refusal, call.id))
+        response = refusal_response(refusal, call.id)
+        body = response.body
+        assert isinstance(body, bytes)
+        _set_length(response, len(body))
+        return self._close_if_stopping(response), (body,)
 
     async def _stream(
         self, request: web.BaseRequest, call: LiveCall, head: ResponseHead
@@ -383,7 +390,8 @@
         if isinstance(event, StreamEnded):
             await response.write_eof()
             self._log_end(call, head.status, "answered")
-            await self._await_reading(request, call)
+            self._count_unsent(request, call)
+            await self._await_reading(request)
             return response
         assert isinstance(event, RequestFailed)
         refusal = refusal_of(event.refusal)
@@ -405,22 +413,16 @@
             await response.write(body)
             call.memory.remove_event(body)
             return
-        await self._write_parts(request, response, call, body)
-        call.memory.remove_event(body)
-
-    async def _write_parts(
-        self,
-        request: web.BaseRequest,
-        response: web.StreamResponse,
-        call: LiveCall,
-        body: bytes,
-    ) -> None:
         for start in range(0, len(body), SLICE_BYTES):
             await response.write(body[start : start + SLICE_BYTES])
-            if request.transport is not None:
-                call.memory.set_unsent(request.transport.get_write_buffer_size())
+            self._count_unsent(request, call)
+        call.memory.remove_event(body)
+
+    def _count_unsent(self, request: web.BaseRequest, call: LiveCall) -> None:
+        if request.transport is not None:
+            call.memory.set_unsent(request.transport.get_write_buffer_size())
 
-    async def _await_reading(self, request: web.BaseRequest, call: LiveCall) -> None:
+    async def _await_reading(self, request: web.BaseRequest) -> None:
         """
         Wait until the kernel has taken all that was written.
 
@@ -430,7 +432,6 @@
         transport = request.transport
         if transport is None:
             return
-        call.memory.set_unsent(transport.get_write_buffer_size())
         transport.set_write_buffer_limits(0)
         try:
             await request.writer.drain()
@@ -458,11 +459,13 @@
         elif request.transport is not None:
             request.transport.abort()
 
-    def _relay_response(self, relayed: CompleteResponse) -> web.Response:
-        response = web.Response(status=relayed.head.status, body=relayed.body)
-        response.headers.popall(hdrs.CONTENT_TYPE, None)
+    def _relay_response(
+        self, relayed: CompleteResponse
+    ) -> tuple[web.Response, Iterable[bytes | memoryview]]:
+        response = web.Response(status=relayed.head.status)
         response.headers.extend(relayed.head.headers)
-        return self._close_if_stopping(response)
+        _set_length(response, relayed.body.size)
+        return self._close_if_stopping(response), relayed.body.parts(SLICE_BYTES)
 
     def _refuse(self, request: web.BaseRequest, refusal: Refusal) -> web.Response:
         request_id = request_id_of(request.headers)
@@ -510,6 +513,13 @@
         )
 
 
+def _set_length(response: web.Response, size: int) -> None:
+    """Give a response its length, and no body that the server would write."""
+    response.body = None
+    if size:
+        response.headers[hdrs.CONTENT_LENGTH] = str(size)
+
+
 def _limit_send_buffer(request: web.BaseRequest) -> None:
     transport = request.transport
     connection = transport.get_extra_info("socket") if transport is not None else None
--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
@@ -3,10 +3,12 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
+from contextlib import AbstractAsyncContextManager
 from math import inf
 from pathlib import Path
 from resource import getpagesize
 
+from amaranthtally.daemon.gateway.reading_turns import ReadingTurns
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import Reception
 from amaranthtally.policy import MemoryBudget, build_memory_budget, usable_bytes
@@ -27,9 +29,8 @@
 SAMPLE_INTERVAL_S = 1.0
 # A change of the limit by less than this part is not logged.
 LOGGED_CHANGE = 0.1
-# What bodies that are not complete may take of the limit. A body is joined from its
-# parts, so that it takes twice its size for a moment; and servers that send without end
-# leave room for other requests.
+# What responses that are not complete may take of the limit, so that servers that send
+# without end leave room for other requests.
 RECEIVED_SHARE = 0.5
 STATM = Path("/proc/self/statm")
 RESIDENT_FIELD = 1
@@ -56,6 +57,11 @@
         """Whether the request was ended because it held the most memory."""
         return self._is_ended
 
+    @property
+    def reserved(self) -> int:
+        """Bytes that are counted and have not come."""
+        return self._reserved
+
     def call_on_excess(self, on_excess: OnExcess) -> None:
         """Set what ends the request, given the bytes that it held."""
         self._on_excess = on_excess
@@ -65,25 +71,31 @@
 
     def reserve(self, size: int) -> None:
         """Count bytes that are expected; those that come take their place."""
-        self.add(size)
-        self._reserved = size
+        if self._is_open:
+            self._set_reserved(self._reserved + size)
+            self._memory.hold(self, size)
 
     def end_reservation(self) -> None:
         """Count what was expected and has not come as no longer held."""
-        self.remove(self._reserved)
-        self._reserved = 0
+        unused = self._reserved
+        self._set_reserved(0)
+        self.remove(unused)
+
+    def reading_turn(self, size: int) -> AbstractAsyncContextManager[None]:
+        """Return a context in which a response of a size in bytes may be read."""
+        return self._memory.reading.turn(self, size)
 
     def add(self, size: int) -> None:
         """Count bytes that are held from now on; may end this or another request."""
         expected = min(size, self._reserved)
-        self._reserved -= expected
+        self._set_reserved(self._reserved - expected)
         if self._is_open and size > expected:
             self._memory.hold(self, size - expected)
 
     def remove(self, size: int) -> None:
         """Count bytes as no longer held."""
         if self._is_open:
-            self._memory.budget.release(self, size)
+            self._memory.release(self, size)
 
     def add_event(self, body: bytes) -> None:
         """Count an event that is queued for the caller."""
@@ -118,7 +130,12 @@
     def _stop_counting(self) -> None:
         if self._is_open:
             self._is_open = False
-            self._memory.budget.release(self, self._memory.budget.held(self))
+            self._set_reserved(0)
+            self._memory.release(self, self._memory.budget.held(self))
+
+    def _set_reserved(self, size: int) -> None:
+        self._memory.note_expected(size - self._reserved)
+        self._reserved = size
 
     def _schedule_end(self) -> None:
         if self._on_excess is not None:
@@ -142,6 +159,9 @@
         self._reception = reception or Reception()
         self._memory_bytes = memory_mb * BYTES_PER_MB
         self._budget = budget or build_memory_budget()
+        self._reading = ReadingTurns(self._budget)
+        # What is counted and has not come.
+        self._expected = 0
         self._own_samples: deque[int] = deque(maxlen=SAMPLES)
         self._ended = 0
         self._logged_limit = inf
@@ -158,6 +178,11 @@
         """The totals."""
         return self._budget
 
+    @property
+    def reading(self) -> ReadingTurns:
+        """The turns in which large responses are read."""
+        return self._reading
+
     @property
     def ended(self) -> int:
         """Number of requests that were ended because they held the most."""
@@ -171,6 +196,19 @@
         """Whether a new request with a body of this size fits."""
         return self._budget.admits(body_bytes + REQUEST_BYTES)
 
+    def admits_more(self, size: int) -> bool:
+        """Whether more bytes of a body whose length is not known fit."""
+        return self._budget.admits(size)
+
+    def note_expected(self, added: int) -> None:
+        """Note a change of what is counted and has not come, in bytes."""
+        self._expected += added
+
+    def release(self, caller: CallerMemory, size: int) -> None:
+        """Count bytes of a request as no longer held; others may be read instead."""
+        self._budget.release(caller, size)
+        self._reading.give()
+
     def hold(self, caller: CallerMemory, size: int) -> None:
         """Count bytes of a request; end the largest requests beyond the limit."""
         self._budget.hold(caller, size)
@@ -183,7 +221,8 @@
 
     def update_limit(self, resident: int) -> None:
         """Set the limit from the resident memory of the process, in bytes."""
-        self._own_samples.append(max(0, resident - self._budget.used))
+        held = self._budget.used - self._expected
+        self._own_samples.append(max(0, resident - held))
         limit = usable_bytes(self._memory_bytes, min(self._own_samples))
         self._budget.set_limit(limit)
         self._reception.set_limit(RECEIVED_SHARE * limit)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -16,6 +16,7 @@
     fate_of,
 )
 from amaranthtally.daemon.gateway.event_buffer import EventBuffer
+from amaranthtally.daemon.gateway.held_body import HeldBody, HeldBodyPayload
 from amaranthtally.daemon.gateway.live_call import (
     CompleteResponse,
     LiveCall,
@@ -23,7 +24,7 @@
 )
 from amaranthtally.daemon.logs import format_parts, get_logger
 from amaranthtally.daemon.supervision import is_cancelled_by_owner
-from amaranthtally.platform import ResponseLimitError, read_body
+from amaranthtally.platform import ResponseLimitError
 from amaranthtally.policy import (
     UNREACHABLE,
     AttemptId,
@@ -189,12 +190,14 @@
             inputs=handles if call.route.stages else None,
             resume_after=call.last_event,
         )
+        assert call.body is not None, "an attempt after the body was released"
+        upload = HeldBodyPayload(call.body) if call.body.size else None
         response, head = await exchange.send(
             self._session,
             call.method,
             URL(f"http://{endpoint.address}{call.target}", encoded=True),
             headers=request_headers(call.caller, system_headers),
-            data=call.body or None,
+            data=upload,
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
         )
         async with response:
@@ -203,6 +206,9 @@
                 if rejected.outcome is not AttemptOutcome.NOT_RUN:
                     response.close()
                 return rejected
+            is_sent = upload is None or upload.is_written
+            if is_sent and not call.route.is_repeatable:
+                call.release_body()
             if call.route.kind is CallKind.STREAMING and head.status == HTTP_OK:
                 origin = StreamOrigin(endpoint.pool, endpoint.version)
                 return await self._relay_stream(
@@ -265,11 +271,12 @@
         if head.status >= FIRST_SERVER_ERROR:
             call.fail_with(CompleteResponse(head, body))
             return AttemptResult(AttemptOutcome.FAILED, run_s=duration_s)
+        call.release_body()
         call.finish(CompleteResponse(head, body))
         return AttemptResult(
             AttemptOutcome.FINISHED,
             run_s=duration_s,
-            output_bytes=len(body),
+            output_bytes=body.size,
             is_framed=_is_framed(response),
         )
 
@@ -332,20 +339,23 @@
         )
 
 
-async def _read_body(call: LiveCall, response: aiohttp.ClientResponse) -> bytes:
+async def _read_body(call: LiveCall, response: aiohttp.ClientResponse) -> HeldBody:
     """Read a response's body, counted as held for its caller from the first byte."""
-    size = 0
-
-    def count(part_bytes: int) -> None:
-        nonlocal size
-        size += part_bytes
-        call.memory.add(part_bytes)
-
+    length = response.content_length or 0
+    body = HeldBody(length)
+    part = b""
     try:
-        return await read_body(response, count)
+        async with call.memory.reading_turn(length):
+            async for part in response.content.iter_any():
+                call.memory.add(len(part))
+                body.append(part)
     except BaseException:
-        call.memory.remove(size)
+        call.memory.remove(body.size)
+        # The error refers to this frame, which would keep what has come.
+        body.clear()
+        part = b""
         raise
+    return body
 
 
 def unknown_outcome(
--- a/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
@@ -5,6 +5,7 @@
 
 from amaranthtally.adapter.messages import CallerRequest, ResponseHead
 from amaranthtally.daemon.gateway.caller_memory import CallerMemory
+from amaranthtally.daemon.gateway.held_body import HeldBody
 from amaranthtally.policy import Arrival, AttemptId, Refuse, Route, StreamOrigin
 
 __all__ = [
@@ -29,7 +30,7 @@
     """The complete response of an endpoint."""
 
     head: ResponseHead
-    body: bytes
+    body: HeldBody
 
 
 @dataclass(frozen=True, slots=True)
@@ -76,6 +77,7 @@
     ``stream_started`` says whether the caller has been sent the head of a stream, and
     ``last_event`` is the id of the last complete event sent to it.
     ``origin`` is where the stream began, ``None`` before its first event.
+    ``body`` is ``None`` once it has been released, as no attempt can follow.
     ``memory`` counts what is held for it. A gateway with a limited memory reads from
     endpoints without waiting for the caller, since endpoints cut off responses that
     remain unread; ``events`` has no limit of its own then.
@@ -88,7 +90,7 @@
     caller: CallerRequest
     method: str
     target: str
-    body: bytes
+    body: HeldBody | None
     route: Route
     account: str
     received_at: float
@@ -131,9 +133,15 @@
     def fail_with(self, response: CompleteResponse) -> None:
         """Keep an endpoint's error response, in place of an earlier one."""
         if self.failed_response is not None:
-            self.memory.remove(len(self.failed_response.body))
+            self.memory.remove(self.failed_response.body.size)
         self.failed_response = response
 
+    def release_body(self) -> None:
+        """Drop the request's body, which no attempt will send again."""
+        if self.body is not None:
+            self.memory.remove(self.body.size)
+            self.body = None
+
     async def next(self) -> CallEvent:
         """Return the next event for the caller."""
         if self.final_event is not None and self.events.empty():
--- a/packages/policy/src/amaranthtally/policy/request_key.py
+++ b/packages/policy/src/amaranthtally/policy/request_key.py
@@ -26,14 +26,24 @@
 
 
 def request_key(
-    method: str, host: str, target: str, parts: Iterable[int], body: bytes
+    method: str,
+    host: str,
+    target: str,
+    parts: Iterable[int],
+    *body: bytes | memoryview,
 ) -> RequestKey:
-    """Return the key of a request; ``parts`` are those of its prompt, if it has one."""
+    """
+    Return the key of a request; ``parts`` are those of its prompt, if it has one.
+
+    ``body`` is the request's body, cut into any number of pieces.
+    """
     digest = blake2b(digest_size=DIGEST_BYTES)
     prompt = ",".join(f"{part:x}" for part in parts)
     for field in (method, host, target, prompt):
         _add(digest, field.encode("utf-8", "surrogateescape"))
-    _add(digest, body)
+    digest.update(sum(map(len, body)).to_bytes(LENGTH_BYTES))
+    for piece in body:
+        digest.update(piece)
     return RequestKey(int.from_bytes(digest.digest()))
 
 
