Callers' connections are not read ahead of their handlers

Cause: the event loop's adapter for buffered protocols, made for pycapnp, also wrapped the HTTP listeners. It reads 256 kB at a time and keeps up to a megabyte for each connection whose handler has paused, which no budget counts.

Change: protocols that never pause in get_buffer are read directly.

--- a/packages/daemon/src/amaranthtally/daemon/connections/bounded_connection.py
+++ b/packages/daemon/src/amaranthtally/daemon/connections/bounded_connection.py
@@ -5,6 +5,7 @@
 
 from amaranthtally.daemon.connections.http_exchange import HttpExchange
 from amaranthtally.policy import ConnectionPhase, ConnectionState
+from amaranthtally.wire.loop import DirectProtocol
 
 if TYPE_CHECKING:
     from amaranthtally.daemon.connections.connection_table import ConnectionTable
@@ -17,7 +18,7 @@
 )
 
 
-class BoundedConnection(asyncio.BufferedProtocol):
+class BoundedConnection(DirectProtocol):
     """
     Passes what it receives to aiohttp, in parts that are small and counted.
 
--- a/packages/wire/src/amaranthtally/wire/loop.py
+++ b/packages/wire/src/amaranthtally/wire/loop.py
@@ -16,12 +16,21 @@
 
 import uvloop
 
-__all__ = ["WireLoop", "run"]
+__all__ = ["DirectProtocol", "WireLoop", "run"]
 
 # Buffered bytes for a paused protocol beyond which the transport is paused too.
 HIGH_WATER_BYTES = 1_048_576
 
 
+class DirectProtocol(asyncio.BufferedProtocol):
+    """
+    A buffered protocol that never pauses its transport in ``get_buffer``.
+
+    uvloop reads into its buffer, and nothing once it has paused. Other buffered
+    protocols are read for ahead, up to ``HIGH_WATER_BYTES`` for each connection.
+    """
+
+
 class WireLoop(uvloop.Loop):
     """A uvloop whose buffered protocols may pause the transport at any time."""
 
@@ -172,7 +181,8 @@
 def _wrap_factory(factory: Callable[[], Any]) -> Callable[[], Any]:
     def build() -> Any:
         protocol = factory()
-        if isinstance(protocol, asyncio.BufferedProtocol):
+        is_direct = isinstance(protocol, DirectProtocol)
+        if isinstance(protocol, asyncio.BufferedProtocol) and not is_direct:
             return _BufferedProtocolAdapter(protocol)
         return protocol
 
--- a/tests/gateway/test_upload_memory.py
+++ b/tests/gateway/test_upload_memory.py
@@ -30,6 +30,9 @@
 SLOW_INTERVAL_S = 0.05
 SAMPLE_INTERVAL_S = 0.01
 DEADLINE_MS = 15_000
+# The memory of a process that is smaller than the process, in megabytes: an eighth of
+# it is left to callers, and one upload fits.
+SMALL_MB = 64
 # Uploads that a gateway of this memory lets in: as many as before they were held once.
 ADMITTED = 36
 
@@ -159,3 +162,22 @@
         assert len({r.id for r in uploads}) == outcomes["200"] >= ADMITTED
 
     run_with_cluster(tmp_path, check)
+
+
+def test_uploads_that_are_refused_are_not_read_ahead(tmp_path):
+    """Guards against a megabyte of each connection that is read and counted nowhere."""
+
+    async def check(cluster):
+        await cluster.endpoint("e", "order", answer, slots=64)
+        cluster.configure(1, route("order", ONCE, timeoutMs=DEADLINE_MS))
+        gateway = await cluster.gateway(memory_mb=SMALL_MB)
+        await open_connections(gateway, BURST)
+        before, peaks, outcomes = memory_mb(gateway.process.pid), [], Counter()
+        watch = asyncio.create_task(peak_memory(gateway, peaks))
+        await asyncio.gather(*(send(gateway, BODY, outcomes) for _ in range(BURST)))
+        watch.cancel()
+        print(f"before {before:.0f} MB, peak {max(peaks):.0f} MB, {dict(outcomes)}")
+        assert outcomes["200"] == 1
+        assert max(peaks) - before < SMALL_MB / 4
+
+    run_with_cluster(tmp_path, check)
