The age of a follower's state is bounded by a clock, not by calls that hang

Cause: a follower asked watchers one after the other, waited 0.8 s for each, and looked at the age of its last contact only in between.

Change: a clock lets a gateway watch the store once the last answer of any watcher is 1.2 s old (deputies, elected like the watchers) or 1.6 to 2.0 s (all others, which ask the deputies first and follow them). The next watcher is asked beside a call that has no answer after 0.2 s. Comparisons go to two other watchers in turn.

The check that a gateway without its loops is not in touch ends the new loop too; a new one beside it demands that the clock alone keeps a gateway in touch and up to date.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/coordination.py
@@ -357,6 +357,8 @@
             self._catch_up,
             lambda: watcher.note_reachable(),
             self.freshness,
+            self._supervisor.spawn_call,
+            random,
         )
         watcher = PrefixWatcher(
             client,
--- a/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/store_sync.py
@@ -107,6 +107,7 @@
         run("state_freshness", self._freshness.run)
         run(WATCHER_TASK, watcher.run, watcher.list_anew, is_vital=True)
         run(FOLLOWER_TASK, follower.run, follower.watch_anew, is_vital=True)
+        run("store_contact_clock", follower.run_clock, is_vital=True)
         # Without its record, a gateway still serves its callers.
         registration = self._registration
         run("registration", registration.run, registration.forget_lease, may_end=True)
--- a/packages/policy/src/amaranthtally/policy/__init__.py
+++ b/packages/policy/src/amaranthtally/policy/__init__.py
@@ -167,6 +167,7 @@
 from amaranthtally.policy.version_history import VersionHistory
 from amaranthtally.policy.watchers import (
     WatcherSelection,
+    elect_deputies,
     elect_watchers,
     ring_neighbours,
 )
@@ -307,6 +308,7 @@
     "build_response_limits",
     "build_stage_limits",
     "duty_holder",
+    "elect_deputies",
     "elect_watchers",
     "gateway_settings",
     "lookup_rounds",
--- a/tests/load/store_model.py
+++ b/tests/load/store_model.py
@@ -34,6 +34,8 @@
         self.compacted_at = 0
         self.leases = {}
         self.calls = Counter()
+        # Calls that read the state, by gateway.
+        self.readers = Counter()
         self.rejected = set()
         self.cut = set()
         self.silent = set()
@@ -164,6 +166,7 @@
 
     async def _begin(self, name):
         self._store.calls[name] += 1
+        self._store.readers[self._name] += name in ("list", "watch")
         if self._store.is_down or self._name in self._store.cut:
             await asyncio.sleep(NO_ANSWER_S)
             return Err(PlatformOutcomeUnknown("TimeoutError"))
--- /dev/null
+++ b/tests/load/test_silent_watchers.py
@@ -0,0 +1,94 @@
+"""A change that follows the loss of all watchers of the store, on virtual time."""
+
+import asyncio
+
+import pytest
+
+from amaranthtally.daemon.gateway.store_follower import (
+    CONTACT_LIMIT_S,
+    DEPUTY_CONTACT_LIMIT_S,
+    SPREAD_S,
+)
+from amaranthtally.policy import elect_deputies
+from tests.load.fleet import open_fleet
+from tests.load.store_model import STORE_S
+from tests.support.virtual_time import run_on_virtual_time
+
+SETTLED_S = 12.0
+# The tightest time in which a change of the configuration or of an endpoint must take
+# effect, in seconds.
+APPLY_S = 2.5
+# What a gateway needs to put a change in force that its answer from the store brings,
+# beside a connection over a slow link, in seconds.
+APPLYING_S = 0.4
+# When the watchers are lost within the second between two calls to the followed one,
+# and how much later the change comes, in seconds.
+PHASES_S = (0.0, 0.15, 0.3, 0.45, 0.6, 0.75, 0.9)
+DELAYS_S = (0.0, 0.1, 0.4)
+CASES = [(size, p, d) for size in (12, 30) for p in PHASES_S for d in DELAYS_S]
+CASES += [(300, 0.0, 0.0), (300, 0.6, 0.4)]
+
+
+def run_with_fleet(size, check):
+    async def run():
+        with open_fleet(size) as fleet:
+            await asyncio.sleep(SETTLED_S)
+            await check(fleet)
+
+    run_on_virtual_time(run())
+
+
+def freeze(fleet, names):
+    """Let calls to gateways, and their own, hang until their time-outs."""
+    fleet.store.cut.update(names)
+    fleet.parted = (set(names),)
+
+
+def kill(fleet, names):
+    for name in names:
+        fleet.kill(name)
+
+
+@pytest.mark.parametrize("lose", [freeze, kill])
+@pytest.mark.parametrize(("size", "phase_s", "delay_s"), CASES)
+def test_a_change_is_in_force_in_time_though_all_watchers_are_lost(
+    size, phase_s, delay_s, lose
+):
+    """Guards against old state whose age depends on how many calls hang one by one."""
+
+    async def check(fleet):
+        watchers = fleet.watchers()
+        others = set(fleet.members) - set(watchers)
+        await asyncio.sleep(phase_s)
+        lose(fleet, watchers)
+        await asyncio.sleep(delay_s)
+        fleet.configure()
+        assert others
+        print(await fleet.time_until_known(APPLY_S, others))
+
+    run_with_fleet(size, check)
+
+
+@pytest.mark.parametrize("lose", [freeze, kill])
+@pytest.mark.parametrize("size", [30, 300])
+def test_the_loss_of_all_watchers_brings_few_gateways_to_the_store(size, lose):
+    """Guards against a fleet of which each gateway calls the store at once."""
+
+    async def check(fleet):
+        watchers = fleet.watchers()
+        places = {name: member.data_centre for name, member in fleet.members.items()}
+        fleet.store.readers.clear()
+        lose(fleet, watchers)
+        await asyncio.sleep(APPLY_S)
+        came = {n for n, calls in fleet.store.readers.items() if calls}
+        came -= set(watchers)
+        assert came <= elect_deputies(places)
+        assert len(came) <= len(watchers)
+
+    run_with_fleet(size, check)
+
+
+def test_the_ages_add_up_to_less_than_a_change_may_take():
+    """Guards against limits that are each sound and together too long."""
+    assert DEPUTY_CONTACT_LIMIT_S < CONTACT_LIMIT_S
+    assert CONTACT_LIMIT_S + SPREAD_S + STORE_S + APPLYING_S < APPLY_S
--- a/tests/load/test_stale_watchers.py
+++ b/tests/load/test_stale_watchers.py
@@ -7,7 +7,11 @@
 
 from amaranthtally.daemon.gateway.prefix_watcher import MAX_WATCHER_AGE_S
 from amaranthtally.daemon.gateway.state_freshness import StateKind
-from amaranthtally.daemon.gateway.store_follower import MAX_AGE_S
+from amaranthtally.daemon.gateway.store_follower import (
+    CONTACT_LIMIT_S,
+    MAX_AGE_S,
+    SPREAD_S,
+)
 from amaranthtally.wire.gateway_codec import Versions
 from tests.load.fleet import open_fleet
 from tests.support.virtual_time import run_on_virtual_time
@@ -45,7 +49,7 @@
         follower = next(m for m, s in selections.items() if s.followed)
         watcher = fleet.members[selections[follower].followed]
         end_loops(watcher, "store_watcher")
-        end_loops(follower, "store_follower", "version_gossip")
+        end_loops(follower, "store_follower", "store_contact_clock", "version_gossip")
         await asyncio.sleep(NOTICED_S)
         assert not watcher.coordination.store.can_be_followed
         followed = {s.followed for m, s in selections.items() if m is not follower}
@@ -56,6 +60,23 @@
     run_with_fleet(check)
 
 
+def test_a_follower_that_asks_nobody_watches_the_store_itself():
+    """Guards against a bound on the age of its state that the calls have to keep."""
+
+    async def check(fleet):
+        selections = {m: m.coordination._selection for m in fleet.members.values()}
+        follower = next(m for m, s in selections.items() if s.followed)
+        end_loops(follower, "store_follower", "version_gossip")
+        await asyncio.sleep(CONTACT_LIMIT_S + SPREAD_S)
+        assert follower.is_watching
+        fleet.configure()
+        await fleet.time_until_known(0.5, {follower.name})
+        await asyncio.sleep(2 * MAX_AGE_S)
+        assert follower.coordination.store.is_connected
+
+    run_with_fleet(check)
+
+
 @pytest.mark.parametrize("loses_answers", [False, True])
 def test_no_gateway_counts_as_out_of_date_in_calm(loses_answers):
     """Guards against a bound that a slow or lost answer exceeds without any harm."""
