A response without a length that ends before its upload was sent is a part

What a caller would see: a 200 without a length whose endpoint ends its side in order while the upload is still being written, and then resets. Before bodies were handed on view by view, the transport held the upload and noticed the reset; now the end of the response would end the upload, and the part would count as the whole answer.

What the sockets' buffers have taken cannot be told from what was read: a part whose endpoint ends in order then is whole by the standard, as before.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_calls.py
@@ -16,7 +16,7 @@
     fate_of,
 )
 from amaranthtally.daemon.gateway.event_buffer import EventBuffer
-from amaranthtally.daemon.gateway.held_body import HeldBody, HeldBodyPayload
+from amaranthtally.daemon.gateway.held_body import HeldBody
 from amaranthtally.daemon.gateway.live_call import (
     CompleteResponse,
     LiveCall,
@@ -191,13 +191,12 @@
             resume_after=call.last_event,
         )
         assert call.body is not None, "an attempt after the body was released"
-        upload = HeldBodyPayload(call.body) if call.body.size else None
         response, head = await exchange.send(
             self._session,
             call.method,
             URL(f"http://{endpoint.address}{call.target}", encoded=True),
             headers=request_headers(call.caller, system_headers),
-            data=upload,
+            body=call.body,
             timeout=aiohttp.ClientTimeout(sock_connect=CONNECT_TIMEOUT_S),
         )
         async with response:
@@ -206,8 +205,7 @@
                 if rejected.outcome is not AttemptOutcome.NOT_RUN:
                     response.close()
                 return rejected
-            is_sent = upload is None or upload.is_written
-            if is_sent and not call.route.is_repeatable:
+            if exchange.is_sent and not call.route.is_repeatable:
                 call.release_body()
             if call.route.kind is CallKind.STREAMING and head.status == HTTP_OK:
                 origin = StreamOrigin(endpoint.pool, endpoint.version)
@@ -267,6 +265,7 @@
         exchange: EndpointExchange,
     ) -> AttemptResult:
         body = await _read_body(call, response)
+        _check_end(response, exchange)
         duration_s = exchange.elapsed_s
         if head.status >= FIRST_SERVER_ERROR:
             call.fail_with(CompleteResponse(head, body))
@@ -306,6 +305,7 @@
             self._listener.events_delivered(send.attempt, call.event_count)
         if buffer.pending_bytes:
             raise aiohttp.ClientPayloadError("stream ended in the middle of an event")
+        _check_end(response, exchange)
         if not call.stream_started:
             call.stream_started = True
             await call.events.put(StreamStarted(head))
@@ -358,6 +358,12 @@
     return body
 
 
+def _check_end(response: aiohttp.ClientResponse, exchange: EndpointExchange) -> None:
+    """Raise an error if only an early end of the connection ended a response."""
+    if not exchange.is_sent and not _is_framed(response):
+        raise aiohttp.ClientPayloadError("ended before its request")
+
+
 def unknown_outcome(
     call: LiveCall, *, connection_lost: bool = False, begun: bool = False
 ) -> AttemptResult:
--- a/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/endpoint_exchange.py
@@ -10,6 +10,7 @@
 
 from amaranthtally.adapter.messages import ResponseHead
 from amaranthtally.adapter.responses import read_response_head
+from amaranthtally.daemon.gateway.held_body import HeldBody, HeldBodyPayload
 from amaranthtally.platform import (
     CallTrace,
     MalformedHeadError,
@@ -115,6 +116,7 @@
     ) -> None:
         self._trace = CallTrace(limit, call, needs_new_connection)
         self._head: ResponseHead | None = None
+        self._upload: HeldBodyPayload | None = None
         self._time = asyncio.get_running_loop().time
         self._started = self._time()
 
@@ -144,6 +146,11 @@
             return use.calls == 0
         return self._head.request_id == call and use.previous_call != call
 
+    @property
+    def is_sent(self) -> bool:
+        """Whether all of the request's held body has been handed to the connection."""
+        return self._upload is None or self._upload.is_written
+
     @property
     def proof(self) -> NotRunProof | None:
         """Why the call provably did not run, ``None`` if it may have run."""
@@ -171,7 +178,13 @@
         }
 
     async def send(
-        self, session: aiohttp.ClientSession, method: str, url: Any, **options: Any
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        url: Any,
+        *,
+        body: HeldBody | None = None,
+        **options: Any,
     ) -> tuple[aiohttp.ClientResponse, ResponseHead]:
         """
         Send the call; return the response, whose body is unread, and its decoded head.
@@ -180,6 +193,8 @@
         server's response, and send the call to where nobody checked that it may go.
         Raises ``CALL_ERRORS``.
         """
+        if body is not None and body.size:
+            self._upload = options["data"] = HeldBodyPayload(body)
         with response_bounds(self._trace):
             response = await session.request(
                 method, url, allow_redirects=False, **options
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -1,5 +1,8 @@
 """Endpoints that answer an upload before they have read it."""
 
+import asyncio
+import socket
+
 import aiohttp
 import pytest
 
@@ -10,12 +13,25 @@
     Reset,
     complete_response,
     http_chunk,
+    parse_request,
+    piece_script,
     response_head,
     sse_events,
 )
-from tests.gateway.support import STREAM, route, run_with_cluster
+from tests.gateway.support import (
+    SEGMENTS,
+    STREAM,
+    piece_headers,
+    route,
+    run_with_cluster,
+)
 
 UPLOAD = b"u" * 900_000
+# More than both sides' sockets hold while the endpoint does not read.
+RECEIVE_BUFFER_BYTES = 65_536
+LARGE_UPLOAD = b"u" * 4_194_304
+CHUNK_BYTES = 65_536
+RESET_S = 1.0
 BODY = sse_events(*range(1, 200))
 PART = BODY[: len(BODY) // 2]
 KINDS = {
@@ -77,3 +93,68 @@
         assert (answer[0], answer[2]) == (int(status[:3]), BODY)
 
     run_with_cluster(tmp_path, check)
+
+
+class HalfClosingEndpoint(EarlyEndpoint):
+    """An endpoint that ends its side in order, and resets the connection later."""
+
+    async def serve(self, reader, writer):
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+        try:
+            request = parse_request(await reader.readuntil(b"\r\n\r\n"))
+            self.requests.append(request)
+            writer.write(response_head(request) + PART)
+            writer.write_eof()
+            await asyncio.sleep(RESET_S)
+            await self._perform(Reset, reader, writer, request)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return
+
+
+@pytest.mark.parametrize("kind", ["plain", "once"])
+def test_a_part_is_no_answer_while_the_gateway_still_holds_the_upload(tmp_path, kind):
+    """Guards against a 200 without a length that ends in order before its upload."""
+
+    async def check(cluster):
+        await cluster.endpoint("e", "job", None, HalfClosingEndpoint)
+        cluster.configure(1, route("job", **KINDS[kind] | {"maxAttempts": 1}))
+        gateway = await cluster.gateway()
+        assert (await gateway.call("/job/", body=LARGE_UPLOAD))[0] == 502
+
+    run_with_cluster(tmp_path, check)
+
+
+async def in_chunks():
+    for start in range(0, len(UPLOAD), CHUNK_BYTES):
+        yield UPLOAD[start : start + CHUNK_BYTES]
+
+
+@pytest.mark.parametrize("is_staged", [False, True])
+@pytest.mark.parametrize("cut", CUT)
+def test_a_part_of_an_early_answer_to_chunks_is_no_answer(tmp_path, cut, is_staged):
+    """Guards against the same for uploads in chunks, and behind stages."""
+
+    async def check(cluster):
+        script = lambda r: [CUT[cut](r), 0.05, Reset]  # noqa: E731
+        await cluster.endpoint("e", "job", script, EarlyEndpoint)
+        await cluster.endpoint("stage", "stage", piece_script())
+        stages = {"phases": [{"service": "stage", "after": [], "sizeBytes": 1000}]}
+        kind = STREAM | stages if is_staged else KINDS["once"]
+        services = [{"name": "stage", "segments": SEGMENTS}]
+        cluster.configure(
+            1, route("job", **kind | {"maxAttempts": 1}), services=services
+        )
+        gateway = await cluster.gateway()
+        headers = gateway.headers(**(piece_headers("1") if is_staged else {}))
+        url = f"{gateway.url}/job/"
+        async with gateway.session.post(
+            url, data=in_chunks(), headers=headers
+        ) as response:
+            try:
+                await response.read()
+                assert response.status == 502
+            except aiohttp.ClientError:
+                assert is_staged
+
+    run_with_cluster(tmp_path, check)
