--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Iterable
 from typing import NamedTuple, TypeVar
 
-from aiohttp import hdrs, web
+from aiohttp import HttpVersion11, hdrs, web
 from result import Err
 
 from amaranthtally.adapter.callers import read_caller_request, request_id_of
@@ -59,6 +59,8 @@
 # Bodies and events are written in parts of this size, in bytes. What is written of an
 # event is copied: a larger part is held twice until it is read.
 SLICE_BYTES = 16_384
+# Asks a caller for the body of a request that will be read.
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # How long a body may still take once a stopping gateway refuses further requests, in
 # seconds. It is not run before it is complete.
 LAST_BODY_S = 0.3
@@ -269,6 +271,8 @@
         body = HeldBody(announced)
         if not request.can_read_body:
             return body
+        if _waits_for_invitation(request):
+            await request.writer.write(CONTINUE)
         async for part in request.content.iter_any():
             if body.size + len(part) > limit:
                 return BODY_TOO_LARGE
@@ -513,6 +517,12 @@
         )
 
 
+def _waits_for_invitation(request: web.BaseRequest) -> bool:
+    """Whether the caller sends the body only once it is asked to."""
+    expectation = request.headers.get(hdrs.EXPECT, "")
+    return request.version >= HttpVersion11 and expectation.lower() == "100-continue"
+
+
 def _set_length(response: web.Response, size: int) -> None:
     """Give a response its length, and no body that the server would write."""
     response.body = None
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -158,3 +158,26 @@
                 assert is_staged
 
     run_with_cluster(tmp_path, check)
+
+
+def test_a_caller_that_waits_for_an_invitation_gets_it(tmp_path):
+    """Guards against 408 for an upload whose caller awaits 100 Continue."""
+
+    async def check(cluster):
+        endpoint = await cluster.endpoint(
+            "e", "job", lambda r: [complete_response(r, BODY)]
+        )
+        cluster.configure(1, route("job"))
+        gateway = await cluster.gateway()
+        for data in (UPLOAD, in_chunks()):
+            async with gateway.session.post(
+                f"{gateway.url}/job/",
+                data=data,
+                headers=gateway.headers(),
+                expect100=True,
+            ) as response:
+                assert (response.status, await response.read()) == (200, BODY)
+        assert [request.body for request in endpoint.requests] == [UPLOAD, UPLOAD]
+        assert not any("expect" in request.headers for request in endpoint.requests)
+
+    run_with_cluster(tmp_path, check)
