Streams are read no faster than their callers read while memory is scarce

What callers saw: 503 for ordinary requests, and a gateway beyond its memory, while callers of other routes were sent large events without end.

Cause: with a limited memory, streams are read as fast as endpoints send; their events filled the whole limit, where new requests are refused from nine tenths on.

Change: beyond half of the limit a stream waits until its caller was written what is queued, 2 s at most and once until then.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
@@ -3,7 +3,7 @@
 import asyncio
 from collections import deque
 from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager
+from contextlib import AbstractAsyncContextManager, suppress
 from math import inf
 from pathlib import Path
 from resource import getpagesize
@@ -32,6 +32,12 @@
 # What responses that are not complete may take of the limit, so that servers that send
 # without end leave room for other requests.
 RECEIVED_SHARE = 0.5
+# The share of the limit from which on a stream is read only as its caller reads it. The
+# rest is for other requests, and for callers that do not read for a while.
+CROWDED_SHARE = 0.5
+# How long a stream is then not read, in seconds. Endpoints cut off what is not read for
+# some seconds.
+DRAIN_WAIT_S = 2.0
 STATM = Path("/proc/self/statm")
 RESIDENT_FIELD = 1
 
@@ -51,6 +57,11 @@
         self._is_open = True
         self._is_ended = False
         self._held_at_end = 0
+        # Bytes of events that are queued for the caller.
+        self._queued = 0
+        self._drained = asyncio.Event()
+        self._drained.set()
+        self._has_waited = False
 
     @property
     def is_ended(self) -> bool:
@@ -99,12 +110,33 @@
 
     def add_event(self, body: bytes) -> None:
         """Count an event that is queued for the caller."""
+        self._queued += len(body) + EVENT_BYTES
+        self._drained.clear()
         self.add(len(body) + EVENT_BYTES)
 
     def remove_event(self, body: bytes) -> None:
         """Count an event as no longer queued."""
+        self._queued -= len(body) + EVENT_BYTES
+        if not self._queued:
+            self._drained.set()
+            self._has_waited = False
         self.remove(len(body) + EVENT_BYTES)
 
+    async def wait_until_drained(self) -> None:
+        """
+        Wait until no event is queued, if the process holds much already.
+
+        After ``DRAIN_WAIT_S`` the stream is read on, as its endpoint would cut it off.
+        """
+        if self._has_waited or not self._memory.is_crowded:
+            return
+        # Not for each further event of a caller that does not read at all.
+        self._has_waited = True
+        with suppress(TimeoutError):
+            async with asyncio.timeout(DRAIN_WAIT_S):
+                await self._drained.wait()
+                self._has_waited = False
+
     def set_unsent(self, size: int) -> None:
         """Count the bytes that were written and that the caller has not read."""
         if size > self._unsent:
@@ -196,6 +228,11 @@
         """Whether a new request with a body of this size fits."""
         return self._budget.admits(body_bytes + REQUEST_BYTES)
 
+    @property
+    def is_crowded(self) -> bool:
+        """Whether streams are read no faster than their callers read them."""
+        return self._budget.used > CROWDED_SHARE * self._budget.limit
+
     def admits_more(self, size: int) -> bool:
         """Whether more bytes of a body whose length is not known fit."""
         return self._budget.admits(size)
--- a/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/live_call.py
@@ -126,9 +126,10 @@
             self.events.put_nowait(event)
 
     async def put_events(self, body: bytes) -> None:
-        """Queue complete events for the caller."""
+        """Queue complete events for the caller; wait while memory is scarce."""
         self.memory.add_event(body)
         await self.events.put(StreamEvents(body))
+        await self.memory.wait_until_drained()
 
     def fail_with(self, response: CompleteResponse) -> None:
         """Keep an endpoint's error response, in place of an earlier one."""
