A test of announced bytes fails without its guard

The limit follows the least of the samples, so that a larger new one could not raise it: the test passed with the guard taken out. Now both samples see the same resident memory; without the guard the test fails.

--- a/tests/unit/test_held_body.py
+++ b/tests/unit/test_held_body.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from amaranthtally.daemon.gateway import reading_turns
+from amaranthtally.daemon.gateway import caller_memory, reading_turns
 from amaranthtally.daemon.gateway.caller_memory import EntryMemory
 from amaranthtally.daemon.gateway.held_body import HeldBody
 from amaranthtally.policy import build_memory_budget
@@ -101,15 +101,17 @@
     run_async(check())
 
 
-def test_what_is_announced_does_not_hide_the_process_own_need():
+def test_what_is_announced_does_not_hide_the_process_own_need(monkeypatch):
     """Guards against a limit that is too high while announced bodies are on the way."""
+    resident = 200_000_000
+    monkeypatch.setattr(caller_memory, "resident_bytes", lambda: resident)
 
     async def check():
-        memory = EntryMemory(300)
+        memory = EntryMemory(1000)
         limit = memory.budget.limit
         caller = memory.open()
         caller.reserve(100_000_000)
-        memory.update_limit(250_000_000)
+        memory.update_limit(resident)
         assert memory.budget.limit <= limit
         caller.close()
 
