--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -22,6 +22,7 @@
 from amaranthtally.wire.gateway_codec import Greeter
 from tests.gateway.support import configuration, route
 from tests.load.store_model import StoreModel, StoreModelClient
+from tests.support.virtual_time import run_on_virtual_time
 
 REGIONS = {"a1": "a", "a2": "a", "b1": "b", "b2": "b", "c1": "c", "c2": "c"}
 DATA_CENTRES = tuple(REGIONS)
@@ -29,6 +30,8 @@
 NEAR_S = 0.001
 FAR_S = 0.024
 PEER_TIMEOUT_S = 0.8
+# Time after which a new fleet has elected its watchers and knows its state, in seconds.
+SETTLED_S = 12.0
 
 
 def address_of(name):
@@ -276,6 +279,18 @@
         fleet.close()
 
 
+def run_with_fleet(size, check):
+    """Await `check` with a fleet of `size` gateways that all know the newest state."""
+
+    async def run():
+        with open_fleet(size) as fleet:
+            await asyncio.sleep(SETTLED_S)
+            assert not fleet.late()
+            await check(fleet)
+
+    run_on_virtual_time(run())
+
+
 def endpoint_record(number):
     return {
         "service": "job",
--- a/tests/load/test_fleet_coordination.py
+++ b/tests/load/test_fleet_coordination.py
@@ -6,8 +6,7 @@
 
 from amaranthtally.wire.changes import ChangeBatch
 from amaranthtally.wire.gateway_codec import Versions
-from tests.load.fleet import open_fleet
-from tests.support.virtual_time import run_on_virtual_time
+from tests.load.fleet import SETTLED_S, run_with_fleet
 
 # Time within which a change must be in force everywhere, in seconds.
 IN_FORCE_S = 4.0
@@ -16,7 +15,6 @@
 # Time after which gateways that lost the store or their peers must be up to date, in
 # seconds: the users allow 4 s to be in touch again, and then 4 s for the change.
 IN_TOUCH_S = 4.0
-SETTLED_S = 12.0
 SIZES = (30, 100, 300)
 # Highest price of a gateway's calls to the store in a second without changes, in calls.
 MAX_CALLS_PER_S = 0.3
@@ -24,16 +22,6 @@
 MAX_PEERS = 8
 
 
-def run_with_fleet(size, check):
-    async def run():
-        with open_fleet(size) as fleet:
-            await asyncio.sleep(SETTLED_S)
-            assert not fleet.late()
-            await check(fleet)
-
-    run_on_virtual_time(run())
-
-
 @pytest.mark.parametrize("size", SIZES)
 def test_few_gateways_watch_and_calls_do_not_grow_with_the_fleet(size):
     """Guards against a store that every gateway of a growing fleet watches."""
--- a/tests/load/test_restarts_in_outage.py
+++ b/tests/load/test_restarts_in_outage.py
@@ -4,11 +4,9 @@
 
 import pytest
 
-from tests.load.fleet import open_fleet
-from tests.support.virtual_time import run_on_virtual_time
+from tests.load.fleet import run_with_fleet
 
 SIZES = (6, 17, 30)
-SETTLED_S = 12.0
 # From the signal to the end of a gateway that is stopped, and until it runs again, in
 # seconds.
 STOP_S = 4.6
@@ -18,15 +16,6 @@
 COMPLETE_WITHIN_S = 1.0
 
 
-def run_with_fleet(size, check):
-    async def run():
-        with open_fleet(size) as fleet:
-            await asyncio.sleep(SETTLED_S)
-            await check(fleet)
-
-    run_on_virtual_time(run())
-
-
 def stop_store(fleet, how):
     if how == "silent":
         fleet.store.is_down = True
--- a/tests/load/test_silent_watchers.py
+++ b/tests/load/test_silent_watchers.py
@@ -10,11 +10,9 @@
     SPREAD_S,
 )
 from amaranthtally.policy import elect_deputies
-from tests.load.fleet import open_fleet
+from tests.load.fleet import run_with_fleet
 from tests.load.store_model import STORE_S
-from tests.support.virtual_time import run_on_virtual_time
 
-SETTLED_S = 12.0
 # The tightest time in which a change of the configuration or of an endpoint must take
 # effect, in seconds.
 APPLY_S = 2.5
@@ -29,15 +27,6 @@
 CASES += [(300, 0.0, 0.0), (300, 0.6, 0.4)]
 
 
-def run_with_fleet(size, check):
-    async def run():
-        with open_fleet(size) as fleet:
-            await asyncio.sleep(SETTLED_S)
-            await check(fleet)
-
-    run_on_virtual_time(run())
-
-
 def freeze(fleet, names):
     """Let calls to gateways, and their own, hang until their time-outs."""
     fleet.store.cut.update(names)
--- a/tests/load/test_stale_watchers.py
+++ b/tests/load/test_stale_watchers.py
@@ -13,25 +13,14 @@
     SPREAD_S,
 )
 from amaranthtally.wire.gateway_codec import Versions
-from tests.load.fleet import open_fleet
-from tests.support.virtual_time import run_on_virtual_time
+from tests.load.fleet import run_with_fleet
 
 SIZE = 30
-SETTLED_S = 12.0
 # A follower asks its watcher each second.
 NOTICED_S = MAX_WATCHER_AGE_S + 2.0
 POLL_S = 0.05
 
 
-def run_with_fleet(check):
-    async def run():
-        with open_fleet(SIZE) as fleet:
-            await asyncio.sleep(SETTLED_S)
-            await check(fleet)
-
-    run_on_virtual_time(run())
-
-
 def end_loops(member, *names):
     # A supervisor starts what failed again, but not what is cancelled.
     ended = [t for t in member._supervisor.running if t.get_name() in names]
@@ -57,7 +46,7 @@
         await asyncio.sleep(MAX_AGE_S - NOTICED_S + POLL_S)
         assert not follower.coordination.store.is_connected
 
-    run_with_fleet(check)
+    run_with_fleet(SIZE, check)
 
 
 def test_a_follower_that_asks_nobody_watches_the_store_itself():
@@ -74,7 +63,7 @@
         await asyncio.sleep(2 * MAX_AGE_S)
         assert follower.coordination.store.is_connected
 
-    run_with_fleet(check)
+    run_with_fleet(SIZE, check)
 
 
 @pytest.mark.parametrize("loses_answers", [False, True])
@@ -98,7 +87,7 @@
                 assert member.coordination.is_configuration_confirmed
         assert max(oldest.values()) <= MAX_AGE_S
 
-    run_with_fleet(check)
+    run_with_fleet(SIZE, check)
 
 
 def test_a_configuration_that_is_held_and_not_in_force_refuses_nothing_for_good():
@@ -118,7 +107,7 @@
         await asyncio.sleep(5.0)
         assert member.coordination.is_configuration_confirmed
 
-    run_with_fleet(check)
+    run_with_fleet(SIZE, check)
 
 
 def test_a_gateway_whose_listener_failed_is_not_followed():
@@ -139,7 +128,7 @@
         assert told.watches
         assert told.versions.configuration_age_s < inf
 
-    run_with_fleet(check)
+    run_with_fleet(SIZE, check)
 
 
 def test_only_a_data_centre_that_is_cut_off_refuses_nothing_for_good():
@@ -161,4 +150,4 @@
         }
         assert confirmed == set(members) - parted
 
-    run_with_fleet(check)
+    run_with_fleet(SIZE, check)
--- a/tests/load/test_stream_origins.py
+++ b/tests/load/test_stream_origins.py
@@ -5,12 +5,10 @@
 import pytest
 
 from amaranthtally.policy import StreamOrigin
-from tests.load.fleet import DATA_CENTRES, open_fleet
-from tests.support.virtual_time import run_on_virtual_time
+from tests.load.fleet import DATA_CENTRES, run_with_fleet
 
 SIZES = (6, 30)
 LARGE = 300
-SETTLED_S = 12.0
 # Time within which an origin is held by others, in seconds.
 COPIED_WITHIN_S = 0.5
 STREAMS = 12
@@ -31,15 +29,6 @@
     return StreamOrigin("engines", f"v{serial % 3}")
 
 
-def run_with_fleet(size, check):
-    async def run():
-        with open_fleet(size) as fleet:
-            await asyncio.sleep(SETTLED_S)
-            await check(fleet)
-
-    run_on_virtual_time(run())
-
-
 def begin_streams(member, first=0, count=STREAMS):
     expires_at = asyncio.get_running_loop().time() + EXPIRES_S
     for serial in range(first, first + count):
