A test of the age bound for each kind of record

The test of lost watchers changed the configuration and an endpoint at once, so a kind whose age nothing bounds would have stayed hidden. A print that was left in the test is gone.

--- a/tests/load/test_silent_watchers.py
+++ b/tests/load/test_silent_watchers.py
@@ -10,7 +10,8 @@
     SPREAD_S,
 )
 from amaranthtally.policy import elect_deputies
-from tests.load.fleet import run_with_fleet
+from tests.gateway.support import configuration, route
+from tests.load.fleet import endpoint_record, run_with_fleet
 from tests.load.store_model import STORE_S
 
 # The tightest time in which a change of the configuration or of an endpoint must take
@@ -27,6 +28,40 @@
 CASES += [(300, 0.0, 0.0), (300, 0.6, 0.4)]
 
 
+def replace_route_and_key(fleet):
+    version = fleet.version + 1
+    changed = configuration(version, route("other"), keys=("other-key",))
+    fleet.store.put("op/config", changed)
+    return lambda member: member.version == version
+
+
+def start_endpoint(fleet):
+    fleet.store.put("servers/new", endpoint_record(fleet.version + 1))
+    return lambda member: "new" in member.endpoints
+
+
+def announce_leave(fleet):
+    name = str(fleet.version)
+    record = endpoint_record(fleet.version) | {"state": "draining"}
+    fleet.store.put(f"servers/{name}", record)
+    return lambda m: not m.routing_state.directory.endpoints[name].takes_calls
+
+
+def end_endpoint(fleet):
+    name = str(fleet.version)
+    fleet.store.remove(f"servers/{name}")
+    return lambda member: name not in member.endpoints
+
+
+def evacuate(fleet):
+    fleet.store.put("op/evacuate/b1", {})
+    return lambda member: "b1" in member.routing_state.evacuated
+
+
+# Changes of one kind of record each. All return a check that a gateway knows them.
+KINDS = (replace_route_and_key, start_endpoint, announce_leave, end_endpoint, evacuate)
+
+
 def freeze(fleet, names):
     """Let calls to gateways, and their own, hang until their time-outs."""
     fleet.store.cut.update(names)
@@ -53,11 +88,28 @@
         await asyncio.sleep(delay_s)
         fleet.configure()
         assert others
-        print(await fleet.time_until_known(APPLY_S, others))
+        await fleet.time_until_known(APPLY_S, others)
 
     run_with_fleet(size, check)
 
 
+@pytest.mark.parametrize("change", KINDS)
+@pytest.mark.parametrize("phase_s", PHASES_S)
+def test_a_change_of_each_kind_of_record_is_in_force_in_time(phase_s, change):
+    """Guards against a kind of record whose age nothing bounds."""
+
+    async def check(fleet):
+        watchers = fleet.watchers()
+        others = set(fleet.members) - set(watchers)
+        await asyncio.sleep(phase_s)
+        freeze(fleet, watchers)
+        is_known = change(fleet)
+        await asyncio.sleep(APPLY_S)
+        assert all(is_known(fleet.members[name]) for name in others)
+
+    run_with_fleet(12, check)
+
+
 @pytest.mark.parametrize("lose", [freeze, kill])
 @pytest.mark.parametrize("size", [30, 300])
 def test_the_loss_of_all_watchers_brings_few_gateways_to_the_store(size, lose):
