A response to HEAD has no body that the next one would begin with

Callers that kept their connection got the text of a refused HEAD request as the start of their next response. Cause: whole responses are written by the gateway itself, in parts, and not by the server, which leaves the body out after HEAD. The one place that writes them leaves it out now too. Evidence: HEAD to a route without endpoints, then GET on the same connection: the second response began with 'no_endpoint', here and on; the new test failed before the fix and passes with it.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -350,9 +350,11 @@
         if self._memory.is_limited:
             _limit_send_buffer(request)
         await response.prepare(request)
-        # The connection keeps views of the body, which is counted until it is read.
-        for part in parts:
-            await response.write(part)
+        # The connection keeps views of the body, which is counted until it is read. In
+        # an answer to HEAD, it would be taken for the start of the next response.
+        if request.method != hdrs.METH_HEAD:
+            for part in parts:
+                await response.write(part)
         await response.write_eof()
         await self._await_reading(request)
 
