The clock of a follower is one of the tasks whose failure shows

A gateway's tasks are checked against a list of those that are vital. Listed, the test also lets the clock fail: the gateway is not ready and not followed meanwhile, and serves callers by what it knows.

--- a/tests/failure/test_failing_tasks.py
+++ b/tests/failure/test_failing_tasks.py
@@ -41,7 +41,12 @@
     r"run_(gateway|entry|sidecar)|RequestHandler\.(start|_handle_request)"
     r"|_PeerListener\._handle"
 )
-STORE_TASKS = {"store_watcher", "store_follower", "record_expiry"}
+STORE_TASKS = {
+    "store_watcher",
+    "store_follower",
+    "store_contact_clock",
+    "record_expiry",
+}
 VITAL = {
     "gateway": STORE_TASKS | {"decision_loop", "connection_gate"},
     "entry": {"decision_loop"},
