The listing of tasks without supervision leaves out those of one call

The check of unsupervised tasks read a listing made at one moment, 20 ms after the start: a task of one call, such as aiohttp's write of a request, could stand in it.

--- a/tests/support/faulty_daemon.py
+++ b/tests/support/faulty_daemon.py
@@ -3,7 +3,8 @@
 
 Beside the settings file NAME.toml there is a folder NAME.faults. While it has a file
 with the name of a task, the task fails; a file that says "once" is removed by that. The
-daemon lists its tasks, and those that it runs without supervision, in tasks.json.
+daemon lists its tasks, and those that it keeps running without supervision, in
+tasks.json.
 """
 
 import asyncio
@@ -15,6 +16,9 @@
 from amaranthtally.daemon.main import main
 
 POLL_INTERVAL_S = 0.02
+LIST_INTERVAL_S = 1.0
+# Tasks of one call, such as a write, end within this time, in seconds.
+LASTING_S = 0.3
 LISTING = "tasks.json"
 # Shorter than in service, so that a test sees a task fail and recover in seconds.
 SHORT_TIMES = {"MAX_RESTART_DELAY_S": 0.3, "WELL_AFTER_S": 1.0}
@@ -40,12 +44,18 @@
         super().run(name, lambda: _run_with_faults(name, work), *args, **options)
 
     def _list_tasks(self):
-        self._loop.call_later(1.0, self._list_tasks)
+        self._loop.call_later(LIST_INTERVAL_S, self._list_tasks)
+        self._loop.call_later(LASTING_S, self._write_listing, self._unsupervised())
+
+    def _unsupervised(self):
         inner = {task for task in asyncio.all_tasks() if task.get_name() == "inner"}
-        others = asyncio.all_tasks() - self.running - inner
+        return asyncio.all_tasks() - self.running - inner
+
+    def _write_listing(self, earlier):
+        lasting = earlier & self._unsupervised()
         listing = {
             "vital": {name: task.is_vital for name, task in self._tasks.items()},
-            "unsupervised": sorted({t.get_coro().__qualname__ for t in others}),
+            "unsupervised": sorted({t.get_coro().__qualname__ for t in lasting}),
         }
         (faults_folder() / LISTING).write_text(json.dumps(listing))
 
