--- a/packages/policy/src/amaranthtally/policy/request_key.py
+++ b/packages/policy/src/amaranthtally/policy/request_key.py
@@ -41,13 +41,12 @@
     prompt = ",".join(f"{part:x}" for part in parts)
     for field in (method, host, target, prompt):
         _add(digest, field.encode("utf-8", "surrogateescape"))
-    digest.update(sum(map(len, body)).to_bytes(LENGTH_BYTES))
-    for piece in body:
-        digest.update(piece)
+    _add(digest, *body)
     return RequestKey(int.from_bytes(digest.digest()))
 
 
-def _add(digest: blake2b, field: bytes) -> None:
+def _add(digest: blake2b, *field: bytes | memoryview) -> None:
     # With its length before it, no field can pass for the end of another one.
-    digest.update(len(field).to_bytes(LENGTH_BYTES))
-    digest.update(field)
+    digest.update(sum(map(len, field)).to_bytes(LENGTH_BYTES))
+    for piece in field:
+        digest.update(piece)
