Names: ResponseTurns beside ReadTurns, the field's word for 100-continue

ReadingTurns (whole responses, in the gateway) and ReadTurns (slices of a connection, in platform/) were one syllable apart. An 'invitation' is the standard's expectation; a gateway holds a version.

--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_handler.py
@@ -271,7 +271,7 @@
         body = HeldBody(announced)
         if not request.can_read_body:
             return body
-        if _waits_for_invitation(request):
+        if _expects_continue(request):
             await request.writer.write(CONTINUE)
         async for part in request.content.iter_any():
             if body.size + len(part) > limit:
@@ -519,7 +519,7 @@
         )
 
 
-def _waits_for_invitation(request: web.BaseRequest) -> bool:
+def _expects_continue(request: web.BaseRequest) -> bool:
     """Whether the caller sends the body only once it is asked to."""
     expectation = request.headers.get(hdrs.EXPECT, "")
     return request.version >= HttpVersion11 and expectation.lower() == "100-continue"
--- a/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/caller_memory.py
@@ -8,7 +8,7 @@
 from pathlib import Path
 from resource import getpagesize
 
-from amaranthtally.daemon.gateway.reading_turns import ReadingTurns
+from amaranthtally.daemon.gateway.response_turns import ResponseTurns
 from amaranthtally.daemon.logs import get_logger
 from amaranthtally.platform import Reception
 from amaranthtally.policy import MemoryBudget, build_memory_budget, usable_bytes
@@ -191,7 +191,7 @@
         self._reception = reception or Reception()
         self._memory_bytes = memory_mb * BYTES_PER_MB
         self._budget = budget or build_memory_budget()
-        self._reading = ReadingTurns(self._budget)
+        self._reading = ResponseTurns(self._budget)
         # What is counted and has not come.
         self._expected = 0
         self._own_samples: deque[int] = deque(maxlen=SAMPLES)
@@ -211,7 +211,7 @@
         return self._budget
 
     @property
-    def reading(self) -> ReadingTurns:
+    def reading(self) -> ResponseTurns:
         """The turns in which large responses are read."""
         return self._reading
 
--- a/packages/daemon/src/amaranthtally/daemon/gateway/reading_turns.py
+++ b/packages/daemon/src/amaranthtally/daemon/gateway/response_turns.py
@@ -9,7 +9,7 @@
 
 from amaranthtally.policy import MemoryBudget
 
-__all__ = ["ReadingTurns", "ResponseHolder"]
+__all__ = ["ResponseTurns", "ResponseHolder"]
 
 # Responses up to this size are read at once, in bytes: their connection's buffers hold
 # as much.
@@ -47,7 +47,7 @@
     )
 
 
-class ReadingTurns:
+class ResponseTurns:
     """
     Gives turns to large responses, in the order in which their heads came.
 
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -160,7 +160,7 @@
     run_with_cluster(tmp_path, check)
 
 
-def test_a_caller_that_waits_for_an_invitation_gets_it(tmp_path):
+def test_a_caller_that_expects_100_continue_gets_it(tmp_path):
     """Guards against 408 for an upload whose caller awaits 100 Continue."""
 
     async def check(cluster):
--- a/tests/load/fleet.py
+++ b/tests/load/fleet.py
@@ -30,7 +30,7 @@
 NEAR_S = 0.001
 FAR_S = 0.024
 PEER_TIMEOUT_S = 0.8
-# Time after which a new fleet has elected its watchers and knows its state, in seconds.
+# Time after which a new fleet has elected its watchers and holds its state, in seconds.
 SETTLED_S = 12.0
 
 
@@ -280,7 +280,7 @@
 
 
 def run_with_fleet(size, check):
-    """Await `check` with a fleet of `size` gateways that all know the newest state."""
+    """Await `check` with a fleet of `size` gateways that all hold the newest state."""
 
     async def run():
         with open_fleet(size) as fleet:
--- a/tests/load/test_silent_watchers.py
+++ b/tests/load/test_silent_watchers.py
@@ -58,7 +58,7 @@
     return lambda member: "b1" in member.routing_state.evacuated
 
 
-# Changes of one kind of record each. All return a check that a gateway knows them.
+# Changes of one kind of record each. All return a check that a gateway holds them.
 KINDS = (replace_route_and_key, start_endpoint, announce_leave, end_endpoint, evacuate)
 
 
--- a/tests/unit/test_held_body.py
+++ b/tests/unit/test_held_body.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from amaranthtally.daemon.gateway import caller_memory, reading_turns
+from amaranthtally.daemon.gateway import caller_memory, response_turns
 from amaranthtally.daemon.gateway.caller_memory import EntryMemory
 from amaranthtally.daemon.gateway.held_body import HeldBody
 from amaranthtally.policy import build_memory_budget
@@ -36,7 +36,7 @@
 
 def test_a_large_response_waits_until_there_is_room(monkeypatch):
     """Guards against responses that come together and of which some are ended."""
-    monkeypatch.setattr(reading_turns, "MAX_WAIT_S", 60.0)
+    monkeypatch.setattr(response_turns, "MAX_WAIT_S", 60.0)
 
     async def check():
         memory = new_memory(10_000_000)
@@ -64,7 +64,7 @@
 
 def test_a_response_that_has_waited_long_is_read(monkeypatch):
     """Guards against an endpoint that cuts off what is not read for some seconds."""
-    monkeypatch.setattr(reading_turns, "MAX_WAIT_S", 0.01)
+    monkeypatch.setattr(response_turns, "MAX_WAIT_S", 0.01)
 
     async def check():
         memory = new_memory(10_000_000)
@@ -77,7 +77,7 @@
 
 def test_a_response_whose_request_ends_leaves_its_turn_to_others(monkeypatch):
     """Guards against turns that nobody gets any more, so that all wait."""
-    monkeypatch.setattr(reading_turns, "MAX_WAIT_S", 60.0)
+    monkeypatch.setattr(response_turns, "MAX_WAIT_S", 60.0)
 
     async def check():
         memory = new_memory(10_000_000)
