Endpoints of tests: waits last while an upload comes, and a half-close is a step

A wait ended with the first byte that the endpoint had not read, so that the cases 'soon' and 'late' of early answers to uploads reset at once like the third. A wait now lasts, unless the client ends its side.

--- a/tests/gateway/fake_endpoint.py
+++ b/tests/gateway/fake_endpoint.py
@@ -11,6 +11,8 @@
 from amaranthtally.adapter import headers as names
 
 SIGNATURE = "f00d.01"
+# What an ``EarlyEndpoint``'s kernel takes of an upload that it does not read, in bytes.
+RECEIVE_BUFFER_BYTES = 65_536
 
 
 @dataclass
@@ -41,11 +43,16 @@
     """A step that closes the connection."""
 
 
+class HalfClose:
+    """A step that ends the endpoint's side of the connection in order."""
+
+
 class FakeEndpoint:
     """
     An endpoint; ``script`` returns the steps of the response to a request.
 
-    A step is bytes to send, a number of seconds to wait, ``Reset`` or ``Close``.
+    A step is bytes to send, a number of seconds to wait, ``HalfClose``, ``Reset`` or
+    ``Close``.
     """
 
     def __init__(self, name, script):
@@ -94,12 +101,10 @@
             await writer.drain()
             return True
         if isinstance(step, int | float):
-            reading = asyncio.create_task(reader.read(1))
-            await asyncio.wait({reading}, timeout=step)
-            has_disconnected = reading.done() and reading.result() == b""
-            reading.cancel()
-            await asyncio.gather(reading, return_exceptions=True)
-            return not has_disconnected
+            return not await disconnects_within(reader, step)
+        if step is HalfClose:
+            writer.write_eof()
+            return True
         if step is Reset:
             # With a linger time of 0, closing the socket sends RST instead of FIN.
             linger = struct.pack("ii", 1, 0)
@@ -117,6 +122,8 @@
     """An endpoint that answers one request as soon as it has read its head."""
 
     async def serve(self, reader, writer):
+        connection = writer.get_extra_info("socket")
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
         try:
             request = parse_request(await reader.readuntil(b"\r\n\r\n"))
             self.requests.append(request)
@@ -131,6 +138,20 @@
             writer.close()
 
 
+async def disconnects_within(reader, seconds):
+    """Wait so long, or until the client ends its side; return whether it does."""
+    reading = asyncio.create_task(reader.read(1))
+    ended = asyncio.get_running_loop().time() + seconds
+    await asyncio.wait({reading}, timeout=seconds)
+    has_disconnected = reading.done() and reading.result() == b""
+    reading.cancel()
+    await asyncio.gather(reading, return_exceptions=True)
+    if not has_disconnected:
+        # The byte that was read is one of an upload that goes on.
+        await asyncio.sleep(ended - asyncio.get_running_loop().time())
+    return has_disconnected
+
+
 async def read_request(reader):
     """Read one request with a length; return ``None`` if the connection has ended."""
     try:
--- a/tests/gateway/test_early_answers.py
+++ b/tests/gateway/test_early_answers.py
@@ -1,8 +1,5 @@
 """Endpoints that answer an upload before they have read it."""
 
-import asyncio
-import socket
-
 import aiohttp
 import pytest
 
@@ -10,10 +7,10 @@
     READ,
     Close,
     EarlyEndpoint,
+    HalfClose,
     Reset,
     complete_response,
     http_chunk,
-    parse_request,
     piece_script,
     response_head,
     sse_events,
@@ -28,7 +25,6 @@
 
 UPLOAD = b"u" * 900_000
 # More than both sides' sockets hold while the endpoint does not read.
-RECEIVE_BUFFER_BYTES = 65_536
 LARGE_UPLOAD = b"u" * 4_194_304
 CHUNK_BYTES = 65_536
 RESET_S = 1.0
@@ -95,29 +91,13 @@
     run_with_cluster(tmp_path, check)
 
 
-class HalfClosingEndpoint(EarlyEndpoint):
-    """An endpoint that ends its side in order, and resets the connection later."""
-
-    async def serve(self, reader, writer):
-        connection = writer.get_extra_info("socket")
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-        try:
-            request = parse_request(await reader.readuntil(b"\r\n\r\n"))
-            self.requests.append(request)
-            writer.write(response_head(request) + PART)
-            writer.write_eof()
-            await asyncio.sleep(RESET_S)
-            await self._perform(Reset, reader, writer, request)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            return
-
-
 @pytest.mark.parametrize("kind", ["plain", "once"])
 def test_a_part_is_no_answer_while_the_gateway_still_holds_the_upload(tmp_path, kind):
     """Guards against a 200 without a length that ends in order before its upload."""
 
     async def check(cluster):
-        await cluster.endpoint("e", "job", None, HalfClosingEndpoint)
+        script = lambda r: [response_head(r) + PART, HalfClose, RESET_S, Reset]  # noqa: E731
+        await cluster.endpoint("e", "job", script, EarlyEndpoint)
         cluster.configure(1, route("job", **KINDS[kind] | {"maxAttempts": 1}))
         gateway = await cluster.gateway()
         assert (await gateway.call("/job/", body=LARGE_UPLOAD))[0] == 502
--- a/tests/platform/test_early_answers.py
+++ b/tests/platform/test_early_answers.py
@@ -1,49 +1,30 @@
 """Servers of the platform that answer a write before they have read it."""
 
-import asyncio
 import json
-import socket
-import struct
-from contextlib import asynccontextmanager
 
 import pytest
 
 from amaranthtally.adapter.store import StoreWrite
 from amaranthtally.platform import open_key_value, open_store
 from amaranthtally.wire.loop import run
+from tests.gateway.fake_endpoint import (
+    EarlyEndpoint,
+    HalfClose,
+    Reset,
+    open_endpoint,
+)
 
 # More than both sides' sockets hold while the server does not read.
 VALUE = b"v" * 8_388_608
-RECEIVE_BUFFER_BYTES = 65_536
 HEAD = b"HTTP/1.1 200 OK\r\n"
-RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 # When the connection is reset after the response, in seconds.
 RESETS_S = (0.0, 0.05, 0.5)
 
 
-@asynccontextmanager
-async def open_early_server(data, reset_s, half_closes):
+def open_early_server(data, reset_s, half_closes):
     """Answer with some bytes once a head has come, and reset the connection later."""
-
-    async def answer(reader, writer):
-        connection = writer.get_extra_info("socket")
-        await reader.readuntil(b"\r\n\r\n")
-        writer.write(data)
-        if half_closes:
-            writer.write_eof()
-        await asyncio.sleep(reset_s)
-        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-        writer.transport.abort()
-
-    listener = socket.create_server(("127.0.0.1", 0))
-    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    # The reader's limit keeps the server from reading the rest of the value.
-    server = await asyncio.start_server(answer, sock=listener, limit=1024)
-    host, port = listener.getsockname()
-    try:
-        yield f"{host}:{port}"
-    finally:
-        server.close()
+    steps = [data, *([HalfClose] if half_closes else []), reset_s, Reset]
+    return open_endpoint("server", lambda request: steps, EarlyEndpoint)
 
 
 async def write_to_store(address):
@@ -70,8 +51,9 @@
     send, body = WRITES[write]
 
     async def check():
-        async with open_early_server(HEAD + b"\r\n" + body, reset_s, half_closes) as at:
-            assert (await send(at)).is_err()
+        data = HEAD + b"\r\n" + body
+        async with open_early_server(data, reset_s, half_closes) as server:
+            assert (await send(server.address)).is_err()
 
     run(check())
 
@@ -83,7 +65,7 @@
     length = b"Content-Length: %d\r\n\r\n" % len(body)
 
     async def check():
-        async with open_early_server(HEAD + length + body, 0.5, False) as address:
-            assert (await send(address)).is_ok()
+        async with open_early_server(HEAD + length + body, 0.5, False) as server:
+            assert (await send(server.address)).is_ok()
 
     run(check())
