--- a/tests/gateway/support.py
+++ b/tests/gateway/support.py
@@ -82,6 +82,13 @@
         }
         return base | additional
 
+    def request_head(self, method, path, request_id="", **additional):
+        """Return the head of a request that a test sends over its own connection."""
+        headers = self.headers(request_id, **additional)
+        lines = [f"{method} {path} HTTP/1.1"]
+        lines += [f"{name}: {value}" for name, value in headers.items()]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
     async def call(self, path, *, method="POST", body=b"", **headers):
         """Send a request; return the status, headers and body of the response."""
         async with self.session.request(
--- a/tests/gateway/test_answers_at_a_stop.py
+++ b/tests/gateway/test_answers_at_a_stop.py
@@ -207,9 +207,8 @@
         gateway = await cluster.gateway(stop_grace=10.0, memory_mb=memory_mb)
         port = gateway.process.ports["port"]
         reader, writer = await asyncio.open_connection("127.0.0.1", port, limit=65536)
-        headers = gateway.headers(**{names.DEADLINE_MS: "30000"})
-        head = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
-        writer.write(f"GET /job/ HTTP/1.1\r\n{head}\r\n".encode())
+        headers = {names.DEADLINE_MS: "30000"}
+        writer.write(gateway.request_head("GET", "/job/", **headers))
         await reader.readuntil(b"\r\n\r\n")
         gateway.process.send(TERM)
         await gateway.wait_for_event("gateway_refuses")
--- a/tests/gateway/test_configuration.py
+++ b/tests/gateway/test_configuration.py
@@ -74,10 +74,8 @@
         reader, writer = await asyncio.open_connection(
             "127.0.0.1", gateway.process.ports["port"]
         )
-        headers = gateway.headers(**{names.DEADLINE_MS: "300", "Content-Length": "9"})
-        lines = [f"{name}: {value}" for name, value in headers.items()]
-        head = "\r\n".join(["POST /job/ HTTP/1.1", *lines, "", "half"])
-        writer.write(head.encode())
+        headers = {names.DEADLINE_MS: "300", "Content-Length": "9"}
+        writer.write(gateway.request_head("POST", "/job/", **headers) + b"half")
         async with asyncio.timeout(3.0):
             assert b" 408 " in await reader.readline()
         writer.close()
--- a/tests/gateway/test_leaving.py
+++ b/tests/gateway/test_leaving.py
@@ -135,10 +135,8 @@
         partial_head = await asyncio.open_connection(host, port)
         partial_head[1].write(b"POST /job/ HTTP/1.1\r\nHost: api.example\r\n")
         missing_body = await asyncio.open_connection(host, port)
-        head = "".join(f"{k}: {v}\r\n" for k, v in gateway.headers().items())
-        missing_body[1].write(
-            f"POST /job/ HTTP/1.1\r\n{head}Content-Length: 9\r\n\r\n".encode()
-        )
+        headers = {"Content-Length": "9"}
+        missing_body[1].write(gateway.request_head("POST", "/job/", **headers))
         assert (await gateway.call("/job/"))[0] == 200
         gateway.process.send(signal.SIGTERM)
         async with asyncio.timeout(5.0):
@@ -158,9 +156,8 @@
         gateway = await cluster.gateway(stop_grace=20.0)
         port = gateway.process.ports["port"]
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
-        headers = gateway.headers(**{names.DEADLINE_MS: "30000"})
-        head = "".join(f"{k}: {v}\r\n" for k, v in headers.items())
-        writer.write(f"POST /job/ HTTP/1.1\r\n{head}Content-Length: 9\r\n\r\n".encode())
+        headers = {names.DEADLINE_MS: "30000", "Content-Length": "9"}
+        writer.write(gateway.request_head("POST", "/job/", **headers))
         assert (await gateway.call("/job/"))[0] == 200
         gateway.process.send(signal.SIGTERM)
         async with asyncio.timeout(8.0):
--- a/tests/gateway/test_odd_callers.py
+++ b/tests/gateway/test_odd_callers.py
@@ -7,8 +7,6 @@
 from amaranthtally.adapter import headers as names
 from tests.gateway.fake_endpoint import piece_script
 from tests.gateway.support import (
-    HOST,
-    KEY,
     open_staged_pool,
     piece_headers,
     respond_with,
@@ -38,17 +36,6 @@
     run_with_cluster(tmp_path, check)
 
 
-def request_head(method, path, request_id):
-    lines = (
-        f"{method} {path} HTTP/1.1",
-        f"Host: {HOST}",
-        f"{names.AUTHORIZATION}: Token {KEY}",
-        f"{names.REQUEST_ID}: {request_id}",
-        f"{names.DEADLINE_MS}: 500",
-    )
-    return ("\r\n".join(lines) + "\r\n\r\n").encode()
-
-
 @pytest.mark.parametrize("path", ["/job/", "/empty/"])
 def test_a_response_to_head_is_not_taken_for_the_next_one(tmp_path, path):
     """Guards against a body after the head, which the next response begins with."""
@@ -60,7 +47,8 @@
         port = gateway.process.ports["port"]
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         for method, target in (("HEAD", path), ("GET", "/job/")):
-            writer.write(request_head(method, target, method))
+            deadline = {names.DEADLINE_MS: "500"}
+            writer.write(gateway.request_head(method, target, method, **deadline))
             async with asyncio.timeout(ANSWER_S):
                 head = await reader.readuntil(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 ")
